Workspace, shared types, wire schema and protocols

Cause: several parts are to be built side by side and must agree on ids, error kinds, the resolved configuration and the messages before they start.

--- /dev/null
+++ b/crates/conf/src/arena/mod.rs
@@ -0,0 +1,6 @@
+//! Storage addressed by the small numbers that the configuration gives out.
+
+mod arena_key;
+mod dense_arena;
+
+pub use {arena_key::ArenaKey, dense_arena::Arena};
--- /dev/null
+++ b/crates/conf/src/fleet/fleet_view.rs
@@ -0,0 +1,111 @@
+use {
+    super::{Account, Adapter, BaseModel, DataCentre, Key, KeyDigest, Service, Upstream},
+    crate::arena::Arena,
+    jasmine_core::{
+        error::ErrorKind,
+        ids::{
+            AccountId, AdapterId, AdapterVersion, DataCentreId, ModelId, Revision, ServiceId,
+            UpstreamId,
+        },
+    },
+    std::collections::HashMap,
+};
+
+/// What a caller's model name stands for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ModelRef {
+    /// The base model without an adapter.
+    Base(ModelId),
+    /// One exact version of an adapter.
+    Adapter(ModelId, AdapterVersion),
+}
+
+/// One revision of the configuration, resolved.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    /// The revision of the tree this was resolved from.
+    pub revision: Revision,
+    /// Client accounts.
+    pub accounts: Arena<AccountId, Account>,
+    /// Keys by digest, withdrawn ones included.
+    pub keys: HashMap<KeyDigest, Key>,
+    /// Adapters.
+    pub adapters: Arena<AdapterId, Adapter>,
+    /// Adapters by name.
+    pub adapter_names: HashMap<String, AdapterId>,
+    /// Base models.
+    pub models: Arena<ModelId, BaseModel>,
+    /// Data centres.
+    pub data_centres: Arena<DataCentreId, DataCentre>,
+    /// Upstreams.
+    pub upstreams: Arena<UpstreamId, Upstream>,
+    /// Plain services.
+    pub services: Arena<ServiceId, Service>,
+}
+
+impl Fleet {
+    /// Resolves a model name: `adapter@version`, `adapter` (its live version) or a base model.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::ModelNotFound`] where no such adapter, version or base model exists.
+    pub fn model(
+        &self,
+        name: &str,
+    ) -> Result<ModelRef, ErrorKind> {
+        let (adapter_name, version) = match name.rsplit_once('@') {
+            Some((adapter_name, version)) => (adapter_name, Some(version)),
+            None => (name, None),
+        };
+        let adapter = self
+            .adapter_names
+            .get(adapter_name)
+            .and_then(|&id| self.adapters.get(id));
+        match (adapter, version) {
+            (Some(adapter), Some(version)) => version
+                .parse()
+                .ok()
+                .and_then(|version| adapter_ref(adapter, version)),
+            (Some(adapter), None) => adapter
+                .live
+                .and_then(|version| adapter_ref(adapter, version)),
+            (None, None) => self
+                .models
+                .iter()
+                .find(|model| model.name == name)
+                .map(|model| ModelRef::Base(model.id)),
+            (None, Some(_)) => None,
+        }
+        .ok_or(ErrorKind::ModelNotFound)
+    }
+
+    /// The service of this name.
+    pub fn service(
+        &self,
+        name: &str,
+    ) -> Option<&Service> {
+        self.services.iter().find(|service| service.name == name)
+    }
+
+    /// The key with this digest.
+    pub fn key(
+        &self,
+        digest: KeyDigest,
+    ) -> Option<Key> {
+        self.keys.get(&digest).copied()
+    }
+}
+
+fn adapter_ref(
+    adapter: &Adapter,
+    version: u32,
+) -> Option<ModelRef> {
+    let named = AdapterVersion {
+        adapter: adapter.id,
+        version,
+    };
+    adapter
+        .versions
+        .contains_key(&version)
+        .then_some(ModelRef::Adapter(adapter.model, named))
+}
--- /dev/null
+++ b/crates/conf/src/fleet/mod.rs
@@ -0,0 +1,19 @@
+//! What one revision of the tree resolves to: every value with inheritance already applied.
+
+mod account;
+mod adapter;
+mod fleet_view;
+mod key;
+mod place;
+mod service;
+mod upstream;
+
+pub use {
+    account::Account,
+    adapter::{Access, Adapter, Version},
+    fleet_view::{Fleet, ModelRef},
+    key::{Key, KeyDigest},
+    place::{BaseModel, DataCentre},
+    service::{Call, Priority, Service},
+    upstream::{Upstream, UpstreamKind, UpstreamState},
+};
--- /dev/null
+++ b/crates/conf/src/lib.rs
@@ -0,0 +1,4 @@
+//! The operators' configuration: the tree they edit, what it resolves to, and settings files.
+
+pub mod arena;
+pub mod fleet;
--- /dev/null
+++ b/crates/controller/src/lib.rs
@@ -0,0 +1,1 @@
+//! controller.
--- /dev/null
+++ b/crates/controller/src/main.rs
@@ -0,0 +1,3 @@
+//! controller.
+
+fn main() {}
--- /dev/null
+++ b/crates/core/src/clock/millis.rs
@@ -0,0 +1,85 @@
+use {
+    serde::{Deserialize, Serialize},
+    std::ops::{Add, AddAssign, Sub},
+};
+
+/// A point in time or a duration, in milliseconds.
+///
+/// As a point in time it counts from an origin of the process's own choosing on a clock that never
+/// goes back and that keeps running while the process is frozen. Points of two processes can't be
+/// compared; durations can.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    derive_more::Display,
+)]
+#[serde(transparent)]
+pub struct Millis(pub u64);
+
+impl Millis {
+    /// The origin of the clock, or no time at all.
+    pub const ZERO: Self = Self(0);
+
+    /// A duration of whole seconds.
+    pub const fn from_secs(secs: u64) -> Self {
+        Self(secs * 1000)
+    }
+
+    /// The duration since `earlier`, zero when `earlier` lies in the future.
+    pub const fn since(
+        self,
+        earlier: Self,
+    ) -> Self {
+        Self(self.0.saturating_sub(earlier.0))
+    }
+
+    /// The duration in seconds, for metrics and formulas.
+    pub fn as_secs_f64(self) -> f64 {
+        self.0 as f64 / 1000.0
+    }
+
+    /// The same duration as the standard library's type.
+    pub const fn to_std(self) -> std::time::Duration {
+        std::time::Duration::from_millis(self.0)
+    }
+}
+
+impl Add for Millis {
+    type Output = Self;
+
+    fn add(
+        self,
+        rhs: Self,
+    ) -> Self {
+        Self(self.0.saturating_add(rhs.0))
+    }
+}
+
+impl AddAssign for Millis {
+    fn add_assign(
+        &mut self,
+        rhs: Self,
+    ) {
+        *self = *self + rhs;
+    }
+}
+
+impl Sub for Millis {
+    type Output = Self;
+
+    fn sub(
+        self,
+        rhs: Self,
+    ) -> Self {
+        self.since(rhs)
+    }
+}
--- /dev/null
+++ b/crates/core/src/error/error_kind.rs
@@ -0,0 +1,241 @@
+use super::{
+    Answer,
+    Execution::{self, Incomplete, NotRun, OutcomeUnknown},
+    RetryAfter::{self, Decided, Never, Secs},
+};
+
+/// Every way in which a request or an edit can fail; the list is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, derive_more::Error)]
+pub enum ErrorKind {
+    /// The request is not what the API takes: bad JSON, a missing or wrong field.
+    BadRequest,
+    /// The body is over the configured size.
+    BodyTooLarge,
+    /// The headers are over the configured size.
+    HeadersTooLarge,
+    /// The request did not arrive in time.
+    SlowSender,
+    /// No key came with the request, or it is malformed.
+    KeyMissing,
+    /// The key is not one that operators issued.
+    KeyUnknown,
+    /// The key has been withdrawn.
+    KeyWithdrawn,
+    /// The key was withdrawn while its answer was streaming.
+    KeyWithdrawnMidway,
+    /// The key's client account may not use this.
+    NotPermitted,
+    /// No adapter or version of that name exists.
+    ModelNotFound,
+    /// No service or call of that name exists.
+    ServiceNotFound,
+    /// The client account's rate and burst are used up.
+    RateLimited,
+    /// The request costs more than the client account's whole burst.
+    LargerThanBurst,
+    /// Too much of this client account's work is waiting already.
+    QueueFull,
+    /// The request would not be served before its deadline.
+    CannotMeetDeadline,
+    /// No upstream that could serve this is reachable.
+    NoUpstream,
+    /// The adapter version could not be loaded.
+    AdapterLoadFailed,
+    /// This VM has reached neither the platform nor a peer for too long to check keys.
+    ConfigUnavailable,
+    /// The platform can't record the idempotency key, so the call was not begun.
+    ClaimUnavailable,
+    /// A call with this idempotency key is running or its outcome is unknown.
+    ClaimRunning,
+    /// The idempotency key was used with another request.
+    ClaimMismatch,
+    /// This VM is about to stop.
+    ShuttingDown,
+    /// The upstream could not be reached; nothing was sent.
+    UpstreamUnreachable,
+    /// The upstream was lost after the request had been sent.
+    UpstreamLost,
+    /// The upstream's answer could not be understood or belongs to another request.
+    UpstreamInvalid,
+    /// The deadline passed while an upstream was at work.
+    DeadlineExceeded,
+    /// The answer broke off and could not be resumed.
+    AnswerCut,
+    /// The edit names something that doesn't exist or a value that is not allowed.
+    EditInvalid,
+    /// Another edit has changed the same thing since it was read.
+    EditConflict,
+    /// The platform did not answer; the edit may or may not be accepted.
+    EditOutcomeUnknown,
+    /// The platform's key-value service can't be reached; nothing was written.
+    StoreUnavailable,
+    /// Nothing exists at this path.
+    NotFound,
+    /// A defect in this daemon.
+    Internal,
+}
+
+impl ErrorKind {
+    /// All kinds, in the order of the table.
+    pub const ALL: [Self; 33] = [
+        Self::BadRequest,
+        Self::BodyTooLarge,
+        Self::HeadersTooLarge,
+        Self::SlowSender,
+        Self::KeyMissing,
+        Self::KeyUnknown,
+        Self::KeyWithdrawn,
+        Self::KeyWithdrawnMidway,
+        Self::NotPermitted,
+        Self::ModelNotFound,
+        Self::ServiceNotFound,
+        Self::RateLimited,
+        Self::LargerThanBurst,
+        Self::QueueFull,
+        Self::CannotMeetDeadline,
+        Self::NoUpstream,
+        Self::AdapterLoadFailed,
+        Self::ConfigUnavailable,
+        Self::ClaimUnavailable,
+        Self::ClaimRunning,
+        Self::ClaimMismatch,
+        Self::ShuttingDown,
+        Self::UpstreamUnreachable,
+        Self::UpstreamLost,
+        Self::UpstreamInvalid,
+        Self::DeadlineExceeded,
+        Self::AnswerCut,
+        Self::EditInvalid,
+        Self::EditConflict,
+        Self::EditOutcomeUnknown,
+        Self::StoreUnavailable,
+        Self::NotFound,
+        Self::Internal,
+    ];
+
+    /// The row of the table from kind to answer.
+    pub const fn answer(self) -> Answer {
+        match self {
+            Self::BadRequest => row(400, NotRun, Never, "bad_request"),
+            Self::BodyTooLarge => row(413, NotRun, Never, "body_too_large"),
+            Self::HeadersTooLarge => row(431, NotRun, Never, "headers_too_large"),
+            Self::SlowSender => row(408, NotRun, Secs(1), "slow_sender"),
+            Self::KeyMissing => row(401, NotRun, Never, "key_missing"),
+            Self::KeyUnknown => row(401, NotRun, Never, "key_unknown"),
+            Self::KeyWithdrawn => row(401, NotRun, Never, "key_withdrawn"),
+            Self::KeyWithdrawnMidway => row(401, Incomplete, Never, "key_withdrawn_midway"),
+            Self::NotPermitted => row(403, NotRun, Never, "not_permitted"),
+            Self::ModelNotFound => row(404, NotRun, Never, "model_not_found"),
+            Self::ServiceNotFound => row(404, NotRun, Never, "service_not_found"),
+            Self::RateLimited => row(429, NotRun, Decided, "rate_limited"),
+            Self::LargerThanBurst => row(400, NotRun, Never, "larger_than_burst"),
+            Self::QueueFull => row(429, NotRun, Decided, "queue_full"),
+            Self::CannotMeetDeadline => row(503, NotRun, Decided, "cannot_meet_deadline"),
+            Self::NoUpstream => row(503, NotRun, Secs(2), "no_upstream"),
+            Self::AdapterLoadFailed => row(503, NotRun, Secs(5), "adapter_load_failed"),
+            Self::ConfigUnavailable => row(503, NotRun, Secs(5), "config_unavailable"),
+            Self::ClaimUnavailable => row(503, NotRun, Secs(5), "claim_unavailable"),
+            Self::ClaimRunning => row(409, OutcomeUnknown, Secs(2), "claim_running"),
+            Self::ClaimMismatch => row(422, NotRun, Never, "claim_mismatch"),
+            Self::ShuttingDown => row(503, NotRun, Secs(1), "shutting_down"),
+            Self::UpstreamUnreachable => row(502, NotRun, Secs(1), "upstream_unreachable"),
+            Self::UpstreamLost => row(502, OutcomeUnknown, Secs(1), "upstream_lost"),
+            Self::UpstreamInvalid => row(502, OutcomeUnknown, Never, "upstream_invalid"),
+            Self::DeadlineExceeded => row(504, OutcomeUnknown, Never, "deadline_exceeded"),
+            Self::AnswerCut => row(502, Incomplete, Secs(1), "answer_cut"),
+            Self::EditInvalid => row(422, NotRun, Never, "edit_invalid"),
+            Self::EditConflict => row(409, NotRun, Never, "edit_conflict"),
+            Self::EditOutcomeUnknown => row(504, OutcomeUnknown, Secs(2), "edit_outcome_unknown"),
+            Self::StoreUnavailable => row(503, NotRun, Secs(2), "store_unavailable"),
+            Self::NotFound => row(404, NotRun, Never, "not_found"),
+            Self::Internal => row(500, OutcomeUnknown, Never, "internal"),
+        }
+    }
+
+    /// A sentence for whoever gets the answer.
+    pub const fn message(self) -> &'static str {
+        match self {
+            Self::BadRequest => {
+                "The request is not what the API takes: bad JSON, a missing or wrong field."
+            }
+            Self::BodyTooLarge => "The body is over the configured size.",
+            Self::HeadersTooLarge => "The headers are over the configured size.",
+            Self::SlowSender => "The request did not arrive in time.",
+            Self::KeyMissing => "No key came with the request, or it is malformed.",
+            Self::KeyUnknown => "The key is not one that operators issued.",
+            Self::KeyWithdrawn => "The key has been withdrawn.",
+            Self::KeyWithdrawnMidway => "The key was withdrawn while its answer was streaming.",
+            Self::NotPermitted => "The key's client account may not use this.",
+            Self::ModelNotFound => "No adapter or version of that name exists.",
+            Self::ServiceNotFound => "No service or call of that name exists.",
+            Self::RateLimited => "The client account's rate and burst are used up.",
+            Self::LargerThanBurst => {
+                "The request costs more than the client account's whole burst."
+            }
+            Self::QueueFull => "Too much of this client account's work is waiting already.",
+            Self::CannotMeetDeadline => "The request would not be served before its deadline.",
+            Self::NoUpstream => "No upstream that could serve this is reachable.",
+            Self::AdapterLoadFailed => "The adapter version could not be loaded.",
+            Self::ConfigUnavailable => {
+                "This VM has reached neither the platform nor a peer for too long to check keys."
+            }
+            Self::ClaimUnavailable => {
+                "The platform can't record the idempotency key, so the call was not begun."
+            }
+            Self::ClaimRunning => {
+                "A call with this idempotency key is running or its outcome is unknown."
+            }
+            Self::ClaimMismatch => "The idempotency key was used with another request.",
+            Self::ShuttingDown => "This VM is about to stop.",
+            Self::UpstreamUnreachable => "The upstream could not be reached; nothing was sent.",
+            Self::UpstreamLost => "The upstream was lost after the request had been sent.",
+            Self::UpstreamInvalid => {
+                "The upstream's answer could not be understood or belongs to another request."
+            }
+            Self::DeadlineExceeded => "The deadline passed while an upstream was at work.",
+            Self::AnswerCut => "The answer broke off and could not be resumed.",
+            Self::EditInvalid => {
+                "The edit names something that doesn't exist or a value that is not allowed."
+            }
+            Self::EditConflict => "Another edit has changed the same thing since it was read.",
+            Self::EditOutcomeUnknown => {
+                "The platform did not answer; the edit may or may not be accepted."
+            }
+            Self::StoreUnavailable => {
+                "The platform's key-value service can't be reached; nothing was written."
+            }
+            Self::NotFound => "Nothing exists at this path.",
+            Self::Internal => "A defect in this daemon.",
+        }
+    }
+
+    /// The kind whose short name is `code`.
+    pub fn from_code(code: &str) -> Option<Self> {
+        Self::ALL
+            .into_iter()
+            .find(|kind| kind.answer().code == code)
+    }
+}
+
+impl std::fmt::Display for ErrorKind {
+    fn fmt(
+        &self,
+        f: &mut std::fmt::Formatter<'_>,
+    ) -> std::fmt::Result {
+        f.write_str(self.answer().code)
+    }
+}
+
+const fn row(
+    status: u16,
+    execution: Execution,
+    retry_after: RetryAfter,
+    code: &'static str,
+) -> Answer {
+    Answer {
+        status,
+        execution,
+        retry_after,
+        code,
+    }
+}
--- /dev/null
+++ b/crates/core/src/ids/adapter_version.rs
@@ -0,0 +1,26 @@
+use {
+    super::AdapterId,
+    serde::{Deserialize, Serialize},
+};
+
+/// One exact version of an adapter: what a request names and what an engine loads.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    derive_more::Display,
+)]
+#[display("{adapter}@{version}")]
+pub struct AdapterVersion {
+    /// The adapter.
+    pub adapter: AdapterId,
+    /// The version's number, from 1 up.
+    pub version: u32,
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,10 @@
+//! Decisions of the serving layer as deterministic state machines.
+//!
+//! Nothing in this crate opens a socket, reads a clock, logs or keeps global state. Each machine
+//! takes an event and the current [`clock::Millis`] and returns actions for its daemon to carry
+//! out, so that a script, a generated order of events or another driver can run the very code that
+//! runs in production.
+
+pub mod clock;
+pub mod error;
+pub mod ids;
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,1 @@
+//! gateway.
--- /dev/null
+++ b/crates/gateway/src/main.rs
@@ -0,0 +1,3 @@
+//! gateway.
+
+fn main() {}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! platform.
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! telemetry.
--- /dev/null
+++ b/crates/testkit/src/lib.rs
@@ -0,0 +1,1 @@
+//! testkit.
