Telemetry: log lines and the metrics page

Daemons need one line of key=value pairs an event and histograms for each client account and priority class.

Conclusion: the crate has what both daemons start from.

--- /dev/null
+++ b/crates/telemetry/src/log/output.rs
@@ -0,0 +1,59 @@
+use {
+    flexi_logger::{DeferredNow, FlexiLoggerError, LogSpecification, Logger, LoggerHandle},
+    log::Record,
+    std::io::Write,
+};
+
+/// Where log lines go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogOutput {
+    /// Standard error.
+    Stderr,
+    /// Standard output.
+    Stdout,
+}
+
+/// Why logging could not be started.
+#[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
+pub enum LogError {
+    /// The level is not one of `off`, `error`, `warn`, `info`, `debug`, `trace`, or a logger
+    /// is already running.
+    #[display("the log can't be started: {_0}")]
+    Logger(FlexiLoggerError),
+}
+
+/// Starts logging at `level`; it goes on for as long as the handle is kept.
+///
+/// # Errors
+///
+/// [`LogError::Logger`] when the level is unknown or a logger is already running.
+pub fn start(
+    level: &str,
+    output: LogOutput,
+) -> Result<LoggerHandle, LogError> {
+    let spec = LogSpecification::parse(level)?;
+    let logger = Logger::with(spec).format(format_line);
+    let logger = match output {
+        LogOutput::Stderr => logger.log_to_stderr(),
+        LogOutput::Stdout => logger.log_to_stdout(),
+    };
+    Ok(logger.start()?)
+}
+
+/// Puts time and level before the pairs; lines of libraries are wrapped as an event of their own.
+fn format_line(
+    w: &mut dyn Write,
+    now: &mut DeferredNow,
+    record: &Record<'_>,
+) -> std::io::Result<()> {
+    let time = now.now_utc_owned().format("%Y-%m-%dT%H:%M:%S%.3fZ");
+    let level = record.level().as_str().to_ascii_lowercase();
+    let text = record.args().to_string();
+    if text.starts_with("event=") {
+        return write!(w, "time={time} level={level} {text}");
+    }
+    let line = super::Line::new("library")
+        .with("module", record.target())
+        .with("message", text);
+    write!(w, "time={time} level={level} {}", line.as_str())
+}
--- /dev/null
+++ b/crates/telemetry/src/metrics/refusals.rs
@@ -0,0 +1,42 @@
+use {
+    jasmine_core::error::ErrorKind,
+    opentelemetry::{
+        KeyValue,
+        metrics::{Counter, Meter},
+    },
+};
+
+/// Counts refusals by their kind.
+#[derive(Clone, Debug)]
+pub struct Refusals {
+    counter: Counter<u64>,
+}
+
+impl Refusals {
+    /// The counter `jasmine_refusals_total`.
+    pub fn new(meter: &Meter) -> Self {
+        Self {
+            counter: meter
+                .u64_counter("jasmine_refusals")
+                .with_description("Requests and edits answered with an error, by kind")
+                .build(),
+        }
+    }
+
+    /// Counts one; `account` is empty where the caller isn't known.
+    pub fn count(
+        &self,
+        kind: ErrorKind,
+        account: &str,
+    ) {
+        let answer = kind.answer();
+        self.counter.add(
+            1,
+            &[
+                KeyValue::new("kind", answer.code),
+                KeyValue::new("execution", answer.execution.to_string()),
+                KeyValue::new("account", account.to_owned()),
+            ],
+        );
+    }
+}
