Core: the machine that forwards one request

A call that may not be repeated must not run twice, and a cut answer must not pass for a whole one. The machine keeps one attempt at a time, drops what comes late from an earlier one, sends anew only after proof that nothing left (or, for idempotent calls, while nothing contradicts a second run), and resumes streams by token.

--- /dev/null
+++ b/crates/core/src/forward/machine.rs
@@ -0,0 +1,444 @@
+use {
+    super::{
+        Attempt, Delivery, ForwardAction as Action, ForwardEvent as Event, ForwardPlan, Head, Part,
+        PartKind, Repeat, RouteCause, progress::Progress,
+    },
+    crate::{
+        clock::Millis,
+        error::{ErrorKind, Execution, Refusal},
+        ids::UpstreamId,
+    },
+};
+
+/// The pause before a resumption that follows a failed one; doubled with each.
+const RESUME_PAUSE: Millis = Millis(100);
+
+/// Where a request stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// Waits for an upstream to be chosen.
+    Routing,
+    /// Sent; waits for the head.
+    Sent,
+    /// Waits until a stream is resumed again.
+    Pausing { until: Millis },
+    /// A resumption was sent; waits for the head.
+    Resuming,
+    /// Parts arrive.
+    Answering,
+    /// Nothing more happens.
+    Done,
+}
+
+/// The forwarding of one request.
+#[derive(Clone, Debug)]
+pub struct ForwardMachine {
+    plan: ForwardPlan,
+    state: State,
+    attempt: Attempt,
+    upstream: Option<UpstreamId>,
+    resumable: bool,
+    /// Whether an earlier attempt may have run.
+    may_have_run: bool,
+    passed_on: Progress,
+    /// Runs that came to nothing.
+    runs: u32,
+    /// Resumptions in a row without progress.
+    failures: u32,
+    heard_at: Millis,
+    caller_slow: bool,
+}
+
+impl ForwardMachine {
+    /// A machine and its first action.
+    pub fn new(
+        plan: ForwardPlan,
+        now: Millis,
+    ) -> (Self, Action) {
+        let attempt = Attempt(1);
+        let machine = Self {
+            plan,
+            state: State::Routing,
+            attempt,
+            upstream: None,
+            resumable: false,
+            may_have_run: false,
+            passed_on: Progress::default(),
+            runs: 0,
+            failures: 0,
+            heard_at: now,
+            caller_slow: false,
+        };
+        let route = Action::Route {
+            attempt,
+            avoid: None,
+            cause: RouteCause::First,
+        };
+        (machine, route)
+    }
+
+    /// Whether nothing more happens.
+    pub fn is_done(&self) -> bool {
+        self.state == State::Done
+    }
+
+    /// Tokens passed on so far.
+    pub const fn offset(&self) -> u64 {
+        self.passed_on.offset()
+    }
+
+    /// Whether an upstream may have run the request.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run || self.is_out()
+    }
+
+    /// When [`Event::Timer`] is wanted at the latest.
+    pub fn wake_at(&self) -> Option<Millis> {
+        let gap = match self.state {
+            State::Done => return None,
+            State::Pausing { until } => Some(until),
+            State::Sent | State::Resuming => self.head_limit(),
+            State::Answering => self.part_limit(),
+            State::Routing => None,
+        };
+        Some(gap.map_or(self.plan.deadline, |gap| gap.min(self.plan.deadline)))
+    }
+
+    /// Takes an event.
+    pub fn handle(
+        &mut self,
+        event: Event,
+        now: Millis,
+    ) -> Vec<Action> {
+        match event {
+            _ if self.state == State::Done => Vec::new(),
+            Event::Routed { attempt, upstream } if self.waits_for(attempt, State::Routing) => {
+                self.sent(upstream, now)
+            }
+            Event::RouteRefused { attempt, refusal } if self.waits_for(attempt, State::Routing) => {
+                self.refuse(refusal)
+            }
+            Event::Unreachable { attempt } if attempt == self.attempt => self.unreachable(now),
+            Event::Head { attempt, head } if attempt == self.attempt => self.head(head, now),
+            Event::Part { attempt, part } if self.waits_for(attempt, State::Answering) => {
+                self.part(part, now)
+            }
+            Event::End { attempt, made } if self.waits_for(attempt, State::Answering) => {
+                self.end(made, now)
+            }
+            Event::Lost { attempt } if attempt == self.attempt => self.lost(now),
+            Event::CallerSlow => {
+                self.caller_slow = true;
+                Vec::new()
+            }
+            Event::CallerReady => {
+                self.caller_slow = false;
+                self.heard_at = now;
+                Vec::new()
+            }
+            Event::CallerGone => self.stop(),
+            Event::KeyWithdrawn => self.withdrawn(),
+            Event::Timer => self.timer(now),
+            // Late words of an earlier attempt.
+            _ => Vec::new(),
+        }
+    }
+
+    /// Whether bytes of the attempt under way may have left.
+    fn is_out(&self) -> bool {
+        !matches!(self.state, State::Routing | State::Done)
+    }
+
+    fn waits_for(
+        &self,
+        attempt: Attempt,
+        state: State,
+    ) -> bool {
+        attempt == self.attempt && state == self.state
+    }
+
+    fn head_limit(&self) -> Option<Millis> {
+        // A call that may not be repeated gains nothing from giving up before its deadline.
+        match self.plan.repeat {
+            Repeat::Once => None,
+            Repeat::Idempotent => Some(self.heard_at + self.plan.head_gap),
+        }
+    }
+
+    fn part_limit(&self) -> Option<Millis> {
+        match self.plan.repeat {
+            // A silent upstream can't be told from a connection that nobody reads any more.
+            Repeat::Idempotent if !self.caller_slow => Some(self.heard_at + self.plan.part_gap),
+            _ => None,
+        }
+    }
+
+    fn sent(
+        &mut self,
+        upstream: UpstreamId,
+        now: Millis,
+    ) -> Vec<Action> {
+        self.upstream = Some(upstream);
+        self.state = State::Sent;
+        self.resumable = false;
+        self.heard_at = now;
+        // A pooled connection may be dead without anybody knowing. The first attempt of a request
+        // that can be repeated takes that risk, a later one doesn't.
+        let fresh = self.plan.repeat == Repeat::Once || self.runs > 0;
+        vec![Action::Send {
+            attempt: self.attempt,
+            fresh,
+        }]
+    }
+
+    fn unreachable(
+        &mut self,
+        now: Millis,
+    ) -> Vec<Action> {
+        match self.state {
+            State::Sent => {
+                self.state = State::Routing;
+                self.again(RouteCause::NotRun, ErrorKind::UpstreamUnreachable)
+            }
+            State::Resuming => self.resume_later(now),
+            _ => Vec::new(),
+        }
+    }
+
+    fn head(
+        &mut self,
+        head: Head,
+        now: Millis,
+    ) -> Vec<Action> {
+        match (self.state, head) {
+            (State::Sent, Head::Accepted { resumable }) => {
+                self.state = State::Answering;
+                self.resumable = resumable;
+                self.heard_at = now;
+                Vec::new()
+            }
+            (State::Resuming, Head::Accepted { .. }) => {
+                self.state = State::Answering;
+                self.heard_at = now;
+                Vec::new()
+            }
+            (State::Sent, Head::NotLoaded | Head::Busy) => {
+                self.state = State::Routing;
+                self.again(RouteCause::NotRun, ErrorKind::NoUpstream)
+            }
+            (State::Sent, Head::Rejected) => {
+                self.state = State::Routing;
+                self.refuse(Refusal::new(ErrorKind::BadRequest))
+            }
+            (State::Sent, Head::Crossed) if self.plan.repeat == Repeat::Once => {
+                self.refuse(Refusal::new(ErrorKind::UpstreamInvalid))
+            }
+            (State::Sent, Head::StreamGone | Head::Failed | Head::Crossed) => self.run_anew(),
+            (State::Resuming, Head::Crossed | Head::Busy | Head::Failed) => self.resume_later(now),
+            (State::Resuming, Head::StreamGone | Head::NotLoaded | Head::Rejected) => {
+                self.run_anew()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn part(
+        &mut self,
+        part: Part,
+        now: Millis,
+    ) -> Vec<Action> {
+        self.heard_at = now;
+        let is_new = self.passed_on.take(part);
+        if is_new && part.kind == PartKind::Tokens {
+            self.failures = 0;
+        }
+        if is_new {
+            vec![Action::Deliver(part)]
+        } else {
+            Vec::new()
+        }
+    }
+
+    fn end(
+        &mut self,
+        made: Option<u64>,
+        now: Millis,
+    ) -> Vec<Action> {
+        match made {
+            // Tokens are missing on the way; the engine still has them.
+            Some(made) if made > self.offset() => self.lost(now),
+            Some(made) if made < self.offset() => self.fail(ErrorKind::UpstreamInvalid),
+            _ => {
+                self.state = State::Done;
+                vec![Action::Finish]
+            }
+        }
+    }
+
+    fn lost(
+        &mut self,
+        now: Millis,
+    ) -> Vec<Action> {
+        match self.state {
+            State::Answering | State::Resuming if self.resumable => self.resume(now),
+            State::Sent | State::Answering | State::Resuming => self.run_anew(),
+            _ => Vec::new(),
+        }
+    }
+
+    /// Goes on with the stream, at once after progress and later after a failed resumption.
+    fn resume(
+        &mut self,
+        now: Millis,
+    ) -> Vec<Action> {
+        match self.failures {
+            0 => {
+                self.failures = 1;
+                self.send_resumption(now)
+            }
+            _ => self.resume_later(now),
+        }
+    }
+
+    fn send_resumption(
+        &mut self,
+        now: Millis,
+    ) -> Vec<Action> {
+        self.attempt = self.attempt.next();
+        self.state = State::Resuming;
+        self.heard_at = now;
+        let resume = Action::Resume {
+            attempt: self.attempt,
+            offset: self.offset(),
+        };
+        vec![Action::Abandon, resume]
+    }
+
+    fn resume_later(
+        &mut self,
+        now: Millis,
+    ) -> Vec<Action> {
+        self.failures += 1;
+        if self.failures > self.plan.max_attempts {
+            return self.run_anew();
+        }
+        let pause = Millis(RESUME_PAUSE.0 << self.failures.min(8));
+        self.attempt = self.attempt.next();
+        self.state = State::Pausing { until: now + pause };
+        vec![Action::Abandon]
+    }
+
+    /// Runs the request from its start at another upstream where that is allowed.
+    fn run_anew(&mut self) -> Vec<Action> {
+        self.may_have_run = true;
+        match (self.plan.repeat, self.plan.delivery) {
+            (Repeat::Once, _) => self.fail(ErrorKind::UpstreamLost),
+            (Repeat::Idempotent, Delivery::Streamed) if self.passed_on.has_content() => {
+                self.fail(ErrorKind::AnswerCut)
+            }
+            (Repeat::Idempotent, _) => self.again(RouteCause::MayHaveRun, ErrorKind::UpstreamLost),
+        }
+    }
+
+    /// Chooses another upstream, or gives up with `kind` after too many attempts.
+    fn again(
+        &mut self,
+        cause: RouteCause,
+        kind: ErrorKind,
+    ) -> Vec<Action> {
+        self.runs += 1;
+        if self.runs >= self.plan.max_attempts {
+            return self.fail(kind);
+        }
+        let mut actions = vec![Action::Abandon];
+        if cause == RouteCause::MayHaveRun {
+            actions.push(Action::Cancel);
+        }
+        // A streamed answer has passed on its opening at most, which is not repeated.
+        if self.plan.delivery == Delivery::Whole {
+            actions.push(Action::Discard);
+            self.passed_on = Progress::default();
+        }
+        self.failures = 0;
+        self.attempt = self.attempt.next();
+        self.state = State::Routing;
+        actions.push(Action::Route {
+            attempt: self.attempt,
+            avoid: self.upstream,
+            cause,
+        });
+        actions
+    }
+
+    fn fail(
+        &mut self,
+        kind: ErrorKind,
+    ) -> Vec<Action> {
+        self.refuse(Refusal::new(kind))
+    }
+
+    /// Ends the request with an error that tells the truth about what ran.
+    fn refuse(
+        &mut self,
+        refusal: Refusal,
+    ) -> Vec<Action> {
+        let is_out = self.is_out();
+        let claims_not_run = refusal.kind.answer().execution == Execution::NotRun;
+        let refusal = if claims_not_run && self.may_have_run() {
+            Refusal::new(ErrorKind::UpstreamLost)
+        } else {
+            refusal
+        };
+        let mut actions = vec![Action::Abandon];
+        if is_out {
+            actions.push(Action::Cancel);
+        }
+        actions.push(if self.has_begun() {
+            Action::Break(refusal.kind)
+        } else {
+            Action::Refuse(refusal)
+        });
+        self.state = State::Done;
+        actions
+    }
+
+    /// Whether anything of an answer has reached the caller.
+    const fn has_begun(&self) -> bool {
+        matches!(self.plan.delivery, Delivery::Streamed) && self.passed_on.has_begun()
+    }
+
+    fn stop(&mut self) -> Vec<Action> {
+        let is_out = self.is_out();
+        self.state = State::Done;
+        if is_out {
+            vec![Action::Abandon, Action::Cancel]
+        } else {
+            vec![Action::Abandon]
+        }
+    }
+
+    fn withdrawn(&mut self) -> Vec<Action> {
+        if self.may_have_run() {
+            self.fail(ErrorKind::KeyWithdrawnMidway)
+        } else {
+            self.fail(ErrorKind::KeyWithdrawn)
+        }
+    }
+
+    fn timer(
+        &mut self,
+        now: Millis,
+    ) -> Vec<Action> {
+        let due = |limit: Option<Millis>| limit.is_some_and(|limit| now >= limit);
+        match self.state {
+            _ if now >= self.plan.deadline && self.may_have_run() => {
+                self.fail(ErrorKind::DeadlineExceeded)
+            }
+            _ if now >= self.plan.deadline => self.fail(ErrorKind::CannotMeetDeadline),
+            State::Pausing { until } if now >= until => self.send_resumption(now),
+            State::Sent | State::Resuming if due(self.head_limit()) => self.lost(now),
+            State::Answering if due(self.part_limit()) => self.lost(now),
+            _ => Vec::new(),
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,4 +7,5 @@
 
 pub mod clock;
 pub mod error;
+pub mod forward;
 pub mod ids;
