Platform client over the etcd v3 JSON form and links between daemons

Each call to the store has a timeout and a typed outcome: what certainly was not done and what only reading back can tell. A failed call drops the pooled connections, since something in between may have lost track of all of them. Calls a second are counted and bounded.

Links connect with a timeout, send heartbeats beside waiting calls and replace a connection on which an answer or a heartbeat is missing.

--- /dev/null
+++ b/crates/platform/src/etcd/etcd_store.rs
@@ -0,0 +1,301 @@
+use {
+    super::{
+        CallCounts, CallKind, EtcdOptions, JsonLines,
+        call_budget::CallBudget,
+        json::{
+            LeaseAnswer, RangeAnswer, StreamAnswer, TxnAnswer, decode_range, decode_txn,
+            decode_watch, encode_range, encode_txn, encode_watch, parse,
+        },
+    },
+    crate::store::{
+        Lease, LeaseId, Range, RangeReply, Store, StoreError, StoreFuture, Txn, TxnReply,
+        WatchStream,
+    },
+    actix_web::web::Bytes,
+    awc::{
+        Client, Connector,
+        error::{PayloadError, SendRequestError},
+    },
+    futures::{StreamExt, TryStreamExt, stream},
+    jasmine_core::clock::Millis,
+    serde_json::{Value, json},
+    std::{
+        cell::{Cell, RefCell},
+        time::Duration,
+    },
+    tokio::time::timeout,
+};
+
+/// The largest answer taken from the service, in bytes; it holds values of up to a megabyte.
+const MAX_ANSWER: usize = 32 * 1024 * 1024;
+
+/// The longest line of a watch, in bytes.
+const MAX_WATCH_LINE: usize = 16 * 1024 * 1024;
+
+/// Idle connections are dropped after this long, so that few of them are dead unnoticed.
+const IDLE_CONNECTION: Duration = Duration::from_secs(8);
+
+/// Connections to the service that this VM holds at most.
+const MAX_CONNECTIONS: usize = 32;
+
+/// Bytes of a refusal that go into the error.
+const MAX_MESSAGE: usize = 200;
+
+/// The key-value service over HTTP.
+pub struct EtcdStore {
+    options: EtcdOptions,
+    client: RefCell<Client>,
+    endpoint: Cell<usize>,
+    budget: CallBudget,
+    counts: CallCounts,
+}
+
+impl EtcdStore {
+    /// A client of the service; connects when first used.
+    pub fn new(options: EtcdOptions) -> Self {
+        Self {
+            client: RefCell::new(new_client(&options)),
+            endpoint: Cell::new(0),
+            budget: CallBudget::new(options.calls_per_second),
+            counts: CallCounts::default(),
+            options,
+        }
+    }
+
+    /// The counts of this client's calls.
+    pub fn counts(&self) -> CallCounts {
+        self.counts.clone()
+    }
+
+    async fn call(
+        &self,
+        kind: CallKind,
+        body: Value,
+    ) -> Result<Vec<u8>, StoreError> {
+        let wait = self.budget.take();
+        if wait > Millis::ZERO {
+            tokio::time::sleep(wait.to_std()).await;
+        }
+        self.counts.count_made(kind);
+        let result = timeout(self.options.timeout.to_std(), self.send(kind, body))
+            .await
+            .unwrap_or_else(|_| Err(StoreError::OutcomeUnknown("timeout".into())));
+        if let Err(e) = &result {
+            self.counts.count_failed(kind);
+            self.after_failure(e);
+        }
+        result
+    }
+
+    async fn send(
+        &self,
+        kind: CallKind,
+        body: Value,
+    ) -> Result<Vec<u8>, StoreError> {
+        let mut res = self.open(kind, body).await?;
+        let status = res.status();
+        let body = res
+            .body()
+            .limit(MAX_ANSWER)
+            .await
+            .map_err(|e| StoreError::OutcomeUnknown(e.to_string()))?;
+        match status.as_u16() {
+            200 => Ok(body.to_vec()),
+            // A server error may come after the write was handed on inside the service.
+            status @ 500.. => Err(StoreError::OutcomeUnknown(format!(
+                "status {status}: {}",
+                short(&body)
+            ))),
+            status => Err(StoreError::Refused {
+                status,
+                message: short(&body),
+            }),
+        }
+    }
+
+    async fn open(
+        &self,
+        kind: CallKind,
+        body: Value,
+    ) -> Result<
+        awc::ClientResponse<impl futures::Stream<Item = Result<Bytes, PayloadError>> + use<>>,
+        StoreError,
+    > {
+        let endpoint = &self.options.endpoints[self.endpoint.get() % self.options.endpoints.len()];
+        let url = format!("{}{}", endpoint.trim_end_matches('/'), kind.path());
+        let client = self.client.borrow().clone();
+        client
+            .post(url)
+            .send_json(&body)
+            .await
+            .map_err(|e| match e {
+                SendRequestError::Connect(e) => StoreError::Unreachable(e.to_string()),
+                SendRequestError::Url(e) => StoreError::Unreachable(e.to_string()),
+                e => StoreError::OutcomeUnknown(e.to_string()),
+            })
+    }
+
+    /// Drops all pooled connections and turns to the next endpoint.
+    ///
+    /// Something between the two ends may have lost track of every open connection while new ones
+    /// work. A call then times out, and so would each later one that the pool gives such a connection.
+    fn after_failure(
+        &self,
+        e: &StoreError,
+    ) {
+        if !matches!(e, StoreError::Refused { .. }) {
+            self.client.replace(new_client(&self.options));
+            self.endpoint.set(self.endpoint.get().wrapping_add(1));
+        }
+    }
+
+    async fn open_watch(
+        &self,
+        range: Range,
+        from_revision: u64,
+    ) -> Result<WatchStream, StoreError> {
+        self.counts.count_made(CallKind::Watch);
+        let body = encode_watch(&range, from_revision);
+        let opened = timeout(
+            self.options.timeout.to_std(),
+            self.open(CallKind::Watch, body),
+        )
+        .await
+        .unwrap_or_else(|_| Err(StoreError::OutcomeUnknown("timeout".into())))
+        .inspect_err(|e| {
+            self.counts.count_failed(CallKind::Watch);
+            self.after_failure(e);
+        })?;
+        match opened.status().as_u16() {
+            200 => Ok(lines(opened)),
+            status => Err(StoreError::Refused {
+                status,
+                message: "watch".into(),
+            }),
+        }
+    }
+}
+
+impl std::fmt::Debug for EtcdStore {
+    fn fmt(
+        &self,
+        f: &mut std::fmt::Formatter<'_>,
+    ) -> std::fmt::Result {
+        f.debug_struct("EtcdStore")
+            .field("options", &self.options)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Store for EtcdStore {
+    fn range(
+        &self,
+        range: Range,
+    ) -> StoreFuture<'_, RangeReply> {
+        Box::pin(async move {
+            let body = self.call(CallKind::Range, encode_range(&range)).await?;
+            decode_range(&parse::<RangeAnswer>(&body)?)
+        })
+    }
+
+    fn txn(
+        &self,
+        txn: Txn,
+    ) -> StoreFuture<'_, TxnReply> {
+        Box::pin(async move {
+            let body = self.call(CallKind::Txn, encode_txn(&txn)).await?;
+            decode_txn(&parse::<TxnAnswer>(&body)?)
+        })
+    }
+
+    fn grant(
+        &self,
+        ttl: Millis,
+    ) -> StoreFuture<'_, Lease> {
+        Box::pin(async move {
+            let secs = ttl.0.div_ceil(1000).to_string();
+            let body = self.call(CallKind::Grant, json!({ "TTL": secs })).await?;
+            let answer = parse::<LeaseAnswer>(&body)?;
+            match answer.id.0 {
+                0 => Err(StoreError::OutcomeUnknown("lease without a number".into())),
+                id => Ok(Lease {
+                    id: LeaseId(id),
+                    ttl: Millis::from_secs(answer.ttl.0),
+                }),
+            }
+        })
+    }
+
+    fn keep_alive(
+        &self,
+        id: LeaseId,
+    ) -> StoreFuture<'_, Option<Lease>> {
+        Box::pin(async move {
+            let body = json!({ "ID": (id.0 as i64).to_string() });
+            let body = self.call(CallKind::KeepAlive, body).await?;
+            let answer = parse::<StreamAnswer<LeaseAnswer>>(&body)?.result;
+            Ok((answer.ttl.0 > 0).then_some(Lease {
+                id,
+                ttl: Millis::from_secs(answer.ttl.0),
+            }))
+        })
+    }
+
+    fn revoke(
+        &self,
+        id: LeaseId,
+    ) -> StoreFuture<'_, ()> {
+        Box::pin(async move {
+            let body = json!({ "ID": (id.0 as i64).to_string() });
+            self.call(CallKind::Revoke, body).await.map(drop)
+        })
+    }
+
+    fn watch(
+        &self,
+        range: Range,
+        from_revision: u64,
+    ) -> StoreFuture<'_, WatchStream> {
+        Box::pin(self.open_watch(range, from_revision))
+    }
+}
+
+fn new_client(options: &EtcdOptions) -> Client {
+    let connector = Connector::new()
+        .timeout(options.timeout.to_std())
+        .conn_keep_alive(IDLE_CONNECTION)
+        .limit(MAX_CONNECTIONS);
+    // The call's own timeout covers the whole answer; this one would cut watches.
+    Client::builder()
+        .connector(connector)
+        .disable_timeout()
+        .finish()
+}
+
+fn lines<S>(res: awc::ClientResponse<S>) -> WatchStream
+where
+    S: futures::Stream<Item = Result<Bytes, PayloadError>> + Unpin + 'static,
+{
+    let state = (res, JsonLines::new(MAX_WATCH_LINE));
+    stream::try_unfold(state, |(mut res, mut buf)| async move {
+        loop {
+            if let Some(line) = buf.next_line() {
+                return Ok(Some((decode_watch(&line)?, (res, buf))));
+            }
+            match res.next().await {
+                None => return Ok(None),
+                Some(Err(e)) => return Err(StoreError::OutcomeUnknown(e.to_string())),
+                Some(Ok(chunk)) if buf.push(&chunk) => {}
+                Some(Ok(_)) => {
+                    return Err(StoreError::OutcomeUnknown("watch line is too long".into()));
+                }
+            }
+        }
+    })
+    .into_stream()
+    .boxed_local()
+}
+
+fn short(body: &[u8]) -> String {
+    String::from_utf8_lossy(&body[..body.len().min(MAX_MESSAGE)]).replace(['\n', '\r'], " ")
+}
--- /dev/null
+++ b/crates/platform/src/etcd/json.rs
@@ -0,0 +1,249 @@
+//! The etcd v3 JSON messages: keys and values in base64, 64-bit numbers as strings, zeros left out.
+
+use {
+    crate::store::{
+        Compare, KeyValue, Op, Range, RangeReply, StoreError, Txn, TxnReply, WatchBatch, WatchEvent,
+    },
+    base64::{Engine, prelude::BASE64_STANDARD},
+    serde::{Deserialize, Deserializer},
+    serde_json::{Value, json},
+};
+
+/// A 64-bit number as a string or, from lenient servers, as a number.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Int64(pub(super) u64);
+
+impl<'de> Deserialize<'de> for Int64 {
+    fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        let number = match Value::deserialize(deserializer)? {
+            Value::String(text) => text.parse::<i64>().ok().map(|signed| signed as u64),
+            Value::Number(number) => number.as_u64(),
+            _ => None,
+        };
+        number
+            .map(Self)
+            .ok_or_else(|| serde::de::Error::custom("expected a 64-bit number"))
+    }
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct Header {
+    pub(super) revision: Int64,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Kv {
+    key: String,
+    value: String,
+    create_revision: Int64,
+    mod_revision: Int64,
+    lease: Int64,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct RangeAnswer {
+    header: Header,
+    kvs: Vec<Kv>,
+    more: bool,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct ResponseOp {
+    response_range: RangeAnswer,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct TxnAnswer {
+    header: Header,
+    succeeded: bool,
+    responses: Vec<ResponseOp>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct LeaseAnswer {
+    #[serde(rename = "ID")]
+    pub(super) id: Int64,
+    #[serde(rename = "TTL")]
+    pub(super) ttl: Int64,
+}
+
+/// The stream's envelope; `keepalive` and `watch` both use it.
+#[derive(Debug, Deserialize)]
+pub(super) struct StreamAnswer<T> {
+    pub(super) result: T,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Event {
+    #[serde(rename = "type")]
+    kind: String,
+    kv: Kv,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct WatchAnswer {
+    header: Header,
+    canceled: bool,
+    compact_revision: Int64,
+    events: Vec<Event>,
+}
+
+/// A range as a request or as part of one.
+pub(super) fn encode_range(range: &Range) -> Value {
+    let mut body = json!({ "key": base64_of(&range.start) });
+    if let Some(end) = &range.end {
+        body["range_end"] = base64_of(end).into();
+    }
+    if range.limit > 0 {
+        body["limit"] = range.limit.to_string().into();
+    }
+    body
+}
+
+/// The body of a transaction.
+pub fn encode_txn(txn: &Txn) -> Value {
+    json!({
+        "compare": txn.compare.iter().map(encode_compare).collect::<Vec<_>>(),
+        "success": txn.success.iter().map(encode_op).collect::<Vec<_>>(),
+        "failure": txn.failure.iter().map(encode_op).collect::<Vec<_>>(),
+    })
+}
+
+/// The body that opens a watch.
+pub(super) fn encode_watch(
+    range: &Range,
+    from_revision: u64,
+) -> Value {
+    let mut create = encode_range(range);
+    create["start_revision"] = from_revision.to_string().into();
+    create["progress_notify"] = true.into();
+    json!({ "create_request": create })
+}
+
+/// One line of a watch.
+///
+/// # Errors
+///
+/// [`StoreError::OutcomeUnknown`] where the line isn't a watch message.
+pub fn decode_watch(line: &[u8]) -> Result<WatchBatch, StoreError> {
+    let answer = parse::<StreamAnswer<WatchAnswer>>(line)?.result;
+    let events = answer
+        .events
+        .iter()
+        .map(decode_event)
+        .collect::<Result<_, _>>()?;
+    let compacted = match (answer.canceled, answer.compact_revision.0) {
+        (false, 0) => None,
+        (_, revision) => Some(revision),
+    };
+    Ok(WatchBatch {
+        revision: answer.header.revision.0,
+        events,
+        compacted,
+    })
+}
+
+pub(super) fn decode_range(answer: &RangeAnswer) -> Result<RangeReply, StoreError> {
+    Ok(RangeReply {
+        revision: answer.header.revision.0,
+        kvs: answer.kvs.iter().map(decode_kv).collect::<Result<_, _>>()?,
+        more: answer.more,
+    })
+}
+
+pub(super) fn decode_txn(answer: &TxnAnswer) -> Result<TxnReply, StoreError> {
+    let reads = answer
+        .responses
+        .iter()
+        .map(|response| decode_range(&response.response_range).map(|reply| reply.kvs))
+        .collect::<Result<_, _>>()?;
+    Ok(TxnReply {
+        succeeded: answer.succeeded,
+        revision: answer.header.revision.0,
+        reads,
+    })
+}
+
+pub(super) fn parse<T>(body: &[u8]) -> Result<T, StoreError>
+where
+    T: for<'de> Deserialize<'de>,
+{
+    serde_json::from_slice(body)
+        .map_err(|e| StoreError::OutcomeUnknown(format!("answer is not understood: {e}")))
+}
+
+fn encode_compare(compare: &Compare) -> Value {
+    match compare {
+        Compare::Absent(key) => json!({
+            "key": base64_of(key), "target": "CREATE", "result": "EQUAL", "create_revision": "0",
+        }),
+        Compare::Exists(key) => json!({
+            "key": base64_of(key), "target": "CREATE", "result": "GREATER", "create_revision": "0",
+        }),
+        Compare::ModRevision(key, revision) => json!({
+            "key": base64_of(key), "target": "MOD", "result": "EQUAL",
+            "mod_revision": revision.to_string(),
+        }),
+        Compare::Value(key, value) => json!({
+            "key": base64_of(key), "target": "VALUE", "result": "EQUAL", "value": base64_of(value),
+        }),
+    }
+}
+
+fn encode_op(op: &Op) -> Value {
+    match op {
+        Op::Put { key, value, lease } => {
+            let mut put = json!({ "key": base64_of(key), "value": base64_of(value) });
+            if let Some(lease) = lease {
+                put["lease"] = (lease.0 as i64).to_string().into();
+            }
+            json!({ "request_put": put })
+        }
+        Op::Delete(range) => json!({ "request_delete_range": encode_range(range) }),
+        Op::Get(range) => json!({ "request_range": encode_range(range) }),
+    }
+}
+
+fn decode_event(event: &Event) -> Result<WatchEvent, StoreError> {
+    let kv = decode_kv(&event.kv)?;
+    match event.kind.as_str() {
+        "DELETE" => Ok(WatchEvent::Delete(kv)),
+        "" | "PUT" => Ok(WatchEvent::Put(kv)),
+        other => Err(StoreError::OutcomeUnknown(format!(
+            "watch event of unknown type {other:?}"
+        ))),
+    }
+}
+
+fn decode_kv(kv: &Kv) -> Result<KeyValue, StoreError> {
+    let key = String::from_utf8(bytes_of(&kv.key)?)
+        .map_err(|e| StoreError::OutcomeUnknown(format!("key is not text: {e}")))?;
+    Ok(KeyValue {
+        key,
+        value: bytes_of(&kv.value)?,
+        create_revision: kv.create_revision.0,
+        mod_revision: kv.mod_revision.0,
+        lease: kv.lease.0,
+    })
+}
+
+fn base64_of(bytes: impl AsRef<[u8]>) -> String {
+    BASE64_STANDARD.encode(bytes)
+}
+
+fn bytes_of(text: &str) -> Result<Vec<u8>, StoreError> {
+    BASE64_STANDARD
+        .decode(text)
+        .map_err(|e| StoreError::OutcomeUnknown(format!("not base64: {e}")))
+}
--- /dev/null
+++ b/crates/platform/src/etcd/mod.rs
@@ -0,0 +1,18 @@
+//! The key-value service over the etcd v3 JSON form.
+
+mod call_budget;
+mod call_counts;
+mod call_kind;
+mod etcd_store;
+mod json;
+mod json_lines;
+mod options;
+
+pub use {
+    call_counts::CallCounts,
+    call_kind::CallKind,
+    etcd_store::EtcdStore,
+    json::{decode_watch, encode_txn},
+    json_lines::JsonLines,
+    options::EtcdOptions,
+};
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,3 +7,5 @@
 #[allow(missing_docs, warnings, clippy::all, clippy::pedantic, reason = "generated code")]
 #[path = "generated/jasmine_capnp.rs"]
 pub mod jasmine_capnp;
+
+pub mod link;
--- /dev/null
+++ b/crates/wire/src/link/peer_link.rs
@@ -0,0 +1,195 @@
+use {
+    super::{Backoff, LinkError, LinkOptions, Ping},
+    capnp::capability::FromClientHook,
+    capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
+    futures::future::{Either, select},
+    jasmine_core::clock::Millis,
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+        pin::pin,
+        rc::Rc,
+    },
+    tokio::{
+        net::TcpStream,
+        task::{AbortHandle, spawn_local},
+        time::{Instant, sleep, timeout},
+    },
+    tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt},
+};
+
+/// The way to one other daemon: connects when first used and again after a failure.
+///
+/// Open connections can go silent for good while new ones work. Nothing then arrives, not even an
+/// error, and a caller would wait for ever; so each call has its timeout, a call that waits long is
+/// accompanied by heartbeats, and either running out replaces the connection.
+#[derive(Debug)]
+pub struct Link<C> {
+    address: SocketAddr,
+    options: LinkOptions,
+    open: RefCell<Option<Open<C>>>,
+    backoff: RefCell<Backoff>,
+    not_before: Cell<Option<Instant>>,
+}
+
+#[derive(Debug)]
+struct Open<C> {
+    client: C,
+    ended: Rc<Cell<bool>>,
+    task: AbortHandle,
+}
+
+impl<C> Drop for Open<C> {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl<C> Link<C> {
+    /// A link to the daemon that listens at `address`.
+    pub const fn new(
+        address: SocketAddr,
+        options: LinkOptions,
+    ) -> Self {
+        Self {
+            address,
+            options,
+            open: RefCell::new(None),
+            backoff: RefCell::new(Backoff::new(options.backoff_first, options.backoff_most)),
+            not_before: Cell::new(None),
+        }
+    }
+
+    /// The other daemon's address.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Gives the connection up; the next call opens another.
+    pub fn disconnect(&self) {
+        self.open.replace(None);
+    }
+}
+
+impl<C> Link<C>
+where
+    C: FromClientHook + Ping + 'static,
+{
+    /// Calls the other daemon; `wait` is how long the call itself asks the other side to wait.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`]; only where it [is not begun](LinkError::is_not_begun) has the other daemon
+    /// certainly seen nothing of the call.
+    pub async fn call<T, F, Fut>(
+        &self,
+        wait: Millis,
+        f: F,
+    ) -> Result<T, LinkError>
+    where
+        F: FnOnce(C) -> Fut,
+        Fut: Future<Output = Result<T, capnp::Error>>,
+    {
+        let client = self.client().await?;
+        let limit = wait + self.options.call_timeout;
+        let call = timeout(limit.to_std(), f(client.clone()));
+        let silent = self.until_silent(client);
+        let result = match select(pin!(call), pin!(silent)).await {
+            Either::Left((Ok(Ok(answer)), _)) => Ok(answer),
+            Either::Left((Ok(Err(e)), _)) => Err(from_rpc(&e)),
+            Either::Left((Err(_), _)) | Either::Right(((), _)) => Err(LinkError::TimedOut),
+        };
+        if matches!(result, Err(LinkError::TimedOut | LinkError::Lost(_))) {
+            self.disconnect();
+        }
+        result
+    }
+
+    /// Ends when a heartbeat is not answered.
+    async fn until_silent(
+        &self,
+        client: C,
+    ) {
+        loop {
+            sleep(self.options.heartbeat.to_std()).await;
+            let answer = timeout(self.options.call_timeout.to_std(), client.ping()).await;
+            if !matches!(answer, Ok(Ok(()))) {
+                return;
+            }
+        }
+    }
+
+    async fn client(&self) -> Result<C, LinkError> {
+        if let Some(client) = self.open_client() {
+            return Ok(client);
+        }
+        match self.not_before.get() {
+            Some(time) if Instant::now() < time => return Err(LinkError::BackingOff),
+            _ => {}
+        }
+        let connect = TcpStream::connect(self.address);
+        let stream = timeout(self.options.connect_timeout.to_std(), connect)
+            .await
+            .map_err(|e| self.failed(&e.to_string()))?
+            .and_then(|stream| stream.set_nodelay(true).map(|()| stream))
+            .map_err(|e| self.failed(&e.to_string()))?;
+        // Another call may have connected in the meantime; one connection is enough.
+        if let Some(client) = self.open_client() {
+            return Ok(client);
+        }
+        self.not_before.set(None);
+        self.backoff.borrow_mut().reset();
+        Ok(self.keep(stream))
+    }
+
+    fn open_client(&self) -> Option<C> {
+        let open = self.open.borrow();
+        open.as_ref()
+            .filter(|open| !open.ended.get())
+            .map(|open| open.client.clone())
+    }
+
+    fn keep(
+        &self,
+        stream: TcpStream,
+    ) -> C {
+        let (reader, writer) = stream.into_split();
+        let network = VatNetwork::new(
+            reader.compat(),
+            writer.compat_write(),
+            Side::Client,
+            capnp::message::ReaderOptions::default(),
+        );
+        let mut system = RpcSystem::new(Box::new(network), None);
+        let client = system.bootstrap::<C>(Side::Server);
+        let ended = Rc::new(Cell::new(false));
+        let ended_too = Rc::clone(&ended);
+        let task = spawn_local(async move {
+            system.await.unwrap_or_default();
+            ended_too.set(true);
+        })
+        .abort_handle();
+        self.open.replace(Some(Open {
+            client: client.clone(),
+            ended,
+            task,
+        }));
+        client
+    }
+
+    fn failed(
+        &self,
+        reason: &str,
+    ) -> LinkError {
+        let pause = self.backoff.borrow_mut().next_pause();
+        self.not_before.set(Some(Instant::now() + pause.to_std()));
+        LinkError::Unreachable(reason.to_owned())
+    }
+}
+
+fn from_rpc(e: &capnp::Error) -> LinkError {
+    match e.kind {
+        capnp::ErrorKind::Disconnected => LinkError::Lost(e.to_string()),
+        _ => LinkError::Failed(e.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/wire/src/link/ping.rs
@@ -0,0 +1,24 @@
+use {
+    crate::jasmine_capnp::{controller, gateway},
+    futures::future::LocalBoxFuture,
+};
+
+/// A remote daemon that can be asked for a sign of life.
+pub trait Ping: Clone {
+    /// A cheap call that waits for nothing.
+    fn ping(&self) -> LocalBoxFuture<'static, Result<(), capnp::Error>>;
+}
+
+impl Ping for controller::Client {
+    fn ping(&self) -> LocalBoxFuture<'static, Result<(), capnp::Error>> {
+        let promise = self.status_request().send().promise;
+        Box::pin(async move { promise.await.map(drop) })
+    }
+}
+
+impl Ping for gateway::Client {
+    fn ping(&self) -> LocalBoxFuture<'static, Result<(), capnp::Error>> {
+        let promise = self.status_request().send().promise;
+        Box::pin(async move { promise.await.map(drop) })
+    }
+}
