Wire: number the questions for adapters

The owner's machine tells a gateway's word given before a grant from one given after it by the number of the question; without it a release that crosses a grant would free an instance that has just been granted again. The answer names the granting owner's fencing token, which may be newer than the instance's.

--- a/crates/wire/schema/jasmine.capnp
+++ b/crates/wire/schema/jasmine.capnp
@@ -86,10 +86,14 @@
   pollUpstreams @3 (from :Peer, have :UInt64, waitMs :UInt32, seen :List(FenceSeen), held :List(Instance))
     -> (seq :UInt64, engines :List(EngineView), recalls :List(Instance));
 
-  acquire @4 (from :Peer, upstream :UInt32, adapter :UInt32, version :UInt32, account :UInt32, waitMs :UInt32)
-    -> (outcome :AcquireOutcome, instance :Instance, retryMs :UInt32);
-
-  release @5 (from :Peer, ownerFence :UInt64, instances :List(Instance)) -> ();
+  acquire @4 (from :Peer, upstream :UInt32, adapter :UInt32, version :UInt32, account :UInt32, waitMs :UInt32, ask :UInt64)
+    -> (outcome :AcquireOutcome, instance :Instance, retryMs :UInt32, ownerFence :UInt64);
+  # ask: number of the question, growing with each that this gateway asks.
+  # ownerFence: of the owner that grants it, which may be a later one than the instance's.
+
+  release @5 (from :Peer, ownerFence :UInt64, instances :List(Instance), ask :UInt64) -> ();
+  # All instances are of one upstream. ownerFence: the highest that the gateway has seen of it.
+  # ask: the word covers what was granted for questions up to this number.
 
   claim @6 (from :Peer, key :Data, fingerprint :Data) -> (outcome :ClaimOutcome, answer :Data);
   finishClaim @7 (from :Peer, key :Data, fingerprint :Data, answer :Data) -> (stored :Bool);
