Settings files of both daemons

JSON read once and checked as a whole: unknown keys are refused, ranges and addresses checked, an error names file, key, value and what is allowed. Port 0 is allowed everywhere, so that tests need no free port of their own; advertise.peers lets a proxy stand between two daemons.

--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod arena;
 pub mod fleet;
+pub mod settings;
--- /dev/null
+++ b/crates/conf/src/settings/listen.rs
@@ -0,0 +1,36 @@
+use {
+    serde::{Deserialize, Serialize},
+    std::net::SocketAddr,
+};
+
+/// Where a gateway listens; port 0 takes a free one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewayListen {
+    /// Callers' HTTP.
+    pub callers: SocketAddr,
+    /// Other daemons.
+    pub peers: SocketAddr,
+    /// Health, readiness and metrics.
+    pub status: SocketAddr,
+}
+
+/// Where a controller listens; port 0 takes a free one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ControllerListen {
+    /// Operators' HTTP.
+    pub operators: SocketAddr,
+    /// Other daemons.
+    pub peers: SocketAddr,
+    /// Health, readiness and metrics.
+    pub status: SocketAddr,
+}
+
+/// Addresses that others use, where they differ from the bound ones.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Advertise {
+    /// The address that other daemons connect to; the bound one when absent.
+    pub peers: Option<SocketAddr>,
+}
--- /dev/null
+++ b/crates/conf/src/settings/range.rs
@@ -0,0 +1,34 @@
+use {super::Problem, std::ops::RangeInclusive};
+
+/// Refuses a number outside of `allowed`.
+pub(super) fn within(
+    key: &str,
+    value: u64,
+    allowed: &RangeInclusive<u64>,
+) -> Result<(), Problem> {
+    if allowed.contains(&value) {
+        return Ok(());
+    }
+    Err(Problem {
+        key: key.to_owned(),
+        value: value.to_string(),
+        allowed: format!("{} to {}", allowed.start(), allowed.end()),
+    })
+}
+
+/// Refuses a base URL that has no `http://` scheme or ends in a slash.
+pub(super) fn base_url(
+    key: &str,
+    value: &str,
+) -> Result<(), Problem> {
+    let host = value.strip_prefix("http://").unwrap_or_default();
+    if !host.is_empty() && !host.ends_with('/') && !host.contains(char::is_whitespace) {
+        return Ok(());
+    }
+    Err(Problem {
+        key: key.to_owned(),
+        value: format!("{value:?}"),
+        allowed: "an address such as \"http://10.0.0.1:2379\", without a slash at the end"
+            .to_owned(),
+    })
+}
