--- a/crates/conf/src/settings/operators_settings.rs
+++ b/crates/conf/src/settings/operators_settings.rs
@@ -1,5 +1,6 @@
 use {
     super::Problem,
+    crate::hex,
     serde::{Deserialize, Serialize},
     sha2::{Digest, Sha256},
 };
@@ -12,8 +13,7 @@
 impl TokenDigest {
     /// The digest of a token as an operator presents it.
     pub fn of(token: &str) -> Self {
-        let digest = Sha256::digest(token.as_bytes());
-        Self(digest.iter().map(|byte| format!("{byte:02x}")).collect())
+        Self(hex::encode(&Sha256::digest(token.as_bytes())))
     }
 
     /// Whether this is the digest of `token`, compared without an early exit.
@@ -31,8 +31,7 @@
     }
 
     fn is_well_formed(&self) -> bool {
-        let lower_hex = |byte: u8| matches!(byte, b'0'..=b'9' | b'a'..=b'f');
-        self.0.len() == 64 && self.0.bytes().all(lower_hex)
+        hex::decode_32(&self.0).is_some()
     }
 }
 
