--- /dev/null
+++ b/crates/gateway/src/request/mod.rs
@@ -0,0 +1,19 @@
+//! What callers send, decoded and checked before anything else is done with it.
+
+mod caller_key;
+mod completion;
+mod cost;
+mod idempotency_key;
+mod problem;
+mod request_id;
+mod service_path;
+
+pub use {
+    caller_key::CallerKey,
+    completion::{CompletionKind, CompletionRequest},
+    cost::{DEFAULT_MAX_TOKENS, completion_cost},
+    idempotency_key::IdempotencyKey,
+    problem::Problem,
+    request_id::RequestName,
+    service_path::ServicePath,
+};
--- /dev/null
+++ b/crates/gateway/src/sse/assembly.rs
@@ -0,0 +1,72 @@
+use {
+    super::{Chunk, Usage},
+    crate::request::CompletionKind,
+    serde_json::{Value, json},
+};
+
+/// A whole answer in the making.
+///
+/// Engines are asked for a stream also where the caller wants the answer in one piece: a stream tells
+/// a slow engine from a dead connection, and it can be resumed.
+#[derive(Clone, Debug, Default)]
+pub struct Assembly {
+    text: String,
+    finish_reason: Option<String>,
+    created: Option<u64>,
+    usage: Usage,
+}
+
+impl Assembly {
+    /// Adds what a chunk brings.
+    pub fn add(
+        &mut self,
+        chunk: &Chunk,
+    ) {
+        self.text.push_str(chunk.text());
+        if let Some(reason) = chunk.finish_reason() {
+            self.finish_reason = Some(reason.to_owned());
+        }
+        if let Some(usage) = chunk.usage() {
+            self.usage = usage;
+        }
+        self.created = self
+            .created
+            .or_else(|| chunk.json.get("created").and_then(Value::as_u64));
+    }
+
+    /// The answer in one piece.
+    pub fn into_answer(
+        self,
+        kind: CompletionKind,
+        request_id: &str,
+        model: &str,
+    ) -> Value {
+        let reason = self.finish_reason;
+        let (object, choice) = match kind {
+            CompletionKind::Chat => (
+                "chat.completion",
+                json!({
+                    "index": 0,
+                    "message": {"role": "assistant", "content": self.text},
+                    "finish_reason": reason,
+                }),
+            ),
+            CompletionKind::Plain => (
+                "text_completion",
+                json!({"index": 0, "text": self.text, "logprobs": null, "finish_reason": reason}),
+            ),
+        };
+        json!({
+            "id": request_id,
+            "object": object,
+            "created": self.created.unwrap_or_default(),
+            "model": model,
+            "choices": [choice],
+            "usage": {
+                "prompt_tokens": self.usage.prompt_tokens,
+                "completion_tokens": self.usage.completion_tokens,
+                "total_tokens": self.usage.total(),
+            },
+        })
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/sse/decoder.rs
@@ -0,0 +1,107 @@
+use {bytes::BytesMut, std::mem};
+
+/// Bytes that one event may have; an upstream that sends more is not understood.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// Why a stream of events can't be read on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+pub enum SseError {
+    /// An event is over the bound.
+    #[display("an event is larger than {MAX_EVENT_BYTES} bytes")]
+    TooLarge,
+    /// A line is not UTF-8.
+    #[display("an event is not UTF-8")]
+    NotUtf8,
+}
+
+/// One event.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Event {
+    /// Its id, where the upstream gave one.
+    pub id: Option<String>,
+    /// Its data, lines joined by a line feed.
+    pub data: String,
+}
+
+/// Decodes server-sent events from pieces of any size.
+///
+/// Lines end with a line feed, with or without a carriage return before it; fields other than `id`
+/// and `data` are skipped, as are comments.
+#[derive(Clone, Debug, Default)]
+pub struct Decoder {
+    buf: BytesMut,
+    /// How far `buf` is known to hold no line end.
+    searched: usize,
+    event: Event,
+    has_data: bool,
+}
+
+impl Decoder {
+    /// Takes what arrived.
+    pub fn feed(
+        &mut self,
+        bytes: &[u8],
+    ) {
+        self.buf.extend_from_slice(bytes);
+    }
+
+    /// The next event that is complete.
+    ///
+    /// # Errors
+    ///
+    /// [`SseError`] when the stream can't be understood; nothing after it can be trusted.
+    pub fn next_event(&mut self) -> Result<Option<Event>, SseError> {
+        while let Some(line) = self.next_line()? {
+            match line.split_once(':').unwrap_or((&line, "")) {
+                ("", "") if line.is_empty() => {
+                    let event = mem::take(&mut self.event);
+                    if mem::take(&mut self.has_data) {
+                        return Ok(Some(event));
+                    }
+                }
+                ("data", value) => self.add_data(value.strip_prefix(' ').unwrap_or(value))?,
+                ("id", value) => {
+                    self.event.id = Some(value.strip_prefix(' ').unwrap_or(value).to_owned());
+                }
+                _ => {}
+            }
+        }
+        Ok(None)
+    }
+
+    fn add_data(
+        &mut self,
+        value: &str,
+    ) -> Result<(), SseError> {
+        if self.event.data.len() + value.len() > MAX_EVENT_BYTES {
+            return Err(SseError::TooLarge);
+        }
+        if mem::replace(&mut self.has_data, true) {
+            self.event.data.push('\n');
+        }
+        self.event.data.push_str(value);
+        Ok(())
+    }
+
+    fn next_line(&mut self) -> Result<Option<String>, SseError> {
+        let end = self.buf[self.searched..].iter().position(|&b| b == b'\n');
+        let Some(end) = end else {
+            self.searched = self.buf.len();
+            return if self.buf.len() > MAX_EVENT_BYTES {
+                Err(SseError::TooLarge)
+            } else {
+                Ok(None)
+            };
+        };
+        let mut line = self.buf.split_to(self.searched + end + 1);
+        self.searched = 0;
+        line.truncate(line.len() - 1);
+        if line.last() == Some(&b'\r') {
+            line.truncate(line.len() - 1);
+        }
+        match std::str::from_utf8(&line) {
+            Ok(line) => Ok(Some(line.to_owned())),
+            Err(_) => Err(SseError::NotUtf8),
+        }
+    }
+}
