Rate rights, membership epochs and the fair queue: API with working behaviour

Three decision machines without I/O: RightsLedger (one holder's shares of rate, room and tokens, moved between holders), EpochMachine (membership by compare-and-swap on the store's epoch record) and FairQueue (virtual token counters by client account).

Priority moves from jasmine_conf to jasmine_core::queue, which jasmine_conf re-exports: the queue needs it and core can't depend on conf.

--- a/crates/conf/src/fleet/mod.rs
+++ b/crates/conf/src/fleet/mod.rs
@@ -12,8 +12,9 @@
     account::Account,
     adapter::{Access, Adapter, Version},
     fleet_view::{Fleet, ModelRef},
+    jasmine_core::queue::Priority,
     key::{Key, KeyDigest},
     place::{BaseModel, DataCentre},
-    service::{Call, Priority, Service},
+    service::{Call, Service},
     upstream::{Upstream, UpstreamKind, UpstreamState},
 };
--- a/crates/conf/src/fleet/service.rs
+++ b/crates/conf/src/fleet/service.rs
@@ -1,36 +1,4 @@
-use {
-    jasmine_core::{clock::Millis, ids::ServiceId},
-    serde::{Deserialize, Serialize},
-};
-
-/// The order in which waiting requests of one client account are taken.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-    derive_more::Display,
-)]
-#[serde(rename_all = "lowercase")]
-pub enum Priority {
-    /// Somebody is waiting at a counter.
-    #[display("high")]
-    High,
-    /// The rule.
-    #[default]
-    #[display("normal")]
-    Normal,
-    /// Work that may wait.
-    #[display("low")]
-    Low,
-}
+use jasmine_core::{clock::Millis, ids::ServiceId, queue::Priority};
 
 /// One call of a plain service.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- /dev/null
+++ b/crates/core/src/membership/epoch_action.rs
@@ -0,0 +1,20 @@
+use {
+    super::EpochRecord,
+    crate::ids::{Epoch, Holder},
+};
+
+/// A write to the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum EpochAction {
+    /// Replace the epoch record if it is still the one that was read.
+    WriteEpoch {
+        /// The revision that was read; none: only if there is no record.
+        compare: Option<u64>,
+        /// The new record.
+        record: EpochRecord,
+    },
+    /// Delete the reports for all epochs before this one; nobody reads them any more.
+    DeleteHoldingsBefore(Epoch),
+    /// Delete the last word of a holder that is no longer a member.
+    DeleteReleased(Holder),
+}
--- /dev/null
+++ b/crates/core/src/membership/epoch_machine.rs
@@ -0,0 +1,339 @@
+use {
+    super::{
+        Budget, EpochAction, EpochRecord, HoldingsRecord, MembershipSettings, ReleasedRecord,
+        StoreView, Versioned,
+        reissue::{Grants, missing, whole},
+        vm_watch::VmWatch,
+    },
+    crate::{
+        clock::Millis,
+        ids::{AccountId, Holder, Role, VmId},
+    },
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// Moves the epoch on; each controller runs one over what it reads from the store.
+///
+/// All writes of the epoch record compare the revision that was read, so any number of controllers
+/// may run it at once, and a write whose reply was lost is settled by the next read. It keeps
+/// nothing but how long it has seen things that way; a restart costs only that wait.
+#[derive(Clone, Debug)]
+pub struct EpochMachine {
+    me: VmId,
+    settings: MembershipSettings,
+    vms: VmWatch,
+    /// The revision of the epoch record seen last, and since when.
+    record_since: Option<(u64, Millis)>,
+    /// Since when a change has been due.
+    due_since: Option<Millis>,
+}
+
+impl EpochMachine {
+    /// A machine that has seen nothing yet.
+    pub fn new(
+        me: VmId,
+        settings: MembershipSettings,
+    ) -> Self {
+        Self {
+            me,
+            settings,
+            vms: VmWatch::default(),
+            record_since: None,
+            due_since: None,
+        }
+    }
+
+    /// Takes in what was read and returns what to write.
+    ///
+    /// Call it again after each write, whatever came of it, with what is read then.
+    pub fn step(
+        &mut self,
+        view: &StoreView,
+        now: Millis,
+    ) -> Vec<EpochAction> {
+        let Some(current) = &view.epoch else {
+            return self.first_epoch(view);
+        };
+        let record = &current.value;
+        let vms: BTreeSet<VmId> = record.members.iter().map(|member| member.vm).collect();
+        self.vms.note(&vms, view, now);
+        let record_age = self.record_age(current.mod_revision, now);
+        let dead: BTreeSet<Holder> = record
+            .members
+            .iter()
+            .copied()
+            .filter(|&member| self.is_dead(member, view, now))
+            .collect();
+        let finalised = finalise(record, view, &dead, self.settings.grantees);
+        let due = !dead.is_empty()
+            || record_age >= self.settings.refresh
+            || joining(record, view).next().is_some()
+            || new_budgets(record, view).next().is_some();
+        match (finalised, due) {
+            (Some(next), _) => {
+                self.due_since = None;
+                vec![
+                    write(current, next),
+                    EpochAction::DeleteHoldingsBefore(record.epoch),
+                ]
+            }
+            (None, true) if self.is_my_turn(view, record_age, now) => {
+                self.due_since = None;
+                vec![write(current, self.next_epoch(record, view, &dead))]
+            }
+            (None, true) => Vec::new(),
+            (None, false) => {
+                self.due_since = None;
+                clean_up(record, view)
+            }
+        }
+    }
+
+    fn first_epoch(
+        &self,
+        view: &StoreView,
+    ) -> Vec<EpochAction> {
+        if view.live.is_empty() {
+            return Vec::new();
+        }
+        let record = self.next_epoch(&EpochRecord::default(), view, &BTreeSet::new());
+        vec![EpochAction::WriteEpoch {
+            compare: None,
+            record,
+        }]
+    }
+
+    fn next_epoch(
+        &self,
+        record: &EpochRecord,
+        view: &StoreView,
+        dead: &BTreeSet<Holder>,
+    ) -> EpochRecord {
+        let mut members: Vec<Holder> = record
+            .members
+            .iter()
+            .copied()
+            .filter(|member| !dead.contains(member))
+            .chain(joining(record, view))
+            .collect();
+        members.sort_unstable();
+        members.dedup();
+        let mut next = EpochRecord {
+            epoch: record.epoch.next(),
+            members,
+            closing: true,
+            grants: Vec::new(),
+            issued: record.issued.clone(),
+            freed: freed(record, view, dead),
+        };
+        let mut grants = Grants::default();
+        for budget in new_budgets(record, view) {
+            let holders = of_role(&next.members, budget.role);
+            if holders.is_empty() {
+                continue;
+            }
+            grants.divide(&whole(budget), &holders, self.settings.grantees);
+            next.issued.insert(budget.account);
+        }
+        next.grants = grants.into_records();
+        next
+    }
+
+    fn is_dead(
+        &self,
+        member: Holder,
+        view: &StoreView,
+        now: Millis,
+    ) -> bool {
+        let released = |last: &ReleasedRecord| last.holder == member;
+        let replaced = view.live.iter().any(|live| {
+            live.vm == member.vm
+                && live
+                    .incarnation(member.role)
+                    .is_some_and(|newer| newer > member.incarnation)
+        });
+        replaced
+            || view.released.iter().any(released)
+            || self.vms.is_gone(member.vm, self.settings.list_lag, now)
+    }
+
+    fn record_age(
+        &mut self,
+        mod_revision: u64,
+        now: Millis,
+    ) -> Millis {
+        let since = match self.record_since {
+            Some((seen, since)) if seen == mod_revision => since,
+            _ => now,
+        };
+        self.record_since = Some((mod_revision, since));
+        now.since(since)
+    }
+
+    /// Whether a due change is for this controller to make: after a pause in which further changes
+    /// may join it, and staggered by its place among the live ones.
+    fn is_my_turn(
+        &mut self,
+        view: &StoreView,
+        record_age: Millis,
+        now: Millis,
+    ) -> bool {
+        let due_since = *self.due_since.get_or_insert(now);
+        let place = view.live.iter().filter(|live| live.vm < self.me).count() as u64;
+        record_age >= self.settings.settle
+            && now.since(due_since).0 >= place.saturating_mul(self.settings.stagger.0)
+    }
+}
+
+fn write(
+    current: &Versioned<EpochRecord>,
+    record: EpochRecord,
+) -> EpochAction {
+    EpochAction::WriteEpoch {
+        compare: Some(current.mod_revision),
+        record,
+    }
+}
+
+/// The record with its missing rights granted, once every member has reported.
+fn finalise(
+    record: &EpochRecord,
+    view: &StoreView,
+    dead: &BTreeSet<Holder>,
+    grantees: usize,
+) -> Option<EpochRecord> {
+    let reported: BTreeSet<Holder> = reports(record, view).map(|report| report.holder).collect();
+    let all_reported = record
+        .members
+        .iter()
+        .all(|member| reported.contains(member));
+    if !record.closing || !all_reported {
+        return None;
+    }
+    let mut next = record.clone();
+    next.closing = false;
+    let granted: BTreeSet<AccountId> = record
+        .grants
+        .iter()
+        .flat_map(|grants| &grants.rights)
+        .map(|right| right.account)
+        .collect();
+    let reports: Vec<HoldingsRecord> = reports(record, view).cloned().collect();
+    let mut grants = Grants::of(record);
+    for budget in &view.budgets {
+        let account = budget.account;
+        let holders: Vec<Holder> = of_role(&record.members, budget.role)
+            .into_iter()
+            .filter(|holder| !dead.contains(holder))
+            .collect();
+        if !record.issued.contains(&account) || granted.contains(&account) || holders.is_empty() {
+            continue;
+        }
+        let freed = record.freed.get(&account).copied().unwrap_or(0);
+        grants.divide(&missing(budget, &reports, freed), &holders, grantees);
+    }
+    next.grants = grants.into_records();
+    next.freed = BTreeMap::new();
+    Some(next)
+}
+
+fn reports<'a>(
+    record: &'a EpochRecord,
+    view: &'a StoreView,
+) -> impl Iterator<Item = &'a HoldingsRecord> {
+    view.holdings
+        .iter()
+        .filter(|report| report.epoch == record.epoch && record.is_member(report.holder))
+}
+
+/// Live daemons that don't belong to the epoch yet; a run that a later one has replaced never does.
+fn joining<'a>(
+    record: &'a EpochRecord,
+    view: &'a StoreView,
+) -> impl Iterator<Item = Holder> + 'a {
+    view.live
+        .iter()
+        .flat_map(|live| {
+            [Role::Gateway, Role::Controller]
+                .into_iter()
+                .filter_map(|role| {
+                    live.incarnation(role).map(|incarnation| Holder {
+                        vm: live.vm,
+                        role,
+                        incarnation,
+                    })
+                })
+        })
+        .filter(|holder| {
+            record.members.iter().all(|member| {
+                member.vm != holder.vm
+                    || member.role != holder.role
+                    || member.incarnation < holder.incarnation
+            })
+        })
+        .filter(|holder| view.released.iter().all(|last| last.holder != *holder))
+}
+
+/// Budgets whose whole has never been granted and that some live daemon could hold.
+fn new_budgets<'a>(
+    record: &'a EpochRecord,
+    view: &'a StoreView,
+) -> impl Iterator<Item = &'a Budget> {
+    view.budgets
+        .iter()
+        .filter(|budget| !record.issued.contains(&budget.account))
+        .filter(|budget| {
+            view.live
+                .iter()
+                .any(|live| live.incarnation(budget.role).is_some())
+        })
+}
+
+fn of_role(
+    members: &[Holder],
+    role: Role,
+) -> Vec<Holder> {
+    members
+        .iter()
+        .copied()
+        .filter(|member| member.role == role)
+        .collect()
+}
+
+/// Tokens given back by holders that leave with this change, and those still unused from before.
+fn freed(
+    record: &EpochRecord,
+    view: &StoreView,
+    dead: &BTreeSet<Holder>,
+) -> BTreeMap<AccountId, u64> {
+    let mut freed = record.freed.clone();
+    let leaving = view
+        .released
+        .iter()
+        .filter(|last| dead.contains(&last.holder));
+    for right in leaving.flat_map(|last| &last.rights) {
+        let tokens = freed.entry(right.account).or_default();
+        *tokens = tokens.saturating_add(right.tokens);
+    }
+    freed
+}
+
+/// Deletes the last words that nobody reads any more.
+///
+/// One whose daemon still looks alive stays: without it the daemon would be taken for a new one.
+fn clean_up(
+    record: &EpochRecord,
+    view: &StoreView,
+) -> Vec<EpochAction> {
+    let looks_alive = |holder: Holder| {
+        view.live.iter().any(|live| {
+            live.vm == holder.vm && live.incarnation(holder.role) == Some(holder.incarnation)
+        })
+    };
+    view.released
+        .iter()
+        .map(|last| last.holder)
+        .filter(|&holder| !record.is_member(holder) && !looks_alive(holder))
+        .map(EpochAction::DeleteReleased)
+        .collect()
+}
