--- /dev/null
+++ b/crates/wire/src/convert/peer.rs
@@ -0,0 +1,34 @@
+use {
+    crate::jasmine_capnp::{self as wire, peer},
+    jasmine_core::ids::{Holder, Incarnation, Role, VmId},
+};
+
+/// Reads which run of which daemon a message comes from.
+///
+/// # Errors
+///
+/// Where the role is one that this version doesn't know.
+pub fn read_peer(reader: peer::Reader<'_>) -> Result<Holder, capnp::Error> {
+    let role = match reader.get_role()? {
+        wire::Role::Gateway => Role::Gateway,
+        wire::Role::Controller => Role::Controller,
+    };
+    Ok(Holder {
+        vm: VmId(reader.get_vm()),
+        role,
+        incarnation: Incarnation(reader.get_incarnation()),
+    })
+}
+
+/// Writes which run of which daemon a message comes from.
+pub fn write_peer(
+    mut builder: peer::Builder<'_>,
+    holder: Holder,
+) {
+    builder.set_vm(holder.vm.0);
+    builder.set_role(match holder.role {
+        Role::Gateway => wire::Role::Gateway,
+        Role::Controller => wire::Role::Controller,
+    });
+    builder.set_incarnation(holder.incarnation.0);
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,4 +8,5 @@
 #[path = "generated/jasmine_capnp.rs"]
 pub mod jasmine_capnp;
 
+pub mod convert;
 pub mod link;
