--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,3 +9,6 @@
 pub mod error;
 pub mod forward;
 pub mod ids;
+pub mod membership;
+pub mod queue;
+pub mod rights;
