--- /dev/null
+++ b/crates/gateway/src/forward/caller.rs
@@ -0,0 +1,151 @@
+use {
+    crate::request::Problem,
+    actix_web::http::{StatusCode, header::HeaderMap},
+    bytes::Bytes,
+    std::{convert::Infallible, mem},
+    tokio::sync::{mpsc, oneshot},
+};
+
+/// Parts that wait for a caller that reads slowly. More is not read from the upstream meanwhile.
+const PARTS_AHEAD: usize = 16;
+
+/// An answer in one piece.
+#[derive(Clone, Debug)]
+pub struct WholeAnswer {
+    /// The status.
+    pub status: StatusCode,
+    /// Headers of an upstream that are passed on.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// How an answer begins.
+#[derive(Debug)]
+pub enum Answer {
+    /// It is there in one piece.
+    Whole(WholeAnswer),
+    /// Its parts come through the receiver.
+    Stream(mpsc::Receiver<Result<Bytes, Infallible>>),
+}
+
+/// The way back to the caller.
+#[derive(Debug)]
+pub struct Caller {
+    state: State,
+}
+
+#[derive(Debug)]
+enum State {
+    Waiting(oneshot::Sender<Result<Answer, Problem>>),
+    Streaming {
+        tx: mpsc::Sender<Result<Bytes, Infallible>>,
+        backlog: Option<Bytes>,
+    },
+    Ended,
+}
+
+impl Caller {
+    /// A caller that waits for what comes through the receiver.
+    pub fn new() -> (Self, oneshot::Receiver<Result<Answer, Problem>>) {
+        let (tx, rx) = oneshot::channel();
+        let caller = Self {
+            state: State::Waiting(tx),
+        };
+        (caller, rx)
+    }
+
+    /// Answers in one piece, or with an error.
+    pub fn answer(
+        &mut self,
+        answer: Result<WholeAnswer, Problem>,
+    ) {
+        if let State::Waiting(tx) = mem::replace(&mut self.state, State::Ended) {
+            // A caller that has gone is noticed where its absence matters.
+            drop(tx.send(answer.map(Answer::Whole)));
+        }
+    }
+
+    /// Passes a part on; false when the caller doesn't take it yet.
+    pub fn stream(
+        &mut self,
+        part: Bytes,
+    ) -> bool {
+        if let State::Waiting(_) = self.state {
+            self.begin();
+        }
+        let State::Streaming { tx, backlog } = &mut self.state else {
+            return true;
+        };
+        match tx.try_send(Ok(part)) {
+            Err(mpsc::error::TrySendError::Full(Ok(part))) => {
+                *backlog = Some(part);
+                false
+            }
+            _ => true,
+        }
+    }
+
+    /// Whether a part waits to be taken.
+    pub const fn is_slow(&self) -> bool {
+        matches!(
+            self.state,
+            State::Streaming {
+                backlog: Some(_),
+                ..
+            }
+        )
+    }
+
+    /// Waits until the caller has taken what it didn't take at once; false when it has gone.
+    pub async fn taken(&mut self) -> bool {
+        let State::Streaming { tx, backlog } = &mut self.state else {
+            return false;
+        };
+        let Ok(permit) = tx.reserve().await else {
+            return false;
+        };
+        if let Some(part) = backlog.take() {
+            permit.send(Ok(part));
+        }
+        true
+    }
+
+    /// Waits until the caller has closed its connection.
+    pub async fn gone(&mut self) {
+        match &mut self.state {
+            State::Waiting(tx) => tx.closed().await,
+            State::Streaming { tx, .. } => tx.closed().await,
+            State::Ended => std::future::pending().await,
+        }
+    }
+
+    /// Sends the last part and ends the answer, however slowly the caller reads.
+    ///
+    /// Only a caller that still reads can get it: the wait is bounded by `limit`.
+    pub async fn end(
+        &mut self,
+        last: Bytes,
+        limit: tokio::time::Instant,
+    ) {
+        self.stream(last);
+        while self.is_slow() {
+            let taken = tokio::time::timeout_at(limit, self.taken()).await;
+            if taken != Ok(true) {
+                break;
+            }
+        }
+        self.state = State::Ended;
+    }
+
+    fn begin(&mut self) {
+        let (body, rx) = mpsc::channel(PARTS_AHEAD);
+        let streaming = State::Streaming {
+            tx: body,
+            backlog: None,
+        };
+        if let State::Waiting(tx) = mem::replace(&mut self.state, streaming) {
+            drop(tx.send(Ok(Answer::Stream(rx))));
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/forward/reading.rs
@@ -0,0 +1,193 @@
+use {
+    super::WholeAnswer,
+    crate::{
+        sse::{Chunk, Decoder},
+        upstream::Sent,
+    },
+    actix_web::http::{
+        Method,
+        header::{CONTENT_TYPE, ETAG, HeaderMap, HeaderName, LOCATION},
+    },
+    bytes::{Bytes, BytesMut},
+    futures::StreamExt,
+    jasmine_core::forward::Head,
+    serde_json::Value,
+};
+
+/// Bytes of an answer that is kept whole.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+/// Bytes of an error's body that are looked at.
+const MAX_ERROR_BYTES: usize = 64 << 10;
+/// Headers of a plain service's answer that are passed on.
+const PASSED_ON: [HeaderName; 3] = [CONTENT_TYPE, ETAG, LOCATION];
+
+/// What an engine must say in its answer for it to be the right one.
+#[derive(Clone, Debug)]
+pub struct Expected {
+    /// The id of the attempt.
+    pub request_id: String,
+    /// The weights that have to run.
+    pub weights: String,
+}
+
+/// What arrived of a streamed answer.
+#[derive(Debug)]
+pub enum Read {
+    /// A chunk.
+    Chunk(Chunk),
+    /// The end that the engine marks.
+    Done,
+    /// The stream broke off, or what arrived makes no sense or belongs to another request.
+    Broken,
+}
+
+/// A streamed answer that is being read.
+#[derive(Debug)]
+pub struct Reading {
+    response: Sent,
+    decoder: Decoder,
+    request_id: String,
+}
+
+impl Reading {
+    /// Reads the body of `response`, which answers the attempt `request_id`.
+    pub fn new(
+        response: Sent,
+        request_id: String,
+    ) -> Self {
+        Self {
+            response,
+            decoder: Decoder::default(),
+            request_id,
+        }
+    }
+
+    /// The next thing that arrives; may be dropped and called again.
+    pub async fn next(&mut self) -> Read {
+        loop {
+            match self.decoder.next_event() {
+                Ok(Some(event)) if event.data.trim() == "[DONE]" => return Read::Done,
+                Ok(Some(event)) => return self.chunk(&event),
+                Ok(None) => {}
+                Err(_) => return Read::Broken,
+            }
+            match self.response.next().await {
+                Some(Ok(bytes)) => self.decoder.feed(&bytes),
+                // An end without its mark is none.
+                Some(Err(_)) | None => return Read::Broken,
+            }
+        }
+    }
+
+    /// A connection that got another's answer in the middle is as bad as a broken one.
+    fn chunk(
+        &self,
+        event: &crate::sse::Event,
+    ) -> Read {
+        match Chunk::from_event(event) {
+            Some(chunk) if chunk.request() == Some(&self.request_id) => Read::Chunk(chunk),
+            _ => Read::Broken,
+        }
+    }
+}
+
+/// What the head of an engine's answer says; the stream's name where it has one.
+pub async fn engine_head(
+    response: &mut Sent,
+    expected: &Expected,
+    resuming: bool,
+) -> (Head, Option<String>) {
+    let header = |name: &str| {
+        response
+            .headers()
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default()
+    };
+    let echoed = header("x-request-id");
+    let ours = echoed == expected.request_id;
+    let right_weights = header("x-adapter") == expected.weights;
+    let stream = Some(header("x-stream").to_owned()).filter(|name| is_stream_name(name));
+    let head = match response.status().as_u16() {
+        200 if !ours || !right_weights => Head::Crossed,
+        _ if !ours && !echoed.is_empty() => Head::Crossed,
+        200 => Head::Accepted {
+            resumable: stream.is_some(),
+        },
+        404 if resuming => Head::StreamGone,
+        404 if error_code(response).await.as_deref() == Some("instance_not_loaded") => {
+            Head::NotLoaded
+        }
+        429 | 503 => Head::Busy,
+        400 | 413 | 422 => Head::Rejected,
+        _ => Head::Failed,
+    };
+    (head, stream)
+}
+
+/// What the head of a plain service's answer says.
+pub fn service_head(
+    response: &Sent,
+    expected: &Expected,
+) -> Head {
+    match response.headers().get("x-request-id") {
+        Some(echoed) if echoed.as_bytes() != expected.request_id.as_bytes() => Head::Crossed,
+        _ => Head::Accepted { resumable: false },
+    }
+}
+
+/// The whole answer of a plain service; none when it broke off or is too large to be kept.
+pub async fn collect(
+    mut response: Sent,
+    method: Method,
+) -> Option<WholeAnswer> {
+    let status = response.status();
+    let headers = passed_on(response.headers());
+    let announced: Option<usize> = response
+        .headers()
+        .get("content-length")
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.parse().ok());
+    let body = read_body(&mut response, MAX_ANSWER_BYTES).await?;
+    let is_short = method != Method::HEAD && announced.is_some_and(|length| length != body.len());
+    (!is_short).then_some(WholeAnswer {
+        status,
+        headers,
+        body,
+    })
+}
+
+async fn read_body(
+    response: &mut Sent,
+    limit: usize,
+) -> Option<Bytes> {
+    let mut body = BytesMut::new();
+    while let Some(part) = response.next().await {
+        body.extend_from_slice(&part.ok()?);
+        if body.len() > limit {
+            return None;
+        }
+    }
+    Some(body.freeze())
+}
+
+async fn error_code(response: &mut Sent) -> Option<String> {
+    let body = read_body(response, MAX_ERROR_BYTES).await?;
+    let json: Value = serde_json::from_slice(&body).ok()?;
+    Some(json.get("error")?.get("code")?.as_str()?.to_owned())
+}
+
+fn passed_on(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = HeaderMap::new();
+    for name in PASSED_ON {
+        if let Some(value) = headers.get(&name) {
+            kept.insert(name, value.clone());
+        }
+    }
+    kept
+}
+
+fn is_stream_name(name: &str) -> bool {
+    let allowed = |b: u8| b.is_ascii_alphanumeric() || b"._-".contains(&b);
+    (1..=128).contains(&name.len()) && name.bytes().all(allowed)
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,4 +1,8 @@
 //! The callers' daemon: authenticates, admits, queues, routes, forwards and streams back.
 
+pub mod brain;
+pub mod clock;
+pub mod forward;
 pub mod request;
 pub mod sse;
+pub mod upstream;
--- /dev/null
+++ b/crates/gateway/src/upstream/io.rs
@@ -0,0 +1,115 @@
+use {
+    actix_rt::net::{ActixStream, Ready, TcpStream},
+    std::{
+        cell::Cell,
+        io,
+        pin::Pin,
+        rc::Rc,
+        task::{Context, Poll},
+    },
+    tokio::io::{AsyncRead, AsyncWrite, ReadBuf},
+};
+
+/// Whether any byte has been written to a connection.
+#[derive(Clone, Debug, Default)]
+pub struct BytesLeft(Rc<Cell<bool>>);
+
+impl BytesLeft {
+    /// Whether any byte has left.
+    pub fn any(&self) -> bool {
+        self.0.get()
+    }
+
+    fn note(&self) {
+        self.0.set(true);
+    }
+}
+
+/// A connection to an upstream whose close is an error and whose first written byte is noted.
+#[derive(Debug)]
+pub struct UpstreamIo {
+    stream: TcpStream,
+    left: BytesLeft,
+}
+
+impl UpstreamIo {
+    /// Wraps a connection.
+    pub const fn new(
+        stream: TcpStream,
+        left: BytesLeft,
+    ) -> Self {
+        Self { stream, left }
+    }
+}
+
+impl AsyncRead for UpstreamIo {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let had_room = buf.remaining() > 0;
+        match Pin::new(&mut self.stream).poll_read(cx, buf) {
+            Poll::Ready(Ok(())) if had_room && buf.filled().len() == before => {
+                Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()))
+            }
+            polled => polled,
+        }
+    }
+}
+
+impl AsyncWrite for UpstreamIo {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        // Noted before the attempt: an error doesn't prove that nothing left.
+        self.left.note();
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.left.note();
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+impl ActixStream for UpstreamIo {
+    fn poll_read_ready(
+        &self,
+        cx: &mut Context<'_>,
+    ) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_read_ready(&self.stream, cx)
+    }
+
+    fn poll_write_ready(
+        &self,
+        cx: &mut Context<'_>,
+    ) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_write_ready(&self.stream, cx)
+    }
+}
