The operators' tree: nodes, settings, edits, resolving

A tree of paths in a persistent ordered map: an edit is checked on a copy that costs the same at any size and takes effect whole or not at all, and a resolved fleet is brought up to date for what an edit touched. Weighed against a mutable tree with an undo log: the copy also gives readers a whole revision while the next one is made.

--- a/crates/conf/src/arena/mod.rs
+++ b/crates/conf/src/arena/mod.rs
@@ -2,5 +2,6 @@
 
 mod arena_key;
 mod dense_arena;
+mod shared_arena;
 
-pub use {arena_key::ArenaKey, dense_arena::Arena};
+pub use {arena_key::ArenaKey, dense_arena::Arena, shared_arena::SharedArena};
--- a/crates/conf/src/fleet/fleet_view.rs
+++ b/crates/conf/src/fleet/fleet_view.rs
@@ -1,6 +1,7 @@
 use {
     super::{Account, Adapter, BaseModel, DataCentre, Key, KeyDigest, Service, Upstream},
-    crate::arena::Arena,
+    crate::arena::SharedArena,
+    imbl::HashMap,
     jasmine_core::{
         error::ErrorKind,
         ids::{
@@ -8,7 +9,6 @@
             UpstreamId,
         },
     },
-    std::collections::HashMap,
 };
 
 /// What a caller's model name stands for.
@@ -21,26 +21,28 @@
 }
 
 /// One revision of the configuration, resolved.
-#[derive(Clone, Debug, Default)]
+///
+/// Copies share what they have in common, so a copy is cheap to keep while the next one is made.
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Fleet {
     /// The revision of the tree this was resolved from.
     pub revision: Revision,
     /// Client accounts.
-    pub accounts: Arena<AccountId, Account>,
+    pub accounts: SharedArena<AccountId, Account>,
     /// Keys by digest, withdrawn ones included.
     pub keys: HashMap<KeyDigest, Key>,
     /// Adapters.
-    pub adapters: Arena<AdapterId, Adapter>,
+    pub adapters: SharedArena<AdapterId, Adapter>,
     /// Adapters by name.
     pub adapter_names: HashMap<String, AdapterId>,
     /// Base models.
-    pub models: Arena<ModelId, BaseModel>,
+    pub models: SharedArena<ModelId, BaseModel>,
     /// Data centres.
-    pub data_centres: Arena<DataCentreId, DataCentre>,
+    pub data_centres: SharedArena<DataCentreId, DataCentre>,
     /// Upstreams.
-    pub upstreams: Arena<UpstreamId, Upstream>,
+    pub upstreams: SharedArena<UpstreamId, Upstream>,
     /// Plain services.
-    pub services: Arena<ServiceId, Service>,
+    pub services: SharedArena<ServiceId, Service>,
 }
 
 impl Fleet {
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod fleet;
 pub mod hex;
 pub mod settings;
+pub mod tree;
--- /dev/null
+++ b/crates/conf/src/tree/edit_id.rs
@@ -0,0 +1,53 @@
+use {
+    super::EditError,
+    serde::{Deserialize, Serialize},
+};
+
+/// Characters that the name of an edit may have.
+const MAX_EDIT_ID: usize = 64;
+
+/// The name of an edit: 1 to 64 of `A-Za-z0-9._-`.
+#[derive(
+    Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, derive_more::Display,
+)]
+#[serde(try_from = "String", into = "String")]
+pub struct EditId(Box<str>);
+
+impl EditId {
+    /// Reads a name.
+    ///
+    /// # Errors
+    ///
+    /// [`EditError::BadEditId`] where the text is no such name.
+    pub fn parse(text: &str) -> Result<Self, EditError> {
+        let allowed = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'.' | b'_' | b'-');
+        if (1..=MAX_EDIT_ID).contains(&text.len()) && text.bytes().all(allowed) {
+            return Ok(Self(Box::from(text)));
+        }
+        Err(EditError::BadEditId)
+    }
+
+    /// A name that nobody else will choose.
+    pub fn random() -> Self {
+        Self(crate::hex::encode(&rand::random::<[u8; 16]>()).into())
+    }
+
+    /// The name as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl TryFrom<String> for EditId {
+    type Error = EditError;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        Self::parse(&text)
+    }
+}
+
+impl From<EditId> for String {
+    fn from(id: EditId) -> Self {
+        id.0.into()
+    }
+}
--- /dev/null
+++ b/crates/conf/src/tree/edit_log.rs
@@ -0,0 +1,88 @@
+use {
+    super::{Accepted, EditId, Path},
+    jasmine_core::ids::Revision,
+    std::{collections::VecDeque, sync::Arc},
+};
+
+/// Accepted edits that a daemon keeps at hand.
+pub const LOG_EDITS: usize = 1_024;
+
+/// The newest accepted edits, without a gap.
+///
+/// They bring others up to date, tell what a racing edit runs into, and show that an edit sent again
+/// has been accepted already: an edit based on revision b can only have been accepted after b.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EditLog {
+    base: Revision,
+    edits: VecDeque<Arc<Accepted>>,
+}
+
+impl EditLog {
+    /// A log that begins after `base`.
+    pub const fn new(base: Revision) -> Self {
+        Self {
+            base,
+            edits: VecDeque::new(),
+        }
+    }
+
+    /// The revision after which it begins: the oldest that an edit may be based on.
+    pub const fn oldest_base(&self) -> Revision {
+        self.base
+    }
+
+    /// The newest revision that it knows.
+    pub fn newest(&self) -> Revision {
+        self.edits.back().map_or(self.base, |edit| edit.revision)
+    }
+
+    /// Adds the edit that follows; whether it did follow.
+    pub fn push(
+        &mut self,
+        accepted: Arc<Accepted>,
+    ) -> bool {
+        if accepted.revision != self.newest().next() {
+            return false;
+        }
+        self.edits.push_back(accepted);
+        if self.edits.len() > LOG_EDITS {
+            self.base = self.base.next();
+            self.edits.pop_front();
+        }
+        true
+    }
+
+    /// The edits after `base`, oldest first; `None` where the log begins later.
+    pub fn since(
+        &self,
+        base: Revision,
+    ) -> Option<impl Iterator<Item = &Accepted>> {
+        let skipped = base.0.checked_sub(self.base.0)?;
+        let skipped = (skipped as usize).min(self.edits.len());
+        Some(self.edits.range(skipped..).map(Arc::as_ref))
+    }
+
+    /// The accepted edit of this name.
+    pub fn find(
+        &self,
+        id: &EditId,
+    ) -> Option<&Accepted> {
+        self.newest_first().find(|accepted| accepted.edit.id == *id)
+    }
+
+    /// All edits, newest first.
+    pub fn newest_first(&self) -> impl Iterator<Item = &Accepted> {
+        self.edits.iter().rev().map(Arc::as_ref)
+    }
+
+    /// The edits that changed `path`, something below it or a level above it, newest first.
+    pub fn about(
+        &self,
+        path: &Path,
+    ) -> impl Iterator<Item = &Accepted> {
+        self.newest_first().filter(move |accepted| {
+            let about = |changed: &Path| changed.is_within(path) || path.is_within(changed);
+            accepted.edit.ops.iter().any(|op| about(op.path()))
+        })
+    }
+}
--- /dev/null
+++ b/crates/conf/src/tree/node_kind.rs
@@ -0,0 +1,126 @@
+use serde::{Deserialize, Serialize};
+
+/// What a node of the tree stands for.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    derive_more::Display,
+)]
+#[serde(rename_all = "kebab-case")]
+pub enum NodeKind {
+    /// A level that only holds settings for what stands below it.
+    #[display("group")]
+    Group,
+    /// A client account.
+    #[display("account")]
+    Account,
+    /// A caller's key, below its client account.
+    #[display("key")]
+    Key,
+    /// A LoRA adapter.
+    #[display("adapter")]
+    Adapter,
+    /// A version of the adapter above it; its name is the version's number.
+    #[display("version")]
+    Version,
+    /// A base model.
+    #[display("model")]
+    Model,
+    /// An upstream that runs a base model.
+    #[display("engine")]
+    Engine,
+    /// An upstream that answers calls of a plain service.
+    #[display("server")]
+    Server,
+    /// A plain service.
+    #[display("service")]
+    Service,
+    /// A call of the service above it.
+    #[display("call")]
+    Call,
+    /// A data centre.
+    #[display("data-centre")]
+    DataCentre,
+}
+
+/// Kinds whose members share one sequence of numbers and one set of names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Family {
+    /// Client accounts.
+    Accounts,
+    /// Keys; their name is the digest.
+    Keys,
+    /// Adapters.
+    Adapters,
+    /// Base models.
+    Models,
+    /// Engines and servers.
+    Upstreams,
+    /// Plain services.
+    Services,
+    /// Data centres.
+    DataCentres,
+}
+
+impl NodeKind {
+    /// All kinds, in the order of the documentation.
+    pub const ALL: [Self; 11] = [
+        Self::Group,
+        Self::Account,
+        Self::Key,
+        Self::Adapter,
+        Self::Version,
+        Self::Model,
+        Self::Engine,
+        Self::Server,
+        Self::Service,
+        Self::Call,
+        Self::DataCentre,
+    ];
+
+    /// The first level that nodes of this kind stand below; `None` for groups, which go anywhere.
+    pub const fn collection(self) -> Option<&'static str> {
+        match self {
+            Self::Group => None,
+            Self::Account | Self::Key => Some("accounts"),
+            Self::Adapter | Self::Version => Some("adapters"),
+            Self::Model => Some("models"),
+            Self::Engine | Self::Server => Some("upstreams"),
+            Self::Service | Self::Call => Some("services"),
+            Self::DataCentre => Some("data-centres"),
+        }
+    }
+
+    /// The kind that the node above must be.
+    pub const fn parent(self) -> Self {
+        match self {
+            Self::Key => Self::Account,
+            Self::Version => Self::Adapter,
+            Self::Call => Self::Service,
+            _ => Self::Group,
+        }
+    }
+
+    /// The sequence of numbers and names; `None` where a node has none beyond its path.
+    pub const fn family(self) -> Option<Family> {
+        match self {
+            Self::Group | Self::Version | Self::Call => None,
+            Self::Account => Some(Family::Accounts),
+            Self::Key => Some(Family::Keys),
+            Self::Adapter => Some(Family::Adapters),
+            Self::Model => Some(Family::Models),
+            Self::Engine | Self::Server => Some(Family::Upstreams),
+            Self::Service => Some(Family::Services),
+            Self::DataCentre => Some(Family::DataCentres),
+        }
+    }
+}
--- /dev/null
+++ b/crates/conf/src/tree/queries/entity.rs
@@ -0,0 +1,74 @@
+use {
+    crate::{
+        fleet::{
+            Account, Adapter, BaseModel, DataCentre, Fleet, Key, KeyDigest, Service, Upstream,
+        },
+        tree::{Family, Removed},
+    },
+    jasmine_core::ids::{AccountId, AdapterId, DataCentreId, ModelId, ServiceId, UpstreamId},
+};
+
+/// A node with its values after inheritance.
+#[derive(Clone, Debug)]
+pub(in crate::tree) enum Entity {
+    /// A client account.
+    Account(Account),
+    /// A key.
+    Key(KeyDigest, Key),
+    /// An adapter with its versions.
+    Adapter(Adapter),
+    /// A base model.
+    Model(BaseModel),
+    /// An engine or server.
+    Upstream(Upstream),
+    /// A plain service with its calls.
+    Service(Service),
+    /// A data centre.
+    DataCentre(DataCentre),
+}
+
+impl Entity {
+    /// Puts it into `fleet`, in place of what it was before.
+    pub(in crate::tree) fn put(
+        self,
+        fleet: &mut Fleet,
+    ) {
+        match self {
+            Self::Account(account) => fleet.accounts.insert(account.id, account),
+            Self::Key(digest, key) => {
+                fleet.keys.insert(digest, key);
+            }
+            Self::Adapter(adapter) => {
+                fleet.adapter_names.insert(adapter.name.clone(), adapter.id);
+                fleet.adapters.insert(adapter.id, adapter);
+            }
+            Self::Model(model) => fleet.models.insert(model.id, model),
+            Self::Upstream(upstream) => fleet.upstreams.insert(upstream.id, upstream),
+            Self::Service(service) => fleet.services.insert(service.id, service),
+            Self::DataCentre(centre) => fleet.data_centres.insert(centre.id, centre),
+        }
+    }
+}
+
+/// Takes what is gone out of `fleet`.
+pub(in crate::tree) fn take_out(
+    removed: &Removed,
+    fleet: &mut Fleet,
+) {
+    let number = removed.number;
+    match removed.family {
+        Family::Accounts => drop(fleet.accounts.remove(AccountId(number))),
+        Family::Keys => {
+            let digest = KeyDigest::try_from(String::from(removed.name.clone())).ok();
+            digest.and_then(|digest| fleet.keys.remove(&digest));
+        }
+        Family::Adapters => {
+            fleet.adapters.remove(AdapterId(number));
+            fleet.adapter_names.remove(&*removed.name);
+        }
+        Family::Models => drop(fleet.models.remove(ModelId(number))),
+        Family::Upstreams => drop(fleet.upstreams.remove(UpstreamId(number))),
+        Family::Services => drop(fleet.services.remove(ServiceId(number))),
+        Family::DataCentres => drop(fleet.data_centres.remove(DataCentreId(number as u16))),
+    }
+}
--- /dev/null
+++ b/crates/conf/src/tree/tree_nodes.rs
@@ -0,0 +1,146 @@
+use {
+    super::{Family, Node, NodeKind, Path},
+    imbl::OrdMap,
+    jasmine_core::ids::Revision,
+    std::{collections::BTreeMap, ops::Bound},
+};
+
+/// The first levels of the tree, which are given.
+pub const COLLECTIONS: [&str; 6] = [
+    "/accounts",
+    "/adapters",
+    "/data-centres",
+    "/models",
+    "/services",
+    "/upstreams",
+];
+
+/// A family and a name in it.
+pub(super) type FamilyName = (Family, Box<str>);
+
+/// One revision of the operators' tree.
+///
+/// Copies share what they have in common: a copy costs the same at any size, so an edit is tried on a
+/// copy, and whoever reads a revision keeps it whole while the next one is made.
+#[derive(Clone, Debug)]
+pub struct Tree {
+    pub(super) revision: Revision,
+    pub(super) nodes: OrdMap<Path, Node>,
+    pub(super) names: OrdMap<FamilyName, Path>,
+    pub(super) next_numbers: BTreeMap<Family, u32>,
+}
+
+impl Default for Tree {
+    fn default() -> Self {
+        Self::from_parts(Revision(0), BTreeMap::new(), std::iter::empty())
+    }
+}
+
+impl PartialEq for Tree {
+    fn eq(
+        &self,
+        other: &Self,
+    ) -> bool {
+        self.revision == other.revision
+            && self.next_numbers == other.next_numbers
+            && self.nodes == other.nodes
+    }
+}
+
+impl Tree {
+    /// A tree of stored nodes; the given levels are added where they are missing.
+    pub fn from_parts<N>(
+        revision: Revision,
+        next_numbers: BTreeMap<Family, u32>,
+        nodes: N,
+    ) -> Self
+    where
+        N: IntoIterator<Item = (Path, Node)>,
+    {
+        let given = COLLECTIONS
+            .into_iter()
+            .filter_map(|text| Path::parse(text).ok())
+            .chain([Path::root()])
+            .map(|path| (path, Node::new(NodeKind::Group, 0)));
+        let nodes: OrdMap<Path, Node> = given.chain(nodes).collect();
+        let names = nodes
+            .iter()
+            .filter_map(|(path, node)| Some((family_name(path, node)?, path.clone())))
+            .collect();
+        Self {
+            revision,
+            nodes,
+            names,
+            next_numbers,
+        }
+    }
+
+    /// The revision; 0 before the first edit.
+    pub const fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// The next number that each family gives out, where it has given out one.
+    pub const fn next_numbers(&self) -> &BTreeMap<Family, u32> {
+        &self.next_numbers
+    }
+
+    /// The node at `path`.
+    pub fn node(
+        &self,
+        path: &Path,
+    ) -> Option<&Node> {
+        self.nodes.get(path)
+    }
+
+    /// All nodes, in the order of their paths.
+    pub fn nodes(&self) -> impl Iterator<Item = (&Path, &Node)> {
+        self.nodes.iter()
+    }
+
+    /// The node at `path` and all below it, in the order of their paths, `path` first.
+    pub fn within(
+        &self,
+        path: &Path,
+    ) -> impl Iterator<Item = (&Path, &Node)> {
+        // The character after the slash bounds what begins with the prefix and a slash.
+        let below = (
+            Bound::Included(format!("{}/", path.prefix())),
+            Bound::Excluded(format!("{}0", path.prefix())),
+        );
+        let root = path.parent().is_none();
+        let top = self.nodes.get_key_value(path);
+        top.into_iter().chain(
+            self.nodes
+                .range::<_, str>((as_str(&below.0), as_str(&below.1)))
+                .filter(move |(path, _)| !root || path.parent().is_some()),
+        )
+    }
+
+    /// The node of this name in its family.
+    pub fn named(
+        &self,
+        family: Family,
+        name: &str,
+    ) -> Option<(&Path, &Node)> {
+        let path = self.names.get(&(family, Box::from(name)))?;
+        self.nodes.get_key_value(path)
+    }
+}
+
+fn as_str(bound: &Bound<String>) -> Bound<&str> {
+    bound.as_ref().map(String::as_str)
+}
+
+/// The name under which a node is found in its family.
+pub(super) fn family_name(
+    path: &Path,
+    node: &Node,
+) -> Option<FamilyName> {
+    let family = node.kind.family()?;
+    let name = match family {
+        Family::Keys => node.settings.get(super::Setting::Digest)?.as_text()?,
+        _ => path.name(),
+    };
+    Some((family, Box::from(name)))
+}
