Stand-ins for platform, weights, engine and service, and a fault proxy

Cause: no part of the path can be tried before its neighbours exist. Outages extend leases as a new leader of etcd does; the PUT type and zero values are left out of JSON as the etcd gateway does.

--- /dev/null
+++ b/crates/testkit/src/engine/batch.rs
@@ -0,0 +1,117 @@
+use {
+    super::{
+        record::Ended,
+        state::{Engine, State},
+    },
+    crate::server::unix_ms,
+    std::{
+        collections::BTreeSet,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::time,
+};
+
+/// How long an engine without work waits before it looks again.
+const IDLE: Duration = Duration::from_millis(2);
+
+/// How long an ended stream can still be read.
+const KEEP_ENDED: Duration = Duration::from_secs(30);
+
+/// Makes steps for as long as the engine lives.
+pub(super) async fn run(engine: Arc<Engine>) {
+    let mut looked = None;
+    loop {
+        let lag = Duration::from_millis(engine.cfg.load_lag_ms);
+        if looked.is_none_or(|at: Instant| at.elapsed() >= lag) {
+            let mut state = engine.lock();
+            state.look(&engine.cfg);
+            forget(&engine, &mut state);
+            looked = Some(Instant::now());
+        }
+        let begun = begin_step(&engine);
+        time::sleep(begun.unwrap_or(IDLE)).await;
+        if begun.is_some() {
+            end_step(&mut engine.lock());
+            engine.tick.send_replace(());
+        }
+    }
+}
+
+/// Fills the batch and tells how long its step takes; none without work.
+fn begin_step(engine: &Engine) -> Option<Duration> {
+    let cfg = &engine.cfg;
+    let mut state = engine.lock();
+    if state.faults.hang {
+        return None;
+    }
+    while state.running.len() < cfg.max_batch && !state.waiting.is_empty() {
+        let name = state.waiting.remove(0);
+        admit(engine, &mut state, name);
+    }
+    let running = state
+        .running
+        .iter()
+        .filter_map(|name| state.streams.get(name));
+    let adapters: BTreeSet<_> = running.map(|stream| stream.job.weights.as_str()).collect();
+    let requests = state.running.len().checked_sub(1)? as u64;
+    let more =
+        requests * cfg.step_per_request_us + (adapters.len() as u64 - 1) * cfg.step_per_adapter_us;
+    Some(Duration::from_micros(cfg.step_us + more))
+}
+
+fn admit(
+    engine: &Engine,
+    state: &mut State,
+    name: String,
+) {
+    let Some(stream) = state.streams.get(&name) else {
+        return;
+    };
+    let (instance, prompt) = (stream.job.instance.clone(), stream.job.prompt.clone());
+    let known = state.touch_prefix(&engine.cfg, &instance, &prompt);
+    if let Some(stream) = state.streams.get_mut(&name) {
+        stream.prefill_left = if known { 1 } else { stream.prefill_left };
+        state.record.requests[stream.record].began_ms = Some(unix_ms());
+        state.running.push(name);
+    }
+}
+
+/// Gives each running stream its token, or works on its prompt.
+fn end_step(state: &mut State) {
+    state.record.steps += 1;
+    for name in state.running.clone() {
+        let Some(stream) = state.streams.get_mut(&name) else {
+            continue;
+        };
+        stream.prefill_left = stream.prefill_left.saturating_sub(1);
+        if stream.prefill_left == 0 && stream.job.made < stream.len {
+            stream.job.made += 1;
+            state.record.tokens += 1;
+            state.record.requests[stream.record].tokens += 1;
+        }
+        if stream.job.made == stream.len {
+            state.end(&name, Ended::Done);
+        }
+    }
+}
+
+/// Ends streams whose caller didn't come back and drops those that ended long ago.
+fn forget(
+    engine: &Engine,
+    state: &mut State,
+) {
+    let resume = Duration::from_millis(engine.cfg.resume_ms);
+    let alone: Vec<_> = state
+        .streams
+        .iter()
+        .filter(|(_, stream)| stream.readers == 0 && stream.alone_since.elapsed() > resume)
+        .map(|(name, _)| name.clone())
+        .collect();
+    for name in alone {
+        state.end(&name, Ended::Abandoned);
+    }
+    state.streams.retain(|_, stream| {
+        stream.ended.is_none() || stream.readers > 0 || stream.alone_since.elapsed() < KEEP_ENDED
+    });
+}
--- /dev/null
+++ b/crates/testkit/src/engine/mod.rs
@@ -0,0 +1,18 @@
+//! Stands in for a model engine: continuous batching, few adapter slots, deterministic answers.
+
+mod answer;
+mod api;
+mod batch;
+mod generate;
+mod orders;
+mod record;
+mod settings;
+mod state;
+mod stream_body;
+
+pub use {
+    answer::{answer, prefix_of, prompt_of},
+    api::start,
+    record::{Ended, EngineRecord, RanRequest},
+    settings::{EngineFaults, EngineSettings},
+};
--- /dev/null
+++ b/crates/testkit/src/engine/state.rs
@@ -0,0 +1,284 @@
+use {
+    super::{
+        answer::{length, prefix_of, prompt_tokens},
+        record::{Ended, EngineRecord, RanRequest},
+        settings::{EngineFaults, EngineSettings},
+    },
+    crate::server::unix_ms,
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+        sync::{Mutex, MutexGuard, PoisonError},
+        time::Instant,
+    },
+    tokio::sync::watch,
+};
+
+/// Requests in text that the record keeps.
+const MAX_SEEN: usize = 4096;
+
+/// What a request asks the engine to make.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) struct Job {
+    pub(super) request_id: String,
+    pub(super) account: String,
+    pub(super) instance: String,
+    pub(super) weights: String,
+    pub(super) prompt: String,
+    pub(super) chat: bool,
+    pub(super) priority: u8,
+    pub(super) max_tokens: u32,
+    pub(super) made: u32,
+}
+
+/// A stream of tokens, waiting, running or ended and still resumable.
+#[derive(Debug)]
+pub(super) struct Stream {
+    pub(super) job: Job,
+    pub(super) len: u32,
+    pub(super) prefill_left: u32,
+    pub(super) readers: u32,
+    pub(super) alone_since: Instant,
+    pub(super) ended: Option<Ended>,
+    pub(super) record: usize,
+}
+
+/// One event of the prefix cache.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct CacheEvent {
+    pub(super) seq: u64,
+    pub(super) kind: &'static str,
+    pub(super) instance: String,
+    pub(super) prefix: String,
+    #[serde(skip)]
+    pub(super) at: Instant,
+}
+
+/// What the engine tells of its load.
+#[derive(Clone, Debug, Default, Serialize)]
+pub(super) struct LoadReport {
+    boot: String,
+    role: String,
+    running: usize,
+    waiting: usize,
+    slots: usize,
+    max_batch: usize,
+    instances: Vec<String>,
+    loading: Vec<String>,
+    as_of_ms: u64,
+}
+
+#[derive(Debug)]
+pub(super) struct State {
+    pub(super) boot: u64,
+    pub(super) fence: u64,
+    pub(super) role: String,
+    pub(super) instances: BTreeMap<String, String>,
+    pub(super) loading: BTreeSet<String>,
+    pub(super) streams: HashMap<String, Stream>,
+    pub(super) waiting: Vec<String>,
+    pub(super) running: Vec<String>,
+    pub(super) prefixes: VecDeque<(String, String)>,
+    pub(super) cache_events: Vec<CacheEvent>,
+    pub(super) cache_seq: u64,
+    pub(super) faults: EngineFaults,
+    pub(super) record: EngineRecord,
+    pub(super) load_report: LoadReport,
+    last_stream: u64,
+}
+
+/// An engine; a tick is sent whenever a stream may have moved.
+#[derive(Debug)]
+pub(super) struct Engine {
+    pub(super) cfg: EngineSettings,
+    pub(super) tick: watch::Sender<()>,
+    state: Mutex<State>,
+}
+
+impl Engine {
+    pub(super) fn new(cfg: EngineSettings) -> Self {
+        let state = State {
+            boot: unix_ms(),
+            fence: 0,
+            role: "both".to_owned(),
+            instances: BTreeMap::new(),
+            loading: BTreeSet::new(),
+            streams: HashMap::new(),
+            waiting: Vec::new(),
+            running: Vec::new(),
+            prefixes: VecDeque::new(),
+            cache_events: Vec::new(),
+            cache_seq: 0,
+            faults: EngineFaults::default(),
+            record: EngineRecord::default(),
+            load_report: LoadReport::default(),
+            last_stream: 0,
+        };
+        Self {
+            cfg,
+            tick: watch::Sender::new(()),
+            state: Mutex::new(state),
+        }
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    /// Puts a job into the queue, behind those of its priority: the stream's name.
+    pub(super) fn enqueue(
+        &mut self,
+        cfg: &EngineSettings,
+        job: Job,
+    ) -> String {
+        self.last_stream += 1;
+        let name = format!("s{}-{}", self.boot, self.last_stream);
+        let prompt_tokens = prompt_tokens(&job.prompt);
+        self.record.requests.push(RanRequest {
+            request_id: job.request_id.clone(),
+            account: job.account.clone(),
+            instance: job.instance.clone(),
+            weights: job.weights.clone(),
+            prompt_tokens,
+            tokens: 0,
+            start_ms: unix_ms(),
+            began_ms: None,
+            end_ms: None,
+            ended: None,
+        });
+        let stream = Stream {
+            len: length(&job.weights, &job.prompt, job.max_tokens),
+            prefill_left: prompt_tokens.div_ceil(cfg.prefill_tokens.max(1)),
+            readers: 0,
+            alone_since: Instant::now(),
+            ended: None,
+            record: self.record.requests.len() - 1,
+            job,
+        };
+        let behind = self.waiting.partition_point(|other| {
+            self.streams
+                .get(other)
+                .map_or(0, |other| other.job.priority)
+                <= stream.job.priority
+        });
+        self.waiting.insert(behind, name.clone());
+        self.streams.insert(name.clone(), stream);
+        name
+    }
+
+    /// Ends a stream if it hasn't ended.
+    pub(super) fn end(
+        &mut self,
+        name: &str,
+        ended: Ended,
+    ) -> bool {
+        self.waiting.retain(|other| other != name);
+        self.running.retain(|other| other != name);
+        let Some(stream) = self.streams.get_mut(name) else {
+            return false;
+        };
+        let open = stream.ended.is_none();
+        if open {
+            stream.ended = Some(ended);
+            let row = &mut self.record.requests[stream.record];
+            row.ended = Some(ended);
+            row.end_ms = Some(unix_ms());
+        }
+        open
+    }
+
+    /// Names of the streams on an instance that haven't ended.
+    pub(super) fn open_on(
+        &self,
+        instance: &str,
+    ) -> Vec<String> {
+        let open = |stream: &Stream| stream.ended.is_none() && stream.job.instance == instance;
+        let streams = self.streams.iter().filter(|(_, stream)| open(stream));
+        streams.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Forgets all but the record, as a process that starts anew.
+    pub(super) fn restart(&mut self) {
+        let streams: Vec<_> = self.streams.keys().cloned().collect();
+        for name in streams {
+            self.end(&name, Ended::Restarted);
+        }
+        self.streams.clear();
+        self.instances.clear();
+        self.prefixes.clear();
+        self.cache_events.clear();
+        self.fence = 0;
+        self.boot = unix_ms().max(self.boot + 1);
+    }
+
+    /// Remembers a prefix, forgetting the oldest: whether it was known.
+    pub(super) fn touch_prefix(
+        &mut self,
+        cfg: &EngineSettings,
+        instance: &str,
+        prompt: &str,
+    ) -> bool {
+        let entry = (instance.to_owned(), prefix_of(prompt));
+        let known = self.prefixes.iter().position(|other| *other == entry);
+        if let Some(place) = known {
+            self.prefixes.remove(place);
+        } else {
+            self.cache_event("stored", entry.clone());
+        }
+        self.prefixes.push_back(entry);
+        while self.prefixes.len() > cfg.prefix_entries {
+            if let Some(oldest) = self.prefixes.pop_front() {
+                self.cache_event("evicted", oldest);
+            }
+        }
+        known.is_some()
+    }
+
+    fn cache_event(
+        &mut self,
+        kind: &'static str,
+        (instance, prefix): (String, String),
+    ) {
+        self.cache_seq += 1;
+        if self.cache_seq.is_multiple_of(7) {
+            return;
+        }
+        self.cache_events.push(CacheEvent {
+            seq: self.cache_seq,
+            kind,
+            instance,
+            prefix,
+            at: Instant::now(),
+        });
+    }
+
+    /// Looks at the load for the report that callers get from now on.
+    pub(super) fn look(
+        &mut self,
+        cfg: &EngineSettings,
+    ) {
+        self.load_report = LoadReport {
+            boot: self.boot.to_string(),
+            role: self.role.clone(),
+            running: self.running.len(),
+            waiting: self.waiting.len(),
+            slots: cfg.slots,
+            max_batch: cfg.max_batch,
+            instances: self.instances.keys().cloned().collect(),
+            loading: self.loading.iter().cloned().collect(),
+            as_of_ms: unix_ms(),
+        };
+    }
+
+    pub(super) fn see(
+        &mut self,
+        text: String,
+    ) {
+        self.record.seen.push_back(text);
+        if self.record.seen.len() > MAX_SEEN {
+            self.record.seen.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/platform/api.rs
@@ -0,0 +1,315 @@
+use {
+    super::{
+        faults::PlatformFaults,
+        messages::{LeaseReq, Op, PutReq, RangeReq, TxnReq, WatchReq},
+        store::Store,
+        vm_list::{LaggingList, VmList},
+        watch::Watcher,
+    },
+    crate::server::{self, Running, lost_reply},
+    actix_web::{
+        HttpResponse,
+        web::{self, Data, Json},
+    },
+    futures::stream,
+    serde::Serialize,
+    serde_json::{Value, json},
+    std::{
+        io,
+        net::SocketAddr,
+        sync::{Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    tokio::{sync::watch, time},
+};
+
+/// How often leases are looked at.
+const LEASE_TICK: Duration = Duration::from_millis(50);
+
+/// Calls counted by kind; a waiting watch is one call.
+#[derive(Clone, Debug, Default, Serialize)]
+pub(super) struct Calls {
+    range: u64,
+    put: u64,
+    txn: u64,
+    delete_range: u64,
+    lease_grant: u64,
+    lease_keepalive: u64,
+    lease_revoke: u64,
+    watch: u64,
+    vms: u64,
+    /// Calls refused by an outage, in whichever kind.
+    refused: u64,
+    pub(super) watches_waiting: u64,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Inner {
+    pub(super) store: Store,
+    pub(super) faults: PlatformFaults,
+    pub(super) calls: Calls,
+    vms: LaggingList,
+}
+
+#[derive(Debug)]
+pub(super) struct Platform {
+    inner: Mutex<Inner>,
+    pub(super) changed: watch::Sender<()>,
+}
+
+impl Platform {
+    pub(super) fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts a call and takes the time of the fault; none when the service is out.
+    async fn enter(
+        &self,
+        count: fn(&mut Calls) -> &mut u64,
+    ) -> Option<()> {
+        let (delay, outage) = {
+            let mut inner = self.lock();
+            *count(&mut inner.calls) += 1;
+            (inner.faults.delay_ms, inner.faults.outage)
+        };
+        if delay > 0 {
+            time::sleep(Duration::from_millis(delay)).await;
+        }
+        if outage {
+            self.lock().calls.refused += 1;
+        }
+        (!outage).then_some(())
+    }
+
+    /// Answers a write, or loses its reply after it took effect.
+    fn written(
+        &self,
+        answer: Result<Value, &'static str>,
+    ) -> HttpResponse {
+        self.changed.send_replace(());
+        let mut inner = self.lock();
+        match answer {
+            Ok(_) if inner.faults.lose_replies > 0 => {
+                inner.faults.lose_replies -= 1;
+                lost_reply()
+            }
+            Ok(answer) => HttpResponse::Ok().json(answer),
+            Err(message) => refusal(message),
+        }
+    }
+}
+
+/// Starts the key-value service and the VM list at `address`.
+///
+/// # Errors
+///
+/// When the address can't be bound.
+pub fn start(address: SocketAddr) -> io::Result<Running> {
+    let platform = Data::new(Platform {
+        inner: Mutex::default(),
+        changed: watch::Sender::new(()),
+    });
+    let clock = Data::clone(&platform);
+    let routes = move |cfg: &mut web::ServiceConfig| {
+        cfg.app_data(Data::clone(&platform))
+            .route("/v3/kv/range", web::post().to(range))
+            .route("/v3/kv/put", web::post().to(put))
+            .route("/v3/kv/deleterange", web::post().to(delete_range))
+            .route("/v3/kv/txn", web::post().to(txn))
+            .route("/v3/lease/grant", web::post().to(grant))
+            .route("/v3/lease/keepalive", web::post().to(keep_alive))
+            .route("/v3/lease/revoke", web::post().to(revoke))
+            .route("/v3/kv/lease/revoke", web::post().to(revoke))
+            .route("/v3/watch", web::post().to(watch_range))
+            .route("/vms", web::get().to(vms))
+            .route("/stand-in/vms", web::post().to(set_vms))
+            .route("/stand-in/fault", web::post().to(set_faults))
+            .route("/stand-in/calls", web::get().to(calls));
+    };
+    server::start(address, routes, move || run_leases(clock))
+}
+
+async fn run_leases(platform: Data<Platform>) {
+    loop {
+        time::sleep(LEASE_TICK).await;
+        let mut inner = platform.lock();
+        if !inner.faults.outage && inner.store.lapse() {
+            drop(inner);
+            platform.changed.send_replace(());
+        }
+    }
+}
+
+fn refusal(message: &str) -> HttpResponse {
+    let code = if message.ends_with("not found") { 5 } else { 3 };
+    let body = json!({"error": message, "message": message, "code": code});
+    match code {
+        5 => HttpResponse::NotFound().json(body),
+        _ => HttpResponse::BadRequest().json(body),
+    }
+}
+
+fn out() -> HttpResponse {
+    let message = "etcdserver: no leader";
+    HttpResponse::ServiceUnavailable()
+        .json(json!({"error": message, "message": message, "code": 14}))
+}
+
+async fn range(
+    platform: Data<Platform>,
+    Json(req): Json<RangeReq>,
+) -> HttpResponse {
+    match platform.enter(|calls| &mut calls.range).await {
+        Some(()) => HttpResponse::Ok().json(platform.lock().store.range(&req)),
+        None => out(),
+    }
+}
+
+async fn put(
+    platform: Data<Platform>,
+    Json(req): Json<PutReq>,
+) -> HttpResponse {
+    if platform.enter(|calls| &mut calls.put).await.is_none() {
+        return out();
+    }
+    let answer = platform.lock().store.alone(&Op::Put(req));
+    platform.written(answer)
+}
+
+async fn delete_range(
+    platform: Data<Platform>,
+    Json(req): Json<RangeReq>,
+) -> HttpResponse {
+    if platform
+        .enter(|calls| &mut calls.delete_range)
+        .await
+        .is_none()
+    {
+        return out();
+    }
+    let answer = platform.lock().store.alone(&Op::Delete(req));
+    platform.written(answer)
+}
+
+async fn txn(
+    platform: Data<Platform>,
+    Json(req): Json<TxnReq>,
+) -> HttpResponse {
+    if platform.enter(|calls| &mut calls.txn).await.is_none() {
+        return out();
+    }
+    let answer = platform.lock().store.txn(&req);
+    platform.written(answer)
+}
+
+async fn grant(
+    platform: Data<Platform>,
+    Json(req): Json<LeaseReq>,
+) -> HttpResponse {
+    if platform
+        .enter(|calls| &mut calls.lease_grant)
+        .await
+        .is_none()
+    {
+        return out();
+    }
+    let answer = {
+        let mut inner = platform.lock();
+        let granted = inner.store.grant(req.id.0, req.ttl.0);
+        let header = inner.store.header();
+        granted
+            .map(|id| json!({"header": header, "ID": id.to_string(), "TTL": req.ttl.0.to_string()}))
+    };
+    platform.written(answer)
+}
+
+async fn keep_alive(
+    platform: Data<Platform>,
+    Json(req): Json<LeaseReq>,
+) -> HttpResponse {
+    if platform
+        .enter(|calls| &mut calls.lease_keepalive)
+        .await
+        .is_none()
+    {
+        return out();
+    }
+    let mut inner = platform.lock();
+    let ttl = inner.store.keep_alive(req.id.0);
+    let mut result = json!({"header": inner.store.header(), "ID": req.id.0.to_string()});
+    if ttl > 0 {
+        result["TTL"] = json!(ttl.to_string());
+    }
+    HttpResponse::Ok().json(json!({"result": result}))
+}
+
+async fn revoke(
+    platform: Data<Platform>,
+    Json(req): Json<LeaseReq>,
+) -> HttpResponse {
+    if platform
+        .enter(|calls| &mut calls.lease_revoke)
+        .await
+        .is_none()
+    {
+        return out();
+    }
+    let answer = {
+        let mut inner = platform.lock();
+        let known = inner.store.revoke(req.id.0);
+        let header = inner.store.header();
+        known
+            .then(|| json!({"header": header}))
+            .ok_or("etcdserver: requested lease not found")
+    };
+    platform.written(answer)
+}
+
+async fn watch_range(
+    platform: Data<Platform>,
+    Json(req): Json<WatchReq>,
+) -> HttpResponse {
+    if platform.enter(|calls| &mut calls.watch).await.is_none() {
+        return out();
+    }
+    let watcher = Watcher::new(platform, req.create_request);
+    HttpResponse::Ok()
+        .content_type("application/json")
+        .streaming(stream::unfold(watcher, Watcher::line))
+}
+
+async fn vms(platform: Data<Platform>) -> HttpResponse {
+    let mut inner = platform.lock();
+    inner.calls.vms += 1;
+    if inner.faults.vms_outage {
+        out()
+    } else {
+        HttpResponse::Ok().json(inner.vms.shown())
+    }
+}
+
+async fn set_vms(
+    platform: Data<Platform>,
+    Json(list): Json<VmList>,
+) -> HttpResponse {
+    platform.lock().vms.set(list);
+    HttpResponse::NoContent().finish()
+}
+
+async fn set_faults(
+    platform: Data<Platform>,
+    Json(faults): Json<PlatformFaults>,
+) -> HttpResponse {
+    let mut inner = platform.lock();
+    if inner.faults.outage && !faults.outage {
+        inner.store.extend_leases();
+    }
+    inner.faults = faults;
+    drop(inner);
+    platform.changed.send_replace(());
+    HttpResponse::NoContent().finish()
+}
+
+async fn calls(platform: Data<Platform>) -> HttpResponse {
+    HttpResponse::Ok().json(&platform.lock().calls)
+}
--- /dev/null
+++ b/crates/testkit/src/proxy/control.rs
@@ -0,0 +1,34 @@
+use {
+    super::{link::Link, tcp_proxy::Proxy},
+    crate::server::{self, Running},
+    actix_web::{
+        HttpResponse,
+        web::{self, Data, Json},
+    },
+    std::{future, io, net::SocketAddr},
+};
+
+/// Serves `POST /stand-in/link` at `address`, which puts the proxy's link into another state.
+///
+/// # Errors
+///
+/// When the address can't be bound.
+pub fn start_control(
+    address: SocketAddr,
+    proxy: Proxy,
+) -> io::Result<Running> {
+    let proxy = Data::new(proxy);
+    let routes = move |cfg: &mut web::ServiceConfig| {
+        cfg.app_data(Data::clone(&proxy))
+            .route("/stand-in/link", web::post().to(set));
+    };
+    server::start(address, routes, || future::ready(()))
+}
+
+async fn set(
+    proxy: Data<Proxy>,
+    Json(link): Json<Link>,
+) -> HttpResponse {
+    proxy.set(link);
+    HttpResponse::NoContent().finish()
+}
--- /dev/null
+++ b/crates/testkit/src/server/headers.rs
@@ -0,0 +1,26 @@
+use actix_web::HttpRequest;
+
+/// All headers of a request, as text.
+pub(crate) fn header_list(req: &HttpRequest) -> Vec<(String, String)> {
+    let headers = req.headers().iter();
+    headers
+        .map(|(name, value)| {
+            (
+                name.to_string(),
+                String::from_utf8_lossy(value.as_bytes()).into_owned(),
+            )
+        })
+        .collect()
+}
+
+/// A header of a request, empty without it.
+pub(crate) fn header(
+    req: &HttpRequest,
+    name: &str,
+) -> String {
+    let value = req
+        .headers()
+        .get(name)
+        .and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().to_owned()
+}
--- /dev/null
+++ b/crates/testkit/src/server/running.rs
@@ -0,0 +1,93 @@
+use {
+    actix_web::{App, HttpServer, dev::ServerHandle, rt::System, web},
+    futures::executor::block_on,
+    std::{
+        io,
+        net::{SocketAddr, TcpListener},
+        sync::mpsc,
+        thread::{self, JoinHandle},
+    },
+};
+
+/// Bytes of a body that a stand-in reads; more than any test sends.
+const MAX_BODY: usize = 8 << 20;
+
+/// A stand-in that listens; dropping it ends it and closes its connections.
+#[derive(Debug)]
+pub struct Running {
+    address: SocketAddr,
+    handle: ServerHandle,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Running {
+    /// Where it listens.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Waits until the stand-in ends by itself or by a signal.
+    pub fn wait(mut self) {
+        if let Some(thread) = self.thread.take() {
+            drop(thread.join());
+        }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        if let Some(thread) = self.thread.take() {
+            block_on(self.handle.stop(false));
+            drop(thread.join());
+        }
+    }
+}
+
+/// Serves `routes` at `address` and runs `background` beside them, both on a new thread.
+pub(crate) fn start<R, B, F>(
+    address: SocketAddr,
+    routes: R,
+    background: B,
+) -> io::Result<Running>
+where
+    R: Fn(&mut web::ServiceConfig) + Clone + Send + 'static,
+    B: FnOnce() -> F + Send + 'static,
+    F: Future<Output = ()> + 'static,
+{
+    let listener = TcpListener::bind(address)?;
+    let bound = listener.local_addr()?;
+    let (tx, rx) = mpsc::channel();
+    let thread = thread::spawn(move || {
+        System::new().block_on(async move {
+            let app = move || {
+                App::new()
+                    .app_data(web::PayloadConfig::new(MAX_BODY))
+                    .app_data(
+                        web::JsonConfig::default()
+                            .limit(MAX_BODY)
+                            .content_type_required(false),
+                    )
+                    .configure(routes.clone())
+            };
+            let server = HttpServer::new(app)
+                .workers(1)
+                .backlog(1024)
+                .listen(listener);
+            match server {
+                Ok(server) => {
+                    let server = server.shutdown_timeout(0).run();
+                    drop(tx.send(Ok(server.handle())));
+                    actix_web::rt::spawn(background());
+                    drop(server.await);
+                }
+                Err(e) => drop(tx.send(Err(e))),
+            }
+        });
+    });
+    let handle = rx.recv().map_err(io::Error::other)??;
+    Ok(Running {
+        address: bound,
+        handle,
+        thread: Some(thread),
+    })
+}
--- /dev/null
+++ b/crates/testkit/src/weights/mod.rs
@@ -0,0 +1,5 @@
+//! Stands in for the rate-limited store of adapter weights.
+
+mod weight_store;
+
+pub use weight_store::{WeightSettings, start};
