--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,3 +8,6 @@
 pub mod clock;
 pub mod error;
 pub mod ids;
+pub mod ownership;
+pub mod placement;
+pub mod routing;
--- /dev/null
+++ b/crates/core/src/ownership/account_waits.rs
@@ -0,0 +1,46 @@
+use {
+    super::decayed::Decayed,
+    crate::{clock::Millis, ids::AccountId},
+    std::collections::BTreeMap,
+};
+
+/// Past load stalls count half after this time.
+const HALF_LIFE: Millis = Millis::from_secs(30);
+
+/// How long each client account has waited for loads lately.
+#[derive(Clone, Debug, Default)]
+pub(super) struct AccountWaits {
+    waits: BTreeMap<AccountId, Waits>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Waits {
+    total_ms: Decayed,
+    count: Decayed,
+}
+
+impl AccountWaits {
+    /// Notes that a request of `account` has waited `waited` for a load.
+    pub(super) fn note(
+        &mut self,
+        account: AccountId,
+        waited: Millis,
+        now: Millis,
+    ) {
+        let waits = self.waits.entry(account).or_default();
+        waits.total_ms.add(waited.0 as f64, now, HALF_LIFE);
+        waits.count.add(1.0, now, HALF_LIFE);
+    }
+
+    /// The mean wait of `account`, in milliseconds; zero when it has not waited lately.
+    pub(super) fn mean_ms(
+        &self,
+        account: AccountId,
+        now: Millis,
+    ) -> f64 {
+        self.waits.get(&account).map_or(0.0, |waits| {
+            // One more wait of no time: an account's first short wait is no trend.
+            waits.total_ms.get(now, HALF_LIFE) / (waits.count.get(now, HALF_LIFE) + 1.0)
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/ownership/assign.rs
@@ -0,0 +1,42 @@
+use crate::{
+    ids::{DataCentreId, UpstreamId, VmId},
+    placement::rendezvous,
+};
+
+/// A controller that can own engines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// Its VM.
+    pub vm: VmId,
+    /// The data centre the VM stands in.
+    pub data_centre: DataCentreId,
+}
+
+/// The controller that should own an engine; `None` when none is live.
+///
+/// Controllers in the engine's own data centre go first, so that its orders and reports stay there
+/// and the loss of a link between data centres changes no owner.
+pub fn assign(
+    upstream: UpstreamId,
+    data_centre: DataCentreId,
+    live: &[Candidate],
+) -> Option<VmId> {
+    let near = live
+        .iter()
+        .any(|candidate| candidate.data_centre == data_centre);
+    live.iter()
+        .filter(|candidate| !near || candidate.data_centre == data_centre)
+        .max_by(|a, b| {
+            score(upstream, a.vm)
+                .total_cmp(&score(upstream, b.vm))
+                .then(b.vm.cmp(&a.vm))
+        })
+        .map(|candidate| candidate.vm)
+}
+
+fn score(
+    upstream: UpstreamId,
+    vm: VmId,
+) -> f64 {
+    rendezvous(u64::from(upstream.0), u64::from(vm.0), 1)
+}
--- /dev/null
+++ b/crates/core/src/ownership/decayed.rs
@@ -0,0 +1,31 @@
+use crate::clock::Millis;
+
+/// A sum in which what lies back counts less.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(super) struct Decayed {
+    value: f64,
+    at: Millis,
+}
+
+impl Decayed {
+    /// Adds `amount` at `now`.
+    pub(super) fn add(
+        &mut self,
+        amount: f64,
+        now: Millis,
+        half_life: Millis,
+    ) {
+        self.value = self.get(now, half_life) + amount;
+        self.at = self.at.max(now);
+    }
+
+    /// The sum as it counts at `now`.
+    pub(super) fn get(
+        &self,
+        now: Millis,
+        half_life: Millis,
+    ) -> f64 {
+        let halvings = now.since(self.at).0 as f64 / half_life.0.max(1) as f64;
+        self.value * (-halvings).exp2()
+    }
+}
--- /dev/null
+++ b/crates/core/src/ownership/orders.rs
@@ -0,0 +1,377 @@
+use {
+    super::{
+        action::{AcquireOutcome, OwnerAction},
+        engine_copy::{CopyState, EngineCopy},
+        owned_engine::{CopyKey, OwnedEngine},
+        owner_machine::{OwnerMachine, Witness, reply},
+        settings::OwnerSettings,
+        wanted::{Stage, Wanted},
+    },
+    crate::{
+        clock::Millis,
+        ids::{AccountId, AdapterVersion, UpstreamId, VmId},
+    },
+    std::collections::BTreeMap,
+};
+
+/// A load is still wanted for this long after the last question for it was answered "loading".
+const INTEREST: Millis = Millis::from_secs(2);
+
+/// What each gateway that holds a grant adds to the cost of losing an instance.
+const HELD_BONUS: f64 = 0.5;
+
+impl OwnerMachine {
+    /// Answers questions that have been held back long enough, and drops what nobody waits for.
+    pub(super) fn expire(
+        &mut self,
+        now: Millis,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        for engine in self.engines.values_mut() {
+            for wanted in engine.wanted.values_mut() {
+                wanted.waiters.retain(|waiter| {
+                    let over = waiter.until <= now;
+                    if over {
+                        out.push(reply(waiter.from, waiter.ask, AcquireOutcome::Loading));
+                    }
+                    !over
+                });
+            }
+            engine.wanted.retain(|_, wanted| {
+                wanted.stage == Stage::Loading
+                    || !wanted.waiters.is_empty()
+                    || now.since(wanted.asked) < INTEREST
+            });
+        }
+    }
+
+    /// Gives every order that is due and allowed.
+    pub(super) fn order(
+        &mut self,
+        now: Millis,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        // A process that was frozen past its lease must not act on what it decided before.
+        if !self.has_lease(now) {
+            return;
+        }
+        for engine in self.engines.values_mut() {
+            engine.give_up_stuck_recalls(&self.witnesses, &self.settings, now);
+            engine.unload_released(now, out);
+            engine.load_into_free_slots(now, out);
+            engine.vacate(&self.witnesses, &self.settings, now, out);
+        }
+        self.spend_budget(now, out);
+        self.ask_budget(now, out);
+    }
+
+    /// Gives budget to the loads that are most due.
+    fn spend_budget(
+        &mut self,
+        now: Millis,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        if self.budget == 0 {
+            return;
+        }
+        for (upstream, adapter) in self.queued_by_rank(now) {
+            if self.budget == 0 {
+                return;
+            }
+            let engine = self.engines.get_mut(&upstream).expect("just listed");
+            let started = engine.start(adapter, &self.witnesses, &self.settings, now, out);
+            if started {
+                self.budget -= 1;
+            }
+        }
+    }
+
+    /// Loads that wait for their turn, the most urgent first.
+    fn queued_by_rank(
+        &self,
+        now: Millis,
+    ) -> Vec<(UpstreamId, AdapterVersion)> {
+        let mut queued: Vec<(f64, UpstreamId, AdapterVersion)> = Vec::new();
+        for engine in self.engines.values() {
+            for (&adapter, wanted) in &engine.wanted {
+                if engine.is_due(adapter, wanted, &self.settings, now) {
+                    queued.push((self.rank(wanted, now), engine.upstream(), adapter));
+                }
+            }
+        }
+        queued.sort_by(|a, b| b.0.total_cmp(&a.0).then((a.1, a.2).cmp(&(b.1, b.2))));
+        queued
+            .into_iter()
+            .map(|(_, upstream, adapter)| (upstream, adapter))
+            .collect()
+    }
+
+    /// The wait of the worst-served account that this load is for.
+    fn rank(
+        &self,
+        wanted: &Wanted,
+        now: Millis,
+    ) -> f64 {
+        let rank_of = |account: AccountId, since: Millis| {
+            self.waits.mean_ms(account, now) + now.since(since).0 as f64
+        };
+        wanted
+            .waiters
+            .iter()
+            .map(|waiter| rank_of(waiter.account, wanted.since))
+            .fold(rank_of(wanted.account, wanted.since), f64::max)
+    }
+
+    fn ask_budget(
+        &mut self,
+        now: Millis,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        // The question or its answer may be lost: without this, no load would ever begin again.
+        if now.since(self.budget_asked_at) >= self.settings.budget_retry {
+            self.budget_asked = 0;
+        }
+        let needed = self.queued_by_rank(now).len() as u32;
+        let missing = needed.saturating_sub(self.budget + self.budget_asked);
+        if missing > 0 {
+            self.budget_asked += missing;
+            self.budget_asked_at = now;
+            out.push(OwnerAction::AskBudget(missing));
+        }
+    }
+}
+
+impl OwnedEngine {
+    /// Whether a load may begin as soon as there is budget for it.
+    fn is_due(
+        &self,
+        adapter: AdapterVersion,
+        wanted: &Wanted,
+        settings: &OwnerSettings,
+        now: Millis,
+    ) -> bool {
+        let key = self.key(adapter);
+        let state = self.copies.get(&key).map(|copy| copy.state);
+        wanted.stage == Stage::Queued
+            && now >= self.paused_until
+            && !self.burnt.contains(&key)
+            && !self.is_gathering(settings, now)
+            && matches!(state, None | Some(CopyState::Gone | CopyState::Doubtful))
+    }
+
+    /// Begins a load: into a free slot, or by making room; `false` when there is no room to make.
+    fn start(
+        &mut self,
+        adapter: AdapterVersion,
+        witnesses: &BTreeMap<VmId, Witness>,
+        settings: &OwnerSettings,
+        now: Millis,
+        out: &mut Vec<OwnerAction>,
+    ) -> bool {
+        let reserved = self.needing_slot();
+        let free = (self.own.slots.saturating_sub(self.used_slots())) as usize;
+        let room_coming = free + self.vacating();
+        let is_there = self.copies.contains_key(&self.key(adapter));
+        if !is_there && reserved >= room_coming {
+            let Some(victim) = self.victim(adapter, witnesses, settings, now) else {
+                return false;
+            };
+            self.evict(victim, now, out);
+        }
+        if let Some(wanted) = self.wanted.get_mut(&adapter) {
+            wanted.stage = Stage::NeedsSlot;
+        }
+        self.load_into_free_slots(now, out);
+        true
+    }
+
+    /// Finds room for loads with budget whose victim has been given up.
+    fn vacate(
+        &mut self,
+        witnesses: &BTreeMap<VmId, Witness>,
+        settings: &OwnerSettings,
+        now: Millis,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let free = (self.own.slots.saturating_sub(self.used_slots())) as usize;
+        if self.needing_slot() <= free + self.vacating() {
+            return;
+        }
+        let needy = self
+            .wanted
+            .iter()
+            .find(|(_, wanted)| wanted.stage == Stage::NeedsSlot)
+            .map(|(&adapter, _)| adapter);
+        if let Some(victim) =
+            needy.and_then(|adapter| self.victim(adapter, witnesses, settings, now))
+        {
+            self.evict(victim, now, out);
+        }
+    }
+
+    fn evict(
+        &mut self,
+        victim: CopyKey,
+        now: Millis,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let instance = self.instance(victim);
+        let copy = self.copies.get_mut(&victim).expect("a victim is a copy");
+        copy.enter(CopyState::Recalling, now);
+        out.extend(
+            copy.grants
+                .keys()
+                .map(|&holder| OwnerAction::Recall { holder, instance }),
+        );
+        self.unload_released(now, out);
+    }
+
+    /// Orders away what is recalled and what every holder has dropped.
+    fn unload_released(
+        &mut self,
+        now: Millis,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let fence = self.own.fence;
+        let released: Vec<CopyKey> = self
+            .copies
+            .iter()
+            .filter(|(_, copy)| copy.state == CopyState::Recalling && copy.grants.is_empty())
+            .map(|(&key, _)| key)
+            .filter(|&key| self.words_known(key))
+            .collect();
+        for key in released {
+            let copy = self.copies.get_mut(&key).expect("just listed");
+            copy.enter(CopyState::Unloading, now);
+            out.push(OwnerAction::OrderUnload {
+                instance: self.instance(key),
+                fence,
+            });
+        }
+    }
+
+    fn load_into_free_slots(
+        &mut self,
+        now: Millis,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let waiting: Vec<AdapterVersion> = self
+            .wanted
+            .iter()
+            .filter(|(_, wanted)| wanted.stage == Stage::NeedsSlot)
+            .map(|(&adapter, _)| adapter)
+            .collect();
+        for adapter in waiting {
+            let key = self.key(adapter);
+            let is_there = self.copies.get(&key).is_some_and(EngineCopy::takes_slot);
+            if !is_there && !self.has_free_slot() {
+                continue;
+            }
+            let copy = self
+                .copies
+                .entry(key)
+                .or_insert_with(|| EngineCopy::new(CopyState::Loading, now));
+            copy.enter(CopyState::Loading, now);
+            let wanted = self.wanted.get_mut(&adapter).expect("just listed");
+            wanted.stage = Stage::Loading;
+            copy.account = Some(wanted.account);
+            out.push(OwnerAction::OrderLoad {
+                instance: self.instance(key),
+                fence: self.own.fence,
+            });
+        }
+    }
+
+    /// Takes back recalls that a holder does not answer, so that another victim is chosen.
+    fn give_up_stuck_recalls(
+        &mut self,
+        witnesses: &BTreeMap<VmId, Witness>,
+        settings: &OwnerSettings,
+        now: Millis,
+    ) {
+        if self.needing_slot() == 0 {
+            return;
+        }
+        for copy in self.copies.values_mut() {
+            let is_stuck = now.since(copy.since) >= settings.recall_patience
+                || has_silent_holder(copy, witnesses, settings, now);
+            if copy.state == CopyState::Recalling && !copy.grants.is_empty() && is_stuck {
+                copy.enter(CopyState::Resident, now);
+            }
+        }
+    }
+
+    /// The copy whose loss costs least, for a newcomer.
+    fn victim(
+        &self,
+        newcomer: AdapterVersion,
+        witnesses: &BTreeMap<VmId, Witness>,
+        settings: &OwnerSettings,
+        now: Millis,
+    ) -> Option<CopyKey> {
+        let account = self.wanted.get(&newcomer).map(|wanted| wanted.account);
+        let fair = self.fair_slots();
+        let candidates: Vec<CopyKey> = self
+            .copies
+            .iter()
+            .filter(|&(&key, copy)| self.may_go(key, copy, witnesses, settings, now))
+            .map(|(&key, _)| key)
+            .collect();
+        let cost = |key: &CopyKey| self.cost_of_loss(*key, settings, now);
+        let cheapest = |keys: &mut dyn Iterator<Item = CopyKey>| {
+            keys.min_by(|a, b| cost(a).total_cmp(&cost(b)))
+        };
+        let unprotected = |key: &CopyKey| {
+            let owner = self.copies[key].account;
+            owner == account || owner.is_none() || self.slots_of(owner) > fair
+        };
+        let may_press_others = self.slots_of(account) < fair;
+        cheapest(&mut candidates.iter().copied().filter(unprotected))
+            .or_else(|| may_press_others.then(|| cheapest(&mut candidates.iter().copied()))?)
+    }
+
+    fn may_go(
+        &self,
+        key: CopyKey,
+        copy: &EngineCopy,
+        witnesses: &BTreeMap<VmId, Witness>,
+        settings: &OwnerSettings,
+        now: Millis,
+    ) -> bool {
+        match copy.state {
+            CopyState::Resident => {
+                self.words_known(key)
+                    && now.since(copy.since) >= settings.min_residence
+                    && !has_silent_holder(copy, witnesses, settings, now)
+            }
+            CopyState::Doubtful => self.words_known(key) && copy.grants.is_empty(),
+            _ => false,
+        }
+    }
+
+    fn cost_of_loss(
+        &self,
+        key: CopyKey,
+        settings: &OwnerSettings,
+        now: Millis,
+    ) -> f64 {
+        let copy = &self.copies[&key];
+        match copy.state {
+            CopyState::Doubtful => -1.0,
+            _ => self.demand(key.0, settings, now) + HELD_BONUS * copy.grants.len() as f64,
+        }
+    }
+}
+
+fn has_silent_holder(
+    copy: &EngineCopy,
+    witnesses: &BTreeMap<VmId, Witness>,
+    settings: &OwnerSettings,
+    now: Millis,
+) -> bool {
+    copy.grants.keys().any(|holder| {
+        witnesses
+            .get(&holder.vm)
+            .is_none_or(|witness| now.since(witness.heard) >= settings.silent_after)
+    })
+}
--- /dev/null
+++ b/crates/core/src/ownership/owned_engine.rs
@@ -0,0 +1,387 @@
+use {
+    super::{
+        decayed::Decayed,
+        engine_copy::{CopyState, EngineCopy},
+        event::{Ownership, Report},
+        settings::OwnerSettings,
+        wanted::{Stage, Wanted},
+    },
+    crate::{
+        clock::Millis,
+        ids::{AccountId, AdapterVersion, Fence, Holder, UpstreamId, VmId},
+        placement::Instance,
+    },
+    std::collections::{BTreeMap, BTreeSet, HashMap},
+};
+
+/// Names one copy on an engine.
+pub(super) type CopyKey = (AdapterVersion, Fence);
+
+/// Failed loads of an adapter version on an engine.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Backoff {
+    pub(super) until: Millis,
+    pub(super) pause: Millis,
+}
+
+/// One engine of this controller.
+#[derive(Clone, Debug)]
+pub(super) struct OwnedEngine {
+    pub(super) own: Ownership,
+    pub(super) gained: Millis,
+    /// Whether the engine refuses older tokens by now.
+    pub(super) raised: bool,
+    pub(super) boot: Option<u64>,
+    /// VMs whose gateway has not yet said, knowing the present token, what it holds.
+    pub(super) unheard: BTreeSet<VmId>,
+    pub(super) copies: BTreeMap<CopyKey, EngineCopy>,
+    pub(super) wanted: BTreeMap<AdapterVersion, Wanted>,
+    pub(super) backoffs: BTreeMap<AdapterVersion, Backoff>,
+    pub(super) demand: HashMap<AdapterVersion, Decayed>,
+    /// Unloads whose fate is unknown: these names may not be loaded again.
+    pub(super) burnt: BTreeSet<CopyKey>,
+    /// What has been unloaded lately; a lagging report may still name it.
+    pub(super) unloaded: BTreeMap<CopyKey, Millis>,
+    /// No load before this time: the engine holds more than is known here.
+    pub(super) paused_until: Millis,
+}
+
+impl OwnedEngine {
+    pub(super) fn new(
+        own: Ownership,
+        members: &BTreeSet<VmId>,
+        now: Millis,
+    ) -> Self {
+        Self {
+            own,
+            gained: now,
+            raised: false,
+            boot: None,
+            unheard: members.clone(),
+            copies: BTreeMap::new(),
+            wanted: BTreeMap::new(),
+            backoffs: BTreeMap::new(),
+            demand: HashMap::new(),
+            burnt: BTreeSet::new(),
+            unloaded: BTreeMap::new(),
+            paused_until: Millis::ZERO,
+        }
+    }
+
+    pub(super) fn upstream(&self) -> UpstreamId {
+        self.own.upstream
+    }
+
+    /// The name under which the adapter would be loaded now.
+    pub(super) fn key(
+        &self,
+        adapter: AdapterVersion,
+    ) -> CopyKey {
+        (adapter, self.own.fence)
+    }
+
+    pub(super) fn instance(
+        &self,
+        key: CopyKey,
+    ) -> Instance {
+        Instance {
+            upstream: self.own.upstream,
+            adapter: key.0,
+            fence: key.1,
+        }
+    }
+
+    /// The newest copy of the adapter in that state.
+    pub(super) fn find(
+        &self,
+        adapter: AdapterVersion,
+        state: CopyState,
+    ) -> Option<CopyKey> {
+        self.copies_of(adapter)
+            .rev()
+            .find(|(_, copy)| copy.state == state)
+            .map(|(&key, _)| key)
+    }
+
+    fn copies_of(
+        &self,
+        adapter: AdapterVersion,
+    ) -> impl DoubleEndedIterator<Item = (&CopyKey, &EngineCopy)> {
+        self.copies
+            .range((adapter, Fence::default())..=(adapter, Fence(u64::MAX)))
+    }
+
+    pub(super) fn used_slots(&self) -> u32 {
+        let used = self.copies.values().filter(|copy| copy.takes_slot());
+        used.count() as u32
+    }
+
+    /// Slots that are free and that no load with budget is already waiting for.
+    pub(super) fn has_free_slot(&self) -> bool {
+        self.used_slots() < self.own.slots
+    }
+
+    /// Copies on their way out, each of which makes room for one load.
+    pub(super) fn vacating(&self) -> usize {
+        let on_the_way =
+            |copy: &&EngineCopy| matches!(copy.state, CopyState::Recalling | CopyState::Unloading);
+        self.copies.values().filter(on_the_way).count()
+    }
+
+    /// Loads with budget that have no slot yet.
+    pub(super) fn needing_slot(&self) -> usize {
+        let needy = |wanted: &&Wanted| wanted.stage == Stage::NeedsSlot;
+        self.wanted.values().filter(needy).count()
+    }
+
+    /// Whether all words about this copy are known, so that it may be unloaded once they are given.
+    ///
+    /// A copy of a former owner may be held by a gateway that has not said so yet.
+    pub(super) fn words_known(
+        &self,
+        key: CopyKey,
+    ) -> bool {
+        key.1 == self.own.fence || self.unheard.is_empty()
+    }
+
+    /// Whether the adapter may be there already, so that loading it now could be for nothing.
+    pub(super) fn is_gathering(
+        &self,
+        settings: &OwnerSettings,
+        now: Millis,
+    ) -> bool {
+        !self.unheard.is_empty() && now < self.gained + settings.gather_patience
+    }
+
+    pub(super) fn backoff_left(
+        &self,
+        adapter: AdapterVersion,
+        now: Millis,
+    ) -> Option<Millis> {
+        self.backoffs
+            .get(&adapter)
+            .filter(|backoff| now < backoff.until)
+            .map(|backoff| backoff.until.since(now))
+    }
+
+    pub(super) fn note_failure(
+        &mut self,
+        adapter: AdapterVersion,
+        settings: &OwnerSettings,
+        now: Millis,
+    ) -> Millis {
+        let pause = self
+            .backoffs
+            .get(&adapter)
+            .map_or(settings.first_backoff, |last| {
+                Millis(last.pause.0 * 2).min(settings.max_backoff)
+            });
+        let until = now + pause;
+        self.backoffs.insert(adapter, Backoff { until, pause });
+        pause
+    }
+
+    pub(super) fn demand(
+        &self,
+        adapter: AdapterVersion,
+        settings: &OwnerSettings,
+        now: Millis,
+    ) -> f64 {
+        self.demand
+            .get(&adapter)
+            .map_or(0.0, |sum| sum.get(now, settings.demand_half_life))
+    }
+
+    pub(super) fn note_demand(
+        &mut self,
+        adapter: AdapterVersion,
+        amount: f64,
+        settings: &OwnerSettings,
+        now: Millis,
+    ) {
+        self.demand
+            .entry(adapter)
+            .or_default()
+            .add(amount, now, settings.demand_half_life);
+    }
+
+    /// Slots that each client account present on this engine may count on.
+    pub(super) fn fair_slots(&self) -> u32 {
+        let mut accounts: Vec<AccountId> = self
+            .copies
+            .values()
+            .filter_map(|copy| copy.account)
+            .chain(self.wanted.values().map(|wanted| wanted.account))
+            .collect();
+        accounts.sort_unstable();
+        accounts.dedup();
+        (self.own.slots / accounts.len().max(1) as u32).max(1)
+    }
+
+    pub(super) fn slots_of(
+        &self,
+        account: Option<AccountId>,
+    ) -> u32 {
+        let theirs = |copy: &&EngineCopy| copy.takes_slot() && copy.account == account;
+        self.copies.values().filter(theirs).count() as u32
+    }
+
+    /// Whether the holders of this copy should drop it.
+    ///
+    /// A copy in doubt may yet turn out to have a witness, so its holders keep it until all gateways
+    /// have been heard.
+    pub(super) fn is_recalled(
+        &self,
+        key: CopyKey,
+        copy: &EngineCopy,
+    ) -> bool {
+        match copy.state {
+            CopyState::Recalling | CopyState::Gone => true,
+            CopyState::Doubtful => self.unheard.is_empty() || self.burnt.contains(&key),
+            CopyState::Loading | CopyState::Resident | CopyState::Unloading => false,
+        }
+    }
+
+    /// Drops what `is_over` says of grants; copies that are gone and dropped by all are forgotten.
+    pub(super) fn drop_grants<F>(
+        &mut self,
+        mut is_over: F,
+    ) where
+        F: FnMut(CopyKey, &Holder, u64) -> bool,
+    {
+        for (&key, copy) in &mut self.copies {
+            copy.grants
+                .retain(|holder, &mut ask| !is_over(key, holder, ask));
+        }
+        self.copies
+            .retain(|_, copy| copy.takes_slot() || !copy.grants.is_empty());
+    }
+
+    /// Notes that the copy is not on the engine any more.
+    pub(super) fn forget(
+        &mut self,
+        key: CopyKey,
+        now: Millis,
+    ) {
+        if let Some(copy) = self.copies.get_mut(&key) {
+            copy.enter(CopyState::Gone, now);
+            if copy.grants.is_empty() {
+                self.copies.remove(&key);
+            }
+        }
+    }
+
+    /// Takes a gateway's word that it holds an instance.
+    ///
+    /// `seen`: the gateway has seen the present token and gives no word to a former owner any more.
+    /// Only then is an instance of a former owner beyond the reach of its late orders.
+    pub(super) fn note_held(
+        &mut self,
+        from: Holder,
+        instance: Instance,
+        seen: bool,
+        now: Millis,
+    ) {
+        let key = (instance.adapter, instance.fence);
+        let is_former = instance.fence < self.own.fence;
+        if is_former && !self.unloaded.contains_key(&key) {
+            self.copies
+                .entry(key)
+                .or_insert_with(|| EngineCopy::new(CopyState::Doubtful, now));
+        }
+        let burnt = self.burnt.contains(&key);
+        let Some(copy) = self.copies.get_mut(&key) else {
+            return;
+        };
+        match copy.state {
+            // Ordered away with all words given: this poll was sent before the last of them.
+            CopyState::Unloading => return,
+            CopyState::Doubtful if seen && is_former && !burnt => {
+                copy.enter(CopyState::Resident, now);
+            }
+            _ => {}
+        }
+        copy.grants.entry(from).or_insert(0);
+    }
+
+    /// Compares a report with what should be on the engine.
+    pub(super) fn note_report(
+        &mut self,
+        report: &Report,
+        settings: &OwnerSettings,
+        now: Millis,
+    ) {
+        self.own.slots = report.slots;
+        if self.boot.is_some_and(|boot| boot != report.boot) {
+            self.forget_all(now);
+        }
+        self.boot = Some(report.boot);
+        self.unloaded
+            .retain(|_, &mut at| now.since(at) < settings.report_lag);
+        for instance in &report.instances {
+            self.note_reported((instance.adapter, instance.fence), now);
+        }
+        self.forget_missing(report, settings, now);
+    }
+
+    /// The engine has restarted: whatever was loaded is not there any more.
+    fn forget_all(
+        &mut self,
+        now: Millis,
+    ) {
+        let lost: Vec<CopyKey> = self
+            .copies
+            .iter()
+            .filter(|(_, copy)| copy.state != CopyState::Loading)
+            .map(|(&key, _)| key)
+            .collect();
+        for key in lost {
+            self.forget(key, now);
+        }
+    }
+
+    fn note_reported(
+        &mut self,
+        key: CopyKey,
+        now: Millis,
+    ) {
+        if key.1 > self.own.fence || self.unloaded.contains_key(&key) {
+            return;
+        }
+        // Where older orders are refused by now, nothing can take the instance away any more.
+        let state = if self.raised && key.1 < self.own.fence {
+            CopyState::Resident
+        } else {
+            CopyState::Doubtful
+        };
+        let copy = self
+            .copies
+            .entry(key)
+            .or_insert_with(|| EngineCopy::new(state, now));
+        if copy.state == CopyState::Doubtful && !self.burnt.contains(&key) {
+            copy.enter(state, now);
+        }
+    }
+
+    /// An instance that reports leave out for longer than they lag is not there.
+    fn forget_missing(
+        &mut self,
+        report: &Report,
+        settings: &OwnerSettings,
+        now: Millis,
+    ) {
+        let missing: Vec<CopyKey> = self
+            .copies
+            .iter()
+            .filter(|(_, copy)| {
+                matches!(copy.state, CopyState::Resident | CopyState::Doubtful)
+                    && now.since(copy.since) > settings.report_lag
+            })
+            .map(|(&key, _)| key)
+            .filter(|&key| !report.instances.contains(&self.instance(key)))
+            .collect();
+        for key in missing {
+            self.forget(key, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/ownership/owner_machine.rs
@@ -0,0 +1,490 @@
+use {
+    super::{
+        account_waits::AccountWaits,
+        action::{AcquireOutcome, OwnerAction},
+        engine_copy::CopyState,
+        event::{Ask, LoadResult, OwnerEvent, Ownership, Poll, Release, Report, UnloadResult},
+        owned_engine::{CopyKey, OwnedEngine},
+        settings::OwnerSettings,
+        wanted::{Stage, Waiter, Wanted},
+    },
+    crate::{
+        clock::Millis,
+        ids::{Fence, Holder, Incarnation, UpstreamId, VmId},
+        placement::Instance,
+    },
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// A gateway as this controller knows it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Witness {
+    pub(super) incarnation: Incarnation,
+    pub(super) heard: Millis,
+}
+
+/// The engines that one controller owns: who holds what, and what is loaded next.
+#[derive(Clone, Debug)]
+pub struct OwnerMachine {
+    pub(super) settings: OwnerSettings,
+    pub(super) lease_until: Millis,
+    pub(super) engines: BTreeMap<UpstreamId, OwnedEngine>,
+    pub(super) members: BTreeSet<VmId>,
+    pub(super) witnesses: BTreeMap<VmId, Witness>,
+    pub(super) waits: AccountWaits,
+    /// Loads that may begin.
+    pub(super) budget: u32,
+    /// Loads that have been asked for and not yet granted.
+    pub(super) budget_asked: u32,
+    pub(super) budget_asked_at: Millis,
+}
+
+impl OwnerMachine {
+    /// A controller that owns nothing yet.
+    pub fn new(settings: OwnerSettings) -> Self {
+        Self {
+            settings,
+            lease_until: Millis::ZERO,
+            engines: BTreeMap::new(),
+            members: BTreeSet::new(),
+            witnesses: BTreeMap::new(),
+            waits: AccountWaits::default(),
+            budget: 0,
+            budget_asked: 0,
+            budget_asked_at: Millis::ZERO,
+        }
+    }
+
+    /// Takes one event and says what is to be done about it.
+    ///
+    /// `now` must be read right before the call: orders are checked against the lease with it. An
+    /// order that is not sent at once is to be checked again with [`Self::may_order`].
+    pub fn handle(
+        &mut self,
+        event: OwnerEvent,
+        now: Millis,
+    ) -> Vec<OwnerAction> {
+        let mut out = Vec::new();
+        match event {
+            OwnerEvent::LeaseExtended(until) => self.lease_until = until,
+            OwnerEvent::Gained(own) => self.gain(own, now, &mut out),
+            OwnerEvent::Lost(upstream) => self.lose(upstream, &mut out),
+            OwnerEvent::Members(vms) => self.set_members(&vms),
+            OwnerEvent::Polled(poll) => self.note_poll(&poll, now),
+            OwnerEvent::Acquire(ask) => self.acquire(ask, now, &mut out),
+            OwnerEvent::Released(release) => self.release(&release, now),
+            OwnerEvent::FenceRaised(upstream, fence, raised) => {
+                self.note_fence(upstream, fence, raised, &mut out);
+            }
+            OwnerEvent::LoadEnded(instance, result) => {
+                self.end_load(instance, result, now, &mut out);
+            }
+            OwnerEvent::UnloadEnded(instance, result) => {
+                self.end_unload(instance, result, now, &mut out);
+            }
+            OwnerEvent::Reported(report) => self.note_report(&report, now),
+            OwnerEvent::BudgetGranted(loads) => {
+                self.budget += loads;
+                self.budget_asked = self.budget_asked.saturating_sub(loads);
+            }
+            OwnerEvent::Tick => {}
+        }
+        self.expire(now, &mut out);
+        self.order(now, &mut out);
+        out
+    }
+
+    /// Whether an order for this engine under this token may still be sent.
+    pub fn may_order(
+        &self,
+        upstream: UpstreamId,
+        fence: Fence,
+        now: Millis,
+    ) -> bool {
+        let owned = self.engines.get(&upstream);
+        owned.is_some_and(|engine| engine.own.fence == fence) && self.has_lease(now)
+    }
+
+    /// The token under which this controller owns the engine.
+    pub fn fence(
+        &self,
+        upstream: UpstreamId,
+    ) -> Option<Fence> {
+        self.engines.get(&upstream).map(|engine| engine.own.fence)
+    }
+
+    /// What this gateway should drop; goes into each answer to its polls.
+    pub fn recalls(
+        &self,
+        holder: Holder,
+    ) -> Vec<Instance> {
+        self.engines
+            .values()
+            .flat_map(|engine| {
+                engine
+                    .copies
+                    .iter()
+                    .filter(|&(&key, copy)| {
+                        engine.is_recalled(key, copy) && copy.grants.contains_key(&holder)
+                    })
+                    .map(|(&key, _)| engine.instance(key))
+            })
+            .collect()
+    }
+
+    /// The instances on an engine that gateways may ask for, for their view of it.
+    pub fn resident(
+        &self,
+        upstream: UpstreamId,
+    ) -> Vec<Instance> {
+        let Some(engine) = self.engines.get(&upstream) else {
+            return Vec::new();
+        };
+        engine
+            .copies
+            .iter()
+            .filter(|(_, copy)| copy.state == CopyState::Resident)
+            .map(|(&key, _)| engine.instance(key))
+            .collect()
+    }
+
+    pub(super) fn has_lease(
+        &self,
+        now: Millis,
+    ) -> bool {
+        now + self.settings.lease_margin < self.lease_until
+    }
+
+    fn gain(
+        &mut self,
+        own: Ownership,
+        now: Millis,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        match self.engines.get_mut(&own.upstream) {
+            Some(engine) if engine.own.fence >= own.fence => return,
+            // A renewed token: nobody else has owned the engine in between, so all is as it was.
+            Some(engine) => {
+                engine.own = own;
+                engine.raised = false;
+            }
+            None => {
+                let engine = OwnedEngine::new(own, &self.members, now);
+                self.engines.insert(own.upstream, engine);
+            }
+        }
+        if own.checks_fencing {
+            out.push(OwnerAction::RaiseFence {
+                upstream: own.upstream,
+                fence: own.fence,
+            });
+        }
+    }
+
+    pub(super) fn lose(
+        &mut self,
+        upstream: UpstreamId,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let Some(engine) = self.engines.remove(&upstream) else {
+            return;
+        };
+        for wanted in engine.wanted.into_values() {
+            reply_all(wanted.waiters, AcquireOutcome::NotOwner, out);
+        }
+    }
+
+    fn set_members(
+        &mut self,
+        vms: &[VmId],
+    ) {
+        let members: BTreeSet<VmId> = vms.iter().copied().collect();
+        for engine in self.engines.values_mut() {
+            // A VM that was not known when the engine was gained may hold grants of a former owner.
+            engine.unheard.extend(members.difference(&self.members));
+            engine.unheard.retain(|vm| members.contains(vm));
+            engine.drop_grants(|_, holder, _| !members.contains(&holder.vm));
+        }
+        self.witnesses.retain(|vm, _| members.contains(vm));
+        self.members = members;
+    }
+
+    /// Notes that a gateway is alive; `false` when it is not, or not yet, one to deal with.
+    fn hear(
+        &mut self,
+        from: Holder,
+        now: Millis,
+    ) -> bool {
+        if !self.members.contains(&from.vm) {
+            return false;
+        }
+        let witness = self.witnesses.entry(from.vm).or_insert(Witness {
+            incarnation: from.incarnation,
+            heard: now,
+        });
+        if from.incarnation < witness.incarnation {
+            return false;
+        }
+        witness.heard = now;
+        let restarted = from.incarnation > witness.incarnation;
+        witness.incarnation = from.incarnation;
+        // A former owner must not conclude from a gateway's restart that its grants are void: the
+        // restarted gateway's predecessor may have been the witness of the owner after it.
+        if restarted && self.has_lease(now) {
+            for engine in self.engines.values_mut() {
+                engine.drop_grants(|_, holder, _| {
+                    holder.vm == from.vm && holder.incarnation < from.incarnation
+                });
+            }
+        }
+        true
+    }
+
+    fn note_poll(
+        &mut self,
+        poll: &Poll,
+        now: Millis,
+    ) {
+        if !self.hear(poll.from, now) {
+            return;
+        }
+        for engine in self.engines.values_mut() {
+            let upstream = engine.upstream();
+            let seen = poll
+                .seen
+                .iter()
+                .any(|&(seen_of, fence)| seen_of == upstream && fence >= engine.own.fence);
+            for instance in poll.held.iter().filter(|held| held.upstream == upstream) {
+                engine.note_held(poll.from, *instance, seen, now);
+            }
+            if seen {
+                engine.unheard.remove(&poll.from.vm);
+            }
+        }
+    }
+
+    fn acquire(
+        &mut self,
+        ask: Ask,
+        now: Millis,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let known = self.hear(ask.from, now);
+        let settings = self.settings;
+        let Some(engine) = self.engines.get_mut(&ask.upstream) else {
+            out.push(reply(ask.from, ask.ask, AcquireOutcome::NotOwner));
+            return;
+        };
+        if !known {
+            out.push(reply(ask.from, ask.ask, AcquireOutcome::Loading));
+            return;
+        }
+        engine.note_demand(ask.adapter, 1.0, &settings, now);
+        let owner = engine.own.fence;
+        if let Some(key) = engine.find(ask.adapter, CopyState::Resident) {
+            let instance = engine.instance(key);
+            let copy = engine.copies.get_mut(&key).expect("just found");
+            let granted = copy.grants.entry(ask.from).or_default();
+            *granted = ask.ask.max(*granted);
+            copy.account = Some(ask.account);
+            let outcome = AcquireOutcome::Granted { instance, owner };
+            out.push(reply(ask.from, ask.ask, outcome));
+            self.waits.note(ask.account, Millis::ZERO, now);
+            return;
+        }
+        if let Some(left) = engine.backoff_left(ask.adapter, now) {
+            out.push(reply(ask.from, ask.ask, AcquireOutcome::LoadFailed(left)));
+            return;
+        }
+        if engine.burnt.contains(&engine.key(ask.adapter)) {
+            let later = AcquireOutcome::Full(settings.budget_retry);
+            out.push(reply(ask.from, ask.ask, later));
+            return;
+        }
+        engine
+            .wanted
+            .entry(ask.adapter)
+            .or_insert_with(|| Wanted::new(ask.account, now))
+            .join(Waiter {
+                from: ask.from,
+                ask: ask.ask,
+                account: ask.account,
+                since: now,
+                until: now + ask.wait,
+            });
+    }
+
+    fn release(
+        &mut self,
+        release: &Release,
+        now: Millis,
+    ) {
+        self.hear(release.from, now);
+        for engine in self.engines.values_mut() {
+            // A word for another token is not for this owner, however it got here.
+            if engine.own.fence != release.fence {
+                continue;
+            }
+            let upstream = engine.upstream();
+            engine.drop_grants(|key, holder, ask| {
+                let named = release.instances.iter().any(|instance| {
+                    instance.upstream == upstream && (instance.adapter, instance.fence) == key
+                });
+                named && *holder == release.from && ask <= release.ask
+            });
+        }
+    }
+
+    fn note_fence(
+        &mut self,
+        upstream: UpstreamId,
+        fence: Fence,
+        raised: bool,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let Some(engine) = self.engines.get_mut(&upstream) else {
+            return;
+        };
+        match (engine.own.fence == fence, raised) {
+            (true, true) => engine.raised = true,
+            (true, false) => self.lose(upstream, out),
+            (false, _) => {}
+        }
+    }
+
+    fn end_load(
+        &mut self,
+        instance: Instance,
+        result: LoadResult,
+        now: Millis,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let Some(engine) = self.engines.get_mut(&instance.upstream) else {
+            return;
+        };
+        let key = (instance.adapter, instance.fence);
+        let is_loading = engine
+            .copies
+            .get(&key)
+            .is_some_and(|copy| copy.state == CopyState::Loading);
+        if !is_loading {
+            return;
+        }
+        match result {
+            LoadResult::Loaded => {
+                engine.backoffs.remove(&instance.adapter);
+                self.grant_waiting(key, instance, now, out);
+            }
+            LoadResult::NoFreeSlot => {
+                engine.forget(key, now);
+                engine.paused_until = now + self.settings.first_backoff;
+                if let Some(wanted) = engine.wanted.get_mut(&instance.adapter) {
+                    wanted.stage = Stage::Queued;
+                }
+            }
+            LoadResult::StaleFence => self.lose(instance.upstream, out),
+            LoadResult::Failed | LoadResult::Unknown => {
+                match result {
+                    LoadResult::Unknown => {
+                        let copy = engine.copies.get_mut(&key).expect("is loading");
+                        copy.enter(CopyState::Doubtful, now);
+                    }
+                    _ => engine.forget(key, now),
+                }
+                let pause = engine.note_failure(instance.adapter, &self.settings, now);
+                if let Some(wanted) = engine.wanted.remove(&instance.adapter) {
+                    reply_all(wanted.waiters, AcquireOutcome::LoadFailed(pause), out);
+                }
+            }
+        }
+    }
+
+    fn grant_waiting(
+        &mut self,
+        key: CopyKey,
+        instance: Instance,
+        now: Millis,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let Some(engine) = self.engines.get_mut(&instance.upstream) else {
+            return;
+        };
+        let owner = engine.own.fence;
+        let Some(copy) = engine.copies.get_mut(&key) else {
+            return;
+        };
+        copy.enter(CopyState::Resident, now);
+        let Some(mut wanted) = engine.wanted.remove(&instance.adapter) else {
+            return;
+        };
+        let waiters = wanted.grant(copy);
+        for waiter in &waiters {
+            self.waits
+                .note(waiter.account, now.since(waiter.since), now);
+        }
+        let outcome = AcquireOutcome::Granted { instance, owner };
+        reply_all(waiters, outcome, out);
+    }
+
+    fn end_unload(
+        &mut self,
+        instance: Instance,
+        result: UnloadResult,
+        now: Millis,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let Some(engine) = self.engines.get_mut(&instance.upstream) else {
+            return;
+        };
+        let key = (instance.adapter, instance.fence);
+        match result {
+            UnloadResult::Gone => {
+                engine.unloaded.insert(key, now);
+                engine.forget(key, now);
+            }
+            UnloadResult::StaleFence => self.lose(instance.upstream, out),
+            UnloadResult::Unknown => {
+                // The order may still be under way. Loading the same name again would give it
+                // something to hurt; a copy loaded under a newer token has another name.
+                engine.burnt.insert(key);
+                if let Some(copy) = engine.copies.get_mut(&key) {
+                    copy.enter(CopyState::Doubtful, now);
+                }
+                if key.1 == engine.own.fence {
+                    out.push(OwnerAction::RenewFence(instance.upstream));
+                }
+            }
+        }
+    }
+
+    fn note_report(
+        &mut self,
+        report: &Report,
+        now: Millis,
+    ) {
+        let settings = self.settings;
+        if let Some(engine) = self.engines.get_mut(&report.upstream) {
+            engine.note_report(report, &settings, now);
+        }
+    }
+}
+
+pub(super) fn reply(
+    to: Holder,
+    ask: u64,
+    outcome: AcquireOutcome,
+) -> OwnerAction {
+    OwnerAction::Reply { to, ask, outcome }
+}
+
+pub(super) fn reply_all(
+    waiters: Vec<Waiter>,
+    outcome: AcquireOutcome,
+    out: &mut Vec<OwnerAction>,
+) {
+    out.extend(
+        waiters
+            .into_iter()
+            .map(|waiter| reply(waiter.from, waiter.ask, outcome)),
+    );
+}
--- /dev/null
+++ b/crates/core/src/routing/engine.rs
@@ -0,0 +1,86 @@
+use {
+    super::{EngineView, RouterSettings, SpecKind, UpstreamSpec, breaker::Breaker},
+    crate::{
+        clock::Millis,
+        ids::{AdapterVersion, Fence},
+    },
+    std::collections::BTreeMap,
+};
+
+/// A grant that this gateway holds.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Held {
+    pub(super) in_flight: u32,
+    pub(super) used: Millis,
+    pub(super) recalled: bool,
+}
+
+/// One upstream as this gateway sees it.
+#[derive(Clone, Debug)]
+pub(super) struct Engine {
+    pub(super) spec: UpstreamSpec,
+    /// The highest fencing token seen.
+    pub(super) seen: Fence,
+    pub(super) view: Option<EngineView>,
+    /// Own requests in flight.
+    pub(super) own: u32,
+    /// Own requests in flight when the view came in.
+    pub(super) own_at_view: u32,
+    pub(super) breaker: Breaker,
+    pub(super) held: BTreeMap<(AdapterVersion, Fence), Held>,
+    /// No questions before this time: its owner is changing.
+    pub(super) ask_again: Millis,
+}
+
+impl Engine {
+    pub(super) fn new(spec: UpstreamSpec) -> Self {
+        Self {
+            spec,
+            seen: Fence::default(),
+            view: None,
+            own: 0,
+            own_at_view: 0,
+            breaker: Breaker::default(),
+            held: BTreeMap::new(),
+            ask_again: Millis::ZERO,
+        }
+    }
+
+    /// Whether it may get new work.
+    pub(super) fn is_usable(
+        &self,
+        now: Millis,
+    ) -> bool {
+        let healthy = self.view.as_ref().is_none_or(|view| view.healthy);
+        healthy && !self.spec.leaving && self.breaker.is_closed(now)
+    }
+
+    /// Requests it has, as far as can be told: the report, corrected by what was sent since.
+    pub(super) fn load(&self) -> u32 {
+        let reported = self
+            .view
+            .as_ref()
+            .map_or(0, |view| view.running + view.waiting);
+        (reported + self.own)
+            .saturating_sub(self.own_at_view)
+            .max(self.own)
+    }
+
+    /// The load in batches.
+    pub(super) fn fill(&self) -> f64 {
+        let batch = match self.spec.kind {
+            SpecKind::Engine { max_batch, .. } => max_batch.max(1),
+            SpecKind::Server { .. } => 1,
+        };
+        f64::from(self.load()) / f64::from(batch)
+    }
+
+    /// The expected wait, in batches, with what the way to another data centre adds.
+    pub(super) fn cost(
+        &self,
+        settings: &RouterSettings,
+    ) -> f64 {
+        let far = self.spec.data_centre != settings.data_centre;
+        self.fill() + if far { settings.far_cost } else { 0.0 }
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/engine_view.rs
@@ -0,0 +1,25 @@
+use crate::{
+    ids::{Fence, UpstreamId},
+    placement::Instance,
+};
+
+/// What an engine's owner last told of it; it lags.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EngineView {
+    /// The engine.
+    pub upstream: UpstreamId,
+    /// The owner's fencing token.
+    pub owner_fence: Fence,
+    /// Requests in the engine's batch.
+    pub running: u32,
+    /// Requests in the engine's own queue.
+    pub waiting: u32,
+    /// Adapter slots without an adapter.
+    pub free_slots: u32,
+    /// Whether the engine answers its owner.
+    pub healthy: bool,
+    /// Changes when the engine restarts.
+    pub boot: u64,
+    /// The instances that its owner would grant.
+    pub resident: Vec<Instance>,
+}
--- /dev/null
+++ b/crates/core/src/routing/grants.rs
@@ -0,0 +1,226 @@
+use {
+    super::{
+        Router, RouterAction,
+        adapter_entry::{Avoid, Reason},
+        engine::Held,
+    },
+    crate::{
+        clock::Millis,
+        ids::{AdapterVersion, Fence, UpstreamId},
+        ownership::AcquireOutcome,
+        placement::Instance,
+    },
+};
+
+/// How long an engine whose owner is changing is left alone.
+const OWNER_CHANGE: Millis = Millis(200);
+
+impl Router {
+    /// Takes the answer to a question; waiting requests are to be routed again.
+    ///
+    /// An answer to a question that is not under way any more is dropped: the gateway may have given
+    /// its word for that instance since.
+    pub fn acquired(
+        &mut self,
+        upstream: UpstreamId,
+        adapter: AdapterVersion,
+        ask: u64,
+        outcome: AcquireOutcome,
+        now: Millis,
+    ) {
+        let Some(entry) = self.adapters.get_mut(&adapter) else {
+            return;
+        };
+        let before = entry.pending.len();
+        entry.pending.retain(|pending| pending.ask != ask);
+        let was_pending = entry.pending.len() < before;
+        let Some(engine) = self.engines.get_mut(&upstream).filter(|_| was_pending) else {
+            return;
+        };
+        match outcome {
+            AcquireOutcome::Granted { instance, owner } if owner >= engine.seen => {
+                engine.seen = owner;
+                let held = Held {
+                    in_flight: 0,
+                    used: now,
+                    recalled: false,
+                };
+                engine.held.entry((adapter, instance.fence)).or_insert(held);
+                entry.held.insert(upstream);
+            }
+            // From a former owner, whose orders nobody witnesses any more.
+            AcquireOutcome::Granted { .. } | AcquireOutcome::Loading => {}
+            AcquireOutcome::Full(after) => entry.avoid.push(Avoid {
+                upstream,
+                until: now + after,
+                reason: Reason::Full,
+            }),
+            AcquireOutcome::LoadFailed(after) => entry.avoid.push(Avoid {
+                upstream,
+                until: now + after,
+                reason: Reason::LoadFailed,
+            }),
+            AcquireOutcome::NotOwner => engine.ask_again = now + OWNER_CHANGE,
+        }
+    }
+
+    /// Drops an instance that its owner wants back: at once, or when its last request has ended.
+    pub fn recall(
+        &mut self,
+        instance: Instance,
+    ) -> Vec<RouterAction> {
+        let mut out = Vec::new();
+        let Some(engine) = self.engines.get_mut(&instance.upstream) else {
+            return out;
+        };
+        let key = (instance.adapter, instance.fence);
+        match engine.held.get_mut(&key) {
+            Some(held) if held.in_flight > 0 => held.recalled = true,
+            _ => self.release(instance, &mut out),
+        }
+        out
+    }
+
+    /// Gives the word that an instance has been dropped.
+    ///
+    /// Questions under way for it are void from here on: their answers may have been given before
+    /// the word, and the owner takes the word as covering them.
+    pub(super) fn release(
+        &mut self,
+        instance: Instance,
+        out: &mut Vec<RouterAction>,
+    ) {
+        let Some(engine) = self.engines.get_mut(&instance.upstream) else {
+            return;
+        };
+        engine.held.remove(&(instance.adapter, instance.fence));
+        let holds_other = engine
+            .held
+            .range((instance.adapter, Fence::default())..=(instance.adapter, Fence(u64::MAX)))
+            .next()
+            .is_some();
+        if let Some(entry) = self.adapters.get_mut(&instance.adapter) {
+            if !holds_other {
+                entry.held.remove(&instance.upstream);
+            }
+            entry
+                .pending
+                .retain(|pending| pending.upstream != instance.upstream);
+        }
+        out.push(RouterAction::Release {
+            instance,
+            fence: engine.seen,
+            ask: self.ask,
+        });
+    }
+
+    /// Drops everything on an engine that has restarted.
+    pub(super) fn drop_all(
+        &mut self,
+        upstream: UpstreamId,
+        _now: Millis,
+        out: &mut Vec<RouterAction>,
+    ) {
+        let Some(engine) = self.engines.get(&upstream) else {
+            return;
+        };
+        let keys: Vec<(AdapterVersion, Fence)> = engine.held.keys().copied().collect();
+        for (adapter, fence) in keys {
+            out.extend(self.recall(Instance {
+                upstream,
+                adapter,
+                fence,
+            }));
+        }
+    }
+
+    /// Gives back grants that are not used, and asks for more copies of busy adapters.
+    pub fn tick(
+        &mut self,
+        now: Millis,
+    ) -> Vec<RouterAction> {
+        let mut out = Vec::new();
+        let active: Vec<AdapterVersion> = self.active.iter().copied().collect();
+        for adapter in active {
+            self.release_idle(adapter, now, &mut out);
+            self.spread(adapter, now, &mut out);
+            let entry = self.adapters.get(&adapter);
+            if entry.is_none_or(|entry| entry.held.is_empty() && entry.pending.is_empty()) {
+                self.active.remove(&adapter);
+            }
+            if entry.is_some_and(|entry| entry.is_idle(now)) {
+                self.adapters.remove(&adapter);
+            }
+        }
+        out
+    }
+
+    fn release_idle(
+        &mut self,
+        adapter: AdapterVersion,
+        now: Millis,
+        out: &mut Vec<RouterAction>,
+    ) {
+        let Some(entry) = self.adapters.get(&adapter) else {
+            return;
+        };
+        let idle_release = self.settings.idle_release;
+        let all = (adapter, Fence::default())..=(adapter, Fence(u64::MAX));
+        let idle: Vec<Instance> = entry
+            .held
+            .iter()
+            .filter_map(|upstream| self.engines.get(upstream))
+            .flat_map(|engine| {
+                engine
+                    .held
+                    .range(all.clone())
+                    .filter(|(_, held)| held.in_flight == 0 && now.since(held.used) >= idle_release)
+                    .map(|(&(_, fence), _)| Instance {
+                        upstream: engine.spec.upstream,
+                        adapter,
+                        fence,
+                    })
+            })
+            .collect();
+        for instance in idle {
+            self.release(instance, out);
+        }
+    }
+
+    /// Asks for one more copy where all copies are busy.
+    fn spread(
+        &mut self,
+        adapter: AdapterVersion,
+        now: Millis,
+        out: &mut Vec<RouterAction>,
+    ) {
+        let Some(entry) = self.adapters.get(&adapter) else {
+            return;
+        };
+        let account = entry.account;
+        let least = entry
+            .held
+            .iter()
+            .filter_map(|upstream| self.engines.get(upstream))
+            .filter(|engine| engine.is_usable(now))
+            .map(super::engine::Engine::fill)
+            .min_by(f64::total_cmp);
+        let is_busy = least.is_some_and(|fill| fill >= self.settings.spread_fill);
+        if !is_busy || !entry.pending.is_empty() {
+            return;
+        }
+        let Some(upstream) = self.where_to_acquire(adapter, now) else {
+            return;
+        };
+        let is_better = self.engines[&upstream].fill() < self.settings.spread_fill;
+        if is_better {
+            let ask = self.ask_for(adapter, upstream, now);
+            out.push(RouterAction::Acquire {
+                upstream,
+                adapter,
+                account,
+                ask,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/router.rs
@@ -0,0 +1,207 @@
+use {
+    super::{
+        EngineView, Finish, RouterAction, RouterSettings, SpecKind, UpstreamSpec,
+        adapter_entry::AdapterEntry, engine::Engine,
+    },
+    crate::{
+        clock::Millis,
+        ids::{AdapterVersion, Fence, ModelId, ServiceId, UpstreamId},
+        placement::Instance,
+    },
+    std::collections::{BTreeMap, HashMap, HashSet},
+};
+
+/// The routing of one gateway.
+#[derive(Clone, Debug)]
+pub struct Router {
+    pub(super) settings: RouterSettings,
+    pub(super) engines: BTreeMap<UpstreamId, Engine>,
+    pub(super) by_model: BTreeMap<ModelId, Vec<UpstreamId>>,
+    pub(super) by_service: BTreeMap<ServiceId, Vec<UpstreamId>>,
+    pub(super) adapters: HashMap<AdapterVersion, AdapterEntry>,
+    /// Adapters on which this gateway holds a grant or has a question under way.
+    pub(super) active: HashSet<AdapterVersion>,
+    /// Grows with each change of the list of upstreams.
+    pub(super) list: u64,
+    /// The number of the last question.
+    pub(super) ask: u64,
+}
+
+impl Router {
+    /// A router that knows no upstream yet.
+    pub fn new(settings: RouterSettings) -> Self {
+        Self {
+            settings,
+            engines: BTreeMap::new(),
+            by_model: BTreeMap::new(),
+            by_service: BTreeMap::new(),
+            adapters: HashMap::new(),
+            active: HashSet::new(),
+            list: 0,
+            ask: 0,
+        }
+    }
+
+    /// Takes the list of upstreams of a new configuration; what is known of them is kept.
+    pub fn set_upstreams(
+        &mut self,
+        specs: &[UpstreamSpec],
+    ) {
+        let mut before = std::mem::take(&mut self.engines);
+        self.by_model.clear();
+        self.by_service.clear();
+        self.list += 1;
+        for &spec in specs {
+            let mut engine = before
+                .remove(&spec.upstream)
+                .unwrap_or_else(|| Engine::new(spec));
+            engine.spec = spec;
+            self.engines.insert(spec.upstream, engine);
+            match spec.kind {
+                SpecKind::Engine { model, .. } => {
+                    self.by_model.entry(model).or_default().push(spec.upstream);
+                }
+                SpecKind::Server { service } => {
+                    let servers = self.by_service.entry(service).or_default();
+                    servers.push(spec.upstream);
+                }
+            }
+        }
+        // An upstream that was deleted while it has work of this gateway is kept until that ends.
+        for (upstream, mut engine) in before {
+            engine.spec.leaving = true;
+            if engine.own > 0 {
+                self.engines.insert(upstream, engine);
+            } else {
+                self.forget_engine(upstream);
+            }
+        }
+    }
+
+    fn forget_engine(
+        &mut self,
+        upstream: UpstreamId,
+    ) {
+        for entry in self.adapters.values_mut() {
+            entry.resident.remove(&upstream);
+            entry.held.remove(&upstream);
+            entry.pending.retain(|pending| pending.upstream != upstream);
+        }
+    }
+
+    /// Notes the fencing token of an engine's owner, from wherever it was heard.
+    pub fn see_fence(
+        &mut self,
+        upstream: UpstreamId,
+        fence: Fence,
+    ) {
+        if let Some(engine) = self.engines.get_mut(&upstream) {
+            engine.seen = engine.seen.max(fence);
+        }
+    }
+
+    /// Takes what an engine's owner tells of it.
+    ///
+    /// What a former owner tells is dropped: its grants and residents are not to be relied on.
+    pub fn observe(
+        &mut self,
+        view: EngineView,
+        now: Millis,
+    ) -> Vec<RouterAction> {
+        let mut out = Vec::new();
+        let upstream = view.upstream;
+        let Some(engine) = self.engines.get_mut(&upstream) else {
+            return out;
+        };
+        if view.owner_fence < engine.seen {
+            return out;
+        }
+        engine.seen = view.owner_fence;
+        engine.own_at_view = engine.own;
+        let last = engine.view.take();
+        let restarted = last.as_ref().is_some_and(|last| last.boot != view.boot);
+        let had = last.map(|last| last.resident).unwrap_or_default();
+        let model = match engine.spec.kind {
+            SpecKind::Engine { model, .. } => model,
+            SpecKind::Server { .. } => ModelId::default(),
+        };
+        for gone in had.iter().filter(|had| !view.resident.contains(had)) {
+            if let Some(entry) = self.adapters.get_mut(&gone.adapter) {
+                entry.resident.remove(&upstream);
+            }
+        }
+        for instance in &view.resident {
+            let entry = self
+                .adapters
+                .entry(instance.adapter)
+                .or_insert_with(|| AdapterEntry::new(model));
+            entry.resident.insert(upstream);
+        }
+        engine.view = Some(view);
+        if restarted {
+            self.drop_all(upstream, now, &mut out);
+        }
+        out
+    }
+
+    /// Notes that a request has ended.
+    pub fn finished(
+        &mut self,
+        upstream: UpstreamId,
+        instance: Option<Instance>,
+        finish: Finish,
+        now: Millis,
+    ) -> Vec<RouterAction> {
+        let mut out = Vec::new();
+        let Some(engine) = self.engines.get_mut(&upstream) else {
+            return out;
+        };
+        engine.own = engine.own.saturating_sub(1);
+        match finish {
+            Finish::Done | Finish::NotLoaded => engine.breaker.succeeded(),
+            Finish::Failed => engine.breaker.failed(&self.settings, now),
+        }
+        let Some(instance) = instance else {
+            return out;
+        };
+        let key = (instance.adapter, instance.fence);
+        if let Some(held) = engine.held.get_mut(&key) {
+            held.in_flight = held.in_flight.saturating_sub(1);
+            held.recalled |= finish == Finish::NotLoaded;
+            if held.recalled && held.in_flight == 0 {
+                self.release(instance, &mut out);
+            }
+        }
+        out
+    }
+
+    /// The highest fencing token seen of each engine; goes with each poll.
+    pub fn seen(&self) -> Vec<(UpstreamId, Fence)> {
+        self.engines
+            .iter()
+            .map(|(&upstream, engine)| (upstream, engine.seen))
+            .collect()
+    }
+
+    /// The instances this gateway routes to or has work on; goes with each poll.
+    pub fn held(&self) -> Vec<Instance> {
+        self.engines
+            .iter()
+            .flat_map(|(&upstream, engine)| {
+                engine.held.keys().map(move |&(adapter, fence)| Instance {
+                    upstream,
+                    adapter,
+                    fence,
+                })
+            })
+            .collect()
+    }
+
+    /// Own requests in flight at an upstream.
+    pub fn in_flight(
+        &self,
+        upstream: UpstreamId,
+    ) -> u32 {
+        self.engines.get(&upstream).map_or(0, |engine| engine.own)
+    }
+}
