--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -2,3 +2,5 @@
 
 pub mod arena;
 pub mod fleet;
+pub mod hex;
+pub mod settings;
