--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,5 +10,8 @@
 pub mod forward;
 pub mod ids;
 pub mod membership;
+pub mod ownership;
+pub mod placement;
 pub mod queue;
 pub mod rights;
+pub mod routing;
