Gateway: brain, forwarding, HTTP and the daemon around them

Decisions live on one actix arbiter with the capnp connections; workers ask by message and drive each request's ForwardMachine over awc.

--- a/crates/core/src/forward/machine.rs
+++ b/crates/core/src/forward/machine.rs
@@ -269,7 +269,7 @@
             Some(made) if made > self.offset() => self.lost(now),
             Some(made) if made < self.offset() => self.fail(ErrorKind::UpstreamInvalid),
             _ => {
-                self.state = State::Done;
+                self.close();
                 vec![Action::Finish]
             }
         }
@@ -398,10 +398,16 @@
         } else {
             Action::Refuse(refusal)
         });
-        self.state = State::Done;
+        self.close();
         actions
     }
 
+    /// Ends; what may have run stays known.
+    fn close(&mut self) {
+        self.may_have_run = self.may_have_run();
+        self.state = State::Done;
+    }
+
     /// Whether anything of an answer has reached the caller.
     const fn has_begun(&self) -> bool {
         matches!(self.plan.delivery, Delivery::Streamed) && self.passed_on.has_begun()
@@ -409,7 +415,7 @@
 
     fn stop(&mut self) -> Vec<Action> {
         let is_out = self.is_out();
-        self.state = State::Done;
+        self.close();
         if is_out {
             vec![Action::Abandon, Action::Cancel]
         } else {
--- /dev/null
+++ b/crates/gateway/src/brain/configuration.rs
@@ -0,0 +1,275 @@
+//! Taking in what controllers tell of configuration, fleet and engines.
+
+use {
+    super::{Effect, Member, State},
+    jasmine_conf::{
+        fleet::{Fleet, UpstreamKind, UpstreamState},
+        tree::{EditsBody, Tree, TreeBody},
+    },
+    jasmine_core::{
+        clock::Millis,
+        ids::{AccountId, Epoch, Revision, UpstreamId, VmId},
+        ownership::AcquireOutcome,
+        placement::Instance,
+        queue::AccountShare,
+        rights::{Limit, Right},
+        routing::{EngineView, SpecKind, UpstreamSpec},
+    },
+    jasmine_telemetry::log::Line,
+    std::{collections::HashMap, sync::Arc},
+};
+
+/// A controller's answer about the configuration.
+#[derive(Clone, Debug)]
+pub struct ConfigAnswer {
+    /// Which VM's controller answered.
+    pub vm: VmId,
+    /// The edits or the tree; empty when there is nothing newer.
+    pub body: Vec<u8>,
+    /// Whether the body is the whole tree.
+    pub full: bool,
+    /// Time since the store confirmed what that controller has.
+    pub fresh: Millis,
+}
+
+/// A controller's answer about the fleet.
+#[derive(Clone, Debug)]
+pub struct FleetAnswer {
+    /// The VMs.
+    pub members: Vec<Member>,
+    /// Owners of engines.
+    pub owners: HashMap<UpstreamId, VmId>,
+    /// The epoch of rights.
+    pub epoch: Epoch,
+    /// What it adds to this gateway.
+    pub grants: Vec<Right>,
+}
+
+impl State {
+    /// The revision in force.
+    pub fn revision(&self) -> Revision {
+        self.fleet.revision
+    }
+
+    /// Takes in a controller's answer about the configuration.
+    ///
+    /// Only what is newer is taken, so that nothing reverts whoever answers.
+    pub fn take_config(
+        &mut self,
+        answer: &ConfigAnswer,
+    ) {
+        let before = self.revision();
+        if !answer.body.is_empty() && !self.apply(answer) {
+            // Not understood, so not confirmed either; the next question asks for all.
+            Line::new("config_not_understood")
+                .with("vm", answer.vm)
+                .warn();
+            return;
+        }
+        let now = self.clock.now();
+        self.freshness.heard(answer.vm, Some(answer.fresh), now);
+        if self.revision() > before {
+            self.config_changed();
+        }
+        self.tick();
+    }
+
+    fn apply(
+        &mut self,
+        answer: &ConfigAnswer,
+    ) -> bool {
+        if answer.full {
+            let Ok(body) = serde_json::from_slice::<TreeBody>(&answer.body) else {
+                return false;
+            };
+            if body.revision > self.revision() {
+                let tree = Tree::from(body);
+                self.fleet = tree.resolve();
+                self.tree = Some(tree);
+            }
+            return true;
+        }
+        let Ok(body) = serde_json::from_slice::<EditsBody>(&answer.body) else {
+            return false;
+        };
+        let Some(tree) = &mut self.tree else {
+            return false;
+        };
+        for accepted in &body.edits {
+            if accepted.revision <= tree.revision() {
+                continue;
+            }
+            match tree.apply(accepted) {
+                Ok(touched) => tree.refresh(&mut self.fleet, &touched),
+                Err(_) => return false,
+            }
+        }
+        true
+    }
+
+    fn config_changed(&mut self) {
+        let now = self.clock.now();
+        self.set_upstreams();
+        self.set_accounts(now);
+        self.end_withdrawn();
+        self.published.send_replace(Arc::new(self.fleet.clone()));
+        Line::new("config_in_force")
+            .with("revision", self.fleet.revision)
+            .info();
+    }
+
+    fn set_upstreams(&mut self) {
+        let name = &self.settings.data_centre;
+        let own = self.fleet.data_centres.iter().find(|dc| dc.name == *name);
+        let own = own.map(|dc| dc.id).unwrap_or_default();
+        if self.own_data_centre != own && self.router.held().is_empty() {
+            self.own_data_centre = own;
+            self.router = Self::router_at(own);
+        }
+        let specs: Vec<UpstreamSpec> = specs(&self.fleet);
+        self.router.set_upstreams(&specs);
+    }
+
+    fn set_accounts(
+        &mut self,
+        now: Millis,
+    ) {
+        for account in self.fleet.accounts.iter() {
+            let limit = Limit {
+                rate: account.rate,
+                burst: account.burst,
+            };
+            self.ledger.set_limit(account.id, limit, now);
+            let share = AccountShare {
+                weight: account.weight,
+                max_queued: account.max_queued as usize,
+            };
+            self.queue.set_share(account.id, share);
+        }
+    }
+
+    /// Ends what withdrawn keys have open.
+    fn end_withdrawn(&mut self) {
+        for running in self.running.values_mut() {
+            let key = self.fleet.key(running.admission.key);
+            if key.is_none_or(|key| key.withdrawn) {
+                running.withdraw();
+            }
+        }
+    }
+
+    /// Takes in a controller's answer about the fleet; what has to be reported of rights, if anything.
+    pub fn take_fleet(
+        &mut self,
+        answer: FleetAnswer,
+    ) -> Option<(Epoch, Vec<Right>)> {
+        let now = self.clock.now();
+        self.members.set(answer.members, answer.owners);
+        let newer_run = self
+            .members
+            .gateway_run(self.me.vm)
+            .is_some_and(|run| run > self.me.incarnation);
+        if newer_run {
+            // Another run of this very daemon has been seen: it holds the rights now.
+            self.ledger.forfeit();
+            return None;
+        }
+        self.ledger.set_peers(self.members.holders());
+        if answer.epoch == Epoch::default() {
+            return None;
+        }
+        let entered = self
+            .ledger
+            .enter_epoch(answer.epoch, now)
+            .map(<[_]>::to_vec);
+        self.ledger.apply_grants(answer.epoch, &answer.grants, now);
+        self.retry_asking(now);
+        self.dispatch(now);
+        entered
+            .filter(|_| self.reported != Some(answer.epoch))
+            .map(|held| (answer.epoch, held))
+    }
+
+    /// Notes that the holdings on entering an epoch have been reported.
+    pub const fn reported(
+        &mut self,
+        epoch: Epoch,
+    ) {
+        self.reported = Some(epoch);
+    }
+
+    /// Takes in what an owner tells of its engines.
+    pub fn take_upstreams(
+        &mut self,
+        engines: Vec<EngineView>,
+        recalls: Vec<Instance>,
+    ) {
+        let now = self.clock.now();
+        let observed = engines
+            .into_iter()
+            .flat_map(|view| self.router.observe(view, now))
+            .collect::<Vec<_>>();
+        self.effects.extend(observed.into_iter().map(Effect::from));
+        for instance in recalls {
+            let actions = self.router.recall(instance);
+            self.effects.extend(actions.into_iter().map(Effect::from));
+        }
+        self.dispatch(now);
+    }
+
+    /// Takes in an owner's answer about an adapter.
+    pub fn acquired(
+        &mut self,
+        upstream: UpstreamId,
+        adapter: jasmine_core::ids::AdapterVersion,
+        ask: u64,
+        outcome: AcquireOutcome,
+    ) {
+        let now = self.clock.now();
+        self.router.acquired(upstream, adapter, ask, outcome, now);
+        if let (AcquireOutcome::Granted { .. }, Some(load)) =
+            (outcome, self.loads.get_mut(&adapter))
+        {
+            load.to = Some(now);
+        }
+        self.dispatch(now);
+    }
+
+    /// Takes in rights that a peer has given.
+    pub fn received(
+        &mut self,
+        transfer: jasmine_core::ids::TransferId,
+        account: AccountId,
+        given: &jasmine_core::rights::Given,
+    ) {
+        let now = self.clock.now();
+        self.ledger.receive(transfer, given, now);
+        self.retry_account(account, now);
+        self.dispatch(now);
+    }
+}
+
+fn specs(fleet: &Fleet) -> Vec<UpstreamSpec> {
+    fleet
+        .upstreams
+        .iter()
+        .map(|upstream| UpstreamSpec {
+            upstream: upstream.id,
+            data_centre: upstream.data_centre,
+            kind: match upstream.kind {
+                UpstreamKind::Engine {
+                    model,
+                    slots,
+                    max_batch,
+                    ..
+                } => SpecKind::Engine {
+                    model,
+                    slots,
+                    max_batch,
+                },
+                UpstreamKind::Server { service } => SpecKind::Server { service },
+            },
+            leaving: upstream.state == UpstreamState::Leaving,
+        })
+        .collect()
+}
--- a/crates/gateway/src/brain/handle.rs
+++ b/crates/gateway/src/brain/handle.rs
@@ -115,6 +115,10 @@
     }
 
     /// What a worker makes of a reply that never came.
+    ///
+    /// # Errors
+    ///
+    /// The refusal, or `shutting_down` where the brain is no longer there.
     pub fn route_of(
         reply: Result<Result<Routed, Refusal>, oneshot::error::RecvError>
     ) -> Result<Routed, Refusal> {
--- /dev/null
+++ b/crates/gateway/src/brain/links.rs
@@ -0,0 +1,373 @@
+use {
+    super::{ConfigAnswer, FleetAnswer, Member, wire_types},
+    capnp::capability::FromClientHook,
+    jasmine_core::{
+        clock::Millis,
+        ids::{
+            AccountId, AdapterVersion, Epoch, Fence, Holder, Incarnation, Revision, UpstreamId,
+            VmId,
+        },
+        ownership::AcquireOutcome,
+        placement::Instance,
+        rights::{Ask, Given, Right},
+        routing::EngineView,
+    },
+    jasmine_wire::{
+        convert::{read_right, read_rights, write_peer, write_rights},
+        jasmine_capnp::{controller, gateway, rights_holder},
+        link::{Link, LinkError, LinkOptions},
+    },
+    std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc},
+};
+
+/// What an owner tells of its engines.
+#[derive(Clone, Debug)]
+pub struct UpstreamsAnswer {
+    /// The number of the change.
+    pub seq: u64,
+    /// Its engines.
+    pub engines: Vec<EngineView>,
+    /// Instances that are to be dropped.
+    pub recalls: Vec<Instance>,
+}
+
+/// The connections to other daemons.
+pub struct Links {
+    me: Holder,
+    /// Where other gateways reach this one.
+    peer_address: SocketAddr,
+    controllers: RefCell<HashMap<SocketAddr, Rc<Link<controller::Client>>>>,
+    gateways: RefCell<HashMap<SocketAddr, Rc<Link<gateway::Client>>>>,
+}
+
+impl std::fmt::Debug for Links {
+    fn fmt(
+        &self,
+        f: &mut std::fmt::Formatter<'_>,
+    ) -> std::fmt::Result {
+        f.debug_struct("Links")
+            .field("me", &self.me)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Links {
+    /// No connections yet.
+    pub fn new(
+        me: Holder,
+        peer_address: SocketAddr,
+    ) -> Self {
+        Self {
+            me,
+            peer_address,
+            controllers: RefCell::default(),
+            gateways: RefCell::default(),
+        }
+    }
+
+    /// Asks for a configuration above `have`.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] where no answer came.
+    pub async fn poll_config(
+        &self,
+        (vm, address): (VmId, SocketAddr),
+        have: Revision,
+        wait: Millis,
+    ) -> Result<ConfigAnswer, LinkError> {
+        let me = self.me;
+        self.controller(address)
+            .call(wait, move |client| async move {
+                let mut req = client.poll_config_request();
+                write_peer(req.get().init_from(), me);
+                req.get().set_have(have.0);
+                req.get().set_wait_ms(wait.0 as u32);
+                let res = req.send().promise.await?;
+                let res = res.get()?;
+                Ok(ConfigAnswer {
+                    vm,
+                    body: res.get_body()?.to_vec(),
+                    full: res.get_full(),
+                    fresh: Millis(res.get_fresh_ms()),
+                })
+            })
+            .await
+    }
+
+    /// Asks for the fleet once it is another than `have`.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] where no answer came.
+    pub async fn poll_fleet(
+        &self,
+        address: SocketAddr,
+        have: u64,
+        wait: Millis,
+    ) -> Result<(u64, FleetAnswer), LinkError> {
+        let (me, peer_address) = (self.me, self.peer_address);
+        self.controller(address)
+            .call(wait, move |client| async move {
+                let mut req = client.poll_fleet_request();
+                write_peer(req.get().init_from(), me);
+                req.get().set_peer_address(peer_address.to_string());
+                req.get().set_have(have);
+                req.get().set_wait_ms(wait.0 as u32);
+                let res = req.send().promise.await?;
+                let res = res.get()?;
+                let epoch = res.get_epoch()?;
+                let members = res.get_members()?.iter().map(read_member);
+                let owners = res.get_owners()?.iter();
+                let answer = FleetAnswer {
+                    members: members.collect::<Result<Vec<_>, capnp::Error>>()?,
+                    owners: owners
+                        .map(|owner| (UpstreamId(owner.get_upstream()), VmId(owner.get_vm())))
+                        .collect(),
+                    epoch: Epoch(epoch.get_epoch()),
+                    grants: read_rights(epoch.get_grants()?),
+                };
+                Ok((res.get_seq(), answer))
+            })
+            .await
+    }
+
+    /// Asks an owner for news of its engines.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] where no answer came.
+    pub async fn poll_upstreams(
+        &self,
+        address: SocketAddr,
+        have: u64,
+        wait: Millis,
+        seen: Vec<(UpstreamId, Fence)>,
+        held: Vec<Instance>,
+    ) -> Result<UpstreamsAnswer, LinkError> {
+        let me = self.me;
+        self.controller(address)
+            .call(wait, move |client| async move {
+                let mut req = client.poll_upstreams_request();
+                let mut params = req.get();
+                write_peer(params.reborrow().init_from(), me);
+                params.set_have(have);
+                params.set_wait_ms(wait.0 as u32);
+                let mut list = params.reborrow().init_seen(seen.len() as u32);
+                for (i, (upstream, fence)) in (0..).zip(&seen) {
+                    let mut item = list.reborrow().get(i);
+                    item.set_upstream(upstream.0);
+                    item.set_fence(fence.0);
+                }
+                wire_types::write_instances(params.init_held(held.len() as u32), &held);
+                let res = req.send().promise.await?;
+                let res = res.get()?;
+                let engines = res.get_engines()?.iter().map(wire_types::read_engine);
+                Ok(UpstreamsAnswer {
+                    seq: res.get_seq(),
+                    engines: engines.collect::<Result<Vec<_>, capnp::Error>>()?,
+                    recalls: res
+                        .get_recalls()?
+                        .iter()
+                        .map(wire_types::read_instance)
+                        .collect(),
+                })
+            })
+            .await
+    }
+
+    /// Asks an owner for an adapter on one of its engines.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] where no answer came.
+    pub async fn acquire(
+        &self,
+        address: SocketAddr,
+        upstream: UpstreamId,
+        adapter: AdapterVersion,
+        account: AccountId,
+        ask: u64,
+        wait: Millis,
+    ) -> Result<AcquireOutcome, LinkError> {
+        let me = self.me;
+        self.controller(address)
+            .call(wait, move |client| async move {
+                let mut req = client.acquire_request();
+                let mut params = req.get();
+                write_peer(params.reborrow().init_from(), me);
+                params.set_upstream(upstream.0);
+                params.set_adapter(adapter.adapter.0);
+                params.set_version(adapter.version);
+                params.set_account(account.0);
+                params.set_wait_ms(wait.0 as u32);
+                params.set_ask(ask);
+                let res = req.send().promise.await?;
+                wire_types::read_acquired(res.get()?)
+            })
+            .await
+    }
+
+    /// Tells an owner that an instance has been dropped.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] where no answer came.
+    pub async fn release(
+        &self,
+        address: SocketAddr,
+        instance: Instance,
+        fence: Fence,
+        ask: u64,
+    ) -> Result<(), LinkError> {
+        let me = self.me;
+        self.controller(address)
+            .call(Millis::ZERO, move |client| async move {
+                let mut req = client.release_request();
+                let mut params = req.get();
+                write_peer(params.reborrow().init_from(), me);
+                params.set_owner_fence(fence.0);
+                params.set_ask(ask);
+                wire_types::write_instances(params.init_instances(1), &[instance]);
+                req.send().promise.await.map(drop)
+            })
+            .await
+    }
+
+    /// Reports what was held on entering an epoch.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] where no answer came.
+    pub async fn report_holdings(
+        &self,
+        address: SocketAddr,
+        epoch: Epoch,
+        held: Vec<Right>,
+    ) -> Result<(), LinkError> {
+        let me = self.me;
+        self.controller(address)
+            .call(Millis::ZERO, move |client| async move {
+                let mut req = client.report_holdings_request();
+                write_peer(req.get().init_from(), me);
+                req.get().set_epoch(epoch.0);
+                write_rights(req.get().init_holdings(held.len() as u32), &held);
+                req.send().promise.await.map(drop)
+            })
+            .await
+    }
+
+    /// The last word before a planned stop.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] where no answer came.
+    pub async fn leave(
+        &self,
+        address: SocketAddr,
+        epoch: Epoch,
+        held: Vec<Right>,
+    ) -> Result<(), LinkError> {
+        let me = self.me;
+        self.controller(address)
+            .call(Millis::ZERO, move |client| async move {
+                let mut req = client.leave_request();
+                write_peer(req.get().init_from(), me);
+                req.get().set_epoch(epoch.0);
+                write_rights(req.get().init_holdings(held.len() as u32), &held);
+                req.send().promise.await.map(drop)
+            })
+            .await
+    }
+
+    /// Asks another gateway for rights.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] where no answer came.
+    pub async fn take_rights(
+        &self,
+        address: SocketAddr,
+        ask: Ask,
+    ) -> Result<Given, LinkError> {
+        let request = ask.request;
+        self.gateway(address)
+            .call(Millis::ZERO, move |client| async move {
+                let holder: rights_holder::Client = client.cast_to();
+                let mut req = holder.take_rights_request();
+                let mut params = req.get();
+                write_peer(params.reborrow().init_from(), request.from);
+                params.set_transfer(request.transfer.0);
+                params.set_epoch(request.epoch.0);
+                params.set_account(request.account.0);
+                params.set_needed(request.needed);
+                params.set_demand(request.demand);
+                let res = req.send().promise.await?;
+                let res = res.get()?;
+                Ok(Given {
+                    epoch: Epoch(res.get_epoch()),
+                    right: read_right(res.get_right()?),
+                    spare: res.get_spare(),
+                })
+            })
+            .await
+    }
+
+    /// The connection to a controller.
+    pub fn controller(
+        &self,
+        address: SocketAddr,
+    ) -> Rc<Link<controller::Client>> {
+        link(&self.controllers, address)
+    }
+
+    /// Closes connections to daemons that are no longer there.
+    pub fn keep_only<F>(
+        &self,
+        is_there: F,
+    ) where
+        F: Fn(SocketAddr) -> bool,
+    {
+        self.controllers
+            .borrow_mut()
+            .retain(|&address, _| is_there(address));
+        self.gateways
+            .borrow_mut()
+            .retain(|&address, _| is_there(address));
+    }
+
+    fn gateway(
+        &self,
+        address: SocketAddr,
+    ) -> Rc<Link<gateway::Client>> {
+        link(&self.gateways, address)
+    }
+}
+
+fn link<C>(
+    links: &RefCell<HashMap<SocketAddr, Rc<Link<C>>>>,
+    address: SocketAddr,
+) -> Rc<Link<C>> {
+    let mut links = links.borrow_mut();
+    let link = links
+        .entry(address)
+        .or_insert_with(|| Rc::new(Link::new(address, LinkOptions::default())));
+    Rc::clone(link)
+}
+
+fn read_member(
+    reader: jasmine_wire::jasmine_capnp::member::Reader<'_>
+) -> Result<Member, capnp::Error> {
+    let address = |text: capnp::text::Reader<'_>| text.to_str().ok()?.parse().ok();
+    let controller = address(reader.get_controller_address()?)
+        .ok_or_else(|| capnp::Error::failed("a controller's address makes no sense".into()))?;
+    let gateway = address(reader.get_gateway_address()?)
+        .filter(|_| reader.get_gateway_incarnation() > 0)
+        .map(|address| (Incarnation(reader.get_gateway_incarnation()), address));
+    Ok(Member {
+        vm: VmId(reader.get_vm()),
+        controller,
+        gateway,
+        leaving: reader.get_leaving(),
+    })
+}
--- a/crates/gateway/src/brain/messages.rs
+++ b/crates/gateway/src/brain/messages.rs
@@ -113,8 +113,7 @@
 }
 
 /// What workers tell the brain.
-#[derive(Debug)]
-#[derive(actix::Message)]
+#[derive(Debug, actix::Message)]
 #[rtype(result = "()")]
 pub enum BrainMessage {
     /// Admit, queue and route a request.
--- /dev/null
+++ b/crates/gateway/src/brain/peer_server.rs
@@ -0,0 +1,65 @@
+use {
+    super::Core,
+    jasmine_core::{
+        ids::{AccountId, Epoch, TransferId},
+        rights::TakeRequest,
+    },
+    jasmine_wire::{
+        convert::{read_peer, write_right},
+        jasmine_capnp::{gateway, rights_holder},
+    },
+    std::rc::Rc,
+};
+
+/// What other daemons may ask of this gateway.
+#[derive(Clone, Debug)]
+pub struct PeerServer {
+    core: Rc<Core>,
+}
+
+impl PeerServer {
+    /// Answers out of `core`.
+    pub const fn new(core: Rc<Core>) -> Self {
+        Self { core }
+    }
+}
+
+impl rights_holder::Server for PeerServer {
+    async fn take_rights(
+        self: Rc<Self>,
+        params: rights_holder::TakeRightsParams,
+        mut results: rights_holder::TakeRightsResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let request = TakeRequest {
+            from: read_peer(params.get_from()?)?,
+            transfer: TransferId(params.get_transfer()),
+            epoch: Epoch(params.get_epoch()),
+            account: AccountId(params.get_account()),
+            needed: params.get_needed(),
+            demand: params.get_demand(),
+        };
+        let given = self.core.decide(|state| state.give(&request));
+        let mut answer = results.get();
+        answer.set_epoch(given.epoch.0);
+        answer.set_spare(given.spare);
+        write_right(answer.init_right(), &given.right);
+        Ok(())
+    }
+}
+
+impl gateway::Server for PeerServer {
+    async fn status(
+        self: Rc<Self>,
+        _params: gateway::StatusParams,
+        mut results: gateway::StatusResults,
+    ) -> Result<(), capnp::Error> {
+        let state = self.core.state.borrow();
+        let mut answer = results.get();
+        answer.set_revision(state.revision().0);
+        answer.set_epoch(state.epoch().0);
+        answer.set_in_flight(state.in_flight() as u32);
+        answer.set_draining(state.is_draining());
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/brain/polls.rs
@@ -0,0 +1,193 @@
+//! Long polls of the controllers: configuration, fleet, engines.
+
+use {
+    super::Core,
+    jasmine_core::{
+        clock::Millis,
+        ids::{Epoch, Revision, VmId},
+        rights::Right,
+    },
+    std::{collections::HashMap, net::SocketAddr, rc::Rc},
+    tokio::{
+        task::{JoinHandle, spawn_local},
+        time::sleep,
+    },
+};
+
+/// How long a controller may hold a question that has no news.
+const CONFIG_WAIT: Millis = Millis(2_000);
+/// The same for the fleet.
+const FLEET_WAIT: Millis = Millis(2_000);
+/// The same for engines, whose load changes all the time.
+const UPSTREAMS_WAIT: Millis = Millis(1_000);
+/// The pause after a question that nobody answered.
+const RETRY: Millis = Millis(200);
+/// The least time between two questions about engines: their reports lag by more than that.
+const UPSTREAMS_PACE: Millis = Millis(50);
+/// How often it is looked whether other VMs have to confirm the configuration.
+const CONFIRM_EVERY: Millis = Millis(1_000);
+
+/// Starts all polls.
+pub(super) fn start(core: &Rc<Core>) {
+    spawn_local(config(Rc::clone(core)));
+    spawn_local(confirm(Rc::clone(core)));
+    spawn_local(fleet(Rc::clone(core)));
+    spawn_local(upstreams(Rc::clone(core)));
+}
+
+/// Follows the configuration, from the own controller or, while that is dead, from the others in turn.
+async fn config(core: Rc<Core>) {
+    let mut turn = 0;
+    loop {
+        let have = core.state.borrow().revision();
+        if ask_config(&core, turn, have).await {
+            turn = 0;
+        } else {
+            turn += 1;
+            sleep(RETRY.to_std()).await;
+        }
+    }
+}
+
+async fn ask_config(
+    core: &Rc<Core>,
+    turn: usize,
+    have: Revision,
+) -> bool {
+    let controllers = core.controllers();
+    let whom = controllers[turn % controllers.len()];
+    let answer = core.links.poll_config(whom, have, CONFIG_WAIT).await;
+    let Ok(answer) = answer else {
+        return false;
+    };
+    let understood = core.decide(|state| {
+        state.take_config(&answer);
+        answer.body.is_empty() || state.revision() > have
+    });
+    if !understood {
+        // The edits didn't fit what is here: ask for the whole tree.
+        let whole = core
+            .links
+            .poll_config(whom, Revision::default(), Millis::ZERO)
+            .await;
+        if let Ok(whole) = whole {
+            core.decide(|state| state.take_config(&whole));
+        }
+    }
+    true
+}
+
+/// While the store confirms nothing, asks the other VMs.
+async fn confirm(core: Rc<Core>) {
+    loop {
+        sleep(CONFIRM_EVERY.to_std()).await;
+        let ask = core.state.borrow().vms_to_hear();
+        for whom in ask {
+            let core = Rc::clone(&core);
+            spawn_local(async move {
+                let have = core.state.borrow().revision();
+                if let Ok(answer) = core.links.poll_config(whom, have, Millis::ZERO).await {
+                    core.decide(|state| state.take_config(&answer));
+                }
+            });
+        }
+    }
+}
+
+/// Follows the fleet, and reports rights when an epoch begins.
+async fn fleet(core: Rc<Core>) {
+    let mut turn = 0;
+    let mut have = 0;
+    loop {
+        let controllers = core.controllers();
+        let (_, address) = controllers[turn % controllers.len()];
+        let Ok((seq, answer)) = core.links.poll_fleet(address, have, FLEET_WAIT).await else {
+            turn += 1;
+            // Another controller counts its changes in its own way.
+            have = 0;
+            sleep(RETRY.to_std()).await;
+            continue;
+        };
+        have = seq;
+        let report = core.decide(|state| state.take_fleet(answer));
+        if let Some((epoch, held)) = report {
+            report_holdings(&core, epoch, held).await;
+        }
+        if turn > 0 {
+            // The own controller may be back.
+            turn = 0;
+            have = 0;
+            sleep(RETRY.to_std()).await;
+        }
+    }
+}
+
+async fn report_holdings(
+    core: &Rc<Core>,
+    epoch: Epoch,
+    held: Vec<Right>,
+) {
+    for (_, address) in core.controllers() {
+        let reported = core
+            .links
+            .report_holdings(address, epoch, held.clone())
+            .await;
+        if reported.is_ok() {
+            core.state.borrow_mut().reported(epoch);
+            return;
+        }
+    }
+}
+
+/// Follows each controller that owns engines, with a task of its own.
+async fn upstreams(core: Rc<Core>) {
+    let mut tasks: HashMap<VmId, (SocketAddr, JoinHandle<()>)> = HashMap::new();
+    loop {
+        let owners = {
+            let state = core.state.borrow();
+            let vms = state.members.owning_vms();
+            vms.into_iter()
+                .filter_map(|vm| Some((vm, state.members.controller(vm)?)))
+                .collect::<HashMap<_, _>>()
+        };
+        tasks.retain(|vm, (address, task)| {
+            let keep = owners.get(vm) == Some(address);
+            if !keep {
+                task.abort();
+            }
+            keep
+        });
+        for (vm, address) in owners {
+            tasks.entry(vm).or_insert_with(|| {
+                let task = spawn_local(upstreams_of(Rc::clone(&core), address));
+                (address, task)
+            });
+        }
+        sleep(RETRY.to_std()).await;
+    }
+}
+
+async fn upstreams_of(
+    core: Rc<Core>,
+    address: SocketAddr,
+) {
+    let mut have = 0;
+    loop {
+        let (seen, held) = {
+            let state = core.state.borrow();
+            (state.router.seen(), state.router.held())
+        };
+        let answer = core
+            .links
+            .poll_upstreams(address, have, UPSTREAMS_WAIT, seen, held)
+            .await;
+        let Ok(answer) = answer else {
+            have = 0;
+            sleep(RETRY.to_std()).await;
+            continue;
+        };
+        have = answer.seq;
+        core.decide(|state| state.take_upstreams(answer.engines, answer.recalls));
+        sleep(UPSTREAMS_PACE.to_std()).await;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/daemon/run.rs
@@ -0,0 +1,200 @@
+use {
+    super::stop,
+    crate::{
+        brain::{Brain, BrainHandle, Core, Links, State},
+        clock::Clock,
+        http::{Shared, Worker, caller_routes, status_routes},
+        status::Readiness,
+    },
+    actix::{Actor, Addr, Arbiter},
+    actix_web::{App, HttpServer, dev::ServerHandle, web::Data},
+    jasmine_conf::{fleet::Fleet, settings::GatewaySettings},
+    jasmine_core::{
+        clock::Millis,
+        ids::{Holder, Incarnation, Role},
+    },
+    jasmine_telemetry::metrics::{Metrics, MetricsError, Refusals, RequestMetrics},
+    std::{
+        io,
+        net::{SocketAddr, TcpListener},
+        rc::Rc,
+        sync::{Arc, atomic::AtomicU64},
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
+    tokio::sync::watch,
+};
+
+/// How long an idle connection of a caller is kept.
+const KEEP_ALIVE: Duration = Duration::from_secs(30);
+/// How long a caller may take to close a connection that is done.
+const DISCONNECT: Duration = Duration::from_secs(2);
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 2048;
+
+/// Why the daemon can't run.
+#[derive(Debug, derive_more::Display, derive_more::Error)]
+pub enum DaemonError {
+    /// An address of the settings can't be listened on.
+    #[display("can't listen on {key} = {address}: {source}")]
+    Listen {
+        /// The settings' key.
+        key: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        source: io::Error,
+    },
+    /// Metrics can't be set up.
+    #[display("{_0}")]
+    Metrics(MetricsError),
+    /// A server failed.
+    #[display("the server failed: {_0}")]
+    Server(io::Error),
+}
+
+/// The sockets, bound before anything else so that a wrong address is told at once.
+struct Listeners {
+    callers: TcpListener,
+    peers: TcpListener,
+    status: TcpListener,
+}
+
+/// Runs the daemon until it is told to stop.
+///
+/// # Errors
+///
+/// [`DaemonError`] when it can't start or its server fails.
+pub async fn run(settings: GatewaySettings) -> Result<(), DaemonError> {
+    let listeners = bind(&settings)?;
+    let addresses = [&listeners.callers, &listeners.peers, &listeners.status]
+        .map(|listener| listener.local_addr().map_err(DaemonError::Server));
+    let [callers, peers, status] = addresses;
+    let (callers, peers, status) = (callers?, peers?, status?);
+    let incarnation = incarnation();
+    let readiness = Arc::new(Readiness::default());
+    let clock = Clock::default();
+    let (published, fleet) = watch::channel(Arc::new(Fleet::default()));
+    let me = Holder {
+        vm: settings.vm,
+        role: Role::Gateway,
+        incarnation,
+    };
+    let arbiter = Arbiter::new();
+    let brain = start_brain(
+        &arbiter,
+        me,
+        clock,
+        settings.clone(),
+        Arc::clone(&readiness),
+        published,
+        listeners.peers,
+        settings.advertise.peers.unwrap_or(peers),
+    );
+    let metrics = Metrics::new().map_err(DaemonError::Metrics)?;
+    let meter = metrics.meter();
+    let shared = Arc::new(Shared {
+        brain: BrainHandle::new(brain.clone().recipient()),
+        fleet,
+        readiness: Arc::clone(&readiness),
+        limits: settings.limits,
+        clock,
+        requests: RequestMetrics::new(&meter),
+        refusals: Refusals::new(&meter),
+        metrics,
+        origin: format!("{}-{:x}", settings.vm, incarnation.0),
+        last: AtomicU64::new(0),
+    });
+    let callers_server = serve_callers(&settings, listeners.callers, Arc::clone(&shared))?;
+    let status_server = serve_status(listeners.status, shared)?;
+    println!("event=listening callers={callers} peers={peers} status={status}");
+    let handles = [callers_server.handle(), status_server.handle()];
+    let stopping = actix_rt::spawn(stop::on_signal(settings.stop, readiness, brain, handles));
+    let (served, watched) = futures::future::join(callers_server, status_server).await;
+    stopping.abort();
+    served.and(watched).map_err(DaemonError::Server)
+}
+
+fn bind(settings: &GatewaySettings) -> Result<Listeners, DaemonError> {
+    let bind = |key, address| {
+        TcpListener::bind(address).map_err(|source| DaemonError::Listen {
+            key,
+            address,
+            source,
+        })
+    };
+    Ok(Listeners {
+        callers: bind("listen.callers", settings.listen.callers)?,
+        peers: bind("listen.peers", settings.listen.peers)?,
+        status: bind("listen.status", settings.listen.status)?,
+    })
+}
+
+/// The time of the start: a later run on the same VM has a later one.
+fn incarnation() -> Incarnation {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    Incarnation(since.unwrap_or_default().as_millis() as u64)
+}
+
+#[expect(
+    clippy::too_many_arguments,
+    reason = "everything that crosses over to the brain's thread at its start"
+)]
+fn start_brain(
+    arbiter: &Arbiter,
+    me: Holder,
+    clock: Clock,
+    settings: GatewaySettings,
+    readiness: Arc<Readiness>,
+    published: watch::Sender<Arc<Fleet>>,
+    peers: TcpListener,
+    peer_address: SocketAddr,
+) -> Addr<Brain> {
+    Brain::start_in_arbiter(&arbiter.handle(), move |_| {
+        let state = State::new(me, clock, settings.clone(), readiness, published);
+        let links = Links::new(me, peer_address);
+        let core = Rc::new(Core::new(state, links, me, &settings));
+        Brain::new(core, peers)
+    })
+}
+
+fn serve_callers(
+    settings: &GatewaySettings,
+    listener: TcpListener,
+    shared: Arc<Shared>,
+) -> Result<actix_web::dev::Server, DaemonError> {
+    let limits = settings.limits;
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(Worker::new(Arc::clone(&shared)))
+            .configure(caller_routes)
+    })
+    .backlog(BACKLOG)
+    .max_connections(limits.max_connections as usize)
+    .keep_alive(KEEP_ALIVE)
+    .client_request_timeout(limits.request_read_ms.to_std())
+    .client_disconnect_timeout(DISCONNECT)
+    .disable_signals()
+    .listen(listener)
+    .map_err(DaemonError::Server)?;
+    Ok(server.run())
+}
+
+fn serve_status(
+    listener: TcpListener,
+    shared: Arc<Shared>,
+) -> Result<actix_web::dev::Server, DaemonError> {
+    let shared = Data::from(shared);
+    let server =
+        HttpServer::new(move || App::new().app_data(shared.clone()).configure(status_routes))
+            .workers(1)
+            .disable_signals()
+            .listen(listener)
+            .map_err(DaemonError::Server)?;
+    Ok(server.run())
+}
+
+/// What the stop needs of the two servers.
+pub(super) type Servers = [ServerHandle; 2];
+
+/// The longest that closing the servers may take, out of what is left of the deadline.
+pub(super) const CLOSE_LIMIT: Millis = Millis(500);
--- a/crates/gateway/src/forward/caller.rs
+++ b/crates/gateway/src/forward/caller.rs
@@ -33,6 +33,8 @@
 #[derive(Debug)]
 pub struct Caller {
     state: State,
+    /// Whether the work goes on when the caller has gone.
+    outlasts: bool,
 }
 
 #[derive(Debug)]
@@ -51,10 +53,20 @@
         let (tx, rx) = oneshot::channel();
         let caller = Self {
             state: State::Waiting(tx),
+            outlasts: false,
         };
         (caller, rx)
     }
 
+    /// Lets the work go on when the caller has gone.
+    ///
+    /// A call that is recorded under an idempotency key is finished for the caller's next attempt:
+    /// cut off in the middle, nobody could say any more whether it ran.
+    pub const fn outlasted(mut self) -> Self {
+        self.outlasts = true;
+        self
+    }
+
     /// Answers in one piece, or with an error.
     pub fn answer(
         &mut self,
@@ -114,9 +126,9 @@
     /// Waits until the caller has closed its connection.
     pub async fn gone(&mut self) {
         match &mut self.state {
-            State::Waiting(tx) => tx.closed().await,
+            State::Waiting(tx) if !self.outlasts => tx.closed().await,
             State::Streaming { tx, .. } => tx.closed().await,
-            State::Ended => std::future::pending().await,
+            State::Waiting(_) | State::Ended => std::future::pending().await,
         }
     }
 
--- a/crates/gateway/src/forward/driver.rs
+++ b/crates/gateway/src/forward/driver.rs
@@ -98,6 +98,15 @@
     Known(Event),
 }
 
+/// How a request ended.
+#[derive(Clone, Debug)]
+pub struct Ending {
+    /// The whole answer of a plain service.
+    pub answer: Option<WholeAnswer>,
+    /// Whether an upstream may have run it.
+    pub may_have_run: bool,
+}
+
 /// Drives the forwarding of one request to its end.
 pub struct Driver {
     cx: ForwardContext,
@@ -165,7 +174,7 @@
     }
 
     /// Runs until the caller has its answer or has gone.
-    pub async fn run(mut self) -> Option<WholeAnswer> {
+    pub async fn run(mut self) -> Ending {
         while !self.machine.is_done() {
             let happened = self.next().await;
             let event = self.note(happened);
@@ -178,7 +187,13 @@
                 self.act(action).await;
             }
         }
-        self.whole
+        if self.lease.outcome == Outcome::Stopped {
+            self.lease.used = (!self.machine.may_have_run()).then_some(0);
+        }
+        Ending {
+            answer: self.whole,
+            may_have_run: self.machine.may_have_run(),
+        }
     }
 
     async fn next(&mut self) -> Happened {
@@ -188,10 +203,9 @@
             return Happened::Known(tokio::select! {
                 biased;
                 () = self.lease.withdrawn() => Event::KeyWithdrawn,
-                taken = self.caller.taken() => match taken {
-                    true => Event::CallerReady,
-                    false => Event::CallerGone,
-                },
+                taken = self.caller.taken() => {
+                    if taken { Event::CallerReady } else { Event::CallerGone }
+                }
                 () = sleep => Event::Timer,
             });
         }
@@ -432,8 +446,14 @@
         let headers = self.resume_headers(&self.attempt_id());
         let connections = Rc::clone(&self.cx.connections);
         actix_rt::spawn(async move {
-            let cancel =
-                connections.send(true, address, Method::DELETE, &target, headers, Bytes::new());
+            let cancel = connections.send(
+                true,
+                address,
+                Method::DELETE,
+                &target,
+                headers,
+                Bytes::new(),
+            );
             // Best effort: an engine that doesn't hear it finishes the answer for nobody.
             drop(tokio::time::timeout(CANCEL_TIMEOUT, cancel).await);
         });
@@ -451,9 +471,8 @@
             self.assembly.add(&chunk);
             return;
         }
-        let is_count_only = chunk.usage().is_some()
-            && chunk.text().is_empty()
-            && chunk.finish_reason().is_none();
+        let is_count_only =
+            chunk.usage().is_some() && chunk.text().is_empty() && chunk.finish_reason().is_none();
         if is_count_only && !req.with_usage {
             return;
         }
@@ -505,8 +524,8 @@
         problem: Problem,
     ) {
         self.whole = None;
-        self.settle_unfinished();
         let kind = problem.refusal.kind;
+        self.settle_unfinished(kind);
         let status = StatusCode::from_u16(kind.answer().status);
         self.log(kind.answer().code, status.unwrap_or_default());
         self.caller.answer(Err(problem));
@@ -516,7 +535,7 @@
         &mut self,
         kind: ErrorKind,
     ) {
-        self.settle_unfinished();
+        self.settle_unfinished(kind);
         self.cx.refusals.count(kind, &self.cx.account);
         self.log(kind.answer().code, StatusCode::OK);
         let json = error_body(&Problem::from(kind), &self.cx.name);
@@ -525,8 +544,17 @@
     }
 
     /// Charges nothing where nothing ran, and all where nobody knows how much did.
-    fn settle_unfinished(&mut self) {
-        self.lease.outcome = Outcome::Failed;
+    fn settle_unfinished(
+        &mut self,
+        kind: ErrorKind,
+    ) {
+        self.lease.outcome = match kind {
+            ErrorKind::UpstreamUnreachable
+            | ErrorKind::UpstreamLost
+            | ErrorKind::UpstreamInvalid
+            | ErrorKind::AnswerCut => Outcome::Failed,
+            _ => Outcome::Stopped,
+        };
         self.lease.used = (!self.machine.may_have_run()).then_some(0);
     }
 
--- a/crates/gateway/src/forward/errors.rs
+++ b/crates/gateway/src/forward/errors.rs
@@ -22,10 +22,12 @@
         400..=499 => "invalid_request_error",
         _ => "server_error",
     };
-    let retry_after = problem
-        .refusal
-        .retry_after_secs()
-        .map(|secs| problem.refusal.retry_after.map_or(secs * 1000, |delay| delay.0));
+    let retry_after = problem.refusal.retry_after_secs().map(|secs| {
+        problem
+            .refusal
+            .retry_after
+            .map_or(secs * 1000, |delay| delay.0)
+    });
     json!({"error": {
         "message": message,
         "type": class,
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -8,7 +8,7 @@
 
 pub use {
     caller::{Answer, Caller, WholeAnswer},
-    driver::{Driver, ForwardContext},
+    driver::{Driver, Ending, ForwardContext},
     errors::error_body,
     outbound::{Outbound, ServiceRequest},
 };
--- /dev/null
+++ b/crates/gateway/src/http/admit.rs
@@ -0,0 +1,165 @@
+use {
+    super::{answers::REQUEST_ID, shared::Worker},
+    crate::request::{CallerKey, Problem, RequestName},
+    actix_web::{
+        HttpRequest,
+        http::header::{AUTHORIZATION, HeaderValue},
+    },
+    jasmine_conf::fleet::{Account, Fleet, KeyDigest},
+    jasmine_core::{
+        clock::Millis,
+        error::{ErrorKind, Refusal},
+        ids::RequestId,
+        queue::Priority,
+        rights::CallerTag,
+    },
+    std::{
+        hash::{DefaultHasher, Hash, Hasher},
+        sync::Arc,
+    },
+    tokio::time::Instant,
+};
+
+/// The longest deadline that a caller may name.
+const MAX_DEADLINE: Millis = Millis::from_secs(3600);
+
+/// A request as it came in, before anything is known of its caller.
+#[derive(Debug)]
+pub(super) struct Arrival {
+    pub(super) worker: Worker,
+    pub(super) request: RequestId,
+    pub(super) name: RequestName,
+    pub(super) arrived: Instant,
+    key: Result<CallerKey, ErrorKind>,
+}
+
+/// A request whose caller is known.
+#[derive(Debug)]
+pub(super) struct Authenticated {
+    pub(super) key: CallerKey,
+    pub(super) digest: KeyDigest,
+    pub(super) account: Account,
+    pub(super) fleet: Arc<Fleet>,
+}
+
+impl Arrival {
+    /// Notes a request, and its name before all else: every answer carries it.
+    pub(super) fn new(req: &HttpRequest) -> Option<Self> {
+        let worker = req.app_data::<Worker>()?.clone();
+        let request = worker.shared.next_request();
+        let key = CallerKey::from_authorization(
+            req.headers().get(AUTHORIZATION).map(HeaderValue::as_bytes),
+        );
+        let name = req
+            .headers()
+            .get(REQUEST_ID)
+            .and_then(|value| RequestName::from_caller(value.as_bytes(), key.as_ref().ok()))
+            .unwrap_or_else(|| worker.shared.name_for(request));
+        Some(Self {
+            worker,
+            request,
+            name,
+            arrived: Instant::now(),
+            key,
+        })
+    }
+
+    /// Finds out whose key came with the request.
+    pub(super) fn authenticate(
+        &self,
+        req: &HttpRequest,
+    ) -> Result<Authenticated, Problem> {
+        let shared = &self.worker.shared;
+        let bytes: usize = req
+            .headers()
+            .iter()
+            .map(|(name, value)| name.as_str().len() + value.len() + 4)
+            .sum();
+        if bytes as u64 > shared.limits.max_header_bytes {
+            return Err(ErrorKind::HeadersTooLarge.into());
+        }
+        if shared.readiness.is_stopping() {
+            return Err(ErrorKind::ShuttingDown.into());
+        }
+        let key = self.key.clone()?;
+        if !shared.readiness.is_confirmed() {
+            return Err(ErrorKind::ConfigUnavailable.into());
+        }
+        let fleet = shared.fleet();
+        let digest = key.digest();
+        let known = fleet.key(digest).ok_or(ErrorKind::KeyUnknown)?;
+        if known.withdrawn {
+            return Err(ErrorKind::KeyWithdrawn.into());
+        }
+        let account = fleet
+            .accounts
+            .get(known.account)
+            .cloned()
+            .ok_or(ErrorKind::KeyUnknown)?;
+        Ok(Authenticated {
+            key,
+            digest,
+            account,
+            fleet,
+        })
+    }
+}
+
+/// How long the caller waits: what it says, or `otherwise`.
+pub(super) fn deadline_of(
+    req: &HttpRequest,
+    otherwise: Millis,
+) -> Result<Millis, Problem> {
+    let Some(value) = req.headers().get("x-deadline-ms") else {
+        return Ok(otherwise);
+    };
+    let asked = value.to_str().ok().and_then(|text| text.parse().ok());
+    match asked {
+        Some(ms) if (1..=MAX_DEADLINE.0).contains(&ms) => Ok(Millis(ms)),
+        _ => Err(Problem::bad(
+            "x-deadline-ms must be a number from 1 to 3600000.",
+        )),
+    }
+}
+
+/// The priority class that the caller names, or `otherwise`.
+pub(super) fn priority(
+    req: &HttpRequest,
+    otherwise: Priority,
+) -> Result<Priority, Problem> {
+    match req.headers().get("x-priority").map(HeaderValue::as_bytes) {
+        None => Ok(otherwise),
+        Some(b"high") => Ok(Priority::High),
+        Some(b"normal") => Ok(Priority::Normal),
+        Some(b"low") => Ok(Priority::Low),
+        Some(_) => Err(Problem::bad("x-priority must be high, normal or low.")),
+    }
+}
+
+/// The name of a priority class.
+pub(super) const fn class_name(priority: Priority) -> &'static str {
+    match priority {
+        Priority::High => "high",
+        Priority::Normal => "normal",
+        Priority::Low => "low",
+    }
+}
+
+/// What makes a caller known that comes back with the same request.
+pub(super) fn caller_tag<T>(
+    digest: KeyDigest,
+    what: &T,
+) -> CallerTag
+where
+    T: Hash + ?Sized,
+{
+    let mut hasher = DefaultHasher::new();
+    digest.hash(&mut hasher);
+    what.hash(&mut hasher);
+    CallerTag(hasher.finish())
+}
+
+/// The refusal of a request for which there is no place.
+pub(super) const fn no_room() -> Refusal {
+    Refusal::after(ErrorKind::QueueFull, Millis::from_secs(1))
+}
--- /dev/null
+++ b/crates/gateway/src/http/models.rs
@@ -0,0 +1,47 @@
+use {
+    super::{
+        admit::Arrival,
+        answers::{REQUEST_ID, refused},
+        completions::is_open_to,
+    },
+    actix_web::{HttpRequest, HttpResponse},
+    jasmine_conf::fleet::Fleet,
+    jasmine_core::ids::AccountId,
+    serde_json::{Value, json},
+};
+
+/// `GET /v1/models`
+pub(super) async fn list(req: HttpRequest) -> HttpResponse {
+    let Some(arrival) = Arrival::new(&req) else {
+        return HttpResponse::InternalServerError().finish();
+    };
+    match arrival.authenticate(&req) {
+        Ok(caller) => HttpResponse::Ok()
+            .insert_header((REQUEST_ID, arrival.name.as_str()))
+            .json(json!({
+                "object": "list",
+                "data": models(&caller.fleet, caller.account.id),
+            })),
+        Err(problem) => refused(&arrival.worker.shared, &arrival.name, "", &problem),
+    }
+}
+
+/// Base models, then adapters by their name where a version is live, and each version.
+fn models(
+    fleet: &Fleet,
+    account: AccountId,
+) -> Vec<Value> {
+    let row = |id: String| json!({"id": id, "object": "model", "owned_by": "jasminespan"});
+    let bases = fleet.models.iter().map(|model| model.name.clone());
+    let adapters = fleet
+        .adapters
+        .iter()
+        .filter(|adapter| is_open_to(&adapter.access, account))
+        .flat_map(|adapter| {
+            let live = adapter.live.map(|_| adapter.name.clone());
+            let versions = adapter.versions.keys();
+            live.into_iter()
+                .chain(versions.map(move |version| format!("{}@{version}", adapter.name)))
+        });
+    bases.chain(adapters).map(row).collect()
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,10 @@
 
 pub mod brain;
 pub mod clock;
+pub mod daemon;
 pub mod forward;
+pub mod http;
 pub mod request;
 pub mod sse;
+pub mod status;
 pub mod upstream;
