--- /dev/null
+++ b/crates/testkit/src/bin/jasmine-demo.rs
@@ -0,0 +1,154 @@
+//! Brings up the whole system with stand-ins on this machine and serves until it is told to stop.
+
+use {
+    awc::http::Method,
+    clap::{Arg, ArgAction, Command},
+    jasmine_core::clock::Millis,
+    jasmine_testkit::{
+        client::{Answer, Call},
+        engine::EngineSettings,
+        harness::{AccountSpec, Cluster, ClusterSpec, OPERATOR_TOKEN},
+        weights::WeightSettings,
+    },
+    std::{error::Error, process::ExitCode},
+    tokio::signal::unix::{SignalKind, signal},
+};
+
+/// Client accounts of the demo: name, tokens a second, tokens at once.
+const ACCOUNTS: [(&str, u64, u64); 5] = [
+    ("courier", 2000, 20_000),
+    ("clinic", 1000, 10_000),
+    ("coffee", 500, 5000),
+    ("bakery", 500, 5000),
+    ("school", 200, 4000),
+];
+
+fn spec() -> ClusterSpec {
+    let accounts = ACCOUNTS.into_iter();
+    ClusterSpec {
+        vms: 3,
+        data_centres: 3,
+        engines: 9,
+        engine: EngineSettings::default(),
+        weights: WeightSettings::default(),
+        servers: 3,
+        adapters: 24,
+        accounts: accounts
+            .map(|(name, rate, burst)| AccountSpec::new(name, rate, burst))
+            .collect(),
+        lease: Millis(5000),
+        ..ClusterSpec::default()
+    }
+}
+
+fn introduce(cluster: &Cluster) {
+    println!("Callers' addresses:");
+    for vm in &cluster.vms {
+        println!("  VM {}  http://{}", vm.number, vm.callers());
+    }
+    println!("Operators' addresses (bearer token {OPERATOR_TOKEN}):");
+    for vm in &cluster.vms {
+        println!("  VM {}  http://{}", vm.number, vm.operators());
+    }
+    println!("Keys, shown this once:");
+    for (name, ..) in ACCOUNTS {
+        println!("  {name:8} {}", cluster.key(name));
+    }
+    let (callers, key) = (cluster.callers(1), cluster.key("courier"));
+    println!("Try:");
+    println!("  curl http://{callers}/v1/models -H 'Authorization: Bearer {key}'");
+    println!(
+        "  curl -N http://{callers}/v1/chat/completions -H 'Authorization: Bearer {key}' \\\n    \
+         -d '{{\"model\":\"notes-1@2\",\"stream\":true,\"max_tokens\":20,\"messages\":[{{\"role\":\"user\",\"content\":\"Hello\"}}]}}'"
+    );
+    println!(
+        "  curl -X POST http://{callers}/services/phones/phones/17/enrolment \\\n    \
+         -H 'Authorization: Bearer {key}' -H 'Idempotency-Key: e-17' -d '{{\"profile\":\"courier\"}}'"
+    );
+}
+
+/// Serves a few requests itself: whether all came back as they should.
+async fn check(cluster: &Cluster) -> Result<bool, Box<dyn Error>> {
+    let key = cluster.key("courier");
+    let chat = |vm, model, stream| Call::chat(cluster.callers(vm), key, model, "Hello", 20, stream);
+    let enrol = Call::new(
+        cluster.callers(3),
+        Method::POST,
+        "/services/phones/phones/17/enrolment",
+    );
+    let calls = [
+        ("chat, whole", chat(1, "notes-1", false), "notes-1@1"),
+        ("chat, streamed", chat(2, "notes-1@2", true), "notes-1@2"),
+        ("chat, base model", chat(3, "base", true), ""),
+        ("service call", enrol.key(key), ""),
+    ];
+    let mut good = true;
+    for (what, call, adapter) in calls {
+        let answer = call.send().await?;
+        good &= answer.is_whole() && answer.header("x-jasmine-adapter") == adapter;
+        println!("{what:18} {}", describe(&answer));
+    }
+    let unknown = Call::chat(
+        cluster.callers(1),
+        "no-such-key",
+        "notes-1",
+        "Hello",
+        20,
+        false,
+    );
+    let unknown = unknown.send().await?;
+    println!("{:18} {}", "unknown key", describe(&unknown));
+    Ok(good && unknown.status == 401)
+}
+
+fn describe(answer: &Answer) -> String {
+    format!(
+        "{} {} in {} ms, {} parts, adapter \"{}\", {}{}",
+        answer.status,
+        answer.header("x-request-id"),
+        answer.took.as_millis(),
+        answer.parts.len(),
+        answer.header("x-jasmine-adapter"),
+        answer.text,
+        answer.code(),
+    )
+}
+
+async fn run(only_check: bool) -> Result<bool, Box<dyn Error>> {
+    println!("Building and starting 3 VMs, 9 engines and 3 servers ...");
+    let cluster = Cluster::start(spec()).await?;
+    introduce(&cluster);
+    if only_check {
+        return check(&cluster).await;
+    }
+    println!("Serving; Ctrl-C stops.");
+    let mut terminate = signal(SignalKind::terminate())?;
+    tokio::select! {
+        interrupted = actix_web::rt::signal::ctrl_c() => interrupted?,
+        _ = terminate.recv() => {}
+    }
+    println!("Stopping.");
+    Ok(true)
+}
+
+fn main() -> ExitCode {
+    let check = Arg::new("check")
+        .long("check")
+        .action(ArgAction::SetTrue)
+        .help("Serve a few requests itself, print them and exit");
+    let args = Command::new("jasmine-demo")
+        .about("The whole system on this machine, with stand-ins")
+        .arg(check)
+        .get_matches();
+    match actix_web::rt::System::new().block_on(run(args.get_flag("check"))) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => {
+            eprintln!("Not every request came back as it should.");
+            ExitCode::FAILURE
+        }
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/harness/cluster.rs
@@ -0,0 +1,259 @@
+use {
+    super::{
+        cluster_spec::ClusterSpec,
+        initial_edit::initial_ops,
+        poll::{HarnessError, poll},
+        upstreams::{Upstreams, anywhere},
+        vm::Vm,
+    },
+    crate::{
+        Running,
+        client::{Answer, Call, CallError, post_json},
+        platform,
+    },
+    awc::http::Method,
+    jasmine_conf::settings::TokenDigest,
+    serde_json::{Value, json},
+    std::{
+        env, fs,
+        net::SocketAddr,
+        path::PathBuf,
+        process,
+        sync::atomic::{AtomicU32, Ordering},
+        time::Duration,
+    },
+};
+
+/// The token that operators present in tests and in the demo.
+pub const OPERATOR_TOKEN: &str = "operator-token-of-the-demo";
+
+/// How long the system may take until it serves.
+const READY_BOUND: Duration = Duration::from_secs(30);
+
+/// Ops of one of the first edits, well under the size that an edit may have.
+const OPS_IN_AN_EDIT: usize = 1000;
+
+/// The daemons as processes, with all that they need around them.
+///
+/// Fields are dropped in this order: the daemons end before what they talk to.
+#[derive(Debug)]
+pub struct Cluster {
+    /// The VMs, the first having number 1.
+    pub vms: Vec<Vm>,
+    /// Engines, servers and weight store.
+    pub upstreams: Upstreams,
+    /// The key-value service and the VM list.
+    pub platform: Running,
+    spec: ClusterSpec,
+    keys: Vec<String>,
+    folder: Folder,
+}
+
+/// A folder for settings files, removed when dropped.
+#[derive(Debug)]
+struct Folder(PathBuf);
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        drop(fs::remove_dir_all(&self.0));
+    }
+}
+
+impl Cluster {
+    /// Brings all up, applies the first configuration and waits until every gateway serves.
+    ///
+    /// # Errors
+    ///
+    /// When something can't be started or the system doesn't serve in time.
+    pub async fn start(spec: ClusterSpec) -> Result<Self, HarnessError> {
+        let folder = new_folder()?;
+        let platform = platform::start(anywhere())?;
+        let upstreams = Upstreams::start(&spec)?;
+        let keys = spec
+            .accounts
+            .iter()
+            .map(|account| new_key(&account.name))
+            .collect();
+        let mut cluster = Self {
+            vms: Vec::new(),
+            upstreams,
+            platform,
+            spec,
+            keys,
+            folder,
+        };
+        cluster.list_vms().await?;
+        let digest = TokenDigest::of(OPERATOR_TOKEN).to_string();
+        for number in 1..=cluster.spec.vms {
+            let platform = cluster.platform.address();
+            let vm = Vm::start(number, &cluster.spec, platform, &digest, &cluster.folder.0)?;
+            cluster.vms.push(vm);
+        }
+        let ops = initial_ops(&cluster.spec, &cluster.upstreams, &cluster.keys);
+        cluster.edit_when_ready(&ops).await?;
+        for vm in &mut cluster.vms {
+            vm.start_gateway()?;
+        }
+        cluster.wait_until_serving().await?;
+        Ok(cluster)
+    }
+
+    /// The key of an account.
+    ///
+    /// # Panics
+    ///
+    /// When there is no such account: a defect of the test.
+    pub fn key(
+        &self,
+        account: &str,
+    ) -> &str {
+        let place = self
+            .spec
+            .accounts
+            .iter()
+            .position(|other| other.name == account);
+        &self.keys[place.expect("an account of the spec")]
+    }
+
+    /// Where callers reach the gateway of the VM with this number.
+    pub fn callers(
+        &self,
+        vm: u32,
+    ) -> SocketAddr {
+        self.vms[vm as usize - 1].callers()
+    }
+
+    /// Sends ops as one edit through the controller of a VM: its answer.
+    ///
+    /// # Errors
+    ///
+    /// When no answer comes.
+    pub async fn edit(
+        &self,
+        vm: u32,
+        id: &str,
+        base: u64,
+        ops: &[Value],
+    ) -> Result<Answer, CallError> {
+        let edit = json!({"id": id, "author": "test", "base": base, "ops": ops});
+        let operators = self.vms[vm as usize - 1].operators();
+        Call::new(operators, Method::POST, "/v1/edits")
+            .key(OPERATOR_TOKEN)
+            .body(edit)
+            .send()
+            .await
+    }
+
+    /// The revision that the controller of a VM has in force.
+    ///
+    /// # Errors
+    ///
+    /// When no answer comes.
+    pub async fn revision(
+        &self,
+        vm: u32,
+    ) -> Result<u64, CallError> {
+        let operators = self.vms[vm as usize - 1].operators();
+        let call = Call::new(operators, Method::GET, "/v1/tree").key(OPERATOR_TOKEN);
+        let answer = call.send().await?;
+        answer.json["revision"]
+            .as_u64()
+            .ok_or_else(|| CallError::Cut(answer.json.to_string()))
+    }
+
+    /// Puts the platform into a faulty state, or a sound one with `{}`.
+    ///
+    /// # Errors
+    ///
+    /// When the stand-in doesn't answer.
+    pub async fn platform_fault(
+        &self,
+        faults: Value,
+    ) -> Result<(), CallError> {
+        post_json(self.platform.address(), "/stand-in/fault", faults)
+            .await
+            .map(drop)
+    }
+
+    /// Puts an engine into a faulty state, or a sound one with `{}`.
+    ///
+    /// # Errors
+    ///
+    /// When the stand-in doesn't answer.
+    pub async fn engine_fault(
+        &self,
+        engine: usize,
+        faults: Value,
+    ) -> Result<(), CallError> {
+        let to = self.upstreams.engines[engine].address;
+        post_json(to, "/stand-in/fault", faults).await.map(drop)
+    }
+
+    async fn list_vms(&self) -> Result<(), HarnessError> {
+        let vm = |vm: u32| json!({"vm": vm, "address": "127.0.0.1", "state": "live"});
+        let vms: Vec<_> = (1..=self.spec.vms).map(vm).collect();
+        let sent = post_json(
+            self.platform.address(),
+            "/stand-in/vms",
+            json!({"vms": vms}),
+        )
+        .await;
+        sent.map(drop)
+            .map_err(|e| HarnessError::Io(std::io::Error::other(e.to_string())))
+    }
+
+    async fn edit_when_ready(
+        &self,
+        ops: &[Value],
+    ) -> Result<(), HarnessError> {
+        for (base, some) in (0..).zip(ops.chunks(OPS_IN_AN_EDIT)) {
+            let send = || async move {
+                match self.edit(1, &format!("first-{base}"), base, some).await {
+                    Ok(answer) if answer.status == 200 => Ok(()),
+                    Ok(answer) => Err(format!("{} {}", answer.status, answer.json)),
+                    Err(e) => Err(e.to_string()),
+                }
+            };
+            poll("first configuration accepted", READY_BOUND, send).await?;
+        }
+        Ok(())
+    }
+
+    async fn wait_until_serving(&self) -> Result<(), HarnessError> {
+        let Some(key) = self.keys.first() else {
+            return Ok(());
+        };
+        for vm in &self.vms {
+            let look = || async {
+                let call = Call::new(vm.callers(), Method::GET, "/v1/models").key(key);
+                match call.send().await {
+                    Ok(answer) if answer.status == 200 => Ok(()),
+                    Ok(answer) => Err(format!("{} {}", answer.status, answer.json)),
+                    Err(e) => Err(e.to_string()),
+                }
+            };
+            let wanted = format!("gateway of VM {} serves", vm.number);
+            if let Err(e) = poll(&wanted, READY_BOUND, look).await {
+                let lines = vm
+                    .gateway
+                    .as_ref()
+                    .map_or_else(Vec::new, super::daemon::Daemon::lines);
+                eprintln!("{}", lines.join("\n"));
+                return Err(e);
+            }
+        }
+        Ok(())
+    }
+}
+
+fn new_folder() -> Result<Folder, HarnessError> {
+    static COUNT: AtomicU32 = AtomicU32::new(0);
+    let n = COUNT.fetch_add(1, Ordering::Relaxed);
+    let folder = env::temp_dir().join(format!("jasmine-{}-{n}", process::id()));
+    fs::create_dir_all(&folder)?;
+    Ok(Folder(folder))
+}
+
+fn new_key(account: &str) -> String {
+    format!("{account}-{:032x}", rand::random::<u128>())
+}
--- /dev/null
+++ b/crates/testkit/src/harness/mod.rs
@@ -0,0 +1,19 @@
+//! Brings up the daemons as real processes among stand-ins, with proxies on the links between them.
+
+mod binaries;
+mod cluster;
+mod cluster_spec;
+mod daemon;
+mod initial_edit;
+mod poll;
+mod upstreams;
+mod vm;
+
+pub use {
+    cluster::{Cluster, OPERATOR_TOKEN},
+    cluster_spec::{AccountSpec, ClusterSpec},
+    daemon::Daemon,
+    poll::{HarnessError, poll},
+    upstreams::{UpstreamStandIn, Upstreams},
+    vm::Vm,
+};
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod client;
 pub mod engine;
+pub mod harness;
 pub mod platform;
 pub mod proxy;
 mod server;
--- a/crates/testkit/src/proxy/tcp_proxy.rs
+++ b/crates/testkit/src/proxy/tcp_proxy.rs
@@ -27,6 +27,7 @@
 pub struct Proxy {
     address: SocketAddr,
     link: watch::Sender<Link>,
+    target: watch::Sender<SocketAddr>,
     stop: Option<oneshot::Sender<()>>,
     thread: Option<JoinHandle<()>>,
 }
@@ -45,12 +46,13 @@
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
         let (link, rx) = watch::channel(Link::default());
+        let (target, target_rx) = watch::channel(target);
         let (stop, stopped) = oneshot::channel();
         let runtime = Builder::new_current_thread().enable_all().build()?;
         let thread = thread::spawn(move || {
             let accept = async move {
                 tokio::select! {
-                    _ = accept(listener, target, rx) => {}
+                    _ = accept(listener, target_rx, rx) => {}
                     _ = stopped => {}
                 }
             };
@@ -59,6 +61,7 @@
         Ok(Self {
             address,
             link,
+            target,
             stop: Some(stop),
             thread: Some(thread),
         })
@@ -69,6 +72,14 @@
         self.address
     }
 
+    /// Passes new connections on to another target, such as a process that was started anew.
+    pub fn retarget(
+        &self,
+        target: SocketAddr,
+    ) {
+        self.target.send_replace(target);
+    }
+
     /// Puts the link into another state.
     pub fn set(
         &self,
@@ -103,19 +114,19 @@
 
 async fn accept(
     listener: StdListener,
-    target: SocketAddr,
+    target: watch::Receiver<SocketAddr>,
     rx: watch::Receiver<Link>,
 ) -> io::Result<()> {
     let listener = TcpListener::from_std(listener)?;
     loop {
         let (client, _) = listener.accept().await?;
-        tokio::task::spawn_local(connection(client, target, rx.clone()));
+        tokio::task::spawn_local(connection(client, target.clone(), rx.clone()));
     }
 }
 
 async fn connection(
     client: TcpStream,
-    target: SocketAddr,
+    target: watch::Receiver<SocketAddr>,
     mut rx: watch::Receiver<Link>,
 ) {
     let born = rx.borrow().silences;
@@ -124,6 +135,7 @@
         rx.wait_for(|link| link.passes(Direction::ToTarget, born))
             .await
             .map_err(io::Error::other)?;
+        let target = *target.borrow();
         let server = TcpStream::connect(target).await?;
         client.set_nodelay(true)?;
         server.set_nodelay(true)?;
