Operators' HTTP: tree, explain, history, edits, fleet, progress of an edit

Thin handlers over three typed actix messages (ReadTree, SubmitEdit, ReadFleet), so that the daemon behind them is one actor's choice. Answers are typed in conf::api for the client to read. Tokens are compared by digest; every error has the one shape and carries the request id.

Failing first (trials): token not checked, no_token_and_a_wrong_token_are_refused fails (200 for 401); a silent daemon counted as done, progress_counts_a_silent_gateway fails; conflicts not refused, a_racing_edit_is_told_what_changed fails (200 for 409).

--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -1,6 +1,7 @@
 //! The operators' configuration: the tree they edit, how it is stored, what it resolves to, and the
 //! settings files of the daemons.
 
+pub mod api;
 pub mod arena;
 pub mod fleet;
 pub mod hex;
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -1,1 +1,3 @@
 //! controller.
+
+pub mod operators;
--- /dev/null
+++ b/crates/controller/src/operators/api_error.rs
@@ -0,0 +1,105 @@
+use {
+    super::SubmitError,
+    actix_web::{
+        HttpResponse, ResponseError,
+        http::{StatusCode, header},
+    },
+    jasmine_conf::{api::ErrorBody, tree::Conflict, tree::EditError},
+    jasmine_core::error::{ErrorKind, Refusal},
+};
+
+/// An answer to an operator that is an error.
+#[derive(Clone, Debug, derive_more::Display)]
+#[display("{kind}: {message}")]
+pub struct ApiError {
+    /// The kind in the closed list.
+    pub kind: ErrorKind,
+    /// What to do about it.
+    pub message: String,
+    /// What others changed, where that is the reason.
+    pub conflicts: Vec<Conflict>,
+}
+
+impl ApiError {
+    /// An error that says more than the table.
+    pub const fn new(
+        kind: ErrorKind,
+        message: String,
+    ) -> Self {
+        Self {
+            kind,
+            message,
+            conflicts: Vec::new(),
+        }
+    }
+
+    /// An error of a question, for which a path that doesn't exist is no invalid edit.
+    pub(super) fn of_read(e: &EditError) -> Self {
+        let kind = match e {
+            EditError::NoSuchNode { .. } => ErrorKind::NotFound,
+            EditError::NotHere { .. } => ErrorKind::BadRequest,
+            _ => e.kind(),
+        };
+        Self::new(kind, e.to_string())
+    }
+
+    /// The answer, with the id of the request that it is for.
+    pub(super) fn response(
+        &self,
+        request_id: &str,
+    ) -> HttpResponse {
+        let refusal = Refusal::new(self.kind);
+        let mut response = HttpResponse::build(self.status_code());
+        if let Some(secs) = refusal.retry_after_secs() {
+            response.insert_header((header::RETRY_AFTER, secs));
+        }
+        response.json(ErrorBody::new(
+            refusal,
+            self.message.clone(),
+            self.conflicts.clone(),
+            request_id.to_owned(),
+        ))
+    }
+}
+
+impl ResponseError for ApiError {
+    fn status_code(&self) -> StatusCode {
+        StatusCode::from_u16(self.kind.answer().status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
+    }
+
+    fn error_response(&self) -> HttpResponse {
+        self.response("")
+    }
+}
+
+impl From<ErrorKind> for ApiError {
+    fn from(kind: ErrorKind) -> Self {
+        Self::new(kind, kind.message().to_owned())
+    }
+}
+
+impl From<EditError> for ApiError {
+    fn from(e: EditError) -> Self {
+        Self {
+            kind: e.kind(),
+            message: e.to_string(),
+            conflicts: e.conflicts().to_vec(),
+        }
+    }
+}
+
+impl From<SubmitError> for ApiError {
+    fn from(e: SubmitError) -> Self {
+        match e {
+            SubmitError::Refused(e) => Self::from(e),
+            SubmitError::Failed(kind) => Self::from(kind),
+        }
+    }
+}
+
+impl From<actix::MailboxError> for ApiError {
+    /// The rest of the controller is gone or about to be.
+    fn from(_: actix::MailboxError) -> Self {
+        Self::from(ErrorKind::ShuttingDown)
+    }
+}
