--- a/crates/gateway/src/brain/actor.rs
+++ b/crates/gateway/src/brain/actor.rs
@@ -37,8 +37,6 @@
         &mut self,
         cx: &mut Self::Context,
     ) {
-        // Workers may not be held up by a full mailbox: their number of requests is bounded already.
-        cx.set_mailbox_capacity(usize::MAX);
         polls::start(&self.core);
         if let Some(listener) = self.peers.take() {
             let server: gateway::Client =
--- a/crates/gateway/src/forward/driver.rs
+++ b/crates/gateway/src/forward/driver.rs
@@ -117,6 +117,8 @@
     lease: Lease,
     doing: Doing,
     attempt: Attempt,
+    /// The id under which the upstream knows the request, also when its stream is resumed.
+    sent_as: String,
     routed: Option<Routed>,
     stream: Option<String>,
     chunk: Option<Chunk>,
@@ -162,6 +164,7 @@
             lease,
             doing: Doing::Routing(routing),
             attempt: Attempt(1),
+            sent_as: String::new(),
             routed: None,
             stream: None,
             chunk: None,
@@ -297,7 +300,7 @@
         self.stream = stream.or(self.stream.take());
         self.doing = match &self.outbound {
             Outbound::Completion(_) => {
-                Doing::Reading(Box::new(Reading::new(response, self.attempt_id())))
+                Doing::Reading(Box::new(Reading::new(response, self.sent_as.clone())))
             }
             Outbound::Service(req) => {
                 Doing::Collecting(Box::pin(collect(response, req.method.clone())))
@@ -367,6 +370,7 @@
             return;
         };
         let request_id = self.attempt_id();
+        self.sent_as.clone_from(&request_id);
         let headers = AttemptHeaders {
             request_id: &request_id,
             account: &self.cx.account,
@@ -410,10 +414,10 @@
         let target = format!("/v1/streams/{stream}?offset={offset}");
         let address = routed.address;
         let expected = Expected {
-            request_id: self.attempt_id(),
+            request_id: self.sent_as.clone(),
             weights: routed.weights.clone(),
         };
-        let headers = self.resume_headers(&expected.request_id);
+        let headers = self.stream_headers();
         let connections = Rc::clone(&self.cx.connections);
         self.doing = Doing::Heading(Box::pin(async move {
             let sent = connections
@@ -423,12 +427,9 @@
         }));
     }
 
-    fn resume_headers(
-        &self,
-        request_id: &str,
-    ) -> HeaderMap {
+    fn stream_headers(&self) -> HeaderMap {
         AttemptHeaders {
-            request_id,
+            request_id: &self.sent_as,
             account: &self.cx.account,
             priority: self.cx.priority,
             left: self.plan.deadline.since(self.cx.clock.now()),
@@ -443,7 +444,7 @@
         };
         let target = format!("/v1/streams/{stream}");
         let address = routed.address;
-        let headers = self.resume_headers(&self.attempt_id());
+        let headers = self.stream_headers();
         let connections = Rc::clone(&self.cx.connections);
         actix_rt::spawn(async move {
             let cancel = connections.send(
--- /dev/null
+++ b/crates/gateway/tests/gateway/bad_input.rs
@@ -0,0 +1,222 @@
+//! Bad input: each gets a clear error and takes nothing else down.
+
+use {
+    crate::support::{self, Bench, BenchSpec, KEY},
+    awc::http::Method,
+    serde_json::json,
+    std::{
+        io::{Read, Write},
+        net::TcpStream,
+        time::Duration,
+    },
+};
+
+fn small() -> BenchSpec {
+    BenchSpec {
+        limits: json!({
+            "max_body_bytes": 2048, "max_header_bytes": 2048, "request_read_ms": 400,
+            "max_in_flight": 4,
+        }),
+        ..BenchSpec::default()
+    }
+}
+
+#[actix_rt::test]
+async fn wrong_requests() {
+    let bench = Bench::start(small()).await;
+    let chat = |body| bench.call(Method::POST, "/v1/chat/completions").body(body);
+    let one = json!([{"role": "user", "content": "hi"}]);
+    let cases = [
+        (chat(json!([])), 400, "bad_request"),
+        (chat(json!({"messages": one})), 400, "bad_request"),
+        (
+            chat(json!({"model": "base", "messages": []})),
+            400,
+            "bad_request",
+        ),
+        (
+            chat(json!({"model": "base", "messages": one, "max_tokens": 0})),
+            400,
+            "bad_request",
+        ),
+        (
+            chat(json!({"model": "base", "messages": one, "n": 2})),
+            400,
+            "bad_request",
+        ),
+        (
+            chat(json!({"model": "nobody", "messages": one})),
+            404,
+            "model_not_found",
+        ),
+        (
+            chat(json!({"model": "notes@9", "messages": one})),
+            404,
+            "model_not_found",
+        ),
+        (
+            chat(
+                json!({"model": "base", "messages": [{"role": "user", "content": "x".repeat(4000)}]}),
+            ),
+            413,
+            "body_too_large",
+        ),
+        (
+            bench
+                .chat("base", "hi", 4, false)
+                .header("x-deadline-ms", "soon"),
+            400,
+            "bad_request",
+        ),
+        (
+            bench
+                .chat("base", "hi", 4, false)
+                .header("x-priority", "highest"),
+            400,
+            "bad_request",
+        ),
+        (
+            bench
+                .chat("base", "hi", 4, false)
+                .header("x-pad", &"x".repeat(4000)),
+            431,
+            "headers_too_large",
+        ),
+        (
+            bench.chat("base", "hi", 1_000_001, false),
+            400,
+            "larger_than_burst",
+        ),
+        (bench.call(Method::GET, "/v1/nothing"), 404, "not_found"),
+        (
+            bench.call(Method::GET, "/services/nobody/x"),
+            404,
+            "service_not_found",
+        ),
+        (
+            bench.call(Method::DELETE, "/services/phones/phones/17"),
+            404,
+            "service_not_found",
+        ),
+        (
+            bench.call(Method::GET, "/services/phones/phones/%2e%2e"),
+            400,
+            "bad_request",
+        ),
+        (
+            bench.call(Method::GET, "/services/phones/phones/a%2fb"),
+            400,
+            "bad_request",
+        ),
+    ];
+    for (call, status, code) in cases {
+        let answer = support::answer(&call).await;
+        assert_eq!((answer.status, answer.code()), (status, code), "{call:?}");
+        assert!(!answer.header("x-request-id").is_empty());
+        assert_eq!(answer.json["error"]["execution"], "not_run");
+    }
+    let good = support::answer(&bench.chat("base", "hi", 4, false)).await;
+    assert!(good.is_whole(), "{good:?}");
+}
+
+#[actix_rt::test]
+async fn slow_senders() {
+    // Callers on bad lines send the head and then hardly anything. Each holds a place; together they
+    // would keep everybody else out.
+    let bench = Bench::start(small()).await;
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n\
+         content-length: 100\r\n\r\n{{"
+    );
+    let mut slow: Vec<_> = (0..4)
+        .map(|_| {
+            let mut stream = TcpStream::connect(bench.gateway.port("callers")).expect("connected");
+            stream.write_all(head.as_bytes()).expect("sent");
+            stream
+        })
+        .collect();
+    let full = || async {
+        let answer = support::answer(&bench.chat("base", "hi", 4, false)).await;
+        (answer.code() == "queue_full")
+            .then_some(())
+            .ok_or(answer.code().to_owned())
+    };
+    jasmine_testkit::harness::poll("full", Duration::from_millis(350), full)
+        .await
+        .expect("full");
+    let free = || async {
+        let answer = support::answer(&bench.chat("base", "hi", 4, false)).await;
+        answer
+            .is_whole()
+            .then_some(())
+            .ok_or(answer.code().to_owned())
+    };
+    jasmine_testkit::harness::poll("free", Duration::from_secs(2), free)
+        .await
+        .expect("free");
+    let mut text = String::new();
+    slow[0]
+        .set_read_timeout(Some(Duration::from_secs(2)))
+        .expect("a socket");
+    let mut buf = [0; 2048];
+    while let Ok(n) = slow[0].read(&mut buf) {
+        text += &String::from_utf8_lossy(&buf[..n]);
+        if n == 0 || text.contains("slow_sender") {
+            break;
+        }
+    }
+    assert!(
+        text.starts_with("HTTP/1.1 408") && text.contains("slow_sender"),
+        "{text}"
+    );
+}
+
+#[actix_rt::test]
+async fn rate_used_up() {
+    // An account sends more than its rate. What is over has to be refused at once, with the time after
+    // which it will be served.
+    let bench = Bench::start(BenchSpec {
+        rate: 500,
+        burst: 500,
+        ..BenchSpec::default()
+    })
+    .await;
+    let call = bench.chat("base", "hello", 200, false);
+    let answers = futures::future::join_all((0..6).map(|_| support::answer(&call))).await;
+    let refused: Vec<_> = answers.iter().filter(|answer| !answer.is_whole()).collect();
+    assert!(!refused.is_empty());
+    for answer in refused {
+        assert_eq!((answer.status, answer.code()), (429, "rate_limited"));
+        assert!(!answer.header("retry-after").is_empty());
+        assert!(
+            answer.took < Duration::from_millis(900),
+            "{:?}",
+            answer.took
+        );
+    }
+}
+
+#[actix_rt::test]
+async fn slow_reader() {
+    // A caller asks for a long answer and doesn't read it. What piles up for it must be bounded.
+    let mut spec = BenchSpec::default();
+    spec.engine.step_us = 100;
+    let bench = Bench::start(spec).await;
+    let body =
+        json!({"model": "base", "prompt": "x", "max_tokens": 64, "stream": true}).to_string();
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n\
+         x-deadline-ms: 800\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let mut idle: Vec<_> = (0..50)
+        .map(|_| {
+            let mut stream = TcpStream::connect(bench.gateway.port("callers")).expect("connected");
+            stream.write_all(head.as_bytes()).expect("sent");
+            stream
+        })
+        .collect();
+    let answer = support::answer(&bench.chat("base", "hi", 4, false)).await;
+    assert!(answer.is_whole(), "{answer:?}");
+    idle.clear();
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/broken_streams.rs
@@ -0,0 +1,177 @@
+//! Streams that break off, go silent, cross or lose their engine.
+
+use {
+    crate::support::{self, Bench, BenchSpec},
+    jasmine_testkit::{
+        client::EndOfStream,
+        engine::{Ended, answer as expected},
+        proxy::{Fault, Link},
+    },
+    serde_json::json,
+    std::time::Duration,
+};
+
+/// Long enough an answer for things to happen in the middle of it.
+const PROMPT: &str = "a long tale";
+
+fn whole_text() -> String {
+    expected("", &format!("user: {PROMPT}\n"), 64).concat()
+}
+
+fn slow() -> BenchSpec {
+    let mut spec = BenchSpec::default();
+    spec.engine.step_us = 30_000;
+    spec
+}
+
+#[actix_rt::test]
+async fn cut_connections() {
+    // An engine's host resets each connection after a few tokens, as an overloaded balancer does. A
+    // caller would see its answer end in the middle of a sentence.
+    let bench = Bench::start(BenchSpec::default()).await;
+    for engine in 0..2 {
+        bench
+            .engine_fault(engine, json!({"cut_streams_after": 3}))
+            .await;
+    }
+    for stream in [true, false] {
+        let answer = support::answer(&bench.chat("base", PROMPT, 64, stream)).await;
+        assert!(answer.is_whole(), "{answer:?}");
+        assert_eq!(answer.text, whole_text());
+    }
+}
+
+#[actix_rt::test]
+async fn silent_connections() {
+    // Something between gateway and engine loses track of the open connections: nothing arrives on
+    // them any more, no error either, while new ones work. A caller would wait for ever.
+    let bench = Bench::start(slow()).await;
+    for stream in [true, false] {
+        let call = bench.chat("base", PROMPT, 64, stream);
+        let silence = async {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            for link in &bench.engine_links {
+                link.set_mode(Fault::Silent);
+            }
+        };
+        let (answer, ()) = futures::future::join(support::answer(&call), silence).await;
+        assert!(answer.is_whole(), "{answer:?}");
+        assert_eq!(answer.text, whole_text());
+        assert!(answer.took < Duration::from_secs(8), "{:?}", answer.took);
+    }
+    // Resumed, not run anew.
+    let ran = bench.record(0).await.requests.len() + bench.record(1).await.requests.len();
+    assert_eq!(ran, 2);
+}
+
+#[actix_rt::test]
+async fn crossed_answers() {
+    // An engine's front end hands out the answer of another request. The caller would read another
+    // client account's text.
+    let bench = Bench::start(BenchSpec::default()).await;
+    for stream in [true, false] {
+        for engine in 0..2 {
+            bench
+                .engine_fault(engine, json!({"crossed_answers": 1}))
+                .await;
+        }
+        let answer = support::answer(&bench.chat("base", PROMPT, 64, stream)).await;
+        assert!(answer.is_whole(), "{answer:?}");
+        assert_eq!(answer.text, whole_text());
+    }
+}
+
+#[actix_rt::test]
+async fn engine_restart() {
+    // An engine restarts cold in the middle of an answer; its streams are gone with it. A streamed
+    // answer can't be made whole any more, and must not look as if it were; one that was to
+    // come in one piece is run anew elsewhere.
+    let bench = Bench::start(slow()).await;
+    for stream in [true, false] {
+        let call = bench.chat("base", PROMPT, 64, stream);
+        let restart = async {
+            tokio::time::sleep(Duration::from_millis(400)).await;
+            for engine in 0..2 {
+                bench.engine_fault(engine, json!({"restart": true})).await;
+            }
+        };
+        let (answer, ()) = futures::future::join(support::answer(&call), restart).await;
+        if stream {
+            assert_eq!(answer.end, EndOfStream::Error("answer_cut".to_owned()));
+            assert!(whole_text().starts_with(&answer.text) && !answer.text.is_empty());
+        } else {
+            assert!(answer.is_whole(), "{answer:?}");
+            assert_eq!(answer.text, whole_text());
+        }
+    }
+}
+
+#[actix_rt::test]
+async fn adapter_gone() {
+    // An engine restarts and has lost its adapters, and the gateway has not heard of it yet. A request
+    // for one of them must neither fail nor run on other weights.
+    let bench = Bench::start(BenchSpec::default()).await;
+    let call = bench.chat("notes", PROMPT, 32, true);
+    assert!(support::answer(&call).await.is_whole());
+    for engine in 0..2 {
+        bench.engine_fault(engine, json!({"restart": true})).await;
+    }
+    let answer = support::answer(&call).await;
+    assert!(answer.is_whole(), "{answer:?}");
+    let prompt = format!("user: {PROMPT}\n");
+    assert_eq!(answer.text, expected("notes-v1", &prompt, 32).concat());
+    assert_eq!(bench.controller.told().loads.len(), 2);
+}
+
+#[actix_rt::test]
+async fn engine_unreachable() {
+    // One engine's host is down: connections to it are refused. Its part of the requests would fail.
+    let mut bench = Bench::start(BenchSpec::default()).await;
+    bench.engine_links.remove(0);
+    for _ in 0..6 {
+        let answer = support::answer(&bench.chat("base", PROMPT, 16, true)).await;
+        assert!(answer.is_whole(), "{answer:?}");
+    }
+}
+
+#[actix_rt::test]
+async fn caller_gone() {
+    // A caller closes its connection in the middle of an answer. The engine would go on for nobody.
+    let bench = Bench::start(slow()).await;
+    let call = bench.chat("base", PROMPT, 64, true);
+    let early = tokio::time::timeout(Duration::from_millis(400), call.send()).await;
+    assert!(early.is_err());
+    let cancelled = || async {
+        let mut ran = bench.record(0).await.requests;
+        ran.extend(bench.record(1).await.requests);
+        let ended = ran.first().and_then(|ran| ran.ended);
+        (ended == Some(Ended::Cancelled))
+            .then_some(())
+            .ok_or(format!("{ended:?}"))
+    };
+    jasmine_testkit::harness::poll("cancelled", Duration::from_secs(3), cancelled)
+        .await
+        .expect("a cancelled stream");
+}
+
+#[actix_rt::test]
+async fn short_body() {
+    // A server of a plain service dies while it writes its answer. awc takes the closed connection for the
+    // end of the body: a caller would read half a confirmation as if it were whole.
+    let bench = Bench::start(BenchSpec::default()).await;
+    for link in &bench.server_links {
+        // The head passes, the body doesn't.
+        let mut short = Link::default();
+        short.close_after = Some(150);
+        link.set(short);
+    }
+    let enrol = bench
+        .call(
+            awc::http::Method::POST,
+            "/services/phones/phones/17/enrolment",
+        )
+        .body(json!({}));
+    let answer = support::answer(&enrol).await;
+    assert_eq!(answer.code(), "upstream_lost", "{answer:?}");
+    assert_eq!(answer.json["error"]["execution"], "outcome_unknown");
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/caller_keys.rs
@@ -0,0 +1,155 @@
+//! Keys: unknown, withdrawn, and never shown to an upstream.
+
+use {
+    crate::support::{self, Bench, BenchSpec, KEY},
+    awc::http::Method,
+    jasmine_testkit::client::{Call, EndOfStream},
+    serde_json::json,
+    std::time::{Duration, Instant},
+};
+
+#[actix_rt::test]
+async fn unknown_keys() {
+    let bench = Bench::start(BenchSpec::default()).await;
+    let port = bench.gateway.port("callers");
+    let cases = [
+        (None, "key_missing"),
+        (Some("Bearer"), "key_missing"),
+        (Some("Bearer short"), "key_missing"),
+        (Some("Basic Y2xpbmljOmtleQ=="), "key_missing"),
+        (Some("Bearer nobody-ever-issued-this"), "key_unknown"),
+    ];
+    for (value, code) in cases {
+        let mut call = Call::new(port, Method::GET, "/v1/models");
+        if let Some(value) = value {
+            call = call.header("authorization", value);
+        }
+        let answer = support::answer(&call).await;
+        assert_eq!((answer.status, answer.code()), (401, code));
+        assert_eq!(
+            answer.json["error"]["request_id"],
+            answer.header("x-request-id")
+        );
+    }
+}
+
+#[actix_rt::test]
+async fn withdrawn_midway() {
+    // An operator withdraws a key whose holder is reading an answer. Whoever has the key would
+    // otherwise go on getting work done with it.
+    let mut spec = BenchSpec::default();
+    spec.engine.step_us = 50_000;
+    let bench = Bench::start(spec).await;
+    let withdrawal = async {
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        bench.controller.edit(json!([
+            {"op": "set", "path": "/accounts/clinic/first", "setting": "withdrawn", "value": true},
+        ]));
+        Instant::now()
+    };
+    let call = bench.chat("base", "a long tale", 64, true);
+    let (answer, withdrawn) = futures::future::join(call.send(), withdrawal).await;
+    let answer = answer.expect("an answer");
+    let took = withdrawn.elapsed();
+    assert_eq!(
+        answer.end,
+        EndOfStream::Error("key_withdrawn_midway".to_owned())
+    );
+    assert!(!answer.text.is_empty());
+    assert!(took < Duration::from_secs(2), "{took:?}");
+    println!("withdrawn key's stream ended after {took:?}");
+    let again = support::answer(&call).await;
+    assert_eq!((again.status, again.code()), (401, "key_withdrawn"));
+}
+
+#[actix_rt::test]
+async fn key_in_request() {
+    // A careless client puts its key into other places too. An upstream, its logs and whoever reads
+    // those would have it.
+    let bench = Bench::start(BenchSpec::default()).await;
+    let port = bench.gateway.port("callers");
+    let escaped = KEY.replace('c', "%63");
+    let refused = [
+        bench.chat("base", &format!("my key is {KEY}, thanks"), 8, false),
+        bench.call(Method::GET, &format!("/services/phones/phones/{KEY}")),
+        bench.call(
+            Method::GET,
+            &format!("/services/phones/phones/17?key={KEY}"),
+        ),
+        bench.call(
+            Method::GET,
+            &format!("/services/phones/phones/17?key={escaped}"),
+        ),
+        bench
+            .call(Method::GET, "/services/phones/phones/17")
+            .header("accept-language", KEY),
+        bench
+            .call(Method::POST, "/services/phones/phones/17/enrolment")
+            .body(json!({"token": KEY})),
+        bench
+            .call(Method::POST, "/services/phones/phones/17/enrolment")
+            .header("idempotency-key", KEY),
+    ];
+    for call in refused {
+        let answer = support::answer(&call).await;
+        assert_eq!(
+            (answer.status, answer.code()),
+            (400, "bad_request"),
+            "{call:?}"
+        );
+    }
+    let unescaped = format!(
+        r#"{{"model":"base","prompt":"\u00{:02x}{}"}}"#,
+        KEY.as_bytes()[0],
+        &KEY[1..]
+    );
+    let answer = awc::Client::default()
+        .post(format!("http://{port}/v1/completions"))
+        .insert_header(("authorization", format!("Bearer {KEY}")))
+        .send_body(unescaped)
+        .await
+        .expect("an answer");
+    assert_eq!(answer.status().as_u16(), 400);
+    // What does go on holds it nowhere, whatever else the caller's headers say.
+    let allowed = [
+        bench.chat("base", "hello", 8, true),
+        bench.call(Method::GET, "/services/phones/phones/17"),
+    ];
+    for call in allowed {
+        let call = call
+            .header("x-request-id", KEY)
+            .header("x-api-key", KEY)
+            .header("cookie", &format!("key={KEY}"));
+        let answer = support::answer(&call).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+        assert_ne!(answer.header("x-request-id"), KEY);
+    }
+    let mut seen = format!("{:?}", bench.served().await);
+    for engine in 0..2 {
+        seen.extend(bench.record(engine).await.seen);
+    }
+    assert!(seen.contains("clinic"));
+    assert!(!seen.contains(KEY));
+    let log = bench.gateway.lines().join("\n");
+    assert!(log.contains("event=request") && !log.contains(KEY) && !log.contains("hello"));
+}
+
+#[actix_rt::test]
+async fn closed_adapters() {
+    let bench = Bench::start(BenchSpec::default()).await;
+    bench.controller.edit(json!([
+        {"op": "set", "path": "/adapters/notes", "setting": "access", "value": ["courier"]},
+    ]));
+    let call = bench.chat("notes", "hello", 8, false);
+    let look = || async {
+        let answer = support::answer(&call).await;
+        (answer.status == 403)
+            .then_some(())
+            .ok_or(format!("{answer:?}"))
+    };
+    jasmine_testkit::harness::poll("not permitted", Duration::from_secs(3), look)
+        .await
+        .expect("a refusal");
+    let models = support::answer(&bench.call(Method::GET, "/v1/models")).await;
+    assert_eq!(models.json["data"].as_array().map(Vec::len), Some(1));
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/idempotency_keys.rs
@@ -0,0 +1,129 @@
+//! `Idempotency-Key`: the answer of the first run, and what an outage of the store does.
+
+use {
+    crate::support::{self, Bench, BenchSpec},
+    awc::http::Method,
+    jasmine_testkit::client::Call,
+    serde_json::json,
+    std::time::Duration,
+};
+
+fn enrol(
+    bench: &Bench,
+    key: &str,
+    profile: &str,
+) -> Call {
+    bench
+        .call(Method::POST, "/services/phones/phones/17/enrolment")
+        .header("idempotency-key", key)
+        .header("x-deadline-ms", "2000")
+        .body(json!({"profile": profile}))
+}
+
+#[actix_rt::test]
+async fn repeated_calls() {
+    // A caller's connection drops after its enrolment ran. It sends the call again; run twice, the
+    // phone would be wiped in the middle of a shift.
+    let bench = Bench::start(BenchSpec::default()).await;
+    let first = support::answer(&enrol(&bench, "a-1", "field")).await;
+    assert_eq!(first.status, 200);
+    let again = || async {
+        let answer = support::answer(&enrol(&bench, "\"a-1\"", "field")).await;
+        (answer.status == 200)
+            .then_some(answer.clone())
+            .ok_or(format!("{answer:?}"))
+    };
+    let (_, again) = jasmine_testkit::harness::poll("answer", Duration::from_secs(3), again)
+        .await
+        .expect("an answer");
+    assert_eq!(again.json, first.json);
+    assert_eq!(again.header("idempotency-replayed"), "true");
+    let other = support::answer(&enrol(&bench, "a-1", "office")).await;
+    assert_eq!((other.status, other.code()), (422, "claim_mismatch"));
+    assert_eq!(bench.served().await.len(), 1);
+}
+
+#[actix_rt::test]
+async fn repeated_at_once() {
+    // Two copies of one call arrive at the same moment. Only one may run.
+    let bench = Bench::start(BenchSpec::default()).await;
+    bench.server_fault(json!({"delay_ms": 300})).await;
+    let call = enrol(&bench, "b-1", "field");
+    let answers = futures::future::join_all((0..8).map(|_| support::answer(&call))).await;
+    let ran = answers.iter().filter(|answer| answer.status == 200).count();
+    let running = answers
+        .iter()
+        .filter(|answer| answer.code() == "claim_running")
+        .count();
+    assert_eq!((ran, running), (1, 7));
+    assert_eq!(bench.served().await.len(), 1);
+}
+
+#[actix_rt::test]
+async fn caller_lost() {
+    // The caller's line breaks while the service works. The call goes on, and its answer is there when
+    // the caller asks again.
+    let bench = Bench::start(BenchSpec::default()).await;
+    bench.server_fault(json!({"delay_ms": 600})).await;
+    let call = enrol(&bench, "c-1", "field");
+    assert!(
+        tokio::time::timeout(Duration::from_millis(200), call.send())
+            .await
+            .is_err()
+    );
+    let look = || async {
+        let answer = support::answer(&call).await;
+        (answer.status == 200)
+            .then_some(())
+            .ok_or(format!("{answer:?}"))
+    };
+    jasmine_testkit::harness::poll("answer", Duration::from_secs(4), look)
+        .await
+        .expect("the first run's answer");
+    assert_eq!(bench.served().await.len(), 1);
+}
+
+#[actix_rt::test]
+async fn store_out() {
+    // The store is out. Run without a record, the call could run again when its caller repeats it.
+    let bench = Bench::start(BenchSpec::default()).await;
+    bench.controller.told().claims = false;
+    let answer = support::answer(&enrol(&bench, "d-1", "field")).await;
+    assert_eq!(answer.code(), "claim_unavailable");
+    assert_eq!(answer.json["error"]["execution"], "not_run");
+    assert_eq!(answer.header("retry-after"), "5");
+    assert_eq!(bench.served().await.len(), 0);
+    let status = bench.call(Method::GET, "/services/phones/phones/17");
+    assert_eq!(support::answer(&status).await.status, 200);
+}
+
+#[actix_rt::test]
+async fn not_run_given_back() {
+    // No server can be reached, so nothing ran and the caller is told so. When it comes back with the
+    // same key, "a call is running" would be wrong for as long as claims are kept.
+    let mut bench = Bench::start(BenchSpec::default()).await;
+    bench.server_links.clear();
+    let answer = support::answer(&enrol(&bench, "e-1", "field")).await;
+    assert_eq!(answer.json["error"]["execution"], "not_run", "{answer:?}");
+    let given_back = || async {
+        let open = bench.controller.told().claimed.len();
+        (open == 0).then_some(()).ok_or(format!("{open}"))
+    };
+    jasmine_testkit::harness::poll("given back", Duration::from_secs(2), given_back)
+        .await
+        .expect("no claim left");
+}
+
+#[actix_rt::test]
+async fn unknown_outcome() {
+    // The service took the call and its answer was lost. A repeat must not run, and must not be told
+    // that nothing did.
+    let bench = Bench::start(BenchSpec::default()).await;
+    bench.server_fault(json!({"lose_replies": 1})).await;
+    let call = enrol(&bench, "f-1", "field");
+    assert_eq!(support::answer(&call).await.code(), "upstream_lost");
+    let again = support::answer(&call).await;
+    assert_eq!(again.code(), "claim_running");
+    assert_eq!(again.json["error"]["execution"], "outcome_unknown");
+    assert_eq!(bench.served().await.len(), 1);
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/planned_stop.rs
@@ -0,0 +1,71 @@
+//! A planned stop: nothing cut, rights given back, gone before the deadline.
+
+use {
+    crate::support::{self, Bench, BenchSpec},
+    nix::sys::signal::Signal,
+    std::time::{Duration, Instant},
+};
+
+async fn ended(bench: &mut Bench) -> bool {
+    for _ in 0..400 {
+        if let Some(status) = bench.gateway.ended() {
+            return status.success();
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    false
+}
+
+#[actix_rt::test]
+async fn streams_finish() {
+    // A VM is replaced while callers read their answers. Cut off, each would have to ask again; without
+    // the rights it held, the others would refuse what is within the accounts' rate.
+    let mut spec = BenchSpec::default();
+    spec.engine.step_us = 20_000;
+    let mut bench = Bench::start(spec).await;
+    let call = bench.chat("base", "a long tale", 64, true);
+    let stop = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        assert!(bench.gateway.signal(Signal::SIGTERM));
+        bench.wait_ready(false).await;
+        let early = support::answer(&bench.chat("base", "hello", 4, false)).await;
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        let late = support::answer(&bench.chat("base", "hello", 4, false)).await;
+        (early, late)
+    };
+    let (answer, (early, late)) = futures::future::join(support::answer(&call), stop).await;
+    assert!(answer.is_whole(), "{answer:?}");
+    assert!(early.is_whole(), "{early:?}");
+    assert_eq!(late.code(), "shutting_down");
+    assert_eq!(late.json["error"]["execution"], "not_run");
+    assert!(ended(&mut bench).await);
+    assert_eq!(bench.controller.told().given_back.len(), 2);
+}
+
+#[actix_rt::test]
+async fn before_deadline() {
+    // A stream would go on for longer than the stop may take. The process must be gone by its
+    // deadline all the same, or it is killed with its rights; the caller must not take what it has for whole.
+    let mut spec = BenchSpec {
+        stop: (50, 1_500),
+        ..BenchSpec::default()
+    };
+    spec.engine.step_us = 200_000;
+    let mut bench = Bench::start(spec).await;
+    let call = bench.chat("base", "a long tale", 64, true);
+    let stop = async {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let began = Instant::now();
+        assert!(bench.gateway.signal(Signal::SIGTERM));
+        began
+    };
+    let (answer, began) = futures::future::join(call.send(), stop).await;
+    assert!(answer.is_ok_and(|answer| !answer.is_whole()));
+    assert!(ended(&mut bench).await);
+    assert!(
+        began.elapsed() < Duration::from_millis(1_700),
+        "{:?}",
+        began.elapsed()
+    );
+    assert_eq!(bench.controller.told().given_back.len(), 2);
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/support/bench.rs
@@ -0,0 +1,333 @@
+use {
+    super::fake_controller::{FakeController, Told, edit},
+    jasmine_conf::{fleet::KeyDigest, hex, tree::Tree},
+    jasmine_testkit::{
+        Running,
+        client::{Answer, Call, get_json, post_json},
+        engine::{self, EngineRecord, EngineSettings},
+        harness::{Daemon, poll},
+        proxy::Proxy,
+        service::{self, ServedCall},
+    },
+    serde_json::{Value, json},
+    std::{
+        fs,
+        net::SocketAddr,
+        path::PathBuf,
+        sync::atomic::{AtomicU32, Ordering},
+        time::Duration,
+    },
+};
+
+/// The key of the account `clinic`.
+pub const KEY: &str = "clinic-key-0123456789abcdef";
+/// The key of the account `courier`.
+pub const OTHER_KEY: &str = "courier-key-0123456789abcdef";
+
+/// What a bench is made of.
+#[derive(Clone, Debug)]
+pub struct BenchSpec {
+    /// Engines.
+    pub engines: u32,
+    /// Each engine's behaviour.
+    pub engine: EngineSettings,
+    /// Servers of the service `phones`.
+    pub servers: u32,
+    /// Tokens a second of each account.
+    pub rate: u64,
+    /// Tokens at once of each account.
+    pub burst: u64,
+    /// The gateway's limits, as in its settings.
+    pub limits: Value,
+    /// How old its configuration may become.
+    pub config_stale_ms: u64,
+    /// Milliseconds of its planned stop: until admission ends, until the end.
+    pub stop: (u64, u64),
+}
+
+impl Default for BenchSpec {
+    fn default() -> Self {
+        Self {
+            engines: 2,
+            engine: EngineSettings {
+                step_us: 2_000,
+                step_per_request_us: 50,
+                step_per_adapter_us: 50,
+                ..EngineSettings::default()
+            },
+            servers: 2,
+            rate: 1_000_000,
+            burst: 1_000_000,
+            limits: json!({}),
+            config_stale_ms: 10_000,
+            stop: (100, 5_000),
+        }
+    }
+}
+
+/// A gateway with all that it needs.
+#[derive(Debug)]
+pub struct Bench {
+    /// The gateway process.
+    pub gateway: Daemon,
+    /// Its controller.
+    pub controller: FakeController,
+    /// Links to the engines.
+    pub engine_links: Vec<Proxy>,
+    /// Links to the servers.
+    pub server_links: Vec<Proxy>,
+    engines: Vec<Running>,
+    servers: Vec<Running>,
+    settings: PathBuf,
+}
+
+impl Drop for Bench {
+    fn drop(&mut self) {
+        drop(fs::remove_file(&self.settings));
+    }
+}
+
+impl Bench {
+    /// Starts all of it and waits until the gateway is ready.
+    pub async fn start(spec: BenchSpec) -> Self {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let engines: Vec<_> = (0..spec.engines)
+            .map(|_| engine::start(any, spec.engine.clone()).expect("an engine"))
+            .collect();
+        let servers: Vec<_> = (0..spec.servers)
+            .map(|_| service::start(any).expect("a service"))
+            .collect();
+        let link = |running: &Running| Proxy::start(any, running.address()).expect("a proxy");
+        let engine_links: Vec<_> = engines.iter().map(link).collect();
+        let server_links: Vec<_> = servers.iter().map(link).collect();
+        let mut tree = Tree::default();
+        edit(&mut tree, first_ops(&spec, &engine_links, &server_links));
+        let fleet = tree.resolve();
+        let reached = |name: &str| fleet.upstreams.iter().find(|known| known.name == name);
+        let owned = (1..=spec.engines).zip(&engines).map(|(n, engine)| {
+            let known = reached(&format!("engine-{n}")).expect("in the tree");
+            (known.id.0, engine.address())
+        });
+        let controller = FakeController::start(Told {
+            engines: owned.collect(),
+            tree,
+            fresh_ms: Some(0),
+            claims: true,
+            boot: 1,
+            ..Told::default()
+        });
+        let settings = write_settings(&spec, controller.address);
+        let gateway = Daemon::start("jasmine-gateway", &settings).expect("a gateway");
+        let bench = Self {
+            gateway,
+            controller,
+            engine_links,
+            server_links,
+            engines,
+            servers,
+            settings,
+        };
+        bench.wait_ready(true).await;
+        bench
+    }
+
+    /// Waits until the gateway says that it is ready, or that it isn't.
+    pub async fn wait_ready(
+        &self,
+        wanted: bool,
+    ) {
+        let status = self.gateway.port("status");
+        let look = || async move {
+            let answer = Call::new(status, awc::http::Method::GET, "/readyz")
+                .send()
+                .await;
+            let ready = answer.is_ok_and(|answer| answer.status == 200);
+            (ready == wanted)
+                .then_some(())
+                .ok_or_else(|| format!("ready={ready}"))
+        };
+        poll("readiness", Duration::from_secs(15), look)
+            .await
+            .expect("readiness");
+    }
+
+    /// A streamed or whole chat.
+    pub fn chat(
+        &self,
+        model: &str,
+        prompt: &str,
+        max_tokens: u32,
+        stream: bool,
+    ) -> Call {
+        Call::chat(
+            self.gateway.port("callers"),
+            KEY,
+            model,
+            prompt,
+            max_tokens,
+            stream,
+        )
+    }
+
+    /// A call with a key.
+    pub fn call(
+        &self,
+        method: awc::http::Method,
+        path: &str,
+    ) -> Call {
+        Call::new(self.gateway.port("callers"), method, path).key(KEY)
+    }
+
+    /// What an engine remembers.
+    pub async fn record(
+        &self,
+        engine: usize,
+    ) -> EngineRecord {
+        let record = get_json(self.engines[engine].address(), "/stand-in/record").await;
+        serde_json::from_value(record.expect("an engine")).expect("a record")
+    }
+
+    /// All calls that took effect at any server.
+    pub async fn served(&self) -> Vec<ServedCall> {
+        let mut all = Vec::new();
+        for server in &self.servers {
+            let record = get_json(server.address(), "/stand-in/record").await;
+            let calls: Vec<ServedCall> =
+                serde_json::from_value(record.expect("a server")).expect("a record");
+            all.extend(calls);
+        }
+        all
+    }
+
+    /// Makes engines faulty, or sound with `{}`.
+    pub async fn engine_fault(
+        &self,
+        engine: usize,
+        faults: Value,
+    ) {
+        post_json(self.engines[engine].address(), "/stand-in/fault", faults)
+            .await
+            .expect("an engine");
+    }
+
+    /// Makes servers faulty, or sound with `{}`.
+    pub async fn server_fault(
+        &self,
+        faults: Value,
+    ) {
+        for server in &self.servers {
+            post_json(server.address(), "/stand-in/fault", faults.clone())
+                .await
+                .expect("a server");
+        }
+    }
+}
+
+/// Sends a call that has to be answered.
+pub async fn answer(call: &Call) -> Answer {
+    call.send().await.expect("an answer")
+}
+
+fn write_settings(
+    spec: &BenchSpec,
+    controller: SocketAddr,
+) -> PathBuf {
+    static COUNT: AtomicU32 = AtomicU32::new(0);
+    let n = COUNT.fetch_add(1, Ordering::Relaxed);
+    let file = std::env::temp_dir().join(format!("gateway-{}-{n}.json", std::process::id()));
+    let any = "127.0.0.1:0";
+    let settings = json!({
+        "vm": 1,
+        "data_centre": "dc-1",
+        "listen": {"callers": any, "peers": any, "status": any},
+        "controller": controller,
+        "limits": spec.limits,
+        "config_stale_ms": spec.config_stale_ms,
+        "stop": {"grace_ms": spec.stop.0, "deadline_ms": spec.stop.1},
+    });
+    fs::write(&file, settings.to_string()).expect("a file");
+    file
+}
+
+fn create(
+    path: &str,
+    kind: &str,
+    settings: &Value,
+) -> Value {
+    json!({"op": "create", "path": path, "kind": kind, "settings": settings})
+}
+
+fn first_ops(
+    spec: &BenchSpec,
+    engines: &[Proxy],
+    servers: &[Proxy],
+) -> Value {
+    let mut ops = vec![
+        create(
+            "/data-centres/dc-1",
+            "data-centre",
+            &json!({"region": "home"}),
+        ),
+        create("/models/base", "model", &json!({})),
+        create("/services/phones", "service", &json!({})),
+        create(
+            "/services/phones/status",
+            "call",
+            &json!({"method": "GET", "path": "/phones/{}", "idempotent": true, "cost": 1}),
+        ),
+        create(
+            "/services/phones/enrol",
+            "call",
+            &json!({
+                "method": "POST", "path": "/phones/{}/enrolment", "idempotent": false, "cost": 5,
+            }),
+        ),
+        create(
+            "/adapters/notes",
+            "adapter",
+            &json!({"model": "base", "access": "all"}),
+        ),
+        create(
+            "/adapters/notes/1",
+            "version",
+            &json!({"weights": "notes-v1"}),
+        ),
+        create(
+            "/adapters/notes/2",
+            "version",
+            &json!({"weights": "notes-v2"}),
+        ),
+        json!({"op": "set", "path": "/adapters/notes", "setting": "live", "value": 1}),
+    ];
+    for (n, proxy) in (1..).zip(engines) {
+        ops.push(create(
+            &format!("/upstreams/engine-{n}"),
+            "engine",
+            &json!({
+                "address": proxy.address().to_string(), "model": "base", "data_centre": "dc-1",
+                "slots": spec.engine.slots, "max_batch": spec.engine.max_batch,
+            }),
+        ));
+    }
+    for (n, proxy) in (1..).zip(servers) {
+        ops.push(create(
+            &format!("/upstreams/server-{n}"),
+            "server",
+            &json!({
+                "address": proxy.address().to_string(), "service": "phones", "data_centre": "dc-1",
+            }),
+        ));
+    }
+    for (account, key) in [("clinic", KEY), ("courier", OTHER_KEY)] {
+        let path = format!("/accounts/{account}");
+        let settings = json!({"rate": spec.rate, "burst": spec.burst});
+        ops.push(create(&path, "account", &settings));
+        let digest = hex::encode(&KeyDigest::of(key).0);
+        ops.push(create(
+            &format!("{path}/first"),
+            "key",
+            &json!({"digest": digest}),
+        ));
+    }
+    Value::Array(ops)
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/support/fake_controller.rs
@@ -0,0 +1,342 @@
+use {
+    capnp::Error,
+    jasmine_conf::tree::{Edit, EditId, EditLog, Tree, TreeBody},
+    jasmine_core::{ids::Revision, rights::SHARE_WHOLE},
+    jasmine_testkit::client::post_json,
+    jasmine_wire::{
+        convert::{read_peer, read_rights, write_right},
+        jasmine_capnp::{AcquireOutcome, ClaimOutcome, controller, rights_holder},
+        link::serve,
+    },
+    serde_json::{Value, json},
+    std::{
+        collections::BTreeMap,
+        net::{SocketAddr, TcpListener},
+        rc::Rc,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    tokio::time::sleep,
+};
+
+/// The fencing token of everything that it owns.
+const FENCE: u64 = 7;
+
+/// What the controller tells, and what it was told.
+#[derive(Debug, Default)]
+pub struct Told {
+    /// The configuration.
+    pub tree: Tree,
+    /// Milliseconds since the store confirmed it; none: it answers no question about it.
+    pub fresh_ms: Option<u64>,
+    /// Whether the store takes claims.
+    pub claims: bool,
+    /// Engines by number, with where they are.
+    pub engines: BTreeMap<u32, SocketAddr>,
+    /// Changes when the engines have restarted.
+    pub boot: u64,
+    /// Loads that were ordered: instance names.
+    pub loads: Vec<String>,
+    /// Idempotency keys with fingerprint and answer.
+    pub claimed: BTreeMap<Vec<u8>, Claimed>,
+    /// Accounts of which rights came back with the last word.
+    pub given_back: Vec<u32>,
+    /// Other VMs that it tells of, with their controllers.
+    pub others: BTreeMap<u32, SocketAddr>,
+    /// The part of each account's rights that it grants, of [`SHARE_WHOLE`].
+    pub share: Option<u64>,
+}
+
+/// Fingerprint and answer of an idempotency key.
+type Claimed = (Vec<u8>, Option<Vec<u8>>);
+
+/// A controller that runs on a thread of its own.
+#[derive(Clone, Debug)]
+pub struct FakeController {
+    /// Where it listens.
+    pub address: SocketAddr,
+    told: Arc<Mutex<Told>>,
+}
+
+impl FakeController {
+    /// Starts it; it ends with the process of the test.
+    pub fn start(told: Told) -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+        listener.set_nonblocking(true).expect("a socket");
+        let address = listener.local_addr().expect("an address");
+        let told = Arc::new(Mutex::new(told));
+        let shared = Arc::clone(&told);
+        std::thread::spawn(move || {
+            actix_rt::System::new().block_on(async move {
+                let listener = tokio::net::TcpListener::from_std(listener).expect("a socket");
+                let server = Server {
+                    told: shared,
+                    address,
+                };
+                let client: controller::Client = capnp_rpc::new_client(server);
+                serve(listener, client.client).await;
+            });
+        });
+        Self { address, told }
+    }
+
+    /// What it tells and was told.
+    pub fn told(&self) -> MutexGuard<'_, Told> {
+        self.told.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Carries out an edit.
+    pub fn edit(
+        &self,
+        ops: Value,
+    ) {
+        edit(&mut self.told().tree, ops);
+    }
+}
+
+/// Carries out an edit on a tree.
+pub fn edit(
+    tree: &mut Tree,
+    ops: Value,
+) {
+    let edit = Edit {
+        id: EditId::random(),
+        author: "test".to_owned(),
+        base: tree.revision(),
+        ops: serde_json::from_value(ops).expect("ops"),
+    };
+    let log = EditLog::new(tree.revision());
+    *tree = tree.propose(&edit, &log, 0).expect("an allowed edit").tree;
+}
+
+#[derive(Clone)]
+struct Server {
+    told: Arc<Mutex<Told>>,
+    address: SocketAddr,
+}
+
+impl Server {
+    fn told(&self) -> MutexGuard<'_, Told> {
+        self.told.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl rights_holder::Server for Server {}
+
+impl controller::Server for Server {
+    async fn poll_config(
+        self: Rc<Self>,
+        params: controller::PollConfigParams,
+        mut results: controller::PollConfigResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let have = Revision(params.get_have());
+        let mut looks = params.get_wait_ms() / 10;
+        while self.told().fresh_ms.is_none() || (looks > 0 && self.told().tree.revision() <= have) {
+            looks = looks.saturating_sub(1);
+            sleep(Duration::from_millis(10)).await;
+        }
+        let told = self.told();
+        let mut answer = results.get();
+        answer.set_fresh_ms(told.fresh_ms.unwrap_or_default());
+        answer.set_revision(told.tree.revision().0);
+        if told.tree.revision() > have {
+            let body = serde_json::to_vec(&TreeBody::from(&told.tree)).expect("JSON");
+            answer.set_body(&body);
+            answer.set_full(true);
+        }
+        Ok(())
+    }
+
+    async fn poll_fleet(
+        self: Rc<Self>,
+        params: controller::PollFleetParams,
+        mut results: controller::PollFleetResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let from = read_peer(params.get_from()?)?;
+        let gateway = params.get_peer_address()?.to_string()?;
+        sleep(Duration::from_millis(if params.get_have() > 0 {
+            100
+        } else {
+            0
+        }))
+        .await;
+        let told = self.told();
+        let mut answer = results.get();
+        answer.set_seq(1);
+        let mut members = answer.reborrow().init_members(1 + told.others.len() as u32);
+        let mut own = members.reborrow().get(0);
+        own.set_vm(from.vm.0);
+        own.set_controller_address(self.address.to_string());
+        own.set_gateway_address(gateway);
+        own.set_gateway_incarnation(from.incarnation.0);
+        for (i, (vm, address)) in (1..).zip(&told.others) {
+            let mut other = members.reborrow().get(i);
+            other.set_vm(*vm);
+            other.set_controller_address(address.to_string());
+        }
+        let mut owners = answer.reborrow().init_owners(told.engines.len() as u32);
+        for (i, &upstream) in (0..).zip(told.engines.keys()) {
+            let mut owner = owners.reborrow().get(i);
+            owner.set_upstream(upstream);
+            owner.set_vm(from.vm.0);
+            owner.set_fence(FENCE);
+        }
+        let fleet = told.tree.resolve();
+        let accounts: Vec<_> = fleet.accounts.iter().collect();
+        let mut epoch = answer.init_epoch();
+        epoch.set_epoch(1);
+        let share = told.share.unwrap_or(SHARE_WHOLE);
+        let mut grants = epoch.init_grants(accounts.len() as u32);
+        for (i, account) in (0..).zip(accounts) {
+            let right = jasmine_core::rights::Right {
+                account: account.id,
+                rate_share: share,
+                room_share: share,
+                tokens: account.burst * 1000,
+            };
+            write_right(grants.reborrow().get(i), &right);
+        }
+        Ok(())
+    }
+
+    async fn report_holdings(
+        self: Rc<Self>,
+        _params: controller::ReportHoldingsParams,
+        _results: controller::ReportHoldingsResults,
+    ) -> Result<(), Error> {
+        Ok(())
+    }
+
+    async fn poll_upstreams(
+        self: Rc<Self>,
+        params: controller::PollUpstreamsParams,
+        mut results: controller::PollUpstreamsResults,
+    ) -> Result<(), Error> {
+        let have = params.get()?.get_have();
+        sleep(Duration::from_millis(if have > 0 { 100 } else { 0 })).await;
+        let told = self.told();
+        let mut answer = results.get();
+        answer.set_seq(1);
+        let mut views = answer.init_engines(told.engines.len() as u32);
+        for (i, &upstream) in (0..).zip(told.engines.keys()) {
+            let mut view = views.reborrow().get(i);
+            view.set_upstream(upstream);
+            view.set_owner_fence(FENCE);
+            view.set_healthy(true);
+            view.set_boot(told.boot);
+        }
+        Ok(())
+    }
+
+    async fn acquire(
+        self: Rc<Self>,
+        params: controller::AcquireParams,
+        mut results: controller::AcquireResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let (adapter, version) = (params.get_adapter(), params.get_version());
+        let name = format!("{adapter}-{version}-{FENCE}");
+        let (engine, weights) = {
+            let told = self.told();
+            let fleet = told.tree.resolve();
+            let known = fleet.adapters.get(jasmine_core::ids::AdapterId(adapter));
+            let weights = known.map(|known| known.versions[&version].weights.clone());
+            (
+                told.engines[&params.get_upstream()],
+                weights.unwrap_or_default(),
+            )
+        };
+        let order = json!({"instance": name, "weights": weights, "fence": FENCE});
+        let loaded = post_json(engine, "/v1/load_adapter", order).await;
+        let is_loaded = loaded.is_ok_and(|answer| answer["loaded"] == json!(true));
+        self.told().loads.push(name);
+        let mut answer = results.get();
+        answer.set_owner_fence(FENCE);
+        if !is_loaded {
+            answer.set_outcome(AcquireOutcome::LoadFailed);
+            answer.set_retry_ms(1000);
+            return Ok(());
+        }
+        answer.set_outcome(AcquireOutcome::Granted);
+        let mut instance = answer.init_instance();
+        instance.set_upstream(params.get_upstream());
+        instance.set_adapter(adapter);
+        instance.set_version(version);
+        instance.set_fence(FENCE);
+        Ok(())
+    }
+
+    async fn release(
+        self: Rc<Self>,
+        _params: controller::ReleaseParams,
+        _results: controller::ReleaseResults,
+    ) -> Result<(), Error> {
+        Ok(())
+    }
+
+    async fn claim(
+        self: Rc<Self>,
+        params: controller::ClaimParams,
+        mut results: controller::ClaimResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let (key, fingerprint) = (
+            params.get_key()?.to_vec(),
+            params.get_fingerprint()?.to_vec(),
+        );
+        let mut told = self.told();
+        let mut answer = results.get();
+        let outcome = match told.claimed.get(&key) {
+            _ if !told.claims => ClaimOutcome::Unavailable,
+            None => ClaimOutcome::Fresh,
+            Some((first, _)) if *first != fingerprint => ClaimOutcome::Mismatch,
+            Some((_, None)) => ClaimOutcome::Running,
+            Some((_, Some(stored))) => {
+                answer.set_answer(stored);
+                ClaimOutcome::Done
+            }
+        };
+        answer.set_outcome(outcome);
+        if told.claims {
+            told.claimed.entry(key).or_insert((fingerprint, None));
+        }
+        Ok(())
+    }
+
+    async fn finish_claim(
+        self: Rc<Self>,
+        params: controller::FinishClaimParams,
+        mut results: controller::FinishClaimResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let (key, answer) = (params.get_key()?.to_vec(), params.get_answer()?.to_vec());
+        let mut told = self.told();
+        if answer.is_empty() {
+            told.claimed.remove(&key);
+        } else if let Some(claim) = told.claimed.get_mut(&key) {
+            claim.1 = Some(answer);
+        }
+        results.get().set_stored(true);
+        Ok(())
+    }
+
+    async fn status(
+        self: Rc<Self>,
+        _params: controller::StatusParams,
+        _results: controller::StatusResults,
+    ) -> Result<(), Error> {
+        Ok(())
+    }
+
+    async fn leave(
+        self: Rc<Self>,
+        params: controller::LeaveParams,
+        _results: controller::LeaveResults,
+    ) -> Result<(), Error> {
+        let rights = read_rights(params.get()?.get_holdings()?);
+        self.told().given_back = rights.iter().map(|right| right.account.0).collect();
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -0,0 +1,9 @@
+//! A gateway process between a small controller and the stand-ins.
+
+mod bench;
+mod fake_controller;
+
+pub use {
+    bench::{Bench, BenchSpec, KEY, answer},
+    fake_controller::{FakeController, Told},
+};
--- /dev/null
+++ b/crates/gateway/tests/gateway/whole_path.rs
@@ -0,0 +1,90 @@
+//! Requests through a gateway process, with nothing at fault.
+
+use {
+    crate::support::{self, Bench, BenchSpec, KEY},
+    awc::http::Method,
+    jasmine_testkit::engine::answer as expected,
+    serde_json::json,
+};
+
+fn tokens(
+    weights: &str,
+    prompt: &str,
+    max_tokens: u32,
+) -> String {
+    expected(weights, &format!("user: {prompt}\n"), max_tokens).concat()
+}
+
+#[actix_rt::test]
+async fn streamed_and_whole() {
+    let bench = Bench::start(BenchSpec::default()).await;
+    for (model, weights) in [("notes", "notes-v1"), ("notes@2", "notes-v2"), ("base", "")] {
+        for stream in [true, false] {
+            let call = bench.chat(model, "hello", 40, stream);
+            let answer = support::answer(&call).await;
+            assert!(answer.is_whole(), "{answer:?}");
+            assert_eq!(
+                answer.text,
+                tokens(weights, "hello", 40),
+                "{model} {stream}"
+            );
+            assert!(!answer.header("x-request-id").is_empty());
+        }
+    }
+    let call = bench
+        .chat("notes", "hello", 40, true)
+        .header("x-request-id", "my-own.1");
+    let answer = support::answer(&call).await;
+    assert_eq!(answer.header("x-request-id"), "my-own.1");
+    assert_eq!(answer.header("x-jasmine-adapter"), "notes@1");
+    assert_eq!(answer.chunk_ids, ["my-own.1"]);
+}
+
+#[actix_rt::test]
+async fn one_load() {
+    let bench = Bench::start(BenchSpec::default()).await;
+    let call = bench.chat("notes", "hello", 20, true);
+    let answers = futures::future::join_all((0..20).map(|_| call.send())).await;
+    assert!(
+        answers
+            .into_iter()
+            .all(|answer| answer.is_ok_and(|answer| answer.is_whole()))
+    );
+    assert_eq!(bench.controller.told().loads.len(), 1);
+}
+
+#[actix_rt::test]
+async fn model_list() {
+    let bench = Bench::start(BenchSpec::default()).await;
+    let answer = support::answer(&bench.call(Method::GET, "/v1/models")).await;
+    let ids: Vec<_> = answer.json["data"]
+        .as_array()
+        .expect("a list")
+        .iter()
+        .map(|row| row["id"].clone())
+        .collect();
+    assert_eq!(
+        ids,
+        ["base", "notes", "notes@1", "notes@2"].map(|id| json!(id))
+    );
+}
+
+#[actix_rt::test]
+async fn plain_service() {
+    let bench = Bench::start(BenchSpec::default()).await;
+    let status = bench.call(Method::GET, "/services/phones/phones/17?full=yes");
+    let answer = support::answer(&status).await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert_eq!(answer.json["path"], "/phones/17?full=yes");
+    let enrol = bench
+        .call(Method::POST, "/services/phones/phones/17/enrolment")
+        .body(json!({"profile": "field"}));
+    let answer = support::answer(&enrol).await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    let served = bench.served().await;
+    assert_eq!(served.len(), 2);
+    for call in &served {
+        assert_eq!(call.account, "clinic");
+        assert!(!format!("{call:?}").contains(KEY));
+    }
+}
