--- /dev/null
+++ b/crates/controller/src/ownership/owner_desk.rs
@@ -0,0 +1,404 @@
+use {
+    super::{EngineState, EngineTarget},
+    crate::{
+        clock::{OwnClock, Signal},
+        config::ConfigKeeper,
+        engines::{EngineClient, EngineReport},
+        rights::LoadBudget,
+    },
+    jasmine_core::{
+        clock::Millis,
+        ids::{Fence, Holder, UpstreamId},
+        ownership::{
+            AcquireOutcome,
+            Ask,
+            LoadResult,
+            OwnerAction,
+            OwnerEvent,
+            OwnerMachine,
+            OwnerSettings,
+            Ownership,
+            UnloadResult,
+        },
+        placement::Instance,
+    },
+    jasmine_telemetry::log::Line,
+    std::{
+        cell::{Cell, RefCell},
+        collections::{BTreeMap, HashMap},
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::{sync::oneshot, task::spawn_local, time::timeout},
+};
+
+/// How much longer than asked a gateway's question may stay open.
+const REPLY_MARGIN: Millis = Millis(200);
+
+/// How often an engine is asked for its report.
+const REPORT_EVERY: Duration = Duration::from_millis(1000);
+
+/// Attempts to raise an engine's fencing token.
+const RAISE_ATTEMPTS: u32 = 10;
+
+/// The pause between them.
+const RAISE_PAUSE: Duration = Duration::from_millis(500);
+
+/// Runs the owner's machine: hands it events and carries out what it wants.
+pub struct OwnerDesk {
+    clock: OwnClock,
+    config: Rc<ConfigKeeper>,
+    budget: Rc<LoadBudget>,
+    machine: RefCell<OwnerMachine>,
+    engines: RefCell<BTreeMap<UpstreamId, EngineState>>,
+    questions: RefCell<HashMap<(Holder, u64), oneshot::Sender<AcquireOutcome>>>,
+    renewals: RefCell<Vec<UpstreamId>>,
+    orders: Cell<u64>,
+    /// Raised when what gateways see of an engine changes.
+    pub changed: Signal,
+    /// Raised when the machine wants a newer fencing token.
+    pub renew: Signal,
+}
+
+impl std::fmt::Debug for OwnerDesk {
+    fn fmt(
+        &self,
+        f: &mut std::fmt::Formatter<'_>,
+    ) -> std::fmt::Result {
+        f.debug_struct("OwnerDesk")
+            .field("engines", &self.engines)
+            .finish_non_exhaustive()
+    }
+}
+
+impl OwnerDesk {
+    /// A desk that owns nothing yet.
+    pub fn new(
+        clock: OwnClock,
+        config: Rc<ConfigKeeper>,
+        budget: Rc<LoadBudget>,
+        settings: OwnerSettings,
+    ) -> Self {
+        Self {
+            clock,
+            config,
+            budget,
+            machine: RefCell::new(OwnerMachine::new(settings)),
+            engines: RefCell::default(),
+            questions: RefCell::default(),
+            renewals: RefCell::default(),
+            orders: Cell::new(0),
+            changed: Signal::new(),
+            renew: Signal::new(),
+        }
+    }
+
+    /// The fencing token under which an engine is owned.
+    pub fn fence(
+        &self,
+        upstream: UpstreamId,
+    ) -> Option<Fence> {
+        self.machine.borrow().fence(upstream)
+    }
+
+    /// The engines owned now.
+    pub fn owned(&self) -> Vec<UpstreamId> {
+        self.engines.borrow().keys().copied().collect()
+    }
+
+    /// The engines as gateways see them.
+    pub fn states(&self) -> Vec<(UpstreamId, EngineState)> {
+        let engines = self.engines.borrow();
+        engines
+            .iter()
+            .map(|(&upstream, state)| (upstream, state.clone()))
+            .collect()
+    }
+
+    /// What this gateway should drop.
+    pub fn recalls(
+        &self,
+        holder: Holder,
+    ) -> Vec<Instance> {
+        self.machine.borrow().recalls(holder)
+    }
+
+    /// Orders sent so far.
+    pub fn orders(&self) -> u64 {
+        self.orders.get()
+    }
+
+    /// The engines for which the machine wants a newer fencing token; each is handed out once.
+    pub fn take_renewals(&self) -> Vec<UpstreamId> {
+        self.renewals.take()
+    }
+
+    /// Takes over an engine, or a newer fencing token for it.
+    pub fn gain(
+        self: &Rc<Self>,
+        upstream: UpstreamId,
+        fence: Fence,
+        target: EngineTarget,
+    ) {
+        let is_new = {
+            let mut engines = self.engines.borrow_mut();
+            match engines.get_mut(&upstream) {
+                Some(state) => {
+                    state.fence = fence;
+                    false
+                }
+                None => {
+                    engines.insert(upstream, EngineState::new(target, fence));
+                    true
+                }
+            }
+        };
+        Line::new("engine_gained")
+            .with("upstream", upstream)
+            .with("fence", fence)
+            .info();
+        self.handle(OwnerEvent::Gained(Ownership {
+            upstream,
+            fence,
+            checks_fencing: target.checks_fencing,
+            slots: target.slots,
+        }));
+        if is_new {
+            spawn_local(Rc::clone(self).poll_reports(upstream));
+        }
+    }
+
+    /// Gives an engine up, or notes that it was lost.
+    pub fn lose(
+        self: &Rc<Self>,
+        upstream: UpstreamId,
+    ) {
+        if self.engines.borrow_mut().remove(&upstream).is_some() {
+            Line::new("engine_lost").with("upstream", upstream).info();
+        }
+        self.handle(OwnerEvent::Lost(upstream));
+    }
+
+    /// Asks the machine for an adapter version on behalf of a gateway.
+    pub async fn acquire(
+        self: &Rc<Self>,
+        ask: Ask,
+    ) -> AcquireOutcome {
+        let (tx, rx) = oneshot::channel();
+        let limit = ask.wait + REPLY_MARGIN;
+        self.questions.borrow_mut().insert((ask.from, ask.ask), tx);
+        self.handle(OwnerEvent::Acquire(ask));
+        let outcome = timeout(limit.to_std(), rx).await;
+        self.questions.borrow_mut().remove(&(ask.from, ask.ask));
+        match outcome {
+            Ok(Ok(outcome)) => outcome,
+            _ => AcquireOutcome::Loading,
+        }
+    }
+
+    /// Hands the machine an event and carries out what it wants.
+    pub fn handle(
+        self: &Rc<Self>,
+        event: OwnerEvent,
+    ) {
+        let actions = self.machine.borrow_mut().handle(event, self.clock.now());
+        for action in actions {
+            self.carry_out(action);
+        }
+        self.refresh_views();
+    }
+
+    fn carry_out(
+        self: &Rc<Self>,
+        action: OwnerAction,
+    ) {
+        match action {
+            OwnerAction::OrderLoad { instance, fence } => {
+                spawn_local(Rc::clone(self).load(instance, fence));
+            }
+            OwnerAction::OrderUnload { instance, fence } => {
+                spawn_local(Rc::clone(self).unload(instance, fence));
+            }
+            OwnerAction::RaiseFence { upstream, fence } => {
+                spawn_local(Rc::clone(self).raise(upstream, fence));
+            }
+            OwnerAction::RenewFence(upstream) => {
+                self.renewals.borrow_mut().push(upstream);
+                self.renew.raise();
+            }
+            OwnerAction::AskBudget(loads) => {
+                spawn_local(Rc::clone(self).ask_budget(loads));
+            }
+            OwnerAction::Reply { to, ask, outcome } => {
+                let question = self.questions.borrow_mut().remove(&(to, ask));
+                // A gateway that has gone away takes no answer; its grant comes back by its polls.
+                question.map(|tx| tx.send(outcome).unwrap_or_default());
+            }
+            // Gateways read recalls from the answers to their polls.
+            OwnerAction::Recall { .. } => self.changed.raise(),
+        }
+    }
+
+    async fn load(
+        self: Rc<Self>,
+        instance: Instance,
+        fence: Fence,
+    ) {
+        let weights = self.config.weights(instance.adapter);
+        let result = match (self.may_send(instance.upstream, fence), weights) {
+            (Some(engine), Some(weights)) => {
+                EngineClient
+                    .load(engine.address, instance, &weights, fence)
+                    .await
+            }
+            // Nothing was sent.
+            _ => LoadResult::Failed,
+        };
+        Line::new("load_ended")
+            .with("upstream", instance.upstream)
+            .with("instance", instance.name())
+            .with("result", format!("{result:?}"))
+            .info();
+        self.handle(OwnerEvent::LoadEnded(instance, result));
+    }
+
+    async fn unload(
+        self: Rc<Self>,
+        instance: Instance,
+        fence: Fence,
+    ) {
+        let result = match self.may_send(instance.upstream, fence) {
+            Some(engine) => EngineClient.unload(engine.address, instance, fence).await,
+            // Not sent, which the machine takes for the worse case of an order still under way.
+            None => UnloadResult::Unknown,
+        };
+        if result != UnloadResult::Gone {
+            Line::new("unload_unsettled")
+                .with("upstream", instance.upstream)
+                .with("instance", instance.name())
+                .with("result", format!("{result:?}"))
+                .warn();
+        }
+        self.handle(OwnerEvent::UnloadEnded(instance, result));
+    }
+
+    async fn raise(
+        self: Rc<Self>,
+        upstream: UpstreamId,
+        fence: Fence,
+    ) {
+        for _ in 0..RAISE_ATTEMPTS {
+            let Some(engine) = self.may_send(upstream, fence) else {
+                return;
+            };
+            if let Some(raised) = EngineClient.raise_fence(engine.address, fence).await {
+                self.handle(OwnerEvent::FenceRaised(upstream, fence, raised));
+                return;
+            }
+            tokio::time::sleep(RAISE_PAUSE).await;
+        }
+    }
+
+    async fn ask_budget(
+        self: Rc<Self>,
+        loads: u32,
+    ) {
+        let granted = self.budget.take(loads).await;
+        if granted > 0 {
+            self.handle(OwnerEvent::BudgetGranted(granted));
+        }
+    }
+
+    /// The engine, if an order under this token may be sent in this very step.
+    ///
+    /// Between the machine's decision and the sending the process may have been frozen past its
+    /// lease. Asking the clock again right before the sending keeps such an order back.
+    fn may_send(
+        &self,
+        upstream: UpstreamId,
+        fence: Fence,
+    ) -> Option<EngineTarget> {
+        let now = self.clock.now();
+        if !self.machine.borrow().may_order(upstream, fence, now) {
+            return None;
+        }
+        self.orders.set(self.orders.get() + 1);
+        self.engines
+            .borrow()
+            .get(&upstream)
+            .map(|state| state.target)
+    }
+
+    async fn poll_reports(
+        self: Rc<Self>,
+        upstream: UpstreamId,
+    ) {
+        let mut ticks = tokio::time::interval(REPORT_EVERY);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            let address = {
+                let engines = self.engines.borrow();
+                match engines.get(&upstream) {
+                    Some(state) => state.target.address,
+                    None => return,
+                }
+            };
+            let report = EngineClient.report(address).await.ok();
+            self.note_report(upstream, report);
+        }
+    }
+
+    fn note_report(
+        self: &Rc<Self>,
+        upstream: UpstreamId,
+        report: Option<EngineReport>,
+    ) {
+        let event = {
+            let mut engines = self.engines.borrow_mut();
+            let Some(state) = engines.get_mut(&upstream) else {
+                return;
+            };
+            let was_healthy = state.is_healthy();
+            let event = match report {
+                None => {
+                    state.missed += 1;
+                    None
+                }
+                Some(report) => {
+                    let event = report.event(upstream);
+                    let is_news = state.report != report;
+                    state.missed = 0;
+                    state.reported = self.clock.now();
+                    state.report = report;
+                    if is_news {
+                        self.changed.raise();
+                    }
+                    Some(event)
+                }
+            };
+            if was_healthy != state.is_healthy() {
+                self.changed.raise();
+            }
+            event
+        };
+        if let Some(event) = event {
+            self.handle(OwnerEvent::Reported(event));
+        }
+    }
+
+    fn refresh_views(&self) {
+        let machine = self.machine.borrow();
+        let mut is_news = false;
+        for (&upstream, state) in self.engines.borrow_mut().iter_mut() {
+            let resident = machine.resident(upstream);
+            if state.resident != resident {
+                state.resident = resident;
+                is_news = true;
+            }
+        }
+        if is_news {
+            self.changed.raise();
+        }
+    }
+}
--- /dev/null
+++ b/crates/controller/src/peers/mod.rs
@@ -0,0 +1,13 @@
+//! What controllers and gateways say to each other.
+
+mod fleet_message;
+mod peer_links;
+mod peer_server;
+mod upstreams_message;
+
+pub use {
+    fleet_message::{read_members, read_owners, write_fleet},
+    peer_links::{ConfigAnswer, FleetAnswer, PeerLinks, PeerStatus},
+    peer_server::PeerServer,
+    upstreams_message::write_upstreams,
+};
