--- a/crates/controller/src/clock/own_clock.rs
+++ b/crates/controller/src/clock/own_clock.rs
@@ -3,6 +3,9 @@
     std::time::{Instant, SystemTime, UNIX_EPOCH},
 };
 
+/// What the clock shows at its start: what happened elsewhere before that lies after zero, too.
+const AT_START: Millis = Millis::from_secs(7 * 24 * 3600);
+
 /// A clock that never goes back and that goes on while the process is stopped.
 #[derive(Clone, Copy, Debug)]
 pub struct OwnClock {
@@ -17,9 +20,9 @@
         }
     }
 
-    /// The time since the start.
+    /// The time now.
     pub fn now(&self) -> Millis {
-        Millis(self.origin.elapsed().as_millis() as u64)
+        AT_START + Millis(self.origin.elapsed().as_millis() as u64)
     }
 }
 
--- a/crates/controller/src/clock/signal.rs
+++ b/crates/controller/src/clock/signal.rs
@@ -1,4 +1,5 @@
 use {
+    super::unix_millis,
     jasmine_core::clock::Millis,
     tokio::{sync::watch, time::timeout},
 };
@@ -10,10 +11,13 @@
 }
 
 impl Signal {
-    /// A counter at one; zero is what somebody has who has seen nothing.
+    /// A counter that begins above zero, which is what somebody has who has seen nothing.
+    ///
+    /// It begins at the time of day, so that a number of another run or another daemon is not
+    /// mistaken for one of this.
     pub fn new() -> Self {
         Self {
-            tx: watch::Sender::new(1),
+            tx: watch::Sender::new(unix_millis()),
         }
     }
 
--- /dev/null
+++ b/crates/controller/src/follow/config_follower.rs
@@ -0,0 +1,233 @@
+use {
+    super::{Duty, StoreWatch, WatchEnd},
+    crate::{
+        clock::OwnClock,
+        config::{Applied, ConfigKeeper, ConfigStore, edits_end},
+        fleet::FleetMirror,
+        peers::PeerLinks,
+    },
+    jasmine_conf::store_layout::edit_key,
+    jasmine_core::{
+        clock::Millis,
+        ids::{Holder, VmId},
+    },
+    jasmine_platform::store::{Range, Store, WatchEvent},
+    jasmine_telemetry::log::Line,
+    jasmine_wire::link::Backoff,
+    rand::seq::IndexedRandom,
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+        rc::Rc,
+    },
+    tokio::time::sleep,
+};
+
+/// How often a watcher has the store confirm that there is nothing newer.
+const CONFIRM_EVERY: Millis = Millis(1_000);
+
+/// How long another controller may hold a question back.
+const ASK_WAIT: Millis = Millis(1_000);
+
+/// A watcher that the store has not answered for this long asks other controllers too.
+const ASK_PEERS_AFTER: Millis = Millis(2_500);
+
+/// The longest pause after failures.
+const MOST_PAUSE: Millis = Millis(5_000);
+
+/// Follows the configuration: from the store on a watcher, from a watcher elsewhere.
+pub struct ConfigFollower {
+    store: Rc<dyn Store>,
+    clock: OwnClock,
+    me: Holder,
+    data_centre: String,
+    keeper: Rc<ConfigKeeper>,
+    reader: Rc<ConfigStore>,
+    fleet: Rc<RefCell<FleetMirror>>,
+    links: Rc<PeerLinks>,
+    /// When the store last answered a read, by this process's own clock.
+    pub store_heard: Cell<Option<Millis>>,
+    turn: Cell<usize>,
+}
+
+impl std::fmt::Debug for ConfigFollower {
+    fn fmt(
+        &self,
+        f: &mut std::fmt::Formatter<'_>,
+    ) -> std::fmt::Result {
+        f.debug_struct("ConfigFollower")
+            .field("store_heard", &self.store_heard)
+            .finish_non_exhaustive()
+    }
+}
+
+impl ConfigFollower {
+    /// A follower for `keeper`.
+    #[expect(clippy::too_many_arguments, reason = "one for each thing it connects")]
+    pub fn new(
+        store: Rc<dyn Store>,
+        clock: OwnClock,
+        me: Holder,
+        data_centre: String,
+        keeper: Rc<ConfigKeeper>,
+        reader: Rc<ConfigStore>,
+        fleet: Rc<RefCell<FleetMirror>>,
+        links: Rc<PeerLinks>,
+    ) -> Self {
+        Self {
+            store,
+            clock,
+            me,
+            data_centre,
+            keeper,
+            reader,
+            fleet,
+            links,
+            store_heard: Cell::new(None),
+            turn: Cell::new(0),
+        }
+    }
+
+    /// Reads and confirms: from the store on duty, else from a watcher, else from both.
+    pub async fn run(&self) {
+        let mut backoff = Backoff::new(CONFIRM_EVERY, MOST_PAUSE);
+        loop {
+            let duty = self.duty();
+            let told = match duty.is_watcher(self.me.vm) {
+                true => false,
+                false => self.ask_watchers(&duty).await,
+            };
+            if told {
+                backoff.reset();
+                continue;
+            }
+            // On duty, or no watcher answers: the store itself, and others when it is silent.
+            let pause = match self.pull().await {
+                true => {
+                    backoff.reset();
+                    CONFIRM_EVERY
+                }
+                false => {
+                    self.ask_anybody().await;
+                    backoff.next_pause()
+                }
+            };
+            sleep(pause.to_std()).await;
+        }
+    }
+
+    /// Watches the records of edits while on duty, so that an edit is known at once.
+    pub async fn watch(&self) {
+        let mut backoff = Backoff::new(CONFIRM_EVERY, MOST_PAUSE);
+        loop {
+            if !self.keeper.is_loaded() || !self.duty().is_watcher(self.me.vm) {
+                sleep(CONFIRM_EVERY.to_std()).await;
+                continue;
+            }
+            let range = Range::between(edit_key(self.keeper.revision().next()), edits_end());
+            // What came between the last read and now is brought by the next read.
+            let mut watch = StoreWatch::from_now(Rc::clone(&self.store), range);
+            let ended = watch.run_once(|event| self.take(event)).await;
+            match ended {
+                Ok(WatchEnd::Over | WatchEnd::Compacted) => backoff.reset(),
+                Err(e) => {
+                    Line::new("config_watch_broken").with("error", e).warn();
+                    sleep(backoff.next_pause().to_std()).await;
+                }
+            }
+        }
+    }
+
+    /// Whether the store has answered lately.
+    pub fn is_store_up(&self) -> bool {
+        let now = self.clock.now();
+        self.store_heard
+            .get()
+            .is_some_and(|heard| now.since(heard) < ASK_PEERS_AFTER)
+    }
+
+    fn take(
+        &self,
+        event: &WatchEvent,
+    ) {
+        if let WatchEvent::Put(kv) = event {
+            // A gap is closed by the next read, within a second.
+            let _applied: Applied = self.reader.take(kv);
+        }
+    }
+
+    fn duty(&self) -> Duty {
+        Duty::among(&self.data_centre, self.fleet.borrow().members.values())
+    }
+
+    async fn pull(&self) -> bool {
+        match self.reader.pull().await {
+            Ok(()) => {
+                self.store_heard.set(Some(self.clock.now()));
+                true
+            }
+            Err(e) => {
+                Line::new("config_not_read").with("error", e).warn();
+                false
+            }
+        }
+    }
+
+    async fn ask_watchers(
+        &self,
+        duty: &Duty,
+    ) -> bool {
+        for vm in duty.ask_order(self.me.vm) {
+            if let Some(address) = self.links.address(vm) {
+                if self.ask(address, ASK_WAIT).await {
+                    return true;
+                }
+            }
+        }
+        false
+    }
+
+    /// Asks one other controller of any data centre, another one each time.
+    async fn ask_anybody(&self) {
+        let others: Vec<VmId> = {
+            let fleet = self.fleet.borrow();
+            fleet
+                .members
+                .keys()
+                .copied()
+                .filter(|&vm| vm != self.me.vm)
+                .collect()
+        };
+        let chosen = match self.turn.replace(self.turn.get() + 1) {
+            // The first turn goes to a neighbour in the list, later ones anywhere.
+            0 => others.first(),
+            _ => others.choose(&mut rand::rng()),
+        };
+        if let Some(address) = chosen.and_then(|&vm| self.links.address(vm)) {
+            self.ask(address, Millis::ZERO).await;
+        }
+    }
+
+    /// Asks one controller; whether it answered with a configuration.
+    pub async fn ask(
+        &self,
+        address: SocketAddr,
+        wait: Millis,
+    ) -> bool {
+        let sent = self.clock.now();
+        let have = self.keeper.revision();
+        let Ok(answer) = self.links.poll_config(address, have, wait).await else {
+            return false;
+        };
+        let applied = match answer.body.is_empty() {
+            true => Applied::Old,
+            false => self.keeper.take_body(&answer.body, answer.full),
+        };
+        // The other's word counts from when the question was sent: its answer may have lain about.
+        if applied != Applied::Gap && self.keeper.revision() == answer.revision {
+            let confirmed = sent.0.checked_sub(answer.fresh.0);
+            confirmed.map(|at| self.keeper.confirm(Millis(at)));
+        }
+        applied != Applied::Gap && answer.revision >= have && self.keeper.is_loaded()
+    }
+}
--- /dev/null
+++ b/crates/controller/src/follow/mod.rs
@@ -0,0 +1,15 @@
+//! Following what changes: by watches of the store on a few VMs, by their word on the others.
+
+mod bootstrap;
+mod duty;
+mod fleet_follower;
+mod config_follower;
+mod store_watch;
+
+pub use {
+    bootstrap::Bootstrap,
+    config_follower::ConfigFollower,
+    duty::{Duty, WATCHERS},
+    fleet_follower::FleetFollower,
+    store_watch::{REPLACED_AFTER, StoreWatch, WatchEnd},
+};
--- /dev/null
+++ b/crates/controller/src/status/store_metrics.rs
@@ -0,0 +1,34 @@
+use {
+    jasmine_platform::etcd::{CallCounts, CallKind},
+    opentelemetry::{KeyValue, metrics::Meter},
+};
+
+/// Makes the counters of calls to the store, by kind.
+pub fn register(
+    meter: &Meter,
+    counts: &CallCounts,
+) {
+    let made = counts.clone();
+    meter
+        .u64_observable_counter("jasmine_store_calls")
+        .with_description("Calls sent to the platform's key-value service, by kind")
+        .with_callback(move |observer| {
+            for kind in CallKind::ALL {
+                observer.observe(made.made(kind), &[KeyValue::new("kind", kind.to_string())]);
+            }
+        })
+        .build();
+    let failed = counts.clone();
+    meter
+        .u64_observable_counter("jasmine_store_failures")
+        .with_description("Calls to the key-value service without a usable answer, by kind")
+        .with_callback(move |observer| {
+            for kind in CallKind::ALL {
+                observer.observe(
+                    failed.failed(kind),
+                    &[KeyValue::new("kind", kind.to_string())],
+                );
+            }
+        })
+        .build();
+}
