--- a/crates/controller/src/config/config_keeper.rs
+++ b/crates/controller/src/config/config_keeper.rs
@@ -86,7 +86,9 @@
     /// The resolved configuration.
     pub fn fleet(&self) -> Option<Arc<Fleet>> {
         let in_force = self.in_force.borrow();
-        in_force.as_ref().map(|in_force| Arc::clone(&in_force.fleet))
+        in_force
+            .as_ref()
+            .map(|in_force| Arc::clone(&in_force.fleet))
     }
 
     /// The tree and the newest edits; copies are cheap.
@@ -149,9 +151,11 @@
             return Applied::Old;
         }
         let revision = tree.revision();
-        let mut log = EditLog::new(edits.first().map_or(revision, |edit| {
-            Revision(edit.revision.0.saturating_sub(1))
-        }));
+        let mut log = EditLog::new(
+            edits
+                .first()
+                .map_or(revision, |edit| Revision(edit.revision.0.saturating_sub(1))),
+        );
         let has_gap = edits.into_iter().any(|edit| !log.push(Arc::new(edit)));
         if has_gap || log.newest() != revision {
             log = EditLog::new(revision);
@@ -208,20 +212,20 @@
         body: &[u8],
         full: bool,
     ) -> Applied {
-        match full {
-            true => match serde_json::from_slice::<TreeBody>(body) {
+        if full {
+            return match serde_json::from_slice::<TreeBody>(body) {
                 Ok(tree) => self.install(Tree::from(tree), Vec::new()),
                 Err(e) => refuse_body(&e),
-            },
-            false => match serde_json::from_slice::<EditsBody>(body) {
-                Ok(edits) => edits
-                    .edits
-                    .iter()
-                    .map(|edit| self.apply(edit))
-                    .find(|applied| *applied == Applied::Gap)
-                    .unwrap_or(Applied::Yes),
-                Err(e) => refuse_body(&e),
-            },
+            };
+        }
+        match serde_json::from_slice::<EditsBody>(body) {
+            Ok(edits) => edits
+                .edits
+                .iter()
+                .map(|edit| self.apply(edit))
+                .find(|applied| *applied == Applied::Gap)
+                .unwrap_or(Applied::Yes),
+            Err(e) => refuse_body(&e),
         }
     }
 
--- a/crates/controller/src/config/config_store.rs
+++ b/crates/controller/src/config/config_store.rs
@@ -3,14 +3,7 @@
     crate::clock::OwnClock,
     jasmine_conf::{
         store_layout::{
-            EDIT_PREFIX,
-            HEAD_KEY,
-            Head,
-            LayoutError,
-            Loaded,
-            SHARD_PREFIX,
-            edit_key,
-            load,
+            EDIT_PREFIX, HEAD_KEY, Head, LayoutError, Loaded, SHARD_PREFIX, edit_key, load,
         },
         tree::Accepted,
     },
@@ -27,8 +20,7 @@
 const LOAD_ATTEMPTS: usize = 5;
 
 /// Why the configuration could not be read.
-#[derive(Debug)]
-#[derive(derive_more::Display, derive_more::Error, derive_more::From)]
+#[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
 pub enum ConfigReadError {
     /// The store gave no usable answer.
     Store(StoreError),
@@ -132,7 +124,7 @@
         let reply = self.store.range(Range::key(HEAD_KEY)).await?;
         let kv = reply.kvs.into_iter().next();
         let mod_revision = kv.as_ref().map_or(0, |kv| kv.mod_revision);
-        let text = kv.map(text_of);
+        let text = kv.as_ref().map(text_of);
         let head = Head::read(text.as_deref())?;
         Ok(ReadHead {
             text,
@@ -151,7 +143,7 @@
         revision: Revision,
     ) -> Result<Option<String>, StoreError> {
         let reply = self.store.range(Range::key(edit_key(revision))).await?;
-        Ok(reply.kvs.into_iter().next().map(text_of))
+        Ok(reply.kvs.first().map(text_of))
     }
 
     /// Reads the whole tree and puts it in force if it is newer.
@@ -182,14 +174,14 @@
         let shards = self
             .read_all(Range::prefix(SHARD_PREFIX))
             .await?
-            .into_iter()
+            .iter()
             .map(|kv| (kv.key.clone(), text_of(kv)))
             .collect::<BTreeMap<_, _>>();
         let edits = Range::between(edit_key(head.edits_from()), edit_key(head.revision.next()));
         let edits = self
             .read_all(edits)
             .await?
-            .into_iter()
+            .iter()
             .map(text_of)
             .collect::<Vec<_>>();
         Ok(load(&head, &shards, &edits)?)
@@ -219,6 +211,6 @@
     Range::prefix(EDIT_PREFIX).end.unwrap_or_default()
 }
 
-fn text_of(kv: KeyValue) -> String {
+fn text_of(kv: &KeyValue) -> String {
     String::from_utf8_lossy(&kv.value).into_owned()
 }
--- a/crates/controller/src/config/edit_desk.rs
+++ b/crates/controller/src/config/edit_desk.rs
@@ -91,8 +91,8 @@
         edit: &Edit,
         until: Millis,
     ) -> Result<Attempt, EditRefusal> {
-        self.reader.pull().await.map_err(unavailable)?;
-        let head = self.reader.head().await.map_err(unavailable)?;
+        self.reader.pull().await.map_err(|e| unavailable(&e))?;
+        let head = self.reader.head().await.map_err(|e| unavailable(&e))?;
         let (before, log) = self
             .keeper
             .tree()
@@ -183,7 +183,10 @@
     compare: Compare,
     write: Write,
 ) -> Txn {
-    let puts = write.puts.into_iter().map(|(key, value)| Op::put(key, value));
+    let puts = write
+        .puts
+        .into_iter()
+        .map(|(key, value)| Op::put(key, value));
     let deletes = write
         .deletes
         .into_iter()
@@ -195,6 +198,6 @@
     }
 }
 
-fn unavailable(e: ConfigReadError) -> EditRefusal {
+fn unavailable(e: &ConfigReadError) -> EditRefusal {
     EditRefusal::Unavailable(e.to_string())
 }
--- /dev/null
+++ b/crates/controller/src/daemon/mod.rs
@@ -0,0 +1,13 @@
+//! The daemon: its parts, its tasks, its start and its stop.
+
+mod controller_context;
+mod controller_status;
+mod run;
+mod start_error;
+mod stop;
+mod tasks;
+
+pub use {
+    controller_context::ControllerContext, controller_status::ControllerStatus, run::run,
+    start_error::StartError,
+};
--- /dev/null
+++ b/crates/controller/src/daemon/run.rs
@@ -0,0 +1,82 @@
+use {
+    super::{ControllerContext, StartError, stop, tasks},
+    crate::{peers::PeerServer, status},
+    jasmine_conf::settings::ControllerSettings,
+    jasmine_telemetry::{
+        log::{self, Line, LogOutput},
+        metrics::Metrics,
+    },
+    jasmine_wire::{jasmine_capnp::controller, link::serve},
+    std::{
+        io::{self, Write},
+        net::{SocketAddr, TcpListener},
+        rc::Rc,
+    },
+    tokio::{
+        signal::unix::{SignalKind, signal},
+        sync::mpsc,
+        task::spawn_local,
+    },
+};
+
+/// Runs the daemon until it is told to stop; inside a system of actix.
+///
+/// # Errors
+///
+/// [`StartError`] where something that it needs at the start is missing.
+pub async fn run(settings: ControllerSettings) -> Result<(), StartError> {
+    let _log = log::start(&settings.log.level.to_string(), LogOutput::Stderr)?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+
+    let operators = listen(settings.listen.operators)?;
+    let peers = listen(settings.listen.peers)?;
+    let status = listen(settings.listen.status)?;
+    let peers_address = settings.advertise.peers.unwrap_or(peers.local_addr()?);
+    announce(&operators, &peers, &status)?;
+
+    let cx = Rc::new(ControllerContext::new(settings, peers_address));
+    let metrics = Metrics::new()?;
+    status::register(&metrics.meter(), &cx.store_calls);
+    let status_server = status::start(status, cx.health.clone(), metrics)?;
+    let status_handle = status_server.handle();
+    actix_web::rt::spawn(status_server);
+
+    let (fatal_tx, mut fatal_rx) = mpsc::channel(1);
+    tasks::start(&cx, &fatal_tx);
+    let server: controller::Client = capnp_rpc::new_client(PeerServer::new(Rc::clone(&cx)));
+    peers.set_nonblocking(true)?;
+    let peers = tokio::net::TcpListener::from_std(peers)?;
+    spawn_local(serve(peers, server.client));
+
+    let reason = tokio::select! {
+        _ = terminate.recv() => "signal",
+        _ = interrupt.recv() => "signal",
+        Some(reason) = fatal_rx.recv() => reason,
+    };
+    Line::new("told_to_stop").with("reason", reason).info();
+    stop::stop(&cx).await;
+    status_handle.stop(false).await;
+    Ok(())
+}
+
+fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).map_err(|source| StartError::Listen { address, source })
+}
+
+/// Tells whoever started the daemon where it listens, since a port of zero takes a free one.
+fn announce(
+    operators: &TcpListener,
+    peers: &TcpListener,
+    status: &TcpListener,
+) -> io::Result<()> {
+    let mut out = io::stdout().lock();
+    writeln!(
+        out,
+        "event=listening operators={} peers={} status={}",
+        operators.local_addr()?,
+        peers.local_addr()?,
+        status.local_addr()?,
+    )?;
+    out.flush()
+}
--- /dev/null
+++ b/crates/controller/src/daemon/stop.rs
@@ -0,0 +1,40 @@
+use {
+    super::ControllerContext,
+    jasmine_core::clock::Millis,
+    jasmine_telemetry::log::Line,
+    std::rc::Rc,
+    tokio::time::{sleep, timeout},
+};
+
+/// Kept back of the deadline for the exit itself.
+const RESERVE: Millis = Millis(200);
+
+/// Stops in order: not ready, engines handed over, rights given back, lease ended.
+///
+/// What isn't done by the deadline is left to lapse with the lease, as after a crash.
+pub(super) async fn stop(cx: &Rc<ControllerContext>) {
+    let stop = cx.settings.stop;
+    Line::new("stopping")
+        .with("deadline_ms", stop.deadline_ms)
+        .info();
+    cx.leaving.set(true);
+    cx.registration.set_leaving();
+    cx.registration_due.raise();
+    cx.health
+        .note(cx.config.is_loaded(), cx.session.until(), true);
+    let limit = stop.deadline_ms - RESERVE;
+    let finished = timeout(limit.to_std(), leave(cx)).await.is_ok();
+    Line::new("stopped").with("finished", finished).info();
+}
+
+async fn leave(cx: &Rc<ControllerContext>) {
+    sleep(cx.settings.stop.grace_ms.to_std()).await;
+    cx.assignment.hand_over_all().await;
+    let held = cx.budget.give_all_back();
+    if let Err(e) = cx.holdings.release(cx.me, held).await {
+        Line::new("rights_not_released").with("error", e).warn();
+    }
+    if let Err(e) = cx.session.end().await {
+        Line::new("lease_not_ended").with("error", e).warn();
+    }
+}
--- a/crates/controller/src/engines/engine_client.rs
+++ b/crates/controller/src/engines/engine_client.rs
@@ -28,8 +28,7 @@
 const MAX_ANSWER: usize = 1024 * 1024;
 
 /// Why an engine gave no usable answer.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(derive_more::Display, derive_more::Error)]
+#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
 pub enum EngineError {
     /// No connection came about; the engine has seen nothing.
     #[display("not reached: {_0}")]
@@ -86,7 +85,14 @@
         engine: SocketAddr,
         fence: Fence,
     ) -> Option<bool> {
-        match post(engine, "/v1/fence", &json!({ "fence": fence }), ORDER_TIMEOUT).await {
+        match post(
+            engine,
+            "/v1/fence",
+            &json!({ "fence": fence }),
+            ORDER_TIMEOUT,
+        )
+        .await
+        {
             Ok(200) => Some(true),
             Ok(409) => Some(false),
             Ok(_) | Err(_) => None,
--- a/crates/controller/src/engines/engine_report.rs
+++ b/crates/controller/src/engines/engine_report.rs
@@ -1,15 +1,10 @@
 use {
-    jasmine_core::{
-        ids::UpstreamId,
-        ownership::Report,
-        placement::Instance,
-    },
+    jasmine_core::{ids::UpstreamId, ownership::Report, placement::Instance},
     serde::Deserialize,
 };
 
 /// An engine's own report of its load, which lags.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-#[derive(Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
 pub struct EngineReport {
     /// Changes when the engine restarts.
     pub boot: u64,
--- a/crates/controller/src/epochs/epoch_keeper.rs
+++ b/crates/controller/src/epochs/epoch_keeper.rs
@@ -1,35 +1,26 @@
 use {
     crate::{
-        clock::OwnClock,
-        config::ConfigKeeper,
-        fleet::FleetMirror,
+        fleet::MemberRecord,
         rights::{WEIGHT_STORE, weight_store_limit},
+        shared::SharedParts,
     },
     jasmine_core::{
         clock::Millis,
         ids::{Role, VmId},
         membership::{
-            Budget,
-            EPOCH_KEY,
-            EpochAction,
-            EpochMachine,
-            HOLDINGS_PREFIX,
-            MembershipSettings,
-            StoreView,
-            holdings_prefix,
-            released_key,
+            Budget, EPOCH_KEY, EpochAction, EpochMachine, HOLDINGS_PREFIX, MembershipSettings,
+            StoreView, holdings_prefix, released_key,
         },
         rights::Limit,
     },
     jasmine_platform::{
-        store::{Compare, KeyValue, Op, Range, Store, StoreError, Txn},
+        store::{Compare, KeyValue, Op, Range, StoreError, Txn},
         vms::VmList,
     },
     jasmine_telemetry::log::Line,
     std::{
         cell::{Cell, RefCell},
         collections::BTreeSet,
-        rc::Rc,
     },
 };
 
@@ -39,45 +30,26 @@
 /// Moves the epoch of rights on when the membership changes.
 ///
 /// Several controllers do so at once; each write compares the record that was read.
+#[derive(Debug)]
 pub struct EpochKeeper {
-    store: Rc<dyn Store>,
-    clock: OwnClock,
-    fleet: Rc<RefCell<FleetMirror>>,
-    config: Rc<ConfigKeeper>,
+    shared: SharedParts,
     vms: VmList,
     machine: RefCell<EpochMachine>,
     listed: RefCell<Option<BTreeSet<VmId>>>,
     list_read: Cell<Option<Millis>>,
 }
 
-impl std::fmt::Debug for EpochKeeper {
-    fn fmt(
-        &self,
-        f: &mut std::fmt::Formatter<'_>,
-    ) -> std::fmt::Result {
-        f.debug_struct("EpochKeeper")
-            .field("listed", &self.listed)
-            .finish_non_exhaustive()
-    }
-}
-
 impl EpochKeeper {
     /// A keeper that has seen nothing yet.
     pub fn new(
-        store: Rc<dyn Store>,
-        clock: OwnClock,
-        me: VmId,
-        fleet: Rc<RefCell<FleetMirror>>,
-        config: Rc<ConfigKeeper>,
+        shared: SharedParts,
         vms: VmList,
     ) -> Self {
+        let machine = EpochMachine::new(shared.me.vm, MembershipSettings::default());
         Self {
-            store,
-            clock,
-            fleet,
-            config,
+            shared,
             vms,
-            machine: RefCell::new(EpochMachine::new(me, MembershipSettings::default())),
+            machine: RefCell::new(machine),
             listed: RefCell::default(),
             list_read: Cell::new(None),
         }
@@ -90,7 +62,7 @@
         let actions = self
             .machine
             .borrow_mut()
-            .step(&view, self.clock.now());
+            .step(&view, self.shared.clock.now());
         for action in actions {
             if let Err(e) = self.carry_out(action).await {
                 Line::new("epoch_write_unsettled").with("error", e).warn();
@@ -100,7 +72,7 @@
     }
 
     async fn read_list(&self) {
-        let now = self.clock.now();
+        let now = self.shared.clock.now();
         let is_due = self
             .list_read
             .get()
@@ -120,9 +92,9 @@
     }
 
     fn view(&self) -> StoreView {
-        let fleet = self.fleet.borrow();
+        let fleet = self.shared.fleet.borrow();
         StoreView {
-            live: fleet.members.values().map(|member| member.live()).collect(),
+            live: fleet.members.values().map(MemberRecord::live).collect(),
             listed: self.listed.borrow().clone(),
             epoch: fleet.epoch.clone(),
             holdings: fleet.holdings.values().cloned().collect(),
@@ -137,7 +109,7 @@
             role: Role::Controller,
             limit: weight_store_limit(),
         };
-        let config = self.config.fleet();
+        let config = self.shared.config.fleet();
         let accounts = config.iter().flat_map(|fleet| {
             fleet.accounts.iter().map(|account| Budget {
                 account: account.id,
@@ -167,7 +139,7 @@
                     success: vec![Op::put(EPOCH_KEY, value.clone())],
                     failure: Vec::new(),
                 };
-                let reply = self.store.txn(txn).await?;
+                let reply = self.shared.store.txn(txn).await?;
                 if reply.succeeded {
                     Line::new("epoch_written")
                         .with("epoch", record.epoch)
@@ -175,7 +147,7 @@
                         .with("members", record.members.len())
                         .info();
                     // Known now, so that the next step doesn't wait for the watch.
-                    self.fleet.borrow_mut().set_epoch(&KeyValue {
+                    self.shared.fleet.borrow_mut().set_epoch(&KeyValue {
                         key: EPOCH_KEY.into(),
                         value,
                         mod_revision: reply.revision,
@@ -203,6 +175,6 @@
             success: vec![Op::Delete(range)],
             failure: Vec::new(),
         };
-        self.store.txn(txn).await.map(drop)
+        self.shared.store.txn(txn).await.map(drop)
     }
 }
--- a/crates/controller/src/epochs/mod.rs
+++ b/crates/controller/src/epochs/mod.rs
@@ -4,8 +4,4 @@
 mod holdings_desk;
 mod own_epoch;
 
-pub use {
-    epoch_keeper::EpochKeeper,
-    holdings_desk::HoldingsDesk,
-    own_epoch::OwnEpoch,
-};
+pub use {epoch_keeper::EpochKeeper, holdings_desk::HoldingsDesk, own_epoch::OwnEpoch};
--- a/crates/controller/src/fleet/fleet_mirror.rs
+++ b/crates/controller/src/fleet/fleet_mirror.rs
@@ -4,13 +4,8 @@
     jasmine_core::{
         ids::{Fence, UpstreamId, VmId},
         membership::{
-            EPOCH_KEY,
-            EpochRecord,
-            HOLDINGS_PREFIX,
-            HoldingsRecord,
-            RELEASED_PREFIX,
-            ReleasedRecord,
-            Versioned,
+            EPOCH_KEY, EpochRecord, HOLDINGS_PREFIX, HoldingsRecord, RELEASED_PREFIX,
+            ReleasedRecord, Versioned,
         },
     },
     jasmine_platform::store::{KeyValue, WatchEvent},
--- a/crates/controller/src/follow/bootstrap.rs
+++ b/crates/controller/src/follow/bootstrap.rs
@@ -1,10 +1,7 @@
 use {
     super::{ConfigFollower, FleetFollower},
     crate::config::ConfigKeeper,
-    jasmine_core::{
-        clock::Millis,
-        ids::VmId,
-    },
+    jasmine_core::{clock::Millis, ids::VmId},
     jasmine_platform::vms::{ListedVm, VmList},
     rand::seq::IndexedRandom,
     std::{
--- a/crates/controller/src/follow/config_follower.rs
+++ b/crates/controller/src/follow/config_follower.rs
@@ -1,25 +1,16 @@
 use {
     super::{Duty, StoreWatch, WatchEnd},
     crate::{
-        clock::OwnClock,
-        config::{Applied, ConfigKeeper, ConfigStore, edits_end},
-        fleet::FleetMirror,
-        peers::PeerLinks,
+        config::{Applied, ConfigStore, edits_end},
+        shared::SharedParts,
     },
     jasmine_conf::store_layout::edit_key,
-    jasmine_core::{
-        clock::Millis,
-        ids::{Holder, VmId},
-    },
-    jasmine_platform::store::{Range, Store, WatchEvent},
+    jasmine_core::{clock::Millis, ids::VmId},
+    jasmine_platform::store::{Range, WatchEvent},
     jasmine_telemetry::log::Line,
     jasmine_wire::link::Backoff,
     rand::seq::IndexedRandom,
-    std::{
-        cell::{Cell, RefCell},
-        net::SocketAddr,
-        rc::Rc,
-    },
+    std::{cell::Cell, net::SocketAddr, rc::Rc},
     tokio::time::sleep,
 };
 
@@ -36,53 +27,23 @@
 const MOST_PAUSE: Millis = Millis(5_000);
 
 /// Follows the configuration: from the store on a watcher, from a watcher elsewhere.
+#[derive(Debug)]
 pub struct ConfigFollower {
-    store: Rc<dyn Store>,
-    clock: OwnClock,
-    me: Holder,
-    data_centre: String,
-    keeper: Rc<ConfigKeeper>,
+    shared: SharedParts,
     reader: Rc<ConfigStore>,
-    fleet: Rc<RefCell<FleetMirror>>,
-    links: Rc<PeerLinks>,
-    /// When the store last answered a read, by this process's own clock.
-    pub store_heard: Cell<Option<Millis>>,
+    store_heard: Cell<Option<Millis>>,
     turn: Cell<usize>,
 }
 
-impl std::fmt::Debug for ConfigFollower {
-    fn fmt(
-        &self,
-        f: &mut std::fmt::Formatter<'_>,
-    ) -> std::fmt::Result {
-        f.debug_struct("ConfigFollower")
-            .field("store_heard", &self.store_heard)
-            .finish_non_exhaustive()
-    }
-}
-
 impl ConfigFollower {
-    /// A follower for `keeper`.
-    #[expect(clippy::too_many_arguments, reason = "one for each thing it connects")]
-    pub fn new(
-        store: Rc<dyn Store>,
-        clock: OwnClock,
-        me: Holder,
-        data_centre: String,
-        keeper: Rc<ConfigKeeper>,
+    /// A follower that fills the shared keeper.
+    pub const fn new(
+        shared: SharedParts,
         reader: Rc<ConfigStore>,
-        fleet: Rc<RefCell<FleetMirror>>,
-        links: Rc<PeerLinks>,
     ) -> Self {
         Self {
-            store,
-            clock,
-            me,
-            data_centre,
-            keeper,
+            shared,
             reader,
-            fleet,
-            links,
             store_heard: Cell::new(None),
             turn: Cell::new(0),
         }
@@ -93,24 +54,18 @@
         let mut backoff = Backoff::new(CONFIRM_EVERY, MOST_PAUSE);
         loop {
             let duty = self.duty();
-            let told = match duty.is_watcher(self.me.vm) {
-                true => false,
-                false => self.ask_watchers(&duty).await,
-            };
-            if told {
+            let is_watcher = duty.is_watcher(self.shared.me.vm);
+            if !is_watcher && self.ask_watchers(&duty).await {
                 backoff.reset();
                 continue;
             }
             // On duty, or no watcher answers: the store itself, and others when it is silent.
-            let pause = match self.pull().await {
-                true => {
-                    backoff.reset();
-                    CONFIRM_EVERY
-                }
-                false => {
-                    self.ask_anybody().await;
-                    backoff.next_pause()
-                }
+            let pause = if self.pull().await {
+                backoff.reset();
+                CONFIRM_EVERY
+            } else {
+                self.ask_anybody().await;
+                backoff.next_pause()
             };
             sleep(pause.to_std()).await;
         }
@@ -120,13 +75,13 @@
     pub async fn watch(&self) {
         let mut backoff = Backoff::new(CONFIRM_EVERY, MOST_PAUSE);
         loop {
-            if !self.keeper.is_loaded() || !self.duty().is_watcher(self.me.vm) {
+            if !self.shared.config.is_loaded() || !self.duty().is_watcher(self.shared.me.vm) {
                 sleep(CONFIRM_EVERY.to_std()).await;
                 continue;
             }
-            let range = Range::between(edit_key(self.keeper.revision().next()), edits_end());
+            let range = Range::between(edit_key(self.shared.config.revision().next()), edits_end());
             // What came between the last read and now is brought by the next read.
-            let mut watch = StoreWatch::from_now(Rc::clone(&self.store), range);
+            let mut watch = StoreWatch::from_now(Rc::clone(&self.shared.store), range);
             let ended = watch.run_once(|event| self.take(event)).await;
             match ended {
                 Ok(WatchEnd::Over | WatchEnd::Compacted) => backoff.reset(),
@@ -140,7 +95,7 @@
 
     /// Whether the store has answered lately.
     pub fn is_store_up(&self) -> bool {
-        let now = self.clock.now();
+        let now = self.shared.clock.now();
         self.store_heard
             .get()
             .is_some_and(|heard| now.since(heard) < ASK_PEERS_AFTER)
@@ -152,18 +107,21 @@
     ) {
         if let WatchEvent::Put(kv) = event {
             // A gap is closed by the next read, within a second.
-            let _applied: Applied = self.reader.take(kv);
+            let _applied = self.reader.take(kv);
         }
     }
 
     fn duty(&self) -> Duty {
-        Duty::among(&self.data_centre, self.fleet.borrow().members.values())
+        Duty::among(
+            &self.shared.data_centre,
+            self.shared.fleet.borrow().members.values(),
+        )
     }
 
     async fn pull(&self) -> bool {
         match self.reader.pull().await {
             Ok(()) => {
-                self.store_heard.set(Some(self.clock.now()));
+                self.store_heard.set(Some(self.shared.clock.now()));
                 true
             }
             Err(e) => {
@@ -177,11 +135,10 @@
         &self,
         duty: &Duty,
     ) -> bool {
-        for vm in duty.ask_order(self.me.vm) {
-            if let Some(address) = self.links.address(vm) {
-                if self.ask(address, ASK_WAIT).await {
-                    return true;
-                }
+        for vm in duty.ask_order(self.shared.me.vm) {
+            match self.shared.links.address(vm) {
+                Some(address) if self.ask(address, ASK_WAIT).await => return true,
+                _ => {}
             }
         }
         false
@@ -190,12 +147,12 @@
     /// Asks one other controller of any data centre, another one each time.
     async fn ask_anybody(&self) {
         let others: Vec<VmId> = {
-            let fleet = self.fleet.borrow();
+            let fleet = self.shared.fleet.borrow();
             fleet
                 .members
                 .keys()
                 .copied()
-                .filter(|&vm| vm != self.me.vm)
+                .filter(|&vm| vm != self.shared.me.vm)
                 .collect()
         };
         let chosen = match self.turn.replace(self.turn.get() + 1) {
@@ -203,7 +160,7 @@
             0 => others.first(),
             _ => others.choose(&mut rand::rng()),
         };
-        if let Some(address) = chosen.and_then(|&vm| self.links.address(vm)) {
+        if let Some(address) = chosen.and_then(|&vm| self.shared.links.address(vm)) {
             self.ask(address, Millis::ZERO).await;
         }
     }
@@ -214,20 +171,22 @@
         address: SocketAddr,
         wait: Millis,
     ) -> bool {
-        let sent = self.clock.now();
-        let have = self.keeper.revision();
-        let Ok(answer) = self.links.poll_config(address, have, wait).await else {
+        let sent = self.shared.clock.now();
+        let have = self.shared.config.revision();
+        let Ok(answer) = self.shared.links.poll_config(address, have, wait).await else {
             return false;
         };
-        let applied = match answer.body.is_empty() {
-            true => Applied::Old,
-            false => self.keeper.take_body(&answer.body, answer.full),
+        let applied = match answer.body.as_slice() {
+            [] => Applied::Old,
+            body => self.shared.config.take_body(body, answer.full),
         };
         // The other's word counts from when the question was sent: its answer may have lain about.
-        if applied != Applied::Gap && self.keeper.revision() == answer.revision {
-            let confirmed = sent.0.checked_sub(answer.fresh.0);
-            confirmed.map(|at| self.keeper.confirm(Millis(at)));
+        match sent.0.checked_sub(answer.fresh.0) {
+            Some(at) if self.shared.config.revision() == answer.revision => {
+                self.shared.config.confirm(Millis(at));
+            }
+            _ => {}
         }
-        applied != Applied::Gap && answer.revision >= have && self.keeper.is_loaded()
+        applied != Applied::Gap && answer.revision >= have && self.shared.config.is_loaded()
     }
 }
--- a/crates/controller/src/follow/fleet_follower.rs
+++ b/crates/controller/src/follow/fleet_follower.rs
@@ -1,24 +1,11 @@
 use {
     super::{Duty, StoreWatch, WatchEnd},
-    crate::{
-        clock::Signal,
-        fleet::FleetMirror,
-        peers::PeerLinks,
-        store_keys,
-    },
-    jasmine_core::{
-        clock::Millis,
-        ids::{Holder, VmId},
-        membership::EPOCH_KEY,
-    },
-    jasmine_platform::store::{Range, Store, StoreError},
+    crate::{clock::Signal, shared::SharedParts, store_keys},
+    jasmine_core::{clock::Millis, ids::VmId, membership::EPOCH_KEY},
+    jasmine_platform::store::{Range, StoreError},
     jasmine_telemetry::log::Line,
     jasmine_wire::link::Backoff,
-    std::{
-        cell::{Cell, RefCell},
-        net::SocketAddr,
-        rc::Rc,
-    },
+    std::{cell::Cell, net::SocketAddr, rc::Rc},
     tokio::time::sleep,
 };
 
@@ -29,44 +16,20 @@
 const PAUSES: (Millis, Millis) = (Millis(250), Millis(5_000));
 
 /// Follows members, owners and the epoch: by a watch on duty, else from a watcher.
+#[derive(Debug)]
 pub struct FleetFollower {
-    store: Rc<dyn Store>,
-    me: Holder,
-    data_centre: String,
-    fleet: Rc<RefCell<FleetMirror>>,
-    links: Rc<PeerLinks>,
+    shared: SharedParts,
     changed: Signal,
     synced: Cell<bool>,
     read: Cell<bool>,
 }
 
-impl std::fmt::Debug for FleetFollower {
-    fn fmt(
-        &self,
-        f: &mut std::fmt::Formatter<'_>,
-    ) -> std::fmt::Result {
-        f.debug_struct("FleetFollower")
-            .field("synced", &self.synced)
-            .finish_non_exhaustive()
-    }
-}
-
 impl FleetFollower {
     /// A follower that has heard nothing yet.
-    pub fn new(
-        store: Rc<dyn Store>,
-        me: Holder,
-        data_centre: String,
-        fleet: Rc<RefCell<FleetMirror>>,
-        links: Rc<PeerLinks>,
-    ) -> Self {
-        let changed = fleet.borrow().changed.clone();
+    pub fn new(shared: SharedParts) -> Self {
+        let changed = shared.fleet.borrow().changed.clone();
         Self {
-            store,
-            me,
-            data_centre,
-            fleet,
-            links,
+            shared,
             changed,
             synced: Cell::new(false),
             read: Cell::new(false),
@@ -87,7 +50,7 @@
     pub async fn run(&self) {
         let mut backoff = Backoff::new(PAUSES.0, PAUSES.1);
         loop {
-            if self.read.get() && !self.duty().is_watcher(self.me.vm) {
+            if self.read.get() && !self.duty().is_watcher(self.shared.me.vm) {
                 self.synced.set(false);
                 self.relay().await;
             }
@@ -104,24 +67,24 @@
 
     /// Reads everything, then follows it while on duty, from connection to connection.
     async fn watch(&self) -> Result<(), StoreError> {
-        let reply = self.store.range(store_keys::fleet()).await?;
-        self.fleet.borrow_mut().reset(&reply.kvs);
+        let reply = self.shared.store.range(store_keys::fleet()).await?;
+        self.shared.fleet.borrow_mut().reset(&reply.kvs);
         self.links_follow();
         self.read.set(true);
         self.synced.set(true);
         let mut watch = StoreWatch::new(
-            Rc::clone(&self.store),
+            Rc::clone(&self.shared.store),
             store_keys::fleet(),
             reply.revision,
         );
         loop {
             let ended = watch
                 .run_once(|event| {
-                    self.fleet.borrow_mut().apply(event);
+                    self.shared.fleet.borrow_mut().apply(event);
                     self.links_follow();
                 })
                 .await?;
-            if ended == WatchEnd::Compacted || !self.duty().is_watcher(self.me.vm) {
+            if ended == WatchEnd::Compacted || !self.duty().is_watcher(self.shared.me.vm) {
                 return Ok(());
             }
         }
@@ -132,11 +95,11 @@
         let mut have = (None, 0);
         loop {
             let duty = self.duty();
-            if duty.is_watcher(self.me.vm) {
+            if duty.is_watcher(self.shared.me.vm) {
                 return;
             }
             let mut told = false;
-            for vm in duty.ask_order(self.me.vm) {
+            for vm in duty.ask_order(self.shared.me.vm) {
                 if let Some(seq) = self.ask(vm, have).await {
                     have = (Some(vm), seq);
                     told = true;
@@ -154,7 +117,7 @@
         vm: VmId,
         have: (Option<VmId>, u64),
     ) -> Option<u64> {
-        let address = self.links.address(vm)?;
+        let address = self.shared.links.address(vm)?;
         let have = if have.0 == Some(vm) { have.1 } else { 0 };
         self.ask_address(address, have, ASK_WAIT).await
     }
@@ -166,18 +129,28 @@
         have: u64,
         wait: Millis,
     ) -> Option<u64> {
-        let answer = self.links.poll_fleet(address, have, wait).await.ok()?;
+        let answer = self
+            .shared
+            .links
+            .poll_fleet(address, have, wait)
+            .await
+            .ok()?;
         // An empty list comes from a controller that has read nothing itself.
         if answer.members.is_empty() {
             return None;
         }
-        self.fleet
+        self.shared
+            .fleet
             .borrow_mut()
             .relay(answer.members, answer.owners);
         self.links_follow();
-        let known = self.fleet.borrow().epoch.as_ref().map(|epoch| {
-            (epoch.value.epoch, epoch.value.closing)
-        });
+        let known = self
+            .shared
+            .fleet
+            .borrow()
+            .epoch
+            .as_ref()
+            .map(|epoch| (epoch.value.epoch, epoch.value.closing));
         if known != Some((answer.epoch, answer.closing)) {
             self.read_epoch().await;
         }
@@ -186,19 +159,23 @@
 
     /// Reads the epoch's record: what it grants to each holder isn't relayed.
     async fn read_epoch(&self) {
-        if let Ok(reply) = self.store.range(Range::key(EPOCH_KEY)).await {
-            if let Some(kv) = reply.kvs.first() {
-                self.fleet.borrow_mut().set_epoch(kv);
-            }
+        let reply = self.shared.store.range(Range::key(EPOCH_KEY)).await;
+        if let Some(kv) = reply.unwrap_or_default().kvs.first() {
+            self.shared.fleet.borrow_mut().set_epoch(kv);
         }
     }
 
     fn links_follow(&self) {
-        self.links.set_members(self.fleet.borrow().members.values());
+        self.shared
+            .links
+            .set_members(self.shared.fleet.borrow().members.values());
     }
 
     fn duty(&self) -> Duty {
-        Duty::among(&self.data_centre, self.fleet.borrow().members.values())
+        Duty::among(
+            &self.shared.data_centre,
+            self.shared.fleet.borrow().members.values(),
+        )
     }
 
     /// Raised with each change of the fleet.
--- a/crates/controller/src/follow/mod.rs
+++ b/crates/controller/src/follow/mod.rs
@@ -1,9 +1,9 @@
 //! Following what changes: by watches of the store on a few VMs, by their word on the others.
 
 mod bootstrap;
+mod config_follower;
 mod duty;
 mod fleet_follower;
-mod config_follower;
 mod store_watch;
 
 pub use {
--- a/crates/controller/src/follow/store_watch.rs
+++ b/crates/controller/src/follow/store_watch.rs
@@ -1,8 +1,8 @@
 use {
+    futures::StreamExt,
     jasmine_core::clock::Millis,
     jasmine_platform::store::{Range, Store, StoreError, WatchBatch, WatchEvent},
     std::rc::Rc,
-    futures::StreamExt,
     tokio::time::{Instant, timeout_at},
 };
 
--- a/crates/controller/src/ownership/assignment.rs
+++ b/crates/controller/src/ownership/assignment.rs
@@ -1,19 +1,18 @@
 use {
     super::{EngineTarget, OwnerDesk},
     crate::{
-        clock::OwnClock,
-        config::ConfigKeeper,
-        fleet::{FleetMirror, MemberRecord, Owner, OwnerRecord},
+        fleet::{MemberRecord, Owner, OwnerRecord},
         session::LeaseSession,
+        shared::SharedParts,
         store_keys,
     },
     jasmine_conf::fleet::{Fleet, Upstream, UpstreamKind},
     jasmine_core::{
         clock::Millis,
-        ids::{Fence, Holder, UpstreamId},
+        ids::{Fence, Role, UpstreamId, VmId},
         ownership::{Candidate, OwnerEvent, assign},
     },
-    jasmine_platform::store::{Compare, LeaseId, Op, Range, Store, StoreError, Txn, TxnReply},
+    jasmine_platform::store::{Compare, LeaseId, Op, Range, StoreError, Txn, TxnReply, WatchEvent},
     jasmine_telemetry::log::Line,
     std::{
         cell::RefCell,
@@ -32,29 +31,15 @@
 ///
 /// Every controller computes the same owner from the members it knows. Where two differ for a moment
 /// the store decides: a record is created only where there is none.
+#[derive(Debug)]
 pub struct Assignment {
-    store: Rc<dyn Store>,
-    clock: OwnClock,
-    me: Holder,
+    shared: SharedParts,
     session: Rc<LeaseSession>,
-    fleet: Rc<RefCell<FleetMirror>>,
-    config: Rc<ConfigKeeper>,
     desk: Rc<OwnerDesk>,
     held: RefCell<BTreeMap<UpstreamId, (LeaseId, Fence)>>,
     better: RefCell<BTreeMap<UpstreamId, Millis>>,
 }
 
-impl std::fmt::Debug for Assignment {
-    fn fmt(
-        &self,
-        f: &mut std::fmt::Formatter<'_>,
-    ) -> std::fmt::Result {
-        f.debug_struct("Assignment")
-            .field("held", &self.held)
-            .finish_non_exhaustive()
-    }
-}
-
 /// What is to be done about one engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Move {
@@ -65,21 +50,13 @@
 impl Assignment {
     /// An assignment that holds nothing yet.
     pub fn new(
-        store: Rc<dyn Store>,
-        clock: OwnClock,
-        me: Holder,
+        shared: SharedParts,
         session: Rc<LeaseSession>,
-        fleet: Rc<RefCell<FleetMirror>>,
-        config: Rc<ConfigKeeper>,
         desk: Rc<OwnerDesk>,
     ) -> Self {
         Self {
-            store,
-            clock,
-            me,
+            shared,
             session,
-            fleet,
-            config,
             desk,
             held: RefCell::default(),
             better: RefCell::default(),
@@ -121,7 +98,7 @@
     fn drop_lost(&self) {
         let lease = self.session.id();
         let lost: Vec<_> = {
-            let fleet = self.fleet.borrow();
+            let fleet = self.shared.fleet.borrow();
             let held = self.held.borrow();
             held.iter()
                 .filter(|(upstream, (under, fence))| {
@@ -142,19 +119,19 @@
         owner: &Owner,
         fence: Fence,
     ) -> bool {
-        owner.record.vm == self.me.vm
-            && owner.record.incarnation == self.me.incarnation
+        owner.record.vm == self.shared.me.vm
+            && owner.record.incarnation == self.shared.me.incarnation
             && owner.fence >= fence
     }
 
     /// The VMs whose gateways may hold grants: all in the epoch, and all that are registered.
-    fn witnesses(&self) -> Vec<jasmine_core::ids::VmId> {
-        let fleet = self.fleet.borrow();
+    fn witnesses(&self) -> Vec<VmId> {
+        let fleet = self.shared.fleet.borrow();
         let in_epoch = fleet
             .epoch
             .iter()
             .flat_map(|epoch| &epoch.value.members)
-            .filter(|holder| holder.role == jasmine_core::ids::Role::Gateway)
+            .filter(|holder| holder.role == Role::Gateway)
             .map(|holder| holder.vm);
         let registered = fleet
             .members
@@ -166,12 +143,12 @@
     }
 
     fn moves(&self) -> Vec<(UpstreamId, EngineTarget, Move)> {
-        let Some(config) = self.config.fleet() else {
+        let Some(config) = self.shared.config.fleet() else {
             return Vec::new();
         };
-        let mirror = self.fleet.borrow();
+        let mirror = self.shared.fleet.borrow();
         let live = candidates(&config, mirror.members.values());
-        let now = self.clock.now();
+        let now = self.shared.clock.now();
         let mut better = self.better.borrow_mut();
         let mut moves = Vec::new();
         for upstream in config.upstreams.iter() {
@@ -179,7 +156,7 @@
                 continue;
             };
             let best = assign(upstream.id, upstream.data_centre, &live);
-            let is_best = best == Some(self.me.vm);
+            let is_best = best == Some(self.shared.me.vm);
             let owner = mirror.owners.get(&upstream.id);
             let step = match owner {
                 None if is_best => Some(Move::Claim(None)),
@@ -205,7 +182,8 @@
         &self,
         owner: &Owner,
     ) -> bool {
-        owner.record.vm == self.me.vm && owner.record.incarnation < self.me.incarnation
+        owner.record.vm == self.shared.me.vm
+            && owner.record.incarnation < self.shared.me.incarnation
     }
 
     async fn claim(
@@ -230,8 +208,8 @@
         upstream: UpstreamId,
         lease: LeaseId,
     ) {
-        let owner = self.fleet.borrow().owners.get(&upstream).copied();
-        let config = self.config.fleet();
+        let owner = self.shared.fleet.borrow().owners.get(&upstream).copied();
+        let config = self.shared.config.fleet();
         let target = config
             .as_ref()
             .and_then(|config| config.upstreams.get(upstream))
@@ -263,9 +241,9 @@
             success: vec![Op::Delete(Range::key(key))],
             failure: Vec::new(),
         };
-        match self.store.txn(txn).await {
+        match self.shared.store.txn(txn).await {
             Ok(_) => {
-                self.fleet.borrow_mut().owners.remove(&upstream);
+                self.shared.fleet.borrow_mut().owners.remove(&upstream);
             }
             Err(e) => {
                 Line::new("hand_over_unsettled")
@@ -292,7 +270,7 @@
             success: vec![Op::put_leased(&key, value, lease)],
             failure: vec![Op::Get(Range::key(&key))],
         };
-        match self.store.txn(txn).await {
+        match self.shared.store.txn(txn).await {
             Ok(TxnReply {
                 succeeded: true,
                 revision,
@@ -302,8 +280,8 @@
                 let found = reply.reads.into_iter().flatten().next();
                 // Known now, so that the next step doesn't try again before the watch has told.
                 if let Some(kv) = found {
-                    let event = jasmine_platform::store::WatchEvent::Put(kv);
-                    self.fleet.borrow_mut().apply(&event);
+                    let event = WatchEvent::Put(kv);
+                    self.shared.fleet.borrow_mut().apply(&event);
                 }
                 None
             }
@@ -320,7 +298,7 @@
         record: OwnerRecord,
     ) -> Option<Fence> {
         let key = store_keys::owner(upstream);
-        let reply = self.store.range(Range::key(key)).await.ok()?;
+        let reply = self.shared.store.range(Range::key(key)).await.ok()?;
         let kv = reply.kvs.first()?;
         let found: OwnerRecord = serde_json::from_slice(&kv.value).ok()?;
         (found == record && kv.lease == lease.0).then_some(Fence(kv.mod_revision))
@@ -339,7 +317,7 @@
             fence,
         };
         {
-            let mut fleet = self.fleet.borrow_mut();
+            let mut fleet = self.shared.fleet.borrow_mut();
             fleet.owners.insert(upstream, owner);
             fleet.changed.raise();
         }
@@ -347,13 +325,13 @@
         self.desk.gain(upstream, fence, target);
     }
 
-    const fn record(
+    fn record(
         &self,
         renewal: u64,
     ) -> OwnerRecord {
         OwnerRecord {
-            vm: self.me.vm,
-            incarnation: self.me.incarnation,
+            vm: self.shared.me.vm,
+            incarnation: self.shared.me.incarnation,
             renewal,
         }
     }
--- a/crates/controller/src/ownership/owner_desk.rs
+++ b/crates/controller/src/ownership/owner_desk.rs
@@ -10,15 +10,8 @@
         clock::Millis,
         ids::{Fence, Holder, UpstreamId},
         ownership::{
-            AcquireOutcome,
-            Ask,
-            LoadResult,
-            OwnerAction,
-            OwnerEvent,
-            OwnerMachine,
-            OwnerSettings,
-            Ownership,
-            UnloadResult,
+            AcquireOutcome, Ask, LoadResult, OwnerAction, OwnerEvent, OwnerMachine, OwnerSettings,
+            Ownership, UnloadResult,
         },
         placement::Instance,
     },
@@ -36,7 +29,7 @@
 const REPLY_MARGIN: Millis = Millis(200);
 
 /// How often an engine is asked for its report.
-const REPORT_EVERY: Duration = Duration::from_millis(1000);
+const REPORT_EVERY: Duration = Duration::from_secs(1);
 
 /// Attempts to raise an engine's fencing token.
 const RAISE_ATTEMPTS: u32 = 10;
@@ -142,16 +135,12 @@
     ) {
         let is_new = {
             let mut engines = self.engines.borrow_mut();
-            match engines.get_mut(&upstream) {
-                Some(state) => {
-                    state.fence = fence;
-                    false
-                }
-                None => {
-                    engines.insert(upstream, EngineState::new(target, fence));
-                    true
-                }
-            }
+            let is_new = !engines.contains_key(&upstream);
+            let state = engines
+                .entry(upstream)
+                .or_insert_with(|| EngineState::new(target, fence));
+            state.fence = fence;
+            is_new
         };
         Line::new("engine_gained")
             .with("upstream", upstream)
@@ -203,16 +192,16 @@
     ) {
         let actions = self.machine.borrow_mut().handle(event, self.clock.now());
         for action in actions {
-            self.carry_out(action);
+            self.carry_out(&action);
         }
         self.refresh_views();
     }
 
     fn carry_out(
         self: &Rc<Self>,
-        action: OwnerAction,
+        action: &OwnerAction,
     ) {
-        match action {
+        match *action {
             OwnerAction::OrderLoad { instance, fence } => {
                 spawn_local(Rc::clone(self).load(instance, fence));
             }
@@ -232,7 +221,9 @@
             OwnerAction::Reply { to, ask, outcome } => {
                 let question = self.questions.borrow_mut().remove(&(to, ask));
                 // A gateway that has gone away takes no answer; its grant comes back by its polls.
-                question.map(|tx| tx.send(outcome).unwrap_or_default());
+                if let Some(tx) = question {
+                    tx.send(outcome).unwrap_or_default();
+                }
             }
             // Gateways read recalls from the answers to their polls.
             OwnerAction::Recall { .. } => self.changed.raise(),
--- a/crates/controller/src/peers/fleet_message.rs
+++ b/crates/controller/src/peers/fleet_message.rs
@@ -61,7 +61,7 @@
     list: capnp::struct_list::Reader<'_, member::Owned>
 ) -> Result<BTreeMap<VmId, MemberRecord>, capnp::Error> {
     let mut members = BTreeMap::new();
-    for reader in list.iter() {
+    for reader in list {
         let Some(controller) = read_daemon(
             reader.get_controller_incarnation(),
             reader.get_controller_address()?,
--- a/crates/controller/src/peers/peer_links.rs
+++ b/crates/controller/src/peers/peer_links.rs
@@ -1,6 +1,7 @@
 use {
     super::{read_members, read_owners},
     crate::fleet::{MemberRecord, Owner},
+    capnp::capability::FromClientHook,
     jasmine_core::{
         clock::Millis,
         ids::{Epoch, Holder, Revision, UpstreamId, VmId},
@@ -8,15 +9,10 @@
     },
     jasmine_wire::{
         convert::{read_right, write_peer},
-        jasmine_capnp::controller,
+        jasmine_capnp::{controller, rights_holder},
         link::{Link, LinkError, LinkOptions},
     },
-    std::{
-        cell::RefCell,
-        collections::BTreeMap,
-        net::SocketAddr,
-        rc::Rc,
-    },
+    std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc},
 };
 
 /// A newer configuration as another controller tells it.
@@ -185,7 +181,8 @@
         let address = self.address(ask.to.vm)?;
         self.link(address)
             .call(Millis::ZERO, move |client| async move {
-                let mut req = client.take_rights_request();
+                let holder = client.cast_to::<rights_holder::Client>();
+                let mut req = holder.take_rights_request();
                 let mut params = req.get();
                 write_peer(params.reborrow().init_from(), request.from);
                 params.set_transfer(request.transfer.0);
--- a/crates/controller/src/peers/peer_server.rs
+++ b/crates/controller/src/peers/peer_server.rs
@@ -1,22 +1,10 @@
 use {
     super::{write_fleet, write_upstreams},
-    crate::{
-        claims::ClaimOutcome,
-        daemon::ControllerContext,
-        fleet::DaemonRecord,
-    },
+    crate::{claims::ClaimOutcome, daemon::ControllerContext, fleet::DaemonRecord},
     jasmine_core::{
         clock::Millis,
         ids::{
-            AccountId,
-            AdapterId,
-            AdapterVersion,
-            Epoch,
-            Fence,
-            Holder,
-            Revision,
-            Role,
-            TransferId,
+            AccountId, AdapterId, AdapterVersion, Epoch, Fence, Holder, Revision, Role, TransferId,
             UpstreamId,
         },
         ownership::{self, Ask, OwnerEvent, Poll, Release},
@@ -24,7 +12,9 @@
     },
     jasmine_wire::{
         convert::{read_instances, read_peer, read_rights, write_instance, write_right},
-        jasmine_capnp::{AcquireOutcome, ClaimOutcome as WireClaimOutcome, controller, rights_holder},
+        jasmine_capnp::{
+            AcquireOutcome, ClaimOutcome as WireClaimOutcome, controller, rights_holder,
+        },
     },
     std::rc::Rc,
 };
@@ -89,7 +79,10 @@
         }
         let seen = config.changed.seq();
         if config.revision() <= have && (config.is_loaded() || have == Revision(0)) {
-            config.changed.changed_from(seen, wait(params.get_wait_ms())).await;
+            config
+                .changed
+                .changed_from(seen, wait(params.get_wait_ms()))
+                .await;
         }
         let reply = config.reply(have);
         let mut res = results.get();
@@ -107,14 +100,13 @@
     ) -> Result<(), capnp::Error> {
         let params = params.get()?;
         let from = read_peer(params.get_from()?)?;
-        if self.is_own_gateway(from) {
-            if let Ok(address) = params.get_peer_address()?.to_str()?.parse() {
-                let gateway = DaemonRecord {
-                    incarnation: from.incarnation,
-                    address,
-                };
-                self.cx.note_gateway(gateway);
-            }
+        let address = params.get_peer_address()?.to_str()?.parse();
+        match address {
+            Ok(address) if self.is_own_gateway(from) => self.cx.note_gateway(DaemonRecord {
+                incarnation: from.incarnation,
+                address,
+            }),
+            _ => {}
         }
         let changed = self.cx.fleet.borrow().changed.clone();
         changed
--- a/crates/controller/src/rights/load_budget.rs
+++ b/crates/controller/src/rights/load_budget.rs
@@ -3,14 +3,7 @@
     jasmine_core::{
         ids::{AccountId, Epoch, Holder},
         rights::{
-            Admission,
-            Ask,
-            CallerTag,
-            Given,
-            Limit,
-            Right,
-            RightsLedger,
-            RightsSettings,
+            Admission, Ask, CallerTag, Given, Limit, Right, RightsLedger, RightsSettings,
             TakeRequest,
         },
     },
--- /dev/null
+++ b/crates/controller/src/shared/mod.rs
@@ -0,0 +1,5 @@
+//! What nearly every part of the controller needs.
+
+mod parts;
+
+pub use parts::SharedParts;
--- a/crates/controller/src/status/mod.rs
+++ b/crates/controller/src/status/mod.rs
@@ -4,8 +4,4 @@
 mod status_api;
 mod store_metrics;
 
-pub use {
-    health::Health,
-    status_api::start,
-    store_metrics::register,
-};
+pub use {health::Health, status_api::start, store_metrics::register};
--- a/crates/controller/src/status/status_api.rs
+++ b/crates/controller/src/status/status_api.rs
@@ -1,9 +1,7 @@
 use {
     super::Health,
     actix_web::{
-        App,
-        HttpResponse,
-        HttpServer,
+        App, HttpResponse, HttpServer,
         dev::Server,
         http::header::ContentType,
         web::{self, Data},
@@ -38,17 +36,19 @@
 }
 
 async fn healthz(health: Data<Health>) -> HttpResponse {
-    match health.is_healthy() {
-        true => HttpResponse::Ok().body("ok\n"),
-        false => HttpResponse::ServiceUnavailable().body("stalled\n"),
+    if health.is_healthy() {
+        HttpResponse::Ok().body("ok\n")
+    } else {
+        HttpResponse::ServiceUnavailable().body("stalled\n")
     }
 }
 
 async fn readyz(health: Data<Health>) -> HttpResponse {
     let unready = health.unready();
-    match unready.is_empty() {
-        true => HttpResponse::Ok().body("ready\n"),
-        false => HttpResponse::ServiceUnavailable().body(format!("{}\n", unready.join(" "))),
+    if unready.is_empty() {
+        HttpResponse::Ok().body("ready\n")
+    } else {
+        HttpResponse::ServiceUnavailable().body(format!("{}\n", unready.join(" ")))
     }
 }
 
--- a/crates/wire/src/link/peer_link.rs
+++ b/crates/wire/src/link/peer_link.rs
@@ -23,7 +23,6 @@
 /// Open connections can go silent for good while new ones work. Nothing then arrives, not even an
 /// error, and a caller would wait for ever; so each call has its timeout, a call that waits long is
 /// accompanied by heartbeats, and either running out replaces the connection.
-#[derive(Debug)]
 pub struct Link<C> {
     address: SocketAddr,
     options: LinkOptions,
@@ -32,13 +31,24 @@
     not_before: Cell<Option<Instant>>,
 }
 
-#[derive(Debug)]
 struct Open<C> {
     client: C,
     ended: Rc<Cell<bool>>,
     task: AbortHandle,
 }
 
+impl<C> std::fmt::Debug for Link<C> {
+    fn fmt(
+        &self,
+        f: &mut std::fmt::Formatter<'_>,
+    ) -> std::fmt::Result {
+        f.debug_struct("Link")
+            .field("address", &self.address)
+            .field("is_open", &self.open.borrow().is_some())
+            .finish_non_exhaustive()
+    }
+}
+
 impl<C> Drop for Open<C> {
     fn drop(&mut self) {
         self.task.abort();
