--- a/crates/testkit/src/platform/store.rs
+++ b/crates/testkit/src/platform/store.rs
@@ -108,7 +108,7 @@
         for op in ops {
             self.check(op)?;
         }
-        let revision = self.revision + 1;
+        let revision = self.revision.max(1) + 1;
         let responses: Vec<Value> = ops.iter().map(|op| self.apply(op, revision)).collect();
         let mut answer = json!({"header": self.header()});
         if holds {
@@ -126,7 +126,7 @@
         op: &Op,
     ) -> Result<Value, &'static str> {
         self.check(op)?;
-        let mut answer = self.apply(op, self.revision + 1);
+        let mut answer = self.apply(op, self.revision.max(1) + 1);
         let inner = answer
             .as_object_mut()
             .and_then(|map| map.values_mut().next());
@@ -171,7 +171,7 @@
         let known = self.leases.remove(&id).is_some();
         let held = self.entries.iter().filter(|(_, entry)| entry.lease == id);
         let keys: Vec<_> = held.map(|(key, _)| key.clone()).collect();
-        let revision = self.revision + 1;
+        let revision = self.revision.max(1) + 1;
         for key in keys.into_iter().filter(|_| known) {
             self.delete(&key, revision);
         }
