Load driver over real processes

Change: jasmine-load sends a seeded load (steady, skew, shift, over, everybody) at its own pace through the gateways, checks each text against what the engine must have made, and prints and writes one table; wrongful refusals are judged by one reference bucket of the account's rate and burst charged with the engines' own counts. Idle engines now wake for a request instead of looking every 2 ms, which would have shown as latency.

--- a/crates/testkit/src/bin/jasmine-demo.rs
+++ b/crates/testkit/src/bin/jasmine-demo.rs
@@ -3,44 +3,14 @@
 use {
     awc::http::Method,
     clap::{Arg, ArgAction, Command},
-    jasmine_core::clock::Millis,
     jasmine_testkit::{
         client::{Answer, Call},
-        engine::EngineSettings,
-        harness::{AccountSpec, Cluster, ClusterSpec, OPERATOR_TOKEN},
-        weights::WeightSettings,
+        harness::{Cluster, ClusterSpec, OPERATOR_TOKEN},
     },
     std::{error::Error, process::ExitCode},
     tokio::signal::unix::{SignalKind, signal},
 };
 
-/// Client accounts of the demo: name, tokens a second, tokens at once.
-const ACCOUNTS: [(&str, u64, u64); 5] = [
-    ("courier", 2000, 20_000),
-    ("clinic", 1000, 10_000),
-    ("coffee", 500, 5000),
-    ("bakery", 500, 5000),
-    ("school", 200, 4000),
-];
-
-fn spec() -> ClusterSpec {
-    let accounts = ACCOUNTS.into_iter();
-    ClusterSpec {
-        vms: 3,
-        data_centres: 3,
-        engines: 9,
-        engine: EngineSettings::default(),
-        weights: WeightSettings::default(),
-        servers: 3,
-        adapters: 24,
-        accounts: accounts
-            .map(|(name, rate, burst)| AccountSpec::new(name, rate, burst))
-            .collect(),
-        lease: Millis(5000),
-        ..ClusterSpec::default()
-    }
-}
-
 fn introduce(cluster: &Cluster) {
     println!("Callers' addresses:");
     for vm in &cluster.vms {
@@ -51,8 +21,8 @@
         println!("  VM {}  http://{}", vm.number, vm.operators());
     }
     println!("Keys, shown this once:");
-    for (name, ..) in ACCOUNTS {
-        println!("  {name:8} {}", cluster.key(name));
+    for account in &cluster.spec().accounts {
+        println!("  {:8} {}", account.name, cluster.key(&account.name));
     }
     let (callers, key) = (cluster.callers(1), cluster.key("courier"));
     println!("Try:");
@@ -116,7 +86,7 @@
 
 async fn run(only_check: bool) -> Result<bool, Box<dyn Error>> {
     println!("Building and starting 3 VMs, 9 engines and 3 servers ...");
-    let cluster = Cluster::start(spec()).await?;
+    let cluster = Cluster::start(ClusterSpec::demo()).await?;
     introduce(&cluster);
     if only_check {
         return check(&cluster).await;
--- /dev/null
+++ b/crates/testkit/src/bin/jasmine-load.rs
@@ -0,0 +1,101 @@
+//! Drives real processes with a load for a while and prints what callers got.
+
+use {
+    clap::{Arg, ArgMatches, Command, builder::PossibleValuesParser, value_parser},
+    jasmine_testkit::{
+        harness::{Cluster, ClusterSpec, Daemon},
+        load::{AccountReport, Load, Report, drive, measure_overhead},
+    },
+    std::{error::Error, fs, process::ExitCode, time::Duration},
+};
+
+fn number(
+    name: &'static str,
+    default: &'static str,
+    help: &'static str,
+) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .default_value(default)
+        .value_parser(value_parser!(u32))
+        .help(help)
+}
+
+fn cli() -> Command {
+    Command::new("jasmine-load")
+        .about("Drives real processes with a load and prints what callers got")
+        .arg(
+            Arg::new("load")
+                .long("load")
+                .default_value("steady")
+                .value_parser(PossibleValuesParser::new(Load::ALL.map(Load::name)))
+                .help("How requests come in"),
+        )
+        .arg(number("seconds", "60", "How long requests are sent"))
+        .arg(number("vms", "3", "VMs"))
+        .arg(number("engines", "9", "Engines"))
+        .arg(number("adapters", "300", "Adapters"))
+        .arg(number("seed", "1", "The same seed sends the same requests"))
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .help("File to write the report to"),
+        )
+}
+
+async fn run(args: &ArgMatches) -> Result<(), Box<dyn Error>> {
+    let number = |name: &str| args.get_one::<u32>(name).copied().unwrap_or_default();
+    let load = args
+        .get_one::<String>("load")
+        .and_then(|name| Load::from_name(name))
+        .unwrap_or(Load::Steady);
+    let spec = ClusterSpec {
+        vms: number("vms"),
+        engines: number("engines"),
+        adapters: number("adapters"),
+        ..ClusterSpec::demo()
+    };
+    let cluster = Cluster::start(spec).await?;
+    let overhead = measure_overhead(&cluster).await?;
+    let before = cpu(&cluster);
+    let run = Duration::from_secs(number("seconds").into());
+    let samples = drive(&cluster, load, run, number("seed").into()).await;
+    let accounts = cluster.spec().accounts.iter().enumerate();
+    let mut report = Report {
+        load: load.to_string(),
+        seconds: run.as_secs(),
+        accounts: accounts
+            .map(|(place, spec)| AccountReport::new(place, spec, &samples))
+            .collect(),
+        cpu_ms: cpu(&cluster)
+            .iter()
+            .zip(before)
+            .map(|(now, then)| now - then)
+            .collect(),
+        overhead,
+        ..Report::default()
+    };
+    report.add_engines(&cluster.upstreams.engine_records().await);
+    print!("{report}");
+    if let Some(file) = args.get_one::<String>("json") {
+        fs::write(file, serde_json::to_string_pretty(&report)?)?;
+    }
+    Ok(())
+}
+
+fn cpu(cluster: &Cluster) -> Vec<u64> {
+    let gateways = cluster.vms.iter().filter_map(|vm| vm.gateway.as_ref());
+    let controllers = cluster.vms.iter().filter_map(|vm| vm.controller.as_ref());
+    gateways.chain(controllers).map(Daemon::cpu_ms).collect()
+}
+
+fn main() -> ExitCode {
+    let args = cli().get_matches();
+    match actix_web::rt::System::new().block_on(run(&args)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/testkit/src/engine/batch.rs
+++ b/crates/testkit/src/engine/batch.rs
@@ -13,7 +13,7 @@
 };
 
 /// How long an engine without work waits before it looks again.
-const IDLE: Duration = Duration::from_millis(2);
+const IDLE: Duration = Duration::from_millis(50);
 
 /// How long an ended stream can still be read.
 const KEEP_ENDED: Duration = Duration::from_secs(30);
@@ -21,6 +21,7 @@
 /// Makes steps for as long as the engine lives.
 pub(super) async fn run(engine: Arc<Engine>) {
     let mut looked = None;
+    let mut rx = engine.tick.subscribe();
     loop {
         let lag = Duration::from_millis(engine.cfg.load_lag_ms);
         if looked.is_none_or(|at: Instant| at.elapsed() >= lag) {
@@ -29,11 +30,15 @@
             forget(&engine, &mut state);
             looked = Some(Instant::now());
         }
+        rx.mark_unchanged();
         let begun = begin_step(&engine);
-        time::sleep(begun.unwrap_or(IDLE)).await;
-        if begun.is_some() {
-            end_step(&mut engine.lock());
-            engine.tick.send_replace(());
+        match begun {
+            Some(step) => {
+                time::sleep(step).await;
+                end_step(&mut engine.lock());
+                engine.tick.send_replace(());
+            }
+            None => drop(time::timeout(IDLE, rx.changed()).await),
         }
     }
 }
--- a/crates/testkit/src/harness/cluster.rs
+++ b/crates/testkit/src/harness/cluster.rs
@@ -98,6 +98,11 @@
         Ok(cluster)
     }
 
+    /// What was brought up.
+    pub const fn spec(&self) -> &ClusterSpec {
+        &self.spec
+    }
+
     /// The key of an account.
     ///
     /// # Panics
--- a/crates/testkit/src/harness/cluster_spec.rs
+++ b/crates/testkit/src/harness/cluster_spec.rs
@@ -3,6 +3,15 @@
     jasmine_core::clock::Millis,
 };
 
+/// Client accounts of the demo: name, tokens a second, tokens at once.
+const DEMO_ACCOUNTS: [(&str, u64, u64); 5] = [
+    ("courier", 2000, 20_000),
+    ("clinic", 1000, 10_000),
+    ("coffee", 500, 5000),
+    ("bakery", 500, 5000),
+    ("school", 200, 4000),
+];
+
 /// A client account to begin with.
 #[derive(Clone, Debug)]
 pub struct AccountSpec {
@@ -56,6 +65,27 @@
     pub config_stale: Millis,
 }
 
+impl ClusterSpec {
+    /// Three VMs in three data centres with nine engines, three servers and five client accounts of
+    /// unlike size, at the speeds of real engines and of the real weight store.
+    pub fn demo() -> Self {
+        let accounts = DEMO_ACCOUNTS.into_iter();
+        Self {
+            vms: 3,
+            engines: 9,
+            engine: EngineSettings::default(),
+            weights: WeightSettings::default(),
+            servers: 3,
+            adapters: 24,
+            accounts: accounts
+                .map(|(name, rate, burst)| AccountSpec::new(name, rate, burst))
+                .collect(),
+            lease: Millis(5000),
+            ..Self::default()
+        }
+    }
+}
+
 impl Default for ClusterSpec {
     fn default() -> Self {
         let engine = EngineSettings {
--- a/crates/testkit/src/harness/daemon.rs
+++ b/crates/testkit/src/harness/daemon.rs
@@ -6,6 +6,7 @@
     },
     std::{
         collections::BTreeMap,
+        fs,
         io::{BufRead, BufReader, Read},
         net::SocketAddr,
         path::Path,
@@ -19,6 +20,9 @@
 /// How long a daemon may take until it listens.
 const START_BOUND: Duration = Duration::from_secs(15);
 
+/// Milliseconds of one tick in which the kernel counts processor time.
+const MS_A_TICK: u64 = 10;
+
 /// What a daemon wrote, with a bell for each line.
 #[derive(Debug, Default)]
 struct Output {
@@ -94,6 +98,22 @@
         kill(Pid::from_raw(self.child.id() as i32), signal).is_ok()
     }
 
+    /// Processor time that the process has used so far, in milliseconds; nought where it can't be told.
+    pub fn cpu_ms(&self) -> u64 {
+        let stat = fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
+        let stat = stat.unwrap_or_default();
+        let fields = stat
+            .rsplit_once(") ")
+            .map_or("", |(_, rest)| rest)
+            .split(' ');
+        let ticks: u64 = fields
+            .skip(11)
+            .take(2)
+            .filter_map(|field| field.parse::<u64>().ok())
+            .sum();
+        ticks * MS_A_TICK
+    }
+
     /// Kills the process and reaps it.
     pub fn kill(&mut self) {
         drop(self.child.kill());
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod client;
 pub mod engine;
 pub mod harness;
+pub mod load;
 pub mod platform;
 pub mod proxy;
 mod server;
--- /dev/null
+++ b/crates/testkit/src/load/drive.rs
@@ -0,0 +1,139 @@
+use {
+    super::{
+        arrivals::{Arrival, Load},
+        sample::Sample,
+    },
+    crate::{client::Call, engine::answer, harness::Cluster},
+    awc::{Client, Connector},
+    std::{
+        net::SocketAddr,
+        rc::Rc,
+        sync::mpsc::{self, Sender},
+        thread,
+        time::{Duration, Instant},
+    },
+    tokio::time,
+};
+
+/// Threads that send, so that the driver is not what is measured.
+const THREADS: usize = 4;
+
+/// Connections that a thread may have open.
+const CONNECTIONS: usize = 4096;
+
+/// The most tokens that each answer may have.
+const MAX_TOKENS: u32 = 64;
+
+/// What the gateway adds to the bytes of a prompt of one message when it charges a request.
+const TEMPLATE_COST: u64 = 16;
+
+/// Whom to call for whom.
+#[derive(Clone, Debug)]
+struct Targets {
+    gateways: Vec<SocketAddr>,
+    keys: Vec<String>,
+}
+
+/// Sends a load at its own pace, however long answers take: what each request got.
+pub async fn drive(
+    cluster: &Cluster,
+    load: Load,
+    run: Duration,
+    seed: u64,
+) -> Vec<Sample> {
+    let spec = cluster.spec();
+    let run_ms = run.as_millis() as u64;
+    let arrivals = load.arrivals(&spec.accounts, spec.vms, spec.adapters, run_ms, seed);
+    let names = spec.accounts.iter().map(|account| &account.name);
+    let targets = Targets {
+        gateways: cluster
+            .vms
+            .iter()
+            .map(crate::harness::Vm::callers)
+            .collect(),
+        keys: names.map(|name| cluster.key(name).to_owned()).collect(),
+    };
+    let start = Instant::now();
+    let (tx, rx) = mpsc::channel();
+    let threads = (0..THREADS).map(|thread| {
+        let share = arrivals
+            .iter()
+            .skip(thread)
+            .step_by(THREADS)
+            .cloned()
+            .collect();
+        let (targets, tx) = (targets.clone(), tx.clone());
+        thread::spawn(move || {
+            actix_web::rt::System::new().block_on(send_all(share, targets, start, tx));
+        })
+    });
+    let threads: Vec<_> = threads.collect();
+    drop(tx);
+    let waited = actix_web::rt::task::spawn_blocking(move || {
+        for thread in threads {
+            drop(thread.join());
+        }
+    });
+    drop(waited.await);
+    let mut samples: Vec<_> = rx.into_iter().collect();
+    samples.sort_by_key(|sample: &Sample| sample.sent_ms);
+    samples
+}
+
+async fn send_all(
+    share: Vec<Arrival>,
+    targets: Targets,
+    start: Instant,
+    tx: Sender<Sample>,
+) {
+    let connector = Connector::new().limit(CONNECTIONS);
+    let client = Client::builder()
+        .connector(connector)
+        .disable_timeout()
+        .finish();
+    let targets = Rc::new(targets);
+    let mut tasks = Vec::with_capacity(share.len());
+    for arrival in share {
+        time::sleep_until((start + Duration::from_millis(arrival.at_ms)).into()).await;
+        let (client, targets, tx) = (client.clone(), Rc::clone(&targets), tx.clone());
+        tasks.push(actix_web::rt::spawn(async move {
+            drop(tx.send(send(&client, &targets, &arrival, start).await));
+        }));
+    }
+    for task in tasks {
+        drop(task.await);
+    }
+}
+
+async fn send(
+    client: &Client,
+    targets: &Targets,
+    arrival: &Arrival,
+    start: Instant,
+) -> Sample {
+    let sent_ms = start.elapsed().as_millis() as u64;
+    let text = format!(
+        "Summarise the policy of device {:016x} in {} words.",
+        arrival.number,
+        arrival.number % 90
+    );
+    let to = targets.gateways[arrival.vm as usize - 1];
+    let model = format!("notes-{}", arrival.adapter);
+    let call = Call::chat(
+        to,
+        &targets.keys[arrival.account],
+        &model,
+        &text,
+        MAX_TOKENS,
+        true,
+    );
+    let outcome = call.send_with(client).await;
+    let expected = answer(
+        &format!("{model}-v1"),
+        &format!("user: {text}\n"),
+        MAX_TOKENS,
+    )
+    .concat();
+    let cost_bound = text.len() as u64 + TEMPLATE_COST + u64::from(MAX_TOKENS);
+    Sample::new(arrival.account, sent_ms, cost_bound, &expected, outcome)
+}
