Tests of faults between processes, written before the daemons landed

Each tells how its fault comes about and what a user notices, and prints what it measured. Conclusion: not yet run against daemons.

--- a/crates/testkit/src/engine/answer.rs
+++ b/crates/testkit/src/engine/answer.rs
@@ -19,6 +19,22 @@
     (0..len).map(|n| token(weights, prompt, n)).collect()
 }
 
+/// The text that answers a chat of one message.
+pub fn chat_answer(
+    weights: &str,
+    text: &str,
+    max_tokens: u32,
+) -> String {
+    answer(weights, &format!("user: {text}\n"), max_tokens).concat()
+}
+
+/// A message whose answer in a chat has at least 55 tokens, for faults in the middle of a stream.
+pub fn long_message(weights: &str) -> String {
+    let texts = (0..).map(|n| format!("tell me story {n}"));
+    let long = |text: &String| length(weights, &format!("user: {text}\n"), u32::MAX) >= 55;
+    texts.into_iter().find(long).unwrap_or_default()
+}
+
 /// How many tokens the answer has.
 pub(super) fn length(
     weights: &str,
--- a/crates/testkit/src/engine/mod.rs
+++ b/crates/testkit/src/engine/mod.rs
@@ -11,7 +11,7 @@
 mod stream_body;
 
 pub use {
-    answer::{answer, prefix_of, prompt_of},
+    answer::{answer, chat_answer, long_message, prefix_of, prompt_of},
     api::start,
     record::{Ended, EngineRecord, RanRequest},
     settings::{EngineFaults, EngineSettings},
--- a/crates/testkit/src/harness/cluster.rs
+++ b/crates/testkit/src/harness/cluster.rs
@@ -10,6 +10,7 @@
         Running,
         client::{Answer, Call, CallError, post_json},
         platform,
+        proxy::Fault,
     },
     awc::http::Method,
     jasmine_conf::settings::TokenDigest,
@@ -194,6 +195,38 @@
         post_json(to, "/stand-in/fault", faults).await.map(drop)
     }
 
+    /// Waits until the engines have made `tokens` tokens together since they started.
+    ///
+    /// # Errors
+    ///
+    /// When they don't within half a minute.
+    pub async fn wait_for_tokens(
+        &self,
+        tokens: u64,
+    ) -> Result<(), HarnessError> {
+        let look = || async {
+            let records = self.upstreams.engine_records().await;
+            let made: u64 = records.iter().map(|record| record.tokens).sum();
+            if made >= tokens {
+                Ok(())
+            } else {
+                Err(format!("{made} tokens"))
+            }
+        };
+        poll("tokens made", READY_BOUND, look).await.map(drop)
+    }
+
+    /// Puts the link to every upstream into a mode, where there are proxies.
+    pub fn upstream_links(
+        &self,
+        mode: Fault,
+    ) {
+        let upstreams = self.upstreams.engines.iter().chain(&self.upstreams.servers);
+        for proxy in upstreams.filter_map(|upstream| upstream.proxy.as_ref()) {
+            proxy.set_mode(mode);
+        }
+    }
+
     async fn list_vms(&self) -> Result<(), HarnessError> {
         let vm = |vm: u32| json!({"vm": vm, "address": "127.0.0.1", "state": "live"});
         let vms: Vec<_> = (1..=self.spec.vms).map(vm).collect();
--- a/crates/testkit/src/proxy/link.rs
+++ b/crates/testkit/src/proxy/link.rs
@@ -29,8 +29,13 @@
     pub delay_ms: u64,
     /// Closes a connection once so many bytes went to the one that connects.
     pub close_after: Option<u64>,
+}
+
+/// The state of a link, and how often it has gone silent so far.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct State {
+    pub(super) link: Link,
     /// Connections opened before this many silences are dead.
-    #[serde(skip)]
     pub(super) silences: u64,
 }
 
@@ -41,14 +46,14 @@
     ToClient,
 }
 
-impl Link {
+impl State {
     /// Whether a connection opened after `born` silences lets bytes through.
     pub(super) fn passes(
         &self,
         direction: Direction,
         born: u64,
     ) -> bool {
-        match self.mode {
+        match self.link.mode {
             _ if born < self.silences => false,
             Fault::Pass | Fault::Silent => true,
             Fault::Cut | Fault::Refuse => false,
--- a/crates/testkit/src/proxy/tcp_proxy.rs
+++ b/crates/testkit/src/proxy/tcp_proxy.rs
@@ -1,5 +1,5 @@
 use {
-    super::link::{Direction, Fault, Link},
+    super::link::{Direction, Fault, Link, State},
     std::{
         io,
         net::{SocketAddr, TcpListener as StdListener},
@@ -26,7 +26,7 @@
 #[derive(Debug)]
 pub struct Proxy {
     address: SocketAddr,
-    link: watch::Sender<Link>,
+    state: watch::Sender<State>,
     target: watch::Sender<SocketAddr>,
     stop: Option<oneshot::Sender<()>>,
     thread: Option<JoinHandle<()>>,
@@ -45,7 +45,7 @@
         let listener = StdListener::bind(address)?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
-        let (link, rx) = watch::channel(Link::default());
+        let (state, rx) = watch::channel(State::default());
         let (target, target_rx) = watch::channel(target);
         let (stop, stopped) = oneshot::channel();
         let runtime = Builder::new_current_thread().enable_all().build()?;
@@ -60,7 +60,7 @@
         });
         Ok(Self {
             address,
-            link,
+            state,
             target,
             stop: Some(stop),
             thread: Some(thread),
@@ -85,9 +85,9 @@
         &self,
         link: Link,
     ) {
-        self.link.send_modify(|now| {
-            let silences = now.silences + u64::from(link.mode == Fault::Silent);
-            *now = Link { silences, ..link };
+        self.state.send_modify(|state| {
+            state.silences += u64::from(link.mode == Fault::Silent);
+            state.link = link;
         });
     }
 
@@ -115,7 +115,7 @@
 async fn accept(
     listener: StdListener,
     target: watch::Receiver<SocketAddr>,
-    rx: watch::Receiver<Link>,
+    rx: watch::Receiver<State>,
 ) -> io::Result<()> {
     let listener = TcpListener::from_std(listener)?;
     loop {
@@ -127,12 +127,12 @@
 async fn connection(
     client: TcpStream,
     target: watch::Receiver<SocketAddr>,
-    mut rx: watch::Receiver<Link>,
+    mut rx: watch::Receiver<State>,
 ) {
     let born = rx.borrow().silences;
     let mut refused = rx.clone();
     let both = async {
-        rx.wait_for(|link| link.passes(Direction::ToTarget, born))
+        rx.wait_for(|state| state.passes(Direction::ToTarget, born))
             .await
             .map_err(io::Error::other)?;
         let target = *target.borrow();
@@ -148,7 +148,7 @@
     };
     tokio::select! {
         _ = both => {}
-        _ = refused.wait_for(|link| link.mode == Fault::Refuse) => {}
+        _ = refused.wait_for(|state| state.link.mode == Fault::Refuse) => {}
     }
 }
 
@@ -157,16 +157,17 @@
     mut to: OwnedWriteHalf,
     direction: Direction,
     born: u64,
-    mut rx: watch::Receiver<Link>,
+    mut rx: watch::Receiver<State>,
 ) -> io::Result<()> {
     let mut buf = vec![0; PIECE];
     let mut passed = 0;
     loop {
         let n = from.read(&mut buf).await?;
-        let link = *rx
-            .wait_for(|link| link.passes(direction, born))
+        let link = rx
+            .wait_for(|state| state.passes(direction, born))
             .await
-            .map_err(io::Error::other)?;
+            .map_err(io::Error::other)?
+            .link;
         if n == 0 {
             return to.shutdown().await;
         }
--- /dev/null
+++ b/crates/testkit/tests/controller_lost.rs
@@ -0,0 +1,76 @@
+//! Controllers that are killed while their gateways go on.
+
+use {
+    jasmine_testkit::{
+        client::Call,
+        harness::{Cluster, ClusterSpec, poll},
+    },
+    std::time::Duration,
+};
+
+/// How long until a chat with this adapter comes back whole.
+async fn served_within(
+    cluster: &Cluster,
+    vm: u32,
+    adapter: &str,
+    bound: Duration,
+) -> Duration {
+    let look = || async {
+        let mut call = Call::chat(
+            cluster.callers(vm),
+            cluster.key("clinic"),
+            adapter,
+            "hi",
+            16,
+            true,
+        );
+        call.timeout = Duration::from_secs(5);
+        match call.send().await {
+            Ok(answer) if answer.is_whole() => Ok(()),
+            Ok(answer) => Err(format!("{} {}", answer.status, answer.code())),
+            Err(e) => Err(e.to_string()),
+        }
+    };
+    poll(&format!("{adapter} at VM {vm}"), bound, look)
+        .await
+        .unwrap()
+        .0
+}
+
+/// The controller of one VM is killed. Its gateway serves what is loaded as if nothing had happened;
+/// what is not loaded waits until another controller owns the engines.
+#[actix_web::test]
+async fn one_killed() {
+    let mut cluster = Cluster::start(ClusterSpec::default()).await.unwrap();
+    served_within(&cluster, 1, "notes-1", Duration::from_secs(10)).await;
+    cluster.vms[0].controller.take().unwrap().kill();
+    let loaded = served_within(&cluster, 1, "notes-1", Duration::from_secs(5)).await;
+    let cold = served_within(&cluster, 1, "notes-2", Duration::from_secs(20)).await;
+    cluster.vms[0].start_controller().unwrap();
+    let after = served_within(&cluster, 1, "notes-3", Duration::from_secs(20)).await;
+    println!("loaded {loaded:?}, cold {cold:?}, cold with the new controller {after:?}");
+}
+
+/// All controllers are killed at once. Gateways go on with what they hold until their configuration
+/// is too old to check keys by; callers of adapters in use notice nothing for these seconds.
+#[actix_web::test]
+async fn all_killed() {
+    let mut cluster = Cluster::start(ClusterSpec::default()).await.unwrap();
+    for vm in [1, 2] {
+        served_within(&cluster, vm, "notes-1", Duration::from_secs(10)).await;
+    }
+    for vm in &mut cluster.vms {
+        vm.controller.take().unwrap().kill();
+    }
+    for vm in [1, 2] {
+        let loaded = served_within(&cluster, vm, "notes-1", Duration::from_secs(3)).await;
+        println!("VM {vm} served after {loaded:?}");
+    }
+    for vm in &mut cluster.vms {
+        vm.start_controller().unwrap();
+    }
+    for vm in [1, 2] {
+        let back = served_within(&cluster, vm, "notes-4", Duration::from_secs(30)).await;
+        println!("VM {vm} served a cold adapter {back:?} after the controllers were back");
+    }
+}
--- /dev/null
+++ b/crates/testkit/tests/crossed_answer.rs
@@ -0,0 +1,43 @@
+//! Answers that belong to another request.
+
+use {
+    jasmine_testkit::{
+        client::Call,
+        engine::chat_answer,
+        harness::{Cluster, ClusterSpec},
+    },
+    serde_json::json,
+};
+
+/// An engine mixes up two answers. A clinic would read what was written for a courier firm.
+#[actix_web::test]
+async fn never_passed_on() {
+    let spec = ClusterSpec {
+        engines: 1,
+        ..ClusterSpec::default()
+    };
+    let cluster = Cluster::start(spec).await.unwrap();
+    let (to, key) = (cluster.callers(1), cluster.key("clinic"));
+    let expected = chat_answer("notes-1-v1", "hello", 20);
+    for stream in [true, false] {
+        cluster
+            .engine_fault(0, json!({"crossed_answers": 1}))
+            .await
+            .unwrap();
+        let answer = Call::chat(to, key, "notes-1", "hello", 20, stream)
+            .send()
+            .await
+            .unwrap();
+        println!("{} {:?} {}", answer.status, answer.end, answer.code());
+        assert!(expected.starts_with(&answer.text), "{answer:?}");
+        assert!(
+            answer.text == expected || !answer.code().is_empty(),
+            "{answer:?}"
+        );
+        let next = Call::chat(to, key, "notes-1", "hello", 20, stream)
+            .send()
+            .await
+            .unwrap();
+        assert_eq!(next.text, expected, "{next:?}");
+    }
+}
--- /dev/null
+++ b/crates/testkit/tests/silent_connection.rs
@@ -0,0 +1,62 @@
+//! Connections that stay open and are dead, because something in between has forgotten them.
+
+use {
+    awc::http::Method,
+    jasmine_testkit::{
+        client::Call,
+        engine::{EngineSettings, chat_answer, long_message},
+        harness::{Cluster, ClusterSpec},
+        proxy::Fault,
+    },
+    serde_json::json,
+    std::time::Duration,
+};
+
+fn proxied() -> ClusterSpec {
+    ClusterSpec {
+        proxied_upstreams: true,
+        engine: EngineSettings::default(),
+        ..ClusterSpec::default()
+    }
+}
+
+/// A firewall between gateway and engine drops its table in the middle of an answer. The connection
+/// stays open and not one more token comes; the caller would sit before half a summary until it gives up.
+#[actix_web::test]
+async fn in_a_stream() {
+    let cluster = Cluster::start(proxied()).await.unwrap();
+    let text = long_message("notes-1-v1");
+    let call = Call::chat(
+        cluster.callers(1),
+        cluster.key("courier"),
+        "notes-1",
+        &text,
+        64,
+        true,
+    );
+    let stream = actix_web::rt::spawn(async move { call.send().await });
+    cluster.wait_for_tokens(10).await.unwrap();
+    cluster.upstream_links(Fault::Silent);
+    let answer = stream.await.unwrap().unwrap();
+    println!("whole after {:?}", answer.took);
+    assert!(answer.is_whole(), "{answer:?}");
+    assert_eq!(answer.text, chat_answer("notes-1-v1", &text, 64));
+    assert!(answer.took < Duration::from_secs(20), "{:?}", answer.took);
+}
+
+/// The connections that a gateway keeps to a service have gone dead unnoticed. A phone is to be
+/// enrolled: sent on a dead connection, nobody could say whether it was.
+#[actix_web::test]
+async fn before_a_call() {
+    let cluster = Cluster::start(proxied()).await.unwrap();
+    let (to, key) = (cluster.callers(1), cluster.key("courier"));
+    let status = Call::new(to, Method::GET, "/services/phones/phones/17").key(key);
+    assert_eq!(status.send().await.unwrap().status, 200);
+    cluster.upstream_links(Fault::Silent);
+    let enrol = Call::new(to, Method::POST, "/services/phones/phones/17/enrolment").key(key);
+    let answer = enrol.body(json!({})).send().await.unwrap();
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert!(answer.took < Duration::from_secs(2), "{:?}", answer.took);
+    let calls = cluster.upstreams.served_calls().await;
+    assert_eq!(calls.iter().filter(|call| call.method == "POST").count(), 1);
+}
--- a/crates/testkit/tests/whole_path.rs
+++ b/crates/testkit/tests/whole_path.rs
@@ -4,21 +4,12 @@
     awc::http::Method,
     jasmine_testkit::{
         client::{Call, EndOfStream, get_json},
-        engine::answer,
+        engine::{answer, chat_answer},
         harness::{Cluster, ClusterSpec},
     },
     serde_json::json,
 };
 
-/// What an engine is asked for when a caller chats with this text.
-fn expected(
-    weights: &str,
-    text: &str,
-    max_tokens: u32,
-) -> String {
-    answer(weights, &format!("user: {text}\n"), max_tokens).concat()
-}
-
 #[actix_web::test]
 async fn chat_whole_and_streamed() {
     let cluster = Cluster::start(ClusterSpec::default()).await.unwrap();
@@ -27,7 +18,7 @@
         let call = Call::chat(cluster.callers(vm), key, "notes-1@2", "hello", 20, stream);
         let answer = call.header("x-request-id", "mine-1").send().await.unwrap();
         assert!(answer.is_whole(), "{answer:?}");
-        assert_eq!(answer.text, expected("notes-1-v2", "hello", 20));
+        assert_eq!(answer.text, chat_answer("notes-1-v2", "hello", 20));
         assert_eq!(answer.header("x-jasmine-adapter"), "notes-1@2");
         assert_eq!(answer.header("x-request-id"), "mine-1");
         assert!(answer.usage["completion_tokens"].is_u64(), "{answer:?}");
@@ -36,10 +27,13 @@
     let live = Call::chat(cluster.callers(1), key, "notes-1", "hello", 20, true);
     assert_eq!(
         live.send().await.unwrap().text,
-        expected("notes-1-v1", "hello", 20)
+        chat_answer("notes-1-v1", "hello", 20)
     );
     let base = Call::chat(cluster.callers(1), key, "base", "hello", 20, false);
-    assert_eq!(base.send().await.unwrap().text, expected("", "hello", 20));
+    assert_eq!(
+        base.send().await.unwrap().text,
+        chat_answer("", "hello", 20)
+    );
 
     let records = cluster.upstreams.engine_records().await;
     let ran: Vec<_> = records.iter().flat_map(|record| &record.requests).collect();
