--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod clock;
 pub mod error;
+pub mod forward;
 pub mod ids;
 pub mod membership;
 pub mod ownership;
