Platform stand-in: an empty store has revision 1

Cause: it told revision 1 while the first write made revision 1 too, so a watch from the told revision plus one missed the first write. Change: the first write makes revision 2, as in etcd.

--- a/crates/testkit/src/platform/store.rs
+++ b/crates/testkit/src/platform/store.rs
@@ -11,6 +11,9 @@
 /// Bytes that a value may have.
 pub(super) const MAX_VALUE: usize = 1 << 20;
 
+/// The revision of an empty store; a watch that starts after it misses nothing.
+const EMPTY: u64 = 1;
+
 #[derive(Clone, Debug)]
 struct Entry {
     value: Vec<u8>,
@@ -34,7 +37,7 @@
 }
 
 /// What the key-value service holds, with every change since it started.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Store {
     revision: u64,
     entries: BTreeMap<Vec<u8>, Entry>,
@@ -43,10 +46,22 @@
     last_lease: u64,
 }
 
+impl Default for Store {
+    fn default() -> Self {
+        Self {
+            revision: EMPTY,
+            entries: BTreeMap::new(),
+            changes: Vec::new(),
+            leases: BTreeMap::new(),
+            last_lease: 0,
+        }
+    }
+}
+
 impl Store {
     /// The head of every answer.
     pub(super) fn header(&self) -> Value {
-        json!({"cluster_id": "1", "member_id": "1", "revision": self.revision.max(1).to_string(), "raft_term": "1"})
+        json!({"cluster_id": "1", "member_id": "1", "revision": self.revision.to_string(), "raft_term": "1"})
     }
 
     pub(super) fn revision(&self) -> u64 {
