--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod epochs;
 pub mod fleet;
 pub mod follow;
+pub mod operators;
 pub mod ownership;
 pub mod peers;
 pub mod rights;
