--- a/crates/controller/src/daemon/mod.rs
+++ b/crates/controller/src/daemon/mod.rs
@@ -2,12 +2,13 @@
 
 mod controller_context;
 mod controller_status;
+mod operators_actor;
 mod run;
 mod start_error;
 mod stop;
 mod tasks;
 
 pub use {
-    controller_context::ControllerContext, controller_status::ControllerStatus, run::run,
-    start_error::StartError,
+    controller_context::ControllerContext, controller_status::ControllerStatus,
+    operators_actor::OperatorsActor, run::run, start_error::StartError,
 };
--- a/crates/controller/src/daemon/run.rs
+++ b/crates/controller/src/daemon/run.rs
@@ -1,6 +1,7 @@
 use {
-    super::{ControllerContext, StartError, stop, tasks},
-    crate::{peers::PeerServer, status},
+    super::{ControllerContext, OperatorsActor, StartError, stop, tasks},
+    crate::{operators, peers::PeerServer, status},
+    actix::Actor,
     jasmine_conf::settings::ControllerSettings,
     jasmine_telemetry::{
         log::{self, Line, LogOutput},
@@ -42,6 +43,15 @@
     let status_handle = status_server.handle();
     actix_web::rt::spawn(status_server);
 
+    let actor = OperatorsActor::new(Rc::clone(&cx)).start();
+    let operators_server = operators::listen(
+        operators,
+        OperatorsActor::link(&actor),
+        cx.settings.operators.clone(),
+    )?;
+    let operators_handle = operators_server.handle();
+    actix_web::rt::spawn(operators_server);
+
     let (fatal_tx, mut fatal_rx) = mpsc::channel(1);
     tasks::start(&cx, &fatal_tx);
     let server: controller::Client = capnp_rpc::new_client(PeerServer::new(Rc::clone(&cx)));
@@ -56,6 +66,7 @@
     };
     Line::new("told_to_stop").with("reason", reason).info();
     stop::stop(&cx).await;
+    operators_handle.stop(false).await;
     status_handle.stop(false).await;
     Ok(())
 }
