jasminectl: the operators' command line

Every command is one or a few calls of any controller's HTTP; an edit is sent again with the same id until somebody says what became of it. Keys are made here and only their digest is sent. The token comes from the environment or a file, never from the command line. A base newer than a VM's own revision is answered config_unavailable, not edit_invalid: the VM lags, so the client goes on to the next.

--- a/crates/conf/src/fleet/mod.rs
+++ b/crates/conf/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 mod account;
 mod adapter;
 mod fleet_view;
+mod issued_key;
 mod key;
 mod place;
 mod service;
@@ -12,6 +13,7 @@
     account::Account,
     adapter::{Access, Adapter, Version},
     fleet_view::{Fleet, ModelRef},
+    issued_key::{IssuedKey, KEY_PREFIX},
     jasmine_core::queue::Priority,
     key::{Key, KeyDigest},
     place::{BaseModel, DataCentre},
--- a/crates/conf/src/tree/edit_error.rs
+++ b/crates/conf/src/tree/edit_error.rs
@@ -150,10 +150,7 @@
         kind: NodeKind,
     },
     /// Edits accepted since the base have changed what this one touches.
-    #[display(
-        "others have changed the same since revision {base}: {}",
-        list(conflicts)
-    )]
+    #[display("others have changed the same since revision {base}: {} conflict(s)", conflicts.len())]
     Conflicts {
         /// The revision that the author had read.
         base: Revision,
@@ -194,6 +191,8 @@
             Self::BadPath { .. } | Self::BadEditId | Self::BadAuthor => ErrorKind::BadRequest,
             Self::TooLarge { .. } => ErrorKind::BodyTooLarge,
             Self::Conflicts { .. } | Self::BaseTooOld { .. } => ErrorKind::EditConflict,
+            // Whoever named the revision has read it from a VM that is further on: this one lags.
+            Self::BaseTooNew { .. } => ErrorKind::ConfigUnavailable,
             Self::OutOfOrder { .. } => ErrorKind::Internal,
             _ => ErrorKind::EditInvalid,
         }
@@ -207,11 +206,3 @@
         }
     }
 }
-
-fn list(conflicts: &[Conflict]) -> String {
-    conflicts
-        .iter()
-        .map(ToString::to_string)
-        .collect::<Vec<_>>()
-        .join("; ")
-}
--- a/crates/conf/src/tree/node_kind.rs
+++ b/crates/conf/src/tree/node_kind.rs
@@ -17,37 +17,26 @@
 #[serde(rename_all = "kebab-case")]
 pub enum NodeKind {
     /// A level that only holds settings for what stands below it.
-    #[display("group")]
     Group,
     /// A client account.
-    #[display("account")]
     Account,
     /// A caller's key, below its client account.
-    #[display("key")]
     Key,
     /// A LoRA adapter.
-    #[display("adapter")]
     Adapter,
     /// A version of the adapter above it; its name is the version's number.
-    #[display("version")]
     Version,
     /// A base model.
-    #[display("model")]
     Model,
     /// An upstream that runs a base model.
-    #[display("engine")]
     Engine,
     /// An upstream that answers calls of a plain service.
-    #[display("server")]
     Server,
     /// A plain service.
-    #[display("service")]
     Service,
     /// A call of the service above it.
-    #[display("call")]
     Call,
     /// A data centre.
-    #[display("data-centre")]
     DataCentre,
 }
 
@@ -87,6 +76,28 @@
         Self::DataCentre,
     ];
 
+    /// Its name, as operators write it.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Group => "group",
+            Self::Account => "account",
+            Self::Key => "key",
+            Self::Adapter => "adapter",
+            Self::Version => "version",
+            Self::Model => "model",
+            Self::Engine => "engine",
+            Self::Server => "server",
+            Self::Service => "service",
+            Self::Call => "call",
+            Self::DataCentre => "data-centre",
+        }
+    }
+
+    /// The kind of this name.
+    pub fn from_name(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|kind| kind.name() == name)
+    }
+
     /// The first level that nodes of this kind stand below; `None` for groups, which go anywhere.
     pub const fn collection(self) -> Option<&'static str> {
         match self {
--- /dev/null
+++ b/crates/ctl/src/client/mod.rs
@@ -0,0 +1,6 @@
+//! Calls of the operators' HTTP.
+
+mod api;
+mod attempt;
+
+pub use api::Api;
--- /dev/null
+++ b/crates/ctl/src/commands/send.rs
@@ -0,0 +1,72 @@
+use {
+    crate::{
+        CtlError,
+        cli::{EditArgs, GlobalArgs, OutputForm},
+        client::Api,
+        output, queries,
+    },
+    jasmine_conf::{
+        api::EditAnswer,
+        tree::{Edit, EditOp, Path},
+    },
+};
+
+/// Sends ops as one edit and prints what became of it.
+pub(super) async fn send(
+    api: &Api,
+    args: &GlobalArgs,
+    edit_args: &EditArgs,
+    ops: Vec<EditOp>,
+) -> Result<EditAnswer, CtlError> {
+    let answer = submit(api, args, edit_args, ops).await?;
+    match args.output {
+        OutputForm::Json => output::json(&answer)?,
+        OutputForm::Table => output::line(&describe(&answer))?,
+    }
+    wait(api, args, edit_args).await?;
+    Ok(answer)
+}
+
+/// Sends ops as one edit, based on the newest revision unless another is named.
+pub(super) async fn submit(
+    api: &Api,
+    args: &GlobalArgs,
+    edit_args: &EditArgs,
+    ops: Vec<EditOp>,
+) -> Result<EditAnswer, CtlError> {
+    let base = match edit_args.base {
+        Some(base) => base,
+        None => api.tree(&Path::root(), Some(0), None).await?.revision,
+    };
+    let edit = Edit {
+        id: edit_args.id.clone(),
+        author: args.author.clone(),
+        base,
+        ops,
+    };
+    api.submit(&edit, edit_args.dry_run).await
+}
+
+/// Waits until the edit is in force everywhere, where that was asked for.
+pub(super) async fn wait(
+    api: &Api,
+    args: &GlobalArgs,
+    edit_args: &EditArgs,
+) -> Result<(), CtlError> {
+    match edit_args.wait {
+        Some(time) if !edit_args.dry_run => {
+            queries::wait_everywhere(api, args, &edit_args.id, time).await
+        }
+        _ => Ok(()),
+    }
+}
+
+fn describe(answer: &EditAnswer) -> String {
+    let id = &answer.accepted.edit.id;
+    let ops = answer.accepted.edit.ops.len();
+    let revision = answer.revision;
+    if answer.dry_run {
+        return format!("valid: {ops} op(s); nothing was written");
+    }
+    format!("accepted: revision {revision}, edit {id}, {ops} op(s)")
+}
--- /dev/null
+++ b/crates/ctl/src/output/mod.rs
@@ -0,0 +1,9 @@
+//! Tables for people, JSON for scripts.
+
+mod print;
+mod utc_time;
+
+pub use {
+    print::{json, line, table, yes_no},
+    utc_time::utc,
+};
--- /dev/null
+++ b/crates/ctl/tests/command_line.rs
@@ -0,0 +1,255 @@
+//! The operators' command line as its users run it.
+
+mod ctl_runner;
+#[path = "../../controller/tests/fake_controller/mod.rs"]
+mod fake_controller;
+
+use {
+    ctl_runner::Ctl,
+    fake_controller::{FakeController, TOKEN, serve},
+    jasmine_conf::fleet::{KEY_PREFIX, KeyDigest},
+    serde_json::json,
+    std::{
+        fs,
+        net::{SocketAddr, TcpListener},
+    },
+};
+
+async fn small_fleet() -> Ctl {
+    let ctl = Ctl::with(FakeController::default());
+    ctl.ok("create /models/base model").await;
+    ctl.ok("create /accounts/clinics group rate=500").await;
+    ctl.ok("create /accounts/clinics/san-juan account burst=900")
+        .await;
+    ctl.ok("create /adapters/enrolment adapter model=base access=san-juan")
+        .await;
+    ctl
+}
+
+fn nobody_listens() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
+}
+
+#[actix::test]
+async fn a_value_is_explained_down_to_its_level() {
+    let ctl = small_fleet().await;
+    let told = ctl.ok("explain /accounts/clinics/san-juan rate").await;
+    assert!(
+        told.out
+            .contains("rate of /accounts/clinics/san-juan is 500, from /accounts/clinics"),
+        "{told:?}"
+    );
+    ctl.ok("set /accounts/clinics/san-juan rate=70").await;
+    ctl.ok("unset /accounts/clinics/san-juan rate").await;
+    let told = ctl
+        .ok("show /accounts/clinics/san-juan -o json")
+        .await
+        .json();
+    let rate = &told["values"].as_array().unwrap()[0];
+    assert_eq!(
+        (&rate["value"], &rate["from"]),
+        (&json!(500), &json!("/accounts/clinics"))
+    );
+    let listed = ctl.ok("list /accounts").await;
+    assert!(listed.out.contains("burst=900"), "{listed:?}");
+}
+
+#[actix::test]
+async fn a_key_is_shown_once_and_withdrawn() {
+    let ctl = small_fleet().await;
+    let issued = ctl.ok("key issue /accounts/clinics/san-juan phones").await;
+    let key = issued.out.lines().next().unwrap();
+    assert!(key.starts_with(KEY_PREFIX) && key.len() > 40, "{key}");
+    let digest = String::from(KeyDigest::of(key));
+    let listed = ctl.ok("list /accounts -o json").await;
+    assert!(listed.out.contains(&digest) && !listed.out.contains(key));
+    ctl.ok("key withdraw /accounts/clinics/san-juan/phones")
+        .await;
+    let back = ctl
+        .run("set /accounts/clinics/san-juan/phones withdrawn=false")
+        .await;
+    assert_eq!(back.code, 3, "{back:?}");
+    let everything = ctl.ok("history -o json").await;
+    assert!(!everything.out.contains(key));
+}
+
+#[actix::test]
+async fn a_version_is_rolled_out_and_back() {
+    let ctl = small_fleet().await;
+    ctl.ok("adapter add-version /adapters/enrolment v1 --live")
+        .await;
+    ctl.ok("adapter add-version /adapters/enrolment v2").await;
+    ctl.ok("adapter live /adapters/enrolment 2").await;
+    ctl.ok("adapter rollback /adapters/enrolment").await;
+    let told = ctl
+        .ok("explain /adapters/enrolment live -o json")
+        .await
+        .json();
+    assert_eq!(told["value"], 1);
+    ctl.ok("delete /adapters/enrolment/2").await;
+    let told = ctl.run("adapter rollback /adapters/enrolment").await;
+    assert_eq!(told.code, 3, "{told:?}");
+    ctl.ok("adapter add-version /adapters/enrolment v3").await;
+    let listed = ctl.ok("list /adapters").await;
+    assert!(listed.out.contains("/adapters/enrolment/3"), "{listed:?}");
+}
+
+#[actix::test]
+async fn a_racing_edit_is_refused_and_told_what_changed() {
+    // Ana and Ben have both read the same revision; Ben would undo Ana's change without having seen it.
+    let ctl = small_fleet().await;
+    ctl.ok("set /accounts/clinics rate=600 --base 4").await;
+    let late = ctl.run("set /accounts/clinics rate=700 --base 4").await;
+    assert_eq!(late.code, 4, "{late:?}");
+    assert!(
+        late.err
+            .contains("set /accounts/clinics rate=600 (revision 5, by ana)"),
+        "{late:?}"
+    );
+    let child = ctl
+        .run("create /accounts/clinics/el-sol account --base 4")
+        .await;
+    assert_eq!(child.code, 0, "{child:?}");
+    ctl.ok("delete /accounts/clinics/el-sol").await;
+    let orphan = ctl
+        .run("set /accounts/clinics/el-sol rate=1 --base 6")
+        .await;
+    assert_eq!(orphan.code, 4, "{orphan:?}");
+}
+
+#[actix::test]
+async fn an_edit_whose_answer_is_lost_is_done_once() {
+    // The controller accepts the edit, and its answer never comes; an operator told "failed" would
+    // issue a second key and forget the first.
+    let ctl = Ctl::with(FakeController::default().losing_answers(2));
+    let ran = ctl.ok("create /accounts/farm account -o json").await;
+    assert_eq!(ran.json()["revision"], 1);
+    let ran = ctl.ok("history -o json").await;
+    assert_eq!(ran.json()["edits"].as_array().unwrap().len(), 1);
+}
+
+#[actix::test]
+async fn an_edit_whose_fate_stays_unknown_says_so() {
+    // Every answer is lost: neither "done" nor "failed" would be true.
+    let ctl = Ctl::with(FakeController::default().answering_nothing());
+    let ran = ctl
+        .run("create /accounts/farm account --base 0 --edit-id e-7")
+        .await;
+    assert_eq!(ran.code, 6, "{ran:?}");
+    assert!(ran.err.contains("jasminectl edit status e-7"), "{ran:?}");
+}
+
+#[actix::test]
+async fn the_next_controller_is_tried() {
+    // The first VM of the list has just been replaced and nobody listens there.
+    let ctl = Ctl::at(&[nobody_listens(), serve(FakeController::default())]);
+    ctl.ok("create /accounts/farm account").await;
+    let none = Ctl::at(&[nobody_listens()]);
+    for line in ["list", "create /accounts/farm account --base 0"] {
+        let ran = none.run(line).await;
+        assert_eq!(ran.code, 5, "{ran:?}");
+    }
+}
+
+#[actix::test]
+async fn the_token_is_asked_for_and_never_shown() {
+    let mut ctl = Ctl::with(FakeController::default());
+    let told = ctl.run("fleet --token-file /nowhere").await;
+    assert_eq!(told.code, 2, "{told:?}");
+    ctl.token = None;
+    assert_eq!(ctl.run("fleet").await.code, 2);
+    ctl.token = Some("guessed-token".to_owned());
+    let told = ctl.run("fleet").await;
+    assert_eq!(told.code, 7, "{told:?}");
+    assert!(!format!("{told:?}").contains("guessed-token"));
+    let help = ctl.ok("--help").await;
+    assert!(help.out.contains("Exit codes") && !help.out.contains(TOKEN));
+}
+
+#[actix::test]
+async fn a_bulk_file_is_applied_whole_or_not_at_all() {
+    let ctl = small_fleet().await;
+    let file = std::env::temp_dir().join(format!("jasminectl-bulk-{}.json", std::process::id()));
+    let name = file.to_str().unwrap();
+    let good = json!({"op": "create", "path": "/accounts/a", "kind": "account"});
+    let bad = json!({"op": "set", "path": "/accounts/a", "setting": "rate", "value": 0});
+    fs::write(&file, json!([good, bad]).to_string()).unwrap();
+    let ran = ctl.run(&format!("apply {name}")).await;
+    assert_eq!(ran.code, 3, "{ran:?}");
+    assert!(
+        ran.err.contains("/accounts/a: rate=0 is not allowed"),
+        "{ran:?}"
+    );
+    assert_eq!(ctl.run("show /accounts/a").await.code, 3);
+    fs::write(&file, json!({"ops": [good]}).to_string()).unwrap();
+    let ran = ctl.ok(&format!("apply {name} --dry-run")).await;
+    assert!(ran.out.contains("nothing was written"), "{ran:?}");
+    assert_eq!(ctl.run("show /accounts/a").await.code, 3);
+    ctl.ok(&format!("apply {name}")).await;
+    ctl.ok("show /accounts/a").await;
+    fs::write(&file, "[{\"op\": \"creat\"}]").unwrap();
+    let ran = ctl.run(&format!("apply {name}")).await;
+    assert!(ran.code == 2 && ran.err.contains("line 1"), "{ran:?}");
+    fs::remove_file(&file).unwrap();
+}
+
+#[actix::test]
+async fn waiting_ends_when_the_edit_is_in_force_everywhere() {
+    let ctl = Ctl::with(FakeController::default());
+    let ran = ctl
+        .ok("create /accounts/farm account --edit-id e1 --wait 10")
+        .await;
+    assert!(ran.out.contains("in force everywhere"), "{ran:?}");
+    let ctl = Ctl::with(FakeController::default().with_silent_gateway());
+    let ran = ctl
+        .run("create /accounts/farm account --edit-id e1 --wait 1")
+        .await;
+    assert_eq!(ran.code, 8, "{ran:?}");
+    assert!(ran.err.contains("VM 2"), "{ran:?}");
+}
+
+#[actix::test]
+async fn the_fleet_is_shown() {
+    let ctl = Ctl::with(FakeController::default());
+    let shown = ctl.ok("fleet").await;
+    assert!(
+        shown.out.contains("gt-2") && shown.out.contains("store reached"),
+        "{shown:?}"
+    );
+    assert_eq!(ctl.ok("fleet -o json").await.json()["vms"][0]["owned"], 3);
+}
+
+#[actix::test]
+async fn a_mistyped_command_line_is_told_what_is_allowed() {
+    let ctl = small_fleet().await;
+    let rows = [
+        (
+            "set /accounts/clinics rate=many",
+            "a whole number, 1 to 1000000000",
+        ),
+        (
+            "set /accounts/clinics colour=red",
+            "there is no setting \"colour\"",
+        ),
+        ("create /accounts/x gorilla", "data-centre"),
+        ("show accounts", "names of 1 to 64"),
+        ("explain /accounts colour", "rate"),
+    ];
+    for (line, told) in rows {
+        let ran = ctl.run(line).await;
+        assert!(ran.code == 2 && ran.err.contains(told), "{line}: {ran:?}");
+    }
+}
+
+#[actix::test]
+async fn completion_needs_no_fleet() {
+    let ctl = Ctl {
+        controllers: String::new(),
+        token: None,
+    };
+    let ran = ctl.ok("completion bash").await;
+    assert!(ran.out.contains("complete -F"), "{ran:?}");
+}
