--- /dev/null
+++ b/crates/controller/src/epochs/epoch_keeper.rs
@@ -0,0 +1,180 @@
+use {
+    crate::{
+        fleet::MemberRecord,
+        rights::{WEIGHT_STORE, weight_store_limit},
+        shared::SharedParts,
+    },
+    jasmine_core::{
+        clock::Millis,
+        ids::{Role, VmId},
+        membership::{
+            Budget, EPOCH_KEY, EpochAction, EpochMachine, HOLDINGS_PREFIX, MembershipSettings,
+            StoreView, holdings_prefix, released_key,
+        },
+        rights::Limit,
+    },
+    jasmine_platform::{
+        store::{Compare, KeyValue, Op, Range, StoreError, Txn},
+        vms::VmList,
+    },
+    jasmine_telemetry::log::Line,
+    std::{
+        cell::{Cell, RefCell},
+        collections::BTreeSet,
+    },
+};
+
+/// How often the platform's list of VMs is read.
+const LIST_EVERY: Millis = Millis(3_000);
+
+/// Moves the epoch of rights on when the membership changes.
+///
+/// Several controllers do so at once; each write compares the record that was read.
+#[derive(Debug)]
+pub struct EpochKeeper {
+    shared: SharedParts,
+    vms: VmList,
+    machine: RefCell<EpochMachine>,
+    listed: RefCell<Option<BTreeSet<VmId>>>,
+    list_read: Cell<Option<Millis>>,
+}
+
+impl EpochKeeper {
+    /// A keeper that has seen nothing yet.
+    pub fn new(
+        shared: SharedParts,
+        vms: VmList,
+    ) -> Self {
+        let machine = EpochMachine::new(shared.me.vm, MembershipSettings::default());
+        Self {
+            shared,
+            vms,
+            machine: RefCell::new(machine),
+            listed: RefCell::default(),
+            list_read: Cell::new(None),
+        }
+    }
+
+    /// Looks at the membership and writes what has to change.
+    pub async fn step(&self) {
+        self.read_list().await;
+        let view = self.view();
+        let actions = self
+            .machine
+            .borrow_mut()
+            .step(&view, self.shared.clock.now());
+        for action in actions {
+            if let Err(e) = self.carry_out(action).await {
+                Line::new("epoch_write_unsettled").with("error", e).warn();
+                return;
+            }
+        }
+    }
+
+    async fn read_list(&self) {
+        let now = self.shared.clock.now();
+        let is_due = self
+            .list_read
+            .get()
+            .is_none_or(|read| now.since(read) >= LIST_EVERY);
+        if !is_due {
+            return;
+        }
+        self.list_read.set(Some(now));
+        let listed = match self.vms.read().await {
+            Ok(vms) => Some(vms.into_iter().map(|listed| listed.vm).collect()),
+            Err(e) => {
+                Line::new("vm_list_not_read").with("error", e).warn();
+                None
+            }
+        };
+        self.listed.replace(listed);
+    }
+
+    fn view(&self) -> StoreView {
+        let fleet = self.shared.fleet.borrow();
+        StoreView {
+            live: fleet.members.values().map(MemberRecord::live).collect(),
+            listed: self.listed.borrow().clone(),
+            epoch: fleet.epoch.clone(),
+            holdings: fleet.holdings.values().cloned().collect(),
+            released: fleet.released.values().cloned().collect(),
+            budgets: self.budgets(),
+        }
+    }
+
+    fn budgets(&self) -> Vec<Budget> {
+        let loads = Budget {
+            account: WEIGHT_STORE,
+            role: Role::Controller,
+            limit: weight_store_limit(),
+        };
+        let config = self.shared.config.fleet();
+        let accounts = config.iter().flat_map(|fleet| {
+            fleet.accounts.iter().map(|account| Budget {
+                account: account.id,
+                role: Role::Gateway,
+                limit: Limit {
+                    rate: account.rate,
+                    burst: account.burst,
+                },
+            })
+        });
+        accounts.chain([loads]).collect()
+    }
+
+    async fn carry_out(
+        &self,
+        action: EpochAction,
+    ) -> Result<(), StoreError> {
+        match action {
+            EpochAction::WriteEpoch { compare, record } => {
+                let compare = match compare {
+                    None => Compare::Absent(EPOCH_KEY.into()),
+                    Some(revision) => Compare::ModRevision(EPOCH_KEY.into(), revision),
+                };
+                let value = serde_json::to_vec(&record).unwrap_or_default();
+                let txn = Txn {
+                    compare: vec![compare],
+                    success: vec![Op::put(EPOCH_KEY, value.clone())],
+                    failure: Vec::new(),
+                };
+                let reply = self.shared.store.txn(txn).await?;
+                if reply.succeeded {
+                    Line::new("epoch_written")
+                        .with("epoch", record.epoch)
+                        .with("closing", record.closing)
+                        .with("members", record.members.len())
+                        .info();
+                    // Known now, so that the next step doesn't wait for the watch.
+                    self.shared.fleet.borrow_mut().set_epoch(&KeyValue {
+                        key: EPOCH_KEY.into(),
+                        value,
+                        mod_revision: reply.revision,
+                        ..KeyValue::default()
+                    });
+                }
+                Ok(())
+            }
+            EpochAction::DeleteHoldingsBefore(epoch) => {
+                self.delete(Range::between(HOLDINGS_PREFIX, holdings_prefix(epoch)))
+                    .await
+            }
+            EpochAction::DeleteReleased(holder) => {
+                self.delete(Range::key(released_key(holder))).await
+            }
+        }
+    }
+
+    async fn delete(
+        &self,
+        range: Range,
+    ) -> Result<(), StoreError> {
+        let txn = Txn {
+            compare: Vec::new(),
+            success: vec![Op::Delete(range)],
+            failure: Vec::new(),
+        };
+        self.shared.store.txn(txn).await.map(drop)
+    }
+}
