--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -45,6 +45,24 @@
         }
     }
 
+    /// Decides where a request goes that has just failed at `avoid`.
+    ///
+    /// An upstream that refuses connections looks idle until its breaker trips, and a request that is tried again
+    /// would use up its attempts there. Where there is no other it goes to the same.
+    pub fn route_elsewhere(
+        &mut self,
+        avoid: UpstreamId,
+        target: Target,
+        prefix: Option<u64>,
+        account: AccountId,
+        now: Millis,
+    ) -> Route {
+        self.avoid = Some(avoid);
+        let route = self.route(target, prefix, account, now);
+        self.avoid = None;
+        route
+    }
+
     fn send_plain(
         &mut self,
         best: Option<UpstreamId>,
@@ -121,12 +139,16 @@
         prefix: Option<u64>,
         now: Millis,
     ) -> Option<UpstreamId> {
-        let usable = || {
+        let candidates = || {
             upstreams
                 .iter()
                 .filter_map(|upstream| self.engines.get(upstream))
                 .filter(|engine| engine.is_usable(now))
         };
+        let avoid = self
+            .avoid
+            .filter(|avoid| candidates().any(|engine| engine.spec.upstream != *avoid));
+        let usable = || candidates().filter(|engine| Some(engine.spec.upstream) != avoid);
         let cost = |engine: &&Engine| engine.cost(&self.settings);
         let least = usable().min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
         let Some(prefix) = prefix else {
--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -25,6 +25,8 @@
     pub(super) list: u64,
     /// The number of the last question.
     pub(super) ask: u64,
+    /// The upstream at which the request that is being routed has just failed.
+    pub(super) avoid: Option<UpstreamId>,
 }
 
 impl Router {
@@ -39,6 +41,7 @@
             active: HashSet::new(),
             list: 0,
             ask: 0,
+            avoid: None,
         }
     }
 
--- a/crates/gateway/src/brain/dispatch.rs
+++ b/crates/gateway/src/brain/dispatch.rs
@@ -70,7 +70,12 @@
             };
             let admission = running.admission;
             let account = admission.account;
-            match router.route(admission.target, admission.prefix, account, now) {
+            let (target, prefix) = (admission.target, admission.prefix);
+            let route = match running.avoid {
+                Some(avoid) => router.route_elsewhere(avoid, target, prefix, account, now),
+                None => router.route(target, prefix, account, now),
+            };
+            match route {
                 Route::Send { upstream, instance } => {
                     offers.sent = Some((upstream, instance));
                     true
@@ -152,10 +157,11 @@
         } else {
             Finish::Failed
         };
-        self.leave_upstream(again.request, finish, now);
+        let left = self.leave_upstream(again.request, finish, now);
         let Some(running) = self.running.get_mut(&again.request) else {
             return;
         };
+        running.avoid = left.filter(|_| !again.not_loaded);
         running.wait_again(reply, now);
         // What may have run has been used; a second run is charged like a new request.
         if again.cause == RouteCause::MayHaveRun
@@ -198,20 +204,21 @@
         self.dispatch(now);
     }
 
+    /// Notes that a request is no longer at its upstream; which that was.
     fn leave_upstream(
         &mut self,
         request: RequestId,
         finish: Finish,
         now: Millis,
-    ) {
-        let Some(running) = self.running.get_mut(&request) else {
-            return;
+    ) -> Option<UpstreamId> {
+        let running = self.running.get_mut(&request)?;
+        let Stage::Sent { upstream, instance } = running.stage else {
+            return None;
         };
-        if let Stage::Sent { upstream, instance } = running.stage {
-            running.stage = Stage::Idle;
-            let actions = self.router.finished(upstream, instance, finish, now);
-            self.effects.extend(actions.into_iter().map(Effect::from));
-        }
+        running.stage = Stage::Idle;
+        let actions = self.router.finished(upstream, instance, finish, now);
+        self.effects.extend(actions.into_iter().map(Effect::from));
+        Some(upstream)
     }
 }
 
--- a/crates/gateway/src/brain/running.rs
+++ b/crates/gateway/src/brain/running.rs
@@ -36,6 +36,8 @@
     pub stage: Stage,
     /// What it has been charged and not settled.
     pub charge: Option<Charge>,
+    /// The upstream at which its last attempt failed.
+    pub avoid: Option<UpstreamId>,
     /// When it began to wait.
     pub waiting_since: Millis,
     reply: Option<oneshot::Sender<Result<Routed, Refusal>>>,
@@ -54,6 +56,7 @@
             admission,
             stage: Stage::Idle,
             charge: None,
+            avoid: None,
             waiting_since: now,
             reply: Some(reply),
             withdrawn: Some(withdrawn),
--- a/crates/gateway/src/brain/state.rs
+++ b/crates/gateway/src/brain/state.rs
@@ -17,12 +17,6 @@
     tokio::sync::watch,
 };
 
-/// Failures after which an upstream gets nothing for a while.
-///
-/// One: the router may otherwise choose the server that has just refused a connection again, since it looks
-/// idle, and a request would use up its attempts there.
-const TRIP_AFTER: u32 = 1;
-
 /// VMs that are asked for a confirmation at a time.
 const HEARD_AT_A_TIME: usize = 16;
 /// For how long a load that has ended explains the wait of requests.
@@ -170,9 +164,6 @@
     }
 
     pub(super) fn router_at(data_centre: DataCentreId) -> Router {
-        Router::new(RouterSettings {
-            trip_after: TRIP_AFTER,
-            ..RouterSettings::new(data_centre)
-        })
+        Router::new(RouterSettings::new(data_centre))
     }
 }
