--- a/crates/conf/src/fleet/adapter.rs
+++ b/crates/conf/src/fleet/adapter.rs
@@ -1,6 +1,6 @@
 use {
+    super::Versions,
     jasmine_core::ids::{AccountId, AdapterId, ModelId},
-    std::collections::BTreeMap,
 };
 
 /// Which client accounts may use an adapter.
@@ -33,5 +33,5 @@
     /// The version that a request without a version gets; none: a version must be named.
     pub live: Option<u32>,
     /// The versions that may be asked for.
-    pub versions: BTreeMap<u32, Version>,
+    pub versions: Versions,
 }
--- a/crates/conf/src/fleet/mod.rs
+++ b/crates/conf/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod place;
 mod service;
 mod upstream;
+mod versions;
 
 pub use {
     account::Account,
@@ -19,4 +20,5 @@
     place::{BaseModel, DataCentre},
     service::{Call, Service},
     upstream::{Upstream, UpstreamKind, UpstreamState},
+    versions::Versions,
 };
--- a/crates/conf/src/tree/bodies.rs
+++ b/crates/conf/src/tree/bodies.rs
@@ -1,11 +1,14 @@
 use {
     super::{Accepted, Family, Node, Path, Tree},
+    imbl::OrdMap,
     jasmine_core::ids::Revision,
     serde::{Deserialize, Serialize},
     std::collections::BTreeMap,
 };
 
 /// A whole tree as it goes over the wire, in JSON.
+///
+/// It shares its nodes with the tree that it is made from or becomes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct TreeBody {
@@ -14,7 +17,7 @@
     /// The next number that each family gives out.
     pub next_numbers: BTreeMap<Family, u32>,
     /// Its nodes.
-    pub nodes: BTreeMap<Path, Node>,
+    pub nodes: OrdMap<Path, Node>,
 }
 
 impl From<&Tree> for TreeBody {
@@ -22,17 +25,14 @@
         Self {
             revision: tree.revision(),
             next_numbers: tree.next_numbers().clone(),
-            nodes: tree
-                .nodes()
-                .map(|(path, node)| (path.clone(), node.clone()))
-                .collect(),
+            nodes: tree.nodes.clone(),
         }
     }
 }
 
 impl From<TreeBody> for Tree {
     fn from(body: TreeBody) -> Self {
-        Self::from_parts(body.revision, body.next_numbers, body.nodes)
+        Self::from_map(body.revision, body.next_numbers, body.nodes)
     }
 }
 
--- a/crates/conf/src/tree/node_kind.rs
+++ b/crates/conf/src/tree/node_kind.rs
@@ -1,19 +1,7 @@
 use serde::{Deserialize, Serialize};
 
 /// What a node of the tree stands for.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-    derive_more::Display,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum NodeKind {
     /// A level that only holds settings for what stands below it.
@@ -135,3 +123,12 @@
         }
     }
 }
+
+impl std::fmt::Display for NodeKind {
+    fn fmt(
+        &self,
+        f: &mut std::fmt::Formatter<'_>,
+    ) -> std::fmt::Result {
+        f.write_str(self.name())
+    }
+}
--- a/crates/conf/src/tree/queries/entities.rs
+++ b/crates/conf/src/tree/queries/entities.rs
@@ -5,7 +5,7 @@
     crate::{
         fleet::{
             Access, Account, Adapter, BaseModel, Call, DataCentre, Key, KeyDigest, Priority,
-            Service, Upstream, UpstreamKind, UpstreamState, Version,
+            Service, Upstream, UpstreamKind, UpstreamState, Version, Versions,
         },
         tree::{EditError, Family, Node, NodeKind, Path, Setting, Tree, Value},
     },
@@ -13,7 +13,7 @@
         clock::Millis,
         ids::{AccountId, AdapterId, DataCentreId, KeyId, ModelId, ServiceId, UpstreamId},
     },
-    std::{collections::BTreeMap, net::SocketAddr},
+    std::net::SocketAddr,
 };
 
 /// Methods that HTTP says may be repeated.
@@ -186,7 +186,7 @@
         }
     }
 
-    fn versions(&self) -> BTreeMap<u32, Version> {
+    fn versions(&self) -> Versions {
         self.tree
             .within(self.path)
             .filter(|(_, node)| node.kind == NodeKind::Version)
--- a/crates/conf/src/tree/tree_nodes.rs
+++ b/crates/conf/src/tree/tree_nodes.rs
@@ -57,12 +57,22 @@
     where
         N: IntoIterator<Item = (Path, Node)>,
     {
+        Self::from_map(revision, next_numbers, nodes.into_iter().collect())
+    }
+
+    pub(super) fn from_map(
+        revision: Revision,
+        next_numbers: BTreeMap<Family, u32>,
+        mut nodes: OrdMap<Path, Node>,
+    ) -> Self {
         let given = COLLECTIONS
             .into_iter()
             .filter_map(|text| Path::parse(text).ok())
             .chain([Path::root()])
             .map(|path| (path, Node::new(NodeKind::Group, 0)));
-        let nodes: OrdMap<Path, Node> = given.chain(nodes).collect();
+        for (path, node) in given {
+            nodes.entry(path).or_insert(node);
+        }
         let names = nodes
             .iter()
             .filter_map(|(path, node)| Some((family_name(path, node)?, path.clone())))
--- a/crates/ctl/tests/command_line.rs
+++ b/crates/ctl/tests/command_line.rs
@@ -118,6 +118,15 @@
         .run("set /accounts/clinics/el-sol rate=1 --base 6")
         .await;
     assert_eq!(orphan.code, 4, "{orphan:?}");
+    let twice = ctl
+        .run("create /accounts/clinics/el-sol group --base 5")
+        .await;
+    assert!(
+        twice
+            .err
+            .contains("create account /accounts/clinics/el-sol (revision 6"),
+        "{twice:?}"
+    );
 }
 
 #[actix::test]
