Generated orders of events over a small fleet of ledgers and epoch machines

Fake store, VM list and links with drop, duplicate, delay, reorder, pause, restart, outage, lost reply and lagging list. Properties: shares never sum to more than the whole; in every window at most burst plus rate used, by a reference bucket filled from what ran; once healed, the members are those alive, nothing is missing, nothing keeps changing.

Found while writing it: set_peers forgot whom not to ask at each call; a controller that could not read took the same old view for lasting absence (time now counts from read to read); a VM not yet listed and paused past its lease looked gone (it joins once it is listed).

--- a/crates/core/src/membership/epoch_machine.rs
+++ b/crates/core/src/membership/epoch_machine.rs
@@ -56,13 +56,13 @@
         };
         let record = &current.value;
         let vms: BTreeSet<VmId> = record.members.iter().map(|member| member.vm).collect();
-        self.vms.note(&vms, view, now);
+        self.vms.note(&vms, view);
         let record_age = self.record_age(current.mod_revision, now);
         let dead: BTreeSet<Holder> = record
             .members
             .iter()
             .copied()
-            .filter(|&member| self.is_dead(member, view, now))
+            .filter(|&member| self.is_dead(member, view))
             .collect();
         let finalised = finalise(record, view, &dead, self.settings.grantees);
         let due = !dead.is_empty()
@@ -93,10 +93,10 @@
         &self,
         view: &StoreView,
     ) -> Vec<EpochAction> {
-        if view.live.is_empty() {
+        let record = self.next_epoch(&EpochRecord::default(), view, &BTreeSet::new());
+        if record.members.is_empty() {
             return Vec::new();
         }
-        let record = self.next_epoch(&EpochRecord::default(), view, &BTreeSet::new());
         vec![EpochAction::WriteEpoch {
             compare: None,
             record,
@@ -133,7 +133,7 @@
                 continue;
             }
             grants.divide(&whole(budget), &holders, self.settings.grantees);
-            next.issued.insert(budget.account);
+            next.issued.insert(budget.account, budget.role);
         }
         next.grants = grants.into_records();
         next
@@ -143,7 +143,6 @@
         &self,
         member: Holder,
         view: &StoreView,
-        now: Millis,
     ) -> bool {
         let released = |last: &ReleasedRecord| last.holder == member;
         let replaced = view.live.iter().any(|live| {
@@ -154,7 +153,9 @@
         });
         replaced
             || view.released.iter().any(released)
-            || self.vms.is_gone(member.vm, self.settings.list_lag, now)
+            || self
+                .vms
+                .is_gone(member.vm, self.settings.list_lag, view.read_at)
     }
 
     fn record_age(
@@ -220,17 +221,16 @@
         .collect();
     let reports: Vec<HoldingsRecord> = reports(record, view).cloned().collect();
     let mut grants = Grants::of(record);
-    for budget in &view.budgets {
-        let account = budget.account;
-        let holders: Vec<Holder> = of_role(&record.members, budget.role)
+    for (&account, &role) in &record.issued {
+        let holders: Vec<Holder> = of_role(&record.members, role)
             .into_iter()
             .filter(|holder| !dead.contains(holder))
             .collect();
-        if !record.issued.contains(&account) || granted.contains(&account) || holders.is_empty() {
+        if granted.contains(&account) || holders.is_empty() {
             continue;
         }
         let freed = record.freed.get(&account).copied().unwrap_or(0);
-        grants.divide(&missing(budget, &reports, freed), &holders, grantees);
+        grants.divide(&missing(account, &reports, freed), &holders, grantees);
     }
     next.grants = grants.into_records();
     next.freed = BTreeMap::new();
@@ -247,6 +247,9 @@
 }
 
 /// Live daemons that don't belong to the epoch yet; a run that a later one has replaced never does.
+///
+/// Their VM must be on the platform's list. The list lags: a new VM that joined before it was listed
+/// and was paused past its lease would look just like one that is gone.
 fn joining<'a>(
     record: &'a EpochRecord,
     view: &'a StoreView,
@@ -271,6 +274,11 @@
                     || member.incarnation < holder.incarnation
             })
         })
+        .filter(|holder| {
+            view.listed
+                .as_ref()
+                .is_some_and(|listed| listed.contains(&holder.vm))
+        })
         .filter(|holder| view.released.iter().all(|last| last.holder != *holder))
 }
 
@@ -281,7 +289,7 @@
 ) -> impl Iterator<Item = &'a Budget> {
     view.budgets
         .iter()
-        .filter(|budget| !record.issued.contains(&budget.account))
+        .filter(|budget| !record.issued.contains_key(&budget.account))
         .filter(|budget| {
             view.live
                 .iter()
--- a/crates/core/src/membership/epoch_record.rs
+++ b/crates/core/src/membership/epoch_record.rs
@@ -1,10 +1,10 @@
 use {
     crate::{
-        ids::{AccountId, Epoch, Holder},
+        ids::{AccountId, Epoch, Holder, Role},
         rights::Right,
     },
     serde::{Deserialize, Serialize},
-    std::collections::{BTreeMap, BTreeSet},
+    std::collections::BTreeMap,
 };
 
 /// What an epoch adds to one holder.
@@ -28,8 +28,8 @@
     pub closing: bool,
     /// What this epoch adds. While it is closing: accounts that nobody has ever held.
     pub grants: Vec<HolderGrants>,
-    /// Accounts whose whole has been granted once; all others are new.
-    pub issued: BTreeSet<AccountId>,
+    /// Accounts whose whole has been granted once, and to which daemons; all others are new.
+    pub issued: BTreeMap<AccountId, Role>,
     /// Tokens that stopped holders gave back and that no finalised epoch has granted yet.
     pub freed: BTreeMap<AccountId, u64>,
 }
--- a/crates/core/src/membership/reissue.rs
+++ b/crates/core/src/membership/reissue.rs
@@ -2,7 +2,7 @@
     super::{Budget, EpochRecord, HolderGrants, HoldingsRecord},
     crate::{
         ids::{AccountId, Holder},
-        rights::{Right, SHARE_WHOLE, part_of},
+        rights::{Right, SHARE_WHOLE},
     },
     std::collections::BTreeMap,
     xxhash_rust::xxh3::xxh3_64,
@@ -69,28 +69,27 @@
 /// What the reports leave of the whole.
 ///
 /// Its tokens are only those that stopped holders gave back: a dead holder may have used all of its
-/// own just before.
+/// own just before. Who gets them cuts them down to its room.
 pub fn missing(
-    budget: &Budget,
+    account: AccountId,
     reports: &[HoldingsRecord],
     freed: u64,
 ) -> Right {
     let held = reports
         .iter()
         .flat_map(|report| &report.rights)
-        .filter(|right| right.account == budget.account);
+        .filter(|right| right.account == account);
     let (rate, room) = held.fold((0_u64, 0_u64), |(rate, room), right| {
         (
             rate.saturating_add(right.rate_share),
             room.saturating_add(right.room_share),
         )
     });
-    let room_share = SHARE_WHOLE.saturating_sub(room);
     Right {
-        account: budget.account,
+        account,
         rate_share: SHARE_WHOLE.saturating_sub(rate),
-        room_share,
-        tokens: freed.min(part_of(budget.limit.burst_milli(), room_share)),
+        room_share: SHARE_WHOLE.saturating_sub(room),
+        tokens: freed,
     }
 }
 
--- a/crates/core/src/membership/store_view.rs
+++ b/crates/core/src/membership/store_view.rs
@@ -1,6 +1,7 @@
 use {
     super::EpochRecord,
     crate::{
+        clock::Millis,
         ids::{AccountId, Epoch, Holder, Incarnation, Role, VmId},
         rights::{Limit, Right},
     },
@@ -77,6 +78,8 @@
 /// What a controller has read; any part may be old.
 #[derive(Clone, Debug, Default)]
 pub struct StoreView {
+    /// When the oldest part of it was asked for.
+    pub read_at: Millis,
     /// VMs with a live lease.
     pub live: Vec<LiveVm>,
     /// The platform's VM list; none when it could not be read.
--- a/crates/core/src/membership/vm_watch.rs
+++ b/crates/core/src/membership/vm_watch.rs
@@ -6,7 +6,8 @@
 
 /// For how long each VM has been without a lease and gone from the platform's list.
 ///
-/// Both must hold all the time: the list lags, so a VM that is not listed yet may be new, and a
+/// Time counts from read to read: a controller that can't read sees the same old view for as long as
+/// it lasts, and that says nothing. Both must hold all the time: the list lags, so a VM that is not listed yet may be new, and a
 /// lease lapses while its holder is merely paused.
 #[derive(Clone, Debug, Default)]
 pub struct VmWatch {
@@ -19,7 +20,6 @@
         &mut self,
         members: &BTreeSet<VmId>,
         view: &StoreView,
-        now: Millis,
     ) {
         let Some(listed) = &view.listed else {
             self.gone_since.clear();
@@ -30,7 +30,7 @@
             |vm: &VmId| members.contains(vm) && !listed.contains(vm) && !live.contains(vm);
         self.gone_since.retain(|vm, _| is_gone(vm));
         for &vm in members.iter().filter(|vm| is_gone(vm)) {
-            self.gone_since.entry(vm).or_insert(now);
+            self.gone_since.entry(vm).or_insert(view.read_at);
         }
     }
 
@@ -39,10 +39,10 @@
         &self,
         vm: VmId,
         list_lag: Millis,
-        now: Millis,
+        read_at: Millis,
     ) -> bool {
         self.gone_since
             .get(&vm)
-            .is_some_and(|&since| now.since(since) >= list_lag)
+            .is_some_and(|&since| read_at.since(since) >= list_lag)
     }
 }
--- a/crates/core/src/rights/admission.rs
+++ b/crates/core/src/rights/admission.rs
@@ -10,6 +10,8 @@
 pub struct Charge {
     /// The account.
     pub account: AccountId,
+    /// Its number in that account.
+    pub number: u64,
     /// Tokens charged.
     pub tokens: u64,
 }
--- a/crates/core/src/rights/bucket.rs
+++ b/crates/core/src/rights/bucket.rs
@@ -1,19 +1,21 @@
 use {
     super::{Limit, Right, part_of},
     crate::{clock::Millis, ids::AccountId},
+    std::collections::BTreeMap,
 };
 
 /// One holder's part of one account's token bucket.
 ///
-/// All amounts are in thousandths of a token. Two invariants carry the limit of the fleet:
-/// `tokens <= room` and `tokens + refundable <= room`.
+/// All amounts are in thousandths of a token. One invariant carries the limit of the fleet: tokens
+/// and what refunds may still add are together at most the room.
 ///
-/// The second is for refunds. A request is charged at admission and settled when it ends, which
-/// may be long after. Without the second invariant the bucket could have filled up meanwhile, be
-/// emptied, and then get the refund on top: more than the burst at once, seen in the engines'
-/// record only. A bucket that had charged the true cost from the start would have overflowed, so
-/// that part of the refund is void.
-#[derive(Clone, Copy, Debug, Default)]
+/// Refunds count because a request is charged at admission and settled when it ends, which may be
+/// long after. The bucket could have filled up meanwhile, be emptied, and then get the refund on
+/// top: more than the burst at once, seen in the engines' record only. A bucket that had charged the
+/// true cost from the start would have overflowed, so that part of the refund is void, and it is
+/// taken from the oldest charges. Each charge has its own allowance: with one for all together, an
+/// old refund that is void could use that of a newer charge.
+#[derive(Clone, Debug, Default)]
 pub struct Bucket {
     limit: Option<Limit>,
     rate_share: u64,
@@ -22,10 +24,11 @@
     tokens: i64,
     /// Part of a thousandth, of 2^32.
     fraction: u64,
-    /// Charges that are not settled yet.
-    unsettled: u64,
-    /// The most that refunds may still add.
-    refundable: u64,
+    /// The most that the refund of each unsettled charge may still add; those with none left out.
+    refundable: BTreeMap<u64, u64>,
+    /// Sum of these.
+    refundable_sum: u64,
+    next_charge: u64,
     filled_at: Millis,
 }
 
@@ -58,18 +61,19 @@
         self.clip();
     }
 
-    /// Takes `milli` at admission, if it is there.
+    /// Takes `milli` at admission, if it is there, and returns the charge's number.
     pub fn charge(
         &mut self,
         milli: u64,
-    ) -> bool {
+    ) -> Option<u64> {
         if self.tokens() < milli {
-            return false;
+            return None;
         }
         self.tokens -= milli as i64;
-        self.unsettled += milli;
-        self.refundable += milli;
-        true
+        self.next_charge += 1;
+        self.refundable.insert(self.next_charge, milli);
+        self.refundable_sum += milli;
+        Some(self.next_charge)
     }
 
     /// Replaces a charge by the actual cost.
@@ -77,13 +81,14 @@
     /// What was charged too little becomes debt; what was charged too much comes back.
     pub fn settle(
         &mut self,
+        charge: u64,
         charged: u64,
         actual: u64,
     ) {
-        self.unsettled = self.unsettled.saturating_sub(charged);
-        let refund = charged.saturating_sub(actual).min(self.refundable);
+        let refundable = self.refundable.remove(&charge).unwrap_or(0);
+        self.refundable_sum -= refundable;
+        let refund = charged.saturating_sub(actual).min(refundable);
         let debt = actual.saturating_sub(charged);
-        self.refundable = (self.refundable - refund).min(self.unsettled);
         self.tokens = self
             .tokens
             .saturating_add_unsigned(refund)
@@ -189,6 +194,24 @@
             self.tokens = room;
             self.fraction = 0;
         }
-        self.refundable = self.refundable.min(room.abs_diff(self.tokens));
+        self.void_refunds(room.abs_diff(self.tokens));
+    }
+
+    /// Cuts what refunds may add down to `most`, the oldest first.
+    fn void_refunds(
+        &mut self,
+        most: u64,
+    ) {
+        while self.refundable_sum > most
+            && let Some(mut oldest) = self.refundable.first_entry()
+        {
+            let excess = self.refundable_sum - most;
+            let void = excess.min(*oldest.get());
+            *oldest.get_mut() -= void;
+            self.refundable_sum -= void;
+            if *oldest.get() == 0 {
+                oldest.remove();
+            }
+        }
     }
 }
--- a/crates/core/src/rights/ledger.rs
+++ b/crates/core/src/rights/ledger.rs
@@ -68,7 +68,11 @@
         &mut self,
         peers: impl IntoIterator<Item = Holder>,
     ) {
-        self.peers = peers.into_iter().filter(|&peer| peer != self.me).collect();
+        let peers: Vec<Holder> = peers.into_iter().filter(|&peer| peer != self.me).collect();
+        if peers == self.peers {
+            return;
+        }
+        self.peers = peers;
         let peers = &self.peers;
         self.pending
             .retain(|_, pending| peers.contains(&pending.ask.to));
@@ -117,20 +121,27 @@
         let burst = rights.bucket.limit().map_or(0, Limit::burst_milli);
         let reserved = rights.promises.reserved_before(caller);
         let wanted = milli.saturating_add(reserved);
-        match rights.bucket.tokens() {
-            _ if milli > burst => Admission::Refused(Refusal::new(ErrorKind::LargerThanBurst)),
-            tokens if tokens >= wanted && rights.bucket.charge(milli) => {
+        if milli > burst {
+            return Admission::Refused(Refusal::new(ErrorKind::LargerThanBurst));
+        }
+        let tokens = rights.bucket.tokens();
+        let number = (tokens >= wanted)
+            .then(|| rights.bucket.charge(milli))
+            .flatten();
+        match number {
+            Some(number) => {
                 rights.promises.keep(caller);
                 rights.demand.note(milli, now);
                 Admission::Admitted(Charge {
                     account,
+                    number,
                     tokens: cost,
                 })
             }
-            tokens if self.may_ask_for(account, now) => Admission::Ask {
+            None if self.may_ask_for(account, now) => Admission::Ask {
                 shortfall: wanted - tokens,
             },
-            _ => Admission::Refused(self.refuse_after_ask(account, cost, caller, now)),
+            None => Admission::Refused(self.refuse_after_ask(account, cost, caller, now)),
         }
     }
 
@@ -183,10 +194,9 @@
     ) {
         if let Some(rights) = self.accounts.get_mut(&charge.account) {
             rights.bucket.refill(now);
-            rights.bucket.settle(
-                charge.tokens.saturating_mul(MILLI),
-                actual.saturating_mul(MILLI),
-            );
+            let charged = charge.tokens.saturating_mul(MILLI);
+            let actual = actual.saturating_mul(MILLI);
+            rights.bucket.settle(charge.number, charged, actual);
         }
     }
 
--- /dev/null
+++ b/crates/core/tests/support/daemon.rs
@@ -0,0 +1,178 @@
+use {
+    super::reference::Used,
+    jasmine_core::{
+        clock::Millis,
+        error::ErrorKind,
+        ids::{AccountId, Holder},
+        membership::EpochRecord,
+        rights::{Admission, Ask, CallerTag, Charge, Right, RightsLedger, RightsSettings},
+    },
+};
+
+/// A request that waits for the answers of peers.
+#[derive(Clone, Copy, Debug)]
+struct Asking {
+    account: AccountId,
+    cost: u64,
+    uses: u64,
+    caller: CallerTag,
+    since: Millis,
+}
+
+/// How a request fared.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    Admitted,
+    Asking,
+    Refused(ErrorKind, Option<Millis>),
+}
+
+/// A daemon that holds rights.
+#[derive(Debug)]
+pub struct Daemon {
+    pub holder: Holder,
+    pub ledger: RightsLedger,
+    asking: Vec<Asking>,
+    /// Charges of running requests and where they stand in the record of what ran.
+    running: Vec<(Charge, usize)>,
+}
+
+impl Daemon {
+    pub fn new(
+        holder: Holder,
+        settings: RightsSettings,
+    ) -> Self {
+        Self {
+            holder,
+            ledger: RightsLedger::new(holder, settings),
+            asking: Vec::new(),
+            running: Vec::new(),
+        }
+    }
+
+    /// Handles a new request.
+    pub fn request(
+        &mut self,
+        account: AccountId,
+        cost: u64,
+        uses: u64,
+        caller: CallerTag,
+        now: Millis,
+        ran: &mut Vec<Used>,
+    ) -> (Fate, Vec<Ask>) {
+        let asking = Asking {
+            account,
+            cost,
+            uses,
+            caller,
+            since: now,
+        };
+        self.attempt(asking, now, ran)
+    }
+
+    /// Tries again what waits for answers, and gives up what has waited long.
+    pub fn retry(
+        &mut self,
+        now: Millis,
+        ran: &mut Vec<Used>,
+    ) -> (Vec<Fate>, Vec<Ask>) {
+        let (mut fates, mut asks) = (Vec::new(), Vec::new());
+        for asking in std::mem::take(&mut self.asking) {
+            let (fate, more) = match now.since(asking.since) {
+                waited if waited >= Millis(100) => (self.give_up(asking, now), Vec::new()),
+                _ => self.attempt(asking, now, ran),
+            };
+            asks.extend(more);
+            fates.push(fate);
+        }
+        (fates, asks)
+    }
+
+    /// Ends the oldest running request and settles its charge.
+    pub fn finish(
+        &mut self,
+        now: Millis,
+        ran: &mut [Used],
+    ) -> bool {
+        if self.running.is_empty() {
+            return false;
+        }
+        let (charge, index) = self.running.remove(0);
+        ran[index].finished = true;
+        self.ledger.settle(charge, ran[index].uses, now);
+        true
+    }
+
+    /// Sees an epoch record; what it holds is returned if it has to be reported.
+    pub fn see_epoch(
+        &mut self,
+        record: &EpochRecord,
+        now: Millis,
+    ) -> Option<Vec<Right>> {
+        if !record.is_member(self.holder) {
+            return None;
+        }
+        let report = self.ledger.enter_epoch(record.epoch, now)?.to_vec();
+        let role = self.holder.role;
+        self.ledger.set_peers(
+            record
+                .members
+                .iter()
+                .copied()
+                .filter(|peer| peer.role == role),
+        );
+        self.ledger
+            .apply_grants(record.epoch, record.grants_for(self.holder), now);
+        Some(report)
+    }
+
+    fn attempt(
+        &mut self,
+        asking: Asking,
+        now: Millis,
+        ran: &mut Vec<Used>,
+    ) -> (Fate, Vec<Ask>) {
+        let Asking {
+            account,
+            cost,
+            caller,
+            ..
+        } = asking;
+        match self.ledger.try_admit(account, cost, caller, now) {
+            Admission::Admitted(charge) => {
+                self.running.push((charge, ran.len()));
+                ran.push(Used {
+                    account,
+                    at: now,
+                    charged: cost,
+                    uses: asking.uses,
+                    finished: false,
+                });
+                (Fate::Admitted, Vec::new())
+            }
+            Admission::Ask { shortfall } => {
+                self.asking.push(asking);
+                let asks = self.ledger.whom_to_ask(account, shortfall, now);
+                (Fate::Asking, asks)
+            }
+            Admission::Refused(refusal) => {
+                (Fate::Refused(refusal.kind, refusal.retry_after), Vec::new())
+            }
+        }
+    }
+
+    fn give_up(
+        &mut self,
+        asking: Asking,
+        now: Millis,
+    ) -> Fate {
+        let Asking {
+            account,
+            cost,
+            caller,
+            ..
+        } = asking;
+        let refusal = self.ledger.refuse_after_ask(account, cost, caller, now);
+        Fate::Refused(refusal.kind, refusal.retry_after)
+    }
+}
