--- /dev/null
+++ b/crates/core/examples/skewed_load.rs
@@ -0,0 +1,464 @@
+//! Rate rights under load on a virtual clock: refusals within the rate, messages, promises kept.
+//!
+//! `cargo run --release -p jasmine-core --example skewed_load`. Seeded; the same figures each time.
+//! A refusal counts as wrongful when one bucket for the whole fleet would have admitted the request.
+
+use {
+    jasmine_core::{
+        clock::Millis,
+        ids::{AccountId, Epoch, Holder, Incarnation, Role, TransferId, VmId},
+        rights::{
+            Admission, Ask, CallerTag, Charge, Given, Limit, Right, RightsLedger, RightsSettings,
+            SHARE_WHOLE, home_rank,
+        },
+    },
+    rand::{Rng, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    std::collections::BTreeMap,
+};
+
+const ACCOUNT: AccountId = AccountId(1);
+const LIMIT: Limit = Limit {
+    rate: 10_000,
+    burst: 20_000,
+};
+/// One way between two VMs.
+const LINK: Millis = Millis(1);
+/// How long a request runs before its charge is settled.
+const RUN_TIME: Millis = Millis(2000);
+/// How long a request waits for the answers of peers.
+const PATIENCE: Millis = Millis(50);
+const SECONDS: u64 = 120;
+
+/// Where the demand is.
+#[derive(Clone, Copy, Debug)]
+enum Skew {
+    /// Any VM.
+    Even,
+    /// One VM, another one every so often.
+    Moving(Millis),
+}
+
+/// One load.
+#[derive(Clone, Copy, Debug)]
+struct Load {
+    name: &'static str,
+    holders: u32,
+    skew: Skew,
+    /// Demand in percent of the rate.
+    percent: u64,
+    /// Demand in the first four of every twenty seconds, in percent of the rate.
+    peak: u64,
+    /// What a request uses, in percent of its charge, at least.
+    least_used: u64,
+    /// Refused callers come back once, when told.
+    return_once: bool,
+    /// And at the VM that refused them.
+    same_vm: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Request {
+    vm: usize,
+    cost: u64,
+    caller: CallerTag,
+    since: Millis,
+    returned: bool,
+    ideal: bool,
+}
+
+#[derive(Debug)]
+enum Event {
+    Arrive(Request),
+    Ask(Ask),
+    Answer(Holder, TransferId, Given),
+    GiveUp(CallerTag),
+    Settle(usize, Charge, u64),
+    Tick,
+}
+
+#[derive(Debug, Default)]
+struct Figures {
+    requests: u64,
+    refused: u64,
+    wrongful: u64,
+    messages: u64,
+    asked: u64,
+    returned: u64,
+    served_on_return: u64,
+    admitted_tokens: u64,
+}
+
+struct Run {
+    load: Load,
+    ledgers: Vec<RightsLedger>,
+    events: BTreeMap<(Millis, u64), Event>,
+    seq: u64,
+    waiting: BTreeMap<CallerTag, Request>,
+    /// The bucket of the whole fleet, in thousandths, and when it was filled.
+    ideal: (u64, Millis),
+    rng: ChaCha8Rng,
+    figures: Figures,
+}
+
+impl Run {
+    fn new(
+        load: Load,
+        sharing: bool,
+    ) -> Self {
+        let settings = RightsSettings {
+            sharing,
+            ..RightsSettings::default()
+        };
+        let holders: Vec<Holder> = (1..=load.holders).map(holder).collect();
+        let mut homes = holders.clone();
+        homes.sort_by_key(|&holder| home_rank(ACCOUNT, holder));
+        homes.truncate(8);
+        let even = homes.len() as u64;
+        let grant = Right {
+            account: ACCOUNT,
+            rate_share: SHARE_WHOLE / even,
+            room_share: SHARE_WHOLE / even,
+            tokens: LIMIT.burst_milli() / even,
+        };
+        let ledgers = holders
+            .iter()
+            .map(|&me| {
+                let mut ledger = RightsLedger::new(me, settings);
+                ledger.set_limit(ACCOUNT, LIMIT, Millis::ZERO);
+                ledger.set_peers(holders.iter().copied());
+                ledger.enter_epoch(Epoch(1), Millis::ZERO);
+                if homes.contains(&me) {
+                    ledger.apply_grants(Epoch(1), &[grant], Millis::ZERO);
+                }
+                ledger
+            })
+            .collect();
+        Self {
+            load,
+            ledgers,
+            events: BTreeMap::new(),
+            seq: 0,
+            waiting: BTreeMap::new(),
+            ideal: (LIMIT.burst_milli(), Millis::ZERO),
+            rng: ChaCha8Rng::seed_from_u64(7),
+            figures: Figures::default(),
+        }
+    }
+
+    fn run(mut self) -> Figures {
+        self.arrivals();
+        self.at(Millis(250), Event::Tick);
+        while let Some(((now, _), event)) = self.events.pop_first() {
+            match event {
+                _ if now > Millis::from_secs(SECONDS + 10) => break,
+                Event::Arrive(request) => self.arrive(request, now),
+                Event::Ask(ask) => self.ask(&ask, now),
+                Event::Answer(to, transfer, given) => self.answer(to, transfer, &given, now),
+                Event::GiveUp(caller) => self.give_up(caller, now),
+                Event::Settle(vm, charge, actual) => self.ledgers[vm].settle(charge, actual, now),
+                Event::Tick => self.tick(now),
+            }
+        }
+        self.figures
+    }
+
+    /// Requests of 50 to 950 tokens at exponential distances.
+    fn arrivals(&mut self) {
+        let (mut at, mut caller) = (0.0, 0);
+        while at < (SECONDS * 1000) as f64 {
+            let is_peak = at as u64 % 20_000 < 4000;
+            let percent = if is_peak {
+                self.load.peak
+            } else {
+                self.load.percent
+            };
+            let mean_gap = 500.0 * 1000.0 / (LIMIT.rate * percent / 100) as f64;
+            at += -self.rng.random::<f64>().max(1e-9).ln() * mean_gap;
+            let now = Millis(at as u64);
+            let any = self.rng.random_range(0..self.load.holders as usize);
+            let vm = match self.load.skew {
+                Skew::Even => any,
+                Skew::Moving(every) => (now.0 / every.0 * 3) as usize % self.ledgers.len(),
+            };
+            caller += 1;
+            let request = Request {
+                vm,
+                cost: self.rng.random_range(50..=950),
+                caller: CallerTag(caller),
+                since: now,
+                returned: false,
+                ideal: false,
+            };
+            self.at(now, Event::Arrive(request));
+        }
+    }
+
+    fn arrive(
+        &mut self,
+        mut request: Request,
+        now: Millis,
+    ) {
+        request.since = now;
+        request.ideal = self.ideal_takes(request.cost, now);
+        if request.returned {
+            self.figures.returned += 1;
+        } else {
+            self.figures.requests += 1;
+        }
+        if !self.attempt(&request, now) {
+            self.figures.asked += 1;
+            self.waiting.insert(request.caller, request);
+            self.at(now + PATIENCE, Event::GiveUp(request.caller));
+        }
+    }
+
+    /// Tries once; whether that was final.
+    fn attempt(
+        &mut self,
+        request: &Request,
+        now: Millis,
+    ) -> bool {
+        let ledger = &mut self.ledgers[request.vm];
+        match ledger.try_admit(ACCOUNT, request.cost, request.caller, now) {
+            Admission::Admitted(charge) => {
+                self.figures.admitted_tokens += request.cost;
+                self.figures.served_on_return += u64::from(request.returned);
+                let used = self.rng.random_range(self.load.least_used..=100);
+                let actual = request.cost * used / 100;
+                self.at(now + RUN_TIME, Event::Settle(request.vm, charge, actual));
+                true
+            }
+            Admission::Refused(refusal) => {
+                self.refuse(request, refusal.retry_after_secs(), now);
+                true
+            }
+            Admission::Ask { shortfall } => {
+                for ask in ledger.whom_to_ask(ACCOUNT, shortfall, now) {
+                    self.send(Event::Ask(ask), now);
+                }
+                false
+            }
+        }
+    }
+
+    fn refuse(
+        &mut self,
+        request: &Request,
+        retry_secs: Option<u64>,
+        now: Millis,
+    ) {
+        if request.returned {
+            return;
+        }
+        self.figures.refused += 1;
+        self.figures.wrongful += u64::from(request.ideal);
+        if let (true, Some(secs)) = (self.load.return_once, retry_secs) {
+            let any = self.rng.random_range(0..self.ledgers.len());
+            let vm = if self.load.same_vm { request.vm } else { any };
+            let again = Request {
+                vm,
+                returned: true,
+                ..*request
+            };
+            let spread = self.rng.random_range(0..200);
+            self.at(now + Millis(secs * 1000 + spread), Event::Arrive(again));
+        }
+    }
+
+    fn ask(
+        &mut self,
+        ask: &Ask,
+        now: Millis,
+    ) {
+        let given = self.ledgers[index(ask.to)].give(&ask.request, now);
+        let answer = Event::Answer(ask.request.from, ask.request.transfer, given);
+        self.send(answer, now);
+    }
+
+    fn answer(
+        &mut self,
+        to: Holder,
+        transfer: TransferId,
+        given: &Given,
+        now: Millis,
+    ) {
+        let vm = index(to);
+        self.ledgers[vm].receive(transfer, given, now);
+        let waiting: Vec<Request> = self
+            .waiting
+            .values()
+            .copied()
+            .filter(|w| w.vm == vm)
+            .collect();
+        for request in waiting {
+            if self.attempt(&request, now) {
+                self.waiting.remove(&request.caller);
+            }
+        }
+    }
+
+    fn give_up(
+        &mut self,
+        caller: CallerTag,
+        now: Millis,
+    ) {
+        if let Some(request) = self.waiting.remove(&caller) {
+            let ledger = &mut self.ledgers[request.vm];
+            let refusal = ledger.refuse_after_ask(ACCOUNT, request.cost, caller, now);
+            self.refuse(&request, refusal.retry_after_secs(), now);
+        }
+    }
+
+    fn tick(
+        &mut self,
+        now: Millis,
+    ) {
+        for vm in 0..self.ledgers.len() {
+            let mut asks = self.ledgers[vm].rebalance(now);
+            asks.extend(self.ledgers[vm].unanswered(now));
+            for ask in asks {
+                self.send(Event::Ask(ask), now);
+            }
+        }
+        self.at(now + Millis(250), Event::Tick);
+    }
+
+    fn send(
+        &mut self,
+        event: Event,
+        now: Millis,
+    ) {
+        self.figures.messages += 1;
+        self.at(now + LINK, event);
+    }
+
+    fn at(
+        &mut self,
+        at: Millis,
+        event: Event,
+    ) {
+        self.seq += 1;
+        self.events.insert((at, self.seq), event);
+    }
+
+    fn ideal_takes(
+        &mut self,
+        cost: u64,
+        now: Millis,
+    ) -> bool {
+        let (level, at) = self.ideal;
+        let level = (level + now.since(at).0 * LIMIT.rate).min(LIMIT.burst_milli());
+        let takes = level >= cost * 1000;
+        self.ideal = (if takes { level - cost * 1000 } else { level }, now);
+        takes
+    }
+}
+
+fn holder(vm: u32) -> Holder {
+    Holder {
+        vm: VmId(vm),
+        role: Role::Gateway,
+        incarnation: Incarnation(1),
+    }
+}
+
+fn index(holder: Holder) -> usize {
+    holder.vm.0 as usize - 1
+}
+
+fn main() {
+    let base = Load {
+        name: "moving every 10 s",
+        holders: 8,
+        skew: Skew::Moving(Millis::from_secs(10)),
+        percent: 90,
+        peak: 90,
+        least_used: 100,
+        return_once: false,
+        same_vm: true,
+    };
+    let loads = [
+        base,
+        Load {
+            name: "even",
+            skew: Skew::Even,
+            ..base
+        },
+        Load {
+            name: "moving, uses 40-100 %",
+            least_used: 40,
+            ..base
+        },
+        Load {
+            name: "moving, 180 holders",
+            holders: 180,
+            ..base
+        },
+        Load {
+            name: "even, 180 holders",
+            holders: 180,
+            skew: Skew::Even,
+            ..base
+        },
+        Load {
+            name: "always 3x",
+            percent: 300,
+            peak: 300,
+            ..base
+        },
+        Load {
+            name: "always 3x, back once",
+            percent: 300,
+            peak: 300,
+            return_once: true,
+            ..base
+        },
+        Load {
+            name: "always 3x, even, back once at any VM",
+            percent: 300,
+            peak: 300,
+            return_once: true,
+            same_vm: false,
+            skew: Skew::Even,
+            ..base
+        },
+        Load {
+            name: "50 %, peaks of 3x, back once",
+            percent: 50,
+            peak: 300,
+            return_once: true,
+            ..base
+        },
+        Load {
+            name: "50 %, peaks of 3x, even, back once at any VM",
+            percent: 50,
+            peak: 300,
+            return_once: true,
+            same_vm: false,
+            skew: Skew::Even,
+            ..base
+        },
+    ];
+    println!(
+        "load | sharing | requests | refused % | wrongful % | asked % | messages/s | back served % | tokens admitted, % of rate"
+    );
+    for load in loads {
+        for sharing in [false, true] {
+            let figures = Run::new(load, sharing).run();
+            let percent = |part: u64, whole: u64| 100.0 * part as f64 / whole.max(1) as f64;
+            println!(
+                "{} | {} | {} | {:.2} | {:.2} | {:.1} | {:.1} | {:.1} | {:.1}",
+                load.name,
+                if sharing { "on" } else { "off" },
+                figures.requests,
+                percent(figures.refused, figures.requests),
+                percent(figures.wrongful, figures.requests),
+                percent(figures.asked, figures.requests),
+                figures.messages as f64 / SECONDS as f64,
+                percent(figures.served_on_return, figures.returned),
+                percent(figures.admitted_tokens, LIMIT.rate * SECONDS),
+            );
+        }
+    }
+}
--- a/crates/core/src/membership/reissue.rs
+++ b/crates/core/src/membership/reissue.rs
@@ -2,10 +2,9 @@
     super::{Budget, EpochRecord, HolderGrants, HoldingsRecord},
     crate::{
         ids::{AccountId, Holder},
-        rights::{Right, SHARE_WHOLE},
+        rights::{Right, SHARE_WHOLE, home_rank},
     },
     std::collections::BTreeMap,
-    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Grants of one epoch, gathered by holder.
@@ -93,7 +92,7 @@
     }
 }
 
-/// A few of the members, other ones for each account, the same ones at every controller.
+/// The account's first homes among the members; the same ones at every controller.
 fn choose(
     account: AccountId,
     members: &[Holder],
@@ -101,20 +100,9 @@
 ) -> Vec<Holder> {
     let mut ranked: Vec<(u64, Holder)> = members
         .iter()
-        .map(|&holder| (rank(account, holder), holder))
+        .map(|&holder| (home_rank(account, holder), holder))
         .collect();
     ranked.sort_unstable();
     ranked.truncate(grantees.max(1));
     ranked.into_iter().map(|(_, holder)| holder).collect()
 }
-
-fn rank(
-    account: AccountId,
-    holder: Holder,
-) -> u64 {
-    let mut buf = [0; 16];
-    buf[..4].copy_from_slice(&account.0.to_le_bytes());
-    buf[4..8].copy_from_slice(&holder.vm.0.to_le_bytes());
-    buf[8..].copy_from_slice(&holder.incarnation.0.to_le_bytes());
-    xxh3_64(&buf)
-}
--- a/crates/core/src/rights/account_rights.rs
+++ b/crates/core/src/rights/account_rights.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        MILLI, Right, RightsSettings, SHARE_WHOLE, TakeRequest, bucket::Bucket, demand::Demand,
-        peers::PeerHints, promises::Promises,
+        CallerTag, MILLI, Right, RightsSettings, SHARE_WHOLE, TakeRequest, bucket::Bucket,
+        demand::Demand, peers::PeerHints, promises::Promises,
     },
     crate::clock::Millis,
 };
@@ -9,6 +9,9 @@
 /// Own demand and that of an asker are reckoned with this much on top, in percent.
 const HEADROOM_PERCENT: u64 = 125;
 
+/// The part of the room that may be kept back for promises, in percent.
+const MOST_RESERVED_PERCENT: u64 = 50;
+
 /// For how long ahead a giver fills an asker up, in seconds of the asker's demand.
 const FILL_SECS: u64 = 2;
 
@@ -38,6 +41,18 @@
         self.promises.expire(now, settings.grace);
     }
 
+    /// Thousandths of a token that are kept back for callers that come before this one.
+    ///
+    /// A bucket that is kept full loses what it earns, so part of the room is never kept back.
+    pub fn reserved_before(
+        &self,
+        caller: CallerTag,
+    ) -> u64 {
+        self.promises
+            .reserved_before(caller)
+            .min(self.most_reserved())
+    }
+
     /// Tokens that neither own demand nor promises need soon, in thousandths.
     pub fn spare(
         &self,
@@ -47,7 +62,7 @@
         let soon = self.demand.per_second(now) * settings.keep.0 / 1000;
         self.bucket
             .tokens()
-            .saturating_sub(self.promises.reserved())
+            .saturating_sub(self.promises.reserved().min(self.most_reserved()))
             .saturating_sub(soon)
     }
 
@@ -59,7 +74,7 @@
         settings: &RightsSettings,
         now: Millis,
     ) -> Right {
-        let own = self.demand.per_second(now);
+        let own = self.demand.per_second(now) + self.promises.per_second(now);
         let theirs = request.demand.saturating_mul(MILLI);
         let tokens = self.tokens_for(request.needed, own, theirs, settings, now);
         let floor = SHARE_WHOLE / holders.max(1) / settings.floor_divisor.max(1);
@@ -72,6 +87,10 @@
         }
     }
 
+    fn most_reserved(&self) -> u64 {
+        self.bucket.room() / 100 * MOST_RESERVED_PERCENT
+    }
+
     fn tokens_for(
         &self,
         needed: u64,
@@ -102,8 +121,10 @@
             .min(their_share)
     }
 
-    /// Tokens need room where they go, and so does what the moved rate will earn; tokens that stay
-    /// need theirs.
+    /// Tokens need room where they go, and so does what the moved rate will earn.
+    ///
+    /// Tokens that stay need theirs, and what the rate that stays will earn needs at least half of
+    /// an even part; with less it would be full in no time and the rest be lost.
     fn room_for(
         &self,
         tokens: u64,
@@ -115,10 +136,11 @@
         let for_tokens = share_of(tokens, burst);
         let for_rate =
             u128::from(room) * u128::from(rate_share) / u128::from(self.bucket.rate_share().max(1));
+        let rate_staying = self.bucket.rate_share() - rate_share;
         let staying = share_of(self.bucket.tokens() - tokens, burst);
         for_tokens
             .max(for_rate as u64)
-            .min(room.saturating_sub(floor.max(staying)))
+            .min(room.saturating_sub(floor.max(staying).max(rate_staying / 2)))
     }
 }
 
--- a/crates/core/src/rights/demand.rs
+++ b/crates/core/src/rights/demand.rs
@@ -1,7 +1,7 @@
 use crate::clock::Millis;
 
 /// How long the past counts; older demand fades.
-const MEMORY: Millis = Millis(2000);
+const MEMORY: Millis = Millis(1000);
 
 /// A fading average of what callers have asked for, admitted or not.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/core/src/rights/ledger.rs
+++ b/crates/core/src/rights/ledger.rs
@@ -15,6 +15,17 @@
 /// A refusal that can't be promised names at most this time.
 const LONGEST_RETRY: Millis = Millis::from_secs(60);
 
+/// How long earning `milli` takes at a rate of thousandths of a token a second.
+fn time_to_earn(
+    milli: u64,
+    rate: u64,
+) -> Millis {
+    match rate {
+        0 => LONGEST_RETRY,
+        rate => Millis(milli.saturating_mul(1000).div_ceil(rate)).min(LONGEST_RETRY),
+    }
+}
+
 /// A request for rights that has not been answered.
 #[derive(Clone, Copy, Debug)]
 struct Pending {
@@ -119,7 +130,7 @@
         rights.advance(&self.settings, now);
         let milli = cost.saturating_mul(MILLI);
         let burst = rights.bucket.limit().map_or(0, Limit::burst_milli);
-        let reserved = rights.promises.reserved_before(caller);
+        let reserved = rights.reserved_before(caller);
         let wanted = milli.saturating_add(reserved);
         if milli > burst {
             return Admission::Refused(Refusal::new(ErrorKind::LargerThanBurst));
@@ -130,7 +141,7 @@
             .flatten();
         match number {
             Some(number) => {
-                rights.promises.keep(caller);
+                rights.promises.end(caller);
                 rights.demand.note(milli, now);
                 Admission::Admitted(Charge {
                     account,
@@ -167,22 +178,22 @@
         if let Some(due) = rights.promises.due(caller).filter(|&due| due > now) {
             return Refusal::after(ErrorKind::RateLimited, due.since(now));
         }
-        rights.promises.keep(caller);
+        rights.promises.end(caller);
         let missing = milli
-            .saturating_add(rights.promises.reserved())
+            .saturating_add(rights.promises.promised())
             .saturating_add(rights.bucket.debt())
             .saturating_sub(rights.bucket.tokens());
-        let delay = match rights.bucket.rate() {
-            0 => LONGEST_RETRY,
-            rate => Millis(missing.saturating_mul(1000).div_ceil(rate)),
-        };
-        let can_promise = delay < LONGEST_RETRY
+        let delay = time_to_earn(missing, rights.bucket.rate());
+        let can_promise = delay <= self.settings.horizon
             && milli <= rights.bucket.room()
             && rights.promises.len() < self.settings.max_promises;
         if can_promise {
             rights.promises.add(caller, milli, now + delay);
+            return Refusal::after(ErrorKind::RateLimited, delay);
         }
-        Refusal::after(ErrorKind::RateLimited, delay.min(LONGEST_RETRY))
+        // Nothing here can promise it; by then the fleet will have earned it.
+        let fleet = time_to_earn(missing, rights.bucket.limit().map_or(0, Limit::rate_milli));
+        Refusal::after(ErrorKind::RateLimited, delay.min(fleet))
     }
 
     /// Settles a charge with what the engine counted.
@@ -215,7 +226,9 @@
         }
         let demand = rights.demand.per_second(now);
         let ahead = demand.saturating_mul(self.settings.ahead.0) / 1000;
-        let chosen = rights.peers.choose(&self.peers, &self.settings, now);
+        let needed = shortfall.saturating_add(ahead);
+        let peers = &mut rights.peers;
+        let chosen = peers.choose(account, needed, &self.peers, &self.settings, now);
         let mut asks = Vec::with_capacity(chosen.len());
         for to in chosen {
             let transfer = TransferId(self.next_transfer);
@@ -225,7 +238,7 @@
                 transfer,
                 epoch,
                 account,
-                needed: shortfall.saturating_add(ahead),
+                needed,
                 demand: demand.saturating_add(shortfall).div_ceil(MILLI),
             };
             let ask = Ask { to, request };
@@ -261,7 +274,9 @@
         asks
     }
 
-    /// Asks ahead for accounts whose demand here is over what this holder earns.
+    /// Asks ahead for accounts that are in use here and whose tokens run low.
+    ///
+    /// Peers without demand earn too; what doesn't fit in their rooms is lost unless it is fetched.
     pub fn rebalance(
         &mut self,
         now: Millis,
@@ -270,11 +285,12 @@
         let mut low = Vec::new();
         for (&account, rights) in &mut self.accounts {
             let demand = rights.demand.per_second(now);
-            if demand <= rights.bucket.rate() {
+            if demand == 0 {
                 continue;
             }
             rights.advance(&self.settings, now);
-            let wanted = demand.saturating_mul(ahead) / 1000;
+            let burst = rights.bucket.limit().map_or(0, Limit::burst_milli);
+            let wanted = (demand.saturating_mul(ahead) / 1000).min(burst / 2);
             if rights.bucket.tokens() < wanted {
                 low.push(account);
             }
--- a/crates/core/src/rights/limit.rs
+++ b/crates/core/src/rights/limit.rs
@@ -10,6 +10,11 @@
 }
 
 impl Limit {
+    /// The rate in thousandths of a token a second.
+    pub const fn rate_milli(self) -> u64 {
+        self.rate.saturating_mul(MILLI)
+    }
+
     /// The burst in thousandths of a token.
     pub const fn burst_milli(self) -> u64 {
         self.burst.saturating_mul(MILLI)
--- a/crates/core/src/rights/mod.rs
+++ b/crates/core/src/rights/mod.rs
@@ -24,6 +24,7 @@
 mod admission;
 mod bucket;
 mod demand;
+mod home;
 mod ledger;
 mod limit;
 mod peers;
@@ -35,6 +36,7 @@
 
 pub use {
     admission::{Admission, CallerTag, Charge},
+    home::home_rank,
     ledger::RightsLedger,
     limit::Limit,
     right::{MILLI, Right, SHARE_WHOLE, part_of},
--- a/crates/core/src/rights/peers.rs
+++ b/crates/core/src/rights/peers.rs
@@ -1,7 +1,10 @@
 use {
-    super::RightsSettings,
-    crate::{clock::Millis, ids::Holder},
-    std::collections::HashMap,
+    super::{RightsSettings, home_rank},
+    crate::{
+        clock::Millis,
+        ids::{AccountId, Holder},
+    },
+    std::{cmp::Reverse, collections::HashMap},
 };
 
 /// What one holder knows of a peer's rights to one account.
@@ -23,7 +26,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct PeerHints {
     hints: HashMap<Holder, Hint>,
-    cursor: usize,
     /// Answers in a row, from whomever, that brought nothing.
     empty: usize,
     not_before: Millis,
@@ -45,40 +47,38 @@
             || (now >= self.not_before && peers.iter().any(|&peer| self.may_ask(peer, now)))
     }
 
-    /// Chooses peers: those with the most to spare, then the others in turn.
+    /// Chooses peers: those with the most to spare, then the account's homes.
+    ///
+    /// No more are chosen than have, by their last word, what is needed.
     pub fn choose(
         &mut self,
+        account: AccountId,
+        needed: u64,
         peers: &[Holder],
         settings: &RightsSettings,
         now: Millis,
     ) -> Vec<Holder> {
-        if now < self.not_before || peers.is_empty() {
+        if now < self.not_before {
             return Vec::new();
         }
-        let mut known: Vec<(u64, Holder)> = peers
+        let mut candidates: Vec<(Reverse<u64>, u64, Holder)> = peers
             .iter()
             .filter(|&&peer| self.may_ask(peer, now))
-            .filter_map(|&peer| self.hints.get(&peer).map(|hint| (hint.spare, peer)))
-            .filter(|&(spare, _)| spare > 0)
+            .map(|&peer| {
+                let spare = self.hints.get(&peer).map_or(0, |hint| hint.spare);
+                (Reverse(spare), home_rank(account, peer), peer)
+            })
             .collect();
-        known.sort_unstable_by(|a, b| b.cmp(a));
-        let mut chosen: Vec<Holder> = known
-            .into_iter()
-            .map(|(_, peer)| peer)
-            .take(settings.fan_out)
-            .collect();
-        for _ in 0..peers.len() {
-            if chosen.len() >= settings.fan_out {
+        candidates.sort_unstable();
+        let mut promised = 0_u64;
+        let mut chosen = Vec::new();
+        for (Reverse(spare), _, peer) in candidates.into_iter().take(settings.fan_out) {
+            if !chosen.is_empty() && promised >= needed {
                 break;
             }
-            let peer = peers[self.cursor % peers.len()];
-            self.cursor = (self.cursor + 1) % peers.len();
-            if self.may_ask(peer, now) && !chosen.contains(&peer) {
-                chosen.push(peer);
-            }
-        }
-        for &peer in &chosen {
+            promised = promised.saturating_add(spare);
             self.hints.entry(peer).or_default().waiting_since = Some(now);
+            chosen.push(peer);
         }
         chosen
     }
--- a/crates/core/src/rights/promises.rs
+++ b/crates/core/src/rights/promises.rs
@@ -1,5 +1,8 @@
 use {super::CallerTag, crate::clock::Millis};
 
+/// How much one outcome changes the share of callers that are expected back.
+const LEARNING: f64 = 1.0 / 16.0;
+
 /// Tokens set aside for a caller that was told when to come back.
 #[derive(Clone, Copy, Debug)]
 struct Promise {
@@ -14,23 +17,62 @@
 /// and newcomers would take what had been earned meanwhile: the callers would notice that coming
 /// back as told is refused again. So what will be earned is given out in order, and a newcomer
 /// can't use what a promise needs.
-#[derive(Clone, Debug, Default)]
+///
+/// Many callers never come back. Were all kept back for them, an account over its limit would get
+/// nearly nothing, so only that part is kept back that, by what was seen, will come for it.
+#[derive(Clone, Debug)]
 pub struct Promises {
     /// In order of their time.
     open: Vec<Promise>,
+    /// Sum of what they need.
+    milli: u64,
+    /// The share of callers that come back when told, as learned.
+    return_share: f64,
+}
+
+impl Default for Promises {
+    fn default() -> Self {
+        Self {
+            open: Vec::new(),
+            milli: 0,
+            return_share: 0.25,
+        }
+    }
 }
 
 impl Promises {
-    /// Thousandths of a token that promises earlier than the one of `caller` need; all, without one.
+    /// Thousandths of a token kept back for callers that come before this one; for all, when
+    /// nothing was promised to it.
     pub fn reserved_before(
         &self,
         caller: CallerTag,
     ) -> u64 {
-        self.open
-            .iter()
-            .take_while(|promise| promise.caller != caller)
-            .map(|promise| promise.milli)
-            .sum()
+        let before = match self.position(caller) {
+            None => self.milli,
+            Some(at) => self.open[..at].iter().map(|promise| promise.milli).sum(),
+        };
+        self.expected(before)
+    }
+
+    /// Thousandths of a token that all would need if every caller came back.
+    ///
+    /// This spreads the times that are named; a caller may come back at another VM.
+    pub const fn promised(&self) -> u64 {
+        self.milli
+    }
+
+    /// Thousandths of a token kept back in all.
+    pub fn reserved(&self) -> u64 {
+        self.expected(self.milli)
+    }
+
+    /// Thousandths of a token a second that it takes to keep all promises in time.
+    pub fn per_second(
+        &self,
+        now: Millis,
+    ) -> u64 {
+        let last = self.open.last().map_or(now, |promise| promise.due);
+        self.reserved() * 1000 / last.since(now).0.max(1000)
     }
 
     /// When `caller` was told to come back.
@@ -38,19 +80,11 @@
         &self,
         caller: CallerTag,
     ) -> Option<Millis> {
-        self.open
-            .iter()
-            .find(|promise| promise.caller == caller)
-            .map(|promise| promise.due)
-    }
-
-    /// All thousandths of a token that are spoken for.
-    pub fn reserved(&self) -> u64 {
-        self.open.iter().map(|promise| promise.milli).sum()
+        self.position(caller).map(|at| self.open[at].due)
     }
 
     /// Number of open promises.
-    pub fn len(&self) -> usize {
+    pub const fn len(&self) -> usize {
         self.open.len()
     }
 
@@ -63,14 +97,18 @@
     ) {
         let at = self.open.partition_point(|promise| promise.due <= due);
         self.open.insert(at, Promise { caller, milli, due });
+        self.milli += milli;
     }
 
-    /// Ends the promise of a caller that was served.
-    pub fn keep(
+    /// Ends the promise of a caller that has come back.
+    pub fn end(
         &mut self,
         caller: CallerTag,
     ) {
-        self.open.retain(|promise| promise.caller != caller);
+        if let Some(at) = self.position(caller) {
+            self.milli -= self.open.remove(at).milli;
+            self.learn(1.0);
+        }
     }
 
     /// Ends the promises whose callers did not come back in time.
@@ -79,6 +117,35 @@
         now: Millis,
         grace: Millis,
     ) {
-        self.open.retain(|promise| now < promise.due + grace);
+        let late = self
+            .open
+            .partition_point(|promise| promise.due + grace <= now);
+        for promise in self.open.drain(..late) {
+            self.milli -= promise.milli;
+            self.return_share -= self.return_share * LEARNING;
+        }
+    }
+
+    fn learn(
+        &mut self,
+        outcome: f64,
+    ) {
+        self.return_share += (outcome - self.return_share) * LEARNING;
+    }
+
+    fn expected(
+        &self,
+        milli: u64,
+    ) -> u64 {
+        (milli as f64 * self.return_share) as u64
+    }
+
+    fn position(
+        &self,
+        caller: CallerTag,
+    ) -> Option<usize> {
+        self.open
+            .iter()
+            .position(|promise| promise.caller == caller)
     }
 }
--- a/crates/core/src/rights/settings.rs
+++ b/crates/core/src/rights/settings.rs
@@ -25,6 +25,8 @@
     pub floor_divisor: u64,
     /// How long the tokens of a promised refusal wait for their caller after the promised time.
     pub grace: Millis,
+    /// How far ahead a refusal is promised; rights move, so what lies further ahead can't be.
+    pub horizon: Millis,
     /// Promised refusals kept for one account.
     pub max_promises: usize,
 }
@@ -34,16 +36,17 @@
         Self {
             sharing: true,
             fan_out: 3,
-            keep: Millis(500),
-            back_off: Millis(200),
+            keep: Millis(100),
+            back_off: Millis(50),
             max_doublings: 3,
             rounds: 3,
             answer_wait: Millis(50),
             ahead: Millis(1000),
             resend: Millis(250),
-            floor_divisor: 8,
-            grace: Millis(2000),
-            max_promises: 64,
+            floor_divisor: 32,
+            grace: Millis(1500),
+            horizon: Millis::from_secs(10),
+            max_promises: 1024,
         }
     }
 }
--- a/crates/core/tests/generated_orders.rs
+++ b/crates/core/tests/generated_orders.rs
@@ -50,10 +50,7 @@
     fleet.run(Millis(2000));
     for _ in 0..EVENTS {
         let event: Event = driver.produce().expect("enough bytes");
-        let f = fleet.apply(event);
-        if std::env::var("DBG").is_ok() && !f.is_empty() {
-            println!("{event:?} {f:?}");
-        }
+        fleet.apply(event);
         fleet.check_now();
     }
     fleet.check_used();
