A reply that never came is not a call that never went

Cause: the HTTP client reports a connection that the other side closed without an answer as a failure to connect, so that a write whose reply was lost was taken for not done. Only failures before the first byte count as that now.

--- a/crates/controller/src/engines/engine_client.rs
+++ b/crates/controller/src/engines/engine_client.rs
@@ -1,12 +1,13 @@
 use {
     super::EngineReport,
-    awc::{Client, Connector},
+    awc::{Client, Connector, error::SendRequestError},
     jasmine_core::{
         clock::Millis,
         ids::Fence,
         ownership::{LoadResult, UnloadResult},
         placement::Instance,
     },
+    jasmine_platform::http::is_unsent,
     serde_json::{Value, json},
     std::net::SocketAddr,
     tokio::time::timeout,
@@ -140,7 +141,9 @@
             .await
             .map(|res| res.status().as_u16())
             .map_err(|e| match e {
-                awc::error::SendRequestError::Connect(e) => EngineError::Unreachable(e.to_string()),
+                SendRequestError::Connect(e) if is_unsent(&e) => {
+                    EngineError::Unreachable(e.to_string())
+                }
                 e => unclear(&e),
             })
     };
--- a/crates/platform/src/etcd/etcd_store.rs
+++ b/crates/platform/src/etcd/etcd_store.rs
@@ -7,9 +7,12 @@
             decode_watch, encode_range, encode_txn, encode_watch, parse,
         },
     },
-    crate::store::{
-        Lease, LeaseId, Range, RangeReply, Store, StoreError, StoreFuture, Txn, TxnReply,
-        WatchStream,
+    crate::{
+        http::is_unsent,
+        store::{
+            Lease, LeaseId, Range, RangeReply, Store, StoreError, StoreFuture, Txn, TxnReply,
+            WatchStream,
+        },
     },
     actix_web::web::Bytes,
     awc::{
@@ -129,7 +132,9 @@
             .send_json(&body)
             .await
             .map_err(|e| match e {
-                SendRequestError::Connect(e) => StoreError::Unreachable(e.to_string()),
+                SendRequestError::Connect(e) if is_unsent(&e) => {
+                    StoreError::Unreachable(e.to_string())
+                }
                 SendRequestError::Url(e) => StoreError::Unreachable(e.to_string()),
                 e => StoreError::OutcomeUnknown(e.to_string()),
             })
