--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,7 +7,11 @@
 
 pub mod clock;
 pub mod error;
+pub mod forward;
 pub mod ids;
 pub mod membership;
+pub mod ownership;
+pub mod placement;
 pub mod queue;
 pub mod rights;
+pub mod routing;
