--- a/crates/controller/src/epochs/epoch_keeper.rs
+++ b/crates/controller/src/epochs/epoch_keeper.rs
@@ -94,6 +94,7 @@
     fn view(&self) -> StoreView {
         let fleet = self.shared.fleet.borrow();
         StoreView {
+            read_at: self.list_read.get().unwrap_or_default(),
             live: fleet.members.values().map(MemberRecord::live).collect(),
             listed: self.listed.borrow().clone(),
             epoch: fleet.epoch.clone(),
