--- a/crates/core/tests/forward/world.rs
+++ b/crates/core/tests/forward/world.rs
@@ -14,28 +14,36 @@
 /// Tokens of a whole answer.
 const TOKENS: u64 = 6;
 const DEADLINE: Millis = Millis(60_000);
+/// Of 256: how often something happens that would otherwise end most orders early.
+const NOW_AND_THEN: u8 = 64;
+/// The same, rarer.
+const SELDOM: u8 = 16;
 
 /// Something that happens.
 #[derive(Clone, Copy, Debug, TypeGenerator)]
 pub enum Op {
-    /// The brain answers the open question for a route.
-    Route { refused: bool },
+    /// The brain answers the open question for a route, seldom with a refusal.
+    Route(u8),
     /// The newest connection gets on: head, parts, end.
     Advance,
     /// The same, four times.
     AdvanceMuch,
     /// An older connection gets on.
     AdvanceOld(u8),
+    /// The same, four times.
+    AdvanceOldMuch(u8),
+    /// The upstream ends its answer too early, seldom.
+    EndEarly(u8),
     /// A part that was told before is told again.
     Repeat(u8),
-    /// A connection breaks.
+    /// A connection breaks, now and then.
     Lose(u8),
-    /// The newest connection never came about.
-    Unreachable,
-    /// The newest connection's answer is not the one that was asked for.
+    /// The newest connection never came about, now and then.
+    Unreachable(u8),
+    /// The newest connection's answer is not the one that was asked for, now and then.
     WrongHead(u8),
-    /// The engine restarts: its streams are gone.
-    Restart,
+    /// The engines restart, seldom: their streams are gone.
+    Restart(u8),
     /// Time passes: an instant, a gap, or more.
     Wait(u8),
     /// The caller stops or begins to read.
@@ -124,29 +132,33 @@
         let newest = self.connections.len().wrapping_sub(1);
         let pick = |n: u8| (n as usize).checked_rem(self.connections.len());
         match op {
-            Op::Route { refused } => self.route(refused),
+            Op::Route(n) => self.route(n < SELDOM),
             Op::Advance => self.advance(newest),
             Op::AdvanceMuch => (0..4).for_each(|_| self.advance(newest)),
             Op::AdvanceOld(n) => drop(pick(n).map(|place| self.advance(place))),
+            Op::AdvanceOldMuch(n) => {
+                drop(pick(n).map(|place| (0..4).for_each(|_| self.advance(place))));
+            }
+            Op::EndEarly(n) if n < SELDOM => self.end_early(newest),
             Op::Repeat(n) => drop(pick(n).map(|place| self.repeat(place))),
-            Op::Lose(n) => drop(pick(n).map(|place| self.lose(place))),
-            Op::Unreachable => self.unreachable(newest),
-            Op::WrongHead(n) => self.wrong_head(newest, n),
-            Op::Restart => self.runs.iter_mut().for_each(|run| run.alive = false),
+            Op::Lose(n) if n < NOW_AND_THEN => drop(pick(n).map(|place| self.lose(place))),
+            Op::Unreachable(n) if n < NOW_AND_THEN => self.unreachable(newest),
+            Op::WrongHead(n) if n < NOW_AND_THEN => self.wrong_head(newest, n),
+            Op::Restart(n) if n < SELDOM => self.runs.iter_mut().for_each(|run| run.alive = false),
             Op::Wait(n) => self.wait(Millis(u64::from(n % 4) * 400)),
             Op::Read { slow: true } => self.tell(Event::CallerSlow, None),
             Op::Read { slow: false } => self.tell(Event::CallerReady, None),
-            Op::Gone(n) if n < 8 => {
+            Op::Gone(n) if n < SELDOM / 2 => {
                 self.tell(Event::CallerGone, None);
                 if self.caller == Caller::Waiting {
                     self.caller = Caller::Gone;
                 }
             }
-            Op::Withdraw(n) if n < 8 => {
+            Op::Withdraw(n) if n < SELDOM / 2 => {
                 self.tell(Event::KeyWithdrawn, None);
                 assert!(self.machine.is_done(), "work goes on with a withdrawn key");
             }
-            Op::Gone(_) | Op::Withdraw(_) => {}
+            _ => {}
         }
     }
 
@@ -223,6 +235,17 @@
         }
     }
 
+    fn end_early(
+        &mut self,
+        place: usize,
+    ) {
+        let connection = self.connections.get(place).filter(|c| c.headed && !c.dead);
+        if let Some(attempt) = connection.map(|connection| connection.attempt) {
+            let made = Some(TOKENS);
+            self.tell(Event::End { attempt, made }, Some(place));
+        }
+    }
+
     fn repeat(
         &mut self,
         place: usize,
