--- a/crates/core/tests/forward/world.rs
+++ b/crates/core/tests/forward/world.rs
@@ -137,7 +137,8 @@
             Op::AdvanceMuch => (0..4).for_each(|_| self.advance(newest)),
             Op::AdvanceOld(n) => drop(pick(n).map(|place| self.advance(place))),
             Op::AdvanceOldMuch(n) => {
-                drop(pick(n).map(|place| (0..4).for_each(|_| self.advance(place))));
+                let places = pick(n).into_iter().flat_map(|place| [place; 4]);
+                places.for_each(|place| self.advance(place));
             }
             Op::EndEarly(n) if n < SELDOM => self.end_early(newest),
             Op::Repeat(n) => drop(pick(n).map(|place| self.repeat(place))),
@@ -313,7 +314,10 @@
         time: Millis,
     ) {
         let until = self.now + time;
+        let mut wakes = 0;
         while let Some(wake) = self.machine.wake_at().filter(|&wake| wake <= until) {
+            wakes += 1;
+            assert!(wakes < 1_000, "the timer changes nothing");
             self.now = self.now.max(wake);
             self.tell(Event::Timer, None);
         }
