--- a/crates/core/src/queue/account_line.rs
+++ b/crates/core/src/queue/account_line.rs
@@ -1,5 +1,8 @@
 use {
-    super::{AccountShare, Target, Waiting},
+    super::{
+        AccountShare, Target, Waiting,
+        pool::{Backlog, Pool},
+    },
     crate::clock::Millis,
     std::collections::{BTreeMap, HashMap},
 };
@@ -17,11 +20,10 @@
     pub share: AccountShare,
     /// Cost served so far, divided by weight; in thousandths.
     pub counter: u64,
-    /// Cost of all that waits.
-    pub backlog: u64,
     by_target: HashMap<Target, BTreeMap<Place, Waiting>>,
     /// The first of each target.
     heads: BTreeMap<Place, Target>,
+    backlogs: BTreeMap<Pool, Backlog>,
     len: usize,
 }
 
@@ -31,6 +33,11 @@
         self.len
     }
 
+    /// Its weight as it is used.
+    pub fn weight(&self) -> u64 {
+        u64::from(self.share.weight.max(1))
+    }
+
     /// Whether nothing waits.
     pub const fn is_empty(&self) -> bool {
         self.len == 0
@@ -56,7 +63,8 @@
             }
         }
         self.len += 1;
-        self.backlog += waiting.cost;
+        let backlog = self.backlogs.entry(Pool::of(waiting.target)).or_default();
+        backlog.add(waiting.priority, waiting.cost);
     }
 
     /// Takes a request out.
@@ -78,7 +86,9 @@
             }
         }
         self.len -= 1;
-        self.backlog -= waiting.cost;
+        if let Some(backlog) = self.backlogs.get_mut(&Pool::of(target)) {
+            backlog.take(waiting.priority, waiting.cost);
+        }
         Some(waiting)
     }
 
@@ -96,15 +106,23 @@
             .map(|(&place, &target)| (place, target))
     }
 
-    /// Cost of what is served before a request at `place`.
-    pub fn cost_before(
+    /// What waits in a pool.
+    pub fn backlog(
         &self,
-        place: Place,
-    ) -> u64 {
-        self.by_target
+        pool: Pool,
+    ) -> Backlog {
+        self.backlogs.get(&pool).copied().unwrap_or_default()
+    }
+
+    /// All that waits, in the order in which it would be served.
+    pub fn in_order(&self) -> Vec<Waiting> {
+        let mut all: Vec<(Place, Waiting)> = self
+            .by_target
             .values()
-            .flat_map(|line| line.range(..place))
-            .map(|(_, waiting)| waiting.cost)
-            .sum()
+            .flatten()
+            .map(|(&place, &waiting)| (place, waiting))
+            .collect();
+        all.sort_unstable_by_key(|&(place, _)| place);
+        all.into_iter().map(|(_, waiting)| waiting).collect()
     }
 }
--- a/crates/core/src/queue/fair_queue.rs
+++ b/crates/core/src/queue/fair_queue.rs
@@ -2,19 +2,26 @@
     super::{
         AccountShare, QueueSettings, Queued, Target, Waiting,
         account_line::{AccountLine, Place},
-        service_rate::ServiceRate,
+        estimate,
+        pool::{Pool, PoolState},
     },
     crate::{
         clock::Millis,
         error::{ErrorKind, Refusal},
         ids::{AccountId, RequestId},
     },
-    std::collections::{BTreeSet, HashMap},
+    std::collections::{BTreeMap, BTreeSet, HashMap},
 };
 
 /// Counters are kept in thousandths of a token, for the sake of the weights.
 const COUNTER_SCALE: u64 = 1000;
 
+/// How often those that wait are looked through for ones without a chance.
+const LOOK_EVERY: Millis = Millis(250);
+
+/// When to come back to a full queue whose rate of service is unknown.
+const UNKNOWN_DELAY: Millis = Millis::from_secs(1);
+
 /// Where a waiting request stands.
 #[derive(Clone, Copy, Debug)]
 struct Location {
@@ -33,9 +40,8 @@
     active: BTreeSet<(u64, AccountId)>,
     locations: HashMap<RequestId, Location>,
     deadlines: BTreeSet<(Millis, RequestId)>,
-    rate: ServiceRate,
-    /// Sum of the weights of the active accounts.
-    active_weight: u64,
+    pools: BTreeMap<Pool, PoolState>,
+    looked_at: Millis,
     /// The highest counter that was ever the lowest; an account that was idle starts here.
     floor: u64,
     next_seq: u64,
@@ -50,8 +56,8 @@
             active: BTreeSet::new(),
             locations: HashMap::new(),
             deadlines: BTreeSet::new(),
-            rate: ServiceRate::default(),
-            active_weight: 0,
+            pools: BTreeMap::new(),
+            looked_at: Millis::ZERO,
             floor: 0,
             next_seq: 0,
         }
@@ -64,12 +70,12 @@
         share: AccountShare,
     ) {
         let line = self.lines.entry(account).or_default();
-        if !line.is_empty() {
-            self.active_weight -= weight(line);
-        }
+        let before = line.weight();
         line.share = share;
-        if !line.is_empty() {
-            self.active_weight += weight(line);
+        for (&pool, state) in &mut self.pools {
+            if line.backlog(pool).len > 0 {
+                state.active_weight = state.active_weight - before + line.weight();
+            }
         }
     }
 
@@ -107,30 +113,24 @@
         let patience = self.settings.patience(waiting.priority);
         let place = (now + patience, self.next_seq);
         let deadline = waiting.deadline.min(now + self.settings.max_wait);
-        let expected_wait = self.expected_wait(waiting.account, place, now);
-        let line = self.lines.entry(waiting.account).or_default();
-        let is_full =
-            line.len() >= line.share.max_queued || self.locations.len() >= self.settings.max_queued;
-        match expected_wait {
-            _ if is_full => {
-                let delay = self.time_for_one(waiting.account, now);
-                return Err(Refusal::after(ErrorKind::QueueFull, delay));
-            }
-            Some(wait) if now + wait > deadline => {
-                let late = (now + wait).since(deadline);
-                return Err(Refusal::after(ErrorKind::CannotMeetDeadline, late));
-            }
-            None if deadline <= now => {
-                return Err(Refusal::new(ErrorKind::CannotMeetDeadline));
-            }
-            _ => (),
-        }
+        let waiting = Waiting {
+            deadline,
+            ..waiting
+        };
+        let expected_wait = self.check(&waiting, now)?;
         self.next_seq += 1;
+        let pool = Pool::of(waiting.target);
+        let state = self.pools.entry(pool).or_default();
+        let line = self.lines.entry(waiting.account).or_default();
         if line.is_empty() {
             line.counter = line.counter.max(self.floor);
             self.active.insert((line.counter, waiting.account));
-            self.active_weight += weight(line);
         }
+        if line.backlog(pool).len == 0 {
+            state.active_weight += line.weight();
+        }
+        state.waiting += 1;
+        state.rate.note_waiting(now);
         line.insert(place, waiting);
         let location = Location {
             account: waiting.account,
@@ -140,10 +140,7 @@
         };
         self.locations.insert(waiting.request, location);
         self.deadlines.insert((deadline, waiting.request));
-        self.rate.note_waiting(now);
-        Ok(Queued {
-            expected_wait: expected_wait.unwrap_or_default(),
-        })
+        Ok(Queued { expected_wait })
     }
 
     /// Takes the next request that can run.
@@ -167,8 +164,9 @@
         }
         let waiting = self.take_out(account, place, target)?;
         self.charge(account, waiting.cost);
-        let still_waiting = !self.locations.is_empty();
-        self.rate.note_served(waiting.cost, still_waiting, now);
+        if let Some(state) = self.pools.get_mut(&Pool::of(target)) {
+            state.rate.note_served(waiting.cost, state.waiting > 0, now);
+        }
         Some(waiting)
     }
 
@@ -193,13 +191,14 @@
     ) -> Option<Waiting> {
         let location = *self.locations.get(&request)?;
         let waiting = self.take_out(location.account, location.place, location.target)?;
-        if self.locations.is_empty() {
-            self.rate.note_empty(now);
+        let pool = self.pools.get_mut(&Pool::of(location.target));
+        if let Some(state) = pool.filter(|state| state.waiting == 0) {
+            state.rate.note_empty(now);
         }
         Some(waiting)
     }
 
-    /// Takes out the requests whose deadline has passed, to be refused.
+    /// Takes out the requests whose deadline has passed or can't be met any more, to be refused.
     pub fn expire(
         &mut self,
         now: Millis,
@@ -210,6 +209,12 @@
         {
             expired.extend(self.cancel(request, now));
         }
+        if now.since(self.looked_at) >= LOOK_EVERY {
+            self.looked_at = now;
+            for request in self.hopeless(now) {
+                expired.extend(self.cancel(request, now));
+            }
+        }
         expired
     }
 
@@ -236,56 +241,58 @@
         self.lines.get(&account).map_or(0, AccountLine::len)
     }
 
-    /// The targets that something waits for are what may be worth loading: all that waits.
+    /// All that waits, in no order.
     pub fn iter(&self) -> impl Iterator<Item = (RequestId, AccountId, Target)> + '_ {
         self.locations
             .iter()
             .map(|(&request, location)| (request, location.account, location.target))
     }
 
-    /// How long a request at `place` would wait, or none while the rate of service is unknown.
-    fn expected_wait(
+    /// Whether a request may wait, and for how long it is expected to.
+    fn check(
         &self,
-        account: AccountId,
-        place: Place,
+        waiting: &Waiting,
         now: Millis,
-    ) -> Option<Millis> {
-        let before = self
-            .lines
-            .get(&account)
-            .map_or(0, |line| line.cost_before(place));
-        self.time_to_serve(account, before, now)
+    ) -> Result<Millis, Refusal> {
+        let pool = Pool::of(waiting.target);
+        let state = self.pools.get(&pool).copied().unwrap_or_default();
+        let new = AccountLine::default();
+        let line = self.lines.get(&waiting.account).unwrap_or(&new);
+        let wait = estimate::wait_of_new(line, pool, &state, waiting.priority, now);
+        let left = waiting.deadline.since(now);
+        match wait.unwrap_or_default() {
+            _ if self.is_full_for(line) => {
+                let delay = estimate::wait_for_one(line, pool, &state, now);
+                let delay = delay.unwrap_or(UNKNOWN_DELAY).min(self.settings.max_wait);
+                Err(Refusal::after(ErrorKind::QueueFull, delay))
+            }
+            wait if wait >= left => {
+                let late = wait.since(left).min(self.settings.max_wait);
+                Err(Refusal::after(ErrorKind::CannotMeetDeadline, late))
+            }
+            wait => Ok(wait),
+        }
     }
 
-    /// How long until one request of the account has left its line.
-    fn time_for_one(
+    /// Accounts with short lines get in although others have filled the queue.
+    fn is_full_for(
         &self,
-        account: AccountId,
-        now: Millis,
-    ) -> Millis {
-        let line = self.lines.get(&account);
-        let mean = line.map_or(0, |line| line.backlog / (line.len() as u64).max(1));
-        self.time_to_serve(account, mean, now)
-            .unwrap_or(Millis::from_secs(1))
-            .min(self.settings.max_wait)
+        line: &AccountLine,
+    ) -> bool {
+        let even = self.settings.max_queued / (2 * self.active.len() + 1);
+        line.len() >= line.share.max_queued
+            || (self.locations.len() >= self.settings.max_queued && line.len() >= even)
     }
 
-    fn time_to_serve(
+    fn hopeless(
         &self,
-        account: AccountId,
-        cost: u64,
         now: Millis,
-    ) -> Option<Millis> {
-        if cost == 0 {
-            return None;
-        }
-        let rate = self.rate.per_millisecond(now)?;
-        let line = self.lines.get(&account)?;
-        let own = weight(line);
-        let joining = if line.is_empty() { own } else { 0 };
-        let part = own as f64 / (self.active_weight + joining) as f64;
-        let wait = cost as f64 / (rate * part).max(f64::MIN_POSITIVE);
-        Some(Millis(wait as u64))
+    ) -> Vec<RequestId> {
+        self.active
+            .iter()
+            .flat_map(|(_, account)| estimate::hopeless(&self.lines[account], &self.pools, now))
+            .map(|waiting| waiting.request)
+            .collect()
     }
 
     fn take_out(
@@ -296,9 +303,14 @@
     ) -> Option<Waiting> {
         let line = self.lines.get_mut(&account)?;
         let waiting = line.remove(place, target)?;
+        let pool = Pool::of(target);
+        if let Some(state) = self.pools.get_mut(&pool) {
+            state.waiting -= 1;
+            let last = line.backlog(pool).len == 0;
+            state.active_weight -= if last { line.weight() } else { 0 };
+        }
         if line.is_empty() {
             self.active.remove(&(line.counter, account));
-            self.active_weight -= weight(line);
         }
         if let Some(location) = self.locations.remove(&waiting.request) {
             self.deadlines.remove(&(location.deadline, waiting.request));
@@ -346,13 +358,9 @@
     }
 }
 
-fn weight(line: &AccountLine) -> u64 {
-    u64::from(line.share.weight.max(1))
-}
-
 fn scaled(
     cost: u64,
     line: &AccountLine,
 ) -> u64 {
-    cost.saturating_mul(COUNTER_SCALE) / weight(line)
+    (cost.saturating_mul(COUNTER_SCALE) / line.weight()).max(1)
 }
--- a/crates/core/src/queue/mod.rs
+++ b/crates/core/src/queue/mod.rs
@@ -12,7 +12,9 @@
 //! service can't be served before its deadline is refused when it comes.
 
 mod account_line;
+mod estimate;
 mod fair_queue;
+mod pool;
 mod priority;
 mod service_rate;
 mod settings;
--- a/crates/core/src/queue/service_rate.rs
+++ b/crates/core/src/queue/service_rate.rs
@@ -3,8 +3,12 @@
 /// How long the past counts.
 const MEMORY: Millis = Millis(5000);
 
-/// Nothing is said about the rate before this much busy time has been seen.
-const LEAST_SEEN: f64 = 500.0;
+/// Nothing is said about the rate before this much busy time has been seen, in milliseconds.
+const LEAST_BUSY: f64 = 500.0;
+
+/// Nor while fewer requests than this have been served lately: all that waits may wait for an adapter
+/// to load, and that says nothing about how fast others would be served.
+const LEAST_SERVED: f64 = 1.0;
 
 /// The rate at which the queue is being emptied, observed only while something waits.
 ///
@@ -13,6 +17,8 @@
 pub struct ServiceRate {
     /// Cost served, faded.
     served: f64,
+    /// Requests served, faded in the same way.
+    requests: f64,
     /// Busy milliseconds, faded in the same way.
     busy: f64,
     /// Since when the queue has not been empty; none while it is.
@@ -37,6 +43,7 @@
     ) {
         self.advance(now);
         self.served += cost as f64;
+        self.requests += 1.0;
         self.busy_since = still_waiting.then_some(now);
     }
 
@@ -56,7 +63,7 @@
     ) -> Option<f64> {
         let mut seen = *self;
         seen.advance(now);
-        (seen.busy >= LEAST_SEEN).then(|| seen.served / seen.busy)
+        (seen.busy >= LEAST_BUSY && seen.requests >= LEAST_SERVED).then(|| seen.served / seen.busy)
     }
 
     fn advance(
@@ -69,6 +76,7 @@
         let elapsed = now.since(since);
         let fade = (-(elapsed.0 as f64) / MEMORY.0 as f64).exp();
         self.served *= fade;
+        self.requests *= fade;
         self.busy = self.busy * fade + (1.0 - fade) * MEMORY.0 as f64;
         self.busy_since = Some(since.max(now));
     }
