--- a/crates/core/tests/fair_queue.rs
+++ b/crates/core/tests/fair_queue.rs
@@ -169,7 +169,7 @@
             }
             "cancel" => {
                 let cancelled = self.queue.cancel(RequestId(times), self.now);
-                out = cancelled.map_or("not waiting", |_| "cancelled").to_owned();
+                out += cancelled.map_or("not waiting", |_| "cancelled");
             }
             other => return Err(format!("no command {other}").into()),
         }
--- a/crates/core/tests/support/fleet.rs
+++ b/crates/core/tests/support/fleet.rs
@@ -14,7 +14,10 @@
         },
         rights::{Ask, CallerTag, Given, Limit, RightsSettings, SHARE_WHOLE},
     },
-    std::collections::{BTreeMap, VecDeque},
+    std::{
+        collections::{BTreeMap, VecDeque},
+        fmt::Write as _,
+    },
 };
 
 /// The account that is there from the start, the one of the second revision, the weight store.
@@ -274,6 +277,42 @@
         );
     }
 
+    /// The epoch and what each VM has of an account, for a script.
+    pub fn show(
+        &mut self,
+        account: AccountId,
+    ) -> String {
+        let mut out = match self.store.epoch() {
+            None => "no epoch\n".to_owned(),
+            Some(record) => format!(
+                "epoch {}{}, {} members\n",
+                record.epoch,
+                if record.closing { " closing" } else { "" },
+                record.members.len(),
+            ),
+        };
+        for daemon in self.daemons() {
+            let held = daemon.ledger.held();
+            if let Some(right) = held.iter().find(|right| right.account == account) {
+                let percent = |share| 100.0 * share as f64 / SHARE_WHOLE as f64;
+                let _ = writeln!(
+                    out,
+                    "vm {}: rate {:.1} %, room {:.1} %, tokens {:.1}",
+                    daemon.holder.vm,
+                    percent(right.rate_share),
+                    percent(right.room_share),
+                    right.tokens as f64 / 1000.0,
+                );
+            }
+        }
+        out
+    }
+
+    /// Number of messages under way.
+    pub fn under_way(&self) -> usize {
+        self.links.len()
+    }
+
     /// Number of requests that ran.
     pub fn ran(&self) -> usize {
         self.ran.len()
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -4,9 +4,11 @@
 mod event;
 mod fleet;
 mod reference;
+mod script;
 mod store;
 
 pub use {
     event::{Event, Link, VMS},
     fleet::Fleet,
+    script::run_scripts,
 };
--- /dev/null
+++ b/crates/core/tests/support/script.rs
@@ -0,0 +1,135 @@
+use {
+    super::{Event, Fleet, Link, daemon::Fate},
+    goldenscript::{Command, Context, Runner},
+    jasmine_core::{
+        clock::Millis,
+        ids::{AccountId, VmId},
+        rights::RightsSettings,
+    },
+    std::{error::Error, fmt::Write as _},
+};
+
+/// Runs all scripts of a folder, each over a fleet of its own.
+pub fn run_scripts(folder: &str) {
+    for entry in std::fs::read_dir(folder).expect("scripts") {
+        let path = entry.expect("a script").path();
+        goldenscript::run(&mut Script::default(), path).expect("a script that runs");
+    }
+}
+
+/// A fleet driven by a script.
+#[derive(Default)]
+struct Script {
+    fleet: Option<Fleet>,
+}
+
+impl Script {
+    fn apply(
+        &mut self,
+        event: Event,
+    ) -> String {
+        let Some(fleet) = &mut self.fleet else {
+            return "no fleet".to_owned();
+        };
+        let fates = fleet.apply(event);
+        fleet.check_now();
+        fleet.check_used();
+        fates
+            .into_iter()
+            .map(|fate| describe(fate) + "\n")
+            .collect()
+    }
+
+    fn each_message(
+        &mut self,
+        link: Link,
+    ) -> String {
+        let under_way = self.fleet.as_ref().map_or(0, Fleet::under_way);
+        let mut out = String::new();
+        for _ in 0..under_way {
+            out += &self.apply(Event::Carry(link, 0));
+        }
+        let _ = write!(out, "{under_way} messages");
+        out
+    }
+}
+
+fn describe(fate: Fate) -> String {
+    match fate {
+        Fate::Admitted => "admitted".to_owned(),
+        Fate::Asking => "asks peers".to_owned(),
+        Fate::Refused(kind, None) => format!("refused: {kind:?}"),
+        Fate::Refused(kind, Some(after)) => format!("refused: {kind:?}, back in {after} ms"),
+    }
+}
+
+impl Runner for Script {
+    type Command = Command;
+
+    fn run(
+        &mut self,
+        command: &Command,
+        _context: &Context,
+    ) -> Result<String, Box<dyn Error>> {
+        let mut args = command.consume_args();
+        let mut number = |name: &str, default: u64| -> Result<u64, Box<dyn Error>> {
+            Ok(args
+                .take_key(name)
+                .map(str::parse)
+                .transpose()?
+                .unwrap_or(default))
+        };
+        let vm = VmId(number("vm", 1)? as u32);
+        let (cost, uses, rate) = (
+            number("cost", 10)?,
+            number("uses", 100)?,
+            number("rate", 100)?,
+        );
+        let (account, ms) = (number("account", 1)?, Millis(number("ms", 1000)?));
+        let vms = number("vms", 3)? as u32;
+        args.reject_next()?;
+        let event = match command.name.as_str() {
+            "fleet" => {
+                self.fleet = Some(Fleet::new(vms, RightsSettings::default()));
+                return Ok(self.apply(Event::Run(Millis(2000))));
+            }
+            "show" => {
+                let account = AccountId(account as u32);
+                return Ok(self
+                    .fleet
+                    .as_mut()
+                    .map_or(String::new(), |fleet| fleet.show(account)));
+            }
+            "drop" => return Ok(self.each_message(Link::Drop)),
+            "duplicate" => return Ok(self.each_message(Link::Duplicate)),
+            "deliver" => return Ok(self.each_message(Link::Deliver)),
+            "request" => Event::Request {
+                vm,
+                controller: account == 9,
+                second: account == 2,
+                cost,
+                uses,
+            },
+            "finish" => Event::Finish(vm),
+            "advance" => Event::Advance(ms),
+            "tick" => Event::Tick {
+                vm,
+                reply_lost: false,
+            },
+            "run" => Event::Run(ms),
+            "kill" => Event::Kill(vm),
+            "start" => Event::Start(vm),
+            "leave" => Event::Leave(vm),
+            "freeze" => Event::Freeze(vm),
+            "thaw" => Event::Thaw(vm),
+            "outage" => Event::Store(false),
+            "recovery" => Event::Store(true),
+            "list" => Event::List,
+            "unlist" => Event::Unlist(vm),
+            "limit" => Event::Limit(rate),
+            "configure" => Event::Configure(vm),
+            other => return Err(format!("no command {other}").into()),
+        };
+        Ok(self.apply(event))
+    }
+}
