Scripts of rate rights and epochs; whoever lacks rights asks everybody in turn

Scripts over the fleet of the generated orders, checked after each command. They showed: the first VM to come up got the whole of every account (the first epoch now waits for those that start together); a request for the whole burst was refused for ever, since each peer kept a little room (an idle peer now gives it).

--- a/crates/core/src/membership/epoch_machine.rs
+++ b/crates/core/src/membership/epoch_machine.rs
@@ -52,7 +52,7 @@
         now: Millis,
     ) -> Vec<EpochAction> {
         let Some(current) = &view.epoch else {
-            return self.first_epoch(view);
+            return self.first_epoch(view, now);
         };
         let record = &current.value;
         let vms: BTreeSet<VmId> = record.members.iter().map(|member| member.vm).collect();
@@ -89,12 +89,15 @@
         }
     }
 
+    /// The first record waits for the VMs that start together, so that one alone doesn't get all.
     fn first_epoch(
-        &self,
+        &mut self,
         view: &StoreView,
+        now: Millis,
     ) -> Vec<EpochAction> {
         let record = self.next_epoch(&EpochRecord::default(), view, &BTreeSet::new());
-        if record.members.is_empty() {
+        let due_since = *self.due_since.get_or_insert(now);
+        if record.members.is_empty() || now.since(due_since) < self.settings.settle {
             return Vec::new();
         }
         vec![EpochAction::WriteEpoch {
--- a/crates/core/src/rights/account_rights.rs
+++ b/crates/core/src/rights/account_rights.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        CallerTag, MILLI, Right, RightsSettings, SHARE_WHOLE, TakeRequest, bucket::Bucket,
+        CallerTag, Limit, MILLI, Right, RightsSettings, SHARE_WHOLE, TakeRequest, bucket::Bucket,
         demand::Demand, peers::PeerHints, promises::Promises,
     },
     crate::clock::Millis,
@@ -79,10 +79,16 @@
         let tokens = self.tokens_for(request.needed, own, theirs, settings, now);
         let floor = SHARE_WHOLE / holders.max(1) / settings.floor_divisor.max(1);
         let rate_share = self.rate_for(own, theirs, floor);
+        let large = request.needed.saturating_mul(2) >= self.burst();
+        let kept = match own {
+            // A request for most of the burst needs nearly all of the room, in one place.
+            0 if large => 0,
+            _ => floor.max((self.bucket.rate_share() - rate_share) / 2),
+        };
         Right {
             account: request.account,
             rate_share,
-            room_share: self.room_for(tokens, rate_share, floor),
+            room_share: self.room_for(tokens, rate_share, kept, request.needed),
             tokens,
         }
     }
@@ -123,24 +129,31 @@
 
     /// Tokens need room where they go, and so does what the moved rate will earn.
     ///
-    /// Tokens that stay need theirs, and what the rate that stays will earn needs at least half of
-    /// an even part; with less it would be full in no time and the rest be lost.
+    /// Tokens that stay need theirs. Otherwise `kept` stays: at least half of an even part for the
+    /// rate that stays; with less it would be full in no time and what it earns be lost.
     fn room_for(
         &self,
         tokens: u64,
         rate_share: u64,
-        floor: u64,
+        kept: u64,
+        needed: u64,
     ) -> u64 {
-        let burst = self.bucket.limit().map_or(0, super::Limit::burst_milli);
         let room = self.bucket.room_share();
-        let for_tokens = share_of(tokens, burst);
+        let for_tokens = share_of(tokens, self.burst());
         let for_rate =
             u128::from(room) * u128::from(rate_share) / u128::from(self.bucket.rate_share().max(1));
-        let rate_staying = self.bucket.rate_share() - rate_share;
-        let staying = share_of(self.bucket.tokens() - tokens, burst);
-        for_tokens
-            .max(for_rate as u64)
-            .min(room.saturating_sub(floor.max(staying).max(rate_staying / 2)))
+        let staying = share_of(self.bucket.tokens() - tokens, self.burst());
+        let for_needed = if kept == 0 {
+            share_of(needed, self.burst())
+        } else {
+            0
+        };
+        let wanted = for_tokens.max(for_rate as u64).max(for_needed);
+        wanted.min(room.saturating_sub(kept.max(staying)))
+    }
+
+    fn burst(&self) -> u64 {
+        self.bucket.limit().map_or(0, Limit::burst_milli)
     }
 }
 
--- a/crates/core/src/rights/peers.rs
+++ b/crates/core/src/rights/peers.rs
@@ -15,6 +15,7 @@
     not_before: Millis,
     /// Answers in a row that brought nothing.
     empty: u32,
+    asked: Millis,
     waiting_since: Option<Millis>,
 }
 
@@ -47,7 +48,8 @@
             || (now >= self.not_before && peers.iter().any(|&peer| self.may_ask(peer, now)))
     }
 
-    /// Chooses peers: those with the most to spare, then the account's homes.
+    /// Chooses peers: those with the most to spare, then the others in turn, the account's homes
+    /// first.
     ///
     /// No more are chosen than have, by their last word, what is needed.
     pub fn choose(
@@ -61,23 +63,30 @@
         if now < self.not_before {
             return Vec::new();
         }
-        let mut candidates: Vec<(Reverse<u64>, u64, Holder)> = peers
+        let mut candidates: Vec<(Reverse<u64>, Millis, u64, Holder)> = peers
             .iter()
             .filter(|&&peer| self.may_ask(peer, now))
             .map(|&peer| {
-                let spare = self.hints.get(&peer).map_or(0, |hint| hint.spare);
-                (Reverse(spare), home_rank(account, peer), peer)
+                let hint = self.hints.get(&peer).copied().unwrap_or_default();
+                (
+                    Reverse(hint.spare),
+                    hint.asked,
+                    home_rank(account, peer),
+                    peer,
+                )
             })
             .collect();
         candidates.sort_unstable();
         let mut promised = 0_u64;
         let mut chosen = Vec::new();
-        for (Reverse(spare), _, peer) in candidates.into_iter().take(settings.fan_out) {
+        for (Reverse(spare), _, _, peer) in candidates.into_iter().take(settings.fan_out) {
             if !chosen.is_empty() && promised >= needed {
                 break;
             }
             promised = promised.saturating_add(spare);
-            self.hints.entry(peer).or_default().waiting_since = Some(now);
+            let hint = self.hints.entry(peer).or_default();
+            hint.waiting_since = Some(now);
+            hint.asked = now;
             chosen.push(peer);
         }
         chosen
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -1,5 +1,11 @@
 //! A small fleet of ledgers and epoch machines over a fake store and fake links.
 
+#![allow(
+    dead_code,
+    unused_imports,
+    reason = "each test binary uses its own part of this"
+)]
+
 mod daemon;
 mod event;
 mod fleet;
