Whole path runs: engine boot id as number, gateway's clock has a past

Cause: the engine stand-in told its boot id as text, which the controller reads as a number, so no engine ever counted as healthy and every adapter was refused no_upstream. The harness waits for /readyz of both daemons and shows their last lines when a test fails.

--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -2,6 +2,11 @@
 
 use {jasmine_core::clock::Millis, std::time::Instant};
 
+/// What the clock shows at the start: moments before it, such as when the store confirmed something that
+/// a controller tells of, have to lie on the clock too. Counted from nought, a gateway took such word for
+/// no word at all, and refused everything for its first seconds after it had said that it was ready.
+const START: Millis = Millis::from_secs(24 * 3600);
+
 /// Counts milliseconds from the start of the process, also while the process is frozen.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
@@ -19,8 +24,7 @@
 impl Clock {
     /// The present moment.
     pub fn now(&self) -> Millis {
-        // One more, so that zero stays the time before everything.
-        Millis(self.origin.elapsed().as_millis() as u64 + 1)
+        START + Millis(self.origin.elapsed().as_millis() as u64)
     }
 
     /// The moment as the runtime's timers need it.
@@ -28,6 +32,6 @@
         &self,
         at: Millis,
     ) -> tokio::time::Instant {
-        (self.origin + at.to_std()).into()
+        (self.origin + at.since(START).to_std()).into()
     }
 }
--- a/crates/testkit/src/engine/state.rs
+++ b/crates/testkit/src/engine/state.rs
@@ -57,7 +57,7 @@
 /// What the engine tells of its load.
 #[derive(Clone, Debug, Default, Serialize)]
 pub(super) struct LoadReport {
-    boot: String,
+    boot: u64,
     role: String,
     running: usize,
     waiting: usize,
@@ -260,7 +260,7 @@
         cfg: &EngineSettings,
     ) {
         self.load_report = LoadReport {
-            boot: self.boot.to_string(),
+            boot: self.boot,
             role: self.role.clone(),
             running: self.running.len(),
             waiting: self.waiting.len(),
--- a/crates/testkit/src/harness/cluster.rs
+++ b/crates/testkit/src/harness/cluster.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         cluster_spec::ClusterSpec,
+        daemon::Daemon,
         initial_edit::initial_ops,
         poll::{HarnessError, poll},
         upstreams::{Upstreams, anywhere},
@@ -21,6 +22,7 @@
         path::PathBuf,
         process,
         sync::atomic::{AtomicU32, Ordering},
+        thread,
         time::Duration,
     },
 };
@@ -31,6 +33,9 @@
 /// How long the system may take until it serves.
 const READY_BOUND: Duration = Duration::from_secs(30);
 
+/// Lines of each daemon that are shown when a test fails.
+const SHOWN_LINES: usize = 40;
+
 /// Ops of one of the first edits, well under the size that an edit may have.
 const OPS_IN_AN_EDIT: usize = 1000;
 
@@ -258,32 +263,45 @@
     }
 
     async fn wait_until_serving(&self) -> Result<(), HarnessError> {
-        let Some(key) = self.keys.first() else {
-            return Ok(());
-        };
         for vm in &self.vms {
-            let look = || async {
-                let call = Call::new(vm.callers(), Method::GET, "/v1/models").key(key);
-                match call.send().await {
-                    Ok(answer) if answer.status == 200 => Ok(()),
-                    Ok(answer) => Err(format!("{} {}", answer.status, answer.json)),
-                    Err(e) => Err(e.to_string()),
+            let daemons = [("gateway", &vm.gateway), ("controller", &vm.controller)];
+            for (role, daemon) in daemons {
+                let Some(daemon) = daemon else { continue };
+                let look = || async {
+                    let call = Call::new(daemon.port("status"), Method::GET, "/readyz");
+                    match call.send().await {
+                        Ok(answer) if answer.status == 200 => Ok(()),
+                        Ok(answer) => Err(format!("{} {}", answer.status, answer.json)),
+                        Err(e) => Err(e.to_string()),
+                    }
+                };
+                let wanted = format!("{role} of VM {} is ready", vm.number);
+                if let Err(e) = poll(&wanted, READY_BOUND, look).await {
+                    eprintln!("{}", daemon.lines().join("\n"));
+                    return Err(e);
                 }
-            };
-            let wanted = format!("gateway of VM {} serves", vm.number);
-            if let Err(e) = poll(&wanted, READY_BOUND, look).await {
-                let lines = vm
-                    .gateway
-                    .as_ref()
-                    .map_or_else(Vec::new, super::daemon::Daemon::lines);
-                eprintln!("{}", lines.join("\n"));
-                return Err(e);
             }
         }
         Ok(())
     }
 }
 
+impl Drop for Cluster {
+    /// Shows what the daemons wrote last when a test fails.
+    fn drop(&mut self) {
+        if !thread::panicking() {
+            return;
+        }
+        for vm in &self.vms {
+            for (role, daemon) in [("gateway", &vm.gateway), ("controller", &vm.controller)] {
+                let lines = daemon.as_ref().map_or_else(Vec::new, Daemon::lines);
+                let last = &lines[lines.len().saturating_sub(SHOWN_LINES)..];
+                println!("--- {role} of VM {}\n{}", vm.number, last.join("\n"));
+            }
+        }
+    }
+}
+
 fn new_folder() -> Result<Folder, HarnessError> {
     static COUNT: AtomicU32 = AtomicU32::new(0);
     let n = COUNT.fetch_add(1, Ordering::Relaxed);
--- a/crates/testkit/tests/whole_path.rs
+++ b/crates/testkit/tests/whole_path.rs
@@ -61,7 +61,11 @@
         .key(key)
         .body(body);
     let plain = plain.send().await.unwrap();
-    assert_eq!(plain.text, answer("notes-2-v1", "once", 12).concat());
+    assert_eq!(
+        plain.text,
+        answer("notes-2-v1", "once", 12).concat(),
+        "{plain:?}"
+    );
     let models = Call::new(to, Method::GET, "/v1/models")
         .key(key)
         .send()
