--- /dev/null
+++ b/crates/controller/tests/outage_start.rs
@@ -0,0 +1,34 @@
+//! A VM that starts while the store is out.
+
+mod support;
+
+use {
+    jasmine_testkit::harness::poll,
+    serde_json::json,
+    support::{Fleet, SOON, account},
+};
+
+/// A VM is replaced while the store is out. It has kept nothing, and without the others' help it would
+/// refuse every caller until the store is back.
+#[actix_web::test]
+async fn config_from_peer() {
+    let mut fleet = Fleet::start(1).await;
+    assert_eq!(fleet.edit(1, "first", account("clinic")).await.status, 200);
+    let peers = fleet.at(1).daemon.port("peers").to_string();
+    fleet
+        .list_vms(json!([{"vm": 1, "address": peers, "state": "live"}]))
+        .await;
+    fleet.fault(json!({"outage": true})).await;
+
+    fleet.add(2);
+    let look = || async {
+        match fleet.revision(2).await {
+            1 => Ok(()),
+            have => Err(format!("revision {have}")),
+        }
+    };
+    let (took, ()) = poll("configuration at the new VM", SOON, look)
+        .await
+        .unwrap();
+    println!("configuration at the new VM after {took:?}");
+}
--- /dev/null
+++ b/crates/controller/tests/racing_owners.rs
@@ -0,0 +1,103 @@
+//! Several controllers after the same engines.
+
+mod support;
+
+use {
+    jasmine_conf::{
+        settings::parse_settings,
+        tree::{Edit, EditId, EditLog, Tree},
+    },
+    jasmine_controller::daemon::ControllerContext,
+    jasmine_core::ids::{Revision, UpstreamId},
+    jasmine_platform::store::LeaseId,
+    jasmine_testkit::{
+        engine::{self, EngineSettings},
+        harness::poll,
+    },
+    serde_json::json,
+    std::rc::Rc,
+    support::{Fleet, LATER, SOON, first_ops},
+};
+
+/// A controller inside the test that holds a lease and knows of no other controller.
+async fn alone(
+    fleet: &Fleet,
+    vm: u32,
+    engine: std::net::SocketAddr,
+) -> Rc<ControllerContext> {
+    let store = format!("http://{}", fleet.platform.address());
+    let any = support::anywhere();
+    let settings = json!({
+        "vm": vm, "data_centre": "dc-1",
+        "listen": {"operators": any, "peers": any, "status": any},
+        "platform": {"kv": [store], "vms": store},
+        "operators": {"token_digests": []},
+    });
+    let settings = parse_settings("test", &settings.to_string()).unwrap();
+    let cx = Rc::new(ControllerContext::new(settings, any));
+    let edit = Edit {
+        id: EditId::parse("first").unwrap(),
+        author: "test".into(),
+        base: Revision(0),
+        ops: serde_json::from_value(first_ops(&[engine])).unwrap(),
+    };
+    let log = EditLog::new(Revision(0));
+    let tree = Tree::default().propose(&edit, &log, 0).unwrap().tree;
+    cx.config.install(tree, Vec::new());
+    let record = cx.registration.record();
+    cx.fleet.borrow_mut().members.insert(record.vm, record);
+    let session = Rc::clone(&cx.session);
+    tokio::task::spawn_local(async move { session.run().await });
+    let look = || async { cx.session.sure().ok_or_else(|| "no lease".to_owned()) };
+    let (_, _lease): (_, LeaseId) = poll("a lease", SOON, look).await.unwrap();
+    cx
+}
+
+/// Two controllers that have not heard of each other yet both find themselves the right owner of an
+/// engine. Without the store's word on it both would give it orders.
+#[actix_web::test]
+async fn both_sure() {
+    let engine = engine::start(support::anywhere(), EngineSettings::default()).unwrap();
+    let fleet = Fleet::empty();
+    let one = alone(&fleet, 1, engine.address()).await;
+    let two = alone(&fleet, 2, engine.address()).await;
+    futures::future::join(one.assignment.step(), two.assignment.step()).await;
+    futures::future::join(one.assignment.step(), two.assignment.step()).await;
+    let engine = UpstreamId(1);
+    let fences = [one.desk.fence(engine), two.desk.fence(engine)];
+    assert_eq!(fences.iter().flatten().count(), 1, "{fences:?}");
+}
+
+/// Three controllers come up at once and each finds engines without an owner. Were two to own one
+/// engine, each would evict what the other has just loaded.
+#[actix_web::test]
+async fn one_owner_each() {
+    let engines: Vec<_> = (0..6)
+        .map(|_| engine::start(support::anywhere(), EngineSettings::default()).unwrap())
+        .collect();
+    let addresses: Vec<_> = engines
+        .iter()
+        .map(jasmine_testkit::Running::address)
+        .collect();
+    let mut fleet = Fleet::start(1).await;
+    let answer = fleet.edit(1, "first", first_ops(&addresses)).await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    fleet.add(2);
+    fleet.add(3);
+    let look = || async {
+        let owned = fleet.owned(2).await;
+        let (sum, least) = (
+            owned.iter().map(|row| row.1).sum::<u64>(),
+            owned.iter().map(|row| row.1).min(),
+        );
+        match (owned.len(), sum, least) {
+            // One data centre each, two engines in each.
+            (3, 6, Some(2)) => Ok(()),
+            _ => Err(format!("{owned:?}")),
+        }
+    };
+    let (took, ()) = poll("each engine has its owner", LATER, look)
+        .await
+        .unwrap();
+    println!("engines spread after {took:?}");
+}
--- /dev/null
+++ b/crates/platform/tests/lost_reply.rs
@@ -0,0 +1,89 @@
+//! What a call without an answer says.
+
+use {
+    futures::StreamExt,
+    jasmine_core::clock::Millis,
+    jasmine_platform::{
+        etcd::{EtcdOptions, EtcdStore},
+        store::{Compare, Op, Range, Store, StoreError, Txn, WatchEvent},
+    },
+    jasmine_testkit::{Running, client::post_json, platform},
+    serde_json::json,
+    std::net::SocketAddr,
+};
+
+fn anywhere() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
+fn store_of(platform: &Running) -> EtcdStore {
+    EtcdStore::new(EtcdOptions::new(vec![format!(
+        "http://{}",
+        platform.address()
+    )]))
+}
+
+fn create(key: &str) -> Txn {
+    Txn {
+        compare: vec![Compare::Absent(key.into())],
+        success: vec![Op::put(key, "mine")],
+        failure: Vec::new(),
+    }
+}
+
+/// The store writes and its reply is lost. Taken for a refusal, the write would be made again, or an
+/// operator told that nothing happened.
+#[actix_web::test]
+async fn outcome_unknown() {
+    let platform = platform::start(anywhere()).unwrap();
+    let store = store_of(&platform);
+    post_json(
+        platform.address(),
+        "/stand-in/fault",
+        json!({"lose_replies": 1}),
+    )
+    .await
+    .unwrap();
+    let lost = store.txn(create("a")).await;
+    assert!(
+        matches!(lost, Err(StoreError::OutcomeUnknown(_))),
+        "{lost:?}"
+    );
+    let found = store.range(Range::key("a")).await.unwrap();
+    assert_eq!(found.kvs[0].value, b"mine");
+    assert!(!store.txn(create("a")).await.unwrap().succeeded);
+}
+
+/// Nobody listens where the store should be. Such a call has certainly done nothing, and whoever made
+/// it may say so.
+#[actix_web::test]
+async fn not_done() {
+    let nobody = std::net::TcpListener::bind(anywhere()).unwrap();
+    let address = nobody.local_addr().unwrap();
+    drop(nobody);
+    let store = EtcdStore::new(EtcdOptions::new(vec![format!("http://{address}")]));
+    let e = store.txn(create("a")).await.unwrap_err();
+    assert!(e.is_not_done(), "{e:?}");
+}
+
+#[actix_web::test]
+async fn lease_and_watch() {
+    let platform = platform::start(anywhere()).unwrap();
+    let store = store_of(&platform);
+    let lease = store.grant(Millis(5000)).await.unwrap();
+    let put = Txn {
+        success: vec![Op::put_leased("k", "v", lease.id)],
+        ..Txn::default()
+    };
+    let revision = store.txn(put).await.unwrap().revision;
+    assert!(store.keep_alive(lease.id).await.unwrap().is_some());
+    let mut watch = store.watch(Range::prefix("k"), revision).await.unwrap();
+    store.revoke(lease.id).await.unwrap();
+    let mut seen = Vec::new();
+    while seen.len() < 2 {
+        seen.extend(watch.next().await.unwrap().unwrap().events);
+    }
+    assert!(matches!(&seen[0], WatchEvent::Put(kv) if kv.lease == lease.id.0));
+    assert!(matches!(&seen[1], WatchEvent::Delete(kv) if kv.key == "k"));
+    assert!(store.keep_alive(lease.id).await.unwrap().is_none());
+}
--- /dev/null
+++ b/crates/platform/tests/silent_connections.rs
@@ -0,0 +1,41 @@
+//! Open connections to the store that have gone silent for good.
+
+use {
+    futures::future::join_all,
+    jasmine_core::clock::Millis,
+    jasmine_platform::{
+        etcd::{EtcdOptions, EtcdStore},
+        store::{Range, Store},
+    },
+    jasmine_testkit::{
+        platform,
+        proxy::{Fault, Proxy},
+    },
+    std::net::SocketAddr,
+};
+
+fn anywhere() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
+/// Something between a VM and the store loses track of all open connections; new ones work. Each call
+/// that is given such a connection waits in vain, and with many of them open a VM would lose its lease
+/// before it has tried the last one.
+#[actix_web::test]
+async fn one_timeout() {
+    let platform = platform::start(anywhere()).unwrap();
+    let proxy = Proxy::start(anywhere(), platform.address()).unwrap();
+    let store = EtcdStore::new(EtcdOptions {
+        timeout: Millis(300),
+        ..EtcdOptions::new(vec![format!("http://{}", proxy.address())])
+    });
+    let open = (0..8).map(|_| store.range(Range::key("a")));
+    assert!(join_all(open).await.iter().all(Result::is_ok));
+
+    proxy.set_mode(Fault::Silent);
+    let mut failed = 0;
+    for _ in 0..8 {
+        failed += u32::from(store.range(Range::key("a")).await.is_err());
+    }
+    assert_eq!(failed, 1, "calls lost to dead connections");
+}
--- /dev/null
+++ b/crates/wire/tests/silent_link.rs
@@ -0,0 +1,112 @@
+//! Links between daemons whose connections fail.
+
+use {
+    jasmine_core::clock::Millis,
+    jasmine_testkit::proxy::{Fault, Proxy},
+    jasmine_wire::{
+        jasmine_capnp::{controller, rights_holder},
+        link::{Link, LinkError, LinkOptions, serve},
+    },
+    std::{
+        net::SocketAddr,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    tokio::{net::TcpListener, task::spawn_local},
+};
+
+struct Server;
+
+impl rights_holder::Server for Server {}
+
+impl controller::Server for Server {
+    async fn status(
+        self: Rc<Self>,
+        _: controller::StatusParams,
+        mut results: controller::StatusResults,
+    ) -> Result<(), capnp::Error> {
+        results.get().set_revision(7);
+        Ok(())
+    }
+
+    async fn poll_config(
+        self: Rc<Self>,
+        _: controller::PollConfigParams,
+        _: controller::PollConfigResults,
+    ) -> Result<(), capnp::Error> {
+        std::future::pending().await
+    }
+}
+
+const OPTIONS: LinkOptions = LinkOptions {
+    connect_timeout: Millis(500),
+    call_timeout: Millis(300),
+    heartbeat: Millis(200),
+    backoff_first: Millis(20),
+    backoff_most: Millis(100),
+};
+
+async fn proxied() -> (Proxy, Link<controller::Client>) {
+    let anywhere: SocketAddr = ([127, 0, 0, 1], 0).into();
+    let listener = TcpListener::bind(anywhere).await.unwrap();
+    let proxy = Proxy::start(anywhere, listener.local_addr().unwrap()).unwrap();
+    let server: controller::Client = capnp_rpc::new_client(Server);
+    spawn_local(serve(listener, server.client));
+    let link = Link::new(proxy.address(), OPTIONS);
+    (proxy, link)
+}
+
+async fn status(link: &Link<controller::Client>) -> Result<u64, LinkError> {
+    link.call(Millis::ZERO, |client| async move {
+        let res = client.status_request().send().promise.await?;
+        Ok(res.get()?.get_revision())
+    })
+    .await
+}
+
+/// The connection between two daemons goes silent for good while new ones work. Without a new one
+/// the two would never hear of each other again.
+#[actix_web::test]
+async fn replaced() {
+    let (proxy, link) = proxied().await;
+    assert_eq!(status(&link).await, Ok(7));
+    proxy.set_mode(Fault::Silent);
+    assert_eq!(status(&link).await, Err(LinkError::TimedOut));
+    assert_eq!(status(&link).await, Ok(7));
+}
+
+/// The same while a question waits for something to happen, which may take long. Only heartbeats tell
+/// that from a dead connection.
+#[actix_web::test]
+async fn noticed_while_waiting() {
+    let (proxy, link) = proxied().await;
+    let start = Instant::now();
+    let silence = async {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        proxy.set_mode(Fault::Silent);
+    };
+    let waiting = link.call(Millis(60_000), |client| async move {
+        client.poll_config_request().send().promise.await.map(drop)
+    });
+    let (result, ()) = futures::future::join(waiting, silence).await;
+    assert_eq!(result, Err(LinkError::TimedOut));
+    let took = start.elapsed();
+    assert!(
+        took > Duration::from_millis(600),
+        "heartbeats keep a live one: {took:?}"
+    );
+    assert!(took < Duration::from_secs(3), "{took:?}");
+    assert_eq!(status(&link).await, Ok(7));
+}
+
+/// Nobody listens. The caller learns at once that nothing was begun, and repeats are held back.
+#[actix_web::test]
+async fn refused() {
+    let (proxy, link) = proxied().await;
+    let address = proxy.address();
+    drop(proxy);
+    let nobody: Link<controller::Client> = Link::new(address, OPTIONS);
+    assert!(status(&nobody).await.unwrap_err().is_not_begun());
+    assert_eq!(status(&nobody).await, Err(LinkError::BackingOff));
+    drop(link);
+}
