--- a/crates/core/src/rights/account_rights.rs
+++ b/crates/core/src/rights/account_rights.rs
@@ -187,7 +187,8 @@
         wanted.min(room.saturating_sub(kept.max(staying)))
     }
 
-    fn burst(&self) -> u64 {
+    /// The account's burst over the whole fleet, in thousandths of a token.
+    pub fn burst(&self) -> u64 {
         self.bucket.limit().map_or(0, Limit::burst_milli)
     }
 }
--- a/crates/core/src/rights/ledger.rs
+++ b/crates/core/src/rights/ledger.rs
@@ -103,12 +103,10 @@
         };
         rights.advance(&self.settings, now);
         let milli = cost.saturating_mul(MILLI);
-        let burst = rights.bucket.limit().map_or(0, Limit::burst_milli);
-        let reserved = rights.reserved_before(caller);
-        let wanted = milli.saturating_add(reserved);
-        if milli > burst {
+        if milli > rights.burst() {
             return Admission::Refused(Refusal::new(ErrorKind::LargerThanBurst));
         }
+        let wanted = milli.saturating_add(rights.reserved_before(caller));
         let tokens = rights.bucket.tokens();
         let number = (tokens >= wanted)
             .then(|| rights.bucket.charge(milli))
@@ -144,7 +142,7 @@
             return Refusal::new(ErrorKind::RateLimited);
         };
         let milli = cost.saturating_mul(MILLI);
-        if milli > rights.bucket.limit().map_or(0, Limit::burst_milli) {
+        if milli > rights.burst() {
             return Refusal::new(ErrorKind::LargerThanBurst);
         }
         rights.advance(&self.settings, now);
@@ -228,8 +226,7 @@
                 continue;
             }
             rights.advance(&self.settings, now);
-            let burst = rights.bucket.limit().map_or(0, Limit::burst_milli);
-            let wanted = (demand.saturating_mul(ahead) / 1000).min(burst / 2);
+            let wanted = (demand.saturating_mul(ahead) / 1000).min(rights.burst() / 2);
             if rights.bucket.tokens() < wanted {
                 low.push(account);
             }
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -11,6 +11,8 @@
 mod daemon;
 mod event;
 mod fleet;
+mod lifecycle;
+mod links;
 mod reference;
 mod script;
 mod store;
