Orders go on while the store is out for everybody

Excluded: ordering without any lease, which a VM that alone is cut off or was frozen would do as well.

Whether the store answers is now noted by the client itself, so that controllers that follow by relay know it too.

--- a/crates/controller/src/daemon/tasks.rs
+++ b/crates/controller/src/daemon/tasks.rs
@@ -96,7 +96,8 @@
     loop {
         let seen = seqs(&cx);
         if !cx.leaving.get() {
-            cx.assignment.step().await;
+            let until = cx.outage.until().await;
+            cx.assignment.step(until).await;
         }
         wait_for_change(&cx, seen).await;
     }
--- a/crates/controller/src/session/mod.rs
+++ b/crates/controller/src/session/mod.rs
@@ -3,4 +3,7 @@
 mod lease_clock;
 mod lease_session;
 
-pub use {lease_clock::LeaseClock, lease_session::LeaseSession};
+pub use {
+    lease_clock::LeaseClock,
+    lease_session::{LeaseSession, RENEWALS},
+};
--- a/crates/platform/src/etcd/mod.rs
+++ b/crates/platform/src/etcd/mod.rs
@@ -7,6 +7,7 @@
 mod json;
 mod json_lines;
 mod options;
+mod reach;
 
 pub use {
     call_counts::CallCounts,
@@ -15,4 +16,5 @@
     json::{decode_watch, encode_txn},
     json_lines::JsonLines,
     options::EtcdOptions,
+    reach::Reach,
 };
--- /dev/null
+++ b/crates/platform/src/etcd/reach.rs
@@ -0,0 +1,40 @@
+use {
+    jasmine_core::clock::Millis,
+    std::{cell::Cell, rc::Rc, time::Instant},
+};
+
+/// Whether the service has answered lately; shared with whoever made the client.
+#[derive(Clone, Debug, Default)]
+pub struct Reach {
+    times: Rc<Times>,
+}
+
+#[derive(Debug, Default)]
+struct Times {
+    answered: Cell<Option<Instant>>,
+    failed: Cell<Option<Instant>>,
+}
+
+impl Reach {
+    /// Whether a call was answered within `window` and none has failed since.
+    pub fn is_up(
+        &self,
+        window: Millis,
+    ) -> bool {
+        let answered = self.times.answered.get();
+        answered.is_some_and(|at| at.elapsed() < window.to_std())
+            && answered > self.times.failed.get()
+    }
+
+    pub(super) fn note(
+        &self,
+        answered: bool,
+    ) {
+        let cell = if answered {
+            &self.times.answered
+        } else {
+            &self.times.failed
+        };
+        cell.set(Some(Instant::now()));
+    }
+}
