Owners and routing: scenarios and generated event orders; five faults mended

Scripts tell the failures one by one; generated orders (messages lost, doubled, delayed, reordered; processes frozen, thawed, replaced; leases lapsed; engines cold) check three properties: no unload hits work, each request runs on its adapter and version, nobody waits for ever.

Not shown failing by a run: forgetting copies with an order out at a restart.

--- a/crates/core/src/ownership/engine_copy.rs
+++ b/crates/core/src/ownership/engine_copy.rs
@@ -58,6 +58,11 @@
         self.since = now;
     }
 
+    /// Whether an order for it has been given and not answered.
+    pub(super) fn has_order_out(&self) -> bool {
+        matches!(self.state, CopyState::Loading | CopyState::Unloading)
+    }
+
     pub(super) fn takes_slot(&self) -> bool {
         self.state != CopyState::Gone
     }
--- a/crates/core/src/ownership/orders.rs
+++ b/crates/core/src/ownership/orders.rs
@@ -55,6 +55,7 @@
         if !self.has_lease(now) {
             return;
         }
+        self.void_replaced();
         for engine in self.engines.values_mut() {
             engine.give_up_stuck_recalls(&self.witnesses, &self.settings, now);
             engine.unload_released(now, out);
--- a/crates/core/src/ownership/owned_engine.rs
+++ b/crates/core/src/ownership/owned_engine.rs
@@ -91,6 +91,16 @@
         }
     }
 
+    pub(super) fn is_in(
+        &self,
+        key: CopyKey,
+        state: CopyState,
+    ) -> bool {
+        self.copies
+            .get(&key)
+            .is_some_and(|copy| copy.state == state)
+    }
+
     /// The newest copy of the adapter in that state.
     pub(super) fn find(
         &self,
@@ -325,6 +335,9 @@
     }
 
     /// The engine has restarted: whatever was loaded is not there any more.
+    ///
+    /// An order that is still out keeps its copy: an unload that arrives after the restart would
+    /// hit the same name loaded again.
     fn forget_all(
         &mut self,
         now: Millis,
@@ -332,7 +345,7 @@
         let lost: Vec<CopyKey> = self
             .copies
             .iter()
-            .filter(|(_, copy)| copy.state != CopyState::Loading)
+            .filter(|(_, copy)| !copy.has_order_out())
             .map(|(&key, _)| key)
             .collect();
         for key in lost {
--- a/crates/core/src/ownership/owner_machine.rs
+++ b/crates/core/src/ownership/owner_machine.rs
@@ -31,6 +31,8 @@
     pub(super) engines: BTreeMap<UpstreamId, OwnedEngine>,
     pub(super) members: BTreeSet<VmId>,
     pub(super) witnesses: BTreeMap<VmId, Witness>,
+    /// Gateways that have been replaced since the last orders.
+    pub(super) restarted: BTreeSet<VmId>,
     pub(super) waits: AccountWaits,
     /// Loads that may begin.
     pub(super) budget: u32,
@@ -48,6 +50,7 @@
             engines: BTreeMap::new(),
             members: BTreeSet::new(),
             witnesses: BTreeMap::new(),
+            restarted: BTreeSet::new(),
             waits: AccountWaits::default(),
             budget: 0,
             budget_asked: 0,
@@ -204,6 +207,10 @@
             engine.unheard.extend(members.difference(&self.members));
             engine.unheard.retain(|vm| members.contains(vm));
             engine.drop_grants(|_, holder, _| !members.contains(&holder.vm));
+            for wanted in engine.wanted.values_mut() {
+                let is_member = |waiter: &Waiter| members.contains(&waiter.from.vm);
+                wanted.waiters.retain(is_member);
+            }
         }
         self.witnesses.retain(|vm, _| members.contains(vm));
         self.members = members;
@@ -228,16 +235,31 @@
         witness.heard = now;
         let restarted = from.incarnation > witness.incarnation;
         witness.incarnation = from.incarnation;
-        // A former owner must not conclude from a gateway's restart that its grants are void: the
-        // restarted gateway's predecessor may have been the witness of the owner after it.
-        if restarted && self.has_lease(now) {
+        if restarted {
+            self.restarted.insert(from.vm);
+        }
+        true
+    }
+
+    /// Voids the grants of gateways' processes that have been replaced.
+    ///
+    /// Only under a valid lease: a former owner must not conclude anything from a gateway's
+    /// restart, since the process that was replaced may have been the witness of its successor.
+    pub(super) fn void_replaced(&mut self) {
+        for vm in std::mem::take(&mut self.restarted) {
+            let Some(witness) = self.witnesses.get(&vm) else {
+                continue;
+            };
+            let is_over =
+                |holder: &Holder| holder.vm == vm && holder.incarnation < witness.incarnation;
             for engine in self.engines.values_mut() {
-                engine.drop_grants(|_, holder, _| {
-                    holder.vm == from.vm && holder.incarnation < from.incarnation
-                });
+                engine.drop_grants(|_, holder, _| is_over(holder));
+                // A grant to a process that is gone would never be given back.
+                for wanted in engine.wanted.values_mut() {
+                    wanted.waiters.retain(|waiter| !is_over(&waiter.from));
+                }
             }
         }
-        true
     }
 
     fn note_poll(
@@ -363,11 +385,7 @@
             return;
         };
         let key = (instance.adapter, instance.fence);
-        let is_loading = engine
-            .copies
-            .get(&key)
-            .is_some_and(|copy| copy.state == CopyState::Loading);
-        if !is_loading {
+        if !engine.is_in(key, CopyState::Loading) {
             return;
         }
         match result {
@@ -437,6 +455,9 @@
             return;
         };
         let key = (instance.adapter, instance.fence);
+        if !engine.is_in(key, CopyState::Unloading) {
+            return;
+        }
         match result {
             UnloadResult::Gone => {
                 engine.unloaded.insert(key, now);
--- a/crates/core/src/rights/account_rights.rs
+++ b/crates/core/src/rights/account_rights.rs
@@ -3,18 +3,12 @@
         CallerTag, Limit, MILLI, Right, RightsSettings, SHARE_WHOLE, TakeRequest, bucket::Bucket,
         demand::Demand, peers::PeerHints, promises::Promises,
     },
-    crate::{
-        clock::Millis,
-        error::{ErrorKind, Refusal},
-    },
+    crate::clock::Millis,
 };
 
 /// Own demand and that of an asker are reckoned with this much on top, in percent.
 const HEADROOM_PERCENT: u64 = 125;
 
-/// The longest time after which a refused caller is told to come back.
-const LONGEST_RETRY: Millis = Millis::from_secs(60);
-
 /// The part of the room that may be kept back for promises, in percent.
 const MOST_RESERVED_PERCENT: u64 = 50;
 
@@ -72,35 +66,6 @@
             .saturating_sub(soon)
     }
 
-    /// Refuses a request and, where it can, promises when it will be served.
-    pub fn promise(
-        &mut self,
-        milli: u64,
-        caller: CallerTag,
-        settings: &RightsSettings,
-        now: Millis,
-    ) -> Refusal {
-        if let Some(due) = self.promises.due(caller).filter(|&due| due > now) {
-            return Refusal::after(ErrorKind::RateLimited, due.since(now));
-        }
-        self.promises.end(caller);
-        let missing = milli
-            .saturating_add(self.promises.promised())
-            .saturating_add(self.bucket.debt())
-            .saturating_sub(self.bucket.tokens());
-        let delay = time_to_earn(missing, self.bucket.rate());
-        let can_promise = delay <= settings.horizon
-            && milli <= self.bucket.room()
-            && self.promises.len() < settings.max_promises;
-        if can_promise {
-            self.promises.add(caller, milli, now + delay);
-            return Refusal::after(ErrorKind::RateLimited, delay);
-        }
-        // Nothing here can promise it; by then the fleet will have earned it.
-        let fleet = time_to_earn(missing, self.bucket.limit().map_or(0, Limit::rate_milli));
-        Refusal::after(ErrorKind::RateLimited, delay.min(fleet))
-    }
-
     /// What to give an asker; nothing is subtracted yet.
     pub fn offer(
         &self,
@@ -192,17 +157,6 @@
     }
 }
 
-/// How long earning `milli` takes at a rate of thousandths of a token a second.
-fn time_to_earn(
-    milli: u64,
-    rate: u64,
-) -> Millis {
-    match rate {
-        0 => LONGEST_RETRY,
-        rate => Millis(milli.saturating_mul(1000).div_ceil(rate)).min(LONGEST_RETRY),
-    }
-}
-
 fn with_headroom(milli: u64) -> u64 {
     milli.saturating_mul(HEADROOM_PERCENT) / 100
 }
--- a/crates/core/src/rights/ledger.rs
+++ b/crates/core/src/rights/ledger.rs
@@ -2,7 +2,6 @@
     super::{
         Admission, Ask, CallerTag, Charge, Given, Limit, MILLI, Right, RightsSettings, TakeRequest,
         account_rights::AccountRights,
-        pending_asks::PendingAsks,
         transfer_log::{Seen, TransferLog},
     },
     crate::{
@@ -13,6 +12,28 @@
     std::collections::BTreeMap,
 };
 
+/// A refusal that can't be promised names at most this time.
+const LONGEST_RETRY: Millis = Millis::from_secs(60);
+
+/// How long earning `milli` takes at a rate of thousandths of a token a second.
+fn time_to_earn(
+    milli: u64,
+    rate: u64,
+) -> Millis {
+    match rate {
+        0 => LONGEST_RETRY,
+        rate => Millis(milli.saturating_mul(1000).div_ceil(rate)).min(LONGEST_RETRY),
+    }
+}
+
+/// A request for rights that has not been answered.
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    ask: Ask,
+    sent: Millis,
+    tries: u32,
+}
+
 /// What one holder has of the rights to all accounts.
 ///
 /// The daemon asks [`Self::try_admit`] for each request. On [`Admission::Ask`] it sends what
@@ -28,7 +49,8 @@
     closed: bool,
     accounts: BTreeMap<AccountId, AccountRights>,
     peers: Vec<Holder>,
-    pending: PendingAsks,
+    pending: BTreeMap<TransferId, Pending>,
+    next_transfer: u64,
     given: TransferLog,
 }
 
@@ -46,7 +68,8 @@
             closed: false,
             accounts: BTreeMap::new(),
             peers: Vec::new(),
-            pending: PendingAsks::default(),
+            pending: BTreeMap::new(),
+            next_transfer: 1,
             given: TransferLog::default(),
         }
     }
@@ -61,7 +84,9 @@
             return;
         }
         self.peers = peers;
-        self.pending.keep_peers(&self.peers);
+        let peers = &self.peers;
+        self.pending
+            .retain(|_, pending| peers.contains(&pending.ask.to));
         for account in self.accounts.values_mut() {
             account.peers.clear();
         }
@@ -84,7 +109,8 @@
         account: AccountId,
     ) {
         self.accounts.remove(&account);
-        self.pending.remove_account(account);
+        self.pending
+            .retain(|_, pending| pending.ask.request.account != account);
     }
 
     /// Admits a request of `cost` tokens, or says what has to be done first.
@@ -149,7 +175,25 @@
         }
         rights.advance(&self.settings, now);
         rights.demand.note(milli, now);
-        rights.promise(milli, caller, &self.settings, now)
+        if let Some(due) = rights.promises.due(caller).filter(|&due| due > now) {
+            return Refusal::after(ErrorKind::RateLimited, due.since(now));
+        }
+        rights.promises.end(caller);
+        let missing = milli
+            .saturating_add(rights.promises.promised())
+            .saturating_add(rights.bucket.debt())
+            .saturating_sub(rights.bucket.tokens());
+        let delay = time_to_earn(missing, rights.bucket.rate());
+        let can_promise = delay <= self.settings.horizon
+            && milli <= rights.bucket.room()
+            && rights.promises.len() < self.settings.max_promises;
+        if can_promise {
+            rights.promises.add(caller, milli, now + delay);
+            return Refusal::after(ErrorKind::RateLimited, delay);
+        }
+        // Nothing here can promise it; by then the fleet will have earned it.
+        let fleet = time_to_earn(missing, rights.bucket.limit().map_or(0, Limit::rate_milli));
+        Refusal::after(ErrorKind::RateLimited, delay.min(fleet))
     }
 
     /// Settles a charge with what the engine counted.
@@ -187,7 +231,8 @@
         let chosen = peers.choose(account, needed, &self.peers, &self.settings, now);
         let mut asks = Vec::with_capacity(chosen.len());
         for to in chosen {
-            let transfer = self.pending.next_transfer();
+            let transfer = TransferId(self.next_transfer);
+            self.next_transfer += 1;
             let request = TakeRequest {
                 from: self.me,
                 transfer,
@@ -197,7 +242,12 @@
                 demand: demand.saturating_add(shortfall).div_ceil(MILLI),
             };
             let ask = Ask { to, request };
-            self.pending.add(ask, now);
+            let pending = Pending {
+                ask,
+                sent: now,
+                tries: 0,
+            };
+            self.pending.insert(transfer, pending);
             asks.push(ask);
         }
         asks
@@ -210,7 +260,18 @@
         &mut self,
         now: Millis,
     ) -> Vec<Ask> {
-        self.pending.unanswered(&self.settings, now)
+        let resend = self.settings.resend.0;
+        let max_doublings = self.settings.max_doublings;
+        let mut asks = Vec::new();
+        for pending in self.pending.values_mut() {
+            let wait = Millis(resend << pending.tries.min(max_doublings));
+            if now.since(pending.sent) >= wait {
+                pending.sent = now;
+                pending.tries += 1;
+                asks.push(pending.ask);
+            }
+        }
+        asks
     }
 
     /// Asks ahead for accounts that are in use here and whose tokens run low.
@@ -282,22 +343,24 @@
         given: &Given,
         now: Millis,
     ) -> bool {
-        let Some(ask) = self.pending.take(transfer) else {
+        let Some(pending) = self.pending.remove(&transfer) else {
             return false;
         };
-        let account = ask.request.account;
+        let account = pending.ask.request.account;
         let Some(rights) = self.accounts.get_mut(&account) else {
             return false;
         };
         let same_epoch = self.epoch == Some(given.epoch);
         let valid = same_epoch && given.right.account == account && !self.closed;
         let useful = valid && !given.right.is_none();
-        if let Some(peer) = self.peers.iter().position(|&peer| peer == ask.to) {
-            let settings = &self.settings;
-            rights
-                .peers
-                .note_answer(peer, useful, given.spare, settings, now);
-        }
+        rights.peers.note_answer(
+            pending.ask.to,
+            useful,
+            given.spare,
+            self.peers.len(),
+            &self.settings,
+            now,
+        );
         if useful {
             rights.bucket.refill(now);
             rights.bucket.add(&given.right);
--- a/crates/core/src/rights/mod.rs
+++ b/crates/core/src/rights/mod.rs
@@ -28,7 +28,6 @@
 mod ledger;
 mod limit;
 mod peers;
-mod pending_asks;
 mod promises;
 mod right;
 mod settings;
--- a/crates/core/src/rights/peers.rs
+++ b/crates/core/src/rights/peers.rs
@@ -4,7 +4,7 @@
         clock::Millis,
         ids::{AccountId, Holder},
     },
-    std::cmp::Reverse,
+    std::{cmp::Reverse, collections::HashMap},
 };
 
 /// What one holder knows of a peer's rights to one account.
@@ -13,28 +13,10 @@
     /// Thousandths of a token that it could spare when it answered last.
     spare: u64,
     not_before: Millis,
-    asked: Millis,
-    waiting_since: Option<Millis>,
     /// Answers in a row that brought nothing.
     empty: u32,
-}
-
-impl Hint {
-    fn may_ask(
-        &self,
-        now: Millis,
-    ) -> bool {
-        self.waiting_since.is_none() && now >= self.not_before
-    }
-
-    fn is_awaited(
-        &self,
-        settings: &RightsSettings,
-        now: Millis,
-    ) -> bool {
-        self.waiting_since
-            .is_some_and(|since| now.since(since) < settings.answer_wait)
-    }
+    asked: Millis,
+    waiting_since: Option<Millis>,
 }
 
 /// Whom to ask for rights to one account, and when not to.
@@ -44,8 +26,7 @@
 /// alone for a while, and the account as a whole after a row of empty answers.
 #[derive(Clone, Debug, Default)]
 pub struct PeerHints {
-    /// One for each of the ledger's peers, in their order; empty until one is asked.
-    hints: Vec<Hint>,
+    hints: HashMap<Holder, Hint>,
     /// Answers in a row, from whomever, that brought nothing.
     empty: usize,
     not_before: Millis,
@@ -59,13 +40,12 @@
         settings: &RightsSettings,
         now: Millis,
     ) -> bool {
-        let asks = now >= self.not_before;
-        if self.hints.is_empty() {
-            return asks && !peers.is_empty();
-        }
-        self.hints
-            .iter()
-            .any(|hint| (asks && hint.may_ask(now)) || hint.is_awaited(settings, now))
+        let awaited = |hint: &Hint| {
+            hint.waiting_since
+                .is_some_and(|since| now.since(since) < settings.answer_wait)
+        };
+        self.hints.values().any(awaited)
+            || (now >= self.not_before && peers.iter().any(|&peer| self.may_ask(peer, now)))
     }
 
     /// Chooses peers: those with the most to spare, then the others in turn, the account's homes
@@ -80,52 +60,49 @@
         settings: &RightsSettings,
         now: Millis,
     ) -> Vec<Holder> {
-        if now < self.not_before || peers.is_empty() {
+        if now < self.not_before {
             return Vec::new();
         }
-        self.hints.resize(peers.len(), Hint::default());
-        let mut candidates: Vec<(Reverse<u64>, Millis, u64, usize)> = self
-            .hints
+        let mut candidates: Vec<(Reverse<u64>, Millis, u64, Holder)> = peers
             .iter()
-            .enumerate()
-            .filter(|(_, hint)| hint.may_ask(now))
-            .map(|(index, hint)| {
-                let rank = home_rank(account, peers[index]);
-                (Reverse(hint.spare), hint.asked, rank, index)
+            .filter(|&&peer| self.may_ask(peer, now))
+            .map(|&peer| {
+                let hint = self.hints.get(&peer).copied().unwrap_or_default();
+                (
+                    Reverse(hint.spare),
+                    hint.asked,
+                    home_rank(account, peer),
+                    peer,
+                )
             })
             .collect();
-        if candidates.len() > settings.fan_out {
-            candidates.select_nth_unstable(settings.fan_out);
-            candidates.truncate(settings.fan_out);
-        }
         candidates.sort_unstable();
         let mut promised = 0_u64;
         let mut chosen = Vec::new();
-        for (Reverse(spare), _, _, index) in candidates {
+        for (Reverse(spare), _, _, peer) in candidates.into_iter().take(settings.fan_out) {
             if !chosen.is_empty() && promised >= needed {
                 break;
             }
             promised = promised.saturating_add(spare);
-            self.hints[index].waiting_since = Some(now);
-            self.hints[index].asked = now;
-            chosen.push(peers[index]);
+            let hint = self.hints.entry(peer).or_default();
+            hint.waiting_since = Some(now);
+            hint.asked = now;
+            chosen.push(peer);
         }
         chosen
     }
 
-    /// Notes a peer's answer: whether it gave something, and what it could still spare.
+    /// Notes a peer's answer.
     pub fn note_answer(
         &mut self,
-        peer: usize,
+        peer: Holder,
         useful: bool,
         spare: u64,
+        peers: usize,
         settings: &RightsSettings,
         now: Millis,
     ) {
-        let peers = self.hints.len();
-        let Some(hint) = self.hints.get_mut(peer) else {
-            return;
-        };
+        let hint = self.hints.entry(peer).or_default();
         hint.waiting_since = None;
         hint.spare = spare;
         hint.empty = if useful { 0 } else { hint.empty + 1 };
@@ -148,4 +125,14 @@
         self.empty = 0;
         self.not_before = Millis::ZERO;
     }
+
+    fn may_ask(
+        &self,
+        peer: Holder,
+        now: Millis,
+    ) -> bool {
+        self.hints
+            .get(&peer)
+            .is_none_or(|hint| hint.waiting_since.is_none() && now >= hint.not_before)
+    }
 }
--- a/crates/core/src/routing/adapter_entry.rs
+++ b/crates/core/src/routing/adapter_entry.rs
@@ -19,6 +19,7 @@
 pub(super) enum Reason {
     Full,
     LoadFailed,
+    NotLoaded,
 }
 
 /// An engine that is not to be asked for an adapter for a while.
@@ -41,6 +42,8 @@
     pub(super) held: BTreeSet<UpstreamId>,
     pub(super) pending: Vec<Pending>,
     pub(super) avoid: Vec<Avoid>,
+    /// The engine whose owner has said that the load is under way.
+    pub(super) loading_on: Option<UpstreamId>,
     /// Engines in the order of preference, for one state of the list of upstreams.
     pub(super) preferred: Vec<UpstreamId>,
     pub(super) preferred_for: u64,
@@ -55,6 +58,7 @@
             held: BTreeSet::new(),
             pending: Vec::new(),
             avoid: Vec::new(),
+            loading_on: None,
             preferred: Vec::new(),
             preferred_for: 0,
         }
--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -211,7 +211,13 @@
             .iter()
             .filter(may_ask)
             .min_by(|a, b| cost(a).total_cmp(&cost(b)));
-        resident
+        // Where the load is under way first: chasing what a lagging view calls resident can go
+        // round and round, each load throwing out what somebody else is just asking for.
+        entry
+            .loading_on
+            .as_ref()
+            .filter(may_ask)
+            .or(resident)
             .or_else(|| entry.preferred.iter().find(may_ask))
             .copied()
     }
--- a/crates/core/src/routing/grants.rs
+++ b/crates/core/src/routing/grants.rs
@@ -37,6 +37,7 @@
         let Some(engine) = self.engines.get_mut(&upstream).filter(|_| was_pending) else {
             return;
         };
+        entry.loading_on = (outcome == AcquireOutcome::Loading).then_some(upstream);
         match outcome {
             AcquireOutcome::Granted { instance, owner } if owner >= engine.seen => {
                 engine.seen = owner;
--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -1,7 +1,8 @@
 use {
     super::{
         EngineView, Finish, RouterAction, RouterSettings, SpecKind, UpstreamSpec,
-        adapter_entry::AdapterEntry, engine::Engine,
+        adapter_entry::{AdapterEntry, Avoid, Reason},
+        engine::Engine,
     },
     crate::{
         clock::Millis,
@@ -167,6 +168,15 @@
         let Some(instance) = instance else {
             return out;
         };
+        let entry = self.adapters.get_mut(&instance.adapter);
+        if let Some(entry) = entry.filter(|_| finish == Finish::NotLoaded) {
+            // Its owner does not know yet that it is gone and would grant it again at once.
+            entry.avoid.push(Avoid {
+                upstream,
+                until: now + self.settings.not_loaded_pause,
+                reason: Reason::NotLoaded,
+            });
+        }
         let key = (instance.adapter, instance.fence);
         if let Some(held) = engine.held.get_mut(&key) {
             held.in_flight = held.in_flight.saturating_sub(1);
--- a/crates/core/src/routing/settings.rs
+++ b/crates/core/src/routing/settings.rs
@@ -19,6 +19,8 @@
     pub ask_timeout: Millis,
     /// A waiting request is routed again after this time at the latest.
     pub recheck: Millis,
+    /// How long an engine is not asked for an adapter that it turned out not to have.
+    pub not_loaded_pause: Millis,
     /// Failures in a row after which an upstream gets nothing for a while.
     pub trip_after: u32,
     /// How long it gets nothing the first time; this doubles each time.
@@ -39,6 +41,7 @@
             idle_release: Millis::from_secs(2),
             ask_timeout: Millis::from_secs(10),
             recheck: Millis(250),
+            not_loaded_pause: Millis(500),
             trip_after: 3,
             first_pause: Millis::from_secs(1),
             max_pause: Millis::from_secs(30),
--- a/crates/core/tests/support/fleet.rs
+++ b/crates/core/tests/support/fleet.rs
@@ -1,9 +1,8 @@
 use {
     super::{
         Event, Link,
-        configuration::{ACCOUNTS, budgets},
         daemon::{Daemon, Fate},
-        reference::Used,
+        reference::{Reference, Used},
         store::Store,
     },
     jasmine_core::{
@@ -21,13 +20,15 @@
     },
 };
 
+/// The account that is there from the start, the one of the second revision, the weight store.
+const ACCOUNTS: [AccountId; 3] = [AccountId(1), AccountId(2), AccountId(9)];
 const LEASE: Millis = Millis(3000);
 const LIST_LAG: Millis = Millis(5000);
 const STEP: Millis = Millis(50);
 
 /// What is under way between two daemons.
 #[derive(Clone, Copy, Debug)]
-pub enum Message {
+enum Message {
     Ask(Ask),
     Answer(Holder, TransferId, Given),
 }
@@ -43,11 +44,11 @@
 
 /// One VM that runs.
 #[derive(Debug)]
-pub struct Vm {
-    pub(super) frozen: bool,
+struct Vm {
+    frozen: bool,
     /// Revision of the configuration in force.
-    pub(super) revision: usize,
-    pub(super) daemons: [Daemon; 2],
+    revision: usize,
+    daemons: [Daemon; 2],
     machine: EpochMachine,
     view: StoreView,
     to_write: VecDeque<EpochAction>,
@@ -57,17 +58,17 @@
 #[derive(Debug)]
 pub struct Fleet {
     pub now: Millis,
-    pub(super) settings: RightsSettings,
+    settings: RightsSettings,
     pub store: Store,
-    pub(super) vms: BTreeMap<VmId, Vm>,
+    vms: BTreeMap<VmId, Vm>,
     last_run: BTreeMap<VmId, Incarnation>,
     unlisted: BTreeMap<VmId, Millis>,
-    pub(super) links: VecDeque<Message>,
+    links: VecDeque<Message>,
     /// Limit of the first account at each revision.
-    pub(super) limits: Vec<Limit>,
-    pub(super) ran: Vec<Used>,
+    limits: Vec<Limit>,
+    ran: Vec<Used>,
     /// In which order limits changed and requests ran.
-    pub(super) in_force: Vec<(usize, Millis, AccountId, Limit)>,
+    in_force: Vec<(usize, Millis, AccountId, Limit)>,
     callers: u64,
 }
 
@@ -195,6 +196,118 @@
         }
     }
 
+    /// The parts of the whole that all holders have together: rate and room.
+    pub fn held(
+        &self,
+        account: AccountId,
+    ) -> (u64, u64) {
+        self.daemons()
+            .flat_map(|daemon| daemon.ledger.held())
+            .filter(|right| right.account == account)
+            .fold((0, 0), |(rate, room), right| {
+                (rate + right.rate_share, room + right.room_share)
+            })
+    }
+
+    /// Checks what must hold at any moment.
+    pub fn check_now(&self) {
+        for account in ACCOUNTS {
+            let (rate, room) = self.held(account);
+            assert!(
+                rate <= SHARE_WHOLE,
+                "account {account}: {rate} of the rate is held"
+            );
+            assert!(
+                room <= SHARE_WHOLE,
+                "account {account}: {room} of the burst is held"
+            );
+        }
+    }
+
+    /// Checks that no account used more than its burst and rate in any window.
+    pub fn check_used(&self) {
+        for account in ACCOUNTS {
+            let mut changes = self
+                .in_force
+                .iter()
+                .filter(|change| change.2 == account)
+                .peekable();
+            let mut reference: Option<Reference> = None;
+            for (index, used) in self.ran.iter().enumerate() {
+                while let Some(&(_, at, _, limit)) = changes.next_if(|change| change.0 <= index) {
+                    reference
+                        .get_or_insert(Reference::new(limit))
+                        .set_limit(limit, at);
+                }
+                if used.account == account {
+                    let within = reference.as_mut().is_some_and(|bucket| bucket.take(used));
+                    assert!(within, "over the limit with {used:?}: {reference:?}");
+                }
+            }
+        }
+    }
+
+    /// Checks what must hold once faults have ended and some time has passed.
+    pub fn check_healed(&mut self) {
+        for _ in 0..20 {
+            if self.store.epoch().is_some_and(|record| record.closing) {
+                self.run(Millis(100));
+            }
+        }
+        let record = self.store.epoch().expect("an epoch").clone();
+        let mut alive: Vec<Holder> = self.daemons().map(|daemon| daemon.holder).collect();
+        alive.sort_unstable();
+        assert_eq!(record.members, alive, "the members are those who live");
+        assert!(!record.closing, "the epoch is finalised");
+        for Budget { account, .. } in budgets(&self.limits) {
+            let (rate, room) = self.held(account);
+            let lost = SHARE_WHOLE - rate.min(room);
+            assert!(
+                lost < 1000,
+                "account {account}: {lost} of the rights is nowhere"
+            );
+        }
+        let before = record.epoch;
+        self.run(Millis(5000));
+        let after = self.store.epoch().expect("an epoch").epoch;
+        let most = before.next();
+        assert!(
+            after <= most,
+            "nothing but the periodic change: {before} to {after}"
+        );
+    }
+
+    /// The epoch and what each VM has of an account, for a script.
+    pub fn show(
+        &mut self,
+        account: AccountId,
+    ) -> String {
+        let mut out = match self.store.epoch() {
+            None => "no epoch\n".to_owned(),
+            Some(record) => format!(
+                "epoch {}{}, {} members\n",
+                record.epoch,
+                if record.closing { " closing" } else { "" },
+                record.members.len(),
+            ),
+        };
+        for daemon in self.daemons() {
+            let held = daemon.ledger.held();
+            if let Some(right) = held.iter().find(|right| right.account == account) {
+                let percent = |share| 100.0 * share as f64 / SHARE_WHOLE as f64;
+                let _ = writeln!(
+                    out,
+                    "vm {}: rate {:.1} %, room {:.1} %, tokens {:.1}",
+                    daemon.holder.vm,
+                    percent(right.rate_share),
+                    percent(right.room_share),
+                    right.tokens as f64 / 1000.0,
+                );
+            }
+        }
+        out
+    }
+
     /// Number of messages under way.
     pub fn under_way(&self) -> usize {
         self.links.len()
@@ -205,7 +318,7 @@
         self.ran.len()
     }
 
-    pub(super) fn daemons(&self) -> impl Iterator<Item = &Daemon> {
+    fn daemons(&self) -> impl Iterator<Item = &Daemon> {
         self.vms.values().flat_map(|vm| &vm.daemons)
     }
 
@@ -216,7 +329,7 @@
         self.vms.get(&vm).is_some_and(|vm| !vm.frozen)
     }
 
-    pub(super) fn awake(
+    fn awake(
         &mut self,
         vm: VmId,
     ) -> Option<&mut Vm> {
@@ -498,4 +611,76 @@
             self.unlisted.insert(vm, until);
         }
     }
+
+    fn configure(
+        &mut self,
+        vm: VmId,
+    ) {
+        let newest = self.limits.len() - 1;
+        let now = self.now;
+        if let Some(at) = self.awake(vm) {
+            at.revision = newest;
+        }
+        let Some(at) = self.vms.get_mut(&vm).filter(|vm| !vm.frozen) else {
+            return;
+        };
+        for budget in budgets(&self.limits) {
+            for daemon in at
+                .daemons
+                .iter_mut()
+                .filter(|d| d.holder.role == budget.role)
+            {
+                daemon.ledger.set_limit(budget.account, budget.limit, now);
+            }
+        }
+        self.note_limits();
+    }
+
+    /// Notes the largest limit in force on any VM.
+    fn note_limits(&mut self) {
+        for account in ACCOUNTS {
+            let limits = self
+                .vms
+                .values()
+                .flat_map(|vm| budgets(&self.limits[..=vm.revision]));
+            let largest = limits
+                .filter(|budget| budget.account == account)
+                .map(|budget| budget.limit)
+                .reduce(|a, b| Limit {
+                    rate: a.rate.max(b.rate),
+                    burst: a.burst.max(b.burst),
+                });
+            if let Some(limit) = largest {
+                self.in_force
+                    .push((self.ran.len(), self.now, account, limit));
+            }
+        }
+    }
+}
+
+/// The budgets of a revision: the second account comes with the second one.
+fn budgets(limits: &[Limit]) -> Vec<Budget> {
+    let gateways = |account, limit| Budget {
+        account,
+        role: Role::Gateway,
+        limit,
+    };
+    let mut budgets = vec![
+        gateways(ACCOUNTS[0], limits[limits.len() - 1]),
+        Budget {
+            account: ACCOUNTS[2],
+            role: Role::Controller,
+            limit: Limit { rate: 2, burst: 8 },
+        },
+    ];
+    if limits.len() > 1 {
+        budgets.push(gateways(
+            ACCOUNTS[1],
+            Limit {
+                rate: 50,
+                burst: 100,
+            },
+        ));
+    }
+    budgets
 }
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -6,8 +6,6 @@
     reason = "each test binary uses its own part of this"
 )]
 
-mod checks;
-mod configuration;
 mod daemon;
 mod event;
 mod fleet;
--- /dev/null
+++ b/crates/core/tests/world/mod.rs
@@ -0,0 +1,354 @@
+//! Owners, gateways and small fake engines with a network between them that tests can disturb.
+
+mod deliver;
+mod engine;
+mod faults;
+mod gateways;
+mod net;
+
+pub use {engine::FakeEngine, net::Message};
+
+use {
+    jasmine_core::{
+        clock::Millis,
+        ids::{
+            AccountId, AdapterId, AdapterVersion, Fence, Holder, Incarnation, ModelId, Role,
+            UpstreamId, VmId,
+        },
+        ownership::{OwnerAction, OwnerEvent, OwnerMachine, OwnerSettings, Ownership, Report},
+        routing::{Router, RouterSettings, UpstreamSpec},
+    },
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+const LEASE: Millis = Millis(3000);
+const MODEL: ModelId = ModelId(0);
+
+/// In place of a controller that does not wait for the answer any more.
+pub const NOBODY: usize = usize::MAX;
+
+/// A controller; what it has decided leaves it only when it is not frozen.
+pub struct Controller {
+    pub machine: OwnerMachine,
+    pub frozen: bool,
+    pub outbox: Vec<OwnerAction>,
+    /// What the process has not yet been able to look at, in order.
+    pub inbox: Vec<OwnerEvent>,
+    pub store_lease: Millis,
+}
+
+/// A request that a caller has sent.
+#[derive(Clone, Copy)]
+pub struct Request {
+    pub id: u32,
+    pub adapter: AdapterVersion,
+    pub account: AccountId,
+}
+
+/// A gateway with its callers' requests.
+pub struct Gateway {
+    pub router: Router,
+    pub incarnation: Incarnation,
+    pub frozen: bool,
+    pub waiting: Vec<Request>,
+    /// The owner of each engine as this gateway knows it.
+    pub owners: BTreeMap<UpstreamId, usize>,
+    /// What each question was for.
+    pub asks: BTreeMap<u64, (UpstreamId, AdapterVersion)>,
+}
+
+/// Everything.
+pub struct World {
+    pub now: Millis,
+    pub engines: BTreeMap<UpstreamId, FakeEngine>,
+    pub controllers: Vec<Controller>,
+    pub gateways: Vec<Gateway>,
+    pub net: Vec<Message>,
+    pub owners: BTreeMap<UpstreamId, (usize, Fence)>,
+    /// Engines whose owner's process is gone, and its lease with it.
+    pub orphans: BTreeSet<UpstreamId>,
+    pub last_fence: u64,
+    pub last_request: u32,
+    pub served: u32,
+    pub refused: u32,
+    pub trace: Vec<String>,
+    pub faults: Vec<String>,
+    pub settings: OwnerSettings,
+    pub routing: RouterSettings,
+}
+
+pub fn adapter(
+    number: u32,
+    version: u32,
+) -> AdapterVersion {
+    AdapterVersion {
+        adapter: AdapterId(number),
+        version,
+    }
+}
+
+impl World {
+    pub fn new(
+        engines: &[FakeEngine],
+        controllers: usize,
+        gateways: usize,
+        settings: OwnerSettings,
+        routing: RouterSettings,
+    ) -> Self {
+        let controller = |_| Controller {
+            machine: OwnerMachine::new(settings),
+            frozen: false,
+            outbox: Vec::new(),
+            inbox: Vec::new(),
+            store_lease: Millis::ZERO,
+        };
+        let mut world = Self {
+            now: Millis(10_000),
+            engines: engines.iter().map(|e| (e.upstream, e.clone())).collect(),
+            controllers: (0..controllers).map(controller).collect(),
+            gateways: Vec::new(),
+            net: Vec::new(),
+            owners: BTreeMap::new(),
+            orphans: BTreeSet::new(),
+            last_fence: 0,
+            last_request: 0,
+            served: 0,
+            refused: 0,
+            trace: Vec::new(),
+            faults: Vec::new(),
+            settings,
+            routing,
+        };
+        for _ in 0..gateways {
+            let gateway = world.new_gateway(Incarnation(1));
+            world.gateways.push(gateway);
+        }
+        world
+    }
+
+    pub(super) fn new_gateway(
+        &self,
+        incarnation: Incarnation,
+    ) -> Gateway {
+        let mut router = Router::new(self.routing);
+        let specs: Vec<UpstreamSpec> = self.engines.values().map(FakeEngine::spec).collect();
+        router.set_upstreams(&specs);
+        Gateway {
+            router,
+            incarnation,
+            frozen: false,
+            waiting: Vec::new(),
+            owners: BTreeMap::new(),
+            asks: BTreeMap::new(),
+        }
+    }
+
+    pub fn holder(
+        &self,
+        g: usize,
+    ) -> Holder {
+        Holder {
+            vm: VmId(g as u32),
+            role: Role::Gateway,
+            incarnation: self.gateways[g].incarnation,
+        }
+    }
+
+    /// The store gives the engine to a controller.
+    pub fn own(
+        &mut self,
+        upstream: UpstreamId,
+        c: usize,
+    ) {
+        self.last_fence += 1;
+        let fence = Fence(self.last_fence);
+        self.owners.insert(upstream, (c, fence));
+        self.orphans.remove(&upstream);
+        self.renew(c);
+        let gateways: Vec<VmId> = (0..self.gateways.len()).map(|g| VmId(g as u32)).collect();
+        self.tell(c, OwnerEvent::Members(gateways));
+        let engine = &self.engines[&upstream];
+        let own = Ownership {
+            upstream,
+            fence,
+            checks_fencing: engine.checks_fencing,
+            slots: engine.slots,
+        };
+        self.tell(c, OwnerEvent::Gained(own));
+    }
+
+    pub fn renew(
+        &mut self,
+        c: usize,
+    ) {
+        let until = self.now + LEASE;
+        self.controllers[c].store_lease = until;
+        self.tell(c, OwnerEvent::LeaseExtended(until));
+    }
+
+    /// An event for a controller; a frozen one finds it when it thaws.
+    pub fn tell(
+        &mut self,
+        c: usize,
+        event: OwnerEvent,
+    ) {
+        if self.controllers[c].frozen {
+            self.controllers[c].inbox.push(event);
+            return;
+        }
+        let machine = &mut self.controllers[c].machine;
+        let mut actions = machine.handle(event, self.now);
+        let asked: u32 = actions
+            .iter()
+            .map(|action| match action {
+                OwnerAction::AskBudget(loads) => *loads,
+                _ => 0,
+            })
+            .sum();
+        if asked > 0 {
+            actions.extend(machine.handle(OwnerEvent::BudgetGranted(asked), self.now));
+        }
+        self.controllers[c].outbox.extend(actions);
+    }
+
+    /// A frozen controller goes on, first with what came for it.
+    pub fn thaw(
+        &mut self,
+        c: usize,
+    ) {
+        self.controllers[c].frozen = false;
+        for event in std::mem::take(&mut self.controllers[c].inbox) {
+            self.tell(c, event);
+        }
+    }
+
+    /// Sends what a controller has decided.
+    pub fn flush(
+        &mut self,
+        c: usize,
+    ) {
+        for action in std::mem::take(&mut self.controllers[c].outbox) {
+            self.carry_out(c, action);
+        }
+    }
+
+    fn carry_out(
+        &mut self,
+        c: usize,
+        action: OwnerAction,
+    ) {
+        match action {
+            OwnerAction::OrderLoad { .. }
+            | OwnerAction::OrderUnload { .. }
+            | OwnerAction::RaiseFence { .. } => self.net.push(Message::Order(c, action)),
+            OwnerAction::AskBudget(_) => {}
+            OwnerAction::RenewFence(upstream) => {
+                if self
+                    .owners
+                    .get(&upstream)
+                    .is_some_and(|&(owner, _)| owner == c)
+                {
+                    self.own(upstream, c);
+                }
+            }
+            OwnerAction::Reply { to, ask, outcome } => {
+                self.net.push(Message::Reply { to, ask, outcome });
+            }
+            OwnerAction::Recall { holder, instance } => {
+                self.net.push(Message::Recall(holder, instance));
+            }
+        }
+    }
+
+    pub fn report(
+        &mut self,
+        upstream: UpstreamId,
+    ) {
+        let engine = &self.engines[&upstream];
+        let report = Report {
+            upstream,
+            boot: engine.boot,
+            slots: engine.slots,
+            instances: engine.loaded.keys().copied().collect(),
+        };
+        for c in 0..self.controllers.len() {
+            self.net
+                .push(Message::ToOwner(c, OwnerEvent::Reported(report.clone())));
+        }
+    }
+
+    /// Delivers everything in order until nothing is left.
+    pub fn settle(&mut self) {
+        for _ in 0..10_000 {
+            for c in 0..self.controllers.len() {
+                if !self.controllers[c].frozen {
+                    self.flush(c);
+                }
+            }
+            let due = self
+                .net
+                .iter()
+                .position(|message| self.is_deliverable(message));
+            let Some(i) = due else {
+                return;
+            };
+            let message = self.net.remove(i);
+            self.deliver(message);
+        }
+        self.faults.push("messages without end".into());
+    }
+
+    pub fn is_deliverable(
+        &self,
+        message: &Message,
+    ) -> bool {
+        match message {
+            Message::ToOwner(c, _) => !self.controllers[*c].frozen,
+            Message::Reply { to, .. }
+            | Message::PollReply { to, .. }
+            | Message::Recall(to, _)
+            | Message::Answer { to, .. } => !self.gateways[to.vm.0 as usize].frozen,
+            Message::Order(..) | Message::Request { .. } => true,
+        }
+    }
+
+    /// Time passes: leases are renewed or lapse, everybody polls, reports and ticks.
+    pub fn pass(
+        &mut self,
+        step: Millis,
+    ) {
+        self.now += step;
+        for c in 0..self.controllers.len() {
+            let owns = self.owners.values().any(|&(owner, _)| owner == c);
+            let live = self.controllers[c].store_lease > self.now;
+            if owns && live && !self.controllers[c].frozen {
+                self.renew(c);
+            }
+        }
+        self.reassign();
+        for c in 0..self.controllers.len() {
+            if !self.controllers[c].frozen {
+                self.tell(c, OwnerEvent::Tick);
+            }
+        }
+        let engines: Vec<UpstreamId> = self.engines.keys().copied().collect();
+        for upstream in engines {
+            self.report(upstream);
+        }
+        for g in 0..self.gateways.len() {
+            if !self.gateways[g].frozen {
+                let actions = self.gateways[g].router.tick(self.now);
+                self.act(g, actions);
+                self.poll(g);
+                self.pump(g);
+            }
+        }
+    }
+
+    pub fn note(
+        &mut self,
+        line: String,
+    ) {
+        self.trace.push(line);
+    }
+}
