jasmine-bench: loads against the decision code on a virtual clock

Seven loads at today's size (nine engines, three data centres, 3000 adapters, five accounts, two loads a second), the same requests for four ways to decide: this project's, the same with fixed rate shares, least loaded with LRU, and consistent hashing with LRU (these two know all engines and rates at once, without any lag). One table, JSON, and two results compared.

--- a/crates/conf/src/tree/commands/apply.rs
+++ b/crates/conf/src/tree/commands/apply.rs
@@ -1,9 +1,6 @@
-use {
-    crate::tree::{
-        Accepted, EditError, EditOp, Family, Node, NodeKind, Path, Removed, Setting, Settings,
-        Shape, Touched, Tree, tree_nodes::family_name,
-    },
-    std::collections::BTreeSet,
+use crate::tree::{
+    Accepted, EditError, EditOp, Family, Node, NodeKind, Path, Removed, Setting, Settings, Touched,
+    Tree, tree_nodes::family_name,
 };
 
 impl Tree {
@@ -36,7 +33,6 @@
             };
             self.carry_out(op, number, &mut touched);
         }
-        self.touch_renumbered(&mut touched);
         self.revision = accepted.revision;
         Ok(touched)
     }
@@ -160,32 +156,6 @@
         touched.paths.extend(reached);
     }
 
-    /// Notes everything whose value names what was deleted and made anew under its old name.
-    ///
-    /// Such a thing has another number, and whoever names it would go on pointing at the old one:
-    /// adapters of a base model that no engine runs any more.
-    pub(super) fn touch_renumbered(
-        &self,
-        touched: &mut Touched,
-    ) {
-        let renumbered: BTreeSet<Family> = touched
-            .removed
-            .iter()
-            .filter(|gone| self.named(gone.family, &gone.name).is_some())
-            .map(|gone| gone.family)
-            .collect();
-        for setting in Setting::ALL {
-            let family = match setting.rule().shape {
-                Shape::Reference(family) => family,
-                Shape::Accounts => Family::Accounts,
-                _ => continue,
-            };
-            if renumbered.contains(&family) {
-                self.touch(&Path::root(), setting, touched);
-            }
-        }
-    }
-
     /// The number that the next node of this family gets.
     pub(super) fn next_number(
         &self,
--- a/crates/conf/src/tree/commands/propose.rs
+++ b/crates/conf/src/tree/commands/propose.rs
@@ -45,7 +45,6 @@
             numbers.extend(matches!(op, EditOp::Create { .. }).then_some(number));
             tree.carry_out(op, number, &mut touched);
         }
-        tree.touch_renumbered(&mut touched);
         check::whole(&tree, &edit.ops, &touched)?;
         tree.revision = self.revision.next();
         Ok(Proposal {
--- a/crates/conf/src/tree/conflict.rs
+++ b/crates/conf/src/tree/conflict.rs
@@ -24,9 +24,8 @@
     /// Everything in `since` that changes what `ops` touch.
     ///
     /// Two ops touch the same thing when they are about one setting of one node, or when one
-    /// creates or deletes a node that the other needs or makes. Edits that touch different things give
-    /// the same tree in either order, or one of them is refused for what the whole tree must keep: a
-    /// name given once, nothing named that doesn't exist.
+    /// creates or deletes a node that the other needs or makes. Ops that touch different things give
+    /// the same tree in either order.
     pub fn between<'a, I>(
         ops: &[EditOp],
         since: I,
--- a/crates/conf/src/tree/edit_error.rs
+++ b/crates/conf/src/tree/edit_error.rs
@@ -60,7 +60,7 @@
         allowed: String,
     },
     /// The setting does not apply to this kind of node.
-    #[display("{path}: {setting} is no setting of a node of kind {kind}")]
+    #[display("{path}: a {kind} has no setting {setting}")]
     NotHere {
         /// The path.
         path: Path,
--- a/crates/controller/src/config/edit_desk.rs
+++ b/crates/controller/src/config/edit_desk.rs
@@ -124,25 +124,16 @@
         txn: Txn,
         until: Millis,
     ) -> Result<Attempt, EditRefusal> {
-        let mut is_in_doubt = false;
         loop {
             match self.store.txn(txn.clone()).await {
                 Ok(reply) if reply.succeeded => return Ok(self.accept(&proposal.accepted)),
                 // The head moved on: by somebody else, or by this very edit sent before.
-                Ok(_) => {}
-                Err(StoreError::OutcomeUnknown(_)) => is_in_doubt = true,
-                // This one was not done, but the one sent before may still be on its way.
-                Err(e) if is_in_doubt => return Err(EditRefusal::OutcomeUnknown(e.to_string())),
+                Ok(_) | Err(StoreError::OutcomeUnknown(_)) => {}
                 Err(e) => return Err(EditRefusal::Unavailable(e.to_string())),
             }
             match self.find_out(proposal, until).await? {
                 Settled::Accepted => return Ok(self.accept(&proposal.accepted)),
                 Settled::Overtaken(_) => return Ok(Attempt::Overtaken),
-                Settled::Open if self.clock.now() >= until => {
-                    return Err(EditRefusal::OutcomeUnknown(
-                        "the store answers no write".into(),
-                    ));
-                }
                 // Sending it again is safe: of the two only one finds the head that it compares.
                 Settled::Open => {}
             }
--- a/crates/controller/src/daemon/controller_context.rs
+++ b/crates/controller/src/daemon/controller_context.rs
@@ -7,21 +7,20 @@
         epochs::{EpochKeeper, HoldingsDesk, OwnEpoch},
         fleet::{DaemonRecord, FleetMirror, MemberRecord, Registration},
         follow::{Bootstrap, ConfigFollower, FleetFollower},
-        ownership::{Assignment, OutageLease, OwnerDesk},
+        ownership::{Assignment, OwnerDesk},
         peers::PeerLinks,
         rights::LoadBudget,
-        session::{LeaseSession, RENEWALS},
+        session::LeaseSession,
         shared::SharedParts,
         status::Health,
     },
     jasmine_conf::settings::ControllerSettings,
     jasmine_core::{
-        clock::Millis,
         ids::{Holder, Incarnation, Role},
         ownership::OwnerSettings,
     },
     jasmine_platform::{
-        etcd::{CallCounts, EtcdOptions, EtcdStore, Reach},
+        etcd::{CallCounts, EtcdOptions, EtcdStore},
         store::Store,
         vms::VmList,
     },
@@ -84,10 +83,6 @@
     pub leaving: Cell<bool>,
     /// Calls made to the store.
     pub store_calls: CallCounts,
-    /// Whether the store answers.
-    pub reach: Reach,
-    /// Extends what may be ordered while the store is out for everybody.
-    pub outage: OutageLease,
 }
 
 impl ControllerContext {
@@ -101,8 +96,7 @@
             ..EtcdOptions::new(settings.platform.kv.clone())
         });
         let store_calls = etcd.counts();
-        let reach = etcd.reach();
-        let shared = share(&settings, address, Rc::new(etcd), reach);
+        let shared = share(&settings, address, Rc::new(etcd));
         let SharedParts {
             me, clock, store, ..
         } = shared.clone();
@@ -127,7 +121,6 @@
         let holdings = Rc::new(HoldingsDesk::new(Rc::clone(&store)));
         let config_follower = Rc::new(ConfigFollower::new(shared.clone(), Rc::clone(&reader)));
         let fleet_follower = Rc::new(FleetFollower::new(shared.clone()));
-        let outage = OutageLease::new(shared.clone(), Rc::clone(&session));
         Self {
             me,
             clock,
@@ -169,8 +162,6 @@
             health: Health::new(clock),
             leaving: Cell::new(false),
             store_calls,
-            reach: shared.reach,
-            outage,
         }
     }
 
@@ -180,19 +171,12 @@
             revision: self.config.revision(),
             gateway_revision: self.config.gateway_revision(),
             epoch: self.budget.epoch().unwrap_or_default(),
-            store_up: self.is_store_up(),
+            store_up: self.config_follower.is_store_up(),
             owned: self.desk.owned().len() as u32,
             leaving: self.leaving.get(),
         }
     }
 
-    /// Whether the store answers: every controller renews its lease there, however it follows the rest.
-    pub fn is_store_up(&self) -> bool {
-        let renewal = Millis(self.settings.lease_ms.0 / RENEWALS);
-        self.reach
-            .is_up(renewal + self.settings.platform.timeout_ms + Millis(500))
-    }
-
     /// Notes which gateway runs on this VM.
     pub fn note_gateway(
         &self,
@@ -208,7 +192,6 @@
     settings: &ControllerSettings,
     address: SocketAddr,
     store: Rc<dyn Store>,
-    reach: Reach,
 ) -> SharedParts {
     let clock = OwnClock::start();
     let me = Holder {
@@ -221,7 +204,6 @@
         data_centre: Rc::from(settings.data_centre.as_str()),
         clock,
         store,
-        reach,
         fleet: Rc::default(),
         config: Rc::new(ConfigKeeper::new(clock)),
         links: Rc::new(PeerLinks::new(me, address)),
--- a/crates/controller/src/daemon/operators_actor.rs
+++ b/crates/controller/src/daemon/operators_actor.rs
@@ -103,7 +103,7 @@
     FleetStatus {
         asked: cx.me.vm,
         revision: cx.config.revision(),
-        store_up: cx.is_store_up(),
+        store_up: cx.config_follower.is_store_up(),
         vms,
     }
 }
--- a/crates/controller/src/daemon/tasks.rs
+++ b/crates/controller/src/daemon/tasks.rs
@@ -96,8 +96,7 @@
     loop {
         let seen = seqs(&cx);
         if !cx.leaving.get() {
-            let until = cx.outage.until().await;
-            cx.assignment.step(until).await;
+            cx.assignment.step().await;
         }
         wait_for_change(&cx, seen).await;
     }
--- a/crates/controller/src/epochs/epoch_keeper.rs
+++ b/crates/controller/src/epochs/epoch_keeper.rs
@@ -27,9 +27,6 @@
 /// How often the platform's list of VMs is read.
 const LIST_EVERY: Millis = Millis(3_000);
 
-/// How often it is read while a live VM is missing from it, which may not hold rights until it is there.
-const LIST_SOON: Millis = Millis(1_000);
-
 /// Moves the epoch of rights on when the membership changes.
 ///
 /// Several controllers do so at once; each write compares the record that was read.
@@ -76,15 +73,10 @@
 
     async fn read_list(&self) {
         let now = self.shared.clock.now();
-        let every = if self.misses_live() {
-            LIST_SOON
-        } else {
-            LIST_EVERY
-        };
         let is_due = self
             .list_read
             .get()
-            .is_none_or(|read| now.since(read) >= every);
+            .is_none_or(|read| now.since(read) >= LIST_EVERY);
         if !is_due {
             return;
         }
@@ -99,14 +91,6 @@
         self.listed.replace(listed);
     }
 
-    fn misses_live(&self) -> bool {
-        let listed = self.listed.borrow();
-        let members = &self.shared.fleet.borrow().members;
-        listed
-            .as_ref()
-            .is_some_and(|listed| members.keys().any(|vm| !listed.contains(vm)))
-    }
-
     fn view(&self) -> StoreView {
         let fleet = self.shared.fleet.borrow();
         StoreView {
--- a/crates/controller/src/follow/config_follower.rs
+++ b/crates/controller/src/follow/config_follower.rs
@@ -20,6 +20,9 @@
 /// How long another controller may hold a question back.
 const ASK_WAIT: Millis = Millis(1_000);
 
+/// A watcher that the store has not answered for this long asks other controllers too.
+const ASK_PEERS_AFTER: Millis = Millis(2_500);
+
 /// The longest pause after failures.
 const MOST_PAUSE: Millis = Millis(5_000);
 
@@ -28,6 +31,7 @@
 pub struct ConfigFollower {
     shared: SharedParts,
     reader: Rc<ConfigStore>,
+    store_heard: Cell<Option<Millis>>,
     turn: Cell<usize>,
 }
 
@@ -40,6 +44,7 @@
         Self {
             shared,
             reader,
+            store_heard: Cell::new(None),
             turn: Cell::new(0),
         }
     }
@@ -88,6 +93,14 @@
         }
     }
 
+    /// Whether the store has answered lately.
+    pub fn is_store_up(&self) -> bool {
+        let now = self.shared.clock.now();
+        self.store_heard
+            .get()
+            .is_some_and(|heard| now.since(heard) < ASK_PEERS_AFTER)
+    }
+
     fn take(
         &self,
         event: &WatchEvent,
@@ -107,7 +120,10 @@
 
     async fn pull(&self) -> bool {
         match self.reader.pull().await {
-            Ok(()) => true,
+            Ok(()) => {
+                self.store_heard.set(Some(self.shared.clock.now()));
+                true
+            }
             Err(e) => {
                 Line::new("config_not_read").with("error", e).warn();
                 false
--- a/crates/controller/src/ownership/assignment.rs
+++ b/crates/controller/src/ownership/assignment.rs
@@ -64,13 +64,9 @@
     }
 
     /// Drops what is no longer held, then takes and hands over engines.
-    ///
-    /// Orders may be given until `until`, by this process's own clock.
-    pub async fn step(
-        &self,
-        until: Millis,
-    ) {
+    pub async fn step(&self) {
         self.drop_lost();
+        let until = self.session.until();
         self.desk.handle(OwnerEvent::LeaseExtended(until));
         self.desk.handle(OwnerEvent::Members(self.witnesses()));
         let Some(lease) = self.session.sure() else {
--- a/crates/controller/src/ownership/mod.rs
+++ b/crates/controller/src/ownership/mod.rs
@@ -2,12 +2,10 @@
 
 mod assignment;
 mod engine_state;
-mod outage_lease;
 mod owner_desk;
 
 pub use {
     assignment::Assignment,
     engine_state::{EngineState, EngineTarget},
-    outage_lease::OutageLease,
     owner_desk::OwnerDesk,
 };
--- a/crates/controller/src/session/lease_session.rs
+++ b/crates/controller/src/session/lease_session.rs
@@ -9,7 +9,7 @@
 };
 
 /// Renewals in the time of one lease; two may be lost before it lapses.
-pub const RENEWALS: u64 = 3;
+const RENEWALS: u64 = 3;
 
 /// The first pause after a failed call.
 const FIRST_PAUSE: Millis = Millis(100);
--- a/crates/controller/src/session/mod.rs
+++ b/crates/controller/src/session/mod.rs
@@ -3,7 +3,4 @@
 mod lease_clock;
 mod lease_session;
 
-pub use {
-    lease_clock::LeaseClock,
-    lease_session::{LeaseSession, RENEWALS},
-};
+pub use {lease_clock::LeaseClock, lease_session::LeaseSession};
--- a/crates/controller/src/shared/parts.rs
+++ b/crates/controller/src/shared/parts.rs
@@ -1,7 +1,7 @@
 use {
     crate::{clock::OwnClock, config::ConfigKeeper, fleet::FleetMirror, peers::PeerLinks},
     jasmine_core::ids::Holder,
-    jasmine_platform::{etcd::Reach, store::Store},
+    jasmine_platform::store::Store,
     std::{cell::RefCell, rc::Rc},
 };
 
@@ -16,8 +16,6 @@
     pub clock: OwnClock,
     /// The platform's key-value service.
     pub store: Rc<dyn Store>,
-    /// Whether the service answers.
-    pub reach: Reach,
     /// The fleet as the store tells it.
     pub fleet: Rc<RefCell<FleetMirror>>,
     /// The configuration in force.
--- a/crates/platform/src/etcd/etcd_store.rs
+++ b/crates/platform/src/etcd/etcd_store.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        CallCounts, CallKind, EtcdOptions, JsonLines, Reach,
+        CallCounts, CallKind, EtcdOptions, JsonLines,
         call_budget::CallBudget,
         json::{
             LeaseAnswer, RangeAnswer, StreamAnswer, TxnAnswer, decode_range, decode_txn,
@@ -51,7 +51,6 @@
     endpoint: Cell<usize>,
     budget: CallBudget,
     counts: CallCounts,
-    reach: Reach,
 }
 
 impl EtcdStore {
@@ -62,7 +61,6 @@
             endpoint: Cell::new(0),
             budget: CallBudget::new(options.calls_per_second),
             counts: CallCounts::default(),
-            reach: Reach::default(),
             options,
         }
     }
@@ -72,11 +70,6 @@
         self.counts.clone()
     }
 
-    /// Whether the service answers.
-    pub fn reach(&self) -> Reach {
-        self.reach.clone()
-    }
-
     async fn call(
         &self,
         kind: CallKind,
@@ -90,10 +83,6 @@
         let result = timeout(self.options.timeout.to_std(), self.send(kind, body))
             .await
             .unwrap_or_else(|_| Err(StoreError::OutcomeUnknown("timeout".into())));
-        self.reach.note(!matches!(
-            result,
-            Err(StoreError::Unreachable(_) | StoreError::OutcomeUnknown(_))
-        ));
         if let Err(e) = &result {
             self.counts.count_failed(kind);
             self.after_failure(e);
--- a/crates/platform/src/etcd/mod.rs
+++ b/crates/platform/src/etcd/mod.rs
@@ -7,7 +7,6 @@
 mod json;
 mod json_lines;
 mod options;
-mod reach;
 
 pub use {
     call_counts::CallCounts,
@@ -16,5 +15,4 @@
     json::{decode_watch, encode_txn},
     json_lines::JsonLines,
     options::EtcdOptions,
-    reach::Reach,
 };
--- /dev/null
+++ b/crates/testkit/src/bin/jasmine-bench.rs
@@ -0,0 +1,62 @@
+//! Measures the decision code under load, on a virtual clock, and compares two results.
+
+use {
+    clap::{Arg, Command, value_parser},
+    jasmine_testkit::decisions::{Figures, Load, Policy, Scenario, all_slots, compare, run, table},
+    std::{error::Error, fs, path::PathBuf},
+};
+
+fn command() -> Command {
+    Command::new("jasmine-bench")
+        .about("Drives loads against the decision code and prints what came of them")
+        .arg(
+            Arg::new("seed")
+                .long("seed")
+                .default_value("1")
+                .value_parser(value_parser!(u64)),
+        )
+        .arg(
+            Arg::new("load")
+                .long("load")
+                .help("Only the load of this name"),
+        )
+        .arg(
+            Arg::new("out")
+                .long("out")
+                .value_parser(value_parser!(PathBuf))
+                .help("Writes the result as JSON"),
+        )
+        .arg(
+            Arg::new("before")
+                .long("before")
+                .value_parser(value_parser!(PathBuf))
+                .help("A former result to compare with"),
+        )
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let args = command().get_matches();
+    let seed = args.get_one::<u64>("seed").copied().unwrap_or(1);
+    let only = args.get_one::<String>("load");
+    let mut all = Vec::new();
+    for scenario in Scenario::ALL {
+        if only.is_some_and(|only| *only != scenario.to_string()) {
+            continue;
+        }
+        let best = Load::draw(scenario, seed).best_fixed_share(all_slots());
+        println!(
+            "{scenario}: a fixed choice that knows all requests finds {:.1} % loaded",
+            best * 100.0
+        );
+        all.extend(Policy::ALL.map(|policy| run(scenario, policy, seed)));
+    }
+    print!("{}", table(&all));
+    if let Some(path) = args.get_one::<PathBuf>("before") {
+        let before: Vec<Figures> = serde_json::from_slice(&fs::read(path)?)?;
+        print!("{}", compare(&before, &all));
+    }
+    if let Some(path) = args.get_one::<PathBuf>("out") {
+        fs::write(path, serde_json::to_string_pretty(&all)?)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/testkit/src/decisions/fleet.rs
@@ -0,0 +1,533 @@
+use {
+    super::{
+        caller::limit,
+        engine::{MAX_BATCH, Running, SLOTS, Store},
+        load::{RATES, VMS},
+        sim::{ENGINES, World},
+    },
+    jasmine_core::{
+        clock::Millis,
+        ids::{
+            AccountId, DataCentreId, Epoch, Fence, Holder, Incarnation, ModelId, RequestId, Role,
+            UpstreamId, VmId,
+        },
+        ownership::{
+            Ask, Candidate, LoadResult, OwnerAction, OwnerEvent, OwnerMachine, OwnerSettings,
+            Ownership, Poll, Release, Report, UnloadResult, assign,
+        },
+        placement::Instance,
+        queue::{self, AccountShare, FairQueue, Priority, QueueSettings, Waiting},
+        rights::{Admission, CallerTag, Right, RightsLedger, RightsSettings, SHARE_WHOLE, part_of},
+        routing::{
+            EngineView, Finish, Route, Router, RouterAction, RouterSettings, SpecKind, Target,
+            UpstreamSpec,
+        },
+    },
+    std::collections::{BTreeMap, VecDeque},
+};
+
+const MODEL: ModelId = ModelId(0);
+const POLL: u64 = 200;
+const REPORT: u64 = 500;
+const TICK: u64 = 50;
+const DEADLINE: Millis = Millis::from_secs(30);
+/// Rounds of asking peers for rights before a refusal.
+const ROUNDS: usize = 3;
+
+#[derive(Debug)]
+struct Gateway {
+    router: Router,
+    queue: FairQueue,
+    ledger: RightsLedger,
+    asks: BTreeMap<u64, (UpstreamId, jasmine_core::ids::AdapterVersion)>,
+}
+
+/// The decision code of all VMs, each with a gateway and a controller.
+#[derive(Debug)]
+pub struct Fleet {
+    gateways: Vec<Gateway>,
+    owners: Vec<OwnerMachine>,
+    owner_of: Vec<usize>,
+    /// Loads that owners have asked for and not been granted.
+    asked: VecDeque<(usize, u32)>,
+    sent_by: BTreeMap<usize, (usize, Instance)>,
+    events: VecDeque<(usize, OwnerEvent)>,
+}
+
+fn data_centre(number: usize) -> DataCentreId {
+    DataCentreId((number % 3) as u16)
+}
+
+fn holder(gateway: usize) -> Holder {
+    Holder {
+        vm: VmId(gateway as u32),
+        role: Role::Gateway,
+        incarnation: Incarnation(1),
+    }
+}
+
+impl Fleet {
+    /// All VMs, with the engines shared out and nothing loaded; `sharing`: rights move between them.
+    pub fn new(sharing: bool) -> Self {
+        let live: Vec<Candidate> = (0..VMS)
+            .map(|vm| Candidate {
+                vm: VmId(vm as u32),
+                data_centre: data_centre(vm),
+            })
+            .collect();
+        let owner = |engine| {
+            let vm = assign(UpstreamId(engine as u32), data_centre(engine), &live);
+            vm.map_or(0, |vm| vm.0 as usize)
+        };
+        let mut fleet = Self {
+            gateways: (0..VMS).map(|g| gateway(g, sharing)).collect(),
+            owners: (0..VMS)
+                .map(|_| OwnerMachine::new(OwnerSettings::default()))
+                .collect(),
+            owner_of: (0..ENGINES).map(owner).collect(),
+            asked: VecDeque::new(),
+            sent_by: BTreeMap::new(),
+            events: VecDeque::new(),
+        };
+        let members: Vec<VmId> = live.iter().map(|candidate| candidate.vm).collect();
+        for vm in 0..VMS {
+            fleet
+                .events
+                .push_back((vm, OwnerEvent::LeaseExtended(Millis(u64::MAX / 2))));
+            fleet
+                .events
+                .push_back((vm, OwnerEvent::Members(members.clone())));
+        }
+        for (engine, &vm) in fleet.owner_of.iter().enumerate() {
+            let own = Ownership {
+                upstream: UpstreamId(engine as u32),
+                fence: Fence(1),
+                checks_fencing: false,
+                slots: SLOTS,
+            };
+            fleet.events.push_back((vm, OwnerEvent::Gained(own)));
+        }
+        fleet
+    }
+
+    /// Decides for one step of time.
+    pub fn step(
+        &mut self,
+        world: &mut World,
+        ids: &[usize],
+        loaded: &[Instance],
+        ended: &[(usize, Running)],
+    ) {
+        for &instance in loaded {
+            let event = OwnerEvent::LoadEnded(instance, LoadResult::Loaded);
+            self.events
+                .push_back((self.owner_of[instance.upstream.0 as usize], event));
+        }
+        for (_, running) in ended {
+            self.end(world, running);
+        }
+        self.admit(world, ids);
+        self.periodic(world);
+        self.grant_budget(world);
+        self.run_events(world);
+        for g in 0..VMS {
+            self.pump(world, g);
+        }
+        self.run_events(world);
+    }
+
+    fn end(
+        &mut self,
+        world: &World,
+        running: &Running,
+    ) {
+        if let Some((g, instance)) = self.sent_by.remove(&running.id) {
+            let finish = if running.left == 0 {
+                Finish::Done
+            } else {
+                Finish::Failed
+            };
+            let router = &mut self.gateways[g].router;
+            let actions = router.finished(instance.upstream, Some(instance), finish, world.now);
+            self.act(g, actions);
+        }
+    }
+
+    fn admit(
+        &mut self,
+        world: &mut World,
+        ids: &[usize],
+    ) {
+        for &id in ids {
+            let arrival = world.arrivals[id];
+            let (g, cost) = (arrival.vm, u64::from(arrival.tokens));
+            match self.try_admit(world, id) {
+                Admission::Admitted(_) => {}
+                Admission::Ask { .. } => {
+                    let caller = CallerTag(id as u64);
+                    let ledger = &mut self.gateways[g].ledger;
+                    let refusal = ledger.refuse_after_ask(arrival.account, cost, caller, world.now);
+                    world.refuse(id, refusal);
+                    continue;
+                }
+                Admission::Refused(refusal) => {
+                    world.refuse(id, refusal);
+                    continue;
+                }
+            }
+            world.admit(id);
+            let waiting = Waiting {
+                request: RequestId(id as u64),
+                account: arrival.account,
+                priority: Priority::Normal,
+                cost,
+                deadline: world.now + DEADLINE,
+                target: queue::Target::Adapter(arrival.adapter),
+            };
+            if let Err(refusal) = self.gateways[g].queue.push(waiting, world.now) {
+                world.refuse(id, refusal);
+            }
+        }
+    }
+
+    fn try_admit(
+        &mut self,
+        world: &World,
+        id: usize,
+    ) -> Admission {
+        let arrival = world.arrivals[id];
+        let (g, account) = (arrival.vm, arrival.account);
+        let cost = u64::from(arrival.tokens);
+        let caller = CallerTag(id as u64);
+        let mut last = self.gateways[g]
+            .ledger
+            .try_admit(account, cost, caller, world.now);
+        for _ in 0..ROUNDS {
+            let Admission::Ask { shortfall } = last else {
+                return last;
+            };
+            let asks = self.gateways[g]
+                .ledger
+                .whom_to_ask(account, shortfall, world.now);
+            for ask in asks {
+                let to = ask.to.vm.0 as usize;
+                let given = self.gateways[to].ledger.give(&ask.request, world.now);
+                let ledger = &mut self.gateways[g].ledger;
+                ledger.receive(ask.request.transfer, &given, world.now);
+            }
+            last = self.gateways[g]
+                .ledger
+                .try_admit(account, cost, caller, world.now);
+        }
+        last
+    }
+
+    fn periodic(
+        &mut self,
+        world: &World,
+    ) {
+        let is_due = |period: u64| world.now.0.is_multiple_of(period);
+        if is_due(TICK) {
+            for c in 0..VMS {
+                self.events.push_back((c, OwnerEvent::Tick));
+            }
+            for g in 0..VMS {
+                let actions = self.gateways[g].router.tick(world.now);
+                self.act(g, actions);
+            }
+        }
+        if is_due(REPORT) {
+            for (engine, state) in world.engines.iter().enumerate() {
+                let report = Report {
+                    upstream: UpstreamId(engine as u32),
+                    boot: state.boot,
+                    slots: SLOTS,
+                    instances: state.loaded.iter().copied().collect(),
+                };
+                self.events
+                    .push_back((self.owner_of[engine], OwnerEvent::Reported(report)));
+            }
+        }
+        if is_due(POLL) {
+            for g in 0..VMS {
+                self.poll(world, g);
+            }
+        }
+    }
+
+    fn poll(
+        &mut self,
+        world: &World,
+        g: usize,
+    ) {
+        let router = &mut self.gateways[g].router;
+        let poll = Poll {
+            from: holder(g),
+            seen: router.seen(),
+            held: router.held(),
+        };
+        for c in 0..VMS {
+            self.events.push_back((c, OwnerEvent::Polled(poll.clone())));
+        }
+        let mut actions = Vec::new();
+        for (engine, state) in world.engines.iter().enumerate() {
+            let upstream = UpstreamId(engine as u32);
+            let owner = &self.owners[self.owner_of[engine]];
+            let Some(owner_fence) = owner.fence(upstream) else {
+                continue;
+            };
+            let view = EngineView {
+                upstream,
+                owner_fence,
+                running: state.running.len() as u32,
+                waiting: state.waiting.len() as u32,
+                free_slots: SLOTS.saturating_sub(state.loaded.len() as u32),
+                healthy: true,
+                boot: state.boot,
+                resident: owner.resident(upstream),
+            };
+            actions.extend(self.gateways[g].router.observe(view, world.now));
+        }
+        for owner in &self.owners {
+            for instance in owner.recalls(holder(g)) {
+                actions.extend(self.gateways[g].router.recall(instance));
+            }
+        }
+        self.act(g, actions);
+    }
+
+    fn grant_budget(
+        &mut self,
+        world: &mut World,
+    ) {
+        while let Some(&(c, loads)) = self.asked.front() {
+            if world.store.grant(1) == 0 {
+                return;
+            }
+            self.events.push_back((c, OwnerEvent::BudgetGranted(1)));
+            match loads {
+                1 => drop(self.asked.pop_front()),
+                _ => self.asked[0].1 -= 1,
+            }
+        }
+    }
+
+    fn run_events(
+        &mut self,
+        world: &mut World,
+    ) {
+        while let Some((c, event)) = self.events.pop_front() {
+            for action in self.owners[c].handle(event, world.now) {
+                self.carry_out(world, c, &action);
+            }
+        }
+    }
+
+    fn carry_out(
+        &mut self,
+        world: &mut World,
+        c: usize,
+        action: &OwnerAction,
+    ) {
+        match *action {
+            OwnerAction::OrderLoad { instance, .. } => {
+                let engine = &mut world.engines[instance.upstream.0 as usize];
+                let used = engine.loaded.len() + engine.loading.len();
+                if used < SLOTS as usize {
+                    engine.loading.insert(instance, Store::LOAD_MS);
+                } else {
+                    let full = OwnerEvent::LoadEnded(instance, LoadResult::NoFreeSlot);
+                    self.events.push_back((c, full));
+                }
+            }
+            OwnerAction::OrderUnload { instance, .. } => {
+                let engine = &mut world.engines[instance.upstream.0 as usize];
+                assert!(
+                    !engine.uses(instance),
+                    "unload of {} in use",
+                    instance.name()
+                );
+                engine.loaded.remove(&instance);
+                let gone = OwnerEvent::UnloadEnded(instance, UnloadResult::Gone);
+                self.events.push_back((c, gone));
+            }
+            OwnerAction::AskBudget(loads) => {
+                // A repeated question replaces the one before.
+                self.asked.retain(|&(asker, _)| asker != c);
+                self.asked.push_back((c, loads));
+            }
+            OwnerAction::Reply { to, ask, outcome } => {
+                let gateway = &mut self.gateways[to.vm.0 as usize];
+                if let Some((upstream, adapter)) = gateway.asks.remove(&ask) {
+                    gateway
+                        .router
+                        .acquired(upstream, adapter, ask, outcome, world.now);
+                }
+            }
+            OwnerAction::Recall { holder, instance } => {
+                let g = holder.vm.0 as usize;
+                let actions = self.gateways[g].router.recall(instance);
+                self.act(g, actions);
+            }
+            OwnerAction::RaiseFence { .. } | OwnerAction::RenewFence(_) => {}
+        }
+    }
+
+    fn act(
+        &mut self,
+        g: usize,
+        actions: Vec<RouterAction>,
+    ) {
+        for action in actions {
+            match action {
+                RouterAction::Release {
+                    instance,
+                    fence,
+                    ask,
+                } => {
+                    let instances = vec![instance];
+                    let release = Release {
+                        from: holder(g),
+                        fence,
+                        ask,
+                        instances,
+                    };
+                    let c = self.owner_of[instance.upstream.0 as usize];
+                    self.events.push_back((c, OwnerEvent::Released(release)));
+                }
+                RouterAction::Acquire {
+                    upstream,
+                    adapter,
+                    account,
+                    ask,
+                } => {
+                    self.ask(
+                        g,
+                        Ask {
+                            from: holder(g),
+                            ask,
+                            upstream,
+                            adapter,
+                            account,
+                            wait: Millis(1000),
+                        },
+                    );
+                }
+            }
+        }
+    }
+
+    fn ask(
+        &mut self,
+        g: usize,
+        ask: Ask,
+    ) {
+        self.gateways[g]
+            .asks
+            .insert(ask.ask, (ask.upstream, ask.adapter));
+        let c = self.owner_of[ask.upstream.0 as usize];
+        self.events.push_back((c, OwnerEvent::Acquire(ask)));
+    }
+
+    /// Sends what can be sent from a gateway's queue.
+    fn pump(
+        &mut self,
+        world: &mut World,
+        g: usize,
+    ) {
+        let now = world.now;
+        for waiting in self.gateways[g].queue.expire(now) {
+            let kind = jasmine_core::error::ErrorKind::CannotMeetDeadline;
+            let refusal = jasmine_core::error::Refusal::after(kind, Millis(1000));
+            world.refuse(waiting.request.0 as usize, refusal);
+        }
+        let mut asks = Vec::new();
+        let mut refused = Vec::new();
+        loop {
+            let gateway = &mut self.gateways[g];
+            let router = &mut gateway.router;
+            let mut sent = None;
+            let popped = gateway.queue.pop(now, |waiting| {
+                let queue::Target::Adapter(adapter) = waiting.target else {
+                    return false;
+                };
+                let target = Target::Adapter(MODEL, adapter);
+                match router.route(target, None, waiting.account, now) {
+                    Route::Send { instance, .. } => sent = instance,
+                    Route::Acquire { upstream, ask } => asks.push(Ask {
+                        from: holder(g),
+                        ask,
+                        upstream,
+                        adapter,
+                        account: waiting.account,
+                        wait: Millis(1000),
+                    }),
+                    Route::Wait(_) => {}
+                    Route::Refuse(refusal) => refused.push((waiting.request, refusal)),
+                }
+                sent.is_some()
+            });
+            let (Some(waiting), Some(instance)) = (popped, sent) else {
+                break;
+            };
+            let id = waiting.request.0 as usize;
+            self.sent_by.insert(id, (g, instance));
+            world.send(id, instance.upstream.0 as usize, instance);
+        }
+        for (request, refusal) in refused {
+            if self.gateways[g].queue.cancel(request, now).is_some() {
+                world.refuse(request.0 as usize, refusal);
+            }
+        }
+        for ask in asks {
+            self.ask(g, ask);
+        }
+    }
+}
+
+fn gateway(
+    g: usize,
+    sharing: bool,
+) -> Gateway {
+    let mut router = Router::new(RouterSettings::new(data_centre(g)));
+    let spec = |engine| UpstreamSpec {
+        upstream: UpstreamId(engine as u32),
+        data_centre: data_centre(engine),
+        kind: SpecKind::Engine {
+            model: MODEL,
+            slots: SLOTS,
+            max_batch: MAX_BATCH,
+        },
+        leaving: false,
+    };
+    router.set_upstreams(&(0..ENGINES).map(spec).collect::<Vec<_>>());
+    let mut queue = FairQueue::new(QueueSettings::default());
+    let mut ledger = RightsLedger::new(
+        holder(g),
+        RightsSettings {
+            sharing,
+            ..RightsSettings::default()
+        },
+    );
+    ledger.set_peers((0..VMS).map(holder));
+    ledger.enter_epoch(Epoch(1), Millis::ZERO);
+    let share = SHARE_WHOLE / VMS as u64;
+    let mut grants = Vec::new();
+    for account in (0..RATES.len() as u32).map(AccountId) {
+        queue.set_share(account, AccountShare::default());
+        ledger.set_limit(account, limit(account), Millis::ZERO);
+        grants.push(Right {
+            account,
+            rate_share: share,
+            room_share: share,
+            tokens: part_of(limit(account).burst_milli(), share),
+        });
+    }
+    ledger.apply_grants(Epoch(1), &grants, Millis::ZERO);
+    Gateway {
+        router,
+        queue,
+        ledger,
+        asks: BTreeMap::new(),
+    }
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -2,6 +2,7 @@
 //! daemons as real processes: for tests, the demo and the load driver, never part of the product.
 
 pub mod client;
+pub mod decisions;
 pub mod engine;
 pub mod harness;
 pub mod load;
