--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod config_bound;
 mod idempotency_keys;
 mod once_only;
+mod overhead;
 mod planned_stop;
 mod support;
 mod whole_path;
--- a/crates/gateway/tests/gateway/support/bench.rs
+++ b/crates/gateway/tests/gateway/support/bench.rs
@@ -37,6 +37,8 @@
     pub rate: u64,
     /// Tokens at once of each account.
     pub burst: u64,
+    /// Whether proxies stand before the upstreams.
+    pub proxied: bool,
     /// The gateway's limits, as in its settings.
     pub limits: Value,
     /// How old its configuration may become.
@@ -58,6 +60,7 @@
             servers: 2,
             rate: 1_000_000,
             burst: 1_000_000,
+            proxied: true,
             limits: json!({}),
             config_stale_ms: 10_000,
             stop: (100, 5_000),
@@ -100,8 +103,17 @@
         let link = |running: &Running| Proxy::start(any, running.address()).expect("a proxy");
         let engine_links: Vec<_> = engines.iter().map(link).collect();
         let server_links: Vec<_> = servers.iter().map(link).collect();
+        let reached_at = |links: &[Proxy], behind: &[Running]| -> Vec<SocketAddr> {
+            if spec.proxied {
+                links.iter().map(Proxy::address).collect()
+            } else {
+                behind.iter().map(Running::address).collect()
+            }
+        };
+        let at_engines = reached_at(&engine_links, &engines);
+        let at_servers = reached_at(&server_links, &servers);
         let mut tree = Tree::default();
-        edit(&mut tree, first_ops(&spec, &engine_links, &server_links));
+        edit(&mut tree, first_ops(&spec, &at_engines, &at_servers));
         let fleet = tree.resolve();
         let reached = |name: &str| fleet.upstreams.iter().find(|known| known.name == name);
         let owned = (1..=spec.engines).zip(&engines).map(|(n, engine)| {
@@ -178,6 +190,11 @@
         Call::new(self.gateway.port("callers"), method, path).key(KEY)
     }
 
+    /// Where the servers themselves listen.
+    pub fn server_addresses(&self) -> Vec<SocketAddr> {
+        self.servers.iter().map(Running::address).collect()
+    }
+
     /// What an engine remembers.
     pub async fn record(
         &self,
@@ -259,8 +276,8 @@
 
 fn first_ops(
     spec: &BenchSpec,
-    engines: &[Proxy],
-    servers: &[Proxy],
+    engines: &[SocketAddr],
+    servers: &[SocketAddr],
 ) -> Value {
     let mut ops = vec![
         create(
@@ -299,22 +316,22 @@
         ),
         json!({"op": "set", "path": "/adapters/notes", "setting": "live", "value": 1}),
     ];
-    for (n, proxy) in (1..).zip(engines) {
+    for (n, address) in (1..).zip(engines) {
         ops.push(create(
             &format!("/upstreams/engine-{n}"),
             "engine",
             &json!({
-                "address": proxy.address().to_string(), "model": "base", "data_centre": "dc-1",
+                "address": address.to_string(), "model": "base", "data_centre": "dc-1",
                 "slots": spec.engine.slots, "max_batch": spec.engine.max_batch,
             }),
         ));
     }
-    for (n, proxy) in (1..).zip(servers) {
+    for (n, address) in (1..).zip(servers) {
         ops.push(create(
             &format!("/upstreams/server-{n}"),
             "server",
             &json!({
-                "address": proxy.address().to_string(), "service": "phones", "data_centre": "dc-1",
+                "address": address.to_string(), "service": "phones", "data_centre": "dc-1",
             }),
         ));
     }
