Gateway: ready only when rights can be got at; requests wait while an epoch begins

A replaced VM's gateway said it was ready and refused its first request with rate_limited although nothing was used up (testkit's ready_means_serving, on a fleet of real processes: 429, retry after 2 ms). Cause: its own start opens an epoch, and while the gateways enter it one after the other they refuse each other's transfers. Readiness now waits for that epoch (at most 2 s after being known, 4 s in all, for outages of the store), and a request that is refused for its rate while an epoch is closing waits up to 1 s for the rights on their way. Excluded: the ledger's promises (retry after 2 ms came true) and the queue. Library lines below warn are no longer logged.

--- a/crates/gateway/src/brain/admission.rs
+++ b/crates/gateway/src/brain/admission.rs
@@ -18,6 +18,8 @@
 ///
 /// Peers answer within a few milliseconds; one that doesn't is slow or gone.
 const ASK_LIMIT: Millis = Millis(300);
+/// The same while an epoch begins and no peer may give any.
+const CLOSING_LIMIT: Millis = Millis(1_000);
 
 impl State {
     /// Takes a request in.
@@ -76,7 +78,7 @@
                 }
                 self.enqueue(request, now);
             }
-            rights::Admission::Ask { .. } if now.since(since) >= ASK_LIMIT => {
+            rights::Admission::Ask { .. } if now.since(since) >= self.ask_limit() => {
                 let refusal = self.ledger.refuse_after_ask(account, cost, caller, now);
                 self.refuse(request, refusal);
             }
@@ -84,16 +86,42 @@
                 let asks = self.ledger.whom_to_ask(account, shortfall, now);
                 self.effects
                     .extend(asks.into_iter().map(Effect::TakeRights));
-                self.set_stage(request, Stage::Asking { since });
-                let line = self.asking.entry(account).or_default();
-                if !line.contains(&request) {
-                    line.push_back(request);
-                }
+                self.wait_for_rights(request, account, since);
+            }
+            // What is refused now may be admitted in a moment, when the rights that are on their way
+            // between two epochs have arrived.
+            rights::Admission::Refused(refusal)
+                if refusal.kind == ErrorKind::RateLimited
+                    && self.settling.is_closing()
+                    && now.since(since) < CLOSING_LIMIT =>
+            {
+                self.wait_for_rights(request, account, since);
             }
             rights::Admission::Refused(refusal) => self.refuse(request, refusal),
         }
     }
 
+    fn ask_limit(&self) -> Millis {
+        if self.settling.is_closing() {
+            CLOSING_LIMIT
+        } else {
+            ASK_LIMIT
+        }
+    }
+
+    fn wait_for_rights(
+        &mut self,
+        request: RequestId,
+        account: AccountId,
+        since: Millis,
+    ) {
+        self.set_stage(request, Stage::Asking { since });
+        let line = self.asking.entry(account).or_default();
+        if !line.contains(&request) {
+            line.push_back(request);
+        }
+    }
+
     /// Tries again for the requests of an account that wait for rights, in their order.
     pub(super) fn retry_account(
         &mut self,
--- a/crates/gateway/src/brain/configuration.rs
+++ b/crates/gateway/src/brain/configuration.rs
@@ -41,6 +41,8 @@
     pub owners: HashMap<UpstreamId, VmId>,
     /// The epoch of rights.
     pub epoch: Epoch,
+    /// Whether holdings are still being gathered for it.
+    pub closing: bool,
     /// What it adds to this gateway.
     pub grants: Vec<Right>,
 }
@@ -175,6 +177,9 @@
             return None;
         }
         self.ledger.set_peers(self.members.holders());
+        let is_known = self.members.gateway_run(self.me.vm) == Some(self.me.incarnation);
+        self.settling
+            .note(answer.epoch, answer.closing, is_known, now);
         if answer.epoch == Epoch::default() {
             return None;
         }
--- a/crates/gateway/src/brain/mod.rs
+++ b/crates/gateway/src/brain/mod.rs
@@ -18,6 +18,7 @@
 mod peer_server;
 mod polls;
 mod running;
+mod settling;
 mod state;
 mod wire_types;
 
@@ -35,5 +36,6 @@
     },
     peer_server::PeerServer,
     running::{Running, Stage},
+    settling::Settling,
     state::State,
 };
--- a/crates/gateway/src/brain/state.rs
+++ b/crates/gateway/src/brain/state.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Effect, Freshness, Members, Running},
+    super::{Effect, Freshness, Members, Running, Settling},
     crate::{clock::Clock, status::Readiness},
     jasmine_conf::{fleet::Fleet, settings::GatewaySettings, tree::Tree},
     jasmine_core::{
@@ -50,6 +50,7 @@
     pub(super) loads: HashMap<AdapterVersion, Load>,
     pub(super) own_data_centre: DataCentreId,
     pub(super) reported: Option<Epoch>,
+    pub(super) settling: Settling,
     pub(super) effects: Vec<Effect>,
 }
 
@@ -84,6 +85,7 @@
             loads: HashMap::new(),
             own_data_centre: DataCentreId::default(),
             reported: None,
+            settling: Settling::default(),
             effects: Vec::new(),
         }
     }
@@ -151,6 +153,7 @@
             .is_confirmed(self.me.vm, self.members.vms(), stale, now);
         self.readiness
             .set_confirmed(confirmed && self.tree.is_some());
+        self.readiness.set_settled(self.settling.is_settled(now));
         let actions = self.router.tick(now);
         self.effects.extend(actions.into_iter().map(Effect::from));
         let mut asks = self.ledger.unanswered(now);
--- a/crates/gateway/src/http/answers.rs
+++ b/crates/gateway/src/http/answers.rs
@@ -80,7 +80,7 @@
     if let Some(adapter) = adapter {
         res.insert_header((ADAPTER, adapter));
     }
-    if !shared.readiness.is_ready() {
+    if shared.readiness.is_leaving() {
         // A kept connection would bring the next request to a daemon that is about to stop.
         res.force_close();
     }
--- a/crates/gateway/src/status/readiness.rs
+++ b/crates/gateway/src/status/readiness.rs
@@ -4,6 +4,7 @@
 #[derive(Debug, Default)]
 pub struct Readiness {
     confirmed: AtomicBool,
+    settled: AtomicBool,
     unready: AtomicBool,
     stopping: AtomicBool,
     in_flight: AtomicU64,
@@ -23,14 +24,29 @@
         self.confirmed.load(Ordering::Relaxed)
     }
 
+    /// Sets whether rights can be got at.
+    pub fn set_settled(
+        &self,
+        settled: bool,
+    ) {
+        self.settled.store(settled, Ordering::Relaxed);
+    }
+
     /// Tells balancers to send nothing more.
     pub fn leave_balancers(&self) {
         self.unready.store(true, Ordering::Relaxed);
     }
 
+    /// Whether this daemon is about to stop.
+    pub fn is_leaving(&self) -> bool {
+        self.unready.load(Ordering::Relaxed)
+    }
+
     /// Whether balancers may send requests.
     pub fn is_ready(&self) -> bool {
-        self.is_confirmed() && !self.unready.load(Ordering::Relaxed)
+        self.is_confirmed()
+            && self.settled.load(Ordering::Relaxed)
+            && !self.unready.load(Ordering::Relaxed)
     }
 
     /// Admits nothing any more.
--- a/crates/gateway/tests/gateway/support/fake_controller.rs
+++ b/crates/gateway/tests/gateway/support/fake_controller.rs
@@ -186,7 +186,8 @@
         let fleet = told.tree.resolve();
         let accounts: Vec<_> = fleet.accounts.iter().collect();
         let mut epoch = answer.init_epoch();
-        epoch.set_epoch(1);
+        // The first look finds no epoch yet.
+        epoch.set_epoch(u64::from(params.get_have() > 0));
         let share = told.share.unwrap_or(SHARE_WHOLE);
         let mut grants = epoch.init_grants(accounts.len() as u32);
         for (i, account) in (0..).zip(accounts) {
--- a/crates/telemetry/src/log/output.rs
+++ b/crates/telemetry/src/log/output.rs
@@ -4,6 +4,9 @@
     std::io::Write,
 };
 
+/// The target of the lines that [`super::Line`] writes.
+const OWN_TARGET: &str = "jasmine_telemetry";
+
 /// Where log lines go.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LogOutput {
@@ -31,7 +34,8 @@
     level: &str,
     output: LogOutput,
 ) -> Result<LoggerHandle, LogError> {
-    let spec = LogSpecification::parse(level)?;
+    // Libraries tell of their ordinary work too; only what they warn of is wanted.
+    let spec = LogSpecification::parse(format!("warn, {OWN_TARGET}={level}"))?;
     let logger = Logger::with(spec).format(format_line);
     let logger = match output {
         LogOutput::Stderr => logger.log_to_stderr(),
