Rights: a grant is added once even if its account was forgotten in between

A removed account lost its mark, so the same epoch's grant would have been added again when the poll repeated it. Found by reading. Givers keep 64 answers for each asker instead of 16: with 500 accounts a repeated request would often have found its answer gone.

--- a/crates/core/src/rights/account_rights.rs
+++ b/crates/core/src/rights/account_rights.rs
@@ -32,8 +32,6 @@
     pub promises: Promises,
     /// Whom to ask for more.
     pub peers: PeerHints,
-    /// Whether this epoch's grant has been added.
-    pub granted: bool,
 }
 
 impl AccountRights {
--- a/crates/core/src/rights/ledger.rs
+++ b/crates/core/src/rights/ledger.rs
@@ -10,7 +10,7 @@
         error::{ErrorKind, Refusal},
         ids::{AccountId, Epoch, Holder, TransferId},
     },
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, BTreeSet},
 };
 
 /// What one holder has of the rights to all accounts.
@@ -25,6 +25,8 @@
     epoch: Option<Epoch>,
     /// What was held on entering the epoch.
     entered_with: Vec<Right>,
+    /// Accounts whose grant of this epoch has been added.
+    granted: BTreeSet<AccountId>,
     closed: bool,
     accounts: BTreeMap<AccountId, AccountRights>,
     peers: Vec<Holder>,
@@ -43,6 +45,7 @@
             settings,
             epoch: None,
             entered_with: Vec::new(),
+            granted: BTreeSet::new(),
             closed: false,
             accounts: BTreeMap::new(),
             peers: Vec::new(),
@@ -128,9 +131,7 @@
         }
     }
 
-    /// Refuses a request and promises when it will be served.
-    ///
-    /// What is promised is kept back for the caller until a while after that time.
+    /// Refuses a request, promises when it will be served and keeps tokens back for that time.
     pub fn refuse_after_ask(
         &mut self,
         account: AccountId,
@@ -319,10 +320,10 @@
         self.epoch = Some(epoch);
         self.pending.clear();
         self.given.clear();
+        self.granted.clear();
         for rights in self.accounts.values_mut() {
             rights.advance(&self.settings, now);
             rights.peers.clear();
-            rights.granted = false;
         }
         self.entered_with = self.held();
         Some(&self.entered_with)
@@ -339,9 +340,8 @@
             return;
         }
         for grant in grants {
-            let rights = self.accounts.entry(grant.account).or_default();
-            if !rights.granted {
-                rights.granted = true;
+            if self.granted.insert(grant.account) {
+                let rights = self.accounts.entry(grant.account).or_default();
                 rights.bucket.refill(now);
                 rights.bucket.add(grant);
             }
--- a/crates/core/src/rights/transfer_log.rs
+++ b/crates/core/src/rights/transfer_log.rs
@@ -5,7 +5,7 @@
 };
 
 /// Answers kept for each asker, so that a repeated request gets the same one.
-const KEPT: usize = 16;
+const KEPT: usize = 64;
 
 /// What has been given in this epoch.
 ///
