--- a/crates/controller/src/follow/fleet_follower.rs
+++ b/crates/controller/src/follow/fleet_follower.rs
@@ -5,6 +5,7 @@
     jasmine_platform::store::{Range, StoreError},
     jasmine_telemetry::log::Line,
     jasmine_wire::link::Backoff,
+    rand::seq::IndexedRandom,
     std::{cell::Cell, net::SocketAddr, rc::Rc},
     tokio::time::sleep,
 };
@@ -12,6 +13,9 @@
 /// How long a watcher may hold a question back.
 const ASK_WAIT: Millis = Millis(3_000);
 
+/// Controllers asked one after the other while the store can't be reached.
+const ASKED: usize = 3;
+
 /// The first and the longest pause after failures.
 const PAUSES: (Millis, Millis) = (Millis(250), Millis(5_000));
 
@@ -59,6 +63,7 @@
                 Err(e) => {
                     Line::new("fleet_not_followed").with("error", e).warn();
                     self.synced.set(false);
+                    self.ask_who_reaches().await;
                     sleep(backoff.next_pause().to_std()).await;
                 }
             }
@@ -112,6 +117,29 @@
         }
     }
 
+    /// Asks another controller that reaches the store while this one doesn't.
+    ///
+    /// A VM that alone is cut off from the store would otherwise go on with owners and members that
+    /// the others have replaced. One that is cut off as well has nothing newer to tell.
+    async fn ask_who_reaches(&self) {
+        let asked: Vec<VmId> = {
+            let fleet = self.shared.fleet.borrow();
+            let others = fleet.members.keys().copied();
+            let others: Vec<_> = others.filter(|&vm| vm != self.shared.me.vm).collect();
+            others
+                .choose_multiple(&mut rand::rng(), ASKED)
+                .copied()
+                .collect()
+        };
+        for vm in asked {
+            let status = self.shared.links.status(vm).await;
+            let reaches = status.is_ok_and(|status| status.store_up);
+            if reaches && self.ask(vm, (None, 0)).await.is_some() {
+                return;
+            }
+        }
+    }
+
     async fn ask(
         &self,
         vm: VmId,
