--- a/crates/controller/src/follow/config_follower.rs
+++ b/crates/controller/src/follow/config_follower.rs
@@ -48,7 +48,7 @@
     pub async fn run(&self) {
         let mut backoff = Backoff::new(CONFIRM_EVERY, MOST_PAUSE);
         loop {
-            let duty = self.duty();
+            let duty = self.shared.duty();
             let is_watcher = duty.is_watcher(self.shared.me.vm);
             if !is_watcher && self.ask_watchers(&duty).await {
                 backoff.reset();
@@ -70,14 +70,18 @@
     pub async fn watch(&self) {
         let mut backoff = Backoff::new(CONFIRM_EVERY, MOST_PAUSE);
         loop {
-            if !self.shared.config.is_loaded() || !self.duty().is_watcher(self.shared.me.vm) {
+            if !self.shared.config.is_loaded() || !self.shared.duty().is_watcher(self.shared.me.vm)
+            {
                 sleep(CONFIRM_EVERY.to_std()).await;
                 continue;
             }
             let range = Range::between(edit_key(self.shared.config.revision().next()), edits_end());
             // What came between the last read and now is brought by the next read.
             let mut watch = StoreWatch::from_now(Rc::clone(&self.shared.store), range);
-            let ended = watch.run_once(|event| self.take(event)).await;
+            let ended = tokio::select! {
+                ended = watch.run_once(|event| self.take(event)) => ended,
+                () = self.shared.off_duty() => continue,
+            };
             match ended {
                 Ok(WatchEnd::Over | WatchEnd::Compacted) => backoff.reset(),
                 Err(e) => {
@@ -98,13 +102,6 @@
         }
     }
 
-    fn duty(&self) -> Duty {
-        Duty::among(
-            &self.shared.data_centre,
-            self.shared.fleet.borrow().members.values(),
-        )
-    }
-
     async fn pull(&self) -> bool {
         match self.reader.pull().await {
             Ok(()) => true,
--- a/crates/controller/src/follow/fleet_follower.rs
+++ b/crates/controller/src/follow/fleet_follower.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Duty, StoreWatch, WatchEnd},
+    super::{StoreWatch, WatchEnd},
     crate::{clock::Signal, shared::SharedParts, store_keys},
     jasmine_core::{clock::Millis, ids::VmId, membership::EPOCH_KEY},
     jasmine_platform::store::{Range, StoreError},
@@ -54,7 +54,7 @@
     pub async fn run(&self) {
         let mut backoff = Backoff::new(PAUSES.0, PAUSES.1);
         loop {
-            if self.read.get() && !self.duty().is_watcher(self.shared.me.vm) {
+            if self.read.get() && !self.shared.duty().is_watcher(self.shared.me.vm) {
                 self.synced.set(false);
                 self.relay().await;
             }
@@ -83,13 +83,15 @@
             reply.revision,
         );
         loop {
-            let ended = watch
-                .run_once(|event| {
-                    self.shared.fleet.borrow_mut().apply(event);
-                    self.links_follow();
-                })
-                .await?;
-            if ended == WatchEnd::Compacted || !self.duty().is_watcher(self.shared.me.vm) {
+            let follow = watch.run_once(|event| {
+                self.shared.fleet.borrow_mut().apply(event);
+                self.links_follow();
+            });
+            let ended = tokio::select! {
+                ended = follow => ended?,
+                () = self.shared.off_duty() => return Ok(()),
+            };
+            if ended == WatchEnd::Compacted {
                 return Ok(());
             }
         }
@@ -99,7 +101,7 @@
     async fn relay(&self) {
         let mut have = (None, 0);
         loop {
-            let duty = self.duty();
+            let duty = self.shared.duty();
             if duty.is_watcher(self.shared.me.vm) {
                 return;
             }
@@ -199,13 +201,6 @@
             .set_members(self.shared.fleet.borrow().members.values());
     }
 
-    fn duty(&self) -> Duty {
-        Duty::among(
-            &self.shared.data_centre,
-            self.shared.fleet.borrow().members.values(),
-        )
-    }
-
     /// Raised with each change of the fleet.
     pub const fn changed(&self) -> &Signal {
         &self.changed
--- a/crates/controller/src/shared/parts.rs
+++ b/crates/controller/src/shared/parts.rs
@@ -1,10 +1,16 @@
 use {
-    crate::{clock::OwnClock, config::ConfigKeeper, fleet::FleetMirror, peers::PeerLinks},
+    crate::{
+        clock::OwnClock, config::ConfigKeeper, fleet::FleetMirror, follow::Duty, peers::PeerLinks,
+    },
     jasmine_core::ids::Holder,
     jasmine_platform::{etcd::Reach, store::Store},
-    std::{cell::RefCell, rc::Rc},
+    std::{cell::RefCell, rc::Rc, time::Duration},
+    tokio::time::sleep,
 };
 
+/// How often a watcher looks whether it is still one.
+const DUTY_CHECK: Duration = Duration::from_secs(1);
+
 /// Handles to what nearly every part of the controller needs.
 #[derive(Clone)]
 pub struct SharedParts {
@@ -26,6 +32,26 @@
     pub links: Rc<PeerLinks>,
 }
 
+impl SharedParts {
+    /// Who watches the store in this data centre, as far as is known here.
+    pub fn duty(&self) -> Duty {
+        Duty::among(&self.data_centre, self.fleet.borrow().members.values())
+    }
+
+    /// Ends once this VM need not watch, and not just for a moment.
+    pub async fn off_duty(&self) {
+        loop {
+            sleep(DUTY_CHECK).await;
+            if !self.duty().is_watcher(self.me.vm) {
+                sleep(DUTY_CHECK).await;
+                if !self.duty().is_watcher(self.me.vm) {
+                    return;
+                }
+            }
+        }
+    }
+}
+
 impl std::fmt::Debug for SharedParts {
     fn fmt(
         &self,
--- a/crates/controller/src/status/store_metrics.rs
+++ b/crates/controller/src/status/store_metrics.rs
@@ -18,6 +18,12 @@
             }
         })
         .build();
+    let watches = counts.clone();
+    meter
+        .u64_observable_gauge("jasmine_store_watches")
+        .with_description("Watches of the key-value service that wait now")
+        .with_callback(move |observer| observer.observe(watches.watches(), &[]))
+        .build();
     let failed = counts.clone();
     meter
         .u64_observable_counter("jasmine_store_failures")
--- a/crates/controller/tests/support/mod.rs
+++ b/crates/controller/tests/support/mod.rs
@@ -225,6 +225,22 @@
             .unwrap()
     }
 
+    /// A figure of a VM's metrics page, all its rows summed.
+    pub async fn metric(
+        &self,
+        vm: u32,
+        name: &str,
+    ) -> f64 {
+        let to = self.at(vm).daemon.port("status");
+        let url = format!("http://{to}/metrics");
+        let mut res = awc::Client::default().get(url).send().await.unwrap();
+        let page = res.body().await.unwrap();
+        let page = String::from_utf8_lossy(&page);
+        let rows = page.lines().filter(|line| line.starts_with(name));
+        rows.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+            .sum()
+    }
+
     /// Engines owned at each VM, as a controller tells it.
     pub async fn owned(
         &self,
--- a/crates/platform/src/etcd/etcd_store.rs
+++ b/crates/platform/src/etcd/etcd_store.rs
@@ -2,6 +2,7 @@
     super::{
         CallCounts, CallKind, EtcdOptions, JsonLines, Reach,
         call_budget::CallBudget,
+        call_counts::OpenWatch,
         json::{
             LeaseAnswer, RangeAnswer, StreamAnswer, TxnAnswer, decode_range, decode_txn,
             decode_watch, encode_range, encode_txn, encode_watch, parse,
@@ -183,7 +184,7 @@
             self.after_failure(e);
         })?;
         match opened.status().as_u16() {
-            200 => Ok(lines(opened)),
+            200 => Ok(lines(opened, self.counts.open_watch())),
             status => Err(StoreError::Refused {
                 status,
                 message: "watch".into(),
@@ -288,15 +289,18 @@
         .finish()
 }
 
-fn lines<S>(res: awc::ClientResponse<S>) -> WatchStream
+fn lines<S>(
+    res: awc::ClientResponse<S>,
+    open: OpenWatch,
+) -> WatchStream
 where
     S: futures::Stream<Item = Result<Bytes, PayloadError>> + Unpin + 'static,
 {
-    let state = (res, JsonLines::new(MAX_WATCH_LINE));
-    stream::try_unfold(state, |(mut res, mut buf)| async move {
+    let state = (res, JsonLines::new(MAX_WATCH_LINE), open);
+    stream::try_unfold(state, |(mut res, mut buf, open)| async move {
         loop {
             if let Some(line) = buf.next_line() {
-                return Ok(Some((decode_watch(&line)?, (res, buf))));
+                return Ok(Some((decode_watch(&line)?, (res, buf, open))));
             }
             match res.next().await {
                 None => return Ok(None),
