--- a/crates/testkit/src/bin/jasmine-load.rs
+++ b/crates/testkit/src/bin/jasmine-load.rs
@@ -62,7 +62,7 @@
     let samples = drive(&cluster, load, run, number("seed").into()).await;
     let accounts = cluster.spec().accounts.iter().enumerate();
     let mut report = Report {
-        load: load.to_string(),
+        load: load.name().to_owned(),
         seconds: run.as_secs(),
         accounts: accounts
             .map(|(place, spec)| AccountReport::new(place, spec, &samples))
--- a/crates/testkit/src/service/plain_service.rs
+++ b/crates/testkit/src/service/plain_service.rs
@@ -111,7 +111,10 @@
         inner.faults.lose_replies -= u32::from(lost);
         (inner.faults.delay_ms, lost)
     };
-    time::sleep(Duration::from_millis(delay)).await;
+    if delay > 0 {
+        // Even a sleep of nought would cost the timer's millisecond.
+        time::sleep(Duration::from_millis(delay)).await;
+    }
     if lost {
         lost_reply()
     } else {
