Gateway: answers cut by a stop say so; claims of calls that didn't run are given back

A stream that outlasted the planned stop ended with its connection; a caller of a lenient client could take what it had for whole.

Controller: finishClaim with an empty answer deletes the claim (additive; a line in the schema's comment). Weighed: repeating a give-back whose reply was lost would delete the claim of the caller's next attempt and let a third run beside it, so neither controller nor gateway repeats it; a claim left so answers claim_running. Test given_back on two VMs.

--- a/crates/controller/src/claims/claim_desk.rs
+++ b/crates/controller/src/claims/claim_desk.rs
@@ -111,7 +111,8 @@
         }
     }
 
-    /// Keeps the answer of a call for its repeats; false where that could not be done.
+    /// Keeps the answer of a call for its repeats, or takes the claim of a call that certainly didn't run
+    /// back when the answer is empty; false where that could not be done.
     pub async fn finish(
         &self,
         key: &[u8],
@@ -123,6 +124,9 @@
         }
         match self.try_finish(key, fingerprint, answer).await {
             Ok(stored) => stored,
+            // Taken back again, it could be the claim of the caller's next attempt that goes, and a
+            // call that is running would be run once more.
+            Err(_) if answer.is_empty() => false,
             // Writing the same answer again does no harm.
             Err(_) => self
                 .try_finish(key, fingerprint, answer)
@@ -153,10 +157,14 @@
             state: ClaimState::Done,
             ..record
         };
-        let put = Op::Put {
-            key: key.clone(),
-            value: done.encode(answer),
-            lease: (kv.lease > 0).then_some(LeaseId(kv.lease)),
+        let put = if answer.is_empty() {
+            Op::Delete(Range::key(&key))
+        } else {
+            Op::Put {
+                key: key.clone(),
+                value: done.encode(answer),
+                lease: (kv.lease > 0).then_some(LeaseId(kv.lease)),
+            }
         };
         let reply = self
             .store
--- a/crates/controller/tests/idempotency_claims.rs
+++ b/crates/controller/tests/idempotency_claims.rs
@@ -45,6 +45,22 @@
     assert_eq!(claim(&to, b"key", b"print").await.0, ClaimOutcome::Running);
 }
 
+/// No server could be reached, so the call did not run and its caller was told so. When the caller comes
+/// again with the same key it would be told that a call is running, for as long as claims are kept.
+#[actix_web::test]
+async fn given_back() {
+    let fleet = Fleet::start(2).await;
+    let (one, two) = (fleet.link(1), fleet.link(2));
+    assert_eq!(claim(&one, b"key", b"print").await.0, ClaimOutcome::Fresh);
+    assert!(!finish_claim(&one, b"key", b"other", b"").await);
+    assert!(finish_claim(&one, b"key", b"print", b"").await);
+    assert_eq!(claim(&two, b"key", b"print").await.0, ClaimOutcome::Fresh);
+    assert!(finish_claim(&two, b"key", b"print", b"enrolled").await);
+    assert!(finish_claim(&two, b"key", b"print", b"").await);
+    let done = (ClaimOutcome::Done, b"enrolled".to_vec());
+    assert_eq!(claim(&one, b"key", b"print").await, done);
+}
+
 /// The store is out, so nothing can be recorded. The call is refused before it begins, and the same
 /// key is good once the store is back.
 #[actix_web::test]
--- a/crates/core/src/forward/event.rs
+++ b/crates/core/src/forward/event.rs
@@ -81,6 +81,8 @@
     CallerGone,
     /// Operators have withdrawn the key that the request came with.
     KeyWithdrawn,
+    /// The daemon stops now and can't finish what it has.
+    Stopping,
     /// Time has passed.
     Timer,
 }
--- a/crates/core/src/forward/machine.rs
+++ b/crates/core/src/forward/machine.rs
@@ -138,6 +138,7 @@
             }
             Event::CallerGone => self.stop(),
             Event::KeyWithdrawn => self.withdrawn(),
+            Event::Stopping => self.stopping(),
             Event::Timer => self.timer(now),
             // Late words of an earlier attempt.
             _ => Vec::new(),
@@ -431,6 +432,14 @@
         }
     }
 
+    fn stopping(&mut self) -> Vec<Action> {
+        if self.has_begun() {
+            self.fail(ErrorKind::AnswerCut)
+        } else {
+            self.fail(ErrorKind::ShuttingDown)
+        }
+    }
+
     fn timer(
         &mut self,
         now: Millis,
--- a/crates/core/tests/forward/world.rs
+++ b/crates/core/tests/forward/world.rs
@@ -52,6 +52,8 @@
     Gone(u8),
     /// The key is withdrawn, seldom.
     Withdraw(u8),
+    /// The daemon stops, seldom.
+    Stop(u8),
 }
 
 /// One run of the request at an engine; each makes other tokens.
@@ -159,6 +161,10 @@
                 self.tell(Event::KeyWithdrawn, None);
                 assert!(self.machine.is_done(), "work goes on with a withdrawn key");
             }
+            Op::Stop(n) if n < SELDOM / 4 => {
+                self.tell(Event::Stopping, None);
+                assert!(self.machine.is_done(), "work goes on after the end");
+            }
             _ => {}
         }
     }
--- a/crates/gateway/src/brain/core.rs
+++ b/crates/gateway/src/brain/core.rs
@@ -6,7 +6,7 @@
         ids::{Holder, VmId},
         ownership::AcquireOutcome,
     },
-    jasmine_wire::{convert::write_peer, jasmine_capnp::ClaimOutcome, link::LinkError},
+    jasmine_wire::{convert::write_peer, jasmine_capnp::ClaimOutcome},
     std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc},
     tokio::task::spawn_local,
 };
@@ -160,7 +160,7 @@
                 .await;
             match answer {
                 Ok(answer) => return answer,
-                Err(e) if is_not_begun(&e) => {}
+                Err(e) if e.is_not_begun() => {}
                 // The claim may have been written. Asking another controller would find it and say
                 // that a call is running; nothing was begun, so that would be wrong too.
                 Err(_) => return ClaimAnswer::Unavailable,
@@ -176,6 +176,7 @@
         answer: Option<Arc<[u8]>>,
     ) -> bool {
         let answer = answer.unwrap_or_default();
+        let gives_back = answer.is_empty();
         for (_, address) in self.controllers() {
             let (me, claim, answer) = (self.me, claim.clone(), Arc::clone(&answer));
             let stored = self
@@ -191,8 +192,13 @@
                     Ok(res.get()?.get_stored())
                 })
                 .await;
-            if stored == Ok(true) {
-                return true;
+            match stored {
+                Ok(true) => return true,
+                Err(e) if e.is_not_begun() => {}
+                // Writing the same answer again does no harm; giving back again could take away the
+                // claim of the caller's next attempt.
+                _ if gives_back => return false,
+                _ => {}
             }
         }
         false
@@ -201,7 +207,3 @@
 
 /// How long the store may take to record a claim.
 const CLAIM_WAIT: Millis = Millis(3_000);
-
-const fn is_not_begun(e: &LinkError) -> bool {
-    e.is_not_begun()
-}
--- a/crates/gateway/src/daemon/stop.rs
+++ b/crates/gateway/src/daemon/stop.rs
@@ -19,8 +19,10 @@
 
 /// How often it is looked whether all requests have ended.
 const LOOK_EVERY: Millis = Millis(20);
+/// How long callers may take to read that their answer is cut.
+const CUT_LIMIT: Millis = Millis(200);
 /// How long giving the rights back may take.
-const LEAVE_LIMIT: Millis = Millis(1_000);
+const LEAVE_LIMIT: Millis = Millis(800);
 
 /// Waits for SIGTERM or SIGINT and stops everything in order.
 ///
@@ -52,12 +54,17 @@
         .info();
     sleep(stop.grace_ms.to_std()).await;
     readiness.stop_admitting();
-    let last = (LEAVE_LIMIT + CLOSE_LIMIT).min(Millis(stop.deadline_ms.0 / 2));
+    let last = (CUT_LIMIT + LEAVE_LIMIT + CLOSE_LIMIT).min(Millis(stop.deadline_ms.0 / 2));
     let streams_until = began + (stop.deadline_ms - last).to_std();
     while readiness.in_flight() > 0 && Instant::now() < streams_until {
         sleep(LOOK_EVERY.to_std()).await;
     }
     let left = readiness.in_flight();
+    readiness.cut_off();
+    let told_until = Instant::now() + CUT_LIMIT.min(last).to_std();
+    while readiness.in_flight() > 0 && Instant::now() < told_until {
+        sleep(LOOK_EVERY.to_std()).await;
+    }
     let gave_back = timeout(LEAVE_LIMIT.min(last).to_std(), brain.send(Leave)).await;
     Line::new("stopped")
         .with("cut", left)
--- a/crates/gateway/src/forward/driver.rs
+++ b/crates/gateway/src/forward/driver.rs
@@ -9,6 +9,7 @@
         clock::Clock,
         request::{CallerKey, Problem, RequestName},
         sse::{Assembly, Chunk, Usage},
+        status::Readiness,
         upstream::{Connections, SendFailure, Sent},
     },
     actix_web::http::{
@@ -30,7 +31,7 @@
         log::Line,
         metrics::{Labels, Refusals, RequestMetrics},
     },
-    std::{collections::VecDeque, pin::Pin, rc::Rc, time::Duration},
+    std::{collections::VecDeque, pin::Pin, rc::Rc, sync::Arc, time::Duration},
     tokio::{sync::oneshot, time::Instant},
 };
 
@@ -62,6 +63,8 @@
     pub asked: String,
     /// When it arrived.
     pub arrived: Instant,
+    /// Tells when the daemon stops.
+    pub readiness: Arc<Readiness>,
     /// Where figures go.
     pub metrics: RequestMetrics,
     /// Where refusals are counted.
@@ -178,8 +181,14 @@
 
     /// Runs until the caller has its answer or has gone.
     pub async fn run(mut self) -> Ending {
+        let readiness = Arc::clone(&self.cx.readiness);
+        let mut cut_off = std::pin::pin!(readiness.until_cut_off());
         while !self.machine.is_done() {
-            let happened = self.next().await;
+            let happened = tokio::select! {
+                biased;
+                () = &mut cut_off => Happened::Known(Event::Stopping),
+                happened = self.next() => happened,
+            };
             let event = self.note(happened);
             let is_timer = event == Event::Timer;
             let mut actions = VecDeque::from(self.machine.handle(event, self.cx.clock.now()));
--- a/crates/gateway/src/http/completions.rs
+++ b/crates/gateway/src/http/completions.rs
@@ -132,6 +132,7 @@
         priority: class,
         asked,
         arrived: arrival.arrived,
+        readiness: Arc::clone(&shared.readiness),
         metrics: shared.requests.clone(),
         refusals: shared.refusals.clone(),
         labels,
--- a/crates/gateway/src/status/readiness.rs
+++ b/crates/gateway/src/status/readiness.rs
@@ -1,4 +1,7 @@
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use {
+    std::sync::atomic::{AtomicBool, AtomicU64, Ordering},
+    tokio::sync::Notify,
+};
 
 /// What all threads need to know of the daemon's state.
 #[derive(Debug, Default)]
@@ -8,6 +11,8 @@
     unready: AtomicBool,
     stopping: AtomicBool,
     in_flight: AtomicU64,
+    cut_off: AtomicBool,
+    cut: Notify,
 }
 
 impl Readiness {
@@ -59,6 +64,20 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
+    /// Ends what still runs.
+    pub fn cut_off(&self) {
+        self.cut_off.store(true, Ordering::SeqCst);
+        self.cut.notify_waiters();
+    }
+
+    /// Waits until what still runs is to be ended.
+    pub async fn until_cut_off(&self) {
+        let cut = self.cut.notified();
+        if !self.cut_off.load(Ordering::SeqCst) {
+            cut.await;
+        }
+    }
+
     /// Counts one more request, unless there are `limit` already.
     pub fn enter(
         &self,
--- a/crates/gateway/tests/gateway/planned_stop.rs
+++ b/crates/gateway/tests/gateway/planned_stop.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::support::{self, Bench, BenchSpec},
+    jasmine_testkit::client::EndOfStream,
     nix::sys::signal::Signal,
     std::time::{Duration, Instant},
 };
@@ -60,7 +61,8 @@
         began
     };
     let (answer, began) = futures::future::join(call.send(), stop).await;
-    assert!(answer.is_ok_and(|answer| !answer.is_whole()));
+    let end = answer.expect("an answer").end;
+    assert_eq!(end, EndOfStream::Error("answer_cut".to_owned()));
     assert!(ended(&mut bench).await);
     assert!(
         began.elapsed() < Duration::from_millis(1_700),
--- a/crates/wire/schema/jasmine.capnp
+++ b/crates/wire/schema/jasmine.capnp
@@ -97,6 +97,7 @@
 
   claim @6 (from :Peer, key :Data, fingerprint :Data) -> (outcome :ClaimOutcome, answer :Data);
   finishClaim @7 (from :Peer, key :Data, fingerprint :Data, answer :Data) -> (stored :Bool);
+  # An empty answer gives the claim back: the call has certainly not run.
 
   status @8 () -> (revision :UInt64, epoch :UInt64, gatewayRevision :UInt64, storeUp :Bool, owned :UInt32, leaving :Bool);
 
