--- a/crates/conf/examples/tree_cost.rs
+++ b/crates/conf/examples/tree_cost.rs
@@ -29,6 +29,8 @@
 const ACCOUNTS: u32 = 40;
 /// Engines, as in the size to design for.
 const ENGINES: u32 = 2_400;
+/// Ops of a bulk edit, near the size that an edit may have.
+const BULK: usize = 5_000;
 /// How often a single edit is timed.
 const ROUNDS: u32 = 200;
 
@@ -173,6 +175,7 @@
     );
     let adapters = fleet.adapters.iter().count() as u32;
     single_edits(&tree, fleet, adapters);
+    racing_bulk_edits(&tree, adapters);
     stored(&tree, adapters);
 }
 
@@ -211,6 +214,40 @@
     assert_eq!(fleet, tree.resolve());
 }
 
+/// Two operators with a bulk edit each, based on one revision.
+fn racing_bulk_edits(
+    tree: &Tree,
+    adapters: u32,
+) {
+    let ops = |from: u32| -> Vec<EditOp> {
+        let numbers = (from..).step_by(2).take_while(|n| *n < adapters).take(BULK);
+        let path = |n: u32| format!("/adapters/team-{}/adapter-{n:05}", n / GROUP);
+        numbers
+            .map(|n| set(&path(n), Setting::Live, Value::Number(1)))
+            .collect()
+    };
+    let first = edit(tree, ops(0));
+    let base = tree.revision();
+    let mut head = tree.clone();
+    head.apply(&first).expect("the next revision");
+    let mut log = EditLog::new(base);
+    log.push(Arc::new(first));
+    let late = Edit {
+        id: EditId::random(),
+        author: "ben".to_owned(),
+        base,
+        ops: ops(1),
+    };
+    let started = Instant::now();
+    head.propose(&late, &log, 0)
+        .expect("it touches nothing else");
+    println!(
+        "  bulk edit of {} ops racing another: check {:.1} ms",
+        late.ops.len(),
+        ms(started)
+    );
+}
+
 fn stored(
     tree: &Tree,
     adapters: u32,
--- a/crates/conf/src/tree/conflict.rs
+++ b/crates/conf/src/tree/conflict.rs
@@ -1,7 +1,8 @@
 use {
-    super::{Accepted, EditId, EditOp, NodeKind},
+    super::{Accepted, EditId, EditOp, NodeKind, Path},
     jasmine_core::ids::Revision,
     serde::{Deserialize, Serialize},
+    std::collections::BTreeMap,
 };
 
 /// One change by somebody else that stands against an op of an edit.
@@ -34,10 +35,14 @@
     where
         I: IntoIterator<Item = &'a Accepted>,
     {
+        let mine = OpsByPath::new(ops);
         let mut found = Vec::new();
         for accepted in since {
             for theirs in &accepted.edit.ops {
-                let same = ops.iter().filter(|mine| touch_the_same(mine, theirs));
+                let same = mine
+                    .near(theirs)
+                    .into_iter()
+                    .filter(|mine| touch_the_same(mine, theirs));
                 found.extend(same.map(|mine| Self::new(mine, theirs, accepted)));
             }
         }
@@ -59,6 +64,52 @@
     }
 }
 
+/// Ops by the node that they are about, so that two edits of thousands are not compared op by op.
+struct OpsByPath<'o>(BTreeMap<&'o Path, Vec<&'o EditOp>>);
+
+impl<'o> OpsByPath<'o> {
+    fn new(ops: &'o [EditOp]) -> Self {
+        let mut by_path: BTreeMap<_, Vec<_>> = BTreeMap::new();
+        for op in ops {
+            by_path.entry(op.path()).or_default().push(op);
+        }
+        Self(by_path)
+    }
+
+    /// The ops that could touch the same as `other`: at its path, above it, and below what it deletes
+    /// or numbers.
+    fn near(
+        &self,
+        other: &EditOp,
+    ) -> Vec<&'o EditOp> {
+        let top = match other {
+            EditOp::Delete { path } => Some(path.clone()),
+            EditOp::Create {
+                path,
+                kind: NodeKind::Version,
+                ..
+            } => path.parent(),
+            _ => None,
+        };
+        let above = std::iter::successors(Some(other.path().clone()), Path::parent);
+        let mut near: Vec<_> = above
+            .filter(|path| top.as_ref().is_none_or(|top| !path.is_within(top)))
+            .filter_map(|path| self.0.get(&path))
+            .flatten()
+            .copied()
+            .collect();
+        if let Some(top) = top {
+            let within = self.0.range::<&Path, _>(&top..).take_while(|(path, _)| {
+                // Names such as `a-b` stand between `a` and what is below it.
+                path.as_str().starts_with(top.as_str())
+            });
+            let within = within.filter(|(path, _)| path.is_within(&top));
+            near.extend(within.flat_map(|(_, ops)| ops).copied());
+        }
+        near
+    }
+}
+
 fn touch_the_same(
     a: &EditOp,
     b: &EditOp,
--- a/crates/conf/src/tree/tree_nodes.rs
+++ b/crates/conf/src/tree/tree_nodes.rs
@@ -112,19 +112,47 @@
     pub fn within(
         &self,
         path: &Path,
+    ) -> impl Iterator<Item = (&Path, &Node)> {
+        let top = self.nodes.get_key_value(path);
+        top.into_iter()
+            .chain(self.below(path, &Bound::Included(format!("{}/", path.prefix()))))
+    }
+
+    /// What [`Self::within`] gives after `after`, found without walking through what comes before.
+    pub fn within_after(
+        &self,
+        path: &Path,
+        after: &Path,
+    ) -> impl Iterator<Item = (&Path, &Node)> {
+        let from = format!("{}/", path.prefix());
+        let from = match after.as_str() {
+            after if after > from.as_str() => Bound::Excluded(after.to_owned()),
+            _ => Bound::Included(from),
+        };
+        self.below(path, &from)
+    }
+
+    /// The nodes below `path` from `from` on.
+    fn below(
+        &self,
+        path: &Path,
+        from: &Bound<String>,
     ) -> impl Iterator<Item = (&Path, &Node)> {
         // The character after the slash bounds what begins with the prefix and a slash.
-        let below = (
-            Bound::Included(format!("{}/", path.prefix())),
-            Bound::Excluded(format!("{}0", path.prefix())),
-        );
+        let end = format!("{}0", path.prefix());
+        let is_empty = match from {
+            Bound::Included(from) | Bound::Excluded(from) => *from >= end,
+            Bound::Unbounded => false,
+        };
+        let range = (!is_empty).then(|| {
+            let bounds = (as_str(from), Bound::Excluded(end.as_str()));
+            self.nodes.range::<_, str>(bounds)
+        });
         let root = path.parent().is_none();
-        let top = self.nodes.get_key_value(path);
-        top.into_iter().chain(
-            self.nodes
-                .range::<_, str>((as_str(&below.0), as_str(&below.1)))
-                .filter(move |(path, _)| !root || path.parent().is_some()),
-        )
+        range
+            .into_iter()
+            .flatten()
+            .filter(move |(path, _)| !root || path.parent().is_some())
     }
 
     /// The node of this name in its family.
--- a/crates/controller/src/operators/answers.rs
+++ b/crates/controller/src/operators/answers.rs
@@ -45,10 +45,12 @@
     }
     let limit = query.limit.unwrap_or(DEFAULT_PAGE).clamp(1, MAX_PAGE);
     let most = query.depth.map(|depth| levels(&top).saturating_add(depth));
-    let mut rows = tree
-        .within(&top)
+    let all: Box<dyn Iterator<Item = _>> = match &query.after {
+        Some(after) => Box::new(tree.within_after(&top, after)),
+        None => Box::new(tree.within(&top)),
+    };
+    let mut rows = all
         .filter(|(path, _)| most.is_none_or(|most| levels(path) <= most))
-        .skip_while(|(path, _)| query.after.as_ref().is_some_and(|after| *path <= after))
         .map(|(path, node)| NodeRow {
             path: path.clone(),
             node: node.clone(),
--- a/crates/ctl/src/output/print.rs
+++ b/crates/ctl/src/output/print.rs
@@ -1,10 +1,13 @@
 use {
     crate::CtlError,
-    comfy_table::{ContentArrangement, Table, presets::UTF8_HORIZONTAL_ONLY},
+    comfy_table::{ContentArrangement, Table},
     serde::Serialize,
     std::io::{Write, stdout},
 };
 
+/// Nothing but a line below the header, so that a row is a line to search and cut.
+const LINE_BELOW_HEADER: &str = "    ────           ";
+
 /// Prints a value as JSON.
 pub fn json<T>(value: &T) -> Result<(), CtlError>
 where
@@ -30,7 +33,7 @@
 {
     let mut table = Table::new();
     table
-        .load_preset(UTF8_HORIZONTAL_ONLY)
+        .load_preset(LINE_BELOW_HEADER)
         .set_content_arrangement(ContentArrangement::Dynamic)
         .set_header(header)
         .add_rows(rows);
