--- a/crates/conf/src/tree/tree_nodes.rs
+++ b/crates/conf/src/tree/tree_nodes.rs
@@ -133,11 +133,11 @@
     }
 
     /// The nodes below `path` from `from` on.
-    fn below(
-        &self,
+    fn below<'t>(
+        &'t self,
         path: &Path,
         from: &Bound<String>,
-    ) -> impl Iterator<Item = (&Path, &Node)> {
+    ) -> impl Iterator<Item = (&'t Path, &'t Node)> + use<'t> {
         // The character after the slash bounds what begins with the prefix and a slash.
         let end = format!("{}0", path.prefix());
         let is_empty = match from {
