--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -6,9 +6,13 @@
     reason = "each test binary uses its own part of this"
 )]
 
+mod checks;
+mod configuration;
 mod daemon;
 mod event;
 mod fleet;
+mod lifecycle;
+mod links;
 mod reference;
 mod script;
 mod store;
