--- a/crates/gateway/src/status/readiness.rs
+++ b/crates/gateway/src/status/readiness.rs
@@ -1,12 +1,18 @@
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use {
+    std::sync::atomic::{AtomicBool, AtomicU64, Ordering},
+    tokio::sync::Notify,
+};
 
 /// What all threads need to know of the daemon's state.
 #[derive(Debug, Default)]
 pub struct Readiness {
     confirmed: AtomicBool,
+    settled: AtomicBool,
     unready: AtomicBool,
     stopping: AtomicBool,
     in_flight: AtomicU64,
+    cut_off: AtomicBool,
+    cut: Notify,
 }
 
 impl Readiness {
@@ -23,14 +29,29 @@
         self.confirmed.load(Ordering::Relaxed)
     }
 
+    /// Sets whether rights can be got at.
+    pub fn set_settled(
+        &self,
+        settled: bool,
+    ) {
+        self.settled.store(settled, Ordering::Relaxed);
+    }
+
     /// Tells balancers to send nothing more.
     pub fn leave_balancers(&self) {
         self.unready.store(true, Ordering::Relaxed);
     }
 
+    /// Whether this daemon is about to stop.
+    pub fn is_leaving(&self) -> bool {
+        self.unready.load(Ordering::Relaxed)
+    }
+
     /// Whether balancers may send requests.
     pub fn is_ready(&self) -> bool {
-        self.is_confirmed() && !self.unready.load(Ordering::Relaxed)
+        self.is_confirmed()
+            && self.settled.load(Ordering::Relaxed)
+            && !self.unready.load(Ordering::Relaxed)
     }
 
     /// Admits nothing any more.
@@ -43,6 +64,20 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
+    /// Ends what still runs.
+    pub fn cut_off(&self) {
+        self.cut_off.store(true, Ordering::SeqCst);
+        self.cut.notify_waiters();
+    }
+
+    /// Waits until what still runs is to be ended.
+    pub async fn until_cut_off(&self) {
+        let cut = self.cut.notified();
+        if !self.cut_off.load(Ordering::SeqCst) {
+            cut.await;
+        }
+    }
+
     /// Counts one more request, unless there are `limit` already.
     pub fn enter(
         &self,
