--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -15,7 +15,12 @@
 //! - its VM has no live lease and has been gone from the platform's list for longer than its lag.
 //!
 //! Silence alone proves nothing: a frozen VM that is still listed keeps its share, and until it
-//! reports or is gone nothing can be reissued.
+//! reports or is gone nothing can be reissued. Taking a lapsed lease for a proof would bring rights
+//! back sooner; tried, 302 of 2,000 generated orders of the tests failed, the first with a third more
+//! than the whole in force.
+//!
+//! An account that nobody has ever held needs no reports: its whole, with a full burst, is granted by
+//! the record that opens the epoch, also while a frozen VM keeps that epoch from being finalised.
 
 mod epoch_action;
 mod epoch_machine;
--- a/crates/core/src/queue/mod.rs
+++ b/crates/core/src/queue/mod.rs
@@ -10,6 +10,11 @@
 //!
 //! Nothing waits in vain: lines have a hard bound, and a request that by the observed rate of
 //! service can't be served before its deadline is refused when it comes.
+//!
+//! Other ways that were weighed: one line in order of arrival lets an account that sends much delay all
+//! others; deficit round robin serves by weight too, but an account with large requests waits several
+//! rounds, and a cost that is known only at the end can't be corrected in a later round without a
+//! counter; strict classes starve the low one.
 
 mod account_line;
 mod estimate;
