--- a/crates/conf/tests/generated_edits.rs
+++ b/crates/conf/tests/generated_edits.rs
@@ -17,7 +17,7 @@
 };
 
 /// Paths that generated ops are about: few, so that they meet.
-const PATHS: [&str; 23] = [
+const PATHS: [&str; 24] = [
     "/",
     "/accounts",
     "/accounts/g",
@@ -26,6 +26,7 @@
     "/accounts/b",
     "/accounts/b/k",
     "/accounts/g/a/k",
+    "/accounts/g-a",
     "/adapters",
     "/adapters/g",
     "/adapters/g/x",
@@ -191,6 +192,7 @@
         "/accounts/g",
         "/accounts/g/a",
         "/accounts/g/a/k",
+        "/accounts/g-a",
         "/accounts/b",
         "/adapters/x",
         "/adapters/x/1",
@@ -491,6 +493,31 @@
     });
 }
 
+#[test]
+fn pages_of_the_tree_leave_nothing_out() {
+    check!().with_type::<Vec<SmallEdit>>().for_each(|edits| {
+        let mut tree = furnished();
+        for small in edits {
+            let log = EditLog::new(tree.revision());
+            if let Ok(proposal) = tree.propose(&small.edit(tree.revision()), &log, 0) {
+                tree = proposal.tree;
+            }
+        }
+        let paths = || PATHS.map(|text| Path::parse(text).unwrap());
+        for top in paths() {
+            for after in paths() {
+                let whole = tree
+                    .within(&top)
+                    .filter(|(path, _)| **path > after && **path != top);
+                assert!(
+                    whole.eq(tree.within_after(&top, &after)),
+                    "{top} after {after}"
+                );
+            }
+        }
+    });
+}
+
 #[test]
 fn decoders_survive_any_bytes() {
     check!().for_each(|bytes: &[u8]| {
