Racing operators at three real controllers; operators' requests logged

Five rounds of one value set at three controllers at once: one accepted, the others exit 4 with what stands against them, and the value is the winner's everywhere. Five rounds of disjoint edits: all stand, one revision each, no number twice. A log line for each operators' request, without token or query.

--- a/crates/controller/src/operators/guard.rs
+++ b/crates/controller/src/operators/guard.rs
@@ -12,6 +12,7 @@
     },
     jasmine_conf::{hex, settings::OperatorsSettings},
     jasmine_core::error::ErrorKind,
+    jasmine_telemetry::log::Line,
 };
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
@@ -27,6 +28,7 @@
     B: MessageBody + 'static,
 {
     let name = request_name(&req);
+    let asked = format!("{} {}", req.method(), req.path());
     let mut response = match check_token(&req) {
         Ok(()) => next.call(req).await?.map_into_left_body(),
         Err(e) => req.into_response(e.response(&name)).map_into_right_body(),
@@ -41,6 +43,12 @@
             .into_response(e.response(&name))
             .map_into_right_body();
     }
+    // The path holds names of the tree; a token or a key is in no part of it.
+    Line::new("operator_request")
+        .with("request_id", &name)
+        .with("asked", asked)
+        .with("status", response.status().as_u16())
+        .info();
     if let Ok(value) = HeaderValue::from_str(&name) {
         response.headers_mut().insert(REQUEST_ID, value);
     }
--- a/crates/ctl/tests/real_fleet.rs
+++ b/crates/ctl/tests/real_fleet.rs
@@ -9,6 +9,7 @@
         harness::{Cluster, ClusterSpec, OPERATOR_TOKEN, Vm},
     },
     serde_json::json,
+    std::collections::BTreeSet,
 };
 
 /// How long an edit may take until it is in force everywhere, as the client is told to wait.
@@ -132,3 +133,93 @@
     assert_eq!(history["edits"].as_array().unwrap().len(), 1, "{history}");
     assert_eq!(history["edits"][0]["revision"], before + 1);
 }
+
+/// Runs one command line for each controller at the same moment.
+async fn at_once(
+    cluster: &Cluster,
+    line: impl Fn(u32) -> String,
+) -> Vec<ctl_runner::Ran> {
+    let runs = cluster.vms.iter().zip(1..).map(|(vm, number)| {
+        let ctl = Ctl::at(&[vm.operators()], OPERATOR_TOKEN);
+        let line = line(number);
+        async move { ctl.run(&line).await }
+    });
+    futures::future::join_all(runs).await
+}
+
+#[actix_web::test]
+async fn of_racing_operators_one_wins_and_the_others_are_told() {
+    // Operators at different controllers set one value, all having read the same revision. Were the
+    // last one to win, the others would believe in a value that is nowhere.
+    let (cluster, ctl) = fleet().await;
+    for round in 1..=5 {
+        let base = cluster.revision(1).await.unwrap();
+        ctl.ok(&format!("set /accounts/clinic weight={round} {WAIT}"))
+            .await;
+        let ran = at_once(&cluster, |vm| {
+            format!(
+                "set /accounts/courier rate={} --base {}",
+                round * 10 + vm,
+                base + 1
+            )
+        })
+        .await;
+        let codes: Vec<_> = ran.iter().map(|ran| ran.code).collect();
+        assert_eq!(
+            codes.iter().filter(|code| **code == 0).count(),
+            1,
+            "{ran:?}"
+        );
+        assert_eq!(
+            codes.iter().filter(|code| **code == 4).count(),
+            codes.len() - 1,
+            "{ran:?}"
+        );
+        let winner = codes.iter().position(|code| *code == 0).unwrap() as u32 + 1;
+        let told = ctl
+            .ok(&format!(
+                "set /accounts/clinic burst={} {WAIT}",
+                5000 + round
+            ))
+            .await;
+        assert!(told.out.contains("everywhere"), "{told:?}");
+        let value = ctl
+            .ok("explain /accounts/courier rate -o json")
+            .await
+            .json();
+        assert_eq!(value["value"], round * 10 + winner);
+        assert!(
+            ran.iter().any(|ran| ran.err.contains("stands against")),
+            "{ran:?}"
+        );
+    }
+}
+
+#[actix_web::test]
+async fn racing_edits_that_touch_different_things_all_stand() {
+    let (cluster, ctl) = fleet().await;
+    let base = cluster.revision(1).await.unwrap();
+    for round in 0..5 {
+        let ran = at_once(&cluster, |vm| {
+            format!("create /accounts/firm-{round}-{vm} account --base {base}")
+        })
+        .await;
+        assert!(ran.iter().all(|ran| ran.code == 0), "{ran:?}");
+    }
+    ctl.ok(&format!("set /accounts/clinic weight=9 {WAIT}"))
+        .await;
+    let history = ctl.ok("history / --limit 100 -o json").await.json();
+    let edits = history["edits"].as_array().unwrap();
+    let made = 5 * u64::from(cluster.spec().vms) + 1;
+    assert_eq!(edits[0]["revision"], base + made, "{history}");
+    let numbers: BTreeSet<_> = edits
+        .iter()
+        .take(made as usize)
+        .map(|edit| edit["numbers"].to_string())
+        .collect();
+    assert_eq!(
+        numbers.len() as u64,
+        made,
+        "a number was given out twice: {history}"
+    );
+}
