--- a/crates/core/src/forward/machine.rs
+++ b/crates/core/src/forward/machine.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         Attempt, Delivery, ForwardAction as Action, ForwardEvent as Event, ForwardPlan, Head, Part,
-        PartKind, Repeat, RouteCause, progress::Progress,
+        PartKind, Repeat, RouteCause, progress::Progress, state::State,
     },
     crate::{
         clock::Millis,
@@ -13,23 +13,6 @@
 /// The pause before a resumption that follows a failed one; doubled with each.
 const RESUME_PAUSE: Millis = Millis(100);
 
-/// Where a request stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum State {
-    /// Waits for an upstream to be chosen.
-    Routing,
-    /// Sent; waits for the head.
-    Sent,
-    /// Waits until a stream is resumed again.
-    Pausing { until: Millis },
-    /// A resumption was sent; waits for the head.
-    Resuming,
-    /// Parts arrive.
-    Answering,
-    /// Nothing more happens.
-    Done,
-}
-
 /// The forwarding of one request.
 #[derive(Clone, Debug)]
 pub struct ForwardMachine {
@@ -89,7 +72,7 @@
 
     /// Whether an upstream may have run the request.
     pub fn may_have_run(&self) -> bool {
-        self.may_have_run || self.is_out()
+        self.may_have_run || self.state.is_out()
     }
 
     /// When [`Event::Timer`] is wanted at the latest.
@@ -145,11 +128,6 @@
         }
     }
 
-    /// Whether bytes of the attempt under way may have left.
-    fn is_out(&self) -> bool {
-        !matches!(self.state, State::Routing | State::Done)
-    }
-
     fn waits_for(
         &self,
         attempt: Attempt,
@@ -159,19 +137,13 @@
     }
 
     fn head_limit(&self) -> Option<Millis> {
-        // A call that may not be repeated gains nothing from giving up before its deadline.
-        match self.plan.repeat {
-            Repeat::Once => None,
-            Repeat::Idempotent => Some(self.heard_at + self.plan.head_gap),
-        }
+        self.plan.head_limit(self.heard_at)
     }
 
     fn part_limit(&self) -> Option<Millis> {
-        match self.plan.repeat {
-            // A silent upstream can't be told from a connection that nobody reads any more.
-            Repeat::Idempotent if !self.caller_slow => Some(self.heard_at + self.plan.part_gap),
-            _ => None,
-        }
+        self.plan
+            .part_limit(self.heard_at)
+            .filter(|_| !self.caller_slow)
     }
 
     fn sent(
@@ -383,7 +355,7 @@
         &mut self,
         refusal: Refusal,
     ) -> Vec<Action> {
-        let is_out = self.is_out();
+        let is_out = self.state.is_out();
         let claims_not_run = refusal.kind.answer().execution == Execution::NotRun;
         let refusal = if claims_not_run && self.may_have_run() {
             Refusal::new(ErrorKind::UpstreamLost)
@@ -415,7 +387,7 @@
     }
 
     fn stop(&mut self) -> Vec<Action> {
-        let is_out = self.is_out();
+        let is_out = self.state.is_out();
         self.close();
         if is_out {
             vec![Action::Abandon, Action::Cancel]
--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -24,6 +24,7 @@
 mod part;
 mod plan;
 mod progress;
+mod state;
 
 pub use {
     action::{ForwardAction, RouteCause},
--- a/crates/core/src/forward/plan.rs
+++ b/crates/core/src/forward/plan.rs
@@ -47,3 +47,31 @@
     /// Runs at most, and resumptions in a row without progress.
     pub max_attempts: u32,
 }
+
+impl ForwardPlan {
+    /// Until when the head of an answer is waited for after the last sign of life.
+    ///
+    /// A call that may not be repeated gains nothing from giving up before its deadline.
+    pub(super) fn head_limit(
+        &self,
+        heard_at: Millis,
+    ) -> Option<Millis> {
+        match self.repeat {
+            Repeat::Once => None,
+            Repeat::Idempotent => Some(heard_at + self.head_gap),
+        }
+    }
+
+    /// Until when the next part is waited for.
+    ///
+    /// A silent upstream can't be told from a connection that something on the way has lost track of.
+    pub(super) fn part_limit(
+        &self,
+        heard_at: Millis,
+    ) -> Option<Millis> {
+        match self.repeat {
+            Repeat::Once => None,
+            Repeat::Idempotent => Some(heard_at + self.part_gap),
+        }
+    }
+}
--- a/crates/gateway/src/brain/actor.rs
+++ b/crates/gateway/src/brain/actor.rs
@@ -74,7 +74,6 @@
             BrainMessage::RouteAgain { again, reply } => {
                 self.core.decide(|state| state.route_again(again, reply));
             }
-            BrainMessage::Answering(_) => {}
             BrainMessage::Finished(finished) => self.core.decide(|state| state.finish(finished)),
             BrainMessage::Claim { claim, reply } => {
                 let core = Rc::clone(&self.core);
--- a/crates/gateway/src/brain/handle.rs
+++ b/crates/gateway/src/brain/handle.rs
@@ -99,13 +99,6 @@
         routed
     }
 
-    /// Tells that the upstream has begun to answer.
-    pub fn answering(&self) {
-        self.brain
-            .recipient
-            .do_send(BrainMessage::Answering(self.request));
-    }
-
     /// Waits until the key is withdrawn.
     pub async fn withdrawn(&mut self) {
         if (&mut self.withdrawn).await.is_err() {
--- a/crates/gateway/src/brain/messages.rs
+++ b/crates/gateway/src/brain/messages.rs
@@ -132,8 +132,6 @@
         /// Where its route goes.
         reply: oneshot::Sender<Result<Routed, Refusal>>,
     },
-    /// The upstream has begun to answer.
-    Answering(RequestId),
     /// A request has ended.
     Finished(Finished),
     /// Claim an idempotency key.
--- a/crates/gateway/src/forward/caller.rs
+++ b/crates/gateway/src/forward/caller.rs
@@ -1,7 +1,11 @@
 use {
     crate::request::Problem,
-    actix_web::http::{StatusCode, header::HeaderMap},
+    actix_web::http::{
+        StatusCode,
+        header::{CONTENT_TYPE, HeaderMap, HeaderValue},
+    },
     bytes::Bytes,
+    serde_json::Value,
     std::{convert::Infallible, mem},
     tokio::sync::{mpsc, oneshot},
 };
@@ -20,6 +24,19 @@
     pub body: Bytes,
 }
 
+impl WholeAnswer {
+    /// A JSON document as an answer.
+    pub fn from_json(json: &Value) -> Self {
+        let mut headers = HeaderMap::new();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        Self {
+            status: StatusCode::OK,
+            headers,
+            body: Bytes::from(json.to_string()),
+        }
+    }
+}
+
 /// How an answer begins.
 #[derive(Debug)]
 pub enum Answer {
--- a/crates/gateway/src/forward/driver.rs
+++ b/crates/gateway/src/forward/driver.rs
@@ -1,23 +1,17 @@
 use {
     super::{
-        Caller, Outbound, WholeAnswer, error_body,
-        outbound::AttemptHeaders,
-        reading::{Expected, Read, Reading, collect, engine_head, service_head},
+        Caller, Ending, ForwardContext, Outbound, WholeAnswer, error_body,
+        reading::Read,
+        upstream_side::{Headed, Heard, UpstreamSide},
     },
     crate::{
         brain::{Lease, Outcome, RouteAgain, Routed},
-        clock::Clock,
-        request::{CallerKey, Problem, RequestName},
+        request::Problem,
         sse::{Assembly, Chunk, Usage},
-        status::Readiness,
-        upstream::{Connections, SendFailure, Sent},
-    },
-    actix_web::http::{
-        Method, StatusCode,
-        header::{CONTENT_TYPE, HeaderMap, HeaderValue},
+        upstream::SendFailure,
     },
+    actix_web::http::StatusCode,
     bytes::Bytes,
-    futures::future::LocalBoxFuture,
     jasmine_core::{
         clock::Millis,
         error::{ErrorKind, Refusal},
@@ -25,105 +19,29 @@
             Attempt, ForwardAction as Action, ForwardEvent as Event, ForwardMachine, ForwardPlan,
             Head, RouteCause,
         },
-        ids::RequestId,
-    },
-    jasmine_telemetry::{
-        log::Line,
-        metrics::{Labels, Refusals, RequestMetrics},
     },
-    std::{collections::VecDeque, pin::Pin, rc::Rc, sync::Arc, time::Duration},
+    jasmine_telemetry::log::Line,
+    std::{collections::VecDeque, pin::Pin, sync::Arc, time::Duration},
     tokio::{sync::oneshot, time::Instant},
 };
 
-/// How long an upstream may take to acknowledge that it stops.
-const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long a caller may take to read the end of a broken answer.
 const LAST_WORD: Duration = Duration::from_secs(5);
 
-/// What a request brings along besides what is sent.
-#[derive(Clone, Debug)]
-pub struct ForwardContext {
-    /// The worker's connections.
-    pub connections: Rc<Connections>,
-    /// The daemon's clock.
-    pub clock: Clock,
-    /// The request's number.
-    pub request: RequestId,
-    /// Its name.
-    pub name: RequestName,
-    /// The process's part of the ids of attempts.
-    pub origin: String,
-    /// The key that came with it.
-    pub key: CallerKey,
-    /// The client account's name.
-    pub account: String,
-    /// The priority class.
-    pub priority: &'static str,
-    /// The model as the caller named it, or the service.
-    pub asked: String,
-    /// When it arrived.
-    pub arrived: Instant,
-    /// Tells when the daemon stops.
-    pub readiness: Arc<Readiness>,
-    /// Where figures go.
-    pub metrics: RequestMetrics,
-    /// Where refusals are counted.
-    pub refusals: Refusals,
-    /// Account and class of the figures.
-    pub labels: Labels,
-}
-
-/// What a request waits for.
-enum Doing {
-    Nothing,
-    Routing(oneshot::Receiver<Result<Routed, Refusal>>),
-    Heading(LocalBoxFuture<'static, Headed>),
-    Reading(Box<Reading>),
-    Collecting(LocalBoxFuture<'static, Option<WholeAnswer>>),
-}
-
-/// What came of sending.
-enum Headed {
-    Failed(SendFailure),
-    Answered {
-        head: Head,
-        stream: Option<String>,
-        response: Box<Sent>,
-    },
-}
-
 /// What has happened.
 enum Happened {
-    Routed(Result<Routed, Refusal>),
-    Headed(Headed),
-    Read(Read),
-    Collected(Option<WholeAnswer>),
+    Heard(Heard),
     Known(Event),
 }
 
-/// How a request ended.
-#[derive(Clone, Debug)]
-pub struct Ending {
-    /// The whole answer of a plain service.
-    pub answer: Option<WholeAnswer>,
-    /// Whether an upstream may have run it.
-    pub may_have_run: bool,
-}
-
 /// Drives the forwarding of one request to its end.
 pub struct Driver {
     cx: ForwardContext,
     plan: ForwardPlan,
     machine: ForwardMachine,
-    outbound: Outbound,
+    upstream: UpstreamSide,
     caller: Caller,
     lease: Lease,
-    doing: Doing,
-    attempt: Attempt,
-    /// The id under which the upstream knows the request, also when its stream is resumed.
-    sent_as: String,
-    routed: Option<Routed>,
-    stream: Option<String>,
     chunk: Option<Chunk>,
     assembly: Assembly,
     whole: Option<WholeAnswer>,
@@ -162,14 +80,9 @@
             cx,
             plan,
             machine,
-            outbound,
+            upstream: UpstreamSide::new(outbound, plan.deadline, routing),
             caller,
             lease,
-            doing: Doing::Routing(routing),
-            attempt: Attempt(1),
-            sent_as: String::new(),
-            routed: None,
-            stream: None,
             chunk: None,
             assembly: Assembly::default(),
             whole: None,
@@ -225,7 +138,7 @@
             biased;
             () = self.lease.withdrawn() => Happened::Known(Event::KeyWithdrawn),
             () = self.caller.gone() => Happened::Known(Event::CallerGone),
-            happened = self.doing.next() => happened,
+            heard = self.upstream.next() => Happened::Heard(heard),
             () = sleep => Happened::Known(Event::Timer),
         }
     }
@@ -244,36 +157,40 @@
         &mut self,
         happened: Happened,
     ) -> Event {
-        let attempt = self.attempt;
-        match happened {
-            Happened::Known(event) => event,
-            Happened::Routed(Ok(routed)) => {
+        let attempt = self.upstream.attempt;
+        let heard = match happened {
+            Happened::Known(event) => return event,
+            Happened::Heard(heard) => heard,
+        };
+        match heard {
+            Heard::Routed(Ok(routed)) => {
                 self.note_route(&routed);
                 let upstream = routed.upstream;
-                self.routed = Some(routed);
+                self.upstream.routed = Some(routed);
                 Event::Routed { attempt, upstream }
             }
-            Happened::Routed(Err(refusal)) => Event::RouteRefused { attempt, refusal },
-            Happened::Headed(Headed::Failed(SendFailure::NotSent)) => {
-                Event::Unreachable { attempt }
-            }
-            Happened::Headed(Headed::Failed(SendFailure::Lost))
-            | Happened::Read(Read::Broken)
-            | Happened::Collected(None) => Event::Lost { attempt },
-            Happened::Headed(Headed::Answered {
+            Heard::Routed(Err(refusal)) => Event::RouteRefused { attempt, refusal },
+            Heard::Headed(Headed::Failed(SendFailure::NotSent)) => Event::Unreachable { attempt },
+            Heard::Headed(Headed::Failed(SendFailure::Lost))
+            | Heard::Read(Read::Broken)
+            | Heard::Collected(None) => Event::Lost { attempt },
+            Heard::Headed(Headed::Answered {
                 head,
                 stream,
                 response,
             }) => {
-                self.note_head(head, stream, *response);
+                self.not_loaded = head == Head::NotLoaded;
+                if matches!(head, Head::Accepted { .. }) {
+                    self.upstream.read(*response, stream);
+                }
                 Event::Head { attempt, head }
             }
-            Happened::Read(Read::Chunk(chunk)) => self.note_chunk(chunk),
-            Happened::Read(Read::Done) => Event::End {
+            Heard::Read(Read::Chunk(chunk)) => self.note_chunk(chunk),
+            Heard::Read(Read::Done) => Event::End {
                 attempt,
                 made: self.usage.map(|usage| usage.completion_tokens),
             },
-            Happened::Collected(Some(answer)) => {
+            Heard::Collected(Some(answer)) => {
                 self.whole = Some(answer);
                 Event::End {
                     attempt,
@@ -295,28 +212,6 @@
         }
     }
 
-    fn note_head(
-        &mut self,
-        head: Head,
-        stream: Option<String>,
-        response: Sent,
-    ) {
-        self.not_loaded = head == Head::NotLoaded;
-        if !matches!(head, Head::Accepted { .. }) {
-            return;
-        }
-        self.lease.answering();
-        self.stream = stream.or(self.stream.take());
-        self.doing = match &self.outbound {
-            Outbound::Completion(_) => {
-                Doing::Reading(Box::new(Reading::new(response, self.sent_as.clone())))
-            }
-            Outbound::Service(req) => {
-                Doing::Collecting(Box::pin(collect(response, req.method.clone())))
-            }
-        };
-    }
-
     fn note_chunk(
         &mut self,
         chunk: Chunk,
@@ -328,7 +223,7 @@
         };
         self.chunk = Some(chunk);
         Event::Part {
-            attempt: self.attempt,
+            attempt: self.upstream.attempt,
             part,
         }
     }
@@ -340,9 +235,9 @@
         match action {
             Action::Route { attempt, cause, .. } => self.route_again(attempt, cause),
             Action::Send { attempt, fresh } => self.send(attempt, fresh),
-            Action::Resume { attempt, offset } => self.resume(attempt, offset),
-            Action::Abandon => self.doing = Doing::Nothing,
-            Action::Cancel => self.cancel(),
+            Action::Resume { attempt, offset } => self.upstream.resume(&self.cx, attempt, offset),
+            Action::Abandon => self.upstream.abandon(),
+            Action::Cancel => self.upstream.cancel(&self.cx),
             Action::Discard => {
                 self.assembly = Assembly::default();
                 self.usage = None;
@@ -359,14 +254,13 @@
         attempt: Attempt,
         cause: RouteCause,
     ) {
-        self.attempt = attempt;
-        self.stream = None;
         let again = RouteAgain {
             request: self.cx.request,
             cause,
             not_loaded: std::mem::take(&mut self.not_loaded),
         };
-        self.doing = Doing::Routing(self.lease.route_again(again));
+        let routing = self.lease.route_again(again);
+        self.upstream.route_again(attempt, routing);
     }
 
     fn send(
@@ -374,99 +268,11 @@
         attempt: Attempt,
         fresh: bool,
     ) {
-        self.attempt = attempt;
-        let Some(routed) = self.routed.clone() else {
-            return;
-        };
-        let request_id = self.attempt_id();
-        self.sent_as.clone_from(&request_id);
-        let headers = AttemptHeaders {
-            request_id: &request_id,
-            account: &self.cx.account,
-            priority: self.cx.priority,
-            left: self.plan.deadline.since(self.cx.clock.now()),
-        };
-        match self.outbound.parts(&routed, &self.cx.key, headers) {
-            Ok((method, target, headers, body)) => {
-                let connections = Rc::clone(&self.cx.connections);
-                let expected = Expected {
-                    request_id,
-                    weights: routed.weights,
-                };
-                let is_engine = matches!(self.outbound, Outbound::Completion(_));
-                self.doing = Doing::Heading(Box::pin(async move {
-                    let sent = connections
-                        .send(fresh, routed.address, method, &target, headers, body)
-                        .await;
-                    headed(sent, &expected, is_engine, false).await
-                }));
-            }
-            // Checked before admission; nothing has left.
-            Err(problem) => {
-                self.refuse(problem);
-                self.machine
-                    .handle(Event::CallerGone, self.cx.clock.now())
-                    .clear();
-            }
-        }
-    }
-
-    fn resume(
-        &mut self,
-        attempt: Attempt,
-        offset: u64,
-    ) {
-        self.attempt = attempt;
-        let (Some(routed), Some(stream)) = (&self.routed, &self.stream) else {
-            return;
-        };
-        let target = format!("/v1/streams/{stream}?offset={offset}");
-        let address = routed.address;
-        let expected = Expected {
-            request_id: self.sent_as.clone(),
-            weights: routed.weights.clone(),
-        };
-        let headers = self.stream_headers();
-        let connections = Rc::clone(&self.cx.connections);
-        self.doing = Doing::Heading(Box::pin(async move {
-            let sent = connections
-                .send(true, address, Method::GET, &target, headers, Bytes::new())
-                .await;
-            headed(sent, &expected, true, true).await
-        }));
-    }
-
-    fn stream_headers(&self) -> HeaderMap {
-        AttemptHeaders {
-            request_id: &self.sent_as,
-            account: &self.cx.account,
-            priority: self.cx.priority,
-            left: self.plan.deadline.since(self.cx.clock.now()),
+        if let Err(problem) = self.upstream.send(&self.cx, attempt, fresh) {
+            // Looked for before admission too, so this is a defect; nothing has left.
+            self.refuse(problem);
+            self.machine.handle(Event::CallerGone, self.cx.clock.now());
         }
-        .to_map()
-    }
-
-    /// Tells the engine to stop; closing the connection alone leaves a resumable stream running.
-    fn cancel(&self) {
-        let (Some(routed), Some(stream)) = (&self.routed, &self.stream) else {
-            return;
-        };
-        let target = format!("/v1/streams/{stream}");
-        let address = routed.address;
-        let headers = self.stream_headers();
-        let connections = Rc::clone(&self.cx.connections);
-        actix_rt::spawn(async move {
-            let cancel = connections.send(
-                true,
-                address,
-                Method::DELETE,
-                &target,
-                headers,
-                Bytes::new(),
-            );
-            // Best effort: an engine that doesn't hear it finishes the answer for nobody.
-            drop(tokio::time::timeout(CANCEL_TIMEOUT, cancel).await);
-        });
     }
 
     fn deliver(&mut self) {
@@ -474,7 +280,7 @@
             return;
         };
         self.note_pace();
-        let Outbound::Completion(req) = &self.outbound else {
+        let Outbound::Completion(req) = &self.upstream.outbound else {
             return;
         };
         if !req.stream {
@@ -508,7 +314,7 @@
             self.cx.metrics.settled(&self.cx.labels, used);
         }
         self.log("answered", StatusCode::OK);
-        match &self.outbound {
+        match &self.upstream.outbound {
             Outbound::Completion(req) if req.stream => {
                 let limit = self.cx.clock.instant(self.plan.deadline);
                 self.caller
@@ -518,7 +324,7 @@
             Outbound::Completion(req) => {
                 let assembly = std::mem::take(&mut self.assembly);
                 let json = assembly.into_answer(req.kind, self.cx.name.as_str(), &self.cx.asked);
-                self.caller.answer(Ok(whole_json(StatusCode::OK, &json)));
+                self.caller.answer(Ok(WholeAnswer::from_json(&json)));
             }
             Outbound::Service(_) => {
                 self.note_pace();
@@ -568,17 +374,16 @@
         self.lease.used = (!self.machine.may_have_run()).then_some(0);
     }
 
-    /// An id that no other attempt has.
-    fn attempt_id(&self) -> String {
-        format!("{}-{}-{}", self.cx.origin, self.cx.request, self.attempt)
-    }
-
     fn log(
         &self,
         result: &str,
         status: StatusCode,
     ) {
-        let upstream = self.routed.as_ref().map_or(0, |routed| routed.upstream.0);
+        let upstream = self
+            .upstream
+            .routed
+            .as_ref()
+            .map_or(0, |routed| routed.upstream.0);
         Line::new("request")
             .with("request_id", &self.cx.name)
             .with("account", &self.cx.account)
@@ -587,56 +392,9 @@
             .with("result", result)
             .with("status", status.as_u16())
             .with("upstream", upstream)
-            .with("attempts", self.attempt)
+            .with("attempts", self.upstream.attempt)
             .with("tokens", self.machine.offset())
             .with("ms", self.cx.arrived.elapsed().as_millis())
             .info();
     }
 }
-
-impl Doing {
-    async fn next(&mut self) -> Happened {
-        match self {
-            Self::Nothing => std::future::pending().await,
-            Self::Routing(rx) => Happened::Routed(Lease::route_of(rx.await)),
-            Self::Heading(f) => Happened::Headed(f.await),
-            Self::Reading(reading) => Happened::Read(reading.next().await),
-            Self::Collecting(f) => Happened::Collected(f.await),
-        }
-    }
-}
-
-async fn headed(
-    sent: Result<Sent, SendFailure>,
-    expected: &Expected,
-    is_engine: bool,
-    resuming: bool,
-) -> Headed {
-    let mut response = match sent {
-        Ok(response) => Box::new(response),
-        Err(failure) => return Headed::Failed(failure),
-    };
-    let (head, stream) = if is_engine {
-        engine_head(&mut response, expected, resuming).await
-    } else {
-        (service_head(&response, expected), None)
-    };
-    Headed::Answered {
-        head,
-        stream,
-        response,
-    }
-}
-
-fn whole_json(
-    status: StatusCode,
-    json: &serde_json::Value,
-) -> WholeAnswer {
-    let mut headers = HeaderMap::new();
-    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    WholeAnswer {
-        status,
-        headers,
-        body: Bytes::from(json.to_string()),
-    }
-}
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -1,14 +1,19 @@
 //! Forwarding a request: the worker's side of [`jasmine_core::forward`].
 
 mod caller;
+mod context;
 mod driver;
+mod ending;
 mod errors;
 mod outbound;
 mod reading;
+mod upstream_side;
 
 pub use {
     caller::{Answer, Caller, WholeAnswer},
-    driver::{Driver, Ending, ForwardContext},
+    context::ForwardContext,
+    driver::Driver,
+    ending::Ending,
     errors::error_body,
     outbound::{Outbound, ServiceRequest},
 };
--- a/crates/gateway/src/forward/outbound.rs
+++ b/crates/gateway/src/forward/outbound.rs
@@ -77,9 +77,8 @@
         &mut self,
         routed: &Routed,
         key: &CallerKey,
-        attempt: AttemptHeaders<'_>,
+        mut headers: HeaderMap,
     ) -> Result<(Method, String, HeaderMap, Bytes), Problem> {
-        let mut headers = attempt.to_map();
         match self {
             Self::Completion(req) => {
                 headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
