--- a/crates/controller/src/follow/fleet_follower.rs
+++ b/crates/controller/src/follow/fleet_follower.rs
@@ -1,10 +1,11 @@
 use {
-    super::{Duty, StoreWatch, WatchEnd},
+    super::{StoreWatch, WatchEnd},
     crate::{clock::Signal, shared::SharedParts, store_keys},
     jasmine_core::{clock::Millis, ids::VmId, membership::EPOCH_KEY},
     jasmine_platform::store::{Range, StoreError},
     jasmine_telemetry::log::Line,
     jasmine_wire::link::Backoff,
+    rand::seq::IndexedRandom,
     std::{cell::Cell, net::SocketAddr, rc::Rc},
     tokio::time::sleep,
 };
@@ -12,6 +13,9 @@
 /// How long a watcher may hold a question back.
 const ASK_WAIT: Millis = Millis(3_000);
 
+/// Controllers asked one after the other while the store can't be reached.
+const ASKED: usize = 3;
+
 /// The first and the longest pause after failures.
 const PAUSES: (Millis, Millis) = (Millis(250), Millis(5_000));
 
@@ -50,7 +54,7 @@
     pub async fn run(&self) {
         let mut backoff = Backoff::new(PAUSES.0, PAUSES.1);
         loop {
-            if self.read.get() && !self.duty().is_watcher(self.shared.me.vm) {
+            if self.read.get() && !self.shared.duty().is_watcher(self.shared.me.vm) {
                 self.synced.set(false);
                 self.relay().await;
             }
@@ -59,6 +63,7 @@
                 Err(e) => {
                     Line::new("fleet_not_followed").with("error", e).warn();
                     self.synced.set(false);
+                    self.ask_who_reaches().await;
                     sleep(backoff.next_pause().to_std()).await;
                 }
             }
@@ -78,13 +83,15 @@
             reply.revision,
         );
         loop {
-            let ended = watch
-                .run_once(|event| {
-                    self.shared.fleet.borrow_mut().apply(event);
-                    self.links_follow();
-                })
-                .await?;
-            if ended == WatchEnd::Compacted || !self.duty().is_watcher(self.shared.me.vm) {
+            let follow = watch.run_once(|event| {
+                self.shared.fleet.borrow_mut().apply(event);
+                self.links_follow();
+            });
+            let ended = tokio::select! {
+                ended = follow => ended?,
+                () = self.shared.off_duty() => return Ok(()),
+            };
+            if ended == WatchEnd::Compacted {
                 return Ok(());
             }
         }
@@ -94,7 +101,7 @@
     async fn relay(&self) {
         let mut have = (None, 0);
         loop {
-            let duty = self.duty();
+            let duty = self.shared.duty();
             if duty.is_watcher(self.shared.me.vm) {
                 return;
             }
@@ -112,6 +119,29 @@
         }
     }
 
+    /// Asks another controller that reaches the store while this one doesn't.
+    ///
+    /// A VM that alone is cut off from the store would otherwise go on with owners and members that
+    /// the others have replaced. One that is cut off as well has nothing newer to tell.
+    async fn ask_who_reaches(&self) {
+        let asked: Vec<VmId> = {
+            let fleet = self.shared.fleet.borrow();
+            let others = fleet.members.keys().copied();
+            let others: Vec<_> = others.filter(|&vm| vm != self.shared.me.vm).collect();
+            others
+                .choose_multiple(&mut rand::rng(), ASKED)
+                .copied()
+                .collect()
+        };
+        for vm in asked {
+            let status = self.shared.links.status(vm).await;
+            let reaches = status.is_ok_and(|status| status.store_up);
+            if reaches && self.ask(vm, (None, 0)).await.is_some() {
+                return;
+            }
+        }
+    }
+
     async fn ask(
         &self,
         vm: VmId,
@@ -171,13 +201,6 @@
             .set_members(self.shared.fleet.borrow().members.values());
     }
 
-    fn duty(&self) -> Duty {
-        Duty::among(
-            &self.shared.data_centre,
-            self.shared.fleet.borrow().members.values(),
-        )
-    }
-
     /// Raised with each change of the fleet.
     pub const fn changed(&self) -> &Signal {
         &self.changed
