Epochs: finalising is staggered too; no epoch for budgets that nobody can hold yet

All controllers saw the last report at once and wrote the same record; now the first does and the others wait their turn. A new account while no member has its role (a gateway that is not listed yet) opened an epoch every half second.

--- a/crates/core/src/membership/epoch_machine.rs
+++ b/crates/core/src/membership/epoch_machine.rs
@@ -68,24 +68,23 @@
         let due = !dead.is_empty()
             || record_age >= self.settings.refresh
             || joining(record, view).next().is_some()
-            || new_budgets(record, view).next().is_some();
-        match (finalised, due) {
-            (Some(next), _) => {
-                self.due_since = None;
-                vec![
-                    write(current, next),
-                    EpochAction::DeleteHoldingsBefore(record.epoch),
-                ]
-            }
-            (None, true) if self.is_my_turn(view, record_age, now) => {
-                self.due_since = None;
+            || new_budgets(record, view).any(|budget| has_role(record, budget.role));
+        if finalised.is_none() && !due {
+            self.due_since = None;
+            return clean_up(record, view);
+        }
+        if !self.is_my_turn(view, now) {
+            return Vec::new();
+        }
+        match finalised {
+            Some(next) => vec![
+                write(current, next),
+                EpochAction::DeleteHoldingsBefore(record.epoch),
+            ],
+            None if record_age >= self.settings.settle => {
                 vec![write(current, self.next_epoch(record, view, &dead))]
             }
-            (None, true) => Vec::new(),
-            (None, false) => {
-                self.due_since = None;
-                clean_up(record, view)
-            }
+            None => Vec::new(),
         }
     }
 
@@ -174,18 +173,16 @@
         now.since(since)
     }
 
-    /// Whether a due change is for this controller to make: after a pause in which further changes
-    /// may join it, and staggered by its place among the live ones.
+    /// Whether a due change is for this controller to make: its place among the live ones says how long
+    /// it leaves that to the others, so that a hundred don't write the same at once.
     fn is_my_turn(
         &mut self,
         view: &StoreView,
-        record_age: Millis,
         now: Millis,
     ) -> bool {
         let due_since = *self.due_since.get_or_insert(now);
         let place = view.live.iter().filter(|live| live.vm < self.me).count() as u64;
-        record_age >= self.settings.settle
-            && now.since(due_since).0 >= place.saturating_mul(self.settings.stagger.0)
+        now.since(due_since).0 >= place.saturating_mul(self.settings.stagger.0)
     }
 }
 
@@ -285,7 +282,7 @@
         .filter(|holder| view.released.iter().all(|last| last.holder != *holder))
 }
 
-/// Budgets whose whole has never been granted and that some live daemon could hold.
+/// Budgets whose whole has never been granted.
 fn new_budgets<'a>(
     record: &'a EpochRecord,
     view: &'a StoreView,
@@ -293,11 +290,13 @@
     view.budgets
         .iter()
         .filter(|budget| !record.issued.contains_key(&budget.account))
-        .filter(|budget| {
-            view.live
-                .iter()
-                .any(|live| live.incarnation(budget.role).is_some())
-        })
+}
+
+fn has_role(
+    record: &EpochRecord,
+    role: Role,
+) -> bool {
+    record.members.iter().any(|member| member.role == role)
 }
 
 fn of_role(
