--- /dev/null
+++ b/crates/ctl/examples/edit_in_force.rs
@@ -0,0 +1,101 @@
+//! How long an edit takes until it is accepted, and until it is in force on every VM.
+//!
+//! `cargo run -p jasmine-ctl --example edit_in_force -- <VMs> <edits>`; real processes, a stand-in for the platform.
+
+use {
+    jasmine_conf::tree::{Edit, EditId, EditOp, Path, Setting, Value},
+    jasmine_ctl::{
+        CtlError,
+        cli::{GlobalArgs, OutputForm},
+        client::Api,
+    },
+    jasmine_testkit::harness::{Cluster, ClusterSpec, OPERATOR_TOKEN, Vm},
+    std::time::{Duration, Instant},
+};
+
+/// How long an edit may take before the run is given up.
+const BOUND: Duration = Duration::from_secs(30);
+/// Pause between two looks.
+const BETWEEN_LOOKS: Duration = Duration::from_millis(2);
+
+fn main() {
+    let mut numbers = std::env::args().skip(1).filter_map(|arg| arg.parse().ok());
+    let vms = numbers.next().unwrap_or(3);
+    let edits = numbers.next().unwrap_or(60);
+    if let Err(e) = actix_web::rt::System::new().block_on(run(vms, u64::from(edits))) {
+        eprintln!("{e}");
+    }
+}
+
+async fn run(
+    vms: u32,
+    edits: u64,
+) -> Result<(), CtlError> {
+    let spec = ClusterSpec {
+        vms,
+        ..ClusterSpec::default()
+    };
+    let cluster = Cluster::start(spec)
+        .await
+        .map_err(|e| CtlError::Usage(e.to_string()))?;
+    let (mut accepted, mut in_force) = (Vec::new(), Vec::new());
+    for n in 0..edits {
+        let vm = &cluster.vms[n as usize % cluster.vms.len()];
+        let started = Instant::now();
+        let id = edit(&client(vm), n).await?;
+        accepted.push(started.elapsed());
+        let started = Instant::now();
+        while !client(vm).progress(&id).await?.everywhere {
+            if started.elapsed() > BOUND {
+                return Err(CtlError::Usage(format!(
+                    "edit {id} is not in force everywhere"
+                )));
+            }
+            actix_web::rt::time::sleep(BETWEEN_LOOKS).await;
+        }
+        in_force.push(started.elapsed());
+    }
+    println!("{vms} VMs, {edits} edits");
+    println!("accepted after {}", summary(accepted));
+    println!("then in force on every VM after {}", summary(in_force));
+    Ok(())
+}
+
+async fn edit(
+    api: &Api,
+    n: u64,
+) -> Result<EditId, CtlError> {
+    let base = api.tree(&Path::root(), Some(0), None).await?.revision;
+    let edit = Edit {
+        id: EditId::random(),
+        author: "measure".to_owned(),
+        base,
+        ops: vec![EditOp::Set {
+            path: Path::parse("/accounts")?,
+            setting: Setting::Weight,
+            value: Value::Number(n % 1000 + 1),
+        }],
+    };
+    Ok(api.submit(&edit, false).await?.accepted.edit.id)
+}
+
+fn client(vm: &Vm) -> Api {
+    Api::new(&GlobalArgs {
+        controllers: vec![format!("http://{}", vm.operators())],
+        token: OPERATOR_TOKEN.to_owned(),
+        author: "measure".to_owned(),
+        output: OutputForm::Json,
+        timeout: BOUND,
+    })
+}
+
+fn summary(mut times: Vec<Duration>) -> String {
+    times.sort_unstable();
+    let at = |share: usize| times[(times.len() - 1) * share / 100].as_secs_f64() * 1000.0;
+    format!(
+        "p50 {:.1} ms, p99 {:.1} ms, worst {:.1} ms",
+        at(50),
+        at(99),
+        at(100)
+    )
+}
--- a/crates/testkit/src/harness/binaries.rs
+++ b/crates/testkit/src/harness/binaries.rs
@@ -24,8 +24,8 @@
 fn build() -> Result<PathBuf, String> {
     let exe = env::current_exe().map_err(|e| e.to_string())?;
     let beside = exe.parent().ok_or("this program lies in no folder")?;
-    let folder = if beside.ends_with("deps") {
-        beside.parent().ok_or("no folder above deps")?
+    let folder = if beside.ends_with("deps") || beside.ends_with("examples") {
+        beside.parent().ok_or("no folder above it")?
     } else {
         beside
     };
