--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -2,3 +2,6 @@
 
 pub mod arena;
 pub mod fleet;
+pub mod hex;
+pub mod settings;
+pub mod tree;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,3 +8,9 @@
 pub mod clock;
 pub mod error;
 pub mod ids;
+pub mod membership;
+pub mod ownership;
+pub mod placement;
+pub mod queue;
+pub mod rights;
+pub mod routing;
