--- a/crates/conf/src/tree/commands/apply.rs
+++ b/crates/conf/src/tree/commands/apply.rs
@@ -1,13 +1,18 @@
-use crate::tree::{
-    Accepted, EditError, EditOp, Family, Node, NodeKind, Path, Removed, Setting, Settings, Touched,
-    Tree, tree_nodes::family_name,
+use {
+    crate::tree::{
+        Accepted, EditError, EditOp, Family, Node, NodeKind, Path, Removed, Setting, Settings,
+        Shape, Touched, Tree, tree_nodes::family_name,
+    },
+    std::collections::BTreeSet,
 };
 
 impl Tree {
     /// Carries out an accepted edit.
     ///
     /// Nothing is checked again: what is accepted has the same effect on every VM, whatever version
-    /// of the checks a VM runs. On an error the tree is as before.
+    /// of the checks a VM runs. Each op says what a node becomes, not by how much it changes, so
+    /// carrying out edits once more on a tree that has some of them already, from any of them up to the
+    /// newest, gives the newest tree. On an error the tree is as before.
     ///
     /// # Errors
     ///
@@ -31,6 +36,7 @@
             };
             self.carry_out(op, number, &mut touched);
         }
+        self.touch_renumbered(&mut touched);
         self.revision = accepted.revision;
         Ok(touched)
     }
@@ -47,7 +53,13 @@
                 path,
                 kind,
                 settings,
-            } => self.create(path, *kind, number, settings, touched),
+            } => {
+                self.create(path, *kind, number, settings);
+                if let (NodeKind::Version, Some(adapter)) = (kind, path.parent()) {
+                    self.note_version(&adapter, path.name());
+                }
+                touched.paths.extend(entity(path, *kind));
+            }
             EditOp::Set {
                 path,
                 setting,
@@ -74,7 +86,6 @@
         kind: NodeKind,
         number: u32,
         settings: &Settings,
-        touched: &mut Touched,
     ) {
         let mut node = Node::new(kind, number);
         node.settings = settings.clone();
@@ -86,20 +97,16 @@
             self.names.insert(name, path.clone());
         }
         self.nodes.insert(path.clone(), node);
-        if kind == NodeKind::Version {
-            self.note_version(path);
-        }
-        touched.paths.extend(entity(path, kind));
     }
 
     /// Remembers on the adapter that this number of a version is used up.
     fn note_version(
         &mut self,
-        path: &Path,
+        adapter: &Path,
+        version: &str,
     ) {
-        let version = path.name().parse().unwrap_or_default();
-        let adapter = path.parent().and_then(|parent| self.nodes.get_mut(&parent));
-        if let Some(adapter) = adapter {
+        let version = version.parse().unwrap_or_default();
+        if let Some(adapter) = self.nodes.get_mut(adapter) {
             adapter.last_version = adapter.last_version.max(version);
         }
     }
@@ -122,7 +129,6 @@
             .collect();
         for (path, kind, number, name) in gone {
             self.nodes.remove(&path);
-            touched.paths.remove(&path);
             match name {
                 Some((family, name)) => {
                     self.names.remove(&(family, name.clone()));
@@ -153,6 +159,40 @@
             .filter_map(|(path, node)| entity(path, node.kind));
         touched.paths.extend(reached);
     }
+
+    /// Notes everything whose value names what was deleted and made anew under its old name.
+    ///
+    /// Such a thing has another number, and whoever names it would go on pointing at the old one:
+    /// adapters of a base model that no engine runs any more.
+    pub(super) fn touch_renumbered(
+        &self,
+        touched: &mut Touched,
+    ) {
+        let renumbered: BTreeSet<Family> = touched
+            .removed
+            .iter()
+            .filter(|gone| self.named(gone.family, &gone.name).is_some())
+            .map(|gone| gone.family)
+            .collect();
+        for setting in Setting::ALL {
+            let family = match setting.rule().shape {
+                Shape::Reference(family) => family,
+                Shape::Accounts => Family::Accounts,
+                _ => continue,
+            };
+            if renumbered.contains(&family) {
+                self.touch(&Path::root(), setting, touched);
+            }
+        }
+    }
+
+    /// The number that the next node of this family gets.
+    pub(super) fn next_number(
+        &self,
+        family: Family,
+    ) -> u32 {
+        self.next_numbers.get(&family).copied().unwrap_or(1)
+    }
 }
 
 /// The path of what a node is resolved as a part of.
@@ -166,13 +206,3 @@
         (_, None) => None,
     }
 }
-
-impl Tree {
-    /// The number that the next node of this family gets.
-    pub(super) fn next_number(
-        &self,
-        family: Family,
-    ) -> u32 {
-        self.next_numbers.get(&family).copied().unwrap_or(1)
-    }
-}
--- a/crates/controller/src/engines/engine_client.rs
+++ b/crates/controller/src/engines/engine_client.rs
@@ -1,12 +1,13 @@
 use {
     super::EngineReport,
-    awc::{Client, Connector},
+    awc::{Client, Connector, error::SendRequestError},
     jasmine_core::{
         clock::Millis,
         ids::Fence,
         ownership::{LoadResult, UnloadResult},
         placement::Instance,
     },
+    jasmine_platform::http::is_unsent,
     serde_json::{Value, json},
     std::net::SocketAddr,
     tokio::time::timeout,
@@ -28,8 +29,7 @@
 const MAX_ANSWER: usize = 1024 * 1024;
 
 /// Why an engine gave no usable answer.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(derive_more::Display, derive_more::Error)]
+#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
 pub enum EngineError {
     /// No connection came about; the engine has seen nothing.
     #[display("not reached: {_0}")]
@@ -86,7 +86,14 @@
         engine: SocketAddr,
         fence: Fence,
     ) -> Option<bool> {
-        match post(engine, "/v1/fence", &json!({ "fence": fence }), ORDER_TIMEOUT).await {
+        match post(
+            engine,
+            "/v1/fence",
+            &json!({ "fence": fence }),
+            ORDER_TIMEOUT,
+        )
+        .await
+        {
             Ok(200) => Some(true),
             Ok(409) => Some(false),
             Ok(_) | Err(_) => None,
@@ -134,7 +141,9 @@
             .await
             .map(|res| res.status().as_u16())
             .map_err(|e| match e {
-                awc::error::SendRequestError::Connect(e) => EngineError::Unreachable(e.to_string()),
+                SendRequestError::Connect(e) if is_unsent(&e) => {
+                    EngineError::Unreachable(e.to_string())
+                }
                 e => unclear(&e),
             })
     };
--- a/crates/core/src/membership/reissue.rs
+++ b/crates/core/src/membership/reissue.rs
@@ -2,10 +2,9 @@
     super::{Budget, EpochRecord, HolderGrants, HoldingsRecord},
     crate::{
         ids::{AccountId, Holder},
-        rights::{Right, SHARE_WHOLE, part_of},
+        rights::{Right, SHARE_WHOLE, home_rank},
     },
     std::collections::BTreeMap,
-    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Grants of one epoch, gathered by holder.
@@ -69,32 +68,31 @@
 /// What the reports leave of the whole.
 ///
 /// Its tokens are only those that stopped holders gave back: a dead holder may have used all of its
-/// own just before.
+/// own just before. Who gets them cuts them down to its room.
 pub fn missing(
-    budget: &Budget,
+    account: AccountId,
     reports: &[HoldingsRecord],
     freed: u64,
 ) -> Right {
     let held = reports
         .iter()
         .flat_map(|report| &report.rights)
-        .filter(|right| right.account == budget.account);
+        .filter(|right| right.account == account);
     let (rate, room) = held.fold((0_u64, 0_u64), |(rate, room), right| {
         (
             rate.saturating_add(right.rate_share),
             room.saturating_add(right.room_share),
         )
     });
-    let room_share = SHARE_WHOLE.saturating_sub(room);
     Right {
-        account: budget.account,
+        account,
         rate_share: SHARE_WHOLE.saturating_sub(rate),
-        room_share,
-        tokens: freed.min(part_of(budget.limit.burst_milli(), room_share)),
+        room_share: SHARE_WHOLE.saturating_sub(room),
+        tokens: freed,
     }
 }
 
-/// A few of the members, other ones for each account, the same ones at every controller.
+/// The account's first homes among the members; the same ones at every controller.
 fn choose(
     account: AccountId,
     members: &[Holder],
@@ -102,20 +100,9 @@
 ) -> Vec<Holder> {
     let mut ranked: Vec<(u64, Holder)> = members
         .iter()
-        .map(|&holder| (rank(account, holder), holder))
+        .map(|&holder| (home_rank(account, holder), holder))
         .collect();
     ranked.sort_unstable();
     ranked.truncate(grantees.max(1));
     ranked.into_iter().map(|(_, holder)| holder).collect()
 }
-
-fn rank(
-    account: AccountId,
-    holder: Holder,
-) -> u64 {
-    let mut buf = [0; 16];
-    buf[..4].copy_from_slice(&account.0.to_le_bytes());
-    buf[4..8].copy_from_slice(&holder.vm.0.to_le_bytes());
-    buf[8..].copy_from_slice(&holder.incarnation.0.to_le_bytes());
-    xxh3_64(&buf)
-}
--- a/crates/core/src/rights/account_rights.rs
+++ b/crates/core/src/rights/account_rights.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        MILLI, Right, RightsSettings, SHARE_WHOLE, TakeRequest, bucket::Bucket, demand::Demand,
-        peers::PeerHints, promises::Promises,
+        CallerTag, Limit, MILLI, Right, RightsSettings, SHARE_WHOLE, TakeRequest, bucket::Bucket,
+        demand::Demand, peers::PeerHints, promises::Promises,
     },
     crate::clock::Millis,
 };
@@ -9,6 +9,9 @@
 /// Own demand and that of an asker are reckoned with this much on top, in percent.
 const HEADROOM_PERCENT: u64 = 125;
 
+/// The part of the room that may be kept back for promises, in percent.
+const MOST_RESERVED_PERCENT: u64 = 50;
+
 /// For how long ahead a giver fills an asker up, in seconds of the asker's demand.
 const FILL_SECS: u64 = 2;
 
@@ -38,6 +41,18 @@
         self.promises.expire(now, settings.grace);
     }
 
+    /// Thousandths of a token that are kept back for callers that come before this one.
+    ///
+    /// A bucket that is kept full loses what it earns, so part of the room is never kept back.
+    pub fn reserved_before(
+        &self,
+        caller: CallerTag,
+    ) -> u64 {
+        self.promises
+            .reserved_before(caller)
+            .min(self.most_reserved())
+    }
+
     /// Tokens that neither own demand nor promises need soon, in thousandths.
     pub fn spare(
         &self,
@@ -47,7 +62,7 @@
         let soon = self.demand.per_second(now) * settings.keep.0 / 1000;
         self.bucket
             .tokens()
-            .saturating_sub(self.promises.reserved())
+            .saturating_sub(self.promises.reserved().min(self.most_reserved()))
             .saturating_sub(soon)
     }
 
@@ -59,19 +74,29 @@
         settings: &RightsSettings,
         now: Millis,
     ) -> Right {
-        let own = self.demand.per_second(now);
+        let own = self.demand.per_second(now) + self.promises.per_second(now);
         let theirs = request.demand.saturating_mul(MILLI);
         let tokens = self.tokens_for(request.needed, own, theirs, settings, now);
         let floor = SHARE_WHOLE / holders.max(1) / settings.floor_divisor.max(1);
         let rate_share = self.rate_for(own, theirs, floor);
+        let large = request.needed.saturating_mul(2) >= self.burst();
+        let kept = match own {
+            // A request for most of the burst needs nearly all of the room, in one place.
+            0 if large => 0,
+            _ => floor.max((self.bucket.rate_share() - rate_share) / 2),
+        };
         Right {
             account: request.account,
             rate_share,
-            room_share: self.room_for(tokens, rate_share, floor),
+            room_share: self.room_for(tokens, rate_share, kept, request.needed),
             tokens,
         }
     }
 
+    fn most_reserved(&self) -> u64 {
+        self.bucket.room() / 100 * MOST_RESERVED_PERCENT
+    }
+
     fn tokens_for(
         &self,
         needed: u64,
@@ -102,23 +127,33 @@
             .min(their_share)
     }
 
-    /// Tokens need room where they go, and so does what the moved rate will earn; tokens that stay
-    /// need theirs.
+    /// Tokens need room where they go, and so does what the moved rate will earn.
+    ///
+    /// Tokens that stay need theirs. Otherwise `kept` stays: at least half of an even part for the
+    /// rate that stays; with less it would be full in no time and what it earns be lost.
     fn room_for(
         &self,
         tokens: u64,
         rate_share: u64,
-        floor: u64,
+        kept: u64,
+        needed: u64,
     ) -> u64 {
-        let burst = self.bucket.limit().map_or(0, super::Limit::burst_milli);
         let room = self.bucket.room_share();
-        let for_tokens = share_of(tokens, burst);
+        let for_tokens = share_of(tokens, self.burst());
         let for_rate =
             u128::from(room) * u128::from(rate_share) / u128::from(self.bucket.rate_share().max(1));
-        let staying = share_of(self.bucket.tokens() - tokens, burst);
-        for_tokens
-            .max(for_rate as u64)
-            .min(room.saturating_sub(floor.max(staying)))
+        let staying = share_of(self.bucket.tokens() - tokens, self.burst());
+        let for_needed = if kept == 0 {
+            share_of(needed, self.burst())
+        } else {
+            0
+        };
+        let wanted = for_tokens.max(for_rate as u64).max(for_needed);
+        wanted.min(room.saturating_sub(kept.max(staying)))
+    }
+
+    fn burst(&self) -> u64 {
+        self.bucket.limit().map_or(0, Limit::burst_milli)
     }
 }
 
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -3,6 +3,8 @@
 
 pub mod client;
 pub mod engine;
+pub mod harness;
+pub mod load;
 pub mod platform;
 pub mod proxy;
 mod server;
