--- a/crates/platform/src/etcd/etcd_store.rs
+++ b/crates/platform/src/etcd/etcd_store.rs
@@ -1,7 +1,8 @@
 use {
     super::{
-        CallCounts, CallKind, EtcdOptions, JsonLines,
+        CallCounts, CallKind, EtcdOptions, JsonLines, Reach,
         call_budget::CallBudget,
+        call_counts::OpenWatch,
         json::{
             LeaseAnswer, RangeAnswer, StreamAnswer, TxnAnswer, decode_range, decode_txn,
             decode_watch, encode_range, encode_txn, encode_watch, parse,
@@ -51,6 +52,7 @@
     endpoint: Cell<usize>,
     budget: CallBudget,
     counts: CallCounts,
+    reach: Reach,
 }
 
 impl EtcdStore {
@@ -61,6 +63,7 @@
             endpoint: Cell::new(0),
             budget: CallBudget::new(options.calls_per_second),
             counts: CallCounts::default(),
+            reach: Reach::default(),
             options,
         }
     }
@@ -70,6 +73,11 @@
         self.counts.clone()
     }
 
+    /// Whether the service answers.
+    pub fn reach(&self) -> Reach {
+        self.reach.clone()
+    }
+
     async fn call(
         &self,
         kind: CallKind,
@@ -83,6 +91,10 @@
         let result = timeout(self.options.timeout.to_std(), self.send(kind, body))
             .await
             .unwrap_or_else(|_| Err(StoreError::OutcomeUnknown("timeout".into())));
+        self.reach.note(!matches!(
+            result,
+            Err(StoreError::Unreachable(_) | StoreError::OutcomeUnknown(_))
+        ));
         if let Err(e) = &result {
             self.counts.count_failed(kind);
             self.after_failure(e);
@@ -172,7 +184,7 @@
             self.after_failure(e);
         })?;
         match opened.status().as_u16() {
-            200 => Ok(lines(opened)),
+            200 => Ok(lines(opened, self.counts.open_watch())),
             status => Err(StoreError::Refused {
                 status,
                 message: "watch".into(),
@@ -277,15 +289,18 @@
         .finish()
 }
 
-fn lines<S>(res: awc::ClientResponse<S>) -> WatchStream
+fn lines<S>(
+    res: awc::ClientResponse<S>,
+    open: OpenWatch,
+) -> WatchStream
 where
     S: futures::Stream<Item = Result<Bytes, PayloadError>> + Unpin + 'static,
 {
-    let state = (res, JsonLines::new(MAX_WATCH_LINE));
-    stream::try_unfold(state, |(mut res, mut buf)| async move {
+    let state = (res, JsonLines::new(MAX_WATCH_LINE), open);
+    stream::try_unfold(state, |(mut res, mut buf, open)| async move {
         loop {
             if let Some(line) = buf.next_line() {
-                return Ok(Some((decode_watch(&line)?, (res, buf))));
+                return Ok(Some((decode_watch(&line)?, (res, buf, open))));
             }
             match res.next().await {
                 None => return Ok(None),
