Load driver: a VM that dies; the driver in smaller files

Eight holders, 90 % of the rate, proof of death after 15 s: demand at the VM that dies, 12.2 % of the requests of two minutes refused; even demand 0.36 %. Floors of 1/8 and 1/2 of an even part instead of 1/32: 13.3 and 26.7 %, and without a death 1.4 and 19.3 % instead of 0.09 %: they stay at 1/32.

--- a/crates/core/examples/skewed_load.rs
+++ b/crates/core/examples/skewed_load/run.rs
@@ -1,9 +1,5 @@
-//! Rate rights under load on a virtual clock: refusals within the rate, messages, promises kept.
-//!
-//! `cargo run --release -p jasmine-core --example skewed_load`. Seeded; the same figures each time.
-//! A refusal counts as wrongful when one bucket for the whole fleet would have admitted the request.
-
 use {
+    super::load::{Figures, Load, Skew},
     jasmine_core::{
         clock::Millis,
         ids::{AccountId, Epoch, Holder, Incarnation, Role, TransferId, VmId},
@@ -18,44 +14,21 @@
 };
 
 const ACCOUNT: AccountId = AccountId(1);
-const LIMIT: Limit = Limit {
+/// The account's limit.
+pub const LIMIT: Limit = Limit {
     rate: 10_000,
     burst: 20_000,
 };
 /// One way between two VMs.
 const LINK: Millis = Millis(1);
+/// How long it takes until a VM's death is proved: its lease, and the list's lag.
+const PROOF: Millis = Millis::from_secs(15);
 /// How long a request runs before its charge is settled.
 const RUN_TIME: Millis = Millis(2000);
 /// How long a request waits for the answers of peers.
 const PATIENCE: Millis = Millis(50);
-const SECONDS: u64 = 120;
-
-/// Where the demand is.
-#[derive(Clone, Copy, Debug)]
-enum Skew {
-    /// Any VM.
-    Even,
-    /// One VM, another one every so often.
-    Moving(Millis),
-}
-
-/// One load.
-#[derive(Clone, Copy, Debug)]
-struct Load {
-    name: &'static str,
-    holders: u32,
-    skew: Skew,
-    /// Demand in percent of the rate.
-    percent: u64,
-    /// Demand in the first four of every twenty seconds, in percent of the rate.
-    peak: u64,
-    /// What a request uses, in percent of its charge, at least.
-    least_used: u64,
-    /// Refused callers come back once, when told.
-    return_once: bool,
-    /// And at the VM that refused them.
-    same_vm: bool,
-}
+/// For how long requests come.
+pub const SECONDS: u64 = 120;
 
 #[derive(Clone, Copy, Debug)]
 struct Request {
@@ -75,26 +48,18 @@
     GiveUp(CallerTag),
     Settle(usize, Charge, u64),
     Tick,
+    Die,
+    Reissue,
 }
 
-#[derive(Debug, Default)]
-struct Figures {
-    requests: u64,
-    refused: u64,
-    wrongful: u64,
-    messages: u64,
-    asked: u64,
-    returned: u64,
-    served_on_return: u64,
-    admitted_tokens: u64,
-}
-
-struct Run {
+/// One load on a fleet of ledgers.
+pub struct Run {
     load: Load,
     ledgers: Vec<RightsLedger>,
     events: BTreeMap<(Millis, u64), Event>,
     seq: u64,
     waiting: BTreeMap<CallerTag, Request>,
+    dead: Option<usize>,
     /// The bucket of the whole fleet, in thousandths, and when it was filled.
     ideal: (u64, Millis),
     rng: ChaCha8Rng,
@@ -102,7 +67,8 @@
 }
 
 impl Run {
-    fn new(
+    /// A fleet whose rights are divided among the account's homes.
+    pub fn new(
         load: Load,
         sharing: bool,
     ) -> Self {
@@ -140,15 +106,20 @@
             events: BTreeMap::new(),
             seq: 0,
             waiting: BTreeMap::new(),
+            dead: None,
             ideal: (LIMIT.burst_milli(), Millis::ZERO),
             rng: ChaCha8Rng::seed_from_u64(7),
             figures: Figures::default(),
         }
     }
 
-    fn run(mut self) -> Figures {
+    /// Runs the load to its end.
+    pub fn run(mut self) -> Figures {
         self.arrivals();
         self.at(Millis(250), Event::Tick);
+        if self.load.dies {
+            self.at(Millis::from_secs(SECONDS / 2 + 5), Event::Die);
+        }
         while let Some(((now, _), event)) = self.events.pop_first() {
             match event {
                 _ if now > Millis::from_secs(SECONDS + 10) => break,
@@ -158,6 +129,8 @@
                 Event::GiveUp(caller) => self.give_up(caller, now),
                 Event::Settle(vm, charge, actual) => self.ledgers[vm].settle(charge, actual, now),
                 Event::Tick => self.tick(now),
+                Event::Die => self.die(now),
+                Event::Reissue => self.reissue(now),
             }
         }
         self.figures
@@ -177,10 +150,7 @@
             at += -self.rng.random::<f64>().max(1e-9).ln() * mean_gap;
             let now = Millis(at as u64);
             let any = self.rng.random_range(0..self.load.holders as usize);
-            let vm = match self.load.skew {
-                Skew::Even => any,
-                Skew::Moving(every) => (now.0 / every.0 * 3) as usize % self.ledgers.len(),
-            };
+            let vm = self.hot_vm(now).unwrap_or(any);
             caller += 1;
             let request = Request {
                 vm,
@@ -200,6 +170,9 @@
         now: Millis,
     ) {
         request.since = now;
+        if self.dead == Some(request.vm) {
+            request.vm = (request.vm + 1) % self.ledgers.len();
+        }
         request.ideal = self.ideal_takes(request.cost, now);
         if request.returned {
             self.figures.returned += 1;
@@ -271,6 +244,9 @@
         ask: &Ask,
         now: Millis,
     ) {
+        if self.dead == Some(index(ask.to)) {
+            return;
+        }
         let given = self.ledgers[index(ask.to)].give(&ask.request, now);
         let answer = Event::Answer(ask.request.from, ask.request.transfer, given);
         self.send(answer, now);
@@ -284,6 +260,9 @@
         now: Millis,
     ) {
         let vm = index(to);
+        if self.dead == Some(vm) {
+            return;
+        }
         self.ledgers[vm].receive(transfer, given, now);
         let waiting: Vec<Request> = self
             .waiting
@@ -324,6 +303,56 @@
         self.at(now + Millis(250), Event::Tick);
     }
 
+    fn die(
+        &mut self,
+        now: Millis,
+    ) {
+        let vm = self.hot_vm(now).unwrap_or(0);
+        self.dead = Some(vm);
+        self.waiting.retain(|_, request| request.vm != vm);
+        self.at(now + PROOF, Event::Reissue);
+    }
+
+    /// The next epoch, without the dead VM: what the others don't report is granted to them evenly.
+    fn reissue(
+        &mut self,
+        now: Millis,
+    ) {
+        let dead = self.dead;
+        let alive: Vec<usize> = (0..self.ledgers.len())
+            .filter(|&vm| Some(vm) != dead)
+            .collect();
+        let (mut rate, mut room) = (0, 0);
+        for &vm in &alive {
+            let ledger = &mut self.ledgers[vm];
+            ledger.set_peers(alive.iter().map(|&vm| holder(vm as u32 + 1)));
+            for right in ledger.enter_epoch(Epoch(2), now).unwrap_or_default() {
+                rate += right.rate_share;
+                room += right.room_share;
+            }
+        }
+        let even = alive.len() as u64;
+        let grant = Right {
+            account: ACCOUNT,
+            rate_share: (SHARE_WHOLE - rate) / even,
+            room_share: (SHARE_WHOLE - room) / even,
+            tokens: 0,
+        };
+        for vm in alive {
+            self.ledgers[vm].apply_grants(Epoch(2), &[grant], now);
+        }
+    }
+
+    fn hot_vm(
+        &self,
+        now: Millis,
+    ) -> Option<usize> {
+        match self.load.skew {
+            Skew::Even => None,
+            Skew::Moving(every) => Some((now.0 / every.0 * 3) as usize % self.ledgers.len()),
+        }
+    }
+
     fn send(
         &mut self,
         event: Event,
@@ -366,99 +395,3 @@
 fn index(holder: Holder) -> usize {
     holder.vm.0 as usize - 1
 }
-
-fn main() {
-    let base = Load {
-        name: "moving every 10 s",
-        holders: 8,
-        skew: Skew::Moving(Millis::from_secs(10)),
-        percent: 90,
-        peak: 90,
-        least_used: 100,
-        return_once: false,
-        same_vm: true,
-    };
-    let loads = [
-        base,
-        Load {
-            name: "even",
-            skew: Skew::Even,
-            ..base
-        },
-        Load {
-            name: "moving, uses 40-100 %",
-            least_used: 40,
-            ..base
-        },
-        Load {
-            name: "moving, 180 holders",
-            holders: 180,
-            ..base
-        },
-        Load {
-            name: "even, 180 holders",
-            holders: 180,
-            skew: Skew::Even,
-            ..base
-        },
-        Load {
-            name: "always 3x",
-            percent: 300,
-            peak: 300,
-            ..base
-        },
-        Load {
-            name: "always 3x, back once",
-            percent: 300,
-            peak: 300,
-            return_once: true,
-            ..base
-        },
-        Load {
-            name: "always 3x, even, back once at any VM",
-            percent: 300,
-            peak: 300,
-            return_once: true,
-            same_vm: false,
-            skew: Skew::Even,
-            ..base
-        },
-        Load {
-            name: "50 %, peaks of 3x, back once",
-            percent: 50,
-            peak: 300,
-            return_once: true,
-            ..base
-        },
-        Load {
-            name: "50 %, peaks of 3x, even, back once at any VM",
-            percent: 50,
-            peak: 300,
-            return_once: true,
-            same_vm: false,
-            skew: Skew::Even,
-            ..base
-        },
-    ];
-    println!(
-        "load | sharing | requests | refused % | wrongful % | asked % | messages/s | back served % | tokens admitted, % of rate"
-    );
-    for load in loads {
-        for sharing in [false, true] {
-            let figures = Run::new(load, sharing).run();
-            let percent = |part: u64, whole: u64| 100.0 * part as f64 / whole.max(1) as f64;
-            println!(
-                "{} | {} | {} | {:.2} | {:.2} | {:.1} | {:.1} | {:.1} | {:.1}",
-                load.name,
-                if sharing { "on" } else { "off" },
-                figures.requests,
-                percent(figures.refused, figures.requests),
-                percent(figures.wrongful, figures.requests),
-                percent(figures.asked, figures.requests),
-                figures.messages as f64 / SECONDS as f64,
-                percent(figures.served_on_return, figures.returned),
-                percent(figures.admitted_tokens, LIMIT.rate * SECONDS),
-            );
-        }
-    }
-}
--- a/crates/core/src/rights/mod.rs
+++ b/crates/core/src/rights/mod.rs
@@ -37,7 +37,9 @@
 //!   again, but without a way back from a VM that doesn't need them.
 //!
 //! What it costs: a VM that dies takes the rights it held out of use until its death is proved,
-//! and the tokens for good; of an account with all its demand at that VM that is nearly all. One
+//! and the tokens for good; of an account with all its demand at that VM that is nearly all (in
+//! that run 12 % of the requests of two minutes, with the proof after 15 s; with even demand 0.4 %).
+//! Letting idle holders keep more was no better: at half of an even part 27 % were refused. One
 //! frozen VM that stays on the platform's list keeps others' lost rights from being granted anew.
 //! What a request used beyond its charge is owed by the holder that admitted it and is forgotten if
 //! that holder stops; the limit holds for charges, and for what ran as far as charges are upper bounds.
