--- a/crates/testkit/src/load/report.rs
+++ b/crates/testkit/src/load/report.rs
@@ -56,16 +56,17 @@
 }
 
 impl AccountReport {
-    /// What an account got out of all the samples.
+    /// What an account got out of the samples sent from `from_ms` on.
     pub fn new(
         place: usize,
         spec: &AccountSpec,
         samples: &[Sample],
+        from_ms: u64,
     ) -> Self {
-        let mine: Vec<_> = samples
-            .iter()
-            .filter(|sample| sample.account == place)
-            .collect();
+        let of_account = samples.iter().filter(|sample| sample.account == place);
+        let all: Vec<_> = of_account.collect();
+        let counted = all.iter().filter(|sample| sample.sent_ms >= from_ms);
+        let mine: Vec<_> = counted.collect();
         let mut codes = BTreeMap::new();
         for sample in mine.iter().filter(|sample| !sample.code.is_empty()) {
             *codes.entry(sample.code.clone()).or_default() += 1;
@@ -84,7 +85,7 @@
                     .map(|sample| sample.refused_ms * 1000),
             ),
             codes,
-            wrongful: wrongful_refusals(spec, &mine),
+            wrongful: wrongful_refusals(spec, &all, from_ms),
         }
     }
 }
