The log of edits is bounded by ops, and a loader reads it back to the newest bulk edit

The log now holds 20,000 ops, and the head names the newest edit over 8 KB, where a loader's log begins unless a shard lacks earlier ones.

--- a/crates/conf/src/store_layout/head.rs
+++ b/crates/conf/src/store_layout/head.rs
@@ -43,6 +43,8 @@
     pub next_numbers: BTreeMap<Family, u32>,
     /// The oldest edit whose record is still kept.
     pub oldest_edit: Revision,
+    /// The newest edit whose record is large; 0: there was none.
+    pub newest_bulk: Revision,
     /// The shards that were ever touched.
     pub shards: BTreeMap<u16, ShardMark>,
 }
@@ -92,9 +94,15 @@
     }
 
     /// The first record that a loader reads: what shards lack, and the newest for the log.
+    ///
+    /// The log goes back no further than the newest bulk edit, so that a VM that starts after a
+    /// morning of bulk edits doesn't read hundreds of megabytes of them.
     pub fn edits_from(&self) -> Revision {
         let log = Revision((self.revision.0 + 1).saturating_sub(LOG_EDITS as u64));
-        let log = log.max(self.oldest_edit).max(Revision(1));
+        let log = log
+            .max(self.oldest_edit)
+            .max(self.newest_bulk)
+            .max(Revision(1));
         self.lacks_from().map_or(log, |lacks| lacks.min(log))
     }
 }
--- a/crates/conf/src/store_layout/plan.rs
+++ b/crates/conf/src/store_layout/plan.rs
@@ -14,6 +14,9 @@
 /// Records that are kept; each edit over this number deletes the oldest.
 pub const HISTORY_EDITS: u64 = 20_000;
 
+/// Bytes from which on a record counts as that of a bulk edit.
+const BULK_RECORD: usize = 8 << 10;
+
 /// Shards that one edit rewrites at most.
 const MAX_SHARDS_A_WRITE: usize = 4;
 
@@ -63,6 +66,9 @@
     }
     let record = serde_json::to_string(accepted)
         .map_err(|source| LayoutError::malformed(EDIT_PREFIX, source))?;
+    if record.len() > BULK_RECORD {
+        head.newest_bulk = revision;
+    }
     let mut puts = rewrite_shards(&mut head, after, record.len())?;
     puts.push((edit_key(revision), record));
     let deletes = forget_oldest(&mut head);
--- a/crates/conf/src/tree/edit_log.rs
+++ b/crates/conf/src/tree/edit_log.rs
@@ -7,6 +7,11 @@
 /// Accepted edits that a daemon keeps at hand.
 pub const LOG_EDITS: usize = 1_024;
 
+/// Ops of all these edits together.
+///
+/// Without this bound a morning of bulk edits would be kept whole: 1,024 of 600 KB are gigabytes.
+pub const LOG_OPS: usize = 20_000;
+
 /// The newest accepted edits, without a gap.
 ///
 /// They bring others up to date, tell what a racing edit runs into, and show that an edit sent again
@@ -15,6 +20,7 @@
 pub struct EditLog {
     base: Revision,
     edits: VecDeque<Arc<Accepted>>,
+    ops: usize,
 }
 
 impl EditLog {
@@ -23,6 +29,7 @@
         Self {
             base,
             edits: VecDeque::new(),
+            ops: 0,
         }
     }
 
@@ -44,14 +51,26 @@
         if accepted.revision != self.newest().next() {
             return false;
         }
+        self.ops += accepted.edit.ops.len();
         self.edits.push_back(accepted);
-        if self.edits.len() > LOG_EDITS {
-            self.base = self.base.next();
-            self.edits.pop_front();
+        while self.is_over_its_bounds() {
+            self.drop_oldest();
         }
         true
     }
 
+    /// Whether the oldest edit is to go; the newest one stays, however large it is.
+    fn is_over_its_bounds(&self) -> bool {
+        self.edits.len() > LOG_EDITS || (self.edits.len() > 1 && self.ops > LOG_OPS)
+    }
+
+    fn drop_oldest(&mut self) {
+        if let Some(oldest) = self.edits.pop_front() {
+            self.base = oldest.revision;
+            self.ops -= oldest.edit.ops.len();
+        }
+    }
+
     /// The edits after `base`, oldest first; `None` where the log begins later.
     pub fn since(
         &self,
--- a/crates/conf/src/tree/mod.rs
+++ b/crates/conf/src/tree/mod.rs
@@ -54,7 +54,7 @@
     edit::{Accepted, Edit, EditOp},
     edit_error::EditError,
     edit_id::EditId,
-    edit_log::{EditLog, LOG_EDITS},
+    edit_log::{EditLog, LOG_EDITS, LOG_OPS},
     node::{Node, Settings},
     node_kind::{Family, NodeKind},
     path::{MAX_DEPTH, MAX_NAME, Path},
--- a/crates/conf/tests/generated_edits.rs
+++ b/crates/conf/tests/generated_edits.rs
@@ -396,6 +396,7 @@
             edit: Some(accepted.edit.id.clone()),
             next_numbers: tree.next_numbers().clone(),
             oldest_edit: Revision(1),
+            newest_bulk: Revision(0),
             shards: BTreeMap::new(),
         };
         for n in 0..jasmine_conf::store_layout::SHARDS {
