--- /dev/null
+++ b/crates/conf/src/api/history.rs
@@ -0,0 +1,11 @@
+use {
+    crate::tree::Accepted,
+    serde::{Deserialize, Serialize},
+};
+
+/// Accepted edits, newest first.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct History {
+    /// The edits.
+    pub edits: Vec<Accepted>,
+}
--- a/crates/conf/src/api/mod.rs
+++ b/crates/conf/src/api/mod.rs
@@ -1,13 +1,23 @@
 //! What operators' HTTP answers, as typed JSON, for the controller that writes it and the client that reads it.
 
+mod daemon_state;
+mod edit_answer;
 mod edit_progress;
 mod error_body;
 mod fleet_status;
+mod history;
+mod node_row;
 mod tree_page;
+mod vm_status;
 
 pub use {
+    daemon_state::DaemonState,
+    edit_answer::EditAnswer,
     edit_progress::{EditProgress, VmProgress},
     error_body::{ErrorBody, ErrorDetail},
-    fleet_status::{DaemonState, FleetStatus, VmStatus},
-    tree_page::{EditAnswer, History, NodeRow, TreePage},
+    fleet_status::FleetStatus,
+    history::History,
+    node_row::NodeRow,
+    tree_page::TreePage,
+    vm_status::VmStatus,
 };
--- a/crates/conf/src/tree/mod.rs
+++ b/crates/conf/src/tree/mod.rs
@@ -30,6 +30,7 @@
 //! what is accepted, without checks, on every VM alike; [`Tree::refresh`] brings the resolved
 //! [`crate::fleet::Fleet`] up to date for no more than what was touched.
 
+mod accepted;
 mod bodies;
 mod commands;
 mod conflict;
@@ -37,30 +38,41 @@
 mod edit_error;
 mod edit_id;
 mod edit_log;
+mod edit_op;
+mod family;
 mod node;
 mod node_kind;
 mod path;
 mod queries;
 mod rule;
 mod setting;
+mod settings;
+mod shape;
+mod standing;
 mod touched;
 mod tree_nodes;
 mod value;
 
 pub use {
+    accepted::Accepted,
     bodies::{EditsBody, TreeBody},
     commands::{MAX_EDIT_BYTES, Proposal},
     conflict::Conflict,
-    edit::{Accepted, Edit, EditOp},
+    edit::Edit,
     edit_error::EditError,
     edit_id::EditId,
     edit_log::{EditLog, LOG_EDITS, LOG_OPS},
-    node::{Node, Settings},
-    node_kind::{Family, NodeKind},
+    edit_op::EditOp,
+    family::Family,
+    node::Node,
+    node_kind::NodeKind,
     path::{MAX_DEPTH, MAX_NAME, Path},
     queries::{Explanation, Level},
-    rule::{Rule, Shape, Standing},
+    rule::Rule,
     setting::Setting,
+    settings::Settings,
+    shape::Shape,
+    standing::Standing,
     touched::{Removed, Touched},
     tree_nodes::{COLLECTIONS, Tree},
     value::Value,
--- a/crates/conf/src/tree/node_kind.rs
+++ b/crates/conf/src/tree/node_kind.rs
@@ -1,4 +1,7 @@
-use serde::{Deserialize, Serialize};
+use {
+    super::Family,
+    serde::{Deserialize, Serialize},
+};
 
 /// What a node of the tree stands for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -28,26 +31,6 @@
     DataCentre,
 }
 
-/// Kinds whose members share one sequence of numbers and one set of names.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Family {
-    /// Client accounts.
-    Accounts,
-    /// Keys; their name is the digest.
-    Keys,
-    /// Adapters.
-    Adapters,
-    /// Base models.
-    Models,
-    /// Engines and servers.
-    Upstreams,
-    /// Plain services.
-    Services,
-    /// Data centres.
-    DataCentres,
-}
-
 impl NodeKind {
     /// All kinds, in the order of the documentation.
     pub const ALL: [Self; 11] = [
