A gateway whose rights were shared out stops; schema: the newest epoch

A VM that was frozen until it was taken for gone goes on admitting with rights that the others have been granted anew: over the account's rate. The controller told it only that it is in no epoch, which also holds for a controller that has just started. EpochView carries the newest epoch now (additive, regenerated); a gateway that was in an older one and is not told of it drops everything, refuses, and makes a planned stop so that a new run can join. Weighed: a new identity within the process; rejected, since owners take a later run for the proof that the former one has dropped its adapters, and its streams would still be on them.

--- a/crates/controller/src/peers/fleet_message.rs
+++ b/crates/controller/src/peers/fleet_message.rs
@@ -30,12 +30,13 @@
         return;
     };
     let record = &epoch.value;
+    let mut view = results.init_epoch();
+    view.set_newest(record.epoch.0);
     if !record.is_member(to) {
         // One that entered without being a member could be given rights that the next epoch, which
         // doesn't wait for its report, would take for missing and grant once more.
         return;
     }
-    let mut view = results.init_epoch();
     view.set_epoch(record.epoch.0);
     view.set_closing(record.closing);
     let grants = record.grants_for(to);
--- a/crates/gateway/src/brain/configuration.rs
+++ b/crates/gateway/src/brain/configuration.rs
@@ -41,6 +41,8 @@
     pub owners: HashMap<UpstreamId, VmId>,
     /// The epoch of rights.
     pub epoch: Epoch,
+    /// The newest epoch, also where this gateway is no member of it.
+    pub newest: Epoch,
     /// Whether holdings are still being gathered for it.
     pub closing: bool,
     /// What it adds to this gateway.
@@ -171,9 +173,18 @@
             .members
             .gateway_run(self.me.vm)
             .is_some_and(|run| run > self.me.incarnation);
-        if newer_run {
-            // Another run of this very daemon has been seen: it holds the rights now.
+        // The others go on without what this run holds, and share it out among themselves. They do so
+        // only with proof that its VM is gone or that a later run has taken its place; a VM that was
+        // frozen for long enough and thaws has missed it. What it admitted now would come on top.
+        let left_out = answer.epoch == Epoch::default()
+            && self.ledger.epoch().is_some_and(|own| own < answer.newest);
+        if newer_run || left_out {
+            Line::new("rights_forfeited")
+                .with("epoch", answer.newest)
+                .with("newer_run", newer_run)
+                .error();
             self.ledger.forfeit();
+            self.readiness.ask_to_stop();
             return None;
         }
         self.ledger.set_peers(self.members.holders());
--- a/crates/gateway/src/brain/links.rs
+++ b/crates/gateway/src/brain/links.rs
@@ -125,6 +125,7 @@
                         .map(|owner| (UpstreamId(owner.get_upstream()), VmId(owner.get_vm())))
                         .collect(),
                     epoch: Epoch(epoch.get_epoch()),
+                    newest: Epoch(epoch.get_newest()),
                     closing: epoch.get_closing(),
                     grants: read_rights(epoch.get_grants()?),
                 };
--- a/crates/gateway/src/daemon/stop.rs
+++ b/crates/gateway/src/daemon/stop.rs
@@ -45,6 +45,7 @@
     tokio::select! {
         _ = term.recv() => {}
         _ = int.recv() => {}
+        () = readiness.until_asked_to_stop() => {}
     }
     let began = Instant::now();
     readiness.leave_balancers();
--- a/crates/gateway/src/status/readiness.rs
+++ b/crates/gateway/src/status/readiness.rs
@@ -13,6 +13,7 @@
     in_flight: AtomicU64,
     cut_off: AtomicBool,
     cut: Notify,
+    stop: Notify,
 }
 
 impl Readiness {
@@ -64,6 +65,16 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
+    /// Asks for a planned stop, so that a new run can begin.
+    pub fn ask_to_stop(&self) {
+        self.stop.notify_one();
+    }
+
+    /// Waits until a planned stop is asked for.
+    pub async fn until_asked_to_stop(&self) {
+        self.stop.notified().await;
+    }
+
     /// Ends what still runs.
     pub fn cut_off(&self) {
         self.cut_off.store(true, Ordering::SeqCst);
--- a/crates/gateway/tests/gateway/broken_streams.rs
+++ b/crates/gateway/tests/gateway/broken_streams.rs
@@ -11,6 +11,10 @@
     std::{
         io::{Read, Write},
         net::{SocketAddr, TcpListener},
+        sync::{
+            Arc,
+            atomic::{AtomicU32, Ordering},
+        },
         time::Duration,
     },
 };
@@ -159,17 +163,20 @@
 }
 
 /// A server that answers each connection with these bytes and closes it.
-fn answering(bytes: &'static str) -> SocketAddr {
+fn answering(bytes: &'static str) -> (SocketAddr, Arc<AtomicU32>) {
+    let asked = Arc::new(AtomicU32::new(0));
+    let count = Arc::clone(&asked);
     let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
     let address = listener.local_addr().expect("an address");
     std::thread::spawn(move || {
         for mut stream in listener.incoming().map_while(Result::ok) {
             let mut buf = [0; 4096];
-            let asked = stream.read(&mut buf).is_ok();
-            assert!(asked && stream.write_all(bytes.as_bytes()).is_ok());
+            let got = stream.read(&mut buf).is_ok();
+            count.fetch_add(1, Ordering::SeqCst);
+            assert!(got && stream.write_all(bytes.as_bytes()).is_ok());
         }
     });
-    address
+    (address, asked)
 }
 
 #[actix_rt::test]
@@ -194,7 +201,7 @@
         .enumerate()
     {
         let name = format!("odd-{n}");
-        let address = answering(bytes).to_string();
+        let address = answering(bytes).0.to_string();
         bench.controller.edit(json!([
             {"op": "delete", "path": format!("/upstreams/{before}")},
             {
@@ -214,6 +221,41 @@
     }
 }
 
+#[actix_rt::test]
+async fn redirected_call() {
+    // A server answers a call that may not be repeated with a redirect. A client library that follows it
+    // runs the call a second time.
+    let bench = Bench::start(BenchSpec {
+        servers: 0,
+        ..BenchSpec::default()
+    })
+    .await;
+    let (address, asked) = answering(
+        "HTTP/1.1 307 Temporary Redirect\r\nlocation: /elsewhere\r\ncontent-length: 0\r\n\r\n",
+    );
+    bench.controller.edit(json!([{
+        "op": "create", "path": "/upstreams/odd", "kind": "server",
+        "settings": {"address": address.to_string(), "service": "phones", "data_centre": "dc-1"},
+    }]));
+    let enrol = bench
+        .call(
+            awc::http::Method::POST,
+            "/services/phones/phones/17/enrolment",
+        )
+        .body(json!({}));
+    let look = || async {
+        let client = awc::Client::builder().disable_redirects().finish();
+        let answer = enrol.send_with(&client).await.expect("an answer");
+        (answer.status == 307)
+            .then_some(())
+            .ok_or(format!("{answer:?}"))
+    };
+    jasmine_testkit::harness::poll("redirect", Duration::from_secs(3), look)
+        .await
+        .expect("the service's own answer");
+    assert_eq!(asked.load(Ordering::SeqCst), 1);
+}
+
 #[actix_rt::test]
 async fn short_body() {
     // A server of a plain service dies while it writes its answer. awc takes the closed connection for the
--- a/crates/gateway/tests/gateway/planned_stop.rs
+++ b/crates/gateway/tests/gateway/planned_stop.rs
@@ -43,6 +43,31 @@
     assert_eq!(bench.controller.told().given_back.len(), 2);
 }
 
+#[actix_rt::test]
+async fn left_out() {
+    // A VM was frozen until the others took it for gone and shared out its rights among themselves. When it
+    // thaws, what it admits comes on top of what they do, and the account is over its rate.
+    let mut bench = Bench::start(BenchSpec::default()).await;
+    assert!(
+        support::answer(&bench.chat("base", "hello", 4, false))
+            .await
+            .is_whole()
+    );
+    bench.controller.told().left_out = true;
+    let refused = || async {
+        let answer = support::answer(&bench.chat("base", "hello", 4, false)).await;
+        (answer.code() == "shutting_down")
+            .then_some(())
+            .ok_or(format!("{answer:?}"))
+    };
+    jasmine_testkit::harness::poll("refused", Duration::from_secs(3), refused)
+        .await
+        .expect("a refusal");
+    // It ends by itself, so that a new run can join the others.
+    assert!(ended(&mut bench).await);
+    assert!(bench.controller.told().given_back.is_empty());
+}
+
 #[actix_rt::test]
 async fn before_deadline() {
     // A stream would go on for longer than the stop may take. The process must be gone by its
--- a/crates/gateway/tests/gateway/support/fake_controller.rs
+++ b/crates/gateway/tests/gateway/support/fake_controller.rs
@@ -43,6 +43,8 @@
     pub given_back: Vec<u32>,
     /// Other VMs that it tells of, with their controllers.
     pub others: BTreeMap<u32, SocketAddr>,
+    /// Whether the epoch has gone on without the gateway.
+    pub left_out: bool,
     /// The part of each account's rights that it grants, of [`SHARE_WHOLE`].
     pub share: Option<u64>,
 }
@@ -187,8 +189,12 @@
         let accounts: Vec<_> = fleet.accounts.iter().collect();
         let mut epoch = answer.init_epoch();
         // The first look finds no epoch yet.
-        epoch.set_epoch(u64::from(params.get_have() > 0));
+        epoch.set_epoch(u64::from(params.get_have() > 0 && !told.left_out));
+        epoch.set_newest(1 + u64::from(told.left_out));
         let share = told.share.unwrap_or(SHARE_WHOLE);
+        if told.left_out {
+            return Ok(());
+        }
         let mut grants = epoch.init_grants(accounts.len() as u32);
         for (i, account) in (0..).zip(accounts) {
             let right = jasmine_core::rights::Right {
--- a/crates/wire/schema/jasmine.capnp
+++ b/crates/wire/schema/jasmine.capnp
@@ -50,6 +50,7 @@
   epoch @0 :UInt64;
   grants @1 :List(Right);  # what this epoch adds to the asking gateway, to be applied once
   closing @2 :Bool;        # holdings of the epoch before are still being gathered
+  newest @3 :UInt64;       # the newest epoch, also where the asking gateway is no member of it (epoch is 0 then)
 }
 
 struct Instance {
