--- a/crates/conf/src/tree/edit_error.rs
+++ b/crates/conf/src/tree/edit_error.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Conflict, NodeKind, Path, Setting},
+    super::{Conflict, EditId, NodeKind, Path, Setting},
     jasmine_core::{error::ErrorKind, ids::Revision},
 };
 
@@ -158,6 +158,14 @@
         #[error(not(source))]
         conflicts: Vec<Conflict>,
     },
+    /// An accepted edit of the same id did something else.
+    #[display("edit id {id} was used for another edit, accepted as revision {revision}")]
+    IdTaken {
+        /// The id.
+        id: EditId,
+        /// The revision that the other edit made.
+        revision: Revision,
+    },
     /// The base is so old that what changed since can't be told.
     #[display("revision {base} is too old to compare with (oldest: {oldest}): read again")]
     BaseTooOld {
@@ -190,7 +198,9 @@
         match self {
             Self::BadPath { .. } | Self::BadEditId | Self::BadAuthor => ErrorKind::BadRequest,
             Self::TooLarge { .. } => ErrorKind::BodyTooLarge,
-            Self::Conflicts { .. } | Self::BaseTooOld { .. } => ErrorKind::EditConflict,
+            Self::Conflicts { .. } | Self::BaseTooOld { .. } | Self::IdTaken { .. } => {
+                ErrorKind::EditConflict
+            }
             // Whoever named the revision has read it from a VM that is further on: this one lags.
             Self::BaseTooNew { .. } => ErrorKind::ConfigUnavailable,
             Self::OutOfOrder { .. } => ErrorKind::Internal,
--- a/crates/conf/src/tree/edit_log.rs
+++ b/crates/conf/src/tree/edit_log.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Accepted, EditId, Path},
+    super::{Accepted, Edit, EditError, EditId, Path},
     jasmine_core::ids::Revision,
     std::{collections::VecDeque, sync::Arc},
 };
@@ -89,6 +89,25 @@
         self.newest_first().find(|accepted| accepted.edit.id == *id)
     }
 
+    /// The record of an edit that is sent again; none: it is not accepted as far as this log goes.
+    ///
+    /// # Errors
+    ///
+    /// [`EditError::IdTaken`] where the id is that of an edit that did something else: whoever sent
+    /// this one would take the other's record for its own.
+    pub fn sent_before(
+        &self,
+        edit: &Edit,
+    ) -> Result<Option<&Accepted>, EditError> {
+        match self.find(&edit.id) {
+            Some(accepted) if accepted.edit.ops != edit.ops => Err(EditError::IdTaken {
+                id: edit.id.clone(),
+                revision: accepted.revision,
+            }),
+            found => Ok(found),
+        }
+    }
+
     /// All edits, newest first.
     pub fn newest_first(&self) -> impl Iterator<Item = &Accepted> {
         self.edits.iter().rev().map(Arc::as_ref)
--- a/crates/controller/src/config/edit_desk.rs
+++ b/crates/controller/src/config/edit_desk.rs
@@ -97,7 +97,7 @@
             .keeper
             .tree()
             .ok_or_else(|| EditRefusal::Unavailable("no configuration yet".into()))?;
-        if let Some(accepted) = log.find(&edit.id) {
+        if let Some(accepted) = log.sent_before(edit)? {
             return Ok(Attempt::Accepted(accepted.clone()));
         }
         if head.head.revision != before.revision() {
--- a/crates/controller/tests/fake_controller/mod.rs
+++ b/crates/controller/tests/fake_controller/mod.rs
@@ -88,7 +88,8 @@
         if self.answers_nothing {
             return Err(SubmitError::Failed(ErrorKind::EditOutcomeUnknown));
         }
-        if let Some(accepted) = self.log.find(&edit.id) {
+        let sent_before = self.log.sent_before(&edit).map_err(SubmitError::Refused)?;
+        if let Some(accepted) = sent_before {
             return Ok(accepted.clone());
         }
         let proposal = self
--- a/crates/ctl/tests/command_line.rs
+++ b/crates/ctl/tests/command_line.rs
@@ -156,6 +156,24 @@
     assert!(ran.err.contains("jasminectl edit status e-7"), "{ran:?}");
 }
 
+#[actix::test]
+async fn an_id_used_for_another_edit_is_refused() {
+    // An operator types "key issue" again with the id of the first try. The controller knows the id and
+    // would answer with the first edit's record; the key shown would be one that no VM takes.
+    let ctl = small_fleet().await;
+    let first = "key issue /accounts/clinics/san-juan phones --edit-id e9";
+    ctl.ok(first).await;
+    let again = ctl.run(first).await;
+    assert_eq!(again.code, 4, "{again:?}");
+    assert!(!again.out.contains(KEY_PREFIX), "{again:?}");
+    assert!(
+        again.err.contains("edit id e9 was used for another edit"),
+        "{again:?}"
+    );
+    ctl.ok("set /accounts/clinics rate=8 --edit-id e10").await;
+    ctl.ok("set /accounts/clinics rate=8 --edit-id e10").await;
+}
+
 #[actix::test]
 async fn the_next_controller_is_tried() {
     // The first VM of the list has just been replaced and nobody listens there.
