--- /dev/null
+++ b/crates/testkit/tests/former_owner.rs
@@ -0,0 +1,102 @@
+//! Controllers that are frozen past their lease and go on giving orders unaware.
+
+use {
+    jasmine_testkit::{
+        client::Call,
+        engine::{EngineSettings, chat_answer},
+        harness::{Cluster, ClusterSpec},
+    },
+    nix::sys::signal::Signal,
+    std::{
+        cell::Cell,
+        time::{Duration, Instant},
+    },
+};
+
+/// Few slots for many adapters, so that there is always something to load and to evict; two of the
+/// three engines check fencing tokens, one obeys whoever comes.
+fn crowded() -> ClusterSpec {
+    ClusterSpec {
+        adapters: 12,
+        engine: EngineSettings {
+            slots: 2,
+            step_us: 5000,
+            ..EngineSettings::default()
+        },
+        ..ClusterSpec::default()
+    }
+}
+
+/// A VM is paused in the middle of ordering loads and unloads, another controller takes its engines
+/// over, and the paused one wakes up and goes on where it was. An order that it still sends must not
+/// take an adapter away from under a running answer, on engines that ignore fencing neither.
+#[actix_web::test]
+async fn wakes_up() {
+    let cluster = Cluster::start(crowded()).await.unwrap();
+    let done = Cell::new(false);
+    let lane = |n: u32| {
+        let (cluster, done) = (&cluster, &done);
+        async move {
+            let (mut whole, mut refused, mut wrong) = (0, Vec::new(), Vec::new());
+            for turn in 0.. {
+                if done.get() {
+                    break;
+                }
+                let adapter = (n * 5 + turn * 7) % 12 + 1;
+                let text = format!("turn {turn} of lane {n}");
+                let model = format!("notes-{adapter}");
+                let call = Call::chat(
+                    cluster.callers(n % 2 + 1),
+                    cluster.key("clinic"),
+                    &model,
+                    &text,
+                    20,
+                    true,
+                );
+                let expected = chat_answer(&format!("{model}-v1"), &text, 20);
+                match call.send().await {
+                    Ok(answer) if answer.is_whole() && answer.text == expected => whole += 1,
+                    Ok(answer) if answer.is_whole() || !expected.starts_with(&answer.text) => {
+                        wrong.push(format!("{answer:?}"));
+                    }
+                    Ok(answer) => refused.push(answer.code().to_owned()),
+                    Err(e) => wrong.push(e.to_string()),
+                }
+            }
+            (whole, refused, wrong)
+        }
+    };
+    let freeze = async {
+        let lease = cluster.spec().lease.to_std();
+        for vm in [&cluster.vms[0], &cluster.vms[1], &cluster.vms[0]] {
+            let controller = vm.controller.as_ref().unwrap();
+            assert!(controller.signal(Signal::SIGSTOP));
+            tokio::time::sleep(lease * 2).await;
+            assert!(controller.signal(Signal::SIGCONT));
+            tokio::time::sleep(lease).await;
+        }
+        done.set(true);
+    };
+    let start = Instant::now();
+    let (lanes, ()) = futures::join!(futures::future::join_all((0..6).map(lane)), freeze);
+    let whole: u32 = lanes.iter().map(|lane| lane.0).sum();
+    let refused: Vec<_> = lanes.iter().flat_map(|lane| &lane.1).collect();
+    let wrong: Vec<_> = lanes.iter().flat_map(|lane| &lane.2).collect();
+    let records = cluster.upstreams.engine_records().await;
+    let loads: usize = records.iter().map(|record| record.loads.len()).sum();
+    let unloads: usize = records.iter().map(|record| record.unloads.len()).sum();
+    let stale: u32 = records.iter().map(|record| record.stale_orders).sum();
+    println!(
+        "{whole} whole, refused {refused:?}, {loads} loads, {unloads} unloads, {stale} stale orders in {:?}",
+        start.elapsed()
+    );
+    assert_eq!(
+        records
+            .iter()
+            .map(|record| record.cut_by_unload)
+            .sum::<u32>(),
+        0
+    );
+    assert!(wrong.is_empty(), "{wrong:?}");
+    assert!(unloads > 0 && start.elapsed() > Duration::from_secs(10));
+}
