--- a/crates/testkit/tests/data_centre_lost.rs
+++ b/crates/testkit/tests/data_centre_lost.rs
@@ -151,3 +151,26 @@
     let back = served(&cluster, 3, "base").await;
     println!("refused {after:?} after the cut, served {back:?} after its end");
 }
+
+/// The lines of a data centre work in one direction only: what is sent there arrives and no answer
+/// comes back. Connections open and stay silent, which looks like a slow data centre for as long as
+/// nobody stops waiting. Callers elsewhere are served within seconds, and no answer is cut for it.
+#[actix_web::test]
+async fn cut_one_way() {
+    let cluster = Cluster::start(three_data_centres()).await.unwrap();
+    for n in 1..=6 {
+        served(&cluster, n % 3 + 1, &format!("notes-{n}")).await;
+    }
+    third_data_centre(&cluster, Fault::CutToClient);
+    let mut slowest = Duration::ZERO;
+    for n in 1..=6 {
+        let took = served(&cluster, n % 2 + 1, &format!("notes-{n}")).await;
+        slowest = slowest.max(took);
+    }
+    third_data_centre(&cluster, Fault::Pass);
+    let back = served(&cluster, 3, "notes-3").await;
+    println!("elsewhere after {slowest:?} at worst; at the data centre itself {back:?}");
+    let records = cluster.upstreams.engine_records().await;
+    let cut = records.iter().map(|record| record.cut_by_unload);
+    assert_eq!(cut.sum::<u32>(), 0);
+}
