jasminectl: a base too old is no answer to an edit that may be in force

After a lost answer the next controller may have started since and refuse the base alone, since its log begins later. That was told as refused (exit 4) though the edit was in force. It is outcome unknown now, exit 6. Failing first (trial): an_edit_that_nobody_remembers_is_not_called_refused, exit 4.

--- a/crates/controller/tests/fake_controller/mod.rs
+++ b/crates/controller/tests/fake_controller/mod.rs
@@ -32,6 +32,7 @@
     lost_answers: u32,
     gateway_lag: Option<u64>,
     answers_nothing: bool,
+    forgets_the_log: bool,
     stays_silent: bool,
 }
 
@@ -45,6 +46,12 @@
         self
     }
 
+    /// Starts anew after a lost answer, with the tree and without the log of edits.
+    pub fn forgetting_the_log(mut self) -> Self {
+        self.forgets_the_log = true;
+        self
+    }
+
     /// Loses every answer to an edit, also to one sent again.
     pub fn answering_nothing(mut self) -> Self {
         self.answers_nothing = true;
@@ -100,6 +107,9 @@
         self.log.push(Arc::new(proposal.accepted.clone()));
         if self.lost_answers > 0 {
             self.lost_answers -= 1;
+            if self.forgets_the_log {
+                self.log = EditLog::new(self.tree.revision());
+            }
             return Err(SubmitError::Failed(ErrorKind::EditOutcomeUnknown));
         }
         Ok(proposal.accepted)
--- a/crates/ctl/src/client/api.rs
+++ b/crates/ctl/src/client/api.rs
@@ -6,6 +6,7 @@
         api::{EditAnswer, EditProgress, ErrorBody, FleetStatus, History, TreePage},
         tree::{Accepted, Edit, EditId, Explanation, Path, Setting},
     },
+    jasmine_core::error::ErrorKind,
     serde::de::DeserializeOwned,
     std::time::Duration,
 };
@@ -160,9 +161,9 @@
                 };
                 may_have_run |= attempt.may_have_run() && !dry_run;
                 match attempt {
-                    // Refused for good, and no earlier attempt can have taken effect unnoticed: a
-                    // controller that refuses has looked for the id among what is accepted.
-                    Attempt::Refused(body) if !is_passing(&body) => {
+                    // Refused for good: the controller has looked for the id among all that was
+                    // accepted since the base, unless it can't look back that far.
+                    Attempt::Refused(body) if is_final(&body, may_have_run) => {
                         return Err(CtlError::from(body));
                     }
                     attempt => {
@@ -226,6 +227,20 @@
     Attempt::Refused(Box::new(body.clone())).is_worth_another()
 }
 
+/// Whether a refusal of an edit settles what became of it.
+fn is_final(
+    body: &ErrorBody,
+    may_have_run: bool,
+) -> bool {
+    let in_doubt = may_have_run && looks_back_too_little(body);
+    !in_doubt && !is_passing(body)
+}
+
+/// Whether a controller refused the base alone, because its log begins later.
+fn looks_back_too_little(body: &ErrorBody) -> bool {
+    body.kind() == Some(ErrorKind::EditConflict) && body.error.conflicts.is_empty()
+}
+
 type Sent<S> = Result<awc::ClientResponse<S>, awc::error::SendRequestError>;
 
 async fn finish<S, T>(sent: Sent<S>) -> Result<T, Attempt>
--- a/crates/ctl/tests/command_line.rs
+++ b/crates/ctl/tests/command_line.rs
@@ -156,6 +156,20 @@
     assert!(ran.err.contains("jasminectl edit status e-7"), "{ran:?}");
 }
 
+#[actix::test]
+async fn an_edit_that_nobody_remembers_is_not_called_refused() {
+    // The answer is lost and the controller that is asked next has started since: it can't look back
+    // to the edit's base. It refuses the base, but the edit may be in force, as it is here.
+    let ctl = with(
+        FakeController::default()
+            .losing_answers(1)
+            .forgetting_the_log(),
+    );
+    let ran = ctl.run("create /accounts/farm account --edit-id e8").await;
+    assert_eq!(ran.code, 6, "{ran:?}");
+    ctl.ok("show /accounts/farm").await;
+}
+
 #[actix::test]
 async fn an_id_used_for_another_edit_is_refused() {
     // An operator types "key issue" again with the id of the first try. The controller knows the id and
