Deleted engines are given up; reports over a connection that is kept

An engine that operators delete, or whose slots change, was kept by its owner for ever: the assignment looked only at engines that the tree has (test engine_deleted; with the check off: not within 8 s, one owned).

A report asks for nothing and may go over a kept one.

--- a/crates/controller/src/engines/engine_client.rs
+++ b/crates/controller/src/engines/engine_client.rs
@@ -1,5 +1,4 @@
 use {
-    super::EngineReport,
     awc::{Client, Connector, error::SendRequestError},
     jasmine_core::{
         clock::Millis,
@@ -22,12 +21,6 @@
 /// How long any other order may take.
 const ORDER_TIMEOUT: Millis = Millis(2_000);
 
-/// How long a report may take.
-const REPORT_TIMEOUT: Millis = Millis(1_000);
-
-/// The largest answer taken, in bytes.
-const MAX_ANSWER: usize = 1024 * 1024;
-
 /// Why an engine gave no usable answer.
 #[derive(Clone, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
 pub enum EngineError {
@@ -39,7 +32,7 @@
     Unclear(#[error(not(source))] String),
 }
 
-/// Sends orders to engines and reads their reports.
+/// Sends orders to engines.
 ///
 /// Each call has a connection of its own. An order that is repeated or held back inside a pooled
 /// connection that has gone silent could reach the engine long after this controller has lost it.
@@ -99,33 +92,6 @@
             Ok(_) | Err(_) => None,
         }
     }
-
-    /// Reads an engine's report.
-    ///
-    /// # Errors
-    ///
-    /// [`EngineError`] where the engine can't be reached or answers something else.
-    pub async fn report(
-        self,
-        engine: SocketAddr,
-    ) -> Result<EngineReport, EngineError> {
-        let read = async {
-            let mut res = fresh_client()
-                .get(format!("http://{engine}/v1/load"))
-                .send()
-                .await
-                .map_err(|e| unclear(&e))?;
-            let body = res
-                .body()
-                .limit(MAX_ANSWER)
-                .await
-                .map_err(|e| unclear(&e))?;
-            serde_json::from_slice(&body).map_err(|e| unclear(&e))
-        };
-        timeout(REPORT_TIMEOUT.to_std(), read)
-            .await
-            .unwrap_or_else(|e| Err(unclear(&e)))
-    }
 }
 
 async fn post(
@@ -152,13 +118,13 @@
         .unwrap_or_else(|e| Err(unclear(&e)))
 }
 
-fn fresh_client() -> Client {
+pub(super) fn fresh_client() -> Client {
     Client::builder()
         .connector(Connector::new().timeout(CONNECT_TIMEOUT.to_std()))
         .disable_timeout()
         .finish()
 }
 
-fn unclear(e: &dyn std::fmt::Display) -> EngineError {
+pub(super) fn unclear(e: &dyn std::fmt::Display) -> EngineError {
     EngineError::Unclear(e.to_string())
 }
--- a/crates/controller/src/engines/mod.rs
+++ b/crates/controller/src/engines/mod.rs
@@ -2,8 +2,10 @@
 
 mod engine_client;
 mod engine_report;
+mod report_reader;
 
 pub use {
     engine_client::{EngineClient, EngineError},
     engine_report::EngineReport,
+    report_reader::ReportReader,
 };
--- a/crates/controller/src/ownership/assignment.rs
+++ b/crates/controller/src/ownership/assignment.rs
@@ -76,6 +76,9 @@
         let Some(lease) = self.session.sure() else {
             return;
         };
+        for (upstream, fence) in self.altered() {
+            self.hand_over(upstream, fence).await;
+        }
         for upstream in self.desk.take_renewals() {
             self.renew(upstream, lease).await;
         }
@@ -118,6 +121,22 @@
         }
     }
 
+    /// Owned engines that operators have deleted or whose slots or fencing have changed; the latter
+    /// are taken anew under what holds now.
+    fn altered(&self) -> Vec<(UpstreamId, Fence)> {
+        let Some(config) = self.shared.config.fleet() else {
+            return Vec::new();
+        };
+        let held = self.held.borrow();
+        held.iter()
+            .filter(|&(&upstream, _)| {
+                let wanted = config.upstreams.get(upstream).and_then(engine_target);
+                wanted != self.desk.target(upstream)
+            })
+            .map(|(&upstream, &(_, fence))| (upstream, fence))
+            .collect()
+    }
+
     fn is_mine(
         &self,
         owner: &Owner,
--- a/crates/controller/src/ownership/engine_state.rs
+++ b/crates/controller/src/ownership/engine_state.rs
@@ -23,6 +23,8 @@
 pub struct EngineState {
     /// Where and how it takes orders.
     pub target: EngineTarget,
+    /// Counts the engines that this controller has gained, to tell this gain from a later one.
+    pub gained: u64,
     /// The fencing token under which it is owned.
     pub fence: Fence,
     /// Its newest report.
@@ -39,10 +41,12 @@
     /// An engine that has just come to this controller.
     pub fn new(
         target: EngineTarget,
+        gained: u64,
         fence: Fence,
     ) -> Self {
         Self {
             target,
+            gained,
             fence,
             report: EngineReport::default(),
             reported: Millis::ZERO,
--- a/crates/controller/src/ownership/owner_desk.rs
+++ b/crates/controller/src/ownership/owner_desk.rs
@@ -3,7 +3,7 @@
     crate::{
         clock::{OwnClock, Signal},
         config::ConfigKeeper,
-        engines::{EngineClient, EngineReport},
+        engines::{EngineClient, EngineReport, ReportReader},
         rights::LoadBudget,
     },
     jasmine_core::{
@@ -19,6 +19,7 @@
     std::{
         cell::{Cell, RefCell},
         collections::{BTreeMap, HashMap},
+        net::SocketAddr,
         rc::Rc,
         time::Duration,
     },
@@ -47,6 +48,7 @@
     questions: RefCell<HashMap<(Holder, u64), oneshot::Sender<AcquireOutcome>>>,
     renewals: RefCell<Vec<UpstreamId>>,
     orders: Cell<u64>,
+    gains: Cell<u64>,
     /// Raised when what gateways see of an engine changes.
     pub changed: Signal,
     /// Raised when the machine wants a newer fencing token.
@@ -81,6 +83,7 @@
             questions: RefCell::default(),
             renewals: RefCell::default(),
             orders: Cell::new(0),
+            gains: Cell::new(0),
             changed: Signal::new(),
             renew: Signal::new(),
         }
@@ -108,6 +111,15 @@
             .collect()
     }
 
+    /// Where and how an owned engine takes orders.
+    pub fn target(
+        &self,
+        upstream: UpstreamId,
+    ) -> Option<EngineTarget> {
+        let engines = self.engines.borrow();
+        engines.get(&upstream).map(|state| state.target)
+    }
+
     /// What this gateway should drop.
     pub fn recalls(
         &self,
@@ -133,12 +145,14 @@
         fence: Fence,
         target: EngineTarget,
     ) {
+        let gained = self.gains.get() + 1;
+        self.gains.set(gained);
         let is_new = {
             let mut engines = self.engines.borrow_mut();
             let is_new = !engines.contains_key(&upstream);
             let state = engines
                 .entry(upstream)
-                .or_insert_with(|| EngineState::new(target, fence));
+                .or_insert_with(|| EngineState::new(target, gained, fence));
             state.fence = fence;
             is_new
         };
@@ -153,7 +167,7 @@
             slots: target.slots,
         }));
         if is_new {
-            spawn_local(Rc::clone(self).poll_reports(upstream));
+            spawn_local(Rc::clone(self).poll_reports(upstream, gained));
         }
     }
 
@@ -323,23 +337,34 @@
     async fn poll_reports(
         self: Rc<Self>,
         upstream: UpstreamId,
+        gained: u64,
     ) {
         let mut ticks = tokio::time::interval(REPORT_EVERY);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let Some(mut reader) = self.address(upstream, gained).map(ReportReader::new) else {
+            return;
+        };
         loop {
             ticks.tick().await;
-            let address = {
-                let engines = self.engines.borrow();
-                match engines.get(&upstream) {
-                    Some(state) => state.target.address,
-                    None => return,
-                }
-            };
-            let report = EngineClient.report(address).await.ok();
+            if self.address(upstream, gained).is_none() {
+                return;
+            }
+            let report = reader.read().await.ok();
             self.note_report(upstream, report);
         }
     }
 
+    /// Where an engine listens, for as long as it is owned by this very gain.
+    fn address(
+        &self,
+        upstream: UpstreamId,
+        gained: u64,
+    ) -> Option<SocketAddr> {
+        let engines = self.engines.borrow();
+        let state = engines.get(&upstream)?;
+        (state.gained == gained).then_some(state.target.address)
+    }
+
     fn note_report(
         self: &Rc<Self>,
         upstream: UpstreamId,
--- a/crates/controller/tests/racing_owners.rs
+++ b/crates/controller/tests/racing_owners.rs
@@ -104,3 +104,32 @@
         .unwrap();
     println!("engines spread after {took:?}");
 }
+
+/// Operators delete an engine. Its owner must not keep it busy with questions and orders for ever.
+#[actix_web::test]
+async fn engine_deleted() {
+    let engines: Vec<_> = (0..2)
+        .map(|_| engine::start(support::anywhere(), EngineSettings::default()).unwrap())
+        .collect();
+    let addresses: Vec<_> = engines
+        .iter()
+        .map(jasmine_testkit::Running::address)
+        .collect();
+    let fleet = Fleet::start(1).await;
+    let answer = fleet.edit(1, "first", first_ops(&addresses)).await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    let owned = |wanted: u64| {
+        let fleet = &fleet;
+        move || async move {
+            match fleet.owned(1).await.as_slice() {
+                [(1, owned)] if *owned == wanted => Ok(()),
+                owned => Err(format!("{owned:?}")),
+            }
+        }
+    };
+    poll("both owned", SOON, owned(2)).await.unwrap();
+    let ops = json!([{"op": "delete", "path": "/upstreams/engine-0"}]);
+    let answer = fleet.edit(1, "second", ops).await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    poll("one owned", SOON, owned(1)).await.unwrap();
+}
