--- a/crates/conf/src/tree/edit_log.rs
+++ b/crates/conf/src/tree/edit_log.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Accepted, EditId, Path},
+    super::{Accepted, Edit, EditError, EditId, Path},
     jasmine_core::ids::Revision,
     std::{collections::VecDeque, sync::Arc},
 };
@@ -7,6 +7,11 @@
 /// Accepted edits that a daemon keeps at hand.
 pub const LOG_EDITS: usize = 1_024;
 
+/// Ops of all these edits together.
+///
+/// Without this bound a morning of bulk edits would be kept whole: 1,024 of 600 KB are gigabytes.
+pub const LOG_OPS: usize = 20_000;
+
 /// The newest accepted edits, without a gap.
 ///
 /// They bring others up to date, tell what a racing edit runs into, and show that an edit sent again
@@ -15,6 +20,7 @@
 pub struct EditLog {
     base: Revision,
     edits: VecDeque<Arc<Accepted>>,
+    ops: usize,
 }
 
 impl EditLog {
@@ -23,6 +29,7 @@
         Self {
             base,
             edits: VecDeque::new(),
+            ops: 0,
         }
     }
 
@@ -44,14 +51,26 @@
         if accepted.revision != self.newest().next() {
             return false;
         }
+        self.ops += accepted.edit.ops.len();
         self.edits.push_back(accepted);
-        if self.edits.len() > LOG_EDITS {
-            self.base = self.base.next();
-            self.edits.pop_front();
+        while self.is_over_its_bounds() {
+            self.drop_oldest();
         }
         true
     }
 
+    /// Whether the oldest edit is to go; the newest one stays, however large it is.
+    fn is_over_its_bounds(&self) -> bool {
+        self.edits.len() > LOG_EDITS || (self.edits.len() > 1 && self.ops > LOG_OPS)
+    }
+
+    fn drop_oldest(&mut self) {
+        if let Some(oldest) = self.edits.pop_front() {
+            self.base = oldest.revision;
+            self.ops -= oldest.edit.ops.len();
+        }
+    }
+
     /// The edits after `base`, oldest first; `None` where the log begins later.
     pub fn since(
         &self,
@@ -70,6 +89,25 @@
         self.newest_first().find(|accepted| accepted.edit.id == *id)
     }
 
+    /// The record of an edit that is sent again; none: it is not accepted as far as this log goes.
+    ///
+    /// # Errors
+    ///
+    /// [`EditError::IdTaken`] where the id is that of an edit that did something else: whoever sent
+    /// this one would take the other's record for its own.
+    pub fn sent_before(
+        &self,
+        edit: &Edit,
+    ) -> Result<Option<&Accepted>, EditError> {
+        match self.find(&edit.id) {
+            Some(accepted) if accepted.edit.ops != edit.ops => Err(EditError::IdTaken {
+                id: edit.id.clone(),
+                revision: accepted.revision,
+            }),
+            found => Ok(found),
+        }
+    }
+
     /// All edits, newest first.
     pub fn newest_first(&self) -> impl Iterator<Item = &Accepted> {
         self.edits.iter().rev().map(Arc::as_ref)
--- a/crates/gateway/tests/gateway/broken_streams.rs
+++ b/crates/gateway/tests/gateway/broken_streams.rs
@@ -8,7 +8,15 @@
         proxy::{Fault, Link},
     },
     serde_json::json,
-    std::time::Duration,
+    std::{
+        io::{Read, Write},
+        net::{SocketAddr, TcpListener},
+        sync::{
+            Arc,
+            atomic::{AtomicU32, Ordering},
+        },
+        time::Duration,
+    },
 };
 
 /// Long enough an answer for things to happen in the middle of it.
@@ -154,6 +162,104 @@
         .expect("a cancelled stream");
 }
 
+/// A server that answers each connection with these bytes and closes it.
+fn answering(bytes: &'static str) -> (SocketAddr, Arc<AtomicU32>) {
+    let asked = Arc::new(AtomicU32::new(0));
+    let count = Arc::clone(&asked);
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let mut buf = [0; 4096];
+            let got = stream.read(&mut buf).is_ok();
+            count.fetch_add(1, Ordering::SeqCst);
+            assert!(got && stream.write_all(bytes.as_bytes()).is_ok());
+        }
+    });
+    (address, asked)
+}
+
+#[actix_rt::test]
+async fn cut_between_chunks() {
+    // A server of a plain service dies between two chunks of its answer, or before any of it. awc takes the
+    // closed connection for the end of the body, and for a failure to connect.
+    let bench = Bench::start(BenchSpec {
+        servers: 1,
+        ..BenchSpec::default()
+    })
+    .await;
+    let enrol = bench
+        .call(
+            awc::http::Method::POST,
+            "/services/phones/phones/17/enrolment",
+        )
+        .body(json!({}));
+    let chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n";
+    let mut before = "server-1".to_owned();
+    for (n, bytes) in [chunked, "HTTP/1.1 200 OK\r\n\r\nhello", ""]
+        .into_iter()
+        .enumerate()
+    {
+        let name = format!("odd-{n}");
+        let (address, asked) = answering(bytes);
+        let address = address.to_string();
+        bench.controller.edit(json!([
+            {"op": "delete", "path": format!("/upstreams/{before}")},
+            {
+                "op": "create", "path": format!("/upstreams/{name}"), "kind": "server",
+                "settings": {"address": address, "service": "phones", "data_centre": "dc-1"},
+            },
+        ]));
+        before = name;
+        // Until the edit is in force the call reaches the server before.
+        let look = || async {
+            let answer = support::answer(&enrol).await;
+            let reached = asked.load(Ordering::SeqCst) > 0;
+            reached.then_some(answer).ok_or("another server".to_owned())
+        };
+        let (_, answer) = jasmine_testkit::harness::poll("reached", Duration::from_secs(3), look)
+            .await
+            .expect("reached");
+        assert_eq!(answer.code(), "upstream_lost", "{answer:?}");
+        assert_eq!(answer.json["error"]["execution"], "outcome_unknown");
+    }
+}
+
+#[actix_rt::test]
+async fn redirected_call() {
+    // A server answers a call that may not be repeated with a redirect. A client library that follows it
+    // runs the call a second time.
+    let bench = Bench::start(BenchSpec {
+        servers: 0,
+        ..BenchSpec::default()
+    })
+    .await;
+    let (address, asked) = answering(
+        "HTTP/1.1 307 Temporary Redirect\r\nlocation: /elsewhere\r\ncontent-length: 0\r\n\r\n",
+    );
+    bench.controller.edit(json!([{
+        "op": "create", "path": "/upstreams/odd", "kind": "server",
+        "settings": {"address": address.to_string(), "service": "phones", "data_centre": "dc-1"},
+    }]));
+    let enrol = bench
+        .call(
+            awc::http::Method::POST,
+            "/services/phones/phones/17/enrolment",
+        )
+        .body(json!({}));
+    let look = || async {
+        let client = awc::Client::builder().disable_redirects().finish();
+        let answer = enrol.send_with(&client).await.expect("an answer");
+        (answer.status == 307)
+            .then_some(())
+            .ok_or(format!("{answer:?}"))
+    };
+    jasmine_testkit::harness::poll("redirect", Duration::from_secs(3), look)
+        .await
+        .expect("the service's own answer");
+    assert_eq!(asked.load(Ordering::SeqCst), 1);
+}
+
 #[actix_rt::test]
 async fn short_body() {
     // A server of a plain service dies while it writes its answer. awc takes the closed connection for the
--- a/crates/gateway/tests/gateway/support/fake_controller.rs
+++ b/crates/gateway/tests/gateway/support/fake_controller.rs
@@ -43,6 +43,8 @@
     pub given_back: Vec<u32>,
     /// Other VMs that it tells of, with their controllers.
     pub others: BTreeMap<u32, SocketAddr>,
+    /// Whether the epoch has gone on without the gateway.
+    pub left_out: bool,
     /// The part of each account's rights that it grants, of [`SHARE_WHOLE`].
     pub share: Option<u64>,
 }
@@ -132,7 +134,7 @@
         let params = params.get()?;
         let have = Revision(params.get_have());
         let mut looks = params.get_wait_ms() / 10;
-        while self.told().fresh_ms.is_none() || (looks > 0 && self.told().tree.revision() <= have) {
+        while self.told().fresh_ms.is_none() || (looks > 0 && self.told().tree.revision() == have) {
             looks = looks.saturating_sub(1);
             sleep(Duration::from_millis(10)).await;
         }
@@ -140,7 +142,7 @@
         let mut answer = results.get();
         answer.set_fresh_ms(told.fresh_ms.unwrap_or_default());
         answer.set_revision(told.tree.revision().0);
-        if told.tree.revision() > have {
+        if told.tree.revision() != have {
             let body = serde_json::to_vec(&TreeBody::from(&told.tree)).expect("JSON");
             answer.set_body(&body);
             answer.set_full(true);
@@ -187,8 +189,12 @@
         let accounts: Vec<_> = fleet.accounts.iter().collect();
         let mut epoch = answer.init_epoch();
         // The first look finds no epoch yet.
-        epoch.set_epoch(u64::from(params.get_have() > 0));
+        epoch.set_epoch(u64::from(params.get_have() > 0 && !told.left_out));
+        epoch.set_newest(1 + u64::from(told.left_out));
         let share = told.share.unwrap_or(SHARE_WHOLE);
+        if told.left_out {
+            return Ok(());
+        }
         let mut grants = epoch.init_grants(accounts.len() as u32);
         for (i, account) in (0..).zip(accounts) {
             let right = jasmine_core::rights::Right {
