--- a/crates/testkit/src/harness/mod.rs
+++ b/crates/testkit/src/harness/mod.rs
@@ -6,6 +6,7 @@
 mod daemon;
 mod initial_edit;
 mod poll;
+mod served;
 mod upstreams;
 mod vm;
 
@@ -14,6 +15,7 @@
     cluster_spec::{AccountSpec, ClusterSpec},
     daemon::Daemon,
     poll::{HarnessError, poll},
+    served::served_within,
     upstreams::{UpstreamStandIn, Upstreams},
     vm::Vm,
 };
--- a/crates/testkit/tests/controller_lost.rs
+++ b/crates/testkit/tests/controller_lost.rs
@@ -1,42 +1,10 @@
 //! Controllers that are killed while their gateways go on.
 
 use {
-    jasmine_testkit::{
-        client::Call,
-        harness::{Cluster, ClusterSpec, poll},
-    },
+    jasmine_testkit::harness::{Cluster, ClusterSpec, served_within},
     std::time::Duration,
 };
 
-/// How long until a chat with this adapter comes back whole.
-async fn served_within(
-    cluster: &Cluster,
-    vm: u32,
-    adapter: &str,
-    bound: Duration,
-) -> Duration {
-    let look = || async {
-        let mut call = Call::chat(
-            cluster.callers(vm),
-            cluster.key("clinic"),
-            adapter,
-            "hi",
-            16,
-            true,
-        );
-        call.timeout = Duration::from_secs(5);
-        match call.send().await {
-            Ok(answer) if answer.is_whole() => Ok(()),
-            Ok(answer) => Err(format!("{} {}", answer.status, answer.code())),
-            Err(e) => Err(e.to_string()),
-        }
-    };
-    poll(&format!("{adapter} at VM {vm}"), bound, look)
-        .await
-        .unwrap()
-        .0
-}
-
 /// The controller of one VM is killed. Its gateway serves what is loaded as if nothing had happened;
 /// what is not loaded waits until another controller owns the engines.
 #[actix_web::test]
--- a/crates/testkit/tests/gateway_lost.rs
+++ b/crates/testkit/tests/gateway_lost.rs
@@ -4,7 +4,7 @@
     jasmine_testkit::{
         client::{Call, EndOfStream},
         engine::{EngineSettings, chat_answer, long_message},
-        harness::{Cluster, ClusterSpec, poll},
+        harness::{Cluster, ClusterSpec, served_within},
     },
     nix::sys::signal::Signal,
     std::time::Duration,
@@ -17,34 +17,6 @@
     }
 }
 
-/// How long until a chat at this VM comes back whole.
-async fn serves_within(
-    cluster: &Cluster,
-    vm: u32,
-    bound: Duration,
-) -> Duration {
-    let look = || async {
-        let mut call = Call::chat(
-            cluster.callers(vm),
-            cluster.key("clinic"),
-            "notes-2",
-            "hi",
-            16,
-            true,
-        );
-        call.timeout = Duration::from_secs(5);
-        match call.send().await {
-            Ok(answer) if answer.is_whole() => Ok(()),
-            Ok(answer) => Err(format!("{} {}", answer.status, answer.code())),
-            Err(e) => Err(e.to_string()),
-        }
-    };
-    poll(&format!("VM {vm} serves"), bound, look)
-        .await
-        .unwrap()
-        .0
-}
-
 /// A VM dies in the middle of an answer. Its caller sees the connection close without the mark of
 /// a whole answer, every other caller goes on, and the VM that replaces it serves.
 #[actix_web::test]
@@ -65,9 +37,9 @@
     let answer = stream.await.unwrap().unwrap();
     assert_eq!(answer.end, EndOfStream::Cut, "{answer:?}");
     assert!(chat_answer("notes-1-v1", &text, 64).starts_with(&answer.text));
-    let other = serves_within(&cluster, 2, Duration::from_secs(5)).await;
+    let other = served_within(&cluster, 2, "notes-2", Duration::from_secs(5)).await;
     cluster.vms[0].start_gateway().unwrap();
-    let replaced = serves_within(&cluster, 1, Duration::from_secs(20)).await;
+    let replaced = served_within(&cluster, 1, "notes-2", Duration::from_secs(20)).await;
     println!("other VM served after {other:?}, the new process after {replaced:?}");
 }
 
@@ -76,7 +48,7 @@
 #[actix_web::test]
 async fn ready_means_serving() {
     let mut cluster = Cluster::start(slow_engines()).await.unwrap();
-    serves_within(&cluster, 2, Duration::from_secs(5)).await;
+    served_within(&cluster, 2, "notes-2", Duration::from_secs(5)).await;
     cluster.vms[0].gateway.take().unwrap().kill();
     cluster.vms[0].start_gateway().unwrap();
     cluster.wait_until_ready(1).await.unwrap();
@@ -101,10 +73,10 @@
     let controller = cluster.vms[0].controller.as_ref().unwrap();
     assert!(frozen.signal(Signal::SIGSTOP) && controller.signal(Signal::SIGSTOP));
     let lease = cluster.spec().lease.to_std();
-    let other = serves_within(&cluster, 2, Duration::from_secs(15)).await;
+    let other = served_within(&cluster, 2, "notes-2", Duration::from_secs(15)).await;
     tokio::time::sleep(lease * 2).await;
     assert!(frozen.signal(Signal::SIGCONT) && controller.signal(Signal::SIGCONT));
-    let thawed = serves_within(&cluster, 1, Duration::from_secs(20)).await;
+    let thawed = served_within(&cluster, 1, "notes-2", Duration::from_secs(20)).await;
     println!("other VM served after {other:?}, the thawed one after {thawed:?}");
     let records = cluster.upstreams.engine_records().await;
     assert_eq!(
--- a/crates/testkit/tests/planned_stop.rs
+++ b/crates/testkit/tests/planned_stop.rs
@@ -4,7 +4,7 @@
     jasmine_testkit::{
         client::Call,
         engine::{EngineSettings, chat_answer, long_message},
-        harness::{Cluster, ClusterSpec, poll},
+        harness::{Cluster, ClusterSpec, poll, served_within},
     },
     nix::sys::signal::Signal,
     std::{
@@ -76,24 +76,7 @@
     });
     let (took, status) = ended.await.unwrap();
     assert!(status.success(), "{status}");
-    let look = || async {
-        let call = Call::chat(
-            cluster.callers(1),
-            cluster.key("clinic"),
-            "notes-5",
-            "hi",
-            16,
-            true,
-        );
-        match call.send().await {
-            Ok(answer) if answer.is_whole() => Ok(()),
-            Ok(answer) => Err(format!("{} {}", answer.status, answer.code())),
-            Err(e) => Err(e.to_string()),
-        }
-    };
-    let (cold, ()) = poll("cold adapter", Duration::from_secs(10), look)
-        .await
-        .unwrap();
+    let cold = served_within(&cluster, 1, "notes-5", Duration::from_secs(10)).await;
     println!("ended after {took:?}, a cold adapter served {cold:?} later");
 }
 
