Gateway: while holders come and go a request waits for its rights for up to a second

all_replaced_in_turn (real fleet, testkit) was refused rate_limited now and then while a VM stopped: its rights had gone back to the store and the next epoch had not granted them yet, so for a moment they were nowhere, and the only peer was gone.

Excluded: waiting always (rate_used_up: refusals of what is used up stay at once).

--- a/crates/gateway/src/brain/admission.rs
+++ b/crates/gateway/src/brain/admission.rs
@@ -18,8 +18,8 @@
 ///
 /// Peers answer within a few milliseconds; one that doesn't is slow or gone.
 const ASK_LIMIT: Millis = Millis(300);
-/// The same while an epoch begins and no peer may give any.
-const CLOSING_LIMIT: Millis = Millis(1_000);
+/// The same while holders come and go, when rights may be nowhere for a moment.
+const FLUX_LIMIT: Millis = Millis(1_000);
 
 impl State {
     /// Takes a request in.
@@ -78,7 +78,7 @@
                 }
                 self.enqueue(request, now);
             }
-            rights::Admission::Ask { .. } if now.since(since) >= self.ask_limit() => {
+            rights::Admission::Ask { .. } if now.since(since) >= self.ask_limit(now) => {
                 let refusal = self.ledger.refuse_after_ask(account, cost, caller, now);
                 self.refuse(request, refusal);
             }
@@ -92,8 +92,8 @@
             // between two epochs have arrived.
             rights::Admission::Refused(refusal)
                 if refusal.kind == ErrorKind::RateLimited
-                    && self.settling.is_closing()
-                    && now.since(since) < CLOSING_LIMIT =>
+                    && self.settling.is_in_flux(now)
+                    && now.since(since) < FLUX_LIMIT =>
             {
                 self.wait_for_rights(request, account, since);
             }
@@ -101,9 +101,12 @@
         }
     }
 
-    fn ask_limit(&self) -> Millis {
-        if self.settling.is_closing() {
-            CLOSING_LIMIT
+    fn ask_limit(
+        &self,
+        now: Millis,
+    ) -> Millis {
+        if self.settling.is_in_flux(now) {
+            FLUX_LIMIT
         } else {
             ASK_LIMIT
         }
--- a/crates/gateway/src/brain/configuration.rs
+++ b/crates/gateway/src/brain/configuration.rs
@@ -188,6 +188,7 @@
             return None;
         }
         self.ledger.set_peers(self.members.holders());
+        self.settling.note_holders(self.members.stopping(), now);
         let is_known = self.members.gateway_run(self.me.vm) == Some(self.me.incarnation);
         self.settling
             .note(answer.epoch, answer.closing, is_known, now);
--- a/crates/gateway/src/brain/members.rs
+++ b/crates/gateway/src/brain/members.rs
@@ -104,6 +104,15 @@
         }
     }
 
+    /// The gateways that hold rights, and whether each is about to stop.
+    pub fn stopping(&self) -> Vec<(Holder, bool)> {
+        let leaving = |vm| self.by_vm.get(&vm).is_some_and(|member| member.leaving);
+        self.holders()
+            .into_iter()
+            .map(|holder| (holder, leaving(holder.vm)))
+            .collect()
+    }
+
     /// The gateways that hold rights.
     pub fn holders(&self) -> Vec<Holder> {
         self.by_vm
