Tests: failing engines

Change: failing_engine: loads fail at one engine, weights of a version missing, an engine that answers nothing.

--- /dev/null
+++ b/crates/testkit/tests/failing_engine.rs
@@ -0,0 +1,120 @@
+//! Engines whose loads fail or that hang.
+
+use {
+    jasmine_testkit::{
+        client::{Call, post_json},
+        harness::{Cluster, ClusterSpec, served_within},
+    },
+    serde_json::json,
+    std::time::{Duration, Instant},
+};
+
+fn chat(
+    cluster: &Cluster,
+    vm: u32,
+    model: &str,
+) -> Call {
+    Call::chat(
+        cluster.callers(vm),
+        cluster.key("courier"),
+        model,
+        "hi",
+        16,
+        true,
+    )
+}
+
+/// One engine fails every load, as with a broken disk cache. Its adapters are served by others, and
+/// callers wait a little longer at most.
+#[actix_web::test]
+async fn loads_fail_at_one() {
+    let cluster = Cluster::start(ClusterSpec::default()).await.unwrap();
+    cluster
+        .engine_fault(0, json!({"fail_loads": 1000}))
+        .await
+        .unwrap();
+    let mut slowest = Duration::ZERO;
+    for n in 1..=6 {
+        let answer = chat(&cluster, n % 2 + 1, &format!("notes-{n}"))
+            .send()
+            .await
+            .unwrap();
+        assert!(answer.is_whole(), "{answer:?}");
+        slowest = slowest.max(answer.took);
+    }
+    let record = cluster.upstreams.engine_records().await.swap_remove(0);
+    println!(
+        "the slowest in {slowest:?}, {} loads failed",
+        record.failed_loads.len()
+    );
+    assert!(
+        !record.failed_loads.is_empty(),
+        "no load went there, so this shows nothing"
+    );
+}
+
+/// The weights of one version can't be had anywhere. Its callers are told so, truly not run and
+/// when to come back, instead of waiting; callers of other adapters notice nothing; and once
+/// the weights are there it is served.
+#[actix_web::test]
+async fn weights_missing() {
+    let cluster = Cluster::start(ClusterSpec::default()).await.unwrap();
+    let store = cluster.upstreams.weights.address();
+    let settings = |failing: &[&str]| json!({"every_ms": 50, "load_ms": 50, "failing": failing});
+    post_json(store, "/stand-in/settings", settings(&["notes-1-v1"]))
+        .await
+        .unwrap();
+    let refused = chat(&cluster, 1, "notes-1").send().await.unwrap();
+    println!(
+        "refused after {:?}, come back in {} s",
+        refused.took,
+        refused.header("retry-after")
+    );
+    assert_eq!(
+        (refused.status, refused.code()),
+        (503, "adapter_load_failed"),
+        "{refused:?}"
+    );
+    assert_eq!(refused.json["error"]["execution"], "not_run");
+    assert!(!refused.header("retry-after").is_empty(), "{refused:?}");
+    assert!(refused.took < Duration::from_secs(10), "{:?}", refused.took);
+    let other = chat(&cluster, 1, "notes-2").send().await.unwrap();
+    assert!(other.is_whole(), "{other:?}");
+    post_json(store, "/stand-in/settings", settings(&[]))
+        .await
+        .unwrap();
+    let back = served_within(&cluster, 1, "notes-1", Duration::from_secs(40)).await;
+    println!("served {back:?} after the weights were back");
+}
+
+/// An engine hangs: it accepts connections and answers nothing. Whoever has work there is told or
+/// served elsewhere within a bound, and new work goes elsewhere.
+#[actix_web::test]
+async fn one_hangs() {
+    let cluster = Cluster::start(ClusterSpec::default()).await.unwrap();
+    for n in 1..=6 {
+        served_within(&cluster, 1, &format!("notes-{n}"), Duration::from_secs(10)).await;
+    }
+    cluster
+        .engine_fault(0, json!({"hang": true}))
+        .await
+        .unwrap();
+    let calls: Vec<_> = (1..=6)
+        .map(|n| chat(&cluster, 1, &format!("notes-{n}")))
+        .collect();
+    let start = Instant::now();
+    let answers = futures::future::join_all(calls.iter().map(Call::send)).await;
+    let first = start.elapsed();
+    for answer in answers {
+        let answer = answer.unwrap();
+        assert!(answer.is_whole() || !answer.code().is_empty(), "{answer:?}");
+    }
+    assert!(first < Duration::from_secs(30), "{first:?}");
+    let mut slowest = Duration::ZERO;
+    for n in 1..=6 {
+        let took = served_within(&cluster, 2, &format!("notes-{n}"), Duration::from_secs(20)).await;
+        slowest = slowest.max(took);
+    }
+    println!("work under way ended within {first:?}, then all served, the slowest in {slowest:?}");
+    cluster.engine_fault(0, json!({})).await.unwrap();
+}
