The weight store's rate moves to demand, proved; figures of the controller

The metrics page has the revision here and at the gateway, freshness, epoch, members, owned engines, orders and whether the store answers.

--- a/crates/controller/src/daemon/controller_context.rs
+++ b/crates/controller/src/daemon/controller_context.rs
@@ -12,7 +12,7 @@
         rights::LoadBudget,
         session::{LeaseSession, RENEWALS},
         shared::SharedParts,
-        status::Health,
+        status::{Figure, Figures, Health},
     },
     jasmine_conf::settings::ControllerSettings,
     jasmine_core::{
@@ -80,6 +80,8 @@
     pub bootstrap: Bootstrap,
     /// What the status port shows.
     pub health: Health,
+    /// What the metrics page shows.
+    pub figures: Figures,
     /// Whether this controller is about to stop.
     pub leaving: Cell<bool>,
     /// Calls made to the store.
@@ -167,6 +169,7 @@
             config_follower,
             fleet_follower,
             health: Health::new(clock),
+            figures: Figures::default(),
             leaving: Cell::new(false),
             store_calls,
             reach: shared.reach,
@@ -186,6 +189,25 @@
         }
     }
 
+    /// Brings the figures of the metrics page up to date.
+    pub fn note_figures(&self) {
+        let status = self.status();
+        let members = self.fleet.borrow().members.len();
+        let rows = [
+            (Figure::Revision, status.revision.0),
+            (Figure::GatewayRevision, status.gateway_revision.0),
+            (Figure::FreshMs, self.config.fresh().0),
+            (Figure::Epoch, status.epoch.0),
+            (Figure::Members, members as u64),
+            (Figure::Owned, u64::from(status.owned)),
+            (Figure::Orders, self.desk.orders()),
+            (Figure::StoreUp, u64::from(status.store_up)),
+        ];
+        for (figure, value) in rows {
+            self.figures.set(figure, value);
+        }
+    }
+
     /// Whether the store answers: every controller renews its lease there, however it follows the rest.
     pub fn is_store_up(&self) -> bool {
         let renewal = Millis(self.settings.lease_ms.0 / RENEWALS);
--- a/crates/controller/src/daemon/run.rs
+++ b/crates/controller/src/daemon/run.rs
@@ -39,6 +39,7 @@
     let cx = Rc::new(ControllerContext::new(settings, peers_address));
     let metrics = Metrics::new()?;
     status::register(&metrics.meter(), &cx.store_calls);
+    cx.figures.register(&metrics.meter());
     let status_server = status::start(status, cx.health.clone(), metrics)?;
     let status_handle = status_server.handle();
     actix_web::rt::spawn(status_server);
--- a/crates/controller/src/daemon/tasks.rs
+++ b/crates/controller/src/daemon/tasks.rs
@@ -126,6 +126,7 @@
     loop {
         ticks.tick().await;
         cx.desk.handle(OwnerEvent::Tick);
+        cx.note_figures();
         cx.health
             .note(cx.config.is_loaded(), cx.session.until(), cx.leaving.get());
     }
--- a/crates/controller/src/status/mod.rs
+++ b/crates/controller/src/status/mod.rs
@@ -1,7 +1,13 @@
 //! Health, readiness and metrics of this controller over HTTP.
 
+mod figures;
 mod health;
 mod status_api;
 mod store_metrics;
 
-pub use {health::Health, status_api::start, store_metrics::register};
+pub use {
+    figures::{Figure, Figures},
+    health::Health,
+    status_api::start,
+    store_metrics::register,
+};
--- /dev/null
+++ b/crates/controller/tests/load_budget.rs
@@ -0,0 +1,101 @@
+//! The weight store's rate, divided among the controllers.
+
+mod support;
+
+use {
+    futures::future::join_all,
+    jasmine_testkit::{
+        engine::{self, EngineSettings},
+        harness::poll,
+    },
+    jasmine_wire::jasmine_capnp::AcquireOutcome,
+    serde_json::json,
+    std::time::{Duration, Instant},
+    support::{
+        Fleet, LATER, SOON, first_ops, gateway,
+        gateway_calls::{acquire, poll_fleet, poll_upstreams},
+    },
+};
+
+const ENGINE: u32 = 1;
+
+/// Loads at once after a rest, and loads a second, over the whole fleet.
+const BUDGET: (u64, u64) = (6, 2);
+
+/// Ten adapters wake up on an engine of one controller while the other has nothing to load. With a
+/// fixed half of the weight store's rate their callers would wait twice as long; with no division at
+/// all both together would overload the store.
+#[actix_web::test]
+async fn moves_to_demand() {
+    let cfg = EngineSettings {
+        slots: 16,
+        ..EngineSettings::default()
+    };
+    let engine = engine::start(support::anywhere(), cfg).unwrap();
+    let fleet = Fleet::start(2).await;
+    let mut ops = first_ops(&[engine.address()]);
+    ops[4]["settings"]["slots"] = json!(16);
+    for n in 3..=10 {
+        let path = format!("/adapters/notes-{n}");
+        let settings = json!({"model": "base", "access": "all"});
+        let create = |path: &str, kind: &str, settings| json!({"op": "create", "path": path, "kind": kind, "settings": settings});
+        let rows = ops.as_array_mut().unwrap();
+        rows.push(create(&path, "adapter", settings));
+        let settings = json!({"weights": format!("notes-{n}-v1")});
+        rows.push(create(&format!("{path}/1"), "version", settings));
+    }
+    let answer = fleet.edit(1, "first", ops).await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    let me = gateway(2);
+    let own = fleet.link(2);
+    let look = || async {
+        let owners = poll_fleet(&own, me).await.map_err(|e| e.to_string())?;
+        owners.first().copied().ok_or_else(|| "no owner".to_owned())
+    };
+    let (_, (_, owner, fence)) = poll("an owner", SOON, look).await.unwrap();
+    let look = || async {
+        let mut epochs = Vec::new();
+        for vm in [1, 2] {
+            epochs.push(fleet.metric(vm, "jasmine_rights_epoch").await as u64);
+        }
+        match epochs[..] {
+            [a, b] if a == b && a > 0 => Ok(()),
+            _ => Err(format!("{epochs:?}")),
+        }
+    };
+    poll("one epoch", SOON, look).await.unwrap();
+
+    let at = fleet.link(owner);
+    let start = Instant::now();
+    let mut granted = Vec::new();
+    let mut ask = 1;
+    while granted.len() < 10 && start.elapsed() < LATER {
+        poll_upstreams(&at, me, (ENGINE, fence), Vec::new())
+            .await
+            .unwrap();
+        let missing =
+            (1..=10).filter(|adapter| granted.iter().all(|&(known, _)| known != *adapter));
+        let asks: Vec<_> = missing
+            .map(|adapter| {
+                ask += 1;
+                let got = acquire(&at, me, ask, ENGINE, adapter);
+                async move { (adapter, got.await.unwrap().outcome, start.elapsed()) }
+            })
+            .collect();
+        for (adapter, outcome, when) in join_all(asks).await {
+            if outcome == AcquireOutcome::Granted {
+                granted.push((adapter, when));
+            }
+        }
+        granted.sort_by_key(|row| row.1);
+    }
+    let last = granted.last().map(|row| row.1).unwrap_or_default();
+    println!("{} loads in {last:?}", granted.len());
+    assert_eq!(granted.len(), 10);
+    for (n, (_, when)) in (1..).zip(&granted) {
+        let allowed = BUDGET.0 + BUDGET.1 * when.as_millis() as u64 / 1000 + 1;
+        assert!(n <= allowed, "{n} loads after {when:?}");
+    }
+    // Four over the burst at two a second take two seconds; at half the rate and burst, seven.
+    assert!(last < Duration::from_secs(6), "{last:?}");
+}
