--- a/crates/core/src/rights/mod.rs
+++ b/crates/core/src/rights/mod.rs
@@ -27,8 +27,8 @@
 //!
 //! - Static shares, `1/n` for each VM: no messages, but 70 % refused in that run, and 7.6 % with
 //!   demand that is even on average.
-//! - One owner for each account that grants tokens under a lease. Two messages for each request that
-//!   doesn't reach the owner (32 a second in that run, 7,000 at 8,000 requests a second), and
+//! - One owner for each account that grants tokens under a lease: two messages for each request that
+//!   doesn't reach the owner (reckoned: 32 a second in that run, 14,000 at 8,000 requests), and
 //!   while the owner is frozen or cut off the account is refused everywhere: its lease lapses, but
 //!   that doesn't prove that what it granted is used up.
 //! - A durable ceiling in the platform's store: one write for each request, or for each batch of
