--- a/crates/gateway/src/forward/reading.rs
+++ b/crates/gateway/src/forward/reading.rs
@@ -30,6 +30,8 @@
     pub request_id: String,
     /// The weights that have to run.
     pub weights: String,
+    /// The method, which says whether there is a body at all.
+    pub method: Method,
 }
 
 /// What arrived of a streamed answer.
@@ -134,7 +136,7 @@
 ) -> Head {
     match response.headers().get("x-request-id") {
         Some(echoed) if echoed.as_bytes() != expected.request_id.as_bytes() => Head::Crossed,
-        _ if !marks_its_end(response) => Head::Failed,
+        _ if expected.method != Method::HEAD && !marks_its_end(response) => Head::Failed,
         _ => Head::Accepted { resumable: false },
     }
 }
--- a/crates/gateway/src/forward/upstream_side.rs
+++ b/crates/gateway/src/forward/upstream_side.rs
@@ -157,6 +157,7 @@
         let expected = Expected {
             request_id,
             weights: routed.weights,
+            method: method.clone(),
         };
         let is_engine = matches!(self.outbound, Outbound::Completion(_));
         self.doing = Doing::Heading(Box::pin(async move {
@@ -184,6 +185,7 @@
         let expected = Expected {
             request_id: self.sent_as.clone(),
             weights: routed.weights.clone(),
+            method: Method::GET,
         };
         let headers = self.headers(cx);
         let connections = Rc::clone(&cx.connections);
