--- a/crates/testkit/src/decisions/baseline.rs
+++ b/crates/testkit/src/decisions/baseline.rs
@@ -38,11 +38,11 @@
     ) {
         for &id in ids {
             let arrival = world.arrivals[id];
-            let bucket = &mut world.whole[arrival.account.0 as usize];
-            if bucket.has(arrival.tokens, world.now) {
+            if world.outcomes[id].within {
                 world.admit(id);
                 self.waiting.push_back(id);
             } else {
+                let bucket = &world.whole[arrival.account.0 as usize];
                 let delay = bucket.time_until(arrival.tokens);
                 world.refuse(id, Refusal::after(ErrorKind::RateLimited, delay));
             }
--- a/crates/testkit/src/decisions/measure.rs
+++ b/crates/testkit/src/decisions/measure.rs
@@ -18,8 +18,10 @@
     pub stall: Millis,
     /// From its arrival until its first token.
     pub first_token: Option<Millis>,
-    /// Whether it was refused, and whether it was within the account's rate then.
-    pub refused: Option<bool>,
+    /// Whether one counter for the whole fleet, asked about all requests, would have admitted it.
+    pub within: bool,
+    /// Whether it was refused.
+    pub refused: bool,
     /// Whether its caller had been told to come back and has.
     pub returned: bool,
 }
@@ -47,7 +49,7 @@
     pub worst_ms: u64,
     /// The median account's.
     pub median_ms: u64,
-    /// Refusals of requests within their account's rate.
+    /// Requests fewer than one counter for the whole fleet would have admitted, over all accounts.
     pub wrongful: usize,
     /// All refusals.
     pub refused: usize,
@@ -67,6 +69,18 @@
     }
 }
 
+/// Counted by account: which of its requests are refused when it sends too many is not judged.
+fn wrongful(outcomes: &[Outcome]) -> usize {
+    (0..RATES.len())
+        .map(|account| {
+            let of_account = || outcomes.iter().filter(|o| o.account == account);
+            let within = of_account().filter(|o| o.within).count();
+            let admitted = of_account().filter(|o| !o.refused).count();
+            within.saturating_sub(admitted)
+        })
+        .sum()
+}
+
 impl Figures {
     /// Sums a run up.
     pub fn new(
@@ -114,12 +128,12 @@
             batch: tokens as f64 / (steps.max(1) as f64 * f64::from(MAX_BATCH)),
             worst_ms: by_account.last().copied().unwrap_or(0),
             median_ms: by_account[by_account.len() / 2],
-            wrongful: outcomes.iter().filter(|o| o.refused == Some(true)).count(),
-            refused: outcomes.iter().filter(|o| o.refused.is_some()).count(),
+            wrongful: wrongful(outcomes),
+            refused: outcomes.iter().filter(|o| o.refused).count(),
             came_back_served: returned_served as f64 / returned.len().max(1) as f64,
             lost: outcomes
                 .iter()
-                .filter(|o| o.first_token.is_none() && o.refused.is_none())
+                .filter(|o| o.first_token.is_none() && !o.refused)
                 .count(),
         }
     }
--- a/crates/testkit/src/decisions/sim.rs
+++ b/crates/testkit/src/decisions/sim.rs
@@ -4,7 +4,7 @@
         caller::Bucket,
         engine::{Engine, Running, SLOTS, Store},
         fleet::Fleet,
-        load::{Arrival, LENGTH, Load, RATES, Scenario},
+        load::{Arrival, LENGTH, Load, RATES, Scenario, WARM},
         measure::{Figures, Outcome},
     },
     jasmine_core::{
@@ -68,7 +68,7 @@
     pub pending: BTreeSet<usize>,
     /// Callers who will come back.
     pub back: BTreeMap<Millis, Vec<Arrival>>,
-    /// Each account's limits over the whole fleet, to judge refusals by.
+    /// Each account's limits as one counter that sees all requests would hold them.
     pub whole: Vec<Bucket>,
 }
 
@@ -106,9 +106,15 @@
         &mut self,
         arrival: Arrival,
     ) -> usize {
+        let account = arrival.account.0 as usize;
+        let within = self.whole[account].has(arrival.tokens, self.now);
+        if within {
+            self.whole[account].take(arrival.tokens);
+        }
         self.arrivals.push(arrival);
         self.outcomes.push(Outcome {
-            account: arrival.account.0 as usize,
+            account,
+            within,
             returned: arrival.returned,
             ..Outcome::default()
         });
@@ -196,7 +202,14 @@
         world.note_stalls();
     }
     let loads = world.store.begun;
-    Figures::new(scenario, policy, &world.outcomes, &world.engines, loads)
+    let measured: Vec<Outcome> = world
+        .arrivals
+        .iter()
+        .zip(&world.outcomes)
+        .filter(|(arrival, _)| arrival.at >= WARM)
+        .map(|(_, &outcome)| outcome)
+        .collect();
+    Figures::new(scenario, policy, &measured, &world.engines, loads)
 }
 
 /// Adapter slots of the whole fleet.
