--- /dev/null
+++ b/crates/conf/tests/generated_edits.rs
@@ -0,0 +1,218 @@
+//! Generated edits: promises of the tree that hold whatever operators type.
+
+mod small_edits;
+
+use {
+    bolero::check,
+    jasmine_conf::{
+        fleet::Fleet,
+        tree::{
+            Accepted, EditLog, EditOp, Family, NodeKind, Path, Setting, Settings, Tree, TreeBody,
+        },
+    },
+    jasmine_core::ids::Revision,
+    small_edits::{PATHS, SmallEdit, furnished},
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+/// The tree without what depends on the order of edits: numbers and the revision.
+fn without_numbers(tree: &Tree) -> Vec<(String, NodeKind, Settings)> {
+    tree.nodes()
+        .map(|(path, node)| (path.to_string(), node.kind, node.settings.clone()))
+        .collect()
+}
+
+#[test]
+fn accepted_edits_leave_a_tree_that_resolves_and_refreshes() {
+    check!().with_type::<Vec<SmallEdit>>().for_each(|edits| {
+        let mut tree = furnished();
+        let mut fleet = tree.resolve();
+        let mut given = BTreeMap::new();
+        for small in edits {
+            let log = EditLog::new(tree.revision());
+            let before = tree.clone();
+            let Ok(proposal) = tree.propose(&small.edit(tree.revision()), &log, 0) else {
+                assert_eq!(tree, before);
+                continue;
+            };
+            let touched = tree.apply(&proposal.accepted).unwrap();
+            assert_eq!(tree, proposal.tree);
+            tree.refresh(&mut fleet, &touched);
+            assert_eq!(fleet, tree.resolve(), "{:?}", proposal.accepted.edit.ops);
+            assert_whole(&tree, &fleet);
+            // The index of names, which equality passes over, is what a fresh look at the nodes gives.
+            let fresh = Tree::from(TreeBody::from(&tree));
+            assert_eq!(format!("{tree:?}"), format!("{fresh:?}"));
+            assert_numbers_are_new(&proposal.accepted, &mut given);
+        }
+    });
+}
+
+/// Everything that has a number in the tree is in the resolved fleet.
+fn assert_whole(
+    tree: &Tree,
+    fleet: &Fleet,
+) {
+    let count = |family| {
+        tree.nodes()
+            .filter(|(_, node)| node.kind.family() == Some(family))
+            .count()
+    };
+    assert_eq!(fleet.accounts.iter().count(), count(Family::Accounts));
+    assert_eq!(fleet.keys.len(), count(Family::Keys));
+    assert_eq!(fleet.adapters.iter().count(), count(Family::Adapters));
+    assert_eq!(fleet.adapter_names.len(), count(Family::Adapters));
+    assert_eq!(fleet.models.iter().count(), count(Family::Models));
+    assert_eq!(fleet.upstreams.iter().count(), count(Family::Upstreams));
+    assert_eq!(fleet.services.iter().count(), count(Family::Services));
+    assert_eq!(
+        fleet.data_centres.iter().count(),
+        count(Family::DataCentres)
+    );
+}
+
+/// A number of a family, or of an adapter's version, is given out once.
+fn assert_numbers_are_new(
+    accepted: &Accepted,
+    given: &mut BTreeMap<(Family, u32), Revision>,
+) {
+    let mut numbers = accepted.numbers.iter();
+    for op in &accepted.edit.ops {
+        if let EditOp::Create { kind, .. } = op {
+            let number = *numbers.next().unwrap();
+            if let Some(family) = kind.family() {
+                let earlier = given.insert((family, number), accepted.revision);
+                assert_eq!(earlier, None, "{family:?} {number}");
+            }
+        }
+    }
+}
+
+#[test]
+fn edits_that_touch_different_things_give_the_same_tree_in_either_order() {
+    check!()
+        .with_type::<(SmallEdit, SmallEdit)>()
+        .for_each(|(one, other)| {
+            let tree = furnished();
+            let base = tree.revision();
+            let both = |first: &SmallEdit, second: &SmallEdit| {
+                let mut log = EditLog::new(base);
+                let made = tree.propose(&first.edit(base), &log, 0).ok()?;
+                assert!(log.push(Arc::new(made.accepted)));
+                let late = made.tree.propose(&second.edit(base), &log, 0).ok()?;
+                Some(without_numbers(&late.tree))
+            };
+            // A name that one gives up and the other takes is touched by both: whoever takes it is told
+            // that it is taken, unless the other came first.
+            let meet = |a: &SmallEdit, b: &SmallEdit| {
+                let taken = names_taken(a);
+                names_given_up(&tree, b)
+                    .iter()
+                    .any(|name| taken.contains(name))
+            };
+            let alone = |small: &SmallEdit| {
+                let log = EditLog::new(base);
+                tree.propose(&small.edit(base), &log, 0).is_ok()
+            };
+            if alone(one) && alone(other) && !meet(one, other) && !meet(other, one) {
+                assert_eq!(
+                    both(one, other),
+                    both(other, one),
+                    "{:?} {:?}",
+                    one.ops(),
+                    other.ops()
+                );
+            }
+        });
+}
+
+/// The name that a node has in its family, or the digest of a key.
+fn family_name(
+    path: &Path,
+    kind: NodeKind,
+    settings: &Settings,
+) -> Option<(Family, String)> {
+    let name = match settings.get(Setting::Digest) {
+        Some(digest) => digest.to_string(),
+        None => path.name().to_owned(),
+    };
+    Some((kind.family()?, name))
+}
+
+fn names_taken(edit: &SmallEdit) -> Vec<(Family, String)> {
+    edit.ops()
+        .iter()
+        .filter_map(|op| match op {
+            EditOp::Create {
+                path,
+                kind,
+                settings,
+            } => family_name(path, *kind, settings),
+            _ => None,
+        })
+        .collect()
+}
+
+fn names_given_up(
+    tree: &Tree,
+    edit: &SmallEdit,
+) -> Vec<(Family, String)> {
+    edit.ops()
+        .iter()
+        .filter(|op| matches!(op, EditOp::Delete { .. }))
+        .flat_map(|op| tree.within(op.path()))
+        .filter_map(|(path, node)| family_name(path, node.kind, &node.settings))
+        .collect()
+}
+
+#[test]
+fn replaying_edits_on_a_newer_tree_changes_nothing() {
+    // A loader carries out again what some shards have already.
+    check!().with_type::<Vec<SmallEdit>>().for_each(|edits| {
+        let mut tree = furnished();
+        let start = tree.revision();
+        let mut accepted = Vec::new();
+        for small in edits {
+            let log = EditLog::new(tree.revision());
+            if let Ok(proposal) = tree.propose(&small.edit(tree.revision()), &log, 0) {
+                tree = proposal.tree;
+                accepted.push(proposal.accepted);
+            }
+        }
+        let body = TreeBody::from(&tree);
+        let mut again = Tree::from(TreeBody {
+            revision: start,
+            ..body
+        });
+        for edit in &accepted {
+            again.apply(edit).unwrap();
+        }
+        assert_eq!(again, tree);
+        assert_eq!(again.resolve(), tree.resolve());
+    });
+}
+
+#[test]
+fn pages_of_the_tree_leave_nothing_out() {
+    check!().with_type::<Vec<SmallEdit>>().for_each(|edits| {
+        let mut tree = furnished();
+        for small in edits {
+            let log = EditLog::new(tree.revision());
+            if let Ok(proposal) = tree.propose(&small.edit(tree.revision()), &log, 0) {
+                tree = proposal.tree;
+            }
+        }
+        let paths = || PATHS.map(|text| Path::parse(text).unwrap());
+        for top in paths() {
+            for after in paths() {
+                let whole = tree
+                    .within(&top)
+                    .filter(|(path, _)| **path > after && **path != top);
+                assert!(
+                    whole.eq(tree.within_after(&top, &after)),
+                    "{top} after {after}"
+                );
+            }
+        }
+    });
+}
--- a/crates/controller/src/daemon/controller_context.rs
+++ b/crates/controller/src/daemon/controller_context.rs
@@ -7,20 +7,21 @@
         epochs::{EpochKeeper, HoldingsDesk, OwnEpoch},
         fleet::{DaemonRecord, FleetMirror, MemberRecord, Registration},
         follow::{Bootstrap, ConfigFollower, FleetFollower},
-        ownership::{Assignment, OwnerDesk},
+        ownership::{Assignment, OutageLease, OwnerDesk},
         peers::PeerLinks,
         rights::LoadBudget,
-        session::LeaseSession,
+        session::{LeaseSession, RENEWALS},
         shared::SharedParts,
-        status::Health,
+        status::{Figure, Figures, Health},
     },
     jasmine_conf::settings::ControllerSettings,
     jasmine_core::{
+        clock::Millis,
         ids::{Holder, Incarnation, Role},
         ownership::OwnerSettings,
     },
     jasmine_platform::{
-        etcd::{CallCounts, EtcdOptions, EtcdStore},
+        etcd::{CallCounts, EtcdOptions, EtcdStore, Reach},
         store::Store,
         vms::VmList,
     },
@@ -79,10 +80,16 @@
     pub bootstrap: Bootstrap,
     /// What the status port shows.
     pub health: Health,
+    /// What the metrics page shows.
+    pub figures: Figures,
     /// Whether this controller is about to stop.
     pub leaving: Cell<bool>,
     /// Calls made to the store.
     pub store_calls: CallCounts,
+    /// Whether the store answers.
+    pub reach: Reach,
+    /// Extends what may be ordered while the store is out for everybody.
+    pub outage: OutageLease,
 }
 
 impl ControllerContext {
@@ -96,7 +103,8 @@
             ..EtcdOptions::new(settings.platform.kv.clone())
         });
         let store_calls = etcd.counts();
-        let shared = share(&settings, address, Rc::new(etcd));
+        let reach = etcd.reach();
+        let shared = share(&settings, address, Rc::new(etcd), reach);
         let SharedParts {
             me, clock, store, ..
         } = shared.clone();
@@ -121,6 +129,7 @@
         let holdings = Rc::new(HoldingsDesk::new(Rc::clone(&store)));
         let config_follower = Rc::new(ConfigFollower::new(shared.clone(), Rc::clone(&reader)));
         let fleet_follower = Rc::new(FleetFollower::new(shared.clone()));
+        let outage = OutageLease::new(shared.clone(), Rc::clone(&session));
         Self {
             me,
             clock,
@@ -160,8 +169,11 @@
             config_follower,
             fleet_follower,
             health: Health::new(clock),
+            figures: Figures::default(),
             leaving: Cell::new(false),
             store_calls,
+            reach: shared.reach,
+            outage,
         }
     }
 
@@ -171,12 +183,38 @@
             revision: self.config.revision(),
             gateway_revision: self.config.gateway_revision(),
             epoch: self.budget.epoch().unwrap_or_default(),
-            store_up: self.config_follower.is_store_up(),
+            store_up: self.is_store_up(),
             owned: self.desk.owned().len() as u32,
             leaving: self.leaving.get(),
         }
     }
 
+    /// Brings the figures of the metrics page up to date.
+    pub fn note_figures(&self) {
+        let status = self.status();
+        let members = self.fleet.borrow().members.len();
+        let rows = [
+            (Figure::Revision, status.revision.0),
+            (Figure::GatewayRevision, status.gateway_revision.0),
+            (Figure::FreshMs, self.config.fresh().0),
+            (Figure::Epoch, status.epoch.0),
+            (Figure::Members, members as u64),
+            (Figure::Owned, u64::from(status.owned)),
+            (Figure::Orders, self.desk.orders()),
+            (Figure::StoreUp, u64::from(status.store_up)),
+        ];
+        for (figure, value) in rows {
+            self.figures.set(figure, value);
+        }
+    }
+
+    /// Whether the store answers: every controller renews its lease there, however it follows the rest.
+    pub fn is_store_up(&self) -> bool {
+        let renewal = Millis(self.settings.lease_ms.0 / RENEWALS);
+        self.reach
+            .is_up(renewal + self.settings.platform.timeout_ms + Millis(500))
+    }
+
     /// Notes which gateway runs on this VM.
     pub fn note_gateway(
         &self,
@@ -192,6 +230,7 @@
     settings: &ControllerSettings,
     address: SocketAddr,
     store: Rc<dyn Store>,
+    reach: Reach,
 ) -> SharedParts {
     let clock = OwnClock::start();
     let me = Holder {
@@ -204,6 +243,7 @@
         data_centre: Rc::from(settings.data_centre.as_str()),
         clock,
         store,
+        reach,
         fleet: Rc::default(),
         config: Rc::new(ConfigKeeper::new(clock)),
         links: Rc::new(PeerLinks::new(me, address)),
--- a/crates/controller/src/daemon/tasks.rs
+++ b/crates/controller/src/daemon/tasks.rs
@@ -96,7 +96,8 @@
     loop {
         let seen = seqs(&cx);
         if !cx.leaving.get() {
-            cx.assignment.step().await;
+            let until = cx.outage.until().await;
+            cx.assignment.step(until).await;
         }
         wait_for_change(&cx, seen).await;
     }
@@ -125,6 +126,7 @@
     loop {
         ticks.tick().await;
         cx.desk.handle(OwnerEvent::Tick);
+        cx.note_figures();
         cx.health
             .note(cx.config.is_loaded(), cx.session.until(), cx.leaving.get());
     }
--- a/crates/controller/src/follow/config_follower.rs
+++ b/crates/controller/src/follow/config_follower.rs
@@ -20,9 +20,6 @@
 /// How long another controller may hold a question back.
 const ASK_WAIT: Millis = Millis(1_000);
 
-/// A watcher that the store has not answered for this long asks other controllers too.
-const ASK_PEERS_AFTER: Millis = Millis(2_500);
-
 /// The longest pause after failures.
 const MOST_PAUSE: Millis = Millis(5_000);
 
@@ -31,7 +28,6 @@
 pub struct ConfigFollower {
     shared: SharedParts,
     reader: Rc<ConfigStore>,
-    store_heard: Cell<Option<Millis>>,
     turn: Cell<usize>,
 }
 
@@ -44,7 +40,6 @@
         Self {
             shared,
             reader,
-            store_heard: Cell::new(None),
             turn: Cell::new(0),
         }
     }
@@ -53,7 +48,7 @@
     pub async fn run(&self) {
         let mut backoff = Backoff::new(CONFIRM_EVERY, MOST_PAUSE);
         loop {
-            let duty = self.duty();
+            let duty = self.shared.duty();
             let is_watcher = duty.is_watcher(self.shared.me.vm);
             if !is_watcher && self.ask_watchers(&duty).await {
                 backoff.reset();
@@ -75,14 +70,18 @@
     pub async fn watch(&self) {
         let mut backoff = Backoff::new(CONFIRM_EVERY, MOST_PAUSE);
         loop {
-            if !self.shared.config.is_loaded() || !self.duty().is_watcher(self.shared.me.vm) {
+            if !self.shared.config.is_loaded() || !self.shared.duty().is_watcher(self.shared.me.vm)
+            {
                 sleep(CONFIRM_EVERY.to_std()).await;
                 continue;
             }
             let range = Range::between(edit_key(self.shared.config.revision().next()), edits_end());
             // What came between the last read and now is brought by the next read.
             let mut watch = StoreWatch::from_now(Rc::clone(&self.shared.store), range);
-            let ended = watch.run_once(|event| self.take(event)).await;
+            let ended = tokio::select! {
+                ended = watch.run_once(|event| self.take(event)) => ended,
+                () = self.shared.off_duty() => continue,
+            };
             match ended {
                 Ok(WatchEnd::Over | WatchEnd::Compacted) => backoff.reset(),
                 Err(e) => {
@@ -93,14 +92,6 @@
         }
     }
 
-    /// Whether the store has answered lately.
-    pub fn is_store_up(&self) -> bool {
-        let now = self.shared.clock.now();
-        self.store_heard
-            .get()
-            .is_some_and(|heard| now.since(heard) < ASK_PEERS_AFTER)
-    }
-
     fn take(
         &self,
         event: &WatchEvent,
@@ -111,19 +102,9 @@
         }
     }
 
-    fn duty(&self) -> Duty {
-        Duty::among(
-            &self.shared.data_centre,
-            self.shared.fleet.borrow().members.values(),
-        )
-    }
-
     async fn pull(&self) -> bool {
         match self.reader.pull().await {
-            Ok(()) => {
-                self.store_heard.set(Some(self.shared.clock.now()));
-                true
-            }
+            Ok(()) => true,
             Err(e) => {
                 Line::new("config_not_read").with("error", e).warn();
                 false
--- a/crates/core/tests/support/fleet.rs
+++ b/crates/core/tests/support/fleet.rs
@@ -1,8 +1,10 @@
 use {
     super::{
         Event, Link,
+        configuration::{ACCOUNTS, budgets},
         daemon::{Daemon, Fate},
-        reference::{Reference, Used},
+        links::Message,
+        reference::Used,
         store::Store,
     },
     jasmine_core::{
@@ -20,55 +22,37 @@
     },
 };
 
-/// The account that is there from the start, the one of the second revision, the weight store.
-const ACCOUNTS: [AccountId; 3] = [AccountId(1), AccountId(2), AccountId(9)];
 const LEASE: Millis = Millis(3000);
-const LIST_LAG: Millis = Millis(5000);
+pub const LIST_LAG: Millis = Millis(5000);
 const STEP: Millis = Millis(50);
 
-/// What is under way between two daemons.
-#[derive(Clone, Copy, Debug)]
-enum Message {
-    Ask(Ask),
-    Answer(Holder, TransferId, Given),
-}
-
-impl Message {
-    fn to(&self) -> Holder {
-        match self {
-            Self::Ask(ask) => ask.to,
-            Self::Answer(to, ..) => *to,
-        }
-    }
-}
-
 /// One VM that runs.
 #[derive(Debug)]
-struct Vm {
-    frozen: bool,
+pub struct Vm {
+    pub(super) frozen: bool,
     /// Revision of the configuration in force.
-    revision: usize,
-    daemons: [Daemon; 2],
-    machine: EpochMachine,
-    view: StoreView,
-    to_write: VecDeque<EpochAction>,
+    pub(super) revision: usize,
+    pub(super) daemons: [Daemon; 2],
+    pub(super) machine: EpochMachine,
+    pub(super) view: StoreView,
+    pub(super) to_write: VecDeque<EpochAction>,
 }
 
 /// The whole fleet.
 #[derive(Debug)]
 pub struct Fleet {
     pub now: Millis,
-    settings: RightsSettings,
+    pub(super) settings: RightsSettings,
     pub store: Store,
-    vms: BTreeMap<VmId, Vm>,
-    last_run: BTreeMap<VmId, Incarnation>,
-    unlisted: BTreeMap<VmId, Millis>,
-    links: VecDeque<Message>,
+    pub(super) vms: BTreeMap<VmId, Vm>,
+    pub(super) last_run: BTreeMap<VmId, Incarnation>,
+    pub(super) unlisted: BTreeMap<VmId, Millis>,
+    pub(super) links: VecDeque<Message>,
     /// Limit of the first account at each revision.
-    limits: Vec<Limit>,
-    ran: Vec<Used>,
+    pub(super) limits: Vec<Limit>,
+    pub(super) ran: Vec<Used>,
     /// In which order limits changed and requests ran.
-    in_force: Vec<(usize, Millis, AccountId, Limit)>,
+    pub(super) in_force: Vec<(usize, Millis, AccountId, Limit)>,
     callers: u64,
 }
 
@@ -125,7 +109,7 @@
             Event::Write(vm) => self.write(vm),
             Event::Carry(link, index) => return self.carry(link, index),
             Event::CarryAll => return self.carry_all(),
-            Event::Run(time) => return self.run(time),
+            Event::Run { time, reports_lost } => return self.work(time, reports_lost),
             Event::Kill(vm) => drop(self.vms.remove(&vm)),
             Event::Start(vm) => self.start(vm),
             Event::Leave(vm) => self.leave(vm),
@@ -147,6 +131,14 @@
     pub fn run(
         &mut self,
         time: Millis,
+    ) -> Vec<Fate> {
+        self.work(time, false)
+    }
+
+    fn work(
+        &mut self,
+        time: Millis,
+        reports_lost: bool,
     ) -> Vec<Fate> {
         let end = self.now + time;
         let mut fates = Vec::new();
@@ -158,7 +150,7 @@
                 while self.is_awake(vm) && !self.vms[&vm].to_write.is_empty() {
                     self.write(vm);
                 }
-                fates.extend(self.tick(vm, false));
+                fates.extend(self.tick(vm, reports_lost));
             }
             fates.extend(self.carry_all());
             self.advance(STEP);
@@ -166,22 +158,6 @@
         fates
     }
 
-    /// Carries what is under way until nothing is, or all that is left waits for frozen VMs.
-    pub fn carry_all(&mut self) -> Vec<Fate> {
-        let mut fates = Vec::new();
-        for _ in 0..1000 {
-            let Some(index) = self
-                .links
-                .iter()
-                .position(|message| !self.vms.get(&message.to().vm).is_some_and(|vm| vm.frozen))
-            else {
-                break;
-            };
-            fates.extend(self.carry(Link::Deliver, index));
-        }
-        fates
-    }
-
     /// Ends all faults; VMs that are dead stay dead, but one VM lives.
     pub fn heal(&mut self) {
         self.store.up = true;
@@ -196,118 +172,6 @@
         }
     }
 
-    /// The parts of the whole that all holders have together: rate and room.
-    pub fn held(
-        &self,
-        account: AccountId,
-    ) -> (u64, u64) {
-        self.daemons()
-            .flat_map(|daemon| daemon.ledger.held())
-            .filter(|right| right.account == account)
-            .fold((0, 0), |(rate, room), right| {
-                (rate + right.rate_share, room + right.room_share)
-            })
-    }
-
-    /// Checks what must hold at any moment.
-    pub fn check_now(&self) {
-        for account in ACCOUNTS {
-            let (rate, room) = self.held(account);
-            assert!(
-                rate <= SHARE_WHOLE,
-                "account {account}: {rate} of the rate is held"
-            );
-            assert!(
-                room <= SHARE_WHOLE,
-                "account {account}: {room} of the burst is held"
-            );
-        }
-    }
-
-    /// Checks that no account used more than its burst and rate in any window.
-    pub fn check_used(&self) {
-        for account in ACCOUNTS {
-            let mut changes = self
-                .in_force
-                .iter()
-                .filter(|change| change.2 == account)
-                .peekable();
-            let mut reference: Option<Reference> = None;
-            for (index, used) in self.ran.iter().enumerate() {
-                while let Some(&(_, at, _, limit)) = changes.next_if(|change| change.0 <= index) {
-                    reference
-                        .get_or_insert(Reference::new(limit))
-                        .set_limit(limit, at);
-                }
-                if used.account == account {
-                    let within = reference.as_mut().is_some_and(|bucket| bucket.take(used));
-                    assert!(within, "over the limit with {used:?}: {reference:?}");
-                }
-            }
-        }
-    }
-
-    /// Checks what must hold once faults have ended and some time has passed.
-    pub fn check_healed(&mut self) {
-        for _ in 0..20 {
-            if self.store.epoch().is_some_and(|record| record.closing) {
-                self.run(Millis(100));
-            }
-        }
-        let record = self.store.epoch().expect("an epoch").clone();
-        let mut alive: Vec<Holder> = self.daemons().map(|daemon| daemon.holder).collect();
-        alive.sort_unstable();
-        assert_eq!(record.members, alive, "the members are those who live");
-        assert!(!record.closing, "the epoch is finalised");
-        for Budget { account, .. } in budgets(&self.limits) {
-            let (rate, room) = self.held(account);
-            let lost = SHARE_WHOLE - rate.min(room);
-            assert!(
-                lost < 1000,
-                "account {account}: {lost} of the rights is nowhere"
-            );
-        }
-        let before = record.epoch;
-        self.run(Millis(5000));
-        let after = self.store.epoch().expect("an epoch").epoch;
-        let most = before.next();
-        assert!(
-            after <= most,
-            "nothing but the periodic change: {before} to {after}"
-        );
-    }
-
-    /// The epoch and what each VM has of an account, for a script.
-    pub fn show(
-        &mut self,
-        account: AccountId,
-    ) -> String {
-        let mut out = match self.store.epoch() {
-            None => "no epoch\n".to_owned(),
-            Some(record) => format!(
-                "epoch {}{}, {} members\n",
-                record.epoch,
-                if record.closing { " closing" } else { "" },
-                record.members.len(),
-            ),
-        };
-        for daemon in self.daemons() {
-            let held = daemon.ledger.held();
-            if let Some(right) = held.iter().find(|right| right.account == account) {
-                let percent = |share| 100.0 * share as f64 / SHARE_WHOLE as f64;
-                let _ = writeln!(
-                    out,
-                    "vm {}: rate {:.1} %, room {:.1} %, tokens {:.1}",
-                    daemon.holder.vm,
-                    percent(right.rate_share),
-                    percent(right.room_share),
-                    right.tokens as f64 / 1000.0,
-                );
-            }
-        }
-        out
-    }
-
     /// Number of messages under way.
     pub fn under_way(&self) -> usize {
         self.links.len()
@@ -318,7 +182,7 @@
         self.ran.len()
     }
 
-    fn daemons(&self) -> impl Iterator<Item = &Daemon> {
+    pub(super) fn daemons(&self) -> impl Iterator<Item = &Daemon> {
         self.vms.values().flat_map(|vm| &vm.daemons)
     }
 
@@ -329,7 +193,7 @@
         self.vms.get(&vm).is_some_and(|vm| !vm.frozen)
     }
 
-    fn awake(
+    pub(super) fn awake(
         &mut self,
         vm: VmId,
     ) -> Option<&mut Vm> {
@@ -341,12 +205,15 @@
         by: Millis,
     ) {
         self.now += by;
+        let live = self.store.read(self.now).live;
         let (now, store, vms) = (self.now, &mut self.store, &self.vms);
         self.unlisted.retain(|vm, until| {
-            if now >= *until && vms.contains_key(vm) {
+            // A list that is wrong about a VM without a lease would be a proof of its death.
+            let goes_on = now < *until && live.iter().any(|live| live.vm == *vm);
+            if !goes_on && vms.contains_key(vm) {
                 store.listed.insert(*vm);
             }
-            now < *until
+            goes_on
         });
     }
 
@@ -467,220 +334,4 @@
             self.store.write(action);
         }
     }
-
-    fn carry(
-        &mut self,
-        link: Link,
-        index: usize,
-    ) -> Vec<Fate> {
-        if self.links.is_empty() {
-            return Vec::new();
-        }
-        let index = index % self.links.len();
-        let message = self.links[index];
-        match link {
-            Link::Duplicate => {
-                self.links.push_back(message);
-                Vec::new()
-            }
-            Link::Drop => {
-                self.links.remove(index);
-                Vec::new()
-            }
-            Link::Deliver if self.vms.get(&message.to().vm).is_some_and(|vm| vm.frozen) => {
-                Vec::new()
-            }
-            Link::Deliver => {
-                self.links.remove(index);
-                self.deliver(&message)
-            }
-        }
-    }
-
-    fn deliver(
-        &mut self,
-        message: &Message,
-    ) -> Vec<Fate> {
-        let (now, to) = (self.now, message.to());
-        let daemon = self
-            .vms
-            .get_mut(&to.vm)
-            .and_then(|vm| vm.daemons.iter_mut().find(|daemon| daemon.holder == to));
-        let Some(daemon) = daemon else {
-            return Vec::new();
-        };
-        match message {
-            Message::Ask(ask) => {
-                let given = daemon.ledger.give(&ask.request, now);
-                let answer = Message::Answer(ask.request.from, ask.request.transfer, given);
-                self.links.push_back(answer);
-                Vec::new()
-            }
-            Message::Answer(_, transfer, given) => {
-                daemon.ledger.receive(*transfer, given, now);
-                let (fates, asks) = daemon.retry(now, &mut self.ran);
-                self.links.extend(asks.into_iter().map(Message::Ask));
-                fates
-                    .into_iter()
-                    .filter(|fate| *fate != Fate::Asking)
-                    .collect()
-            }
-        }
-    }
-
-    fn start(
-        &mut self,
-        vm: VmId,
-    ) {
-        if self.vms.contains_key(&vm) {
-            return;
-        }
-        let run = self.last_run.entry(vm).or_default();
-        *run = run.next();
-        let incarnation = *run;
-        let daemon = |role| {
-            Daemon::new(
-                Holder {
-                    vm,
-                    role,
-                    incarnation,
-                },
-                self.settings,
-            )
-        };
-        let settings = MembershipSettings {
-            list_lag: LIST_LAG,
-            refresh: Millis::from_secs(30),
-            ..MembershipSettings::default()
-        };
-        let started = Vm {
-            frozen: false,
-            revision: 0,
-            daemons: [daemon(Role::Gateway), daemon(Role::Controller)],
-            machine: EpochMachine::new(vm, settings),
-            view: StoreView::default(),
-            to_write: VecDeque::new(),
-        };
-        self.vms.insert(vm, started);
-        self.configure(vm);
-    }
-
-    fn leave(
-        &mut self,
-        vm: VmId,
-    ) {
-        let Some(mut left) = self.vms.remove(&vm) else {
-            return;
-        };
-        for daemon in &mut left.daemons {
-            let rights = daemon.ledger.give_all_back(self.now);
-            let holder = daemon.holder;
-            if self.store.up && !left.frozen {
-                self.store.release(ReleasedRecord { holder, rights });
-            }
-        }
-        if self.store.up {
-            self.store.revoke(vm);
-        }
-    }
-
-    fn set_frozen(
-        &mut self,
-        vm: VmId,
-        frozen: bool,
-    ) {
-        if let Some(vm) = self.vms.get_mut(&vm) {
-            vm.frozen = frozen;
-        }
-    }
-
-    fn update_list(&mut self) {
-        self.store.listed = self.vms.keys().copied().collect();
-        self.unlisted.clear();
-    }
-
-    fn unlist(
-        &mut self,
-        vm: VmId,
-    ) {
-        // The lease lapses no sooner than this.
-        let until = self.now + Millis(500);
-        let live = self.store.read(until).live;
-        if live.iter().any(|live| live.vm == vm) {
-            self.store.listed.remove(&vm);
-            self.unlisted.insert(vm, until);
-        }
-    }
-
-    fn configure(
-        &mut self,
-        vm: VmId,
-    ) {
-        let newest = self.limits.len() - 1;
-        let now = self.now;
-        if let Some(at) = self.awake(vm) {
-            at.revision = newest;
-        }
-        let Some(at) = self.vms.get_mut(&vm).filter(|vm| !vm.frozen) else {
-            return;
-        };
-        for budget in budgets(&self.limits) {
-            for daemon in at
-                .daemons
-                .iter_mut()
-                .filter(|d| d.holder.role == budget.role)
-            {
-                daemon.ledger.set_limit(budget.account, budget.limit, now);
-            }
-        }
-        self.note_limits();
-    }
-
-    /// Notes the largest limit in force on any VM.
-    fn note_limits(&mut self) {
-        for account in ACCOUNTS {
-            let limits = self
-                .vms
-                .values()
-                .flat_map(|vm| budgets(&self.limits[..=vm.revision]));
-            let largest = limits
-                .filter(|budget| budget.account == account)
-                .map(|budget| budget.limit)
-                .reduce(|a, b| Limit {
-                    rate: a.rate.max(b.rate),
-                    burst: a.burst.max(b.burst),
-                });
-            if let Some(limit) = largest {
-                self.in_force
-                    .push((self.ran.len(), self.now, account, limit));
-            }
-        }
-    }
-}
-
-/// The budgets of a revision: the second account comes with the second one.
-fn budgets(limits: &[Limit]) -> Vec<Budget> {
-    let gateways = |account, limit| Budget {
-        account,
-        role: Role::Gateway,
-        limit,
-    };
-    let mut budgets = vec![
-        gateways(ACCOUNTS[0], limits[limits.len() - 1]),
-        Budget {
-            account: ACCOUNTS[2],
-            role: Role::Controller,
-            limit: Limit { rate: 2, burst: 8 },
-        },
-    ];
-    if limits.len() > 1 {
-        budgets.push(gateways(
-            ACCOUNTS[1],
-            Limit {
-                rate: 50,
-                burst: 100,
-            },
-        ));
-    }
-    budgets
 }
--- a/crates/wire/schema/jasmine.capnp
+++ b/crates/wire/schema/jasmine.capnp
@@ -50,6 +50,7 @@
   epoch @0 :UInt64;
   grants @1 :List(Right);  # what this epoch adds to the asking gateway, to be applied once
   closing @2 :Bool;        # holdings of the epoch before are still being gathered
+  newest @3 :UInt64;       # the newest epoch, also where the asking gateway is no member of it (epoch is 0 then)
 }
 
 struct Instance {
@@ -97,6 +98,7 @@
 
   claim @6 (from :Peer, key :Data, fingerprint :Data) -> (outcome :ClaimOutcome, answer :Data);
   finishClaim @7 (from :Peer, key :Data, fingerprint :Data, answer :Data) -> (stored :Bool);
+  # An empty answer gives the claim back: the call has certainly not run.
 
   status @8 () -> (revision :UInt64, epoch :UInt64, gatewayRevision :UInt64, storeUp :Bool, owned :UInt32, leaving :Bool);
 
