Tests of placement and of the router alone

Even spread, little movement, copies in different data centres, names of instances (generated input), near owners; own requests added to lagging reports, prefix affinity, failing and leaving upstreams, one more copy of a busy adapter.

--- /dev/null
+++ b/crates/core/tests/placement.rs
@@ -0,0 +1,103 @@
+//! Where adapters live.
+
+use jasmine_core::{
+    ids::{AdapterId, AdapterVersion, DataCentreId, Fence, UpstreamId, VmId},
+    ownership::{Candidate, assign},
+    placement::{EngineSlot, Instance, preferred},
+};
+
+const ADAPTERS: u32 = 3000;
+
+fn engines(count: u32) -> Vec<EngineSlot> {
+    (0..count)
+        .map(|engine| EngineSlot {
+            upstream: UpstreamId(engine),
+            data_centre: DataCentreId((engine % 3) as u16),
+            weight: 8,
+        })
+        .collect()
+}
+
+fn adapter(number: u32) -> AdapterVersion {
+    AdapterVersion {
+        adapter: AdapterId(number),
+        version: 1,
+    }
+}
+
+fn homes(engines: &[EngineSlot]) -> Vec<UpstreamId> {
+    (0..ADAPTERS)
+        .map(|number| preferred(adapter(number), engines, 1)[0])
+        .collect()
+}
+
+#[test]
+fn even_spread() {
+    let homes = homes(&engines(9));
+    for engine in 0..9 {
+        let count = homes.iter().filter(|home| home.0 == engine).count();
+        assert!((250..420).contains(&count), "engine {engine} has {count}");
+    }
+}
+
+/// An engine is taken out. If the others' adapters moved too, every user would wait for loads.
+#[test]
+fn little_movement() {
+    let all = engines(9);
+    let (before, after) = (homes(&all), homes(&all[..8]));
+    let moved = before.iter().zip(&after).filter(|(a, b)| a != b).count();
+    let lost = before.iter().filter(|home| home.0 == 8).count();
+    assert_eq!(moved, lost);
+}
+
+/// A data centre is lost. An adapter with both copies in it would be cold for all its users.
+#[test]
+fn separate_data_centres() {
+    for number in 0..ADAPTERS {
+        let chosen = preferred(adapter(number), &engines(9), 3);
+        let mut places: Vec<u32> = chosen.iter().map(|engine| engine.0 % 3).collect();
+        places.sort_unstable();
+        assert_eq!(places, [0, 1, 2]);
+    }
+}
+
+#[test]
+fn instance_names() {
+    let upstream = UpstreamId(4);
+    let instance = Instance {
+        upstream,
+        adapter: adapter(7),
+        fence: Fence(12),
+    };
+    assert_eq!(instance.name(), "7-1-12");
+    assert_eq!(Instance::parse(upstream, "7-1-12"), Some(instance));
+    bolero::check!()
+        .with_iterations(2000)
+        .with_type::<String>()
+        .for_each(|name| {
+            let parsed = Instance::parse(upstream, name);
+            assert!(parsed.is_none_or(|instance| instance.name() == *name));
+        });
+}
+
+/// A link between data centres fails. Owners elsewhere would lose their engines for no reason.
+#[test]
+fn near_owner() {
+    let live: Vec<Candidate> = (0..7)
+        .map(|vm| Candidate {
+            vm: VmId(vm),
+            data_centre: DataCentreId((vm % 3) as u16),
+        })
+        .collect();
+    for engine in 0..9 {
+        let place = DataCentreId((engine % 3) as u16);
+        let owner = assign(UpstreamId(engine), place, &live).expect("somebody is live");
+        assert_eq!(owner.0 % 3, engine % 3);
+        let far = assign(UpstreamId(engine), DataCentreId(9), &live);
+        assert!(
+            far.is_some(),
+            "no live controller near: somebody else owns it"
+        );
+    }
+    assert_eq!(assign(UpstreamId(0), DataCentreId(0), &[]), None);
+}
--- /dev/null
+++ b/crates/core/tests/routing.rs
@@ -0,0 +1,192 @@
+//! Where requests go.
+
+use jasmine_core::{
+    clock::Millis,
+    error::ErrorKind,
+    ids::{
+        AccountId, AdapterId, AdapterVersion, DataCentreId, Fence, ModelId, ServiceId, UpstreamId,
+    },
+    ownership::AcquireOutcome,
+    placement::Instance,
+    routing::{
+        EngineView, Finish, Route, Router, RouterAction, RouterSettings, SpecKind, Target,
+        UpstreamSpec,
+    },
+};
+
+const MODEL: ModelId = ModelId(0);
+const BASE: Target = Target::Base(MODEL);
+const SERVICE: Target = Target::Service(ServiceId(1));
+const ACCOUNT: AccountId = AccountId(1);
+const ADAPTER: AdapterVersion = AdapterVersion {
+    adapter: AdapterId(5),
+    version: 2,
+};
+const NOW: Millis = Millis(50_000);
+
+fn engine() -> SpecKind {
+    SpecKind::Engine {
+        model: MODEL,
+        slots: 4,
+        max_batch: 4,
+    }
+}
+
+fn router(
+    kind: SpecKind,
+    places: &[u16],
+) -> Router {
+    let mut router = Router::new(RouterSettings::new(DataCentreId(0)));
+    router.set_upstreams(&specs(kind, places, None));
+    router
+}
+
+fn specs(
+    kind: SpecKind,
+    places: &[u16],
+    leaving: Option<u32>,
+) -> Vec<UpstreamSpec> {
+    (0..)
+        .zip(places)
+        .map(|(upstream, &place)| UpstreamSpec {
+            upstream: UpstreamId(upstream),
+            data_centre: DataCentreId(place),
+            kind,
+            leaving: leaving == Some(upstream),
+        })
+        .collect()
+}
+
+fn view(
+    upstream: u32,
+    running: u32,
+) -> EngineView {
+    EngineView {
+        upstream: UpstreamId(upstream),
+        owner_fence: Fence(1),
+        running,
+        waiting: 0,
+        free_slots: 1,
+        healthy: true,
+        boot: 1,
+        resident: Vec::new(),
+    }
+}
+
+fn sent(
+    router: &mut Router,
+    target: Target,
+    prefix: Option<u64>,
+    now: Millis,
+) -> Option<u32> {
+    match router.route(target, prefix, ACCOUNT, now) {
+        Route::Send { upstream, .. } => Some(upstream.0),
+        _ => None,
+    }
+}
+
+fn grant(
+    router: &mut Router,
+    upstream: UpstreamId,
+    ask: u64,
+) {
+    let instance = Instance {
+        upstream,
+        adapter: ADAPTER,
+        fence: Fence(1),
+    };
+    let owner = Fence(1);
+    let granted = AcquireOutcome::Granted { instance, owner };
+    router.acquired(upstream, ADAPTER, ask, granted, NOW);
+}
+
+/// Reports lag. Without its own count a gateway would send a whole burst to the engine that the
+/// last report called idle, and its users would wait there while others stand idle.
+#[test]
+fn own_in_flight() {
+    let mut router = router(engine(), &[0, 0]);
+    router.observe(view(0, 2), NOW);
+    router.observe(view(1, 0), NOW);
+    let to: Vec<_> = (0..4).map(|_| sent(&mut router, BASE, None, NOW)).collect();
+    assert_eq!(to[..2], [Some(1), Some(1)]);
+    assert_eq!(to[2..].iter().filter(|to| **to == Some(0)).count(), 1);
+}
+
+#[test]
+fn near_first() {
+    let mut router = router(engine(), &[1, 0]);
+    assert_eq!(sent(&mut router, BASE, None, NOW), Some(1));
+}
+
+/// Two engines are equally free. Prompts with one beginning spread over both would each be read
+/// again from the start.
+#[test]
+fn prefix_affinity() {
+    let mut router = router(engine(), &[0, 0, 0]);
+    let first = sent(&mut router, BASE, Some(77), NOW);
+    router.finished(UpstreamId(first.unwrap_or(0)), None, Finish::Done, NOW);
+    assert_eq!(sent(&mut router, BASE, Some(77), NOW), first);
+}
+
+/// An engine refuses connections. It looks idle, and every user's request would go there.
+#[test]
+fn failing_upstream() {
+    let mut router = router(SERVICE_KIND, &[0, 1]);
+    for _ in 0..3 {
+        assert_eq!(sent(&mut router, SERVICE, None, NOW), Some(0));
+        router.finished(UpstreamId(0), None, Finish::Failed, NOW);
+    }
+    assert_eq!(sent(&mut router, SERVICE, None, NOW), Some(1));
+    let later = NOW + Millis(1100);
+    assert_eq!(
+        sent(&mut router, SERVICE, None, later),
+        Some(0),
+        "one probe"
+    );
+    assert_eq!(sent(&mut router, SERVICE, None, later), Some(1));
+}
+
+const SERVICE_KIND: SpecKind = SpecKind::Server {
+    service: ServiceId(1),
+};
+
+/// Operators take the only server out. A user is told so at once and doesn't wait for ever.
+#[test]
+fn nothing_left() {
+    let mut router = router(SERVICE_KIND, &[0]);
+    router.set_upstreams(&specs(SERVICE_KIND, &[0], Some(0)));
+    let Route::Refuse(refusal) = router.route(SERVICE, None, ACCOUNT, NOW) else {
+        panic!("a leaving server gets nothing new");
+    };
+    assert_eq!(refusal.kind, ErrorKind::NoUpstream);
+    assert!(refusal.retry_after.is_some());
+}
+
+/// All of an adapter's work goes to one engine. Its users wait although others could load it.
+#[test]
+fn second_copy() {
+    let mut router = router(engine(), &[0, 0]);
+    let target = Target::Adapter(MODEL, ADAPTER);
+    let Route::Acquire { upstream, ask } = router.route(target, None, ACCOUNT, NOW) else {
+        panic!("nothing is held yet");
+    };
+    grant(&mut router, upstream, ask);
+    assert_eq!(router.tick(NOW), []);
+    for _ in 0..4 {
+        assert_eq!(sent(&mut router, target, None, NOW), Some(upstream.0));
+    }
+    let more = router.tick(NOW);
+    let [
+        RouterAction::Acquire {
+            upstream: second,
+            ask,
+            ..
+        },
+    ] = more[..]
+    else {
+        panic!("one more copy is asked for: {more:?}");
+    };
+    assert_ne!(second, upstream);
+    grant(&mut router, second, ask);
+    assert_eq!(sent(&mut router, target, None, NOW), Some(second.0));
+}
