--- /dev/null
+++ b/crates/core/src/ownership/evidence.rs
@@ -0,0 +1,134 @@
+use {
+    super::{
+        engine_copy::{CopyState, EngineCopy},
+        event::Report,
+        owned_engine::{CopyKey, OwnedEngine},
+        settings::OwnerSettings,
+    },
+    crate::{clock::Millis, ids::Holder, placement::Instance},
+};
+
+/// Demand below this is not worth remembering.
+const FORGOTTEN: f64 = 0.01;
+
+/// What gateways and the engine itself tell of its copies.
+impl OwnedEngine {
+    /// Takes a gateway's word that it holds an instance.
+    ///
+    /// `seen`: the gateway has seen the present token and gives no word to a former owner any more.
+    /// Only then is an instance of a former owner beyond the reach of its late orders.
+    pub(super) fn note_held(
+        &mut self,
+        from: Holder,
+        instance: Instance,
+        seen: bool,
+        now: Millis,
+    ) {
+        let key = (instance.adapter, instance.fence);
+        let is_former = instance.fence < self.own.fence;
+        if is_former && !self.unloaded.contains_key(&key) {
+            self.copies
+                .entry(key)
+                .or_insert_with(|| EngineCopy::new(CopyState::Doubtful, now));
+        }
+        let burnt = self.burnt.contains(&key);
+        let Some(copy) = self.copies.get_mut(&key) else {
+            return;
+        };
+        match copy.state {
+            // Ordered away with all words given: this poll was sent before the last of them.
+            CopyState::Unloading => return,
+            CopyState::Doubtful if seen && is_former && !burnt => {
+                copy.enter(CopyState::Resident, now);
+            }
+            _ => {}
+        }
+        copy.grants.entry(from).or_insert(0);
+    }
+
+    /// Compares a report with what should be on the engine.
+    pub(super) fn note_report(
+        &mut self,
+        report: &Report,
+        settings: &OwnerSettings,
+        now: Millis,
+    ) {
+        self.own.slots = report.slots;
+        if self.boot.is_some_and(|boot| boot != report.boot) {
+            self.forget_all(now);
+        }
+        self.boot = Some(report.boot);
+        self.demand
+            .retain(|_, sum| sum.get(now, settings.demand_half_life) > FORGOTTEN);
+        self.unloaded
+            .retain(|_, &mut at| now.since(at) < settings.report_lag);
+        for instance in &report.instances {
+            self.note_reported((instance.adapter, instance.fence), now);
+        }
+        self.forget_missing(report, settings, now);
+    }
+
+    /// The engine has restarted: whatever was loaded is not there any more.
+    ///
+    /// An order that is still out keeps its copy: an unload that arrives after the restart would
+    /// hit the same name loaded again.
+    fn forget_all(
+        &mut self,
+        now: Millis,
+    ) {
+        let lost: Vec<CopyKey> = self
+            .copies
+            .iter()
+            .filter(|(_, copy)| !copy.has_order_out())
+            .map(|(&key, _)| key)
+            .collect();
+        for key in lost {
+            self.forget(key, now);
+        }
+    }
+
+    fn note_reported(
+        &mut self,
+        key: CopyKey,
+        now: Millis,
+    ) {
+        if key.1 > self.own.fence || self.unloaded.contains_key(&key) {
+            return;
+        }
+        // Where older orders are refused by now, nothing can take the instance away any more.
+        let state = if self.raised && key.1 < self.own.fence {
+            CopyState::Resident
+        } else {
+            CopyState::Doubtful
+        };
+        let copy = self
+            .copies
+            .entry(key)
+            .or_insert_with(|| EngineCopy::new(state, now));
+        if copy.state == CopyState::Doubtful && !self.burnt.contains(&key) {
+            copy.enter(state, now);
+        }
+    }
+
+    /// An instance that reports leave out for longer than they lag is not there.
+    fn forget_missing(
+        &mut self,
+        report: &Report,
+        settings: &OwnerSettings,
+        now: Millis,
+    ) {
+        let missing: Vec<CopyKey> = self
+            .copies
+            .iter()
+            .filter(|(_, copy)| {
+                matches!(copy.state, CopyState::Resident | CopyState::Doubtful)
+                    && now.since(copy.since) > settings.report_lag
+            })
+            .map(|(&key, _)| key)
+            .filter(|&key| !report.instances.contains(&self.instance(key)))
+            .collect();
+        for key in missing {
+            self.forget(key, now);
+        }
+    }
+}
--- a/crates/core/src/ownership/mod.rs
+++ b/crates/core/src/ownership/mod.rs
@@ -18,10 +18,13 @@
 mod decayed;
 mod engine_copy;
 mod event;
+mod evidence;
 mod orders;
 mod owned_engine;
 mod owner_machine;
+mod results;
 mod settings;
+mod victim;
 mod wanted;
 
 pub use {
