--- a/crates/core/src/ownership/orders.rs
+++ b/crates/core/src/ownership/orders.rs
@@ -5,6 +5,7 @@
         owned_engine::{CopyKey, OwnedEngine},
         owner_machine::{OwnerMachine, Witness, reply},
         settings::OwnerSettings,
+        victim::has_silent_holder,
         wanted::{Stage, Wanted},
     },
     crate::{
@@ -17,8 +18,8 @@
 /// A load is still wanted for this long after the last question for it was answered "loading".
 const INTEREST: Millis = Millis::from_secs(2);
 
-/// What each gateway that holds a grant adds to the cost of losing an instance.
-const HELD_BONUS: f64 = 0.5;
+/// Loads that an owner asks budget for at a time; more would be kept from the other owners.
+const MAX_ASKED: u32 = 16;
 
 impl OwnerMachine {
     /// Answers questions that have been held back long enough, and drops what nobody waits for.
@@ -55,7 +56,7 @@
         if !self.has_lease(now) {
             return;
         }
-        self.void_replaced();
+        self.void_replaced(now);
         for engine in self.engines.values_mut() {
             engine.give_up_stuck_recalls(&self.witnesses, &self.settings, now);
             engine.unload_released(now, out);
@@ -133,9 +134,10 @@
             self.budget_asked = 0;
         }
         let needed = self.queued_by_rank(now).len() as u32;
-        let missing = needed.saturating_sub(self.budget + self.budget_asked);
-        if missing > 0 {
-            self.budget_asked += missing;
+        let missing = needed.saturating_sub(self.budget).min(MAX_ASKED);
+        // One question at a time: each that is answered takes from what other owners may load.
+        if missing > 0 && self.budget_asked == 0 {
+            self.budget_asked = missing;
             self.budget_asked_at = now;
             out.push(OwnerAction::AskBudget(missing));
         }
@@ -172,7 +174,8 @@
         let reserved = self.needing_slot();
         let free = (self.own.slots.saturating_sub(self.used_slots())) as usize;
         let room_coming = free + self.vacating();
-        let is_there = self.copies.contains_key(&self.key(adapter));
+        let own = self.copies.get(&self.key(adapter));
+        let is_there = own.is_some_and(EngineCopy::takes_slot);
         if !is_there && reserved >= room_coming {
             let Some(victim) = self.victim(adapter, witnesses, settings, now) else {
                 return false;
@@ -264,8 +267,13 @@
             .collect();
         for adapter in waiting {
             let key = self.key(adapter);
-            let is_there = self.copies.get(&key).is_some_and(EngineCopy::takes_slot);
-            if !is_there && !self.has_free_slot() {
+            // A load under a name whose unload is still out would be undone when that arrives.
+            let has_room = match self.copies.get(&key).map(|copy| copy.state) {
+                None | Some(CopyState::Gone) => self.has_free_slot(),
+                Some(CopyState::Doubtful) => !self.burnt.contains(&key),
+                Some(_) => false,
+            };
+            if !has_room {
                 continue;
             }
             let copy = self
@@ -301,78 +309,4 @@
             }
         }
     }
-
-    /// The copy whose loss costs least, for a newcomer.
-    fn victim(
-        &self,
-        newcomer: AdapterVersion,
-        witnesses: &BTreeMap<VmId, Witness>,
-        settings: &OwnerSettings,
-        now: Millis,
-    ) -> Option<CopyKey> {
-        let account = self.wanted.get(&newcomer).map(|wanted| wanted.account);
-        let fair = self.fair_slots();
-        let candidates: Vec<CopyKey> = self
-            .copies
-            .iter()
-            .filter(|&(&key, copy)| self.may_go(key, copy, witnesses, settings, now))
-            .map(|(&key, _)| key)
-            .collect();
-        let cost = |key: &CopyKey| self.cost_of_loss(*key, settings, now);
-        let cheapest = |keys: &mut dyn Iterator<Item = CopyKey>| {
-            keys.min_by(|a, b| cost(a).total_cmp(&cost(b)))
-        };
-        let unprotected = |key: &CopyKey| {
-            let owner = self.copies[key].account;
-            owner == account || owner.is_none() || self.slots_of(owner) > fair
-        };
-        let may_press_others = self.slots_of(account) < fair;
-        cheapest(&mut candidates.iter().copied().filter(unprotected))
-            .or_else(|| may_press_others.then(|| cheapest(&mut candidates.iter().copied()))?)
-    }
-
-    fn may_go(
-        &self,
-        key: CopyKey,
-        copy: &EngineCopy,
-        witnesses: &BTreeMap<VmId, Witness>,
-        settings: &OwnerSettings,
-        now: Millis,
-    ) -> bool {
-        match copy.state {
-            CopyState::Resident => {
-                self.words_known(key)
-                    && now.since(copy.since) >= settings.min_residence
-                    && !has_silent_holder(copy, witnesses, settings, now)
-            }
-            CopyState::Doubtful => self.words_known(key) && copy.grants.is_empty(),
-            _ => false,
-        }
-    }
-
-    fn cost_of_loss(
-        &self,
-        key: CopyKey,
-        settings: &OwnerSettings,
-        now: Millis,
-    ) -> f64 {
-        let copy = &self.copies[&key];
-        match copy.state {
-            CopyState::Doubtful => -1.0,
-            _ => self.demand(key.0, settings, now) + HELD_BONUS * copy.grants.len() as f64,
-        }
-    }
-}
-
-fn has_silent_holder(
-    copy: &EngineCopy,
-    witnesses: &BTreeMap<VmId, Witness>,
-    settings: &OwnerSettings,
-    now: Millis,
-) -> bool {
-    copy.grants.keys().any(|holder| {
-        witnesses
-            .get(&holder.vm)
-            .is_none_or(|witness| now.since(witness.heard) >= settings.silent_after)
-    })
 }
--- a/crates/core/src/ownership/owned_engine.rs
+++ b/crates/core/src/ownership/owned_engine.rs
@@ -2,7 +2,7 @@
     super::{
         decayed::Decayed,
         engine_copy::{CopyState, EngineCopy},
-        event::{Ownership, Report},
+        event::{Ask, Ownership},
         settings::OwnerSettings,
         wanted::{Stage, Wanted},
     },
@@ -202,6 +202,17 @@
             .map_or(0.0, |sum| sum.get(now, settings.demand_half_life))
     }
 
+    /// Whether a question tells of demand that has not been counted: not when a gateway that waits
+    /// for a load asks again, or what waited longest would seem to be used most.
+    pub(super) fn is_new_demand(
+        &self,
+        ask: &Ask,
+    ) -> bool {
+        self.wanted
+            .get(&ask.adapter)
+            .is_none_or(|wanted| !wanted.askers.contains(&ask.from.vm))
+    }
+
     pub(super) fn note_demand(
         &mut self,
         adapter: AdapterVersion,
@@ -255,13 +266,18 @@
     /// Drops what `is_over` says of grants; copies that are gone and dropped by all are forgotten.
     pub(super) fn drop_grants<F>(
         &mut self,
+        now: Millis,
         mut is_over: F,
     ) where
         F: FnMut(CopyKey, &Holder, u64) -> bool,
     {
         for (&key, copy) in &mut self.copies {
+            let before = copy.grants.len();
             copy.grants
                 .retain(|holder, &mut ask| !is_over(key, holder, ask));
+            if copy.grants.len() < before {
+                copy.used = now;
+            }
         }
         self.copies
             .retain(|_, copy| copy.takes_slot() || !copy.grants.is_empty());
@@ -280,121 +296,4 @@
             }
         }
     }
-
-    /// Takes a gateway's word that it holds an instance.
-    ///
-    /// `seen`: the gateway has seen the present token and gives no word to a former owner any more.
-    /// Only then is an instance of a former owner beyond the reach of its late orders.
-    pub(super) fn note_held(
-        &mut self,
-        from: Holder,
-        instance: Instance,
-        seen: bool,
-        now: Millis,
-    ) {
-        let key = (instance.adapter, instance.fence);
-        let is_former = instance.fence < self.own.fence;
-        if is_former && !self.unloaded.contains_key(&key) {
-            self.copies
-                .entry(key)
-                .or_insert_with(|| EngineCopy::new(CopyState::Doubtful, now));
-        }
-        let burnt = self.burnt.contains(&key);
-        let Some(copy) = self.copies.get_mut(&key) else {
-            return;
-        };
-        match copy.state {
-            // Ordered away with all words given: this poll was sent before the last of them.
-            CopyState::Unloading => return,
-            CopyState::Doubtful if seen && is_former && !burnt => {
-                copy.enter(CopyState::Resident, now);
-            }
-            _ => {}
-        }
-        copy.grants.entry(from).or_insert(0);
-    }
-
-    /// Compares a report with what should be on the engine.
-    pub(super) fn note_report(
-        &mut self,
-        report: &Report,
-        settings: &OwnerSettings,
-        now: Millis,
-    ) {
-        self.own.slots = report.slots;
-        if self.boot.is_some_and(|boot| boot != report.boot) {
-            self.forget_all(now);
-        }
-        self.boot = Some(report.boot);
-        self.unloaded
-            .retain(|_, &mut at| now.since(at) < settings.report_lag);
-        for instance in &report.instances {
-            self.note_reported((instance.adapter, instance.fence), now);
-        }
-        self.forget_missing(report, settings, now);
-    }
-
-    /// The engine has restarted: whatever was loaded is not there any more.
-    ///
-    /// An order that is still out keeps its copy: an unload that arrives after the restart would
-    /// hit the same name loaded again.
-    fn forget_all(
-        &mut self,
-        now: Millis,
-    ) {
-        let lost: Vec<CopyKey> = self
-            .copies
-            .iter()
-            .filter(|(_, copy)| !copy.has_order_out())
-            .map(|(&key, _)| key)
-            .collect();
-        for key in lost {
-            self.forget(key, now);
-        }
-    }
-
-    fn note_reported(
-        &mut self,
-        key: CopyKey,
-        now: Millis,
-    ) {
-        if key.1 > self.own.fence || self.unloaded.contains_key(&key) {
-            return;
-        }
-        // Where older orders are refused by now, nothing can take the instance away any more.
-        let state = if self.raised && key.1 < self.own.fence {
-            CopyState::Resident
-        } else {
-            CopyState::Doubtful
-        };
-        let copy = self
-            .copies
-            .entry(key)
-            .or_insert_with(|| EngineCopy::new(state, now));
-        if copy.state == CopyState::Doubtful && !self.burnt.contains(&key) {
-            copy.enter(state, now);
-        }
-    }
-
-    /// An instance that reports leave out for longer than they lag is not there.
-    fn forget_missing(
-        &mut self,
-        report: &Report,
-        settings: &OwnerSettings,
-        now: Millis,
-    ) {
-        let missing: Vec<CopyKey> = self
-            .copies
-            .iter()
-            .filter(|(_, copy)| {
-                matches!(copy.state, CopyState::Resident | CopyState::Doubtful)
-                    && now.since(copy.since) > settings.report_lag
-            })
-            .map(|(&key, _)| key)
-            .filter(|&key| !report.instances.contains(&self.instance(key)))
-            .collect();
-        for key in missing {
-            self.forget(key, now);
-        }
-    }
 }
