--- a/crates/core/src/ownership/owner_machine.rs
+++ b/crates/core/src/ownership/owner_machine.rs
@@ -3,10 +3,10 @@
         account_waits::AccountWaits,
         action::{AcquireOutcome, OwnerAction},
         engine_copy::CopyState,
-        event::{Ask, LoadResult, OwnerEvent, Ownership, Poll, Release, Report, UnloadResult},
-        owned_engine::{CopyKey, OwnedEngine},
+        event::{Ask, OwnerEvent, Ownership, Poll, Release},
+        owned_engine::OwnedEngine,
         settings::OwnerSettings,
-        wanted::{Stage, Waiter, Wanted},
+        wanted::{Waiter, Wanted},
     },
     crate::{
         clock::Millis,
@@ -72,7 +72,7 @@
             OwnerEvent::LeaseExtended(until) => self.lease_until = until,
             OwnerEvent::Gained(own) => self.gain(own, now, &mut out),
             OwnerEvent::Lost(upstream) => self.lose(upstream, &mut out),
-            OwnerEvent::Members(vms) => self.set_members(&vms),
+            OwnerEvent::Members(vms) => self.set_members(&vms, now),
             OwnerEvent::Polled(poll) => self.note_poll(&poll, now),
             OwnerEvent::Acquire(ask) => self.acquire(ask, now, &mut out),
             OwnerEvent::Released(release) => self.release(&release, now),
@@ -200,13 +200,14 @@
     fn set_members(
         &mut self,
         vms: &[VmId],
+        now: Millis,
     ) {
         let members: BTreeSet<VmId> = vms.iter().copied().collect();
         for engine in self.engines.values_mut() {
             // A VM that was not known when the engine was gained may hold grants of a former owner.
             engine.unheard.extend(members.difference(&self.members));
             engine.unheard.retain(|vm| members.contains(vm));
-            engine.drop_grants(|_, holder, _| !members.contains(&holder.vm));
+            engine.drop_grants(now, |_, holder, _| !members.contains(&holder.vm));
             for wanted in engine.wanted.values_mut() {
                 let is_member = |waiter: &Waiter| members.contains(&waiter.from.vm);
                 wanted.waiters.retain(is_member);
@@ -245,7 +246,10 @@
     ///
     /// Only under a valid lease: a former owner must not conclude anything from a gateway's
     /// restart, since the process that was replaced may have been the witness of its successor.
-    pub(super) fn void_replaced(&mut self) {
+    pub(super) fn void_replaced(
+        &mut self,
+        now: Millis,
+    ) {
         for vm in std::mem::take(&mut self.restarted) {
             let Some(witness) = self.witnesses.get(&vm) else {
                 continue;
@@ -253,7 +257,7 @@
             let is_over =
                 |holder: &Holder| holder.vm == vm && holder.incarnation < witness.incarnation;
             for engine in self.engines.values_mut() {
-                engine.drop_grants(|_, holder, _| is_over(holder));
+                engine.drop_grants(now, |_, holder, _| is_over(holder));
                 // A grant to a process that is gone would never be given back.
                 for wanted in engine.wanted.values_mut() {
                     wanted.waiters.retain(|waiter| !is_over(&waiter.from));
@@ -301,7 +305,9 @@
             out.push(reply(ask.from, ask.ask, AcquireOutcome::Loading));
             return;
         }
-        engine.note_demand(ask.adapter, 1.0, &settings, now);
+        if engine.is_new_demand(&ask) {
+            engine.note_demand(ask.adapter, 1.0, &settings, now);
+        }
         let owner = engine.own.fence;
         if let Some(key) = engine.find(ask.adapter, CopyState::Resident) {
             let instance = engine.instance(key);
@@ -309,6 +315,7 @@
             let granted = copy.grants.entry(ask.from).or_default();
             *granted = ask.ask.max(*granted);
             copy.account = Some(ask.account);
+            copy.used = now;
             let outcome = AcquireOutcome::Granted { instance, owner };
             out.push(reply(ask.from, ask.ask, outcome));
             self.waits.note(ask.account, Millis::ZERO, now);
@@ -323,17 +330,18 @@
             out.push(reply(ask.from, ask.ask, later));
             return;
         }
-        engine
+        let wanted = engine
             .wanted
             .entry(ask.adapter)
-            .or_insert_with(|| Wanted::new(ask.account, now))
-            .join(Waiter {
-                from: ask.from,
-                ask: ask.ask,
-                account: ask.account,
-                since: now,
-                until: now + ask.wait,
-            });
+            .or_insert_with(|| Wanted::new(ask.account, now));
+        wanted.askers.insert(ask.from.vm);
+        wanted.join(Waiter {
+            from: ask.from,
+            ask: ask.ask,
+            account: ask.account,
+            since: now,
+            until: now + ask.wait,
+        });
     }
 
     fn release(
@@ -348,7 +356,7 @@
                 continue;
             }
             let upstream = engine.upstream();
-            engine.drop_grants(|key, holder, ask| {
+            engine.drop_grants(now, |key, holder, ask| {
                 let named = release.instances.iter().any(|instance| {
                     instance.upstream == upstream && (instance.adapter, instance.fence) == key
                 });
@@ -356,138 +364,6 @@
             });
         }
     }
-
-    fn note_fence(
-        &mut self,
-        upstream: UpstreamId,
-        fence: Fence,
-        raised: bool,
-        out: &mut Vec<OwnerAction>,
-    ) {
-        let Some(engine) = self.engines.get_mut(&upstream) else {
-            return;
-        };
-        match (engine.own.fence == fence, raised) {
-            (true, true) => engine.raised = true,
-            (true, false) => self.lose(upstream, out),
-            (false, _) => {}
-        }
-    }
-
-    fn end_load(
-        &mut self,
-        instance: Instance,
-        result: LoadResult,
-        now: Millis,
-        out: &mut Vec<OwnerAction>,
-    ) {
-        let Some(engine) = self.engines.get_mut(&instance.upstream) else {
-            return;
-        };
-        let key = (instance.adapter, instance.fence);
-        if !engine.is_in(key, CopyState::Loading) {
-            return;
-        }
-        match result {
-            LoadResult::Loaded => {
-                engine.backoffs.remove(&instance.adapter);
-                self.grant_waiting(key, instance, now, out);
-            }
-            LoadResult::NoFreeSlot => {
-                engine.forget(key, now);
-                engine.paused_until = now + self.settings.first_backoff;
-                if let Some(wanted) = engine.wanted.get_mut(&instance.adapter) {
-                    wanted.stage = Stage::Queued;
-                }
-            }
-            LoadResult::StaleFence => self.lose(instance.upstream, out),
-            LoadResult::Failed | LoadResult::Unknown => {
-                match result {
-                    LoadResult::Unknown => {
-                        let copy = engine.copies.get_mut(&key).expect("is loading");
-                        copy.enter(CopyState::Doubtful, now);
-                    }
-                    _ => engine.forget(key, now),
-                }
-                let pause = engine.note_failure(instance.adapter, &self.settings, now);
-                if let Some(wanted) = engine.wanted.remove(&instance.adapter) {
-                    reply_all(wanted.waiters, AcquireOutcome::LoadFailed(pause), out);
-                }
-            }
-        }
-    }
-
-    fn grant_waiting(
-        &mut self,
-        key: CopyKey,
-        instance: Instance,
-        now: Millis,
-        out: &mut Vec<OwnerAction>,
-    ) {
-        let Some(engine) = self.engines.get_mut(&instance.upstream) else {
-            return;
-        };
-        let owner = engine.own.fence;
-        let Some(copy) = engine.copies.get_mut(&key) else {
-            return;
-        };
-        copy.enter(CopyState::Resident, now);
-        let Some(mut wanted) = engine.wanted.remove(&instance.adapter) else {
-            return;
-        };
-        let waiters = wanted.grant(copy);
-        for waiter in &waiters {
-            self.waits
-                .note(waiter.account, now.since(waiter.since), now);
-        }
-        let outcome = AcquireOutcome::Granted { instance, owner };
-        reply_all(waiters, outcome, out);
-    }
-
-    fn end_unload(
-        &mut self,
-        instance: Instance,
-        result: UnloadResult,
-        now: Millis,
-        out: &mut Vec<OwnerAction>,
-    ) {
-        let Some(engine) = self.engines.get_mut(&instance.upstream) else {
-            return;
-        };
-        let key = (instance.adapter, instance.fence);
-        if !engine.is_in(key, CopyState::Unloading) {
-            return;
-        }
-        match result {
-            UnloadResult::Gone => {
-                engine.unloaded.insert(key, now);
-                engine.forget(key, now);
-            }
-            UnloadResult::StaleFence => self.lose(instance.upstream, out),
-            UnloadResult::Unknown => {
-                // The order may still be under way. Loading the same name again would give it
-                // something to hurt; a copy loaded under a newer token has another name.
-                engine.burnt.insert(key);
-                if let Some(copy) = engine.copies.get_mut(&key) {
-                    copy.enter(CopyState::Doubtful, now);
-                }
-                if key.1 == engine.own.fence {
-                    out.push(OwnerAction::RenewFence(instance.upstream));
-                }
-            }
-        }
-    }
-
-    fn note_report(
-        &mut self,
-        report: &Report,
-        now: Millis,
-    ) {
-        let settings = self.settings;
-        if let Some(engine) = self.engines.get_mut(&report.upstream) {
-            engine.note_report(report, &settings, now);
-        }
-    }
 }
 
 pub(super) fn reply(
