--- a/crates/controller/src/ownership/mod.rs
+++ b/crates/controller/src/ownership/mod.rs
@@ -2,6 +2,7 @@
 
 mod assignment;
 mod engine_state;
+mod orders;
 mod outage_lease;
 mod owner_desk;
 
--- a/crates/controller/src/ownership/owner_desk.rs
+++ b/crates/controller/src/ownership/owner_desk.rs
@@ -3,15 +3,14 @@
     crate::{
         clock::{OwnClock, Signal},
         config::ConfigKeeper,
-        engines::{EngineClient, EngineReport, ReportReader},
+        engines::{EngineReport, ReportReader},
         rights::LoadBudget,
     },
     jasmine_core::{
         clock::Millis,
         ids::{Fence, Holder, UpstreamId},
         ownership::{
-            AcquireOutcome, Ask, LoadResult, OwnerAction, OwnerEvent, OwnerMachine, OwnerSettings,
-            Ownership, UnloadResult,
+            AcquireOutcome, Ask, OwnerAction, OwnerEvent, OwnerMachine, OwnerSettings, Ownership,
         },
         placement::Instance,
     },
@@ -32,22 +31,16 @@
 /// How often an engine is asked for its report.
 const REPORT_EVERY: Duration = Duration::from_secs(1);
 
-/// Attempts to raise an engine's fencing token.
-const RAISE_ATTEMPTS: u32 = 10;
-
-/// The pause between them.
-const RAISE_PAUSE: Duration = Duration::from_millis(500);
-
 /// Runs the owner's machine: hands it events and carries out what it wants.
 pub struct OwnerDesk {
-    clock: OwnClock,
-    config: Rc<ConfigKeeper>,
-    budget: Rc<LoadBudget>,
-    machine: RefCell<OwnerMachine>,
-    engines: RefCell<BTreeMap<UpstreamId, EngineState>>,
+    pub(super) clock: OwnClock,
+    pub(super) config: Rc<ConfigKeeper>,
+    pub(super) budget: Rc<LoadBudget>,
+    pub(super) machine: RefCell<OwnerMachine>,
+    pub(super) engines: RefCell<BTreeMap<UpstreamId, EngineState>>,
     questions: RefCell<HashMap<(Holder, u64), oneshot::Sender<AcquireOutcome>>>,
     renewals: RefCell<Vec<UpstreamId>>,
-    orders: Cell<u64>,
+    pub(super) orders: Cell<u64>,
     gains: Cell<u64>,
     /// Raised when what gateways see of an engine changes.
     pub changed: Signal,
@@ -244,96 +237,6 @@
         }
     }
 
-    async fn load(
-        self: Rc<Self>,
-        instance: Instance,
-        fence: Fence,
-    ) {
-        let weights = self.config.weights(instance.adapter);
-        let result = match (self.may_send(instance.upstream, fence), weights) {
-            (Some(engine), Some(weights)) => {
-                EngineClient
-                    .load(engine.address, instance, &weights, fence)
-                    .await
-            }
-            // Nothing was sent.
-            _ => LoadResult::Failed,
-        };
-        Line::new("load_ended")
-            .with("upstream", instance.upstream)
-            .with("instance", instance.name())
-            .with("result", format!("{result:?}"))
-            .info();
-        self.handle(OwnerEvent::LoadEnded(instance, result));
-    }
-
-    async fn unload(
-        self: Rc<Self>,
-        instance: Instance,
-        fence: Fence,
-    ) {
-        let result = match self.may_send(instance.upstream, fence) {
-            Some(engine) => EngineClient.unload(engine.address, instance, fence).await,
-            // Not sent, which the machine takes for the worse case of an order still under way.
-            None => UnloadResult::Unknown,
-        };
-        if result != UnloadResult::Gone {
-            Line::new("unload_unsettled")
-                .with("upstream", instance.upstream)
-                .with("instance", instance.name())
-                .with("result", format!("{result:?}"))
-                .warn();
-        }
-        self.handle(OwnerEvent::UnloadEnded(instance, result));
-    }
-
-    async fn raise(
-        self: Rc<Self>,
-        upstream: UpstreamId,
-        fence: Fence,
-    ) {
-        for _ in 0..RAISE_ATTEMPTS {
-            let Some(engine) = self.may_send(upstream, fence) else {
-                return;
-            };
-            if let Some(raised) = EngineClient.raise_fence(engine.address, fence).await {
-                self.handle(OwnerEvent::FenceRaised(upstream, fence, raised));
-                return;
-            }
-            tokio::time::sleep(RAISE_PAUSE).await;
-        }
-    }
-
-    async fn ask_budget(
-        self: Rc<Self>,
-        loads: u32,
-    ) {
-        let granted = self.budget.take(loads).await;
-        if granted > 0 {
-            self.handle(OwnerEvent::BudgetGranted(granted));
-        }
-    }
-
-    /// The engine, if an order under this token may be sent in this very step.
-    ///
-    /// Between the machine's decision and the sending the process may have been frozen past its
-    /// lease. Asking the clock again right before the sending keeps such an order back.
-    fn may_send(
-        &self,
-        upstream: UpstreamId,
-        fence: Fence,
-    ) -> Option<EngineTarget> {
-        let now = self.clock.now();
-        if !self.machine.borrow().may_order(upstream, fence, now) {
-            return None;
-        }
-        self.orders.set(self.orders.get() + 1);
-        self.engines
-            .borrow()
-            .get(&upstream)
-            .map(|state| state.target)
-    }
-
     async fn poll_reports(
         self: Rc<Self>,
         upstream: UpstreamId,
