--- a/crates/testkit/src/harness/daemon.rs
+++ b/crates/testkit/src/harness/daemon.rs
@@ -23,6 +23,9 @@
 /// Milliseconds of one tick in which the kernel counts processor time.
 const MS_A_TICK: u64 = 10;
 
+/// KiB of one page in which the kernel counts memory.
+const KIB_A_PAGE: u64 = 4;
+
 /// What a daemon wrote, with a bell for each line.
 #[derive(Debug, Default)]
 struct Output {
@@ -114,6 +117,14 @@
         ticks * MS_A_TICK
     }
 
+    /// Memory that the process holds resident, in KiB; nought where it can't be told.
+    pub fn resident_kib(&self) -> u64 {
+        let statm = fs::read_to_string(format!("/proc/{}/statm", self.child.id()));
+        let statm = statm.unwrap_or_default();
+        let pages = statm.split(' ').nth(1).and_then(|field| field.parse().ok());
+        pages.unwrap_or(0u64) * KIB_A_PAGE
+    }
+
     /// Kills the process and reaps it.
     pub fn kill(&mut self) {
         drop(self.child.kill());
--- a/crates/testkit/src/proxy/mod.rs
+++ b/crates/testkit/src/proxy/mod.rs
@@ -2,10 +2,12 @@
 
 mod control;
 mod link;
+mod passed;
 mod tcp_proxy;
 
 pub use {
     control::start_control,
     link::{Fault, Link},
+    passed::Passed,
     tcp_proxy::Proxy,
 };
--- a/crates/testkit/src/proxy/tcp_proxy.rs
+++ b/crates/testkit/src/proxy/tcp_proxy.rs
@@ -1,8 +1,12 @@
 use {
-    super::link::{Direction, Fault, Link, State},
+    super::{
+        link::{Direction, Fault, Link, State},
+        passed::{Count, Passed},
+    },
     std::{
         io,
         net::{SocketAddr, TcpListener as StdListener},
+        sync::Arc,
         thread::{self, JoinHandle},
         time::Duration,
     },
@@ -28,6 +32,7 @@
     address: SocketAddr,
     state: watch::Sender<State>,
     target: watch::Sender<SocketAddr>,
+    count: Arc<Count>,
     stop: Option<oneshot::Sender<()>>,
     thread: Option<JoinHandle<()>>,
 }
@@ -49,10 +54,12 @@
         let (target, target_rx) = watch::channel(target);
         let (stop, stopped) = oneshot::channel();
         let runtime = Builder::new_current_thread().enable_all().build()?;
+        let count = Arc::new(Count::default());
+        let counted = Arc::clone(&count);
         let thread = thread::spawn(move || {
             let accept = async move {
                 tokio::select! {
-                    _ = accept(listener, target_rx, rx) => {}
+                    _ = accept(listener, target_rx, rx, counted) => {}
                     _ = stopped => {}
                 }
             };
@@ -62,6 +69,7 @@
             address,
             state,
             target,
+            count,
             stop: Some(stop),
             thread: Some(thread),
         })
@@ -72,6 +80,11 @@
         self.address
     }
 
+    /// How much has passed each way so far, over all connections.
+    pub fn passed(&self) -> Passed {
+        self.count.passed()
+    }
+
     /// Passes new connections on to another target, such as a process that was started anew.
     pub fn retarget(
         &self,
@@ -116,11 +129,17 @@
     listener: StdListener,
     target: watch::Receiver<SocketAddr>,
     rx: watch::Receiver<State>,
+    count: Arc<Count>,
 ) -> io::Result<()> {
     let listener = TcpListener::from_std(listener)?;
     loop {
         let (client, _) = listener.accept().await?;
-        tokio::task::spawn_local(connection(client, target.clone(), rx.clone()));
+        tokio::task::spawn_local(connection(
+            client,
+            target.clone(),
+            rx.clone(),
+            Arc::clone(&count),
+        ));
     }
 }
 
@@ -128,6 +147,7 @@
     client: TcpStream,
     target: watch::Receiver<SocketAddr>,
     mut rx: watch::Receiver<State>,
+    count: Arc<Count>,
 ) {
     let born = rx.borrow().silences;
     let mut refused = rx.clone();
@@ -142,8 +162,15 @@
         let (client_rx, client_tx) = client.into_split();
         let (server_rx, server_tx) = server.into_split();
         tokio::try_join!(
-            pump(client_rx, server_tx, Direction::ToTarget, born, rx.clone()),
-            pump(server_rx, client_tx, Direction::ToClient, born, rx),
+            pump(
+                client_rx,
+                server_tx,
+                Direction::ToTarget,
+                born,
+                rx.clone(),
+                &count
+            ),
+            pump(server_rx, client_tx, Direction::ToClient, born, rx, &count),
         )
     };
     tokio::select! {
@@ -158,6 +185,7 @@
     direction: Direction,
     born: u64,
     mut rx: watch::Receiver<State>,
+    count: &Count,
 ) -> io::Result<()> {
     let mut buf = vec![0; PIECE];
     let mut passed = 0;
@@ -179,6 +207,7 @@
             _ => usize::MAX,
         };
         to.write_all(&buf[..n.min(room)]).await?;
+        count.add(direction, n.min(room) as u64);
         passed += n as u64;
         if n >= room {
             return Err(io::ErrorKind::ConnectionAborted.into());
