Ownership: orders may go on past the lease, as a setting, off by default

Cause: in an outage of the store longer than a lease no owner may load anything, so every adapter that is not resident is out of service. Excluded: that the lease is what keeps work from being cut. The words of the holders do the rest: a gateway gives none to an owner whose successor it has seen. Change: 'orders_past_lease'; the end of a gateway (replaced, or gone from the members) voids its grants only under a lease. Generated orders run with the setting on and off, half each.

--- a/crates/core/src/ownership/orders.rs
+++ b/crates/core/src/ownership/orders.rs
@@ -52,11 +52,13 @@
         now: Millis,
         out: &mut Vec<OwnerAction>,
     ) {
+        if self.has_lease(now) {
+            self.void_replaced(now);
+        }
         // A process that was frozen past its lease must not act on what it decided before.
-        if !self.has_lease(now) {
+        if !self.orders_allowed(now) {
             return;
         }
-        self.void_replaced(now);
         for engine in self.engines.values_mut() {
             engine.give_up_stuck_recalls(&self.witnesses, &self.settings, now);
             engine.unload_released(now, out);
--- a/crates/core/src/ownership/owner_machine.rs
+++ b/crates/core/src/ownership/owner_machine.rs
@@ -31,8 +31,8 @@
     pub(super) engines: BTreeMap<UpstreamId, OwnedEngine>,
     pub(super) members: BTreeSet<VmId>,
     pub(super) witnesses: BTreeMap<VmId, Witness>,
-    /// Gateways that have been replaced since the last orders.
-    pub(super) restarted: BTreeSet<VmId>,
+    /// VMs whose gateway has been replaced, or that are gone, since grants were last voided.
+    pub(super) replaced: BTreeSet<VmId>,
     pub(super) waits: AccountWaits,
     /// Loads that may begin.
     pub(super) budget: u32,
@@ -50,7 +50,7 @@
             engines: BTreeMap::new(),
             members: BTreeSet::new(),
             witnesses: BTreeMap::new(),
-            restarted: BTreeSet::new(),
+            replaced: BTreeSet::new(),
             waits: AccountWaits::default(),
             budget: 0,
             budget_asked: 0,
@@ -72,7 +72,7 @@
             OwnerEvent::LeaseExtended(until) => self.lease_until = until,
             OwnerEvent::Gained(own) => self.gain(own, now, &mut out),
             OwnerEvent::Lost(upstream) => self.lose(upstream, &mut out),
-            OwnerEvent::Members(vms) => self.set_members(&vms, now),
+            OwnerEvent::Members(vms) => self.set_members(&vms),
             OwnerEvent::Polled(poll) => self.note_poll(&poll, now),
             OwnerEvent::Acquire(ask) => self.acquire(ask, now, &mut out),
             OwnerEvent::Released(release) => self.release(&release, now),
@@ -105,7 +105,7 @@
         now: Millis,
     ) -> bool {
         let owned = self.engines.get(&upstream);
-        owned.is_some_and(|engine| engine.own.fence == fence) && self.has_lease(now)
+        owned.is_some_and(|engine| engine.own.fence == fence) && self.orders_allowed(now)
     }
 
     /// The token under which this controller owns the engine.
@@ -151,6 +151,13 @@
             .collect()
     }
 
+    pub(super) fn orders_allowed(
+        &self,
+        now: Millis,
+    ) -> bool {
+        self.settings.orders_past_lease || self.has_lease(now)
+    }
+
     pub(super) fn has_lease(
         &self,
         now: Millis,
@@ -200,20 +207,13 @@
     fn set_members(
         &mut self,
         vms: &[VmId],
-        now: Millis,
     ) {
         let members: BTreeSet<VmId> = vms.iter().copied().collect();
         for engine in self.engines.values_mut() {
             // A VM that was not known when the engine was gained may hold grants of a former owner.
             engine.unheard.extend(members.difference(&self.members));
-            engine.unheard.retain(|vm| members.contains(vm));
-            engine.drop_grants(now, |_, holder, _| !members.contains(&holder.vm));
-            for wanted in engine.wanted.values_mut() {
-                let is_member = |waiter: &Waiter| members.contains(&waiter.from.vm);
-                wanted.waiters.retain(is_member);
-            }
         }
-        self.witnesses.retain(|vm, _| members.contains(vm));
+        self.replaced.extend(self.members.difference(&members));
         self.members = members;
     }
 
@@ -237,26 +237,33 @@
         let restarted = from.incarnation > witness.incarnation;
         witness.incarnation = from.incarnation;
         if restarted {
-            self.restarted.insert(from.vm);
+            self.replaced.insert(from.vm);
         }
         true
     }
 
-    /// Voids the grants of gateways' processes that have been replaced.
+    /// Voids the grants of gateways' processes that have been replaced or have stopped for good.
     ///
-    /// Only under a valid lease: a former owner must not conclude anything from a gateway's
-    /// restart, since the process that was replaced may have been the witness of its successor.
+    /// Only under a valid lease: a former owner must not conclude anything from a gateway's end,
+    /// since the process that ended may have been the witness of its successor.
     pub(super) fn void_replaced(
         &mut self,
         now: Millis,
     ) {
-        for vm in std::mem::take(&mut self.restarted) {
-            let Some(witness) = self.witnesses.get(&vm) else {
-                continue;
+        for vm in std::mem::take(&mut self.replaced) {
+            let is_member = self.members.contains(&vm);
+            if !is_member {
+                self.witnesses.remove(&vm);
+            }
+            let newest = self.witnesses.get(&vm).map(|witness| witness.incarnation);
+            let is_over = |holder: &Holder| {
+                let replaced = newest.is_some_and(|newest| holder.incarnation < newest);
+                holder.vm == vm && (replaced || !is_member)
             };
-            let is_over =
-                |holder: &Holder| holder.vm == vm && holder.incarnation < witness.incarnation;
             for engine in self.engines.values_mut() {
+                if !is_member {
+                    engine.unheard.remove(&vm);
+                }
                 engine.drop_grants(now, |_, holder, _| is_over(holder));
                 // A grant to a process that is gone would never be given back.
                 for wanted in engine.wanted.values_mut() {
--- a/crates/core/src/ownership/settings.rs
+++ b/crates/core/src/ownership/settings.rs
@@ -5,6 +5,10 @@
 pub struct OwnerSettings {
     /// Orders stop this long before the lease ends: what an order needs to reach the engine.
     pub lease_margin: Millis,
+    /// Whether orders go on after the lease has ended, as in a long outage of the store, when no lease
+    /// can be renewed. What protects work is then the gateways' words alone: nothing is concluded
+    /// from a gateway's end while there is no lease.
+    pub orders_past_lease: bool,
     /// A gateway that has not been heard of for this long is passed over when a victim is chosen.
     pub silent_after: Millis,
     /// A recall that is not answered in this time makes room for another victim.
@@ -29,6 +33,7 @@
     fn default() -> Self {
         Self {
             lease_margin: Millis(500),
+            orders_past_lease: false,
             silent_after: Millis::from_secs(5),
             recall_patience: Millis::from_secs(2),
             gather_patience: Millis(1500),
--- a/crates/core/tests/owner_orders.rs
+++ b/crates/core/tests/owner_orders.rs
@@ -34,8 +34,9 @@
 const CALM_ROUNDS: usize = 900;
 
 /// Short times, so that an order of a few hundred steps holds many loads and unloads.
-fn hasty() -> (OwnerSettings, RouterSettings) {
+fn hasty(orders_past_lease: bool) -> (OwnerSettings, RouterSettings) {
     let owner = OwnerSettings {
+        orders_past_lease,
         silent_after: Millis(1500),
         recall_patience: Millis(300),
         gather_patience: Millis(200),
@@ -56,7 +57,7 @@
 /// Runs one order of events and tells what was wrong.
 fn run(bytes: &[u8]) -> Vec<String> {
     let fakes = [FakeEngine::new(0, 2, false), FakeEngine::new(1, 1, true)];
-    let (owner, routing) = hasty();
+    let (owner, routing) = hasty(bytes.first().is_some_and(|first| first.is_multiple_of(2)));
     let mut world = World::new(&fakes, CONTROLLERS, GATEWAYS, owner, routing);
     for upstream in 0..ENGINES {
         world.own(UpstreamId(upstream as u32), upstream);
