--- a/crates/core/src/ownership/owner_machine.rs
+++ b/crates/core/src/ownership/owner_machine.rs
@@ -3,10 +3,10 @@
         account_waits::AccountWaits,
         action::{AcquireOutcome, OwnerAction},
         engine_copy::CopyState,
-        event::{Ask, LoadResult, OwnerEvent, Ownership, Poll, Release, Report, UnloadResult},
-        owned_engine::{CopyKey, OwnedEngine},
+        event::{Ask, OwnerEvent, Ownership, Poll, Release},
+        owned_engine::OwnedEngine,
         settings::OwnerSettings,
-        wanted::{Stage, Waiter, Wanted},
+        wanted::{Waiter, Wanted},
     },
     crate::{
         clock::Millis,
@@ -31,8 +31,8 @@
     pub(super) engines: BTreeMap<UpstreamId, OwnedEngine>,
     pub(super) members: BTreeSet<VmId>,
     pub(super) witnesses: BTreeMap<VmId, Witness>,
-    /// Gateways that have been replaced since the last orders.
-    pub(super) restarted: BTreeSet<VmId>,
+    /// VMs whose gateway has been replaced, or that are gone, since grants were last voided.
+    pub(super) replaced: BTreeSet<VmId>,
     pub(super) waits: AccountWaits,
     /// Loads that may begin.
     pub(super) budget: u32,
@@ -50,7 +50,7 @@
             engines: BTreeMap::new(),
             members: BTreeSet::new(),
             witnesses: BTreeMap::new(),
-            restarted: BTreeSet::new(),
+            replaced: BTreeSet::new(),
             waits: AccountWaits::default(),
             budget: 0,
             budget_asked: 0,
@@ -72,7 +72,7 @@
             OwnerEvent::LeaseExtended(until) => self.lease_until = until,
             OwnerEvent::Gained(own) => self.gain(own, now, &mut out),
             OwnerEvent::Lost(upstream) => self.lose(upstream, &mut out),
-            OwnerEvent::Members(vms) => self.set_members(&vms, now),
+            OwnerEvent::Members(vms) => self.set_members(&vms),
             OwnerEvent::Polled(poll) => self.note_poll(&poll, now),
             OwnerEvent::Acquire(ask) => self.acquire(ask, now, &mut out),
             OwnerEvent::Released(release) => self.release(&release, now),
@@ -105,7 +105,7 @@
         now: Millis,
     ) -> bool {
         let owned = self.engines.get(&upstream);
-        owned.is_some_and(|engine| engine.own.fence == fence) && self.has_lease(now)
+        owned.is_some_and(|engine| engine.own.fence == fence) && self.orders_allowed(now)
     }
 
     /// The token under which this controller owns the engine.
@@ -151,6 +151,13 @@
             .collect()
     }
 
+    pub(super) fn orders_allowed(
+        &self,
+        now: Millis,
+    ) -> bool {
+        self.settings.orders_past_lease || self.has_lease(now)
+    }
+
     pub(super) fn has_lease(
         &self,
         now: Millis,
@@ -200,20 +207,13 @@
     fn set_members(
         &mut self,
         vms: &[VmId],
-        now: Millis,
     ) {
         let members: BTreeSet<VmId> = vms.iter().copied().collect();
         for engine in self.engines.values_mut() {
             // A VM that was not known when the engine was gained may hold grants of a former owner.
             engine.unheard.extend(members.difference(&self.members));
-            engine.unheard.retain(|vm| members.contains(vm));
-            engine.drop_grants(now, |_, holder, _| !members.contains(&holder.vm));
-            for wanted in engine.wanted.values_mut() {
-                let is_member = |waiter: &Waiter| members.contains(&waiter.from.vm);
-                wanted.waiters.retain(is_member);
-            }
         }
-        self.witnesses.retain(|vm, _| members.contains(vm));
+        self.replaced.extend(self.members.difference(&members));
         self.members = members;
     }
 
@@ -237,26 +237,33 @@
         let restarted = from.incarnation > witness.incarnation;
         witness.incarnation = from.incarnation;
         if restarted {
-            self.restarted.insert(from.vm);
+            self.replaced.insert(from.vm);
         }
         true
     }
 
-    /// Voids the grants of gateways' processes that have been replaced.
+    /// Voids the grants of gateways' processes that have been replaced or have stopped for good.
     ///
-    /// Only under a valid lease: a former owner must not conclude anything from a gateway's
-    /// restart, since the process that was replaced may have been the witness of its successor.
+    /// Only under a valid lease: a former owner must not conclude anything from a gateway's end,
+    /// since the process that ended may have been the witness of its successor.
     pub(super) fn void_replaced(
         &mut self,
         now: Millis,
     ) {
-        for vm in std::mem::take(&mut self.restarted) {
-            let Some(witness) = self.witnesses.get(&vm) else {
-                continue;
+        for vm in std::mem::take(&mut self.replaced) {
+            let is_member = self.members.contains(&vm);
+            if !is_member {
+                self.witnesses.remove(&vm);
+            }
+            let newest = self.witnesses.get(&vm).map(|witness| witness.incarnation);
+            let is_over = |holder: &Holder| {
+                let replaced = newest.is_some_and(|newest| holder.incarnation < newest);
+                holder.vm == vm && (replaced || !is_member)
             };
-            let is_over =
-                |holder: &Holder| holder.vm == vm && holder.incarnation < witness.incarnation;
             for engine in self.engines.values_mut() {
+                if !is_member {
+                    engine.unheard.remove(&vm);
+                }
                 engine.drop_grants(now, |_, holder, _| is_over(holder));
                 // A grant to a process that is gone would never be given back.
                 for wanted in engine.wanted.values_mut() {
@@ -364,138 +371,6 @@
             });
         }
     }
-
-    fn note_fence(
-        &mut self,
-        upstream: UpstreamId,
-        fence: Fence,
-        raised: bool,
-        out: &mut Vec<OwnerAction>,
-    ) {
-        let Some(engine) = self.engines.get_mut(&upstream) else {
-            return;
-        };
-        match (engine.own.fence == fence, raised) {
-            (true, true) => engine.raised = true,
-            (true, false) => self.lose(upstream, out),
-            (false, _) => {}
-        }
-    }
-
-    fn end_load(
-        &mut self,
-        instance: Instance,
-        result: LoadResult,
-        now: Millis,
-        out: &mut Vec<OwnerAction>,
-    ) {
-        let Some(engine) = self.engines.get_mut(&instance.upstream) else {
-            return;
-        };
-        let key = (instance.adapter, instance.fence);
-        if !engine.is_in(key, CopyState::Loading) {
-            return;
-        }
-        match result {
-            LoadResult::Loaded => {
-                engine.backoffs.remove(&instance.adapter);
-                self.grant_waiting(key, instance, now, out);
-            }
-            LoadResult::NoFreeSlot => {
-                engine.forget(key, now);
-                engine.paused_until = now + self.settings.first_backoff;
-                if let Some(wanted) = engine.wanted.get_mut(&instance.adapter) {
-                    wanted.stage = Stage::Queued;
-                }
-            }
-            LoadResult::StaleFence => self.lose(instance.upstream, out),
-            LoadResult::Failed | LoadResult::Unknown => {
-                match result {
-                    LoadResult::Unknown => {
-                        let copy = engine.copies.get_mut(&key).expect("is loading");
-                        copy.enter(CopyState::Doubtful, now);
-                    }
-                    _ => engine.forget(key, now),
-                }
-                let pause = engine.note_failure(instance.adapter, &self.settings, now);
-                if let Some(wanted) = engine.wanted.remove(&instance.adapter) {
-                    reply_all(wanted.waiters, AcquireOutcome::LoadFailed(pause), out);
-                }
-            }
-        }
-    }
-
-    fn grant_waiting(
-        &mut self,
-        key: CopyKey,
-        instance: Instance,
-        now: Millis,
-        out: &mut Vec<OwnerAction>,
-    ) {
-        let Some(engine) = self.engines.get_mut(&instance.upstream) else {
-            return;
-        };
-        let owner = engine.own.fence;
-        let Some(copy) = engine.copies.get_mut(&key) else {
-            return;
-        };
-        copy.enter(CopyState::Resident, now);
-        let Some(mut wanted) = engine.wanted.remove(&instance.adapter) else {
-            return;
-        };
-        let waiters = wanted.grant(copy);
-        for waiter in &waiters {
-            self.waits
-                .note(waiter.account, now.since(waiter.since), now);
-        }
-        let outcome = AcquireOutcome::Granted { instance, owner };
-        reply_all(waiters, outcome, out);
-    }
-
-    fn end_unload(
-        &mut self,
-        instance: Instance,
-        result: UnloadResult,
-        now: Millis,
-        out: &mut Vec<OwnerAction>,
-    ) {
-        let Some(engine) = self.engines.get_mut(&instance.upstream) else {
-            return;
-        };
-        let key = (instance.adapter, instance.fence);
-        if !engine.is_in(key, CopyState::Unloading) {
-            return;
-        }
-        match result {
-            UnloadResult::Gone => {
-                engine.unloaded.insert(key, now);
-                engine.forget(key, now);
-            }
-            UnloadResult::StaleFence => self.lose(instance.upstream, out),
-            UnloadResult::Unknown => {
-                // The order may still be under way. Loading the same name again would give it
-                // something to hurt; a copy loaded under a newer token has another name.
-                engine.burnt.insert(key);
-                if let Some(copy) = engine.copies.get_mut(&key) {
-                    copy.enter(CopyState::Doubtful, now);
-                }
-                if key.1 == engine.own.fence {
-                    out.push(OwnerAction::RenewFence(instance.upstream));
-                }
-            }
-        }
-    }
-
-    fn note_report(
-        &mut self,
-        report: &Report,
-        now: Millis,
-    ) {
-        let settings = self.settings;
-        if let Some(engine) = self.engines.get_mut(&report.upstream) {
-            engine.note_report(report, &settings, now);
-        }
-    }
 }
 
 pub(super) fn reply(
