Owners tell gateways of an engine once, polls name the asked owner's engines alone

Cause: each poll of an owner carried the fences seen and the grants held of all engines, and each answer repeated all engines of the owner with all residents, after each second even when nothing had changed. Change: the owner numbers the changes of each engine; an answer names those after the number that the gateway brings, and all where the number is not of this run. Changes of load alone wait a quarter of a second for each other. A poll names, as seen and held, the engines that the list of owners gives to the asked VM, and those of which that VM told under the highest token seen: the list lags behind a takeover, and the new owner waits for this gateway's word. Seen and held come from one set in one step, so a word never covers an engine whose grants it leaves out. A gateway asks for all again, once a second at most, while an engine that it has in its configuration was never told of: what was told before the configuration came is dropped. For engines that an answer leaves out the load last told counts as the load now, as before when it was repeated. The fake controller of the gateway's tests now tells each change once, as the real one. Excluded: dropping only the repeated residents, which leaves the fences seen, most of the idle bytes.

--- a/crates/controller/src/clock/signal.rs
+++ b/crates/controller/src/clock/signal.rs
@@ -8,6 +8,7 @@
 #[derive(Clone, Debug)]
 pub struct Signal {
     tx: watch::Sender<u64>,
+    began: u64,
 }
 
 impl Signal {
@@ -16,8 +17,10 @@
     /// It begins at the time of day, so that a number of another run or another daemon is not
     /// mistaken for one of this.
     pub fn new() -> Self {
+        let began = unix_millis();
         Self {
-            tx: watch::Sender::new(unix_millis()),
+            tx: watch::Sender::new(began),
+            began,
         }
     }
 
@@ -26,6 +29,14 @@
         *self.tx.borrow()
     }
 
+    /// Whether this is a number that this very counter has given since it began.
+    pub fn knows(
+        &self,
+        seq: u64,
+    ) -> bool {
+        (self.began..=self.seq()).contains(&seq)
+    }
+
     /// Notes a change and wakes everybody who waits.
     pub fn raise(&self) {
         self.tx.send_modify(|seq| *seq += 1);
--- a/crates/controller/src/ownership/engine_state.rs
+++ b/crates/controller/src/ownership/engine_state.rs
@@ -1,5 +1,5 @@
 use {
-    crate::engines::EngineReport,
+    crate::{clock::Signal, engines::EngineReport},
     jasmine_core::{clock::Millis, ids::Fence, placement::Instance},
     std::net::SocketAddr,
 };
@@ -18,6 +18,17 @@
     pub checks_fencing: bool,
 }
 
+/// How urgent what an engine's report tells is to gateways.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum News {
+    /// Nothing they would see.
+    None,
+    /// Its load alone.
+    Load,
+    /// Whether it can be used, or its free slots.
+    State,
+}
+
 /// An owned engine as gateways see it.
 #[derive(Clone, Debug)]
 pub struct EngineState {
@@ -35,6 +46,8 @@
     pub missed: u32,
     /// The instances that gateways may ask for.
     pub resident: Vec<Instance>,
+    /// The number of the newest change of what gateways see of it, as [`Signal`] counts.
+    pub change: u64,
 }
 
 impl EngineState {
@@ -52,6 +65,37 @@
             reported: Millis::ZERO,
             missed: 0,
             resident: Vec::new(),
+            change: 0,
+        }
+    }
+
+    /// Numbers a change, which the next raise of the signal makes known.
+    pub fn note_change(
+        &mut self,
+        signal: &Signal,
+    ) {
+        self.change = signal.seq() + 1;
+    }
+
+    /// Takes a report, or notes that one was missed: what is new to gateways.
+    pub fn note_report(
+        &mut self,
+        report: Option<EngineReport>,
+        now: Millis,
+    ) -> News {
+        let before = (self.report.boot, self.is_healthy(), self.free_slots());
+        let is_same = report.as_ref().is_none_or(|report| self.report == *report);
+        if let Some(report) = report {
+            self.missed = 0;
+            self.reported = now;
+            self.report = report;
+        } else {
+            self.missed += 1;
+        }
+        match before == (self.report.boot, self.is_healthy(), self.free_slots()) {
+            false => News::State,
+            true if is_same => News::None,
+            true => News::Load,
         }
     }
 
--- a/crates/controller/src/ownership/mod.rs
+++ b/crates/controller/src/ownership/mod.rs
@@ -7,7 +7,7 @@
 
 pub use {
     assignment::Assignment,
-    engine_state::{EngineState, EngineTarget},
+    engine_state::{EngineState, EngineTarget, News},
     outage_lease::OutageLease,
     owner_desk::OwnerDesk,
 };
--- a/crates/controller/src/ownership/owner_desk.rs
+++ b/crates/controller/src/ownership/owner_desk.rs
@@ -1,5 +1,5 @@
 use {
-    super::{EngineState, EngineTarget},
+    super::{EngineState, EngineTarget, News},
     crate::{
         clock::{OwnClock, Signal},
         config::ConfigKeeper,
@@ -32,6 +32,9 @@
 /// How often an engine is asked for its report.
 const REPORT_EVERY: Duration = Duration::from_secs(1);
 
+/// How long a change of load alone waits for those of other engines.
+const LOAD_PACE: Duration = Duration::from_millis(250);
+
 /// Attempts to raise an engine's fencing token.
 const RAISE_ATTEMPTS: u32 = 10;
 
@@ -49,6 +52,7 @@
     renewals: RefCell<Vec<UpstreamId>>,
     orders: Cell<u64>,
     gains: Cell<u64>,
+    is_telling: Cell<bool>,
     /// Raised when what gateways see of an engine changes.
     pub changed: Signal,
     /// Raised when the machine wants a newer fencing token.
@@ -84,6 +88,7 @@
             renewals: RefCell::default(),
             orders: Cell::new(0),
             gains: Cell::new(0),
+            is_telling: Cell::new(false),
             changed: Signal::new(),
             renew: Signal::new(),
         }
@@ -102,11 +107,19 @@
         self.engines.borrow().keys().copied().collect()
     }
 
-    /// The engines as gateways see them.
-    pub fn states(&self) -> Vec<(UpstreamId, EngineState)> {
+    /// The engines that have changed since `have`, as gateways see them.
+    ///
+    /// All of them where `have` is no number of this run: who lost count would otherwise never hear
+    /// of an engine that stays as it is.
+    pub fn states_since(
+        &self,
+        have: u64,
+    ) -> Vec<(UpstreamId, EngineState)> {
         let engines = self.engines.borrow();
+        let all = !self.changed.knows(have);
         engines
             .iter()
+            .filter(|(_, state)| all || state.change > have)
             .map(|(&upstream, state)| (upstream, state.clone()))
             .collect()
     }
@@ -154,8 +167,10 @@
                 .entry(upstream)
                 .or_insert_with(|| EngineState::new(target, gained, fence));
             state.fence = fence;
+            state.note_change(&self.changed);
             is_new
         };
+        self.changed.raise();
         Line::new("engine_gained")
             .with("upstream", upstream)
             .with("fence", fence)
@@ -375,26 +390,17 @@
             let Some(state) = engines.get_mut(&upstream) else {
                 return;
             };
-            let was_healthy = state.is_healthy();
-            let event = match report {
-                None => {
-                    state.missed += 1;
-                    None
+            let event = report.as_ref().map(|report| report.event(upstream));
+            match state.note_report(report, self.clock.now()) {
+                News::None => {}
+                News::Load => {
+                    state.note_change(&self.changed);
+                    self.tell_soon();
                 }
-                Some(report) => {
-                    let event = report.event(upstream);
-                    let is_news = state.report != report;
-                    state.missed = 0;
-                    state.reported = self.clock.now();
-                    state.report = report;
-                    if is_news {
-                        self.changed.raise();
-                    }
-                    Some(event)
+                News::State => {
+                    state.note_change(&self.changed);
+                    self.changed.raise();
                 }
-            };
-            if was_healthy != state.is_healthy() {
-                self.changed.raise();
             }
             event
         };
@@ -403,6 +409,22 @@
         }
     }
 
+    /// Makes changes of load alone known, those of all engines together.
+    ///
+    /// Each engine reports by a beat of its own; told one by one, every report would be an answer to
+    /// every gateway.
+    fn tell_soon(self: &Rc<Self>) {
+        if self.is_telling.replace(true) {
+            return;
+        }
+        let desk = Rc::clone(self);
+        spawn_local(async move {
+            tokio::time::sleep(LOAD_PACE).await;
+            desk.is_telling.set(false);
+            desk.changed.raise();
+        });
+    }
+
     fn refresh_views(&self) {
         let machine = self.machine.borrow();
         let mut is_news = false;
@@ -410,6 +432,7 @@
             let resident = machine.resident(upstream);
             if state.resident != resident {
                 state.resident = resident;
+                state.note_change(&self.changed);
                 is_news = true;
             }
         }
--- a/crates/controller/src/peers/peer_server.rs
+++ b/crates/controller/src/peers/peer_server.rs
@@ -156,7 +156,12 @@
                 .await;
         }
         let seq = desk.changed.seq();
-        write_upstreams(results.get(), seq, &desk.states(), &desk.recalls(from));
+        write_upstreams(
+            results.get(),
+            seq,
+            &desk.states_since(have),
+            &desk.recalls(from),
+        );
         Ok(())
     }
 
--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -162,6 +162,25 @@
         out
     }
 
+    /// Takes an owner's word that an engine is as it last told: its load then is its load now.
+    pub fn unchanged(
+        &mut self,
+        upstream: UpstreamId,
+    ) {
+        if let Some(engine) = self.engines.get_mut(&upstream) {
+            engine.own_at_view = engine.own;
+        }
+    }
+
+    /// Whether this engine is in the configuration and nothing has been told of it.
+    pub fn lacks_view(
+        &self,
+        upstream: UpstreamId,
+    ) -> bool {
+        let engine = self.engines.get(&upstream);
+        engine.is_some_and(|engine| engine.view.is_none())
+    }
+
     /// Notes that a request has ended.
     pub fn finished(
         &mut self,
@@ -202,7 +221,15 @@
         out
     }
 
-    /// The highest fencing token seen of each engine; goes with each poll.
+    /// The highest fencing token seen of an engine.
+    pub fn seen_of(
+        &self,
+        upstream: UpstreamId,
+    ) -> Option<Fence> {
+        self.engines.get(&upstream).map(|engine| engine.seen)
+    }
+
+    /// The highest fencing token seen of each engine.
     pub fn seen(&self) -> Vec<(UpstreamId, Fence)> {
         self.engines
             .iter()
@@ -210,7 +237,8 @@
             .collect()
     }
 
-    /// The instances this gateway routes to or has work on; goes with each poll.
+    /// The instances this gateway routes to or has work on; those of an owner's engines go with
+    /// each poll of it.
     pub fn held(&self) -> Vec<Instance> {
         self.engines
             .iter()
--- a/crates/gateway/src/brain/configuration.rs
+++ b/crates/gateway/src/brain/configuration.rs
@@ -215,13 +215,17 @@
         self.reported = Some(epoch);
     }
 
-    /// Takes in what an owner tells of its engines.
+    /// Takes in what an owner tells of its engines; those not named are as it last told.
     pub fn take_upstreams(
         &mut self,
+        of: VmId,
         engines: Vec<EngineView>,
         recalls: Vec<Instance>,
     ) {
         let now = self.clock.now();
+        for upstream in self.members.owned_by(of) {
+            self.router.unchanged(upstream);
+        }
         let observed = engines
             .into_iter()
             .flat_map(|view| self.router.observe(view, now))
--- a/crates/gateway/src/brain/members.rs
+++ b/crates/gateway/src/brain/members.rs
@@ -79,6 +79,15 @@
         Some((vm, self.controller(vm)?))
     }
 
+    /// The engines that a VM's controller owns.
+    pub fn owned_by(
+        &self,
+        vm: VmId,
+    ) -> impl Iterator<Item = UpstreamId> {
+        let owned = self.owners.iter().filter(move |&(_, &owner)| owner == vm);
+        owned.map(|(&upstream, _)| upstream)
+    }
+
     /// The VMs whose controllers own any engine.
     pub fn owning_vms(&self) -> BTreeSet<VmId> {
         self.owners.values().copied().collect()
--- a/crates/gateway/src/brain/polls.rs
+++ b/crates/gateway/src/brain/polls.rs
@@ -1,13 +1,18 @@
 //! Long polls of the controllers: configuration, fleet, engines.
 
 use {
-    super::Core,
+    super::{Core, State},
     jasmine_core::{
         clock::Millis,
-        ids::{Epoch, Revision, VmId},
+        ids::{Epoch, Fence, Revision, UpstreamId, VmId},
         rights::Right,
     },
-    std::{collections::HashMap, net::SocketAddr, rc::Rc},
+    std::{
+        collections::{BTreeMap, HashMap},
+        net::SocketAddr,
+        rc::Rc,
+        time::Instant,
+    },
     tokio::{
         task::{JoinHandle, spawn_local},
         time::sleep,
@@ -24,6 +29,8 @@
 const RETRY: Millis = Millis(200);
 /// The least time between two questions about engines: their reports lag by more than that.
 const UPSTREAMS_PACE: Millis = Millis(50);
+/// The least time between two questions for all engines of an owner of which some are not known.
+const ALL_AGAIN: Millis = Millis(1_000);
 /// How often it is looked whether other VMs have to confirm the configuration.
 const CONFIRM_EVERY: Millis = Millis(1_000);
 
@@ -161,7 +168,7 @@
         });
         for (vm, address) in owners {
             tasks.entry(vm).or_insert_with(|| {
-                let task = spawn_local(upstreams_of(Rc::clone(&core), address));
+                let task = spawn_local(upstreams_of(Rc::clone(&core), vm, address));
                 (address, task)
             });
         }
@@ -171,14 +178,29 @@
 
 async fn upstreams_of(
     core: Rc<Core>,
+    vm: VmId,
     address: SocketAddr,
 ) {
     let mut have = 0;
+    let mut told = BTreeMap::new();
+    let mut all_asked = Instant::now();
     loop {
         let (seen, held) = {
             let state = core.state.borrow();
-            (state.router.seen(), state.router.held())
+            let named = engines_of(&state, vm, &mut told);
+            let lacks_view = named.keys().any(|&named| state.router.lacks_view(named));
+            // An owner tells each change once. What came before the configuration that lists the
+            // engine was of no use then and is asked for again.
+            if lacks_view && all_asked.elapsed() >= ALL_AGAIN.to_std() {
+                have = 0;
+            }
+            let mut held = state.router.held();
+            held.retain(|instance| named.contains_key(&instance.upstream));
+            (named.into_iter().collect(), held)
         };
+        if have == 0 {
+            all_asked = Instant::now();
+        }
         let answer = core
             .links
             .poll_upstreams(address, have, UPSTREAMS_WAIT, seen, held)
@@ -189,7 +211,26 @@
             continue;
         };
         have = answer.seq;
-        core.decide(|state| state.take_upstreams(answer.engines, answer.recalls));
+        let fences = answer.engines.iter();
+        told.extend(fences.map(|engine| (engine.upstream, engine.owner_fence)));
+        core.decide(|state| state.take_upstreams(vm, answer.engines, answer.recalls));
         sleep(UPSTREAMS_PACE.to_std()).await;
     }
 }
+
+/// The engines that a poll of this VM's controller names, with the highest fencing token seen.
+///
+/// A controller hears only of its own engines. The list of owners lags: an engine that the controller
+/// has told of counts as its own until a later token of it is seen. Otherwise a new owner would wait for
+/// this gateway's word longer than it has to.
+fn engines_of(
+    state: &State,
+    vm: VmId,
+    told: &mut BTreeMap<UpstreamId, Fence>,
+) -> BTreeMap<UpstreamId, Fence> {
+    told.retain(|&upstream, fence| state.router.seen_of(upstream) <= Some(*fence));
+    let upstreams = state.members.owned_by(vm).chain(told.keys().copied());
+    upstreams
+        .filter_map(|upstream| Some((upstream, state.router.seen_of(upstream)?)))
+        .collect()
+}
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod caller_keys;
 mod config_bound;
 mod idempotency_keys;
+mod late_listing;
 mod once_only;
 mod overhead;
 mod planned_stop;
--- a/crates/gateway/tests/gateway/support/fake_controller.rs
+++ b/crates/gateway/tests/gateway/support/fake_controller.rs
@@ -35,6 +35,10 @@
     pub engines: BTreeMap<u32, SocketAddr>,
     /// Changes when the engines have restarted.
     pub boot: u64,
+    /// Questions about engines.
+    pub asked: u64,
+    /// Those of them for all engines, from a gateway that has no number of this controller.
+    pub asked_for_all: u64,
     /// Loads that were ordered: instance names.
     pub loads: Vec<String>,
     /// Idempotency keys with fingerprint and answer.
@@ -223,9 +227,16 @@
     ) -> Result<(), Error> {
         let have = params.get()?.get_have();
         sleep(Duration::from_millis(if have > 0 { 100 } else { 0 })).await;
-        let told = self.told();
+        let mut told = self.told();
+        told.asked += 1;
+        told.asked_for_all += u64::from(have == 0);
+        // As the real one: each change is told once.
+        let seq = told.boot * 1000 + told.engines.len() as u64;
         let mut answer = results.get();
-        answer.set_seq(1);
+        answer.set_seq(seq);
+        if have == seq {
+            return Ok(());
+        }
         let mut views = answer.init_engines(told.engines.len() as u32);
         for (i, &upstream) in (0..).zip(told.engines.keys()) {
             let mut view = views.reborrow().get(i);
