The fleet is told once, not every two seconds

Cause: a poll of the fleet that found no news was answered with all members and owners every two seconds: 38 B/s a VM and 8 B/s an engine at each daemon, 25 KB/s at 180 VMs and 2,400 engines. Excluded: the configuration's poll, which is empty without news. Change: without news the answer holds only its number; the asker takes its last answer once more, so that a report that did not get through is still due again. The gateway tests' fake controller told changing things under one number; it now counts, as the real one does.

--- a/crates/controller/src/follow/fleet_follower.rs
+++ b/crates/controller/src/follow/fleet_follower.rs
@@ -1,7 +1,11 @@
 use {
     super::{StoreWatch, WatchEnd},
     crate::{clock::Signal, shared::SharedParts, store_keys},
-    jasmine_core::{clock::Millis, ids::VmId, membership::EPOCH_KEY},
+    jasmine_core::{
+        clock::Millis,
+        ids::{Epoch, VmId},
+        membership::EPOCH_KEY,
+    },
     jasmine_platform::store::{Range, StoreError},
     jasmine_telemetry::log::Line,
     jasmine_wire::link::Backoff,
@@ -26,6 +30,8 @@
     changed: Signal,
     synced: Cell<bool>,
     read: Cell<bool>,
+    /// The epoch that another controller told last, and whether it was closing.
+    told: Cell<(Epoch, bool)>,
 }
 
 impl FleetFollower {
@@ -37,6 +43,7 @@
             changed,
             synced: Cell::new(false),
             read: Cell::new(false),
+            told: Cell::default(),
         }
     }
 
@@ -165,6 +172,10 @@
             .poll_fleet(address, have, wait)
             .await
             .ok()?;
+        if have != 0 && answer.seq == have {
+            self.read_epoch_of(self.told.get()).await;
+            return Some(have);
+        }
         // An empty list comes from a controller that has read nothing itself.
         if answer.members.is_empty() {
             return None;
@@ -174,6 +185,17 @@
             .borrow_mut()
             .relay(answer.members, answer.owners);
         self.links_follow();
+        let told = (answer.epoch, answer.closing);
+        self.told.set(told);
+        self.read_epoch_of(told).await;
+        Some(answer.seq)
+    }
+
+    /// Reads the epoch's record unless it is here already: what it grants to each holder isn't relayed.
+    async fn read_epoch_of(
+        &self,
+        told: (Epoch, bool),
+    ) {
         let known = self
             .shared
             .fleet
@@ -181,14 +203,9 @@
             .epoch
             .as_ref()
             .map(|epoch| (epoch.value.epoch, epoch.value.closing));
-        if known != Some((answer.epoch, answer.closing)) {
-            self.read_epoch().await;
+        if known == Some(told) {
+            return;
         }
-        Some(answer.seq)
-    }
-
-    /// Reads the epoch's record: what it grants to each holder isn't relayed.
-    async fn read_epoch(&self) {
         let reply = self.shared.store.range(Range::key(EPOCH_KEY)).await;
         if let Some(kv) = reply.unwrap_or_default().kvs.first() {
             self.shared.fleet.borrow_mut().set_epoch(kv);
--- a/crates/controller/src/peers/peer_server.rs
+++ b/crates/controller/src/peers/peer_server.rs
@@ -109,10 +109,15 @@
             _ => {}
         }
         let changed = self.cx.fleet.borrow().changed.clone();
-        changed
-            .changed_from(params.get_have(), wait(params.get_wait_ms()))
-            .await;
-        write_fleet(results.get(), &self.cx.fleet.borrow(), from);
+        let have = params.get_have();
+        changed.changed_from(have, wait(params.get_wait_ms())).await;
+        let mirror = self.cx.fleet.borrow();
+        if mirror.changed.seq() == have {
+            // The whole fleet again every two seconds would be most of what daemons tell each other.
+            results.get().set_seq(have);
+        } else {
+            write_fleet(results.get(), &mirror, from);
+        }
         Ok(())
     }
 
--- a/crates/gateway/src/brain/polls.rs
+++ b/crates/gateway/src/brain/polls.rs
@@ -107,6 +107,7 @@
 async fn fleet(core: Rc<Core>) {
     let mut turn = 0;
     let mut have = 0;
+    let mut told = None;
     loop {
         let controllers = core.controllers();
         let (_, address) = controllers[turn % controllers.len()];
@@ -117,7 +118,13 @@
             sleep(RETRY.to_std()).await;
             continue;
         };
+        // Without news the last answer is taken once more: a report that didn't get through is due again.
+        let answer = match told.take() {
+            Some(last) if seq == have => last,
+            _ => answer,
+        };
         have = seq;
+        told = Some(answer.clone());
         let report = core.decide(|state| state.take_fleet(answer));
         if let Some((epoch, held)) = report {
             report_holdings(&core, epoch, held).await;
--- a/crates/gateway/tests/gateway/support/fake_controller.rs
+++ b/crates/gateway/tests/gateway/support/fake_controller.rs
@@ -170,7 +170,8 @@
         .await;
         let told = self.told();
         let mut answer = results.get();
-        answer.set_seq(1);
+        // Each answer tells all, as a change: what it tells depends on `told`, which counts nothing.
+        answer.set_seq(params.get_have() + 1);
         let mut members = answer.reborrow().init_members(1 + told.others.len() as u32);
         let mut own = members.reborrow().get(0);
         own.set_vm(from.vm.0);
--- a/crates/wire/schema/jasmine.capnp
+++ b/crates/wire/schema/jasmine.capnp
@@ -81,6 +81,7 @@
 
   pollFleet @1 (from :Peer, peerAddress :Text, have :UInt64, waitMs :UInt32)
     -> (seq :UInt64, members :List(Member), owners :List(OwnedUpstream), epoch :EpochView);
+  # Where seq is `have`, nothing has changed and the rest is empty.
 
   reportHoldings @2 (from :Peer, epoch :UInt64, holdings :List(Right)) -> ();
 
