Gateway: requests of an account whose rights are on their way wait

Cause: a new account's rights exist only once an epoch gives them out, up to a second after gateways know the account (least time between epochs 500 ms). Until then a gateway asked its peers, who had nothing, and refused after 300 ms; after a few empty answers at once.

Second cause: at a first start with the configuration coming last, an epoch without any account settled the gateway, so it was ready before the epoch that gives out the accounts' rights had been opened.

Excluded: rates or bursts used up (each account had sent nothing before), and the controllers (the epoch came in its time).

Change: an account that the configuration did not have before is new for 3 s, or until an epoch grants this gateway a part of it; its requests wait for up to 1.5 s. When the first accounts come, readiness waits for the next epoch, 2 s at most. The price: in these 3 s a request over the account's rate is refused up to 1.5 s later, at gateways that are granted nothing of it.

The crate core is unchanged.

--- a/crates/gateway/src/brain/admission.rs
+++ b/crates/gateway/src/brain/admission.rs
@@ -20,6 +20,8 @@
 const ASK_LIMIT: Millis = Millis(300);
 /// The same while holders come and go, when rights may be nowhere for a moment.
 const FLUX_LIMIT: Millis = Millis(1_000);
+/// The same for an account that is new: the epoch that gives out its rights waits for the one before to settle.
+const NEW_LIMIT: Millis = Millis(1_500);
 
 impl State {
     /// Takes a request in.
@@ -78,7 +80,7 @@
                 }
                 self.enqueue(request, now);
             }
-            rights::Admission::Ask { .. } if now.since(since) >= self.ask_limit(now) => {
+            rights::Admission::Ask { .. } if now.since(since) >= self.ask_limit(account, now) => {
                 let refusal = self.ledger.refuse_after_ask(account, cost, caller, now);
                 self.refuse(request, refusal);
             }
@@ -89,11 +91,10 @@
                 self.wait_for_rights(request, account, since);
             }
             // What is refused now may be admitted in a moment, when the rights that are on their way
-            // between two epochs have arrived.
+            // between two epochs, or to their first holders, have arrived.
             rights::Admission::Refused(refusal)
                 if refusal.kind == ErrorKind::RateLimited
-                    && self.settling.is_in_flux(now)
-                    && now.since(since) < FLUX_LIMIT =>
+                    && now.since(since) < self.flux_limit(account, now) =>
             {
                 self.wait_for_rights(request, account, since);
             }
@@ -103,12 +104,22 @@
 
     fn ask_limit(
         &self,
+        account: AccountId,
+        now: Millis,
+    ) -> Millis {
+        self.flux_limit(account, now).max(ASK_LIMIT)
+    }
+
+    /// How long to wait for rights that are nowhere for a moment; nothing where they are at their holders.
+    fn flux_limit(
+        &self,
+        account: AccountId,
         now: Millis,
     ) -> Millis {
-        if self.settling.is_in_flux(now) {
-            FLUX_LIMIT
-        } else {
-            ASK_LIMIT
+        match () {
+            () if self.settling.is_new(account, now) => NEW_LIMIT,
+            () if self.settling.is_in_flux(now) => FLUX_LIMIT,
+            () => Millis::ZERO,
         }
     }
 
--- a/crates/gateway/src/brain/configuration.rs
+++ b/crates/gateway/src/brain/configuration.rs
@@ -138,7 +138,13 @@
         &mut self,
         now: Millis,
     ) {
+        if self.accounts.is_empty() && self.fleet.accounts.iter().next().is_some() {
+            self.settling.note_first_accounts(now);
+        }
         for account in self.fleet.accounts.iter() {
+            if self.accounts.insert(account.id) {
+                self.settling.note_account(account.id, now);
+            }
             let limit = Limit {
                 rate: account.rate,
                 burst: account.burst,
@@ -200,6 +206,9 @@
             .enter_epoch(answer.epoch, now)
             .map(<[_]>::to_vec);
         self.ledger.apply_grants(answer.epoch, &answer.grants, now);
+        for grant in &answer.grants {
+            self.settling.note_issued(grant.account);
+        }
         self.retry_asking(now);
         self.dispatch(now);
         entered
--- a/crates/gateway/src/brain/settling.rs
+++ b/crates/gateway/src/brain/settling.rs
@@ -1,6 +1,9 @@
-use jasmine_core::{
-    clock::Millis,
-    ids::{Epoch, Holder},
+use {
+    jasmine_core::{
+        clock::Millis,
+        ids::{AccountId, Epoch, Holder},
+    },
+    std::collections::BTreeMap,
 };
 
 /// How long the fleet may take to open an epoch for a gateway that it knows.
@@ -11,6 +14,9 @@
 /// How long rights may be on their way after holders have come or gone: until the next epoch has begun.
 const FLUX: Millis = Millis(2_500);
 
+/// How long the fleet may take to give out the rights of an account that it has just learned of.
+const ISSUED_WITHIN: Millis = Millis(3_000);
+
 /// Whether a gateway that has just started can get at its accounts' rights.
 ///
 /// A new gateway holds nothing. It can ask its peers, but its own start opens a new epoch, and while
@@ -21,12 +27,15 @@
 #[derive(Clone, Debug, Default)]
 pub struct Settling {
     first: Option<(Epoch, Millis)>,
+    epoch: Epoch,
     known_at: Option<Millis>,
     closing: bool,
     /// Holders and whether each is about to stop.
     holders: Vec<(Holder, bool)>,
     flux_until: Millis,
     settled: bool,
+    /// When accounts were first heard of, for as long as their rights may still be on their way.
+    heard: BTreeMap<AccountId, Millis>,
 }
 
 impl Settling {
@@ -39,6 +48,7 @@
         now: Millis,
     ) {
         let (first, _) = *self.first.get_or_insert((epoch, now));
+        self.epoch = epoch;
         self.closing = closing;
         if is_known && self.known_at.is_none() {
             self.known_at = Some(now);
@@ -56,6 +66,57 @@
         self.settled || late(self.known_at, OPENS_WITHIN) || late(first_at, KNOWN_WITHIN)
     }
 
+    /// Notes that there are accounts now where there were none.
+    ///
+    /// At the first start of all VMs there may be epochs before there is a configuration. None of them has
+    /// given out any rights, and a gateway that was settled by one would be ready with nothing to admit by.
+    pub fn note_first_accounts(
+        &mut self,
+        now: Millis,
+    ) {
+        self.settled = false;
+        self.first = Some((self.epoch, now));
+        self.known_at = self.known_at.map(|_| now);
+    }
+
+    /// Notes an account that the configuration did not have before.
+    pub fn note_account(
+        &mut self,
+        account: AccountId,
+        now: Millis,
+    ) {
+        self.heard.insert(account, now);
+    }
+
+    /// Notes that an account's rights have been given out, to this gateway among others.
+    pub fn note_issued(
+        &mut self,
+        account: AccountId,
+    ) {
+        self.heard.remove(&account);
+    }
+
+    /// Forgets since when accounts are known whose rights are no longer on their way.
+    pub fn tick(
+        &mut self,
+        now: Millis,
+    ) {
+        self.heard.retain(|_, at| now.since(*at) < ISSUED_WITHIN);
+    }
+
+    /// Whether an account is so new that its rights may be on their way.
+    ///
+    /// The controllers learn of a new account when the gateways do; the epoch that gives out its rights
+    /// comes up to a second later. Until then nobody has any, and asking peers brings nothing.
+    pub fn is_new(
+        &self,
+        account: AccountId,
+        now: Millis,
+    ) -> bool {
+        let at = self.heard.get(&account);
+        at.is_some_and(|&at| now.since(at) < ISSUED_WITHIN)
+    }
+
     /// Notes who holds rights, and who of them is about to stop.
     ///
     /// One that stops gives its rights back to the store; until the next epoch grants them anew they are
--- a/crates/gateway/src/brain/state.rs
+++ b/crates/gateway/src/brain/state.rs
@@ -10,7 +10,7 @@
         routing::{Router, RouterSettings},
     },
     std::{
-        collections::{HashMap, VecDeque},
+        collections::{BTreeSet, HashMap, VecDeque},
         net::SocketAddr,
         sync::Arc,
     },
@@ -51,6 +51,8 @@
     pub(super) own_data_centre: DataCentreId,
     pub(super) reported: Option<Epoch>,
     pub(super) settling: Settling,
+    /// Accounts whose limits and shares have been set.
+    pub(super) accounts: BTreeSet<AccountId>,
     pub(super) effects: Vec<Effect>,
 }
 
@@ -86,6 +88,7 @@
             own_data_centre: DataCentreId::default(),
             reported: None,
             settling: Settling::default(),
+            accounts: BTreeSet::new(),
             effects: Vec::new(),
         }
     }
@@ -153,6 +156,7 @@
             .is_confirmed(self.me.vm, self.members.vms(), stale, now);
         self.readiness
             .set_confirmed(confirmed && self.tree.is_some());
+        self.settling.tick(now);
         self.readiness.set_settled(self.settling.is_settled(now));
         let actions = self.router.tick(now);
         self.effects.extend(actions.into_iter().map(Effect::from));
--- a/crates/testkit/src/harness/cluster.rs
+++ b/crates/testkit/src/harness/cluster.rs
@@ -17,6 +17,7 @@
     jasmine_conf::settings::TokenDigest,
     serde_json::{Value, json},
     std::{
+        cell::RefCell,
         env, fs,
         net::SocketAddr,
         path::PathBuf,
@@ -50,6 +51,8 @@
     pub upstreams: Upstreams,
     /// The key-value service and the VM list.
     pub platform: Running,
+    /// Status and time of what gateways answered from when they said they were ready to the first call that they served.
+    pub answers_when_ready: Vec<(u16, Duration)>,
     spec: ClusterSpec,
     keys: Vec<String>,
     folder: Folder,
@@ -84,6 +87,7 @@
             vms: Vec::new(),
             upstreams,
             platform,
+            answers_when_ready: Vec::new(),
             spec,
             keys,
             folder,
@@ -96,14 +100,39 @@
             cluster.vms.push(vm);
         }
         let ops = initial_ops(&cluster.spec, &cluster.upstreams, &cluster.keys);
+        if cluster.spec.gateways_first {
+            cluster.start_gateways()?;
+            cluster.wait_for_gateways().await?;
+        }
         cluster.edit_when_ready(&ops).await?;
-        for vm in &mut cluster.vms {
-            vm.start_gateway()?;
+        if !cluster.spec.gateways_first {
+            cluster.start_gateways()?;
         }
-        cluster.wait_until_serving().await?;
+        let answers = RefCell::new(Vec::new());
+        cluster.wait_until_serving(&answers).await?;
+        cluster.answers_when_ready = answers.into_inner();
         Ok(cluster)
     }
 
+    fn start_gateways(&mut self) -> Result<(), HarnessError> {
+        for vm in &mut self.vms {
+            vm.start_gateway()?;
+        }
+        Ok(())
+    }
+
+    /// Waits for an epoch that every daemon is a member of.
+    async fn wait_for_gateways(&self) -> Result<(), HarnessError> {
+        let wanted = format!("closing=false members={}", 2 * self.spec.vms);
+        let look = || async {
+            let controllers = self.vms.iter().filter_map(|vm| vm.controller.as_ref());
+            let mut lines = controllers.flat_map(Daemon::lines);
+            let written = lines.any(|line| line.contains(&wanted));
+            written.then_some(()).ok_or_else(String::new)
+        };
+        poll(&wanted, READY_BOUND, look).await.map(drop)
+    }
+
     /// What was brought up.
     pub const fn spec(&self) -> &ClusterSpec {
         &self.spec
@@ -263,16 +292,22 @@
     }
 
     /// Waits until both daemons of every VM say that they are ready and its gateway serves a call.
-    async fn wait_until_serving(&self) -> Result<(), HarnessError> {
+    ///
+    /// What is answered goes into `answers`.
+    async fn wait_until_serving(
+        &self,
+        answers: &RefCell<Vec<(u16, Duration)>>,
+    ) -> Result<(), HarnessError> {
         for vm in &self.vms {
             self.wait_until_ready(vm.number).await?;
             let look = || async {
                 let status = Call::new(vm.callers(), Method::GET, "/services/phones/phones/0");
                 let status = status.key(self.keys.first().map_or("", String::as_str));
-                match status.send().await {
-                    Ok(answer) if answer.status == 200 => Ok(()),
-                    Ok(answer) => Err(format!("{} {}", answer.status, answer.json)),
-                    Err(e) => Err(e.to_string()),
+                let answer = status.send().await.map_err(|e| e.to_string())?;
+                answers.borrow_mut().push((answer.status, answer.took));
+                match answer.status {
+                    200 => Ok(()),
+                    status => Err(format!("{status} {}", answer.json)),
                 }
             };
             let wanted = format!("gateway of VM {} serves", vm.number);
--- a/crates/testkit/src/harness/cluster_spec.rs
+++ b/crates/testkit/src/harness/cluster_spec.rs
@@ -63,6 +63,8 @@
     pub lease: Millis,
     /// How old a gateway's configuration may become.
     pub config_stale: Millis,
+    /// Whether the gateways run before there is a configuration.
+    pub gateways_first: bool,
 }
 
 impl ClusterSpec {
@@ -112,6 +114,7 @@
             proxied_upstreams: false,
             lease: Millis(2000),
             config_stale: Millis(10_000),
+            gateways_first: false,
         }
     }
 }
