Gateway: deleted accounts are forgotten

Cause: the gateway took in accounts that came and never let go of those that went: neither the ledger's nor the queue's `remove` was called from anywhere. What it held of them was kept and reported in each epoch.

Change: after each change of the configuration, accounts that it no longer has are removed from rights and queue; what still waits is refused `key_unknown`. Not mended: the epoch's record goes on listing the account as issued, so a later epoch may grant a part of it again.

--- a/crates/gateway/src/brain/configuration.rs
+++ b/crates/gateway/src/brain/configuration.rs
@@ -8,6 +8,7 @@
     },
     jasmine_core::{
         clock::Millis,
+        error::{ErrorKind, Refusal},
         ids::{AccountId, Epoch, Revision, UpstreamId, VmId},
         ownership::AcquireOutcome,
         placement::Instance,
@@ -16,7 +17,10 @@
         routing::{EngineView, SpecKind, UpstreamSpec},
     },
     jasmine_telemetry::log::Line,
-    std::{collections::HashMap, sync::Arc},
+    std::{
+        collections::{BTreeSet, HashMap},
+        sync::Arc,
+    },
 };
 
 /// A controller's answer about the configuration.
@@ -116,6 +120,7 @@
         self.set_upstreams();
         self.set_accounts(now);
         self.end_withdrawn();
+        self.remove_accounts(now);
         self.published.send_replace(Arc::new(self.fleet.clone()));
         Line::new("config_in_force")
             .with("revision", self.fleet.revision)
@@ -158,6 +163,28 @@
         }
     }
 
+    /// Forgets accounts that have been deleted; their numbers are never used again.
+    ///
+    /// Without this what is held of them would be kept and reported in each epoch for as long as this runs.
+    fn remove_accounts(
+        &mut self,
+        now: Millis,
+    ) {
+        let there: BTreeSet<AccountId> = self.fleet.accounts.iter().map(|one| one.id).collect();
+        let deleted: Vec<AccountId> = self.accounts.difference(&there).copied().collect();
+        for account in deleted {
+            self.accounts.remove(&account);
+            let asking = self.asking.remove(&account).unwrap_or_default();
+            let queued = self.queue.remove(account, now);
+            let queued = queued.into_iter().map(|waiting| waiting.request);
+            for request in asking.into_iter().chain(queued) {
+                self.refuse(request, Refusal::new(ErrorKind::KeyUnknown));
+            }
+            self.ledger.remove(account);
+            self.settling.note_issued(account);
+        }
+    }
+
     /// Ends what withdrawn keys have open.
     fn end_withdrawn(&mut self) {
         for running in self.running.values_mut() {
--- a/crates/gateway/tests/gateway/planned_stop.rs
+++ b/crates/gateway/tests/gateway/planned_stop.rs
@@ -1,9 +1,10 @@
 //! A planned stop: nothing cut, rights given back, gone before the deadline.
 
 use {
-    crate::support::{self, Bench, BenchSpec},
+    crate::support::{self, Bench, BenchSpec, OTHER_KEY},
     jasmine_testkit::client::EndOfStream,
     nix::sys::signal::Signal,
+    serde_json::json,
     std::time::{Duration, Instant},
 };
 
@@ -68,6 +69,30 @@
     assert!(bench.controller.told().given_back.is_empty());
 }
 
+#[actix_rt::test]
+async fn deleted_account() {
+    // An operator deletes an account, and later its VM is replaced. What the gateway still holds of it would
+    // be written into the store at each change of the fleet, more with every account that ever was.
+    let mut bench = Bench::start(BenchSpec::default()).await;
+    bench.controller.edit(json!([
+        {"op": "delete", "path": "/accounts/courier/first"},
+        {"op": "delete", "path": "/accounts/courier"},
+    ]));
+    let refused = || async {
+        let call = bench.chat("base", "hello", 4, false).key(OTHER_KEY);
+        let answer = support::answer(&call).await;
+        (answer.code() == "key_unknown")
+            .then_some(())
+            .ok_or(format!("{answer:?}"))
+    };
+    jasmine_testkit::harness::poll("key unknown", Duration::from_secs(3), refused)
+        .await
+        .expect("a refusal");
+    assert!(bench.gateway.signal(Signal::SIGTERM));
+    assert!(ended(&mut bench).await);
+    assert_eq!(bench.controller.told().given_back.len(), 1);
+}
+
 #[actix_rt::test]
 async fn before_deadline() {
     // A stream would go on for longer than the stop may take. The process must be gone by its
--- a/crates/gateway/tests/gateway/support/mod.rs
+++ b/crates/gateway/tests/gateway/support/mod.rs
@@ -4,6 +4,6 @@
 mod fake_controller;
 
 pub use {
-    bench::{Bench, BenchSpec, KEY, answer},
+    bench::{Bench, BenchSpec, KEY, OTHER_KEY, answer},
     fake_controller::{FakeController, Told},
 };
