The store itself confirms that a VM is gone before its rights are granted anew

Cause, found by reading: the keeper of epochs judges by what its watch has told, and a silent watch is noticed only after 20 s, longer than the 10 s for which a VM must be gone from the list. A VM whose lease had lapsed and come back unseen could be left out alive, and its rights granted a second time. Excluded: members told by a peer (the keeper rests while it follows by relay). Change: the transaction that leaves a VM out as gone also compares that its member record is absent. Shown failing first (trial, without that comparison): renewed_unseen, the write succeeds over a live record.

--- a/crates/controller/src/epochs/epoch_keeper.rs
+++ b/crates/controller/src/epochs/epoch_keeper.rs
@@ -1,4 +1,5 @@
 use {
+    super::epoch_write,
     crate::{
         fleet::MemberRecord,
         rights::{WEIGHT_STORE, weight_store_limit},
@@ -14,7 +15,7 @@
         rights::Limit,
     },
     jasmine_platform::{
-        store::{Compare, KeyValue, Op, Range, StoreError, Txn},
+        store::{KeyValue, Op, Range, StoreError, Txn},
         vms::VmList,
     },
     jasmine_telemetry::log::Line,
@@ -67,7 +68,7 @@
             .borrow_mut()
             .step(&view, self.shared.clock.now());
         for action in actions {
-            if let Err(e) = self.carry_out(action).await {
+            if let Err(e) = self.carry_out(&view, action).await {
                 Line::new("epoch_write_unsettled").with("error", e).warn();
                 return;
             }
@@ -142,20 +143,13 @@
 
     async fn carry_out(
         &self,
+        view: &StoreView,
         action: EpochAction,
     ) -> Result<(), StoreError> {
         match action {
             EpochAction::WriteEpoch { compare, record } => {
-                let compare = match compare {
-                    None => Compare::Absent(EPOCH_KEY.into()),
-                    Some(revision) => Compare::ModRevision(EPOCH_KEY.into(), revision),
-                };
                 let value = serde_json::to_vec(&record).unwrap_or_default();
-                let txn = Txn {
-                    compare: vec![compare],
-                    success: vec![Op::put(EPOCH_KEY, value.clone())],
-                    failure: Vec::new(),
-                };
+                let txn = epoch_write(view, compare, &record);
                 let reply = self.shared.store.txn(txn).await?;
                 if reply.succeeded {
                     Line::new("epoch_written")
--- a/crates/controller/src/epochs/mod.rs
+++ b/crates/controller/src/epochs/mod.rs
@@ -1,7 +1,11 @@
 //! Epochs of rights: what holders report, and the change from one epoch to the next.
 
 mod epoch_keeper;
+mod epoch_write;
 mod holdings_desk;
 mod own_epoch;
 
-pub use {epoch_keeper::EpochKeeper, holdings_desk::HoldingsDesk, own_epoch::OwnEpoch};
+pub use {
+    epoch_keeper::EpochKeeper, epoch_write::epoch_write, holdings_desk::HoldingsDesk,
+    own_epoch::OwnEpoch,
+};
--- /dev/null
+++ b/crates/controller/tests/epoch_write.rs
@@ -0,0 +1,91 @@
+//! The store's own look at who lives, when an epoch leaves somebody out.
+
+use {
+    jasmine_controller::{epochs::epoch_write, store_keys},
+    jasmine_core::{
+        clock::Millis,
+        ids::{Epoch, Holder, Incarnation, Role, VmId},
+        membership::{EPOCH_KEY, EpochRecord, StoreView, Versioned},
+    },
+    jasmine_platform::{
+        etcd::{EtcdOptions, EtcdStore},
+        store::{Compare, Op, Store, Txn},
+    },
+    jasmine_testkit::platform,
+    std::net::{Ipv4Addr, SocketAddr},
+};
+
+fn gateway(vm: u32) -> Holder {
+    Holder {
+        vm: VmId(vm),
+        role: Role::Gateway,
+        incarnation: Incarnation(1),
+    }
+}
+
+fn record(
+    epoch: u64,
+    members: &[Holder],
+) -> EpochRecord {
+    EpochRecord {
+        epoch: Epoch(epoch),
+        members: members.to_vec(),
+        closing: true,
+        ..EpochRecord::default()
+    }
+}
+
+async fn put(
+    store: &EtcdStore,
+    key: &str,
+    value: Vec<u8>,
+) -> u64 {
+    let txn = Txn {
+        compare: Vec::new(),
+        success: vec![Op::put(key, value)],
+        failure: Vec::new(),
+    };
+    store.txn(txn).await.unwrap().revision
+}
+
+/// A VM's lease lapses for a moment and it registers again, but the controller that decides sees
+/// nothing of that: its watch has gone silent. The VM is not on the platform's list either, which
+/// lags. Were it left out of the epoch now, its rights would be granted to others while it goes on with
+/// them, and an account would get more than its rate.
+#[actix_web::test]
+async fn renewed_unseen() {
+    let platform = platform::start(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).unwrap();
+    let store = EtcdStore::new(EtcdOptions::new(vec![format!(
+        "http://{}",
+        platform.address()
+    )]));
+    let old = record(1, &[gateway(1), gateway(2)]);
+    let mod_revision = put(&store, EPOCH_KEY, serde_json::to_vec(&old).unwrap()).await;
+    let view = StoreView {
+        read_at: Millis::ZERO,
+        live: Vec::new(),
+        listed: None,
+        epoch: Some(Versioned {
+            value: old,
+            mod_revision,
+        }),
+        holdings: Vec::new(),
+        released: Vec::new(),
+        budgets: Vec::new(),
+    };
+    let next = record(2, &[gateway(1)]);
+    let write = epoch_write(&view, Some(mod_revision), &next);
+
+    put(&store, &store_keys::member(VmId(2)), b"{}".to_vec()).await;
+    assert!(!store.txn(write.clone()).await.unwrap().succeeded);
+
+    let gone = Txn {
+        compare: vec![Compare::Exists(EPOCH_KEY.into())],
+        success: vec![Op::Delete(jasmine_platform::store::Range::key(
+            store_keys::member(VmId(2)),
+        ))],
+        failure: Vec::new(),
+    };
+    store.txn(gone).await.unwrap();
+    assert!(store.txn(write).await.unwrap().succeeded);
+}
