--- a/crates/conf/src/api/daemon_state.rs
+++ b/crates/conf/src/api/daemon_state.rs
@@ -4,7 +4,9 @@
 };
 
 /// What is known of one daemon.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, derive_more::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[derive(derive_more::Display)]
 #[serde(tag = "state", rename_all = "lowercase")]
 pub enum DaemonState {
     /// It answered and has this revision in force.
--- a/crates/conf/src/api/edit_answer.rs
+++ b/crates/conf/src/api/edit_answer.rs
@@ -5,7 +5,8 @@
 };
 
 /// What became of an edit that was sent.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct EditAnswer {
     /// The revision that it made, or would make in a dry run.
     pub revision: Revision,
--- a/crates/conf/src/api/edit_progress.rs
+++ b/crates/conf/src/api/edit_progress.rs
@@ -6,7 +6,8 @@
 };
 
 /// How far an edit is in force on one VM.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct VmProgress {
     /// The VM.
     pub vm: VmId,
@@ -21,7 +22,8 @@
 }
 
 /// How far an accepted edit is in force over the fleet.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct EditProgress {
     /// The edit.
     pub id: EditId,
--- a/crates/conf/src/api/error_body.rs
+++ b/crates/conf/src/api/error_body.rs
@@ -5,14 +5,16 @@
 };
 
 /// The body of every answer that is an error.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ErrorBody {
     /// What went wrong.
     pub error: ErrorDetail,
 }
 
 /// What went wrong, in the shape that clients of OpenAI-style APIs know.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ErrorDetail {
     /// A sentence for whoever reads it.
     pub message: String,
--- a/crates/conf/src/api/fleet_status.rs
+++ b/crates/conf/src/api/fleet_status.rs
@@ -5,7 +5,8 @@
 };
 
 /// The fleet as the asked controller sees it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct FleetStatus {
     /// The VM of the controller that answers.
     pub asked: VmId,
--- a/crates/conf/src/api/history.rs
+++ b/crates/conf/src/api/history.rs
@@ -4,7 +4,8 @@
 };
 
 /// Accepted edits, newest first.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct History {
     /// The edits.
     pub edits: Vec<Accepted>,
--- a/crates/conf/src/api/node_row.rs
+++ b/crates/conf/src/api/node_row.rs
@@ -4,7 +4,8 @@
 };
 
 /// One node with its path.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct NodeRow {
     /// Where it stands.
     pub path: Path,
--- a/crates/conf/src/api/tree_page.rs
+++ b/crates/conf/src/api/tree_page.rs
@@ -6,7 +6,8 @@
 };
 
 /// Part of the tree.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct TreePage {
     /// The revision that was read.
     pub revision: Revision,
--- a/crates/conf/src/api/vm_status.rs
+++ b/crates/conf/src/api/vm_status.rs
@@ -5,7 +5,8 @@
 };
 
 /// One VM as the asked controller sees it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct VmStatus {
     /// Its number.
     pub vm: VmId,
--- a/crates/conf/src/fleet/key.rs
+++ b/crates/conf/src/fleet/key.rs
@@ -8,7 +8,8 @@
 /// The SHA-256 digest of a caller's key; the key itself is stored nowhere.
 ///
 /// As text and in JSON it is 64 lower-case hex digits.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct KeyDigest(pub [u8; 32]);
 
--- a/crates/conf/src/fleet/upstream.rs
+++ b/crates/conf/src/fleet/upstream.rs
@@ -26,9 +26,9 @@
 }
 
 /// Whether an upstream gets new work.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, derive_more::Display,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[derive(derive_more::Display)]
 #[serde(rename_all = "lowercase")]
 pub enum UpstreamState {
     /// It gets work.
--- a/crates/conf/src/settings/controller_settings.rs
+++ b/crates/conf/src/settings/controller_settings.rs
@@ -11,7 +11,8 @@
 const DEFAULT_LEASE: Millis = Millis(5_000);
 
 /// The settings file of `jasmine-controller`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ControllerSettings {
     /// The VM's number, unique over the fleet.
--- a/crates/conf/src/settings/gateway_settings.rs
+++ b/crates/conf/src/settings/gateway_settings.rs
@@ -9,7 +9,8 @@
 const DEFAULT_CONFIG_STALE: Millis = Millis(10_000);
 
 /// The settings file of `jasmine-gateway`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct GatewaySettings {
     /// The VM's number, unique over the fleet.
--- a/crates/conf/src/settings/limits.rs
+++ b/crates/conf/src/settings/limits.rs
@@ -5,7 +5,8 @@
 };
 
 /// Bounds on what one caller, or all together, can make a gateway hold.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Limits {
     /// Bytes of a request's body.
--- a/crates/conf/src/settings/listen.rs
+++ b/crates/conf/src/settings/listen.rs
@@ -4,7 +4,8 @@
 };
 
 /// Where a gateway listens; port 0 takes a free one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct GatewayListen {
     /// Callers' HTTP.
@@ -16,7 +17,8 @@
 }
 
 /// Where a controller listens; port 0 takes a free one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ControllerListen {
     /// Operators' HTTP.
@@ -28,7 +30,8 @@
 }
 
 /// Addresses that others use, where they differ from the bound ones.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Advertise {
     /// The address that other daemons connect to; the bound one when absent.
--- a/crates/conf/src/settings/log_settings.rs
+++ b/crates/conf/src/settings/log_settings.rs
@@ -1,9 +1,9 @@
 use serde::{Deserialize, Serialize};
 
 /// How much is logged.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, derive_more::Display,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[derive(derive_more::Display)]
 #[serde(rename_all = "lowercase")]
 pub enum LogLevel {
     /// Defects only.
@@ -22,7 +22,8 @@
 }
 
 /// Logs.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct LogSettings {
     /// How much is logged.
--- a/crates/conf/src/settings/operators_settings.rs
+++ b/crates/conf/src/settings/operators_settings.rs
@@ -6,7 +6,9 @@
 };
 
 /// SHA-256 of an operators' token, 64 hex digits; the token itself is in no file of the system.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, derive_more::Display)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[derive(derive_more::Display)]
 #[serde(transparent)]
 pub struct TokenDigest(String);
 
@@ -36,7 +38,8 @@
 }
 
 /// Who may edit the tree.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct OperatorsSettings {
     /// Digests of the tokens that operators may present.
--- a/crates/conf/src/settings/platform_settings.rs
+++ b/crates/conf/src/settings/platform_settings.rs
@@ -11,7 +11,8 @@
 const DEFAULT_TIMEOUT: Millis = Millis(2_000);
 
 /// Where the platform is.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PlatformSettings {
     /// Base URLs of the key-value service, tried in turn.
--- a/crates/conf/src/settings/settings_error.rs
+++ b/crates/conf/src/settings/settings_error.rs
@@ -1,5 +1,6 @@
 /// One key of a settings file that can't be used.
-#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(derive_more::Display)]
 #[display("key `{key}`: {value} is not allowed: {allowed}")]
 pub struct Problem {
     /// The key, with dots between levels.
@@ -11,7 +12,8 @@
 }
 
 /// Why a settings file can't be used.
-#[derive(Debug, derive_more::Display, derive_more::Error)]
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::Error)]
 pub enum SettingsError {
     /// The file can't be read.
     #[display("settings file {file}: {source}")]
--- a/crates/conf/src/settings/stop.rs
+++ b/crates/conf/src/settings/stop.rs
@@ -5,7 +5,8 @@
 };
 
 /// How a planned stop goes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Stop {
     /// How long readiness is false before new work is refused, so that the balancer notices first.
--- a/crates/conf/src/store_layout/head.rs
+++ b/crates/conf/src/store_layout/head.rs
@@ -10,7 +10,8 @@
 pub const HEAD_KEY: &str = "/jasmine/config/head";
 
 /// How far one shard has got.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(from = "(Revision, Revision)", into = "(Revision, Revision)")]
 pub struct ShardMark {
     /// The revision that its stored value holds the nodes of; 0: it was never written.
@@ -32,7 +33,8 @@
 }
 
 /// What every edit compares and replaces.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Head {
     /// The newest revision.
--- a/crates/conf/src/store_layout/layout_error.rs
+++ b/crates/conf/src/store_layout/layout_error.rs
@@ -1,7 +1,8 @@
 use {crate::tree::EditError, jasmine_core::ids::Revision};
 
 /// Why what stands in the store gives no tree, or an edit can't be stored.
-#[derive(Debug, derive_more::Display, derive_more::Error)]
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::Error)]
 pub enum LayoutError {
     /// A value is not what this system writes.
     #[display("{key}: {source}")]
--- a/crates/conf/src/store_layout/shard.rs
+++ b/crates/conf/src/store_layout/shard.rs
@@ -16,7 +16,8 @@
 pub const SHARDS: u16 = 256;
 
 /// The part of the tree that falls to one shard.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Shard {
     /// The revision that the nodes are of.
--- a/crates/conf/src/tree/accepted.rs
+++ b/crates/conf/src/tree/accepted.rs
@@ -5,7 +5,8 @@
 };
 
 /// An edit that is in force from its revision on.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Accepted {
     /// The revision that it made.
--- a/crates/conf/src/tree/bodies.rs
+++ b/crates/conf/src/tree/bodies.rs
@@ -9,7 +9,8 @@
 /// A whole tree as it goes over the wire, in JSON.
 ///
 /// It shares its nodes with the tree that it is made from or becomes.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct TreeBody {
     /// Its revision.
@@ -37,7 +38,8 @@
 }
 
 /// Accepted edits as they go over the wire, oldest first, without a gap, in JSON.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EditsBody {
     /// The edits.
--- a/crates/conf/src/tree/conflict.rs
+++ b/crates/conf/src/tree/conflict.rs
@@ -6,7 +6,9 @@
 };
 
 /// One change by somebody else that stands against an op of an edit.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, derive_more::Display)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[derive(derive_more::Display)]
 #[display("{theirs} (revision {revision}, by {author}) stands against {mine}")]
 pub struct Conflict {
     /// What the refused edit wished.
--- a/crates/conf/src/tree/edit.rs
+++ b/crates/conf/src/tree/edit.rs
@@ -5,7 +5,8 @@
 };
 
 /// A wished change of the tree: all of its ops or none.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Edit {
     /// Its name, chosen by whoever made it, so that sending it again does nothing twice.
--- a/crates/conf/src/tree/edit_error.rs
+++ b/crates/conf/src/tree/edit_error.rs
@@ -4,7 +4,8 @@
 };
 
 /// Why an edit is not accepted; nothing of it is in force.
-#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(derive_more::Display, derive_more::Error)]
 pub enum EditError {
     /// A text is no path.
     #[display(
--- a/crates/conf/src/tree/edit_id.rs
+++ b/crates/conf/src/tree/edit_id.rs
@@ -7,9 +7,9 @@
 const MAX_EDIT_ID: usize = 64;
 
 /// The name of an edit: 1 to 64 of `A-Za-z0-9._-`.
-#[derive(
-    Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, derive_more::Display,
-)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+#[derive(derive_more::Display)]
 #[serde(try_from = "String", into = "String")]
 pub struct EditId(Box<str>);
 
--- a/crates/conf/src/tree/edit_op.rs
+++ b/crates/conf/src/tree/edit_op.rs
@@ -4,7 +4,8 @@
 };
 
 /// One change of an [`super::Edit`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "op", rename_all = "snake_case", deny_unknown_fields)]
 pub enum EditOp {
     /// Makes a node.
--- a/crates/conf/src/tree/family.rs
+++ b/crates/conf/src/tree/family.rs
@@ -1,7 +1,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Kinds whose members share one sequence of numbers and one set of names.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Family {
     /// Client accounts.
--- a/crates/conf/src/tree/node.rs
+++ b/crates/conf/src/tree/node.rs
@@ -4,7 +4,8 @@
 };
 
 /// One node of the tree, without its path.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Node {
     /// What it stands for.
--- a/crates/conf/src/tree/node_kind.rs
+++ b/crates/conf/src/tree/node_kind.rs
@@ -4,7 +4,8 @@
 };
 
 /// What a node of the tree stands for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum NodeKind {
     /// A level that only holds settings for what stands below it.
--- a/crates/conf/src/tree/path.rs
+++ b/crates/conf/src/tree/path.rs
@@ -13,9 +13,9 @@
 ///
 /// Names between the slashes are 1 to [`MAX_NAME`] of `A-Za-z0-9._-` and begin with a letter or
 /// digit. The root is `/`.
-#[derive(
-    Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, derive_more::Display,
-)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+#[derive(derive_more::Display)]
 #[serde(try_from = "String", into = "String")]
 pub struct Path(Arc<str>);
 
--- a/crates/conf/src/tree/queries/explain.rs
+++ b/crates/conf/src/tree/queries/explain.rs
@@ -4,7 +4,8 @@
 };
 
 /// What one level says about a setting.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Level {
     /// The level.
     pub path: Path,
@@ -13,7 +14,8 @@
 }
 
 /// Where the value of a setting comes from.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Explanation {
     /// The node asked about.
     pub path: Path,
--- a/crates/conf/src/tree/setting.rs
+++ b/crates/conf/src/tree/setting.rs
@@ -14,7 +14,8 @@
 const MAX_AMOUNT: u64 = 1_000_000_000;
 
 /// Everything that can be set on a node; the list is closed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Setting {
     /// Tokens a second of an account, over the whole fleet.
--- a/crates/conf/src/tree/settings.rs
+++ b/crates/conf/src/tree/settings.rs
@@ -7,7 +7,8 @@
 /// The settings of one node, in the order of [`Setting`].
 ///
 /// A sorted vector: most nodes hold one to four, and there are many nodes.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(from = "BTreeMap<Setting, Value>", into = "BTreeMap<Setting, Value>")]
 pub struct Settings(Vec<(Setting, Value)>);
 
--- a/crates/conf/src/tree/value.rs
+++ b/crates/conf/src/tree/value.rs
@@ -1,7 +1,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What a setting is set to.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(untagged)]
 pub enum Value {
     /// Yes or no.
--- a/crates/conf/tests/small_edits/mod.rs
+++ b/crates/conf/tests/small_edits/mod.rs
@@ -40,7 +40,8 @@
 const VALUES: usize = 14;
 
 /// An op in few bits.
-#[derive(Clone, Copy, Debug, TypeGenerator)]
+#[derive(Clone, Copy, Debug)]
+#[derive(TypeGenerator)]
 pub struct SmallOp {
     action: u8,
     path: u8,
@@ -146,7 +147,8 @@
 }
 
 /// Ops of one edit, one to three.
-#[derive(Clone, Debug, TypeGenerator)]
+#[derive(Clone, Debug)]
+#[derive(TypeGenerator)]
 pub struct SmallEdit {
     first: SmallOp,
     second: Option<SmallOp>,
--- a/crates/controller/src/claims/claim_record.rs
+++ b/crates/controller/src/claims/claim_record.rs
@@ -7,7 +7,8 @@
 pub const MAX_ANSWER: usize = 64 * 1024;
 
 /// How far a call with an idempotency key has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum ClaimState {
     /// It is running, or nobody knows how it ended.
@@ -17,7 +18,8 @@
 }
 
 /// The record of an idempotency key in use.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ClaimRecord {
     /// Digest of the request; another request under the same key is refused.
     pub fingerprint: Vec<u8>,
--- a/crates/controller/src/config/config_store.rs
+++ b/crates/controller/src/config/config_store.rs
@@ -20,7 +20,8 @@
 const LOAD_ATTEMPTS: usize = 5;
 
 /// Why the configuration could not be read.
-#[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::Error, derive_more::From)]
 pub enum ConfigReadError {
     /// The store gave no usable answer.
     Store(StoreError),
--- a/crates/controller/src/config/edit_refusal.rs
+++ b/crates/controller/src/config/edit_refusal.rs
@@ -1,9 +1,8 @@
 use {jasmine_conf::tree::EditError, jasmine_core::error::ErrorKind};
 
 /// Why an edit is not accepted, as far as is known.
-#[derive(
-    Clone, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error, derive_more::From,
-)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(derive_more::Display, derive_more::Error, derive_more::From)]
 pub enum EditRefusal {
     /// The edit itself is not allowed, or runs into somebody else's.
     Refused(EditError),
--- a/crates/controller/src/daemon/start_error.rs
+++ b/crates/controller/src/daemon/start_error.rs
@@ -5,7 +5,8 @@
 };
 
 /// Why the daemon could not start.
-#[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::Error, derive_more::From)]
 pub enum StartError {
     /// The settings file is not in order.
     Settings(SettingsError),
--- a/crates/controller/src/engines/engine_client.rs
+++ b/crates/controller/src/engines/engine_client.rs
@@ -22,7 +22,8 @@
 const ORDER_TIMEOUT: Millis = Millis(2_000);
 
 /// Why an engine gave no usable answer.
-#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(derive_more::Display, derive_more::Error)]
 pub enum EngineError {
     /// No connection came about; the engine has seen nothing.
     #[display("not reached: {_0}")]
--- a/crates/controller/src/engines/engine_report.rs
+++ b/crates/controller/src/engines/engine_report.rs
@@ -4,7 +4,8 @@
 };
 
 /// An engine's own report of its load, which lags.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize)]
 pub struct EngineReport {
     /// Changes when the engine restarts.
     pub boot: u64,
--- a/crates/controller/src/fleet/member_record.rs
+++ b/crates/controller/src/fleet/member_record.rs
@@ -8,7 +8,8 @@
 };
 
 /// One run of one daemon and where other daemons reach it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct DaemonRecord {
     /// The run.
     pub incarnation: Incarnation,
@@ -17,7 +18,8 @@
 }
 
 /// A VM as its controller registers it, under the controller's lease.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct MemberRecord {
     /// The VM.
     pub vm: VmId,
--- a/crates/controller/src/fleet/owner_record.rs
+++ b/crates/controller/src/fleet/owner_record.rs
@@ -4,7 +4,8 @@
 };
 
 /// Who owns an engine, as it stands in the store under the owner's lease.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct OwnerRecord {
     /// The VM of the owner.
     pub vm: VmId,
--- a/crates/controller/src/operators/answers.rs
+++ b/crates/controller/src/operators/answers.rs
@@ -17,7 +17,8 @@
 const DEFAULT_HISTORY: usize = 50;
 
 /// Which part of the tree is asked for.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct TreeQuery {
     path: Option<Path>,
@@ -27,7 +28,8 @@
 }
 
 /// Which edits are asked for.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct HistoryQuery {
     path: Option<Path>,
--- a/crates/controller/src/operators/api_error.rs
+++ b/crates/controller/src/operators/api_error.rs
@@ -9,7 +9,8 @@
 };
 
 /// An answer to an operator that is an error.
-#[derive(Clone, Debug, derive_more::Display)]
+#[derive(Clone, Debug)]
+#[derive(derive_more::Display)]
 #[display("{kind}: {message}")]
 pub struct ApiError {
     /// The kind in the closed list.
--- a/crates/controller/src/operators/link.rs
+++ b/crates/controller/src/operators/link.rs
@@ -37,12 +37,14 @@
 pub type FleetAnswer = Result<FleetStatus, ErrorKind>;
 
 /// Asks for the tree in force.
-#[derive(Clone, Copy, Debug, Message)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Message)]
 #[rtype(result = "TreeAnswer")]
 pub struct ReadTree;
 
 /// Asks for the state of all VMs.
-#[derive(Clone, Copy, Debug, Message)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Message)]
 #[rtype(result = "FleetAnswer")]
 pub struct ReadFleet;
 
@@ -50,12 +52,14 @@
 ///
 /// An edit whose id is accepted already is answered with its record, so that sending it again after
 /// a lost answer does nothing twice.
-#[derive(Clone, Debug, Message)]
+#[derive(Clone, Debug)]
+#[derive(Message)]
 #[rtype(result = "SubmitAnswer")]
 pub struct SubmitEdit(pub Edit);
 
 /// Why an edit is not known to be accepted.
-#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(derive_more::Display)]
 pub enum SubmitError {
     /// It does not fit the tree, or runs into somebody else's.
     #[display("{_0}")]
--- a/crates/controller/src/operators/routes.rs
+++ b/crates/controller/src/operators/routes.rs
@@ -77,7 +77,8 @@
 }
 
 /// Which value is to be explained.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct ExplainQuery {
     path: Path,
@@ -85,7 +86,8 @@
 }
 
 /// How an edit is to be taken.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct EditQuery {
     #[serde(default)]
--- a/crates/core/src/clock/millis.rs
+++ b/crates/core/src/clock/millis.rs
@@ -8,20 +8,9 @@
 /// As a point in time it counts from an origin of the process's own choosing on a clock that never
 /// goes back and that keeps running while the process is frozen. Points of two processes can't be
 /// compared; durations can.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-    derive_more::Display,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+#[derive(derive_more::Display)]
 #[serde(transparent)]
 pub struct Millis(pub u64);
 
--- a/crates/core/src/error/answer.rs
+++ b/crates/core/src/error/answer.rs
@@ -1,5 +1,6 @@
 /// What is known about the work when a caller is answered with an error.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, derive_more::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(derive_more::Display)]
 pub enum Execution {
     /// No upstream has seen any byte of the request.
     #[display("not_run")]
--- a/crates/core/src/error/error_kind.rs
+++ b/crates/core/src/error/error_kind.rs
@@ -5,7 +5,8 @@
 };
 
 /// Every way in which a request or an edit can fail; the list is closed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, derive_more::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(derive_more::Error)]
 pub enum ErrorKind {
     /// The request is not what the API takes: bad JSON, a missing or wrong field.
     BadRequest,
--- a/crates/core/src/forward/plan.rs
+++ b/crates/core/src/forward/plan.rs
@@ -1,9 +1,8 @@
 use crate::clock::Millis;
 
 /// Which attempt of one request something belongs to, from 1 up.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, derive_more::Display,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(derive_more::Display)]
 pub struct Attempt(pub u32);
 
 impl Attempt {
--- a/crates/core/src/ids/adapter_version.rs
+++ b/crates/core/src/ids/adapter_version.rs
@@ -4,19 +4,9 @@
 };
 
 /// One exact version of an adapter: what a request names and what an engine loads.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-    derive_more::Display,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+#[derive(derive_more::Display)]
 #[display("{adapter}@{version}")]
 pub struct AdapterVersion {
     /// The adapter.
--- a/crates/core/src/ids/epoch.rs
+++ b/crates/core/src/ids/epoch.rs
@@ -1,20 +1,9 @@
 use serde::{Deserialize, Serialize};
 
 /// One membership of the holders of rights; grows by one with each change of membership.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-    derive_more::Display,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+#[derive(derive_more::Display)]
 #[serde(transparent)]
 pub struct Epoch(pub u64);
 
--- a/crates/core/src/ids/fence.rs
+++ b/crates/core/src/ids/fence.rs
@@ -1,20 +1,9 @@
 use serde::{Deserialize, Serialize};
 
 /// A fencing token: an upstream's owner with the higher one has taken over from the lower.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-    derive_more::Display,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+#[derive(derive_more::Display)]
 #[serde(transparent)]
 pub struct Fence(pub u64);
 
--- a/crates/core/src/ids/holder.rs
+++ b/crates/core/src/ids/holder.rs
@@ -4,19 +4,9 @@
 };
 
 /// Which of a VM's two daemons a process is.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-    derive_more::Display,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+#[derive(derive_more::Display)]
 #[serde(rename_all = "lowercase")]
 pub enum Role {
     /// Serves callers; holds the client accounts' rate rights.
@@ -28,19 +18,9 @@
 }
 
 /// One run of one daemon on one VM: what holds rights, grants and leases.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-    derive_more::Display,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+#[derive(derive_more::Display)]
 #[display("{role}-{vm}/{incarnation}")]
 pub struct Holder {
     /// The VM it runs on.
--- a/crates/core/src/ids/incarnation.rs
+++ b/crates/core/src/ids/incarnation.rs
@@ -1,20 +1,9 @@
 use serde::{Deserialize, Serialize};
 
 /// One run of a process; a later run at the same address has a higher one.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-    derive_more::Display,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+#[derive(derive_more::Display)]
 #[serde(transparent)]
 pub struct Incarnation(pub u64);
 
--- a/crates/core/src/membership/epoch_record.rs
+++ b/crates/core/src/membership/epoch_record.rs
@@ -8,7 +8,8 @@
 };
 
 /// What an epoch adds to one holder.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct HolderGrants {
     /// The holder.
     pub holder: Holder,
@@ -17,7 +18,8 @@
 }
 
 /// The record of the current epoch, as it stands in the store.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EpochRecord {
     /// Its number.
--- a/crates/core/src/membership/store_view.rs
+++ b/crates/core/src/membership/store_view.rs
@@ -43,7 +43,8 @@
 }
 
 /// What a holder had when it entered an epoch.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct HoldingsRecord {
     /// The epoch it entered.
@@ -55,7 +56,8 @@
 }
 
 /// The last word of a holder that has stopped: it admits and gives nothing any more.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ReleasedRecord {
     /// The holder.
--- a/crates/core/src/rights/right.rs
+++ b/crates/core/src/rights/right.rs
@@ -10,7 +10,8 @@
 pub const MILLI: u64 = 1000;
 
 /// Part of an account's rate, burst and tokens, as it is held, moved and reported.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Right {
     /// The account.
     pub account: AccountId,
--- a/crates/core/tests/fair_queue.rs
+++ b/crates/core/tests/fair_queue.rs
@@ -178,7 +178,8 @@
 }
 
 /// One thing that happens to a queue.
-#[derive(Clone, Copy, Debug, TypeGenerator)]
+#[derive(Clone, Copy, Debug)]
+#[derive(TypeGenerator)]
 enum Event {
     Push {
         #[generator(0..4)]
--- a/crates/core/tests/forward/world.rs
+++ b/crates/core/tests/forward/world.rs
@@ -20,7 +20,8 @@
 const SELDOM: u8 = 16;
 
 /// Something that happens.
-#[derive(Clone, Copy, Debug, TypeGenerator)]
+#[derive(Clone, Copy, Debug)]
+#[derive(TypeGenerator)]
 pub enum Op {
     /// The brain answers the open question for a route, seldom with a refusal.
     Route(u8),
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -7,7 +7,8 @@
 };
 
 /// Why a command did not do what was asked.
-#[derive(Debug, derive_more::Display, derive_more::From)]
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::From)]
 pub enum CtlError {
     /// The command line or the environment lacks something or holds what is not allowed.
     #[display("{_0}")]
--- a/crates/gateway/src/brain/actor.rs
+++ b/crates/gateway/src/brain/actor.rs
@@ -98,7 +98,8 @@
 }
 
 /// Gives the rights back: the last thing before a planned stop.
-#[derive(Clone, Copy, Debug, actix::Message)]
+#[derive(Clone, Copy, Debug)]
+#[derive(actix::Message)]
 #[rtype(result = "()")]
 pub struct Leave;
 
--- a/crates/gateway/src/brain/messages.rs
+++ b/crates/gateway/src/brain/messages.rs
@@ -113,7 +113,8 @@
 }
 
 /// What workers tell the brain.
-#[derive(Debug, actix::Message)]
+#[derive(Debug)]
+#[derive(actix::Message)]
 #[rtype(result = "()")]
 pub enum BrainMessage {
     /// Admit, queue and route a request.
--- a/crates/gateway/src/daemon/run.rs
+++ b/crates/gateway/src/daemon/run.rs
@@ -32,7 +32,8 @@
 const BACKLOG: u32 = 2048;
 
 /// Why the daemon can't run.
-#[derive(Debug, derive_more::Display, derive_more::Error)]
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::Error)]
 pub enum DaemonError {
     /// An address of the settings can't be listened on.
     #[display("can't listen on {key} = {address}: {source}")]
--- a/crates/gateway/src/http/claims.rs
+++ b/crates/gateway/src/http/claims.rs
@@ -43,7 +43,8 @@
 const MAX_KEPT_BYTES: usize = 256 << 10;
 
 /// An answer as it is kept for repeats.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct StoredAnswer {
     /// The status.
--- a/crates/gateway/src/request/problem.rs
+++ b/crates/gateway/src/request/problem.rs
@@ -3,7 +3,8 @@
 /// A refusal with a sentence on what is wrong with this very request.
 ///
 /// The sentence is one of the source code's own and never holds anything that the caller sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(derive_more::Display, derive_more::Error)]
 #[display("{}", refusal.kind)]
 pub struct Problem {
     /// Why the request is refused.
--- a/crates/gateway/src/request/request_id.rs
+++ b/crates/gateway/src/request/request_id.rs
@@ -7,7 +7,8 @@
 ///
 /// Upstreams get another one, unique for each attempt: two callers may use the same name, and an answer
 /// that crossed over could not be told from the right one.
-#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(derive_more::Display)]
 pub struct RequestName(String);
 
 impl RequestName {
--- a/crates/gateway/src/sse/decoder.rs
+++ b/crates/gateway/src/sse/decoder.rs
@@ -4,7 +4,8 @@
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
 /// Why a stream of events can't be read on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(derive_more::Display, derive_more::Error)]
 pub enum SseError {
     /// An event is over the bound.
     #[display("an event is larger than {MAX_EVENT_BYTES} bytes")]
--- a/crates/gateway/src/upstream/client.rs
+++ b/crates/gateway/src/upstream/client.rs
@@ -20,7 +20,8 @@
 pub type Sent = ClientResponse;
 
 /// Why a request has no answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(derive_more::Display, derive_more::Error)]
 pub enum SendFailure {
     /// No connection came about: no byte of the request left.
     #[display("not connected, nothing was sent")]
--- a/crates/platform/src/etcd/call_kind.rs
+++ b/crates/platform/src/etcd/call_kind.rs
@@ -1,5 +1,6 @@
 /// The calls that the platform counts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, derive_more::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(derive_more::Display)]
 pub enum CallKind {
     /// A read of a range.
     #[display("range")]
--- a/crates/platform/src/etcd/json.rs
+++ b/crates/platform/src/etcd/json.rs
@@ -29,13 +29,15 @@
     }
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 pub(super) struct Header {
     pub(super) revision: Int64,
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 struct Kv {
     key: String,
@@ -45,7 +47,8 @@
     lease: Int64,
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 pub(super) struct RangeAnswer {
     header: Header,
@@ -53,13 +56,15 @@
     more: bool,
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 struct ResponseOp {
     response_range: RangeAnswer,
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 pub(super) struct TxnAnswer {
     header: Header,
@@ -67,7 +72,8 @@
     responses: Vec<ResponseOp>,
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 pub(super) struct LeaseAnswer {
     #[serde(rename = "ID")]
@@ -77,12 +83,14 @@
 }
 
 /// The stream's envelope; `keepalive` and `watch` both use it.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(super) struct StreamAnswer<T> {
     pub(super) result: T,
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 struct Event {
     #[serde(rename = "type")]
@@ -90,7 +98,8 @@
     kv: Kv,
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 struct WatchAnswer {
     header: Header,
--- a/crates/platform/src/store/error.rs
+++ b/crates/platform/src/store/error.rs
@@ -2,7 +2,8 @@
 ///
 /// For a write the difference decides what the caller may say: after [`Self::Unreachable`] and
 /// [`Self::Refused`] nothing was written, after [`Self::OutcomeUnknown`] only reading back tells.
-#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(derive_more::Display, derive_more::Error)]
 pub enum StoreError {
     /// No connection came about, so nothing was sent.
     #[display("store not reached: {_0}")]
--- a/crates/platform/src/store/lease.rs
+++ b/crates/platform/src/store/lease.rs
@@ -1,7 +1,8 @@
 use jasmine_core::clock::Millis;
 
 /// The number of a lease.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, derive_more::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(derive_more::Display)]
 pub struct LeaseId(pub u64);
 
 /// A lease as granted or kept alive.
--- a/crates/platform/src/vms/listed_vm.rs
+++ b/crates/platform/src/vms/listed_vm.rs
@@ -4,7 +4,8 @@
 };
 
 /// What the platform says of a VM.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum ListedState {
     /// It runs.
@@ -14,7 +15,8 @@
 }
 
 /// One row of the list.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ListedVm {
     /// The VM.
     pub vm: VmId,
--- a/crates/platform/src/vms/vm_list.rs
+++ b/crates/platform/src/vms/vm_list.rs
@@ -7,11 +7,13 @@
 const MAX_LIST: usize = 4 * 1024 * 1024;
 
 /// Why the list could not be read.
-#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(derive_more::Display, derive_more::Error)]
 #[display("list of VMs not read: {_0}")]
 pub struct VmListError(#[error(not(source))] pub String);
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Answer {
     vms: Vec<ListedVm>,
 }
--- a/crates/telemetry/src/log/output.rs
+++ b/crates/telemetry/src/log/output.rs
@@ -17,7 +17,8 @@
 }
 
 /// Why logging could not be started.
-#[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::Error, derive_more::From)]
 pub enum LogError {
     /// The level is not one of `off`, `error`, `warn`, `info`, `debug`, `trace`, or a logger
     /// is already running.
--- a/crates/telemetry/src/metrics/page.rs
+++ b/crates/telemetry/src/metrics/page.rs
@@ -5,7 +5,8 @@
 };
 
 /// Why metrics can't be gathered.
-#[derive(Debug, derive_more::Display, derive_more::Error, derive_more::From)]
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::Error, derive_more::From)]
 pub enum MetricsError {
     /// The exporter could not be set up.
     #[display("metrics can't be set up: {_0}")]
--- a/crates/testkit/src/client/answer.rs
+++ b/crates/testkit/src/client/answer.rs
@@ -4,7 +4,8 @@
 };
 
 /// Why a call brought no whole answer.
-#[derive(Debug, derive_more::Display)]
+#[derive(Debug)]
+#[derive(derive_more::Display)]
 pub enum CallError {
     /// No connection, or it closed before the head of an answer.
     #[display("no answer: {_0}")]
--- a/crates/testkit/src/decisions/load.rs
+++ b/crates/testkit/src/decisions/load.rs
@@ -26,7 +26,9 @@
 pub const VMS: usize = 7;
 
 /// What happens in the middle third of a run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, derive_more::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[derive(derive_more::Display)]
 #[serde(rename_all = "snake_case")]
 pub enum Scenario {
     /// Nothing.
--- a/crates/testkit/src/decisions/measure.rs
+++ b/crates/testkit/src/decisions/measure.rs
@@ -27,7 +27,8 @@
 }
 
 /// The measures of one run.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Figures {
     /// The load.
     pub scenario: Scenario,
--- a/crates/testkit/src/decisions/sim.rs
+++ b/crates/testkit/src/decisions/sim.rs
@@ -24,7 +24,9 @@
 const AFTER: Millis = Millis::from_secs(60);
 
 /// Who decides.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, derive_more::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[derive(derive_more::Display)]
 #[serde(rename_all = "snake_case")]
 pub enum Policy {
     /// This project's decision code.
--- a/crates/testkit/src/engine/generate.rs
+++ b/crates/testkit/src/engine/generate.rs
@@ -20,7 +20,8 @@
 const DEFAULT_MAX_TOKENS: u64 = 256;
 
 /// Where to go on in a stream.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(super) struct Resume {
     #[serde(default)]
     offset: u32,
--- a/crates/testkit/src/engine/orders.rs
+++ b/crates/testkit/src/engine/orders.rs
@@ -24,42 +24,49 @@
 /// How long an engine waits for the weight store.
 const WEIGHTS_TIMEOUT: Duration = Duration::from_mins(2);
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(super) struct LoadOrder {
     instance: String,
     weights: String,
     fence: u64,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(super) struct UnloadOrder {
     instance: String,
     fence: u64,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(super) struct FenceOrder {
     fence: u64,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(super) struct RoleOrder {
     role: String,
     fence: u64,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(super) struct After {
     #[serde(default)]
     after: u64,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(super) struct Export {
     stream: String,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(super) struct Import {
     blob: String,
 }
--- a/crates/testkit/src/engine/record.rs
+++ b/crates/testkit/src/engine/record.rs
@@ -1,7 +1,8 @@
 use serde::{Deserialize, Serialize};
 
 /// How a request ended at an engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Ended {
     /// All its tokens were made.
@@ -19,7 +20,8 @@
 }
 
 /// One request as an engine ran it.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct RanRequest {
     /// The request id it came with.
     pub request_id: String,
@@ -44,7 +46,8 @@
 }
 
 /// All that an engine remembers for tests.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct EngineRecord {
     /// Every request that it took.
     pub requests: Vec<RanRequest>,
--- a/crates/testkit/src/engine/settings.rs
+++ b/crates/testkit/src/engine/settings.rs
@@ -4,7 +4,8 @@
 };
 
 /// How an engine behaves.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct EngineSettings {
     /// The base model's name.
@@ -56,7 +57,8 @@
 }
 
 /// What goes wrong at an engine from now on.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct EngineFaults {
     /// So many of the next loads fail.
--- a/crates/testkit/src/engine/state.rs
+++ b/crates/testkit/src/engine/state.rs
@@ -18,7 +18,8 @@
 const MAX_SEEN: usize = 4096;
 
 /// What a request asks the engine to make.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub(super) struct Job {
     pub(super) request_id: String,
     pub(super) account: String,
@@ -44,7 +45,8 @@
 }
 
 /// One event of the prefix cache.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub(super) struct CacheEvent {
     pub(super) seq: u64,
     pub(super) kind: &'static str,
@@ -55,7 +57,8 @@
 }
 
 /// What the engine tells of its load.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub(super) struct LoadReport {
     boot: u64,
     role: String,
--- a/crates/testkit/src/harness/poll.rs
+++ b/crates/testkit/src/harness/poll.rs
@@ -7,7 +7,8 @@
 const PAUSE: Duration = Duration::from_millis(20);
 
 /// Why the system could not be brought up, or did not come to a wanted state.
-#[derive(Debug, derive_more::Display, derive_more::From)]
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::From)]
 pub enum HarnessError {
     /// A file, process or address.
     #[display("{_0}")]
--- a/crates/testkit/src/load/arrivals.rs
+++ b/crates/testkit/src/load/arrivals.rs
@@ -16,7 +16,8 @@
 const MOVE_MS: u64 = 10_000;
 
 /// How requests come in.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(derive_more::Display)]
 pub enum Load {
     /// Every account at three fifths of its rate, spread over the VMs.
     Steady,
--- a/crates/testkit/src/load/overhead.rs
+++ b/crates/testkit/src/load/overhead.rs
@@ -13,7 +13,8 @@
 const CALLS: u32 = 1000;
 
 /// What a gateway adds to a call, microseconds at p50 and p99; straight and through taken in turn.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub struct Overhead {
     /// A service call made straight to its server: p50 and p99.
     pub straight_us: [u64; 2],
--- a/crates/testkit/src/load/report.rs
+++ b/crates/testkit/src/load/report.rs
@@ -10,7 +10,8 @@
 };
 
 /// What one account got.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub struct AccountReport {
     /// Its name.
     pub account: String,
@@ -33,7 +34,8 @@
 }
 
 /// What a run came to.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub struct Report {
     /// Which load.
     pub load: String,
--- a/crates/testkit/src/platform/api.rs
+++ b/crates/testkit/src/platform/api.rs
@@ -27,7 +27,8 @@
 const LEASE_TICK: Duration = Duration::from_millis(50);
 
 /// Calls counted by kind; a waiting watch is one call.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub(super) struct Calls {
     range: u64,
     put: u64,
--- a/crates/testkit/src/platform/faults.rs
+++ b/crates/testkit/src/platform/faults.rs
@@ -1,7 +1,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What goes wrong at the platform from now on.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct PlatformFaults {
     /// The key-value service answers 503 and ends its watches; leases don't run out meanwhile.
--- a/crates/testkit/src/platform/messages.rs
+++ b/crates/testkit/src/platform/messages.rs
@@ -52,7 +52,8 @@
 }
 
 /// Keys from `key` up to `range_end`; without an end the one key, with `\0` all that follow.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 pub(super) struct RangeReq {
     pub(super) key: Blob,
@@ -80,7 +81,8 @@
     }
 }
 
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 pub(super) struct PutReq {
     pub(super) key: Blob,
@@ -88,7 +90,8 @@
     pub(super) lease: Int,
 }
 
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 pub(super) struct CompareReq {
     pub(super) key: Blob,
@@ -102,7 +105,8 @@
     pub(super) value: Blob,
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 pub(super) enum Op {
     #[serde(rename = "request_put", alias = "requestPut")]
     Put(PutReq),
@@ -112,7 +116,8 @@
     Delete(RangeReq),
 }
 
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 pub(super) struct TxnReq {
     pub(super) compare: Vec<CompareReq>,
@@ -120,7 +125,8 @@
     pub(super) failure: Vec<Op>,
 }
 
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 pub(super) struct LeaseReq {
     #[serde(rename = "ID")]
@@ -129,7 +135,8 @@
     pub(super) ttl: Int,
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 pub(super) struct WatchReq {
     #[serde(alias = "createRequest")]
     pub(super) create_request: RangeReq,
--- a/crates/testkit/src/platform/vm_list.rs
+++ b/crates/testkit/src/platform/vm_list.rs
@@ -4,7 +4,8 @@
 };
 
 /// One VM as the platform lists it.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct ListedVm {
     /// Its number.
     pub vm: u32,
@@ -15,7 +16,8 @@
 }
 
 /// The list of VMs, and how late a change shows.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct VmList {
     /// The VMs.
     pub vms: Vec<ListedVm>,
--- a/crates/testkit/src/proxy/link.rs
+++ b/crates/testkit/src/proxy/link.rs
@@ -1,7 +1,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What a link does to the connections that run over it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Fault {
     /// All passes.
@@ -20,7 +21,8 @@
 }
 
 /// The state of a link.
-#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Link {
     /// What it does.
--- a/crates/testkit/src/service/plain_service.rs
+++ b/crates/testkit/src/service/plain_service.rs
@@ -16,7 +16,8 @@
 };
 
 /// What goes wrong at the service from now on.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct ServiceFaults {
     /// Each call takes this long after its effect, milliseconds.
@@ -28,7 +29,8 @@
 }
 
 /// One call that took effect.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct ServedCall {
     /// The request id it came with.
     pub request_id: String,
--- a/crates/testkit/src/weights/weight_store.rs
+++ b/crates/testkit/src/weights/weight_store.rs
@@ -17,7 +17,8 @@
 };
 
 /// How the weight store behaves.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct WeightSettings {
     /// Milliseconds from one load's start to the next one's.
--- a/crates/wire/src/link/link_error.rs
+++ b/crates/wire/src/link/link_error.rs
@@ -1,5 +1,6 @@
 /// Why a call to another daemon has no answer.
-#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(derive_more::Display, derive_more::Error)]
 pub enum LinkError {
     /// No connection came about, so the other daemon has seen nothing of the call.
     #[display("not reached: {_0}")]
