--- a/crates/core/src/forward/machine.rs
+++ b/crates/core/src/forward/machine.rs
@@ -10,26 +10,23 @@
     },
 };
 
-/// The pause before a resumption that follows a failed one; doubled with each.
-const RESUME_PAUSE: Millis = Millis(100);
-
 /// The forwarding of one request.
 #[derive(Clone, Debug)]
 pub struct ForwardMachine {
-    plan: ForwardPlan,
-    state: State,
-    attempt: Attempt,
-    upstream: Option<UpstreamId>,
-    resumable: bool,
+    pub(super) plan: ForwardPlan,
+    pub(super) state: State,
+    pub(super) attempt: Attempt,
+    pub(super) upstream: Option<UpstreamId>,
+    pub(super) resumable: bool,
     /// Whether an earlier attempt may have run.
-    may_have_run: bool,
-    passed_on: Progress,
+    pub(super) may_have_run: bool,
+    pub(super) passed_on: Progress,
     /// Runs that came to nothing.
-    runs: u32,
+    pub(super) runs: u32,
     /// Resumptions in a row without progress.
-    failures: u32,
-    heard_at: Millis,
-    caller_slow: bool,
+    pub(super) failures: u32,
+    pub(super) heard_at: Millis,
+    pub(super) caller_slow: bool,
 }
 
 impl ForwardMachine {
@@ -248,102 +245,7 @@
         }
     }
 
-    fn lost(
-        &mut self,
-        now: Millis,
-    ) -> Vec<Action> {
-        match self.state {
-            State::Answering | State::Resuming if self.resumable => self.resume(now),
-            State::Sent | State::Answering | State::Resuming => self.run_anew(),
-            _ => Vec::new(),
-        }
-    }
-
-    /// Goes on with the stream, at once after progress and later after a failed resumption.
-    fn resume(
-        &mut self,
-        now: Millis,
-    ) -> Vec<Action> {
-        match self.failures {
-            0 => {
-                self.failures = 1;
-                self.send_resumption(now)
-            }
-            _ => self.resume_later(now),
-        }
-    }
-
-    fn send_resumption(
-        &mut self,
-        now: Millis,
-    ) -> Vec<Action> {
-        self.attempt = self.attempt.next();
-        self.state = State::Resuming;
-        self.heard_at = now;
-        let resume = Action::Resume {
-            attempt: self.attempt,
-            offset: self.offset(),
-        };
-        vec![Action::Abandon, resume]
-    }
-
-    fn resume_later(
-        &mut self,
-        now: Millis,
-    ) -> Vec<Action> {
-        self.failures += 1;
-        if self.failures > self.plan.max_attempts {
-            return self.run_anew();
-        }
-        let pause = Millis(RESUME_PAUSE.0 << self.failures.min(8));
-        self.attempt = self.attempt.next();
-        self.state = State::Pausing { until: now + pause };
-        vec![Action::Abandon]
-    }
-
-    /// Runs the request from its start at another upstream where that is allowed.
-    fn run_anew(&mut self) -> Vec<Action> {
-        self.may_have_run = true;
-        match (self.plan.repeat, self.plan.delivery) {
-            (Repeat::Once, _) => self.fail(ErrorKind::UpstreamLost),
-            (Repeat::Idempotent, Delivery::Streamed) if self.passed_on.has_content() => {
-                self.fail(ErrorKind::AnswerCut)
-            }
-            (Repeat::Idempotent, _) => self.again(RouteCause::MayHaveRun, ErrorKind::UpstreamLost),
-        }
-    }
-
-    /// Chooses another upstream, or gives up with `kind` after too many attempts.
-    fn again(
-        &mut self,
-        cause: RouteCause,
-        kind: ErrorKind,
-    ) -> Vec<Action> {
-        self.runs += 1;
-        if self.runs >= self.plan.max_attempts {
-            return self.fail(kind);
-        }
-        let mut actions = vec![Action::Abandon];
-        if cause == RouteCause::MayHaveRun {
-            actions.push(Action::Cancel);
-        }
-        // A streamed answer has passed on its opening at most, which is not repeated.
-        if self.plan.delivery == Delivery::Whole {
-            actions.push(Action::Discard);
-            self.passed_on = Progress::default();
-        }
-        self.failures = 0;
-        self.attempt = self.attempt.next();
-        self.state = State::Routing;
-        actions.push(Action::Route {
-            attempt: self.attempt,
-            avoid: self.upstream,
-            cause,
-        });
-        actions
-    }
-
-    fn fail(
+    pub(super) fn fail(
         &mut self,
         kind: ErrorKind,
     ) -> Vec<Action> {
--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -24,6 +24,7 @@
 mod part;
 mod plan;
 mod progress;
+mod recovery;
 mod state;
 
 pub use {
--- a/crates/testkit/src/decisions/fleet.rs
+++ b/crates/testkit/src/decisions/fleet.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         caller::limit,
-        engine::{MAX_BATCH, Running, SLOTS, Store},
+        engine::{MAX_BATCH, Running, SLOTS},
         load::{RATES, VMS},
         sim::{ENGINES, World},
     },
@@ -12,21 +12,18 @@
             UpstreamId, VmId,
         },
         ownership::{
-            Ask, Candidate, LoadResult, OwnerAction, OwnerEvent, OwnerMachine, OwnerSettings,
-            Ownership, Poll, Release, Report, UnloadResult, assign,
+            Candidate, LoadResult, OwnerEvent, OwnerMachine, OwnerSettings, Ownership, Poll,
+            Report, assign,
         },
         placement::Instance,
         queue::{self, AccountShare, FairQueue, Priority, QueueSettings, Waiting},
         rights::{Admission, CallerTag, Right, RightsLedger, RightsSettings, SHARE_WHOLE, part_of},
-        routing::{
-            EngineView, Finish, Route, Router, RouterAction, RouterSettings, SpecKind, Target,
-            UpstreamSpec,
-        },
+        routing::{EngineView, Finish, Router, RouterSettings, SpecKind, UpstreamSpec},
     },
     std::collections::{BTreeMap, VecDeque},
 };
 
-const MODEL: ModelId = ModelId(0);
+pub(super) const MODEL: ModelId = ModelId(0);
 const POLL: u64 = 200;
 const REPORT: u64 = 500;
 const TICK: u64 = 50;
@@ -35,23 +32,23 @@
 const ROUNDS: usize = 3;
 
 #[derive(Debug)]
-struct Gateway {
-    router: Router,
-    queue: FairQueue,
-    ledger: RightsLedger,
-    asks: BTreeMap<u64, (UpstreamId, jasmine_core::ids::AdapterVersion)>,
+pub(super) struct Gateway {
+    pub(super) router: Router,
+    pub(super) queue: FairQueue,
+    pub(super) ledger: RightsLedger,
+    pub(super) asks: BTreeMap<u64, (UpstreamId, jasmine_core::ids::AdapterVersion)>,
 }
 
 /// Loads that an owner has asked for and not been granted.
 #[derive(Debug)]
-struct Asked {
-    owner: usize,
-    loads: u32,
-    since: Millis,
+pub(super) struct Asked {
+    pub(super) owner: usize,
+    pub(super) loads: u32,
+    pub(super) since: Millis,
 }
 
 impl Asked {
-    fn new(owner: usize) -> Self {
+    pub(super) fn new(owner: usize) -> Self {
         let since = Millis::ZERO;
         Self {
             owner,
@@ -64,19 +61,19 @@
 /// The decision code of all VMs, each with a gateway and a controller.
 #[derive(Debug)]
 pub struct Fleet {
-    gateways: Vec<Gateway>,
-    owners: Vec<OwnerMachine>,
-    owner_of: Vec<usize>,
-    asked: Vec<Asked>,
-    sent_by: BTreeMap<usize, (usize, Instance)>,
-    events: VecDeque<(usize, OwnerEvent)>,
+    pub(super) gateways: Vec<Gateway>,
+    pub(super) owners: Vec<OwnerMachine>,
+    pub(super) owner_of: Vec<usize>,
+    pub(super) asked: Vec<Asked>,
+    pub(super) sent_by: BTreeMap<usize, (usize, Instance)>,
+    pub(super) events: VecDeque<(usize, OwnerEvent)>,
 }
 
 fn data_centre(number: usize) -> DataCentreId {
     DataCentreId((number % 3) as u16)
 }
 
-fn holder(gateway: usize) -> Holder {
+pub(super) fn holder(gateway: usize) -> Holder {
     Holder {
         vm: VmId(gateway as u32),
         role: Role::Gateway,
@@ -335,180 +332,6 @@
             self.events.push_back((asked.owner, granted));
         }
     }
-
-    fn run_events(
-        &mut self,
-        world: &mut World,
-    ) {
-        while let Some((c, event)) = self.events.pop_front() {
-            for action in self.owners[c].handle(event, world.now) {
-                self.carry_out(world, c, &action);
-            }
-        }
-    }
-
-    fn carry_out(
-        &mut self,
-        world: &mut World,
-        c: usize,
-        action: &OwnerAction,
-    ) {
-        match *action {
-            OwnerAction::OrderLoad { instance, .. } => {
-                let engine = &mut world.engines[instance.upstream.0 as usize];
-                let used = engine.loaded.len() + engine.loading.len();
-                if used < SLOTS as usize {
-                    engine.loading.insert(instance, Store::LOAD_MS);
-                } else {
-                    let full = OwnerEvent::LoadEnded(instance, LoadResult::NoFreeSlot);
-                    self.events.push_back((c, full));
-                }
-            }
-            OwnerAction::OrderUnload { instance, .. } => {
-                let engine = &mut world.engines[instance.upstream.0 as usize];
-                assert!(
-                    !engine.uses(instance),
-                    "unload of {} in use",
-                    instance.name()
-                );
-                engine.loaded.remove(&instance);
-                let gone = OwnerEvent::UnloadEnded(instance, UnloadResult::Gone);
-                self.events.push_back((c, gone));
-            }
-            OwnerAction::AskBudget(loads) => {
-                let asked = &mut self.asked[c];
-                if asked.loads == 0 {
-                    asked.since = world.now;
-                }
-                asked.loads = loads;
-            }
-            OwnerAction::Reply { to, ask, outcome } => {
-                let gateway = &mut self.gateways[to.vm.0 as usize];
-                if let Some((upstream, adapter)) = gateway.asks.remove(&ask) {
-                    gateway
-                        .router
-                        .acquired(upstream, adapter, ask, outcome, world.now);
-                }
-            }
-            OwnerAction::Recall { holder, instance } => {
-                let g = holder.vm.0 as usize;
-                let actions = self.gateways[g].router.recall(instance);
-                self.act(g, actions);
-            }
-            OwnerAction::RaiseFence { .. } | OwnerAction::RenewFence(_) => {}
-        }
-    }
-
-    fn act(
-        &mut self,
-        g: usize,
-        actions: Vec<RouterAction>,
-    ) {
-        for action in actions {
-            match action {
-                RouterAction::Release {
-                    instance,
-                    fence,
-                    ask,
-                } => {
-                    let instances = vec![instance];
-                    let release = Release {
-                        from: holder(g),
-                        fence,
-                        ask,
-                        instances,
-                    };
-                    let c = self.owner_of[instance.upstream.0 as usize];
-                    self.events.push_back((c, OwnerEvent::Released(release)));
-                }
-                RouterAction::Acquire {
-                    upstream,
-                    adapter,
-                    account,
-                    ask,
-                } => {
-                    self.ask(
-                        g,
-                        Ask {
-                            from: holder(g),
-                            ask,
-                            upstream,
-                            adapter,
-                            account,
-                            wait: Millis(1000),
-                        },
-                    );
-                }
-            }
-        }
-    }
-
-    fn ask(
-        &mut self,
-        g: usize,
-        ask: Ask,
-    ) {
-        self.gateways[g]
-            .asks
-            .insert(ask.ask, (ask.upstream, ask.adapter));
-        let c = self.owner_of[ask.upstream.0 as usize];
-        self.events.push_back((c, OwnerEvent::Acquire(ask)));
-    }
-
-    /// Sends what can be sent from a gateway's queue.
-    fn pump(
-        &mut self,
-        world: &mut World,
-        g: usize,
-    ) {
-        let now = world.now;
-        for waiting in self.gateways[g].queue.expire(now) {
-            let kind = jasmine_core::error::ErrorKind::CannotMeetDeadline;
-            let refusal = jasmine_core::error::Refusal::after(kind, Millis(1000));
-            world.refuse(waiting.request.0 as usize, refusal);
-        }
-        let mut asks = Vec::new();
-        let mut refused = Vec::new();
-        loop {
-            let gateway = &mut self.gateways[g];
-            let router = &mut gateway.router;
-            let mut sent = None;
-            let popped = gateway.queue.pop(now, |waiting| {
-                let queue::Target::Adapter(adapter) = waiting.target else {
-                    return false;
-                };
-                let target = Target::Adapter(MODEL, adapter);
-                match router.route(target, None, waiting.account, now) {
-                    Route::Send { instance, .. } => sent = instance,
-                    Route::Acquire { upstream, ask } => asks.push(Ask {
-                        from: holder(g),
-                        ask,
-                        upstream,
-                        adapter,
-                        account: waiting.account,
-                        wait: Millis(1000),
-                    }),
-                    Route::Wait(_) => {}
-                    Route::Refuse(refusal) => refused.push((waiting.request, refusal)),
-                }
-                sent.is_some()
-            });
-            let (Some(waiting), Some(instance)) = (popped, sent) else {
-                break;
-            };
-            let id = waiting.request.0 as usize;
-            self.sent_by.insert(id, (g, instance));
-            world.send(id, instance.upstream.0 as usize, instance);
-        }
-        for (request, refusal) in refused {
-            if self.gateways[g].queue.cancel(request, now).is_some() {
-                world.refuse(request.0 as usize, refusal);
-            }
-        }
-        for ask in asks {
-            self.ask(g, ask);
-        }
-    }
 }
 
 fn gateway(
--- a/crates/testkit/src/decisions/mod.rs
+++ b/crates/testkit/src/decisions/mod.rs
@@ -8,6 +8,7 @@
 mod caller;
 mod engine;
 mod fleet;
+mod fleet_events;
 mod load;
 mod measure;
 mod sim;
