The answer of a claimed call is kept before its caller has it

Cause: the answer went out first and was kept with its claim afterwards, so a caller that repeated within milliseconds got claim_running although the first run had been answered. Excluded: the claim itself, the service saw one call. Change: the answer waits until it is kept, half a second at most; the fake controller can be slow to keep. Before: repeated_after_answer, 409 claim_running with a store that takes 200 ms; after: 200 and replayed. Conclusion: costs a claimed call one write to the store before its answer; in an outage that begins in the middle half a second.

--- a/crates/gateway/src/http/services.rs
+++ b/crates/gateway/src/http/services.rs
@@ -21,9 +21,10 @@
         web::{Bytes, Path, Payload},
     },
     jasmine_conf::fleet::Call,
-    jasmine_core::{error::ErrorKind, routing::Target},
+    jasmine_core::{clock::Millis, error::ErrorKind, routing::Target},
     jasmine_telemetry::metrics::Labels,
     std::sync::Arc,
+    tokio::{sync::oneshot, time::timeout},
 };
 
 /// The caller's headers that reach a plain service; all others may hold something of the caller's.
@@ -36,6 +37,12 @@
     IF_MATCH,
     IF_NONE_MATCH,
 ];
+/// How long an answer waits until it is kept with its claim.
+///
+/// A caller that has its answer may send the call again at once, and at another VM: unless the answer is
+/// kept by then it is told that the call is still running. Where the store is slow or out the answer goes
+/// without it.
+const KEPT_WITHIN: Millis = Millis(500);
 /// The header of the IETF draft.
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
@@ -118,7 +125,8 @@
     );
     let plan = plan::service(deadline, limit, call.idempotent);
     let (mut way_back, answer) = Caller::new();
-    if claim.is_some() {
+    let is_claimed = claim.is_some();
+    if is_claimed {
         way_back = way_back.outlasted();
     }
     let outbound = Outbound::Service(ServiceRequest {
@@ -130,16 +138,22 @@
     let (lease, routing) = shared.brain.admit(admission);
     let driver = Driver::new(cx, plan, outbound, way_back, lease, routing);
     let brain = shared.brain.clone();
+    let (kept_tx, kept_rx) = oneshot::channel::<()>();
     actix_rt::spawn(async move {
         let ending = driver.run().await;
         drop(in_flight);
         if let Some(claim) = claim {
             claims::ClaimEnd::of(&ending).record(&brain, claim).await;
         }
+        drop(kept_tx);
     });
-    answer
+    let answer = answer
         .await
-        .map_err(|_gone| Problem::from(ErrorKind::Internal))?
+        .map_err(|_gone| Problem::from(ErrorKind::Internal))?;
+    if is_claimed {
+        drop(timeout(KEPT_WITHIN.to_std(), kept_rx).await);
+    }
+    answer
 }
 
 /// Claims the key; the answer of the first run where there is one.
--- a/crates/gateway/tests/gateway/idempotency_keys.rs
+++ b/crates/gateway/tests/gateway/idempotency_keys.rs
@@ -43,6 +43,20 @@
     assert_eq!(bench.served().await.len(), 1);
 }
 
+#[actix_rt::test]
+async fn repeated_after_answer() {
+    // A caller's own process dies right after its enrolment was answered, and its successor sends the call again within
+    // milliseconds while the store is slow. Told that the call is still running, it would leave a new hire waiting at the counter.
+    let bench = Bench::start(BenchSpec::default()).await;
+    bench.controller.told().keeps_after = Duration::from_millis(200);
+    let first = support::answer(&enrol(&bench, "c-1", "field")).await;
+    assert_eq!(first.status, 200);
+    let again = support::answer(&enrol(&bench, "c-1", "field")).await;
+    assert_eq!((again.status, &again.json), (200, &first.json), "{again:?}");
+    assert_eq!(again.header("idempotency-replayed"), "true");
+    assert_eq!(bench.served().await.len(), 1);
+}
+
 #[actix_rt::test]
 async fn repeated_at_once() {
     // Two copies of one call arrive at the same moment. Only one may run.
--- a/crates/gateway/tests/gateway/support/fake_controller.rs
+++ b/crates/gateway/tests/gateway/support/fake_controller.rs
@@ -31,6 +31,8 @@
     pub fresh_ms: Option<u64>,
     /// Whether the store takes claims.
     pub claims: bool,
+    /// How long the store takes to keep the answer of a claimed call.
+    pub keeps_after: Duration,
     /// Engines by number, with where they are.
     pub engines: BTreeMap<u32, SocketAddr>,
     /// Changes when the engines have restarted.
@@ -331,6 +333,8 @@
     ) -> Result<(), Error> {
         let params = params.get()?;
         let (key, answer) = (params.get_key()?.to_vec(), params.get_answer()?.to_vec());
+        let keeps_after = self.told().keeps_after;
+        sleep(keeps_after).await;
         let mut told = self.told();
         if answer.is_empty() {
             told.claimed.remove(&key);
