Test: the platform's dead port stays taken too

Cause: the same race as in command_line, found by looking for the pattern; it has not been seen failing here. Change: bound without a listener. Result: lost_reply passes.

--- a/crates/platform/tests/lost_reply.rs
+++ b/crates/platform/tests/lost_reply.rs
@@ -58,9 +58,10 @@
 /// it may say so.
 #[actix_web::test]
 async fn not_done() {
-    let nobody = std::net::TcpListener::bind(anywhere()).unwrap();
+    // Stays taken while the test runs, or the platform of another test could get the port.
+    let nobody = tokio::net::TcpSocket::new_v4().unwrap();
+    nobody.bind(anywhere()).unwrap();
     let address = nobody.local_addr().unwrap();
-    drop(nobody);
     let store = EtcdStore::new(EtcdOptions::new(vec![format!("http://{address}")]));
     let e = store.txn(create("a")).await.unwrap_err();
     assert!(e.is_not_done(), "{e:?}");
