Requests for rights are read and written in one place

Cause: gateway and controller each had both sides of takeRights, four copies of the same field by field conversion. Change: wire::convert::take has them once; both daemons call it. No change of behaviour.

--- a/crates/controller/src/peers/peer_links.rs
+++ b/crates/controller/src/peers/peer_links.rs
@@ -8,7 +8,7 @@
         rights::{Ask, Given},
     },
     jasmine_wire::{
-        convert::{read_right, write_peer},
+        convert::{read_given, write_peer, write_take},
         jasmine_capnp::{controller, rights_holder},
         link::{Link, LinkError, LinkOptions},
     },
@@ -183,20 +183,9 @@
             .call(Millis::ZERO, move |client| async move {
                 let holder = client.cast_to::<rights_holder::Client>();
                 let mut req = holder.take_rights_request();
-                let mut params = req.get();
-                write_peer(params.reborrow().init_from(), request.from);
-                params.set_transfer(request.transfer.0);
-                params.set_epoch(request.epoch.0);
-                params.set_account(request.account.0);
-                params.set_needed(request.needed);
-                params.set_demand(request.demand);
+                write_take(req.get(), &request);
                 let res = req.send().promise.await?;
-                let res = res.get()?;
-                Ok(Given {
-                    epoch: Epoch(res.get_epoch()),
-                    right: read_right(res.get_right()?),
-                    spare: res.get_spare(),
-                })
+                read_given(res.get()?)
             })
             .await
             .ok()
--- a/crates/controller/src/peers/peer_server.rs
+++ b/crates/controller/src/peers/peer_server.rs
@@ -4,14 +4,12 @@
     jasmine_core::{
         clock::Millis,
         ids::{
-            AccountId, AdapterId, AdapterVersion, Epoch, Fence, Holder, Revision, Role, TransferId,
-            UpstreamId,
+            AccountId, AdapterId, AdapterVersion, Epoch, Fence, Holder, Revision, Role, UpstreamId,
         },
         ownership::{self, Ask, OwnerEvent, Poll, Release},
-        rights::TakeRequest,
     },
     jasmine_wire::{
-        convert::{read_instances, read_peer, read_rights, write_instance, write_right},
+        convert::{read_instances, read_peer, read_rights, read_take, write_given, write_instance},
         jasmine_capnp::{
             AcquireOutcome, ClaimOutcome as WireClaimOutcome, controller, rights_holder,
         },
@@ -48,19 +46,8 @@
         params: rights_holder::TakeRightsParams,
         mut results: rights_holder::TakeRightsResults,
     ) -> Result<(), capnp::Error> {
-        let params = params.get()?;
-        let given = self.cx.budget.give(&TakeRequest {
-            from: read_peer(params.get_from()?)?,
-            transfer: TransferId(params.get_transfer()),
-            epoch: Epoch(params.get_epoch()),
-            account: AccountId(params.get_account()),
-            needed: params.get_needed(),
-            demand: params.get_demand(),
-        });
-        let mut res = results.get();
-        res.set_epoch(given.epoch.0);
-        res.set_spare(given.spare);
-        write_right(res.init_right(), &given.right);
+        let given = self.cx.budget.give(&read_take(params.get()?)?);
+        write_given(results.get(), &given);
         Ok(())
     }
 }
--- a/crates/gateway/src/brain/links.rs
+++ b/crates/gateway/src/brain/links.rs
@@ -13,7 +13,7 @@
         routing::EngineView,
     },
     jasmine_wire::{
-        convert::{read_right, read_rights, write_peer, write_rights},
+        convert::{read_given, read_rights, write_peer, write_rights, write_take},
         jasmine_capnp::{controller, gateway, rights_holder},
         link::{Link, LinkError, LinkOptions},
     },
@@ -297,20 +297,9 @@
             .call(Millis::ZERO, move |client| async move {
                 let holder: rights_holder::Client = client.cast_to();
                 let mut req = holder.take_rights_request();
-                let mut params = req.get();
-                write_peer(params.reborrow().init_from(), request.from);
-                params.set_transfer(request.transfer.0);
-                params.set_epoch(request.epoch.0);
-                params.set_account(request.account.0);
-                params.set_needed(request.needed);
-                params.set_demand(request.demand);
+                write_take(req.get(), &request);
                 let res = req.send().promise.await?;
-                let res = res.get()?;
-                Ok(Given {
-                    epoch: Epoch(res.get_epoch()),
-                    right: read_right(res.get_right()?),
-                    spare: res.get_spare(),
-                })
+                read_given(res.get()?)
             })
             .await
     }
--- a/crates/gateway/src/brain/peer_server.rs
+++ b/crates/gateway/src/brain/peer_server.rs
@@ -1,11 +1,7 @@
 use {
     super::Core,
-    jasmine_core::{
-        ids::{AccountId, Epoch, TransferId},
-        rights::TakeRequest,
-    },
     jasmine_wire::{
-        convert::{read_peer, write_right},
+        convert::{read_take, write_given},
         jasmine_capnp::{gateway, rights_holder},
     },
     std::rc::Rc,
@@ -30,20 +26,9 @@
         params: rights_holder::TakeRightsParams,
         mut results: rights_holder::TakeRightsResults,
     ) -> Result<(), capnp::Error> {
-        let params = params.get()?;
-        let request = TakeRequest {
-            from: read_peer(params.get_from()?)?,
-            transfer: TransferId(params.get_transfer()),
-            epoch: Epoch(params.get_epoch()),
-            account: AccountId(params.get_account()),
-            needed: params.get_needed(),
-            demand: params.get_demand(),
-        };
+        let request = read_take(params.get()?)?;
         let given = self.core.decide(|state| state.give(&request));
-        let mut answer = results.get();
-        answer.set_epoch(given.epoch.0);
-        answer.set_spare(given.spare);
-        write_right(answer.init_right(), &given.right);
+        write_given(results.get(), &given);
         Ok(())
     }
 }
--- a/crates/wire/src/convert/mod.rs
+++ b/crates/wire/src/convert/mod.rs
@@ -3,9 +3,11 @@
 mod instance;
 mod peer;
 mod right;
+mod take;
 
 pub use {
     instance::{read_instance, read_instances, write_instance, write_instances},
     peer::{read_peer, write_peer},
     right::{read_right, read_rights, write_right, write_rights},
+    take::{read_given, read_take, write_given, write_take},
 };
--- /dev/null
+++ b/crates/wire/src/convert/take.rs
@@ -0,0 +1,60 @@
+use {
+    super::{read_peer, read_right, write_peer, write_right},
+    crate::jasmine_capnp::rights_holder::{take_rights_params, take_rights_results},
+    jasmine_core::{
+        ids::{AccountId, Epoch, TransferId},
+        rights::{Given, TakeRequest},
+    },
+};
+
+/// Reads a request for rights.
+///
+/// # Errors
+///
+/// Where the message is damaged.
+pub fn read_take(params: take_rights_params::Reader<'_>) -> Result<TakeRequest, capnp::Error> {
+    Ok(TakeRequest {
+        from: read_peer(params.get_from()?)?,
+        transfer: TransferId(params.get_transfer()),
+        epoch: Epoch(params.get_epoch()),
+        account: AccountId(params.get_account()),
+        needed: params.get_needed(),
+        demand: params.get_demand(),
+    })
+}
+
+/// Writes a request for rights.
+pub fn write_take(
+    mut params: take_rights_params::Builder<'_>,
+    request: &TakeRequest,
+) {
+    write_peer(params.reborrow().init_from(), request.from);
+    params.set_transfer(request.transfer.0);
+    params.set_epoch(request.epoch.0);
+    params.set_account(request.account.0);
+    params.set_needed(request.needed);
+    params.set_demand(request.demand);
+}
+
+/// Reads what was given.
+///
+/// # Errors
+///
+/// Where the message is damaged.
+pub fn read_given(results: take_rights_results::Reader<'_>) -> Result<Given, capnp::Error> {
+    Ok(Given {
+        epoch: Epoch(results.get_epoch()),
+        right: read_right(results.get_right()?),
+        spare: results.get_spare(),
+    })
+}
+
+/// Writes what is given.
+pub fn write_given(
+    mut results: take_rights_results::Builder<'_>,
+    given: &Given,
+) {
+    results.set_epoch(given.epoch.0);
+    results.set_spare(given.spare);
+    write_right(results.init_right(), &given.right);
+}
