--- a/crates/conf/src/arena/arena_key.rs
+++ b/crates/conf/src/arena/arena_key.rs
@@ -2,7 +2,7 @@
     AccountId, AdapterId, DataCentreId, KeyId, ModelId, ServiceId, UpstreamId,
 };
 
-/// A number that can address an [`super::Arena`].
+/// A number that can address a [`super::SharedArena`].
 pub trait ArenaKey: Copy {
     /// The place in the arena.
     fn index(self) -> usize;
