The store's client is called what it is

Cause: the word platform now means the users' platform; the crate of that name is the client of the key-value service and the VM list. Change: crates/platform is crates/store (jasmine-store). Nothing else changes.

--- a/crates/controller/src/claims/claim_desk.rs
+++ b/crates/controller/src/claims/claim_desk.rs
@@ -2,7 +2,7 @@
     super::{ClaimRecord, ClaimState, MAX_ANSWER},
     crate::{clock::OwnClock, store_keys},
     jasmine_core::clock::Millis,
-    jasmine_platform::store::{Compare, KeyValue, LeaseId, Op, Range, Store, StoreError, Txn},
+    jasmine_store::store::{Compare, KeyValue, LeaseId, Op, Range, Store, StoreError, Txn},
     jasmine_telemetry::log::Line,
     std::{cell::Cell, rc::Rc},
 };
--- a/crates/controller/src/config/config_store.rs
+++ b/crates/controller/src/config/config_store.rs
@@ -8,7 +8,7 @@
         tree::Accepted,
     },
     jasmine_core::ids::Revision,
-    jasmine_platform::store::{KeyValue, Range, Store, StoreError},
+    jasmine_store::store::{KeyValue, Range, Store, StoreError},
     jasmine_telemetry::log::Line,
     std::{collections::BTreeMap, rc::Rc},
 };
--- a/crates/controller/src/config/edit_desk.rs
+++ b/crates/controller/src/config/edit_desk.rs
@@ -6,7 +6,7 @@
         tree::{Accepted, Edit, Proposal},
     },
     jasmine_core::clock::Millis,
-    jasmine_platform::store::{Compare, Op, Range, Store, StoreError, Txn},
+    jasmine_store::store::{Compare, Op, Range, Store, StoreError, Txn},
     jasmine_telemetry::log::Line,
     std::rc::Rc,
     tokio::{sync::Mutex, time::sleep},
--- a/crates/controller/src/daemon/controller_context.rs
+++ b/crates/controller/src/daemon/controller_context.rs
@@ -20,7 +20,7 @@
         ids::{Holder, Incarnation, Role},
         ownership::OwnerSettings,
     },
-    jasmine_platform::{
+    jasmine_store::{
         etcd::{CallCounts, EtcdOptions, EtcdStore, Reach},
         store::Store,
         vms::VmList,
--- a/crates/controller/src/engines/engine_client.rs
+++ b/crates/controller/src/engines/engine_client.rs
@@ -6,7 +6,7 @@
         ownership::{LoadResult, UnloadResult},
         placement::Instance,
     },
-    jasmine_platform::http::is_unsent,
+    jasmine_store::http::is_unsent,
     serde_json::{Value, json},
     std::net::SocketAddr,
     tokio::time::timeout,
--- a/crates/controller/src/epochs/epoch_keeper.rs
+++ b/crates/controller/src/epochs/epoch_keeper.rs
@@ -14,7 +14,7 @@
         },
         rights::Limit,
     },
-    jasmine_platform::{
+    jasmine_store::{
         store::{KeyValue, Op, Range, StoreError, Txn},
         vms::VmList,
     },
--- a/crates/controller/src/epochs/epoch_write.rs
+++ b/crates/controller/src/epochs/epoch_write.rs
@@ -4,7 +4,7 @@
         ids::VmId,
         membership::{EPOCH_KEY, EpochRecord, StoreView},
     },
-    jasmine_platform::store::{Compare, Op, Txn},
+    jasmine_store::store::{Compare, Op, Txn},
     std::collections::BTreeSet,
 };
 
--- a/crates/controller/src/epochs/holdings_desk.rs
+++ b/crates/controller/src/epochs/holdings_desk.rs
@@ -4,7 +4,7 @@
         membership::{HoldingsRecord, ReleasedRecord, holdings_key, released_key},
         rights::Right,
     },
-    jasmine_platform::store::{Compare, Op, Store, StoreError, Txn},
+    jasmine_store::store::{Compare, Op, Store, StoreError, Txn},
     serde::Serialize,
     std::rc::Rc,
 };
--- a/crates/controller/src/fleet/fleet_mirror.rs
+++ b/crates/controller/src/fleet/fleet_mirror.rs
@@ -8,7 +8,7 @@
             ReleasedRecord, Versioned,
         },
     },
-    jasmine_platform::store::{KeyValue, WatchEvent},
+    jasmine_store::store::{KeyValue, WatchEvent},
     jasmine_telemetry::log::Line,
     serde::de::DeserializeOwned,
     std::collections::BTreeMap,
--- a/crates/controller/src/fleet/registration.rs
+++ b/crates/controller/src/fleet/registration.rs
@@ -1,7 +1,7 @@
 use {
     super::{DaemonRecord, MemberRecord},
     crate::store_keys,
-    jasmine_platform::store::{Compare, LeaseId, Op, Range, Store, StoreError, Txn},
+    jasmine_store::store::{Compare, LeaseId, Op, Range, Store, StoreError, Txn},
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
--- a/crates/controller/src/follow/bootstrap.rs
+++ b/crates/controller/src/follow/bootstrap.rs
@@ -2,7 +2,7 @@
     super::{ConfigFollower, FleetFollower},
     crate::config::ConfigKeeper,
     jasmine_core::{clock::Millis, ids::VmId},
-    jasmine_platform::vms::{ListedVm, VmList},
+    jasmine_store::vms::{ListedVm, VmList},
     rand::seq::IndexedRandom,
     std::{
         net::{IpAddr, SocketAddr},
--- a/crates/controller/src/follow/config_follower.rs
+++ b/crates/controller/src/follow/config_follower.rs
@@ -6,7 +6,7 @@
     },
     jasmine_conf::store_layout::edit_key,
     jasmine_core::{clock::Millis, ids::VmId},
-    jasmine_platform::store::{Range, WatchEvent},
+    jasmine_store::store::{Range, WatchEvent},
     jasmine_telemetry::log::Line,
     jasmine_wire::link::Backoff,
     rand::seq::IndexedRandom,
--- a/crates/controller/src/follow/fleet_follower.rs
+++ b/crates/controller/src/follow/fleet_follower.rs
@@ -6,7 +6,7 @@
         ids::{Epoch, VmId},
         membership::EPOCH_KEY,
     },
-    jasmine_platform::store::{Range, StoreError},
+    jasmine_store::store::{Range, StoreError},
     jasmine_telemetry::log::Line,
     jasmine_wire::link::Backoff,
     rand::seq::IndexedRandom,
--- a/crates/controller/src/follow/store_watch.rs
+++ b/crates/controller/src/follow/store_watch.rs
@@ -1,7 +1,7 @@
 use {
     futures::StreamExt,
     jasmine_core::clock::Millis,
-    jasmine_platform::store::{Range, Store, StoreError, WatchBatch, WatchEvent},
+    jasmine_store::store::{Range, Store, StoreError, WatchBatch, WatchEvent},
     std::rc::Rc,
     tokio::time::{Instant, timeout_at},
 };
--- a/crates/controller/src/ownership/assignment.rs
+++ b/crates/controller/src/ownership/assignment.rs
@@ -12,7 +12,7 @@
         ids::{Fence, Role, UpstreamId, VmId},
         ownership::{Candidate, OwnerEvent, assign},
     },
-    jasmine_platform::store::{Compare, LeaseId, Op, Range, StoreError, Txn, TxnReply, WatchEvent},
+    jasmine_store::store::{Compare, LeaseId, Op, Range, StoreError, Txn, TxnReply, WatchEvent},
     jasmine_telemetry::log::Line,
     std::{
         cell::RefCell,
--- a/crates/controller/src/session/lease_clock.rs
+++ b/crates/controller/src/session/lease_clock.rs
@@ -1,6 +1,6 @@
 use {
     jasmine_core::clock::Millis,
-    jasmine_platform::store::{Lease, LeaseId},
+    jasmine_store::store::{Lease, LeaseId},
     std::cell::Cell,
 };
 
--- a/crates/controller/src/session/lease_session.rs
+++ b/crates/controller/src/session/lease_session.rs
@@ -2,7 +2,7 @@
     super::LeaseClock,
     crate::clock::{OwnClock, Signal},
     jasmine_core::clock::Millis,
-    jasmine_platform::store::{LeaseId, Store, StoreError},
+    jasmine_store::store::{LeaseId, Store, StoreError},
     jasmine_telemetry::log::Line,
     jasmine_wire::link::Backoff,
     std::{cell::Cell, rc::Rc},
--- a/crates/controller/src/shared/parts.rs
+++ b/crates/controller/src/shared/parts.rs
@@ -3,7 +3,7 @@
         clock::OwnClock, config::ConfigKeeper, fleet::FleetMirror, follow::Duty, peers::PeerLinks,
     },
     jasmine_core::ids::Holder,
-    jasmine_platform::{etcd::Reach, store::Store},
+    jasmine_store::{etcd::Reach, store::Store},
     std::{cell::RefCell, rc::Rc, time::Duration},
     tokio::time::sleep,
 };
--- a/crates/controller/src/status/store_metrics.rs
+++ b/crates/controller/src/status/store_metrics.rs
@@ -1,5 +1,5 @@
 use {
-    jasmine_platform::etcd::{CallCounts, CallKind},
+    jasmine_store::etcd::{CallCounts, CallKind},
     opentelemetry::{KeyValue, metrics::Meter},
 };
 
--- a/crates/controller/src/store_keys/mod.rs
+++ b/crates/controller/src/store_keys/mod.rs
@@ -5,7 +5,7 @@
         ids::{UpstreamId, VmId},
         membership::EPOCH_KEY,
     },
-    jasmine_platform::store::Range,
+    jasmine_store::store::Range,
 };
 
 /// Everything of the configuration.
--- a/crates/controller/tests/edit_in_doubt.rs
+++ b/crates/controller/tests/edit_in_doubt.rs
@@ -7,7 +7,7 @@
         config::{ConfigKeeper, ConfigStore, EditDesk, EditRefusal},
     },
     jasmine_core::{clock::Millis, error::ErrorKind, ids::Revision},
-    jasmine_platform::store::{
+    jasmine_store::store::{
         Lease, LeaseId, Range, RangeReply, Store, StoreError, StoreFuture, Txn, TxnReply,
         WatchStream,
     },
--- a/crates/controller/tests/epoch_write.rs
+++ b/crates/controller/tests/epoch_write.rs
@@ -7,7 +7,7 @@
         ids::{Epoch, Holder, Incarnation, Role, VmId},
         membership::{EPOCH_KEY, EpochRecord, StoreView, Versioned},
     },
-    jasmine_platform::{
+    jasmine_store::{
         etcd::{EtcdOptions, EtcdStore},
         store::{Compare, Op, Store, Txn},
     },
@@ -81,7 +81,7 @@
 
     let gone = Txn {
         compare: vec![Compare::Exists(EPOCH_KEY.into())],
-        success: vec![Op::Delete(jasmine_platform::store::Range::key(
+        success: vec![Op::Delete(jasmine_store::store::Range::key(
             store_keys::member(VmId(2)),
         ))],
         failure: Vec::new(),
--- a/crates/controller/tests/racing_owners.rs
+++ b/crates/controller/tests/racing_owners.rs
@@ -9,7 +9,7 @@
     },
     jasmine_controller::daemon::ControllerContext,
     jasmine_core::ids::{Revision, UpstreamId},
-    jasmine_platform::store::LeaseId,
+    jasmine_store::store::LeaseId,
     jasmine_testkit::{
         engine::{self, EngineSettings},
         harness::poll,
--- a/crates/platform/tests/any_bytes.rs
+++ b/crates/store/tests/any_bytes.rs
@@ -2,7 +2,7 @@
 
 use {
     bolero::check,
-    jasmine_platform::etcd::{JsonLines, decode_watch},
+    jasmine_store::etcd::{JsonLines, decode_watch},
 };
 
 #[test]
--- a/crates/platform/tests/lost_reply.rs
+++ b/crates/store/tests/lost_reply.rs
@@ -3,7 +3,7 @@
 use {
     futures::StreamExt,
     jasmine_core::clock::Millis,
-    jasmine_platform::{
+    jasmine_store::{
         etcd::{EtcdOptions, EtcdStore},
         store::{Compare, Op, Range, Store, StoreError, Txn, WatchEvent},
     },
--- a/crates/platform/tests/silent_connections.rs
+++ b/crates/store/tests/silent_connections.rs
@@ -3,7 +3,7 @@
 use {
     futures::future::join_all,
     jasmine_core::clock::Millis,
-    jasmine_platform::{
+    jasmine_store::{
         etcd::{EtcdOptions, EtcdStore},
         store::{Range, Store},
     },
