--- a/crates/conf/src/settings/listen.rs
+++ b/crates/conf/src/settings/listen.rs
@@ -37,3 +37,18 @@
     /// The address that other daemons connect to; the bound one when absent.
     pub peers: Option<SocketAddr>,
 }
+
+/// Where an entry daemon listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntryListen {
+    /// Callers' HTTP.
+    pub callers: SocketAddr,
+    /// Readiness, for the balancer.
+    pub readiness: SocketAddr,
+    /// Other daemons.
+    pub peers: SocketAddr,
+    /// Metrics.
+    pub metrics: SocketAddr,
+}
--- a/crates/conf/src/settings/mod.rs
+++ b/crates/conf/src/settings/mod.rs
@@ -5,6 +5,7 @@
 //! Unknown keys are refused: a misspelt key would otherwise leave its default in force unnoticed.
 
 mod controller_settings;
+mod entry_settings;
 mod gateway_settings;
 mod limits;
 mod listen;
@@ -13,18 +14,21 @@
 mod platform_settings;
 mod range;
 mod read;
+mod repeat_budget;
 mod settings_error;
 mod stop;
 
 pub use {
     controller_settings::ControllerSettings,
+    entry_settings::EntrySettings,
     gateway_settings::GatewaySettings,
     limits::Limits,
-    listen::{Advertise, ControllerListen, GatewayListen},
+    listen::{Advertise, ControllerListen, EntryListen, GatewayListen},
     log_settings::{LogLevel, LogSettings},
     operators_settings::{OperatorsSettings, TokenDigest},
     platform_settings::PlatformSettings,
     read::{Checked, check_settings, parse_settings, read_settings},
+    repeat_budget::RepeatBudget,
     settings_error::{Problem, SettingsError},
     stop::Stop,
 };
--- a/crates/core/src/ownership/decayed.rs
+++ b/crates/core/src/decayed.rs
@@ -1,15 +1,17 @@
+//! Sums in which what lies back counts less.
+
 use crate::clock::Millis;
 
 /// A sum in which what lies back counts less.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub(super) struct Decayed {
+pub(crate) struct Decayed {
     value: f64,
     at: Millis,
 }
 
 impl Decayed {
     /// Adds `amount` at `now`.
-    pub(super) fn add(
+    pub(crate) fn add(
         &mut self,
         amount: f64,
         now: Millis,
@@ -20,7 +22,7 @@
     }
 
     /// The sum as it counts at `now`.
-    pub(super) fn get(
+    pub(crate) fn get(
         &self,
         now: Millis,
         half_life: Millis,
--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -19,6 +19,7 @@
 //! of one and the tail of the other.
 
 mod action;
+mod attempts;
 mod event;
 mod machine;
 mod part;
@@ -29,6 +30,7 @@
 
 pub use {
     action::{ForwardAction, RouteCause},
+    attempts::{AttemptEnd, Attempts},
     event::{ForwardEvent, Head},
     machine::ForwardMachine,
     part::{Part, PartKind},
--- /dev/null
+++ b/crates/core/src/ingress/mod.rs
@@ -0,0 +1,28 @@
+//! What an entry VM serves: routes to services, client accounts with their keys, and the upstreams.
+//!
+//! These are plain values. They are filled from what the platform says and read by the entry daemon and
+//! the scheduler; nothing here waits, calls or remembers.
+
+mod account;
+mod call_kind;
+mod caller_limits;
+mod config;
+mod held_model;
+mod prompt;
+mod route;
+mod route_table;
+mod service_spec;
+mod upstream_entry;
+
+pub use {
+    account::{AccountSpec, RateUnit},
+    call_kind::CallKind,
+    caller_limits::CallerLimits,
+    config::IngressConfig,
+    held_model::{EngineHoldings, HeldAdapter, HeldModel},
+    prompt::{PromptPart, PromptSize},
+    route::{IngressRoute, WeightedService},
+    route_table::RouteTable,
+    service_spec::{EngineSpec, ModelSpec, ServiceSpec},
+    upstream_entry::{UpstreamEntry, UpstreamState},
+};
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,12 +6,15 @@
 //! runs in production.
 
 pub mod clock;
+mod decayed;
 pub mod error;
 pub mod forward;
 pub mod ids;
+pub mod ingress;
 pub mod membership;
 pub mod ownership;
 pub mod placement;
 pub mod queue;
 pub mod rights;
 pub mod routing;
+pub mod scheduler;
--- a/crates/core/src/ownership/account_waits.rs
+++ b/crates/core/src/ownership/account_waits.rs
@@ -1,6 +1,5 @@
 use {
-    super::decayed::Decayed,
-    crate::{clock::Millis, ids::AccountId},
+    crate::{clock::Millis, decayed::Decayed, ids::AccountId},
     std::collections::BTreeMap,
 };
 
--- a/crates/core/src/ownership/mod.rs
+++ b/crates/core/src/ownership/mod.rs
@@ -15,7 +15,6 @@
 mod account_waits;
 mod action;
 mod assign;
-mod decayed;
 mod engine_copy;
 mod event;
 mod evidence;
--- a/crates/core/src/ownership/owned_engine.rs
+++ b/crates/core/src/ownership/owned_engine.rs
@@ -1,6 +1,5 @@
 use {
     super::{
-        decayed::Decayed,
         engine_copy::{CopyState, EngineCopy},
         event::{Ask, Ownership},
         settings::OwnerSettings,
@@ -8,6 +7,7 @@
     },
     crate::{
         clock::Millis,
+        decayed::Decayed,
         ids::{AccountId, AdapterVersion, Fence, Holder, UpstreamId, VmId},
         placement::Instance,
     },
--- /dev/null
+++ b/crates/core/src/scheduler/choose.rs
@@ -0,0 +1,367 @@
+//! Where a request would get its first token first.
+
+use {
+    super::{
+        Generation, Job, LoadSettings, SchedulerSettings,
+        engine::Engine,
+        fleet::{Fleet, Load},
+        place::DEMAND_HALF_LIFE,
+        upstream::Upstream,
+        version_book::VersionBook,
+    },
+    crate::{
+        clock::Millis,
+        ids::{AdapterId, AdapterVersion, ModelId, UpstreamId},
+        placement::rendezvous,
+    },
+    std::collections::HashMap,
+};
+
+/// What a request that leaves its data centre counts as, in milliseconds. Bytes between data centres are
+/// dear to the users: a prompt and its answer cost about a hundredth of what the answer is worth.
+const ELSEWHERE_MS: f64 = 15.0;
+/// What a share of failed requests counts as, in milliseconds: a request that fails is lost or waits for a
+/// whole further attempt.
+const FAILING_MS: f64 = 1_500.0;
+/// What a load from the adapter store counts as beyond its time: it delays the loads of others.
+const COLD_LOAD_MS: f64 = 60.0;
+/// What a load that the engine still has at hand counts as beyond its time.
+const WARM_LOAD_MS: f64 = 10.0;
+/// What one recent use of the adapter that would have to go counts as; it will be loaded again.
+const EVICTION_MS: f64 = 8.0;
+/// The most that counts as.
+const MOST_EVICTION_MS: f64 = 150.0;
+/// Each request that runs on an engine makes its steps longer, in milliseconds until a first token.
+const RUNNING_MS: f64 = 0.4;
+/// Among engines that are alike, each adapter prefers another one, so that what engines hold at hand differs.
+const AFFINITY_MS: f64 = 12.0;
+/// An order and its answer take about this long.
+const ORDER_MS: f64 = 3.0;
+
+/// What is to be loaded where.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct LoadPlan {
+    pub upstream: UpstreamId,
+    pub model: ModelId,
+    pub adapter: AdapterVersion,
+    /// The adapter that has to go first.
+    pub evict: Option<AdapterVersion>,
+}
+
+/// What is best for a request now.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Choice {
+    /// Send it there; none: let it wait.
+    pub send: Option<(UpstreamId, Option<AdapterVersion>)>,
+    /// Load its adapter.
+    pub load: Option<LoadPlan>,
+}
+
+/// What a choice depends on beside the request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct View<'a> {
+    pub fleet: &'a Fleet,
+    pub versions: &'a VersionBook,
+    pub settings: &'a SchedulerSettings,
+    /// Waiting requests by adapter: what they want isn't evicted.
+    pub wanted: &'a HashMap<AdapterId, u32>,
+    /// Whether engines may be given orders.
+    pub may_order: bool,
+    pub now: Millis,
+}
+
+/// How an engine could serve a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Way {
+    /// At once.
+    Send(Option<AdapterVersion>),
+    /// Later: it is full, or the adapter is on its way or takes an order that can't be given yet.
+    Wait,
+    /// After a load.
+    Load {
+        adapter: AdapterVersion,
+        evict: Option<AdapterVersion>,
+    },
+}
+
+impl View<'_> {
+    /// Decides about a request that is next in its account's line.
+    pub(super) fn choose(
+        &self,
+        job: &Job,
+    ) -> Choice {
+        match job.generation() {
+            None => self.choose_call(job),
+            Some(generation) => self.choose_engine(job, generation),
+        }
+    }
+
+    /// How much work the request would be for an engine.
+    pub(super) fn load_on(
+        &self,
+        job: &Job,
+        engine: &Engine,
+    ) -> Load {
+        let Some(generation) = job.generation() else {
+            return Load::default();
+        };
+        let cached = engine
+            .prefixes
+            .cached(generation.adapter, &generation.parts, self.now);
+        let size = generation.size;
+        Load {
+            unread: f64::from(size.prompt.saturating_sub(cached.min(size.prompt))),
+            total: size.total(),
+        }
+    }
+
+    fn choose_call(
+        &self,
+        job: &Job,
+    ) -> Choice {
+        let cost = |up: &&Upstream| up.call_time(self.now) + self.penalty(job, up);
+        let best = self
+            .candidates(job)
+            .into_iter()
+            .filter(|up| up.has_free_slot())
+            .min_by(|a, b| cost(a).total_cmp(&cost(b)));
+        Choice {
+            send: best.map(|up| (up.id, None)),
+            load: None,
+        }
+    }
+
+    fn choose_engine(
+        &self,
+        job: &Job,
+        generation: &Generation,
+    ) -> Choice {
+        let mut best: Option<(f64, UpstreamId, Way)> = None;
+        let mut stale: Option<(f64, UpstreamId, AdapterVersion)> = None;
+        for up in self.candidates(job) {
+            let Some(engine) = &up.engine else { continue };
+            if !engine.models.contains(&generation.model) {
+                continue;
+            }
+            let base = self.base_cost(job, up, engine);
+            if let Some((cost, way)) = self.way(job, generation, up, engine, base)
+                && best.is_none_or(|(least, ..)| cost < least)
+            {
+                best = Some((cost, up.id, way));
+            }
+            if let Some(old) = self.usable_old(generation, engine)
+                && self.can_take(job, up, engine)
+                && stale.is_none_or(|(least, ..)| base < least)
+            {
+                stale = Some((base, up.id, old));
+            }
+        }
+        let Some((_, upstream, way)) = best else {
+            return Choice {
+                send: stale.map(|(_, upstream, old)| (upstream, Some(old))),
+                load: None,
+            };
+        };
+        let load = |adapter, evict| LoadPlan {
+            upstream,
+            model: generation.model,
+            adapter,
+            evict,
+        };
+        match way {
+            Way::Send(adapter) => Choice {
+                send: Some((upstream, adapter)),
+                load: None,
+            },
+            Way::Wait => Choice {
+                send: stale.map(|(_, upstream, old)| (upstream, Some(old))),
+                load: None,
+            },
+            Way::Load { adapter, evict } => Choice {
+                send: stale.map(|(_, upstream, old)| (upstream, Some(old))),
+                load: Some(load(adapter, evict)),
+            },
+        }
+    }
+
+    /// Ready upstreams, without those that failed this request or that can't be reached, as long as there are others.
+    fn candidates(
+        &self,
+        job: &Job,
+    ) -> Vec<&Upstream> {
+        let ready: Vec<&Upstream> = self.fleet.ready(job.service).collect();
+        let is_fresh = |up: &&&Upstream| !job.avoid.contains(&up.id);
+        let is_open = |up: &&&Upstream| up.health.is_open(self.now);
+        let best: Vec<&Upstream> = ready
+            .iter()
+            .filter(is_fresh)
+            .filter(is_open)
+            .copied()
+            .collect();
+        if !best.is_empty() {
+            return best;
+        }
+        let open: Vec<&Upstream> = ready.iter().filter(is_open).copied().collect();
+        if open.is_empty() { ready } else { open }
+    }
+
+    /// What counts against an upstream whatever the request is, in milliseconds.
+    fn penalty(
+        &self,
+        job: &Job,
+        up: &Upstream,
+    ) -> f64 {
+        let is_elsewhere = job.data_centre.is_some() && job.data_centre != up.data_centre;
+        let way = if is_elsewhere { ELSEWHERE_MS } else { 0.0 };
+        way + up.health.failing(self.now) * FAILING_MS
+    }
+
+    /// The time to the first token if the adapter were there.
+    fn base_cost(
+        &self,
+        job: &Job,
+        up: &Upstream,
+        engine: &Engine,
+    ) -> f64 {
+        let unread = self.load_on(job, engine).unread;
+        engine.backlog.wait(self.now)
+            + engine.backlog.time_for(unread)
+            + f64::from(up.running) * RUNNING_MS
+            + self.penalty(job, up)
+    }
+
+    fn way(
+        &self,
+        job: &Job,
+        generation: &Generation,
+        up: &Upstream,
+        engine: &Engine,
+        base: f64,
+    ) -> Option<(f64, Way)> {
+        let Some(adapter) = generation.adapter else {
+            let way = if self.can_take(job, up, engine) {
+                Way::Send(None)
+            } else {
+                Way::Wait
+            };
+            return Some((base, way));
+        };
+        let wanted = self.versions.wanted(adapter);
+        if let Some(wait) = engine.place(wanted).and_then(|place| place.wait(self.now)) {
+            let extra = (wait.0 as f64 - engine.backlog.wait(self.now)).max(0.0);
+            let way = if wait == Millis::ZERO && self.can_take(job, up, engine) {
+                Way::Send(Some(wanted))
+            } else {
+                Way::Wait
+            };
+            return Some((base + extra, way));
+        }
+        self.load_way(generation, up, engine, wanted, base)
+    }
+
+    /// The cost if the adapter were loaded here now.
+    fn load_way(
+        &self,
+        generation: &Generation,
+        up: &Upstream,
+        engine: &Engine,
+        wanted: AdapterVersion,
+        base: f64,
+    ) -> Option<(f64, Way)> {
+        if !self.may_order || engine.coming(self.now) >= self.settings.loads.per_engine {
+            return None;
+        }
+        let (evict, eviction_cost) = self.room_for(generation.model, engine, wanted)?;
+        let is_warm = engine.keeps_warm(wanted);
+        let takes = self.load_time(is_warm) + ORDER_MS;
+        let extra = (takes - engine.backlog.wait(self.now)).max(0.0);
+        let price = if is_warm { WARM_LOAD_MS } else { COLD_LOAD_MS };
+        let affinity = rendezvous(u64::from(wanted.adapter.0), u64::from(up.id.0), 1);
+        let distance = AFFINITY_MS / (1.0 + affinity);
+        let cost = base + extra + price + eviction_cost + distance;
+        let way = if engine.takes_orders() && engine.reserved.is_none() {
+            Way::Load {
+                adapter: wanted,
+                evict,
+            }
+        } else {
+            Way::Wait
+        };
+        Some((cost, way))
+    }
+
+    /// How long a load takes if it begins now, in milliseconds.
+    fn load_time(
+        &self,
+        is_warm: bool,
+    ) -> f64 {
+        let LoadSettings {
+            cold,
+            warm,
+            at_once,
+            ..
+        } = self.settings.loads;
+        if is_warm {
+            return warm.0 as f64;
+        }
+        let crowd = (self.fleet.coming_cold(self.now) + 1) as f64 / f64::from(at_once.max(1));
+        cold.0 as f64 * crowd.max(1.0)
+    }
+
+    /// The adapter that would have to go, if one has to, and what that counts as; none where no place can be had.
+    fn room_for(
+        &self,
+        model: ModelId,
+        engine: &Engine,
+        wanted: AdapterVersion,
+    ) -> Option<(Option<AdapterVersion>, f64)> {
+        // An older version of the same adapter is replaced in its place, once its runs have ended.
+        if let Some(old) = engine.place_of(wanted.adapter) {
+            return (old.users == 0).then_some((None, 0.0));
+        }
+        if engine.has_free_place(model) {
+            return Some((None, 0.0));
+        }
+        let value = |place: &super::place::Place| {
+            let is_old = self.versions.wanted(place.adapter.adapter) != place.adapter;
+            let uses = place.demand.get(self.now, DEMAND_HALF_LIFE);
+            if is_old { 0.0 } else { uses * EVICTION_MS }
+        };
+        engine
+            .places
+            .iter()
+            .filter(|place| place.users == 0 && place.is_present(self.now))
+            .filter(|place| !self.wanted.contains_key(&place.adapter.adapter))
+            .map(|place| (value(place), place.adapter))
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(cost, adapter)| (Some(adapter), cost.min(MOST_EVICTION_MS)))
+    }
+
+    /// An older version of the adapter that may still be used while the newer one is being loaded.
+    fn usable_old(
+        &self,
+        generation: &Generation,
+        engine: &Engine,
+    ) -> Option<AdapterVersion> {
+        let adapter = generation.adapter?;
+        let grace = self.settings.version_grace;
+        let wanted = self.versions.wanted(adapter);
+        let place = engine.place_of(adapter)?;
+        let is_usable = place.adapter != wanted
+            && place.is_present(self.now)
+            && self.versions.in_grace(adapter, grace, self.now);
+        is_usable.then_some(place.adapter)
+    }
+
+    fn can_take(
+        &self,
+        job: &Job,
+        up: &Upstream,
+        engine: &Engine,
+    ) -> bool {
+        let total = self.load_on(job, engine).total;
+        let waits = engine.backlog.wait(self.now) < self.settings.engine_backlog.0 as f64;
+        (waits || engine.backlog.is_empty())
+            && engine.has_room(up.running, total, self.settings.memory_percent)
+    }
+}
--- /dev/null
+++ b/crates/core/src/scheduler/fleet.rs
@@ -0,0 +1,217 @@
+use {
+    super::{
+        EngineFacts, EngineLimits, LoadSettings, Outcome, UpstreamFacts, engine::Engine,
+        upstream::Upstream,
+    },
+    crate::{
+        clock::Millis,
+        ids::{AdapterVersion, RequestId, ServiceId, UpstreamId},
+    },
+    std::collections::{BTreeMap, HashMap},
+};
+
+/// All upstreams, with what the scheduler knows of them.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Fleet {
+    pub upstreams: BTreeMap<UpstreamId, Upstream>,
+    /// What the engines of a service can hold; a service without an entry is a plain one.
+    engines: HashMap<ServiceId, EngineLimits>,
+}
+
+impl Fleet {
+    /// Sets which services have engines, and what these can hold.
+    pub(super) fn set_engines(
+        &mut self,
+        engines: HashMap<ServiceId, EngineLimits>,
+    ) {
+        self.engines = engines;
+        for upstream in self.upstreams.values_mut() {
+            let limits = self.engines.get(&upstream.service);
+            match (limits, &mut upstream.engine) {
+                (Some(limits), Some(engine)) => engine.limits = limits.clone(),
+                (Some(limits), None) => upstream.engine = Some(Engine::new(limits.clone())),
+                (None, _) => upstream.engine = None,
+            }
+        }
+    }
+
+    /// Takes what an upstream's entry says. `is_sole_orderer` says that nobody else gives orders: then
+    /// what the book has of an engine is newer than its entry, unless the entry has seen more orders.
+    pub(super) fn set(
+        &mut self,
+        id: UpstreamId,
+        facts: &UpstreamFacts,
+        is_sole_orderer: bool,
+        load: &LoadSettings,
+        now: Millis,
+    ) {
+        let limits = self.engines.get(&facts.service);
+        let upstream = self.upstreams.entry(id).or_insert_with(|| {
+            let engine = limits.map(|limits| Engine::new(limits.clone()));
+            Upstream::new(id, facts, engine, now)
+        });
+        upstream.update(facts, now);
+        let (Some(engine), Some(said)) = (&mut upstream.engine, &facts.engine) else {
+            return;
+        };
+        if !is_sole_orderer || !matches!(engine.knowledge, super::engine::Knowledge::Sure) {
+            engine.adopt(said, load, now);
+        } else if said.seq > engine.seq && !engine.has_order {
+            engine.doubt(now);
+        } else {
+            engine.models.clone_from(&said.models);
+            if engine
+                .loading
+                .is_some_and(|model| said.models.contains(&model))
+            {
+                engine.loading = None;
+            }
+        }
+    }
+
+    /// Takes an engine's own report.
+    pub(super) fn report(
+        &mut self,
+        id: UpstreamId,
+        facts: &EngineFacts,
+        load: &LoadSettings,
+        now: Millis,
+    ) {
+        let Some(engine) = self.engine_mut(id) else {
+            return;
+        };
+        // A report older than an order that was accepted since would undo it in the book.
+        if facts.seq < engine.seq || engine.has_order {
+            engine.doubt(now);
+            return;
+        }
+        engine.adopt(facts, load, now);
+        engine.trust();
+        if facts.is_busy && engine.loading.is_none() {
+            engine.loading = engine.limits.models.first().map(|&(model, ..)| model);
+        }
+    }
+
+    /// Forgets an upstream that is gone.
+    pub(super) fn remove(
+        &mut self,
+        id: UpstreamId,
+    ) {
+        self.upstreams.remove(&id);
+    }
+
+    pub(super) fn engine_mut(
+        &mut self,
+        id: UpstreamId,
+    ) -> Option<&mut Engine> {
+        self.upstreams
+            .get_mut(&id)
+            .and_then(|upstream| upstream.engine.as_mut())
+    }
+
+    /// Engines, with their ids.
+    pub(super) fn engines_mut(&mut self) -> impl Iterator<Item = (UpstreamId, &mut Engine)> {
+        self.upstreams
+            .values_mut()
+            .filter_map(|upstream| Some((upstream.id, upstream.engine.as_mut()?)))
+    }
+
+    /// Upstreams of a service that take new work.
+    pub(super) fn ready(
+        &self,
+        service: ServiceId,
+    ) -> impl Iterator<Item = &Upstream> {
+        self.upstreams
+            .values()
+            .filter(move |upstream| upstream.service == service && upstream.is_ready)
+    }
+
+    /// Adapters on their way from the adapter store, over all engines.
+    pub(super) fn coming_cold(
+        &self,
+        now: Millis,
+    ) -> usize {
+        let engines = self.upstreams.values().filter_map(|up| up.engine.as_ref());
+        engines.map(|engine| engine.coming_cold(now)).sum()
+    }
+
+    /// Notes that a request was assigned.
+    pub(super) fn assign(
+        &mut self,
+        id: UpstreamId,
+        request: RequestId,
+        adapter: Option<AdapterVersion>,
+        tokens: Load,
+        now: Millis,
+    ) {
+        let Some(upstream) = self.upstreams.get_mut(&id) else {
+            return;
+        };
+        upstream.running += 1;
+        if let Some(engine) = &mut upstream.engine {
+            engine.kv_used += tokens.total;
+            engine.backlog.push(request, tokens.unread, now);
+            if let Some(adapter) = adapter {
+                engine.use_place(adapter, now);
+            }
+        }
+    }
+
+    /// Notes that an assigned request has ended, or will never begin.
+    pub(super) fn release(
+        &mut self,
+        id: UpstreamId,
+        request: RequestId,
+        adapter: Option<AdapterVersion>,
+        total: u64,
+        now: Millis,
+    ) {
+        let Some(upstream) = self.upstreams.get_mut(&id) else {
+            return;
+        };
+        upstream.running = upstream.running.saturating_sub(1);
+        if let Some(engine) = &mut upstream.engine {
+            engine.kv_used = engine.kv_used.saturating_sub(total);
+            engine.backlog.remove(request, now);
+            if let Some(adapter) = adapter {
+                engine.leave_place(adapter);
+            }
+        }
+    }
+
+    /// Learns from how a request ended.
+    pub(super) fn learn(
+        &mut self,
+        id: UpstreamId,
+        adapter: Option<AdapterVersion>,
+        outcome: Outcome,
+        now: Millis,
+    ) {
+        let Some(upstream) = self.upstreams.get_mut(&id) else {
+            return;
+        };
+        match outcome {
+            Outcome::Answered { took } => {
+                upstream.health.answered(now);
+                upstream.note_call(took);
+            }
+            // A load that isn't over yet is answered like a full engine.
+            Outcome::Shed if upstream.is_loading(adapter) => upstream.note_late(adapter, now),
+            Outcome::Failed | Outcome::Shed | Outcome::Lost => upstream.health.failed(now),
+            Outcome::Unreachable | Outcome::Silent => upstream.health.missed(now),
+            // Its entry will go or change; until then it is not the upstream that was meant.
+            Outcome::OtherUpstream => upstream.is_ready = false,
+            Outcome::Abandoned => {}
+            Outcome::NotLoaded => upstream.note_late(adapter, now),
+        }
+    }
+}
+
+/// How much work a request is for an engine.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Load {
+    /// Tokens of its prompt that have to be read.
+    pub unread: f64,
+    /// Tokens that it takes up in the end.
+    pub total: u64,
+}
--- /dev/null
+++ b/crates/core/src/scheduler/loads.rs
@@ -0,0 +1,259 @@
+//! Orders that put a load plan into effect, and loads of base models.
+
+use {
+    super::{
+        LoadSettings, Order, OrderEnd, SchedulerAction,
+        choose::LoadPlan,
+        engine::Engine,
+        fleet::Fleet,
+        place::{Place, PlaceState},
+        version_book::VersionBook,
+    },
+    crate::{
+        clock::Millis,
+        ids::{ModelId, UpstreamId},
+    },
+    std::collections::VecDeque,
+};
+
+/// The time over which loads of base models are counted.
+const WINDOW: Millis = Millis::from_secs(5);
+/// The part of the allowed rate of such loads that is used, in percent; loads begin somewhat after their orders.
+const USED_PERCENT: f64 = 90.0;
+
+/// Loads of base models that were ordered lately.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ModelLoads {
+    ordered: VecDeque<Millis>,
+}
+
+impl ModelLoads {
+    /// Orders a base model on engines that hold none, as fast as the weight store allows.
+    ///
+    /// An engine restarts empty, and nobody else fills it: without this it stays idle for good.
+    pub(super) fn plan(
+        &mut self,
+        fleet: &mut Fleet,
+        now: Millis,
+    ) -> Vec<SchedulerAction> {
+        while self
+            .ordered
+            .front()
+            .is_some_and(|&at| now.since(at) >= WINDOW)
+        {
+            self.ordered.pop_front();
+        }
+        let ready: Vec<UpstreamId> = fleet
+            .upstreams
+            .values()
+            .filter(|up| up.is_ready)
+            .map(|up| up.id)
+            .collect();
+        let mut actions = Vec::new();
+        for (upstream, engine) in fleet.engines_mut() {
+            let allowed = engine.limits.loads_per_s * WINDOW.as_secs_f64() * USED_PERCENT / 100.0;
+            if ready.contains(&upstream)
+                && engine.models.is_empty()
+                && engine.loading.is_none()
+                && engine.takes_orders()
+                && ((self.ordered.len() + 1) as f64) <= allowed.max(1.0)
+                && let Some(&(model, ..)) = engine.limits.models.first()
+            {
+                self.ordered.push_back(now);
+                actions.push(order_model(upstream, engine, model));
+            }
+        }
+        actions
+    }
+}
+
+fn order_model(
+    upstream: UpstreamId,
+    engine: &mut Engine,
+    model: ModelId,
+) -> SchedulerAction {
+    engine.has_order = true;
+    engine.loading = Some(model);
+    SchedulerAction::Order {
+        upstream,
+        order: Order::LoadModel(model),
+        after_seq: engine.seq,
+    }
+}
+
+/// Begins a load: with an order to drop another adapter where one has to go.
+pub(super) fn begin(
+    fleet: &mut Fleet,
+    versions: &VersionBook,
+    plan: &LoadPlan,
+    load: &LoadSettings,
+    now: Millis,
+) -> Option<SchedulerAction> {
+    let load_time = cold_time(fleet, load, now);
+    let engine = fleet.engine_mut(plan.upstream)?;
+    if !engine.takes_orders() {
+        return None;
+    }
+    engine.has_order = true;
+    let after_seq = engine.seq;
+    let order = match plan.evict {
+        Some(evicted) => {
+            engine.reserved = Some((plan.model, plan.adapter));
+            let place = engine.place_mut(evicted)?;
+            place.state = PlaceState::Going;
+            Order::Unload {
+                model: place.model,
+                adapter: evicted,
+            }
+        }
+        None => load_order(engine, versions, plan, load, load_time, now),
+    };
+    Some(SchedulerAction::Order {
+        upstream: plan.upstream,
+        order,
+        after_seq,
+    })
+}
+
+fn load_order(
+    engine: &mut Engine,
+    versions: &VersionBook,
+    plan: &LoadPlan,
+    load: &LoadSettings,
+    cold: Millis,
+    now: Millis,
+) -> Order {
+    let is_cold = !engine.keeps_warm(plan.adapter);
+    let takes = if is_cold { cold } else { load.warm };
+    let state = PlaceState::Coming {
+        ready_at: now + takes,
+        is_cold,
+    };
+    engine
+        .places
+        .retain(|place| place.adapter.adapter != plan.adapter.adapter);
+    engine
+        .places
+        .push(Place::new(plan.model, plan.adapter, state));
+    Order::Load {
+        model: plan.model,
+        adapter: plan.adapter,
+        announced: versions.announced_version(plan.adapter.adapter).is_some(),
+    }
+}
+
+/// Takes the answer to an order; where a place was made free, the load that it was made for follows.
+pub(super) fn order_ended(
+    fleet: &mut Fleet,
+    versions: &VersionBook,
+    upstream: UpstreamId,
+    order: Order,
+    end: OrderEnd,
+    load: &LoadSettings,
+    now: Millis,
+) -> Option<SchedulerAction> {
+    let cold = cold_time(fleet, load, now);
+    let engine = fleet.engine_mut(upstream)?;
+    engine.has_order = false;
+    let reserved = engine.reserved.take();
+    match (order, end) {
+        (Order::Load { adapter, .. }, OrderEnd::Accepted) => {
+            engine.seq += 1;
+            let takes = if engine.keeps_warm(adapter) {
+                load.warm
+            } else {
+                cold
+            };
+            if let Some(place) = engine.place_mut(adapter)
+                && let PlaceState::Coming { is_cold, .. } = place.state
+            {
+                let ready_at = now + takes;
+                place.state = PlaceState::Coming { ready_at, is_cold };
+            }
+        }
+        (Order::Load { adapter, .. }, OrderEnd::Holds) => engine.note_ready(adapter),
+        (Order::Unload { adapter, .. }, OrderEnd::Holds) => {
+            engine.seq += 1;
+            engine.drop_place(adapter, load.kept_warm);
+            return follow(engine, versions, upstream, reserved, load, cold, now);
+        }
+        // It is used after all, by a request that this scheduler doesn't know: it keeps its place.
+        (Order::Unload { .. }, OrderEnd::Accepted) => {
+            engine.seq += 1;
+            engine.doubt(now);
+        }
+        (Order::LoadModel(_), OrderEnd::Accepted) => engine.seq += 1,
+        (Order::LoadModel(model), OrderEnd::Holds) => {
+            engine.loading = None;
+            engine.models.push(model);
+        }
+        (_, OrderEnd::OtherUpstream) => {
+            if let Some(up) = fleet.upstreams.get_mut(&upstream) {
+                up.is_ready = false;
+            }
+        }
+        (order, OrderEnd::Unsent) => undo(engine, order),
+        // What the engine holds now is not known: it may have been carried out, or may still be.
+        (Order::LoadModel(_), _) => {
+            engine.loading = None;
+            engine.doubt(now);
+        }
+        (_, _) => engine.doubt(now),
+    }
+    None
+}
+
+/// An order that never left has changed nothing.
+fn undo(
+    engine: &mut Engine,
+    order: Order,
+) {
+    match order {
+        Order::Load { adapter, .. } => engine.places.retain(|place| place.adapter != adapter),
+        Order::Unload { adapter, .. } => {
+            if let Some(place) = engine.place_mut(adapter) {
+                place.state = PlaceState::Present;
+            }
+        }
+        Order::LoadModel(_) => engine.loading = None,
+    }
+}
+
+fn follow(
+    engine: &mut Engine,
+    versions: &VersionBook,
+    upstream: UpstreamId,
+    reserved: Option<(ModelId, crate::ids::AdapterVersion)>,
+    load: &LoadSettings,
+    cold: Millis,
+    now: Millis,
+) -> Option<SchedulerAction> {
+    let (model, adapter) = reserved?;
+    if !engine.takes_orders() || !engine.has_free_place(model) {
+        return None;
+    }
+    let plan = LoadPlan {
+        upstream,
+        model,
+        adapter,
+        evict: None,
+    };
+    engine.has_order = true;
+    let after_seq = engine.seq;
+    Some(SchedulerAction::Order {
+        upstream,
+        order: load_order(engine, versions, &plan, load, cold, now),
+        after_seq,
+    })
+}
+
+/// Loads that share the adapter store take longer in proportion beyond a number of them.
+fn cold_time(
+    fleet: &Fleet,
+    load: &LoadSettings,
+    now: Millis,
+) -> Millis {
+    let crowd = fleet.coming_cold(now).max(1) as u64;
+    let at_once = u64::from(load.at_once.max(1));
+    Millis(load.cold.0 * crowd.max(at_once) / at_once)
+}
--- /dev/null
+++ b/crates/core/src/scheduler/rights.rs
@@ -0,0 +1,161 @@
+use {
+    super::Job,
+    crate::{
+        clock::Millis,
+        error::{ErrorKind, Refusal},
+        ids::{AccountId, Epoch, Holder, Incarnation, Role, VmId},
+        rights::{
+            Admission, Charge, Limit, MILLI, Right, RightsLedger, RightsSettings, SHARE_WHOLE,
+        },
+    },
+    std::collections::BTreeMap,
+};
+
+/// What a scheduler that takes over may assume to be unused of an account, in percent of the most that
+/// the account may use in [`LOOK_BACK`]. The scheduler before may have used up everything at the last moment;
+/// what is assumed on top of that has to stay within the tolerance of the limit.
+const ASSUMED_PERCENT: u64 = 5;
+/// The time over which a limit is judged, in seconds.
+const LOOK_BACK: u64 = 8;
+
+/// Which part of all accounts' rates this scheduler may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RightsShare {
+    /// All of it; nothing was used before.
+    Fresh,
+    /// All of it, taken over from another that is gone.
+    TakenOver,
+    /// One of so many even parts, while no scheduler answers.
+    Part(u64),
+}
+
+/// The rates of all accounts, as far as this scheduler may use them.
+#[derive(Debug)]
+pub(super) struct AccountRates {
+    ledger: RightsLedger,
+    limits: BTreeMap<AccountId, Limit>,
+    share: RightsShare,
+}
+
+impl AccountRates {
+    pub(super) fn new(share: RightsShare) -> Self {
+        Self {
+            ledger: new_ledger(),
+            limits: BTreeMap::new(),
+            share,
+        }
+    }
+
+    /// Takes another share, with as few tokens as is safe.
+    pub(super) fn set_share(
+        &mut self,
+        share: RightsShare,
+        now: Millis,
+    ) {
+        if self.share == share {
+            return;
+        }
+        self.share = share;
+        self.ledger = new_ledger();
+        for (&account, &limit) in &self.limits {
+            self.ledger.set_limit(account, limit, now);
+            grant(&mut self.ledger, account, limit, share, now);
+        }
+    }
+
+    /// Sets the limits of all accounts that have one.
+    pub(super) fn set_limits(
+        &mut self,
+        limits: BTreeMap<AccountId, Limit>,
+        now: Millis,
+    ) {
+        for (&account, &limit) in &limits {
+            let before = self.limits.get(&account);
+            if before != Some(&limit) {
+                self.ledger.set_limit(account, limit, now);
+            }
+            // An account that was without a limit for a while has its rights still: they are granted once.
+            if before.is_none() {
+                grant(&mut self.ledger, account, limit, self.share, now);
+            }
+        }
+        self.limits = limits;
+    }
+
+    /// Charges a request, or refuses it with when its tokens will have been earned.
+    pub(super) fn admit(
+        &mut self,
+        job: &Job,
+        now: Millis,
+    ) -> Result<Option<Charge>, Refusal> {
+        let Some(account) = job.account.filter(|id| self.limits.contains_key(id)) else {
+            return Ok(None);
+        };
+        match self.ledger.try_admit(account, job.cost, job.caller, now) {
+            Admission::Admitted(charge) => Ok(Some(charge)),
+            // No refill will ever do for it; to its caller that is a rate that it is over all the same.
+            Admission::Refused(refusal) if refusal.kind == ErrorKind::LargerThanBurst => {
+                Err(Refusal::new(ErrorKind::RateLimited))
+            }
+            Admission::Refused(refusal) => Err(refusal),
+            Admission::Ask { .. } => Err(self
+                .ledger
+                .refuse_after_ask(account, job.cost, job.caller, now)),
+        }
+    }
+
+    /// Settles a charge: what did not run is given back.
+    pub(super) fn settle(
+        &mut self,
+        charge: Charge,
+        has_run: bool,
+        now: Millis,
+    ) {
+        let actual = if has_run { charge.tokens } else { 0 };
+        self.ledger.settle(charge, actual, now);
+    }
+}
+
+fn new_ledger() -> RightsLedger {
+    // The ledger's transfers between holders stay unused: here one scheduler holds what there is.
+    let me = Holder {
+        vm: VmId(0),
+        role: Role::Controller,
+        incarnation: Incarnation(1),
+    };
+    let mut ledger = RightsLedger::new(
+        me,
+        RightsSettings {
+            sharing: false,
+            ..RightsSettings::default()
+        },
+    );
+    ledger.enter_epoch(Epoch(1), Millis::ZERO);
+    ledger
+}
+
+fn grant(
+    ledger: &mut RightsLedger,
+    account: AccountId,
+    limit: Limit,
+    share: RightsShare,
+    now: Millis,
+) {
+    let part = match share {
+        RightsShare::Fresh | RightsShare::TakenOver => SHARE_WHOLE,
+        RightsShare::Part(parts) => SHARE_WHOLE / parts.max(1),
+    };
+    let most = limit.rate * LOOK_BACK + limit.burst;
+    let tokens = match share {
+        RightsShare::Fresh => limit.burst,
+        RightsShare::TakenOver => (most * ASSUMED_PERCENT / 100).min(limit.burst),
+        RightsShare::Part(_) => 0,
+    };
+    let right = Right {
+        account,
+        rate_share: part,
+        room_share: part,
+        tokens: tokens * MILLI,
+    };
+    ledger.apply_grants(Epoch(1), &[right], now);
+}
--- /dev/null
+++ b/crates/core/src/scheduler/running.rs
@@ -0,0 +1,47 @@
+use {
+    super::{Job, Ticket},
+    crate::{
+        clock::Millis,
+        ids::{AdapterVersion, UpstreamId},
+        rights::Charge,
+    },
+};
+
+/// A request that runs already when a scheduler takes over, as its VM tells.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Adopted {
+    /// The request's attempt.
+    pub ticket: Ticket,
+    /// What it is.
+    pub job: Job,
+    /// Where it runs.
+    pub upstream: UpstreamId,
+    /// The adapter's version that it runs on, where that is known.
+    pub version: Option<u32>,
+    /// Whether its first event has been seen.
+    pub has_begun: bool,
+}
+
+/// Where a request stands in the scheduler's book.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Stage {
+    /// In the queue.
+    Waiting,
+    /// Assigned.
+    Running {
+        upstream: UpstreamId,
+        adapter: Option<AdapterVersion>,
+    },
+}
+
+/// A request in the scheduler's book.
+#[derive(Debug)]
+pub(super) struct Entry {
+    pub ticket: Ticket,
+    pub job: Job,
+    pub stage: Stage,
+    /// What was taken from its account's rate.
+    pub charge: Option<Charge>,
+    /// When it is forgotten even if its VM never says a word.
+    pub forget_at: Millis,
+}
--- /dev/null
+++ b/crates/entry/src/caller/listener.rs
@@ -0,0 +1,96 @@
+use {
+    super::connection::serve_connection,
+    crate::context::{Context, StopStage},
+    jasmine_telemetry::log::Line,
+    std::{io, net::SocketAddr, rc::Rc, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpSocket, TcpStream},
+        task::spawn_local,
+        time::{sleep, timeout},
+    },
+};
+
+/// Connections that wait to be accepted; beyond them callers' first packets are dropped and come again
+/// seconds later.
+const BACKLOG: u32 = 1024;
+/// The pause after a failed accept, which comes from a lack of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// How long the balancer may take with its question.
+const PROBE_LIMIT: Duration = Duration::from_secs(2);
+
+/// Listens on an address.
+///
+/// # Errors
+///
+/// Whatever the system says.
+pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Serves callers, for ever.
+pub async fn serve_callers(
+    cx: Rc<Context>,
+    listener: TcpListener,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                spawn_local(serve_connection(Rc::clone(&cx), stream));
+            }
+            Err(e) => {
+                Line::new("accept_failed").with("reason", e).warn();
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Tells the balancer whether callers may be sent here, for ever.
+pub async fn serve_readiness(
+    cx: Rc<Context>,
+    listener: TcpListener,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let cx = Rc::clone(&cx);
+                spawn_local(async move {
+                    // A balancer that says nothing is not waited for.
+                    let _elapsed = timeout(PROBE_LIMIT, answer_probes(&cx, stream)).await;
+                });
+            }
+            Err(e) => {
+                Line::new("accept_failed").with("reason", e).warn();
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Answers whatever is asked: the daemon has one thing to say here.
+async fn answer_probes(
+    cx: &Context,
+    mut stream: TcpStream,
+) -> io::Result<()> {
+    let mut seen = Vec::new();
+    let mut buf = [0_u8; 1024];
+    while !seen.windows(4).any(|four| four == b"\r\n\r\n") {
+        match stream.read(&mut buf).await? {
+            0 => return Ok(()),
+            n if seen.len() + n > buf.len() * 8 => return Ok(()),
+            n => seen.extend_from_slice(&buf[..n]),
+        }
+    }
+    let status = match (cx.is_ready(), cx.stop_stage()) {
+        (true, _) => "200 OK",
+        (false, StopStage::Running) => "503 Starting",
+        (false, _) => "503 Stopping",
+    };
+    let answer = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    stream.write_all(answer.as_bytes()).await?;
+    stream.shutdown().await
+}
--- /dev/null
+++ b/crates/entry/src/caller/mod.rs
@@ -0,0 +1,14 @@
+//! Callers' connections: requests are read here, answers are written here.
+
+mod answer_writer;
+mod connection;
+mod listener;
+mod read_request;
+mod refusal;
+
+pub use {
+    answer_writer::AnswerWriter,
+    listener::{bind, serve_callers, serve_readiness},
+    read_request::IncomingRequest,
+    refusal::OwnAnswer,
+};
--- /dev/null
+++ b/crates/entry/src/caller/read_request.rs
@@ -0,0 +1,133 @@
+use {
+    crate::http1::{BodyPart, BodyReader, Framing, HttpError, RequestHead, parse_request_head},
+    bytes::{Buf, Bytes, BytesMut},
+    jasmine_core::{clock::Millis, error::ErrorKind, ingress::CallerLimits},
+    std::io,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        time::{Instant, timeout, timeout_at},
+    },
+};
+
+/// Bytes read at a time.
+const READ: usize = 8 << 10;
+
+/// A request that has arrived whole.
+#[derive(Clone, Debug)]
+pub struct IncomingRequest {
+    /// Its head.
+    pub head: RequestHead,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// Why no request has arrived.
+#[derive(Debug)]
+pub enum ReadEnd {
+    /// The caller has closed the connection, or it is idle for too long: nothing to answer.
+    Closed,
+    /// The request can't be taken.
+    Refused(ErrorKind),
+}
+
+impl From<io::Error> for ReadEnd {
+    /// Whoever has reset the connection waits for no answer.
+    fn from(_: io::Error) -> Self {
+        Self::Closed
+    }
+}
+
+impl From<HttpError> for ReadEnd {
+    fn from(e: HttpError) -> Self {
+        match e {
+            HttpError::Malformed => Self::Refused(ErrorKind::BadRequest),
+            HttpError::HeadTooLarge => Self::Refused(ErrorKind::HeadersTooLarge),
+            HttpError::BodyTooLarge => Self::Refused(ErrorKind::BodyTooLarge),
+            HttpError::Truncated => Self::Closed,
+        }
+    }
+}
+
+/// Waits for the first byte of a request.
+pub(super) async fn wait_for_request(
+    stream: &mut TcpStream,
+    buf: &mut BytesMut,
+    idle: Millis,
+) -> Result<(), ReadEnd> {
+    if !buf.is_empty() {
+        return Ok(());
+    }
+    match timeout(idle.to_std(), more(stream, buf)).await {
+        Ok(read) => read,
+        Err(_elapsed) => Err(ReadEnd::Closed),
+    }
+}
+
+/// Reads a whole request whose first byte has arrived.
+pub(super) async fn read_request(
+    stream: &mut TcpStream,
+    buf: &mut BytesMut,
+    limits: &CallerLimits,
+) -> Result<IncomingRequest, ReadEnd> {
+    let due = Instant::now() + limits.header_timeout.to_std();
+    let head = loop {
+        if let Some((head, len)) = parse_request_head(buf, limits.max_header_bytes)? {
+            buf.advance(len);
+            break head;
+        }
+        match timeout_at(due, more(stream, buf)).await {
+            Ok(read) => read?,
+            Err(_elapsed) => return Err(ReadEnd::Refused(ErrorKind::SlowSender)),
+        }
+    };
+    let body = read_body(stream, buf, &head, limits).await?;
+    Ok(IncomingRequest { head, body })
+}
+
+async fn read_body(
+    stream: &mut TcpStream,
+    buf: &mut BytesMut,
+    head: &RequestHead,
+    limits: &CallerLimits,
+) -> Result<Bytes, ReadEnd> {
+    let max = limits.max_body_bytes;
+    match head.framing {
+        Framing::Empty => return Ok(Bytes::new()),
+        Framing::Length(length) if length > max as u64 => {
+            return Err(HttpError::BodyTooLarge.into());
+        }
+        _ => {}
+    }
+    if head.expects_continue() && buf.is_empty() {
+        stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+    }
+    let mut reader = BodyReader::new(head.framing);
+    let mut whole = BytesMut::new();
+    loop {
+        match reader.next(buf)? {
+            BodyPart::End => return Ok(whole.freeze()),
+            BodyPart::Data(data) if whole.len() + data.len() > max => {
+                return Err(HttpError::BodyTooLarge.into());
+            }
+            BodyPart::Data(data) => whole.extend_from_slice(&data),
+            BodyPart::NeedMore => {
+                match timeout(limits.idle_timeout.to_std(), more(stream, buf)).await {
+                    Ok(read) => read?,
+                    Err(_elapsed) => return Err(ReadEnd::Refused(ErrorKind::SlowSender)),
+                }
+            }
+        }
+    }
+}
+
+async fn more(
+    stream: &mut TcpStream,
+    buf: &mut BytesMut,
+) -> Result<(), ReadEnd> {
+    buf.reserve(READ);
+    match stream.read_buf(buf).await? {
+        0 => Err(ReadEnd::Closed),
+        _ => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/context.rs
@@ -0,0 +1,135 @@
+//! What the parts of the daemon share; all of it lives on one thread.
+
+use {
+    crate::{clock::Clock, scheduling::Scheduling, upstream::Pool},
+    jasmine_conf::settings::EntrySettings,
+    jasmine_core::ingress::{CallerLimits, IngressConfig},
+    jasmine_telemetry::log::Line,
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+    },
+    tokio::sync::watch,
+};
+
+/// How far a planned stop has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StopStage {
+    /// Not begun.
+    #[default]
+    Running,
+    /// The balancer is told; callers are still served and told to leave.
+    Leaving,
+    /// Idle connections are closed.
+    Closing,
+}
+
+/// The daemon's shared state.
+#[derive(Debug)]
+pub struct Context {
+    /// The settings file.
+    pub settings: EntrySettings,
+    /// The time.
+    pub clock: Clock,
+    /// The way to a decision about a request.
+    pub scheduling: Rc<Scheduling>,
+    /// Connections to upstreams.
+    pub pool: Rc<Pool>,
+    config: RefCell<Option<Rc<IngressConfig>>>,
+    stop: watch::Sender<StopStage>,
+    in_flight: Cell<usize>,
+}
+
+impl Context {
+    /// The state of a daemon that knows nothing yet.
+    pub fn new(
+        settings: EntrySettings,
+        scheduling: Rc<Scheduling>,
+        pool: Rc<Pool>,
+    ) -> Self {
+        Self {
+            settings,
+            clock: Clock,
+            scheduling,
+            pool,
+            config: RefCell::default(),
+            stop: watch::Sender::default(),
+            in_flight: Cell::new(0),
+        }
+    }
+
+    /// The configuration in force, once there is one.
+    pub fn config(&self) -> Option<Rc<IngressConfig>> {
+        self.config.borrow().clone()
+    }
+
+    /// What callers may send.
+    pub fn limits(&self) -> CallerLimits {
+        self.config
+            .borrow()
+            .as_ref()
+            .map_or_else(CallerLimits::default, |config| config.limits)
+    }
+
+    /// Puts a configuration in force, unless a newer one is.
+    pub fn set_config(
+        &self,
+        config: IngressConfig,
+    ) {
+        let current = self.config().map(|current| current.version);
+        if current.is_some_and(|version| version >= config.version) {
+            return;
+        }
+        Line::new("config_taken")
+            .with("version", config.version)
+            .with("before", current.map_or(0, |version| version.0))
+            .with("routes", config.routes.len())
+            .info();
+        self.scheduling.desk.set_config(&config);
+        self.config.replace(Some(Rc::new(config)));
+    }
+
+    /// Whether the balancer may send callers here.
+    pub fn is_ready(&self) -> bool {
+        self.config.borrow().is_some() && *self.stop.borrow() == StopStage::Running
+    }
+
+    /// How far a planned stop has come.
+    pub fn stop_stage(&self) -> StopStage {
+        *self.stop.borrow()
+    }
+
+    /// Changes of that.
+    pub fn stop_changes(&self) -> watch::Receiver<StopStage> {
+        self.stop.subscribe()
+    }
+
+    /// Goes on with a planned stop.
+    pub fn set_stop_stage(
+        &self,
+        stage: StopStage,
+    ) {
+        self.stop.send_replace(stage);
+    }
+
+    /// Requests of callers that are being worked on.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.get()
+    }
+
+    /// Counts a request for as long as the guard is kept.
+    pub fn count_request(self: &Rc<Self>) -> InFlight {
+        self.in_flight.set(self.in_flight.get() + 1);
+        InFlight(Rc::clone(self))
+    }
+}
+
+/// Counts one request.
+#[derive(Debug)]
+pub struct InFlight(Rc<Context>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/daemon/mod.rs
@@ -0,0 +1,10 @@
+//! The daemon as a process: command line, start, stop.
+
+mod command;
+mod run;
+mod stop;
+
+pub use {
+    command::{Start, command, start_of},
+    run::{DaemonError, run},
+};
--- /dev/null
+++ b/crates/entry/src/daemon/run.rs
@@ -0,0 +1,129 @@
+use {
+    super::stop,
+    crate::{
+        caller::{bind, serve_callers, serve_readiness},
+        context::Context,
+        scheduling::{Desk, OrderContext, SchedulerServer, Scheduling, carry_out},
+        store::{KvStore, Membership, follow, keep_membership},
+        upstream::Pool,
+    },
+    jasmine_conf::settings::EntrySettings,
+    jasmine_core::{
+        clock::Millis,
+        scheduler::{RepeatSettings, SchedulerSettings},
+    },
+    jasmine_telemetry::log::Line,
+    jasmine_wire::{link::serve, scheduler_capnp::scheduler},
+    std::{io, net::SocketAddr, rc::Rc, time::Duration},
+    tokio::{net::TcpListener, sync::mpsc, task::spawn_local, time::sleep},
+};
+
+/// How often idle connections are looked through.
+const SWEEP_EVERY: Duration = Duration::from_secs(2);
+
+/// Why the daemon can't run.
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::Error)]
+pub enum DaemonError {
+    /// An address of the settings can't be listened on.
+    #[display("can't listen on {key} = {address}: {source}")]
+    Listen {
+        /// The settings' key.
+        key: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        source: io::Error,
+    },
+}
+
+/// Serves until a planned stop is over.
+///
+/// # Errors
+///
+/// [`DaemonError`].
+pub async fn run(settings: EntrySettings) -> Result<(), DaemonError> {
+    let callers = listen("listen.callers", settings.listen.callers)?;
+    let readiness = listen("listen.readiness", settings.listen.readiness)?;
+    let peers = listen("listen.peers", settings.listen.peers)?;
+    let peer_address = peers.local_addr().unwrap_or(settings.listen.peers);
+    let incarnation: u64 = rand::random();
+
+    let (tasks, orders) = mpsc::unbounded_channel();
+    let desk = Rc::new(Desk::new(scheduler_settings(&settings), tasks));
+    let me = settings.vm.clone();
+    let scheduling = Rc::new(Scheduling::new(desk, me.clone(), peer_address, incarnation));
+    let pool = Rc::new(Pool::default());
+    let store = KvStore::new(settings.store);
+    let membership = Rc::new(Membership::new(me.clone(), peer_address, incarnation));
+    let cx = Rc::new(Context::new(
+        settings,
+        Rc::clone(&scheduling),
+        Rc::clone(&pool),
+    ));
+    Line::new("started")
+        .with("vm", me)
+        .with("callers", addr(&callers))
+        .info();
+
+    scheduling.start();
+    let server = SchedulerServer::new(Rc::clone(&scheduling));
+    let server: scheduler::Client = capnp_rpc::new_client(server);
+    spawn_local(serve(peers, server.client));
+    let order_cx = OrderContext {
+        scheduling,
+        pool: Rc::clone(&pool),
+    };
+    spawn_local(carry_out(order_cx, orders));
+    spawn_local(follow(
+        Rc::clone(&cx),
+        store.clone(),
+        Rc::clone(&membership),
+    ));
+    let keeping = keep_membership(Rc::clone(&cx), store.clone(), Rc::clone(&membership));
+    let keeping = spawn_local(keeping).abort_handle();
+    spawn_local(sweep(pool, store.clone()));
+    spawn_local(serve_readiness(Rc::clone(&cx), readiness));
+    spawn_local(serve_callers(Rc::clone(&cx), callers));
+    stop::on_signal(&cx, &store, &membership, &keeping).await;
+    Ok(())
+}
+
+fn listen(
+    key: &'static str,
+    address: SocketAddr,
+) -> Result<TcpListener, DaemonError> {
+    bind(address).map_err(|source| DaemonError::Listen {
+        key,
+        address,
+        source,
+    })
+}
+
+fn addr(listener: &TcpListener) -> String {
+    listener
+        .local_addr()
+        .map_or_else(|e| e.to_string(), |address| address.to_string())
+}
+
+fn scheduler_settings(settings: &EntrySettings) -> SchedulerSettings {
+    SchedulerSettings {
+        repeats: RepeatSettings {
+            ratio: settings.repeats.ratio,
+            slack: settings.repeats.slack,
+            window: Millis((settings.repeats.window_s * 1000.0) as u64),
+        },
+        ..SchedulerSettings::default()
+    }
+}
+
+async fn sweep(
+    pool: Rc<Pool>,
+    store: KvStore,
+) {
+    loop {
+        sleep(SWEEP_EVERY).await;
+        pool.sweep();
+        store.sweep();
+    }
+}
--- /dev/null
+++ b/crates/entry/src/daemon/stop.rs
@@ -0,0 +1,72 @@
+//! The planned stop: the balancer first, then the lead, then idle connections, then what is left.
+
+use {
+    crate::{
+        context::{Context, StopStage},
+        store::{KvStore, Membership, leave},
+    },
+    jasmine_core::clock::Millis,
+    jasmine_telemetry::log::Line,
+    std::time::Duration,
+    tokio::{
+        signal::unix::{SignalKind, signal},
+        task::AbortHandle,
+        time::{Instant, sleep},
+    },
+};
+
+/// How long the balancer may go on sending callers: it asks once a second and believes the second refusal.
+const BALANCER: Millis = Millis(3_200);
+/// How long before the end of its time the daemon ends by itself.
+const SPARE: Millis = Millis(500);
+/// How often it is looked whether all requests have ended.
+const LOOK_EVERY: Duration = Duration::from_millis(25);
+
+/// Waits for SIGTERM or SIGINT and stops in order; SIGHUP changes nothing here, as nothing that the settings
+/// file says may change while the process runs.
+///
+/// The lead goes at once: another VM takes it while this one still answers, so that nobody waits for a lease to
+/// lapse. Callers are served until the balancer has stopped sending them, and are told with each answer to
+/// come back over another connection.
+pub(super) async fn on_signal(
+    cx: &Context,
+    store: &KvStore,
+    membership: &Membership,
+    keeping: &AbortHandle,
+) {
+    let signals = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+        signal(SignalKind::hangup()),
+    );
+    let (Ok(mut term), Ok(mut int), Ok(mut hup)) = signals else {
+        Line::new("signals_not_watched").error();
+        return std::future::pending().await;
+    };
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = int.recv() => break,
+            _ = hup.recv() => Line::new("reload_asked").info(),
+        }
+    }
+    let began = Instant::now();
+    let deadline = began + (Millis(cx.settings.stop_s * 1000) - SPARE).to_std();
+    cx.set_stop_stage(StopStage::Leaving);
+    Line::new("stopping")
+        .with("in_flight", cx.in_flight())
+        .info();
+    keeping.abort();
+    if let Err(e) = leave(store, membership).await {
+        Line::new("lease_not_ended").with("reason", e).info();
+    }
+    tokio::time::sleep_until((began + BALANCER.to_std()).min(deadline)).await;
+    cx.set_stop_stage(StopStage::Closing);
+    while cx.in_flight() > 0 && Instant::now() < deadline {
+        sleep(LOOK_EVERY).await;
+    }
+    Line::new("stopped")
+        .with("cut", cx.in_flight())
+        .with("ms", began.elapsed().as_millis())
+        .info();
+}
--- /dev/null
+++ b/crates/entry/src/forward/driver.rs
@@ -0,0 +1,285 @@
+use {
+    super::{
+        ForwardRequest,
+        attempt::{Answering, AttemptContext, Failure, Start},
+        relay::{Progress, RelayEnd, relay},
+    },
+    crate::{
+        caller::{AnswerWriter, OwnAnswer},
+        context::Context,
+        http1::AnswerHead,
+        scheduling::Placement,
+    },
+    bytes::Bytes,
+    jasmine_core::{
+        clock::Millis,
+        error::{ErrorKind, Refusal},
+        forward::Attempts,
+        scheduler::Outcome,
+    },
+    jasmine_telemetry::log::Line,
+    std::{io, rc::Rc},
+    tokio::time::{sleep, timeout},
+};
+
+/// The pause before a request goes out again that an upstream said it hasn't run: what it lacks is on its way.
+const NOT_RUN_PAUSE: Millis = Millis(15);
+
+/// What a request has come to.
+enum Step {
+    /// Its answer is with the caller, or the caller has gone.
+    Done(io::Result<()>),
+    /// Another attempt.
+    Again,
+    /// It is given up.
+    GiveUp(ErrorKind),
+}
+
+/// Takes one request from its arrival to its answer.
+pub(super) struct Driver<'a> {
+    cx: &'a Rc<Context>,
+    req: ForwardRequest,
+    attempts: Attempts,
+    avoid: Vec<String>,
+    progress: Progress,
+    /// An upstream's own failure, passed on if nothing better comes.
+    failed: Option<(AnswerHead, Bytes)>,
+    /// Since when it has waited for an upstream, and for how long in all.
+    waited: Millis,
+}
+
+impl<'a> Driver<'a> {
+    pub(super) fn new(
+        cx: &'a Rc<Context>,
+        req: ForwardRequest,
+    ) -> Self {
+        let attempts = Attempts::new(req.route.kind.repeat(), req.route.attempts);
+        Self {
+            cx,
+            attempts,
+            avoid: Vec::new(),
+            progress: Progress {
+                last_event: req.caller.last_event,
+                ..Progress::default()
+            },
+            failed: None,
+            waited: Millis::ZERO,
+            req,
+        }
+    }
+
+    pub(super) async fn run(
+        mut self,
+        out: &mut AnswerWriter<'_>,
+    ) -> io::Result<()> {
+        loop {
+            let asked = self.cx.clock.now();
+            let placed = self.place().await;
+            self.waited += self.cx.clock.now().since(asked);
+            let placement = match placed {
+                Ok(placement) => placement,
+                Err(refusal) => return self.give_up(refusal, out).await,
+            };
+            match self.attempt(&placement, out).await {
+                Step::Done(result) => {
+                    self.log_end(&placement, &result);
+                    return result;
+                }
+                Step::Again => {}
+                Step::GiveUp(kind) => return self.give_up(Refusal::new(kind), out).await,
+            }
+        }
+    }
+
+    /// Waits for an upstream, until the deadline at the longest.
+    async fn place(&self) -> Result<Placement, Refusal> {
+        let now = self.cx.clock.now();
+        let number = self.attempts.next_number();
+        let data_centre = &self.cx.settings.data_centre;
+        let job = self.req.job(number, &self.avoid, data_centre, now);
+        let left = self.req.deadline.since(now);
+        let placed = timeout(left.to_std(), self.cx.scheduling.place(job)).await;
+        placed.unwrap_or(Err(Refusal::new(ErrorKind::CannotMeetDeadline)))
+    }
+
+    async fn attempt(
+        &mut self,
+        placement: &Placement,
+        out: &mut AnswerWriter<'_>,
+    ) -> Step {
+        let began = self.cx.clock.now();
+        let attempt = AttemptContext {
+            cx: self.cx,
+            req: &self.req,
+            placement,
+        };
+        let after_event = self
+            .progress
+            .last_event
+            .filter(|_| self.progress.events > 0);
+        let answering = match attempt.start(after_event).await {
+            Start::Answering(answering) => answering,
+            Start::Ended(failure) => return self.failed(placement, failure).await,
+        };
+        let is_stream = self.req.is_stream() && answering.head.status == 200;
+        let result = if is_stream {
+            self.relay(placement, answering, out).await
+        } else {
+            self.whole(placement, answering, out).await
+        };
+        match result {
+            Ok(()) => {
+                let took = self.cx.clock.now().since(began);
+                placement.end(Outcome::Answered { took });
+                Step::Done(Ok(()))
+            }
+            Err(RelayEnd::Caller(e)) => Step::Done(Err(e)),
+            Err(RelayEnd::Upstream(failure)) => self.failed(placement, failure).await,
+        }
+    }
+
+    async fn relay(
+        &mut self,
+        placement: &Placement,
+        answering: Answering,
+        out: &mut AnswerWriter<'_>,
+    ) -> Result<(), RelayEnd> {
+        let attempt = AttemptContext {
+            cx: self.cx,
+            req: &self.req,
+            placement,
+        };
+        relay(&attempt, answering, &mut self.progress, out).await
+    }
+
+    async fn whole(
+        &self,
+        placement: &Placement,
+        answering: Answering,
+        out: &mut AnswerWriter<'_>,
+    ) -> Result<(), RelayEnd> {
+        let attempt = AttemptContext {
+            cx: self.cx,
+            req: &self.req,
+            placement,
+        };
+        let (head, body) = attempt.whole(answering).await?;
+        Ok(out.whole(&head, &body).await?)
+    }
+
+    /// Decides what follows an attempt that brought nothing.
+    async fn failed(
+        &mut self,
+        placement: &Placement,
+        failure: Failure,
+    ) -> Step {
+        placement.end(failure.outcome);
+        let may_go_on = self.attempts.note(failure.end);
+        Line::new("attempt_failed")
+            .with("id", self.id())
+            .with("upstream", &placement.upstream)
+            .with("outcome", format!("{:?}", failure.outcome))
+            .with("again", may_go_on)
+            .info();
+        self.failed = failure.answer.or(self.failed.take());
+        let is_over = self.cx.clock.now() >= self.req.deadline;
+        let has_begun = self.progress.first_at.is_some();
+        match failure.outcome {
+            _ if is_over && self.attempts.may_have_run() => {
+                Step::GiveUp(ErrorKind::DeadlineExceeded)
+            }
+            _ if is_over => Step::GiveUp(ErrorKind::CannotMeetDeadline),
+            _ if has_begun && !self.req.is_resumable() => Step::GiveUp(ErrorKind::AnswerCut),
+            _ if !may_go_on && self.attempts.may_have_run() => {
+                Step::GiveUp(ErrorKind::UpstreamLost)
+            }
+            _ if !may_go_on => Step::GiveUp(ErrorKind::NoUpstream),
+            Outcome::NotLoaded => {
+                sleep(NOT_RUN_PAUSE.to_std()).await;
+                Step::Again
+            }
+            _ => {
+                self.avoid.push(placement.upstream.clone());
+                Step::Again
+            }
+        }
+    }
+
+    /// Gives the final answer of a request that is not served.
+    async fn give_up(
+        &mut self,
+        refusal: Refusal,
+        out: &mut AnswerWriter<'_>,
+    ) -> io::Result<()> {
+        let refusal = self.true_refusal(refusal);
+        Line::new("request_given_up")
+            .with("id", self.id())
+            .with("route", &self.req.route.name)
+            .with("account", self.req.account.as_deref().unwrap_or("-"))
+            .with("kind", refusal.kind)
+            .with("retry_after_ms", refusal.retry_after.map_or(0, |ms| ms.0))
+            .with("config", self.req.config_version)
+            .with("waited_ms", self.waited)
+            .with("took_ms", self.cx.clock.now().since(self.req.arrived))
+            .with("events", self.progress.events)
+            .info();
+        if out.has_begun() {
+            // Closing without the last chunk is all that tells the caller that this is not the end.
+            out.close_after();
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        if let Some((head, body)) = self.failed.take() {
+            return out.whole(&head, &body).await;
+        }
+        let id = self.req.caller.request_id.as_deref();
+        out.refuse(OwnAnswer(refusal), id).await
+    }
+
+    /// What may have run is not said to have not run.
+    fn true_refusal(
+        &self,
+        refusal: Refusal,
+    ) -> Refusal {
+        use jasmine_core::error::Execution;
+        let claims_not_run = refusal.kind.answer().execution == Execution::NotRun;
+        if claims_not_run && self.attempts.may_have_run() {
+            Refusal::new(ErrorKind::UpstreamLost)
+        } else {
+            refusal
+        }
+    }
+
+    fn id(&self) -> &str {
+        self.req.caller.request_id.as_deref().unwrap_or("-")
+    }
+
+    fn log_end(
+        &self,
+        placement: &Placement,
+        result: &io::Result<()>,
+    ) {
+        let arrived = self.req.arrived;
+        let first = self.progress.first_at.map(|at| at.since(arrived));
+        Line::new("request_ended")
+            .with("id", self.id())
+            .with("route", &self.req.route.name)
+            .with("account", self.req.account.as_deref().unwrap_or("-"))
+            .with("adapter", self.req.caller.adapter.as_deref().unwrap_or("-"))
+            .with("upstream", &placement.upstream)
+            .with("attempts", self.attempts.next_number())
+            .with("config", self.req.config_version)
+            .with("waited_ms", self.waited)
+            .with("first_ms", first.unwrap_or_default())
+            .with("took_ms", self.cx.clock.now().since(arrived))
+            .with("events", self.progress.events)
+            .with(
+                "result",
+                if result.is_ok() {
+                    "answered"
+                } else {
+                    "caller_gone"
+                },
+            )
+            .info();
+    }
+}
--- /dev/null
+++ b/crates/entry/src/forward/encode.rs
@@ -0,0 +1,47 @@
+//! The request as an upstream gets it.
+
+use {
+    super::ForwardRequest,
+    crate::{http1::Framing, scheduling::Placement},
+    jasmine_core::clock::Millis,
+    jasmine_platform::headers::{SystemHeaders, is_passed_on, is_resume_point},
+    std::fmt::Write,
+};
+
+/// Writes head and body. `after_event` is the last event that the caller has of a stream that is taken up again.
+pub(super) fn encode_request(
+    req: &ForwardRequest,
+    placement: &Placement,
+    after_event: Option<u64>,
+    now: Millis,
+) -> Vec<u8> {
+    let head = &req.incoming.head;
+    let mut out = format!("{} {} HTTP/1.1\r\n", head.method, head.target);
+    for (name, header) in head.headers.end_to_end() {
+        let is_replaced = after_event.is_some() && is_resume_point(&name);
+        // The body has arrived: nobody waits for a word before it is sent.
+        let is_settled = name == "expect";
+        if is_passed_on(&name) && !is_replaced && !is_settled {
+            let value = String::from_utf8_lossy(&header.value);
+            let _infallible = write!(out, "{}: {value}\r\n", header.name);
+        }
+    }
+    let system = SystemHeaders {
+        patience: req.deadline.since(now),
+        upstream: &placement.upstream,
+        account: req.account.as_deref(),
+        version: placement.version,
+        priority: req.is_generation.then_some(req.priority.min(9)),
+        after_event,
+    };
+    system.write(&mut out);
+    let body = &req.incoming.body;
+    let had_length = head.headers.all("content-length").next().is_some();
+    if !body.is_empty() || had_length || head.framing == Framing::Chunked {
+        let _infallible = write!(out, "Content-Length: {}\r\n", body.len());
+    }
+    out.push_str("\r\n");
+    let mut bytes = out.into_bytes();
+    bytes.extend_from_slice(body);
+    bytes
+}
--- /dev/null
+++ b/crates/entry/src/forward/relay.rs
@@ -0,0 +1,143 @@
+use {
+    super::{
+        EventSplitter,
+        attempt::{Answering, AttemptContext, Failure},
+    },
+    crate::{
+        caller::AnswerWriter,
+        http1::{AnswerHead, BodyReader},
+    },
+    bytes::BytesMut,
+    jasmine_core::{clock::Millis, scheduler::Outcome},
+    std::{io, time::Duration},
+    tokio::time::timeout,
+};
+
+/// How many times its longest good pause a stream that can be resumed may be silent.
+const SILENCE: u64 = 5;
+/// The pause where a route names none.
+const USUAL_PAUSE: Millis = Millis(500);
+
+/// What the caller has of a stream.
+#[derive(Debug, Default)]
+pub(super) struct Progress {
+    /// The last event passed on.
+    pub last_event: Option<u64>,
+    /// Events passed on.
+    pub events: u64,
+    /// When the first one was.
+    pub first_at: Option<Millis>,
+}
+
+/// Why a stream is not whole yet.
+pub(super) enum RelayEnd {
+    /// The upstream broke off.
+    Upstream(Failure),
+    /// The caller has gone.
+    Caller(io::Error),
+}
+
+impl From<io::Error> for RelayEnd {
+    fn from(e: io::Error) -> Self {
+        Self::Caller(e)
+    }
+}
+
+impl From<Failure> for RelayEnd {
+    fn from(failure: Failure) -> Self {
+        Self::Upstream(failure)
+    }
+}
+
+/// Passes a stream's events on as they come, until its end.
+pub(super) async fn relay(
+    attempt: &AttemptContext<'_>,
+    mut answering: Answering,
+    progress: &mut Progress,
+    out: &mut AnswerWriter<'_>,
+) -> Result<(), RelayEnd> {
+    let mut reader = BodyReader::new(answering.head.framing);
+    let mut splitter = EventSplitter::default();
+    loop {
+        let part = timeout(
+            pause(attempt, progress),
+            answering.connection.body(&mut reader),
+        )
+        .await;
+        let part = match part {
+            Err(_elapsed) => return Err(Failure::may_have_run(Outcome::Silent).into()),
+            Ok(part) => part.map_err(Failure::from)?,
+        };
+        let Some(data) = part else {
+            break;
+        };
+        if !splitter.push(&data) {
+            return Err(Failure::may_have_run(Outcome::Lost).into());
+        }
+        let ready = take_events(&mut splitter, progress);
+        if !ready.is_empty() {
+            pass_on(attempt, &answering.head, progress, out, &ready).await?;
+        }
+    }
+    let rest = splitter.rest();
+    if !rest.is_empty() || !out.has_begun() {
+        pass_on(attempt, &answering.head, progress, out, &rest).await?;
+    }
+    out.end_stream().await?;
+    attempt.keep(answering);
+    Ok(())
+}
+
+/// How long the next bytes are waited for.
+fn pause(
+    attempt: &AttemptContext<'_>,
+    progress: &Progress,
+) -> Duration {
+    if !attempt.req.is_resumable() {
+        return attempt.left();
+    }
+    let route = &attempt.req.route;
+    let longest = match progress.first_at {
+        None => route.objective,
+        Some(_) => Millis(route.gap_objective.unwrap_or(USUAL_PAUSE).0 * SILENCE),
+    };
+    attempt.left().min(longest.to_std())
+}
+
+/// The whole events that the caller doesn't have yet.
+fn take_events(
+    splitter: &mut EventSplitter,
+    progress: &mut Progress,
+) -> BytesMut {
+    let mut ready = BytesMut::new();
+    while let Some(event) = splitter.next_event() {
+        let is_known =
+            matches!((event.id, progress.last_event), (Some(id), Some(last)) if id <= last);
+        if is_known {
+            continue;
+        }
+        progress.last_event = event.id.or(progress.last_event);
+        progress.events += 1;
+        ready.extend_from_slice(&event.bytes);
+    }
+    ready
+}
+
+/// The head goes out with the first event only: until then another upstream's answer can take its place.
+async fn pass_on(
+    attempt: &AttemptContext<'_>,
+    head: &AnswerHead,
+    progress: &mut Progress,
+    out: &mut AnswerWriter<'_>,
+    data: &[u8],
+) -> io::Result<()> {
+    if progress.first_at.is_none() {
+        progress.first_at = Some(attempt.cx.clock.now());
+        attempt.placement.first_event();
+    }
+    if out.has_begun() {
+        out.chunk(data).await
+    } else {
+        out.begin_stream(head, data).await
+    }
+}
--- /dev/null
+++ b/crates/entry/src/forward/serve.rs
@@ -0,0 +1,41 @@
+use {
+    super::{ForwardRequest, driver::Driver},
+    crate::{
+        caller::{AnswerWriter, IncomingRequest, OwnAnswer},
+        context::Context,
+    },
+    jasmine_core::error::{ErrorKind, Refusal},
+    jasmine_platform::headers::CallerHeaders,
+    jasmine_telemetry::log::Line,
+    std::{io, rc::Rc},
+};
+
+/// Answers one request of a caller.
+///
+/// # Errors
+///
+/// Where the caller has gone, or a begun answer had to be broken off.
+pub async fn serve_request(
+    cx: &Rc<Context>,
+    incoming: IncomingRequest,
+    out: &mut AnswerWriter<'_>,
+) -> io::Result<()> {
+    let caller = CallerHeaders::read(incoming.head.headers.pairs());
+    let id = caller.request_id.clone();
+    let now = cx.clock.now();
+    let judged = match cx.config() {
+        None => Err(Refusal::new(ErrorKind::ConfigUnavailable)),
+        Some(config) => ForwardRequest::judge(incoming, caller, &config, now),
+    };
+    match judged {
+        Ok(req) => Driver::new(cx, req).run(out).await,
+        Err(refusal) => {
+            Line::new("request_refused")
+                .with("id", id.as_deref().unwrap_or("-"))
+                .with("kind", refusal.kind)
+                .with("config", cx.config().map_or(0, |config| config.version.0))
+                .info();
+            out.refuse(OwnAnswer(refusal), id.as_deref()).await
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/http1/chunked.rs
@@ -0,0 +1,129 @@
+use {
+    super::HttpError,
+    bytes::{Buf, Bytes, BytesMut},
+};
+
+/// The longest line that says how long a chunk is.
+const MAX_SIZE_LINE: usize = 64;
+/// Bytes of trailers that are passed over.
+const MAX_TRAILERS: usize = 8 << 10;
+/// Digits of a chunk's size.
+const MAX_DIGITS: usize = 15;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Size,
+    Data(u64),
+    DataEnd,
+    Trailers(usize),
+    Done,
+}
+
+/// Takes a body in chunks apart.
+#[derive(Clone, Copy, Debug)]
+pub struct ChunkedDecoder {
+    state: State,
+}
+
+impl Default for ChunkedDecoder {
+    fn default() -> Self {
+        Self { state: State::Size }
+    }
+}
+
+impl ChunkedDecoder {
+    /// Takes what it can from `buf`: some bytes of the body, or none where more has to be read first.
+    ///
+    /// # Errors
+    ///
+    /// [`HttpError::Malformed`] where the chunks are not marked off as they should be.
+    pub fn next(
+        &mut self,
+        buf: &mut BytesMut,
+    ) -> Result<Option<Bytes>, HttpError> {
+        loop {
+            match self.state {
+                State::Done => return Ok(None),
+                State::Data(left) => {
+                    if buf.is_empty() {
+                        return Ok(None);
+                    }
+                    let take = left.min(buf.len() as u64);
+                    self.state = match left - take {
+                        0 => State::DataEnd,
+                        left => State::Data(left),
+                    };
+                    return Ok(Some(buf.split_to(take as usize).freeze()));
+                }
+                State::DataEnd => {
+                    if buf.len() < 2 {
+                        return Ok(None);
+                    }
+                    if &buf[..2] != b"\r\n" {
+                        return Err(HttpError::Malformed);
+                    }
+                    buf.advance(2);
+                    self.state = State::Size;
+                }
+                State::Size => {
+                    let Some(line) = line(buf, MAX_SIZE_LINE)? else {
+                        return Ok(None);
+                    };
+                    self.state = match size(&line)? {
+                        0 => State::Trailers(0),
+                        size => State::Data(size),
+                    };
+                }
+                State::Trailers(seen) => {
+                    let Some(line) = line(buf, MAX_TRAILERS)? else {
+                        return Ok(None);
+                    };
+                    let seen = seen + line.len();
+                    self.state = match line.is_empty() {
+                        true => State::Done,
+                        false if seen > MAX_TRAILERS => return Err(HttpError::Malformed),
+                        false => State::Trailers(seen),
+                    };
+                }
+            }
+        }
+    }
+
+    /// Whether the body is over.
+    pub fn is_done(&self) -> bool {
+        self.state == State::Done
+    }
+}
+
+/// Takes a whole line out of `buf`, without its end.
+fn line(
+    buf: &mut BytesMut,
+    max: usize,
+) -> Result<Option<Bytes>, HttpError> {
+    let Some(end) = buf.iter().position(|&byte| byte == b'\n') else {
+        return if buf.len() > max {
+            Err(HttpError::Malformed)
+        } else {
+            Ok(None)
+        };
+    };
+    let is_whole = end > 0 && end <= max + 1 && buf[end - 1] == b'\r';
+    if !is_whole || buf[..end - 1].contains(&b'\r') {
+        return Err(HttpError::Malformed);
+    }
+    let line = buf.split_to(end + 1).freeze();
+    Ok(Some(line.slice(..end - 1)))
+}
+
+/// The size of a chunk; extensions after a semicolon are passed over.
+fn size(line: &[u8]) -> Result<u64, HttpError> {
+    let digits = line.split(|&byte| byte == b';').next().unwrap_or_default();
+    let is_plain = !digits.is_empty()
+        && digits.len() <= MAX_DIGITS
+        && digits.iter().all(u8::is_ascii_hexdigit);
+    let text = std::str::from_utf8(digits).map_err(|_e| HttpError::Malformed)?;
+    match u64::from_str_radix(text, 16) {
+        Ok(size) if is_plain => Ok(size),
+        _ => Err(HttpError::Malformed),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/http1/framing.rs
@@ -0,0 +1,86 @@
+use super::{Headers, HttpError};
+
+/// The longest length of a body that is taken for one, in digits.
+const MAX_DIGITS: usize = 18;
+
+/// How a body is marked off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// There is none.
+    Empty,
+    /// It has this many bytes.
+    Length(u64),
+    /// It comes in chunks.
+    Chunked,
+    /// It ends with the connection; answers only.
+    UntilClose,
+}
+
+impl Framing {
+    /// The framing of a request.
+    ///
+    /// # Errors
+    ///
+    /// [`HttpError::Malformed`] wherever another reader could see another one: two lengths, a length and
+    /// chunks, a length that isn't plain digits, or a coding other than chunks.
+    pub fn of_request(
+        headers: &Headers,
+        minor_version: u8,
+    ) -> Result<Self, HttpError> {
+        match (is_chunked(headers)?, length(headers)?) {
+            (true, Some(_)) => Err(HttpError::Malformed),
+            (true, None) if minor_version == 0 => Err(HttpError::Malformed),
+            (true, None) => Ok(Self::Chunked),
+            (false, Some(0) | None) => Ok(Self::Empty),
+            (false, Some(length)) => Ok(Self::Length(length)),
+        }
+    }
+
+    /// The framing of an answer to a request whose method is `method`.
+    ///
+    /// # Errors
+    ///
+    /// [`HttpError::Malformed`], as for requests.
+    pub fn of_answer(
+        headers: &Headers,
+        status: u16,
+        method: &str,
+    ) -> Result<Self, HttpError> {
+        if method == "HEAD" || matches!(status, 204 | 304) {
+            return Ok(Self::Empty);
+        }
+        match (is_chunked(headers)?, length(headers)?) {
+            (true, Some(_)) => Err(HttpError::Malformed),
+            (true, None) => Ok(Self::Chunked),
+            (false, Some(0)) => Ok(Self::Empty),
+            (false, Some(length)) => Ok(Self::Length(length)),
+            (false, None) => Ok(Self::UntilClose),
+        }
+    }
+}
+
+fn is_chunked(headers: &Headers) -> Result<bool, HttpError> {
+    let mut codings = headers.all("transfer-encoding");
+    match (codings.next(), codings.next()) {
+        (None, _) => Ok(false),
+        (Some(coding), None) if coding.trim_ascii().eq_ignore_ascii_case(b"chunked") => Ok(true),
+        _ => Err(HttpError::Malformed),
+    }
+}
+
+fn length(headers: &Headers) -> Result<Option<u64>, HttpError> {
+    let mut lengths = headers.all("content-length");
+    let Some(digits) = lengths.next() else {
+        return Ok(None);
+    };
+    let digits = digits.trim_ascii();
+    let is_plain = !digits.is_empty()
+        && digits.len() <= MAX_DIGITS
+        && digits.iter().all(u8::is_ascii_digit)
+        && lengths.next().is_none();
+    let text = std::str::from_utf8(digits).map_err(|_e| HttpError::Malformed)?;
+    match text.parse() {
+        Ok(length) if is_plain => Ok(Some(length)),
+        _ => Err(HttpError::Malformed),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/http1/header.rs
@@ -0,0 +1,102 @@
+/// One header line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Header {
+    /// Its name, spelled as it came.
+    pub name: String,
+    /// Its value.
+    pub value: Vec<u8>,
+}
+
+/// The header lines of a message, in their order.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Headers(pub Vec<Header>);
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+];
+
+impl Headers {
+    /// The values of all lines with this name, in lower case.
+    pub fn all<'a>(
+        &'a self,
+        name: &'a str,
+    ) -> impl Iterator<Item = &'a [u8]> {
+        self.0
+            .iter()
+            .filter(move |header| header.name.eq_ignore_ascii_case(name))
+            .map(|header| header.value.as_slice())
+    }
+
+    /// The only value of this name, as text; none where there are several.
+    pub fn only(
+        &self,
+        name: &str,
+    ) -> Option<&str> {
+        let is_named = |header: &&Header| header.name.eq_ignore_ascii_case(name);
+        let mut found = self.0.iter().filter(is_named);
+        let only = found.next()?;
+        match found.next() {
+            None => std::str::from_utf8(&only.value).ok().map(str::trim),
+            Some(_) => None,
+        }
+    }
+
+    /// Whether a header that is a list of words holds this one.
+    pub fn lists(
+        &self,
+        name: &str,
+        word: &str,
+    ) -> bool {
+        self.words(name)
+            .any(|found| found.eq_ignore_ascii_case(word))
+    }
+
+    /// The words of a header that is a list.
+    pub fn words<'a>(
+        &'a self,
+        name: &'a str,
+    ) -> impl Iterator<Item = &'a str> {
+        self.all(name)
+            .filter_map(|value| std::str::from_utf8(value).ok())
+            .flat_map(|value| value.split(','))
+            .map(str::trim)
+    }
+
+    /// Names with values, as decoders take them.
+    pub fn pairs(&self) -> impl Iterator<Item = (&str, &[u8])> {
+        self.0
+            .iter()
+            .map(|header| (header.name.as_str(), header.value.as_slice()))
+    }
+
+    /// The lines that concern the whole way and not this connection, with their names in lower case.
+    pub fn end_to_end(&self) -> impl Iterator<Item = (String, &Header)> {
+        let named: Vec<String> = self
+            .words("connection")
+            .map(str::to_ascii_lowercase)
+            .collect();
+        self.0.iter().filter_map(move |header| {
+            let name = header.name.to_ascii_lowercase();
+            let is_hop = HOP_BY_HOP.contains(&name.as_str())
+                || (named.contains(&name) && !jasmine_platform::headers::is_essential(&name));
+            (!is_hop).then_some((name, header))
+        })
+    }
+}
+
+/// Takes over what the parser found.
+pub(super) fn collect(parsed: &[httparse::Header<'_>]) -> Headers {
+    let headers = parsed.iter().map(|header| Header {
+        name: header.name.to_owned(),
+        value: header.value.to_vec(),
+    });
+    Headers(headers.collect())
+}
--- /dev/null
+++ b/crates/entry/src/scheduling/client.rs
@@ -0,0 +1,583 @@
+use {
+    super::{
+        Desk, JobSpec, Leader, Placement, RunningSpec, Verdict,
+        convert::{
+            News, read_leader, read_verdict, write_job, write_leader, write_news, write_running,
+        },
+    },
+    crate::clock::Clock,
+    jasmine_core::{
+        clock::Millis,
+        error::Refusal,
+        ids::Fence,
+        scheduler::{Outcome, RightsShare, Ticket},
+    },
+    jasmine_telemetry::log::Line,
+    jasmine_wire::{
+        link::{Link, LinkError, LinkOptions},
+        scheduler_capnp::scheduler,
+    },
+    std::{
+        cell::{Cell, RefCell},
+        collections::{BTreeMap, HashMap},
+        net::SocketAddr,
+        rc::Rc,
+    },
+    tokio::{
+        sync::{Notify, watch},
+        task::spawn_local,
+        time::sleep,
+    },
+};
+
+/// The VM number under which a machine knows the requests of its own VM.
+pub(super) const OWN: u32 = 0;
+/// How often the scheduler is asked whether it lives.
+const PING_EVERY: Millis = Millis(300);
+/// The pause after it didn't answer.
+const RETRY_EVERY: Millis = Millis(150);
+/// News is gathered for this long: a message for each event would cost more than what it tells.
+const GATHER: Millis = Millis(5);
+/// The times of connections between entry VMs, which stand a millisecond apart. A scheduler that is silent for
+/// this long is done without.
+const LINK: LinkOptions = LinkOptions {
+    connect_timeout: Millis(300),
+    call_timeout: Millis(350),
+    heartbeat: Millis(300),
+    backoff_first: Millis(30),
+    backoff_most: Millis(200),
+};
+
+type SchedulerLink = Link<scheduler::Client>;
+
+/// Who decides for this VM now.
+#[derive(Clone, Debug)]
+enum Mode {
+    /// This VM, for itself, with its part of the rights.
+    Alone,
+    /// This VM, for all.
+    Leading(Fence),
+    /// The leader, which knows this VM by a session.
+    Following(Rc<SchedulerLink>, u32),
+}
+
+/// This VM's way to a decision about a request.
+#[derive(Debug)]
+pub struct Scheduling {
+    /// The machine that decides here.
+    pub desk: Rc<Desk>,
+    me: String,
+    address: SocketAddr,
+    incarnation: u64,
+    clock: Clock,
+    mode: RefCell<Mode>,
+    leader: RefCell<Option<Leader>>,
+    changed: watch::Sender<u64>,
+    next_number: Cell<u64>,
+    running: RefCell<HashMap<u64, Running>>,
+    outbox: RefCell<Vec<(u64, News)>>,
+    has_news: Notify,
+    /// The VMs that the store lists.
+    vms: RefCell<BTreeMap<String, SocketAddr>>,
+}
+
+#[derive(Clone, Debug)]
+struct Running {
+    spec: RunningSpec,
+    since: Millis,
+}
+
+impl Scheduling {
+    /// The way of the VM `me`, whose peers reach it at `address`.
+    pub fn new(
+        desk: Rc<Desk>,
+        me: String,
+        address: SocketAddr,
+        incarnation: u64,
+    ) -> Self {
+        Self {
+            desk,
+            me,
+            address,
+            incarnation,
+            clock: Clock,
+            mode: RefCell::new(Mode::Alone),
+            leader: RefCell::default(),
+            changed: watch::Sender::default(),
+            next_number: Cell::new(1),
+            running: RefCell::default(),
+            outbox: RefCell::default(),
+            has_news: Notify::new(),
+            vms: RefCell::default(),
+        }
+    }
+
+    /// Starts what goes on in the background.
+    pub fn start(self: &Rc<Self>) {
+        spawn_local(Rc::clone(self).follow_leader());
+        spawn_local(Rc::clone(self).send_news());
+        let desk = Rc::clone(&self.desk);
+        spawn_local(async move { desk.run().await });
+    }
+
+    /// This VM's name.
+    pub fn me(&self) -> &str {
+        &self.me
+    }
+
+    /// Finds an upstream for a request, which may take until its deadline.
+    ///
+    /// # Errors
+    ///
+    /// The refusal; the request has not run.
+    pub async fn place(
+        self: &Rc<Self>,
+        spec: JobSpec,
+    ) -> Result<Placement, Refusal> {
+        let began = self.clock.now();
+        loop {
+            let mut spec = spec.clone();
+            let spent = self.clock.now().since(began);
+            spec.objective = spec.objective.since(spent);
+            spec.deadline = spec.deadline.since(spent);
+            spec.number = self.next_number.replace(self.next_number.get() + 1);
+            let pending = Pending {
+                scheduling: self,
+                number: spec.number,
+                is_settled: Cell::new(false),
+            };
+            let mode = self.mode.borrow().clone();
+            let verdict = match mode {
+                Mode::Following(link, session) => self.place_far(&link, session, &spec).await,
+                Mode::Leading(_) => self.desk.place(OWN, &spec).await.ok(),
+                Mode::Alone => self.place_alone(&spec).await,
+            };
+            match verdict {
+                Some(Verdict::Go {
+                    upstream,
+                    address,
+                    version,
+                }) => {
+                    pending.is_settled.set(true);
+                    return Ok(self.placed(spec, upstream, address, version));
+                }
+                Some(Verdict::Refused(refusal)) => {
+                    pending.is_settled.set(true);
+                    return Err(refusal);
+                }
+                // Somebody else decides by now.
+                None => {}
+            }
+        }
+    }
+
+    /// Tells whoever decides what became of a request.
+    pub(super) fn note(
+        &self,
+        number: u64,
+        news: News,
+    ) {
+        let ticket = Ticket { vm: OWN, number };
+        match news {
+            News::FirstEvent => {
+                if let Some(running) = self.running.borrow_mut().get_mut(&number) {
+                    running.spec.has_begun = true;
+                }
+                self.desk.first_event(ticket);
+            }
+            News::Ended(outcome) => {
+                self.running.borrow_mut().remove(&number);
+                self.desk.ended(ticket, outcome);
+            }
+        }
+        if !self.is_leading() {
+            self.outbox.borrow_mut().push((number, news));
+            self.has_news.notify_one();
+        }
+    }
+
+    /// Whether this VM decides for all.
+    pub fn is_leading(&self) -> bool {
+        matches!(*self.mode.borrow(), Mode::Leading(_))
+    }
+
+    /// Whether the leader answers this VM.
+    pub fn is_following(&self) -> bool {
+        matches!(*self.mode.borrow(), Mode::Following(..))
+    }
+
+    /// The fencing token for orders, while this VM leads.
+    pub fn fence(&self) -> Option<Fence> {
+        match *self.mode.borrow() {
+            Mode::Leading(fence) => Some(fence),
+            Mode::Alone | Mode::Following(..) => None,
+        }
+    }
+
+    /// The leader that this VM knows of.
+    pub fn leader(&self) -> Option<Leader> {
+        self.leader.borrow().clone()
+    }
+
+    /// Takes the lead, with a token that the store gave.
+    pub fn lead(
+        &self,
+        fence: Fence,
+        share: RightsShare,
+    ) {
+        let leader = Leader {
+            vm: self.me.clone(),
+            address: self.address,
+            fence,
+        };
+        Line::new("lead_taken").with("fence", fence).info();
+        self.leader.replace(Some(leader.clone()));
+        self.desk.set_role(true, share);
+        for running in self.running_now() {
+            self.desk.adopt(OWN, &running);
+        }
+        self.set_mode(Mode::Leading(fence));
+        self.announce(&leader);
+    }
+
+    /// Stops deciding for others; another one has a higher token, or the lead was given back.
+    pub fn step_down(
+        &self,
+        reason: &str,
+    ) {
+        if self.is_leading() {
+            Line::new("lead_lost").with("reason", reason).warn();
+            self.stand_alone();
+        }
+    }
+
+    /// Takes word of a leader; one with an older token is not listened to.
+    pub fn consider(
+        &self,
+        leader: Leader,
+    ) {
+        let known = self.leader.borrow().as_ref().map(|known| known.fence);
+        if known.is_some_and(|fence| fence >= leader.fence) {
+            return;
+        }
+        Line::new("leader_seen")
+            .with("vm", &leader.vm)
+            .with("fence", leader.fence)
+            .info();
+        let is_other = leader.vm != self.me;
+        self.leader.replace(Some(leader));
+        if is_other {
+            self.step_down("another leads");
+        }
+        self.bump();
+    }
+
+    /// Takes the list of VMs.
+    pub fn set_vms(
+        &self,
+        vms: BTreeMap<String, SocketAddr>,
+    ) {
+        self.vms.replace(vms);
+        if matches!(*self.mode.borrow(), Mode::Alone) {
+            self.desk.set_role(false, self.part());
+        }
+    }
+
+    /// The VMs that the store lists.
+    pub fn vms(&self) -> BTreeMap<String, SocketAddr> {
+        self.vms.borrow().clone()
+    }
+
+    fn placed(
+        self: &Rc<Self>,
+        spec: JobSpec,
+        upstream: String,
+        address: SocketAddr,
+        version: Option<u32>,
+    ) -> Placement {
+        let number = spec.number;
+        let running = Running {
+            spec: RunningSpec {
+                job: spec,
+                upstream: upstream.clone(),
+                version,
+                has_begun: false,
+            },
+            since: self.clock.now(),
+        };
+        self.running.borrow_mut().insert(number, running);
+        Placement::new(Rc::clone(self), number, upstream, address, version)
+    }
+
+    async fn place_far(
+        &self,
+        link: &Rc<SchedulerLink>,
+        session: u32,
+        spec: &JobSpec,
+    ) -> Option<Verdict> {
+        let answer = link
+            .call(spec.deadline, |client| async move {
+                let mut req = client.place_request();
+                req.get().set_session(session);
+                write_job(req.get().init_job(), spec);
+                let res = req.send().promise.await?;
+                let res = res.get()?;
+                match res.get_known() {
+                    true => read_verdict(res.get_verdict()?).map(Some),
+                    false => Ok(None),
+                }
+            })
+            .await;
+        match answer {
+            Ok(Some(verdict)) => Some(verdict),
+            Ok(None) => {
+                self.lose_leader("session unknown");
+                None
+            }
+            Err(e) => {
+                self.lose_leader(&e.to_string());
+                None
+            }
+        }
+    }
+
+    /// Decides here for as long as no leader is found.
+    async fn place_alone(
+        &self,
+        spec: &JobSpec,
+    ) -> Option<Verdict> {
+        let mut changed = self.changed.subscribe();
+        let verdict = self.desk.place(OWN, spec);
+        tokio::select! {
+            verdict = verdict => verdict.ok(),
+            _ = changed.changed() => None,
+        }
+    }
+
+    /// The leader doesn't answer: decide alone until it does, or another one is found.
+    fn lose_leader(
+        &self,
+        reason: &str,
+    ) {
+        if matches!(*self.mode.borrow(), Mode::Following(..)) {
+            Line::new("leader_lost").with("reason", reason).warn();
+            self.stand_alone();
+        }
+    }
+
+    fn stand_alone(&self) {
+        self.desk.set_role(false, self.part());
+        self.set_mode(Mode::Alone);
+    }
+
+    fn part(&self) -> RightsShare {
+        RightsShare::Part(self.vms.borrow().len().max(1) as u64)
+    }
+
+    fn set_mode(
+        &self,
+        mode: Mode,
+    ) {
+        self.mode.replace(mode);
+        self.bump();
+    }
+
+    fn bump(&self) {
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    fn running_now(&self) -> Vec<RunningSpec> {
+        let now = self.clock.now();
+        let running = self.running.borrow();
+        let aged = running.values().map(|running| {
+            let mut spec = running.spec.clone();
+            let age = now.since(running.since);
+            spec.job.objective = spec.job.objective.since(age);
+            spec.job.deadline = spec.job.deadline.since(age);
+            spec
+        });
+        aged.collect()
+    }
+
+    /// Tells all VMs at once who leads: they would learn it from the store too, but only when they reach it.
+    fn announce(
+        &self,
+        leader: &Leader,
+    ) {
+        for (vm, address) in self.vms() {
+            if vm == self.me {
+                continue;
+            }
+            let leader = leader.clone();
+            spawn_local(async move {
+                let link = SchedulerLink::new(address, LINK);
+                match call_announce(&link, &leader).await {
+                    Ok(_) => {}
+                    Err(e) => Line::new("announce_failed")
+                        .with("vm", vm)
+                        .with("reason", e)
+                        .info(),
+                }
+            });
+        }
+    }
+
+    async fn follow_leader(self: Rc<Self>) {
+        let mut changed = self.changed.subscribe();
+        loop {
+            changed.mark_unchanged();
+            let leader = self.leader().filter(|leader| leader.vm != self.me);
+            let Some(leader) = leader else {
+                if changed.changed().await.is_err() {
+                    return;
+                }
+                continue;
+            };
+            let link = Rc::new(SchedulerLink::new(leader.address, LINK));
+            match self.hello(&link).await {
+                Ok(session) => {
+                    Line::new("leader_followed")
+                        .with("vm", &leader.vm)
+                        .with("fence", leader.fence)
+                        .info();
+                    self.set_mode(Mode::Following(Rc::clone(&link), session));
+                    self.watch_leader(&link, &leader).await;
+                }
+                Err(e) => {
+                    Line::new("leader_unreachable")
+                        .with("vm", &leader.vm)
+                        .with("reason", e)
+                        .info();
+                }
+            }
+            tokio::select! {
+                () = sleep(RETRY_EVERY.to_std()) => {}
+                _ = changed.changed() => {}
+            }
+        }
+    }
+
+    /// Asks the leader for signs of life until it gives none or another one leads.
+    async fn watch_leader(
+        &self,
+        link: &SchedulerLink,
+        leader: &Leader,
+    ) {
+        while self.leader().as_ref() == Some(leader)
+            && matches!(*self.mode.borrow(), Mode::Following(..))
+        {
+            sleep(PING_EVERY.to_std()).await;
+            match call_ping(link).await {
+                Ok(Some(other)) => self.consider(other),
+                Ok(None) => return self.lose_leader("it leads no more"),
+                Err(e) => return self.lose_leader(&e.to_string()),
+            }
+        }
+        self.lose_leader("another leads");
+    }
+
+    async fn hello(
+        &self,
+        link: &SchedulerLink,
+    ) -> Result<u32, LinkError> {
+        let running = self.running_now();
+        let (me, incarnation) = (&self.me, self.incarnation);
+        let running = &running;
+        let (session, other) = link
+            .call(Millis::ZERO, |client| async move {
+                let mut req = client.hello_request();
+                req.get().set_vm(me);
+                req.get().set_incarnation(incarnation);
+                let mut list = req.get().init_running(running.len() as u32);
+                for (at, running) in running.iter().enumerate() {
+                    write_running(list.reborrow().get(at as u32), running);
+                }
+                let res = req.send().promise.await?;
+                let res = res.get()?;
+                Ok((res.get_session(), read_leader(res.get_leader()?)?))
+            })
+            .await?;
+        if let Some(other) = other {
+            self.consider(other);
+        }
+        match session {
+            0 => Err(LinkError::Failed("it does not lead".to_owned())),
+            session => Ok(session),
+        }
+    }
+
+    async fn send_news(self: Rc<Self>) {
+        loop {
+            self.has_news.notified().await;
+            sleep(GATHER.to_std()).await;
+            let news = self.outbox.take();
+            let mode = self.mode.borrow().clone();
+            // Without a leader nobody counts; a later one is told what runs when it is met.
+            if let Mode::Following(link, session) = mode
+                && !news.is_empty()
+            {
+                match call_tell(&link, session, &news).await {
+                    Ok(true) => {}
+                    Ok(false) => self.lose_leader("session unknown"),
+                    Err(e) => self.lose_leader(&e.to_string()),
+                }
+            }
+        }
+    }
+}
+
+async fn call_announce(
+    link: &SchedulerLink,
+    leader: &Leader,
+) -> Result<Option<Leader>, LinkError> {
+    link.call(Millis::ZERO, |client| async move {
+        let mut req = client.announce_request();
+        write_leader(req.get().init_leader(), Some(leader));
+        let res = req.send().promise.await?;
+        read_leader(res.get()?.get_leader()?)
+    })
+    .await
+}
+
+async fn call_ping(link: &SchedulerLink) -> Result<Option<Leader>, LinkError> {
+    link.call(Millis::ZERO, |client| async move {
+        let res = client.ping_request().send().promise.await?;
+        read_leader(res.get()?.get_leader()?)
+    })
+    .await
+}
+
+async fn call_tell(
+    link: &SchedulerLink,
+    session: u32,
+    news: &[(u64, News)],
+) -> Result<bool, LinkError> {
+    link.call(Millis::ZERO, |client| async move {
+        let mut req = client.tell_request();
+        req.get().set_session(session);
+        let mut list = req.get().init_news(news.len() as u32);
+        for (at, &(number, what)) in news.iter().enumerate() {
+            write_news(list.reborrow().get(at as u32), number, what);
+        }
+        let res = req.send().promise.await?;
+        Ok(res.get()?.get_known())
+    })
+    .await
+}
+
+/// A question that is open. Dropped unsettled, because its caller has gone or somebody else decides by now, it takes
+/// back whatever may have been reserved for it.
+struct Pending<'a> {
+    scheduling: &'a Rc<Scheduling>,
+    number: u64,
+    is_settled: Cell<bool>,
+}
+
+impl Drop for Pending<'_> {
+    fn drop(&mut self) {
+        if !self.is_settled.get() {
+            let news = News::Ended(Outcome::Abandoned);
+            self.scheduling.note(self.number, news);
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/scheduling/convert.rs
@@ -0,0 +1,230 @@
+//! Jobs, verdicts and news as messages between entry VMs.
+
+use {
+    super::{GenerationSpec, JobSpec, Leader, RunningSpec, Verdict},
+    jasmine_core::{
+        clock::Millis,
+        error::{ErrorKind, Refusal},
+        ids::Fence,
+        ingress::{PromptPart, PromptSize},
+        scheduler::Outcome,
+    },
+    jasmine_wire::scheduler_capnp::{EndKind, job, leadership, news, running_job, verdict},
+};
+
+/// What a VM tells the scheduler of a request that it forwards.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum News {
+    /// The first event of its answer was seen.
+    FirstEvent,
+    /// It has ended.
+    Ended(Outcome),
+}
+
+pub(super) fn write_job(
+    mut to: job::Builder<'_>,
+    spec: &JobSpec,
+) {
+    to.set_number(spec.number);
+    to.set_account(spec.account.as_deref().unwrap_or_default());
+    to.set_caller(spec.caller);
+    to.set_cost(spec.cost);
+    to.set_service(&spec.service);
+    to.set_priority(spec.priority);
+    to.set_objective_ms(spec.objective.0 as u32);
+    to.set_deadline_ms(spec.deadline.0 as u32);
+    to.set_attempt(spec.attempt);
+    to.set_data_centre(&spec.data_centre);
+    let mut avoid = to.reborrow().init_avoid(spec.avoid.len() as u32);
+    for (at, id) in spec.avoid.iter().enumerate() {
+        avoid.set(at as u32, id);
+    }
+    let Some(generation) = &spec.generation else {
+        return;
+    };
+    to.set_model(&generation.model);
+    to.set_adapter(generation.adapter.as_deref().unwrap_or_default());
+    to.set_prompt_tokens(generation.size.prompt);
+    to.set_output_tokens(generation.size.output);
+    let mut parts = to.init_parts(generation.parts.len() as u32);
+    for (at, part) in generation.parts.iter().enumerate() {
+        let mut to = parts.reborrow().get(at as u32);
+        to.set_id(part.id);
+        to.set_tokens(part.tokens);
+    }
+}
+
+pub(super) fn read_job(from: job::Reader<'_>) -> Result<JobSpec, capnp::Error> {
+    let model = from.get_model()?.to_str()?;
+    let generation = match model {
+        "" => None,
+        model => Some(GenerationSpec {
+            model: model.to_owned(),
+            adapter: non_empty(from.get_adapter()?.to_str()?),
+            size: PromptSize {
+                prompt: from.get_prompt_tokens(),
+                output: from.get_output_tokens(),
+            },
+            parts: from
+                .get_parts()?
+                .iter()
+                .map(|part| PromptPart {
+                    id: part.get_id(),
+                    tokens: part.get_tokens(),
+                })
+                .collect(),
+        }),
+    };
+    let avoid = from.get_avoid()?;
+    let avoid: Result<Vec<String>, capnp::Error> =
+        avoid.iter().map(|id| Ok(id?.to_string()?)).collect();
+    Ok(JobSpec {
+        number: from.get_number(),
+        account: non_empty(from.get_account()?.to_str()?),
+        caller: from.get_caller(),
+        cost: from.get_cost(),
+        service: from.get_service()?.to_string()?,
+        generation,
+        priority: from.get_priority(),
+        objective: Millis(from.get_objective_ms().into()),
+        deadline: Millis(from.get_deadline_ms().into()),
+        attempt: from.get_attempt(),
+        avoid: avoid?,
+        data_centre: from.get_data_centre()?.to_string()?,
+    })
+}
+
+pub(super) fn write_running(
+    mut to: running_job::Builder<'_>,
+    spec: &RunningSpec,
+) {
+    to.set_upstream(&spec.upstream);
+    to.set_version(spec.version.unwrap_or_default());
+    to.set_has_begun(spec.has_begun);
+    write_job(to.init_job(), &spec.job);
+}
+
+pub(super) fn read_running(from: running_job::Reader<'_>) -> Result<RunningSpec, capnp::Error> {
+    Ok(RunningSpec {
+        job: read_job(from.get_job()?)?,
+        upstream: from.get_upstream()?.to_string()?,
+        version: non_zero(from.get_version()),
+        has_begun: from.get_has_begun(),
+    })
+}
+
+pub(super) fn write_verdict(
+    mut to: verdict::Builder<'_>,
+    verdict: &Verdict,
+) {
+    match verdict {
+        Verdict::Go {
+            upstream,
+            address,
+            version,
+        } => {
+            to.set_upstream(upstream);
+            to.set_address(address.to_string());
+            to.set_version(version.unwrap_or_default());
+        }
+        Verdict::Refused(refusal) => {
+            to.set_refusal(refusal.kind.answer().code);
+            let delay = refusal.retry_after.map_or(0, |delay| delay.0.max(1));
+            to.set_retry_after_ms(delay as u32);
+        }
+    }
+}
+
+pub(super) fn read_verdict(from: verdict::Reader<'_>) -> Result<Verdict, capnp::Error> {
+    let upstream = from.get_upstream()?.to_str()?;
+    if !upstream.is_empty() {
+        let address = from.get_address()?.to_str()?;
+        return Ok(Verdict::Go {
+            upstream: upstream.to_owned(),
+            address: address
+                .parse()
+                .map_err(|_e| capnp::Error::failed(format!("no address: {address}")))?,
+            version: non_zero(from.get_version()),
+        });
+    }
+    let code = from.get_refusal()?.to_str()?;
+    let kind = ErrorKind::from_code(code)
+        .ok_or_else(|| capnp::Error::failed(format!("unknown refusal: {code}")))?;
+    let delay = non_zero(from.get_retry_after_ms());
+    Ok(Verdict::Refused(Refusal {
+        kind,
+        retry_after: delay.map(|ms| Millis(ms.into())),
+    }))
+}
+
+pub(super) fn write_news(
+    mut to: news::Builder<'_>,
+    number: u64,
+    what: News,
+) {
+    to.set_number(number);
+    let (kind, took) = match what {
+        News::FirstEvent => (EndKind::FirstEvent, Millis::ZERO),
+        News::Ended(Outcome::Answered { took }) => (EndKind::Answered, took),
+        News::Ended(Outcome::Failed) => (EndKind::Failed, Millis::ZERO),
+        News::Ended(Outcome::Shed) => (EndKind::Shed, Millis::ZERO),
+        News::Ended(Outcome::NotLoaded) => (EndKind::NotLoaded, Millis::ZERO),
+        News::Ended(Outcome::OtherUpstream) => (EndKind::OtherUpstream, Millis::ZERO),
+        News::Ended(Outcome::Unreachable) => (EndKind::Unreachable, Millis::ZERO),
+        News::Ended(Outcome::Lost) => (EndKind::Lost, Millis::ZERO),
+        News::Ended(Outcome::Silent) => (EndKind::Silent, Millis::ZERO),
+        News::Ended(Outcome::Abandoned) => (EndKind::Abandoned, Millis::ZERO),
+    };
+    to.set_kind(kind);
+    to.set_took_ms(took.0 as u32);
+}
+
+pub(super) fn read_news(from: news::Reader<'_>) -> Result<(u64, News), capnp::Error> {
+    let took = Millis(from.get_took_ms().into());
+    let what = match from.get_kind()? {
+        EndKind::FirstEvent => News::FirstEvent,
+        EndKind::Answered => News::Ended(Outcome::Answered { took }),
+        EndKind::Failed => News::Ended(Outcome::Failed),
+        EndKind::Shed => News::Ended(Outcome::Shed),
+        EndKind::NotLoaded => News::Ended(Outcome::NotLoaded),
+        EndKind::OtherUpstream => News::Ended(Outcome::OtherUpstream),
+        EndKind::Unreachable => News::Ended(Outcome::Unreachable),
+        EndKind::Lost => News::Ended(Outcome::Lost),
+        EndKind::Silent => News::Ended(Outcome::Silent),
+        EndKind::Abandoned => News::Ended(Outcome::Abandoned),
+    };
+    Ok((from.get_number(), what))
+}
+
+pub(super) fn write_leader(
+    mut to: leadership::Builder<'_>,
+    leader: Option<&Leader>,
+) {
+    if let Some(leader) = leader {
+        to.set_vm(&leader.vm);
+        to.set_address(leader.address.to_string());
+        to.set_fence(leader.fence.0);
+    }
+}
+
+pub(super) fn read_leader(from: leadership::Reader<'_>) -> Result<Option<Leader>, capnp::Error> {
+    if from.get_fence() == 0 {
+        return Ok(None);
+    }
+    let address = from.get_address()?.to_str()?;
+    Ok(Some(Leader {
+        vm: from.get_vm()?.to_string()?,
+        address: address
+            .parse()
+            .map_err(|_e| capnp::Error::failed(format!("no address: {address}")))?,
+        fence: Fence(from.get_fence()),
+    }))
+}
+
+fn non_empty(text: &str) -> Option<String> {
+    (!text.is_empty()).then(|| text.to_owned())
+}
+
+fn non_zero(number: u32) -> Option<u32> {
+    (number != 0).then_some(number)
+}
--- /dev/null
+++ b/crates/entry/src/scheduling/desk.rs
@@ -0,0 +1,428 @@
+use {
+    super::{JobSpec, Names, RunningSpec},
+    crate::clock::Clock,
+    jasmine_core::{
+        clock::Millis,
+        error::Refusal,
+        ids::UpstreamId,
+        ingress::{EngineHoldings, HeldAdapter, IngressConfig, UpstreamEntry, UpstreamState},
+        scheduler::{
+            Adopted, EngineFacts, EngineLimits, Order, OrderEnd, Outcome, RightsShare, Scheduler,
+            SchedulerAction as Action, SchedulerSettings, Ticket, UpstreamFacts,
+        },
+    },
+    std::{
+        cell::{Cell, RefCell},
+        collections::HashMap,
+        net::SocketAddr,
+        rc::Rc,
+    },
+    tokio::sync::{Notify, mpsc, oneshot},
+};
+
+/// What the scheduler says to a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Send it there.
+    Go {
+        /// The upstream's id.
+        upstream: String,
+        /// Where it listens.
+        address: SocketAddr,
+        /// The adapter's version that may run it, where an operator has named one.
+        version: Option<u32>,
+    },
+    /// Answer it with a refusal; it has not run.
+    Refused(Refusal),
+}
+
+/// What is to be sent to an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EngineTask {
+    /// An order, void unless the engine has accepted exactly so many before.
+    Order(UpstreamId, Order, u64),
+    /// A question for its report.
+    Report(UpstreamId),
+}
+
+/// The scheduler's machine with its surroundings: names, waiting requests, engines to be ordered.
+#[derive(Debug)]
+pub struct Desk {
+    clock: Clock,
+    names: RefCell<Names>,
+    machine: RefCell<Scheduler>,
+    waiters: RefCell<HashMap<Ticket, oneshot::Sender<Verdict>>>,
+    addresses: RefCell<HashMap<UpstreamId, SocketAddr>>,
+    tasks: mpsc::UnboundedSender<EngineTask>,
+    wake: Notify,
+    may_order: Cell<bool>,
+}
+
+impl Desk {
+    /// A desk whose engine tasks go to `tasks`.
+    pub fn new(
+        settings: SchedulerSettings,
+        tasks: mpsc::UnboundedSender<EngineTask>,
+    ) -> Self {
+        Self {
+            clock: Clock,
+            names: RefCell::default(),
+            machine: RefCell::new(Scheduler::new(settings, RightsShare::Part(1))),
+            waiters: RefCell::default(),
+            addresses: RefCell::default(),
+            tasks,
+            wake: Notify::new(),
+            may_order: Cell::new(false),
+        }
+    }
+
+    /// Drives the machine's timers, for ever.
+    pub async fn run(&self) {
+        loop {
+            let now = self.clock.now();
+            let due = self.machine.borrow().wake_at(now).since(now);
+            tokio::select! {
+                () = tokio::time::sleep(due.to_std()) => {}
+                () = self.wake.notified() => continue,
+            }
+            self.with(Scheduler::tick);
+        }
+    }
+
+    /// Changes what is decided here.
+    pub fn set_role(
+        &self,
+        may_order: bool,
+        share: RightsShare,
+    ) {
+        self.may_order.set(may_order);
+        let now = self.clock.now();
+        self.machine.borrow_mut().set_role(may_order, share, now);
+        self.wake.notify_one();
+    }
+
+    /// Whether this VM's machine gives orders.
+    pub fn may_order(&self) -> bool {
+        self.may_order.get()
+    }
+
+    /// Takes a configuration.
+    pub fn set_config(
+        &self,
+        config: &IngressConfig,
+    ) {
+        let now = self.clock.now();
+        let mut names = self.names.borrow_mut();
+        let limits = config
+            .accounts
+            .iter()
+            .filter_map(|account| Some((names.account(&account.name), account.limit?)))
+            .collect();
+        let engines = config
+            .services
+            .values()
+            .filter_map(|service| {
+                let limits = engine_limits(service.engine.as_ref()?, &mut names);
+                Some((names.service(&service.name), limits))
+            })
+            .collect();
+        let mut machine = self.machine.borrow_mut();
+        machine.set_limits(limits, now);
+        machine.set_engines(engines);
+    }
+
+    /// Takes an upstream's entry.
+    pub fn set_upstream(
+        &self,
+        entry: &UpstreamEntry,
+    ) {
+        let (id, facts) = {
+            let mut names = self.names.borrow_mut();
+            let id = names.upstream(&entry.id);
+            self.addresses.borrow_mut().insert(id, entry.address);
+            (id, facts_of(entry, &mut names))
+        };
+        self.with(|machine, now| machine.set_upstream(id, &facts, now));
+    }
+
+    /// Forgets an upstream.
+    pub fn remove_upstream(
+        &self,
+        id: &str,
+    ) {
+        let id = self.names.borrow_mut().upstream(id);
+        self.addresses.borrow_mut().remove(&id);
+        self.machine.borrow_mut().remove_upstream(id);
+    }
+
+    /// Takes an operator's word on the version of an adapter.
+    pub fn announce_version(
+        &self,
+        model: &str,
+        adapter: &str,
+        version: u32,
+    ) {
+        let adapter = self.names.borrow_mut().adapter(model, adapter);
+        let now = self.clock.now();
+        let mut machine = self.machine.borrow_mut();
+        machine.announce_version(adapter, version, now);
+    }
+
+    /// Asks where a request is to go; the answer may take until its deadline.
+    pub fn place(
+        &self,
+        vm: u32,
+        spec: &JobSpec,
+    ) -> oneshot::Receiver<Verdict> {
+        let ticket = Ticket {
+            vm,
+            number: spec.number,
+        };
+        let (tx, rx) = oneshot::channel();
+        self.waiters.borrow_mut().insert(ticket, tx);
+        let job = spec.resolve(&mut self.names.borrow_mut(), self.clock.now());
+        self.with(|machine, now| machine.place(ticket, job, now));
+        rx
+    }
+
+    /// The first event of a request was seen.
+    pub fn first_event(
+        &self,
+        ticket: Ticket,
+    ) {
+        self.with(|machine, now| machine.first_event(ticket, now));
+    }
+
+    /// A request has ended, or is no longer wanted.
+    pub fn ended(
+        &self,
+        ticket: Ticket,
+        outcome: Outcome,
+    ) {
+        self.waiters.borrow_mut().remove(&ticket);
+        self.with(|machine, now| machine.ended(ticket, outcome, now));
+    }
+
+    /// Takes over a request that runs.
+    pub fn adopt(
+        &self,
+        vm: u32,
+        spec: &RunningSpec,
+    ) {
+        let now = self.clock.now();
+        let mut names = self.names.borrow_mut();
+        let adopted = Adopted {
+            ticket: Ticket {
+                vm,
+                number: spec.job.number,
+            },
+            upstream: names.upstream(&spec.upstream),
+            job: spec.job.resolve(&mut names, now),
+            version: spec.version,
+            has_begun: spec.has_begun,
+        };
+        self.machine.borrow_mut().adopt(adopted, now);
+    }
+
+    /// Forgets all requests of a VM.
+    pub fn forget_vm(
+        &self,
+        vm: u32,
+    ) {
+        self.waiters
+            .borrow_mut()
+            .retain(|ticket, _| ticket.vm != vm);
+        self.with(|machine, now| machine.forget_vm(vm, now));
+    }
+
+    /// Takes the answer to an order.
+    pub fn order_ended(
+        &self,
+        upstream: UpstreamId,
+        order: Order,
+        end: OrderEnd,
+    ) {
+        self.with(|machine, now| machine.order_ended(upstream, order, end, now));
+    }
+
+    /// Takes an engine's report.
+    pub fn report(
+        &self,
+        upstream: UpstreamId,
+        holdings: Option<(&EngineHoldings, bool)>,
+    ) {
+        let facts = holdings.map(|(holdings, is_busy)| {
+            let mut names = self.names.borrow_mut();
+            engine_facts(holdings, is_busy, &mut names)
+        });
+        self.with(|machine, now| machine.report(upstream, facts.as_ref(), now));
+    }
+
+    /// The id and address of an upstream.
+    pub fn upstream(
+        &self,
+        id: UpstreamId,
+    ) -> Option<(Rc<str>, SocketAddr)> {
+        let address = *self.addresses.borrow().get(&id)?;
+        Some((self.names.borrow().upstream_name(id), address))
+    }
+
+    /// The names, for whoever writes orders.
+    pub fn names(&self) -> std::cell::Ref<'_, Names> {
+        self.names.borrow()
+    }
+
+    /// Requests that wait and that run, for metrics.
+    pub fn load(&self) -> (usize, usize) {
+        let machine = self.machine.borrow();
+        (machine.waiting_len(), machine.running_len())
+    }
+
+    /// Lets the machine take an event and carries out what it wants.
+    fn with<F>(
+        &self,
+        f: F,
+    ) where
+        F: FnOnce(&mut Scheduler, Millis) -> Vec<Action>,
+    {
+        let now = self.clock.now();
+        let actions = f(&mut self.machine.borrow_mut(), now);
+        let acted = !actions.is_empty();
+        for action in actions {
+            self.act(action);
+        }
+        if acted {
+            self.wake.notify_one();
+        }
+    }
+
+    fn act(
+        &self,
+        action: Action,
+    ) {
+        match action {
+            Action::Assign {
+                ticket,
+                upstream,
+                version,
+            } => self.assign(ticket, upstream, version),
+            Action::Refuse { ticket, refusal } => {
+                self.answer(ticket, Verdict::Refused(refusal));
+            }
+            Action::Order {
+                upstream,
+                order,
+                after_seq,
+            } => self.send(EngineTask::Order(upstream, order, after_seq)),
+            Action::AskReport { upstream } => self.send(EngineTask::Report(upstream)),
+        }
+    }
+
+    fn assign(
+        &self,
+        ticket: Ticket,
+        upstream: UpstreamId,
+        version: Option<u32>,
+    ) {
+        if let Some((id, address)) = self.upstream(upstream) {
+            let upstream = id.to_string();
+            self.answer(
+                ticket,
+                Verdict::Go {
+                    upstream,
+                    address,
+                    version,
+                },
+            );
+        }
+    }
+
+    /// A waiter that has gone has told its end by itself.
+    fn answer(
+        &self,
+        ticket: Ticket,
+        verdict: Verdict,
+    ) {
+        if let Some(waiter) = self.waiters.borrow_mut().remove(&ticket) {
+            drop(waiter.send(verdict));
+        }
+    }
+
+    /// The other end is gone only when the daemon ends.
+    fn send(
+        &self,
+        task: EngineTask,
+    ) {
+        drop(self.tasks.send(task));
+    }
+}
+
+fn engine_limits(
+    spec: &jasmine_core::ingress::EngineSpec,
+    names: &mut Names,
+) -> EngineLimits {
+    EngineLimits {
+        slots: spec.slots,
+        kv_tokens: spec.kv_tokens,
+        adapter_slots: spec.adapter_slots as usize,
+        weights_mb: spec.weights_mb,
+        loads_per_s: spec.loads_per_s,
+        models: spec
+            .models
+            .iter()
+            .map(|model| (names.model(&model.name), model.weights_mb, model.adapter_mb))
+            .collect(),
+    }
+}
+
+fn facts_of(
+    entry: &UpstreamEntry,
+    names: &mut Names,
+) -> UpstreamFacts {
+    UpstreamFacts {
+        service: names.service(&entry.service),
+        data_centre: Some(names.data_centre(&entry.data_centre)),
+        slots: entry.slots,
+        is_ready: entry.state == UpstreamState::Ready,
+        cold: entry.cold,
+        started: entry.started_unix_ms,
+        engine: entry
+            .holdings
+            .as_ref()
+            .map(|holdings| engine_facts(holdings, false, names)),
+    }
+}
+
+fn engine_facts(
+    holdings: &EngineHoldings,
+    is_busy: bool,
+    names: &mut Names,
+) -> EngineFacts {
+    let only = holdings.models.first().map(|model| model.name.clone());
+    let mut version = |model: &str, held: &HeldAdapter| {
+        let adapter = names.adapter(model, &held.name);
+        let version = held.version;
+        let adapter = jasmine_core::ids::AdapterVersion { adapter, version };
+        (names.model(model), adapter)
+    };
+    let adapters = holdings
+        .models
+        .iter()
+        .flat_map(|model| model.adapters.iter().map(|held| (&model.name, held)))
+        .map(|(model, held)| version(model, held))
+        .collect();
+    // A report names what is on its way with its model; engines of these services hold one at a time.
+    let coming = holdings
+        .coming
+        .iter()
+        .filter_map(|held| Some(version(only.as_ref()?, held)))
+        .collect();
+    let models = holdings.models.iter();
+    EngineFacts {
+        seq: holdings.seq,
+        adapters,
+        coming,
+        models: models.map(|model| names.model(&model.name)).collect(),
+        is_busy,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/scheduling/mod.rs
@@ -0,0 +1,22 @@
+//! Who decides where a request goes: this VM's own machine, or the one that leads.
+
+mod client;
+mod convert;
+mod desk;
+mod job_spec;
+mod leader;
+mod names;
+mod orders;
+mod placement;
+mod server;
+
+pub use {
+    client::Scheduling,
+    desk::{Desk, Verdict},
+    job_spec::{GenerationSpec, JobSpec, RunningSpec},
+    leader::Leader,
+    names::Names,
+    orders::{OrderContext, carry_out},
+    placement::Placement,
+    server::SchedulerServer,
+};
--- /dev/null
+++ b/crates/entry/src/scheduling/orders.rs
@@ -0,0 +1,182 @@
+use {
+    super::{Scheduling, desk::EngineTask},
+    crate::upstream::{CallError, HttpCall, Pool},
+    jasmine_core::{
+        clock::Millis,
+        ids::{AdapterVersion, ModelId, UpstreamId},
+        scheduler::{Order, OrderEnd},
+    },
+    jasmine_platform::{
+        engine::{
+            EngineOrder, EngineReport, ORDER_TARGET, OrderAnswer, OrderKind, REPORT_TARGET,
+            decode_order_status, decode_report, encode_order,
+        },
+        headers::write_expected_upstream,
+    },
+    jasmine_telemetry::log::Line,
+    std::{net::SocketAddr, rc::Rc},
+    tokio::{sync::mpsc, task::spawn_local},
+};
+
+/// How long an order or a report may take; engines answer in a millisecond or two.
+const CALL_LIMIT: Millis = Millis(400);
+
+/// What orders are given with.
+#[derive(Clone, Debug)]
+pub struct OrderContext {
+    /// Whose orders they are.
+    pub scheduling: Rc<Scheduling>,
+    /// Connections to engines.
+    pub pool: Rc<Pool>,
+}
+
+/// Carries out what the machine wants of engines, for ever.
+pub async fn carry_out(
+    cx: OrderContext,
+    mut tasks: mpsc::UnboundedReceiver<EngineTask>,
+) {
+    while let Some(task) = tasks.recv().await {
+        let cx = cx.clone();
+        spawn_local(async move {
+            match task {
+                EngineTask::Order(upstream, order, after_seq) => {
+                    let end = cx.order(upstream, order, after_seq).await;
+                    cx.scheduling.desk.order_ended(upstream, order, end);
+                }
+                EngineTask::Report(upstream) => {
+                    let report = cx.report(upstream).await;
+                    let holdings = report.as_ref().map(|r| (&r.holdings, r.is_busy));
+                    cx.scheduling.desk.report(upstream, holdings);
+                }
+            }
+        });
+    }
+}
+
+impl OrderContext {
+    async fn order(
+        &self,
+        upstream: UpstreamId,
+        order: Order,
+        after_seq: u64,
+    ) -> OrderEnd {
+        let target = self.scheduling.desk.upstream(upstream);
+        let (Some((id, address)), Some(fence)) = (target, self.scheduling.fence()) else {
+            return OrderEnd::Unsent;
+        };
+        let order = self.spell(order, after_seq, fence);
+        let answer = self
+            .call(&id, address, "POST", ORDER_TARGET, &encode_order(&order))
+            .await;
+        let end = match answer {
+            Err(CallError::Unsent) => OrderEnd::Unsent,
+            Err(CallError::Unanswered) => OrderEnd::Lost,
+            Ok((status, _)) => self.end_of(decode_order_status(status)),
+        };
+        Line::new("order_given")
+            .with("upstream", &id)
+            .with("op", format!("{:?}", order.kind))
+            .with("adapter", order.adapter.as_deref().unwrap_or("-"))
+            .with("after_seq", after_seq)
+            .with("fence", fence)
+            .with("end", format!("{end:?}"))
+            .info();
+        end
+    }
+
+    fn end_of(
+        &self,
+        answer: OrderAnswer,
+    ) -> OrderEnd {
+        match answer {
+            OrderAnswer::Accepted => OrderEnd::Accepted,
+            OrderAnswer::Holds => OrderEnd::Holds,
+            OrderAnswer::Conflict => OrderEnd::Conflict,
+            OrderAnswer::OtherUpstream => OrderEnd::OtherUpstream,
+            OrderAnswer::Refused(_) => OrderEnd::Refused,
+            // Somebody else was elected; going on under this token would only be refused again.
+            OrderAnswer::Fenced => {
+                self.scheduling
+                    .step_down("an engine has seen a higher token");
+                OrderEnd::Refused
+            }
+        }
+    }
+
+    fn spell(
+        &self,
+        order: Order,
+        after_seq: u64,
+        fence: jasmine_core::ids::Fence,
+    ) -> EngineOrder {
+        let names = self.scheduling.desk.names();
+        let spelled =
+            |kind, model: ModelId, adapter: Option<AdapterVersion>, announced: bool| EngineOrder {
+                kind,
+                model: names.model_name(model).to_string(),
+                adapter: adapter.map(|adapter| names.adapter_name(adapter.adapter)),
+                version: adapter.filter(|_| announced).map(|adapter| adapter.version),
+                after_seq,
+                holder: self.scheduling.me().to_owned(),
+                fence,
+            };
+        match order {
+            Order::Load {
+                model,
+                adapter,
+                announced,
+            } => spelled(OrderKind::Load, model, Some(adapter), announced),
+            Order::Unload { model, adapter } => {
+                spelled(OrderKind::Unload, model, Some(adapter), false)
+            }
+            Order::LoadModel(model) => spelled(OrderKind::Load, model, None, false),
+        }
+    }
+
+    async fn report(
+        &self,
+        upstream: UpstreamId,
+    ) -> Option<EngineReport> {
+        let (id, address) = self.scheduling.desk.upstream(upstream)?;
+        let (status, body) = self
+            .call(&id, address, "GET", REPORT_TARGET, &[])
+            .await
+            .inspect_err(|e| {
+                Line::new("report_failed")
+                    .with("upstream", &id)
+                    .with("reason", e)
+                    .info();
+            })
+            .ok()?;
+        let report = decode_report(&body).inspect_err(|e| {
+            Line::new("report_unreadable")
+                .with("upstream", &id)
+                .with("status", status)
+                .with("reason", e)
+                .warn();
+        });
+        report.ok()
+    }
+
+    async fn call(
+        &self,
+        id: &str,
+        address: SocketAddr,
+        method: &str,
+        target: &str,
+        body: &[u8],
+    ) -> Result<(u16, bytes::Bytes), CallError> {
+        let mut headers = String::new();
+        write_expected_upstream(id, &mut headers);
+        let call = HttpCall {
+            address,
+            method,
+            target,
+            headers: &headers,
+            body,
+            limit: CALL_LIMIT,
+            fresh: false,
+        };
+        call.make(&self.pool).await
+    }
+}
--- /dev/null
+++ b/crates/entry/src/upstream/call.rs
@@ -0,0 +1,113 @@
+use {
+    super::{Connection, ExchangeError, Pool},
+    bytes::Bytes,
+    jasmine_core::clock::Millis,
+    std::{fmt::Write, net::SocketAddr},
+    tokio::time::timeout,
+};
+
+/// The largest answer taken, in bytes: a page of the store has a megabyte, in base64.
+const MAX_ANSWER: usize = 8 << 20;
+/// How long a connection for calls may have been idle.
+const IDLE: Millis = Millis(3_000);
+
+/// Why a call has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(derive_more::Display, derive_more::Error)]
+pub enum CallError {
+    /// No connection came about: nothing was sent.
+    #[display("not reached")]
+    Unsent,
+    /// It went out and no answer came: it may have been done, or may be done later.
+    #[display("no answer")]
+    Unanswered,
+}
+
+/// A small call with a JSON body.
+#[derive(Clone, Copy, Debug)]
+pub struct HttpCall<'a> {
+    /// Where to.
+    pub address: SocketAddr,
+    /// Its method.
+    pub method: &'a str,
+    /// Path and query.
+    pub target: &'a str,
+    /// Further header lines, each with its end.
+    pub headers: &'a str,
+    /// Its body; empty for none.
+    pub body: &'a [u8],
+    /// How long all of it may take.
+    pub limit: Millis,
+    /// Whether it must not use a connection that was used before.
+    pub fresh: bool,
+}
+
+impl HttpCall<'_> {
+    /// Makes the call and returns status and body.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError`].
+    pub async fn make(
+        &self,
+        pool: &Pool,
+    ) -> Result<(u16, Bytes), CallError> {
+        let result = timeout(self.limit.to_std(), self.attempt(pool)).await;
+        let result = result.unwrap_or(Err(CallError::Unanswered));
+        if matches!(result, Err(CallError::Unanswered)) {
+            pool.forget(self.address);
+        }
+        result
+    }
+
+    async fn attempt(
+        &self,
+        pool: &Pool,
+    ) -> Result<(u16, Bytes), CallError> {
+        let reused = if self.fresh {
+            None
+        } else {
+            pool.reuse(self.address, IDLE)
+        };
+        let mut connection = match reused {
+            Some(connection) => connection,
+            None => pool
+                .open(self.address)
+                .await
+                .map_err(|_e| CallError::Unsent)?,
+        };
+        let answer = self.exchange(&mut connection).await;
+        let (head, body) = answer.map_err(|_e| CallError::Unanswered)?;
+        pool.keep(self.address, connection, &head);
+        Ok((head.status, body))
+    }
+
+    async fn exchange(
+        &self,
+        connection: &mut Connection,
+    ) -> Result<(crate::http1::AnswerHead, Bytes), ExchangeError> {
+        let request = self.encode();
+        let begun = connection.begin(&request, self.method, |_| true).await?;
+        let body = connection.whole_body(&begun.head, MAX_ANSWER).await?;
+        if begun.sent_all {
+            Ok((begun.head, body))
+        } else {
+            Err(ExchangeError::Invalid)
+        }
+    }
+
+    fn encode(&self) -> Vec<u8> {
+        let mut head = format!("{} {} HTTP/1.1\r\n", self.method, self.target);
+        let _infallible = write!(head, "Host: {}\r\n{}", self.address, self.headers);
+        if !self.body.is_empty() {
+            head.push_str("Content-Type: application/json\r\n");
+        }
+        if !self.body.is_empty() || self.method == "POST" {
+            let _infallible = write!(head, "Content-Length: {}\r\n", self.body.len());
+        }
+        head.push_str("\r\n");
+        let mut request = head.into_bytes();
+        request.extend_from_slice(self.body);
+        request
+    }
+}
--- /dev/null
+++ b/crates/entry/src/upstream/connection.rs
@@ -0,0 +1,197 @@
+use {
+    crate::http1::{AnswerHead, BodyPart, BodyReader, HttpError, parse_answer_head},
+    bytes::{Buf, Bytes, BytesMut},
+    jasmine_core::clock::Millis,
+    std::{io, net::SocketAddr},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+    },
+};
+
+/// Bytes read at a time.
+const READ: usize = 4 << 10;
+/// Answers to other requests that are passed over while one's own is waited for.
+const MAX_STRAY: u32 = 2;
+
+/// Why an exchange has no usable answer; whether the request ran is not known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(derive_more::Display, derive_more::Error)]
+pub enum ExchangeError {
+    /// The connection ended or was reset.
+    #[display("connection lost")]
+    Lost,
+    /// What arrived is no answer to this request.
+    #[display("not an answer to this request")]
+    Invalid,
+}
+
+impl From<HttpError> for ExchangeError {
+    fn from(e: HttpError) -> Self {
+        match e {
+            HttpError::Truncated => Self::Lost,
+            HttpError::Malformed | HttpError::HeadTooLarge | HttpError::BodyTooLarge => {
+                Self::Invalid
+            }
+        }
+    }
+}
+
+impl From<io::Error> for ExchangeError {
+    /// What kind of end it was makes no difference: the request may have run.
+    fn from(_: io::Error) -> Self {
+        Self::Lost
+    }
+}
+
+/// The head of an answer.
+#[derive(Clone, Debug)]
+pub struct Begun {
+    /// The head.
+    pub head: AnswerHead,
+    /// Whether the whole request had been sent before it.
+    pub sent_all: bool,
+}
+
+/// One connection, used for one exchange at a time.
+#[derive(Debug)]
+pub struct Connection {
+    stream: TcpStream,
+    buf: BytesMut,
+    /// Since when it is idle.
+    pub(super) idle_since: Millis,
+    /// For how long it may be idle and still be used.
+    pub(super) idle_limit: Millis,
+}
+
+impl Connection {
+    /// Connects.
+    ///
+    /// # Errors
+    ///
+    /// Whatever the system says; nothing was sent.
+    pub async fn open(address: SocketAddr) -> io::Result<Self> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        Ok(Self {
+            stream,
+            buf: BytesMut::new(),
+            idle_since: Millis::ZERO,
+            idle_limit: Millis::ZERO,
+        })
+    }
+
+    /// Whether nothing has arrived that nobody asked for, the end of the connection included.
+    ///
+    /// A second answer that comes after a whole one belongs to nobody; on a connection that is used again
+    /// it would be taken for the next request's.
+    pub fn is_quiet(&self) -> bool {
+        let mut probe = [0_u8; 1];
+        let pending = self.stream.try_read(&mut probe);
+        self.buf.is_empty() && matches!(pending, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Sends a request and reads the head of its answer.
+    ///
+    /// Both go on at the same time: an upstream may answer before it has read a long body, and would never
+    /// read on if its answer were not taken.
+    ///
+    /// # Errors
+    ///
+    /// [`ExchangeError`].
+    pub async fn begin<F>(
+        &mut self,
+        request: &[u8],
+        method: &str,
+        is_own: F,
+    ) -> Result<Begun, ExchangeError>
+    where
+        F: Fn(&AnswerHead) -> bool,
+    {
+        let mut sent = 0;
+        let mut stray = 0;
+        loop {
+            while let Some((head, len)) = parse_answer_head(&self.buf, method)? {
+                self.buf.advance(len);
+                let sent_all = sent == request.len();
+                match head.status {
+                    100..=199 => {}
+                    _ if is_own(&head) => return Ok(Begun { head, sent_all }),
+                    _ if stray >= MAX_STRAY => return Err(ExchangeError::Invalid),
+                    _ => {
+                        stray += 1;
+                        self.pass_over(&head).await?;
+                    }
+                }
+            }
+            self.buf.reserve(READ);
+            let (mut rx, mut tx) = self.stream.split();
+            tokio::select! {
+                written = tx.write(&request[sent..]), if sent < request.len() => {
+                    sent += written?;
+                }
+                read = rx.read_buf(&mut self.buf) => {
+                    if read? == 0 {
+                        return Err(ExchangeError::Lost);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Reads on in a body; none at its end.
+    ///
+    /// # Errors
+    ///
+    /// [`ExchangeError`].
+    pub async fn body(
+        &mut self,
+        reader: &mut BodyReader,
+    ) -> Result<Option<Bytes>, ExchangeError> {
+        loop {
+            match reader.next(&mut self.buf)? {
+                BodyPart::Data(data) => return Ok(Some(data)),
+                BodyPart::End => return Ok(None),
+                BodyPart::NeedMore => {}
+            }
+            self.buf.reserve(READ);
+            if self.stream.read_buf(&mut self.buf).await? == 0 {
+                reader.at_close()?;
+                return Ok(None);
+            }
+        }
+    }
+
+    /// Reads a whole body of at most `max` bytes.
+    ///
+    /// # Errors
+    ///
+    /// [`ExchangeError`].
+    pub async fn whole_body(
+        &mut self,
+        head: &AnswerHead,
+        max: usize,
+    ) -> Result<Bytes, ExchangeError> {
+        let mut reader = BodyReader::new(head.framing);
+        let Some(first) = self.body(&mut reader).await? else {
+            return Ok(Bytes::new());
+        };
+        let mut whole = BytesMut::from(first);
+        while let Some(data) = self.body(&mut reader).await? {
+            if whole.len() + data.len() > max {
+                return Err(ExchangeError::Invalid);
+            }
+            whole.extend_from_slice(&data);
+        }
+        Ok(whole.freeze())
+    }
+
+    async fn pass_over(
+        &mut self,
+        head: &AnswerHead,
+    ) -> Result<(), ExchangeError> {
+        let mut reader = BodyReader::new(head.framing);
+        while self.body(&mut reader).await?.is_some() {}
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/wire/schema/scheduler.capnp
@@ -0,0 +1,75 @@
+@0xd3b07c61f2a94e58;
+
+# Between entry VMs: one of them schedules, the others ask it.
+
+struct PromptPart {
+  id @0 :UInt64;
+  tokens @1 :UInt32;
+}
+
+struct Job {
+  number @0 :UInt64;           # of the attempt, never used twice by its VM
+  account @1 :Text;            # empty: none
+  caller @2 :UInt64;           # what makes the caller known when it comes back
+  cost @3 :UInt64;
+  service @4 :Text;
+  model @5 :Text;              # empty: a call of a plain service
+  adapter @6 :Text;            # empty: none
+  promptTokens @7 :UInt32;
+  outputTokens @8 :UInt32;
+  parts @9 :List(PromptPart);
+  priority @10 :UInt8;
+  objectiveMs @11 :UInt32;     # what is left of it
+  deadlineMs @12 :UInt32;      # what is left of it
+  attempt @13 :UInt32;
+  avoid @14 :List(Text);       # upstreams that have failed it
+  dataCentre @15 :Text;
+}
+
+struct RunningJob {
+  job @0 :Job;
+  upstream @1 :Text;
+  version @2 :UInt32;          # of the adapter; 0: not known
+  hasBegun @3 :Bool;
+}
+
+struct Verdict {
+  upstream @0 :Text;           # empty: refused
+  address @1 :Text;
+  version @2 :UInt32;          # the only one that may run it; 0: any
+  refusal @3 :Text;            # short name of the error
+  retryAfterMs @4 :UInt32;     # 0: none named
+}
+
+enum EndKind {
+  answered @0;
+  failed @1;
+  shed @2;
+  notLoaded @3;
+  otherUpstream @4;
+  unreachable @5;
+  lost @6;
+  silent @7;
+  abandoned @8;
+  firstEvent @9;               # no end: the first event of a stream was seen
+}
+
+struct News {
+  number @0 :UInt64;
+  kind @1 :EndKind;
+  tookMs @2 :UInt32;
+}
+
+struct Leadership {
+  vm @0 :Text;
+  address @1 :Text;
+  fence @2 :UInt64;            # 0: none known
+}
+
+interface Scheduler {
+  hello @0 (vm :Text, incarnation :UInt64, running :List(RunningJob)) -> (session :UInt32, leader :Leadership);
+  place @1 (session :UInt32, job :Job) -> (known :Bool, verdict :Verdict);
+  tell @2 (session :UInt32, news :List(News)) -> (known :Bool);
+  announce @3 (leader :Leadership) -> (leader :Leadership);
+  ping @4 () -> (leader :Leadership);
+}
--- a/crates/wire/src/link/ping.rs
+++ b/crates/wire/src/link/ping.rs
@@ -1,5 +1,8 @@
 use {
-    crate::jasmine_capnp::{controller, gateway},
+    crate::{
+        jasmine_capnp::{controller, gateway},
+        scheduler_capnp::scheduler,
+    },
     futures::future::LocalBoxFuture,
 };
 
@@ -22,3 +25,10 @@
         Box::pin(async move { promise.await.map(drop) })
     }
 }
+
+impl Ping for scheduler::Client {
+    fn ping(&self) -> LocalBoxFuture<'static, Result<(), capnp::Error>> {
+        let promise = self.ping_request().send().promise;
+        Box::pin(async move { promise.await.map(drop) })
+    }
+}
