Entries count writes, reports count orders

The report of each engine was taken for older than its entry: both have a field seq, the entry's counts what is written there. Excluded: reports that fail (none logged), roles (the leader had its token). Change: an entry tells no number of orders; the decoder says so at the field.

--- a/crates/core/src/ingress/held_model.rs
+++ b/crates/core/src/ingress/held_model.rs
@@ -16,11 +16,11 @@
     pub adapters: Vec<HeldAdapter>,
 }
 
-/// What an engine holds, as of the order with number `seq`.
+/// What an engine holds.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EngineHoldings {
-    /// How many orders it has accepted since its start.
-    pub seq: u64,
+    /// How many orders it has accepted since its start. Only the engine's own report tells it.
+    pub seq: Option<u64>,
     /// The models.
     pub models: Vec<HeldModel>,
     /// Adapters on their way, which take a place each. Only the engine's own report tells them.
--- a/crates/core/src/scheduler/engine.rs
+++ b/crates/core/src/scheduler/engine.rs
@@ -149,7 +149,7 @@
                 self.places.push(Place { state, ..place });
             }
         }
-        self.seq = facts.seq;
+        self.seq = facts.seq.unwrap_or(self.seq);
         self.models.clone_from(&facts.models);
         if self
             .loading
--- a/crates/core/src/scheduler/fleet.rs
+++ b/crates/core/src/scheduler/fleet.rs
@@ -36,7 +36,7 @@
     }
 
     /// Takes what an upstream's entry says. `is_sole_orderer` says that nobody else gives orders: then
-    /// what the book has of an engine is newer than its entry, unless the entry has seen more orders.
+    /// what the book has of an engine is newer than its entry.
     pub(super) fn set(
         &mut self,
         id: UpstreamId,
@@ -56,8 +56,6 @@
         };
         if !is_sole_orderer || !matches!(engine.knowledge, super::engine::Knowledge::Sure) {
             engine.adopt(said, load, now);
-        } else if said.seq > engine.seq && !engine.has_order {
-            engine.doubt(now);
         } else {
             engine.models.clone_from(&said.models);
             if engine
@@ -81,7 +79,7 @@
             return;
         };
         // A report older than an order that was accepted since would undo it in the book.
-        if facts.seq < engine.seq || engine.has_order {
+        if facts.seq.is_some_and(|seq| seq < engine.seq) || engine.has_order {
             engine.doubt(now);
             return;
         }
--- a/crates/core/src/scheduler/upstream.rs
+++ b/crates/core/src/scheduler/upstream.rs
@@ -16,8 +16,8 @@
 /// What an engine says that it holds.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EngineFacts {
-    /// Orders that it has accepted since its start.
-    pub seq: u64,
+    /// Orders that it has accepted since its start; known from its own report only.
+    pub seq: Option<u64>,
     /// Base models that it can run.
     pub models: Vec<ModelId>,
     /// Adapters that it can run.
