Loads at their price, and a stop that takes nothing it can't finish

Excluded: the upstreams, which were at work. Change: from 2.8 s on new requests are told at once to come back elsewhere.

--- a/crates/core/src/scheduler/choose.rs
+++ b/crates/core/src/scheduler/choose.rs
@@ -23,10 +23,20 @@
 /// What a share of failed requests counts as, in milliseconds: a request that fails is lost or waits for a
 /// whole further attempt.
 const FAILING_MS: f64 = 1_500.0;
-/// What a load from the adapter store counts as beyond its time: it delays the loads of others.
-const COLD_LOAD_MS: f64 = 60.0;
+/// What a load from the adapter store counts as beyond its time. The users pay for each a third of what an
+/// answer is worth, so it is worth a wait, but not a late answer.
+const COLD_LOAD_MS: f64 = 1_500.0;
 /// What a load that the engine still has at hand counts as beyond its time.
-const WARM_LOAD_MS: f64 = 10.0;
+const WARM_LOAD_MS: f64 = 15.0;
+/// What a late first token counts as beyond its time: two thirds of an answer's worth.
+const LATE_MS: f64 = 3_500.0;
+/// From this part of what is left of its objective on a request may become late, from the other it surely does:
+/// what is expected is right to about a third.
+const LATE_FROM: f64 = 0.6;
+const LATE_BY: f64 = 1.2;
+/// How long a place is waited for on an engine that has an adapter at hand while all its places are in use. A
+/// generation takes about half a second, and some places have several.
+const PLACE_MS: f64 = 300.0;
 /// What one recent use of the adapter that would have to go counts as; it will be loaded again.
 const EVICTION_MS: f64 = 8.0;
 /// The most that counts as.
@@ -144,7 +154,8 @@
                 continue;
             }
             let base = self.base_cost(job, up, engine);
-            if let Some((cost, way)) = self.way(job, generation, up, engine, base)
+            let way = self.way(job, generation, up, engine, base);
+            if let Some((cost, way)) = way.map(|(cost, way)| (cost + self.lateness(job, cost), way))
                 && best.is_none_or(|(least, ..)| cost < least)
             {
                 best = Some((cost, up.id, way));
@@ -230,6 +241,17 @@
             + self.penalty(job, up)
     }
 
+    /// What a first token after `wait` milliseconds counts as for being late.
+    fn lateness(
+        &self,
+        job: &Job,
+        wait: f64,
+    ) -> f64 {
+        let left = job.objective.since(self.now).0 as f64;
+        let (from, by) = (left * LATE_FROM, left * LATE_BY);
+        LATE_MS * ((wait - from) / (by - from).max(1.0)).clamp(0.0, 1.0)
+    }
+
     fn way(
         &self,
         job: &Job,
@@ -249,6 +271,7 @@
         let wanted = self.versions.wanted(adapter);
         if let Some(wait) = engine.place(wanted).and_then(|place| place.wait(self.now)) {
             let extra = (wait.0 as f64 - engine.backlog.wait(self.now)).max(0.0);
+            let extra = extra + self.queue_ahead(job, wanted, engine);
             let way = if wait == Millis::ZERO && self.can_take(job, up, engine) {
                 Way::Send(Some(wanted))
             } else {
@@ -259,6 +282,26 @@
         self.load_way(generation, up, engine, wanted, base)
     }
 
+    /// How long the requests that wait for an adapter hold up the last of them, in milliseconds.
+    fn queue_ahead(
+        &self,
+        job: &Job,
+        adapter: AdapterVersion,
+        engine: &Engine,
+    ) -> f64 {
+        let others = self
+            .wanted
+            .get(&adapter.adapter)
+            .map_or(0, |&waiting| waiting.saturating_sub(1));
+        let copies = self
+            .fleet
+            .ready(job.service)
+            .filter_map(|up| up.engine.as_ref()?.place(adapter))
+            .count();
+        let each = engine.backlog.time_for(self.load_on(job, engine).unread);
+        f64::from(others) * each / copies.max(1) as f64
+    }
+
     /// The cost if the adapter were loaded here now.
     fn load_way(
         &self,
@@ -271,8 +314,10 @@
         if !self.may_order || engine.coming(self.now) >= self.settings.loads.per_engine {
             return None;
         }
-        let (evict, eviction_cost) = self.room_for(generation.model, engine, wanted)?;
         let is_warm = engine.keeps_warm(wanted);
+        let Some((evict, eviction_cost)) = self.room_for(generation.model, engine, wanted) else {
+            return is_warm.then_some((base + PLACE_MS, Way::Wait));
+        };
         let takes = self.load_time(is_warm) + ORDER_MS;
         let extra = (takes - engine.backlog.wait(self.now)).max(0.0);
         let price = if is_warm { WARM_LOAD_MS } else { COLD_LOAD_MS };
--- a/crates/core/src/scheduler/engine.rs
+++ b/crates/core/src/scheduler/engine.rs
@@ -144,9 +144,14 @@
         });
         self.places = present.chain(on_the_way).collect();
         for place in before {
-            if place.users > 0 && !self.places.iter().any(|p| p.adapter == place.adapter) {
+            if self.places.iter().any(|p| p.adapter == place.adapter) {
+                continue;
+            }
+            if place.users > 0 {
                 let state = PlaceState::Going;
                 self.places.push(Place { state, ..place });
+            } else if place.is_present(now) {
+                self.drop_place(place.adapter, load.kept_warm);
             }
         }
         self.seq = facts.seq.unwrap_or(self.seq);
--- a/crates/core/src/scheduler/settings.rs
+++ b/crates/core/src/scheduler/settings.rs
@@ -39,15 +39,15 @@
 
 impl Default for LoadSettings {
     /// The users' figures: a quarter of a second and eight at a time, a tenth of that for an adapter held
-    /// lately, four on their way to one engine. How many stay warm isn't said; thirty is the least
-    /// found by loading adapters in turn.
+    /// lately, four on their way to one engine. How many stay at hand isn't said; with more than 25 beside
+    /// those in use, loads that were taken for quick ones were late.
     fn default() -> Self {
         Self {
             cold: Millis(250),
             warm: Millis(25),
             at_once: 8,
             per_engine: 4,
-            kept_warm: 30,
+            kept_warm: 25,
         }
     }
 }
--- a/crates/entry/src/daemon/stop.rs
+++ b/crates/entry/src/daemon/stop.rs
@@ -15,8 +15,9 @@
     },
 };
 
-/// How long the balancer may go on sending callers: it asks once a second and believes the second refusal.
-const BALANCER: Millis = Millis(3_200);
+/// How long the balancer may go on sending callers: it asks once a second and believes the second refusal. What
+/// comes later is told to go elsewhere: it could not end before this process does.
+const BALANCER: Millis = Millis(2_800);
 /// How long before the end of its time the daemon ends by itself.
 const SPARE: Millis = Millis(500);
 /// How often it is looked whether all requests have ended.
--- a/crates/entry/src/forward/serve.rs
+++ b/crates/entry/src/forward/serve.rs
@@ -2,14 +2,20 @@
     super::{ForwardRequest, driver::Driver},
     crate::{
         caller::{AnswerWriter, IncomingRequest, OwnAnswer},
-        context::Context,
+        context::{Context, StopStage},
+    },
+    jasmine_core::{
+        clock::Millis,
+        error::{ErrorKind, Refusal},
     },
-    jasmine_core::error::{ErrorKind, Refusal},
     jasmine_platform::headers::CallerHeaders,
     jasmine_telemetry::log::Line,
     std::{io, rc::Rc},
 };
 
+/// When a caller may come back whom this VM can't serve any more: at once, as it then reaches another one.
+const ELSEWHERE: Millis = Millis(20);
+
 /// Answers one request of a caller.
 ///
 /// # Errors
@@ -24,6 +30,10 @@
     let id = caller.request_id.clone();
     let now = cx.clock.now();
     let judged = match cx.config() {
+        // What begins now would be cut off by the end of this process; another VM has the time for it.
+        _ if cx.stop_stage() >= StopStage::Closing => {
+            Err(Refusal::after(ErrorKind::ShuttingDown, ELSEWHERE))
+        }
         None => Err(Refusal::new(ErrorKind::ConfigUnavailable)),
         Some(config) => ForwardRequest::judge(incoming, caller, &config, now),
     };
