A place that is being made free belongs to the adapter it is made for

Excluded: crowds (most of these adapters had one request), copies by zone (all in one). Change: an engine whose place is reserved counts as having the adapter on its way; the new leader tells the one before, which may still order. Test: a_waiting_request_has_one_load fails without it; eight more tests of loads.

--- a/crates/core/src/scheduler/choose.rs
+++ b/crates/core/src/scheduler/choose.rs
@@ -279,6 +279,15 @@
             };
             return Some((base + extra, way));
         }
+        if engine
+            .reserved
+            .is_some_and(|(_, reserved)| reserved == wanted)
+        {
+            // Its load follows as soon as a place is free. Another engine's would be a second copy for nothing.
+            let takes = self.load_time(engine.keeps_warm(wanted)) + ORDER_MS;
+            let extra = (takes - engine.backlog.wait(self.now)).max(0.0);
+            return Some((base + extra, Way::Wait));
+        }
         self.load_way(generation, up, engine, wanted, base)
     }
 
--- /dev/null
+++ b/crates/core/tests/adapter_loads.rs
@@ -0,0 +1,189 @@
+//! When an adapter is loaded, where, and what goes for it.
+
+mod scheduler_world;
+
+use {
+    jasmine_core::{
+        ids::{AdapterId, UpstreamId},
+        scheduler::{Order, OrderEnd, Outcome},
+    },
+    scheduler_world::{World, engine, generation, version},
+};
+
+#[test]
+fn a_waiting_request_has_one_load() {
+    // All places of two engines hold idle adapters, and a request comes for a third one. An engine has to drop
+    // one first, and its answer to that takes a moment. In that moment the other engine looked as good, and the
+    // adapter was loaded on each of them; the users pay for every load.
+    let mut world = World::leading(0);
+    world.add_engine(UpstreamId(0), &[1, 2]);
+    world.add_engine(UpstreamId(1), &[3, 4]);
+    world.engines_answer = false;
+    let request = world.generate(9);
+    assert_eq!(world.orders.len(), 1, "one place is made free");
+    world.pass(20);
+    world.generate(8);
+    world.pass(20);
+    let unloads = world.orders.len();
+    assert!(unloads <= 2, "one for each adapter: {:?}", world.orders);
+    for (upstream, order) in std::mem::take(&mut world.unanswered) {
+        world.answer(upstream, order, OrderEnd::Holds);
+    }
+    for (upstream, order) in std::mem::take(&mut world.unanswered) {
+        world.answer(upstream, order, OrderEnd::Accepted);
+    }
+    assert_eq!(world.loads_of(9), 1);
+    assert_eq!(world.loads_of(8), 1);
+    world.pass(300);
+    assert!(world.sent_to(request).is_some());
+}
+
+#[test]
+fn an_adapter_in_use_stays() {
+    // Both places of the only engine run something when a request for a third adapter comes. Dropping one in
+    // use would break off its answer; the request waits until one of them is free.
+    let mut world = World::leading(0);
+    world.add_engine(UpstreamId(0), &[1, 2]);
+    let first = world.generate(1);
+    world.first_event(first);
+    let second = world.generate(2);
+    world.first_event(second);
+    let third = world.generate(3);
+    world.pass(200);
+    assert_eq!(world.orders, [], "nothing can go");
+    world.end(first, Outcome::Answered { took: world.now });
+    world.pass(400);
+    assert_eq!(world.sent_to(third), Some(UpstreamId(0)));
+    let dropped = world.orders.iter().find_map(|(_, order)| match order {
+        Order::Unload { adapter, .. } => Some(adapter.adapter),
+        _ => None,
+    });
+    assert_eq!(dropped, Some(AdapterId(1)));
+}
+
+#[test]
+fn a_copy_is_waited_for_rather_than_loaded_again() {
+    // Three requests for one adapter come together; one engine has it, another is idle. The prompts are read one
+    // after the other in a few hundred milliseconds, which is in time, and a second copy costs a load.
+    let mut world = World::leading(0);
+    world.add_engine(UpstreamId(0), &[1]);
+    world.add_engine(UpstreamId(1), &[]);
+    for _ in 0..3 {
+        world.generate(1);
+    }
+    world.pass(100);
+    assert_eq!(world.loads_of(1), 0);
+}
+
+#[test]
+fn a_crowd_gets_a_second_copy() {
+    // Thirty requests for one adapter come at once. At some twenty tokens a millisecond its only engine would read
+    // their prompts for seconds, and most would be late although another engine is idle.
+    let mut world = World::leading(0);
+    world.add_engine(UpstreamId(0), &[1]);
+    world.add_engine(UpstreamId(1), &[]);
+    for _ in 0..30 {
+        world.generate(1);
+    }
+    world.pass(100);
+    assert_eq!(world.loads_of(1), 1);
+}
+
+#[test]
+fn what_an_engine_dropped_lately_returns_there() {
+    // An engine drops an adapter for another one, and the first is asked for again. That engine still has it at
+    // hand and loads it in a tenth of the time and for nothing, an idle one would have to fetch it.
+    let mut world = World::leading(0);
+    world.add_engine(UpstreamId(0), &[1, 2]);
+    let mut job = generation(3, world.now);
+    job.avoid = vec![];
+    let request = world.place(job);
+    world.pass(300);
+    let at = world.sent_to(request).expect("served after one load");
+    world.end(request, Outcome::Answered { took: world.now });
+    let dropped = world.orders.iter().find_map(|(_, order)| match order {
+        Order::Unload { adapter, .. } => Some(adapter.adapter.0),
+        _ => None,
+    });
+    let dropped = dropped.expect("one had to go");
+    world.add_engine(UpstreamId(1), &[]);
+    let again = world.generate(dropped);
+    world.pass(100);
+    assert_eq!(world.sent_to(again), Some(at));
+}
+
+#[test]
+fn an_old_report_changes_nothing() {
+    // A report tells what was some hundred milliseconds ago. One that was made before the last order would take
+    // an adapter off the book that is on its way, and the engine would be given more than it holds: it crashes.
+    let mut world = World::leading(1);
+    let request = world.generate(7);
+    assert_eq!(world.loads_of(7), 1);
+    world.report(UpstreamId(0), &engine(Some(0), &[]));
+    world.pass(300);
+    assert_eq!(world.loads_of(7), 1, "it is on its way still");
+    assert_eq!(world.sent_to(request), Some(UpstreamId(0)));
+}
+
+#[test]
+fn an_order_without_an_answer_ends_trust() {
+    // An order's answer is lost. It may have been carried out, or will be seconds later; whoever counts places
+    // without asking may order one too many. So the engine is asked, after the time by which reports lag.
+    let mut world = World::leading(1);
+    world.engines_answer = false;
+    world.generate(7);
+    let (upstream, order) = world.unanswered[0];
+    let asked = world.reports_asked.len();
+    world.answer(upstream, order, OrderEnd::Lost);
+    world.generate(8);
+    assert_eq!(world.orders.len(), 1, "no order while in doubt");
+    world.pass(400);
+    assert!(world.reports_asked.len() > asked);
+    world.report(UpstreamId(0), &engine(Some(1), &[7]));
+    assert_eq!(world.loads_of(8), 1, "orders go on after the report");
+}
+
+#[test]
+fn a_new_version_replaces_the_old_one_in_time() {
+    // An operator announces version 2 while version 1 runs. Requests that begin on version 1 seconds later run
+    // on weights that were withdrawn; refusing them until the load is over would stop the adapter for a moment.
+    let mut world = World::leading(0);
+    world.add_engine(UpstreamId(0), &[1]);
+    world.add_engine(UpstreamId(1), &[]);
+    let running = world.generate(1);
+    world.first_event(running);
+    world.scheduler.announce_version(AdapterId(1), 2, world.now);
+    let during = world.generate(1);
+    assert_eq!(
+        world.sent_to(during),
+        Some(UpstreamId(0)),
+        "served by version 1 meanwhile"
+    );
+    world.first_event(during);
+    world.pass(400);
+    let load = Order::Load {
+        model: scheduler_world::MODEL,
+        adapter: version(1, 2),
+        announced: true,
+    };
+    assert!(
+        world.orders.contains(&(UpstreamId(1), load)),
+        "{:?}",
+        world.orders
+    );
+    let after = world.generate(1);
+    assert_eq!(
+        world.decision(after),
+        Some(scheduler_world::Decision::Sent(UpstreamId(1), Some(2)))
+    );
+}
+
+#[test]
+fn a_stand_by_gives_no_orders() {
+    // A VM that has lost the scheduler decides for itself. If it gave orders too, two would count the places of
+    // one engine.
+    let mut world = World::with(1, Default::default(), false);
+    world.generate(7);
+    world.pass(1_000);
+    assert_eq!(world.orders, []);
+}
--- /dev/null
+++ b/crates/core/tests/scheduler_world/mod.rs
@@ -0,0 +1,363 @@
+//! A scheduler with engines that carry out its orders: what the tests of the scheduler drive.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use {
+    jasmine_core::{
+        clock::Millis,
+        error::Refusal,
+        ids::{AccountId, AdapterId, AdapterVersion, DataCentreId, ModelId, ServiceId, UpstreamId},
+        ingress::{PromptPart, PromptSize},
+        rights::{CallerTag, Limit},
+        scheduler::{
+            EngineFacts, EngineLimits, Generation, Job, Order, OrderEnd, Outcome, RightsShare,
+            Scheduler, SchedulerAction as Action, SchedulerSettings, Ticket, UpstreamFacts, Work,
+        },
+    },
+    std::collections::{BTreeMap, HashMap},
+};
+
+pub const ENGINES: ServiceId = ServiceId(1);
+pub const CALLS: ServiceId = ServiceId(2);
+pub const MODEL: ModelId = ModelId(0);
+pub const HERE: DataCentreId = DataCentreId(0);
+/// Adapters that one engine holds.
+pub const PLACES: usize = 2;
+
+/// What was decided for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    Sent(UpstreamId, Option<u32>),
+    Refused(Refusal),
+}
+
+/// A scheduler, the time, and what came of its actions.
+pub struct World {
+    pub scheduler: Scheduler,
+    pub now: Millis,
+    pub decisions: BTreeMap<u64, Decision>,
+    pub orders: Vec<(UpstreamId, Order)>,
+    pub reports_asked: Vec<UpstreamId>,
+    /// Orders that engines leave unanswered, for the test to answer.
+    pub unanswered: Vec<(UpstreamId, Order)>,
+    /// Whether engines answer at once.
+    pub engines_answer: bool,
+    seqs: HashMap<UpstreamId, u64>,
+    next: u64,
+}
+
+impl World {
+    /// A leader with `engines` empty engines and no plain upstream.
+    pub fn leading(engines: u32) -> Self {
+        Self::with(engines, SchedulerSettings::default(), true)
+    }
+
+    pub fn with(
+        engines: u32,
+        settings: SchedulerSettings,
+        may_order: bool,
+    ) -> Self {
+        let mut scheduler = Scheduler::new(settings, RightsShare::Part(1));
+        let now = Millis(100_000);
+        scheduler.set_role(may_order, RightsShare::Fresh, now);
+        scheduler.set_engines(HashMap::from([(ENGINES, limits())]));
+        let mut world = Self {
+            scheduler,
+            now,
+            decisions: BTreeMap::new(),
+            orders: Vec::new(),
+            reports_asked: Vec::new(),
+            unanswered: Vec::new(),
+            engines_answer: true,
+            seqs: HashMap::new(),
+            next: 0,
+        };
+        for id in 0..engines {
+            world.add_engine(UpstreamId(id), &[]);
+        }
+        world
+    }
+
+    pub fn add_engine(
+        &mut self,
+        id: UpstreamId,
+        adapters: &[u32],
+    ) {
+        let facts = upstream(Some(engine(None, adapters)));
+        self.set(id, &facts);
+        self.report(id, &engine(Some(0), adapters));
+    }
+
+    pub fn add_server(
+        &mut self,
+        id: UpstreamId,
+    ) {
+        let facts = UpstreamFacts {
+            service: CALLS,
+            slots: 6,
+            engine: None,
+            ..upstream(None)
+        };
+        self.set(id, &facts);
+    }
+
+    pub fn set(
+        &mut self,
+        id: UpstreamId,
+        facts: &UpstreamFacts,
+    ) {
+        let actions = self.scheduler.set_upstream(id, facts, self.now);
+        self.act(actions);
+    }
+
+    pub fn report(
+        &mut self,
+        id: UpstreamId,
+        facts: &EngineFacts,
+    ) {
+        let actions = self.scheduler.report(id, Some(facts), self.now);
+        self.act(actions);
+    }
+
+    pub fn limit(
+        &mut self,
+        account: u32,
+        rate: u64,
+        burst: u64,
+    ) {
+        let limits = BTreeMap::from([(AccountId(account), Limit { rate, burst })]);
+        self.scheduler.set_limits(limits, self.now);
+    }
+
+    /// Places a generation for an adapter and returns its number.
+    pub fn generate(
+        &mut self,
+        adapter: u32,
+    ) -> u64 {
+        self.place(generation(adapter, self.now))
+    }
+
+    pub fn place(
+        &mut self,
+        job: Job,
+    ) -> u64 {
+        self.next += 1;
+        let ticket = ticket(self.next);
+        let actions = self.scheduler.place(ticket, job, self.now);
+        self.act(actions);
+        self.next
+    }
+
+    pub fn first_event(
+        &mut self,
+        number: u64,
+    ) {
+        let actions = self.scheduler.first_event(ticket(number), self.now);
+        self.act(actions);
+    }
+
+    pub fn end(
+        &mut self,
+        number: u64,
+        outcome: Outcome,
+    ) {
+        let actions = self.scheduler.ended(ticket(number), outcome, self.now);
+        self.act(actions);
+    }
+
+    pub fn answer(
+        &mut self,
+        upstream: UpstreamId,
+        order: Order,
+        end: OrderEnd,
+    ) {
+        let actions = self.scheduler.order_ended(upstream, order, end, self.now);
+        self.act(actions);
+    }
+
+    /// Lets time pass, with the machine's timers.
+    pub fn pass(
+        &mut self,
+        ms: u64,
+    ) {
+        let until = self.now + Millis(ms);
+        while self.now < until {
+            self.now = self.scheduler.wake_at(self.now).min(until);
+            let actions = self.scheduler.tick(self.now);
+            self.act(actions);
+        }
+    }
+
+    pub fn decision(
+        &self,
+        number: u64,
+    ) -> Option<Decision> {
+        self.decisions.get(&number).copied()
+    }
+
+    /// Where a request was sent.
+    pub fn sent_to(
+        &self,
+        number: u64,
+    ) -> Option<UpstreamId> {
+        match self.decision(number)? {
+            Decision::Sent(upstream, _) => Some(upstream),
+            Decision::Refused(_) => None,
+        }
+    }
+
+    /// Orders to load an adapter, whatever its version.
+    pub fn loads_of(
+        &self,
+        adapter: u32,
+    ) -> usize {
+        let is_load = |order: &Order| matches!(order, Order::Load { adapter: of, .. } if of.adapter == AdapterId(adapter));
+        self.orders
+            .iter()
+            .filter(|(_, order)| is_load(order))
+            .count()
+    }
+
+    fn act(
+        &mut self,
+        actions: Vec<Action>,
+    ) {
+        for action in actions {
+            match action {
+                Action::Assign {
+                    ticket,
+                    upstream,
+                    version,
+                } => {
+                    let decision = Decision::Sent(upstream, version);
+                    self.decisions.insert(ticket.number, decision);
+                }
+                Action::Refuse { ticket, refusal } => {
+                    let decision = Decision::Refused(refusal);
+                    self.decisions.insert(ticket.number, decision);
+                }
+                Action::AskReport { upstream } => self.reports_asked.push(upstream),
+                Action::Order {
+                    upstream,
+                    order,
+                    after_seq,
+                } => self.order(upstream, order, after_seq),
+            }
+        }
+    }
+
+    fn order(
+        &mut self,
+        upstream: UpstreamId,
+        order: Order,
+        after_seq: u64,
+    ) {
+        self.orders.push((upstream, order));
+        if !self.engines_answer {
+            self.unanswered.push((upstream, order));
+            return;
+        }
+        let seq = self.seqs.entry(upstream).or_default();
+        assert_eq!(*seq, after_seq, "the engine would refuse {order:?}");
+        *seq += 1;
+        let end = match order {
+            Order::Unload { .. } => OrderEnd::Holds,
+            Order::Load { .. } | Order::LoadModel(_) => OrderEnd::Accepted,
+        };
+        self.answer(upstream, order, end);
+    }
+}
+
+pub const fn ticket(number: u64) -> Ticket {
+    Ticket { vm: 0, number }
+}
+
+pub fn limits() -> EngineLimits {
+    EngineLimits {
+        slots: 64,
+        kv_tokens: 120_000,
+        adapter_slots: PLACES,
+        weights_mb: 1_100.0,
+        loads_per_s: 2.0,
+        models: vec![(MODEL, 1_000.0, 10.0)],
+    }
+}
+
+pub fn version(
+    adapter: u32,
+    version: u32,
+) -> AdapterVersion {
+    AdapterVersion {
+        adapter: AdapterId(adapter),
+        version,
+    }
+}
+
+pub fn engine(
+    seq: Option<u64>,
+    adapters: &[u32],
+) -> EngineFacts {
+    EngineFacts {
+        seq,
+        models: vec![MODEL],
+        adapters: adapters
+            .iter()
+            .map(|&adapter| (MODEL, version(adapter, 1)))
+            .collect(),
+        coming: Vec::new(),
+        is_busy: false,
+    }
+}
+
+pub fn upstream(engine: Option<EngineFacts>) -> UpstreamFacts {
+    UpstreamFacts {
+        service: ENGINES,
+        data_centre: Some(HERE),
+        slots: 64,
+        is_ready: true,
+        cold: Millis::ZERO,
+        started: Some(1),
+        engine,
+    }
+}
+
+pub fn generation(
+    adapter: u32,
+    now: Millis,
+) -> Job {
+    Job {
+        account: None,
+        caller: CallerTag(u64::from(adapter)),
+        cost: 2_000,
+        service: ENGINES,
+        work: Work::Generation(Generation {
+            model: MODEL,
+            adapter: Some(AdapterId(adapter)),
+            size: PromptSize {
+                prompt: 1_500,
+                output: 100,
+            },
+            parts: vec![PromptPart {
+                id: u64::from(adapter),
+                tokens: 500,
+            }],
+        }),
+        priority: 1,
+        objective: now + Millis(1_000),
+        deadline: now + Millis(5_000),
+        data_centre: Some(HERE),
+        attempt: 1,
+        avoid: Vec::new(),
+    }
+}
+
+pub fn call(now: Millis) -> Job {
+    Job {
+        cost: 200,
+        service: CALLS,
+        work: Work::Call,
+        objective: now + Millis(150),
+        deadline: now + Millis(1_500),
+        ..generation(0, now)
+    }
+}
--- a/crates/entry/src/scheduling/client.rs
+++ b/crates/entry/src/scheduling/client.rs
@@ -231,13 +231,13 @@
             fence,
         };
         Line::new("lead_taken").with("fence", fence).info();
-        self.leader.replace(Some(leader.clone()));
+        let before = self.leader.replace(Some(leader.clone()));
         self.desk.set_role(true, share);
         for running in self.running_now() {
             self.desk.adopt(OWN, &running);
         }
         self.set_mode(Mode::Leading(fence));
-        self.announce(&leader);
+        self.announce(&leader, before.as_ref());
     }
 
     /// Stops deciding for others; another one has a higher token, or the lead was given back.
@@ -399,12 +399,16 @@
         aged.collect()
     }
 
-    /// Tells all VMs at once who leads: they would learn it from the store too, but only when they reach it.
+    /// Tells all VMs at once who leads: they would learn it from the store too, but only when they reach it. The
+    /// leader before may have lost its entry and still give orders, for as long as nobody tells it.
     fn announce(
         &self,
         leader: &Leader,
+        before: Option<&Leader>,
     ) {
-        for (vm, address) in self.vms() {
+        let mut vms = self.vms();
+        vms.extend(before.map(|before| (before.vm.clone(), before.address)));
+        for (vm, address) in vms {
             if vm == self.me {
                 continue;
             }
