A question to the scheduler ends with its lead

The request waited at a leader that was cut off from the store; another VM was elected, the old leader stepped down but kept the request in its own queue, and assigned it by what it knew, 4 s later. Excluded: the follower's own view (it had seen the leave at 21.73 s), a slow connection. Change: whoever steps down forgets the requests of other VMs; a VM asks anew whenever who decides changes, for its own callers too. The line at a request's end is written also when its caller goes, which is how this was found. Test: lead_changes, two of four fail without it.

--- a/crates/core/src/scheduler/choose.rs
+++ b/crates/core/src/scheduler/choose.rs
@@ -329,7 +329,11 @@
         };
         let takes = self.load_time(is_warm) + ORDER_MS;
         let extra = (takes - engine.backlog.wait(self.now)).max(0.0);
-        let price = if is_warm { WARM_LOAD_MS } else { COLD_LOAD_MS };
+        let price = if is_warm {
+            WARM_LOAD_MS
+        } else {
+            self.cold_price(wanted)
+        };
         let affinity = rendezvous(u64::from(wanted.adapter.0), u64::from(up.id.0), 1);
         let distance = AFFINITY_MS / (1.0 + affinity);
         let cost = base + extra + price + eviction_cost + distance;
@@ -344,6 +348,28 @@
         Some((cost, way))
     }
 
+    /// What a load from the adapter store counts as for one request. All that will use the new copy share it: about
+    /// as many as have used each of the others lately. Counted in full for the first, an adapter that is asked for
+    /// ten times a second kept one copy until its requests were late.
+    fn cold_price(
+        &self,
+        adapter: AdapterVersion,
+    ) -> f64 {
+        let engines = self
+            .fleet
+            .upstreams
+            .values()
+            .filter_map(|up| up.engine.as_ref());
+        let copies = engines.filter_map(|engine| engine.place(adapter));
+        let (count, uses) = copies.fold((1.0, 0.0), |(count, uses), place| {
+            (
+                count + 1.0,
+                uses + place.demand.get(self.now, DEMAND_HALF_LIFE),
+            )
+        });
+        COLD_LOAD_MS / (1.0 + uses / count)
+    }
+
     /// How long a load takes if it begins now, in milliseconds.
     fn load_time(
         &self,
--- a/crates/core/src/scheduler/machine.rs
+++ b/crates/core/src/scheduler/machine.rs
@@ -306,13 +306,33 @@
         vm: u32,
         now: Millis,
     ) -> Vec<Action> {
-        let of_vm: Vec<RequestId> = self
+        self.forget(|ticket| ticket.vm == vm, now)
+    }
+
+    /// Forgets all requests of other VMs, as they are another scheduler's from now on.
+    pub fn forget_others(
+        &mut self,
+        vm: u32,
+        now: Millis,
+    ) -> Vec<Action> {
+        self.forget(|ticket| ticket.vm != vm, now)
+    }
+
+    fn forget<F>(
+        &mut self,
+        is_gone: F,
+        now: Millis,
+    ) -> Vec<Action>
+    where
+        F: Fn(Ticket) -> bool,
+    {
+        let gone: Vec<RequestId> = self
             .entries
             .iter()
-            .filter(|(_, entry)| entry.ticket.vm == vm)
+            .filter(|(_, entry)| is_gone(entry.ticket))
             .map(|(&request, _)| request)
             .collect();
-        for request in of_vm {
+        for request in gone {
             self.finish(request, Outcome::Abandoned, now);
         }
         self.decide(now)
--- a/crates/core/tests/adapter_loads.rs
+++ b/crates/core/tests/adapter_loads.rs
@@ -5,7 +5,7 @@
 use {
     jasmine_core::{
         ids::{AdapterId, UpstreamId},
-        scheduler::{Order, OrderEnd, Outcome},
+        scheduler::{Order, OrderEnd, Outcome, SchedulerSettings},
     },
     scheduler_world::{World, engine, generation, version},
 };
@@ -180,7 +180,7 @@
 fn a_stand_by_gives_no_orders() {
     // A VM that has lost the scheduler decides for itself. If it gave orders too, two would count the places of
     // one engine.
-    let mut world = World::with(1, Default::default(), false);
+    let mut world = World::with(1, SchedulerSettings::default(), false);
     world.generate(7);
     world.pass(1_000);
     assert_eq!(world.orders, []);
--- a/crates/entry/src/caller/answer_writer.rs
+++ b/crates/entry/src/caller/answer_writer.rs
@@ -78,7 +78,7 @@
         answer: &AnswerHead,
         body: &Bytes,
     ) -> io::Result<()> {
-        let mut head = self.head_of(answer);
+        let mut head = head_of(answer);
         let has_body = !matches!(answer.status, 204 | 304);
         if self.is_head {
             if let Some(length) = answer.headers.only("content-length") {
@@ -103,7 +103,7 @@
         answer: &AnswerHead,
         first: &[u8],
     ) -> io::Result<()> {
-        let mut head = self.head_of(answer);
+        let mut head = head_of(answer);
         if self.minor_version == 0 {
             // Chunks came with HTTP/1.1; before it an answer without a length ends with its connection.
             self.keeps = false;
@@ -142,18 +142,6 @@
         }
     }
 
-    fn head_of(
-        &self,
-        answer: &AnswerHead,
-    ) -> String {
-        let mut head = format!("HTTP/1.1 {} {}\r\n", answer.status, answer.reason);
-        for (_, header) in answer.headers.end_to_end() {
-            let value = String::from_utf8_lossy(&header.value);
-            let _infallible = write!(head, "{}: {value}\r\n", header.name);
-        }
-        head
-    }
-
     fn end_head(
         &self,
         head: &mut String,
@@ -191,6 +179,16 @@
     }
 }
 
+/// The status line of an upstream's answer and the headers that are passed on.
+fn head_of(answer: &AnswerHead) -> String {
+    let mut head = format!("HTTP/1.1 {} {}\r\n", answer.status, answer.reason);
+    for (_, header) in answer.headers.end_to_end() {
+        let value = String::from_utf8_lossy(&header.value);
+        let _infallible = write!(head, "{}: {value}\r\n", header.name);
+    }
+    head
+}
+
 /// What stands beside the statuses that the daemon gives by itself.
 const fn reason(status: u16) -> &'static str {
     match status {
--- a/crates/entry/src/caller/connection.rs
+++ b/crates/entry/src/caller/connection.rs
@@ -94,7 +94,7 @@
             return;
         }
     }
-    std::future::pending().await
+    std::future::pending::<()>().await;
 }
 
 async fn refuse(
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -92,9 +92,8 @@
         &self,
         after_event: Option<u64>,
     ) -> Start {
-        let mut connection = match self.connect().await {
-            Some(connection) => connection,
-            None => return Start::Ended(Failure::not_run(Outcome::Unreachable)),
+        let Some(mut connection) = self.connect().await else {
+            return Start::Ended(Failure::not_run(Outcome::Unreachable));
         };
         let now = self.cx.clock.now();
         let bytes = encode_request(self.req, self.placement, after_event, now);
@@ -198,9 +197,8 @@
                 .upstream
                 .is_some_and(|id| id != self.placement.upstream);
             let outcome = match (is_elsewhere, is_other) {
-                (true, true) => Outcome::OtherUpstream,
                 (true, false) if self.req.is_generation => Outcome::NotLoaded,
-                (true, false) => Outcome::OtherUpstream,
+                (true, _) => Outcome::OtherUpstream,
                 (false, _) => Outcome::Shed,
             };
             // The rest of the answer is read for the connection's sake; that it fails changes nothing.
--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -44,8 +44,13 @@
     progress: Progress,
     /// An upstream's own failure, passed on if nothing better comes.
     failed: Option<(AnswerHead, Bytes)>,
-    /// Since when it has waited for an upstream, and for how long in all.
+    /// How long it has waited for upstreams in all.
     waited: Millis,
+    /// When the last attempt was sent.
+    sent_at: Option<Millis>,
+    /// The upstream of the last attempt.
+    upstream: Option<String>,
+    is_logged: bool,
 }
 
 impl<'a> Driver<'a> {
@@ -64,6 +69,9 @@
             },
             failed: None,
             waited: Millis::ZERO,
+            sent_at: None,
+            upstream: None,
+            is_logged: false,
             req,
         }
     }
@@ -80,9 +88,16 @@
                 Ok(placement) => placement,
                 Err(refusal) => return self.give_up(refusal, out).await,
             };
+            self.sent_at = Some(self.cx.clock.now());
+            self.upstream = Some(placement.upstream.clone());
             match self.attempt(&placement, out).await {
                 Step::Done(result) => {
-                    self.log_end(&placement, &result);
+                    let word = if result.is_ok() {
+                        "answered"
+                    } else {
+                        "caller_gone"
+                    };
+                    self.log_end(word);
                     return result;
                 }
                 Step::Again => {}
@@ -212,6 +227,7 @@
         out: &mut AnswerWriter<'_>,
     ) -> io::Result<()> {
         let refusal = self.true_refusal(refusal);
+        self.is_logged = true;
         Line::new("request_given_up")
             .with("id", self.id())
             .with("route", &self.req.route.name)
@@ -254,11 +270,12 @@
         self.req.caller.request_id.as_deref().unwrap_or("-")
     }
 
+    /// One line for each request that reached a decision, whatever its end.
     fn log_end(
-        &self,
-        placement: &Placement,
-        result: &io::Result<()>,
+        &mut self,
+        result: &str,
     ) {
+        self.is_logged = true;
         let arrived = self.req.arrived;
         let first = self.progress.first_at.map(|at| at.since(arrived));
         Line::new("request_ended")
@@ -267,21 +284,27 @@
             .with("account", self.req.account.as_deref().unwrap_or("-"))
             .with("cost", self.req.cost)
             .with("adapter", self.req.caller.adapter.as_deref().unwrap_or("-"))
-            .with("upstream", &placement.upstream)
+            .with("upstream", self.upstream.as_deref().unwrap_or("-"))
             .with("attempts", self.attempts.next_number())
             .with("config", self.req.config_version)
             .with("waited_ms", self.waited)
+            .with(
+                "sent_ms",
+                self.sent_at.map_or(Millis::ZERO, |at| at.since(arrived)),
+            )
             .with("first_ms", first.unwrap_or_default())
             .with("took_ms", self.cx.clock.now().since(arrived))
             .with("events", self.progress.events)
-            .with(
-                "result",
-                if result.is_ok() {
-                    "answered"
-                } else {
-                    "caller_gone"
-                },
-            )
+            .with("result", result)
             .info();
     }
 }
+
+impl Drop for Driver<'_> {
+    /// The work of a request ends without a word when its caller goes; the log has to say so.
+    fn drop(&mut self) {
+        if !self.is_logged {
+            self.log_end("caller_gone");
+        }
+    }
+}
--- a/crates/entry/src/scheduling/client.rs
+++ b/crates/entry/src/scheduling/client.rs
@@ -72,7 +72,10 @@
     clock: Clock,
     mode: RefCell<Mode>,
     leader: RefCell<Option<Leader>>,
+    /// Counts changes of the leader that is known.
     changed: watch::Sender<u64>,
+    /// Counts changes of who decides.
+    mode_changed: watch::Sender<u64>,
     next_number: Cell<u64>,
     running: RefCell<HashMap<u64, Running>>,
     outbox: RefCell<Vec<(u64, News)>>,
@@ -104,6 +107,7 @@
             mode: RefCell::new(Mode::Alone),
             leader: RefCell::default(),
             changed: watch::Sender::default(),
+            mode_changed: watch::Sender::default(),
             next_number: Cell::new(1),
             running: RefCell::default(),
             outbox: RefCell::default(),
@@ -146,11 +150,13 @@
                 number: spec.number,
                 is_settled: Cell::new(false),
             };
+            // Whoever decided until now may know less from here on: a leader that lost the store goes on assigning
+            // upstreams that have left since. So a question doesn't outlive the mode in which it was asked.
+            let mut mode_changed = self.mode_changed.subscribe();
             let mode = self.mode.borrow().clone();
-            let verdict = match mode {
-                Mode::Following(link, session) => self.place_far(&link, session, &spec).await,
-                Mode::Leading(_) => self.desk.place(OWN, &spec).await.ok(),
-                Mode::Alone => self.place_alone(&spec).await,
+            let verdict = tokio::select! {
+                verdict = self.ask(mode, &spec) => verdict,
+                _ = mode_changed.changed() => None,
             };
             match verdict {
                 Some(Verdict::Go {
@@ -322,9 +328,10 @@
                 write_job(req.get().init_job(), spec);
                 let res = req.send().promise.await?;
                 let res = res.get()?;
-                match res.get_known() {
-                    true => read_verdict(res.get_verdict()?).map(Some),
-                    false => Ok(None),
+                if res.get_known() {
+                    read_verdict(res.get_verdict()?).map(Some)
+                } else {
+                    Ok(None)
                 }
             })
             .await;
@@ -341,16 +348,14 @@
         }
     }
 
-    /// Decides here for as long as no leader is found.
-    async fn place_alone(
+    async fn ask(
         &self,
+        mode: Mode,
         spec: &JobSpec,
     ) -> Option<Verdict> {
-        let mut changed = self.changed.subscribe();
-        let verdict = self.desk.place(OWN, spec);
-        tokio::select! {
-            verdict = verdict => verdict.ok(),
-            _ = changed.changed() => None,
+        match mode {
+            Mode::Following(link, session) => self.place_far(&link, session, spec).await,
+            Mode::Leading(_) | Mode::Alone => self.desk.place(OWN, spec).await.ok(),
         }
     }
 
@@ -367,6 +372,7 @@
 
     fn stand_alone(&self) {
         self.desk.set_role(false, self.part());
+        self.desk.forget_others(OWN);
         self.set_mode(Mode::Alone);
     }
 
@@ -379,6 +385,7 @@
         mode: Mode,
     ) {
         self.mode.replace(mode);
+        self.mode_changed.send_modify(|count| *count += 1);
         self.bump();
     }
 
--- a/crates/entry/src/scheduling/desk.rs
+++ b/crates/entry/src/scheduling/desk.rs
@@ -235,6 +235,17 @@
         self.with(|machine, now| machine.forget_vm(vm, now));
     }
 
+    /// Forgets the requests of all other VMs than `vm`: somebody else decides about them by now.
+    pub fn forget_others(
+        &self,
+        vm: u32,
+    ) {
+        self.waiters
+            .borrow_mut()
+            .retain(|ticket, _| ticket.vm == vm);
+        self.with(|machine, now| machine.forget_others(vm, now));
+    }
+
     /// Takes the answer to an order.
     pub fn order_ended(
         &self,
@@ -348,12 +359,12 @@
         }
     }
 
-    /// The other end is gone only when the daemon ends.
     fn send(
         &self,
         task: EngineTask,
     ) {
-        drop(self.tasks.send(task));
+        // The other end is gone only when the daemon ends.
+        let _closed = self.tasks.send(task);
     }
 }
 
--- /dev/null
+++ b/crates/entry/tests/lead_changes.rs
@@ -0,0 +1,198 @@
+//! What becomes of requests that wait for a decision while the lead goes from one VM to another.
+
+use {
+    jasmine_core::{
+        clock::Millis,
+        ids::{Fence, Revision},
+        ingress::{IngressConfig, ServiceSpec, UpstreamEntry, UpstreamState},
+        scheduler::{RightsShare, SchedulerSettings},
+    },
+    jasmine_entry::scheduling::{Desk, JobSpec, Leader, SchedulerServer, Scheduling},
+    jasmine_wire::{link::serve, scheduler_capnp::scheduler},
+    std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration},
+    tokio::{
+        net::TcpListener,
+        sync::mpsc,
+        task::spawn_local,
+        time::{sleep, timeout},
+    },
+};
+
+/// The longest that anything here may take.
+const LIMIT: Duration = Duration::from_secs(5);
+
+struct Node {
+    scheduling: Rc<Scheduling>,
+    leader: Leader,
+}
+
+/// A VM that would lead under `fence`.
+async fn node(
+    name: &str,
+    fence: u64,
+) -> Node {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (tasks, _engines) = mpsc::unbounded_channel();
+    let desk = Rc::new(Desk::new(SchedulerSettings::default(), tasks));
+    desk.set_config(&config());
+    let scheduling = Rc::new(Scheduling::new(desk, name.to_owned(), address, fence));
+    scheduling.start();
+    let server = SchedulerServer::new(Rc::clone(&scheduling));
+    let client: scheduler::Client = capnp_rpc::new_client(server);
+    spawn_local(serve(listener, client.client));
+    let leader = Leader {
+        vm: name.to_owned(),
+        address,
+        fence: Fence(fence),
+    };
+    Node { scheduling, leader }
+}
+
+fn config() -> IngressConfig {
+    let service = ServiceSpec {
+        name: "calls".to_owned(),
+        max_connections: None,
+        engine: None,
+    };
+    IngressConfig {
+        version: Revision(1),
+        services: HashMap::from([("calls".to_owned(), service)]),
+        ..IngressConfig::default()
+    }
+}
+
+fn server(id: &str) -> UpstreamEntry {
+    let address: SocketAddr = "127.0.0.1:9".parse().unwrap();
+    UpstreamEntry {
+        id: id.to_owned(),
+        service: "calls".to_owned(),
+        address,
+        data_centre: "one".to_owned(),
+        slots: 4,
+        state: UpstreamState::Ready,
+        cold: Millis::ZERO,
+        started_unix_ms: Some(1),
+        holdings: None,
+    }
+}
+
+fn job() -> JobSpec {
+    JobSpec {
+        number: 0,
+        account: None,
+        caller: 0,
+        cost: 1,
+        service: "calls".to_owned(),
+        generation: None,
+        priority: 0,
+        objective: Millis(1_000),
+        deadline: Millis(60_000),
+        attempt: 1,
+        avoid: Vec::new(),
+        data_centre: "one".to_owned(),
+    }
+}
+
+async fn until<F>(mut holds: F)
+where
+    F: FnMut() -> bool,
+{
+    let waited = async {
+        while !holds() {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(LIMIT, waited).await.expect("it came about");
+}
+
+fn run<F>(test: F)
+where
+    F: Future<Output = ()>,
+{
+    actix_rt::System::new().block_on(test);
+}
+
+#[test]
+fn a_follower_asks_the_next_leader() {
+    // A request waits at the leader when another VM is elected. The old leader may have lost the store long ago:
+    // what it goes on assigning has left since, or nothing at all is assigned, and the caller waits in vain.
+    run(async {
+        let old = node("old", 1).await;
+        let new = node("new", 2).await;
+        let follower = node("follower", 0).await;
+        old.scheduling.lead(Fence(1), RightsShare::Fresh);
+        follower.scheduling.consider(old.leader.clone());
+        until(|| follower.scheduling.is_following()).await;
+        let asking = Rc::clone(&follower.scheduling);
+        let asked = spawn_local(async move { asking.place(job()).await });
+        until(|| old.scheduling.desk.load().0 == 1).await;
+
+        new.scheduling.desk.set_upstream(&server("s-new"));
+        new.scheduling.lead(Fence(2), RightsShare::TakenOver);
+        old.scheduling.consider(new.leader.clone());
+        follower.scheduling.consider(new.leader.clone());
+        let placed = timeout(LIMIT, asked).await.expect("decided").unwrap();
+        assert_eq!(placed.expect("not refused").upstream, "s-new");
+        assert_eq!(
+            old.scheduling.desk.load(),
+            (0, 0),
+            "nothing waits at the old one"
+        );
+    });
+}
+
+#[test]
+fn the_old_leader_asks_the_new_one() {
+    // The old leader's own callers wait at its own machine. Nothing there would ever tell them that another VM
+    // decides by now.
+    run(async {
+        let old = node("old", 1).await;
+        let new = node("new", 2).await;
+        old.scheduling.lead(Fence(1), RightsShare::Fresh);
+        let asking = Rc::clone(&old.scheduling);
+        let asked = spawn_local(async move { asking.place(job()).await });
+        until(|| old.scheduling.desk.load().0 == 1).await;
+
+        new.scheduling.desk.set_upstream(&server("s-new"));
+        new.scheduling.lead(Fence(2), RightsShare::TakenOver);
+        old.scheduling.consider(new.leader.clone());
+        let placed = timeout(LIMIT, asked).await.expect("decided").unwrap();
+        assert_eq!(placed.expect("not refused").upstream, "s-new");
+    });
+}
+
+#[test]
+fn a_dead_leader_is_done_without() {
+    // The leader's VM loses power: nothing answers, not even with a reset. Requests that wait for its word would
+    // wait until their deadlines; the VM decides by itself with what it knows.
+    run(async {
+        let follower = node("follower", 0).await;
+        let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        follower.scheduling.desk.set_upstream(&server("s-own"));
+        follower.scheduling.consider(Leader {
+            vm: "dead".to_owned(),
+            address: silent.local_addr().unwrap(),
+            fence: Fence(7),
+        });
+        let placed = timeout(LIMIT, follower.scheduling.place(job())).await;
+        assert_eq!(
+            placed.expect("decided").expect("not refused").upstream,
+            "s-own"
+        );
+    });
+}
+
+#[test]
+fn an_older_leader_is_not_listened_to() {
+    // Word of a leader comes from the store and from other VMs, in any order. One that was elected earlier must
+    // not win over a later one, or two VMs would give orders by turns.
+    run(async {
+        let follower = node("follower", 0).await;
+        let newer = node("newer", 9).await;
+        let older = node("older", 3).await;
+        follower.scheduling.consider(newer.leader.clone());
+        follower.scheduling.consider(older.leader.clone());
+        assert_eq!(follower.scheduling.leader(), Some(newer.leader));
+    });
+}
