What can't be on time goes behind what can

Requests were taken by age, so each waited until just after its objective. Excluded: loads (few), engines idle (none). Change: a waiting request that can't be on time any more counts as 3 s younger and is looked at after all that can.

--- a/crates/core/src/queue/fair_queue.rs
+++ b/crates/core/src/queue/fair_queue.rs
@@ -183,6 +183,26 @@
         }
     }
 
+    /// Moves a request back in its account's line, as if it had arrived `by` from now.
+    pub fn postpone(
+        &mut self,
+        request: RequestId,
+        by: Millis,
+        now: Millis,
+    ) {
+        let Some(&location) = self.locations.get(&request) else {
+            return;
+        };
+        let place = (now + by, self.next_seq);
+        self.next_seq += 1;
+        let line = self.lines.entry(location.account).or_default();
+        if let Some(waiting) = line.remove(location.place, location.target) {
+            line.insert(place, waiting);
+            self.locations
+                .insert(request, Location { place, ..location });
+        }
+    }
+
     /// Takes out a request whose caller has gone.
     pub fn cancel(
         &mut self,
--- a/crates/core/src/scheduler/machine.rs
+++ b/crates/core/src/scheduler/machine.rs
@@ -17,16 +17,28 @@
         queue::{FairQueue, Priority, QueueSettings, Target, Waiting},
         rights::Limit,
     },
-    std::collections::{BTreeMap, HashMap},
+    std::collections::{BTreeMap, BTreeSet, HashMap},
 };
 
 /// The line of requests whose callers belong to no account.
 const NO_ACCOUNT: AccountId = AccountId(u32::MAX);
 /// How long after its deadline a request is forgotten whose VM never told its end.
 const FORGET_AFTER: Millis = Millis(1_000);
+/// How much later a request counts as having come once it can't be on time: what comes within this time and can
+/// goes first.
+const LATE_PATIENCE: Millis = Millis(3_000);
 /// How often an engine that waits for something is looked at again, at least.
 const LOOK_AGAIN: Millis = Millis(50);
 
+/// Which waiting requests are looked at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Turn {
+    /// Those that can still be on time.
+    Timely,
+    /// All.
+    All,
+}
+
 /// The scheduler of one deployment, or the stand-by of one VM.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -41,6 +53,8 @@
     by_ticket: HashMap<Ticket, RequestId>,
     /// Waiting requests by adapter.
     wanted: HashMap<AdapterId, u32>,
+    /// Waiting requests that can still be on time, with until when.
+    timely: BTreeSet<(Millis, RequestId)>,
     model_loads: ModelLoads,
     next_request: u64,
     swept_at: Millis,
@@ -63,6 +77,7 @@
             entries: HashMap::new(),
             by_ticket: HashMap::new(),
             wanted: HashMap::new(),
+            timely: BTreeSet::new(),
             model_loads: ModelLoads::default(),
             next_request: 0,
             swept_at: Millis::ZERO,
@@ -197,9 +212,11 @@
         self.next_request += 1;
         self.by_ticket.insert(ticket, request);
         self.note_wanted(&job, true);
+        self.timely.insert((self.timely_until(&job), request));
         let forget_at = job.deadline + FORGET_AFTER;
         let entry = Entry {
             ticket,
+            timely_until: self.timely_until(&job),
             job,
             stage: Stage::Waiting,
             charge,
@@ -292,6 +309,7 @@
         let forget_at = job.deadline + FORGET_AFTER;
         let entry = Entry {
             ticket,
+            timely_until: self.timely_until(&job),
             job,
             stage: Stage::Running { upstream, adapter },
             charge: None,
@@ -442,10 +460,7 @@
         job: &Job,
         now: Millis,
     ) -> Waiting {
-        let least = match job.work {
-            Work::Call => self.settings.least_call,
-            Work::Generation(_) => self.settings.least_generation,
-        };
+        let least = self.least_time(job);
         let latest = Millis(job.deadline.0.saturating_sub(least.0));
         Waiting {
             request,
@@ -457,6 +472,42 @@
         }
     }
 
+    /// Until when a request has to be sent to be on time.
+    fn timely_until(
+        &self,
+        job: &Job,
+    ) -> Millis {
+        let least = self.least_time(job);
+        Millis(job.objective.0.saturating_sub(least.0))
+    }
+
+    /// How long a request takes at the least once it is sent.
+    const fn least_time(
+        &self,
+        job: &Job,
+    ) -> Millis {
+        match job.work {
+            Work::Call => self.settings.least_call,
+            Work::Generation(_) => self.settings.least_generation,
+        }
+    }
+
+    /// Puts requests that can't be on time any more behind those that can.
+    ///
+    /// When more comes than can be run, taking requests by age makes all of them late: each waits until just
+    /// after its objective. An answer in time is worth three late ones to the users.
+    fn postpone_late(
+        &mut self,
+        now: Millis,
+    ) {
+        while let Some(&(until, request)) = self.timely.first()
+            && until <= now
+        {
+            self.timely.remove(&(until, request));
+            self.queue.postpone(request, LATE_PATIENCE, now);
+        }
+    }
+
     fn note_wanted(
         &mut self,
         job: &Job,
@@ -488,6 +539,7 @@
         self.by_ticket.remove(&entry.ticket);
         let has_run = match entry.stage {
             Stage::Waiting => {
+                self.timely.remove(&(entry.timely_until, request));
                 self.queue.cancel(request, now);
                 self.note_wanted(&entry.job, false);
                 false
@@ -510,7 +562,9 @@
         now: Millis,
     ) -> Vec<Action> {
         let mut actions = self.refuse_late(now);
-        self.send_and_load(now, &mut actions);
+        self.postpone_late(now);
+        self.send_and_load(Turn::Timely, now, &mut actions);
+        self.send_and_load(Turn::All, now, &mut actions);
         if self.may_order {
             actions.extend(self.model_loads.plan(&mut self.fleet, now));
             for (upstream, engine) in self.fleet.engines_mut() {
@@ -529,6 +583,7 @@
         let expired = self.queue.expire(now);
         let refuse = |waiting: Waiting| {
             let entry = self.entries.remove(&waiting.request)?;
+            self.timely.remove(&(entry.timely_until, waiting.request));
             self.by_ticket.remove(&entry.ticket);
             self.note_wanted(&entry.job, false);
             if let Some(charge) = entry.charge {
@@ -549,6 +604,7 @@
 
     fn send_and_load(
         &mut self,
+        turn: Turn,
         now: Millis,
         actions: &mut Vec<Action>,
     ) {
@@ -562,6 +618,7 @@
                     versions,
                     settings,
                     wanted,
+                    timely,
                     ..
                 } = self;
                 let may_order = self.may_order;
@@ -569,6 +626,10 @@
                     let Some(entry) = entries.get(&waiting.request) else {
                         return true;
                     };
+                    let until = entry.timely_until;
+                    if turn == Turn::Timely && !timely.contains(&(until, waiting.request)) {
+                        return false;
+                    }
                     let view = View {
                         fleet,
                         versions,
@@ -608,6 +669,7 @@
         self.fleet.assign(upstream, request, adapter, load, now);
         self.note_wanted(&job, false);
         let entry = self.entries.get_mut(&request)?;
+        self.timely.remove(&(entry.timely_until, request));
         entry.stage = Stage::Running { upstream, adapter };
         let version = adapter
             .filter(|adapter| self.versions.announced_version(adapter.adapter).is_some())
--- a/crates/core/src/scheduler/running.rs
+++ b/crates/core/src/scheduler/running.rs
@@ -40,6 +40,8 @@
     pub ticket: Ticket,
     pub job: Job,
     pub stage: Stage,
+    /// Until when it has to be sent to be on time.
+    pub timely_until: Millis,
     /// What was taken from its account's rate.
     pub charge: Option<Charge>,
     /// When it is forgotten even if its VM never says a word.
