Versions found at a start are in force at once; a leader says that it leaves

A VM that had started 5.5 s after the announcement read it, took it for new, was elected 20 ms later and gave the old version 2 s of grace. Excluded: the other VMs (they had seen it 0.3 s after it was made). The lead had been free for a second, as those that still reached the old leader left it time to come back, though it was stopping. Change: a version read at the start or after lost history has no grace; a leader that stops says so to all, and they stand at once; a VM that has just started lets others stand first. Test: a_version_found_at_the_start_is_in_force.

--- a/crates/core/src/scheduler/machine.rs
+++ b/crates/core/src/scheduler/machine.rs
@@ -8,7 +8,7 @@
         repeat_budget::RepeatBudget,
         rights::AccountRates,
         running::{Entry, Stage},
-        version_book::VersionBook,
+        version_book::{Announcement, VersionBook},
     },
     crate::{
         clock::Millis,
@@ -151,9 +151,10 @@
         &mut self,
         adapter: AdapterId,
         version: u32,
+        how: Announcement,
         now: Millis,
     ) {
-        self.versions.announce(adapter, version, now);
+        self.versions.announce(adapter, version, how, now);
     }
 
     /// Takes an engine's own report; none where it couldn't be had.
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -45,4 +45,5 @@
     running::Adopted,
     settings::{LoadSettings, RepeatSettings, SchedulerSettings},
     upstream::{EngineFacts, UpstreamFacts},
+    version_book::Announcement,
 };
--- a/crates/core/src/scheduler/version_book.rs
+++ b/crates/core/src/scheduler/version_book.rs
@@ -6,10 +6,21 @@
     std::collections::HashMap,
 };
 
+/// How an announcement became known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Announcement {
+    /// It was made just now.
+    New,
+    /// It was there when the store was read. It may be seconds old: a VM that has just started must not count the
+    /// time from then on, or the old version is used twice as long as allowed.
+    Found,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Announced {
     version: u32,
-    seen_at: Millis,
+    /// When it was made; none where that isn't known.
+    made_at: Option<Millis>,
 }
 
 /// The versions of adapters that operators have announced.
@@ -27,13 +38,14 @@
         &mut self,
         adapter: AdapterId,
         version: u32,
+        how: Announcement,
         now: Millis,
     ) {
         let known = self.announced.get(&adapter);
         if known.is_none_or(|known| known.version < version) {
-            let seen_at = now;
+            let made_at = (how == Announcement::New).then_some(now);
             self.announced
-                .insert(adapter, Announced { version, seen_at });
+                .insert(adapter, Announced { version, made_at });
         }
     }
 
@@ -61,7 +73,7 @@
         grace: Millis,
         now: Millis,
     ) -> bool {
-        let known = self.announced.get(&adapter);
-        known.is_some_and(|known| now.since(known.seen_at) < grace)
+        let made_at = self.announced.get(&adapter).and_then(|known| known.made_at);
+        made_at.is_some_and(|made_at| now.since(made_at) < grace)
     }
 }
--- a/crates/core/tests/adapter_loads.rs
+++ b/crates/core/tests/adapter_loads.rs
@@ -5,7 +5,7 @@
 use {
     jasmine_core::{
         ids::{AdapterId, UpstreamId},
-        scheduler::{Order, OrderEnd, Outcome, SchedulerSettings},
+        scheduler::{Announcement, Order, OrderEnd, Outcome, SchedulerSettings},
     },
     scheduler_world::{World, engine, generation, version},
 };
@@ -150,7 +150,9 @@
     world.add_engine(UpstreamId(1), &[]);
     let running = world.generate(1);
     world.first_event(running);
-    world.scheduler.announce_version(AdapterId(1), 2, world.now);
+    world
+        .scheduler
+        .announce_version(AdapterId(1), 2, Announcement::New, world.now);
     let during = world.generate(1);
     assert_eq!(
         world.sent_to(during),
@@ -185,3 +187,21 @@
     world.pass(1_000);
     assert_eq!(world.orders, []);
 }
+
+#[test]
+fn a_version_found_at_the_start_is_in_force() {
+    // A VM starts seconds after an operator announced a version, reads that in the store and is elected. If it
+    // took the announcement for new, requests would begin on the old version long after it was withdrawn.
+    let mut world = World::leading(0);
+    world
+        .scheduler
+        .announce_version(AdapterId(1), 2, Announcement::Found, world.now);
+    world.add_engine(UpstreamId(0), &[1]);
+    let request = world.generate(1);
+    assert_eq!(world.decision(request), None, "version 1 is no longer used");
+    world.pass(400);
+    assert_eq!(
+        world.decision(request),
+        Some(scheduler_world::Decision::Sent(UpstreamId(0), Some(2)))
+    );
+}
--- a/crates/entry/src/daemon/stop.rs
+++ b/crates/entry/src/daemon/stop.rs
@@ -58,6 +58,7 @@
         .with("in_flight", cx.in_flight())
         .info();
     keeping.abort();
+    cx.scheduling.say_leaving();
     if let Err(e) = leave(store, membership).await {
         Line::new("lease_not_ended").with("reason", e).info();
     }
--- a/crates/entry/src/scheduling/client.rs
+++ b/crates/entry/src/scheduling/client.rs
@@ -235,6 +235,7 @@
             vm: self.me.clone(),
             address: self.address,
             fence,
+            is_leaving: false,
         };
         Line::new("lead_taken").with("fence", fence).info();
         let before = self.leader.replace(Some(leader.clone()));
@@ -262,9 +263,16 @@
         &self,
         leader: Leader,
     ) {
-        let known = self.leader.borrow().as_ref().map(|known| known.fence);
-        if known.is_some_and(|fence| fence >= leader.fence) {
-            return;
+        let known = self.leader();
+        match known {
+            Some(known) if known.fence > leader.fence => return,
+            Some(known) if known.fence == leader.fence => {
+                if leader.is_leaving && !known.is_leaving {
+                    self.leader.replace(Some(leader));
+                }
+                return;
+            }
+            _ => {}
         }
         Line::new("leader_seen")
             .with("vm", &leader.vm)
@@ -278,6 +286,19 @@
         self.bump();
     }
 
+    /// Tells the others that this VM is about to stop, so that one of them takes the lead without waiting for it.
+    pub fn say_leaving(&self) {
+        let leader = self.leader().filter(|_| self.is_leading());
+        if let Some(leader) = leader {
+            let leader = Leader {
+                is_leaving: true,
+                ..leader
+            };
+            self.leader.replace(Some(leader.clone()));
+            self.announce(&leader, None);
+        }
+    }
+
     /// Takes the list of VMs.
     pub fn set_vms(
         &self,
@@ -474,7 +495,9 @@
         link: &SchedulerLink,
         leader: &Leader,
     ) {
-        while self.leader().as_ref() == Some(leader)
+        while self
+            .leader()
+            .is_some_and(|known| known.fence == leader.fence)
             && matches!(*self.mode.borrow(), Mode::Following(..))
         {
             sleep(PING_EVERY.to_std()).await;
--- a/crates/entry/src/scheduling/convert.rs
+++ b/crates/entry/src/scheduling/convert.rs
@@ -204,6 +204,7 @@
         to.set_vm(&leader.vm);
         to.set_address(leader.address.to_string());
         to.set_fence(leader.fence.0);
+        to.set_leaving(leader.is_leaving);
     }
 }
 
@@ -218,6 +219,7 @@
             .parse()
             .map_err(|_e| capnp::Error::failed(format!("no address: {address}")))?,
         fence: Fence(from.get_fence()),
+        is_leaving: from.get_leaving(),
     }))
 }
 
--- a/crates/entry/src/scheduling/desk.rs
+++ b/crates/entry/src/scheduling/desk.rs
@@ -7,8 +7,9 @@
         ids::UpstreamId,
         ingress::{EngineHoldings, HeldAdapter, IngressConfig, UpstreamEntry, UpstreamState},
         scheduler::{
-            Adopted, EngineFacts, EngineLimits, Order, OrderEnd, Outcome, RightsShare, Scheduler,
-            SchedulerAction as Action, SchedulerSettings, Ticket, UpstreamFacts,
+            Adopted, Announcement, EngineFacts, EngineLimits, Order, OrderEnd, Outcome,
+            RightsShare, Scheduler, SchedulerAction as Action, SchedulerSettings, Ticket,
+            UpstreamFacts,
         },
     },
     std::{
@@ -161,11 +162,12 @@
         model: &str,
         adapter: &str,
         version: u32,
+        how: Announcement,
     ) {
         let adapter = self.names.borrow_mut().adapter(model, adapter);
         let now = self.clock.now();
         let mut machine = self.machine.borrow_mut();
-        machine.announce_version(adapter, version, now);
+        machine.announce_version(adapter, version, how, now);
     }
 
     /// Asks where a request is to go; the answer may take until its deadline.
--- a/crates/entry/src/scheduling/leader.rs
+++ b/crates/entry/src/scheduling/leader.rs
@@ -9,4 +9,6 @@
     pub address: SocketAddr,
     /// Its fencing token; one that is elected later has a higher one.
     pub fence: Fence,
+    /// Whether it is about to stop: another one may take its place at once.
+    pub is_leaving: bool,
 }
--- a/crates/entry/src/store/follower.rs
+++ b/crates/entry/src/store/follower.rs
@@ -5,7 +5,7 @@
     },
     crate::context::Context,
     futures::StreamExt,
-    jasmine_core::{clock::Millis, ingress::UpstreamEntry},
+    jasmine_core::{clock::Millis, ingress::UpstreamEntry, scheduler::Announcement},
     jasmine_platform::{configuration, entries, versions},
     jasmine_store::store::{KeyValue, Range, RangeReply, Store, StoreError, WatchEvent},
     jasmine_telemetry::log::Line,
@@ -133,7 +133,7 @@
     ) {
         self.note_back();
         for kv in &reply.kvs {
-            self.put(kv);
+            self.put(kv, Announcement::Found);
         }
         let has = |key: &str| reply.kvs.iter().any(|kv| kv.key == key);
         let known: Vec<String> = self.upstreams.borrow().keys().cloned().collect();
@@ -159,7 +159,7 @@
         event: &WatchEvent,
     ) {
         match event {
-            WatchEvent::Put(kv) => self.put(kv),
+            WatchEvent::Put(kv) => self.put(kv, Announcement::New),
             WatchEvent::Delete(kv) => self.delete(&kv.key),
         }
     }
@@ -167,6 +167,7 @@
     fn put(
         &self,
         kv: &KeyValue,
+        how: Announcement,
     ) {
         if kv.key == configuration::KEY {
             match configuration::decode(&kv.value) {
@@ -176,7 +177,7 @@
         } else if let Some(id) = kv.key.strip_prefix(entries::PREFIX) {
             self.put_upstream(id, kv);
         } else if kv.key.starts_with(versions::PREFIX) {
-            self.put_version(kv);
+            self.put_version(kv, how);
         } else if kv.key == LEADER_KEY {
             self.membership.set_leader(&self.cx, kv);
         } else if kv.key.starts_with(VM_PREFIX) {
@@ -228,12 +229,13 @@
     fn put_version(
         &self,
         kv: &KeyValue,
+        how: Announcement,
     ) {
         match versions::decode(&kv.value) {
             Ok(announced) => {
                 if let Some(adapter) = &announced.adapter {
                     let desk = &self.cx.scheduling.desk;
-                    desk.announce_version(&announced.model, adapter, announced.version);
+                    desk.announce_version(&announced.model, adapter, announced.version, how);
                     Line::new("version_announced")
                         .with("adapter", adapter)
                         .with("version", announced.version)
--- a/crates/entry/src/store/membership.rs
+++ b/crates/entry/src/store/membership.rs
@@ -34,6 +34,9 @@
 const TURN: Millis = Millis(80);
 /// What a VM that still reaches the leader leaves it to come back by itself: its lease lapsed in an outage.
 const INCUMBENT: Millis = Millis(1_500);
+/// A VM that started less than this ago leaves the lead to others, for so long.
+const NEW: Millis = Millis(10_000);
+const NEWCOMER: Millis = Millis(600);
 /// A first start of the deployment is over after this long: rates may have been used by then.
 const FIRST_START: Millis = Millis(9_000);
 
@@ -150,6 +153,7 @@
             vm: record.vm,
             address: record.peers,
             fence,
+            is_leaving: false,
         });
     }
 
@@ -184,12 +188,23 @@
         let rank = |vm: &str| xxh3_64(format!("{known}/{vm}").as_bytes());
         let vms = self.vms.borrow();
         let before = vms.keys().filter(|vm| rank(vm) < rank(&self.me.vm)).count();
-        let incumbent = if cx.scheduling.is_following() {
+        let is_leaving = cx
+            .scheduling
+            .leader()
+            .is_some_and(|leader| leader.is_leaving);
+        let incumbent = if cx.scheduling.is_following() && !is_leaving {
             INCUMBENT
         } else {
             Millis::ZERO
         };
-        Millis(before as u64 * TURN.0) + incumbent
+        // One that has just started knows less of what engines have at hand.
+        let is_new = self.clock.now().since(self.started) < NEW && !vms.is_empty();
+        let newcomer = if is_new && known > 0 {
+            NEWCOMER
+        } else {
+            Millis::ZERO
+        };
+        Millis(before as u64 * TURN.0) + incumbent + newcomer
     }
 
     fn may_stand(
--- a/crates/entry/tests/lead_changes.rs
+++ b/crates/entry/tests/lead_changes.rs
@@ -45,6 +45,7 @@
         vm: name.to_owned(),
         address,
         fence: Fence(fence),
+        is_leaving: false,
     };
     Node { scheduling, leader }
 }
@@ -174,6 +175,7 @@
             vm: "dead".to_owned(),
             address: silent.local_addr().unwrap(),
             fence: Fence(7),
+            is_leaving: false,
         });
         let placed = timeout(LIMIT, follower.scheduling.place(job())).await;
         assert_eq!(
--- a/crates/wire/schema/scheduler.capnp
+++ b/crates/wire/schema/scheduler.capnp
@@ -64,6 +64,7 @@
   vm @0 :Text;
   address @1 :Text;
   fence @2 :UInt64;            # 0: none known
+  leaving @3 :Bool;            # it stops, and another one may take its place at once
 }
 
 interface Scheduler {
