Tokens are kept back for who can still be on time

Refused callers were promised tokens up to 10 s ahead, came back late and took what new requests of the same account could have been served with in time. Change: tokens are kept back for 600 ms; the Retry-After beyond that says when they will have been earned and keeps nothing back.

--- a/crates/core/src/scheduler/rights.rs
+++ b/crates/core/src/scheduler/rights.rs
@@ -15,6 +15,9 @@
 /// the account may use in [`LOOK_BACK`]. The scheduler before may have used up everything at the last moment;
 /// what is assumed on top of that has to stay within the tolerance of the limit.
 const ASSUMED_PERCENT: u64 = 5;
+/// How far ahead tokens are kept back for a caller that is over its rate. One that comes back later is late in any
+/// case, and an account over its rate has others that could have been on time with the same tokens.
+const PROMISED: Millis = Millis(600);
 /// The time over which a limit is judged, in seconds.
 const LOOK_BACK: u64 = 8;
 
@@ -127,6 +130,7 @@
         me,
         RightsSettings {
             sharing: false,
+            horizon: PROMISED,
             ..RightsSettings::default()
         },
     );
--- a/crates/entry/src/store/follower.rs
+++ b/crates/entry/src/store/follower.rs
@@ -21,7 +21,7 @@
 const EVERYTHING: &str = "";
 /// The pause after a watch that brought something: changes come in bursts and each call has its price. A
 /// change has to be in force two seconds after it was accepted.
-const PAUSE: Millis = Millis(350);
+const PAUSE: Millis = Millis(600);
 /// The pause after a failed call.
 const RETRY: Millis = Millis(150);
 /// For how long after the store is back an upstream whose entry has lapsed is still used: those that live have
