A takeover that waits for introductions; refusals by the engines' own speed

A VM took the lead at 4.25 s and at once ordered adapters to go that others were using; engines accepted, waited for runs of seconds and answered 409 to 30 further orders, the last at 11.7 s. Users were counted in the places, so what an engine listed anew lost or kept them for ever: four of nine engines got nothing for 14 s. And 1884 requests were refused by the queue's observed rate, which counts the time in which requests wait for adapters as time in which nothing could be served. Change: nothing is dropped in the first 500 ms after a takeover; users are counted by adapter, whatever places the book has; an engine that waits for runs gets no order; requests are refused by what waits against the speed of the engines, and late ones when that is half of their time.

--- a/crates/core/src/queue/fair_queue.rs
+++ b/crates/core/src/queue/fair_queue.rs
@@ -229,7 +229,7 @@
         {
             expired.extend(self.cancel(request, now));
         }
-        if now.since(self.looked_at) >= LOOK_EVERY {
+        if self.settings.judges_by_rate && now.since(self.looked_at) >= LOOK_EVERY {
             self.looked_at = now;
             for request in self.hopeless(now) {
                 expired.extend(self.cancel(request, now));
@@ -286,7 +286,7 @@
                 let delay = delay.unwrap_or(UNKNOWN_DELAY).min(self.settings.max_wait);
                 Err(Refusal::after(ErrorKind::QueueFull, delay))
             }
-            wait if wait >= left => {
+            wait if self.settings.judges_by_rate && wait >= left => {
                 let late = wait.since(left).min(self.settings.max_wait);
                 Err(Refusal::after(ErrorKind::CannotMeetDeadline, late))
             }
--- a/crates/core/src/queue/settings.rs
+++ b/crates/core/src/queue/settings.rs
@@ -12,6 +12,9 @@
     pub normal_patience: Millis,
     /// The same for low priority.
     pub low_patience: Millis,
+    /// Whether requests are refused by the observed rate of service. Its user may know better: what waits for an
+    /// adapter slows the observed rate although others would be served at once.
+    pub judges_by_rate: bool,
 }
 
 impl QueueSettings {
@@ -35,6 +38,7 @@
             max_queued: 10_000,
             normal_patience: Millis(1000),
             low_patience: Millis(5000),
+            judges_by_rate: true,
         }
     }
 }
--- a/crates/core/src/scheduler/backlog.rs
+++ b/crates/core/src/scheduler/backlog.rs
@@ -87,6 +87,11 @@
         self.speed.time_for(tokens)
     }
 
+    /// Tokens of prompts that the engine reads in a millisecond.
+    pub(super) const fn tokens_per_ms(&self) -> f64 {
+        self.speed.per_ms()
+    }
+
     /// Whether nothing is unread.
     pub(super) fn is_empty(&self) -> bool {
         self.unread.is_empty()
--- a/crates/core/src/scheduler/choose.rs
+++ b/crates/core/src/scheduler/choose.rs
@@ -77,6 +77,8 @@
     pub wanted: &'a HashMap<AdapterId, u32>,
     /// Whether engines may be given orders.
     pub may_order: bool,
+    /// Whether adapters may be dropped: whoever has just taken over doesn't know yet what is in use.
+    pub may_evict: bool,
     pub now: Millis,
 }
 
@@ -397,11 +399,14 @@
     ) -> Option<(Option<AdapterVersion>, f64)> {
         // An older version of the same adapter is replaced in its place, once its runs have ended.
         if let Some(old) = engine.place_of(wanted.adapter) {
-            return (old.users == 0).then_some((None, 0.0));
+            return (engine.users_of(old.adapter) == 0).then_some((None, 0.0));
         }
         if engine.has_free_place(model) {
             return Some((None, 0.0));
         }
+        if !self.may_evict {
+            return None;
+        }
         let value = |place: &super::place::Place| {
             let is_old = self.versions.wanted(place.adapter.adapter) != place.adapter;
             let uses = place.demand.get(self.now, DEMAND_HALF_LIFE);
@@ -410,7 +415,7 @@
         engine
             .places
             .iter()
-            .filter(|place| place.users == 0 && place.is_present(self.now))
+            .filter(|place| engine.users_of(place.adapter) == 0 && place.is_present(self.now))
             .filter(|place| !self.wanted.contains_key(&place.adapter.adapter))
             .map(|place| (value(place), place.adapter))
             .min_by(|a, b| a.0.total_cmp(&b.0))
--- a/crates/core/src/scheduler/engine.rs
+++ b/crates/core/src/scheduler/engine.rs
@@ -9,7 +9,7 @@
         clock::Millis,
         ids::{AdapterId, AdapterVersion, ModelId},
     },
-    std::collections::VecDeque,
+    std::collections::{HashMap, VecDeque},
 };
 
 /// Requests that an engine is left below its number of slots, so that what other callers send at the same
@@ -69,6 +69,10 @@
     /// A base model that was ordered.
     pub loading: Option<ModelId>,
     pub places: Vec<Place>,
+    /// Requests assigned to each adapter that haven't ended, whether or not the book has a place for it.
+    users: HashMap<AdapterVersion, u32>,
+    /// An adapter that waits for its runs to end before it goes; until then the engine takes no order.
+    pub going: Option<AdapterVersion>,
     /// Whether an order is out and not answered.
     pub has_order: bool,
     /// The adapter that gets the place of one that was ordered to go.
@@ -93,6 +97,8 @@
             models: Vec::new(),
             loading: None,
             places: Vec::new(),
+            users: HashMap::new(),
+            going: None,
             has_order: false,
             reserved: None,
             dropped: VecDeque::new(),
@@ -109,12 +115,13 @@
         let mut fresh = Self::new(self.limits.clone());
         fresh.backlog = backlog;
         fresh.kv_used = self.kv_used;
+        fresh.users = std::mem::take(&mut self.users);
         *self = fresh;
     }
 
     /// Takes over what the engine says, in place of what the book says.
     ///
-    /// Requests that were assigned go on counting: the adapters that they use keep their places.
+    /// Requests that were assigned go on counting, whatever it holds.
     pub(super) fn adopt(
         &mut self,
         facts: &EngineFacts,
@@ -143,14 +150,13 @@
             take(model, adapter, state)
         });
         self.places = present.chain(on_the_way).collect();
+        if let Some(place) = self.going.and_then(|going| self.place_mut(going)) {
+            place.state = PlaceState::Going;
+        } else {
+            self.going = None;
+        }
         for place in before {
-            if self.places.iter().any(|p| p.adapter == place.adapter) {
-                continue;
-            }
-            if place.users > 0 {
-                let state = PlaceState::Going;
-                self.places.push(Place { state, ..place });
-            } else if place.is_present(now) {
+            if self.place(place.adapter).is_none() && place.is_present(now) {
                 self.drop_place(place.adapter, load.kept_warm);
             }
         }
@@ -165,10 +171,17 @@
         self.late_loads = 0;
     }
 
-    /// Takes a report's word as the truth from here on.
-    pub(super) fn trust(&mut self) {
-        self.knowledge = Knowledge::Sure;
+    /// Takes a report's word as the truth from here on, unless something is still going on there.
+    pub(super) fn trust(
+        &mut self,
+        now: Millis,
+    ) {
         self.reserved = None;
+        if self.going.is_some() {
+            self.doubt(now);
+        } else {
+            self.knowledge = Knowledge::Sure;
+        }
     }
 
     /// Stops trusting the book until a report has come.
@@ -282,29 +295,37 @@
         self.dropped.contains(&adapter)
     }
 
+    /// Requests that use an adapter.
+    pub(super) fn users_of(
+        &self,
+        adapter: AdapterVersion,
+    ) -> u32 {
+        self.users.get(&adapter).copied().unwrap_or_default()
+    }
+
     /// Notes a use of an adapter.
-    pub(super) fn use_place(
+    pub(super) fn use_adapter(
         &mut self,
         adapter: AdapterVersion,
         now: Millis,
     ) {
+        *self.users.entry(adapter).or_default() += 1;
         if let Some(place) = self.place_mut(adapter) {
-            place.users += 1;
             place.demand.add(1.0, now, DEMAND_HALF_LIFE);
         }
     }
 
     /// Notes the end of a use.
-    pub(super) fn leave_place(
+    pub(super) fn leave_adapter(
         &mut self,
         adapter: AdapterVersion,
     ) {
-        if let Some(place) = self.place_mut(adapter) {
-            place.users = place.users.saturating_sub(1);
+        if let Some(users) = self.users.get_mut(&adapter) {
+            *users -= 1;
+            if *users == 0 {
+                self.users.remove(&adapter);
+            }
         }
-        // One that the engine no longer lists was kept for its users' sake only.
-        self.places
-            .retain(|place| place.users > 0 || place.state != PlaceState::Going);
     }
 
     /// Takes an adapter off the book and remembers that the engine held it.
--- a/crates/core/src/scheduler/fleet.rs
+++ b/crates/core/src/scheduler/fleet.rs
@@ -84,7 +84,7 @@
             return;
         }
         engine.adopt(facts, load, now);
-        engine.trust();
+        engine.trust(now);
         if facts.is_busy && engine.loading.is_none() {
             engine.loading = engine.limits.models.first().map(|&(model, ..)| model);
         }
@@ -124,6 +124,14 @@
             .filter(move |upstream| upstream.service == service && upstream.is_ready)
     }
 
+    /// Work of a service that its upstreams do in a millisecond: tokens of prompts, or calls.
+    pub(super) fn capacity(
+        &self,
+        service: ServiceId,
+    ) -> f64 {
+        self.ready(service).map(Upstream::capacity).sum()
+    }
+
     /// Adapters on their way from the adapter store, over all engines.
     pub(super) fn coming_cold(
         &self,
@@ -150,7 +158,7 @@
             engine.kv_used += tokens.total;
             engine.backlog.push(request, tokens.unread, now);
             if let Some(adapter) = adapter {
-                engine.use_place(adapter, now);
+                engine.use_adapter(adapter, now);
             }
         }
     }
@@ -172,7 +180,7 @@
             engine.kv_used = engine.kv_used.saturating_sub(total);
             engine.backlog.remove(request, now);
             if let Some(adapter) = adapter {
-                engine.leave_place(adapter);
+                engine.leave_adapter(adapter);
             }
         }
     }
--- a/crates/core/src/scheduler/loads.rs
+++ b/crates/core/src/scheduler/loads.rs
@@ -177,9 +177,10 @@
             engine.drop_place(adapter, load.kept_warm);
             return follow(engine, versions, upstream, reserved, load, cold, now);
         }
-        // It is used after all, by a request that this scheduler doesn't know: it keeps its place.
-        (Order::Unload { .. }, OrderEnd::Accepted) => {
+        // It is used after all, by a request that this scheduler doesn't know, and goes when that has ended.
+        (Order::Unload { adapter, .. }, OrderEnd::Accepted) => {
             engine.seq += 1;
+            engine.going = Some(adapter);
             engine.doubt(now);
         }
         (Order::LoadModel(_), OrderEnd::Accepted) => engine.seq += 1,
--- a/crates/core/src/scheduler/machine.rs
+++ b/crates/core/src/scheduler/machine.rs
@@ -27,6 +27,14 @@
 /// How much later a request counts as having come once it can't be on time: what comes within this time and can
 /// goes first.
 const LATE_PATIENCE: Millis = Millis(3_000);
+/// A late request is refused when what waits would take more than one part in so many of the time that it has left:
+/// what comes meanwhile and can be on time goes first.
+const HOPELESS: u64 = 2;
+/// The shortest time after which a refused caller is told to come back.
+const LEAST_RETRY: Millis = Millis(100);
+/// How long after a takeover the other VMs have all told what they run. An adapter that is ordered to go while it
+/// is used blocks its engine until its runs have ended, and nobody can be sent to it meanwhile.
+const INTRODUCTIONS: Millis = Millis(500);
 /// How often an engine that waits for something is looked at again, at least.
 const LOOK_AGAIN: Millis = Millis(50);
 
@@ -44,6 +52,8 @@
 pub struct Scheduler {
     settings: SchedulerSettings,
     may_order: bool,
+    /// From when on adapters may be dropped.
+    evicts_from: Millis,
     fleet: Fleet,
     versions: VersionBook,
     rates: AccountRates,
@@ -53,6 +63,8 @@
     by_ticket: HashMap<Ticket, RequestId>,
     /// Waiting requests by adapter.
     wanted: HashMap<AdapterId, u32>,
+    /// Work that waits, by service: tokens of prompts, or calls.
+    waiting: HashMap<ServiceId, f64>,
     /// Waiting requests that can still be on time, with until when.
     timely: BTreeSet<(Millis, RequestId)>,
     model_loads: ModelLoads,
@@ -69,14 +81,19 @@
         Self {
             settings,
             may_order: false,
+            evicts_from: Millis::ZERO,
             fleet: Fleet::default(),
             versions: VersionBook::default(),
             rates: AccountRates::new(share),
             repeats: HashMap::new(),
-            queue: FairQueue::new(QueueSettings::default()),
+            queue: FairQueue::new(QueueSettings {
+                judges_by_rate: false,
+                ..QueueSettings::default()
+            }),
             entries: HashMap::new(),
             by_ticket: HashMap::new(),
             wanted: HashMap::new(),
+            waiting: HashMap::new(),
             timely: BTreeSet::new(),
             model_loads: ModelLoads::default(),
             next_request: 0,
@@ -92,6 +109,10 @@
         now: Millis,
     ) {
         if may_order && !self.may_order {
+            self.evicts_from = match share {
+                RightsShare::Fresh => now,
+                RightsShare::TakenOver | RightsShare::Part(_) => now + INTRODUCTIONS,
+            };
             for (_, engine) in self.fleet.engines_mut() {
                 engine.has_order = false;
                 engine.doubt(Millis::ZERO);
@@ -198,6 +219,9 @@
         if let Err(refusal) = self.check_repeat(&job, now) {
             return refuse(refusal);
         }
+        if let Err(refusal) = self.check_wait(&job, now) {
+            return refuse(refusal);
+        }
         let charge = match self.charge(&job, now) {
             Ok(charge) => charge,
             Err(refusal) => return refuse(refusal),
@@ -443,6 +467,35 @@
         }
     }
 
+    /// A request that could not be sent before its deadline is refused when it comes.
+    fn check_wait(
+        &self,
+        job: &Job,
+        now: Millis,
+    ) -> Result<(), Refusal> {
+        let wait = self.expected_wait(job.service);
+        let left = job.deadline.since(now + self.least_time(job));
+        if wait < left {
+            return Ok(());
+        }
+        let late = wait.since(left).max(LEAST_RETRY);
+        Err(Refusal::after(ErrorKind::CannotMeetDeadline, late))
+    }
+
+    /// How long all that waits for a service keeps its upstreams busy. An upstream's own speed says so, and not how
+    /// fast the queue has emptied lately: what waits for an adapter holds up nobody else.
+    fn expected_wait(
+        &self,
+        service: ServiceId,
+    ) -> Millis {
+        let waiting = self.waiting.get(&service).copied().unwrap_or_default();
+        let per_ms = self.fleet.capacity(service);
+        match per_ms {
+            none if none <= 0.0 => Millis::ZERO,
+            per_ms => Millis((waiting / per_ms) as u64),
+        }
+    }
+
     /// A request is charged for its first attempt only.
     fn charge(
         &mut self,
@@ -493,20 +546,36 @@
         }
     }
 
-    /// Puts requests that can't be on time any more behind those that can.
+    /// Puts requests that can't be on time any more behind those that can, and refuses them where even what
+    /// waits now would take most of the time that they have left.
     ///
     /// When more comes than can be run, taking requests by age makes all of them late: each waits until just
-    /// after its objective. An answer in time is worth three late ones to the users.
+    /// after its objective. An answer in time is worth three late ones to the users, and a caller that is
+    /// refused at once can still do something else.
     fn postpone_late(
         &mut self,
         now: Millis,
-    ) {
+    ) -> Vec<Action> {
+        let mut actions = Vec::new();
         while let Some(&(until, request)) = self.timely.first()
             && until <= now
         {
             self.timely.remove(&(until, request));
-            self.queue.postpone(request, LATE_PATIENCE, now);
+            let Some(entry) = self.entries.get(&request) else {
+                continue;
+            };
+            let wait = self.expected_wait(entry.job.service);
+            let left = entry.job.deadline.since(now);
+            if Millis(wait.0 * HOPELESS) > left {
+                let refusal = Refusal::after(ErrorKind::CannotMeetDeadline, wait.max(LEAST_RETRY));
+                let ticket = entry.ticket;
+                self.finish(request, Outcome::Abandoned, now);
+                actions.push(Action::Refuse { ticket, refusal });
+            } else {
+                self.queue.postpone(request, LATE_PATIENCE, now);
+            }
         }
+        actions
     }
 
     fn note_wanted(
@@ -514,6 +583,11 @@
         job: &Job,
         waits: bool,
     ) {
+        let work = job
+            .generation()
+            .map_or(1.0, |generation| f64::from(generation.size.prompt));
+        let sum = self.waiting.entry(job.service).or_default();
+        *sum = (*sum + if waits { work } else { -work }).max(0.0);
         let Some(adapter) = job.generation().and_then(|generation| generation.adapter) else {
             return;
         };
@@ -563,7 +637,7 @@
         now: Millis,
     ) -> Vec<Action> {
         let mut actions = self.refuse_late(now);
-        self.postpone_late(now);
+        actions.extend(self.postpone_late(now));
         self.send_and_load(Turn::Timely, now, &mut actions);
         self.send_and_load(Turn::All, now, &mut actions);
         if self.may_order {
@@ -623,6 +697,7 @@
                     ..
                 } = self;
                 let may_order = self.may_order;
+                let may_evict = now >= self.evicts_from;
                 queue.pop(now, |waiting| {
                     let Some(entry) = entries.get(&waiting.request) else {
                         return true;
@@ -637,6 +712,7 @@
                         settings,
                         wanted,
                         may_order,
+                        may_evict,
                         now,
                     };
                     let Choice { send, load } = view.choose(&entry.job);
@@ -694,6 +770,7 @@
             settings: &self.settings,
             wanted: &self.wanted,
             may_order: self.may_order,
+            may_evict: now >= self.evicts_from,
             now,
         };
         let engine = self
--- a/crates/core/src/scheduler/place.rs
+++ b/crates/core/src/scheduler/place.rs
@@ -29,8 +29,6 @@
     pub model: ModelId,
     pub adapter: AdapterVersion,
     pub state: PlaceState,
-    /// Requests that were assigned to it and haven't ended.
-    pub users: u32,
     /// How much it is used, fading.
     pub demand: Decayed,
 }
@@ -45,7 +43,6 @@
             model,
             adapter,
             state,
-            users: 0,
             demand: Decayed::default(),
         }
     }
--- a/crates/core/src/scheduler/speed.rs
+++ b/crates/core/src/scheduler/speed.rs
@@ -38,6 +38,11 @@
         self.per_ms = 1.0 / slowness;
     }
 
+    /// Tokens read in a millisecond.
+    pub(super) const fn per_ms(self) -> f64 {
+        self.per_ms
+    }
+
     /// How long `tokens` take, in milliseconds.
     pub(super) fn time_for(
         self,
--- a/crates/core/src/scheduler/upstream.rs
+++ b/crates/core/src/scheduler/upstream.rs
@@ -150,6 +150,14 @@
         self.call_ms * cold * (1.0 + fill)
     }
 
+    /// Work that it does in a millisecond: tokens of prompts if it is an engine, else calls.
+    pub(super) fn capacity(&self) -> f64 {
+        match &self.engine {
+            Some(engine) => engine.backlog.tokens_per_ms(),
+            None => f64::from(self.slots) / self.call_ms.max(1.0),
+        }
+    }
+
     /// Whether a call can start here without waiting.
     pub(super) const fn has_free_slot(&self) -> bool {
         self.running < self.slots
--- a/crates/core/tests/adapter_loads.rs
+++ b/crates/core/tests/adapter_loads.rs
@@ -5,7 +5,7 @@
 use {
     jasmine_core::{
         ids::{AdapterId, UpstreamId},
-        scheduler::{Announcement, Order, OrderEnd, Outcome, SchedulerSettings},
+        scheduler::{Announcement, Order, OrderEnd, Outcome, RightsShare, SchedulerSettings},
     },
     scheduler_world::{World, engine, generation, version},
 };
@@ -205,3 +205,41 @@
         Some(scheduler_world::Decision::Sent(UpstreamId(0), Some(2)))
     );
 }
+
+#[test]
+fn a_new_leader_drops_nothing_at_first() {
+    // A VM is elected and knows nothing yet of what the others have sent. Had it dropped an adapter for another
+    // one at once, the engine would have waited for the runs on it, seconds long, and taken no other order.
+    let mut world = World::with(0, SchedulerSettings::default(), false);
+    world
+        .scheduler
+        .set_role(true, RightsShare::TakenOver, world.now);
+    world.add_engine(UpstreamId(0), &[1, 2]);
+    let request = world.generate(9);
+    world.pass(300);
+    assert_eq!(world.orders, []);
+    world.pass(600);
+    assert_eq!(world.loads_of(9), 1);
+    assert!(world.sent_to(request).is_some());
+}
+
+#[test]
+fn an_engine_that_waits_for_runs_is_left_alone() {
+    // A VM that is cut off still runs something on an adapter that is ordered to go. The engine accepts the order
+    // and waits; more orders are refused, one after the other, and requests for that adapter too.
+    let mut world = World::leading(0);
+    world.add_engine(UpstreamId(0), &[1, 2]);
+    world.engines_answer = false;
+    world.generate(9);
+    let (upstream, unload) = world.unanswered.remove(0);
+    let Order::Unload { adapter, .. } = unload else {
+        panic!("a place has to be made free: {unload:?}");
+    };
+    world.answer(upstream, unload, OrderEnd::Accepted);
+    world.report(upstream, &engine(Some(1), &[1, 2]));
+    world.pass(300);
+    assert_eq!(world.orders.len(), 1, "nothing more while it waits");
+    let left = 3 - adapter.adapter.0;
+    world.report(upstream, &engine(Some(1), &[left]));
+    assert_eq!(world.loads_of(9), 1, "its place is free now");
+}
