Orders without an answer are repeated at once; an engine out of reach gets a pause

A crashed engine was given the same order 45 times within 20 ms. Change: a lost order goes out once more with the same number, which makes the first one void; answers are waited for 250 ms; an order that was not sent counts as a miss of the engine.

--- a/crates/core/src/scheduler/engine.rs
+++ b/crates/core/src/scheduler/engine.rs
@@ -75,6 +75,8 @@
     pub going: Option<AdapterVersion>,
     /// Whether an order is out and not answered.
     pub has_order: bool,
+    /// Whether the order that is out is the second try of one that had no answer.
+    pub has_repeated: bool,
     /// The adapter that gets the place of one that was ordered to go.
     pub reserved: Option<(ModelId, AdapterVersion)>,
     /// Adapters that it dropped lately, the latest last.
@@ -100,6 +102,7 @@
             users: HashMap::new(),
             going: None,
             has_order: false,
+            has_repeated: false,
             reserved: None,
             dropped: VecDeque::new(),
             backlog: Backlog::default(),
--- a/crates/core/src/scheduler/loads.rs
+++ b/crates/core/src/scheduler/loads.rs
@@ -155,6 +155,18 @@
     let cold = cold_time(fleet, load, now);
     let engine = fleet.engine_mut(upstream)?;
     engine.has_order = false;
+    if end == OrderEnd::Lost && !std::mem::replace(&mut engine.has_repeated, true) {
+        // Once more at once: if it is accepted now, the first one is void whenever it arrives, as the engine has
+        // accepted another number of orders by then.
+        engine.has_order = true;
+        let after_seq = engine.seq;
+        return Some(SchedulerAction::Order {
+            upstream,
+            order,
+            after_seq,
+        });
+    }
+    engine.has_repeated = false;
     let reserved = engine.reserved.take();
     match (order, end) {
         (Order::Load { adapter, .. }, OrderEnd::Accepted) => {
@@ -193,7 +205,13 @@
                 up.is_ready = false;
             }
         }
-        (order, OrderEnd::Unsent) => undo(engine, order),
+        (order, OrderEnd::Unsent) => {
+            undo(engine, order);
+            engine.doubt(now);
+            if let Some(up) = fleet.upstreams.get_mut(&upstream) {
+                up.health.missed(now);
+            }
+        }
         // What the engine holds now is not known: it may have been carried out, or may still be.
         (Order::LoadModel(_), _) => {
             engine.loading = None;
--- a/crates/entry/src/scheduling/orders.rs
+++ b/crates/entry/src/scheduling/orders.rs
@@ -18,8 +18,9 @@
     tokio::{sync::mpsc, task::spawn_local},
 };
 
-/// How long an order or a report may take; engines answer in a millisecond or two.
-const CALL_LIMIT: Millis = Millis(400);
+/// How long an order or a report may take. Engines answer in a millisecond or two; a packet that is lost is sent
+/// again after a fifth of a second.
+const CALL_LIMIT: Millis = Millis(250);
 
 /// What orders are given with.
 #[derive(Clone, Debug)]
