--- a/crates/entry/src/daemon/run.rs
+++ b/crates/entry/src/daemon/run.rs
@@ -64,6 +64,8 @@
     Line::new("started")
         .with("vm", me)
         .with("callers", addr(&callers))
+        .with("readiness", addr(&readiness))
+        .with("peers", addr(&peers))
         .info();
 
     scheduling.start();
--- /dev/null
+++ b/crates/entry/tests/broken_streams.rs
@@ -0,0 +1,81 @@
+//! Streams that break off, fall silent or go on elsewhere.
+
+mod deployment;
+
+use {
+    deployment::{Request, Vm, platform, runs_of},
+    jasmine_platform_stand_in::Behaviour,
+};
+
+fn events(ids: std::ops::RangeInclusive<u64>) -> String {
+    ids.map(|id| format!("id: {id}\ndata: piece-{id}\n\n"))
+        .collect()
+}
+
+#[test]
+fn a_cut_stream_goes_on_elsewhere() {
+    // An engine crashes in the middle of an event, or falls silent. Another one goes on after the last whole
+    // event; the caller sees one answer without a gap, without a piece twice and with the first one's head.
+    let (store, upstreams) = platform(&["s-1", "s-2"]);
+    let vm = Vm::start(&store);
+    for broken in [Behaviour::CutAfter(3), Behaviour::MuteAfter(3)] {
+        for upstream in &upstreams {
+            upstream.usually(Behaviour::Events(8));
+        }
+        upstreams[0].next(broken.clone());
+        upstreams[1].next(broken.clone());
+        let request = Request::new("POST", "/stream/").body(b"prompt");
+        let first = vm.ask(&request);
+        // Both are broken once: the second takes over from the first only when it isn't itself.
+        let again = vm.ask(&Request::new("POST", "/stream/").body(b"prompt"));
+        let whole = [&first, &again].into_iter().find(|answer| answer.is_whole);
+        let whole = whole.unwrap_or_else(|| panic!("{broken:?}: {first:?} {again:?}"));
+        assert_eq!(whole.text(), events(1..=8), "{broken:?}");
+        assert!(runs_of(&upstreams, request.id()) <= 2, "{broken:?}");
+    }
+}
+
+#[test]
+fn what_is_resumed_names_the_last_event() {
+    let (store, upstreams) = platform(&["s-1"]);
+    let vm = Vm::start(&store);
+    upstreams[0].next(Behaviour::CutAfter(2));
+    upstreams[0].next(Behaviour::Events(4));
+    let answer = vm.ask(&Request::new("POST", "/stream/").body(b"prompt"));
+    assert!(answer.is_whole, "{answer:?}");
+    assert_eq!(answer.text(), events(1..=4));
+    let resumed = upstreams[0].ran().remove(1);
+    assert_eq!(
+        resumed.headers.get("last-event-id").map(String::as_str),
+        Some("2")
+    );
+    assert_eq!(resumed.body, b"prompt");
+}
+
+#[test]
+fn a_callers_own_place_is_kept() {
+    // A caller whose connection broke asks for the rest. The upstream goes on where the caller says.
+    let (store, upstreams) = platform(&["s-1"]);
+    let vm = Vm::start(&store);
+    upstreams[0].next(Behaviour::Events(6));
+    let request = Request::new("POST", "/stream/")
+        .with("Last-Event-Id", "4")
+        .body(b"prompt");
+    assert_eq!(vm.ask(&request).text(), events(5..=6));
+}
+
+#[test]
+fn a_stream_that_cannot_go_on_looks_broken() {
+    // A stream that may not be repeated is cut. Ended like a whole one, its caller would take half of a policy for
+    // all of it.
+    let (store, upstreams) = platform(&["s-1", "s-2"]);
+    let vm = Vm::start(&store);
+    for upstream in &upstreams {
+        upstream.usually(Behaviour::CutAfter(3));
+    }
+    let request = Request::new("POST", "/once/").body(b"prompt");
+    let answer = vm.ask(&request);
+    assert!(!answer.is_whole);
+    assert_eq!(answer.text(), events(1..=3), "whole events only");
+    assert_eq!(runs_of(&upstreams, request.id()), 1);
+}
--- /dev/null
+++ b/crates/entry/tests/crossed_answers.rs
@@ -0,0 +1,86 @@
+//! Answers that are not, or not only, the answer to a request.
+
+mod deployment;
+
+use {
+    deployment::{Request, Vm, platform},
+    jasmine_platform_stand_in::Behaviour,
+    std::{thread, time::Duration},
+};
+
+#[test]
+fn a_second_answer_reaches_nobody() {
+    // An upstream answers one request twice. On a connection that is used again the second answer stands where
+    // the next caller's is expected: somebody would get another one's status.
+    let (store, upstreams) = platform(&["s-1"]);
+    let vm = Vm::start(&store);
+    upstreams[0].next(Behaviour::Twice);
+    assert_eq!(vm.ask(&Request::new("GET", "/read/")).text(), "first");
+    thread::sleep(Duration::from_millis(50));
+    assert_eq!(vm.ask(&Request::new("GET", "/read/")).text(), "ok");
+}
+
+#[test]
+fn an_answer_without_a_length_arrives_whole() {
+    let (store, upstreams) = platform(&["s-1"]);
+    let vm = Vm::start(&store);
+    upstreams[0].next(Behaviour::Unframed(b"to the end".to_vec()));
+    let answer = vm.ask(&Request::new("GET", "/read/"));
+    assert_eq!(
+        (answer.text().as_str(), answer.is_whole),
+        ("to the end", true)
+    );
+}
+
+#[test]
+fn an_early_answer_spoils_nothing() {
+    // An upstream answers before it has read a long body and goes on reading on that connection. Whatever is sent
+    // there next would be taken for the rest of the body.
+    let (store, upstreams) = platform(&["s-1"]);
+    let vm = Vm::start(&store);
+    upstreams[0].next(Behaviour::Early);
+    let long = Request::new("POST", "/write/").body(&vec![b'x'; 60_000]);
+    assert_eq!(vm.ask(&long).text(), "early");
+    for _ in 0..3 {
+        let next = Request::new("POST", "/write/").body(b"next");
+        assert_eq!(vm.ask(&next).text(), "ok");
+    }
+    let last = upstreams[0].ran().pop().unwrap();
+    assert_eq!(last.body, b"next");
+}
+
+#[test]
+fn a_caller_that_leaves_stops_the_work() {
+    // A caller closes its connection while an upstream works for it and nothing is being written. Unless that is
+    // noticed, the upstream works on for nobody.
+    let (store, upstreams) = platform(&["s-1"]);
+    let vm = Vm::start(&store);
+    upstreams[0].next(Behaviour::Hang);
+    let mut stream = std::net::TcpStream::connect(vm.callers).unwrap();
+    let request = Request::new("POST", "/write/").body(b"enrol");
+    std::io::Write::write_all(&mut stream, &request.bytes()).unwrap();
+    deployment::until("it runs", || upstreams[0].ran().len() == 1);
+    drop(stream);
+    let left = std::time::Instant::now();
+    deployment::until("it is cancelled", || upstreams[0].cancelled() == 1);
+    assert!(
+        left.elapsed() < Duration::from_millis(500),
+        "{:?}",
+        left.elapsed()
+    );
+}
+
+#[test]
+fn the_routes_time_ends_a_wait() {
+    // An upstream never answers a call that may not be repeated. Its caller is told at the route's time that the
+    // outcome isn't known, and not that nothing ran.
+    let (store, upstreams) = platform(&["s-1"]);
+    let vm = Vm::start(&store);
+    upstreams[0].next(Behaviour::Hang);
+    let request = Request::new("POST", "/write/")
+        .with("X-Deadline-Ms", "700")
+        .body(b"enrol");
+    let began = std::time::Instant::now();
+    assert_eq!(vm.ask(&request).status, 504);
+    assert!(began.elapsed() < Duration::from_millis(1_200));
+}
--- /dev/null
+++ b/crates/entry/tests/deployment/mod.rs
@@ -0,0 +1,436 @@
+//! Entry daemons as processes before stand-ins of the platform, and a caller that writes plain bytes.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use {
+    jasmine_platform_stand_in::{KvStandIn, UpstreamStandIn},
+    nix::{
+        sys::signal::{Signal, kill},
+        unistd::Pid,
+    },
+    serde_json::{Value, json},
+    std::{
+        fs,
+        io::{BufRead, BufReader, Read, Write},
+        net::{SocketAddr, TcpStream},
+        path::PathBuf,
+        process::{Child, Command, ExitStatus, Stdio},
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicU32, Ordering},
+        },
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// The longest that anything here is waited for.
+pub const LIMIT: Duration = Duration::from_secs(20);
+pub const KEY: &str = "key-of-one";
+
+static NEXT: AtomicU32 = AtomicU32::new(0);
+
+/// One entry VM.
+pub struct Vm {
+    child: Child,
+    pub callers: SocketAddr,
+    pub readiness: SocketAddr,
+    lines: Arc<Mutex<Vec<String>>>,
+    settings: PathBuf,
+}
+
+impl Vm {
+    /// Starts a daemon before the store; it has its configuration when this returns.
+    pub fn start(store: &KvStandIn) -> Self {
+        let vm = Self::start_unready(store);
+        until("it is ready", || vm.is_ready());
+        vm
+    }
+
+    /// Starts a daemon and waits only until it listens.
+    pub fn start_unready(store: &KvStandIn) -> Self {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let name = format!("vm-{}-{number}", std::process::id());
+        let settings = std::env::temp_dir().join(format!("jasmine-entry-{name}.json"));
+        let any = "127.0.0.1:0";
+        let text = json!({
+            "vm": name,
+            "data_centre": "one",
+            "listen": {"callers": any, "readiness": any, "peers": any, "metrics": any},
+            "store": store.address().to_string(),
+            "first_start": true,
+            "engines_check_fences": true,
+            "repeats": {"ratio": 0.2, "slack": 50.0, "window_s": 10.0},
+            "stop_s": 8,
+        });
+        fs::write(&settings, text.to_string()).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_jasmine-entry"))
+            .arg("--settings")
+            .arg(&settings)
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let lines = Arc::new(Mutex::new(Vec::new()));
+        let output = BufReader::new(child.stdout.take().unwrap());
+        let gathered = Arc::clone(&lines);
+        thread::spawn(move || {
+            for line in output.lines().map_while(Result::ok) {
+                gathered.lock().unwrap().push(line);
+            }
+        });
+        let started = || {
+            let lines = lines.lock().unwrap();
+            lines
+                .iter()
+                .find(|line| line.contains("event=started"))
+                .cloned()
+        };
+        until("it has started", || started().is_some());
+        let line = started().unwrap();
+        let address = |name: &str| -> SocketAddr {
+            let (_, rest) = line.split_once(&format!(" {name}=")).unwrap();
+            rest.split(' ').next().unwrap().parse().unwrap()
+        };
+        Self {
+            callers: address("callers"),
+            readiness: address("readiness"),
+            child,
+            lines,
+            settings,
+        }
+    }
+
+    /// Whether the balancer may send callers here.
+    pub fn is_ready(&self) -> bool {
+        let answer = exchange(self.readiness, b"GET /-/readyz HTTP/1.1\r\nHost: r\r\n\r\n");
+        answer.is_some_and(|answer| answer.status == 200)
+    }
+
+    /// What it has logged of one event.
+    pub fn logged(
+        &self,
+        event: &str,
+    ) -> Vec<String> {
+        let lines = self.lines.lock().unwrap();
+        let wanted = format!("event={event} ");
+        let is_one = |line: &&String| line.contains(&wanted);
+        lines.iter().filter(is_one).cloned().collect()
+    }
+
+    pub fn signal(
+        &self,
+        signal: Signal,
+    ) {
+        kill(Pid::from_raw(self.child.id() as i32), signal).unwrap();
+    }
+
+    /// Waits for the end of the process.
+    pub fn ended(&mut self) -> ExitStatus {
+        let began = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status;
+            }
+            assert!(began.elapsed() < LIMIT, "it doesn't end");
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    /// Sends a request over a connection of its own.
+    pub fn ask(
+        &self,
+        request: &Request,
+    ) -> Answer {
+        exchange(self.callers, &request.bytes()).expect("an answer")
+    }
+
+    /// Sends plain bytes; none where the connection ends without an answer.
+    pub fn send(
+        &self,
+        bytes: &[u8],
+    ) -> Option<Answer> {
+        exchange(self.callers, bytes)
+    }
+}
+
+impl Drop for Vm {
+    fn drop(&mut self) {
+        // Both fail only where the process has ended by itself.
+        drop(self.child.kill());
+        drop(self.child.wait());
+        drop(fs::remove_file(&self.settings));
+    }
+}
+
+/// A request of a caller.
+#[derive(Clone, Debug)]
+pub struct Request {
+    pub method: &'static str,
+    pub target: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Request {
+    pub fn new(
+        method: &'static str,
+        target: &str,
+    ) -> Self {
+        let id = format!("id-{}", NEXT.fetch_add(1, Ordering::Relaxed));
+        Self {
+            method,
+            target: target.to_owned(),
+            headers: Vec::new(),
+            body: Vec::new(),
+        }
+        .with("Host", "app.example")
+        .with("X-Request-Id", &id)
+        .with("X-Deadline-Ms", "5000")
+        .with("X-Api-Key", KEY)
+    }
+
+    /// Sets a header.
+    pub fn with(
+        mut self,
+        name: &str,
+        value: &str,
+    ) -> Self {
+        self.headers.retain(|(known, _)| known != name);
+        self.headers.push((name.to_owned(), value.to_owned()));
+        self
+    }
+
+    pub fn without(
+        mut self,
+        name: &str,
+    ) -> Self {
+        self.headers.retain(|(known, _)| known != name);
+        self
+    }
+
+    pub fn body(
+        mut self,
+        body: &[u8],
+    ) -> Self {
+        self.body = body.to_vec();
+        let length = self.body.len().to_string();
+        self.with("Content-Length", &length)
+    }
+
+    pub fn id(&self) -> &str {
+        let is_id = |(name, _): &&(String, String)| name == "X-Request-Id";
+        &self.headers.iter().find(is_id).unwrap().1
+    }
+
+    pub fn bytes(&self) -> Vec<u8> {
+        let mut head = format!("{} {} HTTP/1.1\r\n", self.method, self.target);
+        for (name, value) in &self.headers {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        head.push_str("\r\n");
+        let mut bytes = head.into_bytes();
+        bytes.extend_from_slice(&self.body);
+        bytes
+    }
+}
+
+/// An answer as a caller sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    /// The body, chunks taken apart.
+    pub body: Vec<u8>,
+    /// Whether its end was marked, and not only the connection's.
+    pub is_whole: bool,
+}
+
+impl Answer {
+    pub fn header(
+        &self,
+        name: &str,
+    ) -> Option<String> {
+        self.head
+            .lines()
+            .filter_map(|line| line.split_once(": "))
+            .find(|(known, _)| known.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value.trim().to_owned())
+    }
+
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+/// Sends bytes over a connection of its own and reads one answer.
+pub fn exchange(
+    address: SocketAddr,
+    bytes: &[u8],
+) -> Option<Answer> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    stream.set_read_timeout(Some(LIMIT)).ok()?;
+    stream.write_all(bytes).ok()?;
+    read_answer(&mut stream)
+}
+
+/// Reads one answer.
+pub fn read_answer(stream: &mut TcpStream) -> Option<Answer> {
+    let mut buf = Vec::new();
+    let head_end = loop {
+        if let Some(at) = buf.windows(4).position(|four| four == b"\r\n\r\n") {
+            break at + 4;
+        }
+        if !more(stream, &mut buf) {
+            return None;
+        }
+    };
+    let head = String::from_utf8_lossy(&buf[..head_end]).into_owned();
+    let mut rest = buf.split_off(head_end);
+    let mut answer = Answer {
+        status: head.split(' ').nth(1)?.parse().ok()?,
+        body: Vec::new(),
+        is_whole: false,
+        head,
+    };
+    if let Some(length) = answer.header("content-length") {
+        let length: usize = length.parse().ok()?;
+        while rest.len() < length && more(stream, &mut rest) {}
+        answer.is_whole = rest.len() == length;
+        answer.body = rest;
+    } else if answer.header("transfer-encoding").is_some() {
+        (answer.body, answer.is_whole) = read_chunks(stream, rest);
+    } else {
+        while more(stream, &mut rest) {}
+        answer.body = rest;
+    }
+    Some(answer)
+}
+
+fn read_chunks(
+    stream: &mut TcpStream,
+    mut rest: Vec<u8>,
+) -> (Vec<u8>, bool) {
+    let mut body = Vec::new();
+    loop {
+        let Some(line_end) = rest.windows(2).position(|two| two == b"\r\n") else {
+            if more(stream, &mut rest) {
+                continue;
+            }
+            return (body, false);
+        };
+        let size = String::from_utf8_lossy(&rest[..line_end]).into_owned();
+        let size = usize::from_str_radix(&size, 16).unwrap();
+        let end = line_end + 2 + size + 2;
+        while rest.len() < end {
+            if !more(stream, &mut rest) {
+                return (body, false);
+            }
+        }
+        body.extend_from_slice(&rest[line_end + 2..end - 2]);
+        rest.drain(..end);
+        if size == 0 {
+            return (body, rest.is_empty());
+        }
+    }
+}
+
+fn more(
+    stream: &mut TcpStream,
+    buf: &mut Vec<u8>,
+) -> bool {
+    let mut part = [0_u8; 4096];
+    match stream.read(&mut part) {
+        Ok(n) if n > 0 => {
+            buf.extend_from_slice(&part[..n]);
+            true
+        }
+        _ => false,
+    }
+}
+
+/// Waits until something holds.
+pub fn until<F>(
+    what: &str,
+    mut holds: F,
+) where
+    F: FnMut() -> bool,
+{
+    let began = Instant::now();
+    while !holds() {
+        assert!(began.elapsed() < LIMIT, "not in time: {what}");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+fn route(
+    name: &str,
+    kind: &str,
+    attempts: u32,
+    resumable: bool,
+) -> Value {
+    json!({
+        "name": name, "hostname": "app.example", "path_prefix": format!("/{name}/"), "kind": kind,
+        "timeout_ms": 5_000, "slo_ms": 400, "priority": 1, "service": "app", "attempts": attempts,
+        "public": false, "sticky": false, "resumable": resumable, "gap_aim_ms": 100,
+    })
+}
+
+/// A configuration with one route of each kind, on the service `app`.
+pub fn config(version: u64) -> Value {
+    let mut public = route("open", "idempotent", 1, false);
+    public["public"] = json!(true);
+    let mut model = route("model", "streaming", 1, false);
+    model["service"] = json!("llm");
+    json!({
+        "version": version,
+        "routes": [
+            route("read", "idempotent", 2, false),
+            route("write", "non_idempotent", 1, false),
+            route("stream", "streaming", 2, true),
+            route("once", "streaming", 1, false),
+            public,
+            model,
+        ],
+        "services": [
+            {"name": "app", "health_path": "/healthz", "max_conns": 100},
+            {"name": "llm", "health_path": "/healthz", "max_conns": 100, "engine": {
+                "slots": 64, "kv_capacity": 100_000, "weights_mb": 1_100.0, "adapter_slots": 2,
+                "loads_per_s": 2.0,
+                "models": [{"name": "base", "weights_mb": 1_000.0, "load_s": 0.7, "adapters": 9,
+                    "adapter_mb": 12.0}],
+            }},
+        ],
+        "limits": {"max_header_bytes": 4_096, "max_body_bytes": 65_536, "header_timeout_ms": 600,
+            "idle_timeout_ms": 5_000},
+        "tenants": [
+            {"name": "one", "api_keys": [KEY], "priority": 1, "unit": "token_metered",
+                "plain_tokens": 10, "rate_per_s": 1_000_000, "burst": 1_000_000},
+            {"name": "small", "api_keys": ["key-of-small"], "unit": "token_metered",
+                "plain_tokens": 10, "rate_per_s": 100, "burst": 100},
+        ],
+    })
+}
+
+/// A store with a configuration, and the upstreams of the service `app`.
+pub fn platform(upstreams: &[&str]) -> (KvStandIn, Vec<UpstreamStandIn>) {
+    let store = KvStandIn::start().unwrap();
+    store.put("op/config", &config(1));
+    let upstreams: Vec<_> = upstreams
+        .iter()
+        .map(|id| UpstreamStandIn::start(id).unwrap())
+        .collect();
+    for upstream in &upstreams {
+        store.put(&upstream.key(), &upstream.entry("app", "one", "ready"));
+    }
+    (store, upstreams)
+}
+
+/// How often a request with this id ran over all upstreams.
+pub fn runs_of(
+    upstreams: &[UpstreamStandIn],
+    id: &str,
+) -> usize {
+    let ran = upstreams.iter().flat_map(UpstreamStandIn::ran);
+    ran.filter(|seen| seen.headers.get("x-request-id").is_some_and(|of| of == id))
+        .count()
+}
--- /dev/null
+++ b/crates/entry/tests/killed_leader.rs
@@ -0,0 +1,119 @@
+//! VMs that die, and what engines are told meanwhile.
+
+mod deployment;
+
+use {
+    deployment::{Request, Vm, platform, until},
+    jasmine_platform_stand_in::EngineStandIn,
+    nix::sys::signal::Signal,
+    std::{thread, time::Duration},
+};
+
+fn generation(adapter: &str) -> Request {
+    Request::new("POST", "/model/")
+        .with("X-Model", &format!("base/{adapter}"))
+        .with("X-Token-Counts", "100,10")
+        .with("X-Prompt-Prefix", "a1:50,b2:50")
+        .body(b"prompt")
+}
+
+#[test]
+fn adapters_are_loaded_and_make_way() {
+    // Four adapters are asked for in turn on an engine that holds two. It is never ordered to hold a third: it
+    // would crash with everything that runs on it.
+    let (store, _) = platform(&[]);
+    let engine = EngineStandIn::start("e-1").unwrap();
+    store.put(&engine.key(), &engine.entry("llm", "one"));
+    let vm = Vm::start(&store);
+    for adapter in ["a1", "a2", "a3", "a4", "a1"] {
+        let answer = vm.ask(&generation(adapter));
+        assert_eq!(answer.status, 200, "{adapter}: {answer:?}");
+    }
+    assert_eq!(engine.ran(), ["a1", "a2", "a3", "a4", "a1"]);
+    assert_eq!(engine.overfilled(), 0);
+}
+
+#[test]
+fn lost_answers_to_orders_overfill_nothing() {
+    let (store, _) = platform(&[]);
+    let engine = EngineStandIn::start("e-1").unwrap();
+    store.put(&engine.key(), &engine.entry("llm", "one"));
+    let vm = Vm::start(&store);
+    engine.lose_answers(2);
+    for adapter in ["a1", "a2", "a3", "a4"] {
+        let answer = vm.ask(&generation(adapter));
+        assert_eq!(answer.status, 200, "{adapter}: {answer:?}");
+    }
+    assert_eq!(engine.overfilled(), 0);
+}
+
+#[test]
+fn a_killed_leader_is_replaced() {
+    // The VM that schedules is killed. The others go on by themselves with what is loaded, one of them is elected
+    // under a higher fencing token, and adapters are loaded again.
+    let (store, _upstreams) = platform(&["s-1"]);
+    let engine = EngineStandIn::start("e-1").unwrap();
+    store.put(&engine.key(), &engine.entry("llm", "one"));
+    let mut leader = Vm::start(&store);
+    until("one leads", || !leader.logged("lead_taken").is_empty());
+    let others = [Vm::start(&store), Vm::start(&store)];
+    for other in &others {
+        until("it follows", || !other.logged("leader_followed").is_empty());
+        assert_eq!(other.ask(&generation("a1")).status, 200);
+    }
+    leader.signal(Signal::SIGKILL);
+    assert!(!leader.ended().success());
+    for other in &others {
+        assert_eq!(other.ask(&Request::new("GET", "/read/")).status, 200);
+    }
+    let took_lead = || {
+        others
+            .iter()
+            .any(|other| !other.logged("lead_taken").is_empty())
+    };
+    until("another one leads", took_lead);
+    for other in &others {
+        assert_eq!(other.ask(&generation("a2")).status, 200);
+    }
+    let orders = engine.orders();
+    let fences: Vec<u64> = orders
+        .iter()
+        .map(|order| order["fence"].as_u64().unwrap())
+        .collect();
+    assert!(fences.is_sorted(), "{fences:?}");
+    assert_eq!(engine.overfilled(), 0);
+}
+
+#[test]
+fn a_frozen_leader_gives_no_more_orders() {
+    // The VM that schedules is frozen for longer than its lease and thaws. Another one leads by then; if both gave
+    // orders, each would count the engine's places without the other.
+    let (store, _upstreams) = platform(&["s-1"]);
+    let engine = EngineStandIn::start("e-1").unwrap();
+    store.put(&engine.key(), &engine.entry("llm", "one"));
+    let leader = Vm::start(&store);
+    until("one leads", || !leader.logged("lead_taken").is_empty());
+    let other = Vm::start(&store);
+    until("it follows", || !other.logged("leader_followed").is_empty());
+    leader.signal(Signal::SIGSTOP);
+    until("the other leads", || !other.logged("lead_taken").is_empty());
+    assert_eq!(other.ask(&generation("a1")).status, 200);
+    leader.signal(Signal::SIGCONT);
+    until("the first one knows", || {
+        !leader.logged("lead_lost").is_empty()
+    });
+    until("it follows", || {
+        !leader.logged("leader_followed").is_empty()
+    });
+    thread::sleep(Duration::from_millis(100));
+    assert_eq!(leader.ask(&generation("a2")).status, 200);
+    let holders: Vec<String> = engine
+        .orders()
+        .iter()
+        .map(|order| order["fence"].to_string())
+        .collect();
+    assert!(
+        holders.windows(2).all(|two| two[0] <= two[1]),
+        "{holders:?}"
+    );
+}
--- /dev/null
+++ b/crates/entry/tests/planned_stop.rs
@@ -0,0 +1,90 @@
+//! SIGTERM.
+
+mod deployment;
+
+use {
+    deployment::{Request, Vm, platform, until},
+    jasmine_platform_stand_in::Behaviour,
+    nix::sys::signal::Signal,
+    std::{io::Write, net::TcpStream, thread, time::Duration},
+};
+
+#[test]
+fn a_stop_breaks_nothing_off() {
+    // A VM is stopped while it works for a caller, and the balancer still sends others for a moment. Each gets its
+    // answer and is told to come back over another connection; then the process ends by itself.
+    let (store, upstreams) = platform(&["s-1"]);
+    let mut vm = Vm::start(&store);
+    upstreams[0].next(Behaviour::Slow(Duration::from_millis(1_500)));
+    let callers = vm.callers;
+    let slow = Request::new("POST", "/write/").body(b"enrol");
+    let waiting = thread::spawn(move || deployment::exchange(callers, &slow.bytes()));
+    until("it runs", || upstreams[0].ran().len() == 1);
+    vm.signal(Signal::SIGTERM);
+    until("the balancer is told", || !vm.is_ready());
+    let during = vm.ask(&Request::new("GET", "/read/"));
+    assert_eq!(during.status, 200);
+    assert_eq!(during.header("connection").as_deref(), Some("close"));
+    let answer = waiting.join().unwrap().expect("an answer");
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+    assert!(vm.ended().success());
+}
+
+#[test]
+fn what_comes_too_late_goes_elsewhere() {
+    // A caller's request comes seconds after the signal. Begun now it would be cut off by the end of the process;
+    // it is told at once that it has not run.
+    let (store, upstreams) = platform(&["s-1"]);
+    let mut vm = Vm::start(&store);
+    upstreams[0].next(Behaviour::Slow(Duration::from_millis(4_500)));
+    let callers = vm.callers;
+    let slow = Request::new("POST", "/write/").body(b"enrol");
+    let waiting = thread::spawn(move || deployment::exchange(callers, &slow.bytes()));
+    until("it runs", || upstreams[0].ran().len() == 1);
+    vm.signal(Signal::SIGTERM);
+    thread::sleep(Duration::from_millis(3_300));
+    let late = vm.ask(&Request::new("POST", "/write/").body(b"late"));
+    assert_eq!(late.status, 503);
+    assert!(late.header("retry-after").is_some());
+    assert_eq!(upstreams[0].ran().len(), 1);
+    assert_eq!(waiting.join().unwrap().expect("an answer").status, 200);
+    assert!(vm.ended().success());
+}
+
+#[test]
+fn an_idle_connection_ends_without_an_answer() {
+    let (store, _upstreams) = platform(&["s-1"]);
+    let mut vm = Vm::start(&store);
+    let mut idle = TcpStream::connect(vm.callers).unwrap();
+    idle.write_all(&Request::new("GET", "/read/").bytes())
+        .unwrap();
+    assert_eq!(deployment::read_answer(&mut idle).unwrap().status, 200);
+    vm.signal(Signal::SIGTERM);
+    assert!(deployment::read_answer(&mut idle).is_none());
+    assert!(vm.ended().success());
+    assert!(!vm.logged("stopped").is_empty());
+}
+
+#[test]
+fn the_lead_goes_with_the_stop() {
+    // The scheduler is stopped. If the others waited for its lease to lapse, nothing new would be loaded for
+    // seconds on every planned restart.
+    let (store, _upstreams) = platform(&["s-1"]);
+    let first = Vm::start(&store);
+    until("one leads", || !first.logged("lead_taken").is_empty());
+    let second = Vm::start(&store);
+    until("the other follows", || {
+        !second.logged("leader_followed").is_empty()
+    });
+    first.signal(Signal::SIGTERM);
+    let began = std::time::Instant::now();
+    until("the other leads", || {
+        !second.logged("lead_taken").is_empty()
+    });
+    assert!(
+        began.elapsed() < Duration::from_millis(2_500),
+        "{:?}",
+        began.elapsed()
+    );
+    assert_eq!(second.ask(&Request::new("GET", "/read/")).status, 200);
+}
--- /dev/null
+++ b/crates/entry/tests/request_smuggling.rs
@@ -0,0 +1,145 @@
+//! Requests that two readers would understand in two ways.
+
+mod deployment;
+
+use deployment::{Request, Vm, platform};
+
+/// Heads and bodies, each with what is wrong about it.
+fn bad_requests() -> Vec<(&'static str, Vec<u8>)> {
+    let base = "POST /write/ HTTP/1.1\r\nHost: app.example\r\nX-Request-Id: bad\r\nX-Api-Key: key-of-one\r\n";
+    let hidden = "GET /write/hidden HTTP/1.1\r\nHost: app.example\r\nX-Request-Id: hidden\r\nX-Api-Key: key-of-one\r\n\r\n";
+    let with = |lines: &str, body: &str| format!("{base}{lines}\r\n{body}").into_bytes();
+    vec![
+        (
+            "two lengths",
+            with("Content-Length: 4\r\nContent-Length: 5\r\n", "abcd"),
+        ),
+        (
+            "the same length twice",
+            with("Content-Length: 4\r\nContent-Length: 4\r\n", "abcd"),
+        ),
+        (
+            "a list of lengths",
+            with("Content-Length: 4, 4\r\n", "abcd"),
+        ),
+        (
+            "length and chunks",
+            with(
+                "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+                "0\r\n\r\n",
+            ),
+        ),
+        (
+            "chunks and length",
+            with(
+                "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+                hidden,
+            ),
+        ),
+        (
+            "two codings",
+            with(
+                "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+                hidden,
+            ),
+        ),
+        (
+            "an unknown coding",
+            with("Transfer-Encoding: xchunked\r\n", hidden),
+        ),
+        (
+            "a list of codings",
+            with("Transfer-Encoding: gzip, chunked\r\n", hidden),
+        ),
+        ("a signed length", with("Content-Length: +4\r\n", "abcd")),
+        ("a length in hex", with("Content-Length: 0x4\r\n", "abcd")),
+        ("an empty length", with("Content-Length:\r\n", hidden)),
+        (
+            "a space before the colon",
+            with("Content-Length : 4\r\n", "abcd"),
+        ),
+        ("a folded line", with("X-Long: a\r\n b\r\n", "")),
+        (
+            "a line feed alone",
+            with("X-Bare: a\nContent-Length: 4\r\n", "abcd"),
+        ),
+        (
+            "a carriage return alone",
+            with("X-Bare: a\rContent-Length: 4\r\n", "abcd"),
+        ),
+        (
+            "a bad chunk size",
+            with("Transfer-Encoding: chunked\r\n", "zz\r\nab\r\n0\r\n\r\n"),
+        ),
+        (
+            "a chunk longer than it says",
+            with("Transfer-Encoding: chunked\r\n", "2\r\nabcd\r\n0\r\n\r\n"),
+        ),
+        (
+            "chunks with bare line feeds",
+            with("Transfer-Encoding: chunked\r\n", "2\nab\n0\n\n"),
+        ),
+        ("two hosts", with("Host: other.example\r\n", "")),
+        (
+            "an absolute target",
+            b"GET http://app.example/read/ HTTP/1.1\r\nHost: app.example\r\n\r\n".to_vec(),
+        ),
+        (
+            "no host",
+            b"GET /read/ HTTP/1.1\r\nX-Request-Id: bad\r\n\r\n".to_vec(),
+        ),
+        ("no version", b"GET /read/\r\n\r\n".to_vec()),
+        (
+            "another protocol",
+            b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".to_vec(),
+        ),
+    ]
+}
+
+#[test]
+fn ambiguous_requests_are_refused() {
+    // A caller sends a request whose end two readers see in two places. What one of them takes for its body the other
+    // takes for a second request, which runs although nobody was asked for its key.
+    let (store, upstreams) = platform(&["s-1"]);
+    let vm = Vm::start(&store);
+    for (what, bytes) in bad_requests() {
+        let answer = vm.send(&bytes);
+        let status = answer.as_ref().map(|answer| answer.status);
+        assert_eq!(status, Some(400), "{what}: {answer:?}");
+        let closes = answer.and_then(|answer| answer.header("connection"));
+        assert_eq!(closes.as_deref(), Some("close"), "{what}");
+    }
+    assert_eq!(upstreams[0].ran(), [], "nothing of it ran");
+    assert_eq!(vm.ask(&Request::new("GET", "/read/")).status, 200);
+}
+
+#[test]
+fn a_request_inside_a_body_stays_a_body() {
+    // The body of a request looks like a request. It has its length, so it is passed on as it is.
+    let (store, upstreams) = platform(&["s-1"]);
+    let vm = Vm::start(&store);
+    let inner = Request::new("GET", "/write/inner").bytes();
+    let outer = Request::new("GET", "/read/outer").body(&inner);
+    assert_eq!(vm.ask(&outer).status, 200);
+    let ran = upstreams[0].ran();
+    assert_eq!(ran.len(), 1);
+    assert_eq!(
+        (ran[0].target.as_str(), &ran[0].body),
+        ("/read/outer", &inner)
+    );
+}
+
+#[test]
+fn what_is_too_large_or_slow_is_refused() {
+    // One caller sends endless headers, one a body without bound, one a byte a minute. Each would hold memory or a
+    // connection for as long as it likes.
+    let (store, upstreams) = platform(&["s-1"]);
+    let vm = Vm::start(&store);
+    let long = Request::new("GET", "/read/").with("X-Long", &"a".repeat(5_000));
+    assert_eq!(vm.ask(&long).status, 431);
+    let big = Request::new("POST", "/write/").body(&vec![b'a'; 70_000]);
+    assert_eq!(vm.ask(&big).status, 413);
+    let slow = vm.send(b"GET /read/ HTTP/1.1\r\nHost: app").unwrap();
+    assert_eq!(slow.status, 408);
+    assert_eq!(upstreams[0].ran(), []);
+}
--- /dev/null
+++ b/crates/entry/tests/whole_path.rs
@@ -0,0 +1,174 @@
+//! A request from its caller to an upstream and back.
+
+mod deployment;
+
+use {
+    deployment::{KEY, Request, Vm, platform, runs_of, until},
+    jasmine_platform_stand_in::Behaviour,
+    std::{io::Write, net::TcpStream},
+};
+
+#[test]
+fn each_kind_is_served() {
+    let (store, upstreams) = platform(&["s-1"]);
+    let vm = Vm::start(&store);
+    upstreams[0].next(Behaviour::Answer(b"status".to_vec()));
+    let read = vm.ask(&Request::new("GET", "/read/a?b=c"));
+    assert_eq!((read.status, read.text().as_str()), (200, "status"));
+    assert_eq!(read.header("x-server-seal").as_deref(), Some("seal"));
+    let write = Request::new("POST", "/write/x").body(b"enrol");
+    assert_eq!(vm.ask(&write).status, 200);
+    assert_eq!(runs_of(&upstreams, write.id()), 1);
+    upstreams[0].next(Behaviour::Events(3));
+    let stream = vm.ask(&Request::new("POST", "/stream/x").body(b"prompt"));
+    assert!(stream.is_whole);
+    assert_eq!(
+        stream.text(),
+        "id: 1\ndata: piece-1\n\nid: 2\ndata: piece-2\n\nid: 3\ndata: piece-3\n\n"
+    );
+    let ran = upstreams[0].ran();
+    assert_eq!(ran[0].target, "/read/a?b=c");
+    assert_eq!(ran[1].body, b"enrol");
+}
+
+#[test]
+fn upstreams_get_our_words_for_the_callers() {
+    // A caller sends headers that only the system may set, and its key. If they went through, a caller could
+    // pass for another account, or take an engine's memory; and whoever reads an upstream's log has the key.
+    let (store, upstreams) = platform(&["s-1"]);
+    let vm = Vm::start(&store);
+    let request = Request::new("GET", "/read/a")
+        .with("X-Tenant", "another")
+        .with("X-Expect-Instance", "another")
+        .with("X-Hold", "1")
+        .with("X-Pin-Ms", "1000")
+        .with("X-Kv-Backup", "1.2.3.4:5")
+        .with("Kv-From", "1.2.3.4:5/6")
+        .with("X-Own", "kept")
+        .with("Connection", "x-request-id, x-dropped")
+        .with("X-Dropped", "1");
+    assert_eq!(vm.ask(&request).status, 200);
+    let seen = upstreams[0].ran().remove(0).headers;
+    let got = |name: &str| seen.get(name).map(String::as_str);
+    assert_eq!(got("x-tenant"), Some("one"));
+    assert_eq!(got("x-expect-instance"), Some("s-1"));
+    assert_eq!(got("x-own"), Some("kept"));
+    assert_eq!(got("x-request-id"), Some(request.id()));
+    for dropped in [
+        "x-api-key",
+        "x-hold",
+        "x-pin-ms",
+        "x-kv-backup",
+        "kv-from",
+        "x-dropped",
+    ] {
+        assert_eq!(got(dropped), None, "{dropped}");
+    }
+    assert!(!format!("{seen:?}").contains(KEY));
+    let patience: u64 = got("x-deadline-ms").unwrap().parse().unwrap();
+    assert!((4_000..=5_000).contains(&patience), "{patience}");
+}
+
+#[test]
+fn keys_and_routes_are_checked() {
+    let (store, upstreams) = platform(&["s-1"]);
+    let vm = Vm::start(&store);
+    let status = |request: Request| vm.ask(&request).status;
+    assert_eq!(status(Request::new("GET", "/nowhere/")), 404);
+    assert_eq!(status(Request::new("GET", "/read")), 404);
+    assert_eq!(
+        status(Request::new("GET", "/read/").with("Host", "other.example")),
+        404
+    );
+    assert_eq!(
+        status(Request::new("GET", "/read/").with("X-Api-Key", "nobody")),
+        401
+    );
+    assert_eq!(
+        status(Request::new("GET", "/read/").without("X-Api-Key")),
+        401
+    );
+    assert_eq!(upstreams[0].ran(), [], "none of these ran");
+    assert_eq!(
+        status(Request::new("GET", "/open/").without("X-Api-Key")),
+        200
+    );
+    assert_eq!(upstreams[0].ran()[0].headers.get("x-tenant"), None);
+}
+
+#[test]
+fn an_account_over_its_rate_is_told_when_to_come_back() {
+    // The account has a burst of ten requests. The eleventh is refused before anything is sent, with the time by
+    // which its tokens will have been earned, so that its caller need not guess.
+    let (store, upstreams) = platform(&["s-1"]);
+    let vm = Vm::start(&store);
+    let request = || Request::new("GET", "/read/").with("X-Api-Key", "key-of-small");
+    let mut refused = None;
+    for _ in 0..30 {
+        let answer = vm.ask(&request());
+        if answer.status == 429 {
+            refused = Some(answer);
+            break;
+        }
+    }
+    let refused = refused.expect("the burst ends");
+    let delay: f64 = refused.header("retry-after").unwrap().parse().unwrap();
+    assert!(delay > 0.0 && delay < 1.0, "{delay}");
+    let ran = upstreams[0].ran().len();
+    std::thread::sleep(std::time::Duration::from_secs_f64(delay + 0.02));
+    assert_eq!(vm.ask(&request()).status, 200, "the promise comes true");
+    assert_eq!(upstreams[0].ran().len(), ran + 1);
+}
+
+#[test]
+fn a_connection_serves_many_requests() {
+    let (store, upstreams) = platform(&["s-1"]);
+    let vm = Vm::start(&store);
+    let mut stream = TcpStream::connect(vm.callers).unwrap();
+    for _ in 0..5 {
+        stream
+            .write_all(&Request::new("GET", "/read/").bytes())
+            .unwrap();
+        let answer = deployment::read_answer(&mut stream).unwrap();
+        assert_eq!(answer.status, 200);
+        assert_eq!(answer.header("connection"), None);
+    }
+    assert!(
+        upstreams[0].connections() <= 2,
+        "the upstream's is used again too"
+    );
+}
+
+#[test]
+fn a_body_in_chunks_arrives_whole() {
+    let (store, upstreams) = platform(&["s-1"]);
+    let vm = Vm::start(&store);
+    let mut bytes = Request::new("POST", "/write/")
+        .with("Transfer-Encoding", "chunked")
+        .bytes();
+    bytes.extend_from_slice(b"3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n");
+    assert_eq!(vm.send(&bytes).unwrap().status, 200);
+    assert_eq!(upstreams[0].ran()[0].body, b"abcde");
+}
+
+#[test]
+fn a_change_is_in_force_soon() {
+    // An operator takes a route away and adds another one. A VM that goes on with the old configuration sends
+    // callers where nobody wants them any more.
+    let (store, _upstreams) = platform(&["s-1"]);
+    let vm = Vm::start(&store);
+    let mut next = deployment::config(5);
+    next["routes"][0]["path_prefix"] = serde_json::json!("/moved/");
+    store.put("op/config", &next);
+    until("the new route is served", || {
+        vm.ask(&Request::new("GET", "/moved/")).status == 200
+    });
+    assert_eq!(vm.ask(&Request::new("GET", "/read/")).status, 404);
+    store.put("op/config", &deployment::config(4));
+    std::thread::sleep(std::time::Duration::from_millis(1_500));
+    assert_eq!(
+        vm.ask(&Request::new("GET", "/moved/")).status,
+        200,
+        "never an older one"
+    );
+}
