--- a/crates/core/src/scheduler/fleet.rs
+++ b/crates/core/src/scheduler/fleet.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         EngineFacts, EngineLimits, LoadSettings, Outcome, UpstreamFacts, engine::Engine,
-        upstream::Upstream,
+        speed::Speed, upstream::Upstream,
     },
     crate::{
         clock::Millis,
@@ -132,6 +132,18 @@
         self.ready(service).map(Upstream::capacity).sum()
     }
 
+    /// Tokens of prompts that an engine of the service reads in a millisecond, on average.
+    pub(super) fn speed(
+        &self,
+        service: ServiceId,
+    ) -> f64 {
+        let engines = self.ready(service).filter(|up| up.engine.is_some()).count();
+        if engines == 0 {
+            return Speed::default().per_ms();
+        }
+        self.capacity(service) / engines as f64
+    }
+
     /// Adapters on their way from the adapter store, over all engines.
     pub(super) fn coming_cold(
         &self,
--- a/crates/core/src/scheduler/machine.rs
+++ b/crates/core/src/scheduler/machine.rs
@@ -27,6 +27,8 @@
 /// How much later a request counts as having come once it can't be on time: what comes within this time and can
 /// goes first.
 const LATE_PATIENCE: Millis = Millis(3_000);
+/// From the word to send a request until it is at its engine, and from its first event until that is known.
+const ON_THE_WAY: Millis = Millis(40);
 /// A late request is refused when what waits would take more than one part in so many of the time that it has left:
 /// what comes meanwhile and can be on time goes first.
 const HOPELESS: u64 = 2;
@@ -441,6 +443,16 @@
         self.entries.len() - self.queue.len()
     }
 
+    /// Whether a request was assigned and has not ended.
+    pub fn is_running(
+        &self,
+        ticket: Ticket,
+    ) -> bool {
+        let request = self.by_ticket.get(&ticket);
+        let entry = request.and_then(|request| self.entries.get(request));
+        entry.is_some_and(|entry| matches!(entry.stage, Stage::Running { .. }))
+    }
+
     /// Whether some upstream of the service takes work.
     pub fn has_upstream(
         &self,
@@ -526,13 +538,21 @@
         }
     }
 
-    /// Until when a request has to be sent to be on time.
+    /// Until when a request has to be sent to be on time: behind as many prompts as an engine may have, and with
+    /// its own to be read.
     fn timely_until(
         &self,
         job: &Job,
     ) -> Millis {
-        let least = self.least_time(job);
-        Millis(job.objective.0.saturating_sub(least.0))
+        let needed = match job.generation() {
+            None => self.settings.least_call,
+            Some(generation) => {
+                let tokens = f64::from(generation.size.prompt);
+                let read = tokens / self.fleet.speed(job.service);
+                self.settings.engine_backlog + Millis(read as u64) + ON_THE_WAY
+            }
+        };
+        Millis(job.objective.0.saturating_sub(needed.0))
     }
 
     /// How long a request takes at the least once it is sent.
--- /dev/null
+++ b/crates/core/tests/ingress_routes.rs
@@ -0,0 +1,98 @@
+//! Which route and service a request gets.
+
+use jasmine_core::{
+    clock::Millis,
+    forward::{AttemptEnd, Attempts, Repeat},
+    ingress::{CallKind, IngressRoute, RouteTable, WeightedService},
+};
+
+fn route(
+    name: &str,
+    prefix: &str,
+) -> IngressRoute {
+    IngressRoute {
+        name: name.into(),
+        host: "a.example".into(),
+        prefix: prefix.into(),
+        kind: CallKind::Idempotent,
+        timeout: Millis(800),
+        objective: Millis(150),
+        gap_objective: None,
+        priority: 1,
+        attempts: 2,
+        is_public: false,
+        services: vec![
+            WeightedService {
+                service: "x".into(),
+                weight: 90,
+            },
+            WeightedService {
+                service: "y".into(),
+                weight: 10,
+            },
+        ],
+    }
+}
+
+#[test]
+fn the_longest_prefix_wins() {
+    let table = RouteTable::new([route("root", "/"), route("a", "/a/"), route("ab", "/a/b/")]);
+    let found = |target: &str| {
+        table
+            .find("a.example", target)
+            .map(|route| route.name.clone())
+    };
+    assert_eq!(found("/a/b/c").as_deref(), Some("ab"));
+    assert_eq!(found("/a/bc").as_deref(), Some("a"));
+    assert_eq!(
+        found("/a/b").as_deref(),
+        Some("a"),
+        "a prefix ends with a slash"
+    );
+    assert_eq!(
+        found("/x?/a/b/").as_deref(),
+        Some("root"),
+        "the query is no path"
+    );
+    assert!(table.find("b.example", "/a/").is_none());
+    assert_eq!(table.len(), 3);
+}
+
+#[test]
+fn a_split_follows_its_weights() {
+    let route = route("a", "/a/");
+    let first = (0..1_000)
+        .filter(|&hash| route.service_for(hash) == Some("x"))
+        .count();
+    assert_eq!(first, 900);
+    let none = IngressRoute {
+        services: Vec::new(),
+        ..route
+    };
+    assert_eq!(none.service_for(7), None);
+}
+
+#[test]
+fn what_may_not_be_repeated_runs_once() {
+    // A call that may not be repeated goes on only as long as nothing of it has run for certain.
+    let mut once = Attempts::new(Repeat::Once, 1);
+    assert!(once.note(AttemptEnd::NotRun));
+    assert!(once.note(AttemptEnd::NotRun));
+    assert!(!once.note(AttemptEnd::MayHaveRun));
+    assert!(once.may_have_run());
+    assert!(!once.note(AttemptEnd::NotRun), "also after it may have run");
+}
+
+#[test]
+fn a_route_bounds_the_runs() {
+    let mut twice = Attempts::new(Repeat::Idempotent, 2);
+    assert!(twice.note(AttemptEnd::MayHaveRun));
+    assert!(twice.note(AttemptEnd::NotRun));
+    assert_eq!(twice.next_number(), 3);
+    assert!(!twice.note(AttemptEnd::MayHaveRun));
+    let mut refused = Attempts::new(Repeat::Idempotent, 2);
+    let tries = (0..10)
+        .take_while(|_| refused.note(AttemptEnd::NotRun))
+        .count();
+    assert_eq!(tries, 3, "then the fault is elsewhere");
+}
--- a/crates/entry/src/caller/connection.rs
+++ b/crates/entry/src/caller/connection.rs
@@ -34,8 +34,11 @@
         return;
     }
     let mut buf = BytesMut::new();
+    let mut is_first = true;
     loop {
-        match next_request(&cx, &mut stream, &mut buf).await {
+        let next = next_request(&cx, &mut stream, &mut buf, is_first).await;
+        is_first = false;
+        match next {
             Ok(req) => {
                 if !answer(&cx, &mut stream, &mut buf, req).await {
                     return close(stream).await;
@@ -47,18 +50,20 @@
     }
 }
 
-/// Waits for a request; between two of them the connection is closed when the daemon stops.
+/// Waits for a request; between two of them the connection is closed when the daemon stops. The first one is read
+/// in any case: whoever has just connected is told to go elsewhere rather than cut off.
 async fn next_request(
     cx: &Context,
     stream: &mut TcpStream,
     buf: &mut BytesMut,
+    is_first: bool,
 ) -> Result<IncomingRequest, ReadEnd> {
     let limits = cx.limits();
     let mut stop = cx.stop_changes();
     let closing = stop.wait_for(|&stage| stage >= StopStage::Closing);
     tokio::select! {
         begun = wait_for_request(stream, buf, limits.idle_timeout) => begun?,
-        _ = closing => return Err(ReadEnd::Closed),
+        _ = closing, if !is_first => return Err(ReadEnd::Closed),
     }
     read_request(stream, buf, &limits).await
 }
--- a/crates/entry/tests/at_most_once.rs
+++ b/crates/entry/tests/at_most_once.rs
@@ -82,10 +82,8 @@
 
 #[test]
 fn a_read_is_tried_at_another_upstream() {
-    // The first upstream that a status read reaches fails, breaks off or says nothing. A read does no harm
-    // twice, so the caller gets the other one's answer.
-    let (store, upstreams) = platform(&["s-1", "s-2"]);
-    let vm = Vm::start(&store);
+    // One upstream fails its requests, breaks them off or says nothing. A read does no harm twice, so its caller
+    // gets the other one's answer, whichever of them is tried first.
     for behaviour in [
         Behaviour::Fail,
         Behaviour::Reset,
@@ -93,30 +91,29 @@
         Behaviour::Hang,
         Behaviour::Unsealed,
     ] {
-        let request = Request::new("GET", "/read/");
-        // Whichever is chosen first does it; the other answers.
-        let tries = [&upstreams[0], &upstreams[1]];
-        for upstream in tries {
-            upstream.usually(Behaviour::Answer(b"good".to_vec()));
+        let (store, upstreams) = platform(&["s-bad", "s-good"]);
+        let vm = Vm::start(&store);
+        upstreams[0].usually(behaviour.clone());
+        upstreams[1].usually(Behaviour::Answer(b"good".to_vec()));
+        let mut asked = 0;
+        while upstreams[0].ran().is_empty() {
+            let request = Request::new("GET", "/read/");
+            let answer = vm.ask(&request);
+            assert_eq!(
+                (answer.status, answer.text().as_str()),
+                (200, "good"),
+                "{behaviour:?}"
+            );
+            assert!(runs_of(&upstreams, request.id()) <= 2, "{behaviour:?}");
+            asked += 1;
+            assert!(asked < 50, "{behaviour:?}: the bad one is never tried");
+            upstreams[1].usually(Behaviour::Slow(std::time::Duration::from_millis(60)));
+            drop(vm.ask(&Request::new("GET", "/read/")));
+            upstreams[1].usually(Behaviour::Answer(b"good".to_vec()));
         }
-        let first = vm.ask(&Request::new("GET", "/read/"));
-        assert_eq!(first.status, 200);
-        let chosen = usize::from(runs_by(&upstreams[1]) > runs_by(&upstreams[0]));
-        upstreams[chosen].next(behaviour.clone());
-        let answer = vm.ask(&request);
-        assert_eq!(
-            (answer.status, answer.text().as_str()),
-            (200, "good"),
-            "{behaviour:?}"
-        );
-        assert!(runs_of(&upstreams, request.id()) <= 2, "{behaviour:?}");
     }
 }
 
-fn runs_by(upstream: &UpstreamStandIn) -> usize {
-    upstream.ran().len()
-}
-
 #[test]
 fn a_read_has_its_share_of_attempts() {
     // Every upstream fails. The route allows two, so two run it, and the caller gets the word of one of them.
--- a/crates/entry/tests/broken_streams.rs
+++ b/crates/entry/tests/broken_streams.rs
@@ -8,8 +8,12 @@
 };
 
 fn events(ids: std::ops::RangeInclusive<u64>) -> String {
-    ids.map(|id| format!("id: {id}\ndata: piece-{id}\n\n"))
-        .collect()
+    let mut text = String::new();
+    for id in ids {
+        let id = id.to_string();
+        text.extend(["id: ", &id, "\ndata: piece-", &id, "\n\n"]);
+    }
+    text
 }
 
 #[test]
--- a/crates/entry/tests/deployment/mod.rs
+++ b/crates/entry/tests/deployment/mod.rs
@@ -225,7 +225,7 @@
     pub fn bytes(&self) -> Vec<u8> {
         let mut head = format!("{} {} HTTP/1.1\r\n", self.method, self.target);
         for (name, value) in &self.headers {
-            head.push_str(&format!("{name}: {value}\r\n"));
+            head.extend([name, ": ", value, "\r\n"]);
         }
         head.push_str("\r\n");
         let mut bytes = head.into_bytes();
