Metrics on the address of the settings; a log that waits for nobody

Cause: the entry daemon served no metrics, and a line to a full standard output would have stopped its only thread. Change: counters of attempts, orders and refusals, histograms for each account and class, gauges; lines go through a bounded buffer to a thread of their own, ordinary ones are dropped first and the loss is told.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -1,7 +1,7 @@
 //! What the parts of the daemon share; all of it lives on one thread.
 
 use {
-    crate::{clock::Clock, scheduling::Scheduling, upstream::Pool},
+    crate::{clock::Clock, metrics::EntryMetrics, scheduling::Scheduling, upstream::Pool},
     jasmine_conf::settings::EntrySettings,
     jasmine_core::ingress::{CallerLimits, IngressConfig},
     jasmine_telemetry::log::Line,
@@ -35,6 +35,8 @@
     pub scheduling: Rc<Scheduling>,
     /// Connections to upstreams.
     pub pool: Rc<Pool>,
+    /// What is counted.
+    pub metrics: Rc<EntryMetrics>,
     config: RefCell<Option<Rc<IngressConfig>>>,
     stop: watch::Sender<StopStage>,
     in_flight: Cell<usize>,
@@ -46,12 +48,14 @@
         settings: EntrySettings,
         scheduling: Rc<Scheduling>,
         pool: Rc<Pool>,
+        metrics: Rc<EntryMetrics>,
     ) -> Self {
         Self {
             settings,
             clock: Clock,
             scheduling,
             pool,
+            metrics,
             config: RefCell::default(),
             stop: watch::Sender::default(),
             in_flight: Cell::new(0),
--- a/crates/entry/src/daemon/run.rs
+++ b/crates/entry/src/daemon/run.rs
@@ -3,6 +3,7 @@
     crate::{
         caller::{bind, serve_callers, serve_readiness},
         context::Context,
+        metrics::{EntryMetrics, serve_metrics},
         scheduling::{Desk, OrderContext, SchedulerServer, Scheduling, carry_out},
         store::{KvStore, Membership, follow, keep_membership},
         upstream::Pool,
@@ -12,7 +13,7 @@
         clock::Millis,
         scheduler::{RepeatSettings, SchedulerSettings},
     },
-    jasmine_telemetry::log::Line,
+    jasmine_telemetry::{log::Line, metrics::MetricsError},
     jasmine_wire::{link::serve, scheduler_capnp::scheduler},
     std::{io, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{net::TcpListener, sync::mpsc, task::spawn_local, time::sleep},
@@ -35,6 +36,9 @@
         /// Why.
         source: io::Error,
     },
+    /// Metrics can't be set up.
+    #[display("{_0}")]
+    Metrics(MetricsError),
 }
 
 /// Serves until a planned stop is over.
@@ -46,6 +50,8 @@
     let callers = listen("listen.callers", settings.listen.callers)?;
     let readiness = listen("listen.readiness", settings.listen.readiness)?;
     let peers = listen("listen.peers", settings.listen.peers)?;
+    let metrics_listener = listen("listen.metrics", settings.listen.metrics)?;
+    let metrics = Rc::new(EntryMetrics::new().map_err(DaemonError::Metrics)?);
     let peer_address = peers.local_addr().unwrap_or(settings.listen.peers);
     let incarnation: u64 = rand::random();
 
@@ -60,12 +66,14 @@
         settings,
         Rc::clone(&scheduling),
         Rc::clone(&pool),
+        Rc::clone(&metrics),
     ));
     Line::new("started")
         .with("vm", me)
         .with("callers", addr(&callers))
         .with("readiness", addr(&readiness))
         .with("peers", addr(&peers))
+        .with("metrics", addr(&metrics_listener))
         .info();
 
     scheduling.start();
@@ -75,6 +83,7 @@
     let order_cx = OrderContext {
         scheduling,
         pool: Rc::clone(&pool),
+        metrics,
     };
     spawn_local(carry_out(order_cx, orders));
     spawn_local(follow(
@@ -86,6 +95,7 @@
     let keeping = spawn_local(keeping).abort_handle();
     spawn_local(sweep(pool, store.clone()));
     spawn_local(serve_readiness(Rc::clone(&cx), readiness));
+    spawn_local(serve_metrics(Rc::clone(&cx), metrics_listener));
     spawn_local(serve_callers(Rc::clone(&cx), callers));
     stop::on_signal(&cx, &store, &membership, &keeping).await;
     Ok(())
--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -145,6 +145,9 @@
         match result {
             Ok(()) => {
                 let took = self.cx.clock.now().since(began);
+                self.cx.metrics.attempt(Outcome::Answered { took });
+                let first = self.progress.first_at.map(|at| at.since(self.req.arrived));
+                self.cx.metrics.answered(&self.req, self.waited, first);
                 placement.end(Outcome::Answered { took });
                 Step::Done(Ok(()))
             }
@@ -189,6 +192,7 @@
         failure: Failure,
     ) -> Step {
         placement.end(failure.outcome);
+        self.cx.metrics.attempt(failure.outcome);
         let may_go_on = self.attempts.note(failure.end);
         Line::new("attempt_failed")
             .with("id", self.id())
@@ -227,6 +231,9 @@
         out: &mut AnswerWriter<'_>,
     ) -> io::Result<()> {
         let refusal = self.true_refusal(refusal);
+        self.cx
+            .metrics
+            .refused(refusal, self.req.account.as_deref());
         self.is_logged = true;
         Line::new("request_given_up")
             .with("id", self.id())
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -27,6 +27,8 @@
     pub events: u64,
     /// When the first one was.
     pub first_at: Option<Millis>,
+    /// When the last one was.
+    pub last_at: Option<Millis>,
 }
 
 /// Why a stream is not whole yet.
@@ -131,8 +133,12 @@
     out: &mut AnswerWriter<'_>,
     data: &[u8],
 ) -> io::Result<()> {
+    let now = attempt.cx.clock.now();
+    if let Some(last) = progress.last_at.replace(now) {
+        attempt.cx.metrics.gap(attempt.req, now.since(last));
+    }
     if progress.first_at.is_none() {
-        progress.first_at = Some(attempt.cx.clock.now());
+        progress.first_at = Some(now);
         attempt.placement.first_event();
     }
     if out.has_begun() {
--- a/crates/entry/src/forward/serve.rs
+++ b/crates/entry/src/forward/serve.rs
@@ -40,6 +40,7 @@
     match judged {
         Ok(req) => Driver::new(cx, req).run(out).await,
         Err(refusal) => {
+            cx.metrics.refused(refusal, None);
             Line::new("request_refused")
                 .with("id", id.as_deref().unwrap_or("-"))
                 .with("kind", refusal.kind)
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -29,7 +29,7 @@
         Err(e) => return fail(&e, UNUSABLE),
     };
     let level = settings.log.level.to_string();
-    let _log = match start_log(&level, LogOutput::Stdout) {
+    let _log = match start_log(&level, LogOutput::BoundedStdout) {
         Ok(log) => log,
         Err(e) => return fail(&e, UNUSABLE),
     };
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,245 @@
+//! What the daemon counts, as a Prometheus page.
+
+use {
+    crate::{context::Context, forward::ForwardRequest},
+    jasmine_core::{
+        clock::Millis,
+        error::Refusal,
+        ingress::CallKind,
+        scheduler::{OrderEnd, Outcome},
+    },
+    jasmine_telemetry::metrics::{Labels, Metrics, MetricsError, Refusals, RequestMetrics},
+    opentelemetry::{
+        KeyValue,
+        metrics::{Counter, Gauge},
+    },
+    std::{cell::RefCell, collections::HashMap, io, rc::Rc},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+        task::spawn_local,
+        time::{sleep, timeout},
+    },
+};
+
+/// Accounts that have histograms of their own; all others share one. An account has some hundred numbers.
+const MAX_ACCOUNTS: usize = 64;
+/// The label of accounts beyond that, and of requests without one.
+const OTHER: &str = "other";
+/// How long a reader may take.
+const READ_LIMIT: Millis = Millis(2_000);
+/// The pause after a failed accept, which comes from a lack of descriptors.
+const ACCEPT_PAUSE: Millis = Millis(50);
+
+/// The daemon's instruments.
+#[derive(Debug)]
+pub struct EntryMetrics {
+    metrics: Metrics,
+    requests: RequestMetrics,
+    refusals: Refusals,
+    attempts: Counter<u64>,
+    orders: Counter<u64>,
+    gauges: Gauges,
+    labels: RefCell<HashMap<(String, &'static str), Labels>>,
+}
+
+#[derive(Debug)]
+struct Gauges {
+    queued: Gauge<u64>,
+    running: Gauge<u64>,
+    in_flight: Gauge<u64>,
+    leading: Gauge<u64>,
+    config: Gauge<u64>,
+}
+
+impl EntryMetrics {
+    /// Makes the instruments.
+    ///
+    /// # Errors
+    ///
+    /// [`MetricsError::Setup`].
+    pub fn new() -> Result<Self, MetricsError> {
+        let metrics = Metrics::new()?;
+        let meter = metrics.meter();
+        let gauge = |name: &'static str, text: &'static str| {
+            meter.u64_gauge(name).with_description(text).build()
+        };
+        Ok(Self {
+            requests: RequestMetrics::new(&meter),
+            refusals: Refusals::new(&meter),
+            attempts: meter
+                .u64_counter("jasmine_attempts")
+                .with_description("Attempts at upstreams, by how they ended")
+                .build(),
+            orders: meter
+                .u64_counter("jasmine_orders")
+                .with_description("Orders to engines, by how they ended")
+                .build(),
+            gauges: Gauges {
+                queued: gauge(
+                    "jasmine_queued",
+                    "Requests that wait for an upstream at this scheduler",
+                ),
+                running: gauge(
+                    "jasmine_running",
+                    "Requests that this scheduler has assigned",
+                ),
+                in_flight: gauge("jasmine_in_flight", "Requests of callers of this VM"),
+                leading: gauge("jasmine_leading", "Whether this VM schedules for all"),
+                config: gauge("jasmine_config_version", "The configuration in force"),
+            },
+            labels: RefCell::default(),
+            metrics,
+        })
+    }
+
+    /// Counts an attempt's end.
+    pub fn attempt(
+        &self,
+        outcome: Outcome,
+    ) {
+        let word = match outcome {
+            Outcome::Answered { .. } => "answered",
+            Outcome::Failed => "failed",
+            Outcome::Shed => "shed",
+            Outcome::NotLoaded => "not_loaded",
+            Outcome::OtherUpstream => "other_upstream",
+            Outcome::Unreachable => "unreachable",
+            Outcome::Lost => "lost",
+            Outcome::Silent => "silent",
+            Outcome::Abandoned => "abandoned",
+        };
+        self.attempts.add(1, &[KeyValue::new("end", word)]);
+    }
+
+    /// Counts an order's end.
+    pub fn order(
+        &self,
+        end: OrderEnd,
+    ) {
+        let word = match end {
+            OrderEnd::Accepted => "accepted",
+            OrderEnd::Holds => "holds",
+            OrderEnd::Conflict => "conflict",
+            OrderEnd::Refused => "refused",
+            OrderEnd::OtherUpstream => "other_upstream",
+            OrderEnd::Lost => "lost",
+            OrderEnd::Unsent => "unsent",
+        };
+        self.orders.add(1, &[KeyValue::new("end", word)]);
+    }
+
+    /// Counts a refusal.
+    pub fn refused(
+        &self,
+        refusal: Refusal,
+        account: Option<&str>,
+    ) {
+        self.refusals.count(refusal.kind, account.unwrap_or(OTHER));
+    }
+
+    /// Records a request that was answered: how long it waited for an upstream, and for its first event.
+    pub fn answered(
+        &self,
+        req: &ForwardRequest,
+        waited: Millis,
+        first: Option<Millis>,
+    ) {
+        let labels = self.labels_of(req);
+        self.requests.admitted(&labels);
+        self.requests.settled(&labels, req.cost);
+        self.requests.queue_wait(&labels, waited);
+        if let Some(first) = first {
+            self.requests.first_token(&labels, first.to_std());
+        }
+    }
+
+    /// Records the time between two parts of a stream.
+    pub fn gap(
+        &self,
+        req: &ForwardRequest,
+        gap: Millis,
+    ) {
+        self.requests.token_gap(&self.labels_of(req), gap.to_std());
+    }
+
+    /// The page, with the gauges as they are now.
+    fn page(
+        &self,
+        cx: &Context,
+    ) -> String {
+        let (queued, running) = cx.scheduling.desk.load();
+        self.gauges.queued.record(queued as u64, &[]);
+        self.gauges.running.record(running as u64, &[]);
+        self.gauges.in_flight.record(cx.in_flight() as u64, &[]);
+        self.gauges
+            .leading
+            .record(cx.scheduling.is_leading().into(), &[]);
+        let version = cx.config().map_or(0, |config| config.version.0);
+        self.gauges.config.record(version, &[]);
+        self.metrics
+            .page()
+            .unwrap_or_else(|e| format!("# the page can't be written: {e}\n"))
+    }
+
+    fn labels_of(
+        &self,
+        req: &ForwardRequest,
+    ) -> Labels {
+        let class = match req.route.kind {
+            CallKind::Idempotent => "idempotent",
+            CallKind::NonIdempotent => "non_idempotent",
+            CallKind::Stream { .. } => "stream",
+        };
+        let account = req.account.as_deref().unwrap_or(OTHER);
+        let mut labels = self.labels.borrow_mut();
+        let is_known = labels.contains_key(&(account.to_owned(), class));
+        let account = if is_known || labels.len() < MAX_ACCOUNTS {
+            account
+        } else {
+            OTHER
+        };
+        labels
+            .entry((account.to_owned(), class))
+            .or_insert_with(|| Labels::new(account.into(), class))
+            .clone()
+    }
+}
+
+/// Serves the page to whoever connects, for ever.
+pub async fn serve_metrics(
+    cx: Rc<Context>,
+    listener: TcpListener,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let cx = Rc::clone(&cx);
+                spawn_local(async move {
+                    // A reader that asks for nothing, or doesn't read, is given up.
+                    let _elapsed = timeout(READ_LIMIT.to_std(), answer(&cx, stream)).await;
+                });
+            }
+            Err(_) => sleep(ACCEPT_PAUSE.to_std()).await,
+        }
+    }
+}
+
+async fn answer(
+    cx: &Context,
+    mut stream: TcpStream,
+) -> io::Result<()> {
+    let mut request = [0_u8; 2048];
+    if stream.read(&mut request).await? == 0 {
+        return Ok(());
+    }
+    let page = cx.metrics.page(cx);
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nContent-Type: text/plain; version=0.0.4\r\nContent-Length: {}\r\n\
+         Connection: close\r\n\r\n",
+        page.len()
+    );
+    stream.write_all(head.as_bytes()).await?;
+    stream.write_all(page.as_bytes()).await?;
+    stream.shutdown().await
+}
--- a/crates/entry/src/scheduling/orders.rs
+++ b/crates/entry/src/scheduling/orders.rs
@@ -1,6 +1,9 @@
 use {
     super::{Scheduling, desk::EngineTask},
-    crate::upstream::{CallError, HttpCall, Pool},
+    crate::{
+        metrics::EntryMetrics,
+        upstream::{CallError, HttpCall, Pool},
+    },
     jasmine_core::{
         clock::Millis,
         ids::{AdapterVersion, ModelId, UpstreamId},
@@ -29,6 +32,8 @@
     pub scheduling: Rc<Scheduling>,
     /// Connections to engines.
     pub pool: Rc<Pool>,
+    /// What is counted.
+    pub metrics: Rc<EntryMetrics>,
 }
 
 /// Carries out what the machine wants of engines, for ever.
@@ -42,6 +47,7 @@
             match task {
                 EngineTask::Order(upstream, order, after_seq) => {
                     let end = cx.order(upstream, order, after_seq).await;
+                    cx.metrics.order(end);
                     cx.scheduling.desk.order_ended(upstream, order, end);
                 }
                 EngineTask::Report(upstream) => {
--- a/crates/telemetry/src/log/output.rs
+++ b/crates/telemetry/src/log/output.rs
@@ -1,4 +1,5 @@
 use {
+    super::BoundedWriter,
     flexi_logger::{DeferredNow, FlexiLoggerError, LogSpecification, Logger, LoggerHandle},
     log::Record,
     std::io::Write,
@@ -14,6 +15,8 @@
     Stderr,
     /// Standard output.
     Stdout,
+    /// Standard output from a thread of its own, which drops lines rather than wait for a reader.
+    BoundedStdout,
 }
 
 /// Why logging could not be started.
@@ -41,12 +44,15 @@
     let logger = match output {
         LogOutput::Stderr => logger.log_to_stderr(),
         LogOutput::Stdout => logger.log_to_stdout(),
+        LogOutput::BoundedStdout => {
+            logger.log_to_writer(Box::new(BoundedWriter::new(std::io::stdout())))
+        }
     };
     Ok(logger.start()?)
 }
 
 /// Puts time and level before the pairs; lines of libraries are wrapped as an event of their own.
-fn format_line(
+pub(super) fn format_line(
     w: &mut dyn Write,
     now: &mut DeferredNow,
     record: &Record<'_>,
