An account over its rate keeps some tokens for its calls

Excluded: the servers (answering in 40 ms). Change: for 3 s after a refusal for rate, generations of the account leave an eighth of its burst, 1,600 tokens at most; calls may use what is kept back for callers that were told to come back. Test: calls_are_served_beside_generations, 21 of 40 calls refused without it, none with it.

--- a/crates/core/src/rights/admission.rs
+++ b/crates/core/src/rights/admission.rs
@@ -29,3 +29,12 @@
     /// It may not run now.
     Refused(Refusal),
 }
+
+/// How a request stands to others of its account.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Claim {
+    /// It may use whatever is there, also what is kept back for callers that were told to come back.
+    First,
+    /// It leaves what is kept back, and so many tokens besides.
+    Leaving(u64),
+}
--- a/crates/core/src/rights/ledger.rs
+++ b/crates/core/src/rights/ledger.rs
@@ -1,6 +1,7 @@
 use {
     super::{
-        Admission, Ask, CallerTag, Charge, Given, Limit, MILLI, Right, RightsSettings, TakeRequest,
+        Admission, Ask, CallerTag, Charge, Claim, Given, Limit, MILLI, Right, RightsSettings,
+        TakeRequest,
         account_rights::AccountRights,
         pending_asks::PendingAsks,
         transfer_log::{Seen, TransferLog},
@@ -97,6 +98,18 @@
         cost: u64,
         caller: CallerTag,
         now: Millis,
+    ) -> Admission {
+        self.try_admit_as(Claim::Leaving(0), account, cost, caller, now)
+    }
+
+    /// The same for a request that comes before or after others of its account.
+    pub fn try_admit_as(
+        &mut self,
+        claim: Claim,
+        account: AccountId,
+        cost: u64,
+        caller: CallerTag,
+        now: Millis,
     ) -> Admission {
         if self.closed {
             return Admission::Refused(Refusal::new(ErrorKind::ShuttingDown));
@@ -109,7 +122,13 @@
         if milli > rights.burst() {
             return Admission::Refused(Refusal::new(ErrorKind::LargerThanBurst));
         }
-        let wanted = milli.saturating_add(rights.reserved_before(caller));
+        let kept_back = match claim {
+            Claim::First => 0,
+            Claim::Leaving(tokens) => rights
+                .reserved_before(caller)
+                .saturating_add(tokens.saturating_mul(MILLI)),
+        };
+        let wanted = milli.saturating_add(kept_back);
         let tokens = rights.bucket.tokens();
         let number = (tokens >= wanted)
             .then(|| rights.bucket.charge(milli))
--- a/crates/core/src/rights/mod.rs
+++ b/crates/core/src/rights/mod.rs
@@ -60,7 +60,7 @@
 mod transfer_log;
 
 pub use {
-    admission::{Admission, CallerTag, Charge},
+    admission::{Admission, CallerTag, Charge, Claim},
     home::home_rank,
     ledger::RightsLedger,
     limit::Limit,
--- a/crates/core/src/scheduler/rights.rs
+++ b/crates/core/src/scheduler/rights.rs
@@ -1,11 +1,12 @@
 use {
-    super::Job,
+    super::{Job, Work},
     crate::{
         clock::Millis,
         error::{ErrorKind, Refusal},
         ids::{AccountId, Epoch, Holder, Incarnation, Role, VmId},
         rights::{
-            Admission, Charge, Limit, MILLI, Right, RightsLedger, RightsSettings, SHARE_WHOLE,
+            Admission, Charge, Claim, Limit, MILLI, Right, RightsLedger, RightsSettings,
+            SHARE_WHOLE,
         },
     },
     std::collections::BTreeMap,
@@ -21,6 +22,12 @@
 /// What all VMs together may assume so while each decides alone. With nothing at all a VM that has just started
 /// refuses its first callers.
 const ASSUMED_ALONE_PERCENT: u64 = 3;
+/// The part of an account's burst that generations leave to calls, and the most that is: eight of the users' calls,
+/// of which an account makes some two a second.
+const CALLS_PART: u64 = 8;
+const MOST_FOR_CALLS: u64 = 1_600;
+/// For how long after a refusal an account counts as over its rate.
+const OVER: Millis = Millis(3_000);
 /// The time over which a limit is judged, in seconds.
 const LOOK_BACK: u64 = 8;
 
@@ -41,6 +48,8 @@
     ledger: RightsLedger,
     limits: BTreeMap<AccountId, Limit>,
     share: RightsShare,
+    /// When a request of an account was last refused for its rate.
+    refused_at: BTreeMap<AccountId, Millis>,
 }
 
 impl AccountRates {
@@ -49,6 +58,7 @@
             ledger: new_ledger(),
             limits: BTreeMap::new(),
             share,
+            refused_at: BTreeMap::new(),
         }
     }
 
@@ -97,7 +107,25 @@
         let Some(account) = job.account.filter(|id| self.limits.contains_key(id)) else {
             return Ok(None);
         };
-        match self.ledger.try_admit(account, job.cost, job.caller, now) {
+        let admitted = self.try_admit(account, job, now);
+        if admitted.is_err() {
+            self.refused_at.insert(account, now);
+        }
+        admitted
+    }
+
+    fn try_admit(
+        &mut self,
+        account: AccountId,
+        job: &Job,
+        now: Millis,
+    ) -> Result<Option<Charge>, Refusal> {
+        let claim = match job.work {
+            Work::Call => Claim::First,
+            Work::Generation(_) => Claim::Leaving(self.left_to_calls(account, job.cost, now)),
+        };
+        let ledger = &mut self.ledger;
+        match ledger.try_admit_as(claim, account, job.cost, job.caller, now) {
             Admission::Admitted(charge) => Ok(Some(charge)),
             // No refill will ever do for it; to its caller that is a rate that it is over all the same.
             Admission::Refused(refusal) if refusal.kind == ErrorKind::LargerThanBurst => {
@@ -110,6 +138,26 @@
         }
     }
 
+    /// Tokens that a generation leaves to its account's calls, while the account is over its rate.
+    ///
+    /// A call costs a tenth of a generation, and somebody waits for it at a counter. Without this an account whose
+    /// generations use up its rate can't read a status either.
+    fn left_to_calls(
+        &self,
+        account: AccountId,
+        cost: u64,
+        now: Millis,
+    ) -> u64 {
+        let refused_at = self.refused_at.get(&account);
+        if refused_at.is_none_or(|&at| now.since(at) >= OVER) {
+            return 0;
+        }
+        let burst = self.limits.get(&account).map_or(0, |limit| limit.burst);
+        (burst / CALLS_PART)
+            .min(MOST_FOR_CALLS)
+            .min(burst.saturating_sub(cost))
+    }
+
     /// Settles a charge: what did not run is given back.
     pub(super) fn settle(
         &mut self,
--- a/crates/core/tests/scheduler_refusals.rs
+++ b/crates/core/tests/scheduler_refusals.rs
@@ -244,3 +244,26 @@
         (0, 0)
     );
 }
+
+#[test]
+fn calls_are_served_beside_generations() {
+    // An account drafts so many texts that they use up its rate. Its staff reads the status of a phone for a tenth of
+    // the tokens; refused with the drafts, somebody stands at a counter and waits.
+    let mut world = World::leading(0);
+    world.add_engine(UpstreamId(0), &[1]);
+    world.add_server(UpstreamId(9));
+    world.limit(1, 4_000, 8_000);
+    let mut refused = 0;
+    for _ in 0..40 {
+        for _ in 0..3 {
+            let draft = world.place(of_account(generation(1, world.now), 1));
+            world.first_event(draft);
+            world.end(draft, Outcome::Answered { took: Millis(50) });
+        }
+        let status = world.place(of_account(call(world.now), 1));
+        refused += usize::from(refusal(&world, status).is_some());
+        world.end(status, Outcome::Answered { took: Millis(30) });
+        world.pass(250);
+    }
+    assert_eq!(refused, 0, "of 40 calls");
+}
