A request's story from the logs: jasminectl trace

Cause: from a failed request's id to its cause there was only reading of logs by eye. Change: jasminectl trace ID FILE... tells in sentences what happened, who decided and what was known; each assignment has its line, with who decided it.

--- a/crates/ctl/src/cli/app.rs
+++ b/crates/ctl/src/cli/app.rs
@@ -40,6 +40,7 @@
         .args(global_args())
         .subcommands(read_commands::all())
         .subcommands(edit_commands::all())
+        .subcommand(trace())
         .subcommand(completion())
 }
 
@@ -80,6 +81,28 @@
     ]
 }
 
+fn trace() -> Command {
+    Command::new("trace")
+        .about(
+            "Tells what happened to a request, from the logs of the daemons; needs no controller",
+        )
+        .after_help("Example:\n  jasminectl trace 9c41d07be2a35f68 vm-1.log vm-2.log")
+        .arg(
+            Arg::new("id")
+                .value_name("REQUEST-ID")
+                .required(true)
+                .help("The request's id"),
+        )
+        .arg(
+            Arg::new("file")
+                .value_name("FILE")
+                .required(true)
+                .num_args(1..)
+                .value_parser(clap::value_parser!(std::path::PathBuf))
+                .help("What a daemon wrote; the file's name stands for the process"),
+        )
+}
+
 fn completion() -> Command {
     Command::new("completion")
         .about("Prints a completion script for a shell")
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -9,5 +9,6 @@
 mod output;
 mod queries;
 mod run;
+pub mod trace;
 
 pub use {error::CtlError, run::run};
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -1,13 +1,13 @@
 use {
     crate::{
         CtlError,
-        cli::{GlobalArgs, app},
+        cli::{GlobalArgs, app, required},
         client::Api,
-        commands, queries,
+        commands, output, queries, trace,
     },
     clap::ArgMatches,
     clap_complete::Shell,
-    std::io,
+    std::{io, path::PathBuf},
 };
 
 /// Carries out one command line.
@@ -23,6 +23,9 @@
         clap_complete::generate(shell, &mut app(), "jasminectl", &mut io::stdout());
         return Ok(());
     }
+    if name == "trace" {
+        return print_trace(command);
+    }
     let args = GlobalArgs::read(command)?;
     let api = Api::new(&args);
     match name {
@@ -35,3 +38,23 @@
         _ => commands::change(&api, &args, name, command).await,
     }
 }
+
+/// Tells what happened to a request; needs logs and no controller.
+fn print_trace(command: &ArgMatches) -> Result<(), CtlError> {
+    let id: &String = required(command, "id");
+    let files: Vec<PathBuf> = command
+        .get_many("file")
+        .map(|files| files.cloned().collect())
+        .unwrap_or_default();
+    let story = trace::trace(id, &files)?;
+    if command
+        .get_one::<String>("output")
+        .is_some_and(|form| form == "json")
+    {
+        return output::json(&story);
+    }
+    for line in story.lines() {
+        println!("{line}");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/ctl/src/trace/read.rs
@@ -0,0 +1,99 @@
+use {
+    super::{LogLine, Story},
+    crate::CtlError,
+    std::{
+        fs::File,
+        io::{BufRead, BufReader},
+        path::PathBuf,
+    },
+};
+
+/// Events that say what a daemon believed, whatever the request.
+const BELIEFS: [&str; 12] = [
+    "config_taken",
+    "lead_taken",
+    "lead_lost",
+    "leader_lost",
+    "leader_followed",
+    "store_lost",
+    "store_back",
+    "lease_lapsed",
+    "history_lost",
+    "started",
+    "stopping",
+    "log_dropped",
+];
+
+/// Events about one upstream.
+const OF_UPSTREAM: [&str; 4] = [
+    "upstream_seen",
+    "upstream_gone",
+    "order_given",
+    "report_failed",
+];
+
+/// Gathers from logs what concerns the request `id`.
+///
+/// # Errors
+///
+/// [`CtlError::File`] where a file can't be read.
+pub fn trace(
+    id: &str,
+    files: &[PathBuf],
+) -> Result<Story, CtlError> {
+    let mut story = Story::new(id);
+    each_line(files, &mut story, |story, line| {
+        if line.get("id") == Some(id) {
+            story.own.push(line);
+        }
+    })?;
+    story.own.sort_by(|a, b| a.time.cmp(&b.time));
+    let Some(end) = story.own.last().map(|line| line.time.clone()) else {
+        return Ok(story);
+    };
+    let own = story.own.clone();
+    let processes: Vec<&str> = own.iter().map(|line| line.process.as_str()).collect();
+    let upstreams: Vec<&str> = own.iter().filter_map(|line| line.get("upstream")).collect();
+    story.torn = 0;
+    each_line(files, &mut story, |story, line| {
+        let is_belief =
+            BELIEFS.contains(&line.event.as_str()) && processes.contains(&line.process.as_str());
+        let is_about = OF_UPSTREAM.contains(&line.event.as_str())
+            && upstreams.contains(&line.word("upstream"));
+        if (is_belief || is_about) && line.time <= end {
+            story.note(line);
+        }
+    })?;
+    story.context.sort_by(|a, b| a.time.cmp(&b.time));
+    Ok(story)
+}
+
+fn each_line<F>(
+    files: &[PathBuf],
+    story: &mut Story,
+    mut f: F,
+) -> Result<(), CtlError>
+where
+    F: FnMut(&mut Story, LogLine),
+{
+    for path in files {
+        let told = |e: std::io::Error| CtlError::File {
+            file: path.display().to_string(),
+            reason: e.to_string(),
+        };
+        let process = path
+            .file_stem()
+            .map_or_else(String::new, |name| name.to_string_lossy().into_owned());
+        let mut reader = BufReader::new(File::open(path).map_err(told)?);
+        let mut bytes = Vec::new();
+        while reader.read_until(b'\n', &mut bytes).map_err(told)? > 0 {
+            let text = String::from_utf8_lossy(&bytes);
+            match LogLine::parse(&process, &text) {
+                Some(line) => f(story, line),
+                None => story.torn += 1,
+            }
+            bytes.clear();
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/ctl/tests/trace_request.rs
@@ -0,0 +1,103 @@
+//! The story of a request from the daemons' logs.
+
+use {
+    jasmine_ctl::trace::{LogLine, trace},
+    std::{fs, path::PathBuf},
+};
+
+fn file(
+    name: &str,
+    text: &str,
+) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("jasmine-trace-{}-{name}", std::process::id()));
+    fs::create_dir_all(&folder).unwrap();
+    let path = folder.join(format!("{name}.log"));
+    fs::write(&path, text).unwrap();
+    path
+}
+
+#[test]
+fn a_refusal_leads_to_its_account() {
+    let log = "\
+time=2026-01-01T00:00:01.000Z level=info event=config_taken version=4 before=0 routes=9
+time=2026-01-01T00:00:02.000Z level=info event=request_given_up id=other account=two kind=no_upstream
+time=2026-01-01T00:00:03.000Z level=info event=request_given_up id=r1 route=r account=one cost=2400 kind=rate_limited retry_after_ms=385 decided_by=vm-3/9 config=4
+torn li
+time=2026-01-01T00:00:04.000Z level=info event=config_taken version=5 before=4 routes=9
+";
+    let story = trace("r1", &[file("refused", log)]).unwrap();
+    let cause = story.cause();
+    for part in [
+        "Account one",
+        "over its rate",
+        "2400 tokens",
+        "385 ms",
+        "vm-3/9",
+    ] {
+        assert!(cause.contains(part), "{cause}");
+    }
+    assert!(!cause.contains("two"));
+    assert_eq!(story.torn, 1);
+    let text = story.lines().join("\n");
+    assert!(
+        text.contains("version 4") && !text.contains("version 5"),
+        "{text}"
+    );
+}
+
+#[test]
+fn lines_of_several_processes_are_put_in_order() {
+    // A request is sent by one VM and the order that it waited for was given by another one. Each wrote its own log.
+    let first = "\
+time=2026-01-01T00:00:01.500Z level=info event=request_sent id=r1 upstream=e-1 waited_ms=400 decided_by=vm-2/9
+time=2026-01-01T00:00:02.000Z level=info event=attempt_failed id=r1 upstream=e-1 outcome=Lost again=false
+time=2026-01-01T00:00:02.001Z level=info event=request_given_up id=r1 kind=upstream_lost waited_ms=400
+";
+    let second = "time=2026-01-01T00:00:01.000Z level=info event=order_given upstream=e-1 op=Load adapter=a3 end=Accepted\n";
+    let files = [file("one", first), file("two", second)];
+    let story = trace("r1", &files).unwrap();
+    assert!(
+        story.cause().contains("e-1 had it and ended with Lost"),
+        "{}",
+        story.cause()
+    );
+    assert_eq!(story.context[0].event, "order_given");
+    assert_eq!(story.context[0].process, "two");
+}
+
+#[test]
+fn a_request_without_an_end_is_told() {
+    let log = "time=2026-01-01T00:00:01.500Z level=info event=request_sent id=r1 upstream=e-1 waited_ms=4\n";
+    let story = trace("r1", &[file("killed", log)]).unwrap();
+    assert!(story.cause().contains("killed"), "{}", story.cause());
+    let none = trace("unknown", &[file("none", log)]).unwrap();
+    assert!(none.own.is_empty());
+}
+
+#[test]
+fn quoted_values_are_read() {
+    let line = LogLine::parse(
+        "vm",
+        "time=t level=warn event=store_lost reason=\"a \\\"b\\\" c\" n=1",
+    )
+    .unwrap();
+    assert_eq!(line.get("reason"), Some("a \"b\" c"));
+    assert_eq!(line.get("n"), Some("1"));
+    assert_eq!(LogLine::parse("vm", "time=t event=x reason=\"torn"), None);
+}
+
+#[test]
+fn any_line_is_read_or_passed_over() {
+    for text in [
+        "",
+        "=",
+        "a=",
+        "time=",
+        "event=x",
+        "\"",
+        "time=t event=e =\"",
+        "🦀=🦀 time=t event=e",
+    ] {
+        drop(LogLine::parse("vm", text));
+    }
+}
--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -90,6 +90,14 @@
             };
             self.sent_at = Some(self.cx.clock.now());
             self.upstream = Some(placement.upstream.clone());
+            Line::new("request_sent")
+                .with("id", self.id())
+                .with("upstream", &placement.upstream)
+                .with("attempt", self.attempts.next_number())
+                .with("version", placement.version.unwrap_or_default())
+                .with("waited_ms", self.waited)
+                .with("decided_by", self.cx.scheduling.decider())
+                .info();
             match self.attempt(&placement, out).await {
                 Step::Done(result) => {
                     let word = if result.is_ok() {
@@ -242,6 +250,8 @@
             .with("cost", self.req.cost)
             .with("kind", refusal.kind)
             .with("retry_after_ms", refusal.retry_after.map_or(0, |ms| ms.0))
+            .with("decided_by", self.cx.scheduling.decider())
+            .with("attempts", self.attempts.next_number() - 1)
             .with("config", self.req.config_version)
             .with("waited_ms", self.waited)
             .with("took_ms", self.cx.clock.now().since(self.req.arrived))
--- a/crates/entry/src/scheduling/client.rs
+++ b/crates/entry/src/scheduling/client.rs
@@ -212,6 +212,20 @@
         matches!(*self.mode.borrow(), Mode::Following(..))
     }
 
+    /// Who decides for this VM now, as a word for the log.
+    pub fn decider(&self) -> String {
+        match &*self.mode.borrow() {
+            Mode::Alone => "alone".to_owned(),
+            Mode::Leading(fence) => format!("own/{fence}"),
+            Mode::Following(..) => {
+                let leader = self.leader();
+                leader.map_or_else(String::new, |leader| {
+                    format!("{}/{}", leader.vm, leader.fence)
+                })
+            }
+        }
+    }
+
     /// The fencing token for orders, while this VM leads.
     pub fn fence(&self) -> Option<Fence> {
         match *self.mode.borrow() {
--- a/crates/entry/tests/deployment/mod.rs
+++ b/crates/entry/tests/deployment/mod.rs
@@ -126,6 +126,12 @@
         lines.iter().filter(is_one).cloned().collect()
     }
 
+    /// Everything that it has logged.
+    pub fn log(&self) -> String {
+        let lines = self.lines.lock().unwrap();
+        lines.join("\n") + "\n"
+    }
+
     pub fn signal(
         &self,
         signal: Signal,
--- /dev/null
+++ b/crates/entry/tests/explained_failures.rs
@@ -0,0 +1,119 @@
+//! The way from a failed request's id to its cause, on what real processes wrote.
+
+mod deployment;
+
+use {
+    deployment::{Request, Vm, platform, until},
+    jasmine_ctl::trace::{Story, trace},
+    jasmine_platform_stand_in::Behaviour,
+    std::fs,
+};
+
+/// What the log of one VM tells of a request, once its end is written.
+fn story_of(
+    vm: &Vm,
+    request: &Request,
+) -> Story {
+    let path = std::env::temp_dir().join(format!("{}.log", vm.name));
+    let mut story = None;
+    until("its end is logged", || {
+        fs::write(&path, vm.log()).unwrap();
+        let told = trace(request.id(), std::slice::from_ref(&path)).unwrap();
+        let has_end = told.end().is_some();
+        story = Some(told);
+        has_end
+    });
+    fs::remove_file(&path).unwrap();
+    story.unwrap()
+}
+
+#[test]
+fn a_refusal_for_rate_names_the_account() {
+    // A caller complains that it was refused. The id leads to the account whose tokens were used up, and to who
+    // decided that; nothing points at an upstream.
+    let (store, _upstreams) = platform(&["s-1"]);
+    let vm = Vm::start(&store);
+    let mut refused = None;
+    for _ in 0..30 {
+        let request = Request::new("GET", "/read/").with("X-Api-Key", "key-of-small");
+        if vm.ask(&request).status == 429 {
+            refused = Some(request);
+            break;
+        }
+    }
+    let told = story_of(&vm, &refused.expect("the burst ends"));
+    let cause = told.cause();
+    assert!(cause.contains("Account small was over its rate"), "{cause}");
+    assert!(cause.contains("10 tokens"), "{cause}");
+    assert!(!cause.contains("s-1"), "{cause}");
+}
+
+#[test]
+fn an_unknown_outcome_names_the_upstream() {
+    // An enrolment's answer is lost. The id leads to the upstream that had it and to how that ended.
+    let (store, upstreams) = platform(&["s-1"]);
+    let vm = Vm::start(&store);
+    upstreams[0].next(Behaviour::Reset);
+    let request = Request::new("POST", "/write/").body(b"enrol");
+    assert_eq!(vm.ask(&request).status, 502);
+    let told = story_of(&vm, &request);
+    let cause = told.cause();
+    assert!(
+        cause.contains("Upstream s-1 had it and ended with Lost"),
+        "{cause}"
+    );
+    let words: Vec<&str> = told.own.iter().map(|line| line.event.as_str()).collect();
+    assert_eq!(
+        words,
+        ["request_sent", "attempt_failed", "request_given_up"]
+    );
+}
+
+#[test]
+fn a_cut_stream_names_who_cut_it() {
+    // A summary broke off. The id leads to the engine that stopped, and says how many events its caller has.
+    let (store, upstreams) = platform(&["s-1"]);
+    let vm = Vm::start(&store);
+    upstreams[0].next(Behaviour::CutAfter(3));
+    let request = Request::new("POST", "/once/").body(b"prompt");
+    assert!(!vm.ask(&request).is_whole);
+    let told = story_of(&vm, &request);
+    assert!(
+        story
+            .cause()
+            .contains("Upstream s-1 had it and ended with Lost"),
+        "{}",
+        told.cause()
+    );
+    assert_eq!(told.end().unwrap().get("events"), Some("3"));
+}
+
+#[test]
+fn a_refusal_without_a_configuration_says_so() {
+    // A VM that has just started refuses callers because the store is away. The same refusal for another reason would
+    // send the engineer to the upstreams.
+    let (store, _upstreams) = platform(&["s-1"]);
+    store.set_outage(jasmine_platform_stand_in::Outage::Silent);
+    let vm = Vm::start_unready(&store);
+    let request = Request::new("GET", "/read/");
+    assert_eq!(vm.ask(&request).status, 503);
+    let told = story_of(&vm, &request);
+    assert_eq!(told.cause(), "This VM had no configuration yet.");
+}
+
+#[test]
+fn the_log_holds_no_key_and_no_body() {
+    let (store, _upstreams) = platform(&["s-1"]);
+    let vm = Vm::start(&store);
+    for _ in 0..3 {
+        vm.ask(&Request::new("POST", "/write/").body(b"a secret prompt"));
+        vm.ask(&Request::new("GET", "/read/").with("X-Api-Key", "key-of-nobody"));
+    }
+    until("it is logged", || {
+        vm.log().matches("request_ended").count() >= 3
+    });
+    let log = vm.log();
+    for secret in [deployment::KEY, "key-of-nobody", "a secret prompt"] {
+        assert!(!log.contains(secret), "{secret}");
+    }
+}
