--- a/crates/entry/tests/explained_failures.rs
+++ b/crates/entry/tests/explained_failures.rs
@@ -79,8 +79,7 @@
     assert!(!vm.ask(&request).is_whole);
     let told = story_of(&vm, &request);
     assert!(
-        story
-            .cause()
+        told.cause()
             .contains("Upstream s-1 had it and ended with Lost"),
         "{}",
         told.cause()
