--- a/crates/conf/tests/settings_files.rs
+++ b/crates/conf/tests/settings_files.rs
@@ -2,7 +2,7 @@
 
 use {
     jasmine_conf::settings::{
-        Checked, ControllerSettings, GatewaySettings, check_settings, parse_settings,
+        Checked, ControllerSettings, EntrySettings, GatewaySettings, check_settings, parse_settings,
     },
     serde::{Serialize, de::DeserializeOwned},
     serde_json::{Value, json},
@@ -30,6 +30,16 @@
     })
 }
 
+fn entry() -> Value {
+    let any = "127.0.0.1:0";
+    json!({
+        "vm": "vm-1",
+        "data_centre": "gt-1",
+        "listen": {"callers": any, "readiness": any, "peers": any, "metrics": any},
+        "store": "127.0.0.1:2379"
+    })
+}
+
 fn refusal<S>(
     mut json: Value,
     key: &str,
@@ -146,6 +156,7 @@
         let text = String::from_utf8_lossy(bytes);
         drop(parse_settings::<GatewaySettings>("any", &text));
         drop(parse_settings::<ControllerSettings>("any", &text));
+        drop(parse_settings::<EntrySettings>("any", &text));
     });
 }
 
@@ -256,4 +267,30 @@
 fn the_docs_tell_every_key_with_its_default_and_range() {
     compare::<GatewaySettings>("jasmine-gateway", &gateway());
     compare::<ControllerSettings>("jasmine-controller", &controller());
+    compare::<EntrySettings>("jasmine-entry", &entry());
+}
+
+#[test]
+fn an_entry_vms_file_is_checked() {
+    let rows = [
+        (
+            refusal::<EntrySettings>(entry(), "stop_s", json!(0)),
+            "key `stop_s`: 0 is not allowed: 1 to 3600",
+        ),
+        (
+            refusal::<EntrySettings>(entry(), "repeats", json!({"ratio": -0.1})),
+            "key `repeats.ratio`: -0.1 is not allowed: between 0 and 10",
+        ),
+        (
+            refusal::<EntrySettings>(entry(), "store", json!("nowhere")),
+            "key `store`: \"nowhere\" is not allowed: invalid socket address syntax",
+        ),
+        (
+            refusal::<EntrySettings>(entry(), "peer", json!(1)),
+            "unknown field `peer`",
+        ),
+    ];
+    for (told, expected) in rows {
+        assert!(told.contains(expected), "{told}\nlacks: {expected}");
+    }
 }
--- a/crates/ctl/src/trace/story.rs
+++ b/crates/ctl/src/trace/story.rs
@@ -94,7 +94,11 @@
             (_, "no_upstream") => format!(
                 "No upstream took it: the last one tried, {upstream}, ended with {how}. Nothing ran."
             ),
-            (_, "upstream_lost" | "deadline_exceeded" | "answer_cut") if failed.is_some() => {
+            (_, "answer_cut") => format!(
+                "Upstream {upstream} stopped in the middle ({how}); the caller has {} events.",
+                end.word("events")
+            ),
+            (_, "upstream_lost" | "deadline_exceeded") if failed.is_some() => {
                 format!(
                     "Upstream {upstream} had it and ended with {how}; whether it ran is not known."
                 )
--- a/crates/entry/tests/explained_failures.rs
+++ b/crates/entry/tests/explained_failures.rs
@@ -80,7 +80,7 @@
     let told = story_of(&vm, &request);
     assert!(
         told.cause()
-            .contains("Upstream s-1 had it and ended with Lost"),
+            .contains("Upstream s-1 stopped in the middle (Lost); the caller has 3 events"),
         "{}",
         told.cause()
     );
