--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod fleet;
 pub mod hex;
 pub mod settings;
+pub mod start;
 pub mod store_layout;
 pub mod tree;
--- a/crates/entry/src/caller/listener.rs
+++ b/crates/entry/src/caller/listener.rs
@@ -31,16 +31,16 @@
     socket.listen(BACKLOG)
 }
 
-/// Serves callers, for ever.
-pub async fn serve_callers(
-    cx: Rc<Context>,
+/// Hands each connection to `serve`, for ever.
+pub async fn accept_each<S>(
     listener: TcpListener,
-) {
+    serve: S,
+) where
+    S: Fn(TcpStream),
+{
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                spawn_local(serve_connection(Rc::clone(&cx), stream));
-            }
+            Ok((stream, _)) => serve(stream),
             Err(e) => {
                 Line::new("accept_failed").with("reason", e).warn();
                 sleep(ACCEPT_PAUSE).await;
@@ -49,26 +49,30 @@
     }
 }
 
+/// Serves callers, for ever.
+pub async fn serve_callers(
+    cx: Rc<Context>,
+    listener: TcpListener,
+) {
+    accept_each(listener, |stream| {
+        spawn_local(serve_connection(Rc::clone(&cx), stream));
+    })
+    .await;
+}
+
 /// Tells the balancer whether callers may be sent here, for ever.
 pub async fn serve_readiness(
     cx: Rc<Context>,
     listener: TcpListener,
 ) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let cx = Rc::clone(&cx);
-                spawn_local(async move {
-                    // A balancer that says nothing is not waited for.
-                    let _elapsed = timeout(PROBE_LIMIT, answer_probes(&cx, stream)).await;
-                });
-            }
-            Err(e) => {
-                Line::new("accept_failed").with("reason", e).warn();
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    accept_each(listener, |stream| {
+        let cx = Rc::clone(&cx);
+        spawn_local(async move {
+            // A balancer that says nothing is not waited for.
+            let _elapsed = timeout(PROBE_LIMIT, answer_probes(&cx, stream)).await;
+        });
+    })
+    .await;
 }
 
 /// Answers whatever is asked: the daemon has one thing to say here.
--- a/crates/entry/src/caller/mod.rs
+++ b/crates/entry/src/caller/mod.rs
@@ -8,7 +8,7 @@
 
 pub use {
     answer_writer::AnswerWriter,
-    listener::{bind, serve_callers, serve_readiness},
+    listener::{accept_each, bind, serve_callers, serve_readiness},
     read_request::IncomingRequest,
     refusal::OwnAnswer,
 };
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,8 +1,11 @@
 //! The entry VMs' daemon.
 
 use {
-    jasmine_conf::settings::{EntrySettings, check_settings, read_settings},
-    jasmine_entry::daemon::{Start, command, run, start_of},
+    jasmine_conf::{
+        settings::{EntrySettings, check_settings, read_settings},
+        start::{Start, start_of},
+    },
+    jasmine_entry::daemon::{command, run},
     jasmine_telemetry::log::{LogOutput, start as start_log},
     std::{path::Path, process::ExitCode},
 };
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,7 +1,7 @@
 //! What the daemon counts, as a Prometheus page.
 
 use {
-    crate::{context::Context, forward::ForwardRequest},
+    crate::{caller::accept_each, context::Context, forward::ForwardRequest},
     jasmine_core::{
         clock::Millis,
         error::Refusal,
@@ -18,7 +18,7 @@
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
         task::spawn_local,
-        time::{sleep, timeout},
+        time::timeout,
     },
 };
 
@@ -28,8 +28,6 @@
 const OTHER: &str = "other";
 /// How long a reader may take.
 const READ_LIMIT: Millis = Millis(2_000);
-/// The pause after a failed accept, which comes from a lack of descriptors.
-const ACCEPT_PAUSE: Millis = Millis(50);
 
 /// The daemon's instruments.
 #[derive(Debug)]
@@ -211,18 +209,14 @@
     cx: Rc<Context>,
     listener: TcpListener,
 ) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let cx = Rc::clone(&cx);
-                spawn_local(async move {
-                    // A reader that asks for nothing, or doesn't read, is given up.
-                    let _elapsed = timeout(READ_LIMIT.to_std(), answer(&cx, stream)).await;
-                });
-            }
-            Err(_) => sleep(ACCEPT_PAUSE.to_std()).await,
-        }
-    }
+    accept_each(listener, |stream| {
+        let cx = Rc::clone(&cx);
+        spawn_local(async move {
+            // A reader that asks for nothing, or doesn't read, is given up.
+            let _elapsed = timeout(READ_LIMIT.to_std(), answer(&cx, stream)).await;
+        });
+    })
+    .await;
 }
 
 async fn answer(
--- a/crates/gateway/src/daemon/mod.rs
+++ b/crates/gateway/src/daemon/mod.rs
@@ -5,6 +5,6 @@
 mod stop;
 
 pub use {
-    command::{Start, command, start_of},
+    command::command,
     run::{DaemonError, run},
 };
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -1,8 +1,11 @@
 //! The callers' daemon.
 
 use {
-    jasmine_conf::settings::{GatewaySettings, check_settings, read_settings},
-    jasmine_gateway::daemon::{Start, command, run, start_of},
+    jasmine_conf::{
+        settings::{GatewaySettings, check_settings, read_settings},
+        start::{Start, start_of},
+    },
+    jasmine_gateway::daemon::{command, run},
     jasmine_telemetry::log::{LogOutput, start as start_log},
     std::{path::Path, process::ExitCode},
 };
