--- /dev/null
+++ b/crates/core/src/scheduler/machine/decisions.rs
@@ -0,0 +1,283 @@
+//! What is sent, loaded, put behind and refused with every event, and what a request's end sets free.
+
+use {
+    super::{LEAST_RETRY, Scheduler},
+    crate::{
+        clock::Millis,
+        error::{ErrorKind, Refusal},
+        ids::{AdapterVersion, RequestId, UpstreamId},
+        queue::Waiting,
+        scheduler::{
+            Job, Outcome, SchedulerAction as Action,
+            choose::{Choice, View},
+            fleet::Load,
+            loads,
+            running::Stage,
+        },
+    },
+};
+
+/// Waiting requests that are looked at in a millisecond at most. When few wait, each is looked at with every event;
+/// when hundreds do, each every few ten milliseconds.
+const LOOKS_A_MS: usize = 8;
+/// How much later a request counts as having come once it can't be on time: what comes within this time and can
+/// goes first.
+const LATE_PATIENCE: Millis = Millis(3_000);
+/// A late request is refused when what waits would take more than one part in so many of the time that it has left:
+/// what comes meanwhile and can be on time goes first.
+const HOPELESS: u64 = 2;
+
+/// Which waiting requests are looked at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Turn {
+    /// Those that can still be on time.
+    Timely,
+    /// All.
+    All,
+}
+
+impl Scheduler {
+    /// Sends, loads and refuses whatever can be decided now.
+    pub(super) fn decide(
+        &mut self,
+        now: Millis,
+    ) -> Vec<Action> {
+        let mut actions = self.refuse_late(now);
+        actions.extend(self.postpone_late(now));
+        self.send_and_load(Turn::Timely, now, &mut actions);
+        self.send_and_load(Turn::All, now, &mut actions);
+        if self.may_order {
+            actions.extend(self.model_loads.plan(&mut self.fleet, now));
+            for (upstream, engine) in self.fleet.engines_mut() {
+                if !engine.has_order && engine.wants_report(now) {
+                    actions.push(Action::AskReport { upstream });
+                }
+            }
+        }
+        actions
+    }
+
+    fn refuse_late(
+        &mut self,
+        now: Millis,
+    ) -> Vec<Action> {
+        let expired = self.queue.expire(now);
+        let refuse = |waiting: Waiting| {
+            let entry = self.entries.remove(&waiting.request)?;
+            self.timely.remove(&(entry.timely_until, waiting.request));
+            self.by_ticket.remove(&entry.ticket);
+            self.note_wanted(&entry.job, false);
+            if let Some(charge) = entry.charge {
+                self.rates.settle(charge, false, now);
+            }
+            let kind = if self.has_upstream(entry.job.service) {
+                ErrorKind::CannotMeetDeadline
+            } else {
+                ErrorKind::NoUpstream
+            };
+            Some(Action::Refuse {
+                ticket: entry.ticket,
+                refusal: Refusal::new(kind),
+            })
+        };
+        expired.into_iter().filter_map(refuse).collect()
+    }
+
+    /// Puts requests that can't be on time any more behind those that can, and refuses them where even what
+    /// waits now would take most of the time that they have left.
+    ///
+    /// When more comes than can be run, taking requests by age makes all of them late: each waits until just
+    /// after its objective. An answer in time is worth three late ones to the users, and a caller that is
+    /// refused at once can still do something else.
+    fn postpone_late(
+        &mut self,
+        now: Millis,
+    ) -> Vec<Action> {
+        let mut actions = Vec::new();
+        while let Some(&(until, request)) = self.timely.first()
+            && until <= now
+        {
+            self.timely.remove(&(until, request));
+            let Some(entry) = self.entries.get(&request) else {
+                continue;
+            };
+            let wait = self.expected_wait(entry.job.service);
+            let left = entry.job.deadline.since(now);
+            if Millis(wait.0 * HOPELESS) > left {
+                let refusal = Refusal::after(ErrorKind::CannotMeetDeadline, wait.max(LEAST_RETRY));
+                let ticket = entry.ticket;
+                self.finish(request, Outcome::Abandoned, now);
+                actions.push(Action::Refuse { ticket, refusal });
+            } else {
+                self.queue.postpone(request, LATE_PATIENCE, now);
+            }
+        }
+        actions
+    }
+
+    fn send_and_load(
+        &mut self,
+        turn: Turn,
+        now: Millis,
+        actions: &mut Vec<Action>,
+    ) {
+        let mut looked = 0;
+        loop {
+            let mut sent = None;
+            let popped = {
+                let Self {
+                    queue,
+                    entries,
+                    fleet,
+                    versions,
+                    settings,
+                    wanted,
+                    timely,
+                    ..
+                } = self;
+                let may_order = self.may_order;
+                let pause = Millis((queue.len() / LOOKS_A_MS) as u64);
+                let may_evict = now >= self.evicts_from;
+                queue.pop(now, |waiting| {
+                    let Some(entry) = entries.get_mut(&waiting.request) else {
+                        return true;
+                    };
+                    let until = entry.timely_until;
+                    if now < entry.look_at
+                        || (turn == Turn::Timely && !timely.contains(&(until, waiting.request)))
+                    {
+                        return false;
+                    }
+                    looked += 1;
+                    let view = View {
+                        fleet,
+                        versions,
+                        settings,
+                        wanted,
+                        may_order,
+                        may_evict,
+                        now,
+                    };
+                    let Choice { send, load } = view.choose(&entry.job);
+                    if let Some(plan) = load {
+                        let order = loads::begin(fleet, versions, &plan, &settings.loads, now);
+                        actions.extend(order);
+                    }
+                    if send.is_none() {
+                        entry.look_at = now + pause;
+                    }
+                    sent = send;
+                    send.is_some()
+                })
+            };
+            match (popped, sent) {
+                (Some(waiting), Some((upstream, adapter))) => {
+                    actions.extend(self.assign(waiting.request, upstream, adapter, now));
+                }
+                (Some(_), None) => {}
+                (None, _) => break,
+            }
+        }
+        self.looked += looked;
+    }
+
+    pub(super) fn assign(
+        &mut self,
+        request: RequestId,
+        upstream: UpstreamId,
+        adapter: Option<AdapterVersion>,
+        now: Millis,
+    ) -> Option<Action> {
+        let job = self.entries.get(&request)?.job.clone();
+        let load = self.load(&job, upstream, now);
+        self.fleet.assign(upstream, request, adapter, load, now);
+        self.note_wanted(&job, false);
+        let entry = self.entries.get_mut(&request)?;
+        self.timely.remove(&(entry.timely_until, request));
+        entry.stage = Stage::Running { upstream, adapter };
+        let version = adapter
+            .filter(|adapter| self.versions.announced_version(adapter.adapter).is_some())
+            .map(|adapter| adapter.version);
+        Some(Action::Assign {
+            ticket: entry.ticket,
+            upstream,
+            version,
+        })
+    }
+
+    pub(super) fn load(
+        &self,
+        job: &Job,
+        upstream: UpstreamId,
+        now: Millis,
+    ) -> Load {
+        let view = View {
+            fleet: &self.fleet,
+            versions: &self.versions,
+            settings: &self.settings,
+            wanted: &self.wanted,
+            may_order: self.may_order,
+            may_evict: now >= self.evicts_from,
+            now,
+        };
+        let engine = self
+            .fleet
+            .upstreams
+            .get(&upstream)
+            .and_then(|up| up.engine.as_ref());
+        engine.map_or_else(Load::default, |engine| view.load_on(job, engine))
+    }
+
+    pub(super) fn note_wanted(
+        &mut self,
+        job: &Job,
+        waits: bool,
+    ) {
+        let work = job
+            .generation()
+            .map_or(1.0, |generation| f64::from(generation.size.prompt));
+        let sum = self.waiting.entry(job.service).or_default();
+        *sum = (*sum + if waits { work } else { -work }).max(0.0);
+        let Some(adapter) = job.generation().and_then(|generation| generation.adapter) else {
+            return;
+        };
+        let count = self.wanted.entry(adapter).or_default();
+        *count = if waits {
+            *count + 1
+        } else {
+            count.saturating_sub(1)
+        };
+        if *count == 0 {
+            self.wanted.remove(&adapter);
+        }
+    }
+
+    pub(super) fn finish(
+        &mut self,
+        request: RequestId,
+        outcome: Outcome,
+        now: Millis,
+    ) {
+        let Some(entry) = self.entries.remove(&request) else {
+            return;
+        };
+        self.by_ticket.remove(&entry.ticket);
+        let has_run = match entry.stage {
+            Stage::Waiting => {
+                self.timely.remove(&(entry.timely_until, request));
+                self.queue.cancel(request, now);
+                self.note_wanted(&entry.job, false);
+                false
+            }
+            Stage::Running { upstream, adapter } => {
+                let total = entry.job.generation().map_or(0, |g| g.size.total());
+                self.fleet.release(upstream, request, adapter, total, now);
+                self.fleet.learn(upstream, adapter, outcome, now);
+                true
+            }
+        };
+        if let Some(charge) = entry.charge {
+            self.rates.settle(charge, has_run, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/scheduler/machine/queries.rs
@@ -0,0 +1,78 @@
+//! What the scheduler answers about itself.
+
+use {
+    super::{FORGET_AFTER, Scheduler},
+    crate::{
+        clock::Millis,
+        ids::ServiceId,
+        scheduler::{Ticket, running::Stage},
+    },
+};
+
+/// How often an engine that waits for something is looked at again, at least.
+const LOOK_AGAIN: Millis = Millis(50);
+
+impl Scheduler {
+    /// When [`Self::tick`] is wanted at the latest.
+    pub fn wake_at(
+        &self,
+        now: Millis,
+    ) -> Millis {
+        let idle = now + FORGET_AFTER;
+        let reports = self
+            .fleet
+            .upstreams
+            .values()
+            .filter_map(|up| up.engine.as_ref()?.report_due())
+            .filter(|_| self.may_order);
+        let waiting = (!self.queue.is_empty()).then(|| now + LOOK_AGAIN);
+        let ready = self
+            .fleet
+            .upstreams
+            .values()
+            .filter_map(|up| up.engine.as_ref())
+            .flat_map(|engine| engine.places.iter())
+            .filter_map(|place| place.wait(now))
+            .filter(|wait| *wait > Millis::ZERO && !self.queue.is_empty())
+            .map(|wait| now + wait);
+        reports
+            .chain(waiting)
+            .chain(ready)
+            .chain(self.queue.next_deadline())
+            .fold(idle, Millis::min)
+            .max(now + Millis(1))
+    }
+
+    /// Number of requests that wait.
+    pub fn waiting_len(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Number of requests that were assigned and have not ended.
+    pub fn running_len(&self) -> usize {
+        self.entries.len() - self.queue.len()
+    }
+
+    /// How often a waiting request was looked at: most of what the scheduler does.
+    pub const fn looked(&self) -> u64 {
+        self.looked
+    }
+
+    /// Whether a request was assigned and has not ended.
+    pub fn is_running(
+        &self,
+        ticket: Ticket,
+    ) -> bool {
+        let request = self.by_ticket.get(&ticket);
+        let entry = request.and_then(|request| self.entries.get(request));
+        entry.is_some_and(|entry| matches!(entry.stage, Stage::Running { .. }))
+    }
+
+    /// Whether some upstream of the service takes work.
+    pub fn has_upstream(
+        &self,
+        service: ServiceId,
+    ) -> bool {
+        self.fleet.ready(service).next().is_some()
+    }
+}
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -13,7 +13,8 @@
         scheduler::Outcome,
     },
     jasmine_platform::headers::{AnswerHeaders, is_other_upstream},
-    std::time::Duration,
+    jasmine_telemetry::log::Line,
+    std::{io::ErrorKind, time::Duration},
     tokio::time::timeout,
 };
 
@@ -181,7 +182,15 @@
             return Some(connection);
         }
         let opened = timeout(self.left(), self.cx.pool.open(address)).await;
-        opened.ok()?.ok()
+        opened
+            .unwrap_or_else(|_elapsed| Err(ErrorKind::TimedOut.into()))
+            .inspect_err(|e| {
+                Line::new("connect_failed")
+                    .with("upstream", &self.placement.upstream)
+                    .with("reason", e)
+                    .info();
+            })
+            .ok()
     }
 
     /// Tells answers to pass on from those that say that the request has to go elsewhere.
--- a/crates/entry/src/scheduling/desk.rs
+++ b/crates/entry/src/scheduling/desk.rs
@@ -1,15 +1,17 @@
 use {
-    super::{JobSpec, Names, RunningSpec},
+    super::{
+        JobSpec, Names, RunningSpec,
+        facts::{engine_facts, engine_limits, facts_of},
+    },
     crate::clock::Clock,
     jasmine_core::{
         clock::Millis,
         error::Refusal,
         ids::UpstreamId,
-        ingress::{EngineHoldings, HeldAdapter, IngressConfig, UpstreamEntry, UpstreamState},
+        ingress::{EngineHoldings, IngressConfig, UpstreamEntry},
         scheduler::{
-            Adopted, Announcement, EngineFacts, EngineLimits, Order, OrderEnd, Outcome,
-            RightsShare, Scheduler, SchedulerAction as Action, SchedulerSettings, Ticket,
-            UpstreamFacts,
+            Adopted, Announcement, Order, OrderEnd, Outcome, RightsShare, Scheduler,
+            SchedulerAction as Action, SchedulerSettings, Ticket,
         },
     },
     std::{
@@ -369,73 +371,3 @@
         let _closed = self.tasks.send(task);
     }
 }
-
-fn engine_limits(
-    spec: &jasmine_core::ingress::EngineSpec,
-    names: &mut Names,
-) -> EngineLimits {
-    EngineLimits {
-        slots: spec.slots,
-        kv_tokens: spec.kv_tokens,
-        adapter_slots: spec.adapter_slots as usize,
-        weights_mb: spec.weights_mb,
-        loads_per_s: spec.loads_per_s,
-        models: spec
-            .models
-            .iter()
-            .map(|model| (names.model(&model.name), model.weights_mb, model.adapter_mb))
-            .collect(),
-    }
-}
-
-fn facts_of(
-    entry: &UpstreamEntry,
-    names: &mut Names,
-) -> UpstreamFacts {
-    UpstreamFacts {
-        service: names.service(&entry.service),
-        data_centre: Some(names.data_centre(&entry.data_centre)),
-        slots: entry.slots,
-        is_ready: entry.state == UpstreamState::Ready,
-        cold: entry.cold,
-        started: entry.started_unix_ms,
-        engine: entry
-            .holdings
-            .as_ref()
-            .map(|holdings| engine_facts(holdings, false, names)),
-    }
-}
-
-fn engine_facts(
-    holdings: &EngineHoldings,
-    is_busy: bool,
-    names: &mut Names,
-) -> EngineFacts {
-    let only = holdings.models.first().map(|model| model.name.clone());
-    let mut version = |model: &str, held: &HeldAdapter| {
-        let adapter = names.adapter(model, &held.name);
-        let version = held.version;
-        let adapter = jasmine_core::ids::AdapterVersion { adapter, version };
-        (names.model(model), adapter)
-    };
-    let adapters = holdings
-        .models
-        .iter()
-        .flat_map(|model| model.adapters.iter().map(|held| (&model.name, held)))
-        .map(|(model, held)| version(model, held))
-        .collect();
-    // A report names what is on its way with its model; engines of these services hold one at a time.
-    let coming = holdings
-        .coming
-        .iter()
-        .filter_map(|held| Some(version(only.as_ref()?, held)))
-        .collect();
-    let models = holdings.models.iter();
-    EngineFacts {
-        seq: holdings.seq,
-        adapters,
-        coming,
-        models: models.map(|model| names.model(&model.name)).collect(),
-        is_busy,
-    }
-}
--- /dev/null
+++ b/crates/entry/src/scheduling/facts.rs
@@ -0,0 +1,83 @@
+//! What the store and engines say, in the scheduler's keys.
+
+use {
+    super::Names,
+    jasmine_core::{
+        ids::AdapterVersion,
+        ingress::{EngineHoldings, EngineSpec, HeldAdapter, UpstreamEntry, UpstreamState},
+        scheduler::{EngineFacts, EngineLimits, UpstreamFacts},
+    },
+};
+
+/// What engines of a service can hold, with names as keys.
+pub(super) fn engine_limits(
+    spec: &EngineSpec,
+    names: &mut Names,
+) -> EngineLimits {
+    EngineLimits {
+        slots: spec.slots,
+        kv_tokens: spec.kv_tokens,
+        adapter_slots: spec.adapter_slots as usize,
+        weights_mb: spec.weights_mb,
+        loads_per_s: spec.loads_per_s,
+        models: spec
+            .models
+            .iter()
+            .map(|model| (names.model(&model.name), model.weights_mb, model.adapter_mb))
+            .collect(),
+    }
+}
+
+/// What an upstream's entry says, with names as keys.
+pub(super) fn facts_of(
+    entry: &UpstreamEntry,
+    names: &mut Names,
+) -> UpstreamFacts {
+    UpstreamFacts {
+        service: names.service(&entry.service),
+        data_centre: Some(names.data_centre(&entry.data_centre)),
+        slots: entry.slots,
+        is_ready: entry.state == UpstreamState::Ready,
+        cold: entry.cold,
+        started: entry.started_unix_ms,
+        engine: entry
+            .holdings
+            .as_ref()
+            .map(|holdings| engine_facts(holdings, false, names)),
+    }
+}
+
+/// What an engine holds, by its entry or its report.
+pub(super) fn engine_facts(
+    holdings: &EngineHoldings,
+    is_busy: bool,
+    names: &mut Names,
+) -> EngineFacts {
+    let only = holdings.models.first().map(|model| model.name.clone());
+    let mut version = |model: &str, held: &HeldAdapter| {
+        let adapter = names.adapter(model, &held.name);
+        let version = held.version;
+        let adapter = AdapterVersion { adapter, version };
+        (names.model(model), adapter)
+    };
+    let adapters = holdings
+        .models
+        .iter()
+        .flat_map(|model| model.adapters.iter().map(|held| (&model.name, held)))
+        .map(|(model, held)| version(model, held))
+        .collect();
+    // A report names what is on its way with its model; engines of these services hold one at a time.
+    let coming = holdings
+        .coming
+        .iter()
+        .filter_map(|held| Some(version(only.as_ref()?, held)))
+        .collect();
+    let models = holdings.models.iter();
+    EngineFacts {
+        seq: holdings.seq,
+        adapters,
+        coming,
+        models: models.map(|model| names.model(&model.name)).collect(),
+        is_busy,
+    }
+}
--- a/crates/entry/src/scheduling/mod.rs
+++ b/crates/entry/src/scheduling/mod.rs
@@ -3,6 +3,7 @@
 mod client;
 mod convert;
 mod desk;
+mod facts;
 mod job_spec;
 mod leader;
 mod names;
