--- a/crates/core/src/ingress/held_model.rs
+++ b/crates/core/src/ingress/held_model.rs
@@ -16,6 +16,15 @@
     pub adapters: Vec<HeldAdapter>,
 }
 
+/// An adapter on its way to an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ComingAdapter {
+    /// The base model that it belongs to.
+    pub model: String,
+    /// The adapter.
+    pub adapter: HeldAdapter,
+}
+
 /// What an engine holds.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EngineHoldings {
@@ -24,5 +33,5 @@
     /// The models.
     pub models: Vec<HeldModel>,
     /// Adapters on their way, which take a place each. Only the engine's own report tells them.
-    pub coming: Vec<HeldAdapter>,
+    pub coming: Vec<ComingAdapter>,
 }
--- a/crates/core/src/ingress/mod.rs
+++ b/crates/core/src/ingress/mod.rs
@@ -19,7 +19,7 @@
     call_kind::CallKind,
     caller_limits::CallerLimits,
     config::IngressConfig,
-    held_model::{EngineHoldings, HeldAdapter, HeldModel},
+    held_model::{ComingAdapter, EngineHoldings, HeldAdapter, HeldModel},
     prompt::{PromptPart, PromptSize},
     route::{IngressRoute, WeightedService},
     route_table::RouteTable,
--- a/crates/entry/src/scheduling/facts.rs
+++ b/crates/entry/src/scheduling/facts.rs
@@ -53,7 +53,6 @@
     is_busy: bool,
     names: &mut Names,
 ) -> EngineFacts {
-    let only = holdings.models.first().map(|model| model.name.clone());
     let mut version = |model: &str, held: &HeldAdapter| {
         let adapter = names.adapter(model, &held.name);
         let version = held.version;
@@ -66,11 +65,10 @@
         .flat_map(|model| model.adapters.iter().map(|held| (&model.name, held)))
         .map(|(model, held)| version(model, held))
         .collect();
-    // A report names what is on its way with its model; engines of these services hold one at a time.
     let coming = holdings
         .coming
         .iter()
-        .filter_map(|held| Some(version(only.as_ref()?, held)))
+        .map(|coming| version(&coming.model, &coming.adapter))
         .collect();
     let models = holdings.models.iter();
     EngineFacts {
