--- a/crates/conf/src/settings/entry_settings.rs
+++ b/crates/conf/src/settings/entry_settings.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Checked, EntryListen, LogSettings, Problem, RepeatBudget, range::within},
+    super::{Checked, EntryListen, LogSettings, Problem, RepeatBudget, VmSize, range::within},
     jasmine_core::clock::Millis,
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -40,6 +40,9 @@
     /// Within which time a change in the store has to be in force.
     #[serde(default = "default_change")]
     pub change_ms: Millis,
+    /// What the VM has.
+    #[serde(default)]
+    pub size: VmSize,
     /// Repeats that a service may get.
     #[serde(default)]
     pub repeats: RepeatBudget,
--- a/crates/conf/src/settings/mod.rs
+++ b/crates/conf/src/settings/mod.rs
@@ -17,6 +17,7 @@
 mod repeat_budget;
 mod settings_error;
 mod stop;
+mod vm_size;
 
 pub use {
     controller_settings::ControllerSettings,
@@ -31,4 +32,5 @@
     repeat_budget::RepeatBudget,
     settings_error::{Problem, SettingsError},
     stop::Stop,
+    vm_size::VmSize,
 };
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 mod decayed;
 pub mod error;
+pub mod feed;
 pub mod forward;
 pub mod ids;
 pub mod ingress;
--- a/crates/core/src/scheduler/machine/commands.rs
+++ b/crates/core/src/scheduler/machine/commands.rs
@@ -7,8 +7,9 @@
         ids::{AccountId, AdapterId, AdapterVersion, RequestId, ServiceId, UpstreamId},
         rights::Limit,
         scheduler::{
-            Adopted, EngineFacts, EngineLimits, Job, Order, OrderEnd, Outcome, RightsShare,
-            SchedulerAction as Action, SchedulerSettings, Ticket, UpstreamFacts, loads,
+            Adopted, EngineFacts, EngineLimits, Job, Order, OrderEnd, Outcome, OwnDecision,
+            RightsShare, SchedulerAction as Action, SchedulerSettings, Ticket, UpstreamFacts,
+            loads,
             running::{Entry, Stage},
             version_book::Announcement,
         },
@@ -172,6 +173,20 @@
         self.decide(now)
     }
 
+    /// Notes what was decided of a request of this VM's own callers, whoever decided.
+    pub fn note_own(
+        &mut self,
+        account: AccountId,
+        cost: u64,
+        decided: OwnDecision,
+        now: Millis,
+    ) {
+        match decided {
+            OwnDecision::LetThrough => self.rates.note_own_use(account, cost, now),
+            OwnDecision::OverRate => self.rates.note_own_refusal(account, now),
+        }
+    }
+
     /// The caller of a request that waits has gone, or its VM gives it up.
     pub fn cancel(
         &mut self,
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -25,6 +25,7 @@
 mod loads;
 mod machine;
 mod outcome;
+mod own_use;
 mod place;
 mod prefix_cache;
 mod repeat_budget;
@@ -40,7 +41,7 @@
     engine::EngineLimits,
     job::{Generation, Job, Ticket, Work},
     machine::Scheduler,
-    outcome::{OrderEnd, Outcome},
+    outcome::{OrderEnd, Outcome, OwnDecision},
     rights::RightsShare,
     running::Adopted,
     settings::{LoadSettings, RepeatSettings, SchedulerSettings},
--- a/crates/core/src/scheduler/outcome.rs
+++ b/crates/core/src/scheduler/outcome.rs
@@ -44,3 +44,12 @@
     /// Nothing was sent.
     Unsent,
 }
+
+/// What was decided of a request's charge, by whoever decides.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OwnDecision {
+    /// Its account was charged.
+    LetThrough,
+    /// Its account was over its rate.
+    OverRate,
+}
--- a/crates/core/src/scheduler/rights.rs
+++ b/crates/core/src/scheduler/rights.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Job, Work},
+    super::{Job, Work, own_use::OwnUse},
     crate::{
         clock::Millis,
         error::{ErrorKind, Refusal},
@@ -50,6 +50,7 @@
     share: RightsShare,
     /// When a request of an account was last refused for its rate.
     refused_at: BTreeMap<AccountId, Millis>,
+    own_use: OwnUse,
 }
 
 impl AccountRates {
@@ -59,6 +60,7 @@
             limits: BTreeMap::new(),
             share,
             refused_at: BTreeMap::new(),
+            own_use: OwnUse::default(),
         }
     }
 
@@ -68,17 +70,42 @@
         share: RightsShare,
         now: Millis,
     ) {
-        if self.share == share {
+        let goes_on = matches!(share, RightsShare::Part(_)) && self.own_use.begin_alone(now);
+        if self.share == share && !goes_on {
             return;
         }
         self.share = share;
         self.ledger = new_ledger();
         for (&account, &limit) in &self.limits {
+            let besides = if goes_on {
+                self.own_use.allowance(account, now)
+            } else {
+                0
+            };
             self.ledger.set_limit(account, limit, now);
-            grant(&mut self.ledger, account, limit, share, now);
+            grant(&mut self.ledger, account, limit, share, besides, now);
         }
     }
 
+    /// Notes that a request of this VM's own callers was let through, whoever decided.
+    pub(super) fn note_own_use(
+        &mut self,
+        account: AccountId,
+        cost: u64,
+        now: Millis,
+    ) {
+        self.own_use.note(account, cost, now);
+    }
+
+    /// Notes that one was refused because its account was over its rate.
+    pub(super) fn note_own_refusal(
+        &mut self,
+        account: AccountId,
+        now: Millis,
+    ) {
+        self.own_use.note_refused(account, now);
+    }
+
     /// Sets the limits of all accounts that have one.
     pub(super) fn set_limits(
         &mut self,
@@ -92,7 +119,7 @@
             }
             // An account that was without a limit for a while has its rights still: they are granted once.
             if before.is_none() {
-                grant(&mut self.ledger, account, limit, self.share, now);
+                grant(&mut self.ledger, account, limit, self.share, 0, now);
             }
         }
         self.limits = limits;
@@ -148,6 +175,10 @@
         cost: u64,
         now: Millis,
     ) -> u64 {
+        // A part of a rate is too little to keep some of it back.
+        if matches!(self.share, RightsShare::Part(_)) {
+            return 0;
+        }
         let refused_at = self.refused_at.get(&account);
         if refused_at.is_none_or(|&at| now.since(at) >= OVER) {
             return 0;
@@ -189,11 +220,13 @@
     ledger
 }
 
+/// Grants an account's rights; `besides` are tokens on top of those that the share brings.
 fn grant(
     ledger: &mut RightsLedger,
     account: AccountId,
     limit: Limit,
     share: RightsShare,
+    besides: u64,
     now: Millis,
 ) {
     let part = match share {
@@ -204,12 +237,15 @@
     let tokens = match share {
         RightsShare::Fresh => limit.burst,
         RightsShare::TakenOver => (most * ASSUMED_PERCENT / 100).min(limit.burst),
-        RightsShare::Part(parts) => most * ASSUMED_ALONE_PERCENT / 100 / parts.max(1),
+        RightsShare::Part(parts) => most * ASSUMED_ALONE_PERCENT / 100 / parts.max(1) + besides,
     };
+    let tokens = tokens.min(limit.burst);
+    // Tokens need room, which is counted in parts of the burst.
+    let room = SHARE_WHOLE * tokens / limit.burst.max(1);
     let right = Right {
         account,
         rate_share: part,
-        room_share: part,
+        room_share: part.max(room),
         tokens: tokens * MILLI,
     };
     ledger.apply_grants(Epoch(1), &[right], now);
--- /dev/null
+++ b/crates/core/tests/store_feed.rs
@@ -0,0 +1,157 @@
+//! From whom VMs learn of changes in the store, and what they are told.
+
+use jasmine_core::{
+    clock::Millis,
+    feed::{Change, RecentChanges, Since, Source, SourceChoice, SourceFailure, VmRank},
+};
+
+const NOW: Millis = Millis(100_000);
+
+/// Ranks of so many VMs, in order.
+fn ranks(count: usize) -> Vec<VmRank> {
+    let mut ranks: Vec<VmRank> = (0..count)
+        .map(|number| VmRank::new(&format!("vm-{number}"), false))
+        .collect();
+    ranks.sort_unstable();
+    ranks
+}
+
+fn others(
+    ranks: &[VmRank],
+    me: VmRank,
+) -> Vec<VmRank> {
+    ranks.iter().copied().filter(|&rank| rank != me).collect()
+}
+
+fn note(
+    recent: &mut RecentChanges<u64>,
+    key: &str,
+    revision: u64,
+    is_major: bool,
+    now: Millis,
+) {
+    let change = Change {
+        revision,
+        what: revision,
+    };
+    assert!(recent.note(key, change, is_major, now));
+    recent.advance(revision, now);
+}
+
+#[test]
+fn one_of_a_data_centre_reads_the_store() {
+    let ranks = ranks(27);
+    let sources: Vec<Source> = ranks
+        .iter()
+        .map(|&me| SourceChoice::new(me).choose(others(&ranks, me), false, NOW))
+        .collect();
+    let readers = sources.iter().filter(|&&source| source == Source::Store);
+    assert_eq!(readers.count(), 1);
+    assert_eq!(sources[0], Source::Store);
+    assert!(
+        sources[1..]
+            .iter()
+            .all(|&source| source == Source::Vm(ranks[0]))
+    );
+}
+
+#[test]
+fn weak_vms_read_last() {
+    // Whoever serves a data centre sends each change to all the others. A VM with a narrow network would be busy with that
+    // alone.
+    let strong = VmRank::new("any", false);
+    let weak = (0..50).map(|number| VmRank::new(&format!("vm-{number}"), true));
+    assert!(weak.into_iter().all(|weak| strong < weak));
+}
+
+#[test]
+fn who_leads_reads_the_store() {
+    let ranks = ranks(5);
+    let choice = SourceChoice::new(ranks[4]);
+    assert_eq!(
+        choice.choose(others(&ranks, ranks[4]), true, NOW),
+        Source::Store
+    );
+}
+
+#[test]
+fn a_vm_that_lost_the_store_is_passed_over() {
+    // The VM that serves the others is cut off from the store. Their changes would stop with it, though each of them
+    // reaches the store.
+    let ranks = ranks(5);
+    let mut choice = SourceChoice::new(ranks[3]);
+    choice.vm_failed(ranks[0], SourceFailure::Stale, NOW);
+    let choose = |choice: &SourceChoice, now| choice.choose(others(&ranks, ranks[3]), false, now);
+    assert_eq!(choose(&choice, NOW), Source::Vm(ranks[1]));
+    choice.vm_failed(ranks[1], SourceFailure::NotReading, NOW);
+    choice.vm_failed(ranks[2], SourceFailure::Unreachable, NOW);
+    assert_eq!(choose(&choice, NOW), Source::Store);
+    assert_eq!(choose(&choice, NOW + Millis(1_000)), Source::Vm(ranks[1]));
+    assert_eq!(choose(&choice, NOW + Millis(3_000)), Source::Vm(ranks[0]));
+}
+
+#[test]
+fn without_the_store_another_vm_is_asked() {
+    // The store turns this VM away and serves others. The next in order has it from the store.
+    let ranks = ranks(4);
+    let mut choice = SourceChoice::new(ranks[0]);
+    let choose = |choice: &SourceChoice, now| choice.choose(others(&ranks, ranks[0]), false, now);
+    assert_eq!(choose(&choice, NOW), Source::Store);
+    choice.store_failed(NOW);
+    assert_eq!(choose(&choice, NOW), Source::Vm(ranks[1]));
+    choice.vm_failed(ranks[1], SourceFailure::Stale, NOW);
+    choice.vm_failed(ranks[2], SourceFailure::Stale, NOW);
+    assert_eq!(choose(&choice, NOW), Source::Store, "nobody has it");
+    choice.store_answered();
+    assert_eq!(choose(&choice, NOW), Source::Store);
+}
+
+#[test]
+fn only_the_last_change_of_a_key_is_told() {
+    let mut recent = RecentChanges::default();
+    recent.reset(10);
+    note(&mut recent, "a", 11, true, NOW);
+    note(&mut recent, "b", 12, true, NOW);
+    note(&mut recent, "a", 13, true, NOW);
+    assert_eq!(recent.since(10, None), Since::Changes(vec![12, 13]));
+    assert_eq!(recent.since(12, None), Since::Changes(vec![13]));
+    assert_eq!(recent.since(13, None), Since::Changes(vec![]));
+    let old = Change {
+        revision: 12,
+        what: 12,
+    };
+    assert!(!recent.note("a", old, true, NOW), "a later one is known");
+}
+
+#[test]
+fn minor_changes_wait_until_asked_for() {
+    let mut recent = RecentChanges::default();
+    recent.reset(10);
+    note(&mut recent, "a", 11, false, NOW);
+    assert_eq!(recent.since(10, None), Since::Changes(vec![]));
+    assert_eq!(recent.since(10, Some(10)), Since::Changes(vec![11]));
+}
+
+#[test]
+fn a_major_change_is_told_with_a_minor_one_after_it() {
+    // An upstream is about to leave, and a moment later its entry changes in something small. Whoever asks then has
+    // to learn that it leaves, or goes on sending requests to it.
+    let mut recent = RecentChanges::default();
+    recent.reset(10);
+    note(&mut recent, "a", 11, true, NOW);
+    note(&mut recent, "a", 12, false, NOW);
+    assert_eq!(recent.since(10, None), Since::Changes(vec![12]));
+    assert_eq!(recent.since(11, None), Since::Changes(vec![]));
+}
+
+#[test]
+fn what_is_old_is_not_known_any_more() {
+    // A VM that was frozen asks for what has changed since. Told nothing, it would believe that nothing has.
+    let mut recent = RecentChanges::default();
+    recent.reset(10);
+    note(&mut recent, "a", 11, true, NOW);
+    note(&mut recent, "b", 12, true, NOW + Millis(11_000));
+    assert_eq!(recent.since(10, None), Since::Gone);
+    assert_eq!(recent.since(9, Some(11)), Since::Gone);
+    assert_eq!(recent.since(11, None), Since::Changes(vec![12]));
+}
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -3,13 +3,16 @@
 use {
     crate::{clock::Clock, metrics::EntryMetrics, scheduling::Scheduling, upstream::Pool},
     jasmine_conf::settings::EntrySettings,
-    jasmine_core::ingress::{CallerLimits, IngressConfig},
+    jasmine_core::{
+        clock::Millis,
+        ingress::{CallerLimits, IngressConfig},
+    },
     jasmine_telemetry::log::Line,
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
     },
-    tokio::sync::watch,
+    tokio::{sync::watch, time::timeout},
 };
 
 /// How far a planned stop has come.
@@ -38,6 +41,8 @@
     /// What is counted.
     pub metrics: Rc<EntryMetrics>,
     config: RefCell<Option<Rc<IngressConfig>>>,
+    /// Whether there is one.
+    first_config: watch::Sender<bool>,
     stop: watch::Sender<StopStage>,
     in_flight: Cell<usize>,
 }
@@ -57,6 +62,7 @@
             pool,
             metrics,
             config: RefCell::default(),
+            first_config: watch::Sender::default(),
             stop: watch::Sender::default(),
             in_flight: Cell::new(0),
         }
@@ -67,6 +73,20 @@
         self.config.borrow().clone()
     }
 
+    /// The configuration in force; where there is none yet, what comes within `wait`.
+    pub async fn config_soon(
+        &self,
+        wait: Millis,
+    ) -> Option<Rc<IngressConfig>> {
+        if let Some(config) = self.config() {
+            return Some(config);
+        }
+        let mut first = self.first_config.subscribe();
+        // Whether it came or not, what there is now is told.
+        let _either = timeout(wait.to_std(), first.wait_for(|has_one| *has_one)).await;
+        self.config()
+    }
+
     /// What callers may send.
     pub fn limits(&self) -> CallerLimits {
         self.config
@@ -91,6 +111,7 @@
             .info();
         self.scheduling.desk.set_config(&config);
         self.config.replace(Some(Rc::new(config)));
+        self.first_config.send_replace(true);
     }
 
     /// Whether the balancer may send callers here.
--- a/crates/entry/src/daemon/run.rs
+++ b/crates/entry/src/daemon/run.rs
@@ -5,7 +5,7 @@
         context::Context,
         metrics::{EntryMetrics, serve_metrics},
         scheduling::{Desk, OrderContext, SchedulerServer, Scheduling, carry_out},
-        store::{KvStore, Membership, follow, keep_membership},
+        store::{Feed, KvStore, Membership, VmRecord, follow, keep_lead, keep_membership},
         upstream::Pool,
     },
     jasmine_conf::settings::EntrySettings,
@@ -22,6 +22,10 @@
 /// How often idle connections are looked through.
 const SWEEP_EVERY: Duration = Duration::from_secs(2);
 
+/// For how long the store holds a watch, in percent of the time in which a change has to be in force. A connection
+/// may go silent without a word; it is noticed by an answer that is overdue.
+const WATCH_HELD_PERCENT: u64 = 25;
+
 /// Why the daemon can't run.
 #[derive(Debug)]
 #[derive(derive_more::Display, derive_more::Error)]
@@ -60,8 +64,15 @@
     let me = settings.vm.clone();
     let scheduling = Rc::new(Scheduling::new(desk, me.clone(), peer_address, incarnation));
     let pool = Rc::new(Pool::default());
-    let store = KvStore::new(settings.store);
-    let membership = Rc::new(Membership::new(me.clone(), peer_address, incarnation));
+    let store = KvStore::new(settings.store, watch_held(&settings));
+    let feed = Rc::new(Feed::new(settings.change_ms));
+    let membership = Rc::new(Membership::new(VmRecord {
+        vm: me.clone(),
+        peers: peer_address,
+        incarnation,
+        data_centre: settings.data_centre.clone(),
+        is_weak: settings.size.is_weak(),
+    }));
     let cx = Rc::new(Context::new(
         settings,
         Rc::clone(&scheduling),
@@ -77,7 +88,7 @@
         .info();
 
     scheduling.start();
-    let server = SchedulerServer::new(Rc::clone(&scheduling));
+    let server = SchedulerServer::new(Rc::clone(&scheduling), Rc::clone(&feed));
     let server: scheduler::Client = capnp_rpc::new_client(server);
     spawn_local(serve(peers, server.client));
     let order_cx = OrderContext {
@@ -90,14 +101,19 @@
         Rc::clone(&cx),
         store.clone(),
         Rc::clone(&membership),
+        Rc::clone(&feed),
     ));
-    let keeping = keep_membership(Rc::clone(&cx), store.clone(), Rc::clone(&membership));
-    let keeping = spawn_local(keeping).abort_handle();
+    let entry = keep_membership(Rc::clone(&cx), store.clone(), Rc::clone(&membership));
+    let lead = keep_lead(Rc::clone(&cx), store.clone(), Rc::clone(&membership));
+    let keeping = [
+        spawn_local(entry).abort_handle(),
+        spawn_local(lead).abort_handle(),
+    ];
     spawn_local(sweep(pool, store.clone()));
     spawn_local(serve_readiness(Rc::clone(&cx), readiness));
     spawn_local(serve_metrics(Rc::clone(&cx), metrics_listener));
     spawn_local(serve_callers(Rc::clone(&cx), callers));
-    stop::on_signal(&cx, &store, &membership, &keeping).await;
+    stop::on_signal(&cx, &store, &membership, &feed, &keeping).await;
     Ok(())
 }
 
@@ -129,6 +145,11 @@
     }
 }
 
+/// For how long the store is asked to hold a watch.
+const fn watch_held(settings: &EntrySettings) -> Millis {
+    Millis(settings.change_ms.0 * WATCH_HELD_PERCENT / 100)
+}
+
 async fn sweep(
     pool: Rc<Pool>,
     store: KvStore,
--- a/crates/entry/src/daemon/stop.rs
+++ b/crates/entry/src/daemon/stop.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         context::{Context, StopStage},
-        store::{KvStore, Membership, leave},
+        store::{Feed, KvStore, Membership, leave},
     },
     jasmine_core::clock::Millis,
     jasmine_telemetry::log::Line,
@@ -33,7 +33,8 @@
     cx: &Context,
     store: &KvStore,
     membership: &Membership,
-    keeping: &AbortHandle,
+    feed: &Feed,
+    keeping: &[AbortHandle],
 ) {
     let signals = (
         signal(SignalKind::terminate()),
@@ -57,7 +58,8 @@
     Line::new("stopping")
         .with("in_flight", cx.in_flight())
         .info();
-    keeping.abort();
+    keeping.iter().for_each(AbortHandle::abort);
+    feed.stop();
     cx.scheduling.say_leaving();
     if let Err(e) = leave(store, membership).await {
         Line::new("lease_not_ended").with("reason", e).info();
--- a/crates/entry/src/forward/serve.rs
+++ b/crates/entry/src/forward/serve.rs
@@ -16,6 +16,12 @@
 /// When a caller may come back whom this VM can't serve any more: at once, as it then reaches another one.
 const ELSEWHERE: Millis = Millis(20);
 
+/// For how long a caller waits for this VM's first configuration. Callers reach a VM as soon as it listens; where all
+/// have just started, another one has none either, and it is there within half a second.
+const FIRST_CONFIG: Millis = Millis(300);
+/// When a caller may come back whom a VM without configuration can't serve: it then reaches another VM.
+const ELSEWHERE_SOON: Millis = Millis(250);
+
 /// Answers one request of a caller.
 ///
 /// # Errors
@@ -29,12 +35,12 @@
     let caller = CallerHeaders::read(incoming.head.headers.pairs());
     let id = caller.request_id.clone();
     let now = cx.clock.now();
-    let judged = match cx.config() {
+    let judged = match cx.config_soon(FIRST_CONFIG).await {
         // What begins now would be cut off by the end of this process; another VM has the time for it.
         _ if cx.stop_stage() >= StopStage::Closing => {
             Err(Refusal::after(ErrorKind::ShuttingDown, ELSEWHERE))
         }
-        None => Err(Refusal::new(ErrorKind::ConfigUnavailable)),
+        None => Err(Refusal::after(ErrorKind::ConfigUnavailable, ELSEWHERE_SOON)),
         Some(config) => ForwardRequest::judge(incoming, caller, &config, now),
     };
     match judged {
--- a/crates/entry/src/scheduling/client/mod.rs
+++ b/crates/entry/src/scheduling/client/mod.rs
@@ -8,9 +8,9 @@
     crate::clock::Clock,
     jasmine_core::{
         clock::Millis,
-        error::Refusal,
+        error::{ErrorKind, Refusal},
         ids::Fence,
-        scheduler::{Outcome, RightsShare, Ticket},
+        scheduler::{Outcome, OwnDecision, RightsShare, Ticket},
     },
     jasmine_telemetry::log::Line,
     jasmine_wire::{
@@ -67,6 +67,8 @@
     clock: Clock,
     mode: RefCell<Mode>,
     leader: RefCell<Option<Leader>>,
+    /// Since when the leader hasn't answered.
+    silent_since: Cell<Option<Millis>>,
     /// Counts changes of the leader that is known.
     changed: watch::Sender<u64>,
     /// Counts changes of who decides.
@@ -75,6 +77,8 @@
     running: RefCell<HashMap<u64, Running>>,
     outbox: RefCell<Vec<(u64, News)>>,
     has_news: Notify,
+    /// The parts of all rates of which this VM has one, while it decides alone.
+    parts: Cell<u64>,
     /// The VMs that the store lists.
     vms: RefCell<BTreeMap<String, SocketAddr>>,
 }
@@ -101,12 +105,14 @@
             clock: Clock,
             mode: RefCell::new(Mode::Alone),
             leader: RefCell::default(),
+            silent_since: Cell::new(None),
             changed: watch::Sender::default(),
             mode_changed: watch::Sender::default(),
             next_number: Cell::new(1),
             running: RefCell::default(),
             outbox: RefCell::default(),
             has_news: Notify::new(),
+            parts: Cell::new(1),
             vms: RefCell::default(),
         }
     }
@@ -160,10 +166,14 @@
                     version,
                 }) => {
                     pending.is_settled.set(true);
+                    self.desk.note_own(&spec, OwnDecision::LetThrough);
                     return Ok(self.placed(spec, upstream, address, version));
                 }
                 Some(Verdict::Refused(refusal)) => {
                     pending.is_settled.set(true);
+                    if refusal.kind == ErrorKind::RateLimited {
+                        self.desk.note_own(&spec, OwnDecision::OverRate);
+                    }
                     return Err(refusal);
                 }
                 // Somebody else decides by now.
@@ -207,6 +217,12 @@
         matches!(*self.mode.borrow(), Mode::Following(..))
     }
 
+    /// For how long the leader hasn't answered, while nobody else is known to lead.
+    pub fn silent_for(&self) -> Option<Millis> {
+        let since = self.silent_since.get()?;
+        Some(self.clock.now().since(since))
+    }
+
     /// Who decides for this VM now, as a word for the log.
     pub fn decider(&self) -> String {
         match &*self.mode.borrow() {
@@ -314,7 +330,9 @@
         vms: BTreeMap<String, SocketAddr>,
     ) {
         self.vms.replace(vms);
-        if matches!(*self.mode.borrow(), Mode::Alone) {
+        // A VM that goes leaves its part unused; only one more makes the parts smaller.
+        let more = self.vms.borrow().len() as u64 > self.parts.get();
+        if more && matches!(*self.mode.borrow(), Mode::Alone) {
             self.desk.set_role(false, self.part());
         }
     }
@@ -396,6 +414,7 @@
     ) {
         if matches!(*self.mode.borrow(), Mode::Following(..)) {
             Line::new("leader_lost").with("reason", reason).warn();
+            self.silent_since.set(Some(self.clock.now()));
             self.stand_alone();
         }
     }
@@ -407,13 +426,17 @@
     }
 
     fn part(&self) -> RightsShare {
-        RightsShare::Part(self.vms.borrow().len().max(1) as u64)
+        self.parts.set(self.vms.borrow().len().max(1) as u64);
+        RightsShare::Part(self.parts.get())
     }
 
     fn set_mode(
         &self,
         mode: Mode,
     ) {
+        if !matches!(mode, Mode::Alone) {
+            self.silent_since.set(None);
+        }
         self.mode.replace(mode);
         self.mode_changed.send_modify(|count| *count += 1);
         self.bump();
--- a/crates/entry/src/scheduling/desk.rs
+++ b/crates/entry/src/scheduling/desk.rs
@@ -10,7 +10,7 @@
         ids::UpstreamId,
         ingress::{EngineHoldings, IngressConfig, UpstreamEntry},
         scheduler::{
-            Adopted, Announcement, Order, OrderEnd, Outcome, RightsShare, Scheduler,
+            Adopted, Announcement, Order, OrderEnd, Outcome, OwnDecision, RightsShare, Scheduler,
             SchedulerAction as Action, SchedulerSettings, Ticket,
         },
     },
@@ -189,6 +189,21 @@
         rx
     }
 
+    /// Notes what was decided of a first attempt of this VM's own callers, whoever decided.
+    pub fn note_own(
+        &self,
+        spec: &JobSpec,
+        decided: OwnDecision,
+    ) {
+        let Some(account) = spec.account.as_ref().filter(|_| spec.attempt == 1) else {
+            return;
+        };
+        let account = self.names.borrow_mut().account(account);
+        let now = self.clock.now();
+        let mut machine = self.machine.borrow_mut();
+        machine.note_own(account, spec.cost, decided, now);
+    }
+
     /// The first event of a request was seen.
     pub fn first_event(
         &self,
--- a/crates/entry/src/scheduling/server.rs
+++ b/crates/entry/src/scheduling/server.rs
@@ -5,7 +5,9 @@
             News, read_job, read_leader, read_news, read_running, write_leader, write_verdict,
         },
     },
+    crate::store::{Feed, write_answer},
     jasmine_core::{
+        clock::Millis,
         error::{ErrorKind, Refusal},
         ids::Fence,
         scheduler::{Outcome, Ticket},
@@ -22,6 +24,7 @@
 #[derive(Debug)]
 pub struct SchedulerServer {
     scheduling: Rc<Scheduling>,
+    feed: Rc<Feed>,
     /// The session of each VM under the token of this lead.
     sessions: RefCell<HashMap<String, u32>>,
     next_session: Cell<u32>,
@@ -29,10 +32,14 @@
 }
 
 impl SchedulerServer {
-    /// A server of this VM's machine.
-    pub fn new(scheduling: Rc<Scheduling>) -> Self {
+    /// A server of this VM's machine, and of what it knows of the store.
+    pub fn new(
+        scheduling: Rc<Scheduling>,
+        feed: Rc<Feed>,
+    ) -> Self {
         Self {
             scheduling,
+            feed,
             sessions: RefCell::default(),
             next_session: Cell::new(1),
             under: Cell::new(None),
@@ -173,8 +180,27 @@
         );
         Ok(())
     }
+
+    async fn changes(
+        self: Rc<Self>,
+        params: scheduler::ChangesParams,
+        mut results: scheduler::ChangesResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let minor_after = Some(params.get_minor_after()).filter(|&revision| revision != 0);
+        let wait = Millis(params.get_wait_ms().into()).min(MOST_HELD);
+        let answer = self
+            .feed
+            .changes(params.get_after(), minor_after, wait)
+            .await;
+        write_answer(results.get(), &answer);
+        Ok(())
+    }
 }
 
+/// The longest that a question for changes is held, whatever its asker says.
+const MOST_HELD: Millis = Millis(5_000);
+
 /// A question whose asker takes it back by dropping its call: its caller has gone.
 struct Withdrawn<'a> {
     desk: &'a Desk,
--- /dev/null
+++ b/crates/entry/src/store/feed/convert.rs
@@ -0,0 +1,114 @@
+//! Changes as messages between VMs.
+
+use {
+    super::FeedAnswer,
+    jasmine_core::{clock::Millis, feed::SourceFailure},
+    jasmine_store::store::{KeyValue, WatchEvent},
+    jasmine_wire::{
+        link::{Link, LinkError},
+        scheduler_capnp::{FeedState, change, scheduler},
+    },
+};
+
+/// What stands for a return of the store that is long ago.
+const LONG_AGO: u32 = u32::MAX;
+
+/// Asks a VM for what has changed; it may wait for changes as long as `wait`.
+///
+/// # Errors
+///
+/// [`LinkError`].
+pub(in crate::store) async fn ask_peer(
+    link: &Link<scheduler::Client>,
+    after: u64,
+    minor_after: Option<u64>,
+    wait: Millis,
+) -> Result<FeedAnswer, LinkError> {
+    link.call(wait, |client| async move {
+        let mut req = client.changes_request();
+        req.get().set_after(after);
+        req.get().set_minor_after(minor_after.unwrap_or_default());
+        req.get().set_wait_ms(wait.0 as u32);
+        let res = req.send().promise.await?;
+        read_answer(res.get()?)
+    })
+    .await
+}
+
+/// Writes the answer to [`ask_peer`].
+pub(crate) fn write_answer(
+    mut to: scheduler::changes_results::Builder<'_>,
+    answer: &FeedAnswer,
+) {
+    match answer {
+        FeedAnswer::Unknown(SourceFailure::Stale) => to.set_state(FeedState::Stale),
+        FeedAnswer::Unknown(SourceFailure::HistoryGone) => to.set_state(FeedState::HistoryGone),
+        FeedAnswer::Unknown(SourceFailure::NotReading | SourceFailure::Unreachable) => {
+            to.set_state(FeedState::NotReading);
+        }
+        FeedAnswer::Changes {
+            revision,
+            since_back,
+            events,
+        } => {
+            to.set_state(FeedState::Current);
+            to.set_revision(*revision);
+            to.set_since_back_ms(since_back.map_or(LONG_AGO, |ms| ms.0 as u32));
+            let mut list = to.init_changes(events.len() as u32);
+            for (at, event) in events.iter().enumerate() {
+                write_change(list.reborrow().get(at as u32), event);
+            }
+        }
+    }
+}
+
+fn read_answer(from: scheduler::changes_results::Reader<'_>) -> Result<FeedAnswer, capnp::Error> {
+    let failure = match from.get_state()? {
+        FeedState::Current => None,
+        FeedState::Stale => Some(SourceFailure::Stale),
+        FeedState::NotReading => Some(SourceFailure::NotReading),
+        FeedState::HistoryGone => Some(SourceFailure::HistoryGone),
+    };
+    if let Some(failure) = failure {
+        return Ok(FeedAnswer::Unknown(failure));
+    }
+    let since_back = match from.get_since_back_ms() {
+        LONG_AGO => None,
+        ms => Some(Millis(ms.into())),
+    };
+    let events: Result<Vec<WatchEvent>, capnp::Error> =
+        from.get_changes()?.iter().map(read_change).collect();
+    Ok(FeedAnswer::Changes {
+        revision: from.get_revision(),
+        since_back,
+        events: events?,
+    })
+}
+
+fn write_change(
+    mut to: change::Builder<'_>,
+    event: &WatchEvent,
+) {
+    let (WatchEvent::Put(kv) | WatchEvent::Delete(kv)) = event;
+    to.set_deleted(matches!(event, WatchEvent::Delete(_)));
+    to.set_key(&kv.key);
+    to.set_value(&kv.value);
+    to.set_create_revision(kv.create_revision);
+    to.set_revision(kv.mod_revision);
+    to.set_lease(kv.lease);
+}
+
+fn read_change(from: change::Reader<'_>) -> Result<WatchEvent, capnp::Error> {
+    let kv = KeyValue {
+        key: from.get_key()?.to_string()?,
+        value: from.get_value()?.to_vec(),
+        create_revision: from.get_create_revision(),
+        mod_revision: from.get_revision(),
+        lease: from.get_lease(),
+    };
+    Ok(if from.get_deleted() {
+        WatchEvent::Delete(kv)
+    } else {
+        WatchEvent::Put(kv)
+    })
+}
--- /dev/null
+++ b/crates/entry/src/store/feed/mod.rs
@@ -0,0 +1,9 @@
+//! Changes of the store, handed from VM to VM.
+
+mod answer;
+mod convert;
+mod served;
+
+pub(super) use convert::ask_peer;
+pub(crate) use convert::write_answer;
+pub use {answer::FeedAnswer, served::Feed};
--- a/crates/entry/src/store/follower.rs
+++ b/crates/entry/src/store/follower.rs
@@ -1,20 +1,19 @@
 use {
-    super::{
-        KvStore, Membership,
-        membership::{LEADER_KEY, VM_PREFIX},
-    },
+    super::{Feed, FeedAnswer, KvStore, Membership, VmEntry, feed::ask_peer, view::View},
     crate::context::Context,
     futures::StreamExt,
-    jasmine_core::{clock::Millis, ingress::UpstreamEntry, scheduler::Announcement},
-    jasmine_platform::{configuration, entries, versions},
-    jasmine_store::store::{KeyValue, Range, RangeReply, Store, StoreError, WatchEvent},
+    jasmine_core::{
+        clock::Millis,
+        feed::{Source, SourceChoice, SourceFailure, VmRank},
+    },
+    jasmine_store::store::{Range, Store, StoreError, WatchBatch},
     jasmine_telemetry::log::Line,
-    std::{
-        cell::{Cell, RefCell},
-        collections::HashMap,
-        rc::Rc,
+    jasmine_wire::{
+        link::{Backoff, Link, LinkOptions},
+        scheduler_capnp::scheduler,
     },
-    tokio::{task::spawn_local, time::sleep},
+    std::{collections::HashMap, net::SocketAddr, rc::Rc},
+    tokio::time::sleep,
 };
 
 /// All keys: the operator's, the upstreams' and our own. One watch over all of them is one call.
@@ -22,276 +21,237 @@
 /// The pause after a watch that brought something, in percent of the time in which a change has to be in force:
 /// changes come in bursts, each call has its price, and a slow store takes some hundred milliseconds besides.
 const PAUSE_PERCENT: u64 = 32;
-/// The pause after a failed call.
-const RETRY: Millis = Millis(150);
-/// For how long after the store is back an upstream whose entry has lapsed is still used: those that live have
-/// written again by then.
-const REJOIN: Millis = Millis(2_300);
+/// The pauses after failed calls. Each call is counted, those that fail too, and an outage lasts for seconds.
+const RETRY_FIRST: Millis = Millis(150);
+const RETRY_MOST: Millis = Millis(600);
+/// How long another VM may take to answer beyond the time for which it holds a question.
+const PEER_LINK: LinkOptions = LinkOptions {
+    connect_timeout: Millis(300),
+    call_timeout: Millis(350),
+    // A question is held for less than this, so that it is itself the sign of life.
+    heartbeat: Millis(5_000),
+    backoff_first: Millis(30),
+    backoff_most: Millis(200),
+};
+/// For how long another VM holds a question. One that is frozen is noticed after this and the time of the call.
+const HELD: Millis = Millis(300);
+/// How often small changes are asked for besides: what engines hold, for the case that this VM has to decide alone. An
+/// entry has some hundred bytes and changes every second; at ninety of them a second for each of 26 VMs of a data
+/// centre they would take all of the narrowest network, ten megabits a second.
+const MINOR_EVERY: Millis = Millis(3_000);
+
+type PeerLink = Link<scheduler::Client>;
+
+/// What a step of following has come to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    GoOn,
+    /// What comes next is gone: all has to be read anew.
+    ReadAnew,
+}
+
+/// How far this VM has followed.
+#[derive(Clone, Copy, Debug, Default)]
+struct Position {
+    after: u64,
+    /// The same for small changes.
+    minor_after: u64,
+    minor_at: Millis,
+}
 
-/// What was read of the upstreams' entries.
-#[derive(Debug)]
-struct View {
+struct Follower {
     cx: Rc<Context>,
+    store: KvStore,
     membership: Rc<Membership>,
-    upstreams: RefCell<HashMap<String, UpstreamEntry>>,
-    /// Entries that went while the store was away, and when they do count as gone.
-    lapsed: RefCell<HashMap<String, Millis>>,
-    /// When the store answered again after it had not.
-    back_at: Cell<Millis>,
-    is_away: Cell<bool>,
+    feed: Rc<Feed>,
+    view: Rc<View>,
+    choice: SourceChoice,
+    backoff: Backoff,
+    links: HashMap<VmRank, PeerLink>,
+    position: Position,
 }
 
-/// Follows the store for ever: configuration, versions, upstreams, VMs and leader.
+/// Follows the store for ever, by itself or through another VM: configuration, versions, upstreams, VMs and leader.
 pub async fn follow(
     cx: Rc<Context>,
     store: KvStore,
     membership: Rc<Membership>,
+    feed: Rc<Feed>,
 ) {
-    let view = Rc::new(View {
+    let view = View::new(Rc::clone(&cx), Rc::clone(&membership), Rc::clone(&feed));
+    let mut follower = Follower {
+        choice: SourceChoice::new(membership.rank()),
+        backoff: Backoff::new(RETRY_FIRST, RETRY_MOST),
+        links: HashMap::new(),
+        position: Position::default(),
+        view: Rc::new(view),
         cx,
+        store,
         membership,
-        upstreams: RefCell::default(),
-        lapsed: RefCell::default(),
-        back_at: Cell::new(Millis::ZERO),
-        is_away: Cell::new(false),
-    });
+        feed,
+    };
     loop {
-        let result = match load(&store).await {
-            Ok(reply) => {
-                let revision = reply.revision;
-                view.reset(&reply);
-                watch(&view, &store, revision).await
-            }
-            Err(e) => Err(e),
-        };
-        if let Err(e) = result {
-            view.note_away(&e);
-            sleep(RETRY.to_std()).await;
+        match follower.read_anew().await {
+            Ok(()) => follower.follow().await,
+            Err(e) => follower.store_failed(&e).await,
         }
     }
 }
 
-async fn load(store: &KvStore) -> Result<RangeReply, StoreError> {
-    store.range(Range::key(EVERYTHING)).await
-}
+impl Follower {
+    async fn read_anew(&mut self) -> Result<(), StoreError> {
+        let reply = self.store.range(Range::key(EVERYTHING)).await?;
+        self.view.reset(&reply);
+        self.moved_to(reply.revision, true);
+        Ok(())
+    }
 
-/// Follows from a revision on, until the store no longer has what comes after it.
-async fn watch(
-    view: &Rc<View>,
-    store: &KvStore,
-    revision: u64,
-) -> Result<(), StoreError> {
-    let mut next = revision + 1;
-    loop {
-        let mut batches = store.watch(Range::key(EVERYTHING), next).await?;
-        while let Some(batch) = batches.next().await {
-            let batch = match batch {
-                Ok(batch) => batch,
-                Err(e) => {
-                    view.note_away(&e);
-                    sleep(RETRY.to_std()).await;
-                    break;
-                }
+    /// Follows until the store no longer has what comes next.
+    async fn follow(&mut self) {
+        loop {
+            let peers = self.membership.peers_here();
+            let now = self.cx.clock.now();
+            let leads = self.cx.scheduling.is_leading();
+            let source = self.choice.choose(peers.keys().copied(), leads, now);
+            self.feed.set_reading(source == Source::Store);
+            let step = match source {
+                Source::Store => self.watch_store().await,
+                Source::Vm(rank) => self.ask_vm(rank, &peers[&rank]).await,
             };
-            view.note_back();
-            if batch.compacted.is_some() {
-                Line::new("history_lost").with("revision", next).warn();
-                return Ok(());
-            }
-            next = next.max(batch.revision + 1);
-            for event in &batch.events {
-                view.take(event);
-            }
-            if !batch.events.is_empty() {
-                let pause = view.cx.settings.change_ms.0 * PAUSE_PERCENT / 100;
-                sleep(Millis(pause).to_std()).await;
+            if step == Step::ReadAnew {
+                return;
             }
         }
     }
-}
 
-impl View {
-    fn note_away(
-        &self,
-        e: &StoreError,
-    ) {
-        if !self.is_away.replace(true) {
-            Line::new("store_lost").with("reason", e).warn();
+    async fn watch_store(&mut self) -> Step {
+        let next = self.position.minor_after + 1;
+        match self.next_batch(next).await {
+            Ok(batch) => {
+                self.choice.store_answered();
+                self.backoff.reset();
+                self.view.note_back();
+                self.take_batch(&batch).await
+            }
+            Err(e) => {
+                self.store_failed(&e).await;
+                Step::GoOn
+            }
         }
     }
 
-    fn note_back(&self) {
-        if self.is_away.replace(false) {
-            Line::new("store_back").info();
-            self.back_at.set(self.cx.clock.now());
-        }
+    async fn next_batch(
+        &self,
+        next: u64,
+    ) -> Result<WatchBatch, StoreError> {
+        let mut batches = self.store.watch(Range::key(EVERYTHING), next).await?;
+        let ended = || StoreError::OutcomeUnknown("the watch ended".to_owned());
+        batches.next().await.unwrap_or_else(|| Err(ended()))
     }
 
-    /// Takes the whole content in place of what was known.
-    fn reset(
-        self: &Rc<Self>,
-        reply: &RangeReply,
-    ) {
-        self.note_back();
-        for kv in &reply.kvs {
-            self.put(kv, Announcement::Found);
+    async fn take_batch(
+        &mut self,
+        batch: &WatchBatch,
+    ) -> Step {
+        if batch.compacted.is_some() {
+            Line::new("history_lost")
+                .with("revision", self.position.minor_after)
+                .warn();
+            return Step::ReadAnew;
         }
-        let has = |key: &str| reply.kvs.iter().any(|kv| kv.key == key);
-        let known: Vec<String> = self.upstreams.borrow().keys().cloned().collect();
-        for id in known {
-            if !has(&format!("{}{id}", entries::PREFIX)) {
-                self.remove_upstream(&id);
-            }
+        for event in &batch.events {
+            self.view.take(event);
         }
-        let vms: Vec<&str> = reply
-            .kvs
-            .iter()
-            .filter_map(|kv| kv.key.strip_prefix(VM_PREFIX))
-            .collect();
-        self.membership.retain_vms(&self.cx, &vms);
-        if !has(LEADER_KEY) {
-            self.membership.remove_leader();
+        self.moved_to(batch.revision, true);
+        if !batch.events.is_empty() {
+            let pause = self.cx.settings.change_ms.0 * PAUSE_PERCENT / 100;
+            sleep(Millis(pause).to_std()).await;
         }
-        self.membership.set_loaded();
+        Step::GoOn
     }
 
-    fn take(
-        self: &Rc<Self>,
-        event: &WatchEvent,
+    async fn store_failed(
+        &mut self,
+        e: &StoreError,
     ) {
-        match event {
-            WatchEvent::Put(kv) => self.put(kv, Announcement::New),
-            WatchEvent::Delete(kv) => self.delete(&kv.key),
-        }
+        self.choice.store_failed(self.cx.clock.now());
+        self.view.note_away(e);
+        sleep(self.backoff.next_pause().to_std()).await;
     }
 
-    fn put(
-        &self,
-        kv: &KeyValue,
-        how: Announcement,
-    ) {
-        if kv.key == configuration::KEY {
-            match configuration::decode(&kv.value) {
-                Ok(config) => self.cx.set_config(config),
-                Err(e) => unreadable(&kv.key, &e),
+    async fn ask_vm(
+        &mut self,
+        rank: VmRank,
+        vm: &VmEntry,
+    ) -> Step {
+        let now = self.cx.clock.now();
+        let asks_minor = now.since(self.position.minor_at) >= MINOR_EVERY;
+        let minor_after = asks_minor.then_some(self.position.minor_after);
+        let after = self.position.after;
+        let answer = ask_peer(self.link(rank, vm.address), after, minor_after, HELD).await;
+        match answer {
+            Ok(FeedAnswer::Changes {
+                revision,
+                since_back,
+                events,
+            }) => {
+                if let Some(since) = since_back {
+                    self.view.note_back_elsewhere(since);
+                }
+                for event in &events {
+                    self.view.take(event);
+                }
+                self.moved_to(revision, asks_minor);
             }
-        } else if let Some(id) = kv.key.strip_prefix(entries::PREFIX) {
-            self.put_upstream(id, kv);
-        } else if kv.key.starts_with(versions::PREFIX) {
-            self.put_version(kv, how);
-        } else if kv.key == LEADER_KEY {
-            self.membership.set_leader(&self.cx, kv);
-        } else if kv.key.starts_with(VM_PREFIX) {
-            self.membership.set_vm(&self.cx, kv);
-        }
-    }
-
-    fn delete(
-        self: &Rc<Self>,
-        key: &str,
-    ) {
-        if let Some(id) = key.strip_prefix(entries::PREFIX) {
-            self.remove_upstream(id);
-        } else if key == LEADER_KEY {
-            self.membership.remove_leader();
-        } else if let Some(vm) = key.strip_prefix(VM_PREFIX) {
-            self.membership.remove_vm(&self.cx, vm);
-        }
-    }
-
-    fn put_upstream(
-        &self,
-        id: &str,
-        kv: &KeyValue,
-    ) {
-        let entry = match entries::decode(id, &kv.value) {
-            Ok(entry) => entry,
-            Err(e) => return unreadable(&kv.key, &e),
-        };
-        let mut upstreams = self.upstreams.borrow_mut();
-        let known = upstreams.get(id);
-        // A restart has a later start; what an earlier run wrote may still arrive after it.
-        if known.is_some_and(|known| known.started_unix_ms > entry.started_unix_ms) {
-            return;
+            Ok(FeedAnswer::Unknown(why)) => self.vm_failed(rank, vm, why, &why.to_string()),
+            Err(e) => self.vm_failed(rank, vm, SourceFailure::Unreachable, &e.to_string()),
         }
-        if known.is_none_or(|known| known.state != entry.state) {
-            Line::new("upstream_seen")
-                .with("upstream", id)
-                .with("service", &entry.service)
-                .with("address", entry.address)
-                .with("state", format!("{:?}", entry.state))
-                .info();
-        }
-        self.lapsed.borrow_mut().remove(id);
-        self.cx.scheduling.desk.set_upstream(&entry);
-        upstreams.insert(id.to_owned(), entry);
+        Step::GoOn
     }
 
-    fn put_version(
-        &self,
-        kv: &KeyValue,
-        how: Announcement,
+    fn vm_failed(
+        &mut self,
+        rank: VmRank,
+        vm: &VmEntry,
+        why: SourceFailure,
+        reason: &str,
     ) {
-        match versions::decode(&kv.value) {
-            Ok(announced) => {
-                if let Some(adapter) = &announced.adapter {
-                    let desk = &self.cx.scheduling.desk;
-                    desk.announce_version(&announced.model, adapter, announced.version, how);
-                    Line::new("version_announced")
-                        .with("adapter", adapter)
-                        .with("version", announced.version)
-                        .info();
-                }
-            }
-            Err(e) => unreadable(&kv.key, &e),
-        }
+        Line::new("feed_lost")
+            .with("vm", &vm.name)
+            .with("reason", reason)
+            .with("revision", self.position.after)
+            .info();
+        self.choice.vm_failed(rank, why, self.cx.clock.now());
     }
 
-    /// An entry is gone. Entries lapse while the store is away, though their upstreams live; those are used
-    /// for a while longer, or callers would be refused for a fault of the store's.
-    fn remove_upstream(
-        self: &Rc<Self>,
-        id: &str,
+    fn moved_to(
+        &mut self,
+        revision: u64,
+        with_minor: bool,
     ) {
-        let now = self.cx.clock.now();
-        let until = self.back_at.get() + REJOIN;
-        let has_been_away = self.back_at.get() > Millis::ZERO;
-        if !has_been_away || now >= until {
-            return self.forget(id, "entry gone");
+        self.position.after = self.position.after.max(revision);
+        if with_minor {
+            self.position.minor_after = self.position.after;
+            self.position.minor_at = self.cx.clock.now();
         }
-        self.lapsed.borrow_mut().insert(id.to_owned(), until);
-        let view = Rc::clone(self);
-        let id = id.to_owned();
-        spawn_local(async move {
-            sleep(until.since(now).to_std()).await;
-            if view.lapsed.borrow().get(&id) == Some(&until) {
-                view.lapsed.borrow_mut().remove(&id);
-                view.forget(&id, "entry didn't come back");
-            }
-        });
+        self.feed.advance(self.position.after);
     }
 
-    fn forget(
-        &self,
-        id: &str,
-        reason: &str,
-    ) {
-        if self.upstreams.borrow_mut().remove(id).is_some() {
-            Line::new("upstream_gone")
-                .with("upstream", id)
-                .with("reason", reason)
-                .info();
-            self.cx.scheduling.desk.remove_upstream(id);
+    /// The link to a VM; another one where its address has changed.
+    fn link(
+        &mut self,
+        rank: VmRank,
+        address: SocketAddr,
+    ) -> &PeerLink {
+        if self
+            .links
+            .get(&rank)
+            .is_some_and(|link| link.address() != address)
+        {
+            self.links.remove(&rank);
         }
+        self.links
+            .entry(rank)
+            .or_insert_with(|| PeerLink::new(address, PEER_LINK))
     }
 }
-
-fn unreadable(
-    key: &str,
-    e: &jasmine_platform::DecodeError,
-) {
-    Line::new("entry_unreadable")
-        .with("key", key)
-        .with("reason", e)
-        .warn();
-}
--- a/crates/entry/src/store/kv_store.rs
+++ b/crates/entry/src/store/kv_store.rs
@@ -16,10 +16,6 @@
 /// How long a call may take beyond the time that it asks the service to hold it. The service answers in a few
 /// milliseconds; when it is slow, in some hundred.
 const CALL_TIMEOUT: Millis = Millis(900);
-/// How long a watch is held. A connection may go silent without a word; a watch that is answered this often
-/// tells a silent one apart before a change is overdue.
-const WATCH_HELD: Millis = Millis(1_500);
-
 /// The key-value service.
 #[derive(Clone, Debug)]
 pub struct KvStore {
@@ -29,15 +25,26 @@
 #[derive(Debug)]
 struct Inner {
     address: SocketAddr,
+    /// How long a watch is held. A connection may go silent without a word; a watch that is answered this often
+    /// tells a silent one apart before a change is overdue.
+    watch_held: Millis,
     pool: Pool,
 }
 
 impl KvStore {
-    /// A client of the service at `address`; connects when first used.
-    pub fn new(address: SocketAddr) -> Self {
-        let pool = Pool::default();
+    /// A client of the service at `address`, which connects when first used and asks for watches to be held for
+    /// `watch_held`.
+    pub fn new(
+        address: SocketAddr,
+        watch_held: Millis,
+    ) -> Self {
+        let inner = Inner {
+            address,
+            watch_held,
+            pool: Pool::default(),
+        };
         Self {
-            inner: Rc::new(Inner { address, pool }),
+            inner: Rc::new(inner),
         }
     }
 
@@ -46,9 +53,33 @@
         self.inner.pool.sweep();
     }
 
+    /// Renews a lease, and gives up after `limit`: the renewal counts from its arrival, whether or not its answer
+    /// comes back.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`].
+    pub async fn renew(
+        &self,
+        id: LeaseId,
+        limit: Millis,
+    ) -> Result<Option<Lease>, StoreError> {
+        let (status, body) = self.call_within(&encode_keep(id), limit).await?;
+        decode_keep(id, status, &body)
+    }
+
     async fn call(
         &self,
         call: &Call,
+    ) -> Result<(u16, bytes::Bytes), StoreError> {
+        self.call_within(call, CALL_TIMEOUT).await
+    }
+
+    /// Makes a call that may take `limit` beyond the time for which it asks to be held.
+    async fn call_within(
+        &self,
+        call: &Call,
+        limit: Millis,
     ) -> Result<(u16, bytes::Bytes), StoreError> {
         let call = HttpCall {
             address: self.inner.address,
@@ -56,7 +87,7 @@
             target: &call.target,
             headers: "",
             body: &call.body,
-            limit: call.held + CALL_TIMEOUT,
+            limit: call.held + limit,
             fresh: false,
         };
         call.make(&self.inner.pool).await.map_err(|e| match e {
@@ -127,10 +158,7 @@
         &self,
         id: LeaseId,
     ) -> StoreFuture<'_, Option<Lease>> {
-        Box::pin(async move {
-            let (status, body) = self.call(&encode_keep(id)).await?;
-            decode_keep(id, status, &body)
-        })
+        Box::pin(async move { self.renew(id, CALL_TIMEOUT).await })
     }
 
     fn revoke(
@@ -153,7 +181,7 @@
         let watch: WatchStream = Box::pin(stream::try_unfold(
             state,
             |(store, prefix, after)| async move {
-                let call = encode_watch(&prefix, after, WATCH_HELD);
+                let call = encode_watch(&prefix, after, store.inner.watch_held);
                 let (status, body) = store.call(&call).await?;
                 let batch = decode_watch(status, &body)?;
                 let after = batch.revision.max(after);
--- /dev/null
+++ b/crates/entry/src/store/lead.rs
@@ -0,0 +1,178 @@
+//! The lead: whether it is free, taking it, and keeping it.
+
+use {
+    super::{KvStore, Membership, membership::LEADER_KEY},
+    crate::context::Context,
+    jasmine_core::{clock::Millis, ids::Fence},
+    jasmine_store::store::{Compare, Lease, Op, Range, Store, StoreError, Txn},
+    jasmine_telemetry::log::Line,
+    std::rc::Rc,
+    tokio::time::{sleep, timeout},
+};
+
+/// How long the lead lasts without a renewal, and by that how long callers are without a scheduler when the one that
+/// leads freezes. Until then each VM decides alone, and refuses what is beyond its small part of an account's rate.
+const LEASE: Millis = Millis(1_200);
+/// How often it is renewed.
+const RENEW_EVERY: Millis = Millis(300);
+/// How long a renewal may take before the next one goes out: one may be lost and a second one too.
+const RENEWAL: Millis = Millis(350);
+/// How often it is looked otherwise whether the lead is free.
+const LOOK_EVERY: Millis = Millis(400);
+/// How often the VM whose turn is next asks the store whether the key of a leader that has fallen silent is still there:
+/// the change itself arrives up to a second later, as changes are gathered.
+const ASK_EVERY: Millis = Millis(150);
+/// How much later each further VM begins to ask, and how many do at the most.
+const ASK_TURN: Millis = Millis(700);
+const ASKERS: usize = 3;
+/// After this long it is this VM's own way that is broken, and not the leader.
+const ASK_FOR: Millis = Millis(4_000);
+
+/// Stands for the lead when nobody has it, and keeps it; for ever.
+pub async fn keep_lead(
+    cx: Rc<Context>,
+    store: KvStore,
+    membership: Rc<Membership>,
+) {
+    let lead = Lead {
+        cx,
+        store,
+        membership,
+    };
+    loop {
+        if lead.membership.may_stand(&lead.cx) {
+            lead.stand().await;
+        }
+        match lead.membership.lead_lease.get() {
+            Some(lease) if lead.cx.scheduling.is_leading() => lead.keep(lease).await,
+            _ => lead.wait().await,
+        }
+    }
+}
+
+struct Lead {
+    cx: Rc<Context>,
+    store: KvStore,
+    membership: Rc<Membership>,
+}
+
+impl Lead {
+    /// Waits until the lead may be free.
+    async fn wait(&self) {
+        if self.asks_now() {
+            sleep(ASK_EVERY.to_std()).await;
+            return self.ask().await;
+        }
+        let woken = timeout(LOOK_EVERY.to_std(), self.membership.changed.notified()).await;
+        if woken.is_ok() {
+            let turn = self.membership.turn(&self.cx);
+            sleep(turn.min(LOOK_EVERY).to_std()).await;
+        }
+    }
+
+    /// Whether the leader has fallen silent and it is this VM's turn to ask the store about it.
+    fn asks_now(&self) -> bool {
+        let Some(silent) = self.cx.scheduling.silent_for() else {
+            return false;
+        };
+        let before = self.membership.before_me(&self.cx);
+        self.membership.has_other_leader()
+            && before < ASKERS
+            && silent >= Millis(ASK_TURN.0 * before as u64)
+            && silent < ASK_FOR
+    }
+
+    async fn ask(&self) {
+        match self.store.range(Range::key(LEADER_KEY)).await {
+            Ok(reply) => match reply.kvs.first() {
+                Some(kv) => self.membership.set_leader(&self.cx, kv),
+                None => self.membership.remove_leader(),
+            },
+            Err(e) => Line::new("leader_not_asked").with("reason", e).info(),
+        }
+    }
+
+    /// Renews the lease until it has ended or another VM leads.
+    async fn keep(
+        &self,
+        lease: Lease,
+    ) {
+        while self.cx.scheduling.is_leading() {
+            sleep(RENEW_EVERY.to_std()).await;
+            match self.store.renew(lease.id, RENEWAL).await {
+                Ok(Some(_)) => {}
+                Ok(None) => {
+                    Line::new("lead_lapsed").with("lease", lease.id).warn();
+                    self.membership.lead_lease.set(None);
+                    return self.membership.remove_leader();
+                }
+                Err(e) => Line::new("renewal_failed").with("reason", e).info(),
+            }
+        }
+        self.give_back(lease).await;
+    }
+
+    /// The lease of a lead that another VM has taken over keeps nothing alive; it ends by itself where this fails.
+    async fn give_back(
+        &self,
+        lease: Lease,
+    ) {
+        self.membership.lead_lease.set(None);
+        if let Err(e) = self.store.revoke(lease.id).await {
+            Line::new("lease_not_ended").with("reason", e).info();
+        }
+    }
+
+    /// Tries to become the leader.
+    async fn stand(&self) {
+        match self.try_stand().await {
+            Ok(()) => {}
+            Err(e) => {
+                Line::new("election_failed").with("reason", e).info();
+                sleep(RENEW_EVERY.to_std()).await;
+            }
+        }
+    }
+
+    async fn try_stand(&self) -> Result<(), StoreError> {
+        let ttl = LEASE.max(self.cx.settings.least_lease_ms);
+        let lease = match self.membership.lead_lease.get() {
+            Some(lease) => lease,
+            None => self.store.grant(ttl).await?,
+        };
+        self.membership.lead_lease.set(Some(lease));
+        let key = LEADER_KEY.to_owned();
+        let compare = match self.membership.predecessor() {
+            Some(revision) => Compare::ModRevision(key, revision),
+            None => Compare::Absent(key),
+        };
+        let me = self.membership.me();
+        let txn = Txn {
+            compare: vec![compare],
+            success: vec![Op::put_leased(LEADER_KEY, me.encode(), lease.id)],
+            failure: Vec::new(),
+        };
+        let reply = match self.store.txn(txn).await {
+            Ok(reply) => reply,
+            Err(e) => {
+                // Where the answer was lost, the key itself tells, by this lease. Where the lease has ended, another
+                // one is needed.
+                if e.is_not_done() {
+                    self.membership.lead_lease.set(None);
+                }
+                return Err(e);
+            }
+        };
+        if reply.succeeded {
+            self.membership.take_lead(&self.cx, Fence(reply.revision));
+            return Ok(());
+        }
+        for kv in reply.reads.iter().flatten() {
+            self.membership.set_leader(&self.cx, kv);
+        }
+        if !self.cx.scheduling.is_leading() {
+            self.give_back(lease).await;
+        }
+        Ok(())
+    }
+}
--- a/crates/entry/src/store/mod.rs
+++ b/crates/entry/src/store/mod.rs
@@ -1,11 +1,21 @@
 //! The platform's key-value service: its client, what is followed there, and what this VM keeps there.
 
+mod feed;
 mod follower;
 mod kv_store;
+mod lead;
+mod member_lease;
 mod membership;
+mod view;
+mod vm_record;
 
+pub(crate) use feed::write_answer;
 pub use {
+    feed::{Feed, FeedAnswer},
     follower::follow,
     kv_store::KvStore,
-    membership::{Membership, keep_membership, leave},
+    lead::keep_lead,
+    member_lease::{keep_membership, leave},
+    membership::Membership,
+    vm_record::{VmEntry, VmRecord},
 };
--- /dev/null
+++ b/crates/entry/src/store/view.rs
@@ -0,0 +1,291 @@
+use {
+    super::{
+        Feed, Membership,
+        membership::{LEADER_KEY, VM_PREFIX},
+    },
+    crate::context::Context,
+    jasmine_core::{clock::Millis, ingress::UpstreamEntry, scheduler::Announcement},
+    jasmine_platform::{configuration, entries, versions},
+    jasmine_store::store::{KeyValue, RangeReply, StoreError, WatchEvent},
+    jasmine_telemetry::log::Line,
+    std::{
+        cell::{Cell, RefCell},
+        collections::HashMap,
+        rc::Rc,
+    },
+    tokio::{task::spawn_local, time::sleep},
+};
+
+/// For how long after the store is back an upstream whose entry has lapsed is still used: those that live have
+/// written again by then.
+const REJOIN: Millis = Millis(2_300);
+
+/// What was read of the store, and what it is for.
+#[derive(Debug)]
+pub(super) struct View {
+    cx: Rc<Context>,
+    membership: Rc<Membership>,
+    feed: Rc<Feed>,
+    upstreams: RefCell<HashMap<String, UpstreamEntry>>,
+    /// Entries that went while the store was away, and when they do count as gone.
+    lapsed: RefCell<HashMap<String, Millis>>,
+    /// When the store answered again after it had not.
+    back_at: Cell<Millis>,
+    is_away: Cell<bool>,
+}
+
+impl View {
+    pub(super) fn new(
+        cx: Rc<Context>,
+        membership: Rc<Membership>,
+        feed: Rc<Feed>,
+    ) -> Self {
+        Self {
+            cx,
+            membership,
+            feed,
+            upstreams: RefCell::default(),
+            lapsed: RefCell::default(),
+            back_at: Cell::new(Millis::ZERO),
+            is_away: Cell::new(false),
+        }
+    }
+
+    /// The store doesn't answer.
+    pub(super) fn note_away(
+        &self,
+        e: &StoreError,
+    ) {
+        if !self.is_away.replace(true) {
+            Line::new("store_lost").with("reason", e).warn();
+        }
+    }
+
+    /// The store has answered.
+    pub(super) fn note_back(&self) {
+        self.feed.answered();
+        if self.is_away.replace(false) {
+            Line::new("store_back").info();
+            self.came_back(self.cx.clock.now());
+        }
+    }
+
+    /// The VM that this one follows has seen the store come back.
+    pub(super) fn note_back_elsewhere(
+        &self,
+        since: Millis,
+    ) {
+        let at = self.cx.clock.now() - since;
+        if at > self.back_at.get() {
+            self.came_back(at);
+        }
+    }
+
+    fn came_back(
+        &self,
+        at: Millis,
+    ) {
+        self.back_at.set(at);
+        self.feed.came_back(at);
+    }
+
+    /// Takes the whole content in place of what was known.
+    pub(super) fn reset(
+        self: &Rc<Self>,
+        reply: &RangeReply,
+    ) {
+        self.note_back();
+        self.feed.reset(reply.revision);
+        for kv in &reply.kvs {
+            self.put(kv, Announcement::Found);
+        }
+        let has = |key: &str| reply.kvs.iter().any(|kv| kv.key == key);
+        let known: Vec<String> = self.upstreams.borrow().keys().cloned().collect();
+        for id in known {
+            if !has(&format!("{}{id}", entries::PREFIX)) {
+                self.remove_upstream(&id);
+            }
+        }
+        let vms: Vec<&str> = reply
+            .kvs
+            .iter()
+            .filter_map(|kv| kv.key.strip_prefix(VM_PREFIX))
+            .collect();
+        self.membership.retain_vms(&self.cx, &vms);
+        if !has(LEADER_KEY) {
+            self.membership.remove_leader();
+        }
+        self.membership.set_loaded();
+    }
+
+    /// Takes a change, unless a later one of its key was taken.
+    pub(super) fn take(
+        self: &Rc<Self>,
+        event: &WatchEvent,
+    ) {
+        match event {
+            WatchEvent::Put(kv) => match kv.key.strip_prefix(entries::PREFIX) {
+                Some(id) => self.take_upstream(id, kv, event),
+                None if self.feed.note(event, true) => self.put(kv, Announcement::New),
+                None => {}
+            },
+            WatchEvent::Delete(kv) if self.feed.note(event, true) => self.delete(&kv.key),
+            WatchEvent::Delete(_) => {}
+        }
+    }
+
+    /// Entries change all the time in what their upstreams hold. Only whoever schedules needs that at once, and it
+    /// reads the store itself.
+    fn take_upstream(
+        &self,
+        id: &str,
+        kv: &KeyValue,
+        event: &WatchEvent,
+    ) {
+        match entries::decode(id, &kv.value) {
+            Ok(entry) => {
+                let is_major = !self.upstreams.borrow().get(id).is_some_and(|known| {
+                    known.state == entry.state
+                        && known.address == entry.address
+                        && known.service == entry.service
+                        && known.started_unix_ms == entry.started_unix_ms
+                });
+                if self.feed.note(event, is_major) {
+                    self.put_upstream(entry);
+                }
+            }
+            Err(e) => {
+                self.feed.note(event, true);
+                unreadable(&kv.key, &e);
+            }
+        }
+    }
+
+    fn put(
+        &self,
+        kv: &KeyValue,
+        how: Announcement,
+    ) {
+        if kv.key == configuration::KEY {
+            match configuration::decode(&kv.value) {
+                Ok(config) => self.cx.set_config(config),
+                Err(e) => unreadable(&kv.key, &e),
+            }
+        } else if let Some(id) = kv.key.strip_prefix(entries::PREFIX) {
+            match entries::decode(id, &kv.value) {
+                Ok(entry) => self.put_upstream(entry),
+                Err(e) => unreadable(&kv.key, &e),
+            }
+        } else if kv.key.starts_with(versions::PREFIX) {
+            self.put_version(kv, how);
+        } else if kv.key == LEADER_KEY {
+            self.membership.set_leader(&self.cx, kv);
+        } else if kv.key.starts_with(VM_PREFIX) {
+            self.membership.set_vm(&self.cx, kv);
+        }
+    }
+
+    fn delete(
+        self: &Rc<Self>,
+        key: &str,
+    ) {
+        if let Some(id) = key.strip_prefix(entries::PREFIX) {
+            self.remove_upstream(id);
+        } else if key == LEADER_KEY {
+            self.membership.remove_leader();
+        } else if let Some(vm) = key.strip_prefix(VM_PREFIX) {
+            self.membership.remove_vm(&self.cx, vm);
+        }
+    }
+
+    fn put_upstream(
+        &self,
+        entry: UpstreamEntry,
+    ) {
+        let mut upstreams = self.upstreams.borrow_mut();
+        let known = upstreams.get(&entry.id);
+        // A restart has a later start; what an earlier run wrote may still arrive after it.
+        if known.is_some_and(|known| known.started_unix_ms > entry.started_unix_ms) {
+            return;
+        }
+        if known.is_none_or(|known| known.state != entry.state) {
+            Line::new("upstream_seen")
+                .with("upstream", &entry.id)
+                .with("service", &entry.service)
+                .with("address", entry.address)
+                .with("state", format!("{:?}", entry.state))
+                .info();
+        }
+        self.lapsed.borrow_mut().remove(&entry.id);
+        self.cx.scheduling.desk.set_upstream(&entry);
+        upstreams.insert(entry.id.clone(), entry);
+    }
+
+    fn put_version(
+        &self,
+        kv: &KeyValue,
+        how: Announcement,
+    ) {
+        match versions::decode(&kv.value) {
+            Ok(announced) => {
+                if let Some(adapter) = &announced.adapter {
+                    let desk = &self.cx.scheduling.desk;
+                    desk.announce_version(&announced.model, adapter, announced.version, how);
+                    Line::new("version_announced")
+                        .with("adapter", adapter)
+                        .with("version", announced.version)
+                        .info();
+                }
+            }
+            Err(e) => unreadable(&kv.key, &e),
+        }
+    }
+
+    /// An entry is gone. Entries lapse while the store is away, though their upstreams live; those are used
+    /// for a while longer, or callers would be refused for a fault of the store's.
+    fn remove_upstream(
+        self: &Rc<Self>,
+        id: &str,
+    ) {
+        let now = self.cx.clock.now();
+        let until = self.back_at.get() + REJOIN;
+        let has_been_away = self.back_at.get() > Millis::ZERO;
+        if !has_been_away || now >= until {
+            return self.forget(id, "entry gone");
+        }
+        self.lapsed.borrow_mut().insert(id.to_owned(), until);
+        let view = Rc::clone(self);
+        let id = id.to_owned();
+        spawn_local(async move {
+            sleep(until.since(now).to_std()).await;
+            if view.lapsed.borrow().get(&id) == Some(&until) {
+                view.lapsed.borrow_mut().remove(&id);
+                view.forget(&id, "entry didn't come back");
+            }
+        });
+    }
+
+    fn forget(
+        &self,
+        id: &str,
+        reason: &str,
+    ) {
+        if self.upstreams.borrow_mut().remove(id).is_some() {
+            Line::new("upstream_gone")
+                .with("upstream", id)
+                .with("reason", reason)
+                .info();
+            self.cx.scheduling.desk.remove_upstream(id);
+        }
+    }
+}
+
+fn unreadable(
+    key: &str,
+    e: &jasmine_platform::DecodeError,
+) {
+    Line::new("entry_unreadable")
+        .with("key", key)
+        .with("reason", e)
+        .warn();
+}
--- a/crates/entry/tests/lead_changes.rs
+++ b/crates/entry/tests/lead_changes.rs
@@ -7,7 +7,10 @@
         ingress::{IngressConfig, ServiceSpec, UpstreamEntry, UpstreamState},
         scheduler::{RightsShare, SchedulerSettings},
     },
-    jasmine_entry::scheduling::{Desk, JobSpec, Leader, SchedulerServer, Scheduling},
+    jasmine_entry::{
+        scheduling::{Desk, JobSpec, Leader, SchedulerServer, Scheduling},
+        store::Feed,
+    },
     jasmine_wire::{link::serve, scheduler_capnp::scheduler},
     std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
@@ -38,7 +41,8 @@
     desk.set_config(&config());
     let scheduling = Rc::new(Scheduling::new(desk, name.to_owned(), address, fence));
     scheduling.start();
-    let server = SchedulerServer::new(Rc::clone(&scheduling));
+    let feed = Rc::new(Feed::new(Millis(2_000)));
+    let server = SchedulerServer::new(Rc::clone(&scheduling), feed);
     let client: scheduler::Client = capnp_rpc::new_client(server);
     spawn_local(serve(listener, client.client));
     let leader = Leader {
--- a/crates/wire/schema/scheduler.capnp
+++ b/crates/wire/schema/scheduler.capnp
@@ -67,10 +67,30 @@
   leaving @3 :Bool;            # it stops, and another one may take its place at once
 }
 
+enum FeedState {
+  current @0;
+  stale @1;                    # the store hasn't answered this VM for a while
+  notReading @2;               # it follows another VM itself
+  historyGone @3;              # it doesn't know what has changed since
+}
+
+struct Change {
+  key @0 :Text;
+  value @1 :Data;
+  createRevision @2 :UInt64;
+  revision @3 :UInt64;
+  lease @4 :UInt64;
+  deleted @5 :Bool;
+}
+
 interface Scheduler {
   hello @0 (vm :Text, incarnation :UInt64, running :List(RunningJob)) -> (session :UInt32, leader :Leadership);
   place @1 (session :UInt32, job :Job) -> (known :Bool, verdict :Verdict);
   tell @2 (session :UInt32, news :List(News)) -> (known :Bool);
   announce @3 (leader :Leadership) -> (leader :Leadership);
   ping @4 () -> (leader :Leadership);
+  # Changes of the store after a revision; waits for the first one. Minor ones wait for nobody: they come along after
+  # their own revision, 0 for none of them.
+  changes @5 (after :UInt64, minorAfter :UInt64, waitMs :UInt32)
+      -> (state :FeedState, revision :UInt64, sinceBackMs :UInt32, changes :List(Change));
 }
