Random faults from outside against real processes: a soak of the entry daemons

Three daemons, four upstreams and an engine with proxies on all links but those between daemons; kills, stops, freezes, link faults, outages, lost history, new configurations, leaving upstreams, by seed.

--- /dev/null
+++ b/crates/entry/tests/soak/world.rs
@@ -0,0 +1,328 @@
+use {
+    super::fault::{Fault, UPSTREAMS, VMS},
+    crate::deployment::{self, LIMIT, Request, Vm, exchange},
+    jasmine_platform_stand_in::{Behaviour, EngineStandIn, KvStandIn, Outage, UpstreamStandIn},
+    jasmine_testkit::proxy::{Link, Proxy},
+    nix::sys::signal::Signal,
+    serde_json::{Value, json},
+    std::{
+        fs,
+        net::SocketAddr,
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// Events of a whole stream.
+pub const EVENTS: u64 = 12;
+/// How long after a kill a process starts again.
+const DOWN: Duration = Duration::from_millis(200);
+const ANY: &str = "127.0.0.1:0";
+
+struct Slot {
+    name: String,
+    vm: Option<Vm>,
+    starts_at: Option<Instant>,
+    thaws_at: Option<Instant>,
+    store_link: Proxy,
+    caller_link: Proxy,
+    log: String,
+}
+
+/// Which proxy or state a fault has changed.
+#[derive(Clone, Copy, Debug)]
+enum Place {
+    StoreLink(usize),
+    CallerLink(usize),
+    UpstreamLink(usize),
+    Store,
+    Leaving(usize),
+}
+
+/// All that runs.
+pub struct World {
+    store: KvStandIn,
+    slots: Vec<Slot>,
+    pub upstreams: Vec<UpstreamStandIn>,
+    upstream_links: Vec<Proxy>,
+    pub streams: UpstreamStandIn,
+    pub engine: EngineStandIn,
+    version: u64,
+    ends: Vec<(Instant, Place)>,
+}
+
+impl World {
+    pub fn start(seed: u64) -> Self {
+        let store = KvStandIn::start().unwrap();
+        let upstreams: Vec<_> = (0..UPSTREAMS)
+            .map(|number| UpstreamStandIn::start(&format!("s-{number}")).unwrap())
+            .collect();
+        let upstream_links = upstreams
+            .iter()
+            .map(|upstream| link_to(address_of(&upstream.entry("app", "one", "ready"))))
+            .collect();
+        let streams = UpstreamStandIn::start("t-1").unwrap();
+        streams.usually(Behaviour::Events(EVENTS));
+        let engine = EngineStandIn::start("e-1").unwrap();
+        let mut world = Self {
+            store,
+            slots: Vec::new(),
+            upstreams,
+            upstream_links,
+            streams,
+            engine,
+            version: 0,
+            ends: Vec::new(),
+        };
+        world.new_config();
+        for number in 0..UPSTREAMS {
+            world.enter(number, "ready");
+        }
+        let entry = world.streams.entry("flows", "one", "ready");
+        world.store.put(&world.streams.key(), &entry);
+        let entry = world.engine.entry("llm", "one");
+        world.store.put(&world.engine.key(), &entry);
+        for number in 0..VMS {
+            world.add_vm(format!("soak-{}-{seed}-{number}", std::process::id()));
+        }
+        let all_ready = || {
+            let vms = world.slots.iter().filter_map(|slot| slot.vm.as_ref());
+            vms.filter(|vm| vm.is_ready()).count() == VMS
+        };
+        deployment::until("all are ready", all_ready);
+        world
+    }
+
+    fn add_vm(
+        &mut self,
+        name: String,
+    ) {
+        let store_link = link_to(self.store.address());
+        let vm = Vm::start_before(store_link.address(), &name);
+        self.slots.push(Slot {
+            name,
+            store_link,
+            caller_link: link_to(vm.callers),
+            vm: Some(vm),
+            starts_at: None,
+            thaws_at: None,
+            log: String::new(),
+        });
+    }
+
+    /// Where callers reach the VMs, whatever becomes of the processes.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        let address = |slot: &Slot| slot.caller_link.address();
+        self.slots.iter().map(address).collect()
+    }
+
+    /// Whatever all VMs have logged.
+    pub fn logs(&self) -> String {
+        let log =
+            |slot: &Slot| slot.log.clone() + &slot.vm.as_ref().map_or_else(String::new, Vm::log);
+        self.slots.iter().map(log).collect()
+    }
+
+    /// Keeps the logs of a seed that broke something.
+    pub fn keep_logs(
+        &self,
+        seed: u64,
+    ) {
+        let path = std::env::temp_dir().join(format!("jasmine-soak-{seed}.log"));
+        fs::write(&path, self.logs()).unwrap();
+        eprintln!("logs of seed {seed}: {}", path.display());
+    }
+
+    /// Brings a fault about.
+    pub fn begin(
+        &mut self,
+        fault: Fault,
+    ) {
+        let now = Instant::now();
+        match fault {
+            Fault::Kill(vm) => self.signal(vm, Signal::SIGKILL),
+            Fault::Stop(vm) => self.signal(vm, Signal::SIGTERM),
+            Fault::Freeze(vm, time) => {
+                self.signal(vm, Signal::SIGSTOP);
+                self.slots[vm].thaws_at = Some(now + time);
+            }
+            Fault::StoreLink(vm, link, time) => {
+                self.slots[vm].store_link.set(link);
+                self.ends.push((now + time, Place::StoreLink(vm)));
+            }
+            Fault::CallerLink(vm, link, time) => {
+                self.slots[vm].caller_link.set(link);
+                self.ends.push((now + time, Place::CallerLink(vm)));
+            }
+            Fault::UpstreamLink(upstream, link, time) => {
+                self.upstream_links[upstream].set(link);
+                self.ends.push((now + time, Place::UpstreamLink(upstream)));
+            }
+            Fault::StoreAway(outage, time) => {
+                self.store.set_outage(outage);
+                self.ends.push((now + time, Place::Store));
+            }
+            Fault::HistoryLost => self.store.forget_history(),
+            Fault::Misbehaves(upstream, how) => self.upstreams[upstream].next(how),
+            Fault::OrdersLost(count) => self.engine.lose_answers(count),
+            Fault::NewConfig => self.new_config(),
+            Fault::Leaves(upstream, time) => {
+                self.enter(upstream, "draining");
+                self.ends.push((now + time, Place::Leaving(upstream)));
+            }
+        }
+    }
+
+    /// Ends what is over and starts processes that are due.
+    pub fn step(&mut self) {
+        let now = Instant::now();
+        let (over, lasting) = std::mem::take(&mut self.ends)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
+        self.ends = lasting;
+        for (_, place) in over {
+            self.end(place);
+        }
+        for slot in &mut self.slots {
+            slot.step(now);
+        }
+    }
+
+    /// Ends all faults and waits until all processes run.
+    pub fn heal(&mut self) {
+        for (_, place) in std::mem::take(&mut self.ends) {
+            self.end(place);
+        }
+        for slot in &mut self.slots {
+            slot.thaws_at = slot.thaws_at.map(|_| Instant::now());
+        }
+        let began = Instant::now();
+        while began.elapsed() < LIMIT && !self.slots.iter().all(Slot::is_running) {
+            self.step();
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    /// What still isn't served a while after all faults are over.
+    pub fn serves_again(&self) -> Vec<String> {
+        let targets = [
+            ("GET", "/read/x"),
+            ("POST", "/write/x"),
+            ("POST", "/flow/x"),
+        ];
+        let mut broken = Vec::new();
+        for slot in &self.slots {
+            for (method, target) in targets {
+                let began = Instant::now();
+                let mut last = None;
+                let is_served = |status: &Option<u16>| *status == Some(200);
+                while began.elapsed() < LIMIT && !is_served(&last) {
+                    let req = Request::new(method, target).body(b"again");
+                    let answer = exchange(slot.caller_link.address(), &req.bytes());
+                    last = answer.map(|answer| answer.status);
+                    thread::sleep(Duration::from_millis(50));
+                }
+                if !is_served(&last) {
+                    broken.push(format!(
+                        "{}: {target} isn't served again: {last:?}",
+                        slot.name
+                    ));
+                }
+            }
+        }
+        broken
+    }
+
+    fn signal(
+        &mut self,
+        vm: usize,
+        signal: Signal,
+    ) {
+        if let Some(vm) = &mut self.slots[vm].vm
+            && !vm.has_ended()
+        {
+            vm.signal(signal);
+        }
+    }
+
+    fn end(
+        &mut self,
+        place: Place,
+    ) {
+        let whole = Link::default();
+        match place {
+            Place::StoreLink(vm) => self.slots[vm].store_link.set(whole),
+            Place::CallerLink(vm) => self.slots[vm].caller_link.set(whole),
+            Place::UpstreamLink(upstream) => self.upstream_links[upstream].set(whole),
+            Place::Store => self.store.set_outage(Outage::None),
+            Place::Leaving(upstream) => self.enter(upstream, "ready"),
+        }
+    }
+
+    fn enter(
+        &self,
+        number: usize,
+        state: &str,
+    ) {
+        let upstream = &self.upstreams[number];
+        let mut entry = upstream.entry("app", "one", state);
+        entry["address"] = json!(self.upstream_links[number].address().to_string());
+        self.store.put(&upstream.key(), &entry);
+    }
+
+    fn new_config(&mut self) {
+        self.version += 1;
+        let mut config = deployment::config(self.version);
+        config["services"]
+            .as_array_mut()
+            .unwrap()
+            .push(json!({"name": "flows", "health_path": "/healthz", "max_conns": 100}));
+        let routes = config["routes"].as_array_mut().unwrap();
+        let mut flow = routes[2].clone();
+        flow["name"] = json!("flow");
+        flow["path_prefix"] = json!("/flow/");
+        flow["service"] = json!("flows");
+        routes.push(flow);
+        self.store.put("op/config", &config);
+    }
+}
+
+impl Slot {
+    fn is_running(&self) -> bool {
+        self.vm.is_some() && self.starts_at.is_none() && self.thaws_at.is_none()
+    }
+
+    fn step(
+        &mut self,
+        now: Instant,
+    ) {
+        if let Some(vm) = &mut self.vm {
+            if self.thaws_at.is_some_and(|at| at <= now) {
+                self.thaws_at = None;
+                if !vm.has_ended() {
+                    vm.signal(Signal::SIGCONT);
+                }
+            }
+            if vm.has_ended() {
+                self.log.push_str(&vm.log());
+                self.vm = None;
+                self.thaws_at = None;
+                self.starts_at = Some(now + DOWN);
+            }
+        }
+        if self.starts_at.is_some_and(|at| at <= now) {
+            self.starts_at = None;
+            let vm = Vm::start_before(self.store_link.address(), &self.name);
+            self.caller_link.retarget(vm.callers);
+            self.vm = Some(vm);
+        }
+    }
+}
+
+fn link_to(target: SocketAddr) -> Proxy {
+    Proxy::start(ANY.parse().unwrap(), target).unwrap()
+}
+
+fn address_of(entry: &Value) -> SocketAddr {
+    entry["address"].as_str().unwrap().parse().unwrap()
+}
