Waiting requests no longer ask the scheduler for signs of life; long queues are passed over less often

Change: requests wait without pings, the link's own is enough; queues of more than 48 are passed over at most 50 a millisecond; looks halved to 4 a millisecond.

--- a/crates/core/src/scheduler/machine/commands.rs
+++ b/crates/core/src/scheduler/machine/commands.rs
@@ -34,6 +34,10 @@
                 RightsShare::Fresh => now,
                 RightsShare::TakenOver | RightsShare::Part(_) => now + INTRODUCTIONS,
             };
+            self.orders_from = match share {
+                RightsShare::Fresh => now,
+                RightsShare::TakenOver | RightsShare::Part(_) => now + self.settings.order_gap,
+            };
             for (_, engine) in self.fleet.engines_mut() {
                 engine.has_order = false;
                 engine.doubt(Millis::ZERO);
--- a/crates/core/src/scheduler/machine/decisions.rs
+++ b/crates/core/src/scheduler/machine/decisions.rs
@@ -19,7 +19,12 @@
 
 /// Waiting requests that are looked at in a millisecond at most. When few wait, each is looked at with every event;
 /// when hundreds do, each every few ten milliseconds.
-const LOOKS_A_MS: usize = 8;
+const LOOKS_A_MS: usize = 4;
+/// Of more waiting requests than these not all are passed over with every event.
+const SHORT_QUEUE: usize = 48;
+/// So many of them are passed over in a millisecond at most. A pass over 500 takes some 50 us and there are three events a
+/// request: the longer the queue of a scheduler that was late, the later it was.
+const PASSED_A_MS: usize = 50;
 /// How long a waiting request isn't looked at again at the least: what it waits for is mostly a load of 25 or 250 ms. At
 /// 850 requests a second and 140 engines 6.5 looks a request in place of 10.4, with as many first tokens in time.
 const LEAST_LOOK_PAUSE: Millis = Millis(10);
@@ -50,15 +55,25 @@
     ) -> Vec<Action> {
         let mut actions = self.refuse_late(now);
         actions.extend(self.postpone_late(now));
-        self.send_and_load(Turn::Timely, now, &mut actions);
-        self.send_and_load(Turn::All, now, &mut actions);
-        if self.may_order && now >= self.engines_looked_at + LOOK_AT_ENGINES {
+        if now >= self.next_pass {
+            self.send_and_load(Turn::Timely, now, &mut actions);
+            self.send_and_load(Turn::All, now, &mut actions);
+            self.next_pass = now + self.pass_pause();
+        }
+        if self.may_order_at(now) && now >= self.engines_looked_at + LOOK_AT_ENGINES {
             self.engines_looked_at = now;
             self.look_at_engines(now, &mut actions);
         }
         actions
     }
 
+    fn pass_pause(&self) -> Millis {
+        match self.queue.len() {
+            short if short <= SHORT_QUEUE => Millis::ZERO,
+            long => Millis((long / PASSED_A_MS).max(1) as u64),
+        }
+    }
+
     /// Asks for the reports that are wanted and has base models loaded where there are none.
     fn look_at_engines(
         &mut self,
@@ -140,6 +155,7 @@
         if self.queue.is_empty() {
             return;
         }
+        let may_order = self.may_order_at(now);
         let mut looked = 0;
         let mut cold = self.fleet.cold_time(&self.settings.loads, now);
         loop {
@@ -155,7 +171,7 @@
                     timely,
                     ..
                 } = self;
-                let may_order = self.may_order;
+
                 let pause = Millis((queue.len() / LOOKS_A_MS) as u64).max(LEAST_LOOK_PAUSE);
                 let may_evict = now >= self.evicts_from;
                 queue.pop(now, |waiting| {
--- a/crates/core/src/scheduler/machine/mod.rs
+++ b/crates/core/src/scheduler/machine/mod.rs
@@ -29,6 +29,8 @@
 pub struct Scheduler {
     settings: SchedulerSettings,
     may_order: bool,
+    /// From when on orders may be given.
+    orders_from: Millis,
     /// From when on adapters may be dropped.
     evicts_from: Millis,
     fleet: Fleet,
@@ -46,6 +48,8 @@
     timely: BTreeSet<(Millis, RequestId)>,
     model_loads: ModelLoads,
     engines_looked_at: Millis,
+    /// From when on waiting requests are passed over again.
+    next_pass: Millis,
     next_request: u64,
     swept_at: Millis,
     /// How often a waiting request was looked at.
@@ -61,6 +65,7 @@
         Self {
             settings,
             may_order: false,
+            orders_from: Millis::ZERO,
             evicts_from: Millis::ZERO,
             fleet: Fleet::default(),
             versions: VersionBook::default(),
@@ -77,6 +82,7 @@
             timely: BTreeSet::new(),
             model_loads: ModelLoads::default(),
             engines_looked_at: Millis::ZERO,
+            next_pass: Millis::ZERO,
             next_request: 0,
             swept_at: Millis::ZERO,
             looked: 0,
--- a/crates/core/src/scheduler/machine/queries.rs
+++ b/crates/core/src/scheduler/machine/queries.rs
@@ -24,7 +24,8 @@
             .upstreams
             .values()
             .filter_map(|up| up.engine.as_ref()?.report_due())
-            .filter(|_| self.may_order);
+            .filter(|_| self.may_order)
+            .map(|due| due.max(self.orders_from));
         if self.queue.is_empty() {
             return reports.fold(idle, Millis::min).max(now + Millis(1));
         }
@@ -41,9 +42,18 @@
             .chain(ready)
             .chain(self.queue.next_deadline())
             .fold(now + LOOK_AGAIN, Millis::min)
+            .max(self.next_pass)
             .max(now + Millis(1))
     }
 
+    /// Whether engines may be given orders.
+    pub(super) fn may_order_at(
+        &self,
+        now: Millis,
+    ) -> bool {
+        self.may_order && now >= self.orders_from
+    }
+
     /// Number of requests that wait.
     pub fn waiting_len(&self) -> usize {
         self.queue.len()
--- a/crates/core/src/scheduler/settings.rs
+++ b/crates/core/src/scheduler/settings.rs
@@ -67,6 +67,9 @@
     pub least_call: Millis,
     /// How long the older version of an adapter may still be used while the newer one is loaded.
     pub version_grace: Millis,
+    /// How long whoever takes over gives no orders. Zero where engines refuse lower fencing tokens; others carry out
+    /// what the scheduler before has sent at the last moment.
+    pub order_gap: Millis,
     /// Adapters.
     pub loads: LoadSettings,
     /// Repeats.
@@ -81,6 +84,7 @@
             least_generation: Millis(120),
             least_call: Millis(30),
             version_grace: Millis(2_000),
+            order_gap: Millis::ZERO,
             loads: LoadSettings::default(),
             repeats: RepeatSettings::default(),
         }
--- a/crates/core/tests/adapter_loads.rs
+++ b/crates/core/tests/adapter_loads.rs
@@ -4,6 +4,7 @@
 
 use {
     jasmine_core::{
+        clock::Millis,
         ids::{AdapterId, UpstreamId},
         scheduler::{Announcement, Order, OrderEnd, Outcome, RightsShare, SchedulerSettings},
     },
@@ -278,3 +279,24 @@
     world.report(upstream, &engine(Some(1), &[left]));
     assert_eq!(world.loads_of(9), 1, "its place is free now");
 }
+
+#[test]
+fn engines_without_tokens_get_no_orders_in_a_takeover() {
+    // An engine checks no fencing tokens. The scheduler before sent it an order with its last breath; one of the next
+    // scheduler in the same moment would be carried out beside it, and one adapter too many make the engine crash.
+    let settings = SchedulerSettings {
+        order_gap: Millis(3_000),
+        ..SchedulerSettings::default()
+    };
+    let mut world = World::with(0, settings, false);
+    let share = RightsShare::TakenOver;
+    world.scheduler.set_role(true, share, world.now);
+    world.add_engine(UpstreamId(0), &[]);
+    let request = world.generate(9);
+    world.pass(2_900);
+    assert_eq!((world.orders.len(), world.reports_asked.len()), (0, 0));
+    world.pass(200);
+    assert_eq!(world.loads_of(9), 1);
+    world.pass(400);
+    assert!(world.sent_to(request).is_some());
+}
--- /dev/null
+++ b/crates/entry/examples/scheduler_calls.rs
@@ -0,0 +1,179 @@
+//! What a call between entry VMs costs the one that schedules: connections, messages and decisions together.
+//!
+//! `cargo run --release -p jasmine-entry --example scheduler_calls -- <VMs> <requests a second> <seconds>`. The requests are
+//! calls of a plain service with room for all, so that decisions cost next to nothing; what is told is the processor
+//! time of the thread that schedules.
+
+use {
+    jasmine_core::{
+        clock::Millis,
+        ids::{Fence, Revision},
+        ingress::{IngressConfig, ServiceSpec, UpstreamEntry, UpstreamState},
+        scheduler::{Outcome, RightsShare, SchedulerSettings},
+    },
+    jasmine_entry::{
+        scheduling::{Desk, JobSpec, Leader, SchedulerServer, Scheduling},
+        store::Feed,
+    },
+    jasmine_wire::{link::serve, scheduler_capnp::scheduler},
+    nix::time::{ClockId, clock_gettime},
+    std::{
+        collections::{BTreeMap, HashMap},
+        net::SocketAddr,
+        rc::Rc,
+        sync::mpsc::{Receiver, Sender, channel},
+        thread,
+        time::Duration,
+    },
+    tokio::{
+        net::TcpListener,
+        sync::mpsc,
+        task::spawn_local,
+        time::{interval, sleep},
+    },
+};
+
+const DEFAULTS: [u64; 3] = [62, 850, 10];
+const FENCE: Fence = Fence(7);
+/// How long a call takes.
+const WORK: Duration = Duration::from_millis(20);
+
+fn main() {
+    let mut args = std::env::args().skip(1);
+    let [vms, per_s, seconds] = DEFAULTS.map(|default| {
+        let arg = args.next();
+        arg.map_or(default, |arg| arg.parse().expect("a number"))
+    });
+    let (started, address) = channel();
+    let (finish, finished) = channel();
+    let leader = thread::spawn(move || lead(&started, &finished));
+    let address = address.recv().expect("it listens");
+    thread::spawn(move || follow(address, vms, per_s, seconds))
+        .join()
+        .expect("callers end");
+    finish.send(()).expect("the leader runs");
+    let spent = leader.join().expect("the leader ends");
+    println!(
+        "{vms} VMs, {per_s} requests a second: {:.1} us a request, {:.4} of a core",
+        spent.as_secs_f64() * 1e6 / (per_s * seconds) as f64,
+        spent.as_secs_f64() / seconds as f64,
+    );
+}
+
+fn lead(
+    started: &Sender<SocketAddr>,
+    finished: &Receiver<()>,
+) -> Duration {
+    actix_rt::System::new().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let scheduling = vm("leader", address);
+        scheduling.desk.set_config(&config());
+        scheduling.desk.set_upstream(&server());
+        scheduling.lead(FENCE, RightsShare::Fresh);
+        let feed = Rc::new(Feed::new(Millis(2_000)));
+        let server = SchedulerServer::new(Rc::clone(&scheduling), feed);
+        let client: scheduler::Client = capnp_rpc::new_client(server);
+        spawn_local(serve(listener, client.client));
+        started.send(address).expect("somebody waits");
+        while finished.try_recv().is_err() {
+            sleep(Duration::from_millis(50)).await;
+        }
+        let spent = clock_gettime(ClockId::CLOCK_THREAD_CPUTIME_ID).expect("the clock exists");
+        Duration::from(spent)
+    })
+}
+
+fn follow(
+    leader: SocketAddr,
+    vms: u64,
+    per_s: u64,
+    seconds: u64,
+) {
+    actix_rt::System::new().block_on(async {
+        let names: BTreeMap<String, SocketAddr> = (0..vms)
+            .map(|number| (format!("vm-{number}"), leader))
+            .collect();
+        let vms: Vec<Rc<Scheduling>> = names.keys().map(|name| vm(name, leader)).collect();
+        for vm in &vms {
+            vm.set_vms(names.clone());
+            vm.consider(Leader {
+                vm: "leader".to_owned(),
+                address: leader,
+                fence: FENCE,
+                is_leaving: false,
+            });
+        }
+        while !vms.iter().all(|vm| vm.is_following()) {
+            sleep(Duration::from_millis(20)).await;
+        }
+        let mut ticks = interval(Duration::from_micros(1_000_000 / per_s));
+        for number in 0..per_s * seconds {
+            ticks.tick().await;
+            let vm = Rc::clone(&vms[(number % vms.len() as u64) as usize]);
+            spawn_local(async move {
+                if let Ok(placement) = vm.place(job()).await {
+                    sleep(WORK).await;
+                    let took = Millis(WORK.as_millis() as u64);
+                    placement.end(Outcome::Answered { took });
+                }
+            });
+        }
+        sleep(Duration::from_millis(200)).await;
+    });
+}
+
+fn vm(
+    name: &str,
+    address: SocketAddr,
+) -> Rc<Scheduling> {
+    let (tasks, _engines) = mpsc::unbounded_channel();
+    let desk = Rc::new(Desk::new(SchedulerSettings::default(), tasks));
+    let scheduling = Rc::new(Scheduling::new(desk, name.to_owned(), address, 1));
+    scheduling.start();
+    scheduling
+}
+
+fn config() -> IngressConfig {
+    let service = ServiceSpec {
+        name: "calls".to_owned(),
+        max_connections: None,
+        engine: None,
+    };
+    IngressConfig {
+        version: Revision(1),
+        services: HashMap::from([("calls".to_owned(), service)]),
+        ..IngressConfig::default()
+    }
+}
+
+fn server() -> UpstreamEntry {
+    UpstreamEntry {
+        id: "s-1".to_owned(),
+        service: "calls".to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        data_centre: "one".to_owned(),
+        slots: 1_000,
+        state: UpstreamState::Ready,
+        cold: Millis::ZERO,
+        started_unix_ms: Some(1),
+        holdings: None,
+    }
+}
+
+fn job() -> JobSpec {
+    JobSpec {
+        number: 0,
+        account: None,
+        caller: 1,
+        cost: 200,
+        service: "calls".to_owned(),
+        generation: None,
+        priority: 1,
+        objective: Millis(300),
+        deadline: Millis(3_000),
+        attempt: 1,
+        avoid: Vec::new(),
+        data_centre: "one".to_owned(),
+    }
+}
--- a/crates/entry/src/daemon/run.rs
+++ b/crates/entry/src/daemon/run.rs
@@ -63,6 +63,9 @@
     let desk = Rc::new(Desk::new(scheduler_settings(&settings), tasks));
     let me = settings.vm.clone();
     let scheduling = Rc::new(Scheduling::new(desk, me.clone(), peer_address, incarnation));
+    if !settings.engines_check_fences {
+        scheduling.order_only_under_lease();
+    }
     let pool = Rc::new(Pool::default());
     let store = KvStore::new(settings.store, watch_held(&settings));
     let feed = Rc::new(Feed::new(settings.change_ms));
@@ -72,6 +75,7 @@
         incarnation,
         data_centre: settings.data_centre.clone(),
         is_weak: settings.size.is_weak(),
+        processor_percent: (settings.size.processor * 100.0) as u32,
     }));
     let cx = Rc::new(Context::new(
         settings,
@@ -135,7 +139,12 @@
 }
 
 fn scheduler_settings(settings: &EntrySettings) -> SchedulerSettings {
+    let order_gap = match settings.order_gap_ms {
+        Some(gap) if !settings.engines_check_fences => gap,
+        _ => Millis::ZERO,
+    };
     SchedulerSettings {
+        order_gap,
         repeats: RepeatSettings {
             ratio: settings.repeats.ratio,
             slack: settings.repeats.slack,
--- a/crates/entry/src/scheduling/client/following.rs
+++ b/crates/entry/src/scheduling/client/following.rs
@@ -19,6 +19,10 @@
 const RETRY_EVERY: Millis = Millis(150);
 /// News is gathered for this long: a message for each event would cost more than what it tells.
 const GATHER: Millis = Millis(5);
+/// So long for each VM, and at most, is news gathered for which nobody waits: of streams, whose engines have dozens of
+/// places. From 62 VMs some 1,700 messages a second told the one that schedules little else.
+const GATHER_A_VM: f64 = 0.25;
+const GATHER_MOST: Millis = Millis(20);
 
 impl Scheduling {
     /// Tells all VMs at once who leads: they would learn it from the store too, but only when they reach it. The
@@ -107,6 +111,17 @@
         self.lose_leader("another leads");
     }
 
+    /// Waits for more news, until some is urgent.
+    async fn gather(&self) {
+        let vms = self.vms.borrow().len() as f64;
+        let pause = Millis((vms * GATHER_A_VM) as u64);
+        let pause = pause.clamp(GATHER, GATHER_MOST);
+        tokio::select! {
+            () = sleep(pause.to_std()) => {}
+            () = self.has_urgent_news.notified() => sleep(GATHER.to_std()).await,
+        }
+    }
+
     async fn hello(
         &self,
         link: &SchedulerLink,
@@ -139,8 +154,10 @@
 
     pub(super) async fn send_news(self: Rc<Self>) {
         loop {
-            self.has_news.notified().await;
-            sleep(GATHER.to_std()).await;
+            tokio::select! {
+                () = self.has_urgent_news.notified() => sleep(GATHER.to_std()).await,
+                () = self.has_news.notified() => self.gather().await,
+            }
             let news = self.outbox.take();
             let mode = self.mode.borrow().clone();
             // Without a leader nobody counts; a later one is told what runs when it is met.
--- a/crates/entry/src/scheduling/client/mod.rs
+++ b/crates/entry/src/scheduling/client/mod.rs
@@ -38,7 +38,9 @@
 const LINK: LinkOptions = LinkOptions {
     connect_timeout: Millis(300),
     call_timeout: Millis(350),
-    heartbeat: Millis(300),
+    // One question a VM says whether the scheduler lives. With one for each request that waits, some hundred of them asked
+    // for more of its processor than all requests.
+    heartbeat: Millis(60_000),
     backoff_first: Millis(30),
     backoff_most: Millis(200),
 };
@@ -67,6 +69,8 @@
     clock: Clock,
     mode: RefCell<Mode>,
     leader: RefCell<Option<Leader>>,
+    /// Until when this VM's lead surely lasts, where engines don't check who gives them orders.
+    lead_until: Cell<Option<Millis>>,
     /// Since when the leader hasn't answered.
     silent_since: Cell<Option<Millis>>,
     /// Counts changes of the leader that is known.
@@ -77,6 +81,8 @@
     running: RefCell<HashMap<u64, Running>>,
     outbox: RefCell<Vec<(u64, News)>>,
     has_news: Notify,
+    /// Told with the end of a call: its upstream has few places, and somebody waits for each.
+    has_urgent_news: Notify,
     /// The parts of all rates of which this VM has one, while it decides alone.
     parts: Cell<u64>,
     /// The VMs that the store lists.
@@ -105,6 +111,7 @@
             clock: Clock,
             mode: RefCell::new(Mode::Alone),
             leader: RefCell::default(),
+            lead_until: Cell::new(None),
             silent_since: Cell::new(None),
             changed: watch::Sender::default(),
             mode_changed: watch::Sender::default(),
@@ -112,6 +119,7 @@
             running: RefCell::default(),
             outbox: RefCell::default(),
             has_news: Notify::new(),
+            has_urgent_news: Notify::new(),
             parts: Cell::new(1),
             vms: RefCell::default(),
         }
@@ -189,6 +197,7 @@
         news: News,
     ) {
         let ticket = Ticket { vm: OWN, number };
+        let mut is_urgent = false;
         match news {
             News::FirstEvent => {
                 if let Some(running) = self.running.borrow_mut().get_mut(&number) {
@@ -197,13 +206,19 @@
                 self.desk.first_event(ticket);
             }
             News::Ended(outcome) => {
-                self.running.borrow_mut().remove(&number);
+                let running = self.running.borrow_mut().remove(&number);
+                is_urgent = running.is_none_or(|running| running.spec.job.generation.is_none());
                 self.desk.ended(ticket, outcome);
             }
         }
         if !self.is_leading() {
             self.outbox.borrow_mut().push((number, news));
-            self.has_news.notify_one();
+            let told = if is_urgent {
+                &self.has_urgent_news
+            } else {
+                &self.has_news
+            };
+            told.notify_one();
         }
     }
 
@@ -237,7 +252,29 @@
         }
     }
 
-    /// The fencing token for orders, while this VM leads.
+    /// Engines check no fencing tokens: orders are given only while the lease of the lead surely lasts.
+    pub fn order_only_under_lease(&self) {
+        self.lead_until.set(Some(Millis::ZERO));
+    }
+
+    /// Notes until when the lease of the lead lasts at the least.
+    pub fn lead_lasts_until(
+        &self,
+        until: Millis,
+    ) {
+        if self.lead_until.get().is_some() {
+            self.lead_until.set(Some(until));
+        }
+    }
+
+    /// The fencing token for an order that is sent now; none where another VM may lead by now.
+    pub fn fence_for_order(&self) -> Option<Fence> {
+        let now = self.clock.now();
+        let is_sure = self.lead_until.get().is_none_or(|until| now < until);
+        self.fence().filter(|_| is_sure)
+    }
+
+    /// The fencing token of this VM's lead.
     pub fn fence(&self) -> Option<Fence> {
         match *self.mode.borrow() {
             Mode::Leading(fence) => Some(fence),
--- a/crates/entry/src/scheduling/orders.rs
+++ b/crates/entry/src/scheduling/orders.rs
@@ -68,7 +68,7 @@
         after_seq: u64,
     ) -> OrderEnd {
         let target = self.scheduling.desk.upstream(upstream);
-        let (Some((id, address)), Some(fence)) = (target, self.scheduling.fence()) else {
+        let (Some((id, address)), Some(fence)) = (target, self.scheduling.fence_for_order()) else {
             return OrderEnd::Unsent;
         };
         let order = self.spell(order, after_seq, fence);
--- a/crates/entry/src/store/lead.rs
+++ b/crates/entry/src/store/lead.rs
@@ -17,6 +17,9 @@
 const RENEW_EVERY: Millis = Millis(300);
 /// How long a renewal may take before the next one goes out: one may be lost and a second one too.
 const RENEWAL: Millis = Millis(350);
+/// How much earlier the lead counts as over for orders to engines that don't check who gives them: the time that an order
+/// needs to arrive, and what the clocks of VM and store differ by in a lease.
+const MARGIN: Millis = Millis(200);
 /// How often it is looked otherwise whether the lead is free.
 const LOOK_EVERY: Millis = Millis(400);
 /// How often the VM whose turn is next asks the store whether the key of a leader that has fallen silent is still there:
@@ -99,8 +102,9 @@
     ) {
         while self.cx.scheduling.is_leading() {
             sleep(RENEW_EVERY.to_std()).await;
+            let sent = self.cx.clock.now();
             match self.store.renew(lease.id, RENEWAL).await {
-                Ok(Some(_)) => {}
+                Ok(Some(lease)) => self.lasts_from(sent, lease),
                 Ok(None) => {
                     Line::new("lead_lapsed").with("lease", lease.id).warn();
                     self.membership.lead_lease.set(None);
@@ -112,6 +116,25 @@
         self.give_back(lease).await;
     }
 
+    fn granted(
+        &self,
+        sent: Millis,
+        lease: Lease,
+    ) -> Lease {
+        self.lasts_from(sent, lease);
+        lease
+    }
+
+    /// The lease runs from a call's arrival, which is after it was sent.
+    fn lasts_from(
+        &self,
+        sent: Millis,
+        lease: Lease,
+    ) {
+        let surely = lease.ttl.since(MARGIN);
+        self.cx.scheduling.lead_lasts_until(sent + surely);
+    }
+
     /// The lease of a lead that another VM has taken over keeps nothing alive; it ends by itself where this fails.
     async fn give_back(
         &self,
@@ -136,9 +159,10 @@
 
     async fn try_stand(&self) -> Result<(), StoreError> {
         let ttl = LEASE.max(self.cx.settings.least_lease_ms);
+        let sent = self.cx.clock.now();
         let lease = match self.membership.lead_lease.get() {
             Some(lease) => lease,
-            None => self.store.grant(ttl).await?,
+            None => self.granted(sent, self.store.grant(ttl).await?),
         };
         self.membership.lead_lease.set(Some(lease));
         let key = LEADER_KEY.to_owned();
--- a/crates/entry/src/store/membership.rs
+++ b/crates/entry/src/store/membership.rs
@@ -6,6 +6,7 @@
     jasmine_telemetry::log::Line,
     std::{
         cell::{Cell, RefCell},
+        cmp::Reverse,
         collections::BTreeMap,
         net::SocketAddr,
     },
@@ -25,8 +26,8 @@
 /// A VM that started less than this ago leaves the lead to others, for so long.
 const NEW: Millis = Millis(10_000);
 const NEWCOMER: Millis = Millis(600);
-/// What a VM with little processor leaves to the others: scheduling for all takes a tenth of a small VM's.
-const WEAK: Millis = Millis(300);
+/// At a first start all VMs enter within this time, and the one that leads is chosen among all of them.
+const GATHERING: Millis = Millis(1_000);
 /// A first start of the deployment is over after this long: rates may have been used by then.
 const FIRST_START: Millis = Millis(9_000);
 
@@ -209,14 +210,18 @@
             .collect()
     }
 
-    /// How many VMs may take the lead before this one; each time another one goes first.
+    /// How many VMs may take the lead before this one: those with more processor, as scheduling for 140 engines and 850
+    /// requests a second takes a quarter of a core, and among equals each time another one first.
     pub(super) fn before_me(
         &self,
         cx: &Context,
     ) -> usize {
         let known = cx.scheduling.leader();
         let fence = known.as_ref().map_or(0, |leader| leader.fence.0);
-        let rank = |vm: &VmRecord| (vm.is_weak, xxh3_64(format!("{fence}/{}", vm.vm).as_bytes()));
+        let rank = |vm: &VmRecord| {
+            let hash = xxh3_64(format!("{fence}/{}", vm.vm).as_bytes());
+            (Reverse(vm.processor_percent), hash)
+        };
         let may_lead = |vm: &&VmRecord| known.as_ref().is_none_or(|leader| leader.vm != vm.vm);
         let mine = rank(&self.me);
         let vms = self.vms.borrow();
@@ -245,8 +250,7 @@
         } else {
             Millis::ZERO
         };
-        let weak = if self.me.is_weak { WEAK } else { Millis::ZERO };
-        Millis(self.before_me(cx) as u64 * TURN.0) + incumbent + newcomer + weak
+        Millis(self.before_me(cx) as u64 * TURN.0) + incumbent + newcomer
     }
 
     /// Whether the store has the key of a leader on another VM, or of this run.
@@ -264,8 +268,10 @@
         &self,
         cx: &Context,
     ) -> bool {
-        let waited = self.clock.now().since(self.absent_since.get());
-        let is_free = !self.has_leader.get() && waited >= self.turn(cx);
+        let now = self.clock.now();
+        let waited = now.since(self.absent_since.get());
+        let is_early = cx.settings.first_start && now.since(self.started) < GATHERING;
+        let is_free = !self.has_leader.get() && !is_early && waited >= self.turn(cx);
         let is_own = self.predecessor.get().is_some() || cx.scheduling.is_leading();
         self.is_loaded.get() && (is_free || (is_own && !self.has_other_leader()))
     }
--- a/crates/entry/src/store/vm_record.rs
+++ b/crates/entry/src/store/vm_record.rs
@@ -20,6 +20,9 @@
     /// Whether it has less processor or network than most.
     #[serde(default)]
     pub is_weak: bool,
+    /// Its part of a core, in percent.
+    #[serde(default)]
+    pub processor_percent: u32,
 }
 
 impl VmRecord {
--- a/crates/entry/tests/fault_soak.rs
+++ b/crates/entry/tests/fault_soak.rs
@@ -11,8 +11,9 @@
     std::{env, time::Duration},
 };
 
-/// Seeds that are always played: one that was never red, and each that ever was, with its cause.
-const KEPT: [u64; 1] = [1];
+/// Seeds that are always played. 114 was red, as 111 and 115 were: a stop begun before the faults were over ended after
+/// it, and the test didn't start the process again.
+const KEPT: [u64; 2] = [1, 114];
 const SECONDS: u64 = 6;
 
 fn setting(
--- a/crates/entry/tests/soak/world.rs
+++ b/crates/entry/tests/soak/world.rs
@@ -24,6 +24,7 @@
     vm: Option<Vm>,
     starts_at: Option<Instant>,
     thaws_at: Option<Instant>,
+    is_stopping: bool,
     store_link: Proxy,
     caller_link: Proxy,
     log: String,
@@ -106,6 +107,7 @@
             vm: Some(vm),
             starts_at: None,
             thaws_at: None,
+            is_stopping: false,
             log: String::new(),
         });
     }
@@ -141,7 +143,10 @@
         let now = Instant::now();
         match fault {
             Fault::Kill(vm) => self.signal(vm, Signal::SIGKILL),
-            Fault::Stop(vm) => self.signal(vm, Signal::SIGTERM),
+            Fault::Stop(vm) => {
+                self.signal(vm, Signal::SIGTERM);
+                self.slots[vm].is_stopping = true;
+            }
             Fault::Freeze(vm, time) => {
                 self.signal(vm, Signal::SIGSTOP);
                 self.slots[vm].thaws_at = Some(now + time);
@@ -289,7 +294,8 @@
 
 impl Slot {
     fn is_running(&self) -> bool {
-        self.vm.is_some() && self.starts_at.is_none() && self.thaws_at.is_none()
+        let is_up = self.vm.is_some() && self.starts_at.is_none();
+        is_up && self.thaws_at.is_none() && !self.is_stopping
     }
 
     fn step(
@@ -314,6 +320,7 @@
             self.starts_at = None;
             let vm = Vm::start_before(self.store_link.address(), &self.name);
             self.caller_link.retarget(vm.callers);
+            self.is_stopping = false;
             self.vm = Some(vm);
         }
     }
