--- a/crates/core/src/scheduler/machine/commands.rs
+++ b/crates/core/src/scheduler/machine/commands.rs
@@ -5,7 +5,7 @@
     crate::{
         clock::Millis,
         ids::{AccountId, AdapterId, AdapterVersion, RequestId, ServiceId, UpstreamId},
-        rights::Limit,
+        rights::{Charge, Limit},
         scheduler::{
             Adopted, EngineFacts, EngineLimits, Job, Order, OrderEnd, Outcome, OwnDecision,
             RightsShare, SchedulerAction as Action, SchedulerSettings, Ticket, UpstreamFacts,
@@ -168,21 +168,31 @@
             return refuse(refusal);
         }
         self.next_request += 1;
-        self.by_ticket.insert(ticket, request);
         self.note_wanted(&job, true);
         self.timely.insert((self.timely_until(&job), request));
-        let forget_at = job.deadline + FORGET_AFTER;
+        self.enter(request, ticket, job, Stage::Waiting, charge);
+        self.decide(now)
+    }
+
+    fn enter(
+        &mut self,
+        request: RequestId,
+        ticket: Ticket,
+        job: Job,
+        stage: Stage,
+        charge: Option<Charge>,
+    ) {
+        self.by_ticket.insert(ticket, request);
         let entry = Entry {
             ticket,
             timely_until: self.timely_until(&job),
             look_at: Millis::ZERO,
+            forget_at: job.deadline + FORGET_AFTER,
             job,
-            stage: Stage::Waiting,
+            stage,
             charge,
-            forget_at,
         };
         self.entries.insert(request, entry);
-        self.decide(now)
     }
 
     /// Notes what was decided of a request of this VM's own callers, whoever decided.
@@ -278,18 +288,8 @@
         if has_begun && let Some(engine) = self.fleet.engine_mut(upstream) {
             engine.backlog.remove(request, now);
         }
-        self.by_ticket.insert(ticket, request);
-        let forget_at = job.deadline + FORGET_AFTER;
-        let entry = Entry {
-            ticket,
-            timely_until: self.timely_until(&job),
-            look_at: Millis::ZERO,
-            job,
-            stage: Stage::Running { upstream, adapter },
-            charge: None,
-            forget_at,
-        };
-        self.entries.insert(request, entry);
+        let stage = Stage::Running { upstream, adapter };
+        self.enter(request, ticket, job, stage, None);
     }
 
     /// Forgets all requests of a VM that is gone.
--- a/crates/core/src/scheduler/machine/decisions.rs
+++ b/crates/core/src/scheduler/machine/decisions.rs
@@ -92,26 +92,22 @@
         &mut self,
         now: Millis,
     ) -> Vec<Action> {
-        let expired = self.queue.expire(now);
-        let refuse = |waiting: Waiting| {
-            let entry = self.entries.remove(&waiting.request)?;
-            self.timely.remove(&(entry.timely_until, waiting.request));
-            self.by_ticket.remove(&entry.ticket);
-            self.note_wanted(&entry.job, false);
-            if let Some(charge) = entry.charge {
-                self.rates.settle(charge, false, now);
-            }
+        let mut actions = Vec::new();
+        for Waiting { request, .. } in self.queue.expire(now) {
+            let Some(entry) = self.entries.get(&request) else {
+                continue;
+            };
+            let ticket = entry.ticket;
             let kind = if self.has_upstream(entry.job.service) {
                 ErrorKind::CannotMeetDeadline
             } else {
                 ErrorKind::NoUpstream
             };
-            Some(Action::Refuse {
-                ticket: entry.ticket,
-                refusal: Refusal::new(kind),
-            })
-        };
-        expired.into_iter().filter_map(refuse).collect()
+            self.finish(request, Outcome::Abandoned, now);
+            let refusal = Refusal::new(kind);
+            actions.push(Action::Refuse { ticket, refusal });
+        }
+        actions
     }
 
     /// Puts requests that can't be on time any more behind those that can, and refuses them where even what
