Scheduler: preferred engines by the project's own rendezvous hash; time of a cold load counted once a pass

Cause: found on reading the change again. choose/preferred hashed by itself, over four bytes of the adapter's number, while the distance in choose/load goes by placement::rendezvous over eight: the twelve engines that were looked at were not the ones that an adapter is nearest to. And all engines were counted for loads under way twice an event, once for each turn. Excluded: a difference in rank between the hash and the weighted score (the score rises with the hash). Change: placement::rendezvous_hash serves both; one count a pass, anew after a load was ordered, as before. Core's tests pass unchanged.

--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -7,5 +7,5 @@
 pub use {
     engine_slot::EngineSlot,
     instance::Instance,
-    preferred::{preferred, rendezvous},
+    preferred::{preferred, rendezvous, rendezvous_hash},
 };
--- a/crates/core/src/placement/preferred.rs
+++ b/crates/core/src/placement/preferred.rs
@@ -13,12 +13,20 @@
     candidate: u64,
     weight: u32,
 ) -> f64 {
-    let hash = xxh3_64_with_seed(&thing.to_le_bytes(), candidate);
+    let hash = rendezvous_hash(thing, candidate);
     // In (0, 1): the logarithm below is finite and negative.
     let unit = ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
     -f64::from(weight) / unit.ln()
 }
 
+/// How much a thing prefers a candidate over others of the same weight; orders them as [`rendezvous`] does.
+pub fn rendezvous_hash(
+    thing: u64,
+    candidate: u64,
+) -> u64 {
+    xxh3_64_with_seed(&thing.to_le_bytes(), candidate)
+}
+
 /// The `k` engines on which an adapter should live, best first.
 ///
 /// Versions of one adapter prefer the same engines: a rollout then moves demand between two
--- a/crates/core/src/scheduler/choose/preferred.rs
+++ b/crates/core/src/scheduler/choose/preferred.rs
@@ -1,7 +1,4 @@
-use {
-    crate::{ids::AdapterId, scheduler::upstream::Upstream},
-    xxhash_rust::xxh3::xxh3_64_with_seed,
-};
+use crate::{ids::AdapterId, placement::rendezvous_hash, scheduler::upstream::Upstream};
 
 /// Of many engines, so many are looked at besides those that have the adapter: enough that one of them has an idle place.
 const PREFERRED: usize = 12;
@@ -25,8 +22,7 @@
         &mut self,
         up: &'a Upstream,
     ) {
-        let engine = u64::from(up.id.0);
-        let score = xxh3_64_with_seed(&self.adapter.0.to_le_bytes(), engine);
+        let score = rendezvous_hash(u64::from(self.adapter.0), u64::from(up.id.0));
         let is_full = self.best.len() == PREFERRED;
         if is_full && self.best.last().is_some_and(|&(worst, _)| score <= worst) {
             return;
--- a/crates/core/src/scheduler/machine/decisions.rs
+++ b/crates/core/src/scheduler/machine/decisions.rs
@@ -56,8 +56,7 @@
         let mut actions = self.refuse_late(now);
         actions.extend(self.postpone_late(now));
         if now >= self.next_pass {
-            self.send_and_load(Turn::Timely, now, &mut actions);
-            self.send_and_load(Turn::All, now, &mut actions);
+            self.pass_over(now, &mut actions);
             self.next_pass = now + self.pass_pause();
         }
         if self.may_order_at(now) && now >= self.engines_looked_at + LOOK_AT_ENGINES {
@@ -67,6 +66,21 @@
         actions
     }
 
+    /// Sends and loads for those that wait: first for those that can be on time, then for all.
+    fn pass_over(
+        &mut self,
+        now: Millis,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.queue.is_empty() {
+            return;
+        }
+        let mut cold = self.fleet.cold_time(&self.settings.loads, now);
+        for turn in [Turn::Timely, Turn::All] {
+            self.send_and_load(turn, &mut cold, now, actions);
+        }
+    }
+
     fn pass_pause(&self) -> Millis {
         match self.queue.len() {
             short if short <= SHORT_QUEUE => Millis::ZERO,
@@ -145,15 +159,12 @@
     fn send_and_load(
         &mut self,
         turn: Turn,
+        cold: &mut Millis,
         now: Millis,
         actions: &mut Vec<Action>,
     ) {
-        if self.queue.is_empty() {
-            return;
-        }
         let may_order = self.may_order_at(now);
         let mut looked = 0;
-        let mut cold = self.fleet.cold_time(&self.settings.loads, now);
         loop {
             let mut sent = None;
             let popped = {
@@ -195,7 +206,7 @@
                     if let Some(plan) = load {
                         let order = loads::begin(fleet, versions, &plan, &settings.loads, now);
                         actions.extend(order);
-                        cold = fleet.cold_time(&settings.loads, now);
+                        *cold = fleet.cold_time(&settings.loads, now);
                     }
                     if send.is_none() {
                         entry.look_at = now + pause;
