One piece of code each: start of daemons, retries of a lease, the configuration's state, stand-ins' listening

No decision changes. conf::start::daemon_main serves entry and gateway, whose mains were alike but for the settings and the log's output (exit codes 2 and 1 as before; checked by hand with a file that isn't there: 2). The member lease uses link::Backoff in place of a doubling of its own: the same bounds, spread at random below them. Context keeps the configuration in one watched value in place of a cell and a flag. A read of everything noted the store's answer twice. Stand-ins listen on the loopback by Running::start. client/mod.rs (515 lines) is split: who leads is client/leading.rs, moved as it was.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -8,10 +8,7 @@
         ingress::{CallerLimits, IngressConfig},
     },
     jasmine_telemetry::log::Line,
-    std::{
-        cell::{Cell, RefCell},
-        rc::Rc,
-    },
+    std::{cell::Cell, rc::Rc},
     tokio::{sync::watch, time::timeout},
 };
 
@@ -40,9 +37,7 @@
     pub pool: Rc<Pool>,
     /// What is counted.
     pub metrics: Rc<EntryMetrics>,
-    config: RefCell<Option<Rc<IngressConfig>>>,
-    /// Whether there is one.
-    first_config: watch::Sender<bool>,
+    config: watch::Sender<Option<Rc<IngressConfig>>>,
     stop: watch::Sender<StopStage>,
     in_flight: Cell<usize>,
 }
@@ -61,8 +56,7 @@
             scheduling,
             pool,
             metrics,
-            config: RefCell::default(),
-            first_config: watch::Sender::default(),
+            config: watch::Sender::default(),
             stop: watch::Sender::default(),
             in_flight: Cell::new(0),
         }
@@ -78,13 +72,10 @@
         &self,
         wait: Millis,
     ) -> Option<Rc<IngressConfig>> {
-        if let Some(config) = self.config() {
-            return Some(config);
-        }
-        let mut first = self.first_config.subscribe();
-        // Whether it came or not, what there is now is told.
-        let _either = timeout(wait.to_std(), first.wait_for(|has_one| *has_one)).await;
-        self.config()
+        let mut config = self.config.subscribe();
+        let first = timeout(wait.to_std(), config.wait_for(Option::is_some)).await;
+        // Either it didn't come in time, or this context, which sends it, is gone.
+        first.ok()?.ok()?.clone()
     }
 
     /// What callers may send.
@@ -110,8 +101,7 @@
             .with("routes", config.routes.len())
             .info();
         self.scheduling.desk.set_config(&config);
-        self.config.replace(Some(Rc::new(config)));
-        self.first_config.send_replace(true);
+        self.config.send_replace(Some(Rc::new(config)));
     }
 
     /// Whether the balancer may send callers here.
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,51 +1,19 @@
 //! The entry VMs' daemon.
 
 use {
-    jasmine_conf::{
-        settings::{EntrySettings, check_settings, read_settings},
-        start::{Start, start_of},
-    },
+    jasmine_conf::{settings::EntrySettings, start::daemon_main},
     jasmine_entry::daemon::{command, run},
-    jasmine_telemetry::log::{LogOutput, start as start_log},
-    std::{path::Path, process::ExitCode},
+    jasmine_telemetry::log::{LogOutput, start},
+    std::process::ExitCode,
 };
 
-/// The exit code for settings or arguments that can't be used.
-const UNUSABLE: u8 = 2;
-
 fn main() -> ExitCode {
-    match start_of(&command().get_matches()) {
-        Start::CheckSettings(file) => match check_settings::<EntrySettings>(&file) {
-            Ok(line) => {
-                println!("{line}");
-                ExitCode::SUCCESS
-            }
-            Err(e) => fail(&e, UNUSABLE),
+    daemon_main(
+        command(),
+        |settings: &EntrySettings| {
+            let level = settings.log.level.to_string();
+            start(&level, LogOutput::BoundedStdout)
         },
-        Start::Serve(file) => serve(&file),
-    }
-}
-
-fn serve(file: &Path) -> ExitCode {
-    let settings: EntrySettings = match read_settings(file) {
-        Ok(settings) => settings,
-        Err(e) => return fail(&e, UNUSABLE),
-    };
-    let level = settings.log.level.to_string();
-    let _log = match start_log(&level, LogOutput::BoundedStdout) {
-        Ok(log) => log,
-        Err(e) => return fail(&e, UNUSABLE),
-    };
-    match actix_rt::System::new().block_on(run(settings)) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => fail(&e, 1),
-    }
-}
-
-fn fail(
-    e: &dyn std::error::Error,
-    code: u8,
-) -> ExitCode {
-    eprintln!("jasmine-entry: {e}");
-    ExitCode::from(code)
+        |settings| actix_rt::System::new().block_on(run(settings)),
+    )
 }
--- a/crates/entry/src/scheduling/client/mod.rs
+++ b/crates/entry/src/scheduling/client/mod.rs
@@ -10,9 +10,8 @@
         clock::Millis,
         error::{ErrorKind, Refusal},
         ids::Fence,
-        scheduler::{Outcome, OwnDecision, RightsShare, Ticket},
+        scheduler::{Outcome, OwnDecision, Ticket},
     },
-    jasmine_telemetry::log::Line,
     jasmine_wire::{
         link::{Link, LinkOptions},
         scheduler_capnp::scheduler,
@@ -30,6 +29,7 @@
 };
 
 mod following;
+mod leading;
 
 /// The VM number under which a machine knows the requests of its own VM.
 pub(super) const OWN: u32 = 0;
@@ -232,12 +232,6 @@
         matches!(*self.mode.borrow(), Mode::Following(..))
     }
 
-    /// For how long the leader hasn't answered, while nobody else is known to lead.
-    pub fn silent_for(&self) -> Option<Millis> {
-        let since = self.silent_since.get()?;
-        Some(self.clock.now().since(since))
-    }
-
     /// Who decides for this VM now, as a word for the log.
     pub fn decider(&self) -> String {
         match &*self.mode.borrow() {
@@ -252,115 +246,6 @@
         }
     }
 
-    /// Engines check no fencing tokens: orders are given only while the lease of the lead surely lasts.
-    pub fn order_only_under_lease(&self) {
-        self.lead_until.set(Some(Millis::ZERO));
-    }
-
-    /// Notes until when the lease of the lead lasts at the least.
-    pub fn lead_lasts_until(
-        &self,
-        until: Millis,
-    ) {
-        if self.lead_until.get().is_some() {
-            self.lead_until.set(Some(until));
-        }
-    }
-
-    /// The fencing token for an order that is sent now; none where another VM may lead by now.
-    pub fn fence_for_order(&self) -> Option<Fence> {
-        let now = self.clock.now();
-        let is_sure = self.lead_until.get().is_none_or(|until| now < until);
-        self.fence().filter(|_| is_sure)
-    }
-
-    /// The fencing token of this VM's lead.
-    pub fn fence(&self) -> Option<Fence> {
-        match *self.mode.borrow() {
-            Mode::Leading(fence) => Some(fence),
-            Mode::Alone | Mode::Following(..) => None,
-        }
-    }
-
-    /// The leader that this VM knows of.
-    pub fn leader(&self) -> Option<Leader> {
-        self.leader.borrow().clone()
-    }
-
-    /// Takes the lead, with a token that the store gave.
-    pub fn lead(
-        &self,
-        fence: Fence,
-        share: RightsShare,
-    ) {
-        let leader = Leader {
-            vm: self.me.clone(),
-            address: self.address,
-            fence,
-            is_leaving: false,
-        };
-        Line::new("lead_taken").with("fence", fence).info();
-        let before = self.leader.replace(Some(leader.clone()));
-        self.desk.set_role(true, share);
-        for running in self.running_now() {
-            self.desk.adopt(OWN, &running);
-        }
-        self.set_mode(Mode::Leading(fence));
-        self.announce(&leader, before.as_ref());
-    }
-
-    /// Stops deciding for others; another one has a higher token, or the lead was given back.
-    pub fn step_down(
-        &self,
-        reason: &str,
-    ) {
-        if self.is_leading() {
-            Line::new("lead_lost").with("reason", reason).warn();
-            self.stand_alone();
-        }
-    }
-
-    /// Takes word of a leader; one with an older token is not listened to.
-    pub fn consider(
-        &self,
-        leader: Leader,
-    ) {
-        let known = self.leader();
-        match known {
-            Some(known) if known.fence > leader.fence => return,
-            Some(known) if known.fence == leader.fence => {
-                if leader.is_leaving && !known.is_leaving {
-                    self.leader.replace(Some(leader));
-                }
-                return;
-            }
-            _ => {}
-        }
-        Line::new("leader_seen")
-            .with("vm", &leader.vm)
-            .with("fence", leader.fence)
-            .info();
-        let is_other = leader.vm != self.me;
-        self.leader.replace(Some(leader));
-        if is_other {
-            self.step_down("another leads");
-        }
-        self.bump();
-    }
-
-    /// Tells the others that this VM is about to stop, so that one of them takes the lead without waiting for it.
-    pub fn say_leaving(&self) {
-        let leader = self.leader().filter(|_| self.is_leading());
-        if let Some(leader) = leader {
-            let leader = Leader {
-                is_leaving: true,
-                ..leader
-            };
-            self.leader.replace(Some(leader.clone()));
-            self.announce(&leader, None);
-        }
-    }
-
     /// Takes the list of VMs.
     pub fn set_vms(
         &self,
@@ -444,29 +329,6 @@
         }
     }
 
-    /// The leader doesn't answer: decide alone until it does, or another one is found.
-    fn lose_leader(
-        &self,
-        reason: &str,
-    ) {
-        if matches!(*self.mode.borrow(), Mode::Following(..)) {
-            Line::new("leader_lost").with("reason", reason).warn();
-            self.silent_since.set(Some(self.clock.now()));
-            self.stand_alone();
-        }
-    }
-
-    fn stand_alone(&self) {
-        self.desk.set_role(false, self.part());
-        self.desk.forget_others(OWN);
-        self.set_mode(Mode::Alone);
-    }
-
-    fn part(&self) -> RightsShare {
-        self.parts.set(self.vms.borrow().len().max(1) as u64);
-        RightsShare::Part(self.parts.get())
-    }
-
     fn set_mode(
         &self,
         mode: Mode,
--- a/crates/entry/src/store/feed/served.rs
+++ b/crates/entry/src/store/feed/served.rs
@@ -55,7 +55,6 @@
         revision: u64,
     ) {
         self.recent.borrow_mut().reset(revision);
-        self.answered();
     }
 
     /// Notes a change; false where a later one of its key is known.
--- a/crates/entry/src/store/member_lease.rs
+++ b/crates/entry/src/store/member_lease.rs
@@ -6,6 +6,7 @@
     jasmine_core::clock::Millis,
     jasmine_store::store::{Lease, Op, Store, StoreError, Txn},
     jasmine_telemetry::log::Line,
+    jasmine_wire::link::Backoff,
     std::rc::Rc,
     tokio::time::sleep,
 };
@@ -25,17 +26,16 @@
     store: KvStore,
     membership: Rc<Membership>,
 ) {
-    let mut pause = RETRY_FIRST;
+    let mut backoff = Backoff::new(RETRY_FIRST, RETRY_MOST);
     loop {
         match enter(&cx, &store, &membership).await {
             Ok(lease) => {
-                pause = RETRY_FIRST;
+                backoff.reset();
                 stay(&store, &membership, lease).await;
             }
             Err(e) => {
                 Line::new("lease_failed").with("reason", e).warn();
-                sleep(pause.to_std()).await;
-                pause = Millis(pause.0 * 2).min(RETRY_MOST);
+                sleep(backoff.next_pause().to_std()).await;
             }
         }
     }
