A VM that stops sends away what still waits, in place of leaving it without an answer

Cause: a request that came in the 2.8 s in which the balancer still sends callers, and that waited in the queue until the end of the process at 7.5 s, found its connection closed. Seen twice: on the further site (sent 2.775 s after the signal, closed at 7.52 s, 'stopped cut=2') and on the grown one (2.792 s after, closed at 7.509 s). Excluded: a lack of processor. The log shows the process idle and the request waiting; how late the VM runs only decides whether something still waits. Change: 2.5 s before the end what hasn't been sent to an upstream is refused as not run, and its caller may come back at once over another VM. A stream that begins later than that is mostly cut. Test: planned_stop::what_waits_is_sent_elsewhere; without the new stage it fails with no answer after 7.6 s.

--- a/crates/entry/src/caller/connection.rs
+++ b/crates/entry/src/caller/connection.rs
@@ -59,11 +59,9 @@
     is_first: bool,
 ) -> Result<IncomingRequest, ReadEnd> {
     let limits = cx.limits();
-    let mut stop = cx.stop_changes();
-    let closing = stop.wait_for(|&stage| stage >= StopStage::Closing);
     tokio::select! {
         begun = wait_for_request(stream, buf, limits.idle_timeout) => begun?,
-        _ = closing, if !is_first => return Err(ReadEnd::Closed),
+        () = cx.stop_reached(StopStage::Closing), if !is_first => return Err(ReadEnd::Closed),
     }
     read_request(stream, buf, &limits).await
 }
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -22,6 +22,8 @@
     Leaving,
     /// Idle connections are closed.
     Closing,
+    /// What still waits for an upstream is sent elsewhere.
+    Emptying,
 }
 
 /// The daemon's shared state.
@@ -119,6 +121,18 @@
         self.stop.subscribe()
     }
 
+    /// Ends when a planned stop has come to a stage.
+    pub async fn stop_reached(
+        &self,
+        stage: StopStage,
+    ) {
+        let mut stop = self.stop_changes();
+        if stop.wait_for(|&reached| reached >= stage).await.is_err() {
+            // Only this context sends changes; without it nobody waits for one.
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Goes on with a planned stop.
     pub fn set_stop_stage(
         &self,
--- a/crates/entry/src/daemon/stop.rs
+++ b/crates/entry/src/daemon/stop.rs
@@ -1,4 +1,4 @@
-//! The planned stop: the balancer first, then the lead, then idle connections, then what is left.
+//! The planned stop: the balancer first, then the lead, then idle connections, then what waits, then what is left.
 
 use {
     crate::{
@@ -20,6 +20,9 @@
 const BALANCER: Millis = Millis(2_800);
 /// How long before the end of its time the daemon ends by itself.
 const SPARE: Millis = Millis(500);
+/// How long before its end the daemon sends away what still waits for an upstream. A stream that begins later than that
+/// is mostly cut off midway; one that is still waiting at the end would get no answer at all.
+const EMPTYING: Millis = Millis(2_500);
 /// How often it is looked whether all requests have ended.
 const LOOK_EVERY: Duration = Duration::from_millis(25);
 
@@ -66,11 +69,21 @@
     }
     tokio::time::sleep_until((began + BALANCER.to_std()).min(deadline)).await;
     cx.set_stop_stage(StopStage::Closing);
-    while cx.in_flight() > 0 && Instant::now() < deadline {
-        sleep(LOOK_EVERY).await;
-    }
+    wait_until_idle(cx, deadline - EMPTYING.to_std()).await;
+    cx.set_stop_stage(StopStage::Emptying);
+    wait_until_idle(cx, deadline).await;
     Line::new("stopped")
         .with("cut", cx.in_flight())
         .with("ms", began.elapsed().as_millis())
         .info();
 }
+
+/// Waits until no request is left, until a point in time at the longest.
+async fn wait_until_idle(
+    cx: &Context,
+    until: Instant,
+) {
+    while cx.in_flight() > 0 && Instant::now() < until {
+        sleep(LOOK_EVERY).await;
+    }
+}
--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -1,12 +1,12 @@
 use {
     super::{
-        ForwardRequest,
+        ELSEWHERE, ForwardRequest,
         attempt::{Answering, AttemptContext, Failure, Start},
         relay::{Progress, RelayEnd, relay},
     },
     crate::{
         caller::{AnswerWriter, OwnAnswer},
-        context::Context,
+        context::{Context, StopStage},
         http1::AnswerHead,
         scheduling::Placement,
     },
@@ -114,15 +114,21 @@
         }
     }
 
-    /// Waits for an upstream, until the deadline at the longest.
+    /// Waits for an upstream, until the deadline at the longest, or until this VM is about to end: the process would
+    /// leave its caller without a word, while another VM has the time to serve it.
     async fn place(&self) -> Result<Placement, Refusal> {
         let now = self.cx.clock.now();
         let number = self.attempts.next_number();
         let data_centre = &self.cx.settings.data_centre;
         let job = self.req.job(number, &self.avoid, data_centre, now);
         let left = self.req.deadline.since(now);
-        let placed = timeout(left.to_std(), self.cx.scheduling.place(job)).await;
-        placed.unwrap_or(Err(Refusal::new(ErrorKind::CannotMeetDeadline)))
+        let placed = timeout(left.to_std(), self.cx.scheduling.place(job));
+        tokio::select! {
+            placed = placed => placed.unwrap_or(Err(Refusal::new(ErrorKind::CannotMeetDeadline))),
+            () = self.cx.stop_reached(StopStage::Emptying) => {
+                Err(Refusal::after(ErrorKind::ShuttingDown, ELSEWHERE))
+            }
+        }
     }
 
     async fn attempt(
--- a/crates/entry/src/forward/serve.rs
+++ b/crates/entry/src/forward/serve.rs
@@ -1,5 +1,5 @@
 use {
-    super::{ForwardRequest, driver::Driver},
+    super::{ELSEWHERE, ForwardRequest, driver::Driver},
     crate::{
         caller::{AnswerWriter, IncomingRequest, OwnAnswer},
         context::{Context, StopStage},
@@ -13,9 +13,6 @@
     std::{io, rc::Rc},
 };
 
-/// When a caller may come back whom this VM can't serve any more: at once, as it then reaches another one.
-const ELSEWHERE: Millis = Millis(20);
-
 /// For how long a caller waits for this VM's first configuration. Callers reach a VM as soon as it listens; where all
 /// have just started, another one has none either, and it is there within half a second.
 const FIRST_CONFIG: Millis = Millis(300);
--- a/crates/entry/tests/planned_stop.rs
+++ b/crates/entry/tests/planned_stop.rs
@@ -51,6 +51,34 @@
     assert!(vm.ended().success());
 }
 
+#[test]
+fn what_waits_is_sent_elsewhere() {
+    // A request has come just before the balancer stopped sending callers, and waits for an engine that takes seconds to
+    // come. The process ends before its turn: the caller is told that it has not run, early enough to try another VM,
+    // where it would otherwise find its connection closed without a word.
+    let (store, _upstreams) = platform(&["s-1"]);
+    let mut patient = deployment::config(2);
+    for route in patient["routes"].as_array_mut().unwrap() {
+        route["timeout_ms"] = 15_000.into();
+    }
+    store.put("op/config", &patient);
+    let mut vm = Vm::start(&store);
+    vm.signal(Signal::SIGTERM);
+    thread::sleep(Duration::from_millis(1_500));
+    let waits = Request::new("POST", "/model/")
+        .with("X-Deadline-Ms", "15000")
+        .with("X-Model", "base/a1")
+        .with("X-Token-Counts", "100,10")
+        .body(b"prompt");
+    let answer = vm.send(&waits.bytes()).expect("an answer");
+    assert_eq!(answer.status, 503, "{}", answer.text());
+    assert!(answer.text().contains("shutting_down"), "{}", answer.text());
+    assert!(answer.header("retry-after").is_some());
+    assert!(vm.ended().success());
+    assert_eq!(vm.logged("stopped").len(), 1);
+    assert!(vm.log().contains("event=stopped cut=0"), "{}", vm.log());
+}
+
 #[test]
 fn an_idle_connection_ends_without_an_answer() {
     let (store, _upstreams) = platform(&["s-1"]);
