Scheduler: what each waiting request waits for; reading times learned from all engines of a service; an engine's book mended by late reports

WaitReason: each request that isn't sent has a reason, counted in ms (jasmine_waited_ms by reason), in the verdict to its VM and in request_sent, request_ended and request_given_up (waited_for=). Reading times: an engine that was seldom used stayed at the assumed 15 tokens/ms (38 in truth) and was passed over for being slow; learned values ranged from 9 to 32 by chance of prompt lengths. Now a line (fixed + per token) over all engines of a service and a factor an engine that fades in 4 s. A report 350 ms after the last order is believed. The wait until an engine may be ordered now counts in the choice; engines have each their own time from which they may be ordered.

--- a/crates/core/src/scheduler/action.rs
+++ b/crates/core/src/scheduler/action.rs
@@ -1,5 +1,5 @@
 use {
-    super::Ticket,
+    super::{Ticket, WaitReason},
     crate::{
         error::Refusal,
         ids::{AdapterVersion, ModelId, UpstreamId},
@@ -40,6 +40,8 @@
         upstream: UpstreamId,
         /// The adapter's version that may run it, where an operator has named one.
         version: Option<u32>,
+        /// What it waited for longest.
+        waited_for: WaitReason,
     },
     /// Answer the request with a refusal: it has not run.
     Refuse {
@@ -47,6 +49,8 @@
         ticket: Ticket,
         /// Why, and when to come back.
         refusal: Refusal,
+        /// What it waited for longest.
+        waited_for: WaitReason,
     },
     /// Give an engine an order, void unless the engine has accepted exactly `after_seq` before.
     Order {
--- a/crates/core/src/scheduler/choose/load.rs
+++ b/crates/core/src/scheduler/choose/load.rs
@@ -6,7 +6,7 @@
         ids::{AdapterVersion, ModelId},
         placement::rendezvous,
         scheduler::{
-            Generation, Job,
+            Generation, Job, WaitReason,
             engine::Engine,
             fleet::Load,
             place::{DEMAND_HALF_LIFE, Place},
@@ -46,9 +46,10 @@
         }
         let is_warm = engine.keeps_warm(wanted);
         let Some((evict, eviction_cost)) = self.room_for(generation.model, engine, wanted) else {
-            return is_warm.then_some((base + PLACE_MS, Way::Wait));
+            return is_warm.then_some((base + PLACE_MS, Way::Wait(WaitReason::Place)));
         };
-        let takes = self.load_time(is_warm) + ORDER_MS;
+        let order_wait = engine.order_wait(self.now)?;
+        let takes = self.load_time(is_warm) + ORDER_MS + order_wait.0 as f64;
         let extra = (takes - engine.backlog.wait(self.now)).max(0.0);
         let price = if is_warm {
             WARM_LOAD_MS
@@ -58,13 +59,13 @@
         let affinity = rendezvous(u64::from(wanted.adapter.0), u64::from(up.id.0), 1);
         let distance = AFFINITY_MS / (1.0 + affinity);
         let cost = base + extra + price + eviction_cost + distance;
-        let way = if engine.takes_orders() && engine.reserved.is_none() {
+        let way = if engine.takes_orders(self.now) && engine.reserved.is_none() {
             Way::Load {
                 adapter: wanted,
                 evict,
             }
         } else {
-            Way::Wait
+            Way::Wait(WaitReason::Order)
         };
         Some((cost, way))
     }
@@ -140,6 +141,21 @@
         (waits || engine.backlog.is_empty())
             && engine.has_room(up.running, total, self.settings.memory_percent)
     }
+
+    /// Why an engine that could run a request can't take it now.
+    pub(super) fn full_reason(
+        &self,
+        job: &Job,
+        up: &Upstream,
+        engine: &Engine,
+    ) -> WaitReason {
+        let total = Load::of(job, engine, self.now).total;
+        if engine.has_room(up.running, total, self.settings.memory_percent) {
+            WaitReason::Prompts
+        } else {
+            WaitReason::Memory
+        }
+    }
 }
 
 /// What a load from the adapter store counts as for one request. All that will use the new copy share it: about
--- a/crates/core/src/scheduler/choose/mod.rs
+++ b/crates/core/src/scheduler/choose/mod.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Generation, Job, SchedulerSettings,
+        Generation, Job, SchedulerSettings, WaitReason,
         engine::Engine,
         fleet::{Fleet, Load},
         place::DEMAND_HALF_LIFE,
@@ -57,6 +57,8 @@
     pub send: Option<(UpstreamId, Option<AdapterVersion>)>,
     /// Load its adapter.
     pub load: Option<LoadPlan>,
+    /// What it waits for where it isn't sent.
+    pub waits_for: WaitReason,
 }
 
 /// What a choice depends on beside the request.
@@ -91,7 +93,7 @@
     /// At once.
     Send(Option<AdapterVersion>),
     /// Later: it is full, or the adapter is on its way or takes an order that can't be given yet.
-    Wait,
+    Wait(WaitReason),
     /// After a load.
     Load {
         adapter: AdapterVersion,
@@ -124,6 +126,7 @@
         Choice {
             send: best.map(|up| (up.id, None)),
             load: None,
+            waits_for: WaitReason::CallSlot,
         }
     }
 
@@ -159,6 +162,7 @@
             return Choice {
                 send: stale.map(|(_, upstream, old)| (upstream, Some(old))),
                 load: None,
+                waits_for: WaitReason::Place,
             };
         };
         let load = |adapter, evict| LoadPlan {
@@ -171,14 +175,17 @@
             Way::Send(adapter) => Choice {
                 send: Some((upstream, adapter)),
                 load: None,
+                waits_for: WaitReason::Turn,
             },
-            Way::Wait => Choice {
+            Way::Wait(waits_for) => Choice {
                 send: stale.map(|(_, upstream, old)| (upstream, Some(old))),
                 load: None,
+                waits_for,
             },
             Way::Load { adapter, evict } => Choice {
                 send: stale.map(|(_, upstream, old)| (upstream, Some(old))),
                 load: Some(load(adapter, evict)),
+                waits_for: WaitReason::Load,
             },
         }
     }
@@ -271,7 +278,7 @@
     ) -> f64 {
         let unread = Load::of(job, engine, self.now).unread;
         engine.backlog.wait(self.now)
-            + engine.backlog.time_for(unread)
+            + engine.backlog.time_for(unread, self.now)
             + f64::from(up.running) * RUNNING_MS
             + self.penalty(job, up)
     }
@@ -300,7 +307,7 @@
             let way = if self.can_take(job, up, engine) {
                 Way::Send(None)
             } else {
-                Way::Wait
+                Way::Wait(self.full_reason(job, up, engine))
             };
             return Some((base, way));
         };
@@ -308,10 +315,10 @@
         if let Some(wait) = engine.place(wanted).and_then(|place| place.wait(self.now)) {
             let extra = (wait.0 as f64 - engine.backlog.wait(self.now)).max(0.0);
             let extra = extra + self.queue_ahead(job, adapter, engine, copies);
-            let way = if wait == Millis::ZERO && self.can_take(job, up, engine) {
-                Way::Send(Some(wanted))
-            } else {
-                Way::Wait
+            let way = match wait {
+                Millis::ZERO if self.can_take(job, up, engine) => Way::Send(Some(wanted)),
+                Millis::ZERO => Way::Wait(self.full_reason(job, up, engine)),
+                _ => Way::Wait(WaitReason::Load),
             };
             return Some((base + extra, way));
         }
@@ -322,7 +329,7 @@
             // Its load follows as soon as a place is free. Another engine's would be a second copy for nothing.
             let takes = self.load_time(engine.keeps_warm(wanted)) + ORDER_MS;
             let extra = (takes - engine.backlog.wait(self.now)).max(0.0);
-            return Some((base + extra, Way::Wait));
+            return Some((base + extra, Way::Wait(WaitReason::Load)));
         }
         self.load_way(generation, up, engine, wanted, base, copies)
     }
@@ -339,7 +346,7 @@
         let others = waiting.saturating_sub(1);
         let each = engine
             .backlog
-            .time_for(Load::of(job, engine, self.now).unread);
+            .time_for(Load::of(job, engine, self.now).unread, self.now);
         f64::from(others) * each / copies.count.max(1) as f64
     }
 }
--- a/crates/core/src/scheduler/engine.rs
+++ b/crates/core/src/scheduler/engine.rs
@@ -18,6 +18,8 @@
 /// How long after a doubt an engine's report is asked for: reports are some hundred milliseconds old, and
 /// an earlier one would still tell what was before.
 const REPORT_LAG: Millis = Millis(350);
+/// An order, or a question for a report, and its answer take about this long.
+const ORDER_TIME: Millis = Millis(5);
 /// How much longer a load is expected to take when a request that came after it was told that the adapter
 /// is not there.
 const LATE_LOAD: Millis = Millis(40);
@@ -75,6 +77,12 @@
     pub going: Option<AdapterVersion>,
     /// Whether an order is out and not answered.
     pub has_order: bool,
+    /// When its last order was sent or answered, whichever was later.
+    pub ordered_at: Millis,
+    /// From when on it may be ordered: until then it may still get what another scheduler has sent.
+    pub orders_from: Millis,
+    /// Whether it gets no more orders from this scheduler, which is about to hand it over.
+    pub rests: bool,
     /// Whether the order that is out is the second try of one that had no answer.
     pub has_repeated: bool,
     /// The adapter that gets the place of one that was ordered to go.
@@ -102,6 +110,9 @@
             users: HashMap::new(),
             going: None,
             has_order: false,
+            ordered_at: Millis::ZERO,
+            orders_from: Millis::ZERO,
+            rests: false,
             has_repeated: false,
             reserved: None,
             dropped: VecDeque::new(),
@@ -119,6 +130,9 @@
         fresh.backlog = backlog;
         fresh.kv_used = self.kv_used;
         fresh.users = std::mem::take(&mut self.users);
+        fresh.ordered_at = self.ordered_at;
+        fresh.orders_from = self.orders_from;
+        fresh.rests = self.rests;
         *self = fresh;
     }
 
@@ -213,17 +227,59 @@
     }
 
     /// When a report is wanted.
-    pub(super) const fn report_due(&self) -> Option<Millis> {
+    pub(super) fn report_due(&self) -> Option<Millis> {
         match self.knowledge {
             Knowledge::Sure => None,
-            Knowledge::Doubted { ask_at } => Some(ask_at),
+            Knowledge::Doubted { ask_at } => Some(ask_at.max(self.orders_from)),
             Knowledge::Asked { again_at } => Some(again_at),
         }
     }
 
     /// Whether an order may be given now.
-    pub(super) fn takes_orders(&self) -> bool {
-        !self.has_order && self.knowledge == Knowledge::Sure
+    pub(super) fn takes_orders(
+        &self,
+        now: Millis,
+    ) -> bool {
+        !self.rests
+            && !self.has_order
+            && now >= self.orders_from
+            && self.knowledge == Knowledge::Sure
+    }
+
+    /// How long until an order may be given, as far as that can be told; none where this scheduler gives it no more.
+    pub(super) fn order_wait(
+        &self,
+        now: Millis,
+    ) -> Option<Millis> {
+        let answer = match self.knowledge {
+            _ if self.has_order => ORDER_TIME,
+            Knowledge::Sure => Millis::ZERO,
+            Knowledge::Doubted { ask_at } => ask_at.since(now) + ORDER_TIME,
+            Knowledge::Asked { .. } => ORDER_TIME,
+        };
+        (!self.rests).then(|| answer.max(self.orders_from.since(now)))
+    }
+
+    /// Notes that an order is sent.
+    pub(super) const fn note_order(
+        &mut self,
+        now: Millis,
+    ) {
+        self.has_order = true;
+        self.ordered_at = now;
+    }
+
+    /// Whether a report tells of a time before the last order. Reports are some hundred milliseconds old; long after the
+    /// last order one that counts fewer orders than the book is right, and the book is wrong: an engine that says of an
+    /// order that it holds already may or may not count it. Taken for an old one, it left its engine without orders for
+    /// good.
+    pub(super) fn is_outdated(
+        &self,
+        facts: &EngineFacts,
+        now: Millis,
+    ) -> bool {
+        let counts_less = facts.seq.is_some_and(|seq| seq < self.seq);
+        counts_less && now.since(self.ordered_at) < REPORT_LAG
     }
 
     /// Whether one more request fits, beside what was assigned.
--- a/crates/core/src/scheduler/fleet.rs
+++ b/crates/core/src/scheduler/fleet.rs
@@ -1,7 +1,10 @@
 use {
     super::{
-        EngineFacts, EngineLimits, Job, LoadSettings, Outcome, UpstreamFacts, engine::Engine,
-        speed::Speed, upstream::Upstream,
+        EngineFacts, EngineLimits, Job, LoadSettings, Outcome, UpstreamFacts,
+        backlog::Reading,
+        engine::Engine,
+        read_time::{ReadLine, ReadTime},
+        upstream::Upstream,
     },
     crate::{
         clock::Millis,
@@ -16,6 +19,10 @@
     pub upstreams: BTreeMap<UpstreamId, Upstream>,
     /// What the engines of a service can hold; a service without an entry is a plain one.
     engines: HashMap<ServiceId, EngineLimits>,
+    /// From when on engines may be ordered that were not known before.
+    pub orders_from: Millis,
+    /// How fast the engines of a service read prompts.
+    read_times: HashMap<ServiceId, ReadTime>,
 }
 
 impl Fleet {
@@ -45,9 +52,16 @@
         load: &LoadSettings,
         now: Millis,
     ) {
+        let line = self.read_line(facts.service);
+        let orders_from = self.orders_from;
         let limits = self.engines.get(&facts.service);
         let upstream = self.upstreams.entry(id).or_insert_with(|| {
-            let engine = limits.map(|limits| Engine::new(limits.clone()));
+            let engine = limits.map(|limits| {
+                let mut engine = Engine::new(limits.clone());
+                engine.backlog.set_line(line);
+                engine.orders_from = orders_from;
+                engine
+            });
             Upstream::new(id, facts, engine, now)
         });
         upstream.update(facts, now);
@@ -79,7 +93,7 @@
             return;
         };
         // A report older than an order that was accepted since would undo it in the book.
-        if facts.seq.is_some_and(|seq| seq < engine.seq) || engine.has_order {
+        if engine.is_outdated(facts, now) || engine.has_order {
             engine.doubt(now);
             return;
         }
@@ -132,16 +146,31 @@
         self.ready(service).map(Upstream::capacity).sum()
     }
 
-    /// Tokens of prompts that an engine of the service reads in a millisecond, on average.
-    pub(super) fn speed(
+    /// How long engines of a service take to read prompts.
+    pub(super) fn read_line(
         &self,
         service: ServiceId,
-    ) -> f64 {
-        let engines = self.ready(service).filter(|up| up.engine.is_some()).count();
-        if engines == 0 {
-            return Speed::default().per_ms();
+    ) -> ReadLine {
+        let known = self.read_times.get(&service).copied();
+        known.unwrap_or_default().line()
+    }
+
+    /// Learns from how long an engine of a service took to read a prompt.
+    pub(super) fn note_reading(
+        &mut self,
+        service: ServiceId,
+        reading: Reading,
+    ) {
+        let read_time = self.read_times.entry(service).or_default();
+        read_time.note(reading.tokens, reading.took);
+        let line = read_time.line();
+        let of_service = self
+            .upstreams
+            .values_mut()
+            .filter(|upstream| upstream.service == service);
+        for engine in of_service.filter_map(|upstream| upstream.engine.as_mut()) {
+            engine.backlog.set_line(line);
         }
-        self.capacity(service) / engines as f64
     }
 
     /// Cold loads at a time that don't slow each other down: the users' adapter store grows with their engines, four for
--- a/crates/core/src/scheduler/loads.rs
+++ b/crates/core/src/scheduler/loads.rs
@@ -55,12 +55,12 @@
             if ready.contains(&upstream)
                 && engine.models.is_empty()
                 && engine.loading.is_none()
-                && engine.takes_orders()
+                && engine.takes_orders(now)
                 && ((self.ordered.len() + 1) as f64) <= allowed.max(1.0)
                 && let Some(&(model, ..)) = engine.limits.models.first()
             {
                 self.ordered.push_back(now);
-                actions.push(order_model(upstream, engine, model));
+                actions.push(order_model(upstream, engine, model, now));
             }
         }
         actions
@@ -71,8 +71,9 @@
     upstream: UpstreamId,
     engine: &mut Engine,
     model: ModelId,
+    now: Millis,
 ) -> SchedulerAction {
-    engine.has_order = true;
+    engine.note_order(now);
     engine.loading = Some(model);
     SchedulerAction::Order {
         upstream,
@@ -91,10 +92,10 @@
 ) -> Option<SchedulerAction> {
     let load_time = fleet.cold_time(load, now);
     let engine = fleet.engine_mut(plan.upstream)?;
-    if !engine.takes_orders() {
+    if !engine.takes_orders(now) {
         return None;
     }
-    engine.has_order = true;
+    engine.note_order(now);
     let after_seq = engine.seq;
     let order = match plan.evict {
         Some(evicted) => {
@@ -155,10 +156,11 @@
     let cold = fleet.cold_time(load, now);
     let engine = fleet.engine_mut(upstream)?;
     engine.has_order = false;
+    engine.ordered_at = now;
     if end == OrderEnd::Lost && !std::mem::replace(&mut engine.has_repeated, true) {
         // Once more at once: if it is accepted now, the first one is void whenever it arrives, as the engine has
         // accepted another number of orders by then.
-        engine.has_order = true;
+        engine.note_order(now);
         let after_seq = engine.seq;
         return Some(SchedulerAction::Order {
             upstream,
@@ -248,7 +250,7 @@
     now: Millis,
 ) -> Option<SchedulerAction> {
     let (model, adapter) = reserved?;
-    if !engine.takes_orders() || !engine.has_free_place(model) {
+    if !engine.takes_orders(now) || !engine.has_free_place(model) {
         return None;
     }
     let plan = LoadPlan {
@@ -257,7 +259,7 @@
         adapter,
         evict: None,
     };
-    engine.has_order = true;
+    engine.note_order(now);
     let after_seq = engine.seq;
     Some(SchedulerAction::Order {
         upstream,
--- a/crates/core/src/scheduler/machine/admission.rs
+++ b/crates/core/src/scheduler/machine/admission.rs
@@ -105,7 +105,7 @@
             None => self.settings.least_call,
             Some(generation) => {
                 let tokens = f64::from(generation.size.prompt);
-                let read = tokens / self.fleet.speed(job.service);
+                let read = self.fleet.read_line(job.service).time_for(tokens);
                 self.settings.engine_backlog + Millis(read as u64) + ON_THE_WAY
             }
         };
--- a/crates/core/src/scheduler/machine/commands.rs
+++ b/crates/core/src/scheduler/machine/commands.rs
@@ -9,7 +9,7 @@
         scheduler::{
             Adopted, EngineFacts, EngineLimits, Job, Order, OrderEnd, Outcome, OwnDecision,
             RightsShare, SchedulerAction as Action, SchedulerSettings, Ticket, UpstreamFacts,
-            loads,
+            WaitReason, WaitTimes, loads,
             running::{Entry, Stage},
             version_book::Announcement,
         },
@@ -34,12 +34,15 @@
                 RightsShare::Fresh => now,
                 RightsShare::TakenOver | RightsShare::Part(_) => now + INTRODUCTIONS,
             };
-            self.orders_from = match share {
+            let orders_from = match share {
                 RightsShare::Fresh => now,
                 RightsShare::TakenOver | RightsShare::Part(_) => now + self.settings.order_gap,
             };
+            self.fleet.orders_from = orders_from;
             for (_, engine) in self.fleet.engines_mut() {
                 engine.has_order = false;
+                engine.rests = false;
+                engine.orders_from = orders_from;
                 engine.doubt(Millis::ZERO);
             }
         }
@@ -47,6 +50,57 @@
         self.rates.set_share(share, now);
     }
 
+    /// The scheduler before was an earlier run on this VM. To engines that is the same orderer, and it is surely over.
+    pub fn continue_own_orders(
+        &mut self,
+        now: Millis,
+    ) {
+        self.fleet.orders_from = now;
+        for (_, engine) in self.fleet.engines_mut() {
+            engine.orders_from = now;
+        }
+    }
+
+    /// Takes from the scheduler before how long ago each engine had its last order.
+    pub fn note_rested(
+        &mut self,
+        upstream: UpstreamId,
+        rested: Millis,
+        now: Millis,
+    ) {
+        let gap = self.settings.order_gap;
+        if let Some(engine) = self.fleet.engine_mut(upstream) {
+            engine.orders_from = engine.orders_from.min(now + gap.since(rested));
+        }
+    }
+
+    /// Gives every second engine no more orders, as the lead is about to be handed on.
+    ///
+    /// Where engines check no fencing tokens, whoever follows must not order an engine until some time after its last
+    /// order. If all had their last one with the end of the lead, nothing could be loaded for that time, for seconds on
+    /// every planned restart of the VM that schedules.
+    pub fn rest_half(&mut self) {
+        for (_, engine) in self.fleet.engines_mut().step_by(2) {
+            engine.rests = true;
+        }
+    }
+
+    /// How long ago each engine had its last order, for whoever follows.
+    pub fn rested(
+        &self,
+        now: Millis,
+    ) -> Vec<(UpstreamId, Millis)> {
+        let engines = self
+            .fleet
+            .upstreams
+            .values()
+            .filter_map(|up| Some((up.id, up.engine.as_ref()?)));
+        engines
+            .filter(|(_, engine)| !engine.has_order)
+            .map(|(id, engine)| (id, now.since(engine.ordered_at)))
+            .collect()
+    }
+
     /// Changes how it decides.
     pub fn set_settings(
         &mut self,
@@ -148,7 +202,13 @@
         job: Job,
         now: Millis,
     ) -> Vec<Action> {
-        let refuse = |refusal| vec![Action::Refuse { ticket, refusal }];
+        let refuse = |refusal| {
+            vec![Action::Refuse {
+                ticket,
+                refusal,
+                waited_for: WaitReason::Turn,
+            }]
+        };
         if let Err(refusal) = self.check_repeat(&job, now) {
             return refuse(refusal);
         }
@@ -170,7 +230,7 @@
         self.next_request += 1;
         self.note_wanted(&job, true);
         self.timely.insert((self.timely_until(&job), request));
-        self.enter(request, ticket, job, Stage::Waiting, charge);
+        self.enter(request, ticket, job, Stage::Waiting, charge, now);
         self.decide(now)
     }
 
@@ -181,12 +241,16 @@
         job: Job,
         stage: Stage,
         charge: Option<Charge>,
+        now: Millis,
     ) {
         self.by_ticket.insert(ticket, request);
         let entry = Entry {
             ticket,
             timely_until: self.timely_until(&job),
             look_at: Millis::ZERO,
+            waits_for: WaitReason::Turn,
+            waits_since: now,
+            waited: WaitTimes::default(),
             forget_at: job.deadline + FORGET_AFTER,
             job,
             stage,
@@ -236,13 +300,16 @@
         if let (Some(engine), Some(generation)) =
             (self.fleet.engine_mut(upstream), entry.job.generation())
         {
-            engine.backlog.read(request, now);
+            let reading = engine.backlog.read(request, now);
             engine
                 .prefixes
                 .note(generation.adapter, &generation.parts, now);
             if let Some(adapter) = adapter {
                 engine.note_ready(adapter);
             }
+            if let Some(reading) = reading {
+                self.fleet.note_reading(entry.job.service, reading);
+            }
         }
         self.decide(now)
     }
@@ -289,7 +356,7 @@
             engine.backlog.remove(request, now);
         }
         let stage = Stage::Running { upstream, adapter };
-        self.enter(request, ticket, job, stage, None);
+        self.enter(request, ticket, job, stage, None, now);
     }
 
     /// Forgets all requests of a VM that is gone.
--- a/crates/core/src/scheduler/machine/decisions.rs
+++ b/crates/core/src/scheduler/machine/decisions.rs
@@ -59,7 +59,7 @@
             self.pass_over(now, &mut actions);
             self.next_pass = now + self.pass_pause();
         }
-        if self.may_order_at(now) && now >= self.engines_looked_at + LOOK_AT_ENGINES {
+        if self.may_order && now >= self.engines_looked_at + LOOK_AT_ENGINES {
             self.engines_looked_at = now;
             self.look_at_engines(now, &mut actions);
         }
@@ -111,15 +111,12 @@
             let Some(entry) = self.entries.get(&request) else {
                 continue;
             };
-            let ticket = entry.ticket;
             let kind = if self.has_upstream(entry.job.service) {
                 ErrorKind::CannotMeetDeadline
             } else {
                 ErrorKind::NoUpstream
             };
-            self.finish(request, Outcome::Abandoned, now);
-            let refusal = Refusal::new(kind);
-            actions.push(Action::Refuse { ticket, refusal });
+            actions.extend(self.refuse(request, Refusal::new(kind), now));
         }
         actions
     }
@@ -146,9 +143,7 @@
             let left = entry.job.deadline.since(now);
             if Millis(wait.0 * HOPELESS) > left {
                 let refusal = Refusal::after(ErrorKind::CannotMeetDeadline, wait.max(LEAST_RETRY));
-                let ticket = entry.ticket;
-                self.finish(request, Outcome::Abandoned, now);
-                actions.push(Action::Refuse { ticket, refusal });
+                actions.extend(self.refuse(request, refusal, now));
             } else {
                 self.queue.postpone(request, LATE_PATIENCE, now);
             }
@@ -156,6 +151,25 @@
         actions
     }
 
+    /// Refuses a request that waits.
+    fn refuse(
+        &mut self,
+        request: RequestId,
+        refusal: Refusal,
+        now: Millis,
+    ) -> Option<Action> {
+        let entry = self.entries.get_mut(&request)?;
+        entry.waits_for(entry.waits_for, now);
+        let ticket = entry.ticket;
+        let waited_for = entry.waited.longest().0;
+        self.finish(request, Outcome::Abandoned, now);
+        Some(Action::Refuse {
+            ticket,
+            refusal,
+            waited_for,
+        })
+    }
+
     fn send_and_load(
         &mut self,
         turn: Turn,
@@ -163,7 +177,7 @@
         now: Millis,
         actions: &mut Vec<Action>,
     ) {
-        let may_order = self.may_order_at(now);
+        let may_order = self.may_order;
         let mut looked = 0;
         loop {
             let mut sent = None;
@@ -202,7 +216,11 @@
                         cold_ms: cold.0 as f64,
                         now,
                     };
-                    let Choice { send, load } = view.choose(&entry.job);
+                    let Choice {
+                        send,
+                        load,
+                        waits_for,
+                    } = view.choose(&entry.job);
                     if let Some(plan) = load {
                         let order = loads::begin(fleet, versions, &plan, &settings.loads, now);
                         actions.extend(order);
@@ -210,6 +228,7 @@
                     }
                     if send.is_none() {
                         entry.look_at = now + pause;
+                        entry.waits_for(waits_for, now);
                     }
                     sent = send;
                     send.is_some()
@@ -240,6 +259,9 @@
         let entry = self.entries.get_mut(&request)?;
         self.timely.remove(&(entry.timely_until, request));
         entry.stage = Stage::Running { upstream, adapter };
+        entry.waits_for(entry.waits_for, now);
+        self.waits.add_all(&entry.waited);
+        let waited_for = entry.waited.longest().0;
         let version = adapter
             .filter(|adapter| self.versions.announced_version(adapter.adapter).is_some())
             .map(|adapter| adapter.version);
@@ -247,6 +269,7 @@
             ticket: entry.ticket,
             upstream,
             version,
+            waited_for,
         })
     }
 
@@ -294,12 +317,14 @@
         outcome: Outcome,
         now: Millis,
     ) {
-        let Some(entry) = self.entries.remove(&request) else {
+        let Some(mut entry) = self.entries.remove(&request) else {
             return;
         };
         self.by_ticket.remove(&entry.ticket);
         let has_run = match entry.stage {
             Stage::Waiting => {
+                entry.waits_for(entry.waits_for, now);
+                self.waits.add_all(&entry.waited);
                 self.timely.remove(&(entry.timely_until, request));
                 self.queue.cancel(request, now);
                 self.note_wanted(&entry.job, false);
--- a/crates/core/src/scheduler/machine/mod.rs
+++ b/crates/core/src/scheduler/machine/mod.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        RightsShare, SchedulerSettings, Ticket, fleet::Fleet, loads::ModelLoads,
+        RightsShare, SchedulerSettings, Ticket, WaitTimes, fleet::Fleet, loads::ModelLoads,
         repeat_budget::RepeatBudget, rights::AccountRates, running::Entry,
         version_book::VersionBook,
     },
@@ -29,8 +29,6 @@
 pub struct Scheduler {
     settings: SchedulerSettings,
     may_order: bool,
-    /// From when on orders may be given.
-    orders_from: Millis,
     /// From when on adapters may be dropped.
     evicts_from: Millis,
     fleet: Fleet,
@@ -54,6 +52,8 @@
     swept_at: Millis,
     /// How often a waiting request was looked at.
     looked: u64,
+    /// How long requests that don't wait any more did, by reason.
+    waits: WaitTimes,
 }
 
 impl Scheduler {
@@ -65,7 +65,6 @@
         Self {
             settings,
             may_order: false,
-            orders_from: Millis::ZERO,
             evicts_from: Millis::ZERO,
             fleet: Fleet::default(),
             versions: VersionBook::default(),
@@ -86,6 +85,7 @@
             next_request: 0,
             swept_at: Millis::ZERO,
             looked: 0,
+            waits: WaitTimes::default(),
         }
     }
 }
--- a/crates/core/src/scheduler/machine/queries.rs
+++ b/crates/core/src/scheduler/machine/queries.rs
@@ -5,7 +5,7 @@
     crate::{
         clock::Millis,
         ids::ServiceId,
-        scheduler::{Ticket, running::Stage},
+        scheduler::{Ticket, WaitTimes, running::Stage},
     },
 };
 
@@ -24,8 +24,7 @@
             .upstreams
             .values()
             .filter_map(|up| up.engine.as_ref()?.report_due())
-            .filter(|_| self.may_order)
-            .map(|due| due.max(self.orders_from));
+            .filter(|_| self.may_order);
         if self.queue.is_empty() {
             return reports.fold(idle, Millis::min).max(now + Millis(1));
         }
@@ -46,14 +45,6 @@
             .max(now + Millis(1))
     }
 
-    /// Whether engines may be given orders.
-    pub(super) fn may_order_at(
-        &self,
-        now: Millis,
-    ) -> bool {
-        self.may_order && now >= self.orders_from
-    }
-
     /// Number of requests that wait.
     pub fn waiting_len(&self) -> usize {
         self.queue.len()
@@ -69,6 +60,11 @@
         self.looked
     }
 
+    /// How long requests that don't wait any more did, by reason.
+    pub const fn waits(&self) -> &WaitTimes {
+        &self.waits
+    }
+
     /// Whether a request was assigned and has not ended.
     pub fn is_running(
         &self,
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -28,13 +28,15 @@
 mod own_use;
 mod place;
 mod prefix_cache;
+mod read_time;
 mod repeat_budget;
 mod rights;
 mod running;
 mod settings;
-mod speed;
 mod upstream;
 mod version_book;
+mod wait_reason;
+mod wait_times;
 
 pub use {
     action::{Order, SchedulerAction},
@@ -47,4 +49,6 @@
     settings::{LoadSettings, RepeatSettings, SchedulerSettings},
     upstream::{EngineFacts, UpstreamFacts},
     version_book::Announcement,
+    wait_reason::WaitReason,
+    wait_times::WaitTimes,
 };
--- a/crates/core/src/scheduler/running.rs
+++ b/crates/core/src/scheduler/running.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Job, Ticket},
+    super::{Job, Ticket, WaitReason, WaitTimes},
     crate::{
         clock::Millis,
         ids::{AdapterVersion, UpstreamId},
@@ -44,8 +44,26 @@
     pub timely_until: Millis,
     /// From when on it is worth looking at again.
     pub look_at: Millis,
+    /// What it waits for, and since when.
+    pub waits_for: WaitReason,
+    pub waits_since: Millis,
+    /// How long it has waited for what before.
+    pub waited: WaitTimes,
     /// What was taken from its account's rate.
     pub charge: Option<Charge>,
     /// When it is forgotten even if its VM never says a word.
     pub forget_at: Millis,
 }
+
+impl Entry {
+    /// Notes what it waits for from now on.
+    pub(super) fn waits_for(
+        &mut self,
+        reason: WaitReason,
+        now: Millis,
+    ) {
+        self.waited.add(self.waits_for, now.since(self.waits_since));
+        self.waits_for = reason;
+        self.waits_since = now;
+    }
+}
--- a/crates/core/tests/scheduler_world/mod.rs
+++ b/crates/core/tests/scheduler_world/mod.rs
@@ -228,11 +228,14 @@
                     ticket,
                     upstream,
                     version,
+                    ..
                 } => {
                     let decision = Decision::Sent(upstream, version);
                     self.decisions.insert(ticket.number, decision);
                 }
-                Action::Refuse { ticket, refusal } => {
+                Action::Refuse {
+                    ticket, refusal, ..
+                } => {
                     let decision = Decision::Refused(refusal);
                     self.decisions.insert(ticket.number, decision);
                 }
--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -8,14 +8,14 @@
         caller::{AnswerWriter, OwnAnswer},
         context::{Context, StopStage},
         http1::AnswerHead,
-        scheduling::Placement,
+        scheduling::{Placement, Unplaced},
     },
     bytes::Bytes,
     jasmine_core::{
         clock::Millis,
         error::{ErrorKind, Refusal},
         forward::Attempts,
-        scheduler::Outcome,
+        scheduler::{Outcome, WaitReason},
     },
     jasmine_telemetry::log::Line,
     std::{io, rc::Rc},
@@ -46,6 +46,8 @@
     failed: Option<(AnswerHead, Bytes)>,
     /// How long it has waited for upstreams in all.
     waited: Millis,
+    /// What its last attempt waited for longest.
+    waited_for: WaitReason,
     /// When the last attempt was sent.
     sent_at: Option<Millis>,
     /// The upstream of the last attempt.
@@ -69,6 +71,7 @@
             },
             failed: None,
             waited: Millis::ZERO,
+            waited_for: WaitReason::Turn,
             sent_at: None,
             upstream: None,
             is_logged: false,
@@ -86,8 +89,12 @@
             self.waited += self.cx.clock.now().since(asked);
             let placement = match placed {
                 Ok(placement) => placement,
-                Err(refusal) => return self.give_up(refusal, out).await,
+                Err(unplaced) => {
+                    self.waited_for = unplaced.waited_for;
+                    return self.give_up(unplaced.refusal, out).await;
+                }
             };
+            self.waited_for = placement.waited_for;
             self.sent_at = Some(self.cx.clock.now());
             self.upstream = Some(placement.upstream.clone());
             Line::new("request_sent")
@@ -96,6 +103,7 @@
                 .with("attempt", self.attempts.next_number())
                 .with("version", placement.version.unwrap_or_default())
                 .with("waited_ms", self.waited)
+                .with("waited_for", self.waited_for.as_str())
                 .with("decided_by", self.cx.scheduling.decider())
                 .info();
             match self.attempt(&placement, out).await {
@@ -116,7 +124,7 @@
 
     /// Waits for an upstream, until the deadline at the longest, or until this VM is about to end: the process would
     /// leave its caller without a word, while another VM has the time to serve it.
-    async fn place(&self) -> Result<Placement, Refusal> {
+    async fn place(&self) -> Result<Placement, Unplaced> {
         let now = self.cx.clock.now();
         let number = self.attempts.next_number();
         let data_centre = &self.cx.settings.data_centre;
@@ -124,9 +132,13 @@
         let left = self.req.deadline.since(now);
         let placed = timeout(left.to_std(), self.cx.scheduling.place(job));
         tokio::select! {
-            placed = placed => placed.unwrap_or(Err(Refusal::new(ErrorKind::CannotMeetDeadline))),
+            placed = placed => {
+                placed.unwrap_or_else(|_elapsed| {
+                    Err(Refusal::new(ErrorKind::CannotMeetDeadline).into())
+                })
+            }
             () = self.cx.stop_reached(StopStage::Emptying) => {
-                Err(Refusal::after(ErrorKind::ShuttingDown, ELSEWHERE))
+                Err(Refusal::after(ErrorKind::ShuttingDown, ELSEWHERE).into())
             }
         }
     }
@@ -260,6 +272,7 @@
             .with("attempts", self.attempts.next_number() - 1)
             .with("config", self.req.config_version)
             .with("waited_ms", self.waited)
+            .with("waited_for", self.waited_for.as_str())
             .with("took_ms", self.cx.clock.now().since(self.req.arrived))
             .with("events", self.progress.events)
             .info();
@@ -311,6 +324,7 @@
             .with("attempts", self.attempts.next_number())
             .with("config", self.req.config_version)
             .with("waited_ms", self.waited)
+            .with("waited_for", self.waited_for.as_str())
             .with(
                 "sent_ms",
                 self.sent_at.map_or(Millis::ZERO, |at| at.since(arrived)),
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -6,7 +6,7 @@
         clock::Millis,
         error::Refusal,
         ingress::CallKind,
-        scheduler::{OrderEnd, Outcome},
+        scheduler::{OrderEnd, Outcome, WaitReason},
     },
     jasmine_telemetry::metrics::{Labels, Metrics, MetricsError, Refusals, RequestMetrics},
     opentelemetry::{
@@ -48,6 +48,7 @@
     in_flight: Gauge<u64>,
     leading: Gauge<u64>,
     config: Gauge<u64>,
+    waited: Gauge<u64>,
 }
 
 impl EntryMetrics {
@@ -85,6 +86,10 @@
                 in_flight: gauge("jasmine_in_flight", "Requests of callers of this VM"),
                 leading: gauge("jasmine_leading", "Whether this VM schedules for all"),
                 config: gauge("jasmine_config_version", "The configuration in force"),
+                waited: gauge(
+                    "jasmine_waited_ms",
+                    "How long requests have waited at this scheduler since it started, by what for",
+                ),
             },
             labels: RefCell::default(),
             metrics,
@@ -169,6 +174,11 @@
         let (queued, running) = cx.scheduling.desk.load();
         self.gauges.queued.record(queued as u64, &[]);
         self.gauges.running.record(running as u64, &[]);
+        let waits = cx.scheduling.desk.waits();
+        for reason in WaitReason::ALL {
+            let label = KeyValue::new("reason", reason.as_str());
+            self.gauges.waited.record(waits.of(reason).0, &[label]);
+        }
         self.gauges.in_flight.record(cx.in_flight() as u64, &[]);
         self.gauges
             .leading
--- a/crates/entry/src/scheduling/client/mod.rs
+++ b/crates/entry/src/scheduling/client/mod.rs
@@ -2,13 +2,13 @@
 
 use {
     super::{
-        Desk, JobSpec, Leader, Placement, RunningSpec, Verdict,
+        Desk, JobSpec, Leader, Placement, RunningSpec, Unplaced, Verdict,
         convert::{News, read_verdict, write_job},
     },
     crate::clock::Clock,
     jasmine_core::{
         clock::Millis,
-        error::{ErrorKind, Refusal},
+        error::ErrorKind,
         ids::Fence,
         scheduler::{Outcome, OwnDecision, Ticket},
     },
@@ -146,7 +146,7 @@
     pub async fn place(
         self: &Rc<Self>,
         spec: JobSpec,
-    ) -> Result<Placement, Refusal> {
+    ) -> Result<Placement, Unplaced> {
         let began = self.clock.now();
         loop {
             let mut spec = spec.clone();
@@ -172,17 +172,32 @@
                     upstream,
                     address,
                     version,
+                    waited_for,
                 }) => {
                     pending.is_settled.set(true);
                     self.desk.note_own(&spec, OwnDecision::LetThrough);
-                    return Ok(self.placed(spec, upstream, address, version));
+                    let running = self.note_running(spec, &upstream, version);
+                    return Ok(Placement::new(
+                        Rc::clone(self),
+                        running,
+                        upstream,
+                        address,
+                        version,
+                        waited_for,
+                    ));
                 }
-                Some(Verdict::Refused(refusal)) => {
+                Some(Verdict::Refused {
+                    refusal,
+                    waited_for,
+                }) => {
                     pending.is_settled.set(true);
                     if refusal.kind == ErrorKind::RateLimited {
                         self.desk.note_own(&spec, OwnDecision::OverRate);
                     }
-                    return Err(refusal);
+                    return Err(Unplaced {
+                        refusal,
+                        waited_for,
+                    });
                 }
                 // Somebody else decides by now.
                 None => {}
@@ -264,25 +279,25 @@
         self.vms.borrow().clone()
     }
 
-    fn placed(
-        self: &Rc<Self>,
+    /// Notes a request that runs from now on and returns its number.
+    fn note_running(
+        &self,
         spec: JobSpec,
-        upstream: String,
-        address: SocketAddr,
+        upstream: &str,
         version: Option<u32>,
-    ) -> Placement {
+    ) -> u64 {
         let number = spec.number;
         let running = Running {
             spec: RunningSpec {
                 job: spec,
-                upstream: upstream.clone(),
+                upstream: upstream.to_owned(),
                 version,
                 has_begun: false,
             },
             since: self.clock.now(),
         };
         self.running.borrow_mut().insert(number, running);
-        Placement::new(Rc::clone(self), number, upstream, address, version)
+        number
     }
 
     async fn place_far(
--- a/crates/entry/src/scheduling/convert.rs
+++ b/crates/entry/src/scheduling/convert.rs
@@ -7,7 +7,7 @@
         error::{ErrorKind, Refusal},
         ids::Fence,
         ingress::{PromptPart, PromptSize},
-        scheduler::Outcome,
+        scheduler::{Outcome, WaitReason},
     },
     jasmine_wire::scheduler_capnp::{EndKind, job, leadership, news, running_job, verdict},
 };
@@ -122,12 +122,18 @@
             upstream,
             address,
             version,
+            waited_for,
         } => {
+            to.set_waited_for(waited_for.as_str());
             to.set_upstream(upstream);
             to.set_address(address.to_string());
             to.set_version(version.unwrap_or_default());
         }
-        Verdict::Refused(refusal) => {
+        Verdict::Refused {
+            refusal,
+            waited_for,
+        } => {
+            to.set_waited_for(waited_for.as_str());
             to.set_refusal(refusal.kind.answer().code);
             let delay = refusal.retry_after.map_or(0, |delay| delay.0.max(1));
             to.set_retry_after_ms(delay as u32);
@@ -136,6 +142,9 @@
 }
 
 pub(super) fn read_verdict(from: verdict::Reader<'_>) -> Result<Verdict, capnp::Error> {
+    let word = from.get_waited_for()?.to_str()?;
+    let waited_for = WaitReason::from_word(word)
+        .ok_or_else(|| capnp::Error::failed(format!("unknown reason: {word}")))?;
     let upstream = from.get_upstream()?.to_str()?;
     if !upstream.is_empty() {
         let address = from.get_address()?.to_str()?;
@@ -145,16 +154,20 @@
                 .parse()
                 .map_err(|_e| capnp::Error::failed(format!("no address: {address}")))?,
             version: non_zero(from.get_version()),
+            waited_for,
         });
     }
     let code = from.get_refusal()?.to_str()?;
     let kind = ErrorKind::from_code(code)
         .ok_or_else(|| capnp::Error::failed(format!("unknown refusal: {code}")))?;
     let delay = non_zero(from.get_retry_after_ms());
-    Ok(Verdict::Refused(Refusal {
-        kind,
-        retry_after: delay.map(|ms| Millis(ms.into())),
-    }))
+    Ok(Verdict::Refused {
+        refusal: Refusal {
+            kind,
+            retry_after: delay.map(|ms| Millis(ms.into())),
+        },
+        waited_for,
+    })
 }
 
 pub(super) fn write_news(
--- a/crates/entry/src/scheduling/desk.rs
+++ b/crates/entry/src/scheduling/desk.rs
@@ -11,7 +11,7 @@
         ingress::{EngineHoldings, IngressConfig, UpstreamEntry},
         scheduler::{
             Adopted, Announcement, Order, OrderEnd, Outcome, OwnDecision, RightsShare, Scheduler,
-            SchedulerAction as Action, SchedulerSettings, Ticket,
+            SchedulerAction as Action, SchedulerSettings, Ticket, WaitReason, WaitTimes,
         },
     },
     std::{
@@ -34,9 +34,16 @@
         address: SocketAddr,
         /// The adapter's version that may run it, where an operator has named one.
         version: Option<u32>,
+        /// What it waited for longest.
+        waited_for: WaitReason,
     },
     /// Answer it with a refusal; it has not run.
-    Refused(Refusal),
+    Refused {
+        /// Why, and when to come back.
+        refusal: Refusal,
+        /// What it waited for longest.
+        waited_for: WaitReason,
+    },
 }
 
 /// What is to be sent to an engine.
@@ -308,6 +315,11 @@
         (machine.waiting_len(), machine.running_len())
     }
 
+    /// How long requests that don't wait any more did, by reason.
+    pub fn waits(&self) -> WaitTimes {
+        *self.machine.borrow().waits()
+    }
+
     /// Lets the machine take an event and carries out what it wants.
     fn with<F>(
         &self,
@@ -335,9 +347,18 @@
                 ticket,
                 upstream,
                 version,
-            } => self.assign(ticket, upstream, version),
-            Action::Refuse { ticket, refusal } => {
-                self.answer(ticket, Verdict::Refused(refusal));
+                waited_for,
+            } => self.assign(ticket, upstream, version, waited_for),
+            Action::Refuse {
+                ticket,
+                refusal,
+                waited_for,
+            } => {
+                let verdict = Verdict::Refused {
+                    refusal,
+                    waited_for,
+                };
+                self.answer(ticket, verdict);
             }
             Action::Order {
                 upstream,
@@ -353,6 +374,7 @@
         ticket: Ticket,
         upstream: UpstreamId,
         version: Option<u32>,
+        waited_for: WaitReason,
     ) {
         if let Some((id, address)) = self.upstream(upstream) {
             let upstream = id.to_string();
@@ -362,6 +384,7 @@
                     upstream,
                     address,
                     version,
+                    waited_for,
                 },
             );
         }
--- a/crates/entry/src/scheduling/mod.rs
+++ b/crates/entry/src/scheduling/mod.rs
@@ -10,6 +10,7 @@
 mod orders;
 mod placement;
 mod server;
+mod unplaced;
 
 pub use {
     client::Scheduling,
@@ -20,4 +21,5 @@
     orders::{OrderContext, carry_out},
     placement::Placement,
     server::SchedulerServer,
+    unplaced::Unplaced,
 };
--- a/crates/entry/src/scheduling/placement.rs
+++ b/crates/entry/src/scheduling/placement.rs
@@ -1,6 +1,6 @@
 use {
     super::{Scheduling, convert::News},
-    jasmine_core::scheduler::Outcome,
+    jasmine_core::scheduler::{Outcome, WaitReason},
     std::{cell::Cell, net::SocketAddr, rc::Rc},
 };
 
@@ -16,6 +16,8 @@
     pub address: SocketAddr,
     /// The adapter's version that may run it, where an operator has named one.
     pub version: Option<u32>,
+    /// What the request waited for longest.
+    pub waited_for: WaitReason,
     has_ended: Cell<bool>,
 }
 
@@ -26,6 +28,7 @@
         upstream: String,
         address: SocketAddr,
         version: Option<u32>,
+        waited_for: WaitReason,
     ) -> Self {
         Self {
             scheduling,
@@ -33,6 +36,7 @@
             upstream,
             address,
             version,
+            waited_for,
             has_ended: Cell::new(false),
         }
     }
--- a/crates/entry/src/scheduling/server.rs
+++ b/crates/entry/src/scheduling/server.rs
@@ -10,7 +10,7 @@
         clock::Millis,
         error::{ErrorKind, Refusal},
         ids::Fence,
-        scheduler::{Outcome, Ticket},
+        scheduler::{Outcome, Ticket, WaitReason},
     },
     jasmine_wire::scheduler_capnp::scheduler,
     std::{
@@ -122,7 +122,10 @@
         let verdict = self.scheduling.desk.place(session, &spec).await;
         guard.is_settled.set(true);
         // The sender is dropped when the session ends; then there is nothing to run the request on here.
-        let lost = Verdict::Refused(Refusal::new(ErrorKind::NoUpstream));
+        let lost = Verdict::Refused {
+            refusal: Refusal::new(ErrorKind::NoUpstream),
+            waited_for: WaitReason::NoUpstream,
+        };
         results.get().set_known(verdict.is_ok());
         write_verdict(results.get().init_verdict(), &verdict.unwrap_or(lost));
         Ok(())
--- a/crates/wire/schema/scheduler.capnp
+++ b/crates/wire/schema/scheduler.capnp
@@ -39,6 +39,7 @@
   version @2 :UInt32;          # the only one that may run it; 0: any
   refusal @3 :Text;            # short name of the error
   retryAfterMs @4 :UInt32;     # 0: none named
+  waitedFor @5 :Text;          # what the request waited for longest
 }
 
 enum EndKind {
