--- a/crates/conf/src/settings/entry_settings.rs
+++ b/crates/conf/src/settings/entry_settings.rs
@@ -66,6 +66,14 @@
     DEFAULT_STOP
 }
 
+impl EntrySettings {
+    /// How long a new scheduler lets engines rest: not at all where they check fencing tokens.
+    pub fn order_gap(&self) -> Millis {
+        let gap = self.order_gap_ms.filter(|_| !self.engines_check_fences);
+        gap.unwrap_or(Millis::ZERO)
+    }
+}
+
 impl Checked for EntrySettings {
     fn check(&self) -> Result<(), Problem> {
         within("least_lease_ms", self.least_lease_ms.0, &(100..=600_000))?;
--- a/crates/core/src/feed/source_choice.rs
+++ b/crates/core/src/feed/source_choice.rs
@@ -7,6 +7,8 @@
 const FAILED: Millis = Millis(3_000);
 /// For how long one is passed over that only doesn't serve yet.
 const NOT_YET: Millis = Millis(800);
+/// The same where nothing is known without it: it reads the store within half a second.
+const BEGINS: Millis = Millis(150);
 /// For how long the store is passed over after it failed, as long as another VM may reach it.
 const STORE_FAILED: Millis = Millis(2_000);
 
@@ -66,7 +68,7 @@
     where
         I: IntoIterator<Item = VmRank>,
     {
-        let store_is_good = now >= self.store_failed_until;
+        let store_is_good = self.is_store_good(now);
         if reads_itself && store_is_good {
             return Source::Store;
         }
@@ -83,6 +85,30 @@
         }
     }
 
+    /// Whether the store hasn't failed lately.
+    pub fn is_store_good(
+        &self,
+        now: Millis,
+    ) -> bool {
+        now >= self.store_failed_until
+    }
+
+    /// The first of other VMs that hasn't failed lately; the store where all have.
+    pub fn choose_other<I>(
+        &self,
+        others: I,
+        now: Millis,
+    ) -> Source
+    where
+        I: IntoIterator<Item = VmRank>,
+    {
+        let serves = |rank: &VmRank| self.failed_until.get(rank).is_none_or(|&at| now >= at);
+        others
+            .into_iter()
+            .find(serves)
+            .map_or(Source::Store, Source::Vm)
+    }
+
     /// Notes that a VM gave no changes.
     pub fn vm_failed(
         &mut self,
@@ -98,6 +124,15 @@
         self.failed_until.insert(vm, now + pause);
     }
 
+    /// Notes that a VM doesn't serve yet that this one, which schedules, needs as soon as it does.
+    pub fn vm_begins(
+        &mut self,
+        vm: VmRank,
+        now: Millis,
+    ) {
+        self.failed_until.insert(vm, now + BEGINS);
+    }
+
     /// Notes that the store didn't answer.
     pub fn store_failed(
         &mut self,
--- a/crates/core/src/scheduler/engine.rs
+++ b/crates/core/src/scheduler/engine.rs
@@ -20,9 +20,6 @@
 const REPORT_LAG: Millis = Millis(350);
 /// An order, or a question for a report, and its answer take about this long.
 const ORDER_TIME: Millis = Millis(5);
-/// How much longer a load is expected to take when a request that came after it was told that the adapter
-/// is not there.
-const LATE_LOAD: Millis = Millis(40);
 /// Times in a row that this may happen before the engine is asked what it holds.
 const LATE_LOADS: u32 = 3;
 
@@ -413,11 +410,7 @@
             self.knowledge = Knowledge::Doubted { ask_at: now };
         }
         if let Some(place) = self.place_mut(adapter) {
-            let is_cold = matches!(place.state, PlaceState::Coming { is_cold: true, .. });
-            place.state = PlaceState::Coming {
-                ready_at: now + LATE_LOAD,
-                is_cold,
-            };
+            place.note_late(now);
         }
     }
 
@@ -431,6 +424,7 @@
             && matches!(place.state, PlaceState::Coming { .. })
         {
             place.state = PlaceState::Present;
+            place.lates = 0;
         }
     }
 
--- a/crates/core/src/scheduler/loads.rs
+++ b/crates/core/src/scheduler/loads.rs
@@ -168,7 +168,12 @@
             after_seq,
         });
     }
-    engine.has_repeated = false;
+    // An order that the engine refuses has changed nothing, unless it was the second try of one that it had accepted.
+    let is_void = !std::mem::replace(&mut engine.has_repeated, false)
+        && matches!(end, OrderEnd::Conflict | OrderEnd::Refused);
+    if is_void {
+        undo(engine, order);
+    }
     let reserved = engine.reserved.take();
     match (order, end) {
         (Order::Load { adapter, .. }, OrderEnd::Accepted) => {
--- a/crates/core/src/scheduler/machine/admission.rs
+++ b/crates/core/src/scheduler/machine/admission.rs
@@ -8,7 +8,7 @@
         ids::{AccountId, AdapterVersion, RequestId, ServiceId},
         queue::{Priority, Target, Waiting},
         rights::Charge,
-        scheduler::{Job, Work},
+        scheduler::{Job, Work, repeat_budget::RepeatBudget},
     },
 };
 
@@ -24,7 +24,11 @@
         job: &Job,
         now: Millis,
     ) -> Result<(), Refusal> {
-        let budget = self.repeats.entry(job.service).or_default();
+        let taken_over_at = self.taken_over_at;
+        let budget = self
+            .repeats
+            .entry(job.service)
+            .or_insert_with(|| RepeatBudget::taken_over(taken_over_at));
         if job.attempt <= 1 {
             budget.note_request(&self.settings.repeats, now);
             return Ok(());
--- a/crates/core/src/scheduler/machine/commands.rs
+++ b/crates/core/src/scheduler/machine/commands.rs
@@ -7,7 +7,7 @@
         ids::{AccountId, AdapterId, AdapterVersion, RequestId, ServiceId, UpstreamId},
         rights::{Charge, Limit},
         scheduler::{
-            Adopted, EngineFacts, EngineLimits, Job, Order, OrderEnd, Outcome, OwnDecision,
+            Adopted, EngineFacts, EngineLimits, Job, Order, OrderEnd, Outcome, OwnDecision, Rest,
             RightsShare, SchedulerAction as Action, SchedulerSettings, Ticket, UpstreamFacts,
             WaitReason, WaitTimes, loads,
             running::{Entry, Stage},
@@ -39,6 +39,10 @@
                 RightsShare::TakenOver | RightsShare::Part(_) => now + self.settings.order_gap,
             };
             self.fleet.orders_from = orders_from;
+            if share != RightsShare::Fresh {
+                self.taken_over_at = Some(now);
+                self.repeats.clear();
+            }
             for (_, engine) in self.fleet.engines_mut() {
                 engine.has_order = false;
                 engine.rests = false;
@@ -74,13 +78,20 @@
         }
     }
 
-    /// Gives every second engine no more orders, as the lead is about to be handed on.
+    /// Gives engines no more orders, as the lead is about to be handed on.
     ///
     /// Where engines check no fencing tokens, whoever follows must not order an engine until some time after its last
     /// order. If all had their last one with the end of the lead, nothing could be loaded for that time, for seconds on
     /// every planned restart of the VM that schedules.
-    pub fn rest_half(&mut self) {
-        for (_, engine) in self.fleet.engines_mut().step_by(2) {
+    pub fn rest(
+        &mut self,
+        engines: Rest,
+    ) {
+        let step = match engines {
+            Rest::EverySecond => 2,
+            Rest::All => 1,
+        };
+        for (_, engine) in self.fleet.engines_mut().step_by(step) {
             engine.rests = true;
         }
     }
--- a/crates/core/src/scheduler/machine/mod.rs
+++ b/crates/core/src/scheduler/machine/mod.rs
@@ -35,6 +35,8 @@
     versions: VersionBook,
     rates: AccountRates,
     repeats: HashMap<ServiceId, RepeatBudget>,
+    /// When this scheduler has taken over from another one.
+    taken_over_at: Option<Millis>,
     queue: FairQueue,
     entries: HashMap<RequestId, Entry>,
     by_ticket: HashMap<Ticket, RequestId>,
@@ -70,6 +72,7 @@
             versions: VersionBook::default(),
             rates: AccountRates::new(share),
             repeats: HashMap::new(),
+            taken_over_at: None,
             queue: FairQueue::new(QueueSettings {
                 judges_by_rate: false,
                 ..QueueSettings::default()
--- a/crates/core/src/scheduler/machine/queries.rs
+++ b/crates/core/src/scheduler/machine/queries.rs
@@ -4,7 +4,7 @@
     super::{FORGET_AFTER, Scheduler},
     crate::{
         clock::Millis,
-        ids::ServiceId,
+        ids::{ServiceId, UpstreamId},
         scheduler::{Ticket, WaitTimes, running::Stage},
     },
 };
@@ -75,6 +75,15 @@
         entry.is_some_and(|entry| matches!(entry.stage, Stage::Running { .. }))
     }
 
+    /// Whether an upstream is known and takes no new work.
+    pub fn is_leaving(
+        &self,
+        id: UpstreamId,
+    ) -> bool {
+        let known = self.fleet.upstreams.get(&id);
+        known.is_some_and(|upstream| !upstream.is_ready)
+    }
+
     /// Whether some upstream of the service takes work.
     pub fn has_upstream(
         &self,
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -43,7 +43,7 @@
     engine::EngineLimits,
     job::{Generation, Job, Ticket, Work},
     machine::Scheduler,
-    outcome::{OrderEnd, Outcome, OwnDecision},
+    outcome::{OrderEnd, Outcome, OwnDecision, Rest},
     rights::RightsShare,
     running::Adopted,
     settings::{LoadSettings, RepeatSettings, SchedulerSettings},
--- a/crates/core/src/scheduler/outcome.rs
+++ b/crates/core/src/scheduler/outcome.rs
@@ -45,6 +45,15 @@
     Unsent,
 }
 
+/// Which engines get no more orders before the lead is handed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rest {
+    /// One of two, so that the next scheduler may order these at once.
+    EverySecond,
+    /// All.
+    All,
+}
+
 /// What was decided of a request's charge, by whoever decides.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OwnDecision {
--- a/crates/core/src/scheduler/place.rs
+++ b/crates/core/src/scheduler/place.rs
@@ -7,6 +7,11 @@
 /// How fast the memory of an adapter's use fades.
 pub(super) const DEMAND_HALF_LIFE: Millis = Millis(5_000);
 
+/// How much longer a load is expected to take when a request was told that the adapter is not there yet; doubled each
+/// time, so often at the most.
+const LATE_LOAD: Millis = Millis(40);
+const MOST_DOUBLED: u32 = 4;
+
 /// Where an adapter on an engine stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum PlaceState {
@@ -31,6 +36,8 @@
     pub state: PlaceState,
     /// How much it is used, fading.
     pub demand: Decayed,
+    /// How often requests were told that it is not there yet, since it was last seen to be.
+    pub lates: u32,
 }
 
 impl Place {
@@ -44,6 +51,7 @@
             adapter,
             state,
             demand: Decayed::default(),
+            lates: 0,
         }
     }
 
@@ -59,6 +67,25 @@
         }
     }
 
+    /// Notes that a request was told that it is not there yet.
+    pub(super) fn note_late(
+        &mut self,
+        now: Millis,
+    ) {
+        let is_cold = matches!(self.state, PlaceState::Coming { is_cold: true, .. });
+        let ready_at = now + Millis(LATE_LOAD.0 << self.lates.min(MOST_DOUBLED));
+        self.state = PlaceState::Coming { ready_at, is_cold };
+        self.lates += 1;
+    }
+
+    /// Whether one request has to find out whether it is there before others are sent.
+    ///
+    /// An engine that carries an order out late answers all who come too early that it lacks the adapter. Each of these
+    /// is sent again, and the repeats that a service may get were used up by them.
+    pub(super) const fn is_unproven(&self) -> bool {
+        self.lates > 0 && matches!(self.state, PlaceState::Coming { .. })
+    }
+
     /// How long until requests may be sent to it; none if never.
     pub(super) fn wait(
         &self,
--- a/crates/core/src/scheduler/repeat_budget.rs
+++ b/crates/core/src/scheduler/repeat_budget.rs
@@ -5,6 +5,9 @@
 /// The part of the allowance that is used, in percent: arrivals are counted here when they are assigned, and
 /// upstreams see them a little later, in another window.
 const USED_PERCENT: f64 = 70.0;
+/// The part that is used in the first window after a takeover: the scheduler before may have used its own just now, and
+/// another one before it.
+const TAKEN_OVER_PERCENT: f64 = 20.0;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Part {
@@ -20,6 +23,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct RepeatBudget {
     parts: VecDeque<Part>,
+    /// When this scheduler has taken over from another one.
+    taken_over_at: Option<Millis>,
 }
 
 impl RepeatBudget {
@@ -32,6 +37,14 @@
         self.part(settings, now).requests += 1;
     }
 
+    /// A budget of a scheduler that has taken over from another one, of whose repeats it knows nothing.
+    pub(super) fn taken_over(at: Option<Millis>) -> Self {
+        Self {
+            taken_over_at: at,
+            ..Self::default()
+        }
+    }
+
     /// Takes one repeat from the budget if there is one.
     pub(super) fn take(
         &mut self,
@@ -42,7 +55,15 @@
         let requests: u32 = self.parts.iter().map(|part| part.requests).sum();
         let repeats: u32 = self.parts.iter().map(|part| part.repeats).sum();
         let allowed = settings.ratio * f64::from(requests) + settings.slack;
-        let has_left = f64::from(repeats + 1) <= allowed * USED_PERCENT / 100.0;
+        let is_new = self
+            .taken_over_at
+            .is_some_and(|at| now.since(at) < settings.window);
+        let percent = if is_new {
+            TAKEN_OVER_PERCENT
+        } else {
+            USED_PERCENT
+        };
+        let has_left = f64::from(repeats + 1) <= allowed * percent / 100.0;
         if has_left {
             self.part(settings, now).repeats += 1;
         }
--- a/crates/core/tests/adapter_loads.rs
+++ b/crates/core/tests/adapter_loads.rs
@@ -6,7 +6,9 @@
     jasmine_core::{
         clock::Millis,
         ids::{AdapterId, UpstreamId},
-        scheduler::{Announcement, Order, OrderEnd, Outcome, RightsShare, SchedulerSettings},
+        scheduler::{
+            Announcement, Order, OrderEnd, Outcome, Rest, RightsShare, SchedulerSettings, Work,
+        },
     },
     scheduler_world::{World, engine, generation, version},
 };
@@ -300,3 +302,136 @@
     world.pass(400);
     assert!(world.sent_to(request).is_some());
 }
+
+fn with_gap(engines: u32) -> World {
+    let settings = SchedulerSettings {
+        order_gap: Millis(3_000),
+        ..SchedulerSettings::default()
+    };
+    let mut world = World::with(engines, settings, false);
+    let share = RightsShare::TakenOver;
+    world.scheduler.set_role(true, share, world.now);
+    for id in 0..engines {
+        world.report(UpstreamId(id), &engine(Some(0), &[]));
+    }
+    world
+}
+
+#[test]
+fn a_rested_engine_is_ordered_at_once() {
+    // A leader stops as planned and tells that one of two engines has had no order for three seconds. If its follower
+    // let that one rest again, a caller would wait seconds for an adapter that could be loaded now.
+    let mut world = with_gap(2);
+    world
+        .scheduler
+        .note_rested(UpstreamId(1), Millis(3_000), world.now);
+    world
+        .scheduler
+        .note_rested(UpstreamId(0), Millis(1_000), world.now);
+    let request = world.generate(9);
+    world.pass(400);
+    assert_eq!(world.sent_to(request), Some(UpstreamId(1)));
+    assert!(world.orders.iter().all(|(of, _)| *of == UpstreamId(1)));
+    world.pass(1_700);
+    for adapter in 10..16 {
+        world.generate(adapter);
+    }
+    world.pass(400);
+    let of_other = world.orders.iter().any(|(of, _)| *of == UpstreamId(0));
+    assert!(of_other, "the other one has rested by now");
+}
+
+#[test]
+fn ones_own_orders_need_no_rest() {
+    // The process that schedules is killed and leads again at once. To engines it is the same orderer, so nobody has to
+    // wait for a load.
+    let mut world = with_gap(1);
+    world.scheduler.continue_own_orders(world.now);
+    let request = world.generate(9);
+    world.pass(400);
+    assert!(world.sent_to(request).is_some());
+}
+
+#[test]
+fn half_the_engines_rest_before_a_stop() {
+    // Before a planned stop every second engine gets its last order, so that the next scheduler may order it at once.
+    // Loads go to the others meanwhile, and what had been idle for long is told to have rested.
+    let mut world = World::leading(4);
+    world.scheduler.rest(Rest::EverySecond);
+    for adapter in 1..5 {
+        world.generate(adapter);
+    }
+    world.pass(400);
+    let ordered: Vec<u32> = world.orders.iter().map(|(of, _)| of.0).collect();
+    assert!(!ordered.is_empty());
+    assert!(ordered.iter().all(|of| of % 2 == 1), "{ordered:?}");
+    world.pass(3_000);
+    world.scheduler.rest(Rest::All);
+    let before = world.orders.len();
+    world.generate(7);
+    world.pass(400);
+    assert_eq!(world.orders.len(), before, "no order after the last word");
+    for (upstream, rested) in world.scheduler.rested(world.now) {
+        assert!(rested >= Millis(3_000), "{upstream:?}: {rested:?}");
+    }
+}
+
+#[test]
+fn a_wrong_count_of_orders_is_mended() {
+    // An engine says of an order that what it asks for holds already and doesn't count it. The book counts one order more
+    // than the engine, and the next one conflicts. Were every report taken for an old one because it counts fewer,
+    // the engine would get no order for as long as the scheduler lives.
+    let mut world = World::leading(1);
+    world.engines_answer = false;
+    world.generate(7);
+    let (upstream, order) = world.unanswered.remove(0);
+    world.answer(upstream, order, OrderEnd::Accepted);
+    world.pass(300);
+    world.generate(8);
+    let (upstream, order) = world.unanswered.remove(0);
+    world.answer(upstream, order, OrderEnd::Conflict);
+    world.unanswered.clear();
+    world.pass(400);
+    assert!(!world.reports_asked.is_empty());
+    let before = world.orders.len();
+    world.report(upstream, &engine(Some(0), &[7]));
+    world.pass(50);
+    assert_eq!(world.orders.len(), before + 1, "it is ordered again");
+}
+
+#[test]
+fn an_idle_engine_is_used() {
+    // Long prompts come for adapters that no engine has. Engines that have read some are known to be quick; one that has
+    // read none yet must not be taken for slow, or callers wait behind others while it does nothing.
+    let mut world = World::leading(4);
+    let mut ready = Vec::new();
+    for adapter in 0..40 {
+        let mut job = generation(adapter, world.now);
+        if let Work::Generation(generation) = &mut job.work {
+            generation.size.prompt = 9_000;
+            generation.parts.clear();
+        }
+        ready.push(world.place(job));
+        world.pass(100);
+        // Engines read 40 tokens in a millisecond, and the answer is short.
+        let sent: Vec<u64> = ready
+            .iter()
+            .copied()
+            .filter(|&number| world.sent_to(number).is_some())
+            .collect();
+        if let Some(&number) = sent.first() {
+            world.pass(125);
+            world.first_event(number);
+            world.end(number, Outcome::Answered { took: Millis(225) });
+            ready.retain(|&of| of != number);
+        }
+    }
+    let mut used: Vec<UpstreamId> = world
+        .decisions
+        .keys()
+        .filter_map(|&n| world.sent_to(n))
+        .collect();
+    used.sort_unstable();
+    used.dedup();
+    assert_eq!(used.len(), 4, "{used:?}");
+}
--- a/crates/entry/examples/scheduler_calls.rs
+++ b/crates/entry/examples/scheduler_calls.rs
@@ -13,7 +13,7 @@
     },
     jasmine_entry::{
         scheduling::{Desk, JobSpec, Leader, SchedulerServer, Scheduling},
-        store::Feed,
+        store::{Feed, KvStore},
     },
     jasmine_wire::{link::serve, scheduler_capnp::scheduler},
     nix::time::{ClockId, clock_gettime},
@@ -72,7 +72,12 @@
         scheduling.desk.set_upstream(&server());
         scheduling.lead(FENCE, RightsShare::Fresh);
         let feed = Rc::new(Feed::new(Millis(2_000)));
-        let server = SchedulerServer::new(Rc::clone(&scheduling), feed);
+        let nowhere: SocketAddr = "127.0.0.1:9".parse().expect("an address");
+        let server = SchedulerServer::new(
+            Rc::clone(&scheduling),
+            feed,
+            KvStore::new(nowhere, Millis(500)),
+        );
         let client: scheduler::Client = capnp_rpc::new_client(server);
         spawn_local(serve(listener, client.client));
         started.send(address).expect("somebody waits");
--- a/crates/entry/src/daemon/run.rs
+++ b/crates/entry/src/daemon/run.rs
@@ -92,7 +92,7 @@
         .info();
 
     scheduling.start();
-    let server = SchedulerServer::new(Rc::clone(&scheduling), Rc::clone(&feed));
+    let server = SchedulerServer::new(Rc::clone(&scheduling), Rc::clone(&feed), store.clone());
     let server: scheduler::Client = capnp_rpc::new_client(server);
     spawn_local(serve(peers, server.client));
     let order_cx = OrderContext {
@@ -108,7 +108,12 @@
         Rc::clone(&feed),
     ));
     let entry = keep_membership(Rc::clone(&cx), store.clone(), Rc::clone(&membership));
-    let lead = keep_lead(Rc::clone(&cx), store.clone(), Rc::clone(&membership));
+    let lead = keep_lead(
+        Rc::clone(&cx),
+        store.clone(),
+        Rc::clone(&membership),
+        Rc::clone(&feed),
+    );
     let keeping = [
         spawn_local(entry).abort_handle(),
         spawn_local(lead).abort_handle(),
@@ -139,12 +144,8 @@
 }
 
 fn scheduler_settings(settings: &EntrySettings) -> SchedulerSettings {
-    let order_gap = match settings.order_gap_ms {
-        Some(gap) if !settings.engines_check_fences => gap,
-        _ => Millis::ZERO,
-    };
     SchedulerSettings {
-        order_gap,
+        order_gap: settings.order_gap(),
         repeats: RepeatSettings {
             ratio: settings.repeats.ratio,
             slack: settings.repeats.slack,
--- a/crates/entry/src/daemon/stop.rs
+++ b/crates/entry/src/daemon/stop.rs
@@ -5,13 +5,13 @@
         context::{Context, StopStage},
         store::{Feed, KvStore, Membership, leave},
     },
-    jasmine_core::clock::Millis,
+    jasmine_core::{clock::Millis, scheduler::Rest},
     jasmine_telemetry::log::Line,
     std::time::Duration,
     tokio::{
         signal::unix::{SignalKind, signal},
         task::AbortHandle,
-        time::{Instant, sleep},
+        time::{Instant, sleep, sleep_until},
     },
 };
 
@@ -29,8 +29,7 @@
 /// Waits for SIGTERM or SIGINT and stops in order; SIGHUP changes nothing here, as nothing that the settings
 /// file says may change while the process runs.
 ///
-/// The lead goes at once: another VM takes it while this one still answers, so that nobody waits for a lease to
-/// lapse. Callers are served until the balancer has stopped sending them, and are told with each answer to
+/// The lead goes while this VM still answers, so that nobody waits for a lease to lapse. Callers are served until the balancer has stopped sending them, and are told with each answer to
 /// come back over another connection.
 pub(super) async fn on_signal(
     cx: &Context,
@@ -61,21 +60,51 @@
     Line::new("stopping")
         .with("in_flight", cx.in_flight())
         .info();
-    keeping.iter().for_each(AbortHandle::abort);
     feed.stop();
-    cx.scheduling.say_leaving();
+    tokio::join!(
+        hand_over(cx, store, membership, keeping, deadline - EMPTYING.to_std()),
+        let_go(cx, began, deadline),
+    );
+    Line::new("stopped")
+        .with("cut", cx.in_flight())
+        .with("ms", began.elapsed().as_millis())
+        .info();
+}
+
+/// Gives up the lead and this VM's entry in the store.
+///
+/// Where engines check no fencing tokens, a VM that follows must let each of them rest. So half of them get their last
+/// order now and the others with the end of the lead: whoever follows can load adapters from its first moment on, and
+/// this VM until its last.
+async fn hand_over(
+    cx: &Context,
+    store: &KvStore,
+    membership: &Membership,
+    keeping: &[AbortHandle],
+    latest: Instant,
+) {
+    if cx.scheduling.is_leading() && cx.settings.order_gap() > Millis::ZERO {
+        cx.scheduling.desk.rest(Rest::EverySecond);
+        sleep_until((Instant::now() + cx.settings.order_gap().to_std()).min(latest)).await;
+    }
+    keeping.iter().for_each(AbortHandle::abort);
+    cx.scheduling.say_leaving().await;
     if let Err(e) = leave(store, membership).await {
         Line::new("lease_not_ended").with("reason", e).info();
     }
-    tokio::time::sleep_until((began + BALANCER.to_std()).min(deadline)).await;
+}
+
+/// Lets callers go: those whom the balancer still sends are served, then what has time is, then what runs.
+async fn let_go(
+    cx: &Context,
+    began: Instant,
+    deadline: Instant,
+) {
+    sleep_until((began + BALANCER.to_std()).min(deadline)).await;
     cx.set_stop_stage(StopStage::Closing);
     wait_until_idle(cx, deadline - EMPTYING.to_std()).await;
     cx.set_stop_stage(StopStage::Emptying);
     wait_until_idle(cx, deadline).await;
-    Line::new("stopped")
-        .with("cut", cx.in_flight())
-        .with("ms", began.elapsed().as_millis())
-        .info();
 }
 
 /// Waits until no request is left, until a point in time at the longest.
--- a/crates/entry/src/scheduling/client/following.rs
+++ b/crates/entry/src/scheduling/client/following.rs
@@ -4,8 +4,9 @@
     super::{LINK, Mode, SchedulerLink, Scheduling},
     crate::scheduling::{
         Leader,
-        convert::{News, read_leader, write_leader, write_news, write_running},
+        convert::{News, read_leader, write_leader, write_news, write_rested, write_running},
     },
+    futures::future::join_all,
     jasmine_core::clock::Millis,
     jasmine_telemetry::log::Line,
     jasmine_wire::link::LinkError,
@@ -15,6 +16,8 @@
 
 /// How often the scheduler is asked whether it lives.
 const PING_EVERY: Millis = Millis(300);
+/// VMs that a newcomer asks who leads.
+const ASKED: usize = 3;
 /// The pause after it didn't answer.
 const RETRY_EVERY: Millis = Millis(150);
 /// News is gathered for this long: a message for each event would cost more than what it tells.
@@ -41,7 +44,7 @@
             let leader = leader.clone();
             spawn_local(async move {
                 let link = SchedulerLink::new(address, LINK);
-                match call_announce(&link, &leader).await {
+                match call_announce(&link, &leader, &[]).await {
                     Ok(_) => {}
                     Err(e) => Line::new("announce_failed")
                         .with("vm", vm)
@@ -52,6 +55,45 @@
         }
     }
 
+    /// Tells all VMs that this one leaves the lead, and waits until they know it.
+    pub(super) async fn hand_on(
+        &self,
+        leader: &Leader,
+        rested: &[(String, Millis)],
+    ) {
+        let others = self.vms().into_iter().filter(|(vm, _)| *vm != self.me);
+        let told = others.map(|(vm, address)| async move {
+            let link = SchedulerLink::new(address, LINK);
+            if let Err(e) = call_announce(&link, leader, rested).await {
+                Line::new("announce_failed")
+                    .with("vm", vm)
+                    .with("reason", e)
+                    .info();
+            }
+        });
+        join_all(told).await;
+    }
+
+    /// Asks some other VMs who leads, or led last; whether one of them knew.
+    pub async fn ask_for_leader(&self) -> bool {
+        let others = self.vms().into_iter().filter(|(vm, _)| *vm != self.me);
+        let asked = others.take(ASKED).map(|(vm, address)| async move {
+            let link = SchedulerLink::new(address, LINK);
+            match call_ping(&link).await {
+                Ok(leader) => leader,
+                Err(e) => {
+                    Line::new("leader_not_asked")
+                        .with("vm", vm)
+                        .with("reason", e)
+                        .info();
+                    None
+                }
+            }
+        });
+        let known = join_all(asked).await.into_iter().flatten();
+        known.map(|leader| self.consider(leader)).count() > 0
+    }
+
     pub(super) async fn follow_leader(self: Rc<Self>) {
         let mut changed = self.changed.subscribe();
         loop {
@@ -177,10 +219,12 @@
 async fn call_announce(
     link: &SchedulerLink,
     leader: &Leader,
+    rested: &[(String, Millis)],
 ) -> Result<Option<Leader>, LinkError> {
     link.call(Millis::ZERO, |client| async move {
         let mut req = client.announce_request();
         write_leader(req.get().init_leader(), Some(leader));
+        write_rested(req.get().init_rested(rested.len() as u32), rested);
         let res = req.send().promise.await?;
         read_leader(res.get()?.get_leader()?)
     })
--- a/crates/entry/src/scheduling/client/leading.rs
+++ b/crates/entry/src/scheduling/client/leading.rs
@@ -2,8 +2,12 @@
 
 use {
     super::{Mode, OWN, Scheduling},
-    crate::scheduling::Leader,
-    jasmine_core::{clock::Millis, ids::Fence, scheduler::RightsShare},
+    crate::scheduling::{HandedOn, Leader},
+    jasmine_core::{
+        clock::Millis,
+        ids::Fence,
+        scheduler::{Rest, RightsShare},
+    },
     jasmine_telemetry::log::Line,
 };
 
@@ -64,6 +68,7 @@
         Line::new("lead_taken").with("fence", fence).info();
         let before = self.leader.replace(Some(leader.clone()));
         self.desk.set_role(true, share);
+        self.take_handed_on(before.as_ref().map(|before| before.fence));
         for running in self.running_now() {
             self.desk.adopt(OWN, &running);
         }
@@ -71,6 +76,29 @@
         self.announce(&leader, before.as_ref());
     }
 
+    /// Engines that the leader before has told to have rested may be ordered so much earlier.
+    fn take_handed_on(
+        &self,
+        before: Option<Fence>,
+    ) {
+        let handed_on = self.handed_on.take();
+        let now = self.clock.now();
+        let rested = handed_on.as_ref().map(|last| last.rested_by(before, now));
+        for (upstream, rested) in rested.unwrap_or_default() {
+            self.desk.note_rested(upstream, rested);
+        }
+    }
+
+    /// Takes the last word of a leader that leaves.
+    pub fn note_handed_on(
+        &self,
+        fence: Fence,
+        rested: Vec<(String, Millis)>,
+    ) {
+        let at = self.clock.now();
+        self.handed_on.replace(Some(HandedOn { fence, at, rested }));
+    }
+
     /// Stops deciding for others; another one has a higher token, or the lead was given back.
     pub fn step_down(
         &self,
@@ -110,17 +138,19 @@
         self.bump();
     }
 
-    /// Tells the others that this VM is about to stop, so that one of them takes the lead without waiting for it.
-    pub fn say_leaving(&self) {
-        let leader = self.leader().filter(|_| self.is_leading());
-        if let Some(leader) = leader {
-            let leader = Leader {
-                is_leaving: true,
-                ..leader
-            };
-            self.leader.replace(Some(leader.clone()));
-            self.announce(&leader, None);
-        }
+    /// Tells the others that this VM is about to stop, so that one of them takes the lead without waiting for it. From
+    /// here on it gives no more orders.
+    pub async fn say_leaving(&self) {
+        let Some(leader) = self.leader().filter(|_| self.is_leading()) else {
+            return;
+        };
+        let leader = Leader {
+            is_leaving: true,
+            ..leader
+        };
+        self.leader.replace(Some(leader.clone()));
+        self.desk.rest(Rest::All);
+        self.hand_on(&leader, &self.desk.rested()).await;
     }
 
     /// The leader doesn't answer: decide alone until it does, or another one is found.
--- a/crates/entry/src/scheduling/client/mod.rs
+++ b/crates/entry/src/scheduling/client/mod.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Desk, JobSpec, Leader, Placement, RunningSpec, Unplaced, Verdict,
+        Desk, HandedOn, JobSpec, Leader, Placement, RunningSpec, Unplaced, Verdict,
         convert::{News, read_verdict, write_job},
     },
     crate::clock::Clock,
@@ -25,6 +25,7 @@
     tokio::{
         sync::{Notify, watch},
         task::spawn_local,
+        time::sleep,
     },
 };
 
@@ -45,6 +46,9 @@
     backoff_most: Millis(200),
 };
 
+/// The pause after a decision for an upstream that this VM knows to leave: the scheduler soon knows it too.
+const BETTER_KNOWN: Millis = Millis(40);
+
 type SchedulerLink = Link<scheduler::Client>;
 
 /// Who decides for this VM now.
@@ -69,6 +73,8 @@
     clock: Clock,
     mode: RefCell<Mode>,
     leader: RefCell<Option<Leader>>,
+    /// What a leader that left has said of its last orders.
+    handed_on: RefCell<Option<HandedOn>>,
     /// Until when this VM's lead surely lasts, where engines don't check who gives them orders.
     lead_until: Cell<Option<Millis>>,
     /// Since when the leader hasn't answered.
@@ -111,6 +117,7 @@
             clock: Clock,
             mode: RefCell::new(Mode::Alone),
             leader: RefCell::default(),
+            handed_on: RefCell::default(),
             lead_until: Cell::new(None),
             silent_since: Cell::new(None),
             changed: watch::Sender::default(),
@@ -148,8 +155,10 @@
         spec: JobSpec,
     ) -> Result<Placement, Unplaced> {
         let began = self.clock.now();
+        let mut avoid = spec.avoid.clone();
         loop {
             let mut spec = spec.clone();
+            spec.avoid.clone_from(&avoid);
             let spent = self.clock.now().since(began);
             spec.objective = spec.objective.since(spent);
             spec.deadline = spec.deadline.since(spent);
@@ -175,6 +184,13 @@
                     waited_for,
                 }) => {
                     pending.is_settled.set(true);
+                    if self.knows_better(&upstream) {
+                        // A scheduler that has lost the store may not know yet that this one leaves.
+                        self.note(spec.number, News::Ended(Outcome::Abandoned));
+                        avoid.push(upstream);
+                        sleep(BETTER_KNOWN.to_std()).await;
+                        continue;
+                    }
                     self.desk.note_own(&spec, OwnDecision::LetThrough);
                     let running = self.note_running(spec, &upstream, version);
                     return Ok(Placement::new(
@@ -279,6 +295,14 @@
         self.vms.borrow().clone()
     }
 
+    /// Whether this VM follows another one's decisions and knows that an upstream takes no more work.
+    fn knows_better(
+        &self,
+        upstream: &str,
+    ) -> bool {
+        self.is_following() && self.desk.has_left(upstream)
+    }
+
     /// Notes a request that runs from now on and returns its number.
     fn note_running(
         &self,
--- a/crates/entry/src/scheduling/convert.rs
+++ b/crates/entry/src/scheduling/convert.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{GenerationSpec, JobSpec, Leader, RunningSpec, Verdict},
+    capnp::struct_list,
     jasmine_core::{
         clock::Millis,
         error::{ErrorKind, Refusal},
@@ -9,7 +10,7 @@
         ingress::{PromptPart, PromptSize},
         scheduler::{Outcome, WaitReason},
     },
-    jasmine_wire::scheduler_capnp::{EndKind, job, leadership, news, running_job, verdict},
+    jasmine_wire::scheduler_capnp::{EndKind, job, leadership, news, rested, running_job, verdict},
 };
 
 /// What a VM tells the scheduler of a request that it forwards.
@@ -236,6 +237,28 @@
     }))
 }
 
+pub(super) fn write_rested(
+    mut to: struct_list::Builder<'_, rested::Owned>,
+    engines: &[(String, Millis)],
+) {
+    for (at, (upstream, since)) in engines.iter().enumerate() {
+        let mut one = to.reborrow().get(at as u32);
+        one.set_upstream(upstream);
+        one.set_for_ms(u32::try_from(since.0).unwrap_or(u32::MAX));
+    }
+}
+
+pub(super) fn read_rested(
+    from: struct_list::Reader<'_, rested::Owned>
+) -> Result<Vec<(String, Millis)>, capnp::Error> {
+    from.iter()
+        .map(|one| {
+            let upstream = one.get_upstream()?.to_string()?;
+            Ok((upstream, Millis(one.get_for_ms().into())))
+        })
+        .collect()
+}
+
 fn non_empty(text: &str) -> Option<String> {
     (!text.is_empty()).then(|| text.to_owned())
 }
--- a/crates/entry/src/scheduling/desk.rs
+++ b/crates/entry/src/scheduling/desk.rs
@@ -10,13 +10,13 @@
         ids::UpstreamId,
         ingress::{EngineHoldings, IngressConfig, UpstreamEntry},
         scheduler::{
-            Adopted, Announcement, Order, OrderEnd, Outcome, OwnDecision, RightsShare, Scheduler,
-            SchedulerAction as Action, SchedulerSettings, Ticket, WaitReason, WaitTimes,
+            Adopted, Announcement, Order, OrderEnd, Outcome, OwnDecision, Rest, RightsShare,
+            Scheduler, SchedulerAction as Action, SchedulerSettings, Ticket, WaitReason, WaitTimes,
         },
     },
     std::{
         cell::{Cell, RefCell},
-        collections::HashMap,
+        collections::{HashMap, HashSet},
         net::SocketAddr,
         rc::Rc,
     },
@@ -63,6 +63,8 @@
     machine: RefCell<Scheduler>,
     waiters: RefCell<HashMap<Ticket, oneshot::Sender<Verdict>>>,
     addresses: RefCell<HashMap<UpstreamId, SocketAddr>>,
+    /// Upstreams whose entries went.
+    left: RefCell<HashSet<UpstreamId>>,
     tasks: mpsc::UnboundedSender<EngineTask>,
     wake: Notify,
     may_order: Cell<bool>,
@@ -80,6 +82,7 @@
             machine: RefCell::new(Scheduler::new(settings, RightsShare::Part(1))),
             waiters: RefCell::default(),
             addresses: RefCell::default(),
+            left: RefCell::default(),
             tasks,
             wake: Notify::new(),
             may_order: Cell::new(false),
@@ -111,6 +114,43 @@
         self.wake.notify_one();
     }
 
+    /// The scheduler before was an earlier run on this VM.
+    pub fn continue_own_orders(&self) {
+        let now = self.clock.now();
+        self.machine.borrow_mut().continue_own_orders(now);
+        self.wake.notify_one();
+    }
+
+    /// Takes from the scheduler before how long ago an engine had its last order.
+    pub fn note_rested(
+        &self,
+        upstream: &str,
+        rested: Millis,
+    ) {
+        let id = self.names.borrow_mut().upstream(upstream);
+        let now = self.clock.now();
+        self.machine.borrow_mut().note_rested(id, rested, now);
+        self.wake.notify_one();
+    }
+
+    /// Gives some engines no more orders.
+    pub fn rest(
+        &self,
+        engines: Rest,
+    ) {
+        self.machine.borrow_mut().rest(engines);
+    }
+
+    /// How long ago each engine had its last order.
+    pub fn rested(&self) -> Vec<(String, Millis)> {
+        let rested = self.machine.borrow().rested(self.clock.now());
+        let names = self.names.borrow();
+        rested
+            .into_iter()
+            .map(|(id, rested)| (names.upstream_name(id).to_string(), rested))
+            .collect()
+    }
+
     /// Whether this VM's machine gives orders.
     pub fn may_order(&self) -> bool {
         self.may_order.get()
@@ -150,6 +190,7 @@
             let mut names = self.names.borrow_mut();
             let id = names.upstream(&entry.id);
             self.addresses.borrow_mut().insert(id, entry.address);
+            self.left.borrow_mut().remove(&id);
             (id, facts_of(entry, &mut names))
         };
         self.with(|machine, now| machine.set_upstream(id, &facts, now));
@@ -162,6 +203,7 @@
     ) {
         let id = self.names.borrow_mut().upstream(id);
         self.addresses.borrow_mut().remove(&id);
+        self.left.borrow_mut().insert(id);
         self.machine.borrow_mut().remove_upstream(id);
     }
 
@@ -295,6 +337,15 @@
         self.with(|machine, now| machine.report(upstream, facts.as_ref(), now));
     }
 
+    /// Whether this VM knows that an upstream takes no more work, whatever the scheduler says.
+    pub fn has_left(
+        &self,
+        upstream: &str,
+    ) -> bool {
+        let id = self.names.borrow_mut().upstream(upstream);
+        self.left.borrow().contains(&id) || self.machine.borrow().is_leaving(id)
+    }
+
     /// The id and address of an upstream.
     pub fn upstream(
         &self,
--- a/crates/entry/src/scheduling/mod.rs
+++ b/crates/entry/src/scheduling/mod.rs
@@ -4,6 +4,7 @@
 mod convert;
 mod desk;
 mod facts;
+mod handed_on;
 mod job_spec;
 mod leader;
 mod names;
@@ -15,6 +16,7 @@
 pub use {
     client::Scheduling,
     desk::{Desk, Verdict},
+    handed_on::HandedOn,
     job_spec::{GenerationSpec, JobSpec, RunningSpec},
     leader::Leader,
     names::Names,
--- a/crates/entry/src/scheduling/server.rs
+++ b/crates/entry/src/scheduling/server.rs
@@ -2,17 +2,20 @@
     super::{
         Desk, Scheduling, Verdict,
         convert::{
-            News, read_job, read_leader, read_news, read_running, write_leader, write_verdict,
+            News, read_job, read_leader, read_news, read_rested, read_running, write_leader,
+            write_verdict,
         },
     },
-    crate::store::{Feed, write_answer},
+    crate::store::{Feed, KvStore, write_answer},
     jasmine_core::{
         clock::Millis,
         error::{ErrorKind, Refusal},
         ids::Fence,
         scheduler::{Outcome, Ticket, WaitReason},
     },
-    jasmine_wire::scheduler_capnp::scheduler,
+    jasmine_store::store::LeaseId,
+    jasmine_telemetry::log::Line,
+    jasmine_wire::scheduler_capnp::{RenewalState, scheduler},
     std::{
         cell::{Cell, RefCell},
         collections::HashMap,
@@ -25,6 +28,7 @@
 pub struct SchedulerServer {
     scheduling: Rc<Scheduling>,
     feed: Rc<Feed>,
+    store: KvStore,
     /// The session of each VM under the token of this lead.
     sessions: RefCell<HashMap<String, u32>>,
     next_session: Cell<u32>,
@@ -32,14 +36,16 @@
 }
 
 impl SchedulerServer {
-    /// A server of this VM's machine, and of what it knows of the store.
+    /// A server of this VM's machine, of what it knows of the store, and of its way there.
     pub fn new(
         scheduling: Rc<Scheduling>,
         feed: Rc<Feed>,
+        store: KvStore,
     ) -> Self {
         Self {
             scheduling,
             feed,
+            store,
             sessions: RefCell::default(),
             next_session: Cell::new(1),
             under: Cell::new(None),
@@ -162,7 +168,12 @@
         params: scheduler::AnnounceParams,
         mut results: scheduler::AnnounceResults,
     ) -> Result<(), capnp::Error> {
-        if let Some(leader) = read_leader(params.get()?.get_leader()?)? {
+        let params = params.get()?;
+        if let Some(leader) = read_leader(params.get_leader()?)? {
+            if leader.is_leaving {
+                let rested = read_rested(params.get_rested()?)?;
+                self.scheduling.note_handed_on(leader.fence, rested);
+            }
             self.scheduling.consider(leader);
         }
         write_leader(
@@ -184,6 +195,30 @@
         Ok(())
     }
 
+    async fn renew(
+        self: Rc<Self>,
+        params: scheduler::RenewParams,
+        mut results: scheduler::RenewResults,
+    ) -> Result<(), capnp::Error> {
+        let lease = LeaseId(params.get()?.get_lease());
+        let (state, ttl) = match self.store.renew(lease, RENEWAL).await {
+            Ok(Some(lease)) => (RenewalState::Renewed, lease.ttl),
+            Ok(None) => (RenewalState::Ended, Millis::ZERO),
+            Err(e) => {
+                Line::new("renewal_not_passed_on")
+                    .with("lease", lease)
+                    .with("reason", e)
+                    .info();
+                (RenewalState::Unknown, Millis::ZERO)
+            }
+        };
+        results.get().set_state(state);
+        results
+            .get()
+            .set_ttl_ms(u32::try_from(ttl.0).unwrap_or(u32::MAX));
+        Ok(())
+    }
+
     async fn changes(
         self: Rc<Self>,
         params: scheduler::ChangesParams,
@@ -201,6 +236,8 @@
     }
 }
 
+/// How long the store may take for a renewal that is passed on; the asker waits a little longer.
+const RENEWAL: Millis = Millis(250);
 /// The longest that a question for changes is held, whatever its asker says.
 const MOST_HELD: Millis = Millis(5_000);
 
--- a/crates/entry/src/store/feed/served.rs
+++ b/crates/entry/src/store/feed/served.rs
@@ -7,13 +7,20 @@
     },
     jasmine_store::store::WatchEvent,
     std::cell::{Cell, RefCell},
-    tokio::{sync::watch, time::timeout},
+    tokio::{
+        sync::{Notify, watch},
+        time::timeout,
+    },
 };
 
 /// After which part of the time in which a change has to be in force, in percent, a store that hasn't answered counts
 /// as lost. Whoever follows this VM asks the store itself then, and has a change in force within the rest. Between two
 /// answers of a good store lie 57 % at the most: a pause of 32 and a held watch of 25.
 const STALE_PERCENT: u64 = 70;
+/// For which part of that time, in percent, a VM that has lost the store counts as current: another VM of its data centre
+/// needs most of it until it reads the store in its place. An upstream that leaves meanwhile isn't used all the same, as
+/// each VM sees to that itself.
+const CURRENT_PERCENT: u64 = 150;
 /// For how long it is told that the store came back.
 const BACK_TOLD: Millis = Millis(10_000);
 
@@ -26,12 +33,20 @@
     news: watch::Sender<u64>,
     /// Whether this VM follows the store, and not another VM.
     is_reading: Cell<bool>,
+    /// Since when that holds.
+    reading_since: Cell<Millis>,
     has_stopped: Cell<bool>,
     /// When the store last answered.
     answered_at: Cell<Millis>,
+    /// When this VM last had the store's word, by itself or through another VM.
+    heard_at: Cell<Millis>,
+    /// Told when the store seems not to answer this VM.
+    doubted: Notify,
     /// When the store was back after it had been away.
     back_at: Cell<Option<Millis>>,
     stale_after: Millis,
+    /// Within which time a change has to be in force.
+    in_force: Millis,
 }
 
 impl Feed {
@@ -42,10 +57,14 @@
             recent: RefCell::default(),
             news: watch::Sender::default(),
             is_reading: Cell::new(false),
+            reading_since: Cell::new(Millis::ZERO),
             has_stopped: Cell::new(false),
             answered_at: Cell::new(Millis::ZERO),
+            heard_at: Cell::new(Millis::ZERO),
+            doubted: Notify::new(),
             back_at: Cell::new(None),
             stale_after: Millis(in_force.0 * STALE_PERCENT / 100),
+            in_force,
         }
     }
 
@@ -86,6 +105,28 @@
     /// Notes that the store has just answered.
     pub(crate) fn answered(&self) {
         self.answered_at.set(self.clock.now());
+        self.heard();
+    }
+
+    /// Notes that this VM has just had the store's word, by itself or through another VM.
+    pub(crate) fn heard(&self) {
+        self.heard_at.set(self.clock.now());
+    }
+
+    /// Whether this VM knows the store's changes, by itself or through another VM, as those that follow others do.
+    pub(crate) fn is_current(&self) -> bool {
+        self.clock.now().since(self.heard_at.get())
+            < Millis(self.in_force.0 * CURRENT_PERCENT / 100)
+    }
+
+    /// Notes that a call to the store failed beside those that follow it.
+    pub(crate) fn doubt_store(&self) {
+        self.doubted.notify_one();
+    }
+
+    /// Ends with the next such call.
+    pub(crate) async fn store_doubted(&self) {
+        self.doubted.notified().await;
     }
 
     /// Notes that the store has come back.
@@ -102,6 +143,7 @@
         is_reading: bool,
     ) {
         if self.is_reading.replace(is_reading) != is_reading {
+            self.reading_since.set(self.clock.now());
             self.news.send_modify(|count| *count += 1);
         }
     }
@@ -147,7 +189,13 @@
             return Some(FeedAnswer::Unknown(SourceFailure::NotReading));
         }
         if now >= stale_at {
-            return Some(FeedAnswer::Unknown(SourceFailure::Stale));
+            // One that has just begun to read has no answer yet; that is no sign that it has lost the store.
+            let has_begun = now < self.reading_since.get() + self.stale_after;
+            let why = match has_begun {
+                true => SourceFailure::NotReading,
+                false => SourceFailure::Stale,
+            };
+            return Some(FeedAnswer::Unknown(why));
         }
         let recent = self.recent.borrow();
         match recent.since(after, minor_after) {
--- a/crates/entry/src/store/follower.rs
+++ b/crates/entry/src/store/follower.rs
@@ -35,6 +35,8 @@
 };
 /// For how long another VM holds a question. One that is frozen is noticed after this and the time of the call.
 const HELD: Millis = Millis(300);
+/// How long a leader that has lost the store waits until it looks again for a VM that reads it.
+const READERS_PAUSE: Millis = Millis(60);
 /// How often small changes are asked for besides: what engines hold, for the case that this VM has to decide alone. An
 /// entry has some hundred bytes and changes every second; at ninety of them a second for each of 26 VMs of a data
 /// centre they would take all of the narrowest network, ten megabits a second.
@@ -109,10 +111,24 @@
     /// Follows until the store no longer has what comes next.
     async fn follow(&mut self) {
         loop {
-            let peers = self.membership.peers_here();
+            let mut peers = self.membership.peers_here();
             let now = self.cx.clock.now();
             let leads = self.cx.scheduling.is_leading();
-            let source = self.choice.choose(peers.keys().copied(), leads, now);
+            let mut source = self.choice.choose(peers.keys().copied(), leads, now);
+            if leads && !self.choice.is_store_good(now) {
+                // All that is decided depends on what this VM knows. Readers elsewhere have it now, while those here may
+                // have followed this VM; that is worth some bytes between data centres.
+                let elsewhere = self.membership.readers_elsewhere();
+                let order = elsewhere.keys().chain(peers.keys());
+                source = self.choice.choose_other(order.copied(), now);
+                peers.extend(elsewhere);
+                if source == Source::Store {
+                    // Those that followed this VM until now need a moment to read the store themselves.
+                    self.feed.set_reading(false);
+                    sleep(READERS_PAUSE.to_std()).await;
+                    continue;
+                }
+            }
             self.feed.set_reading(source == Source::Store);
             let step = match source {
                 Source::Store => self.watch_store().await,
@@ -126,7 +142,14 @@
 
     async fn watch_store(&mut self) -> Step {
         let next = self.position.minor_after + 1;
-        match self.next_batch(next).await {
+        let batch = tokio::select! {
+            batch = self.next_batch(next) => batch,
+            // A connection that has fallen silent is noticed there first.
+            () = self.feed.store_doubted() => {
+                Err(StoreError::OutcomeUnknown("a renewal has failed".to_owned()))
+            }
+        };
+        match batch {
             Ok(batch) => {
                 self.choice.store_answered();
                 self.backoff.reset();
@@ -195,6 +218,7 @@
                 since_back,
                 events,
             }) => {
+                self.feed.heard();
                 if let Some(since) = since_back {
                     self.view.note_back_elsewhere(since);
                 }
@@ -221,7 +245,12 @@
             .with("reason", reason)
             .with("revision", self.position.after)
             .info();
-        self.choice.vm_failed(rank, why, self.cx.clock.now());
+        let now = self.cx.clock.now();
+        let is_urgent = self.cx.scheduling.is_leading() && !self.choice.is_store_good(now);
+        match why {
+            SourceFailure::NotReading if is_urgent => self.choice.vm_begins(rank, now),
+            _ => self.choice.vm_failed(rank, why, now),
+        }
     }
 
     fn moved_to(
--- a/crates/entry/src/store/lead.rs
+++ b/crates/entry/src/store/lead.rs
@@ -1,12 +1,13 @@
 //! The lead: whether it is free, taking it, and keeping it.
 
 use {
-    super::{KvStore, Membership, membership::LEADER_KEY},
+    super::{Feed, KvStore, Membership, membership::LEADER_KEY, relay::Relay},
     crate::context::Context,
+    futures::{FutureExt, future::select_ok},
     jasmine_core::{clock::Millis, ids::Fence},
-    jasmine_store::store::{Compare, Lease, Op, Range, Store, StoreError, Txn},
+    jasmine_store::store::{Compare, Lease, LeaseId, Op, Range, Store, StoreError, Txn},
     jasmine_telemetry::log::Line,
-    std::rc::Rc,
+    std::{cell::Cell, rc::Rc},
     tokio::time::{sleep, timeout},
 };
 
@@ -36,14 +37,19 @@
     cx: Rc<Context>,
     store: KvStore,
     membership: Rc<Membership>,
+    feed: Rc<Feed>,
 ) {
+    let relay = Relay::new(Rc::clone(&cx));
     let lead = Lead {
         cx,
         store,
         membership,
+        feed,
+        relay,
+        is_cut_off: Cell::new(false),
     };
     loop {
-        if lead.membership.may_stand(&lead.cx) {
+        if lead.membership.may_stand(&lead.cx) && !lead.is_newcomer().await {
             lead.stand().await;
         }
         match lead.membership.lead_lease.get() {
@@ -57,6 +63,10 @@
     cx: Rc<Context>,
     store: KvStore,
     membership: Rc<Membership>,
+    feed: Rc<Feed>,
+    relay: Relay,
+    /// Whether the last renewal of this VM's own got no answer.
+    is_cut_off: Cell<bool>,
 }
 
 impl Lead {
@@ -103,7 +113,7 @@
         while self.cx.scheduling.is_leading() {
             sleep(RENEW_EVERY.to_std()).await;
             let sent = self.cx.clock.now();
-            match self.store.renew(lease.id, RENEWAL).await {
+            match self.renew(lease.id).await {
                 Ok(Some(lease)) => self.lasts_from(sent, lease),
                 Ok(None) => {
                     Line::new("lead_lapsed").with("lease", lease.id).warn();
@@ -116,6 +126,42 @@
         self.give_back(lease).await;
     }
 
+    /// Renews the lease by this VM's own way to the store and, where that fails, through another VM.
+    ///
+    /// Without this a scheduler that alone has lost the store stopped ordering until another one was elected and engines
+    /// had rested: more than five seconds without a load, while all VMs still reached it.
+    async fn renew(
+        &self,
+        id: LeaseId,
+    ) -> Result<Option<Lease>, StoreError> {
+        let own = self.renew_directly(id);
+        if !self.is_cut_off.get() {
+            let renewed = own.await;
+            return match renewed {
+                Err(e) if !self.feed.is_current() => Err(e),
+                Err(_) => self.relay.renew(id).await,
+                renewed => renewed,
+            };
+        }
+        if !self.feed.is_current() {
+            return own.await;
+        }
+        let ways = [own.boxed_local(), self.relay.renew(id).boxed_local()];
+        select_ok(ways).await.map(|(renewed, _)| renewed)
+    }
+
+    async fn renew_directly(
+        &self,
+        id: LeaseId,
+    ) -> Result<Option<Lease>, StoreError> {
+        let renewed = self.store.renew(id, RENEWAL).await;
+        self.is_cut_off.set(renewed.is_err());
+        if renewed.is_err() {
+            self.feed.doubt_store();
+        }
+        renewed
+    }
+
     fn granted(
         &self,
         sent: Millis,
@@ -146,6 +192,14 @@
         }
     }
 
+    /// Whether this VM has just started and learns from the others that one of them has led until now.
+    ///
+    /// The key of a leader that stops is gone when a VM starts in that moment. It would be the first to stand, though
+    /// the others know what the leader has handed on and what engines hold.
+    async fn is_newcomer(&self) -> bool {
+        self.membership.knows_no_leader(&self.cx) && self.cx.scheduling.ask_for_leader().await
+    }
+
     /// Tries to become the leader.
     async fn stand(&self) {
         match self.try_stand().await {
--- a/crates/entry/src/store/membership.rs
+++ b/crates/entry/src/store/membership.rs
@@ -31,6 +31,9 @@
 /// A first start of the deployment is over after this long: rates may have been used by then.
 const FIRST_START: Millis = Millis(9_000);
 
+/// VMs of another data centre that are asked for changes, where this one's don't have them.
+const READERS: usize = 2;
+
 /// What this VM knows of the others, from the store.
 #[derive(Debug)]
 pub struct Membership {
@@ -169,14 +172,19 @@
         fence: Fence,
     ) {
         self.has_leader.set(true);
-        self.predecessor.set(None);
+        let continues_own = self.predecessor.take().is_some();
         let age = self.clock.now().since(self.started);
-        let share = if cx.settings.first_start && age < FIRST_START {
+        // Where another VM has led already, it has let requests through and given orders.
+        let is_first = cx.scheduling.leader().is_none() && !continues_own;
+        let share = if cx.settings.first_start && age < FIRST_START && is_first {
             RightsShare::Fresh
         } else {
             RightsShare::TakenOver
         };
         cx.scheduling.lead(fence, share);
+        if continues_own {
+            cx.scheduling.desk.continue_own_orders();
+        }
     }
 
     /// This VM's record.
@@ -203,6 +211,27 @@
             .collect()
     }
 
+    /// The VMs of other data centres that read the store for the others there, or would be next to do so.
+    pub(super) fn readers_elsewhere(&self) -> BTreeMap<VmRank, VmEntry> {
+        let vms = self.vms.borrow();
+        let mut by_place: BTreeMap<&str, BTreeMap<VmRank, VmEntry>> = BTreeMap::new();
+        for vm in vms
+            .values()
+            .filter(|vm| vm.data_centre != self.me.data_centre)
+        {
+            let entry = VmEntry {
+                name: vm.vm.clone(),
+                address: vm.peers,
+            };
+            let place = by_place.entry(&vm.data_centre).or_default();
+            place.insert(vm.rank(), entry);
+        }
+        let readers = by_place
+            .into_values()
+            .flat_map(|place| place.into_iter().take(READERS));
+        readers.collect()
+    }
+
     fn addresses(&self) -> BTreeMap<String, SocketAddr> {
         let vms = self.vms.borrow();
         vms.iter()
@@ -253,6 +282,15 @@
         Millis(self.before_me(cx) as u64 * TURN.0) + incumbent + newcomer
     }
 
+    /// Whether this VM has just started among others and has not heard of any leader.
+    pub(super) fn knows_no_leader(
+        &self,
+        cx: &Context,
+    ) -> bool {
+        let is_new = self.clock.now().since(self.started) < NEW;
+        is_new && self.predecessor.get().is_none() && cx.scheduling.leader().is_none()
+    }
+
     /// Whether the store has the key of a leader on another VM, or of this run.
     pub(super) fn has_other_leader(&self) -> bool {
         self.has_leader.get() && self.predecessor.get().is_none()
--- a/crates/entry/src/store/mod.rs
+++ b/crates/entry/src/store/mod.rs
@@ -6,6 +6,7 @@
 mod lead;
 mod member_lease;
 mod membership;
+mod relay;
 mod view;
 mod vm_record;
 
--- /dev/null
+++ b/crates/entry/src/store/relay.rs
@@ -0,0 +1,113 @@
+use {
+    crate::context::Context,
+    jasmine_core::clock::Millis,
+    jasmine_store::store::{Lease, LeaseId, StoreError},
+    jasmine_telemetry::log::Line,
+    jasmine_wire::{
+        link::{Link, LinkOptions},
+        scheduler_capnp::{RenewalState, scheduler},
+    },
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+        rc::Rc,
+    },
+};
+
+/// How long another VM may take, its own call to the store included.
+const LINK: LinkOptions = LinkOptions {
+    connect_timeout: Millis(100),
+    call_timeout: Millis(300),
+    heartbeat: Millis(60_000),
+    backoff_first: Millis(30),
+    backoff_most: Millis(200),
+};
+/// VMs that are asked for one renewal, one after the other.
+const TRIED: usize = 2;
+
+/// The way to the store through other VMs, for a VM that alone doesn't reach it.
+pub(super) struct Relay {
+    cx: Rc<Context>,
+    /// The VM that has passed on the last renewal.
+    link: RefCell<Option<Rc<Link<scheduler::Client>>>>,
+    /// Counts the VMs that were asked, so that each time others are.
+    asked: Cell<usize>,
+}
+
+impl Relay {
+    pub(super) fn new(cx: Rc<Context>) -> Self {
+        Self {
+            cx,
+            link: RefCell::default(),
+            asked: Cell::new(0),
+        }
+    }
+
+    /// Has a lease renewed by another VM; none where it has ended.
+    pub(super) async fn renew(
+        &self,
+        id: LeaseId,
+    ) -> Result<Option<Lease>, StoreError> {
+        for _ in 0..TRIED {
+            let Some(link) = self.known().or_else(|| self.next()) else {
+                break;
+            };
+            match call_renew(&link, id).await {
+                Ok(renewed) => {
+                    self.link.replace(Some(link));
+                    return Ok(renewed);
+                }
+                Err(e) => {
+                    Line::new("renewal_not_passed_on")
+                        .with("via", link.address())
+                        .with("reason", e)
+                        .info();
+                    self.link.replace(None);
+                }
+            }
+        }
+        Err(StoreError::Unreachable(
+            "no VM has passed on the renewal".to_owned(),
+        ))
+    }
+
+    fn known(&self) -> Option<Rc<Link<scheduler::Client>>> {
+        self.link.borrow().clone()
+    }
+
+    fn next(&self) -> Option<Rc<Link<scheduler::Client>>> {
+        let me = self.cx.scheduling.me();
+        let vms = self.cx.scheduling.vms();
+        let others: Vec<SocketAddr> = vms
+            .iter()
+            .filter(|(vm, _)| vm.as_str() != me)
+            .map(|(_, &address)| address)
+            .collect();
+        let asked = self.asked.replace(self.asked.get() + 1);
+        let address = *others.get(asked.checked_rem(others.len())?)?;
+        Some(Rc::new(Link::new(address, LINK)))
+    }
+}
+
+async fn call_renew(
+    link: &Link<scheduler::Client>,
+    id: LeaseId,
+) -> Result<Option<Lease>, StoreError> {
+    let answer = link
+        .call(Millis::ZERO, |client| async move {
+            let mut req = client.renew_request();
+            req.get().set_lease(id.0);
+            let res = req.send().promise.await?;
+            let res = res.get()?;
+            Ok((res.get_state()?, Millis(res.get_ttl_ms().into())))
+        })
+        .await;
+    match answer {
+        Ok((RenewalState::Renewed, ttl)) => Ok(Some(Lease { id, ttl })),
+        Ok((RenewalState::Ended, _)) => Ok(None),
+        Ok((RenewalState::Unknown, _)) => Err(StoreError::OutcomeUnknown(
+            "the store didn't answer the other VM".to_owned(),
+        )),
+        Err(e) => Err(StoreError::OutcomeUnknown(e.to_string())),
+    }
+}
--- a/crates/entry/tests/deployment/mod.rs
+++ b/crates/entry/tests/deployment/mod.rs
@@ -67,9 +67,21 @@
         store: SocketAddr,
         name: &str,
     ) -> Self {
+        Self::start_with(store, name, |_| {})
+    }
+
+    /// Starts a daemon whose settings are changed first.
+    pub fn start_with<F>(
+        store: SocketAddr,
+        name: &str,
+        change: F,
+    ) -> Self
+    where
+        F: Fn(&mut Value),
+    {
         let settings = std::env::temp_dir().join(format!("jasmine-entry-{name}.json"));
         let any = "127.0.0.1:0";
-        let text = json!({
+        let mut text = json!({
             "vm": name,
             "data_centre": "one",
             "listen": {"callers": any, "readiness": any, "peers": any, "metrics": any},
@@ -79,6 +91,7 @@
             "repeats": {"ratio": 0.2, "slack": 50.0, "window_s": 10.0},
             "stop_s": 8,
         });
+        change(&mut text);
         fs::write(&settings, text.to_string()).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_jasmine-entry"))
             .arg("--settings")
--- a/crates/entry/tests/lead_changes.rs
+++ b/crates/entry/tests/lead_changes.rs
@@ -9,7 +9,7 @@
     },
     jasmine_entry::{
         scheduling::{Desk, JobSpec, Leader, SchedulerServer, Scheduling},
-        store::Feed,
+        store::{Feed, KvStore},
     },
     jasmine_wire::{link::serve, scheduler_capnp::scheduler},
     std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration},
@@ -42,7 +42,12 @@
     let scheduling = Rc::new(Scheduling::new(desk, name.to_owned(), address, fence));
     scheduling.start();
     let feed = Rc::new(Feed::new(Millis(2_000)));
-    let server = SchedulerServer::new(Rc::clone(&scheduling), feed);
+    let nowhere: SocketAddr = "127.0.0.1:9".parse().unwrap();
+    let server = SchedulerServer::new(
+        Rc::clone(&scheduling),
+        feed,
+        KvStore::new(nowhere, Millis(500)),
+    );
     let client: scheduler::Client = capnp_rpc::new_client(server);
     spawn_local(serve(listener, client.client));
     let leader = Leader {
--- /dev/null
+++ b/crates/entry/tests/unfenced_engines.rs
@@ -0,0 +1,146 @@
+//! The lead where engines check no fencing tokens, so that whoever follows must let them rest.
+
+mod deployment;
+
+use {
+    deployment::{Request, Vm, platform, until},
+    jasmine_platform_stand_in::{EngineStandIn, KvStandIn},
+    jasmine_testkit::proxy::{Fault, Proxy},
+    nix::sys::signal::Signal,
+    std::{
+        net::SocketAddr,
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// How long an engine must have had no order from another VM.
+const GAP: Duration = Duration::from_millis(3_000);
+
+fn start(
+    store: SocketAddr,
+    name: &str,
+) -> Vm {
+    let name = format!("{name}-{}", std::process::id());
+    let vm = Vm::start_with(store, &name, |settings| {
+        settings["engines_check_fences"] = false.into();
+        settings["order_gap_ms"] = (GAP.as_millis() as u64).into();
+    });
+    until("it is ready", || vm.is_ready());
+    vm
+}
+
+fn engines(store: &KvStandIn) -> Vec<EngineStandIn> {
+    ["e-1", "e-2", "e-3", "e-4"]
+        .iter()
+        .map(|id| {
+            let engine = EngineStandIn::start(id).unwrap();
+            store.put(&engine.key(), &engine.entry("llm", "one"));
+            engine
+        })
+        .collect()
+}
+
+fn generation(adapter: &str) -> Request {
+    Request::new("POST", "/model/")
+        .with("X-Model", &format!("base/{adapter}"))
+        .with("X-Token-Counts", "100,10")
+        .body(b"prompt")
+}
+
+fn leads(vm: &Vm) -> bool {
+    !vm.logged("lead_taken").is_empty()
+}
+
+#[test]
+fn a_leader_without_the_store_goes_on() {
+    // The VM that schedules loses its connection to the store, and nothing else. All others reach it. Had it to stop, an
+    // adapter that no engine has could not be loaded until another VM was elected and engines had rested: five seconds in
+    // which its callers wait. It has its lease renewed through a VM that reaches the store.
+    let (store, _) = platform(&[]);
+    let _engines = engines(&store);
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let link = Proxy::start(any, store.address()).unwrap();
+    let leader = start(link.address(), "cut-leader");
+    until("it leads", || leads(&leader));
+    let others = [
+        start(store.address(), "cut-other-1"),
+        start(store.address(), "cut-other-2"),
+    ];
+    for other in &others {
+        until("it follows", || !other.logged("leader_followed").is_empty());
+    }
+    assert_eq!(others[0].ask(&generation("a1")).status, 200);
+    thread::sleep(Duration::from_millis(800));
+    link.set_mode(Fault::Cut);
+    let began = Instant::now();
+    let mut adapter = 2;
+    while began.elapsed() < GAP + Duration::from_millis(1_000) {
+        let asked = Instant::now();
+        let answer = others[1].ask(&generation(&format!("a{adapter}")));
+        assert_eq!(
+            answer.status,
+            200,
+            "a{adapter}: {}\n{}",
+            answer.text(),
+            leader.log()
+        );
+        let took = asked.elapsed();
+        assert!(
+            took < Duration::from_millis(1_500),
+            "a{adapter} after {took:?}"
+        );
+        adapter = adapter % 9 + 1;
+        thread::sleep(Duration::from_millis(150));
+    }
+    assert!(
+        others.iter().all(|other| !leads(other)),
+        "nobody else leads"
+    );
+}
+
+#[test]
+fn a_planned_stop_leaves_engines_to_order() {
+    // The VM that schedules is stopped as planned. Engines that had their last order just now must rest before another VM
+    // may order them; if all had, no adapter could be loaded for seconds on each restart. Half of them rest before the
+    // lead goes on, so a caller whose adapter is nowhere waits for a load only.
+    let (store, _) = platform(&[]);
+    let engines = engines(&store);
+    let leader = start(store.address(), "stop-leader");
+    until("it leads", || leads(&leader));
+    let next = start(store.address(), "stop-next");
+    until("it follows", || !next.logged("leader_followed").is_empty());
+    for adapter in ["a1", "a2", "a3", "a4"] {
+        assert_eq!(next.ask(&generation(adapter)).status, 200);
+    }
+    leader.signal(Signal::SIGTERM);
+    let began = Instant::now();
+    let mut slowest = Duration::ZERO;
+    let mut adapter = 5;
+    while !leads(&next) || began.elapsed() < Duration::from_millis(4_500) {
+        assert!(began.elapsed() < deployment::LIMIT, "the other one leads");
+        let asked = Instant::now();
+        let answer = next.ask(&generation(&format!("a{adapter}")));
+        assert_eq!(answer.status, 200, "a{adapter}: {}", answer.text());
+        slowest = slowest.max(asked.elapsed());
+        adapter = adapter % 9 + 1;
+        thread::sleep(Duration::from_millis(100));
+    }
+    println!("slowest {slowest:?}");
+    assert!(slowest < Duration::from_millis(1_500), "{slowest:?}");
+    for engine in &engines {
+        assert_eq!(too_early(engine), Vec::<Duration>::new());
+        assert_eq!(engine.overfilled(), 0);
+    }
+}
+
+/// The times between the orders of two VMs that were too short for an engine to rest.
+fn too_early(engine: &EngineStandIn) -> Vec<Duration> {
+    let orders = engine.received();
+    orders
+        .windows(2)
+        .filter(|two| two[0].holder != two[1].holder)
+        .map(|two| two[1].at.duration_since(two[0].at))
+        .filter(|&rested| rested < GAP)
+        .collect()
+}
--- a/crates/wire/schema/scheduler.capnp
+++ b/crates/wire/schema/scheduler.capnp
@@ -68,6 +68,17 @@
   leaving @3 :Bool;            # it stops, and another one may take its place at once
 }
 
+struct Rested {
+  upstream @0 :Text;
+  forMs @1 :UInt32;            # since its last order
+}
+
+enum RenewalState {
+  renewed @0;
+  ended @1;
+  unknown @2;                  # the store didn't answer in time
+}
+
 enum FeedState {
   current @0;
   stale @1;                    # the store hasn't answered this VM for a while
@@ -88,10 +99,13 @@
   hello @0 (vm :Text, incarnation :UInt64, running :List(RunningJob)) -> (session :UInt32, leader :Leadership);
   place @1 (session :UInt32, job :Job) -> (known :Bool, verdict :Verdict);
   tell @2 (session :UInt32, news :List(News)) -> (known :Bool);
-  announce @3 (leader :Leadership) -> (leader :Leadership);
+  # `rested` comes from a leader that leaves: how long ago it gave each engine its last order.
+  announce @3 (leader :Leadership, rested :List(Rested)) -> (leader :Leadership);
   ping @4 () -> (leader :Leadership);
   # Changes of the store after a revision; waits for the first one. Minor ones wait for nobody: they come along after
   # their own revision, 0 for none of them.
   changes @5 (after :UInt64, minorAfter :UInt64, waitMs :UInt32)
       -> (state :FeedState, revision :UInt64, sinceBackMs :UInt32, changes :List(Change));
+  # Renews a lease of the store for a VM that doesn't reach it.
+  renew @6 (lease :UInt64) -> (state :RenewalState, ttlMs :UInt32);
 }
