After a power loss the VM that scheduled last leads again, and orders engines at once

Change: who led last stands in the store without a lease, written with each election; a VM that starts and finds its own name stands first, and claims it in the same transaction, so that a VM that led in between is noticed. Fresh rights only where nobody has led before. Test: unfenced_engines::after_a_power_loss_the_last_one_leads.

--- a/crates/entry/src/store/lead.rs
+++ b/crates/entry/src/store/lead.rs
@@ -1,7 +1,11 @@
 //! The lead: whether it is free, taking it, and keeping it.
 
 use {
-    super::{Feed, KvStore, Membership, membership::LEADER_KEY, relay::Relay},
+    super::{
+        Feed, KvStore, Membership,
+        membership::{LAST_KEY, LEADER_KEY},
+        relay::Relay,
+    },
     crate::context::Context,
     futures::{FutureExt, future::select_ok},
     jasmine_core::{clock::Millis, ids::Fence},
@@ -224,10 +228,16 @@
             Some(revision) => Compare::ModRevision(key, revision),
             None => Compare::Absent(key),
         };
+        // Claimed only where the store agrees: another VM may have led since this one has heard of it.
+        let last = self.membership.last_was_me();
+        let claim = last.map(|revision| Compare::ModRevision(LAST_KEY.to_owned(), revision));
         let me = self.membership.me();
         let txn = Txn {
-            compare: vec![compare],
-            success: vec![Op::put_leased(LEADER_KEY, me.encode(), lease.id)],
+            compare: std::iter::once(compare).chain(claim).collect(),
+            success: vec![
+                Op::put_leased(LEADER_KEY, me.encode(), lease.id),
+                Op::put(LAST_KEY, me.vm.as_bytes()),
+            ],
             failure: Vec::new(),
         };
         let reply = match self.store.txn(txn).await {
@@ -242,11 +252,15 @@
             }
         };
         if reply.succeeded {
-            self.membership.take_lead(&self.cx, Fence(reply.revision));
+            self.membership
+                .take_lead(&self.cx, Fence(reply.revision), last.is_some());
             return Ok(());
         }
         for kv in reply.reads.iter().flatten() {
-            self.membership.set_leader(&self.cx, kv);
+            match kv.key.as_str() {
+                LAST_KEY => self.membership.set_last(kv),
+                _ => self.membership.set_leader(&self.cx, kv),
+            }
         }
         if !self.cx.scheduling.is_leading() {
             self.give_back(lease).await;
--- a/crates/entry/src/store/membership.rs
+++ b/crates/entry/src/store/membership.rs
@@ -19,6 +19,9 @@
 /// The VM that schedules, on a lease of its own. Created by whoever is elected; the revision is its fencing token.
 pub const LEADER_KEY: &str = "jasmine/scheduler";
 
+/// The VM that scheduled last, under its name; outlives its lease, and is written with each election.
+pub const LAST_KEY: &str = "jasmine/last-scheduler";
+
 /// VMs that may take the lead try one after the other, so that the first succeeds and the others don't call.
 const TURN: Millis = Millis(80);
 /// What a VM that still reaches the leader leaves it to come back by itself: its lease lapsed in an outage.
@@ -26,6 +29,9 @@
 /// A VM that started less than this ago leaves the lead to others, for so long.
 const NEW: Millis = Millis(10_000);
 const NEWCOMER: Millis = Millis(600);
+/// What a VM that has just started leaves one that scheduled last, where that one isn't itself: after all have lost power
+/// it may order engines at once, while another one has to let them rest.
+const LAST_FIRST: Millis = Millis(350);
 /// At a first start all VMs enter within this time, and the one that leads is chosen among all of them.
 const GATHERING: Millis = Millis(1_000);
 /// A first start of the deployment is over after this long: rates may have been used by then.
@@ -47,6 +53,8 @@
     /// The revision of a leader's key that an earlier run on this VM wrote.
     predecessor: Cell<Option<u64>>,
     absent_since: Cell<Millis>,
+    /// The VM that scheduled last, with the revision of that entry.
+    last: RefCell<Option<(String, u64)>>,
     vms: RefCell<BTreeMap<String, VmRecord>>,
     /// Told when the lead may have become free.
     pub(super) changed: Notify,
@@ -67,6 +75,7 @@
             has_leader: Cell::new(false),
             predecessor: Cell::new(None),
             absent_since: Cell::new(Millis::ZERO),
+            last: RefCell::default(),
             vms: RefCell::default(),
             changed: Notify::new(),
             lease: Cell::new(None),
@@ -146,7 +155,7 @@
         let lease = self.lead_lease.get().map(|lease| lease.id);
         if is_mine && lease == Some(LeaseId(kv.lease)) {
             // The answer to the call that wrote it was lost.
-            return self.take_lead(cx, fence);
+            return self.take_lead(cx, fence, false);
         }
         cx.scheduling.consider(Leader {
             vm: record.vm,
@@ -156,6 +165,29 @@
         });
     }
 
+    /// Takes the entry of the VM that scheduled last.
+    pub(super) fn set_last(
+        &self,
+        kv: &KeyValue,
+    ) {
+        let vm = String::from_utf8_lossy(&kv.value).into_owned();
+        let is_newer = self
+            .last
+            .borrow()
+            .as_ref()
+            .is_none_or(|&(_, revision)| revision < kv.mod_revision);
+        if is_newer {
+            self.last.replace(Some((vm, kv.mod_revision)));
+        }
+    }
+
+    /// The revision of that entry, where it says that an earlier run on this VM scheduled last.
+    pub(super) fn last_was_me(&self) -> Option<u64> {
+        let last = self.last.borrow();
+        let (vm, revision) = last.as_ref()?;
+        (*vm == self.me.vm).then_some(*revision)
+    }
+
     /// The leader's key is gone.
     pub(super) fn remove_leader(&self) {
         self.predecessor.set(None);
@@ -165,17 +197,18 @@
         }
     }
 
-    /// This VM leads from now on.
+    /// This VM leads from now on. `claims_last` says that the election proved that an earlier run on it led last.
     pub(super) fn take_lead(
         &self,
         cx: &Context,
         fence: Fence,
+        claims_last: bool,
     ) {
         self.has_leader.set(true);
-        let continues_own = self.predecessor.take().is_some();
+        let continues_own = self.predecessor.take().is_some() || claims_last;
         let age = self.clock.now().since(self.started);
         // Where another VM has led already, it has let requests through and given orders.
-        let is_first = cx.scheduling.leader().is_none() && !continues_own;
+        let is_first = cx.scheduling.leader().is_none() && self.last.borrow().is_none();
         let share = if cx.settings.first_start && age < FIRST_START && is_first {
             RightsShare::Fresh
         } else {
@@ -279,7 +312,12 @@
         } else {
             Millis::ZERO
         };
-        Millis(self.before_me(cx) as u64 * TURN.0) + incumbent + newcomer
+        let is_restart = is_new && leader.is_none();
+        match (self.last_was_me().is_some(), self.last.borrow().is_some()) {
+            (true, _) if is_new => Millis::ZERO,
+            (false, true) if is_restart => Millis(self.before_me(cx) as u64 * TURN.0) + LAST_FIRST,
+            _ => Millis(self.before_me(cx) as u64 * TURN.0) + incumbent + newcomer,
+        }
     }
 
     /// Whether this VM has just started among others and has not heard of any leader.
--- a/crates/entry/src/store/view.rs
+++ b/crates/entry/src/store/view.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         Feed, Membership,
-        membership::{LEADER_KEY, VM_PREFIX},
+        membership::{LAST_KEY, LEADER_KEY, VM_PREFIX},
     },
     crate::context::Context,
     jasmine_core::{clock::Millis, ingress::UpstreamEntry, scheduler::Announcement},
@@ -180,6 +180,8 @@
             self.put_version(kv, how);
         } else if kv.key == LEADER_KEY {
             self.membership.set_leader(&self.cx, kv);
+        } else if kv.key == LAST_KEY {
+            self.membership.set_last(kv);
         } else if kv.key.starts_with(VM_PREFIX) {
             self.membership.set_vm(&self.cx, kv);
         }
--- a/crates/entry/tests/unfenced_engines.rs
+++ b/crates/entry/tests/unfenced_engines.rs
@@ -20,10 +20,19 @@
 fn start(
     store: SocketAddr,
     name: &str,
+) -> Vm {
+    start_as(store, name, true)
+}
+
+fn start_as(
+    store: SocketAddr,
+    name: &str,
+    is_first: bool,
 ) -> Vm {
     let name = format!("{name}-{}", std::process::id());
     let vm = Vm::start_with(store, &name, |settings| {
         settings["engines_check_fences"] = false.into();
+        settings["first_start"] = is_first.into();
         settings["order_gap_ms"] = (GAP.as_millis() as u64).into();
     });
     until("it is ready", || vm.is_ready());
@@ -134,6 +143,46 @@
     }
 }
 
+#[test]
+fn after_a_power_loss_the_last_one_leads() {
+    // All VMs lose power for longer than the lease of the lead. If another VM led afterwards it would have to let engines
+    // rest, and whoever asks for an adapter that is nowhere would wait for seconds after everything is up again.
+    let (store, _) = platform(&[]);
+    let engines = engines(&store);
+    let names = ["power-1", "power-2", "power-3"];
+    let mut vms = Vec::new();
+    for name in names {
+        let vm = start(store.address(), name);
+        until("somebody leads", || {
+            leads(&vm) || !vm.logged("leader_followed").is_empty()
+        });
+        vms.push(vm);
+    }
+    let first = vms.iter().position(leads).expect("one leads");
+    for adapter in ["a1", "a2", "a3"] {
+        assert_eq!(vms[0].ask(&generation(adapter)).status, 200);
+    }
+    drop(vms);
+    thread::sleep(Duration::from_millis(1_500));
+    let back: Vec<Vm> = thread::scope(|scope| {
+        let starting: Vec<_> = names
+            .iter()
+            .map(|name| scope.spawn(|| start_as(store.address(), name, false)))
+            .collect();
+        let started = starting.into_iter().map(|vm| vm.join().unwrap());
+        started.collect()
+    });
+    until("one leads", || back.iter().any(leads));
+    assert!(leads(&back[first]), "the one that led before");
+    let asked = Instant::now();
+    assert_eq!(back[0].ask(&generation("a9")).status, 200);
+    let took = asked.elapsed();
+    assert!(took < Duration::from_millis(1_500), "{took:?}");
+    for engine in &engines {
+        assert_eq!(too_early(engine), Vec::<Duration>::new());
+    }
+}
+
 /// The times between the orders of two VMs that were too short for an engine to rest.
 fn too_early(engine: &EngineStandIn) -> Vec<Duration> {
     let orders = engine.received();
