--- a/crates/core/src/scheduler/choose/mod.rs
+++ b/crates/core/src/scheduler/choose/mod.rs
@@ -5,7 +5,7 @@
         Generation, Job, SchedulerSettings, WaitReason,
         engine::Engine,
         fleet::{Fleet, Load},
-        place::{DEMAND_HALF_LIFE, Place},
+        place::DEMAND_HALF_LIFE,
         upstream::Upstream,
         version_book::VersionBook,
     },
@@ -346,7 +346,7 @@
             let extra = (wait.0 as f64 - engine.backlog.wait(self.now)).max(0.0);
             let extra = extra + self.queue_ahead(job, adapter, engine, copies);
             let way = match wait {
-                Millis::ZERO if self.is_being_tried(engine, wanted) => Way::Wait(WaitReason::Load),
+                Millis::ZERO if engine.is_being_tried(wanted) => Way::Wait(WaitReason::Load),
                 Millis::ZERO if self.can_take(job, up, engine) => Way::Send(Some(wanted)),
                 Millis::ZERO => Way::Wait(self.full_reason(job, up, engine)),
                 _ => Way::Wait(WaitReason::Load),
@@ -365,16 +365,6 @@
         self.load_way(generation, up, engine, wanted, base, copies)
     }
 
-    /// Whether a request is just finding out whether the adapter is there by now.
-    fn is_being_tried(
-        &self,
-        engine: &Engine,
-        wanted: AdapterVersion,
-    ) -> bool {
-        let is_unproven = engine.place(wanted).is_some_and(Place::is_unproven);
-        is_unproven && engine.users_of(wanted) > 0
-    }
-
     /// How long the requests that wait for an adapter hold up the last of them, in milliseconds.
     fn queue_ahead(
         &self,
--- a/crates/core/src/scheduler/engine.rs
+++ b/crates/core/src/scheduler/engine.rs
@@ -359,6 +359,15 @@
         self.users.get(&adapter).copied().unwrap_or_default()
     }
 
+    /// Whether a request is just finding out whether the adapter is there by now.
+    pub(super) fn is_being_tried(
+        &self,
+        adapter: AdapterVersion,
+    ) -> bool {
+        let is_unproven = self.place(adapter).is_some_and(Place::is_unproven);
+        is_unproven && self.users_of(adapter) > 0
+    }
+
     /// Notes a use of an adapter.
     pub(super) fn use_adapter(
         &mut self,
--- a/crates/core/src/scheduler/wait_times.rs
+++ b/crates/core/src/scheduler/wait_times.rs
@@ -14,7 +14,7 @@
         waited: Millis,
     ) {
         let sum = &mut self.by_reason[reason as usize];
-        *sum = *sum + waited;
+        *sum += waited;
     }
 
     /// Adds all of another's times.
--- a/crates/entry/src/store/feed/served.rs
+++ b/crates/entry/src/store/feed/served.rs
@@ -191,9 +191,10 @@
         if now >= stale_at {
             // One that has just begun to read has no answer yet; that is no sign that it has lost the store.
             let has_begun = now < self.reading_since.get() + self.stale_after;
-            let why = match has_begun {
-                true => SourceFailure::NotReading,
-                false => SourceFailure::Stale,
+            let why = if has_begun {
+                SourceFailure::NotReading
+            } else {
+                SourceFailure::Stale
             };
             return Some(FeedAnswer::Unknown(why));
         }
--- a/crates/entry/src/store/lead.rs
+++ b/crates/entry/src/store/lead.rs
@@ -236,7 +236,7 @@
             compare: std::iter::once(compare).chain(claim).collect(),
             success: vec![
                 Op::put_leased(LEADER_KEY, me.encode(), lease.id),
-                Op::put(LAST_KEY, me.vm.as_bytes()),
+                Op::put(LAST_KEY, me.machine()),
             ],
             failure: Vec::new(),
         };
--- a/crates/entry/src/store/membership.rs
+++ b/crates/entry/src/store/membership.rs
@@ -138,7 +138,7 @@
         };
         self.has_leader.set(true);
         // Its port was free for this run, so the run that wrote it is over: nobody has to wait for its lease.
-        let is_predecessor = record.vm == self.me.vm && record != self.me;
+        let is_predecessor = record.machine() == self.me.machine() && record != self.me;
         self.predecessor
             .set(is_predecessor.then_some(kv.mod_revision));
         if is_predecessor {
@@ -170,22 +170,22 @@
         &self,
         kv: &KeyValue,
     ) {
-        let vm = String::from_utf8_lossy(&kv.value).into_owned();
+        let machine = String::from_utf8_lossy(&kv.value).into_owned();
         let is_newer = self
             .last
             .borrow()
             .as_ref()
             .is_none_or(|&(_, revision)| revision < kv.mod_revision);
         if is_newer {
-            self.last.replace(Some((vm, kv.mod_revision)));
+            self.last.replace(Some((machine, kv.mod_revision)));
         }
     }
 
     /// The revision of that entry, where it says that an earlier run on this VM scheduled last.
     pub(super) fn last_was_me(&self) -> Option<u64> {
         let last = self.last.borrow();
-        let (vm, revision) = last.as_ref()?;
-        (*vm == self.me.vm).then_some(*revision)
+        let (machine, revision) = last.as_ref()?;
+        (*machine == self.me.machine()).then_some(*revision)
     }
 
     /// The leader's key is gone.
--- a/crates/entry/src/store/vm_record.rs
+++ b/crates/entry/src/store/vm_record.rs
@@ -31,6 +31,11 @@
         VmRank::new(&self.vm, self.is_weak)
     }
 
+    /// What tells this VM from another one that has taken its name: to engines that is another orderer.
+    pub fn machine(&self) -> String {
+        format!("{}@{}", self.vm, self.peers.ip())
+    }
+
     /// Its value in the store.
     ///
     /// # Panics
--- a/crates/entry/tests/unfenced_engines.rs
+++ b/crates/entry/tests/unfenced_engines.rs
@@ -15,7 +15,7 @@
 };
 
 /// How long an engine must have had no order from another VM.
-const GAP: Duration = Duration::from_millis(3_000);
+const GAP: Duration = Duration::from_secs(3);
 
 fn start(
     store: SocketAddr,
@@ -84,7 +84,7 @@
     link.set_mode(Fault::Cut);
     let began = Instant::now();
     let mut adapter = 2;
-    while began.elapsed() < GAP + Duration::from_millis(1_000) {
+    while began.elapsed() < GAP + Duration::from_secs(1) {
         let asked = Instant::now();
         let answer = others[1].ask(&generation(&format!("a{adapter}")));
         assert_eq!(
