--- a/crates/core/tests/scheduler_refusals.rs
+++ b/crates/core/tests/scheduler_refusals.rs
@@ -205,6 +205,39 @@
     assert!((10..=30).contains(&repeated), "{repeated} of at most 30");
 }
 
+#[test]
+fn a_takeover_repeats_little() {
+    // A scheduler dies that has just had a service's repeats for the last ten seconds. The next one knows nothing of them;
+    // with the whole budget anew, a service whose upstreams fail would get twice what it may.
+    let repeats = RepeatSettings {
+        ratio: 0.2,
+        slack: 10.0,
+        window: Millis(10_000),
+    };
+    let settings = SchedulerSettings {
+        repeats,
+        ..SchedulerSettings::default()
+    };
+    let mut world = World::with(0, settings, false);
+    let share = RightsShare::TakenOver;
+    world.scheduler.set_role(true, share, world.now);
+    world.add_server(UpstreamId(9));
+    let mut repeated = 0;
+    for _ in 0..100 {
+        let first = world.place(call(world.now));
+        world.end(first, Outcome::Failed);
+        let second = world.place(Job {
+            attempt: 2,
+            ..call(world.now)
+        });
+        repeated += usize::from(world.sent_to(second).is_some());
+        world.end(second, Outcome::Failed);
+        world.pass(10);
+    }
+    // The scheduler before may have used seven tenths of thirty.
+    assert!((1..=9).contains(&repeated), "{repeated} of 30");
+}
+
 #[test]
 fn a_failing_upstream_gets_less() {
     // One of two servers fails all that it is sent while its health check is good. Only the outcomes tell.
