One place makes the book of an engine: one that is named late rests as well

Cause: the book of an engine was made in two places. The one for upstreams known before the configuration said that their service has engines left out from when on it may be ordered, and the reading times; a scheduler that takes over before it has its configuration would have ordered such an engine without the rest that the rule asks for.

--- a/crates/core/src/scheduler/fleet.rs
+++ b/crates/core/src/scheduler/fleet.rs
@@ -32,14 +32,27 @@
         engines: HashMap<ServiceId, EngineLimits>,
     ) {
         self.engines = engines;
-        for upstream in self.upstreams.values_mut() {
+        let mut upstreams = std::mem::take(&mut self.upstreams);
+        for upstream in upstreams.values_mut() {
             let limits = self.engines.get(&upstream.service);
             match (limits, &mut upstream.engine) {
                 (Some(limits), Some(engine)) => engine.limits = limits.clone(),
-                (Some(limits), None) => upstream.engine = Some(Engine::new(limits.clone())),
-                (None, _) => upstream.engine = None,
+                (_, engine) => *engine = self.new_engine(upstream.service),
             }
         }
+        self.upstreams = upstreams;
+    }
+
+    /// The book on an engine of a service that was not known before; none where the service has no engines.
+    fn new_engine(
+        &self,
+        service: ServiceId,
+    ) -> Option<Engine> {
+        let limits = self.engines.get(&service)?;
+        let mut engine = Engine::new(limits.clone());
+        engine.backlog.set_line(self.read_line(service));
+        engine.orders_from = self.orders_from;
+        Some(engine)
     }
 
     /// Takes what an upstream's entry says. `is_sole_orderer` says that nobody else gives orders: then
@@ -52,18 +65,14 @@
         load: &LoadSettings,
         now: Millis,
     ) {
-        let line = self.read_line(facts.service);
-        let orders_from = self.orders_from;
-        let limits = self.engines.get(&facts.service);
-        let upstream = self.upstreams.entry(id).or_insert_with(|| {
-            let engine = limits.map(|limits| {
-                let mut engine = Engine::new(limits.clone());
-                engine.backlog.set_line(line);
-                engine.orders_from = orders_from;
-                engine
-            });
-            Upstream::new(id, facts, engine, now)
-        });
+        if !self.upstreams.contains_key(&id) {
+            let engine = self.new_engine(facts.service);
+            self.upstreams
+                .insert(id, Upstream::new(id, facts, engine, now));
+        }
+        let Some(upstream) = self.upstreams.get_mut(&id) else {
+            return;
+        };
         upstream.update(facts, now);
         let (Some(engine), Some(said)) = (&mut upstream.engine, &facts.engine) else {
             return;
--- a/crates/core/tests/adapter_loads.rs
+++ b/crates/core/tests/adapter_loads.rs
@@ -10,7 +10,8 @@
             Announcement, Order, OrderEnd, Outcome, Rest, RightsShare, SchedulerSettings, Work,
         },
     },
-    scheduler_world::{World, engine, generation, version},
+    scheduler_world::{ENGINES, World, engine, generation, limits, version},
+    std::collections::HashMap,
 };
 
 #[test]
@@ -341,6 +342,29 @@
     assert!(of_other, "the other one has rested by now");
 }
 
+#[test]
+fn an_engine_named_late_rests_too() {
+    // A scheduler takes over before it has the configuration that says which upstreams are engines. One that it knew as a
+    // plain upstream until then may have had an order from the scheduler before just now, like any other.
+    let settings = SchedulerSettings {
+        order_gap: Millis(3_000),
+        ..SchedulerSettings::default()
+    };
+    let mut world = World::with(0, settings, false);
+    world.scheduler.set_engines(HashMap::new());
+    let share = RightsShare::TakenOver;
+    world.scheduler.set_role(true, share, world.now);
+    world.add_engine(UpstreamId(0), &[]);
+    let engines = HashMap::from([(ENGINES, limits())]);
+    world.scheduler.set_engines(engines);
+    world.report(UpstreamId(0), &engine(Some(0), &[]));
+    world.generate(9);
+    world.pass(2_900);
+    assert_eq!(world.orders, []);
+    world.pass(200);
+    assert_eq!(world.loads_of(9), 1);
+}
+
 #[test]
 fn ones_own_orders_need_no_rest() {
     // The process that schedules is killed and leads again at once. To engines it is the same orderer, so nobody has to
