One way to announce a lead, one reading time a choice, one play of repeats

announce and hand_on each wrote the call to a VM with its log line; announce_to serves both. The choice of an engine worked out twice how long the engine reads, once for the wait and once for pauses. The two tests of the repeat budget had one play written twice; their bounds are as they were. Decisions and messages stay as they are.

--- a/crates/core/src/scheduler/choose/mod.rs
+++ b/crates/core/src/scheduler/choose/mod.rs
@@ -282,37 +282,13 @@
         engine: &Engine,
     ) -> f64 {
         let unread = Load::of(job, engine, self.now).unread;
-        let stall = self.stall(job, up, engine, unread);
-        stall
-            + engine.backlog.wait(self.now)
-            + engine.backlog.time_for(unread, self.now)
+        let reading = engine.backlog.wait(self.now) + engine.backlog.time_for(unread, self.now);
+        reading
+            + stall(job, up, engine, reading)
             + f64::from(up.running) * RUNNING_MS
             + self.penalty(job, up)
     }
 
-    /// What the pauses count as that the streams on an engine would have if it read this prompt too.
-    ///
-    /// An engine reads prompts in pieces between the tokens of its streams, each of which then takes as long as a piece. A
-    /// stream whose event holds several tokens pauses for as many pieces, so one that comes after another without an end
-    /// makes all streams there late, though their first tokens were in time.
-    fn stall(
-        &self,
-        job: &Job,
-        up: &Upstream,
-        engine: &Engine,
-        unread: f64,
-    ) -> f64 {
-        let Some(gap) = job.gap_objective else {
-            return 0.0;
-        };
-        let gap = gap.0 as f64;
-        let reading = engine.backlog.wait(self.now) + engine.backlog.time_for(unread, self.now);
-        let from = gap * STALL_FROM;
-        let share = ((reading - from) / (gap - from).max(1.0)).clamp(0.0, 1.0);
-        let streams = up.running.saturating_sub(engine.backlog.len() as u32);
-        share * f64::from(streams) * STALL_MS
-    }
-
     /// What a first token after `wait` milliseconds counts as for being late.
     fn lateness(
         &self,
@@ -381,3 +357,25 @@
         f64::from(others) * each / copies.count.max(1) as f64
     }
 }
+
+/// What the pauses count as that the streams on an engine would have if it read this prompt too; `reading` is how long
+/// it would read in one go, in milliseconds.
+///
+/// An engine reads prompts in pieces between the tokens of its streams, each of which then takes as long as a piece. A
+/// stream whose event holds several tokens pauses for as many pieces, so one that comes after another without an end
+/// makes all streams there late, though their first tokens were in time.
+fn stall(
+    job: &Job,
+    up: &Upstream,
+    engine: &Engine,
+    reading: f64,
+) -> f64 {
+    let Some(gap) = job.gap_objective else {
+        return 0.0;
+    };
+    let gap = gap.0 as f64;
+    let from = gap * STALL_FROM;
+    let share = ((reading - from) / (gap - from).max(1.0)).clamp(0.0, 1.0);
+    let streams = up.running.saturating_sub(engine.backlog.len() as u32);
+    share * f64::from(streams) * STALL_MS
+}
--- a/crates/core/tests/scheduler_refusals.rs
+++ b/crates/core/tests/scheduler_refusals.rs
@@ -175,20 +175,20 @@
     assert!(sent <= 5, "{sent} of 200 tokens each");
 }
 
-#[test]
-fn repeats_have_a_budget() {
-    // Every upstream fails, and each request would be sent again. Repeats that are bounded per request only would
-    // double the load on a service that is short of capacity.
-    let repeats = RepeatSettings {
-        ratio: 0.2,
-        slack: 10.0,
-        window: Millis(10_000),
-    };
-    let settings = SchedulerSettings {
-        repeats,
+/// A budget of a fifth of all requests and ten more.
+fn with_repeats() -> SchedulerSettings {
+    SchedulerSettings {
+        repeats: RepeatSettings {
+            ratio: 0.2,
+            slack: 10.0,
+            window: Millis(10_000),
+        },
         ..SchedulerSettings::default()
-    };
-    let mut world = World::with(0, settings, true);
+    }
+}
+
+/// Plays a hundred requests in a second to an upstream that fails all of them; returns how many were sent once more.
+fn play_failures(world: &mut World) -> usize {
     world.add_server(UpstreamId(9));
     let mut repeated = 0;
     for _ in 0..100 {
@@ -202,6 +202,15 @@
         world.end(second, Outcome::Failed);
         world.pass(10);
     }
+    repeated
+}
+
+#[test]
+fn repeats_have_a_budget() {
+    // Every upstream fails, and each request would be sent again. Repeats that are bounded per request only would
+    // double the load on a service that is short of capacity.
+    let mut world = World::with(0, with_repeats(), true);
+    let repeated = play_failures(&mut world);
     assert!((10..=30).contains(&repeated), "{repeated} of at most 30");
 }
 
@@ -209,31 +218,10 @@
 fn a_takeover_repeats_little() {
     // A scheduler dies that has just had a service's repeats for the last ten seconds. The next one knows nothing of them;
     // with the whole budget anew, a service whose upstreams fail would get twice what it may.
-    let repeats = RepeatSettings {
-        ratio: 0.2,
-        slack: 10.0,
-        window: Millis(10_000),
-    };
-    let settings = SchedulerSettings {
-        repeats,
-        ..SchedulerSettings::default()
-    };
-    let mut world = World::with(0, settings, false);
+    let mut world = World::with(0, with_repeats(), false);
     let share = RightsShare::TakenOver;
     world.scheduler.set_role(true, share, world.now);
-    world.add_server(UpstreamId(9));
-    let mut repeated = 0;
-    for _ in 0..100 {
-        let first = world.place(call(world.now));
-        world.end(first, Outcome::Failed);
-        let second = world.place(Job {
-            attempt: 2,
-            ..call(world.now)
-        });
-        repeated += usize::from(world.sent_to(second).is_some());
-        world.end(second, Outcome::Failed);
-        world.pass(10);
-    }
+    let repeated = play_failures(&mut world);
     // The scheduler before may have used seven tenths of thirty.
     assert!((1..=9).contains(&repeated), "{repeated} of 30");
 }
--- a/crates/entry/src/scheduling/client/following.rs
+++ b/crates/entry/src/scheduling/client/following.rs
@@ -10,7 +10,7 @@
     jasmine_core::clock::Millis,
     jasmine_telemetry::log::Line,
     jasmine_wire::link::LinkError,
-    std::rc::Rc,
+    std::{net::SocketAddr, rc::Rc},
     tokio::{task::spawn_local, time::sleep},
 };
 
@@ -42,16 +42,7 @@
                 continue;
             }
             let leader = leader.clone();
-            spawn_local(async move {
-                let link = SchedulerLink::new(address, LINK);
-                match call_announce(&link, &leader, &[]).await {
-                    Ok(_) => {}
-                    Err(e) => Line::new("announce_failed")
-                        .with("vm", vm)
-                        .with("reason", e)
-                        .info(),
-                }
-            });
+            spawn_local(async move { announce_to(&vm, address, &leader, &[]).await });
         }
     }
 
@@ -62,15 +53,8 @@
         rested: &[(String, Millis)],
     ) {
         let others = self.vms().into_iter().filter(|(vm, _)| *vm != self.me);
-        let told = others.map(|(vm, address)| async move {
-            let link = SchedulerLink::new(address, LINK);
-            if let Err(e) = call_announce(&link, leader, rested).await {
-                Line::new("announce_failed")
-                    .with("vm", vm)
-                    .with("reason", e)
-                    .info();
-            }
-        });
+        let told = others
+            .map(|(vm, address)| async move { announce_to(&vm, address, leader, rested).await });
         join_all(told).await;
     }
 
@@ -216,6 +200,22 @@
     }
 }
 
+/// Tells one VM who leads, or that the leader leaves.
+async fn announce_to(
+    vm: &str,
+    address: SocketAddr,
+    leader: &Leader,
+    rested: &[(String, Millis)],
+) {
+    let link = SchedulerLink::new(address, LINK);
+    if let Err(e) = call_announce(&link, leader, rested).await {
+        Line::new("announce_failed")
+            .with("vm", vm)
+            .with("reason", e)
+            .info();
+    }
+}
+
 async fn call_announce(
     link: &SchedulerLink,
     leader: &Leader,
