A leader tells no longer rest than it knows of

Cause: what a leader tells of an engine's rest counted its own orders only. One that was stopped soon after it took over told of an engine that it had not ordered that it had rested since for ever, though the scheduler before may have ordered it just then; the third one would then order it too early. The handover's own wait of three seconds hides this with a stop of eight seconds; with a stop of five it doesn't. Change: the time from which an engine may be ordered says how late others may have ordered it.

--- a/crates/core/src/scheduler/machine/commands.rs
+++ b/crates/core/src/scheduler/machine/commands.rs
@@ -96,7 +96,8 @@
         }
     }
 
-    /// How long ago each engine had its last order, for whoever follows.
+    /// How long ago each engine had its last order, for whoever follows: from this scheduler, or from one before it, which
+    /// an engine that may not be ordered yet may have had just before this one took over.
     pub fn rested(
         &self,
         now: Millis,
@@ -108,7 +109,10 @@
             .filter_map(|up| Some((up.id, up.engine.as_ref()?)));
         engines
             .filter(|(_, engine)| !engine.has_order)
-            .map(|(id, engine)| (id, now.since(engine.ordered_at)))
+            .map(|(id, engine)| {
+                let by_others = engine.orders_from.since(self.settings.order_gap);
+                (id, now.since(engine.ordered_at.max(by_others)))
+            })
             .collect()
     }
 
--- a/crates/core/tests/adapter_loads.rs
+++ b/crates/core/tests/adapter_loads.rs
@@ -400,6 +400,19 @@
     }
 }
 
+#[test]
+fn a_short_lead_knows_no_rest() {
+    // A scheduler is stopped a second after it took over. An engine that it has not ordered may have had an order from the
+    // one before it just then. Told that it has rested for ever, the third one orders it 1.2 seconds after the first did.
+    let mut world = with_gap(1);
+    world.pass(1_000);
+    world.scheduler.rest(Rest::All);
+    assert_eq!(
+        world.scheduler.rested(world.now),
+        [(UpstreamId(0), Millis(1_000))]
+    );
+}
+
 #[test]
 fn a_wrong_count_of_orders_is_mended() {
     // An engine says of an order that what it asks for holds already and doesn't count it. The book counts one order more
