--- a/crates/core/src/feed/source_choice.rs
+++ b/crates/core/src/feed/source_choice.rs
@@ -77,7 +77,7 @@
         order.sort_unstable();
         let serves = |&rank: &VmRank| match rank {
             me if me == self.me => store_is_good,
-            other => self.failed_until.get(&other).is_none_or(|&at| now >= at),
+            other => self.is_vm_good(other, now),
         };
         match order.into_iter().take(TRIED).find(serves) {
             Some(rank) if rank != self.me => Source::Vm(rank),
@@ -102,10 +102,9 @@
     where
         I: IntoIterator<Item = VmRank>,
     {
-        let serves = |rank: &VmRank| self.failed_until.get(rank).is_none_or(|&at| now >= at);
         others
             .into_iter()
-            .find(serves)
+            .find(|&rank| self.is_vm_good(rank, now))
             .map_or(Source::Store, Source::Vm)
     }
 
@@ -120,8 +119,7 @@
             SourceFailure::Unreachable | SourceFailure::Stale => FAILED,
             SourceFailure::NotReading | SourceFailure::HistoryGone => NOT_YET,
         };
-        self.failed_until.retain(|_, until| now < *until);
-        self.failed_until.insert(vm, now + pause);
+        self.pass_over(vm, pause, now);
     }
 
     /// Notes that a VM doesn't serve yet that this one, which schedules, needs as soon as it does.
@@ -130,7 +128,25 @@
         vm: VmRank,
         now: Millis,
     ) {
-        self.failed_until.insert(vm, now + BEGINS);
+        self.pass_over(vm, BEGINS, now);
+    }
+
+    fn pass_over(
+        &mut self,
+        vm: VmRank,
+        pause: Millis,
+        now: Millis,
+    ) {
+        self.failed_until.retain(|_, until| now < *until);
+        self.failed_until.insert(vm, now + pause);
+    }
+
+    fn is_vm_good(
+        &self,
+        vm: VmRank,
+        now: Millis,
+    ) -> bool {
+        self.failed_until.get(&vm).is_none_or(|&at| now >= at)
     }
 
     /// Notes that the store didn't answer.
--- a/crates/core/src/scheduler/machine/decisions.rs
+++ b/crates/core/src/scheduler/machine/decisions.rs
@@ -159,9 +159,8 @@
         now: Millis,
     ) -> Option<Action> {
         let entry = self.entries.get_mut(&request)?;
-        entry.waits_for(entry.waits_for, now);
         let ticket = entry.ticket;
-        let waited_for = entry.waited.longest().0;
+        let waited_for = entry.waited_for(now);
         self.finish(request, Outcome::Abandoned, now);
         Some(Action::Refuse {
             ticket,
@@ -259,9 +258,8 @@
         let entry = self.entries.get_mut(&request)?;
         self.timely.remove(&(entry.timely_until, request));
         entry.stage = Stage::Running { upstream, adapter };
-        entry.waits_for(entry.waits_for, now);
+        let waited_for = entry.waited_for(now);
         self.waits.add_all(&entry.waited);
-        let waited_for = entry.waited.longest().0;
         let version = adapter
             .filter(|adapter| self.versions.announced_version(adapter.adapter).is_some())
             .map(|adapter| adapter.version);
--- a/crates/core/src/scheduler/running.rs
+++ b/crates/core/src/scheduler/running.rs
@@ -66,4 +66,13 @@
         self.waits_for = reason;
         self.waits_since = now;
     }
+
+    /// What it has waited for longest by now.
+    pub(super) fn waited_for(
+        &mut self,
+        now: Millis,
+    ) -> WaitReason {
+        self.waits_for(self.waits_for, now);
+        self.waited.longest().0
+    }
 }
--- a/crates/entry/src/daemon/stop.rs
+++ b/crates/entry/src/daemon/stop.rs
@@ -29,8 +29,8 @@
 /// Waits for SIGTERM or SIGINT and stops in order; SIGHUP changes nothing here, as nothing that the settings
 /// file says may change while the process runs.
 ///
-/// The lead goes while this VM still answers, so that nobody waits for a lease to lapse. Callers are served until the balancer has stopped sending them, and are told with each answer to
-/// come back over another connection.
+/// The lead goes while this VM still answers, so that nobody waits for a lease to lapse. Callers are served until the
+/// balancer has stopped sending them, and are told with each answer to come back over another connection.
 pub(super) async fn on_signal(
     cx: &Context,
     store: &KvStore,
