A scheduler asks the store again soon after an outage

Since a leader that had lost the store and found nobody with changes only looked again at the VMs; the store was passed over for 2 s after each try, the VMs for 3 s, so after an outage of the store for all nobody was asked for up to 2 s. The choice stood in the follower, beside the one in core, and had lost that one's way back to the store. Excluded: the roll of VMs at the same time (the leader was not among them); the followers (all had it by 23.9 s). Change: the scheduler's choice is one decision of SourceChoice: the store while it is good, a VM that may have changes, the store again 600 ms after it failed. The parameter of choose that only the scheduler used is gone; its test asks the new method. Tests: store_feed::a_scheduler_returns_to_the_store (fails with 2.34 s between two tries where the store is passed over for 2 s), a_scheduler_without_the_store_asks_others.

--- a/crates/core/src/feed/source_choice.rs
+++ b/crates/core/src/feed/source_choice.rs
@@ -11,6 +11,8 @@
 const BEGINS: Millis = Millis(150);
 /// For how long the store is passed over after it failed, as long as another VM may reach it.
 const STORE_FAILED: Millis = Millis(2_000);
+/// The same for the VM that schedules where nobody has changes: until others read the store that followed this VM.
+const STORE_AGAIN: Millis = Millis(600);
 
 /// Whom to ask for changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,21 +59,16 @@
         }
     }
 
-    /// Whom to ask now. `others` are the other VMs of the data centre; `reads_itself` says that this VM
-    /// needs what is newest, as the one that schedules does.
+    /// Whom a VM asks now that doesn't schedule. `others` are the other VMs of the data centre.
     pub fn choose<I>(
         &self,
         others: I,
-        reads_itself: bool,
         now: Millis,
     ) -> Source
     where
         I: IntoIterator<Item = VmRank>,
     {
         let store_is_good = self.is_store_good(now);
-        if reads_itself && store_is_good {
-            return Source::Store;
-        }
         let mut order: Vec<VmRank> = others.into_iter().collect();
         order.push(self.me);
         order.sort_unstable();
@@ -93,19 +90,29 @@
         now >= self.store_failed_until
     }
 
-    /// The first of other VMs that hasn't failed lately; the store where all have.
-    pub fn choose_other<I>(
+    /// Whom the VM that schedules asks now, by itself as long as the store is good; none where it should look again in a
+    /// moment. `others` are the VMs that may have changes, the likeliest first.
+    ///
+    /// All that is decided depends on what this VM knows. After an outage of the store nobody has changes yet, so the store
+    /// itself is asked again soon: passed over as by the others, a configuration was in force here seconds late.
+    pub fn choose_scheduling<I>(
         &self,
         others: I,
         now: Millis,
-    ) -> Source
+    ) -> Option<Source>
     where
         I: IntoIterator<Item = VmRank>,
     {
-        others
+        if self.is_store_good(now) {
+            return Some(Source::Store);
+        }
+        let serves = others
             .into_iter()
             .find(|&rank| self.is_vm_good(rank, now))
-            .map_or(Source::Store, Source::Vm)
+            .map(Source::Vm);
+        let failed_at = self.store_failed_until.since(STORE_FAILED);
+        let is_due = now.since(failed_at) >= STORE_AGAIN;
+        serves.or_else(|| is_due.then_some(Source::Store))
     }
 
     /// Notes that a VM gave no changes.
--- a/crates/core/tests/store_feed.rs
+++ b/crates/core/tests/store_feed.rs
@@ -43,7 +43,7 @@
     let ranks = ranks(27);
     let sources: Vec<Source> = ranks
         .iter()
-        .map(|&me| SourceChoice::new(me).choose(others(&ranks, me), false, NOW))
+        .map(|&me| SourceChoice::new(me).choose(others(&ranks, me), NOW))
         .collect();
     let readers = sources.iter().filter(|&&source| source == Source::Store);
     assert_eq!(readers.count(), 1);
@@ -69,8 +69,8 @@
     let ranks = ranks(5);
     let choice = SourceChoice::new(ranks[4]);
     assert_eq!(
-        choice.choose(others(&ranks, ranks[4]), true, NOW),
-        Source::Store
+        choice.choose_scheduling(others(&ranks, ranks[4]), NOW),
+        Some(Source::Store)
     );
 }
 
@@ -81,7 +81,7 @@
     let ranks = ranks(5);
     let mut choice = SourceChoice::new(ranks[3]);
     choice.vm_failed(ranks[0], SourceFailure::Stale, NOW);
-    let choose = |choice: &SourceChoice, now| choice.choose(others(&ranks, ranks[3]), false, now);
+    let choose = |choice: &SourceChoice, now| choice.choose(others(&ranks, ranks[3]), now);
     assert_eq!(choose(&choice, NOW), Source::Vm(ranks[1]));
     choice.vm_failed(ranks[1], SourceFailure::NotReading, NOW);
     choice.vm_failed(ranks[2], SourceFailure::Unreachable, NOW);
@@ -95,7 +95,7 @@
     // The store turns this VM away and serves others. The next in order has it from the store.
     let ranks = ranks(4);
     let mut choice = SourceChoice::new(ranks[0]);
-    let choose = |choice: &SourceChoice, now| choice.choose(others(&ranks, ranks[0]), false, now);
+    let choose = |choice: &SourceChoice, now| choice.choose(others(&ranks, ranks[0]), now);
     assert_eq!(choose(&choice, NOW), Source::Store);
     choice.store_failed(NOW);
     assert_eq!(choose(&choice, NOW), Source::Vm(ranks[1]));
@@ -155,3 +155,50 @@
     assert_eq!(recent.since(9, Some(11)), Since::Gone);
     assert_eq!(recent.since(11, None), Since::Changes(vec![12]));
 }
+
+#[test]
+fn a_scheduler_returns_to_the_store() {
+    // The store is out for seconds, and no VM has changes. When it is back, all of them had failed just now. The VM that
+    // schedules has to ask the store itself before long; passed over like by those that have others to ask, it refused
+    // callers for a route that had been added three seconds before.
+    let others: Vec<VmRank> = (0..4)
+        .map(|number| VmRank::new(&format!("vm-{number}"), false))
+        .collect();
+    let mut choice = SourceChoice::new(VmRank::new("me", false));
+    let mut asked_at = Vec::new();
+    let mut now = NOW;
+    while now < NOW + Millis(6_000) {
+        match choice.choose_scheduling(others.iter().copied(), now) {
+            Some(Source::Store) => {
+                asked_at.push(now);
+                now += Millis(300);
+                choice.store_failed(now);
+            }
+            Some(Source::Vm(rank)) => choice.vm_failed(rank, SourceFailure::Stale, now),
+            None => now += Millis(60),
+        }
+    }
+    let longest = asked_at.windows(2).map(|two| two[1].since(two[0])).max();
+    assert!(longest <= Some(Millis(1_000)), "{longest:?}");
+    assert!(asked_at.len() >= 6, "{asked_at:?}");
+}
+
+#[test]
+fn a_scheduler_without_the_store_asks_others() {
+    // The VM that schedules alone has lost the store. Whoever has changes is asked at once, and one that only begins to
+    // read is asked again long before the store is.
+    let other = VmRank::new("other", false);
+    let mut choice = SourceChoice::new(VmRank::new("me", false));
+    assert_eq!(choice.choose_scheduling([other], NOW), Some(Source::Store));
+    choice.store_failed(NOW);
+    assert_eq!(
+        choice.choose_scheduling([other], NOW),
+        Some(Source::Vm(other))
+    );
+    choice.vm_begins(other, NOW);
+    assert_eq!(choice.choose_scheduling([other], NOW + Millis(60)), None);
+    assert_eq!(
+        choice.choose_scheduling([other], NOW + Millis(150)),
+        Some(Source::Vm(other))
+    );
+}
--- a/crates/entry/src/store/follower.rs
+++ b/crates/entry/src/store/follower.rs
@@ -114,22 +114,23 @@
             let mut peers = self.membership.peers_here();
             let now = self.cx.clock.now();
             let leads = self.cx.scheduling.is_leading();
-            let mut source = self.choice.choose(peers.keys().copied(), leads, now);
-            if leads && !self.choice.is_store_good(now) {
-                // All that is decided depends on what this VM knows. Readers elsewhere have it now, while those here may
-                // have followed this VM; that is worth some bytes between data centres.
+            let source = if leads {
+                // Readers elsewhere have changes now, while those here may have followed this VM; that is worth some bytes
+                // between data centres.
                 let elsewhere = self.membership.readers_elsewhere();
                 let order = elsewhere.keys().chain(peers.keys());
-                source = self.choice.choose_other(order.copied(), now);
+                let source = self.choice.choose_scheduling(order.copied(), now);
                 peers.extend(elsewhere);
-                if source == Source::Store {
-                    // Those that followed this VM until now need a moment to read the store themselves.
-                    self.feed.set_reading(false);
-                    sleep(READERS_PAUSE.to_std()).await;
-                    continue;
-                }
-            }
-            self.feed.set_reading(source == Source::Store);
+                source
+            } else {
+                Some(self.choice.choose(peers.keys().copied(), now))
+            };
+            self.feed.set_reading(source == Some(Source::Store));
+            let Some(source) = source else {
+                // Those that followed this VM until now need a moment to read the store themselves.
+                sleep(READERS_PAUSE.to_std()).await;
+                continue;
+            };
             let step = match source {
                 Source::Store => self.watch_store().await,
                 Source::Vm(rank) => self.ask_vm(rank, &peers[&rank]).await,
