--- a/crates/core/src/feed/recent_changes.rs
+++ b/crates/core/src/feed/recent_changes.rs
@@ -112,6 +112,14 @@
         });
     }
 
+    /// Whether a change of a key is kept.
+    pub fn has(
+        &self,
+        key: &str,
+    ) -> bool {
+        self.of_key.contains_key(key)
+    }
+
     /// The revision up to which everything is known.
     pub const fn revision(&self) -> u64 {
         self.revision
--- a/crates/ctl/src/trace/read.rs
+++ b/crates/ctl/src/trace/read.rs
@@ -9,7 +9,8 @@
 };
 
 /// Events that say what a daemon believed, whatever the request.
-const BELIEFS: [&str; 12] = [
+const BELIEFS: [&str; 13] = [
+    "store_read",
     "config_taken",
     "lead_taken",
     "lead_lost",
--- a/crates/entry/src/scheduling/client/leading.rs
+++ b/crates/entry/src/scheduling/client/leading.rs
@@ -18,6 +18,12 @@
         Some(self.clock.now().since(since))
     }
 
+    /// For how long this VM has decided alone; none while it leads or follows.
+    pub fn alone_for(&self) -> Option<Millis> {
+        let since = self.alone_since.get()?;
+        Some(self.clock.now().since(since))
+    }
+
     /// Engines check no fencing tokens: orders are given only while the lease of the lead surely lasts.
     pub fn order_only_under_lease(&self) {
         self.lead_until.set(Some(Millis::ZERO));
--- a/crates/entry/src/scheduling/client/mod.rs
+++ b/crates/entry/src/scheduling/client/mod.rs
@@ -8,9 +8,9 @@
     crate::clock::Clock,
     jasmine_core::{
         clock::Millis,
-        error::ErrorKind,
+        error::{ErrorKind, Refusal},
         ids::Fence,
-        scheduler::{Outcome, OwnDecision, Ticket},
+        scheduler::{Outcome, OwnDecision, Ticket, WaitReason},
     },
     jasmine_wire::{
         link::{Link, LinkOptions},
@@ -25,7 +25,7 @@
     tokio::{
         sync::{Notify, watch},
         task::spawn_local,
-        time::sleep,
+        time::{sleep, timeout},
     },
 };
 
@@ -49,6 +49,11 @@
 /// The pause after a decision for an upstream that this VM knows to leave: the scheduler soon knows it too.
 const BETTER_KNOWN: Millis = Millis(40);
 
+/// Within which time after the last sign of a leader another one mostly leads: its lease lapses, and one VM is elected.
+const ELECTION: Millis = Millis(1_600);
+/// When a caller is told to come back whose service has no upstream that this VM knows.
+const NO_UPSTREAM_YET: Millis = Millis(500);
+
 type SchedulerLink = Link<scheduler::Client>;
 
 /// Who decides for this VM now.
@@ -79,6 +84,10 @@
     lead_until: Cell<Option<Millis>>,
     /// Since when the leader hasn't answered.
     silent_since: Cell<Option<Millis>>,
+    /// Whether all upstreams that the store lists were read.
+    has_read_upstreams: Cell<bool>,
+    /// Since when this VM decides alone, if it does.
+    alone_since: Cell<Option<Millis>>,
     /// Counts changes of the leader that is known.
     changed: watch::Sender<u64>,
     /// Counts changes of who decides.
@@ -120,6 +129,8 @@
             handed_on: RefCell::default(),
             lead_until: Cell::new(None),
             silent_since: Cell::new(None),
+            has_read_upstreams: Cell::new(false),
+            alone_since: Cell::new(Some(Clock.now())),
             changed: watch::Sender::default(),
             mode_changed: watch::Sender::default(),
             next_number: Cell::new(1),
@@ -202,6 +213,13 @@
                         waited_for,
                     ));
                 }
+                Some(Verdict::Refused { refusal, .. })
+                    if let Some(wait) = self.worth_waiting(&refusal, &spec) =>
+                {
+                    pending.is_settled.set(true);
+                    // Whether somebody leads by then or not, the request is decided about once more.
+                    let _either = timeout(wait.to_std(), mode_changed.changed()).await;
+                }
                 Some(Verdict::Refused {
                     refusal,
                     waited_for,
@@ -221,6 +239,19 @@
         }
     }
 
+    /// How long a request is kept that this VM alone can't serve, as whoever is about to lead may: a VM's part of a rate is
+    /// less than one request where there are hundreds of VMs.
+    fn worth_waiting(
+        &self,
+        refusal: &Refusal,
+        spec: &JobSpec,
+    ) -> Option<Millis> {
+        let alone = self.alone_for()?;
+        let is_for_lack = matches!(refusal.kind, ErrorKind::RateLimited | ErrorKind::NoUpstream);
+        let wait = ELECTION.since(alone).min(Millis(spec.deadline.0 / 2));
+        (is_for_lack && wait > Millis::ZERO).then_some(wait)
+    }
+
     /// Tells whoever decides what became of a request.
     pub(super) fn note(
         &self,
@@ -253,6 +284,11 @@
         }
     }
 
+    /// Notes that all upstreams that the store lists were read.
+    pub fn note_upstreams_read(&self) {
+        self.has_read_upstreams.set(true);
+    }
+
     /// Whether this VM decides for all.
     pub fn is_leading(&self) -> bool {
         matches!(*self.mode.borrow(), Mode::Leading(_))
@@ -364,6 +400,12 @@
     ) -> Option<Verdict> {
         match mode {
             Mode::Following(link, session) => self.place_far(&link, session, spec).await,
+            Mode::Alone if !self.has_read_upstreams.get() && !self.desk.has_upstream(spec) => {
+                Some(Verdict::Refused {
+                    refusal: Refusal::after(ErrorKind::NoUpstream, NO_UPSTREAM_YET),
+                    waited_for: WaitReason::NoUpstream,
+                })
+            }
             Mode::Leading(_) | Mode::Alone => self.desk.place(OWN, spec).await.ok(),
         }
     }
@@ -372,8 +414,12 @@
         &self,
         mode: Mode,
     ) {
-        if !matches!(mode, Mode::Alone) {
+        if matches!(mode, Mode::Alone) {
+            let now = self.clock.now();
+            self.alone_since.set(self.alone_since.get().or(Some(now)));
+        } else {
             self.silent_since.set(None);
+            self.alone_since.set(None);
         }
         self.mode.replace(mode);
         self.mode_changed.send_modify(|count| *count += 1);
--- a/crates/entry/src/store/feed/served.rs
+++ b/crates/entry/src/store/feed/served.rs
@@ -93,6 +93,14 @@
             .note(&kv.key, change, is_major, now)
     }
 
+    /// Whether a change of a key was noted lately.
+    pub(crate) fn has_changed_lately(
+        &self,
+        key: &str,
+    ) -> bool {
+        self.recent.borrow().has(key)
+    }
+
     /// Notes that all changes up to a revision were noted.
     pub(crate) fn advance(
         &self,
@@ -137,6 +145,11 @@
         self.back_at.set(Some(at));
     }
 
+    /// Whether this VM follows the store, and not another VM.
+    pub(crate) const fn is_reading(&self) -> bool {
+        self.is_reading.get()
+    }
+
     /// Says whether this VM follows the store itself.
     pub(crate) fn set_reading(
         &self,
--- a/crates/entry/src/store/follower.rs
+++ b/crates/entry/src/store/follower.rs
@@ -6,7 +6,8 @@
         clock::Millis,
         feed::{MAX_MINOR, Source, SourceChoice, SourceFailure, VmRank},
     },
-    jasmine_store::store::{Range, Store, StoreError, WatchBatch, WatchEvent},
+    jasmine_platform::entries,
+    jasmine_store::store::{Range, RangeReply, Store, StoreError, WatchBatch, WatchEvent},
     jasmine_telemetry::log::Line,
     jasmine_wire::{
         link::{Backoff, Link, LinkOptions},
@@ -40,6 +41,11 @@
 /// How often some small changes are asked for besides: what engines hold, for the case that this VM has to decide alone.
 const MINOR_EVERY: Millis = Millis(3_000);
 
+/// How far apart VMs read the upstreams that they don't need at once. After a power loss hundreds of them start together,
+/// and thousands of entries for each fill the store's network for seconds, while nobody can be elected.
+const READ_EACH: Millis = Millis(40);
+/// How long nobody leads until VMs begin to read the upstreams that aren't among the first to lead.
+const LEADERLESS: Millis = Millis(800);
 /// Small changes that were left out and are read after all by a VM that begins to read the store itself.
 const MAX_CAUGHT_UP: u64 = 1_000;
 
@@ -83,6 +89,17 @@
     backoff: Backoff,
     links: HashMap<VmRank, PeerLink>,
     position: Position,
+    /// What of the store is still to be read.
+    unread: Option<Unread>,
+}
+
+/// Upstreams' entries that this VM hasn't read yet.
+#[derive(Debug)]
+struct Unread {
+    /// The last key that was read.
+    after: String,
+    /// When they are read though nobody here needs them.
+    due: Millis,
 }
 
 /// Follows the store for ever, by itself or through another VM: configuration, versions, upstreams, VMs and leader.
@@ -98,6 +115,7 @@
         backoff: Backoff::new(RETRY_FIRST, RETRY_MOST),
         links: HashMap::new(),
         position: Position::default(),
+        unread: None,
         view: Rc::new(view),
         cx,
         store,
@@ -113,13 +131,52 @@
 }
 
 impl Follower {
+    /// Reads the store up to the first upstreams, and how far this VM has followed from then on.
     async fn read_anew(&mut self) -> Result<(), StoreError> {
-        let reply = self.store.range(Range::key(EVERYTHING)).await?;
+        let mut reply = self.store.page(EVERYTHING, None).await?;
+        while reply.more && !has_upstreams(&reply) {
+            let after = reply.kvs.last().map(|kv| kv.key.clone());
+            let page = self.store.page(EVERYTHING, after.as_deref()).await?;
+            reply.kvs.extend(page.kvs);
+            reply.more = page.more;
+        }
         self.view.reset(&reply).await;
         self.moved_to(reply.revision, Some(reply.revision));
+        let last = reply.kvs.last().filter(|_| reply.more);
+        self.unread = last.map(|kv| Unread {
+            after: kv.key.clone(),
+            due: self.cx.clock.now() + self.membership.share_of(READ_EACH),
+        });
+        Ok(())
+    }
+
+    /// Reads the upstreams that were left out, if this VM needs them by now.
+    async fn read_rest(&mut self) -> Result<(), StoreError> {
+        while let Some(Unread { after, due }) = &self.unread
+            && (self.needs_upstreams() || self.cx.clock.now() >= *due)
+        {
+            let page = self.store.page(EVERYTHING, Some(after)).await?;
+            self.view.take_found(&page).await;
+            let last = page.kvs.last().filter(|_| page.more);
+            self.unread = last.map(|kv| Unread {
+                after: kv.key.clone(),
+                due: *due,
+            });
+        }
         Ok(())
     }
 
+    /// Whether this VM may have to decide about all upstreams before long: it reads the store for others, or nobody leads
+    /// and it is among the first to take the lead, or nobody else has for a while.
+    fn needs_upstreams(&self) -> bool {
+        let scheduling = &self.cx.scheduling;
+        let alone = scheduling.alone_for();
+        self.feed.is_reading()
+            || scheduling.is_leading()
+            || alone.is_some() && self.membership.is_candidate(&self.cx)
+            || alone >= Some(LEADERLESS + self.membership.share_of(READ_EACH))
+    }
+
     /// Follows until the store no longer has what comes next.
     async fn follow(&mut self) {
         loop {
@@ -138,6 +195,9 @@
                 Some(self.choice.choose(peers.keys().copied(), now))
             };
             self.feed.set_reading(source == Some(Source::Store));
+            if let Err(e) = self.read_rest().await {
+                self.store_failed(&e).await;
+            }
             let Some(source) = source else {
                 // Those that followed this VM until now need a moment to read the store themselves.
                 sleep(READERS_PAUSE.to_std()).await;
@@ -311,3 +371,9 @@
         _ => revision,
     }
 }
+
+/// Whether a reply has come as far as the upstreams, the last of all keys that VMs follow.
+fn has_upstreams(reply: &RangeReply) -> bool {
+    let last = reply.kvs.last();
+    last.is_some_and(|kv| kv.key.as_str() >= entries::PREFIX)
+}
--- a/crates/entry/src/store/kv_store.rs
+++ b/crates/entry/src/store/kv_store.rs
@@ -68,6 +68,20 @@
         decode_keep(id, status, &body)
     }
 
+    /// Reads the first keys of a prefix that follow a key, as many as the service gives at a time.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`].
+    pub async fn page(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+    ) -> Result<RangeReply, StoreError> {
+        let (status, body) = self.call(&encode_range(prefix, after, false)).await?;
+        decode_range(status, &body)
+    }
+
     async fn call(
         &self,
         call: &Call,
@@ -103,10 +117,7 @@
         let mut all = RangeReply::default();
         loop {
             let after = all.kvs.last().map(|kv| kv.key.clone());
-            let (status, body) = self
-                .call(&encode_range(prefix, after.as_deref(), false))
-                .await?;
-            let page = decode_range(status, &body)?;
+            let page = self.page(prefix, after.as_deref()).await?;
             // Pages are no snapshot: whoever follows the range has to go on from the first one's revision.
             if after.is_none() {
                 all.revision = page.revision;
--- a/crates/entry/src/store/membership.rs
+++ b/crates/entry/src/store/membership.rs
@@ -37,6 +37,9 @@
 /// A first start of the deployment is over after this long: rates may have been used by then.
 const FIRST_START: Millis = Millis(9_000);
 
+/// VMs that get ready to lead when nobody does.
+const CANDIDATES: usize = 4;
+
 /// VMs of another data centre that are asked for changes, where this one's don't have them.
 const READERS: usize = 2;
 
@@ -299,6 +302,25 @@
             .count()
     }
 
+    /// Whether this VM is among the first to take a free lead, or led before it started.
+    pub(super) fn is_candidate(
+        &self,
+        cx: &Context,
+    ) -> bool {
+        self.last_was_me().is_some()
+            || self.predecessor.get().is_some()
+            || self.before_me(cx) < CANDIDATES
+    }
+
+    /// This VM's turn where each VM does something `each` after the other, in an order of chance.
+    pub(super) fn share_of(
+        &self,
+        each: Millis,
+    ) -> Millis {
+        let vms = self.vms.borrow().len().max(1) as u64;
+        Millis(xxh3_64(self.me.vm.as_bytes()) % (vms * each.0))
+    }
+
     /// How long this VM waits before it tries to take a lead that is free.
     pub(super) fn turn(
         &self,
--- a/crates/entry/src/store/view.rs
+++ b/crates/entry/src/store/view.rs
@@ -38,6 +38,8 @@
     /// When the store answered again after it had not.
     back_at: Cell<Millis>,
     is_away: Cell<bool>,
+    /// The upstreams that were found so far, while the store is being read.
+    found: RefCell<HashSet<String>>,
 }
 
 impl View {
@@ -54,6 +56,7 @@
             lapsed: RefCell::default(),
             back_at: Cell::new(Millis::ZERO),
             is_away: Cell::new(false),
+            found: RefCell::default(),
         }
     }
 
@@ -108,28 +111,65 @@
             }
             yield_now().await;
         }
-        let keys: HashSet<&str> = reply.kvs.iter().map(|kv| kv.key.as_str()).collect();
-        let has = |key: &str| keys.contains(key);
-        let known: Vec<String> = self.upstreams.borrow().keys().cloned().collect();
-        for id in known {
-            if !has(&format!("{}{id}", entries::PREFIX)) {
-                self.remove_upstream(&id);
-            }
-        }
         let vms: Vec<&str> = reply
             .kvs
             .iter()
             .filter_map(|kv| kv.key.strip_prefix(VM_PREFIX))
             .collect();
         self.membership.retain_vms(&self.cx, &vms);
-        if !has(LEADER_KEY) {
+        if !reply.kvs.iter().any(|kv| kv.key == LEADER_KEY) {
             self.membership.remove_leader();
         }
+        self.found.replace(HashSet::new());
+        self.note_found(reply);
+    }
+
+    /// Takes further upstreams that were found in the store, unless later changes of them are known.
+    pub(super) async fn take_found(
+        self: &Rc<Self>,
+        page: &RangeReply,
+    ) {
+        for kvs in page.kvs.chunks(TAKEN_AT_ONCE) {
+            for kv in kvs {
+                if self.feed.note(&WatchEvent::Put(kv.clone()), false) {
+                    self.put(kv, Announcement::Found);
+                }
+            }
+            yield_now().await;
+        }
+        self.note_found(page);
+    }
+
+    /// Notes the upstreams that were found; with the last of them, those that weren't are known to be gone.
+    fn note_found(
+        self: &Rc<Self>,
+        page: &RangeReply,
+    ) {
+        let ids = page
+            .kvs
+            .iter()
+            .filter_map(|kv| kv.key.strip_prefix(entries::PREFIX));
+        self.found.borrow_mut().extend(ids.map(str::to_owned));
+        if page.more {
+            return;
+        }
+        let found = self.found.take();
+        let known: Vec<String> = self.upstreams.borrow().keys().cloned().collect();
+        for id in known.iter().filter(|&id| !found.contains(id)) {
+            // One that was added since the first page was read is no loss.
+            if !self
+                .feed
+                .has_changed_lately(&format!("{}{id}", entries::PREFIX))
+            {
+                self.remove_upstream(id);
+            }
+        }
+        self.cx.scheduling.note_upstreams_read();
         self.membership.set_loaded();
         Line::new("store_read")
-            .with("revision", reply.revision)
+            .with("revision", page.revision)
             .with("upstreams", self.upstreams.borrow().len())
-            .with("vms", vms.len())
+            .with("vms", self.cx.scheduling.vms().len())
             .info();
     }
 
--- /dev/null
+++ b/crates/entry/tests/no_leader.rs
@@ -0,0 +1,117 @@
+//! Requests that come while nobody leads.
+
+use {
+    jasmine_core::{
+        clock::Millis,
+        ids::{Fence, Revision},
+        ingress::{AccountSpec, IngressConfig, RateUnit, UpstreamEntry, UpstreamState},
+        rights::Limit,
+        scheduler::{RightsShare, SchedulerSettings},
+    },
+    jasmine_entry::scheduling::{Desk, JobSpec, Scheduling},
+    std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
+    tokio::{
+        sync::mpsc,
+        task::{LocalSet, spawn_local},
+        time::sleep,
+    },
+};
+
+/// A VM among three hundred that has just started: its part of the account's rate is less than one request.
+fn started_vm() -> Rc<Scheduling> {
+    let (tasks, _orders) = mpsc::unbounded_channel();
+    let desk = Rc::new(Desk::new(SchedulerSettings::default(), tasks));
+    let address = SocketAddr::from(([127, 0, 0, 1], 9));
+    let scheduling = Rc::new(Scheduling::new(
+        Rc::clone(&desk),
+        "vm-0".to_owned(),
+        address,
+        1,
+    ));
+    let vms = (0..300).map(|number| (format!("vm-{number}"), address));
+    scheduling.set_vms(vms.collect::<BTreeMap<_, _>>());
+    let account = AccountSpec {
+        name: "acme".to_owned(),
+        limit: Some(Limit {
+            rate: 1_000,
+            burst: 2_000,
+        }),
+        unit: RateUnit::Requests,
+        priority: None,
+    };
+    desk.set_config(&IngressConfig {
+        version: Revision(1),
+        accounts: vec![account],
+        ..IngressConfig::default()
+    });
+    desk.set_upstream(&UpstreamEntry {
+        id: "i-1".to_owned(),
+        service: "app".to_owned(),
+        address,
+        data_centre: "one".to_owned(),
+        slots: 6,
+        state: UpstreamState::Ready,
+        cold: Millis::ZERO,
+        started_unix_ms: Some(1),
+        holdings: None,
+    });
+    scheduling.note_upstreams_read();
+    scheduling
+}
+
+fn call() -> JobSpec {
+    JobSpec {
+        number: 0,
+        account: Some("acme".to_owned()),
+        caller: 1,
+        cost: 200,
+        service: "app".to_owned(),
+        generation: None,
+        priority: 1,
+        objective: Millis(300),
+        gap_objective: None,
+        deadline: Millis(4_000),
+        attempt: 1,
+        avoid: Vec::new(),
+        data_centre: "one".to_owned(),
+    }
+}
+
+fn run<F>(test: F)
+where
+    F: Future<Output = ()>,
+{
+    let rt = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    LocalSet::new().block_on(&rt, test);
+}
+
+/// Guards against refusing nearly everybody for their rate in the second in which a leader is elected.
+#[test]
+fn an_election_is_waited_for() {
+    run(async {
+        let vm = started_vm();
+        let elected = Rc::clone(&vm);
+        spawn_local(async move {
+            sleep(Duration::from_millis(300)).await;
+            elected.lead(Fence(7), RightsShare::Fresh);
+        });
+        let placed = vm.place(call()).await;
+        assert!(placed.is_ok(), "{placed:?}");
+    });
+}
+
+/// Guards against keeping callers whom nobody will be elected to serve: they are told when to come back.
+#[test]
+fn a_missing_leader_is_not() {
+    run(async {
+        let vm = started_vm();
+        sleep(Duration::from_millis(1_700)).await;
+        let began = std::time::Instant::now();
+        let refused = vm.place(call()).await.expect_err("no leader");
+        assert!(refused.refusal.retry_after.is_some());
+        assert!(began.elapsed() < Duration::from_millis(50));
+    });
+}
--- a/crates/entry/tests/store_outages.rs
+++ b/crates/entry/tests/store_outages.rs
@@ -128,3 +128,26 @@
     assert_eq!(before(&upstreams[0]), first);
     assert_eq!(before(&upstreams[1]), second);
 }
+
+/// Guards against an upstream that left unseen among more entries than one page of the store holds.
+#[test]
+fn pages_tell_who_left() {
+    let (store, upstreams) = platform(&["s-1", "s-2"]);
+    for number in 0..40 {
+        let key = format!("servers/r-{number:02}");
+        store.put(&key, &upstreams[0].entry("spare", "one", "ready"));
+    }
+    let vm = Vm::start(&store);
+    until("all were read", || !vm.logged("store_read").is_empty());
+    store.set_outage(Outage::Busy);
+    thread::sleep(Duration::from_millis(100));
+    store.remove(&upstreams[1].key());
+    store.forget_history();
+    store.set_outage(Outage::None);
+    until("it is known", || !vm.logged("upstream_gone").is_empty());
+    let before = upstreams[1].ran().len();
+    for _ in 0..10 {
+        assert_eq!(vm.ask(&Request::new("GET", "/read/")).status, 200);
+    }
+    assert_eq!(upstreams[1].ran().len(), before);
+}
