Loads take as long as they are seen to; a VM that led last asks nobody who leads

The VM that had led last had read everything at 7.22 s and led at 7.86 s: it asked others who leads, and they named its own earlier run, so it left the lead to that. And VMs that had read the first page only sent all calls to the one server on it: 2,349 turned away. Excluded: a factor raised with each late load and lowered with each that was in time: it overshot to its maximum and swung. Measured: test slow_loads, store at 450 in place of 250 ms: 300 repeats for the last 100 requests before, 18 now.

--- a/crates/core/src/scheduler/engine.rs
+++ b/crates/core/src/scheduler/engine.rs
@@ -146,7 +146,7 @@
         let old = |adapter: AdapterVersion| before.iter().find(|place| place.adapter == adapter);
         let take = |model, adapter, state| match old(adapter) {
             Some(place) => Place { state, ..*place },
-            None => Place::new(model, adapter, state),
+            None => Place::new(model, adapter, state, now),
         };
         let present = facts
             .adapters
@@ -458,6 +458,16 @@
         }
     }
 
+    /// Since when an adapter is on its way from the adapter store.
+    pub(super) fn cold_since(
+        &self,
+        adapter: AdapterVersion,
+    ) -> Option<Millis> {
+        let place = self.place(adapter)?;
+        let is_cold = matches!(place.state, PlaceState::Coming { is_cold: true, .. });
+        is_cold.then_some(place.since)
+    }
+
     fn has_memory_for_one_more(
         &self,
         model: ModelId,
--- a/crates/core/src/scheduler/fleet.rs
+++ b/crates/core/src/scheduler/fleet.rs
@@ -6,6 +6,7 @@
         engine::Engine,
         fleet_totals::FleetTotals,
         holders::Holders,
+        load_pace::LoadPace,
         read_time::{ReadLine, ReadTime},
         upstream::Upstream,
     },
@@ -31,6 +32,7 @@
     pub orders_from: Millis,
     /// How fast the engines of a service read prompts.
     read_times: HashMap<ServiceId, ReadTime>,
+    load_pace: LoadPace,
 }
 
 impl Fleet {
@@ -370,6 +372,16 @@
     pub(super) fn cold_time(
         &self,
         load: &LoadSettings,
+        now: Millis,
+    ) -> Millis {
+        let expected = self.settings_time(load).0 as f64;
+        Millis((expected * self.load_pace.factor(now)) as u64)
+    }
+
+    /// How long it would take if the store were as fast as the settings say.
+    fn settings_time(
+        &self,
+        load: &LoadSettings,
     ) -> Millis {
         let crowd = self.totals.coming_cold as u64 + 1;
         let at_once = self.loads_at_once(load);
@@ -426,11 +438,17 @@
         id: UpstreamId,
         adapter: Option<AdapterVersion>,
         outcome: Outcome,
+        load: &LoadSettings,
         now: Millis,
     ) {
+        let expected = self.settings_time(load);
         let Some(upstream) = self.upstreams.get_mut(&id) else {
             return;
         };
+        let cold_since = adapter.and_then(|adapter| upstream.engine.as_ref()?.cold_since(adapter));
+        if let (Some(since), Outcome::Shed | Outcome::NotLoaded) = (cold_since, outcome) {
+            self.load_pace.note_late(now.since(since), expected, now);
+        }
         match outcome {
             Outcome::Answered { took } => {
                 upstream.health.answered(now);
--- a/crates/core/src/scheduler/loads.rs
+++ b/crates/core/src/scheduler/loads.rs
@@ -86,7 +86,7 @@
     load: &LoadSettings,
     now: Millis,
 ) -> Option<SchedulerAction> {
-    let load_time = fleet.cold_time(load);
+    let load_time = fleet.cold_time(load, now);
     let engine = fleet.engine_mut(plan.upstream)?;
     if !engine.takes_orders(now) {
         return None;
@@ -134,7 +134,7 @@
         .retain(|place| place.adapter.adapter != plan.adapter.adapter);
     engine
         .places
-        .push(Place::new(plan.model, plan.adapter, state));
+        .push(Place::new(plan.model, plan.adapter, state, now));
     Order::Load {
         model: plan.model,
         adapter: plan.adapter,
@@ -152,7 +152,7 @@
     load: &LoadSettings,
     now: Millis,
 ) -> Option<SchedulerAction> {
-    let cold = fleet.cold_time(load);
+    let cold = fleet.cold_time(load, now);
     let engine = fleet.engine_mut(upstream)?;
     engine.has_order = false;
     engine.ordered_at = now;
--- a/crates/core/src/scheduler/machine/decisions.rs
+++ b/crates/core/src/scheduler/machine/decisions.rs
@@ -91,7 +91,7 @@
         if self.queue.is_empty() {
             return;
         }
-        let mut cold = self.fleet.cold_time(&self.settings.loads);
+        let mut cold = self.fleet.cold_time(&self.settings.loads, now);
         for turn in [Turn::Timely, Turn::All] {
             self.send_and_load(turn, &mut cold, now, actions);
         }
@@ -262,7 +262,7 @@
                     if let Some(plan) = load {
                         let order = loads::begin(fleet, versions, &plan, &settings.loads, now);
                         actions.extend(order);
-                        *cold = fleet.cold_time(&settings.loads);
+                        *cold = fleet.cold_time(&settings.loads, now);
                     }
                     if send.is_none() {
                         entry.look_at = now + pause;
@@ -370,7 +370,8 @@
             Stage::Running { upstream, adapter } => {
                 let total = entry.job.generation().map_or(0, |g| g.size.total());
                 self.fleet.release(upstream, request, adapter, total, now);
-                self.fleet.learn(upstream, adapter, outcome, now);
+                let load = self.settings.loads;
+                self.fleet.learn(upstream, adapter, outcome, &load, now);
                 true
             }
         };
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -24,6 +24,7 @@
 mod health;
 mod holders;
 mod job;
+mod load_pace;
 mod loads;
 mod machine;
 mod outcome;
--- a/crates/core/src/scheduler/place.rs
+++ b/crates/core/src/scheduler/place.rs
@@ -38,6 +38,8 @@
     pub demand: Decayed,
     /// How often requests were told that it is not there yet, since it was last seen to be.
     pub lates: u32,
+    /// Since when the engine has it or gets it.
+    pub since: Millis,
 }
 
 impl Place {
@@ -45,6 +47,7 @@
         model: ModelId,
         adapter: AdapterVersion,
         state: PlaceState,
+        now: Millis,
     ) -> Self {
         Self {
             model,
@@ -52,6 +55,7 @@
             state,
             demand: Decayed::default(),
             lates: 0,
+            since: now,
         }
     }
 
--- /dev/null
+++ b/crates/core/tests/slow_loads.rs
@@ -0,0 +1,99 @@
+//! An adapter store that is slower than its settings say.
+
+mod scheduler_world;
+
+use {
+    jasmine_core::{
+        clock::Millis,
+        ids::UpstreamId,
+        scheduler::{EngineFacts, Order, Outcome},
+    },
+    scheduler_world::{World, engine},
+    std::collections::HashMap,
+};
+
+/// What a load takes; the settings say 250 ms.
+const LOAD: Millis = Millis(450);
+const READING: Millis = Millis(100);
+
+/// What an engine says of itself after the orders that it was given.
+fn report(
+    world: &World,
+    id: UpstreamId,
+    loaded_at: &HashMap<(UpstreamId, u32), Millis>,
+) -> EngineFacts {
+    let orders = || world.orders.iter().filter(|&&(to, _)| to == id);
+    let mut held = Vec::new();
+    for (_, order) in orders() {
+        match *order {
+            Order::Load { adapter, .. } => held.push(adapter.adapter.0),
+            Order::Unload { adapter, .. } => held.retain(|&of| of != adapter.adapter.0),
+            Order::LoadModel(_) => {}
+        }
+    }
+    let (present, coming): (Vec<u32>, Vec<u32>) = held
+        .into_iter()
+        .partition(|&adapter| loaded_at[&(id, adapter)] <= world.now);
+    let seq = Some(orders().count() as u64);
+    EngineFacts {
+        coming: engine(None, &coming).adapters,
+        ..engine(seq, &present)
+    }
+}
+
+/// Plays requests for one adapter each, one every 40 ms, and says which were turned away before their adapter was there.
+fn turned_away(requests: u32) -> Vec<u32> {
+    let mut world = World::leading(60);
+    let mut loaded_at = HashMap::new();
+    let mut seen_orders = 0;
+    let mut open: Vec<(u64, u32)> = Vec::new();
+    let mut reading: Vec<(Millis, u64)> = Vec::new();
+    let mut away = Vec::new();
+    for step in 0..requests * 10 + 400 {
+        if step % 10 == 0 && step / 10 < requests {
+            let adapter = 1_000 + step / 10;
+            open.push((world.generate(adapter), adapter));
+        }
+        world.pass(4);
+        let now = world.now;
+        for (upstream, order) in &world.orders[seen_orders..] {
+            if let Order::Load { adapter, .. } = order {
+                loaded_at.insert((*upstream, adapter.adapter.0), now + LOAD);
+            }
+        }
+        seen_orders = world.orders.len();
+        for id in std::mem::take(&mut world.reports_asked) {
+            let facts = report(&world, id, &loaded_at);
+            world.report(id, &facts);
+        }
+        let asked = std::mem::take(&mut open);
+        for (number, adapter) in asked {
+            match world.sent_to(number) {
+                None => open.push((number, adapter)),
+                Some(id) if loaded_at.get(&(id, adapter)).is_some_and(|&at| at <= now) => {
+                    reading.push((now + READING, number));
+                }
+                Some(_) => {
+                    away.push(adapter - 1_000);
+                    world.end(number, Outcome::NotLoaded);
+                    open.push((world.generate(adapter), adapter));
+                }
+            }
+        }
+        for (_, number) in reading.extract_if(.., |&mut (at, _)| at <= now) {
+            world.first_event(number);
+            world.end(number, Outcome::Answered { took: READING });
+        }
+    }
+    assert!(open.is_empty(), "{} were never served", open.len());
+    away
+}
+
+/// Guards against requests sent too early to engine after engine while the store is slow: each is a repeat, of which a
+/// service may get one for five requests. The last 100 were turned away 300 times before, 18 times now.
+#[test]
+fn late_loads_are_expected() {
+    let away = turned_away(200);
+    let repeats = away.iter().filter(|&&number| number >= 100).count();
+    assert!(repeats <= 20, "{repeats} for the last 100");
+}
--- a/crates/entry/src/scheduling/client/mod.rs
+++ b/crates/entry/src/scheduling/client/mod.rs
@@ -400,12 +400,11 @@
     ) -> Option<Verdict> {
         match mode {
             Mode::Following(link, session) => self.place_far(&link, session, spec).await,
-            Mode::Alone if !self.has_read_upstreams.get() && !self.desk.has_upstream(spec) => {
-                Some(Verdict::Refused {
-                    refusal: Refusal::after(ErrorKind::NoUpstream, NO_UPSTREAM_YET),
-                    waited_for: WaitReason::NoUpstream,
-                })
-            }
+            // The first upstreams of all would get everything.
+            Mode::Alone if !self.has_read_upstreams.get() => Some(Verdict::Refused {
+                refusal: Refusal::after(ErrorKind::NoUpstream, NO_UPSTREAM_YET),
+                waited_for: WaitReason::NoUpstream,
+            }),
             Mode::Leading(_) | Mode::Alone => self.desk.place(OWN, spec).await.ok(),
         }
     }
--- a/crates/entry/src/scheduling/desk.rs
+++ b/crates/entry/src/scheduling/desk.rs
@@ -238,15 +238,6 @@
         rx
     }
 
-    /// Whether some upstream is known that takes requests of this service.
-    pub fn has_upstream(
-        &self,
-        spec: &JobSpec,
-    ) -> bool {
-        let service = self.names.borrow_mut().service(&spec.service);
-        self.machine.borrow().has_upstream(service)
-    }
-
     /// Notes what was decided of a first attempt of this VM's own callers, whoever decided.
     pub fn note_own(
         &self,
--- a/crates/entry/src/store/membership.rs
+++ b/crates/entry/src/store/membership.rs
@@ -348,13 +348,14 @@
         }
     }
 
-    /// Whether this VM has just started among others and has not heard of any leader.
+    /// Whether this VM has just started among others, none of which led before it as far as it knows.
     pub(super) fn knows_no_leader(
         &self,
         cx: &Context,
     ) -> bool {
         let is_new = self.clock.now().since(self.started) < NEW;
-        is_new && self.predecessor.get().is_none() && cx.scheduling.leader().is_none()
+        let led_last = self.predecessor.get().is_some() || self.last_was_me().is_some();
+        is_new && !led_last && cx.scheduling.leader().is_none()
     }
 
     /// Whether the store has the key of a leader on another VM, or of this run.
