More engines are looked at where none has a place; late loads count if the order was accepted; starts don't stampede

Change: where no preferred engine has a place a part of all is looked at; a load counts as late from the accepted order on; a missing leader counts from the first look; a VM that doesn't lead is asked again after up to 4 ms a VM; a VM that has read a part of the upstreams decides about none.

--- a/crates/core/src/scheduler/choose/mod.rs
+++ b/crates/core/src/scheduler/choose/mod.rs
@@ -17,9 +17,11 @@
     std::collections::HashMap,
 };
 
+mod best;
 mod load;
 mod preferred;
 
+use best::Best;
 pub(super) use preferred::PreferredEngines;
 
 /// What a request that leaves its data centre counts as, in milliseconds. Bytes between data centres are
@@ -171,70 +173,55 @@
         job: &Job,
         generation: &Generation,
     ) -> Choice {
-        let mut best: Option<(f64, UpstreamId, Way)> = None;
-        let mut stale: Option<(f64, UpstreamId, AdapterVersion)> = None;
-        let mut ready: Option<(f64, UpstreamId, AdapterVersion)> = None;
         let Near { engines, part } = self.engines_to_look_at(job, generation);
         let copies = self.copies(generation, &engines, part);
+        let mut best = Best::default();
+        self.weigh_all(job, generation, engines, copies, &mut best);
+        if best.lacks_place() && self.fleet.members(job.service).len() > MANY {
+            let others = self.others(job, generation);
+            self.weigh_all(job, generation, others, copies, &mut best);
+        }
+        best.choice(generation.model)
+    }
+
+    fn weigh_all(
+        &self,
+        job: &Job,
+        generation: &Generation,
+        engines: Vec<&Upstream>,
+        copies: Copies,
+        best: &mut Best,
+    ) {
         for up in engines {
             let Some(engine) = &up.engine else { continue };
             if !engine.models.contains(&generation.model) {
                 continue;
             }
             let base = self.base_cost(job, up, engine);
-            let way = self.way(job, generation, up, engine, base, copies);
-            if let Some((_, Way::Send(Some(adapter)))) = way
-                && ready.is_none_or(|(least, ..)| base < least)
-            {
-                ready = Some((base, up.id, adapter));
-            }
-            if let Some((cost, way)) = way.map(|(cost, way)| (cost + self.lateness(job, cost), way))
-                && best.is_none_or(|(least, ..)| cost < least)
-            {
-                best = Some((cost, up.id, way));
+            if let Some((cost, way)) = self.way(job, generation, up, engine, base, copies) {
+                let cost = cost + self.lateness(job, cost);
+                best.weigh(up.id, way, cost, base + self.lateness(job, base));
             }
             if let Some(old) = self.usable_old(generation, engine)
                 && self.can_take(job, up, engine)
-                && stale.is_none_or(|(least, ..)| base < least)
             {
-                stale = Some((base, up.id, old));
+                best.weigh_stale(up.id, old, base);
             }
         }
-        let Some((least, upstream, way)) = best else {
-            return Choice {
-                send: stale.map(|(_, upstream, old)| (upstream, Some(old))),
-                waits_for: WaitReason::Place,
-                ..Choice::default()
-            };
-        };
-        // A further copy is for those behind this request, which has nobody ahead of it.
-        let ready = ready.filter(|&(base, ..)| base + self.lateness(job, base) <= least);
-        let now = ready.or(stale);
-        let later = |waits_for| Choice {
-            send: now.map(|(_, upstream, adapter)| (upstream, Some(adapter))),
-            waits_for,
-            ..Choice::default()
-        };
-        match way {
-            Way::Send(adapter) => Choice {
-                send: Some((upstream, adapter)),
-                ..Choice::default()
-            },
-            Way::Wait(WaitReason::Order) => Choice {
-                unsure: Some(upstream),
-                ..later(WaitReason::Order)
-            },
-            Way::Wait(waits_for) => later(waits_for),
-            Way::Load { adapter, evict } => Choice {
-                load: Some(LoadPlan {
-                    upstream,
-                    model: generation.model,
-                    adapter,
-                    evict,
-                }),
-                ..later(WaitReason::Load)
-            },
-        }
+    }
+
+    /// Some more engines, where those that an adapter prefers have no place for it: others may stand idle.
+    fn others(
+        &self,
+        job: &Job,
+        generation: &Generation,
+    ) -> Vec<&Upstream> {
+        let filter = self.filter(job);
+        let members = self.fleet.members(job.service).iter();
+        let all = members.map(|id| self.fleet.upstreams.get(id));
+        let salt = generation.adapter.map_or(0, |adapter| adapter.0);
+        let takes = |up: &&Upstream| self.passes(filter, job, up);
+        self.sample(all, u64::from(salt), takes).engines
     }
 
     /// The upstreams that are worth a closer look. Where there are many engines, these are some that have the adapter or
@@ -251,8 +238,7 @@
         let filter = self.filter(job);
         let takes = |up: &&Upstream| self.passes(filter, job, up);
         let Some(adapter) = generation.adapter else {
-            let all = members.iter().map(|id| self.fleet.upstreams.get(id));
-            return self.sample(all, u64::from(generation.model.0), takes);
+            return Near::all(self.others(job, generation));
         };
         let wanted = self.versions.wanted(adapter);
         let has_it = |up: &Upstream| {
--- a/crates/core/src/scheduler/engine.rs
+++ b/crates/core/src/scheduler/engine.rs
@@ -146,7 +146,7 @@
         let old = |adapter: AdapterVersion| before.iter().find(|place| place.adapter == adapter);
         let take = |model, adapter, state| match old(adapter) {
             Some(place) => Place { state, ..*place },
-            None => Place::new(model, adapter, state, now),
+            None => Place::new(model, adapter, state),
         };
         let present = facts
             .adapters
@@ -458,14 +458,15 @@
         }
     }
 
-    /// Since when an adapter is on its way from the adapter store.
+    /// Since when an adapter is on its way from the adapter store, if the engine has accepted the order to load it: one
+    /// that left it unanswered may carry it out seconds later, which says nothing about the store.
     pub(super) fn cold_since(
         &self,
         adapter: AdapterVersion,
     ) -> Option<Millis> {
         let place = self.place(adapter)?;
         let is_cold = matches!(place.state, PlaceState::Coming { is_cold: true, .. });
-        is_cold.then_some(place.since)
+        place.accepted_at.filter(|_| is_cold)
     }
 
     fn has_memory_for_one_more(
--- a/crates/core/src/scheduler/loads.rs
+++ b/crates/core/src/scheduler/loads.rs
@@ -134,7 +134,7 @@
         .retain(|place| place.adapter.adapter != plan.adapter.adapter);
     engine
         .places
-        .push(Place::new(plan.model, plan.adapter, state, now));
+        .push(Place::new(plan.model, plan.adapter, state));
     Order::Load {
         model: plan.model,
         adapter: plan.adapter,
@@ -187,6 +187,7 @@
             {
                 let ready_at = now + takes;
                 place.state = PlaceState::Coming { ready_at, is_cold };
+                place.accepted_at = Some(now);
             }
         }
         (Order::Load { adapter, .. }, OrderEnd::Holds) => engine.note_ready(adapter),
--- a/crates/core/src/scheduler/place.rs
+++ b/crates/core/src/scheduler/place.rs
@@ -38,8 +38,8 @@
     pub demand: Decayed,
     /// How often requests were told that it is not there yet, since it was last seen to be.
     pub lates: u32,
-    /// Since when the engine has it or gets it.
-    pub since: Millis,
+    /// When the engine accepted the order to load it, if it is known to have.
+    pub accepted_at: Option<Millis>,
 }
 
 impl Place {
@@ -47,7 +47,6 @@
         model: ModelId,
         adapter: AdapterVersion,
         state: PlaceState,
-        now: Millis,
     ) -> Self {
         Self {
             model,
@@ -55,7 +54,7 @@
             state,
             demand: Decayed::default(),
             lates: 0,
-            since: now,
+            accepted_at: None,
         }
     }
 
--- a/crates/core/tests/fleet_size.rs
+++ b/crates/core/tests/fleet_size.rs
@@ -95,6 +95,29 @@
     assert_eq!(late, 0);
 }
 
+/// Guards against a request that waits for a place on the engines that its adapter prefers while others stand idle.
+#[test]
+fn idle_places_are_found() {
+    let mut world = World::leading(0);
+    let busy = 180;
+    for id in 0..200 {
+        world.add_engine(UpstreamId(id), &[1_000 + id, 2_000 + id]);
+    }
+    for id in 0..busy {
+        world.generate(1_000 + id);
+        world.generate(2_000 + id);
+    }
+    world.pass(200);
+    let orders = world.orders.len();
+    let asked: Vec<u64> = (1..=20).map(|adapter| world.generate(adapter)).collect();
+    world.pass(400);
+    assert!(world.orders.len() > orders);
+    let sent = asked
+        .iter()
+        .filter(|&&number| world.sent_to(number).is_some());
+    assert_eq!(sent.count(), 20);
+}
+
 /// Guards against preferences that don't follow engines as they come and go.
 #[test]
 fn preferences_follow_engines() {
--- a/crates/entry/src/scheduling/client/following.rs
+++ b/crates/entry/src/scheduling/client/following.rs
@@ -18,8 +18,11 @@
 const PING_EVERY: Millis = Millis(300);
 /// VMs that a newcomer asks who leads.
 const ASKED: usize = 3;
-/// The pause after it didn't answer.
-const RETRY_EVERY: Millis = Millis(150);
+/// The pause after it didn't answer: doubled up to a time that grows with the VMs, as hundreds of them would leave one that
+/// starts to lead no processor for that.
+const RETRY_FIRST: Millis = Millis(150);
+const RETRY_A_VM: Millis = Millis(4);
+const RETRY_MAX: Millis = Millis(1_200);
 /// News is gathered for this long: a message for each event would cost more than what it tells.
 const GATHER: Millis = Millis(5);
 /// So long for each VM, and at most, is news gathered for which nobody waits: of streams, whose engines have dozens of
@@ -80,6 +83,7 @@
 
     pub(super) async fn follow_leader(self: Rc<Self>) {
         let mut changed = self.changed.subscribe();
+        let mut pause = RETRY_FIRST;
         loop {
             changed.mark_unchanged();
             let leader = self.leader().filter(|leader| leader.vm != self.me);
@@ -99,6 +103,7 @@
                         .with("vm", &leader.vm)
                         .with("fence", leader.fence)
                         .info();
+                    pause = RETRY_FIRST;
                     self.set_mode(Mode::Following(Rc::clone(&link), session));
                     self.watch_leader(&link, &leader).await;
                 }
@@ -110,12 +115,21 @@
                 }
             }
             tokio::select! {
-                () = sleep(RETRY_EVERY.to_std()) => {}
-                _ = changed.changed() => {}
+                () = sleep(pause.to_std()) => pause = self.longer_pause(pause),
+                _ = changed.changed() => pause = RETRY_FIRST,
             }
         }
     }
 
+    fn longer_pause(
+        &self,
+        pause: Millis,
+    ) -> Millis {
+        let vms = self.vms.borrow().len() as u64;
+        let most = Millis(RETRY_A_VM.0 * vms).clamp(RETRY_FIRST, RETRY_MAX);
+        Millis(pause.0 * 2).min(most)
+    }
+
     /// Asks the leader for signs of life until it gives none or another one leads.
     async fn watch_leader(
         &self,
--- a/crates/entry/src/scheduling/client/mod.rs
+++ b/crates/entry/src/scheduling/client/mod.rs
@@ -84,8 +84,8 @@
     lead_until: Cell<Option<Millis>>,
     /// Since when the leader hasn't answered.
     silent_since: Cell<Option<Millis>>,
-    /// Whether all upstreams that the store lists were read.
-    has_read_upstreams: Cell<bool>,
+    /// Whether a part of the upstreams only is known, as the others are still to be read.
+    knows_part: Cell<bool>,
     /// Since when this VM decides alone, if it does.
     alone_since: Cell<Option<Millis>>,
     /// Counts changes of the leader that is known.
@@ -129,7 +129,7 @@
             handed_on: RefCell::default(),
             lead_until: Cell::new(None),
             silent_since: Cell::new(None),
-            has_read_upstreams: Cell::new(false),
+            knows_part: Cell::new(false),
             alone_since: Cell::new(Some(Clock.now())),
             changed: watch::Sender::default(),
             mode_changed: watch::Sender::default(),
@@ -284,9 +284,12 @@
         }
     }
 
-    /// Notes that all upstreams that the store lists were read.
-    pub fn note_upstreams_read(&self) {
-        self.has_read_upstreams.set(true);
+    /// Says whether a part of the upstreams only is known.
+    pub fn set_knows_part(
+        &self,
+        knows_part: bool,
+    ) {
+        self.knows_part.set(knows_part);
     }
 
     /// Whether this VM decides for all.
@@ -401,7 +404,7 @@
         match mode {
             Mode::Following(link, session) => self.place_far(&link, session, spec).await,
             // The first upstreams of all would get everything.
-            Mode::Alone if !self.has_read_upstreams.get() => Some(Verdict::Refused {
+            Mode::Alone if self.knows_part.get() => Some(Verdict::Refused {
                 refusal: Refusal::after(ErrorKind::NoUpstream, NO_UPSTREAM_YET),
                 waited_for: WaitReason::NoUpstream,
             }),
--- a/crates/entry/src/store/membership.rs
+++ b/crates/entry/src/store/membership.rs
@@ -200,7 +200,9 @@
     /// The leader's key is gone.
     pub(super) fn remove_leader(&self) {
         self.predecessor.set(None);
-        if self.has_leader.replace(false) {
+        // Counted from when this VM first looked: all that start together would try to lead at once.
+        let is_first_look = self.absent_since.get() == Millis::ZERO;
+        if self.has_leader.replace(false) || is_first_look {
             self.absent_since.set(self.clock.now());
             self.changed.notify_one();
         }
--- a/crates/entry/src/store/view.rs
+++ b/crates/entry/src/store/view.rs
@@ -150,6 +150,7 @@
             .iter()
             .filter_map(|kv| kv.key.strip_prefix(entries::PREFIX));
         self.found.borrow_mut().extend(ids.map(str::to_owned));
+        self.cx.scheduling.set_knows_part(page.more);
         if page.more {
             return;
         }
@@ -164,7 +165,6 @@
                 self.remove_upstream(id);
             }
         }
-        self.cx.scheduling.note_upstreams_read();
         self.membership.set_loaded();
         Line::new("store_read")
             .with("revision", page.revision)
--- a/crates/entry/tests/no_leader.rs
+++ b/crates/entry/tests/no_leader.rs
@@ -55,7 +55,6 @@
         started_unix_ms: Some(1),
         holdings: None,
     });
-    scheduling.note_upstreams_read();
     scheduling
 }
 
@@ -103,6 +102,23 @@
     });
 }
 
+/// Guards against sending everything to the few upstreams that a VM has read so far.
+#[test]
+fn a_part_is_not_enough() {
+    run(async {
+        let vm = started_vm();
+        vm.set_knows_part(true);
+        let elected = Rc::clone(&vm);
+        spawn_local(async move {
+            sleep(Duration::from_millis(200)).await;
+            elected.lead(Fence(7), RightsShare::Fresh);
+        });
+        let began = std::time::Instant::now();
+        assert!(vm.place(call()).await.is_ok());
+        assert!(began.elapsed() >= Duration::from_millis(200));
+    });
+}
+
 /// Guards against keeping callers whom nobody will be elected to serve: they are told when to come back.
 #[test]
 fn a_missing_leader_is_not() {
