--- a/crates/conf/src/settings/entry_settings.rs
+++ b/crates/conf/src/settings/entry_settings.rs
@@ -1,17 +1,21 @@
 use {
     super::{
-        EntryListen, InvalidSetting, LogSettings, RetryBudgetSettings, Validate, VmResources,
-        range::check_range,
+        ColdUpstreamSettings, EntryListen, InvalidSetting, LogSettings, RetryBudgetSettings,
+        Validate, VmResources, range::check_range,
     },
     jasmine_core::clock::Millis,
     serde::{Deserialize, Serialize},
-    std::net::SocketAddr,
+    std::{collections::BTreeMap, net::SocketAddr},
 };
 
 /// The default of `least_lease_ms`.
 const DEFAULT_MIN_LEASE_DURATION: Millis = Millis(1_000);
 /// The default of `change_ms`.
 const DEFAULT_CHANGE_TIMEOUT: Millis = Millis(2_000);
+/// The default of `evacuation_ms`.
+const DEFAULT_EVACUATION_TIMEOUT: Millis = Millis(5_000);
+/// Part of `evacuation_ms` for requests that are on their way to an upstream.
+const DISPATCH_MARGIN: Millis = Millis(500);
 /// The default of `stop_s`, in seconds.
 const DEFAULT_STOP_SECS: u64 = 8;
 
@@ -43,6 +47,15 @@
     /// The maximum time until a change in the store is in force.
     #[serde(default = "default_change")]
     pub change_ms: Millis,
+    /// The maximum time until upstreams of an evacuated data centre get no more requests.
+    #[serde(default = "default_evacuation")]
+    pub evacuation_ms: Millis,
+    /// The region of each data centre.
+    #[serde(default)]
+    pub regions: BTreeMap<String, String>,
+    /// The allowance of cold upstreams beyond the rate that their service states.
+    #[serde(default)]
+    pub cold_upstreams: ColdUpstreamSettings,
     /// The resources of the VM.
     #[serde(default)]
     pub size: VmResources,
@@ -65,6 +78,10 @@
     DEFAULT_CHANGE_TIMEOUT
 }
 
+const fn default_evacuation() -> Millis {
+    DEFAULT_EVACUATION_TIMEOUT
+}
+
 const fn default_stop() -> u64 {
     DEFAULT_STOP_SECS
 }
@@ -75,12 +92,21 @@
         let gap = self.order_gap_ms.filter(|_| !self.engines_check_fences);
         gap.unwrap_or(Millis::ZERO)
     }
+
+    /// How long requests move away from a data centre after its evacuation has become known here.
+    ///
+    /// Leaves time for the change to arrive, and for requests on their way to an upstream.
+    pub fn evacuation_move(&self) -> Millis {
+        self.evacuation_ms.since(self.change_ms + DISPATCH_MARGIN)
+    }
 }
 
 impl Validate for EntrySettings {
     fn validate(&self) -> Result<(), InvalidSetting> {
         check_range("least_lease_ms", self.least_lease_ms.0, &(100..=600_000))?;
         check_range("change_ms", self.change_ms.0, &(500..=600_000))?;
+        check_range("evacuation_ms", self.evacuation_ms.0, &(500..=600_000))?;
+        self.cold_upstreams.validate()?;
         check_range("stop_s", self.stop_s, &(1..=3_600))?;
         self.size.validate()?;
         self.repeats.validate()
--- a/crates/conf/src/settings/mod.rs
+++ b/crates/conf/src/settings/mod.rs
@@ -3,6 +3,7 @@
 //! For an invalid setting the [`SettingsError`] names the file, the key, the value and what is allowed.
 //! Unknown keys are refused, because a misspelt key would silently leave its default in force.
 
+mod cold_upstream_settings;
 mod controller_settings;
 mod entry_settings;
 mod gateway_settings;
@@ -19,6 +20,7 @@
 mod vm_resources;
 
 pub use {
+    cold_upstream_settings::ColdUpstreamSettings,
     controller_settings::ControllerSettings,
     entry_settings::EntrySettings,
     gateway_settings::GatewaySettings,
--- a/crates/core/examples/scheduler_cost/fleet.rs
+++ b/crates/core/examples/scheduler_cost/fleet.rs
@@ -287,6 +287,7 @@
             gap_objective: None,
             deadline: self.now + Millis(5_000),
             data_centre: Some(DataCentreId(0)),
+            allowed_data_centres: Vec::new(),
             attempt: 1,
             excluded_upstreams: Vec::new(),
         }
@@ -324,6 +325,7 @@
     engine: Option<EngineStatus>,
 ) -> UpstreamStatus {
     UpstreamStatus {
+        id_hash: 0,
         service,
         data_centre: Some(DataCentreId(0)),
         slots,
--- a/crates/core/src/error/error_kind.rs
+++ b/crates/core/src/error/error_kind.rs
@@ -40,6 +40,10 @@
     CannotMeetDeadline,
     /// No suitable upstream is reachable.
     NoUpstream,
+    /// All data centres with upstreams that may serve the request are being evacuated.
+    Evacuated,
+    /// No upstream is in the regions that the route and the client account allow.
+    RegionUnavailable,
     /// The adapter version could not be loaded.
     AdapterLoadFailed,
     /// The configuration is too old to check keys: neither platform nor peers were reachable.
@@ -78,7 +82,7 @@
 
 impl ErrorKind {
     /// All kinds, in declaration order.
-    pub const ALL: [Self; 33] = [
+    pub const ALL: [Self; 35] = [
         Self::BadRequest,
         Self::BodyTooLarge,
         Self::HeadersTooLarge,
@@ -95,6 +99,8 @@
         Self::QueueFull,
         Self::CannotMeetDeadline,
         Self::NoUpstream,
+        Self::Evacuated,
+        Self::RegionUnavailable,
         Self::AdapterLoadFailed,
         Self::ConfigUnavailable,
         Self::ClaimUnavailable,
@@ -133,6 +139,8 @@
             Self::QueueFull => answer_of(429, NotRun, FromRefusal, "queue_full"),
             Self::CannotMeetDeadline => answer_of(503, NotRun, FromRefusal, "cannot_meet_deadline"),
             Self::NoUpstream => answer_of(503, NotRun, Secs(2), "no_upstream"),
+            Self::Evacuated => answer_of(503, NotRun, Never, "evacuated"),
+            Self::RegionUnavailable => answer_of(503, NotRun, Never, "region_unavailable"),
             Self::AdapterLoadFailed => answer_of(503, NotRun, Secs(5), "adapter_load_failed"),
             Self::ConfigUnavailable => answer_of(503, NotRun, Secs(5), "config_unavailable"),
             Self::ClaimUnavailable => answer_of(503, NotRun, Secs(5), "claim_unavailable"),
@@ -178,6 +186,10 @@
             Self::QueueFull => "Too much of this client account's work is waiting already.",
             Self::CannotMeetDeadline => "The request would not be served before its deadline.",
             Self::NoUpstream => "No upstream that could serve this is reachable.",
+            Self::Evacuated => "The data centres whose upstreams could serve this are evacuated.",
+            Self::RegionUnavailable => {
+                "No upstream that could serve this is in a region that is allowed for it."
+            }
             Self::AdapterLoadFailed => "The adapter version could not be loaded.",
             Self::ConfigUnavailable => {
                 "This VM has reached neither the platform nor a peer for too long to check keys."
--- a/crates/core/src/ingress/account.rs
+++ b/crates/core/src/ingress/account.rs
@@ -23,6 +23,8 @@
     pub limit: Option<Limit>,
     /// The unit of the limit.
     pub unit: RateUnit,
+    /// Regions whose upstreams may serve its requests; empty if all may.
+    pub allowed_regions: Vec<String>,
 }
 
 impl AccountSpec {
--- a/crates/core/src/ingress/mod.rs
+++ b/crates/core/src/ingress/mod.rs
@@ -9,6 +9,7 @@
 mod config;
 mod held_model;
 mod prompt;
+mod region_limits;
 mod route;
 mod route_table;
 mod service_spec;
@@ -21,8 +22,9 @@
     config::IngressConfig,
     held_model::{ComingAdapter, EngineHoldings, HeldAdapter, HeldModel},
     prompt::{PromptPart, PromptSize},
+    region_limits::allowed_data_centres,
     route::{IngressRoute, WeightedService},
     route_table::RouteTable,
-    service_spec::{EngineSpec, ModelSpec, ServiceSpec},
+    service_spec::{ColdStart, EngineSpec, ModelSpec, ServiceSpec},
     upstream_entry::{UpstreamEntry, UpstreamState},
 };
--- a/crates/core/src/ingress/route.rs
+++ b/crates/core/src/ingress/route.rs
@@ -32,6 +32,8 @@
     pub attempts: u32,
     /// Whether requests need no API key.
     pub is_public: bool,
+    /// Regions whose upstreams may serve its requests; empty if all may.
+    pub allowed_regions: Vec<String>,
     /// The services that share its requests.
     pub services: Vec<WeightedService>,
 }
--- a/crates/core/src/ingress/service_spec.rs
+++ b/crates/core/src/ingress/service_spec.rs
@@ -30,6 +30,15 @@
     pub models: Vec<ModelSpec>,
 }
 
+/// How a service's upstreams start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdStart {
+    /// Requests per second that a cold upstream serves; it may crash well above that.
+    pub per_second: f64,
+    /// How long an upstream is cold after its start.
+    pub duration: Millis,
+}
+
 /// A service that requests are routed to.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServiceSpec {
@@ -37,6 +46,8 @@
     pub name: String,
     /// Maximum number of connections that one of its upstreams accepts in total.
     pub max_connections: Option<u32>,
+    /// The request rate of its cold upstreams; `None` if these take as many as warm ones.
+    pub cold_start: Option<ColdStart>,
     /// Capacity of its engines; `None` for a service without engines.
     pub engine: Option<EngineSpec>,
 }
--- a/crates/core/src/ingress/upstream_entry.rs
+++ b/crates/core/src/ingress/upstream_entry.rs
@@ -35,3 +35,10 @@
     /// Its models and adapters, if it is an engine.
     pub holdings: Option<EngineHoldings>,
 }
+
+impl UpstreamEntry {
+    /// Whether it was slow after its start when it wrote the entry.
+    pub const fn is_warming_up(&self) -> bool {
+        self.warm_up_remaining.0 > 0
+    }
+}
--- a/crates/core/src/scheduler/account_rates.rs
+++ b/crates/core/src/scheduler/account_rates.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// The share of the limits that this scheduler may use.
+    pub(super) const fn share(&self) -> RateShare {
+        self.share
+    }
+
     /// Changes the share and restarts with the tokens that are safe to grant.
     pub(super) fn set_share(
         &mut self,
--- /dev/null
+++ b/crates/core/src/scheduler/availability.rs
@@ -0,0 +1,91 @@
+//! Which upstreams may get requests: evacuations of data centres and limits of cold upstreams.
+
+use {
+    super::{Announcement, cold_admission::ColdLimit, fleet::Fleet, upstream::Upstream},
+    crate::{
+        clock::Millis,
+        ids::{DataCentreId, ServiceId},
+    },
+    std::collections::HashMap,
+};
+
+impl Fleet {
+    /// Begins the evacuation of a data centre; returns when the next evacuation takes effect.
+    pub(super) fn begin_evacuation(
+        &mut self,
+        data_centre: DataCentreId,
+        source: Announcement,
+        move_time: Millis,
+        now: Millis,
+    ) -> Option<Millis> {
+        self.evacuations.begin(data_centre, source, move_time, now);
+        let effective_at = self.evacuations.effective_at(Some(data_centre));
+        for upstream in self.upstreams_in(data_centre) {
+            upstream.evacuated_from = effective_at;
+        }
+        match effective_at {
+            Some(at) if at <= now => Some(at),
+            _ => self.evacuations.next_effect(now),
+        }
+    }
+
+    /// Ends the evacuation of a data centre; its upstreams may have become cold meanwhile.
+    pub(super) fn end_evacuation(
+        &mut self,
+        data_centre: DataCentreId,
+        now: Millis,
+    ) {
+        if !self.evacuations.end(data_centre) {
+            return;
+        }
+        for upstream in self.upstreams_in(data_centre) {
+            upstream.evacuated_from = None;
+            upstream.assume_cold(now);
+        }
+    }
+
+    /// When the next evacuation after `now` takes effect.
+    pub(super) fn next_evacuation(
+        &self,
+        now: Millis,
+    ) -> Option<Millis> {
+        self.evacuations.next_effect(now)
+    }
+
+    /// Replaces the limits of cold upstreams.
+    pub(super) fn set_cold_limits(
+        &mut self,
+        limits: HashMap<ServiceId, ColdLimit>,
+    ) {
+        self.cold_limits = limits;
+        for upstream in self.upstreams.values_mut() {
+            upstream.cold_limit = self.cold_limits.get(&upstream.service).copied();
+        }
+    }
+
+    /// How long until an upstream's cold limit allows one more request from this scheduler; `None`
+    /// if it isn't known.
+    pub(super) fn admission_wait(
+        &self,
+        upstream: &Upstream,
+        now: Millis,
+    ) -> Option<Millis> {
+        let Some(limit) = upstream.cold_limit else {
+            return Some(Millis::ZERO);
+        };
+        let allowed = if upstream.is_cold(now) {
+            self.cold_share.allowed(limit, upstream.id_hash, now)
+        } else {
+            limit.unannounced_part()
+        };
+        upstream.admissions.wait(allowed, now)
+    }
+
+    fn upstreams_in(
+        &mut self,
+        data_centre: DataCentreId,
+    ) -> impl Iterator<Item = &mut Upstream> {
+        let upstreams = self.upstreams.values_mut();
+        upstreams.filter(move |up| up.data_centre == Some(data_centre))
+    }
+}
--- a/crates/core/src/scheduler/choose/load.rs
+++ b/crates/core/src/scheduler/choose/load.rs
@@ -43,6 +43,7 @@
         copies: AdapterCopies,
     ) -> Option<(f64, ServingOption)> {
         if !self.can_order
+            || up.evacuated_from.is_some()
             || engine.loading_adapter_count(self.now) >= self.settings.loads.max_per_engine
         {
             return None;
@@ -156,7 +157,8 @@
     ) -> bool {
         let total = Load::of(job, engine, self.now).total;
         let waits = engine.backlog.wait(self.now) < self.settings.engine_backlog.0 as f64;
-        (waits || engine.backlog.is_empty())
+        self.is_admitted(up)
+            && (waits || engine.backlog.is_empty())
             && engine.has_capacity(up.running, total, self.settings.kv_fill_percent)
     }
 
@@ -168,7 +170,9 @@
         engine: &Engine,
     ) -> WaitReason {
         let total = Load::of(job, engine, self.now).total;
-        if engine.has_capacity(up.running, total, self.settings.kv_fill_percent) {
+        if !self.is_admitted(up) {
+            WaitReason::ColdUpstream
+        } else if engine.has_capacity(up.running, total, self.settings.kv_fill_percent) {
             WaitReason::Prefill
         } else {
             WaitReason::Memory
--- a/crates/core/src/scheduler/choose/mod.rs
+++ b/crates/core/src/scheduler/choose/mod.rs
@@ -5,6 +5,7 @@
     super::{
         Generation, Job, SchedulerSettings, WaitReason,
         announced_versions::AnnouncedVersions,
+        cold_admission::ADMISSION_WINDOW,
         engine::Engine,
         fleet::{Fleet, Load},
         resident::DEMAND_HALF_LIFE,
@@ -52,6 +53,9 @@
 /// Bound on the engines sampled from those that may have the adapter, or from all members of the
 /// service.
 const MAX_SAMPLED_ENGINES: usize = 64;
+/// Penalty of an engine in a data centre that is being evacuated; it grows to this value until the
+/// evacuation takes effect, so that adapters in demand are loaded elsewhere first.
+const EVACUATION_PENALTY_MS: f64 = 2_500.0;
 /// Expected time from sending an order to an engine until its answer.
 const ORDER_ROUND_TRIP_MS: f64 = 3.0;
 
@@ -93,6 +97,9 @@
     pub can_evict: bool,
     /// Expected time of a load from the adapter store that starts now, in milliseconds.
     pub cold_load_ms: f64,
+    /// Number of VMs that decide without a scheduler and share the slots of plain services; 1 for
+    /// the elected scheduler.
+    pub deciding_vms: u64,
     pub now: Millis,
 }
 
@@ -162,19 +169,41 @@
         &self,
         job: &Job,
     ) -> Choice {
-        let cost = |up: &&Upstream| up.call_time(self.now) + self.penalty(job, up);
+        let cost = |up: &&Upstream| {
+            up.call_time(self.now) + self.penalty(job, up) + self.evacuation_penalty(up)
+        };
         let best = self
             .candidates(job)
             .into_iter()
-            .filter(|up| up.can_take_call())
+            .filter(|up| up.can_take_call() && self.is_admitted(up))
             .min_by(|a, b| cost(a).total_cmp(&cost(b)));
         Choice {
-            send: best.map(|up| (up.id, None)),
+            send: best
+                .filter(|_| self.has_call_share(job))
+                .map(|up| (up.id, None)),
             wait_reason: WaitReason::CallSlot,
             ..Choice::default()
         }
     }
 
+    /// Whether this VM's share of the service's slots has one left.
+    ///
+    /// Without a scheduler each VM sees only its own calls: together they would overfill the
+    /// upstreams, which turn the excess away.
+    fn has_call_share(
+        &self,
+        job: &Job,
+    ) -> bool {
+        if self.deciding_vms <= 1 {
+            return true;
+        }
+        let ready = self.fleet.ready(job.service);
+        let (slots, running) = ready.fold((0, 0), |(slots, running), up| {
+            (slots + up.call_capacity(), running + up.running)
+        });
+        u64::from(running) < u64::from(slots).div_ceil(self.deciding_vms)
+    }
+
     fn choose_engine(
         &self,
         job: &Job,
@@ -209,7 +238,7 @@
             if let Some((cost, option)) =
                 self.serving_option(job, generation, up, engine, base, copies)
             {
-                let cost = cost + self.lateness_penalty(job, cost);
+                let cost = cost + self.lateness_penalty(job, cost) + self.evacuation_penalty(up);
                 best.consider(up.id, option, cost, base + self.lateness_penalty(job, base));
             }
             if let Some(old) = self.usable_old_version(generation, engine)
@@ -307,10 +336,12 @@
         let wanted = self.versions.wanted(adapter);
         let residents = engines
             .iter()
-            .filter_map(|up| up.engine.as_ref()?.resident(wanted));
-        let seen = residents.fold(AdapterCopies::default(), |copies, resident| AdapterCopies {
-            count: copies.count + 1.0,
-            recent_uses: copies.recent_uses + resident.demand.get(self.now, DEMAND_HALF_LIFE),
+            .filter_map(|up| Some((up, up.engine.as_ref()?.resident(wanted)?)));
+        let seen = residents.fold(AdapterCopies::default(), |copies, (up, resident)| {
+            AdapterCopies {
+                count: copies.count + f64::from(u8::from(up.evacuated_from.is_none())),
+                recent_uses: copies.recent_uses + resident.demand.get(self.now, DEMAND_HALF_LIFE),
+            }
         });
         AdapterCopies {
             count: seen.count / fraction,
@@ -354,7 +385,8 @@
         up: &Upstream,
     ) -> bool {
         let is_reachable = || up.health.is_available(self.now);
-        up.is_ready
+        up.accepts_requests(self.now)
+            && job.is_allowed_in(up.data_centre)
             && match filter {
                 CandidateFilter::NotFailed => {
                     is_reachable() && !job.excluded_upstreams.contains(&up.id)
@@ -376,7 +408,37 @@
         } else {
             0.0
         };
-        distance + up.health.failure_rate(self.now) * FAILURE_PENALTY_MS
+        distance + up.health.failure_rate(self.now) * FAILURE_PENALTY_MS + self.admission_delay(up)
+    }
+
+    /// Penalty for an evacuation of the upstream's data centre, in milliseconds.
+    fn evacuation_penalty(
+        &self,
+        up: &Upstream,
+    ) -> f64 {
+        let Some(effective_at) = up.evacuated_from else {
+            return 0.0;
+        };
+        let left = effective_at.since(self.now).0 as f64;
+        let whole = self.settings.evacuation_move.0.max(1) as f64;
+        EVACUATION_PENALTY_MS * (1.0 - left / whole).clamp(0.0, 1.0)
+    }
+
+    /// Whether the upstream's cold limit allows a request now.
+    fn is_admitted(
+        &self,
+        up: &Upstream,
+    ) -> bool {
+        self.fleet.admission_wait(up, self.now) == Some(Millis::ZERO)
+    }
+
+    /// Time until the upstream's cold limit allows a request, in milliseconds.
+    fn admission_delay(
+        &self,
+        up: &Upstream,
+    ) -> f64 {
+        let wait = self.fleet.admission_wait(up, self.now);
+        wait.unwrap_or(ADMISSION_WINDOW).0 as f64
     }
 
     /// The cost of an engine in milliseconds if it had the adapter loaded.
--- a/crates/core/src/scheduler/fleet.rs
+++ b/crates/core/src/scheduler/fleet.rs
@@ -3,7 +3,9 @@
         EngineLimits, EngineStatus, Job, LoadSettings, Outcome, UpstreamStatus,
         backlog::PrefillSample,
         choose::{MAX_FULL_SCAN_ENGINES, PreferredEngines},
+        cold_admission::{ColdLimit, ColdShare},
         engine::Engine,
+        evacuation::Evacuations,
         fleet_totals::FleetTotals,
         holders::Holders,
         load_slowdown::LoadSlowdown,
@@ -28,6 +30,11 @@
     pub totals: FleetTotals,
     /// Engine capacity by service; services without an entry have no engines.
     engines: HashMap<ServiceId, EngineLimits>,
+    /// Limits of cold upstreams by service; services without an entry have none.
+    pub(super) cold_limits: HashMap<ServiceId, ColdLimit>,
+    /// The part of the cold limits that this scheduler may use.
+    pub cold_share: ColdShare,
+    pub(super) evacuations: Evacuations,
     /// No orders to newly added engines before this time.
     pub orders_allowed_at: Millis,
     /// Prefill time estimators, by service.
@@ -88,6 +95,8 @@
         };
         let before = upstream.service;
         upstream.update(status, now);
+        upstream.evacuated_from = self.evacuations.effective_at(status.data_centre);
+        upstream.cold_limit = self.cold_limits.get(&status.service).copied();
         if before != status.service {
             self.remove_member(id, before);
             self.add_member(id, status.service);
@@ -294,7 +303,7 @@
             .filter_map(|upstream| Some((upstream.id, upstream.engine.as_mut()?)))
     }
 
-    /// Upstreams of a service that accept new requests.
+    /// Upstreams of a service whose entries say that they accept new requests.
     pub(super) fn ready(
         &self,
         service: ServiceId,
@@ -409,6 +418,9 @@
             return;
         };
         upstream.running += 1;
+        if upstream.cold_limit.is_some() {
+            upstream.admissions.note(now);
+        }
         if let Some(engine) = &mut upstream.engine {
             engine.kv_used += tokens.total;
             engine.backlog.push(request, tokens.prefill_tokens, now);
@@ -468,7 +480,11 @@
             // An engine also sheds requests for an adapter that is still loading.
             Outcome::Shed if upstream.is_loading(adapter) => upstream.note_late(adapter, now),
             Outcome::Failed | Outcome::Shed | Outcome::Lost => upstream.health.note_failure(now),
-            Outcome::Unreachable | Outcome::Silent => upstream.health.note_unreachable(now),
+            Outcome::Unreachable => {
+                upstream.health.note_unreachable(now);
+                upstream.assume_cold(now);
+            }
+            Outcome::Silent => upstream.health.note_unreachable(now),
             // Another upstream has taken over the address; not used until its store entry changes.
             Outcome::OtherUpstream => upstream.is_ready = false,
             Outcome::Abandoned => {}
--- a/crates/core/src/scheduler/fleet_totals.rs
+++ b/crates/core/src/scheduler/fleet_totals.rs
@@ -48,7 +48,7 @@
         up: &Upstream,
         now: Millis,
     ) {
-        if up.is_ready {
+        if up.accepts_requests(now) {
             *self.capacity.entry(up.service).or_default() += up.capacity();
         }
         let Some(engine) = &up.engine else {
--- a/crates/core/src/scheduler/job.rs
+++ b/crates/core/src/scheduler/job.rs
@@ -59,6 +59,8 @@
     pub deadline: Millis,
     /// Data centre of the forwarding VM, if known.
     pub data_centre: Option<DataCentreId>,
+    /// Data centres whose upstreams may serve it; empty if any may.
+    pub allowed_data_centres: Vec<DataCentreId>,
     /// Attempt number, from 1; later attempts draw on the retry budget.
     pub attempt: u32,
     /// Upstreams that failed earlier attempts.
@@ -73,4 +75,13 @@
             Work::Generation(generation) => Some(generation),
         }
     }
+
+    /// Whether upstreams in a data centre may serve the request.
+    pub fn is_allowed_in(
+        &self,
+        data_centre: Option<DataCentreId>,
+    ) -> bool {
+        let allowed = &self.allowed_data_centres;
+        allowed.is_empty() || data_centre.is_some_and(|id| allowed.contains(&id))
+    }
 }
--- a/crates/core/src/scheduler/loads.rs
+++ b/crates/core/src/scheduler/loads.rs
@@ -44,7 +44,11 @@
             self.ordered.pop_front();
         }
         let mut actions = Vec::new();
-        for up in fleet.upstreams.values_mut().filter(|up| up.is_ready) {
+        for up in fleet
+            .upstreams
+            .values_mut()
+            .filter(|up| up.is_ready && up.evacuated_from.is_none())
+        {
             let Some(engine) = &mut up.engine else {
                 continue;
             };
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -17,9 +17,12 @@
 mod account_rates;
 mod action;
 mod announced_versions;
+mod availability;
 mod backlog;
 mod choose;
+mod cold_admission;
 mod engine;
+mod evacuation;
 mod fleet;
 mod fleet_totals;
 mod health;
@@ -45,9 +48,11 @@
     account_rates::RateShare,
     action::{Order, SchedulerAction},
     announced_versions::Announcement,
+    cold_admission::{ADMISSION_WINDOW, ColdLimit, ColdShare},
     engine::EngineLimits,
     job::{AttemptId, Generation, Job, Work},
     outcome::{EnginesToPause, OrderResult, Outcome, RateDecision},
+    retry_budget::{AttemptCounts, AttemptHistory},
     running::RunningRequest,
     settings::{LoadSettings, RetrySettings, SchedulerSettings},
     state_machine::Scheduler,
--- a/crates/core/src/scheduler/retry_budget.rs
+++ b/crates/core/src/scheduler/retry_budget.rs
@@ -1,19 +1,99 @@
-use {super::RetrySettings, crate::clock::Millis, std::collections::VecDeque};
+use {
+    super::RetrySettings,
+    crate::{clock::Millis, ids::ServiceId},
+    std::collections::VecDeque,
+};
 
 /// Number of buckets in the sliding window.
 const BUCKETS: u64 = 10;
-/// Share of the budget to use, in percent.
+/// Share of the budget that the elected scheduler uses, in percent.
 ///
 /// Upstreams count an arrival later, possibly in another window.
-const BUDGET_PERCENT: f64 = 70.0;
-/// The same in the first window after a takeover: earlier schedulers may have used theirs.
-const TAKEOVER_BUDGET_PERCENT: f64 = 20.0;
+const SCHEDULER_PERCENT: f64 = 65.0;
+/// The same in the first window after a takeover, as far as the attempts of before are not known.
+const TAKEOVER_PERCENT: f64 = 12.0;
+/// Share of the budget that all VMs in standalone mode use together, in percent; comes on top of
+/// what a scheduler uses that some of them can't reach.
+const STANDALONE_PERCENT: f64 = 10.0;
 
-#[derive(Clone, Copy, Debug, Default)]
-struct Bucket {
-    starts_at: Millis,
-    requests: u32,
-    retries: u32,
+/// Attempts at one service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AttemptCounts {
+    /// First attempts.
+    pub requests: u32,
+    /// Later attempts.
+    pub retries: u32,
+}
+
+/// The attempts of one VM's callers in the last window, which it tells a new scheduler.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct AttemptHistory {
+    /// How long the VM has counted, at most one window.
+    pub counted_for: Millis,
+    /// The attempts at each service.
+    pub services: Vec<(ServiceId, AttemptCounts)>,
+}
+
+/// Who decides about retries, and so which part of the budget it may use.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum RetryShare {
+    /// The elected scheduler.
+    Scheduler {
+        /// The part of the last window's attempts that is known, from 0 to 1.
+        known: f64,
+    },
+    /// One of this many VMs in standalone mode.
+    Standalone { vms: u64 },
+}
+
+/// Counts of attempts in a sliding window.
+#[derive(Clone, Debug, Default)]
+pub(super) struct AttemptWindow {
+    buckets: VecDeque<(Millis, AttemptCounts)>,
+}
+
+impl AttemptWindow {
+    /// Adds attempts at the time `now`.
+    pub(super) fn add(
+        &mut self,
+        counts: AttemptCounts,
+        window: Millis,
+        now: Millis,
+    ) {
+        self.expire(window, now);
+        let length = (window.0 / BUCKETS).max(1);
+        let starts_at = Millis(now.0 / length * length);
+        match self.buckets.back_mut() {
+            Some((at, bucket)) if *at >= starts_at => {
+                bucket.requests += counts.requests;
+                bucket.retries += counts.retries;
+            }
+            _ => self.buckets.push_back((starts_at, counts)),
+        }
+    }
+
+    /// The attempts in the window that ends at `now`.
+    pub(super) fn total(
+        &mut self,
+        window: Millis,
+        now: Millis,
+    ) -> AttemptCounts {
+        self.expire(window, now);
+        let mut total = AttemptCounts::default();
+        for (_, counts) in &self.buckets {
+            total.requests += counts.requests;
+            total.retries += counts.retries;
+        }
+        total
+    }
+
+    fn expire(
+        &mut self,
+        window: Millis,
+        now: Millis,
+    ) {
+        self.buckets.retain(|&(at, _)| now.since(at) < window);
+    }
 }
 
 /// Retry budget of one service over all VMs, in a sliding window.
@@ -21,9 +101,10 @@
 /// Without it, retries of failed requests would overload the upstreams that still work.
 #[derive(Clone, Debug, Default)]
 pub(super) struct RetryBudget {
-    buckets: VecDeque<Bucket>,
-    /// When this scheduler took over from a previous one.
-    taken_over_at: Option<Millis>,
+    /// Attempts that this scheduler has decided about, and those that VMs told it after a takeover.
+    decided: AttemptWindow,
+    /// Attempts of this VM's own callers, whoever decided about them.
+    pub own: AttemptWindow,
 }
 
 impl RetryBudget {
@@ -33,63 +114,55 @@
         settings: &RetrySettings,
         now: Millis,
     ) {
-        self.bucket(settings, now).requests += 1;
+        let counts = AttemptCounts {
+            requests: 1,
+            retries: 0,
+        };
+        self.decided.add(counts, settings.window, now);
     }
 
-    /// The budget after a takeover, when earlier retries are unknown.
-    pub(super) fn taken_over(at: Option<Millis>) -> Self {
-        Self {
-            taken_over_at: at,
-            ..Self::default()
-        }
+    /// Adds attempts of before a takeover.
+    pub(super) fn add_history(
+        &mut self,
+        counts: AttemptCounts,
+        settings: &RetrySettings,
+        now: Millis,
+    ) {
+        self.decided.add(counts, settings.window, now);
+    }
+
+    /// Forgets the attempts that this scheduler has decided about.
+    pub(super) fn restart(&mut self) {
+        self.decided = AttemptWindow::default();
     }
 
     /// Takes one retry from the budget; returns whether one was left.
     pub(super) fn take(
         &mut self,
         settings: &RetrySettings,
+        share: RetryShare,
         now: Millis,
     ) -> bool {
-        self.bucket(settings, now);
-        let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
-        let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
-        let allowed = settings.ratio * f64::from(requests) + settings.slack;
-        let is_after_takeover = self
-            .taken_over_at
-            .is_some_and(|at| now.since(at) < settings.window);
-        let percent = if is_after_takeover {
-            TAKEOVER_BUDGET_PERCENT
-        } else {
-            BUDGET_PERCENT
+        let AttemptCounts { requests, retries } = self.decided.total(settings.window, now);
+        let allowed = match share {
+            RetryShare::Scheduler { known } => {
+                let percent = TAKEOVER_PERCENT + (SCHEDULER_PERCENT - TAKEOVER_PERCENT) * known;
+                (settings.ratio * f64::from(requests) + settings.slack) * percent / 100.0
+            }
+            RetryShare::Standalone { vms } => {
+                let own = self.own.total(settings.window, now).requests.max(requests);
+                let slack = settings.slack / vms.max(1) as f64;
+                (settings.ratio * f64::from(own) + slack) * STANDALONE_PERCENT / 100.0
+            }
         };
-        let has_left = f64::from(retries + 1) <= allowed * percent / 100.0;
+        let has_left = f64::from(retries + 1) <= allowed;
         if has_left {
-            self.bucket(settings, now).retries += 1;
+            let counts = AttemptCounts {
+                requests: 0,
+                retries: 1,
+            };
+            self.decided.add(counts, settings.window, now);
         }
         has_left
     }
-
-    /// The bucket for `now`; drops those outside the window.
-    fn bucket(
-        &mut self,
-        settings: &RetrySettings,
-        now: Millis,
-    ) -> &mut Bucket {
-        let length = (settings.window.0 / BUCKETS).max(1);
-        let starts_at = Millis(now.0 / length * length);
-        self.buckets
-            .retain(|bucket| now.since(bucket.starts_at) < settings.window);
-        if self
-            .buckets
-            .back()
-            .is_none_or(|bucket| bucket.starts_at < starts_at)
-        {
-            self.buckets.push_back(Bucket {
-                starts_at,
-                ..Bucket::default()
-            });
-        }
-        let last = self.buckets.len() - 1;
-        &mut self.buckets[last]
-    }
 }
--- a/crates/core/src/scheduler/settings.rs
+++ b/crates/core/src/scheduler/settings.rs
@@ -72,6 +72,8 @@
     /// Zero where engines check fencing tokens; other engines may still execute orders of the
     /// previous scheduler.
     pub order_gap: Millis,
+    /// How long requests move away from a data centre before its evacuation takes effect.
+    pub evacuation_move: Millis,
     /// Limits and expected times of adapter loads.
     pub loads: LoadSettings,
     /// Retry budget of each service.
@@ -87,6 +89,7 @@
             min_call_time: Millis(30),
             version_grace: Millis(2_000),
             order_gap: Millis::ZERO,
+            evacuation_move: Millis::ZERO,
             loads: LoadSettings::default(),
             repeats: RetrySettings::default(),
         }
--- a/crates/core/src/scheduler/state_machine/admission.rs
+++ b/crates/core/src/scheduler/state_machine/admission.rs
@@ -8,7 +8,7 @@
         ids::{AccountId, AdapterVersion, RequestId, ServiceId},
         queue::{Priority, QueueTarget, QueuedRequest},
         rights::Charge,
-        scheduler::{Job, Work, retry_budget::RetryBudget},
+        scheduler::{Job, Work},
     },
 };
 
@@ -19,28 +19,6 @@
 const DISPATCH_DELAY: Millis = Millis(40);
 
 impl Scheduler {
-    /// Refuses a retry if the service's retry budget is used up.
-    pub(super) fn check_retry_budget(
-        &mut self,
-        job: &Job,
-        now: Millis,
-    ) -> Result<(), Refusal> {
-        let taken_over_at = self.taken_over_at;
-        let budget = self
-            .retry_budgets
-            .entry(job.service)
-            .or_insert_with(|| RetryBudget::taken_over(taken_over_at));
-        if job.attempt <= 1 {
-            budget.note_request(&self.settings.repeats, now);
-            return Ok(());
-        }
-        if budget.take(&self.settings.repeats, now) {
-            Ok(())
-        } else {
-            Err(Refusal::new(ErrorKind::NoUpstream))
-        }
-    }
-
     /// Refuses a request that is not expected to meet its deadline.
     pub(super) fn check_deadline(
         &self,
--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -9,7 +9,7 @@
         ids::{AdapterVersion, RequestId, UpstreamId},
         queue::QueuedRequest,
         scheduler::{
-            Job, Outcome, SchedulerAction as Action,
+            Job, Outcome, RateShare, SchedulerAction as Action,
             choose::{Choice, SelectionContext},
             fleet::Load,
             fleet_totals::FleetTotals,
@@ -57,6 +57,7 @@
     ) -> Vec<Action> {
         self.fleet.refresh_totals(now);
         let mut actions = self.refuse_expired(now);
+        actions.extend(self.refuse_evacuated(now));
         actions.extend(self.postpone_late(now));
         if now >= self.next_pass_at {
             self.run_dispatch_pass(now, &mut actions);
@@ -184,7 +185,7 @@
     }
 
     /// Refuses a queued request.
-    fn refuse(
+    pub(super) fn refuse(
         &mut self,
         request: RequestId,
         refusal: Refusal,
@@ -210,6 +211,10 @@
         actions: &mut Vec<Action>,
     ) {
         let can_order = self.can_order;
+        let deciding_vms = match self.rates.share() {
+            RateShare::Part(vms) if !can_order => vms,
+            _ => 1,
+        };
         let mut evaluations = 0;
         loop {
             let mut sent = None;
@@ -254,6 +259,7 @@
                         can_order,
                         can_evict,
                         cold_load_ms: cold_load.0 as f64,
+                        deciding_vms,
                         now,
                     };
                     let Choice {
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -42,8 +42,7 @@
             };
             self.fleet.orders_allowed_at = orders_allowed_at;
             if share != RateShare::Fresh {
-                self.taken_over_at = Some(now);
-                self.retry_budgets.clear();
+                self.restart_retry_budgets(now);
             }
             for (_, engine) in self.fleet.engines_mut() {
                 engine.has_pending_order = false;
@@ -196,7 +195,7 @@
 
     /// Marks all queued requests for evaluation, as an engine may accept orders again; for long
     /// queues at most once per [`Self::full_evaluation_time`].
-    fn reevaluate_all(
+    pub(super) fn reevaluate_all(
         &mut self,
         now: Millis,
     ) {
@@ -238,6 +237,9 @@
             }]
         };
         self.fleet.refresh_totals(now);
+        if let Err(refusal) = self.check_availability(&job, now) {
+            return refuse(refusal);
+        }
         if let Err(refusal) = self.check_retry_budget(&job, now) {
             return refuse(refusal);
         }
--- a/crates/core/src/scheduler/state_machine/mod.rs
+++ b/crates/core/src/scheduler/state_machine/mod.rs
@@ -16,9 +16,11 @@
 };
 
 mod admission;
+mod availability;
 mod decisions;
 mod events;
 mod queries;
+mod retries;
 
 /// How long after its deadline a request is dropped if its VM has not reported its end.
 const ORPHAN_TIMEOUT: Millis = Millis(1_000);
@@ -41,6 +43,10 @@
     retry_budgets: HashMap<ServiceId, RetryBudget>,
     /// When this scheduler took over from another one, if it did.
     taken_over_at: Option<Millis>,
+    /// The part of the attempts before the takeover that VMs have told, from 0 to 1.
+    known_history: f64,
+    /// Since when attempts of this VM's own callers are counted.
+    counting_since: Option<Millis>,
     queue: FairQueue,
     entries: HashMap<RequestId, TrackedRequest>,
     by_attempt_id: HashMap<AttemptId, RequestId>,
@@ -50,6 +56,8 @@
     queued_work: HashMap<ServiceId, f64>,
     /// Queued requests that can still be on time, by the latest time to send them.
     on_time: BTreeSet<(Millis, RequestId)>,
+    /// When the next evacuation takes effect.
+    next_evacuation_at: Option<Millis>,
     model_loads: ModelLoads,
     engines_checked_at: Millis,
     reports: ReportQueue,
@@ -83,6 +91,8 @@
             rates: AccountRates::new(share),
             retry_budgets: HashMap::new(),
             taken_over_at: None,
+            known_history: 0.0,
+            counting_since: None,
             queue: FairQueue::new(QueueSettings {
                 refuses_by_estimate: false,
                 ..QueueSettings::default()
@@ -92,6 +102,7 @@
             queued_by_adapter: HashMap::new(),
             queued_work: HashMap::new(),
             on_time: BTreeSet::new(),
+            next_evacuation_at: None,
             model_loads: ModelLoads::default(),
             engines_checked_at: Millis::ZERO,
             reports: ReportQueue::default(),
--- a/crates/core/src/scheduler/state_machine/queries.rs
+++ b/crates/core/src/scheduler/state_machine/queries.rs
@@ -23,7 +23,10 @@
         let next_check = self.engines_checked_at + self.engine_check_interval();
         let report = totals.next_report.filter(|_| self.can_order);
         let report = report.map(|at| at.max(next_check));
-        let soonest = report.into_iter().fold(idle, Millis::min);
+        let soonest = report
+            .into_iter()
+            .chain(self.next_evacuation_at)
+            .fold(idle, Millis::min);
         if self.queue.is_empty() {
             return soonest.max(now + Millis(1));
         }
@@ -67,13 +70,14 @@
         entry.is_some_and(|entry| matches!(entry.stage, Stage::Running { .. }))
     }
 
-    /// Whether an upstream is known but accepts no new requests.
+    /// Whether an upstream is known but accepts no new requests, or is evacuated.
     pub fn is_leaving(
         &self,
         id: UpstreamId,
+        now: Millis,
     ) -> bool {
         let known = self.fleet.upstreams.get(&id);
-        known.is_some_and(|upstream| !upstream.is_ready)
+        known.is_some_and(|upstream| !upstream.accepts_requests(now))
     }
 
     /// Whether any upstream of the service accepts requests.
--- /dev/null
+++ b/crates/core/src/scheduler/state_machine/retries.rs
@@ -0,0 +1,116 @@
+//! The retry budget: checks, and the history of attempts that VMs tell a new scheduler.
+
+use {
+    super::Scheduler,
+    crate::{
+        clock::Millis,
+        error::{ErrorKind, Refusal},
+        ids::ServiceId,
+        scheduler::{AttemptCounts, AttemptHistory, Job, RateShare, retry_budget::RetryShare},
+    },
+};
+
+impl Scheduler {
+    /// Refuses a retry if the service's retry budget is used up.
+    pub(super) fn check_retry_budget(
+        &mut self,
+        job: &Job,
+        now: Millis,
+    ) -> Result<(), Refusal> {
+        let share = self.retry_share(now);
+        let settings = self.settings.repeats;
+        let budget = self.retry_budgets.entry(job.service).or_default();
+        if job.attempt <= 1 {
+            budget.note_request(&settings, now);
+            return Ok(());
+        }
+        if budget.take(&settings, share, now) {
+            Ok(())
+        } else {
+            Err(Refusal::new(ErrorKind::NoUpstream))
+        }
+    }
+
+    /// Records an attempt of this VM's own callers, decided by this or another scheduler.
+    pub fn note_own_attempt(
+        &mut self,
+        service: ServiceId,
+        attempt: u32,
+        now: Millis,
+    ) {
+        let is_retry = attempt > 1;
+        let counts = AttemptCounts {
+            requests: u32::from(!is_retry),
+            retries: u32::from(is_retry),
+        };
+        let window = self.settings.repeats.window;
+        let budget = self.retry_budgets.entry(service).or_default();
+        budget.own.add(counts, window, now);
+        self.counting_since.get_or_insert(now);
+    }
+
+    /// The attempts of this VM's own callers, for a new scheduler.
+    pub fn attempt_history(
+        &mut self,
+        now: Millis,
+    ) -> AttemptHistory {
+        let window = self.settings.repeats.window;
+        let since = self.counting_since.unwrap_or(now);
+        let budgets = self.retry_budgets.iter_mut();
+        let services = budgets.map(|(&service, budget)| (service, budget.own.total(window, now)));
+        AttemptHistory {
+            counted_for: now.since(since).min(window),
+            services: services
+                .filter(|(_, counts)| *counts != AttemptCounts::default())
+                .collect(),
+        }
+    }
+
+    /// Adds the attempts that one of `vms` VMs made before this scheduler took over.
+    pub fn add_attempt_history(
+        &mut self,
+        history: &AttemptHistory,
+        vms: usize,
+        now: Millis,
+    ) {
+        let settings = self.settings.repeats;
+        for &(service, counts) in &history.services {
+            let budget = self.retry_budgets.entry(service).or_default();
+            budget.add_history(counts, &settings, now);
+        }
+        let counted = history.counted_for.0 as f64 / settings.window.0.max(1) as f64;
+        self.known_history += counted.min(1.0) / vms.max(1) as f64;
+    }
+
+    /// Starts the count of attempts anew when this scheduler takes over from another one.
+    pub(super) fn restart_retry_budgets(
+        &mut self,
+        now: Millis,
+    ) {
+        self.taken_over_at = Some(now);
+        self.known_history = 0.0;
+        for budget in self.retry_budgets.values_mut() {
+            budget.restart();
+        }
+    }
+
+    fn retry_share(
+        &self,
+        now: Millis,
+    ) -> RetryShare {
+        let window = self.settings.repeats.window;
+        match self.rates.share() {
+            RateShare::Part(vms) if !self.can_order => RetryShare::Standalone { vms },
+            _ => {
+                let is_window_full = self.taken_over_at.is_none_or(|at| now.since(at) >= window);
+                RetryShare::Scheduler {
+                    known: if is_window_full {
+                        1.0
+                    } else {
+                        self.known_history.min(1.0)
+                    },
+                }
+            }
+        }
+    }
+}
--- a/crates/core/src/scheduler/upstream.rs
+++ b/crates/core/src/scheduler/upstream.rs
@@ -1,5 +1,10 @@
 use {
-    super::{engine::Engine, health::Health, resident::ResidentState},
+    super::{
+        cold_admission::{AdmissionLog, ColdLimit},
+        engine::Engine,
+        health::Health,
+        resident::ResidentState,
+    },
     crate::{
         clock::Millis,
         ids::{AdapterVersion, DataCentreId, ModelId, ServiceId, UpstreamId},
@@ -36,6 +41,8 @@
 /// What the configuration store holds about an upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UpstreamStatus {
+    /// Hash of the upstream's id that is the same on all VMs.
+    pub id_hash: u64,
     /// Service whose requests the upstream serves.
     pub service: ServiceId,
     /// Data centre of the upstream; `None` if unknown.
@@ -44,7 +51,8 @@
     pub slots: u32,
     /// Whether it accepts new requests.
     pub is_ready: bool,
-    /// Remaining time during which it is slow after its start.
+    /// Remaining time during which it is slow and, if its service has a [`ColdLimit`], takes few
+    /// requests.
     pub cold: Millis,
     /// Identifies the current run of the upstream; changes with each restart.
     pub started_unix_ms: Option<u64>,
@@ -56,12 +64,22 @@
 #[derive(Clone, Debug)]
 pub(super) struct Upstream {
     pub id: UpstreamId,
+    pub id_hash: u64,
     pub service: ServiceId,
     pub data_centre: Option<DataCentreId>,
     pub slots: u32,
+    /// Whether its entry says that it accepts new requests.
     pub is_ready: bool,
     pub started_unix_ms: Option<u64>,
+    /// Until when it is expected to be slow after its start.
     pub warmup_until: Millis,
+    /// Until when it may crash if it gets more requests than its cold limit.
+    cold_until: Millis,
+    /// The limit of its service while it is cold.
+    pub cold_limit: Option<ColdLimit>,
+    pub admissions: AdmissionLog,
+    /// When the evacuation of its data centre takes effect.
+    pub evacuated_from: Option<Millis>,
     pub health: Health,
     /// Assigned requests that have not ended.
     pub running: u32,
@@ -79,12 +97,17 @@
     ) -> Self {
         Self {
             id,
+            id_hash: status.id_hash,
             service: status.service,
             data_centre: status.data_centre,
             slots: status.slots,
             is_ready: status.is_ready,
             started_unix_ms: status.started_unix_ms,
             warmup_until: now + status.cold,
+            cold_until: now + status.cold,
+            cold_limit: None,
+            admissions: AdmissionLog::default(),
+            evacuated_from: None,
             health: Health::default(),
             running: 0,
             call_ms: INITIAL_CALL_MS,
@@ -104,6 +127,8 @@
         self.slots = status.slots;
         self.is_ready = status.is_ready;
         self.warmup_until = now + status.cold;
+        // The entry may have been written before the upstream became cold.
+        self.cold_until = self.cold_until.max(now + status.cold);
         self.started_unix_ms = status.started_unix_ms;
         if restarted {
             self.health = Health::default();
@@ -113,6 +138,33 @@
         }
     }
 
+    /// Whether it accepts new requests and its data centre is not evacuated.
+    pub(super) fn accepts_requests(
+        &self,
+        now: Millis,
+    ) -> bool {
+        self.is_ready && self.evacuated_from.is_none_or(|at| now < at)
+    }
+
+    /// Whether it may be cold, so that its cold limit applies.
+    pub(super) fn is_cold(
+        &self,
+        now: Millis,
+    ) -> bool {
+        now < self.cold_until
+    }
+
+    /// Treats it as cold for as long as a start would make it, as it may have restarted or become
+    /// cold without its entry saying so yet.
+    pub(super) fn assume_cold(
+        &mut self,
+        now: Millis,
+    ) {
+        if let Some(limit) = self.cold_limit {
+            self.cold_until = self.cold_until.max(now + limit.duration);
+        }
+    }
+
     /// Whether the adapter was being loaded when it was last observed.
     pub(super) fn is_loading(
         &self,
@@ -165,8 +217,13 @@
         }
     }
 
+    /// Number of calls that keep its slots busy: one for each slot and some sent ahead.
+    pub(super) const fn call_capacity(&self) -> u32 {
+        self.slots + self.slots.div_ceil(SLOTS_PER_QUEUED_CALL)
+    }
+
     /// Whether a slot is free or is expected to be free when one more call arrives.
     pub(super) const fn can_take_call(&self) -> bool {
-        self.running < self.slots + self.slots.div_ceil(SLOTS_PER_QUEUED_CALL)
+        self.running < self.call_capacity()
     }
 }
--- a/crates/core/src/scheduler/wait_reason.rs
+++ b/crates/core/src/scheduler/wait_reason.rs
@@ -18,11 +18,13 @@
     Order,
     /// An adapter slot: none can be freed.
     AdapterSlot,
+    /// The request rate of a cold upstream.
+    ColdUpstream,
 }
 
 impl WaitReason {
     /// All variants in declaration order, by which wait times are counted and exported as metrics.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::Turn,
         Self::NoUpstream,
         Self::CallSlot,
@@ -31,6 +33,7 @@
         Self::Load,
         Self::Order,
         Self::AdapterSlot,
+        Self::ColdUpstream,
     ];
 
     /// Parses a name from [`Self::as_str`]; `None` if it is unknown.
@@ -49,6 +52,7 @@
             Self::Load => "load",
             Self::Order => "order",
             Self::AdapterSlot => "place",
+            Self::ColdUpstream => "cold_upstream",
         }
     }
 }
--- a/crates/core/tests/ingress_routes.rs
+++ b/crates/core/tests/ingress_routes.rs
@@ -1,9 +1,12 @@
 //! Choice of the route and service of a request, and limits on its attempts.
 
-use jasmine_core::{
-    clock::Millis,
-    forward::{AttemptEnd, Attempts, Repeat},
-    ingress::{CallKind, IngressRoute, RouteTable, WeightedService},
+use {
+    jasmine_core::{
+        clock::Millis,
+        forward::{AttemptEnd, Attempts, Repeat},
+        ingress::{CallKind, IngressRoute, RouteTable, WeightedService, allowed_data_centres},
+    },
+    std::collections::BTreeMap,
 };
 
 fn route(
@@ -21,6 +24,7 @@
         priority: 1,
         attempts: 2,
         is_public: false,
+        allowed_regions: Vec::new(),
         services: vec![
             WeightedService {
                 service: "x".into(),
@@ -99,3 +103,24 @@
         .count();
     assert_eq!(tries, 3, "attempts without a run are limited");
 }
+
+#[test]
+fn both_lists_of_regions_bind() {
+    // Guards against a request that leaves the regions of its route or of its account.
+    let regions = BTreeMap::from([
+        ("a".to_owned(), "east".to_owned()),
+        ("b".to_owned(), "east".to_owned()),
+        ("c".to_owned(), "west".to_owned()),
+    ]);
+    let list = |names: &[&str]| -> Vec<String> { names.iter().map(|&n| n.to_owned()).collect() };
+    let allowed = |route: &[&str], account: &[&str]| {
+        let (route, account) = (list(route), list(account));
+        let allowed = allowed_data_centres(&[&route, &account], &regions);
+        allowed.map(|names| names.join(","))
+    };
+    assert_eq!(allowed(&[], &[]), None);
+    assert_eq!(allowed(&["east"], &[]).as_deref(), Some("a,b"));
+    assert_eq!(allowed(&[], &["west"]).as_deref(), Some("c"));
+    assert_eq!(allowed(&["east", "west"], &["west"]).as_deref(), Some("c"));
+    assert_eq!(allowed(&["east"], &["west"]).as_deref(), Some(""));
+}
--- a/crates/core/tests/scheduler_refusals.rs
+++ b/crates/core/tests/scheduler_refusals.rs
@@ -7,7 +7,10 @@
         clock::Millis,
         error::ErrorKind,
         ids::{AccountId, UpstreamId},
-        scheduler::{Job, Outcome, RateShare, RetrySettings, SchedulerSettings},
+        scheduler::{
+            AttemptCounts, AttemptHistory, Job, Outcome, RateShare, RetrySettings,
+            SchedulerSettings,
+        },
     },
     scheduler_world::{Decision, World, call, generation},
 };
@@ -234,6 +237,71 @@
     assert!((1..=9).contains(&retried), "{retried} of 30");
 }
 
+#[test]
+fn a_takeover_counts_the_retries_that_vms_tell() {
+    // Guards against a successor that spends a budget which its predecessor has used up.
+    let mut world = World::with(0, retry_settings(), false);
+    world
+        .scheduler
+        .set_role(true, RateShare::TakenOver, world.now);
+    let service = scheduler_world::CALLS;
+    for vm in 0..4 {
+        let counts = AttemptCounts {
+            requests: 100,
+            retries: if vm == 0 { 60 } else { 1 },
+        };
+        let history = AttemptHistory {
+            counted_for: Millis(10_000),
+            services: vec![(service, counts)],
+        };
+        world.scheduler.add_attempt_history(&history, 4, world.now);
+    }
+    let retried = simulate_failures(&mut world);
+    // 65 % of 20 % of 500 requests and ten more, less the 63 of before.
+    assert!(retried <= 9, "{retried} retries after 63 of 110");
+}
+
+#[test]
+fn standalone_vms_share_the_retry_budget() {
+    // Guards against VMs without a scheduler that each spend a whole budget: an upstream that is
+    // full gets most of its arrivals from retries.
+    let mut retried = 0;
+    for _ in 0..20 {
+        let mut world = World::with(0, retry_settings(), false);
+        world
+            .scheduler
+            .set_role(false, RateShare::Part(20), world.now);
+        retried += simulate_failures(&mut world);
+    }
+    // 2,000 requests of all VMs allow 410; the elected scheduler may use 65 % of that.
+    assert!(
+        retried <= 41,
+        "{retried} retries by VMs without a scheduler"
+    );
+}
+
+#[test]
+fn standalone_vms_share_the_slots_of_a_service() {
+    // Guards against VMs without a scheduler that together send many times the slots of a service,
+    // which turns most of the calls away.
+    let mut sent = 0;
+    for _ in 0..67 {
+        let mut world = World::with(0, retry_settings(), false);
+        world
+            .scheduler
+            .set_role(false, RateShare::Part(67), world.now);
+        for id in 0..4 {
+            world.add_server(UpstreamId(id));
+        }
+        for _ in 0..5 {
+            let number = world.place(call(world.now));
+            sent += usize::from(world.sent_to(number).is_some());
+        }
+    }
+    // Four servers with six slots and a queue of their own.
+    assert_eq!(sent, 67);
+}
+
 #[test]
 fn a_failing_upstream_gets_fewer_requests() {
     // Guards against sending requests to a server that fails them while its health check passes.
--- a/crates/core/tests/scheduler_world/mod.rs
+++ b/crates/core/tests/scheduler_world/mod.rs
@@ -108,7 +108,7 @@
         status: &UpstreamStatus,
     ) {
         let actions = self.scheduler.set_upstream(id, status, self.now);
-        self.apply_actions(actions);
+        self.apply(actions);
     }
 
     pub fn report(
@@ -117,7 +117,7 @@
         status: &EngineStatus,
     ) {
         let actions = self.scheduler.report(id, Some(status), self.now);
-        self.apply_actions(actions);
+        self.apply(actions);
     }
 
     pub fn limit(
@@ -145,7 +145,7 @@
         self.next_number += 1;
         let attempt_id = attempt_id(self.next_number);
         let actions = self.scheduler.place(attempt_id, job, self.now);
-        self.apply_actions(actions);
+        self.apply(actions);
         self.next_number
     }
 
@@ -154,7 +154,7 @@
         number: u64,
     ) {
         let actions = self.scheduler.first_event(attempt_id(number), self.now);
-        self.apply_actions(actions);
+        self.apply(actions);
     }
 
     pub fn end(
@@ -163,7 +163,7 @@
         outcome: Outcome,
     ) {
         let actions = self.scheduler.ended(attempt_id(number), outcome, self.now);
-        self.apply_actions(actions);
+        self.apply(actions);
     }
 
     pub fn answer(
@@ -173,7 +173,7 @@
         end: OrderResult,
     ) {
         let actions = self.scheduler.order_ended(upstream, order, end, self.now);
-        self.apply_actions(actions);
+        self.apply(actions);
     }
 
     /// Advances the clock and runs the scheduler's timers.
@@ -185,7 +185,7 @@
         while self.now < until {
             self.now = self.scheduler.wake_at(self.now).min(until);
             let actions = self.scheduler.tick(self.now);
-            self.apply_actions(actions);
+            self.apply(actions);
         }
     }
 
@@ -219,7 +219,7 @@
             .count()
     }
 
-    fn apply_actions(
+    pub fn apply(
         &mut self,
         actions: Vec<Action>,
     ) {
@@ -317,6 +317,7 @@
 
 pub fn upstream(engine: Option<EngineStatus>) -> UpstreamStatus {
     UpstreamStatus {
+        id_hash: 0,
         service: ENGINES,
         data_centre: Some(HERE),
         slots: 64,
@@ -353,6 +354,7 @@
         gap_objective: None,
         deadline: now + Millis(5_000),
         data_centre: Some(HERE),
+        allowed_data_centres: Vec::new(),
         attempt: 1,
         excluded_upstreams: Vec::new(),
     }
--- a/crates/entry/examples/scheduler_calls.rs
+++ b/crates/entry/examples/scheduler_calls.rs
@@ -5,6 +5,7 @@
 //! The requests are calls of a service with free slots for all, so that the scheduling decisions themselves are cheap.
 
 use {
+    jasmine_conf::settings::ColdUpstreamSettings,
     jasmine_core::{
         clock::Millis,
         ids::{Fence, Revision},
@@ -134,7 +135,11 @@
     address: SocketAddr,
 ) -> Rc<SchedulerNode> {
     let (tasks, _engines) = mpsc::unbounded_channel();
-    let local_scheduler = Rc::new(LocalScheduler::new(SchedulerSettings::default(), tasks));
+    let local_scheduler = Rc::new(LocalScheduler::new(
+        SchedulerSettings::default(),
+        ColdUpstreamSettings::default(),
+        tasks,
+    ));
     let scheduling = Rc::new(SchedulerNode::new(
         local_scheduler,
         name.to_owned(),
@@ -149,6 +154,7 @@
     let service = ServiceSpec {
         name: "calls".to_owned(),
         max_connections: None,
+        cold_start: None,
         engine: None,
     };
     IngressConfig {
@@ -187,5 +193,6 @@
         attempt: 1,
         excluded_upstreams: Vec::new(),
         data_centre: "one".to_owned(),
+        allowed_data_centres: Vec::new(),
     }
 }
--- a/crates/entry/src/daemon/run.rs
+++ b/crates/entry/src/daemon/run.rs
@@ -63,7 +63,11 @@
     let incarnation: u64 = rand::random();
 
     let (tasks, orders) = mpsc::unbounded_channel();
-    let local_scheduler = Rc::new(LocalScheduler::new(scheduler_settings(&settings), tasks));
+    let local_scheduler = Rc::new(LocalScheduler::new(
+        scheduler_settings(&settings),
+        settings.cold_upstreams,
+        tasks,
+    ));
     let me = settings.vm.clone();
     let scheduling = Rc::new(SchedulerNode::new(
         local_scheduler,
@@ -154,6 +158,7 @@
 fn scheduler_settings(settings: &EntrySettings) -> SchedulerSettings {
     SchedulerSettings {
         order_gap: settings.order_gap(),
+        evacuation_move: settings.evacuation_move(),
         repeats: RetrySettings {
             ratio: settings.repeats.ratio,
             slack: settings.repeats.slack,
--- a/crates/entry/src/forward/request.rs
+++ b/crates/entry/src/forward/request.rs
@@ -6,10 +6,10 @@
     jasmine_core::{
         clock::Millis,
         error::{ErrorKind, Refusal},
-        ingress::{CallKind, IngressConfig, IngressRoute},
+        ingress::{CallKind, IngressConfig, IngressRoute, allowed_data_centres},
     },
     jasmine_platform::headers::CallerHeaders,
-    std::sync::Arc,
+    std::{collections::BTreeMap, sync::Arc},
     xxhash_rust::xxh3::xxh3_64,
 };
 
@@ -28,6 +28,8 @@
     pub is_generation: bool,
     /// The client account of the API key.
     pub account: Option<String>,
+    /// Data centres whose upstreams may serve it; empty if any may.
+    pub allowed_data_centres: Vec<String>,
     /// The priority, 0 is the highest.
     pub priority: u8,
     /// The cost charged to the account, in the account's unit.
@@ -50,6 +52,7 @@
         incoming: IncomingRequest,
         caller: CallerHeaders,
         config: &IngressConfig,
+        regions: &BTreeMap<String, String>,
         now: Millis,
     ) -> Result<Self, Refusal> {
         let refuse = |kind| Err(Refusal::new(kind));
@@ -71,10 +74,17 @@
         let Some(service) = route.service_for(xxh3_64(id.as_bytes())) else {
             return refuse(ErrorKind::NoUpstream);
         };
+        let account_regions = account.map_or(&[][..], |account| &account.allowed_regions);
+        let allowed = allowed_data_centres(&[&route.allowed_regions, account_regions], regions);
+        if allowed.as_ref().is_some_and(Vec::is_empty) {
+            return refuse(ErrorKind::RegionUnavailable);
+        }
+        let allowed = allowed.unwrap_or_default().into_iter();
         let spec = config.services.get(service);
         let max_wait = caller.max_wait.unwrap_or(route.timeout);
         Ok(Self {
             service: service.to_owned(),
+            allowed_data_centres: allowed.map(str::to_owned).collect(),
             is_generation: spec.is_some_and(|spec| spec.engine.is_some()),
             priority: account
                 .and_then(|account| account.priority)
@@ -123,6 +133,7 @@
             attempt,
             excluded_upstreams: excluded_upstreams.to_vec(),
             data_centre: data_centre.to_owned(),
+            allowed_data_centres: self.allowed_data_centres.clone(),
         }
     }
 
--- a/crates/entry/src/forward/serve.rs
+++ b/crates/entry/src/forward/serve.rs
@@ -41,7 +41,10 @@
             ErrorKind::ConfigUnavailable,
             NO_CONFIG_RETRY_DELAY,
         )),
-        Some(config) => ForwardRequest::from_incoming(incoming, caller, &config, now),
+        Some(config) => {
+            let regions = &cx.settings.regions;
+            ForwardRequest::from_incoming(incoming, caller, &config, regions, now)
+        }
     };
     match validated {
         Ok(req) => Driver::new(cx, req).run(out).await,
--- a/crates/entry/src/scheduling/client/following.rs
+++ b/crates/entry/src/scheduling/client/following.rs
@@ -5,7 +5,8 @@
     crate::scheduling::{
         Leader,
         convert::{
-            JobUpdate, read_leader, write_idle_times, write_leader, write_running, write_update,
+            JobUpdate, read_leader, write_attempts, write_idle_times, write_leader, write_running,
+            write_update,
         },
     },
     futures::future::join_all,
@@ -172,6 +173,8 @@
         let running = self.running_specs();
         let (me, incarnation) = (&self.me, self.incarnation);
         let running = &running;
+        let (attempts, counted_for) = self.local_scheduler.attempt_history();
+        let attempts = &attempts;
         let (session, other) = link
             .call(Millis::ZERO, |client| async move {
                 let mut req = client.hello_request();
@@ -181,6 +184,8 @@
                 for (at, running) in running.iter().enumerate() {
                     write_running(list.reborrow().get(at as u32), running);
                 }
+                write_attempts(req.get().init_attempts(attempts.len() as u32), attempts);
+                req.get().set_counted_for_ms(counted_for.0 as u32);
                 let res = req.send().promise.await?;
                 let res = res.get()?;
                 Ok((res.get_session(), read_leader(res.get_leader()?)?))
--- a/crates/entry/src/scheduling/client/leading.rs
+++ b/crates/entry/src/scheduling/client/leading.rs
@@ -6,9 +6,10 @@
     jasmine_core::{
         clock::Millis,
         ids::Fence,
-        scheduler::{EnginesToPause, RateShare},
+        scheduler::{ADMISSION_WINDOW, ColdShare, EnginesToPause, RateShare},
     },
     jasmine_telemetry::log::Line,
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 impl SchedulerNode {
@@ -37,6 +38,8 @@
         if self.lease_valid_until.get().is_some() {
             self.lease_valid_until.set(Some(until));
         }
+        self.leader_lease_until.set(until);
+        self.update_cold_share();
     }
 
     /// The fencing token for an order; `None` unless this VM leads and, where required, its lease is valid.
@@ -75,6 +78,15 @@
         let previous = self.leader.replace(Some(leader.clone()));
         self.local_scheduler.set_role(true, share);
         self.apply_handover(previous.as_ref().map(|previous| previous.fence));
+        let (attempts, counted_for) = self.local_scheduler.attempt_history();
+        let vms = self.vms.borrow().len();
+        self.local_scheduler
+            .add_attempt_history(&attempts, counted_for, vms);
+        let now = self.clock.now();
+        self.cold_usable_from.set(match share {
+            RateShare::Fresh => now,
+            RateShare::TakenOver | RateShare::Part(_) => now + ADMISSION_WINDOW,
+        });
         for running in self.running_specs() {
             self.local_scheduler.adopt(LOCAL_VM, &running);
         }
@@ -183,6 +195,23 @@
         self.set_mode(Mode::Standalone);
     }
 
+    /// Tells the local scheduler which part of the limits of cold upstreams it may use.
+    pub(super) fn update_cold_share(&self) {
+        let share = if self.is_leading() {
+            ColdShare::Scheduler {
+                usable_from: self.cold_usable_from.get(),
+                lease_until: self.leader_lease_until.get(),
+            }
+        } else {
+            let hash = |name: &String| xxh3_64(name.as_bytes());
+            ColdShare::Standalone {
+                me: hash(&self.me),
+                vms: self.vms.borrow().keys().map(hash).collect(),
+            }
+        };
+        self.local_scheduler.set_cold_share(share);
+    }
+
     pub(super) fn rights_share(&self) -> RateShare {
         self.share_count.set(self.vms.borrow().len().max(1) as u64);
         RateShare::Part(self.share_count.get())
--- a/crates/entry/src/scheduling/convert.rs
+++ b/crates/entry/src/scheduling/convert.rs
@@ -2,15 +2,17 @@
 
 use {
     super::{GenerationSpec, JobSpec, Leader, RunningSpec, Verdict},
-    capnp::struct_list,
+    capnp::{struct_list, text_list},
     jasmine_core::{
         clock::Millis,
         error::{ErrorKind, Refusal},
         ids::Fence,
         ingress::{PromptPart, PromptSize},
-        scheduler::{Outcome, WaitReason},
+        scheduler::{AttemptCounts, Outcome, WaitReason},
+    },
+    jasmine_wire::scheduler_capnp::{
+        EndKind, attempts, job, leadership, news, rested, running_job, verdict,
     },
-    jasmine_wire::scheduler_capnp::{EndKind, job, leadership, news, rested, running_job, verdict},
 };
 
 /// A forwarded request's progress, as reported to the leader.
@@ -43,6 +45,12 @@
     for (at, id) in spec.excluded_upstreams.iter().enumerate() {
         excluded_upstreams.set(at as u32, id);
     }
+    let mut allowed = to
+        .reborrow()
+        .init_allowed_data_centres(spec.allowed_data_centres.len() as u32);
+    for (at, name) in spec.allowed_data_centres.iter().enumerate() {
+        allowed.set(at as u32, name);
+    }
     let Some(generation) = &spec.generation else {
         return;
     };
@@ -79,11 +87,6 @@
                 .collect(),
         }),
     };
-    let excluded_upstreams = from.get_avoid()?;
-    let excluded_upstreams: Result<Vec<String>, capnp::Error> = excluded_upstreams
-        .iter()
-        .map(|id| Ok(id?.to_string()?))
-        .collect();
     Ok(JobSpec {
         number: from.get_number(),
         account: non_empty(from.get_account()?.to_str()?),
@@ -96,8 +99,9 @@
         gap_objective: non_zero(from.get_gap_objective_ms()).map(|ms| Millis(ms.into())),
         deadline: Millis(from.get_deadline_ms().into()),
         attempt: from.get_attempt(),
-        excluded_upstreams: excluded_upstreams?,
+        excluded_upstreams: read_texts(from.get_avoid()?)?,
         data_centre: from.get_data_centre()?.to_string()?,
+        allowed_data_centres: read_texts(from.get_allowed_data_centres()?)?,
     })
 }
 
@@ -265,6 +269,36 @@
         .collect()
 }
 
+fn read_texts(from: text_list::Reader<'_>) -> Result<Vec<String>, capnp::Error> {
+    from.iter().map(|text| Ok(text?.to_string()?)).collect()
+}
+
+pub(super) fn write_attempts(
+    mut to: struct_list::Builder<'_, attempts::Owned>,
+    services: &[(String, AttemptCounts)],
+) {
+    for (at, (service, counts)) in services.iter().enumerate() {
+        let mut one = to.reborrow().get(at as u32);
+        one.set_service(service);
+        one.set_requests(counts.requests);
+        one.set_retries(counts.retries);
+    }
+}
+
+pub(super) fn read_attempts(
+    from: struct_list::Reader<'_, attempts::Owned>
+) -> Result<Vec<(String, AttemptCounts)>, capnp::Error> {
+    from.iter()
+        .map(|one| {
+            let counts = AttemptCounts {
+                requests: one.get_requests(),
+                retries: one.get_retries(),
+            };
+            Ok((one.get_service()?.to_string()?, counts))
+        })
+        .collect()
+}
+
 fn non_empty(text: &str) -> Option<String> {
     (!text.is_empty()).then(|| text.to_owned())
 }
--- a/crates/entry/src/scheduling/facts.rs
+++ b/crates/entry/src/scheduling/facts.rs
@@ -7,6 +7,7 @@
         ingress::{EngineHoldings, EngineSpec, HeldAdapter, UpstreamEntry, UpstreamState},
         scheduler::{EngineLimits, EngineStatus, UpstreamStatus},
     },
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Converts the capacity limits of a service's engines.
@@ -34,6 +35,7 @@
     names: &mut NameInterner,
 ) -> UpstreamStatus {
     UpstreamStatus {
+        id_hash: xxh3_64(entry.id.as_bytes()),
         service: names.service(&entry.service),
         data_centre: Some(names.data_centre(&entry.data_centre)),
         slots: entry.slots,
--- a/crates/entry/src/scheduling/job_spec.rs
+++ b/crates/entry/src/scheduling/job_spec.rs
@@ -50,6 +50,8 @@
     pub excluded_upstreams: Vec<String>,
     /// Data centre of the forwarding VM.
     pub data_centre: String,
+    /// Data centres whose upstreams may serve it; empty if any may.
+    pub allowed_data_centres: Vec<String>,
 }
 
 impl JobSpec {
@@ -82,6 +84,11 @@
             gap_objective: self.gap_objective,
             deadline: now + self.deadline,
             data_centre: Some(names.data_centre(&self.data_centre)),
+            allowed_data_centres: self
+                .allowed_data_centres
+                .iter()
+                .map(|name| names.data_centre(name))
+                .collect(),
             attempt: self.attempt,
             excluded_upstreams: self
                 .excluded_upstreams
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -4,15 +4,16 @@
         facts::{engine_facts, engine_limits, upstream_facts},
     },
     crate::clock::Clock,
+    jasmine_conf::settings::ColdUpstreamSettings,
     jasmine_core::{
         clock::Millis,
         error::Refusal,
         ids::UpstreamId,
-        ingress::{EngineHoldings, IngressConfig, UpstreamEntry},
+        ingress::{ColdStart, EngineHoldings, IngressConfig, UpstreamEntry},
         scheduler::{
-            Announcement, AttemptId, EnginesToPause, Order, OrderResult, Outcome, RateDecision,
-            RateShare, RunningRequest, Scheduler, SchedulerAction as Action, SchedulerSettings,
-            WaitReason, WaitTimes,
+            Announcement, AttemptCounts, AttemptHistory, AttemptId, ColdLimit, ColdShare,
+            EnginesToPause, Order, OrderResult, Outcome, RateDecision, RateShare, RunningRequest,
+            Scheduler, SchedulerAction as Action, SchedulerSettings, WaitReason, WaitTimes,
         },
     },
     std::{
@@ -66,6 +67,8 @@
     addresses: RefCell<HashMap<UpstreamId, SocketAddr>>,
     /// Upstreams whose entries were removed.
     removed_upstreams: RefCell<HashSet<UpstreamId>>,
+    /// The allowance of cold upstreams beyond the rate that their service states.
+    cold_upstreams: ColdUpstreamSettings,
     tasks: mpsc::UnboundedSender<EngineTask>,
     wake: Notify,
     may_order: Cell<bool>,
@@ -75,6 +78,7 @@
     /// Creates a scheduler that sends its engine tasks to `tasks`.
     pub fn new(
         settings: SchedulerSettings,
+        cold_upstreams: ColdUpstreamSettings,
         tasks: mpsc::UnboundedSender<EngineTask>,
     ) -> Self {
         Self {
@@ -84,6 +88,7 @@
             waiters: RefCell::default(),
             addresses: RefCell::default(),
             removed_upstreams: RefCell::default(),
+            cold_upstreams,
             tasks,
             wake: Notify::new(),
             may_order: Cell::new(false),
@@ -179,9 +184,101 @@
                 Some((names.service(&service.name), limits))
             })
             .collect();
+        let cold_limits = config
+            .services
+            .values()
+            .filter_map(|service| {
+                let limit = self.cold_limit(service.cold_start?);
+                Some((names.service(&service.name), limit))
+            })
+            .collect();
         let mut scheduler = self.scheduler.borrow_mut();
         scheduler.set_limits(limits, now);
         scheduler.set_engines(engines);
+        scheduler.set_cold_limits(cold_limits);
+    }
+
+    /// The limit of cold upstreams, with the allowance of the settings.
+    fn cold_limit(
+        &self,
+        cold: ColdStart,
+    ) -> ColdLimit {
+        let allowance = &self.cold_upstreams;
+        ColdLimit {
+            per_second: cold.per_second * allowance.over + allowance.slack,
+            duration: cold.duration,
+        }
+    }
+
+    /// Sets which part of the limits of cold upstreams this VM may use.
+    pub fn set_cold_share(
+        &self,
+        share: ColdShare,
+    ) {
+        self.scheduler.borrow_mut().set_cold_share(share);
+    }
+
+    /// Begins the evacuation of a data centre.
+    pub fn begin_evacuation(
+        &self,
+        data_centre: &str,
+        source: Announcement,
+    ) {
+        let id = self.names.borrow_mut().data_centre(data_centre);
+        self.apply(|scheduler, now| scheduler.begin_evacuation(id, source, now));
+        self.wake.notify_one();
+    }
+
+    /// Ends the evacuation of a data centre.
+    pub fn end_evacuation(
+        &self,
+        data_centre: &str,
+    ) {
+        let id = self.names.borrow_mut().data_centre(data_centre);
+        self.apply(|scheduler, now| scheduler.end_evacuation(id, now));
+    }
+
+    /// Counts an attempt of this VM's own callers, decided here or by the leader.
+    pub fn note_own_attempt(
+        &self,
+        spec: &JobSpec,
+    ) {
+        let service = self.names.borrow_mut().service(&spec.service);
+        let now = self.clock.now();
+        let mut scheduler = self.scheduler.borrow_mut();
+        scheduler.note_own_attempt(service, spec.attempt, now);
+    }
+
+    /// The attempts of this VM's own callers in the last window, with the time counted.
+    pub fn attempt_history(&self) -> (Vec<(String, AttemptCounts)>, Millis) {
+        let history = self
+            .scheduler
+            .borrow_mut()
+            .attempt_history(self.clock.now());
+        let names = self.names.borrow();
+        let services = history.services.into_iter();
+        let services = services.map(|(id, counts)| (names.service_name(id).to_string(), counts));
+        (services.collect(), history.counted_for)
+    }
+
+    /// Adds the attempts that one of `vms` VMs made before this VM took over.
+    pub fn add_attempt_history(
+        &self,
+        services: &[(String, AttemptCounts)],
+        counted_for: Millis,
+        vms: usize,
+    ) {
+        let mut names = self.names.borrow_mut();
+        let services = services.iter();
+        let history = AttemptHistory {
+            counted_for,
+            services: services
+                .map(|(name, counts)| (names.service(name), *counts))
+                .collect(),
+        };
+        let now = self.clock.now();
+        let mut scheduler = self.scheduler.borrow_mut();
+        scheduler.add_attempt_history(&history, vms, now);
     }
 
     /// Adds or updates an upstream.
@@ -340,13 +437,14 @@
         self.apply(|scheduler, now| scheduler.report(upstream, facts.as_ref(), now));
     }
 
-    /// Whether an upstream is leaving or its entry was removed.
+    /// Whether an upstream is leaving or evacuated, or its entry was removed.
     pub fn is_leaving_or_removed(
         &self,
         upstream: &str,
     ) -> bool {
         let id = self.names.borrow_mut().upstream(upstream);
-        self.removed_upstreams.borrow().contains(&id) || self.scheduler.borrow().is_leaving(id)
+        let now = self.clock.now();
+        self.removed_upstreams.borrow().contains(&id) || self.scheduler.borrow().is_leaving(id, now)
     }
 
     /// The name and address of an upstream.
--- a/crates/entry/src/scheduling/name_interner.rs
+++ b/crates/entry/src/scheduling/name_interner.rs
@@ -55,6 +55,14 @@
         ServiceId(self.services.intern(name))
     }
 
+    /// Returns the name of a service; empty for an unknown id.
+    pub fn service_name(
+        &self,
+        id: ServiceId,
+    ) -> Rc<str> {
+        self.services.name(id.0)
+    }
+
     /// Returns the id of a client account, assigning one if needed.
     pub fn account(
         &mut self,
--- a/crates/entry/src/scheduling/server.rs
+++ b/crates/entry/src/scheduling/server.rs
@@ -2,8 +2,8 @@
     super::{
         LocalScheduler, SchedulerNode, Verdict,
         convert::{
-            JobUpdate, read_idle_times, read_job, read_leader, read_running, read_update,
-            write_leader, write_verdict,
+            JobUpdate, read_attempts, read_idle_times, read_job, read_leader, read_running,
+            read_update, write_leader, write_verdict,
         },
     },
     crate::store::{Feed, KvStore, write_reply},
@@ -102,6 +102,11 @@
             let running = read_running(running)?;
             self.scheduling.local_scheduler.adopt(session, &running);
         }
+        let attempts = read_attempts(params.get_attempts()?)?;
+        let counted_for = Millis(params.get_counted_for_ms().into());
+        let vms = self.scheduling.vms().len();
+        let local_scheduler = &self.scheduling.local_scheduler;
+        local_scheduler.add_attempt_history(&attempts, counted_for, vms);
         results.get().set_session(session);
         Ok(())
     }
--- a/crates/entry/src/store/view.rs
+++ b/crates/entry/src/store/view.rs
@@ -5,12 +5,12 @@
     },
     crate::context::Context,
     jasmine_core::{clock::Millis, ingress::UpstreamEntry, scheduler::Announcement},
-    jasmine_platform::{configuration, entries, versions},
+    jasmine_platform::{configuration, entries, evacuations, versions},
     jasmine_store::store::{KeyValue, RangeReply, StoreError, WatchEvent},
     jasmine_telemetry::log::Line,
     std::{
         cell::{Cell, RefCell},
-        collections::{HashMap, HashSet},
+        collections::{BTreeSet, HashMap, HashSet},
         rc::Rc,
     },
     tokio::{
@@ -34,6 +34,8 @@
     upstreams: RefCell<HashMap<String, UpstreamEntry>>,
     /// Upstreams whose entries expired in a store outage, and when they are removed.
     expired: RefCell<HashMap<String, Millis>>,
+    /// The data centres that are being evacuated.
+    evacuated: RefCell<BTreeSet<String>>,
     /// When the store last recovered from an outage.
     recovered_at: Cell<Millis>,
     is_store_down: Cell<bool>,
@@ -53,6 +55,7 @@
             feed,
             upstreams: RefCell::default(),
             expired: RefCell::default(),
+            evacuated: RefCell::default(),
             recovered_at: Cell::new(Millis::ZERO),
             is_store_down: Cell::new(false),
             found: RefCell::default(),
@@ -110,6 +113,7 @@
             }
             yield_now().await;
         }
+        self.retain_evacuations(reply);
         let vms: Vec<&str> = reply
             .kvs
             .iter()
@@ -219,6 +223,7 @@
                         && known.address == entry.address
                         && known.service == entry.service
                         && known.started_unix_ms == entry.started_unix_ms
+                        && (known.is_warming_up() || !entry.is_warming_up())
                 });
                 if self.feed.record_change(event, is_major) {
                     self.put_upstream(entry, Announcement::New);
@@ -248,6 +253,11 @@
             }
         } else if kv.key.starts_with(versions::PREFIX) {
             self.put_version(kv, announcement);
+        } else if let Some(rest) = kv.key.strip_prefix(evacuations::PREFIX) {
+            match evacuations::decode(rest) {
+                Ok(data_centre) => self.begin_evacuation(data_centre, announcement),
+                Err(e) => log_unreadable(&kv.key, &e),
+            }
         } else if kv.key == LEADER_KEY {
             self.membership.set_leader(&self.cx, kv);
         } else if kv.key == LAST_LEADER_KEY {
@@ -266,6 +276,8 @@
     ) {
         if let Some(id) = key.strip_prefix(entries::PREFIX) {
             self.remove_upstream(id);
+        } else if let Some(data_centre) = key.strip_prefix(evacuations::PREFIX) {
+            self.end_evacuation(data_centre);
         } else if key == LEADER_KEY {
             self.membership.remove_leader();
         } else if let Some(vm) = key.strip_prefix(VM_PREFIX) {
@@ -326,6 +338,53 @@
         }
     }
 
+    fn begin_evacuation(
+        &self,
+        data_centre: &str,
+        source: Announcement,
+    ) {
+        if !self.evacuated.borrow_mut().insert(data_centre.to_owned()) {
+            return;
+        }
+        let is_known = self.cx.settings.regions.contains_key(data_centre);
+        Line::new("evacuation_begun")
+            .with("data_centre", data_centre)
+            .with("known", is_known)
+            .with("source", format!("{source:?}"))
+            .info();
+        let local_scheduler = &self.cx.scheduling.local_scheduler;
+        local_scheduler.begin_evacuation(data_centre, source);
+    }
+
+    fn end_evacuation(
+        &self,
+        data_centre: &str,
+    ) {
+        if self.evacuated.borrow_mut().remove(data_centre) {
+            Line::new("evacuation_ended")
+                .with("data_centre", data_centre)
+                .info();
+            let local_scheduler = &self.cx.scheduling.local_scheduler;
+            local_scheduler.end_evacuation(data_centre);
+        }
+    }
+
+    /// Ends the evacuations that are not in a full read of the store.
+    fn retain_evacuations(
+        &self,
+        reply: &RangeReply,
+    ) {
+        let found: BTreeSet<&str> = reply
+            .kvs
+            .iter()
+            .filter_map(|kv| kv.key.strip_prefix(evacuations::PREFIX))
+            .collect();
+        let known = self.evacuated.borrow().clone();
+        for data_centre in known.iter().filter(|name| !found.contains(name.as_str())) {
+            self.end_evacuation(data_centre);
+        }
+    }
+
     /// Removes an upstream whose entry is gone, after a delay if it may have expired in a store outage.
     fn remove_upstream(
         self: &Rc<Self>,
--- a/crates/entry/tests/leader_changes.rs
+++ b/crates/entry/tests/leader_changes.rs
@@ -1,6 +1,7 @@
 //! Requests that wait for placement while the leader changes.
 
 use {
+    jasmine_conf::settings::ColdUpstreamSettings,
     jasmine_core::{
         clock::Millis,
         ids::{Fence, Revision},
@@ -38,7 +39,11 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let (tasks, _engines) = mpsc::unbounded_channel();
-    let local_scheduler = Rc::new(LocalScheduler::new(SchedulerSettings::default(), tasks));
+    let local_scheduler = Rc::new(LocalScheduler::new(
+        SchedulerSettings::default(),
+        ColdUpstreamSettings::default(),
+        tasks,
+    ));
     local_scheduler.set_config(&config());
     let scheduling = Rc::new(SchedulerNode::new(
         local_scheduler,
@@ -69,6 +74,7 @@
     let service = ServiceSpec {
         name: "calls".to_owned(),
         max_connections: None,
+        cold_start: None,
         engine: None,
     };
     IngressConfig {
@@ -108,6 +114,7 @@
         attempt: 1,
         excluded_upstreams: Vec::new(),
         data_centre: "one".to_owned(),
+        allowed_data_centres: Vec::new(),
     }
 }
 
--- a/crates/entry/tests/no_leader.rs
+++ b/crates/entry/tests/no_leader.rs
@@ -1,6 +1,7 @@
 //! Requests that arrive while there is no leader.
 
 use {
+    jasmine_conf::settings::ColdUpstreamSettings,
     jasmine_core::{
         clock::Millis,
         ids::{Fence, Revision},
@@ -20,7 +21,11 @@
 /// A newly started VM among 300: its share of the account's rate limit is less than one request.
 fn started_vm() -> Rc<SchedulerNode> {
     let (tasks, _orders) = mpsc::unbounded_channel();
-    let local_scheduler = Rc::new(LocalScheduler::new(SchedulerSettings::default(), tasks));
+    let local_scheduler = Rc::new(LocalScheduler::new(
+        SchedulerSettings::default(),
+        ColdUpstreamSettings::default(),
+        tasks,
+    ));
     let address = SocketAddr::from(([127, 0, 0, 1], 9));
     let scheduling = Rc::new(SchedulerNode::new(
         Rc::clone(&local_scheduler),
@@ -37,6 +42,7 @@
             burst: 2_000,
         }),
         unit: RateUnit::Requests,
+        allowed_regions: Vec::new(),
         priority: None,
     };
     local_scheduler.set_config(&IngressConfig {
@@ -73,6 +79,7 @@
         attempt: 1,
         excluded_upstreams: Vec::new(),
         data_centre: "one".to_owned(),
+        allowed_data_centres: Vec::new(),
     }
 }
 
--- a/crates/wire/schema/scheduler.capnp
+++ b/crates/wire/schema/scheduler.capnp
@@ -25,6 +25,7 @@
   avoid @14 :List(Text);       # upstreams that have failed it
   dataCentre @15 :Text;
   gapObjectiveMs @16 :UInt32;  # 0: none
+  allowedDataCentres @17 :List(Text);  # empty: all
 }
 
 struct RunningJob {
@@ -34,6 +35,13 @@
   hasBegun @3 :Bool;
 }
 
+# Attempts of a VM's callers at one service in the last window of the retry budget.
+struct Attempts {
+  service @0 :Text;
+  requests @1 :UInt32;         # first attempts
+  retries @2 :UInt32;
+}
+
 struct Verdict {
   upstream @0 :Text;           # empty: refused
   address @1 :Text;
@@ -97,7 +105,9 @@
 }
 
 interface Scheduler {
-  hello @0 (vm :Text, incarnation :UInt64, running :List(RunningJob)) -> (session :UInt32, leader :Leadership);
+  # `countedForMs`: how much of the window the VM has counted its `attempts`.
+  hello @0 (vm :Text, incarnation :UInt64, running :List(RunningJob), attempts :List(Attempts), countedForMs :UInt32)
+      -> (session :UInt32, leader :Leadership);
   place @1 (session :UInt32, job :Job) -> (known :Bool, verdict :Verdict);
   tell @2 (session :UInt32, news :List(News)) -> (known :Bool);
   # `rested` comes from a leader that leaves: how long ago it gave each engine its last order.
