Soak: evacuations and cold upstreams among the faults; a VM without the list of VMs has no cold share

Evacuations come from a random stream of their own, so that the fixed seeds keep their schedules. The test of the cold share fails without the check that a VM is in its own list (a mutation that passed before).

--- a/crates/core/tests/cold_upstreams.rs
+++ b/crates/core/tests/cold_upstreams.rs
@@ -198,9 +198,13 @@
 
 #[test]
 fn a_vm_that_knows_no_others_sends_nothing_to_cold_upstreams() {
-    let mut world = world(ColdShare::None);
-    world.set(UPSTREAM, &server(60_000, 1));
-    assert_eq!(flood(&mut world, 1_500), Vec::new());
+    // Guards against a VM whose list of VMs is old or empty and that takes itself for the only one.
+    let unlisted = (10..20).map(|me| ColdShare::Standalone { me, vms: vms(3) });
+    for share in unlisted.chain([ColdShare::None]) {
+        let mut world = world(share);
+        world.set(UPSTREAM, &server(60_000, 1));
+        assert_eq!(flood(&mut world, 1_500), Vec::new());
+    }
 }
 
 /// What happens to the deciding VMs between two bursts of calls.
--- a/crates/entry/tests/soak/cluster.rs
+++ b/crates/entry/tests/soak/cluster.rs
@@ -38,6 +38,7 @@
     UpstreamLink(usize),
     Store,
     Draining(usize),
+    Evacuated(usize),
 }
 
 /// All processes, fake services and proxies of a run.
@@ -99,7 +100,7 @@
         name: String,
     ) {
         let store_link = start_proxy(self.store.address());
-        let vm = Vm::start_with_store(store_link.address(), &name);
+        let vm = start_vm(store_link.address(), &name);
         self.slots.push(VmSlot {
             name,
             store_link,
@@ -179,6 +180,11 @@
                 self.pending_ends
                     .push((now + time, FaultTarget::Draining(upstream)));
             }
+            Fault::Evacuation(upstream, time) => {
+                self.store.put(&evacuation_key(upstream), &json!({}));
+                self.pending_ends
+                    .push((now + time, FaultTarget::Evacuated(upstream)));
+            }
         }
     }
 
@@ -265,6 +271,7 @@
             FaultTarget::UpstreamLink(upstream) => self.upstream_links[upstream].set(healthy),
             FaultTarget::Store => self.store.set_outage(Outage::None),
             FaultTarget::Draining(upstream) => self.register_upstream(upstream, "ready"),
+            FaultTarget::Evacuated(upstream) => self.store.remove(&evacuation_key(upstream)),
         }
     }
 
@@ -274,7 +281,7 @@
         state: &str,
     ) {
         let upstream = &self.upstreams[number];
-        let mut entry = upstream.entry("app", "one", state);
+        let mut entry = upstream.entry("app", &data_centre(number), state);
         entry["address"] = json!(self.upstream_links[number].address().to_string());
         self.store.put(&upstream.key(), &entry);
     }
@@ -286,6 +293,9 @@
             .as_array_mut()
             .unwrap()
             .push(json!({"name": "flows", "health_path": "/healthz", "max_conns": 100}));
+        let app = &mut config["services"][0];
+        app["cold_per_s"] = json!(40);
+        app["cold_start_s"] = json!(1);
         let routes = config["routes"].as_array_mut().unwrap();
         let mut flow = routes[2].clone();
         flow["name"] = json!("flow");
@@ -296,6 +306,25 @@
     }
 }
 
+/// Starts a VM on which an evacuation holds as soon as it is known.
+fn start_vm(
+    store: SocketAddr,
+    name: &str,
+) -> Vm {
+    Vm::start_with_settings(store, name, |settings| {
+        settings["evacuation_ms"] = json!(2_500);
+    })
+}
+
+/// The data centre of an upstream of the service `app`.
+fn data_centre(upstream: usize) -> String {
+    format!("dc-{upstream}")
+}
+
+fn evacuation_key(upstream: usize) -> String {
+    format!("op/evacuate/{}", data_centre(upstream))
+}
+
 impl VmSlot {
     fn is_running(&self) -> bool {
         let is_up = self.vm.is_some() && self.starts_at.is_none();
@@ -322,7 +351,7 @@
         }
         if self.starts_at.is_some_and(|at| at <= now) {
             self.starts_at = None;
-            let vm = Vm::start_with_store(self.store_link.address(), &self.name);
+            let vm = start_vm(self.store_link.address(), &self.name);
             self.caller_link.retarget(vm.callers);
             self.is_stopping = false;
             self.vm = Some(vm);
--- a/crates/entry/tests/soak/fault.rs
+++ b/crates/entry/tests/soak/fault.rs
@@ -10,6 +10,10 @@
 const FAULT_INTERVAL_MS: std::ops::Range<u64> = 60..450;
 /// Duration of a fault, in milliseconds.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 100..1_600;
+/// Time between the starts of two evacuations, in milliseconds.
+const EVACUATION_INTERVAL_MS: std::ops::Range<u64> = 500..3_000;
+/// Separates the draws of evacuations from the other faults, whose schedules stay the same.
+const EVACUATION_SEED: u64 = 0x00ec_0de5;
 pub const VMS: usize = 3;
 pub const UPSTREAMS: usize = 3;
 
@@ -28,6 +32,8 @@
     OrderResponsesLost(u32),
     NewConfig,
     UpstreamDrains(usize, Duration),
+    /// Evacuates the data centre of an upstream, which is cold afterwards.
+    Evacuation(usize, Duration),
 }
 
 /// Generates the fault schedule of a seed.
@@ -42,6 +48,24 @@
         plan.push((at, random_fault(&mut rng)));
         at += Duration::from_millis(rng.random_range(FAULT_INTERVAL_MS));
     }
+    plan.extend(evacuations(seed, length));
+    plan.sort_by_key(|&(at, _)| at);
+    plan
+}
+
+fn evacuations(
+    seed: u64,
+    length: Duration,
+) -> Vec<(Duration, Fault)> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ EVACUATION_SEED);
+    let mut at = Duration::ZERO;
+    let mut plan = Vec::new();
+    while at < length {
+        at += Duration::from_millis(rng.random_range(EVACUATION_INTERVAL_MS));
+        let upstream = rng.random_range(0..UPSTREAMS);
+        let time = Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
+        plan.push((at, Fault::Evacuation(upstream, time)));
+    }
     plan
 }
 
