A leader with little processor hands over to a stronger VM

Excluded: the store (it answered again from 14 s), engines, rates. Ways: weak VMs campaign later (doesn't mend one that leads already), or hand over. core/leadership decides: twice the processor registered for 2 s while the lease is renewed directly. Tests: leader_handover (decision), weak_leader (processes, no failed request); both fail without it: the weak VM leads on.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod forward;
 pub mod ids;
 pub mod ingress;
+pub mod leadership;
 pub mod membership;
 pub mod ownership;
 pub mod placement;
--- a/crates/entry/src/store/election.rs
+++ b/crates/entry/src/store/election.rs
@@ -8,7 +8,7 @@
     },
     crate::context::Context,
     futures::{FutureExt, future::select_ok},
-    jasmine_core::{clock::Millis, ids::Fence},
+    jasmine_core::{clock::Millis, ids::Fence, leadership::HandoverPolicy},
     jasmine_store::store::{Compare, Lease, LeaseId, Op, Range, Store, StoreError, Txn},
     jasmine_telemetry::log::Line,
     std::{cell::Cell, rc::Rc},
@@ -25,6 +25,9 @@
 ///
 /// Covers the transit time of an order and the clock drift between VM and store.
 const LEASE_SAFETY_MARGIN: Millis = Millis(200);
+/// How long a leader that hands over waits for another VM to be elected.
+const HANDOVER_TIMEOUT: Millis = Millis(1_500);
+const HANDOVER_CHECK_INTERVAL: Millis = Millis(20);
 /// How often a VM checks whether it may campaign, without a notification.
 const ELECTION_CHECK_INTERVAL: Millis = Millis(400);
 /// How often the first candidates read the key of an unresponsive leader, which is faster than batched changes.
@@ -121,6 +124,7 @@
         &self,
         lease: Lease,
     ) {
+        let mut handover = HandoverPolicy::default();
         while self.cx.scheduling.is_leading() {
             sleep(RENEW_INTERVAL.to_std()).await;
             let sent = self.cx.clock.now();
@@ -133,10 +137,41 @@
                 }
                 Err(e) => Line::new("renewal_failed").with("reason", e).info(),
             }
+            let is_due = handover.is_due(
+                self.membership.me().processor_percent,
+                self.membership.strongest_other(),
+                !self.is_store_unreachable.get(),
+                self.cx.clock.now(),
+            );
+            if is_due {
+                return self.hand_over(lease).await;
+            }
         }
         self.revoke_lease(lease).await;
     }
 
+    /// Hands leadership to a VM with more processor: decides without orders until another VM leads.
+    async fn hand_over(
+        &self,
+        lease: Lease,
+    ) {
+        Line::new("lead_handed_over")
+            .with("processor_percent", self.membership.me().processor_percent)
+            .with(
+                "strongest",
+                self.membership.strongest_other().unwrap_or_default(),
+            )
+            .info();
+        let scheduling = &self.cx.scheduling;
+        scheduling.announce_leaving().await;
+        self.revoke_lease(lease).await;
+        let began = self.cx.clock.now();
+        while scheduling.is_leading() && self.cx.clock.now().since(began) < HANDOVER_TIMEOUT {
+            sleep(HANDOVER_CHECK_INTERVAL.to_std()).await;
+        }
+        scheduling.step_down("no VM took over");
+    }
+
     /// Renews the lease directly and, if that fails, through another VM.
     ///
     /// Keeps a leader that alone has lost the store from being replaced.
--- a/crates/entry/src/store/membership.rs
+++ b/crates/entry/src/store/membership.rs
@@ -308,6 +308,13 @@
             .count()
     }
 
+    /// The processor of the strongest other VM, in percent of a core.
+    pub(super) fn strongest_other(&self) -> Option<u32> {
+        let vms = self.vms.borrow();
+        let others = vms.values().filter(|vm| vm.vm != self.me.vm);
+        others.map(|vm| vm.processor_percent).max()
+    }
+
     /// Whether this VM is among the first candidates, or led before it restarted.
     pub(super) fn is_candidate(
         &self,
