Upstreams that fail at once get one request at a time, and none while they are paused

Excluded: attempts counted for connections never made (Unreachable doesn't count: 4 of them), crashed engines (7 and fewer each). Three errors in a row and twice the failure rate of the service's others pause it as a failed connection does; after that it gets one request until one is answered. Ways: the penalty alone (as it stands), or with pauses and a trial; compared with the others, as pausing when all fail alike leaves fewer servers and as many failures.

--- a/crates/core/src/scheduler/fleet.rs
+++ b/crates/core/src/scheduler/fleet.rs
@@ -431,6 +431,7 @@
             return;
         };
         upstream.running += 1;
+        upstream.health.note_sent();
         if upstream.cold_limit.is_some() {
             upstream.admissions.note(now);
         }
@@ -478,6 +479,7 @@
         let Some(upstream) = self.upstreams.get_mut(&id) else {
             return;
         };
+        upstream.health.note_ended();
         let cold_load_accepted_at =
             adapter.and_then(|adapter| upstream.engine.as_ref()?.cold_load_accepted_at(adapter));
         if let (Some(since), Outcome::Shed | Outcome::NotLoaded) = (cold_load_accepted_at, outcome)
@@ -496,7 +498,11 @@
             }
             // An engine also sheds requests for an adapter that is still loading.
             Outcome::Shed if upstream.is_loading(adapter) => upstream.note_late(adapter, now),
-            Outcome::Failed | Outcome::Shed | Outcome::Lost => upstream.health.note_failure(now),
+            Outcome::Shed => upstream.health.note_failure(now),
+            Outcome::Failed | Outcome::Lost => {
+                upstream.health.note_error(now);
+                self.pause_outlier(id, now);
+            }
             Outcome::Unreachable => {
                 upstream.health.note_unreachable(now);
                 upstream.assume_cold(now);
@@ -508,6 +514,31 @@
             Outcome::NotLoaded => upstream.note_late(adapter, now),
         }
     }
+
+    /// Pauses an upstream that fails much more often than the others of its service.
+    fn pause_outlier(
+        &mut self,
+        id: UpstreamId,
+        now: Millis,
+    ) {
+        let Some(service) = self
+            .upstreams
+            .get(&id)
+            .filter(|up| up.health.is_suspect())
+            .map(|up| up.service)
+        else {
+            return;
+        };
+        let others = self.ready(service).filter(|up| up.id != id);
+        let (count, sum) = others.fold((0, 0.0), |(count, sum), up| {
+            (count + 1, sum + up.health.failure_rate(now))
+        });
+        if count > 0
+            && let Some(upstream) = self.upstreams.get_mut(&id)
+        {
+            upstream.health.pause_outlier(sum / f64::from(count), now);
+        }
+    }
 }
 
 /// Cost of a request on a particular engine, in tokens.
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -331,6 +331,9 @@
         let Stage::Running { upstream, adapter } = entry.stage else {
             return Vec::new();
         };
+        if let Some(upstream) = self.fleet.upstreams.get_mut(&upstream) {
+            upstream.health.note_first_event();
+        }
         if let (Some(engine), Some(generation)) =
             (self.fleet.engine_mut(upstream), entry.job.generation())
         {
