--- a/crates/core/src/scheduler/choose/load.rs
+++ b/crates/core/src/scheduler/choose/load.rs
@@ -8,7 +8,7 @@
         scheduler::{
             Generation, Job, WaitReason,
             engine::Engine,
-            fleet::Load,
+            request_load::Load,
             resident::{DEMAND_HALF_LIFE, ResidentAdapter},
             upstream::Upstream,
         },
--- a/crates/core/src/scheduler/choose/mod.rs
+++ b/crates/core/src/scheduler/choose/mod.rs
@@ -3,12 +3,8 @@
 
 use {
     super::{
-        Generation, Job, SchedulerSettings, WaitReason,
-        announced_versions::AnnouncedVersions,
-        cold_admission::ADMISSION_WINDOW,
-        engine::Engine,
-        fleet::{Fleet, Load},
-        resident::DEMAND_HALF_LIFE,
+        Generation, Job, SchedulerSettings, WaitReason, announced_versions::AnnouncedVersions,
+        engine::Engine, fleet::Fleet, request_load::Load, resident::DEMAND_HALF_LIFE,
         upstream::Upstream,
     },
     crate::{
@@ -20,32 +16,13 @@
 };
 
 mod best;
+mod cost;
 mod load;
 mod preferred;
 
 use best::BestOptions;
 pub(super) use preferred::PreferredEngines;
 
-/// Penalty for an upstream in another data centre, for the cost of traffic between data centres.
-const CROSS_DATA_CENTRE_PENALTY_MS: f64 = 15.0;
-/// Penalty at a failure rate of 1; it grows in proportion, as a failed request is lost or needs
-/// another attempt.
-const FAILURE_PENALTY_MS: f64 = 1_500.0;
-/// Penalty for a late first token, besides its time.
-const LATE_PENALTY_MS: f64 = 3_500.0;
-/// Ratio of the expected wait to the time left until the objective, above which the lateness
-/// penalty applies. It grows to its full value at `LATE_PENALTY_FULL_RATIO`; the range between
-/// covers the error of the estimate.
-const LATE_PENALTY_START_RATIO: f64 = 0.6;
-const LATE_PENALTY_FULL_RATIO: f64 = 1.2;
-/// Delay of the first token per request running on the engine, as each makes its batch steps
-/// longer.
-const PER_RUNNING_REQUEST_MS: f64 = 0.4;
-/// Penalty per running stream whose gap between tokens would exceed its objective.
-const STALL_PENALTY_MS: f64 = 250.0;
-/// The stall penalty grows from none, where the unread prompts take this ratio of the gap
-/// objective, to full, where they take all of it.
-const STALL_START_RATIO: f64 = 0.6;
 /// Services with up to this many engines have all of them evaluated for each request.
 pub(super) const MAX_FULL_SCAN_ENGINES: usize = 24;
 /// Preferred engines evaluated in a larger service, besides those that have the adapter.
@@ -53,9 +30,6 @@
 /// Bound on the engines sampled from those that may have the adapter, or from all members of the
 /// service.
 const MAX_SAMPLED_ENGINES: usize = 64;
-/// Penalty of an engine in a data centre that is being evacuated; it grows to this value until the
-/// evacuation takes effect, so that adapters in demand are loaded elsewhere first.
-const EVACUATION_PENALTY_MS: f64 = 2_500.0;
 /// Expected time from sending an order to an engine until its answer.
 const ORDER_ROUND_TRIP_MS: f64 = 3.0;
 
@@ -396,81 +370,6 @@
             }
     }
 
-    /// Penalty for data centre and recent failures, in milliseconds.
-    fn penalty(
-        &self,
-        job: &Job,
-        up: &Upstream,
-    ) -> f64 {
-        let is_cross_data_centre = job.data_centre.is_some() && job.data_centre != up.data_centre;
-        let distance = if is_cross_data_centre {
-            CROSS_DATA_CENTRE_PENALTY_MS
-        } else {
-            0.0
-        };
-        distance + up.health.failure_rate(self.now) * FAILURE_PENALTY_MS + self.admission_delay(up)
-    }
-
-    /// Penalty for an evacuation of the upstream's data centre, in milliseconds.
-    fn evacuation_penalty(
-        &self,
-        up: &Upstream,
-    ) -> f64 {
-        let Some(effective_at) = up.evacuated_from else {
-            return 0.0;
-        };
-        let left = effective_at.since(self.now).0 as f64;
-        let whole = self.settings.evacuation_move.0.max(1) as f64;
-        EVACUATION_PENALTY_MS * (1.0 - left / whole).clamp(0.0, 1.0)
-    }
-
-    /// Whether the upstream's cold limit allows a request now.
-    fn is_admitted(
-        &self,
-        up: &Upstream,
-    ) -> bool {
-        self.fleet.admission_wait(up, self.now) == Some(Millis::ZERO)
-    }
-
-    /// Time until the upstream's cold limit allows a request, in milliseconds.
-    fn admission_delay(
-        &self,
-        up: &Upstream,
-    ) -> f64 {
-        let wait = self.fleet.admission_wait(up, self.now);
-        wait.unwrap_or(ADMISSION_WINDOW).0 as f64
-    }
-
-    /// The cost of an engine in milliseconds if it had the adapter loaded.
-    fn base_cost(
-        &self,
-        job: &Job,
-        up: &Upstream,
-        engine: &Engine,
-    ) -> f64 {
-        let prefill_tokens = Load::of(job, engine, self.now).prefill_tokens;
-        let prefill_ms =
-            engine.backlog.wait(self.now) + engine.backlog.time_for(prefill_tokens, self.now);
-        prefill_ms
-            + stall_penalty(job, up, engine, prefill_ms)
-            + f64::from(up.running) * PER_RUNNING_REQUEST_MS
-            + self.penalty(job, up)
-    }
-
-    /// Penalty for the risk that a first token after `wait` milliseconds is late, in milliseconds.
-    fn lateness_penalty(
-        &self,
-        job: &Job,
-        wait: f64,
-    ) -> f64 {
-        let remaining = job.objective.since(self.now).0 as f64;
-        let (start, full) = (
-            remaining * LATE_PENALTY_START_RATIO,
-            remaining * LATE_PENALTY_FULL_RATIO,
-        );
-        LATE_PENALTY_MS * ((wait - start) / (full - start).max(1.0)).clamp(0.0, 1.0)
-    }
-
     /// How this engine can serve the request, with the cost in milliseconds.
     fn serving_option(
         &self,
@@ -542,24 +441,3 @@
         f64::from(others) * each / copies.count.max(1.0)
     }
 }
-
-/// Penalty for delaying the tokens of the streams running on an engine, in milliseconds;
-/// `prefill_ms` is the time for all unread prompts including this one.
-///
-/// Engines process prompts in chunks between decode steps, so a long run of prompts stretches the
-/// gap between the tokens of every running stream.
-fn stall_penalty(
-    job: &Job,
-    up: &Upstream,
-    engine: &Engine,
-    prefill_ms: f64,
-) -> f64 {
-    let Some(gap) = job.gap_objective else {
-        return 0.0;
-    };
-    let gap = gap.0 as f64;
-    let from = gap * STALL_START_RATIO;
-    let share = ((prefill_ms - from) / (gap - from).max(1.0)).clamp(0.0, 1.0);
-    let streams = up.running.saturating_sub(engine.backlog.len() as u32);
-    share * f64::from(streams) * STALL_PENALTY_MS
-}
--- a/crates/core/src/scheduler/fleet.rs
+++ b/crates/core/src/scheduler/fleet.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        EngineLimits, EngineStatus, Job, LoadSettings, Outcome, UpstreamStatus,
+        EngineLimits, EngineStatus, Job, LoadSettings, UpstreamStatus,
         backlog::PrefillSample,
         call_times::CallTimes,
         choose::{MAX_FULL_SCAN_ENGINES, PreferredEngines},
@@ -11,6 +11,7 @@
         holders::Holders,
         load_slowdown::LoadSlowdown,
         prefill_estimator::{PrefillEstimator, PrefillTime},
+        request_load::Load,
         upstream::Upstream,
     },
     crate::{
@@ -41,8 +42,8 @@
     /// Prefill time estimators, by service.
     prefill_estimators: HashMap<ServiceId, PrefillEstimator>,
     /// Times of calls, by service.
-    call_times: HashMap<ServiceId, CallTimes>,
-    load_slowdown: LoadSlowdown,
+    pub(super) call_times: HashMap<ServiceId, CallTimes>,
+    pub(super) load_slowdown: LoadSlowdown,
 }
 
 impl Fleet {
@@ -409,7 +410,7 @@
     /// Duration of a cold load at the store speed given in the settings.
     ///
     /// It grows in proportion to the loads beyond those that the store serves at full speed.
-    fn nominal_cold_time(
+    pub(super) fn nominal_cold_time(
         &self,
         load: &LoadSettings,
     ) -> Millis {
@@ -465,108 +466,4 @@
             }
         }
     }
-
-    /// Updates health, latency and load estimates from the outcome of a request.
-    pub(super) fn record_outcome(
-        &mut self,
-        id: UpstreamId,
-        adapter: Option<AdapterVersion>,
-        outcome: Outcome,
-        load: &LoadSettings,
-        now: Millis,
-    ) {
-        let expected = self.nominal_cold_time(load);
-        let Some(upstream) = self.upstreams.get_mut(&id) else {
-            return;
-        };
-        upstream.health.note_ended();
-        let cold_load_accepted_at =
-            adapter.and_then(|adapter| upstream.engine.as_ref()?.cold_load_accepted_at(adapter));
-        if let (Some(since), Outcome::Shed | Outcome::NotLoaded) = (cold_load_accepted_at, outcome)
-        {
-            self.load_slowdown
-                .note_late(now.since(since), expected, now);
-        }
-        match outcome {
-            Outcome::Answered { took } => {
-                upstream.health.note_success(now);
-                upstream.note_call(took);
-                if upstream.engine.is_none() {
-                    let times = self.call_times.entry(upstream.service).or_default();
-                    times.note(took);
-                }
-            }
-            // An engine also sheds requests for an adapter that is still loading.
-            Outcome::Shed if upstream.is_loading(adapter) => upstream.note_late(adapter, now),
-            Outcome::Shed => upstream.health.note_failure(now),
-            Outcome::Failed | Outcome::Lost => {
-                upstream.health.note_error(now);
-                self.pause_outlier(id, now);
-            }
-            Outcome::Unreachable => {
-                upstream.health.note_unreachable(now);
-                upstream.assume_cold(now);
-            }
-            Outcome::Silent => upstream.health.note_unreachable(now),
-            // Another upstream has taken over the address; not used until its store entry changes.
-            Outcome::OtherUpstream => upstream.is_ready = false,
-            Outcome::Abandoned => {}
-            Outcome::NotLoaded => upstream.note_late(adapter, now),
-        }
-    }
-
-    /// Pauses an upstream that fails much more often than the others of its service.
-    fn pause_outlier(
-        &mut self,
-        id: UpstreamId,
-        now: Millis,
-    ) {
-        let Some(service) = self
-            .upstreams
-            .get(&id)
-            .filter(|up| up.health.is_suspect())
-            .map(|up| up.service)
-        else {
-            return;
-        };
-        let others = self.ready(service).filter(|up| up.id != id);
-        let (count, sum) = others.fold((0, 0.0), |(count, sum), up| {
-            (count + 1, sum + up.health.failure_rate(now))
-        });
-        if count > 0
-            && let Some(upstream) = self.upstreams.get_mut(&id)
-        {
-            upstream.health.pause_outlier(sum / f64::from(count), now);
-        }
-    }
-}
-
-/// Cost of a request on a particular engine, in tokens.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Load {
-    /// Prompt tokens to prefill, without those in the prefix cache.
-    pub prefill_tokens: f64,
-    /// Prompt and output tokens that the request occupies in the KV cache.
-    pub total: u64,
-}
-
-impl Load {
-    /// The cost of a request on an engine.
-    pub(super) fn of(
-        job: &Job,
-        engine: &Engine,
-        now: Millis,
-    ) -> Self {
-        let Some(generation) = job.generation() else {
-            return Self::default();
-        };
-        let cached = engine
-            .prefixes
-            .cached(generation.adapter, &generation.parts, now);
-        let size = generation.size;
-        Self {
-            prefill_tokens: f64::from(size.prompt.saturating_sub(cached.min(size.prompt))),
-            total: size.total(),
-        }
-    }
 }
--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -11,9 +11,9 @@
         scheduler::{
             Job, Outcome, RateShare, SchedulerAction as Action,
             choose::{Choice, SelectionContext},
-            fleet::Load,
             fleet_totals::FleetTotals,
             loads,
+            request_load::Load,
             running::Stage,
         },
     },
