Retry budget: a VM's attempts are added once; no handover between VMs without a stated processor

Cause, found by reading: a VM that connects again to the same scheduler told its attempts again, so that with a flapping link the requests of the budget grew with each connection. The history of a VM counts once a term. A leader with 0 % of a processor took any other for stronger; its test fails without the change.

--- a/crates/core/src/leadership/handover_policy.rs
+++ b/crates/core/src/leadership/handover_policy.rs
@@ -27,7 +27,8 @@
         is_store_available: bool,
         now: Millis,
     ) -> bool {
-        let is_stronger = strongest_other.is_some_and(|other| other >= own * MIN_PROCESSOR_RATIO);
+        let is_stronger =
+            strongest_other.is_some_and(|other| other > own && other >= own * MIN_PROCESSOR_RATIO);
         if !is_stronger || !is_store_available {
             self.stronger_since = None;
             return false;
--- a/crates/core/src/scheduler/state_machine/mod.rs
+++ b/crates/core/src/scheduler/state_machine/mod.rs
@@ -12,7 +12,7 @@
         ids::{AdapterId, RequestId, ServiceId},
         queue::{FairQueue, QueueSettings},
     },
-    std::collections::{BTreeSet, HashMap},
+    std::collections::{BTreeSet, HashMap, HashSet},
 };
 
 mod admission;
@@ -45,6 +45,8 @@
     taken_over_at: Option<Millis>,
     /// The part of the attempts before the takeover that VMs have told, from 0 to 1.
     known_history: f64,
+    /// The VMs that have told theirs, by hashes of their names.
+    told_history: HashSet<u64>,
     /// Since when attempts of this VM's own callers are counted.
     counting_since: Option<Millis>,
     queue: FairQueue,
@@ -92,6 +94,7 @@
             retry_budgets: HashMap::new(),
             taken_over_at: None,
             known_history: 0.0,
+            told_history: HashSet::new(),
             counting_since: None,
             queue: FairQueue::new(QueueSettings {
                 refuses_by_estimate: false,
--- a/crates/core/src/scheduler/state_machine/retries.rs
+++ b/crates/core/src/scheduler/state_machine/retries.rs
@@ -66,13 +66,20 @@
         }
     }
 
-    /// Adds the attempts that one of `vms` VMs made before this scheduler took over.
+    /// Adds the attempts that one of `vms` VMs made before this scheduler took over; `vm` is a hash
+    /// of its name.
+    ///
+    /// A VM that connects again is counted once: this scheduler has decided about its attempts since.
     pub fn add_attempt_history(
         &mut self,
+        vm: u64,
         history: &AttemptHistory,
         vms: usize,
         now: Millis,
     ) {
+        if !self.told_history.insert(vm) {
+            return;
+        }
         let settings = self.settings.repeats;
         for &(service, counts) in &history.services {
             let budget = self.retry_budgets.entry(service).or_default();
@@ -89,6 +96,7 @@
     ) {
         self.taken_over_at = Some(now);
         self.known_history = 0.0;
+        self.told_history.clear();
         for budget in self.retry_budgets.values_mut() {
             budget.restart();
         }
--- a/crates/core/tests/leader_handover.rs
+++ b/crates/core/tests/leader_handover.rs
@@ -33,6 +33,7 @@
     assert_eq!(first_due(STRONG, |_| (Some(STRONG), true)), None);
     assert_eq!(first_due(STRONG, |_| (Some(STRONG + 40), true)), None);
     assert_eq!(first_due(WEAK, |_| (None, true)), None);
+    assert_eq!(first_due(0, |_| (Some(0), true)), None);
 }
 
 #[test]
--- a/crates/core/tests/scheduler_refusals.rs
+++ b/crates/core/tests/scheduler_refusals.rs
@@ -254,7 +254,13 @@
             counted_for: Millis(10_000),
             services: vec![(service, counts)],
         };
-        world.scheduler.add_attempt_history(&history, 4, world.now);
+        // A VM that connects again tells it again.
+        let connections = if vm == 0 { 1 } else { 3 };
+        for _ in 0..connections {
+            world
+                .scheduler
+                .add_attempt_history(vm, &history, 4, world.now);
+        }
     }
     let retried = simulate_failures(&mut world);
     // 65 % of 20 % of 500 requests and ten more, less the 63 of before.
--- a/crates/entry/src/scheduling/client/leading.rs
+++ b/crates/entry/src/scheduling/client/leading.rs
@@ -81,7 +81,7 @@
         let (attempts, counted_for) = self.local_scheduler.attempt_history();
         let vms = self.vms.borrow().len();
         self.local_scheduler
-            .add_attempt_history(&attempts, counted_for, vms);
+            .add_attempt_history(&self.me, &attempts, counted_for, vms);
         let now = self.clock.now();
         self.cold_usable_from.set(match share {
             RateShare::Fresh => now,
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -23,6 +23,7 @@
         rc::Rc,
     },
     tokio::sync::{Notify, mpsc, oneshot},
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// The scheduler's decision on a request.
@@ -261,9 +262,10 @@
         (services.collect(), history.counted_for)
     }
 
-    /// Adds the attempts that one of `vms` VMs made before this VM took over.
+    /// Adds the attempts that `vm`, one of `vms`, made before this VM took over.
     pub fn add_attempt_history(
         &self,
+        vm: &str,
         services: &[(String, AttemptCounts)],
         counted_for: Millis,
         vms: usize,
@@ -278,7 +280,7 @@
         };
         let now = self.clock.now();
         let mut scheduler = self.scheduler.borrow_mut();
-        scheduler.add_attempt_history(&history, vms, now);
+        scheduler.add_attempt_history(xxh3_64(vm.as_bytes()), &history, vms, now);
     }
 
     /// Adds or updates an upstream.
--- a/crates/entry/src/scheduling/server.rs
+++ b/crates/entry/src/scheduling/server.rs
@@ -95,7 +95,8 @@
             results.get().init_leader(),
             self.scheduling.leader().as_ref(),
         );
-        let Some(session) = self.open_session(params.get_vm()?.to_str()?) else {
+        let vm = params.get_vm()?.to_str()?;
+        let Some(session) = self.open_session(vm) else {
             return Ok(());
         };
         for running in params.get_running()? {
@@ -106,7 +107,7 @@
         let counted_for = Millis(params.get_counted_for_ms().into());
         let vms = self.scheduling.vms().len();
         let local_scheduler = &self.scheduling.local_scheduler;
-        local_scheduler.add_attempt_history(&attempts, counted_for, vms);
+        local_scheduler.add_attempt_history(vm, &attempts, counted_for, vms);
         results.get().set_session(session);
         Ok(())
     }
