--- a/crates/conf/tests/settings_files.rs
+++ b/crates/conf/tests/settings_files.rs
@@ -190,7 +190,8 @@
         .collect()
 }
 
-/// Collects all keys with their values; levels are joined by dots.
+/// Collects all keys with their values; levels are joined by dots. An empty object is a value: its
+/// keys are names that operators choose.
 fn flatten(
     json: &Value,
     prefix: &str,
@@ -198,7 +199,7 @@
 ) {
     for (name, value) in json.as_object().unwrap() {
         let key = format!("{prefix}{name}");
-        if value.is_object() {
+        if value.as_object().is_some_and(|object| !object.is_empty()) {
             flatten(value, &format!("{key}."), into);
         } else {
             into.push((key, value.clone()));
