Observability: what upstreams state about a request limit is decoded and logged

A response to a request that was sent before the limit was last stated neither ends nor raises it, as responses overtake each other.

No decision reads it yet.

--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -42,6 +42,7 @@
 mod retry_budget;
 mod running;
 mod settings;
+mod signals;
 mod state_machine;
 mod upstream;
 mod wait_reason;
@@ -58,6 +59,7 @@
     retry_budget::{AttemptCounts, AttemptHistory},
     running::RunningRequest,
     settings::{LoadSettings, RetrySettings, SchedulerSettings},
+    signals::{SignalChanges, UpstreamSignals},
     state_machine::Scheduler,
     upstream::{EngineStatus, UpstreamStatus},
     wait_reason::WaitReason,
--- a/crates/core/src/scheduler/state_machine/availability.rs
+++ b/crates/core/src/scheduler/state_machine/availability.rs
@@ -1,13 +1,15 @@
-//! Evacuations and cold upstreams: events, and refusals of requests that no upstream may serve.
+//! Evacuations, cold upstreams and what upstreams state about themselves: events, and refusals of
+//! requests that no upstream may serve.
 
 use {
     super::Scheduler,
     crate::{
         clock::Millis,
         error::{ErrorKind, Refusal},
-        ids::{DataCentreId, RequestId, ServiceId},
+        ids::{DataCentreId, RequestId, ServiceId, UpstreamId},
         scheduler::{
-            Announcement, ColdLimit, ColdShare, Job, SchedulerAction as Action, running::Stage,
+            Announcement, ColdLimit, ColdShare, Job, SchedulerAction as Action, SignalChanges,
+            UpstreamSignals, running::Stage,
         },
     },
     std::collections::HashMap,
@@ -56,6 +58,21 @@
         self.fleet.cold_share = share;
     }
 
+    /// Records what an upstream states in a response to a request of this VM's own callers, which
+    /// was sent at `sent_at`.
+    pub fn note_own_signals(
+        &mut self,
+        id: UpstreamId,
+        signals: &UpstreamSignals,
+        sent_at: Millis,
+        now: Millis,
+    ) -> SignalChanges {
+        let upstream = self.fleet.upstreams.get_mut(&id);
+        upstream.map_or_else(SignalChanges::default, |upstream| {
+            upstream.note_signals(signals, sent_at, now)
+        })
+    }
+
     /// Refuses a request that no upstream may serve until an operator changes something.
     pub(super) fn check_availability(
         &self,
--- a/crates/core/src/scheduler/upstream.rs
+++ b/crates/core/src/scheduler/upstream.rs
@@ -4,6 +4,7 @@
         engine::Engine,
         health::Health,
         resident::ResidentState,
+        signals::{SignalChanges, StatedLimit, UpstreamSignals},
     },
     crate::{
         clock::Millis,
@@ -78,6 +79,8 @@
     /// The limit of its service while it is cold.
     pub cold_limit: Option<ColdLimit>,
     pub admissions: AdmissionLog,
+    /// The request limit that it states in its responses.
+    pub request_limit: Option<StatedLimit>,
     /// When the evacuation of its data centre takes effect.
     pub evacuated_from: Option<Millis>,
     pub health: Health,
@@ -107,6 +110,7 @@
             cold_until: now + status.cold,
             cold_limit: None,
             admissions: AdmissionLog::default(),
+            request_limit: None,
             evacuated_from: None,
             health: Health::default(),
             running: 0,
@@ -132,6 +136,7 @@
         self.started_unix_ms = status.started_unix_ms;
         if restarted {
             self.health = Health::default();
+            self.request_limit = None;
         }
         if let (Some(engine), true) = (&mut self.engine, restarted) {
             engine.restart();
@@ -165,6 +170,22 @@
         }
     }
 
+    /// Records what it states in a response to a request that was sent at `sent_at`.
+    pub(super) fn note_signals(
+        &mut self,
+        signals: &UpstreamSignals,
+        sent_at: Millis,
+        now: Millis,
+    ) -> SignalChanges {
+        let before = self.request_limit.map(|limit| limit.per_second);
+        self.request_limit =
+            StatedLimit::after_response(self.request_limit, signals.request_limit, sent_at, now);
+        let after = self.request_limit.map(|limit| limit.per_second);
+        SignalChanges {
+            request_limit: (before != after).then_some(after),
+        }
+    }
+
     /// Whether the adapter was being loaded when it was last observed.
     pub(super) fn is_loading(
         &self,
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -210,6 +210,7 @@
     ) -> Start {
         let status = response.head.status;
         let response_headers = ResponseHeaders::read(response.head.headers.pairs());
+        self.placement.note_signals(&response_headers.signals);
         let is_misdirected = is_misdirected(status);
         if response_headers.is_not_executed || is_misdirected {
             let is_other = response_headers
--- a/crates/entry/src/scheduling/client/mod.rs
+++ b/crates/entry/src/scheduling/client/mod.rs
@@ -10,8 +10,9 @@
         clock::Millis,
         error::{ErrorKind, Refusal},
         ids::Fence,
-        scheduler::{AttemptId, Outcome, RateDecision, WaitReason},
+        scheduler::{AttemptId, Outcome, RateDecision, UpstreamSignals, WaitReason},
     },
+    jasmine_telemetry::log::Line,
     jasmine_wire::{
         link::{Link, LinkOptions},
         scheduler_capnp::scheduler,
@@ -216,6 +217,7 @@
                         address,
                         version,
                         waited_for,
+                        self.clock.now(),
                     ));
                 }
                 Some(Verdict::Refused { refusal, .. })
@@ -296,6 +298,28 @@
         }
     }
 
+    /// Records what an upstream states in a response to a request that was sent at `sent_at`.
+    pub(super) fn note_signals(
+        &self,
+        upstream: &str,
+        signals: &UpstreamSignals,
+        sent_at: Millis,
+    ) {
+        let changes = self
+            .local_scheduler
+            .note_own_signals(upstream, signals, sent_at);
+        match changes.request_limit {
+            Some(Some(per_second)) => Line::new("request_limit_stated")
+                .with("upstream", upstream)
+                .with("per_second", per_second)
+                .info(),
+            Some(None) => Line::new("request_limit_ended")
+                .with("upstream", upstream)
+                .info(),
+            None => {}
+        }
+    }
+
     /// Sets whether only part of the store's upstreams has been read so far.
     pub fn set_partial_upstreams(
         &self,
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -13,7 +13,8 @@
         scheduler::{
             Announcement, AttemptCounts, AttemptHistory, AttemptId, ColdLimit, ColdShare,
             EnginesToPause, Order, OrderResult, Outcome, RateDecision, RateShare, RunningRequest,
-            Scheduler, SchedulerAction as Action, SchedulerSettings, WaitReason, WaitTimes,
+            Scheduler, SchedulerAction as Action, SchedulerSettings, SignalChanges,
+            UpstreamSignals, WaitReason, WaitTimes,
         },
     },
     std::{
@@ -219,6 +220,19 @@
         self.scheduler.borrow_mut().set_cold_share(share);
     }
 
+    /// Records what an upstream states in a response to a request of this VM's own callers.
+    pub fn note_own_signals(
+        &self,
+        upstream: &str,
+        signals: &UpstreamSignals,
+        sent_at: Millis,
+    ) -> SignalChanges {
+        let id = self.names.borrow_mut().upstream(upstream);
+        let now = self.clock.now();
+        let mut scheduler = self.scheduler.borrow_mut();
+        scheduler.note_own_signals(id, signals, sent_at, now)
+    }
+
     /// Begins the evacuation of a data centre.
     pub fn begin_evacuation(
         &self,
--- a/crates/entry/src/scheduling/placement.rs
+++ b/crates/entry/src/scheduling/placement.rs
@@ -1,6 +1,9 @@
 use {
     super::{SchedulerNode, convert::JobUpdate},
-    jasmine_core::scheduler::{Outcome, WaitReason},
+    jasmine_core::{
+        clock::Millis,
+        scheduler::{Outcome, UpstreamSignals, WaitReason},
+    },
     std::{cell::Cell, net::SocketAddr, rc::Rc},
 };
 
@@ -19,6 +22,8 @@
     pub version: Option<u32>,
     /// What the request waited for longest.
     pub waited_for: WaitReason,
+    /// When the upstream was assigned.
+    assigned_at: Millis,
     has_ended: Cell<bool>,
 }
 
@@ -30,6 +35,7 @@
         address: SocketAddr,
         version: Option<u32>,
         waited_for: WaitReason,
+        assigned_at: Millis,
     ) -> Self {
         Self {
             scheduling,
@@ -38,10 +44,20 @@
             address,
             version,
             waited_for,
+            assigned_at,
             has_ended: Cell::new(false),
         }
     }
 
+    /// Records what the upstream states about itself in the head of its response.
+    pub fn note_signals(
+        &self,
+        signals: &UpstreamSignals,
+    ) {
+        self.scheduling
+            .note_signals(&self.upstream, signals, self.assigned_at);
+    }
+
     /// Reports that the first event of the answer was received.
     pub fn first_event(&self) {
         self.scheduling
