Scheduler: the share of a cold limit becomes one that any limit over all VMs can use

Preparation for limits that upstreams state: the log of the last requests to an upstream (admission_log) and the question which part of a limit a scheduler may use (admission_share) stood inside cold_admission. The share now says when this scheduler took over instead of from when its part is usable, since that depends on the window of the limit.

--- a/crates/core/src/scheduler/availability.rs
+++ b/crates/core/src/scheduler/availability.rs
@@ -1,7 +1,12 @@
 //! Which upstreams may get requests: evacuations of data centres and limits of cold upstreams.
 
 use {
-    super::{Announcement, cold_admission::ColdLimit, fleet::Fleet, upstream::Upstream},
+    super::{
+        Announcement,
+        cold_admission::{COLD_WINDOW, ColdLimit},
+        fleet::Fleet,
+        upstream::Upstream,
+    },
     crate::{
         clock::Millis,
         ids::{DataCentreId, ServiceId},
@@ -74,11 +79,12 @@
             return Some(Millis::ZERO);
         };
         let allowed = if upstream.is_cold(now) {
-            self.cold_share.allowed(limit, upstream.id_hash, now)
+            let share = &self.admission_share;
+            limit.allowed(share.part(upstream.id_hash, COLD_WINDOW, now))
         } else {
             limit.unannounced_part()
         };
-        upstream.admissions.wait(allowed, now)
+        upstream.cold_admissions.wait(allowed, COLD_WINDOW, now)
     }
 
     fn upstreams_in(
--- a/crates/core/src/scheduler/choose/cost.rs
+++ b/crates/core/src/scheduler/choose/cost.rs
@@ -5,7 +5,7 @@
     crate::{
         clock::Millis,
         scheduler::{
-            Job, cold_admission::ADMISSION_WINDOW, engine::Engine, request_load::Load,
+            Job, cold_admission::COLD_WINDOW, engine::Engine, request_load::Load,
             upstream::Upstream,
         },
     },
@@ -78,7 +78,7 @@
         up: &Upstream,
     ) -> f64 {
         let wait = self.fleet.admission_wait(up, self.now);
-        wait.unwrap_or(ADMISSION_WINDOW).0 as f64
+        wait.unwrap_or(COLD_WINDOW).0 as f64
     }
 
     /// The cost of an engine in milliseconds if it had the adapter loaded.
--- a/crates/core/src/scheduler/fleet.rs
+++ b/crates/core/src/scheduler/fleet.rs
@@ -1,10 +1,11 @@
 use {
     super::{
         EngineLimits, EngineStatus, Job, LoadSettings, UpstreamStatus,
+        admission_share::AdmissionShare,
         backlog::PrefillSample,
         call_times::CallTimes,
         choose::{MAX_FULL_SCAN_ENGINES, PreferredEngines},
-        cold_admission::{ColdLimit, ColdShare},
+        cold_admission::ColdLimit,
         engine::Engine,
         evacuation::Evacuations,
         fleet_totals::FleetTotals,
@@ -34,8 +35,8 @@
     engines: HashMap<ServiceId, EngineLimits>,
     /// Limits of cold upstreams by service; services without an entry have none.
     pub(super) cold_limits: HashMap<ServiceId, ColdLimit>,
-    /// The part of the cold limits that this scheduler may use.
-    pub cold_share: ColdShare,
+    /// The part of the upstreams' limits that this scheduler may use.
+    pub admission_share: AdmissionShare,
     pub(super) evacuations: Evacuations,
     /// No orders to newly added engines before this time.
     pub orders_allowed_at: Millis,
@@ -434,7 +435,7 @@
         upstream.running += 1;
         upstream.health.note_sent();
         if upstream.cold_limit.is_some() {
-            upstream.admissions.note(now);
+            upstream.cold_admissions.note(now);
         }
         if let Some(engine) = &mut upstream.engine {
             engine.kv_used += tokens.total;
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -16,6 +16,8 @@
 
 mod account_rates;
 mod action;
+mod admission_log;
+mod admission_share;
 mod announced_versions;
 mod availability;
 mod backlog;
@@ -51,8 +53,9 @@
 pub use {
     account_rates::RateShare,
     action::{Order, SchedulerAction},
+    admission_share::AdmissionShare,
     announced_versions::Announcement,
-    cold_admission::{ADMISSION_WINDOW, ColdLimit, ColdShare},
+    cold_admission::{COLD_WINDOW, ColdLimit},
     engine::EngineLimits,
     job::{AttemptId, Generation, Job, Work},
     outcome::{EnginesToPause, OrderResult, Outcome, RateDecision},
--- a/crates/core/src/scheduler/state_machine/availability.rs
+++ b/crates/core/src/scheduler/state_machine/availability.rs
@@ -8,7 +8,7 @@
         error::{ErrorKind, Refusal},
         ids::{DataCentreId, RequestId, ServiceId, UpstreamId},
         scheduler::{
-            Announcement, ColdLimit, ColdShare, Job, SchedulerAction as Action, SignalChanges,
+            AdmissionShare, Announcement, ColdLimit, Job, SchedulerAction as Action, SignalChanges,
             UpstreamSignals, running::Stage,
         },
     },
@@ -50,12 +50,12 @@
         self.fleet.set_cold_limits(limits);
     }
 
-    /// Sets which part of the limits of cold upstreams this scheduler may use.
-    pub fn set_cold_share(
+    /// Sets which part of the upstreams' limits over all VMs this scheduler may use.
+    pub fn set_admission_share(
         &mut self,
-        share: ColdShare,
+        share: AdmissionShare,
     ) {
-        self.fleet.cold_share = share;
+        self.fleet.admission_share = share;
     }
 
     /// Records what an upstream states in a response to a request of this VM's own callers, which
--- a/crates/core/src/scheduler/upstream.rs
+++ b/crates/core/src/scheduler/upstream.rs
@@ -1,6 +1,7 @@
 use {
     super::{
-        cold_admission::{AdmissionLog, ColdLimit},
+        admission_log::AdmissionLog,
+        cold_admission::{COLD_WINDOW, ColdLimit},
         engine::Engine,
         health::Health,
         resident::ResidentState,
@@ -78,7 +79,8 @@
     cold_until: Millis,
     /// The limit of its service while it is cold.
     pub cold_limit: Option<ColdLimit>,
-    pub admissions: AdmissionLog,
+    /// The requests that count for its cold limit.
+    pub cold_admissions: AdmissionLog,
     /// The request limit that it states in its responses.
     pub request_limit: Option<StatedLimit>,
     /// When the evacuation of its data centre takes effect.
@@ -109,7 +111,7 @@
             warmup_until: now + status.cold,
             cold_until: now + status.cold,
             cold_limit: None,
-            admissions: AdmissionLog::default(),
+            cold_admissions: AdmissionLog::new(COLD_WINDOW),
             request_limit: None,
             evacuated_from: None,
             health: Health::default(),
--- a/crates/core/tests/cold_upstreams.rs
+++ b/crates/core/tests/cold_upstreams.rs
@@ -7,7 +7,7 @@
         clock::Millis,
         ids::{DataCentreId, UpstreamId},
         scheduler::{
-            ADMISSION_WINDOW, Announcement, ColdLimit, ColdShare, Outcome, RateShare, Scheduler,
+            AdmissionShare, Announcement, COLD_WINDOW, ColdLimit, Outcome, RateShare, Scheduler,
             SchedulerSettings, UpstreamStatus,
         },
     },
@@ -24,7 +24,7 @@
 const SECOND: Millis = Millis(1_000);
 const NO_END: Millis = Millis(u64::MAX);
 
-fn world(share: ColdShare) -> World {
+fn world(share: AdmissionShare) -> World {
     let mut world = World::leading(0);
     prepare(&mut world.scheduler, share);
     world
@@ -32,15 +32,15 @@
 
 fn prepare(
     scheduler: &mut Scheduler,
-    share: ColdShare,
+    share: AdmissionShare,
 ) {
     scheduler.set_cold_limits(HashMap::from([(CALLS, LIMIT)]));
-    scheduler.set_cold_share(share);
+    scheduler.set_admission_share(share);
 }
 
-const fn scheduler_share() -> ColdShare {
-    ColdShare::Scheduler {
-        usable_from: Millis::ZERO,
+const fn scheduler_share() -> AdmissionShare {
+    AdmissionShare::Scheduler {
+        took_over_at: None,
         lease_until: NO_END,
     }
 }
@@ -145,9 +145,10 @@
 #[test]
 fn a_successor_waits_until_earlier_admissions_have_aged() {
     // Guards against two schedulers that each use the whole part within one second.
-    let usable_from = Millis(100_000) + ADMISSION_WINDOW;
-    let mut world = world(ColdShare::Scheduler {
-        usable_from,
+    let took_over_at = Millis(100_000);
+    let usable_from = took_over_at + COLD_WINDOW;
+    let mut world = world(AdmissionShare::Scheduler {
+        took_over_at: Some(took_over_at),
         lease_until: NO_END,
     });
     world.set(UPSTREAM, &server(60_000, 1));
@@ -159,8 +160,8 @@
 #[test]
 fn a_scheduler_without_a_valid_lease_sends_nothing_to_cold_upstreams() {
     // Guards against a scheduler that was suspended and goes on beside its successor.
-    let mut world = world(ColdShare::Scheduler {
-        usable_from: Millis::ZERO,
+    let mut world = world(AdmissionShare::Scheduler {
+        took_over_at: None,
         lease_until: Millis(100_500),
     });
     world.set(UPSTREAM, &server(60_000, 1));
@@ -179,7 +180,7 @@
     for count in [1, 3, 8, 64, 300] {
         let mut all = Vec::new();
         for me in vms(count) {
-            let share = ColdShare::Standalone {
+            let share = AdmissionShare::Standalone {
                 me,
                 vms: vms(count),
             };
@@ -199,8 +200,8 @@
 #[test]
 fn a_vm_that_knows_no_others_sends_nothing_to_cold_upstreams() {
     // Guards against a VM whose list of VMs is old or empty and that takes itself for the only one.
-    let unlisted = (10..20).map(|me| ColdShare::Standalone { me, vms: vms(3) });
-    for share in unlisted.chain([ColdShare::None]) {
+    let unlisted = (10..20).map(|me| AdmissionShare::Standalone { me, vms: vms(3) });
+    for share in unlisted.chain([AdmissionShare::None]) {
         let mut world = world(share);
         world.set(UPSTREAM, &server(60_000, 1));
         assert_eq!(flood(&mut world, 1_500), Vec::new());
@@ -248,7 +249,7 @@
             .into_iter()
             .map(|_| {
                 let mut world = World::with(0, SchedulerSettings::default(), false);
-                prepare(&mut world.scheduler, ColdShare::None);
+                prepare(&mut world.scheduler, AdmissionShare::None);
                 world.set(UPSTREAM, &server(600_000, 1));
                 world
             })
@@ -270,15 +271,15 @@
         vm: usize,
         share: RateShare,
     ) {
-        let usable_from = match share {
-            RateShare::Fresh => self.now,
-            RateShare::TakenOver | RateShare::Part(_) => self.now + ADMISSION_WINDOW,
+        let took_over_at = match share {
+            RateShare::Fresh => None,
+            RateShare::TakenOver | RateShare::Part(_) => Some(self.now),
         };
-        let share = ColdShare::Scheduler {
-            usable_from,
+        let share = AdmissionShare::Scheduler {
+            took_over_at,
             lease_until: self.now + LEASE,
         };
-        self.vms[vm].scheduler.set_cold_share(share);
+        self.vms[vm].scheduler.set_admission_share(share);
         self.alone[vm] = false;
         self.leaders.push(vm);
     }
@@ -287,11 +288,11 @@
         &mut self,
         vm: usize,
     ) {
-        let share = ColdShare::Standalone {
+        let share = AdmissionShare::Standalone {
             me: vm as u64 + 1,
             vms: vms(self.vms.len() as u64),
         };
-        self.vms[vm].scheduler.set_cold_share(share);
+        self.vms[vm].scheduler.set_admission_share(share);
         self.alone[vm] = true;
     }
 
@@ -322,13 +323,12 @@
         let Some(&vm) = self.leaders.last() else {
             return;
         };
-        let usable_from = self.now;
-        // Only a scheduler whose part is usable already is renewed, as its start stays.
-        let share = ColdShare::Scheduler {
-            usable_from,
+        // Only a scheduler that took over a window ago or earlier is renewed.
+        let share = AdmissionShare::Scheduler {
+            took_over_at: None,
             lease_until: self.now + LEASE,
         };
-        self.vms[vm].scheduler.set_cold_share(share);
+        self.vms[vm].scheduler.set_admission_share(share);
     }
 
     fn apply(
@@ -367,7 +367,7 @@
                 }
             }
         }
-        self.run(ADMISSION_WINDOW.0 + 50);
+        self.run(COLD_WINDOW.0 + 50);
         self.renew();
         self.run(500);
     }
--- a/crates/entry/src/scheduling/client/leading.rs
+++ b/crates/entry/src/scheduling/client/leading.rs
@@ -6,7 +6,7 @@
     jasmine_core::{
         clock::Millis,
         ids::Fence,
-        scheduler::{ADMISSION_WINDOW, ColdShare, EnginesToPause, RateShare},
+        scheduler::{AdmissionShare, EnginesToPause, RateShare},
     },
     jasmine_telemetry::log::Line,
     xxhash_rust::xxh3::xxh3_64,
@@ -39,7 +39,7 @@
             self.lease_valid_until.set(Some(until));
         }
         self.leader_lease_until.set(until);
-        self.update_cold_share();
+        self.update_admission_share();
     }
 
     /// The fencing token for an order; `None` unless this VM leads and, where required, its lease is valid.
@@ -82,10 +82,9 @@
         let vms = self.vms.borrow().len();
         self.local_scheduler
             .add_attempt_history(&self.me, &attempts, counted_for, vms);
-        let now = self.clock.now();
-        self.cold_usable_from.set(match share {
-            RateShare::Fresh => now,
-            RateShare::TakenOver | RateShare::Part(_) => now + ADMISSION_WINDOW,
+        self.took_over_at.set(match share {
+            RateShare::Fresh => None,
+            RateShare::TakenOver | RateShare::Part(_) => Some(self.clock.now()),
         });
         for running in self.running_specs() {
             self.local_scheduler.adopt(LOCAL_VM, &running);
@@ -195,21 +194,21 @@
         self.set_mode(Mode::Standalone);
     }
 
-    /// Tells the local scheduler which part of the limits of cold upstreams it may use.
-    pub(super) fn update_cold_share(&self) {
+    /// Tells the local scheduler which part of the upstreams' limits over all VMs it may use.
+    pub(super) fn update_admission_share(&self) {
         let share = if self.is_leading() {
-            ColdShare::Scheduler {
-                usable_from: self.cold_usable_from.get(),
+            AdmissionShare::Scheduler {
+                took_over_at: self.took_over_at.get(),
                 lease_until: self.leader_lease_until.get(),
             }
         } else {
             let hash = |name: &String| xxh3_64(name.as_bytes());
-            ColdShare::Standalone {
+            AdmissionShare::Standalone {
                 me: hash(&self.me),
                 vms: self.vms.borrow().keys().map(hash).collect(),
             }
         };
-        self.local_scheduler.set_cold_share(share);
+        self.local_scheduler.set_admission_share(share);
     }
 
     pub(super) fn rights_share(&self) -> RateShare {
--- a/crates/entry/src/scheduling/client/mod.rs
+++ b/crates/entry/src/scheduling/client/mod.rs
@@ -81,10 +81,10 @@
     handover: RefCell<Option<Handover>>,
     /// End of the leader lease; set only where engines don't check fencing tokens.
     lease_valid_until: Cell<Option<Millis>>,
-    /// End of the leader lease, by which parts of the limits of cold upstreams are used.
+    /// End of the leader lease, by which parts of the upstreams' limits are used.
     leader_lease_until: Cell<Millis>,
-    /// When this VM as leader may use its part of the limits of cold upstreams.
-    cold_usable_from: Cell<Millis>,
+    /// When this VM took over from another leader, if it did.
+    took_over_at: Cell<Option<Millis>>,
     /// When the leader stopped answering.
     leader_silent_since: Cell<Option<Millis>>,
     /// Whether only part of the store's upstreams has been read so far.
@@ -132,7 +132,7 @@
             handover: RefCell::default(),
             lease_valid_until: Cell::new(None),
             leader_lease_until: Cell::new(Millis::ZERO),
-            cold_usable_from: Cell::new(Millis::ZERO),
+            took_over_at: Cell::new(None),
             leader_silent_since: Cell::new(None),
             has_partial_upstreams: Cell::new(false),
             standalone_since: Cell::new(Some(Clock.now())),
@@ -359,7 +359,7 @@
     ) {
         self.vms.replace(vms);
         if !self.is_leading() {
-            self.update_cold_share();
+            self.update_admission_share();
         }
         // The share of a VM that leaves stays unused; only additional VMs make the shares smaller.
         let has_more_vms = self.vms.borrow().len() as u64 > self.share_count.get();
@@ -466,7 +466,7 @@
             self.standalone_since.set(None);
         }
         self.mode.replace(mode);
-        self.update_cold_share();
+        self.update_admission_share();
         self.mode_changed.send_modify(|count| *count += 1);
         self.notify_leader_change();
     }
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -11,7 +11,7 @@
         ids::UpstreamId,
         ingress::{ColdStart, EngineHoldings, IngressConfig, UpstreamEntry},
         scheduler::{
-            Announcement, AttemptCounts, AttemptHistory, AttemptId, ColdLimit, ColdShare,
+            AdmissionShare, Announcement, AttemptCounts, AttemptHistory, AttemptId, ColdLimit,
             EnginesToPause, Order, OrderResult, Outcome, RateDecision, RateShare, RunningRequest,
             Scheduler, SchedulerAction as Action, SchedulerSettings, SignalChanges,
             UpstreamSignals, WaitReason, WaitTimes,
@@ -212,12 +212,12 @@
         }
     }
 
-    /// Sets which part of the limits of cold upstreams this VM may use.
-    pub fn set_cold_share(
+    /// Sets which part of the upstreams' limits over all VMs this VM may use.
+    pub fn set_admission_share(
         &self,
-        share: ColdShare,
+        share: AdmissionShare,
     ) {
-        self.scheduler.borrow_mut().set_cold_share(share);
+        self.scheduler.borrow_mut().set_admission_share(share);
     }
 
     /// Records what an upstream states in a response to a request of this VM's own callers.
