Upstreams that state a request limit get no more than that from all VMs together

Callers saw nothing.

Cause: no VM read the header, so no scheduler could keep it.

Every VM now tells the leader what an upstream states, with the first event and the end of a request, and on hello also what it knows and what it sent in the last window. The scheduler sends at most 4 L in 4 s and L in 1 s. Parts that add up to the allowed 6 L + 5 go to a leader without a valid lease or within a window of a takeover, and to VMs alone, by rendezvous rank; a limit outlasts a lapsed entry and ends with a restart or with a response to a later request. A limited upstream counts with its limit in the capacity, so that excess is refused early, and costs waiting requests the time between two requests; one idle for a while is tried, as only a response ends the limit.

The end of the first test changed: after the limit has ended, the other upstream is drained and the first must serve the full rate. Before, it had to be preferred among two idle ones, which it wasn't on the old code either.

--- a/crates/core/src/scheduler/admission_log.rs
+++ b/crates/core/src/scheduler/admission_log.rs
@@ -27,6 +27,24 @@
         self.sent.push_back(now);
     }
 
+    /// Adds a request that another scheduler sent at `at`.
+    pub(super) fn add_earlier(
+        &mut self,
+        at: Millis,
+    ) {
+        let position = self.sent.partition_point(|&sent| sent <= at);
+        self.sent.insert(position, at);
+    }
+
+    /// How long ago the requests of the window were sent.
+    pub(super) fn ages(
+        &self,
+        now: Millis,
+    ) -> Vec<Millis> {
+        let ages = self.sent.iter().map(|&at| now.since(at));
+        ages.filter(|&age| age < self.window).collect()
+    }
+
     /// How long until fewer than `allowed` requests are in the last `window`, which is at most the
     /// window of the log; `None` if none is allowed.
     pub(super) fn wait(
--- a/crates/core/src/scheduler/admission_share.rs
+++ b/crates/core/src/scheduler/admission_share.rs
@@ -48,7 +48,6 @@
         now: Millis,
     ) -> AdmissionPart {
         match self {
-            Self::None => AdmissionPart::None,
             Self::Scheduler {
                 took_over_at,
                 lease_until,
@@ -66,7 +65,7 @@
                     vms: vms.len(),
                 }
             }
-            Self::Standalone { .. } => AdmissionPart::None,
+            Self::None | Self::Standalone { .. } => AdmissionPart::None,
         }
     }
 }
--- a/crates/core/src/scheduler/availability.rs
+++ b/crates/core/src/scheduler/availability.rs
@@ -1,10 +1,13 @@
-//! Which upstreams may get requests: evacuations of data centres and limits of cold upstreams.
+//! Which upstreams may get requests: evacuations of data centres, limits of cold upstreams and
+//! limits that upstreams state.
 
 use {
     super::{
-        Announcement,
+        Announcement, StatedUpstream,
+        admission_log::AdmissionLog,
         cold_admission::{COLD_WINDOW, ColdLimit},
         fleet::Fleet,
+        request_limit::LIMIT_WINDOW,
         upstream::Upstream,
     },
     crate::{
@@ -70,7 +73,7 @@
 
     /// How long until an upstream's cold limit allows one more request from this scheduler; `None`
     /// if it isn't known.
-    pub(super) fn admission_wait(
+    pub(super) fn cold_wait(
         &self,
         upstream: &Upstream,
         now: Millis,
@@ -87,6 +90,56 @@
         upstream.cold_admissions.wait(allowed, COLD_WINDOW, now)
     }
 
+    /// How long until the request limit that an upstream states allows one more request from this
+    /// scheduler; `None` if it isn't known.
+    pub(super) fn request_limit_wait(
+        &self,
+        upstream: &Upstream,
+        now: Millis,
+    ) -> Option<Millis> {
+        let Some(limit) = upstream.request_limit else {
+            return Some(Millis::ZERO);
+        };
+        let share = &self.admission_share;
+        let part = share.part(upstream.id_hash, LIMIT_WINDOW, now);
+        limit.wait(part, &upstream.limit_admissions, now)
+    }
+
+    /// The upstreams that have stated something.
+    pub(super) fn stated(
+        &self,
+        now: Millis,
+    ) -> Vec<StatedUpstream> {
+        let upstreams = self.upstreams.values();
+        upstreams.filter_map(|up| up.stated(now)).collect()
+    }
+
+    /// Adds what upstreams stated to another VM before this scheduler took over and, with
+    /// `counts_requests`, the requests that the VM sent to them.
+    pub(super) fn add_stated(
+        &mut self,
+        stated: &[StatedUpstream],
+        counts_requests: bool,
+        now: Millis,
+    ) {
+        for one in stated {
+            let Some(upstream) = self.upstreams.get_mut(&one.upstream) else {
+                continue;
+            };
+            upstream.add_stated(&one.signals, now);
+            for &ago in one.sent_ago.iter().filter(|_| counts_requests) {
+                upstream.limit_admissions.add_earlier(now.since(ago));
+            }
+        }
+    }
+
+    /// Forgets the requests to upstreams with a limit: VMs tell a new scheduler what they sent.
+    pub(super) fn restart_limit_logs(&mut self) {
+        for upstream in self.upstreams.values_mut() {
+            upstream.limit_admissions = AdmissionLog::new(LIMIT_WINDOW);
+        }
+    }
+
     fn upstreams_in(
         &mut self,
         data_centre: DataCentreId,
--- a/crates/core/src/scheduler/choose/cost.rs
+++ b/crates/core/src/scheduler/choose/cost.rs
@@ -5,8 +5,8 @@
     crate::{
         clock::Millis,
         scheduler::{
-            Job, cold_admission::COLD_WINDOW, engine::Engine, request_load::Load,
-            upstream::Upstream,
+            Job, cold_admission::COLD_WINDOW, engine::Engine, request_limit::LIMIT_WINDOW,
+            request_load::Load, upstream::Upstream,
         },
     },
 };
@@ -35,6 +35,12 @@
 /// evacuation takes effect, so that adapters in demand are loaded elsewhere first.
 const EVACUATION_PENALTY_MS: f64 = 2_500.0;
 
+/// Bonus for an upstream with a request limit that got no request for a while: only a response tells
+/// that the limit has ended.
+const PROBE_BONUS_MS: f64 = 100.0;
+/// Shortest time without a request after which an upstream gets that bonus.
+const MIN_PROBE_INTERVAL: Millis = Millis(1_000);
+
 impl SelectionContext<'_> {
     /// Penalty for data centre and recent failures, in milliseconds.
     pub(super) fn penalty(
@@ -64,21 +70,36 @@
         EVACUATION_PENALTY_MS * (1.0 - left / whole).clamp(0.0, 1.0)
     }
 
-    /// Whether the upstream's cold limit allows a request now.
+    /// Whether the upstream's cold limit and its request limit allow a request now.
     pub(super) fn is_admitted(
         &self,
         up: &Upstream,
     ) -> bool {
-        self.fleet.admission_wait(up, self.now) == Some(Millis::ZERO)
+        let wait = self.fleet.cold_wait(up, self.now);
+        wait == Some(Millis::ZERO) && self.is_within_request_limit(up)
+    }
+
+    /// Whether the request limit that the upstream states allows a request now.
+    pub(super) fn is_within_request_limit(
+        &self,
+        up: &Upstream,
+    ) -> bool {
+        self.fleet.request_limit_wait(up, self.now) == Some(Millis::ZERO)
     }
 
-    /// Time until the upstream's cold limit allows a request, in milliseconds.
-    pub(super) fn admission_delay(
+    /// Penalty for the limits of the upstream, in milliseconds: the time until they allow a request,
+    /// and that between two requests of its request limit, which others wait for.
+    fn admission_delay(
         &self,
         up: &Upstream,
     ) -> f64 {
-        let wait = self.fleet.admission_wait(up, self.now);
-        wait.unwrap_or(COLD_WINDOW).0 as f64
+        let cold = self.fleet.cold_wait(up, self.now).unwrap_or(COLD_WINDOW);
+        let limit = self.fleet.request_limit_wait(up, self.now);
+        match limit.unwrap_or(LIMIT_WINDOW) {
+            Millis::ZERO if is_probe_due(up, self.now) => cold.0 as f64 - PROBE_BONUS_MS,
+            Millis::ZERO => cold.0 as f64,
+            wait => wait.max(cold).0 as f64 + request_interval(up),
+        }
     }
 
     /// The cost of an engine in milliseconds if it had the adapter loaded.
@@ -112,6 +133,25 @@
     }
 }
 
+/// Whether an upstream with a request limit has got no request for a while.
+fn is_probe_due(
+    up: &Upstream,
+    now: Millis,
+) -> bool {
+    let interval = MIN_PROBE_INTERVAL.max(Millis(request_interval(up) as u64));
+    let wait = up.limit_admissions.wait(1, interval, now);
+    up.request_limit.is_some() && wait == Some(Millis::ZERO)
+}
+
+/// Time between two requests of the request limit that an upstream states, in milliseconds; zero
+/// without a limit.
+pub(super) fn request_interval(up: &Upstream) -> f64 {
+    let limit = up.request_limit;
+    limit.map_or(0.0, |limit| {
+        (1_000.0 / limit.per_second).min(LIMIT_WINDOW.0 as f64)
+    })
+}
+
 /// Penalty for delaying the tokens of the streams running on an engine, in milliseconds;
 /// `prefill_ms` is the time for all unread prompts including this one.
 ///
--- a/crates/core/src/scheduler/choose/load.rs
+++ b/crates/core/src/scheduler/choose/load.rs
@@ -1,7 +1,9 @@
 //! Cost of loading an adapter onto an engine, and which adapter to evict for it.
 
 use {
-    super::{AdapterCopies, ORDER_ROUND_TRIP_MS, SelectionContext, ServingOption},
+    super::{
+        AdapterCopies, ORDER_ROUND_TRIP_MS, SelectionContext, ServingOption, cost::request_interval,
+    },
     crate::{
         ids::{AdapterVersion, ModelId},
         placement::rendezvous_score,
@@ -65,7 +67,8 @@
         };
         let affinity_score = rendezvous_score(u64::from(wanted.adapter.0), u64::from(up.id.0), 1);
         let affinity_penalty = MAX_AFFINITY_PENALTY_MS / (1.0 + affinity_score);
-        let cost = base + extra + load_penalty + eviction_cost + affinity_penalty;
+        let cost =
+            base + extra + load_penalty + eviction_cost + affinity_penalty + request_interval(up);
         let option = if engine.can_take_order(self.now) && engine.reserved.is_none() {
             ServingOption::Load {
                 adapter: wanted,
@@ -170,7 +173,9 @@
         engine: &Engine,
     ) -> WaitReason {
         let total = Load::of(job, engine, self.now).total;
-        if !self.is_admitted(up) {
+        if !self.is_within_request_limit(up) {
+            WaitReason::RequestLimit
+        } else if !self.is_admitted(up) {
             WaitReason::ColdUpstream
         } else if engine.has_capacity(up.running, total, self.settings.kv_fill_percent) {
             WaitReason::Prefill
--- a/crates/core/src/scheduler/engine.rs
+++ b/crates/core/src/scheduler/engine.rs
@@ -21,6 +21,11 @@
 /// Consecutive late loads after which the engine is polled for a report.
 const MAX_LATE_LOADS: u32 = 3;
 
+/// Assumed size of a prompt before the first request, in tokens.
+const INITIAL_PROMPT_TOKENS: f64 = 1_000.0;
+/// Weight of one prompt in the moving average of their sizes.
+const PROMPT_WEIGHT: f64 = 0.1;
+
 /// Capacity of an engine of one service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EngineLimits {
@@ -88,6 +93,8 @@
     pub prefixes: PrefixCache,
     /// KV cache tokens reserved by assigned requests.
     pub kv_used: u64,
+    /// Moving average of the size of a prompt, in tokens.
+    pub mean_prompt_tokens: f64,
     consecutive_late_loads: u32,
 }
 
@@ -114,6 +121,7 @@
             backlog: Backlog::default(),
             prefixes: PrefixCache::default(),
             kv_used: 0,
+            mean_prompt_tokens: INITIAL_PROMPT_TOKENS,
             consecutive_late_loads: 0,
         }
     }
@@ -131,6 +139,14 @@
         *self = fresh;
     }
 
+    /// Records the size of the prompt of an assigned request, in tokens.
+    pub(super) fn note_prompt(
+        &mut self,
+        tokens: u32,
+    ) {
+        self.mean_prompt_tokens += (f64::from(tokens) - self.mean_prompt_tokens) * PROMPT_WEIGHT;
+    }
+
     /// Replaces the view with the engine's status; assigned requests are kept.
     pub(super) fn apply_status(
         &mut self,
--- a/crates/core/src/scheduler/fleet.rs
+++ b/crates/core/src/scheduler/fleet.rs
@@ -6,6 +6,7 @@
         call_times::CallTimes,
         choose::{MAX_FULL_SCAN_ENGINES, PreferredEngines},
         cold_admission::ColdLimit,
+        departed::DepartedUpstreams,
         engine::Engine,
         evacuation::Evacuations,
         fleet_totals::FleetTotals,
@@ -26,6 +27,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Fleet {
     pub upstreams: BTreeMap<UpstreamId, Upstream>,
+    departed: DepartedUpstreams,
     /// The upstreams of each service, sorted by id.
     members: HashMap<ServiceId, Vec<UpstreamId>>,
     holders: Holders,
@@ -91,8 +93,9 @@
     ) {
         if !self.upstreams.contains_key(&id) {
             let engine = self.new_engine(status.service);
-            self.upstreams
-                .insert(id, Upstream::new(id, status, engine, now));
+            let mut upstream = Upstream::new(id, status, engine, now);
+            self.departed.restore(&mut upstream);
+            self.upstreams.insert(id, upstream);
             self.add_member(id, status.service);
         }
         let Some(upstream) = self.upstreams.get_mut(&id) else {
@@ -279,9 +282,11 @@
     pub(super) fn remove(
         &mut self,
         id: UpstreamId,
+        now: Millis,
     ) {
         if let Some(upstream) = self.upstreams.remove(&id) {
             self.remove_member(id, upstream.service);
+            self.departed.keep(upstream, now);
         }
     }
 
@@ -446,6 +451,22 @@
         }
     }
 
+    /// Records that a request is about to be sent.
+    pub(super) fn note_sent(
+        &mut self,
+        id: UpstreamId,
+        job: &Job,
+        now: Millis,
+    ) {
+        let Some(upstream) = self.upstreams.get_mut(&id) else {
+            return;
+        };
+        upstream.limit_admissions.note(now);
+        if let (Some(engine), Some(generation)) = (&mut upstream.engine, job.generation()) {
+            engine.note_prompt(generation.size.prompt);
+        }
+    }
+
     /// Records that an assigned request has ended or won't start.
     pub(super) fn release(
         &mut self,
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -24,6 +24,7 @@
 mod call_times;
 mod choose;
 mod cold_admission;
+mod departed;
 mod engine;
 mod evacuation;
 mod fleet;
@@ -39,6 +40,7 @@
 mod prefill_estimator;
 mod prefix_cache;
 mod report_queue;
+mod request_limit;
 mod request_load;
 mod resident;
 mod retry_budget;
@@ -59,10 +61,11 @@
     engine::EngineLimits,
     job::{AttemptId, Generation, Job, Work},
     outcome::{EnginesToPause, OrderResult, Outcome, RateDecision},
+    request_limit::LIMIT_WINDOW,
     retry_budget::{AttemptCounts, AttemptHistory},
     running::RunningRequest,
     settings::{LoadSettings, RetrySettings, SchedulerSettings},
-    signals::{SignalChanges, UpstreamSignals},
+    signals::{SignalChanges, StatedUpstream, UpstreamSignals},
     state_machine::Scheduler,
     upstream::{EngineStatus, UpstreamStatus},
     wait_reason::WaitReason,
--- a/crates/core/src/scheduler/retry_budget.rs
+++ b/crates/core/src/scheduler/retry_budget.rs
@@ -1,5 +1,5 @@
 use {
-    super::RetrySettings,
+    super::{RetrySettings, StatedUpstream},
     crate::{clock::Millis, ids::ServiceId},
     std::collections::VecDeque,
 };
@@ -25,13 +25,16 @@
     pub retries: u32,
 }
 
-/// The attempts of one VM's callers in the last window, which it tells a new scheduler.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+/// The attempts of one VM's callers in the last window, which it tells a new scheduler, and what
+/// upstreams have stated.
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct AttemptHistory {
     /// How long the VM has counted, at most one window.
     pub counted_for: Millis,
     /// The attempts at each service.
     pub services: Vec<(ServiceId, AttemptCounts)>,
+    /// The upstreams that have stated something.
+    pub stated: Vec<StatedUpstream>,
 }
 
 /// Who decides about retries, and so which part of the budget it may use.
--- a/crates/core/src/scheduler/running.rs
+++ b/crates/core/src/scheduler/running.rs
@@ -40,6 +40,8 @@
     pub attempt_id: AttemptId,
     pub job: Job,
     pub stage: Stage,
+    /// When it was assigned; zero before, and if another scheduler assigned it.
+    pub assigned_at: Millis,
     /// When it must be sent at the latest to meet its objective.
     pub latest_send_at: Millis,
     /// When to evaluate it again, unless the epoch has changed.
--- a/crates/core/src/scheduler/state_machine/availability.rs
+++ b/crates/core/src/scheduler/state_machine/availability.rs
@@ -8,8 +8,8 @@
         error::{ErrorKind, Refusal},
         ids::{DataCentreId, RequestId, ServiceId, UpstreamId},
         scheduler::{
-            AdmissionShare, Announcement, ColdLimit, Job, SchedulerAction as Action, SignalChanges,
-            UpstreamSignals, running::Stage,
+            AdmissionShare, Announcement, AttemptId, ColdLimit, Job, SchedulerAction as Action,
+            SignalChanges, UpstreamSignals, running::Stage,
         },
     },
     std::collections::HashMap,
@@ -73,6 +73,24 @@
         })
     }
 
+    /// Records what an upstream states in its response to an assigned request.
+    pub fn note_signals(
+        &mut self,
+        attempt_id: AttemptId,
+        signals: &UpstreamSignals,
+        now: Millis,
+    ) {
+        let request = self.by_attempt_id.get(&attempt_id);
+        let Some(entry) = request.and_then(|request| self.entries.get(request)) else {
+            return;
+        };
+        if let Stage::Running { upstream, .. } = entry.stage
+            && let Some(upstream) = self.fleet.upstreams.get_mut(&upstream)
+        {
+            upstream.note_signals(signals, entry.assigned_at, now);
+        }
+    }
+
     /// Refuses a request that no upstream may serve until an operator changes something.
     pub(super) fn check_availability(
         &self,
--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -315,10 +315,12 @@
         let job = self.entries.get(&request)?.job.clone();
         let load = self.request_load(&job, upstream, now);
         self.fleet.assign(upstream, request, adapter, load, now);
+        self.fleet.note_sent(upstream, &job, now);
         self.update_queued_work(&job, false);
         let entry = self.entries.get_mut(&request)?;
         self.on_time.remove(&(entry.latest_send_at, request));
         entry.stage = Stage::Running { upstream, adapter };
+        entry.assigned_at = now;
         let waited_for = entry.waited_for(now);
         self.waits.add_all(&entry.waited);
         let version = adapter
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -43,6 +43,7 @@
             self.fleet.orders_allowed_at = orders_allowed_at;
             if share != RateShare::Fresh {
                 self.restart_retry_budgets(now);
+                self.fleet.restart_limit_logs();
             }
             for (_, engine) in self.fleet.engines_mut() {
                 engine.has_pending_order = false;
@@ -160,8 +161,9 @@
     pub fn remove_upstream(
         &mut self,
         id: UpstreamId,
+        now: Millis,
     ) {
-        self.fleet.remove(id);
+        self.fleet.remove(id, now);
     }
 
     /// Records that an operator has announced a version of an adapter.
@@ -287,6 +289,7 @@
             forget_at: job.deadline + ORPHAN_TIMEOUT,
             job,
             stage,
+            assigned_at: Millis::ZERO,
             charge,
         };
         self.entries.insert(request, entry);
--- a/crates/core/src/scheduler/state_machine/retries.rs
+++ b/crates/core/src/scheduler/state_machine/retries.rs
@@ -5,7 +5,7 @@
     crate::{
         clock::Millis,
         error::{ErrorKind, Refusal},
-        ids::ServiceId,
+        ids::{ServiceId, UpstreamId},
         scheduler::{AttemptCounts, AttemptHistory, Job, RateShare, retry_budget::RetryShare},
     },
 };
@@ -35,6 +35,7 @@
     pub fn note_own_attempt(
         &mut self,
         service: ServiceId,
+        upstream: UpstreamId,
         attempt: u32,
         now: Millis,
     ) {
@@ -47,6 +48,9 @@
         let budget = self.retry_budgets.entry(service).or_default();
         budget.own.add(counts, window, now);
         self.counting_since.get_or_insert(now);
+        if let Some(upstream) = self.fleet.upstreams.get_mut(&upstream) {
+            upstream.own_sent.note(now);
+        }
     }
 
     /// The attempts of this VM's own callers, for a new scheduler.
@@ -63,10 +67,11 @@
             services: services
                 .filter(|(_, counts)| *counts != AttemptCounts::default())
                 .collect(),
+            stated: self.fleet.stated(now),
         }
     }
 
-    /// Adds the attempts that one of `vms` VMs made before this scheduler took over; `vm` is a hash
+    /// Adds what one of `vms` VMs tells of the time before this scheduler took over; `vm` is a hash
     /// of its name.
     ///
     /// A VM that connects again is counted once: this scheduler has decided about its attempts since.
@@ -77,7 +82,9 @@
         vms: usize,
         now: Millis,
     ) {
-        if !self.told_history.insert(vm) {
+        let is_first = self.told_history.insert(vm);
+        self.fleet.add_stated(&history.stated, is_first, now);
+        if !is_first {
             return;
         }
         let settings = self.settings.repeats;
--- a/crates/core/src/scheduler/upstream.rs
+++ b/crates/core/src/scheduler/upstream.rs
@@ -4,8 +4,9 @@
         cold_admission::{COLD_WINDOW, ColdLimit},
         engine::Engine,
         health::Health,
+        request_limit::{LIMIT_WINDOW, RequestLimit},
         resident::ResidentState,
-        signals::{SignalChanges, StatedLimit, UpstreamSignals},
+        signals::{SignalChanges, StatedUpstream, UpstreamSignals},
     },
     crate::{
         clock::Millis,
@@ -82,7 +83,11 @@
     /// The requests that count for its cold limit.
     pub cold_admissions: AdmissionLog,
     /// The request limit that it states in its responses.
-    pub request_limit: Option<StatedLimit>,
+    pub request_limit: Option<RequestLimit>,
+    /// The requests that count for its request limit.
+    pub limit_admissions: AdmissionLog,
+    /// The requests of this VM's own callers, whoever assigned them.
+    pub own_sent: AdmissionLog,
     /// When the evacuation of its data centre takes effect.
     pub evacuated_from: Option<Millis>,
     pub health: Health,
@@ -113,6 +118,8 @@
             cold_limit: None,
             cold_admissions: AdmissionLog::new(COLD_WINDOW),
             request_limit: None,
+            limit_admissions: AdmissionLog::new(LIMIT_WINDOW),
+            own_sent: AdmissionLog::new(LIMIT_WINDOW),
             evacuated_from: None,
             health: Health::default(),
             running: 0,
@@ -172,6 +179,32 @@
         }
     }
 
+    /// What it has stated in its responses; `None` if nothing.
+    pub(super) fn stated(
+        &self,
+        now: Millis,
+    ) -> Option<StatedUpstream> {
+        let signals = UpstreamSignals {
+            request_limit: self.request_limit.map(|limit| limit.per_second),
+        };
+        (signals != UpstreamSignals::default()).then(|| StatedUpstream {
+            upstream: self.id,
+            signals,
+            sent_ago: self.own_sent.ages(now),
+        })
+    }
+
+    /// Adds what it stated to another VM before this scheduler took over.
+    pub(super) fn add_stated(
+        &mut self,
+        signals: &UpstreamSignals,
+        now: Millis,
+    ) {
+        if signals.request_limit.is_some() {
+            self.note_signals(signals, now, now);
+        }
+    }
+
     /// Records what it states in a response to a request that was sent at `sent_at`.
     pub(super) fn note_signals(
         &mut self,
@@ -181,7 +214,7 @@
     ) -> SignalChanges {
         let before = self.request_limit.map(|limit| limit.per_second);
         self.request_limit =
-            StatedLimit::after_response(self.request_limit, signals.request_limit, sent_at, now);
+            RequestLimit::after_response(self.request_limit, signals.request_limit, sent_at, now);
         let after = self.request_limit.map(|limit| limit.per_second);
         SignalChanges {
             request_limit: (before != after).then_some(after),
@@ -234,10 +267,13 @@
 
     /// Throughput per millisecond: prompt tokens on an engine, otherwise calls.
     pub(super) fn capacity(&self) -> f64 {
-        match &self.engine {
-            Some(engine) => engine.backlog.tokens_per_ms(),
-            None => f64::from(self.slots) / self.call_ms.max(1.0),
-        }
+        let (capacity, per_request) = match &self.engine {
+            Some(engine) => (engine.backlog.tokens_per_ms(), engine.mean_prompt_tokens),
+            None => (f64::from(self.slots) / self.call_ms.max(1.0), 1.0),
+        };
+        self.request_limit.map_or(capacity, |limit| {
+            capacity.min(limit.per_second / 1_000.0 * per_request)
+        })
     }
 
     /// Number of calls that keep its slots busy: one for each slot and some sent ahead.
--- a/crates/core/src/scheduler/wait_reason.rs
+++ b/crates/core/src/scheduler/wait_reason.rs
@@ -20,11 +20,13 @@
     AdapterSlot,
     /// The request rate of a cold upstream.
     ColdUpstream,
+    /// The request limit that an upstream states.
+    RequestLimit,
 }
 
 impl WaitReason {
     /// All variants in declaration order, by which wait times are counted and exported as metrics.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::Turn,
         Self::NoUpstream,
         Self::CallSlot,
@@ -34,6 +36,7 @@
         Self::Order,
         Self::AdapterSlot,
         Self::ColdUpstream,
+        Self::RequestLimit,
     ];
 
     /// Parses a name from [`Self::as_str`]; `None` if it is unknown.
@@ -53,6 +56,7 @@
             Self::Order => "order",
             Self::AdapterSlot => "place",
             Self::ColdUpstream => "cold_upstream",
+            Self::RequestLimit => "request_limit",
         }
     }
 }
--- a/crates/core/tests/fleet_size.rs
+++ b/crates/core/tests/fleet_size.rs
@@ -138,7 +138,7 @@
     };
     used(&mut world, 0..60);
     for id in 0..30 {
-        world.scheduler.remove_upstream(UpstreamId(id));
+        world.scheduler.remove_upstream(UpstreamId(id), world.now);
     }
     for id in 100..130 {
         world.add_engine(UpstreamId(id), &[]);
--- a/crates/core/tests/scheduler_refusals.rs
+++ b/crates/core/tests/scheduler_refusals.rs
@@ -253,6 +253,7 @@
         let history = AttemptHistory {
             counted_for: Millis(10_000),
             services: vec![(service, counts)],
+            stated: Vec::new(),
         };
         // A VM that connects again tells it again.
         let connections = if vm == 0 { 1 } else { 3 };
--- a/crates/entry/src/scheduling/client/following.rs
+++ b/crates/entry/src/scheduling/client/following.rs
@@ -5,8 +5,8 @@
     crate::scheduling::{
         Leader,
         convert::{
-            JobUpdate, read_leader, write_attempts, write_idle_times, write_leader, write_running,
-            write_update,
+            AttemptUpdate, read_leader, write_attempts, write_idle_times, write_leader,
+            write_running, write_stated, write_update,
         },
     },
     futures::future::join_all,
@@ -173,8 +173,7 @@
         let running = self.running_specs();
         let (me, incarnation) = (&self.me, self.incarnation);
         let running = &running;
-        let (attempts, counted_for) = self.local_scheduler.attempt_history();
-        let attempts = &attempts;
+        let history = &self.local_scheduler.history();
         let (session, other) = link
             .call(Millis::ZERO, |client| async move {
                 let mut req = client.hello_request();
@@ -184,8 +183,11 @@
                 for (at, running) in running.iter().enumerate() {
                     write_running(list.reborrow().get(at as u32), running);
                 }
-                write_attempts(req.get().init_attempts(attempts.len() as u32), attempts);
-                req.get().set_counted_for_ms(counted_for.0 as u32);
+                let attempts = req.get().init_attempts(history.attempts.len() as u32);
+                write_attempts(attempts, &history.attempts);
+                req.get().set_counted_for_ms(history.counted_for.0 as u32);
+                let stated = req.get().init_stated(history.stated.len() as u32);
+                write_stated(stated, &history.stated);
                 let res = req.send().promise.await?;
                 let res = res.get()?;
                 Ok((res.get_session(), read_leader(res.get_leader()?)?))
@@ -264,14 +266,14 @@
 async fn call_tell(
     link: &SchedulerLink,
     session: u32,
-    updates: &[(u64, JobUpdate)],
+    updates: &[AttemptUpdate],
 ) -> Result<bool, LinkError> {
     link.call(Millis::ZERO, |client| async move {
         let mut req = client.tell_request();
         req.get().set_session(session);
         let mut list = req.get().init_news(updates.len() as u32);
-        for (at, &(number, update)) in updates.iter().enumerate() {
-            write_update(list.reborrow().get(at as u32), number, update);
+        for (at, update) in updates.iter().enumerate() {
+            write_update(list.reborrow().get(at as u32), update);
         }
         let res = req.send().promise.await?;
         Ok(res.get()?.get_known())
--- a/crates/entry/src/scheduling/client/leading.rs
+++ b/crates/entry/src/scheduling/client/leading.rs
@@ -78,10 +78,9 @@
         let previous = self.leader.replace(Some(leader.clone()));
         self.local_scheduler.set_role(true, share);
         self.apply_handover(previous.as_ref().map(|previous| previous.fence));
-        let (attempts, counted_for) = self.local_scheduler.attempt_history();
+        let history = self.local_scheduler.history();
         let vms = self.vms.borrow().len();
-        self.local_scheduler
-            .add_attempt_history(&self.me, &attempts, counted_for, vms);
+        self.local_scheduler.add_history(&self.me, &history, vms);
         self.took_over_at.set(match share {
             RateShare::Fresh => None,
             RateShare::TakenOver | RateShare::Part(_) => Some(self.clock.now()),
--- a/crates/entry/src/scheduling/client/mod.rs
+++ b/crates/entry/src/scheduling/client/mod.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Handover, JobSpec, Leader, LocalScheduler, Placement, PlacementError, RunningSpec, Verdict,
-        convert::{JobUpdate, read_verdict, write_job},
+        convert::{AttemptUpdate, JobUpdate, read_verdict, write_job},
     },
     crate::clock::Clock,
     jasmine_core::{
@@ -97,7 +97,7 @@
     mode_changed: watch::Sender<u64>,
     next_number: Cell<u64>,
     running: RefCell<HashMap<u64, Running>>,
-    outbox: RefCell<Vec<(u64, JobUpdate)>>,
+    outbox: RefCell<Vec<AttemptUpdate>>,
     update_queued: Notify,
     /// Notified when a call ends: its slot may be needed at once.
     urgent_update_queued: Notify,
@@ -201,14 +201,15 @@
                     pending.is_settled.set(true);
                     if self.is_stale_assignment(&upstream) {
                         // A leader cut off from the store may not know yet that this upstream is leaving.
-                        self.record_update(spec.number, JobUpdate::Ended(Outcome::Abandoned));
+                        let end = JobUpdate::Ended(Outcome::Abandoned);
+                        self.record_update(spec.number, end, None);
                         excluded_upstreams.push(upstream);
                         sleep(STALE_ASSIGNMENT_DELAY.to_std()).await;
                         continue;
                     }
                     self.local_scheduler
                         .record_own_decision(&spec, RateDecision::Admitted);
-                    self.local_scheduler.note_own_attempt(&spec);
+                    self.local_scheduler.note_own_attempt(&spec, &upstream);
                     let running = self.track_running(spec, &upstream, version);
                     return Ok(Placement::new(
                         Rc::clone(self),
@@ -268,11 +269,15 @@
         &self,
         number: u64,
         update: JobUpdate,
+        signals: Option<UpstreamSignals>,
     ) {
         let attempt_id = AttemptId {
             vm: LOCAL_VM,
             number,
         };
+        if let Some(signals) = &signals {
+            self.local_scheduler.note_signals(attempt_id, signals);
+        }
         let mut is_urgent = false;
         match update {
             JobUpdate::FirstEvent => {
@@ -288,7 +293,11 @@
             }
         }
         if !self.is_leading() {
-            self.outbox.borrow_mut().push((number, update));
+            self.outbox.borrow_mut().push(AttemptUpdate {
+                number,
+                update,
+                signals,
+            });
             let notification = if is_urgent {
                 &self.urgent_update_queued
             } else {
@@ -502,7 +511,7 @@
     fn drop(&mut self) {
         if !self.is_settled.get() {
             let update = JobUpdate::Ended(Outcome::Abandoned);
-            self.scheduling.record_update(self.number, update);
+            self.scheduling.record_update(self.number, update, None);
         }
     }
 }
--- a/crates/entry/src/scheduling/convert.rs
+++ b/crates/entry/src/scheduling/convert.rs
@@ -1,17 +1,17 @@
 //! Converts scheduling types to and from the Cap'n Proto messages between entry VMs.
 
 use {
-    super::{GenerationSpec, JobSpec, Leader, RunningSpec, Verdict},
+    super::{GenerationSpec, JobSpec, Leader, RunningSpec, StatedSpec, Verdict},
     capnp::{struct_list, text_list},
     jasmine_core::{
         clock::Millis,
         error::{ErrorKind, Refusal},
         ids::Fence,
         ingress::{PromptPart, PromptSize},
-        scheduler::{AttemptCounts, Outcome, WaitReason},
+        scheduler::{AttemptCounts, Outcome, UpstreamSignals, WaitReason},
     },
     jasmine_wire::scheduler_capnp::{
-        EndKind, attempts, job, leadership, news, rested, running_job, verdict,
+        EndKind, attempts, job, leadership, news, rested, running_job, signals, stated, verdict,
     },
 };
 
@@ -24,6 +24,15 @@
     Ended(Outcome),
 }
 
+/// A [`JobUpdate`] of one attempt, with what its upstream stated if a response has begun.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct AttemptUpdate {
+    /// The attempt, by its number on the forwarding VM.
+    pub number: u64,
+    pub update: JobUpdate,
+    pub signals: Option<UpstreamSignals>,
+}
+
 pub(super) fn write_job(
     mut to: job::Builder<'_>,
     spec: &JobSpec,
@@ -183,11 +192,13 @@
 
 pub(super) fn write_update(
     mut to: news::Builder<'_>,
-    number: u64,
-    update: JobUpdate,
+    update: &AttemptUpdate,
 ) {
-    to.set_number(number);
-    let (kind, took) = match update {
+    to.set_number(update.number);
+    if let Some(signals) = &update.signals {
+        write_signals(to.reborrow().init_signals(), signals);
+    }
+    let (kind, took) = match update.update {
         JobUpdate::FirstEvent => (EndKind::FirstEvent, Millis::ZERO),
         JobUpdate::Ended(Outcome::Answered { took }) => (EndKind::Answered, took),
         JobUpdate::Ended(Outcome::Failed) => (EndKind::Failed, Millis::ZERO),
@@ -203,7 +214,7 @@
     to.set_took_ms(took.0 as u32);
 }
 
-pub(super) fn read_update(from: news::Reader<'_>) -> Result<(u64, JobUpdate), capnp::Error> {
+pub(super) fn read_update(from: news::Reader<'_>) -> Result<AttemptUpdate, capnp::Error> {
     let took = Millis(from.get_took_ms().into());
     let update = match from.get_kind()? {
         EndKind::FirstEvent => JobUpdate::FirstEvent,
@@ -217,7 +228,61 @@
         EndKind::Silent => JobUpdate::Ended(Outcome::Silent),
         EndKind::Abandoned => JobUpdate::Ended(Outcome::Abandoned),
     };
-    Ok((from.get_number(), update))
+    let signals = if from.has_signals() {
+        Some(read_signals(from.get_signals()?))
+    } else {
+        None
+    };
+    Ok(AttemptUpdate {
+        number: from.get_number(),
+        update,
+        signals,
+    })
+}
+
+fn write_signals(
+    mut to: signals::Builder<'_>,
+    signals: &UpstreamSignals,
+) {
+    to.set_has_request_limit(signals.request_limit.is_some());
+    to.set_request_limit(signals.request_limit.unwrap_or_default());
+}
+
+fn read_signals(from: signals::Reader<'_>) -> UpstreamSignals {
+    let limit = from.get_request_limit();
+    UpstreamSignals {
+        request_limit: from.get_has_request_limit().then_some(limit),
+    }
+}
+
+pub(super) fn write_stated(
+    mut to: struct_list::Builder<'_, stated::Owned>,
+    upstreams: &[StatedSpec],
+) {
+    for (at, spec) in upstreams.iter().enumerate() {
+        let mut one = to.reborrow().get(at as u32);
+        one.set_upstream(&spec.upstream);
+        write_signals(one.reborrow().init_signals(), &spec.signals);
+        let mut sent_ago = one.init_sent_ago_ms(spec.sent_ago.len() as u32);
+        for (at, ago) in spec.sent_ago.iter().enumerate() {
+            sent_ago.set(at as u32, u16::try_from(ago.0).unwrap_or(u16::MAX));
+        }
+    }
+}
+
+pub(super) fn read_stated(
+    from: struct_list::Reader<'_, stated::Owned>
+) -> Result<Vec<StatedSpec>, capnp::Error> {
+    from.iter()
+        .map(|one| {
+            let sent_ago = one.get_sent_ago_ms()?.iter();
+            Ok(StatedSpec {
+                upstream: one.get_upstream()?.to_string()?,
+                signals: read_signals(one.get_signals()?),
+                sent_ago: sent_ago.map(|ms| Millis(ms.into())).collect(),
+            })
+        })
+        .collect()
 }
 
 pub(super) fn write_leader(
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        JobSpec, NameInterner, RunningSpec,
+        JobSpec, NameInterner, RunningSpec, StatedSpec, VmHistory,
         facts::{engine_facts, engine_limits, upstream_facts},
     },
     crate::clock::Clock,
@@ -11,9 +11,9 @@
         ids::UpstreamId,
         ingress::{ColdStart, EngineHoldings, IngressConfig, UpstreamEntry},
         scheduler::{
-            AdmissionShare, Announcement, AttemptCounts, AttemptHistory, AttemptId, ColdLimit,
-            EnginesToPause, Order, OrderResult, Outcome, RateDecision, RateShare, RunningRequest,
-            Scheduler, SchedulerAction as Action, SchedulerSettings, SignalChanges,
+            AdmissionShare, Announcement, AttemptHistory, AttemptId, ColdLimit, EnginesToPause,
+            Order, OrderResult, Outcome, RateDecision, RateShare, RunningRequest, Scheduler,
+            SchedulerAction as Action, SchedulerSettings, SignalChanges, StatedUpstream,
             UpstreamSignals, WaitReason, WaitTimes,
         },
     },
@@ -233,6 +233,17 @@
         scheduler.note_own_signals(id, signals, sent_at, now)
     }
 
+    /// Records what an upstream states in its response to an assigned request.
+    pub fn note_signals(
+        &self,
+        attempt_id: AttemptId,
+        signals: &UpstreamSignals,
+    ) {
+        let now = self.clock.now();
+        let mut scheduler = self.scheduler.borrow_mut();
+        scheduler.note_signals(attempt_id, signals, now);
+    }
+
     /// Begins the evacuation of a data centre.
     pub fn begin_evacuation(
         &self,
@@ -257,40 +268,57 @@
     pub fn note_own_attempt(
         &self,
         spec: &JobSpec,
+        upstream: &str,
     ) {
-        let service = self.names.borrow_mut().service(&spec.service);
+        let mut names = self.names.borrow_mut();
+        let (service, upstream) = (names.service(&spec.service), names.upstream(upstream));
         let now = self.clock.now();
         let mut scheduler = self.scheduler.borrow_mut();
-        scheduler.note_own_attempt(service, spec.attempt, now);
+        scheduler.note_own_attempt(service, upstream, spec.attempt, now);
     }
 
-    /// The attempts of this VM's own callers in the last window, with the time counted.
-    pub fn attempt_history(&self) -> (Vec<(String, AttemptCounts)>, Millis) {
+    /// What this VM tells a new leader.
+    pub fn history(&self) -> VmHistory {
         let history = self
             .scheduler
             .borrow_mut()
             .attempt_history(self.clock.now());
         let names = self.names.borrow();
         let services = history.services.into_iter();
-        let services = services.map(|(id, counts)| (names.service_name(id).to_string(), counts));
-        (services.collect(), history.counted_for)
+        let stated = history.stated.into_iter().map(|stated| StatedSpec {
+            upstream: names.upstream_name(stated.upstream).to_string(),
+            signals: stated.signals,
+            sent_ago: stated.sent_ago,
+        });
+        VmHistory {
+            counted_for: history.counted_for,
+            attempts: services
+                .map(|(id, counts)| (names.service_name(id).to_string(), counts))
+                .collect(),
+            stated: stated.collect(),
+        }
     }
 
-    /// Adds the attempts that `vm`, one of `vms`, made before this VM took over.
-    pub fn add_attempt_history(
+    /// Adds what `vm`, one of `vms`, tells of the time before this VM took over.
+    pub fn add_history(
         &self,
         vm: &str,
-        services: &[(String, AttemptCounts)],
-        counted_for: Millis,
+        history: &VmHistory,
         vms: usize,
     ) {
         let mut names = self.names.borrow_mut();
-        let services = services.iter();
+        let attempts = history.attempts.iter();
+        let services = attempts.map(|(name, counts)| (names.service(name), *counts));
+        let services = services.collect();
+        let stated = history.stated.iter().map(|spec| StatedUpstream {
+            upstream: names.upstream(&spec.upstream),
+            signals: spec.signals,
+            sent_ago: spec.sent_ago.clone(),
+        });
         let history = AttemptHistory {
-            counted_for,
-            services: services
-                .map(|(name, counts)| (names.service(name), *counts))
-                .collect(),
+            counted_for: history.counted_for,
+            services,
+            stated: stated.collect(),
         };
         let now = self.clock.now();
         let mut scheduler = self.scheduler.borrow_mut();
@@ -320,7 +348,8 @@
         let id = self.names.borrow_mut().upstream(id);
         self.addresses.borrow_mut().remove(&id);
         self.removed_upstreams.borrow_mut().insert(id);
-        self.scheduler.borrow_mut().remove_upstream(id);
+        let now = self.clock.now();
+        self.scheduler.borrow_mut().remove_upstream(id, now);
     }
 
     /// Applies an operator's announcement of an adapter version.
--- a/crates/entry/src/scheduling/mod.rs
+++ b/crates/entry/src/scheduling/mod.rs
@@ -12,6 +12,7 @@
 mod placement;
 mod placement_error;
 mod server;
+mod vm_history;
 
 pub use {
     client::SchedulerNode,
@@ -24,4 +25,5 @@
     placement::Placement,
     placement_error::PlacementError,
     server::SchedulerServer,
+    vm_history::{StatedSpec, VmHistory},
 };
--- a/crates/entry/src/scheduling/placement.rs
+++ b/crates/entry/src/scheduling/placement.rs
@@ -24,6 +24,8 @@
     pub waited_for: WaitReason,
     /// When the upstream was assigned.
     assigned_at: Millis,
+    /// What the upstream stated, once its response has begun.
+    signals: Cell<Option<UpstreamSignals>>,
     has_ended: Cell<bool>,
 }
 
@@ -45,6 +47,7 @@
             version,
             waited_for,
             assigned_at,
+            signals: Cell::new(None),
             has_ended: Cell::new(false),
         }
     }
@@ -54,6 +57,7 @@
         &self,
         signals: &UpstreamSignals,
     ) {
+        self.signals.set(Some(*signals));
         self.scheduling
             .note_signals(&self.upstream, signals, self.assigned_at);
     }
@@ -61,7 +65,7 @@
     /// Reports that the first event of the answer was received.
     pub fn first_event(&self) {
         self.scheduling
-            .record_update(self.number, JobUpdate::FirstEvent);
+            .record_update(self.number, JobUpdate::FirstEvent, self.signals.get());
     }
 
     /// Reports how the request ended; later calls have no effect.
@@ -70,8 +74,11 @@
         outcome: Outcome,
     ) {
         if !self.has_ended.replace(true) {
-            self.scheduling
-                .record_update(self.number, JobUpdate::Ended(outcome));
+            self.scheduling.record_update(
+                self.number,
+                JobUpdate::Ended(outcome),
+                self.signals.get(),
+            );
         }
     }
 }
--- a/crates/entry/src/scheduling/server.rs
+++ b/crates/entry/src/scheduling/server.rs
@@ -1,9 +1,9 @@
 use {
     super::{
-        LocalScheduler, SchedulerNode, Verdict,
+        LocalScheduler, SchedulerNode, Verdict, VmHistory,
         convert::{
-            JobUpdate, read_attempts, read_idle_times, read_job, read_leader, read_running,
-            read_update, write_leader, write_verdict,
+            AttemptUpdate, JobUpdate, read_attempts, read_idle_times, read_job, read_leader,
+            read_running, read_stated, read_update, write_leader, write_verdict,
         },
     },
     crate::store::{Feed, KvStore, write_reply},
@@ -103,11 +103,14 @@
             let running = read_running(running)?;
             self.scheduling.local_scheduler.adopt(session, &running);
         }
-        let attempts = read_attempts(params.get_attempts()?)?;
-        let counted_for = Millis(params.get_counted_for_ms().into());
+        let history = VmHistory {
+            counted_for: Millis(params.get_counted_for_ms().into()),
+            attempts: read_attempts(params.get_attempts()?)?,
+            stated: read_stated(params.get_stated()?)?,
+        };
         let vms = self.scheduling.vms().len();
         let local_scheduler = &self.scheduling.local_scheduler;
-        local_scheduler.add_attempt_history(vm, &attempts, counted_for, vms);
+        local_scheduler.add_history(vm, &history, vms);
         results.get().set_session(session);
         Ok(())
     }
@@ -159,11 +162,19 @@
             return Ok(());
         }
         for update in params.get_news()? {
-            let (number, update) = read_update(update)?;
+            let AttemptUpdate {
+                number,
+                update,
+                signals,
+            } = read_update(update)?;
             let attempt_id = AttemptId {
                 vm: session,
                 number,
             };
+            if let Some(signals) = &signals {
+                let local_scheduler = &self.scheduling.local_scheduler;
+                local_scheduler.note_signals(attempt_id, signals);
+            }
             match update {
                 JobUpdate::FirstEvent => self.scheduling.local_scheduler.first_event(attempt_id),
                 JobUpdate::Ended(outcome) => {
--- /dev/null
+++ b/crates/entry/src/scheduling/vm_history.rs
@@ -0,0 +1,26 @@
+use jasmine_core::{
+    clock::Millis,
+    scheduler::{AttemptCounts, UpstreamSignals},
+};
+
+/// What a VM tells a new leader of the time before: attempts of its callers, and what upstreams have stated.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct VmHistory {
+    /// How long attempts were counted, at most the window of the retry budget.
+    pub counted_for: Millis,
+    /// The attempts in that time, by service.
+    pub attempts: Vec<(String, AttemptCounts)>,
+    /// The upstreams that have stated something.
+    pub stated: Vec<StatedSpec>,
+}
+
+/// What an upstream has stated, as a VM tells it to a new leader.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct StatedSpec {
+    /// The upstream's id.
+    pub upstream: String,
+    /// What it has stated.
+    pub signals: UpstreamSignals,
+    /// How long ago this VM sent the last requests to it.
+    pub sent_ago: Vec<Millis>,
+}
--- a/crates/entry/tests/stated_limits.rs
+++ b/crates/entry/tests/stated_limits.rs
@@ -96,8 +96,12 @@
     assert!(served > 500, "{served} served");
 
     upstreams[0].headers.set(HEADER, None);
-    thread::sleep(Duration::from_secs(1));
     call_all(&vms, Duration::from_secs(2));
+    store.put(
+        &upstreams[1].key(),
+        &upstreams[1].entry("app", "one", "draining"),
+    );
+    call_all(&vms, Duration::from_secs(1));
     let before = upstreams[0].arrivals().len();
     call_all(&vms, Duration::from_secs(1));
     let after = upstreams[0].arrivals().len() - before;
--- a/crates/wire/schema/scheduler.capnp
+++ b/crates/wire/schema/scheduler.capnp
@@ -64,10 +64,23 @@
   firstEvent @9;               # no end: the first event of a stream was seen
 }
 
+# What an upstream states about itself in the head of a response.
+struct Signals {
+  hasRequestLimit @0 :Bool;
+  requestLimit @1 :Float64;    # requests per second, from all VMs together
+}
+
+struct Stated {
+  upstream @0 :Text;
+  signals @1 :Signals;
+  sentAgoMs @2 :List(UInt16);  # how long ago the VM sent its last requests there
+}
+
 struct News {
   number @0 :UInt64;
   kind @1 :EndKind;
   tookMs @2 :UInt32;
+  signals @3 :Signals;         # null: no response has begun
 }
 
 struct Leadership {
@@ -105,8 +118,9 @@
 }
 
 interface Scheduler {
-  # `countedForMs`: how much of the window the VM has counted its `attempts`.
-  hello @0 (vm :Text, incarnation :UInt64, running :List(RunningJob), attempts :List(Attempts), countedForMs :UInt32)
+  # `countedForMs`: how much of the window the VM has counted its `attempts`. `stated`: what upstreams have stated.
+  hello @0 (vm :Text, incarnation :UInt64, running :List(RunningJob), attempts :List(Attempts), countedForMs :UInt32,
+      stated :List(Stated))
       -> (session :UInt32, leader :Leadership);
   place @1 (session :UInt32, job :Job) -> (known :Bool, verdict :Verdict);
   tell @2 (session :UInt32, news :List(News)) -> (known :Bool);
