Observability: a requested rest and a stated departure are decoded and logged

Retry-After beside a 503 and Server-Leaving are decoded once in platform/; a VM logs rest_requested with the time, and departure_stated once a run of an upstream. No decision reads them yet.

--- a/crates/core/src/scheduler/signals.rs
+++ b/crates/core/src/scheduler/signals.rs
@@ -5,6 +5,10 @@
 pub struct UpstreamSignals {
     /// Requests per second that it takes from all VMs together; `None` if it states no limit.
     pub request_limit: Option<f64>,
+    /// How long it wants no request from the VM that it turned away.
+    pub rest: Option<Millis>,
+    /// Whether it is about to stop.
+    pub is_leaving: bool,
 }
 
 /// How a response changed what is known of its upstream.
@@ -13,6 +17,10 @@
     /// The new request limit in requests per second, `Some(None)` if it has ended; `None` if it is
     /// unchanged.
     pub request_limit: Option<Option<f64>>,
+    /// How long it wants no request from this VM, if it has just said so.
+    pub rest: Option<Millis>,
+    /// Whether it is now known to be leaving and wasn't before.
+    pub is_leaving: bool,
 }
 
 /// What an upstream has stated, as one VM tells it to a new scheduler.
--- a/crates/core/src/scheduler/upstream.rs
+++ b/crates/core/src/scheduler/upstream.rs
@@ -84,6 +84,8 @@
     pub cold_admissions: AdmissionLog,
     /// The request limit that it states in its responses.
     pub request_limit: Option<RequestLimit>,
+    /// Whether it states that it is leaving.
+    is_leaving: bool,
     /// The requests that count for its request limit.
     pub limit_admissions: AdmissionLog,
     /// The requests of this VM's own callers, whoever assigned them.
@@ -118,6 +120,7 @@
             cold_limit: None,
             cold_admissions: AdmissionLog::new(COLD_WINDOW),
             request_limit: None,
+            is_leaving: false,
             limit_admissions: AdmissionLog::new(LIMIT_WINDOW),
             own_sent: AdmissionLog::new(LIMIT_WINDOW),
             evacuated_from: None,
@@ -146,6 +149,7 @@
         if restarted {
             self.health = Health::default();
             self.request_limit = None;
+            self.is_leaving = false;
         }
         if let (Some(engine), true) = (&mut self.engine, restarted) {
             engine.restart();
@@ -186,6 +190,7 @@
     ) -> Option<StatedUpstream> {
         let signals = UpstreamSignals {
             request_limit: self.request_limit.map(|limit| limit.per_second),
+            ..UpstreamSignals::default()
         };
         (signals != UpstreamSignals::default()).then(|| StatedUpstream {
             upstream: self.id,
@@ -216,8 +221,12 @@
         self.request_limit =
             RequestLimit::after_response(self.request_limit, signals.request_limit, sent_at, now);
         let after = self.request_limit.map(|limit| limit.per_second);
+        let was_leaving = self.is_leaving;
+        self.is_leaving |= signals.is_leaving;
         SignalChanges {
             request_limit: (before != after).then_some(after),
+            rest: signals.rest,
+            is_leaving: self.is_leaving && !was_leaving,
         }
     }
 
--- a/crates/core/tests/request_limits.rs
+++ b/crates/core/tests/request_limits.rs
@@ -26,6 +26,8 @@
 const fn stated(per_second: f64) -> UpstreamSignals {
     UpstreamSignals {
         request_limit: Some(per_second),
+        rest: None,
+        is_leaving: false,
     }
 }
 
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -101,7 +101,7 @@
         let id = self.req.caller.request_id.as_deref();
         let method = &self.req.incoming.head.method;
         let is_match = |head: &ResponseHead| {
-            let answered_id = ResponseHeaders::read(head.headers.pairs()).request_id;
+            let answered_id = ResponseHeaders::read(head.status, head.headers.pairs()).request_id;
             answered_id.is_none() || answered_id.as_deref() == id
         };
         let response_start = timeout(
@@ -209,7 +209,7 @@
         response: StartedResponse,
     ) -> Start {
         let status = response.head.status;
-        let response_headers = ResponseHeaders::read(response.head.headers.pairs());
+        let response_headers = ResponseHeaders::read(status, response.head.headers.pairs());
         self.placement.note_signals(&response_headers.signals);
         let is_misdirected = is_misdirected(status);
         if response_headers.is_not_executed || is_misdirected {
--- a/crates/entry/src/scheduling/client/mod.rs
+++ b/crates/entry/src/scheduling/client/mod.rs
@@ -327,6 +327,17 @@
                 .info(),
             None => {}
         }
+        if let Some(rest) = changes.rest {
+            Line::new("rest_requested")
+                .with("upstream", upstream)
+                .with("ms", rest)
+                .info();
+        }
+        if changes.is_leaving {
+            Line::new("departure_stated")
+                .with("upstream", upstream)
+                .info();
+        }
     }
 
     /// Sets whether only part of the store's upstreams has been read so far.
--- a/crates/entry/src/scheduling/convert.rs
+++ b/crates/entry/src/scheduling/convert.rs
@@ -252,6 +252,7 @@
     let limit = from.get_request_limit();
     UpstreamSignals {
         request_limit: from.get_has_request_limit().then_some(limit),
+        ..UpstreamSignals::default()
     }
 }
 
