--- a/crates/entry/tests/deployment/mod.rs
+++ b/crates/entry/tests/deployment/mod.rs
@@ -470,6 +470,25 @@
     (store, upstreams)
 }
 
+/// Starts three VMs of which the first leads and the others follow.
+pub fn start_vms(
+    store: &KvStandIn,
+    name: &str,
+) -> Vec<Vm> {
+    let start = |number: u32| {
+        let vm = Vm::start_as(store, &format!("{name}-{number}-{}", std::process::id()));
+        wait_until("the daemon is ready", || vm.is_ready());
+        vm
+    };
+    let leader = start(1);
+    wait_until("it leads", || !leader.log_lines("lead_taken").is_empty());
+    let followers = [start(2), start(3)];
+    for vm in &followers {
+        wait_until("it follows", || !vm.log_lines("leader_followed").is_empty());
+    }
+    [leader].into_iter().chain(followers).collect()
+}
+
 /// Counts the runs of a request at all upstreams.
 pub fn count_runs(
     upstreams: &[UpstreamStandIn],
--- a/crates/entry/tests/stated_limits.rs
+++ b/crates/entry/tests/stated_limits.rs
@@ -3,8 +3,8 @@
 mod deployment;
 
 use {
-    deployment::{Request, Vm, start_platform, wait_until},
-    jasmine_platform_stand_in::{KvStandIn, Outage, UpstreamStandIn},
+    deployment::{Request, Vm, start_platform, start_vms},
+    jasmine_platform_stand_in::{Outage, UpstreamStandIn},
     nix::sys::signal::Signal,
     std::{
         thread,
@@ -24,25 +24,6 @@
 /// Pause of a caller between two requests.
 const CALL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Starts VMs of which the first leads and the others follow.
-fn start_vms(
-    store: &KvStandIn,
-    name: &str,
-) -> Vec<Vm> {
-    let start = |number: u32| {
-        let vm = Vm::start_as(store, &format!("{name}-{number}-{}", std::process::id()));
-        wait_until("the daemon is ready", || vm.is_ready());
-        vm
-    };
-    let leader = start(1);
-    wait_until("it leads", || !leader.log_lines("lead_taken").is_empty());
-    let followers = [start(2), start(3)];
-    for vm in &followers {
-        wait_until("it follows", || !vm.log_lines("leader_followed").is_empty());
-    }
-    [leader].into_iter().chain(followers).collect()
-}
-
 /// Sends requests through all VMs for a while; returns how many were served.
 fn call_all(
     vms: &[Vm],
@@ -73,7 +54,8 @@
     from: Instant,
 ) -> usize {
     let arrivals = upstream.arrivals();
-    let late: Vec<Instant> = arrivals.into_iter().filter(|&at| at >= from).collect();
+    let times = arrivals.iter().map(|arrival| arrival.at);
+    let late: Vec<Instant> = times.filter(|&at| at >= from).collect();
     let count = |&start: &Instant| {
         let in_window = late
             .iter()
