Upstreams that ask a VM for rest get nothing from it until the rest is over

Users saw engines that had turned a VM away with 503 and Retry-After: 3 get 3 and 4 requests from it in that time, two are allowed.

Cause: the Retry-After of an upstream was not read. The 503 counted as one failure that fades in seconds, and an engine that turns everything away has free slots, so that requests went there again within milliseconds.

The VM that was turned away keeps the time, whoever leads, and hands back an assignment to such an upstream. It tells the leader with the end of the request and, on hello, what is left of it, so that the scheduler passes the upstream over for this VM and goes on using it for the others. A request whose every upstream rests beyond its deadline is refused at once, queued ones too, with the end of the first rest as Retry-After. A rest outlasts a lapsed entry and ends with a restart of the upstream.

Limit and rest are told by the same messages; a session's number goes with the history of its VM.

--- a/crates/core/src/scheduler/availability.rs
+++ b/crates/core/src/scheduler/availability.rs
@@ -1,9 +1,9 @@
 //! Which upstreams may get requests: evacuations of data centres, limits of cold upstreams and
-//! limits that upstreams state.
+//! what upstreams state about themselves.
 
 use {
     super::{
-        Announcement, StatedUpstream,
+        Announcement, Job, SignalChanges, StatedUpstream, UpstreamSignals,
         admission_log::AdmissionLog,
         cold_admission::{COLD_WINDOW, ColdLimit},
         fleet::Fleet,
@@ -12,7 +12,7 @@
     },
     crate::{
         clock::Millis,
-        ids::{DataCentreId, ServiceId},
+        ids::{DataCentreId, ServiceId, UpstreamId},
     },
     std::collections::HashMap,
 };
@@ -105,6 +105,49 @@
         limit.wait(part, &upstream.limit_admissions, now)
     }
 
+    /// Records what an upstream states in a response to a request of a VM that was sent at `sent_at`.
+    pub(super) fn note_signals(
+        &mut self,
+        vm: u32,
+        id: UpstreamId,
+        signals: &UpstreamSignals,
+        sent_at: Millis,
+        now: Millis,
+    ) -> SignalChanges {
+        let Some(upstream) = self.upstreams.get_mut(&id) else {
+            return SignalChanges::default();
+        };
+        let changes = upstream.note_signals(vm, signals, sent_at, now);
+        self.last_rest_end = self.last_rest_end.max(upstream.rests.last_end());
+        changes
+    }
+
+    /// Whether any upstream may want rest from any VM.
+    pub(super) fn has_rests(
+        &self,
+        now: Millis,
+    ) -> bool {
+        now < self.last_rest_end
+    }
+
+    /// How long until the first of the upstreams that may serve a request of a VM wants no more rest
+    /// from it.
+    pub(super) fn rest_left(
+        &self,
+        job: &Job,
+        vm: u32,
+        now: Millis,
+    ) -> Millis {
+        if !self.has_rests(now) {
+            return Millis::ZERO;
+        }
+        let ready = self.ready(job.service);
+        let usable =
+            ready.filter(|up| up.accepts_requests(now) && job.is_allowed_in(up.data_centre));
+        let rests = usable.map(|up| up.rests.left(vm, now));
+        rests.min().unwrap_or_default()
+    }
+
     /// The upstreams that have stated something.
     pub(super) fn stated(
         &self,
@@ -114,10 +157,11 @@
         upstreams.filter_map(|up| up.stated(now)).collect()
     }
 
-    /// Adds what upstreams stated to another VM before this scheduler took over and, with
+    /// Adds what upstreams stated to a VM before this scheduler took over and, with
     /// `counts_requests`, the requests that the VM sent to them.
     pub(super) fn add_stated(
         &mut self,
+        vm: u32,
         stated: &[StatedUpstream],
         counts_requests: bool,
         now: Millis,
@@ -126,7 +170,8 @@
             let Some(upstream) = self.upstreams.get_mut(&one.upstream) else {
                 continue;
             };
-            upstream.add_stated(&one.signals, now);
+            upstream.add_stated(vm, &one.signals, now);
+            self.last_rest_end = self.last_rest_end.max(upstream.rests.last_end());
             for &ago in one.sent_ago.iter().filter(|_| counts_requests) {
                 upstream.limit_admissions.add_earlier(now.since(ago));
             }
--- a/crates/core/src/scheduler/choose/mod.rs
+++ b/crates/core/src/scheduler/choose/mod.rs
@@ -74,6 +74,8 @@
     /// Number of VMs that decide without a scheduler and share the slots of plain services; 1 for
     /// the elected scheduler.
     pub deciding_vms: u64,
+    /// Number of the VM that forwards the request.
+    pub vm: u32,
     pub now: Millis,
 }
 
@@ -361,6 +363,7 @@
         let is_reachable = || up.health.is_available(self.now);
         up.accepts_requests(self.now)
             && job.is_allowed_in(up.data_centre)
+            && up.rests.left(self.vm, self.now) == Millis::ZERO
             && match filter {
                 CandidateFilter::NotFailed => {
                     is_reachable() && !job.excluded_upstreams.contains(&up.id)
--- a/crates/core/src/scheduler/departed.rs
+++ b/crates/core/src/scheduler/departed.rs
@@ -1,5 +1,7 @@
 use {
-    super::{admission_log::AdmissionLog, request_limit::RequestLimit, upstream::Upstream},
+    super::{
+        admission_log::AdmissionLog, request_limit::RequestLimit, rests::Rests, upstream::Upstream,
+    },
     crate::{clock::Millis, ids::UpstreamId},
     std::collections::HashMap,
 };
@@ -24,6 +26,7 @@
     request_limit: Option<RequestLimit>,
     limit_admissions: AdmissionLog,
     own_sent: AdmissionLog,
+    rests: Rests,
 }
 
 impl DepartedUpstreams {
@@ -35,7 +38,8 @@
     ) {
         self.upstreams
             .retain(|_, departed| now.since(departed.at) < RETENTION);
-        if upstream.request_limit.is_none() {
+        let has_stated = upstream.request_limit.is_some() || now < upstream.rests.last_end();
+        if !has_stated {
             return;
         }
         let departed = Departed {
@@ -44,6 +48,7 @@
             request_limit: upstream.request_limit,
             limit_admissions: upstream.limit_admissions,
             own_sent: upstream.own_sent,
+            rests: upstream.rests,
         };
         self.upstreams.insert(upstream.id, departed);
     }
@@ -60,6 +65,7 @@
             upstream.request_limit = departed.request_limit;
             upstream.limit_admissions = departed.limit_admissions;
             upstream.own_sent = departed.own_sent;
+            upstream.rests = departed.rests;
         }
     }
 }
--- a/crates/core/src/scheduler/fleet.rs
+++ b/crates/core/src/scheduler/fleet.rs
@@ -39,6 +39,8 @@
     pub(super) cold_limits: HashMap<ServiceId, ColdLimit>,
     /// The part of the upstreams' limits that this scheduler may use.
     pub admission_share: AdmissionShare,
+    /// When the last rest that an upstream wants from a VM ends.
+    pub(super) last_rest_end: Millis,
     pub(super) evacuations: Evacuations,
     /// No orders to newly added engines before this time.
     pub orders_allowed_at: Millis,
@@ -95,6 +97,7 @@
             let engine = self.new_engine(status.service);
             let mut upstream = Upstream::new(id, status, engine, now);
             self.departed.restore(&mut upstream);
+            self.last_rest_end = self.last_rest_end.max(upstream.rests.last_end());
             self.upstreams.insert(id, upstream);
             self.add_member(id, status.service);
         }
--- a/crates/core/src/scheduler/job.rs
+++ b/crates/core/src/scheduler/job.rs
@@ -5,10 +5,14 @@
     rights::CallerTag,
 };
 
+/// Number of the VM on which a scheduler runs.
+pub const LOCAL_VM: u32 = 0;
+
 /// Identifies one attempt of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct AttemptId {
-    /// The forwarding VM, by the number that the scheduler's caller assigned.
+    /// The forwarding VM, by the number that the scheduler's caller assigned; [`LOCAL_VM`] for the
+    /// scheduler's own.
     pub vm: u32,
     /// Counter that is unique on the forwarding VM.
     pub number: u64,
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -43,6 +43,7 @@
 mod request_limit;
 mod request_load;
 mod resident;
+mod rests;
 mod retry_budget;
 mod running;
 mod settings;
@@ -59,7 +60,7 @@
     announced_versions::Announcement,
     cold_admission::{COLD_WINDOW, ColdLimit},
     engine::EngineLimits,
-    job::{AttemptId, Generation, Job, Work},
+    job::{AttemptId, Generation, Job, LOCAL_VM, Work},
     outcome::{EnginesToPause, OrderResult, Outcome, RateDecision},
     request_limit::LIMIT_WINDOW,
     retry_budget::{AttemptCounts, AttemptHistory},
--- a/crates/core/src/scheduler/state_machine/admission.rs
+++ b/crates/core/src/scheduler/state_machine/admission.rs
@@ -101,7 +101,7 @@
     }
 
     /// The shortest time that a request takes once it is sent.
-    const fn min_service_time(
+    pub(super) const fn min_service_time(
         &self,
         job: &Job,
     ) -> Millis {
--- a/crates/core/src/scheduler/state_machine/availability.rs
+++ b/crates/core/src/scheduler/state_machine/availability.rs
@@ -8,8 +8,8 @@
         error::{ErrorKind, Refusal},
         ids::{DataCentreId, RequestId, ServiceId, UpstreamId},
         scheduler::{
-            AdmissionShare, Announcement, AttemptId, ColdLimit, Job, SchedulerAction as Action,
-            SignalChanges, UpstreamSignals, running::Stage,
+            AdmissionShare, Announcement, AttemptId, ColdLimit, Job, LOCAL_VM,
+            SchedulerAction as Action, SignalChanges, UpstreamSignals, running::Stage,
         },
     },
     std::collections::HashMap,
@@ -67,10 +67,7 @@
         sent_at: Millis,
         now: Millis,
     ) -> SignalChanges {
-        let upstream = self.fleet.upstreams.get_mut(&id);
-        upstream.map_or_else(SignalChanges::default, |upstream| {
-            upstream.note_signals(signals, sent_at, now)
-        })
+        self.fleet.note_signals(LOCAL_VM, id, signals, sent_at, now)
     }
 
     /// Records what an upstream states in its response to an assigned request.
@@ -84,11 +81,47 @@
         let Some(entry) = request.and_then(|request| self.entries.get(request)) else {
             return;
         };
-        if let Stage::Running { upstream, .. } = entry.stage
-            && let Some(upstream) = self.fleet.upstreams.get_mut(&upstream)
-        {
-            upstream.note_signals(signals, entry.assigned_at, now);
+        if let Stage::Running { upstream, .. } = entry.stage {
+            let sent_at = entry.assigned_at;
+            self.fleet
+                .note_signals(attempt_id.vm, upstream, signals, sent_at, now);
+        }
+        if signals.rest.is_some() {
+            self.rested_vms.insert(attempt_id.vm);
+        }
+    }
+
+    /// Refuses a request that can't be served in time, as all upstreams that may serve it want rest
+    /// from its VM.
+    pub(super) fn check_rests(
+        &self,
+        job: &Job,
+        vm: u32,
+        now: Millis,
+    ) -> Result<(), Refusal> {
+        let rest = self.fleet.rest_left(job, vm, now);
+        if rest == Millis::ZERO || now + rest + self.min_service_time(job) <= job.deadline {
+            return Ok(());
         }
+        Err(Refusal::after(ErrorKind::CannotMeetDeadline, rest))
+    }
+
+    /// Refuses queued requests of VMs that upstreams have just asked for rest.
+    pub(super) fn refuse_rested(
+        &mut self,
+        now: Millis,
+    ) -> Vec<Action> {
+        let vms = std::mem::take(&mut self.rested_vms);
+        if vms.is_empty() {
+            return Vec::new();
+        }
+        self.refuse_waiting(now, |scheduler, attempt_id, job| {
+            if vms.contains(&attempt_id.vm) {
+                scheduler.check_rests(job, attempt_id.vm, now)
+            } else {
+                Ok(())
+            }
+        })
     }
 
     /// Refuses a request that no upstream may serve until an operator changes something.
@@ -125,12 +158,25 @@
             return Vec::new();
         }
         self.next_evacuation_at = self.fleet.next_evacuation(now);
-        let refused: Vec<(RequestId, Refusal)> = self
-            .entries
-            .iter()
-            .filter(|(_, entry)| entry.stage == Stage::Waiting)
+        self.refuse_waiting(now, |scheduler, _, job| {
+            scheduler.check_availability(job, now)
+        })
+    }
+
+    /// Refuses the queued requests that don't pass a check.
+    fn refuse_waiting<F>(
+        &mut self,
+        now: Millis,
+        check: F,
+    ) -> Vec<Action>
+    where
+        F: Fn(&Self, AttemptId, &Job) -> Result<(), Refusal>,
+    {
+        let waiting = self.entries.iter();
+        let waiting = waiting.filter(|(_, entry)| entry.stage == Stage::Waiting);
+        let refused: Vec<(RequestId, Refusal)> = waiting
             .filter_map(|(&request, entry)| {
-                let refusal = self.check_availability(&entry.job, now).err()?;
+                let refusal = check(self, entry.attempt_id, &entry.job).err()?;
                 Some((request, refusal))
             })
             .collect();
--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -58,6 +58,7 @@
         self.fleet.refresh_totals(now);
         let mut actions = self.refuse_expired(now);
         actions.extend(self.refuse_evacuated(now));
+        actions.extend(self.refuse_rested(now));
         actions.extend(self.postpone_late(now));
         if now >= self.next_pass_at {
             self.run_dispatch_pass(now, &mut actions);
@@ -242,7 +243,9 @@
                         return true;
                     };
                     let until = entry.latest_send_at;
-                    let is_plain = entry.job.is_plain_call();
+                    let vm = entry.attempt_id.vm;
+                    // Which upstreams rest differs from VM to VM.
+                    let is_plain = entry.job.is_plain_call() && !fleet.has_rests(now);
                     let is_deferred = if is_plain {
                         full_services.contains(&entry.job.service)
                     } else {
@@ -266,6 +269,7 @@
                         can_evict,
                         cold_load_ms: cold_load.0 as f64,
                         deciding_vms,
+                        vm,
                         now,
                     };
                     let Choice {
--- a/crates/core/src/scheduler/state_machine/mod.rs
+++ b/crates/core/src/scheduler/state_machine/mod.rs
@@ -58,6 +58,8 @@
     queued_work: HashMap<ServiceId, f64>,
     /// Queued requests that can still be on time, by the latest time to send them.
     on_time: BTreeSet<(Millis, RequestId)>,
+    /// VMs that upstreams have asked for rest since the last decision.
+    rested_vms: BTreeSet<u32>,
     /// When the next evacuation takes effect.
     next_evacuation_at: Option<Millis>,
     model_loads: ModelLoads,
@@ -105,6 +107,7 @@
             queued_by_adapter: HashMap::new(),
             queued_work: HashMap::new(),
             on_time: BTreeSet::new(),
+            rested_vms: BTreeSet::new(),
             next_evacuation_at: None,
             model_loads: ModelLoads::default(),
             engines_checked_at: Millis::ZERO,
--- a/crates/core/src/scheduler/state_machine/queries.rs
+++ b/crates/core/src/scheduler/state_machine/queries.rs
@@ -5,7 +5,7 @@
     crate::{
         clock::Millis,
         ids::{ServiceId, UpstreamId},
-        scheduler::{AttemptId, WaitTimes, running::Stage},
+        scheduler::{AttemptId, LOCAL_VM, WaitTimes, running::Stage},
     },
 };
 
@@ -70,14 +70,17 @@
         entry.is_some_and(|entry| matches!(entry.stage, Stage::Running { .. }))
     }
 
-    /// Whether an upstream is known but accepts no new requests, or is evacuated.
-    pub fn is_leaving(
+    /// Whether an upstream is known but may get no request of this VM's own callers: it accepts none,
+    /// is evacuated, or wants rest from this VM.
+    pub fn is_unusable(
         &self,
         id: UpstreamId,
         now: Millis,
     ) -> bool {
         let known = self.fleet.upstreams.get(&id);
-        known.is_some_and(|upstream| !upstream.accepts_requests(now))
+        known.is_some_and(|upstream| {
+            !upstream.accepts_requests(now) || upstream.rests.left(LOCAL_VM, now) > Millis::ZERO
+        })
     }
 
     /// Whether any upstream of the service accepts requests.
--- a/crates/core/src/scheduler/state_machine/retries.rs
+++ b/crates/core/src/scheduler/state_machine/retries.rs
@@ -72,18 +72,20 @@
     }
 
     /// Adds what one of `vms` VMs tells of the time before this scheduler took over; `vm` is a hash
-    /// of its name.
+    /// of its name, and `session` its number in attempt ids.
     ///
     /// A VM that connects again is counted once: this scheduler has decided about its attempts since.
     pub fn add_attempt_history(
         &mut self,
         vm: u64,
+        session: u32,
         history: &AttemptHistory,
         vms: usize,
         now: Millis,
     ) {
         let is_first = self.told_history.insert(vm);
-        self.fleet.add_stated(&history.stated, is_first, now);
+        self.fleet
+            .add_stated(session, &history.stated, is_first, now);
         if !is_first {
             return;
         }
--- a/crates/core/src/scheduler/upstream.rs
+++ b/crates/core/src/scheduler/upstream.rs
@@ -1,11 +1,13 @@
 use {
     super::{
+        LOCAL_VM,
         admission_log::AdmissionLog,
         cold_admission::{COLD_WINDOW, ColdLimit},
         engine::Engine,
         health::Health,
         request_limit::{LIMIT_WINDOW, RequestLimit},
         resident::ResidentState,
+        rests::Rests,
         signals::{SignalChanges, StatedUpstream, UpstreamSignals},
     },
     crate::{
@@ -86,6 +88,8 @@
     pub request_limit: Option<RequestLimit>,
     /// Whether it states that it is leaving.
     is_leaving: bool,
+    /// The VMs that it wants no requests from.
+    pub rests: Rests,
     /// The requests that count for its request limit.
     pub limit_admissions: AdmissionLog,
     /// The requests of this VM's own callers, whoever assigned them.
@@ -121,6 +125,7 @@
             cold_admissions: AdmissionLog::new(COLD_WINDOW),
             request_limit: None,
             is_leaving: false,
+            rests: Rests::default(),
             limit_admissions: AdmissionLog::new(LIMIT_WINDOW),
             own_sent: AdmissionLog::new(LIMIT_WINDOW),
             evacuated_from: None,
@@ -150,6 +155,7 @@
             self.health = Health::default();
             self.request_limit = None;
             self.is_leaving = false;
+            self.rests = Rests::default();
         }
         if let (Some(engine), true) = (&mut self.engine, restarted) {
             engine.restart();
@@ -183,13 +189,15 @@
         }
     }
 
-    /// What it has stated in its responses; `None` if nothing.
+    /// What it has stated in its responses, to this VM where that matters; `None` if nothing.
     pub(super) fn stated(
         &self,
         now: Millis,
     ) -> Option<StatedUpstream> {
+        let rest = self.rests.left(LOCAL_VM, now);
         let signals = UpstreamSignals {
             request_limit: self.request_limit.map(|limit| limit.per_second),
+            rest: (rest > Millis::ZERO).then_some(rest),
             ..UpstreamSignals::default()
         };
         (signals != UpstreamSignals::default()).then(|| StatedUpstream {
@@ -199,20 +207,25 @@
         })
     }
 
-    /// Adds what it stated to another VM before this scheduler took over.
+    /// Adds what it stated to a VM before this scheduler took over.
     pub(super) fn add_stated(
         &mut self,
+        vm: u32,
         signals: &UpstreamSignals,
         now: Millis,
     ) {
-        if signals.request_limit.is_some() {
-            self.note_signals(signals, now, now);
-        }
+        let known = self.request_limit.map(|limit| limit.per_second);
+        let signals = UpstreamSignals {
+            request_limit: signals.request_limit.or(known),
+            ..*signals
+        };
+        self.note_signals(vm, &signals, now, now);
     }
 
-    /// Records what it states in a response to a request that was sent at `sent_at`.
+    /// Records what it states in a response to a request of a VM that was sent at `sent_at`.
     pub(super) fn note_signals(
         &mut self,
+        vm: u32,
         signals: &UpstreamSignals,
         sent_at: Millis,
         now: Millis,
@@ -221,6 +234,9 @@
         self.request_limit =
             RequestLimit::after_response(self.request_limit, signals.request_limit, sent_at, now);
         let after = self.request_limit.map(|limit| limit.per_second);
+        if let Some(rest) = signals.rest {
+            self.rests.note(vm, rest, now);
+        }
         let was_leaving = self.is_leaving;
         self.is_leaving |= signals.is_leaving;
         SignalChanges {
--- a/crates/core/tests/deciding_vms/mod.rs
+++ b/crates/core/tests/deciding_vms/mod.rs
@@ -158,7 +158,8 @@
         for from in 0..self.vms.len() {
             let history = self.vms[from].scheduler.attempt_history(self.now);
             let scheduler = &mut self.vms[vm].scheduler;
-            scheduler.add_attempt_history(from as u64, &history, self.alone.len(), self.now);
+            let (session, vms) = (from as u32, self.alone.len());
+            scheduler.add_attempt_history(from as u64, session, &history, vms, self.now);
         }
         self.alone[vm] = false;
         self.leaders.push(Leader {
--- a/crates/entry/src/scheduling/client/leading.rs
+++ b/crates/entry/src/scheduling/client/leading.rs
@@ -1,12 +1,12 @@
 //! Tracks the leader: taking and giving up leadership, and standalone mode without a leader.
 
 use {
-    super::{LOCAL_VM, Mode, SchedulerNode},
+    super::{Mode, SchedulerNode},
     crate::scheduling::{Handover, Leader},
     jasmine_core::{
         clock::Millis,
         ids::Fence,
-        scheduler::{AdmissionShare, EnginesToPause, RateShare},
+        scheduler::{AdmissionShare, EnginesToPause, LOCAL_VM, RateShare},
     },
     jasmine_telemetry::log::Line,
     xxhash_rust::xxh3::xxh3_64,
@@ -80,7 +80,8 @@
         self.apply_handover(previous.as_ref().map(|previous| previous.fence));
         let history = self.local_scheduler.history();
         let vms = self.vms.borrow().len();
-        self.local_scheduler.add_history(&self.me, &history, vms);
+        self.local_scheduler
+            .add_history(&self.me, LOCAL_VM, &history, vms);
         self.took_over_at.set(match share {
             RateShare::Fresh => None,
             RateShare::TakenOver | RateShare::Part(_) => Some(self.clock.now()),
--- a/crates/entry/src/scheduling/client/mod.rs
+++ b/crates/entry/src/scheduling/client/mod.rs
@@ -10,7 +10,7 @@
         clock::Millis,
         error::{ErrorKind, Refusal},
         ids::Fence,
-        scheduler::{AttemptId, Outcome, RateDecision, UpstreamSignals, WaitReason},
+        scheduler::{AttemptId, LOCAL_VM, Outcome, RateDecision, UpstreamSignals, WaitReason},
     },
     jasmine_telemetry::log::Line,
     jasmine_wire::{
@@ -33,8 +33,6 @@
 mod following;
 mod leading;
 
-/// VM number in the tickets of the local VM's own requests.
-pub(super) const LOCAL_VM: u32 = 0;
 /// Connection settings between entry VMs. A leader that exceeds the timeouts counts as lost.
 const LINK_OPTIONS: LinkOptions = LinkOptions {
     connect_timeout: Millis(300),
@@ -45,7 +43,7 @@
     backoff_max: Millis(200),
 };
 
-/// Pause after the leader assigned an upstream that this VM knows to be leaving or removed.
+/// Pause after the leader assigned an upstream that this VM may not use.
 const STALE_ASSIGNMENT_DELAY: Millis = Millis(40);
 
 /// Longest wait for a new leader: covers the expiry of the old lease and an election.
@@ -200,7 +198,7 @@
                 }) => {
                     pending.is_settled.set(true);
                     if self.is_stale_assignment(&upstream) {
-                        // A leader cut off from the store may not know yet that this upstream is leaving.
+                        // The leader may not know yet that this upstream is leaving or wants rest.
                         let end = JobUpdate::Ended(Outcome::Abandoned);
                         self.record_update(spec.number, end, None);
                         excluded_upstreams.push(upstream);
@@ -393,12 +391,13 @@
         self.vms.borrow().clone()
     }
 
-    /// Whether the leader assigned an upstream that this VM knows to be leaving or removed.
+    /// Whether the leader assigned an upstream that this VM knows to be leaving or removed, or that
+    /// wants rest from this VM.
     fn is_stale_assignment(
         &self,
         upstream: &str,
     ) -> bool {
-        self.is_following() && self.local_scheduler.is_leaving_or_removed(upstream)
+        self.is_following() && self.local_scheduler.is_unusable_or_removed(upstream)
     }
 
     /// Records a request as running and returns its number.
--- a/crates/entry/src/scheduling/convert.rs
+++ b/crates/entry/src/scheduling/convert.rs
@@ -246,12 +246,18 @@
 ) {
     to.set_has_request_limit(signals.request_limit.is_some());
     to.set_request_limit(signals.request_limit.unwrap_or_default());
+    to.set_rest_ms(
+        signals
+            .rest
+            .map_or(0, |rest| u32::try_from(rest.0).unwrap_or(u32::MAX)),
+    );
 }
 
 fn read_signals(from: signals::Reader<'_>) -> UpstreamSignals {
     let limit = from.get_request_limit();
     UpstreamSignals {
         request_limit: from.get_has_request_limit().then_some(limit),
+        rest: non_zero(from.get_rest_ms()).map(|ms| Millis(ms.into())),
         ..UpstreamSignals::default()
     }
 }
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -303,6 +303,7 @@
     pub fn add_history(
         &self,
         vm: &str,
+        session: u32,
         history: &VmHistory,
         vms: usize,
     ) {
@@ -322,7 +323,8 @@
         };
         let now = self.clock.now();
         let mut scheduler = self.scheduler.borrow_mut();
-        scheduler.add_attempt_history(xxh3_64(vm.as_bytes()), &history, vms, now);
+        let vm = xxh3_64(vm.as_bytes());
+        scheduler.add_attempt_history(vm, session, &history, vms, now);
     }
 
     /// Adds or updates an upstream.
@@ -482,14 +484,15 @@
         self.apply(|scheduler, now| scheduler.report(upstream, facts.as_ref(), now));
     }
 
-    /// Whether an upstream is leaving or evacuated, or its entry was removed.
-    pub fn is_leaving_or_removed(
+    /// Whether an upstream may get no request of this VM's callers, or its entry was removed.
+    pub fn is_unusable_or_removed(
         &self,
         upstream: &str,
     ) -> bool {
         let id = self.names.borrow_mut().upstream(upstream);
         let now = self.clock.now();
-        self.removed_upstreams.borrow().contains(&id) || self.scheduler.borrow().is_leaving(id, now)
+        self.removed_upstreams.borrow().contains(&id)
+            || self.scheduler.borrow().is_unusable(id, now)
     }
 
     /// The name and address of an upstream.
--- a/crates/entry/src/scheduling/server.rs
+++ b/crates/entry/src/scheduling/server.rs
@@ -110,7 +110,7 @@
         };
         let vms = self.scheduling.vms().len();
         let local_scheduler = &self.scheduling.local_scheduler;
-        local_scheduler.add_history(vm, &history, vms);
+        local_scheduler.add_history(vm, session, &history, vms);
         results.get().set_session(session);
         Ok(())
     }
--- a/crates/entry/tests/upstream_rests.rs
+++ b/crates/entry/tests/upstream_rests.rs
@@ -142,13 +142,7 @@
 }
 
 /// Starts a store, the upstreams `s-1` and `s-2`, and three VMs.
-fn start(
-    name: &str
-) -> (
-    jasmine_platform_stand_in::KvStandIn,
-    Vec<UpstreamStandIn>,
-    Vec<Vm>,
-) {
+fn start(name: &str) -> (KvStandIn, Vec<UpstreamStandIn>, Vec<Vm>) {
     let (store, upstreams) = start_platform(&["s-1", "s-2"]);
     for upstream in &upstreams {
         upstream.set_default(Behaviour::Slow(RUN_TIME));
