Upstreams that state that they leave get no more requests, whatever their entry says

On the code before, three VMs sent 92 requests later than drain_ms after responses with Server-Leaving had been passed on, and 108 with other leaders, where none is allowed: no decision read the header, and an entry that says ready counted alone.

The statement outlasts further heartbeats that say ready, and an entry that lapses and comes back with the same start.

--- a/crates/core/src/scheduler/departed.rs
+++ b/crates/core/src/scheduler/departed.rs
@@ -27,6 +27,7 @@
     limit_admissions: AdmissionLog,
     own_sent: AdmissionLog,
     rests: Rests,
+    is_leaving: bool,
 }
 
 impl DepartedUpstreams {
@@ -38,7 +39,9 @@
     ) {
         self.upstreams
             .retain(|_, departed| now.since(departed.at) < RETENTION);
-        let has_stated = upstream.request_limit.is_some() || now < upstream.rests.last_end();
+        let has_stated = upstream.request_limit.is_some()
+            || upstream.is_leaving
+            || now < upstream.rests.last_end();
         if !has_stated {
             return;
         }
@@ -49,6 +52,7 @@
             limit_admissions: upstream.limit_admissions,
             own_sent: upstream.own_sent,
             rests: upstream.rests,
+            is_leaving: upstream.is_leaving,
         };
         self.upstreams.insert(upstream.id, departed);
     }
@@ -66,6 +70,7 @@
             upstream.limit_admissions = departed.limit_admissions;
             upstream.own_sent = departed.own_sent;
             upstream.rests = departed.rests;
+            upstream.is_leaving = departed.is_leaving;
         }
     }
 }
--- a/crates/core/src/scheduler/upstream.rs
+++ b/crates/core/src/scheduler/upstream.rs
@@ -73,7 +73,7 @@
     pub service: ServiceId,
     pub data_centre: Option<DataCentreId>,
     pub slots: u32,
-    /// Whether its entry says that it accepts new requests.
+    /// Whether it accepts new requests, by its entry and by what it states.
     pub is_ready: bool,
     pub started_unix_ms: Option<u64>,
     /// Until when it is expected to be slow after its start.
@@ -87,7 +87,7 @@
     /// The request limit that it states in its responses.
     pub request_limit: Option<RequestLimit>,
     /// Whether it states that it is leaving.
-    is_leaving: bool,
+    pub is_leaving: bool,
     /// The VMs that it wants no requests from.
     pub rests: Rests,
     /// The requests that count for its request limit.
@@ -146,7 +146,6 @@
         self.service = status.service;
         self.data_centre = status.data_centre;
         self.slots = status.slots;
-        self.is_ready = status.is_ready;
         self.warmup_until = now + status.cold;
         // The entry may have been written before the upstream became cold.
         self.cold_until = self.cold_until.max(now + status.cold);
@@ -157,6 +156,7 @@
             self.is_leaving = false;
             self.rests = Rests::default();
         }
+        self.is_ready = status.is_ready && !self.is_leaving;
         if let (Some(engine), true) = (&mut self.engine, restarted) {
             engine.restart();
         }
@@ -198,7 +198,7 @@
         let signals = UpstreamSignals {
             request_limit: self.request_limit.map(|limit| limit.per_second),
             rest: (rest > Millis::ZERO).then_some(rest),
-            ..UpstreamSignals::default()
+            is_leaving: self.is_leaving,
         };
         (signals != UpstreamSignals::default()).then(|| StatedUpstream {
             upstream: self.id,
@@ -239,6 +239,7 @@
         }
         let was_leaving = self.is_leaving;
         self.is_leaving |= signals.is_leaving;
+        self.is_ready &= !self.is_leaving;
         SignalChanges {
             request_limit: (before != after).then_some(after),
             rest: signals.rest,
--- a/crates/entry/src/scheduling/convert.rs
+++ b/crates/entry/src/scheduling/convert.rs
@@ -246,6 +246,7 @@
 ) {
     to.set_has_request_limit(signals.request_limit.is_some());
     to.set_request_limit(signals.request_limit.unwrap_or_default());
+    to.set_is_leaving(signals.is_leaving);
     to.set_rest_ms(
         signals
             .rest
@@ -258,7 +259,7 @@
     UpstreamSignals {
         request_limit: from.get_has_request_limit().then_some(limit),
         rest: non_zero(from.get_rest_ms()).map(|ms| Millis(ms.into())),
-        ..UpstreamSignals::default()
+        is_leaving: from.get_is_leaving(),
     }
 }
 
--- a/crates/wire/schema/scheduler.capnp
+++ b/crates/wire/schema/scheduler.capnp
@@ -69,6 +69,7 @@
   hasRequestLimit @0 :Bool;
   requestLimit @1 :Float64;    # requests per second, from all VMs together
   restMs @2 :UInt32;           # how long it wants no request from the VM; 0: none asked for
+  isLeaving @3 :Bool;          # whether it is about to stop
 }
 
 struct Stated {
