--- a/crates/core/src/scheduler/departed.rs
+++ b/crates/core/src/scheduler/departed.rs
@@ -23,6 +23,7 @@
 struct Departed {
     at: Millis,
     started_unix_ms: Option<u64>,
+    run_known_since: Millis,
     request_limit: Option<RequestLimit>,
     limit_admissions: AdmissionLog,
     own_sent: AdmissionLog,
@@ -48,6 +49,7 @@
         let departed = Departed {
             at: now,
             started_unix_ms: upstream.started_unix_ms,
+            run_known_since: upstream.run_known_since,
             request_limit: upstream.request_limit,
             limit_admissions: upstream.limit_admissions,
             own_sent: upstream.own_sent,
@@ -66,6 +68,7 @@
         let same_run =
             departed.filter(|departed| departed.started_unix_ms == upstream.started_unix_ms);
         if let Some(departed) = same_run {
+            upstream.run_known_since = departed.run_known_since;
             upstream.request_limit = departed.request_limit;
             upstream.limit_admissions = departed.limit_admissions;
             upstream.own_sent = departed.own_sent;
--- a/crates/core/src/scheduler/running.rs
+++ b/crates/core/src/scheduler/running.rs
@@ -40,7 +40,7 @@
     pub attempt_id: AttemptId,
     pub job: Job,
     pub stage: Stage,
-    /// When it was assigned; zero before, and if another scheduler assigned it.
+    /// When it was assigned, or adopted from another scheduler; zero before.
     pub assigned_at: Millis,
     /// When it must be sent at the latest to meet its objective.
     pub latest_send_at: Millis,
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -291,8 +291,11 @@
             waited: WaitTimes::default(),
             forget_at: job.deadline + ORPHAN_TIMEOUT,
             job,
+            assigned_at: match stage {
+                Stage::Waiting => Millis::ZERO,
+                Stage::Running { .. } => now,
+            },
             stage,
-            assigned_at: Millis::ZERO,
             charge,
         };
         self.entries.insert(request, entry);
--- a/crates/core/src/scheduler/upstream.rs
+++ b/crates/core/src/scheduler/upstream.rs
@@ -76,6 +76,8 @@
     /// Whether it accepts new requests, by its entry and by what it states.
     pub is_ready: bool,
     pub started_unix_ms: Option<u64>,
+    /// Since when its current run is known.
+    pub run_known_since: Millis,
     /// Until when it is expected to be slow after its start.
     pub warmup_until: Millis,
     /// Until when it may crash if it gets more requests than its cold limit.
@@ -119,6 +121,7 @@
             slots: status.slots,
             is_ready: status.is_ready,
             started_unix_ms: status.started_unix_ms,
+            run_known_since: now,
             warmup_until: now + status.cold,
             cold_until: now + status.cold,
             cold_limit: None,
@@ -152,6 +155,7 @@
         self.started_unix_ms = status.started_unix_ms;
         if restarted {
             self.health = Health::default();
+            self.run_known_since = now;
             self.request_limit = None;
             self.is_leaving = false;
             self.rests = Rests::default();
@@ -223,6 +227,8 @@
     }
 
     /// Records what it states in a response to a request of a VM that was sent at `sent_at`.
+    ///
+    /// A late response of an earlier run says nothing about this one.
     pub(super) fn note_signals(
         &mut self,
         vm: u32,
@@ -230,6 +236,9 @@
         sent_at: Millis,
         now: Millis,
     ) -> SignalChanges {
+        if sent_at < self.run_known_since {
+            return SignalChanges::default();
+        }
         let before = self.request_limit.map(|limit| limit.per_second);
         self.request_limit =
             RequestLimit::after_response(self.request_limit, signals.request_limit, sent_at, now);
