Soak: upstreams state limits, rests and departures among the faults

Drawn apart from the other faults, so that the schedules of known seeds stay. A rest comes with refusals, a departure ends with another start of the upstream.

--- a/crates/entry/tests/soak/cluster.rs
+++ b/crates/entry/tests/soak/cluster.rs
@@ -1,5 +1,5 @@
 use {
-    super::fault::{Fault, UPSTREAMS, VMS},
+    super::fault::{Fault, Statement, UPSTREAMS, VMS},
     crate::deployment::{self, Request, TIMEOUT, Vm, exchange},
     jasmine_platform_stand_in::{Behaviour, EngineStandIn, KvStandIn, Outage, UpstreamStandIn},
     jasmine_testkit::proxy::{Link, Proxy},
@@ -17,6 +17,8 @@
 pub const EVENTS: u64 = 12;
 /// Delay between the exit of a process and its restart.
 const RESTART_DELAY: Duration = Duration::from_millis(200);
+/// First start of an upstream, as a Unix time in milliseconds.
+const FIRST_START_MS: u64 = 1_700_000_000_000;
 const ANY_ADDRESS: &str = "127.0.0.1:0";
 
 struct VmSlot {
@@ -39,6 +41,7 @@
     Store,
     Draining(usize),
     Evacuated(usize),
+    Statement(usize, Statement),
 }
 
 /// All processes, fake services and proxies of a run.
@@ -47,6 +50,8 @@
     slots: Vec<VmSlot>,
     pub upstreams: Vec<UpstreamStandIn>,
     upstream_links: Vec<Proxy>,
+    /// How often each upstream has started again.
+    starts: [u64; UPSTREAMS],
     pub streams: UpstreamStandIn,
     pub engine: EngineStandIn,
     version: u64,
@@ -71,6 +76,7 @@
             slots: Vec::new(),
             upstreams,
             upstream_links,
+            starts: [0; UPSTREAMS],
             streams,
             engine,
             version: 0,
@@ -180,6 +186,16 @@
                 self.pending_ends
                     .push((now + time, FaultTarget::Draining(upstream)));
             }
+            Fault::Statement(upstream, statement, time) => {
+                let (header, value) = statement.header();
+                let stated = &self.upstreams[upstream];
+                stated.headers.set(header, Some(value));
+                if matches!(statement, Statement::Rest) {
+                    stated.set_default(Behaviour::Shed);
+                }
+                self.pending_ends
+                    .push((now + time, FaultTarget::Statement(upstream, statement)));
+            }
             Fault::Evacuation(upstream, time) => {
                 self.store.put(&evacuation_key(upstream), &json!({}));
                 self.pending_ends
@@ -272,6 +288,18 @@
             FaultTarget::Store => self.store.set_outage(Outage::None),
             FaultTarget::Draining(upstream) => self.register_upstream(upstream, "ready"),
             FaultTarget::Evacuated(upstream) => self.store.remove(&evacuation_key(upstream)),
+            FaultTarget::Statement(upstream, statement) => {
+                let stated = &self.upstreams[upstream];
+                stated.headers.set(statement.header().0, None);
+                match statement {
+                    Statement::RequestLimit => {}
+                    Statement::Rest => stated.set_default(Behaviour::Answer(b"ok".to_vec())),
+                    Statement::Leaving => {
+                        self.starts[upstream] += 1;
+                        self.register_upstream(upstream, "ready");
+                    }
+                }
+            }
         }
     }
 
@@ -283,6 +311,7 @@
         let upstream = &self.upstreams[number];
         let mut entry = upstream.entry("app", &data_centre(number), state);
         entry["address"] = json!(self.upstream_links[number].address().to_string());
+        entry["born"] = json!(FIRST_START_MS + self.starts[number]);
         self.store.put(&upstream.key(), &entry);
     }
 
--- a/crates/entry/tests/soak/fault.rs
+++ b/crates/entry/tests/soak/fault.rs
@@ -14,6 +14,10 @@
 const EVACUATION_INTERVAL_MS: std::ops::Range<u64> = 500..3_000;
 /// Separates the draws of evacuations from the other faults, whose schedules stay the same.
 const EVACUATION_SEED: u64 = 0x00ec_0de5;
+/// The same for what upstreams state about themselves.
+const STATEMENT_SEED: u64 = 0x57a7_e5ed;
+/// Time between the starts of two statements, in milliseconds.
+const STATEMENT_INTERVAL_MS: std::ops::Range<u64> = 500..2_500;
 pub const VMS: usize = 3;
 pub const UPSTREAMS: usize = 3;
 
@@ -34,6 +38,30 @@
     UpstreamDrains(usize, Duration),
     /// Evacuates the data centre of an upstream, which is cold afterwards.
     Evacuation(usize, Duration),
+    /// An upstream states something in its responses.
+    Statement(usize, Statement, Duration),
+}
+
+/// What an upstream states in its responses.
+#[derive(Clone, Copy, Debug)]
+pub enum Statement {
+    /// It takes few requests a second.
+    RequestLimit,
+    /// It turns requests away and wants rest.
+    Rest,
+    /// It is about to stop; another run starts at the end of the fault.
+    Leaving,
+}
+
+impl Statement {
+    /// The header, with its value.
+    pub const fn header(self) -> (&'static str, &'static str) {
+        match self {
+            Self::RequestLimit => ("Server-Limit", "20"),
+            Self::Rest => ("Retry-After", "0.6"),
+            Self::Leaving => ("Server-Leaving", "1"),
+        }
+    }
 }
 
 /// Generates the fault schedule of a seed.
@@ -49,6 +77,7 @@
         at += Duration::from_millis(rng.random_range(FAULT_INTERVAL_MS));
     }
     plan.extend(evacuations(seed, length));
+    plan.extend(statements(seed, length));
     plan.sort_by_key(|&(at, _)| at);
     plan
 }
@@ -69,6 +98,27 @@
     plan
 }
 
+fn statements(
+    seed: u64,
+    length: Duration,
+) -> Vec<(Duration, Fault)> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ STATEMENT_SEED);
+    let mut at = Duration::ZERO;
+    let mut plan = Vec::new();
+    while at < length {
+        at += Duration::from_millis(rng.random_range(STATEMENT_INTERVAL_MS));
+        let upstream = rng.random_range(0..UPSTREAMS);
+        let time = Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
+        let statement = match rng.random_range(0..3) {
+            0 => Statement::RequestLimit,
+            1 => Statement::Rest,
+            _ => Statement::Leaving,
+        };
+        plan.push((at, Fault::Statement(upstream, statement, time)));
+    }
+    plan
+}
+
 fn random_fault(rng: &mut ChaCha8Rng) -> Fault {
     let vm = rng.random_range(0..VMS);
     let upstream = rng.random_range(0..UPSTREAMS);
