Statements: a VM tells a new leader which run of an upstream it speaks of

Found in review: a VM that has not yet heard of an upstream's restart could tell a new leader that the upstream leaves, or its limit or rest, and the leader would take that for the present run; a departure then holds until the next start. What a VM tells now names the run, and another one is passed over.

What a run has stated is one struct of its own (statements), kept whole when an entry lapses, in place of six fields that were copied one by one.

--- a/crates/core/src/scheduler/availability.rs
+++ b/crates/core/src/scheduler/availability.rs
@@ -97,12 +97,12 @@
         upstream: &Upstream,
         now: Millis,
     ) -> Option<Millis> {
-        let Some(limit) = upstream.request_limit else {
+        let Some(limit) = upstream.statements.request_limit else {
             return Some(Millis::ZERO);
         };
         let share = &self.admission_share;
         let part = share.part(upstream.id_hash, LIMIT_WINDOW, now);
-        limit.wait(part, &upstream.limit_admissions, now)
+        limit.wait(part, &upstream.statements.admissions, now)
     }
 
     /// Records what an upstream states in a response to a request of a VM that was sent at `sent_at`.
@@ -117,8 +117,9 @@
         let Some(upstream) = self.upstreams.get_mut(&id) else {
             return SignalChanges::default();
         };
-        let changes = upstream.note_signals(vm, signals, sent_at, now);
-        self.last_rest_end = self.last_rest_end.max(upstream.rests.last_end());
+        let statements = &mut upstream.statements;
+        let changes = statements.note(vm, signals, sent_at, now);
+        self.last_rest_end = self.last_rest_end.max(statements.rests.last_end());
         changes
     }
 
@@ -144,7 +145,7 @@
         let ready = self.ready(job.service);
         let usable =
             ready.filter(|up| up.accepts_requests(now) && job.is_allowed_in(up.data_centre));
-        let rests = usable.map(|up| up.rests.left(vm, now));
+        let rests = usable.map(|up| up.statements.rests.left(vm, now));
         rests.min().unwrap_or_default()
     }
 
@@ -154,7 +155,15 @@
         now: Millis,
     ) -> Vec<StatedUpstream> {
         let upstreams = self.upstreams.values();
-        upstreams.filter_map(|up| up.stated(now)).collect()
+        let stated = upstreams.filter_map(|up| {
+            Some(StatedUpstream {
+                upstream: up.id,
+                started_unix_ms: up.started_unix_ms,
+                signals: up.statements.signals(now)?,
+                sent_ago: up.statements.own_sent.ages(now),
+            })
+        });
+        stated.collect()
     }
 
     /// Adds what upstreams stated to a VM before this scheduler took over and, with
@@ -167,13 +176,17 @@
         now: Millis,
     ) {
         for one in stated {
-            let Some(upstream) = self.upstreams.get_mut(&one.upstream) else {
+            let upstream = self.upstreams.get_mut(&one.upstream);
+            // The VM may still tell of an earlier run.
+            let Some(upstream) = upstream.filter(|up| up.started_unix_ms == one.started_unix_ms)
+            else {
                 continue;
             };
-            upstream.add_stated(vm, &one.signals, now);
-            self.last_rest_end = self.last_rest_end.max(upstream.rests.last_end());
+            let statements = &mut upstream.statements;
+            statements.add(vm, &one.signals, now);
+            self.last_rest_end = self.last_rest_end.max(statements.rests.last_end());
             for &ago in one.sent_ago.iter().filter(|_| counts_requests) {
-                upstream.limit_admissions.add_earlier(now.since(ago));
+                statements.admissions.add_earlier(now.since(ago));
             }
         }
     }
@@ -181,7 +194,7 @@
     /// Forgets the requests to upstreams with a limit: VMs tell a new scheduler what they sent.
     pub(super) fn restart_limit_logs(&mut self) {
         for upstream in self.upstreams.values_mut() {
-            upstream.limit_admissions = AdmissionLog::new(LIMIT_WINDOW);
+            upstream.statements.admissions = AdmissionLog::new(LIMIT_WINDOW);
         }
     }
 
--- a/crates/core/src/scheduler/choose/cost.rs
+++ b/crates/core/src/scheduler/choose/cost.rs
@@ -147,14 +147,14 @@
     now: Millis,
 ) -> bool {
     let interval = MIN_PROBE_INTERVAL.max(Millis(request_interval(up) as u64));
-    let wait = up.limit_admissions.wait(1, interval, now);
-    up.request_limit.is_some() && wait == Some(Millis::ZERO)
+    let wait = up.statements.admissions.wait(1, interval, now);
+    up.statements.request_limit.is_some() && wait == Some(Millis::ZERO)
 }
 
 /// Time between two requests of the request limit that an upstream states, in milliseconds; zero
 /// without a limit.
 pub(super) fn request_interval(up: &Upstream) -> f64 {
-    let limit = up.request_limit;
+    let limit = up.statements.request_limit;
     limit.map_or(0.0, |limit| {
         (1_000.0 / limit.per_second).min(LIMIT_WINDOW.0 as f64)
     })
--- a/crates/core/src/scheduler/choose/mod.rs
+++ b/crates/core/src/scheduler/choose/mod.rs
@@ -365,7 +365,7 @@
         let is_reachable = || up.health.is_available(self.now);
         up.accepts_requests(self.now)
             && job.is_allowed_in(up.data_centre)
-            && up.rests.left(self.vm, self.now) == Millis::ZERO
+            && up.statements.rests.left(self.vm, self.now) == Millis::ZERO
             && match filter {
                 CandidateFilter::NotFailed => {
                     is_reachable() && !job.excluded_upstreams.contains(&up.id)
--- a/crates/core/src/scheduler/departed.rs
+++ b/crates/core/src/scheduler/departed.rs
@@ -1,7 +1,5 @@
 use {
-    super::{
-        admission_log::AdmissionLog, request_limit::RequestLimit, rests::Rests, upstream::Upstream,
-    },
+    super::{statements::Statements, upstream::Upstream},
     crate::{clock::Millis, ids::UpstreamId},
     std::collections::HashMap,
 };
@@ -23,12 +21,7 @@
 struct Departed {
     at: Millis,
     started_unix_ms: Option<u64>,
-    run_known_since: Millis,
-    request_limit: Option<RequestLimit>,
-    limit_admissions: AdmissionLog,
-    own_sent: AdmissionLog,
-    rests: Rests,
-    is_leaving: bool,
+    statements: Statements,
 }
 
 impl DepartedUpstreams {
@@ -40,23 +33,14 @@
     ) {
         self.upstreams
             .retain(|_, departed| now.since(departed.at) < RETENTION);
-        let has_stated = upstream.request_limit.is_some()
-            || upstream.is_leaving
-            || now < upstream.rests.last_end();
-        if !has_stated {
-            return;
+        if !upstream.statements.is_empty(now) {
+            let departed = Departed {
+                at: now,
+                started_unix_ms: upstream.started_unix_ms,
+                statements: upstream.statements,
+            };
+            self.upstreams.insert(upstream.id, departed);
         }
-        let departed = Departed {
-            at: now,
-            started_unix_ms: upstream.started_unix_ms,
-            run_known_since: upstream.run_known_since,
-            request_limit: upstream.request_limit,
-            limit_admissions: upstream.limit_admissions,
-            own_sent: upstream.own_sent,
-            rests: upstream.rests,
-            is_leaving: upstream.is_leaving,
-        };
-        self.upstreams.insert(upstream.id, departed);
     }
 
     /// Restores what the same run of an upstream had stated.
@@ -68,12 +52,7 @@
         let same_run =
             departed.filter(|departed| departed.started_unix_ms == upstream.started_unix_ms);
         if let Some(departed) = same_run {
-            upstream.run_known_since = departed.run_known_since;
-            upstream.request_limit = departed.request_limit;
-            upstream.limit_admissions = departed.limit_admissions;
-            upstream.own_sent = departed.own_sent;
-            upstream.rests = departed.rests;
-            upstream.is_leaving = departed.is_leaving;
+            upstream.statements = departed.statements;
         }
     }
 }
--- a/crates/core/src/scheduler/fleet.rs
+++ b/crates/core/src/scheduler/fleet.rs
@@ -97,7 +97,7 @@
             let engine = self.new_engine(status.service);
             let mut upstream = Upstream::new(id, status, engine, now);
             self.departed.restore(&mut upstream);
-            self.last_rest_end = self.last_rest_end.max(upstream.rests.last_end());
+            self.last_rest_end = self.last_rest_end.max(upstream.statements.rests.last_end());
             self.upstreams.insert(id, upstream);
             self.add_member(id, status.service);
         }
@@ -316,7 +316,7 @@
             .filter_map(|upstream| Some((upstream.id, upstream.engine.as_mut()?)))
     }
 
-    /// Upstreams of a service whose entries say that they accept new requests.
+    /// Upstreams of a service that accept new requests, by their entries and statements.
     pub(super) fn ready(
         &self,
         service: ServiceId,
@@ -324,7 +324,7 @@
         let members = self.members(service).iter();
         members
             .filter_map(|id| self.upstreams.get(id))
-            .filter(|upstream| upstream.is_ready)
+            .filter(|upstream| upstream.is_available())
     }
 
     /// Recomputes the totals if they are due.
@@ -464,7 +464,7 @@
         let Some(upstream) = self.upstreams.get_mut(&id) else {
             return;
         };
-        upstream.limit_admissions.note(now);
+        upstream.statements.admissions.note(now);
         if let (Some(engine), Some(generation)) = (&mut upstream.engine, job.generation()) {
             engine.note_prompt(generation.size.prompt);
         }
--- a/crates/core/src/scheduler/loads.rs
+++ b/crates/core/src/scheduler/loads.rs
@@ -47,7 +47,7 @@
         for up in fleet
             .upstreams
             .values_mut()
-            .filter(|up| up.is_ready && up.evacuated_from.is_none())
+            .filter(|up| up.is_available() && up.evacuated_from.is_none())
         {
             let Some(engine) = &mut up.engine else {
                 continue;
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -49,6 +49,7 @@
 mod settings;
 mod signals;
 mod state_machine;
+mod statements;
 mod upstream;
 mod wait_reason;
 mod wait_times;
--- a/crates/core/src/scheduler/rests.rs
+++ b/crates/core/src/scheduler/rests.rs
@@ -1,13 +1,20 @@
 use {crate::clock::Millis, std::collections::BTreeMap};
 
 /// Until when one upstream wants no requests from VMs that it has turned away.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct Rests {
     /// The end of each rest, by the number of the VM.
     until: BTreeMap<u32, Millis>,
 }
 
 impl Rests {
+    /// No rests.
+    pub(super) const fn new() -> Self {
+        Self {
+            until: BTreeMap::new(),
+        }
+    }
+
     /// Records a rest; the longer one counts where two overlap.
     pub(super) fn note(
         &mut self,
--- a/crates/core/src/scheduler/signals.rs
+++ b/crates/core/src/scheduler/signals.rs
@@ -28,6 +28,8 @@
 pub struct StatedUpstream {
     /// The upstream.
     pub upstream: UpstreamId,
+    /// Identifies its run.
+    pub started_unix_ms: Option<u64>,
     /// What it has stated.
     pub signals: UpstreamSignals,
     /// How long ago the VM sent the last requests to it.
--- a/crates/core/src/scheduler/state_machine/queries.rs
+++ b/crates/core/src/scheduler/state_machine/queries.rs
@@ -79,7 +79,8 @@
     ) -> bool {
         let known = self.fleet.upstreams.get(&id);
         known.is_some_and(|upstream| {
-            !upstream.accepts_requests(now) || upstream.rests.left(LOCAL_VM, now) > Millis::ZERO
+            let rests = &upstream.statements.rests;
+            !upstream.accepts_requests(now) || rests.left(LOCAL_VM, now) > Millis::ZERO
         })
     }
 
--- a/crates/core/src/scheduler/state_machine/retries.rs
+++ b/crates/core/src/scheduler/state_machine/retries.rs
@@ -49,7 +49,7 @@
         budget.own.add(counts, window, now);
         self.counting_since.get_or_insert(now);
         if let Some(upstream) = self.fleet.upstreams.get_mut(&upstream) {
-            upstream.own_sent.note(now);
+            upstream.statements.own_sent.note(now);
         }
     }
 
--- /dev/null
+++ b/crates/core/src/scheduler/statements.rs
@@ -0,0 +1,108 @@
+use {
+    super::{
+        LOCAL_VM,
+        admission_log::AdmissionLog,
+        request_limit::{LIMIT_WINDOW, RequestLimit},
+        rests::Rests,
+        signals::{SignalChanges, UpstreamSignals},
+    },
+    crate::clock::Millis,
+};
+
+/// What one run of an upstream has stated about itself in its responses, and the requests that count
+/// for it.
+#[derive(Clone, Debug)]
+pub(super) struct Statements {
+    /// Since when the run is known.
+    run_known_since: Millis,
+    /// The request limit that it states.
+    pub request_limit: Option<RequestLimit>,
+    /// The VMs that it wants no requests from.
+    pub rests: Rests,
+    /// Whether it is about to stop.
+    pub is_leaving: bool,
+    /// The requests that count for its request limit.
+    pub admissions: AdmissionLog,
+    /// The requests of this VM's own callers, whoever assigned them.
+    pub own_sent: AdmissionLog,
+}
+
+impl Statements {
+    /// Those of a run that is known since `now`.
+    pub(super) const fn new(now: Millis) -> Self {
+        Self {
+            run_known_since: now,
+            request_limit: None,
+            rests: Rests::new(),
+            is_leaving: false,
+            admissions: AdmissionLog::new(LIMIT_WINDOW),
+            own_sent: AdmissionLog::new(LIMIT_WINDOW),
+        }
+    }
+
+    /// What it has stated, to this VM where that matters; `None` if nothing.
+    pub(super) fn signals(
+        &self,
+        now: Millis,
+    ) -> Option<UpstreamSignals> {
+        let rest = self.rests.left(LOCAL_VM, now);
+        let signals = UpstreamSignals {
+            request_limit: self.request_limit.map(|limit| limit.per_second),
+            rest: (rest > Millis::ZERO).then_some(rest),
+            is_leaving: self.is_leaving,
+        };
+        (signals != UpstreamSignals::default()).then_some(signals)
+    }
+
+    /// Whether nothing of it holds any more.
+    pub(super) fn is_empty(
+        &self,
+        now: Millis,
+    ) -> bool {
+        self.request_limit.is_none() && !self.is_leaving && now >= self.rests.last_end()
+    }
+
+    /// Adds what it stated to a VM before this scheduler took over.
+    pub(super) fn add(
+        &mut self,
+        vm: u32,
+        signals: &UpstreamSignals,
+        now: Millis,
+    ) {
+        let known = self.request_limit.map(|limit| limit.per_second);
+        let signals = UpstreamSignals {
+            request_limit: signals.request_limit.or(known),
+            ..*signals
+        };
+        self.note(vm, &signals, now, now);
+    }
+
+    /// Records what it states in a response to a request of a VM that was sent at `sent_at`.
+    ///
+    /// A late response of an earlier run says nothing about this one.
+    pub(super) fn note(
+        &mut self,
+        vm: u32,
+        signals: &UpstreamSignals,
+        sent_at: Millis,
+        now: Millis,
+    ) -> SignalChanges {
+        if sent_at < self.run_known_since {
+            return SignalChanges::default();
+        }
+        let before = self.request_limit.map(|limit| limit.per_second);
+        self.request_limit =
+            RequestLimit::after_response(self.request_limit, signals.request_limit, sent_at, now);
+        let after = self.request_limit.map(|limit| limit.per_second);
+        if let Some(rest) = signals.rest {
+            self.rests.note(vm, rest, now);
+        }
+        let was_leaving = self.is_leaving;
+        self.is_leaving |= signals.is_leaving;
+        SignalChanges {
+            request_limit: (before != after).then_some(after),
+            rest: signals.rest,
+            is_leaving: self.is_leaving && !was_leaving,
+        }
+    }
+}
--- a/crates/core/src/scheduler/upstream.rs
+++ b/crates/core/src/scheduler/upstream.rs
@@ -1,14 +1,11 @@
 use {
     super::{
-        LOCAL_VM,
         admission_log::AdmissionLog,
         cold_admission::{COLD_WINDOW, ColdLimit},
         engine::Engine,
         health::Health,
-        request_limit::{LIMIT_WINDOW, RequestLimit},
         resident::ResidentState,
-        rests::Rests,
-        signals::{SignalChanges, StatedUpstream, UpstreamSignals},
+        statements::Statements,
     },
     crate::{
         clock::Millis,
@@ -74,11 +71,9 @@
     pub service: ServiceId,
     pub data_centre: Option<DataCentreId>,
     pub slots: u32,
-    /// Whether it accepts new requests, by its entry and by what it states.
+    /// Whether its entry says that it accepts new requests.
     pub is_ready: bool,
     pub started_unix_ms: Option<u64>,
-    /// Since when its current run is known.
-    pub run_known_since: Millis,
     /// Until when it is expected to be slow after its start.
     pub warmup_until: Millis,
     /// Until when it may crash if it gets more requests than its cold limit.
@@ -87,16 +82,8 @@
     pub cold_limit: Option<ColdLimit>,
     /// The requests that count for its cold limit.
     pub cold_admissions: AdmissionLog,
-    /// The request limit that it states in its responses.
-    pub request_limit: Option<RequestLimit>,
-    /// Whether it states that it is leaving.
-    pub is_leaving: bool,
-    /// The VMs that it wants no requests from.
-    pub rests: Rests,
-    /// The requests that count for its request limit.
-    pub limit_admissions: AdmissionLog,
-    /// The requests of this VM's own callers, whoever assigned them.
-    pub own_sent: AdmissionLog,
+    /// What its current run has stated in its responses.
+    pub statements: Statements,
     /// When the evacuation of its data centre takes effect.
     pub evacuated_from: Option<Millis>,
     pub health: Health,
@@ -122,16 +109,11 @@
             slots: status.slots,
             is_ready: status.is_ready,
             started_unix_ms: status.started_unix_ms,
-            run_known_since: now,
             warmup_until: now + status.cold,
             cold_until: now + status.cold,
             cold_limit: None,
             cold_admissions: AdmissionLog::new(COLD_WINDOW),
-            request_limit: None,
-            is_leaving: false,
-            rests: Rests::default(),
-            limit_admissions: AdmissionLog::new(LIMIT_WINDOW),
-            own_sent: AdmissionLog::new(LIMIT_WINDOW),
+            statements: Statements::new(now),
             evacuated_from: None,
             health: Health::default(),
             running: 0,
@@ -156,23 +138,25 @@
         self.started_unix_ms = status.started_unix_ms;
         if restarted {
             self.health = Health::default();
-            self.run_known_since = now;
-            self.request_limit = None;
-            self.is_leaving = false;
-            self.rests = Rests::default();
+            self.statements = Statements::new(now);
         }
-        self.is_ready = status.is_ready && !self.is_leaving;
+        self.is_ready = status.is_ready;
         if let (Some(engine), true) = (&mut self.engine, restarted) {
             engine.restart();
         }
     }
 
+    /// Whether it accepts new requests, by its entry and by its own statement.
+    pub(super) const fn is_available(&self) -> bool {
+        self.is_ready && !self.statements.is_leaving
+    }
+
     /// Whether it accepts new requests and its data centre is not evacuated.
     pub(super) fn accepts_requests(
         &self,
         now: Millis,
     ) -> bool {
-        self.is_ready && self.evacuated_from.is_none_or(|at| now < at)
+        self.is_available() && self.evacuated_from.is_none_or(|at| now < at)
     }
 
     /// Whether it may be cold, so that its cold limit applies.
@@ -194,69 +178,6 @@
         }
     }
 
-    /// What it has stated in its responses, to this VM where that matters; `None` if nothing.
-    pub(super) fn stated(
-        &self,
-        now: Millis,
-    ) -> Option<StatedUpstream> {
-        let rest = self.rests.left(LOCAL_VM, now);
-        let signals = UpstreamSignals {
-            request_limit: self.request_limit.map(|limit| limit.per_second),
-            rest: (rest > Millis::ZERO).then_some(rest),
-            is_leaving: self.is_leaving,
-        };
-        (signals != UpstreamSignals::default()).then(|| StatedUpstream {
-            upstream: self.id,
-            signals,
-            sent_ago: self.own_sent.ages(now),
-        })
-    }
-
-    /// Adds what it stated to a VM before this scheduler took over.
-    pub(super) fn add_stated(
-        &mut self,
-        vm: u32,
-        signals: &UpstreamSignals,
-        now: Millis,
-    ) {
-        let known = self.request_limit.map(|limit| limit.per_second);
-        let signals = UpstreamSignals {
-            request_limit: signals.request_limit.or(known),
-            ..*signals
-        };
-        self.note_signals(vm, &signals, now, now);
-    }
-
-    /// Records what it states in a response to a request of a VM that was sent at `sent_at`.
-    ///
-    /// A late response of an earlier run says nothing about this one.
-    pub(super) fn note_signals(
-        &mut self,
-        vm: u32,
-        signals: &UpstreamSignals,
-        sent_at: Millis,
-        now: Millis,
-    ) -> SignalChanges {
-        if sent_at < self.run_known_since {
-            return SignalChanges::default();
-        }
-        let before = self.request_limit.map(|limit| limit.per_second);
-        self.request_limit =
-            RequestLimit::after_response(self.request_limit, signals.request_limit, sent_at, now);
-        let after = self.request_limit.map(|limit| limit.per_second);
-        if let Some(rest) = signals.rest {
-            self.rests.note(vm, rest, now);
-        }
-        let was_leaving = self.is_leaving;
-        self.is_leaving |= signals.is_leaving;
-        self.is_ready &= !self.is_leaving;
-        SignalChanges {
-            request_limit: (before != after).then_some(after),
-            rest: signals.rest,
-            is_leaving: self.is_leaving && !was_leaving,
-        }
-    }
-
     /// Whether the adapter was being loaded when it was last observed.
     pub(super) fn is_loading(
         &self,
@@ -307,7 +228,7 @@
             Some(engine) => (engine.backlog.tokens_per_ms(), engine.mean_prompt_tokens),
             None => (f64::from(self.slots) / self.call_ms.max(1.0), 1.0),
         };
-        self.request_limit.map_or(capacity, |limit| {
+        self.statements.request_limit.map_or(capacity, |limit| {
             capacity.min(limit.per_second / 1_000.0 * per_request)
         })
     }
--- a/crates/entry/src/scheduling/convert.rs
+++ b/crates/entry/src/scheduling/convert.rs
@@ -270,6 +270,7 @@
     for (at, spec) in upstreams.iter().enumerate() {
         let mut one = to.reborrow().get(at as u32);
         one.set_upstream(&spec.upstream);
+        one.set_started_unix_ms(spec.started_unix_ms.unwrap_or_default());
         write_signals(one.reborrow().init_signals(), &spec.signals);
         let mut sent_ago = one.init_sent_ago_ms(spec.sent_ago.len() as u32);
         for (at, ago) in spec.sent_ago.iter().enumerate() {
@@ -286,6 +287,7 @@
             let sent_ago = one.get_sent_ago_ms()?.iter();
             Ok(StatedSpec {
                 upstream: one.get_upstream()?.to_string()?,
+                started_unix_ms: Some(one.get_started_unix_ms()).filter(|&ms| ms != 0),
                 signals: read_signals(one.get_signals()?),
                 sent_ago: sent_ago.map(|ms| Millis(ms.into())).collect(),
             })
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -287,6 +287,7 @@
         let services = history.services.into_iter();
         let stated = history.stated.into_iter().map(|stated| StatedSpec {
             upstream: names.upstream_name(stated.upstream).to_string(),
+            started_unix_ms: stated.started_unix_ms,
             signals: stated.signals,
             sent_ago: stated.sent_ago,
         });
@@ -313,6 +314,7 @@
         let services = services.collect();
         let stated = history.stated.iter().map(|spec| StatedUpstream {
             upstream: names.upstream(&spec.upstream),
+            started_unix_ms: spec.started_unix_ms,
             signals: spec.signals,
             sent_ago: spec.sent_ago.clone(),
         });
--- a/crates/entry/src/scheduling/vm_history.rs
+++ b/crates/entry/src/scheduling/vm_history.rs
@@ -19,6 +19,8 @@
 pub struct StatedSpec {
     /// The upstream's id.
     pub upstream: String,
+    /// Identifies its run.
+    pub started_unix_ms: Option<u64>,
     /// What it has stated.
     pub signals: UpstreamSignals,
     /// How long ago this VM sent the last requests to it.
--- a/crates/wire/schema/scheduler.capnp
+++ b/crates/wire/schema/scheduler.capnp
@@ -75,6 +75,7 @@
 struct Stated {
   upstream @0 :Text;
   signals @1 :Signals;
+  startedUnixMs @3 :UInt64;    # identifies its run; 0: not known
   sentAgoMs @2 :List(UInt16);  # how long ago the VM sent its last requests there
 }
 
