Statements: a misdirected response says nothing about the upstream that was meant

Found in review: another upstream at the address answers 421 and may state its own departure or limit, which the VM took for that of the upstream it meant; a departure would hold until that one's next start. The test another_upstream_at_the_address_changes_nothing fails without the change.

--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -203,6 +203,22 @@
             .ok()
     }
 
+    /// The outcome if the upstream states that it didn't run the request.
+    fn not_run_outcome(
+        &self,
+        status: u16,
+        headers: &ResponseHeaders,
+    ) -> Option<Outcome> {
+        let responder = headers.upstream.as_ref();
+        let is_other = responder.is_some_and(|id| *id != self.placement.upstream);
+        match (is_misdirected(status), is_other) {
+            (true, false) if self.req.is_generation => Some(Outcome::NotLoaded),
+            (true, _) => Some(Outcome::OtherUpstream),
+            (false, _) if headers.is_not_executed => Some(Outcome::Shed),
+            (false, _) => None,
+        }
+    }
+
     /// Separates responses for the caller from failures of the attempt.
     async fn classify(
         &self,
@@ -210,17 +226,12 @@
     ) -> Start {
         let status = response.head.status;
         let response_headers = ResponseHeaders::read(status, response.head.headers.pairs());
-        self.placement.note_signals(&response_headers.signals);
-        let is_misdirected = is_misdirected(status);
-        if response_headers.is_not_executed || is_misdirected {
-            let is_other = response_headers
-                .upstream
-                .is_some_and(|id| id != self.placement.upstream);
-            let outcome = match (is_misdirected, is_other) {
-                (true, false) if self.req.is_generation => Outcome::NotLoaded,
-                (true, _) => Outcome::OtherUpstream,
-                (false, _) => Outcome::Shed,
-            };
+        let not_run = self.not_run_outcome(status, &response_headers);
+        // What another upstream at this address states says nothing about this one.
+        if not_run != Some(Outcome::OtherUpstream) {
+            self.placement.note_signals(&response_headers.signals);
+        }
+        if let Some(outcome) = not_run {
             // The body is read only so that the connection can be reused.
             drop(self.read_whole(response).await);
             return Start::Failed(Failure::not_run(outcome));
--- a/crates/entry/tests/upstream_departures.rs
+++ b/crates/entry/tests/upstream_departures.rs
@@ -108,3 +108,19 @@
     call_all(std::slice::from_ref(last), GRACE);
     assert_eq!(arrived_after(&upstreams[0], from), 0);
 }
+
+#[test]
+fn another_upstream_at_the_address_changes_nothing() {
+    // Guards against a departure of an upstream that has taken over an address for a while.
+    let (store, upstreams) = start_platform(&["s-1"]);
+    let vms = start_vms(&store, "leaving-other");
+    upstreams[0].headers.set(HEADER, Some("1"));
+    upstreams[0].next(Behaviour::Misdirected);
+    let refused = vms[0].send_request(&Request::new("GET", "/read/").with("X-Deadline-Ms", "300"));
+    assert_eq!(refused.status, 503);
+    upstreams[0].headers.set(HEADER, None);
+    let mut entry = upstreams[0].entry("app", "one", "ready");
+    entry["seq"] = json!(2);
+    store.put(&upstreams[0].key(), &entry);
+    assert_ne!(call_all(&vms, Duration::from_millis(500)), 0);
+}
