--- a/crates/entry/tests/deployment/mod.rs
+++ b/crates/entry/tests/deployment/mod.rs
@@ -489,6 +489,39 @@
     [leader].into_iter().chain(followers).collect()
 }
 
+/// Pause of a caller between two requests.
+const CALL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// A call whose id begins with the name of the VM that forwards it, and a dot.
+pub fn call_through(vm: &Vm) -> Request {
+    let request = Request::new("GET", "/read/");
+    let id = format!("{}.{}", vm.name, request.id());
+    request.with("X-Request-Id", &id)
+}
+
+/// Sends calls through all VMs for a while, by several callers each; returns how many were served.
+pub fn call_all(
+    vms: &[Vm],
+    callers_per_vm: usize,
+    time: Duration,
+) -> usize {
+    let until = Instant::now() + time;
+    let call = |vm: &Vm| {
+        let mut served = 0;
+        while Instant::now() < until {
+            served += usize::from(vm.send_request(&call_through(vm)).status == 200);
+            thread::sleep(CALL_INTERVAL);
+        }
+        served
+    };
+    thread::scope(|scope| {
+        let callers = vms.iter().flat_map(|vm| vec![vm; callers_per_vm]);
+        let callers: Vec<_> = callers.map(|vm| scope.spawn(move || call(vm))).collect();
+        let served = callers.into_iter().map(|caller| caller.join().unwrap());
+        served.sum()
+    })
+}
+
 /// Counts the runs of a request at all upstreams.
 pub fn count_runs(
     upstreams: &[UpstreamStandIn],
