Local scheduler: a queued request shortens the wait of its timer

Cause: the timer of the scheduler was set anew only after an event that led to an action. A request that was queued without one, such as the second attempt after an engine had said that its adapter isn't loaded yet, waited for the timer of an idle scheduler: up to a second, unless another request came. Load only makes that answer more likely.

The timer is now set anew whenever the scheduler wants to be called earlier.

Callers on lightly loaded VMs gain most; under load there was always another event.

--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -73,6 +73,8 @@
     cold_upstreams: ColdUpstreamSettings,
     tasks: mpsc::UnboundedSender<EngineTask>,
     wake: Notify,
+    /// When the timer of [`Self::run`] is due.
+    timer_due: Cell<Millis>,
     may_order: Cell<bool>,
 }
 
@@ -93,6 +95,7 @@
             cold_upstreams,
             tasks,
             wake: Notify::new(),
+            timer_due: Cell::new(Millis::ZERO),
             may_order: Cell::new(false),
         }
     }
@@ -101,7 +104,9 @@
     pub async fn run(&self) {
         loop {
             let now = self.clock.now();
-            let delay = self.scheduler.borrow().wake_at(now).since(now);
+            let due = self.scheduler.borrow().wake_at(now);
+            self.timer_due.set(due);
+            let delay = due.since(now);
             tokio::select! {
                 () = tokio::time::sleep(delay.to_std()) => {}
                 () = self.wake.notified() => continue,
@@ -531,11 +536,10 @@
     {
         let now = self.clock.now();
         let actions = f(&mut self.scheduler.borrow_mut(), now);
-        let has_actions = !actions.is_empty();
         for action in actions {
             self.perform(action);
         }
-        if has_actions {
+        if self.scheduler.borrow().wake_at(now) < self.timer_due.get() {
             self.wake.notify_one();
         }
     }
