--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -7,7 +7,7 @@
     crate::{
         caller::{ErrorResponse, ResponseWriter},
         context::{Context, StopStage},
-        http1::ResponseHead,
+        http1::{Framing, ResponseHead},
         scheduling::{Placement, PlacementError},
     },
     bytes::Bytes,
@@ -228,6 +228,8 @@
             .with("id", self.id())
             .with("upstream", &placement.upstream)
             .with("outcome", format!("{:?}", failure.outcome))
+            .with("framing", framing_name(self.progress.framing))
+            .with("partial_bytes", self.progress.partial_bytes)
             .with("again", can_retry)
             .info();
         self.upstream_error = failure.response.or(self.upstream_error.take());
@@ -334,11 +336,24 @@
             .with("first_ms", first.unwrap_or_default())
             .with("took_ms", self.cx.clock.now().since(arrived))
             .with("events", self.progress.events)
+            .with("framing", framing_name(self.progress.framing))
+            .with("partial_bytes", self.progress.partial_bytes)
             .with("result", result)
             .info();
     }
 }
 
+/// The name of a stream's framing in the log.
+const fn framing_name(framing: Option<Framing>) -> &'static str {
+    match framing {
+        None => "-",
+        Some(Framing::Empty) => "empty",
+        Some(Framing::Length(_)) => "length",
+        Some(Framing::Chunked) => "chunked",
+        Some(Framing::UntilClose) => "until_close",
+    }
+}
+
 impl Drop for Driver<'_> {
     /// Logs requests that are cancelled because the caller has disconnected.
     fn drop(&mut self) {
--- a/crates/entry/src/forward/events.rs
+++ b/crates/entry/src/forward/events.rs
@@ -38,6 +38,11 @@
         Some(Event { bytes, id })
     }
 
+    /// Bytes after the last complete event.
+    pub fn partial_len(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Returns the data after the last complete event.
     pub fn take_remainder(&mut self) -> Bytes {
         self.buf.split().freeze()
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -5,7 +5,7 @@
     },
     crate::{
         caller::ResponseWriter,
-        http1::{BodyReader, ResponseHead},
+        http1::{BodyReader, Framing, ResponseHead},
     },
     bytes::BytesMut,
     jasmine_core::{clock::Millis, scheduler::Outcome},
@@ -29,6 +29,10 @@
     pub first_at: Option<Millis>,
     /// When the last data was forwarded.
     pub last_at: Option<Millis>,
+    /// How the end of the last response's body is determined.
+    pub framing: Option<Framing>,
+    /// Bytes received after the last complete event of the last response.
+    pub partial_bytes: usize,
 }
 
 /// Why a stream ended early.
@@ -58,6 +62,8 @@
     progress: &mut Progress,
     out: &mut ResponseWriter<'_>,
 ) -> Result<(), RelayError> {
+    progress.framing = Some(response.head.framing);
+    progress.partial_bytes = 0;
     let mut reader = BodyReader::new(response.head.framing);
     let mut splitter = EventSplitter::default();
     loop {
@@ -77,6 +83,7 @@
             return Err(Failure::may_have_run(Outcome::Lost).into());
         }
         let ready = take_events(&mut splitter, progress);
+        progress.partial_bytes = splitter.partial_len();
         if !ready.is_empty() {
             forward_data(attempt, &response.head, progress, out, &ready).await?;
         }
