Broken streams: failing tests of streams that end inside an event or with their connection

Stand-ins frame streams by length, in chunks or by the end of the connection, and end them inside an event or with a reset; the soak draws all of these. On this code a stream that ends inside an event, whatever its framing, is forwarded with its rest and a last chunk, one without length, chunks or events is an empty answer, and an HTTP/1.0 caller can't tell a broken stream from a whole one.

--- a/crates/entry/tests/soak/cluster.rs
+++ b/crates/entry/tests/soak/cluster.rs
@@ -179,6 +179,7 @@
             }
             Fault::StoreHistoryLost => self.store.compact_history(),
             Fault::UpstreamMisbehaves(upstream, how) => self.upstreams[upstream].next(how),
+            Fault::NextStream(how) => self.streams.next(how),
             Fault::OrderResponsesLost(count) => self.engine.lose_responses(count),
             Fault::NewConfig => self.put_config(),
             Fault::UpstreamDrains(upstream, time) => {
--- a/crates/entry/tests/soak/fault.rs
+++ b/crates/entry/tests/soak/fault.rs
@@ -1,5 +1,6 @@
 use {
-    jasmine_platform_stand_in::{Behaviour, Outage},
+    super::cluster::EVENTS,
+    jasmine_platform_stand_in::{Behaviour, Outage, StreamEnd, StreamFraming},
     jasmine_testkit::proxy::{Fault as LinkFault, Link},
     rand::{Rng, SeedableRng},
     rand_chacha::ChaCha8Rng,
@@ -18,6 +19,10 @@
 const STATEMENT_SEED: u64 = 0x57a7_e5ed;
 /// Time between the starts of two statements, in milliseconds.
 const STATEMENT_INTERVAL_MS: std::ops::Range<u64> = 500..2_500;
+/// The same for how streams are framed and end.
+const STREAM_SEED: u64 = 0x57_2ea5;
+/// Time between two streams that are framed or end in another way, in milliseconds.
+const STREAM_INTERVAL_MS: std::ops::Range<u64> = 50..400;
 pub const VMS: usize = 3;
 pub const UPSTREAMS: usize = 3;
 
@@ -40,6 +45,8 @@
     Evacuation(usize, Duration),
     /// An upstream states something in its responses.
     Statement(usize, Statement, Duration),
+    /// The next stream is like this.
+    NextStream(Behaviour),
 }
 
 /// What an upstream states in its responses.
@@ -78,6 +85,7 @@
     }
     plan.extend(evacuations(seed, length));
     plan.extend(statements(seed, length));
+    plan.extend(streams(seed, length));
     plan.sort_by_key(|&(at, _)| at);
     plan
 }
@@ -119,6 +127,34 @@
     plan
 }
 
+fn streams(
+    seed: u64,
+    length: Duration,
+) -> Vec<(Duration, Fault)> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ STREAM_SEED);
+    let mut at = Duration::ZERO;
+    let mut plan = Vec::new();
+    while at < length {
+        at += Duration::from_millis(rng.random_range(STREAM_INTERVAL_MS));
+        let framing = match rng.random_range(0..3) {
+            0 => StreamFraming::Chunked,
+            1 => StreamFraming::Length,
+            _ => StreamFraming::UntilClose,
+        };
+        let (events, end) = match rng.random_range(0..4) {
+            0 => (EVENTS, StreamEnd::Complete),
+            1 => (rng.random_range(0..EVENTS), StreamEnd::InsideEvent),
+            2 => (rng.random_range(0..EVENTS), StreamEnd::Cut),
+            _ => (rng.random_range(0..EVENTS), StreamEnd::Reset),
+        };
+        plan.push((
+            at,
+            Fault::NextStream(Behaviour::Stream(events, framing, end)),
+        ));
+    }
+    plan
+}
+
 fn random_fault(rng: &mut ChaCha8Rng) -> Fault {
     let vm = rng.random_range(0..VMS);
     let upstream = rng.random_range(0..UPSTREAMS);
