Streams that end inside an event are broken off, however their body is framed

What callers saw: answers of crashed runs without their last events, framed as complete. Cause: the relay took the end of the body for the end of the stream and forwarded what was left of an unfinished event with the last chunk; a body without length and chunks ends with its connection, and so ends a crash like the whole answer. A stream ends at an event's empty line; one that ends elsewhere, or without length, chunks and events, counts as lost: it is resumed where its route allows that, and otherwise the caller's connection ends before the last chunk.

--- a/crates/entry/src/forward/events.rs
+++ b/crates/entry/src/forward/events.rs
@@ -18,6 +18,7 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buf: BytesMut,
+    has_events: bool,
 }
 
 impl EventSplitter {
@@ -35,18 +36,19 @@
         let end = event_end(&self.buf)?;
         let bytes = self.buf.split_to(end).freeze();
         let id = event_id(&bytes);
+        self.has_events = true;
         Some(Event { bytes, id })
     }
 
+    /// Whether there was a complete event.
+    pub const fn has_events(&self) -> bool {
+        self.has_events
+    }
+
     /// Bytes after the last complete event.
     pub fn partial_len(&self) -> usize {
         self.buf.len()
     }
-
-    /// Returns the data after the last complete event.
-    pub fn take_remainder(&mut self) -> Bytes {
-        self.buf.split().freeze()
-    }
 }
 
 fn event_end(buf: &[u8]) -> Option<usize> {
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -88,15 +88,29 @@
             forward_data(attempt, &response.head, progress, out, &ready).await?;
         }
     }
-    let rest = splitter.take_remainder();
-    if !rest.is_empty() || !out.has_begun() {
-        forward_data(attempt, &response.head, progress, out, &rest).await?;
+    if is_broken_off(&response.head, &splitter) {
+        return Err(Failure::may_have_run(Outcome::Lost).into());
+    }
+    if !out.has_begun() {
+        forward_data(attempt, &response.head, progress, out, &[]).await?;
     }
     out.end_stream().await?;
     attempt.release(response);
     Ok(())
 }
 
+/// Whether a stream that ended as its framing asks is incomplete.
+///
+/// A crash ends a body without length and chunks like its last event does. If it ends inside an event or before its
+/// first one, it was broken off.
+fn is_broken_off(
+    head: &ResponseHead,
+    splitter: &EventSplitter,
+) -> bool {
+    let is_empty = head.framing == Framing::UntilClose && !splitter.has_events();
+    splitter.partial_len() > 0 || is_empty
+}
+
 /// Timeout of the next read.
 fn read_timeout(
     attempt: &AttemptContext<'_>,
