HTTP/1.0 callers see a stream that is broken off as a reset

What callers saw: where a caller speaks HTTP/1.0, a stream ends with its connection, and one that was broken off ended like a whole one. Such a connection is now reset. Evidence: an_http_1_0_caller_sees_a_broken_stream_as_a_reset, which failed before and is taken off the known red.

--- a/crates/entry/src/caller/connection.rs
+++ b/crates/entry/src/caller/connection.rs
@@ -12,6 +12,7 @@
         clock::Millis,
         error::{ErrorKind, Refusal},
     },
+    jasmine_telemetry::log::Line,
     std::{rc::Rc, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -25,6 +26,16 @@
 /// How long data is drained before closing, so that a reset doesn't overtake the response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// What happens to a connection after a response.
+enum AfterResponse {
+    /// It waits for the next request.
+    KeepOpen,
+    /// It is closed.
+    Close,
+    /// It is reset, as the response is incomplete and a close would end it like a complete one.
+    Reset,
+}
+
 /// Serves the requests of one caller's connection in order.
 pub(super) async fn serve_connection(
     cx: Rc<Context>,
@@ -39,11 +50,11 @@
         let next = next_request(&cx, &mut stream, &mut buf, is_first).await;
         is_first = false;
         match next {
-            Ok(req) => {
-                if !answer_request(&cx, &mut stream, &mut buf, req).await {
-                    return close(stream).await;
-                }
-            }
+            Ok(req) => match answer_request(&cx, &mut stream, &mut buf, req).await {
+                AfterResponse::KeepOpen => {}
+                AfterResponse::Close => return close(stream).await,
+                AfterResponse::Reset => return reset(&stream),
+            },
             Err(RequestReadError::Closed) => return,
             Err(RequestReadError::Refused(kind)) => return refuse(stream, kind).await,
         }
@@ -67,22 +78,27 @@
     read_request(stream, buf, &limits).await
 }
 
-/// Answers a request; returns whether the connection stays open.
+/// Answers a request.
 async fn answer_request(
     cx: &Rc<Context>,
     stream: &mut TcpStream,
     buf: &mut BytesMut,
     req: IncomingRequest,
-) -> bool {
+) -> AfterResponse {
     let _in_flight = cx.count_request();
     let (rx, tx) = stream.split();
     let keep_alive = req.head.keeps_connection() && cx.stop_stage() == StopStage::Running;
     let is_head_request = req.head.method == "HEAD";
     let mut out = ResponseWriter::new(tx, req.head.minor_version, keep_alive, is_head_request);
-    tokio::select! {
-        served = serve_request(cx, req, &mut out) => served.is_ok() && out.keep_alive(),
+    let is_served = tokio::select! {
+        served = serve_request(cx, req, &mut out) => served.is_ok(),
         // Cancelling closes the connection to the upstream, which then stops working too.
         () = until_disconnected(rx, buf) => false,
+    };
+    match is_served {
+        true if out.keep_alive() => AfterResponse::KeepOpen,
+        false if out.needs_reset() => AfterResponse::Reset,
+        _ => AfterResponse::Close,
     }
 }
 
@@ -115,6 +131,13 @@
     }
 }
 
+/// Makes the close of a connection a reset.
+fn reset(stream: &TcpStream) {
+    if let Err(e) = stream.set_zero_linger() {
+        Line::new("reset_failed").with("reason", e).warn();
+    }
+}
+
 /// Closes a connection after draining it, so that a reset doesn't overtake the response.
 async fn close(mut stream: TcpStream) {
     if stream.shutdown().await.is_err() {
--- a/crates/entry/src/caller/response_writer.rs
+++ b/crates/entry/src/caller/response_writer.rs
@@ -14,7 +14,18 @@
     /// Whether the connection stays open after this response.
     keep_alive: bool,
     is_head_request: bool,
-    has_begun: bool,
+    state: State,
+}
+
+/// How far a response has been written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// Not at all.
+    NotBegun,
+    /// It has begun; its framing tells where it ends.
+    Begun,
+    /// An incomplete stream that ends with the connection.
+    UnframedStream,
 }
 
 impl<'a> ResponseWriter<'a> {
@@ -30,7 +41,7 @@
             minor_version,
             keep_alive,
             is_head_request,
-            has_begun: false,
+            state: State::NotBegun,
         }
     }
 
@@ -40,8 +51,13 @@
     }
 
     /// Whether any bytes of the response were written.
-    pub const fn has_begun(&self) -> bool {
-        self.has_begun
+    pub fn has_begun(&self) -> bool {
+        self.state != State::NotBegun
+    }
+
+    /// Whether only a reset tells the caller that the response is incomplete.
+    pub fn needs_reset(&self) -> bool {
+        self.state == State::UnframedStream
     }
 
     /// Closes the connection after this response.
@@ -107,6 +123,7 @@
         if self.minor_version == 0 {
             // HTTP/1.0 has no chunked coding: the end of the connection ends the body.
             self.keep_alive = false;
+            self.state = State::UnframedStream;
         } else {
             head.push_str("Transfer-Encoding: chunked\r\n");
         }
@@ -136,6 +153,7 @@
     ///
     /// If the caller has disconnected.
     pub async fn end_stream(&mut self) -> io::Result<()> {
+        self.state = State::Begun;
         match self.minor_version {
             0 => Ok(()),
             _ => self.write(b"0\r\n\r\n").await,
@@ -174,7 +192,9 @@
         &mut self,
         bytes: &[u8],
     ) -> io::Result<()> {
-        self.has_begun = true;
+        if self.state == State::NotBegun {
+            self.state = State::Begun;
+        }
         self.tx.write_all(bytes).await
     }
 }
