Observability: the VM that schedules logs failures that other VMs report

failure_reported names VM, upstream and outcome, which tells an upstream that fails from a VM that has lost its links: one VM and all upstreams.

--- a/crates/core/src/scheduler/state_machine/queries.rs
+++ b/crates/core/src/scheduler/state_machine/queries.rs
@@ -49,6 +49,18 @@
         self.entries.len() - self.queue.len()
     }
 
+    /// The upstream that a request was assigned to and has not ended at.
+    pub fn upstream_of(
+        &self,
+        attempt_id: AttemptId,
+    ) -> Option<UpstreamId> {
+        let request = self.by_attempt_id.get(&attempt_id)?;
+        match self.entries.get(request)?.stage {
+            Stage::Running { upstream, .. } => Some(upstream),
+            Stage::Waiting => None,
+        }
+    }
+
     /// Number of evaluations of queued requests so far; they make up most of the scheduler's CPU
     /// time.
     pub const fn evaluations(&self) -> u64 {
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -511,6 +511,15 @@
         Some((self.names.borrow().upstream_name(id), address))
     }
 
+    /// The name of the upstream that a request was assigned to.
+    pub fn upstream_of(
+        &self,
+        attempt_id: AttemptId,
+    ) -> Option<Rc<str>> {
+        let id = self.scheduler.borrow().upstream_of(attempt_id)?;
+        Some(self.names.borrow().upstream_name(id))
+    }
+
     /// The table of names and ids.
     pub fn names(&self) -> std::cell::Ref<'_, NameInterner> {
         self.names.borrow()
--- a/crates/entry/src/scheduling/server.rs
+++ b/crates/entry/src/scheduling/server.rs
@@ -84,6 +84,28 @@
     }
 }
 
+impl SchedulerServer {
+    /// Logs that a VM got no answer from an upstream: of many VMs, the upstream fails; of many upstreams, the VM's links.
+    fn log_reported_failure(
+        &self,
+        attempt_id: AttemptId,
+        outcome: Outcome,
+    ) {
+        if !matches!(outcome, Outcome::Unreachable | Outcome::Silent) {
+            return;
+        }
+        let sessions = self.sessions.borrow();
+        let is_of = |&(_, &session): &(&String, &u32)| session == attempt_id.vm;
+        let vm = sessions.iter().find(is_of).map(|(vm, _)| vm.as_str());
+        let upstream = self.scheduling.local_scheduler.upstream_of(attempt_id);
+        Line::new("failure_reported")
+            .with("vm", vm.unwrap_or("-"))
+            .with("upstream", upstream.as_deref().unwrap_or("-"))
+            .with("outcome", format!("{outcome:?}"))
+            .info();
+    }
+}
+
 impl scheduler::Server for SchedulerServer {
     async fn hello(
         self: Rc<Self>,
@@ -178,6 +200,7 @@
             match update {
                 JobUpdate::FirstEvent => self.scheduling.local_scheduler.first_event(attempt_id),
                 JobUpdate::Ended(outcome) => {
+                    self.log_reported_failure(attempt_id, outcome);
                     self.scheduling.local_scheduler.ended(attempt_id, outcome);
                 }
             }
