--- a/crates/conf/src/settings/entry_settings.rs
+++ b/crates/conf/src/settings/entry_settings.rs
@@ -5,7 +5,10 @@
     },
     jasmine_core::clock::Millis,
     serde::{Deserialize, Serialize},
-    std::{collections::BTreeMap, net::SocketAddr},
+    std::{
+        collections::BTreeMap,
+        net::{Ipv4Addr, SocketAddr},
+    },
 };
 
 /// The default of `least_lease_ms`.
@@ -32,6 +35,9 @@
     pub listen: EntryListen,
     /// The address of the platform's key-value service.
     pub store: SocketAddr,
+    /// The local address of connections to upstreams; the system chooses one if unset.
+    #[serde(default)]
+    pub upstream_source: Option<Ipv4Addr>,
     /// The minimum lease TTL that the key-value service grants.
     #[serde(default = "default_least_lease")]
     pub least_lease_ms: Millis,
--- a/crates/entry/src/daemon/run.rs
+++ b/crates/entry/src/daemon/run.rs
@@ -79,7 +79,7 @@
     if !settings.engines_check_fences {
         scheduling.require_valid_lease();
     }
-    let pool = Rc::new(Pool::default());
+    let pool = Rc::new(Pool::with_source(settings.upstream_source));
     let store = KvStore::new(settings.store, watch_timeout(&settings));
     let feed = Rc::new(Feed::new(settings.change_ms));
     let membership = Rc::new(Membership::new(VmRecord {
--- a/crates/entry/src/upstream/connection.rs
+++ b/crates/entry/src/upstream/connection.rs
@@ -2,10 +2,13 @@
     crate::http1::{BodyPart, BodyReader, HttpError, ResponseHead, parse_response_head},
     bytes::{Buf, Bytes, BytesMut},
     jasmine_core::clock::Millis,
-    std::{io, net::SocketAddr},
+    std::{
+        io,
+        net::{Ipv4Addr, SocketAddr},
+    },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
-        net::TcpStream,
+        net::{TcpSocket, TcpStream},
     },
 };
 
@@ -64,13 +67,23 @@
 }
 
 impl Connection {
-    /// Opens a TCP connection.
+    /// Opens a TCP connection, from a local address if one is given.
     ///
     /// # Errors
     ///
     /// Any I/O error; nothing was sent.
-    pub async fn open(address: SocketAddr) -> io::Result<Self> {
-        let stream = TcpStream::connect(address).await?;
+    pub async fn open(
+        address: SocketAddr,
+        source: Option<Ipv4Addr>,
+    ) -> io::Result<Self> {
+        let stream = match source {
+            None => TcpStream::connect(address).await?,
+            Some(source) => {
+                let socket = TcpSocket::new_v4()?;
+                socket.bind(SocketAddr::from((source, 0)))?;
+                socket.connect(address).await?
+            }
+        };
         stream.set_nodelay(true)?;
         Ok(Self {
             stream,
--- a/crates/entry/src/upstream/pool.rs
+++ b/crates/entry/src/upstream/pool.rs
@@ -2,7 +2,13 @@
     super::Connection,
     crate::{clock::Clock, http1::ResponseHead},
     jasmine_core::clock::Millis,
-    std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, time::Duration},
+    std::{
+        cell::RefCell,
+        collections::HashMap,
+        io,
+        net::{Ipv4Addr, SocketAddr},
+        time::Duration,
+    },
     tokio::time::timeout,
 };
 
@@ -23,10 +29,20 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     clock: Clock,
+    /// The local address of its connections, unless the system chooses it.
+    source: Option<Ipv4Addr>,
     idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
 }
 
 impl Pool {
+    /// Creates a pool whose connections have this local address.
+    pub fn with_source(source: Option<Ipv4Addr>) -> Self {
+        Self {
+            source,
+            ..Self::default()
+        }
+    }
+
     /// Takes a usable connection that has been idle for at most `max_idle`, if there is one.
     pub fn reuse(
         &self,
@@ -54,7 +70,7 @@
         &self,
         address: SocketAddr,
     ) -> io::Result<Connection> {
-        timeout(CONNECT_TIMEOUT, Connection::open(address))
+        timeout(CONNECT_TIMEOUT, Connection::open(address, self.source))
             .await
             .unwrap_or_else(|_elapsed| Err(io::ErrorKind::TimedOut.into()))
     }
--- a/crates/testkit/src/proxy/link.rs
+++ b/crates/testkit/src/proxy/link.rs
@@ -1,4 +1,7 @@
-use serde::{Deserialize, Serialize};
+use {
+    serde::{Deserialize, Serialize},
+    std::{collections::BTreeMap, net::IpAddr},
+};
 
 /// How a link treats its connections.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -34,9 +37,11 @@
 }
 
 /// Link state shared with the connections.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct State {
     pub(super) link: Link,
+    /// Modes for the connections of single clients, in place of that of `link`.
+    pub(super) modes: BTreeMap<IpAddr, Fault>,
     /// Number of times `Silent` was set; older connections no longer transfer data.
     pub(super) silence_generation: u64,
 }
@@ -49,13 +54,22 @@
 }
 
 impl State {
-    /// Whether a connection of silence generation `generation` may transfer data.
+    /// How the connections of a client are treated.
+    pub(super) fn mode(
+        &self,
+        client: IpAddr,
+    ) -> Fault {
+        self.modes.get(&client).copied().unwrap_or(self.link.mode)
+    }
+
+    /// Whether a connection of a client and of silence generation `generation` may transfer data.
     pub(super) fn allows(
         &self,
+        client: IpAddr,
         direction: Direction,
         generation: u64,
     ) -> bool {
-        match self.link.mode {
+        match self.mode(client) {
             _ if generation < self.silence_generation => false,
             Fault::Pass | Fault::Silent => true,
             Fault::Cut | Fault::Refuse => false,
--- a/crates/testkit/src/proxy/tcp_proxy.rs
+++ b/crates/testkit/src/proxy/tcp_proxy.rs
@@ -5,7 +5,7 @@
     },
     std::{
         io,
-        net::{SocketAddr, TcpListener as StdListener},
+        net::{IpAddr, SocketAddr, TcpListener as StdListener},
         sync::Arc,
         thread::{self, JoinHandle},
         time::Duration,
@@ -104,6 +104,20 @@
         });
     }
 
+    /// Sets how the connections of one client are treated; `None` treats them like those of others.
+    pub fn set_mode_for(
+        &self,
+        client: IpAddr,
+        mode: Option<Fault>,
+    ) {
+        self.state.send_modify(|state| {
+            match mode {
+                Some(mode) => state.modes.insert(client, mode),
+                None => state.modes.remove(&client),
+            };
+        });
+    }
+
     /// Sets the mode of the link and clears the delay and the close limit.
     pub fn set_mode(
         &self,
@@ -133,9 +147,10 @@
 ) -> io::Result<()> {
     let listener = TcpListener::from_std(listener)?;
     loop {
-        let (client, _) = listener.accept().await?;
+        let (client, address) = listener.accept().await?;
         tokio::task::spawn_local(handle_connection(
             client,
+            address.ip(),
             target.clone(),
             rx.clone(),
             Arc::clone(&count),
@@ -145,6 +160,7 @@
 
 async fn handle_connection(
     client: TcpStream,
+    address: IpAddr,
     target: watch::Receiver<SocketAddr>,
     mut rx: watch::Receiver<State>,
     count: Arc<TransferCounters>,
@@ -152,7 +168,7 @@
     let generation = rx.borrow().silence_generation;
     let mut refused = rx.clone();
     let transfer = async {
-        rx.wait_for(|state| state.allows(Direction::ToTarget, generation))
+        rx.wait_for(|state| state.allows(address, Direction::ToTarget, generation))
             .await
             .map_err(io::Error::other)?;
         let target = *target.borrow();
@@ -165,6 +181,7 @@
             forward(
                 client_rx,
                 server_tx,
+                address,
                 Direction::ToTarget,
                 generation,
                 rx.clone(),
@@ -173,6 +190,7 @@
             forward(
                 server_rx,
                 client_tx,
+                address,
                 Direction::ToClient,
                 generation,
                 rx,
@@ -182,13 +200,14 @@
     };
     tokio::select! {
         _ = transfer => {}
-        _ = refused.wait_for(|state| state.link.mode == Fault::Refuse) => {}
+        _ = refused.wait_for(|state| state.mode(address) == Fault::Refuse) => {}
     }
 }
 
 async fn forward(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
+    address: IpAddr,
     direction: Direction,
     generation: u64,
     mut rx: watch::Receiver<State>,
@@ -199,7 +218,7 @@
     loop {
         let n = from.read(&mut buf).await?;
         let link = rx
-            .wait_for(|state| state.allows(direction, generation))
+            .wait_for(|state| state.allows(address, direction, generation))
             .await
             .map_err(io::Error::other)?
             .link;
