--- a/crates/core/src/scheduler/admission_share.rs
+++ b/crates/core/src/scheduler/admission_share.rs
@@ -38,6 +38,22 @@
     Standalone { rank: usize, vms: usize },
 }
 
+impl AdmissionPart {
+    /// This part of a whole that VMs in standalone mode divide among them.
+    pub(super) fn share_of(
+        self,
+        whole: usize,
+    ) -> usize {
+        match self {
+            Self::None => 0,
+            Self::Scheduler | Self::ContendedScheduler => whole,
+            Self::Standalone { rank, vms } => {
+                whole / vms.max(1) + usize::from(rank < whole % vms.max(1))
+            }
+        }
+    }
+}
+
 impl AdmissionShare {
     /// The part for an upstream whose limit is counted in `window`; `upstream` is a hash of its id
     /// that is the same on all VMs.
--- a/crates/core/src/scheduler/availability.rs
+++ b/crates/core/src/scheduler/availability.rs
@@ -5,6 +5,7 @@
     super::{
         Announcement, Job, SignalChanges, StatedUpstream, UpstreamSignals,
         admission_log::AdmissionLog,
+        brittleness::{BrittleLoad, CAUTION, REJECTION_WINDOW, SERVICE_RETENTION},
         cold_admission::{COLD_WINDOW, ColdLimit},
         fleet::Fleet,
         request_limit::LIMIT_WINDOW,
@@ -105,6 +106,33 @@
         limit.wait(part, &upstream.statements.admissions, now)
     }
 
+    /// Whether an upstream that may be brittle has room for one more request from this scheduler.
+    pub(super) fn has_room_while_brittle(
+        &self,
+        upstream: &Upstream,
+        now: Millis,
+    ) -> bool {
+        let of_service = self.brittle_services.get(&upstream.service).copied();
+        let of_service = of_service.filter(|known| now < known.stated_at + SERVICE_RETENTION);
+        let Some(brittleness) = upstream.statements.brittleness.or(of_service) else {
+            return true;
+        };
+        let share = &self.admission_share;
+        let part = share.part(upstream.id_hash, REJECTION_WINDOW, now);
+        let statements = &upstream.statements;
+        let is_recent = |at: Millis| now < at + CAUTION;
+        let load = BrittleLoad {
+            running: upstream.running,
+            unconfirmed: match &upstream.engine {
+                Some(engine) => engine.backlog.len() as u32,
+                None => upstream.running,
+            },
+            rejected: statements.rejections.len(now),
+            was_rejecting: statements.rejected_at.is_some_and(is_recent),
+        };
+        brittleness.allows(part, upstream.slots, load)
+    }
+
     /// Records what an upstream states in a response to a request of a VM that was sent at `sent_at`.
     pub(super) fn note_signals(
         &mut self,
@@ -120,6 +148,9 @@
         let statements = &mut upstream.statements;
         let changes = statements.note(vm, signals, sent_at, now);
         self.last_rest_end = self.last_rest_end.max(statements.rests.last_end());
+        if let Some(stated) = statements.brittleness {
+            self.brittle_services.insert(upstream.service, stated);
+        }
         changes
     }
 
@@ -184,6 +215,9 @@
             };
             let statements = &mut upstream.statements;
             statements.add(vm, &one.signals, now);
+            if let Some(stated) = statements.brittleness {
+                self.brittle_services.insert(upstream.service, stated);
+            }
             self.last_rest_end = self.last_rest_end.max(statements.rests.last_end());
             for &ago in one.sent_ago.iter().filter(|_| counts_requests) {
                 statements.admissions.add_earlier(now.since(ago));
--- a/crates/core/src/scheduler/choose/cost.rs
+++ b/crates/core/src/scheduler/choose/cost.rs
@@ -78,13 +78,15 @@
         EVACUATION_PENALTY_MS * (1.0 - left / whole).clamp(0.0, 1.0)
     }
 
-    /// Whether the upstream's cold limit and its request limit allow a request now.
+    /// Whether the upstream's limits allow a request now, and it bears one if it is brittle.
     pub(super) fn is_admitted(
         &self,
         up: &Upstream,
     ) -> bool {
         let wait = self.fleet.cold_wait(up, self.now);
-        wait == Some(Millis::ZERO) && self.is_within_request_limit(up)
+        wait == Some(Millis::ZERO)
+            && self.is_within_request_limit(up)
+            && self.fleet.has_room_while_brittle(up, self.now)
     }
 
     /// Whether the request limit that the upstream states allows a request now.
--- a/crates/core/src/scheduler/choose/load.rs
+++ b/crates/core/src/scheduler/choose/load.rs
@@ -5,6 +5,7 @@
         AdapterCopies, ORDER_ROUND_TRIP_MS, SelectionContext, ServingOption, cost::request_interval,
     },
     crate::{
+        clock::Millis,
         ids::{AdapterVersion, ModelId},
         placement::rendezvous_score,
         scheduler::{
@@ -179,7 +180,7 @@
         let total = Load::of(job, engine, self.now).total;
         if !self.is_within_request_limit(up) {
             WaitReason::RequestLimit
-        } else if !self.is_admitted(up) {
+        } else if self.fleet.cold_wait(up, self.now) != Some(Millis::ZERO) {
             WaitReason::ColdUpstream
         } else if engine.has_capacity(up.running, total, self.settings.kv_fill_percent) {
             WaitReason::Prefill
--- a/crates/core/src/scheduler/fleet.rs
+++ b/crates/core/src/scheduler/fleet.rs
@@ -3,6 +3,7 @@
         EngineLimits, EngineStatus, Job, LoadSettings, UpstreamStatus,
         admission_share::AdmissionShare,
         backlog::PrefillSample,
+        brittleness::Brittleness,
         call_times::CallTimes,
         choose::{MAX_FULL_SCAN_ENGINES, PreferredEngines},
         cold_admission::ColdLimit,
@@ -39,6 +40,8 @@
     pub(super) cold_limits: HashMap<ServiceId, ColdLimit>,
     /// The part of the upstreams' limits that this scheduler may use.
     pub admission_share: AdmissionShare,
+    /// What upstreams of a service last stated about rejections.
+    pub(super) brittle_services: HashMap<ServiceId, Brittleness>,
     /// When the last rest that an upstream wants from a VM ends.
     pub(super) last_rest_end: Millis,
     pub(super) evacuations: Evacuations,
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -21,6 +21,7 @@
 mod announced_versions;
 mod availability;
 mod backlog;
+mod brittleness;
 mod call_times;
 mod choose;
 mod cold_admission;
--- a/crates/core/src/scheduler/outcome_records.rs
+++ b/crates/core/src/scheduler/outcome_records.rs
@@ -30,6 +30,9 @@
             self.load_slowdown
                 .note_late(now.since(since), expected, now);
         }
+        if outcome == Outcome::Shed {
+            upstream.statements.note_rejection(now);
+        }
         match outcome {
             Outcome::Answered { took } => {
                 upstream.health.note_success(now);
--- a/crates/core/src/scheduler/signals.rs
+++ b/crates/core/src/scheduler/signals.rs
@@ -9,6 +9,8 @@
     pub rest: Option<Millis>,
     /// Whether it is about to stop.
     pub is_leaving: bool,
+    /// Most rejections in a second that it bears without falling over; `None` if it isn't brittle.
+    pub max_rejections: Option<u32>,
 }
 
 /// How a response changed what is known of its upstream.
@@ -19,6 +21,9 @@
     pub request_limit: Option<Option<f64>>,
     /// How long it wants no request from this VM, if it has just said so.
     pub rest: Option<Millis>,
+    /// The new number of rejections that it bears, `Some(None)` if it is no longer brittle; `None` if
+    /// that is unchanged.
+    pub max_rejections: Option<Option<u32>>,
     /// Whether it is now known to be leaving and wasn't before.
     pub is_leaving: bool,
 }
--- a/crates/core/src/scheduler/statements.rs
+++ b/crates/core/src/scheduler/statements.rs
@@ -2,6 +2,7 @@
     super::{
         LOCAL_VM,
         admission_log::AdmissionLog,
+        brittleness::{Brittleness, REJECTION_WINDOW},
         request_limit::{LIMIT_WINDOW, RequestLimit},
         rests::Rests,
         signals::{SignalChanges, UpstreamSignals},
@@ -21,6 +22,12 @@
     pub rests: Rests,
     /// Whether it is about to stop.
     pub is_leaving: bool,
+    /// How few rejections it bears, if it is brittle.
+    pub brittleness: Option<Brittleness>,
+    /// The requests that it turned away.
+    pub rejections: AdmissionLog,
+    /// When it last turned one away.
+    pub rejected_at: Option<Millis>,
     /// The requests that count for its request limit.
     pub admissions: AdmissionLog,
     /// The requests of this VM's own callers, whoever assigned them.
@@ -35,6 +42,9 @@
             request_limit: None,
             rests: Rests::new(),
             is_leaving: false,
+            brittleness: None,
+            rejections: AdmissionLog::new(REJECTION_WINDOW),
+            rejected_at: None,
             admissions: AdmissionLog::new(LIMIT_WINDOW),
             own_sent: AdmissionLog::new(LIMIT_WINDOW),
         }
@@ -50,16 +60,29 @@
             request_limit: self.request_limit.map(|limit| limit.per_second),
             rest: (rest > Millis::ZERO).then_some(rest),
             is_leaving: self.is_leaving,
+            max_rejections: self.brittleness.map(|known| known.max_rejections),
         };
         (signals != UpstreamSignals::default()).then_some(signals)
     }
 
+    /// Records that it turned a request away.
+    pub(super) fn note_rejection(
+        &mut self,
+        now: Millis,
+    ) {
+        self.rejections.note(now);
+        self.rejected_at = Some(now);
+    }
+
     /// Whether nothing of it holds any more.
     pub(super) fn is_empty(
         &self,
         now: Millis,
     ) -> bool {
-        self.request_limit.is_none() && !self.is_leaving && now >= self.rests.last_end()
+        self.request_limit.is_none()
+            && self.brittleness.is_none()
+            && !self.is_leaving
+            && now >= self.rests.last_end()
     }
 
     /// Adds what it stated to a VM before this scheduler took over.
@@ -72,6 +95,9 @@
         let known = self.request_limit.map(|limit| limit.per_second);
         let signals = UpstreamSignals {
             request_limit: signals.request_limit.or(known),
+            max_rejections: signals
+                .max_rejections
+                .or(self.brittleness.map(|known| known.max_rejections)),
             ..*signals
         };
         self.note(vm, &signals, now, now);
@@ -94,6 +120,10 @@
         self.request_limit =
             RequestLimit::after_response(self.request_limit, signals.request_limit, sent_at, now);
         let after = self.request_limit.map(|limit| limit.per_second);
+        let borne_before = self.brittleness.map(|known| known.max_rejections);
+        self.brittleness =
+            Brittleness::after_response(self.brittleness, signals.max_rejections, sent_at, now);
+        let borne = self.brittleness.map(|known| known.max_rejections);
         if let Some(rest) = signals.rest {
             self.rests.note(vm, rest, now);
         }
@@ -102,6 +132,7 @@
         SignalChanges {
             request_limit: (before != after).then_some(after),
             rest: signals.rest,
+            max_rejections: (borne_before != borne).then_some(borne),
             is_leaving: self.is_leaving && !was_leaving,
         }
     }
--- a/crates/core/tests/request_limits.rs
+++ b/crates/core/tests/request_limits.rs
@@ -28,6 +28,7 @@
         request_limit: Some(per_second),
         rest: None,
         is_leaving: false,
+        max_rejections: None,
     }
 }
 
--- a/crates/core/tests/upstream_departures.rs
+++ b/crates/core/tests/upstream_departures.rs
@@ -16,6 +16,7 @@
     request_limit: None,
     rest: None,
     is_leaving: true,
+    max_rejections: None,
 };
 
 fn server(started: u64) -> UpstreamStatus {
--- a/crates/core/tests/upstream_rests.rs
+++ b/crates/core/tests/upstream_rests.rs
@@ -20,6 +20,7 @@
     request_limit: None,
     rest: Some(REST),
     is_leaving: false,
+    max_rejections: None,
 };
 
 /// Sends a call that an upstream turns away; returns that upstream.
--- a/crates/entry/src/scheduling/client/mod.rs
+++ b/crates/entry/src/scheduling/client/mod.rs
@@ -325,6 +325,16 @@
                 .info(),
             None => {}
         }
+        match changes.max_rejections {
+            Some(Some(max_rejections)) => Line::new("brittleness_stated")
+                .with("upstream", upstream)
+                .with("max_rejections_per_second", max_rejections)
+                .info(),
+            Some(None) => Line::new("brittleness_ended")
+                .with("upstream", upstream)
+                .info(),
+            None => {}
+        }
         if let Some(rest) = changes.rest {
             Line::new("rest_requested")
                 .with("upstream", upstream)
--- a/crates/entry/src/scheduling/convert.rs
+++ b/crates/entry/src/scheduling/convert.rs
@@ -247,6 +247,8 @@
     to.set_has_request_limit(signals.request_limit.is_some());
     to.set_request_limit(signals.request_limit.unwrap_or_default());
     to.set_is_leaving(signals.is_leaving);
+    to.set_is_brittle(signals.max_rejections.is_some());
+    to.set_max_rejections(signals.max_rejections.unwrap_or_default());
     to.set_rest_ms(
         signals
             .rest
@@ -260,6 +262,7 @@
         request_limit: from.get_has_request_limit().then_some(limit),
         rest: non_zero(from.get_rest_ms()).map(|ms| Millis(ms.into())),
         is_leaving: from.get_is_leaving(),
+        max_rejections: from.get_is_brittle().then(|| from.get_max_rejections()),
     }
 }
 
--- a/crates/wire/schema/scheduler.capnp
+++ b/crates/wire/schema/scheduler.capnp
@@ -70,6 +70,8 @@
   requestLimit @1 :Float64;    # requests per second, from all VMs together
   restMs @2 :UInt32;           # how long it wants no request from the VM; 0: none asked for
   isLeaving @3 :Bool;          # whether it is about to stop
+  isBrittle @4 :Bool;          # whether it falls over if it turns too many requests away
+  maxRejections @5 :UInt32;    # how many in a second it bears
 }
 
 struct Stated {
