Soak: VMs lose their links to all upstreams, upstreams are brittle or silent for a second

VMs of a run have source addresses of their own, so that proxies can hold back or reset what one of them exchanges with all upstreams; streams and engine are behind proxies too.

--- a/crates/entry/tests/lost_upstream_links.rs
+++ b/crates/entry/tests/lost_upstream_links.rs
@@ -116,7 +116,10 @@
 #[test]
 fn a_vm_without_links_is_served_by_others() {
     // Guards against callers that are not served because their VM alone has lost its links to the upstreams.
-    for (number, mode) in [Fault::Cut, Fault::Refuse].into_iter().enumerate() {
+    for (number, mode) in [Fault::Cut, Fault::Refuse, Fault::Reset]
+        .into_iter()
+        .enumerate()
+    {
         let site = Site::start(&format!("cut-{number}"), &["s-1", "s-2"], 3);
         for upstream in &site.upstreams {
             upstream.set_default(Behaviour::Events(3));
--- a/crates/entry/tests/soak/cluster.rs
+++ b/crates/entry/tests/soak/cluster.rs
@@ -2,12 +2,12 @@
     super::fault::{Fault, Statement, UPSTREAMS, VMS},
     crate::deployment::{self, Request, TIMEOUT, Vm, exchange},
     jasmine_platform_stand_in::{Behaviour, EngineStandIn, KvStandIn, Outage, UpstreamStandIn},
-    jasmine_testkit::proxy::{Link, Proxy},
+    jasmine_testkit::proxy::{Fault as LinkFault, Link, Proxy},
     nix::sys::signal::Signal,
     serde_json::{Value, json},
     std::{
         fs,
-        net::SocketAddr,
+        net::{IpAddr, Ipv4Addr, SocketAddr},
         thread,
         time::{Duration, Instant},
     },
@@ -22,6 +22,7 @@
 const ANY_ADDRESS: &str = "127.0.0.1:0";
 
 struct VmSlot {
+    number: usize,
     name: String,
     vm: Option<Vm>,
     starts_at: Option<Instant>,
@@ -38,6 +39,7 @@
     StoreLink(usize),
     CallerLink(usize),
     UpstreamLink(usize),
+    VmLinks(usize),
     Store,
     Draining(usize),
     Evacuated(usize),
@@ -54,6 +56,8 @@
     starts: [u64; UPSTREAMS],
     pub streams: UpstreamStandIn,
     pub engine: EngineStandIn,
+    /// The links of all VMs to `streams` and `engine`.
+    other_links: Vec<Proxy>,
     version: u64,
     pending_ends: Vec<(Instant, FaultTarget)>,
 }
@@ -79,6 +83,7 @@
             starts: [0; UPSTREAMS],
             streams,
             engine,
+            other_links: Vec::new(),
             version: 0,
             pending_ends: Vec::new(),
         };
@@ -87,9 +92,9 @@
             cluster.register_upstream(number, "ready");
         }
         let entry = cluster.streams.entry("flows", "one", "ready");
-        cluster.store.put(&cluster.streams.key(), &entry);
+        cluster.register_behind_proxy(&cluster.streams.key(), entry);
         let entry = cluster.engine.entry("llm", "one");
-        cluster.store.put(&cluster.engine.key(), &entry);
+        cluster.register_behind_proxy(&cluster.engine.key(), entry);
         for number in 0..VMS {
             cluster.add_vm(format!("soak-{}-{seed}-{number}", std::process::id()));
         }
@@ -106,8 +111,10 @@
         name: String,
     ) {
         let store_link = start_proxy(self.store.address());
-        let vm = start_vm(store_link.address(), &name);
+        let number = self.slots.len();
+        let vm = start_vm(store_link.address(), &name, number);
         self.slots.push(VmSlot {
+            number,
             name,
             store_link,
             caller_link: start_proxy(vm.callers),
@@ -173,6 +180,11 @@
                 self.pending_ends
                     .push((now + time, FaultTarget::UpstreamLink(upstream)));
             }
+            Fault::VmLinks(vm, mode, time) => {
+                self.set_vm_links(vm, Some(mode));
+                self.pending_ends
+                    .push((now + time, FaultTarget::VmLinks(vm)));
+            }
             Fault::StoreOutage(outage, time) => {
                 self.store.set_outage(outage);
                 self.pending_ends.push((now + time, FaultTarget::Store));
@@ -286,6 +298,7 @@
             FaultTarget::StoreLink(vm) => self.slots[vm].store_link.set(healthy),
             FaultTarget::CallerLink(vm) => self.slots[vm].caller_link.set(healthy),
             FaultTarget::UpstreamLink(upstream) => self.upstream_links[upstream].set(healthy),
+            FaultTarget::VmLinks(vm) => self.set_vm_links(vm, None),
             FaultTarget::Store => self.store.set_outage(Outage::None),
             FaultTarget::Draining(upstream) => self.register_upstream(upstream, "ready"),
             FaultTarget::Evacuated(upstream) => self.store.remove(&evacuation_key(upstream)),
@@ -293,7 +306,7 @@
                 let stated = &self.upstreams[upstream];
                 stated.headers.set(statement.header().0, None);
                 match statement {
-                    Statement::RequestLimit => {}
+                    Statement::RequestLimit | Statement::Brittle => {}
                     Statement::Rest => stated.set_default(Behaviour::Answer(b"ok".to_vec())),
                     Statement::Leaving => {
                         self.starts[upstream] += 1;
@@ -304,6 +317,27 @@
         }
     }
 
+    fn register_behind_proxy(
+        &mut self,
+        key: &str,
+        mut entry: Value,
+    ) {
+        let link = start_proxy(entry_address(&entry));
+        entry["address"] = json!(link.address().to_string());
+        self.store.put(key, &entry);
+        self.other_links.push(link);
+    }
+
+    fn set_vm_links(
+        &self,
+        vm: usize,
+        mode: Option<LinkFault>,
+    ) {
+        for link in self.upstream_links.iter().chain(&self.other_links) {
+            link.set_mode_for(upstream_source(vm), mode);
+        }
+    }
+
     fn register_upstream(
         &self,
         number: usize,
@@ -340,12 +374,19 @@
 fn start_vm(
     store: SocketAddr,
     name: &str,
+    number: usize,
 ) -> Vm {
     Vm::start_with_settings(store, name, |settings| {
+        settings["upstream_source"] = json!(upstream_source(number));
         settings["evacuation_ms"] = json!(2_500);
     })
 }
 
+/// The address from which a VM connects to upstreams.
+fn upstream_source(vm: usize) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(127, 0, 0, 10 + vm as u8))
+}
+
 /// The data centre of an upstream of the service `app`.
 fn data_centre(upstream: usize) -> String {
     format!("dc-{upstream}")
@@ -381,7 +422,7 @@
         }
         if self.starts_at.is_some_and(|at| at <= now) {
             self.starts_at = None;
-            let vm = start_vm(self.store_link.address(), &self.name);
+            let vm = start_vm(self.store_link.address(), &self.name, self.number);
             self.caller_link.retarget(vm.callers);
             self.is_stopping = false;
             self.vm = Some(vm);
--- a/crates/entry/tests/soak/fault.rs
+++ b/crates/entry/tests/soak/fault.rs
@@ -19,6 +19,14 @@
 const STATEMENT_SEED: u64 = 0x57a7_e5ed;
 /// Time between the starts of two statements, in milliseconds.
 const STATEMENT_INTERVAL_MS: std::ops::Range<u64> = 500..2_500;
+/// The same for lost links of VMs and for brittle upstreams.
+const LINK_SEED: u64 = 0x0011_4b05;
+/// Time between the starts of two of these, in milliseconds.
+const LINK_INTERVAL_MS: std::ops::Range<u64> = 400..2_000;
+/// Duration of a loss of links, in milliseconds.
+const LINK_DURATION_MS: std::ops::Range<u64> = 500..4_000;
+/// How long a sound upstream is silent, in milliseconds.
+const PAUSE_MS: std::ops::Range<u64> = 400..1_200;
 /// The same for how streams are framed and end.
 const STREAM_SEED: u64 = 0x57_2ea5;
 /// Time between two streams that are framed or end in another way, in milliseconds.
@@ -47,6 +55,8 @@
     Statement(usize, Statement, Duration),
     /// The next stream is like this.
     NextStream(Behaviour),
+    /// One VM loses its links to all upstreams.
+    VmLinks(usize, LinkFault, Duration),
 }
 
 /// What an upstream states in its responses.
@@ -56,6 +66,8 @@
     RequestLimit,
     /// It turns requests away and wants rest.
     Rest,
+    /// It falls over if it turns many requests away.
+    Brittle,
     /// It is about to stop; another run starts at the end of the fault.
     Leaving,
 }
@@ -66,6 +78,7 @@
         match self {
             Self::RequestLimit => ("Server-Limit", "20"),
             Self::Rest => ("Retry-After", "0.6"),
+            Self::Brittle => ("Server-Brittle", "4"),
             Self::Leaving => ("Server-Leaving", "1"),
         }
     }
@@ -86,6 +99,7 @@
     plan.extend(evacuations(seed, length));
     plan.extend(statements(seed, length));
     plan.extend(streams(seed, length));
+    plan.extend(lost_links(seed, length));
     plan.sort_by_key(|&(at, _)| at);
     plan
 }
@@ -127,6 +141,29 @@
     plan
 }
 
+fn lost_links(
+    seed: u64,
+    length: Duration,
+) -> Vec<(Duration, Fault)> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ LINK_SEED);
+    let mut at = Duration::ZERO;
+    let mut plan = Vec::new();
+    while at < length {
+        at += Duration::from_millis(rng.random_range(LINK_INTERVAL_MS));
+        let time = Duration::from_millis(rng.random_range(LINK_DURATION_MS));
+        let vm = rng.random_range(0..VMS);
+        let pause = Duration::from_millis(rng.random_range(PAUSE_MS));
+        let fault = match rng.random_range(0..6) {
+            0 | 1 => Fault::VmLinks(vm, LinkFault::Cut, time),
+            2 => Fault::VmLinks(vm, LinkFault::Reset, time),
+            3 => Fault::Statement(vm % UPSTREAMS, Statement::Brittle, time),
+            _ => Fault::NextStream(Behaviour::Pauses(EVENTS, pause)),
+        };
+        plan.push((at, fault));
+    }
+    plan
+}
+
 fn streams(
     seed: u64,
     length: Duration,
--- a/crates/testkit/src/proxy/link.rs
+++ b/crates/testkit/src/proxy/link.rs
@@ -21,6 +21,8 @@
     Silent,
     /// Closes all open and new connections.
     Refuse,
+    /// Resets all open and new connections.
+    Reset,
 }
 
 /// The state of a link.
@@ -72,7 +74,7 @@
         match self.mode(client) {
             _ if generation < self.silence_generation => false,
             Fault::Pass | Fault::Silent => true,
-            Fault::Cut | Fault::Refuse => false,
+            Fault::Cut | Fault::Refuse | Fault::Reset => false,
             Fault::CutToTarget => direction == Direction::ToClient,
             Fault::CutToClient => direction == Direction::ToTarget,
         }
--- a/crates/testkit/src/proxy/tcp_proxy.rs
+++ b/crates/testkit/src/proxy/tcp_proxy.rs
@@ -6,6 +6,7 @@
     std::{
         io,
         net::{IpAddr, SocketAddr, TcpListener as StdListener},
+        pin::pin,
         sync::Arc,
         thread::{self, JoinHandle},
         time::Duration,
@@ -167,7 +168,10 @@
 ) {
     let generation = rx.borrow().silence_generation;
     let mut refused = rx.clone();
-    let transfer = async {
+    let refused =
+        refused.wait_for(|state| matches!(state.mode(address), Fault::Refuse | Fault::Reset));
+    let mut refused = pin!(refused);
+    let connected = async {
         rx.wait_for(|state| state.allows(address, Direction::ToTarget, generation))
             .await
             .map_err(io::Error::other)?;
@@ -175,38 +179,73 @@
         let server = TcpStream::connect(target).await?;
         client.set_nodelay(true)?;
         server.set_nodelay(true)?;
-        let (client_rx, client_tx) = client.into_split();
-        let (server_rx, server_tx) = server.into_split();
-        tokio::try_join!(
-            forward(
-                client_rx,
-                server_tx,
-                address,
-                Direction::ToTarget,
-                generation,
-                rx.clone(),
-                &count
-            ),
-            forward(
-                server_rx,
-                client_tx,
-                address,
-                Direction::ToClient,
-                generation,
-                rx,
-                &count
-            ),
-        )
+        io::Result::Ok(server)
+    };
+    let server = tokio::select! {
+        connected = connected => connected,
+        refused = &mut refused => {
+            if is_reset(&refused, address) {
+                reset(&client);
+            }
+            return;
+        }
+    };
+    let Ok(server) = server else {
+        return;
     };
-    tokio::select! {
-        _ = transfer => {}
-        _ = refused.wait_for(|state| state.mode(address) == Fault::Refuse) => {}
+    let (mut client_rx, mut client_tx) = client.into_split();
+    let (mut server_rx, mut server_tx) = server.into_split();
+    let transfer = async {
+        let to_target = forward(
+            &mut client_rx,
+            &mut server_tx,
+            address,
+            Direction::ToTarget,
+            generation,
+            rx.clone(),
+            &count,
+        );
+        let to_client = forward(
+            &mut server_rx,
+            &mut client_tx,
+            address,
+            Direction::ToClient,
+            generation,
+            rx.clone(),
+            &count,
+        );
+        tokio::try_join!(to_target, to_client)
+    };
+    let is_reset = tokio::select! {
+        ended = transfer => ended.is_err_and(|e| e.kind() == io::ErrorKind::ConnectionReset),
+        refused = &mut refused => is_reset(&refused, address),
+    };
+    if is_reset {
+        reset(client_tx.as_ref());
+        reset(server_tx.as_ref());
+        // Dropped, they would be shut down before.
+        client_tx.forget();
+        server_tx.forget();
     }
 }
 
+/// Whether a link that refuses the connections of a client resets them.
+fn is_reset(
+    refused: &Result<watch::Ref<'_, State>, watch::error::RecvError>,
+    client: IpAddr,
+) -> bool {
+    let state = refused.as_ref();
+    state.is_ok_and(|state| state.mode(client) == Fault::Reset)
+}
+
+/// Makes the close of a connection a reset; one that has ended already stays as it is.
+fn reset(stream: &TcpStream) {
+    drop(stream.set_zero_linger());
+}
+
 async fn forward(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    from: &mut OwnedReadHalf,
+    to: &mut OwnedWriteHalf,
     address: IpAddr,
     direction: Direction,
     generation: u64,
