Statements of an upstream hold on a VM that has no entry of it

What callers would see: requests to an upstream that has stated a limit, a rest or its departure to this VM, which had just started or whose entry had lapsed while the request ran; the leader that assigned it kept that, its successor did not. Cause: statements stood in the record of the upstream, and note_signals and add_stated passed over an upstream without one. They are now kept by id and run beside those of removed entries, hold at once for this VM's own requests and for the entry that comes, and are told to a new leader.

--- a/crates/core/src/scheduler/availability.rs
+++ b/crates/core/src/scheduler/availability.rs
@@ -143,7 +143,7 @@
         now: Millis,
     ) -> SignalChanges {
         let Some(upstream) = self.upstreams.get_mut(&id) else {
-            return SignalChanges::default();
+            return self.departed.note(vm, id, signals, sent_at, now);
         };
         let statements = &mut upstream.statements;
         let changes = statements.note(vm, signals, sent_at, now);
@@ -194,7 +194,7 @@
                 sent_ago: up.statements.own_sent.ages(now),
             })
         });
-        stated.collect()
+        stated.chain(self.departed.stated(now)).collect()
     }
 
     /// Adds what upstreams stated to a VM before this scheduler took over and, with
@@ -206,22 +206,23 @@
         counts_requests: bool,
         now: Millis,
     ) {
-        for one in stated {
-            let upstream = self.upstreams.get_mut(&one.upstream);
-            // The VM may still tell of an earlier run.
-            let Some(upstream) = upstream.filter(|up| up.started_unix_ms == one.started_unix_ms)
-            else {
+        for told in stated {
+            let Some(upstream) = self.upstreams.get_mut(&told.upstream) else {
+                self.departed.add(vm, told, counts_requests, now);
                 continue;
             };
+            // The VM may still tell of an earlier run; one without an entry doesn't know the run.
+            let is_other =
+                told.started_unix_ms.is_some() && told.started_unix_ms != upstream.started_unix_ms;
+            if is_other {
+                continue;
+            }
             let statements = &mut upstream.statements;
-            statements.add(vm, &one.signals, now);
+            statements.add_told(vm, told, counts_requests, now);
             if let Some(stated) = statements.brittleness {
                 self.brittle_services.insert(upstream.service, stated);
             }
             self.last_rest_end = self.last_rest_end.max(statements.rests.last_end());
-            for &ago in one.sent_ago.iter().filter(|_| counts_requests) {
-                statements.admissions.add_earlier(now.since(ago));
-            }
         }
     }
 
--- a/crates/core/src/scheduler/fleet.rs
+++ b/crates/core/src/scheduler/fleet.rs
@@ -28,7 +28,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Fleet {
     pub upstreams: BTreeMap<UpstreamId, Upstream>,
-    departed: DepartedUpstreams,
+    pub(super) departed: DepartedUpstreams,
     /// The upstreams of each service, sorted by id.
     members: HashMap<ServiceId, Vec<UpstreamId>>,
     holders: Holders,
@@ -99,7 +99,7 @@
         if !self.upstreams.contains_key(&id) {
             let engine = self.new_engine(status.service);
             let mut upstream = Upstream::new(id, status, engine, now);
-            self.departed.restore(&mut upstream);
+            self.departed.restore(&mut upstream, now);
             self.last_rest_end = self.last_rest_end.max(upstream.statements.rests.last_end());
             self.upstreams.insert(id, upstream);
             self.add_member(id, status.service);
--- a/crates/core/src/scheduler/state_machine/queries.rs
+++ b/crates/core/src/scheduler/state_machine/queries.rs
@@ -102,18 +102,20 @@
         entry.is_some_and(|entry| matches!(entry.stage, Stage::Running { .. }))
     }
 
-    /// Whether an upstream is known but may get no request of this VM's own callers: it accepts none,
-    /// is evacuated, or wants rest from this VM.
+    /// Whether it is known that an upstream may get no request of this VM's own callers: it accepts
+    /// none, is evacuated, or wants rest from this VM.
     pub fn is_unusable(
         &self,
         id: UpstreamId,
         now: Millis,
     ) -> bool {
-        let known = self.fleet.upstreams.get(&id);
-        known.is_some_and(|upstream| {
-            let rests = &upstream.statements.rests;
-            !upstream.accepts_requests(now) || rests.left(LOCAL_VM, now) > Millis::ZERO
-        })
+        match self.fleet.upstreams.get(&id) {
+            None => self.fleet.departed.is_unusable(id, now),
+            Some(upstream) => {
+                let rests = &upstream.statements.rests;
+                !upstream.accepts_requests(now) || rests.left(LOCAL_VM, now) > Millis::ZERO
+            }
+        }
     }
 
     /// Whether any upstream of the service accepts requests.
--- a/crates/core/src/scheduler/state_machine/retries.rs
+++ b/crates/core/src/scheduler/state_machine/retries.rs
@@ -48,8 +48,9 @@
         let budget = self.retry_budgets.entry(service).or_default();
         budget.own.add(counts, window, now);
         self.counting_since.get_or_insert(now);
-        if let Some(upstream) = self.fleet.upstreams.get_mut(&upstream) {
-            upstream.statements.own_sent.note(now);
+        match self.fleet.upstreams.get_mut(&upstream) {
+            Some(upstream) => upstream.statements.own_sent.note(now),
+            None => self.fleet.departed.note_own_attempt(upstream, now),
         }
     }
 
--- a/crates/core/src/scheduler/statements.rs
+++ b/crates/core/src/scheduler/statements.rs
@@ -5,7 +5,7 @@
         brittleness::{Brittleness, REJECTION_WINDOW},
         request_limit::{LIMIT_WINDOW, RequestLimit},
         rests::Rests,
-        signals::{SignalChanges, UpstreamSignals},
+        signals::{SignalChanges, StatedUpstream, UpstreamSignals},
     },
     crate::clock::Millis,
 };
@@ -85,8 +85,22 @@
             && now >= self.rests.last_end()
     }
 
-    /// Adds what it stated to a VM before this scheduler took over.
-    pub(super) fn add(
+    /// Adds what it stated to a VM before this scheduler took over and, with `counts_requests`, the
+    /// requests that the VM sent to it.
+    pub(super) fn add_told(
+        &mut self,
+        vm: u32,
+        told: &StatedUpstream,
+        counts_requests: bool,
+        now: Millis,
+    ) {
+        self.add(vm, &told.signals, now);
+        for &ago in told.sent_ago.iter().filter(|_| counts_requests) {
+            self.admissions.add_earlier(now.since(ago));
+        }
+    }
+
+    fn add(
         &mut self,
         vm: u32,
         signals: &UpstreamSignals,
