Link tests: probes are staggered, and the first answer ends a test

A test waited for all three probes, so that one dead upstream among them delayed the verdict, and the retry that waits for it, by 450 ms. One probe is enough where the links work.

--- a/crates/entry/src/links/link_monitor.rs
+++ b/crates/entry/src/links/link_monitor.rs
@@ -1,10 +1,14 @@
 use {
     super::probe::{ask_peer, probe_upstream},
     crate::{clock::Clock, context::Context, upstream::Pool},
-    futures::future::{join, join_all},
+    futures::{
+        StreamExt,
+        future::{join, join_all},
+        stream::FuturesUnordered,
+    },
     jasmine_core::{
         clock::Millis,
-        reachability::{LinkStatus, RelayPeer, Relays, UpstreamLinks},
+        reachability::{LinkStatus, ProbeResult, RelayPeer, Relays, UpstreamLinks},
     },
     jasmine_telemetry::log::Line,
     std::{
@@ -22,6 +26,8 @@
 
 /// Upstreams that are probed in one test.
 const PROBES_PER_TEST: usize = 3;
+/// Delay between the probes of a test, most of which the first one ends.
+const PROBE_STAGGER: Millis = Millis(60);
 /// Time without a response after which a VM looks whether any other response has arrived.
 const OVERDUE: Millis = Millis(300);
 /// How long a request that can be repeated is still waited for once the links are lost: open connections may live on.
@@ -233,10 +239,18 @@
         let was_lost = self.is_lost();
         let scheduler = &cx.scheduling.local_scheduler;
         let (targets, known) = scheduler.probe_targets(round, PROBES_PER_TEST);
-        let probes = targets.iter().map(|target| probe_upstream(cx, target));
-        let results = join_all(probes).await;
-        let ids = targets.iter().map(|target| target.id);
-        let results: Vec<_> = ids.zip(results).collect();
+        let probes = targets.iter().zip(0..).map(|(target, before)| async move {
+            sleep(PROBE_STAGGER.to_std() * before).await;
+            (target.id, probe_upstream(cx, target).await)
+        });
+        let mut probes: FuturesUnordered<_> = probes.collect();
+        let mut results = Vec::new();
+        while let Some((id, result)) = probes.next().await {
+            results.push((id, result));
+            if result == ProbeResult::Answered {
+                break;
+            }
+        }
         let now = self.clock.now();
         let status = {
             let mut links = self.links.borrow_mut();
