--- a/crates/entry/tests/lost_upstream_links.rs
+++ b/crates/entry/tests/lost_upstream_links.rs
@@ -3,7 +3,7 @@
 mod deployment;
 
 use {
-    deployment::{Request, Vm, config, count_runs, wait_until},
+    deployment::{Request, Vm, call_all, config, count_runs, wait_until},
     jasmine_platform_stand_in::{Behaviour, EngineStandIn, KvStandIn, UpstreamStandIn},
     jasmine_testkit::proxy::{Fault, Proxy},
     serde_json::json,
@@ -223,3 +223,43 @@
         });
     }
 }
+
+#[test]
+fn relayed_requests_count_for_a_request_limit() {
+    // Guards against a sum over all VMs that exceeds a limit because some requests go through other VMs.
+    const PER_SECOND: usize = 2;
+    let site = Site::start("cut-limit", &["s-1"], 3);
+    let limited = &site.upstreams[0];
+    limited.headers.set("Server-Limit", Some("2"));
+    let flood = |time| call_all(&site.vms, 2, time);
+    flood(CONTACT);
+    let from = Instant::now();
+    // The leader, then all, then none.
+    site.set_links(0, Some(Fault::Cut));
+    flood(Duration::from_secs(4));
+    for vm in 0..site.vms.len() {
+        site.set_links(vm, Some(Fault::Reset));
+    }
+    flood(Duration::from_secs(2));
+    for vm in 0..site.vms.len() {
+        site.set_links(vm, None);
+    }
+    flood(Duration::from_secs(4));
+    let arrivals = limited.arrivals();
+    let times: Vec<Instant> = arrivals.iter().map(|arrival| arrival.at).collect();
+    let window = Duration::from_secs(4);
+    let in_window = |begin: Instant| {
+        let is_in = |at: &&Instant| **at >= begin && **at < begin + window;
+        times.iter().filter(is_in).count()
+    };
+    let most = times
+        .iter()
+        .filter(|at| **at >= from)
+        .map(|&at| in_window(at))
+        .max();
+    let allowed = PER_SECOND * 6 + 5;
+    assert!(
+        most.is_some_and(|most| most <= allowed),
+        "{most:?} of {allowed}"
+    );
+}
