--- a/crates/core/src/reachability/relays.rs
+++ b/crates/core/src/reachability/relays.rs
@@ -1,4 +1,5 @@
 use {
+    super::RelayPeer,
     crate::{clock::Millis, placement::rendezvous_hash},
     std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr},
 };
@@ -12,15 +13,6 @@
 /// Age from which an answer no longer shows that a VM relays.
 const MAX_ANSWER_AGE: Millis = Millis(3_000);
 
-/// Another VM that may send requests for this one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct RelayPeer {
-    /// The address on which it takes such requests.
-    pub address: SocketAddr,
-    /// Whether it is in this VM's data centre.
-    pub is_local: bool,
-}
-
 #[derive(Clone, Copy, Debug, Default)]
 struct State {
     is_local: bool,
--- a/crates/core/src/reachability/links.rs
+++ b/crates/core/src/reachability/upstream_links.rs
@@ -1,4 +1,5 @@
 use {
+    super::{LinkStatus, ProbeResult},
     crate::{clock::Millis, ids::UpstreamId},
     std::collections::BTreeSet,
 };
@@ -10,33 +11,10 @@
 /// Distinct upstreams that have to fail a test, if that many are known.
 const MIN_FAILED: usize = 2;
 
-/// Whether this VM reaches upstreams.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum LinkStatus {
-    /// It does, as far as is known.
-    #[default]
-    Up,
-    /// That is being tested.
-    Suspect,
-    /// It reaches none of them.
-    Lost,
-}
-
-/// The result of a probe of one upstream over a new connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ProbeResult {
-    /// It answered, whatever the answer.
-    Answered,
-    /// No connection could be opened, or it closed without an answer.
-    Refused,
-    /// It did not answer in time; it may also be busy.
-    Silent,
-}
-
 /// What a VM knows about its own links to the upstreams.
 ///
-/// A failed request doesn't tell whether its upstream has failed or the VM's links have. If several upstreams fail at
-/// once, new connections to some others are tested: open ones may live on while new ones are refused, and the reverse.
+/// A failed request doesn't tell whether its upstream has failed or the VM's links have, so that some upstreams are probed
+/// then. Only new connections count: open ones may live on while new ones are refused.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamLinks {
     status: LinkStatus,
--- a/crates/entry/src/links/link_monitor.rs
+++ b/crates/entry/src/links/link_monitor.rs
@@ -1,5 +1,8 @@
 use {
-    super::probe::{ask_peer, probe_upstream},
+    super::{
+        LinksLost, RelayAddress,
+        probe::{ask_peer, probe_upstream},
+    },
     crate::{clock::Clock, context::Context, upstream::Pool},
     futures::{
         StreamExt,
@@ -37,19 +40,6 @@
 /// Pause between the tests while the links are lost.
 const RETEST_INTERVAL: Millis = Millis(500);
 
-/// The links of this VM to the upstreams were lost while it waited for a response.
-#[derive(Clone, Copy, Debug)]
-pub struct LinksLost;
-
-/// Where another VM takes requests for upstreams.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RelayAddress {
-    /// Its address.
-    pub address: SocketAddr,
-    /// The data centre of the VM.
-    pub data_centre: String,
-}
-
 /// Watches the links to the upstreams, and knows the VMs that can send requests in place of this one.
 #[derive(Debug)]
 pub struct LinkMonitor {
