--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -143,7 +143,7 @@
             }
             Ok(Err(LinksLost)) => Start::Failed(Failure::may_have_run(Outcome::Abandoned)),
             Ok(Ok(Err(e))) => {
-                // Resets of all connections are the first sign of lost links; the result counts for the next attempt.
+                // If all connections were reset, the next attempt should not use this VM's links.
                 links.after_failure().await;
                 Start::Failed(e.into())
             }
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -124,8 +124,8 @@
 
 /// Whether a stream that ended as its framing asks is incomplete.
 ///
-/// A crash ends a body without length and chunks like its last event does. If it ends inside an event or before its
-/// first one, it was broken off.
+/// Without length and chunks, a crash closes the connection just as the end of the body does; only the events tell them
+/// apart.
 fn is_broken_off(
     head: &ResponseHead,
     splitter: &EventSplitter,
