A relay that fails says nothing about the upstream, nor do links that are reset

What callers would see: upstreams that are paused for all VMs, because a VM that relays dies or hangs, or because a VM's connections are reset at the begin of a cut. Change: one place makes a failure of a missing and one of a broken response, and both ask which link it was. Evidence: a_silent_relay_is_not_a_silent_upstream, which failed before (Silent reported of s-2 while the relaying VM was suspended) and passes.

--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -96,12 +96,6 @@
     }
 }
 
-impl From<ExchangeError> for Failure {
-    fn from(_: ExchangeError) -> Self {
-        Self::may_have_run(Outcome::Lost)
-    }
-}
-
 /// One attempt of a request at one upstream.
 pub(super) struct AttemptContext<'a> {
     pub cx: &'a Context,
@@ -138,15 +132,10 @@
         match timeout(self.head_timeout(), exchange).await {
             Err(_elapsed) => {
                 self.cx.pool.close_idle(self.placement.address);
-                let outcome = self.outcome_of_silence().await;
-                Start::Failed(Failure::may_have_run(outcome))
+                Start::Failed(self.overdue(Via::OwnLinks).await)
             }
             Ok(Err(LinksLost)) => Start::Failed(Failure::may_have_run(Outcome::Abandoned)),
-            Ok(Ok(Err(e))) => {
-                // If all connections were reset, the next attempt should not use this VM's links.
-                links.after_failure().await;
-                Start::Failed(e.into())
-            }
+            Ok(Ok(Err(e))) => Start::Failed(self.broken(Via::OwnLinks, e).await),
             Ok(Ok(Ok(ResponseStart {
                 head,
                 is_request_sent,
@@ -197,9 +186,12 @@
         let mut response_start = match timeout(self.head_timeout(), exchange).await {
             Err(_elapsed) => {
                 links.note_relay(address, false);
-                return Offer::Started(Start::Failed(Failure::may_have_run(Outcome::Silent)));
+                return Offer::Started(Start::Failed(self.overdue(Via::OtherVm).await));
+            }
+            Ok(Err(e)) => {
+                links.note_relay(address, false);
+                return Offer::Started(Start::Failed(self.broken(Via::OtherVm, e).await));
             }
-            Ok(Err(e)) => return Offer::Started(Start::Failed(e.into())),
             Ok(Ok(response_start)) => response_start,
         };
         let is_relayed = take_relayed_mark(&mut response_start.head);
@@ -250,12 +242,38 @@
             .await
     }
 
-    /// What an overdue response says about the upstream: nothing if this VM has lost its links.
-    pub(super) async fn outcome_of_silence(&self) -> Outcome {
-        match self.cx.links.after_silence().await {
-            LinkStatus::Lost => Outcome::Abandoned,
-            LinkStatus::Up | LinkStatus::Suspect => Outcome::Silent,
-        }
+    /// The failure of an attempt whose response is overdue.
+    ///
+    /// It says nothing about the upstream if another VM, or the links of this one, may have failed.
+    pub(super) async fn overdue(
+        &self,
+        via: Via,
+    ) -> Failure {
+        let outcome = match via {
+            Via::OwnLinks if self.cx.links.after_silence().await != LinkStatus::Lost => {
+                Outcome::Silent
+            }
+            Via::OwnLinks | Via::OtherVm => Outcome::Abandoned,
+        };
+        Failure::may_have_run(outcome)
+    }
+
+    /// The failure of an attempt whose connection broke or whose response is invalid, as [`Self::overdue`].
+    pub(super) async fn broken(
+        &self,
+        via: Via,
+        e: ExchangeError,
+    ) -> Failure {
+        let outcome = match (via, e) {
+            (_, ExchangeError::Invalid) => Outcome::Lost,
+            (Via::OwnLinks, ExchangeError::Lost)
+                if self.cx.links.after_failure().await != LinkStatus::Lost =>
+            {
+                Outcome::Lost
+            }
+            (Via::OwnLinks | Via::OtherVm, ExchangeError::Lost) => Outcome::Abandoned,
+        };
+        Failure::may_have_run(outcome)
     }
 
     /// Reads the rest of a response into memory.
@@ -263,16 +281,18 @@
         &self,
         mut response: StartedResponse,
     ) -> Result<(ResponseHead, Bytes), Failure> {
-        let can_abort = self.can_abort(response.via);
+        let via = response.via;
+        let can_abort = self.can_abort(via);
         let StartedResponse {
             connection, head, ..
         } = &mut response;
         let body = connection.read_whole_body(head, MAX_RESPONSE_BYTES);
         let body = self.cx.links.attend(body, can_abort);
         let body = match timeout(self.time_left(), body).await {
-            Err(_elapsed) => return Err(Failure::may_have_run(Outcome::Silent)),
+            Err(_elapsed) => return Err(self.overdue(via).await),
             Ok(Err(LinksLost)) => return Err(Failure::may_have_run(Outcome::Abandoned)),
-            Ok(Ok(body)) => body?,
+            Ok(Ok(Err(e))) => return Err(self.broken(via, e).await),
+            Ok(Ok(Ok(body))) => body,
         };
         let head = response.head.clone();
         self.release(response);
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -107,16 +107,12 @@
         Via::OwnLinks => timeout(time, links.attend(part, attempt.req.is_resumable())).await,
     };
     match (part, response.via) {
-        (Err(_elapsed), Via::OwnLinks) => {
-            Err(Failure::may_have_run(attempt.outcome_of_silence().await))
-        }
-        (Err(_elapsed), Via::OtherVm) => Err(Failure::may_have_run(Outcome::Silent)),
+        (Err(_elapsed), via) => Err(attempt.overdue(via).await),
         (Ok(Err(LinksLost)), _) => Err(Failure::may_have_run(Outcome::Abandoned)),
-        (Ok(Ok(part)), via) => {
-            let part = part?;
-            if via == Via::OwnLinks {
-                links.note_heard();
-            }
+        (Ok(Ok(Err(e))), via) => Err(attempt.broken(via, e).await),
+        (Ok(Ok(Ok(part))), Via::OtherVm) => Ok(part),
+        (Ok(Ok(Ok(part))), Via::OwnLinks) => {
+            links.note_heard();
             Ok(part)
         }
     }
--- a/crates/entry/tests/lost_upstream_links.rs
+++ b/crates/entry/tests/lost_upstream_links.rs
@@ -6,6 +6,7 @@
     deployment::{Request, Vm, call_all, config, count_runs, wait_until},
     jasmine_platform_stand_in::{Behaviour, EngineStandIn, KvStandIn, UpstreamStandIn},
     jasmine_testkit::proxy::{Fault, Proxy},
+    nix::sys::signal::Signal,
     serde_json::json,
     std::{
         net::{IpAddr, Ipv4Addr},
@@ -263,3 +264,19 @@
         "{most:?} of {allowed}"
     );
 }
+
+#[test]
+fn a_silent_relay_is_not_a_silent_upstream() {
+    // Guards against upstreams that are paused for all VMs because a VM that relays, or a VM's own links, failed.
+    let site = Site::start("cut-relay", &["s-1", "s-2"], 3);
+    site.count_served(1, "GET", "/read/");
+    let reported = || site.vms[0].log_lines("failure_reported");
+    site.set_links(1, Some(Fault::Reset));
+    site.count_served(1, "GET", "/read/");
+    site.vms[2].signal(Signal::SIGSTOP);
+    site.count_served(1, "GET", "/read/");
+    site.vms[2].signal(Signal::SIGCONT);
+    let of_vm = |line: &String| line.contains(&site.vms[1].name);
+    let lines: Vec<String> = reported().into_iter().filter(of_vm).collect();
+    assert!(lines.is_empty(), "{lines:?}");
+}
