--- a/crates/core/src/scheduler/admission_log.rs
+++ b/crates/core/src/scheduler/admission_log.rs
@@ -45,15 +45,6 @@
         ages.filter(|&age| age < self.window).collect()
     }
 
-    /// The requests of the window.
-    pub(super) fn len(
-        &self,
-        now: Millis,
-    ) -> usize {
-        let is_in_window = |&&at: &&Millis| now < at + self.window;
-        self.sent.iter().filter(is_in_window).count()
-    }
-
     /// How long until fewer than `allowed` requests are in the last `window`, which is at most the
     /// window of the log; `None` if none is allowed.
     pub(super) fn wait(
--- a/crates/core/src/scheduler/availability.rs
+++ b/crates/core/src/scheduler/availability.rs
@@ -127,7 +127,7 @@
                 Some(engine) => engine.backlog.len() as u32,
                 None => upstream.running,
             },
-            rejected: statements.rejections.len(now),
+            rejected: statements.rejections.ages(now).len(),
             was_rejecting: statements.rejected_at.is_some_and(is_recent),
         };
         brittleness.allows(part, upstream.slots, load)
--- a/crates/core/src/scheduler/request_limit.rs
+++ b/crates/core/src/scheduler/request_limit.rs
@@ -75,9 +75,8 @@
             AdmissionPart::None => 0,
             AdmissionPart::Scheduler => whole,
             AdmissionPart::ContendedScheduler => whole.min((self.per_second * 0.75 + 1.5) as usize),
-            AdmissionPart::Standalone { rank, vms } => {
-                let all = (self.per_second * 0.5 + 1.0) as usize;
-                all / vms.max(1) + usize::from(rank < all % vms.max(1))
+            AdmissionPart::Standalone { .. } => {
+                part.share_of((self.per_second * 0.5 + 1.0) as usize)
             }
         }
     }
