Observability: software versions of upstreams, and streams that callers take up, are logged

The logs of the incident name neither the software version of an upstream nor that a caller takes a stream up, nor how many events were forwarded before an attempt failed. No decision uses them yet.

--- a/crates/core/examples/scheduler_cost/fleet.rs
+++ b/crates/core/examples/scheduler_cost/fleet.rs
@@ -1,7 +1,10 @@
 use {
     jasmine_core::{
         clock::Millis,
-        ids::{AccountId, AdapterId, AdapterVersion, DataCentreId, ModelId, ServiceId, UpstreamId},
+        ids::{
+            AccountId, AdapterId, AdapterVersion, BuildId, DataCentreId, ModelId, ServiceId,
+            UpstreamId,
+        },
         ingress::{PromptPart, PromptSize},
         rights::CallerTag,
         scheduler::{
@@ -328,6 +331,7 @@
         id_hash: 0,
         service,
         data_centre: Some(DataCentreId(0)),
+        build: BuildId(0),
         slots,
         is_ready: true,
         cold: Millis::ZERO,
--- a/crates/core/src/ids/mod.rs
+++ b/crates/core/src/ids/mod.rs
@@ -18,8 +18,8 @@
     holder::{Holder, Role},
     incarnation::Incarnation,
     numbers::{
-        AccountId, AdapterId, DataCentreId, KeyId, ModelId, RequestId, ServiceId, TransferId,
-        UpstreamId, VmId,
+        AccountId, AdapterId, BuildId, DataCentreId, KeyId, ModelId, RequestId, ServiceId,
+        TransferId, UpstreamId, VmId,
     },
     revision::Revision,
 };
--- a/crates/core/src/ids/numbers.rs
+++ b/crates/core/src/ids/numbers.rs
@@ -40,6 +40,10 @@
     /// Id of an upstream: a model engine or a server of a plain service.
     UpstreamId(u32)
 );
+number!(
+    /// Id of a version of the upstreams' software; versions have no order.
+    BuildId(u32)
+);
 number!(
     /// Id of a plain service, which is not a model engine.
     ServiceId(u32)
--- a/crates/core/src/ingress/upstream_entry.rs
+++ b/crates/core/src/ingress/upstream_entry.rs
@@ -23,6 +23,8 @@
     pub address: SocketAddr,
     /// Its data centre.
     pub data_centre: String,
+    /// The version of its software. Versions have no order, and only one that is equal can go on with a stream.
+    pub build: String,
     /// Maximum number of requests it runs concurrently.
     pub slots: u32,
     /// Whether it takes new work.
--- a/crates/core/src/scheduler/state_machine/queries.rs
+++ b/crates/core/src/scheduler/state_machine/queries.rs
@@ -4,7 +4,7 @@
     super::{ORPHAN_TIMEOUT, Scheduler},
     crate::{
         clock::Millis,
-        ids::{ServiceId, UpstreamId},
+        ids::{BuildId, ServiceId, UpstreamId},
         placement::rendezvous_hash,
         scheduler::{AttemptId, LOCAL_VM, WaitTimes, running::Stage, upstream::Upstream},
     },
@@ -81,6 +81,14 @@
         }
     }
 
+    /// The version of an upstream's software, as its latest entry says.
+    pub fn build_of(
+        &self,
+        id: UpstreamId,
+    ) -> Option<BuildId> {
+        Some(self.fleet.upstreams.get(&id)?.build)
+    }
+
     /// Number of evaluations of queued requests so far; they make up most of the scheduler's CPU
     /// time.
     pub const fn evaluations(&self) -> u64 {
--- a/crates/core/src/scheduler/upstream.rs
+++ b/crates/core/src/scheduler/upstream.rs
@@ -9,7 +9,7 @@
     },
     crate::{
         clock::Millis,
-        ids::{AdapterVersion, DataCentreId, ModelId, ServiceId, UpstreamId},
+        ids::{AdapterVersion, BuildId, DataCentreId, ModelId, ServiceId, UpstreamId},
     },
 };
 
@@ -50,6 +50,8 @@
     pub service: ServiceId,
     /// Data centre of the upstream; `None` if unknown.
     pub data_centre: Option<DataCentreId>,
+    /// Version of its software.
+    pub build: BuildId,
     /// Maximum number of concurrent requests.
     pub slots: u32,
     /// Whether it accepts new requests.
@@ -70,6 +72,7 @@
     pub id_hash: u64,
     pub service: ServiceId,
     pub data_centre: Option<DataCentreId>,
+    pub build: BuildId,
     pub slots: u32,
     /// Whether its entry says that it accepts new requests.
     pub is_ready: bool,
@@ -106,6 +109,7 @@
             id_hash: status.id_hash,
             service: status.service,
             data_centre: status.data_centre,
+            build: status.build,
             slots: status.slots,
             is_ready: status.is_ready,
             started_unix_ms: status.started_unix_ms,
@@ -131,6 +135,7 @@
         let restarted = status.started_unix_ms != self.started_unix_ms;
         self.service = status.service;
         self.data_centre = status.data_centre;
+        self.build = status.build;
         self.slots = status.slots;
         self.warmup_until = now + status.cold;
         // The entry may have been written before the upstream became cold.
--- a/crates/core/tests/scheduler_world/mod.rs
+++ b/crates/core/tests/scheduler_world/mod.rs
@@ -6,7 +6,10 @@
     jasmine_core::{
         clock::Millis,
         error::Refusal,
-        ids::{AccountId, AdapterId, AdapterVersion, DataCentreId, ModelId, ServiceId, UpstreamId},
+        ids::{
+            AccountId, AdapterId, AdapterVersion, BuildId, DataCentreId, ModelId, ServiceId,
+            UpstreamId,
+        },
         ingress::{PromptPart, PromptSize},
         rights::{CallerTag, Limit},
         scheduler::{
@@ -22,6 +25,8 @@
 pub const CALLS: ServiceId = ServiceId(2);
 pub const MODEL: ModelId = ModelId(0);
 pub const HERE: DataCentreId = DataCentreId(0);
+/// The software version of upstreams where a test says nothing else.
+pub const BUILD: BuildId = BuildId(0);
 /// Adapter slots per engine.
 pub const ADAPTER_SLOTS: usize = 2;
 
@@ -320,6 +325,7 @@
         id_hash: 0,
         service: ENGINES,
         data_centre: Some(HERE),
+        build: BUILD,
         slots: 64,
         is_ready: true,
         cold: Millis::ZERO,
--- a/crates/entry/examples/scheduler_calls.rs
+++ b/crates/entry/examples/scheduler_calls.rs
@@ -171,6 +171,7 @@
         service: "calls".to_owned(),
         address: SocketAddr::from(([127, 0, 0, 1], 9)),
         data_centre: "one".to_owned(),
+        build: "v1".to_owned(),
         slots: 1_000,
         state: UpstreamState::Ready,
         warm_up_remaining: Millis::ZERO,
--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -87,6 +87,7 @@
         mut self,
         out: &mut ResponseWriter<'_>,
     ) -> io::Result<()> {
+        self.log_resumption();
         loop {
             if self.cx.links.is_isolated() {
                 let refusal = Refusal::after(ErrorKind::NoUpstream, ISOLATED_RETRY_DELAY);
@@ -105,11 +106,19 @@
             self.waited_for = placement.waited_for;
             self.sent_at = Some(self.cx.clock.now());
             self.upstream = Some(placement.upstream.clone());
+            let build = self
+                .cx
+                .scheduling
+                .local_scheduler
+                .build_of(&placement.upstream);
+            let after_event = self.progress.last_event.unwrap_or_default();
             Line::new("request_sent")
                 .with("id", self.id())
                 .with("upstream", &placement.upstream)
                 .with("attempt", self.attempts.next_attempt())
                 .with("version", placement.version.unwrap_or_default())
+                .with("build", build.as_deref().unwrap_or("-"))
+                .with("after_event", after_event)
                 .with("waited_ms", self.waited)
                 .with("waited_for", self.waited_for.as_str())
                 .with("decided_by", self.cx.scheduling.decider())
@@ -130,6 +139,18 @@
         }
     }
 
+    /// Logs that a caller continues a stream that an earlier attempt of it began.
+    fn log_resumption(&self) {
+        let caller = &self.req.caller;
+        if caller.last_event.is_some() || caller.resumes.is_some() {
+            Line::new("stream_taken_up")
+                .with("id", self.id())
+                .with("resumes", caller.resumes.as_deref().unwrap_or("-"))
+                .with("after_event", caller.last_event.unwrap_or_default())
+                .info();
+        }
+    }
+
     /// Waits for placement until the deadline, or until a planned stop refuses waiting requests.
     async fn place(&self) -> Result<Placement, PlacementError> {
         let now = self.cx.clock.now();
@@ -237,6 +258,7 @@
             .with("outcome", format!("{:?}", failure.outcome))
             .with("framing", framing_name(self.progress.framing))
             .with("partial_bytes", self.progress.partial_bytes)
+            .with("events", self.progress.events)
             .with("again", can_retry)
             .info();
         self.upstream_error = failure.response.or(self.upstream_error.take());
--- a/crates/entry/src/scheduling/facts.rs
+++ b/crates/entry/src/scheduling/facts.rs
@@ -38,6 +38,7 @@
         id_hash: xxh3_64(entry.id.as_bytes()),
         service: names.service(&entry.service),
         data_centre: Some(names.data_centre(&entry.data_centre)),
+        build: names.build(&entry.build),
         slots: entry.slots,
         is_ready: entry.state == UpstreamState::Ready,
         cold: entry.warm_up_remaining,
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -557,6 +557,16 @@
         self.addresses.borrow().get(&id).copied()
     }
 
+    /// The version of an upstream's software, as its latest entry says.
+    pub fn build_of(
+        &self,
+        upstream: &str,
+    ) -> Option<Rc<str>> {
+        let id = self.names.borrow_mut().upstream(upstream);
+        let build = self.scheduler.borrow().build_of(id)?;
+        Some(self.names.borrow().build_name(build))
+    }
+
     /// The name of the upstream that a request was assigned to.
     pub fn upstream_of(
         &self,
--- a/crates/entry/src/scheduling/name_interner.rs
+++ b/crates/entry/src/scheduling/name_interner.rs
@@ -1,5 +1,7 @@
 use {
-    jasmine_core::ids::{AccountId, AdapterId, DataCentreId, ModelId, ServiceId, UpstreamId},
+    jasmine_core::ids::{
+        AccountId, AdapterId, BuildId, DataCentreId, ModelId, ServiceId, UpstreamId,
+    },
     std::{collections::HashMap, rc::Rc},
 };
 
@@ -44,6 +46,7 @@
     adapters: Interner,
     upstreams: Interner,
     data_centres: Interner,
+    builds: Interner,
 }
 
 impl NameInterner {
@@ -129,4 +132,20 @@
     ) -> DataCentreId {
         DataCentreId(self.data_centres.intern(name) as u16)
     }
+
+    /// Returns the id of a version of the upstreams' software, assigning one if needed.
+    pub fn build(
+        &mut self,
+        name: &str,
+    ) -> BuildId {
+        BuildId(self.builds.intern(name))
+    }
+
+    /// Returns the name of a version of the upstreams' software; empty for an unknown id.
+    pub fn build_name(
+        &self,
+        id: BuildId,
+    ) -> Rc<str> {
+        self.builds.name(id.0)
+    }
 }
--- a/crates/entry/src/store/view.rs
+++ b/crates/entry/src/store/view.rs
@@ -307,6 +307,7 @@
                 .with("upstream", &entry.id)
                 .with("service", &entry.service)
                 .with("address", entry.address)
+                .with("build", &entry.build)
                 .with("state", format!("{:?}", entry.state))
                 .info();
         }
--- a/crates/entry/tests/leader_changes.rs
+++ b/crates/entry/tests/leader_changes.rs
@@ -92,6 +92,7 @@
         service: "calls".to_owned(),
         address,
         data_centre: "one".to_owned(),
+        build: "v1".to_owned(),
         slots: 4,
         state: UpstreamState::Ready,
         warm_up_remaining: Millis::ZERO,
--- a/crates/entry/tests/no_leader.rs
+++ b/crates/entry/tests/no_leader.rs
@@ -55,6 +55,7 @@
         service: "app".to_owned(),
         address,
         data_centre: "one".to_owned(),
+        build: "v1".to_owned(),
         slots: 6,
         state: UpstreamState::Ready,
         warm_up_remaining: Millis::ZERO,
--- a/crates/entry/tests/queued_requests.rs
+++ b/crates/entry/tests/queued_requests.rs
@@ -55,6 +55,7 @@
             service: "calls".to_owned(),
             address: SocketAddr::from(([127, 0, 0, 1], 9)),
             data_centre: "one".to_owned(),
+            build: "v1".to_owned(),
             slots: 4,
             state: UpstreamState::Ready,
             warm_up_remaining: Millis::ZERO,
