--- a/crates/entry/src/store/view.rs
+++ b/crates/entry/src/store/view.rs
@@ -300,7 +300,7 @@
         }
         // Upstreams found at startup are logged as one line by `record_found`.
         let is_change = known.map_or(announcement == Announcement::New, |known| {
-            known.state != entry.state
+            known.state != entry.state || known.started_unix_ms != entry.started_unix_ms
         });
         if is_change {
             Line::new("upstream_seen")
--- /dev/null
+++ b/crates/entry/tests/stream_builds.rs
@@ -0,0 +1,296 @@
+//! Streams beside upstreams of several software versions: a stream goes on only at the version that began it.
+
+mod deployment;
+
+use {
+    deployment::{Request, Response, Vm, start_vms, wait_until},
+    jasmine_platform_stand_in::{Behaviour, KvStandIn, UpstreamStandIn},
+    nix::sys::signal::Signal,
+    std::{
+        collections::BTreeSet,
+        io::{Read, Write},
+        net::TcpStream,
+        time::{Duration, Instant},
+    },
+};
+
+/// Events of a whole stream.
+const EVENTS: u64 = 8;
+/// Events before a stream breaks off.
+const BROKEN_AFTER: u64 = 3;
+/// A refusal that waits for nothing arrives within this time.
+const AT_ONCE: Duration = Duration::from_millis(500);
+
+/// An event's id and the software version that wrote it.
+type Event = (u64, String);
+
+fn parse_events(text: &str) -> Vec<Event> {
+    let field = |event: &str, name: &str| {
+        let value = event.lines().find_map(|line| line.strip_prefix(name));
+        value.unwrap_or_default().to_owned()
+    };
+    let events = text
+        .split_terminator("\n\n")
+        .filter(|e| e.contains("data:"));
+    events
+        .map(|event| {
+            (
+                field(event, "id: ").parse().unwrap(),
+                field(event, "event: "),
+            )
+        })
+        .collect()
+}
+
+fn builds_of(events: &[Event]) -> BTreeSet<&str> {
+    events.iter().map(|(_, build)| build.as_str()).collect()
+}
+
+fn ids_of(events: &[Event]) -> Vec<u64> {
+    events.iter().map(|&(id, _)| id).collect()
+}
+
+/// A store, and upstreams of these software versions.
+fn start_builds(builds: &[&str]) -> (KvStandIn, Vec<UpstreamStandIn>) {
+    let store = KvStandIn::start().unwrap();
+    store.put("op/config", &deployment::config(1));
+    let start = |(number, build): (usize, &&str)| {
+        let upstream = UpstreamStandIn::start(&format!("s-{number}")).unwrap();
+        upstream.set_build(build);
+        store.put(&upstream.key(), &upstream.entry("app", "one", "ready"));
+        upstream
+    };
+    let upstreams = builds.iter().enumerate().map(start).collect();
+    (store, upstreams)
+}
+
+fn set_all(
+    upstreams: &[UpstreamStandIn],
+    behaviour: &Behaviour,
+) {
+    for upstream in upstreams {
+        upstream.set_default(behaviour.clone());
+    }
+}
+
+fn new_stream() -> Request {
+    Request::new("POST", "/stream/").body(b"prompt")
+}
+
+/// The next attempt of a caller that has received events of `first` up to `last`.
+fn take_up(
+    first: &Request,
+    last: u64,
+) -> Request {
+    new_stream()
+        .with("Last-Event-Id", &last.to_string())
+        .with("Resumes", first.id())
+}
+
+fn error_code(response: &Response) -> String {
+    let body: serde_json::Value = serde_json::from_slice(&response.body).unwrap_or_default();
+    body["error"]["code"]
+        .as_str()
+        .unwrap_or_default()
+        .to_owned()
+}
+
+fn executed_ids(upstreams: &[UpstreamStandIn]) -> Vec<String> {
+    let seen = upstreams.iter().flat_map(UpstreamStandIn::executed);
+    seen.filter_map(|req| req.headers.get("x-request-id").cloned())
+        .collect()
+}
+
+/// Opens a stream and reads its first events.
+fn open_stream(
+    vm: &Vm,
+    req: &Request,
+) -> (TcpStream, Vec<Event>) {
+    let mut stream = TcpStream::connect(vm.callers).unwrap();
+    stream.set_read_timeout(Some(deployment::TIMEOUT)).unwrap();
+    stream.write_all(&req.bytes()).unwrap();
+    let mut text = String::new();
+    let mut buf = [0_u8; 1_024];
+    let last = format!("data: piece-{BROKEN_AFTER}\n\n");
+    while !text.contains(&last) {
+        let n = stream.read(&mut buf).unwrap();
+        assert!(n > 0, "the stream ended early: {text}");
+        text.push_str(&String::from_utf8_lossy(&buf[..n]));
+    }
+    let (_, body) = text.split_once("\r\n\r\n").unwrap();
+    // The chunk sizes stand on lines of their own.
+    let lines = body.split("\r\n").filter(|part| part.contains("data:"));
+    (stream, parse_events(&lines.collect::<String>()))
+}
+
+#[test]
+fn a_broken_stream_goes_on_at_its_build() {
+    // Guards against one answer with events of two software versions.
+    let (store, upstreams) = start_builds(&["v1", "v2", "v1", "v2"]);
+    let vm = Vm::start(&store);
+    let mut resumed = 0;
+    for round in 0..12 {
+        set_all(&upstreams, &Behaviour::Events(EVENTS));
+        let broken = &upstreams[round % upstreams.len()];
+        broken.set_default(Behaviour::CutAfter(BROKEN_AFTER));
+        let req = new_stream();
+        let response = vm.send_request(&req);
+        let events = parse_events(&response.text());
+        assert_eq!(builds_of(&events).len(), 1, "round {round}: {events:?}");
+        assert!(response.is_complete, "round {round}: {response:?}");
+        assert_eq!(ids_of(&events), (1..=EVENTS).collect::<Vec<_>>());
+        resumed += usize::from(deployment::count_runs(&upstreams, req.id()) > 1);
+    }
+    assert!(resumed > 0, "no stream was resumed");
+}
+
+#[test]
+fn a_caller_takes_a_stream_up_at_another_vm() {
+    // Guards against a caller's next attempt that goes on at another software version, and against refusing it.
+    let (store, upstreams) = start_builds(&["v1", "v1", "v2", "v2"]);
+    let vms = start_vms(&store, "taken-up");
+    for round in 0..12 {
+        set_all(&upstreams, &Behaviour::CutAfter(BROKEN_AFTER));
+        let req = new_stream();
+        let first = vms[round % 3].send_request(&req);
+        let events = parse_events(&first.text());
+        assert!(!first.is_complete, "round {round}: {first:?}");
+        assert_eq!(ids_of(&events).last(), Some(&BROKEN_AFTER), "round {round}");
+
+        set_all(&upstreams, &Behaviour::Events(EVENTS));
+        let next = take_up(&req, BROKEN_AFTER);
+        let rest = vms[(round + 1) % 3].send_request(&next);
+        assert!(rest.is_complete, "round {round}: {rest:?}");
+        let rest = parse_events(&rest.text());
+        assert_eq!(
+            ids_of(&rest),
+            (BROKEN_AFTER + 1..=EVENTS).collect::<Vec<_>>()
+        );
+        let all = [events, rest].concat();
+        assert_eq!(builds_of(&all).len(), 1, "round {round}: {all:?}");
+    }
+}
+
+#[test]
+fn a_stream_is_taken_up_after_its_vm_was_killed() {
+    // Guards against losing the origin of a stream with the VM that served or scheduled it.
+    let (store, upstreams) = start_builds(&["v1", "v2", "v1", "v2"]);
+    let mut vms = start_vms(&store, "killed");
+    for _ in 0..2 {
+        set_all(&upstreams, &Behaviour::SilentAfter(BROKEN_AFTER));
+        let killed = vms.remove(0);
+        let requests: Vec<Request> = (0..6).map(|_| new_stream()).collect();
+        let streams: Vec<_> = requests
+            .iter()
+            .map(|req| open_stream(&killed, req))
+            .collect();
+        killed.signal(Signal::SIGKILL);
+        set_all(&upstreams, &Behaviour::Events(EVENTS));
+        for (req, (_connection, events)) in requests.iter().zip(streams) {
+            let rest = vms[0].send_request(&take_up(req, BROKEN_AFTER));
+            assert!(rest.is_complete, "{rest:?}");
+            let all = [events, parse_events(&rest.text())].concat();
+            assert_eq!(ids_of(&all), (1..=EVENTS).collect::<Vec<_>>());
+            assert_eq!(builds_of(&all).len(), 1, "{all:?}");
+        }
+        let leads = |vm: &Vm| !vm.log_lines("lead_taken").is_empty();
+        wait_until("another VM leads", || vms.iter().any(leads));
+    }
+}
+
+#[test]
+fn a_stream_of_unknown_origin_is_refused_beside_several_builds() {
+    // Guards against going on at any software version where the one that began the stream isn't known.
+    let (store, upstreams) = start_builds(&["v1", "v2"]);
+    set_all(&upstreams, &Behaviour::Events(EVENTS));
+    let vm = Vm::start(&store);
+    let unknown = take_up(&new_stream(), BROKEN_AFTER);
+    for req in [unknown.clone(), unknown.without("Resumes")] {
+        let sent_at = Instant::now();
+        let response = vm.send_request(&req);
+        assert_eq!(response.status, 503, "{response:?}");
+        assert_eq!(error_code(&response), "stream_not_resumable");
+        assert!(sent_at.elapsed() < AT_ONCE, "{:?}", sent_at.elapsed());
+    }
+    assert!(executed_ids(&upstreams).is_empty());
+}
+
+#[test]
+fn a_stream_of_unknown_origin_goes_on_beside_one_build() {
+    // Guards against refusing streams after the loss of all VMs that knew where they began, with one version in service.
+    let (store, upstreams) = start_builds(&["v7", "v7"]);
+    set_all(&upstreams, &Behaviour::Events(EVENTS));
+    let vms = start_vms(&store, "one-build");
+    let unknown = take_up(&new_stream(), BROKEN_AFTER);
+    for req in [unknown.clone(), unknown.without("Resumes")] {
+        let response = vms[1].send_request(&req);
+        assert!(response.is_complete, "{response:?}");
+        let ids = ids_of(&parse_events(&response.text()));
+        assert_eq!(ids, (BROKEN_AFTER + 1..=EVENTS).collect::<Vec<_>>());
+    }
+}
+
+#[test]
+fn a_stream_whose_build_has_left_is_refused_at_once() {
+    // Guards against a caller that waits for its deadline, or goes on at another version, once the last upstream has left.
+    let (store, upstreams) = start_builds(&["v1", "v2"]);
+    let vm = Vm::start(&store);
+    set_all(&upstreams, &Behaviour::CutAfter(BROKEN_AFTER));
+    let req = new_stream();
+    let events = parse_events(&vm.send_request(&req).text());
+    let began = usize::from(builds_of(&events).contains("v2"));
+    store.remove(&upstreams[began].key());
+    wait_until("it is gone", || !vm.log_lines("upstream_gone").is_empty());
+
+    set_all(&upstreams, &Behaviour::Events(EVENTS));
+    let next = take_up(&req, BROKEN_AFTER);
+    let sent_at = Instant::now();
+    let response = vm.send_request(&next);
+    assert_eq!(response.status, 503, "{response:?}");
+    assert_eq!(error_code(&response), "stream_not_resumable");
+    assert!(sent_at.elapsed() < AT_ONCE, "{:?}", sent_at.elapsed());
+    assert!(!executed_ids(&upstreams).contains(&next.id().to_owned()));
+}
+
+#[test]
+fn an_upstream_that_restarts_as_another_build_does_not_go_on() {
+    // Guards against taking the id of an upstream for its software version.
+    let (store, upstreams) = start_builds(&["v1"]);
+    let vm = Vm::start(&store);
+    set_all(&upstreams, &Behaviour::CutAfter(BROKEN_AFTER));
+    let req = new_stream();
+    vm.send_request(&req);
+    upstreams[0].set_build("v2");
+    let mut entry = upstreams[0].entry("app", "one", "ready");
+    entry["born"] = serde_json::json!(1_700_000_000_001_u64);
+    store.put(&upstreams[0].key(), &entry);
+    set_all(&upstreams, &Behaviour::Events(EVENTS));
+    let served = || vm.send_request(&Request::new("GET", "/read/")).status == 200;
+    wait_until("the other run serves", served);
+    wait_until("its entry is read", || vm.log().contains("build=v2"));
+    let next = take_up(&req, BROKEN_AFTER);
+    let response = vm.send_request(&next);
+    assert_eq!(response.status, 503, "{response:?}");
+    assert_eq!(error_code(&response), "stream_not_resumable");
+    assert!(!executed_ids(&upstreams).contains(&next.id().to_owned()));
+}
+
+#[test]
+fn callers_without_a_stream_to_resume_use_any_build() {
+    // Guards against binding new streams, or streams that broke off before their first event, to a software version.
+    let (store, upstreams) = start_builds(&["v1", "v2"]);
+    let vm = Vm::start(&store);
+    for upstream in &upstreams {
+        upstream.set_default(Behaviour::Events(EVENTS));
+        upstream.next(Behaviour::CutAfter(0));
+    }
+    let responses = [
+        vm.send_request(&new_stream()),
+        vm.send_request(&new_stream()),
+    ];
+    let is_complete = |response: &&Response| response.is_complete;
+    assert!(
+        responses.iter().filter(is_complete).count() >= 1,
+        "{responses:?}"
+    );
+}
