A broken stream goes on only at the software version that began it

Cause: when a stream is lost, its VM asks for any upstream of the service but the one that failed; neither the request nor the scheduler knew which version had begun it. A class of fault of its own: work of two upstreams is joined without saying what they must have in common.

The scheduler's job names a required build, which every choice of an upstream respects, also where all of that build have failed it and where a large service is sampled. The assignment names the build; a VM whose own reading of the entry differs from the scheduler's doesn't use it for the rest of a stream, and a stream of uncertain build is cut rather than joined. Without an upstream of the build the request is refused at once (stream_not_resumable), also while it waits.

--- a/crates/core/examples/scheduler_cost/fleet.rs
+++ b/crates/core/examples/scheduler_cost/fleet.rs
@@ -291,6 +291,7 @@
             deadline: self.now + Millis(5_000),
             data_centre: Some(DataCentreId(0)),
             allowed_data_centres: Vec::new(),
+            build: None,
             attempt: 1,
             excluded_upstreams: Vec::new(),
         }
--- a/crates/core/src/error/error_kind.rs
+++ b/crates/core/src/error/error_kind.rs
@@ -44,6 +44,8 @@
     Evacuated,
     /// No upstream is in the regions that the route and the client account allow.
     RegionUnavailable,
+    /// No upstream serves that has the software version which began the stream, or that isn't known.
+    StreamNotResumable,
     /// The adapter version could not be loaded.
     AdapterLoadFailed,
     /// The configuration is too old to check keys: neither platform nor peers were reachable.
@@ -82,7 +84,7 @@
 
 impl ErrorKind {
     /// All kinds, in declaration order.
-    pub const ALL: [Self; 35] = [
+    pub const ALL: [Self; 36] = [
         Self::BadRequest,
         Self::BodyTooLarge,
         Self::HeadersTooLarge,
@@ -101,6 +103,7 @@
         Self::NoUpstream,
         Self::Evacuated,
         Self::RegionUnavailable,
+        Self::StreamNotResumable,
         Self::AdapterLoadFailed,
         Self::ConfigUnavailable,
         Self::ClaimUnavailable,
@@ -141,6 +144,7 @@
             Self::NoUpstream => answer_of(503, NotRun, Secs(2), "no_upstream"),
             Self::Evacuated => answer_of(503, NotRun, Never, "evacuated"),
             Self::RegionUnavailable => answer_of(503, NotRun, Never, "region_unavailable"),
+            Self::StreamNotResumable => answer_of(503, NotRun, Never, "stream_not_resumable"),
             Self::AdapterLoadFailed => answer_of(503, NotRun, Secs(5), "adapter_load_failed"),
             Self::ConfigUnavailable => answer_of(503, NotRun, Secs(5), "config_unavailable"),
             Self::ClaimUnavailable => answer_of(503, NotRun, Secs(5), "claim_unavailable"),
@@ -190,6 +194,9 @@
             Self::RegionUnavailable => {
                 "No upstream that could serve this is in a region that is allowed for it."
             }
+            Self::StreamNotResumable => {
+                "No upstream of the software version that began the stream serves, or that version isn't known."
+            }
             Self::AdapterLoadFailed => "The adapter version could not be loaded.",
             Self::ConfigUnavailable => {
                 "This VM has reached neither the platform nor a peer for too long to check keys."
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod rights;
 pub mod routing;
 pub mod scheduler;
+pub mod streams;
--- a/crates/core/src/scheduler/availability.rs
+++ b/crates/core/src/scheduler/availability.rs
@@ -174,8 +174,7 @@
             return Millis::ZERO;
         }
         let ready = self.ready(job.service);
-        let usable =
-            ready.filter(|up| up.accepts_requests(now) && job.is_allowed_in(up.data_centre));
+        let usable = ready.filter(|up| up.accepts_requests(now) && up.may_serve(job));
         let rests = usable.map(|up| up.statements.rests.left(vm, now));
         rests.min().unwrap_or_default()
     }
--- a/crates/core/src/scheduler/choose/mod.rs
+++ b/crates/core/src/scheduler/choose/mod.rs
@@ -227,8 +227,8 @@
         }
     }
 
-    /// A sample of all members of the service, for requests without an adapter or whose preferred
-    /// engines are full.
+    /// A sample of all members of the service, for requests without an adapter, with a required
+    /// build or whose preferred engines are full.
     fn sample_members(
         &self,
         job: &Job,
@@ -237,9 +237,17 @@
         let filter = self.filter(job);
         let members = self.fleet.members(job.service).iter();
         let all = members.map(|id| self.fleet.upstreams.get(id));
-        let salt = generation.adapter.map_or(0, |adapter| adapter.0);
+        let salt = u64::from(generation.adapter.map_or(0, |adapter| adapter.0));
         let is_candidate = |up: &&Upstream| self.matches_filter(filter, job, up);
-        self.sample(all, u64::from(salt), is_candidate).engines
+        if job.build.is_none() {
+            return self.sample(all, salt, is_candidate).engines;
+        }
+        // A sample of all might hold none of the few that have the required build.
+        let eligible: Vec<_> = all
+            .filter(|up| up.is_some_and(|up| up.may_serve(job)))
+            .collect();
+        self.sample(eligible.into_iter(), salt, is_candidate)
+            .engines
     }
 
     /// The upstreams to evaluate for a generation.
@@ -257,7 +265,7 @@
         }
         let filter = self.filter(job);
         let is_candidate = |up: &&Upstream| self.matches_filter(filter, job, up);
-        let Some(adapter) = generation.adapter else {
+        let Some(adapter) = generation.adapter.filter(|_| job.build.is_none()) else {
             return EngineSample::all(self.sample_members(job, generation));
         };
         let wanted = self.versions.wanted(adapter);
@@ -364,7 +372,7 @@
     ) -> bool {
         let is_reachable = || up.health.is_available(self.now);
         up.accepts_requests(self.now)
-            && job.is_allowed_in(up.data_centre)
+            && up.may_serve(job)
             && up.statements.rests.left(self.vm, self.now) == Millis::ZERO
             && match filter {
                 CandidateFilter::NotFailed => {
--- a/crates/core/src/scheduler/job.rs
+++ b/crates/core/src/scheduler/job.rs
@@ -1,6 +1,6 @@
 use crate::{
     clock::Millis,
-    ids::{AccountId, AdapterId, DataCentreId, ModelId, ServiceId, UpstreamId},
+    ids::{AccountId, AdapterId, BuildId, DataCentreId, ModelId, ServiceId, UpstreamId},
     ingress::{PromptPart, PromptSize},
     rights::CallerTag,
 };
@@ -65,6 +65,8 @@
     pub data_centre: Option<DataCentreId>,
     /// Data centres whose upstreams may serve it; empty if any may.
     pub allowed_data_centres: Vec<DataCentreId>,
+    /// The only software version that may serve it, if it goes on with a stream.
+    pub build: Option<BuildId>,
     /// Attempt number, from 1; later attempts draw on the retry budget.
     pub attempt: u32,
     /// Upstreams that failed earlier attempts.
@@ -85,6 +87,7 @@
         matches!(self.work, Work::Call)
             && self.excluded_upstreams.is_empty()
             && self.allowed_data_centres.is_empty()
+            && self.build.is_none()
     }
 
     /// Whether upstreams in a data centre may serve the request.
@@ -95,4 +98,12 @@
         let allowed = &self.allowed_data_centres;
         allowed.is_empty() || data_centre.is_some_and(|id| allowed.contains(&id))
     }
+
+    /// Whether upstreams of a software version may serve the request.
+    pub fn is_allowed_at(
+        &self,
+        build: BuildId,
+    ) -> bool {
+        self.build.is_none_or(|required| required == build)
+    }
 }
--- a/crates/core/src/scheduler/state_machine/availability.rs
+++ b/crates/core/src/scheduler/state_machine/availability.rs
@@ -15,6 +15,9 @@
     std::collections::HashMap,
 };
 
+/// Interval between checks whether queued requests can still go on with their streams.
+const RESUMPTION_CHECK_INTERVAL: Millis = Millis(50);
+
 impl Scheduler {
     /// Records that an operator evacuates a data centre: its upstreams get no new requests.
     pub fn begin_evacuation(
@@ -142,13 +145,36 @@
         if allowed.peek().is_none() {
             return Err(Refusal::new(ErrorKind::RegionUnavailable));
         }
-        if allowed.any(|up| up.accepts_requests(now)) {
+        let mut eligible = allowed.filter(|up| up.may_serve(job)).peekable();
+        if eligible.peek().is_none() {
+            return Err(Refusal::new(ErrorKind::StreamNotResumable));
+        }
+        if eligible.any(|up| up.accepts_requests(now)) {
             Ok(())
         } else {
             Err(Refusal::new(ErrorKind::Evacuated))
         }
     }
 
+    /// Refuses queued requests that go on with a stream once the last upstream of its software
+    /// version has left.
+    pub(super) fn refuse_not_resumable(
+        &mut self,
+        now: Millis,
+    ) -> Vec<Action> {
+        if self.queued_resumptions == 0 || now < self.next_resumption_check_at {
+            return Vec::new();
+        }
+        self.next_resumption_check_at = now + RESUMPTION_CHECK_INTERVAL;
+        self.refuse_waiting(now, |scheduler, _, job| {
+            if job.build.is_some() {
+                scheduler.check_availability(job, now)
+            } else {
+                Ok(())
+            }
+        })
+    }
+
     /// Refuses queued requests whose last data centres an evacuation has just closed.
     pub(super) fn refuse_evacuated(
         &mut self,
--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -68,6 +68,7 @@
         let mut actions = self.refuse_expired(now);
         actions.extend(self.refuse_evacuated(now));
         actions.extend(self.refuse_rested(now));
+        actions.extend(self.refuse_not_resumable(now));
         actions.extend(self.postpone_late(now));
         if now >= self.next_pass_at {
             self.run_dispatch_pass(now, &mut actions);
@@ -373,6 +374,12 @@
             .map_or(1.0, |generation| f64::from(generation.size.prompt));
         let queued_work = self.queued_work.entry(job.service).or_default();
         *queued_work = (*queued_work + if is_queued { work } else { -work }).max(0.0);
+        let resumptions = usize::from(job.build.is_some());
+        self.queued_resumptions = if is_queued {
+            self.queued_resumptions + resumptions
+        } else {
+            self.queued_resumptions.saturating_sub(resumptions)
+        };
         let Some(adapter) = job.generation().and_then(|generation| generation.adapter) else {
             return;
         };
--- a/crates/core/src/scheduler/state_machine/mod.rs
+++ b/crates/core/src/scheduler/state_machine/mod.rs
@@ -60,6 +60,10 @@
     on_time: BTreeSet<(Millis, RequestId)>,
     /// VMs that upstreams have asked for rest since the last decision.
     rested_vms: BTreeSet<u32>,
+    /// Number of queued requests that go on with a stream.
+    queued_resumptions: usize,
+    /// Earliest time of the next check whether they still can.
+    next_resumption_check_at: Millis,
     /// When the next evacuation takes effect.
     next_evacuation_at: Option<Millis>,
     model_loads: ModelLoads,
@@ -108,6 +112,8 @@
             queued_work: HashMap::new(),
             on_time: BTreeSet::new(),
             rested_vms: BTreeSet::new(),
+            queued_resumptions: 0,
+            next_resumption_check_at: Millis::ZERO,
             next_evacuation_at: None,
             model_loads: ModelLoads::default(),
             engines_checked_at: Millis::ZERO,
--- a/crates/core/src/scheduler/upstream.rs
+++ b/crates/core/src/scheduler/upstream.rs
@@ -1,5 +1,6 @@
 use {
     super::{
+        Job,
         admission_log::AdmissionLog,
         cold_admission::{COLD_WINDOW, ColdLimit},
         engine::Engine,
@@ -156,6 +157,14 @@
         self.is_ready && !self.statements.is_leaving
     }
 
+    /// Whether it may serve a request, by its data centre and its software version.
+    pub(super) fn may_serve(
+        &self,
+        job: &Job,
+    ) -> bool {
+        job.is_allowed_in(self.data_centre) && job.is_allowed_at(self.build)
+    }
+
     /// Whether it accepts new requests and its data centre is not evacuated.
     pub(super) fn accepts_requests(
         &self,
--- a/crates/core/tests/scheduler_world/mod.rs
+++ b/crates/core/tests/scheduler_world/mod.rs
@@ -361,6 +361,7 @@
         deadline: now + Millis(5_000),
         data_centre: Some(HERE),
         allowed_data_centres: Vec::new(),
+        build: None,
         attempt: 1,
         excluded_upstreams: Vec::new(),
     }
--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -106,18 +106,13 @@
             self.waited_for = placement.waited_for;
             self.sent_at = Some(self.cx.clock.now());
             self.upstream = Some(placement.upstream.clone());
-            let build = self
-                .cx
-                .scheduling
-                .local_scheduler
-                .build_of(&placement.upstream);
             let after_event = self.progress.last_event.unwrap_or_default();
             Line::new("request_sent")
                 .with("id", self.id())
                 .with("upstream", &placement.upstream)
                 .with("attempt", self.attempts.next_attempt())
                 .with("version", placement.version.unwrap_or_default())
-                .with("build", build.as_deref().unwrap_or("-"))
+                .with("build", placement.build.as_deref().unwrap_or("-"))
                 .with("after_event", after_event)
                 .with("waited_ms", self.waited)
                 .with("waited_for", self.waited_for.as_str())
@@ -156,9 +151,10 @@
         let now = self.cx.clock.now();
         let number = self.attempts.next_attempt();
         let data_centre = &self.cx.settings.data_centre;
+        let build = self.progress.origin.required_build();
         let job = self
             .req
-            .job_spec(number, &self.excluded_upstreams, data_centre, now);
+            .job_spec(number, &self.excluded_upstreams, build, data_centre, now);
         let left = self.req.deadline.since(now);
         let placement_result = timeout(left.to_std(), self.cx.scheduling.place(job));
         tokio::select! {
@@ -269,7 +265,7 @@
                 Step::Fail(ErrorKind::DeadlineExceeded)
             }
             _ if is_expired => Step::Fail(ErrorKind::CannotMeetDeadline),
-            _ if has_begun && !self.req.is_resumable() => Step::Fail(ErrorKind::AnswerCut),
+            _ if has_begun && !self.can_resume() => Step::Fail(ErrorKind::AnswerCut),
             _ if !can_retry && self.attempts.may_have_run() => Step::Fail(ErrorKind::UpstreamLost),
             _ if !can_retry => Step::Fail(ErrorKind::NoUpstream),
             Outcome::NotLoaded => {
@@ -283,6 +279,11 @@
         }
     }
 
+    /// Whether another upstream may add the rest of a stream that has begun.
+    fn can_resume(&self) -> bool {
+        self.req.is_resumable() && self.progress.origin.is_resumable()
+    }
+
     /// Sends the final response of a request that failed.
     async fn give_up(
         &mut self,
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -9,7 +9,7 @@
         links::LinksLost,
     },
     bytes::{Bytes, BytesMut},
-    jasmine_core::{clock::Millis, scheduler::Outcome},
+    jasmine_core::{clock::Millis, scheduler::Outcome, streams::StreamOrigin},
     std::{io, time::Duration},
     tokio::time::timeout,
 };
@@ -22,6 +22,8 @@
 /// The part of a stream that was forwarded to the caller.
 #[derive(Debug, Default)]
 pub(super) struct Progress {
+    /// The software version that began the stream.
+    pub origin: StreamOrigin,
     /// The id of the last event forwarded.
     pub last_event: Option<u64>,
     /// Number of events forwarded.
@@ -181,6 +183,7 @@
     }
     if progress.first_at.is_none() {
         progress.first_at = Some(now);
+        progress.origin.begin(attempt.placement.build.as_deref());
         attempt.placement.first_event();
     }
     if out.has_begun() {
--- a/crates/entry/src/forward/request.rs
+++ b/crates/entry/src/forward/request.rs
@@ -110,11 +110,12 @@
         self.route.kind == CallKind::Stream { resumable: true }
     }
 
-    /// Builds the scheduler's description of attempt number `attempt`.
+    /// Builds the scheduler's description of attempt number `attempt`, at upstreams of `build` only if that is given.
     pub fn job_spec(
         &self,
         attempt: u32,
         excluded_upstreams: &[String],
+        build: Option<&str>,
         data_centre: &str,
         now: Millis,
     ) -> JobSpec {
@@ -134,6 +135,7 @@
             excluded_upstreams: excluded_upstreams.to_vec(),
             data_centre: data_centre.to_owned(),
             allowed_data_centres: self.allowed_data_centres.clone(),
+            build: build.map(str::to_owned),
         }
     }
 
--- a/crates/entry/src/scheduling/client/mod.rs
+++ b/crates/entry/src/scheduling/client/mod.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        Handover, JobSpec, Leader, LocalScheduler, Placement, PlacementError, RunningSpec, Verdict,
+        Assignment, Handover, JobSpec, Leader, LocalScheduler, Placement, PlacementError,
+        RunningSpec, Verdict,
         convert::{AttemptUpdate, JobUpdate, read_verdict, write_job},
     },
     crate::clock::Clock,
@@ -190,34 +191,24 @@
                 _ = mode_changed.changed() => None,
             };
             match verdict {
-                Some(Verdict::Assigned {
-                    upstream,
-                    address,
-                    version,
-                    waited_for,
-                }) => {
+                Some(Verdict::Assigned(mut assignment)) => {
                     pending.is_settled.set(true);
-                    if self.is_stale_assignment(&upstream) {
-                        // The leader may not know yet that this upstream is leaving or wants rest.
+                    assignment.build = self.confirmed_build(&assignment);
+                    if self.is_stale_assignment(&assignment, &spec) {
+                        // The leader may not know yet that this upstream is leaving, wants rest or has restarted.
                         let end = JobUpdate::Ended(Outcome::Abandoned);
                         self.record_update(spec.number, end, None);
-                        excluded_upstreams.push(upstream);
+                        excluded_upstreams.push(assignment.upstream);
                         sleep(STALE_ASSIGNMENT_DELAY.to_std()).await;
                         continue;
                     }
                     self.local_scheduler
                         .record_own_decision(&spec, RateDecision::Admitted);
-                    self.local_scheduler.note_own_attempt(&spec, &upstream);
-                    let running = self.track_running(spec, &upstream, version);
-                    return Ok(Placement::new(
-                        Rc::clone(self),
-                        running,
-                        upstream,
-                        address,
-                        version,
-                        waited_for,
-                        self.clock.now(),
-                    ));
+                    self.local_scheduler
+                        .note_own_attempt(&spec, &assignment.upstream);
+                    let running = self.track_running(spec, &assignment);
+                    let now = self.clock.now();
+                    return Ok(Placement::new(Rc::clone(self), running, assignment, now));
                 }
                 Some(Verdict::Refused { refusal, .. })
                     if let Some(wait) = self.remaining_election_wait(&refusal, &spec) =>
@@ -401,28 +392,44 @@
         self.vms.borrow().clone()
     }
 
-    /// Whether the leader assigned an upstream that this VM knows to be leaving or removed, or that
-    /// wants rest from this VM.
+    /// Whether the leader assigned an upstream that this VM knows to be leaving or removed, that
+    /// wants rest from this VM, or whose software version may not be the required one.
     fn is_stale_assignment(
         &self,
-        upstream: &str,
+        assignment: &Assignment,
+        spec: &JobSpec,
     ) -> bool {
-        self.is_following() && self.local_scheduler.is_unusable_or_removed(upstream)
+        let is_other_build = spec.build.is_some() && spec.build != assignment.build;
+        let scheduler = &self.local_scheduler;
+        self.is_following()
+            && (is_other_build || scheduler.is_unusable_or_removed(&assignment.upstream))
+    }
+
+    /// The software version of an assigned upstream; `None` if the scheduler and this VM have read different ones.
+    fn confirmed_build(
+        &self,
+        assignment: &Assignment,
+    ) -> Option<String> {
+        let own = self.local_scheduler.build_of(&assignment.upstream);
+        match (&assignment.build, own.as_deref()) {
+            (Some(assigned), Some(own)) if assigned != own => None,
+            (Some(build), _) => Some(build.clone()),
+            (None, own) => own.map(str::to_owned),
+        }
     }
 
     /// Records a request as running and returns its number.
     fn track_running(
         &self,
         spec: JobSpec,
-        upstream: &str,
-        version: Option<u32>,
+        assignment: &Assignment,
     ) -> u64 {
         let number = spec.number;
         let running = Running {
             spec: RunningSpec {
                 job: spec,
-                upstream: upstream.to_owned(),
-                version,
+                upstream: assignment.upstream.clone(),
+                version: assignment.version,
                 has_begun: false,
             },
             since: self.clock.now(),
--- a/crates/entry/src/scheduling/convert.rs
+++ b/crates/entry/src/scheduling/convert.rs
@@ -1,7 +1,7 @@
 //! Converts scheduling types to and from the Cap'n Proto messages between entry VMs.
 
 use {
-    super::{GenerationSpec, JobSpec, Leader, RunningSpec, StatedSpec, Verdict},
+    super::{Assignment, GenerationSpec, JobSpec, Leader, RunningSpec, StatedSpec, Verdict},
     capnp::{struct_list, text_list},
     jasmine_core::{
         clock::Millis,
@@ -60,6 +60,7 @@
     for (at, name) in spec.allowed_data_centres.iter().enumerate() {
         allowed.set(at as u32, name);
     }
+    to.set_build(spec.build.as_deref().unwrap_or_default());
     let Some(generation) = &spec.generation else {
         return;
     };
@@ -111,6 +112,7 @@
         excluded_upstreams: read_texts(from.get_avoid()?)?,
         data_centre: from.get_data_centre()?.to_string()?,
         allowed_data_centres: read_texts(from.get_allowed_data_centres()?)?,
+        build: non_empty(from.get_build()?.to_str()?),
     })
 }
 
@@ -138,16 +140,12 @@
     verdict: &Verdict,
 ) {
     match verdict {
-        Verdict::Assigned {
-            upstream,
-            address,
-            version,
-            waited_for,
-        } => {
-            to.set_waited_for(waited_for.as_str());
-            to.set_upstream(upstream);
-            to.set_address(address.to_string());
-            to.set_version(version.unwrap_or_default());
+        Verdict::Assigned(assignment) => {
+            to.set_waited_for(assignment.waited_for.as_str());
+            to.set_upstream(&assignment.upstream);
+            to.set_address(assignment.address.to_string());
+            to.set_version(assignment.version.unwrap_or_default());
+            to.set_build(assignment.build.as_deref().unwrap_or_default());
         }
         Verdict::Refused {
             refusal,
@@ -168,14 +166,15 @@
     let upstream = from.get_upstream()?.to_str()?;
     if !upstream.is_empty() {
         let address = from.get_address()?.to_str()?;
-        return Ok(Verdict::Assigned {
+        return Ok(Verdict::Assigned(Assignment {
             upstream: upstream.to_owned(),
             address: address.parse().map_err(|_e| {
                 capnp::Error::failed(format!("invalid socket address: {address:?}"))
             })?,
             version: non_zero(from.get_version()),
+            build: non_empty(from.get_build()?.to_str()?),
             waited_for,
-        });
+        }));
     }
     let code = from.get_refusal()?.to_str()?;
     let kind = ErrorKind::from_code(code)
--- a/crates/entry/src/scheduling/job_spec.rs
+++ b/crates/entry/src/scheduling/job_spec.rs
@@ -52,6 +52,8 @@
     pub data_centre: String,
     /// Data centres whose upstreams may serve it; empty if any may.
     pub allowed_data_centres: Vec<String>,
+    /// The only software version of upstreams that may serve it, if it goes on with a stream.
+    pub build: Option<String>,
 }
 
 impl JobSpec {
@@ -89,6 +91,7 @@
                 .iter()
                 .map(|name| names.data_centre(name))
                 .collect(),
+            build: self.build.as_ref().map(|name| names.build(name)),
             attempt: self.attempt,
             excluded_upstreams: self
                 .excluded_upstreams
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        JobSpec, NameInterner, RunningSpec, StatedSpec, VmHistory,
+        Assignment, JobSpec, NameInterner, RunningSpec, StatedSpec, VmHistory,
         facts::{engine_facts, engine_limits, upstream_facts},
     },
     crate::clock::Clock,
@@ -31,16 +31,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
     /// The request may be sent to this upstream.
-    Assigned {
-        /// The upstream's id.
-        upstream: String,
-        /// The upstream's address.
-        address: SocketAddr,
-        /// The adapter version required to run it, if an operator announced one.
-        version: Option<u32>,
-        /// What it waited for longest.
-        waited_for: WaitReason,
-    },
+    Assigned(Assignment),
     /// The request is refused and has not run.
     Refused {
         /// The error kind and the retry delay.
@@ -648,16 +639,15 @@
         waited_for: WaitReason,
     ) {
         if let Some((id, address)) = self.upstream(upstream) {
-            let upstream = id.to_string();
-            self.answer(
-                attempt_id,
-                Verdict::Assigned {
-                    upstream,
-                    address,
-                    version,
-                    waited_for,
-                },
-            );
+            let build = self.build_of(&id).as_deref().map(str::to_owned);
+            let assignment = Assignment {
+                upstream: id.to_string(),
+                address,
+                version,
+                build,
+                waited_for,
+            };
+            self.answer(attempt_id, Verdict::Assigned(assignment));
         }
     }
 
--- a/crates/entry/src/scheduling/mod.rs
+++ b/crates/entry/src/scheduling/mod.rs
@@ -1,5 +1,6 @@
 //! Assigns requests to upstreams, on the leading VM or locally while no leader is reachable.
 
+mod assignment;
 mod client;
 mod convert;
 mod facts;
@@ -15,6 +16,7 @@
 mod vm_history;
 
 pub use {
+    assignment::Assignment,
     client::SchedulerNode,
     handover::Handover,
     job_spec::{GenerationSpec, JobSpec, RunningSpec},
--- a/crates/entry/src/scheduling/placement.rs
+++ b/crates/entry/src/scheduling/placement.rs
@@ -1,5 +1,5 @@
 use {
-    super::{SchedulerNode, convert::JobUpdate},
+    super::{Assignment, SchedulerNode, convert::JobUpdate},
     jasmine_core::{
         clock::Millis,
         scheduler::{Outcome, UpstreamSignals, WaitReason},
@@ -20,6 +20,8 @@
     pub address: SocketAddr,
     /// The adapter version required to run it, if an operator announced one.
     pub version: Option<u32>,
+    /// The version of the upstream's software, if it is known for certain.
+    pub build: Option<String>,
     /// What the request waited for longest.
     pub waited_for: WaitReason,
     /// When the upstream was assigned.
@@ -33,18 +35,23 @@
     pub(super) fn new(
         scheduling: Rc<SchedulerNode>,
         number: u64,
-        upstream: String,
-        address: SocketAddr,
-        version: Option<u32>,
-        waited_for: WaitReason,
+        assignment: Assignment,
         assigned_at: Millis,
     ) -> Self {
+        let Assignment {
+            upstream,
+            address,
+            version,
+            build,
+            waited_for,
+        } = assignment;
         Self {
             scheduling,
             number,
             upstream,
             address,
             version,
+            build,
             waited_for,
             assigned_at,
             signals: Cell::new(None),
--- a/crates/entry/tests/leader_changes.rs
+++ b/crates/entry/tests/leader_changes.rs
@@ -117,6 +117,7 @@
         excluded_upstreams: Vec::new(),
         data_centre: "one".to_owned(),
         allowed_data_centres: Vec::new(),
+        build: None,
     }
 }
 
--- a/crates/entry/tests/no_leader.rs
+++ b/crates/entry/tests/no_leader.rs
@@ -81,6 +81,7 @@
         excluded_upstreams: Vec::new(),
         data_centre: "one".to_owned(),
         allowed_data_centres: Vec::new(),
+        build: None,
     }
 }
 
--- a/crates/entry/tests/queued_requests.rs
+++ b/crates/entry/tests/queued_requests.rs
@@ -37,6 +37,7 @@
         excluded_upstreams: Vec::new(),
         data_centre: "one".to_owned(),
         allowed_data_centres: Vec::new(),
+        build: None,
     }
 }
 
--- a/crates/wire/schema/scheduler.capnp
+++ b/crates/wire/schema/scheduler.capnp
@@ -26,6 +26,7 @@
   dataCentre @15 :Text;
   gapObjectiveMs @16 :UInt32;  # 0: none
   allowedDataCentres @17 :List(Text);  # empty: all
+  build @18 :Text;             # the only software version that may serve it; empty: any
 }
 
 struct RunningJob {
@@ -49,6 +50,7 @@
   refusal @3 :Text;            # short name of the error
   retryAfterMs @4 :UInt32;     # 0: none named
   waitedFor @5 :Text;          # what the request waited for longest
+  build @6 :Text;              # software version of the upstream; empty: not known
 }
 
 enum EndKind {
