A caller's next attempt goes on only at the software version that began its stream

Callers took a stream up at another VM, after a kill or a broken answer, and got the rest from another version of the engines' software.

Cause: the VM of the next attempt knows nothing of the one that began the stream; the version was known only to the VM that had served it, if at all.

With the first event the VM tells the origin (a hash of the request id, the build) to three other VMs chosen by rendezvous hashing; the VM that gets the next attempt asks its own table and up to six VMs, and the first that knows ends the wait. An origin is recorded once the event is there, so that it never changes; contradictory ones count as not known. Where nobody knows it, the stream goes on only if at least half of those asked answered and the service has had a single build for a minute; otherwise it is refused at once and has not run. VMs that decide alone, lead newly or follow do the same.

Ways weighed: the leader alone keeps origins (lost with it, and it is the VM that kills hit first); the store (a priced write a stream); the build chosen by a hash of the request id (needs no state, but every VM the same list of builds at any moment, and takes the choice of the engine from the scheduler).

--- a/crates/core/src/ids/mod.rs
+++ b/crates/core/src/ids/mod.rs
@@ -19,7 +19,7 @@
     incarnation::Incarnation,
     numbers::{
         AccountId, AdapterId, BuildId, DataCentreId, KeyId, ModelId, RequestId, ServiceId,
-        TransferId, UpstreamId, VmId,
+        StreamId, TransferId, UpstreamId, VmId,
     },
     revision::Revision,
 };
--- a/crates/core/src/scheduler/fleet.rs
+++ b/crates/core/src/scheduler/fleet.rs
@@ -14,12 +14,13 @@
         holders::Holders,
         load_slowdown::LoadSlowdown,
         prefill_estimator::{PrefillEstimator, PrefillTime},
+        recent_builds::RecentBuilds,
         request_load::Load,
         upstream::Upstream,
     },
     crate::{
         clock::Millis,
-        ids::{AdapterId, AdapterVersion, RequestId, ServiceId, UpstreamId},
+        ids::{AdapterId, AdapterVersion, BuildId, RequestId, ServiceId, UpstreamId},
     },
     std::collections::{BTreeMap, HashMap},
 };
@@ -52,6 +53,7 @@
     /// Times of calls, by service.
     pub(super) call_times: HashMap<ServiceId, CallTimes>,
     pub(super) load_slowdown: LoadSlowdown,
+    recent_builds: RecentBuilds,
 }
 
 impl Fleet {
@@ -108,6 +110,8 @@
             return;
         };
         let before = upstream.service;
+        self.recent_builds.note(before, upstream.build, now);
+        self.recent_builds.note(status.service, status.build, now);
         upstream.update(status, now);
         upstream.evacuated_from = self.evacuations.effective_at(status.data_centre);
         upstream.cold_limit = self.cold_limits.get(&status.service).copied();
@@ -284,6 +288,21 @@
         self.members.get(&service).map_or(&[], Vec::as_slice)
     }
 
+    /// The only software version of which a service has had upstreams lately; `None` if there were
+    /// several, or none now.
+    pub(super) fn only_build(
+        &self,
+        service: ServiceId,
+        now: Millis,
+    ) -> Option<BuildId> {
+        let members = self.members(service).iter();
+        let mut builds = members.filter_map(|id| Some(self.upstreams.get(id)?.build));
+        let first = builds.next()?;
+        let is_only = builds.all(|build| build == first)
+            && !self.recent_builds.has_other(service, first, now);
+        is_only.then_some(first)
+    }
+
     /// Removes an upstream.
     pub(super) fn remove(
         &mut self,
@@ -291,6 +310,8 @@
         now: Millis,
     ) {
         if let Some(upstream) = self.upstreams.remove(&id) {
+            self.recent_builds
+                .note(upstream.service, upstream.build, now);
             self.remove_member(id, upstream.service);
             self.departed.keep(upstream, now);
         }
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -40,6 +40,7 @@
 mod outcome_records;
 mod prefill_estimator;
 mod prefix_cache;
+mod recent_builds;
 mod report_queue;
 mod request_limit;
 mod request_load;
--- a/crates/core/src/scheduler/state_machine/queries.rs
+++ b/crates/core/src/scheduler/state_machine/queries.rs
@@ -89,6 +89,15 @@
         Some(self.fleet.upstreams.get(&id)?.build)
     }
 
+    /// The only software version of which a service has had upstreams lately; `None` if there were several, or none now.
+    pub fn only_build(
+        &self,
+        service: ServiceId,
+        now: Millis,
+    ) -> Option<BuildId> {
+        self.fleet.only_build(service, now)
+    }
+
     /// Number of evaluations of queued requests so far; they make up most of the scheduler's CPU
     /// time.
     pub const fn evaluations(&self) -> u64 {
--- /dev/null
+++ b/crates/core/tests/stream_origins.rs
@@ -0,0 +1,138 @@
+//! What is known of the software versions that began streams, and what follows from it.
+
+mod scheduler_world;
+
+use {
+    jasmine_core::{
+        clock::Millis,
+        ids::{BuildId, StreamId, UpstreamId},
+        scheduler::UpstreamStatus,
+        streams::{ASKED_VMS, HOLDERS, Inquiry, StreamOrigin, StreamOrigins, holders_of},
+    },
+    scheduler_world::{CALLS, World, upstream},
+};
+
+const STREAM: StreamId = StreamId(7);
+const NOW: Millis = Millis(1_000_000);
+const LATER: Millis = Millis(1_060_000);
+
+fn build(name: &str) -> Option<String> {
+    Some(name.to_owned())
+}
+
+fn add_server(
+    world: &mut World,
+    id: u32,
+    build: BuildId,
+) {
+    let status = UpstreamStatus {
+        build,
+        service: CALLS,
+        ..upstream(None)
+    };
+    world.set(UpstreamId(id), &status);
+}
+
+#[test]
+fn contradictory_origins_are_not_known() {
+    // Guards against believing one of two VMs that say different things about a stream.
+    let mut origins = StreamOrigins::default();
+    origins.record(STREAM, "v1", NOW);
+    origins.record(STREAM, "v1", NOW);
+    assert_eq!(origins.build_of(STREAM), Some("v1"));
+    origins.record(STREAM, "v2", NOW);
+    origins.record(STREAM, "v1", NOW);
+    assert_eq!(origins.build_of(STREAM), None);
+}
+
+#[test]
+fn origins_are_forgotten() {
+    // Guards against origins that fill the memory of a VM.
+    let mut origins = StreamOrigins::default();
+    for id in 0..150_000 {
+        origins.record(StreamId(id), "v1", NOW);
+    }
+    assert_eq!(origins.len(), 100_000);
+    assert_eq!(origins.build_of(StreamId(149_999)), Some("v1"));
+    origins.record(STREAM, "v1", LATER);
+    assert_eq!(origins.len(), 1);
+}
+
+#[test]
+fn a_stream_keeps_the_build_that_began_it() {
+    let mut origin = StreamOrigin::default();
+    assert_eq!(
+        (origin.required_build(), origin.is_resumable()),
+        (None, true)
+    );
+    origin.begin(Some("v1"));
+    origin.begin(Some("v2"));
+    origin.begin(None);
+    assert_eq!(origin.required_build(), Some("v1"));
+
+    let mut uncertain = StreamOrigin::default();
+    uncertain.begin(None);
+    uncertain.begin(Some("v1"));
+    assert!(!uncertain.is_resumable());
+}
+
+#[test]
+fn an_unknown_origin_is_concluded_only_in_touch() {
+    // Guards against a partitioned VM that hasn't heard of a second version.
+    let inquiry = |asked, answered| Inquiry {
+        recorded: None,
+        asked,
+        answered,
+    };
+    let only = StreamOrigin::Build("v1".to_owned());
+    for (asked, answered, expected) in [
+        (6, 3, &only),
+        (6, 2, &StreamOrigin::Unknown),
+        (0, 0, &only),
+        (1, 0, &StreamOrigin::Unknown),
+    ] {
+        let concluded = inquiry(asked, answered).conclude(build("v1"));
+        assert_eq!(&concluded, expected, "{answered} of {asked}");
+    }
+    assert_eq!(inquiry(6, 6).conclude(None), StreamOrigin::Unknown);
+    let recorded = Inquiry {
+        recorded: build("v2"),
+        asked: 6,
+        answered: 1,
+    };
+    let begun = StreamOrigin::Build("v2".to_owned());
+    assert_eq!(recorded.conclude(build("v1")), begun);
+}
+
+#[test]
+fn most_holders_outlast_a_change_of_vms() {
+    // Guards against asking other VMs than those that were told once a VM has come or gone.
+    let vms: Vec<u64> = (1..=8).map(|vm| vm * 0x9e37_79b9).collect();
+    let changed = [&vms[1..], &[0xabcd_ef01]].concat();
+    for stream in (0..500).map(StreamId) {
+        let told = holders_of(stream, &vms, HOLDERS);
+        let asked = holders_of(stream, &changed, ASKED_VMS);
+        assert_eq!(told.len(), HOLDERS);
+        let known = told.iter().filter(|vm| asked.contains(vm)).count();
+        assert!(known >= HOLDERS - 1, "{stream}: {told:?} {asked:?}");
+    }
+}
+
+#[test]
+fn a_build_that_was_in_service_lately_counts() {
+    // Guards against taking a version for the only one right after the last upstream of another has left.
+    let (old, new) = (BuildId(1), BuildId(2));
+    let mut world = World::leading(0);
+    let only = |world: &World| world.scheduler.only_build(CALLS, world.now);
+    assert_eq!(only(&world), None);
+    add_server(&mut world, 1, old);
+    assert_eq!(only(&world), Some(old));
+    add_server(&mut world, 2, new);
+    assert_eq!(only(&world), None);
+    world.scheduler.remove_upstream(UpstreamId(1), world.now);
+    assert_eq!(only(&world), None, "it has just left");
+    world.now += Millis(60_000);
+    assert_eq!(only(&world), Some(new));
+    add_server(&mut world, 2, old);
+    assert_eq!(only(&world), None, "a restart as another version");
+}
--- a/crates/entry/examples/scheduler_calls.rs
+++ b/crates/entry/examples/scheduler_calls.rs
@@ -15,6 +15,7 @@
     jasmine_entry::{
         scheduling::{JobSpec, Leader, LocalScheduler, SchedulerNode, SchedulerServer},
         store::{Feed, KvStore},
+        streams::OriginDirectory,
     },
     jasmine_wire::{link::serve, scheduler_capnp::scheduler},
     nix::time::{ClockId, clock_gettime},
@@ -79,6 +80,7 @@
             Rc::clone(&scheduling),
             feed,
             KvStore::new(nowhere, Millis(500)),
+            Rc::new(OriginDirectory::new("vm")),
         );
         let client: scheduler::Client = capnp_rpc::new_client(server);
         spawn_local(serve(listener, client.client));
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         clock::Clock, links::LinkMonitor, metrics::EntryMetrics, scheduling::SchedulerNode,
-        upstream::Pool,
+        streams::OriginDirectory, upstream::Pool,
     },
     jasmine_conf::settings::EntrySettings,
     jasmine_core::{
@@ -38,6 +38,8 @@
     pub clock: Clock,
     /// Places requests on upstreams.
     pub scheduling: Rc<SchedulerNode>,
+    /// The software versions that began the latest streams.
+    pub origins: Rc<OriginDirectory>,
     /// Idle connections to upstreams.
     pub pool: Rc<Pool>,
     /// The state of the links to upstreams.
@@ -54,6 +56,7 @@
     pub fn new(
         settings: EntrySettings,
         scheduling: Rc<SchedulerNode>,
+        origins: Rc<OriginDirectory>,
         pool: Rc<Pool>,
         metrics: Rc<EntryMetrics>,
     ) -> Self {
@@ -62,6 +65,7 @@
             settings,
             clock: Clock,
             scheduling,
+            origins,
             pool,
             metrics,
             config: watch::Sender::default(),
--- a/crates/entry/src/daemon/run.rs
+++ b/crates/entry/src/daemon/run.rs
@@ -9,6 +9,7 @@
             LocalScheduler, OrderContext, SchedulerNode, SchedulerServer, run_engine_tasks,
         },
         store::{Feed, KvStore, Membership, VmRecord, follow, keep_registered, run_election},
+        streams::OriginDirectory,
         upstream::Pool,
     },
     jasmine_conf::settings::EntrySettings,
@@ -97,9 +98,11 @@
         is_weak: settings.size.is_weak(),
         processor_percent: (settings.size.processor * 100.0) as u32,
     }));
+    let origins = Rc::new(OriginDirectory::new(&me));
     let cx = Rc::new(Context::new(
         settings,
         Rc::clone(&scheduling),
+        Rc::clone(&origins),
         Rc::clone(&pool),
         Rc::clone(&metrics),
     ));
@@ -112,7 +115,12 @@
         .info();
 
     scheduling.start();
-    let server = SchedulerServer::new(Rc::clone(&scheduling), Rc::clone(&feed), store.clone());
+    let server = SchedulerServer::new(
+        Rc::clone(&scheduling),
+        Rc::clone(&feed),
+        store.clone(),
+        origins,
+    );
     let server: scheduler::Client = capnp_rpc::new_client(server);
     spawn_local(serve(peers, server.client));
     let order_cx = OrderContext {
--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -16,6 +16,7 @@
         error::{ErrorKind, Refusal},
         forward::Attempts,
         scheduler::{Outcome, WaitReason},
+        streams::Inquiry,
     },
     jasmine_telemetry::log::Line,
     std::{io, rc::Rc},
@@ -87,7 +88,13 @@
         mut self,
         out: &mut ResponseWriter<'_>,
     ) -> io::Result<()> {
-        self.log_resumption();
+        if self.is_taken_up() {
+            self.find_origin().await;
+            if !self.progress.origin.is_resumable() {
+                let refusal = Refusal::new(ErrorKind::StreamNotResumable);
+                return self.give_up(refusal, out).await;
+            }
+        }
         loop {
             if self.cx.links.is_isolated() {
                 let refusal = Refusal::after(ErrorKind::NoUpstream, ISOLATED_RETRY_DELAY);
@@ -134,16 +141,31 @@
         }
     }
 
-    /// Logs that a caller continues a stream that an earlier attempt of it began.
-    fn log_resumption(&self) {
+    /// Whether the caller goes on with a stream that an earlier attempt of it began.
+    fn is_taken_up(&self) -> bool {
         let caller = &self.req.caller;
-        if caller.last_event.is_some() || caller.resumes.is_some() {
-            Line::new("stream_taken_up")
-                .with("id", self.id())
-                .with("resumes", caller.resumes.as_deref().unwrap_or("-"))
-                .with("after_event", caller.last_event.unwrap_or_default())
-                .info();
-        }
+        self.req.is_stream() && (caller.last_event.is_some() || caller.resumes.is_some())
+    }
+
+    /// Finds out which software version began the stream that the caller takes up.
+    async fn find_origin(&mut self) {
+        let caller = &self.req.caller;
+        let inquiry = match &caller.resumes {
+            Some(id) => self.cx.origins.inquire(id).await,
+            None => Inquiry::default(),
+        };
+        let line = Line::new("stream_taken_up")
+            .with("id", self.id())
+            .with("resumes", caller.resumes.as_deref().unwrap_or("-"))
+            .with("after_event", caller.last_event.unwrap_or_default())
+            .with("recorded", inquiry.recorded.as_deref().unwrap_or("-"))
+            .with("asked", inquiry.asked)
+            .with("answered", inquiry.answered);
+        let only_build = self.cx.scheduling.only_build(&self.req.service);
+        let origin = inquiry.conclude(only_build);
+        line.with("build", origin.required_build().unwrap_or("-"))
+            .info();
+        self.progress.origin = origin;
     }
 
     /// Waits for placement until the deadline, or until a planned stop refuses waiting requests.
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -169,6 +169,21 @@
     ready
 }
 
+/// Tells other VMs which software version began a stream, so that its caller can take it up there.
+fn publish_origin(
+    attempt: &AttemptContext<'_>,
+    progress: &Progress,
+) {
+    let caller = &attempt.req.caller;
+    let is_first_attempt = caller.last_event.is_none();
+    let (Some(id), Some(build)) = (&caller.request_id, progress.origin.required_build()) else {
+        return;
+    };
+    if is_first_attempt && attempt.req.is_resumable() {
+        attempt.cx.origins.begin(id, build);
+    }
+}
+
 /// Forwards data; the head goes out with the first event, as a retry may replace it until then.
 async fn forward_data(
     attempt: &AttemptContext<'_>,
@@ -184,6 +199,7 @@
     if progress.first_at.is_none() {
         progress.first_at = Some(now);
         progress.origin.begin(attempt.placement.build.as_deref());
+        publish_origin(attempt, progress);
         attempt.placement.first_event();
     }
     if out.has_begun() {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod metrics;
 pub mod scheduling;
 pub mod store;
+pub mod streams;
 pub mod upstream;
--- a/crates/entry/src/scheduling/client/mod.rs
+++ b/crates/entry/src/scheduling/client/mod.rs
@@ -35,7 +35,7 @@
 mod leading;
 
 /// Connection settings between entry VMs. A leader that exceeds the timeouts counts as lost.
-const LINK_OPTIONS: LinkOptions = LinkOptions {
+pub const LINK_OPTIONS: LinkOptions = LinkOptions {
     connect_timeout: Millis(300),
     call_timeout: Millis(350),
     // `ping_leader` detects a lost leader once per VM; a heartbeat per pending call would overload the leader.
@@ -347,6 +347,17 @@
         self.has_partial_upstreams.set(has_partial_upstreams);
     }
 
+    /// The only software version of which a service has had upstreams lately.
+    pub fn only_build(
+        &self,
+        service: &str,
+    ) -> Option<String> {
+        if self.has_partial_upstreams.get() {
+            return None;
+        }
+        self.local_scheduler.only_build(service)
+    }
+
     /// Whether this VM is the leader.
     pub fn is_leading(&self) -> bool {
         matches!(*self.mode.borrow(), Mode::Leading(_))
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -558,6 +558,17 @@
         Some(self.names.borrow().build_name(build))
     }
 
+    /// The only software version of which a service has had upstreams lately.
+    pub fn only_build(
+        &self,
+        service: &str,
+    ) -> Option<String> {
+        let service = self.names.borrow_mut().service(service);
+        let now = self.clock.now();
+        let build = self.scheduler.borrow().only_build(service, now)?;
+        Some(self.names.borrow().build_name(build).to_string())
+    }
+
     /// The name of the upstream that a request was assigned to.
     pub fn upstream_of(
         &self,
--- a/crates/entry/src/scheduling/mod.rs
+++ b/crates/entry/src/scheduling/mod.rs
@@ -17,7 +17,7 @@
 
 pub use {
     assignment::Assignment,
-    client::SchedulerNode,
+    client::{LINK_OPTIONS, SchedulerNode},
     handover::Handover,
     job_spec::{GenerationSpec, JobSpec, RunningSpec},
     leader::Leader,
--- a/crates/entry/src/scheduling/server.rs
+++ b/crates/entry/src/scheduling/server.rs
@@ -6,11 +6,14 @@
             read_running, read_stated, read_update, write_leader, write_verdict,
         },
     },
-    crate::store::{Feed, KvStore, write_reply},
+    crate::{
+        store::{Feed, KvStore, write_reply},
+        streams::OriginDirectory,
+    },
     jasmine_core::{
         clock::Millis,
         error::{ErrorKind, Refusal},
-        ids::Fence,
+        ids::{Fence, StreamId},
         scheduler::{AttemptId, Outcome, WaitReason},
     },
     jasmine_store::store::LeaseId,
@@ -29,6 +32,7 @@
     scheduling: Rc<SchedulerNode>,
     feed: Rc<Feed>,
     store: KvStore,
+    origins: Rc<OriginDirectory>,
     /// The session of each VM, by VM name, under `sessions_fence`.
     sessions: RefCell<HashMap<String, u32>>,
     next_session: Cell<u32>,
@@ -36,16 +40,19 @@
 }
 
 impl SchedulerServer {
-    /// Creates a server of this VM's scheduler, its cached store changes and its access to the store.
+    /// Creates a server of this VM's scheduler, its cached store changes, its access to the store and the origins that
+    /// it keeps.
     pub fn new(
         scheduling: Rc<SchedulerNode>,
         feed: Rc<Feed>,
         store: KvStore,
+        origins: Rc<OriginDirectory>,
     ) -> Self {
         Self {
             scheduling,
             feed,
             store,
+            origins,
             sessions: RefCell::default(),
             next_session: Cell::new(1),
             sessions_fence: Cell::new(None),
@@ -264,6 +271,31 @@
         Ok(())
     }
 
+    async fn note_origins(
+        self: Rc<Self>,
+        params: scheduler::NoteOriginsParams,
+        _: scheduler::NoteOriginsResults,
+    ) -> Result<(), capnp::Error> {
+        for origin in params.get()?.get_origins()? {
+            let stream = StreamId(origin.get_stream());
+            self.origins.record(stream, origin.get_build()?.to_str()?);
+        }
+        Ok(())
+    }
+
+    async fn find_origin(
+        self: Rc<Self>,
+        params: scheduler::FindOriginParams,
+        mut results: scheduler::FindOriginResults,
+    ) -> Result<(), capnp::Error> {
+        let stream = StreamId(params.get()?.get_stream());
+        let build = self.origins.recorded(stream);
+        results
+            .get()
+            .set_build(build.as_deref().unwrap_or_default());
+        Ok(())
+    }
+
     async fn changes(
         self: Rc<Self>,
         params: scheduler::ChangesParams,
--- a/crates/entry/src/store/membership.rs
+++ b/crates/entry/src/store/membership.rs
@@ -113,6 +113,7 @@
         &self,
         cx: &Context,
     ) {
+        cx.origins.set_vms(&self.addresses());
         cx.scheduling.set_vms(self.addresses());
         cx.links.set_peers(&self.relays());
     }
--- /dev/null
+++ b/crates/entry/src/streams/origin_peer.rs
@@ -0,0 +1,136 @@
+use {
+    crate::{clock::Clock, scheduling::LINK_OPTIONS},
+    jasmine_core::{clock::Millis, ids::StreamId},
+    jasmine_telemetry::log::Line,
+    jasmine_wire::{
+        link::{Link, LinkError},
+        scheduler_capnp::scheduler,
+    },
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+        rc::Rc,
+    },
+    tokio::{task::spawn_local, time::sleep},
+};
+
+/// Time for which origins are collected before they are sent; short, as this VM may be killed.
+const BATCH_DELAY: Millis = Millis(2);
+/// Pause after a VM didn't answer.
+const RETRY_DELAY: Millis = Millis(200);
+/// How long an origin is sent again to a VM that doesn't answer.
+const RETRY_TIMEOUT: Millis = Millis(5_000);
+/// Most origins that wait for one VM.
+const MAX_QUEUED: usize = 10_000;
+
+/// The origin of a stream that another VM is to keep.
+#[derive(Clone, Debug)]
+struct QueuedOrigin {
+    stream: StreamId,
+    build: Rc<str>,
+    queued_at: Millis,
+}
+
+/// Another VM that keeps origins of this VM's streams.
+#[derive(Debug)]
+pub(super) struct OriginPeer {
+    link: Link<scheduler::Client>,
+    queue: RefCell<Vec<QueuedOrigin>>,
+    is_sending: Cell<bool>,
+}
+
+impl OriginPeer {
+    pub(super) fn new(address: SocketAddr) -> Self {
+        Self {
+            link: Link::new(address, LINK_OPTIONS),
+            queue: RefCell::default(),
+            is_sending: Cell::new(false),
+        }
+    }
+
+    pub(super) const fn address(&self) -> SocketAddr {
+        self.link.address()
+    }
+
+    /// Queues an origin, and sends what is queued in the background.
+    pub(super) fn tell(
+        self: &Rc<Self>,
+        stream: StreamId,
+        build: &Rc<str>,
+    ) {
+        let mut queue = self.queue.borrow_mut();
+        if queue.len() < MAX_QUEUED {
+            queue.push(QueuedOrigin {
+                stream,
+                build: Rc::clone(build),
+                queued_at: Clock.now(),
+            });
+        }
+        if !self.is_sending.replace(true) {
+            spawn_local(Rc::clone(self).send_queued());
+        }
+    }
+
+    /// The build that began a stream, as the VM knows it.
+    pub(super) async fn ask(
+        &self,
+        stream: StreamId,
+    ) -> Result<Option<String>, LinkError> {
+        self.link
+            .call(Millis::ZERO, |client| async move {
+                let mut req = client.find_origin_request();
+                req.get().set_stream(stream.0);
+                let res = req.send().promise.await?;
+                let build = res.get()?.get_build()?.to_string()?;
+                Ok(Some(build).filter(|build| !build.is_empty()))
+            })
+            .await
+    }
+
+    async fn send_queued(self: Rc<Self>) {
+        while !self.queue.borrow().is_empty() {
+            sleep(BATCH_DELAY.to_std()).await;
+            let origins = self.queue.take();
+            if let Err(e) = self.send(&origins).await {
+                Line::new("origins_not_told")
+                    .with("address", self.address())
+                    .with("streams", origins.len())
+                    .with("reason", e)
+                    .info();
+                self.queue_again(origins);
+                sleep(RETRY_DELAY.to_std()).await;
+            }
+        }
+        self.is_sending.set(false);
+    }
+
+    fn queue_again(
+        &self,
+        mut origins: Vec<QueuedOrigin>,
+    ) {
+        let now = Clock.now();
+        origins.retain(|origin| now.since(origin.queued_at) < RETRY_TIMEOUT);
+        let mut queue = self.queue.borrow_mut();
+        origins.append(&mut queue);
+        *queue = origins;
+    }
+
+    async fn send(
+        &self,
+        origins: &[QueuedOrigin],
+    ) -> Result<(), LinkError> {
+        self.link
+            .call(Millis::ZERO, |client| async move {
+                let mut req = client.note_origins_request();
+                let mut list = req.get().init_origins(origins.len() as u32);
+                for (at, origin) in origins.iter().enumerate() {
+                    let mut to = list.reborrow().get(at as u32);
+                    to.set_stream(origin.stream.0);
+                    to.set_build(&*origin.build);
+                }
+                req.send().promise.await?;
+                Ok(())
+            })
+            .await
+    }
+}
--- a/crates/entry/tests/leader_changes.rs
+++ b/crates/entry/tests/leader_changes.rs
@@ -11,6 +11,7 @@
     jasmine_entry::{
         scheduling::{JobSpec, Leader, LocalScheduler, SchedulerNode, SchedulerServer},
         store::{Feed, KvStore},
+        streams::OriginDirectory,
     },
     jasmine_wire::{link::serve, scheduler_capnp::scheduler},
     std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration},
@@ -58,6 +59,7 @@
         Rc::clone(&scheduling),
         feed,
         KvStore::new(unused_address, Millis(500)),
+        Rc::new(OriginDirectory::new("vm")),
     );
     let client: scheduler::Client = capnp_rpc::new_client(server);
     spawn_local(serve(listener, client.client));
--- a/crates/entry/tests/stream_builds.rs
+++ b/crates/entry/tests/stream_builds.rs
@@ -87,12 +87,21 @@
         .with("Resumes", first.id())
 }
 
+/// Waits until each VM asks all others for the origin of a stream.
+fn wait_for_peers(vms: &[Vm]) {
+    let others = format!(" asked={0} answered={0} ", vms.len() - 1);
+    for vm in vms {
+        let asks_all = || {
+            vm.send_request(&take_up(&new_stream(), BROKEN_AFTER));
+            vm.log().contains(&others)
+        };
+        wait_until("all VMs are asked", asks_all);
+    }
+}
+
 fn error_code(response: &Response) -> String {
     let body: serde_json::Value = serde_json::from_slice(&response.body).unwrap_or_default();
-    body["error"]["code"]
-        .as_str()
-        .unwrap_or_default()
-        .to_owned()
+    body["error"].as_str().unwrap_or_default().to_owned()
 }
 
 fn executed_ids(upstreams: &[UpstreamStandIn]) -> Vec<String> {
@@ -149,6 +158,7 @@
     // Guards against a caller's next attempt that goes on at another software version, and against refusing it.
     let (store, upstreams) = start_builds(&["v1", "v1", "v2", "v2"]);
     let vms = start_vms(&store, "taken-up");
+    wait_for_peers(&vms);
     for round in 0..12 {
         set_all(&upstreams, &Behaviour::CutAfter(BROKEN_AFTER));
         let req = new_stream();
@@ -176,6 +186,7 @@
     // Guards against losing the origin of a stream with the VM that served or scheduled it.
     let (store, upstreams) = start_builds(&["v1", "v2", "v1", "v2"]);
     let mut vms = start_vms(&store, "killed");
+    wait_for_peers(&vms);
     for _ in 0..2 {
         set_all(&upstreams, &Behaviour::SilentAfter(BROKEN_AFTER));
         let killed = vms.remove(0);
@@ -188,6 +199,7 @@
         set_all(&upstreams, &Behaviour::Events(EVENTS));
         for (req, (_connection, events)) in requests.iter().zip(streams) {
             let rest = vms[0].send_request(&take_up(req, BROKEN_AFTER));
+            assert_eq!(rest.status, 200, "{rest:?}");
             assert!(rest.is_complete, "{rest:?}");
             let all = [events, parse_events(&rest.text())].concat();
             assert_eq!(ids_of(&all), (1..=EVENTS).collect::<Vec<_>>());
@@ -221,6 +233,7 @@
     let (store, upstreams) = start_builds(&["v7", "v7"]);
     set_all(&upstreams, &Behaviour::Events(EVENTS));
     let vms = start_vms(&store, "one-build");
+    wait_for_peers(&vms);
     let unknown = take_up(&new_stream(), BROKEN_AFTER);
     for req in [unknown.clone(), unknown.without("Resumes")] {
         let response = vms[1].send_request(&req);
--- a/crates/wire/schema/scheduler.capnp
+++ b/crates/wire/schema/scheduler.capnp
@@ -124,6 +124,12 @@
   deleted @5 :Bool;
 }
 
+# Which software version wrote the first event of a stream.
+struct StreamOrigin {
+  stream @0 :UInt64;           # hash of the request id of the caller's attempt that began it
+  build @1 :Text;
+}
+
 interface Scheduler {
   # `countedForMs`: how much of the window the VM has counted its `attempts`. `stated`: what upstreams have stated.
   hello @0 (vm :Text, incarnation :UInt64, running :List(RunningJob), attempts :List(Attempts), countedForMs :UInt32,
@@ -140,4 +146,8 @@
       -> (state :FeedState, revision :UInt64, sinceBackMs :UInt32, changes :List(Change));
   # Renews a lease of the store for a VM that doesn't reach it.
   renew @6 (lease :UInt64) -> (state :RenewalState, ttlMs :UInt32);
+  # Origins for this VM to keep.
+  noteOrigins @7 (origins :List(StreamOrigin)) -> ();
+  # The origin of a stream, as this VM keeps it; empty: it doesn't.
+  findOrigin @8 (stream :UInt64) -> (build :Text);
 }
