An upstream that restarted under its id goes on with no stream until its entry has been read

The same cause elsewhere: an upstream may start again under its id with another software version. Until its new entry has been read, a stream was resumed there, or recorded as begun there, by the version of the run before.

An engine's report names its start; one that is later than the entry's makes the build unknown: streams that begin there have no known origin, requests that need a build wait for the entry. After a lost stream or a failed connection the leader asks such an engine for its report at once, if the service has had several builds lately. A build that differs counts as a restart and as a major change of the entry.

stream_builds in core: two tests failed with the checks taken out. Not covered: plain services, which have no reports, and VMs that decide alone.

--- a/crates/core/examples/scheduler_cost/fleet.rs
+++ b/crates/core/examples/scheduler_cost/fleet.rs
@@ -315,6 +315,7 @@
 
 fn idle_status(seq: Option<u64>) -> EngineStatus {
     EngineStatus {
+        started_unix_ms: None,
         seq,
         models: vec![MODEL],
         adapters: Vec::<(ModelId, AdapterVersion)>::new(),
--- a/crates/core/src/scheduler/engine.rs
+++ b/crates/core/src/scheduler/engine.rs
@@ -227,6 +227,16 @@
         };
     }
 
+    /// Requests a report at once if the view is up to date.
+    pub(super) fn check_view(
+        &mut self,
+        now: Millis,
+    ) {
+        if self.view_state == ViewState::Synced {
+            self.view_state = ViewState::Stale { request_at: now };
+        }
+    }
+
     /// Returns whether a report is due, and if so schedules the next attempt.
     fn take_due_report(
         &mut self,
--- a/crates/core/src/scheduler/fleet.rs
+++ b/crates/core/src/scheduler/fleet.rs
@@ -181,7 +181,11 @@
         load: &LoadSettings,
         now: Millis,
     ) {
-        let Some(engine) = self.engine_mut(id) else {
+        let Some(upstream) = self.upstreams.get_mut(&id) else {
+            return;
+        };
+        upstream.note_reported_start(status.started_unix_ms);
+        let Some(engine) = &mut upstream.engine else {
             return;
         };
         // A report older than an accepted order would revert that order in the view.
@@ -296,13 +300,31 @@
         now: Millis,
     ) -> Option<BuildId> {
         let members = self.members(service).iter();
-        let mut builds = members.filter_map(|id| Some(self.upstreams.get(id)?.build));
-        let first = builds.next()?;
-        let is_only = builds.all(|build| build == first)
+        let mut builds = members
+            .filter_map(|id| self.upstreams.get(id))
+            .map(Upstream::confirmed_build);
+        let first = builds.next()??;
+        let is_only = builds.all(|build| build == Some(first))
             && !self.recent_builds.has_other(service, first, now);
         is_only.then_some(first)
     }
 
+    /// Asks an engine for its report, as it may have restarted as another software version.
+    pub(super) fn check_run(
+        &mut self,
+        id: UpstreamId,
+        now: Millis,
+    ) {
+        let service = self.upstreams.get(&id).map(|upstream| upstream.service);
+        let has_several_builds =
+            service.is_some_and(|service| self.only_build(service, now).is_none());
+        if let Some(engine) = self.engine_mut(id)
+            && has_several_builds
+        {
+            engine.check_view(now);
+        }
+    }
+
     /// Removes an upstream.
     pub(super) fn remove(
         &mut self,
--- a/crates/core/src/scheduler/outcome_records.rs
+++ b/crates/core/src/scheduler/outcome_records.rs
@@ -59,6 +59,9 @@
             Outcome::Abandoned => {}
             Outcome::NotLoaded => upstream.note_late(adapter, now),
         }
+        if matches!(outcome, Outcome::Lost | Outcome::Unreachable) {
+            self.check_run(id, now);
+        }
     }
 
     /// Pauses an upstream that fails much more often than the others of its service.
--- a/crates/core/src/scheduler/state_machine/availability.rs
+++ b/crates/core/src/scheduler/state_machine/availability.rs
@@ -145,7 +145,7 @@
         if allowed.peek().is_none() {
             return Err(Refusal::new(ErrorKind::RegionUnavailable));
         }
-        let mut eligible = allowed.filter(|up| up.may_serve(job)).peekable();
+        let mut eligible = allowed.filter(|up| job.is_allowed_at(up.build)).peekable();
         if eligible.peek().is_none() {
             return Err(Refusal::new(ErrorKind::StreamNotResumable));
         }
--- a/crates/core/src/scheduler/state_machine/queries.rs
+++ b/crates/core/src/scheduler/state_machine/queries.rs
@@ -81,12 +81,13 @@
         }
     }
 
-    /// The version of an upstream's software, as its latest entry says.
+    /// The version of an upstream's software; `None` if its entry, or that of its latest run, hasn't
+    /// been read.
     pub fn build_of(
         &self,
         id: UpstreamId,
     ) -> Option<BuildId> {
-        Some(self.fleet.upstreams.get(&id)?.build)
+        self.fleet.upstreams.get(&id)?.confirmed_build()
     }
 
     /// The only software version of which a service has had upstreams lately; `None` if there were several, or none now.
--- a/crates/core/src/scheduler/upstream.rs
+++ b/crates/core/src/scheduler/upstream.rs
@@ -30,6 +30,8 @@
 /// The models and adapters of an engine, from its store entry or its own report.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EngineStatus {
+    /// Identifies the run of the engine that reports; only in its own report.
+    pub started_unix_ms: Option<u64>,
     /// Orders accepted since the engine started; only in its own report.
     pub seq: Option<u64>,
     /// Base models that are loaded.
@@ -78,6 +80,8 @@
     /// Whether its entry says that it accepts new requests.
     pub is_ready: bool,
     pub started_unix_ms: Option<u64>,
+    /// The latest start that its own reports name.
+    reported_start: Option<u64>,
     /// Until when it is expected to be slow after its start.
     pub warmup_until: Millis,
     /// Until when it may crash if it gets more requests than its cold limit.
@@ -114,6 +118,7 @@
             slots: status.slots,
             is_ready: status.is_ready,
             started_unix_ms: status.started_unix_ms,
+            reported_start: None,
             warmup_until: now + status.cold,
             cold_until: now + status.cold,
             cold_limit: None,
@@ -133,7 +138,8 @@
         status: &UpstreamStatus,
         now: Millis,
     ) {
-        let restarted = status.started_unix_ms != self.started_unix_ms;
+        let restarted =
+            status.started_unix_ms != self.started_unix_ms || status.build != self.build;
         self.service = status.service;
         self.data_centre = status.data_centre;
         self.build = status.build;
@@ -162,7 +168,25 @@
         &self,
         job: &Job,
     ) -> bool {
-        job.is_allowed_in(self.data_centre) && job.is_allowed_at(self.build)
+        let is_allowed_build = |build| job.is_allowed_at(build);
+        job.is_allowed_in(self.data_centre)
+            && (job.build.is_none() || self.confirmed_build().is_some_and(is_allowed_build))
+    }
+
+    /// The version of its software; `None` if it runs anew and the entry of that run hasn't been
+    /// read.
+    pub(super) fn confirmed_build(&self) -> Option<BuildId> {
+        let has_restarted =
+            self.started_unix_ms.is_some() && self.reported_start > self.started_unix_ms;
+        (!has_restarted).then_some(self.build)
+    }
+
+    /// Records the start that its own report names.
+    pub(super) fn note_reported_start(
+        &mut self,
+        started_unix_ms: Option<u64>,
+    ) {
+        self.reported_start = self.reported_start.max(started_unix_ms);
     }
 
     /// Whether it accepts new requests and its data centre is not evacuated.
--- a/crates/core/tests/scheduler_world/mod.rs
+++ b/crates/core/tests/scheduler_world/mod.rs
@@ -309,6 +309,7 @@
     adapters: &[u32],
 ) -> EngineStatus {
     EngineStatus {
+        started_unix_ms: None,
         seq,
         models: vec![MODEL],
         adapters: adapters
--- a/crates/core/tests/slow_loads.rs
+++ b/crates/core/tests/slow_loads.rs
@@ -36,6 +36,7 @@
         .partition(|&adapter| loaded_at[&(id, adapter)] <= world.now);
     let seq = Some(orders().count() as u64);
     EngineStatus {
+        started_unix_ms: None,
         coming: engine(None, &coming).adapters,
         ..engine(seq, &present)
     }
--- a/crates/core/tests/stream_builds.rs
+++ b/crates/core/tests/stream_builds.rs
@@ -7,9 +7,9 @@
         clock::Millis,
         error::ErrorKind,
         ids::{BuildId, UpstreamId},
-        scheduler::{Job, Outcome, UpstreamStatus},
+        scheduler::{EngineStatus, Job, Outcome, UpstreamStatus},
     },
-    scheduler_world::{Decision, World, call, engine, generation, upstream},
+    scheduler_world::{Decision, ENGINES, World, call, engine, generation, upstream},
 };
 
 const OLD: BuildId = BuildId(1);
@@ -169,3 +169,50 @@
         assert_eq!(world.sent_to(number), Some(UpstreamId(build.0)));
     }
 }
+
+/// The report of an engine's second run, with adapter 7.
+fn second_run() -> EngineStatus {
+    EngineStatus {
+        started_unix_ms: Some(2),
+        ..engine(Some(0), &[7])
+    }
+}
+
+#[test]
+fn an_engine_whose_run_is_not_registered_goes_on_with_no_stream() {
+    // Guards against a restart as another version that is believed to be the one of the old entry.
+    for (build, is_served) in [(OLD, true), (NEW, false)] {
+        let mut world = World::leading(0);
+        add_engine(&mut world, 1, OLD, &[7]);
+        world.report(UpstreamId(1), &second_run());
+        assert_eq!(world.scheduler.build_of(UpstreamId(1)), None);
+        assert_eq!(world.scheduler.only_build(ENGINES, world.now), None);
+        let number = world.place(resumption(7, OLD, world.now));
+        world.advance(50);
+        assert_eq!(world.decision(number), None, "it waits for the entry");
+
+        let registered = UpstreamStatus {
+            build,
+            started_unix_ms: Some(2),
+            ..upstream(Some(engine(None, &[7])))
+        };
+        world.set(UpstreamId(1), &registered);
+        world.report(UpstreamId(1), &second_run());
+        world.advance(100);
+        assert_eq!(world.sent_to(number).is_some(), is_served, "{build}");
+    }
+}
+
+#[test]
+fn a_lost_stream_makes_an_engine_tell_its_run() {
+    // Guards against a restart that shows only in an engine's report, for which nothing else asks.
+    let mut world = World::leading(0);
+    add_engine(&mut world, 1, OLD, &[7]);
+    add_engine(&mut world, 2, NEW, &[7]);
+    world.advance(500);
+    world.reports_asked.clear();
+    let number = world.place(resumption(7, OLD, world.now));
+    world.end(number, Outcome::Lost);
+    world.advance(50);
+    assert!(world.reports_asked.contains(&UpstreamId(1)));
+}
--- a/crates/entry/src/scheduling/facts.rs
+++ b/crates/entry/src/scheduling/facts.rs
@@ -75,6 +75,7 @@
         .collect();
     let models = holdings.models.iter();
     EngineStatus {
+        started_unix_ms: None,
         seq: holdings.seq,
         adapters,
         coming,
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -9,14 +9,15 @@
         clock::Millis,
         error::Refusal,
         ids::UpstreamId,
-        ingress::{ColdStart, EngineHoldings, IngressConfig, UpstreamEntry},
+        ingress::{ColdStart, IngressConfig, UpstreamEntry},
         scheduler::{
-            AdmissionShare, Announcement, AttemptHistory, AttemptId, ColdLimit, EnginesToPause,
-            Order, OrderResult, Outcome, RateDecision, RateShare, RunningRequest, Scheduler,
-            SchedulerAction as Action, SchedulerSettings, SignalChanges, StatedUpstream,
+            AdmissionShare, Announcement, AttemptHistory, AttemptId, ColdLimit, EngineStatus,
+            EnginesToPause, Order, OrderResult, Outcome, RateDecision, RateShare, RunningRequest,
+            Scheduler, SchedulerAction as Action, SchedulerSettings, SignalChanges, StatedUpstream,
             UpstreamSignals, WaitReason, WaitTimes,
         },
     },
+    jasmine_platform::engine::EngineReport,
     std::{
         cell::{Cell, RefCell},
         collections::{HashMap, HashSet},
@@ -486,11 +487,14 @@
     pub fn report(
         &self,
         upstream: UpstreamId,
-        holdings: Option<(&EngineHoldings, bool)>,
+        report: Option<&EngineReport>,
     ) {
-        let facts = holdings.map(|(holdings, is_busy)| {
+        let facts = report.map(|report| {
             let mut names = self.names.borrow_mut();
-            engine_facts(holdings, is_busy, &mut names)
+            EngineStatus {
+                started_unix_ms: report.started_unix_ms,
+                ..engine_facts(&report.holdings, report.is_busy, &mut names)
+            }
         });
         self.apply(|scheduler, now| scheduler.report(upstream, facts.as_ref(), now));
     }
@@ -548,7 +552,7 @@
         self.addresses.borrow().get(&id).copied()
     }
 
-    /// The version of an upstream's software, as its latest entry says.
+    /// The version of an upstream's software; `None` if its entry, or that of its latest run, hasn't been read.
     pub fn build_of(
         &self,
         upstream: &str,
--- a/crates/entry/src/scheduling/orders.rs
+++ b/crates/entry/src/scheduling/orders.rs
@@ -53,8 +53,8 @@
                 }
                 EngineTask::Report(upstream) => {
                     let report = cx.report(upstream).await;
-                    let holdings = report.as_ref().map(|r| (&r.holdings, r.is_busy));
-                    cx.scheduling.local_scheduler.report(upstream, holdings);
+                    let local_scheduler = &cx.scheduling.local_scheduler;
+                    local_scheduler.report(upstream, report.as_ref());
                 }
             }
         });
--- a/crates/entry/src/store/view.rs
+++ b/crates/entry/src/store/view.rs
@@ -224,6 +224,7 @@
                     known.state == entry.state
                         && known.address == entry.address
                         && known.service == entry.service
+                        && known.build == entry.build
                         && known.started_unix_ms == entry.started_unix_ms
                         && (known.is_warming_up() || !entry.is_warming_up())
                 });
