Soak: streams beside several software versions, taken up by their callers

A service with four upstreams of two versions, whose streams are cut or fall silent and which are replaced by the other version; callers take broken streams up at other VMs, up to twice, with Last-Event-Id and Resumes. Checked: events of one version only, each once and in order, over all attempts; streams that are taken up go on at least half as often as new ones begin, at VMs that respond and aren't being stopped.

The schedules of the older faults are unchanged.

--- a/crates/entry/tests/soak/callers.rs
+++ b/crates/entry/tests/soak/callers.rs
@@ -1,4 +1,5 @@
 use {
+    super::resumed_streams::events_of,
     crate::deployment::{Request, Response, read_response},
     std::{
         io::Write,
@@ -20,13 +21,16 @@
 /// Read timeout of a caller; longer than the deadline of its requests.
 const READ_TIMEOUT: Duration = Duration::from_secs(6);
 /// Methods and targets, requested in rotation.
-const TARGETS: [(&str, &str); 5] = [
+const TARGETS: [(&str, &str); 6] = [
     ("GET", "/read/x"),
     ("POST", "/write/x"),
     ("POST", "/flow/x"),
     ("POST", "/model/x"),
     ("POST", "/write/y"),
+    ("POST", "/build/x"),
 ];
+/// How often a caller takes up a stream that broke off.
+const MAX_RESUMPTIONS: usize = 2;
 
 /// The result of a request as its caller sees it.
 #[derive(Clone, Debug)]
@@ -40,6 +44,8 @@
 pub struct Record {
     pub id: String,
     pub target: &'static str,
+    /// The attempt that began the stream which this one takes up.
+    pub resumes: Option<String>,
     pub result: CallResult,
 }
 
@@ -51,15 +57,17 @@
 }
 
 impl Callers {
-    pub fn start(vms: Vec<SocketAddr>) -> Self {
+    pub fn start(vms: &[SocketAddr]) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
         let records = Arc::new(Mutex::new(Vec::new()));
         let mut threads = Vec::new();
-        for address in vms {
+        for vm in 0..vms.len() {
             for number in 0..CALLERS_PER_VM {
                 let (stop, records) = (Arc::clone(&stop), Arc::clone(&records));
+                let mut addresses = vms.to_vec();
+                addresses.rotate_left(vm);
                 threads.push(thread::spawn(move || {
-                    run_caller(address, number, &stop, &records);
+                    run_caller(&addresses, number, &stop, &records);
                 }));
             }
         }
@@ -80,15 +88,16 @@
     }
 }
 
+/// Sends requests to the first VM, and takes broken streams up at the others.
 fn run_caller(
-    address: SocketAddr,
+    addresses: &[SocketAddr],
     first: usize,
     stop: &AtomicBool,
     records: &Mutex<Vec<Record>>,
 ) {
     let mut request_number = first;
     while !stop.load(Ordering::Relaxed) {
-        let Ok(mut stream) = TcpStream::connect(address) else {
+        let Ok(mut stream) = TcpStream::connect(addresses[0]) else {
             thread::sleep(REQUEST_INTERVAL);
             continue;
         };
@@ -100,9 +109,16 @@
             let result = call(&mut stream, &req);
             let can_reuse =
                 matches!(&result, CallResult::Response(response) if is_reusable(response));
-            let id = req.id().to_owned();
-            let record = Record { id, target, result };
-            records.lock().unwrap().push(record);
+            let mut attempts = vec![Record {
+                id: req.id().to_owned(),
+                target,
+                resumes: None,
+                result,
+            }];
+            if target == "/build/x" {
+                take_up(&addresses[1..], &mut attempts);
+            }
+            records.lock().unwrap().extend(attempts);
             // Without a pause, immediate refusals would dominate the records.
             thread::sleep(REQUEST_INTERVAL);
             if !can_reuse || stop.load(Ordering::Relaxed) {
@@ -112,6 +128,40 @@
     }
 }
 
+/// Goes on with a stream that broke off at other VMs, one after the other.
+fn take_up(
+    addresses: &[SocketAddr],
+    attempts: &mut Vec<Record>,
+) {
+    for address in addresses.iter().take(MAX_RESUMPTIONS) {
+        let received: Vec<_> = attempts
+            .iter()
+            .flat_map(|attempt| events_of(&attempt.result))
+            .collect();
+        let is_complete = attempts.iter().any(Record::is_served);
+        let Some((last, _)) = received.last().filter(|_| !is_complete) else {
+            return;
+        };
+        let first = &attempts[0];
+        let req = request("POST", first.target, 0)
+            .with("Last-Event-Id", &last.to_string())
+            .with("Resumes", &first.id);
+        let result = match TcpStream::connect(address) {
+            Ok(mut stream) => {
+                stream.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
+                call(&mut stream, &req)
+            }
+            Err(_) => CallResult::NoResponse,
+        };
+        attempts.push(Record {
+            id: req.id().to_owned(),
+            target: first.target,
+            resumes: Some(first.id.clone()),
+            result,
+        });
+    }
+}
+
 fn request(
     method: &'static str,
     target: &str,
--- a/crates/entry/tests/soak/checks.rs
+++ b/crates/entry/tests/soak/checks.rs
@@ -4,6 +4,7 @@
     super::{
         callers::{CallResult, Record},
         cluster::{Cluster, EVENTS},
+        resumed_streams::check_streams,
     },
     crate::deployment::{API_KEY, Response},
     jasmine_platform_stand_in::{RecordedRequest, UpstreamStandIn},
@@ -23,6 +24,8 @@
         .upstreams
         .iter()
         .chain([&cluster.streams])
+        .chain(&cluster.builds)
+        .chain(&cluster.released)
         .flat_map(UpstreamStandIn::executed)
         .collect();
     let mut runs: HashMap<String, u32> = HashMap::new();
@@ -41,6 +44,7 @@
     if cluster.logs().contains(API_KEY) {
         violations.push("an API key is in the logs".to_owned());
     }
+    violations.extend(check_streams(records));
     violations.extend(check_availability(records));
     violations
 }
@@ -101,7 +105,7 @@
             Some(format!("{} got the response to {id:?}", record.id))
         }
         "/flow/x" => check_stream(record, response),
-        "/model/x" => None,
+        "/model/x" | "/build/x" => None,
         _ if response.is_complete && !COMPLETE_BODIES.contains(&text.as_str()) => {
             Some(format!("{} got the unexpected body {text:?}", record.id))
         }
@@ -167,7 +171,7 @@
         matches!(self.result, CallResult::Response(_))
     }
 
-    fn is_served(&self) -> bool {
+    pub fn is_served(&self) -> bool {
         matches!(&self.result, CallResult::Response(response) if response.status == 200 && response.is_complete)
     }
 }
--- a/crates/entry/tests/soak/cluster.rs
+++ b/crates/entry/tests/soak/cluster.rs
@@ -1,5 +1,5 @@
 use {
-    super::fault::{Fault, Statement, UPSTREAMS, VMS},
+    super::fault::{BUILD_SLOTS, Fault, Statement, UPSTREAMS, VMS},
     crate::deployment::{self, Request, TIMEOUT, Vm, exchange},
     jasmine_platform_stand_in::{Behaviour, EngineStandIn, KvStandIn, Outage, UpstreamStandIn},
     jasmine_testkit::proxy::{Fault as LinkFault, Link, Proxy},
@@ -17,6 +17,8 @@
 pub const EVENTS: u64 = 12;
 /// Delay between the exit of a process and its restart.
 const RESTART_DELAY: Duration = Duration::from_millis(200);
+/// Software versions that serve side by side.
+const BUILDS: usize = 2;
 /// First start of an upstream, as a Unix time in milliseconds.
 const FIRST_START_MS: u64 = 1_700_000_000_000;
 const ANY_ADDRESS: &str = "127.0.0.1:0";
@@ -56,8 +58,13 @@
     starts: [u64; UPSTREAMS],
     pub streams: UpstreamStandIn,
     pub engine: EngineStandIn,
-    /// The links of all VMs to `streams` and `engine`.
+    /// Upstreams of several software versions, and those that others have replaced.
+    pub builds: Vec<UpstreamStandIn>,
+    pub released: Vec<UpstreamStandIn>,
+    /// The links of all VMs to `streams`, `engine`, `builds` and `released`.
     other_links: Vec<Proxy>,
+    /// The faults of each VM's links to all upstreams.
+    vm_link_modes: [Option<LinkFault>; VMS],
     version: u64,
     pending_ends: Vec<(Instant, FaultTarget)>,
 }
@@ -83,7 +90,10 @@
             starts: [0; UPSTREAMS],
             streams,
             engine,
+            builds: Vec::new(),
+            released: Vec::new(),
             other_links: Vec::new(),
+            vm_link_modes: [None; VMS],
             version: 0,
             pending_ends: Vec::new(),
         };
@@ -93,6 +103,10 @@
         }
         let entry = cluster.streams.entry("flows", "one", "ready");
         cluster.register_behind_proxy(&cluster.streams.key(), entry);
+        for number in 0..BUILD_SLOTS {
+            let upstream = cluster.start_build(number);
+            cluster.builds.push(upstream);
+        }
         let entry = cluster.engine.entry("llm", "one");
         cluster.register_behind_proxy(&cluster.engine.key(), entry);
         for number in 0..VMS {
@@ -192,6 +206,18 @@
             Fault::StoreHistoryLost => self.store.compact_history(),
             Fault::UpstreamMisbehaves(upstream, how) => self.upstreams[upstream].next(how),
             Fault::NextStream(how) => self.streams.next(how),
+            Fault::BuildStream(slot, how) => self.builds[slot].next(how),
+            Fault::BuildStreams(how) => {
+                for upstream in &self.builds {
+                    upstream.next(how.clone());
+                }
+            }
+            Fault::Release(slot) => {
+                let next = self.start_build(slot);
+                let old = std::mem::replace(&mut self.builds[slot], next);
+                self.store.remove(&old.key());
+                self.released.push(old);
+            }
             Fault::OrderResponsesLost(count) => self.engine.lose_responses(count),
             Fault::NewConfig => self.put_config(),
             Fault::UpstreamDrains(upstream, time) => {
@@ -253,6 +279,7 @@
             ("GET", "/read/x"),
             ("POST", "/write/x"),
             ("POST", "/flow/x"),
+            ("POST", "/build/x"),
         ];
         let mut violations = Vec::new();
         for slot in &self.slots {
@@ -325,14 +352,32 @@
         let link = start_proxy(entry_address(&entry));
         entry["address"] = json!(link.address().to_string());
         self.store.put(key, &entry);
+        for (vm, &mode) in self.vm_link_modes.iter().enumerate() {
+            link.set_mode_for(upstream_source(vm), mode);
+        }
         self.other_links.push(link);
     }
 
+    /// Starts an upstream of the next software version for a slot, under an id of its own.
+    fn start_build(
+        &mut self,
+        slot: usize,
+    ) -> UpstreamStandIn {
+        let releases = self.released.len();
+        let upstream = UpstreamStandIn::start(&format!("b-{slot}-{releases}")).unwrap();
+        upstream.set_build(&format!("v{}", (slot + releases) % BUILDS));
+        upstream.set_default(Behaviour::Events(EVENTS));
+        let entry = upstream.entry("builds", "one", "ready");
+        self.register_behind_proxy(&upstream.key(), entry);
+        upstream
+    }
+
     fn set_vm_links(
-        &self,
+        &mut self,
         vm: usize,
         mode: Option<LinkFault>,
     ) {
+        self.vm_link_modes[vm] = mode;
         for link in self.upstream_links.iter().chain(&self.other_links) {
             link.set_mode_for(upstream_source(vm), mode);
         }
@@ -353,10 +398,10 @@
     fn put_config(&mut self) {
         self.version += 1;
         let mut config = deployment::config(self.version);
-        config["services"]
-            .as_array_mut()
-            .unwrap()
-            .push(json!({"name": "flows", "health_path": "/healthz", "max_conns": 100}));
+        config["services"].as_array_mut().unwrap().extend(
+            ["flows", "builds"]
+                .map(|name| json!({"name": name, "health_path": "/healthz", "max_conns": 100})),
+        );
         let app = &mut config["services"][0];
         app["cold_per_s"] = json!(40);
         app["cold_start_s"] = json!(1);
@@ -365,7 +410,11 @@
         flow["name"] = json!("flow");
         flow["path_prefix"] = json!("/flow/");
         flow["service"] = json!("flows");
-        routes.push(flow);
+        let mut build = flow.clone();
+        build["name"] = json!("build");
+        build["path_prefix"] = json!("/build/");
+        build["service"] = json!("builds");
+        routes.extend([flow, build]);
         self.store.put("op/config", &config);
     }
 }
--- a/crates/entry/tests/soak/fault.rs
+++ b/crates/entry/tests/soak/fault.rs
@@ -31,7 +31,13 @@
 const STREAM_SEED: u64 = 0x57_2ea5;
 /// Time between two streams that are framed or end in another way, in milliseconds.
 const STREAM_INTERVAL_MS: std::ops::Range<u64> = 50..400;
+/// The same for streams of several software versions.
+const BUILD_SEED: u64 = 0x00b0_11d5;
+/// Time between two of these faults, in milliseconds.
+const BUILD_INTERVAL_MS: std::ops::Range<u64> = 40..250;
 pub const VMS: usize = 3;
+/// Upstreams of the service with several software versions.
+pub const BUILD_SLOTS: usize = 4;
 pub const UPSTREAMS: usize = 3;
 
 /// A fault or an operator's action.
@@ -55,6 +61,12 @@
     Statement(usize, Statement, Duration),
     /// The next stream is like this.
     NextStream(Behaviour),
+    /// The next stream of an upstream beside other software versions is like this.
+    BuildStream(usize, Behaviour),
+    /// The next stream of each of them.
+    BuildStreams(Behaviour),
+    /// An upstream of another software version takes the place of one.
+    Release(usize),
     /// One VM loses its links to all upstreams.
     VmLinks(usize, LinkFault, Duration),
 }
@@ -100,6 +112,7 @@
     plan.extend(statements(seed, length));
     plan.extend(streams(seed, length));
     plan.extend(lost_links(seed, length));
+    plan.extend(builds(seed, length));
     plan.sort_by_key(|&(at, _)| at);
     plan
 }
@@ -192,6 +205,28 @@
     plan
 }
 
+fn builds(
+    seed: u64,
+    length: Duration,
+) -> Vec<(Duration, Fault)> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ BUILD_SEED);
+    let mut at = Duration::ZERO;
+    let mut plan = Vec::new();
+    while at < length {
+        at += Duration::from_millis(rng.random_range(BUILD_INTERVAL_MS));
+        let slot = rng.random_range(0..BUILD_SLOTS);
+        let events = rng.random_range(1..=EVENTS / 4);
+        let fault = match rng.random_range(0..8) {
+            0 => Fault::Release(slot),
+            1 => Fault::BuildStream(slot, Behaviour::SilentAfter(events)),
+            2..5 => Fault::BuildStreams(Behaviour::CutAfterMore(events, EVENTS)),
+            _ => Fault::BuildStream(slot, Behaviour::CutAfterMore(events, EVENTS)),
+        };
+        plan.push((at, fault));
+    }
+    plan
+}
+
 fn random_fault(rng: &mut ChaCha8Rng) -> Fault {
     let vm = rng.random_range(0..VMS);
     let upstream = rng.random_range(0..UPSTREAMS);
--- a/crates/entry/tests/soak/mod.rs
+++ b/crates/entry/tests/soak/mod.rs
@@ -7,6 +7,7 @@
 mod checks;
 mod cluster;
 mod fault;
+mod resumed_streams;
 
 use {
     callers::Callers,
@@ -29,7 +30,7 @@
     length: Duration,
 ) -> Vec<String> {
     let mut cluster = Cluster::start(seed);
-    let callers = Callers::start(cluster.addresses());
+    let callers = Callers::start(&cluster.addresses());
     let began = Instant::now();
     let mut faults = plan(seed, length).into_iter().peekable();
     while began.elapsed() < length {
--- /dev/null
+++ b/crates/entry/tests/soak/resumed_streams.rs
@@ -0,0 +1,89 @@
+//! Streams that callers take up after they broke off, beside upstreams of several software versions.
+
+use {
+    super::{
+        callers::{CallResult, Record},
+        cluster::EVENTS,
+    },
+    std::collections::BTreeMap,
+};
+
+/// Taken-up streams from which on their share is compared with that of new ones.
+const MIN_TAKEN_UP: usize = 12;
+
+/// An event's id and the software version that wrote it.
+type Event = (u64, String);
+
+/// The events that a caller received with one attempt.
+pub fn events_of(result: &CallResult) -> Vec<Event> {
+    let CallResult::Response(response) = result else {
+        return Vec::new();
+    };
+    let text = response.text();
+    let field = |event: &str, name: &str| {
+        let value = event.lines().find_map(|line| line.strip_prefix(name));
+        value.unwrap_or_default().to_owned()
+    };
+    let events = text
+        .split_inclusive("\n\n")
+        .filter(|event| event.ends_with("\n\n") && event.contains("data: piece-"));
+    events
+        .filter_map(|event| Some((field(event, "id: ").parse().ok()?, field(event, "event: "))))
+        .collect()
+}
+
+/// A stream holds events of one version, each once and in order, over all attempts of its caller; streams that are
+/// taken up go on at least half as often as new ones begin.
+pub fn check_streams(records: &[Record]) -> Vec<String> {
+    let attempts = records.iter().filter(|record| record.target == "/build/x");
+    let mut streams: BTreeMap<&str, Vec<&Record>> = BTreeMap::new();
+    for record in attempts.clone() {
+        let first = record.resumes.as_deref().unwrap_or(&record.id);
+        streams.entry(first).or_default().push(record);
+    }
+    let mut violations: Vec<String> = streams.values().filter_map(|of| check_stream(of)).collect();
+    let (taken_up, new): (Vec<&Record>, Vec<&Record>) = attempts
+        .filter(|record| is_vm_in_touch(&record.result))
+        .partition(|record| record.resumes.is_some());
+    let goes_on = |of: &[&Record]| {
+        let with_events = of.iter().filter(|one| !events_of(&one.result).is_empty());
+        with_events.count()
+    };
+    let (resumed, begun) = (goes_on(&taken_up), goes_on(&new));
+    println!(
+        "{begun} of {} streams begun, {resumed} of {} gone on with",
+        new.len(),
+        taken_up.len()
+    );
+    let is_share_low = resumed * new.len() * 2 < begun * taken_up.len();
+    if taken_up.len() >= MIN_TAKEN_UP && is_share_low {
+        violations.push(format!(
+            "{resumed} of {} streams went on, though {begun} of {} began",
+            taken_up.len(),
+            new.len()
+        ));
+    }
+    violations
+}
+
+/// Whether a VM has responded that isn't down, cut off or being stopped.
+fn is_vm_in_touch(result: &CallResult) -> bool {
+    match result {
+        CallResult::Response(response) => !response.text().contains("shutting_down"),
+        CallResult::NoResponse => false,
+    }
+}
+
+fn check_stream(attempts: &[&Record]) -> Option<String> {
+    let events: Vec<Event> = attempts
+        .iter()
+        .flat_map(|record| events_of(&record.result))
+        .collect();
+    let ids: Vec<u64> = events.iter().map(|&(id, _)| id).collect();
+    let is_in_order = ids.iter().copied().eq(1..=ids.len() as u64);
+    let has_one_build = events.iter().all(|(_, build)| *build == events[0].1);
+    let is_complete = attempts.iter().any(|record| record.is_served());
+    let is_whole = !is_complete || ids.len() as u64 == EVENTS;
+    (!is_in_order || !has_one_build || !is_whole)
+        .then(|| format!("{}: events {events:?}", attempts[0].id))
+}
