An outage of one VM's own calls to the store doesn't delay the departure of upstreams

Cause: each VM judged an outage by its own calls. Entries lapse only if upstreams can't reach the store.

--- a/crates/core/src/feed/mod.rs
+++ b/crates/core/src/feed/mod.rs
@@ -7,11 +7,13 @@
 //! A VM that can't reach the store any more notices this by the age of the store's last response and
 //! reports itself as stale. The VMs that poll it then use the next one or the store.
 
+mod lapse;
 mod recent_changes;
 mod source_choice;
 mod vm_rank;
 
 pub use {
+    lapse::may_have_lapsed,
     recent_changes::{Change, ChangesSince, MAX_MINOR_CHANGES, RecentChanges},
     source_choice::{Source, SourceChoice, SourceFailure},
     vm_rank::VmRank,
--- a/crates/entry/src/store/feed/change_feed.rs
+++ b/crates/entry/src/store/feed/change_feed.rs
@@ -42,6 +42,8 @@
     responded_at: Cell<Millis>,
     /// When this VM last heard from the store, directly or through another VM.
     last_contact_at: Cell<Millis>,
+    /// When the store last answered this VM or one that told it so.
+    answered_at: Cell<Millis>,
     /// Notified when a call to the store outside the watch fails.
     store_failure: Notify,
     /// When the store last recovered from an outage.
@@ -63,6 +65,7 @@
             has_stopped: Cell::new(false),
             responded_at: Cell::new(Millis::ZERO),
             last_contact_at: Cell::new(Millis::ZERO),
+            answered_at: Cell::new(Clock.now()),
             store_failure: Notify::new(),
             recovered_at: Cell::new(None),
             stale_after: Millis(max_propagation_delay.0 * STALE_PERCENT / 100),
@@ -115,12 +118,23 @@
     /// Records that the store has just responded to this VM.
     pub(crate) fn record_response(&self) {
         self.responded_at.set(self.clock.now());
-        self.record_contact();
+        self.record_contact(Millis::ZERO);
     }
 
-    /// Records that this VM has just heard from the store, directly or through another VM.
-    pub(crate) fn record_contact(&self) {
-        self.last_contact_at.set(self.clock.now());
+    /// Records that this VM has just heard from the store, directly or through another VM that it answered this long ago.
+    pub(crate) fn record_contact(
+        &self,
+        answered_ago: Millis,
+    ) {
+        let now = self.clock.now();
+        self.last_contact_at.set(now);
+        let answered_at = now.since(answered_ago).max(self.answered_at.get());
+        self.answered_at.set(answered_at);
+    }
+
+    /// How long the store has answered neither this VM nor one that has told it of an answer.
+    pub(crate) fn unanswered_for(&self) -> Millis {
+        self.clock.now().since(self.answered_at.get())
     }
 
     /// Whether this VM has recently heard from the store, directly or through another VM.
@@ -219,6 +233,7 @@
             ChangesSince::Changes(events) => Some(FeedReply::Changes {
                 revision: recent.revision(),
                 since_recovery: self.since_recovery(now),
+                answered_ago: now.since(self.responded_at.get()),
                 events,
             }),
         }
--- a/crates/entry/src/store/feed/convert.rs
+++ b/crates/entry/src/store/feed/convert.rs
@@ -49,10 +49,12 @@
         FeedReply::Changes {
             revision,
             since_recovery,
+            answered_ago,
             events,
         } => {
             to.set_state(FeedState::Current);
             to.set_revision(*revision);
+            to.set_answered_ago_ms(answered_ago.0 as u32);
             to.set_since_back_ms(since_recovery.map_or(NO_RECENT_RECOVERY, |ms| ms.0 as u32));
             let mut list = to.init_changes(events.len() as u32);
             for (at, event) in events.iter().enumerate() {
@@ -81,6 +83,7 @@
     Ok(FeedReply::Changes {
         revision: from.get_revision(),
         since_recovery,
+        answered_ago: Millis(from.get_answered_ago_ms().into()),
         events: events?,
     })
 }
--- a/crates/entry/src/store/feed/reply.rs
+++ b/crates/entry/src/store/feed/reply.rs
@@ -12,6 +12,8 @@
         revision: u64,
         /// Time since the store last recovered from an outage; none if it didn't recently.
         since_recovery: Option<Millis>,
+        /// Time since the store last answered the VM.
+        answered_ago: Millis,
         /// The last change of each key.
         events: Vec<WatchEvent>,
     },
--- a/crates/entry/src/store/follower.rs
+++ b/crates/entry/src/store/follower.rs
@@ -294,9 +294,10 @@
             Ok(FeedReply::Changes {
                 revision,
                 since_recovery,
+                answered_ago,
                 events,
             }) => {
-                self.feed.record_contact();
+                self.feed.record_contact(answered_ago);
                 if let Some(since) = since_recovery {
                     self.view.record_remote_recovery(since);
                 }
--- a/crates/entry/src/store/view.rs
+++ b/crates/entry/src/store/view.rs
@@ -4,7 +4,9 @@
         membership::{LAST_LEADER_KEY, LEADER_KEY, VM_PREFIX},
     },
     crate::context::Context,
-    jasmine_core::{clock::Millis, ingress::UpstreamEntry, scheduler::Announcement},
+    jasmine_core::{
+        clock::Millis, feed::may_have_lapsed, ingress::UpstreamEntry, scheduler::Announcement,
+    },
     jasmine_platform::{configuration, entries, evacuations, versions},
     jasmine_store::store::{KeyValue, RangeReply, StoreError, WatchEvent},
     jasmine_telemetry::log::Line,
@@ -76,10 +78,17 @@
 
     /// Records that the store has responded.
     pub(super) fn record_store_response(&self) {
+        let unanswered = self.feed.unanswered_for();
         self.feed.record_response();
         if self.is_store_down.replace(false) {
-            Line::new("store_back").info();
-            self.set_recovered_at(self.cx.clock.now());
+            let may_have_lapsed = may_have_lapsed(unanswered);
+            Line::new("store_back")
+                .with("unanswered_ms", unanswered)
+                .with("entries_may_have_lapsed", may_have_lapsed)
+                .info();
+            if may_have_lapsed {
+                self.set_recovered_at(self.cx.clock.now());
+            }
         }
     }
 
--- a/crates/entry/tests/store_outages.rs
+++ b/crates/entry/tests/store_outages.rs
@@ -5,10 +5,20 @@
 use {
     deployment::{Request, Vm, start_platform, wait_until},
     jasmine_platform_stand_in::{Outage, UpstreamStandIn},
+    jasmine_testkit::proxy::{Fault, Proxy},
     serde_json::json,
-    std::{thread, time::Duration},
+    std::{
+        net::SocketAddr,
+        thread,
+        time::{Duration, Instant},
+    },
 };
 
+/// How long one VM alone doesn't reach the store.
+const OWN_OUTAGE: Duration = Duration::from_secs(3);
+/// How long after its removal an upstream may get requests.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
 #[test]
 fn callers_are_served_through_an_outage() {
     // Guards against failed requests during a store outage: VMs keep the last known state.
@@ -150,3 +160,74 @@
     }
     assert_eq!(upstreams[1].executed().len(), before);
 }
+
+#[test]
+fn a_leader_back_from_its_own_outage_drops_a_removed_upstream() {
+    // Guards against requests to an upstream that has left, because only the leader had lost the store and keeps its entry.
+    let (store, upstreams) = start_platform(&["s-1", "s-2"]);
+    let links: Vec<Proxy> = (0..3)
+        .map(|_| Proxy::start(SocketAddr::from(([127, 0, 0, 1], 0)), store.address()).unwrap())
+        .collect();
+    let vms: Vec<Vm> = links
+        .iter()
+        .enumerate()
+        .map(|(number, link)| {
+            let name = format!("own-outage-{number}-{}", std::process::id());
+            let vm = Vm::start_with_store(link.address(), &name);
+            let (event, role) = match number {
+                0 => ("lead_taken", "it leads"),
+                _ => ("leader_followed", "it follows"),
+            };
+            wait_until(role, || !vm.log_lines(event).is_empty());
+            vm
+        })
+        .collect();
+    // Until the leader has read of the others.
+    thread::sleep(Duration::from_millis(1_500));
+    links[0].set_mode(Fault::Cut);
+    wait_until("it has lost the store", || {
+        !vms[0].log_lines("store_lost").is_empty()
+    });
+    thread::sleep(OWN_OUTAGE);
+    links[0].set_mode(Fault::Pass);
+    wait_until("it is back", || vms[0].log().contains("event=store_back"));
+    assert!(vms[0].log_lines("lead_lost").is_empty(), "it led on");
+    vms[0].send_request(&Request::new("GET", "/read/"));
+    let in_use = usize::from(upstreams[0].arrivals().is_empty());
+    store.remove(&upstreams[in_use].key());
+    let removed_at = Instant::now();
+    while removed_at.elapsed() < DRAIN_TIME + Duration::from_secs(1) {
+        vms[0].send_request(&Request::new("GET", "/read/"));
+        thread::sleep(Duration::from_millis(20));
+    }
+    let late = upstreams[in_use]
+        .arrivals()
+        .iter()
+        .filter(|arrival| arrival.at.duration_since(removed_at) > DRAIN_TIME)
+        .count();
+    assert_eq!(late, 0, "requests after {DRAIN_TIME:?}");
+}
+
+#[test]
+fn an_entry_that_lapsed_in_an_outage_of_the_store_may_come_back() {
+    // Guards against dropping running upstreams whose entries lapsed because nobody reached the store.
+    let (store, upstreams) = start_platform(&["s-1"]);
+    let vm = Vm::start(&store);
+    store.set_outage(Outage::Unavailable);
+    wait_until("it has lost the store", || {
+        !vm.log_lines("store_lost").is_empty()
+    });
+    thread::sleep(OWN_OUTAGE);
+    store.remove(&upstreams[0].key());
+    store.set_outage(Outage::None);
+    wait_until("it is back", || vm.log().contains("event=store_back"));
+    let back_at = Instant::now();
+    while back_at.elapsed() < DRAIN_TIME {
+        let response = vm.send_request(&Request::new("GET", "/read/"));
+        assert_eq!(response.status, 200, "{:?}", back_at.elapsed());
+        thread::sleep(Duration::from_millis(20));
+    }
+    wait_until("it is dropped in the end", || {
+        !vm.log_lines("upstream_gone").is_empty()
+    });
+}
--- a/crates/wire/schema/scheduler.capnp
+++ b/crates/wire/schema/scheduler.capnp
@@ -141,9 +141,9 @@
   announce @3 (leader :Leadership, rested :List(Rested)) -> (leader :Leadership);
   ping @4 () -> (leader :Leadership);
   # Changes of the store after a revision; waits for the first one. Minor ones wait for nobody: they come along after
-  # their own revision, 0 for none of them.
+  # their own revision, 0 for none of them. `answeredAgoMs`: since the store last answered the VM.
   changes @5 (after :UInt64, minorAfter :UInt64, waitMs :UInt32)
-      -> (state :FeedState, revision :UInt64, sinceBackMs :UInt32, changes :List(Change));
+      -> (state :FeedState, revision :UInt64, sinceBackMs :UInt32, changes :List(Change), answeredAgoMs :UInt32);
   # Renews a lease of the store for a VM that doesn't reach it.
   renew @6 (lease :UInt64) -> (state :RenewalState, ttlMs :UInt32);
   # Origins for this VM to keep.
