Origins of streams: the field's terms, a build in doubt, a counter of resumptions

A newcomer's reading: lookups, replicas and builds in place of words of our own. Where the scheduler doesn't name a build, as it knows of a restart, a follower believed its own older reading of the entry; a build counts only if both agree (stream_origins::a_build_that_is_in_doubt_is_not_known). Lookups that fail are logged; jasmine_resumptions counts by origin.

--- a/crates/core/src/ids/numbers.rs
+++ b/crates/core/src/ids/numbers.rs
@@ -41,7 +41,7 @@
     UpstreamId(u32)
 );
 number!(
-    /// Id of a version of the upstreams' software; versions have no order.
+    /// Id of a build: a version of the upstreams' software. Builds have no order.
     BuildId(u32)
 );
 number!(
--- a/crates/core/src/ingress/upstream_entry.rs
+++ b/crates/core/src/ingress/upstream_entry.rs
@@ -23,7 +23,7 @@
     pub address: SocketAddr,
     /// Its data centre.
     pub data_centre: String,
-    /// The version of its software. Versions have no order, and only one that is equal can go on with a stream.
+    /// The version of its software. Builds have no order; a stream is resumed only by the build that began it.
     pub build: String,
     /// Maximum number of requests it runs concurrently.
     pub slots: u32,
--- a/crates/core/src/scheduler/choose/mod.rs
+++ b/crates/core/src/scheduler/choose/mod.rs
@@ -242,7 +242,7 @@
         if job.build.is_none() {
             return self.sample(all, salt, is_candidate).engines;
         }
-        // A sample of all might hold none of the few that have the required build.
+        // A sample of all might have none of the few upstreams with the required build.
         let eligible: Vec<_> = all
             .filter(|up| up.is_some_and(|up| up.may_serve(job)))
             .collect();
--- a/crates/core/src/scheduler/fleet.rs
+++ b/crates/core/src/scheduler/fleet.rs
@@ -292,8 +292,8 @@
         self.members.get(&service).map_or(&[], Vec::as_slice)
     }
 
-    /// The only software version of which a service has had upstreams lately; `None` if there were
-    /// several, or none now.
+    /// The only build of which a service has had upstreams lately; `None` if there were several, or
+    /// there are none now.
     pub(super) fn only_build(
         &self,
         service: ServiceId,
@@ -309,7 +309,7 @@
         is_only.then_some(first)
     }
 
-    /// Asks an engine for its report, as it may have restarted as another software version.
+    /// Requests an engine's report, as it may have restarted as another build.
     pub(super) fn check_run(
         &mut self,
         id: UpstreamId,
--- a/crates/core/src/scheduler/job.rs
+++ b/crates/core/src/scheduler/job.rs
@@ -65,7 +65,7 @@
     pub data_centre: Option<DataCentreId>,
     /// Data centres whose upstreams may serve it; empty if any may.
     pub allowed_data_centres: Vec<DataCentreId>,
-    /// The only software version that may serve it, if it goes on with a stream.
+    /// The only build that may serve it, if it resumes a stream.
     pub build: Option<BuildId>,
     /// Attempt number, from 1; later attempts draw on the retry budget.
     pub attempt: u32,
@@ -99,7 +99,7 @@
         allowed.is_empty() || data_centre.is_some_and(|id| allowed.contains(&id))
     }
 
-    /// Whether upstreams of a software version may serve the request.
+    /// Whether upstreams of a build may serve the request.
     pub fn is_allowed_at(
         &self,
         build: BuildId,
--- a/crates/core/src/scheduler/recent_builds.rs
+++ b/crates/core/src/scheduler/recent_builds.rs
@@ -6,17 +6,17 @@
     std::collections::HashMap,
 };
 
-/// How long a software version counts after the last entry that named it: longer than streams last.
+/// How long a build counts after the last entry that named it: longer than a stream lasts.
 const RETENTION: Millis = Millis(60_000);
 
-/// The software versions of which each service has had upstreams lately.
+/// The builds of which each service has had upstreams lately.
 #[derive(Clone, Debug, Default)]
 pub(super) struct RecentBuilds {
     last_seen: HashMap<ServiceId, Vec<(BuildId, Millis)>>,
 }
 
 impl RecentBuilds {
-    /// Records that an upstream of a service has, or had until now, this version.
+    /// Records that an upstream of a service has, or had until now, this build.
     pub(super) fn note(
         &mut self,
         service: ServiceId,
@@ -30,7 +30,7 @@
         }
     }
 
-    /// Whether a version other than `build` has been in service lately.
+    /// Whether another build than `build` has been in service lately.
     pub(super) fn has_other(
         &self,
         service: ServiceId,
--- a/crates/core/src/scheduler/state_machine/availability.rs
+++ b/crates/core/src/scheduler/state_machine/availability.rs
@@ -15,7 +15,7 @@
     std::collections::HashMap,
 };
 
-/// Interval between checks whether queued requests can still go on with their streams.
+/// Interval between checks whether queued requests can still resume their streams.
 const RESUMPTION_CHECK_INTERVAL: Millis = Millis(50);
 
 impl Scheduler {
@@ -156,8 +156,7 @@
         }
     }
 
-    /// Refuses queued requests that go on with a stream once the last upstream of its software
-    /// version has left.
+    /// Refuses queued requests that resume a stream once the last upstream of its build has left.
     pub(super) fn refuse_not_resumable(
         &mut self,
         now: Millis,
--- a/crates/core/src/scheduler/state_machine/mod.rs
+++ b/crates/core/src/scheduler/state_machine/mod.rs
@@ -60,9 +60,9 @@
     on_time: BTreeSet<(Millis, RequestId)>,
     /// VMs that upstreams have asked for rest since the last decision.
     rested_vms: BTreeSet<u32>,
-    /// Number of queued requests that go on with a stream.
+    /// Number of queued requests that resume a stream.
     queued_resumptions: usize,
-    /// Earliest time of the next check whether they still can.
+    /// Earliest time of the next check whether an upstream can still serve them.
     next_resumption_check_at: Millis,
     /// When the next evacuation takes effect.
     next_evacuation_at: Option<Millis>,
--- a/crates/core/src/scheduler/state_machine/queries.rs
+++ b/crates/core/src/scheduler/state_machine/queries.rs
@@ -81,8 +81,7 @@
         }
     }
 
-    /// The version of an upstream's software; `None` if its entry, or that of its latest run, hasn't
-    /// been read.
+    /// The build of an upstream; `None` if its entry, or that of its latest run, hasn't been read.
     pub fn build_of(
         &self,
         id: UpstreamId,
@@ -90,7 +89,8 @@
         self.fleet.upstreams.get(&id)?.confirmed_build()
     }
 
-    /// The only software version of which a service has had upstreams lately; `None` if there were several, or none now.
+    /// The only build of which a service has had upstreams lately; `None` if there were several, or
+    /// there are none now.
     pub fn only_build(
         &self,
         service: ServiceId,
--- a/crates/core/src/scheduler/upstream.rs
+++ b/crates/core/src/scheduler/upstream.rs
@@ -80,7 +80,7 @@
     /// Whether its entry says that it accepts new requests.
     pub is_ready: bool,
     pub started_unix_ms: Option<u64>,
-    /// The latest start that its own reports name.
+    /// The latest start time in its own reports.
     reported_start: Option<u64>,
     /// Until when it is expected to be slow after its start.
     pub warmup_until: Millis,
@@ -163,7 +163,7 @@
         self.is_ready && !self.statements.is_leaving
     }
 
-    /// Whether it may serve a request, by its data centre and its software version.
+    /// Whether it may serve a request, by its data centre and its build.
     pub(super) fn may_serve(
         &self,
         job: &Job,
@@ -173,15 +173,14 @@
             && (job.build.is_none() || self.confirmed_build().is_some_and(is_allowed_build))
     }
 
-    /// The version of its software; `None` if it runs anew and the entry of that run hasn't been
-    /// read.
+    /// Its build; `None` if it has restarted and the entry of that run hasn't been read.
     pub(super) fn confirmed_build(&self) -> Option<BuildId> {
         let has_restarted =
             self.started_unix_ms.is_some() && self.reported_start > self.started_unix_ms;
         (!has_restarted).then_some(self.build)
     }
 
-    /// Records the start that its own report names.
+    /// Records the start time in its own report.
     pub(super) fn note_reported_start(
         &mut self,
         started_unix_ms: Option<u64>,
--- a/crates/core/src/streams/mod.rs
+++ b/crates/core/src/streams/mod.rs
@@ -1,18 +1,20 @@
-//! Which upstreams may go on with a stream: only those of the software version that began it.
+//! Which upstreams may resume a stream: only those of the software version (build) that began it.
 //!
-//! Upstreams of several versions serve side by side and don't check what they are asked to continue, and what two
-//! versions write doesn't fit together. A caller may take a stream up at any VM: the VM that served its first event
-//! tells the origin to a few others, and the next one asks them. Where nobody knows it, the stream goes on only while
-//! the service has a single version.
+//! Upstreams of several builds serve side by side, and the output of two builds can't be joined. Upstreams don't check
+//! this. A caller may resume a stream at any VM, so the VM that forwarded its first event replicates the stream's origin
+//! to a few others, and the VM that gets the next attempt looks it up there. If the origin isn't known, the stream is
+//! resumed only while the service has a single build.
 
-mod holders;
-mod inquiry;
+mod agreed_build;
+mod origin_lookup;
+mod replicas;
 mod stream_origin;
 mod stream_origins;
 
 pub use {
-    holders::{ASKED_VMS, HOLDERS, holders_of},
-    inquiry::Inquiry,
+    agreed_build::agreed_build,
+    origin_lookup::OriginLookup,
+    replicas::{LOOKUP_VMS, ORIGIN_REPLICAS, replicas_of},
     stream_origin::StreamOrigin,
     stream_origins::StreamOrigins,
 };
--- a/crates/core/src/streams/stream_origin.rs
+++ b/crates/core/src/streams/stream_origin.rs
@@ -1,19 +1,17 @@
-/// The software version that began a stream, as one request on its way knows it.
+/// The build that began a stream, as far as the VM that forwards it knows.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub enum StreamOrigin {
-    /// The caller has no event yet: any version may serve it.
+    /// The caller has received no event: any build may serve it.
     #[default]
     NotBegun,
-    /// Only this version may go on with it.
+    /// Only this build may resume it.
     Build(String),
-    /// It has begun at a version that isn't known: none may go on with it.
+    /// It began at a build that isn't known: none may resume it.
     Unknown,
 }
 
 impl StreamOrigin {
-    /// Records that the first event was written by an upstream of this version, if it is known.
-    ///
-    /// A stream that has begun keeps its origin.
+    /// Records which build wrote the first event; no effect on a stream that has begun.
     pub fn begin(
         &mut self,
         build: Option<&str>,
@@ -23,7 +21,7 @@
         }
     }
 
-    /// The only version that may serve the stream; `None` if any may, or none.
+    /// The only build that may serve the stream; `None` if any may, or none.
     pub fn required_build(&self) -> Option<&str> {
         match self {
             Self::Build(build) => Some(build),
@@ -31,7 +29,7 @@
         }
     }
 
-    /// Whether some upstream may serve the rest of the stream.
+    /// Whether some build may serve the rest of the stream.
     pub fn is_resumable(&self) -> bool {
         *self != Self::Unknown
     }
--- a/crates/core/src/streams/stream_origins.rs
+++ b/crates/core/src/streams/stream_origins.rs
@@ -3,23 +3,23 @@
     std::collections::{HashMap, VecDeque},
 };
 
-/// How long the origin of a stream is kept: longer than its caller goes on trying.
+/// How long the origin of a stream is kept: longer than its caller retries.
 const RETENTION: Millis = Millis(60_000);
 /// Most origins that are kept; the oldest go first.
 const MAX_ORIGINS: usize = 100_000;
 
-/// Index of a software version's name.
+/// Index of a build's name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct BuildIndex(usize);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Origin {
     Build(BuildIndex),
-    /// Two VMs have said that different versions began it.
+    /// VMs have reported different builds.
     Contradictory,
 }
 
-/// The software versions that began the latest streams.
+/// The builds that began the latest streams.
 #[derive(Clone, Debug, Default)]
 pub struct StreamOrigins {
     origins: HashMap<StreamId, Origin>,
@@ -29,7 +29,7 @@
 }
 
 impl StreamOrigins {
-    /// Records that an upstream of this version has written the first event of a stream.
+    /// Records that an upstream of this build wrote the first event of a stream.
     pub fn record(
         &mut self,
         stream: StreamId,
@@ -48,7 +48,7 @@
         }
     }
 
-    /// The version that began a stream, if it is known.
+    /// The build that began a stream, if it is known.
     pub fn build_of(
         &self,
         stream: StreamId,
--- a/crates/core/tests/stream_origins.rs
+++ b/crates/core/tests/stream_origins.rs
@@ -7,7 +7,10 @@
         clock::Millis,
         ids::{BuildId, StreamId, UpstreamId},
         scheduler::UpstreamStatus,
-        streams::{ASKED_VMS, HOLDERS, Inquiry, StreamOrigin, StreamOrigins, holders_of},
+        streams::{
+            LOOKUP_VMS, ORIGIN_REPLICAS, OriginLookup, StreamOrigin, StreamOrigins, agreed_build,
+            replicas_of,
+        },
     },
     scheduler_world::{CALLS, World, upstream},
 };
@@ -16,10 +19,6 @@
 const NOW: Millis = Millis(1_000_000);
 const LATER: Millis = Millis(1_060_000);
 
-fn build(name: &str) -> Option<String> {
-    Some(name.to_owned())
-}
-
 fn add_server(
     world: &mut World,
     id: u32,
@@ -58,6 +57,19 @@
     assert_eq!(origins.len(), 1);
 }
 
+#[test]
+fn a_build_that_is_in_doubt_is_not_known() {
+    // Guards against the build of an earlier run, where the scheduler or this VM alone knows of a restart.
+    for (assigned, own, agreed) in [
+        (Some("v1"), Some("v1"), Some("v1")),
+        (Some("v1"), None, Some("v1")),
+        (Some("v1"), Some("v2"), None),
+        (None, Some("v1"), None),
+    ] {
+        assert_eq!(agreed_build(assigned, own), agreed, "{assigned:?} {own:?}");
+    }
+}
+
 #[test]
 fn a_stream_keeps_the_build_that_began_it() {
     let mut origin = StreamOrigin::default();
@@ -79,7 +91,7 @@
 #[test]
 fn an_unknown_origin_is_concluded_only_in_touch() {
     // Guards against a partitioned VM that hasn't heard of a second version.
-    let inquiry = |asked, answered| Inquiry {
+    let lookup = |asked, answered| OriginLookup {
         recorded: None,
         asked,
         answered,
@@ -91,17 +103,17 @@
         (0, 0, &only),
         (1, 0, &StreamOrigin::Unknown),
     ] {
-        let concluded = inquiry(asked, answered).conclude(build("v1"));
+        let concluded = lookup(asked, answered).conclude(Some("v1".to_owned()));
         assert_eq!(&concluded, expected, "{answered} of {asked}");
     }
-    assert_eq!(inquiry(6, 6).conclude(None), StreamOrigin::Unknown);
-    let recorded = Inquiry {
-        recorded: build("v2"),
+    assert_eq!(lookup(6, 6).conclude(None), StreamOrigin::Unknown);
+    let recorded = OriginLookup {
+        recorded: Some("v2".to_owned()),
         asked: 6,
         answered: 1,
     };
     let begun = StreamOrigin::Build("v2".to_owned());
-    assert_eq!(recorded.conclude(build("v1")), begun);
+    assert_eq!(recorded.conclude(Some("v1".to_owned())), begun);
 }
 
 #[test]
@@ -110,11 +122,11 @@
     let vms: Vec<u64> = (1..=8).map(|vm| vm * 0x9e37_79b9).collect();
     let changed = [&vms[1..], &[0xabcd_ef01]].concat();
     for stream in (0..500).map(StreamId) {
-        let told = holders_of(stream, &vms, HOLDERS);
-        let asked = holders_of(stream, &changed, ASKED_VMS);
-        assert_eq!(told.len(), HOLDERS);
+        let told = replicas_of(stream, &vms, ORIGIN_REPLICAS);
+        let asked = replicas_of(stream, &changed, LOOKUP_VMS);
+        assert_eq!(told.len(), ORIGIN_REPLICAS);
         let known = told.iter().filter(|vm| asked.contains(vm)).count();
-        assert!(known >= HOLDERS - 1, "{stream}: {told:?} {asked:?}");
+        assert!(known >= ORIGIN_REPLICAS - 1, "{stream}: {told:?} {asked:?}");
     }
 }
 
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -38,7 +38,7 @@
     pub clock: Clock,
     /// Places requests on upstreams.
     pub scheduling: Rc<SchedulerNode>,
-    /// The software versions that began the latest streams.
+    /// The origins of the latest streams.
     pub origins: Rc<OriginDirectory>,
     /// Idle connections to upstreams.
     pub pool: Rc<Pool>,
--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -16,7 +16,7 @@
         error::{ErrorKind, Refusal},
         forward::Attempts,
         scheduler::{Outcome, WaitReason},
-        streams::Inquiry,
+        streams::OriginLookup,
     },
     jasmine_telemetry::log::Line,
     std::{io, rc::Rc},
@@ -88,7 +88,7 @@
         mut self,
         out: &mut ResponseWriter<'_>,
     ) -> io::Result<()> {
-        if self.is_taken_up() {
+        if self.is_resumption() {
             self.find_origin().await;
             if !self.progress.origin.is_resumable() {
                 let refusal = Refusal::new(ErrorKind::StreamNotResumable);
@@ -141,28 +141,36 @@
         }
     }
 
-    /// Whether the caller goes on with a stream that an earlier attempt of it began.
-    fn is_taken_up(&self) -> bool {
+    /// Whether the caller resumes a stream that an earlier attempt of it began.
+    fn is_resumption(&self) -> bool {
         let caller = &self.req.caller;
         self.req.is_stream() && (caller.last_event.is_some() || caller.resumes.is_some())
     }
 
-    /// Finds out which software version began the stream that the caller takes up.
+    /// Looks up which build began the stream that the caller resumes.
     async fn find_origin(&mut self) {
         let caller = &self.req.caller;
-        let inquiry = match &caller.resumes {
-            Some(id) => self.cx.origins.inquire(id).await,
-            None => Inquiry::default(),
+        let lookup = match &caller.resumes {
+            Some(id) => self.cx.origins.look_up(id).await,
+            None => OriginLookup::default(),
         };
-        let line = Line::new("stream_taken_up")
+        let line = Line::new("resumption_requested")
             .with("id", self.id())
             .with("resumes", caller.resumes.as_deref().unwrap_or("-"))
             .with("after_event", caller.last_event.unwrap_or_default())
-            .with("recorded", inquiry.recorded.as_deref().unwrap_or("-"))
-            .with("asked", inquiry.asked)
-            .with("answered", inquiry.answered);
+            .with("recorded", lookup.recorded.as_deref().unwrap_or("-"))
+            .with("asked", lookup.asked)
+            .with("answered", lookup.answered);
         let only_build = self.cx.scheduling.only_build(&self.req.service);
-        let origin = inquiry.conclude(only_build);
+        let is_recorded = lookup.recorded.is_some();
+        let origin = lookup.conclude(only_build);
+        self.cx
+            .metrics
+            .count_resumption(match origin.required_build() {
+                Some(_) if is_recorded => "recorded",
+                Some(_) => "only_build",
+                None => "unknown",
+            });
         line.with("build", origin.required_build().unwrap_or("-"))
             .info();
         self.progress.origin = origin;
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -22,7 +22,7 @@
 /// The part of a stream that was forwarded to the caller.
 #[derive(Debug, Default)]
 pub(super) struct Progress {
-    /// The software version that began the stream.
+    /// The build that began the stream.
     pub origin: StreamOrigin,
     /// The id of the last event forwarded.
     pub last_event: Option<u64>,
@@ -169,7 +169,7 @@
     ready
 }
 
-/// Tells other VMs which software version began a stream, so that its caller can take it up there.
+/// Replicates the origin of a stream, so that its caller can resume it at another VM.
 fn publish_origin(
     attempt: &AttemptContext<'_>,
     progress: &Progress,
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -37,6 +37,7 @@
     refusals: Refusals,
     attempts: Counter<u64>,
     relayed: Counter<u64>,
+    resumptions: Counter<u64>,
     orders: Counter<u64>,
     gauges: Gauges,
     labels: RefCell<HashMap<(String, &'static str), Labels>>,
@@ -75,6 +76,10 @@
                 .u64_counter("jasmine_relayed")
                 .with_description("Requests that one VM has sent for another, by side")
                 .build(),
+            resumptions: meter
+                .u64_counter("jasmine_resumptions")
+                .with_description("Streams that callers resumed, by how their origin was found")
+                .build(),
             orders: meter
                 .u64_counter("jasmine_orders")
                 .with_description("Orders to engines, by how they ended")
@@ -128,6 +133,14 @@
         self.relayed.add(1, &[KeyValue::new("side", side)]);
     }
 
+    /// Counts a stream that a caller resumes, by how its origin was found.
+    pub fn count_resumption(
+        &self,
+        origin: &'static str,
+    ) {
+        self.resumptions.add(1, &[KeyValue::new("origin", origin)]);
+    }
+
     /// Counts an order by its result.
     pub fn order(
         &self,
--- a/crates/entry/src/scheduling/client/mod.rs
+++ b/crates/entry/src/scheduling/client/mod.rs
@@ -12,6 +12,7 @@
         error::{ErrorKind, Refusal},
         ids::Fence,
         scheduler::{AttemptId, LOCAL_VM, Outcome, RateDecision, UpstreamSignals, WaitReason},
+        streams::agreed_build,
     },
     jasmine_telemetry::log::Line,
     jasmine_wire::{
@@ -193,7 +194,7 @@
             match verdict {
                 Some(Verdict::Assigned(mut assignment)) => {
                     pending.is_settled.set(true);
-                    assignment.build = self.confirmed_build(&assignment);
+                    assignment.build = self.agreed_build(&assignment);
                     if self.is_stale_assignment(&assignment, &spec) {
                         // The leader may not know yet that this upstream is leaving, wants rest or has restarted.
                         let end = JobUpdate::Ended(Outcome::Abandoned);
@@ -347,7 +348,7 @@
         self.has_partial_upstreams.set(has_partial_upstreams);
     }
 
-    /// The only software version of which a service has had upstreams lately.
+    /// The only build of which a service has had upstreams lately; `None` if there were several, or not all are known.
     pub fn only_build(
         &self,
         service: &str,
@@ -404,7 +405,7 @@
     }
 
     /// Whether the leader assigned an upstream that this VM knows to be leaving or removed, that
-    /// wants rest from this VM, or whose software version may not be the required one.
+    /// wants rest from this VM, or whose build may not be the required one.
     fn is_stale_assignment(
         &self,
         assignment: &Assignment,
@@ -416,17 +417,13 @@
             && (is_other_build || scheduler.is_unusable_or_removed(&assignment.upstream))
     }
 
-    /// The software version of an assigned upstream; `None` if the scheduler and this VM have read different ones.
-    fn confirmed_build(
+    /// The build of an assigned upstream, if the scheduler and this VM agree on it.
+    fn agreed_build(
         &self,
         assignment: &Assignment,
     ) -> Option<String> {
         let own = self.local_scheduler.build_of(&assignment.upstream);
-        match (&assignment.build, own.as_deref()) {
-            (Some(assigned), Some(own)) if assigned != own => None,
-            (Some(build), _) => Some(build.clone()),
-            (None, own) => own.map(str::to_owned),
-        }
+        agreed_build(assignment.build.as_deref(), own.as_deref()).map(str::to_owned)
     }
 
     /// Records a request as running and returns its number.
--- a/crates/entry/src/scheduling/job_spec.rs
+++ b/crates/entry/src/scheduling/job_spec.rs
@@ -52,7 +52,7 @@
     pub data_centre: String,
     /// Data centres whose upstreams may serve it; empty if any may.
     pub allowed_data_centres: Vec<String>,
-    /// The only software version of upstreams that may serve it, if it goes on with a stream.
+    /// The only build of upstreams that may serve it, if it resumes a stream.
     pub build: Option<String>,
 }
 
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -552,7 +552,7 @@
         self.addresses.borrow().get(&id).copied()
     }
 
-    /// The version of an upstream's software; `None` if its entry, or that of its latest run, hasn't been read.
+    /// The build of an upstream; `None` if its entry, or that of its latest run, hasn't been read.
     pub fn build_of(
         &self,
         upstream: &str,
@@ -562,7 +562,7 @@
         Some(self.names.borrow().build_name(build))
     }
 
-    /// The only software version of which a service has had upstreams lately.
+    /// The only build of which a service has had upstreams lately.
     pub fn only_build(
         &self,
         service: &str,
--- a/crates/entry/src/scheduling/name_interner.rs
+++ b/crates/entry/src/scheduling/name_interner.rs
@@ -133,7 +133,7 @@
         DataCentreId(self.data_centres.intern(name) as u16)
     }
 
-    /// Returns the id of a version of the upstreams' software, assigning one if needed.
+    /// Returns the id of a build, assigning one if needed.
     pub fn build(
         &mut self,
         name: &str,
@@ -141,7 +141,7 @@
         BuildId(self.builds.intern(name))
     }
 
-    /// Returns the name of a version of the upstreams' software; empty for an unknown id.
+    /// Returns the name of a build; empty for an unknown id.
     pub fn build_name(
         &self,
         id: BuildId,
--- a/crates/entry/src/streams/mod.rs
+++ b/crates/entry/src/streams/mod.rs
@@ -1,4 +1,4 @@
-//! Keeps the origins of streams on a few VMs, so that a caller can take a stream up at any of them.
+//! Replicates the origins of streams to a few VMs, so that callers can resume them at any VM.
 
 mod origin_directory;
 mod origin_peer;
--- a/crates/entry/src/streams/origin_directory.rs
+++ b/crates/entry/src/streams/origin_directory.rs
@@ -5,7 +5,7 @@
     jasmine_core::{
         clock::Millis,
         ids::StreamId,
-        streams::{ASKED_VMS, HOLDERS, Inquiry, StreamOrigins, holders_of},
+        streams::{LOOKUP_VMS, ORIGIN_REPLICAS, OriginLookup, StreamOrigins, replicas_of},
     },
     std::{
         cell::RefCell,
@@ -17,10 +17,10 @@
     xxhash_rust::xxh3::xxh3_64,
 };
 
-/// How long other VMs are waited for; a caller that takes a stream up waits as long if one of them is gone.
-const INQUIRY_TIMEOUT: Millis = Millis(250);
+/// Timeout of a lookup; it lasts as long if no VM has a record and one of them doesn't answer.
+const LOOKUP_TIMEOUT: Millis = Millis(250);
 
-/// The software versions that began the streams of all VMs, as far as this VM keeps or can find them.
+/// The origins of streams that this VM keeps, and lookups of others at the VMs that keep them.
 #[derive(Debug)]
 pub struct OriginDirectory {
     me: String,
@@ -55,7 +55,7 @@
         self.peers.replace(peers.collect());
     }
 
-    /// Records the version that began a stream of this VM's callers, and tells it to other VMs.
+    /// Records which build began a stream of this VM's callers, here and on other VMs.
     pub fn begin(
         &self,
         request_id: &str,
@@ -64,12 +64,12 @@
         let stream = stream_id(request_id);
         self.record(stream, build);
         let build: Rc<str> = build.into();
-        for peer in self.ranked_peers(stream, HOLDERS) {
+        for peer in self.ranked_peers(stream, ORIGIN_REPLICAS) {
             peer.tell(stream, &build);
         }
     }
 
-    /// Records the version that began a stream, as another VM tells it.
+    /// Records which build began a stream.
     pub fn record(
         &self,
         stream: StreamId,
@@ -79,7 +79,7 @@
         self.origins.borrow_mut().record(stream, build, now);
     }
 
-    /// The version that began a stream, if this VM keeps it.
+    /// The build that began a stream, if this VM has a record of it.
     pub fn recorded(
         &self,
         stream: StreamId,
@@ -88,42 +88,42 @@
         origins.build_of(stream).map(str::to_owned)
     }
 
-    /// Finds out which version began the stream of a caller's earlier attempt: the first VM that knows it ends the wait.
-    pub async fn inquire(
+    /// Looks up which build began the stream of a caller's earlier attempt; the first record found ends the wait.
+    pub async fn look_up(
         &self,
         request_id: &str,
-    ) -> Inquiry {
+    ) -> OriginLookup {
         let stream = stream_id(request_id);
         if let Some(build) = self.recorded(stream) {
-            return Inquiry {
+            return OriginLookup {
                 recorded: Some(build),
-                ..Inquiry::default()
+                ..OriginLookup::default()
             };
         }
-        let peers = self.ranked_peers(stream, ASKED_VMS);
-        let mut inquiry = Inquiry {
+        let peers = self.ranked_peers(stream, LOOKUP_VMS);
+        let mut lookup = OriginLookup {
             asked: peers.len(),
-            ..Inquiry::default()
+            ..OriginLookup::default()
         };
         let mut answers: FuturesUnordered<_> = peers.iter().map(|peer| peer.ask(stream)).collect();
         let collect = async {
             while let Some(answer) = answers.next().await {
-                inquiry.answered += usize::from(answer.is_ok());
-                inquiry.recorded = answer.unwrap_or_default();
-                if inquiry.recorded.is_some() {
+                lookup.answered += usize::from(answer.is_ok());
+                lookup.recorded = answer.unwrap_or_default();
+                if lookup.recorded.is_some() {
                     return;
                 }
             }
         };
-        // Those that don't answer in time count as not answered.
-        let _elapsed = timeout(INQUIRY_TIMEOUT.to_std(), collect).await;
-        if let Some(build) = &inquiry.recorded {
+        // VMs that don't answer in time count as not answered.
+        let _elapsed = timeout(LOOKUP_TIMEOUT.to_std(), collect).await;
+        if let Some(build) = &lookup.recorded {
             self.record(stream, build);
         }
-        inquiry
+        lookup
     }
 
-    /// The other VMs that keep the origin of a stream, best first.
+    /// The VMs that keep a stream's origin.
     fn ranked_peers(
         &self,
         stream: StreamId,
@@ -131,7 +131,7 @@
     ) -> Vec<Rc<OriginPeer>> {
         let peers = self.peers.borrow();
         let keys: Vec<u64> = peers.keys().copied().collect();
-        let ranked = holders_of(stream, &keys, count).into_iter();
+        let ranked = replicas_of(stream, &keys, count).into_iter();
         ranked
             .filter_map(|key| peers.get(&key).map(Rc::clone))
             .collect()
--- a/crates/entry/src/streams/origin_peer.rs
+++ b/crates/entry/src/streams/origin_peer.rs
@@ -76,7 +76,8 @@
         &self,
         stream: StreamId,
     ) -> Result<Option<String>, LinkError> {
-        self.link
+        let answer = self
+            .link
             .call(Millis::ZERO, |client| async move {
                 let mut req = client.find_origin_request();
                 req.get().set_stream(stream.0);
@@ -84,7 +85,13 @@
                 let build = res.get()?.get_build()?.to_string()?;
                 Ok(Some(build).filter(|build| !build.is_empty()))
             })
-            .await
+            .await;
+        answer.inspect_err(|e| {
+            Line::new("origin_lookup_failed")
+                .with("address", self.address())
+                .with("reason", e)
+                .info();
+        })
     }
 
     async fn send_queued(self: Rc<Self>) {
--- a/crates/entry/tests/stream_builds.rs
+++ b/crates/entry/tests/stream_builds.rs
@@ -182,7 +182,7 @@
 }
 
 #[test]
-fn a_stream_is_taken_up_after_its_vm_was_killed() {
+fn a_stream_is_resumption_after_its_vm_was_killed() {
     // Guards against losing the origin of a stream with the VM that served or scheduled it.
     let (store, upstreams) = start_builds(&["v1", "v2", "v1", "v2"]);
     let mut vms = start_vms(&store, "killed");
