A VM that has just started resumes no stream whose origin it doesn't know

Their VM was reached while it read its first page of the store: it knew only upstreams of v1 so far and no other VM to ask, and took v1 for the service's only build.

Cause: entries not yet read count as read until the first page has been applied, and a build that left service before a VM started is unknown to it. A VM concludes from the service's only build once it has known all upstreams for 15 s, longer than a stream lasts. Callers that name no attempt (Resumes) are served as before once all entries are read.

--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -29,6 +29,11 @@
 /// `Retry-After` while neither this VM nor another one reaches an upstream.
 const ISOLATED_RETRY_DELAY: Millis = Millis(1_000);
 
+/// How long a VM must have known all upstreams to resume a stream without a record of its origin.
+///
+/// Before, the build that began the stream may have left service unnoticed.
+const MIN_UPSTREAMS_KNOWN: Millis = Millis(15_000);
+
 /// What follows an attempt.
 enum Step {
     /// The caller has its response or has disconnected.
@@ -161,7 +166,12 @@
             .with("recorded", lookup.recorded.as_deref().unwrap_or("-"))
             .with("asked", lookup.asked)
             .with("answered", lookup.answered);
-        let only_build = self.cx.scheduling.only_build(&self.req.service);
+        let min_known = match caller.resumes {
+            Some(_) => MIN_UPSTREAMS_KNOWN,
+            None => Millis::ZERO,
+        };
+        let scheduling = &self.cx.scheduling;
+        let only_build = scheduling.only_build(&self.req.service, min_known);
         let is_recorded = lookup.recorded.is_some();
         let origin = lookup.conclude(only_build);
         self.cx
--- a/crates/entry/src/scheduling/client/mod.rs
+++ b/crates/entry/src/scheduling/client/mod.rs
@@ -89,6 +89,8 @@
     leader_silent_since: Cell<Option<Millis>>,
     /// Whether only part of the store's upstreams has been read so far.
     has_partial_upstreams: Cell<bool>,
+    /// Since when this VM has known all upstreams.
+    upstreams_known_since: Cell<Option<Millis>>,
     /// When this VM entered [`Mode::Standalone`], if it is in it.
     standalone_since: Cell<Option<Millis>>,
     /// Counts changes of the known leader.
@@ -135,6 +137,7 @@
             took_over_at: Cell::new(None),
             leader_silent_since: Cell::new(None),
             has_partial_upstreams: Cell::new(false),
+            upstreams_known_since: Cell::new(None),
             standalone_since: Cell::new(Some(Clock.now())),
             leader_changed: watch::Sender::default(),
             mode_changed: watch::Sender::default(),
@@ -346,14 +349,20 @@
         has_partial_upstreams: bool,
     ) {
         self.has_partial_upstreams.set(has_partial_upstreams);
+        if !has_partial_upstreams && self.upstreams_known_since.get().is_none() {
+            self.upstreams_known_since.set(Some(self.clock.now()));
+        }
     }
 
-    /// The only build of which a service has had upstreams lately; `None` if there were several, or not all are known.
+    /// The only build of which a service has had upstreams lately; `None` if there were several, or if this VM has known
+    /// all upstreams for less than `min_known`.
     pub fn only_build(
         &self,
         service: &str,
+        min_known: Millis,
     ) -> Option<String> {
-        if self.has_partial_upstreams.get() {
+        let known_for = self.clock.now().since(self.upstreams_known_since.get()?);
+        if self.has_partial_upstreams.get() || known_for < min_known {
             return None;
         }
         self.local_scheduler.only_build(service)
