--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -166,12 +166,14 @@
             .with("recorded", lookup.recorded.as_deref().unwrap_or("-"))
             .with("asked", lookup.asked)
             .with("answered", lookup.answered);
-        let min_known = match caller.resumes {
-            Some(_) => MIN_UPSTREAMS_KNOWN,
-            None => Millis::ZERO,
-        };
+        // A caller that names no attempt is of a platform without builds: what is known so far is enough.
         let scheduling = &self.cx.scheduling;
-        let only_build = scheduling.only_build(&self.req.service, min_known);
+        let may_conclude =
+            caller.resumes.is_none() || scheduling.has_known_upstreams_for(MIN_UPSTREAMS_KNOWN);
+        let only_build = scheduling
+            .local_scheduler
+            .only_build(&self.req.service)
+            .filter(|_| may_conclude);
         let is_recorded = lookup.recorded.is_some();
         let origin = lookup.conclude(only_build);
         self.cx
--- a/crates/entry/src/scheduling/client/mod.rs
+++ b/crates/entry/src/scheduling/client/mod.rs
@@ -354,18 +354,14 @@
         }
     }
 
-    /// The only build of which a service has had upstreams lately; `None` if there were several, or if this VM has known
-    /// all upstreams for less than `min_known`.
-    pub fn only_build(
+    /// Whether this VM has known all upstreams for this long.
+    pub fn has_known_upstreams_for(
         &self,
-        service: &str,
-        min_known: Millis,
-    ) -> Option<String> {
-        let known_for = self.clock.now().since(self.upstreams_known_since.get()?);
-        if self.has_partial_upstreams.get() || known_for < min_known {
-            return None;
-        }
-        self.local_scheduler.only_build(service)
+        time: Millis,
+    ) -> bool {
+        let since = self.upstreams_known_since.get();
+        let is_long_enough = since.is_some_and(|at| self.clock.now().since(at) >= time);
+        is_long_enough && !self.has_partial_upstreams.get()
     }
 
     /// Whether this VM is the leader.
