A VM knows the other VMs before it serves its first request

Cause: the first page of the store is applied in steps. Requests wait for the configuration and run as soon as it is there; the list of VMs was published only after the whole page. It is applied first now.

--- a/crates/entry/src/store/view.rs
+++ b/crates/entry/src/store/view.rs
@@ -118,19 +118,15 @@
     ) {
         self.record_store_response();
         self.feed.reset(reply.revision);
+        // Requests are served from the first configuration on, and may need the other VMs at once.
+        self.put_vms(reply);
         for kvs in reply.kvs.chunks(MAX_CHANGES_PER_YIELD) {
-            for kv in kvs {
+            for kv in kvs.iter().filter(|kv| !kv.key.starts_with(VM_PREFIX)) {
                 self.put(kv, Announcement::Found);
             }
             yield_now().await;
         }
         self.retain_evacuations(reply);
-        let vms: Vec<&str> = reply
-            .kvs
-            .iter()
-            .filter_map(|kv| kv.key.strip_prefix(VM_PREFIX))
-            .collect();
-        self.membership.retain_vms(&self.cx, &vms);
         if !reply.kvs.iter().any(|kv| kv.key == LEADER_KEY) {
             self.membership.remove_leader();
         }
@@ -138,6 +134,20 @@
         self.record_found(reply);
     }
 
+    /// Replaces the known VMs by those of a full read of the store.
+    fn put_vms(
+        &self,
+        reply: &RangeReply,
+    ) {
+        let records = reply.kvs.iter().filter(|kv| kv.key.starts_with(VM_PREFIX));
+        let mut names = Vec::new();
+        for kv in records {
+            self.membership.set_vm(kv);
+            names.extend(kv.key.strip_prefix(VM_PREFIX));
+        }
+        self.membership.retain_vms(&self.cx, &names);
+    }
+
     /// Applies a further page of upstreams, except those with later changes known.
     pub(super) async fn apply_page(
         self: &Rc<Self>,
--- a/crates/entry/tests/stream_builds.rs
+++ b/crates/entry/tests/stream_builds.rs
@@ -3,9 +3,11 @@
 mod deployment;
 
 use {
-    deployment::{Request, Response, Vm, start_vms, wait_until},
+    deployment::{Event, Request, Response, Vm, parse_events, start_vms, wait_until},
     jasmine_platform_stand_in::{Behaviour, KvStandIn, UpstreamStandIn},
+    jasmine_testkit::proxy::{Link, Proxy},
     nix::sys::signal::Signal,
+    serde_json::json,
     std::{
         collections::BTreeSet,
         io::{Read, Write},
@@ -21,33 +23,12 @@
 /// A refusal that waits for nothing arrives within this time.
 const AT_ONCE: Duration = Duration::from_millis(500);
 
-/// An event's id and the software version that wrote it.
-type Event = (u64, String);
-
-fn parse_events(text: &str) -> Vec<Event> {
-    let field = |event: &str, name: &str| {
-        let value = event.lines().find_map(|line| line.strip_prefix(name));
-        value.unwrap_or_default().to_owned()
-    };
-    let events = text
-        .split_terminator("\n\n")
-        .filter(|e| e.contains("data:"));
-    events
-        .map(|event| {
-            (
-                field(event, "id: ").parse().unwrap(),
-                field(event, "event: "),
-            )
-        })
-        .collect()
-}
-
 fn builds_of(events: &[Event]) -> BTreeSet<&str> {
-    events.iter().map(|(_, build)| build.as_str()).collect()
+    events.iter().map(|event| event.build.as_str()).collect()
 }
 
 fn ids_of(events: &[Event]) -> Vec<u64> {
-    events.iter().map(|&(id, _)| id).collect()
+    events.iter().map(|event| event.id).collect()
 }
 
 /// A store, and upstreams of these software versions.
@@ -78,7 +59,7 @@
 }
 
 /// The next attempt of a caller that has received events of `first` up to `last`.
-fn take_up(
+fn resume(
     first: &Request,
     last: u64,
 ) -> Request {
@@ -92,7 +73,7 @@
     let others = format!(" asked={0} answered={0} ", vms.len() - 1);
     for vm in vms {
         let asks_all = || {
-            vm.send_request(&take_up(&new_stream(), BROKEN_AFTER));
+            vm.send_request(&resume(&new_stream(), BROKEN_AFTER));
             vm.log().contains(&others)
         };
         wait_until("all VMs are asked", asks_all);
@@ -144,7 +125,7 @@
         broken.set_default(Behaviour::CutAfter(BROKEN_AFTER));
         let req = new_stream();
         let response = vm.send_request(&req);
-        let events = parse_events(&response.text());
+        let events = response.events();
         assert_eq!(builds_of(&events).len(), 1, "round {round}: {events:?}");
         assert!(response.is_complete, "round {round}: {response:?}");
         assert_eq!(ids_of(&events), (1..=EVENTS).collect::<Vec<_>>());
@@ -163,15 +144,15 @@
         set_all(&upstreams, &Behaviour::CutAfter(BROKEN_AFTER));
         let req = new_stream();
         let first = vms[round % 3].send_request(&req);
-        let events = parse_events(&first.text());
+        let events = first.events();
         assert!(!first.is_complete, "round {round}: {first:?}");
         assert_eq!(ids_of(&events).last(), Some(&BROKEN_AFTER), "round {round}");
 
         set_all(&upstreams, &Behaviour::Events(EVENTS));
-        let next = take_up(&req, BROKEN_AFTER);
+        let next = resume(&req, BROKEN_AFTER);
         let rest = vms[(round + 1) % 3].send_request(&next);
         assert!(rest.is_complete, "round {round}: {rest:?}");
-        let rest = parse_events(&rest.text());
+        let rest = rest.events();
         assert_eq!(
             ids_of(&rest),
             (BROKEN_AFTER + 1..=EVENTS).collect::<Vec<_>>()
@@ -198,10 +179,10 @@
         killed.signal(Signal::SIGKILL);
         set_all(&upstreams, &Behaviour::Events(EVENTS));
         for (req, (_connection, events)) in requests.iter().zip(streams) {
-            let rest = vms[0].send_request(&take_up(req, BROKEN_AFTER));
+            let rest = vms[0].send_request(&resume(req, BROKEN_AFTER));
             assert_eq!(rest.status, 200, "{rest:?}");
             assert!(rest.is_complete, "{rest:?}");
-            let all = [events, parse_events(&rest.text())].concat();
+            let all = [events, rest.events()].concat();
             assert_eq!(ids_of(&all), (1..=EVENTS).collect::<Vec<_>>());
             assert_eq!(builds_of(&all).len(), 1, "{all:?}");
         }
@@ -216,7 +197,7 @@
     let (store, upstreams) = start_builds(&["v1", "v2"]);
     set_all(&upstreams, &Behaviour::Events(EVENTS));
     let vm = Vm::start(&store);
-    let unknown = take_up(&new_stream(), BROKEN_AFTER);
+    let unknown = resume(&new_stream(), BROKEN_AFTER);
     for req in [unknown.clone(), unknown.without("Resumes")] {
         let sent_at = Instant::now();
         let response = vm.send_request(&req);
@@ -234,7 +215,7 @@
     set_all(&upstreams, &Behaviour::Events(EVENTS));
     let vms = start_vms(&store, "one-build");
     wait_for_peers(&vms);
-    let unknown = take_up(&new_stream(), BROKEN_AFTER);
+    let unknown = resume(&new_stream(), BROKEN_AFTER);
     let response = vms[1].send_request(&unknown.clone().without("Resumes"));
     assert!(response.is_complete, "{response:?}");
     // The build that began it may have left before this VM started.
@@ -246,7 +227,7 @@
         last.status == 200
     });
     assert!(last.is_complete, "{last:?}");
-    let ids = ids_of(&parse_events(&last.text()));
+    let ids = ids_of(&last.events());
     assert_eq!(ids, (BROKEN_AFTER + 1..=EVENTS).collect::<Vec<_>>());
 }
 
@@ -257,13 +238,13 @@
     let vm = Vm::start(&store);
     set_all(&upstreams, &Behaviour::CutAfter(BROKEN_AFTER));
     let req = new_stream();
-    let events = parse_events(&vm.send_request(&req).text());
+    let events = vm.send_request(&req).events();
     let began = usize::from(builds_of(&events).contains("v2"));
     store.remove(&upstreams[began].key());
     wait_until("it is gone", || !vm.log_lines("upstream_gone").is_empty());
 
     set_all(&upstreams, &Behaviour::Events(EVENTS));
-    let next = take_up(&req, BROKEN_AFTER);
+    let next = resume(&req, BROKEN_AFTER);
     let sent_at = Instant::now();
     let response = vm.send_request(&next);
     assert_eq!(response.status, 503, "{response:?}");
@@ -282,13 +263,13 @@
     vm.send_request(&req);
     upstreams[0].set_build("v2");
     let mut entry = upstreams[0].entry("app", "one", "ready");
-    entry["born"] = serde_json::json!(1_700_000_000_001_u64);
+    entry["born"] = json!(1_700_000_000_001_u64);
     store.put(&upstreams[0].key(), &entry);
     set_all(&upstreams, &Behaviour::Events(EVENTS));
     let served = || vm.send_request(&Request::new("GET", "/read/")).status == 200;
     wait_until("the other run serves", served);
     wait_until("its entry is read", || vm.log().contains("build=v2"));
-    let next = take_up(&req, BROKEN_AFTER);
+    let next = resume(&req, BROKEN_AFTER);
     let response = vm.send_request(&next);
     assert_eq!(response.status, 503, "{response:?}");
     assert_eq!(error_code(&response), "stream_not_resumable");
@@ -315,6 +296,31 @@
     );
 }
 
+#[test]
+fn a_vm_that_has_just_started_asks_the_others() {
+    // Guards against refusing a stream at a VM that serves callers before it knows the other VMs.
+    let (store, upstreams) = start_builds(&["v1", "v2"]);
+    let vms = start_vms(&store, "asked-by-new");
+    wait_for_peers(&vms);
+    set_all(&upstreams, &Behaviour::CutAfter(BROKEN_AFTER));
+    let req = new_stream();
+    let began = vms[0].send_request(&req).events();
+    set_all(&upstreams, &Behaviour::Events(EVENTS));
+    // The request waits for the first configuration.
+    let any_address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let link = Proxy::start(any_address, store.address()).unwrap();
+    link.set(Link {
+        delay_ms: 60,
+        ..Link::default()
+    });
+    let new = Vm::start_with_store(link.address(), &format!("new-{}", std::process::id()));
+    let rest = new.send_request(&resume(&req, BROKEN_AFTER));
+    assert_eq!(rest.status, 200, "{rest:?}");
+    let all = [began, rest.events()].concat();
+    assert_eq!(ids_of(&all), (1..=EVENTS).collect::<Vec<_>>());
+    assert_eq!(builds_of(&all).len(), 1, "{all:?}");
+}
+
 #[test]
 fn a_relay_does_not_send_to_another_build() {
     // Guards against a relaying VM that sends a stream's rest to an upstream which has restarted as another version.
@@ -322,7 +328,7 @@
     set_all(&upstreams, &Behaviour::Events(EVENTS));
     let relay = free_address();
     let vm = Vm::start_with_settings(store.address(), &format!("relay-{relay}"), |settings| {
-        settings["listen"]["relay"] = serde_json::json!(relay.to_string());
+        settings["listen"]["relay"] = json!(relay.to_string());
     });
     wait_until("it has read the entry", || {
         vm.send_request(&Request::new("GET", "/read/")).status == 200
