A stream is resumed only at the service that began it

The required build didn't help: builds of two services may have the same name, and the origin of a stream named the build only.

The service of a resumption is chosen by the id of the attempt that began the stream, which needs no state. Origins name service and build; a stream that began at a service to which its route no longer leads is refused (stream_not_resumable).

--- a/crates/core/src/streams/mod.rs
+++ b/crates/core/src/streams/mod.rs
@@ -1,4 +1,4 @@
-//! Which upstreams may resume a stream: only those of the software version (build) that began it.
+//! Which upstreams may resume a stream: only those of the service and software version (build) that began it.
 //!
 //! Upstreams of several builds serve side by side, and the output of two builds can't be joined. Upstreams don't check
 //! this. A caller may resume a stream at any VM, so the VM that forwarded its first event replicates the stream's origin
@@ -8,6 +8,7 @@
 mod agreed_build;
 mod origin_lookup;
 mod replicas;
+mod service_build;
 mod stream_origin;
 mod stream_origins;
 
@@ -15,6 +16,7 @@
     agreed_build::agreed_build,
     origin_lookup::OriginLookup,
     replicas::{LOOKUP_VMS, ORIGIN_REPLICAS, replicas_of},
+    service_build::ServiceBuild,
     stream_origin::StreamOrigin,
     stream_origins::StreamOrigins,
 };
--- a/crates/core/src/streams/stream_origins.rs
+++ b/crates/core/src/streams/stream_origins.rs
@@ -1,4 +1,5 @@
 use {
+    super::ServiceBuild,
     crate::{clock::Millis, ids::StreamId},
     std::collections::{HashMap, VecDeque},
 };
@@ -8,7 +9,7 @@
 /// Most origins that are kept; the oldest go first.
 const MAX_ORIGINS: usize = 100_000;
 
-/// Index of a build's name.
+/// Index of a build of a service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct BuildIndex(usize);
 
@@ -25,7 +26,7 @@
     origins: HashMap<StreamId, Origin>,
     /// The streams in the order in which they were recorded.
     by_age: VecDeque<(Millis, StreamId)>,
-    builds: Vec<String>,
+    builds: Vec<ServiceBuild>,
 }
 
 impl StreamOrigins {
@@ -33,7 +34,7 @@
     pub fn record(
         &mut self,
         stream: StreamId,
-        build: &str,
+        build: &ServiceBuild,
         now: Millis,
     ) {
         self.forget_old(now);
@@ -52,7 +53,7 @@
     pub fn build_of(
         &self,
         stream: StreamId,
-    ) -> Option<&str> {
+    ) -> Option<&ServiceBuild> {
         match self.origins.get(&stream)? {
             Origin::Build(BuildIndex(at)) => Some(&self.builds[*at]),
             Origin::Contradictory => None,
@@ -71,11 +72,11 @@
 
     fn index(
         &mut self,
-        build: &str,
+        build: &ServiceBuild,
     ) -> BuildIndex {
-        let known = self.builds.iter().position(|name| name == build);
+        let known = self.builds.iter().position(|known| known == build);
         BuildIndex(known.unwrap_or_else(|| {
-            self.builds.push(build.to_owned());
+            self.builds.push(build.clone());
             self.builds.len() - 1
         }))
     }
--- a/crates/core/tests/stream_origins.rs
+++ b/crates/core/tests/stream_origins.rs
@@ -8,8 +8,8 @@
         ids::{BuildId, StreamId, UpstreamId},
         scheduler::UpstreamStatus,
         streams::{
-            LOOKUP_VMS, ORIGIN_REPLICAS, OriginLookup, StreamOrigin, StreamOrigins, agreed_build,
-            replicas_of,
+            LOOKUP_VMS, ORIGIN_REPLICAS, OriginLookup, ServiceBuild, StreamOrigin, StreamOrigins,
+            agreed_build, replicas_of,
         },
     },
     scheduler_world::{CALLS, World, upstream},
@@ -19,6 +19,13 @@
 const NOW: Millis = Millis(1_000_000);
 const LATER: Millis = Millis(1_060_000);
 
+fn of(build: &str) -> ServiceBuild {
+    ServiceBuild {
+        service: "app".to_owned(),
+        build: build.to_owned(),
+    }
+}
+
 fn add_server(
     world: &mut World,
     id: u32,
@@ -36,11 +43,11 @@
 fn contradictory_origins_are_not_known() {
     // Guards against believing one of two VMs that say different things about a stream.
     let mut origins = StreamOrigins::default();
-    origins.record(STREAM, "v1", NOW);
-    origins.record(STREAM, "v1", NOW);
-    assert_eq!(origins.build_of(STREAM), Some("v1"));
-    origins.record(STREAM, "v2", NOW);
-    origins.record(STREAM, "v1", NOW);
+    origins.record(STREAM, &of("v1"), NOW);
+    origins.record(STREAM, &of("v1"), NOW);
+    assert_eq!(origins.build_of(STREAM), Some(&of("v1")));
+    origins.record(STREAM, &of("v2"), NOW);
+    origins.record(STREAM, &of("v1"), NOW);
     assert_eq!(origins.build_of(STREAM), None);
 }
 
@@ -49,11 +56,11 @@
     // Guards against origins that fill the memory of a VM.
     let mut origins = StreamOrigins::default();
     for id in 0..150_000 {
-        origins.record(StreamId(id), "v1", NOW);
+        origins.record(StreamId(id), &of("v1"), NOW);
     }
     assert_eq!(origins.len(), 100_000);
-    assert_eq!(origins.build_of(StreamId(149_999)), Some("v1"));
-    origins.record(STREAM, "v1", LATER);
+    assert_eq!(origins.build_of(StreamId(149_999)), Some(&of("v1")));
+    origins.record(STREAM, &of("v1"), LATER);
     assert_eq!(origins.len(), 1);
 }
 
@@ -103,17 +110,20 @@
         (0, 0, &only),
         (1, 0, &StreamOrigin::Unknown),
     ] {
-        let concluded = lookup(asked, answered).conclude(Some("v1".to_owned()));
+        let concluded = lookup(asked, answered).conclude("app", Some("v1".to_owned()));
         assert_eq!(&concluded, expected, "{answered} of {asked}");
     }
-    assert_eq!(lookup(6, 6).conclude(None), StreamOrigin::Unknown);
+    assert_eq!(lookup(6, 6).conclude("app", None), StreamOrigin::Unknown);
     let recorded = OriginLookup {
-        recorded: Some("v2".to_owned()),
+        recorded: Some(of("v2")),
         asked: 6,
         answered: 1,
     };
     let begun = StreamOrigin::Build("v2".to_owned());
-    assert_eq!(recorded.conclude(Some("v1".to_owned())), begun);
+    let only_v1 = || Some("v1".to_owned());
+    assert_eq!(recorded.clone().conclude("app", only_v1()), begun);
+    let elsewhere = recorded.conclude("other", only_v1());
+    assert_eq!(elsewhere, StreamOrigin::Unknown, "it began at `app`");
 }
 
 #[test]
--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -93,7 +93,7 @@
         mut self,
         out: &mut ResponseWriter<'_>,
     ) -> io::Result<()> {
-        if self.is_resumption() {
+        if self.req.is_resumption() {
             self.find_origin().await;
             if !self.progress.origin.is_resumable() {
                 let refusal = Refusal::new(ErrorKind::StreamNotResumable);
@@ -146,24 +146,20 @@
         }
     }
 
-    /// Whether the caller resumes a stream that an earlier attempt of it began.
-    fn is_resumption(&self) -> bool {
-        let caller = &self.req.caller;
-        self.req.is_stream() && (caller.last_event.is_some() || caller.resumes.is_some())
-    }
-
-    /// Looks up which build began the stream that the caller resumes.
+    /// Looks up where the stream began that the caller resumes.
     async fn find_origin(&mut self) {
         let caller = &self.req.caller;
         let lookup = match &caller.resumes {
             Some(id) => self.cx.origins.look_up(id).await,
             None => OriginLookup::default(),
         };
+        let recorded = lookup.recorded.as_ref();
         let line = Line::new("resumption_requested")
             .with("id", self.id())
             .with("resumes", caller.resumes.as_deref().unwrap_or("-"))
             .with("after_event", caller.last_event.unwrap_or_default())
-            .with("recorded", lookup.recorded.as_deref().unwrap_or("-"))
+            .with("recorded", recorded.map_or("-", |origin| &origin.build))
+            .with("service", recorded.map_or("-", |origin| &origin.service))
             .with("asked", lookup.asked)
             .with("answered", lookup.answered);
         // A caller that names no attempt is of a platform without builds: what is known so far is enough.
@@ -175,7 +171,7 @@
             .only_build(&self.req.service)
             .filter(|_| may_conclude);
         let is_recorded = lookup.recorded.is_some();
-        let origin = lookup.conclude(only_build);
+        let origin = lookup.conclude(&self.req.service, only_build);
         self.cx
             .metrics
             .count_resumption(match origin.required_build() {
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -9,7 +9,11 @@
         links::LinksLost,
     },
     bytes::{Bytes, BytesMut},
-    jasmine_core::{clock::Millis, scheduler::Outcome, streams::StreamOrigin},
+    jasmine_core::{
+        clock::Millis,
+        scheduler::Outcome,
+        streams::{ServiceBuild, StreamOrigin},
+    },
     std::{io, time::Duration},
     tokio::time::timeout,
 };
@@ -174,13 +178,16 @@
     attempt: &AttemptContext<'_>,
     progress: &Progress,
 ) {
-    let caller = &attempt.req.caller;
-    let is_first_attempt = caller.last_event.is_none();
-    let (Some(id), Some(build)) = (&caller.request_id, progress.origin.required_build()) else {
+    let req = attempt.req;
+    let (Some(id), Some(build)) = (&req.caller.request_id, progress.origin.required_build()) else {
         return;
     };
-    if is_first_attempt && attempt.req.is_resumable() {
-        attempt.cx.origins.begin(id, build);
+    if req.is_resumable() && !req.is_resumption() {
+        let origin = ServiceBuild {
+            service: req.service.clone(),
+            build: build.to_owned(),
+        };
+        attempt.cx.origins.begin(id, origin);
     }
 }
 
--- a/crates/entry/src/forward/request.rs
+++ b/crates/entry/src/forward/request.rs
@@ -71,7 +71,9 @@
         let Some(id) = &caller.request_id else {
             return refuse(ErrorKind::BadRequest);
         };
-        let Some(service) = route.service_for(xxh3_64(id.as_bytes())) else {
+        // A resumption goes to the service that the first attempt had.
+        let split_key = caller.resumes.as_ref().unwrap_or(id);
+        let Some(service) = route.service_for(xxh3_64(split_key.as_bytes())) else {
             return refuse(ErrorKind::NoUpstream);
         };
         let account_regions = account.map_or(&[][..], |account| &account.allowed_regions);
@@ -110,6 +112,11 @@
         self.route.kind == CallKind::Stream { resumable: true }
     }
 
+    /// Whether the caller resumes a stream that an earlier attempt of it began.
+    pub fn is_resumption(&self) -> bool {
+        self.is_stream() && (self.caller.last_event.is_some() || self.caller.resumes.is_some())
+    }
+
     /// Builds the scheduler's description of attempt number `attempt`, at upstreams of `build` only if that is given.
     pub fn job_spec(
         &self,
--- a/crates/entry/src/scheduling/server.rs
+++ b/crates/entry/src/scheduling/server.rs
@@ -8,7 +8,7 @@
     },
     crate::{
         store::{Feed, KvStore, write_reply},
-        streams::OriginDirectory,
+        streams::{OriginDirectory, read_origin, write_origin},
     },
     jasmine_core::{
         clock::Millis,
@@ -278,7 +278,8 @@
     ) -> Result<(), capnp::Error> {
         for origin in params.get()?.get_origins()? {
             let stream = StreamId(origin.get_stream());
-            self.origins.record(stream, origin.get_build()?.to_str()?);
+            let origin = read_origin(origin.get_origin()?)?;
+            self.origins.record(stream, &origin);
         }
         Ok(())
     }
@@ -289,10 +290,9 @@
         mut results: scheduler::FindOriginResults,
     ) -> Result<(), capnp::Error> {
         let stream = StreamId(params.get()?.get_stream());
-        let build = self.origins.recorded(stream);
-        results
-            .get()
-            .set_build(build.as_deref().unwrap_or_default());
+        if let Some(origin) = self.origins.recorded(stream) {
+            write_origin(results.get().init_origin(), &origin);
+        }
         Ok(())
     }
 
--- a/crates/entry/src/streams/origin_directory.rs
+++ b/crates/entry/src/streams/origin_directory.rs
@@ -5,7 +5,9 @@
     jasmine_core::{
         clock::Millis,
         ids::StreamId,
-        streams::{LOOKUP_VMS, ORIGIN_REPLICAS, OriginLookup, StreamOrigins, replicas_of},
+        streams::{
+            LOOKUP_VMS, ORIGIN_REPLICAS, OriginLookup, ServiceBuild, StreamOrigins, replicas_of,
+        },
     },
     std::{
         cell::RefCell,
@@ -55,48 +57,48 @@
         self.peers.replace(peers.collect());
     }
 
-    /// Records which build began a stream of this VM's callers, here and on other VMs.
+    /// Records the origin of a stream of this VM's callers, here and on other VMs.
     pub fn begin(
         &self,
         request_id: &str,
-        build: &str,
+        origin: ServiceBuild,
     ) {
         let stream = stream_id(request_id);
-        self.record(stream, build);
-        let build: Rc<str> = build.into();
+        self.record(stream, &origin);
+        let origin = Rc::new(origin);
         for peer in self.ranked_peers(stream, ORIGIN_REPLICAS) {
-            peer.tell(stream, &build);
+            peer.tell(stream, &origin);
         }
     }
 
-    /// Records which build began a stream.
+    /// Records the origin of a stream.
     pub fn record(
         &self,
         stream: StreamId,
-        build: &str,
+        origin: &ServiceBuild,
     ) {
         let now = Clock.now();
-        self.origins.borrow_mut().record(stream, build, now);
+        self.origins.borrow_mut().record(stream, origin, now);
     }
 
-    /// The build that began a stream, if this VM has a record of it.
+    /// The origin of a stream, if this VM has a record of it.
     pub fn recorded(
         &self,
         stream: StreamId,
-    ) -> Option<String> {
+    ) -> Option<ServiceBuild> {
         let origins = self.origins.borrow();
-        origins.build_of(stream).map(str::to_owned)
+        origins.build_of(stream).cloned()
     }
 
-    /// Looks up which build began the stream of a caller's earlier attempt; the first record found ends the wait.
+    /// Looks up the origin of the stream that a caller's earlier attempt began; the first record found ends the wait.
     pub async fn look_up(
         &self,
         request_id: &str,
     ) -> OriginLookup {
         let stream = stream_id(request_id);
-        if let Some(build) = self.recorded(stream) {
+        if let Some(origin) = self.recorded(stream) {
             return OriginLookup {
-                recorded: Some(build),
+                recorded: Some(origin),
                 ..OriginLookup::default()
             };
         }
@@ -117,8 +119,8 @@
         };
         // VMs that don't answer in time count as not answered.
         let _elapsed = timeout(LOOKUP_TIMEOUT.to_std(), collect).await;
-        if let Some(build) = &lookup.recorded {
-            self.record(stream, build);
+        if let Some(origin) = &lookup.recorded {
+            self.record(stream, origin);
         }
         lookup
     }
--- a/crates/entry/src/streams/origin_peer.rs
+++ b/crates/entry/src/streams/origin_peer.rs
@@ -1,6 +1,7 @@
 use {
+    super::convert::{read_origin, write_origin},
     crate::{clock::Clock, scheduling::LINK_OPTIONS},
-    jasmine_core::{clock::Millis, ids::StreamId},
+    jasmine_core::{clock::Millis, ids::StreamId, streams::ServiceBuild},
     jasmine_telemetry::log::Line,
     jasmine_wire::{
         link::{Link, LinkError},
@@ -27,7 +28,7 @@
 #[derive(Clone, Debug)]
 struct QueuedOrigin {
     stream: StreamId,
-    build: Rc<str>,
+    origin: Rc<ServiceBuild>,
     queued_at: Millis,
 }
 
@@ -56,13 +57,13 @@
     pub(super) fn tell(
         self: &Rc<Self>,
         stream: StreamId,
-        build: &Rc<str>,
+        origin: &Rc<ServiceBuild>,
     ) {
         let mut queue = self.queue.borrow_mut();
         if queue.len() < MAX_QUEUED {
             queue.push(QueuedOrigin {
                 stream,
-                build: Rc::clone(build),
+                origin: Rc::clone(origin),
                 queued_at: Clock.now(),
             });
         }
@@ -71,19 +72,22 @@
         }
     }
 
-    /// The build that began a stream, as the VM knows it.
+    /// The origin of a stream, if the VM has a record of it.
     pub(super) async fn ask(
         &self,
         stream: StreamId,
-    ) -> Result<Option<String>, LinkError> {
+    ) -> Result<Option<ServiceBuild>, LinkError> {
         let answer = self
             .link
             .call(Millis::ZERO, |client| async move {
                 let mut req = client.find_origin_request();
                 req.get().set_stream(stream.0);
                 let res = req.send().promise.await?;
-                let build = res.get()?.get_build()?.to_string()?;
-                Ok(Some(build).filter(|build| !build.is_empty()))
+                let res = res.get()?;
+                let has_record = res.has_origin();
+                has_record
+                    .then(|| read_origin(res.get_origin()?))
+                    .transpose()
             })
             .await;
         answer.inspect_err(|e| {
@@ -133,7 +137,7 @@
                 for (at, origin) in origins.iter().enumerate() {
                     let mut to = list.reborrow().get(at as u32);
                     to.set_stream(origin.stream.0);
-                    to.set_build(&*origin.build);
+                    write_origin(to.init_origin(), &origin.origin);
                 }
                 req.send().promise.await?;
                 Ok(())
--- a/crates/entry/tests/stream_builds.rs
+++ b/crates/entry/tests/stream_builds.rs
@@ -296,6 +296,76 @@
     );
 }
 
+/// Adds upstreams of a service `other`, and gives the route of streams these shares of `app` and `other`.
+fn add_other_service(
+    store: &KvStandIn,
+    version: u64,
+    shares: (u32, u32),
+) -> Vec<UpstreamStandIn> {
+    let mut config = deployment::config(version);
+    let services = config["services"].as_array_mut().unwrap();
+    services.push(json!({"name": "other", "health_path": "/healthz", "max_conns": 100}));
+    config["routes"][2]["traffic_split"] = json!([
+        {"service": "app", "weight": shares.0}, {"service": "other", "weight": shares.1},
+    ]);
+    let start = |number| {
+        let upstream = UpstreamStandIn::start(&format!("o-{number}")).unwrap();
+        upstream.set_build("v1");
+        store.put(&upstream.key(), &upstream.entry("other", "one", "ready"));
+        upstream
+    };
+    let upstreams = (0..2).map(start).collect();
+    store.put("op/config", &config);
+    upstreams
+}
+
+#[test]
+fn a_resumption_stays_with_its_service() {
+    // Guards against the rest of a stream from another service that shares the route, whose builds have the same names.
+    let (store, upstreams) = start_builds(&["v1", "v1"]);
+    let others = add_other_service(&store, 2, (1, 1));
+    let vms = start_vms(&store, "split");
+    wait_for_peers(&vms);
+    let mut began_at_other = 0;
+    for round in 0..16 {
+        set_all(&upstreams, &Behaviour::CutAfter(BROKEN_AFTER));
+        set_all(&others, &Behaviour::CutAfter(BROKEN_AFTER));
+        let req = new_stream();
+        vms[round % 3].send_request(&req);
+        let is_other = executed_ids(&others).contains(&req.id().to_owned());
+        began_at_other += usize::from(is_other);
+        set_all(&upstreams, &Behaviour::Events(EVENTS));
+        set_all(&others, &Behaviour::Events(EVENTS));
+        let next = resume(&req, BROKEN_AFTER);
+        let rest = vms[(round + 1) % 3].send_request(&next);
+        assert_eq!(rest.status, 200, "round {round}: {rest:?}");
+        let goes_on_at_other = executed_ids(&others).contains(&next.id().to_owned());
+        assert_eq!(goes_on_at_other, is_other, "round {round}");
+    }
+    assert!((1..16).contains(&began_at_other), "{began_at_other} of 16");
+}
+
+#[test]
+fn a_stream_whose_route_has_moved_is_not_resumed() {
+    // Guards against the rest of a stream from the service to which its route has been moved.
+    let (store, upstreams) = start_builds(&["v1", "v1"]);
+    let vm = Vm::start(&store);
+    set_all(&upstreams, &Behaviour::CutAfter(BROKEN_AFTER));
+    let req = new_stream();
+    vm.send_request(&req);
+    let others = add_other_service(&store, 2, (0, 1));
+    set_all(&others, &Behaviour::Events(EVENTS));
+    wait_until("the route has moved", || {
+        vm.send_request(&new_stream());
+        !executed_ids(&others).is_empty()
+    });
+    let next = resume(&req, BROKEN_AFTER);
+    let response = vm.send_request(&next);
+    assert_eq!(error_code(&response), "stream_not_resumable");
+    let has_run = |of: &[UpstreamStandIn]| executed_ids(of).contains(&next.id().to_owned());
+    assert!(!has_run(&others) && !has_run(&upstreams));
+}
+
 #[test]
 fn a_vm_that_has_just_started_asks_the_others() {
     // Guards against refusing a stream at a VM that serves callers before it knows the other VMs.
--- a/crates/wire/schema/scheduler.capnp
+++ b/crates/wire/schema/scheduler.capnp
@@ -124,10 +124,16 @@
   deleted @5 :Bool;
 }
 
-# Which software version wrote the first event of a stream.
+# What all upstreams that write one stream have in common.
+struct ServiceBuild {
+  service @0 :Text;
+  build @1 :Text;              # software version
+}
+
+# Where the first event of a stream was written.
 struct StreamOrigin {
   stream @0 :UInt64;           # hash of the request id of the caller's attempt that began it
-  build @1 :Text;
+  origin @1 :ServiceBuild;
 }
 
 interface Scheduler {
@@ -148,6 +154,6 @@
   renew @6 (lease :UInt64) -> (state :RenewalState, ttlMs :UInt32);
   # Origins for this VM to keep.
   noteOrigins @7 (origins :List(StreamOrigin)) -> ();
-  # The origin of a stream, as this VM keeps it; empty: it doesn't.
-  findOrigin @8 (stream :UInt64) -> (build :Text);
+  # The origin of a stream, as this VM keeps it; null: it doesn't.
+  findOrigin @8 (stream :UInt64) -> (origin :ServiceBuild);
 }
