Origins of streams: decided in core alone; one start of servers in tests, one lookup of a build

Reading the change again: the 15 s for which a VM must know all upstreams was decided by the forwarding code, beside OriginLookup, which decides the rest; it is there now (KnownBuilds), with its cases tested without processes. The assignment looked a build up by the upstream's name though it has its id. The ranking of replicas hashed each VM at every comparison. The builds of a fleet have a file of their own; tests in core start servers of a build in one place.

--- a/crates/core/src/scheduler/fleet.rs
+++ b/crates/core/src/scheduler/fleet.rs
@@ -20,7 +20,7 @@
     },
     crate::{
         clock::Millis,
-        ids::{AdapterId, AdapterVersion, BuildId, RequestId, ServiceId, UpstreamId},
+        ids::{AdapterId, AdapterVersion, RequestId, ServiceId, UpstreamId},
     },
     std::collections::{BTreeMap, HashMap},
 };
@@ -53,7 +53,7 @@
     /// Times of calls, by service.
     pub(super) call_times: HashMap<ServiceId, CallTimes>,
     pub(super) load_slowdown: LoadSlowdown,
-    recent_builds: RecentBuilds,
+    pub(super) recent_builds: RecentBuilds,
 }
 
 impl Fleet {
@@ -292,39 +292,6 @@
         self.members.get(&service).map_or(&[], Vec::as_slice)
     }
 
-    /// The only build of which a service has had upstreams lately; `None` if there were several, or
-    /// there are none now.
-    pub(super) fn only_build(
-        &self,
-        service: ServiceId,
-        now: Millis,
-    ) -> Option<BuildId> {
-        let members = self.members(service).iter();
-        let mut builds = members
-            .filter_map(|id| self.upstreams.get(id))
-            .map(Upstream::confirmed_build);
-        let first = builds.next()??;
-        let is_only = builds.all(|build| build == Some(first))
-            && !self.recent_builds.has_other(service, first, now);
-        is_only.then_some(first)
-    }
-
-    /// Requests an engine's report, as it may have restarted as another build.
-    pub(super) fn check_run(
-        &mut self,
-        id: UpstreamId,
-        now: Millis,
-    ) {
-        let service = self.upstreams.get(&id).map(|upstream| upstream.service);
-        let has_several_builds =
-            service.is_some_and(|service| self.only_build(service, now).is_none());
-        if let Some(engine) = self.engine_mut(id)
-            && has_several_builds
-        {
-            engine.check_view(now);
-        }
-    }
-
     /// Removes an upstream.
     pub(super) fn remove(
         &mut self,
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -29,6 +29,7 @@
 mod engine;
 mod evacuation;
 mod fleet;
+mod fleet_builds;
 mod fleet_totals;
 mod health;
 mod holders;
--- a/crates/core/src/scheduler/upstream.rs
+++ b/crates/core/src/scheduler/upstream.rs
@@ -168,9 +168,8 @@
         &self,
         job: &Job,
     ) -> bool {
-        let is_allowed_build = |build| job.is_allowed_at(build);
-        job.is_allowed_in(self.data_centre)
-            && (job.build.is_none() || self.confirmed_build().is_some_and(is_allowed_build))
+        let has_required_build = |build| self.confirmed_build() == Some(build);
+        job.is_allowed_in(self.data_centre) && job.build.is_none_or(has_required_build)
     }
 
     /// Its build; `None` if it has restarted and the entry of that run hasn't been read.
--- a/crates/core/src/streams/mod.rs
+++ b/crates/core/src/streams/mod.rs
@@ -6,6 +6,7 @@
 //! resumed only while the service has a single build.
 
 mod agreed_build;
+mod known_builds;
 mod origin_lookup;
 mod replicas;
 mod service_build;
@@ -14,6 +15,7 @@
 
 pub use {
     agreed_build::agreed_build,
+    known_builds::KnownBuilds,
     origin_lookup::OriginLookup,
     replicas::{LOOKUP_VMS, ORIGIN_REPLICAS, replicas_of},
     service_build::ServiceBuild,
--- a/crates/core/src/streams/origin_lookup.rs
+++ b/crates/core/src/streams/origin_lookup.rs
@@ -1,9 +1,21 @@
-use super::{ServiceBuild, StreamOrigin};
+use {
+    super::{KnownBuilds, ServiceBuild, StreamOrigin},
+    crate::clock::Millis,
+};
+
+/// How long a VM must have known all upstreams to resume a stream without a record of its origin.
+///
+/// Before, the build that began the stream may have left service unnoticed.
+const MIN_COMPLETE: Millis = Millis(15_000);
 
 /// The result of a lookup of a stream's origin at other VMs.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct OriginLookup {
-    /// The build that began the stream, as this VM or another one has recorded it.
+    /// Whether the caller names the attempt that began the stream.
+    ///
+    /// One that doesn't is of a platform without builds.
+    pub is_named: bool,
+    /// Where the stream began, as this VM or another one has recorded it.
     pub recorded: Option<ServiceBuild>,
     /// Number of VMs that were asked.
     pub asked: usize,
@@ -12,22 +24,22 @@
 }
 
 impl OriginLookup {
-    /// The origin of the stream for an attempt at `service`; `only_build` is the build of that service if it has had no
-    /// other lately.
+    /// The origin of the stream for an attempt at `service`, of which this VM knows the builds in `known`.
     ///
-    /// A stream that began at another service, as its route has changed since, can't be resumed. Without a record, `only_build` counts only if half of the VMs answered: a partitioned VM may not have heard of
-    /// another build.
+    /// A stream that began at another service, as its route has changed since, can't be resumed. Without a record the
+    /// service's only build counts; if the caller names its attempt, only if half of the VMs answered and the upstreams
+    /// have been known for long enough, as another build may otherwise have escaped this VM.
     pub fn conclude(
         self,
         service: &str,
-        only_build: Option<String>,
+        known: KnownBuilds,
     ) -> StreamOrigin {
         let is_connected = self.answered * 2 >= self.asked;
+        let is_complete = known.complete_for >= Some(MIN_COMPLETE);
         let build = match self.recorded {
-            Some(recorded) => Some(recorded)
-                .filter(|recorded| recorded.service == service)
-                .map(|recorded| recorded.build),
-            None => only_build.filter(|_| is_connected),
+            Some(recorded) => (recorded.service == service).then_some(recorded.build),
+            None if !self.is_named || (is_connected && is_complete) => known.only,
+            None => None,
         };
         build.map_or(StreamOrigin::Unknown, StreamOrigin::Build)
     }
--- a/crates/core/src/streams/replicas.rs
+++ b/crates/core/src/streams/replicas.rs
@@ -12,7 +12,7 @@
     count: usize,
 ) -> Vec<u64> {
     let mut ranked = vms.to_vec();
-    ranked.sort_by_key(|&vm| std::cmp::Reverse(rendezvous_hash(stream.0, vm)));
+    ranked.sort_by_cached_key(|&vm| std::cmp::Reverse(rendezvous_hash(stream.0, vm)));
     ranked.truncate(count);
     ranked
 }
--- a/crates/core/tests/scheduler_world/mod.rs
+++ b/crates/core/tests/scheduler_world/mod.rs
@@ -97,8 +97,17 @@
     pub fn add_server(
         &mut self,
         id: UpstreamId,
+    ) {
+        self.add_server_of(id, BUILD);
+    }
+
+    pub fn add_server_of(
+        &mut self,
+        id: UpstreamId,
+        build: BuildId,
     ) {
         let status = UpstreamStatus {
+            build,
             service: CALLS,
             slots: 6,
             engine: None,
--- a/crates/core/tests/stream_builds.rs
+++ b/crates/core/tests/stream_builds.rs
@@ -31,20 +31,6 @@
     world.report(UpstreamId(id), &engine(Some(0), adapters));
 }
 
-fn add_server(
-    world: &mut World,
-    id: u32,
-    build: BuildId,
-) {
-    let status = UpstreamStatus {
-        build,
-        service: scheduler_world::CALLS,
-        slots: 6,
-        ..upstream(None)
-    };
-    world.set(UpstreamId(id), &status);
-}
-
 fn resumption(
     adapter: u32,
     build: BuildId,
@@ -158,8 +144,8 @@
 fn streams_of_plain_services_keep_their_build() {
     // Guards against one full version that stands for the whole of a plain service.
     let mut world = World::leading(0);
-    add_server(&mut world, 1, OLD);
-    add_server(&mut world, 2, NEW);
+    world.add_server_of(UpstreamId(1), OLD);
+    world.add_server_of(UpstreamId(2), NEW);
     for build in [OLD, NEW, OLD, NEW] {
         let job = Job {
             build: Some(build),
--- a/crates/core/tests/stream_origins.rs
+++ b/crates/core/tests/stream_origins.rs
@@ -6,18 +6,19 @@
     jasmine_core::{
         clock::Millis,
         ids::{BuildId, StreamId, UpstreamId},
-        scheduler::UpstreamStatus,
         streams::{
-            LOOKUP_VMS, ORIGIN_REPLICAS, OriginLookup, ServiceBuild, StreamOrigin, StreamOrigins,
-            agreed_build, replicas_of,
+            KnownBuilds, LOOKUP_VMS, ORIGIN_REPLICAS, OriginLookup, ServiceBuild, StreamOrigin,
+            StreamOrigins, agreed_build, replicas_of,
         },
     },
-    scheduler_world::{CALLS, World, upstream},
+    scheduler_world::{CALLS, World},
 };
 
 const STREAM: StreamId = StreamId(7);
 const NOW: Millis = Millis(1_000_000);
 const LATER: Millis = Millis(1_060_000);
+/// How long a VM must have known all upstreams.
+const LONG: Millis = Millis(15_000);
 
 fn of(build: &str) -> ServiceBuild {
     ServiceBuild {
@@ -26,19 +27,6 @@
     }
 }
 
-fn add_server(
-    world: &mut World,
-    id: u32,
-    build: BuildId,
-) {
-    let status = UpstreamStatus {
-        build,
-        service: CALLS,
-        ..upstream(None)
-    };
-    world.set(UpstreamId(id), &status);
-}
-
 #[test]
 fn contradictory_origins_are_not_known() {
     // Guards against believing one of two VMs that say different things about a stream.
@@ -95,35 +83,68 @@
     assert!(!uncertain.is_resumable());
 }
 
-#[test]
-fn an_unknown_origin_is_concluded_only_in_touch() {
-    // Guards against a partitioned VM that hasn't heard of a second version.
-    let lookup = |asked, answered| OriginLookup {
-        recorded: None,
+/// A service that has had upstreams of `v1` only.
+fn only_v1(complete_for: Option<Millis>) -> KnownBuilds {
+    KnownBuilds {
+        only: Some("v1".to_owned()),
+        complete_for,
+    }
+}
+
+/// The lookup of a named attempt.
+fn lookup(
+    recorded: Option<&str>,
+    asked: usize,
+    answered: usize,
+) -> OriginLookup {
+    OriginLookup {
+        is_named: true,
+        recorded: recorded.map(of),
         asked,
         answered,
-    };
-    let only = StreamOrigin::Build("v1".to_owned());
-    for (asked, answered, expected) in [
-        (6, 3, &only),
-        (6, 2, &StreamOrigin::Unknown),
-        (0, 0, &only),
-        (1, 0, &StreamOrigin::Unknown),
+    }
+}
+
+#[test]
+fn an_unknown_origin_is_concluded_only_in_touch() {
+    // Guards against a VM that hasn't heard of a second version: partitioned, or just started.
+    let begun_at = |build: &str| StreamOrigin::Build(build.to_owned());
+    for (asked, answered, complete_for, expected) in [
+        (6, 3, Some(LONG), begun_at("v1")),
+        (6, 2, Some(LONG), StreamOrigin::Unknown),
+        (0, 0, Some(LONG), begun_at("v1")),
+        (1, 0, Some(LONG), StreamOrigin::Unknown),
+        (6, 6, Some(Millis(LONG.0 - 1)), StreamOrigin::Unknown),
+        (6, 6, None, StreamOrigin::Unknown),
     ] {
-        let concluded = lookup(asked, answered).conclude("app", Some("v1".to_owned()));
-        assert_eq!(&concluded, expected, "{answered} of {asked}");
+        let concluded = lookup(None, asked, answered).conclude("app", only_v1(complete_for));
+        assert_eq!(
+            concluded, expected,
+            "{answered} of {asked}, {complete_for:?}"
+        );
     }
-    assert_eq!(lookup(6, 6).conclude("app", None), StreamOrigin::Unknown);
-    let recorded = OriginLookup {
-        recorded: Some(of("v2")),
-        asked: 6,
-        answered: 1,
+    let several = KnownBuilds {
+        complete_for: Some(LONG),
+        ..KnownBuilds::default()
     };
+    let concluded = lookup(None, 6, 6).conclude("app", several.clone());
+    assert_eq!(concluded, StreamOrigin::Unknown);
+    let unnamed = OriginLookup::default();
+    assert_eq!(
+        unnamed.clone().conclude("app", only_v1(None)),
+        begun_at("v1")
+    );
+    assert_eq!(unnamed.conclude("app", several), StreamOrigin::Unknown);
+}
+
+#[test]
+fn a_record_counts_for_its_service() {
+    // Guards against a build of the same name at the service to which a route has moved.
+    let recorded = lookup(Some("v2"), 6, 1);
     let begun = StreamOrigin::Build("v2".to_owned());
-    let only_v1 = || Some("v1".to_owned());
-    assert_eq!(recorded.clone().conclude("app", only_v1()), begun);
-    let elsewhere = recorded.conclude("other", only_v1());
-    assert_eq!(elsewhere, StreamOrigin::Unknown, "it began at `app`");
+    assert_eq!(recorded.clone().conclude("app", only_v1(None)), begun);
+    let elsewhere = recorded.conclude("other", only_v1(Some(LONG)));
+    assert_eq!(elsewhere, StreamOrigin::Unknown);
 }
 
 #[test]
@@ -147,14 +168,14 @@
     let mut world = World::leading(0);
     let only = |world: &World| world.scheduler.only_build(CALLS, world.now);
     assert_eq!(only(&world), None);
-    add_server(&mut world, 1, old);
+    world.add_server_of(UpstreamId(1), old);
     assert_eq!(only(&world), Some(old));
-    add_server(&mut world, 2, new);
+    world.add_server_of(UpstreamId(2), new);
     assert_eq!(only(&world), None);
     world.scheduler.remove_upstream(UpstreamId(1), world.now);
     assert_eq!(only(&world), None, "it has just left");
     world.now += Millis(60_000);
     assert_eq!(only(&world), Some(new));
-    add_server(&mut world, 2, old);
+    world.add_server_of(UpstreamId(2), old);
     assert_eq!(only(&world), None, "a restart as another version");
 }
--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -29,11 +29,6 @@
 /// `Retry-After` while neither this VM nor another one reaches an upstream.
 const ISOLATED_RETRY_DELAY: Millis = Millis(1_000);
 
-/// How long a VM must have known all upstreams to resume a stream without a record of its origin.
-///
-/// Before, the build that began the stream may have left service unnoticed.
-const MIN_UPSTREAMS_KNOWN: Millis = Millis(15_000);
-
 /// What follows an attempt.
 enum Step {
     /// The caller has its response or has disconnected.
@@ -162,16 +157,9 @@
             .with("service", recorded.map_or("-", |origin| &origin.service))
             .with("asked", lookup.asked)
             .with("answered", lookup.answered);
-        // A caller that names no attempt is of a platform without builds: what is known so far is enough.
-        let scheduling = &self.cx.scheduling;
-        let may_conclude =
-            caller.resumes.is_none() || scheduling.has_known_upstreams_for(MIN_UPSTREAMS_KNOWN);
-        let only_build = scheduling
-            .local_scheduler
-            .only_build(&self.req.service)
-            .filter(|_| may_conclude);
+        let known = self.cx.scheduling.known_builds(&self.req.service);
         let is_recorded = lookup.recorded.is_some();
-        let origin = lookup.conclude(&self.req.service, only_build);
+        let origin = lookup.conclude(&self.req.service, known);
         self.cx
             .metrics
             .count_resumption(match origin.required_build() {
--- a/crates/entry/src/scheduling/client/mod.rs
+++ b/crates/entry/src/scheduling/client/mod.rs
@@ -12,7 +12,7 @@
         error::{ErrorKind, Refusal},
         ids::Fence,
         scheduler::{AttemptId, LOCAL_VM, Outcome, RateDecision, UpstreamSignals, WaitReason},
-        streams::agreed_build,
+        streams::{KnownBuilds, agreed_build},
     },
     jasmine_telemetry::log::Line,
     jasmine_wire::{
@@ -354,14 +354,18 @@
         }
     }
 
-    /// Whether this VM has known all upstreams for this long.
-    pub fn has_known_upstreams_for(
+    /// What this VM knows of the builds of a service.
+    pub fn known_builds(
         &self,
-        time: Millis,
-    ) -> bool {
+        service: &str,
+    ) -> KnownBuilds {
         let since = self.upstreams_known_since.get();
-        let is_long_enough = since.is_some_and(|at| self.clock.now().since(at) >= time);
-        is_long_enough && !self.has_partial_upstreams.get()
+        KnownBuilds {
+            only: self.local_scheduler.only_build(service),
+            complete_for: since
+                .filter(|_| !self.has_partial_upstreams.get())
+                .map(|at| self.clock.now().since(at)),
+        }
     }
 
     /// Whether this VM is the leader.
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -558,7 +558,14 @@
         upstream: &str,
     ) -> Option<Rc<str>> {
         let id = self.names.borrow_mut().upstream(upstream);
-        let build = self.scheduler.borrow().build_of(id)?;
+        self.build_name(id)
+    }
+
+    fn build_name(
+        &self,
+        upstream: UpstreamId,
+    ) -> Option<Rc<str>> {
+        let build = self.scheduler.borrow().build_of(upstream)?;
         Some(self.names.borrow().build_name(build))
     }
 
@@ -654,12 +661,11 @@
         waited_for: WaitReason,
     ) {
         if let Some((id, address)) = self.upstream(upstream) {
-            let build = self.build_of(&id).as_deref().map(str::to_owned);
             let assignment = Assignment {
                 upstream: id.to_string(),
                 address,
                 version,
-                build,
+                build: self.build_name(upstream).as_deref().map(str::to_owned),
                 waited_for,
             };
             self.answer(attempt_id, Verdict::Assigned(assignment));
