--- a/crates/entry/src/links/relay_server.rs
+++ b/crates/entry/src/links/relay_server.rs
@@ -9,7 +9,7 @@
         upstream::{Connection, ResponseStart, answers_request},
     },
     bytes::Bytes,
-    jasmine_core::{clock::Millis, reachability::LinkStatus},
+    jasmine_core::{clock::Millis, reachability::LinkStatus, streams::agreed_build},
     jasmine_platform::headers::{CallerHeaders, ResponseHeaders, is_misdirected},
     jasmine_telemetry::log::Line,
     std::{io, net::SocketAddr},
@@ -91,10 +91,8 @@
     }
     let scheduler = &cx.scheduling.local_scheduler;
     let known_build = scheduler.build_of(target.upstream);
-    let is_other_build = matches!(
-        (target.build, known_build.as_deref()),
-        (Some(chosen), Some(known)) if chosen != known
-    );
+    let is_other_build =
+        target.build.is_some() && agreed_build(target.build, known_build.as_deref()).is_none();
     let address = scheduler
         .usable_address(target.upstream)
         .filter(|_| !is_other_build)
