A stream that began at a build in doubt is recorded as such

Read again: where the scheduler knew that an engine had restarted and its entry wasn't read, a stream that began there had no known origin and left no record. A VM that hadn't heard of the restart took the absence for a lost record, and could resume the stream at the service's only build as it knew it.

The record is written with the build in doubt, and such a stream is resumed nowhere. stream_origins::a_stream_that_began_in_doubt_is_not_resumed is new with the record: no run has shown the fault itself, as it needs a restart under an id, a leader that alone knows of it and a broken stream in between.

--- a/crates/core/src/streams/origin_lookup.rs
+++ b/crates/core/src/streams/origin_lookup.rs
@@ -37,7 +37,7 @@
         let is_connected = self.answered * 2 >= self.asked;
         let is_complete = known.complete_for >= Some(MIN_COMPLETE);
         let build = match self.recorded {
-            Some(recorded) => (recorded.service == service).then_some(recorded.build),
+            Some(recorded) => recorded.build.filter(|_| recorded.service == service),
             None if !self.is_named || (is_connected && is_complete) => known.only,
             None => None,
         };
--- a/crates/core/src/streams/service_build.rs
+++ b/crates/core/src/streams/service_build.rs
@@ -3,6 +3,7 @@
 pub struct ServiceBuild {
     /// Name of the service.
     pub service: String,
-    /// Version of the upstreams' software; services may use the same names.
-    pub build: String,
+    /// Version of the upstreams' software; services may use the same names. `None` if the upstream may have restarted as
+    /// another build.
+    pub build: Option<String>,
 }
--- a/crates/core/tests/stream_origins.rs
+++ b/crates/core/tests/stream_origins.rs
@@ -23,7 +23,7 @@
 fn of(build: &str) -> ServiceBuild {
     ServiceBuild {
         service: "app".to_owned(),
-        build: build.to_owned(),
+        build: Some(build.to_owned()),
     }
 }
 
@@ -137,6 +137,20 @@
     assert_eq!(unnamed.conclude("app", several), StreamOrigin::Unknown);
 }
 
+#[test]
+fn a_stream_that_began_in_doubt_is_not_resumed() {
+    // Guards against the service's only build where the upstream may have restarted as one that this VM hasn't heard of.
+    let recorded = OriginLookup {
+        recorded: Some(ServiceBuild {
+            build: None,
+            ..of("v1")
+        }),
+        ..lookup(None, 6, 6)
+    };
+    let concluded = recorded.conclude("app", only_v1(Some(LONG)));
+    assert_eq!(concluded, StreamOrigin::Unknown);
+}
+
 #[test]
 fn a_record_counts_for_its_service() {
     // Guards against a build of the same name at the service to which a route has moved.
--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -153,7 +153,12 @@
             .with("id", self.id())
             .with("resumes", caller.resumes.as_deref().unwrap_or("-"))
             .with("after_event", caller.last_event.unwrap_or_default())
-            .with("recorded", recorded.map_or("-", |origin| &origin.build))
+            .with(
+                "recorded",
+                recorded
+                    .and_then(|origin| origin.build.as_deref())
+                    .unwrap_or("-"),
+            )
             .with("service", recorded.map_or("-", |origin| &origin.service))
             .with("asked", lookup.asked)
             .with("answered", lookup.answered);
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -179,13 +179,12 @@
     progress: &Progress,
 ) {
     let req = attempt.req;
-    let (Some(id), Some(build)) = (&req.caller.request_id, progress.origin.required_build()) else {
-        return;
-    };
-    if req.is_resumable() && !req.is_resumption() {
+    let is_first_attempt = req.is_resumable() && !req.is_resumption();
+    if let Some(id) = req.caller.request_id.as_ref().filter(|_| is_first_attempt) {
+        let build = progress.origin.required_build();
         let origin = ServiceBuild {
             service: req.service.clone(),
-            build: build.to_owned(),
+            build: build.map(str::to_owned),
         };
         attempt.cx.origins.begin(id, origin);
     }
--- a/crates/entry/src/streams/convert.rs
+++ b/crates/entry/src/streams/convert.rs
@@ -7,12 +7,13 @@
     origin: &ServiceBuild,
 ) {
     to.set_service(&origin.service);
-    to.set_build(&origin.build);
+    to.set_build(origin.build.as_deref().unwrap_or_default());
 }
 
 pub(crate) fn read_origin(from: service_build::Reader<'_>) -> Result<ServiceBuild, capnp::Error> {
+    let build = from.get_build()?.to_string()?;
     Ok(ServiceBuild {
         service: from.get_service()?.to_string()?,
-        build: from.get_build()?.to_string()?,
+        build: Some(build).filter(|build| !build.is_empty()),
     })
 }
--- a/crates/wire/schema/scheduler.capnp
+++ b/crates/wire/schema/scheduler.capnp
@@ -127,7 +127,7 @@
 # What all upstreams that write one stream have in common.
 struct ServiceBuild {
   service @0 :Text;
-  build @1 :Text;              # software version
+  build @1 :Text;              # software version; empty: in doubt
 }
 
 # Where the first event of a stream was written.
