Observability: failed attempts name the prompt's parts, the adapter and how long the answer had begun

The logs of the incident can't tell a crash by content from one by adapter or load. Fields of an earlier attempt (framing, partial bytes) no longer show for one that never got a head.

--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -15,6 +15,7 @@
         clock::Millis,
         error::{ErrorKind, Refusal},
         forward::Attempts,
+        ingress::PromptPart,
         scheduler::{Outcome, WaitReason},
         streams::OriginLookup,
     },
@@ -215,10 +216,13 @@
             .progress
             .last_event
             .filter(|_| self.progress.events > 0);
+        self.progress.begin_attempt();
         let response = match attempt.start(after_event).await {
             Start::Responding(response) => response,
             Start::Failed(failure) => return self.handle_failure(placement, failure).await,
         };
+        let now = self.cx.clock.now();
+        self.progress.begin_response(response.head.framing, now);
         let is_stream = self.req.is_stream() && response.head.status == 200;
         let result = if is_stream {
             self.relay(placement, response, out).await
@@ -286,6 +290,9 @@
             .with("framing", framing_name(self.progress.framing))
             .with("partial_bytes", self.progress.partial_bytes)
             .with("events", self.progress.events)
+            .with("begun_ms", self.progress.received_for().unwrap_or_default())
+            .with("adapter", self.req.caller.adapter.as_deref().unwrap_or("-"))
+            .with("parts", part_names(&self.req.caller.parts))
             .with("again", can_retry)
             .info();
         self.upstream_error = failure.response.or(self.upstream_error.take());
@@ -404,6 +411,12 @@
     }
 }
 
+/// The parts of a prompt in the log, in their order.
+fn part_names(parts: &[PromptPart]) -> String {
+    let names = parts.iter().map(|part| format!("{:x}", part.id));
+    names.collect::<Vec<_>>().join(",")
+}
+
 /// The name of a stream's framing in the log.
 const fn framing_name(framing: Option<Framing>) -> &'static str {
     match framing {
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -36,12 +36,43 @@
     pub first_at: Option<Millis>,
     /// When the last data was forwarded.
     pub last_at: Option<Millis>,
+    /// When the head of the last attempt's response was received.
+    pub head_at: Option<Millis>,
+    /// When the last data of the last attempt's response was received.
+    pub received_at: Option<Millis>,
     /// How the end of the last response's body is determined.
     pub framing: Option<Framing>,
     /// Bytes received after the last complete event of the last response.
     pub partial_bytes: usize,
 }
 
+impl Progress {
+    /// Forgets how far the answer of an earlier attempt got.
+    pub(super) const fn begin_attempt(&mut self) {
+        self.head_at = None;
+        self.received_at = None;
+        self.framing = None;
+        self.partial_bytes = 0;
+    }
+
+    /// Records that the head of a response was received.
+    pub(super) const fn begin_response(
+        &mut self,
+        framing: Framing,
+        now: Millis,
+    ) {
+        self.head_at = Some(now);
+        self.received_at = Some(now);
+        self.framing = Some(framing);
+    }
+
+    /// How long data of the last attempt's answer has arrived; `None` if none has begun.
+    pub(super) fn received_for(&self) -> Option<Millis> {
+        let begun_at = self.head_at?;
+        Some(self.received_at?.since(begun_at))
+    }
+}
+
 /// Why a stream ended early.
 pub(super) enum RelayError {
     /// The upstream failed.
@@ -69,8 +100,6 @@
     progress: &mut Progress,
     out: &mut ResponseWriter<'_>,
 ) -> Result<(), RelayError> {
-    progress.framing = Some(response.head.framing);
-    progress.partial_bytes = 0;
     let mut reader = BodyReader::new(response.head.framing);
     let mut splitter = EventSplitter::default();
     loop {
@@ -78,6 +107,7 @@
         let Some(data) = part else {
             break;
         };
+        progress.received_at = Some(attempt.cx.clock.now());
         if !splitter.push(&data) {
             return Err(Failure::may_have_run(Outcome::Lost).into());
         }
