--- /dev/null
+++ b/crates/entry/tests/crashing_parts.rs
@@ -0,0 +1,202 @@
+//! Prompts with a part that crashes each engine that begins to answer them.
+
+mod deployment;
+
+use {
+    deployment::{Request, Vm, start_platform, start_vms, wait_until},
+    jasmine_platform_stand_in::{EngineStandIn, KvStandIn, Outage},
+    nix::sys::signal::Signal,
+    std::{
+        sync::atomic::{AtomicU32, Ordering},
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time after the fifth crash from which few requests with the part may reach engines.
+const CONTACT: Duration = Duration::from_secs(3);
+/// Crashes after which the part has to be known.
+const MAX_CRASHES: usize = 5;
+/// Requests with the part that may reach engines after that.
+const MAX_LATE: usize = 3;
+const ENGINES: usize = 6;
+/// Time between two events of an answer.
+const EVENT_GAP: Duration = Duration::from_millis(20);
+const CALL_INTERVAL: Duration = Duration::from_millis(40);
+/// The part that crashes engines, and the first part that all prompts share.
+const BAD: &str = "bad0";
+const FIRST: &str = "f1";
+
+static NEXT_PART: AtomicU32 = AtomicU32::new(0x1_0000);
+
+fn start_engines(store: &KvStandIn) -> Vec<EngineStandIn> {
+    let start = |number| {
+        let engine = EngineStandIn::start(&format!("e-{number}")).unwrap();
+        engine.crash_on(&[BAD], EVENT_GAP);
+        store.put(&engine.key(), &engine.entry("llm", "one"));
+        engine
+    };
+    (0..ENGINES).map(start).collect()
+}
+
+/// A generation whose prompt has these parts and one of its own.
+fn generation(parts: &[&str]) -> Request {
+    let own = NEXT_PART.fetch_add(1, Ordering::Relaxed);
+    let shared: String = parts.iter().map(|part| format!("{part}:50,")).collect();
+    Request::new("POST", "/model/")
+        .with("X-Model", "base")
+        .with("X-Token-Counts", "150,10")
+        .with("X-Prompt-Prefix", &format!("{shared}{own:x}:50"))
+        .with("X-Deadline-Ms", "1500")
+        .body(b"prompt")
+}
+
+/// Sends prompts with these parts through all VMs for a while; returns when each was sent and whether it was served.
+fn call_all(
+    vms: &[Vm],
+    parts: &[&str],
+    time: Duration,
+) -> Vec<(Instant, bool)> {
+    let until = Instant::now() + time;
+    let call = |vm: &Vm| {
+        let mut calls = Vec::new();
+        while Instant::now() < until {
+            let sent = Instant::now();
+            let response = vm.send_request(&generation(parts));
+            calls.push((sent, response.status == 200 && response.is_complete));
+            thread::sleep(CALL_INTERVAL);
+        }
+        calls
+    };
+    thread::scope(|scope| {
+        let callers: Vec<_> = vms.iter().map(|vm| scope.spawn(move || call(vm))).collect();
+        let calls = callers.into_iter();
+        calls.flat_map(|caller| caller.join().unwrap()).collect()
+    })
+}
+
+/// When requests with a part reached engines.
+fn arrivals(
+    engines: &[EngineStandIn],
+    part: &str,
+) -> Vec<Instant> {
+    let arrived = engines.iter().flat_map(EngineStandIn::arrivals);
+    let arrived = arrived.filter(|arrival| arrival.parts.iter().any(|id| id == part));
+    arrived.map(|arrival| arrival.at).collect()
+}
+
+/// When the engines had crashed so often that the part has to be known; `None` if they haven't.
+fn due_at(engines: &[EngineStandIn]) -> Option<Instant> {
+    let mut crashes: Vec<Instant> = engines.iter().flat_map(EngineStandIn::crashes).collect();
+    crashes.sort();
+    crashes.get(MAX_CRASHES - 1).map(|&at| at + CONTACT)
+}
+
+fn late_arrivals(
+    engines: &[EngineStandIn],
+    part: &str,
+) -> usize {
+    let Some(due) = due_at(engines) else {
+        return 0;
+    };
+    let arrived = arrivals(engines, part);
+    arrived.iter().filter(|&&at| at > due).count()
+}
+
+/// Lets prompts with a part crash engines until the VMs refuse them.
+fn learn(
+    vms: &[Vm],
+    part: &str,
+) {
+    let refuses = |vm: &Vm| {
+        let response = vm.send_request(&generation(&[FIRST, part]));
+        response.text().contains("prompt_quarantined")
+    };
+    let all_refuse = || vms.iter().all(refuses);
+    wait_until("all VMs refuse the part", all_refuse);
+}
+
+#[test]
+fn a_crashing_part_stops_after_few_crashes() {
+    // Guards against requests with one part in their prompts that crash one engine after another.
+    let (store, _upstreams) = start_platform(&["s-1"]);
+    let engines = start_engines(&store);
+    let vms = start_vms(&store, "few");
+    let time = Duration::from_secs(9);
+    let (sound, _) = thread::scope(|scope| {
+        let sound = scope.spawn(|| call_all(&vms, &[FIRST, "5a"], time));
+        let bad = scope.spawn(|| call_all(&vms, &[FIRST, BAD], time));
+        (sound.join().unwrap(), bad.join().unwrap())
+    });
+    let late = late_arrivals(&engines, BAD);
+    assert!(late <= MAX_LATE, "{late} requests with the part");
+
+    // Guards against refusing what shares the route, the account and the first part.
+    let settled = Instant::now() - Duration::from_secs(2);
+    let last = sound.iter().filter(|(at, _)| *at > settled);
+    let (served, sent) = last.fold((0, 0), |(served, sent), (_, is_served)| {
+        (served + usize::from(*is_served), sent + 1)
+    });
+    assert!(served * 2 >= sent, "{served} of {sent} served");
+}
+
+#[test]
+fn a_second_part_is_found_beside_the_first() {
+    // Guards against a verdict on one part that hides the next one.
+    let (store, _upstreams) = start_platform(&["s-1"]);
+    let engines = start_engines(&store);
+    let vms = start_vms(&store, "second");
+    learn(&vms, BAD);
+    for engine in &engines {
+        engine.crash_on(&[BAD, "bad1"], EVENT_GAP);
+    }
+    learn(&vms, "bad1");
+    let count: usize = engines.iter().map(|engine| engine.crashes().len()).sum();
+    assert!(count <= 2 * MAX_CRASHES, "{count} crashes");
+}
+
+#[test]
+fn a_new_leader_knows_the_part() {
+    // Guards against a verdict that is lost with the VM that reached it.
+    let (store, _upstreams) = start_platform(&["s-1"]);
+    let engines = start_engines(&store);
+    let mut vms = start_vms(&store, "leader");
+    learn(&vms, BAD);
+    let known = arrivals(&engines, BAD).len();
+    vms.remove(0).signal(Signal::SIGKILL);
+    call_all(&vms, &[FIRST, BAD], Duration::from_secs(4));
+    let late = arrivals(&engines, BAD).len() - known;
+    assert!(late <= MAX_LATE, "{late} requests with the part");
+}
+
+#[test]
+fn a_restarted_fleet_knows_the_part() {
+    // Guards against a verdict that is lost when all VMs are killed.
+    let (store, _upstreams) = start_platform(&["s-1"]);
+    let engines = start_engines(&store);
+    let vms = start_vms(&store, "restarted");
+    learn(&vms, BAD);
+    let known = arrivals(&engines, BAD).len();
+    for vm in vms {
+        vm.signal(Signal::SIGKILL);
+    }
+    let vms = start_vms(&store, "again");
+    call_all(&vms, &[FIRST, BAD], Duration::from_secs(3));
+    let late = arrivals(&engines, BAD).len() - known;
+    assert!(late <= MAX_LATE, "{late} requests with the part");
+}
+
+#[test]
+fn a_vm_without_leader_refuses_the_part() {
+    // Guards against VMs that send requests with the part once no leader decides.
+    let (store, _upstreams) = start_platform(&["s-1"]);
+    let engines = start_engines(&store);
+    let mut vms = start_vms(&store, "alone");
+    learn(&vms, BAD);
+    let known = arrivals(&engines, BAD).len();
+    store.set_outage(Outage::Unavailable);
+    vms.remove(0).signal(Signal::SIGKILL);
+    call_all(&vms, &[FIRST, BAD], Duration::from_secs(3));
+    let late = arrivals(&engines, BAD).len() - known;
+    assert!(late <= MAX_LATE, "{late} requests with the part");
+}
