--- a/crates/core/src/error/error_kind.rs
+++ b/crates/core/src/error/error_kind.rs
@@ -46,6 +46,8 @@
     RegionUnavailable,
     /// No upstream serves that has the software version which began the stream, or that isn't known.
     StreamNotResumable,
+    /// A part of the prompt crashes the upstreams that answer it.
+    PromptQuarantined,
     /// The adapter version could not be loaded.
     AdapterLoadFailed,
     /// The configuration is too old to check keys: neither platform nor peers were reachable.
@@ -84,7 +86,7 @@
 
 impl ErrorKind {
     /// All kinds, in declaration order.
-    pub const ALL: [Self; 36] = [
+    pub const ALL: [Self; 37] = [
         Self::BadRequest,
         Self::BodyTooLarge,
         Self::HeadersTooLarge,
@@ -104,6 +106,7 @@
         Self::Evacuated,
         Self::RegionUnavailable,
         Self::StreamNotResumable,
+        Self::PromptQuarantined,
         Self::AdapterLoadFailed,
         Self::ConfigUnavailable,
         Self::ClaimUnavailable,
@@ -145,6 +148,7 @@
             Self::Evacuated => answer_of(503, NotRun, Never, "evacuated"),
             Self::RegionUnavailable => answer_of(503, NotRun, Never, "region_unavailable"),
             Self::StreamNotResumable => answer_of(503, NotRun, Never, "stream_not_resumable"),
+            Self::PromptQuarantined => answer_of(503, NotRun, Never, "prompt_quarantined"),
             Self::AdapterLoadFailed => answer_of(503, NotRun, Secs(5), "adapter_load_failed"),
             Self::ConfigUnavailable => answer_of(503, NotRun, Secs(5), "config_unavailable"),
             Self::ClaimUnavailable => answer_of(503, NotRun, Secs(5), "claim_unavailable"),
@@ -197,6 +201,7 @@
             Self::StreamNotResumable => {
                 "No upstream of the software version that began the stream serves, or that version isn't known."
             }
+            Self::PromptQuarantined => "A part of the prompt has crashed several upstreams.",
             Self::AdapterLoadFailed => "The adapter version could not be loaded.",
             Self::ConfigUnavailable => {
                 "This VM has reached neither the platform nor a peer for too long to check keys."
--- a/crates/core/src/ids/mod.rs
+++ b/crates/core/src/ids/mod.rs
@@ -18,7 +18,7 @@
     holder::{Holder, Role},
     incarnation::Incarnation,
     numbers::{
-        AccountId, AdapterId, BuildId, DataCentreId, KeyId, ModelId, RequestId, ServiceId,
+        AccountId, AdapterId, BuildId, DataCentreId, KeyId, ModelId, PartId, RequestId, ServiceId,
         StreamId, TransferId, UpstreamId, VmId,
     },
     revision::Revision,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod membership;
 pub mod ownership;
 pub mod placement;
+pub mod quarantine;
 pub mod queue;
 pub mod reachability;
 pub mod rights;
--- /dev/null
+++ b/crates/core/src/quarantine/answer_trace.rs
@@ -0,0 +1,60 @@
+use crate::clock::Millis;
+
+/// An answer that breaks off sooner after its begin may be broken by what it answers.
+const MAX_CRASH_DELAY: Millis = Millis(1_000);
+
+/// How the answer of an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerEnd {
+    /// As its framing and its events ask.
+    Whole,
+    /// At the end of a connection that also frames it, so that a crash may look the same.
+    Closed,
+    /// Its connection broke, or it ended before it was whole.
+    Broken,
+    /// For a reason that isn't the upstream's, or with silence.
+    GivenUp,
+}
+
+/// How far the answer of an attempt got, as its VM has seen it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnswerTrace {
+    /// Time since the answer began.
+    pub begun_ago: Millis,
+    /// Time from its begin until its last data.
+    pub received_for: Millis,
+    /// How it ended.
+    pub end: AnswerEnd,
+}
+
+/// What the end of an attempt shows about the parts of its prompt.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum PromptEvidence {
+    /// Nothing.
+    #[default]
+    None,
+    /// One of them may have crashed the upstream.
+    Crash,
+    /// None of them crashes upstreams.
+    Sound {
+        /// Time since the answer began.
+        begun_ago: Millis,
+    },
+}
+
+impl AnswerTrace {
+    /// What it shows about the prompt.
+    pub fn evidence(self) -> PromptEvidence {
+        let goes_on = self.received_for >= MAX_CRASH_DELAY;
+        match self.end {
+            AnswerEnd::Whole => PromptEvidence::Sound {
+                begun_ago: self.begun_ago,
+            },
+            _ if goes_on => PromptEvidence::Sound {
+                begun_ago: self.begun_ago,
+            },
+            AnswerEnd::Broken => PromptEvidence::Crash,
+            AnswerEnd::Closed | AnswerEnd::GivenUp => PromptEvidence::None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/quarantine/mod.rs
@@ -0,0 +1,21 @@
+//! Prompt parts that crash the upstreams which answer them, known elsewhere as queries of death.
+//!
+//! Each end of an attempt is evidence about the parts of its prompt. An answer that breaks off just after it has begun
+//! accuses them all but the last, which belongs to one request or session. An answer that goes on acquits them of the
+//! crashes before it, as a crashing part lets no upstream go on. A part that several upstreams crashed under without an
+//! acquittal is quarantined: requests with it are refused.
+
+mod answer_trace;
+mod crash;
+mod crash_log;
+mod part_quarantine;
+mod recent_parts;
+mod suspect;
+mod verdict;
+
+pub use {
+    answer_trace::{AnswerEnd, AnswerTrace, PromptEvidence},
+    crash::CrashReport,
+    part_quarantine::{PartQuarantine, QuarantineChange},
+    verdict::PartSet,
+};
--- /dev/null
+++ b/crates/core/src/quarantine/part_quarantine.rs
@@ -0,0 +1,256 @@
+use {
+    super::{
+        CrashReport, PartSet, crash::Crash, crash_log::CrashLog, recent_parts::RecentParts,
+        suspect::Suspect, verdict::Verdict,
+    },
+    crate::{
+        clock::Millis,
+        ids::{PartId, UpstreamId},
+    },
+};
+
+/// Most verdicts that are kept; the oldest go first.
+const MAX_VERDICTS: usize = 1_000;
+/// Most parts that are refused only together.
+const MAX_SET_LEN: usize = 8;
+/// How long several suspects wait for answers that acquit all but one.
+const ACQUITTAL_TIME: Millis = Millis(1_200);
+
+/// A change of what is in quarantine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum QuarantineChange {
+    /// Prompts with all of these parts are refused from now on.
+    Added {
+        /// The parts.
+        parts: PartSet,
+        /// Number of crashes that accuse them.
+        crashes: usize,
+    },
+    /// They aren't any more.
+    Removed {
+        /// The parts.
+        parts: PartSet,
+    },
+}
+
+/// Evidence about prompt parts, and the parts that are refused.
+#[derive(Clone, Debug, Default)]
+pub struct PartQuarantine {
+    crashes: CrashLog,
+    /// Parts of prompts that were answered.
+    sound: RecentParts,
+    verdicts: Vec<Verdict>,
+    changes: Vec<QuarantineChange>,
+    /// When suspects that can't be told apart yet are quarantined together.
+    due: Option<Millis>,
+}
+
+impl PartQuarantine {
+    /// Records that an upstream crashed as it began to answer a prompt with these shared parts.
+    pub fn note_crash(
+        &mut self,
+        upstream: UpstreamId,
+        parts: &[PartId],
+        at: Millis,
+        now: Millis,
+    ) {
+        self.crashes.note(upstream, parts, at, now);
+    }
+
+    /// Records that an answer to a prompt with these shared parts, which began at `begun_at`, went on.
+    pub fn note_sound(
+        &mut self,
+        parts: &[PartId],
+        begun_at: Millis,
+    ) {
+        for &part in parts {
+            self.sound.insert(part);
+        }
+        self.crashes.acquit(parts, begun_at);
+        self.acquit(parts, begun_at);
+    }
+
+    /// When [`Self::review`] is due, if no evidence comes before.
+    pub const fn due(&self) -> Option<Millis> {
+        self.due
+    }
+
+    /// Whether a prompt with these shared parts is refused.
+    pub fn refuses(
+        &self,
+        parts: &[PartId],
+    ) -> bool {
+        let mut verdicts = self.verdicts.iter();
+        verdicts.any(|verdict| verdict.applies_to(parts))
+    }
+
+    /// Whether anything is refused.
+    pub const fn is_empty(&self) -> bool {
+        self.verdicts.is_empty()
+    }
+
+    /// What is refused.
+    pub fn verdicts(&self) -> impl Iterator<Item = &PartSet> {
+        self.verdicts.iter().map(|verdict| &verdict.parts)
+    }
+
+    /// Adds parts that another scheduler has quarantined.
+    pub fn add(
+        &mut self,
+        parts: PartSet,
+        now: Millis,
+    ) {
+        self.insert(parts, 0, now);
+    }
+
+    /// Removes parts that an operator or another scheduler has taken out of quarantine.
+    pub fn remove(
+        &mut self,
+        parts: &PartSet,
+        now: Millis,
+    ) {
+        let count = self.verdicts.len();
+        self.verdicts.retain(|verdict| verdict.parts != *parts);
+        if self.verdicts.len() < count {
+            let all: Vec<PartId> = parts.iter().copied().collect();
+            self.crashes.acquit(&all, now);
+            let parts = parts.clone();
+            self.changes.push(QuarantineChange::Removed { parts });
+        }
+    }
+
+    /// The crashes that are evidence, for a new scheduler.
+    pub fn reports(
+        &self,
+        now: Millis,
+    ) -> Vec<CrashReport> {
+        self.crashes.reports(now)
+    }
+
+    /// Takes the changes since the last call.
+    pub fn take_changes(&mut self) -> Vec<QuarantineChange> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Quarantines the parts that the crashes point to.
+    ///
+    /// Other parts of the same prompts are accused as often. The only suspect that no answer has shown to be sound is
+    /// quarantined at once; otherwise the suspects wait for answers that acquit some of them. Those that are left are
+    /// refused where a prompt has them all.
+    pub fn review(
+        &mut self,
+        now: Millis,
+    ) {
+        self.due = None;
+        self.crashes.forget_old(now);
+        loop {
+            let unexplained: Vec<&Crash> = self
+                .crashes
+                .iter()
+                .filter(|crash| !self.is_explained(crash))
+                .collect();
+            let suspects = Suspect::find(&unexplained, |part| self.sound.contains(part));
+            let Some(since) = suspects.iter().map(|one| one.qualified_at).min() else {
+                return;
+            };
+            let mut unproven = suspects.iter().filter(|one| !one.was_sound);
+            let (parts, crashes) = match (unproven.next(), unproven.next()) {
+                (Some(only), None) => (PartSet::from([only.part]), only.crashes.len()),
+                _ if now < since + ACQUITTAL_TIME => {
+                    self.due = Some(since + ACQUITTAL_TIME);
+                    return;
+                }
+                _ => indistinct(&suspects),
+            };
+            self.insert(parts, crashes, now);
+        }
+    }
+
+    fn is_explained(
+        &self,
+        crash: &Crash,
+    ) -> bool {
+        let mut verdicts = self.verdicts.iter();
+        verdicts.any(|verdict| verdict.parts.is_subset(&crash.accused))
+    }
+
+    fn insert(
+        &mut self,
+        parts: PartSet,
+        crashes: usize,
+        now: Millis,
+    ) {
+        let is_known = self.verdicts.iter().any(|known| known.parts == parts);
+        if parts.is_empty() || is_known {
+            return;
+        }
+        if self.verdicts.len() >= MAX_VERDICTS {
+            let Verdict { parts, .. } = self.verdicts.remove(0);
+            self.changes.push(QuarantineChange::Removed { parts });
+        }
+        self.verdicts.push(Verdict {
+            parts: parts.clone(),
+            since: now,
+        });
+        self.changes
+            .push(QuarantineChange::Added { parts, crashes });
+    }
+
+    /// Takes parts out of the verdicts before `begun_at`, as an answer that began then went on.
+    fn acquit(
+        &mut self,
+        parts: &[PartId],
+        begun_at: Millis,
+    ) {
+        self.shrink(|verdict| {
+            if verdict.since > begun_at {
+                return None;
+            }
+            let mut rest = verdict.parts.clone();
+            rest.retain(|part| !parts.contains(part));
+            (rest.len() < verdict.parts.len()).then_some(rest)
+        });
+    }
+
+    /// Replaces the parts of the verdicts for which `smaller` has an answer.
+    fn shrink<F>(
+        &mut self,
+        smaller: F,
+    ) where
+        F: Fn(&Verdict) -> Option<PartSet>,
+    {
+        let shrunk: Vec<(PartSet, Millis, PartSet)> = self
+            .verdicts
+            .iter()
+            .filter_map(|verdict| Some((verdict.parts.clone(), verdict.since, smaller(verdict)?)))
+            .collect();
+        for (before, since, after) in shrunk {
+            self.verdicts.retain(|verdict| verdict.parts != before);
+            self.changes
+                .push(QuarantineChange::Removed { parts: before });
+            self.insert(after, 0, since);
+        }
+    }
+}
+
+/// The suspects that the evidence doesn't tell apart from the most accused one, and the number of its crashes.
+fn indistinct(suspects: &[Suspect]) -> (PartSet, usize) {
+    let has_unproven = suspects.iter().any(|one| !one.was_sound);
+    let open = || {
+        suspects
+            .iter()
+            .filter(|one| !has_unproven || !one.was_sound)
+    };
+    let Some(top) = open().max_by_key(|one| one.crashes.len()) else {
+        return (PartSet::new(), 0);
+    };
+    let mut common = top.clone();
+    let mut parts = PartSet::from([top.part]);
+    for other in open().filter(|one| one.crashes.len() + 1 >= top.crashes.len()) {
+        if parts.len() < MAX_SET_LEN && other.shares_crashes(&common) {
+            common.crashes.retain(|at| other.crashes.contains(at));
+            parts.insert(other.part);
+        }
+    }
+    (parts, common.crashes.len())
+}
--- /dev/null
+++ b/crates/core/src/quarantine/suspect.rs
@@ -0,0 +1,70 @@
+use {
+    super::crash::Crash,
+    crate::{clock::Millis, ids::PartId},
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// Crashes of different upstreams under a part from which it may be quarantined.
+const MIN_CRASHES: usize = 3;
+/// Crashes closer together than this may have one outer cause, such as a power loss.
+const SIMULTANEOUS: Millis = Millis(300);
+
+/// A part that crashes accuse, and which of them by their index.
+#[derive(Clone, Debug)]
+pub(super) struct Suspect {
+    pub part: PartId,
+    pub crashes: BTreeSet<usize>,
+    /// Whether an answer has shown it to be sound, if only before the crashes.
+    pub was_sound: bool,
+    /// When there was evidence enough against it.
+    pub qualified_at: Millis,
+}
+
+impl Suspect {
+    /// The parts that enough crashes accuse.
+    pub(super) fn find<F>(
+        crashes: &[&Crash],
+        was_sound: F,
+    ) -> Vec<Self>
+    where
+        F: Fn(PartId) -> bool,
+    {
+        let mut accused: BTreeMap<PartId, BTreeSet<usize>> = BTreeMap::new();
+        for (at, crash) in crashes.iter().enumerate() {
+            for &part in &crash.accused {
+                accused.entry(part).or_default().insert(at);
+            }
+        }
+        let suspects = accused.into_iter();
+        suspects
+            .filter_map(|(part, indices)| {
+                Some(Self {
+                    part,
+                    qualified_at: qualified_at(crashes, &indices)?,
+                    crashes: indices,
+                    was_sound: was_sound(part),
+                })
+            })
+            .collect()
+    }
+
+    /// Whether enough crashes for a verdict accuse both parts.
+    pub(super) fn shares_crashes(
+        &self,
+        other: &Self,
+    ) -> bool {
+        self.crashes.intersection(&other.crashes).count() >= MIN_CRASHES
+    }
+}
+
+/// When there were enough crashes that weren't simultaneous; `None` if there aren't.
+fn qualified_at(
+    crashes: &[&Crash],
+    indices: &BTreeSet<usize>,
+) -> Option<Millis> {
+    let mut times: Vec<Millis> = indices.iter().map(|&at| crashes[at].at).collect();
+    times.sort();
+    let first = *times.first()?;
+    let mut enough = times.into_iter().skip(MIN_CRASHES - 1);
+    enough.find(|at| at.since(first) >= SIMULTANEOUS)
+}
--- a/crates/core/src/scheduler/job.rs
+++ b/crates/core/src/scheduler/job.rs
@@ -1,6 +1,6 @@
 use crate::{
     clock::Millis,
-    ids::{AccountId, AdapterId, BuildId, DataCentreId, ModelId, ServiceId, UpstreamId},
+    ids::{AccountId, AdapterId, BuildId, DataCentreId, ModelId, PartId, ServiceId, UpstreamId},
     ingress::{PromptPart, PromptSize},
     rights::CallerTag,
 };
@@ -31,6 +31,17 @@
     pub parts: Vec<PromptPart>,
 }
 
+impl Generation {
+    /// The parts that other requests may share: all but the last.
+    pub fn shared_parts(&self) -> Vec<PartId> {
+        let shared = self
+            .parts
+            .split_last()
+            .map_or(&[][..], |(_, shared)| shared);
+        shared.iter().map(|part| PartId(part.id)).collect()
+    }
+}
+
 /// Whether a request is a plain call or a generation, with its parameters.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Work {
@@ -82,6 +93,12 @@
         }
     }
 
+    /// The parts of its prompt that other requests may share; none for a call.
+    pub fn shared_parts(&self) -> Vec<PartId> {
+        self.generation()
+            .map_or_else(Vec::new, Generation::shared_parts)
+    }
+
     /// Whether it is a call that any upstream of its service may serve.
     pub const fn is_plain_call(&self) -> bool {
         matches!(self.work, Work::Call)
--- a/crates/core/src/scheduler/state_machine/availability.rs
+++ b/crates/core/src/scheduler/state_machine/availability.rs
@@ -189,7 +189,7 @@
     }
 
     /// Refuses the queued requests that don't pass a check.
-    fn refuse_waiting<F>(
+    pub(super) fn refuse_waiting<F>(
         &mut self,
         now: Millis,
         check: F,
--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -66,6 +66,7 @@
     ) -> Vec<Action> {
         self.fleet.refresh_totals(now);
         let mut actions = self.refuse_expired(now);
+        actions.extend(self.review_quarantine(now));
         actions.extend(self.refuse_evacuated(now));
         actions.extend(self.refuse_rested(now));
         actions.extend(self.refuse_not_resumable(now));
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -239,6 +239,9 @@
             }]
         };
         self.fleet.refresh_totals(now);
+        if let Err(refusal) = self.check_quarantine(&job) {
+            return refuse(refusal);
+        }
         if let Err(refusal) = self.check_availability(&job, now) {
             return refuse(refusal);
         }
--- a/crates/core/src/scheduler/state_machine/mod.rs
+++ b/crates/core/src/scheduler/state_machine/mod.rs
@@ -10,6 +10,7 @@
     crate::{
         clock::Millis,
         ids::{AdapterId, RequestId, ServiceId},
+        quarantine::PartQuarantine,
         queue::{FairQueue, QueueSettings},
     },
     std::collections::{BTreeSet, HashMap, HashSet},
@@ -19,6 +20,7 @@
 mod availability;
 mod decisions;
 mod events;
+mod quarantine;
 mod queries;
 mod retries;
 
@@ -49,6 +51,9 @@
     told_history: HashSet<u64>,
     /// Since when attempts of this VM's own callers are counted.
     counting_since: Option<Millis>,
+    quarantine: PartQuarantine,
+    /// Whether evidence has come since the last review of the quarantine.
+    is_evidence_new: bool,
     queue: FairQueue,
     entries: HashMap<RequestId, TrackedRequest>,
     by_attempt_id: HashMap<AttemptId, RequestId>,
@@ -102,6 +107,8 @@
             known_history: 0.0,
             told_history: HashSet::new(),
             counting_since: None,
+            quarantine: PartQuarantine::default(),
+            is_evidence_new: false,
             queue: FairQueue::new(QueueSettings {
                 refuses_by_estimate: false,
                 ..QueueSettings::default()
--- /dev/null
+++ b/crates/core/src/scheduler/state_machine/quarantine.rs
@@ -0,0 +1,140 @@
+//! Evidence about prompts that crash upstreams, and the refusal of those in quarantine.
+
+use {
+    super::Scheduler,
+    crate::{
+        clock::Millis,
+        error::{ErrorKind, Refusal},
+        ids::{PartId, UpstreamId},
+        quarantine::{CrashReport, PartSet, PromptEvidence, QuarantineChange},
+        scheduler::{AttemptId, Job, SchedulerAction as Action, running::Stage},
+    },
+};
+
+impl Scheduler {
+    /// Records what the end of an assigned request shows about the parts of its prompt.
+    pub fn note_evidence(
+        &mut self,
+        attempt_id: AttemptId,
+        evidence: PromptEvidence,
+        now: Millis,
+    ) {
+        let request = self.by_attempt_id.get(&attempt_id);
+        let Some(entry) = request.and_then(|request| self.entries.get(request)) else {
+            return;
+        };
+        if let Stage::Running { upstream, .. } = entry.stage {
+            let parts = entry.job.shared_parts();
+            self.note_own_evidence(upstream, &parts, evidence, now);
+            self.is_evidence_new |= match evidence {
+                PromptEvidence::None => false,
+                PromptEvidence::Crash => true,
+                PromptEvidence::Sound { .. } => self.quarantine.due().is_some(),
+            };
+        }
+    }
+
+    /// Records the same of a request of this VM's own callers, whichever VM has assigned it; a later
+    /// decision of this scheduler considers it.
+    pub fn note_own_evidence(
+        &mut self,
+        upstream: UpstreamId,
+        parts: &[PartId],
+        evidence: PromptEvidence,
+        now: Millis,
+    ) {
+        match evidence {
+            PromptEvidence::None => {}
+            PromptEvidence::Crash => self.quarantine.note_crash(upstream, parts, now, now),
+            PromptEvidence::Sound { begun_ago } => {
+                self.quarantine.note_sound(parts, now.since(begun_ago));
+            }
+        }
+    }
+
+    /// Adds crashes that another VM has recorded.
+    pub fn add_crashes(
+        &mut self,
+        crashes: &[CrashReport],
+        now: Millis,
+    ) {
+        for crash in crashes {
+            let at = now.since(crash.ago);
+            self.quarantine
+                .note_crash(crash.upstream, &crash.parts, at, now);
+        }
+        self.is_evidence_new |= !crashes.is_empty();
+    }
+
+    /// The crashes that this VM has recorded, for a new scheduler.
+    pub fn crashes(
+        &self,
+        now: Millis,
+    ) -> Vec<CrashReport> {
+        self.quarantine.reports(now)
+    }
+
+    /// Quarantines parts, as another scheduler has.
+    pub fn add_quarantine(
+        &mut self,
+        parts: PartSet,
+        now: Millis,
+    ) -> Vec<Action> {
+        self.quarantine.add(parts, now);
+        self.refuse_quarantined(now)
+    }
+
+    /// Takes parts out of quarantine, as an operator or another scheduler has.
+    pub fn remove_quarantine(
+        &mut self,
+        parts: &PartSet,
+        now: Millis,
+    ) {
+        self.quarantine.remove(parts, now);
+    }
+
+    /// The parts in quarantine.
+    pub fn quarantined(&self) -> Vec<PartSet> {
+        self.quarantine.verdicts().cloned().collect()
+    }
+
+    /// Takes the changes of the quarantine since the last call.
+    pub fn take_quarantine_changes(&mut self) -> Vec<QuarantineChange> {
+        self.quarantine.take_changes()
+    }
+
+    /// Refuses a request whose prompt has parts that crash upstreams.
+    pub(super) fn check_quarantine(
+        &self,
+        job: &Job,
+    ) -> Result<(), Refusal> {
+        if !self.quarantine.is_empty() && self.quarantine.refuses(&job.shared_parts()) {
+            return Err(Refusal::new(ErrorKind::PromptQuarantined));
+        }
+        Ok(())
+    }
+
+    /// Quarantines what new evidence points to, and refuses queued requests with it.
+    pub(super) fn review_quarantine(
+        &mut self,
+        now: Millis,
+    ) -> Vec<Action> {
+        let is_due = self.quarantine.due().is_some_and(|due| now >= due);
+        if !std::mem::take(&mut self.is_evidence_new) && !is_due {
+            return Vec::new();
+        }
+        let known = self.quarantine.verdicts().count();
+        self.quarantine.review(now);
+        if self.quarantine.verdicts().count() == known {
+            return Vec::new();
+        }
+        self.refuse_quarantined(now)
+    }
+
+    fn refuse_quarantined(
+        &mut self,
+        now: Millis,
+    ) -> Vec<Action> {
+        self.refuse_waiting(now, |scheduler, _, job| scheduler.check_quarantine(job))
+    }
+}
--- a/crates/core/src/scheduler/state_machine/queries.rs
+++ b/crates/core/src/scheduler/state_machine/queries.rs
@@ -27,6 +27,7 @@
         let soonest = report
             .into_iter()
             .chain(self.next_evacuation_at)
+            .chain(self.quarantine.due())
             .fold(idle, Millis::min);
         if self.queue.is_empty() {
             return soonest.max(now + Millis(1));
--- /dev/null
+++ b/crates/core/tests/crashing_parts.rs
@@ -0,0 +1,260 @@
+//! Prompt parts that crash engines: which are found, and which stay in service.
+
+mod scheduler_world;
+
+use {
+    jasmine_core::{
+        clock::Millis,
+        error::ErrorKind,
+        ids::{PartId, UpstreamId},
+        ingress::PromptPart,
+        quarantine::{AnswerEnd, AnswerTrace, CrashReport, PartSet, PromptEvidence},
+        scheduler::{AttemptId, Job, LOCAL_VM, Outcome, Work},
+    },
+    scheduler_world::{Decision, World, generation},
+};
+
+/// Crashes after which a part has to be known.
+const MAX_CRASHES: usize = 5;
+/// Time between two crashes.
+const CRASH_GAP: u64 = 400;
+const FIRST: u64 = 1;
+const BAD: u64 = 2;
+const OTHER: u64 = 3;
+const ENGINES: u32 = 8;
+
+fn world() -> World {
+    let mut world = World::leading(0);
+    for id in 0..ENGINES {
+        world.add_engine(UpstreamId(id), &[7]);
+    }
+    world
+}
+
+/// A generation whose prompt has these parts and one of its own.
+fn prompt(
+    parts: &[u64],
+    now: Millis,
+) -> Job {
+    let mut job = generation(7, now);
+    if let Work::Generation(generation) = &mut job.work {
+        let ids = parts.iter().copied().chain([u64::MAX - now.0]);
+        let part = |id| PromptPart { id, tokens: 10 };
+        generation.parts = ids.map(part).collect();
+    }
+    job
+}
+
+fn attempt(number: u64) -> AttemptId {
+    AttemptId {
+        vm: LOCAL_VM,
+        number,
+    }
+}
+
+fn is_quarantined(
+    world: &mut World,
+    parts: &[u64],
+) -> bool {
+    let number = world.place(prompt(parts, world.now));
+    let is_refused = matches!(
+        world.decision(number),
+        Some(Decision::Refused(refusal)) if refusal.kind == ErrorKind::PromptQuarantined
+    );
+    if !is_refused {
+        world.end(number, Outcome::Abandoned);
+    }
+    is_refused
+}
+
+/// Crashes the engine that a prompt is sent to; returns whether it was sent.
+fn crash(
+    world: &mut World,
+    parts: &[u64],
+) -> bool {
+    let number = world.place(prompt(parts, world.now));
+    world.advance(20);
+    let is_sent = world.sent_to(number).is_some();
+    if is_sent {
+        let now = world.now;
+        let scheduler = &mut world.scheduler;
+        scheduler.note_evidence(attempt(number), PromptEvidence::Crash, now);
+        world.end(number, Outcome::Lost);
+    }
+    world.advance(CRASH_GAP);
+    is_sent
+}
+
+/// Answers a prompt.
+fn answer(
+    world: &mut World,
+    parts: &[u64],
+) {
+    let number = world.place(prompt(parts, world.now));
+    world.advance(20);
+    assert!(world.sent_to(number).is_some(), "{parts:?} not sent");
+    let evidence = PromptEvidence::Sound {
+        begun_ago: Millis(10),
+    };
+    let now = world.now;
+    world
+        .scheduler
+        .note_evidence(attempt(number), evidence, now);
+    world.end(number, Outcome::Answered { took: Millis(20) });
+}
+
+fn crashes_until_known(
+    world: &mut World,
+    parts: &[u64],
+) -> usize {
+    (0..20).take_while(|_| crash(world, parts)).count()
+}
+
+#[test]
+fn a_part_is_known_after_few_crashes() {
+    // Guards against a crashing part that is sent to engine after engine.
+    let mut world = world();
+    answer(&mut world, &[FIRST, OTHER]);
+    let crashes = crashes_until_known(&mut world, &[FIRST, BAD]);
+    assert!(crashes <= MAX_CRASHES, "{crashes} crashes");
+    assert!(is_quarantined(&mut world, &[OTHER, BAD]), "other prompts");
+    assert!(
+        !is_quarantined(&mut world, &[FIRST, OTHER]),
+        "sound prompts"
+    );
+}
+
+#[test]
+fn a_part_that_was_sound_is_found_as_well() {
+    // Guards against answers from before a part began to crash engines that clear it for good.
+    let mut world = world();
+    answer(&mut world, &[FIRST, BAD]);
+    for _ in 0..MAX_CRASHES {
+        crash(&mut world, &[FIRST, BAD]);
+        answer(&mut world, &[FIRST, OTHER]);
+    }
+    assert!(is_quarantined(&mut world, &[OTHER, BAD]));
+    assert!(!is_quarantined(&mut world, &[FIRST, OTHER]));
+}
+
+#[test]
+fn ordinary_crashes_convict_no_part() {
+    // Guards against refusing sound prompts because engines crash under them now and then.
+    let mut world = world();
+    for round in 0..50 {
+        let part = OTHER + round % 4;
+        crash(&mut world, &[FIRST, part]);
+        crash(&mut world, &[FIRST, part]);
+        answer(&mut world, &[FIRST, part]);
+    }
+    for part in OTHER..OTHER + 4 {
+        assert!(!is_quarantined(&mut world, &[FIRST, part]), "part {part}");
+    }
+}
+
+#[test]
+fn a_power_loss_convicts_no_part() {
+    // Guards against refusing a part whose requests ran on several engines that ended at once.
+    let mut world = world();
+    let numbers: Vec<u64> = (0..u64::from(ENGINES))
+        .map(|_| world.place(prompt(&[FIRST, OTHER], world.now)))
+        .collect();
+    world.advance(20);
+    let now = world.now;
+    for (id, number) in (0..).zip(numbers) {
+        let parts = [PartId(FIRST), PartId(OTHER)];
+        let scheduler = &mut world.scheduler;
+        scheduler.note_own_evidence(UpstreamId(id), &parts, PromptEvidence::Crash, now);
+        world.end(number, Outcome::Lost);
+    }
+    world.advance(3_000);
+    assert!(!is_quarantined(&mut world, &[FIRST, OTHER]));
+}
+
+#[test]
+fn a_part_beside_the_crashing_one_stays_in_service() {
+    // Guards against refusing what was only ever seen beside the crashing part.
+    let mut world = world();
+    let crashes = crashes_until_known(&mut world, &[FIRST, BAD]);
+    assert!(crashes <= MAX_CRASHES, "{crashes} crashes");
+    assert!(!is_quarantined(&mut world, &[FIRST, OTHER]));
+    answer(&mut world, &[FIRST, OTHER]);
+    assert!(is_quarantined(&mut world, &[OTHER, BAD]), "told apart");
+}
+
+#[test]
+fn prompts_in_the_queue_are_refused() {
+    // Guards against queued prompts that are still sent after the verdict.
+    let mut world = world();
+    answer(&mut world, &[FIRST, OTHER]);
+    for id in 0..ENGINES {
+        world.scheduler.remove_upstream(UpstreamId(id), world.now);
+    }
+    let queued = world.place(prompt(&[FIRST, BAD], world.now));
+    assert_eq!(world.decision(queued), None, "it waits");
+    let report = |id: u32| CrashReport {
+        upstream: UpstreamId(id),
+        ago: Millis(500 * u64::from(id)),
+        parts: vec![PartId(FIRST), PartId(BAD)],
+    };
+    let reports: Vec<CrashReport> = (0..3).map(report).collect();
+    let now = world.now;
+    world.scheduler.add_crashes(&reports, now);
+    world.advance(50);
+    let decision = world.decision(queued);
+    assert!(
+        matches!(decision, Some(Decision::Refused(refusal)) if refusal.kind == ErrorKind::PromptQuarantined),
+        "{decision:?}"
+    );
+}
+
+#[test]
+fn what_several_vms_saw_counts_once() {
+    // Guards against one crash that several VMs report and that counts as several.
+    let mut world = world();
+    let now = world.now;
+    for _ in 0..10 {
+        let report = CrashReport {
+            upstream: UpstreamId(1),
+            ago: Millis::ZERO,
+            parts: vec![PartId(BAD)],
+        };
+        world.scheduler.add_crashes(&[report], now);
+    }
+    world.advance(3_000);
+    assert!(!is_quarantined(&mut world, &[BAD, OTHER]));
+}
+
+#[test]
+fn a_released_part_is_served_again() {
+    // Guards against a part that stays refused after operators have taken it out of quarantine.
+    let mut world = world();
+    answer(&mut world, &[FIRST, OTHER]);
+    crashes_until_known(&mut world, &[FIRST, BAD]);
+    let parts = PartSet::from([PartId(BAD)]);
+    assert_eq!(world.scheduler.quarantined(), vec![parts.clone()]);
+    let now = world.now;
+    world.scheduler.remove_quarantine(&parts, now);
+    assert!(!is_quarantined(&mut world, &[FIRST, BAD]));
+}
+
+#[test]
+fn answers_tell_what_they_show() {
+    // Guards against taking an answer that broke off at its begin, or may have, for a sound one.
+    let trace = |received_for, end| {
+        let trace = AnswerTrace {
+            begun_ago: Millis(2_000),
+            received_for: Millis(received_for),
+            end,
+        };
+        trace.evidence()
+    };
+    let sound = PromptEvidence::Sound {
+        begun_ago: Millis(2_000),
+    };
+    assert_eq!(trace(0, AnswerEnd::Whole), sound);
+    assert_eq!(trace(80, AnswerEnd::Broken), PromptEvidence::Crash);
+    assert_eq!(trace(1_500, AnswerEnd::Broken), sound);
+    assert_eq!(trace(80, AnswerEnd::Closed), PromptEvidence::None);
+    assert_eq!(trace(80, AnswerEnd::GivenUp), PromptEvidence::None);
+}
--- a/crates/entry/src/daemon/run.rs
+++ b/crates/entry/src/daemon/run.rs
@@ -8,7 +8,10 @@
         scheduling::{
             LocalScheduler, OrderContext, SchedulerNode, SchedulerServer, run_engine_tasks,
         },
-        store::{Feed, KvStore, Membership, VmRecord, follow, keep_registered, run_election},
+        store::{
+            Feed, KvStore, Membership, VmRecord, follow, keep_quarantine, keep_registered,
+            run_election,
+        },
         streams::OriginDirectory,
         upstream::Pool,
     },
@@ -146,6 +149,7 @@
         spawn_local(membership_task).abort_handle(),
         spawn_local(election).abort_handle(),
     ];
+    spawn_local(keep_quarantine(Rc::clone(&cx), store.clone()));
     spawn_local(close_expired(pool, store.clone()));
     spawn_local(serve_readiness(Rc::clone(&cx), readiness));
     spawn_local(serve_metrics(Rc::clone(&cx), metrics_listener));
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -74,6 +74,8 @@
 pub(super) struct Failure {
     pub outcome: Outcome,
     pub end: AttemptEnd,
+    /// Whether the response broke off, or its connection did.
+    pub is_broken: bool,
     /// The upstream's error response, forwarded if no attempt succeeds.
     pub response: Option<(ResponseHead, Bytes)>,
 }
@@ -83,6 +85,7 @@
         Self {
             outcome,
             end: AttemptEnd::NotRun,
+            is_broken: false,
             response: None,
         }
     }
@@ -91,6 +94,16 @@
         Self {
             outcome,
             end: AttemptEnd::MayHaveRun,
+            is_broken: false,
+            response: None,
+        }
+    }
+
+    pub(super) const fn broken(outcome: Outcome) -> Self {
+        Self {
+            outcome,
+            end: AttemptEnd::MayHaveRun,
+            is_broken: true,
             response: None,
         }
     }
@@ -277,7 +290,7 @@
             }
             (Via::OwnLinks | Via::OtherVm, ExchangeError::Lost) => Outcome::Abandoned,
         };
-        Failure::may_have_run(outcome)
+        Failure::broken(outcome)
     }
 
     /// Reads the rest of a response into memory.
@@ -425,6 +438,7 @@
                 Ok(response) => Start::Failed(Failure {
                     outcome: Outcome::Failed,
                     end: AttemptEnd::MayHaveRun,
+                    is_broken: false,
                     response: Some(response),
                 }),
             },
--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -16,6 +16,7 @@
         error::{ErrorKind, Refusal},
         forward::Attempts,
         ingress::PromptPart,
+        quarantine::{AnswerEnd, AnswerTrace, PromptEvidence},
         scheduler::{Outcome, WaitReason},
         streams::OriginLookup,
     },
@@ -221,8 +222,10 @@
             Start::Responding(response) => response,
             Start::Failed(failure) => return self.handle_failure(placement, failure).await,
         };
-        let now = self.cx.clock.now();
-        self.progress.begin_response(response.head.framing, now);
+        if matches!(response.head.status, 200..=299) {
+            let now = self.cx.clock.now();
+            self.progress.begin_response(response.head.framing, now);
+        }
         let is_stream = self.req.is_stream() && response.head.status == 200;
         let result = if is_stream {
             self.relay(placement, response, out).await
@@ -231,16 +234,20 @@
         };
         match result {
             Ok(()) => {
+                let evidence = self.evidence(self.answer_end());
                 let took = self.cx.clock.now().since(started_at);
                 self.cx.metrics.count_attempt(Outcome::Answered { took });
                 let first = self.progress.first_at.map(|at| at.since(self.req.arrived));
                 self.cx
                     .metrics
                     .record_answered(&self.req, self.waited, first);
-                placement.end(Outcome::Answered { took });
+                placement.end(Outcome::Answered { took }, evidence);
                 Step::Done(Ok(()))
             }
-            Err(RelayError::Caller(e)) => Step::Done(Err(e)),
+            Err(RelayError::Caller(e)) => {
+                placement.end(Outcome::Abandoned, self.evidence(AnswerEnd::GivenUp));
+                Step::Done(Err(e))
+            }
             Err(RelayError::Upstream(failure)) => self.handle_failure(placement, failure).await,
         }
     }
@@ -280,7 +287,12 @@
         placement: &Placement,
         failure: Failure,
     ) -> Step {
-        placement.end(failure.outcome);
+        let answer_end = if failure.is_broken {
+            AnswerEnd::Broken
+        } else {
+            AnswerEnd::GivenUp
+        };
+        placement.end(failure.outcome, self.evidence(answer_end));
         self.cx.metrics.count_attempt(failure.outcome);
         let can_retry = self.attempts.record_end(failure.end);
         Line::new("attempt_failed")
@@ -317,6 +329,32 @@
         }
     }
 
+    /// How a whole answer ended.
+    const fn answer_end(&self) -> AnswerEnd {
+        match self.progress.framing {
+            Some(Framing::UntilClose) => AnswerEnd::Closed,
+            _ => AnswerEnd::Whole,
+        }
+    }
+
+    /// What the last attempt shows about the prompt.
+    fn evidence(
+        &self,
+        end: AnswerEnd,
+    ) -> PromptEvidence {
+        let (Some(begun_at), Some(received_for)) =
+            (self.progress.head_at, self.progress.received_for())
+        else {
+            return PromptEvidence::None;
+        };
+        let trace = AnswerTrace {
+            begun_ago: self.cx.clock.now().since(begun_at),
+            received_for,
+            end,
+        };
+        trace.evidence()
+    }
+
     /// Whether another upstream may add the rest of a stream that has begun.
     fn can_resume(&self) -> bool {
         self.req.is_resumable() && self.progress.origin.is_resumable()
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -118,7 +118,7 @@
         }
     }
     if is_broken_off(&response.head, &splitter) {
-        return Err(Failure::may_have_run(Outcome::Lost).into());
+        return Err(Failure::broken(Outcome::Lost).into());
     }
     if !out.has_begun() {
         forward_data(attempt, &response.head, progress, out, &[]).await?;
--- a/crates/entry/src/scheduling/client/following.rs
+++ b/crates/entry/src/scheduling/client/following.rs
@@ -5,12 +5,13 @@
     crate::scheduling::{
         Leader,
         convert::{
-            AttemptUpdate, read_leader, write_attempts, write_idle_times, write_leader,
-            write_running, write_stated, write_update,
+            AttemptUpdate, read_leader, read_quarantine, write_attempts, write_crashes,
+            write_idle_times, write_leader, write_quarantine, write_running, write_stated,
+            write_update,
         },
     },
     futures::future::join_all,
-    jasmine_core::clock::Millis,
+    jasmine_core::{clock::Millis, quarantine::PartSet},
     jasmine_telemetry::log::Line,
     jasmine_wire::link::LinkError,
     std::{net::SocketAddr, rc::Rc},
@@ -75,8 +76,8 @@
             .take(MAX_LEADER_QUERIES)
             .map(|(vm, address)| async move {
                 let link = SchedulerLink::new(address, LINK_OPTIONS);
-                match call_ping(&link).await {
-                    Ok(leader) => leader,
+                match call_ping(&link, 0).await {
+                    Ok(reply) => reply.leader,
                     Err(e) => {
                         Line::new("leader_not_asked")
                             .with("vm", vm)
@@ -150,10 +151,16 @@
             && matches!(*self.mode.borrow(), Mode::Following(..))
         {
             sleep(PING_INTERVAL.to_std()).await;
-            match call_ping(link).await {
-                Ok(Some(other)) => self.observe_leader(other),
-                Ok(None) => return self.drop_leader("it no longer leads"),
+            let reply = match call_ping(link, self.local_scheduler.quarantine_hash()).await {
+                Ok(reply) => reply,
                 Err(e) => return self.drop_leader(&e.to_string()),
+            };
+            if let Some(sets) = reply.quarantine {
+                self.local_scheduler.replace_quarantine(&sets);
+            }
+            match reply.leader {
+                Some(other) => self.observe_leader(other),
+                None => return self.drop_leader("it no longer leads"),
             }
         }
         self.drop_leader("another VM leads");
@@ -192,6 +199,10 @@
                 req.get().set_counted_for_ms(history.counted_for.0 as u32);
                 let stated = req.get().init_stated(history.stated.len() as u32);
                 write_stated(stated, &history.stated);
+                let crashes = req.get().init_crashes(history.crashes.len() as u32);
+                write_crashes(crashes, &history.crashes);
+                let quarantine = req.get().init_quarantine(history.quarantine.len() as u32);
+                write_quarantine(quarantine, &history.quarantine);
                 let res = req.send().promise.await?;
                 let res = res.get()?;
                 Ok((res.get_session(), read_leader(res.get_leader()?)?))
@@ -259,10 +270,30 @@
     .await
 }
 
-async fn call_ping(link: &SchedulerLink) -> Result<Option<Leader>, LinkError> {
+/// The answer to a ping.
+struct PingReply {
+    /// The leader that the VM knows.
+    leader: Option<Leader>,
+    /// The parts of prompts that it refuses as the leader, if these are others than the asking VM knows.
+    quarantine: Option<Vec<PartSet>>,
+}
+
+async fn call_ping(
+    link: &SchedulerLink,
+    quarantine_hash: u64,
+) -> Result<PingReply, LinkError> {
     link.call(Millis::ZERO, |client| async move {
-        let res = client.ping_request().send().promise.await?;
-        read_leader(res.get()?.get_leader()?)
+        let mut req = client.ping_request();
+        req.get().set_quarantine_hash(quarantine_hash);
+        let res = req.send().promise.await?;
+        let res = res.get()?;
+        let quarantine = res.get_quarantine_differs();
+        Ok(PingReply {
+            leader: read_leader(res.get_leader()?)?,
+            quarantine: quarantine
+                .then(|| read_quarantine(res.get_quarantine()?))
+                .transpose()?,
+        })
     })
     .await
 }
--- a/crates/entry/src/scheduling/client/mod.rs
+++ b/crates/entry/src/scheduling/client/mod.rs
@@ -11,6 +11,7 @@
         clock::Millis,
         error::{ErrorKind, Refusal},
         ids::Fence,
+        quarantine::PromptEvidence,
         scheduler::{AttemptId, LOCAL_VM, Outcome, RateDecision, UpstreamSignals, WaitReason},
         streams::{KnownBuilds, agreed_build},
     },
@@ -200,7 +201,7 @@
                     assignment.build = self.agreed_build(&assignment);
                     if self.is_stale_assignment(&assignment, &spec) {
                         // The leader may not know yet that this upstream is leaving, wants rest or has restarted.
-                        let end = JobUpdate::Ended(Outcome::Abandoned);
+                        let end = JobUpdate::Ended(Outcome::Abandoned, PromptEvidence::None);
                         self.record_update(spec.number, end, None);
                         excluded_upstreams.push(assignment.upstream);
                         sleep(STALE_ASSIGNMENT_DELAY.to_std()).await;
@@ -279,8 +280,9 @@
                 }
                 self.local_scheduler.first_event(attempt_id);
             }
-            JobUpdate::Ended(outcome) => {
+            JobUpdate::Ended(outcome, evidence) => {
                 let running = self.running.borrow_mut().remove(&number);
+                self.note_evidence(running.as_ref(), attempt_id, evidence);
                 is_urgent = running.is_none_or(|running| running.spec.job.generation.is_none());
                 self.local_scheduler.ended(attempt_id, outcome);
             }
@@ -300,6 +302,23 @@
         }
     }
 
+    /// Records what the end of a request shows about its prompt.
+    fn note_evidence(
+        &self,
+        running: Option<&Running>,
+        attempt_id: AttemptId,
+        evidence: PromptEvidence,
+    ) {
+        let local_scheduler = &self.local_scheduler;
+        if self.is_following() {
+            if let Some(running) = running {
+                local_scheduler.note_own_evidence(&running.spec, evidence);
+            }
+        } else {
+            local_scheduler.note_evidence(attempt_id, evidence);
+        }
+    }
+
     /// Records what an upstream states in a response to a request that was sent at `sent_at`.
     pub fn note_signals(
         &self,
@@ -554,7 +573,7 @@
 impl Drop for PendingPlacement<'_> {
     fn drop(&mut self) {
         if !self.is_settled.get() {
-            let update = JobUpdate::Ended(Outcome::Abandoned);
+            let update = JobUpdate::Ended(Outcome::Abandoned, PromptEvidence::None);
             self.scheduling.record_update(self.number, update, None);
         }
     }
--- a/crates/entry/src/scheduling/convert.rs
+++ b/crates/entry/src/scheduling/convert.rs
@@ -1,17 +1,21 @@
 //! Converts scheduling types to and from the Cap'n Proto messages between entry VMs.
 
 use {
-    super::{Assignment, GenerationSpec, JobSpec, Leader, RunningSpec, StatedSpec, Verdict},
-    capnp::{struct_list, text_list},
+    super::{
+        Assignment, CrashSpec, GenerationSpec, JobSpec, Leader, RunningSpec, StatedSpec, Verdict,
+    },
+    capnp::{primitive_list, struct_list, text_list},
     jasmine_core::{
         clock::Millis,
         error::{ErrorKind, Refusal},
-        ids::Fence,
+        ids::{Fence, PartId},
         ingress::{PromptPart, PromptSize},
+        quarantine::{PartSet, PromptEvidence},
         scheduler::{AttemptCounts, Outcome, UpstreamSignals, WaitReason},
     },
     jasmine_wire::scheduler_capnp::{
-        EndKind, attempts, job, leadership, news, rested, running_job, signals, stated, verdict,
+        EndKind, Evidence, attempts, crash, job, leadership, news, quarantined, rested,
+        running_job, signals, stated, verdict,
     },
 };
 
@@ -20,8 +24,8 @@
 pub(super) enum JobUpdate {
     /// The first event of its answer was received.
     FirstEvent,
-    /// It has ended.
-    Ended(Outcome),
+    /// It has ended, which shows something about its prompt.
+    Ended(Outcome, PromptEvidence),
 }
 
 /// A [`JobUpdate`] of one attempt, with what its upstream stated if a response has begun.
@@ -197,35 +201,63 @@
     if let Some(signals) = &update.signals {
         write_signals(to.reborrow().init_signals(), signals);
     }
+    if let JobUpdate::Ended(_, evidence) = update.update {
+        write_evidence(to.reborrow(), evidence);
+    }
     let (kind, took) = match update.update {
         JobUpdate::FirstEvent => (EndKind::FirstEvent, Millis::ZERO),
-        JobUpdate::Ended(Outcome::Answered { took }) => (EndKind::Answered, took),
-        JobUpdate::Ended(Outcome::Failed) => (EndKind::Failed, Millis::ZERO),
-        JobUpdate::Ended(Outcome::Shed) => (EndKind::Shed, Millis::ZERO),
-        JobUpdate::Ended(Outcome::NotLoaded) => (EndKind::NotLoaded, Millis::ZERO),
-        JobUpdate::Ended(Outcome::OtherUpstream) => (EndKind::OtherUpstream, Millis::ZERO),
-        JobUpdate::Ended(Outcome::Unreachable) => (EndKind::Unreachable, Millis::ZERO),
-        JobUpdate::Ended(Outcome::Lost) => (EndKind::Lost, Millis::ZERO),
-        JobUpdate::Ended(Outcome::Silent) => (EndKind::Silent, Millis::ZERO),
-        JobUpdate::Ended(Outcome::Abandoned) => (EndKind::Abandoned, Millis::ZERO),
+        JobUpdate::Ended(Outcome::Answered { took }, _) => (EndKind::Answered, took),
+        JobUpdate::Ended(Outcome::Failed, _) => (EndKind::Failed, Millis::ZERO),
+        JobUpdate::Ended(Outcome::Shed, _) => (EndKind::Shed, Millis::ZERO),
+        JobUpdate::Ended(Outcome::NotLoaded, _) => (EndKind::NotLoaded, Millis::ZERO),
+        JobUpdate::Ended(Outcome::OtherUpstream, _) => (EndKind::OtherUpstream, Millis::ZERO),
+        JobUpdate::Ended(Outcome::Unreachable, _) => (EndKind::Unreachable, Millis::ZERO),
+        JobUpdate::Ended(Outcome::Lost, _) => (EndKind::Lost, Millis::ZERO),
+        JobUpdate::Ended(Outcome::Silent, _) => (EndKind::Silent, Millis::ZERO),
+        JobUpdate::Ended(Outcome::Abandoned, _) => (EndKind::Abandoned, Millis::ZERO),
     };
     to.set_kind(kind);
     to.set_took_ms(took.0 as u32);
 }
 
+fn write_evidence(
+    mut to: news::Builder<'_>,
+    evidence: PromptEvidence,
+) {
+    match evidence {
+        PromptEvidence::None => to.set_evidence(Evidence::None),
+        PromptEvidence::Crash => to.set_evidence(Evidence::Crash),
+        PromptEvidence::Sound { begun_ago } => {
+            to.set_evidence(Evidence::Sound);
+            to.set_begun_ago_ms(u32::try_from(begun_ago.0).unwrap_or(u32::MAX));
+        }
+    }
+}
+
+fn read_evidence(from: news::Reader<'_>) -> Result<PromptEvidence, capnp::Error> {
+    Ok(match from.get_evidence()? {
+        Evidence::None => PromptEvidence::None,
+        Evidence::Crash => PromptEvidence::Crash,
+        Evidence::Sound => PromptEvidence::Sound {
+            begun_ago: Millis(from.get_begun_ago_ms().into()),
+        },
+    })
+}
+
 pub(super) fn read_update(from: news::Reader<'_>) -> Result<AttemptUpdate, capnp::Error> {
     let took = Millis(from.get_took_ms().into());
+    let evidence = read_evidence(from)?;
     let update = match from.get_kind()? {
         EndKind::FirstEvent => JobUpdate::FirstEvent,
-        EndKind::Answered => JobUpdate::Ended(Outcome::Answered { took }),
-        EndKind::Failed => JobUpdate::Ended(Outcome::Failed),
-        EndKind::Shed => JobUpdate::Ended(Outcome::Shed),
-        EndKind::NotLoaded => JobUpdate::Ended(Outcome::NotLoaded),
-        EndKind::OtherUpstream => JobUpdate::Ended(Outcome::OtherUpstream),
-        EndKind::Unreachable => JobUpdate::Ended(Outcome::Unreachable),
-        EndKind::Lost => JobUpdate::Ended(Outcome::Lost),
-        EndKind::Silent => JobUpdate::Ended(Outcome::Silent),
-        EndKind::Abandoned => JobUpdate::Ended(Outcome::Abandoned),
+        EndKind::Answered => JobUpdate::Ended(Outcome::Answered { took }, evidence),
+        EndKind::Failed => JobUpdate::Ended(Outcome::Failed, evidence),
+        EndKind::Shed => JobUpdate::Ended(Outcome::Shed, evidence),
+        EndKind::NotLoaded => JobUpdate::Ended(Outcome::NotLoaded, evidence),
+        EndKind::OtherUpstream => JobUpdate::Ended(Outcome::OtherUpstream, evidence),
+        EndKind::Unreachable => JobUpdate::Ended(Outcome::Unreachable, evidence),
+        EndKind::Lost => JobUpdate::Ended(Outcome::Lost, evidence),
+        EndKind::Silent => JobUpdate::Ended(Outcome::Silent, evidence),
+        EndKind::Abandoned => JobUpdate::Ended(Outcome::Abandoned, evidence),
     };
     let signals = if from.has_signals() {
         Some(read_signals(from.get_signals()?))
@@ -297,6 +329,61 @@
         .collect()
 }
 
+pub(super) fn write_crashes(
+    mut to: struct_list::Builder<'_, crash::Owned>,
+    crashes: &[CrashSpec],
+) {
+    for (at, spec) in crashes.iter().enumerate() {
+        let mut one = to.reborrow().get(at as u32);
+        one.set_upstream(&spec.upstream);
+        one.set_ago_ms(u32::try_from(spec.ago.0).unwrap_or(u32::MAX));
+        write_parts(one.init_parts(spec.parts.len() as u32), &spec.parts);
+    }
+}
+
+pub(super) fn read_crashes(
+    from: struct_list::Reader<'_, crash::Owned>
+) -> Result<Vec<CrashSpec>, capnp::Error> {
+    from.iter()
+        .map(|one| {
+            Ok(CrashSpec {
+                upstream: one.get_upstream()?.to_string()?,
+                ago: Millis(one.get_ago_ms().into()),
+                parts: one.get_parts()?.iter().map(PartId).collect(),
+            })
+        })
+        .collect()
+}
+
+pub(super) fn write_quarantine(
+    mut to: struct_list::Builder<'_, quarantined::Owned>,
+    sets: &[PartSet],
+) {
+    for (at, parts) in sets.iter().enumerate() {
+        let one = to.reborrow().get(at as u32);
+        write_parts(one.init_parts(parts.len() as u32), parts);
+    }
+}
+
+pub(super) fn read_quarantine(
+    from: struct_list::Reader<'_, quarantined::Owned>
+) -> Result<Vec<PartSet>, capnp::Error> {
+    from.iter()
+        .map(|one| Ok(one.get_parts()?.iter().map(PartId).collect()))
+        .collect()
+}
+
+fn write_parts<'a, I>(
+    mut to: primitive_list::Builder<'_, u64>,
+    parts: I,
+) where
+    I: IntoIterator<Item = &'a PartId>,
+{
+    for (at, part) in parts.into_iter().enumerate() {
+        to.set(at as u32, part.0);
+    }
+}
+
 pub(super) fn write_leader(
     mut to: leadership::Builder<'_>,
     leader: Option<&Leader>,
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -10,6 +10,7 @@
         error::Refusal,
         ids::UpstreamId,
         ingress::{ColdStart, IngressConfig, UpstreamEntry},
+        quarantine::PartSet,
         scheduler::{
             AdmissionShare, Announcement, AttemptHistory, AttemptId, ColdLimit, EngineStatus,
             EnginesToPause, Order, OrderResult, Outcome, RateDecision, RateShare, RunningRequest,
@@ -20,7 +21,7 @@
     jasmine_platform::engine::EngineReport,
     std::{
         cell::{Cell, RefCell},
-        collections::{HashMap, HashSet},
+        collections::{BTreeSet, HashMap, HashSet},
         net::SocketAddr,
         rc::Rc,
     },
@@ -67,9 +68,9 @@
 /// Runs the scheduler state machine of this process: maps names to ids, answers waiting requests, queues engine tasks.
 #[derive(Debug)]
 pub struct LocalScheduler {
-    clock: Clock,
-    names: RefCell<NameInterner>,
-    scheduler: RefCell<Scheduler>,
+    pub(super) clock: Clock,
+    pub(super) names: RefCell<NameInterner>,
+    pub(super) scheduler: RefCell<Scheduler>,
     waiters: RefCell<HashMap<AttemptId, oneshot::Sender<Verdict>>>,
     addresses: RefCell<HashMap<UpstreamId, SocketAddr>>,
     /// Upstreams whose entries were removed.
@@ -81,6 +82,12 @@
     /// When the timer of [`Self::run`] is due.
     timer_due: Cell<Millis>,
     may_order: Cell<bool>,
+    /// The parts in quarantine that the store holds.
+    pub(super) stored_quarantine: RefCell<BTreeSet<PartSet>>,
+    /// A hash of the parts that this VM refuses.
+    pub(super) quarantine_hash: Cell<u64>,
+    /// Notified when the quarantine has changed.
+    pub(super) quarantine_changed: Notify,
 }
 
 impl LocalScheduler {
@@ -102,6 +109,9 @@
             wake: Notify::new(),
             timer_due: Cell::new(Millis::ZERO),
             may_order: Cell::new(false),
+            stored_quarantine: RefCell::default(),
+            quarantine_hash: Cell::new(0),
+            quarantine_changed: Notify::new(),
         }
     }
 
@@ -307,6 +317,8 @@
                 .map(|(id, counts)| (names.service_name(id).to_string(), counts))
                 .collect(),
             stated: stated.collect(),
+            crashes: self.crashes(),
+            quarantine: self.quarantined(),
         }
     }
 
@@ -318,6 +330,7 @@
         history: &VmHistory,
         vms: usize,
     ) {
+        self.add_quarantine_history(history);
         let mut names = self.names.borrow_mut();
         let attempts = history.attempts.iter();
         let services = attempts.map(|(name, counts)| (names.service(name), *counts));
@@ -606,7 +619,7 @@
     }
 
     /// Passes an event to the scheduler and performs the resulting actions.
-    fn apply<F>(
+    pub(super) fn apply<F>(
         &self,
         f: F,
     ) where
@@ -617,6 +630,7 @@
         for action in actions {
             self.perform(action);
         }
+        self.publish_quarantine_changes();
         if self.scheduler.borrow().wake_at(now) < self.timer_due.get() {
             self.wake.notify_one();
         }
--- a/crates/entry/src/scheduling/mod.rs
+++ b/crates/entry/src/scheduling/mod.rs
@@ -12,6 +12,7 @@
 mod orders;
 mod placement;
 mod placement_error;
+mod quarantine;
 mod server;
 mod vm_history;
 
@@ -27,5 +28,5 @@
     placement::Placement,
     placement_error::PlacementError,
     server::SchedulerServer,
-    vm_history::{StatedSpec, VmHistory},
+    vm_history::{CrashSpec, StatedSpec, VmHistory},
 };
--- a/crates/entry/src/scheduling/placement.rs
+++ b/crates/entry/src/scheduling/placement.rs
@@ -2,6 +2,7 @@
     super::{Assignment, SchedulerNode, convert::JobUpdate},
     jasmine_core::{
         clock::Millis,
+        quarantine::PromptEvidence,
         scheduler::{Outcome, UpstreamSignals, WaitReason},
     },
     std::{cell::Cell, net::SocketAddr, rc::Rc},
@@ -75,15 +76,16 @@
             .record_update(self.number, JobUpdate::FirstEvent, self.signals.get());
     }
 
-    /// Reports how the request ended; later calls have no effect.
+    /// Reports how the request ended, and what that shows about its prompt; later calls have no effect.
     pub fn end(
         &self,
         outcome: Outcome,
+        evidence: PromptEvidence,
     ) {
         if !self.has_ended.replace(true) {
             self.scheduling.record_update(
                 self.number,
-                JobUpdate::Ended(outcome),
+                JobUpdate::Ended(outcome, evidence),
                 self.signals.get(),
             );
         }
@@ -92,6 +94,6 @@
 
 impl Drop for Placement {
     fn drop(&mut self) {
-        self.end(Outcome::Abandoned);
+        self.end(Outcome::Abandoned, PromptEvidence::None);
     }
 }
--- /dev/null
+++ b/crates/entry/src/scheduling/quarantine.rs
@@ -0,0 +1,193 @@
+//! Parts of prompts that crash upstreams: evidence, and what this VM refuses.
+
+use {
+    super::{CrashSpec, LocalScheduler, RunningSpec, VmHistory},
+    jasmine_core::{
+        ids::PartId,
+        quarantine::{CrashReport, PartSet, PromptEvidence, QuarantineChange},
+        scheduler::AttemptId,
+    },
+    jasmine_telemetry::log::Line,
+    xxhash_rust::xxh3::Xxh3,
+};
+
+impl LocalScheduler {
+    /// Records what the end of an assigned request shows about its prompt.
+    pub fn note_evidence(
+        &self,
+        attempt_id: AttemptId,
+        evidence: PromptEvidence,
+    ) {
+        let now = self.clock.now();
+        if evidence == PromptEvidence::Crash
+            && let Some(upstream) = self.upstream_of(attempt_id)
+        {
+            Line::new("crash_reported")
+                .with("upstream", upstream)
+                .with("vm", attempt_id.vm)
+                .info();
+        }
+        let mut scheduler = self.scheduler.borrow_mut();
+        scheduler.note_evidence(attempt_id, evidence, now);
+    }
+
+    /// Records the same of a request of this VM's own callers that the leader has assigned.
+    pub fn note_own_evidence(
+        &self,
+        running: &RunningSpec,
+        evidence: PromptEvidence,
+    ) {
+        let now = self.clock.now();
+        let mut names = self.names.borrow_mut();
+        let upstream = names.upstream(&running.upstream);
+        let parts = running.job.resolve(&mut names, now).shared_parts();
+        let mut scheduler = self.scheduler.borrow_mut();
+        scheduler.note_own_evidence(upstream, &parts, evidence, now);
+    }
+
+    /// The crashes that this VM has recorded.
+    pub(super) fn crashes(&self) -> Vec<CrashSpec> {
+        let crashes = self.scheduler.borrow().crashes(self.clock.now());
+        let names = self.names.borrow();
+        let specs = crashes.into_iter().map(|crash| CrashSpec {
+            upstream: names.upstream_name(crash.upstream).to_string(),
+            ago: crash.ago,
+            parts: crash.parts,
+        });
+        specs.collect()
+    }
+
+    /// Adds what another VM has recorded and refuses.
+    pub(super) fn add_quarantine_history(
+        &self,
+        history: &VmHistory,
+    ) {
+        let crashes: Vec<CrashReport> = {
+            let mut names = self.names.borrow_mut();
+            let specs = history.crashes.iter();
+            let reports = specs.map(|spec| CrashReport {
+                upstream: names.upstream(&spec.upstream),
+                ago: spec.ago,
+                parts: spec.parts.clone(),
+            });
+            reports.collect()
+        };
+        self.apply(|scheduler, now| {
+            let mut actions = Vec::new();
+            for parts in &history.quarantine {
+                actions.extend(scheduler.add_quarantine(parts.clone(), now));
+            }
+            scheduler.add_crashes(&crashes, now);
+            actions.extend(scheduler.tick(now));
+            actions
+        });
+    }
+
+    /// The parts that this VM refuses.
+    pub fn quarantined(&self) -> Vec<PartSet> {
+        self.scheduler.borrow().quarantined()
+    }
+
+    /// A hash of the parts that this VM refuses; zero if there are none.
+    pub const fn quarantine_hash(&self) -> u64 {
+        self.quarantine_hash.get()
+    }
+
+    /// Refuses exactly these parts, as the leader does.
+    pub(super) fn replace_quarantine(
+        &self,
+        sets: &[PartSet],
+    ) {
+        let known = self.quarantined();
+        for parts in known.iter().filter(|parts| !sets.contains(parts)) {
+            self.remove_quarantine(parts);
+        }
+        for parts in sets.iter().filter(|parts| !known.contains(parts)) {
+            self.add_quarantine(parts.clone());
+        }
+    }
+
+    /// Refuses parts from now on.
+    pub fn add_quarantine(
+        &self,
+        parts: PartSet,
+    ) {
+        self.apply(|scheduler, now| scheduler.add_quarantine(parts, now));
+    }
+
+    /// Refuses parts no more.
+    pub fn remove_quarantine(
+        &self,
+        parts: &PartSet,
+    ) {
+        let now = self.clock.now();
+        self.scheduler.borrow_mut().remove_quarantine(parts, now);
+        self.publish_quarantine_changes();
+    }
+
+    /// Records that the store holds these parts.
+    pub fn note_stored_quarantine(
+        &self,
+        parts: PartSet,
+    ) {
+        self.stored_quarantine.borrow_mut().insert(parts);
+    }
+
+    /// Records that the store holds these parts no more; returns whether it did.
+    pub fn note_unstored_quarantine(
+        &self,
+        parts: &PartSet,
+    ) -> bool {
+        self.stored_quarantine.borrow_mut().remove(parts)
+    }
+
+    /// The parts that the store holds.
+    pub fn stored_quarantine(&self) -> Vec<PartSet> {
+        self.stored_quarantine.borrow().iter().cloned().collect()
+    }
+
+    /// Waits for a change of what this VM refuses.
+    pub async fn quarantine_changed(&self) {
+        self.quarantine_changed.notified().await;
+    }
+
+    pub(super) fn publish_quarantine_changes(&self) {
+        let changes = self.scheduler.borrow_mut().take_quarantine_changes();
+        if changes.is_empty() {
+            return;
+        }
+        for change in changes {
+            match change {
+                QuarantineChange::Added { parts, crashes } => Line::new("prompt_quarantined")
+                    .with("parts", part_names(&parts))
+                    .with("crashes", crashes)
+                    .warn(),
+                QuarantineChange::Removed { parts } => Line::new("prompt_released")
+                    .with("parts", part_names(&parts))
+                    .warn(),
+            }
+        }
+        self.quarantine_hash.set(hash_of(self.quarantined()));
+        self.quarantine_changed.notify_one();
+    }
+}
+
+fn hash_of(mut sets: Vec<PartSet>) -> u64 {
+    if sets.is_empty() {
+        return 0;
+    }
+    sets.sort();
+    let mut hasher = Xxh3::new();
+    for parts in sets {
+        hasher.update(&(parts.len() as u64).to_le_bytes());
+        for part in parts {
+            hasher.update(&part.0.to_le_bytes());
+        }
+    }
+    hasher.digest()
+}
+
+fn part_names(parts: &PartSet) -> String {
+    let names = parts.iter().map(|&PartId(id)| format!("{id:x}"));
+    names.collect::<Vec<_>>().join(",")
+}
--- a/crates/entry/src/scheduling/server.rs
+++ b/crates/entry/src/scheduling/server.rs
@@ -2,8 +2,9 @@
     super::{
         LocalScheduler, SchedulerNode, Verdict, VmHistory,
         convert::{
-            AttemptUpdate, JobUpdate, read_attempts, read_idle_times, read_job, read_leader,
-            read_running, read_stated, read_update, write_leader, write_verdict,
+            AttemptUpdate, JobUpdate, read_attempts, read_crashes, read_idle_times, read_job,
+            read_leader, read_quarantine, read_running, read_stated, read_update, write_leader,
+            write_quarantine, write_verdict,
         },
     },
     crate::{
@@ -136,6 +137,8 @@
             counted_for: Millis(params.get_counted_for_ms().into()),
             attempts: read_attempts(params.get_attempts()?)?,
             stated: read_stated(params.get_stated()?)?,
+            crashes: read_crashes(params.get_crashes()?)?,
+            quarantine: read_quarantine(params.get_quarantine()?)?,
         };
         let vms = self.scheduling.vms().len();
         let local_scheduler = &self.scheduling.local_scheduler;
@@ -206,9 +209,11 @@
             }
             match update {
                 JobUpdate::FirstEvent => self.scheduling.local_scheduler.first_event(attempt_id),
-                JobUpdate::Ended(outcome) => {
+                JobUpdate::Ended(outcome, evidence) => {
                     self.log_reported_failure(attempt_id, outcome);
-                    self.scheduling.local_scheduler.ended(attempt_id, outcome);
+                    let local_scheduler = &self.scheduling.local_scheduler;
+                    local_scheduler.note_evidence(attempt_id, evidence);
+                    local_scheduler.ended(attempt_id, outcome);
                 }
             }
         }
@@ -237,9 +242,16 @@
 
     async fn ping(
         self: Rc<Self>,
-        _: scheduler::PingParams,
+        params: scheduler::PingParams,
         mut results: scheduler::PingResults,
     ) -> Result<(), capnp::Error> {
+        let known = params.get()?.get_quarantine_hash();
+        let local_scheduler = &self.scheduling.local_scheduler;
+        if self.scheduling.is_leading() && local_scheduler.quarantine_hash() != known {
+            let sets = local_scheduler.quarantined();
+            results.get().set_quarantine_differs(true);
+            write_quarantine(results.get().init_quarantine(sets.len() as u32), &sets);
+        }
         write_leader(
             results.get().init_leader(),
             self.scheduling.leader().as_ref(),
--- a/crates/entry/src/scheduling/vm_history.rs
+++ b/crates/entry/src/scheduling/vm_history.rs
@@ -1,5 +1,7 @@
 use jasmine_core::{
     clock::Millis,
+    ids::PartId,
+    quarantine::PartSet,
     scheduler::{AttemptCounts, UpstreamSignals},
 };
 
@@ -12,6 +14,21 @@
     pub attempts: Vec<(String, AttemptCounts)>,
     /// The upstreams that have stated something.
     pub stated: Vec<StatedSpec>,
+    /// The crashes that this VM has recorded.
+    pub crashes: Vec<CrashSpec>,
+    /// The parts of prompts that it refuses.
+    pub quarantine: Vec<PartSet>,
+}
+
+/// A crash of an upstream as it began to answer prompts, as a VM tells it to a new leader.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CrashSpec {
+    /// The upstream's id.
+    pub upstream: String,
+    /// Time since the crash.
+    pub ago: Millis,
+    /// The parts of the prompts.
+    pub parts: Vec<PartId>,
 }
 
 /// What an upstream has stated, as a VM tells it to a new leader.
--- a/crates/entry/src/store/mod.rs
+++ b/crates/entry/src/store/mod.rs
@@ -7,6 +7,7 @@
 mod lease_relay;
 mod member_lease;
 mod membership;
+mod quarantine;
 mod view;
 mod vm_record;
 
@@ -18,5 +19,6 @@
     kv_store::KvStore,
     member_lease::{deregister, keep_registered},
     membership::Membership,
+    quarantine::keep_quarantine,
     vm_record::{FeedPeer, VmRecord},
 };
--- /dev/null
+++ b/crates/entry/src/store/quarantine.rs
@@ -0,0 +1,83 @@
+//! Keeps the parts of prompts that crash upstreams in the store, so that VMs know them after a restart.
+
+use {
+    super::KvStore,
+    crate::context::Context,
+    jasmine_core::{clock::Millis, ids::PartId, quarantine::PartSet},
+    jasmine_store::store::{Op, Range, Store, Txn},
+    jasmine_telemetry::log::Line,
+    std::rc::Rc,
+    tokio::time::{sleep, timeout},
+};
+
+/// Prefix of a key for each set of parts that is refused. Written by the leader; an operator deletes one to release it.
+pub(super) const QUARANTINE_PREFIX: &str = "jasmine/quarantine/";
+
+/// How often differences from the store are looked for, without a notification.
+const CHECK_INTERVAL: Millis = Millis(500);
+/// How long a VM that doesn't lead leaves it to the leader to write.
+const FOLLOWER_DELAY: Millis = Millis(3_000);
+/// Most writes in one transaction.
+const MAX_OPS: usize = 16;
+/// Separates the parts in a key.
+const SEPARATOR: char = '-';
+
+/// The key of a set of parts.
+fn key_of(parts: &PartSet) -> String {
+    let names = parts.iter().map(|&PartId(id)| format!("{id:x}"));
+    let names: Vec<String> = names.collect();
+    format!("{QUARANTINE_PREFIX}{}", names.join(&SEPARATOR.to_string()))
+}
+
+/// The parts that a key names after its prefix.
+pub(super) fn decode(name: &str) -> Option<PartSet> {
+    let parts = name.split(SEPARATOR);
+    let parts = parts.map(|part| u64::from_str_radix(part, 16).ok().map(PartId));
+    parts.collect()
+}
+
+/// Writes what is refused to the store and deletes what isn't any more; never returns.
+pub async fn keep_quarantine(
+    cx: Rc<Context>,
+    store: KvStore,
+) {
+    let local_scheduler = &cx.scheduling.local_scheduler;
+    let mut differs_since: Option<Millis> = None;
+    loop {
+        let changed = timeout(
+            CHECK_INTERVAL.to_std(),
+            local_scheduler.quarantine_changed(),
+        );
+        // A check without a change retries failed writes.
+        let _elapsed = changed.await;
+        let Some(txn) = difference(&cx) else {
+            differs_since = None;
+            continue;
+        };
+        let now = cx.clock.now();
+        let since = *differs_since.get_or_insert(now);
+        if !cx.scheduling.is_leading() && now.since(since) < FOLLOWER_DELAY {
+            continue;
+        }
+        if let Err(e) = store.txn(txn).await {
+            Line::new("quarantine_not_stored").with("reason", e).warn();
+            sleep(CHECK_INTERVAL.to_std()).await;
+        }
+    }
+}
+
+/// The writes that bring the store up to date, if there are any.
+fn difference(cx: &Context) -> Option<Txn> {
+    let local_scheduler = &cx.scheduling.local_scheduler;
+    let wanted = local_scheduler.quarantined();
+    let stored = local_scheduler.stored_quarantine();
+    let added = wanted.iter().filter(|parts| !stored.contains(parts));
+    let removed = stored.iter().filter(|parts| !wanted.contains(parts));
+    let puts = added.map(|parts| Op::put(key_of(parts), b"{}"));
+    let deletes = removed.map(|parts| Op::Delete(Range::key(key_of(parts))));
+    let ops: Vec<Op> = puts.chain(deletes).take(MAX_OPS).collect();
+    (!ops.is_empty()).then(|| Txn {
+        success: ops,
+        ..Txn::default()
+    })
+}
--- a/crates/entry/src/store/view.rs
+++ b/crates/entry/src/store/view.rs
@@ -2,10 +2,12 @@
     super::{
         Feed, Membership,
         membership::{LAST_LEADER_KEY, LEADER_KEY, VM_PREFIX},
+        quarantine::{self, QUARANTINE_PREFIX},
     },
     crate::context::Context,
     jasmine_core::{
-        clock::Millis, feed::may_have_lapsed, ingress::UpstreamEntry, scheduler::Announcement,
+        clock::Millis, feed::may_have_lapsed, ingress::UpstreamEntry, quarantine::PartSet,
+        scheduler::Announcement,
     },
     jasmine_platform::{configuration, entries, evacuations, versions},
     jasmine_store::store::{KeyValue, RangeReply, StoreError, WatchEvent},
@@ -127,6 +129,7 @@
             yield_now().await;
         }
         self.retain_evacuations(reply);
+        self.retain_quarantine(reply);
         if !reply.kvs.iter().any(|kv| kv.key == LEADER_KEY) {
             self.membership.remove_leader();
         }
@@ -280,6 +283,8 @@
                 Ok(data_centre) => self.begin_evacuation(data_centre, announcement),
                 Err(e) => log_unreadable(&kv.key, &e),
             }
+        } else if let Some(name) = kv.key.strip_prefix(QUARANTINE_PREFIX) {
+            self.add_quarantine(name);
         } else if kv.key == LEADER_KEY {
             self.membership.set_leader(&self.cx, kv);
         } else if kv.key == LAST_LEADER_KEY {
@@ -300,6 +305,8 @@
             self.remove_upstream(id);
         } else if let Some(data_centre) = key.strip_prefix(evacuations::PREFIX) {
             self.end_evacuation(data_centre);
+        } else if let Some(name) = key.strip_prefix(QUARANTINE_PREFIX) {
+            self.remove_quarantine(name);
         } else if key == LEADER_KEY {
             self.membership.remove_leader();
         } else if let Some(vm) = key.strip_prefix(VM_PREFIX) {
@@ -408,6 +415,53 @@
         }
     }
 
+    fn add_quarantine(
+        &self,
+        name: &str,
+    ) {
+        let Some(parts) = quarantine::decode(name) else {
+            Line::new("entry_unreadable")
+                .with("key", format!("{QUARANTINE_PREFIX}{name}"))
+                .with("reason", "expected hexadecimal numbers separated by -")
+                .warn();
+            return;
+        };
+        let local_scheduler = &self.cx.scheduling.local_scheduler;
+        local_scheduler.note_stored_quarantine(parts.clone());
+        local_scheduler.add_quarantine(parts);
+    }
+
+    /// Releases what the store no longer holds: its key was deleted by an operator, or by the leader.
+    fn remove_quarantine(
+        &self,
+        name: &str,
+    ) {
+        let local_scheduler = &self.cx.scheduling.local_scheduler;
+        if let Some(parts) = quarantine::decode(name)
+            && local_scheduler.note_unstored_quarantine(&parts)
+        {
+            local_scheduler.remove_quarantine(&parts);
+        }
+    }
+
+    /// Releases what is not in a full read of the store, though it was there before.
+    fn retain_quarantine(
+        &self,
+        reply: &RangeReply,
+    ) {
+        let found: BTreeSet<PartSet> = reply
+            .kvs
+            .iter()
+            .filter_map(|kv| quarantine::decode(kv.key.strip_prefix(QUARANTINE_PREFIX)?))
+            .collect();
+        let local_scheduler = &self.cx.scheduling.local_scheduler;
+        let known = local_scheduler.stored_quarantine();
+        for parts in known.iter().filter(|parts| !found.contains(parts)) {
+            local_scheduler.note_unstored_quarantine(parts);
+            local_scheduler.remove_quarantine(parts);
+        }
+    }
+
     /// Removes an upstream whose entry is gone, after a delay if it may have expired in a store outage.
     fn remove_upstream(
         self: &Rc<Self>,
--- a/crates/entry/tests/crashing_parts.rs
+++ b/crates/entry/tests/crashing_parts.rs
@@ -42,11 +42,13 @@
 /// A generation whose prompt has these parts and one of its own.
 fn generation(parts: &[&str]) -> Request {
     let own = NEXT_PART.fetch_add(1, Ordering::Relaxed);
-    let shared: String = parts.iter().map(|part| format!("{part}:50,")).collect();
+    let own = format!("{own:x}");
+    let all = parts.iter().copied().chain([own.as_str()]);
+    let prompt: Vec<String> = all.map(|part| format!("{part}:50")).collect();
     Request::new("POST", "/model/")
         .with("X-Model", "base")
         .with("X-Token-Counts", "150,10")
-        .with("X-Prompt-Prefix", &format!("{shared}{own:x}:50"))
+        .with("X-Prompt-Prefix", &prompt.join(","))
         .with("X-Deadline-Ms", "1500")
         .body(b"prompt")
 }
@@ -132,8 +134,8 @@
     assert!(late <= MAX_LATE, "{late} requests with the part");
 
     // Guards against refusing what shares the route, the account and the first part.
-    let settled = Instant::now() - Duration::from_secs(2);
-    let last = sound.iter().filter(|(at, _)| *at > settled);
+    let settled = Duration::from_secs(2);
+    let last = sound.iter().filter(|(at, _)| at.elapsed() < settled);
     let (served, sent) = last.fold((0, 0), |(served, sent), (_, is_served)| {
         (served + usize::from(*is_served), sent + 1)
     });
--- a/crates/wire/schema/scheduler.capnp
+++ b/crates/wire/schema/scheduler.capnp
@@ -83,11 +83,32 @@
   sentAgoMs @2 :List(UInt16);  # how long ago the VM sent its last requests there
 }
 
+# What the end of an attempt shows about the parts of its prompt.
+enum Evidence {
+  none @0;
+  crash @1;                    # one of them may have crashed the upstream
+  sound @2;                    # none of them crashes upstreams
+}
+
 struct News {
   number @0 :UInt64;
   kind @1 :EndKind;
   tookMs @2 :UInt32;
   signals @3 :Signals;         # null: no response has begun
+  evidence @4 :Evidence;
+  begunAgoMs @5 :UInt32;       # with sound evidence: since the answer began
+}
+
+# A crash of an upstream as it began to answer prompts with these parts.
+struct Crash {
+  upstream @0 :Text;
+  agoMs @1 :UInt32;
+  parts @2 :List(UInt64);
+}
+
+# Prompts with all of these parts are refused.
+struct Quarantined {
+  parts @0 :List(UInt64);
 }
 
 struct Leadership {
@@ -139,13 +160,15 @@
 interface Scheduler {
   # `countedForMs`: how much of the window the VM has counted its `attempts`. `stated`: what upstreams have stated.
   hello @0 (vm :Text, incarnation :UInt64, running :List(RunningJob), attempts :List(Attempts), countedForMs :UInt32,
-      stated :List(Stated))
+      stated :List(Stated), crashes :List(Crash), quarantine :List(Quarantined))
       -> (session :UInt32, leader :Leadership);
   place @1 (session :UInt32, job :Job) -> (known :Bool, verdict :Verdict);
   tell @2 (session :UInt32, news :List(News)) -> (known :Bool);
   # `rested` comes from a leader that leaves: how long ago it gave each engine its last order.
   announce @3 (leader :Leadership, rested :List(Rested)) -> (leader :Leadership);
-  ping @4 () -> (leader :Leadership);
+  # `quarantine`: that of the leader, if it differs from the one with the hash that the VM knows.
+  ping @4 (quarantineHash :UInt64)
+      -> (leader :Leadership, quarantineDiffers :Bool, quarantine :List(Quarantined));
   # Changes of the store after a revision; waits for the first one. Minor ones wait for nobody: they come along after
   # their own revision, 0 for none of them. `answeredAgoMs`: since the store last answered the VM.
   changes @5 (after :UInt64, minorAfter :UInt64, waitMs :UInt32)
