Requests with a part that upstreams crashed under go one at a time until it is cleared

Change: a part that was never answered and under which two upstreams crashed is on trial: one request with it is under way at a time. Held requests wait in a queue of their own (wait reason `trial`), so that they don't block others of their adapter. Crashes count as simultaneous if no accused prompt was sent after the first of them; a time of 300 ms missed six engines that ended one after the other within 220 ms.

--- a/crates/core/src/quarantine/crash.rs
+++ b/crates/core/src/quarantine/crash.rs
@@ -3,7 +3,7 @@
         clock::Millis,
         ids::{PartId, UpstreamId},
     },
-    std::collections::BTreeSet,
+    std::collections::BTreeMap,
 };
 
 /// Reports of one crash arrive within this time of the first one; a crashed upstream is gone for longer.
@@ -16,8 +16,8 @@
 pub(super) struct Crash {
     pub upstream: UpstreamId,
     pub at: Millis,
-    /// Those that no later answer has acquitted.
-    pub accused: BTreeSet<PartId>,
+    /// Those that no later answer has acquitted, and when a prompt with them was last sent to the upstream.
+    pub accused: BTreeMap<PartId, Millis>,
 }
 
 /// A crash as a VM tells it to a new scheduler.
@@ -27,8 +27,8 @@
     pub upstream: UpstreamId,
     /// Time since the crash.
     pub ago: Millis,
-    /// The accused parts.
-    pub parts: Vec<PartId>,
+    /// The accused parts, and how long ago a prompt with them was sent to the upstream.
+    pub accused: Vec<(PartId, Millis)>,
 }
 
 impl Crash {
@@ -39,7 +39,7 @@
         Self {
             upstream,
             at,
-            accused: BTreeSet::new(),
+            accused: BTreeMap::new(),
         }
     }
 
@@ -52,14 +52,21 @@
         self.upstream == upstream && self.at.since(at).max(at.since(self.at)) < REPORT_SPREAD
     }
 
-    /// Accuses parts, as far as there is room, and returns those that it didn't accuse before.
+    /// Accuses a part of a prompt that was sent at `sent_at`, if there is room; returns whether it wasn't accused before.
     pub(super) fn accuse(
         &mut self,
-        parts: &[PartId],
-    ) -> Vec<PartId> {
-        let room = MAX_ACCUSED.saturating_sub(self.accused.len());
-        let accused = &mut self.accused;
-        let new = parts.iter().copied().filter(|&part| accused.insert(part));
-        new.take(room).collect()
+        part: PartId,
+        sent_at: Millis,
+    ) -> bool {
+        let has_room = self.accused.len() < MAX_ACCUSED;
+        match self.accused.get_mut(&part) {
+            Some(known) => *known = sent_at.max(*known),
+            None if has_room => {
+                self.accused.insert(part, sent_at);
+                return true;
+            }
+            None => {}
+        }
+        false
     }
 }
--- a/crates/core/src/quarantine/crash_log.rs
+++ b/crates/core/src/quarantine/crash_log.rs
@@ -21,10 +21,11 @@
 }
 
 impl CrashLog {
+    /// Records a crash under prompts with these parts, each with the time at which such a prompt was sent.
     pub(super) fn note(
         &mut self,
         upstream: UpstreamId,
-        parts: &[PartId],
+        parts: &[(PartId, Millis)],
         at: Millis,
         now: Millis,
     ) {
@@ -38,7 +39,11 @@
             self.crashes.push_back(Crash::new(upstream, at));
             self.crashes.len() - 1
         });
-        for part in self.crashes[index].accuse(parts) {
+        let crash = &mut self.crashes[index];
+        for &(part, _) in parts
+            .iter()
+            .filter(|&&(part, sent_at)| crash.accuse(part, sent_at))
+        {
             *self.accusations.entry(part).or_default() += 1;
         }
         while self.crashes.len() > MAX_CRASHES {
@@ -62,7 +67,7 @@
         }
         for crash in self.crashes.iter_mut().filter(|crash| crash.at <= until) {
             for part in &accused {
-                if crash.accused.remove(part) {
+                if crash.accused.remove(part).is_some() {
                     release(&mut self.accusations, *part);
                 }
             }
@@ -81,6 +86,18 @@
         }
     }
 
+    /// How many crashes accuse a part.
+    pub(super) fn accusations(
+        &self,
+        part: PartId,
+    ) -> usize {
+        self.accusations.get(&part).copied().unwrap_or_default()
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.crashes.is_empty()
+    }
+
     pub(super) fn iter(&self) -> impl Iterator<Item = &Crash> {
         self.crashes.iter()
     }
@@ -92,14 +109,18 @@
         let reports = self.crashes.iter().map(|crash| CrashReport {
             upstream: crash.upstream,
             ago: now.since(crash.at),
-            parts: crash.accused.iter().copied().collect(),
+            accused: crash
+                .accused
+                .iter()
+                .map(|(&part, &sent_at)| (part, now.since(sent_at)))
+                .collect(),
         });
         reports.collect()
     }
 
     fn forget_first(&mut self) {
         let accused = self.crashes.pop_front().map(|crash| crash.accused);
-        for part in accused.unwrap_or_default() {
+        for part in accused.unwrap_or_default().into_keys() {
             release(&mut self.accusations, part);
         }
     }
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -3,7 +3,8 @@
 //! Each end of an attempt is evidence about the parts of its prompt. An answer that breaks off just after it has begun
 //! accuses them all but the last, which belongs to one request or session. An answer that goes on acquits them of the
 //! crashes before it, as a crashing part lets no upstream go on. A part that several upstreams crashed under without an
-//! acquittal is quarantined: requests with it are refused.
+//! acquittal is quarantined: requests with it are refused. Before that, a part that was never answered and that two
+//! upstreams crashed under is on trial: one request with it at a time.
 
 mod answer_trace;
 mod crash;
@@ -11,6 +12,7 @@
 mod part_quarantine;
 mod recent_parts;
 mod suspect;
+mod trials;
 mod verdict;
 
 pub use {
--- a/crates/core/src/quarantine/part_quarantine.rs
+++ b/crates/core/src/quarantine/part_quarantine.rs
@@ -1,16 +1,19 @@
 use {
     super::{
         CrashReport, PartSet, crash::Crash, crash_log::CrashLog, recent_parts::RecentParts,
-        suspect::Suspect, verdict::Verdict,
+        suspect::Suspect, trials::Trials, verdict::Verdict,
     },
     crate::{
         clock::Millis,
-        ids::{PartId, UpstreamId},
+        ids::{PartId, RequestId, UpstreamId},
+        scheduler::Generation,
     },
 };
 
 /// Most verdicts that are kept; the oldest go first.
 const MAX_VERDICTS: usize = 1_000;
+/// Crashes under a part that was never answered, from which requests with it go one at a time.
+const MIN_TRIAL_CRASHES: usize = 2;
 /// Most parts that are refused only together.
 const MAX_SET_LEN: usize = 8;
 /// How long several suspects wait for answers that acquit all but one.
@@ -43,14 +46,18 @@
     changes: Vec<QuarantineChange>,
     /// When suspects that can't be told apart yet are quarantined together.
     due: Option<Millis>,
+    /// These suspects; prompts with all of them wait.
+    undecided: PartSet,
+    trials: Trials,
 }
 
 impl PartQuarantine {
-    /// Records that an upstream crashed as it began to answer a prompt with these shared parts.
+    /// Records that an upstream crashed as it began to answer prompts with these shared parts, each with the time at
+    /// which such a prompt was sent.
     pub fn note_crash(
         &mut self,
         upstream: UpstreamId,
-        parts: &[PartId],
+        parts: &[(PartId, Millis)],
         at: Millis,
         now: Millis,
     ) {
@@ -84,6 +91,42 @@
         verdicts.any(|verdict| verdict.applies_to(parts))
     }
 
+    /// Whether a generation has to wait for what others show about its prompt.
+    pub fn holds(
+        &self,
+        generation: Option<&Generation>,
+        now: Millis,
+    ) -> bool {
+        let Some(parts) = self.suspicious_parts(generation) else {
+            return false;
+        };
+        let mut undecided = self.undecided.iter();
+        let is_undecided = !self.undecided.is_empty() && undecided.all(|part| parts.contains(part));
+        is_undecided || parts.iter().any(|&part| self.trials.is_pending(part, now))
+    }
+
+    /// Records that a generation is sent.
+    pub fn note_sent(
+        &mut self,
+        generation: Option<&Generation>,
+        request: RequestId,
+        now: Millis,
+    ) {
+        for part in self.suspicious_parts(generation).unwrap_or_default() {
+            if self.is_on_trial(part) {
+                self.trials.begin(part, request, now);
+            }
+        }
+    }
+
+    /// Records that a request has ended.
+    pub fn note_ended(
+        &mut self,
+        request: RequestId,
+    ) {
+        self.trials.end(request);
+    }
+
     /// Whether anything is refused.
     pub const fn is_empty(&self) -> bool {
         self.verdicts.is_empty()
@@ -142,6 +185,7 @@
         now: Millis,
     ) {
         self.due = None;
+        self.undecided.clear();
         self.crashes.forget_old(now);
         loop {
             let unexplained: Vec<&Crash> = self
@@ -157,7 +201,9 @@
             let (parts, crashes) = match (unproven.next(), unproven.next()) {
                 (Some(only), None) => (PartSet::from([only.part]), only.crashes.len()),
                 _ if now < since + ACQUITTAL_TIME => {
+                    let (undecided, _) = indistinct(&suspects);
                     self.due = Some(since + ACQUITTAL_TIME);
+                    self.undecided = undecided;
                     return;
                 }
                 _ => indistinct(&suspects),
@@ -166,12 +212,34 @@
         }
     }
 
+    /// The shared parts of a generation's prompt; `None` while no part is suspected.
+    fn suspicious_parts(
+        &self,
+        generation: Option<&Generation>,
+    ) -> Option<Vec<PartId>> {
+        let generation = generation.filter(|_| !self.crashes.is_empty())?;
+        Some(generation.shared_parts())
+    }
+
+    /// Whether requests with a part go one at a time.
+    fn is_on_trial(
+        &self,
+        part: PartId,
+    ) -> bool {
+        self.crashes.accusations(part) >= MIN_TRIAL_CRASHES && !self.sound.contains(part)
+    }
+
     fn is_explained(
         &self,
         crash: &Crash,
     ) -> bool {
         let mut verdicts = self.verdicts.iter();
-        verdicts.any(|verdict| verdict.parts.is_subset(&crash.accused))
+        verdicts.any(|verdict| {
+            verdict
+                .parts
+                .iter()
+                .all(|part| crash.accused.contains_key(part))
+        })
     }
 
     fn insert(
--- a/crates/core/src/quarantine/suspect.rs
+++ b/crates/core/src/quarantine/suspect.rs
@@ -6,8 +6,6 @@
 
 /// Crashes of different upstreams under a part from which it may be quarantined.
 const MIN_CRASHES: usize = 3;
-/// Crashes closer together than this may have one outer cause, such as a power loss.
-const SIMULTANEOUS: Millis = Millis(300);
 
 /// A part that crashes accuse, and which of them by their index.
 #[derive(Clone, Debug)]
@@ -31,7 +29,7 @@
     {
         let mut accused: BTreeMap<PartId, BTreeSet<usize>> = BTreeMap::new();
         for (at, crash) in crashes.iter().enumerate() {
-            for &part in &crash.accused {
+            for &part in crash.accused.keys() {
                 accused.entry(part).or_default().insert(at);
             }
         }
@@ -40,7 +38,7 @@
             .filter_map(|(part, indices)| {
                 Some(Self {
                     part,
-                    qualified_at: qualified_at(crashes, &indices)?,
+                    qualified_at: qualified_at(part, crashes, &indices)?,
                     crashes: indices,
                     was_sound: was_sound(part),
                 })
@@ -57,14 +55,19 @@
     }
 }
 
-/// When there were enough crashes that weren't simultaneous; `None` if there aren't.
+/// When there were enough crashes, with one under a prompt that was sent after another crash; `None` if there aren't.
+///
+/// Several upstreams that end at once, as in a power loss, don't show that what they ran is the cause.
 fn qualified_at(
+    part: PartId,
     crashes: &[&Crash],
     indices: &BTreeSet<usize>,
 ) -> Option<Millis> {
-    let mut times: Vec<Millis> = indices.iter().map(|&at| crashes[at].at).collect();
-    times.sort();
-    let first = *times.first()?;
-    let mut enough = times.into_iter().skip(MIN_CRASHES - 1);
-    enough.find(|at| at.since(first) >= SIMULTANEOUS)
+    let mut accusing: Vec<&Crash> = indices.iter().map(|&at| crashes[at]).collect();
+    accusing.sort_by_key(|crash| crash.at);
+    let first = accusing.first()?.at;
+    let is_later = |crash: &&Crash| crash.accused.get(&part).is_some_and(|&sent| sent >= first);
+    let enough = accusing.get(MIN_CRASHES - 1)?.at;
+    let later = accusing.iter().find(|crash| is_later(crash))?.at;
+    Some(enough.max(later))
 }
--- a/crates/core/src/queue/pool.rs
+++ b/crates/core/src/queue/pool.rs
@@ -19,7 +19,7 @@
     /// Returns the pool of upstreams that can serve a target.
     pub const fn for_target(target: QueueTarget) -> Self {
         match target {
-            QueueTarget::Adapter(_) | QueueTarget::Base(_) => Self::Engines,
+            QueueTarget::Adapter(_) | QueueTarget::Base(_) | QueueTarget::Trial => Self::Engines,
             QueueTarget::Service(service) => Self::Service(service),
         }
     }
--- a/crates/core/src/queue/queued_request.rs
+++ b/crates/core/src/queue/queued_request.rs
@@ -15,6 +15,8 @@
     Base(ModelId),
     /// A server of this plain service.
     Service(ServiceId),
+    /// An engine, once another request has shown whether the prompt crashes it.
+    Trial,
 }
 
 /// A queued request.
--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -7,9 +7,9 @@
         clock::Millis,
         error::{ErrorKind, Refusal},
         ids::{AdapterVersion, RequestId, ServiceId, UpstreamId},
-        queue::QueuedRequest,
+        queue::{QueueTarget, QueuedRequest},
         scheduler::{
-            Job, Outcome, RateShare, SchedulerAction as Action,
+            Job, Outcome, RateShare, SchedulerAction as Action, WaitReason,
             choose::{Choice, SelectionContext},
             fleet_totals::FleetTotals,
             loads,
@@ -45,7 +45,6 @@
 /// A late request is refused if the expected wait times this factor exceeds its remaining time, as
 /// newer requests that can be on time will go first.
 const LATE_WAIT_FACTOR: u64 = 2;
-
 /// Minimum interval between checks for due reports and missing base models.
 const MIN_ENGINE_CHECK_INTERVAL: Millis = Millis(5);
 
@@ -214,6 +213,14 @@
         })
     }
 
+    /// How many VMs decide at the same time.
+    fn deciding_vms(&self) -> u64 {
+        match self.rates.share() {
+            RateShare::Part(vms) if !self.can_order => vms,
+            _ => 1,
+        }
+    }
+
     /// Sends queued requests and starts loads for them, as far as the phase allows.
     fn dispatch(
         &mut self,
@@ -223,15 +230,13 @@
         actions: &mut Vec<Action>,
     ) {
         let can_order = self.can_order;
-        let deciding_vms = match self.rates.share() {
-            RateShare::Part(vms) if !can_order => vms,
-            _ => 1,
-        };
+        let deciding_vms = self.deciding_vms();
         let mut evaluations = 0;
         // No slot becomes free during a pass, so that one call speaks for all of its service.
         let mut full_services: Vec<ServiceId> = Vec::new();
         loop {
             let mut sent = None;
+            let mut held: Vec<RequestId> = Vec::new();
             let popped = {
                 let Self {
                     queue,
@@ -243,6 +248,7 @@
                     on_time,
                     reports,
                     evaluation_epoch,
+                    quarantine,
                     ..
                 } = self;
 
@@ -268,6 +274,13 @@
                     {
                         return false;
                     }
+                    if quarantine.holds(entry.job.generation(), now) {
+                        entry.waits_for(WaitReason::Trial, now);
+                        if waiting.target != QueueTarget::Trial {
+                            held.push(waiting.request);
+                        }
+                        return false;
+                    }
                     evaluations += 1;
                     entry.evaluation_epoch = *evaluation_epoch;
                     fleet.prepare(&entry.job);
@@ -312,8 +325,11 @@
                 (Some(waiting), Some((upstream, adapter))) => {
                     actions.extend(self.assign(waiting.request, upstream, adapter, now));
                 }
-                (Some(_), None) => {}
-                (None, _) => break,
+                (None, _) if held.is_empty() => break,
+                _ => {}
+            }
+            for request in held {
+                self.queue.hold(request);
             }
         }
         self.evaluations += evaluations;
@@ -331,6 +347,7 @@
         let load = self.request_load(&job, upstream, now);
         self.fleet.assign(upstream, request, adapter, load, now);
         self.fleet.note_sent(upstream, &job, now);
+        self.quarantine.note_sent(job.generation(), request, now);
         self.update_queued_work(&job, false);
         let entry = self.entries.get_mut(&request)?;
         self.on_time.remove(&(entry.latest_send_at, request));
@@ -406,6 +423,7 @@
             return;
         };
         self.by_attempt_id.remove(&entry.attempt_id);
+        self.quarantine.note_ended(request);
         let has_run = match entry.stage {
             Stage::Waiting => {
                 entry.waits_for(entry.waits_for, now);
--- a/crates/core/src/scheduler/state_machine/quarantine.rs
+++ b/crates/core/src/scheduler/state_machine/quarantine.rs
@@ -25,7 +25,8 @@
         };
         if let Stage::Running { upstream, .. } = entry.stage {
             let parts = entry.job.shared_parts();
-            self.note_own_evidence(upstream, &parts, evidence, now);
+            let sent_at = entry.assigned_at;
+            self.note_own_evidence(upstream, &parts, evidence, sent_at, now);
             self.is_evidence_new |= match evidence {
                 PromptEvidence::None => false,
                 PromptEvidence::Crash => true,
@@ -34,18 +35,22 @@
         }
     }
 
-    /// Records the same of a request of this VM's own callers, whichever VM has assigned it; a later
-    /// decision of this scheduler considers it.
+    /// Records the same of a request of this VM's own callers that was sent at `sent_at`, whichever VM
+    /// has assigned it; a later decision of this scheduler considers it.
     pub fn note_own_evidence(
         &mut self,
         upstream: UpstreamId,
         parts: &[PartId],
         evidence: PromptEvidence,
+        sent_at: Millis,
         now: Millis,
     ) {
         match evidence {
             PromptEvidence::None => {}
-            PromptEvidence::Crash => self.quarantine.note_crash(upstream, parts, now, now),
+            PromptEvidence::Crash => {
+                let accused: Vec<_> = parts.iter().map(|&part| (part, sent_at)).collect();
+                self.quarantine.note_crash(upstream, &accused, now, now);
+            }
             PromptEvidence::Sound { begun_ago } => {
                 self.quarantine.note_sound(parts, now.since(begun_ago));
             }
@@ -59,9 +64,13 @@
         now: Millis,
     ) {
         for crash in crashes {
+            let accused = crash.accused.iter();
+            let accused: Vec<_> = accused
+                .map(|&(part, sent_ago)| (part, now.since(sent_ago)))
+                .collect();
             let at = now.since(crash.ago);
             self.quarantine
-                .note_crash(crash.upstream, &crash.parts, at, now);
+                .note_crash(crash.upstream, &accused, at, now);
         }
         self.is_evidence_new |= !crashes.is_empty();
     }
--- a/crates/core/src/scheduler/wait_reason.rs
+++ b/crates/core/src/scheduler/wait_reason.rs
@@ -22,11 +22,13 @@
     ColdUpstream,
     /// The request limit that an upstream states.
     RequestLimit,
+    /// The outcome of another request with a part of its prompt that upstreams have crashed under.
+    Trial,
 }
 
 impl WaitReason {
     /// All variants in declaration order, by which wait times are counted and exported as metrics.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::Turn,
         Self::NoUpstream,
         Self::CallSlot,
@@ -37,6 +39,7 @@
         Self::AdapterSlot,
         Self::ColdUpstream,
         Self::RequestLimit,
+        Self::Trial,
     ];
 
     /// Parses a name from [`Self::as_str`]; `None` if it is unknown.
@@ -57,6 +60,7 @@
             Self::AdapterSlot => "place",
             Self::ColdUpstream => "cold_upstream",
             Self::RequestLimit => "request_limit",
+            Self::Trial => "trial",
         }
     }
 }
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -137,6 +137,35 @@
     assert!(!is_quarantined(&mut world, &[FIRST, OTHER]));
 }
 
+#[test]
+fn a_suspected_part_goes_one_at_a_time() {
+    // Guards against many crashes while the evidence is weighed, and against holding other prompts for it.
+    let mut world = world();
+    answer(&mut world, &[FIRST, OTHER]);
+    for _ in 0..2 {
+        crash(&mut world, &[FIRST, BAD]);
+    }
+    let numbers: Vec<u64> = (0..6)
+        .map(|_| world.place(prompt(&[FIRST, BAD], world.now)))
+        .collect();
+    let sound = world.place(prompt(&[FIRST, OTHER], world.now));
+    world.advance(100);
+    let sent = numbers.iter().filter(|&&one| world.sent_to(one).is_some());
+    assert_eq!(sent.count(), 1);
+    assert!(world.sent_to(sound).is_some(), "another prompt waits");
+    let evidence = PromptEvidence::Sound {
+        begun_ago: Millis(10),
+    };
+    let now = world.now;
+    world
+        .scheduler
+        .note_evidence(attempt(numbers[0]), evidence, now);
+    world.end(numbers[0], Outcome::Answered { took: Millis(90) });
+    world.advance(100);
+    let sent = numbers.iter().filter(|&&one| world.sent_to(one).is_some());
+    assert_eq!(sent.count(), 6, "a sound part goes on");
+}
+
 #[test]
 fn ordinary_crashes_convict_no_part() {
     // Guards against refusing sound prompts because engines crash under them now and then.
@@ -159,12 +188,13 @@
     let numbers: Vec<u64> = (0..u64::from(ENGINES))
         .map(|_| world.place(prompt(&[FIRST, OTHER], world.now)))
         .collect();
+    let sent_at = world.now;
     world.advance(20);
     let now = world.now;
     for (id, number) in (0..).zip(numbers) {
         let parts = [PartId(FIRST), PartId(OTHER)];
         let scheduler = &mut world.scheduler;
-        scheduler.note_own_evidence(UpstreamId(id), &parts, PromptEvidence::Crash, now);
+        scheduler.note_own_evidence(UpstreamId(id), &parts, PromptEvidence::Crash, sent_at, now);
         world.end(number, Outcome::Lost);
     }
     world.advance(3_000);
@@ -192,10 +222,11 @@
     }
     let queued = world.place(prompt(&[FIRST, BAD], world.now));
     assert_eq!(world.decision(queued), None, "it waits");
+    let sent_just_before = |id: u32, part| (PartId(part), Millis(500 * u64::from(id) + 100));
     let report = |id: u32| CrashReport {
         upstream: UpstreamId(id),
         ago: Millis(500 * u64::from(id)),
-        parts: vec![PartId(FIRST), PartId(BAD)],
+        accused: vec![sent_just_before(id, FIRST), sent_just_before(id, BAD)],
     };
     let reports: Vec<CrashReport> = (0..3).map(report).collect();
     let now = world.now;
@@ -217,7 +248,7 @@
         let report = CrashReport {
             upstream: UpstreamId(1),
             ago: Millis::ZERO,
-            parts: vec![PartId(BAD)],
+            accused: vec![(PartId(BAD), Millis::ZERO)],
         };
         world.scheduler.add_crashes(&[report], now);
     }
--- a/crates/entry/src/scheduling/client/mod.rs
+++ b/crates/entry/src/scheduling/client/mod.rs
@@ -312,7 +312,7 @@
         let local_scheduler = &self.local_scheduler;
         if self.is_following() {
             if let Some(running) = running {
-                local_scheduler.note_own_evidence(&running.spec, evidence);
+                local_scheduler.note_own_evidence(&running.spec, evidence, running.since);
             }
         } else {
             local_scheduler.note_evidence(attempt_id, evidence);
--- a/crates/entry/src/scheduling/convert.rs
+++ b/crates/entry/src/scheduling/convert.rs
@@ -337,7 +337,12 @@
         let mut one = to.reborrow().get(at as u32);
         one.set_upstream(&spec.upstream);
         one.set_ago_ms(u32::try_from(spec.ago.0).unwrap_or(u32::MAX));
-        write_parts(one.init_parts(spec.parts.len() as u32), &spec.parts);
+        let mut list = one.init_accused(spec.accused.len() as u32);
+        for (at, (part, sent_ago)) in spec.accused.iter().enumerate() {
+            let mut to = list.reborrow().get(at as u32);
+            to.set_part(part.0);
+            to.set_sent_ago_ms(u32::try_from(sent_ago.0).unwrap_or(u32::MAX));
+        }
     }
 }
 
@@ -349,7 +354,11 @@
             Ok(CrashSpec {
                 upstream: one.get_upstream()?.to_string()?,
                 ago: Millis(one.get_ago_ms().into()),
-                parts: one.get_parts()?.iter().map(PartId).collect(),
+                accused: one
+                    .get_accused()?
+                    .iter()
+                    .map(|one| (PartId(one.get_part()), Millis(one.get_sent_ago_ms().into())))
+                    .collect(),
             })
         })
         .collect()
--- a/crates/entry/src/scheduling/quarantine.rs
+++ b/crates/entry/src/scheduling/quarantine.rs
@@ -3,6 +3,7 @@
 use {
     super::{CrashSpec, LocalScheduler, RunningSpec, VmHistory},
     jasmine_core::{
+        clock::Millis,
         ids::PartId,
         quarantine::{CrashReport, PartSet, PromptEvidence, QuarantineChange},
         scheduler::AttemptId,
@@ -36,13 +37,14 @@
         &self,
         running: &RunningSpec,
         evidence: PromptEvidence,
+        sent_at: Millis,
     ) {
         let now = self.clock.now();
         let mut names = self.names.borrow_mut();
         let upstream = names.upstream(&running.upstream);
         let parts = running.job.resolve(&mut names, now).shared_parts();
         let mut scheduler = self.scheduler.borrow_mut();
-        scheduler.note_own_evidence(upstream, &parts, evidence, now);
+        scheduler.note_own_evidence(upstream, &parts, evidence, sent_at, now);
     }
 
     /// The crashes that this VM has recorded.
@@ -52,7 +54,7 @@
         let specs = crashes.into_iter().map(|crash| CrashSpec {
             upstream: names.upstream_name(crash.upstream).to_string(),
             ago: crash.ago,
-            parts: crash.parts,
+            accused: crash.accused,
         });
         specs.collect()
     }
@@ -68,7 +70,7 @@
             let reports = specs.map(|spec| CrashReport {
                 upstream: names.upstream(&spec.upstream),
                 ago: spec.ago,
-                parts: spec.parts.clone(),
+                accused: spec.accused.clone(),
             });
             reports.collect()
         };
--- a/crates/entry/src/scheduling/vm_history.rs
+++ b/crates/entry/src/scheduling/vm_history.rs
@@ -27,8 +27,8 @@
     pub upstream: String,
     /// Time since the crash.
     pub ago: Millis,
-    /// The parts of the prompts.
-    pub parts: Vec<PartId>,
+    /// The parts of the prompts, and how long ago one with them was last sent to the upstream.
+    pub accused: Vec<(PartId, Millis)>,
 }
 
 /// What an upstream has stated, as a VM tells it to a new leader.
--- a/crates/wire/schema/scheduler.capnp
+++ b/crates/wire/schema/scheduler.capnp
@@ -103,7 +103,12 @@
 struct Crash {
   upstream @0 :Text;
   agoMs @1 :UInt32;
-  parts @2 :List(UInt64);
+  accused @2 :List(Accused);
+}
+
+struct Accused {
+  part @0 :UInt64;
+  sentAgoMs @1 :UInt32;        # since such a prompt was last sent to the upstream
 }
 
 # Prompts with all of these parts are refused.
