--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -259,7 +259,6 @@
                     let Some(entry) = entries.get_mut(&waiting.request) else {
                         return true;
                     };
-                    let until = entry.latest_send_at;
                     let vm = entry.attempt_id.vm;
                     // Which upstreams rest differs from VM to VM.
                     let is_plain = entry.job.is_plain_call() && !fleet.has_rests(now);
@@ -270,7 +269,7 @@
                     };
                     if is_deferred
                         || (phase == DispatchPhase::OnTime
-                            && !on_time.contains(&(until, waiting.request)))
+                            && !on_time.contains(&(entry.latest_send_at, waiting.request)))
                     {
                         return false;
                     }
