A VM takes only as many connections as it can serve, and closes others unread

Callers saw (test): at a VM whose files are used up by callers' connections a request stayed unread until another connection's idle timeout (5.0 s; callers give up after one), and requests that were read could not be sent on.

Change: callers' connections get half of the files that are left after 128 for the store, other VMs and logs. A VM whose tasks run 250 ms late turns new connections away for half a second, but for one each 100 ms. What is turned away is closed unread, so that its caller's next try meets another VM. New setting size.files, metrics jasmine_connections and jasmine_connections_turned_away.

Evidence: a_vm_without_free_files_turns_callers_away failed before (answered after 5.007 s) and passes; one_vm_serves_the_callers_of_all passed before as well; three tests of the decisions in core.

--- a/crates/conf/src/settings/vm_resources.rs
+++ b/crates/conf/src/settings/vm_resources.rs
@@ -1,5 +1,8 @@
 use {
-    super::{InvalidSetting, range::check_float_ranges},
+    super::{
+        InvalidSetting,
+        range::{check_float_ranges, check_range},
+    },
     serde::{Deserialize, Serialize},
 };
 
@@ -17,14 +20,17 @@
     pub processor: f64,
     /// Network bandwidth, in megabits per second.
     pub network_mbps: f64,
+    /// Files, with connections, that the daemon may open; the limit of its process holds as well.
+    pub files: u64,
 }
 
 impl Default for VmResources {
-    /// One core and one gigabit per second.
+    /// One core, one gigabit per second and 65,536 files.
     fn default() -> Self {
         Self {
             processor: 1.0,
             network_mbps: 1_000.0,
+            files: 65_536,
         }
     }
 }
@@ -35,7 +41,8 @@
         check_float_ranges(&[
             ("size.processor", self.processor, 0.001, 1_024.0),
             ("size.network_mbps", self.network_mbps, 0.001, 1e6),
-        ])
+        ])?;
+        check_range("size.files", self.files, &(256..=100_000_000))
     }
 
     /// Whether the VM should work for all others only if no other VM can.
--- a/crates/core/src/ingress/mod.rs
+++ b/crates/core/src/ingress/mod.rs
@@ -7,6 +7,7 @@
 mod call_kind;
 mod caller_limits;
 mod config;
+mod connection_admission;
 mod held_model;
 mod prompt;
 mod region_limits;
@@ -20,6 +21,7 @@
     call_kind::CallKind,
     caller_limits::CallerLimits,
     config::IngressConfig,
+    connection_admission::ConnectionAdmission,
     held_model::{ComingAdapter, EngineHoldings, HeldAdapter, HeldModel},
     prompt::{PromptPart, PromptSize},
     region_limits::allowed_data_centres,
--- a/crates/entry/src/caller/connection.rs
+++ b/crates/entry/src/caller/connection.rs
@@ -174,7 +174,7 @@
 }
 
 /// Makes the close of a connection a reset.
-fn reset(stream: &TcpStream) {
+pub(super) fn reset(stream: &TcpStream) {
     if let Err(e) = stream.set_zero_linger() {
         Line::new("reset_failed").with("reason", e).warn();
     }
--- a/crates/entry/src/caller/listener.rs
+++ b/crates/entry/src/caller/listener.rs
@@ -1,6 +1,7 @@
 use {
-    super::connection::{Peer, serve_connection},
+    super::connection::{Peer, reset, serve_connection},
     crate::context::{Context, StopStage},
+    jasmine_core::clock::Millis,
     jasmine_telemetry::log::Line,
     std::{io, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
@@ -15,6 +16,8 @@
 const BACKLOG: u32 = 1024;
 /// Delay after a failed accept, usually due to a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Interval between measurements of how late tasks run.
+const DELAY_CHECK_INTERVAL: Millis = Millis(50);
 /// Timeout of one readiness probe.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -53,12 +56,31 @@
     cx: Rc<Context>,
     listener: TcpListener,
 ) {
+    spawn_local(watch_delays(Rc::clone(&cx)));
     accept_loop(listener, |stream| {
-        spawn_local(serve_connection(Rc::clone(&cx), stream, Peer::Caller));
+        let Some(admitted) = cx.admit_connection() else {
+            cx.metrics.count_turned_away();
+            // The request is unread, so that its caller may send it to another VM.
+            return reset(&stream);
+        };
+        let served = serve_connection(Rc::clone(&cx), stream, Peer::Caller);
+        spawn_local(async move {
+            served.await;
+            drop(admitted);
+        });
     })
     .await;
 }
 
+/// Measures how late this VM's tasks run; never returns.
+async fn watch_delays(cx: Rc<Context>) {
+    loop {
+        let due = cx.clock.now() + DELAY_CHECK_INTERVAL;
+        sleep(DELAY_CHECK_INTERVAL.to_std()).await;
+        cx.note_delay(cx.clock.now().since(due));
+    }
+}
+
 /// Accepts and serves requests of other VMs that have lost their links to the upstreams; never returns.
 pub async fn serve_relays(
     cx: Rc<Context>,
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -8,10 +8,13 @@
     jasmine_conf::settings::EntrySettings,
     jasmine_core::{
         clock::Millis,
-        ingress::{CallerLimits, IngressConfig},
+        ingress::{CallerLimits, ConnectionAdmission, IngressConfig},
     },
     jasmine_telemetry::log::Line,
-    std::{cell::Cell, rc::Rc},
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+    },
     tokio::{sync::watch, time::timeout},
 };
 
@@ -49,16 +52,18 @@
     config: watch::Sender<Option<Rc<IngressConfig>>>,
     stop: watch::Sender<StopStage>,
     in_flight: Cell<usize>,
+    connections: RefCell<ConnectionAdmission>,
 }
 
 impl Context {
-    /// Creates the state of a daemon without a configuration.
+    /// Creates the state of a daemon that has no configuration yet and may open `max_files` files.
     pub fn new(
         settings: EntrySettings,
         scheduling: Rc<SchedulerNode>,
         origins: Rc<OriginDirectory>,
         pool: Rc<Pool>,
         metrics: Rc<EntryMetrics>,
+        max_files: usize,
     ) -> Self {
         Self {
             links: Rc::new(LinkMonitor::new(&settings.data_centre)),
@@ -71,6 +76,7 @@
             config: watch::Sender::default(),
             stop: watch::Sender::default(),
             in_flight: Cell::new(0),
+            connections: RefCell::new(ConnectionAdmission::new(max_files)),
         }
     }
 
@@ -151,6 +157,27 @@
         self.stop.send_replace(stage);
     }
 
+    /// Takes a new connection of a caller until the returned guard is dropped; `None` if the VM takes none now.
+    pub fn admit_connection(self: &Rc<Self>) -> Option<AdmittedConnection> {
+        let now = self.clock.now();
+        let is_admitted = self.connections.borrow_mut().admit(now);
+        is_admitted.then(|| AdmittedConnection(Rc::clone(self)))
+    }
+
+    /// Records how late a task of this daemon has run.
+    pub fn note_delay(
+        &self,
+        delay: Millis,
+    ) {
+        let now = self.clock.now();
+        self.connections.borrow_mut().note_delay(delay, now);
+    }
+
+    /// Number of open connections of callers.
+    pub fn open_connections(&self) -> usize {
+        self.connections.borrow().open()
+    }
+
     /// Number of callers' requests that are being served.
     pub fn in_flight(&self) -> usize {
         self.in_flight.get()
@@ -163,6 +190,16 @@
     }
 }
 
+/// Guard that counts one connection of a caller as open.
+#[derive(Debug)]
+pub struct AdmittedConnection(Rc<Context>);
+
+impl Drop for AdmittedConnection {
+    fn drop(&mut self) {
+        self.0.connections.borrow_mut().close();
+    }
+}
+
 /// Guard that counts one request as in flight.
 #[derive(Debug)]
 pub struct InFlight(Rc<Context>);
--- a/crates/entry/src/daemon/run.rs
+++ b/crates/entry/src/daemon/run.rs
@@ -22,10 +22,13 @@
     },
     jasmine_telemetry::{log::Line, metrics::MetricsError},
     jasmine_wire::{link::serve, scheduler_capnp::scheduler},
+    nix::sys::resource::{Resource, getrlimit},
     std::{io, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{net::TcpListener, sync::mpsc, task::spawn_local, time::sleep},
 };
 
+/// Assumed limit on open files if it can't be read; the usual default.
+const DEFAULT_MAX_FILES: usize = 1_024;
 /// How often expired idle connections are closed.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -102,12 +105,14 @@
         processor_percent: (settings.size.processor * 100.0) as u32,
     }));
     let origins = Rc::new(OriginDirectory::new(&me));
+    let max_files = max_files().min(usize::try_from(settings.size.files).unwrap_or(usize::MAX));
     let cx = Rc::new(Context::new(
         settings,
         Rc::clone(&scheduling),
         Rc::clone(&origins),
         Rc::clone(&pool),
         Rc::clone(&metrics),
+        max_files,
     ));
     Line::new("started")
         .with("vm", me)
@@ -160,6 +165,20 @@
     Ok(())
 }
 
+/// The number of files that this process may open.
+fn max_files() -> usize {
+    match getrlimit(Resource::RLIMIT_NOFILE) {
+        Ok((soft, _)) => usize::try_from(soft).unwrap_or(usize::MAX),
+        Err(e) => {
+            Line::new("file_limit_unknown")
+                .with("reason", e)
+                .with("assumed", DEFAULT_MAX_FILES)
+                .warn();
+            DEFAULT_MAX_FILES
+        }
+    }
+}
+
 fn listen(
     key: &'static str,
     address: SocketAddr,
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -38,6 +38,7 @@
     attempts: Counter<u64>,
     relayed: Counter<u64>,
     resumptions: Counter<u64>,
+    turned_away: Counter<u64>,
     orders: Counter<u64>,
     gauges: Gauges,
     labels: RefCell<HashMap<(String, &'static str), Labels>>,
@@ -48,6 +49,7 @@
     queued: Gauge<u64>,
     running: Gauge<u64>,
     in_flight: Gauge<u64>,
+    connections: Gauge<u64>,
     leading: Gauge<u64>,
     config: Gauge<u64>,
     waited: Gauge<u64>,
@@ -80,6 +82,10 @@
                 .u64_counter("jasmine_resumptions")
                 .with_description("Streams that callers resumed, by how their origin was found")
                 .build(),
+            turned_away: meter
+                .u64_counter("jasmine_connections_turned_away")
+                .with_description("New connections of callers that this VM has closed unread")
+                .build(),
             orders: meter
                 .u64_counter("jasmine_orders")
                 .with_description("Orders to engines, by how they ended")
@@ -94,6 +100,7 @@
                     "Requests that this scheduler has assigned",
                 ),
                 in_flight: gauge("jasmine_in_flight", "Requests of callers of this VM"),
+                connections: gauge("jasmine_connections", "Open connections of callers"),
                 leading: gauge("jasmine_leading", "Whether this VM schedules for all"),
                 config: gauge("jasmine_config_version", "The configuration in force"),
                 waited: gauge(
@@ -141,6 +148,11 @@
         self.resumptions.add(1, &[KeyValue::new("origin", origin)]);
     }
 
+    /// Counts a new connection of a caller that this VM closes unread.
+    pub fn count_turned_away(&self) {
+        self.turned_away.add(1, &[]);
+    }
+
     /// Counts an order by its result.
     pub fn order(
         &self,
@@ -207,6 +219,8 @@
             self.gauges.waited.record(waits.of(reason).0, &[label]);
         }
         self.gauges.in_flight.record(cx.in_flight() as u64, &[]);
+        let connections = cx.open_connections() as u64;
+        self.gauges.connections.record(connections, &[]);
         self.gauges
             .leading
             .record(cx.scheduling.is_leading().into(), &[]);
