Probes of a VM's links go to every service

Change: the upstreams of a test are taken from each service in turn, engines first.

Evidence: every_service_is_probed failed before (engines only, all 50 salts) and passes; the tests of lost links pass.

--- a/crates/core/src/scheduler/state_machine/queries.rs
+++ b/crates/core/src/scheduler/state_machine/queries.rs
@@ -8,6 +8,7 @@
         placement::rendezvous_hash,
         scheduler::{AttemptId, LOCAL_VM, WaitTimes, running::Stage, upstream::Upstream},
     },
+    std::collections::HashMap,
 };
 
 /// Longest time between two ticks while requests are queued.
@@ -51,8 +52,9 @@
         self.entries.len() - self.queue.len()
     }
 
-    /// Some upstreams that show whether this VM's links work, with their services: available ones,
-    /// first engines, whose reports don't wait for a slot; and how many are known.
+    /// Some upstreams that show whether this VM's links work, with their services, and how many are
+    /// known: available ones of each service in turn, as all upstreams of one may have crashed; first
+    /// engines, whose reports don't wait for a slot.
     pub fn upstreams_to_probe(
         &self,
         salt: u64,
@@ -66,7 +68,17 @@
             .collect();
         candidates.sort_by_key(|up| (up.engine.is_none(), rendezvous_hash(salt, up.id_hash)));
         let known = candidates.len();
-        let chosen = candidates.iter().take(count);
+        let mut counts: HashMap<ServiceId, usize> = HashMap::new();
+        let mut ranked: Vec<(usize, &Upstream)> = candidates
+            .into_iter()
+            .map(|up| {
+                let rank = counts.entry(up.service).or_default();
+                *rank += 1;
+                (*rank, up)
+            })
+            .collect();
+        ranked.sort_by_key(|&(rank, _)| rank);
+        let chosen = ranked.iter().take(count).map(|(_, up)| up);
         (chosen.map(|up| (up.id, up.service)).collect(), known)
     }
 
