An adapter whose load nothing has confirmed isn't evicted while it may still be on its way

Traced by its log: an adapter was unloaded 30 ms after its load, as a load counts as finished at its expected time (25 ms from the engine's memory). The engine, still loading, held nothing to unload, answered 200, finished the load, and was then ordered to load more than it has places.

Change: only adapters that a report or an answer has confirmed are evicted, or those 1 s past the expected end of their load.

Evidence: a_load_that_nothing_confirms_is_not_undone failed before (unloaded at once) and passes; all tests of core pass.

--- a/crates/core/src/scheduler/choose/load.rs
+++ b/crates/core/src/scheduler/choose/load.rs
@@ -128,7 +128,7 @@
             .residents
             .iter()
             .filter(|resident| {
-                engine.users_of(resident.adapter) == 0 && resident.is_loaded(self.now)
+                engine.users_of(resident.adapter) == 0 && resident.can_be_evicted(self.now)
             })
             .filter(|resident| {
                 !self
--- a/crates/core/src/scheduler/resident.rs
+++ b/crates/core/src/scheduler/resident.rs
@@ -9,6 +9,8 @@
 
 /// Delay before a late load is checked again; doubled each time.
 const LATE_LOAD_DELAY: Millis = Millis(40);
+/// How late a load may end that nothing has confirmed.
+const MAX_LATENESS: Millis = Millis(1_000);
 /// Doublings after which [`LATE_LOAD_DELAY`] stops growing, at 640 ms.
 const MAX_DELAY_DOUBLINGS: u32 = 4;
 
@@ -70,6 +72,18 @@
         }
     }
 
+    /// Whether it is certainly loaded: an order to unload it during its load might be lost on the engine.
+    pub(super) fn can_be_evicted(
+        &self,
+        now: Millis,
+    ) -> bool {
+        match self.state {
+            ResidentState::Loaded => true,
+            ResidentState::Loading { ready_at, .. } => now >= ready_at + MAX_LATENESS,
+            ResidentState::Unloading => false,
+        }
+    }
+
     /// Records a request that was rejected because the load is not finished.
     pub(super) fn note_late(
         &mut self,
--- a/crates/core/tests/adapter_loads.rs
+++ b/crates/core/tests/adapter_loads.rs
@@ -491,3 +491,24 @@
     used.dedup();
     assert_eq!(used.len(), 4, "{used:?}");
 }
+
+#[test]
+fn a_load_that_nothing_confirms_is_not_undone() {
+    // Guards against unloading an adapter that is late: its load would end after the one that takes its slot.
+    let mut world = World::leading(0);
+    world.add_engine(UpstreamId(0), &[1, 2]);
+    let running = world.generate(2);
+    world.first_event(running);
+    let abandoned = world.generate(3);
+    while world.loads_of(3) == 0 {
+        world.advance(5);
+    }
+    world.end(abandoned, Outcome::Abandoned);
+    world.advance(260);
+    world.orders.clear();
+    world.generate(4);
+    world.advance(300);
+    assert_eq!(world.orders, [], "the load of 3 may be late");
+    world.advance(1_500);
+    assert_eq!(world.loads_of(4), 1, "{:?}", world.orders);
+}
