--- a/crates/entry/tests/soak/fault.rs
+++ b/crates/entry/tests/soak/fault.rs
@@ -35,7 +35,21 @@
 const BUILD_SEED: u64 = 0x00b0_11d5;
 /// Time between two of these faults, in milliseconds.
 const BUILD_INTERVAL_MS: std::ops::Range<u64> = 40..250;
+/// The same for prompts that crash engines, and for engines that crash.
+const CRASH_SEED: u64 = 0x00c2_a5e5;
+/// Time between two crashes of engines, in milliseconds.
+const CRASH_INTERVAL_MS: std::ops::Range<u64> = 600..2_500;
+/// The same for connections that all reach one VM.
+const HERD_SEED: u64 = 0x00be_e4d5;
+/// Time between the starts of two herds, in milliseconds.
+const HERD_INTERVAL_MS: std::ops::Range<u64> = 1_500..4_000;
+/// How long connections reach one VM, in milliseconds.
+const HERD_DURATION_MS: std::ops::Range<u64> = 500..2_500;
 pub const VMS: usize = 3;
+/// Engines that crash.
+pub const CRASH_ENGINES: usize = 4;
+/// Parts of prompts that may crash engines.
+pub const CRASHING_PARTS: [&str; 2] = ["bad0", "bad1"];
 /// Upstreams of the service with several software versions.
 pub const BUILD_SLOTS: usize = 4;
 pub const UPSTREAMS: usize = 3;
@@ -69,6 +83,12 @@
     Release(usize),
     /// One VM loses its links to all upstreams.
     VmLinks(usize, LinkFault, Duration),
+    /// From now on a part of prompts crashes each engine that begins to answer one with it.
+    CrashingPart(usize),
+    /// An engine crashes, whatever it runs.
+    EngineCrash(usize),
+    /// The callers' new connections reach one VM, as long as it takes them.
+    Herd(usize, Duration),
 }
 
 /// What an upstream states in its responses.
@@ -113,6 +133,8 @@
     plan.extend(streams(seed, length));
     plan.extend(lost_links(seed, length));
     plan.extend(builds(seed, length));
+    plan.extend(crashes(seed, length));
+    plan.extend(herds(seed, length));
     plan.sort_by_key(|&(at, _)| at);
     plan
 }
@@ -227,6 +249,41 @@
     plan
 }
 
+fn crashes(
+    seed: u64,
+    length: Duration,
+) -> Vec<(Duration, Fault)> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ CRASH_SEED);
+    let mut plan = Vec::new();
+    for part in 0..CRASHING_PARTS.len() {
+        let at = length.mul_f64(rng.random_range(0.0..0.9));
+        plan.push((at, Fault::CrashingPart(part)));
+    }
+    let mut at = Duration::ZERO;
+    while at < length {
+        at += Duration::from_millis(rng.random_range(CRASH_INTERVAL_MS));
+        let engine = rng.random_range(0..CRASH_ENGINES);
+        plan.push((at, Fault::EngineCrash(engine)));
+    }
+    plan
+}
+
+fn herds(
+    seed: u64,
+    length: Duration,
+) -> Vec<(Duration, Fault)> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ HERD_SEED);
+    let mut at = Duration::ZERO;
+    let mut plan = Vec::new();
+    while at < length {
+        at += Duration::from_millis(rng.random_range(HERD_INTERVAL_MS));
+        let vm = rng.random_range(0..VMS);
+        let time = Duration::from_millis(rng.random_range(HERD_DURATION_MS));
+        plan.push((at, Fault::Herd(vm, time)));
+    }
+    plan
+}
+
 fn random_fault(rng: &mut ChaCha8Rng) -> Fault {
     let vm = rng.random_range(0..VMS);
     let upstream = rng.random_range(0..UPSTREAMS);
