--- a/crates/core/examples/scheduler_cost/fleet.rs
+++ b/crates/core/examples/scheduler_cost/fleet.rs
@@ -277,6 +277,7 @@
             cost: 2_400,
             service: ENGINE_SERVICE,
             work: Work::Generation(Generation {
+                adapter_part: None,
                 model: MODEL,
                 adapter: Some(AdapterId(adapter)),
                 size: PromptSize {
--- a/crates/core/src/scheduler/job.rs
+++ b/crates/core/src/scheduler/job.rs
@@ -29,16 +29,19 @@
     pub size: PromptSize,
     /// The parts of the prompt in order, for prefix caching.
     pub parts: Vec<PromptPart>,
+    /// Names the adapter among what may crash engines, equally on all VMs.
+    pub adapter_part: Option<PartId>,
 }
 
 impl Generation {
-    /// The parts that other requests may share: all but the last.
+    /// What other requests may share: the parts of the prompt but the last one, and the adapter.
     pub fn shared_parts(&self) -> Vec<PartId> {
         let shared = self
             .parts
             .split_last()
             .map_or(&[][..], |(_, shared)| shared);
-        shared.iter().map(|part| PartId(part.id)).collect()
+        let shared = shared.iter().map(|part| PartId(part.id));
+        shared.chain(self.adapter_part).collect()
     }
 }
 
@@ -93,7 +96,7 @@
         }
     }
 
-    /// The parts of its prompt that other requests may share; none for a call.
+    /// What it may share with other requests that crash engines; nothing for a call.
     pub fn shared_parts(&self) -> Vec<PartId> {
         self.generation()
             .map_or_else(Vec::new, Generation::shared_parts)
--- a/crates/entry/src/scheduling/job_spec.rs
+++ b/crates/entry/src/scheduling/job_spec.rs
@@ -2,10 +2,12 @@
     super::NameInterner,
     jasmine_core::{
         clock::Millis,
+        ids::PartId,
         ingress::{PromptPart, PromptSize},
         rights::CallerTag,
         scheduler::{Generation, Job, Work},
     },
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// A generation request, with names in place of process-local ids.
@@ -21,6 +23,19 @@
     pub parts: Vec<PromptPart>,
 }
 
+impl GenerationSpec {
+    /// The id that stands for the adapter among the parts of prompts that crash engines.
+    fn adapter_part(&self) -> Option<PartId> {
+        let adapter = self.adapter.as_ref()?;
+        Some(adapter_part(&format!("{}/{adapter}", self.model)))
+    }
+}
+
+/// The id that stands for an adapter, named `MODEL/ADAPTER`, among the parts of prompts.
+pub(super) fn adapter_part(name: &str) -> PartId {
+    PartId(xxh3_64(format!("adapter {name}").as_bytes()))
+}
+
 /// A placement request as sent between VMs: with names in place of ids, and with remaining times.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct JobSpec {
@@ -73,6 +88,7 @@
                     .map(|adapter| names.adapter(&spec.model, adapter)),
                 size: spec.size,
                 parts: spec.parts.clone(),
+                adapter_part: spec.adapter_part(),
             }),
         };
         Job {
--- a/crates/entry/src/scheduling/name_interner.rs
+++ b/crates/entry/src/scheduling/name_interner.rs
@@ -109,6 +109,11 @@
         adapter.to_owned()
     }
 
+    /// The names of all adapters, each as `MODEL/ADAPTER`.
+    pub fn adapters(&self) -> impl Iterator<Item = &str> {
+        self.adapters.names.iter().map(|name| &**name)
+    }
+
     /// Returns the id of an upstream, assigning one if needed.
     pub fn upstream(
         &mut self,
--- a/crates/entry/src/scheduling/quarantine.rs
+++ b/crates/entry/src/scheduling/quarantine.rs
@@ -1,7 +1,7 @@
 //! Parts of prompts that crash upstreams: evidence, and what this VM refuses.
 
 use {
-    super::{CrashSpec, LocalScheduler, RunningSpec, VmHistory},
+    super::{CrashSpec, LocalScheduler, RunningSpec, VmHistory, job_spec::adapter_part},
     jasmine_core::{
         clock::Millis,
         ids::PartId,
@@ -162,10 +162,12 @@
             match change {
                 QuarantineChange::Added { parts, crashes } => Line::new("prompt_quarantined")
                     .with("parts", part_names(&parts))
+                    .with("adapters", self.adapter_names(&parts))
                     .with("crashes", crashes)
                     .warn(),
                 QuarantineChange::Removed { parts } => Line::new("prompt_released")
                     .with("parts", part_names(&parts))
+                    .with("adapters", self.adapter_names(&parts))
                     .warn(),
             }
         }
@@ -174,6 +176,24 @@
     }
 }
 
+impl LocalScheduler {
+    /// The adapters among parts, as far as this VM has heard of them; `-` if there are none.
+    fn adapter_names(
+        &self,
+        parts: &PartSet,
+    ) -> String {
+        let names = self.names.borrow();
+        let adapters = names.adapters();
+        let adapters: Vec<&str> = adapters
+            .filter(|name| parts.contains(&adapter_part(name)))
+            .collect();
+        if adapters.is_empty() {
+            return "-".to_owned();
+        }
+        adapters.join(",")
+    }
+}
+
 fn hash_of(mut sets: Vec<PartSet>) -> u64 {
     if sets.is_empty() {
         return 0;
