A part that was answered before is tried once more before it is refused

Change: a single suspect that isn't new goes one request at a time, and is refused only if an engine crashes under a prompt sent after the evidence was complete. A VM reviews what it has recorded when its role changes. A stream without any data no longer counts as sound.

Evidence: a_sound_part_is_tried_before_it_is_refused failed before and passes.

--- a/crates/core/src/quarantine/crash.rs
+++ b/crates/core/src/quarantine/crash.rs
@@ -43,6 +43,14 @@
         }
     }
 
+    /// When a prompt with an accused part was last sent to the upstream; `None` if it doesn't accuse the part.
+    pub(super) fn sent_at(
+        &self,
+        part: PartId,
+    ) -> Option<Millis> {
+        self.accused.get(&part).copied()
+    }
+
     /// Whether a report of a crash of `upstream` at `at` is one of this crash.
     pub(super) fn is_same(
         &self,
--- a/crates/core/src/quarantine/part_quarantine.rs
+++ b/crates/core/src/quarantine/part_quarantine.rs
@@ -46,7 +46,7 @@
     changes: Vec<QuarantineChange>,
     /// When suspects that can't be told apart yet are quarantined together.
     due: Option<Millis>,
-    /// These suspects; prompts with all of them wait.
+    /// The suspects of the last review; prompts with all of several wait, and those with a single one are on trial.
     undecided: PartSet,
     trials: Trials,
 }
@@ -101,8 +101,8 @@
             return false;
         };
         let mut undecided = self.undecided.iter();
-        let is_undecided = !self.undecided.is_empty() && undecided.all(|part| parts.contains(part));
-        is_undecided || parts.iter().any(|&part| self.trials.is_pending(part, now))
+        let has_undecided = self.undecided.len() > 1 && undecided.all(|part| parts.contains(part));
+        has_undecided || parts.iter().any(|&part| self.trials.is_pending(part, now))
     }
 
     /// Records that a generation is sent.
@@ -178,8 +178,8 @@
     /// Quarantines the parts that the crashes point to.
     ///
     /// Other parts of the same prompts are accused as often. The only suspect that no answer has shown to be sound is
-    /// quarantined at once; otherwise the suspects wait for answers that acquit some of them. Those that are left are
-    /// refused where a prompt has them all.
+    /// quarantined at once; otherwise the suspects wait for answers that acquit some of them. Several that are left are
+    /// refused where a prompt has them all. A single one, which other prompts may share, is put on trial first.
     pub fn review(
         &mut self,
         now: Millis,
@@ -198,17 +198,24 @@
                 return;
             };
             let mut unproven = suspects.iter().filter(|one| !one.was_sound);
-            let (parts, crashes) = match (unproven.next(), unproven.next()) {
-                (Some(only), None) => (PartSet::from([only.part]), only.crashes.len()),
-                _ if now < since + ACQUITTAL_TIME => {
-                    let (undecided, _) = indistinct(&suspects);
-                    self.due = Some(since + ACQUITTAL_TIME);
-                    self.undecided = undecided;
-                    return;
-                }
-                _ => indistinct(&suspects),
+            if let (Some(only), None) = (unproven.next(), unproven.next()) {
+                self.insert(PartSet::from([only.part]), only.crashes.len(), now);
+                continue;
+            }
+            let group = indistinct(&suspects);
+            let parts: PartSet = group.iter().map(|one| one.part).collect();
+            let due = since + ACQUITTAL_TIME;
+            let is_decided = match &group[..] {
+                [single] => single.is_confirmed,
+                _ => now >= due,
             };
-            self.insert(parts, crashes, now);
+            if !is_decided {
+                self.due = Some(due).filter(|&due| now < due);
+                self.undecided = parts;
+                return;
+            }
+            let crashes = group.iter().map(|one| one.crashes.len()).max();
+            self.insert(parts, crashes.unwrap_or_default(), now);
         }
     }
 
@@ -226,7 +233,9 @@
         &self,
         part: PartId,
     ) -> bool {
-        self.crashes.accusations(part) >= MIN_TRIAL_CRASHES && !self.sound.contains(part)
+        let is_new = !self.sound.contains(part);
+        is_new && self.crashes.accusations(part) >= MIN_TRIAL_CRASHES
+            || self.undecided.contains(&part)
     }
 
     fn is_explained(
@@ -301,8 +310,8 @@
     }
 }
 
-/// The suspects that the evidence doesn't tell apart from the most accused one, and the number of its crashes.
-fn indistinct(suspects: &[Suspect]) -> (PartSet, usize) {
+/// The suspects that the evidence doesn't tell apart from the most accused one.
+fn indistinct(suspects: &[Suspect]) -> Vec<&Suspect> {
     let has_unproven = suspects.iter().any(|one| !one.was_sound);
     let open = || {
         suspects
@@ -310,15 +319,16 @@
             .filter(|one| !has_unproven || !one.was_sound)
     };
     let Some(top) = open().max_by_key(|one| one.crashes.len()) else {
-        return (PartSet::new(), 0);
+        return Vec::new();
     };
     let mut common = top.clone();
-    let mut parts = PartSet::from([top.part]);
+    let mut group = vec![top];
     for other in open().filter(|one| one.crashes.len() + 1 >= top.crashes.len()) {
-        if parts.len() < MAX_SET_LEN && other.shares_crashes(&common) {
+        let has_room = group.len() < MAX_SET_LEN && other.part != top.part;
+        if has_room && other.shares_crashes(&common) {
             common.crashes.retain(|at| other.crashes.contains(at));
-            parts.insert(other.part);
+            group.push(other);
         }
     }
-    (parts, common.crashes.len())
+    group
 }
--- a/crates/core/src/quarantine/suspect.rs
+++ b/crates/core/src/quarantine/suspect.rs
@@ -16,6 +16,8 @@
     pub was_sound: bool,
     /// When there was evidence enough against it.
     pub qualified_at: Millis,
+    /// Whether an upstream has crashed under a prompt that was sent after that.
+    pub is_confirmed: bool,
 }
 
 impl Suspect {
@@ -36,9 +38,12 @@
         let suspects = accused.into_iter();
         suspects
             .filter_map(|(part, indices)| {
+                let qualified_at = qualified_at(part, crashes, &indices)?;
+                let mut accusing = indices.iter().map(|&at| crashes[at]);
                 Some(Self {
                     part,
-                    qualified_at: qualified_at(part, crashes, &indices)?,
+                    qualified_at,
+                    is_confirmed: accusing.any(|crash| crash.sent_at(part) >= Some(qualified_at)),
                     crashes: indices,
                     was_sound: was_sound(part),
                 })
@@ -66,7 +71,7 @@
     let mut accusing: Vec<&Crash> = indices.iter().map(|&at| crashes[at]).collect();
     accusing.sort_by_key(|crash| crash.at);
     let first = accusing.first()?.at;
-    let is_later = |crash: &&Crash| crash.accused.get(&part).is_some_and(|&sent| sent >= first);
+    let is_later = |crash: &&Crash| crash.sent_at(part) >= Some(first);
     let enough = accusing.get(MIN_CRASHES - 1)?.at;
     let later = accusing.iter().find(|crash| is_later(crash))?.at;
     Some(enough.max(later))
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -54,6 +54,8 @@
         }
         self.can_order = can_order;
         self.rates.set_share(share, now);
+        // A follower records crashes, and leaves it to the leader what to conclude.
+        self.is_evidence_new = true;
     }
 
     /// Allows orders at once after a takeover from an earlier process on this VM, whose orders
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -213,6 +213,27 @@
     }
 }
 
+#[test]
+fn a_sound_part_is_tried_before_it_is_refused() {
+    // Guards against refusing what most prompts share for good, as no engine was left that could have cleared it.
+    let mut world = world();
+    answer(&mut world, &[FIRST, OTHER]);
+    for round in 0..3 {
+        crash(&mut world, &[FIRST, 100 + round]);
+    }
+    for id in 0..ENGINES {
+        world.scheduler.remove_upstream(UpstreamId(id), world.now);
+    }
+    world.advance(5_000);
+    for id in 0..ENGINES {
+        world.add_engine(UpstreamId(id), &[7]);
+    }
+    assert!(!is_quarantined(&mut world, &[FIRST, OTHER]));
+    answer(&mut world, &[FIRST, OTHER]);
+    world.advance(3_000);
+    assert!(!is_quarantined(&mut world, &[FIRST, OTHER]));
+}
+
 #[test]
 fn a_power_loss_convicts_no_part() {
     // Guards against refusing a part whose requests ran on several engines that ended at once.
--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -302,7 +302,7 @@
             .with("framing", framing_name(self.progress.framing))
             .with("partial_bytes", self.progress.partial_bytes)
             .with("events", self.progress.events)
-            .with("begun_ms", self.progress.received_for().unwrap_or_default())
+            .with("begun_ms", self.progress.received_for())
             .with("adapter", self.req.caller.adapter.as_deref().unwrap_or("-"))
             .with("parts", part_names(&self.req.caller.parts))
             .with("again", can_retry)
@@ -329,10 +329,12 @@
         }
     }
 
-    /// How a whole answer ended.
-    const fn answer_end(&self) -> AnswerEnd {
+    /// How a complete answer ended.
+    fn answer_end(&self) -> AnswerEnd {
         match self.progress.framing {
             Some(Framing::UntilClose) => AnswerEnd::Closed,
+            // A stream without any data shows no more than a head.
+            _ if self.req.is_stream() && self.progress.received_at.is_none() => AnswerEnd::Closed,
             _ => AnswerEnd::Whole,
         }
     }
@@ -342,14 +344,12 @@
         &self,
         end: AnswerEnd,
     ) -> PromptEvidence {
-        let (Some(begun_at), Some(received_for)) =
-            (self.progress.head_at, self.progress.received_for())
-        else {
+        let Some(begun_at) = self.progress.head_at else {
             return PromptEvidence::None;
         };
         let trace = AnswerTrace {
             begun_ago: self.cx.clock.now().since(begun_at),
-            received_for,
+            received_for: self.progress.received_for(),
             end,
         };
         trace.evidence()
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -62,14 +62,14 @@
         now: Millis,
     ) {
         self.head_at = Some(now);
-        self.received_at = Some(now);
         self.framing = Some(framing);
     }
 
-    /// How long data of the last attempt's answer has arrived; `None` if none has begun.
-    pub(super) fn received_for(&self) -> Option<Millis> {
-        let begun_at = self.head_at?;
-        Some(self.received_at?.since(begun_at))
+    /// Time from the head of the last attempt's answer until its last data.
+    pub(super) fn received_for(&self) -> Millis {
+        let begun_at = self.head_at.unwrap_or_default();
+        let received_at = self.received_at.unwrap_or(begun_at);
+        received_at.since(begun_at)
     }
 }
 
