A quarantined part that was sound before is probed after a minute, and ever more rarely

Found by reading the change: a bad release of the engines, which crash under any prompt, puts a route's first part in quarantine, and it would have stayed there after the release was mended.

Change: the leader lets one request with a part that it has seen in sound answers through after a minute, two, four, up to an hour; a sound answer releases it. Parts that were never sound aren't probed.

Evidence: a_part_that_was_sound_is_probed_rarely failed before (no probe within ten minutes) and passes; a_part_that_never_was_sound_is_not_probed passes before and after.

--- a/crates/core/src/quarantine/part_quarantine.rs
+++ b/crates/core/src/quarantine/part_quarantine.rs
@@ -91,6 +91,27 @@
         verdicts.any(|verdict| verdict.applies_to(parts))
     }
 
+    /// Whether a prompt that is refused may be sent to see whether it still crashes its upstream.
+    ///
+    /// Only parts that were sound before are probed: what has changed may be the upstreams.
+    pub fn take_probe(
+        &mut self,
+        parts: &[PartId],
+        now: Millis,
+    ) -> bool {
+        let applying = self.verdicts.iter_mut();
+        let mut applying: Vec<&mut Verdict> = applying
+            .filter(|verdict| verdict.applies_to(parts))
+            .collect();
+        match &mut applying[..] {
+            [verdict] => {
+                let was_sound = verdict.parts.iter().all(|&part| self.sound.contains(part));
+                was_sound && verdict.take_probe(now)
+            }
+            _ => false,
+        }
+    }
+
     /// Whether a generation has to wait for what others show about its prompt.
     pub fn holds(
         &self,
@@ -127,7 +148,7 @@
         self.trials.end(request);
     }
 
-    /// Whether anything is refused.
+    /// Whether nothing is refused.
     pub const fn is_empty(&self) -> bool {
         self.verdicts.is_empty()
     }
@@ -265,10 +286,7 @@
             let Verdict { parts, .. } = self.verdicts.remove(0);
             self.changes.push(QuarantineChange::Removed { parts });
         }
-        self.verdicts.push(Verdict {
-            parts: parts.clone(),
-            since: now,
-        });
+        self.verdicts.push(Verdict::new(parts.clone(), now));
         self.changes
             .push(QuarantineChange::Added { parts, crashes });
     }
--- a/crates/core/src/quarantine/verdict.rs
+++ b/crates/core/src/quarantine/verdict.rs
@@ -11,9 +11,41 @@
 pub(super) struct Verdict {
     pub parts: PartSet,
     pub since: Millis,
+    /// When the next probe is allowed.
+    probe_at: Millis,
+    probe_interval: Millis,
 }
 
+/// Time until the first probe of a part that was sound before; doubled with each further one.
+const PROBE_INTERVAL: Millis = Millis(60_000);
+const MAX_PROBE_INTERVAL: Millis = Millis(3_600_000);
+
 impl Verdict {
+    pub(super) fn new(
+        parts: PartSet,
+        since: Millis,
+    ) -> Self {
+        Self {
+            parts,
+            since,
+            probe_at: since + PROBE_INTERVAL,
+            probe_interval: PROBE_INTERVAL,
+        }
+    }
+
+    /// Whether a request may show now that the part is sound again; the next one may so much later.
+    pub(super) fn take_probe(
+        &mut self,
+        now: Millis,
+    ) -> bool {
+        if now < self.probe_at {
+            return false;
+        }
+        self.probe_interval = Millis(self.probe_interval.0 * 2).min(MAX_PROBE_INTERVAL);
+        self.probe_at = now + self.probe_interval;
+        true
+    }
+
     /// Whether a prompt with these parts is refused.
     pub(super) fn applies_to(
         &self,
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -241,7 +241,9 @@
             }]
         };
         self.fleet.refresh_totals(now);
-        if let Err(refusal) = self.check_quarantine(&job) {
+        if let Err(refusal) = self.check_quarantine(&job)
+            && !self.is_probe(&job, now)
+        {
             return refuse(refusal);
         }
         if let Err(refusal) = self.check_availability(&job, now) {
--- a/crates/core/src/scheduler/state_machine/quarantine.rs
+++ b/crates/core/src/scheduler/state_machine/quarantine.rs
@@ -123,6 +123,16 @@
         Ok(())
     }
 
+    /// Whether a refused request is sent to see whether its prompt still crashes upstreams; only the
+    /// leader decides so, as each probe may cost an upstream.
+    pub(super) fn is_probe(
+        &mut self,
+        job: &Job,
+        now: Millis,
+    ) -> bool {
+        self.can_order && self.quarantine.take_probe(&job.shared_parts(), now)
+    }
+
     /// Quarantines what new evidence points to, and refuses queued requests with it.
     pub(super) fn review_quarantine(
         &mut self,
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -342,3 +342,40 @@
     assert_eq!(trace(80, AnswerEnd::Closed), PromptEvidence::None);
     assert_eq!(trace(80, AnswerEnd::GivenUp), PromptEvidence::None);
 }
+
+#[test]
+fn a_part_that_was_sound_is_probed_rarely() {
+    // Guards against a bad release of the engines that keeps their prompts out of service after it is mended.
+    let mut world = world();
+    answer(&mut world, &[FIRST, OTHER]);
+    for round in 0..10 {
+        crash(&mut world, &[FIRST, 100 + round]);
+    }
+    assert!(is_quarantined(&mut world, &[FIRST, OTHER]));
+    let probe_until_sent = |world: &mut World| {
+        (0..600).find(|_| {
+            world.advance(1_000);
+            !is_quarantined(world, &[FIRST, OTHER])
+        })
+    };
+    let first = probe_until_sent(&mut world).expect("a first probe");
+    assert!(first >= 55, "after {first} s");
+    assert!(is_quarantined(&mut world, &[FIRST, OTHER]), "one at a time");
+    let second = probe_until_sent(&mut world).expect("a second probe");
+    assert!(second >= 110, "after {second} s");
+    world.advance(300_000);
+    answer(&mut world, &[FIRST, OTHER]);
+    assert!(!is_quarantined(&mut world, &[FIRST, OTHER]), "it is mended");
+}
+
+#[test]
+fn a_part_that_never_was_sound_is_not_probed() {
+    // Guards against engines that are lost to see whether a part still crashes them.
+    let mut world = world();
+    answer(&mut world, &[FIRST, OTHER]);
+    crashes_until_known(&mut world, &[FIRST, BAD]);
+    for _ in 0..20 {
+        world.advance(60_000);
+        assert!(is_quarantined(&mut world, &[FIRST, BAD]));
+    }
+}
