An upstream that breaks an answer off and goes on has not crashed

Change: a crash is struck out if the upstream sends anything to any VM 150 ms to 1.5 s later, and counts 400 ms after it at the earliest; the next request with a part on trial waits for that.

--- a/crates/core/src/quarantine/crash.rs
+++ b/crates/core/src/quarantine/crash.rs
@@ -8,6 +8,12 @@
 
 /// Reports of one crash arrive within this time of the first one; a crashed upstream is gone for longer.
 const REPORT_SPREAD: Millis = Millis(1_000);
+/// Reports of what an upstream sent before its crash arrive within this time of it.
+const LATE_REPORT_TIME: Millis = Millis(150);
+/// A crashed upstream is gone for longer.
+const MIN_RESTART_TIME: Millis = Millis(1_500);
+/// Time in which an upstream that only broke an answer off shows that it goes on.
+pub(super) const SETTLE_TIME: Millis = Millis(400);
 /// Most parts that one crash accuses.
 const MAX_ACCUSED: usize = 256;
 
@@ -60,6 +66,24 @@
         self.upstream == upstream && self.at.since(at).max(at.since(self.at)) < REPORT_SPREAD
     }
 
+    /// Whether something from the upstream at `now` shows that it didn't crash.
+    pub(super) fn is_refuted_by(
+        &self,
+        upstream: UpstreamId,
+        now: Millis,
+    ) -> bool {
+        let age = now.since(self.at);
+        self.upstream == upstream && (LATE_REPORT_TIME..MIN_RESTART_TIME).contains(&age)
+    }
+
+    /// Whether the upstream had time to show that it didn't crash.
+    pub(super) fn is_settled(
+        &self,
+        now: Millis,
+    ) -> bool {
+        now.since(self.at) >= SETTLE_TIME
+    }
+
     /// Accuses a part of a prompt that was sent at `sent_at`, if there is room; returns whether it wasn't accused before.
     pub(super) fn accuse(
         &mut self,
--- a/crates/core/src/quarantine/crash_log.rs
+++ b/crates/core/src/quarantine/crash_log.rs
@@ -1,10 +1,13 @@
 use {
-    super::{CrashReport, crash::Crash},
+    super::{
+        CrashReport,
+        crash::{Crash, SETTLE_TIME},
+    },
     crate::{
         clock::Millis,
         ids::{PartId, UpstreamId},
     },
-    std::collections::{HashMap, VecDeque},
+    std::collections::{BTreeMap, HashMap, VecDeque},
 };
 
 /// How long a crash is evidence.
@@ -75,6 +78,46 @@
         self.crashes.retain(|crash| !crash.accused.is_empty());
     }
 
+    /// Records that an upstream sends something: it didn't crash just before.
+    pub(super) fn note_alive(
+        &mut self,
+        upstream: UpstreamId,
+        now: Millis,
+    ) {
+        while let Some(index) = self.refuted(upstream, now) {
+            let accused = self.crashes.remove(index).map(|crash| crash.accused);
+            self.release_all(accused.unwrap_or_default());
+        }
+    }
+
+    /// When the next crash is settled.
+    pub(super) fn next_settled(
+        &self,
+        now: Millis,
+    ) -> Option<Millis> {
+        let open = self.crashes.iter().filter(|crash| !crash.is_settled(now));
+        open.map(|crash| crash.at + SETTLE_TIME).min()
+    }
+
+    /// Whether a crash accuses a part that isn't settled yet.
+    pub(super) fn is_unsettled(
+        &self,
+        part: PartId,
+        now: Millis,
+    ) -> bool {
+        let mut latest = self.crashes.iter().rev();
+        latest.any(|crash| !crash.is_settled(now) && crash.accused.contains_key(&part))
+    }
+
+    fn refuted(
+        &self,
+        upstream: UpstreamId,
+        now: Millis,
+    ) -> Option<usize> {
+        let mut crashes = self.crashes.iter();
+        crashes.rposition(|crash| crash.is_refuted_by(upstream, now))
+    }
+
     pub(super) fn forget_old(
         &mut self,
         now: Millis,
@@ -120,7 +163,14 @@
 
     fn forget_first(&mut self) {
         let accused = self.crashes.pop_front().map(|crash| crash.accused);
-        for part in accused.unwrap_or_default().into_keys() {
+        self.release_all(accused.unwrap_or_default());
+    }
+
+    fn release_all(
+        &mut self,
+        accused: BTreeMap<PartId, Millis>,
+    ) {
+        for part in accused.into_keys() {
             release(&mut self.accusations, part);
         }
     }
--- a/crates/core/src/quarantine/part_quarantine.rs
+++ b/crates/core/src/quarantine/part_quarantine.rs
@@ -64,6 +64,15 @@
         self.crashes.note(upstream, parts, at, now);
     }
 
+    /// Records that an upstream sends something, so that it hasn't crashed just before.
+    pub fn note_alive(
+        &mut self,
+        upstream: UpstreamId,
+        now: Millis,
+    ) {
+        self.crashes.note_alive(upstream, now);
+    }
+
     /// Records that an answer to a prompt with these shared parts, which began at `begun_at`, went on.
     pub fn note_sound(
         &mut self,
@@ -123,7 +132,7 @@
         };
         let mut undecided = self.undecided.iter();
         let has_undecided = self.undecided.len() > 1 && undecided.all(|part| parts.contains(part));
-        has_undecided || parts.iter().any(|&part| self.trials.is_pending(part, now))
+        has_undecided || parts.iter().any(|&part| self.is_trial_pending(part, now))
     }
 
     /// Records that a generation is sent.
@@ -205,14 +214,14 @@
         &mut self,
         now: Millis,
     ) {
-        self.due = None;
-        self.undecided.clear();
         self.crashes.forget_old(now);
+        self.due = self.crashes.next_settled(now);
+        self.undecided.clear();
         loop {
             let unexplained: Vec<&Crash> = self
                 .crashes
                 .iter()
-                .filter(|crash| !self.is_explained(crash))
+                .filter(|crash| crash.is_settled(now) && !self.is_explained(crash))
                 .collect();
             let suspects = Suspect::find(&unexplained, |part| self.sound.contains(part));
             let Some(since) = suspects.iter().map(|one| one.qualified_at).min() else {
@@ -231,7 +240,8 @@
                 _ => now >= due,
             };
             if !is_decided {
-                self.due = Some(due).filter(|&due| now < due);
+                let due = Some(due).filter(|&due| now < due);
+                self.due = self.due.into_iter().chain(due).min();
                 self.undecided = parts;
                 return;
             }
@@ -249,6 +259,16 @@
         Some(generation.shared_parts())
     }
 
+    /// Whether the last request with a part on trial hasn't shown yet what it does.
+    fn is_trial_pending(
+        &self,
+        part: PartId,
+        now: Millis,
+    ) -> bool {
+        self.trials.is_pending(part, now)
+            || self.is_on_trial(part) && self.crashes.is_unsettled(part, now)
+    }
+
     /// Whether requests with a part go one at a time.
     fn is_on_trial(
         &self,
--- a/crates/core/src/scheduler/outcome.rs
+++ b/crates/core/src/scheduler/outcome.rs
@@ -26,6 +26,20 @@
     Abandoned,
 }
 
+impl Outcome {
+    /// Whether the upstream has sent a complete response.
+    pub const fn has_response(self) -> bool {
+        match self {
+            Self::Answered { .. } | Self::Failed | Self::Shed | Self::NotLoaded => true,
+            Self::OtherUpstream
+            | Self::Unreachable
+            | Self::Lost
+            | Self::Silent
+            | Self::Abandoned => false,
+        }
+    }
+}
+
 /// How an order to an engine ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OrderResult {
--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -433,6 +433,9 @@
                 false
             }
             Stage::Running { upstream, adapter } => {
+                if outcome.has_response() {
+                    self.quarantine.note_alive(upstream, now);
+                }
                 let total = entry.job.generation().map_or(0, |g| g.size.total());
                 self.fleet.release(upstream, request, adapter, total, now);
                 let load = self.settings.loads;
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -188,6 +188,7 @@
     ) -> Vec<Action> {
         self.reports.note_answer(id);
         if let Some(facts) = facts {
+            self.quarantine.note_alive(id, now);
             let load = self.settings.loads;
             self.fleet.report(id, facts, &load, now);
             self.reevaluate_all(now);
@@ -347,6 +348,7 @@
         let Stage::Running { upstream, adapter } = entry.stage else {
             return Vec::new();
         };
+        self.quarantine.note_alive(upstream, now);
         if let Some(upstream) = self.fleet.upstreams.get_mut(&upstream) {
             upstream.health.note_first_event();
         }
--- a/crates/core/src/scheduler/state_machine/quarantine.rs
+++ b/crates/core/src/scheduler/state_machine/quarantine.rs
@@ -57,6 +57,15 @@
         }
     }
 
+    /// Records that an upstream has sent something to this or another VM.
+    pub fn note_alive(
+        &mut self,
+        upstream: UpstreamId,
+        now: Millis,
+    ) {
+        self.quarantine.note_alive(upstream, now);
+    }
+
     /// Adds crashes that another VM has recorded.
     pub fn add_crashes(
         &mut self,
--- a/crates/entry/src/scheduling/quarantine.rs
+++ b/crates/entry/src/scheduling/quarantine.rs
@@ -47,6 +47,16 @@
         scheduler.note_own_evidence(upstream, &parts, evidence, sent_at, now);
     }
 
+    /// Records that an upstream has sent something to this VM.
+    pub(super) fn note_alive(
+        &self,
+        upstream: &str,
+    ) {
+        let id = self.names.borrow_mut().upstream(upstream);
+        let now = self.clock.now();
+        self.scheduler.borrow_mut().note_alive(id, now);
+    }
+
     /// The crashes that this VM has recorded.
     pub(super) fn crashes(&self) -> Vec<CrashSpec> {
         let crashes = self.scheduler.borrow().crashes(self.clock.now());
