A VM that was suspended turns no connections away

A process that goes on after a suspension finds one task late and took that for overload, for half a second.

Change: a VM counts as overloaded once two measured tasks in a row run late.

--- a/crates/core/src/ingress/connection_admission.rs
+++ b/crates/core/src/ingress/connection_admission.rs
@@ -6,7 +6,7 @@
 const FILES_PER_CONNECTION: usize = 2;
 /// The fewest connections that a VM takes, however few files it may open.
 const MIN_CONNECTIONS: usize = 16;
-/// A VM whose tasks run later than this has more work than its processor can do.
+/// A VM whose tasks run later than this again and again has more work than its processor can do.
 const MAX_DELAY: Millis = Millis(250);
 /// How long such a VM turns new connections away.
 const OVERLOAD_TIME: Millis = Millis(500);
@@ -20,6 +20,8 @@
 pub struct ConnectionAdmission {
     max_open: usize,
     open: usize,
+    /// Whether the last measured task ran late.
+    was_late: bool,
     overloaded_until: Millis,
     next_admission_at: Millis,
 }
@@ -31,6 +33,7 @@
         Self {
             max_open: (files / FILES_PER_CONNECTION).max(MIN_CONNECTIONS),
             open: 0,
+            was_late: false,
             overloaded_until: Millis::ZERO,
             next_admission_at: Millis::ZERO,
         }
@@ -42,9 +45,12 @@
         delay: Millis,
         now: Millis,
     ) {
-        if delay >= MAX_DELAY {
+        let is_late = delay >= MAX_DELAY;
+        // A single delay is a suspension of the process.
+        if is_late && self.was_late {
             self.overloaded_until = now + OVERLOAD_TIME;
         }
+        self.was_late = is_late;
     }
 
     /// Whether a new connection is taken; it counts as open then until [`Self::close`].
--- a/crates/core/tests/connection_admission.rs
+++ b/crates/core/tests/connection_admission.rs
@@ -24,6 +24,7 @@
 fn an_overloaded_vm_takes_few() {
     // Guards against taking requests that wait unread, and against a ready VM that takes none at all.
     let mut admission = ConnectionAdmission::new(100_000);
+    admission.note_delay(Millis(400), Millis(9_950));
     let mut taken = 0;
     for ms in 0..CONTACT {
         let now = Millis(10_000 + ms);
@@ -50,3 +51,16 @@
         assert!(admission.admit(now), "at {now}");
     }
 }
+
+#[test]
+fn a_suspension_is_no_overload() {
+    // Guards against a VM that turns callers away because its process was suspended for a while.
+    let mut admission = ConnectionAdmission::new(100_000);
+    admission.note_delay(Millis(0), Millis(10_000));
+    admission.note_delay(Millis(4_000), Millis(14_000));
+    for ms in (0..500).step_by(50) {
+        let now = Millis(14_000 + ms);
+        assert!((0..10).all(|_| admission.admit(now)), "at {now}");
+        admission.note_delay(Millis(2), now);
+    }
+}
