A part that an answer has cleared goes at full rate at once

Callers would have seen requests with a sound first part go one at a time, for good: a single suspect that waits for a confirming crash has no time at which it is looked at again, and an answer that cleared it led to a review only while such a time was set. While one was set, each answer led to a review, thousands a second after any crash of a large fleet.

Change: an answer leads to a review if one of its parts is a suspect of the last review, and only then.

Evidence: an_acquitted_part_goes_at_full_rate failed before (1 of 4 sent) and passes.

--- a/crates/core/src/quarantine/part_quarantine.rs
+++ b/crates/core/src/quarantine/part_quarantine.rs
@@ -73,17 +73,19 @@
         self.crashes.note_alive(upstream, now);
     }
 
-    /// Records that an answer to a prompt with these shared parts, which began at `begun_at`, went on.
+    /// Records that an answer to a prompt with these shared parts, which began at `begun_at`, went on; returns whether
+    /// a suspect is among them, so that the rest has to be reviewed.
     pub fn note_sound(
         &mut self,
         parts: &[PartId],
         begun_at: Millis,
-    ) {
+    ) -> bool {
         for &part in parts {
             self.sound.insert(part);
         }
         self.crashes.acquit(parts, begun_at);
         self.acquit(parts, begun_at);
+        parts.iter().any(|part| self.undecided.contains(part))
     }
 
     /// When [`Self::review`] is due, if no evidence comes before.
--- a/crates/core/src/scheduler/state_machine/quarantine.rs
+++ b/crates/core/src/scheduler/state_machine/quarantine.rs
@@ -26,17 +26,13 @@
         if let Stage::Running { upstream, .. } = entry.stage {
             let parts = entry.job.shared_parts();
             let sent_at = entry.assigned_at;
-            self.note_own_evidence(upstream, &parts, evidence, sent_at, now);
-            self.is_evidence_new |= match evidence {
-                PromptEvidence::None => false,
-                PromptEvidence::Crash => true,
-                PromptEvidence::Sound { .. } => self.quarantine.due().is_some(),
-            };
+            let needs_review = self.note_own_evidence(upstream, &parts, evidence, sent_at, now);
+            self.is_evidence_new |= needs_review;
         }
     }
 
     /// Records the same of a request of this VM's own callers that was sent at `sent_at`, whichever VM
-    /// has assigned it; a later decision of this scheduler considers it.
+    /// has assigned it; returns whether the evidence has to be reviewed.
     pub fn note_own_evidence(
         &mut self,
         upstream: UpstreamId,
@@ -44,15 +40,16 @@
         evidence: PromptEvidence,
         sent_at: Millis,
         now: Millis,
-    ) {
+    ) -> bool {
         match evidence {
-            PromptEvidence::None => {}
+            PromptEvidence::None => false,
             PromptEvidence::Crash => {
                 let accused: Vec<_> = parts.iter().map(|&part| (part, sent_at)).collect();
                 self.quarantine.note_crash(upstream, &accused, now, now);
+                true
             }
             PromptEvidence::Sound { begun_ago } => {
-                self.quarantine.note_sound(parts, now.since(begun_ago));
+                self.quarantine.note_sound(parts, now.since(begun_ago))
             }
         }
     }
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -399,3 +399,22 @@
         assert!(is_quarantined(&mut world, &[FIRST, BAD]));
     }
 }
+
+#[test]
+fn an_acquitted_part_goes_at_full_rate() {
+    // Guards against a sound part that goes one request at a time long after an answer has cleared it.
+    let mut world = world();
+    answer(&mut world, &[FIRST, OTHER]);
+    for round in 0..3 {
+        crash(&mut world, &[FIRST, 100 + round]);
+    }
+    world.advance(3_000);
+    answer(&mut world, &[FIRST, OTHER]);
+    world.advance(100);
+    let numbers: Vec<u64> = (0..4)
+        .map(|_| world.place(prompt(&[FIRST, OTHER], world.now)))
+        .collect();
+    world.advance(100);
+    let sent = numbers.iter().filter(|&&one| world.sent_to(one).is_some());
+    assert_eq!(sent.count(), 4);
+}
--- a/crates/entry/src/scheduling/quarantine.rs
+++ b/crates/entry/src/scheduling/quarantine.rs
@@ -44,6 +44,7 @@
         let upstream = names.upstream(&running.upstream);
         let parts = running.job.resolve(&mut names, now).shared_parts();
         let mut scheduler = self.scheduler.borrow_mut();
+        // The leader reviews it; this VM does when its role changes.
         scheduler.note_own_evidence(upstream, &parts, evidence, sent_at, now);
     }
 
