Requests that were held for a trial go back to the queue of their adapter

Found by reading the change again: a request held for a trial kept the queue target of held ones after its part had been cleared, so that the first of them, whose adapter had to be loaded, kept back those behind it whose adapters were there.

Change: each evaluation sets the target that a request has now; FairQueue::hold becomes retarget.

Evidence: acquitted_requests_wait_for_their_own_adapters failed before and passes; the tests of queue and refusals pass.

--- a/crates/core/src/queue/fair_queue.rs
+++ b/crates/core/src/queue/fair_queue.rs
@@ -210,16 +210,16 @@
         }
     }
 
-    /// Makes a request for an engine wait for a trial, so that it doesn't delay others of its target.
-    pub fn hold(
+    /// Changes what a request needs to run, to another target of the same pool.
+    pub fn retarget(
         &mut self,
         request: RequestId,
+        target: QueueTarget,
     ) {
         let Some(location) = self.locations.get_mut(&request) else {
             return;
         };
         let account_queue = self.accounts.entry(location.account).or_default();
-        let target = QueueTarget::Trial;
         if let Some(waiting) = account_queue.remove(location.position, location.target) {
             account_queue.insert(location.position, QueuedRequest { target, ..waiting });
             location.target = target;
--- a/crates/core/src/scheduler/state_machine/admission.rs
+++ b/crates/core/src/scheduler/state_machine/admission.rs
@@ -77,7 +77,7 @@
             priority: priority_class(job.priority),
             cost: job.cost.max(1),
             deadline: send_deadline.max(now),
-            target: target(job),
+            target: queue_target(job, false),
         }
     }
 
@@ -121,10 +121,14 @@
     }
 }
 
-/// The queue target of a request. An adapter's requests share one target whatever the version, as
+/// The queue target of a request, which waits for a trial if it `is_held`. An adapter's requests share one target whatever the version, as
 /// the version is chosen when a request is sent.
-fn target(job: &Job) -> QueueTarget {
+pub(super) fn queue_target(
+    job: &Job,
+    is_held: bool,
+) -> QueueTarget {
     match job.generation() {
+        Some(_) if is_held => QueueTarget::Trial,
         None => QueueTarget::Service(job.service),
         Some(generation) => match generation.adapter {
             Some(adapter) => QueueTarget::Adapter(AdapterVersion {
--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -2,11 +2,12 @@
 //! requests.
 
 use {
-    super::{MIN_RETRY_AFTER, Scheduler},
+    super::{MIN_RETRY_AFTER, Scheduler, admission::queue_target},
     crate::{
         clock::Millis,
         error::{ErrorKind, Refusal},
         ids::{AdapterVersion, RequestId, ServiceId, UpstreamId},
+        quarantine::PartQuarantine,
         queue::{QueueTarget, QueuedRequest},
         scheduler::{
             Job, Outcome, RateShare, SchedulerAction as Action, WaitReason,
@@ -14,7 +15,7 @@
             fleet_totals::FleetTotals,
             loads,
             request_load::Load,
-            running::Stage,
+            running::{Stage, TrackedRequest},
         },
     },
 };
@@ -57,6 +58,20 @@
     All,
 }
 
+/// The queue target of a request now: held ones block no others of their target, and released ones
+/// not each other.
+fn held_target(
+    entry: &mut TrackedRequest,
+    quarantine: &PartQuarantine,
+    now: Millis,
+) -> QueueTarget {
+    let is_held = quarantine.holds(entry.job.generation(), now);
+    if is_held {
+        entry.waits_for(WaitReason::Trial, now);
+    }
+    queue_target(&entry.job, is_held)
+}
+
 impl Scheduler {
     /// Takes all decisions that are possible now and returns the resulting actions.
     pub(super) fn decide(
@@ -236,7 +251,7 @@
         let mut full_services: Vec<ServiceId> = Vec::new();
         loop {
             let mut sent = None;
-            let mut held: Vec<RequestId> = Vec::new();
+            let mut moved: Vec<(RequestId, QueueTarget)> = Vec::new();
             let popped = {
                 let Self {
                     queue,
@@ -273,11 +288,11 @@
                     {
                         return false;
                     }
-                    if quarantine.holds(entry.job.generation(), now) {
-                        entry.waits_for(WaitReason::Trial, now);
-                        if waiting.target != QueueTarget::Trial {
-                            held.push(waiting.request);
-                        }
+                    let target = held_target(entry, quarantine, now);
+                    if target != waiting.target {
+                        moved.push((waiting.request, target));
+                    }
+                    if target != waiting.target || target == QueueTarget::Trial {
                         return false;
                     }
                     evaluations += 1;
@@ -324,11 +339,11 @@
                 (Some(waiting), Some((upstream, adapter))) => {
                     actions.extend(self.assign(waiting.request, upstream, adapter, now));
                 }
-                (None, _) if held.is_empty() => break,
+                (None, _) if moved.is_empty() => break,
                 _ => {}
             }
-            for request in held {
-                self.queue.hold(request);
+            for (request, target) in moved {
+                self.queue.retarget(request, target);
             }
         }
         self.evaluations += evaluations;
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -6,7 +6,7 @@
     jasmine_core::{
         clock::Millis,
         error::ErrorKind,
-        ids::{PartId, UpstreamId},
+        ids::{AdapterId, PartId, UpstreamId},
         ingress::PromptPart,
         quarantine::{AnswerEnd, AnswerTrace, CrashReport, PartSet, PromptEvidence},
         scheduler::{AttemptId, Job, LOCAL_VM, Outcome, Work},
@@ -418,3 +418,36 @@
     let sent = numbers.iter().filter(|&&one| world.sent_to(one).is_some());
     assert_eq!(sent.count(), 4);
 }
+
+#[test]
+fn acquitted_requests_wait_for_their_own_adapters() {
+    // Guards against requests that were held for a trial and then wait for each other's adapters.
+    let mut world = World::leading(0);
+    for id in 0..ENGINES {
+        world.add_engine(UpstreamId(id), &[7, 8]);
+    }
+    for _ in 0..2 {
+        crash(&mut world, &[FIRST, BAD]);
+    }
+    let trial = world.place(prompt(&[FIRST, BAD], world.now));
+    world.advance(100);
+    assert!(world.sent_to(trial).is_some());
+    let mut absent = prompt(&[FIRST, BAD], world.now);
+    if let Work::Generation(generation) = &mut absent.work {
+        generation.adapter = Some(AdapterId(9));
+    }
+    world.engines_answer = false;
+    let absent = world.place(absent);
+    let present = world.place(prompt(&[FIRST, BAD], world.now));
+    world.advance(50);
+    assert_eq!(world.sent_to(present), None, "held");
+    let evidence = PromptEvidence::Sound {
+        begun_ago: Millis(10),
+    };
+    let now = world.now;
+    world.scheduler.note_evidence(attempt(trial), evidence, now);
+    world.end(trial, Outcome::Answered { took: Millis(90) });
+    world.advance(200);
+    assert_eq!(world.sent_to(absent), None, "its adapter isn't loaded");
+    assert!(world.sent_to(present).is_some(), "it waits for another's");
+}
