Parts of prompts and adapters have ids that differ; what a request shares is worked out once

Found by reading the change again. A caller chooses the ids of its prompts' parts, and an adapter stood among them as a 64-bit hash: whoever gave a crashing part that id got the adapter refused for all.

Change: PartId is a part or an adapter, with one text form for logs, keys and messages, in place of three places that formatted numbers. What a request shares is worked out with the job, not anew at each evaluation, and not by resolving the whole job at each end on a follower. The quarantine no longer knows jobs.

--- a/crates/core/src/ids/mod.rs
+++ b/crates/core/src/ids/mod.rs
@@ -9,6 +9,7 @@
 mod holder;
 mod incarnation;
 mod numbers;
+mod part_id;
 mod revision;
 
 pub use {
@@ -18,8 +19,9 @@
     holder::{Holder, Role},
     incarnation::Incarnation,
     numbers::{
-        AccountId, AdapterId, BuildId, DataCentreId, KeyId, ModelId, PartId, RequestId, ServiceId,
+        AccountId, AdapterId, BuildId, DataCentreId, KeyId, ModelId, RequestId, ServiceId,
         StreamId, TransferId, UpstreamId, VmId,
     },
+    part_id::{InvalidPartId, PartId},
     revision::Revision,
 };
--- a/crates/core/src/ids/numbers.rs
+++ b/crates/core/src/ids/numbers.rs
@@ -56,10 +56,6 @@
     /// Id of a stream on all VMs: a hash of the request id of the caller's attempt that began it.
     StreamId(u64)
 );
-number!(
-    /// Id of a part of a prompt: a hash of its content.
-    PartId(u64)
-);
 number!(
     /// Id of a transfer of rights, unique at the holder that asks for it.
     TransferId(u64)
--- a/crates/core/src/ingress/mod.rs
+++ b/crates/core/src/ingress/mod.rs
@@ -23,7 +23,7 @@
     config::IngressConfig,
     connection_admission::ConnectionAdmission,
     held_model::{ComingAdapter, EngineHoldings, HeldAdapter, HeldModel},
-    prompt::{PromptPart, PromptSize},
+    prompt::{PromptPart, PromptSize, shared_parts},
     region_limits::allowed_data_centres,
     route::{IngressRoute, WeightedService},
     route_table::RouteTable,
--- a/crates/core/src/ingress/prompt.rs
+++ b/crates/core/src/ingress/prompt.rs
@@ -1,3 +1,5 @@
+use crate::ids::PartId;
+
 /// A part of a prompt; requests that begin with the same parts share an engine's KV cache for them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct PromptPart {
@@ -7,6 +9,12 @@
     pub tokens: u32,
 }
 
+/// The parts of a prompt that other requests may share: all but the last one, which belongs to one request or session.
+pub fn shared_parts(parts: &[PromptPart]) -> impl Iterator<Item = PartId> {
+    let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    shared.iter().map(|part| PartId::Part(part.id))
+}
+
 /// The size of a generation, as declared by its caller.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PromptSize {
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -19,5 +19,5 @@
     answer_trace::{AnswerEnd, AnswerTrace, PromptEvidence},
     crash::CrashReport,
     part_quarantine::{PartQuarantine, QuarantineChange},
-    verdict::PartSet,
+    verdict::{PartSet, join_parts},
 };
--- a/crates/core/src/quarantine/part_quarantine.rs
+++ b/crates/core/src/quarantine/part_quarantine.rs
@@ -6,7 +6,6 @@
     crate::{
         clock::Millis,
         ids::{PartId, RequestId, UpstreamId},
-        scheduler::Generation,
     },
 };
 
@@ -123,28 +122,31 @@
         }
     }
 
-    /// Whether a generation has to wait for what others show about its prompt.
+    /// Whether a prompt with these shared parts has to wait for what others show.
     pub fn holds(
         &self,
-        generation: Option<&Generation>,
+        parts: &[PartId],
         now: Millis,
     ) -> bool {
-        let Some(parts) = self.suspicious_parts(generation) else {
+        if self.crashes.is_empty() {
             return false;
-        };
+        }
         let mut undecided = self.undecided.iter();
         let has_undecided = self.undecided.len() > 1 && undecided.all(|part| parts.contains(part));
         has_undecided || parts.iter().any(|&part| self.is_trial_pending(part, now))
     }
 
-    /// Records that a generation is sent.
+    /// Records that a request with these shared parts is sent.
     pub fn note_sent(
         &mut self,
-        generation: Option<&Generation>,
+        parts: &[PartId],
         request: RequestId,
         now: Millis,
     ) {
-        for part in self.suspicious_parts(generation).unwrap_or_default() {
+        if self.crashes.is_empty() {
+            return;
+        }
+        for &part in parts {
             if self.is_on_trial(part) {
                 self.trials.begin(part, request, now);
             }
@@ -159,11 +161,6 @@
         self.trials.end(request);
     }
 
-    /// Whether nothing is refused.
-    pub const fn is_empty(&self) -> bool {
-        self.verdicts.is_empty()
-    }
-
     /// What is refused.
     pub fn verdicts(&self) -> impl Iterator<Item = &PartSet> {
         self.verdicts.iter().map(|verdict| &verdict.parts)
@@ -252,15 +249,6 @@
         }
     }
 
-    /// The shared parts of a generation's prompt; `None` while no part is suspected.
-    fn suspicious_parts(
-        &self,
-        generation: Option<&Generation>,
-    ) -> Option<Vec<PartId>> {
-        let generation = generation.filter(|_| !self.crashes.is_empty())?;
-        Some(generation.shared_parts())
-    }
-
     /// Whether the last request with a part on trial hasn't shown yet what it does.
     fn is_trial_pending(
         &self,
@@ -276,9 +264,8 @@
         &self,
         part: PartId,
     ) -> bool {
-        let is_new = !self.sound.contains(part);
-        is_new && self.crashes.accusations(part) >= MIN_TRIAL_CRASHES
-            || self.undecided.contains(&part)
+        let is_suspected = self.crashes.accusations(part) >= MIN_TRIAL_CRASHES;
+        is_suspected && !self.sound.contains(part) || self.undecided.contains(&part)
     }
 
     fn is_explained(
--- a/crates/core/src/quarantine/verdict.rs
+++ b/crates/core/src/quarantine/verdict.rs
@@ -6,6 +6,18 @@
 /// Parts that are refused where a prompt has them all.
 pub type PartSet = BTreeSet<PartId>;
 
+/// The text form of several parts.
+pub fn join_parts<'a, I>(
+    parts: I,
+    separator: &str,
+) -> String
+where
+    I: IntoIterator<Item = &'a PartId>,
+{
+    let texts: Vec<String> = parts.into_iter().map(PartId::to_string).collect();
+    texts.join(separator)
+}
+
 /// Parts in quarantine: one, or several that crashes haven't told apart yet.
 #[derive(Clone, Debug)]
 pub(super) struct Verdict {
--- a/crates/core/src/scheduler/job.rs
+++ b/crates/core/src/scheduler/job.rs
@@ -29,20 +29,8 @@
     pub size: PromptSize,
     /// The parts of the prompt in order, for prefix caching.
     pub parts: Vec<PromptPart>,
-    /// Names the adapter among what may crash engines, equally on all VMs.
-    pub adapter_part: Option<PartId>,
-}
-
-impl Generation {
-    /// What other requests may share: the parts of the prompt but the last one, and the adapter.
-    pub fn shared_parts(&self) -> Vec<PartId> {
-        let shared = self
-            .parts
-            .split_last()
-            .map_or(&[][..], |(_, shared)| shared);
-        let shared = shared.iter().map(|part| PartId(part.id));
-        shared.chain(self.adapter_part).collect()
-    }
+    /// What other requests may share and what may crash engines: the parts but the last one, and the adapter.
+    pub shared_parts: Vec<PartId>,
 }
 
 /// Whether a request is a plain call or a generation, with its parameters.
@@ -97,9 +85,9 @@
     }
 
     /// What it may share with other requests that crash engines; nothing for a call.
-    pub fn shared_parts(&self) -> Vec<PartId> {
+    pub fn shared_parts(&self) -> &[PartId] {
         self.generation()
-            .map_or_else(Vec::new, Generation::shared_parts)
+            .map_or(&[][..], |generation| &generation.shared_parts)
     }
 
     /// Whether it is a call that any upstream of its service may serve.
--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -65,7 +65,7 @@
     quarantine: &PartQuarantine,
     now: Millis,
 ) -> QueueTarget {
-    let is_held = quarantine.holds(entry.job.generation(), now);
+    let is_held = quarantine.holds(entry.job.shared_parts(), now);
     if is_held {
         entry.waits_for(WaitReason::Trial, now);
     }
@@ -361,7 +361,7 @@
         let load = self.request_load(&job, upstream, now);
         self.fleet.assign(upstream, request, adapter, load, now);
         self.fleet.note_sent(upstream, &job, now);
-        self.quarantine.note_sent(job.generation(), request, now);
+        self.quarantine.note_sent(job.shared_parts(), request, now);
         self.update_queued_work(&job, false);
         let entry = self.entries.get_mut(&request)?;
         self.on_time.remove(&(entry.latest_send_at, request));
--- a/crates/core/src/scheduler/state_machine/quarantine.rs
+++ b/crates/core/src/scheduler/state_machine/quarantine.rs
@@ -24,7 +24,7 @@
             return;
         };
         if let Stage::Running { upstream, .. } = entry.stage {
-            let parts = entry.job.shared_parts();
+            let parts = entry.job.shared_parts().to_vec();
             let sent_at = entry.assigned_at;
             let needs_review = self.note_own_evidence(upstream, &parts, evidence, sent_at, now);
             self.is_evidence_new |= needs_review;
@@ -123,7 +123,7 @@
         &self,
         job: &Job,
     ) -> Result<(), Refusal> {
-        if !self.quarantine.is_empty() && self.quarantine.refuses(&job.shared_parts()) {
+        if self.quarantine.refuses(job.shared_parts()) {
             return Err(Refusal::new(ErrorKind::PromptQuarantined));
         }
         Ok(())
@@ -136,7 +136,7 @@
         job: &Job,
         now: Millis,
     ) -> bool {
-        self.can_order && self.quarantine.take_probe(&job.shared_parts(), now)
+        self.can_order && self.quarantine.take_probe(job.shared_parts(), now)
     }
 
     /// Quarantines what new evidence points to, and refuses queued requests with it.
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -7,7 +7,7 @@
         clock::Millis,
         error::ErrorKind,
         ids::{AdapterId, PartId, UpstreamId},
-        ingress::PromptPart,
+        ingress::{PromptPart, shared_parts},
         quarantine::{AnswerEnd, AnswerTrace, CrashReport, PartSet, PromptEvidence},
         scheduler::{AttemptId, Job, LOCAL_VM, Outcome, Work},
     },
@@ -41,6 +41,7 @@
         let ids = parts.iter().copied().chain([u64::MAX - now.0]);
         let part = |id| PromptPart { id, tokens: 10 };
         generation.parts = ids.map(part).collect();
+        generation.shared_parts = shared_parts(&generation.parts).collect();
     }
     job
 }
@@ -140,7 +141,7 @@
     let with_adapter = |parts: &[u64], now| {
         let mut job = prompt(parts, now);
         if let Work::Generation(generation) = &mut job.work {
-            generation.adapter_part = Some(PartId(BAD));
+            generation.shared_parts.push(PartId::Adapter(BAD));
         }
         job
     };
@@ -156,6 +157,25 @@
     assert!(!is_quarantined(&mut world, &[FIRST, OTHER]), "without it");
 }
 
+#[test]
+fn a_part_names_no_adapter() {
+    // Guards against a caller that gets an adapter refused by giving a part of its crashing prompts the adapter's id.
+    let mut world = world();
+    answer(&mut world, &[FIRST, OTHER]);
+    crashes_until_known(&mut world, &[FIRST, BAD]);
+    let mut job = prompt(&[FIRST, OTHER], world.now);
+    if let Work::Generation(generation) = &mut job.work {
+        generation.shared_parts.push(PartId::Adapter(BAD));
+    }
+    let number = world.place(job);
+    world.advance(20);
+    assert!(world.sent_to(number).is_some());
+    let texts = ["bad0", "adapter.bad0"].map(|text| text.parse::<PartId>().unwrap());
+    assert_eq!(texts, [PartId::Part(0xbad0), PartId::Adapter(0xbad0)]);
+    assert_eq!(texts.map(|part| part.to_string()), ["bad0", "adapter.bad0"]);
+    assert!("adapter.".parse::<PartId>().is_err());
+}
+
 #[test]
 fn a_part_that_was_sound_is_found_as_well() {
     // Guards against answers from before a part began to crash engines that clear it for good.
@@ -265,7 +285,7 @@
     world.advance(20);
     let now = world.now;
     for (id, number) in (0..).zip(numbers) {
-        let parts = [PartId(FIRST), PartId(OTHER)];
+        let parts = [PartId::Part(FIRST), PartId::Part(OTHER)];
         let scheduler = &mut world.scheduler;
         scheduler.note_own_evidence(UpstreamId(id), &parts, PromptEvidence::Crash, sent_at, now);
         world.end(number, Outcome::Lost);
@@ -295,7 +315,7 @@
     }
     let queued = world.place(prompt(&[FIRST, BAD], world.now));
     assert_eq!(world.decision(queued), None, "it waits");
-    let sent_just_before = |id: u32, part| (PartId(part), Millis(500 * u64::from(id) + 600));
+    let sent_just_before = |id: u32, part| (PartId::Part(part), Millis(500 * u64::from(id) + 600));
     let report = |id: u32| CrashReport {
         upstream: UpstreamId(id),
         ago: Millis(500 * u64::from(id) + 500),
@@ -321,7 +341,7 @@
         let report = CrashReport {
             upstream: UpstreamId(1),
             ago: Millis::ZERO,
-            accused: vec![(PartId(BAD), Millis::ZERO)],
+            accused: vec![(PartId::Part(BAD), Millis::ZERO)],
         };
         world.scheduler.add_crashes(&[report], now);
     }
@@ -335,7 +355,7 @@
     let mut world = world();
     answer(&mut world, &[FIRST, OTHER]);
     crashes_until_known(&mut world, &[FIRST, BAD]);
-    let parts = PartSet::from([PartId(BAD)]);
+    let parts = PartSet::from([PartId::Part(BAD)]);
     assert_eq!(world.scheduler.quarantined(), vec![parts.clone()]);
     let now = world.now;
     world.scheduler.remove_quarantine(&parts, now);
--- a/crates/core/tests/scheduler_world/mod.rs
+++ b/crates/core/tests/scheduler_world/mod.rs
@@ -354,7 +354,7 @@
         cost: 2_000,
         service: ENGINES,
         work: Work::Generation(Generation {
-            adapter_part: None,
+            shared_parts: Vec::new(),
             model: MODEL,
             adapter: Some(AdapterId(adapter)),
             size: PromptSize {
--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -15,8 +15,9 @@
         clock::Millis,
         error::{ErrorKind, Refusal},
         forward::Attempts,
+        ids::PartId,
         ingress::PromptPart,
-        quarantine::{AnswerEnd, AnswerTrace, PromptEvidence},
+        quarantine::{AnswerEnd, AnswerTrace, PromptEvidence, join_parts},
         scheduler::{Outcome, WaitReason},
         streams::OriginLookup,
     },
@@ -451,8 +452,8 @@
 
 /// The parts of a prompt in the log, in their order.
 fn part_names(parts: &[PromptPart]) -> String {
-    let names = parts.iter().map(|part| format!("{:x}", part.id));
-    names.collect::<Vec<_>>().join(",")
+    let parts: Vec<PartId> = parts.iter().map(|part| PartId::Part(part.id)).collect();
+    join_parts(&parts, ",")
 }
 
 /// The name of a stream's framing in the log.
--- a/crates/entry/src/forward/request.rs
+++ b/crates/entry/src/forward/request.rs
@@ -147,13 +147,8 @@
     }
 
     fn generation(&self) -> Option<GenerationSpec> {
-        let model = self.caller.model.clone().filter(|_| self.is_generation)?;
-        Some(GenerationSpec {
-            model,
-            adapter: self.caller.adapter.clone(),
-            size: self.caller.size.unwrap_or_default(),
-            parts: self.caller.parts.clone(),
-        })
+        let caller = Some(&self.caller).filter(|_| self.is_generation)?;
+        GenerationSpec::from_headers(caller)
     }
 
     /// A hash of key, target and body that identifies a retry by the caller under another request id.
--- a/crates/entry/src/scheduling/convert.rs
+++ b/crates/entry/src/scheduling/convert.rs
@@ -4,11 +4,11 @@
     super::{
         Assignment, CrashSpec, GenerationSpec, JobSpec, Leader, RunningSpec, StatedSpec, Verdict,
     },
-    capnp::{primitive_list, struct_list, text_list},
+    capnp::{struct_list, text, text_list},
     jasmine_core::{
         clock::Millis,
         error::{ErrorKind, Refusal},
-        ids::{Fence, PartId},
+        ids::{Fence, InvalidPartId, PartId},
         ingress::{PromptPart, PromptSize},
         quarantine::{PartSet, PromptEvidence},
         scheduler::{AttemptCounts, Outcome, UpstreamSignals, WaitReason},
@@ -340,7 +340,7 @@
         let mut list = one.init_accused(spec.accused.len() as u32);
         for (at, (part, sent_ago)) in spec.accused.iter().enumerate() {
             let mut to = list.reborrow().get(at as u32);
-            to.set_part(part.0);
+            to.set_part(part.to_string());
             to.set_sent_ago_ms(u32::try_from(sent_ago.0).unwrap_or(u32::MAX));
         }
     }
@@ -357,8 +357,11 @@
                 accused: one
                     .get_accused()?
                     .iter()
-                    .map(|one| (PartId(one.get_part()), Millis(one.get_sent_ago_ms().into())))
-                    .collect(),
+                    .map(|one| {
+                        let part = read_part(one.get_part()?)?;
+                        Ok((part, Millis(one.get_sent_ago_ms().into())))
+                    })
+                    .collect::<Result<_, capnp::Error>>()?,
             })
         })
         .collect()
@@ -370,7 +373,10 @@
 ) {
     for (at, parts) in sets.iter().enumerate() {
         let one = to.reborrow().get(at as u32);
-        write_parts(one.init_parts(parts.len() as u32), parts);
+        let mut list = one.init_parts(parts.len() as u32);
+        for (at, part) in parts.iter().enumerate() {
+            list.set(at as u32, part.to_string());
+        }
     }
 }
 
@@ -378,19 +384,16 @@
     from: struct_list::Reader<'_, quarantined::Owned>
 ) -> Result<Vec<PartSet>, capnp::Error> {
     from.iter()
-        .map(|one| Ok(one.get_parts()?.iter().map(PartId).collect()))
+        .map(|one| {
+            let parts = one.get_parts()?.iter();
+            parts.map(|part| read_part(part?)).collect()
+        })
         .collect()
 }
 
-fn write_parts<'a, I>(
-    mut to: primitive_list::Builder<'_, u64>,
-    parts: I,
-) where
-    I: IntoIterator<Item = &'a PartId>,
-{
-    for (at, part) in parts.into_iter().enumerate() {
-        to.set(at as u32, part.0);
-    }
+fn read_part(from: text::Reader<'_>) -> Result<PartId, capnp::Error> {
+    let part: Result<PartId, InvalidPartId> = from.to_str()?.parse();
+    part.map_err(|e| capnp::Error::failed(e.to_string()))
 }
 
 pub(super) fn write_leader(
--- a/crates/entry/src/scheduling/job_spec.rs
+++ b/crates/entry/src/scheduling/job_spec.rs
@@ -3,10 +3,11 @@
     jasmine_core::{
         clock::Millis,
         ids::PartId,
-        ingress::{PromptPart, PromptSize},
+        ingress::{PromptPart, PromptSize, shared_parts},
         rights::CallerTag,
         scheduler::{Generation, Job, Work},
     },
+    jasmine_platform::headers::CallerHeaders,
     xxhash_rust::xxh3::xxh3_64,
 };
 
@@ -24,16 +25,27 @@
 }
 
 impl GenerationSpec {
-    /// The id that stands for the adapter among the parts of prompts that crash engines.
-    fn adapter_part(&self) -> Option<PartId> {
-        let adapter = self.adapter.as_ref()?;
-        Some(adapter_part(&format!("{}/{adapter}", self.model)))
+    /// The generation that a caller's headers ask for; `None` without a model.
+    pub fn from_headers(caller: &CallerHeaders) -> Option<Self> {
+        Some(Self {
+            model: caller.model.clone()?,
+            adapter: caller.adapter.clone(),
+            size: caller.size.unwrap_or_default(),
+            parts: caller.parts.clone(),
+        })
+    }
+
+    /// What other requests may share and what may crash engines.
+    pub(super) fn shared_parts(&self) -> Vec<PartId> {
+        let adapter = self.adapter.as_ref();
+        let adapter = adapter.map(|adapter| adapter_part(&format!("{}/{adapter}", self.model)));
+        shared_parts(&self.parts).chain(adapter).collect()
     }
 }
 
-/// The id that stands for an adapter, named `MODEL/ADAPTER`, among the parts of prompts.
+/// The id of an adapter, named `MODEL/ADAPTER`, which is the same on all VMs.
 pub(super) fn adapter_part(name: &str) -> PartId {
-    PartId(xxh3_64(format!("adapter {name}").as_bytes()))
+    PartId::Adapter(xxh3_64(name.as_bytes()))
 }
 
 /// A placement request as sent between VMs: with names in place of ids, and with remaining times.
@@ -88,7 +100,7 @@
                     .map(|adapter| names.adapter(&spec.model, adapter)),
                 size: spec.size,
                 parts: spec.parts.clone(),
-                adapter_part: spec.adapter_part(),
+                shared_parts: spec.shared_parts(),
             }),
         };
         Job {
--- a/crates/entry/src/scheduling/quarantine.rs
+++ b/crates/entry/src/scheduling/quarantine.rs
@@ -4,12 +4,11 @@
     super::{CrashSpec, LocalScheduler, RunningSpec, VmHistory, job_spec::adapter_part},
     jasmine_core::{
         clock::Millis,
-        ids::PartId,
-        quarantine::{CrashReport, PartSet, PromptEvidence, QuarantineChange},
+        quarantine::{CrashReport, PartSet, PromptEvidence, QuarantineChange, join_parts},
         scheduler::AttemptId,
     },
     jasmine_telemetry::log::Line,
-    xxhash_rust::xxh3::Xxh3,
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 impl LocalScheduler {
@@ -25,7 +24,6 @@
         {
             Line::new("crash_reported")
                 .with("upstream", upstream)
-                .with("vm", attempt_id.vm)
                 .info();
         }
         let mut scheduler = self.scheduler.borrow_mut();
@@ -39,10 +37,12 @@
         evidence: PromptEvidence,
         sent_at: Millis,
     ) {
+        let Some(generation) = &running.job.generation else {
+            return;
+        };
         let now = self.clock.now();
-        let mut names = self.names.borrow_mut();
-        let upstream = names.upstream(&running.upstream);
-        let parts = running.job.resolve(&mut names, now).shared_parts();
+        let upstream = self.names.borrow_mut().upstream(&running.upstream);
+        let parts = generation.shared_parts();
         let mut scheduler = self.scheduler.borrow_mut();
         // The leader reviews it; this VM does when its role changes.
         scheduler.note_own_evidence(upstream, &parts, evidence, sent_at, now);
@@ -172,12 +172,12 @@
         for change in changes {
             match change {
                 QuarantineChange::Added { parts, crashes } => Line::new("prompt_quarantined")
-                    .with("parts", part_names(&parts))
+                    .with("parts", join_parts(&parts, ","))
                     .with("adapters", self.adapter_names(&parts))
                     .with("crashes", crashes)
                     .warn(),
                 QuarantineChange::Removed { parts } => Line::new("prompt_released")
-                    .with("parts", part_names(&parts))
+                    .with("parts", join_parts(&parts, ","))
                     .with("adapters", self.adapter_names(&parts))
                     .warn(),
             }
@@ -185,9 +185,7 @@
         self.quarantine_hash.set(hash_of(self.quarantined()));
         self.quarantine_changed.notify_one();
     }
-}
 
-impl LocalScheduler {
     /// The adapters among parts, as far as this VM has heard of them; `-` if there are none.
     fn adapter_names(
         &self,
@@ -210,17 +208,6 @@
         return 0;
     }
     sets.sort();
-    let mut hasher = Xxh3::new();
-    for parts in sets {
-        hasher.update(&(parts.len() as u64).to_le_bytes());
-        for part in parts {
-            hasher.update(&part.0.to_le_bytes());
-        }
-    }
-    hasher.digest()
-}
-
-fn part_names(parts: &PartSet) -> String {
-    let names = parts.iter().map(|&PartId(id)| format!("{id:x}"));
-    names.collect::<Vec<_>>().join(",")
+    let texts: Vec<String> = sets.iter().map(|parts| join_parts(parts, ",")).collect();
+    xxh3_64(texts.join(";").as_bytes())
 }
--- a/crates/entry/src/store/quarantine.rs
+++ b/crates/entry/src/store/quarantine.rs
@@ -3,7 +3,11 @@
 use {
     super::KvStore,
     crate::context::Context,
-    jasmine_core::{clock::Millis, ids::PartId, quarantine::PartSet},
+    jasmine_core::{
+        clock::Millis,
+        ids::InvalidPartId,
+        quarantine::{PartSet, join_parts},
+    },
     jasmine_store::store::{Op, Range, Store, Txn},
     jasmine_telemetry::log::Line,
     std::rc::Rc,
@@ -20,20 +24,20 @@
 /// Most writes in one transaction.
 const MAX_OPS: usize = 16;
 /// Separates the parts in a key.
-const SEPARATOR: char = '-';
+const SEPARATOR: &str = "-";
 
 /// The key of a set of parts.
 fn key_of(parts: &PartSet) -> String {
-    let names = parts.iter().map(|&PartId(id)| format!("{id:x}"));
-    let names: Vec<String> = names.collect();
-    format!("{QUARANTINE_PREFIX}{}", names.join(&SEPARATOR.to_string()))
+    format!("{QUARANTINE_PREFIX}{}", join_parts(parts, SEPARATOR))
 }
 
 /// The parts that a key names after its prefix.
-pub(super) fn decode(name: &str) -> Option<PartSet> {
-    let parts = name.split(SEPARATOR);
-    let parts = parts.map(|part| u64::from_str_radix(part, 16).ok().map(PartId));
-    parts.collect()
+///
+/// # Errors
+///
+/// If one of them is no id of a part.
+pub(super) fn decode(name: &str) -> Result<PartSet, InvalidPartId> {
+    name.split(SEPARATOR).map(str::parse).collect()
 }
 
 /// Writes what is refused to the store and deletes what isn't any more; never returns.
--- a/crates/entry/src/store/view.rs
+++ b/crates/entry/src/store/view.rs
@@ -15,6 +15,7 @@
     std::{
         cell::{Cell, RefCell},
         collections::{BTreeSet, HashMap, HashSet},
+        fmt::Display,
         rc::Rc,
     },
     tokio::{
@@ -419,12 +420,9 @@
         &self,
         name: &str,
     ) {
-        let Some(parts) = quarantine::decode(name) else {
-            Line::new("entry_unreadable")
-                .with("key", format!("{QUARANTINE_PREFIX}{name}"))
-                .with("reason", "expected hexadecimal numbers separated by -")
-                .warn();
-            return;
+        let parts = match quarantine::decode(name) {
+            Ok(parts) => parts,
+            Err(e) => return log_unreadable(&format!("{QUARANTINE_PREFIX}{name}"), &e),
         };
         let local_scheduler = &self.cx.scheduling.local_scheduler;
         local_scheduler.note_stored_quarantine(parts.clone());
@@ -437,7 +435,7 @@
         name: &str,
     ) {
         let local_scheduler = &self.cx.scheduling.local_scheduler;
-        if let Some(parts) = quarantine::decode(name)
+        if let Ok(parts) = quarantine::decode(name)
             && local_scheduler.note_unstored_quarantine(&parts)
         {
             local_scheduler.remove_quarantine(&parts);
@@ -452,7 +450,8 @@
         let found: BTreeSet<PartSet> = reply
             .kvs
             .iter()
-            .filter_map(|kv| quarantine::decode(kv.key.strip_prefix(QUARANTINE_PREFIX)?))
+            .filter_map(|kv| kv.key.strip_prefix(QUARANTINE_PREFIX))
+            .filter_map(|name| quarantine::decode(name).ok())
             .collect();
         let local_scheduler = &self.cx.scheduling.local_scheduler;
         let known = local_scheduler.stored_quarantine();
@@ -501,10 +500,12 @@
     }
 }
 
-fn log_unreadable(
+fn log_unreadable<E>(
     key: &str,
-    e: &jasmine_platform::DecodeError,
-) {
+    e: &E,
+) where
+    E: Display,
+{
     Line::new("entry_unreadable")
         .with("key", key)
         .with("reason", e)
--- a/crates/wire/schema/scheduler.capnp
+++ b/crates/wire/schema/scheduler.capnp
@@ -107,13 +107,13 @@
 }
 
 struct Accused {
-  part @0 :UInt64;
+  part @0 :Text;               # hexadecimal id of a part of prompts, or adapter.ID
   sentAgoMs @1 :UInt32;        # since such a prompt was last sent to the upstream
 }
 
 # Prompts with all of these parts are refused.
 struct Quarantined {
-  parts @0 :List(UInt64);
+  parts @0 :List(Text);
 }
 
 struct Leadership {
