A VM relays no prompt that it refuses

Found by reading the change again: a VM that has lost its links and its leader decides by the verdicts that it heard last; what it assigned was relayed by VMs that knew more.

Change: the relaying VM checks what the prompt shares against its own quarantine; the other one refuses the request at once (prompt_quarantined). The line 'started' names the relays' address.

Evidence: a_relay_sends_no_quarantined_part failed before (200, and the engine crashed) and passes.

--- a/crates/core/src/scheduler/state_machine/quarantine.rs
+++ b/crates/core/src/scheduler/state_machine/quarantine.rs
@@ -113,6 +113,14 @@
         self.quarantine.verdicts().cloned().collect()
     }
 
+    /// Whether prompts with these shared parts are refused.
+    pub fn is_quarantined(
+        &self,
+        parts: &[PartId],
+    ) -> bool {
+        self.quarantine.refuses(parts)
+    }
+
     /// Takes the changes of the quarantine since the last call.
     pub fn take_quarantine_changes(&mut self) -> Vec<QuarantineChange> {
         self.quarantine.take_changes()
@@ -123,7 +131,7 @@
         &self,
         job: &Job,
     ) -> Result<(), Refusal> {
-        if self.quarantine.refuses(job.shared_parts()) {
+        if self.is_quarantined(job.shared_parts()) {
             return Err(Refusal::new(ErrorKind::PromptQuarantined));
         }
         Ok(())
--- a/crates/entry/src/daemon/run.rs
+++ b/crates/entry/src/daemon/run.rs
@@ -28,7 +28,7 @@
 };
 
 /// Assumed limit on open files if it can't be read; the usual default.
-const DEFAULT_MAX_FILES: usize = 1_024;
+const DEFAULT_MAX_FILES: u64 = 1_024;
 /// How often expired idle connections are closed.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -105,7 +105,7 @@
         processor_percent: (settings.size.processor * 100.0) as u32,
     }));
     let origins = Rc::new(OriginDirectory::new(&me));
-    let max_files = max_files().min(usize::try_from(settings.size.files).unwrap_or(usize::MAX));
+    let max_files = max_files(&settings);
     let cx = Rc::new(Context::new(
         settings,
         Rc::clone(&scheduling),
@@ -119,6 +119,7 @@
         .with("callers", addr(&callers))
         .with("readiness", addr(&readiness))
         .with("peers", addr(&peers))
+        .with("relay", addr(&relays))
         .with("metrics", addr(&metrics_listener))
         .info();
 
@@ -166,17 +167,18 @@
 }
 
 /// The number of files that this process may open.
-fn max_files() -> usize {
-    match getrlimit(Resource::RLIMIT_NOFILE) {
-        Ok((soft, _)) => usize::try_from(soft).unwrap_or(usize::MAX),
-        Err(e) => {
+fn max_files(settings: &EntrySettings) -> usize {
+    let limit = getrlimit(Resource::RLIMIT_NOFILE).map_or_else(
+        |e| {
             Line::new("file_limit_unknown")
                 .with("reason", e)
                 .with("assumed", DEFAULT_MAX_FILES)
                 .warn();
             DEFAULT_MAX_FILES
-        }
-    }
+        },
+        |(soft, _hard)| soft,
+    );
+    usize::try_from(limit.min(settings.size.files)).unwrap_or(usize::MAX)
 }
 
 fn listen(
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -10,13 +10,14 @@
     bytes::Bytes,
     jasmine_core::{
         clock::Millis,
+        error::ErrorKind,
         forward::{AttemptEnd, Repeat},
         reachability::LinkStatus,
         scheduler::Outcome,
     },
     jasmine_platform::headers::{ResponseHeaders, is_misdirected},
     jasmine_telemetry::log::Line,
-    std::{io::ErrorKind, net::SocketAddr, time::Duration},
+    std::{io, net::SocketAddr, time::Duration},
     tokio::time::timeout,
 };
 
@@ -39,6 +40,8 @@
     Responding(StartedResponse),
     /// The attempt failed before that.
     Failed(Failure),
+    /// Nothing was sent, nor should it be.
+    Refused(ErrorKind),
 }
 
 /// A response that has begun.
@@ -241,6 +244,7 @@
             NotRelayed::Unusable => {
                 Offer::Started(Start::Failed(Failure::not_run(Outcome::Abandoned)))
             }
+            NotRelayed::Quarantined => Offer::Started(Start::Refused(ErrorKind::PromptQuarantined)),
             NotRelayed::Unreachable => {
                 Offer::Started(Start::Failed(Failure::not_run(Outcome::Unreachable)))
             }
@@ -377,7 +381,7 @@
             return Ok(connection);
         }
         let opened = timeout(self.time_left(), self.cx.pool.open(address)).await;
-        match opened.unwrap_or_else(|_elapsed| Err(ErrorKind::TimedOut.into())) {
+        match opened.unwrap_or_else(|_elapsed| Err(io::ErrorKind::TimedOut.into())) {
             Ok(connection) => Ok(connection),
             Err(e) => {
                 Line::new("connect_failed")
--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -222,6 +222,10 @@
         let response = match attempt.start(after_event).await {
             Start::Responding(response) => response,
             Start::Failed(failure) => return self.handle_failure(placement, failure).await,
+            Start::Refused(kind) => {
+                placement.end(Outcome::Abandoned, PromptEvidence::None);
+                return Step::Fail(kind);
+            }
         };
         if matches!(response.head.status, 200..=299) {
             let now = self.cx.clock.now();
--- a/crates/entry/src/links/relay_header.rs
+++ b/crates/entry/src/links/relay_header.rs
@@ -18,6 +18,8 @@
     Unusable,
     /// It could not connect to this upstream.
     Unreachable,
+    /// It refuses the prompt, as a part of it crashes upstreams.
+    Quarantined,
 }
 
 impl NotRelayed {
@@ -27,6 +29,7 @@
             Self::NoLinks => "no_links",
             Self::Unusable => "unusable",
             Self::Unreachable => "unreachable",
+            Self::Quarantined => "quarantined",
         }
     }
 
@@ -101,7 +104,11 @@
 
 /// Why a response was not relayed; one without a reason comes from a VM that could not read the request.
 pub fn read_not_relayed(head: &ResponseHead) -> NotRelayed {
-    let reasons = [NotRelayed::Unusable, NotRelayed::Unreachable];
+    let reasons = [
+        NotRelayed::Unusable,
+        NotRelayed::Unreachable,
+        NotRelayed::Quarantined,
+    ];
     let reason = head.headers.single(NOT_RELAYED);
     let known = reasons
         .into_iter()
--- a/crates/entry/src/links/relay_server.rs
+++ b/crates/entry/src/links/relay_server.rs
@@ -6,6 +6,7 @@
         caller::{IncomingRequest, ResponseWriter},
         context::{Context, StopStage},
         http1::{BodyReader, Framing, ResponseHead},
+        scheduling::GenerationSpec,
         upstream::{Connection, ResponseStart, answers_request},
     },
     bytes::Bytes,
@@ -40,7 +41,7 @@
     };
     let target = RelayTarget::read(&target);
     let caller = CallerHeaders::read(incoming.head.headers.pairs());
-    match connect(cx, target).await {
+    match connect(cx, target, &caller).await {
         Err(reason) => {
             Line::new("not_relayed")
                 .with("id", caller.request_id.as_deref().unwrap_or("-"))
@@ -85,11 +86,15 @@
 async fn connect(
     cx: &Context,
     target: RelayTarget<'_>,
+    caller: &CallerHeaders,
 ) -> Result<(Connection, SocketAddr), NotRelayed> {
     if cx.stop_stage() != StopStage::Running || cx.links.is_lost() {
         return Err(NotRelayed::NoLinks);
     }
     let scheduler = &cx.scheduling.local_scheduler;
+    if GenerationSpec::from_headers(caller).is_some_and(|spec| scheduler.refuses(&spec)) {
+        return Err(NotRelayed::Quarantined);
+    }
     let known_build = scheduler.build_of(target.upstream);
     let is_other_build =
         target.build.is_some() && agreed_build(target.build, known_build.as_deref()).is_none();
--- a/crates/entry/src/scheduling/quarantine.rs
+++ b/crates/entry/src/scheduling/quarantine.rs
@@ -1,7 +1,9 @@
 //! Parts of prompts that crash upstreams: evidence, and what this VM refuses.
 
 use {
-    super::{CrashSpec, LocalScheduler, RunningSpec, VmHistory, job_spec::adapter_part},
+    super::{
+        CrashSpec, GenerationSpec, LocalScheduler, RunningSpec, VmHistory, job_spec::adapter_part,
+    },
     jasmine_core::{
         clock::Millis,
         quarantine::{CrashReport, PartSet, PromptEvidence, QuarantineChange, join_parts},
@@ -96,6 +98,15 @@
         });
     }
 
+    /// Whether this VM refuses a generation.
+    pub fn refuses(
+        &self,
+        generation: &GenerationSpec,
+    ) -> bool {
+        let parts = generation.shared_parts();
+        self.scheduler.borrow().is_quarantined(&parts)
+    }
+
     /// The parts that this VM refuses.
     pub fn quarantined(&self) -> Vec<PartSet> {
         self.scheduler.borrow().quarantined()
--- a/crates/entry/tests/crashing_parts.rs
+++ b/crates/entry/tests/crashing_parts.rs
@@ -3,7 +3,7 @@
 mod deployment;
 
 use {
-    deployment::{Request, Vm, start_platform, start_vms, wait_until},
+    deployment::{Request, Vm, exchange, start_platform, start_vms, wait_until},
     jasmine_platform_stand_in::{EngineStandIn, KvStandIn, Outage},
     nix::sys::signal::Signal,
     std::{
@@ -203,3 +203,37 @@
     let late = arrivals(&engines, BAD).len() - known;
     assert!(late <= MAX_LATE, "{late} requests with the part");
 }
+
+#[test]
+fn a_relay_sends_no_quarantined_part() {
+    // Guards against prompts that a VM without links and without leader gets sent by others that refuse the part.
+    let (store, _upstreams) = start_platform(&["s-1"]);
+    let engines = start_engines(&store);
+    let vms = start_vms(&store, "relay");
+    learn(&vms, BAD);
+    let known = arrivals(&engines, BAD).len();
+    let relay = |vm: &Vm, parts: &[&str]| {
+        let started = vm.log_lines("started").remove(0);
+        let (_, address) = started.split_once(" relay=").unwrap();
+        let address = address.split(' ').next().unwrap().parse().unwrap();
+        let mut req = generation(parts);
+        let target = ("Jasmine-Upstream".to_owned(), "e-1 v1".to_owned());
+        req.headers.insert(0, target);
+        exchange(address, &req.bytes()).unwrap()
+    };
+    let crashed = engines[1].crashes().len();
+    for vm in &vms {
+        let response = relay(vm, &[FIRST, BAD]);
+        assert!(
+            response.header("jasmine-not-relayed").is_some(),
+            "{response:?}"
+        );
+    }
+    assert_eq!(arrivals(&engines, BAD).len(), known);
+    assert_eq!(engines[1].crashes().len(), crashed);
+    let is_relayed = || {
+        let response = relay(&vms[0], &[FIRST, "5a"]);
+        response.header("jasmine-relayed").is_some()
+    };
+    wait_until("other prompts are relayed", is_relayed);
+}
