--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -58,12 +58,12 @@
 impl Context {
     /// Creates the state of a daemon that has no configuration yet and may open `max_files` files.
     pub fn new(
+        max_files: usize,
         settings: EntrySettings,
         scheduling: Rc<SchedulerNode>,
         origins: Rc<OriginDirectory>,
         pool: Rc<Pool>,
         metrics: Rc<EntryMetrics>,
-        max_files: usize,
     ) -> Self {
         Self {
             links: Rc::new(LinkMonitor::new(&settings.data_centre)),
--- a/crates/entry/src/daemon/run.rs
+++ b/crates/entry/src/daemon/run.rs
@@ -105,14 +105,13 @@
         processor_percent: (settings.size.processor * 100.0) as u32,
     }));
     let origins = Rc::new(OriginDirectory::new(&me));
-    let max_files = max_files(&settings);
     let cx = Rc::new(Context::new(
+        max_files(&settings),
         settings,
         Rc::clone(&scheduling),
         Rc::clone(&origins),
         Rc::clone(&pool),
         Rc::clone(&metrics),
-        max_files,
     ));
     Line::new("started")
         .with("vm", me)
--- a/crates/entry/src/scheduling/quarantine.rs
+++ b/crates/entry/src/scheduling/quarantine.rs
@@ -117,13 +117,15 @@
         self.quarantine_hash.get()
     }
 
-    /// Refuses exactly these parts, as the leader does.
-    pub(super) fn replace_quarantine(
+    /// Refuses these parts, as the leader does, and those that the store holds: the leader may not have read it yet.
+    pub fn replace_quarantine(
         &self,
         sets: &[PartSet],
     ) {
         let known = self.quarantined();
-        for parts in known.iter().filter(|parts| !sets.contains(parts)) {
+        let stored = self.stored_quarantine();
+        let is_released = |parts: &&PartSet| !sets.contains(parts) && !stored.contains(parts);
+        for parts in known.iter().filter(is_released) {
             self.remove_quarantine(parts);
         }
         for parts in sets.iter().filter(|parts| !known.contains(parts)) {
--- a/crates/entry/src/store/quarantine.rs
+++ b/crates/entry/src/store/quarantine.rs
@@ -40,7 +40,7 @@
     name.split(SEPARATOR).map(str::parse).collect()
 }
 
-/// Writes what is refused to the store and deletes what isn't any more; never returns.
+/// Writes what is refused to the store and, on the leader, deletes what isn't any more; never returns.
 pub async fn keep_quarantine(
     cx: Rc<Context>,
     store: KvStore,
@@ -54,13 +54,14 @@
         );
         // A check without a change retries failed writes.
         let _elapsed = changed.await;
-        let Some(txn) = difference(&cx) else {
+        let is_leading = cx.scheduling.is_leading();
+        let Some(txn) = difference(&cx, is_leading) else {
             differs_since = None;
             continue;
         };
         let now = cx.clock.now();
         let since = *differs_since.get_or_insert(now);
-        if !cx.scheduling.is_leading() && now.since(since) < FOLLOWER_DELAY {
+        if !is_leading && now.since(since) < FOLLOWER_DELAY {
             continue;
         }
         if let Err(e) = store.txn(txn).await {
@@ -71,12 +72,16 @@
 }
 
 /// The writes that bring the store up to date, if there are any.
-fn difference(cx: &Context) -> Option<Txn> {
+fn difference(
+    cx: &Context,
+    is_leading: bool,
+) -> Option<Txn> {
     let local_scheduler = &cx.scheduling.local_scheduler;
     let wanted = local_scheduler.quarantined();
     let stored = local_scheduler.stored_quarantine();
     let added = wanted.iter().filter(|parts| !stored.contains(parts));
-    let removed = stored.iter().filter(|parts| !wanted.contains(parts));
+    let is_removed = |parts: &&PartSet| is_leading && !wanted.contains(parts);
+    let removed = stored.iter().filter(is_removed);
     let puts = added.map(|parts| Op::put(key_of(parts), b"{}"));
     let deletes = removed.map(|parts| Op::Delete(Range::key(key_of(parts))));
     let ops: Vec<Op> = puts.chain(deletes).take(MAX_OPS).collect();
