Quarantine: crashes in the order of their time, bounded work for each answer, eviction that ends

Found by reading the change again: - Crashes that VMs tell a new leader stood behind later ones, so that the oldest were not the first to go. - Each answer copied the parts of every verdict, and looked at every crash of ten minutes. - With its verdicts at their bound, the review dropped the oldest one, whose crashes then asked for it again; and, as their number was the same, queued prompts were not refused.

Change: crashes are kept by time, and only the latest 1.5 s are looked at; an answer touches verdicts that have one of its parts; at most 100 verdicts; one that is dropped takes its accusations along; the review says whether it added any. One constant in place of two for how long a crashed upstream is gone.

Evidence: what_is_kept_is_bounded (400 parts, 1,200 crashes); it is a test of bounds, the states before were not run against it.

--- a/crates/core/src/quarantine/answer_trace.rs
+++ b/crates/core/src/quarantine/answer_trace.rs
@@ -45,14 +45,13 @@
 impl AnswerTrace {
     /// What it shows about the prompt.
     pub fn evidence(self) -> PromptEvidence {
+        let sound = PromptEvidence::Sound {
+            begun_ago: self.begun_ago,
+        };
         let goes_on = self.received_for >= MAX_CRASH_DELAY;
         match self.end {
-            AnswerEnd::Whole => PromptEvidence::Sound {
-                begun_ago: self.begun_ago,
-            },
-            _ if goes_on => PromptEvidence::Sound {
-                begun_ago: self.begun_ago,
-            },
+            AnswerEnd::Whole => sound,
+            _ if goes_on => sound,
             AnswerEnd::Broken => PromptEvidence::Crash,
             AnswerEnd::Closed | AnswerEnd::GivenUp => PromptEvidence::None,
         }
--- a/crates/core/src/quarantine/crash.rs
+++ b/crates/core/src/quarantine/crash.rs
@@ -6,12 +6,10 @@
     std::collections::BTreeMap,
 };
 
-/// Reports of one crash arrive within this time of the first one; a crashed upstream is gone for longer.
-const REPORT_SPREAD: Millis = Millis(1_000);
 /// Reports of what an upstream sent before its crash arrive within this time of it.
 const LATE_REPORT_TIME: Millis = Millis(150);
-/// A crashed upstream is gone for longer.
-const MIN_RESTART_TIME: Millis = Millis(1_500);
+/// A crashed upstream is gone for longer, so that all reports of its end within this time are of one crash.
+pub(super) const MIN_RESTART_TIME: Millis = Millis(1_500);
 /// Time in which an upstream that only broke an answer off shows that it goes on.
 pub(super) const SETTLE_TIME: Millis = Millis(400);
 /// Most parts that one crash accuses.
@@ -63,7 +61,7 @@
         upstream: UpstreamId,
         at: Millis,
     ) -> bool {
-        self.upstream == upstream && self.at.since(at).max(at.since(self.at)) < REPORT_SPREAD
+        self.upstream == upstream && self.at.since(at).max(at.since(self.at)) < MIN_RESTART_TIME
     }
 
     /// Whether something from the upstream at `now` shows that it didn't crash.
--- a/crates/core/src/quarantine/crash_log.rs
+++ b/crates/core/src/quarantine/crash_log.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         CrashReport,
-        crash::{Crash, SETTLE_TIME},
+        crash::{Crash, MIN_RESTART_TIME, SETTLE_TIME},
     },
     crate::{
         clock::Millis,
@@ -18,6 +18,7 @@
 /// The latest crashes, and the parts that they accuse.
 #[derive(Clone, Debug, Default)]
 pub(super) struct CrashLog {
+    /// By their time.
     crashes: VecDeque<Crash>,
     /// How many crashes accuse a part; few parts are, so that answers to others cost nothing.
     accusations: HashMap<PartId, usize>,
@@ -39,8 +40,9 @@
         let mut known = (0..self.crashes.len()).rev();
         let index = known.find(|&index| self.crashes[index].is_same(upstream, at));
         let index = index.unwrap_or_else(|| {
-            self.crashes.push_back(Crash::new(upstream, at));
-            self.crashes.len() - 1
+            let index = self.crashes.partition_point(|crash| crash.at <= at);
+            self.crashes.insert(index, Crash::new(upstream, at));
+            index
         });
         let crash = &mut self.crashes[index];
         for &(part, _) in parts
@@ -84,9 +86,16 @@
         upstream: UpstreamId,
         now: Millis,
     ) {
-        while let Some(index) = self.refuted(upstream, now) {
-            let accused = self.crashes.remove(index).map(|crash| crash.accused);
-            self.release_all(accused.unwrap_or_default());
+        let is_refuted = |crash: &Crash| crash.is_refuted_by(upstream, now);
+        if !self.latest(now).any(is_refuted) {
+            return;
+        }
+        for mut crash in std::mem::take(&mut self.crashes) {
+            if is_refuted(&crash) {
+                self.release_all(std::mem::take(&mut crash.accused));
+            } else {
+                self.crashes.push_back(crash);
+            }
         }
     }
 
@@ -95,7 +104,7 @@
         &self,
         now: Millis,
     ) -> Option<Millis> {
-        let open = self.crashes.iter().filter(|crash| !crash.is_settled(now));
+        let open = self.latest(now).filter(|crash| !crash.is_settled(now));
         open.map(|crash| crash.at + SETTLE_TIME).min()
     }
 
@@ -105,17 +114,17 @@
         part: PartId,
         now: Millis,
     ) -> bool {
-        let mut latest = self.crashes.iter().rev();
+        let mut latest = self.latest(now);
         latest.any(|crash| !crash.is_settled(now) && crash.accused.contains_key(&part))
     }
 
-    fn refuted(
+    /// The crashes whose upstreams can't have started again yet.
+    fn latest(
         &self,
-        upstream: UpstreamId,
         now: Millis,
-    ) -> Option<usize> {
-        let mut crashes = self.crashes.iter();
-        crashes.rposition(|crash| crash.is_refuted_by(upstream, now))
+    ) -> impl Iterator<Item = &Crash> {
+        let latest = self.crashes.iter().rev();
+        latest.take_while(move |crash| now.since(crash.at) < MIN_RESTART_TIME)
     }
 
     pub(super) fn forget_old(
--- a/crates/core/src/quarantine/part_quarantine.rs
+++ b/crates/core/src/quarantine/part_quarantine.rs
@@ -10,7 +10,7 @@
 };
 
 /// Most verdicts that are kept; the oldest go first.
-const MAX_VERDICTS: usize = 1_000;
+const MAX_VERDICTS: usize = 100;
 /// Crashes under a part that was never answered, from which requests with it go one at a time.
 const MIN_TRIAL_CRASHES: usize = 2;
 /// Most parts that are refused only together.
@@ -209,10 +209,13 @@
     /// Other parts of the same prompts are accused as often. The only suspect that no answer has shown to be sound is
     /// quarantined at once; otherwise the suspects wait for answers that acquit some of them. Several that are left are
     /// refused where a prompt has them all. A single one, which other prompts may share, is put on trial first.
+    ///
+    /// Returns whether there are any.
     pub fn review(
         &mut self,
         now: Millis,
-    ) {
+    ) -> bool {
+        let known_changes = self.changes.len();
         self.crashes.forget_old(now);
         self.due = self.crashes.next_settled(now);
         self.undecided.clear();
@@ -224,7 +227,7 @@
                 .collect();
             let suspects = Suspect::find(&unexplained, |part| self.sound.contains(part));
             let Some(since) = suspects.iter().map(|one| one.qualified_at).min() else {
-                return;
+                return self.changes.len() > known_changes;
             };
             let mut unproven = suspects.iter().filter(|one| !one.was_sound);
             if let (Some(only), None) = (unproven.next(), unproven.next()) {
@@ -242,7 +245,7 @@
                 let due = Some(due).filter(|&due| now < due);
                 self.due = self.due.into_iter().chain(due).min();
                 self.undecided = parts;
-                return;
+                return self.changes.len() > known_changes;
             }
             let crashes = group.iter().map(|one| one.crashes.len()).max();
             self.insert(parts, crashes.unwrap_or_default(), now);
@@ -292,8 +295,8 @@
             return;
         }
         if self.verdicts.len() >= MAX_VERDICTS {
-            let Verdict { parts, .. } = self.verdicts.remove(0);
-            self.changes.push(QuarantineChange::Removed { parts });
+            let oldest = self.verdicts[0].parts.clone();
+            self.remove(&oldest, now);
         }
         self.verdicts.push(Verdict::new(parts.clone(), now));
         self.changes
@@ -306,33 +309,21 @@
         parts: &[PartId],
         begun_at: Millis,
     ) {
-        self.shrink(|verdict| {
-            if verdict.since > begun_at {
-                return None;
+        let has_any = |verdict: &Verdict| parts.iter().any(|part| verdict.parts.contains(part));
+        let is_acquitted = |verdict: &Verdict| verdict.since <= begun_at && has_any(verdict);
+        if !self.verdicts.iter().any(is_acquitted) {
+            return;
+        }
+        for verdict in std::mem::take(&mut self.verdicts) {
+            if !is_acquitted(&verdict) {
+                self.verdicts.push(verdict);
+                continue;
             }
             let mut rest = verdict.parts.clone();
             rest.retain(|part| !parts.contains(part));
-            (rest.len() < verdict.parts.len()).then_some(rest)
-        });
-    }
-
-    /// Replaces the parts of the verdicts for which `smaller` has an answer.
-    fn shrink<F>(
-        &mut self,
-        smaller: F,
-    ) where
-        F: Fn(&Verdict) -> Option<PartSet>,
-    {
-        let shrunk: Vec<(PartSet, Millis, PartSet)> = self
-            .verdicts
-            .iter()
-            .filter_map(|verdict| Some((verdict.parts.clone(), verdict.since, smaller(verdict)?)))
-            .collect();
-        for (before, since, after) in shrunk {
-            self.verdicts.retain(|verdict| verdict.parts != before);
-            self.changes
-                .push(QuarantineChange::Removed { parts: before });
-            self.insert(after, 0, since);
+            let parts = verdict.parts;
+            self.changes.push(QuarantineChange::Removed { parts });
+            self.insert(rest, 0, verdict.since);
         }
     }
 }
--- a/crates/core/src/scheduler/state_machine/quarantine.rs
+++ b/crates/core/src/scheduler/state_machine/quarantine.rs
@@ -156,12 +156,11 @@
         if !std::mem::take(&mut self.is_evidence_new) && !is_due {
             return Vec::new();
         }
-        let known = self.quarantine.verdicts().count();
-        self.quarantine.review(now);
-        if self.quarantine.verdicts().count() == known {
-            return Vec::new();
+        if self.quarantine.review(now) {
+            self.refuse_quarantined(now)
+        } else {
+            Vec::new()
         }
-        self.refuse_quarantined(now)
     }
 
     fn refuse_quarantined(
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -471,3 +471,28 @@
     assert_eq!(world.sent_to(absent), None, "its adapter isn't loaded");
     assert!(world.sent_to(present).is_some(), "it waits for another's");
 }
+
+#[test]
+fn what_is_kept_is_bounded() {
+    // Guards against a flood of crashing parts that fills the memory, or that a review never comes to an end with.
+    let mut world = world();
+    answer(&mut world, &[FIRST, OTHER]);
+    for part in 1_000..1_400 {
+        let now = world.now;
+        for crash in 0..3 {
+            let accused = |part| (PartId::Part(part), Millis(2_000 - crash * 500));
+            let report = CrashReport {
+                upstream: UpstreamId((part * 3 + crash) as u32),
+                ago: Millis(1_900 - crash * 500),
+                accused: (part..part + 40).map(accused).collect(),
+            };
+            world.scheduler.add_crashes(&[report], now);
+        }
+        world.advance(2_000);
+    }
+    let count = world.scheduler.quarantined().len();
+    assert!(count <= 100, "{count} verdicts");
+    let kept = world.scheduler.crashes(world.now).len();
+    assert!(kept <= 256, "{kept} crashes");
+    assert!(!is_quarantined(&mut world, &[FIRST, OTHER]));
+}
