--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -31,6 +31,12 @@
     world
 }
 
+fn remove_engines(world: &mut World) {
+    for id in 0..ENGINES {
+        world.scheduler.remove_upstream(UpstreamId(id), world.now);
+    }
+}
+
 /// A generation whose prompt has these parts and one of its own.
 fn prompt(
     parts: &[u64],
@@ -261,9 +267,7 @@
     for round in 0..3 {
         crash(&mut world, &[FIRST, 100 + round]);
     }
-    for id in 0..ENGINES {
-        world.scheduler.remove_upstream(UpstreamId(id), world.now);
-    }
+    remove_engines(&mut world);
     world.advance(5_000);
     for id in 0..ENGINES {
         world.add_engine(UpstreamId(id), &[7]);
@@ -310,9 +314,7 @@
     // Guards against queued prompts that are still sent after the verdict.
     let mut world = world();
     answer(&mut world, &[FIRST, OTHER]);
-    for id in 0..ENGINES {
-        world.scheduler.remove_upstream(UpstreamId(id), world.now);
-    }
+    remove_engines(&mut world);
     let queued = world.place(prompt(&[FIRST, BAD], world.now));
     assert_eq!(world.decision(queued), None, "it waits");
     let sent_just_before = |id: u32, part| (PartId::Part(part), Millis(500 * u64::from(id) + 600));
--- a/crates/entry/tests/crashing_parts.rs
+++ b/crates/entry/tests/crashing_parts.rs
@@ -119,6 +119,17 @@
     wait_until("all VMs refuse the part", all_refuse);
 }
 
+/// Prompts with the part reach engines a few times at most while callers send them to all VMs.
+fn assert_stays_refused(
+    vms: &[Vm],
+    engines: &[EngineStandIn],
+    known: usize,
+) {
+    call_all(vms, &[FIRST, BAD], Duration::from_secs(4));
+    let late = arrivals(engines, BAD).len() - known;
+    assert!(late <= MAX_LATE, "{late} requests with the part");
+}
+
 #[test]
 fn a_crashing_part_stops_after_few_crashes() {
     // Guards against requests with one part in their prompts that crash one engine after another.
@@ -167,9 +178,7 @@
     learn(&vms, BAD);
     let known = arrivals(&engines, BAD).len();
     vms.remove(0).signal(Signal::SIGKILL);
-    call_all(&vms, &[FIRST, BAD], Duration::from_secs(4));
-    let late = arrivals(&engines, BAD).len() - known;
-    assert!(late <= MAX_LATE, "{late} requests with the part");
+    assert_stays_refused(&vms, &engines, known);
 }
 
 #[test]
@@ -184,9 +193,7 @@
         vm.signal(Signal::SIGKILL);
     }
     let vms = start_vms(&store, "again");
-    call_all(&vms, &[FIRST, BAD], Duration::from_secs(3));
-    let late = arrivals(&engines, BAD).len() - known;
-    assert!(late <= MAX_LATE, "{late} requests with the part");
+    assert_stays_refused(&vms, &engines, known);
 }
 
 #[test]
@@ -199,9 +206,7 @@
     let known = arrivals(&engines, BAD).len();
     store.set_outage(Outage::Unavailable);
     vms.remove(0).signal(Signal::SIGKILL);
-    call_all(&vms, &[FIRST, BAD], Duration::from_secs(3));
-    let late = arrivals(&engines, BAD).len() - known;
-    assert!(late <= MAX_LATE, "{late} requests with the part");
+    assert_stays_refused(&vms, &engines, known);
 }
 
 #[test]
--- a/crates/entry/tests/soak/fault.rs
+++ b/crates/entry/tests/soak/fault.rs
@@ -4,47 +4,47 @@
     jasmine_testkit::proxy::{Fault as LinkFault, Link},
     rand::{Rng, SeedableRng},
     rand_chacha::ChaCha8Rng,
-    std::time::Duration,
+    std::{ops::Range, time::Duration},
 };
 
 /// Time between the starts of two faults, in milliseconds; shorter than most faults, so that they overlap.
-const FAULT_INTERVAL_MS: std::ops::Range<u64> = 60..450;
+const FAULT_INTERVAL_MS: Range<u64> = 60..450;
 /// Duration of a fault, in milliseconds.
-const FAULT_DURATION_MS: std::ops::Range<u64> = 100..1_600;
+const FAULT_DURATION_MS: Range<u64> = 100..1_600;
 /// Time between the starts of two evacuations, in milliseconds.
-const EVACUATION_INTERVAL_MS: std::ops::Range<u64> = 500..3_000;
+const EVACUATION_INTERVAL_MS: Range<u64> = 500..3_000;
 /// Separates the draws of evacuations from the other faults, whose schedules stay the same.
 const EVACUATION_SEED: u64 = 0x00ec_0de5;
 /// The same for what upstreams state about themselves.
 const STATEMENT_SEED: u64 = 0x57a7_e5ed;
 /// Time between the starts of two statements, in milliseconds.
-const STATEMENT_INTERVAL_MS: std::ops::Range<u64> = 500..2_500;
+const STATEMENT_INTERVAL_MS: Range<u64> = 500..2_500;
 /// The same for lost links of VMs and for brittle upstreams.
 const LINK_SEED: u64 = 0x0011_4b05;
 /// Time between the starts of two of these, in milliseconds.
-const LINK_INTERVAL_MS: std::ops::Range<u64> = 400..2_000;
+const LINK_INTERVAL_MS: Range<u64> = 400..2_000;
 /// Duration of a loss of links, in milliseconds.
-const LINK_DURATION_MS: std::ops::Range<u64> = 500..4_000;
+const LINK_DURATION_MS: Range<u64> = 500..4_000;
 /// How long a sound upstream is silent, in milliseconds.
-const PAUSE_MS: std::ops::Range<u64> = 400..1_200;
+const PAUSE_MS: Range<u64> = 400..1_200;
 /// The same for how streams are framed and end.
 const STREAM_SEED: u64 = 0x57_2ea5;
 /// Time between two streams that are framed or end in another way, in milliseconds.
-const STREAM_INTERVAL_MS: std::ops::Range<u64> = 50..400;
+const STREAM_INTERVAL_MS: Range<u64> = 50..400;
 /// The same for streams of several software versions.
 const BUILD_SEED: u64 = 0x00b0_11d5;
 /// Time between two of these faults, in milliseconds.
-const BUILD_INTERVAL_MS: std::ops::Range<u64> = 40..250;
+const BUILD_INTERVAL_MS: Range<u64> = 40..250;
 /// The same for prompts that crash engines, and for engines that crash.
 const CRASH_SEED: u64 = 0x00c2_a5e5;
 /// Time between two crashes of engines, in milliseconds.
-const CRASH_INTERVAL_MS: std::ops::Range<u64> = 600..2_500;
+const CRASH_INTERVAL_MS: Range<u64> = 600..2_500;
 /// The same for connections that all reach one VM.
 const HERD_SEED: u64 = 0x00be_e4d5;
 /// Time between the starts of two herds, in milliseconds.
-const HERD_INTERVAL_MS: std::ops::Range<u64> = 1_500..4_000;
+const HERD_INTERVAL_MS: Range<u64> = 1_500..4_000;
 /// How long connections reach one VM, in milliseconds.
-const HERD_DURATION_MS: std::ops::Range<u64> = 500..2_500;
+const HERD_DURATION_MS: Range<u64> = 500..2_500;
 pub const VMS: usize = 3;
 /// Engines that crash.
 pub const CRASH_ENGINES: usize = 4;
@@ -128,159 +128,119 @@
         plan.push((at, random_fault(&mut rng)));
         at += Duration::from_millis(rng.random_range(FAULT_INTERVAL_MS));
     }
-    plan.extend(evacuations(seed, length));
-    plan.extend(statements(seed, length));
-    plan.extend(streams(seed, length));
-    plan.extend(lost_links(seed, length));
-    plan.extend(builds(seed, length));
+    let salted = |salt, interval_ms, draw: fn(&mut ChaCha8Rng) -> Fault| {
+        let rng = ChaCha8Rng::seed_from_u64(seed ^ salt);
+        series(rng, length, interval_ms, draw)
+    };
+    plan.extend(salted(EVACUATION_SEED, EVACUATION_INTERVAL_MS, evacuation));
+    plan.extend(salted(STATEMENT_SEED, STATEMENT_INTERVAL_MS, statement));
+    plan.extend(salted(STREAM_SEED, STREAM_INTERVAL_MS, stream));
+    plan.extend(salted(LINK_SEED, LINK_INTERVAL_MS, lost_links));
+    plan.extend(salted(BUILD_SEED, BUILD_INTERVAL_MS, build));
     plan.extend(crashes(seed, length));
-    plan.extend(herds(seed, length));
+    plan.extend(salted(HERD_SEED, HERD_INTERVAL_MS, herd));
     plan.sort_by_key(|&(at, _)| at);
     plan
 }
 
-fn evacuations(
-    seed: u64,
+/// Faults at random intervals, drawn apart from the others so that their schedules stay the same.
+fn series<F>(
+    mut rng: ChaCha8Rng,
     length: Duration,
-) -> Vec<(Duration, Fault)> {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ EVACUATION_SEED);
+    interval_ms: Range<u64>,
+    mut draw: F,
+) -> Vec<(Duration, Fault)>
+where
+    F: FnMut(&mut ChaCha8Rng) -> Fault,
+{
     let mut at = Duration::ZERO;
     let mut plan = Vec::new();
     while at < length {
-        at += Duration::from_millis(rng.random_range(EVACUATION_INTERVAL_MS));
-        let upstream = rng.random_range(0..UPSTREAMS);
-        let time = Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
-        plan.push((at, Fault::Evacuation(upstream, time)));
+        at += Duration::from_millis(rng.random_range(interval_ms.clone()));
+        plan.push((at, draw(&mut rng)));
     }
     plan
 }
 
-fn statements(
-    seed: u64,
-    length: Duration,
-) -> Vec<(Duration, Fault)> {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ STATEMENT_SEED);
-    let mut at = Duration::ZERO;
-    let mut plan = Vec::new();
-    while at < length {
-        at += Duration::from_millis(rng.random_range(STATEMENT_INTERVAL_MS));
-        let upstream = rng.random_range(0..UPSTREAMS);
-        let time = Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
-        let statement = match rng.random_range(0..3) {
-            0 => Statement::RequestLimit,
-            1 => Statement::Rest,
-            _ => Statement::Leaving,
-        };
-        plan.push((at, Fault::Statement(upstream, statement, time)));
-    }
-    plan
+fn evacuation(rng: &mut ChaCha8Rng) -> Fault {
+    let upstream = rng.random_range(0..UPSTREAMS);
+    let time = Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
+    Fault::Evacuation(upstream, time)
 }
 
-fn lost_links(
-    seed: u64,
-    length: Duration,
-) -> Vec<(Duration, Fault)> {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ LINK_SEED);
-    let mut at = Duration::ZERO;
-    let mut plan = Vec::new();
-    while at < length {
-        at += Duration::from_millis(rng.random_range(LINK_INTERVAL_MS));
-        let time = Duration::from_millis(rng.random_range(LINK_DURATION_MS));
-        let vm = rng.random_range(0..VMS);
-        let pause = Duration::from_millis(rng.random_range(PAUSE_MS));
-        let fault = match rng.random_range(0..6) {
-            0 | 1 => Fault::VmLinks(vm, LinkFault::Cut, time),
-            2 => Fault::VmLinks(vm, LinkFault::Reset, time),
-            3 => Fault::Statement(vm % UPSTREAMS, Statement::Brittle, time),
-            _ => Fault::NextStream(Behaviour::Pauses(EVENTS, pause)),
-        };
-        plan.push((at, fault));
-    }
-    plan
+fn statement(rng: &mut ChaCha8Rng) -> Fault {
+    let upstream = rng.random_range(0..UPSTREAMS);
+    let time = Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
+    let statement = match rng.random_range(0..3) {
+        0 => Statement::RequestLimit,
+        1 => Statement::Rest,
+        _ => Statement::Leaving,
+    };
+    Fault::Statement(upstream, statement, time)
 }
 
-fn streams(
-    seed: u64,
-    length: Duration,
-) -> Vec<(Duration, Fault)> {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ STREAM_SEED);
-    let mut at = Duration::ZERO;
-    let mut plan = Vec::new();
-    while at < length {
-        at += Duration::from_millis(rng.random_range(STREAM_INTERVAL_MS));
-        let framing = match rng.random_range(0..3) {
-            0 => StreamFraming::Chunked,
-            1 => StreamFraming::Length,
-            _ => StreamFraming::UntilClose,
-        };
-        let (events, end) = match rng.random_range(0..4) {
-            0 => (EVENTS, StreamEnd::Complete),
-            1 => (rng.random_range(0..EVENTS), StreamEnd::InsideEvent),
-            2 => (rng.random_range(0..EVENTS), StreamEnd::Cut),
-            _ => (rng.random_range(0..EVENTS), StreamEnd::Reset),
-        };
-        plan.push((
-            at,
-            Fault::NextStream(Behaviour::Stream(events, framing, end)),
-        ));
+fn lost_links(rng: &mut ChaCha8Rng) -> Fault {
+    let time = Duration::from_millis(rng.random_range(LINK_DURATION_MS));
+    let vm = rng.random_range(0..VMS);
+    let pause = Duration::from_millis(rng.random_range(PAUSE_MS));
+    match rng.random_range(0..6) {
+        0 | 1 => Fault::VmLinks(vm, LinkFault::Cut, time),
+        2 => Fault::VmLinks(vm, LinkFault::Reset, time),
+        3 => Fault::Statement(vm % UPSTREAMS, Statement::Brittle, time),
+        _ => Fault::NextStream(Behaviour::Pauses(EVENTS, pause)),
     }
-    plan
 }
 
-fn builds(
-    seed: u64,
-    length: Duration,
-) -> Vec<(Duration, Fault)> {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ BUILD_SEED);
-    let mut at = Duration::ZERO;
-    let mut plan = Vec::new();
-    while at < length {
-        at += Duration::from_millis(rng.random_range(BUILD_INTERVAL_MS));
-        let slot = rng.random_range(0..BUILD_SLOTS);
-        let events = rng.random_range(1..=EVENTS / 4);
-        let fault = match rng.random_range(0..8) {
-            0 => Fault::Release(slot),
-            1 => Fault::BuildStream(slot, Behaviour::SilentAfter(events)),
-            2..5 => Fault::BuildStreams(Behaviour::CutAfterMore(events, EVENTS)),
-            _ => Fault::BuildStream(slot, Behaviour::CutAfterMore(events, EVENTS)),
-        };
-        plan.push((at, fault));
-    }
-    plan
+fn stream(rng: &mut ChaCha8Rng) -> Fault {
+    let framing = match rng.random_range(0..3) {
+        0 => StreamFraming::Chunked,
+        1 => StreamFraming::Length,
+        _ => StreamFraming::UntilClose,
+    };
+    let (events, end) = match rng.random_range(0..4) {
+        0 => (EVENTS, StreamEnd::Complete),
+        1 => (rng.random_range(0..EVENTS), StreamEnd::InsideEvent),
+        2 => (rng.random_range(0..EVENTS), StreamEnd::Cut),
+        _ => (rng.random_range(0..EVENTS), StreamEnd::Reset),
+    };
+    Fault::NextStream(Behaviour::Stream(events, framing, end))
 }
 
-fn crashes(
-    seed: u64,
-    length: Duration,
-) -> Vec<(Duration, Fault)> {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ CRASH_SEED);
-    let mut plan = Vec::new();
-    for part in 0..CRASHING_PARTS.len() {
-        let at = length.mul_f64(rng.random_range(0.0..0.9));
-        plan.push((at, Fault::CrashingPart(part)));
-    }
-    let mut at = Duration::ZERO;
-    while at < length {
-        at += Duration::from_millis(rng.random_range(CRASH_INTERVAL_MS));
-        let engine = rng.random_range(0..CRASH_ENGINES);
-        plan.push((at, Fault::EngineCrash(engine)));
+fn build(rng: &mut ChaCha8Rng) -> Fault {
+    let slot = rng.random_range(0..BUILD_SLOTS);
+    let events = rng.random_range(1..=EVENTS / 4);
+    match rng.random_range(0..8) {
+        0 => Fault::Release(slot),
+        1 => Fault::BuildStream(slot, Behaviour::SilentAfter(events)),
+        2..5 => Fault::BuildStreams(Behaviour::CutAfterMore(events, EVENTS)),
+        _ => Fault::BuildStream(slot, Behaviour::CutAfterMore(events, EVENTS)),
     }
-    plan
 }
 
-fn herds(
+fn engine_crash(rng: &mut ChaCha8Rng) -> Fault {
+    Fault::EngineCrash(rng.random_range(0..CRASH_ENGINES))
+}
+
+fn herd(rng: &mut ChaCha8Rng) -> Fault {
+    let vm = rng.random_range(0..VMS);
+    let time = Duration::from_millis(rng.random_range(HERD_DURATION_MS));
+    Fault::Herd(vm, time)
+}
+
+/// Parts of prompts that begin to crash engines, and engines that crash otherwise.
+fn crashes(
     seed: u64,
     length: Duration,
 ) -> Vec<(Duration, Fault)> {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ HERD_SEED);
-    let mut at = Duration::ZERO;
-    let mut plan = Vec::new();
-    while at < length {
-        at += Duration::from_millis(rng.random_range(HERD_INTERVAL_MS));
-        let vm = rng.random_range(0..VMS);
-        let time = Duration::from_millis(rng.random_range(HERD_DURATION_MS));
-        plan.push((at, Fault::Herd(vm, time)));
-    }
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ CRASH_SEED);
+    let parts = 0..CRASHING_PARTS.len();
+    let mut plan: Vec<_> = parts
+        .map(|part| {
+            let at = length.mul_f64(rng.random_range(0.0..0.9));
+            (at, Fault::CrashingPart(part))
+        })
+        .collect();
+    plan.extend(series(rng, length, CRASH_INTERVAL_MS, engine_crash));
     plan
 }
 
