--- a/crates/entry/tests/soak/checks.rs
+++ b/crates/entry/tests/soak/checks.rs
@@ -82,7 +82,8 @@
     violations
 }
 
-fn count_served<'a, I>(records: I) -> (usize, usize)
+/// How many requests got a response, and how many were served.
+pub fn count_served<'a, I>(records: I) -> (usize, usize)
 where
     I: Iterator<Item = &'a Record>,
 {
--- a/crates/entry/tests/soak/crashing_parts.rs
+++ b/crates/entry/tests/soak/crashing_parts.rs
@@ -1,13 +1,18 @@
-//! Prompts with a part that crashes engines: few reach engines once enough have crashed.
+//! Prompts with a part that crashes engines: few reach engines once enough have crashed, and the others are served.
 
 use {
-    super::{callers::Record, cluster::Cluster, disturbances::CONTACT, fault::CRASHING_PARTS},
+    super::{
+        callers::Record, checks::count_served, cluster::Cluster, disturbances::CONTACT,
+        fault::CRASHING_PARTS,
+    },
     jasmine_platform_stand_in::EngineStandIn,
     std::{collections::HashMap, time::Instant},
 };
 
 /// Crashes under a part after which it has to be known.
 const MAX_CRASHES: usize = 5;
+/// Sound prompts from which on their share is looked at.
+const MIN_SOUND: usize = 20;
 /// Requests with it that may reach engines after that.
 const MAX_LATE: usize = 3;
 
@@ -20,7 +25,23 @@
         .map(|record| (record.id.as_str(), record))
         .collect();
     let check = |part: &&str| check_part(cluster, &by_id, part);
-    CRASHING_PARTS.iter().filter_map(check).collect()
+    let violations = CRASHING_PARTS.iter().filter_map(check);
+    violations.chain(check_sound(cluster, records)).collect()
+}
+
+/// At least half of the sound prompts that share the route, the account and the first part are served.
+fn check_sound(
+    cluster: &Cluster,
+    records: &[Record],
+) -> Option<String> {
+    let sound = records.iter().filter(|record| {
+        let is_sound = record.target == "/part/x" && record.bad_part.is_none();
+        is_sound && cluster.disturbances.is_in_touch(record.vm, record.sent)
+    });
+    let (answered, served) = count_served(sound);
+    println!("{served} of {answered} sound prompts served");
+    (answered >= MIN_SOUND && served * 2 < answered)
+        .then(|| format!("only {served} of {answered} sound prompts served"))
 }
 
 fn check_part(
