--- a/crates/core/src/scheduler/announced_versions.rs
+++ b/crates/core/src/scheduler/announced_versions.rs
@@ -6,19 +6,31 @@
     std::collections::HashMap,
 };
 
-/// How an announced version became known.
+/// How an operator's announcement became known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Announcement {
-    /// It was announced just now.
-    New,
-    /// It was found in the store at startup and may be old, so no grace period starts.
+    /// It was made while this VM followed the store.
+    New {
+        /// The latest time at which the store is known not to have held it yet.
+        absent_at: Millis,
+    },
+    /// It was found in the store at startup and may be of any age.
     Found,
 }
 
+/// The newest version of an adapter that an operator has announced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NewestVersion {
+    /// The version.
+    pub version: u32,
+    /// The latest time at which the store is known not to have held it yet; `None` if it was found at startup.
+    pub absent_at: Option<Millis>,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Announced {
-    version: u32,
-    /// When it was announced; `None` if unknown.
+    newest: NewestVersion,
+    /// When it became known; `None` if it was found at startup.
     announced_at: Option<Millis>,
 }
 
@@ -41,18 +53,29 @@
         now: Millis,
     ) {
         let known = self.announced.get(&adapter);
-        if known.is_none_or(|known| known.version < version) {
-            let announced_at = (source == Announcement::New).then_some(now);
+        if known.is_none_or(|known| known.newest.version < version) {
+            let absent_at = match source {
+                Announcement::New { absent_at } => Some(absent_at),
+                Announcement::Found => None,
+            };
             self.announced.insert(
                 adapter,
                 Announced {
-                    version,
-                    announced_at,
+                    newest: NewestVersion { version, absent_at },
+                    announced_at: absent_at.map(|_| now),
                 },
             );
         }
     }
 
+    /// The newest announced version of an adapter.
+    pub(super) fn newest(
+        &self,
+        adapter: AdapterId,
+    ) -> Option<NewestVersion> {
+        self.announced.get(&adapter).map(|known| known.newest)
+    }
+
     /// Version that new requests should use: the announced one, or the initial one.
     pub(super) fn wanted(
         &self,
@@ -67,7 +90,7 @@
         &self,
         adapter: AdapterId,
     ) -> Option<u32> {
-        self.announced.get(&adapter).map(|known| known.version)
+        self.newest(adapter).map(|newest| newest.version)
     }
 
     /// Whether an older version may still be used.
--- a/crates/core/src/scheduler/evacuation.rs
+++ b/crates/core/src/scheduler/evacuation.rs
@@ -27,7 +27,7 @@
     ) {
         let effective_at = match source {
             Announcement::Found => now,
-            Announcement::New => now + move_time,
+            Announcement::New { .. } => now + move_time,
         };
         self.effective_at.entry(data_centre).or_insert(effective_at);
     }
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -61,7 +61,7 @@
     account_rates::RateShare,
     action::{Order, SchedulerAction},
     admission_share::AdmissionShare,
-    announced_versions::Announcement,
+    announced_versions::{Announcement, NewestVersion},
     cold_admission::{COLD_WINDOW, ColdLimit},
     engine::EngineLimits,
     job::{AttemptId, Generation, Job, LOCAL_VM, Work},
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -11,7 +11,7 @@
             AttemptId, EngineLimits, EngineStatus, EnginesToPause, Job, Order, OrderResult,
             Outcome, RateDecision, RateShare, RunningRequest, SchedulerAction as Action,
             SchedulerSettings, UpstreamStatus, WaitReason, WaitTimes,
-            announced_versions::Announcement,
+            announced_versions::{Announcement, NewestVersion},
             loads,
             running::{Stage, TrackedRequest},
         },
@@ -179,6 +179,14 @@
         self.versions.announce(adapter, version, source, now);
     }
 
+    /// The newest version of an adapter that an operator has announced, as far as it is known here.
+    pub fn newest_version(
+        &self,
+        adapter: AdapterId,
+    ) -> Option<NewestVersion> {
+        self.versions.newest(adapter)
+    }
+
     /// Applies an engine's own report; `None` if the request for it failed.
     pub fn report(
         &mut self,
--- a/crates/core/tests/adapter_loads.rs
+++ b/crates/core/tests/adapter_loads.rs
@@ -198,9 +198,14 @@
     world.add_engine(UpstreamId(1), &[]);
     let running = world.generate(1);
     world.first_event(running);
-    world
-        .scheduler
-        .announce_version(AdapterId(1), 2, Announcement::New, world.now);
+    world.scheduler.announce_version(
+        AdapterId(1),
+        2,
+        Announcement::New {
+            absent_at: world.now,
+        },
+        world.now,
+    );
     let during = world.generate(1);
     assert_eq!(
         world.sent_to(during),
--- a/crates/core/tests/evacuation.rs
+++ b/crates/core/tests/evacuation.rs
@@ -61,6 +61,15 @@
     world.apply(actions);
 }
 
+/// Begins an evacuation that the store didn't hold a moment ago.
+fn evacuate_now(
+    world: &mut World,
+    data_centre: DataCentreId,
+) {
+    let absent_at = world.now;
+    evacuate(world, data_centre, Announcement::New { absent_at });
+}
+
 fn take_back(
     world: &mut World,
     data_centre: DataCentreId,
@@ -86,7 +95,7 @@
     let mut world = world();
     add_server(&mut world, 1, HERE);
     add_server(&mut world, 2, THERE);
-    evacuate(&mut world, THERE, Announcement::New);
+    evacuate_now(&mut world, THERE);
     world.advance(MOVE_TIME.0);
     for _ in 0..8 {
         let number = world.place(call(world.now));
@@ -150,7 +159,7 @@
         ask_for_all(&mut world);
         world.advance(100);
     }
-    evacuate(&mut world, THERE, Announcement::New);
+    evacuate_now(&mut world, THERE);
     for _ in 0..40 {
         waited += ask_for_all(&mut world);
         world.advance(100);
@@ -165,7 +174,7 @@
     let mut world = world();
     add_engine(&mut world, 1, THERE, &[]);
     add_engine(&mut world, 2, HERE, &[]);
-    evacuate(&mut world, THERE, Announcement::New);
+    evacuate_now(&mut world, THERE);
     for adapter in 0..2 {
         world.place(Job {
             data_centre: Some(THERE),
@@ -182,8 +191,8 @@
     let mut world = world();
     add_server(&mut world, 1, HERE);
     add_server(&mut world, 2, THERE);
-    evacuate(&mut world, HERE, Announcement::New);
-    evacuate(&mut world, THERE, Announcement::New);
+    evacuate_now(&mut world, HERE);
+    evacuate_now(&mut world, THERE);
     for _ in 0..16 {
         world.place(call(world.now));
     }
@@ -202,7 +211,7 @@
 fn an_evacuation_taken_back_soon_changes_nothing() {
     let mut world = world();
     add_server(&mut world, 2, THERE);
-    evacuate(&mut world, THERE, Announcement::New);
+    evacuate_now(&mut world, THERE);
     world.advance(500);
     take_back(&mut world, THERE);
     world.advance(MOVE_TIME.0);
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -72,6 +72,11 @@
     NotRelayed,
 }
 
+/// An age in milliseconds for the log; `-` if it isn't known.
+fn age_text(age: Option<Millis>) -> String {
+    age.map_or_else(|| "-".to_owned(), |age| age.to_string())
+}
+
 /// A failed attempt.
 #[derive(Clone, Debug)]
 pub(super) struct Failure {
@@ -120,6 +125,29 @@
 }
 
 impl AttemptContext<'_> {
+    /// Records an answer that has begun on an older version of its adapter than the newest that this VM knows.
+    pub(super) fn note_begun_version(&self) {
+        let used = self.placement.version;
+        let newest = self.req.newest_version(&self.cx.scheduling.local_scheduler);
+        let Some(newest) = newest.filter(|newest| used.is_none_or(|used| used < newest.version))
+        else {
+            return;
+        };
+        let now = self.cx.clock.now();
+        let absent_for = newest.absent_at.map(|absent_at| now.since(absent_at));
+        Line::new("older_version_begun")
+            .with("id", self.req.caller.request_id.as_deref().unwrap_or("-"))
+            .with("adapter", self.req.caller.adapter.as_deref().unwrap_or("-"))
+            .with("upstream", &self.placement.upstream)
+            .with("version", used.unwrap_or_default())
+            .with("newest", newest.version)
+            .with("absent_ms", age_text(absent_for))
+            .info();
+        if let Some(absent_for) = absent_for {
+            self.cx.metrics.record_older_version(self.req, absent_for);
+        }
+    }
+
     /// Sends the request and reads the head of its response.
     pub(super) async fn start(
         &self,
--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -122,6 +122,7 @@
                 .with("upstream", &placement.upstream)
                 .with("attempt", self.attempts.next_attempt())
                 .with("version", placement.version.unwrap_or_default())
+                .with("newest", self.newest_version())
                 .with("build", placement.build.as_deref().unwrap_or("-"))
                 .with("after_event", after_event)
                 .with("waited_ms", self.waited)
@@ -417,6 +418,12 @@
         }
     }
 
+    /// The newest announced version of the request's adapter that this VM knows; 0 for none.
+    fn newest_version(&self) -> u32 {
+        let newest = self.req.newest_version(&self.cx.scheduling.local_scheduler);
+        newest.map_or(0, |newest| newest.version)
+    }
+
     fn id(&self) -> &str {
         self.req.caller.request_id.as_deref().unwrap_or("-")
     }
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -107,6 +107,9 @@
         let Some(data) = part else {
             break;
         };
+        if progress.received_at.is_none() {
+            attempt.note_begun_version();
+        }
         progress.received_at = Some(attempt.cx.clock.now());
         if !splitter.push(&data) {
             return Err(Failure::may_have_run(Outcome::Lost).into());
--- a/crates/entry/src/forward/request.rs
+++ b/crates/entry/src/forward/request.rs
@@ -1,12 +1,13 @@
 use {
     crate::{
         caller::IncomingRequest,
-        scheduling::{GenerationSpec, JobSpec},
+        scheduling::{GenerationSpec, JobSpec, LocalScheduler},
     },
     jasmine_core::{
         clock::Millis,
         error::{ErrorKind, Refusal},
         ingress::{CallKind, IngressConfig, IngressRoute, allowed_data_centres},
+        scheduler::NewestVersion,
     },
     jasmine_platform::headers::CallerHeaders,
     std::{collections::BTreeMap, sync::Arc},
@@ -43,6 +44,15 @@
 }
 
 impl ForwardRequest {
+    /// The newest announced version of its adapter, as far as this VM knows.
+    pub(super) fn newest_version(
+        &self,
+        local_scheduler: &LocalScheduler,
+    ) -> Option<NewestVersion> {
+        let (model, adapter) = (self.caller.model.as_ref()?, self.caller.adapter.as_ref()?);
+        local_scheduler.newest_version(model, adapter)
+    }
+
     /// Routes and authenticates a request.
     ///
     /// # Errors
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -196,6 +196,16 @@
         }
     }
 
+    /// Records an answer that began on an older version of its adapter, this long after the newer one was known to be absent.
+    pub fn record_older_version(
+        &self,
+        req: &ForwardRequest,
+        absent_for: Millis,
+    ) {
+        self.requests
+            .older_version(&self.labels_of(req), absent_for.to_std());
+    }
+
     /// Records the time between two parts of a stream.
     pub fn record_gap(
         &self,
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -13,9 +13,9 @@
         quarantine::PartSet,
         scheduler::{
             AdmissionShare, Announcement, AttemptHistory, AttemptId, ColdLimit, EngineStatus,
-            EnginesToPause, Order, OrderResult, Outcome, RateDecision, RateShare, RunningRequest,
-            Scheduler, SchedulerAction as Action, SchedulerSettings, SignalChanges, StatedUpstream,
-            UpstreamSignals, WaitReason, WaitTimes,
+            EnginesToPause, NewestVersion, Order, OrderResult, Outcome, RateDecision, RateShare,
+            RunningRequest, Scheduler, SchedulerAction as Action, SchedulerSettings, SignalChanges,
+            StatedUpstream, UpstreamSignals, WaitReason, WaitTimes,
         },
     },
     jasmine_platform::engine::EngineReport,
@@ -393,6 +393,16 @@
         scheduler.announce_version(adapter, version, how, now);
     }
 
+    /// The newest announced version of an adapter that this VM knows.
+    pub fn newest_version(
+        &self,
+        model: &str,
+        adapter: &str,
+    ) -> Option<NewestVersion> {
+        let adapter = self.names.borrow_mut().adapter(model, adapter);
+        self.scheduler.borrow().newest_version(adapter)
+    }
+
     /// Requests an upstream; the verdict may take until the request's deadline.
     pub fn place(
         &self,
--- a/crates/entry/src/store/feed/change_feed.rs
+++ b/crates/entry/src/store/feed/change_feed.rs
@@ -44,6 +44,8 @@
     last_contact_at: Cell<Millis>,
     /// When the store last answered this VM or one that told it so.
     answered_at: Cell<Millis>,
+    /// All changes that the store held at this time have been applied; `None` before the first full read.
+    complete_at: Cell<Option<Millis>>,
     /// Notified when a call to the store outside the watch fails.
     store_failure: Notify,
     /// When the store last recovered from an outage.
@@ -66,6 +68,7 @@
             responded_at: Cell::new(Millis::ZERO),
             last_contact_at: Cell::new(Millis::ZERO),
             answered_at: Cell::new(Clock.now()),
+            complete_at: Cell::new(None),
             store_failure: Notify::new(),
             recovered_at: Cell::new(None),
             stale_after: Millis(max_propagation_delay.0 * STALE_PERCENT / 100),
@@ -132,6 +135,19 @@
         self.answered_at.set(answered_at);
     }
 
+    /// Records that all changes that the store held at `at` have been applied.
+    pub(crate) fn set_complete_at(
+        &self,
+        at: Millis,
+    ) {
+        self.complete_at.set(self.complete_at.get().max(Some(at)));
+    }
+
+    /// The latest time at which the store held no other changes than those applied; `None` before the first full read.
+    pub(crate) const fn complete_at(&self) -> Option<Millis> {
+        self.complete_at.get()
+    }
+
     /// How long the store has answered neither this VM nor one that has told it of an answer.
     pub(crate) fn unanswered_for(&self) -> Millis {
         self.clock.now().since(self.answered_at.get())
@@ -233,7 +249,8 @@
             ChangesSince::Changes(events) => Some(FeedReply::Changes {
                 revision: recent.revision(),
                 since_recovery: self.since_recovery(now),
-                answered_ago: now.since(self.responded_at.get()),
+                // A response whose changes are still being applied doesn't count for `revision`.
+                answered_ago: now.since(self.complete_at.get().unwrap_or_default()),
                 events,
             }),
         }
--- a/crates/entry/src/store/follower.rs
+++ b/crates/entry/src/store/follower.rs
@@ -135,6 +135,7 @@
 impl Follower {
     /// Reads the store up to the first page with upstreams, and sets the position to that revision.
     async fn reload(&mut self) -> Result<(), StoreError> {
+        let began = self.cx.clock.now();
         let mut reply = self.store.read_page(ALL_KEYS, None).await?;
         while reply.more && !reaches_upstreams(&reply) {
             let after = reply.kvs.last().map(|kv| kv.key.clone());
@@ -143,6 +144,7 @@
             reply.more = page.more;
         }
         self.view.reset(&reply).await;
+        self.feed.set_complete_at(began);
         self.set_position(reply.revision, Some(reply.revision));
         let last = reply.kvs.last().filter(|_| reply.more);
         self.remaining = last.map(|kv| RemainingUpstreams {
@@ -256,7 +258,9 @@
                 .warn();
             return Step::Reload;
         }
+        let received = self.cx.clock.now();
         self.view.apply_all(&batch.events).await;
+        self.feed.set_complete_at(received);
         self.set_position(batch.revision, Some(batch.revision));
         if !batch.events.is_empty() {
             let pause = self.cx.settings.change_ms.0 * BATCH_DELAY_PERCENT / 100;
@@ -301,7 +305,9 @@
                 if let Some(since) = since_recovery {
                     self.view.record_remote_recovery(since);
                 }
+                let complete_at = self.cx.clock.now().since(answered_ago);
                 self.view.apply_all(&events).await;
+                self.feed.set_complete_at(complete_at);
                 let minor = includes_minor.then(|| minor_position(revision, &events));
                 self.set_position(revision, minor);
             }
--- a/crates/entry/src/store/view.rs
+++ b/crates/entry/src/store/view.rs
@@ -9,7 +9,10 @@
         clock::Millis, feed::may_have_lapsed, ingress::UpstreamEntry, quarantine::PartSet,
         scheduler::Announcement,
     },
-    jasmine_platform::{configuration, entries, evacuations, versions},
+    jasmine_platform::{
+        configuration, entries, evacuations,
+        versions::{self, AnnouncedVersion},
+    },
     jasmine_store::store::{KeyValue, RangeReply, StoreError, WatchEvent},
     jasmine_telemetry::log::Line,
     std::{
@@ -32,6 +35,15 @@
 /// A thousand of them would delay requests by some ten milliseconds.
 const MAX_CHANGES_PER_YIELD: usize = 32;
 
+/// Where an item was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Origin {
+    /// In a full read of the store.
+    FullRead,
+    /// In a change.
+    Change,
+}
+
 /// Applies the store's content to configuration, scheduler and membership.
 #[derive(Debug)]
 pub(super) struct View {
@@ -125,7 +137,7 @@
         self.put_vms(reply);
         for kvs in reply.kvs.chunks(MAX_CHANGES_PER_YIELD) {
             for kv in kvs.iter().filter(|kv| !kv.key.starts_with(VM_PREFIX)) {
-                self.put(kv, Announcement::Found);
+                self.put(kv, Origin::FullRead);
             }
             yield_now().await;
         }
@@ -160,7 +172,7 @@
         for kvs in page.kvs.chunks(MAX_CHANGES_PER_YIELD) {
             for kv in kvs {
                 if self.feed.record_change(&WatchEvent::Put(kv.clone()), false) {
-                    self.put(kv, Announcement::Found);
+                    self.put(kv, Origin::FullRead);
                 }
             }
             yield_now().await;
@@ -224,7 +236,7 @@
         match event {
             WatchEvent::Put(kv) => match kv.key.strip_prefix(entries::PREFIX) {
                 Some(id) => self.apply_upstream(id, kv, event),
-                None if self.feed.record_change(event, true) => self.put(kv, Announcement::New),
+                None if self.feed.record_change(event, true) => self.put(kv, Origin::Change),
                 None => {}
             },
             WatchEvent::Delete(kv) if self.feed.record_change(event, true) => self.delete(&kv.key),
@@ -252,7 +264,7 @@
                         && (known.is_warming_up() || !entry.is_warming_up())
                 });
                 if self.feed.record_change(event, is_major) {
-                    self.put_upstream(entry, Announcement::New);
+                    self.put_upstream(entry, Origin::Change);
                 }
             }
             Err(e) => {
@@ -265,7 +277,7 @@
     fn put(
         &self,
         kv: &KeyValue,
-        announcement: Announcement,
+        origin: Origin,
     ) {
         if kv.key == configuration::KEY {
             match configuration::decode(&kv.value) {
@@ -274,14 +286,14 @@
             }
         } else if let Some(id) = kv.key.strip_prefix(entries::PREFIX) {
             match entries::decode(id, &kv.value) {
-                Ok(entry) => self.put_upstream(entry, announcement),
+                Ok(entry) => self.put_upstream(entry, origin),
                 Err(e) => log_unreadable(&kv.key, &e),
             }
         } else if kv.key.starts_with(versions::PREFIX) {
-            self.put_version(kv, announcement);
+            self.put_version(kv, origin);
         } else if let Some(rest) = kv.key.strip_prefix(evacuations::PREFIX) {
             match evacuations::decode(rest) {
-                Ok(data_centre) => self.begin_evacuation(data_centre, announcement),
+                Ok(data_centre) => self.begin_evacuation(data_centre, origin),
                 Err(e) => log_unreadable(&kv.key, &e),
             }
         } else if let Some(name) = kv.key.strip_prefix(QUARANTINE_PREFIX) {
@@ -292,7 +304,7 @@
             self.membership.set_last_leader(kv);
         } else if kv.key.starts_with(VM_PREFIX) {
             self.membership.set_vm(kv);
-            if announcement == Announcement::New {
+            if origin == Origin::Change {
                 self.membership.publish_vms(&self.cx);
             }
         }
@@ -318,7 +330,7 @@
     fn put_upstream(
         &self,
         entry: UpstreamEntry,
-        announcement: Announcement,
+        origin: Origin,
     ) {
         let mut upstreams = self.upstreams.borrow_mut();
         let known = upstreams.get(&entry.id);
@@ -327,7 +339,7 @@
             return;
         }
         // Upstreams found at startup are logged as one line by `record_found`.
-        let is_change = known.map_or(announcement == Announcement::New, |known| {
+        let is_change = known.map_or(origin == Origin::Change, |known| {
             known.state != entry.state || known.started_unix_ms != entry.started_unix_ms
         });
         if is_change {
@@ -344,44 +356,68 @@
         upstreams.insert(entry.id.clone(), entry);
     }
 
+    /// How an announcement became known that is being applied.
+    fn announcement(
+        &self,
+        origin: Origin,
+    ) -> Announcement {
+        match (origin, self.feed.complete_at()) {
+            (Origin::Change, Some(absent_at)) => Announcement::New { absent_at },
+            _ => Announcement::Found,
+        }
+    }
+
     fn put_version(
         &self,
         kv: &KeyValue,
-        announcement: Announcement,
+        origin: Origin,
     ) {
-        match versions::decode(&kv.value) {
-            Ok(announced) => {
-                if let Some(adapter) = &announced.adapter {
-                    let local_scheduler = &self.cx.scheduling.local_scheduler;
-                    local_scheduler.announce_version(
-                        &announced.model,
-                        adapter,
-                        announced.version,
-                        announcement,
-                    );
-                    Line::new("version_announced")
-                        .with("adapter", adapter)
-                        .with("version", announced.version)
-                        .info();
-                }
-            }
-            Err(e) => log_unreadable(&kv.key, &e),
+        let announced = match versions::decode(&kv.value) {
+            Ok(announced) => announced,
+            Err(e) => return log_unreadable(&kv.key, &e),
+        };
+        let source = self.announcement(origin);
+        Line::new("version_announced")
+            .with("model", &announced.model)
+            .with("adapter", announced.adapter.as_deref().unwrap_or("-"))
+            .with("version", announced.version)
+            .with("revision", kv.mod_revision)
+            .with("absent_ms", self.absent_for(source))
+            .info();
+        // Requests name a version of their adapter only; weights of a base model are loaded in their newest version.
+        if let Some(adapter) = &announced.adapter {
+            let local_scheduler = &self.cx.scheduling.local_scheduler;
+            let AnnouncedVersion { model, version, .. } = &announced;
+            local_scheduler.announce_version(model, adapter, *version, source);
+        }
+    }
+
+    /// How long ago an announcement was known to be absent, for the log; `-` if that isn't known.
+    fn absent_for(
+        &self,
+        source: Announcement,
+    ) -> String {
+        match source {
+            Announcement::New { absent_at } => self.cx.clock.now().since(absent_at).to_string(),
+            Announcement::Found => "-".to_owned(),
         }
     }
 
     fn begin_evacuation(
         &self,
         data_centre: &str,
-        source: Announcement,
+        origin: Origin,
     ) {
         if !self.evacuated.borrow_mut().insert(data_centre.to_owned()) {
             return;
         }
         let is_known = self.cx.settings.regions.contains_key(data_centre);
+        let source = self.announcement(origin);
         Line::new("evacuation_begun")
             .with("data_centre", data_centre)
             .with("known", is_known)
-            .with("source", format!("{source:?}"))
+            .with("source", format!("{origin:?}"))
+            .with("absent_ms", self.absent_for(source))
             .info();
         let local_scheduler = &self.cx.scheduling.local_scheduler;
         local_scheduler.begin_evacuation(data_centre, source);
--- a/crates/telemetry/src/metrics/requests.rs
+++ b/crates/telemetry/src/metrics/requests.rs
@@ -44,6 +44,7 @@
     queue_wait: Histogram<f64>,
     first_token: Histogram<f64>,
     token_gap: Histogram<f64>,
+    older_version: Histogram<f64>,
     load_stall: Histogram<f64>,
     batch: Histogram<f64>,
 }
@@ -82,6 +83,11 @@
                 "Between two parts of a streamed answer",
                 &TIME_BUCKETS_SECONDS,
             ),
+            older_version: histogram(
+                "jasmine_older_version_seconds",
+                "From the last time a newer version of the adapter was known to be absent to the begin of an answer by an older one",
+                &TIME_BUCKETS_SECONDS,
+            ),
             load_stall: histogram(
                 "jasmine_load_stall_seconds",
                 "Spent waiting for an adapter to be loaded",
@@ -139,6 +145,15 @@
         self.token_gap.record(gap.as_secs_f64(), &labels.pairs);
     }
 
+    /// Records the age of a newer version of the adapter when an answer began by an older one.
+    pub fn older_version(
+        &self,
+        labels: &Labels,
+        age: Duration,
+    ) {
+        self.older_version.record(age.as_secs_f64(), &labels.pairs);
+    }
+
     /// Records how long a request waited for an adapter load; call only for requests that waited.
     pub fn load_stall(
         &self,
