A newer announcement revives no older version

Callers of an adapter that is announced again and again were answered by a version two or more behind, up to 9.4 s after its successor was acknowledged.

Cause: an adapter had one time of announcement, that of its newest version, and any older version might be used for the grace period from it. Version 1, out of use since version 2 was announced but still loaded on some engines, became usable again when version 3 came. The class of fault: a bound that each event has for itself was kept for the last one only.

Change: each announced version keeps its own limit for those before it; the earliest limit of all newer versions binds. Limits that an expired one covers are dropped.

--- a/crates/core/src/scheduler/announced_versions.rs
+++ b/crates/core/src/scheduler/announced_versions.rs
@@ -3,7 +3,10 @@
         clock::Millis,
         ids::{AdapterId, AdapterVersion},
     },
-    std::collections::HashMap,
+    std::{
+        collections::{BTreeMap, HashMap},
+        ops::Bound,
+    },
 };
 
 /// How an operator's announcement became known.
@@ -27,11 +30,40 @@
     pub absent_at: Option<Millis>,
 }
 
-#[derive(Clone, Copy, Debug)]
+/// The announced versions of one adapter.
+#[derive(Clone, Debug)]
 struct Announced {
     newest: NewestVersion,
-    /// When it became known; `None` if it was found at startup.
-    announced_at: Option<Millis>,
+    /// Until when requests may begin on a version older than the key.
+    ///
+    /// Each version has a limit of its own: a later announcement doesn't extend those before it.
+    older_until: BTreeMap<u32, Millis>,
+}
+
+impl Announced {
+    /// Adds the limit of a new version, and drops those that an expired one covers.
+    fn add_limit(
+        &mut self,
+        version: u32,
+        until: Millis,
+        now: Millis,
+    ) {
+        self.older_until.insert(version, until);
+        let expired = self.older_until.iter().filter(|&(_, &until)| until <= now);
+        if let Some(last) = expired.map(|(&version, _)| version).max() {
+            self.older_until.retain(|&version, _| version >= last);
+        }
+    }
+
+    /// Until when requests may begin on a version; `None` if no newer one is announced.
+    fn usable_until(
+        &self,
+        version: u32,
+    ) -> Option<Millis> {
+        let newer = (Bound::Excluded(version), Bound::Unbounded);
+        let limits = self.older_until.range(newer);
+        limits.map(|(_, &until)| until).min()
+    }
 }
 
 /// The adapter versions announced by operators.
@@ -44,28 +76,31 @@
 const INITIAL_VERSION: u32 = 1;
 
 impl AnnouncedVersions {
-    /// Records an announcement; ignores versions that are not newer.
+    /// Records an announcement, with the time for which older versions stay usable if it is new; ignores
+    /// versions that are not newer.
     pub(super) fn announce(
         &mut self,
         adapter: AdapterId,
         version: u32,
         source: Announcement,
+        grace: Millis,
         now: Millis,
     ) {
-        let known = self.announced.get(&adapter);
-        if known.is_none_or(|known| known.newest.version < version) {
-            let absent_at = match source {
-                Announcement::New { absent_at } => Some(absent_at),
-                Announcement::Found => None,
-            };
-            self.announced.insert(
-                adapter,
-                Announced {
-                    newest: NewestVersion { version, absent_at },
-                    announced_at: absent_at.map(|_| now),
-                },
-            );
+        let newest = self.newest(adapter);
+        if newest.is_some_and(|newest| newest.version >= version) {
+            return;
         }
+        let (absent_at, older_until) = match source {
+            Announcement::New { absent_at } => (Some(absent_at), now + grace),
+            Announcement::Found => (None, now),
+        };
+        let newest = NewestVersion { version, absent_at };
+        let known = self.announced.entry(adapter).or_insert_with(|| Announced {
+            newest,
+            older_until: BTreeMap::new(),
+        });
+        known.newest = newest;
+        known.add_limit(version, older_until, now);
     }
 
     /// The newest announced version of an adapter.
@@ -93,17 +128,12 @@
         self.newest(adapter).map(|newest| newest.version)
     }
 
-    /// Whether an older version may still be used.
-    pub(super) fn is_in_grace_period(
+    /// Until when requests may begin on a version; `None` if no newer one is announced.
+    pub(super) fn usable_until(
         &self,
-        adapter: AdapterId,
-        grace: Millis,
-        now: Millis,
-    ) -> bool {
-        let announced_at = self
-            .announced
-            .get(&adapter)
-            .and_then(|known| known.announced_at);
-        announced_at.is_some_and(|announced_at| now.since(announced_at) < grace)
+        adapter: AdapterVersion,
+    ) -> Option<Millis> {
+        let announced = self.announced.get(&adapter.adapter)?;
+        announced.usable_until(adapter.version)
     }
 }
--- a/crates/core/src/scheduler/choose/load.rs
+++ b/crates/core/src/scheduler/choose/load.rs
@@ -146,13 +146,9 @@
         generation: &Generation,
         engine: &Engine,
     ) -> Option<AdapterVersion> {
-        let adapter = generation.adapter?;
-        let grace = self.settings.version_grace;
-        let wanted = self.versions.wanted(adapter);
-        let resident = engine.resident_any_version(adapter)?;
-        let is_usable = resident.adapter != wanted
-            && resident.is_loaded(self.now)
-            && self.versions.is_in_grace_period(adapter, grace, self.now);
+        let resident = engine.resident_any_version(generation.adapter?)?;
+        let until = self.versions.usable_until(resident.adapter)?;
+        let is_usable = resident.is_loaded(self.now) && self.now < until;
         is_usable.then_some(resident.adapter)
     }
 
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -176,7 +176,8 @@
         source: Announcement,
         now: Millis,
     ) {
-        self.versions.announce(adapter, version, source, now);
+        let grace = self.settings.version_grace;
+        self.versions.announce(adapter, version, source, grace, now);
     }
 
     /// The newest version of an adapter that an operator has announced, as far as it is known here.
