Requests begin on an older adapter version only as long as its bound, counted from the ack, allows

Callers got an older version later than 5 s after the announcement of a newer one, where the announcement was read late or the first token was slow.

Cause: the grace period of 2 s began when the deciding VM learned of the version, whatever had been spent by then, and ended with the decision to send, whatever followed. With change_ms of 3 and 4 s that leaves nothing of 5 s. The class of fault: a bound counted from the store's ack, kept as if counted from learning to sending.

Change: the limit is version_ms (a setting, from the deployment's bounds) less 400 ms for messages on their way, counted from the latest time at which the store is known not to have held the version. That is always before the ack. An engine with an older version is chosen only if twice the expected time to the first token fits. Where the announcement is read quickly the older version serves longer than before, so that callers wait less for the load.

--- a/crates/conf/src/settings/entry_settings.rs
+++ b/crates/conf/src/settings/entry_settings.rs
@@ -19,6 +19,11 @@
 const DEFAULT_EVACUATION_TIMEOUT: Millis = Millis(5_000);
 /// Part of `evacuation_ms` for requests that are on their way to an upstream.
 const DISPATCH_MARGIN: Millis = Millis(500);
+/// The default of `version_ms`.
+const DEFAULT_VERSION_TIMEOUT: Millis = Millis(5_000);
+/// Part of `version_ms` for what is on its way: the store's answer, a request that is withdrawn from an engine, and the
+/// first token.
+const VERSION_MARGIN: Millis = Millis(400);
 /// The default of `stop_s`, in seconds.
 const DEFAULT_STOP_SECS: u64 = 8;
 
@@ -56,6 +61,9 @@
     /// The maximum time until upstreams of an evacuated data centre get no more requests.
     #[serde(default = "default_evacuation")]
     pub evacuation_ms: Millis,
+    /// The maximum time from the announcement of an adapter version to the last first token by an older one.
+    #[serde(default = "default_version")]
+    pub version_ms: Millis,
     /// The region of each data centre.
     #[serde(default)]
     pub regions: BTreeMap<String, String>,
@@ -88,6 +96,10 @@
     DEFAULT_EVACUATION_TIMEOUT
 }
 
+const fn default_version() -> Millis {
+    DEFAULT_VERSION_TIMEOUT
+}
+
 const fn default_stop() -> u64 {
     DEFAULT_STOP_SECS
 }
@@ -105,6 +117,11 @@
     pub fn evacuation_move(&self) -> Millis {
         self.evacuation_ms.since(self.change_ms + DISPATCH_MARGIN)
     }
+
+    /// How long after an adapter version was known to be absent requests may begin on an older one.
+    pub fn older_version_time(&self) -> Millis {
+        self.version_ms.since(VERSION_MARGIN)
+    }
 }
 
 impl Validate for EntrySettings {
@@ -112,6 +129,7 @@
         check_range("least_lease_ms", self.least_lease_ms.0, &(100..=600_000))?;
         check_range("change_ms", self.change_ms.0, &(500..=600_000))?;
         check_range("evacuation_ms", self.evacuation_ms.0, &(500..=600_000))?;
+        check_range("version_ms", self.version_ms.0, &(500..=600_000))?;
         self.cold_upstreams.validate()?;
         check_range("stop_s", self.stop_s, &(1..=3_600))?;
         self.size.validate()?;
--- a/crates/core/src/scheduler/announced_versions.rs
+++ b/crates/core/src/scheduler/announced_versions.rs
@@ -76,14 +76,16 @@
 const INITIAL_VERSION: u32 = 1;
 
 impl AnnouncedVersions {
-    /// Records an announcement, with the time for which older versions stay usable if it is new; ignores
-    /// versions that are not newer.
+    /// Records an announcement; ignores versions that are not newer.
+    ///
+    /// Requests may begin on older versions until `older_version_time` after the announcement was known to be absent,
+    /// however late it has been read.
     pub(super) fn announce(
         &mut self,
         adapter: AdapterId,
         version: u32,
         source: Announcement,
-        grace: Millis,
+        older_version_time: Millis,
         now: Millis,
     ) {
         let newest = self.newest(adapter);
@@ -91,7 +93,7 @@
             return;
         }
         let (absent_at, older_until) = match source {
-            Announcement::New { absent_at } => (Some(absent_at), now + grace),
+            Announcement::New { absent_at } => (Some(absent_at), absent_at + older_version_time),
             Announcement::Found => (None, now),
         };
         let newest = NewestVersion { version, absent_at };
--- a/crates/core/src/scheduler/choose/cost.rs
+++ b/crates/core/src/scheduler/choose/cost.rs
@@ -112,6 +112,16 @@
         }
     }
 
+    /// Expected time to the first token on an engine that has the adapter loaded, in milliseconds.
+    pub(super) fn first_token_ms(
+        &self,
+        job: &Job,
+        engine: &Engine,
+    ) -> f64 {
+        let prefill_tokens = Load::of(job, engine, self.now).prefill_tokens;
+        engine.backlog.wait(self.now) + engine.backlog.time_for(prefill_tokens, self.now)
+    }
+
     /// The cost of an engine in milliseconds if it had the adapter loaded.
     pub(super) fn base_cost(
         &self,
@@ -119,9 +129,7 @@
         up: &Upstream,
         engine: &Engine,
     ) -> f64 {
-        let prefill_tokens = Load::of(job, engine, self.now).prefill_tokens;
-        let prefill_ms =
-            engine.backlog.wait(self.now) + engine.backlog.time_for(prefill_tokens, self.now);
+        let prefill_ms = self.first_token_ms(job, engine);
         prefill_ms
             + stall_penalty(job, up, engine, prefill_ms)
             + f64::from(up.running) * PER_RUNNING_REQUEST_MS
--- a/crates/core/src/scheduler/choose/load.rs
+++ b/crates/core/src/scheduler/choose/load.rs
@@ -33,6 +33,8 @@
 /// Penalty per recent use of the adapter to evict, which will probably be loaded again.
 const EVICTION_PENALTY_MS: f64 = 8.0;
 const MAX_EVICTION_PENALTY_MS: f64 = 150.0;
+/// Factor on the expected time to the first token where that may not be late; covers the error of the estimate.
+const FIRST_TOKEN_MARGIN: f64 = 2.0;
 /// Maximum penalty for an engine that the adapter doesn't prefer; spreads adapters over otherwise
 /// equal engines.
 const MAX_AFFINITY_PENALTY_MS: f64 = 12.0;
@@ -140,15 +142,17 @@
             .map(|(cost, adapter)| (Some(adapter), cost.min(MAX_EVICTION_PENALTY_MS)))
     }
 
-    /// An older version on this engine that may still be used while the new one is loading.
+    /// An older version on this engine on which the request can begin in time while the new one is loading.
     pub(super) fn usable_old_version(
         &self,
+        job: &Job,
         generation: &Generation,
         engine: &Engine,
     ) -> Option<AdapterVersion> {
         let resident = engine.resident_any_version(generation.adapter?)?;
         let until = self.versions.usable_until(resident.adapter)?;
-        let is_usable = resident.is_loaded(self.now) && self.now < until;
+        let first_token = Millis((self.first_token_ms(job, engine) * FIRST_TOKEN_MARGIN) as u64);
+        let is_usable = resident.is_loaded(self.now) && self.now + first_token < until;
         is_usable.then_some(resident.adapter)
     }
 
--- a/crates/core/src/scheduler/choose/mod.rs
+++ b/crates/core/src/scheduler/choose/mod.rs
@@ -219,7 +219,7 @@
                 let cost = cost + self.lateness_penalty(job, cost) + self.evacuation_penalty(up);
                 best.consider(up.id, option, cost, base + self.lateness_penalty(job, base));
             }
-            if let Some(old) = self.usable_old_version(generation, engine)
+            if let Some(old) = self.usable_old_version(job, generation, engine)
                 && self.has_capacity_for(job, up, engine)
             {
                 best.consider_stale(up.id, old, base);
--- a/crates/core/src/scheduler/settings.rs
+++ b/crates/core/src/scheduler/settings.rs
@@ -65,8 +65,9 @@
     pub min_generation_time: Millis,
     /// Minimum duration of a call.
     pub min_call_time: Millis,
-    /// How long an older adapter version may be used while the newer one is loaded.
-    pub version_grace: Millis,
+    /// Time from the last moment at which a version of an adapter was known to be absent until
+    /// requests may no longer begin on an older one.
+    pub older_version_time: Millis,
     /// How long a new scheduler sends no orders.
     ///
     /// Zero where engines check fencing tokens; other engines may still execute orders of the
@@ -87,7 +88,7 @@
             kv_fill_percent: 90,
             min_generation_time: Millis(120),
             min_call_time: Millis(30),
-            version_grace: Millis(2_000),
+            older_version_time: Millis(4_600),
             order_gap: Millis::ZERO,
             evacuation_move: Millis::ZERO,
             loads: LoadSettings::default(),
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -176,8 +176,8 @@
         source: Announcement,
         now: Millis,
     ) {
-        let grace = self.settings.version_grace;
-        self.versions.announce(adapter, version, source, grace, now);
+        let time = self.settings.older_version_time;
+        self.versions.announce(adapter, version, source, time, now);
     }
 
     /// The newest version of an adapter that an operator has announced, as far as it is known here.
--- a/crates/entry/src/daemon/run.rs
+++ b/crates/entry/src/daemon/run.rs
@@ -201,6 +201,7 @@
     SchedulerSettings {
         order_gap: settings.order_gap(),
         evacuation_move: settings.evacuation_move(),
+        older_version_time: settings.older_version_time(),
         repeats: RetrySettings {
             ratio: settings.repeats.ratio,
             slack: settings.repeats.slack,
