A request that waits at an engine is withdrawn before it would begin on an older version too late

Callers got an answer by an older version that began seconds after the bound: their request had been sent in time, or before anybody knew of the newer version, and waited in the queue of a slow engine. Nothing called it back.

Cause: versions were chosen once, when a request was assigned; what happened until its first token was left to the engine. An engine checks the version as a request arrives, and replaces an adapter only once its runs have ended.

Change: the VM that sent a request closes its connection when the answer hasn't begun by the limit of its version, as this VM knows it; the limit appears, or comes nearer, with each announcement that is read meanwhile. A request that may be repeated is sent again, and then asks for the newest version; another one ends as upstream_lost, since it may have begun. Answers that have begun go on.

--- a/crates/core/src/scheduler/announced_versions.rs
+++ b/crates/core/src/scheduler/announced_versions.rs
@@ -130,12 +130,14 @@
         self.newest(adapter).map(|newest| newest.version)
     }
 
-    /// Until when requests may begin on a version; `None` if no newer one is announced.
+    /// Until when requests may begin on a version, `None` if no newer one is announced; without a version, on the initial
+    /// one.
     pub(super) fn usable_until(
         &self,
-        adapter: AdapterVersion,
+        adapter: AdapterId,
+        version: Option<u32>,
     ) -> Option<Millis> {
-        let announced = self.announced.get(&adapter.adapter)?;
-        announced.usable_until(adapter.version)
+        let announced = self.announced.get(&adapter)?;
+        announced.usable_until(version.unwrap_or(INITIAL_VERSION))
     }
 }
--- a/crates/core/src/scheduler/choose/load.rs
+++ b/crates/core/src/scheduler/choose/load.rs
@@ -150,7 +150,8 @@
         engine: &Engine,
     ) -> Option<AdapterVersion> {
         let resident = engine.resident_any_version(generation.adapter?)?;
-        let until = self.versions.usable_until(resident.adapter)?;
+        let AdapterVersion { adapter, version } = resident.adapter;
+        let until = self.versions.usable_until(adapter, Some(version))?;
         let first_token = Millis((self.first_token_ms(job, engine) * FIRST_TOKEN_MARGIN) as u64);
         let is_usable = resident.is_loaded(self.now) && self.now + first_token < until;
         is_usable.then_some(resident.adapter)
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -188,6 +188,17 @@
         self.versions.newest(adapter)
     }
 
+    /// Until when requests may begin on a version of an adapter, `None` if no newer one is known.
+    ///
+    /// A request that names no version was sent before any was announced.
+    pub fn version_usable_until(
+        &self,
+        adapter: AdapterId,
+        version: Option<u32>,
+    ) -> Option<Millis> {
+        self.versions.usable_until(adapter, version)
+    }
+
     /// Applies an engine's own report; `None` if the request for it failed.
     pub fn report(
         &mut self,
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -125,8 +125,10 @@
 }
 
 impl AttemptContext<'_> {
-    /// Records an answer that has begun on an older version of its adapter than the newest that this VM knows.
-    pub(super) fn note_begun_version(&self) {
+    /// Records that the answer has begun, and whether that was on an older version of its adapter than the newest that
+    /// this VM knows.
+    pub(super) fn note_begun(&self) {
+        self.placement.note_begun();
         let used = self.placement.version;
         let newest = self.req.newest_version(&self.cx.scheduling.local_scheduler);
         let Some(newest) = newest.filter(|newest| used.is_none_or(|used| used < newest.version))
--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -210,34 +210,15 @@
         out: &mut ResponseWriter<'_>,
     ) -> Step {
         let started_at = self.cx.clock.now();
-        let attempt = AttemptContext {
-            cx: self.cx,
-            req: &self.req,
-            placement,
-        };
-        let after_event = self
-            .progress
-            .last_event
-            .filter(|_| self.progress.events > 0);
-        self.progress.begin_attempt();
-        let response = match attempt.start(after_event).await {
-            Start::Responding(response) => response,
-            Start::Failed(failure) => return self.handle_failure(placement, failure).await,
-            Start::Refused(kind) => {
-                placement.end(Outcome::Abandoned, PromptEvidence::None);
-                return Step::Fail(kind);
+        let generation = self.req.generation();
+        let result = tokio::select! {
+            biased;
+            result = self.exchange(placement, out) => result,
+            () = placement.begin_expired(generation.as_ref()) => {
+                self.note_withdrawn(placement);
+                Err(Failure::may_have_run(Outcome::Abandoned).into())
             }
         };
-        if matches!(response.head.status, 200..=299) {
-            let now = self.cx.clock.now();
-            self.progress.begin_response(response.head.framing, now);
-        }
-        let is_stream = self.req.is_stream() && response.head.status == 200;
-        let result = if is_stream {
-            self.relay(placement, response, out).await
-        } else {
-            self.relay_whole(placement, response, out).await
-        };
         match result {
             Ok(()) => {
                 let evidence = self.evidence(self.answer_end());
@@ -255,9 +236,63 @@
                 Step::Done(Err(e))
             }
             Err(RelayError::Upstream(failure)) => self.handle_failure(placement, failure).await,
+            Err(RelayError::Refused(kind)) => {
+                placement.end(Outcome::Abandoned, PromptEvidence::None);
+                Step::Fail(kind)
+            }
         }
     }
 
+    /// Sends the request and forwards the response.
+    async fn exchange(
+        &mut self,
+        placement: &Placement,
+        out: &mut ResponseWriter<'_>,
+    ) -> Result<(), RelayError> {
+        let attempt = AttemptContext {
+            cx: self.cx,
+            req: &self.req,
+            placement,
+        };
+        let after_event = self
+            .progress
+            .last_event
+            .filter(|_| self.progress.events > 0);
+        self.progress.begin_attempt();
+        let response = match attempt.start(after_event).await {
+            Start::Responding(response) => response,
+            Start::Failed(failure) => return Err(failure.into()),
+            Start::Refused(kind) => return Err(RelayError::Refused(kind)),
+        };
+        let is_success = matches!(response.head.status, 200..=299);
+        if is_success {
+            let now = self.cx.clock.now();
+            self.progress.begin_response(response.head.framing, now);
+        }
+        let is_stream = self.req.is_stream() && response.head.status == 200;
+        if is_stream {
+            return self.relay(placement, response, out).await;
+        }
+        if is_success {
+            attempt.note_begun();
+        }
+        self.relay_whole(placement, response, out).await
+    }
+
+    /// Logs that a request is withdrawn from an upstream, as it would begin on an older version of its adapter.
+    fn note_withdrawn(
+        &self,
+        placement: &Placement,
+    ) {
+        Line::new("older_version_withdrawn")
+            .with("id", self.id())
+            .with("adapter", self.req.caller.adapter.as_deref().unwrap_or("-"))
+            .with("upstream", &placement.upstream)
+            .with("version", placement.version.unwrap_or_default())
+            .with("newest", self.newest_version())
+            .info();
+    }
+
     async fn relay(
         &mut self,
         placement: &Placement,
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -11,6 +11,7 @@
     bytes::{Bytes, BytesMut},
     jasmine_core::{
         clock::Millis,
+        error::ErrorKind,
         scheduler::Outcome,
         streams::{ServiceBuild, StreamOrigin},
     },
@@ -79,6 +80,8 @@
     Upstream(Failure),
     /// The caller has disconnected.
     Caller(io::Error),
+    /// Nothing was sent, nor should it be.
+    Refused(ErrorKind),
 }
 
 impl From<io::Error> for RelayError {
@@ -108,7 +111,7 @@
             break;
         };
         if progress.received_at.is_none() {
-            attempt.note_begun_version();
+            attempt.note_begun();
         }
         progress.received_at = Some(attempt.cx.clock.now());
         if !splitter.push(&data) {
--- a/crates/entry/src/forward/request.rs
+++ b/crates/entry/src/forward/request.rs
@@ -156,7 +156,8 @@
         }
     }
 
-    fn generation(&self) -> Option<GenerationSpec> {
+    /// The generation that it asks for; `None` for a plain call.
+    pub(super) fn generation(&self) -> Option<GenerationSpec> {
         let caller = Some(&self.caller).filter(|_| self.is_generation)?;
         GenerationSpec::from_headers(caller)
     }
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -25,7 +25,10 @@
         net::SocketAddr,
         rc::Rc,
     },
-    tokio::sync::{Notify, mpsc, oneshot},
+    tokio::{
+        sync::{Notify, mpsc, oneshot, watch},
+        time::timeout,
+    },
     xxhash_rust::xxh3::xxh3_64,
 };
 
@@ -86,6 +89,8 @@
     pub(super) stored_quarantine: RefCell<BTreeSet<PartSet>>,
     /// A hash of the parts that this VM refuses.
     pub(super) quarantine_hash: Cell<u64>,
+    /// Counts announcements of adapter versions.
+    versions_changed: watch::Sender<u64>,
     /// Notified when the quarantine has changed.
     pub(super) quarantine_changed: Notify,
 }
@@ -111,6 +116,7 @@
             may_order: Cell::new(false),
             stored_quarantine: RefCell::default(),
             quarantine_hash: Cell::new(0),
+            versions_changed: watch::Sender::default(),
             quarantine_changed: Notify::new(),
         }
     }
@@ -391,6 +397,33 @@
         let now = self.clock.now();
         let mut scheduler = self.scheduler.borrow_mut();
         scheduler.announce_version(adapter, version, how, now);
+        self.versions_changed.send_modify(|count| *count += 1);
+    }
+
+    /// Waits until requests may no longer begin on a version of an adapter, as far as this VM knows.
+    pub async fn version_expired(
+        &self,
+        model: &str,
+        adapter: &str,
+        version: Option<u32>,
+    ) {
+        let adapter = self.names.borrow_mut().adapter(model, adapter);
+        let mut changed = self.versions_changed.subscribe();
+        loop {
+            changed.mark_unchanged();
+            let now = self.clock.now();
+            let until = self
+                .scheduler
+                .borrow()
+                .version_usable_until(adapter, version);
+            match until {
+                Some(until) if until <= now => return,
+                // Either way the limit is looked up again.
+                Some(until) => drop(timeout(until.since(now).to_std(), changed.changed()).await),
+                // The sender lives as long as this scheduler.
+                None => drop(changed.changed().await),
+            }
+        }
     }
 
     /// The newest announced version of an adapter that this VM knows.
--- a/crates/entry/src/scheduling/placement.rs
+++ b/crates/entry/src/scheduling/placement.rs
@@ -1,11 +1,11 @@
 use {
-    super::{Assignment, SchedulerNode, convert::JobUpdate},
+    super::{Assignment, GenerationSpec, SchedulerNode, convert::JobUpdate},
     jasmine_core::{
         clock::Millis,
         quarantine::PromptEvidence,
         scheduler::{Outcome, UpstreamSignals, WaitReason},
     },
-    std::{cell::Cell, net::SocketAddr, rc::Rc},
+    std::{cell::Cell, future::pending, net::SocketAddr, rc::Rc},
 };
 
 /// A slot at an upstream, reserved for a request.
@@ -29,6 +29,8 @@
     assigned_at: Millis,
     /// What the upstream stated, once its response has begun.
     signals: Cell<Option<UpstreamSignals>>,
+    /// Whether the answer has begun.
+    has_begun: Cell<bool>,
     has_ended: Cell<bool>,
 }
 
@@ -56,6 +58,7 @@
             waited_for,
             assigned_at,
             signals: Cell::new(None),
+            has_begun: Cell::new(false),
             has_ended: Cell::new(false),
         }
     }
@@ -70,6 +73,32 @@
             .note_signals(&self.upstream, signals, self.assigned_at);
     }
 
+    /// Records that the answer has begun.
+    pub fn note_begun(&self) {
+        self.has_begun.set(true);
+    }
+
+    /// Waits until the answer may no longer begin, as a newer version of the adapter was announced; forever once it has
+    /// begun.
+    pub async fn begin_expired(
+        &self,
+        generation: Option<&GenerationSpec>,
+    ) {
+        let named = generation.and_then(|spec| Some((&spec.model, spec.adapter.as_ref()?)));
+        match named {
+            Some((model, adapter)) => {
+                let local_scheduler = &self.scheduling.local_scheduler;
+                local_scheduler
+                    .version_expired(model, adapter, self.version)
+                    .await;
+            }
+            None => pending().await,
+        }
+        if self.has_begun.get() {
+            pending::<()>().await;
+        }
+    }
+
     /// Reports that the first event of the answer was received.
     pub fn first_event(&self) {
         self.scheduling
--- a/crates/entry/tests/older_versions.rs
+++ b/crates/entry/tests/older_versions.rs
@@ -16,12 +16,12 @@
 const BOUND: Duration = Duration::from_secs(5);
 const ADAPTER: &str = "a1";
 
-/// A configuration whose route `model` may be resumed and sent twice, within 15 s.
-fn patient_config() -> Value {
+/// A configuration whose route `model` allows 15 s, and several attempts if it is `resumable`.
+fn patient_config(resumable: bool) -> Value {
     let mut next = config(2);
     let routes = next["routes"].as_array_mut().unwrap();
     for route in routes.iter_mut().filter(|route| route["name"] == "model") {
-        route["resumable"] = json!(true);
+        route["resumable"] = json!(resumable);
         route["attempts"] = json!(3);
         route["timeout_ms"] = json!(15_000);
         route["slo_ms"] = json!(12_000);
@@ -30,8 +30,12 @@
 }
 
 fn start_store() -> KvStandIn {
+    start_store_with(&patient_config(true))
+}
+
+fn start_store_with(config: &Value) -> KvStandIn {
     let (store, _) = start_platform(&[]);
-    store.put("op/config", &patient_config());
+    store.put("op/config", config);
     store
 }
 
@@ -107,6 +111,43 @@
     assert_eq!(last.version, Some(2));
 }
 
+#[test]
+fn a_request_that_cannot_be_repeated_is_withdrawn() {
+    // Guards against a late begin where no second attempt is allowed: its caller is told instead that it has failed.
+    let store = start_store_with(&patient_config(false));
+    let engine = start_engine(&store, "e-1");
+    let vm = Vm::start(&store);
+    assert_served(&vm.send_request(&generation()));
+    engine.set_queue_time(Duration::from_secs(8));
+    let (acked, response) = thread::scope(|scope| {
+        let waiting = scope.spawn(|| vm.send_request(&generation()));
+        wait_until("it has reached the engine", || engine.arrivals().len() == 2);
+        let acked = announce(&store, &[&engine], 2);
+        (acked, waiting.join().unwrap())
+    });
+    assert_eq!(response.status, 502, "{response:?}");
+    wait_until("the engine has dropped it", || engine.cancelled() == 1);
+    assert_none_older(&engine, 2, acked);
+}
+
+#[test]
+fn an_answer_that_has_begun_is_not_cut() {
+    // Guards against cutting answers that began in time and last longer than the bound.
+    let store = start_store_with(&patient_config(false));
+    let engine = start_engine(&store, "e-1");
+    let vm = Vm::start(&store);
+    assert_served(&vm.send_request(&generation()));
+    engine.set_event_gap(Duration::from_millis(5_500));
+    let response = thread::scope(|scope| {
+        let running = scope.spawn(|| vm.send_request(&generation()));
+        wait_until("it has begun", || engine.begins().len() == 2);
+        announce(&store, &[&engine], 2);
+        running.join().unwrap()
+    });
+    assert_served(&response);
+    assert_eq!(engine.begins().len(), 2, "in one run");
+}
+
 #[test]
 fn a_leader_that_lags_starts_nothing_on_an_older_version() {
     // Guards against VMs that know a newer version and obey a leader that doesn't.
