VMs tell the leader which adapter versions they know, and obey no older one

Callers got an older version through VMs that had read the newer one: their leader, cut off from the store or just restarted, had not, and assigned without requiring a version. With the withdrawal of late requests alone they got 502 in place of it.

Cause: what a VM knows of versions played no part in what it asked for, nor in what it did with the answer. The class of fault: a VM that knows better obeys one that doesn't.

Change: each generation tells the leader the newest version that its VM knows, and how much longer it may begin on an older one (8 bytes more a request). The leader learns the version from it, orders it loaded, and keeps to the earlier of both limits for that request. What is assigned after the VM's own limit all the same is sent requiring the newest version. A new leader learns with hello as well. Of two limits for one version the later one holds, as each is before the ack plus the bound.

Evidence: entry a_leader_that_lags_starts_nothing_on_an_older_version. Core a_vm_that_knows_better_than_its_leader_gets_the_newer_version, a_later_limit_of_the_same_version_holds.

--- a/crates/core/examples/scheduler_cost/fleet.rs
+++ b/crates/core/examples/scheduler_cost/fleet.rs
@@ -277,6 +277,7 @@
             cost: 2_400,
             service: ENGINE_SERVICE,
             work: Work::Generation(Generation {
+                newest: None,
                 shared_parts: Vec::new(),
                 model: MODEL,
                 adapter: Some(AdapterId(adapter)),
--- a/crates/core/src/scheduler/announced_versions.rs
+++ b/crates/core/src/scheduler/announced_versions.rs
@@ -1,4 +1,5 @@
 use {
+    super::VersionLimit,
     crate::{
         clock::Millis,
         ids::{AdapterId, AdapterVersion},
@@ -24,9 +25,9 @@
 /// The newest version of an adapter that an operator has announced.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NewestVersion {
-    /// The version.
-    pub version: u32,
-    /// The latest time at which the store is known not to have held it yet; `None` if it was found at startup.
+    /// The version, and until when requests may begin on older ones.
+    pub limit: VersionLimit,
+    /// The latest time at which the store is known not to have held it yet; `None` if that isn't known.
     pub absent_at: Option<Millis>,
 }
 
@@ -88,21 +89,46 @@
         older_version_time: Millis,
         now: Millis,
     ) {
-        let newest = self.newest(adapter);
-        if newest.is_some_and(|newest| newest.version >= version) {
-            return;
-        }
         let (absent_at, older_until) = match source {
             Announcement::New { absent_at } => (Some(absent_at), absent_at + older_version_time),
             Announcement::Found => (None, now),
         };
-        let newest = NewestVersion { version, absent_at };
+        let limit = VersionLimit {
+            version,
+            older_until,
+        };
+        self.learn(adapter, NewestVersion { limit, absent_at }, now);
+    }
+
+    /// Records what is known elsewhere of a version; returns whether that is newer than those known here.
+    pub(super) fn learn(
+        &mut self,
+        adapter: AdapterId,
+        newest: NewestVersion,
+        now: Millis,
+    ) -> bool {
+        let VersionLimit {
+            version,
+            older_until,
+        } = newest.limit;
+        match self.newest(adapter) {
+            Some(known) if known.limit.version > version => return false,
+            // Each limit is before the ack plus the bound, so that the latest one is valid.
+            Some(known)
+                if known.limit.version == version && known.limit.older_until >= older_until =>
+            {
+                return false;
+            }
+            _ => {}
+        }
+        let is_newer = self.announced_version(adapter) != Some(version);
         let known = self.announced.entry(adapter).or_insert_with(|| Announced {
             newest,
             older_until: BTreeMap::new(),
         });
         known.newest = newest;
         known.add_limit(version, older_until, now);
+        is_newer
     }
 
     /// The newest announced version of an adapter.
@@ -127,7 +153,7 @@
         &self,
         adapter: AdapterId,
     ) -> Option<u32> {
-        self.newest(adapter).map(|newest| newest.version)
+        self.newest(adapter).map(|newest| newest.limit.version)
     }
 
     /// Until when requests may begin on a version, `None` if no newer one is announced; without a version, on the initial
--- a/crates/core/src/scheduler/choose/load.rs
+++ b/crates/core/src/scheduler/choose/load.rs
@@ -152,6 +152,9 @@
         let resident = engine.resident_any_version(generation.adapter?)?;
         let AdapterVersion { adapter, version } = resident.adapter;
         let until = self.versions.usable_until(adapter, Some(version))?;
+        // The forwarding VM withdraws the request at its own limit.
+        let own_limit = generation.newest.filter(|newest| version < newest.version);
+        let until = own_limit.map_or(until, |newest| until.min(newest.older_until));
         let first_token = Millis((self.first_token_ms(job, engine) * FIRST_TOKEN_MARGIN) as u64);
         let is_usable = resident.is_loaded(self.now) && self.now + first_token < until;
         is_usable.then_some(resident.adapter)
--- a/crates/core/src/scheduler/job.rs
+++ b/crates/core/src/scheduler/job.rs
@@ -18,6 +18,15 @@
     pub number: u64,
 }
 
+/// An announced version of an adapter, and until when requests may begin on older ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct VersionLimit {
+    /// The announced version.
+    pub version: u32,
+    /// No request begins on an older version from this time on.
+    pub older_until: Millis,
+}
+
 /// A generation by a base model, with or without an adapter.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Generation {
@@ -25,6 +34,8 @@
     pub model: ModelId,
     /// LoRA adapter to apply; `None` for the base model alone.
     pub adapter: Option<AdapterId>,
+    /// The newest version of the adapter that the forwarding VM knows.
+    pub newest: Option<VersionLimit>,
     /// Prompt and output size, in tokens.
     pub size: PromptSize,
     /// The parts of the prompt in order, for prefix caching.
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -10,7 +10,7 @@
         scheduler::{
             AttemptId, EngineLimits, EngineStatus, EnginesToPause, Job, Order, OrderResult,
             Outcome, RateDecision, RateShare, RunningRequest, SchedulerAction as Action,
-            SchedulerSettings, UpstreamStatus, WaitReason, WaitTimes,
+            SchedulerSettings, UpstreamStatus, VersionLimit, WaitReason, WaitTimes,
             announced_versions::{Announcement, NewestVersion},
             loads,
             running::{Stage, TrackedRequest},
@@ -188,6 +188,22 @@
         self.versions.newest(adapter)
     }
 
+    /// Records a version that another VM knows; returns whether it is newer than those known here.
+    ///
+    /// VMs tell it with their requests, so that a leader that has lost the store learns it from them.
+    pub fn learn_version(
+        &mut self,
+        adapter: AdapterId,
+        limit: VersionLimit,
+        now: Millis,
+    ) -> bool {
+        let newest = NewestVersion {
+            limit,
+            absent_at: None,
+        };
+        self.versions.learn(adapter, newest, now)
+    }
+
     /// Until when requests may begin on a version of an adapter, `None` if no newer one is known.
     ///
     /// A request that names no version was sent before any was announced.
--- a/crates/core/tests/older_versions.rs
+++ b/crates/core/tests/older_versions.rs
@@ -7,7 +7,7 @@
         clock::Millis,
         ids::{AdapterId, UpstreamId},
         ingress::PromptSize,
-        scheduler::{Announcement, Job, Work},
+        scheduler::{Announcement, Job, VersionLimit, Work},
     },
     scheduler_world::{Decision, World, generation},
 };
@@ -107,3 +107,62 @@
         "a short one can begin in time"
     );
 }
+
+/// A request whose VM knows version 2, and that older ones may be begun for `older_for` more.
+fn informed(
+    now: Millis,
+    older_for: u64,
+) -> Job {
+    let mut job = generation(1, now);
+    if let Work::Generation(generation) = &mut job.work {
+        generation.newest = Some(VersionLimit {
+            version: 2,
+            older_until: now + Millis(older_for),
+        });
+    }
+    job
+}
+
+#[test]
+fn a_vm_that_knows_better_than_its_leader_gets_the_newer_version() {
+    // Guards against older versions for VMs whose own time for these is over, while the leader's isn't.
+    let mut world = world();
+    announce(&mut world, 2, 0);
+    let now = world.now;
+    let request = world.place(informed(now, 0));
+    assert_eq!(world.decision(request), None, "not by version 1");
+    world.advance(400);
+    assert_eq!(
+        world.decision(request),
+        Some(Decision::Sent(ENGINE, Some(2)))
+    );
+}
+
+#[test]
+fn a_later_limit_of_the_same_version_holds() {
+    // Guards against waits for a load where only the first VM that told of a version knew nothing of its age.
+    let mut world = world();
+    keep_in_use(&mut world);
+    let learn = |world: &mut World, older_for: u64| {
+        let limit = VersionLimit {
+            version: 2,
+            older_until: world.now + Millis(older_for),
+        };
+        let now = world.now;
+        world.scheduler.learn_version(AdapterId(1), limit, now)
+    };
+    assert!(learn(&mut world, 0), "it is newer");
+    assert!(!learn(&mut world, 3_000), "it is known");
+    let request = world.generate(1);
+    assert_eq!(
+        world.decision(request),
+        Some(Decision::Sent(ENGINE, Some(1)))
+    );
+    assert!(!learn(&mut world, 1_000));
+    world.advance(1_500);
+    let request = world.generate(1);
+    assert_eq!(
+        world.decision(request),
+        Some(Decision::Sent(ENGINE, Some(1)))
+    );
+}
--- a/crates/core/tests/scheduler_world/mod.rs
+++ b/crates/core/tests/scheduler_world/mod.rs
@@ -354,6 +354,7 @@
         cost: 2_000,
         service: ENGINES,
         work: Work::Generation(Generation {
+            newest: None,
             shared_parts: Vec::new(),
             model: MODEL,
             adapter: Some(AdapterId(adapter)),
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -131,7 +131,8 @@
         self.placement.note_begun();
         let used = self.placement.version;
         let newest = self.req.newest_version(&self.cx.scheduling.local_scheduler);
-        let Some(newest) = newest.filter(|newest| used.is_none_or(|used| used < newest.version))
+        let Some(newest) =
+            newest.filter(|newest| used.is_none_or(|used| used < newest.limit.version))
         else {
             return;
         };
@@ -142,7 +143,7 @@
             .with("adapter", self.req.caller.adapter.as_deref().unwrap_or("-"))
             .with("upstream", &self.placement.upstream)
             .with("version", used.unwrap_or_default())
-            .with("newest", newest.version)
+            .with("newest", newest.limit.version)
             .with("absent_ms", age_text(absent_for))
             .info();
         if let Some(absent_for) = absent_for {
--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -456,7 +456,7 @@
     /// The newest announced version of the request's adapter that this VM knows; 0 for none.
     fn newest_version(&self) -> u32 {
         let newest = self.req.newest_version(&self.cx.scheduling.local_scheduler);
-        newest.map_or(0, |newest| newest.version)
+        newest.map_or(0, |newest| newest.limit.version)
     }
 
     fn id(&self) -> &str {
--- a/crates/entry/src/scheduling/client/mod.rs
+++ b/crates/entry/src/scheduling/client/mod.rs
@@ -183,6 +183,9 @@
             spec.objective = spec.objective.since(spent);
             spec.deadline = spec.deadline.since(spent);
             spec.number = self.next_number.replace(self.next_number.get() + 1);
+            if let Some(generation) = &mut spec.generation {
+                self.local_scheduler.add_newest_version(generation);
+            }
             let pending = PendingPlacement {
                 scheduling: self,
                 number: spec.number,
@@ -199,6 +202,10 @@
                 Some(Verdict::Assigned(mut assignment)) => {
                     pending.is_settled.set(true);
                     assignment.build = self.agreed_build(&assignment);
+                    // A version may have been announced while the request waited at the leader.
+                    assignment.version = self
+                        .local_scheduler
+                        .current_version(&spec, assignment.version);
                     if self.is_stale_assignment(&assignment, &spec) {
                         // The leader may not know yet that this upstream is leaving, wants rest or has restarted.
                         let end = JobUpdate::Ended(Outcome::Abandoned, PromptEvidence::None);
@@ -559,6 +566,9 @@
             let age = now.since(running.since);
             spec.job.objective = spec.job.objective.since(age);
             spec.job.deadline = spec.job.deadline.since(age);
+            if let Some(generation) = &mut spec.job.generation {
+                self.local_scheduler.add_newest_version(generation);
+            }
             spec
         });
         aged.collect()
--- a/crates/entry/src/scheduling/convert.rs
+++ b/crates/entry/src/scheduling/convert.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        Assignment, CrashSpec, GenerationSpec, JobSpec, Leader, RunningSpec, StatedSpec, Verdict,
+        Assignment, CrashSpec, GenerationSpec, JobSpec, Leader, NewestSpec, RunningSpec,
+        StatedSpec, Verdict,
     },
     capnp::{struct_list, text, text_list},
     jasmine_core::{
@@ -70,6 +71,10 @@
     };
     to.set_model(&generation.model);
     to.set_adapter(generation.adapter.as_deref().unwrap_or_default());
+    if let Some(newest) = generation.newest {
+        to.set_version(newest.version);
+        to.set_older_ms(newest.older_for.0 as u32);
+    }
     to.set_prompt_tokens(generation.size.prompt);
     to.set_output_tokens(generation.size.output);
     let mut parts = to.init_parts(generation.parts.len() as u32);
@@ -87,6 +92,10 @@
         model => Some(GenerationSpec {
             model: model.to_owned(),
             adapter: non_empty(from.get_adapter()?.to_str()?),
+            newest: non_zero(from.get_version()).map(|version| NewestSpec {
+                version,
+                older_for: Millis(from.get_older_ms().into()),
+            }),
             size: PromptSize {
                 prompt: from.get_prompt_tokens(),
                 output: from.get_output_tokens(),
--- a/crates/entry/src/scheduling/job_spec.rs
+++ b/crates/entry/src/scheduling/job_spec.rs
@@ -5,7 +5,7 @@
         ids::PartId,
         ingress::{PromptPart, PromptSize, shared_parts},
         rights::CallerTag,
-        scheduler::{Generation, Job, Work},
+        scheduler::{Generation, Job, VersionLimit, Work},
     },
     jasmine_platform::headers::CallerHeaders,
     xxhash_rust::xxh3::xxh3_64,
@@ -18,18 +18,42 @@
     pub model: String,
     /// Name of the adapter; `None` for the base model alone.
     pub adapter: Option<String>,
+    /// The newest version of the adapter that the forwarding VM knows.
+    pub newest: Option<NewestSpec>,
     /// Prompt and output sizes, in tokens.
     pub size: PromptSize,
     /// The prompt's parts, for prefix reuse.
     pub parts: Vec<PromptPart>,
 }
 
+/// A [`VersionLimit`] as sent between VMs: with the remaining time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NewestSpec {
+    /// The announced version.
+    pub version: u32,
+    /// How much longer requests may begin on an older version.
+    pub older_for: Millis,
+}
+
+impl NewestSpec {
+    pub(super) fn resolve(
+        self,
+        now: Millis,
+    ) -> VersionLimit {
+        VersionLimit {
+            version: self.version,
+            older_until: now + self.older_for,
+        }
+    }
+}
+
 impl GenerationSpec {
     /// The generation that a caller's headers ask for; `None` without a model.
     pub fn from_headers(caller: &CallerHeaders) -> Option<Self> {
         Some(Self {
             model: caller.model.clone()?,
             adapter: caller.adapter.clone(),
+            newest: None,
             size: caller.size.unwrap_or_default(),
             parts: caller.parts.clone(),
         })
@@ -98,6 +122,7 @@
                     .adapter
                     .as_ref()
                     .map(|adapter| names.adapter(&spec.model, adapter)),
+                newest: spec.newest.map(|newest| newest.resolve(now)),
                 size: spec.size,
                 parts: spec.parts.clone(),
                 shared_parts: spec.shared_parts(),
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -1,6 +1,7 @@
 use {
     super::{
-        Assignment, JobSpec, NameInterner, RunningSpec, StatedSpec, VmHistory,
+        Assignment, GenerationSpec, JobSpec, NameInterner, NewestSpec, RunningSpec, StatedSpec,
+        VmHistory,
         facts::{engine_facts, engine_limits, upstream_facts},
     },
     crate::clock::Clock,
@@ -19,6 +20,7 @@
         },
     },
     jasmine_platform::engine::EngineReport,
+    jasmine_telemetry::log::Line,
     std::{
         cell::{Cell, RefCell},
         collections::{BTreeSet, HashMap, HashSet},
@@ -400,6 +402,63 @@
         self.versions_changed.send_modify(|count| *count += 1);
     }
 
+    /// Adds what this VM knows of the newest version of a request's adapter.
+    pub(super) fn add_newest_version(
+        &self,
+        spec: &mut GenerationSpec,
+    ) {
+        let adapter = spec.adapter.as_ref();
+        let newest = adapter.and_then(|adapter| self.newest_version(&spec.model, adapter));
+        let now = self.clock.now();
+        spec.newest = newest.map(|NewestVersion { limit, .. }| NewestSpec {
+            version: limit.version,
+            older_for: limit.older_until.since(now),
+        });
+    }
+
+    /// Learns the version that the VM of a request knows, if it is newer than those known here.
+    fn learn_version(
+        &self,
+        spec: &JobSpec,
+    ) {
+        let Some(spec) = &spec.generation else {
+            return;
+        };
+        let (Some(adapter), Some(newest)) = (&spec.adapter, spec.newest) else {
+            return;
+        };
+        let now = self.clock.now();
+        let id = self.names.borrow_mut().adapter(&spec.model, adapter);
+        let limit = newest.resolve(now);
+        if self.scheduler.borrow_mut().learn_version(id, limit, now) {
+            Line::new("version_learned")
+                .with("model", &spec.model)
+                .with("adapter", adapter)
+                .with("version", newest.version)
+                .info();
+            self.versions_changed.send_modify(|count| *count += 1);
+        }
+    }
+
+    /// The version that a request has to be sent with: the assigned one, or the newest if that may no longer be begun.
+    pub(super) fn current_version(
+        &self,
+        spec: &JobSpec,
+        assigned: Option<u32>,
+    ) -> Option<u32> {
+        let generation = spec.generation.as_ref()?;
+        let adapter = generation.adapter.as_ref()?;
+        let adapter = self.names.borrow_mut().adapter(&generation.model, adapter);
+        let scheduler = self.scheduler.borrow();
+        let until = scheduler.version_usable_until(adapter, assigned);
+        match scheduler.newest_version(adapter) {
+            Some(newest) if until.is_some_and(|until| until <= self.clock.now()) => {
+                Some(newest.limit.version)
+            }
+            _ => assigned,
+        }
+    }
+
     /// Waits until requests may no longer begin on a version of an adapter, as far as this VM knows.
     pub async fn version_expired(
         &self,
@@ -446,6 +505,7 @@
             vm,
             number: spec.number,
         };
+        self.learn_version(spec);
         let (tx, rx) = oneshot::channel();
         self.waiters.borrow_mut().insert(attempt_id, tx);
         let job = spec.resolve(&mut self.names.borrow_mut(), self.clock.now());
@@ -492,6 +552,7 @@
         vm: u32,
         spec: &RunningSpec,
     ) {
+        self.learn_version(&spec.job);
         let now = self.clock.now();
         let mut names = self.names.borrow_mut();
         let adopted = RunningRequest {
--- a/crates/entry/src/scheduling/mod.rs
+++ b/crates/entry/src/scheduling/mod.rs
@@ -20,7 +20,7 @@
     assignment::Assignment,
     client::{LINK_OPTIONS, SchedulerNode},
     handover::Handover,
-    job_spec::{GenerationSpec, JobSpec, RunningSpec},
+    job_spec::{GenerationSpec, JobSpec, NewestSpec, RunningSpec},
     leader::Leader,
     local_scheduler::{LocalScheduler, ProbeTarget, Verdict},
     name_interner::NameInterner,
--- a/crates/entry/tests/older_versions.rs
+++ b/crates/entry/tests/older_versions.rs
@@ -155,7 +155,11 @@
     let engine = start_engine(&store, "e-1");
     let lagging = start_store();
     lagging.put(&engine.key(), &engine.entry("llm", "one"));
-    let leader = Vm::start(&lagging);
+    // VMs of one data centre read changes from each other.
+    let name = format!("lagging-{}", std::process::id());
+    let leader = Vm::start_with_settings(lagging.address(), &name, |settings| {
+        settings["data_centre"] = json!("two");
+    });
     wait_until("it leads", || !leader.log_lines("lead_taken").is_empty());
     assert_served(&leader.send_request(&generation()));
     for key in lagging.keys() {
--- a/crates/wire/schema/scheduler.capnp
+++ b/crates/wire/schema/scheduler.capnp
@@ -27,6 +27,8 @@
   gapObjectiveMs @16 :UInt32;  # 0: none
   allowedDataCentres @17 :List(Text);  # empty: all
   build @18 :Text;             # the only software version that may serve it; empty: any
+  version @19 :UInt32;         # newest announced version of the adapter that the VM knows; 0: none
+  olderMs @20 :UInt32;         # how much longer the request may begin on an older one
 }
 
 struct RunningJob {
