An evacuation that is read late takes effect within its bound

Change: it takes effect at the latest evacuation_ms less 500 ms after the store is known not to have held it; where it is read in time nothing changes. What a running VM first reads in a full read after lost history is counted from its last complete view, for versions and evacuations.

Evidence: core an_evacuation_that_is_read_late_takes_effect_in_time fails with the time counted from learning (0.6 s after a change that took 4 s the data centre still got a request).

--- a/crates/conf/src/settings/entry_settings.rs
+++ b/crates/conf/src/settings/entry_settings.rs
@@ -3,7 +3,7 @@
         ColdUpstreamSettings, EntryListen, InvalidSetting, LogSettings, RetryBudgetSettings,
         Validate, VmResources, range::check_range,
     },
-    jasmine_core::clock::Millis,
+    jasmine_core::{clock::Millis, scheduler::EvacuationTimes},
     serde::{Deserialize, Serialize},
     std::{
         collections::BTreeMap,
@@ -111,11 +111,15 @@
         gap.unwrap_or(Millis::ZERO)
     }
 
-    /// How long requests move away from a data centre after its evacuation has become known here.
+    /// When evacuations take effect.
     ///
     /// Leaves time for the change to arrive, and for requests on their way to an upstream.
-    pub fn evacuation_move(&self) -> Millis {
-        self.evacuation_ms.since(self.change_ms + DISPATCH_MARGIN)
+    pub fn evacuation_times(&self) -> EvacuationTimes {
+        let latest_effect = self.evacuation_ms.since(DISPATCH_MARGIN);
+        EvacuationTimes {
+            moving: latest_effect.since(self.change_ms),
+            latest_effect,
+        }
     }
 
     /// How long after an adapter version was known to be absent requests may begin on an older one.
--- a/crates/core/src/scheduler/availability.rs
+++ b/crates/core/src/scheduler/availability.rs
@@ -3,7 +3,7 @@
 
 use {
     super::{
-        Announcement, Job, SignalChanges, StatedUpstream, UpstreamSignals,
+        Announcement, EvacuationTimes, Job, SignalChanges, StatedUpstream, UpstreamSignals,
         admission_log::AdmissionLog,
         brittleness::{BrittleLoad, CAUTION, REJECTION_WINDOW, SERVICE_RETENTION},
         cold_admission::{COLD_WINDOW, ColdLimit},
@@ -24,10 +24,10 @@
         &mut self,
         data_centre: DataCentreId,
         source: Announcement,
-        move_time: Millis,
+        times: EvacuationTimes,
         now: Millis,
     ) -> Option<Millis> {
-        self.evacuations.begin(data_centre, source, move_time, now);
+        self.evacuations.begin(data_centre, source, times, now);
         let effective_at = self.evacuations.effective_at(Some(data_centre));
         for upstream in self.upstreams_in(data_centre) {
             upstream.evacuated_from = effective_at;
--- a/crates/core/src/scheduler/choose/cost.rs
+++ b/crates/core/src/scheduler/choose/cost.rs
@@ -74,7 +74,7 @@
             return 0.0;
         };
         let left = effective_at.since(self.now).0 as f64;
-        let whole = self.settings.evacuation_move.0.max(1) as f64;
+        let whole = self.settings.evacuation.moving.0.max(1) as f64;
         EVACUATION_PENALTY_MS * (1.0 - left / whole).clamp(0.0, 1.0)
     }
 
--- a/crates/core/src/scheduler/evacuation.rs
+++ b/crates/core/src/scheduler/evacuation.rs
@@ -4,6 +4,15 @@
     std::collections::BTreeMap,
 };
 
+/// When an evacuation takes effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EvacuationTimes {
+    /// How long requests move away from a data centre before its evacuation takes effect.
+    pub moving: Millis,
+    /// Time from the last moment at which an evacuation was known to be absent until it takes effect at the latest.
+    pub latest_effect: Millis,
+}
+
 /// The data centres that an operator is evacuating: their upstreams get no new requests.
 ///
 /// Requests move away before the evacuation takes effect, so that adapters are loaded elsewhere
@@ -22,12 +31,15 @@
         &mut self,
         data_centre: DataCentreId,
         source: Announcement,
-        move_time: Millis,
+        times: EvacuationTimes,
         now: Millis,
     ) {
         let effective_at = match source {
             Announcement::Found => now,
-            Announcement::New { .. } => now + move_time,
+            Announcement::New { absent_at } => {
+                let latest = absent_at + times.latest_effect;
+                (now + times.moving).min(latest).max(now)
+            }
         };
         self.effective_at.entry(data_centre).or_insert(effective_at);
     }
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -64,6 +64,7 @@
     announced_versions::{Announcement, NewestVersion},
     cold_admission::{COLD_WINDOW, ColdLimit},
     engine::EngineLimits,
+    evacuation::EvacuationTimes,
     job::{AttemptId, Generation, Job, LOCAL_VM, VersionLimit, Work},
     outcome::{EnginesToPause, OrderResult, Outcome, RateDecision},
     request_limit::LIMIT_WINDOW,
--- a/crates/core/src/scheduler/settings.rs
+++ b/crates/core/src/scheduler/settings.rs
@@ -1,4 +1,4 @@
-use crate::clock::Millis;
+use {super::EvacuationTimes, crate::clock::Millis};
 
 /// Retry budget of a service.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -73,8 +73,8 @@
     /// Zero where engines check fencing tokens; other engines may still execute orders of the
     /// previous scheduler.
     pub order_gap: Millis,
-    /// How long requests move away from a data centre before its evacuation takes effect.
-    pub evacuation_move: Millis,
+    /// When evacuations take effect.
+    pub evacuation: EvacuationTimes,
     /// Limits and expected times of adapter loads.
     pub loads: LoadSettings,
     /// Retry budget of each service.
@@ -90,7 +90,10 @@
             min_call_time: Millis(30),
             older_version_time: Millis(4_600),
             order_gap: Millis::ZERO,
-            evacuation_move: Millis::ZERO,
+            evacuation: EvacuationTimes {
+                moving: Millis::ZERO,
+                latest_effect: Millis(4_500),
+            },
             loads: LoadSettings::default(),
             repeats: RetrySettings::default(),
         }
--- a/crates/core/src/scheduler/state_machine/availability.rs
+++ b/crates/core/src/scheduler/state_machine/availability.rs
@@ -26,10 +26,8 @@
         source: Announcement,
         now: Millis,
     ) -> Vec<Action> {
-        let move_time = self.settings.evacuation_move;
-        self.next_evacuation_at = self
-            .fleet
-            .begin_evacuation(data_centre, source, move_time, now);
+        let times = self.settings.evacuation;
+        self.next_evacuation_at = self.fleet.begin_evacuation(data_centre, source, times, now);
         self.decide(now)
     }
 
--- a/crates/core/tests/evacuation.rs
+++ b/crates/core/tests/evacuation.rs
@@ -7,17 +7,23 @@
         clock::Millis,
         error::{ErrorKind, Refusal},
         ids::{DataCentreId, UpstreamId},
-        scheduler::{Announcement, Job, Outcome, SchedulerSettings, UpstreamStatus},
+        scheduler::{
+            Announcement, EvacuationTimes, Job, Outcome, SchedulerSettings, UpstreamStatus,
+        },
     },
     scheduler_world::{CALLS, Decision, HERE, World, call, engine, upstream},
 };
 
 const THERE: DataCentreId = DataCentreId(1);
 const MOVE_TIME: Millis = Millis(1_500);
+const LATEST_EFFECT: Millis = Millis(4_500);
 
 fn world() -> World {
     let settings = SchedulerSettings {
-        evacuation_move: MOVE_TIME,
+        evacuation: EvacuationTimes {
+            moving: MOVE_TIME,
+            latest_effect: LATEST_EFFECT,
+        },
         ..SchedulerSettings::default()
     };
     World::with(0, settings, true)
@@ -254,3 +260,16 @@
         Some(ErrorKind::RegionUnavailable)
     );
 }
+
+#[test]
+fn an_evacuation_that_is_read_late_takes_effect_in_time() {
+    // Guards against requests that reach an evacuated data centre after the bound, where the change took long to arrive.
+    let mut world = world();
+    add_server(&mut world, 0, THERE);
+    let absent_at = world.now.since(Millis(4_000));
+    evacuate(&mut world, THERE, Announcement::New { absent_at });
+    world.advance(600);
+    let now = world.now;
+    let request = world.place(call(now));
+    assert_eq!(refused_for(&world, request), Some(ErrorKind::Evacuated));
+}
--- a/crates/entry/src/daemon/run.rs
+++ b/crates/entry/src/daemon/run.rs
@@ -200,7 +200,7 @@
 fn scheduler_settings(settings: &EntrySettings) -> SchedulerSettings {
     SchedulerSettings {
         order_gap: settings.order_gap(),
-        evacuation_move: settings.evacuation_move(),
+        evacuation: settings.evacuation_times(),
         older_version_time: settings.older_version_time(),
         repeats: RetrySettings {
             ratio: settings.repeats.ratio,
--- a/crates/entry/src/store/view.rs
+++ b/crates/entry/src/store/view.rs
@@ -290,7 +290,7 @@
                 Err(e) => log_unreadable(&kv.key, &e),
             }
         } else if kv.key.starts_with(versions::PREFIX) {
-            self.put_version(kv, origin);
+            self.put_version(kv);
         } else if let Some(rest) = kv.key.strip_prefix(evacuations::PREFIX) {
             match evacuations::decode(rest) {
                 Ok(data_centre) => self.begin_evacuation(data_centre, origin),
@@ -357,26 +357,24 @@
     }
 
     /// How an announcement became known that is being applied.
-    fn announcement(
-        &self,
-        origin: Origin,
-    ) -> Announcement {
-        match (origin, self.feed.complete_at()) {
-            (Origin::Change, Some(absent_at)) => Announcement::New { absent_at },
-            _ => Announcement::Found,
-        }
+    ///
+    /// One that this VM didn't know is newer than all that it has read, also in a full read after lost history.
+    fn announcement(&self) -> Announcement {
+        let absent_at = self.feed.complete_at();
+        absent_at.map_or(Announcement::Found, |absent_at| Announcement::New {
+            absent_at,
+        })
     }
 
     fn put_version(
         &self,
         kv: &KeyValue,
-        origin: Origin,
     ) {
         let announced = match versions::decode(&kv.value) {
             Ok(announced) => announced,
             Err(e) => return log_unreadable(&kv.key, &e),
         };
-        let source = self.announcement(origin);
+        let source = self.announcement();
         Line::new("version_announced")
             .with("model", &announced.model)
             .with("adapter", announced.adapter.as_deref().unwrap_or("-"))
@@ -412,7 +410,7 @@
             return;
         }
         let is_known = self.cx.settings.regions.contains_key(data_centre);
-        let source = self.announcement(origin);
+        let source = self.announcement();
         Line::new("evacuation_begun")
             .with("data_centre", data_centre)
             .with("known", is_known)
