An adapter that is still being loaded is not ordered in another version

Cause: the slot of an older version counted as free for the newer one whenever no request used it, also during its load, and where two versions of an adapter were listed (one replacing the other) only the first was looked at.

Change: all versions of the adapter have to be out of use and surely loaded. Of several versions that may be used the newest is.

--- a/crates/core/src/scheduler/choose/load.rs
+++ b/crates/core/src/scheduler/choose/load.rs
@@ -108,8 +108,12 @@
         wanted: AdapterVersion,
     ) -> Option<(Option<AdapterVersion>, f64)> {
         // An older version of the same adapter is replaced in its slot once no request uses it.
-        if let Some(old) = engine.resident_any_version(wanted.adapter) {
-            return (engine.users_of(old.adapter) == 0).then_some((None, 0.0));
+        // While that is still being loaded itself, the engine may need a second slot.
+        if engine.has_any_version(wanted.adapter) {
+            let is_replaceable = engine
+                .versions_of(wanted.adapter)
+                .all(|old| engine.users_of(old.adapter) == 0 && old.can_be_evicted(self.now));
+            return is_replaceable.then_some((None, 0.0));
         }
         if engine.has_free_adapter_slot(model) {
             return Some((None, 0.0));
@@ -149,15 +153,29 @@
         generation: &Generation,
         engine: &Engine,
     ) -> Option<AdapterVersion> {
-        let resident = engine.resident_any_version(generation.adapter?)?;
-        let AdapterVersion { adapter, version } = resident.adapter;
+        let first_token = Millis((self.first_token_ms(job, engine) * FIRST_TOKEN_MARGIN) as u64);
+        let usable = engine
+            .versions_of(generation.adapter?)
+            .filter(|resident| resident.is_loaded(self.now))
+            .map(|resident| resident.adapter)
+            .filter(|&adapter| {
+                let until = self.older_usable_until(generation, adapter);
+                until.is_some_and(|until| self.now + first_token < until)
+            });
+        usable.max_by_key(|adapter| adapter.version)
+    }
+
+    /// Until when the request may begin on a version; `None` if no newer one is announced.
+    fn older_usable_until(
+        &self,
+        generation: &Generation,
+        adapter: AdapterVersion,
+    ) -> Option<Millis> {
+        let AdapterVersion { adapter, version } = adapter;
         let until = self.versions.usable_until(adapter, Some(version))?;
         // The forwarding VM withdraws the request at its own limit.
         let own_limit = generation.newest.filter(|newest| version < newest.version);
-        let until = own_limit.map_or(until, |newest| until.min(newest.older_until));
-        let first_token = Millis((self.first_token_ms(job, engine) * FIRST_TOKEN_MARGIN) as u64);
-        let is_usable = resident.is_loaded(self.now) && self.now + first_token < until;
-        is_usable.then_some(resident.adapter)
+        Some(own_limit.map_or(until, |newest| until.min(newest.older_until)))
     }
 
     /// Whether the engine has backlog capacity, a request slot and memory for the request now.
--- a/crates/core/src/scheduler/choose/mod.rs
+++ b/crates/core/src/scheduler/choose/mod.rs
@@ -271,9 +271,7 @@
         let wanted = self.versions.wanted(adapter);
         let has_adapter = |up: &Upstream| {
             let engine = up.engine.as_ref();
-            engine.is_some_and(|e| {
-                e.resident_any_version(adapter).is_some() || e.was_unloaded_recently(wanted)
-            })
+            engine.is_some_and(|e| e.has_any_version(adapter) || e.was_unloaded_recently(wanted))
         };
         let holders = self.fleet.holders(adapter);
         let mut candidates = self.sample(holders, u64::from(adapter.0), |up| {
--- a/crates/core/src/scheduler/engine.rs
+++ b/crates/core/src/scheduler/engine.rs
@@ -347,14 +347,21 @@
             .find(|resident| resident.adapter == adapter)
     }
 
-    /// The resident adapter with this id, whatever its version.
-    pub(super) fn resident_any_version(
+    /// The residents with this id: one, or two while a version replaces another.
+    pub(super) fn versions_of(
         &self,
         adapter: AdapterId,
-    ) -> Option<&ResidentAdapter> {
-        self.residents
-            .iter()
-            .find(|resident| resident.adapter.adapter == adapter)
+    ) -> impl Iterator<Item = &ResidentAdapter> {
+        let residents = self.residents.iter();
+        residents.filter(move |resident| resident.adapter.adapter == adapter)
+    }
+
+    /// Whether any version of the adapter is resident.
+    pub(super) fn has_any_version(
+        &self,
+        adapter: AdapterId,
+    ) -> bool {
+        self.versions_of(adapter).next().is_some()
     }
 
     /// Whether an adapter of this model can be loaded without an eviction.
@@ -400,7 +407,7 @@
             .recently_unloaded
             .iter()
             .any(|dropped| dropped.adapter == adapter);
-        was_held || self.resident_any_version(adapter).is_some()
+        was_held || self.has_any_version(adapter)
     }
 
     /// Number of assigned requests that use the adapter.
--- a/crates/core/tests/older_versions.rs
+++ b/crates/core/tests/older_versions.rs
@@ -166,3 +166,23 @@
         Some(Decision::Sent(ENGINE, Some(1)))
     );
 }
+
+#[test]
+fn a_version_that_is_being_loaded_is_not_replaced() {
+    // Guards against two loads of one adapter at the same time, for which the engine may have no slot.
+    let mut world = world();
+    announce(&mut world, 2, 10_000);
+    world.generate(1);
+    assert_eq!(world.loads_of(1), 1);
+    world.advance(30);
+    announce(&mut world, 3, 10_000);
+    let request = world.generate(1);
+    world.advance(500);
+    assert_eq!(world.loads_of(1), 1, "{:?}", world.orders);
+    world.advance(1_000);
+    assert_eq!(world.loads_of(1), 2, "{:?}", world.orders);
+    assert_eq!(
+        world.decision(request),
+        Some(Decision::Sent(ENGINE, Some(3)))
+    );
+}
