Soak: versions are announced under load, and engines hold requests before their first token

Nothing of ours announced versions beside faults. Each seed now announces versions of five adapters at short intervals, also while all VMs are calm, and lets requests wait up to 4.8 s at the engine. An answer of a VM in touch that begins on a version later than 3 s after the ack of a newer one is a violation (version_ms of its VMs is 3 s).

The plans of the other faults are drawn apart and stay the same.

--- a/crates/entry/tests/soak/callers.rs
+++ b/crates/entry/tests/soak/callers.rs
@@ -1,5 +1,9 @@
 use {
-    super::{cluster::Herd, fault::CRASHING_PARTS, resumed_streams::events_of},
+    super::{
+        cluster::Herd,
+        fault::{ADAPTERS, CRASHING_PARTS},
+        resumed_streams::events_of,
+    },
     crate::deployment::{Request, Response, read_response},
     std::{
         io::Write,
@@ -201,7 +205,10 @@
     let req = Request::new(method, target);
     match target {
         "/model/x" => req
-            .with("X-Model", &format!("base/a{}", request_number % 5 + 1))
+            .with(
+                "X-Model",
+                &format!("base/a{}", request_number % ADAPTERS + 1),
+            )
             .with("X-Token-Counts", "100,10")
             .with("X-Prompt-Prefix", "a1:50,b2:50")
             .body(b"prompt"),
--- a/crates/entry/tests/soak/checks.rs
+++ b/crates/entry/tests/soak/checks.rs
@@ -5,6 +5,7 @@
         callers::{CallResult, Record},
         cluster::{Cluster, EVENTS},
         crashing_parts::check_parts,
+        older_versions::check_versions,
         resumed_streams::check_streams,
     },
     crate::deployment::{API_KEY, Response},
@@ -51,6 +52,7 @@
     violations.extend(check_streams(&cluster.disturbances, records));
     violations.extend(check_availability(cluster, records));
     violations.extend(check_parts(cluster, records));
+    violations.extend(check_versions(cluster, records));
     violations
 }
 
--- a/crates/entry/tests/soak/cluster.rs
+++ b/crates/entry/tests/soak/cluster.rs
@@ -2,6 +2,7 @@
     super::{
         disturbances::{Disturbances, Disturbed},
         fault::{BUILD_SLOTS, CRASH_ENGINES, CRASHING_PARTS, Fault, Statement, UPSTREAMS, VMS},
+        older_versions::{Announced, VERSION_BOUND},
     },
     crate::deployment::{self, Request, TIMEOUT, Vm, exchange},
     jasmine_platform_stand_in::{Behaviour, EngineStandIn, KvStandIn, Outage, UpstreamStandIn},
@@ -60,6 +61,7 @@
     Evacuated(usize),
     Statement(usize, Statement),
     Herd,
+    EngineQueue,
 }
 
 /// All processes, fake services and proxies of a run.
@@ -82,6 +84,8 @@
     /// Engines that prompts can crash.
     pub crash_engines: Vec<EngineStandIn>,
     crashing_parts: Vec<&'static str>,
+    /// The announced versions of adapters, in their order.
+    pub announced: Vec<Announced>,
     pub disturbances: Disturbances,
     herd: Herd,
     version: u64,
@@ -115,6 +119,7 @@
             vm_link_modes: [None; VMS],
             crash_engines: Vec::new(),
             crashing_parts: Vec::new(),
+            announced: Vec::new(),
             disturbances: Disturbances::default(),
             herd: Arc::new(AtomicUsize::new(NO_HERD)),
             version: 0,
@@ -253,6 +258,12 @@
                 }
             }
             Fault::EngineCrash(engine) => self.crash_engines[engine].crash(),
+            Fault::NewVersion(adapter) => self.announce_version(adapter),
+            Fault::EngineQueue(queued, time) => {
+                self.engine.set_queue_time(queued);
+                self.pending_ends
+                    .push((now + time, FaultTarget::EngineQueue));
+            }
             Fault::Herd(vm, time) => {
                 self.herd.store(vm, Ordering::Relaxed);
                 self.pending_ends.push((now + time, FaultTarget::Herd));
@@ -279,12 +290,7 @@
                     .push((now + time, FaultTarget::Draining(upstream)));
             }
             Fault::Statement(upstream, statement, time) => {
-                let (header, value) = statement.header();
-                let stated = &self.upstreams[upstream];
-                stated.headers.set(header, Some(value));
-                if matches!(statement, Statement::Rest) {
-                    stated.set_default(Behaviour::Shed);
-                }
+                self.begin_statement(upstream, statement);
                 self.pending_ends
                     .push((now + time, FaultTarget::Statement(upstream, statement)));
             }
@@ -296,6 +302,42 @@
         }
     }
 
+    fn begin_statement(
+        &self,
+        upstream: usize,
+        statement: Statement,
+    ) {
+        let (header, value) = statement.header();
+        let stated = &self.upstreams[upstream];
+        stated.headers.set(header, Some(value));
+        if matches!(statement, Statement::Rest) {
+            stated.set_default(Behaviour::Shed);
+        }
+    }
+
+    /// Publishes and announces the next version of an adapter.
+    fn announce_version(
+        &mut self,
+        adapter: usize,
+    ) {
+        let adapter = format!("a{}", adapter + 1);
+        let known = self.announced.iter().rev();
+        let last = known
+            .filter(|announced| announced.adapter == adapter)
+            .map(|announced| announced.version)
+            .next();
+        let version = last.unwrap_or(1) + 1;
+        self.engine.publish(&adapter, version);
+        let value = json!({"model": "base", "adapter": adapter, "version": version});
+        self.store
+            .put(&format!("op/version/base.{adapter}"), &value);
+        self.announced.push(Announced {
+            adapter,
+            version,
+            acked: Instant::now(),
+        });
+    }
+
     /// Ends expired faults and restarts processes that are due.
     pub fn step(&mut self) {
         let now = Instant::now();
@@ -387,6 +429,7 @@
         let healthy = Link::default();
         match target {
             FaultTarget::Herd => self.stop_herds(),
+            FaultTarget::EngineQueue => self.engine.set_queue_time(Duration::ZERO),
             FaultTarget::StoreLink(vm) => self.slots[vm].store_link.set(healthy),
             FaultTarget::CallerLink(vm) => self.slots[vm].caller_link.set(healthy),
             FaultTarget::UpstreamLink(upstream) => self.upstream_links[upstream].set(healthy),
@@ -500,6 +543,7 @@
     Vm::start_with_settings(store, name, |settings| {
         settings["upstream_source"] = json!(upstream_source(number));
         settings["evacuation_ms"] = json!(2_500);
+        settings["version_ms"] = json!(VERSION_BOUND.as_millis() as u64);
     })
 }
 
--- a/crates/entry/tests/soak/fault.rs
+++ b/crates/entry/tests/soak/fault.rs
@@ -45,6 +45,16 @@
 const HERD_INTERVAL_MS: Range<u64> = 1_500..4_000;
 /// How long connections reach one VM, in milliseconds.
 const HERD_DURATION_MS: Range<u64> = 500..2_500;
+/// The same for announced versions of adapters, and for engines in which requests wait.
+const VERSION_SEED: u64 = 0x00ad_a9e5;
+/// Time between two of these, in milliseconds.
+const VERSION_INTERVAL_MS: Range<u64> = 60..400;
+/// How long requests wait for their first token at an engine, in milliseconds.
+const QUEUE_MS: Range<u64> = 500..4_800;
+/// For how long new requests wait there, in milliseconds.
+const QUEUE_DURATION_MS: Range<u64> = 100..500;
+/// Adapters that callers use, from `a1` on.
+pub const ADAPTERS: usize = 5;
 pub const VMS: usize = 3;
 /// Engines that crash.
 pub const CRASH_ENGINES: usize = 4;
@@ -87,6 +97,10 @@
     CrashingPart(usize),
     /// An engine crashes, whatever it runs.
     EngineCrash(usize),
+    /// A newer version of an adapter is announced.
+    NewVersion(usize),
+    /// Requests that reach the engine wait this long for their first token.
+    EngineQueue(Duration, Duration),
     /// The callers' new connections reach one VM, as long as it takes them.
     Herd(usize, Duration),
 }
@@ -139,10 +153,20 @@
     plan.extend(salted(BUILD_SEED, BUILD_INTERVAL_MS, build));
     plan.extend(crashes(seed, length));
     plan.extend(salted(HERD_SEED, HERD_INTERVAL_MS, herd));
+    plan.extend(salted(VERSION_SEED, VERSION_INTERVAL_MS, version));
     plan.sort_by_key(|&(at, _)| at);
     plan
 }
 
+/// Versions are announced while all VMs are calm, too.
+pub fn calm_plan(
+    seed: u64,
+    length: Duration,
+) -> Vec<(Duration, Fault)> {
+    let rng = ChaCha8Rng::seed_from_u64(!(seed ^ VERSION_SEED));
+    series(rng, length, VERSION_INTERVAL_MS, version)
+}
+
 /// Faults at random intervals, drawn apart from the others so that their schedules stay the same.
 fn series<F>(
     mut rng: ChaCha8Rng,
@@ -217,6 +241,16 @@
     }
 }
 
+fn version(rng: &mut ChaCha8Rng) -> Fault {
+    let adapter = rng.random_range(0..ADAPTERS);
+    let queued = Duration::from_millis(rng.random_range(QUEUE_MS));
+    let time = Duration::from_millis(rng.random_range(QUEUE_DURATION_MS));
+    match rng.random_range(0..4) {
+        0 => Fault::EngineQueue(queued, time),
+        _ => Fault::NewVersion(adapter),
+    }
+}
+
 fn engine_crash(rng: &mut ChaCha8Rng) -> Fault {
     Fault::EngineCrash(rng.random_range(0..CRASH_ENGINES))
 }
--- a/crates/entry/tests/soak/mod.rs
+++ b/crates/entry/tests/soak/mod.rs
@@ -9,6 +9,7 @@
 mod crashing_parts;
 mod disturbances;
 mod fault;
+mod older_versions;
 mod resumed_streams;
 
 use {
@@ -16,7 +17,7 @@
     checks::check,
     cluster::Cluster,
     disturbances::CONTACT,
-    fault::plan,
+    fault::{Fault, calm_plan, plan},
     std::{
         thread,
         time::{Duration, Instant},
@@ -34,20 +35,12 @@
 ) -> Vec<String> {
     let mut cluster = Cluster::start(seed);
     let callers = Callers::start(&cluster.addresses(), cluster.herd());
-    let began = Instant::now();
-    let mut faults = plan(seed, length).into_iter().peekable();
-    while began.elapsed() < length {
-        while faults.peek().is_some_and(|(at, _)| *at <= began.elapsed()) {
-            let (_, fault) = faults.next().unwrap();
-            cluster.start_fault(fault);
-        }
-        cluster.step();
-        thread::sleep(STEP_INTERVAL);
-    }
+    run_plan(&mut cluster, plan(seed, length), length);
     cluster.end_all_faults();
     let mut violations = cluster.unserved_routes();
     cluster.stop_herds();
-    thread::sleep(CONTACT + CALM_TIME);
+    let calm_time = CONTACT + CALM_TIME;
+    run_plan(&mut cluster, calm_plan(seed, calm_time), calm_time);
     let records = callers.finish();
     violations.extend(check(&cluster, &records));
     if !violations.is_empty() {
@@ -55,3 +48,21 @@
     }
     violations
 }
+
+/// Starts faults at their times.
+fn run_plan(
+    cluster: &mut Cluster,
+    plan: Vec<(Duration, Fault)>,
+    length: Duration,
+) {
+    let began = Instant::now();
+    let mut faults = plan.into_iter().peekable();
+    while began.elapsed() < length {
+        while faults.peek().is_some_and(|(at, _)| *at <= began.elapsed()) {
+            let (_, fault) = faults.next().unwrap();
+            cluster.start_fault(fault);
+        }
+        cluster.step();
+        thread::sleep(STEP_INTERVAL);
+    }
+}
