A VM relays nothing that would begin on an older version too late

The same cause, found by looking for it: a VM that has lost its links sends requests through others, which passed on whatever version they required. Not seen at users; a VM that has lost its links mostly knows what the others know.

Evidence: entry a_relay_starts_nothing_on_an_older_version and a_relay_withdraws_requests_from_an_engines_queue, both answered with 200 before; lost_upstream_links and crashing_parts pass.

--- a/crates/entry/src/links/relay_server.rs
+++ b/crates/entry/src/links/relay_server.rs
@@ -13,7 +13,7 @@
     jasmine_core::{clock::Millis, reachability::LinkStatus, streams::agreed_build},
     jasmine_platform::headers::{CallerHeaders, ResponseHeaders, is_misdirected},
     jasmine_telemetry::log::Line,
-    std::{io, net::SocketAddr},
+    std::{future::pending, io, net::SocketAddr},
     tokio::time::timeout,
 };
 
@@ -95,6 +95,9 @@
     if GenerationSpec::from_headers(caller).is_some_and(|spec| scheduler.refuses(&spec)) {
         return Err(NotRelayed::Quarantined);
     }
+    if is_version_expired(cx, caller) {
+        return Err(NotRelayed::Unusable);
+    }
     let known_build = scheduler.build_of(target.upstream);
     let is_other_build =
         target.build.is_some() && agreed_build(target.build, known_build.as_deref()).is_none();
@@ -112,6 +115,23 @@
     }
 }
 
+/// The base model and the adapter of a request for one.
+fn adapter_names(caller: &CallerHeaders) -> Option<(&str, &str)> {
+    Some((caller.model.as_deref()?, caller.adapter.as_deref()?))
+}
+
+/// Whether a request may no longer begin on the version that it requires.
+fn is_version_expired(
+    cx: &Context,
+    caller: &CallerHeaders,
+) -> bool {
+    let until = adapter_names(caller).and_then(|(model, adapter)| {
+        let scheduler = &cx.scheduling.local_scheduler;
+        scheduler.version_usable_until(model, adapter, caller.version)
+    });
+    until.is_some_and(|until| until <= cx.clock.now())
+}
+
 /// One request of another VM.
 struct Relay<'a> {
     cx: &'a Context,
@@ -134,7 +154,19 @@
         let request = self.encode();
         let id = self.caller.request_id.as_deref();
         let exchange = connection.send_request(&request, method, |head| answers_request(head, id));
-        let Ok(response) = cx.links.attend(exchange, false).await else {
+        let attended = tokio::select! {
+            biased;
+            attended = cx.links.attend(exchange, false) => attended,
+            () = self.begin_expired() => {
+                Line::new("relayed_withdrawn")
+                    .with("id", id.unwrap_or("-"))
+                    .with("upstream", self.upstream)
+                    .with("version", self.caller.version.unwrap_or_default())
+                    .info();
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
+        };
+        let Ok(response) = attended else {
             return Err(io::ErrorKind::ConnectionAborted.into());
         };
         let ResponseStart {
@@ -156,6 +188,18 @@
         Ok(())
     }
 
+    /// Waits until the answer may no longer begin on the version that the request requires.
+    async fn begin_expired(&self) {
+        let scheduler = &self.cx.scheduling.local_scheduler;
+        match adapter_names(self.caller) {
+            Some((model, adapter)) => {
+                let version = self.caller.version;
+                scheduler.version_expired(model, adapter, version).await;
+            }
+            None => pending().await,
+        }
+    }
+
     async fn pass_body(
         &self,
         connection: &mut Connection,
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -448,10 +448,8 @@
     ) -> Option<u32> {
         let generation = spec.generation.as_ref()?;
         let adapter = generation.adapter.as_ref()?;
-        let adapter = self.names.borrow_mut().adapter(&generation.model, adapter);
-        let scheduler = self.scheduler.borrow();
-        let until = scheduler.version_usable_until(adapter, assigned);
-        match scheduler.newest_version(adapter) {
+        let until = self.version_usable_until(&generation.model, adapter, assigned);
+        match self.newest_version(&generation.model, adapter) {
             Some(newest) if until.is_some_and(|until| until <= self.clock.now()) => {
                 Some(newest.limit.version)
             }
@@ -459,6 +457,19 @@
         }
     }
 
+    /// Until when requests may begin on a version of an adapter, `None` if this VM knows no newer one.
+    pub fn version_usable_until(
+        &self,
+        model: &str,
+        adapter: &str,
+        version: Option<u32>,
+    ) -> Option<Millis> {
+        let adapter = self.names.borrow_mut().adapter(model, adapter);
+        self.scheduler
+            .borrow()
+            .version_usable_until(adapter, version)
+    }
+
     /// Waits until requests may no longer begin on a version of an adapter, as far as this VM knows.
     pub async fn version_expired(
         &self,
@@ -466,16 +477,11 @@
         adapter: &str,
         version: Option<u32>,
     ) {
-        let adapter = self.names.borrow_mut().adapter(model, adapter);
         let mut changed = self.versions_changed.subscribe();
         loop {
             changed.mark_unchanged();
             let now = self.clock.now();
-            let until = self
-                .scheduler
-                .borrow()
-                .version_usable_until(adapter, version);
-            match until {
+            match self.version_usable_until(model, adapter, version) {
                 Some(until) if until <= now => return,
                 // Either way the limit is looked up again.
                 Some(until) => drop(timeout(until.since(now).to_std(), changed.changed()).await),
--- a/crates/entry/tests/older_versions.rs
+++ b/crates/entry/tests/older_versions.rs
@@ -3,7 +3,7 @@
 mod deployment;
 
 use {
-    deployment::{Request, Response, Vm, config, start_platform, wait_until},
+    deployment::{Request, Response, Vm, config, exchange, start_platform, wait_until},
     jasmine_platform_stand_in::{EngineStandIn, KvStandIn},
     serde_json::{Value, json},
     std::{
@@ -178,3 +178,51 @@
     assert_served(&follower.send_request(&generation()));
     assert_none_older(&engine, 2, acked);
 }
+
+/// Sends a request as another VM does that has lost its links, for an engine and a version that it requires.
+fn relay(
+    vm: &Vm,
+    engine: &str,
+    version: u32,
+) -> Option<Response> {
+    let started = vm.log_lines("started").remove(0);
+    let (_, address) = started.split_once(" relay=").unwrap();
+    let address = address.split(' ').next().unwrap().parse().unwrap();
+    let mut request = generation().with("X-Expect-Version", &version.to_string());
+    let target = ("Jasmine-Upstream".to_owned(), format!("{engine} v1"));
+    request.headers.insert(0, target);
+    exchange(address, &request.bytes())
+}
+
+#[test]
+fn a_relay_starts_nothing_on_an_older_version() {
+    // Guards against VMs that know a newer version and send another VM's request on with an older one.
+    let store = start_store();
+    let engine = start_engine(&store, "e-1");
+    let vm = Vm::start(&store);
+    assert_served(&vm.send_request(&generation()));
+    let response = relay(&vm, "e-1", 1).unwrap();
+    assert_eq!(response.status, 200, "{response:?}");
+    let acked = announce(&store, &[&engine], 2);
+    thread::sleep(BOUND + Duration::from_millis(200));
+    let response = relay(&vm, "e-1", 1).unwrap();
+    assert_eq!(response.status, 503, "{response:?}");
+    assert_none_older(&engine, 2, acked);
+}
+
+#[test]
+fn a_relay_withdraws_requests_from_an_engines_queue() {
+    // Guards against a relayed request that waits at a slow engine, while the VM that it is for knows of no newer version.
+    let store = start_store();
+    let engine = start_engine(&store, "e-1");
+    let vm = Vm::start(&store);
+    assert_served(&vm.send_request(&generation()));
+    engine.set_queue_time(Duration::from_secs(8));
+    let acked = thread::scope(|scope| {
+        scope.spawn(|| assert_eq!(relay(&vm, "e-1", 1), None));
+        wait_until("it has reached the engine", || engine.arrivals().len() == 2);
+        announce(&store, &[&engine], 2)
+    });
+    wait_until("the engine has dropped it", || engine.cancelled() == 1);
+    assert_none_older(&engine, 2, acked);
+}
