--- a/crates/core/src/scheduler/announced_versions.rs
+++ b/crates/core/src/scheduler/announced_versions.rs
@@ -22,6 +22,13 @@
     Found,
 }
 
+impl Announcement {
+    /// An announcement that the store is known not to have held yet at `absent_at`, if that is known.
+    pub fn after(absent_at: Option<Millis>) -> Self {
+        absent_at.map_or(Self::Found, |absent_at| Self::New { absent_at })
+    }
+}
+
 /// The newest version of an adapter that an operator has announced.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NewestVersion {
@@ -100,35 +107,33 @@
         self.learn(adapter, NewestVersion { limit, absent_at }, now);
     }
 
-    /// Records what is known elsewhere of a version; returns whether that is newer than those known here.
+    /// Records a version with its limit; of two limits for the newest version the later one holds.
     pub(super) fn learn(
         &mut self,
         adapter: AdapterId,
         newest: NewestVersion,
         now: Millis,
-    ) -> bool {
+    ) {
         let VersionLimit {
             version,
             older_until,
         } = newest.limit;
         match self.newest(adapter) {
-            Some(known) if known.limit.version > version => return false,
+            Some(known) if known.limit.version > version => return,
             // Each limit is before the ack plus the bound, so that the latest one is valid.
             Some(known)
                 if known.limit.version == version && known.limit.older_until >= older_until =>
             {
-                return false;
+                return;
             }
             _ => {}
         }
-        let is_newer = self.announced_version(adapter) != Some(version);
         let known = self.announced.entry(adapter).or_insert_with(|| Announced {
             newest,
             older_until: BTreeMap::new(),
         });
         known.newest = newest;
         known.add_limit(version, older_until, now);
-        is_newer
     }
 
     /// The newest announced version of an adapter.
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -188,7 +188,7 @@
         self.versions.newest(adapter)
     }
 
-    /// Records a version that another VM knows; returns whether it is newer than those known here.
+    /// Records a version that another VM knows.
     ///
     /// VMs tell it with their requests, so that a leader that has lost the store learns it from them.
     pub fn learn_version(
@@ -196,12 +196,12 @@
         adapter: AdapterId,
         limit: VersionLimit,
         now: Millis,
-    ) -> bool {
+    ) {
         let newest = NewestVersion {
             limit,
             absent_at: None,
         };
-        self.versions.learn(adapter, newest, now)
+        self.versions.learn(adapter, newest, now);
     }
 
     /// Until when requests may begin on a version of an adapter, `None` if no newer one is known.
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -1,7 +1,6 @@
 use {
     super::{
-        Assignment, GenerationSpec, JobSpec, NameInterner, NewestSpec, RunningSpec, StatedSpec,
-        VmHistory,
+        Assignment, JobSpec, NameInterner, RunningSpec, StatedSpec, VmHistory,
         facts::{engine_facts, engine_limits, upstream_facts},
     },
     crate::clock::Clock,
@@ -14,23 +13,19 @@
         quarantine::PartSet,
         scheduler::{
             AdmissionShare, Announcement, AttemptHistory, AttemptId, ColdLimit, EngineStatus,
-            EnginesToPause, NewestVersion, Order, OrderResult, Outcome, RateDecision, RateShare,
-            RunningRequest, Scheduler, SchedulerAction as Action, SchedulerSettings, SignalChanges,
-            StatedUpstream, UpstreamSignals, WaitReason, WaitTimes,
+            EnginesToPause, Order, OrderResult, Outcome, RateDecision, RateShare, RunningRequest,
+            Scheduler, SchedulerAction as Action, SchedulerSettings, SignalChanges, StatedUpstream,
+            UpstreamSignals, WaitReason, WaitTimes,
         },
     },
     jasmine_platform::engine::EngineReport,
-    jasmine_telemetry::log::Line,
     std::{
         cell::{Cell, RefCell},
         collections::{BTreeSet, HashMap, HashSet},
         net::SocketAddr,
         rc::Rc,
     },
-    tokio::{
-        sync::{Notify, mpsc, oneshot, watch},
-        time::timeout,
-    },
+    tokio::sync::{Notify, mpsc, oneshot, watch},
     xxhash_rust::xxh3::xxh3_64,
 };
 
@@ -91,8 +86,10 @@
     pub(super) stored_quarantine: RefCell<BTreeSet<PartSet>>,
     /// A hash of the parts that this VM refuses.
     pub(super) quarantine_hash: Cell<u64>,
+    /// The latest time at which the store held no other announcements than those applied.
+    pub(super) complete_at: Cell<Option<Millis>>,
     /// Counts announcements of adapter versions.
-    versions_changed: watch::Sender<u64>,
+    pub(super) versions_changed: watch::Sender<u64>,
     /// Notified when the quarantine has changed.
     pub(super) quarantine_changed: Notify,
 }
@@ -118,6 +115,7 @@
             may_order: Cell::new(false),
             stored_quarantine: RefCell::default(),
             quarantine_hash: Cell::new(0),
+            complete_at: Cell::new(None),
             versions_changed: watch::Sender::default(),
             quarantine_changed: Notify::new(),
         }
@@ -387,120 +385,6 @@
         self.scheduler.borrow_mut().remove_upstream(id, now);
     }
 
-    /// Applies an operator's announcement of an adapter version.
-    pub fn announce_version(
-        &self,
-        model: &str,
-        adapter: &str,
-        version: u32,
-        how: Announcement,
-    ) {
-        let adapter = self.names.borrow_mut().adapter(model, adapter);
-        let now = self.clock.now();
-        let mut scheduler = self.scheduler.borrow_mut();
-        scheduler.announce_version(adapter, version, how, now);
-        self.versions_changed.send_modify(|count| *count += 1);
-    }
-
-    /// Adds what this VM knows of the newest version of a request's adapter.
-    pub(super) fn add_newest_version(
-        &self,
-        spec: &mut GenerationSpec,
-    ) {
-        let adapter = spec.adapter.as_ref();
-        let newest = adapter.and_then(|adapter| self.newest_version(&spec.model, adapter));
-        let now = self.clock.now();
-        spec.newest = newest.map(|NewestVersion { limit, .. }| NewestSpec {
-            version: limit.version,
-            older_for: limit.older_until.since(now),
-        });
-    }
-
-    /// Learns the version that the VM of a request knows, if it is newer than those known here.
-    fn learn_version(
-        &self,
-        spec: &JobSpec,
-    ) {
-        let Some(spec) = &spec.generation else {
-            return;
-        };
-        let (Some(adapter), Some(newest)) = (&spec.adapter, spec.newest) else {
-            return;
-        };
-        let now = self.clock.now();
-        let id = self.names.borrow_mut().adapter(&spec.model, adapter);
-        let limit = newest.resolve(now);
-        if self.scheduler.borrow_mut().learn_version(id, limit, now) {
-            Line::new("version_learned")
-                .with("model", &spec.model)
-                .with("adapter", adapter)
-                .with("version", newest.version)
-                .info();
-            self.versions_changed.send_modify(|count| *count += 1);
-        }
-    }
-
-    /// The version that a request has to be sent with: the assigned one, or the newest if that may no longer be begun.
-    pub(super) fn current_version(
-        &self,
-        spec: &JobSpec,
-        assigned: Option<u32>,
-    ) -> Option<u32> {
-        let generation = spec.generation.as_ref()?;
-        let adapter = generation.adapter.as_ref()?;
-        let until = self.version_usable_until(&generation.model, adapter, assigned);
-        match self.newest_version(&generation.model, adapter) {
-            Some(newest) if until.is_some_and(|until| until <= self.clock.now()) => {
-                Some(newest.limit.version)
-            }
-            _ => assigned,
-        }
-    }
-
-    /// Until when requests may begin on a version of an adapter, `None` if this VM knows no newer one.
-    pub fn version_usable_until(
-        &self,
-        model: &str,
-        adapter: &str,
-        version: Option<u32>,
-    ) -> Option<Millis> {
-        let adapter = self.names.borrow_mut().adapter(model, adapter);
-        self.scheduler
-            .borrow()
-            .version_usable_until(adapter, version)
-    }
-
-    /// Waits until requests may no longer begin on a version of an adapter, as far as this VM knows.
-    pub async fn version_expired(
-        &self,
-        model: &str,
-        adapter: &str,
-        version: Option<u32>,
-    ) {
-        let mut changed = self.versions_changed.subscribe();
-        loop {
-            changed.mark_unchanged();
-            let now = self.clock.now();
-            match self.version_usable_until(model, adapter, version) {
-                Some(until) if until <= now => return,
-                // Either way the limit is looked up again.
-                Some(until) => drop(timeout(until.since(now).to_std(), changed.changed()).await),
-                // The sender lives as long as this scheduler.
-                None => drop(changed.changed().await),
-            }
-        }
-    }
-
-    /// The newest announced version of an adapter that this VM knows.
-    pub fn newest_version(
-        &self,
-        model: &str,
-        adapter: &str,
-    ) -> Option<NewestVersion> {
-        let adapter = self.names.borrow_mut().adapter(model, adapter);
-        self.scheduler.borrow().newest_version(adapter)
-    }
-
     /// Requests an upstream; the verdict may take until the request's deadline.
     pub fn place(
         &self,
--- a/crates/entry/src/store/follower.rs
+++ b/crates/entry/src/store/follower.rs
@@ -144,7 +144,7 @@
             reply.more = page.more;
         }
         self.view.reset(&reply).await;
-        self.feed.set_complete_at(began);
+        self.set_complete_at(began);
         self.set_position(reply.revision, Some(reply.revision));
         let last = reply.kvs.last().filter(|_| reply.more);
         self.remaining = last.map(|kv| RemainingUpstreams {
@@ -260,7 +260,7 @@
         }
         let received = self.cx.clock.now();
         self.view.apply_all(&batch.events).await;
-        self.feed.set_complete_at(received);
+        self.set_complete_at(received);
         self.set_position(batch.revision, Some(batch.revision));
         if !batch.events.is_empty() {
             let pause = self.cx.settings.change_ms.0 * BATCH_DELAY_PERCENT / 100;
@@ -307,7 +307,7 @@
                 }
                 let complete_at = self.cx.clock.now().since(answered_ago);
                 self.view.apply_all(&events).await;
-                self.feed.set_complete_at(complete_at);
+                self.set_complete_at(complete_at);
                 let minor = includes_minor.then(|| minor_position(revision, &events));
                 self.set_position(revision, minor);
             }
@@ -337,6 +337,16 @@
         }
     }
 
+    /// Records that all changes that the store held at `at` have been applied.
+    fn set_complete_at(
+        &self,
+        at: Millis,
+    ) {
+        self.feed.set_complete_at(at);
+        let local_scheduler = &self.cx.scheduling.local_scheduler;
+        local_scheduler.set_complete_at(at);
+    }
+
     fn set_position(
         &mut self,
         revision: u64,
--- a/crates/entry/src/store/view.rs
+++ b/crates/entry/src/store/view.rs
@@ -360,10 +360,7 @@
     ///
     /// One that this VM didn't know is newer than all that it has read, also in a full read after lost history.
     fn announcement(&self) -> Announcement {
-        let absent_at = self.feed.complete_at();
-        absent_at.map_or(Announcement::Found, |absent_at| Announcement::New {
-            absent_at,
-        })
+        Announcement::after(self.feed.complete_at())
     }
 
     fn put_version(
