--- a/crates/core/src/scheduler/announced_versions.rs
+++ b/crates/core/src/scheduler/announced_versions.rs
@@ -96,6 +96,13 @@
         older_version_time: Millis,
         now: Millis,
     ) {
+        // A full read of the store repeats versions that are known, whose age it doesn't tell.
+        if self
+            .announced_version(adapter)
+            .is_some_and(|known| known >= version)
+        {
+            return;
+        }
         let (absent_at, older_until) = match source {
             Announcement::New { absent_at } => (Some(absent_at), absent_at + older_version_time),
             Announcement::Found => (None, now),
--- a/crates/core/tests/older_versions.rs
+++ b/crates/core/tests/older_versions.rs
@@ -186,3 +186,15 @@
         Some(Decision::Sent(ENGINE, Some(3)))
     );
 }
+
+#[test]
+fn a_version_that_is_read_again_revives_no_older_one() {
+    // Guards against older versions that serve again after lost history, when a full read repeats what is known.
+    let mut world = world();
+    announce(&mut world, 2, 0);
+    world.advance(BOUND + 1_000);
+    block_orders(&mut world);
+    announce(&mut world, 2, 0);
+    let request = world.generate(1);
+    assert_eq!(world.decision(request), None);
+}
