--- a/crates/entry/src/caller/connection.rs
+++ b/crates/entry/src/caller/connection.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         ErrorResponse, ResponseWriter,
+        answer_watch::{AnswerEnd, AnswerWatch},
         read_request::{IncomingRequest, RequestReadError, read_request, wait_for_request},
     },
     crate::{
@@ -14,6 +15,7 @@
         error::{ErrorKind, Refusal},
         ingress::CallerLimits,
     },
+    jasmine_platform::headers::request_id,
     jasmine_telemetry::log::Line,
     std::{rc::Rc, time::Duration},
     tokio::{
@@ -52,6 +54,14 @@
 }
 
 impl Peer {
+    /// Its name in logs and metrics.
+    pub(super) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Caller => "caller",
+            Self::Vm => "vm",
+        }
+    }
+
     /// The limits on its requests; those of another VM have been checked there.
     fn limits(
         self,
@@ -89,7 +99,7 @@
                 AfterResponse::Close => return close(stream).await,
                 AfterResponse::Reset => return reset(&stream),
             },
-            Err(RequestReadError::Closed) => return,
+            Err(RequestReadError::Closed | RequestReadError::Idle) => return,
             Err(RequestReadError::Refused(kind)) => return refuse(stream, kind).await,
         }
     }
@@ -107,8 +117,19 @@
 ) -> Result<IncomingRequest, RequestReadError> {
     let limits = peer.limits(cx);
     tokio::select! {
-        begun = wait_for_request(stream, buf, limits.idle_timeout) => begun?,
-        () = cx.stop_reached(StopStage::Closing), if !is_first => return Err(RequestReadError::Closed),
+        begun = wait_for_request(stream, buf, limits.idle_timeout) => match begun {
+            Ok(()) => {}
+            Err(e) => {
+                if matches!(e, RequestReadError::Idle) {
+                    cx.metrics.count_idle_closed("idle");
+                }
+                return Err(e);
+            }
+        },
+        () = cx.stop_reached(StopStage::Closing), if !is_first => {
+            cx.metrics.count_idle_closed("stopping");
+            return Err(RequestReadError::Closed);
+        }
     }
     read_request(stream, buf, &limits).await
 }
@@ -122,6 +143,8 @@
     req: IncomingRequest,
 ) -> AfterResponse {
     let _in_flight = cx.count_request();
+    let id = request_id(req.head.headers.pairs()).map(str::to_owned);
+    let watch = AnswerWatch::new(cx, peer, id);
     let (rx, tx) = stream.split();
     let keep_alive = req.head.keeps_connection() && cx.stop_stage() == StopStage::Running;
     let is_head_request = req.head.method == "HEAD";
@@ -132,14 +155,24 @@
             Peer::Vm => serve_relayed(cx, req, &mut out).await,
         }
     };
-    let is_served = tokio::select! {
-        served = served => served.is_ok(),
+    let end = tokio::select! {
+        served = served => AnswerEnd::of(served),
         // Cancelling closes the connection to the upstream, which then stops working too.
-        () = until_disconnected(rx, buf) => false,
+        () = until_disconnected(rx, buf) => AnswerEnd::PeerGone,
     };
-    match is_served {
-        true if out.keep_alive() => AfterResponse::KeepOpen,
-        false if out.needs_reset() => AfterResponse::Reset,
+    watch.ended(end);
+    match end {
+        AnswerEnd::Complete if out.keep_alive() => AfterResponse::KeepOpen,
+        AnswerEnd::Complete => {
+            if !buf.is_empty() {
+                cx.metrics.count_pipelined_dropped();
+                Line::new("pipelined_dropped")
+                    .with("bytes", buf.len())
+                    .info();
+            }
+            AfterResponse::Close
+        }
+        _ if out.needs_reset() => AfterResponse::Reset,
         _ => AfterResponse::Close,
     }
 }
--- a/crates/entry/src/caller/mod.rs
+++ b/crates/entry/src/caller/mod.rs
@@ -1,5 +1,6 @@
 //! Callers' connections: reading requests and writing responses.
 
+mod answer_watch;
 mod connection;
 mod error_response;
 mod listener;
--- a/crates/entry/src/caller/read_request.rs
+++ b/crates/entry/src/caller/read_request.rs
@@ -25,8 +25,10 @@
 /// Why no request could be read.
 #[derive(Debug)]
 pub enum RequestReadError {
-    /// The connection was closed, reset or idle for too long; no response is sent.
+    /// The connection was closed or reset, or the daemon stops; no response is sent.
     Closed,
+    /// The connection was idle for too long; no response is sent.
+    Idle,
     /// The request is refused with this error.
     Refused(ErrorKind),
 }
@@ -59,7 +61,7 @@
     }
     match timeout(idle.to_std(), read_more(stream, buf)).await {
         Ok(read) => read,
-        Err(_elapsed) => Err(RequestReadError::Closed),
+        Err(_elapsed) => Err(RequestReadError::Idle),
     }
 }
 
--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -344,6 +344,7 @@
             .with("partial_bytes", self.progress.partial_bytes)
             .with("events", self.progress.events)
             .with("begun_ms", self.progress.received_for())
+            .with("silent_ms", self.silent_for())
             .with("adapter", self.req.caller.adapter.as_deref().unwrap_or("-"))
             .with("parts", part_names(&self.req.caller.parts))
             .with("again", can_retry)
@@ -396,6 +397,13 @@
         trace.evidence()
     }
 
+    /// Time since the last attempt was sent, or its upstream last sent anything.
+    fn silent_for(&self) -> Millis {
+        let heard_at = self.progress.received_at.or(self.progress.head_at);
+        let since = heard_at.or(self.sent_at).unwrap_or(self.req.arrived);
+        self.cx.clock.now().since(since)
+    }
+
     /// Whether another upstream may add the rest of a stream that has begun.
     fn can_resume(&self) -> bool {
         self.req.is_resumable() && self.progress.origin.is_resumable()
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -39,6 +39,9 @@
     relayed: Counter<u64>,
     resumptions: Counter<u64>,
     turned_away: Counter<u64>,
+    incomplete_answers: Counter<u64>,
+    pipelined_dropped: Counter<u64>,
+    idle_closed: Counter<u64>,
     orders: Counter<u64>,
     gauges: Gauges,
     labels: RefCell<HashMap<(String, &'static str), Labels>>,
@@ -86,6 +89,22 @@
                 .u64_counter("jasmine_connections_turned_away")
                 .with_description("New connections of callers that this VM has closed unread")
                 .build(),
+            incomplete_answers: meter
+                .u64_counter("jasmine_answers_incomplete")
+                .with_description(
+                    "Requests that ended without a complete answer, by peer and reason",
+                )
+                .build(),
+            pipelined_dropped: meter
+                .u64_counter("jasmine_pipelined_dropped")
+                .with_description(
+                    "Connections closed after a response, with more requests already received",
+                )
+                .build(),
+            idle_closed: meter
+                .u64_counter("jasmine_connections_idle_closed")
+                .with_description("Connections closed between requests, by reason")
+                .build(),
             orders: meter
                 .u64_counter("jasmine_orders")
                 .with_description("Orders to engines, by how they ended")
@@ -153,6 +172,29 @@
         self.turned_away.add(1, &[]);
     }
 
+    /// Counts a request of a caller or another VM (`peer`) that has ended without a complete answer.
+    pub fn count_incomplete_answer(
+        &self,
+        peer: &'static str,
+        reason: &'static str,
+    ) {
+        let labels = [KeyValue::new("peer", peer), KeyValue::new("reason", reason)];
+        self.incomplete_answers.add(1, &labels);
+    }
+
+    /// Counts a connection that a response closes while its next request has already been received.
+    pub fn count_pipelined_dropped(&self) {
+        self.pipelined_dropped.add(1, &[]);
+    }
+
+    /// Counts a connection that is closed between two requests, as it was idle for too long or the daemon stops.
+    pub fn count_idle_closed(
+        &self,
+        reason: &'static str,
+    ) {
+        self.idle_closed.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Counts an order by its result.
     pub fn order(
         &self,
