A silent upstream is given up only for one that takes over, or at the deadline

Callers saw an answer that had begun end without its rest, or a 502, well before their deadline, although the upstream was sound and silent for a second or two only. Cause: once a stream had been silent for 5 gap objectives (1,250 ms with a gap of 250), or the head of a repeatable request was overdue, the upstream was dropped first and a successor sought after that. On the last attempt, without retry budget, with all other upstreams full, away or of another build, there was none, and the caller was cut. Class: a time-out without bytes that isn't derived from the deadline. Change: the response is still awaited while the next attempt waits for its placement (Successor); whatever comes first wins. Without a further attempt only the deadline ends the wait. The silent upstream's connection is closed before the successor gets the request, as before, so that no two work on one answer. Cost: a place found for a silent request that goes on after all has drawn on the retry budget.

--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -1,5 +1,5 @@
 use {
-    super::{ForwardRequest, encode::encode_request},
+    super::{ForwardRequest, encode::encode_request, successor::Successor},
     crate::{
         context::Context,
         http1::ResponseHead,
@@ -17,8 +17,8 @@
     },
     jasmine_platform::headers::{ResponseHeaders, is_misdirected},
     jasmine_telemetry::log::Line,
-    std::{io, net::SocketAddr, time::Duration},
-    tokio::time::timeout,
+    std::{io, net::SocketAddr, pin::pin, time::Duration},
+    tokio::time::{sleep, timeout},
 };
 
 /// The largest response that is buffered, in bytes.
@@ -29,10 +29,10 @@
 const NON_IDEMPOTENT_IDLE_TIMEOUT: Millis = Millis(1_000);
 /// Longest idle time of a connection for a request that can be repeated.
 const IDEMPOTENT_IDLE_TIMEOUT: Millis = Millis(60_000);
-/// Timeout of a call that may be repeated, as a multiple of its latency objective.
-const CALL_TIMEOUT_OBJECTIVES: u64 = 2;
-/// Timeout for the head of a stream that may be repeated, in percent of its latency objective.
-const STREAM_TIMEOUT_PERCENT: u64 = 150;
+/// Silence after which another upstream is sought for a call that may be repeated, as a multiple of its latency objective.
+const CALL_PATIENCE_OBJECTIVES: u64 = 2;
+/// Silence after which another upstream is sought for the head of a stream that may be repeated, in percent of its latency objective.
+const STREAM_PATIENCE_PERCENT: u64 = 150;
 
 /// How an attempt began.
 pub(super) enum Start {
@@ -122,6 +122,7 @@
     pub cx: &'a Context,
     pub req: &'a ForwardRequest,
     pub placement: &'a Placement,
+    pub successor: &'a Successor,
 }
 
 impl AttemptContext<'_> {
@@ -173,21 +174,21 @@
         mut connection: Connection,
         bytes: &[u8],
     ) -> Start {
-        let links = &self.cx.links;
-        let can_abort = self.can_abort(Via::OwnLinks);
-        let exchange = links.attend(self.exchange(&mut connection, bytes), can_abort);
-        match timeout(self.head_timeout(), exchange).await {
-            Err(_elapsed) => {
+        let exchange = self.exchange(&mut connection, bytes);
+        let exchanged = self
+            .attend(Via::OwnLinks, exchange, self.head_patience())
+            .await;
+        match exchanged {
+            Err(failure) => {
                 self.cx.pool.close_idle(self.placement.address);
-                Start::Failed(self.overdue(Via::OwnLinks).await)
+                Start::Failed(failure)
             }
-            Ok(Err(LinksLost)) => Start::Failed(Failure::may_have_run(Outcome::Abandoned)),
-            Ok(Ok(Err(e))) => Start::Failed(self.broken(Via::OwnLinks, e).await),
-            Ok(Ok(Ok(ResponseStart {
+            Ok(Err(e)) => Start::Failed(self.broken(Via::OwnLinks, e).await),
+            Ok(Ok(ResponseStart {
                 head,
                 is_request_sent,
-            }))) => {
-                links.note_heard();
+            })) => {
+                self.cx.links.note_heard();
                 let response = StartedResponse {
                     connection,
                     head,
@@ -234,10 +235,13 @@
             return Offer::NotRelayed;
         };
         let exchange = self.exchange(&mut connection, bytes);
-        let mut response_start = match timeout(self.head_timeout(), exchange).await {
-            Err(_elapsed) => {
+        let exchanged = self
+            .attend(Via::OtherVm, exchange, self.head_patience())
+            .await;
+        let mut response_start = match exchanged {
+            Err(failure) => {
                 links.note_relay(address, false);
-                return Offer::Started(Start::Failed(self.overdue(Via::OtherVm).await));
+                return Offer::Started(Start::Failed(failure));
             }
             Ok(Err(e)) => {
                 links.note_relay(address, false);
@@ -294,10 +298,53 @@
             .await
     }
 
+    /// Waits for a response; once it is overdue after `patience`, also for an upstream that can take the request over.
+    ///
+    /// A sound upstream may be silent for a while, so that it is given up only for another one, or at the deadline.
+    pub(super) async fn attend<F>(
+        &self,
+        via: Via,
+        response: F,
+        patience: Duration,
+    ) -> Result<F::Output, Failure>
+    where
+        F: Future,
+    {
+        let mut response = pin!(response);
+        let watched = async {
+            match via {
+                Via::OwnLinks => {
+                    let can_abort = self.can_abort(via);
+                    self.cx.links.attend(response.as_mut(), can_abort).await
+                }
+                Via::OtherVm => Ok(response.as_mut().await),
+            }
+        };
+        match timeout(patience, watched).await {
+            Ok(Ok(output)) => return Ok(output),
+            Ok(Err(LinksLost)) => return Err(Failure::may_have_run(Outcome::Abandoned)),
+            Err(_elapsed) => {}
+        }
+        let succeeded = async {
+            let failure = self.overdue(via).await;
+            self.successor.find().await;
+            failure
+        };
+        tokio::select! {
+            biased;
+            output = response.as_mut() => {
+                self.successor.discard();
+                Ok(output)
+            }
+            failure = succeeded => Err(failure),
+            () = sleep(self.time_left()) => Err(self.overdue(via).await),
+        }
+    }
+
     /// The failure of an attempt whose response is overdue.
     ///
     /// It says nothing about the upstream if another VM, or the links of this one, may have failed.
-    pub(super) async fn overdue(
+    async fn overdue(
         &self,
         via: Via,
     ) -> Failure {
@@ -334,17 +381,13 @@
         mut response: StartedResponse,
     ) -> Result<(ResponseHead, Bytes), Failure> {
         let via = response.via;
-        let can_abort = self.can_abort(via);
         let StartedResponse {
             connection, head, ..
         } = &mut response;
         let body = connection.read_whole_body(head, MAX_RESPONSE_BYTES);
-        let body = self.cx.links.attend(body, can_abort);
-        let body = match timeout(self.time_left(), body).await {
-            Err(_elapsed) => return Err(self.overdue(via).await),
-            Ok(Err(LinksLost)) => return Err(Failure::may_have_run(Outcome::Abandoned)),
-            Ok(Ok(Err(e))) => return Err(self.broken(via, e).await),
-            Ok(Ok(Ok(body))) => body,
+        let body = match self.attend(via, body, self.time_left()).await? {
+            Err(e) => return Err(self.broken(via, e).await),
+            Ok(body) => body,
         };
         let head = response.head.clone();
         self.release(response);
@@ -378,15 +421,15 @@
         self.req.deadline.since(self.cx.clock.now()).to_std()
     }
 
-    /// Timeout for the head of a response: the deadline for requests that can't be repeated.
-    fn head_timeout(&self) -> Duration {
+    /// Silence before the head of a response after which another upstream is sought: the deadline for requests that can't be repeated.
+    fn head_patience(&self) -> Duration {
         let objective = self.req.route.objective;
-        let head_timeout = match (self.req.route.kind.repeat(), self.req.is_stream()) {
+        let patience = match (self.req.route.kind.repeat(), self.req.is_stream()) {
             (Repeat::Once, _) => return self.time_left(),
-            (Repeat::Idempotent, false) => Millis(objective.0 * CALL_TIMEOUT_OBJECTIVES),
-            (Repeat::Idempotent, true) => Millis(objective.0 * STREAM_TIMEOUT_PERCENT / 100),
+            (Repeat::Idempotent, false) => Millis(objective.0 * CALL_PATIENCE_OBJECTIVES),
+            (Repeat::Idempotent, true) => Millis(objective.0 * STREAM_PATIENCE_PERCENT / 100),
         };
-        self.time_left().min(head_timeout.to_std())
+        self.time_left().min(patience.to_std())
     }
 
     /// Whether the attempt may be given up for one through another VM once this VM's links are lost.
--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -1,12 +1,13 @@
 use {
     super::{
-        ForwardRequest, STOPPING_RETRY_DELAY,
-        attempt::{AttemptContext, Failure, Start, StartedResponse},
+        ForwardRequest,
+        attempt::{AttemptContext, Failure, Start},
         relay::{Progress, RelayError, relay},
+        successor::{Successor, place},
     },
     crate::{
         caller::{ErrorResponse, ResponseWriter},
-        context::{Context, StopStage},
+        context::Context,
         http1::{Framing, ResponseHead},
         scheduling::{Placement, PlacementError},
     },
@@ -23,7 +24,7 @@
     },
     jasmine_telemetry::log::Line,
     std::{io, rc::Rc},
-    tokio::time::{sleep, timeout},
+    tokio::time::sleep,
 };
 
 /// Delay before the retry of a request that an upstream didn't run because its adapter isn't loaded yet.
@@ -36,8 +37,8 @@
 enum Step {
     /// The caller has its response or has disconnected.
     Done(io::Result<()>),
-    /// The request is sent again.
-    Retry,
+    /// The request is sent again, to this upstream if one has been found already.
+    Retry(Option<Placement>),
     /// The request fails with this error.
     Fail(ErrorKind),
 }
@@ -45,7 +46,7 @@
 /// Drives one request from its arrival to its final response, over several attempts.
 pub(super) struct Driver<'a> {
     cx: &'a Rc<Context>,
-    req: ForwardRequest,
+    req: Rc<ForwardRequest>,
     attempts: Attempts,
     excluded_upstreams: Vec<String>,
     progress: Progress,
@@ -83,7 +84,7 @@
             sent_at: None,
             upstream: None,
             is_logged: false,
-            req,
+            req: Rc::new(req),
         }
     }
 
@@ -98,13 +99,17 @@
                 return self.give_up(refusal, out).await;
             }
         }
+        let mut successor = None;
         loop {
-            if self.cx.links.is_isolated() {
+            if successor.is_none() && self.cx.links.is_isolated() {
                 let refusal = Refusal::after(ErrorKind::NoUpstream, ISOLATED_RETRY_DELAY);
                 return self.give_up(refusal, out).await;
             }
             let queued_at = self.cx.clock.now();
-            let placement_result = self.place().await;
+            let placement_result = match successor.take() {
+                Some(placement) => Ok(placement),
+                None => self.place().await,
+            };
             self.waited += self.cx.clock.now().since(queued_at);
             let placement = match placement_result {
                 Ok(placement) => placement,
@@ -139,7 +144,7 @@
                     self.log_end(outcome);
                     return result;
                 }
-                Step::Retry => {}
+                Step::Retry(found) => successor = found,
                 Step::Fail(kind) => return self.give_up(Refusal::new(kind), out).await,
             }
         }
@@ -181,27 +186,27 @@
         self.progress.origin = origin;
     }
 
-    /// Waits for placement until the deadline, or until a planned stop refuses waiting requests.
+    /// Waits for placement of the next attempt.
     async fn place(&self) -> Result<Placement, PlacementError> {
-        let now = self.cx.clock.now();
         let number = self.attempts.next_attempt();
-        let data_centre = &self.cx.settings.data_centre;
         let build = self.progress.origin.required_build();
-        let job = self
-            .req
-            .job_spec(number, &self.excluded_upstreams, build, data_centre, now);
-        let left = self.req.deadline.since(now);
-        let placement_result = timeout(left.to_std(), self.cx.scheduling.place(job));
-        tokio::select! {
-            placement_result = placement_result => {
-                placement_result.unwrap_or_else(|_elapsed| {
-                    Err(Refusal::new(ErrorKind::CannotMeetDeadline).into())
-                })
-            }
-            () = self.cx.stop_reached(StopStage::RefusingWaiting) => {
-                Err(Refusal::after(ErrorKind::ShuttingDown, STOPPING_RETRY_DELAY).into())
-            }
+        place(self.cx, &self.req, number, &self.excluded_upstreams, build).await
+    }
+
+    /// The search for an upstream that takes over from that of a placement.
+    fn successor(
+        &self,
+        placement: &Placement,
+    ) -> Successor {
+        let number = self.attempts.next_attempt() + 1;
+        let next_attempt = Some(number).filter(|_| self.attempts.can_retry_after_run());
+        let mut excluded = self.excluded_upstreams.clone();
+        excluded.push(placement.upstream.clone());
+        let successor = Successor::new(self.cx, &self.req, next_attempt, excluded);
+        if self.req.is_resumption() || self.progress.first_at.is_some() {
+            successor.note_origin(&self.progress.origin);
         }
+        successor
     }
 
     async fn attempt(
@@ -211,9 +216,10 @@
     ) -> Step {
         let started_at = self.cx.clock.now();
         let generation = self.req.generation();
+        let successor = self.successor(placement);
         let result = tokio::select! {
             biased;
-            result = self.exchange(placement, out) => result,
+            result = self.exchange(placement, &successor, out) => result,
             () = placement.begin_expired(generation.as_ref()) => {
                 self.note_withdrawn(placement);
                 Err(Failure::may_have_run(Outcome::Abandoned).into())
@@ -235,7 +241,10 @@
                 placement.end(Outcome::Abandoned, self.evidence(AnswerEnd::GivenUp));
                 Step::Done(Err(e))
             }
-            Err(RelayError::Upstream(failure)) => self.handle_failure(placement, failure).await,
+            Err(RelayError::Upstream(failure)) => {
+                let found = successor.into_found();
+                self.handle_failure(placement, failure, found).await
+            }
             Err(RelayError::Refused(kind)) => {
                 placement.end(Outcome::Abandoned, PromptEvidence::None);
                 Step::Fail(kind)
@@ -247,12 +256,14 @@
     async fn exchange(
         &mut self,
         placement: &Placement,
+        successor: &Successor,
         out: &mut ResponseWriter<'_>,
     ) -> Result<(), RelayError> {
         let attempt = AttemptContext {
             cx: self.cx,
             req: &self.req,
             placement,
+            successor,
         };
         let after_event = self
             .progress
@@ -271,12 +282,13 @@
         }
         let is_stream = self.req.is_stream() && response.head.status == 200;
         if is_stream {
-            return self.relay(placement, response, out).await;
+            return relay(&attempt, response, &mut self.progress, out).await;
         }
         if is_success {
             attempt.note_begun();
         }
-        self.relay_whole(placement, response, out).await
+        let (head, body) = attempt.read_whole(response).await?;
+        Ok(out.write_whole(&head, &body).await?)
     }
 
     /// Logs that a request is withdrawn from an upstream, as it would begin on an older version of its adapter.
@@ -293,40 +305,12 @@
             .info();
     }
 
-    async fn relay(
-        &mut self,
-        placement: &Placement,
-        response: StartedResponse,
-        out: &mut ResponseWriter<'_>,
-    ) -> Result<(), RelayError> {
-        let attempt = AttemptContext {
-            cx: self.cx,
-            req: &self.req,
-            placement,
-        };
-        relay(&attempt, response, &mut self.progress, out).await
-    }
-
-    async fn relay_whole(
-        &self,
-        placement: &Placement,
-        response: StartedResponse,
-        out: &mut ResponseWriter<'_>,
-    ) -> Result<(), RelayError> {
-        let attempt = AttemptContext {
-            cx: self.cx,
-            req: &self.req,
-            placement,
-        };
-        let (head, body) = attempt.read_whole(response).await?;
-        Ok(out.write_whole(&head, &body).await?)
-    }
-
     /// Decides between a retry and a final error after a failed attempt.
     async fn handle_failure(
         &mut self,
         placement: &Placement,
         failure: Failure,
+        successor: Option<Placement>,
     ) -> Step {
         let answer_end = if failure.is_broken {
             AnswerEnd::Broken
@@ -362,11 +346,11 @@
             _ if !can_retry => Step::Fail(ErrorKind::NoUpstream),
             Outcome::NotLoaded => {
                 sleep(NOT_RUN_RETRY_DELAY.to_std()).await;
-                Step::Retry
+                Step::Retry(None)
             }
             _ => {
                 self.excluded_upstreams.push(placement.upstream.clone());
-                Step::Retry
+                Step::Retry(successor)
             }
         }
     }
--- a/crates/entry/src/forward/mod.rs
+++ b/crates/entry/src/forward/mod.rs
@@ -7,6 +7,7 @@
 mod relay;
 mod request;
 mod serve;
+mod successor;
 
 use jasmine_core::clock::Millis;
 
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -6,7 +6,6 @@
     crate::{
         caller::ResponseWriter,
         http1::{BodyReader, Framing, ResponseHead},
-        links::LinksLost,
     },
     bytes::{Bytes, BytesMut},
     jasmine_core::{
@@ -16,11 +15,10 @@
         streams::{ServiceBuild, StreamOrigin},
     },
     std::{io, time::Duration},
-    tokio::time::timeout,
 };
 
-/// Read timeout of a resumable stream, as a multiple of its gap objective.
-const READ_TIMEOUT_GAPS: u64 = 5;
+/// Silence after which another upstream is sought for a resumable stream, as a multiple of its gap objective.
+const PATIENCE_GAPS: u64 = 5;
 /// Gap objective of routes without one.
 const DEFAULT_GAP_OBJECTIVE: Millis = Millis(500);
 
@@ -141,20 +139,15 @@
     response: &mut StartedResponse,
     reader: &mut BodyReader,
 ) -> Result<Option<Bytes>, Failure> {
-    let time = read_timeout(attempt, progress);
+    let via = response.via;
     let part = response.connection.body(reader);
-    let links = &attempt.cx.links;
-    let part = match response.via {
-        Via::OtherVm => timeout(time, part).await.map(Ok),
-        Via::OwnLinks => timeout(time, links.attend(part, attempt.req.is_resumable())).await,
-    };
-    match (part, response.via) {
-        (Err(_elapsed), via) => Err(attempt.overdue(via).await),
-        (Ok(Err(LinksLost)), _) => Err(Failure::may_have_run(Outcome::Abandoned)),
-        (Ok(Ok(Err(e))), via) => Err(attempt.broken(via, e).await),
-        (Ok(Ok(Ok(part))), Via::OtherVm) => Ok(part),
-        (Ok(Ok(Ok(part))), Via::OwnLinks) => {
-            links.note_heard();
+    let patience = read_patience(attempt, progress);
+    match attempt.attend(via, part, patience).await? {
+        Err(e) => Err(attempt.broken(via, e).await),
+        Ok(part) => {
+            if via == Via::OwnLinks {
+                attempt.cx.links.note_heard();
+            }
             Ok(part)
         }
     }
@@ -172,8 +165,8 @@
     splitter.partial_len() > 0 || is_empty
 }
 
-/// Timeout of the next read.
-fn read_timeout(
+/// Silence after which another upstream is sought.
+fn read_patience(
     attempt: &AttemptContext<'_>,
     progress: &Progress,
 ) -> Duration {
@@ -183,9 +176,7 @@
     let route = &attempt.req.route;
     let idle_timeout = match progress.first_at {
         None => route.objective,
-        Some(_) => {
-            Millis(route.gap_objective.unwrap_or(DEFAULT_GAP_OBJECTIVE).0 * READ_TIMEOUT_GAPS)
-        }
+        Some(_) => Millis(route.gap_objective.unwrap_or(DEFAULT_GAP_OBJECTIVE).0 * PATIENCE_GAPS),
     };
     attempt.time_left().min(idle_timeout.to_std())
 }
@@ -241,6 +232,7 @@
     if progress.first_at.is_none() {
         progress.first_at = Some(now);
         progress.origin.begin(attempt.placement.build.as_deref());
+        attempt.successor.note_origin(&progress.origin);
         publish_origin(attempt, progress);
         attempt.placement.first_event();
     }
--- /dev/null
+++ b/crates/entry/src/forward/successor.rs
@@ -0,0 +1,126 @@
+use {
+    super::{ForwardRequest, STOPPING_RETRY_DELAY},
+    crate::{
+        context::{Context, StopStage},
+        scheduling::{Placement, PlacementError},
+    },
+    jasmine_core::{
+        clock::Millis,
+        error::{ErrorKind, Refusal},
+        streams::StreamOrigin,
+    },
+    jasmine_telemetry::log::Line,
+    std::{
+        cell::{Cell, RefCell},
+        future::pending,
+        rc::Rc,
+    },
+    tokio::time::{sleep, timeout},
+};
+
+/// Pause before a successor is sought again after a refusal.
+const RETRY_INTERVAL: Millis = Millis(500);
+
+/// Places one attempt; waits until the deadline, or until a planned stop refuses waiting requests.
+pub(super) async fn place(
+    cx: &Context,
+    req: &ForwardRequest,
+    number: u32,
+    excluded_upstreams: &[String],
+    build: Option<&str>,
+) -> Result<Placement, PlacementError> {
+    let now = cx.clock.now();
+    let data_centre = &cx.settings.data_centre;
+    let job = req.job_spec(number, excluded_upstreams, build, data_centre, now);
+    let left = req.deadline.since(now);
+    let placement_result = timeout(left.to_std(), cx.scheduling.place(job));
+    tokio::select! {
+        placement_result = placement_result => {
+            placement_result.unwrap_or_else(|_elapsed| {
+                Err(Refusal::new(ErrorKind::CannotMeetDeadline).into())
+            })
+        }
+        () = cx.stop_reached(StopStage::RefusingWaiting) => {
+            Err(Refusal::after(ErrorKind::ShuttingDown, STOPPING_RETRY_DELAY).into())
+        }
+    }
+}
+
+/// Seeks an upstream that takes a request over while its present one is silent.
+pub(super) struct Successor {
+    cx: Rc<Context>,
+    req: Rc<ForwardRequest>,
+    /// The number of the next attempt; `None` if no other one is allowed.
+    next_attempt: Option<u32>,
+    /// Upstreams that have failed the request, and the silent one.
+    excluded_upstreams: Vec<String>,
+    build: RefCell<Option<String>>,
+    can_take_over: Cell<bool>,
+    found: RefCell<Option<Placement>>,
+}
+
+impl Successor {
+    /// Creates the search for the upstream of an attempt, and for no build but `build` if one is given.
+    pub(super) fn new(
+        cx: &Rc<Context>,
+        req: &Rc<ForwardRequest>,
+        next_attempt: Option<u32>,
+        excluded_upstreams: Vec<String>,
+    ) -> Self {
+        Self {
+            cx: Rc::clone(cx),
+            req: Rc::clone(req),
+            next_attempt,
+            excluded_upstreams,
+            build: RefCell::default(),
+            can_take_over: Cell::new(true),
+            found: RefCell::default(),
+        }
+    }
+
+    /// Records which build began the answer, which decides who may go on with it.
+    pub(super) fn note_origin(
+        &self,
+        origin: &StreamOrigin,
+    ) {
+        self.can_take_over
+            .set(self.req.is_resumable() && origin.is_resumable());
+        self.build
+            .replace(origin.required_build().map(str::to_owned));
+    }
+
+    /// Waits until an upstream can take the request over; forever if none may.
+    pub(super) async fn find(&self) {
+        let Some(number) = self.next_attempt.filter(|_| self.can_take_over.get()) else {
+            return pending().await;
+        };
+        let build = self.build.borrow().clone();
+        loop {
+            if !self.cx.links.is_isolated() {
+                let excluded = &self.excluded_upstreams;
+                match place(&self.cx, &self.req, number, excluded, build.as_deref()).await {
+                    Ok(placement) => {
+                        self.found.replace(Some(placement));
+                        return;
+                    }
+                    Err(e) => Line::new("successor_refused")
+                        .with("id", self.req.caller.request_id.as_deref().unwrap_or("-"))
+                        .with("kind", e.refusal.kind)
+                        .with("waited_for", e.waited_for.as_str())
+                        .info(),
+                }
+            }
+            sleep(RETRY_INTERVAL.to_std()).await;
+        }
+    }
+
+    /// Releases the upstream that was found, as the silent one has gone on.
+    pub(super) fn discard(&self) {
+        drop(self.found.take());
+    }
+
+    /// The upstream that was found.
+    pub(super) fn into_found(self) -> Option<Placement> {
+        self.found.into_inner()
+    }
+}
