An idle connection stays open for the longest idle time-out that has held since its last request

A caller may reuse a connection that has been idle for up to four fifths of the idle time-out of the configuration; after a change to a longer one its request met a closed connection. Cause: the time-out was read once, as the wait began. Change: the wait follows the configuration and keeps the longest value since the last request was read, so that a shorter one doesn't surprise callers that know the one before either. Evidence: a_longer_idle_timeout_holds_at_once failed before (closed by the time-out of 1 s) and passes; a_shorter_idle_timeout_spares_idle_connections and an_idle_connection_is_closed hold before and after.

--- a/crates/entry/src/caller/connection.rs
+++ b/crates/entry/src/caller/connection.rs
@@ -17,11 +17,11 @@
     },
     jasmine_platform::headers::request_id,
     jasmine_telemetry::log::Line,
-    std::{rc::Rc, time::Duration},
+    std::{future::pending, rc::Rc, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpStream, tcp::ReadHalf},
-        time::timeout,
+        time::{Instant, sleep_until, timeout},
     },
 };
 
@@ -89,17 +89,17 @@
         return;
     }
     let mut buf = BytesMut::new();
-    let mut is_first = true;
+    let mut idle_timeout = None;
     loop {
-        let next = next_request(&cx, &mut stream, &mut buf, peer, is_first).await;
-        is_first = false;
+        let next = next_request(&cx, &mut stream, &mut buf, peer, idle_timeout).await;
+        idle_timeout = Some(peer.limits(&cx).idle_timeout);
         match next {
             Ok(req) => match answer_request(&cx, &mut stream, &mut buf, peer, req).await {
                 AfterResponse::KeepOpen => {}
                 AfterResponse::Close => return close(stream).await,
                 AfterResponse::Reset => return reset(&stream),
             },
-            Err(RequestReadError::Closed | RequestReadError::Idle) => return,
+            Err(RequestReadError::Closed) => return,
             Err(RequestReadError::Refused(kind)) => return refuse(stream, kind).await,
         }
     }
@@ -107,31 +107,48 @@
 
 /// Reads the next request; closes a connection that is idle between requests when the daemon stops.
 ///
-/// The first request is always read, so that a new caller gets a response.
+/// The first request is always read, so that a new caller gets a response. `last_timeout` is the idle timeout that held
+/// when the last request was read.
 async fn next_request(
     cx: &Context,
     stream: &mut TcpStream,
     buf: &mut BytesMut,
     peer: Peer,
-    is_first: bool,
+    last_timeout: Option<Millis>,
 ) -> Result<IncomingRequest, RequestReadError> {
-    let limits = peer.limits(cx);
     tokio::select! {
-        begun = wait_for_request(stream, buf, limits.idle_timeout) => match begun {
-            Ok(()) => {}
-            Err(e) => {
-                if matches!(e, RequestReadError::Idle) {
-                    cx.metrics.count_idle_closed("idle");
-                }
-                return Err(e);
-            }
-        },
-        () = cx.stop_reached(StopStage::Closing), if !is_first => {
+        begun = wait_for_request(stream, buf) => begun?,
+        () = idle_expired(cx, peer, last_timeout.unwrap_or_default()) => {
+            cx.metrics.count_idle_closed("idle");
+            return Err(RequestReadError::Closed);
+        }
+        () = cx.stop_reached(StopStage::Closing), if last_timeout.is_some() => {
             cx.metrics.count_idle_closed("stopping");
             return Err(RequestReadError::Closed);
         }
     }
-    read_request(stream, buf, &limits).await
+    read_request(stream, buf, &peer.limits(cx)).await
+}
+
+/// Waits for the longest idle timeout that has held since the last request; a caller may know any of them.
+async fn idle_expired(
+    cx: &Context,
+    peer: Peer,
+    last_timeout: Millis,
+) {
+    let idle_since = Instant::now();
+    let mut longest = last_timeout;
+    let mut config = cx.config_changes();
+    loop {
+        longest = longest.max(peer.limits(cx).idle_timeout);
+        tokio::select! {
+            () = sleep_until(idle_since + longest.to_std()) => return,
+            changed = config.changed() => if changed.is_err() {
+                // The channel closes only with the context.
+                return pending().await;
+            },
+        }
+    }
 }
 
 /// Answers a request.
@@ -188,7 +205,7 @@
             return;
         }
     }
-    std::future::pending::<()>().await;
+    pending::<()>().await;
 }
 
 async fn refuse(
--- a/crates/entry/src/caller/read_request.rs
+++ b/crates/entry/src/caller/read_request.rs
@@ -1,7 +1,7 @@
 use {
     crate::http1::{BodyPart, BodyReader, Framing, HttpError, RequestHead, parse_request_head},
     bytes::{Buf, Bytes, BytesMut},
-    jasmine_core::{clock::Millis, error::ErrorKind, ingress::CallerLimits},
+    jasmine_core::{error::ErrorKind, ingress::CallerLimits},
     std::io,
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -25,10 +25,8 @@
 /// Why no request could be read.
 #[derive(Debug)]
 pub enum RequestReadError {
-    /// The connection was closed or reset, or the daemon stops; no response is sent.
+    /// The connection was closed or reset, or is closed as it is idle; no response is sent.
     Closed,
-    /// The connection was idle for too long; no response is sent.
-    Idle,
     /// The request is refused with this error.
     Refused(ErrorKind),
 }
@@ -54,15 +52,11 @@
 pub(super) async fn wait_for_request(
     stream: &mut TcpStream,
     buf: &mut BytesMut,
-    idle: Millis,
 ) -> Result<(), RequestReadError> {
-    if !buf.is_empty() {
-        return Ok(());
-    }
-    match timeout(idle.to_std(), read_more(stream, buf)).await {
-        Ok(read) => read,
-        Err(_elapsed) => Err(RequestReadError::Idle),
+    if buf.is_empty() {
+        read_more(stream, buf).await?;
     }
+    Ok(())
 }
 
 /// Reads a complete request whose first byte has arrived.
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -96,6 +96,11 @@
         first.ok()?.ok()?.clone()
     }
 
+    /// Subscribes to changes of the configuration.
+    pub fn config_changes(&self) -> watch::Receiver<Option<Rc<IngressConfig>>> {
+        self.config.subscribe()
+    }
+
     /// The limits on callers' requests.
     pub fn caller_limits(&self) -> CallerLimits {
         self.config
