A request that has arrived is answered when a planned stop closes idle connections

Callers saw their connection closed without an answer to a request that had been read, as a planned stop closed idle connections. Cause: a connection between two requests waited for the next one and for the stop in an unbiased select: with both there, one was taken at random, and the request dropped half of the time.

--- a/crates/entry/src/caller/connection.rs
+++ b/crates/entry/src/caller/connection.rs
@@ -117,6 +117,8 @@
     last_timeout: Option<Millis>,
 ) -> Result<IncomingRequest, RequestReadError> {
     tokio::select! {
+        // A request that has arrived is answered, whatever else has happened meanwhile.
+        biased;
         begun = wait_for_request(stream, buf) => begun?,
         () = idle_expired(cx, peer, last_timeout.unwrap_or_default()) => {
             cx.metrics.count_idle_closed("idle");
