A stop closes a connection behind a response only if its next request hasn't arrived

Callers that had sent the next request behind a running one got no answer to it during a planned stop. Cause: each response of that time closed its connection, decided when the request was read, and what had been received behind it was dropped. Change: the connection stays open for a request that has arrived before the head of the response is written; what comes later meets `Connection: close`, after which callers send it again elsewhere.

--- a/crates/entry/src/caller/connection.rs
+++ b/crates/entry/src/caller/connection.rs
@@ -3,6 +3,7 @@
         ErrorResponse, ResponseWriter,
         answer_watch::{AnswerEnd, AnswerWatch},
         read_request::{IncomingRequest, RequestReadError, read_request, wait_for_request},
+        response_writer::KeepAlive,
     },
     crate::{
         context::{Context, StopStage},
@@ -17,7 +18,7 @@
     },
     jasmine_platform::headers::request_id,
     jasmine_telemetry::log::Line,
-    std::{future::pending, rc::Rc, time::Duration},
+    std::{cell::Cell, future::pending, rc::Rc, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpStream, tcp::ReadHalf},
@@ -165,7 +166,12 @@
     let id = request_id(req.head.headers.pairs()).map(str::to_owned);
     let watch = AnswerWatch::new(cx, peer, id);
     let (rx, tx) = stream.split();
-    let keep_alive = req.head.keeps_connection() && cx.stop_stage() == StopStage::Running;
+    let has_next = Cell::new(!buf.is_empty());
+    let keep_alive = match (req.head.keeps_connection(), cx.stop_stage()) {
+        (false, _) => KeepAlive::No,
+        (true, StopStage::Running) => KeepAlive::Yes,
+        (true, _) => KeepAlive::ForNext(&has_next),
+    };
     let is_head_request = req.head.method == "HEAD";
     let mut out = ResponseWriter::new(tx, req.head.minor_version, keep_alive, is_head_request);
     let served = async {
@@ -177,7 +183,7 @@
     let end = tokio::select! {
         served = served => AnswerEnd::of(served),
         // Cancelling closes the connection to the upstream, which then stops working too.
-        () = until_disconnected(rx, buf) => AnswerEnd::PeerGone,
+        () = until_disconnected(rx, buf, &has_next) => AnswerEnd::PeerGone,
     };
     watch.ended(end);
     match end {
@@ -196,16 +202,18 @@
     }
 }
 
-/// Waits until the caller has closed the connection; keeps pipelined data in `buf`.
+/// Waits until the caller has closed the connection; keeps pipelined data in `buf`, and notes it in `has_next`.
 async fn until_disconnected(
     mut rx: ReadHalf<'_>,
     buf: &mut BytesMut,
+    has_next: &Cell<bool>,
 ) {
     while buf.len() < MAX_PIPELINED_BYTES {
         buf.reserve(MAX_PIPELINED_BYTES / 16);
         if !matches!(rx.read_buf(buf).await, Ok(n) if n > 0) {
             return;
         }
+        has_next.set(true);
     }
     pending::<()>().await;
 }
@@ -215,7 +223,7 @@
     kind: ErrorKind,
 ) {
     let (_, tx) = stream.split();
-    let mut out = ResponseWriter::new(tx, 1, false, false);
+    let mut out = ResponseWriter::new(tx, 1, KeepAlive::No, false);
     let refusal = match kind {
         ErrorKind::SlowSender => Refusal::after(kind, Millis::ZERO),
         kind => Refusal::new(kind),
