Tests: relayed requests move on from a silent upstream, and from a silent VM that relays

Behind a VM that relays for another one, callers got a 502 where both upstreams are sound and silent for 2 s, and a cut stream where the VM that relayed stops and another one could have gone on. Cause of the first: a head that is overdue through another VM counts against that VM, whether or not it still answers. As the only one it is passed over for a second, so that the successor that was found gets nothing (`attempt_failed outcome=Abandoned silent_ms=0` in the millisecond in which it is sent); no further place is granted, and the request ends as `upstream_lost` after 0.6 and 0.8 s of 5. Cause of the second: a body that is overdue doesn't count against it at all, so that the successor may be sent through the same stopped VM and, on its last attempt, waits there until the deadline.

--- a/crates/entry/tests/silent_relays.rs
+++ b/crates/entry/tests/silent_relays.rs
@@ -10,10 +10,13 @@
         UpstreamStandIn,
     },
     jasmine_testkit::proxy::{Fault, Proxy},
+    nix::sys::signal::Signal,
     serde_json::{Value, json},
     std::{
+        collections::BTreeSet,
         io::{Read, Write},
         net::{IpAddr, Ipv4Addr, TcpStream},
+        ops::RangeInclusive,
         thread,
         time::{Duration, Instant},
     },
@@ -21,6 +24,8 @@
 
 /// Longer than any time after which another upstream is sought, well within the deadline of the requests.
 const SILENCE: Duration = Duration::from_secs(2);
+/// Shorter than any time after which another upstream is sought.
+const SHORT_SILENCE: Duration = Duration::from_millis(400);
 /// Silence during which callers leave, nearly as long as the deadline.
 const LONG_SILENCE: Duration = Duration::from_millis(4_500);
 /// When callers leave after the begin of a silence: at once, and when another upstream has been sought.
@@ -34,12 +39,17 @@
 /// The VM that has lost its links to the upstreams.
 const CUT_OFF: usize = 1;
 
+/// The VM that stops while it sends requests on.
+const STOPPED: usize = 2;
+/// Requests at a time, of which some go through the VM that stops.
+const REQUESTS: usize = 6;
+
 /// The address from which a VM connects to upstreams.
 fn source(vm: usize) -> IpAddr {
     IpAddr::V4(Ipv4Addr::new(127, 0, 0, 10 + vm as u8))
 }
 
-/// Upstreams and two VMs, of which one reaches the upstreams only through the other one.
+/// Upstreams and VMs of which one reaches the upstreams only through the others.
 struct Site {
     upstreams: Vec<UpstreamStandIn>,
     vms: Vec<Vm>,
@@ -48,12 +58,26 @@
 }
 
 impl Site {
+    /// Starts two VMs.
     fn start<F>(
         name: &str,
         upstreams: &[&str],
         config: &Value,
         change: F,
     ) -> Self
+    where
+        F: Fn(&mut Value),
+    {
+        Self::start_vms(name, 2, upstreams, config, change)
+    }
+
+    fn start_vms<F>(
+        name: &str,
+        vms: usize,
+        upstreams: &[&str],
+        config: &Value,
+        change: F,
+    ) -> Self
     where
         F: Fn(&mut Value),
     {
@@ -86,13 +110,16 @@
             wait_until(event, || !vm.log_lines(event).is_empty());
             vm
         };
-        let vms: Vec<_> = (0..2).map(start_vm).collect();
+        let vms: Vec<_> = (0..vms).map(start_vm).collect();
         for link in &links {
             link.set_mode_for(source(CUT_OFF), Some(Fault::Refuse));
         }
-        wait_until("its requests are sent on", || {
+        wait_until("all others send its requests on", || {
             vms[CUT_OFF].send_request(&Request::new("GET", "/read/"));
-            !vms[CUT_OFF].log_lines("request_relayed").is_empty()
+            let relayed = vms[CUT_OFF].log_lines("request_relayed");
+            let through = |line: &String| Some(line.split_once(" through=")?.1.to_owned());
+            let through: BTreeSet<_> = relayed.iter().filter_map(through).collect();
+            through.len() == vms.len() - 1
         });
         Self {
             upstreams,
@@ -111,33 +138,41 @@
         }
     }
 
-    /// Sends a request through the VM that has lost its links, and asserts that the other one has sent it on this often.
+    /// Sends a request through the VM that has lost its links; the other one sends it on for as many runs as `runs` says.
     fn send(
         &self,
         request: &Request,
-        runs: usize,
+        runs: &RangeInclusive<usize>,
         what: &str,
     ) -> Response {
-        let response = self.vms[CUT_OFF].send_request(request);
+        let vm = &self.vms[CUT_OFF];
+        let response = vm.send_request(request);
         assert_eq!(response.status, 200, "{what}: {response:?}");
         assert!(response.is_complete, "{what}: {response:?}");
-        assert_eq!(count_runs(&self.upstreams, request.id()), runs, "{what}");
-        let id = format!(" id={} ", request.id());
-        wait_until("each run is logged as sent on", || {
-            let relayed = self.vms[CUT_OFF].log_lines("request_relayed");
-            relayed.iter().filter(|line| line.contains(&id)).count() == runs
-        });
+        let count = count_runs(&self.upstreams, request.id());
+        assert!(runs.contains(&count), "{what}: {count} runs");
+        wait_until("it is logged as sent on", || self.is_sent_on(request));
         response
     }
 
+    /// Whether the head of an answer to it has come through another VM.
+    fn is_sent_on(
+        &self,
+        request: &Request,
+    ) -> bool {
+        let id = format!(" id={} ", request.id());
+        let lines = self.vms[CUT_OFF].log_lines("request_relayed");
+        lines.iter().any(|line| line.contains(&id))
+    }
+
     fn assert_whole_stream(
         &self,
         target: &str,
-        runs: usize,
+        runs: RangeInclusive<usize>,
         what: &str,
     ) {
         let request = Request::new("POST", target).body(b"prompt");
-        let response = self.send(&request, runs, what);
+        let response = self.send(&request, &runs, what);
         let ids = response.events().into_iter().map(|event| event.id);
         assert!(ids.eq(1..=EVENTS), "{what}: {}", response.text());
     }
@@ -146,11 +181,11 @@
         &self,
         method: &'static str,
         target: &str,
-        runs: usize,
+        runs: RangeInclusive<usize>,
         body: &[u8],
     ) {
         let request = Request::new(method, target).body(b"");
-        let response = self.send(&request, runs, target);
+        let response = self.send(&request, &runs, target);
         assert_eq!(response.body, body, "{target}: {}", response.text());
     }
 
@@ -177,6 +212,31 @@
         Instant::now()
     }
 
+    /// Sends requests through the VM that has lost its links and stops another one once they run and are `sent_on`, as
+    /// silently as a paused machine; returns the responses.
+    fn stop_a_relay(
+        &self,
+        requests: &[Request],
+        sent_on: bool,
+    ) -> Vec<Response> {
+        let vm = &self.vms[CUT_OFF];
+        thread::scope(|scope| {
+            let send = |request| scope.spawn(move || vm.send_request(request));
+            let callers: Vec<_> = requests.iter().map(send).collect();
+            let runs = |request: &Request| count_runs(&self.upstreams, request.id()) > 0;
+            wait_until("all run", || requests.iter().all(runs));
+            let is_sent_on = |request: &Request| self.is_sent_on(request);
+            wait_until("they are sent on", || {
+                !sent_on || requests.iter().all(is_sent_on)
+            });
+            self.vms[STOPPED].signal(Signal::SIGSTOP);
+            let responses = callers.into_iter().map(|caller| caller.join().unwrap());
+            let responses = responses.collect();
+            self.vms[STOPPED].signal(Signal::SIGCONT);
+            responses
+        })
+    }
+
     fn executed(&self) -> usize {
         let executed = self
             .upstreams
@@ -234,9 +294,9 @@
         unchanged,
     );
     site.set_all(&Behaviour::Slow(SILENCE));
-    site.assert_whole_call("GET", "/read/", 1, b"slow");
+    site.assert_whole_call("GET", "/read/", 1..=1, b"slow");
     site.set_all(&Behaviour::SilentBody(BODY.to_vec(), SILENCE));
-    site.assert_whole_call("GET", "/read/", 1, BODY);
+    site.assert_whole_call("GET", "/read/", 1..=1, BODY);
 }
 
 #[test]
@@ -250,7 +310,7 @@
     );
     for behaviour in silent_streams() {
         site.set_all(&behaviour);
-        site.assert_whole_stream("/stream/", 1, &format!("{behaviour:?}"));
+        site.assert_whole_stream("/stream/", 1..=1, &format!("{behaviour:?}"));
     }
 }
 
@@ -260,7 +320,7 @@
     let site = Site::start("relay-last-call", &["s-1"], &config(1), unchanged);
     site.upstreams[0].next(Behaviour::Truncate);
     site.set_all(&Behaviour::Slow(SILENCE));
-    site.assert_whole_call("GET", "/read/", 2, b"slow");
+    site.assert_whole_call("GET", "/read/", 2..=2, b"slow");
 }
 
 #[test]
@@ -270,7 +330,7 @@
     for behaviour in silent_streams() {
         site.upstreams[0].next(Behaviour::CutAfter(2));
         site.set_all(&behaviour);
-        site.assert_whole_stream("/stream/", 2, &format!("{behaviour:?}"));
+        site.assert_whole_stream("/stream/", 2..=2, &format!("{behaviour:?}"));
     }
 }
 
@@ -284,10 +344,56 @@
         without_retries,
     );
     site.set_all(&Behaviour::Slow(SILENCE));
-    site.assert_whole_call("GET", "/read/", 1, b"slow");
+    site.assert_whole_call("GET", "/read/", 1..=1, b"slow");
+    for behaviour in silent_streams() {
+        site.set_all(&behaviour);
+        site.assert_whole_stream("/stream/", 1..=1, &format!("{behaviour:?}"));
+    }
+}
+
+#[test]
+fn a_relayed_call_moves_on_from_a_silent_upstream() {
+    // Guards against taking a silent upstream for a failed relay, so that no VM is left to send the call to another one.
+    let site = Site::start("relay-next-call", &["s-1", "s-2"], &config(1), unchanged);
+    site.set_all(&Behaviour::Slow(SILENCE));
+    site.assert_whole_call("GET", "/read/", 1..=2, b"slow");
+}
+
+#[test]
+fn a_relayed_stream_moves_on_from_a_silent_upstream() {
+    // Guards against taking a silent upstream for a failed relay, so that no VM is left to send the stream to another one.
+    let site = Site::start("relay-next-stream", &["s-1", "s-2"], &config(1), unchanged);
     for behaviour in silent_streams() {
         site.set_all(&behaviour);
-        site.assert_whole_stream("/stream/", 1, &format!("{behaviour:?}"));
+        site.assert_whole_stream("/stream/", 1..=2, &format!("{behaviour:?}"));
+    }
+}
+
+#[test]
+fn a_call_moves_on_from_a_silent_relay() {
+    // Guards against waiting for the VM that sends a call on, as for a silent upstream, although another VM could.
+    let site = Site::start_vms("stopped-call", 3, &["s-1", "s-2"], &config(1), unchanged);
+    site.set_all(&Behaviour::Slow(SHORT_SILENCE));
+    let requests = [(); REQUESTS].map(|()| Request::new("GET", "/read/"));
+    for response in site.stop_a_relay(&requests, false) {
+        assert_eq!(response.status, 200, "{response:?}");
+    }
+}
+
+#[test]
+fn a_stream_moves_on_from_a_silent_relay() {
+    // Guards against taking a stream up through the same VM that has fallen silent, although another one could send it on.
+    let site = Site::start_vms("stopped-stream", 3, &["s-1", "s-2"], &config(1), unchanged);
+    site.set_all(&silent_stream(
+        Chunked,
+        SilentAt::Event(MIDDLE),
+        SHORT_SILENCE,
+    ));
+    let requests = [(); REQUESTS].map(|()| Request::new("POST", "/stream/").body(b"prompt"));
+    for response in site.stop_a_relay(&requests, true) {
+        let ids = response.events().into_iter().map(|event| event.id);
+        assert!(ids.eq(1..=EVENTS), "{}", response.text());
+        assert!(response.is_complete, "{response:?}");
     }
 }
 
@@ -296,12 +402,12 @@
     // Guards against ending relayed requests of silent upstreams that can be neither repeated nor resumed.
     let site = Site::start("relay-once", &["s-1", "s-2"], &config(1), unchanged);
     site.set_all(&Behaviour::Slow(SILENCE));
-    site.assert_whole_call("POST", "/write/", 1, b"slow");
+    site.assert_whole_call("POST", "/write/", 1..=1, b"slow");
     site.set_all(&Behaviour::SilentBody(BODY.to_vec(), SILENCE));
-    site.assert_whole_call("POST", "/write/", 1, BODY);
+    site.assert_whole_call("POST", "/write/", 1..=1, BODY);
     for behaviour in silent_streams() {
         site.set_all(&behaviour);
-        site.assert_whole_stream("/once/", 1, &format!("{behaviour:?}"));
+        site.assert_whole_stream("/once/", 1..=1, &format!("{behaviour:?}"));
     }
 }
 
