The successor of a silent upstream is another one, and draws on the retry budget only once it is assigned

Callers' requests at the only reachable upstream were repeated there while it was silent, and a service's retry budget was used up by searches that found nothing, so that requests whose upstream had really failed got no second attempt. Cause: once all others are away, the scheduler falls back to upstreams that a request excludes; and a further attempt draws on the budget as it is queued, before anything shows that it can be placed. Change: the scheduler is told that an attempt is a successor (Job::is_successor, a new field on the wire). None but other upstreams may serve it, it is refused at once while there is none, and it draws on the budget as it is assigned, where the budget is checked again.

--- a/crates/core/examples/scheduler_cost/fleet.rs
+++ b/crates/core/examples/scheduler_cost/fleet.rs
@@ -296,6 +296,8 @@
             build: None,
             attempt: 1,
             excluded_upstreams: Vec::new(),
+            has_begun: false,
+            is_successor: false,
         }
     }
 }
--- a/crates/core/src/scheduler/choose/mod.rs
+++ b/crates/core/src/scheduler/choose/mod.rs
@@ -346,7 +346,7 @@
             .collect()
     }
 
-    /// The strictest filter that at least one upstream of the service matches.
+    /// The strictest filter that at least one upstream of the service matches; the strictest of all for a successor.
     fn filter(
         &self,
         job: &Job,
@@ -355,6 +355,9 @@
             let mut ready = self.fleet.ready(job.service);
             ready.any(|up| self.matches_filter(filter, job, up))
         };
+        if job.is_successor {
+            return CandidateFilter::NotFailed;
+        }
         let strict = [CandidateFilter::NotFailed, CandidateFilter::Reachable];
         strict
             .into_iter()
--- a/crates/core/src/scheduler/job.rs
+++ b/crates/core/src/scheduler/job.rs
@@ -84,6 +84,10 @@
     pub attempt: u32,
     /// Upstreams that failed earlier attempts.
     pub excluded_upstreams: Vec<UpstreamId>,
+    /// Whether its caller has a part of the answer already.
+    pub has_begun: bool,
+    /// Whether the last excluded upstream is silent and still works on it, so that only another one is of use.
+    pub is_successor: bool,
 }
 
 impl Job {
--- a/crates/core/src/scheduler/retry_budget.rs
+++ b/crates/core/src/scheduler/retry_budget.rs
@@ -139,8 +139,8 @@
         self.decided = AttemptWindow::default();
     }
 
-    /// Takes one retry from the budget; returns whether one was left.
-    pub(super) fn take(
+    /// Whether a retry is left.
+    pub(super) fn has_left(
         &mut self,
         settings: &RetrySettings,
         share: RetryShare,
@@ -158,7 +158,17 @@
                 (settings.ratio * f64::from(own) + slack) * STANDALONE_PERCENT / 100.0
             }
         };
-        let has_left = f64::from(retries + 1) <= allowed;
+        f64::from(retries + 1) <= allowed
+    }
+
+    /// Takes one retry from the budget; returns whether one was left.
+    pub(super) fn take(
+        &mut self,
+        settings: &RetrySettings,
+        share: RetryShare,
+        now: Millis,
+    ) -> bool {
+        let has_left = self.has_left(settings, share, now);
         if has_left {
             let counts = AttemptCounts {
                 requests: 0,
--- a/crates/core/src/scheduler/state_machine/availability.rs
+++ b/crates/core/src/scheduler/state_machine/availability.rs
@@ -19,6 +19,28 @@
 const RESUMPTION_CHECK_INTERVAL: Millis = Millis(50);
 
 impl Scheduler {
+    /// Refuses a successor while no upstream but those that it excludes may serve it.
+    pub(super) fn check_successor(
+        &self,
+        job: &Job,
+        now: Millis,
+    ) -> Result<(), Refusal> {
+        let mut ready = self.fleet.ready(job.service);
+        let mut has_other = || {
+            ready.any(|up| {
+                !job.excluded_upstreams.contains(&up.id)
+                    && up.accepts_requests(now)
+                    && up.may_serve(job)
+                    && up.health.is_available(now)
+            })
+        };
+        if !job.is_successor || has_other() {
+            Ok(())
+        } else {
+            Err(Refusal::new(ErrorKind::NoUpstream))
+        }
+    }
+
     /// Records that an operator evacuates a data centre: its upstreams get no new requests.
     pub fn begin_evacuation(
         &mut self,
--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -358,6 +358,9 @@
         now: Millis,
     ) -> Option<Action> {
         let job = self.entries.get(&request)?.job.clone();
+        if !self.take_successor_retry(&job, now) {
+            return self.refuse(request, Refusal::new(ErrorKind::NoUpstream), now);
+        }
         let load = self.request_load(&job, upstream, now);
         self.fleet.assign(upstream, request, adapter, load, now);
         self.fleet.note_sent(upstream, &job, now);
--- a/crates/core/src/scheduler/state_machine/retries.rs
+++ b/crates/core/src/scheduler/state_machine/retries.rs
@@ -11,7 +11,9 @@
 };
 
 impl Scheduler {
-    /// Refuses a retry if the service's retry budget is used up.
+    /// Refuses a retry if the service's retry budget is used up, and draws on it otherwise.
+    ///
+    /// A successor draws on it only once it is assigned: its search may end without one.
     pub(super) fn check_retry_budget(
         &mut self,
         job: &Job,
@@ -24,13 +26,33 @@
             budget.note_request(&settings, now);
             return Ok(());
         }
-        if budget.take(&settings, share, now) {
+        let has_left = if job.is_successor {
+            budget.has_left(&settings, share, now)
+        } else {
+            budget.take(&settings, share, now)
+        };
+        if has_left {
             Ok(())
         } else {
             Err(Refusal::new(ErrorKind::NoUpstream))
         }
     }
 
+    /// Draws on the retry budget for a successor that is assigned; returns whether a retry was left.
+    pub(super) fn take_successor_retry(
+        &mut self,
+        job: &Job,
+        now: Millis,
+    ) -> bool {
+        if !job.is_successor {
+            return true;
+        }
+        let share = self.retry_share(now);
+        let settings = self.settings.repeats;
+        let budget = self.retry_budgets.entry(job.service).or_default();
+        budget.take(&settings, share, now)
+    }
+
     /// Records an attempt of this VM's own callers, decided by this or another scheduler.
     pub fn note_own_attempt(
         &mut self,
--- a/crates/core/tests/scheduler_world/mod.rs
+++ b/crates/core/tests/scheduler_world/mod.rs
@@ -180,6 +180,15 @@
         self.apply(actions);
     }
 
+    /// Withdraws a request.
+    pub fn cancel(
+        &mut self,
+        number: u64,
+    ) {
+        let actions = self.scheduler.cancel(attempt_id(number), self.now);
+        self.apply(actions);
+    }
+
     pub fn answer(
         &mut self,
         upstream: UpstreamId,
@@ -376,6 +385,8 @@
         build: None,
         attempt: 1,
         excluded_upstreams: Vec::new(),
+        has_begun: false,
+        is_successor: false,
     }
 }
 
--- a/crates/entry/examples/scheduler_calls.rs
+++ b/crates/entry/examples/scheduler_calls.rs
@@ -197,6 +197,8 @@
         deadline: Millis(3_000),
         attempt: 1,
         excluded_upstreams: Vec::new(),
+        has_begun: false,
+        is_successor: false,
         data_centre: "one".to_owned(),
         allowed_data_centres: Vec::new(),
         build: None,
--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -3,6 +3,7 @@
         ForwardRequest,
         attempt::{AttemptContext, Failure, Start},
         relay::{Progress, RelayError, relay},
+        request::AttemptSpec,
         successor::{Successor, place},
     },
     crate::{
@@ -188,9 +189,14 @@
 
     /// Waits for placement of the next attempt.
     async fn place(&self) -> Result<Placement, PlacementError> {
-        let number = self.attempts.next_attempt();
-        let build = self.progress.origin.required_build();
-        place(self.cx, &self.req, number, &self.excluded_upstreams, build).await
+        let attempt = AttemptSpec {
+            number: self.attempts.next_attempt(),
+            excluded_upstreams: &self.excluded_upstreams,
+            build: self.progress.origin.required_build(),
+            has_begun: self.progress.first_at.is_some(),
+            is_successor: false,
+        };
+        place(self.cx, &self.req, &attempt).await
     }
 
     /// The search for an upstream that takes over from that of a placement.
@@ -203,8 +209,10 @@
         let mut excluded = self.excluded_upstreams.clone();
         excluded.push(placement.upstream.clone());
         let successor = Successor::new(self.cx, &self.req, next_attempt, excluded);
-        if self.req.is_resumption() || self.progress.first_at.is_some() {
-            successor.note_origin(&self.progress.origin);
+        match self.progress.first_at {
+            Some(_) => successor.note_begun(&self.progress.origin),
+            None if self.req.is_resumption() => successor.note_origin(&self.progress.origin),
+            None => {}
         }
         successor
     }
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -232,7 +232,7 @@
     if progress.first_at.is_none() {
         progress.first_at = Some(now);
         progress.origin.begin(attempt.placement.build.as_deref());
-        attempt.successor.note_origin(&progress.origin);
+        attempt.successor.note_begun(&progress.origin);
         publish_origin(attempt, progress);
         attempt.placement.first_event();
     }
--- a/crates/entry/src/forward/request.rs
+++ b/crates/entry/src/forward/request.rs
@@ -14,6 +14,21 @@
     xxhash_rust::xxh3::xxh3_64,
 };
 
+/// One attempt of a request, as far as its earlier ones decide about it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AttemptSpec<'a> {
+    /// Its number, from 1.
+    pub number: u32,
+    /// Upstreams that have failed the request.
+    pub excluded_upstreams: &'a [String],
+    /// The only build of upstreams that may serve it.
+    pub build: Option<&'a str>,
+    /// Whether the caller has a part of the answer already.
+    pub has_begun: bool,
+    /// Whether the last excluded upstream is silent and still works on the request.
+    pub is_successor: bool,
+}
+
 /// A request that may be forwarded: it has a route and, if needed, a valid API key.
 #[derive(Clone, Debug)]
 pub struct ForwardRequest {
@@ -127,12 +142,10 @@
         self.is_stream() && (self.caller.last_event.is_some() || self.caller.resumes.is_some())
     }
 
-    /// Builds the scheduler's description of attempt number `attempt`, at upstreams of `build` only if that is given.
-    pub fn job_spec(
+    /// Builds the scheduler's description of an attempt.
+    pub(super) fn job_spec(
         &self,
-        attempt: u32,
-        excluded_upstreams: &[String],
-        build: Option<&str>,
+        attempt: &AttemptSpec<'_>,
         data_centre: &str,
         now: Millis,
     ) -> JobSpec {
@@ -148,11 +161,13 @@
             objective: objective.since(now),
             gap_objective: self.route.gap_objective,
             deadline: self.deadline.since(now),
-            attempt,
-            excluded_upstreams: excluded_upstreams.to_vec(),
+            attempt: attempt.number,
+            excluded_upstreams: attempt.excluded_upstreams.to_vec(),
+            has_begun: attempt.has_begun,
+            is_successor: attempt.is_successor,
             data_centre: data_centre.to_owned(),
             allowed_data_centres: self.allowed_data_centres.clone(),
-            build: build.map(str::to_owned),
+            build: attempt.build.map(str::to_owned),
         }
     }
 
--- a/crates/entry/src/forward/successor.rs
+++ b/crates/entry/src/forward/successor.rs
@@ -1,5 +1,5 @@
 use {
-    super::{ForwardRequest, STOPPING_RETRY_DELAY},
+    super::{ForwardRequest, STOPPING_RETRY_DELAY, request::AttemptSpec},
     crate::{
         context::{Context, StopStage},
         scheduling::{Placement, PlacementError},
@@ -25,13 +25,10 @@
 pub(super) async fn place(
     cx: &Context,
     req: &ForwardRequest,
-    number: u32,
-    excluded_upstreams: &[String],
-    build: Option<&str>,
+    attempt: &AttemptSpec<'_>,
 ) -> Result<Placement, PlacementError> {
     let now = cx.clock.now();
-    let data_centre = &cx.settings.data_centre;
-    let job = req.job_spec(number, excluded_upstreams, build, data_centre, now);
+    let job = req.job_spec(attempt, &cx.settings.data_centre, now);
     let left = req.deadline.since(now);
     let placement_result = timeout(left.to_std(), cx.scheduling.place(job));
     tokio::select! {
@@ -55,12 +52,13 @@
     /// Upstreams that have failed the request, and the silent one.
     excluded_upstreams: Vec<String>,
     build: RefCell<Option<String>>,
+    has_begun: Cell<bool>,
     can_take_over: Cell<bool>,
     found: RefCell<Option<Placement>>,
 }
 
 impl Successor {
-    /// Creates the search for the upstream of an attempt, and for no build but `build` if one is given.
+    /// Creates the search for the successor of the last of `excluded_upstreams`.
     pub(super) fn new(
         cx: &Rc<Context>,
         req: &Rc<ForwardRequest>,
@@ -73,11 +71,21 @@
             next_attempt,
             excluded_upstreams,
             build: RefCell::default(),
+            has_begun: Cell::new(false),
             can_take_over: Cell::new(true),
             found: RefCell::default(),
         }
     }
 
+    /// Records that the caller has a part of the answer, begun by the build of `origin`.
+    pub(super) fn note_begun(
+        &self,
+        origin: &StreamOrigin,
+    ) {
+        self.has_begun.set(true);
+        self.note_origin(origin);
+    }
+
     /// Records which build began the answer, which decides who may go on with it.
     pub(super) fn note_origin(
         &self,
@@ -95,10 +103,16 @@
             return pending().await;
         };
         let build = self.build.borrow().clone();
+        let attempt = AttemptSpec {
+            number,
+            excluded_upstreams: &self.excluded_upstreams,
+            build: build.as_deref(),
+            has_begun: self.has_begun.get(),
+            is_successor: true,
+        };
         loop {
             if !self.cx.links.is_isolated() {
-                let excluded = &self.excluded_upstreams;
-                match place(&self.cx, &self.req, number, excluded, build.as_deref()).await {
+                match place(&self.cx, &self.req, &attempt).await {
                     Ok(placement) => {
                         self.found.replace(Some(placement));
                         return;
--- a/crates/entry/src/scheduling/job_spec.rs
+++ b/crates/entry/src/scheduling/job_spec.rs
@@ -99,6 +99,10 @@
     pub attempt: u32,
     /// Upstreams to avoid, because an earlier attempt failed there.
     pub excluded_upstreams: Vec<String>,
+    /// Whether its caller has a part of the answer already.
+    pub has_begun: bool,
+    /// Whether the last excluded upstream is silent and still works on it.
+    pub is_successor: bool,
     /// Data centre of the forwarding VM.
     pub data_centre: String,
     /// Data centres whose upstreams may serve it; empty if any may.
@@ -151,6 +155,8 @@
                 .iter()
                 .map(|id| names.upstream(id))
                 .collect(),
+            has_begun: self.has_begun,
+            is_successor: self.is_successor,
         }
     }
 }
--- a/crates/entry/tests/no_leader.rs
+++ b/crates/entry/tests/no_leader.rs
@@ -79,6 +79,8 @@
         deadline: Millis(4_000),
         attempt: 1,
         excluded_upstreams: Vec::new(),
+        has_begun: false,
+        is_successor: false,
         data_centre: "one".to_owned(),
         allowed_data_centres: Vec::new(),
         build: None,
--- a/crates/entry/tests/silent_upstreams.rs
+++ b/crates/entry/tests/silent_upstreams.rs
@@ -49,7 +49,9 @@
     let (store, upstreams) = start_platform(&["s-1"]);
     let vm = Vm::start(&store);
     upstreams[0].set_default(Behaviour::Pauses(EVENTS, SILENCE));
-    assert_whole_stream(&vm.send_request(&stream()));
+    let req = stream();
+    assert_whole_stream(&vm.send_request(&req));
+    assert_eq!(count_runs(&upstreams, req.id()), 1);
 }
 
 #[test]
--- a/crates/wire/schema/scheduler.capnp
+++ b/crates/wire/schema/scheduler.capnp
@@ -29,6 +29,8 @@
   build @18 :Text;             # the only software version that may serve it; empty: any
   version @19 :UInt32;         # newest announced version of the adapter that the VM knows; 0: none
   olderMs @20 :UInt32;         # how much longer the request may begin on an older one
+  hasBegun @21 :Bool;          # its caller has a part of the answer
+  isSuccessor @22 :Bool;       # the last upstream to avoid is silent and still works on it
 }
 
 struct RunningJob {
