An answer that has begun goes before new requests when it is placed again

Callers saw an answer end midway although other upstreams had room for it a moment later. Cause: a further attempt of an answer that had begun was queued as a late request: its objective had passed, so it was refused by the expected wait, or put behind every request that could still be on time. Change: the scheduler is told that the caller has a part of the answer (Job::has_begun). Such an attempt has the highest class, counts as on time until its deadline, and no wait of others refuses it. Evidence: an_answer_that_has_begun_is_not_late fails with the mechanism taken out (CannotMeetDeadline) and passes. A full queue, a planned stop and region limits still refuse it.

--- a/crates/core/src/scheduler/state_machine/admission.rs
+++ b/crates/core/src/scheduler/state_machine/admission.rs
@@ -25,7 +25,12 @@
         job: &Job,
         now: Millis,
     ) -> Result<(), Refusal> {
-        let wait = self.expected_wait(job.service);
+        // The queue waits for an answer that has begun, and not the other way round.
+        let wait = if job.has_begun {
+            Millis::ZERO
+        } else {
+            self.expected_wait(job.service)
+        };
         let remaining = job.deadline.since(now + self.min_service_time(job));
         if wait < remaining {
             return Ok(());
@@ -74,7 +79,11 @@
         QueuedRequest {
             request,
             account: job.account.unwrap_or(NO_ACCOUNT),
-            priority: priority_class(job.priority),
+            priority: if job.has_begun {
+                Priority::High
+            } else {
+                priority_class(job.priority)
+            },
             cost: job.cost.max(1),
             deadline: send_deadline.max(now),
             target: queue_target(job, false),
@@ -82,11 +91,14 @@
     }
 
     /// The latest time to send a request that can still be on time, behind a full engine backlog
-    /// and its own prompt.
+    /// and its own prompt; for an answer that has begun, that can still be complete.
     pub(super) fn latest_send_at(
         &self,
         job: &Job,
     ) -> Millis {
+        if job.has_begun {
+            return Millis(job.deadline.0.saturating_sub(self.min_service_time(job).0));
+        }
         let needed = match job.generation() {
             None => self
                 .fleet
--- a/crates/core/tests/continued_answers.rs
+++ b/crates/core/tests/continued_answers.rs
@@ -125,3 +125,25 @@
         Some(ErrorKind::NoUpstream)
     );
 }
+
+#[test]
+fn an_answer_that_has_begun_is_not_late() {
+    // Guards against cutting an answer that has begun because newer requests can still be on time.
+    let mut world = world_with_budget(1.0);
+    let running = fill(&mut world);
+    for _ in 0..40 {
+        world.place(call(world.now));
+    }
+    let late = Job {
+        objective: world.now,
+        deadline: world.now + Millis(800),
+        attempt: 2,
+        has_begun: true,
+        ..call(world.now)
+    };
+    let number = world.place(late);
+    world.advance(20);
+    assert_eq!(refusal(&world, number), None);
+    world.cancel(running[0]);
+    assert_eq!(world.sent_to(number), Some(SILENT), "before newer requests");
+}
