An answer between two attempts waits for lost links until its deadline

Callers saw an answer cut at once when its upstream broke off and neither their VM nor another one reached any upstream at that moment. Cause: a request of such a VM is refused at once, as it should, but an answer that had begun was treated alike. Change: it waits until an upstream is reached again, or its deadline. Evidence: a_broken_stream_waits_for_lost_links fails with the wait taken out (cut after 4 of 8 events) and passes in 2 of 2.

--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -34,6 +34,9 @@
 /// `Retry-After` while neither this VM nor another one reaches an upstream.
 const ISOLATED_RETRY_DELAY: Millis = Millis(1_000);
 
+/// How often an answer that has begun checks whether an upstream is reached again.
+const ISOLATION_CHECK_INTERVAL: Millis = Millis(100);
+
 /// What follows an attempt.
 enum Step {
     /// The caller has its response or has disconnected.
@@ -102,7 +105,7 @@
         }
         let mut successor = None;
         loop {
-            if successor.is_none() && self.cx.links.is_isolated() {
+            if successor.is_none() && !self.is_reachable().await {
                 let refusal = Refusal::after(ErrorKind::NoUpstream, ISOLATED_RETRY_DELAY);
                 return self.give_up(refusal, out).await;
             }
@@ -187,6 +190,18 @@
         self.progress.origin = origin;
     }
 
+    /// Whether any upstream can be reached; an answer that has begun waits for one until its deadline.
+    async fn is_reachable(&self) -> bool {
+        let links = &self.cx.links;
+        while self.progress.first_at.is_some()
+            && links.is_isolated()
+            && self.cx.clock.now() < self.req.deadline
+        {
+            sleep(ISOLATION_CHECK_INTERVAL.to_std()).await;
+        }
+        !links.is_isolated()
+    }
+
     /// Waits for placement of the next attempt.
     async fn place(&self) -> Result<Placement, PlacementError> {
         let attempt = AttemptSpec {
--- a/crates/entry/tests/silent_upstreams.rs
+++ b/crates/entry/tests/silent_upstreams.rs
@@ -215,3 +215,32 @@
     let vms = start_vms(&site.store, "silence");
     assert_streams_survive(&site, &vms);
 }
+
+#[test]
+fn a_broken_stream_waits_for_lost_links() {
+    // Guards against cutting an answer between two attempts because no upstream can be reached for a while.
+    let site = start_site();
+    let vm = Vm::start(&site.store);
+    for upstream in &site.upstreams {
+        upstream.set_default(Behaviour::Pauses(EVENTS, Duration::from_millis(600)));
+    }
+    let (callers, bytes) = (vm.callers, stream().bytes());
+    let call = thread::spawn(move || deployment::exchange(callers, &bytes));
+    wait_until("it runs", || {
+        site.upstreams
+            .iter()
+            .any(|upstream| !upstream.executed().is_empty())
+    });
+    thread::sleep(Duration::from_millis(100));
+    for link in &site.links {
+        link.set_mode(Fault::Reset);
+    }
+    wait_until("the links count as lost", || {
+        !vm.log_lines("links_lost").is_empty()
+    });
+    thread::sleep(Duration::from_secs(1));
+    for link in &site.links {
+        link.set_mode(Fault::Pass);
+    }
+    assert_whole_stream(&call.join().unwrap().expect("a response"));
+}
