--- a/crates/entry/src/links/link_monitor.rs
+++ b/crates/entry/src/links/link_monitor.rs
@@ -89,9 +89,14 @@
         self.data_centres.replace(named.collect());
     }
 
+    /// Whether this VM reaches upstreams, as far as is known.
+    pub fn status(&self) -> LinkStatus {
+        *self.status.borrow()
+    }
+
     /// Whether this VM reaches no upstream.
     pub fn is_lost(&self) -> bool {
-        *self.status.borrow() == LinkStatus::Lost
+        self.status() == LinkStatus::Lost
     }
 
     /// Whether neither this VM nor any that it asked reaches an upstream.
@@ -99,6 +104,11 @@
         self.is_lost() && self.relays.borrow().is_none_known()
     }
 
+    /// Whether a request can reach an upstream, by this VM's own links or by a VM that has lately said that it relays.
+    pub fn can_send(&self) -> bool {
+        !self.is_lost() || self.relays.borrow().has_relay(self.clock.now())
+    }
+
     /// Whether this VM may lead: not while it has lost its links and another VM hasn't.
     pub fn may_lead(&self) -> bool {
         !self.is_lost() || !self.relays.borrow().has_relay(self.clock.now())
