Tests: a relayed call is repeated after its upstream has reset the connection

Behind the only VM that relays, a caller got a 502 `upstream_lost` after one run of the two that its route allows, although the upstream answers the next request. Cause: as for a silent upstream, a connection that breaks before the head counts against the VM that relays; it is passed over for a second.

--- a/crates/entry/tests/silent_relays.rs
+++ b/crates/entry/tests/silent_relays.rs
@@ -1,4 +1,4 @@
-//! Upstreams that fall silent for a while and go on, behind a VM that sends requests on for another one.
+//! Upstreams that fall silent for a while and go on, or break off, behind a VM that sends requests on for another one.
 
 mod deployment;
 
@@ -369,6 +369,14 @@
     }
 }
 
+#[test]
+fn a_relayed_call_is_repeated_after_a_reset() {
+    // Guards against taking an upstream that resets its connection for a failed relay, so that no VM is left to repeat the call.
+    let site = Site::start("relay-reset", &["s-1"], &config(1), unchanged);
+    site.upstreams[0].next(Behaviour::Reset);
+    site.assert_whole_call("GET", "/read/", 2..=2, b"ok");
+}
+
 #[test]
 fn a_call_moves_on_from_a_silent_relay() {
     // Guards against waiting for the VM that sends a call on, as for a silent upstream, although another VM could.
