A HEAD request of a stream's route gets no body

A caller that asked for the head of a stream got five bytes behind the response, which it would take for the next one on the connection. Cause: the end of the chunked coding was written whatever the method.

--- a/crates/entry/src/caller/response_writer.rs
+++ b/crates/entry/src/caller/response_writer.rs
@@ -170,6 +170,7 @@
         self.state = State::Begun;
         match self.minor_version {
             0 => Ok(()),
+            _ if self.is_head_request => Ok(()),
             _ => self.write(b"0\r\n\r\n").await,
         }
     }
@@ -196,6 +197,9 @@
         bytes: &mut Vec<u8>,
         data: &[u8],
     ) {
+        if self.is_head_request {
+            return;
+        }
         if self.minor_version == 0 {
             bytes.extend_from_slice(data);
         } else if !data.is_empty() {
