A successor is sought only where a VM of an allowed region relays

A silent stream was dropped, and cut 1.3 s later, for a VM that may not relay it: whether any VM relays was asked, not whether one in the request's regions does. Change: LinkMonitor::can_send takes the data centres that the request is allowed in.

--- a/crates/core/src/reachability/relays.rs
+++ b/crates/core/src/reachability/relays.rs
@@ -96,7 +96,20 @@
         &self,
         now: Millis,
     ) -> bool {
-        self.peers.values().any(|state| state.is_proven(now))
+        self.has_relay_of(now, |_| true)
+    }
+
+    /// Whether a VM that `is_allowed` accepts has lately said that it relays.
+    pub fn has_relay_of<F>(
+        &self,
+        now: Millis,
+        is_allowed: F,
+    ) -> bool
+    where
+        F: Fn(SocketAddr) -> bool,
+    {
+        let mut peers = self.peers.iter();
+        peers.any(|(&address, state)| state.is_proven(now) && is_allowed(address))
     }
 
     /// Whether it is known that no VM relays.
--- a/crates/entry/src/forward/successor.rs
+++ b/crates/entry/src/forward/successor.rs
@@ -111,7 +111,7 @@
             is_successor: true,
         };
         loop {
-            if self.cx.links.can_send() {
+            if self.cx.links.can_send(&self.req.allowed_data_centres) {
                 match place(&self.cx, &self.req, &attempt).await {
                     Ok(placement) => {
                         self.found.replace(Some(placement));
--- a/crates/entry/src/links/link_monitor.rs
+++ b/crates/entry/src/links/link_monitor.rs
@@ -104,9 +104,16 @@
         self.is_lost() && self.relays.borrow().is_none_known()
     }
 
-    /// Whether a request can reach an upstream, by this VM's own links or by a VM that has lately said that it relays.
-    pub fn can_send(&self) -> bool {
-        !self.is_lost() || self.relays.borrow().has_relay(self.clock.now())
+    /// Whether a request that is allowed in these data centres, all if none is given, can reach an upstream: by this
+    /// VM's own links, or by a VM that has lately said that it relays.
+    pub fn can_send(
+        &self,
+        allowed_data_centres: &[String],
+    ) -> bool {
+        let data_centres = self.data_centres.borrow();
+        let is_allowed = |address| is_relay_allowed(&data_centres, allowed_data_centres, address);
+        let now = self.clock.now();
+        !self.is_lost() || self.relays.borrow().has_relay_of(now, is_allowed)
     }
 
     /// Whether this VM may lead: not while it has lost its links and another VM hasn't.
@@ -121,11 +128,7 @@
     ) -> Vec<SocketAddr> {
         let salt = self.requests.replace(self.requests.get() + 1);
         let data_centres = self.data_centres.borrow();
-        let is_allowed = |address| {
-            let data_centre = data_centres.get(&address);
-            allowed_data_centres.is_empty()
-                || data_centre.is_some_and(|name| allowed_data_centres.contains(name))
-        };
+        let is_allowed = |address| is_relay_allowed(&data_centres, allowed_data_centres, address);
         let now = self.clock.now();
         self.relays.borrow().candidates(salt, now, is_allowed)
     }
@@ -288,6 +291,16 @@
     }
 }
 
+/// Whether a VM may relay a request that is allowed in these data centres, all if none is given.
+fn is_relay_allowed(
+    data_centres: &BTreeMap<SocketAddr, String>,
+    allowed: &[String],
+    address: SocketAddr,
+) -> bool {
+    let data_centre = data_centres.get(&address);
+    allowed.is_empty() || data_centre.is_some_and(|name| allowed.contains(name))
+}
+
 /// Tests the links when that is due; never returns.
 pub async fn monitor_links(cx: Rc<Context>) {
     let links = Rc::clone(&cx.links);
