An answer between two attempts waits until a VM is known to relay it

With several VMs an answer whose upstream had broken off was still cut at once when all VMs had lost their links: right after the loss it isn't known yet that none of the others relays. Change: an answer that has begun waits until its VM's links, or a VM that has lately said that it relays, can carry it, or its deadline.

--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -35,7 +35,7 @@
 const ISOLATED_RETRY_DELAY: Millis = Millis(1_000);
 
 /// How often an answer that has begun checks whether an upstream is reached again.
-const ISOLATION_CHECK_INTERVAL: Millis = Millis(100);
+const REACHABILITY_CHECK_INTERVAL: Millis = Millis(100);
 
 /// What follows an attempt.
 enum Step {
@@ -193,11 +193,12 @@
     /// Whether any upstream can be reached; an answer that has begun waits for one until its deadline.
     async fn is_reachable(&self) -> bool {
         let links = &self.cx.links;
+        let allowed = &self.req.allowed_data_centres;
         while self.progress.first_at.is_some()
-            && links.is_isolated()
+            && !links.can_send(allowed)
             && self.cx.clock.now() < self.req.deadline
         {
-            sleep(ISOLATION_CHECK_INTERVAL.to_std()).await;
+            sleep(REACHABILITY_CHECK_INTERVAL.to_std()).await;
         }
         !links.is_isolated()
     }
--- /dev/null
+++ b/crates/entry/tests/silent_links.rs
@@ -0,0 +1,129 @@
+//! Upstreams that are silent or break off while the links of VMs are tested, lost or restored.
+
+mod deployment;
+
+use {
+    deployment::{Request, Vm, config, count_runs, start_vms, wait_until},
+    jasmine_platform_stand_in::{Behaviour, KvStandIn, UpstreamStandIn},
+    jasmine_testkit::proxy::{Fault, Link, Proxy},
+    serde_json::json,
+    std::{
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+const EVENTS: u64 = 8;
+
+/// Upstreams behind proxies.
+struct Site {
+    store: KvStandIn,
+    upstreams: Vec<UpstreamStandIn>,
+    links: Vec<Proxy>,
+}
+
+impl Site {
+    /// Starts upstreams of routes with this latency objective.
+    fn start(
+        ids: &[&str],
+        slo_ms: u64,
+    ) -> Self {
+        let store = KvStandIn::start().unwrap();
+        let mut config = config(1);
+        for route in config["routes"].as_array_mut().unwrap() {
+            route["slo_ms"] = json!(slo_ms);
+            route["gap_aim_ms"] = json!(1_000);
+            route["timeout_ms"] = json!(10_000);
+        }
+        store.put("op/config", &config);
+        let mut site = Self {
+            store,
+            upstreams: Vec::new(),
+            links: Vec::new(),
+        };
+        for id in ids {
+            let upstream = UpstreamStandIn::start(id).unwrap();
+            let mut entry = upstream.entry("app", "one", "ready");
+            let target = entry["address"].as_str().unwrap().parse().unwrap();
+            let link = Proxy::start("127.0.0.1:0".parse().unwrap(), target).unwrap();
+            entry["address"] = json!(link.address().to_string());
+            site.store.put(&upstream.key(), &entry);
+            site.links.push(link);
+            site.upstreams.push(upstream);
+        }
+        site
+    }
+
+    fn set_default(
+        &self,
+        behaviour: &Behaviour,
+    ) {
+        for upstream in &self.upstreams {
+            upstream.set_default(behaviour.clone());
+        }
+    }
+
+    fn set_links(
+        &self,
+        mode: Fault,
+    ) {
+        for link in &self.links {
+            link.set_mode(mode);
+        }
+    }
+
+    fn wait_for_run(&self) {
+        wait_until("it runs", || {
+            self.upstreams
+                .iter()
+                .any(|upstream| !upstream.executed().is_empty())
+        });
+    }
+}
+
+fn wait_for_lost_links(vm: &Vm) {
+    wait_until("the links count as lost", || {
+        !vm.log_lines("links_lost").is_empty()
+    });
+}
+
+/// Breaks a stream as all links of all VMs fail, restores them a second after the first VM counts its own as lost, and
+/// expects the rest.
+fn assert_broken_stream_survives(
+    name: &str,
+    fault: Fault,
+) {
+    let site = Site::start(&["s-1", "s-2"], 400);
+    let vms = start_vms(&site.store, name);
+    // Each VM learns how to reach the others.
+    thread::sleep(Duration::from_secs(3));
+    site.set_default(&Behaviour::Pauses(EVENTS, Duration::from_millis(600)));
+    let bytes = Request::new("POST", "/stream/").body(b"prompt").bytes();
+    let callers = vms[0].callers;
+    let call = thread::spawn(move || deployment::exchange(callers, &bytes));
+    site.wait_for_run();
+    thread::sleep(Duration::from_millis(100));
+    site.set_links(fault);
+    wait_for_lost_links(&vms[0]);
+    thread::sleep(Duration::from_secs(1));
+    site.set_links(Fault::Pass);
+    let response = call.join().unwrap().expect("a response");
+    let ids: Vec<u64> = response.events().iter().map(|event| event.id).collect();
+    let log = vms[0].log();
+    assert!(
+        response.is_complete && ids.iter().copied().eq(1..=EVENTS),
+        "{ids:?}\n{log}"
+    );
+}
+
+#[test]
+fn a_broken_stream_waits_for_links_that_all_vms_have_lost() {
+    // Guards against cutting an answer between two attempts before the other VMs have said whether they relay.
+    assert_broken_stream_survives("links-reset", Fault::Reset);
+}
+
+#[test]
+fn a_closed_stream_waits_for_links_that_all_vms_have_lost() {
+    // As above, with connections that are closed.
+    assert_broken_stream_survives("links-refuse", Fault::Refuse);
+}
