A successor takes over once it has accepted a connection

A silent stream was dropped for an upstream that is listed but doesn't listen; with the last retry of the budget gone, it was cut. Cause: being assigned counted as taking over. Change: the connection to the successor is opened while the silent upstream is still listened to, and kept for the next attempt; a refused one is reported as unreachable, and the search goes on. An upstream that the request excludes is turned down, as a leader of an earlier version may assign it. A successor that accepts and then hangs isn't covered.

--- a/crates/entry/src/forward/successor.rs
+++ b/crates/entry/src/forward/successor.rs
@@ -7,6 +7,8 @@
     jasmine_core::{
         clock::Millis,
         error::{ErrorKind, Refusal},
+        quarantine::PromptEvidence,
+        scheduler::Outcome,
         streams::StreamOrigin,
     },
     jasmine_telemetry::log::Line,
@@ -77,6 +79,11 @@
         }
     }
 
+    /// Whether another upstream may take the request over.
+    pub(super) fn is_allowed(&self) -> bool {
+        self.next_attempt.is_some() && self.can_take_over.get()
+    }
+
     /// Records that the caller has a part of the answer, begun by the build of `origin`.
     pub(super) fn note_begun(
         &self,
@@ -113,10 +120,11 @@
         loop {
             if self.cx.links.can_send(&self.req.allowed_data_centres) {
                 match place(&self.cx, &self.req, &attempt).await {
-                    Ok(placement) => {
+                    Ok(placement) if self.can_take(&placement).await => {
                         self.found.replace(Some(placement));
                         return;
                     }
+                    Ok(_) => {}
                     Err(e) => Line::new("successor_refused")
                         .with("id", self.req.caller.request_id.as_deref().unwrap_or("-"))
                         .with("kind", e.refusal.kind)
@@ -128,6 +136,35 @@
         }
     }
 
+    /// Whether the upstream of a placement is another one and accepts a connection, which is kept for the request.
+    async fn can_take(
+        &self,
+        placement: &Placement,
+    ) -> bool {
+        // A leader of an earlier version may assign the silent one.
+        if self.excluded_upstreams.contains(&placement.upstream) {
+            return false;
+        }
+        if self.cx.links.is_lost() {
+            return true;
+        }
+        let pool = &self.cx.pool;
+        match pool.open(placement.address).await {
+            Ok(connection) => {
+                pool.keep(placement.address, connection);
+                true
+            }
+            Err(e) => {
+                Line::new("connect_failed")
+                    .with("upstream", &placement.upstream)
+                    .with("reason", e)
+                    .info();
+                placement.end(Outcome::Unreachable, PromptEvidence::None);
+                false
+            }
+        }
+    }
+
     /// Releases the upstream that was found, as the silent one has gone on.
     pub(super) fn discard(&self) {
         drop(self.found.take());
--- a/crates/entry/src/upstream/pool.rs
+++ b/crates/entry/src/upstream/pool.rs
@@ -94,6 +94,21 @@
         }
     }
 
+    /// Keeps a new connection for the next request.
+    pub fn keep(
+        &self,
+        address: SocketAddr,
+        mut connection: Connection,
+    ) {
+        connection.idle_since = self.clock.now();
+        connection.idle_timeout = DEFAULT_IDLE_TIMEOUT;
+        self.idle
+            .borrow_mut()
+            .entry(address)
+            .or_default()
+            .push(connection);
+    }
+
     /// Closes connections that have exceeded their idle timeout.
     pub fn close_expired(&self) {
         let now = self.clock.now();
