A silent upstream behind a relay is no failed relay

A call through the only VM that relays got 502 after 0.8 s although its upstream answered after 2 s of 5. Cause: silence of an attempt through another VM paused that VM for all requests, so that the successor could not be sent through any. Change: only this request prefers other VMs from then on. VMs that don't answer are found by the questions that are put to them twice a second while links are lost.

--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -17,7 +17,7 @@
     },
     jasmine_platform::headers::{ResponseHeaders, is_misdirected},
     jasmine_telemetry::log::Line,
-    std::{io, net::SocketAddr, pin::pin, time::Duration},
+    std::{cell::RefCell, io, net::SocketAddr, pin::pin, time::Duration},
     tokio::time::{sleep, timeout},
 };
 
@@ -126,6 +126,8 @@
     pub req: &'a ForwardRequest,
     pub placement: &'a Placement,
     pub successor: &'a Successor,
+    /// VMs through which earlier attempts of the request were silent.
+    pub silent_relays: &'a RefCell<Vec<SocketAddr>>,
 }
 
 impl AttemptContext<'_> {
@@ -214,7 +216,9 @@
             build: self.placement.build.as_deref(),
         };
         let bytes = target.add_to(bytes);
-        for address in self.cx.links.relays(&self.req.allowed_data_centres) {
+        let mut relays = self.cx.links.relays(&self.req.allowed_data_centres);
+        relays.sort_by_key(|address| self.silent_relays.borrow().contains(address));
+        for address in relays {
             match self.offer(address, &bytes).await {
                 Offer::Started(start) => return start,
                 Offer::NotRelayed => self.cx.links.note_relay(address, false),
@@ -243,7 +247,8 @@
             .await;
         let mut response_start = match exchanged {
             Err(failure) => {
-                links.note_relay(address, false);
+                // That may be due to the upstream: other requests can still go through that VM.
+                self.silent_relays.borrow_mut().push(address);
                 return Offer::Started(Start::Failed(failure));
             }
             Ok(Err(e)) => {
--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -24,7 +24,7 @@
         streams::OriginLookup,
     },
     jasmine_telemetry::log::Line,
-    std::{io, rc::Rc},
+    std::{cell::RefCell, io, net::SocketAddr, rc::Rc},
     tokio::time::sleep,
 };
 
@@ -53,6 +53,8 @@
     req: Rc<ForwardRequest>,
     attempts: Attempts,
     excluded_upstreams: Vec<String>,
+    /// VMs through which an attempt was silent.
+    silent_relays: RefCell<Vec<SocketAddr>>,
     progress: Progress,
     /// The last error response of an upstream, forwarded if no attempt succeeds.
     upstream_error: Option<(ResponseHead, Bytes)>,
@@ -78,6 +80,7 @@
             cx,
             attempts,
             excluded_upstreams: Vec::new(),
+            silent_relays: RefCell::default(),
             progress: Progress {
                 last_event: req.caller.last_event,
                 ..Progress::default()
@@ -288,6 +291,7 @@
             req: &self.req,
             placement,
             successor,
+            silent_relays: &self.silent_relays,
         };
         let after_event = self
             .progress
--- a/crates/entry/tests/regional_relays.rs
+++ b/crates/entry/tests/regional_relays.rs
@@ -101,6 +101,30 @@
     }
 }
 
+#[test]
+fn a_silent_call_through_the_only_relay_is_answered() {
+    // Guards against giving a silent upstream up for another one that can't be reached, as the relay counts as failed.
+    let site = Site::start("regional-relay", |_| {});
+    site.set_links(Some(Fault::Refuse));
+    // Begins the test of the links.
+    site.vms[0].send_request(&Request::new("GET", "/read/"));
+    site.wait_for_lost_links();
+    wait_until("calls are relayed", || {
+        site.vms[0]
+            .send_request(&Request::new("GET", "/read/"))
+            .status
+            == 200
+    });
+    site.set_default(&Behaviour::Slow(Duration::from_secs(2)));
+    let response = site.vms[0].send_request(&Request::new("GET", "/read/"));
+    let log = site.vms[0].log();
+    assert_eq!(
+        (response.status, response.text()),
+        (200, "slow".to_owned()),
+        "{log}"
+    );
+}
+
 #[test]
 fn a_silent_stream_stays_where_only_a_relay_outside_of_its_regions_is_left() {
     // Guards against giving a silent upstream up for a VM that may not relay the request.
