Restored links end the search for a successor

Calls within their patience were repeated, all of a VM's at once and on the retry budget, when its links had counted as lost for a moment; and a hung upstream of a quiet VM was never recorded as silent. Cause: after a loss of links the search went on until it found one, whether or not the loss was over; and the search's test of the links began in the moment of the deadline, so that the failure counted as the links'. Change: the wait for the response begins anew, with the patience that is left, once the links are up; no search begins where none is allowed, and the deadline is looked at first.

--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -3,7 +3,7 @@
     crate::{
         context::Context,
         http1::ResponseHead,
-        links::{NotRelayed, RelayTarget, read_not_relayed, take_relayed_mark},
+        links::{LinksLost, NotRelayed, RelayTarget, read_not_relayed, take_relayed_mark},
         scheduling::Placement,
         upstream::{Connection, ExchangeError, ResponseStart, answers_request},
     },
@@ -18,7 +18,7 @@
     jasmine_platform::headers::{ResponseHeaders, is_misdirected},
     jasmine_telemetry::log::Line,
     std::{cell::RefCell, io, net::SocketAddr, pin::pin, time::Duration},
-    tokio::time::{sleep, timeout},
+    tokio::time::{Instant, sleep, timeout, timeout_at},
 };
 
 /// The largest response that is buffered, in bytes.
@@ -319,31 +319,35 @@
         F: Future,
     {
         let mut response = pin!(response);
-        let watched = async {
-            match via {
-                Via::OwnLinks => {
-                    let can_abort = self.can_abort(via);
-                    self.cx.links.attend(response.as_mut(), can_abort).await
+        let links = &self.cx.links;
+        let due = Instant::now() + patience;
+        loop {
+            let watched = async {
+                match via {
+                    Via::OwnLinks => links.attend(response.as_mut(), self.can_abort(via)).await,
+                    Via::OtherVm => Ok(response.as_mut().await),
                 }
-                Via::OtherVm => Ok(response.as_mut().await),
-            }
-        };
-        if let Ok(Ok(output)) = timeout(patience, watched).await {
-            return Ok(output);
-        }
-        let succeeded = async {
-            let failure = self.overdue(via).await;
-            self.successor.find().await;
-            failure
-        };
-        tokio::select! {
-            biased;
-            output = response.as_mut() => {
-                self.successor.discard();
-                Ok(output)
+            };
+            let is_lost = match timeout_at(due, watched).await {
+                Ok(Ok(output)) => return Ok(output),
+                Ok(Err(LinksLost)) => true,
+                Err(_elapsed) => false,
+            };
+            let succeeded = async {
+                let failure = self.overdue(via).await;
+                self.successor.find().await;
+                failure
+            };
+            tokio::select! {
+                biased;
+                output = response.as_mut() => {
+                    self.successor.discard();
+                    return Ok(output);
+                }
+                () = sleep(self.time_left()) => return Err(self.expired(via)),
+                () = links.restored(), if is_lost => {}
+                failure = succeeded, if self.successor.is_allowed() => return Err(failure),
             }
-            failure = succeeded => Err(failure),
-            () = sleep(self.time_left()) => Err(self.expired(via)),
         }
     }
 
--- a/crates/entry/src/links/link_monitor.rs
+++ b/crates/entry/src/links/link_monitor.rs
@@ -116,6 +116,16 @@
         !self.is_lost() || self.relays.borrow().has_relay_of(now, is_allowed)
     }
 
+    /// Waits until the links are up.
+    pub async fn restored(&self) {
+        let mut status = self.status.subscribe();
+        let is_up = |&status: &LinkStatus| status == LinkStatus::Up;
+        if status.wait_for(is_up).await.is_err() {
+            // The channel closes only with this monitor.
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Whether this VM may lead: not while it has lost its links and another VM hasn't.
     pub fn may_lead(&self) -> bool {
         !self.is_lost() || !self.relays.borrow().has_relay(self.clock.now())
--- a/crates/entry/tests/silent_links.rs
+++ b/crates/entry/tests/silent_links.rs
@@ -87,6 +87,26 @@
     });
 }
 
+#[test]
+fn restored_links_begin_no_repetition() {
+    // Guards against repeating calls that are within their patience because the links were lost for a moment.
+    let site = Site::start(&["s-1", "s-2"], 2_500);
+    let vm = Vm::start(&site.store);
+    site.set_default(&Behaviour::Slow(Duration::from_secs(4)));
+    let req = Request::new("GET", "/read/").with("X-Deadline-Ms", "10000");
+    let (callers, bytes) = (vm.callers, req.bytes());
+    let call = thread::spawn(move || deployment::exchange(callers, &bytes));
+    site.wait_for_run();
+    site.set_links(Fault::Cut);
+    wait_for_lost_links(&vm);
+    thread::sleep(Duration::from_millis(600));
+    site.set_links(Fault::Pass);
+    let response = call.join().unwrap().expect("a response");
+    assert_eq!(response.status, 200);
+    // The patience of a call is twice its objective, 5 s here; its answer is due after 4 s.
+    assert_eq!(count_runs(&site.upstreams, req.id()), 1, "{}", vm.log());
+}
+
 /// Breaks a stream as all links of all VMs fail, restores them a second after the first VM counts its own as lost, and
 /// expects the rest.
 fn assert_broken_stream_survives(
@@ -127,3 +147,23 @@
     // As above, with connections that are closed.
     assert_broken_stream_survives("links-refuse", Fault::Refuse);
 }
+
+#[test]
+fn a_hung_upstream_of_a_quiet_vm_is_silent() {
+    // Guards against never recording a hung upstream because the links are tested as the deadline passes.
+    let site = Site::start(&["s-1"], 400);
+    let vm = Vm::start(&site.store);
+    site.links[0].set(Link {
+        delay_ms: 50,
+        ..Link::default()
+    });
+    site.set_default(&Behaviour::Hang);
+    let req = Request::new("POST", "/write/").with("X-Deadline-Ms", "2500");
+    assert_eq!(vm.send_request(&req.body(b"enrol")).status, 504);
+    let failed = vm.log_lines("attempt_failed");
+    assert!(
+        failed.len() == 1 && failed[0].contains("outcome=Silent"),
+        "{failed:?}\n{}",
+        vm.log()
+    );
+}
