A connection that breaks before the deadline waits for no test of the links past it

Callers got their answer up to half a second late when a connection broke or could not be opened shortly before their deadline.

--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -388,7 +388,7 @@
         let outcome = match (via, e) {
             (_, ExchangeError::Invalid) => Outcome::Lost,
             (Via::OwnLinks, ExchangeError::Lost)
-                if self.cx.links.after_failure().await != LinkStatus::Lost =>
+                if self.status_after_failure().await != LinkStatus::Lost =>
             {
                 Outcome::Lost
             }
@@ -397,6 +397,13 @@
         Failure::broken(outcome)
     }
 
+    /// The status of the links after a failed connection, once they have been tested or the deadline has passed.
+    async fn status_after_failure(&self) -> LinkStatus {
+        let links = &self.cx.links;
+        let tested = timeout(self.time_left(), links.after_failure()).await;
+        tested.unwrap_or_else(|_elapsed| links.status())
+    }
+
     /// Reads the rest of a response into memory.
     pub(super) async fn read_whole(
         &self,
@@ -484,7 +491,7 @@
                     .with("upstream", &self.placement.upstream)
                     .with("reason", e)
                     .info();
-                Err(self.cx.links.after_failure().await)
+                Err(self.status_after_failure().await)
             }
         }
     }
--- a/crates/entry/tests/silent_links.rs
+++ b/crates/entry/tests/silent_links.rs
@@ -167,3 +167,29 @@
         vm.log()
     );
 }
+
+#[test]
+fn a_connection_that_breaks_before_the_deadline_waits_for_no_test() {
+    // Guards against an answer later than the deadline because a broken connection begins a test of the links.
+    let site = Site::start(&["s-1", "s-2", "s-3"], 400);
+    let vm = Vm::start(&site.store);
+    site.set_default(&Behaviour::Hang);
+    let req = Request::new("POST", "/write/").with("X-Deadline-Ms", "290");
+    let (callers, bytes) = (vm.callers, req.body(b"enrol").bytes());
+    let began = Instant::now();
+    let call = thread::spawn(move || deployment::exchange(callers, &bytes));
+    site.wait_for_run();
+    thread::sleep(Duration::from_millis(200).saturating_sub(began.elapsed()));
+    for (upstream, link) in site.upstreams.iter().zip(&site.links) {
+        link.set_mode(if upstream.executed().is_empty() {
+            Fault::Cut
+        } else {
+            Fault::Reset
+        });
+    }
+    let response = call.join().unwrap().expect("a response");
+    let took = began.elapsed();
+    assert!(response.status >= 500);
+    // A test beside it gets the same 250 ms.
+    assert!(took < Duration::from_millis(540), "after {took:?}");
+}
