--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -3,7 +3,7 @@
     crate::{
         context::Context,
         http1::ResponseHead,
-        links::{NotRelayed, RelayTarget, read_not_relayed, take_relayed_mark},
+        links::{LinksLost, NotRelayed, RelayTarget, read_not_relayed, take_relayed_mark},
         scheduling::Placement,
         upstream::{Connection, ExchangeError, ResponseStart, answers_request},
     },
@@ -17,8 +17,8 @@
     },
     jasmine_platform::headers::{ResponseHeaders, is_misdirected},
     jasmine_telemetry::log::Line,
-    std::{io, net::SocketAddr, pin::pin, time::Duration},
-    tokio::time::{sleep, timeout},
+    std::{cell::RefCell, io, net::SocketAddr, pin::pin, time::Duration},
+    tokio::time::{Instant, sleep, timeout, timeout_at},
 };
 
 /// The largest response that is buffered, in bytes.
@@ -126,6 +126,8 @@
     pub req: &'a ForwardRequest,
     pub placement: &'a Placement,
     pub successor: &'a Successor,
+    /// VMs through which earlier attempts of the request were silent.
+    pub silent_relays: &'a RefCell<Vec<SocketAddr>>,
 }
 
 impl AttemptContext<'_> {
@@ -214,7 +216,9 @@
             build: self.placement.build.as_deref(),
         };
         let bytes = target.add_to(bytes);
-        for address in self.cx.links.relays(&self.req.allowed_data_centres) {
+        let mut relays = self.cx.links.relays(&self.req.allowed_data_centres);
+        relays.sort_by_key(|address| self.silent_relays.borrow().contains(address));
+        for address in relays {
             match self.offer(address, &bytes).await {
                 Offer::Started(start) => return start,
                 Offer::NotRelayed => self.cx.links.note_relay(address, false),
@@ -243,7 +247,8 @@
             .await;
         let mut response_start = match exchanged {
             Err(failure) => {
-                links.note_relay(address, false);
+                // That may be due to the upstream: other requests can still go through that VM.
+                self.silent_relays.borrow_mut().push(address);
                 return Offer::Started(Start::Failed(failure));
             }
             Ok(Err(e)) => {
@@ -314,31 +319,35 @@
         F: Future,
     {
         let mut response = pin!(response);
-        let watched = async {
-            match via {
-                Via::OwnLinks => {
-                    let can_abort = self.can_abort(via);
-                    self.cx.links.attend(response.as_mut(), can_abort).await
+        let links = &self.cx.links;
+        let due = Instant::now() + patience;
+        loop {
+            let watched = async {
+                match via {
+                    Via::OwnLinks => links.attend(response.as_mut(), self.can_abort(via)).await,
+                    Via::OtherVm => Ok(response.as_mut().await),
                 }
-                Via::OtherVm => Ok(response.as_mut().await),
-            }
-        };
-        if let Ok(Ok(output)) = timeout(patience, watched).await {
-            return Ok(output);
-        }
-        let succeeded = async {
-            let failure = self.overdue(via).await;
-            self.successor.find().await;
-            failure
-        };
-        tokio::select! {
-            biased;
-            output = response.as_mut() => {
-                self.successor.discard();
-                Ok(output)
+            };
+            let is_lost = match timeout_at(due, watched).await {
+                Ok(Ok(output)) => return Ok(output),
+                Ok(Err(LinksLost)) => true,
+                Err(_elapsed) => false,
+            };
+            let succeeded = async {
+                let failure = self.overdue(via).await;
+                self.successor.find().await;
+                failure
+            };
+            tokio::select! {
+                biased;
+                output = response.as_mut() => {
+                    self.successor.discard();
+                    return Ok(output);
+                }
+                () = sleep(self.time_left()) => return Err(self.expired(via)),
+                () = links.restored(), if is_lost => {}
+                failure = succeeded, if self.successor.is_allowed() => return Err(failure),
             }
-            failure = succeeded => Err(failure),
-            () = sleep(self.time_left()) => Err(self.expired(via)),
         }
     }
 
@@ -379,7 +388,7 @@
         let outcome = match (via, e) {
             (_, ExchangeError::Invalid) => Outcome::Lost,
             (Via::OwnLinks, ExchangeError::Lost)
-                if self.cx.links.after_failure().await != LinkStatus::Lost =>
+                if self.status_after_failure().await != LinkStatus::Lost =>
             {
                 Outcome::Lost
             }
@@ -388,6 +397,13 @@
         Failure::broken(outcome)
     }
 
+    /// The status of the links after a failed connection, once they have been tested or the deadline has passed.
+    async fn status_after_failure(&self) -> LinkStatus {
+        let links = &self.cx.links;
+        let tested = timeout(self.time_left(), links.after_failure()).await;
+        tested.unwrap_or_else(|_elapsed| links.status())
+    }
+
     /// Reads the rest of a response into memory.
     pub(super) async fn read_whole(
         &self,
@@ -475,7 +491,7 @@
                     .with("upstream", &self.placement.upstream)
                     .with("reason", e)
                     .info();
-                Err(self.cx.links.after_failure().await)
+                Err(self.status_after_failure().await)
             }
         }
     }
--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -24,7 +24,7 @@
         streams::OriginLookup,
     },
     jasmine_telemetry::log::Line,
-    std::{io, rc::Rc},
+    std::{cell::RefCell, io, net::SocketAddr, rc::Rc},
     tokio::time::sleep,
 };
 
@@ -35,7 +35,7 @@
 const ISOLATED_RETRY_DELAY: Millis = Millis(1_000);
 
 /// How often an answer that has begun checks whether an upstream is reached again.
-const ISOLATION_CHECK_INTERVAL: Millis = Millis(100);
+const REACHABILITY_CHECK_INTERVAL: Millis = Millis(100);
 
 /// What follows an attempt.
 enum Step {
@@ -53,6 +53,8 @@
     req: Rc<ForwardRequest>,
     attempts: Attempts,
     excluded_upstreams: Vec<String>,
+    /// VMs through which an attempt was silent.
+    silent_relays: RefCell<Vec<SocketAddr>>,
     progress: Progress,
     /// The last error response of an upstream, forwarded if no attempt succeeds.
     upstream_error: Option<(ResponseHead, Bytes)>,
@@ -78,6 +80,7 @@
             cx,
             attempts,
             excluded_upstreams: Vec::new(),
+            silent_relays: RefCell::default(),
             progress: Progress {
                 last_event: req.caller.last_event,
                 ..Progress::default()
@@ -193,11 +196,12 @@
     /// Whether any upstream can be reached; an answer that has begun waits for one until its deadline.
     async fn is_reachable(&self) -> bool {
         let links = &self.cx.links;
+        let allowed = &self.req.allowed_data_centres;
         while self.progress.first_at.is_some()
-            && links.is_isolated()
+            && !links.can_send(allowed)
             && self.cx.clock.now() < self.req.deadline
         {
-            sleep(ISOLATION_CHECK_INTERVAL.to_std()).await;
+            sleep(REACHABILITY_CHECK_INTERVAL.to_std()).await;
         }
         !links.is_isolated()
     }
@@ -287,6 +291,7 @@
             req: &self.req,
             placement,
             successor,
+            silent_relays: &self.silent_relays,
         };
         let after_event = self
             .progress
