An upstream that breaks off behind a relay is no failed relay; further attempts prefer other relays

A relayed call got 502 after its upstream had reset the connection, as the only relay was paused then; a relayed stream was sent on through the VM that had just fallen silent under it. Cause: a broken exchange with another VM was put down to that VM; and only a silence before the head told the next attempt which VM to avoid. Change: neither silence nor a break of an exchange pauses a relay; a request is offered first to VMs that it hasn't been offered to.

--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -126,8 +126,8 @@
     pub req: &'a ForwardRequest,
     pub placement: &'a Placement,
     pub successor: &'a Successor,
-    /// VMs through which earlier attempts of the request were silent.
-    pub silent_relays: &'a RefCell<Vec<SocketAddr>>,
+    /// VMs to which the request has been offered.
+    pub tried_relays: &'a RefCell<Vec<SocketAddr>>,
 }
 
 impl AttemptContext<'_> {
@@ -217,8 +217,9 @@
         };
         let bytes = target.add_to(bytes);
         let mut relays = self.cx.links.relays(&self.req.allowed_data_centres);
-        relays.sort_by_key(|address| self.silent_relays.borrow().contains(address));
+        relays.sort_by_key(|address| self.tried_relays.borrow().contains(address));
         for address in relays {
+            self.tried_relays.borrow_mut().push(address);
             match self.offer(address, &bytes).await {
                 Offer::Started(start) => return start,
                 Offer::NotRelayed => self.cx.links.note_relay(address, false),
@@ -246,15 +247,9 @@
             .attend(Via::OtherVm, exchange, self.head_patience())
             .await;
         let mut response_start = match exchanged {
-            Err(failure) => {
-                // That may be due to the upstream: other requests can still go through that VM.
-                self.silent_relays.borrow_mut().push(address);
-                return Offer::Started(Start::Failed(failure));
-            }
-            Ok(Err(e)) => {
-                links.note_relay(address, false);
-                return Offer::Started(Start::Failed(self.broken(Via::OtherVm, e).await));
-            }
+            // Either may be due to the upstream, so that other requests can still go through that VM.
+            Err(failure) => return Offer::Started(Start::Failed(failure)),
+            Ok(Err(e)) => return Offer::Started(Start::Failed(self.broken(Via::OtherVm, e).await)),
             Ok(Ok(response_start)) => response_start,
         };
         let is_relayed = take_relayed_mark(&mut response_start.head);
--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -53,8 +53,8 @@
     req: Rc<ForwardRequest>,
     attempts: Attempts,
     excluded_upstreams: Vec<String>,
-    /// VMs through which an attempt was silent.
-    silent_relays: RefCell<Vec<SocketAddr>>,
+    /// VMs to which the request has been offered.
+    tried_relays: RefCell<Vec<SocketAddr>>,
     progress: Progress,
     /// The last error response of an upstream, forwarded if no attempt succeeds.
     upstream_error: Option<(ResponseHead, Bytes)>,
@@ -80,7 +80,7 @@
             cx,
             attempts,
             excluded_upstreams: Vec::new(),
-            silent_relays: RefCell::default(),
+            tried_relays: RefCell::default(),
             progress: Progress {
                 last_event: req.caller.last_event,
                 ..Progress::default()
@@ -291,7 +291,7 @@
             req: &self.req,
             placement,
             successor,
-            silent_relays: &self.silent_relays,
+            tried_relays: &self.tried_relays,
         };
         let after_event = self
             .progress
