--- a/crates/testkit/src/harness/binaries.rs
+++ b/crates/testkit/src/harness/binaries.rs
@@ -37,15 +37,8 @@
     let mut cargo = Command::new(env!("CARGO"));
     cargo
         .current_dir(env!("CARGO_MANIFEST_DIR"))
-        .args(["build", "--quiet", "--bins"])
-        .args([
-            "-p",
-            "jasmine-gateway",
-            "-p",
-            "jasmine-controller",
-            "-p",
-            "jasmine-ctl",
-        ])
+        // The selection of the CI script: another one has other features, and compiles the daemons once more.
+        .args(["build", "--quiet", "--workspace", "--bins"])
         .arg("--target-dir")
         .arg(target);
     if dir.ends_with("release") {
