Test deployment: reads one of several responses of a connection

For callers that pipeline. read_response took whatever arrived beyond a response for a part of its body. read_next_response leaves it to the next response; read_response, built on it, still calls such a response incomplete and keeps the extra bytes in its body.

--- a/crates/entry/tests/deployment/mod.rs
+++ b/crates/entry/tests/deployment/mod.rs
@@ -350,19 +350,30 @@
     read_response(&mut stream)
 }
 
-/// Reads one response; none if the connection closes before its head is complete.
+/// Reads one response; none if the connection closes before its head is complete. Bytes after it belong to its body.
 pub fn read_response(stream: &mut TcpStream) -> Option<Response> {
-    let mut buf = Vec::new();
+    let mut rest = Vec::new();
+    let mut response = read_next_response(stream, &mut rest)?;
+    response.is_complete &= rest.is_empty();
+    response.body.append(&mut rest);
+    Some(response)
+}
+
+/// Reads one of several responses. `rest` has what was received beyond the one before.
+pub fn read_next_response(
+    stream: &mut TcpStream,
+    rest: &mut Vec<u8>,
+) -> Option<Response> {
     let head_end = loop {
-        if let Some(at) = buf.windows(4).position(|four| four == b"\r\n\r\n") {
+        if let Some(at) = rest.windows(4).position(|four| four == b"\r\n\r\n") {
             break at + 4;
         }
-        if !more(stream, &mut buf) {
+        if !more(stream, rest) {
             return None;
         }
     };
-    let head = String::from_utf8_lossy(&buf[..head_end]).into_owned();
-    let mut rest = buf.split_off(head_end);
+    let head = String::from_utf8_lossy(&rest[..head_end]).into_owned();
+    rest.drain(..head_end);
     let mut response = Response {
         status: head.split(' ').nth(1)?.parse().ok()?,
         body: Vec::new(),
@@ -371,26 +382,26 @@
     };
     if let Some(length) = response.header("content-length") {
         let length: usize = length.parse().ok()?;
-        while rest.len() < length && more(stream, &mut rest) {}
-        response.is_complete = rest.len() == length;
-        response.body = rest;
+        while rest.len() < length && more(stream, rest) {}
+        response.is_complete = rest.len() >= length;
+        response.body = rest.drain(..length.min(rest.len())).collect();
     } else if response.header("transfer-encoding").is_some() {
         (response.body, response.is_complete) = read_chunks(stream, rest);
     } else {
-        while more(stream, &mut rest) {}
-        response.body = rest;
+        while more(stream, rest) {}
+        response.body = std::mem::take(rest);
     }
     Some(response)
 }
 
 fn read_chunks(
     stream: &mut TcpStream,
-    mut rest: Vec<u8>,
+    rest: &mut Vec<u8>,
 ) -> (Vec<u8>, bool) {
     let mut body = Vec::new();
     loop {
         let Some(line_end) = rest.windows(2).position(|two| two == b"\r\n") else {
-            if more(stream, &mut rest) {
+            if more(stream, rest) {
                 continue;
             }
             return (body, false);
@@ -399,14 +410,14 @@
         let size = usize::from_str_radix(&size, 16).unwrap();
         let end = line_end + 2 + size + 2;
         while rest.len() < end {
-            if !more(stream, &mut rest) {
+            if !more(stream, rest) {
                 return (body, false);
             }
         }
         body.extend_from_slice(&rest[line_end + 2..end - 2]);
         rest.drain(..end);
         if size == 0 {
-            return (body, rest.is_empty());
+            return (body, true);
         }
     }
 }
