Soak: each request gets an answer beside silent upstreams, changes of the configuration and kept connections

Callers saw answers cut, calls fail and connections close that no test of ours drew: the soak knew no sound upstream that is silent for seconds, published the same configuration again and again, and counted an answer without its end as nothing at all. Draws, apart from the others so that the schedules of known seeds stay: upstreams that are silent for 1 to 3 s before the head, between events and in a body, one, all of a service or all at once; series of changes of every kind (service, route, weights, time-outs, accounts, rates, idle time-out, many routes), within a second, beside SIGHUP and SIGTERM. Callers: three more at each VM reuse connections that were idle for four fifths of the idle time-out, pipeline, and keep a connection until it is closed. Check: a record without a complete answer or a refusal, or with a 502, is a violation unless its VM was killed, suspended, down or beyond its stop limit, its caller's link was faulty, a planned stop closed its reused connection unread, its upstream is known to have broken off its answer, the links of its VM or the VM that relayed it broke, its deadline passed, or its adapter's older version was withdrawn. Silence excuses nothing before the deadline. A pipelined request behind an answered one must be answered. A panic in a connection, a process that ends by itself and a connection closed before the longest idle time-out in force are violations. The text names the cause and the log lines. While all upstreams are silent at once, no VM counts as in touch, as with lost links; the check on answers holds there, too.

--- a/crates/entry/tests/fault_soak.rs
+++ b/crates/entry/tests/fault_soak.rs
@@ -1,18 +1,22 @@
 //! Soak test: random overlapping faults under load.
 //!
 //! Further seeds by hand: `JASMINE_SOAK_FIRST=100 JASMINE_SOAK_SEEDS=50 JASMINE_SOAK_SECONDS=20 cargo test --release
-//! -p jasmine-entry --test fault_soak -- --ignored --nocapture`.
+//! -p jasmine-entry --test fault_soak -- --ignored --nocapture`. With `JASMINE_SOAK_SILENCES=0`, upstreams aren't silent
+//! by themselves and the configuration stays the same but for its version.
 
 mod deployment;
 mod soak;
 
 use {
-    soak::run_seed,
+    soak::{Schedule, run_seed},
     std::{env, time::Duration},
 };
 
 /// Seeds that always run. In 114, a planned stop outlasts the faults.
 const FIXED_SEEDS: [u64; 2] = [1, 114];
+/// The same with silent upstreams and changes of the configuration. In 9000, upstreams fall silent within answers that
+/// nobody can take over, and in 9005, those of all services do so while streams run.
+const SILENT_SEEDS: [u64; 2] = [9000, 9005];
 const DEFAULT_SECONDS: u64 = 6;
 
 fn env_setting(
@@ -25,12 +29,13 @@
 fn run_seeds<I>(
     seeds: I,
     seconds: u64,
+    schedule: Schedule,
 ) where
     I: IntoIterator<Item = u64>,
 {
     let mut failed_seeds = Vec::new();
     for seed in seeds {
-        let violations = run_seed(seed, Duration::from_secs(seconds));
+        let violations = run_seed(seed, Duration::from_secs(seconds), schedule);
         println!("seed {seed}: {} broken", violations.len());
         if !violations.is_empty() {
             println!("{}", violations.join("\n"));
@@ -44,7 +49,13 @@
 fn invariants_hold_under_random_faults() {
     // Guards against requests that run twice, wrong outcomes, crossed responses and overfilled engines while processes,
     // links and the store fail at the same time.
-    run_seeds(FIXED_SEEDS, DEFAULT_SECONDS);
+    run_seeds(FIXED_SEEDS, DEFAULT_SECONDS, Schedule::Faults);
+}
+
+#[test]
+fn requests_are_answered_beside_silence_and_changes() {
+    // Guards against answers that end because a sound upstream is silent, the configuration changes or a VM is stopped.
+    run_seeds(SILENT_SEEDS, DEFAULT_SECONDS, Schedule::SilencesAndChanges);
 }
 
 #[test]
@@ -52,8 +63,13 @@
 fn fresh_seeds() {
     let first = env_setting("JASMINE_SOAK_FIRST", 100);
     let seeds = env_setting("JASMINE_SOAK_SEEDS", 50);
+    let schedule = match env_setting("JASMINE_SOAK_SILENCES", 1) {
+        0 => Schedule::Faults,
+        _ => Schedule::SilencesAndChanges,
+    };
     run_seeds(
         first..first + seeds,
         env_setting("JASMINE_SOAK_SECONDS", DEFAULT_SECONDS),
+        schedule,
     );
 }
--- a/crates/entry/tests/soak/callers.rs
+++ b/crates/entry/tests/soak/callers.rs
@@ -1,7 +1,9 @@
 use {
     super::{
         cluster::Herd,
+        configuration::SMALL_KEY,
         fault::{ADAPTERS, CRASHING_PARTS},
+        open_connections::{IdleClose, IdleTimeout, run_caller as run_open_caller},
         resumed_streams::events_of,
     },
     crate::deployment::{Request, Response, read_response},
@@ -21,11 +23,15 @@
 const CALLERS_PER_VM: usize = 4;
 /// Further callers per VM that request [`ADAPTER_TARGETS`] only: they wait at an engine for seconds.
 const ADAPTER_CALLERS_PER_VM: usize = 2;
+/// Further callers per VM that keep their connections.
+const OPEN_CALLERS_PER_VM: usize = 3;
 /// Most requests per connection.
 const MAX_REQUESTS_PER_CONNECTION: usize = 6;
-const REQUEST_INTERVAL: Duration = Duration::from_millis(15);
+pub const REQUEST_INTERVAL: Duration = Duration::from_millis(15);
+/// How long a caller stays away from a VM that is being stopped, to which a load balancer sends nobody.
+const STOPPED_PAUSE: Duration = Duration::from_millis(250);
 /// Read timeout of a caller; longer than the deadline of its requests.
-const READ_TIMEOUT: Duration = Duration::from_secs(6);
+pub const READ_TIMEOUT: Duration = Duration::from_secs(6);
 /// Methods and targets, requested in rotation.
 const TARGETS: [Target; 6] = [
     ("GET", "/read/x"),
@@ -49,13 +55,30 @@
     NoResponse,
 }
 
+/// Where in the order of its connection a request was sent.
+#[derive(Clone, Copy, Debug)]
+pub enum Place {
+    First,
+    /// After a connection was idle for so long.
+    Reused(Duration),
+    /// At once with another request before it.
+    Behind {
+        is_first_answered: bool,
+    },
+}
+
 /// A request and its result.
 #[derive(Clone, Debug)]
 pub struct Record {
     pub id: String,
     /// The number of the VM that it was sent to.
     pub vm: usize,
+    /// When its connection was opened.
+    pub connected: Instant,
     pub sent: Instant,
+    /// When its caller had its result.
+    pub ended: Instant,
+    pub place: Place,
     pub target: &'static str,
     /// The part of its prompt that may crash engines.
     pub bad_part: Option<&'static str>,
@@ -68,6 +91,7 @@
 pub struct Callers {
     stop: Arc<AtomicBool>,
     records: Arc<Mutex<Vec<Record>>>,
+    idle_closes: Arc<Mutex<Vec<IdleClose>>>,
     threads: Vec<JoinHandle<()>>,
 }
 
@@ -75,9 +99,12 @@
     pub fn start(
         vms: &[SocketAddr],
         herd: &Herd,
+        idle_timeout: &IdleTimeout,
+        seed: u64,
     ) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
         let records = Arc::new(Mutex::new(Vec::new()));
+        let idle_closes = Arc::new(Mutex::new(Vec::new()));
         let mut threads = Vec::new();
         for vm in 0..vms.len() {
             for number in 0..CALLERS_PER_VM + ADAPTER_CALLERS_PER_VM {
@@ -94,21 +121,32 @@
                     run_caller(&addresses, &herd, targets, number, &stop, &records);
                 }));
             }
+            for number in 0..OPEN_CALLERS_PER_VM {
+                let (stop, records) = (Arc::clone(&stop), Arc::clone(&records));
+                let (idle_timeout, closes) = (Arc::clone(idle_timeout), Arc::clone(&idle_closes));
+                let address = vms[vm];
+                let seed = seed ^ ((vm * OPEN_CALLERS_PER_VM + number) as u64) << 32;
+                threads.push(thread::spawn(move || {
+                    run_open_caller(vm, address, seed, &idle_timeout, &stop, &records, &closes);
+                }));
+            }
         }
         Self {
             stop,
             records,
+            idle_closes,
             threads,
         }
     }
 
-    pub fn finish(self) -> Vec<Record> {
+    pub fn finish(self) -> (Vec<Record>, Vec<IdleClose>) {
         self.stop.store(true, Ordering::Relaxed);
         for thread in self.threads {
             thread.join().unwrap();
         }
-        let records = self.records.lock().unwrap();
-        records.clone()
+        let records = self.records.lock().unwrap().clone();
+        let idle_closes = self.idle_closes.lock().unwrap().clone();
+        (records, idle_closes)
     }
 }
 
@@ -140,6 +178,8 @@
             continue;
         };
         stream.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
+        let connected = Instant::now();
+        let mut place = Place::First;
         for _ in 0..MAX_REQUESTS_PER_CONNECTION {
             let (method, target) = targets[request_number % targets.len()];
             request_number += 1;
@@ -148,10 +188,14 @@
             let result = call(&mut stream, &req);
             let can_reuse =
                 matches!(&result, CallResult::Response(response) if is_reusable(response));
+            let pause = pause_after(&result);
             let mut attempts = vec![Record {
                 id: req.id().to_owned(),
                 vm,
+                connected,
                 sent,
+                ended: Instant::now(),
+                place,
                 target,
                 bad_part: bad_part(target, request_number),
                 resumes: None,
@@ -162,7 +206,8 @@
             }
             records.lock().unwrap().extend(attempts);
             // Without a pause, immediate refusals would dominate the records.
-            thread::sleep(REQUEST_INTERVAL);
+            thread::sleep(pause);
+            place = Place::Reused(pause);
             if !can_reuse || stop.load(Ordering::Relaxed) {
                 break;
             }
@@ -199,7 +244,10 @@
         attempts.push(Record {
             id: req.id().to_owned(),
             vm,
+            connected: sent,
             sent,
+            ended: Instant::now(),
+            place: Place::First,
             target: first.target,
             bad_part: None,
             resumes: Some(first.id.clone()),
@@ -208,7 +256,7 @@
     }
 }
 
-fn request(
+pub fn request(
     method: &'static str,
     target: &str,
     request_number: usize,
@@ -231,6 +279,7 @@
                 .with("X-Prompt-Prefix", &format!("f1:50,{second}:50,{own}:50"))
                 .body(b"prompt")
         }
+        "/small/x" => req.with("X-Api-Key", SMALL_KEY),
         _ if method == "POST" => req.body(b"something to do"),
         _ => req,
     }
@@ -256,7 +305,17 @@
     read_response(stream).map_or(CallResult::NoResponse, CallResult::Response)
 }
 
-fn is_reusable(response: &Response) -> bool {
+/// The pause of a caller after a result.
+pub fn pause_after(result: &CallResult) -> Duration {
+    match result {
+        CallResult::Response(response) if response.text().contains("shutting_down") => {
+            STOPPED_PAUSE
+        }
+        _ => REQUEST_INTERVAL,
+    }
+}
+
+pub fn is_reusable(response: &Response) -> bool {
     let closes = response
         .header("connection")
         .is_some_and(|value| value == "close");
--- a/crates/entry/tests/soak/checks.rs
+++ b/crates/entry/tests/soak/checks.rs
@@ -4,6 +4,7 @@
     super::{
         callers::{CallResult, Record},
         cluster::{Cluster, EVENTS},
+        configuration::SMALL_KEY,
         crashing_parts::check_parts,
         older_versions::check_versions,
         resumed_streams::check_streams,
@@ -18,6 +19,9 @@
 /// Bodies of complete upstream responses.
 const COMPLETE_BODIES: [&str; 3] = ["ok", "first", "slow"];
 
+/// Targets that the configuration refuses at times: without a route, and beyond the rate of an account.
+const REFUSED_TARGETS: [&str; 2] = ["/extra/x", "/small/x"];
+
 /// Requests that reach VMs in touch, at least.
 const MIN_CALM_REQUESTS: usize = 100;
 
@@ -28,7 +32,7 @@
     let seen: Vec<RecordedRequest> = cluster
         .upstreams
         .iter()
-        .chain([&cluster.streams])
+        .chain([&cluster.streams, &cluster.spare])
         .chain(&cluster.builds)
         .chain(&cluster.released)
         .flat_map(UpstreamStandIn::executed)
@@ -46,7 +50,8 @@
     }
     violations.extend(seen.iter().filter_map(check_headers));
     violations.extend(check_engine(cluster));
-    if cluster.logs().contains(API_KEY) {
+    let logs = cluster.logs();
+    if logs.contains(API_KEY) || logs.contains(SMALL_KEY) {
         violations.push("an API key is in the logs".to_owned());
     }
     violations.extend(check_streams(&cluster.disturbances, records));
@@ -63,7 +68,11 @@
     records: &[Record],
 ) -> Vec<String> {
     let disturbances = &cluster.disturbances;
-    let sound = || records.iter().filter(|record| record.bad_part.is_none());
+    let is_allowed = |record: &&Record| !REFUSED_TARGETS.contains(&record.target);
+    let sound = || {
+        let sound = records.iter().filter(|record| record.bad_part.is_none());
+        sound.filter(is_allowed)
+    };
     let reachable = sound().filter(|record| !disturbances.is_cut_off(record.vm, record.sent));
     let (answered, served) = count_served(reachable);
     let calm = sound().filter(|record| disturbances.is_in_touch(record.vm, record.sent));
@@ -165,13 +174,19 @@
 /// Upstreams get the right account and never an API key.
 fn check_headers(seen: &RecordedRequest) -> Option<String> {
     let id = seen.headers.get("x-request-id");
-    let has_key = seen.headers.values().any(|value| value.contains(API_KEY));
+    let mut values = seen.headers.values();
+    let has_key = values.any(|value| value.contains(API_KEY) || value.contains(SMALL_KEY));
     let account = seen.headers.get("x-tenant").map(String::as_str);
+    let expected = if seen.target.starts_with("/small/") {
+        "small"
+    } else {
+        "one"
+    };
     match account {
         _ if has_key => Some(format!("{id:?}: the API key was forwarded to an upstream")),
-        Some("one") => None,
+        Some(account) if account == expected => None,
         other => Some(format!(
-            "{id:?} ran for account {other:?}, expected \"one\""
+            "{id:?} ran for account {other:?}, expected {expected:?}"
         )),
     }
 }
@@ -194,7 +209,7 @@
 }
 
 impl Record {
-    const fn has_response(&self) -> bool {
+    pub const fn has_response(&self) -> bool {
         matches!(self.result, CallResult::Response(_))
     }
 
--- a/crates/entry/tests/soak/cluster.rs
+++ b/crates/entry/tests/soak/cluster.rs
@@ -1,8 +1,14 @@
 use {
     super::{
+        breaks::{Break, Breaks},
+        configuration::{Configuration, Published},
         disturbances::{Disturbances, Disturbed},
-        fault::{BUILD_SLOTS, CRASH_ENGINES, CRASHING_PARTS, Fault, Statement, UPSTREAMS, VMS},
+        fault::{
+            BUILD_SLOTS, CRASH_ENGINES, CRASHING_PARTS, Fault, Silenced, Statement, UPSTREAMS, VMS,
+        },
         older_versions::{Announced, VERSION_BOUND},
+        open_connections::IdleTimeout,
+        vm_log::VmLog,
     },
     crate::deployment::{self, Request, TIMEOUT, Vm, exchange},
     jasmine_platform_stand_in::{Behaviour, EngineStandIn, KvStandIn, Outage, UpstreamStandIn},
@@ -10,6 +16,7 @@
     nix::sys::signal::Signal,
     serde_json::{Value, json},
     std::{
+        collections::{HashMap, HashSet},
         fs,
         net::{IpAddr, Ipv4Addr, SocketAddr},
         sync::{
@@ -44,6 +51,10 @@
     starts_at: Option<Instant>,
     resumes_at: Option<Instant>,
     is_stopping: bool,
+    /// Whether its process was killed or is being stopped.
+    may_exit: bool,
+    /// When it was last seen running before it exited.
+    down_from: Instant,
     store_link: Proxy,
     caller_link: Proxy,
     log: String,
@@ -62,6 +73,14 @@
     Statement(usize, Statement),
     Herd,
     EngineQueue,
+    PromptGap,
+    Silence(Silenced),
+}
+
+/// The links of all VMs to an upstream that isn't one of `upstreams`.
+struct OtherLink {
+    service: String,
+    link: Proxy,
 }
 
 /// All processes, fake services and proxies of a run.
@@ -73,12 +92,13 @@
     /// How often each upstream has started again.
     starts: [u64; UPSTREAMS],
     pub streams: UpstreamStandIn,
+    /// An upstream that serves some routes in some configurations.
+    pub spare: UpstreamStandIn,
     pub engine: EngineStandIn,
     /// Upstreams of several software versions, and those that others have replaced.
     pub builds: Vec<UpstreamStandIn>,
     pub released: Vec<UpstreamStandIn>,
-    /// The links of all VMs to `streams`, `engine`, `builds` and `released`.
-    other_links: Vec<Proxy>,
+    other_links: Vec<OtherLink>,
     /// The faults of each VM's links to all upstreams.
     vm_link_modes: [Option<LinkFault>; VMS],
     /// Engines that prompts can crash.
@@ -87,8 +107,18 @@
     /// The announced versions of adapters, in their order.
     pub announced: Vec<Announced>,
     pub disturbances: Disturbances,
+    pub breaks: Breaks,
+    /// VMs whose processes have ended by themselves.
+    pub own_ends: Vec<String>,
     herd: Herd,
-    version: u64,
+    configuration: Configuration,
+    /// All versions of the configuration.
+    pub published: Vec<Published>,
+    idle_timeout: IdleTimeout,
+    began: Instant,
+    stepped: Instant,
+    /// The faults so far, for the logs.
+    faults: Vec<String>,
     pending_ends: Vec<(Instant, FaultTarget)>,
 }
 
@@ -96,7 +126,7 @@
     pub fn start(seed: u64) -> Self {
         let store = KvStandIn::start().unwrap();
         let upstreams: Vec<_> = (0..UPSTREAMS)
-            .map(|number| UpstreamStandIn::start(&format!("s-{number}")).unwrap())
+            .map(|number| UpstreamStandIn::start(&upstream_id(number)).unwrap())
             .collect();
         let upstream_links = upstreams
             .iter()
@@ -104,6 +134,7 @@
             .collect();
         let streams = UpstreamStandIn::start("t-1").unwrap();
         streams.set_default(Behaviour::Events(EVENTS));
+        let spare = UpstreamStandIn::start("r-1").unwrap();
         let engine = EngineStandIn::start("e-1").unwrap();
         let mut cluster = Self {
             store,
@@ -112,6 +143,7 @@
             upstream_links,
             starts: [0; UPSTREAMS],
             streams,
+            spare,
             engine,
             builds: Vec::new(),
             released: Vec::new(),
@@ -121,8 +153,15 @@
             crashing_parts: Vec::new(),
             announced: Vec::new(),
             disturbances: Disturbances::default(),
+            breaks: Breaks::default(),
+            own_ends: Vec::new(),
             herd: Arc::new(AtomicUsize::new(NO_HERD)),
-            version: 0,
+            configuration: Configuration::default(),
+            published: Vec::new(),
+            idle_timeout: IdleTimeout::default(),
+            began: Instant::now(),
+            stepped: Instant::now(),
+            faults: Vec::new(),
             pending_ends: Vec::new(),
         };
         cluster.put_config();
@@ -131,6 +170,8 @@
         }
         let entry = cluster.streams.entry("flows", "one", "ready");
         cluster.register_behind_proxy(&cluster.streams.key(), entry);
+        let entry = cluster.spare.entry("spare", "one", "ready");
+        cluster.register_behind_proxy(&cluster.spare.key(), entry);
         for number in 0..BUILD_SLOTS {
             let upstream = cluster.start_build(number);
             cluster.builds.push(upstream);
@@ -171,6 +212,8 @@
             starts_at: None,
             resumes_at: None,
             is_stopping: false,
+            may_exit: false,
+            down_from: Instant::now(),
             log: String::new(),
         });
     }
@@ -183,9 +226,50 @@
 
     /// The logs of all VMs.
     pub fn logs(&self) -> String {
-        let log =
-            |slot: &VmSlot| slot.log.clone() + &slot.vm.as_ref().map_or_else(String::new, Vm::log);
-        self.slots.iter().map(log).collect()
+        self.slots.iter().map(VmSlot::whole_log).collect()
+    }
+
+    /// Waits until all VMs have written the lines of requests that have ended: those come before that of a SIGHUP.
+    pub fn await_logs(&self) {
+        for vm in self.slots.iter().filter_map(|slot| slot.vm.as_ref()) {
+            let count = || vm.log().matches("event=reload_asked").count();
+            let before = count();
+            vm.signal(Signal::SIGHUP);
+            deployment::wait_until("the logs are written", || count() > before);
+        }
+    }
+
+    /// What the log of each VM says.
+    pub fn vm_logs(&self) -> Vec<VmLog> {
+        let logs = self.slots.iter().map(VmSlot::whole_log);
+        logs.map(|log| VmLog::read(&log)).collect()
+    }
+
+    fn all_upstreams(&self) -> impl Iterator<Item = &UpstreamStandIn> {
+        let upstreams = self.upstreams.iter().chain([&self.streams, &self.spare]);
+        upstreams.chain(&self.builds).chain(&self.released)
+    }
+
+    /// Upstreams, each with the requests of which it has broken off the answer.
+    pub fn broken_off(&self) -> HashMap<String, HashSet<String>> {
+        let mut broken_off: HashMap<String, HashSet<String>> = HashMap::new();
+        for upstream in self.all_upstreams() {
+            let id = upstream.key().trim_start_matches("servers/").to_owned();
+            let address = own_address(upstream);
+            let ids = self.breaks.broken_off(address, upstream.arrivals());
+            broken_off.entry(id).or_default().extend(ids);
+        }
+        broken_off
+    }
+
+    /// The ids of all requests that reached upstreams or engines.
+    pub fn arrived_ids(&self) -> HashSet<String> {
+        let engines = self.crash_engines.iter().chain([&self.engine]);
+        let at_upstreams = self.all_upstreams().flat_map(UpstreamStandIn::arrivals);
+        let at_engines = engines.flat_map(EngineStandIn::arrivals);
+        let at_upstreams = at_upstreams.map(|arrival| arrival.request_id);
+        let at_engines = at_engines.map(|arrival| arrival.request_id);
+        at_upstreams.chain(at_engines).collect()
     }
 
     /// Saves the logs of a failed seed.
@@ -194,114 +278,184 @@
         seed: u64,
     ) {
         let path = std::env::temp_dir().join(format!("jasmine-soak-{seed}.log"));
-        fs::write(&path, self.logs()).unwrap();
+        let faults = self.faults.join("\n");
+        fs::write(&path, faults + "\n" + &self.logs()).unwrap();
         eprintln!("logs of seed {seed}: {}", path.display());
     }
 
+    /// The time from the beginning of the run.
+    pub fn age_of(
+        &self,
+        at: Instant,
+    ) -> Duration {
+        at.duration_since(self.began)
+    }
+
     /// Starts a fault.
     pub fn start_fault(
         &mut self,
         fault: Fault,
     ) {
-        let now = Instant::now();
+        let began = self.age_of(Instant::now());
+        self.faults.push(format!("{began:?} {fault:?}"));
         match fault {
-            Fault::Kill(vm) => {
-                self.disturbances.begin_stop(vm);
-                self.signal(vm, Signal::SIGKILL);
-            }
-            Fault::Stop(vm) => {
-                self.disturbances.begin_stop(vm);
-                self.signal(vm, Signal::SIGTERM);
-                self.slots[vm].is_stopping = true;
-            }
-            Fault::Suspend(vm, time) => {
-                self.disturbances.add(Disturbed::Process(vm), time);
-                self.signal(vm, Signal::SIGSTOP);
-                self.slots[vm].resumes_at = Some(now + time);
-            }
+            Fault::Kill(vm) => self.kill(vm),
+            Fault::Stop(vm) => self.stop(vm),
+            Fault::Suspend(vm, time) => self.suspend(vm, time),
             Fault::StoreLink(vm, link, time) => {
                 self.disturbances.add(Disturbed::OtherLinks(vm), time);
                 self.slots[vm].store_link.set(link);
-                self.pending_ends
-                    .push((now + time, FaultTarget::StoreLink(vm)));
+                self.end_after(time, FaultTarget::StoreLink(vm));
             }
             Fault::CallerLink(vm, link, time) => {
                 self.disturbances.add(Disturbed::OtherLinks(vm), time);
+                self.breaks.add_caller_link(vm, link, time);
                 self.slots[vm].caller_link.set(link);
-                self.pending_ends
-                    .push((now + time, FaultTarget::CallerLink(vm)));
+                self.end_after(time, FaultTarget::CallerLink(vm));
             }
             Fault::UpstreamLink(upstream, link, time) => {
+                let id = upstream_id(upstream);
+                self.breaks.add_upstream_link(&id, link, time);
                 self.upstream_links[upstream].set(link);
-                self.pending_ends
-                    .push((now + time, FaultTarget::UpstreamLink(upstream)));
+                self.end_after(time, FaultTarget::UpstreamLink(upstream));
             }
             Fault::VmLinks(vm, mode, time) => {
                 self.disturbances.add(Disturbed::UpstreamLinks(vm), time);
+                if mode == LinkFault::Reset {
+                    self.breaks.add(Break::UpstreamLinks(vm), Some(time));
+                }
                 self.set_vm_links(vm, Some(mode));
-                self.pending_ends
-                    .push((now + time, FaultTarget::VmLinks(vm)));
+                self.end_after(time, FaultTarget::VmLinks(vm));
             }
             Fault::StoreOutage(outage, time) => {
                 self.disturbances.add(Disturbed::Store, time);
                 self.store.set_outage(outage);
-                self.pending_ends.push((now + time, FaultTarget::Store));
+                self.end_after(time, FaultTarget::Store);
             }
             Fault::StoreHistoryLost => {
                 self.disturbances.add(Disturbed::Store, Duration::ZERO);
                 self.store.compact_history();
             }
-            Fault::CrashingPart(part) => {
-                self.crashing_parts.push(CRASHING_PARTS[part]);
-                for engine in &self.crash_engines {
-                    engine.crash_on(&self.crashing_parts, EVENT_GAP);
-                }
-            }
+            Fault::CrashingPart(part) => self.add_crashing_part(part),
             Fault::EngineCrash(engine) => self.crash_engines[engine].crash(),
             Fault::NewVersion(adapter) => self.announce_version(adapter),
             Fault::EngineQueue(queued, time) => {
                 self.engine.set_queue_time(queued);
-                self.pending_ends
-                    .push((now + time, FaultTarget::EngineQueue));
+                self.end_after(time, FaultTarget::EngineQueue);
             }
             Fault::Herd(vm, time) => {
                 self.herd.store(vm, Ordering::Relaxed);
-                self.pending_ends.push((now + time, FaultTarget::Herd));
+                self.end_after(time, FaultTarget::Herd);
             }
-            Fault::UpstreamMisbehaves(upstream, how) => self.upstreams[upstream].next(how),
-            Fault::NextStream(how) => self.streams.next(how),
-            Fault::BuildStream(slot, how) => self.builds[slot].next(how),
-            Fault::BuildStreams(how) => {
-                for upstream in &self.builds {
-                    upstream.next(how.clone());
-                }
+            Fault::UpstreamMisbehaves(upstream, how) => {
+                set_next(&mut self.breaks, &self.upstreams[upstream..=upstream], &how);
+            }
+            Fault::UpstreamsMisbehave(how) => set_next(&mut self.breaks, &self.upstreams, &how),
+            Fault::NextStream(how) => {
+                set_next(&mut self.breaks, std::slice::from_ref(&self.streams), &how);
             }
-            Fault::Release(slot) => {
-                let next = self.start_build(slot);
-                let old = std::mem::replace(&mut self.builds[slot], next);
-                self.store.remove(&old.key());
-                self.released.push(old);
+            Fault::BuildStream(slot, how) => {
+                set_next(&mut self.breaks, &self.builds[slot..=slot], &how);
             }
+            Fault::BuildStreams(how) => set_next(&mut self.breaks, &self.builds, &how),
+            Fault::Silence(silenced, time) => self.silence(silenced, time),
+            Fault::PromptGap(gap, time) => {
+                self.set_prompt_gap(gap);
+                self.end_after(time, FaultTarget::PromptGap);
+            }
+            Fault::Hangup(vm) => self.signal(vm, Signal::SIGHUP),
+            Fault::Release(slot) => self.release(slot),
             Fault::OrderResponsesLost(count) => self.engine.lose_responses(count),
             Fault::NewConfig => self.put_config(),
+            Fault::ConfigChange(change) => {
+                self.configuration.change(change);
+                self.put_config();
+            }
             Fault::UpstreamDrains(upstream, time) => {
                 self.register_upstream(upstream, "draining");
-                self.pending_ends
-                    .push((now + time, FaultTarget::Draining(upstream)));
+                self.end_after(time, FaultTarget::Draining(upstream));
             }
             Fault::Statement(upstream, statement, time) => {
                 self.begin_statement(upstream, statement);
-                self.pending_ends
-                    .push((now + time, FaultTarget::Statement(upstream, statement)));
+                self.end_after(time, FaultTarget::Statement(upstream, statement));
             }
             Fault::Evacuation(upstream, time) => {
                 self.store.put(&evacuation_key(upstream), &json!({}));
-                self.pending_ends
-                    .push((now + time, FaultTarget::Evacuated(upstream)));
+                self.end_after(time, FaultTarget::Evacuated(upstream));
             }
         }
     }
 
+    fn kill(
+        &mut self,
+        vm: usize,
+    ) {
+        self.disturbances.begin_stop(vm);
+        self.breaks.add(Break::Process(vm), None);
+        self.slots[vm].may_exit = true;
+        self.signal(vm, Signal::SIGKILL);
+    }
+
+    fn stop(
+        &mut self,
+        vm: usize,
+    ) {
+        self.disturbances.begin_stop(vm);
+        self.breaks.begin_stop(vm);
+        self.slots[vm].may_exit = true;
+        self.signal(vm, Signal::SIGTERM);
+        self.slots[vm].is_stopping = true;
+    }
+
+    fn suspend(
+        &mut self,
+        vm: usize,
+        time: Duration,
+    ) {
+        self.disturbances.add(Disturbed::Process(vm), time);
+        self.breaks.add(Break::Process(vm), Some(time));
+        self.signal(vm, Signal::SIGSTOP);
+        self.slots[vm].resumes_at = Some(Instant::now() + time);
+    }
+
+    fn add_crashing_part(
+        &mut self,
+        part: usize,
+    ) {
+        self.crashing_parts.push(CRASHING_PARTS[part]);
+        for engine in &self.crash_engines {
+            engine.crash_on(&self.crashing_parts, EVENT_GAP);
+        }
+    }
+
+    fn end_after(
+        &mut self,
+        time: Duration,
+        target: FaultTarget,
+    ) {
+        self.pending_ends.push((Instant::now() + time, target));
+    }
+
+    /// Replaces an upstream by one of another software version.
+    fn release(
+        &mut self,
+        slot: usize,
+    ) {
+        let next = self.start_build(slot);
+        let old = std::mem::replace(&mut self.builds[slot], next);
+        self.store.remove(&old.key());
+        self.released.push(old);
+    }
+
+    fn set_prompt_gap(
+        &self,
+        gap: Duration,
+    ) {
+        for engine in &self.crash_engines {
+            engine.set_event_gap(gap);
+        }
+    }
+
     fn begin_statement(
         &self,
         upstream: usize,
@@ -348,9 +502,14 @@
         for (_, target) in expired {
             self.end_fault(target);
         }
+        let stepped = std::mem::replace(&mut self.stepped, now);
         for slot in &mut self.slots {
-            if slot.step(now) {
+            if slot.has_ended_itself() {
+                self.own_ends.push(format!("{} has ended", slot.name));
+            }
+            if slot.step(now, stepped) {
                 self.disturbances.note_start(slot.number);
+                self.breaks.note_start(slot.number, slot.down_from);
             }
         }
     }
@@ -360,6 +519,10 @@
         &self.herd
     }
 
+    pub const fn idle_timeout(&self) -> &IdleTimeout {
+        &self.idle_timeout
+    }
+
     pub fn stop_herds(&self) {
         self.herd.store(NO_HERD, Ordering::Relaxed);
     }
@@ -430,6 +593,8 @@
         match target {
             FaultTarget::Herd => self.stop_herds(),
             FaultTarget::EngineQueue => self.engine.set_queue_time(Duration::ZERO),
+            FaultTarget::PromptGap => self.set_prompt_gap(EVENT_GAP),
+            FaultTarget::Silence(silenced) => self.set_silenced_links(silenced, LinkFault::Pass),
             FaultTarget::StoreLink(vm) => self.slots[vm].store_link.set(healthy),
             FaultTarget::CallerLink(vm) => self.slots[vm].caller_link.set(healthy),
             FaultTarget::UpstreamLink(upstream) => self.upstream_links[upstream].set(healthy),
@@ -458,12 +623,13 @@
         mut entry: Value,
     ) {
         let link = start_proxy(entry_address(&entry));
+        let service = entry["service"].as_str().unwrap_or_default().to_owned();
         entry["address"] = json!(link.address().to_string());
         self.store.put(key, &entry);
         for (vm, &mode) in self.vm_link_modes.iter().enumerate() {
             link.set_mode_for(upstream_source(vm), mode);
         }
-        self.other_links.push(link);
+        self.other_links.push(OtherLink { service, link });
     }
 
     /// Starts an upstream of the next software version for a slot, under an id of its own.
@@ -486,11 +652,48 @@
         mode: Option<LinkFault>,
     ) {
         self.vm_link_modes[vm] = mode;
-        for link in self.upstream_links.iter().chain(&self.other_links) {
+        let other_links = self.other_links.iter().map(|other| &other.link);
+        for link in self.upstream_links.iter().chain(other_links) {
             link.set_mode_for(upstream_source(vm), mode);
         }
     }
 
+    fn silence(
+        &mut self,
+        silenced: Silenced,
+        time: Duration,
+    ) {
+        if matches!(silenced, Silenced::All) {
+            for vm in 0..VMS {
+                self.disturbances.add(Disturbed::UpstreamLinks(vm), time);
+            }
+        }
+        self.set_silenced_links(silenced, LinkFault::Cut);
+        self.end_after(time, FaultTarget::Silence(silenced));
+    }
+
+    fn set_silenced_links(
+        &self,
+        silenced: Silenced,
+        mode: LinkFault,
+    ) {
+        let is_silenced = |service: &str| match silenced {
+            Silenced::Upstream(_) => false,
+            Silenced::Service(silenced) => silenced == service,
+            Silenced::All => true,
+        };
+        for (number, link) in self.upstream_links.iter().enumerate() {
+            let is_one = matches!(silenced, Silenced::Upstream(one) if one == number);
+            if is_one || is_silenced("app") {
+                link.set_mode(mode);
+            }
+        }
+        let others = self.other_links.iter();
+        for other in others.filter(|other| is_silenced(&other.service)) {
+            other.link.set_mode(mode);
+        }
+    }
+
     fn register_upstream(
         &self,
         number: usize,
@@ -504,33 +707,33 @@
     }
 
     fn put_config(&mut self) {
-        self.version += 1;
-        let mut config = deployment::config(self.version);
-        config["services"].as_array_mut().unwrap().extend(
-            ["flows", "builds"]
-                .map(|name| json!({"name": name, "health_path": "/healthz", "max_conns": 100})),
-        );
-        let mut prompts = config["services"][1].clone();
-        prompts["name"] = json!("prompts");
-        config["services"].as_array_mut().unwrap().push(prompts);
-        let app = &mut config["services"][0];
-        app["cold_per_s"] = json!(40);
-        app["cold_start_s"] = json!(1);
-        let routes = config["routes"].as_array_mut().unwrap();
-        let mut flow = routes[2].clone();
-        flow["name"] = json!("flow");
-        flow["path_prefix"] = json!("/flow/");
-        flow["service"] = json!("flows");
-        let mut build = flow.clone();
-        build["name"] = json!("build");
-        build["path_prefix"] = json!("/build/");
-        build["service"] = json!("builds");
-        let mut part = routes[5].clone();
-        part["name"] = json!("part");
-        part["path_prefix"] = json!("/part/");
-        part["service"] = json!("prompts");
-        routes.extend([flow, build, part]);
+        let (config, published) = self.configuration.next();
         self.store.put("op/config", &config);
+        let idle_ms = published.idle_timeout.as_millis() as u64;
+        self.idle_timeout.store(idle_ms, Ordering::Relaxed);
+        self.published.push(published);
+    }
+}
+
+/// The id of an upstream of the service `app`.
+fn upstream_id(upstream: usize) -> String {
+    format!("s-{upstream}")
+}
+
+/// The address of an upstream behind its link.
+fn own_address(upstream: &UpstreamStandIn) -> SocketAddr {
+    entry_address(&upstream.entry("", "", ""))
+}
+
+/// Sets how upstreams handle their next requests.
+fn set_next(
+    breaks: &mut Breaks,
+    upstreams: &[UpstreamStandIn],
+    how: &Behaviour,
+) {
+    for upstream in upstreams {
+        breaks.add_behaviour(own_address(upstream), how);
+        upstream.next(how.clone());
     }
 }
 
@@ -567,10 +770,22 @@
         is_up && self.resumes_at.is_none() && !self.is_stopping
     }
 
+    fn whole_log(&self) -> String {
+        self.log.clone() + &self.vm.as_ref().map_or_else(String::new, Vm::log)
+    }
+
+    /// Whether its process has exited, but was neither killed nor stopped.
+    fn has_ended_itself(&mut self) -> bool {
+        let may_exit = self.may_exit;
+        let mut vm = self.vm.iter_mut();
+        vm.any(|vm| !may_exit && vm.has_exited())
+    }
+
     /// Goes on with the process; returns whether it has started again.
     fn step(
         &mut self,
         now: Instant,
+        stepped: Instant,
     ) -> bool {
         if let Some(vm) = &mut self.vm {
             if self.resumes_at.is_some_and(|at| at <= now) {
@@ -583,6 +798,7 @@
                 self.log.push_str(&vm.log());
                 self.vm = None;
                 self.resumes_at = None;
+                self.down_from = stepped;
                 self.starts_at = Some(now + RESTART_DELAY);
             }
         }
@@ -592,6 +808,7 @@
             let vm = start_vm(self.store_link.address(), &self.name, self.number);
             self.caller_link.retarget(vm.callers);
             self.is_stopping = false;
+            self.may_exit = false;
             self.vm = Some(vm);
         }
         is_due
--- a/crates/entry/tests/soak/fault.rs
+++ b/crates/entry/tests/soak/fault.rs
@@ -1,5 +1,5 @@
 use {
-    super::cluster::EVENTS,
+    super::{cluster::EVENTS, configuration::ConfigChange},
     jasmine_platform_stand_in::{Behaviour, Outage, StreamEnd, StreamFraming},
     jasmine_testkit::proxy::{Fault as LinkFault, Link},
     rand::{Rng, SeedableRng},
@@ -53,6 +53,21 @@
 const QUEUE_MS: Range<u64> = 500..4_800;
 /// For how long new requests wait there, in milliseconds.
 const QUEUE_DURATION_MS: Range<u64> = 100..500;
+/// The same for sound upstreams that are silent for a while.
+const SILENCE_SEED: u64 = 0x0051_1e17;
+/// Time between the starts of two silences, in milliseconds.
+const SILENCE_INTERVAL_MS: Range<u64> = 200..1_400;
+/// How long they are silent, in milliseconds.
+const SILENCE_MS: Range<u64> = 1_000..3_000;
+/// The same for changes of the configuration in series, beside SIGHUPs and planned stops.
+const CONFIG_SEED: u64 = 0x00c0_4f16;
+/// Time between two series, in milliseconds.
+const CONFIG_INTERVAL_MS: Range<u64> = 400..2_000;
+/// Changes of a series, and the time between two of them, in milliseconds.
+const CONFIG_CHANGES: Range<usize> = 1..6;
+const CONFIG_CHANGE_MS: Range<u64> = 20..400;
+/// Services of which all upstreams fall silent at once.
+const SERVICES: [&str; 6] = ["app", "flows", "builds", "prompts", "spare", "llm"];
 /// Adapters that callers use, from `a1` on.
 pub const ADAPTERS: usize = 5;
 pub const VMS: usize = 3;
@@ -78,6 +93,16 @@
     UpstreamMisbehaves(usize, Behaviour),
     OrderResponsesLost(u32),
     NewConfig,
+    /// A configuration that differs from the one before.
+    ConfigChange(ConfigChange),
+    /// A VM gets SIGHUP.
+    Hangup(usize),
+    /// The next request to each upstream of the service `app`.
+    UpstreamsMisbehave(Behaviour),
+    /// Sound upstreams are silent, whatever they are doing, and then go on.
+    Silence(Silenced, Duration),
+    /// The engines of prompts are silent for this long within their answers.
+    PromptGap(Duration, Duration),
     UpstreamDrains(usize, Duration),
     /// Evacuates the data centre of an upstream, which is cold afterwards.
     Evacuation(usize, Duration),
@@ -105,6 +130,16 @@
     Herd(usize, Duration),
 }
 
+/// Which upstreams are silent.
+#[derive(Clone, Copy, Debug)]
+pub enum Silenced {
+    /// One of the service `app`.
+    Upstream(usize),
+    /// All of a service.
+    Service(&'static str),
+    All,
+}
+
 /// What an upstream states in its responses.
 #[derive(Clone, Copy, Debug)]
 pub enum Statement {
@@ -130,10 +165,20 @@
     }
 }
 
+/// What a fault schedule contains.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Schedule {
+    /// Faults.
+    Faults,
+    /// Also sound upstreams that are silent, and changes of the configuration in series.
+    SilencesAndChanges,
+}
+
 /// Generates the fault schedule of a seed.
 pub fn plan(
     seed: u64,
     length: Duration,
+    schedule: Schedule,
 ) -> Vec<(Duration, Fault)> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut at = Duration::from_millis(300);
@@ -154,6 +199,10 @@
     plan.extend(crashes(seed, length));
     plan.extend(salted(HERD_SEED, HERD_INTERVAL_MS, herd));
     plan.extend(salted(VERSION_SEED, VERSION_INTERVAL_MS, version));
+    if schedule == Schedule::SilencesAndChanges {
+        plan.extend(salted(SILENCE_SEED, SILENCE_INTERVAL_MS, silence));
+        plan.extend(config_changes(seed, length));
+    }
     plan.sort_by_key(|&(at, _)| at);
     plan
 }
@@ -251,6 +300,49 @@
     }
 }
 
+fn silence(rng: &mut ChaCha8Rng) -> Fault {
+    let upstream = rng.random_range(0..UPSTREAMS);
+    let slot = rng.random_range(0..BUILD_SLOTS);
+    let service = SERVICES[rng.random_range(0..SERVICES.len())];
+    let time = Duration::from_millis(rng.random_range(SILENCE_MS));
+    let gaps_for = Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
+    match rng.random_range(0..11) {
+        0 => Fault::UpstreamMisbehaves(upstream, Behaviour::Slow(time)),
+        1 => Fault::UpstreamsMisbehave(Behaviour::Slow(time)),
+        2 | 3 => Fault::NextStream(Behaviour::Pauses(EVENTS, time)),
+        4 => Fault::BuildStream(slot, Behaviour::Pauses(EVENTS, time)),
+        5 => Fault::BuildStreams(Behaviour::Pauses(EVENTS, time)),
+        6 => Fault::PromptGap(time, gaps_for),
+        7 => Fault::Silence(Silenced::Upstream(upstream), time),
+        8 | 9 => Fault::Silence(Silenced::Service(service), time),
+        _ => Fault::Silence(Silenced::All, time),
+    }
+}
+
+/// Series of changes of the configuration, most of them within a second, each beside other work of the operator.
+fn config_changes(
+    seed: u64,
+    length: Duration,
+) -> Vec<(Duration, Fault)> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ CONFIG_SEED);
+    let mut at = Duration::ZERO;
+    let mut plan = Vec::new();
+    while at < length {
+        at += Duration::from_millis(rng.random_range(CONFIG_INTERVAL_MS));
+        let vm = rng.random_range(0..VMS);
+        match rng.random_range(0..8) {
+            0 => plan.push((at, Fault::Stop(vm))),
+            1..4 => plan.push((at, Fault::Hangup(vm))),
+            _ => {}
+        }
+        for _ in 0..rng.random_range(CONFIG_CHANGES) {
+            plan.push((at, Fault::ConfigChange(ConfigChange::draw(&mut rng))));
+            at += Duration::from_millis(rng.random_range(CONFIG_CHANGE_MS));
+        }
+    }
+    plan
+}
+
 fn engine_crash(rng: &mut ChaCha8Rng) -> Fault {
     Fault::EngineCrash(rng.random_range(0..CRASH_ENGINES))
 }
--- a/crates/entry/tests/soak/mod.rs
+++ b/crates/entry/tests/soak/mod.rs
@@ -3,27 +3,36 @@
 //! Connections run through fault-injecting proxies; processes are killed, stopped, suspended and restarted. A seed
 //! determines the schedule of faults, but their effects depend on timing, so runs aren't exactly reproducible.
 
+mod answers;
+mod breaks;
 mod callers;
 mod checks;
 mod cluster;
+mod configuration;
 mod crashing_parts;
 mod disturbances;
 mod fault;
 mod older_versions;
+mod open_connections;
 mod resumed_streams;
+mod vm_log;
 
 use {
+    answers::check_answers,
     callers::Callers,
     checks::check,
     cluster::Cluster,
     disturbances::CONTACT,
     fault::{Fault, calm_plan, plan},
+    open_connections::check_idle_closes,
     std::{
         thread,
         time::{Duration, Instant},
     },
 };
 
+pub use fault::Schedule;
+
 /// How long callers continue at VMs that are in touch again after the last fault.
 const CALM_TIME: Duration = Duration::from_secs(3);
 const STEP_INTERVAL: Duration = Duration::from_millis(10);
@@ -32,17 +41,27 @@
 pub fn run_seed(
     seed: u64,
     length: Duration,
+    schedule: Schedule,
 ) -> Vec<String> {
     let mut cluster = Cluster::start(seed);
-    let callers = Callers::start(&cluster.addresses(), cluster.herd());
-    run_plan(&mut cluster, plan(seed, length), length);
+    let callers = Callers::start(
+        &cluster.addresses(),
+        cluster.herd(),
+        cluster.idle_timeout(),
+        seed,
+    );
+    run_plan(&mut cluster, plan(seed, length, schedule), length);
     cluster.end_all_faults();
     let mut violations = cluster.unserved_routes();
     cluster.stop_herds();
     let calm_time = CONTACT + CALM_TIME;
     run_plan(&mut cluster, calm_plan(seed, calm_time), calm_time);
-    let records = callers.finish();
+    let (records, idle_closes) = callers.finish();
+    cluster.await_logs();
     violations.extend(check(&cluster, &records));
+    let logs = cluster.vm_logs();
+    violations.extend(check_answers(&cluster, &logs, &records));
+    violations.extend(check_idle_closes(&cluster, &logs, &idle_closes));
     if !violations.is_empty() {
         cluster.save_logs(seed);
     }
