Soak: streams that no VM can serve don't count as not gone on with

These moments are left out for new and taken-up streams alike: the VM's links are cut, and no other one with links runs that has been up for 500 ms, the interval in which VMs without links ask others. All else counts as before, with the same share.

--- a/crates/entry/tests/soak/resumed_streams.rs
+++ b/crates/entry/tests/soak/resumed_streams.rs
@@ -22,7 +22,8 @@
 }
 
 /// A stream holds events of one version, each once and in order, over all attempts of its caller; streams that are
-/// taken up go on at least half as often as new ones begin, while not all VMs have just started.
+/// taken up go on at least half as often as new ones begin, while not all VMs have just started and one reaches
+/// upstreams.
 pub fn check_streams(
     disturbances: &Disturbances,
     records: &[Record],
@@ -37,6 +38,8 @@
     let (taken_up, new): (Vec<&Record>, Vec<&Record>) = attempts
         .filter(|record| has_running_vm(&record.result))
         .filter(|record| !disturbances.have_all_started(record.sent))
+        // No VM can serve these: one without links refuses them while no other one relays.
+        .filter(|record| !disturbances.is_cut_off_but_for_starts(record.vm, record.sent))
         .partition(|record| record.resumes.is_some());
     let goes_on = |of: &[&Record]| {
         let with_events = of.iter().filter(|one| !events_of(&one.result).is_empty());
