--- a/crates/entry/tests/silent_relays.rs
+++ b/crates/entry/tests/silent_relays.rs
@@ -42,7 +42,7 @@
 /// The VM that stops while it sends requests on.
 const STOPPED: usize = 2;
 /// Requests at a time, of which some go through the VM that stops.
-const REQUESTS: usize = 6;
+const REQUESTS: usize = 10;
 
 /// The address from which a VM connects to upstreams.
 fn source(vm: usize) -> IpAddr {
