--- a/crates/core/src/ingress/connection_admission.rs
+++ b/crates/core/src/ingress/connection_admission.rs
@@ -39,18 +39,19 @@
         }
     }
 
-    /// Records how late a task of the VM has run.
+    /// Records how late a task of the VM has run; returns whether that is too late.
     pub fn note_delay(
         &mut self,
         delay: Millis,
         now: Millis,
-    ) {
+    ) -> bool {
         let is_late = delay >= MAX_DELAY;
         // A single delay is a suspension of the process.
         if is_late && self.was_late {
             self.overloaded_until = now + OVERLOAD_TIME;
         }
         self.was_late = is_late;
+        is_late
     }
 
     /// Whether a new connection is taken; it counts as open then until [`Self::close`].
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -175,7 +175,9 @@
         delay: Millis,
     ) {
         let now = self.clock.now();
-        self.connections.borrow_mut().note_delay(delay, now);
+        if self.connections.borrow_mut().note_delay(delay, now) {
+            Line::new("tasks_late").with("late_ms", delay).warn();
+        }
     }
 
     /// Number of open connections of callers.
--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -357,6 +357,8 @@
             .with("events", self.progress.events)
             .with("begun_ms", self.progress.received_for())
             .with("silent_ms", self.silent_for())
+            .with("received_bytes", self.progress.received_bytes)
+            .with("stalled_ms", self.stalled_for())
             .with("adapter", self.req.caller.adapter.as_deref().unwrap_or("-"))
             .with("parts", part_names(&self.req.caller.parts))
             .with("again", can_retry)
@@ -416,6 +418,13 @@
         self.cx.clock.now().since(since)
     }
 
+    /// Time since the last attempt was sent, or an event of its response was forwarded, whatever else its upstream sent.
+    fn stalled_for(&self) -> Millis {
+        let event_at = self.progress.event_at.or(self.sent_at);
+        let since = event_at.unwrap_or(self.req.arrived);
+        self.cx.clock.now().since(since)
+    }
+
     /// Whether another upstream may add the rest of a stream that has begun.
     fn can_resume(&self) -> bool {
         self.req.is_resumable() && self.progress.origin.is_resumable()
--- a/crates/entry/src/forward/relay.rs
+++ b/crates/entry/src/forward/relay.rs
@@ -39,6 +39,10 @@
     pub head_at: Option<Millis>,
     /// When the last data of the last attempt's response was received.
     pub received_at: Option<Millis>,
+    /// Bytes of the body of the last attempt's response that were received.
+    pub received_bytes: usize,
+    /// When the last event of the last attempt's response was forwarded.
+    pub event_at: Option<Millis>,
     /// How the end of the last response's body is determined.
     pub framing: Option<Framing>,
     /// Bytes received after the last complete event of the last response.
@@ -50,6 +54,8 @@
     pub(super) const fn begin_attempt(&mut self) {
         self.head_at = None;
         self.received_at = None;
+        self.received_bytes = 0;
+        self.event_at = None;
         self.framing = None;
         self.partial_bytes = 0;
     }
@@ -112,12 +118,14 @@
             attempt.note_begun();
         }
         progress.received_at = Some(attempt.cx.clock.now());
+        progress.received_bytes += data.len();
         if !splitter.push(&data) {
             return Err(Failure::may_have_run(Outcome::Lost).into());
         }
         let ready = take_events(&mut splitter, progress);
         progress.partial_bytes = splitter.partial_len();
         if !ready.is_empty() {
+            progress.event_at = progress.received_at;
             forward_data(attempt, &response.head, progress, out, &ready).await?;
         }
     }
--- a/crates/entry/src/forward/successor.rs
+++ b/crates/entry/src/forward/successor.rs
@@ -121,6 +121,12 @@
             if self.cx.links.can_send(&self.req.allowed_data_centres) {
                 match place(&self.cx, &self.req, &attempt).await {
                     Ok(placement) if self.can_take(&placement).await => {
+                        let silent = self.excluded_upstreams.last();
+                        Line::new("successor_found")
+                            .with("id", self.req.caller.request_id.as_deref().unwrap_or("-"))
+                            .with("upstream", &placement.upstream)
+                            .with("silent", silent.map_or("-", String::as_str))
+                            .info();
                         self.found.replace(Some(placement));
                         return;
                     }
--- a/crates/telemetry/src/log/bounded_writer.rs
+++ b/crates/telemetry/src/log/bounded_writer.rs
@@ -135,7 +135,9 @@
         drop(buffer);
         if dropped > 0 {
             let line = Line::new("log_dropped").with("lines", dropped);
-            bytes.extend_from_slice(format!("level=warn {}\n", line.as_str()).as_bytes());
+            let time = super::output::format_time(&mut DeferredNow::new());
+            let text = format!("time={time} level=warn {}\n", line.as_str());
+            bytes.extend_from_slice(text.as_bytes());
         }
         // A write error can't be reported, because this is the log itself.
         let _broken = sink.write_all(&bytes).and_then(|()| sink.flush());
--- a/crates/telemetry/src/log/output.rs
+++ b/crates/telemetry/src/log/output.rs
@@ -57,7 +57,7 @@
     now: &mut DeferredNow,
     record: &Record<'_>,
 ) -> std::io::Result<()> {
-    let time = now.now_utc_owned().format("%Y-%m-%dT%H:%M:%S%.3fZ");
+    let time = format_time(now);
     let level = record.level().as_str().to_ascii_lowercase();
     let text = record.args().to_string();
     if text.starts_with("event=") {
@@ -68,3 +68,9 @@
         .with("message", text);
     write!(w, "time={time} level={level} {}", line.as_str())
 }
+
+/// The time of a line.
+pub(super) fn format_time(now: &mut DeferredNow) -> String {
+    let time = now.now_utc_owned().format("%Y-%m-%dT%H:%M:%S%.3fZ");
+    time.to_string()
+}
--- a/crates/telemetry/tests/bounded_writer.rs
+++ b/crates/telemetry/tests/bounded_writer.rs
@@ -85,6 +85,12 @@
     writer.shutdown();
     let text = sink.text();
     assert!(text.contains("event=store_lost"), "kept");
+    let is_report = |line: &&str| line.contains("event=log_dropped");
+    assert!(
+        text.lines()
+            .filter(is_report)
+            .all(|line| line.starts_with("time="))
+    );
     let written = text
         .lines()
         .filter(|line| line.contains("request_ended"))
