--- a/crates/entry/tests/deployment/mod.rs
+++ b/crates/entry/tests/deployment/mod.rs
@@ -32,6 +32,12 @@
 
 static NEXT_ID: AtomicU32 = AtomicU32::new(0);
 
+/// The daemon under test: that of this tree, unless `JASMINE_ENTRY` names one of another version.
+fn daemon_path() -> PathBuf {
+    let other = std::env::var_os("JASMINE_ENTRY");
+    other.map_or_else(|| env!("CARGO_BIN_EXE_jasmine-entry").into(), PathBuf::from)
+}
+
 /// A running entry daemon.
 pub struct Vm {
     pub name: String,
@@ -95,7 +101,7 @@
         });
         change(&mut text);
         fs::write(&settings, text.to_string()).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_jasmine-entry"))
+        let mut child = Command::new(daemon_path())
             .arg("--settings")
             .arg(&settings)
             .stdout(Stdio::piped())
