--- a/crates/entry/tests/deployment/mod.rs
+++ b/crates/entry/tests/deployment/mod.rs
@@ -87,7 +87,9 @@
     where
         F: Fn(&mut Value),
     {
-        let settings = std::env::temp_dir().join(format!("jasmine-entry-{name}.json"));
+        // Several deployments of a process may give their VMs the same names.
+        let number = NEXT_ID.fetch_add(1, Ordering::Relaxed);
+        let settings = std::env::temp_dir().join(format!("jasmine-entry-{name}-{number}.json"));
         let any_address = "127.0.0.1:0";
         let mut text = json!({
             "vm": name,
