--- a/crates/core/examples/scheduler_cost/fleet.rs
+++ b/crates/core/examples/scheduler_cost/fleet.rs
@@ -297,7 +297,7 @@
             attempt: 1,
             excluded_upstreams: Vec::new(),
             has_begun: false,
-            is_successor: false,
+            is_hedge: false,
         }
     }
 }
--- a/crates/core/src/scheduler/choose/mod.rs
+++ b/crates/core/src/scheduler/choose/mod.rs
@@ -346,7 +346,7 @@
             .collect()
     }
 
-    /// The strictest filter that at least one upstream of the service matches; the strictest of all for a successor.
+    /// The strictest filter that at least one upstream of the service matches; the strictest of all for a hedge.
     fn filter(
         &self,
         job: &Job,
@@ -355,7 +355,7 @@
             let mut ready = self.fleet.ready(job.service);
             ready.any(|up| self.matches_filter(filter, job, up))
         };
-        if job.is_successor {
+        if job.is_hedge {
             return CandidateFilter::NotFailed;
         }
         let strict = [CandidateFilter::NotFailed, CandidateFilter::Reachable];
--- a/crates/core/src/scheduler/health.rs
+++ b/crates/core/src/scheduler/health.rs
@@ -61,7 +61,20 @@
         self.is_trial_pending = false;
     }
 
-    /// Records a connection failure or a timeout; pauses the upstream.
+    /// Records a request that was given up after silence; pauses the upstream if its last requests all failed.
+    ///
+    /// A sound upstream may be silent for a while.
+    pub(super) fn note_silence(
+        &mut self,
+        now: Millis,
+    ) {
+        self.note_error(now);
+        if self.is_suspect() {
+            self.pause(now);
+        }
+    }
+
+    /// Records a connection failure; pauses the upstream.
     pub(super) fn note_unreachable(
         &mut self,
         now: Millis,
--- a/crates/core/src/scheduler/job.rs
+++ b/crates/core/src/scheduler/job.rs
@@ -87,7 +87,7 @@
     /// Whether its caller has a part of the answer already.
     pub has_begun: bool,
     /// Whether the last excluded upstream is silent and still works on it, so that only another one is of use.
-    pub is_successor: bool,
+    pub is_hedge: bool,
 }
 
 impl Job {
@@ -105,6 +105,11 @@
             .map_or(&[][..], |generation| &generation.shared_parts)
     }
 
+    /// Whether it draws on the retry budget only once it is assigned.
+    pub const fn draws_when_assigned(&self) -> bool {
+        self.is_hedge || self.has_begun
+    }
+
     /// Whether it is a call that any upstream of its service may serve.
     pub const fn is_plain_call(&self) -> bool {
         matches!(self.work, Work::Call)
--- a/crates/core/src/scheduler/outcome_records.rs
+++ b/crates/core/src/scheduler/outcome_records.rs
@@ -53,7 +53,7 @@
                 upstream.health.note_unreachable(now);
                 upstream.assume_cold(now);
             }
-            Outcome::Silent => upstream.health.note_unreachable(now),
+            Outcome::Silent => upstream.health.note_silence(now),
             // Another upstream has taken over the address; not used until its store entry changes.
             Outcome::OtherUpstream => upstream.is_ready = false,
             Outcome::Abandoned => {}
--- a/crates/core/src/scheduler/state_machine/availability.rs
+++ b/crates/core/src/scheduler/state_machine/availability.rs
@@ -19,8 +19,8 @@
 const RESUMPTION_CHECK_INTERVAL: Millis = Millis(50);
 
 impl Scheduler {
-    /// Refuses a successor while no upstream but those that it excludes may serve it.
-    pub(super) fn check_successor(
+    /// Refuses a hedge while no upstream but those that it excludes may serve it.
+    pub(super) fn check_hedge(
         &self,
         job: &Job,
         now: Millis,
@@ -34,7 +34,7 @@
                     && up.health.is_available(now)
             })
         };
-        if !job.is_successor || has_other() {
+        if !job.is_hedge || has_other() {
             Ok(())
         } else {
             Err(Refusal::new(ErrorKind::NoUpstream))
--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -358,7 +358,7 @@
         now: Millis,
     ) -> Option<Action> {
         let job = self.entries.get(&request)?.job.clone();
-        if !self.take_successor_retry(&job, now) {
+        if !self.take_retry_if_assigned(&job, now) {
             return self.refuse(request, Refusal::new(ErrorKind::NoUpstream), now);
         }
         let load = self.request_load(&job, upstream, now);
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -289,7 +289,7 @@
         if let Err(refusal) = self.check_rests(&job, attempt_id.vm, now) {
             return refuse(refusal);
         }
-        if let Err(refusal) = self.check_successor(&job, now) {
+        if let Err(refusal) = self.check_hedge(&job, now) {
             return refuse(refusal);
         }
         if let Err(refusal) = self.check_retry_budget(&job, now) {
--- a/crates/core/src/scheduler/state_machine/retries.rs
+++ b/crates/core/src/scheduler/state_machine/retries.rs
@@ -13,7 +13,7 @@
 impl Scheduler {
     /// Refuses a retry if the service's retry budget is used up, and draws on it otherwise.
     ///
-    /// A successor draws on it only once it is assigned: its search may end without one.
+    /// Hedges and answers that have begun draw on it only once they are assigned: they are placed again after a refusal.
     pub(super) fn check_retry_budget(
         &mut self,
         job: &Job,
@@ -26,7 +26,7 @@
             budget.note_request(&settings, now);
             return Ok(());
         }
-        let has_left = if job.is_successor {
+        let has_left = if job.draws_when_assigned() {
             budget.has_left(&settings, share, now)
         } else {
             budget.take(&settings, share, now)
@@ -38,13 +38,13 @@
         }
     }
 
-    /// Draws on the retry budget for a successor that is assigned; returns whether a retry was left.
-    pub(super) fn take_successor_retry(
+    /// Draws on the retry budget for an attempt that is assigned, if it hasn't yet; returns whether a retry was left.
+    pub(super) fn take_retry_if_assigned(
         &mut self,
         job: &Job,
         now: Millis,
     ) -> bool {
-        if !job.is_successor {
+        if !job.draws_when_assigned() {
             return true;
         }
         let share = self.retry_share(now);
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -1,24 +1,29 @@
 use {
-    super::{ForwardRequest, encode::encode_request, successor::Successor},
+    super::{
+        ForwardRequest, encode::encode_request, failure::Failure, response_trace::ResponseTrace,
+    },
     crate::{
         context::Context,
         http1::ResponseHead,
-        links::{LinksLost, NotRelayed, RelayTarget, read_not_relayed, take_relayed_mark},
+        links::{NotRelayed, RelayTarget, read_not_relayed, take_relayed_mark},
         scheduling::Placement,
         upstream::{Connection, ExchangeError, ResponseStart, answers_request},
     },
     bytes::Bytes,
     jasmine_core::{
-        clock::Millis,
-        error::ErrorKind,
-        forward::{AttemptEnd, Repeat},
-        reachability::LinkStatus,
+        clock::Millis, error::ErrorKind, forward::Repeat, reachability::LinkStatus,
         scheduler::Outcome,
     },
     jasmine_platform::headers::{ResponseHeaders, is_misdirected},
     jasmine_telemetry::log::Line,
-    std::{cell::RefCell, io, net::SocketAddr, pin::pin, time::Duration},
-    tokio::time::{Instant, sleep, timeout, timeout_at},
+    std::{
+        cell::{Cell, RefCell},
+        io,
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::time::timeout,
 };
 
 /// The largest response that is buffered, in bytes.
@@ -29,13 +34,10 @@
 const NON_IDEMPOTENT_IDLE_TIMEOUT: Millis = Millis(1_000);
 /// Longest idle time of a connection for a request that can be repeated.
 const IDEMPOTENT_IDLE_TIMEOUT: Millis = Millis(60_000);
-/// Silence after which another upstream is sought for a call that may be repeated, as a multiple of its latency objective.
-const CALL_PATIENCE_OBJECTIVES: u64 = 2;
-/// Silence after which another upstream is sought for the head of a stream that may be repeated, in percent of its latency objective.
-const STREAM_PATIENCE_PERCENT: u64 = 150;
-
 /// How long the rest of a response is read that says that the request has not run.
 const NOT_RUN_BODY_TIMEOUT: Duration = Duration::from_millis(50);
+/// How long the body of an error response is read before the request is sent to another upstream.
+const FAILURE_BODY_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// How an attempt began.
 pub(super) enum Start {
@@ -80,57 +82,19 @@
     age.map_or_else(|| "-".to_owned(), |age| age.to_string())
 }
 
-/// A failed attempt.
-#[derive(Clone, Debug)]
-pub(super) struct Failure {
-    pub outcome: Outcome,
-    pub end: AttemptEnd,
-    /// Whether the response broke off, or its connection did.
-    pub is_broken: bool,
-    /// The upstream's error response, forwarded if no attempt succeeds.
-    pub response: Option<(ResponseHead, Bytes)>,
-}
-
-impl Failure {
-    pub(super) const fn not_run(outcome: Outcome) -> Self {
-        Self {
-            outcome,
-            end: AttemptEnd::NotRun,
-            is_broken: false,
-            response: None,
-        }
-    }
-
-    pub(super) const fn may_have_run(outcome: Outcome) -> Self {
-        Self {
-            outcome,
-            end: AttemptEnd::MayHaveRun,
-            is_broken: false,
-            response: None,
-        }
-    }
-
-    pub(super) const fn broken(outcome: Outcome) -> Self {
-        Self {
-            outcome,
-            end: AttemptEnd::MayHaveRun,
-            is_broken: true,
-            response: None,
-        }
-    }
-}
-
 /// One attempt of a request at one upstream.
-pub(super) struct AttemptContext<'a> {
-    pub cx: &'a Context,
-    pub req: &'a ForwardRequest,
-    pub placement: &'a Placement,
-    pub successor: &'a Successor,
+pub(super) struct AttemptContext {
+    pub cx: Rc<Context>,
+    pub req: Rc<ForwardRequest>,
+    pub placement: Rc<Placement>,
+    pub trace: Rc<Cell<ResponseTrace>>,
     /// VMs to which the request has been offered.
-    pub tried_relays: &'a RefCell<Vec<SocketAddr>>,
+    pub tried_relays: Rc<RefCell<Vec<SocketAddr>>>,
+    /// Whether another attempt may follow one that has run.
+    pub can_retry: bool,
 }
 
-impl AttemptContext<'_> {
+impl AttemptContext {
     /// Records that the answer has begun, and whether that was on an older version of its adapter than the newest that
     /// this VM knows.
     pub(super) fn note_begun(&self) {
@@ -153,7 +117,7 @@
             .with("absent_ms", age_text(absent_for))
             .info();
         if let Some(absent_for) = absent_for {
-            self.cx.metrics.record_older_version(self.req, absent_for);
+            self.cx.metrics.record_older_version(&self.req, absent_for);
         }
     }
 
@@ -163,7 +127,7 @@
         after_event: Option<u64>,
     ) -> Start {
         let now = self.cx.clock.now();
-        let bytes = encode_request(self.req, self.placement, after_event, now);
+        let bytes = encode_request(&self.req, &self.placement, after_event, now);
         if self.cx.links.is_lost() {
             return self.start_relayed(&bytes).await;
         }
@@ -179,20 +143,12 @@
         mut connection: Connection,
         bytes: &[u8],
     ) -> Start {
-        let exchange = self.exchange(&mut connection, bytes);
-        let exchanged = self
-            .attend(Via::OwnLinks, exchange, self.head_patience())
-            .await;
-        match exchanged {
-            Err(failure) => {
-                self.cx.pool.close_idle(self.placement.address);
-                Start::Failed(failure)
-            }
-            Ok(Err(e)) => Start::Failed(self.broken(Via::OwnLinks, e).await),
-            Ok(Ok(ResponseStart {
+        match self.exchange(&mut connection, bytes).await {
+            Err(e) => Start::Failed(self.broken(Via::OwnLinks, e).await),
+            Ok(ResponseStart {
                 head,
                 is_request_sent,
-            })) => {
+            }) => {
                 self.cx.links.note_heard();
                 let response = StartedResponse {
                     connection,
@@ -211,6 +167,7 @@
         &self,
         bytes: &[u8],
     ) -> Start {
+        self.update_trace(|trace| trace.via = Via::OtherVm);
         let target = RelayTarget {
             upstream: &self.placement.upstream,
             build: self.placement.build.as_deref(),
@@ -242,15 +199,10 @@
         let Ok(mut connection) = connection else {
             return Offer::NotRelayed;
         };
-        let exchange = self.exchange(&mut connection, bytes);
-        let exchanged = self
-            .attend(Via::OtherVm, exchange, self.head_patience())
-            .await;
-        let mut response_start = match exchanged {
-            // Either may be due to the upstream, so that other requests can still go through that VM.
-            Err(failure) => return Offer::Started(Start::Failed(failure)),
-            Ok(Err(e)) => return Offer::Started(Start::Failed(self.broken(Via::OtherVm, e).await)),
-            Ok(Ok(response_start)) => response_start,
+        let mut response_start = match self.exchange(&mut connection, bytes).await {
+            // This may be due to the upstream, so that other requests can still go through that VM.
+            Err(e) => return Offer::Started(Start::Failed(self.broken(Via::OtherVm, e).await)),
+            Ok(response_start) => response_start,
         };
         let is_relayed = take_relayed_mark(&mut response_start.head);
         let reason = read_not_relayed(&response_start.head);
@@ -301,80 +253,22 @@
             .await
     }
 
-    /// Waits for a response; once it is overdue after `patience`, also for an upstream that can take the request over.
-    ///
-    /// A sound upstream may be silent for a while, so that it is given up only for another one, or at the deadline.
-    pub(super) async fn attend<F>(
+    /// Changes what is recorded of the response.
+    pub(super) fn update_trace<F>(
         &self,
-        via: Via,
-        response: F,
-        patience: Duration,
-    ) -> Result<F::Output, Failure>
-    where
-        F: Future,
+        change: F,
+    ) where
+        F: FnOnce(&mut ResponseTrace),
     {
-        let mut response = pin!(response);
-        let links = &self.cx.links;
-        let due = Instant::now() + patience;
-        loop {
-            let watched = async {
-                match via {
-                    Via::OwnLinks => links.attend(response.as_mut(), self.can_abort(via)).await,
-                    Via::OtherVm => Ok(response.as_mut().await),
-                }
-            };
-            let is_lost = match timeout_at(due, watched).await {
-                Ok(Ok(output)) => return Ok(output),
-                Ok(Err(LinksLost)) => true,
-                Err(_elapsed) => false,
-            };
-            let succeeded = async {
-                let failure = self.overdue(via).await;
-                self.successor.find().await;
-                failure
-            };
-            tokio::select! {
-                biased;
-                output = response.as_mut() => {
-                    self.successor.discard();
-                    return Ok(output);
-                }
-                () = sleep(self.time_left()) => return Err(self.expired(via)),
-                () = links.restored(), if is_lost => {}
-                failure = succeeded, if self.successor.is_allowed() => return Err(failure),
-            }
-        }
-    }
-
-    /// The failure of an attempt whose deadline has passed, as [`Self::overdue`] without a wait for a test of the links.
-    fn expired(
-        &self,
-        via: Via,
-    ) -> Failure {
-        let outcome = match (via, self.cx.links.status()) {
-            (Via::OwnLinks, LinkStatus::Up) => Outcome::Silent,
-            _ => Outcome::Abandoned,
-        };
-        Failure::may_have_run(outcome)
+        let mut trace = self.trace.get();
+        change(&mut trace);
+        self.trace.set(trace);
     }
 
-    /// The failure of an attempt whose response is overdue.
+    /// The failure of an attempt whose connection broke or whose response is invalid.
     ///
-    /// It says nothing about the upstream if another VM, or the links of this one, may have failed.
-    async fn overdue(
-        &self,
-        via: Via,
-    ) -> Failure {
-        let outcome = match via {
-            Via::OwnLinks if self.cx.links.after_silence().await != LinkStatus::Lost => {
-                Outcome::Silent
-            }
-            Via::OwnLinks | Via::OtherVm => Outcome::Abandoned,
-        };
-        Failure::may_have_run(outcome)
-    }
-
-    /// The failure of an attempt whose connection broke or whose response is invalid, as [`Self::overdue`].
+    /// It says nothing about the upstream if another VM, or the links of this one, may have failed. Bytes that are no
+    /// answer are the upstream's fault, and no crash under its prompt.
     pub(super) async fn broken(
         &self,
         via: Via,
@@ -389,7 +283,10 @@
             }
             (Via::OwnLinks | Via::OtherVm, ExchangeError::Lost) => Outcome::Abandoned,
         };
-        Failure::broken(outcome)
+        match e {
+            ExchangeError::Lost => Failure::broken(outcome),
+            ExchangeError::Invalid => Failure::may_have_run(outcome),
+        }
     }
 
     /// The status of the links after a failed connection, once they have been tested or the deadline has passed.
@@ -408,8 +305,7 @@
         let StartedResponse {
             connection, head, ..
         } = &mut response;
-        let body = connection.read_whole_body(head, MAX_RESPONSE_BYTES);
-        let body = match self.attend(via, body, self.time_left()).await? {
+        let body = match connection.read_whole_body(head, MAX_RESPONSE_BYTES).await {
             Err(e) => return Err(self.broken(via, e).await),
             Ok(body) => body,
         };
@@ -445,25 +341,6 @@
         self.req.deadline.since(self.cx.clock.now()).to_std()
     }
 
-    /// Silence before the head of a response after which another upstream is sought: the deadline for requests that can't be repeated.
-    fn head_patience(&self) -> Duration {
-        let objective = self.req.route.objective;
-        let patience = match (self.req.route.kind.repeat(), self.req.is_stream()) {
-            (Repeat::Once, _) => return self.time_left(),
-            (Repeat::Idempotent, false) => Millis(objective.0 * CALL_PATIENCE_OBJECTIVES),
-            (Repeat::Idempotent, true) => Millis(objective.0 * STREAM_PATIENCE_PERCENT / 100),
-        };
-        self.time_left().min(patience.to_std())
-    }
-
-    /// Whether the attempt may be given up for one through another VM once this VM's links are lost.
-    fn can_abort(
-        &self,
-        via: Via,
-    ) -> bool {
-        via == Via::OwnLinks && self.req.route.kind.repeat() == Repeat::Idempotent
-    }
-
     /// Longest idle time of a connection for this request.
     fn max_idle(&self) -> Millis {
         match self.req.route.kind.repeat() {
@@ -535,15 +412,18 @@
             200..=299 if !response_headers.is_sealed || has_content_coding => {
                 Start::Failed(Failure::may_have_run(Outcome::Lost))
             }
-            500..=599 => match self.read_whole(response).await {
-                Err(failure) => Start::Failed(failure),
-                Ok(response) => Start::Failed(Failure {
-                    outcome: Outcome::Failed,
-                    end: AttemptEnd::MayHaveRun,
-                    is_broken: false,
-                    response: Some(response),
-                }),
-            },
+            500..=599 => {
+                let patience = if self.can_retry {
+                    FAILURE_BODY_TIMEOUT.min(self.time_left())
+                } else {
+                    self.time_left()
+                };
+                let response = timeout(patience, self.read_whole(response)).await;
+                Start::Failed(Failure {
+                    response: response.ok().and_then(Result::ok).map(Box::new),
+                    ..Failure::may_have_run(Outcome::Failed)
+                })
+            }
             _ => Start::Responding(response),
         }
     }
--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -1,30 +1,35 @@
 use {
     super::{
         ForwardRequest,
-        attempt::{AttemptContext, Failure, Start},
-        relay::{Progress, RelayError, relay},
+        attempt::Via,
+        failure::Failure,
+        hedge::{Hedge, HedgeEvent, HedgeSearch, RETRY_INTERVAL, place},
+        in_flight::{AttemptSetup, InFlight},
+        piece::{AttemptError, Piece},
         request::AttemptSpec,
-        successor::{Successor, place},
+        stream_reader::EventBatch,
     },
     crate::{
         caller::{ErrorResponse, ResponseWriter},
         context::Context,
         http1::{Framing, ResponseHead},
+        links::LinksLost,
         scheduling::{Placement, PlacementError},
     },
     bytes::Bytes,
     jasmine_core::{
         clock::Millis,
         error::{ErrorKind, Refusal},
-        forward::Attempts,
+        forward::{AttemptEnd, Attempts},
         ids::PartId,
         ingress::PromptPart,
-        quarantine::{AnswerEnd, AnswerTrace, PromptEvidence, join_parts},
+        quarantine::{AnswerEnd, PromptEvidence, join_parts},
+        reachability::LinkStatus,
         scheduler::{Outcome, WaitReason},
-        streams::OriginLookup,
+        streams::{OriginLookup, ServiceBuild, StreamOrigin},
     },
     jasmine_telemetry::log::Line,
-    std::{cell::RefCell, io, net::SocketAddr, rc::Rc},
+    std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration},
     tokio::time::sleep,
 };
 
@@ -37,27 +42,70 @@
 /// How often an answer that has begun checks whether an upstream is reached again.
 const REACHABILITY_CHECK_INTERVAL: Millis = Millis(100);
 
+/// Time without an answer after which a call that may be repeated is hedged, as a multiple of its latency objective.
+const CALL_PATIENCE_OBJECTIVES: u64 = 2;
+/// Time without an event after which a stream that may be repeated is hedged, in percent of its latency objective.
+const STREAM_PATIENCE_PERCENT: u64 = 150;
+/// Time without a further event after which a resumable stream is hedged, as a multiple of its gap objective.
+const PATIENCE_GAPS: u64 = 5;
+/// Gap objective of routes without one.
+const DEFAULT_GAP_OBJECTIVE: Millis = Millis(500);
+
 /// What follows an attempt.
 enum Step {
     /// The caller has its response or has disconnected.
     Done(io::Result<()>),
-    /// The request is sent again, to this upstream if one has been found already.
-    Retry(Option<Placement>),
+    /// The request is sent again.
+    Retry,
     /// The request fails with this error.
     Fail(ErrorKind),
 }
 
+/// What happens while an attempt is in flight.
+enum Event {
+    /// Its answer goes on, or it has failed.
+    Piece(Result<Piece, AttemptError>),
+    /// The same of its hedge, or an upstream was found for one.
+    Hedge(HedgeEvent),
+    /// Its upstream is silent for too long, or the links of this VM are lost.
+    Overdue { are_links_lost: bool },
+    /// The links are up again.
+    LinksRestored,
+    /// The deadline has passed.
+    Expired,
+}
+
+/// The part of an answer that was forwarded to the caller.
+#[derive(Debug, Default)]
+struct Progress {
+    /// The build that began the stream.
+    origin: StreamOrigin,
+    /// The id of the last event that the caller has.
+    last_event: Option<u64>,
+    /// Number of events forwarded.
+    events: u64,
+    /// When the first data was forwarded.
+    first_at: Option<Millis>,
+    /// When the last data was forwarded.
+    last_at: Option<Millis>,
+}
+
 /// Drives one request from its arrival to its final response, over several attempts.
 pub(super) struct Driver<'a> {
     cx: &'a Rc<Context>,
     req: Rc<ForwardRequest>,
     attempts: Attempts,
-    excluded_upstreams: Vec<String>,
+    /// Upstreams that have failed the request.
+    failed_upstreams: Vec<String>,
+    /// Upstreams that have turned the request away, and may take it later.
+    full_upstreams: Vec<String>,
     /// VMs to which the request has been offered.
-    tried_relays: RefCell<Vec<SocketAddr>>,
+    tried_relays: Rc<RefCell<Vec<SocketAddr>>>,
     progress: Progress,
+    /// Whether a hedge may be sent, as far as earlier ones say.
+    may_hedge: bool,
     /// The last error response of an upstream, forwarded if no attempt succeeds.
-    upstream_error: Option<(ResponseHead, Bytes)>,
+    upstream_error: Option<Box<(ResponseHead, Bytes)>>,
     /// Total time spent waiting for placement.
     waited: Millis,
     /// The main reason for the last attempt's wait.
@@ -66,6 +114,10 @@
     sent_at: Option<Millis>,
     /// The upstream of the last attempt.
     upstream: Option<String>,
+    /// How the end of the last response's body is determined.
+    framing: Option<Framing>,
+    /// Bytes received after the last complete event of the last response.
+    partial_bytes: usize,
     /// Whether the end of the request was logged.
     is_logged: bool,
 }
@@ -79,17 +131,21 @@
         Self {
             cx,
             attempts,
-            excluded_upstreams: Vec::new(),
-            tried_relays: RefCell::default(),
+            failed_upstreams: Vec::new(),
+            full_upstreams: Vec::new(),
+            tried_relays: Rc::default(),
             progress: Progress {
                 last_event: req.caller.last_event,
                 ..Progress::default()
             },
+            may_hedge: true,
             upstream_error: None,
             waited: Millis::ZERO,
             waited_for: WaitReason::Turn,
             sent_at: None,
             upstream: None,
+            framing: None,
+            partial_bytes: 0,
             is_logged: false,
             req: Rc::new(req),
         }
@@ -106,42 +162,28 @@
                 return self.give_up(refusal, out).await;
             }
         }
-        let mut successor = None;
         loop {
-            if successor.is_none() && !self.is_reachable().await {
+            if !self.is_reachable().await {
                 let refusal = Refusal::after(ErrorKind::NoUpstream, ISOLATED_RETRY_DELAY);
                 return self.give_up(refusal, out).await;
             }
             let queued_at = self.cx.clock.now();
-            let placement_result = match successor.take() {
-                Some(placement) => Ok(placement),
-                None => self.place().await,
-            };
+            let placement_result = self.place().await;
             self.waited += self.cx.clock.now().since(queued_at);
             let placement = match placement_result {
                 Ok(placement) => placement,
+                Err(placement_error) if self.outlasts(&placement_error) => {
+                    sleep(RETRY_INTERVAL.to_std().min(self.time_left())).await;
+                    continue;
+                }
                 Err(placement_error) => {
                     self.waited_for = placement_error.waited_for;
                     return self.give_up(placement_error.refusal, out).await;
                 }
             };
-            self.waited_for = placement.waited_for;
-            self.sent_at = Some(self.cx.clock.now());
-            self.upstream = Some(placement.upstream.clone());
-            let after_event = self.progress.last_event.unwrap_or_default();
-            Line::new("request_sent")
-                .with("id", self.id())
-                .with("upstream", &placement.upstream)
-                .with("attempt", self.attempts.next_attempt())
-                .with("version", placement.version.unwrap_or_default())
-                .with("newest", self.newest_version())
-                .with("build", placement.build.as_deref().unwrap_or("-"))
-                .with("after_event", after_event)
-                .with("waited_ms", self.waited)
-                .with("waited_for", self.waited_for.as_str())
-                .with("decided_by", self.cx.scheduling.decider())
-                .info();
-            match self.attempt(&placement, out).await {
+            let number = self.attempts.next_attempt();
+            let attempt = self.send(placement, number);
+            match self.follow(attempt, out).await {
                 Step::Done(result) => {
                     let outcome = if result.is_ok() {
                         "answered"
@@ -151,12 +193,30 @@
                     self.log_end(outcome);
                     return result;
                 }
-                Step::Retry(found) => successor = found,
+                Step::Retry => {}
                 Step::Fail(kind) => return self.give_up(Refusal::new(kind), out).await,
             }
         }
     }
 
+    /// Whether an answer that has begun waits for another upstream, although none takes it now.
+    fn outlasts(
+        &self,
+        placement_error: &PlacementError,
+    ) -> bool {
+        let is_final = placement_error.refusal.kind == ErrorKind::PromptQuarantined;
+        self.progress.first_at.is_some() && !is_final && !self.is_expired()
+    }
+
+    fn is_expired(&self) -> bool {
+        self.cx.clock.now() >= self.req.deadline
+    }
+
+    /// Time left until the deadline.
+    fn time_left(&self) -> Duration {
+        self.req.deadline.since(self.cx.clock.now()).to_std()
+    }
+
     /// Looks up where the stream began that the caller resumes.
     async fn find_origin(&mut self) {
         let caller = &self.req.caller;
@@ -166,7 +226,7 @@
         };
         let recorded = lookup.recorded.as_ref();
         let line = Line::new("resumption_requested")
-            .with("id", self.id())
+            .with("id", self.req.id())
             .with("resumes", caller.resumes.as_deref().unwrap_or("-"))
             .with("after_event", caller.last_event.unwrap_or_default())
             .with(
@@ -208,221 +268,441 @@
 
     /// Waits for placement of the next attempt.
     async fn place(&self) -> Result<Placement, PlacementError> {
+        let excluded_upstreams = [&self.failed_upstreams[..], &self.full_upstreams[..]].concat();
         let attempt = AttemptSpec {
             number: self.attempts.next_attempt(),
-            excluded_upstreams: &self.excluded_upstreams,
+            excluded_upstreams: &excluded_upstreams,
             build: self.progress.origin.required_build(),
             has_begun: self.progress.first_at.is_some(),
-            is_successor: false,
+            is_hedge: false,
         };
         place(self.cx, &self.req, &attempt).await
     }
 
-    /// The search for an upstream that takes over from that of a placement.
-    fn successor(
-        &self,
-        placement: &Placement,
-    ) -> Successor {
-        let number = self.attempts.next_attempt() + 1;
-        let next_attempt = Some(number).filter(|_| self.attempts.can_retry_after_run());
-        let mut excluded = self.excluded_upstreams.clone();
-        excluded.push(placement.upstream.clone());
-        let successor = Successor::new(self.cx, &self.req, next_attempt, excluded);
-        match self.progress.first_at {
-            Some(_) => successor.note_begun(&self.progress.origin),
-            None if self.req.is_resumption() => successor.note_origin(&self.progress.origin),
-            None => {}
-        }
-        successor
+    /// Sends an attempt.
+    fn send(
+        &mut self,
+        placement: Placement,
+        number: u32,
+    ) -> InFlight {
+        self.waited_for = placement.waited_for;
+        self.sent_at = Some(self.cx.clock.now());
+        self.upstream = Some(placement.upstream.clone());
+        Line::new("request_sent")
+            .with("id", self.req.id())
+            .with("upstream", &placement.upstream)
+            .with("attempt", number)
+            .with("version", placement.version.unwrap_or_default())
+            .with("newest", self.newest_version())
+            .with("build", placement.build.as_deref().unwrap_or("-"))
+            .with("after_event", self.progress.last_event.unwrap_or_default())
+            .with("waited_ms", self.waited)
+            .with("waited_for", self.waited_for.as_str())
+            .with("decided_by", self.cx.scheduling.decider())
+            .info();
+        let has_events = self.progress.events > 0;
+        let setup = AttemptSetup {
+            cx: Rc::clone(self.cx),
+            req: Rc::clone(&self.req),
+            tried_relays: Rc::clone(&self.tried_relays),
+            after_event: self.progress.last_event.filter(|_| has_events),
+            last_event: self.progress.last_event,
+            can_retry: self.attempts.can_retry_after_run(),
+        };
+        InFlight::new(setup, placement)
     }
 
-    async fn attempt(
+    /// Forwards the answer of an attempt, or of its hedge, until its end.
+    async fn follow(
         &mut self,
-        placement: &Placement,
+        mut current: InFlight,
         out: &mut ResponseWriter<'_>,
     ) -> Step {
-        let started_at = self.cx.clock.now();
-        let generation = self.req.generation();
-        let successor = self.successor(placement);
-        let result = tokio::select! {
-            biased;
-            result = self.exchange(placement, &successor, out) => result,
-            () = placement.begin_expired(generation.as_ref()) => {
-                self.note_withdrawn(placement);
-                Err(Failure::may_have_run(Outcome::Abandoned).into())
-            }
-        };
-        match result {
-            Ok(()) => {
-                let evidence = self.evidence(self.answer_end());
-                let took = self.cx.clock.now().since(started_at);
-                self.cx.metrics.count_attempt(Outcome::Answered { took });
-                let first = self.progress.first_at.map(|at| at.since(self.req.arrived));
-                self.cx
-                    .metrics
-                    .record_answered(&self.req, self.waited, first);
-                placement.end(Outcome::Answered { took }, evidence);
-                Step::Done(Ok(()))
-            }
-            Err(RelayError::Caller(e)) => {
-                placement.end(Outcome::Abandoned, self.evidence(AnswerEnd::GivenUp));
-                Step::Done(Err(e))
+        let mut hedge = Hedge::Idle;
+        let mut are_links_lost = false;
+        loop {
+            match self
+                .next_event(&mut current, &mut hedge, are_links_lost)
+                .await
+            {
+                Event::Piece(Ok(piece)) if is_usable(&piece, out) => {
+                    self.withdraw_hedge(&mut hedge);
+                    if let Some(step) = self.forward(&current, piece, out).await {
+                        return step;
+                    }
+                }
+                Event::Piece(end) => {
+                    let step = self.end_attempt(&current, failure_of(end)).await;
+                    match hedge.take_sent() {
+                        Some(sent) if !self.is_expired() => current = sent,
+                        _ => return step,
+                    }
+                }
+                Event::Hedge(HedgeEvent::Found(placement)) => {
+                    let number = self.attempts.next_attempt() + 1;
+                    self.cx.metrics.count_hedge("sent");
+                    hedge = Hedge::Sent(self.send(placement, number));
+                }
+                Event::Hedge(HedgeEvent::Piece(Ok(piece))) if is_usable(&piece, out) => {
+                    if let Some(sent) = hedge.take_sent() {
+                        let overtaken = std::mem::replace(&mut current, sent);
+                        self.overtake(&overtaken);
+                    }
+                    if let Some(step) = self.forward(&current, piece, out).await {
+                        return step;
+                    }
+                }
+                Event::Hedge(HedgeEvent::Piece(end)) => {
+                    if let Some(failed) = hedge.take_sent() {
+                        self.end_hedge(&failed, failure_of(end));
+                    }
+                    hedge = self.seek_hedge(&current, RETRY_INTERVAL);
+                }
+                Event::Overdue {
+                    are_links_lost: lost,
+                } => {
+                    are_links_lost = lost;
+                    hedge = self.seek_hedge(&current, Millis::ZERO);
+                }
+                Event::LinksRestored => {
+                    are_links_lost = false;
+                    hedge = Hedge::Idle;
+                }
+                Event::Expired => {
+                    self.withdraw_hedge(&mut hedge);
+                    let failure = Failure::may_have_run(self.silence_of(&current));
+                    return self.end_attempt(&current, failure.into()).await;
+                }
             }
-            Err(RelayError::Upstream(failure)) => {
-                let found = successor.into_found();
-                self.handle_failure(placement, failure, found).await
+        }
+    }
+
+    /// Waits for what happens next to an attempt and its hedge.
+    async fn next_event(
+        &self,
+        current: &mut InFlight,
+        hedge: &mut Hedge,
+        are_links_lost: bool,
+    ) -> Event {
+        let links = &self.cx.links;
+        let can_hedge = matches!(hedge, Hedge::Idle) && self.can_hedge();
+        let is_seeking = matches!(hedge, Hedge::Seeking(_));
+        let patience = self.patience_left(current);
+        let uses_own_links = current.uses_own_links();
+        let watched = async {
+            if uses_own_links {
+                links.attend(current.next(), can_hedge).await
+            } else {
+                Ok(current.next().await)
             }
-            Err(RelayError::Refused(kind)) => {
-                placement.end(Outcome::Abandoned, PromptEvidence::None);
-                Step::Fail(kind)
+        };
+        tokio::select! {
+            biased;
+            piece = watched => match piece {
+                Ok(piece) => Event::Piece(piece),
+                Err(LinksLost) => Event::Overdue { are_links_lost: true },
+            },
+            event = hedge.next() => Event::Hedge(event),
+            () = sleep(self.time_left()) => Event::Expired,
+            () = sleep(patience), if can_hedge => Event::Overdue { are_links_lost: false },
+            () = links.restored(), if is_seeking && are_links_lost => Event::LinksRestored,
+        }
+    }
+
+    /// Whether another upstream may be sent the request beside the one that has it.
+    fn can_hedge(&self) -> bool {
+        let is_fresh = self.progress.first_at.is_none() && !self.req.is_resumption();
+        self.may_hedge && self.attempts.can_retry_after_run() && (is_fresh || self.can_resume())
+    }
+
+    /// Time left until a hedge is due: any bytes that are no part of the answer are silence, too.
+    fn patience_left(
+        &self,
+        attempt: &InFlight,
+    ) -> Duration {
+        let trace = attempt.trace();
+        let stalled_for = trace.stalled_for(self.cx.clock.now());
+        self.patience(trace.event_at.is_some())
+            .since(stalled_for)
+            .to_std()
+    }
+
+    /// Longest time without an answer, or without a further event of one that `has_events`, before a hedge is due.
+    fn patience(
+        &self,
+        has_events: bool,
+    ) -> Millis {
+        let route = &self.req.route;
+        match (self.req.is_stream(), has_events) {
+            (false, _) => Millis(route.objective.0 * CALL_PATIENCE_OBJECTIVES),
+            (true, false) => Millis(route.objective.0 * STREAM_PATIENCE_PERCENT / 100),
+            (true, true) => {
+                let gap = route.gap_objective.unwrap_or(DEFAULT_GAP_OBJECTIVE);
+                Millis(gap.0 * PATIENCE_GAPS)
             }
         }
     }
 
-    /// Sends the request and forwards the response.
-    async fn exchange(
-        &mut self,
-        placement: &Placement,
-        successor: &Successor,
-        out: &mut ResponseWriter<'_>,
-    ) -> Result<(), RelayError> {
-        let attempt = AttemptContext {
-            cx: self.cx,
-            req: &self.req,
-            placement,
-            successor,
-            tried_relays: &self.tried_relays,
-        };
-        let after_event = self
-            .progress
-            .last_event
-            .filter(|_| self.progress.events > 0);
-        self.progress.begin_attempt();
-        let response = match attempt.start(after_event).await {
-            Start::Responding(response) => response,
-            Start::Failed(failure) => return Err(failure.into()),
-            Start::Refused(kind) => return Err(RelayError::Refused(kind)),
-        };
-        let is_success = matches!(response.head.status, 200..=299);
-        if is_success {
-            let now = self.cx.clock.now();
-            self.progress.begin_response(response.head.framing, now);
+    /// Begins the search for an upstream that gets the request beside the one of `current`.
+    fn seek_hedge(
+        &self,
+        current: &InFlight,
+        pause: Millis,
+    ) -> Hedge {
+        if !self.can_hedge() {
+            return Hedge::Idle;
         }
-        let is_stream = self.req.is_stream() && response.head.status == 200;
-        if is_stream {
-            return relay(&attempt, response, &mut self.progress, out).await;
+        let mut excluded_upstreams = self.failed_upstreams.clone();
+        excluded_upstreams.push(current.placement.upstream.clone());
+        Hedge::seek(HedgeSearch {
+            cx: Rc::clone(self.cx),
+            req: Rc::clone(&self.req),
+            number: self.attempts.next_attempt() + 1,
+            excluded_upstreams,
+            build: self.progress.origin.required_build().map(str::to_owned),
+            has_begun: self.progress.first_at.is_some(),
+            pause,
+        })
+    }
+
+    /// Ends a hedge, as the answer beside it has gone on.
+    fn withdraw_hedge(
+        &mut self,
+        hedge: &mut Hedge,
+    ) {
+        if let Some(sent) = hedge.take_sent() {
+            self.attempts.record_end(AttemptEnd::MayHaveRun);
+            self.cx.metrics.count_attempt(Outcome::Abandoned);
+            self.cx.metrics.count_hedge("overtaken");
+            sent.placement.end(Outcome::Abandoned, PromptEvidence::None);
+            Line::new("hedge_withdrawn")
+                .with("id", self.req.id())
+                .with("upstream", &sent.placement.upstream)
+                .info();
         }
-        if is_success {
-            attempt.note_begun();
+    }
+
+    /// Ends an attempt whose hedge has answered first.
+    fn overtake(
+        &mut self,
+        overtaken: &InFlight,
+    ) {
+        self.cx.metrics.count_hedge("answered");
+        if overtaken.uses_own_links() {
+            // If one connection is dead, the others are likely to be too.
+            self.cx.pool.close_idle(overtaken.placement.address);
         }
-        let (head, body) = attempt.read_whole(response).await?;
-        Ok(out.write_whole(&head, &body).await?)
+        let failure = Failure::may_have_run(self.silence_of(overtaken));
+        self.record_failure(overtaken, failure);
     }
 
-    /// Logs that a request is withdrawn from an upstream, as it would begin on an older version of its adapter.
-    fn note_withdrawn(
+    /// What the silence of an attempt shows: nothing about its upstream if another VM, or the links of this one, may
+    /// have failed, or if the upstream had little time.
+    fn silence_of(
         &self,
-        placement: &Placement,
+        attempt: &InFlight,
+    ) -> Outcome {
+        let trace = attempt.trace();
+        let is_long =
+            trace.stalled_for(self.cx.clock.now()) >= self.patience(trace.event_at.is_some());
+        let are_links_up = self.cx.links.status() == LinkStatus::Up;
+        match trace.via {
+            Via::OwnLinks if is_long && are_links_up => Outcome::Silent,
+            Via::OwnLinks | Via::OtherVm => Outcome::Abandoned,
+        }
+    }
+
+    /// Ends a hedge that has failed; the attempt beside it goes on.
+    fn end_hedge(
+        &mut self,
+        failed: &InFlight,
+        e: AttemptError,
     ) {
-        Line::new("older_version_withdrawn")
-            .with("id", self.id())
-            .with("adapter", self.req.caller.adapter.as_deref().unwrap_or("-"))
-            .with("upstream", &placement.upstream)
-            .with("version", placement.version.unwrap_or_default())
-            .with("newest", self.newest_version())
-            .info();
+        self.cx.metrics.count_hedge("failed");
+        match e {
+            AttemptError::Failed(failure) => {
+                self.record_failure(failed, failure);
+            }
+            AttemptError::Refused(_) => {
+                failed
+                    .placement
+                    .end(Outcome::Abandoned, PromptEvidence::None);
+                self.may_hedge = false;
+            }
+        }
     }
 
-    /// Decides between a retry and a final error after a failed attempt.
-    async fn handle_failure(
+    /// Ends an attempt that has failed, and decides between a retry and a final error.
+    async fn end_attempt(
         &mut self,
-        placement: &Placement,
-        failure: Failure,
-        successor: Option<Placement>,
+        attempt: &InFlight,
+        e: AttemptError,
     ) -> Step {
+        let failure = match e {
+            AttemptError::Failed(failure) => failure,
+            AttemptError::Refused(kind) => {
+                attempt
+                    .placement
+                    .end(Outcome::Abandoned, PromptEvidence::None);
+                return Step::Fail(kind);
+            }
+        };
+        let outcome = failure.outcome;
+        let can_retry = self.record_failure(attempt, failure);
+        let has_begun = self.progress.first_at.is_some();
+        match outcome {
+            _ if self.is_expired() && self.attempts.may_have_run() => {
+                Step::Fail(ErrorKind::DeadlineExceeded)
+            }
+            _ if self.is_expired() => Step::Fail(ErrorKind::CannotMeetDeadline),
+            _ if has_begun && !self.can_resume() => Step::Fail(ErrorKind::AnswerCut),
+            _ if !can_retry && self.attempts.may_have_run() => Step::Fail(ErrorKind::UpstreamLost),
+            _ if !can_retry => Step::Fail(ErrorKind::NoUpstream),
+            Outcome::NotLoaded => {
+                sleep(NOT_RUN_RETRY_DELAY.to_std()).await;
+                Step::Retry
+            }
+            _ => Step::Retry,
+        }
+    }
+
+    /// Records an attempt that has failed; returns whether another one is allowed.
+    fn record_failure(
+        &mut self,
+        attempt: &InFlight,
+        failure: Failure,
+    ) -> bool {
+        let now = self.cx.clock.now();
         let answer_end = if failure.is_broken {
             AnswerEnd::Broken
         } else {
             AnswerEnd::GivenUp
         };
-        placement.end(failure.outcome, self.evidence(answer_end));
+        let trace = attempt.trace();
+        let placement = &attempt.placement;
+        placement.end(failure.outcome, trace.evidence(answer_end, now));
         self.cx.metrics.count_attempt(failure.outcome);
         let can_retry = self.attempts.record_end(failure.end);
         Line::new("attempt_failed")
-            .with("id", self.id())
+            .with("id", self.req.id())
             .with("upstream", &placement.upstream)
             .with("outcome", format!("{:?}", failure.outcome))
-            .with("framing", framing_name(self.progress.framing))
-            .with("partial_bytes", self.progress.partial_bytes)
+            .with("framing", framing_name(trace.framing))
+            .with("partial_bytes", trace.partial_bytes)
             .with("events", self.progress.events)
-            .with("begun_ms", self.progress.received_for())
-            .with("silent_ms", self.silent_for())
-            .with("received_bytes", self.progress.received_bytes)
-            .with("stalled_ms", self.stalled_for())
+            .with("begun_ms", trace.received_for())
+            .with("silent_ms", trace.silent_for(now))
+            .with("received_bytes", trace.received_bytes)
+            .with("stalled_ms", trace.stalled_for(now))
             .with("adapter", self.req.caller.adapter.as_deref().unwrap_or("-"))
             .with("parts", part_names(&self.req.caller.parts))
             .with("again", can_retry)
             .info();
         self.upstream_error = failure.response.or(self.upstream_error.take());
-        let is_expired = self.cx.clock.now() >= self.req.deadline;
-        let has_begun = self.progress.first_at.is_some();
         match failure.outcome {
-            _ if is_expired && self.attempts.may_have_run() => {
-                Step::Fail(ErrorKind::DeadlineExceeded)
+            Outcome::NotLoaded => {}
+            Outcome::Shed => self.full_upstreams.push(placement.upstream.clone()),
+            _ => self.failed_upstreams.push(placement.upstream.clone()),
+        }
+        can_retry
+    }
+
+    /// Forwards a piece of an answer; returns what follows if that was the last one.
+    async fn forward(
+        &mut self,
+        attempt: &InFlight,
+        piece: Piece,
+        out: &mut ResponseWriter<'_>,
+    ) -> Option<Step> {
+        self.upstream = Some(attempt.placement.upstream.clone());
+        self.framing = attempt.trace().framing;
+        self.partial_bytes = attempt.trace().partial_bytes;
+        let (written, is_last) = match piece {
+            Piece::Events(head, batch) => {
+                let written = self.forward_events(attempt, &head, &batch, out).await;
+                (written, false)
             }
-            _ if is_expired => Step::Fail(ErrorKind::CannotMeetDeadline),
-            _ if has_begun && !self.can_resume() => Step::Fail(ErrorKind::AnswerCut),
-            _ if !can_retry && self.attempts.may_have_run() => Step::Fail(ErrorKind::UpstreamLost),
-            _ if !can_retry => Step::Fail(ErrorKind::NoUpstream),
-            Outcome::NotLoaded => {
-                sleep(NOT_RUN_RETRY_DELAY.to_std()).await;
-                Step::Retry(None)
+            Piece::End(head) => (self.end_stream(attempt, &head, out).await, true),
+            Piece::Whole(head, body) => (out.write_whole(&head, &body).await, true),
+        };
+        let now = self.cx.clock.now();
+        let trace = attempt.trace();
+        match written {
+            Err(e) => {
+                let evidence = trace.evidence(AnswerEnd::GivenUp, now);
+                attempt.placement.end(Outcome::Abandoned, evidence);
+                Some(Step::Done(Err(e)))
             }
-            _ => {
-                self.excluded_upstreams.push(placement.upstream.clone());
-                Step::Retry(successor)
+            Ok(()) if is_last => {
+                let end = trace.complete_end(self.req.is_stream());
+                let took = now.since(trace.sent_at);
+                self.cx.metrics.count_attempt(Outcome::Answered { took });
+                let first = self.progress.first_at.map(|at| at.since(self.req.arrived));
+                self.cx
+                    .metrics
+                    .record_answered(&self.req, self.waited, first);
+                let evidence = trace.evidence(end, now);
+                attempt.placement.end(Outcome::Answered { took }, evidence);
+                Some(Step::Done(Ok(())))
             }
+            Ok(()) => None,
         }
     }
 
-    /// How a complete answer ended.
-    fn answer_end(&self) -> AnswerEnd {
-        match self.progress.framing {
-            Some(Framing::UntilClose) => AnswerEnd::Closed,
-            // A stream without any data shows no more than a head.
-            _ if self.req.is_stream() && self.progress.received_at.is_none() => AnswerEnd::Closed,
-            _ => AnswerEnd::Whole,
+    /// Forwards events; the head goes out with the first ones, as a retry may replace it until then.
+    async fn forward_events(
+        &mut self,
+        attempt: &InFlight,
+        head: &ResponseHead,
+        batch: &EventBatch,
+        out: &mut ResponseWriter<'_>,
+    ) -> io::Result<()> {
+        let now = self.cx.clock.now();
+        if let Some(last) = self.progress.last_at.replace(now) {
+            self.cx.metrics.record_gap(&self.req, now.since(last));
+        }
+        if self.progress.first_at.is_none() {
+            self.progress.first_at = Some(now);
+            let build = attempt.placement.build.as_deref();
+            self.progress.origin.begin(build);
+            self.publish_origin();
+            attempt.placement.first_event();
+        }
+        self.progress.last_event = batch.last_id.or(self.progress.last_event);
+        self.progress.events += batch.count;
+        if out.has_begun() {
+            out.chunk(&batch.bytes).await
+        } else {
+            out.begin_stream(head, &batch.bytes).await
         }
     }
 
-    /// What the last attempt shows about the prompt.
-    fn evidence(
-        &self,
-        end: AnswerEnd,
-    ) -> PromptEvidence {
-        let Some(begun_at) = self.progress.head_at else {
-            return PromptEvidence::None;
-        };
-        let trace = AnswerTrace {
-            begun_ago: self.cx.clock.now().since(begun_at),
-            received_for: self.progress.received_for(),
-            end,
-        };
-        trace.evidence()
-    }
-
-    /// Time since the last attempt was sent, or its upstream last sent anything.
-    fn silent_for(&self) -> Millis {
-        let heard_at = self.progress.received_at.or(self.progress.head_at);
-        let since = heard_at.or(self.sent_at).unwrap_or(self.req.arrived);
-        self.cx.clock.now().since(since)
+    /// Ends a complete stream.
+    async fn end_stream(
+        &mut self,
+        attempt: &InFlight,
+        head: &ResponseHead,
+        out: &mut ResponseWriter<'_>,
+    ) -> io::Result<()> {
+        if !out.has_begun() {
+            let empty = EventBatch::default();
+            self.forward_events(attempt, head, &empty, out).await?;
+        }
+        out.end_stream().await
     }
 
-    /// Time since the last attempt was sent, or an event of its response was forwarded, whatever else its upstream sent.
-    fn stalled_for(&self) -> Millis {
-        let event_at = self.progress.event_at.or(self.sent_at);
-        let since = event_at.unwrap_or(self.req.arrived);
-        self.cx.clock.now().since(since)
+    /// Replicates the origin of a stream, so that its caller can resume it at another VM.
+    fn publish_origin(&self) {
+        let req = &self.req;
+        let is_first_attempt = req.is_resumable() && !req.is_resumption();
+        if let Some(id) = req.caller.request_id.as_ref().filter(|_| is_first_attempt) {
+            let build = self.progress.origin.required_build();
+            let origin = ServiceBuild {
+                service: req.service.clone(),
+                build: build.map(str::to_owned),
+            };
+            self.cx.origins.begin(id, origin);
+        }
     }
 
     /// Whether another upstream may add the rest of a stream that has begun.
@@ -442,7 +722,7 @@
             .count_refused(refusal, self.req.account.as_deref());
         self.is_logged = true;
         Line::new("request_given_up")
-            .with("id", self.id())
+            .with("id", self.req.id())
             .with("route", &self.req.route.name)
             .with("account", self.req.account.as_deref().unwrap_or("-"))
             .with("cost", self.req.cost)
@@ -461,8 +741,9 @@
             out.close_after();
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
-        if let Some((head, body)) = self.upstream_error.take() {
-            return out.write_whole(&head, &body).await;
+        if let Some(response) = self.upstream_error.take() {
+            let (head, body) = &*response;
+            return out.write_whole(head, body).await;
         }
         let id = self.req.caller.request_id.as_deref();
         out.write_error(ErrorResponse(refusal), id).await
@@ -488,10 +769,6 @@
         newest.map_or(0, |newest| newest.limit.version)
     }
 
-    fn id(&self) -> &str {
-        self.req.caller.request_id.as_deref().unwrap_or("-")
-    }
-
     /// Logs the end of a request.
     fn log_end(
         &mut self,
@@ -501,7 +778,7 @@
         let arrived = self.req.arrived;
         let first = self.progress.first_at.map(|at| at.since(arrived));
         Line::new("request_ended")
-            .with("id", self.id())
+            .with("id", self.req.id())
             .with("route", &self.req.route.name)
             .with("account", self.req.account.as_deref().unwrap_or("-"))
             .with("cost", self.req.cost)
@@ -518,13 +795,29 @@
             .with("first_ms", first.unwrap_or_default())
             .with("took_ms", self.cx.clock.now().since(arrived))
             .with("events", self.progress.events)
-            .with("framing", framing_name(self.progress.framing))
-            .with("partial_bytes", self.progress.partial_bytes)
+            .with("framing", framing_name(self.framing))
+            .with("partial_bytes", self.partial_bytes)
             .with("result", result)
             .info();
     }
 }
 
+/// Whether a piece can still be forwarded: a whole response can't follow the begin of a stream.
+fn is_usable(
+    piece: &Piece,
+    out: &ResponseWriter<'_>,
+) -> bool {
+    !(matches!(piece, Piece::Whole(..)) && out.has_begun())
+}
+
+/// Why an attempt goes no further: it has failed, or its next piece can't be forwarded.
+fn failure_of(end: Result<Piece, AttemptError>) -> AttemptError {
+    match end {
+        Err(e) => e,
+        Ok(_) => Failure::may_have_run(Outcome::Failed).into(),
+    }
+}
+
 /// The parts of a prompt in the log, in their order.
 fn part_names(parts: &[PromptPart]) -> String {
     let parts: Vec<PartId> = parts.iter().map(|part| PartId::Part(part.id)).collect();
--- /dev/null
+++ b/crates/entry/src/forward/in_flight.rs
@@ -0,0 +1,188 @@
+use {
+    super::{
+        ForwardRequest,
+        attempt::{AttemptContext, Start, Via},
+        failure::Failure,
+        piece::{AttemptError, Piece},
+        response_trace::ResponseTrace,
+        stream_reader::StreamReader,
+    },
+    crate::{
+        context::Context,
+        scheduling::{GenerationSpec, Placement},
+    },
+    futures::{
+        StreamExt,
+        stream::{LocalBoxStream, unfold},
+    },
+    jasmine_core::scheduler::Outcome,
+    jasmine_telemetry::log::Line,
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+        rc::Rc,
+    },
+};
+
+/// How far an attempt is.
+enum Stage {
+    /// Nothing was sent.
+    NotSent {
+        /// The last event that the caller has from earlier attempts; it is named to the upstream.
+        after_event: Option<u64>,
+        /// The last event that the caller has.
+        last_event: Option<u64>,
+    },
+    /// A stream is being read.
+    Streaming(Box<StreamReader>),
+    /// It has ended.
+    Ended,
+}
+
+/// What the attempts of a request share.
+#[derive(Clone)]
+pub(super) struct AttemptSetup {
+    pub cx: Rc<Context>,
+    pub req: Rc<ForwardRequest>,
+    /// VMs to which the request has been offered.
+    pub tried_relays: Rc<RefCell<Vec<SocketAddr>>>,
+    pub after_event: Option<u64>,
+    pub last_event: Option<u64>,
+    /// Whether another attempt may follow one that has run.
+    pub can_retry: bool,
+}
+
+/// An attempt that was sent and has not ended.
+///
+/// Dropping it closes the connection, so that the upstream stops working.
+pub(super) struct InFlight {
+    req: Rc<ForwardRequest>,
+    pub placement: Rc<Placement>,
+    trace: Rc<Cell<ResponseTrace>>,
+    generation: Option<GenerationSpec>,
+    pieces: LocalBoxStream<'static, Result<Piece, AttemptError>>,
+}
+
+impl InFlight {
+    /// Prepares an attempt, which is sent when its first piece is awaited.
+    pub(super) fn new(
+        setup: AttemptSetup,
+        placement: Placement,
+    ) -> Self {
+        let placement = Rc::new(placement);
+        let trace = Rc::new(Cell::new(ResponseTrace::new(setup.cx.clock.now())));
+        let stage = Stage::NotSent {
+            after_event: setup.after_event,
+            last_event: setup.last_event,
+        };
+        let attempt = AttemptContext {
+            cx: setup.cx,
+            req: Rc::clone(&setup.req),
+            placement: Rc::clone(&placement),
+            trace: Rc::clone(&trace),
+            tried_relays: setup.tried_relays,
+            can_retry: setup.can_retry,
+        };
+        let pieces = unfold((attempt, stage), |(attempt, stage)| async move {
+            let (piece, stage) = next_piece(&attempt, stage).await?;
+            Some((piece, (attempt, stage)))
+        });
+        Self {
+            generation: setup.req.generation(),
+            req: setup.req,
+            placement,
+            trace,
+            pieces: pieces.boxed_local(),
+        }
+    }
+
+    /// Waits for the next piece of the answer. Nothing is lost if the wait is cancelled.
+    pub(super) async fn next(&mut self) -> Result<Piece, AttemptError> {
+        tokio::select! {
+            biased;
+            piece = self.pieces.next() => {
+                piece.unwrap_or_else(|| Err(Failure::may_have_run(Outcome::Abandoned).into()))
+            }
+            () = self.placement.begin_expired(self.generation.as_ref()) => {
+                self.log_withdrawn();
+                Err(Failure::may_have_run(Outcome::Abandoned).into())
+            }
+        }
+    }
+
+    /// How far its response got.
+    pub(super) fn trace(&self) -> ResponseTrace {
+        self.trace.get()
+    }
+
+    /// Whether it goes over this VM's own links.
+    pub(super) fn uses_own_links(&self) -> bool {
+        self.trace().via == Via::OwnLinks
+    }
+
+    /// Logs that the request is withdrawn from its upstream, as it would begin on an older version of its adapter.
+    fn log_withdrawn(&self) {
+        Line::new("older_version_withdrawn")
+            .with("id", self.req.id())
+            .with("adapter", self.req.caller.adapter.as_deref().unwrap_or("-"))
+            .with("upstream", &self.placement.upstream)
+            .with("version", self.placement.version.unwrap_or_default())
+            .info();
+    }
+}
+
+/// Waits for the next piece of an attempt; `None` once it has ended.
+async fn next_piece(
+    attempt: &AttemptContext,
+    stage: Stage,
+) -> Option<(Result<Piece, AttemptError>, Stage)> {
+    match stage {
+        Stage::NotSent {
+            after_event,
+            last_event,
+        } => Some(first_piece(attempt, after_event, last_event).await),
+        Stage::Streaming(reader) => Some(read_stream(attempt, *reader).await),
+        Stage::Ended => None,
+    }
+}
+
+/// Sends the request and waits for the first piece.
+async fn first_piece(
+    attempt: &AttemptContext,
+    after_event: Option<u64>,
+    last_event: Option<u64>,
+) -> (Result<Piece, AttemptError>, Stage) {
+    let response = match attempt.start(after_event).await {
+        Start::Responding(response) => response,
+        Start::Failed(failure) => return (Err(failure.into()), Stage::Ended),
+        Start::Refused(kind) => return (Err(AttemptError::Refused(kind)), Stage::Ended),
+    };
+    let is_success = matches!(response.head.status, 200..=299);
+    if is_success {
+        let now = attempt.cx.clock.now();
+        let framing = response.head.framing;
+        attempt.update_trace(|trace| trace.note_head(framing, now));
+    }
+    if attempt.req.is_stream() && response.head.status == 200 {
+        return read_stream(attempt, StreamReader::new(response, last_event)).await;
+    }
+    if is_success {
+        attempt.note_begun();
+    }
+    match attempt.read_whole(response).await {
+        Ok((head, body)) => (Ok(Piece::Whole(head, body)), Stage::Ended),
+        Err(failure) => (Err(failure.into()), Stage::Ended),
+    }
+}
+
+/// Reads the next piece of a stream.
+async fn read_stream(
+    attempt: &AttemptContext,
+    mut reader: StreamReader,
+) -> (Result<Piece, AttemptError>, Stage) {
+    match reader.next_events(attempt).await {
+        Ok(Some(ready)) => (Ok(reader.events(ready)), Stage::Streaming(Box::new(reader))),
+        Ok(None) => (Ok(reader.end(attempt)), Stage::Ended),
+        Err(failure) => (Err(failure.into()), Stage::Ended),
+    }
+}
--- a/crates/entry/src/forward/mod.rs
+++ b/crates/entry/src/forward/mod.rs
@@ -4,10 +4,14 @@
 mod driver;
 mod encode;
 mod events;
-mod relay;
+mod failure;
+mod hedge;
+mod in_flight;
+mod piece;
 mod request;
+mod response_trace;
 mod serve;
-mod successor;
+mod stream_reader;
 
 use jasmine_core::clock::Millis;
 
--- /dev/null
+++ b/crates/entry/src/forward/piece.rs
@@ -0,0 +1,33 @@
+use {
+    super::{failure::Failure, stream_reader::EventBatch},
+    crate::http1::ResponseHead,
+    bytes::Bytes,
+    jasmine_core::error::ErrorKind,
+    std::rc::Rc,
+};
+
+/// A part of an answer that can be passed on to the caller.
+#[derive(Debug)]
+pub(super) enum Piece {
+    /// Complete events of a stream that the caller has not got yet.
+    Events(Rc<ResponseHead>, EventBatch),
+    /// The end of a complete stream.
+    End(Rc<ResponseHead>),
+    /// A whole response.
+    Whole(ResponseHead, Bytes),
+}
+
+/// Why an attempt yields no further piece.
+#[derive(Debug)]
+pub(super) enum AttemptError {
+    /// It has failed.
+    Failed(Failure),
+    /// Nothing was sent, nor should it be.
+    Refused(ErrorKind),
+}
+
+impl From<Failure> for AttemptError {
+    fn from(failure: Failure) -> Self {
+        Self::Failed(failure)
+    }
+}
--- a/crates/entry/src/forward/request.rs
+++ b/crates/entry/src/forward/request.rs
@@ -26,7 +26,7 @@
     /// Whether the caller has a part of the answer already.
     pub has_begun: bool,
     /// Whether the last excluded upstream is silent and still works on the request.
-    pub is_successor: bool,
+    pub is_hedge: bool,
 }
 
 /// A request that may be forwarded: it has a route and, if needed, a valid API key.
@@ -127,6 +127,11 @@
         })
     }
 
+    /// Its id in the log.
+    pub fn id(&self) -> &str {
+        self.caller.request_id.as_deref().unwrap_or("-")
+    }
+
     /// Whether the response is a stream of events.
     pub fn is_stream(&self) -> bool {
         self.route.kind.is_stream()
@@ -164,7 +169,7 @@
             attempt: attempt.number,
             excluded_upstreams: attempt.excluded_upstreams.to_vec(),
             has_begun: attempt.has_begun,
-            is_successor: attempt.is_successor,
+            is_hedge: attempt.is_hedge,
             data_centre: data_centre.to_owned(),
             allowed_data_centres: self.allowed_data_centres.clone(),
             build: attempt.build.map(str::to_owned),
--- /dev/null
+++ b/crates/entry/src/forward/stream_reader.rs
@@ -0,0 +1,135 @@
+use {
+    super::{
+        EventSplitter,
+        attempt::{AttemptContext, StartedResponse, Via},
+        failure::Failure,
+        piece::Piece,
+    },
+    crate::http1::{BodyReader, Framing, ResponseHead},
+    bytes::{Bytes, BytesMut},
+    jasmine_core::scheduler::Outcome,
+    std::rc::Rc,
+};
+
+/// Complete events of a stream.
+#[derive(Debug, Default)]
+pub(super) struct EventBatch {
+    /// The raw bytes.
+    pub bytes: BytesMut,
+    /// Number of events.
+    pub count: u64,
+    /// The id of the last one with an id.
+    pub last_id: Option<u64>,
+}
+
+/// Reads the events of a streamed response.
+pub(super) struct StreamReader {
+    head: Rc<ResponseHead>,
+    response: StartedResponse,
+    reader: BodyReader,
+    splitter: EventSplitter,
+    /// The id of the last event that the caller has got.
+    last_event: Option<u64>,
+}
+
+impl StreamReader {
+    pub(super) fn new(
+        response: StartedResponse,
+        last_event: Option<u64>,
+    ) -> Self {
+        Self {
+            head: Rc::new(response.head.clone()),
+            reader: BodyReader::new(response.head.framing),
+            response,
+            splitter: EventSplitter::default(),
+            last_event,
+        }
+    }
+
+    /// Waits for complete events that the caller has not got; `None` at the end of a complete stream.
+    pub(super) async fn next_events(
+        &mut self,
+        attempt: &AttemptContext,
+    ) -> Result<Option<EventBatch>, Failure> {
+        while let Some(data) = self.read_part(attempt).await? {
+            if attempt.trace.get().received_at.is_none() {
+                attempt.note_begun();
+            }
+            let now = attempt.cx.clock.now();
+            attempt.update_trace(|trace| trace.note_data(data.len(), now));
+            if !self.splitter.push(&data) {
+                return Err(Failure::may_have_run(Outcome::Lost));
+            }
+            let ready = self.take_events();
+            attempt.update_trace(|trace| trace.partial_bytes = self.splitter.partial_len());
+            if ready.count > 0 {
+                attempt.update_trace(|trace| trace.event_at = Some(now));
+                return Ok(Some(ready));
+            }
+        }
+        if self.is_broken_off() {
+            return Err(Failure::broken(Outcome::Lost));
+        }
+        Ok(None)
+    }
+
+    /// A part of the stream for the caller.
+    pub(super) fn events(
+        &self,
+        ready: EventBatch,
+    ) -> Piece {
+        Piece::Events(Rc::clone(&self.head), ready)
+    }
+
+    /// Ends a complete stream, and keeps its connection.
+    pub(super) fn end(
+        self,
+        attempt: &AttemptContext,
+    ) -> Piece {
+        attempt.release(self.response);
+        Piece::End(self.head)
+    }
+
+    /// Reads the next part of the body; none at its end.
+    async fn read_part(
+        &mut self,
+        attempt: &AttemptContext,
+    ) -> Result<Option<Bytes>, Failure> {
+        let via = self.response.via;
+        match self.response.connection.body(&mut self.reader).await {
+            Err(e) => Err(attempt.broken(via, e).await),
+            Ok(part) => {
+                if via == Via::OwnLinks {
+                    attempt.cx.links.note_heard();
+                }
+                Ok(part)
+            }
+        }
+    }
+
+    /// Takes the complete events that the caller has not got.
+    fn take_events(&mut self) -> EventBatch {
+        let mut ready = EventBatch::default();
+        while let Some(event) = self.splitter.next_event() {
+            let is_known =
+                matches!((event.id, self.last_event), (Some(id), Some(last)) if id <= last);
+            if is_known {
+                continue;
+            }
+            self.last_event = event.id.or(self.last_event);
+            ready.last_id = event.id.or(ready.last_id);
+            ready.count += 1;
+            ready.bytes.extend_from_slice(&event.bytes);
+        }
+        ready
+    }
+
+    /// Whether a stream that ended as its framing asks is incomplete.
+    ///
+    /// Without length and chunks, a crash closes the connection just as the end of the body does; only the events tell
+    /// them apart.
+    fn is_broken_off(&self) -> bool {
+        let is_empty = self.head.framing == Framing::UntilClose && !self.splitter.has_events();
+        self.splitter.partial_len() > 0 || is_empty
+    }
+}
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -38,6 +38,7 @@
     attempts: Counter<u64>,
     relayed: Counter<u64>,
     resumptions: Counter<u64>,
+    hedges: Counter<u64>,
     turned_away: Counter<u64>,
     incomplete_answers: Counter<u64>,
     pipelined_dropped: Counter<u64>,
@@ -85,6 +86,10 @@
                 .u64_counter("jasmine_resumptions")
                 .with_description("Streams that callers resumed, by how their origin was found")
                 .build(),
+            hedges: meter
+                .u64_counter("jasmine_hedges")
+                .with_description("Requests that were sent to a second upstream beside a silent one, by what came of it")
+                .build(),
             turned_away: meter
                 .u64_counter("jasmine_connections_turned_away")
                 .with_description("New connections of callers that this VM has closed unread")
@@ -159,6 +164,14 @@
         self.relayed.add(1, &[KeyValue::new("side", side)]);
     }
 
+    /// Counts what comes of a hedge: it is `sent`, has `answered` first, has `failed`, or was `overtaken`.
+    pub fn count_hedge(
+        &self,
+        result: &'static str,
+    ) {
+        self.hedges.add(1, &[KeyValue::new("result", result)]);
+    }
+
     /// Counts a stream that a caller resumes, by how its origin was found.
     pub fn count_resumption(
         &self,
--- a/crates/entry/src/scheduling/convert.rs
+++ b/crates/entry/src/scheduling/convert.rs
@@ -67,7 +67,7 @@
     }
     to.set_build(spec.build.as_deref().unwrap_or_default());
     to.set_has_begun(spec.has_begun);
-    to.set_is_successor(spec.is_successor);
+    to.set_is_successor(spec.is_hedge);
     let Some(generation) = &spec.generation else {
         return;
     };
@@ -129,7 +129,7 @@
         allowed_data_centres: read_texts(from.get_allowed_data_centres()?)?,
         build: non_empty(from.get_build()?.to_str()?),
         has_begun: from.get_has_begun(),
-        is_successor: from.get_is_successor(),
+        is_hedge: from.get_is_successor(),
     })
 }
 
--- a/crates/entry/src/scheduling/job_spec.rs
+++ b/crates/entry/src/scheduling/job_spec.rs
@@ -102,7 +102,7 @@
     /// Whether its caller has a part of the answer already.
     pub has_begun: bool,
     /// Whether the last excluded upstream is silent and still works on it.
-    pub is_successor: bool,
+    pub is_hedge: bool,
     /// Data centre of the forwarding VM.
     pub data_centre: String,
     /// Data centres whose upstreams may serve it; empty if any may.
@@ -156,7 +156,7 @@
                 .map(|id| names.upstream(id))
                 .collect(),
             has_begun: self.has_begun,
-            is_successor: self.is_successor,
+            is_hedge: self.is_hedge,
         }
     }
 }
