--- a/crates/entry/src/forward/stream_reader.rs
+++ b/crates/entry/src/forward/stream_reader.rs
@@ -40,8 +40,8 @@
         Self {
             head: Rc::new(response.head.clone()),
             reader: BodyReader::new(response.head.framing),
+            splitter: EventSplitter::new(response.connection.read_charge()),
             response,
-            splitter: EventSplitter::default(),
             last_event,
         }
     }
