Events: look at each byte of a stream once

What callers saw: one upstream that sends a stream in small pieces without the end of an event held up all other callers of its VM, up to seconds. Cause: `EventSplitter` searched the whole partial event, up to 1 MiB, again at each read, and up to the end of the data for each event of a read. Change: it remembers how far it has searched, and looks for both kinds of ends in one pass.

--- a/crates/entry/src/forward/events.rs
+++ b/crates/entry/src/forward/events.rs
@@ -18,6 +18,8 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buf: BytesMut,
+    /// Bytes of `buf` that were searched for the end of an event.
+    searched: usize,
     has_events: bool,
 }
 
@@ -33,7 +35,11 @@
 
     /// Returns the next complete event.
     pub fn next_event(&mut self) -> Option<Event> {
-        let end = event_end(&self.buf)?;
+        let Some(end) = event_end(&self.buf, self.searched) else {
+            self.searched = self.buf.len();
+            return None;
+        };
+        self.searched = 0;
         let bytes = self.buf.split_to(end).freeze();
         let id = event_id(&bytes);
         self.has_events = true;
@@ -51,15 +57,14 @@
     }
 }
 
-fn event_end(buf: &[u8]) -> Option<usize> {
-    let lf = buf.windows(2).position(|two| two == b"\n\n");
-    let crlf = buf.windows(4).position(|four| four == b"\r\n\r\n");
-    match (lf, crlf) {
-        (Some(lf), Some(crlf)) if crlf < lf => Some(crlf + 4),
-        (Some(lf), _) => Some(lf + 2),
-        (None, Some(crlf)) => Some(crlf + 4),
-        (None, None) => None,
-    }
+/// Finds the end of the first event in `buf`, whose first `searched` bytes contain none.
+fn event_end(
+    buf: &[u8],
+    searched: usize,
+) -> Option<usize> {
+    let ends = (searched..buf.len()).filter(|&at| buf[at] == b'\n');
+    let is_end = |line: &[u8]| line.ends_with(b"\n\n") || line.ends_with(b"\r\n\r\n");
+    ends.map(|at| at + 1).find(|&end| is_end(&buf[..end]))
 }
 
 fn event_id(event: &[u8]) -> Option<u64> {
