Chunked coding: look at each byte of a line once

What callers saw: an upstream (or a caller) that sends a trailer without a line end byte by byte took processor time from all others. Cause: `take_line` searched the whole line, up to 8 KiB, again at each read. Change: the decoder remembers how far it has searched.

--- a/crates/entry/src/http1/chunked.rs
+++ b/crates/entry/src/http1/chunked.rs
@@ -1,6 +1,7 @@
 use {
     super::HttpError,
     bytes::{Buf, Bytes, BytesMut},
+    std::mem,
 };
 
 /// The longest chunk-size line, in bytes.
@@ -23,11 +24,16 @@
 #[derive(Clone, Copy, Debug)]
 pub struct ChunkedDecoder {
     state: State,
+    /// Bytes of the next line that were searched for its end.
+    searched: usize,
 }
 
 impl Default for ChunkedDecoder {
     fn default() -> Self {
-        Self { state: State::Size }
+        Self {
+            state: State::Size,
+            searched: 0,
+        }
     }
 }
 
@@ -66,7 +72,7 @@
                     self.state = State::Size;
                 }
                 State::Size => {
-                    let Some(line) = take_line(buf, MAX_SIZE_LINE)? else {
+                    let Some(line) = self.take_line(buf, MAX_SIZE_LINE)? else {
                         return Ok(None);
                     };
                     self.state = match parse_size(&line)? {
@@ -75,7 +81,7 @@
                     };
                 }
                 State::Trailers(seen) => {
-                    let Some(line) = take_line(buf, MAX_TRAILERS)? else {
+                    let Some(line) = self.take_line(buf, MAX_TRAILERS)? else {
                         return Ok(None);
                     };
                     let seen = seen + line.len();
@@ -93,26 +99,30 @@
     pub fn is_done(&self) -> bool {
         self.state == State::Done
     }
-}
 
-/// Takes a complete line out of `buf`, without CRLF; none if more data is needed.
-fn take_line(
-    buf: &mut BytesMut,
-    max: usize,
-) -> Result<Option<Bytes>, HttpError> {
-    let Some(end) = buf.iter().position(|&byte| byte == b'\n') else {
-        return if buf.len() > max {
-            Err(HttpError::Malformed)
-        } else {
-            Ok(None)
+    /// Takes a complete line out of `buf`, without CRLF; none if more data is needed.
+    fn take_line(
+        &mut self,
+        buf: &mut BytesMut,
+        max: usize,
+    ) -> Result<Option<Bytes>, HttpError> {
+        let searched = mem::take(&mut self.searched);
+        let found = buf[searched..].iter().position(|&byte| byte == b'\n');
+        let Some(end) = found.map(|at| searched + at) else {
+            self.searched = buf.len();
+            return if buf.len() > max {
+                Err(HttpError::Malformed)
+            } else {
+                Ok(None)
+            };
         };
-    };
-    let is_whole = end > 0 && end <= max + 1 && buf[end - 1] == b'\r';
-    if !is_whole || buf[..end - 1].contains(&b'\r') {
-        return Err(HttpError::Malformed);
+        let is_whole = end > 0 && end <= max + 1 && buf[end - 1] == b'\r';
+        if !is_whole || buf[..end - 1].contains(&b'\r') {
+            return Err(HttpError::Malformed);
+        }
+        let line = buf.split_to(end + 1).freeze();
+        Ok(Some(line.slice(..end - 1)))
     }
-    let line = buf.split_to(end + 1).freeze();
-    Ok(Some(line.slice(..end - 1)))
 }
 
 /// Parses a chunk size, ignoring chunk extensions.
--- a/crates/entry/tests/endless_bytes.rs
+++ b/crates/entry/tests/endless_bytes.rs
@@ -1,7 +1,11 @@
 //! Readers of bytes that never become an answer or an event.
 
 use {
-    jasmine_entry::forward::EventSplitter,
+    bytes::BytesMut,
+    jasmine_entry::{
+        forward::EventSplitter,
+        http1::{BodyPart, BodyReader, Framing},
+    },
     nix::time::{ClockId, clock_gettime},
     std::time::Duration,
 };
@@ -63,3 +67,20 @@
         assert_eq!(pieces.partial_len(), whole.partial_len());
     }
 }
+
+#[test]
+fn endless_trailers_cost_little() {
+    // Guards against a search of the whole line at each read of a trailer that never ends.
+    let begun = cpu_time();
+    for _ in 0..8 {
+        let mut reader = BodyReader::new(Framing::Chunked);
+        let mut buf = BytesMut::from(&b"0\r\n"[..]);
+        let mut read = 0;
+        while reader.next(&mut buf) == Ok(BodyPart::NeedMore) {
+            buf.extend_from_slice(b"a");
+            read += 1;
+        }
+        assert_eq!(read, (8 << 10) + 1);
+    }
+    assert!(cpu_time() - begun < MAX_CPU, "{:?}", cpu_time() - begun);
+}
