Heads: look at each byte once

What callers saw: an upstream that sends a head without end in small pieces took seconds of the one thread that serves all callers. Cause: `head_len` searched the whole head, up to 64 KiB, twice at each read; so did heads of requests, up to `max_header_bytes`. Change: `HeadScanner` remembers how far it has looked. Bare CR and LF are rejected as before, and a fault that comes before the limit is now reported whether or not the bytes came in one read.

--- a/crates/entry/src/caller/read_request.rs
+++ b/crates/entry/src/caller/read_request.rs
@@ -1,5 +1,7 @@
 use {
-    crate::http1::{BodyPart, BodyReader, Framing, HttpError, RequestHead, parse_request_head},
+    crate::http1::{
+        BodyPart, BodyReader, Framing, HeadScanner, HttpError, RequestHead, parse_request_head,
+    },
     bytes::{Buf, Bytes, BytesMut},
     jasmine_core::{error::ErrorKind, ingress::CallerLimits},
     std::io,
@@ -66,8 +68,9 @@
     limits: &CallerLimits,
 ) -> Result<IncomingRequest, RequestReadError> {
     let due = Instant::now() + limits.header_timeout.to_std();
+    let mut scanner = HeadScanner::default();
     let head = loop {
-        if let Some((head, len)) = parse_request_head(buf, limits.max_header_bytes)? {
+        if let Some((head, len)) = parse_request_head(buf, limits.max_header_bytes, &mut scanner)? {
             buf.advance(len);
             break head;
         }
--- a/crates/entry/src/http1/mod.rs
+++ b/crates/entry/src/http1/mod.rs
@@ -7,6 +7,7 @@
 mod chunked;
 mod error;
 mod framing;
+mod head_scanner;
 mod header;
 mod request_head;
 mod response_head;
@@ -16,6 +17,7 @@
     chunked::ChunkedDecoder,
     error::HttpError,
     framing::Framing,
+    head_scanner::HeadScanner,
     header::{Header, Headers},
     request_head::{RequestHead, parse_request_head},
     response_head::{ResponseHead, parse_response_head},
--- a/crates/entry/src/http1/request_head.rs
+++ b/crates/entry/src/http1/request_head.rs
@@ -1,4 +1,4 @@
-use super::{Framing, Headers, HttpError, header::copy_headers};
+use super::{Framing, HeadScanner, Headers, HttpError, header::copy_headers};
 
 /// Most header lines of a message.
 pub(super) const MAX_HEADERS: usize = 100;
@@ -37,7 +37,7 @@
 
 /// Parses the head of a request at the start of `buf`.
 ///
-/// Returns the head and its length in bytes, or none if it is incomplete.
+/// Returns the head and its length in bytes, or none if it is incomplete; `scanner` is that of the last call on `buf`.
 ///
 /// # Errors
 ///
@@ -45,8 +45,9 @@
 pub fn parse_request_head(
     buf: &[u8],
     max: usize,
+    scanner: &mut HeadScanner,
 ) -> Result<Option<(RequestHead, usize)>, HttpError> {
-    let Some(len) = head_len(buf, max)? else {
+    let Some(len) = scanner.head_len(buf, max)? else {
         return Ok(None);
     };
     let mut lines = [httparse::EMPTY_HEADER; MAX_HEADERS];
@@ -76,31 +77,3 @@
     };
     Ok(Some((head, len)))
 }
-
-/// Returns the length of the head at the start of `buf`, including the empty line at its end.
-///
-/// Rejects bare CR and LF: `httparse` accepts a bare LF as a line end, which other parsers don't.
-pub(super) fn head_len(
-    buf: &[u8],
-    max: usize,
-) -> Result<Option<usize>, HttpError> {
-    let end = buf.windows(4).position(|four| four == b"\r\n\r\n");
-    let head = end.map_or(buf, |end| &buf[..end + 4]);
-    if head.len() > max {
-        return Err(HttpError::HeadTooLarge);
-    }
-    let mut before = 0;
-    for (at, &byte) in head.iter().enumerate() {
-        let follows = head.get(at + 1);
-        let is_bare = match byte {
-            b'\n' => before != b'\r',
-            b'\r' => follows.is_some_and(|&next| next != b'\n'),
-            _ => false,
-        };
-        if is_bare {
-            return Err(HttpError::Malformed);
-        }
-        before = byte;
-    }
-    Ok(end.map(|end| end + 4))
-}
--- a/crates/entry/src/http1/response_head.rs
+++ b/crates/entry/src/http1/response_head.rs
@@ -1,7 +1,5 @@
 use super::{
-    Framing, Headers, HttpError,
-    header::copy_headers,
-    request_head::{MAX_HEADERS, head_len},
+    Framing, HeadScanner, Headers, HttpError, header::copy_headers, request_head::MAX_HEADERS,
 };
 
 /// The largest head accepted, in bytes.
@@ -24,7 +22,7 @@
 
 /// Parses the head of a response to a `method` request at the start of `buf`.
 ///
-/// Returns the head and its length in bytes, or none if it is incomplete.
+/// Returns the head and its length in bytes, or none if it is incomplete; `scanner` is that of the last call on `buf`.
 ///
 /// # Errors
 ///
@@ -32,8 +30,9 @@
 pub fn parse_response_head(
     buf: &[u8],
     method: &str,
+    scanner: &mut HeadScanner,
 ) -> Result<Option<(ResponseHead, usize)>, HttpError> {
-    let Some(len) = head_len(buf, MAX_HEAD)? else {
+    let Some(len) = scanner.head_len(buf, MAX_HEAD)? else {
         return Ok(None);
     };
     let mut lines = [httparse::EMPTY_HEADER; MAX_HEADERS];
--- a/crates/entry/src/upstream/connection.rs
+++ b/crates/entry/src/upstream/connection.rs
@@ -1,5 +1,7 @@
 use {
-    crate::http1::{BodyPart, BodyReader, HttpError, ResponseHead, parse_response_head},
+    crate::http1::{
+        BodyPart, BodyReader, HeadScanner, HttpError, ResponseHead, parse_response_head,
+    },
     bytes::{Buf, Bytes, BytesMut},
     jasmine_core::clock::Millis,
     jasmine_platform::headers::ResponseHeaders,
@@ -131,8 +133,9 @@
     {
         let mut sent = 0;
         let mut stray = 0;
+        let mut scanner = HeadScanner::default();
         loop {
-            while let Some((head, len)) = parse_response_head(&self.buf, method)? {
+            while let Some((head, len)) = parse_response_head(&self.buf, method, &mut scanner)? {
                 self.buf.advance(len);
                 let is_request_sent = sent == request.len();
                 match head.status {
--- a/crates/entry/tests/endless_bytes.rs
+++ b/crates/entry/tests/endless_bytes.rs
@@ -4,7 +4,7 @@
     bytes::BytesMut,
     jasmine_entry::{
         forward::EventSplitter,
-        http1::{BodyPart, BodyReader, Framing},
+        http1::{BodyPart, BodyReader, Framing, HeadScanner, HttpError, parse_response_head},
     },
     nix::time::{ClockId, clock_gettime},
     std::time::Duration,
@@ -84,3 +84,45 @@
     }
     assert!(cpu_time() - begun < MAX_CPU, "{:?}", cpu_time() - begun);
 }
+
+#[test]
+fn an_endless_header_costs_little() {
+    // Guards against a search of the whole head at each read, up to its limit of 64 KiB.
+    let mut buf = BytesMut::from(&b"HTTP/1.1 200 OK\r\nX-Babble: "[..]);
+    let begun = cpu_time();
+    let mut scanner = HeadScanner::default();
+    while parse_response_head(&buf, "GET", &mut scanner) == Ok(None) {
+        buf.extend_from_slice(&[b'a'; 16]);
+    }
+    assert!(buf.len() > 64 << 10);
+    assert!(cpu_time() - begun < MAX_CPU, "{:?}", cpu_time() - begun);
+}
+
+#[test]
+fn heads_end_alike_in_pieces() {
+    // Guards against a bare CR or LF, or an end of a head, that is missed as it arrives in several reads.
+    let max = 24;
+    for (head, expected) in [
+        ("GET / HTTP/1.1\r\n\r\n", Ok(Some(18))),
+        ("\r\n\r\nGET / HTTP/1.1", Ok(Some(4))),
+        ("GET / HTTP/1.1\r\nA: b\r\n", Ok(None)),
+        ("GET / HTTP/1.1\r\nA: b\r\n\r\n", Ok(Some(24))),
+        (
+            "GET / HTTP/1.1\r\nA: bc\r\n\r\n",
+            Err(HttpError::HeadTooLarge),
+        ),
+        ("GET / HTTP/1.1\nA: b\r\n\r\n", Err(HttpError::Malformed)),
+        ("GET / HTTP/1.1\r\nA:\rb", Err(HttpError::Malformed)),
+        ("GET / HTTP/1.1\r\nA: bc\r\n\r", Ok(None)),
+        ("GET / HTTP/1.1\r\nA: bcde\r!", Err(HttpError::Malformed)),
+        ("\nGET", Err(HttpError::Malformed)),
+        ("GET / HTTP/1.1\r", Ok(None)),
+    ] {
+        let whole = HeadScanner::default().head_len(head.as_bytes(), max);
+        assert_eq!(whole, expected, "{head:?}");
+        let mut scanner = HeadScanner::default();
+        let pieces = (1..=head.len()).map(|len| scanner.head_len(&head.as_bytes()[..len], max));
+        let first = pieces.into_iter().find(|piece| *piece != Ok(None));
+        assert_eq!(first.unwrap_or(Ok(None)), expected, "{head:?} in pieces");
+    }
+}
