Exchanges: bound interim responses in number

What callers saw: 504 at the deadline, although an upstream that sends interim responses without end can be told from one that works. Cause: 1xx responses before the answer were skipped without a bound. Change: more than 32 of them are no answer. Evidence: babbling_upstreams::endless_interim_responses_are_no_answer had no end after 3 s before and passes; answers_behind_other_responses_are_read passed before and passes.

--- a/crates/entry/src/upstream/connection.rs
+++ b/crates/entry/src/upstream/connection.rs
@@ -19,6 +19,8 @@
 const READ_BYTES: usize = 4 << 10;
 /// Most responses to other requests that are skipped before the matching one.
 const MAX_STRAY_RESPONSES: u32 = 2;
+/// Most interim responses (1xx) before the matching one; servers send one or a few.
+const MAX_INTERIM_RESPONSES: u32 = 32;
 
 /// Why an exchange failed; the request may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -133,13 +135,17 @@
     {
         let mut sent = 0;
         let mut stray = 0;
+        let mut interim = 0;
         let mut scanner = HeadScanner::default();
         loop {
             while let Some((head, len)) = parse_response_head(&self.buf, method, &mut scanner)? {
                 self.buf.advance(len);
                 let is_request_sent = sent == request.len();
                 match head.status {
-                    100..=199 => {}
+                    100..=199 if interim >= MAX_INTERIM_RESPONSES => {
+                        return Err(ExchangeError::Invalid);
+                    }
+                    100..=199 => interim += 1,
                     _ if is_match(&head) => {
                         return Ok(ResponseStart {
                             head,
