Answers: a budget for all that a daemon buffers

What callers saw: nothing yet. Eight endless bodies of 16 MiB, the bound of an exchange, are the 128 MB that a daemon may take. Cause: bodies and heads of answers were bounded for each exchange only. Change: `ReadBudget` bounds them over all exchanges with upstreams and other VMs: 32 MiB, of which one peer may take 16 MiB, so that a babbling one leaves room for the others. The first 8 KiB of an exchange are free, so that short answers are read whatever others send. A body counts until its last reference is dropped. What goes over it is no answer (`ExchangeError::Invalid`). Calls to the store have a budget of their own.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -66,7 +66,7 @@
         metrics: Rc<EntryMetrics>,
     ) -> Self {
         Self {
-            links: Rc::new(LinkMonitor::new(&settings.data_centre)),
+            links: Rc::new(LinkMonitor::new(&settings.data_centre, pool.share_budget())),
             settings,
             clock: Clock,
             scheduling,
--- a/crates/entry/src/links/link_monitor.rs
+++ b/crates/entry/src/links/link_monitor.rs
@@ -57,15 +57,18 @@
 }
 
 impl LinkMonitor {
-    /// Creates the monitor of a VM in this data centre, whose links count as up.
-    pub fn new(data_centre: &str) -> Self {
+    /// Creates the monitor of a VM in this data centre, whose links count as up; `relay_pool` connects to other VMs.
+    pub fn new(
+        data_centre: &str,
+        relay_pool: Pool,
+    ) -> Self {
         Self {
             clock: Clock,
             data_centre: data_centre.to_owned(),
             links: RefCell::default(),
             relays: RefCell::default(),
             data_centres: RefCell::default(),
-            relay_pool: Pool::default(),
+            relay_pool,
             status: watch::Sender::default(),
             test_due: Notify::new(),
             lost_since: Cell::new(Millis::ZERO),
--- a/crates/entry/src/upstream/connection.rs
+++ b/crates/entry/src/upstream/connection.rs
@@ -1,4 +1,5 @@
 use {
+    super::{ReadBudget, ReadCharge},
     crate::http1::{
         BodyPart, BodyReader, Framing, HeadScanner, HttpError, ResponseHead, parse_response_head,
     },
@@ -76,6 +77,8 @@
 pub struct Connection {
     stream: TcpStream,
     buf: BytesMut,
+    peer: SocketAddr,
+    budget: ReadBudget,
     /// When it became idle.
     pub(super) idle_since: Millis,
     /// How long it may stay idle and still be reused.
@@ -83,7 +86,7 @@
 }
 
 impl Connection {
-    /// Opens a TCP connection, from a local address if one is given.
+    /// Opens a TCP connection, from a local address if one is given; what is buffered of its answers takes of `budget`.
     ///
     /// # Errors
     ///
@@ -91,6 +94,7 @@
     pub async fn open(
         address: SocketAddr,
         source: Option<Ipv4Addr>,
+        budget: ReadBudget,
     ) -> io::Result<Self> {
         let stream = match source {
             None => TcpStream::connect(address).await?,
@@ -104,11 +108,18 @@
         Ok(Self {
             stream,
             buf: BytesMut::new(),
+            peer: address,
+            budget,
             idle_since: Millis::ZERO,
             idle_timeout: Millis::ZERO,
         })
     }
 
+    /// The charge of what is buffered of an answer on this connection, for no bytes yet.
+    pub fn read_charge(&self) -> ReadCharge {
+        self.budget.charge(self.peer)
+    }
+
     /// Whether the connection is open and has no unread data.
     ///
     /// On a reused connection, a surplus response would be taken for the next request's.
@@ -139,6 +150,7 @@
         let mut stray = 0;
         let mut interim = 0;
         let mut scanner = HeadScanner::default();
+        let mut charge = self.read_charge();
         loop {
             while let Some((head, len)) = parse_response_head(&self.buf, method, &mut scanner)? {
                 self.buf.advance(len);
@@ -171,6 +183,9 @@
                     if read? == 0 {
                         return Err(ExchangeError::Lost);
                     }
+                    if !charge.cover(self.buf.len()) {
+                        return Err(ExchangeError::Invalid);
+                    }
                 }
             }
         }
@@ -199,7 +214,7 @@
         }
     }
 
-    /// Reads a whole body of at most `max` bytes.
+    /// Reads a whole body of at most `max` bytes, within the budget for all of them.
     ///
     /// # Errors
     ///
@@ -213,14 +228,16 @@
         let Some(first) = self.body(&mut reader).await? else {
             return Ok(Bytes::new());
         };
+        let mut charge = self.read_charge();
         let mut whole = BytesMut::from(first);
         while let Some(data) = self.body(&mut reader).await? {
-            if whole.len() + data.len() > max {
+            let len = whole.len() + data.len();
+            if len > max || !charge.cover(len) {
                 return Err(ExchangeError::Invalid);
             }
             whole.extend_from_slice(&data);
         }
-        Ok(whole.freeze())
+        Ok(charge.attach(whole.freeze()))
     }
 
     /// Skips the body of a stray response.
--- a/crates/entry/src/upstream/pool.rs
+++ b/crates/entry/src/upstream/pool.rs
@@ -1,5 +1,5 @@
 use {
-    super::Connection,
+    super::{Connection, ReadBudget},
     crate::{clock::Clock, http1::ResponseHead},
     jasmine_core::clock::Millis,
     std::{
@@ -31,6 +31,8 @@
     clock: Clock,
     /// The local address of its connections, unless the system chooses it.
     source: Option<Ipv4Addr>,
+    /// What is buffered of the answers on all of its connections.
+    budget: ReadBudget,
     idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
 }
 
@@ -43,6 +45,14 @@
         }
     }
 
+    /// Creates a pool that shares its budget for answers with this one.
+    pub fn share_budget(&self) -> Self {
+        Self {
+            budget: self.budget.clone(),
+            ..Self::default()
+        }
+    }
+
     /// Takes a usable connection that has been idle for at most `max_idle`, if there is one.
     pub fn reuse(
         &self,
@@ -70,7 +80,8 @@
         &self,
         address: SocketAddr,
     ) -> io::Result<Connection> {
-        timeout(CONNECT_TIMEOUT, Connection::open(address, self.source))
+        let connection = Connection::open(address, self.source, self.budget.clone());
+        timeout(CONNECT_TIMEOUT, connection)
             .await
             .unwrap_or_else(|_elapsed| Err(io::ErrorKind::TimedOut.into()))
     }
