Events: partial ones count as buffered answers

What callers saw: nothing yet. Streams without an end of their events may hold 1 MiB each, 128 MB at 128 of them. Cause: the limit was one for each stream. Change: `EventSplitter::new` takes a charge of the budget for answers; `push` refuses what goes over it, as an event that is too long. `default` has no budget until the relay of streams uses `new`.

--- a/crates/entry/src/forward/events.rs
+++ b/crates/entry/src/forward/events.rs
@@ -1,4 +1,7 @@
-use bytes::{Bytes, BytesMut};
+use {
+    crate::upstream::ReadCharge,
+    bytes::{Bytes, BytesMut},
+};
 
 /// The longest event accepted, in bytes.
 const MAX_EVENT: usize = 1 << 20;
@@ -21,22 +24,34 @@
     /// Bytes of `buf` that were searched for the end of an event.
     searched: usize,
     has_events: bool,
+    /// What the partial event takes of the budget for answers; none if it isn't bounded.
+    charge: Option<ReadCharge>,
 }
 
 impl EventSplitter {
-    /// Adds received data; returns false if an event exceeds the size limit.
+    /// Creates a splitter whose partial event counts as buffered.
+    pub fn new(charge: ReadCharge) -> Self {
+        Self {
+            charge: Some(charge),
+            ..Self::default()
+        }
+    }
+
+    /// Adds received data; returns false if an event exceeds the size limit, or all that is buffered the budget.
     pub fn push(
         &mut self,
         data: &[u8],
     ) -> bool {
         self.buf.extend_from_slice(data);
-        self.buf.len() <= MAX_EVENT
+        self.buf.len() <= MAX_EVENT && self.is_covered()
     }
 
     /// Returns the next complete event.
     pub fn next_event(&mut self) -> Option<Event> {
         let Some(end) = event_end(&self.buf, self.searched) else {
             self.searched = self.buf.len();
+            // Covers no more than the last `push`, which has reported a refusal.
+            let _is_covered = self.is_covered();
             return None;
         };
         self.searched = 0;
@@ -55,6 +70,12 @@
     pub fn partial_len(&self) -> usize {
         self.buf.len()
     }
+
+    /// Charges for the buffered data.
+    fn is_covered(&mut self) -> bool {
+        let len = self.buf.len();
+        self.charge.as_mut().is_none_or(|charge| charge.cover(len))
+    }
 }
 
 /// Finds the end of the first event in `buf`, whose first `searched` bytes contain none.
--- a/crates/entry/tests/read_budget.rs
+++ b/crates/entry/tests/read_budget.rs
@@ -2,7 +2,10 @@
 
 use {
     bytes::Bytes,
-    jasmine_entry::upstream::{ExchangeError, Pool},
+    jasmine_entry::{
+        forward::EventSplitter,
+        upstream::{ExchangeError, Pool, ReadBudget},
+    },
     std::{
         io::{Read, Write},
         net::{SocketAddr, TcpListener},
@@ -77,3 +80,27 @@
         assert_eq!(sound.map(|body| body.len()), Ok(LONG));
     });
 }
+
+#[test]
+fn partial_events_are_bounded() {
+    // Guards against streams without an end of their events that together take the memory of the daemon.
+    let budget = ReadBudget::default();
+    let piece = vec![b'a'; 255 << 10];
+    let mut splitters = Vec::new();
+    for port in 1..=64 {
+        let charge = budget.charge(SocketAddr::from(([127, 0, 0, 1], port)));
+        let mut splitter = EventSplitter::new(charge);
+        let is_kept = (0..4).all(|_| splitter.push(&piece));
+        splitters.push((splitter, is_kept));
+    }
+    let kept = splitters.iter().filter(|(_, is_kept)| *is_kept).count();
+    assert_eq!(kept, 32);
+    // The end of an event makes room again.
+    let (splitter, _) = &mut splitters[0];
+    assert!(splitter.push(b"\n\n"));
+    assert!(splitter.next_event().is_some());
+    assert_eq!(splitter.next_event(), None);
+    let charge = budget.charge(SocketAddr::from(([127, 0, 0, 1], 65)));
+    let mut next = EventSplitter::new(charge);
+    assert!((0..3).all(|_| next.push(&piece)));
+}
