Store: a read of a range has an end

What callers saw: nothing yet. A store in trouble that sends pages without end would take the memory of each VM that reads it, or keep it from following. Cause: further pages were read for as long as the store said that there are more, also if they begin with the same key again; nothing bounded their sum. Change: a page that says so has to go beyond the key after which it was asked for, and keys and values of one range are at most 16 MiB. What is against it is a failed call, asked again after the usual pause. Evidence: babbling_store::pages_without_progress_are_refused and pages_without_end_are_refused had no end after 10 s before and pass. callers_are_served_beside_a_babbling_store passed before and passes: up to 167 ms for a call (debug build) while watches, leases or reads babble.

--- a/crates/entry/src/store/follower.rs
+++ b/crates/entry/src/store/follower.rs
@@ -1,5 +1,10 @@
 use {
-    super::{Feed, FeedPeer, FeedReply, KvStore, Membership, feed::ask_peer, view::View},
+    super::{
+        Feed, FeedPeer, FeedReply, KvStore, Membership,
+        feed::ask_peer,
+        kv_store::{check_range_size, size_in_bytes},
+        view::View,
+    },
     crate::context::Context,
     futures::StreamExt,
     jasmine_core::{
@@ -100,6 +105,8 @@
 struct RemainingUpstreams {
     /// The last key that was read.
     after: String,
+    /// The size of what was read.
+    bytes: usize,
     /// When they are read even if this VM doesn't need them.
     read_by: Millis,
 }
@@ -136,19 +143,15 @@
     /// Reads the store up to the first page with upstreams, and sets the position to that revision.
     async fn reload(&mut self) -> Result<(), StoreError> {
         let began = self.cx.clock.now();
-        let mut reply = self.store.read_page(ALL_KEYS, None).await?;
-        while reply.more && !reaches_upstreams(&reply) {
-            let after = reply.kvs.last().map(|kv| kv.key.clone());
-            let page = self.store.read_page(ALL_KEYS, after.as_deref()).await?;
-            reply.kvs.extend(page.kvs);
-            reply.more = page.more;
-        }
+        let pages = self.store.read_pages(ALL_KEYS, reaches_upstreams);
+        let reply = pages.await?;
         self.view.reset(&reply).await;
         self.set_complete_at(began);
         self.set_position(reply.revision, Some(reply.revision));
         let last = reply.kvs.last().filter(|_| reply.more);
         self.remaining = last.map(|kv| RemainingUpstreams {
             after: kv.key.clone(),
+            bytes: size_in_bytes(&reply),
             read_by: self.cx.clock.now() + self.membership.stagger_delay(READ_STAGGER_DELAY),
         });
         Ok(())
@@ -156,14 +159,21 @@
 
     /// Reads the remaining upstreams if this VM needs them or their time has come.
     async fn read_remaining(&mut self) -> Result<(), StoreError> {
-        while let Some(RemainingUpstreams { after, read_by }) = &self.remaining
+        while let Some(RemainingUpstreams {
+            after,
+            bytes,
+            read_by,
+        }) = &self.remaining
             && (self.needs_upstreams() || self.cx.clock.now() >= *read_by)
         {
             let page = self.store.read_page(ALL_KEYS, Some(after)).await?;
+            let bytes = bytes + size_in_bytes(&page);
+            check_range_size(bytes)?;
             self.view.apply_page(&page).await;
             let last = page.kvs.last().filter(|_| page.more);
             self.remaining = last.map(|kv| RemainingUpstreams {
                 after: kv.key.clone(),
+                bytes,
                 read_by: *read_by,
             });
         }
--- a/crates/entry/src/store/kv_store.rs
+++ b/crates/entry/src/store/kv_store.rs
@@ -17,6 +17,9 @@
 /// Timeout of a call, on top of the time for which it asks the service to hold it.
 const CALL_TIMEOUT: Millis = Millis(900);
 
+/// Most bytes of keys and values that are read of one prefix; many times what thousands of servers need.
+const MAX_RANGE_BYTES: usize = 16 << 20;
+
 /// Client of the key-value service.
 #[derive(Clone, Debug)]
 pub struct KvStore {
@@ -76,14 +79,48 @@
     ///
     /// # Errors
     ///
-    /// [`StoreError`].
+    /// [`StoreError`], also if further pages would begin where this one does.
     pub async fn read_page(
         &self,
         prefix: &str,
         after: Option<&str>,
     ) -> Result<RangeReply, StoreError> {
         let (status, body) = self.call(&encode_range(prefix, after, false)).await?;
-        decode_range(status, &body)
+        let page = decode_range(status, &body)?;
+        let last = page.kvs.last().map(|kv| kv.key.as_str());
+        if page.more && last <= after {
+            return Err(StoreError::OutcomeUnknown(
+                "a page without progress".to_owned(),
+            ));
+        }
+        Ok(page)
+    }
+
+    /// Reads a prefix's keys, page by page, until there are no more or `is_enough`.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`], also if they exceed the largest size.
+    pub async fn read_pages<F>(
+        &self,
+        prefix: &str,
+        is_enough: F,
+    ) -> Result<RangeReply, StoreError>
+    where
+        F: Fn(&RangeReply) -> bool,
+    {
+        // Pages are not a snapshot, so a watch has to start from the first page's revision.
+        let mut all = self.read_page(prefix, None).await?;
+        let mut bytes = size_in_bytes(&all);
+        while all.more && !is_enough(&all) {
+            let after = all.kvs.last().map(|kv| kv.key.as_str());
+            let page = self.read_page(prefix, after).await?;
+            bytes += size_in_bytes(&page);
+            check_range_size(bytes)?;
+            all.kvs.extend(page.kvs);
+            all.more = page.more;
+        }
+        Ok(all)
     }
 
     async fn call(
@@ -113,25 +150,25 @@
             CallError::NoResponse => StoreError::OutcomeUnknown(e.to_string()),
         })
     }
+}
 
-    async fn read_all_pages(
-        &self,
-        prefix: &str,
-    ) -> Result<RangeReply, StoreError> {
-        let mut all = RangeReply::default();
-        loop {
-            let after = all.kvs.last().map(|kv| kv.key.clone());
-            let page = self.read_page(prefix, after.as_deref()).await?;
-            // Pages are not a snapshot, so a watch has to start from the first page's revision.
-            if after.is_none() {
-                all.revision = page.revision;
-            }
-            let is_last = !page.more || page.kvs.is_empty();
-            all.kvs.extend(page.kvs);
-            if is_last {
-                return Ok(all);
-            }
-        }
+/// The size of a page's keys and values.
+pub(super) fn size_in_bytes(page: &RangeReply) -> usize {
+    page.kvs
+        .iter()
+        .map(|kv| kv.key.len() + kv.value.len())
+        .sum()
+}
+
+/// Checks what was read of a prefix so far: a store in trouble may send pages without end.
+///
+/// # Errors
+///
+/// [`StoreError::OutcomeUnknown`] beyond the largest size.
+pub(super) fn check_range_size(bytes: usize) -> Result<(), StoreError> {
+    match bytes {
+        0..=MAX_RANGE_BYTES => Ok(()),
+        _ => Err(StoreError::OutcomeUnknown("a range without end".to_owned())),
     }
 }
 
@@ -143,7 +180,7 @@
         &self,
         range: Range,
     ) -> StoreFuture<'_, RangeReply> {
-        Box::pin(async move { self.read_all_pages(&range.start).await })
+        Box::pin(async move { self.read_pages(&range.start, |_| false).await })
     }
 
     fn txn(
