--- a/crates/entry/src/forward/events.rs
+++ b/crates/entry/src/forward/events.rs
@@ -1,4 +1,7 @@
-use bytes::{Bytes, BytesMut};
+use {
+    crate::upstream::ReadCharge,
+    bytes::{Bytes, BytesMut},
+};
 
 /// The longest event accepted, in bytes.
 const MAX_EVENT: usize = 1 << 20;
@@ -18,22 +21,40 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buf: BytesMut,
+    /// Bytes of `buf` that were searched for the end of an event.
+    searched: usize,
     has_events: bool,
+    /// What the partial event takes of the budget for answers; none if it isn't bounded.
+    charge: Option<ReadCharge>,
 }
 
 impl EventSplitter {
-    /// Adds received data; returns false if an event exceeds the size limit.
+    /// Creates a splitter whose partial event counts as buffered.
+    pub fn new(charge: ReadCharge) -> Self {
+        Self {
+            charge: Some(charge),
+            ..Self::default()
+        }
+    }
+
+    /// Adds received data; returns false if an event exceeds the size limit, or all that is buffered the budget.
     pub fn push(
         &mut self,
         data: &[u8],
     ) -> bool {
         self.buf.extend_from_slice(data);
-        self.buf.len() <= MAX_EVENT
+        self.buf.len() <= MAX_EVENT && self.is_covered()
     }
 
     /// Returns the next complete event.
     pub fn next_event(&mut self) -> Option<Event> {
-        let end = event_end(&self.buf)?;
+        let Some(end) = event_end(&self.buf, self.searched) else {
+            self.searched = self.buf.len();
+            // Covers no more than the last `push`, which has reported a refusal.
+            let _is_covered = self.is_covered();
+            return None;
+        };
+        self.searched = 0;
         let bytes = self.buf.split_to(end).freeze();
         let id = event_id(&bytes);
         self.has_events = true;
@@ -49,19 +70,24 @@
     pub fn partial_len(&self) -> usize {
         self.buf.len()
     }
-}
 
-fn event_end(buf: &[u8]) -> Option<usize> {
-    let lf = buf.windows(2).position(|two| two == b"\n\n");
-    let crlf = buf.windows(4).position(|four| four == b"\r\n\r\n");
-    match (lf, crlf) {
-        (Some(lf), Some(crlf)) if crlf < lf => Some(crlf + 4),
-        (Some(lf), _) => Some(lf + 2),
-        (None, Some(crlf)) => Some(crlf + 4),
-        (None, None) => None,
+    /// Charges for the buffered data.
+    fn is_covered(&mut self) -> bool {
+        let len = self.buf.len();
+        self.charge.as_mut().is_none_or(|charge| charge.cover(len))
     }
 }
 
+/// Finds the end of the first event in `buf`, whose first `searched` bytes contain none.
+fn event_end(
+    buf: &[u8],
+    searched: usize,
+) -> Option<usize> {
+    let ends = (searched..buf.len()).filter(|&at| buf[at] == b'\n');
+    let is_end = |line: &[u8]| line.ends_with(b"\n\n") || line.ends_with(b"\r\n\r\n");
+    ends.map(|at| at + 1).find(|&end| is_end(&buf[..end]))
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
     event
         .split(|&byte| byte == b'\n')
