vm_excluded_from_the_epoch_exits: requests find the refusal on a slow machine

Cause: an error of the test. A gateway that is excluded refuses requests at once, and exits after its grace period, 100 ms in this fixture. The test sends one request at a time; if none is sent within those 100 ms, the next one finds no process. Excluded: requests served or held meanwhile. Change: the test's gateway has a grace period of 1 s. What is asserted is unchanged: a refusal, then an exit with success, and no rights released.

--- a/crates/gateway/tests/gateway/planned_stop.rs
+++ b/crates/gateway/tests/gateway/planned_stop.rs
@@ -46,7 +46,12 @@
 #[actix_rt::test]
 async fn vm_excluded_from_the_epoch_exits() {
     // Guards against exceeding account rates when a VM resumes after the others redistributed its rights.
-    let mut fixture = GatewayFixture::start(FixtureSettings::default()).await;
+    let settings = FixtureSettings {
+        // Long enough for a slow machine to send a request before the process exits.
+        stop: (1_000, 5_000),
+        ..FixtureSettings::default()
+    };
+    let mut fixture = GatewayFixture::start(settings).await;
     assert!(
         support::answer(&fixture.chat("base", "hello", 4, false))
             .await
