concurrent_requests_cause_one_load: a batch that isn't full

Cause: an error of the test. 20 requests run in a batch of 16, a utilisation of 1.25; from 0.9 on the gateway asks for one more copy, which is what it should do. It looks every 50 ms, and the requests usually end before that. Excluded: a second load before the first one is there: waiting requests don't count, and a copy is only added to one that is held. Change: the engine's batch is 32, so that one copy has room, and a step takes 20 ms, so that the requests run while the gateway looks several times.

--- a/crates/gateway/tests/gateway/whole_path.rs
+++ b/crates/gateway/tests/gateway/whole_path.rs
@@ -42,7 +42,13 @@
 
 #[actix_rt::test]
 async fn concurrent_requests_cause_one_load() {
-    let fixture = GatewayFixture::start(FixtureSettings::default()).await;
+    // Guards against a load per request, and against extra copies while the first one has room.
+    let mut settings = FixtureSettings::default();
+    // A batch that 20 requests fill justifies a second copy.
+    settings.engine.max_batch = 32;
+    // All requests run while the gateway looks several times whether one more copy is due.
+    settings.engine.step_us = 20_000;
+    let fixture = GatewayFixture::start(settings).await;
     let call = fixture.chat("notes", "hello", 20, true);
     let answers = futures::future::join_all((0..20).map(|_| call.send())).await;
     assert!(
