slow_senders: slots are full at the second check

Seen: "full" not reached within 1.2 s in 1 of 15 runs of the test file, beside load 12 to 20. Cause: an error of the test. It added one slow sender after each check, so the fourth check was the first to find no free slot; 1.2 s passed before on a slow machine. The time can't be longer: the first sender is cut off after 1.5 s. Change: three senders at first, so that the check has the fourth slot, and the next one finds none. The rest is unchanged.

--- a/crates/gateway/tests/gateway/bad_input.rs
+++ b/crates/gateway/tests/gateway/bad_input.rs
@@ -137,7 +137,8 @@
         stream.write_all(head.as_bytes()).expect("sent");
         stream
     };
-    let slow_streams = RefCell::new(vec![sender()]);
+    // Leaves one of the four slots to the first check.
+    let slow_streams = RefCell::new(vec![sender(), sender(), sender()]);
     let until_full = || async {
         let answer = support::answer(&fixture.chat("base", "hi", 4, false)).await;
         // Adds a sender per check, since the checking request may have taken a slot.
