Streams: events without an id wait for one with an id; both sides of a hedge are judged at the deadline

Events without an id are held back, at most 64 KiB, until one with an id or the end; on routes that can't be resumed they are forwarded as before. At the deadline a hedge was withdrawn without a record, so that hung upstreams were chosen again; both attempts count as silent then.

--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -72,11 +72,17 @@
 /// The answer of another VM to which a request was offered.
 enum Offer {
     /// It has sent the request, or the attempt has failed.
-    Started(Start),
+    Started(Box<Start>),
     /// It sends nothing; others may.
     NotRelayed,
 }
 
+impl Offer {
+    fn started(start: Start) -> Self {
+        Self::Started(Box::new(start))
+    }
+}
+
 /// An age in milliseconds for the log; `-` if it isn't known.
 fn age_text(age: Option<Millis>) -> String {
     age.map_or_else(|| "-".to_owned(), |age| age.to_string())
@@ -178,7 +184,7 @@
         for address in relays {
             self.tried_relays.borrow_mut().push(address);
             match self.offer(address, &bytes).await {
-                Offer::Started(start) => return start,
+                Offer::Started(start) => return *start,
                 Offer::NotRelayed => self.cx.links.note_relay(address, false),
             }
         }
@@ -201,7 +207,7 @@
         };
         let mut response_start = match self.exchange(&mut connection, bytes).await {
             // This may be due to the upstream, so that other requests can still go through that VM.
-            Err(e) => return Offer::Started(Start::Failed(self.broken(Via::OtherVm, e).await)),
+            Err(e) => return Offer::started(Start::Failed(self.broken(Via::OtherVm, e).await)),
             Ok(response_start) => response_start,
         };
         let is_relayed = take_relayed_mark(&mut response_start.head);
@@ -226,17 +232,17 @@
         if is_relayed {
             self.cx.metrics.count_relayed("by_others");
             links.note_relay(address, true);
-            return Offer::Started(self.classify(response).await);
+            return Offer::started(self.classify(response).await);
         }
         self.release(response);
         match reason {
             NotRelayed::NoLinks => Offer::NotRelayed,
             NotRelayed::Unusable => {
-                Offer::Started(Start::Failed(Failure::not_run(Outcome::Abandoned)))
+                Offer::started(Start::Failed(Failure::not_run(Outcome::Abandoned)))
             }
-            NotRelayed::Quarantined => Offer::Started(Start::Refused(ErrorKind::PromptQuarantined)),
+            NotRelayed::Quarantined => Offer::started(Start::Refused(ErrorKind::PromptQuarantined)),
             NotRelayed::Unreachable => {
-                Offer::Started(Start::Failed(Failure::not_run(Outcome::Unreachable)))
+                Offer::started(Start::Failed(Failure::not_run(Outcome::Unreachable)))
             }
         }
     }
--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -369,7 +369,10 @@
                     hedge = Hedge::Idle;
                 }
                 Event::Expired => {
-                    self.withdraw_hedge(&mut hedge);
+                    if let Some(sent) = hedge.take_sent() {
+                        let failure = Failure::may_have_run(self.silence_of(&sent));
+                        self.end_hedge(&sent, failure.into());
+                    }
                     let failure = Failure::may_have_run(self.silence_of(&current));
                     return self.end_attempt(&current, failure.into()).await;
                 }
--- a/crates/entry/src/forward/in_flight.rs
+++ b/crates/entry/src/forward/in_flight.rs
@@ -164,7 +164,11 @@
         attempt.update_trace(|trace| trace.note_head(framing, now));
     }
     if attempt.req.is_stream() && response.head.status == 200 {
-        return read_stream(attempt, StreamReader::new(response, last_event)).await;
+        return read_stream(
+            attempt,
+            StreamReader::new(response, last_event, attempt.req.is_resumable()),
+        )
+        .await;
     }
     if is_success {
         attempt.note_begun();
--- a/crates/entry/src/forward/stream_reader.rs
+++ b/crates/entry/src/forward/stream_reader.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        EventSplitter,
+        Event, EventSplitter,
         attempt::{AttemptContext, StartedResponse, Via},
         failure::Failure,
         piece::Piece,
@@ -11,6 +11,9 @@
     std::rc::Rc,
 };
 
+/// Most bytes of events without an id that are held back.
+const MAX_HELD_BYTES: usize = 64 << 10;
+
 /// Complete events of a stream.
 #[derive(Debug, Default)]
 pub(super) struct EventBatch {
@@ -22,6 +25,26 @@
     pub last_id: Option<u64>,
 }
 
+impl EventBatch {
+    fn push(
+        &mut self,
+        event: &Event,
+    ) {
+        self.bytes.extend_from_slice(&event.bytes);
+        self.count += 1;
+        self.last_id = event.id.or(self.last_id);
+    }
+
+    fn append(
+        &mut self,
+        other: &Self,
+    ) {
+        self.bytes.extend_from_slice(&other.bytes);
+        self.count += other.count;
+        self.last_id = other.last_id.or(self.last_id);
+    }
+}
+
 /// Reads the events of a streamed response.
 pub(super) struct StreamReader {
     head: Rc<ResponseHead>,
@@ -30,14 +53,22 @@
     splitter: EventSplitter,
     /// The id of the last event that the caller has got.
     last_event: Option<u64>,
+    /// Comments and events without an id, which are forwarded only before an event with one, or at the end: nobody can
+    /// go on after them, and an upstream in trouble may send them without end.
+    held: EventBatch,
+    /// Whether they are held back.
+    holds: bool,
 }
 
 impl StreamReader {
     pub(super) fn new(
         response: StartedResponse,
         last_event: Option<u64>,
+        is_resumable: bool,
     ) -> Self {
         Self {
+            held: EventBatch::default(),
+            holds: is_resumable,
             head: Rc::new(response.head.clone()),
             reader: BodyReader::new(response.head.framing),
             splitter: EventSplitter::new(response.connection.read_charge()),
@@ -61,6 +92,9 @@
                 return Err(Failure::may_have_run(Outcome::Lost));
             }
             let ready = self.take_events();
+            if self.held.bytes.len() > MAX_HELD_BYTES {
+                return Err(Failure::may_have_run(Outcome::Lost));
+            }
             attempt.update_trace(|trace| trace.partial_bytes = self.splitter.partial_len());
             if ready.count > 0 {
                 attempt.update_trace(|trace| trace.event_at = Some(now));
@@ -70,7 +104,8 @@
         if self.is_broken_off() {
             return Err(Failure::broken(Outcome::Lost));
         }
-        Ok(None)
+        let held = std::mem::take(&mut self.held);
+        Ok(Some(held).filter(|held| held.count > 0))
     }
 
     /// A part of the stream for the caller.
@@ -113,13 +148,15 @@
         while let Some(event) = self.splitter.next_event() {
             let is_known =
                 matches!((event.id, self.last_event), (Some(id), Some(last)) if id <= last);
-            if is_known {
-                continue;
+            match event.id {
+                _ if is_known => self.held = EventBatch::default(),
+                None if self.holds => self.held.push(&event),
+                id => {
+                    ready.append(&std::mem::take(&mut self.held));
+                    ready.push(&event);
+                    self.last_event = id.or(self.last_event);
+                }
             }
-            self.last_event = event.id.or(self.last_event);
-            ready.last_id = event.id.or(ready.last_id);
-            ready.count += 1;
-            ready.bytes.extend_from_slice(&event.bytes);
         }
         ready
     }
