Links: messages of other daemons are at most 16 MiB

What callers saw: nothing yet. Two peers in trouble that announce messages of 64 MiB could make a daemon read the 128 MB that it may take. Cause: the limit was the RPC library's default, 8 Mi words. Change: 2 Mi words, on both sides of a link.

--- a/crates/wire/src/link/mod.rs
+++ b/crates/wire/src/link/mod.rs
@@ -4,6 +4,7 @@
 mod idle_reader;
 mod link_error;
 mod link_options;
+mod message_limits;
 mod peer_link;
 mod ping;
 mod serve;
--- a/crates/wire/src/link/peer_link.rs
+++ b/crates/wire/src/link/peer_link.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Backoff, LinkError, LinkOptions, Ping},
+    super::{Backoff, LinkError, LinkOptions, Ping, message_limits::reader_options},
     capnp::capability::FromClientHook,
     capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
     futures::future::{Either, select},
@@ -166,7 +166,7 @@
             reader.compat(),
             writer.compat_write(),
             Side::Client,
-            capnp::message::ReaderOptions::default(),
+            reader_options(),
         );
         let mut system = RpcSystem::new(Box::new(network), None);
         let client = system.bootstrap::<C>(Side::Server);
--- a/crates/wire/src/link/serve.rs
+++ b/crates/wire/src/link/serve.rs
@@ -1,5 +1,5 @@
 use {
-    super::idle_reader::IdleReader,
+    super::{idle_reader::IdleReader, message_limits::reader_options},
     capnp::capability::Client,
     capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
     jasmine_core::clock::Millis,
@@ -57,7 +57,7 @@
         IdleReader::new(reader, IDLE_TIMEOUT).compat(),
         writer.compat_write(),
         Side::Server,
-        capnp::message::ReaderOptions::default(),
+        reader_options(),
     );
     // The error only says that the connection ended; the caller detects that itself.
     RpcSystem::new(Box::new(network), Some(bootstrap))
