Callers: a budget for the requests that a daemon buffers

What callers saw: nothing yet. Requests within the limits each, of at most `max_body_bytes` and 64 KiB behind them, could together take any memory: 124 MiB of pipelined bytes alone at the 1,986 connections of a VM with 4,100 files. Cause: the limits hold for each connection. Change: bodies and pipelined bytes of all callers, and of VMs without links, take at most 24 MiB beyond the first 8 KiB of each. A body over it is refused with 429 and may be sent again after 1 s; pipelined bytes stay unread until there is an answer. Evidence: babbling_callers::bodies_of_all_callers_are_bounded failed before (12 bodies of 4 MiB were all held, 504 each) and passes.

--- a/crates/entry/src/caller/connection.rs
+++ b/crates/entry/src/caller/connection.rs
@@ -9,6 +9,7 @@
         context::{Context, StopStage},
         forward::serve_request,
         links::serve_relayed,
+        upstream::ReadCharge,
     },
     bytes::BytesMut,
     jasmine_core::{
@@ -18,7 +19,7 @@
     },
     jasmine_platform::headers::request_id,
     jasmine_telemetry::log::Line,
-    std::{cell::Cell, future::pending, rc::Rc, time::Duration},
+    std::{cell::Cell, future::pending, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpStream, tcp::ReadHalf},
@@ -35,6 +36,9 @@
 /// How long data is drained before closing, so that a reset doesn't overtake the response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// When a caller may try again whose request was refused as those of others fill the memory.
+const FULL_RETRY_DELAY: Millis = Millis(1_000);
+
 /// What happens to a connection after a response.
 enum AfterResponse {
     /// It waits for the next request.
@@ -130,7 +134,17 @@
             return Err(RequestReadError::Closed);
         }
     }
-    read_request(stream, buf, &peer.limits(cx)).await
+    let charge = caller_charge(cx, stream);
+    read_request(stream, buf, &peer.limits(cx), charge).await
+}
+
+/// The charge of what is buffered of a connection's requests, for no bytes yet.
+fn caller_charge(
+    cx: &Context,
+    stream: &TcpStream,
+) -> ReadCharge {
+    let none = SocketAddr::from(([0, 0, 0, 0], 0));
+    cx.caller_budget.charge(stream.peer_addr().unwrap_or(none))
 }
 
 /// Waits for the longest idle timeout that has held since the last request; a caller may know any of them.
@@ -165,6 +179,7 @@
     let _in_flight = cx.count_request();
     let id = request_id(req.head.headers.pairs()).map(str::to_owned);
     let watch = AnswerWatch::new(cx, peer, id);
+    let charge = caller_charge(cx, stream);
     let (rx, tx) = stream.split();
     let has_next = Cell::new(!buf.is_empty());
     let keep_alive = match (req.head.keeps_connection(), cx.stop_stage()) {
@@ -183,7 +198,7 @@
     let end = tokio::select! {
         served = served => AnswerEnd::of(served),
         // Cancelling closes the connection to the upstream, which then stops working too.
-        () = until_disconnected(rx, buf, &has_next) => AnswerEnd::PeerGone,
+        () = until_disconnected(rx, buf, &has_next, charge) => AnswerEnd::PeerGone,
     };
     watch.ended(end);
     match end {
@@ -207,8 +222,9 @@
     mut rx: ReadHalf<'_>,
     buf: &mut BytesMut,
     has_next: &Cell<bool>,
+    mut charge: ReadCharge,
 ) {
-    while buf.len() < MAX_PIPELINED_BYTES {
+    while buf.len() < MAX_PIPELINED_BYTES && charge.cover(buf.len()) {
         buf.reserve(MAX_PIPELINED_BYTES / 16);
         if !matches!(rx.read_buf(buf).await, Ok(n) if n > 0) {
             return;
@@ -226,6 +242,7 @@
     let mut out = ResponseWriter::new(tx, 1, KeepAlive::No, false);
     let refusal = match kind {
         ErrorKind::SlowSender => Refusal::after(kind, Millis::ZERO),
+        ErrorKind::QueueFull => Refusal::after(kind, FULL_RETRY_DELAY),
         kind => Refusal::new(kind),
     };
     if out.write_error(ErrorResponse(refusal), None).await.is_ok() {
--- a/crates/entry/src/caller/read_request.rs
+++ b/crates/entry/src/caller/read_request.rs
@@ -1,6 +1,9 @@
 use {
-    crate::http1::{
-        BodyPart, BodyReader, Framing, HeadScanner, HttpError, RequestHead, parse_request_head,
+    crate::{
+        http1::{
+            BodyPart, BodyReader, Framing, HeadScanner, HttpError, RequestHead, parse_request_head,
+        },
+        upstream::ReadCharge,
     },
     bytes::{Buf, Bytes, BytesMut},
     jasmine_core::{error::ErrorKind, ingress::CallerLimits},
@@ -61,11 +64,12 @@
     Ok(())
 }
 
-/// Reads a complete request whose first byte has arrived.
+/// Reads a complete request whose first byte has arrived; `charge` is for its body.
 pub(super) async fn read_request(
     stream: &mut TcpStream,
     buf: &mut BytesMut,
     limits: &CallerLimits,
+    charge: ReadCharge,
 ) -> Result<IncomingRequest, RequestReadError> {
     let due = Instant::now() + limits.header_timeout.to_std();
     let mut scanner = HeadScanner::default();
@@ -79,7 +83,7 @@
             Err(_elapsed) => return Err(RequestReadError::Refused(ErrorKind::SlowSender)),
         }
     };
-    let body = read_body(stream, buf, &head, limits).await?;
+    let body = read_body(stream, buf, &head, limits, charge).await?;
     Ok(IncomingRequest { head, body })
 }
 
@@ -88,6 +92,7 @@
     buf: &mut BytesMut,
     head: &RequestHead,
     limits: &CallerLimits,
+    mut charge: ReadCharge,
 ) -> Result<Bytes, RequestReadError> {
     let max = limits.max_body_bytes;
     match head.framing {
@@ -104,10 +109,14 @@
     let mut whole = BytesMut::new();
     loop {
         match reader.next(buf)? {
-            BodyPart::End => return Ok(whole.freeze()),
+            BodyPart::End => return Ok(charge.attach(whole.freeze())),
             BodyPart::Data(data) if whole.len() + data.len() > max => {
                 return Err(HttpError::BodyTooLarge.into());
             }
+            // Others may have ended soon.
+            BodyPart::Data(data) if !charge.cover(whole.len() + data.len()) => {
+                return Err(RequestReadError::Refused(ErrorKind::QueueFull));
+            }
             BodyPart::Data(data) => whole.extend_from_slice(&data),
             BodyPart::NeedMore => {
                 match timeout(limits.idle_timeout.to_std(), read_more(stream, buf)).await {
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -2,8 +2,12 @@
 
 use {
     crate::{
-        clock::Clock, links::LinkMonitor, metrics::EntryMetrics, scheduling::SchedulerNode,
-        streams::OriginDirectory, upstream::Pool,
+        clock::Clock,
+        links::LinkMonitor,
+        metrics::EntryMetrics,
+        scheduling::SchedulerNode,
+        streams::OriginDirectory,
+        upstream::{Pool, ReadBudget},
     },
     jasmine_conf::settings::EntrySettings,
     jasmine_core::{
@@ -18,6 +22,9 @@
     tokio::{sync::watch, time::timeout},
 };
 
+/// Most bytes of callers' requests that are buffered at once, but for the first of each.
+const MAX_CALLER_BYTES: usize = 24 << 20;
+
 /// The stages of a planned stop, in order.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum StopStage {
@@ -45,6 +52,8 @@
     pub origins: Rc<OriginDirectory>,
     /// Idle connections to upstreams.
     pub pool: Rc<Pool>,
+    /// What is buffered of callers' requests.
+    pub caller_budget: ReadBudget,
     /// The state of the links to upstreams.
     pub links: Rc<LinkMonitor>,
     /// The metrics instruments.
@@ -72,6 +81,7 @@
             scheduling,
             origins,
             pool,
+            caller_budget: ReadBudget::new(MAX_CALLER_BYTES, MAX_CALLER_BYTES),
             metrics,
             config: watch::Sender::default(),
             stop: watch::Sender::default(),
--- a/crates/entry/src/upstream/read_budget.rs
+++ b/crates/entry/src/upstream/read_budget.rs
@@ -3,7 +3,7 @@
     std::{
         collections::HashMap,
         net::SocketAddr,
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{Arc, Mutex, PoisonError},
     },
 };
 
@@ -14,11 +14,13 @@
 /// Bytes of each exchange that count as none, so that short answers are read whatever other peers send.
 const UNCHARGED: usize = 8 << 10;
 
-/// The bound over all answers, partial events and heads that are buffered.
+/// The bound over all that is buffered of the answers of peers, or of the requests of callers.
 ///
 /// Clones share it. The counters are shared among threads, as the owner of [`Bytes`] may be sent to another one.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct ReadBudget {
+    max_total: usize,
+    max_of_peer: usize,
     used: Arc<Mutex<Used>>,
 }
 
@@ -28,44 +30,58 @@
     by_peer: HashMap<SocketAddr, usize>,
 }
 
-impl ReadBudget {
-    /// The charge of an exchange with this peer, for no bytes yet.
-    pub fn charge(
-        &self,
-        peer: SocketAddr,
-    ) -> ReadCharge {
-        ReadCharge {
-            budget: self.clone(),
-            peer,
-            charged: 0,
-        }
+impl Default for ReadBudget {
+    /// The budget for answers, partial events and heads of answers.
+    fn default() -> Self {
+        Self::new(MAX_TOTAL, MAX_OF_PEER)
     }
+}
 
-    fn used(&self) -> MutexGuard<'_, Used> {
-        self.used.lock().unwrap_or_else(PoisonError::into_inner)
+impl ReadBudget {
+    /// Creates a budget for so many bytes in total, and of one peer.
+    pub fn new(
+        max_total: usize,
+        max_of_peer: usize,
+    ) -> Self {
+        Self {
+            max_total,
+            max_of_peer,
+            used: Arc::default(),
+        }
     }
-}
 
-impl Used {
-    /// Replaces a charge of a peer; returns false, and leaves it, if the new one exceeds a bound.
+    /// Replaces a charge; returns false, and leaves it, if the new one exceeds a bound.
     fn replace(
-        &mut self,
+        &self,
         peer: SocketAddr,
         old: usize,
         new: usize,
     ) -> bool {
-        let total = self.total - old + new;
-        let of_peer = self.by_peer.get(&peer).copied().unwrap_or_default() - old + new;
-        if new > old && (total > MAX_TOTAL || of_peer > MAX_OF_PEER) {
+        let mut used = self.used.lock().unwrap_or_else(PoisonError::into_inner);
+        let total = used.total - old + new;
+        let of_peer = used.by_peer.get(&peer).copied().unwrap_or_default() - old + new;
+        if new > old && (total > self.max_total || of_peer > self.max_of_peer) {
             return false;
         }
-        self.total = total;
+        used.total = total;
         match of_peer {
-            0 => self.by_peer.remove(&peer),
-            _ => self.by_peer.insert(peer, of_peer),
+            0 => used.by_peer.remove(&peer),
+            _ => used.by_peer.insert(peer, of_peer),
         };
         true
     }
+
+    /// The charge of an exchange with this peer, for no bytes yet.
+    pub fn charge(
+        &self,
+        peer: SocketAddr,
+    ) -> ReadCharge {
+        ReadCharge {
+            budget: self.clone(),
+            peer,
+            charged: 0,
+        }
+    }
 }
 
 /// What one buffer takes of a [`ReadBudget`], until it is dropped.
@@ -83,8 +99,7 @@
         len: usize,
     ) -> bool {
         let new = len.saturating_sub(UNCHARGED);
-        let is_covered =
-            new == self.charged || self.budget.used().replace(self.peer, self.charged, new);
+        let is_covered = new == self.charged || self.budget.replace(self.peer, self.charged, new);
         if is_covered {
             self.charged = new;
         }
@@ -92,7 +107,7 @@
     }
 
     /// Keeps the charge for as long as anything refers to `bytes`.
-    pub(super) fn attach(
+    pub fn attach(
         self,
         bytes: Bytes,
     ) -> Bytes {
