Store changes: a VM that is asked for changes begins to read the store

Cause: VMs that miss the answer of the VM that reads the store ask the next one. That one still follows the first, or has just switched and has no response yet, turns them away, as does the third, and all read the store themselves for 0.8 s or longer. Excluded: calls other than watches. Change: a VM that is asked begins to read the store at once, until it hasn't been asked for a second. The question waits for the first response: as long as any question, but at most 150 ms once what the VM knows is older than the time after which a reader counts as cut off, so that changes arrive in time if it has lost the store, too. A VM that can't read the store turns questions away at once.

--- a/crates/core/src/feed/mod.rs
+++ b/crates/core/src/feed/mod.rs
@@ -5,7 +5,8 @@
 //! order, and each polls the first one that serves changes.
 //!
 //! A VM that can't reach the store any more notices this by the age of the store's last response and
-//! reports itself as stale. The VMs that poll it then use the next one or the store.
+//! reports itself as stale. The VMs that poll it then use the next one, which reads the store as soon as it is
+//! polled, or the store.
 
 mod lapse;
 mod recent_changes;
--- a/crates/entry/src/store/feed/change_feed.rs
+++ b/crates/entry/src/store/feed/change_feed.rs
@@ -1,5 +1,5 @@
 use {
-    super::FeedReply,
+    super::{FeedReply, reader_state::ReaderState},
     crate::clock::Clock,
     jasmine_core::{
         clock::Millis,
@@ -23,6 +23,12 @@
 /// Gives another VM of its data centre time to read the store in its place. An upstream that leaves meanwhile is still
 /// not used, as each VM checks that itself.
 const CURRENT_PERCENT: u64 = 150;
+/// How long a VM reads the store for others after their last request.
+///
+/// Longer than a VM waits for the response to a request, after which it sends the next one.
+const TAKEOVER_TIMEOUT: Millis = Millis(1_000);
+/// How long requests wait for a reader's first response from the store once its changes are older than others may have.
+const MIN_TAKEOVER_WAIT: Millis = Millis(150);
 /// How long a recovery of the store is reported to other VMs.
 const RECOVERY_REPORT_TIMEOUT: Millis = Millis(10_000);
 
@@ -37,6 +43,12 @@
     is_reading: Cell<bool>,
     /// When [`Self::is_reading`] last changed.
     reading_since: Cell<Millis>,
+    /// Whether this VM can follow the store directly: it has read all keys, and the store hasn't failed lately.
+    can_read: Cell<bool>,
+    /// When another VM last requested changes.
+    requested_at: Cell<Option<Millis>>,
+    /// Notified when a VM requests changes that this VM doesn't read itself.
+    takeover: Notify,
     has_stopped: Cell<bool>,
     /// When the store last responded to this VM.
     responded_at: Cell<Millis>,
@@ -64,6 +76,9 @@
             wakeup: watch::Sender::default(),
             is_reading: Cell::new(false),
             reading_since: Cell::new(Millis::ZERO),
+            can_read: Cell::new(false),
+            requested_at: Cell::new(None),
+            takeover: Notify::new(),
             has_stopped: Cell::new(false),
             responded_at: Cell::new(Millis::ZERO),
             last_contact_at: Cell::new(Millis::ZERO),
@@ -193,6 +208,28 @@
         }
     }
 
+    /// Sets whether this VM can follow the store directly.
+    pub(crate) fn set_can_read(
+        &self,
+        can_read: bool,
+    ) {
+        if self.can_read.replace(can_read) != can_read {
+            self.wakeup.send_modify(|count| *count += 1);
+        }
+    }
+
+    /// Whether other VMs have requested changes lately.
+    pub(crate) fn is_requested(&self) -> bool {
+        self.requested_at
+            .get()
+            .is_some_and(|at| self.clock.now().since(at) < TAKEOVER_TIMEOUT)
+    }
+
+    /// Waits until a VM requests changes that this VM doesn't read itself.
+    pub(crate) async fn takeover_requested(&self) {
+        self.takeover.notified().await;
+    }
+
     /// Stops serving changes to other VMs.
     pub fn stop(&self) {
         self.has_stopped.set(true);
@@ -200,48 +237,77 @@
     }
 
     /// Returns the changes after a revision, waiting up to `wait` for the first one that isn't minor.
+    ///
+    /// A request makes this VM read the store: it is sent only if the VMs that come first don't respond.
     pub async fn changes(
         &self,
         after: u64,
         minor_after: Option<u64>,
         wait: Millis,
     ) -> FeedReply {
-        let until = self.clock.now() + wait;
+        let began = self.clock.now();
+        let until = began + wait;
+        self.requested_at.set(Some(began));
+        if !self.is_reading.get() && self.can_read.get() {
+            self.takeover.notify_one();
+        }
+        let takeover_until = until.min(self.takeover_deadline(began));
         let mut wakeup = self.wakeup.subscribe();
         loop {
             wakeup.mark_unchanged();
             let now = self.clock.now();
             let stale_at = self.responded_at.get() + self.stale_after;
-            if let Some(reply) = self.reply(after, minor_after, now, stale_at, until) {
-                return reply;
-            }
-            let pause = until.min(stale_at).since(now).max(Millis(1));
+            let deadline = match self.reader_state(now, stale_at) {
+                ReaderState::Starting if now < takeover_until => takeover_until,
+                ReaderState::Starting | ReaderState::NotReading => {
+                    return FeedReply::Unknown(SourceFailure::NotReading);
+                }
+                ReaderState::Stale => return FeedReply::Unknown(SourceFailure::Stale),
+                ReaderState::Current => match self.reply(after, minor_after, now, until) {
+                    Some(reply) => return reply,
+                    None => until.min(stale_at),
+                },
+            };
+            let pause = deadline.since(now).max(Millis(1));
             // The state is checked again after a change and after the timeout.
             let _either = timeout(pause.to_std(), wakeup.changed()).await;
         }
     }
 
+    /// Until when a request that came at `began` may wait for this VM's first response from the store.
+    ///
+    /// Changes have to arrive in time even if this VM has lost the store unnoticed, as the one before it may have.
+    fn takeover_deadline(
+        &self,
+        began: Millis,
+    ) -> Millis {
+        let known_at = self.complete_at.get().unwrap_or_default();
+        (known_at + self.stale_after).max(began + MIN_TAKEOVER_WAIT)
+    }
+
+    fn reader_state(
+        &self,
+        now: Millis,
+        stale_at: Millis,
+    ) -> ReaderState {
+        // A VM that has just switched to the store has no response yet, which doesn't mean that the store is lost.
+        let has_just_switched = now < self.reading_since.get() + self.stale_after;
+        match self.is_reading.get() {
+            _ if self.has_stopped.get() => ReaderState::NotReading,
+            true if now < stale_at => ReaderState::Current,
+            true if !has_just_switched => ReaderState::Stale,
+            _ if self.can_read.get() => ReaderState::Starting,
+            _ => ReaderState::NotReading,
+        }
+    }
+
     fn reply(
         &self,
         after: u64,
         minor_after: Option<u64>,
         now: Millis,
-        stale_at: Millis,
         until: Millis,
     ) -> Option<FeedReply> {
-        if !self.is_reading.get() || self.has_stopped.get() {
-            return Some(FeedReply::Unknown(SourceFailure::NotReading));
-        }
-        if now >= stale_at {
-            // A VM that has just switched to the store has no response yet, which doesn't mean that the store is lost.
-            let has_just_switched = now < self.reading_since.get() + self.stale_after;
-            let why = if has_just_switched {
-                SourceFailure::NotReading
-            } else {
-                SourceFailure::Stale
-            };
-            return Some(FeedReply::Unknown(why));
-        }
         let recent = self.recent.borrow();
         match recent.since(after, minor_after) {
             ChangesSince::Gone => Some(FeedReply::Unknown(SourceFailure::HistoryGone)),
--- a/crates/entry/src/store/feed/mod.rs
+++ b/crates/entry/src/store/feed/mod.rs
@@ -2,6 +2,7 @@
 
 mod change_feed;
 mod convert;
+mod reader_state;
 mod reply;
 
 pub(super) use convert::ask_peer;
--- a/crates/entry/src/store/follower.rs
+++ b/crates/entry/src/store/follower.rs
@@ -185,6 +185,8 @@
         loop {
             let mut peers = self.membership.local_peers();
             let now = self.cx.clock.now();
+            let can_read = self.choice.is_store_available(now);
+            self.feed.set_can_read(can_read);
             let is_leading = self.cx.scheduling.is_leading();
             let source = if is_leading {
                 // Local VMs may have read changes only through this VM and lag as it does. Readers
@@ -194,6 +196,8 @@
                 let source = self.choice.choose_for_scheduler(order.copied(), now);
                 peers.extend(remote);
                 source
+            } else if can_read && self.feed.is_requested() {
+                Some(Source::Store)
             } else {
                 Some(self.choice.choose(peers.keys().copied(), now))
             };
@@ -274,6 +278,7 @@
         e: &StoreError,
     ) {
         self.choice.store_failed(self.cx.clock.now());
+        self.feed.set_can_read(false);
         self.view.record_outage(e);
         sleep(self.backoff.next_delay().to_std()).await;
     }
@@ -287,13 +292,13 @@
         let includes_minor = now.since(self.position.minor_at) >= MINOR_CHANGES_INTERVAL;
         let minor_after = includes_minor.then_some(self.position.minor_after);
         let after = self.position.after;
-        let reply = ask_peer(
-            self.link(rank, vm.address),
-            after,
-            minor_after,
-            LONG_POLL_TIMEOUT,
-        )
-        .await;
+        let feed = Rc::clone(&self.feed);
+        let link = self.link(rank, vm.address);
+        let reply = tokio::select! {
+            reply = ask_peer(link, after, minor_after, LONG_POLL_TIMEOUT) => reply,
+            // Others have missed that VM already and wait for this one.
+            () = feed.takeover_requested() => return Step::Continue,
+        };
         match reply {
             Ok(FeedReply::Changes {
                 revision,
--- a/crates/entry/tests/store_changes_relay.rs
+++ b/crates/entry/tests/store_changes_relay.rs
@@ -28,6 +28,9 @@
 /// Time after which a VM that was late is asked again.
 const RECOVERY_TIME: Duration = Duration::from_millis(2_500);
 
+/// Allowed time until a configuration is applied, the daemons' `change_ms`.
+const MAX_CHANGE_TIME: Duration = Duration::from_secs(2);
+
 /// A configuration in which the route `read` has this path.
 fn moved(
     version: u64,
@@ -166,7 +169,7 @@
         }
         let took = began.elapsed();
         println!("applied after {} ms", took.as_millis());
-        assert!(took < Duration::from_secs(2), "{took:?}");
+        assert!(took < MAX_CHANGE_TIME, "{took:?}");
         link.set_mode(Fault::Pass);
         let vm = &vms[cut];
         wait_until("it reads changes again", || is_served(vm, &path));
@@ -174,6 +177,51 @@
     }
 }
 
+#[test]
+fn changes_arrive_in_time_if_two_relays_are_cut_off() {
+    // Guards against waiting too long for the first response of a VM that has lost the store as the relay has.
+    let (store, _upstreams) = start_platform(&["s-1"]);
+    let (links, vms) = start_linked_vms(&store, "both", 5);
+    for vm in &vms {
+        wait_until("it is ready", || vm.is_ready());
+        wait_until("a leader is known", || {
+            !vm.log_lines("lead_taken").is_empty() || !vm.log_lines("leader_followed").is_empty()
+        });
+    }
+    let mut ranked: Vec<usize> = (0..vms.len()).collect();
+    ranked.sort_by_key(|&vm| VmRank::new(&vms[vm].name, false));
+    let (cut, others) = ranked.split_at(2);
+    thread::sleep(Duration::from_millis(1_500));
+    for version in 2..6 {
+        // The relay has just had a response, so it takes longest to notice.
+        store.put("op/config", &moved(version * 10, "/before/"));
+        for vm in &vms {
+            wait_until("the configuration is applied", || is_served(vm, "/before/"));
+        }
+        for &vm in cut {
+            links[vm].set_mode(Fault::Cut);
+        }
+        let path = format!("/moved-{version}/");
+        let began = Instant::now();
+        store.put("op/config", &moved(version * 10 + 1, &path));
+        for &vm in others {
+            wait_until("the configuration is applied", || {
+                is_served(&vms[vm], &path)
+            });
+        }
+        let took = began.elapsed();
+        println!("applied after {} ms", took.as_millis());
+        assert!(took < MAX_CHANGE_TIME, "{took:?}");
+        for &vm in cut {
+            links[vm].set_mode(Fault::Pass);
+        }
+        for &vm in cut {
+            wait_until("it reads changes again", || is_served(&vms[vm], &path));
+        }
+        thread::sleep(Duration::from_millis(3_300));
+    }
+}
+
 #[test]
 fn a_suspended_relay_is_replaced() {
     // Guards against waiting forever for a suspended relay, whose connections stay open.
