streams_finish_before_shutdown: requests find the grace period on a slow machine

Seen: `shutting_down` for the request that belongs to the grace period, in 1 of 12 runs of the test file with six busy processes (load 10 to 30 on 8 cores). Cause: an error of the test. The gateway admits requests for 100 ms after the signal; until then the test has to see that it isn't ready any more, and to send one. Change: a grace period of 600 ms, and the request that has to be refused 700 ms after the admitted one. Steps of 40 ms, so that the stream still runs then. What is asserted is unchanged.

--- a/crates/gateway/tests/gateway/planned_stop.rs
+++ b/crates/gateway/tests/gateway/planned_stop.rs
@@ -21,8 +21,12 @@
 #[actix_rt::test]
 async fn streams_finish_before_shutdown() {
     // Guards against aborted streams and unreleased rights when a VM is replaced.
-    let mut settings = FixtureSettings::default();
-    settings.engine.step_us = 20_000;
+    // Long enough for a slow machine to send a request within the grace period, and one after it beside the stream.
+    let mut settings = FixtureSettings {
+        stop: (600, 5_000),
+        ..FixtureSettings::default()
+    };
+    settings.engine.step_us = 40_000;
     let mut fixture = GatewayFixture::start(settings).await;
     let call = fixture.chat("base", "a long tale", 64, true);
     let stop = async {
@@ -30,7 +34,7 @@
         assert!(fixture.gateway.signal(Signal::SIGTERM));
         fixture.wait_ready(false).await;
         let early = support::answer(&fixture.chat("base", "hello", 4, false)).await;
-        tokio::time::sleep(Duration::from_millis(150)).await;
+        tokio::time::sleep(Duration::from_millis(700)).await;
         let late = support::answer(&fixture.chat("base", "hello", 4, false)).await;
         (early, late)
     };
