key_in_request_is_not_forwarded: waits for the log lines that it reads

Seen: the last assertion failed in 1 of 12 runs of the test file with six busy processes (load 10 to 30 on 8 cores). Cause: an error of the test. The gateway's lines are read by a thread of the test, and the assertion didn't wait for them. Change: waits for the lines of both forwarded requests, where one was enough, and then looks for the key and the prompt in them. A key in the second line was missed before if that line came late.

--- a/crates/gateway/tests/gateway/caller_keys.rs
+++ b/crates/gateway/tests/gateway/caller_keys.rs
@@ -128,8 +128,17 @@
     }
     assert!(seen.contains("clinic"));
     assert!(!seen.contains(KEY));
-    let log = fixture.gateway.lines().join("\n");
-    assert!(log.contains("event=request") && !log.contains(KEY) && !log.contains("hello"));
+    let logged = || async {
+        let log = fixture.gateway.lines().join("\n");
+        // One line for each forwarded request.
+        (log.matches("event=request ").count() == 2)
+            .then_some(log.clone())
+            .ok_or(log)
+    };
+    let (_, log) = jasmine_testkit::harness::poll("logged", Duration::from_secs(3), logged)
+        .await
+        .expect("two lines");
+    assert!(!log.contains(KEY) && !log.contains("hello"), "{log}");
 }
 
 #[actix_rt::test]
