Soak: a closed answer is excused only if each upstream that was given up had failed

What callers saw: streams closed although the first upstream of the request was sound. The soak excused them by their last attempt_failed, so that a silent upstream that was given up for one that breaks off never showed. Cause: the check looked at one line of several. Change: the last attempt has to have been broken off as before, and each one before it, at this VM and at those that relayed the request, has to have failed by itself: broken off, reset, crashed, answered with a failure or that it didn't run, or hung for good by the stand-in's own record (nothing is lost with that one). Silence excuses nothing else. The cause names all outcomes. In the traces that were read, the successor had sent a new event before it broke off, so a hedge that closes the silent response with the first new event still closes these.

--- a/crates/entry/tests/soak/answers.rs
+++ b/crates/entry/tests/soak/answers.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        breaks::{Break, NOTE_DELAY},
+        breaks::{Break, Failure, NOTE_DELAY},
         callers::{CallResult, Place, Record},
         cluster::Cluster,
         configuration::DEADLINE,
@@ -42,19 +42,30 @@
     logs: &'a [VmLog],
     /// The requests that reached upstreams.
     arrived: HashSet<String>,
-    /// Of each upstream, the requests of which it has broken off the answer.
-    broken_off: HashMap<String, HashSet<String>>,
+    /// Of each upstream, the requests of which its answer has failed.
+    failed: HashMap<String, HashSet<(String, Failure)>>,
 }
 
 impl<'a> Trace<'a> {
+    fn all(
+        &self,
+        event: &str,
+    ) -> impl DoubleEndedIterator<Item = &'a str> {
+        let lines = self.lines.iter().map(String::as_str);
+        lines.filter(move |line| field(line, "event") == Some(event))
+    }
+
     fn last(
         &self,
         event: &str,
     ) -> Option<&'a str> {
-        let mut lines = self.lines.iter().rev();
-        lines
-            .find(|line| field(line, "event") == Some(event))
-            .map(String::as_str)
+        self.all(event).next_back()
+    }
+
+    /// How its attempts failed, in their order.
+    fn outcomes(&self) -> Vec<&'a str> {
+        let outcomes = self.all("attempt_failed");
+        outcomes.filter_map(|line| field(line, "outcome")).collect()
     }
 }
 
@@ -67,7 +78,7 @@
         cluster,
         logs,
         arrived: cluster.arrived_ids(),
-        broken_off: cluster.broken_off(),
+        failed: cluster.failed_answers(),
     };
     let mut excused: BTreeMap<&str, usize> = BTreeMap::new();
     let mut unexplained: BTreeMap<String, Vec<String>> = BTreeMap::new();
@@ -147,32 +158,78 @@
         if is_expired && record.has_response() {
             return End::Excused("its deadline passed");
         }
-        let failed = trace.last("attempt_failed");
-        let outcome = failed.and_then(|line| field(line, "outcome"));
-        let upstream = failed.and_then(|line| field(line, "upstream"));
+        let failed: Vec<&str> = trace.all("attempt_failed").collect();
+        let (excuse, earlier) = match failed.split_last() {
+            Some((last, earlier)) => (self.excuse(record, trace, last), earlier),
+            None => (None, [].as_slice()),
+        };
+        let of_others = self.logs.iter().flat_map(|log| log.of(&record.id));
+        let has_given_up_sound = earlier
+            .iter()
+            .any(|line| !self.has_failed_itself(record, trace, line))
+            || of_others
+                .filter(|line| field(line, "outcome") == Some("Silent"))
+                .any(|line| !self.has_hung(record, line));
+        match excuse {
+            Some(excuse) if !has_given_up_sound => End::Excused(excuse),
+            _ => End::Unexplained(cause(trace)),
+        }
+    }
+
+    /// Why an attempt failed without the VM's doing; none if its upstream may have been sound.
+    fn excuse(
+        &self,
+        record: &Record,
+        trace: &Trace<'_>,
+        failed: &str,
+    ) -> Option<&'static str> {
+        let upstream = field(failed, "upstream");
         let is_broken = upstream.is_some_and(|upstream| self.has_broken_off(record, upstream));
         let are_links_reset = self.cluster.breaks.overlap(
             &Break::UpstreamLinks(record.vm),
             record.sent,
             record.ended,
         );
-        match outcome {
+        match field(failed, "outcome") {
             Some("Lost" | "Unreachable" | "Abandoned") if is_broken => {
-                End::Excused("its upstream broke off")
+                Some("its upstream broke off")
             }
             Some("Lost" | "Unreachable" | "Abandoned") if are_links_reset => {
-                End::Excused("the links of its VM were reset")
+                Some("the links of its VM were reset")
             }
             Some("Abandoned") if self.is_relay_broken(record, trace) => {
-                End::Excused("a VM broke off that relayed it")
+                Some("a VM broke off that relayed it")
             }
             Some("Abandoned") if self.is_withdrawn(record) => {
-                End::Excused("it was withdrawn, as its adapter is an older version")
+                Some("it was withdrawn, as its adapter is an older version")
             }
-            _ => End::Unexplained(cause(trace, outcome)),
+            _ => None,
         }
     }
 
+    /// Whether the upstream of a failed attempt would have given no answer either way.
+    fn has_failed_itself(
+        &self,
+        record: &Record,
+        trace: &Trace<'_>,
+        failed: &str,
+    ) -> bool {
+        has_answered(failed)
+            || self.has_hung(record, failed)
+            || self.excuse(record, trace, failed).is_some()
+    }
+
+    /// Whether the upstream of a failed attempt hung and would never have gone on.
+    fn has_hung(
+        &self,
+        record: &Record,
+        failed: &str,
+    ) -> bool {
+        let hung = (record.id.clone(), Failure::Hung);
+        let of_upstream = field(failed, "upstream").and_then(|id| self.failed.get(id));
+        of_upstream.is_some_and(|answers| answers.contains(&hung))
+    }
+
     /// The time that a request has at the VM that has read it.
     fn time_limit(
         &self,
@@ -194,12 +251,13 @@
         record: &Record,
         upstream: &str,
     ) -> bool {
-        let broken_off = self.broken_off.get(upstream);
+        let broken_off = (record.id.clone(), Failure::BrokenOff);
+        let failed = self.failed.get(upstream);
         let link = Break::UpstreamLink(upstream.to_owned());
         let mut engines = self.cluster.crash_engines.iter();
         let engine = engines.find(|engine| engine.key() == format!("servers/{upstream}"));
         let mut crashes = engine.into_iter().flat_map(EngineStandIn::crashes);
-        broken_off.is_some_and(|ids| ids.contains(&record.id))
+        failed.is_some_and(|answers| answers.contains(&broken_off))
             || self
                 .cluster
                 .breaks
@@ -250,19 +308,26 @@
     }
 }
 
+/// Whether the upstream of a failed attempt has answered that it failed or didn't run the request.
+fn has_answered(failed: &str) -> bool {
+    let outcome = field(failed, "outcome");
+    matches!(
+        outcome,
+        Some("Failed" | "Shed" | "NotLoaded" | "OtherUpstream")
+    )
+}
+
 /// The cause in the words of the VM's log.
-fn cause(
-    trace: &Trace<'_>,
-    outcome: Option<&str>,
-) -> String {
+fn cause(trace: &Trace<'_>) -> String {
     let incomplete = trace.last("answer_incomplete");
     let reason = incomplete.and_then(|line| field(line, "reason"));
     let given_up = trace.last("request_given_up");
     let kind = given_up.and_then(|line| field(line, "kind"));
+    let outcomes = trace.outcomes();
     format!(
-        "reason {}, outcome {}, given up as {}",
+        "reason {}, outcomes {}, given up as {}",
         reason.unwrap_or("-"),
-        outcome.unwrap_or("-"),
+        outcomes.join(" "),
         kind.unwrap_or("-")
     )
 }
--- a/crates/entry/tests/soak/breaks.rs
+++ b/crates/entry/tests/soak/breaks.rs
@@ -46,7 +46,16 @@
 struct Draw {
     upstream: SocketAddr,
     at: Instant,
-    breaks_off: bool,
+    failure: Option<Failure>,
+}
+
+/// How the answer of an upstream fails.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Failure {
+    /// It ends early or is invalid.
+    BrokenOff,
+    /// It never goes on.
+    Hung,
 }
 
 /// The breaks of a run so far.
@@ -105,26 +114,25 @@
         self.draws.push(Draw {
             upstream,
             at: Instant::now(),
-            breaks_off: breaks_off(behaviour),
+            failure: failure(behaviour),
         });
     }
 
-    /// The ids of the requests of which an upstream has broken off the answer.
-    pub fn broken_off(
+    /// The requests of which the answer of an upstream has failed.
+    pub fn failed(
         &self,
         upstream: SocketAddr,
         arrivals: Vec<Arrival>,
-    ) -> Vec<String> {
+    ) -> Vec<(String, Failure)> {
         let draws = self.draws.iter().filter(|draw| draw.upstream == upstream);
         let mut draws = draws.peekable();
-        let mut broken_off = Vec::new();
+        let mut failed = Vec::new();
         for arrival in arrivals {
             let draw = draws.next_if(|draw| draw.at <= arrival.at);
-            if draw.is_some_and(|draw| draw.breaks_off) {
-                broken_off.push(arrival.request_id);
-            }
+            let failure = draw.and_then(|draw| draw.failure);
+            failed.extend(failure.map(|failure| (arrival.request_id, failure)));
         }
-        broken_off
+        failed
     }
 
     /// Adds the planned stop of a VM, which lasts until it has started again.
@@ -191,16 +199,18 @@
     }
 }
 
-/// Whether the answer of an upstream ends early or is invalid. A silent one isn't: the upstream may go on.
-const fn breaks_off(behaviour: &Behaviour) -> bool {
+/// How the answer of an upstream fails, if it does. One that is silent for a while goes on.
+const fn failure(behaviour: &Behaviour) -> Option<Failure> {
     match behaviour {
         Behaviour::Reset
         | Behaviour::Truncate
         | Behaviour::DuplicateResponse
         | Behaviour::Unsealed
         | Behaviour::CutAfter(_)
-        | Behaviour::CutAfterMore(..) => true,
-        Behaviour::Stream(_, _, end) => !matches!(end, StreamEnd::Complete),
-        _ => false,
+        | Behaviour::CutAfterMore(..) => Some(Failure::BrokenOff),
+        Behaviour::Stream(_, _, StreamEnd::Complete) => None,
+        Behaviour::Stream(..) => Some(Failure::BrokenOff),
+        Behaviour::Hang | Behaviour::SilentAfter(_) => Some(Failure::Hung),
+        _ => None,
     }
 }
--- a/crates/entry/tests/soak/cluster.rs
+++ b/crates/entry/tests/soak/cluster.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        breaks::{Break, Breaks},
+        breaks::{Break, Breaks, Failure},
         configuration::{Configuration, Published},
         disturbances::{Disturbances, Disturbed},
         fault::{
@@ -250,16 +250,16 @@
         upstreams.chain(&self.builds).chain(&self.released)
     }
 
-    /// Upstreams, each with the requests of which it has broken off the answer.
-    pub fn broken_off(&self) -> HashMap<String, HashSet<String>> {
-        let mut broken_off: HashMap<String, HashSet<String>> = HashMap::new();
+    /// Upstreams, each with the requests of which its answer has failed.
+    pub fn failed_answers(&self) -> HashMap<String, HashSet<(String, Failure)>> {
+        let mut failed: HashMap<String, HashSet<(String, Failure)>> = HashMap::new();
         for upstream in self.all_upstreams() {
             let id = upstream.key().trim_start_matches("servers/").to_owned();
             let address = own_address(upstream);
-            let ids = self.breaks.broken_off(address, upstream.arrivals());
-            broken_off.entry(id).or_default().extend(ids);
+            let answers = self.breaks.failed(address, upstream.arrivals());
+            failed.entry(id).or_default().extend(answers);
         }
-        broken_off
+        failed
     }
 
     /// The ids of all requests that reached upstreams or engines.
