Soak: a site with silent upstreams beside ones in trouble and a configuration each second

Cause: no schedule had sound upstreams that fall silent beside full, failing, resetting, cut and hung ones, and excuses came from the logs. Change: a schedule of seven VMs in three data centres, twelve upstreams of three services in two builds, five kinds of routes, one to three configurations each second, SIGHUPs and, in half of the seeds, stops and kills. Clients keep their connections until the process is gone and take up broken streams at the next VM. What each upstream did to each request is known from its stand-in alone, so that daemons of any version can be judged (JASMINE_ENTRY). Requests without an answer are counted by cause; one is excused if a kill or a stop limit ended it, if its time was over, or if no upstream that it reached was sound, one broke off and the last one didn't just hang. A 5xx beside an upstream that would have answered in time counts as lost. JASMINE_SOAK_SITE=1 runs other seeds by hand, JASMINE_SOAK_VMS sets the number of VMs.

--- a/crates/entry/tests/fault_soak.rs
+++ b/crates/entry/tests/fault_soak.rs
@@ -2,13 +2,14 @@
 //!
 //! Further seeds by hand: `JASMINE_SOAK_FIRST=100 JASMINE_SOAK_SEEDS=50 JASMINE_SOAK_SECONDS=20 cargo test --release
 //! -p jasmine-entry --test fault_soak -- --ignored --nocapture`. With `JASMINE_SOAK_SILENCES=0`, upstreams aren't silent
-//! by themselves and the configuration stays the same but for its version.
+//! by themselves and the configuration stays the same but for its version. With `JASMINE_SOAK_SITE=1`, seeds run at a
+//! site of seven VMs, or of `JASMINE_SOAK_VMS`.
 
 mod deployment;
 mod soak;
 
 use {
-    soak::{Schedule, Violations, run_seed},
+    soak::{SITE_VMS, Schedule, Violations, run_seed},
     std::{env, time::Duration},
 };
 
@@ -17,6 +18,8 @@
 /// The same with silent upstreams and changes of the configuration. In 9000, upstreams fall silent within answers that
 /// nobody can take over, and in 9005, those of all services do so while streams run.
 const SILENT_SEEDS: [u64; 2] = [9000, 9005];
+/// Seeds of the site. In 101, VMs are killed and stopped, too.
+const SITE_SEEDS: [u64; 1] = [101];
 const DEFAULT_SECONDS: u64 = 6;
 
 fn env_setting(
@@ -77,14 +80,27 @@
     });
 }
 
+#[test]
+fn answers_are_whole_at_a_site() {
+    // Guards against giving up a sound upstream that is silent for one that is full, fails, breaks off or hangs.
+    let schedule = Schedule::Site { vms: SITE_VMS };
+    run_seeds(SITE_SEEDS, DEFAULT_SECONDS, schedule, Violations::all);
+}
+
 #[test]
 #[ignore = "minutes long; by hand"]
 fn fresh_seeds() {
     let first = env_setting("JASMINE_SOAK_FIRST", 100);
     let seeds = env_setting("JASMINE_SOAK_SEEDS", 50);
-    let schedule = match env_setting("JASMINE_SOAK_SILENCES", 1) {
-        0 => Schedule::Faults,
-        _ => Schedule::SilencesAndChanges,
+    let vms = env_setting("JASMINE_SOAK_VMS", SITE_VMS as u64) as usize;
+    let (site, silences) = (
+        env_setting("JASMINE_SOAK_SITE", 0),
+        env_setting("JASMINE_SOAK_SILENCES", 1),
+    );
+    let schedule = match (site, silences) {
+        (1.., _) => Schedule::Site { vms },
+        (0, 0) => Schedule::Faults,
+        (0, _) => Schedule::SilencesAndChanges,
     };
     run_seeds(
         first..first + seeds,
--- a/crates/entry/tests/soak/breaks.rs
+++ b/crates/entry/tests/soak/breaks.rs
@@ -202,14 +202,14 @@
 /// How the answer of an upstream fails, if it does. One that is silent for a while goes on.
 const fn failure(behaviour: &Behaviour) -> Option<Failure> {
     match behaviour {
+        Behaviour::Stream(_, _, StreamEnd::Complete) => None,
         Behaviour::Reset
         | Behaviour::Truncate
         | Behaviour::DuplicateResponse
         | Behaviour::Unsealed
         | Behaviour::CutAfter(_)
-        | Behaviour::CutAfterMore(..) => Some(Failure::BrokenOff),
-        Behaviour::Stream(_, _, StreamEnd::Complete) => None,
-        Behaviour::Stream(..) => Some(Failure::BrokenOff),
+        | Behaviour::CutAfterMore(..)
+        | Behaviour::Stream(..) => Some(Failure::BrokenOff),
         Behaviour::Hang | Behaviour::SilentAfter(_) => Some(Failure::Hung),
         _ => None,
     }
--- a/crates/entry/tests/soak/checks.rs
+++ b/crates/entry/tests/soak/checks.rs
@@ -106,7 +106,7 @@
 }
 
 /// A non-idempotent request runs at most once, and not if its caller was told that it didn't run.
-fn check_runs(
+pub fn check_runs(
     record: &Record,
     runs: u32,
 ) -> Option<String> {
--- a/crates/entry/tests/soak/fault.rs
+++ b/crates/entry/tests/soak/fault.rs
@@ -172,6 +172,8 @@
     Faults,
     /// Also sound upstreams that are silent, and changes of the configuration in series.
     SilencesAndChanges,
+    /// A site with so many VMs: silent upstreams beside ones in trouble, and a configuration each second.
+    Site { vms: usize },
 }
 
 /// Generates the fault schedule of a seed.
--- a/crates/entry/tests/soak/mod.rs
+++ b/crates/entry/tests/soak/mod.rs
@@ -15,6 +15,7 @@
 mod older_versions;
 mod open_connections;
 mod resumed_streams;
+mod site;
 mod vm_log;
 
 use {
@@ -26,13 +27,14 @@
     disturbances::CONTACT,
     fault::{Fault, calm_plan, plan},
     open_connections::check_idle_closes,
+    site::run_site,
     std::{
         thread,
         time::{Duration, Instant},
     },
 };
 
-pub use fault::Schedule;
+pub use {fault::Schedule, site::VMS as SITE_VMS};
 
 /// How long callers continue at VMs that are in touch again after the last fault.
 const CALM_TIME: Duration = Duration::from_secs(3);
@@ -55,11 +57,25 @@
     }
 }
 
-/// Runs the fault schedule of one seed and returns what it has broken.
+/// Runs the schedule of one seed and returns what it has broken.
 pub fn run_seed(
     seed: u64,
     length: Duration,
     schedule: Schedule,
+) -> Violations {
+    match schedule {
+        Schedule::Faults | Schedule::SilencesAndChanges => run_faults(seed, length, schedule),
+        Schedule::Site { vms } => Violations {
+            invariants: run_site(seed, length, vms),
+            sound_prompts: None,
+        },
+    }
+}
+
+fn run_faults(
+    seed: u64,
+    length: Duration,
+    schedule: Schedule,
 ) -> Violations {
     let mut cluster = Cluster::start(seed);
     let callers = Callers::start(
--- a/crates/entry/tests/soak/resumed_streams.rs
+++ b/crates/entry/tests/soak/resumed_streams.rs
@@ -34,7 +34,10 @@
         let first = record.resumes.as_deref().unwrap_or(&record.id);
         streams.entry(first).or_default().push(record);
     }
-    let mut violations: Vec<String> = streams.values().filter_map(|of| check_stream(of)).collect();
+    let mut violations: Vec<String> = streams
+        .values()
+        .filter_map(|of| check_stream(of, EVENTS))
+        .collect();
     let (taken_up, new): (Vec<&Record>, Vec<&Record>) = attempts
         .filter(|record| has_running_vm(&record.result))
         .filter(|record| !disturbances.have_all_started(record.sent))
@@ -70,7 +73,11 @@
     }
 }
 
-fn check_stream(attempts: &[&Record]) -> Option<String> {
+/// A stream of so many events holds those of one version, each once and in order, over all attempts of its caller.
+pub fn check_stream(
+    attempts: &[&Record],
+    expected: u64,
+) -> Option<String> {
     let events: Vec<Event> = attempts
         .iter()
         .flat_map(|record| events_of(&record.result))
@@ -79,7 +86,7 @@
     let is_in_order = ids.iter().copied().eq(1..=ids.len() as u64);
     let has_one_build = events.iter().all(|event| event.build == events[0].build);
     let is_complete = attempts.iter().any(|record| record.is_served());
-    let is_whole = !is_complete || ids.len() as u64 == EVENTS;
+    let is_whole = !is_complete || ids.len() as u64 == expected;
     (!is_in_order || !has_one_build || !is_whole)
         .then(|| format!("{}: events {events:?}", attempts[0].id))
 }
--- /dev/null
+++ b/crates/entry/tests/soak/site/vm.rs
@@ -0,0 +1,159 @@
+use {
+    super::outage::Outage,
+    crate::deployment::{Vm, wait_until},
+    nix::sys::signal::Signal,
+    serde_json::json,
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        time::{Duration, Instant},
+    },
+};
+
+/// Delay between the exit of a process and its restart.
+const RESTART_DELAY: Duration = Duration::from_millis(200);
+
+/// Where clients reach a VM; changes as it starts again.
+pub type VmAddress = Arc<Mutex<SocketAddr>>;
+
+/// A VM whose process starts again when it ends.
+pub struct SiteVm {
+    name: String,
+    data_centre: &'static str,
+    vm: Option<Vm>,
+    address: VmAddress,
+    seen_running: Instant,
+    pub outages: Vec<Outage>,
+    /// Whether its process has ended by itself.
+    has_ended: bool,
+    log: String,
+}
+
+impl SiteVm {
+    pub fn start(
+        store: SocketAddr,
+        name: String,
+        data_centre: &'static str,
+    ) -> Self {
+        let vm = start_vm(store, &name, data_centre);
+        Self {
+            name,
+            data_centre,
+            address: Arc::new(Mutex::new(vm.callers)),
+            vm: Some(vm),
+            seen_running: Instant::now(),
+            outages: Vec::new(),
+            has_ended: false,
+            log: String::new(),
+        }
+    }
+
+    pub fn address(&self) -> VmAddress {
+        Arc::clone(&self.address)
+    }
+
+    pub fn is_ready(&self) -> bool {
+        self.vm.as_ref().is_some_and(Vm::is_ready)
+    }
+
+    /// Whether it runs and isn't being stopped.
+    pub fn is_running(&self) -> bool {
+        !self.is_stopping() && self.vm.is_some()
+    }
+
+    fn is_stopping(&self) -> bool {
+        let last = self.outages.last();
+        last.is_some_and(|outage| outage.up_at.is_none())
+    }
+
+    pub fn signal(
+        &mut self,
+        signal: Signal,
+    ) {
+        if let Some(vm) = &mut self.vm
+            && !vm.has_exited()
+        {
+            vm.signal(signal);
+        }
+    }
+
+    /// Ends its process, which starts again.
+    pub fn stop(
+        &mut self,
+        signal: Signal,
+    ) {
+        let is_killed = signal == Signal::SIGKILL;
+        let signalled = Instant::now();
+        match self.outages.last_mut() {
+            Some(outage) if outage.up_at.is_none() => {
+                if is_killed && !outage.is_killed {
+                    (outage.is_killed, outage.signalled) = (true, signalled);
+                }
+            }
+            _ => self.outages.push(Outage {
+                is_killed,
+                signalled,
+                down_from: None,
+                up_at: None,
+            }),
+        }
+        self.signal(signal);
+    }
+
+    /// Starts its process again if it has ended.
+    pub fn step(
+        &mut self,
+        store: SocketAddr,
+    ) {
+        let now = Instant::now();
+        let has_exited = self.vm.as_mut().map(Vm::has_exited);
+        match has_exited {
+            Some(false) => self.seen_running = now,
+            Some(true) => {
+                self.log = self.whole_log();
+                self.vm = None;
+                self.has_ended |= !self.is_stopping();
+                if let Some(outage) = self.outages.last_mut() {
+                    outage.down_from = Some(self.seen_running);
+                }
+            }
+            None if now >= self.seen_running + RESTART_DELAY => {
+                let vm = start_vm(store, &self.name, self.data_centre);
+                *self.address.lock().unwrap() = vm.callers;
+                self.vm = Some(vm);
+                if let Some(outage) = self.outages.last_mut() {
+                    outage.up_at = Some(Instant::now());
+                }
+            }
+            None => {}
+        }
+    }
+
+    pub fn own_end(&self) -> Option<String> {
+        self.has_ended
+            .then(|| format!("{} has ended by itself", self.name))
+    }
+
+    /// Waits until the lines of requests that have ended are written: those come before that of a SIGHUP.
+    pub fn await_log(&mut self) {
+        let Some(vm) = &mut self.vm else { return };
+        let count = || vm.log().matches("event=reload_asked").count();
+        let before = count();
+        vm.signal(Signal::SIGHUP);
+        wait_until("the logs are written", || count() > before);
+    }
+
+    pub fn whole_log(&self) -> String {
+        self.log.clone() + &self.vm.as_ref().map_or_else(String::new, Vm::log)
+    }
+}
+
+fn start_vm(
+    store: SocketAddr,
+    name: &str,
+    data_centre: &str,
+) -> Vm {
+    Vm::start_with_settings(store, name, |settings| {
+        settings["data_centre"] = json!(data_centre);
+    })
+}
