Soak: upstreams at the site that babble, and clients that stop reading at their time

What callers saw: an upstream that sends bytes that are no answer without end keeps a VM busy or a stream open; the schedule had none. Change: a conduct Babbles draws a place in a head, a body, a stream or an event, a quarter of them as fast as they are read. Clients stop reading 2 s after their deadline however many bytes come, and a VM that doesn't start again within 12 s, or doesn't heed a SIGHUP within 5 s, is a violation in place of a run that never ends. A request that only reached sound upstreams, none of them silent, and ended at its deadline is no longer excused by its time: the VM was late.

--- a/crates/entry/tests/deployment/mod.rs
+++ b/crates/entry/tests/deployment/mod.rs
@@ -366,10 +366,13 @@
 }
 
 /// Reads one of several responses. `rest` has what was received beyond the one before.
-pub fn read_next_response(
-    stream: &mut TcpStream,
+pub fn read_next_response<R>(
+    stream: &mut R,
     rest: &mut Vec<u8>,
-) -> Option<Response> {
+) -> Option<Response>
+where
+    R: Read,
+{
     let head_end = loop {
         if let Some(at) = rest.windows(4).position(|four| four == b"\r\n\r\n") {
             break at + 4;
@@ -400,10 +403,13 @@
     Some(response)
 }
 
-fn read_chunks(
-    stream: &mut TcpStream,
+fn read_chunks<R>(
+    stream: &mut R,
     rest: &mut Vec<u8>,
-) -> (Vec<u8>, bool) {
+) -> (Vec<u8>, bool)
+where
+    R: Read,
+{
     let mut body = Vec::new();
     loop {
         let Some(line_end) = rest.windows(2).position(|two| two == b"\r\n") else {
@@ -428,10 +434,13 @@
     }
 }
 
-fn more(
-    stream: &mut TcpStream,
+fn more<R>(
+    stream: &mut R,
     buf: &mut Vec<u8>,
-) -> bool {
+) -> bool
+where
+    R: Read,
+{
     let mut part = [0_u8; 4096];
     match stream.read(&mut part) {
         Ok(n) if n > 0 => {
--- a/crates/entry/tests/soak/breaks.rs
+++ b/crates/entry/tests/soak/breaks.rs
@@ -209,7 +209,8 @@
         | Behaviour::Unsealed
         | Behaviour::CutAfter(_)
         | Behaviour::CutAfterMore(..)
-        | Behaviour::Stream(..) => Some(Failure::BrokenOff),
+        | Behaviour::Stream(..)
+        | Behaviour::Babble(_) => Some(Failure::BrokenOff),
         Behaviour::Hang | Behaviour::SilentAfter(_) => Some(Failure::Hung),
         _ => None,
     }
--- a/crates/entry/tests/soak/site/answers.rs
+++ b/crates/entry/tests/soak/site/answers.rs
@@ -122,7 +122,9 @@
     let has_response = matches!(record.result, CallResult::Response(_));
     match outage {
         Some(excuse) => End::Excused(excuse),
-        None if is_expired && has_response => End::Excused("its time was over"),
+        None if is_expired && has_response && !is_late(record, reached, limit) => {
+            End::Excused("its time was over")
+        }
         None if have_failed(reached) => End::Excused("each of its upstreams failed by itself"),
         None => {
             let route = Route::of(record.target).name;
@@ -135,6 +137,17 @@
     }
 }
 
+/// Whether only sound upstreams were reached, none of them silent, that would have answered in time.
+fn is_late(
+    record: &Record,
+    reached: &[Reached],
+    limit: Duration,
+) -> bool {
+    let mut reached = reached.iter();
+    let is_quick = |one: &Reached| one.conduct == Conduct::Sound && one.is_in_time(record, limit);
+    reached.len() > 0 && reached.all(is_quick)
+}
+
 /// Whether no upstream of a request was sound, and one broke off; one that hangs has its time until the deadline.
 fn have_failed(reached: &[Reached]) -> bool {
     let no_sound = reached
--- a/crates/entry/tests/soak/site/clients.rs
+++ b/crates/entry/tests/soak/site/clients.rs
@@ -7,6 +7,7 @@
             resumed_streams::events_of,
         },
         routes::{ROUTES, Route},
+        timed_reader::TimedReader,
         vm::VmAddress,
     },
     crate::deployment::{Request, read_next_response},
@@ -156,11 +157,14 @@
         resumes: Option<String>,
     ) -> Record {
         let time = Duration::from_millis(route.deadline_ms) + PATIENCE;
-        self.stream.set_read_timeout(Some(time)).unwrap();
         let sent = Instant::now();
         let is_sent = self.stream.write_all(&req.bytes()).is_ok();
+        let mut reader = TimedReader {
+            stream: &self.stream,
+            until: sent + time,
+        };
         let response = is_sent
-            .then(|| read_next_response(&mut self.stream, &mut self.received))
+            .then(|| read_next_response(&mut reader, &mut self.received))
             .flatten();
         Record {
             id: req.id().to_owned(),
--- a/crates/entry/tests/soak/site/conduct.rs
+++ b/crates/entry/tests/soak/site/conduct.rs
@@ -1,6 +1,8 @@
 use {
     super::routes::Answer,
-    jasmine_platform_stand_in::{Behaviour, Silence, SilentAt, StreamEnd, StreamFraming},
+    jasmine_platform_stand_in::{
+        Babble, BabbleAt, Behaviour, Pace, Silence, SilentAt, StreamEnd, StreamFraming,
+    },
     rand::{Rng, seq::IndexedRandom},
     rand_chacha::ChaCha8Rng,
     std::{fmt, ops::Range, time::Duration},
@@ -11,7 +13,7 @@
 /// Most events that an upstream sends before it breaks off.
 const MAX_EVENTS: u64 = 8;
 /// How often each conduct is drawn.
-const WEIGHTS: [(Conduct, u32); 8] = [
+const WEIGHTS: [(Conduct, u32); 9] = [
     (Conduct::Sound, 26),
     (Conduct::Silent(Duration::ZERO), 34),
     (Conduct::Full, 14),
@@ -20,7 +22,10 @@
     (Conduct::BreaksOff, 6),
     (Conduct::Hangs, 5),
     (Conduct::Forges, 2),
+    (Conduct::Babbles, 6),
 ];
+/// Part of the bytes that are no answer that come as fast as they are read.
+const FULL_PACE_SHARE: f64 = 0.25;
 const FRAMINGS: [StreamFraming; 3] = [
     StreamFraming::Chunked,
     StreamFraming::Length,
@@ -45,6 +50,8 @@
     Hangs,
     /// Answers without a seal.
     Forges,
+    /// Sends bytes that are no answer without end.
+    Babbles,
 }
 
 impl Conduct {
@@ -92,6 +99,7 @@
             (Self::Hangs, Answer::Stream(_)) if variant > 0 => Behaviour::SilentAfter(few),
             (Self::Hangs, _) => Behaviour::Hang,
             (Self::Forges, _) => Behaviour::Unsealed,
+            (Self::Babbles, _) => Behaviour::Babble(draw_babble(answer, few, rng)),
         }
     }
 
@@ -104,9 +112,12 @@
         }
     }
 
-    /// Whether an answer is broken off by the upstream itself.
+    /// Whether an answer is broken off or made invalid by the upstream itself.
     pub const fn breaks_off(self) -> bool {
-        matches!(self, Self::Resets | Self::BreaksOff | Self::Forges)
+        matches!(
+            self,
+            Self::Resets | Self::BreaksOff | Self::Forges | Self::Babbles
+        )
     }
 }
 
@@ -124,6 +135,47 @@
             Self::BreaksOff => "broken off",
             Self::Hangs => "hung",
             Self::Forges => "unsealed",
+            Self::Babbles => "babbling",
         })
     }
 }
+
+fn draw_babble(
+    answer: Answer,
+    events: u64,
+    rng: &mut ChaCha8Rng,
+) -> Babble {
+    let anywhere = [
+        BabbleAt::InterimResponses,
+        BabbleAt::HeaderLines,
+        BabbleAt::HeaderLine,
+        BabbleAt::OtherResponses,
+        BabbleAt::OtherBody,
+        BabbleAt::FailureBody,
+        BabbleAt::SilentFailure,
+        BabbleAt::RefusalBody,
+        BabbleAt::BodyUntilClose,
+        BabbleAt::LongBody,
+        BabbleAt::AfterAnswer,
+    ];
+    let in_streams = [
+        BabbleAt::Event(events),
+        BabbleAt::ChunkSize(events),
+        BabbleAt::ChunkExtensions(events),
+        BabbleAt::Trailers(events),
+        BabbleAt::Comments(events),
+        BabbleAt::KnownEvents(events),
+        BabbleAt::EventsWithoutId(events),
+    ];
+    let is_in_stream = matches!(answer, Answer::Stream(_)) && rng.random_bool(0.5);
+    let places: &[BabbleAt] = if is_in_stream { &in_streams } else { &anywhere };
+    let pace = if rng.random_bool(FULL_PACE_SHARE) {
+        Pace::FULL
+    } else {
+        Pace::SLOW
+    };
+    Babble {
+        at: places[rng.random_range(0..places.len())],
+        pace,
+    }
+}
--- a/crates/entry/tests/soak/site/mod.rs
+++ b/crates/entry/tests/soak/site/mod.rs
@@ -8,6 +8,7 @@
 mod outage;
 mod routes;
 mod streams;
+mod timed_reader;
 mod upstream;
 mod vm;
 
@@ -36,6 +37,8 @@
 pub const VMS: usize = 7;
 const DATA_CENTRES: [&str; 3] = ["north", "central", "south"];
 const STEP_INTERVAL: Duration = Duration::from_millis(5);
+/// How long VMs may take to stop and start again.
+const MAX_RECOVERY: Duration = Duration::from_secs(12);
 /// Requests of a route that are served, at least.
 const MIN_SERVED: usize = 3;
 
@@ -152,7 +155,8 @@
         for upstream in &mut self.upstreams {
             upstream.set_conduct(Conduct::Sound);
         }
-        while !self.vms.iter().all(SiteVm::is_running) {
+        let began = Instant::now();
+        while began.elapsed() < MAX_RECOVERY && !self.vms.iter().all(SiteVm::is_running) {
             self.step_vms();
             thread::sleep(STEP_INTERVAL);
         }
@@ -162,15 +166,14 @@
         &mut self,
         records: &[Record],
     ) -> Vec<String> {
-        for vm in &mut self.vms {
-            vm.await_log();
-        }
+        let mut violations: Vec<String> =
+            self.vms.iter_mut().filter_map(SiteVm::await_log).collect();
         let logs: Vec<VmLog> = self
             .vms
             .iter()
             .map(|vm| VmLog::read(&vm.whole_log()))
             .collect();
-        let mut violations: Vec<String> = logs.iter().flat_map(|log| log.panics.clone()).collect();
+        violations.extend(logs.iter().flat_map(|log| log.panics.clone()));
         violations.extend(self.vms.iter().filter_map(SiteVm::own_end));
         let runs = self.runs();
         let runs_of = |record: &Record| runs.get(&record.id).copied().unwrap_or_default();
--- a/crates/entry/tests/soak/site/vm.rs
+++ b/crates/entry/tests/soak/site/vm.rs
@@ -1,11 +1,12 @@
 use {
     super::outage::Outage,
-    crate::deployment::{Vm, wait_until},
+    crate::deployment::Vm,
     nix::sys::signal::Signal,
     serde_json::json,
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex},
+        thread,
         time::{Duration, Instant},
     },
 };
@@ -13,6 +14,10 @@
 /// Delay between the exit of a process and its restart.
 const RESTART_DELAY: Duration = Duration::from_millis(200);
 
+/// How late a VM may be in doing what a signal asks.
+const MAX_LATE: Duration = Duration::from_secs(5);
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Where clients reach a VM; changes as it starts again.
 pub type VmAddress = Arc<Mutex<SocketAddr>>;
 
@@ -134,13 +139,23 @@
             .then(|| format!("{} has ended by itself", self.name))
     }
 
-    /// Waits until the lines of requests that have ended are written: those come before that of a SIGHUP.
-    pub fn await_log(&mut self) {
-        let Some(vm) = &mut self.vm else { return };
+    /// Waits until the lines of requests that have ended are written, which come before that of a SIGHUP; returns what
+    /// keeps it from that.
+    pub fn await_log(&mut self) -> Option<String> {
+        let Some(vm) = &mut self.vm else {
+            return Some(format!("{} is down", self.name));
+        };
         let count = || vm.log().matches("event=reload_asked").count();
         let before = count();
         vm.signal(Signal::SIGHUP);
-        wait_until("the logs are written", || count() > before);
+        let began = Instant::now();
+        while count() == before {
+            if began.elapsed() > MAX_LATE {
+                return Some(format!("{} didn't heed a SIGHUP", self.name));
+            }
+            thread::sleep(POLL_INTERVAL);
+        }
+        None
     }
 
     pub fn whole_log(&self) -> String {
