--- a/crates/entry/src/upstream/connection.rs
+++ b/crates/entry/src/upstream/connection.rs
@@ -1,5 +1,8 @@
 use {
-    crate::http1::{BodyPart, BodyReader, HttpError, ResponseHead, parse_response_head},
+    super::{ReadBudget, ReadCharge},
+    crate::http1::{
+        BodyPart, BodyReader, Framing, HeadScanner, HttpError, ResponseHead, parse_response_head,
+    },
     bytes::{Buf, Bytes, BytesMut},
     jasmine_core::clock::Millis,
     jasmine_platform::headers::ResponseHeaders,
@@ -17,6 +20,10 @@
 const READ_BYTES: usize = 4 << 10;
 /// Most responses to other requests that are skipped before the matching one.
 const MAX_STRAY_RESPONSES: u32 = 2;
+/// Most bytes of the body of a skipped response.
+const MAX_STRAY_BYTES: usize = 1 << 20;
+/// Most interim responses (1xx) before the matching one; servers send one or a few.
+const MAX_INTERIM_RESPONSES: u32 = 32;
 
 /// Why an exchange failed; the request may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -70,6 +77,8 @@
 pub struct Connection {
     stream: TcpStream,
     buf: BytesMut,
+    peer: SocketAddr,
+    budget: ReadBudget,
     /// When it became idle.
     pub(super) idle_since: Millis,
     /// How long it may stay idle and still be reused.
@@ -77,7 +86,7 @@
 }
 
 impl Connection {
-    /// Opens a TCP connection, from a local address if one is given.
+    /// Opens a TCP connection, from a local address if one is given; what is buffered of its answers takes of `budget`.
     ///
     /// # Errors
     ///
@@ -85,6 +94,7 @@
     pub async fn open(
         address: SocketAddr,
         source: Option<Ipv4Addr>,
+        budget: ReadBudget,
     ) -> io::Result<Self> {
         let stream = match source {
             None => TcpStream::connect(address).await?,
@@ -98,11 +108,18 @@
         Ok(Self {
             stream,
             buf: BytesMut::new(),
+            peer: address,
+            budget,
             idle_since: Millis::ZERO,
             idle_timeout: Millis::ZERO,
         })
     }
 
+    /// The charge of what is buffered of an answer on this connection, for no bytes yet.
+    pub fn read_charge(&self) -> ReadCharge {
+        self.budget.charge(self.peer)
+    }
+
     /// Whether the connection is open and has no unread data.
     ///
     /// On a reused connection, a surplus response would be taken for the next request's.
@@ -131,12 +148,18 @@
     {
         let mut sent = 0;
         let mut stray = 0;
+        let mut interim = 0;
+        let mut scanner = HeadScanner::default();
+        let mut charge = self.read_charge();
         loop {
-            while let Some((head, len)) = parse_response_head(&self.buf, method)? {
+            while let Some((head, len)) = parse_response_head(&self.buf, method, &mut scanner)? {
                 self.buf.advance(len);
                 let is_request_sent = sent == request.len();
                 match head.status {
-                    100..=199 => {}
+                    100..=199 if interim >= MAX_INTERIM_RESPONSES => {
+                        return Err(ExchangeError::Invalid);
+                    }
+                    100..=199 => interim += 1,
                     _ if is_match(&head) => {
                         return Ok(ResponseStart {
                             head,
@@ -160,6 +183,9 @@
                     if read? == 0 {
                         return Err(ExchangeError::Lost);
                     }
+                    if !charge.cover(self.buf.len()) {
+                        return Err(ExchangeError::Invalid);
+                    }
                 }
             }
         }
@@ -188,7 +214,7 @@
         }
     }
 
-    /// Reads a whole body of at most `max` bytes.
+    /// Reads a whole body of at most `max` bytes, within the budget for all of them.
     ///
     /// # Errors
     ///
@@ -202,22 +228,35 @@
         let Some(first) = self.body(&mut reader).await? else {
             return Ok(Bytes::new());
         };
+        let mut charge = self.read_charge();
         let mut whole = BytesMut::from(first);
         while let Some(data) = self.body(&mut reader).await? {
-            if whole.len() + data.len() > max {
+            let len = whole.len() + data.len();
+            if len > max || !charge.cover(len) {
                 return Err(ExchangeError::Invalid);
             }
             whole.extend_from_slice(&data);
         }
-        Ok(whole.freeze())
+        Ok(charge.attach(whole.freeze()))
     }
 
+    /// Skips the body of a stray response.
     async fn discard_body(
         &mut self,
         head: &ResponseHead,
     ) -> Result<(), ExchangeError> {
+        // No answer can follow a body that ends with the connection.
+        if head.framing == Framing::UntilClose {
+            return Err(ExchangeError::Invalid);
+        }
         let mut reader = BodyReader::new(head.framing);
-        while self.body(&mut reader).await?.is_some() {}
+        let mut skipped = 0;
+        while let Some(data) = self.body(&mut reader).await? {
+            skipped += data.len();
+            if skipped > MAX_STRAY_BYTES {
+                return Err(ExchangeError::Invalid);
+            }
+        }
         Ok(())
     }
 }
