--- a/crates/entry/tests/soak/site/outage.rs
+++ b/crates/entry/tests/soak/site/outage.rs
@@ -18,6 +18,10 @@
 }
 
 impl Outage {
+    pub const fn lasts(&self) -> bool {
+        self.up_at.is_none()
+    }
+
     /// Why a request that ended then without an answer may have done so.
     pub fn excuse(
         &self,
--- a/crates/entry/tests/soak/site/vm.rs
+++ b/crates/entry/tests/soak/site/vm.rs
@@ -67,8 +67,7 @@
     }
 
     fn is_stopping(&self) -> bool {
-        let last = self.outages.last();
-        last.is_some_and(|outage| outage.up_at.is_none())
+        self.outages.iter().any(Outage::lasts)
     }
 
     pub fn signal(
@@ -87,21 +86,13 @@
         &mut self,
         signal: Signal,
     ) {
-        let is_killed = signal == Signal::SIGKILL;
-        let signalled = Instant::now();
-        match self.outages.last_mut() {
-            Some(outage) if outage.up_at.is_none() => {
-                if is_killed && !outage.is_killed {
-                    (outage.is_killed, outage.signalled) = (true, signalled);
-                }
-            }
-            _ => self.outages.push(Outage {
-                is_killed,
-                signalled,
-                down_from: None,
-                up_at: None,
-            }),
-        }
+        // It may be killed while it is being stopped.
+        self.outages.push(Outage {
+            is_killed: signal == Signal::SIGKILL,
+            signalled: Instant::now(),
+            down_from: None,
+            up_at: None,
+        });
         self.signal(signal);
     }
 
@@ -118,16 +109,16 @@
                 self.log = self.whole_log();
                 self.vm = None;
                 self.has_ended |= !self.is_stopping();
-                if let Some(outage) = self.outages.last_mut() {
-                    outage.down_from = Some(self.seen_running);
+                for outage in self.outages.iter_mut().filter(|outage| outage.lasts()) {
+                    outage.down_from.get_or_insert(self.seen_running);
                 }
             }
             None if now >= self.seen_running + RESTART_DELAY => {
                 let vm = start_vm(store, &self.name, self.data_centre);
                 *self.address.lock().unwrap() = vm.callers;
                 self.vm = Some(vm);
-                if let Some(outage) = self.outages.last_mut() {
-                    outage.up_at = Some(Instant::now());
+                for outage in &mut self.outages {
+                    outage.up_at.get_or_insert_with(Instant::now);
                 }
             }
             None => {}
