Answers that break at one moment are one crash

Cause: three crashes count whatever lies between them, as soon as one of their prompts was sent after the first.

Change: upstreams that end within 150 ms of each other, under prompts that were all sent before, count once towards the three. A request that crashes one engine right after the other counts as before, as it is sent again after each crash.

Evidence: links_that_break_are_one_crash failed before.

--- a/crates/core/src/quarantine/suspect.rs
+++ b/crates/core/src/quarantine/suspect.rs
@@ -6,6 +6,8 @@
 
 /// Crashes of different upstreams under a part from which it may be quarantined.
 const MIN_CRASHES: usize = 3;
+/// Upstreams that end sooner after each other, under prompts that were all sent before, end together.
+const MAX_TOGETHER: Millis = Millis(150);
 
 /// A part that crashes accuse, and which of them by their index.
 #[derive(Clone, Debug)]
@@ -72,7 +74,26 @@
     accusing.sort_by_key(|crash| crash.at);
     let first = accusing.first()?.at;
     let is_later = |crash: &&Crash| crash.sent_at(part) >= Some(first);
-    let enough = accusing.get(MIN_CRASHES - 1)?.at;
     let later = accusing.iter().find(|crash| is_later(crash))?.at;
+    let enough = *separate_ends(part, &accusing).get(MIN_CRASHES - 1)?;
     Some(enough.max(later))
 }
+
+/// When upstreams ended, once for those that ended together; the crashes are sorted by time.
+///
+/// Links that break, as a VM's do when they are reset, break the answers of several upstreams at one moment.
+fn separate_ends(
+    part: PartId,
+    accusing: &[&Crash],
+) -> Vec<Millis> {
+    let mut ends: Vec<Millis> = Vec::new();
+    for crash in accusing {
+        let is_separate = ends.last().is_none_or(|&last| {
+            crash.at.since(last) >= MAX_TOGETHER || crash.sent_at(part) >= Some(last)
+        });
+        if is_separate {
+            ends.push(crash.at);
+        }
+    }
+    ends
+}
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -118,6 +118,20 @@
     world.end(number, Outcome::Answered { took: Millis(20) });
 }
 
+/// A report of an upstream that crashed so long ago, under a prompt with these parts that was sent so long ago.
+fn report(
+    (id, ago, sent_ago): (u32, u64, u64),
+    parts: &[u64],
+) -> CrashReport {
+    let accused = parts.iter();
+    let accused = accused.map(|&part| (PartId::Part(part), Millis(sent_ago)));
+    CrashReport {
+        upstream: UpstreamId(id),
+        ago: Millis(ago),
+        accused: accused.collect(),
+    }
+}
+
 fn crashes_until_known(
     world: &mut World,
     parts: &[u64],
@@ -309,6 +323,37 @@
     assert!(is_quarantined(&mut world, &[OTHER, BAD]), "told apart");
 }
 
+#[test]
+fn links_that_break_are_one_crash() {
+    // Guards against a VM's links that are reset and break answers of several engines at one moment.
+    let mut world = world();
+    answer(&mut world, &[FIRST, OTHER]);
+    let crashes = [
+        (0, 5_000, 5_050),
+        (1, 3_000, 3_050),
+        (2, 2_990, 3_040),
+        (3, 2_980, 3_060),
+    ];
+    let now = world.now;
+    let reports = crashes.map(|crash| report(crash, &[FIRST, OTHER]));
+    world.scheduler.add_crashes(&reports, now);
+    world.advance(3_000);
+    assert!(!is_quarantined(&mut world, &[FIRST, OTHER]));
+}
+
+#[test]
+fn crashes_in_quick_succession_count() {
+    // Guards against taking for one crash what a request does to one engine right after the other.
+    let mut world = world();
+    answer(&mut world, &[FIRST, OTHER]);
+    let crashes = [(4, 2_000, 2_050), (5, 1_950, 1_990), (6, 1_900, 1_940)];
+    let now = world.now;
+    let reports = crashes.map(|crash| report(crash, &[FIRST, BAD]));
+    world.scheduler.add_crashes(&reports, now);
+    world.advance(3_000);
+    assert!(is_quarantined(&mut world, &[FIRST, BAD]));
+}
+
 #[test]
 fn prompts_in_the_queue_are_refused() {
     // Guards against queued prompts that are still sent after the verdict.
