An answer that ends with its upstream is one crash with it, however late its VM notices

Cause: reports of one upstream were one crash within 1.5 s only.

Change: a report under prompts that were sent before a known crash of the same upstream is one of that crash.

Evidence: a_crash_that_is_noticed_late_counts_once failed before (3 crashes where there were 2).

--- a/crates/core/src/quarantine/crash.rs
+++ b/crates/core/src/quarantine/crash.rs
@@ -55,13 +55,19 @@
         self.accused.get(&part).copied()
     }
 
-    /// Whether a report of a crash of `upstream` at `at` is one of this crash.
+    /// Whether a report of a crash of `upstream` at `at`, under prompts that were sent until `sent_at`, is one of this
+    /// crash.
+    ///
+    /// What was under way at the crash ended with it, even if its VM notices later.
     pub(super) fn is_same(
         &self,
         upstream: UpstreamId,
+        sent_at: Millis,
         at: Millis,
     ) -> bool {
-        self.upstream == upstream && self.at.since(at).max(at.since(self.at)) < MIN_RESTART_TIME
+        let is_close = self.at.since(at).max(at.since(self.at)) < MIN_RESTART_TIME;
+        let was_under_way = (sent_at..=at).contains(&self.at);
+        self.upstream == upstream && (is_close || was_under_way)
     }
 
     /// Whether something from the upstream at `now` shows that it didn't crash.
--- a/crates/core/src/quarantine/crash_log.rs
+++ b/crates/core/src/quarantine/crash_log.rs
@@ -34,11 +34,14 @@
         now: Millis,
     ) {
         self.forget_old(now);
-        if parts.is_empty() || now.since(at) >= RETENTION {
+        let Some(sent_at) = parts.iter().map(|&(_, sent_at)| sent_at).max() else {
+            return;
+        };
+        if now.since(at) >= RETENTION {
             return;
         }
         let mut known = (0..self.crashes.len()).rev();
-        let index = known.find(|&index| self.crashes[index].is_same(upstream, at));
+        let index = known.find(|&index| self.crashes[index].is_same(upstream, sent_at, at));
         let index = index.unwrap_or_else(|| {
             let index = self.crashes.partition_point(|crash| crash.at <= at);
             self.crashes.insert(index, Crash::new(upstream, at));
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -354,6 +354,22 @@
     assert!(is_quarantined(&mut world, &[FIRST, BAD]));
 }
 
+#[test]
+fn a_crash_that_is_noticed_late_counts_once() {
+    // Guards against an answer that ends with its upstream, is missed by its VM for seconds, and counts as a crash more.
+    let mut world = world();
+    let crashes = [
+        (1, 4_000, 4_050, BAD),
+        (2, 3_000, 3_050, BAD),
+        (2, 1_000, 3_040, OTHER),
+    ];
+    let now = world.now;
+    let reports = crashes.map(|(id, ago, sent, part)| report((id, ago, sent), &[FIRST, part]));
+    world.scheduler.add_crashes(&reports, now);
+    world.advance(3_000);
+    assert_eq!(world.scheduler.crashes(world.now).len(), 2);
+}
+
 #[test]
 fn prompts_in_the_queue_are_refused() {
     // Guards against queued prompts that are still sent after the verdict.
