A part that crashes engines beside each of several others is found

Callers lost engine after engine: under prompts with a crashing first part of which each second part was sent three times, only the pairs of first and second part were refused, and the next second part crashed three more engines, without end.

Cause: a crash that a set of parts explains counted no more against a single one of the set.

Change: a part counts up to three crashes of each set that it is in, and all that no verdict explains; from seven on it is refused by itself.

--- a/crates/core/src/quarantine/part_quarantine.rs
+++ b/crates/core/src/quarantine/part_quarantine.rs
@@ -1,12 +1,18 @@
 use {
     super::{
-        CrashReport, PartSet, crash::Crash, crash_log::CrashLog, recent_parts::RecentParts,
-        suspect::Suspect, trials::Trials, verdict::Verdict,
+        CrashReport, PartSet,
+        crash::Crash,
+        crash_log::CrashLog,
+        recent_parts::RecentParts,
+        suspect::{MIN_CRASHES, Suspect},
+        trials::Trials,
+        verdict::Verdict,
     },
     crate::{
         clock::Millis,
         ids::{PartId, RequestId, UpstreamId},
     },
+    std::collections::BTreeMap,
 };
 
 /// Most verdicts that are kept; the oldest go first.
@@ -15,6 +21,8 @@
 const MIN_TRIAL_CRASHES: usize = 2;
 /// Most parts that are refused only together.
 const MAX_SET_LEN: usize = 8;
+/// Crashes from which a part is the cause, even if several others that prompts have beside it explain them as well.
+const MAX_SHARED_CRASHES: usize = 7;
 /// How long several suspects wait for answers that acquit all but one.
 const ACQUITTAL_TIME: Millis = Millis(1_200);
 
@@ -219,6 +227,9 @@
         self.crashes.forget_old(now);
         self.due = self.crashes.next_settled(now);
         self.undecided.clear();
+        if let Some((part, crashes)) = self.cause_of_sets(now) {
+            self.insert(PartSet::from([part]), crashes, now);
+        }
         loop {
             let unexplained: Vec<&Crash> = self
                 .crashes
@@ -275,13 +286,48 @@
         &self,
         crash: &Crash,
     ) -> bool {
-        let mut verdicts = self.verdicts.iter();
-        verdicts.any(|verdict| {
-            verdict
-                .parts
-                .iter()
-                .all(|part| crash.accused.contains_key(part))
-        })
+        self.verdicts.iter().any(|verdict| verdict.explains(crash))
+    }
+
+    /// A part that crashes upstreams beside each of several others and is only refused together with them, and how many
+    /// crashes accuse it that no verdict explains without it.
+    ///
+    /// Of the crashes under one set of parts as many count as are enough for its verdict, as the others of the set may
+    /// have caused any number.
+    fn cause_of_sets(
+        &self,
+        now: Millis,
+    ) -> Option<(PartId, usize)> {
+        let sets = self.verdicts.iter().filter(|one| one.parts.len() > 1);
+        let parts = sets.flat_map(|one| one.parts.iter().copied());
+        let is_accused = |part: &PartId| self.crashes.accusations(*part) >= MAX_SHARED_CRASHES;
+        let candidates: PartSet = parts.filter(is_accused).collect();
+        if candidates.is_empty() {
+            return None;
+        }
+        let mut counts: BTreeMap<PartId, BTreeMap<Option<usize>, usize>> = BTreeMap::new();
+        for crash in self.crashes.iter().filter(|crash| crash.is_settled(now)) {
+            let verdicts = self.verdicts.iter().enumerate();
+            let explaining: Vec<_> = verdicts.filter(|(_, one)| one.explains(crash)).collect();
+            let set = explaining.first().map(|&(index, _)| index);
+            let mut sets = explaining.iter().map(|(_, one)| &one.parts);
+            let parts = sets.next().unwrap_or(&candidates);
+            let others: Vec<_> = sets.collect();
+            for &part in parts.iter().filter(|part| crash.accused.contains_key(part)) {
+                if others.iter().all(|other| other.contains(&part)) {
+                    *counts.entry(part).or_default().entry(set).or_default() += 1;
+                }
+            }
+        }
+        let totals = counts.into_iter().map(|(part, counts)| {
+            let counts = counts.into_iter().map(|(set, count)| match set {
+                Some(_) => count.min(MIN_CRASHES),
+                None => count,
+            });
+            (part, counts.sum::<usize>())
+        });
+        let mut causes = totals.filter(|&(_, count)| count >= MAX_SHARED_CRASHES);
+        causes.find(|&(part, _)| !self.refuses(&[part]))
     }
 
     fn insert(
--- a/crates/core/src/quarantine/suspect.rs
+++ b/crates/core/src/quarantine/suspect.rs
@@ -5,7 +5,7 @@
 };
 
 /// Crashes of different upstreams under a part from which it may be quarantined.
-const MIN_CRASHES: usize = 3;
+pub(super) const MIN_CRASHES: usize = 3;
 /// Upstreams that end sooner after each other, under prompts that were all sent before, end together.
 const MAX_TOGETHER: Millis = Millis(150);
 
--- a/crates/core/src/quarantine/verdict.rs
+++ b/crates/core/src/quarantine/verdict.rs
@@ -1,4 +1,5 @@
 use {
+    super::crash::Crash,
     crate::{clock::Millis, ids::PartId},
     std::collections::BTreeSet,
 };
@@ -58,6 +59,15 @@
         true
     }
 
+    /// Whether a crash accuses all of the parts.
+    pub(super) fn explains(
+        &self,
+        crash: &Crash,
+    ) -> bool {
+        let mut parts = self.parts.iter();
+        parts.all(|part| crash.accused.contains_key(part))
+    }
+
     /// Whether a prompt with these parts is refused.
     pub(super) fn applies_to(
         &self,
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -16,6 +16,8 @@
 
 /// Crashes after which a part has to be known.
 const MAX_CRASHES: usize = 5;
+/// Requests with a part that may reach engines once it has to be known.
+const MAX_LATE: usize = 3;
 /// Time between two crashes.
 const CRASH_GAP: u64 = 400;
 const FIRST: u64 = 1;
@@ -370,6 +372,20 @@
     assert_eq!(world.scheduler.crashes(world.now).len(), 2);
 }
 
+#[test]
+fn a_first_part_is_found_beside_parts_refused_with_it() {
+    // Guards against a crashing part of which only the sets with other parts are ever refused.
+    let mut world = world();
+    let crashes = (0..60).filter(|round| {
+        let is_sent = crash(&mut world, &[FIRST, 100 + round / 3]);
+        world.advance(2_000);
+        is_sent
+    });
+    let crashes = crashes.count();
+    assert!(crashes <= MAX_CRASHES + MAX_LATE, "{crashes} crashes");
+    assert!(is_quarantined(&mut world, &[FIRST, OTHER]));
+}
+
 #[test]
 fn prompts_in_the_queue_are_refused() {
     // Guards against queued prompts that are still sent after the verdict.
