--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -42,7 +42,7 @@
 /// How an attempt began.
 pub(super) enum Start {
     /// A response for the caller has begun.
-    Responding(StartedResponse),
+    Responding(Box<StartedResponse>),
     /// The attempt failed before that.
     Failed(Failure),
     /// Nothing was sent, nor should it be.
@@ -430,7 +430,7 @@
                     ..Failure::may_have_run(Outcome::Failed)
                 })
             }
-            _ => Start::Responding(response),
+            _ => Start::Responding(Box::new(response)),
         }
     }
 }
--- a/crates/entry/src/forward/in_flight.rs
+++ b/crates/entry/src/forward/in_flight.rs
@@ -153,7 +153,7 @@
     last_event: Option<u64>,
 ) -> (Result<Piece, AttemptError>, Stage) {
     let response = match attempt.start(after_event).await {
-        Start::Responding(response) => response,
+        Start::Responding(response) => *response,
         Start::Failed(failure) => return (Err(failure.into()), Stage::Ended),
         Start::Refused(kind) => return (Err(AttemptError::Refused(kind)), Stage::Ended),
     };
