--- a/crates/entry/src/forward/stream_reader.rs
+++ b/crates/entry/src/forward/stream_reader.rs
@@ -9,11 +9,15 @@
     bytes::{Bytes, BytesMut},
     jasmine_core::scheduler::Outcome,
     std::rc::Rc,
+    tokio::task::yield_now,
 };
 
 /// Most bytes of events without an id that are held back.
 const MAX_HELD_BYTES: usize = 64 << 10;
 
+/// Reads without an event after which other tasks, and the deadline, get their turn.
+const READS_PER_TURN: u32 = 16;
+
 /// Complete events of a stream.
 #[derive(Debug, Default)]
 pub(super) struct EventBatch {
@@ -82,7 +86,12 @@
         &mut self,
         attempt: &AttemptContext,
     ) -> Result<Option<EventBatch>, Failure> {
+        let mut reads = 0;
         while let Some(data) = self.read_part(attempt).await? {
+            reads += 1;
+            if reads % READS_PER_TURN == 0 {
+                yield_now().await;
+            }
             if attempt.trace.get().received_at.is_none() {
                 attempt.note_begun();
             }
