Callers: 16 MiB for what is buffered of requests

An attempt holds the body of its request once more, so that 24 MiB were 48 and, with the other budgets, over 128 MB before the first connection. Evidence: computed; babbling_callers::bodies_of_all_callers_are_bounded passes with 16 MiB.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -22,8 +22,8 @@
     tokio::{sync::watch, time::timeout},
 };
 
-/// Most bytes of callers' requests that are buffered at once, but for the first of each.
-const MAX_CALLER_BYTES: usize = 24 << 20;
+/// Most bytes of callers' requests that are buffered at once, but for the first of each; an attempt holds them once more.
+const MAX_CALLER_BYTES: usize = 16 << 20;
 
 /// The stages of a planned stop, in order.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
