--- a/crates/entry/tests/faults_in_pairs.rs
+++ b/crates/entry/tests/faults_in_pairs.rs
@@ -28,9 +28,9 @@
 /// Longer than a VM holds log lines back.
 const LOG_DELAY: Duration = Duration::from_millis(200);
 /// When the requests of a cell are sent: the first ones together, the later ones beside traces of the first.
-const SEND_AT: [u64; 5] = [0, 0, 100, 300, 700];
+const SEND_AT: [u64; 5] = [0, 0, 100, 300, 500];
 /// Cells that run at a time.
-const MAX_CELLS: usize = 12;
+const MAX_CELLS: usize = 18;
 /// The VM that has lost its links to the upstreams.
 const CUT_OFF: usize = 1;
 
@@ -45,7 +45,7 @@
     Resetting,
     Hung,
     Unsealed,
-    Babbling(BabbleAt),
+    Babbling(BabbleAt, Pace),
 }
 
 const SILENT: Kind = Kind::Silent(2_000);
@@ -56,9 +56,14 @@
     SILENT,
     Kind::Silent(3_000),
 ];
-const BABBLING_HEAD: Kind = Kind::Babbling(BabbleAt::HeaderLines);
-const BABBLING_BODY: Kind = Kind::Babbling(BabbleAt::LongBody);
-const BABBLING_EVENT: Kind = Kind::Babbling(BabbleAt::Event(GOOD_EVENTS));
+/// Slow enough that many cells run side by side.
+const PACE: Pace = Pace {
+    bytes: 50,
+    interval: Duration::from_millis(10),
+};
+const BABBLING_HEAD: Kind = Kind::Babbling(BabbleAt::HeaderLines, PACE);
+const BABBLING_BODY: Kind = Kind::Babbling(BabbleAt::LongBody, PACE);
+const BABBLING_EVENT: Kind = Kind::Babbling(BabbleAt::Event(GOOD_EVENTS), PACE);
 const IN_TROUBLE: [Kind; 8] = [
     Kind::Full,
     Kind::Failing,
@@ -113,10 +118,7 @@
             (Self::Resetting, _) => Behaviour::Reset,
             (Self::Hung, _) => Behaviour::Hang,
             (Self::Unsealed, _) => Behaviour::Unsealed,
-            (Self::Babbling(at), _) => Behaviour::Babble(Babble {
-                at,
-                pace: Pace::SLOW,
-            }),
+            (Self::Babbling(at, pace), _) => Behaviour::Babble(Babble { at, pace }),
         }
     }
 }
@@ -410,7 +412,7 @@
 }
 
 fn assert_beside_each_babble(target: Target) {
-    let beside = |at| Cell::new(target, &[Kind::Sound, Kind::Babbling(at)]);
+    let beside = |at| Cell::new(target, &[Kind::Sound, Kind::Babbling(at, Pace::SLOW)]);
     assert_all(&BABBLES.map(beside));
 }
 
@@ -423,6 +425,16 @@
     assert_all(&IN_TROUBLE.map(cell));
 }
 
+/// The same beside two that hold a request without answering it.
+fn assert_on_third_attempt(target: Target) {
+    let holding = [Kind::Hung, BABBLING_HEAD, BABBLING_BODY, BABBLING_EVENT];
+    let cells = pairs(&holding).into_iter().map(|[one, other]| Cell {
+        zones: vec!["two", "one", "one"],
+        ..Cell::new(target, &[SILENT, one, other])
+    });
+    assert_all(&cells.collect::<Vec<_>>());
+}
+
 fn assert_through_a_relay(target: Target) {
     let cells = IN_TROUBLE.into_iter().flat_map(|trouble| {
         [Kind::Sound, SILENT].map(|sound| Cell {
@@ -623,3 +635,15 @@
     });
     assert_all(&cells.collect::<Vec<_>>());
 }
+
+#[test]
+fn streams_on_third_attempts() {
+    // Guards against waiting for two upstreams that hold a stream while a sound one could still be asked.
+    assert_on_third_attempt(Target::Stream);
+}
+
+#[test]
+fn calls_on_third_attempts() {
+    // Guards against waiting for two upstreams that hold a call while a sound one could still be asked.
+    assert_on_third_attempt(Target::Call);
+}
