--- a/crates/gateway/tests/gateway/once_only.rs
+++ b/crates/gateway/tests/gateway/once_only.rs
@@ -23,7 +23,8 @@
     let answer = support::answer(&enrolment(&fixture)).await;
     assert_eq!(answer.code(), "upstream_lost", "{answer:?}");
     assert_eq!(answer.json["error"]["execution"], "outcome_unknown");
-    assert_eq!(fixture.served_calls().await.len(), 1);
+    let served_calls = fixture.served_calls().await;
+    assert_eq!(served_calls.len(), 1, "{served_calls:?}");
 }
 
 #[actix_rt::test]
@@ -34,7 +35,8 @@
     let answer = support::answer(&enrolment(&fixture)).await;
     assert_eq!(answer.code(), "deadline_exceeded", "{answer:?}");
     assert_eq!(answer.json["error"]["execution"], "outcome_unknown");
-    assert_eq!(fixture.served_calls().await.len(), 1);
+    let served_calls = fixture.served_calls().await;
+    assert_eq!(served_calls.len(), 1, "{served_calls:?}");
 }
 
 #[actix_rt::test]
