An answer that breaks after seconds of silence shows nothing about its prompt

Cause: an answer that broke off was a crash if it had received data for less than a second, however long ago that was.

Change: one that breaks more than 2 s after its last data shows nothing; an engine that crashes ends its connections at once.

Evidence: answers_that_break_after_silence_show_nothing failed before.

--- a/crates/core/src/quarantine/answer_trace.rs
+++ b/crates/core/src/quarantine/answer_trace.rs
@@ -3,6 +3,9 @@
 /// An answer that breaks off sooner after its begin may be broken by what it answers.
 const MAX_CRASH_DELAY: Millis = Millis(1_000);
 
+/// A crash ends the connection of an answer sooner after its last data; an upstream that was silent for longer lived on.
+const MAX_CRASH_SILENCE: Millis = Millis(2_000);
+
 /// How the answer of an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnswerEnd {
@@ -49,9 +52,11 @@
             begun_ago: self.begun_ago,
         };
         let goes_on = self.received_for >= MAX_CRASH_DELAY;
+        let was_silent = self.begun_ago.since(self.received_for) > MAX_CRASH_SILENCE;
         match self.end {
             AnswerEnd::Whole => sound,
             _ if goes_on => sound,
+            AnswerEnd::Broken if was_silent => PromptEvidence::None,
             AnswerEnd::Broken => PromptEvidence::Crash,
             AnswerEnd::Closed | AnswerEnd::GivenUp => PromptEvidence::None,
         }
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -386,6 +386,17 @@
     assert!(is_quarantined(&mut world, &[FIRST, OTHER]));
 }
 
+#[test]
+fn answers_that_break_after_silence_show_nothing() {
+    // Guards against taking for crashes what silent upstreams cut off seconds after they had begun it.
+    let trace = AnswerTrace {
+        begun_ago: Millis(2_760),
+        received_for: Millis(20),
+        end: AnswerEnd::Broken,
+    };
+    assert_eq!(trace.evidence(), PromptEvidence::None);
+}
+
 #[test]
 fn prompts_in_the_queue_are_refused() {
     // Guards against queued prompts that are still sent after the verdict.
