Reports of crashes that reach a leader late make no new evidence

Cause: times in reports count back from their arrival, and of a crash that is known already only its own time was kept.

Change: when a prompt was sent counts from the time of the known crash.

Evidence: late_reports_make_no_new_evidence failed before.

--- a/crates/core/src/quarantine/crash_log.rs
+++ b/crates/core/src/quarantine/crash_log.rs
@@ -40,8 +40,7 @@
         if now.since(at) >= RETENTION {
             return;
         }
-        let mut known = (0..self.crashes.len()).rev();
-        let index = known.find(|&index| self.crashes[index].is_same(upstream, sent_at, at));
+        let index = self.find(upstream, sent_at, at);
         let index = index.unwrap_or_else(|| {
             let index = self.crashes.partition_point(|crash| crash.at <= at);
             self.crashes.insert(index, Crash::new(upstream, at));
@@ -59,6 +58,37 @@
         }
     }
 
+    /// Records a crash that another VM has told.
+    ///
+    /// A report that comes late moves all its times. For a crash that is known already, its own time counts.
+    pub(super) fn note_report(
+        &mut self,
+        report: &CrashReport,
+        now: Millis,
+    ) {
+        let at = now.since(report.ago);
+        let sent_ago = report.accused.iter().map(|&(_, sent_ago)| sent_ago).min();
+        let sent_at = now.since(sent_ago.unwrap_or_default());
+        let known = self.find(report.upstream, sent_at, at);
+        let known_at = known.map_or(at, |index| self.crashes[index].at);
+        let accused = report.accused.iter();
+        let accused: Vec<_> = accused
+            .map(|&(part, sent_ago)| (part, known_at.since(sent_ago.since(report.ago))))
+            .collect();
+        self.note(report.upstream, &accused, at, now);
+    }
+
+    /// The crash that a report of `upstream` at `at`, under prompts that were sent until `sent_at`, is of.
+    fn find(
+        &self,
+        upstream: UpstreamId,
+        sent_at: Millis,
+        at: Millis,
+    ) -> Option<usize> {
+        let mut known = (0..self.crashes.len()).rev();
+        known.find(|&index| self.crashes[index].is_same(upstream, sent_at, at))
+    }
+
     /// Acquits parts of the crashes until `until`.
     pub(super) fn acquit(
         &mut self,
--- a/crates/core/src/quarantine/part_quarantine.rs
+++ b/crates/core/src/quarantine/part_quarantine.rs
@@ -71,6 +71,15 @@
         self.crashes.note(upstream, parts, at, now);
     }
 
+    /// Records a crash that another VM has told.
+    pub fn note_report(
+        &mut self,
+        report: &CrashReport,
+        now: Millis,
+    ) {
+        self.crashes.note_report(report, now);
+    }
+
     /// Records that an upstream sends something, so that it hasn't crashed just before.
     pub fn note_alive(
         &mut self,
--- a/crates/core/src/scheduler/state_machine/quarantine.rs
+++ b/crates/core/src/scheduler/state_machine/quarantine.rs
@@ -70,13 +70,7 @@
         now: Millis,
     ) {
         for crash in crashes {
-            let accused = crash.accused.iter();
-            let accused: Vec<_> = accused
-                .map(|&(part, sent_ago)| (part, now.since(sent_ago)))
-                .collect();
-            let at = now.since(crash.ago);
-            self.quarantine
-                .note_crash(crash.upstream, &accused, at, now);
+            self.quarantine.note_report(crash, now);
         }
         self.is_evidence_new |= !crashes.is_empty();
     }
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -397,6 +397,21 @@
     assert_eq!(trace.evidence(), PromptEvidence::None);
 }
 
+#[test]
+fn late_reports_make_no_new_evidence() {
+    // Guards against a VM's reports that reach a suspended leader late, and then seem to speak of later prompts.
+    let mut world = world();
+    let crashes = [(1, 300, 700), (2, 299, 700), (3, 298, 700)];
+    let reports = crashes.map(|crash| report(crash, &[FIRST, OTHER]));
+    for _ in 0..2 {
+        let now = world.now;
+        world.scheduler.add_crashes(&reports, now);
+        world.advance(900);
+    }
+    world.advance(3_000);
+    assert!(!is_quarantined(&mut world, &[FIRST, OTHER]));
+}
+
 #[test]
 fn prompts_in_the_queue_are_refused() {
     // Guards against queued prompts that are still sent after the verdict.
