What several crashing parts share is not refused for them

Callers saw all prompts with a sound first part refused, for long or for good, once two other parts beside it crashed engines: three crashes under both accuse the first part most. Seen at VMs and leaders that had just started, which knew no sound answer with it, and at some that had answered it before both parts began to crash engines.

Cause: the only suspect that was never sound was refused at once, and one that was sound after one more crash, whatever else its crashed prompts had in common.

Change: a part is not refused while a few others, two crashes each on average and none of them seen sound later, explain all of its crashes but one. It goes one request at a time, so that a sound prompt clears it; what is found among the others is refused with it. A part that was never sound is refused at once only if one of its crashes has no other explanation, and otherwise after one more.

Evidence: two_crashing_parts_leave_their_first_part_in_service, two_crashing_parts_are_found_without_sound_prompts, two_crashing_parts_leave_a_sound_first_part_in_service and parts_that_were_sound_leave_their_first_part_in_service failed before.

--- a/crates/core/src/quarantine/part_quarantine.rs
+++ b/crates/core/src/quarantine/part_quarantine.rs
@@ -47,7 +47,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct PartQuarantine {
     crashes: CrashLog,
-    /// Parts of prompts that were answered.
+    /// Parts of prompts that were answered, and when the latest answer began.
     sound: RecentParts,
     verdicts: Vec<Verdict>,
     changes: Vec<QuarantineChange>,
@@ -97,7 +97,7 @@
         begun_at: Millis,
     ) -> bool {
         for &part in parts {
-            self.sound.insert(part);
+            self.sound.insert(part, begun_at);
         }
         self.crashes.acquit(parts, begun_at);
         self.acquit(parts, begun_at);
@@ -224,8 +224,9 @@
     /// Quarantines the parts that the crashes point to.
     ///
     /// Other parts of the same prompts are accused as often. The only suspect that no answer has shown to be sound is
-    /// quarantined at once; otherwise the suspects wait for answers that acquit some of them. Several that are left are
-    /// refused where a prompt has them all. A single one, which other prompts may share, is put on trial first.
+    /// quarantined at once if nothing else explains one of its crashes; otherwise the suspects wait for answers that acquit some of them. Several that are left are
+    /// refused where a prompt has them all. A single one, which other prompts may share, is put on trial first, and for
+    /// longer where it may be what several crashing parts share.
     ///
     /// Returns whether there are any.
     pub fn review(
@@ -245,20 +246,28 @@
                 .iter()
                 .filter(|crash| crash.is_settled(now) && !self.is_explained(crash))
                 .collect();
-            let suspects = Suspect::find(&unexplained, |part| self.sound.contains(part));
+            let sound_at = |part| self.sound.latest(part);
+            let suspects = Suspect::find(&unexplained, sound_at);
             let Some(since) = suspects.iter().map(|one| one.qualified_at).min() else {
                 return self.changes.len() > known_changes;
             };
-            let mut unproven = suspects.iter().filter(|one| !one.was_sound);
-            if let (Some(only), None) = (unproven.next(), unproven.next()) {
+            let has_alternative = |suspect: &Suspect| {
+                let is_certain = suspect.crashes.len() >= MAX_SHARED_CRASHES;
+                !is_certain && suspect.has_alternative(&unexplained, sound_at)
+            };
+            let mut unproven = suspects.iter().filter(|one| !one.was_sound());
+            if let (Some(only), None) = (unproven.next(), unproven.next())
+                && !has_alternative(only)
+                && only.is_alone(&unexplained, sound_at)
+            {
                 self.insert(PartSet::from([only.part]), only.crashes.len(), now);
                 continue;
             }
-            let group = indistinct(&suspects);
+            let group = indistinct(&suspects, has_alternative);
             let parts: PartSet = group.iter().map(|one| one.part).collect();
             let due = since + ACQUITTAL_TIME;
             let is_decided = match &group[..] {
-                [single] => single.is_confirmed,
+                [single] => single.is_confirmed && !has_alternative(single),
                 _ => now >= due,
             };
             if !is_decided {
@@ -384,19 +393,27 @@
 }
 
 /// The suspects that the evidence doesn't tell apart from the most accused one.
-fn indistinct(suspects: &[Suspect]) -> Vec<&Suspect> {
-    let has_unproven = suspects.iter().any(|one| !one.was_sound);
+fn indistinct<F>(
+    suspects: &[Suspect],
+    has_alternative: F,
+) -> Vec<&Suspect>
+where
+    F: Fn(&Suspect) -> bool,
+{
+    let has_unproven = suspects.iter().any(|one| !one.was_sound());
     let open = || {
         suspects
             .iter()
-            .filter(|one| !has_unproven || !one.was_sound)
+            .filter(|one| !has_unproven || !one.was_sound())
     };
     let Some(top) = open().max_by_key(|one| one.crashes.len()) else {
         return Vec::new();
     };
+    let is_shared = has_alternative(top);
+    let is_close = |one: &&Suspect| is_shared || one.crashes.len() + 1 >= top.crashes.len();
     let mut common = top.clone();
     let mut group = vec![top];
-    for other in open().filter(|one| one.crashes.len() + 1 >= top.crashes.len()) {
+    for other in open().filter(is_close) {
         let has_room = group.len() < MAX_SET_LEN && other.part != top.part;
         if has_room && other.shares_crashes(&common) {
             common.crashes.retain(|at| other.crashes.contains(at));
--- a/crates/core/src/quarantine/recent_parts.rs
+++ b/crates/core/src/quarantine/recent_parts.rs
@@ -1,30 +1,43 @@
-use {crate::ids::PartId, std::collections::HashSet};
+use {
+    crate::{clock::Millis, ids::PartId},
+    std::collections::HashMap,
+};
 
 /// Parts per generation; between one and two generations are kept.
 const GENERATION_LEN: usize = 20_000;
 
-/// The latest parts, in bounded memory.
+/// The latest parts and their latest times, in bounded memory.
 #[derive(Clone, Debug, Default)]
 pub(super) struct RecentParts {
-    current: HashSet<PartId>,
-    previous: HashSet<PartId>,
+    current: HashMap<PartId, Millis>,
+    previous: HashMap<PartId, Millis>,
 }
 
 impl RecentParts {
     pub(super) fn insert(
         &mut self,
         part: PartId,
+        at: Millis,
     ) {
+        let at = self.latest(part).map_or(at, |known| known.max(at));
         if self.current.len() >= GENERATION_LEN {
             self.previous = std::mem::take(&mut self.current);
         }
-        self.current.insert(part);
+        self.current.insert(part, at);
     }
 
     pub(super) fn contains(
         &self,
         part: PartId,
     ) -> bool {
-        self.current.contains(&part) || self.previous.contains(&part)
+        self.latest(part).is_some()
+    }
+
+    pub(super) fn latest(
+        &self,
+        part: PartId,
+    ) -> Option<Millis> {
+        let known = self.current.get(&part);
+        known.or_else(|| self.previous.get(&part)).copied()
     }
 }
--- a/crates/core/src/quarantine/suspect.rs
+++ b/crates/core/src/quarantine/suspect.rs
@@ -6,6 +6,11 @@
 
 /// Crashes of different upstreams under a part from which it may be quarantined.
 pub(super) const MIN_CRASHES: usize = 3;
+
+/// Crashes that each of several other parts has to explain on average, to be suspected in place of what they share.
+const MIN_CRASHES_OF_ALTERNATIVE: usize = 2;
+/// Most crashes under a part that may be chance where others explain the rest.
+const MAX_CHANCE_CRASHES: usize = 1;
 /// Upstreams that end sooner after each other, under prompts that were all sent before, end together.
 const MAX_TOGETHER: Millis = Millis(150);
 
@@ -14,8 +19,8 @@
 pub(super) struct Suspect {
     pub part: PartId,
     pub crashes: BTreeSet<usize>,
-    /// Whether an answer has shown it to be sound, if only before the crashes.
-    pub was_sound: bool,
+    /// When the latest answer began that has shown it to be sound, if only before the crashes.
+    pub sound_at: Option<Millis>,
     /// When there was evidence enough against it.
     pub qualified_at: Millis,
     /// Whether an upstream has crashed under a prompt that was sent after that.
@@ -26,10 +31,10 @@
     /// The parts that enough crashes accuse.
     pub(super) fn find<F>(
         crashes: &[&Crash],
-        was_sound: F,
+        sound_at: F,
     ) -> Vec<Self>
     where
-        F: Fn(PartId) -> bool,
+        F: Fn(PartId) -> Option<Millis>,
     {
         let mut accused: BTreeMap<PartId, BTreeSet<usize>> = BTreeMap::new();
         for (at, crash) in crashes.iter().enumerate() {
@@ -47,12 +52,69 @@
                     qualified_at,
                     is_confirmed: accusing.any(|crash| crash.sent_at(part) >= Some(qualified_at)),
                     crashes: indices,
-                    was_sound: was_sound(part),
+                    sound_at: sound_at(part),
                 })
             })
             .collect()
     }
 
+    /// Whether an answer has shown it to be sound.
+    pub(super) const fn was_sound(&self) -> bool {
+        self.sound_at.is_some()
+    }
+
+    /// Whether a part is as likely the cause of a crash that accuses both: no later answer has shown it to be sound.
+    fn has_rival<F>(
+        &self,
+        part: PartId,
+        sound_at: F,
+    ) -> bool
+    where
+        F: Fn(PartId) -> Option<Millis>,
+    {
+        part != self.part && sound_at(part) <= self.sound_at
+    }
+
+    /// Whether one of the crashes has no other explanation.
+    pub(super) fn is_alone<F>(
+        &self,
+        crashes: &[&Crash],
+        sound_at: F,
+    ) -> bool
+    where
+        F: Fn(PartId) -> Option<Millis>,
+    {
+        let is_rival = |&part: &PartId| self.has_rival(part, &sound_at);
+        let mut accusing = self.crashes.iter().map(|&at| crashes[at]);
+        accusing.any(|crash| !crash.accused.keys().any(is_rival))
+    }
+
+    /// Whether a few other parts explain the crashes as well, each of them several.
+    pub(super) fn has_alternative<F>(
+        &self,
+        crashes: &[&Crash],
+        sound_at: F,
+    ) -> bool
+    where
+        F: Fn(PartId) -> Option<Millis>,
+    {
+        let mut open = self.crashes.clone();
+        let mut others = 0;
+        while open.len() > MAX_CHANCE_CRASHES {
+            let mut counts: BTreeMap<PartId, usize> = BTreeMap::new();
+            let accused = open.iter().flat_map(|&at| crashes[at].accused.keys());
+            for &part in accused.filter(|&&part| self.has_rival(part, &sound_at)) {
+                *counts.entry(part).or_default() += 1;
+            }
+            let Some((&other, _)) = counts.iter().max_by_key(|&(_, &count)| count) else {
+                return false;
+            };
+            open.retain(|&at| !crashes[at].accused.contains_key(&other));
+            others += 1;
+        }
+        others * MIN_CRASHES_OF_ALTERNATIVE <= self.crashes.len()
+    }
+
     /// Whether enough crashes for a verdict accuse both parts.
     pub(super) fn shares_crashes(
         &self,
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -16,6 +16,8 @@
 
 /// Crashes after which a part has to be known.
 const MAX_CRASHES: usize = 5;
+/// Crashes without which no part is refused.
+const MIN_CRASHES: usize = 3;
 /// Requests with a part that may reach engines once it has to be known.
 const MAX_LATE: usize = 3;
 /// Time between two crashes.
@@ -23,6 +25,7 @@
 const FIRST: u64 = 1;
 const BAD: u64 = 2;
 const OTHER: u64 = 3;
+const SECOND_BAD: u64 = 4;
 const ENGINES: u32 = 8;
 
 fn world() -> World {
@@ -326,34 +329,31 @@
 }
 
 #[test]
-fn links_that_break_are_one_crash() {
-    // Guards against a VM's links that are reset and break answers of several engines at one moment.
+fn two_crashing_parts_leave_their_first_part_in_service() {
+    // Guards against refusing what two crashing parts share at a VM that has seen no sound prompt with it.
     let mut world = world();
-    answer(&mut world, &[FIRST, OTHER]);
-    let crashes = [
-        (0, 5_000, 5_050),
-        (1, 3_000, 3_050),
-        (2, 2_990, 3_040),
-        (3, 2_980, 3_060),
-    ];
-    let now = world.now;
-    let reports = crashes.map(|crash| report(crash, &[FIRST, OTHER]));
-    world.scheduler.add_crashes(&reports, now);
+    for part in [BAD, SECOND_BAD, BAD] {
+        crash(&mut world, &[FIRST, part]);
+    }
     world.advance(3_000);
     assert!(!is_quarantined(&mut world, &[FIRST, OTHER]));
+    answer(&mut world, &[FIRST, OTHER]);
+    let rest = [BAD, SECOND_BAD].map(|part| crashes_until_known(&mut world, &[FIRST, part]));
+    assert!(rest.iter().all(|&crashes| crashes <= 2), "{rest:?} more");
+    assert!(!is_quarantined(&mut world, &[FIRST, OTHER]), "told apart");
 }
 
 #[test]
-fn crashes_in_quick_succession_count() {
-    // Guards against taking for one crash what a request does to one engine right after the other.
+fn three_parts_beside_a_new_one_are_weighed() {
+    // Guards against refusing what three crashing prompts share, each with another part, before any other was tried.
     let mut world = world();
-    answer(&mut world, &[FIRST, OTHER]);
-    let crashes = [(4, 2_000, 2_050), (5, 1_950, 1_990), (6, 1_900, 1_940)];
-    let now = world.now;
-    let reports = crashes.map(|crash| report(crash, &[FIRST, BAD]));
-    world.scheduler.add_crashes(&reports, now);
+    for part in [BAD, SECOND_BAD, OTHER] {
+        crash(&mut world, &[FIRST, part]);
+    }
     world.advance(3_000);
-    assert!(is_quarantined(&mut world, &[FIRST, BAD]));
+    assert!(!is_quarantined(&mut world, &[FIRST, 100]));
+    crash(&mut world, &[FIRST, 101]);
+    assert!(is_quarantined(&mut world, &[FIRST, 100]), "one more crash");
 }
 
 #[test]
@@ -372,6 +372,76 @@
     assert_eq!(world.scheduler.crashes(world.now).len(), 2);
 }
 
+#[test]
+fn two_crashing_parts_are_found_without_sound_prompts() {
+    // Guards against two crashing parts that hide each other, and that take their first part out of service together.
+    let mut world = world();
+    let mut crashes = 0;
+    for round in 0..20 {
+        let part = if round % 2 == 0 { BAD } else { SECOND_BAD };
+        crashes += usize::from(crash(&mut world, &[FIRST, part]));
+        world.advance(2_000);
+    }
+    assert!(crashes <= 2 * MIN_CRASHES, "{crashes} crashes");
+    assert!(!is_quarantined(&mut world, &[FIRST, OTHER]));
+}
+
+#[test]
+fn two_crashing_parts_leave_a_sound_first_part_in_service() {
+    // Guards against refusing a part that sound prompts shared just before two others began to crash engines.
+    let mut world = world();
+    answer(&mut world, &[FIRST, OTHER]);
+    for part in [BAD, SECOND_BAD, BAD, SECOND_BAD] {
+        crash(&mut world, &[FIRST, part]);
+    }
+    world.advance(3_000);
+    assert!(!is_quarantined(&mut world, &[FIRST, OTHER]));
+}
+
+#[test]
+fn parts_that_were_sound_leave_their_first_part_in_service() {
+    // Guards against refusing what two parts share that were sound until they began to crash engines.
+    let mut world = world();
+    for part in [BAD, SECOND_BAD, OTHER] {
+        answer(&mut world, &[FIRST, part]);
+    }
+    for part in [BAD, SECOND_BAD, BAD, SECOND_BAD, SECOND_BAD] {
+        crash(&mut world, &[FIRST, part]);
+    }
+    world.advance(3_000);
+    assert!(!is_quarantined(&mut world, &[FIRST, OTHER]));
+    answer(&mut world, &[FIRST, OTHER]);
+    let rest = [BAD, SECOND_BAD].map(|part| crashes_until_known(&mut world, &[FIRST, part]));
+    assert!(rest.iter().all(|&crashes| crashes <= 2), "{rest:?} more");
+}
+
+#[test]
+fn a_part_is_found_beside_one_that_was_sound_later() {
+    // Guards against waiting for answers that acquit a first part while nothing but another part explains all crashes.
+    let mut world = world();
+    answer(&mut world, &[FIRST, BAD]);
+    answer(&mut world, &[FIRST, OTHER]);
+    crash(&mut world, &[FIRST, BAD]);
+    answer(&mut world, &[FIRST, OTHER]);
+    let crashes = 1 + crashes_until_known(&mut world, &[FIRST, BAD]);
+    assert!(crashes <= MIN_CRASHES + 1, "{crashes} crashes");
+    assert!(!is_quarantined(&mut world, &[FIRST, OTHER]));
+}
+
+#[test]
+fn a_first_part_is_found_under_repeated_prompts() {
+    // Guards against a crashing part that requests of several kinds share, each of which crashes two engines.
+    let mut world = world();
+    let crashes = (0..40).filter(|round| {
+        let is_sent = crash(&mut world, &[FIRST, 100 + round / 2]);
+        world.advance(2_000);
+        is_sent
+    });
+    let crashes = crashes.count();
+    assert!(crashes <= MAX_CRASHES + MAX_LATE, "{crashes} crashes");
+    assert!(is_quarantined(&mut world, &[FIRST, OTHER]));
+}
+
 #[test]
 fn a_first_part_is_found_beside_parts_refused_with_it() {
     // Guards against a crashing part of which only the sets with other parts are ever refused.
@@ -387,14 +457,34 @@
 }
 
 #[test]
-fn answers_that_break_after_silence_show_nothing() {
-    // Guards against taking for crashes what silent upstreams cut off seconds after they had begun it.
-    let trace = AnswerTrace {
-        begun_ago: Millis(2_760),
-        received_for: Millis(20),
-        end: AnswerEnd::Broken,
-    };
-    assert_eq!(trace.evidence(), PromptEvidence::None);
+fn links_that_break_are_one_crash() {
+    // Guards against a VM's links that are reset and break answers of several engines at one moment.
+    let mut world = world();
+    answer(&mut world, &[FIRST, OTHER]);
+    let crashes = [
+        (0, 5_000, 5_050),
+        (1, 3_000, 3_050),
+        (2, 2_990, 3_040),
+        (3, 2_980, 3_060),
+    ];
+    let now = world.now;
+    let reports = crashes.map(|crash| report(crash, &[FIRST, OTHER]));
+    world.scheduler.add_crashes(&reports, now);
+    world.advance(3_000);
+    assert!(!is_quarantined(&mut world, &[FIRST, OTHER]));
+}
+
+#[test]
+fn crashes_in_quick_succession_count() {
+    // Guards against taking for one crash what a request does to one engine right after the other.
+    let mut world = world();
+    answer(&mut world, &[FIRST, OTHER]);
+    let crashes = [(4, 2_000, 2_050), (5, 1_950, 1_990), (6, 1_900, 1_940)];
+    let now = world.now;
+    let reports = crashes.map(|crash| report(crash, &[FIRST, BAD]));
+    world.scheduler.add_crashes(&reports, now);
+    world.advance(3_000);
+    assert!(is_quarantined(&mut world, &[FIRST, BAD]));
 }
 
 #[test]
@@ -488,6 +578,17 @@
     assert_eq!(trace(80, AnswerEnd::GivenUp), PromptEvidence::None);
 }
 
+#[test]
+fn answers_that_break_after_silence_show_nothing() {
+    // Guards against taking for crashes what silent upstreams cut off seconds after they had begun it.
+    let trace = AnswerTrace {
+        begun_ago: Millis(2_760),
+        received_for: Millis(20),
+        end: AnswerEnd::Broken,
+    };
+    assert_eq!(trace.evidence(), PromptEvidence::None);
+}
+
 #[test]
 fn a_part_that_was_sound_is_probed_rarely() {
     // Guards against a bad release of the engines that keeps their prompts out of service after it is mended.
