--- a/crates/entry/tests/soak/cluster.rs
+++ b/crates/entry/tests/soak/cluster.rs
@@ -277,7 +277,8 @@
         &self,
         seed: u64,
     ) {
-        let path = std::env::temp_dir().join(format!("jasmine-soak-{seed}.log"));
+        let name = format!("jasmine-soak-{seed}-{}.log", std::process::id());
+        let path = std::env::temp_dir().join(name);
         let faults = self.faults.join("\n");
         fs::write(&path, faults + "\n" + &self.logs()).unwrap();
         eprintln!("logs of seed {seed}: {}", path.display());
