--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -16,6 +16,8 @@
 
 /// Crashes after which a part has to be known.
 const MAX_CRASHES: usize = 5;
+/// Requests with a part that may reach engines once it has to be known.
+const MAX_LATE: usize = 3;
 /// Time between two crashes.
 const CRASH_GAP: u64 = 400;
 const FIRST: u64 = 1;
@@ -118,6 +120,20 @@
     world.end(number, Outcome::Answered { took: Millis(20) });
 }
 
+/// A report of an upstream that crashed so long ago, under a prompt with these parts that was sent so long ago.
+fn report(
+    (id, ago, sent_ago): (u32, u64, u64),
+    parts: &[u64],
+) -> CrashReport {
+    let accused = parts.iter();
+    let accused = accused.map(|&part| (PartId::Part(part), Millis(sent_ago)));
+    CrashReport {
+        upstream: UpstreamId(id),
+        ago: Millis(ago),
+        accused: accused.collect(),
+    }
+}
+
 fn crashes_until_known(
     world: &mut World,
     parts: &[u64],
@@ -309,6 +325,67 @@
     assert!(is_quarantined(&mut world, &[OTHER, BAD]), "told apart");
 }
 
+#[test]
+fn links_that_break_are_one_crash() {
+    // Guards against a VM's links that are reset and break answers of several engines at one moment.
+    let mut world = world();
+    answer(&mut world, &[FIRST, OTHER]);
+    let crashes = [
+        (0, 5_000, 5_050),
+        (1, 3_000, 3_050),
+        (2, 2_990, 3_040),
+        (3, 2_980, 3_060),
+    ];
+    let now = world.now;
+    let reports = crashes.map(|crash| report(crash, &[FIRST, OTHER]));
+    world.scheduler.add_crashes(&reports, now);
+    world.advance(3_000);
+    assert!(!is_quarantined(&mut world, &[FIRST, OTHER]));
+}
+
+#[test]
+fn crashes_in_quick_succession_count() {
+    // Guards against taking for one crash what a request does to one engine right after the other.
+    let mut world = world();
+    answer(&mut world, &[FIRST, OTHER]);
+    let crashes = [(4, 2_000, 2_050), (5, 1_950, 1_990), (6, 1_900, 1_940)];
+    let now = world.now;
+    let reports = crashes.map(|crash| report(crash, &[FIRST, BAD]));
+    world.scheduler.add_crashes(&reports, now);
+    world.advance(3_000);
+    assert!(is_quarantined(&mut world, &[FIRST, BAD]));
+}
+
+#[test]
+fn a_crash_that_is_noticed_late_counts_once() {
+    // Guards against an answer that ends with its upstream, is missed by its VM for seconds, and counts as a crash more.
+    let mut world = world();
+    let crashes = [
+        (1, 4_000, 4_050, BAD),
+        (2, 3_000, 3_050, BAD),
+        (2, 1_000, 3_040, OTHER),
+    ];
+    let now = world.now;
+    let reports = crashes.map(|(id, ago, sent, part)| report((id, ago, sent), &[FIRST, part]));
+    world.scheduler.add_crashes(&reports, now);
+    world.advance(3_000);
+    assert_eq!(world.scheduler.crashes(world.now).len(), 2);
+}
+
+#[test]
+fn a_first_part_is_found_beside_parts_refused_with_it() {
+    // Guards against a crashing part of which only the sets with other parts are ever refused.
+    let mut world = world();
+    let crashes = (0..60).filter(|round| {
+        let is_sent = crash(&mut world, &[FIRST, 100 + round / 3]);
+        world.advance(2_000);
+        is_sent
+    });
+    let crashes = crashes.count();
+    assert!(crashes <= MAX_CRASHES + MAX_LATE, "{crashes} crashes");
+    assert!(is_quarantined(&mut world, &[FIRST, OTHER]));
+}
+
 #[test]
 fn prompts_in_the_queue_are_refused() {
     // Guards against queued prompts that are still sent after the verdict.
