--- a/crates/entry/src/forward/stream_reader.rs
+++ b/crates/entry/src/forward/stream_reader.rs
@@ -86,10 +86,10 @@
         &mut self,
         attempt: &AttemptContext,
     ) -> Result<Option<EventBatch>, Failure> {
-        let mut reads = 0;
+        let mut reads_in_turn = 0;
         while let Some(data) = self.read_part(attempt).await? {
-            reads += 1;
-            if reads % READS_PER_TURN == 0 {
+            reads_in_turn += 1;
+            if reads_in_turn % READS_PER_TURN == 0 {
                 yield_now().await;
             }
             if attempt.trace.get().received_at.is_none() {
