Streams: an upstream that always has a next event ends at the deadline, too

Callers saw a stream of an upstream that sends new events or comments as fast as its daemon reads them go on past its deadline without end (cut by the test 4.5 s after a deadline of 1.5 s, for events without an id and for comments; a call of the route may not be repeated). Cause: the wait for the next piece asks the attempt first, and the deadline only while nothing is ready; each piece begins the wait anew. The deadline is now checked before each wait.

A caller that reads nothing until after the deadline then made its upstream silent: `outcome=Silent`, `stalled_ms=2256`, three of which pause an upstream. The time that a caller takes for events is no silence of its upstream now.

--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -387,6 +387,10 @@
         hedge: &mut Hedge,
         are_links_lost: bool,
     ) -> Event {
+        if self.is_expired() {
+            // An upstream that always has a next event would never let the wait for the deadline go on.
+            return Event::Expired;
+        }
         let links = &self.cx.links;
         let can_hedge = matches!(hedge, Hedge::Idle) && self.can_hedge();
         let is_seeking = matches!(hedge, Hedge::Seeking(_));
@@ -648,7 +652,10 @@
                 attempt.placement.end(Outcome::Answered { took }, evidence);
                 Some(Step::Done(Ok(())))
             }
-            Ok(()) => None,
+            Ok(()) => {
+                attempt.note_forwarded(now);
+                None
+            }
         }
     }
 
--- a/crates/entry/src/forward/in_flight.rs
+++ b/crates/entry/src/forward/in_flight.rs
@@ -15,7 +15,7 @@
         StreamExt,
         stream::{LocalBoxStream, unfold},
     },
-    jasmine_core::scheduler::Outcome,
+    jasmine_core::{clock::Millis, scheduler::Outcome},
     jasmine_telemetry::log::Line,
     std::{
         cell::{Cell, RefCell},
@@ -115,6 +115,16 @@
         self.trace.get()
     }
 
+    /// Records that its last events were forwarded.
+    pub(super) fn note_forwarded(
+        &self,
+        now: Millis,
+    ) {
+        let mut trace = self.trace.get();
+        trace.forwarded_at = Some(now);
+        self.trace.set(trace);
+    }
+
     /// Whether it goes over this VM's own links.
     pub(super) fn uses_own_links(&self) -> bool {
         self.trace().via == Via::OwnLinks
--- a/crates/entry/src/forward/response_trace.rs
+++ b/crates/entry/src/forward/response_trace.rs
@@ -22,6 +22,8 @@
     pub received_bytes: usize,
     /// When its last new event was complete.
     pub event_at: Option<Millis>,
+    /// When its caller had taken its last new event; what a slow one takes is no silence of the upstream.
+    pub forwarded_at: Option<Millis>,
     /// How the end of its body is determined.
     pub framing: Option<Framing>,
     /// Bytes received after the last complete event.
@@ -37,6 +39,7 @@
             received_at: None,
             received_bytes: 0,
             event_at: None,
+            forwarded_at: None,
             framing: None,
             partial_bytes: 0,
         }
@@ -77,12 +80,12 @@
         now.since(heard_at.unwrap_or(self.sent_at))
     }
 
-    /// Time since the last new event, or since the upstream got the request, whatever else it sent.
+    /// Time since the last new event was forwarded, or since the upstream got the request, whatever else it sent.
     pub(super) fn stalled_for(
         &self,
         now: Millis,
     ) -> Millis {
-        now.since(self.event_at.unwrap_or(self.sent_at))
+        now.since(self.forwarded_at.or(self.event_at).unwrap_or(self.sent_at))
     }
 
     /// How a complete answer ended.
