A hedge that may have run is recorded before a refusal at the deadline

Found by reading: an attempt that ends as not run at the deadline, with its hedge in flight, could be answered as never run, though the hedge ran. Both ends at the deadline record the hedge first.

--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -332,10 +332,13 @@
                     }
                 }
                 Event::Piece(end) => {
+                    if self.is_expired() {
+                        self.expire_hedge(&mut hedge);
+                    }
                     let step = self.end_attempt(&current, failure_of(end)).await;
                     match hedge.take_sent() {
-                        Some(sent) if !self.is_expired() => current = sent,
-                        _ => return step,
+                        Some(sent) => current = sent,
+                        None => return step,
                     }
                 }
                 Event::Hedge(HedgeEvent::Found(placement)) => {
@@ -369,10 +372,7 @@
                     hedge = Hedge::Idle;
                 }
                 Event::Expired => {
-                    if let Some(sent) = hedge.take_sent() {
-                        let failure = Failure::may_have_run(self.silence_of(&sent));
-                        self.end_hedge(&sent, failure.into());
-                    }
+                    self.expire_hedge(&mut hedge);
                     let failure = Failure::may_have_run(self.silence_of(&current));
                     return self.end_attempt(&current, failure.into()).await;
                 }
@@ -489,6 +489,17 @@
         }
     }
 
+    /// Ends a hedge at the deadline; it may have run.
+    fn expire_hedge(
+        &mut self,
+        hedge: &mut Hedge,
+    ) {
+        if let Some(sent) = hedge.take_sent() {
+            let failure = Failure::may_have_run(self.silence_of(&sent));
+            self.end_hedge(&sent, failure.into());
+        }
+    }
+
     /// Ends an attempt whose hedge has answered first.
     fn overtake(
         &mut self,
