Tests: streams that another upstream goes on with and breaks off

Its upstream was silent for 1.3 s, a hedge went on with one event, the silent one was closed, and 83 ms later the hedge broke off with the attempts used up.

--- /dev/null
+++ b/crates/entry/tests/overtaken_streams.rs
@@ -0,0 +1,119 @@
+//! Streams that another upstream goes on with, and then breaks off: the sound one that was silent has the rest.
+
+mod deployment;
+
+use {
+    deployment::{Request, Response, Vm, config, count_runs, wait_until},
+    jasmine_platform_stand_in::{
+        Behaviour, KvStandIn, Silence, SilentAt, StreamFraming, UpstreamStandIn,
+    },
+    serde_json::json,
+    std::{thread, time::Duration},
+};
+
+const EVENTS: u64 = 8;
+/// Longer than any time after which another upstream is sought, and than the wait for its answer.
+const SILENCE: Duration = Duration::from_millis(1_500);
+/// Requests sent one after the other: each leaves its traces in the health of the upstreams.
+const REQUESTS: usize = 4;
+/// Longer than all that happens beside it.
+const LONG_SILENCE: Duration = Duration::from_secs(4);
+/// A silence after the first event that the caller didn't have.
+const OTHER_SILENCE: Duration = Duration::from_millis(2_500);
+/// How long an overtaken attempt may work on.
+const MAX_OVERLAP: Duration = Duration::from_millis(1_500);
+
+/// A silent upstream beside others.
+struct Site {
+    upstreams: Vec<UpstreamStandIn>,
+    vm: Vm,
+    attempts: usize,
+    _store: KvStandIn,
+}
+
+impl Site {
+    fn start(
+        silence: Duration,
+        others: &[Behaviour],
+    ) -> Self {
+        let store = KvStandIn::start().unwrap();
+        let attempts = others.len() + 1;
+        let mut next = config(1);
+        for route in next["routes"].as_array_mut().unwrap() {
+            route["attempts"] = json!(attempts);
+        }
+        store.put("op/config", &next);
+        let silent = Behaviour::Pauses(EVENTS, silence);
+        let behaviours = [&[silent], others].concat();
+        let start = |(number, behaviour): (usize, &Behaviour)| {
+            let upstream = UpstreamStandIn::start(&format!("s-{number}")).unwrap();
+            upstream.set_default(behaviour.clone());
+            // Upstreams of the VM's own data centre are tried first.
+            let zone = if number == 0 { "one" } else { "two" };
+            store.put(&upstream.key(), &upstream.entry("app", zone, "ready"));
+            upstream
+        };
+        let upstreams = behaviours.iter().enumerate().map(start).collect();
+        Self {
+            upstreams,
+            vm: Vm::start(&store),
+            attempts,
+            _store: store,
+        }
+    }
+
+    fn send(&self) -> Response {
+        let req = Request::new("POST", "/stream/").body(b"prompt");
+        let response = self.vm.send_request(&req);
+        assert!(count_runs(&self.upstreams, req.id()) <= self.attempts);
+        response
+    }
+}
+
+fn assert_whole(response: &Response) {
+    let ids: Vec<u64> = response.events().iter().map(|event| event.id).collect();
+    assert_eq!(
+        (response.status, response.is_complete),
+        (200, true),
+        "{ids:?}"
+    );
+    assert!(ids.into_iter().eq(1..=EVENTS));
+}
+
+#[test]
+fn streams_survive_one_that_breaks_off() {
+    // Guards against giving a silent stream up for an upstream that sends an event and breaks off.
+    let site = Site::start(SILENCE, &[Behaviour::CutAfterMore(1, EVENTS)]);
+    for _ in 0..REQUESTS {
+        assert_whole(&site.send());
+    }
+}
+
+#[test]
+fn streams_survive_two_that_break_off() {
+    // Guards against the same beside two upstreams that break off, as many as there are attempts.
+    let cut = Behaviour::CutAfterMore(1, EVENTS);
+    let site = Site::start(SILENCE, &[cut.clone(), cut]);
+    for _ in 0..REQUESTS {
+        assert_whole(&site.send());
+    }
+}
+
+#[test]
+fn overtaken_streams_are_closed() {
+    // Guards against a silent upstream that works on although another one has gone on long ago.
+    let later = Silence {
+        at: SilentAt::Event(6),
+        time: OTHER_SILENCE,
+    };
+    let other = Behaviour::SilentStream(EVENTS, StreamFraming::Chunked, later);
+    let site = Site::start(LONG_SILENCE, &[other]);
+    thread::scope(|scope| {
+        let caller = scope.spawn(|| site.send());
+        wait_until("it goes on", || !site.upstreams[1].arrivals().is_empty());
+        thread::sleep(MAX_OVERLAP);
+        assert_eq!(site.upstreams[0].cancelled(), 1);
+        assert!(!caller.is_finished());
+        assert_whole(&caller.join().unwrap());
+    });
+}
