Hedged requests: an overtaken attempt stands by until the other one has gone on for a while

Cause: the first new event of a hedge closed the silent attempt beside it, and the withdrawn hedge beside one that went on, though what went on broke off within 1 to 430 ms, with the attempts used up.

Change: `Race` has the attempt whose answer is forwarded and its rivals. What is overtaken and could go on with the stream (same build, resumable) stays open for 1 s, 300 ms for generations, and takes over again if the other one fails. The attempts of a request share the id of the last event that the caller has, so none comes twice. A caller that takes a piece slowly does not keep a rival open.

--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -3,9 +3,10 @@
         ForwardRequest,
         attempt::Via,
         failure::Failure,
-        hedge::{Hedge, HedgeEvent, HedgeSearch, RETRY_INTERVAL, place},
+        hedge::{HedgeSearch, RETRY_INTERVAL, place},
         in_flight::{AttemptSetup, InFlight},
         piece::{AttemptError, Piece},
+        race::{Race, Standby, close_after, found, next_of},
         request::AttemptSpec,
         stream_reader::EventBatch,
     },
@@ -29,7 +30,13 @@
         streams::{OriginLookup, ServiceBuild, StreamOrigin},
     },
     jasmine_telemetry::log::Line,
-    std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        io,
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
     tokio::time::sleep,
 };
 
@@ -48,6 +55,10 @@
 const STREAM_PATIENCE_PERCENT: u64 = 150;
 /// Time without a further event after which a resumable stream is hedged, as a multiple of its gap objective.
 const PATIENCE_GAPS: u64 = 5;
+/// How long an overtaken attempt stands by, in case the one that goes on breaks off.
+const STANDBY_TIME: Millis = Millis(1_000);
+/// The same for generations, which two engines may work on for 400 ms.
+const GENERATION_STANDBY_TIME: Millis = Millis(300);
 /// Gap objective of routes without one.
 const DEFAULT_GAP_OBJECTIVE: Millis = Millis(500);
 
@@ -61,14 +72,18 @@
     Fail(ErrorKind),
 }
 
-/// What happens while an attempt is in flight.
+/// What happens while attempts are in flight.
 enum Event {
-    /// Its answer goes on, or it has failed.
+    /// The answer of the current one goes on, or it has failed.
     Piece(Result<Piece, AttemptError>),
-    /// The same of its hedge, or an upstream was found for one.
-    Hedge(HedgeEvent),
-    /// Its upstream is silent for too long, or the links of this VM are lost.
+    /// The same of a rival.
+    Rival(usize, Result<Piece, AttemptError>),
+    /// An upstream was found for a hedge.
+    Found(Placement),
+    /// The upstream is silent for too long, or the links of this VM are lost.
     Overdue { are_links_lost: bool },
+    /// What was overtaken has stood by for long enough.
+    StandbyOver,
     /// The links are up again.
     LinksRestored,
     /// The deadline has passed.
@@ -81,7 +96,7 @@
     /// The build that began the stream.
     origin: StreamOrigin,
     /// The id of the last event that the caller has.
-    last_event: Option<u64>,
+    last_event: Rc<Cell<Option<u64>>>,
     /// Number of events forwarded.
     events: u64,
     /// When the first data was forwarded.
@@ -135,7 +150,7 @@
             full_upstreams: Vec::new(),
             tried_relays: Rc::default(),
             progress: Progress {
-                last_event: req.caller.last_event,
+                last_event: Rc::new(Cell::new(req.caller.last_event)),
                 ..Progress::default()
             },
             may_hedge: true,
@@ -295,7 +310,10 @@
             .with("version", placement.version.unwrap_or_default())
             .with("newest", self.newest_version())
             .with("build", placement.build.as_deref().unwrap_or("-"))
-            .with("after_event", self.progress.last_event.unwrap_or_default())
+            .with(
+                "after_event",
+                self.progress.last_event.get().unwrap_or_default(),
+            )
             .with("waited_ms", self.waited)
             .with("waited_for", self.waited_for.as_str())
             .with("decided_by", self.cx.scheduling.decider())
@@ -305,97 +323,104 @@
             cx: Rc::clone(self.cx),
             req: Rc::clone(&self.req),
             tried_relays: Rc::clone(&self.tried_relays),
-            after_event: self.progress.last_event.filter(|_| has_events),
-            last_event: self.progress.last_event,
+            after_event: self.progress.last_event.get().filter(|_| has_events),
+            last_event: Rc::clone(&self.progress.last_event),
             can_retry: self.attempts.can_retry_after_run(),
         };
         InFlight::new(setup, placement)
     }
 
-    /// Forwards the answer of an attempt, or of its hedge, until its end.
+    /// Forwards the answer of an attempt, or of its hedges, until its end.
     async fn follow(
         &mut self,
-        mut current: InFlight,
+        attempt: InFlight,
         out: &mut ResponseWriter<'_>,
     ) -> Step {
-        let mut hedge = Hedge::Idle;
+        let mut race = Race::new(attempt);
         let mut are_links_lost = false;
         loop {
-            match self
-                .next_event(&mut current, &mut hedge, are_links_lost)
-                .await
-            {
+            match self.next_event(&mut race, are_links_lost).await {
                 Event::Piece(Ok(piece)) if is_usable(&piece, out) => {
-                    self.withdraw_hedge(&mut hedge);
-                    if let Some(step) = self.forward(&current, piece, out).await {
+                    if let Some(step) = self.go_on(&mut race, piece, out).await {
                         return step;
                     }
                 }
                 Event::Piece(end) => {
+                    let e = failure_of(end);
                     if self.is_expired() {
-                        self.expire_hedge(&mut hedge);
+                        self.end_rivals(&mut race);
                     }
-                    let step = self.end_attempt(&current, failure_of(end)).await;
-                    match hedge.take_sent() {
-                        Some(sent) => current = sent,
-                        None => return step,
+                    match race.fall_back() {
+                        Some(failed) => self.end_side(&failed, e),
+                        None => return self.end_attempt(&race.current, e).await,
                     }
                 }
-                Event::Hedge(HedgeEvent::Found(placement)) => {
-                    let number = self.attempts.next_attempt() + 1;
-                    self.cx.metrics.count_hedge("sent");
-                    hedge = Hedge::Sent(self.send(placement, number));
-                }
-                Event::Hedge(HedgeEvent::Piece(Ok(piece))) if is_usable(&piece, out) => {
-                    if let Some(sent) = hedge.take_sent() {
-                        let overtaken = std::mem::replace(&mut current, sent);
-                        self.overtake(&overtaken);
-                    }
-                    if let Some(step) = self.forward(&current, piece, out).await {
+                Event::Rival(number, Ok(piece)) if is_usable(&piece, out) => {
+                    race.promote(number);
+                    self.cx.metrics.count_hedge("answered");
+                    if let Some(step) = self.go_on(&mut race, piece, out).await {
                         return step;
                     }
                 }
-                Event::Hedge(HedgeEvent::Piece(end)) => {
-                    if let Some(failed) = hedge.take_sent() {
-                        self.end_hedge(&failed, failure_of(end));
-                    }
-                    hedge = self.seek_hedge(&current, RETRY_INTERVAL);
+                Event::Rival(number, end) => {
+                    let failed = race.rivals.remove(number);
+                    self.cx.metrics.count_hedge("failed");
+                    self.end_side(&failed, failure_of(end));
+                    self.seek_hedge(&mut race, RETRY_INTERVAL);
+                }
+                Event::Found(placement) => {
+                    race.search = None;
+                    let number = self.attempts.next_attempt() + race.in_flight();
+                    self.cx.metrics.count_hedge("sent");
+                    race.rivals.push(self.send(placement, number));
                 }
                 Event::Overdue {
                     are_links_lost: lost,
                 } => {
                     are_links_lost = lost;
-                    hedge = self.seek_hedge(&current, Millis::ZERO);
+                    self.seek_hedge(&mut race, Millis::ZERO);
                 }
+                Event::StandbyOver => self.end_rivals(&mut race),
                 Event::LinksRestored => {
                     are_links_lost = false;
-                    hedge = Hedge::Idle;
+                    race.search = None;
                 }
                 Event::Expired => {
-                    self.expire_hedge(&mut hedge);
-                    let failure = Failure::may_have_run(self.silence_of(&current));
-                    return self.end_attempt(&current, failure.into()).await;
+                    self.end_rivals(&mut race);
+                    let now = self.cx.clock.now();
+                    let failure = Failure::may_have_run(self.silence_of(&race.current, now));
+                    return self.end_attempt(&race.current, failure.into()).await;
                 }
             }
         }
     }
 
-    /// Waits for what happens next to an attempt and its hedge.
+    /// Waits for what happens next to the attempts in flight.
     async fn next_event(
         &self,
-        current: &mut InFlight,
-        hedge: &mut Hedge,
+        race: &mut Race,
         are_links_lost: bool,
     ) -> Event {
         if self.is_expired() {
             // An upstream that always has a next event would never let the wait for the deadline go on.
             return Event::Expired;
         }
+        let now = self.cx.clock.now();
+        let standby_left = race.standby.map(|standby| standby.until.since(now));
+        if standby_left == Some(Millis::ZERO) {
+            return Event::StandbyOver;
+        }
         let links = &self.cx.links;
-        let can_hedge = matches!(hedge, Hedge::Idle) && self.can_hedge();
-        let is_seeking = matches!(hedge, Hedge::Seeking(_));
-        let patience = self.patience_left(current);
-        let uses_own_links = current.uses_own_links();
+        let can_hedge = self.can_hedge(race);
+        let is_seeking = race.search.is_some();
+        let patience = self.patience_left(&race.current);
+        let uses_own_links = race.current.uses_own_links();
+        let Race {
+            current,
+            rivals,
+            search,
+            ..
+        } = race;
         let watched = async {
             if uses_own_links {
                 links.attend(current.next(), can_hedge).await
@@ -409,17 +434,30 @@
                 Ok(piece) => Event::Piece(piece),
                 Err(LinksLost) => Event::Overdue { are_links_lost: true },
             },
-            event = hedge.next() => Event::Hedge(event),
+            (number, piece) = next_of(rivals), if standby_left.is_none() => {
+                Event::Rival(number, piece)
+            }
+            placement = found(search) => Event::Found(placement),
             () = sleep(self.time_left()) => Event::Expired,
+            () = sleep(standby_left.unwrap_or_default().to_std()), if standby_left.is_some() => {
+                Event::StandbyOver
+            }
             () = sleep(patience), if can_hedge => Event::Overdue { are_links_lost: false },
             () = links.restored(), if is_seeking && are_links_lost => Event::LinksRestored,
         }
     }
 
-    /// Whether another upstream may be sent the request beside the one that has it.
-    fn can_hedge(&self) -> bool {
+    /// Whether another upstream may be sent the request beside those that have it.
+    fn can_hedge(
+        &self,
+        race: &Race,
+    ) -> bool {
+        let is_alone = race.search.is_none() && race.rivals.is_empty();
         let is_fresh = self.progress.first_at.is_none() && !self.req.is_resumption();
-        self.may_hedge && self.attempts.can_retry_after_run() && (is_fresh || self.can_resume())
+        is_alone
+            && self.may_hedge
+            && self.attempts.can_retry_after_run()
+            && (is_fresh || self.can_resume())
     }
 
     /// Time left until a hedge is due: any bytes that are no part of the answer are silence, too.
@@ -450,68 +488,124 @@
         }
     }
 
-    /// Begins the search for an upstream that gets the request beside the one of `current`.
+    /// Begins the search for an upstream that gets the request beside the one of the current attempt.
     fn seek_hedge(
         &self,
-        current: &InFlight,
+        race: &mut Race,
         pause: Millis,
-    ) -> Hedge {
-        if !self.can_hedge() {
-            return Hedge::Idle;
+    ) {
+        if !self.can_hedge(race) {
+            return;
         }
         let mut excluded_upstreams = self.failed_upstreams.clone();
-        excluded_upstreams.push(current.placement.upstream.clone());
-        Hedge::seek(HedgeSearch {
+        excluded_upstreams.push(race.current.placement.upstream.clone());
+        race.seek(HedgeSearch {
             cx: Rc::clone(self.cx),
             req: Rc::clone(&self.req),
-            number: self.attempts.next_attempt() + 1,
+            number: self.attempts.next_attempt() + race.in_flight(),
             excluded_upstreams,
             build: self.progress.origin.required_build().map(str::to_owned),
             has_begun: self.progress.first_at.is_some(),
             pause,
-        })
+        });
     }
 
-    /// Ends a hedge, as the answer beside it has gone on.
-    fn withdraw_hedge(
+    /// Forwards a piece of the current attempt, which overtakes its rivals; returns what follows if that was the last
+    /// one.
+    async fn go_on(
         &mut self,
-        hedge: &mut Hedge,
+        race: &mut Race,
+        piece: Piece,
+        out: &mut ResponseWriter<'_>,
+    ) -> Option<Step> {
+        if piece.is_last() {
+            self.end_rivals(race);
+        } else {
+            self.overtake_rivals(race);
+        }
+        let now = self.cx.clock.now();
+        let left = race.standby.map(|standby| standby.until.since(now));
+        let step = tokio::select! {
+            step = self.forward(&race.current, piece, out) => step,
+            // A caller may take a piece slowly.
+            never = close_after(&mut race.rivals, left) => match never {},
+        };
+        if step.is_some() {
+            self.end_rivals(race);
+        }
+        step
+    }
+
+    /// Lets rivals stand by that could go on with the stream, and ends the others.
+    fn overtake_rivals(
+        &mut self,
+        race: &mut Race,
     ) {
-        if let Some(sent) = hedge.take_sent() {
-            self.attempts.record_end(AttemptEnd::MayHaveRun);
-            self.cx.metrics.count_attempt(Outcome::Abandoned);
-            self.cx.metrics.count_hedge("overtaken");
-            sent.placement.end(Outcome::Abandoned, PromptEvidence::None);
-            Line::new("hedge_withdrawn")
-                .with("id", self.req.id())
-                .with("upstream", &sent.placement.upstream)
-                .info();
+        race.search = None;
+        if race.standby.is_some() {
+            return;
         }
+        let origin = &self.progress.origin;
+        let begun_by = race.current.placement.build.as_deref();
+        let build = origin.required_build().or(begun_by);
+        let can_resume = self.can_resume() && build.is_some();
+        let rivals = std::mem::take(&mut race.rivals).into_iter();
+        let (standing, ended): (Vec<_>, Vec<_>) =
+            rivals.partition(|rival| can_resume && rival.placement.build.as_deref() == build);
+        let now = self.cx.clock.now();
+        for rival in ended {
+            self.end_overtaken(&rival, now);
+        }
+        let standby_time = if self.req.is_generation {
+            GENERATION_STANDBY_TIME
+        } else {
+            STANDBY_TIME
+        };
+        race.standby = Some(Standby {
+            since: now,
+            until: now + standby_time,
+        })
+        .filter(|_| !standing.is_empty());
+        race.rivals = standing;
     }
 
-    /// Ends a hedge at the deadline; it may have run.
-    fn expire_hedge(
+    /// Ends all but the current attempt.
+    fn end_rivals(
         &mut self,
-        hedge: &mut Hedge,
+        race: &mut Race,
     ) {
-        if let Some(sent) = hedge.take_sent() {
-            let failure = Failure::may_have_run(self.silence_of(&sent));
-            self.end_hedge(&sent, failure.into());
+        let standby = race.standby.take();
+        let overtaken_at = standby.map_or_else(|| self.cx.clock.now(), |standby| standby.since);
+        race.search = None;
+        for rival in std::mem::take(&mut race.rivals) {
+            self.end_overtaken(&rival, overtaken_at);
         }
     }
 
-    /// Ends an attempt whose hedge has answered first.
-    fn overtake(
+    /// Ends an attempt that was overtaken by another one, or by the deadline; it may have run.
+    fn end_overtaken(
         &mut self,
         overtaken: &InFlight,
+        overtaken_at: Millis,
     ) {
-        self.cx.metrics.count_hedge("answered");
-        if overtaken.uses_own_links() {
+        let placement = &overtaken.placement;
+        let outcome = self.silence_of(overtaken, overtaken_at);
+        if overtaken.uses_own_links() && outcome == Outcome::Silent {
             // If one connection is dead, the others are likely to be too.
-            self.cx.pool.close_idle(overtaken.placement.address);
+            self.cx.pool.close_idle(placement.address);
         }
-        let failure = Failure::may_have_run(self.silence_of(overtaken));
-        self.record_failure(overtaken, failure);
+        if outcome == Outcome::Silent {
+            self.record_failure(overtaken, Failure::may_have_run(outcome));
+            return;
+        }
+        self.attempts.record_end(AttemptEnd::MayHaveRun);
+        self.cx.metrics.count_attempt(outcome);
+        self.cx.metrics.count_hedge("overtaken");
+        placement.end(outcome, PromptEvidence::None);
+        Line::new("hedge_withdrawn")
+            .with("id", self.req.id())
+            .with("upstream", &placement.upstream)
+            .info();
     }
 
     /// What the silence of an attempt shows: nothing about its upstream if another VM, or the links of this one, may
@@ -519,10 +613,10 @@
     fn silence_of(
         &self,
         attempt: &InFlight,
+        now: Millis,
     ) -> Outcome {
         let trace = attempt.trace();
-        let is_long =
-            trace.stalled_for(self.cx.clock.now()) >= self.patience(trace.event_at.is_some());
+        let is_long = trace.stalled_for(now) >= self.patience(trace.event_at.is_some());
         let are_links_up = self.cx.links.status() == LinkStatus::Up;
         match trace.via {
             Via::OwnLinks if is_long && are_links_up => Outcome::Silent,
@@ -530,13 +624,12 @@
         }
     }
 
-    /// Ends a hedge that has failed; the attempt beside it goes on.
-    fn end_hedge(
+    /// Ends an attempt that has failed while another one is in flight.
+    fn end_side(
         &mut self,
         failed: &InFlight,
         e: AttemptError,
     ) {
-        self.cx.metrics.count_hedge("failed");
         match e {
             AttemptError::Failed(failure) => {
                 self.record_failure(failed, failure);
@@ -689,7 +782,8 @@
             self.publish_origin();
             attempt.placement.first_event();
         }
-        self.progress.last_event = batch.last_id.or(self.progress.last_event);
+        let last_event = &self.progress.last_event;
+        last_event.set(batch.last_id.or(last_event.get()));
         self.progress.events += batch.count;
         if out.has_begun() {
             out.chunk(&batch.bytes).await
--- a/crates/entry/src/forward/hedge.rs
+++ b/crates/entry/src/forward/hedge.rs
@@ -1,21 +1,15 @@
 use {
-    super::{
-        ForwardRequest, STOPPING_RETRY_DELAY,
-        in_flight::InFlight,
-        piece::{AttemptError, Piece},
-        request::AttemptSpec,
-    },
+    super::{ForwardRequest, STOPPING_RETRY_DELAY, request::AttemptSpec},
     crate::{
         context::{Context, StopStage},
         scheduling::{Placement, PlacementError},
     },
-    futures::{FutureExt, future::LocalBoxFuture},
     jasmine_core::{
         clock::Millis,
         error::{ErrorKind, Refusal},
     },
     jasmine_telemetry::log::Line,
-    std::{future::pending, rc::Rc},
+    std::rc::Rc,
     tokio::time::{sleep, timeout},
 };
 
@@ -64,7 +58,7 @@
 
 impl HedgeSearch {
     /// Waits until an upstream can take the request, too.
-    async fn find(self) -> Placement {
+    pub(super) async fn find(self) -> Placement {
         sleep(self.pause.to_std()).await;
         let attempt = AttemptSpec {
             number: self.number,
@@ -90,47 +84,3 @@
         }
     }
 }
-
-/// What a hedge has come to.
-pub(super) enum HedgeEvent {
-    /// An upstream was found for it.
-    Found(Placement),
-    /// Its answer goes on, or it has failed.
-    Piece(Result<Piece, AttemptError>),
-}
-
-/// A second attempt beside one whose upstream is silent.
-///
-/// Whichever answers first is forwarded, and the other one is closed.
-pub(super) enum Hedge {
-    /// There is none.
-    Idle,
-    /// An upstream is being sought.
-    Seeking(LocalBoxFuture<'static, Placement>),
-    /// It is in flight.
-    Sent(InFlight),
-}
-
-impl Hedge {
-    /// Begins the search for an upstream.
-    pub(super) fn seek(search: HedgeSearch) -> Self {
-        Self::Seeking(search.find().boxed_local())
-    }
-
-    /// Waits for what comes next; forever without a hedge. Nothing is lost if the wait is cancelled.
-    pub(super) async fn next(&mut self) -> HedgeEvent {
-        match self {
-            Self::Idle => pending().await,
-            Self::Seeking(search) => HedgeEvent::Found(search.await),
-            Self::Sent(attempt) => HedgeEvent::Piece(attempt.next().await),
-        }
-    }
-
-    /// Takes the attempt that is in flight; the search for one ends.
-    pub(super) fn take_sent(&mut self) -> Option<InFlight> {
-        match std::mem::replace(self, Self::Idle) {
-            Self::Sent(attempt) => Some(attempt),
-            Self::Idle | Self::Seeking(_) => None,
-        }
-    }
-}
--- a/crates/entry/src/forward/in_flight.rs
+++ b/crates/entry/src/forward/in_flight.rs
@@ -13,7 +13,7 @@
     },
     futures::{
         StreamExt,
-        stream::{LocalBoxStream, unfold},
+        stream::{LocalBoxStream, empty, unfold},
     },
     jasmine_core::{clock::Millis, scheduler::Outcome},
     jasmine_telemetry::log::Line,
@@ -30,8 +30,8 @@
     NotSent {
         /// The last event that the caller has from earlier attempts; it is named to the upstream.
         after_event: Option<u64>,
-        /// The last event that the caller has.
-        last_event: Option<u64>,
+        /// The last event that the caller has, from whichever attempt.
+        last_event: Rc<Cell<Option<u64>>>,
     },
     /// A stream is being read.
     Streaming(Box<StreamReader>),
@@ -47,7 +47,8 @@
     /// VMs to which the request has been offered.
     pub tried_relays: Rc<RefCell<Vec<SocketAddr>>>,
     pub after_event: Option<u64>,
-    pub last_event: Option<u64>,
+    /// The last event that the caller has.
+    pub last_event: Rc<Cell<Option<u64>>>,
     /// Whether another attempt may follow one that has run.
     pub can_retry: bool,
 }
@@ -110,6 +111,11 @@
         }
     }
 
+    /// Closes its connection, so that the upstream stops working.
+    pub(super) fn close(&mut self) {
+        self.pieces = empty().boxed_local();
+    }
+
     /// How far its response got.
     pub(super) fn trace(&self) -> ResponseTrace {
         self.trace.get()
@@ -160,7 +166,7 @@
 async fn first_piece(
     attempt: &AttemptContext,
     after_event: Option<u64>,
-    last_event: Option<u64>,
+    last_event: Rc<Cell<Option<u64>>>,
 ) -> (Result<Piece, AttemptError>, Stage) {
     let response = match attempt.start(after_event).await {
         Start::Responding(response) => *response,
--- a/crates/entry/src/forward/mod.rs
+++ b/crates/entry/src/forward/mod.rs
@@ -8,6 +8,7 @@
 mod hedge;
 mod in_flight;
 mod piece;
+mod race;
 mod request;
 mod response_trace;
 mod serve;
--- a/crates/entry/src/forward/piece.rs
+++ b/crates/entry/src/forward/piece.rs
@@ -17,6 +17,16 @@
     Whole(ResponseHead, Bytes),
 }
 
+impl Piece {
+    /// Whether nothing follows it.
+    pub(super) const fn is_last(&self) -> bool {
+        match self {
+            Self::Events(..) => false,
+            Self::End(_) | Self::Whole(..) => true,
+        }
+    }
+}
+
 /// Why an attempt yields no further piece.
 #[derive(Debug)]
 pub(super) enum AttemptError {
--- /dev/null
+++ b/crates/entry/src/forward/race.rs
@@ -0,0 +1,115 @@
+use {
+    super::{
+        hedge::HedgeSearch,
+        in_flight::InFlight,
+        piece::{AttemptError, Piece},
+    },
+    crate::scheduling::Placement,
+    futures::{
+        FutureExt,
+        future::{LocalBoxFuture, select_all},
+    },
+    jasmine_core::clock::Millis,
+    std::{
+        convert::Infallible,
+        future::pending,
+        mem::{replace, swap},
+    },
+    tokio::time::sleep,
+};
+
+/// How long attempts are kept open whose answer was overtaken.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Standby {
+    /// When they were overtaken.
+    pub since: Millis,
+    /// When they are closed.
+    pub until: Millis,
+}
+
+/// The attempts of a request that are in flight: one, and its hedges beside it.
+///
+/// Whichever goes on is forwarded and becomes the current one. The others stand by for a while: what goes on may break
+/// off at once.
+pub(super) struct Race {
+    /// The attempt whose answer is forwarded.
+    pub current: InFlight,
+    /// The other ones.
+    pub rivals: Vec<InFlight>,
+    /// The search for an upstream for one more.
+    pub search: Option<LocalBoxFuture<'static, Placement>>,
+    /// While the rivals stand by, and aren't listened to.
+    pub standby: Option<Standby>,
+}
+
+impl Race {
+    pub(super) const fn new(current: InFlight) -> Self {
+        Self {
+            current,
+            rivals: Vec::new(),
+            search: None,
+            standby: None,
+        }
+    }
+
+    /// Number of attempts in flight.
+    pub(super) fn in_flight(&self) -> u32 {
+        1 + self.rivals.len() as u32
+    }
+
+    /// Begins the search for an upstream for a hedge.
+    pub(super) fn seek(
+        &mut self,
+        search: HedgeSearch,
+    ) {
+        self.search = Some(search.find().boxed_local());
+    }
+
+    /// Makes a rival the current attempt.
+    pub(super) fn promote(
+        &mut self,
+        number: usize,
+    ) {
+        swap(&mut self.current, &mut self.rivals[number]);
+    }
+
+    /// Ends the current attempt and makes the rival with the latest event the current one; returns the ended one, or
+    /// none if it has no rival.
+    pub(super) fn fall_back(&mut self) -> Option<InFlight> {
+        let rivals = self.rivals.iter().enumerate();
+        let (number, _) = rivals.max_by_key(|(_, rival)| rival.trace().event_at)?;
+        let next = self.rivals.swap_remove(number);
+        self.standby = None;
+        Some(replace(&mut self.current, next))
+    }
+}
+
+/// Waits for the next piece of any of the attempts; forever without one. Nothing is lost if the wait is cancelled.
+pub(super) async fn next_of(attempts: &mut [InFlight]) -> (usize, Result<Piece, AttemptError>) {
+    if attempts.is_empty() {
+        return pending().await;
+    }
+    let pieces = attempts.iter_mut().map(|it| it.next().boxed_local());
+    let (piece, number, _others) = select_all(pieces).await;
+    (number, piece)
+}
+
+/// Waits until an upstream is found for a hedge; forever without a search.
+pub(super) async fn found(search: &mut Option<LocalBoxFuture<'static, Placement>>) -> Placement {
+    match search {
+        Some(search) => search.await,
+        None => pending().await,
+    }
+}
+
+/// Closes attempts after a time, if there is one; never ends.
+pub(super) async fn close_after(
+    attempts: &mut [InFlight],
+    time: Option<Millis>,
+) -> Infallible {
+    if let Some(time) = time {
+        sleep(time.to_std()).await;
+        attempts.iter_mut().for_each(InFlight::close);
+    }
+    pending().await
+}
--- a/crates/entry/src/forward/stream_reader.rs
+++ b/crates/entry/src/forward/stream_reader.rs
@@ -8,7 +8,7 @@
     crate::http1::{BodyReader, Framing, ResponseHead},
     bytes::{Bytes, BytesMut},
     jasmine_core::scheduler::Outcome,
-    std::rc::Rc,
+    std::{cell::Cell, rc::Rc},
     tokio::task::yield_now,
 };
 
@@ -55,7 +55,9 @@
     response: StartedResponse,
     reader: BodyReader,
     splitter: EventSplitter,
-    /// The id of the last event that the caller has got.
+    /// The id of the last event that the caller has got, from whichever attempt.
+    forwarded: Rc<Cell<Option<u64>>>,
+    /// The id of the last event that was taken from this one.
     last_event: Option<u64>,
     /// Comments and events without an id, which are forwarded only before an event with one, or at the end: nobody can
     /// go on after them, and an upstream in trouble may send them without end.
@@ -67,7 +69,7 @@
 impl StreamReader {
     pub(super) fn new(
         response: StartedResponse,
-        last_event: Option<u64>,
+        forwarded: Rc<Cell<Option<u64>>>,
         is_resumable: bool,
     ) -> Self {
         Self {
@@ -77,7 +79,8 @@
             reader: BodyReader::new(response.head.framing),
             splitter: EventSplitter::new(response.connection.read_charge()),
             response,
-            last_event,
+            last_event: forwarded.get(),
+            forwarded,
         }
     }
 
@@ -153,6 +156,7 @@
 
     /// Takes the complete events that the caller has not got.
     fn take_events(&mut self) -> EventBatch {
+        self.last_event = self.last_event.max(self.forwarded.get());
         let mut ready = EventBatch::default();
         while let Some(event) = self.splitter.next_event() {
             let is_known =
