Hedged requests: a third upstream is asked while two hold the request

Callers got 504, or a stream closed at its deadline, beside two upstreams that accept a request and never answer it, though a third attempt was allowed: one hedge at a time was in flight.

Change: another hedge is due once all attempts in flight are silent for their patience, as long as those that may have run and those in flight are fewer than the route's attempts. Lost links still bring one hedge only.

--- a/crates/core/src/forward/attempts.rs
+++ b/crates/core/src/forward/attempts.rs
@@ -62,9 +62,12 @@
         }
     }
 
-    /// Whether another attempt would be allowed after one more that may have run.
-    pub const fn can_retry_after_run(&self) -> bool {
-        matches!(self.repeat, Repeat::Idempotent) && self.runs + 1 < self.max_runs
+    /// Whether another attempt is allowed beside this many that are in flight.
+    pub const fn can_run_beside(
+        &self,
+        in_flight: u32,
+    ) -> bool {
+        matches!(self.repeat, Repeat::Idempotent) && self.runs + in_flight < self.max_runs
     }
 
     /// Whether an upstream may have run the request.
--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -325,7 +325,7 @@
             tried_relays: Rc::clone(&self.tried_relays),
             after_event: self.progress.last_event.get().filter(|_| has_events),
             last_event: Rc::clone(&self.progress.last_event),
-            can_retry: self.attempts.can_retry_after_run(),
+            can_retry: self.attempts.can_run_beside(1),
         };
         InFlight::new(setup, placement)
     }
@@ -413,8 +413,9 @@
         let links = &self.cx.links;
         let can_hedge = self.can_hedge(race);
         let is_seeking = race.search.is_some();
-        let patience = self.patience_left(&race.current);
+        let patience = self.patience_left(race);
         let uses_own_links = race.current.uses_own_links();
+        let can_abort = can_hedge && race.rivals.is_empty();
         let Race {
             current,
             rivals,
@@ -423,7 +424,7 @@
         } = race;
         let watched = async {
             if uses_own_links {
-                links.attend(current.next(), can_hedge).await
+                links.attend(current.next(), can_abort).await
             } else {
                 Ok(current.next().await)
             }
@@ -452,24 +453,27 @@
         &self,
         race: &Race,
     ) -> bool {
-        let is_alone = race.search.is_none() && race.rivals.is_empty();
+        let is_settled = race.search.is_some() || race.standby.is_some();
         let is_fresh = self.progress.first_at.is_none() && !self.req.is_resumption();
-        is_alone
+        !is_settled
             && self.may_hedge
-            && self.attempts.can_retry_after_run()
+            && self.attempts.can_run_beside(race.in_flight())
             && (is_fresh || self.can_resume())
     }
 
-    /// Time left until a hedge is due: any bytes that are no part of the answer are silence, too.
+    /// Time left until a hedge is due, as all in flight are silent: any bytes that are no part of the answer are silence,
+    /// too.
     fn patience_left(
         &self,
-        attempt: &InFlight,
+        race: &Race,
     ) -> Duration {
-        let trace = attempt.trace();
-        let stalled_for = trace.stalled_for(self.cx.clock.now());
-        self.patience(trace.event_at.is_some())
-            .since(stalled_for)
-            .to_std()
+        let now = self.cx.clock.now();
+        let left = race.attempts().map(|attempt| {
+            let trace = attempt.trace();
+            let patience = self.patience(trace.event_at.is_some());
+            patience.since(trace.stalled_for(now))
+        });
+        left.max().unwrap_or_default().to_std()
     }
 
     /// Longest time without an answer, or without a further event of one that `has_events`, before a hedge is due.
@@ -498,7 +502,7 @@
             return;
         }
         let mut excluded_upstreams = self.failed_upstreams.clone();
-        excluded_upstreams.push(race.current.placement.upstream.clone());
+        excluded_upstreams.extend(race.attempts().map(|it| it.placement.upstream.clone()));
         race.seek(HedgeSearch {
             cx: Rc::clone(self.cx),
             req: Rc::clone(&self.req),
--- a/crates/entry/src/forward/race.rs
+++ b/crates/entry/src/forward/race.rs
@@ -57,6 +57,11 @@
         1 + self.rivals.len() as u32
     }
 
+    /// The attempts in flight; the current one is last.
+    pub(super) fn attempts(&self) -> impl Iterator<Item = &InFlight> {
+        self.rivals.iter().chain([&self.current])
+    }
+
     /// Begins the search for an upstream for a hedge.
     pub(super) fn seek(
         &mut self,
