Generations: two engines work on a request for 300 ms at most once both have begun

Change: the head of a stream is a piece of its own. Once a hedge of a generation has begun, it is the current attempt, and the one before it is listened to for 300 ms more: whichever goes on by then has the stream.

--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -340,6 +340,8 @@
         let mut are_links_lost = false;
         loop {
             match self.next_event(&mut race, are_links_lost).await {
+                Event::Piece(Ok(Piece::Begun)) => {}
+                Event::Rival(number, Ok(Piece::Begun)) => self.note_begun(&mut race, number),
                 Event::Piece(Ok(piece)) if is_usable(&piece, out) => {
                     if let Some(step) = self.go_on(&mut race, piece, out).await {
                         return step;
@@ -407,6 +409,7 @@
         }
         let now = self.cx.clock.now();
         let standby_left = race.standby.map(|standby| standby.until.since(now));
+        let listens = race.standby.is_none_or(|standby| standby.listens);
         if standby_left == Some(Millis::ZERO) {
             return Event::StandbyOver;
         }
@@ -435,7 +438,7 @@
                 Ok(piece) => Event::Piece(piece),
                 Err(LinksLost) => Event::Overdue { are_links_lost: true },
             },
-            (number, piece) = next_of(rivals), if standby_left.is_none() => {
+            (number, piece) = next_of(rivals), if listens => {
                 Event::Rival(number, piece)
             }
             placement = found(search) => Event::Found(placement),
@@ -546,9 +549,6 @@
         race: &mut Race,
     ) {
         race.search = None;
-        if race.standby.is_some() {
-            return;
-        }
         let origin = &self.progress.origin;
         let begun_by = race.current.placement.build.as_deref();
         let build = origin.required_build().or(begun_by);
@@ -560,17 +560,42 @@
         for rival in ended {
             self.end_overtaken(&rival, now);
         }
-        let standby_time = if self.req.is_generation {
+        race.rivals = standing;
+        self.begin_standby(race, false);
+    }
+
+    /// Lets rivals stand by from now on, or for what is left of their time.
+    fn begin_standby(
+        &self,
+        race: &mut Race,
+        listens: bool,
+    ) {
+        let now = self.cx.clock.now();
+        let time = if self.req.is_generation {
             GENERATION_STANDBY_TIME
         } else {
             STANDBY_TIME
         };
-        race.standby = Some(Standby {
+        let begins = Standby {
             since: now,
-            until: now + standby_time,
-        })
-        .filter(|_| !standing.is_empty());
-        race.rivals = standing;
+            until: now + time,
+            listens,
+        };
+        let standby = race.standby.unwrap_or(begins);
+        race.standby = Some(Standby { listens, ..standby }).filter(|_| !race.rivals.is_empty());
+    }
+
+    /// Records that the upstream of a hedge works on the request, which two engines may do for a short time only.
+    fn note_begun(
+        &self,
+        race: &mut Race,
+        number: usize,
+    ) {
+        if self.req.is_generation {
+            race.promote(number);
+            race.search = None;
+            self.begin_standby(race, true);
+        }
     }
 
     /// Ends all but the current attempt.
@@ -737,6 +762,7 @@
                 let written = self.forward_events(attempt, &head, &batch, out).await;
                 (written, false)
             }
+            Piece::Begun => return None,
             Piece::End(head) => (self.end_stream(attempt, &head, out).await, true),
             Piece::Whole(head, body) => (out.write_whole(&head, &body).await, true),
         };
--- a/crates/entry/src/forward/in_flight.rs
+++ b/crates/entry/src/forward/in_flight.rs
@@ -180,11 +180,8 @@
         attempt.update_trace(|trace| trace.note_head(framing, now));
     }
     if attempt.req.is_stream() && response.head.status == 200 {
-        return read_stream(
-            attempt,
-            StreamReader::new(response, last_event, attempt.req.is_resumable()),
-        )
-        .await;
+        let reader = StreamReader::new(response, last_event, attempt.req.is_resumable());
+        return (Ok(Piece::Begun), Stage::Streaming(Box::new(reader)));
     }
     if is_success {
         attempt.note_begun();
--- a/crates/entry/src/forward/piece.rs
+++ b/crates/entry/src/forward/piece.rs
@@ -9,6 +9,8 @@
 /// A part of an answer that can be passed on to the caller.
 #[derive(Debug)]
 pub(super) enum Piece {
+    /// The head of a stream was received: its upstream works on the request.
+    Begun,
     /// Complete events of a stream that the caller has not got yet.
     Events(Rc<ResponseHead>, EventBatch),
     /// The end of a complete stream.
@@ -21,7 +23,7 @@
     /// Whether nothing follows it.
     pub(super) const fn is_last(&self) -> bool {
         match self {
-            Self::Events(..) => false,
+            Self::Begun | Self::Events(..) => false,
             Self::End(_) | Self::Whole(..) => true,
         }
     }
--- a/crates/entry/src/forward/race.rs
+++ b/crates/entry/src/forward/race.rs
@@ -25,6 +25,8 @@
     pub since: Millis,
     /// When they are closed.
     pub until: Millis,
+    /// Whether they are listened to, as the other one has begun and not gone on yet.
+    pub listens: bool,
 }
 
 /// The attempts of a request that are in flight: one, and its hedges beside it.
@@ -38,7 +40,7 @@
     pub rivals: Vec<InFlight>,
     /// The search for an upstream for one more.
     pub search: Option<LocalBoxFuture<'static, Placement>>,
-    /// While the rivals stand by, and aren't listened to.
+    /// While the rivals stand by.
     pub standby: Option<Standby>,
 }
 
