Entry tests: a process that has exited has its log read to the end

`planned_stop::waiting_requests_are_refused_before_exit` found no line `stopped` once, beside builds. Cause: the log is read by a thread of its own, and `wait_for_exit` didn't wait for it. A trial with 30 ms a line in that thread fails in the same assertion (0 lines in place of 1); with the join it passes at the same pace. The assertions stay as they are.

--- a/crates/entry/tests/deployment/mod.rs
+++ b/crates/entry/tests/deployment/mod.rs
@@ -20,7 +20,7 @@
             Arc, Mutex,
             atomic::{AtomicU32, Ordering},
         },
-        thread,
+        thread::{self, JoinHandle},
         time::{Duration, Instant},
     },
 };
@@ -45,6 +45,8 @@
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
     lines: Arc<Mutex<Vec<String>>>,
+    /// Reads the log until the process has closed it.
+    log_reader: Option<JoinHandle<()>>,
     settings: PathBuf,
 }
 
@@ -112,7 +114,7 @@
         let lines = Arc::new(Mutex::new(Vec::new()));
         let output = BufReader::new(child.stdout.take().unwrap());
         let collected = Arc::clone(&lines);
-        thread::spawn(move || {
+        let log_reader = thread::spawn(move || {
             for line in output.lines().map_while(Result::ok) {
                 collected.lock().unwrap().push(line);
             }
@@ -136,6 +138,7 @@
             readiness: address("readiness"),
             child,
             lines,
+            log_reader: Some(log_reader),
             settings,
         }
     }
@@ -175,11 +178,14 @@
         self.child.try_wait().unwrap().is_some()
     }
 
-    /// Waits until the process exits.
+    /// Waits until the process exits and its log is read.
     pub fn wait_for_exit(&mut self) -> ExitStatus {
         let began = Instant::now();
         loop {
             if let Some(status) = self.child.try_wait().unwrap() {
+                if let Some(log_reader) = self.log_reader.take() {
+                    log_reader.join().unwrap();
+                }
                 return status;
             }
             assert!(
