--- a/crates/entry/tests/overtaken_streams.rs
+++ b/crates/entry/tests/overtaken_streams.rs
@@ -23,6 +23,9 @@
 /// How long an overtaken attempt may work on.
 const MAX_OVERLAP: Duration = Duration::from_millis(1_500);
 
+/// Sites that are started anew, as an upstream that has failed isn't sought again at once.
+const SITES: usize = 4;
+
 /// A silent upstream beside others.
 struct Site {
     upstreams: Vec<UpstreamStandIn>,
@@ -35,18 +38,26 @@
     fn start(
         silence: Duration,
         others: &[Behaviour],
+    ) -> Self {
+        let silent = Behaviour::Pauses(EVENTS, silence);
+        let behaviours = [&[silent], others].concat();
+        Self::start_builds(&vec!["v1"; behaviours.len()], &behaviours)
+    }
+
+    fn start_builds(
+        builds: &[&str],
+        behaviours: &[Behaviour],
     ) -> Self {
         let store = KvStandIn::start().unwrap();
-        let attempts = others.len() + 1;
+        let attempts = behaviours.len();
         let mut next = config(1);
         for route in next["routes"].as_array_mut().unwrap() {
             route["attempts"] = json!(attempts);
         }
         store.put("op/config", &next);
-        let silent = Behaviour::Pauses(EVENTS, silence);
-        let behaviours = [&[silent], others].concat();
         let start = |(number, behaviour): (usize, &Behaviour)| {
             let upstream = UpstreamStandIn::start(&format!("s-{number}")).unwrap();
+            upstream.set_build(builds[number]);
             upstream.set_default(behaviour.clone());
             // Upstreams of the VM's own data centre are tried first.
             let zone = if number == 0 { "one" } else { "two" };
@@ -99,6 +110,26 @@
     }
 }
 
+#[test]
+fn streams_stay_with_their_build() {
+    // Guards against a hedge of another build, which nothing can replace if it breaks off, where one of the same build
+    // could be had.
+    let silent = Behaviour::SilentStream(
+        EVENTS,
+        StreamFraming::Chunked,
+        Silence {
+            at: SilentAt::Head,
+            time: SILENCE,
+        },
+    );
+    let cut = Behaviour::CutAfterMore(1, EVENTS);
+    for _ in 0..SITES {
+        let behaviours = [silent.clone(), cut.clone(), cut.clone()];
+        let site = Site::start_builds(&["v1", "v2", "v1"], &behaviours);
+        assert_whole(&site.send());
+    }
+}
+
 #[test]
 fn overtaken_streams_are_closed() {
     // Guards against a silent upstream that works on although another one has gone on long ago.
