Hedged requests: a stream that hasn't begun is hedged at the same build, if there is one

Change: the search for a hedge asks for the build of the attempt in flight first, for 250 ms at most, and for any build then. Once a stream has begun, its build is required as before.

--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -512,11 +512,22 @@
             number: self.attempts.next_attempt() + race.in_flight(),
             excluded_upstreams,
             build: self.progress.origin.required_build().map(str::to_owned),
+            preferred_build: self.preferred_build(&race.current),
             has_begun: self.progress.first_at.is_some(),
             pause,
         });
     }
 
+    /// The build of a hedge after which an attempt could go on that has forwarded nothing.
+    fn preferred_build(
+        &self,
+        attempt: &InFlight,
+    ) -> Option<String> {
+        let is_open = self.req.is_resumable() && self.progress.first_at.is_none();
+        let build = attempt.placement.build.as_ref().filter(|_| is_open);
+        build.cloned()
+    }
+
     /// Forwards a piece of the current attempt, which overtakes its rivals; returns what follows if that was the last
     /// one.
     async fn go_on(
--- a/crates/entry/src/forward/hedge.rs
+++ b/crates/entry/src/forward/hedge.rs
@@ -9,13 +9,16 @@
         error::{ErrorKind, Refusal},
     },
     jasmine_telemetry::log::Line,
-    std::rc::Rc,
+    std::{rc::Rc, time::Duration},
     tokio::time::{sleep, timeout},
 };
 
 /// Pause before an upstream is sought again after a refusal or a failed hedge.
 pub(super) const RETRY_INTERVAL: Millis = Millis(500);
 
+/// How long an upstream of the preferred build is waited for.
+const PREFERENCE_TIME: Duration = Duration::from_millis(250);
+
 /// Places one attempt; waits until the deadline, or until a planned stop refuses waiting requests.
 ///
 /// An answer that has begun waits on: nothing but the exit ends it.
@@ -50,6 +53,8 @@
     pub excluded_upstreams: Vec<String>,
     /// The only build that may serve it.
     pub build: Option<String>,
+    /// The build that is sought first: an attempt that is in flight could go on after it.
+    pub preferred_build: Option<String>,
     /// Whether the caller has a part of the answer.
     pub has_begun: bool,
     /// Pause before the search.
@@ -60,16 +65,14 @@
     /// Waits until an upstream can take the request, too.
     pub(super) async fn find(self) -> Placement {
         sleep(self.pause.to_std()).await;
-        let attempt = AttemptSpec {
-            number: self.number,
-            excluded_upstreams: &self.excluded_upstreams,
-            build: self.build.as_deref(),
-            has_begun: self.has_begun,
-            is_hedge: true,
-        };
         loop {
             if self.cx.links.can_send(&self.req.allowed_data_centres) {
-                match place(&self.cx, &self.req, &attempt).await {
+                let preferred = self.place_preferred().await;
+                let placement_result = match preferred {
+                    Some(placement) => Ok(placement),
+                    None => self.place(self.build.as_deref()).await,
+                };
+                match placement_result {
                     // A leader of an earlier version may assign the silent one.
                     Ok(placement) if self.excluded_upstreams.contains(&placement.upstream) => {}
                     Ok(placement) => return placement,
@@ -83,4 +86,26 @@
             sleep(RETRY_INTERVAL.to_std()).await;
         }
     }
+
+    /// Waits for an upstream of the preferred build; `None` if there is no such build, or none in time.
+    async fn place_preferred(&self) -> Option<Placement> {
+        let build = self.preferred_build.as_deref()?;
+        let placed = timeout(PREFERENCE_TIME, self.place(Some(build))).await;
+        let placement = placed.ok().and_then(Result::ok);
+        placement.filter(|it| !self.excluded_upstreams.contains(&it.upstream))
+    }
+
+    async fn place(
+        &self,
+        build: Option<&str>,
+    ) -> Result<Placement, PlacementError> {
+        let attempt = AttemptSpec {
+            number: self.number,
+            excluded_upstreams: &self.excluded_upstreams,
+            build,
+            has_begun: self.has_begun,
+            is_hedge: true,
+        };
+        place(&self.cx, &self.req, &attempt).await
+    }
 }
