--- a/crates/entry/tests/overtaken_streams.rs
+++ b/crates/entry/tests/overtaken_streams.rs
@@ -110,26 +110,46 @@
     }
 }
 
+/// A whole stream that is silent before its first event.
+fn late_stream() -> Behaviour {
+    let silence = Silence {
+        at: SilentAt::Head,
+        time: SILENCE,
+    };
+    Behaviour::SilentStream(EVENTS, StreamFraming::Chunked, silence)
+}
+
 #[test]
 fn streams_stay_with_their_build() {
     // Guards against a hedge of another build, which nothing can replace if it breaks off, where one of the same build
     // could be had.
-    let silent = Behaviour::SilentStream(
-        EVENTS,
-        StreamFraming::Chunked,
-        Silence {
-            at: SilentAt::Head,
-            time: SILENCE,
-        },
-    );
     let cut = Behaviour::CutAfterMore(1, EVENTS);
     for _ in 0..SITES {
-        let behaviours = [silent.clone(), cut.clone(), cut.clone()];
+        let behaviours = [late_stream(), cut.clone(), cut.clone()];
         let site = Site::start_builds(&["v1", "v2", "v1"], &behaviours);
         assert_whole(&site.send());
     }
 }
 
+#[test]
+fn streams_survive_another_build_that_breaks_off() {
+    // Guards against forwarding what a hedge of another build sends before it breaks off at once.
+    let cut = Behaviour::CutAfterMore(3, EVENTS);
+    let site = Site::start_builds(&["v1", "v2"], &[late_stream(), cut]);
+    assert_whole(&site.send());
+}
+
+#[test]
+fn streams_go_on_at_another_build() {
+    // Guards against holding back for good what a hedge of another build sends.
+    let whole = Behaviour::Events(EVENTS);
+    let paused = Behaviour::Pauses(EVENTS, SILENCE);
+    for other in [whole, paused] {
+        let site = Site::start_builds(&["v1", "v2"], &[Behaviour::Hang, other]);
+        assert_whole(&site.send());
+    }
+}
+
 #[test]
 fn overtaken_streams_are_closed() {
     // Guards against a silent upstream that works on although another one has gone on long ago.
