Hedged requests: the first events of a hedge of another build are held back for 200 ms

Change: the first events of such a hedge of a stream that hasn't begun are read for 200 ms, at most 64 KiB, before they are forwarded; if it breaks off by then, its side has failed and nothing else. `next_events` yields before a read in place of after it, so that a wait that is cancelled loses nothing.

--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -197,7 +197,7 @@
                 }
             };
             let number = self.attempts.next_attempt();
-            let attempt = self.send(placement, number);
+            let attempt = self.send(placement, number, false);
             match self.follow(attempt, out).await {
                 Step::Done(result) => {
                     let outcome = if result.is_ok() {
@@ -299,6 +299,7 @@
         &mut self,
         placement: Placement,
         number: u32,
+        is_on_probation: bool,
     ) -> InFlight {
         self.waited_for = placement.waited_for;
         self.sent_at = Some(self.cx.clock.now());
@@ -326,6 +327,7 @@
             after_event: self.progress.last_event.get().filter(|_| has_events),
             last_event: Rc::clone(&self.progress.last_event),
             can_retry: self.attempts.can_run_beside(1),
+            is_on_probation,
         };
         InFlight::new(setup, placement)
     }
@@ -374,7 +376,12 @@
                     race.search = None;
                     let number = self.attempts.next_attempt() + race.in_flight();
                     self.cx.metrics.count_hedge("sent");
-                    race.rivals.push(self.send(placement, number));
+                    let is_last_of_build = self.preferred_build(&race.current).is_some()
+                        && race
+                            .attempts()
+                            .all(|it| it.placement.build != placement.build);
+                    let hedge = self.send(placement, number, is_last_of_build);
+                    race.rivals.push(hedge);
                 }
                 Event::Overdue {
                     are_links_lost: lost,
--- a/crates/entry/src/forward/in_flight.rs
+++ b/crates/entry/src/forward/in_flight.rs
@@ -5,7 +5,7 @@
         failure::Failure,
         piece::{AttemptError, Piece},
         response_trace::ResponseTrace,
-        stream_reader::StreamReader,
+        stream_reader::{MAX_HELD_BYTES, StreamReader},
     },
     crate::{
         context::Context,
@@ -22,8 +22,12 @@
         net::SocketAddr,
         rc::Rc,
     },
+    tokio::time::timeout,
 };
 
+/// How long the first events of a stream are held back after which no other attempt could go on.
+const PROBATION: Millis = Millis(200);
+
 /// How far an attempt is.
 enum Stage {
     /// Nothing was sent.
@@ -33,6 +37,8 @@
         /// The last event that the caller has, from whichever attempt.
         last_event: Rc<Cell<Option<u64>>>,
     },
+    /// A stream is being read that may break off at once.
+    OnProbation(Box<StreamReader>),
     /// A stream is being read.
     Streaming(Box<StreamReader>),
     /// It has ended.
@@ -51,6 +57,8 @@
     pub last_event: Rc<Cell<Option<u64>>>,
     /// Whether another attempt may follow one that has run.
     pub can_retry: bool,
+    /// Whether no other attempt in flight could go on after its events.
+    pub is_on_probation: bool,
 }
 
 /// An attempt that was sent and has not ended.
@@ -83,6 +91,7 @@
             trace: Rc::clone(&trace),
             tried_relays: setup.tried_relays,
             can_retry: setup.can_retry,
+            is_on_probation: setup.is_on_probation,
         };
         let pieces = unfold((attempt, stage), |(attempt, stage)| async move {
             let (piece, stage) = next_piece(&attempt, stage).await?;
@@ -157,6 +166,7 @@
             after_event,
             last_event,
         } => Some(first_piece(attempt, after_event, last_event).await),
+        Stage::OnProbation(reader) => Some(read_on_probation(attempt, *reader).await),
         Stage::Streaming(reader) => Some(read_stream(attempt, *reader).await),
         Stage::Ended => None,
     }
@@ -181,7 +191,12 @@
     }
     if attempt.req.is_stream() && response.head.status == 200 {
         let reader = StreamReader::new(response, last_event, attempt.req.is_resumable());
-        return (Ok(Piece::Begun), Stage::Streaming(Box::new(reader)));
+        let stage = if attempt.is_on_probation {
+            Stage::OnProbation
+        } else {
+            Stage::Streaming
+        };
+        return (Ok(Piece::Begun), stage(Box::new(reader)));
     }
     if is_success {
         attempt.note_begun();
@@ -192,6 +207,32 @@
     }
 }
 
+/// Reads the first events of a stream, and what follows them within the probation: if it breaks off, nothing is
+/// forwarded.
+async fn read_on_probation(
+    attempt: &AttemptContext,
+    mut reader: StreamReader,
+) -> (Result<Piece, AttemptError>, Stage) {
+    let mut first = match reader.next_events(attempt).await {
+        Ok(Some(first)) => first,
+        Ok(None) => return (Ok(reader.end(attempt)), Stage::Ended),
+        Err(failure) => return (Err(failure.into()), Stage::Ended),
+    };
+    let until = attempt.cx.clock.now() + PROBATION;
+    loop {
+        let left = until.since(attempt.cx.clock.now());
+        if left == Millis::ZERO || first.bytes.len() > MAX_HELD_BYTES {
+            break;
+        }
+        match timeout(left.to_std(), reader.next_events(attempt)).await {
+            Ok(Ok(Some(ready))) => first.append(&ready),
+            Ok(Ok(None)) | Err(_) => break,
+            Ok(Err(failure)) => return (Err(failure.into()), Stage::Ended),
+        }
+    }
+    (Ok(reader.events(first)), Stage::Streaming(Box::new(reader)))
+}
+
 /// Reads the next piece of a stream.
 async fn read_stream(
     attempt: &AttemptContext,
--- a/crates/entry/src/forward/stream_reader.rs
+++ b/crates/entry/src/forward/stream_reader.rs
@@ -12,8 +12,8 @@
     tokio::task::yield_now,
 };
 
-/// Most bytes of events without an id that are held back.
-const MAX_HELD_BYTES: usize = 64 << 10;
+/// Most bytes of events that are held back.
+pub(super) const MAX_HELD_BYTES: usize = 64 << 10;
 
 /// Reads without an event after which other tasks, and the deadline, get their turn.
 const READS_PER_TURN: u32 = 16;
@@ -39,7 +39,7 @@
         self.last_id = event.id.or(self.last_id);
     }
 
-    fn append(
+    pub(super) fn append(
         &mut self,
         other: &Self,
     ) {
@@ -85,16 +85,15 @@
     }
 
     /// Waits for complete events that the caller has not got; `None` at the end of a complete stream.
+    ///
+    /// Nothing is lost if the wait is cancelled.
     pub(super) async fn next_events(
         &mut self,
         attempt: &AttemptContext,
     ) -> Result<Option<EventBatch>, Failure> {
         let mut reads_in_turn = 0;
-        while let Some(data) = self.read_part(attempt).await? {
+        while let Some(data) = self.read_part(attempt, reads_in_turn).await? {
             reads_in_turn += 1;
-            if reads_in_turn % READS_PER_TURN == 0 {
-                yield_now().await;
-            }
             if attempt.trace.get().received_at.is_none() {
                 attempt.note_begun();
             }
@@ -141,7 +140,11 @@
     async fn read_part(
         &mut self,
         attempt: &AttemptContext,
+        reads_in_turn: u32,
     ) -> Result<Option<Bytes>, Failure> {
+        if reads_in_turn % READS_PER_TURN == READS_PER_TURN - 1 {
+            yield_now().await;
+        }
         let via = self.response.via;
         match self.response.connection.body(&mut self.reader).await {
             Err(e) => Err(attempt.broken(via, e).await),
