--- a/crates/entry/tests/overtaken_streams.rs
+++ b/crates/entry/tests/overtaken_streams.rs
@@ -139,6 +139,22 @@
     assert_whole(&site.send());
 }
 
+#[test]
+fn streams_survive_a_silent_one_that_breaks_off() {
+    // Guards against giving up a hedge of another build for a silent upstream that sends an event and breaks off.
+    let breaks_off = Behaviour::LateCut(SILENCE, 3);
+    let slower = Behaviour::SilentStream(
+        EVENTS,
+        StreamFraming::Chunked,
+        Silence {
+            at: SilentAt::Head,
+            time: 2 * SILENCE,
+        },
+    );
+    let site = Site::start_builds(&["v1", "v2"], &[breaks_off, slower]);
+    assert_whole(&site.send());
+}
+
 #[test]
 fn streams_go_on_at_another_build() {
     // Guards against holding back for good what a hedge of another build sends.
