Hedged requests: first events are held back while attempts of two builds are in flight

Change: the probation holds for whichever of the attempts in flight has events first, as long as some of them are of another build than others, and not for a hedge alone. All attempts of a request share that flag.

--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -98,8 +98,8 @@
     pub tried_relays: Rc<RefCell<Vec<SocketAddr>>>,
     /// Whether another attempt may follow one that has run.
     pub can_retry: bool,
-    /// Whether no other attempt in flight could go on after its events.
-    pub is_on_probation: bool,
+    /// Whether some attempt in flight couldn't go on after the first events of another one.
+    pub is_contested: Rc<Cell<bool>>,
 }
 
 impl AttemptContext {
--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -117,6 +117,8 @@
     /// VMs to which the request has been offered.
     tried_relays: Rc<RefCell<Vec<SocketAddr>>>,
     progress: Progress,
+    /// Whether some attempt in flight couldn't go on after the first events of another one.
+    is_contested: Rc<Cell<bool>>,
     /// Whether a hedge may be sent, as far as earlier ones say.
     may_hedge: bool,
     /// The last error response of an upstream, forwarded if no attempt succeeds.
@@ -153,6 +155,7 @@
                 last_event: Rc::new(Cell::new(req.caller.last_event)),
                 ..Progress::default()
             },
+            is_contested: Rc::default(),
             may_hedge: true,
             upstream_error: None,
             waited: Millis::ZERO,
@@ -197,7 +200,7 @@
                 }
             };
             let number = self.attempts.next_attempt();
-            let attempt = self.send(placement, number, false);
+            let attempt = self.send(placement, number);
             match self.follow(attempt, out).await {
                 Step::Done(result) => {
                     let outcome = if result.is_ok() {
@@ -299,7 +302,6 @@
         &mut self,
         placement: Placement,
         number: u32,
-        is_on_probation: bool,
     ) -> InFlight {
         self.waited_for = placement.waited_for;
         self.sent_at = Some(self.cx.clock.now());
@@ -327,7 +329,7 @@
             after_event: self.progress.last_event.get().filter(|_| has_events),
             last_event: Rc::clone(&self.progress.last_event),
             can_retry: self.attempts.can_run_beside(1),
-            is_on_probation,
+            is_contested: Rc::clone(&self.is_contested),
         };
         InFlight::new(setup, placement)
     }
@@ -341,6 +343,7 @@
         let mut race = Race::new(attempt);
         let mut are_links_lost = false;
         loop {
+            self.is_contested.set(self.is_contested(&race));
             match self.next_event(&mut race, are_links_lost).await {
                 Event::Piece(Ok(Piece::Begun)) => {}
                 Event::Rival(number, Ok(Piece::Begun)) => self.note_begun(&mut race, number),
@@ -376,12 +379,7 @@
                     race.search = None;
                     let number = self.attempts.next_attempt() + race.in_flight();
                     self.cx.metrics.count_hedge("sent");
-                    let is_last_of_build = self.preferred_build(&race.current).is_some()
-                        && race
-                            .attempts()
-                            .all(|it| it.placement.build != placement.build);
-                    let hedge = self.send(placement, number, is_last_of_build);
-                    race.rivals.push(hedge);
+                    race.rivals.push(self.send(placement, number));
                 }
                 Event::Overdue {
                     are_links_lost: lost,
@@ -525,6 +523,18 @@
         });
     }
 
+    /// Whether some attempt in flight couldn't go on after the first events of another one.
+    fn is_contested(
+        &self,
+        race: &Race,
+    ) -> bool {
+        let builds = || race.attempts().map(|attempt| &attempt.placement.build);
+        let are_equal = builds()
+            .zip(builds().skip(1))
+            .all(|(one, next)| one == next);
+        !are_equal && self.req.is_resumable() && self.progress.first_at.is_none()
+    }
+
     /// The build of a hedge after which an attempt could go on that has forwarded nothing.
     fn preferred_build(
         &self,
--- a/crates/entry/src/forward/in_flight.rs
+++ b/crates/entry/src/forward/in_flight.rs
@@ -25,7 +25,7 @@
     tokio::time::timeout,
 };
 
-/// How long the first events of a stream are held back after which no other attempt could go on.
+/// How long the first events of a contested stream are held back.
 const PROBATION: Millis = Millis(200);
 
 /// How far an attempt is.
@@ -37,9 +37,9 @@
         /// The last event that the caller has, from whichever attempt.
         last_event: Rc<Cell<Option<u64>>>,
     },
-    /// A stream is being read that may break off at once.
-    OnProbation(Box<StreamReader>),
-    /// A stream is being read.
+    /// The head of a stream was read.
+    Begun(Box<StreamReader>),
+    /// The events of a stream are being read.
     Streaming(Box<StreamReader>),
     /// It has ended.
     Ended,
@@ -57,8 +57,8 @@
     pub last_event: Rc<Cell<Option<u64>>>,
     /// Whether another attempt may follow one that has run.
     pub can_retry: bool,
-    /// Whether no other attempt in flight could go on after its events.
-    pub is_on_probation: bool,
+    /// Whether some attempt in flight couldn't go on after the first events of another one.
+    pub is_contested: Rc<Cell<bool>>,
 }
 
 /// An attempt that was sent and has not ended.
@@ -91,7 +91,7 @@
             trace: Rc::clone(&trace),
             tried_relays: setup.tried_relays,
             can_retry: setup.can_retry,
-            is_on_probation: setup.is_on_probation,
+            is_contested: setup.is_contested,
         };
         let pieces = unfold((attempt, stage), |(attempt, stage)| async move {
             let (piece, stage) = next_piece(&attempt, stage).await?;
@@ -166,7 +166,7 @@
             after_event,
             last_event,
         } => Some(first_piece(attempt, after_event, last_event).await),
-        Stage::OnProbation(reader) => Some(read_on_probation(attempt, *reader).await),
+        Stage::Begun(reader) => Some(read_first_events(attempt, *reader).await),
         Stage::Streaming(reader) => Some(read_stream(attempt, *reader).await),
         Stage::Ended => None,
     }
@@ -191,12 +191,7 @@
     }
     if attempt.req.is_stream() && response.head.status == 200 {
         let reader = StreamReader::new(response, last_event, attempt.req.is_resumable());
-        let stage = if attempt.is_on_probation {
-            Stage::OnProbation
-        } else {
-            Stage::Streaming
-        };
-        return (Ok(Piece::Begun), stage(Box::new(reader)));
+        return (Ok(Piece::Begun), Stage::Begun(Box::new(reader)));
     }
     if is_success {
         attempt.note_begun();
@@ -207,9 +202,9 @@
     }
 }
 
-/// Reads the first events of a stream, and what follows them within the probation: if it breaks off, nothing is
-/// forwarded.
-async fn read_on_probation(
+/// Reads the first events of a stream; if it is contested, with what follows them within the probation, so that nothing
+/// is forwarded of one that breaks off at once.
+async fn read_first_events(
     attempt: &AttemptContext,
     mut reader: StreamReader,
 ) -> (Result<Piece, AttemptError>, Stage) {
@@ -219,7 +214,7 @@
         Err(failure) => return (Err(failure.into()), Stage::Ended),
     };
     let until = attempt.cx.clock.now() + PROBATION;
-    loop {
+    while attempt.is_contested.get() {
         let left = until.since(attempt.cx.clock.now());
         if left == Millis::ZERO || first.bytes.len() > MAX_HELD_BYTES {
             break;
