--- a/crates/entry/tests/overtaken_streams.rs
+++ b/crates/entry/tests/overtaken_streams.rs
@@ -7,6 +7,7 @@
     jasmine_platform_stand_in::{
         Behaviour, KvStandIn, Silence, SilentAt, StreamFraming, UpstreamStandIn,
     },
+    jasmine_testkit::proxy::{Link, Proxy},
     serde_json::json,
     std::{thread, time::Duration},
 };
@@ -23,6 +24,13 @@
 /// How long an overtaken attempt may work on.
 const MAX_OVERLAP: Duration = Duration::from_millis(1_500);
 
+/// A stream that takes longer than its first events may be held back.
+const MANY_EVENTS: u64 = 100;
+/// How long the second upstream is silent: it begins shortly before the third one is asked.
+const SECOND_SILENCE: Duration = Duration::from_millis(680);
+/// Delay of what the third upstream is sent, and of what it sends, in milliseconds.
+const LINK_DELAY_MS: u64 = 70;
+
 /// Sites that are started anew, as an upstream that has failed isn't sought again at once.
 const SITES: usize = 4;
 
@@ -184,3 +192,68 @@
         assert_whole(&caller.join().unwrap());
     });
 }
+
+#[test]
+fn streams_survive_one_that_hangs_after_an_event() {
+    // Guards against closing an overtaken upstream, which goes on again, while the one that overtook it is silent.
+    let silence = Duration::from_millis(1_200);
+    let site = Site::start(silence, &[Behaviour::SilentAfter(EVENTS / 2 + 1)]);
+    assert_whole(&site.send());
+}
+
+#[test]
+fn events_held_back_are_not_repeated() {
+    // Guards against forwarding events that were held back, and that the caller has since got from a third upstream.
+    let store = KvStandIn::start().unwrap();
+    let mut next = config(1);
+    for route in next["routes"].as_array_mut().unwrap() {
+        route["attempts"] = json!(3);
+    }
+    store.put("op/config", &next);
+    let late = Silence {
+        at: SilentAt::Head,
+        time: SECOND_SILENCE,
+    };
+    let behaviours = [
+        Behaviour::Hang,
+        Behaviour::SilentStream(MANY_EVENTS, StreamFraming::Chunked, late),
+        Behaviour::CutAfterMore(10, MANY_EVENTS),
+    ];
+    let upstreams = ["v1", "v2", "v2"].iter().zip(behaviours).enumerate();
+    let upstreams: Vec<UpstreamStandIn> = upstreams
+        .map(|(number, (build, behaviour))| {
+            let upstream = UpstreamStandIn::start(&format!("s-{number}")).unwrap();
+            upstream.set_build(build);
+            upstream.set_default(behaviour);
+            upstream
+        })
+        .collect();
+    let entry = |number: usize| upstreams[number].entry("app", "one", "ready");
+    store.put(&upstreams[0].key(), &entry(0));
+    let vm = Vm::start(&store);
+    wait_until("it leads", || !vm.log_lines("lead_taken").is_empty());
+    let last = entry(2);
+    let target = last["address"].as_str().unwrap().parse().unwrap();
+    let link = Proxy::start("127.0.0.1:0".parse().unwrap(), target).unwrap();
+    link.set(Link {
+        delay_ms: LINK_DELAY_MS,
+        ..Link::default()
+    });
+    let response = thread::scope(|scope| {
+        let caller = scope.spawn(|| {
+            let req = Request::new("POST", "/stream/").body(b"prompt");
+            vm.send_request(&req)
+        });
+        // Each is there when it is to be asked.
+        wait_until("the first is asked", || !upstreams[0].arrivals().is_empty());
+        store.put(&upstreams[1].key(), &entry(1));
+        wait_until("the second is asked", || !upstreams[1].arrivals().is_empty());
+        let mut last = last.clone();
+        last["address"] = json!(link.address().to_string());
+        store.put(&upstreams[2].key(), &last);
+        caller.join().unwrap()
+    });
+    let ids: Vec<u64> = response.events().iter().map(|event| event.id).collect();
+    assert!(ids.iter().copied().eq(1..=MANY_EVENTS), "{ids:?}");
+    assert!(response.is_complete);
+}
