Hedged requests: what was overtaken is listened to while the one that goes on is silent

A stream was closed at its deadline after 5 of 8 events: the upstream that had overtaken another one hung after its first event, while the other one, sound again, was open and not read, and was closed after its second.

Change: while the current attempt sends nothing for longer than the route's gap, those that stand by are listened to, and once their time is over they are closed only if it isn't silent; else the race is open again.

`overtaken_streams_are_closed` asked for the very fault: it wanted the first upstream closed after 1.5 s while the second one was silent for 2.5 s.

--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -82,8 +82,10 @@
     Found(Placement),
     /// The upstream is silent for too long, or the links of this VM are lost.
     Overdue { are_links_lost: bool },
-    /// What was overtaken has stood by for long enough.
+    /// What was overtaken has stood by for its time.
     StandbyOver,
+    /// The current attempt, which has overtaken others, is silent.
+    Stalled,
     /// The links are up again.
     LinksRestored,
     /// The deadline has passed.
@@ -345,7 +347,7 @@
         loop {
             self.is_contested.set(self.is_contested(&race));
             match self.next_event(&mut race, are_links_lost).await {
-                Event::Piece(Ok(Piece::Begun)) => {}
+                Event::Piece(Ok(Piece::Begun)) | Event::Stalled => {}
                 Event::Rival(number, Ok(Piece::Begun)) => self.note_begun(&mut race, number),
                 Event::Piece(Ok(piece)) if is_usable(&piece, out) => {
                     if let Some(step) = self.go_on(&mut race, piece, out).await {
@@ -387,6 +389,9 @@
                     are_links_lost = lost;
                     self.seek_hedge(&mut race, Millis::ZERO);
                 }
+                Event::StandbyOver if self.silent_in(&race) == Some(Millis::ZERO) => {
+                    race.standby = None;
+                }
                 Event::StandbyOver => self.end_rivals(&mut race),
                 Event::LinksRestored => {
                     are_links_lost = false;
@@ -414,7 +419,9 @@
         }
         let now = self.cx.clock.now();
         let standby_left = race.standby.map(|standby| standby.until.since(now));
-        let listens = race.standby.is_none_or(|standby| standby.listens);
+        let silent_in = self.silent_in(race);
+        let is_silent = silent_in == Some(Millis::ZERO);
+        let listens = is_silent || race.standby.is_none_or(|standby| standby.listens);
         if standby_left == Some(Millis::ZERO) {
             return Event::StandbyOver;
         }
@@ -451,11 +458,26 @@
             () = sleep(standby_left.unwrap_or_default().to_std()), if standby_left.is_some() => {
                 Event::StandbyOver
             }
+            () = sleep(silent_in.unwrap_or_default().to_std()), if !listens && silent_in.is_some() => {
+                Event::Stalled
+            }
             () = sleep(patience), if can_hedge => Event::Overdue { are_links_lost: false },
             () = links.restored(), if is_seeking && are_links_lost => Event::LinksRestored,
         }
     }
 
+    /// Time until the current attempt counts as silent, so that what it has overtaken is listened to; `None` for a
+    /// generation, whose runs aren't mixed.
+    fn silent_in(
+        &self,
+        race: &Race,
+    ) -> Option<Millis> {
+        let gap = self.req.route.gap_objective;
+        let stalled_for = race.current.trace().stalled_for(self.cx.clock.now());
+        let left = gap.unwrap_or(DEFAULT_GAP_OBJECTIVE).since(stalled_for);
+        Some(left).filter(|_| !self.req.is_generation)
+    }
+
     /// Whether another upstream may be sent the request beside those that have it.
     fn can_hedge(
         &self,
