Hedged requests: events that were held back come only once

110 events of 100 reached a caller: an attempt held its first events back for 200 ms, one of the same build that was sent later forwarded ten, broke off, and the held ones went out.

Change: what was held back is compared once more with what the caller has when it is released.

--- a/crates/entry/src/forward/in_flight.rs
+++ b/crates/entry/src/forward/in_flight.rs
@@ -225,7 +225,11 @@
             Ok(Err(failure)) => return (Err(failure.into()), Stage::Ended),
         }
     }
-    (Ok(reader.events(first)), Stage::Streaming(Box::new(reader)))
+    match reader.without_known(&first) {
+        Ok(ready) if ready.count == 0 => read_stream(attempt, reader).await,
+        Ok(ready) => (Ok(reader.events(ready)), Stage::Streaming(Box::new(reader))),
+        Err(failure) => (Err(failure.into()), Stage::Ended),
+    }
 }
 
 /// Reads the next piece of a stream.
--- a/crates/entry/src/forward/stream_reader.rs
+++ b/crates/entry/src/forward/stream_reader.rs
@@ -8,7 +8,11 @@
     crate::http1::{BodyReader, Framing, ResponseHead},
     bytes::{Bytes, BytesMut},
     jasmine_core::scheduler::Outcome,
-    std::{cell::Cell, rc::Rc},
+    std::{
+        cell::Cell,
+        mem::{replace, take},
+        rc::Rc,
+    },
     tokio::task::yield_now,
 };
 
@@ -115,10 +119,29 @@
         if self.is_broken_off() {
             return Err(Failure::broken(Outcome::Lost));
         }
-        let held = std::mem::take(&mut self.held);
+        let held = take(&mut self.held);
         Ok(Some(held).filter(|held| held.count > 0))
     }
 
+    /// Events that were held back, without those that the caller has got since.
+    pub(super) fn without_known(
+        &mut self,
+        held_back: &EventBatch,
+    ) -> Result<EventBatch, Failure> {
+        let mut splitter = EventSplitter::new(self.response.connection.read_charge());
+        if !splitter.push(&held_back.bytes) {
+            return Err(Failure::may_have_run(Outcome::Lost));
+        }
+        let later = replace(&mut self.splitter, splitter);
+        let held = take(&mut self.held);
+        self.last_event = None;
+        let ready = self.take_events();
+        self.splitter = later;
+        self.held = held;
+        self.last_event = held_back.last_id.max(self.last_event);
+        Ok(ready)
+    }
+
     /// A part of the stream for the caller.
     pub(super) fn events(
         &self,
@@ -168,7 +191,7 @@
                 _ if is_known => self.held = EventBatch::default(),
                 None if self.holds => self.held.push(&event),
                 id => {
-                    ready.append(&std::mem::take(&mut self.held));
+                    ready.append(&take(&mut self.held));
                     ready.push(&event);
                     self.last_event = id.or(self.last_event);
                 }
