Generations: a hedge has begun with the head of its answer, streamed or not

Two engines worked for 3 s on a generation that isn't streamed: only streams had the piece that says that the head was read.

--- a/crates/entry/src/forward/in_flight.rs
+++ b/crates/entry/src/forward/in_flight.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         ForwardRequest,
-        attempt::{AttemptContext, Start, Via},
+        attempt::{AttemptContext, Start, StartedResponse, Via},
         failure::Failure,
         piece::{AttemptError, Piece},
         response_trace::ResponseTrace,
@@ -41,6 +41,8 @@
     Begun(Box<StreamReader>),
     /// The events of a stream are being read.
     Streaming(Box<StreamReader>),
+    /// The head of an answer was read that is forwarded as a whole.
+    Buffering(Box<StartedResponse>),
     /// It has ended.
     Ended,
 }
@@ -168,6 +170,7 @@
         } => Some(first_piece(attempt, after_event, last_event).await),
         Stage::Begun(reader) => Some(read_first_events(attempt, *reader).await),
         Stage::Streaming(reader) => Some(read_stream(attempt, *reader).await),
+        Stage::Buffering(response) => Some(read_whole(attempt, *response).await),
         Stage::Ended => None,
     }
 }
@@ -195,7 +198,16 @@
     }
     if is_success {
         attempt.note_begun();
+        return (Ok(Piece::Begun), Stage::Buffering(Box::new(response)));
     }
+    read_whole(attempt, response).await
+}
+
+/// Reads the rest of an answer that is forwarded as a whole.
+async fn read_whole(
+    attempt: &AttemptContext,
+    response: StartedResponse,
+) -> (Result<Piece, AttemptError>, Stage) {
     match attempt.read_whole(response).await {
         Ok((head, body)) => (Ok(Piece::Whole(head, body)), Stage::Ended),
         Err(failure) => (Err(failure.into()), Stage::Ended),
--- a/crates/entry/src/forward/piece.rs
+++ b/crates/entry/src/forward/piece.rs
@@ -9,7 +9,7 @@
 /// A part of an answer that can be passed on to the caller.
 #[derive(Debug)]
 pub(super) enum Piece {
-    /// The head of a stream was received: its upstream works on the request.
+    /// The head of an answer was received: its upstream works on the request.
     Begun,
     /// Complete events of a stream that the caller has not got yet.
     Events(Rc<ResponseHead>, EventBatch),
