--- a/crates/entry/tests/overtaken_streams.rs
+++ b/crates/entry/tests/overtaken_streams.rs
@@ -7,7 +7,7 @@
     jasmine_platform_stand_in::{
         Behaviour, KvStandIn, Silence, SilentAt, StreamFraming, UpstreamStandIn,
     },
-    jasmine_testkit::proxy::{Link, Proxy},
+    jasmine_testkit::proxy::{Fault, Link, Proxy},
     serde_json::json,
     std::{thread, time::Duration},
 };
@@ -19,13 +19,13 @@
 const REQUESTS: usize = 4;
 /// Longer than all that happens beside it.
 const LONG_SILENCE: Duration = Duration::from_secs(4);
-/// Events of a stream that takes 2 s at least.
-const LONG_STREAM: u64 = 400;
 /// How long an overtaken attempt may work on.
 const MAX_OVERLAP: Duration = Duration::from_millis(1_500);
 
 /// A stream that takes longer than its first events may be held back.
 const MANY_EVENTS: u64 = 100;
+/// A stream that takes longer than any attempt stands by.
+const LONG_EVENTS: u64 = 500;
 /// How long the second upstream is silent: it begins shortly before the third one is asked.
 const SECOND_SILENCE: Duration = Duration::from_millis(680);
 /// Delay of what the third upstream is sent, and of what it sends, in milliseconds.
@@ -181,8 +181,8 @@
         at: SilentAt::Event(2),
         time: LONG_SILENCE,
     };
-    let silent = Behaviour::SilentStream(LONG_STREAM, StreamFraming::Chunked, silence);
-    let site = Site::start_builds(&["v1", "v1"], &[silent, Behaviour::Events(LONG_STREAM)]);
+    let silent = Behaviour::SilentStream(LONG_EVENTS, StreamFraming::Chunked, silence);
+    let site = Site::start_builds(&["v1", "v1"], &[silent, Behaviour::Events(LONG_EVENTS)]);
     thread::scope(|scope| {
         let caller = scope.spawn(|| site.send());
         wait_until("it goes on", || !site.upstreams[1].arrivals().is_empty());
@@ -191,7 +191,7 @@
         assert!(!caller.is_finished());
         let response = caller.join().unwrap();
         let ids = response.events().into_iter().map(|event| event.id);
-        assert!(ids.eq(1..=LONG_STREAM));
+        assert!(ids.eq(1..=LONG_EVENTS));
         assert!(response.is_complete);
     });
 }
@@ -262,3 +262,164 @@
     assert!(ids.iter().copied().eq(1..=MANY_EVENTS), "{ids:?}");
     assert!(response.is_complete);
 }
+
+#[test]
+fn streams_go_on_at_a_hedge_that_was_withdrawn() {
+    // Guards against counting a hedge that has forwarded nothing as the last attempt, so that nobody is asked when the
+    // upstream that it stood in for breaks off later.
+    let store = KvStandIn::start().unwrap();
+    store.put("op/config", &config(1));
+    let slow = Silence {
+        at: SilentAt::Event(5),
+        time: Duration::from_millis(700),
+    };
+    let late = Silence {
+        at: SilentAt::Head,
+        time: Duration::from_millis(600),
+    };
+    let stream = |silence| Behaviour::SilentStream(LONG_EVENTS, StreamFraming::Chunked, silence);
+    let start = |id: &str, behaviour| {
+        let upstream = UpstreamStandIn::start(id).unwrap();
+        upstream.set_default(behaviour);
+        upstream
+    };
+    let upstreams = [start("s-0", stream(slow)), start("s-1", stream(late))];
+    let mut first = upstreams[0].entry("app", "one", "ready");
+    let target = first["address"].as_str().unwrap().parse().unwrap();
+    let link = Proxy::start("127.0.0.1:0".parse().unwrap(), target).unwrap();
+    first["address"] = json!(link.address().to_string());
+    store.put(&upstreams[0].key(), &first);
+    // Upstreams of the VM's own data centre are tried first.
+    store.put(
+        &upstreams[1].key(),
+        &upstreams[1].entry("app", "two", "ready"),
+    );
+    let vm = Vm::start(&store);
+    let response = thread::scope(|scope| {
+        let caller = scope.spawn(|| {
+            let req = Request::new("POST", "/stream/").body(b"prompt");
+            vm.send_request(&req)
+        });
+        wait_until("the hedge is withdrawn", || {
+            !vm.log_lines("hedge_withdrawn").is_empty()
+        });
+        link.set_mode(Fault::Reset);
+        caller.join().unwrap()
+    });
+    let ids: Vec<u64> = response.events().iter().map(|event| event.id).collect();
+    assert!(
+        ids.iter().copied().eq(1..=LONG_EVENTS),
+        "{} events",
+        ids.len()
+    );
+    assert!(response.is_complete);
+}
+
+#[test]
+fn events_held_back_are_dropped_while_links_are_tested() {
+    // Guards against forwarding what was held back because the test of the links, which a break begins, takes longer
+    // than it is held back.
+    let store = KvStandIn::start().unwrap();
+    store.put("op/config", &config(1));
+    let late = |ms| {
+        let silence = Silence {
+            at: SilentAt::Head,
+            time: Duration::from_millis(ms),
+        };
+        Behaviour::SilentStream(MANY_EVENTS, StreamFraming::Chunked, silence)
+    };
+    let behaviours = [late(2_500), late(1_000)];
+    let builds = ["v1", "v2"].into_iter().zip(["one", "two"]);
+    let upstreams = builds.zip(behaviours);
+    let any_address = "127.0.0.1:0".parse().unwrap();
+    let (upstreams, links): (Vec<UpstreamStandIn>, Vec<Proxy>) = upstreams
+        .map(|((build, zone), behaviour)| {
+            let upstream = UpstreamStandIn::start(&format!("s-{zone}")).unwrap();
+            upstream.set_build(build);
+            upstream.set_default(behaviour);
+            // Upstreams of the VM's own data centre are tried first.
+            let mut entry = upstream.entry("app", zone, "ready");
+            let target = entry["address"].as_str().unwrap().parse().unwrap();
+            let link = Proxy::start(any_address, target).unwrap();
+            entry["address"] = json!(link.address().to_string());
+            store.put(&upstream.key(), &entry);
+            (upstream, link)
+        })
+        .unzip();
+    let vm = Vm::start(&store);
+    let response = thread::scope(|scope| {
+        let caller = scope.spawn(|| {
+            let req = Request::new("POST", "/stream/").body(b"prompt");
+            vm.send_request(&req)
+        });
+        wait_until("the second is asked", || {
+            !upstreams[1].arrivals().is_empty()
+        });
+        // Probes get their answers, later than events are held back.
+        links[0].set(Link {
+            delay_ms: 150,
+            ..Link::default()
+        });
+        thread::sleep(Duration::from_millis(1_080));
+        links[1].set_mode(Fault::Reset);
+        caller.join().unwrap()
+    });
+    let ids: Vec<u64> = response.events().iter().map(|event| event.id).collect();
+    assert!(
+        ids.iter().copied().eq(1..=MANY_EVENTS),
+        "{} events",
+        ids.len()
+    );
+    assert!(response.is_complete);
+}
+
+#[test]
+fn streams_go_on_at_an_overtaken_hedge() {
+    // Guards against closing an overtaken hedge, which is sound, while the upstream that went on has fallen silent again.
+    let store = KvStandIn::start().unwrap();
+    store.put("op/config", &config(1));
+    let slow = Silence {
+        at: SilentAt::Event(5),
+        time: Duration::from_millis(700),
+    };
+    let late = Silence {
+        at: SilentAt::Head,
+        time: Duration::from_millis(600),
+    };
+    let stream = |silence| Behaviour::SilentStream(LONG_EVENTS, StreamFraming::Chunked, silence);
+    let start = |id: &str, behaviour| {
+        let upstream = UpstreamStandIn::start(id).unwrap();
+        upstream.set_default(behaviour);
+        upstream
+    };
+    let upstreams = [start("s-0", stream(slow)), start("s-1", stream(late))];
+    let mut first = upstreams[0].entry("app", "one", "ready");
+    let target = first["address"].as_str().unwrap().parse().unwrap();
+    let link = Proxy::start("127.0.0.1:0".parse().unwrap(), target).unwrap();
+    first["address"] = json!(link.address().to_string());
+    store.put(&upstreams[0].key(), &first);
+    // Upstreams of the VM's own data centre are tried first.
+    store.put(
+        &upstreams[1].key(),
+        &upstreams[1].entry("app", "two", "ready"),
+    );
+    let vm = Vm::start(&store);
+    let response = thread::scope(|scope| {
+        let caller = scope.spawn(|| {
+            let req = Request::new("POST", "/stream/").body(b"prompt");
+            vm.send_request(&req)
+        });
+        wait_until("the first is asked", || !upstreams[0].arrivals().is_empty());
+        // It has gone on by then, and the hedge stands by.
+        thread::sleep(Duration::from_secs(1));
+        link.set_mode(Fault::Cut);
+        caller.join().unwrap()
+    });
+    let ids: Vec<u64> = response.events().iter().map(|event| event.id).collect();
+    assert!(
+        ids.iter().copied().eq(1..=LONG_EVENTS),
+        "{} events",
+        ids.len()
+    );
+    assert!(response.is_complete);
+}
