Hedged requests: each hedge is counted once; two that have begun keep their time when a third breaks off

`jasmine_hedges` had no `answered` for a hedge of a generation whose head came first, and counted the upstream that was hedged in its place. And of three engines, the two that were left when the current one broke off worked on side by side for longer than 400 ms, as falling back opened the race again.

Change: an attempt knows whether it is a hedge that isn't counted; whatever ends or forwards it counts it once. For a generation, falling back keeps the time until which two that have begun may go on.

--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -202,7 +202,7 @@
                 }
             };
             let number = self.attempts.next_attempt();
-            let attempt = self.send(placement, number);
+            let attempt = self.send(placement, number, false);
             match self.follow(attempt, out).await {
                 Step::Done(result) => {
                     let outcome = if result.is_ok() {
@@ -304,6 +304,7 @@
         &mut self,
         placement: Placement,
         number: u32,
+        is_hedge: bool,
     ) -> InFlight {
         self.waited_for = placement.waited_for;
         self.sent_at = Some(self.cx.clock.now());
@@ -333,7 +334,7 @@
             can_retry: self.attempts.can_run_beside(1),
             is_contested: Rc::clone(&self.is_contested),
         };
-        InFlight::new(setup, placement)
+        InFlight::new(setup, placement, is_hedge)
     }
 
     /// Forwards the answer of an attempt, or of its hedges, until its end.
@@ -359,21 +360,19 @@
                     if self.is_expired() {
                         self.end_rivals(&mut race);
                     }
-                    match race.fall_back() {
+                    match race.fall_back(self.req.is_generation) {
                         Some(failed) => self.end_side(&failed, e),
                         None => return self.end_attempt(&race.current, e).await,
                     }
                 }
                 Event::Rival(number, Ok(piece)) if is_usable(&piece, out) => {
                     race.promote(number);
-                    self.cx.metrics.count_hedge("answered");
                     if let Some(step) = self.go_on(&mut race, piece, out).await {
                         return step;
                     }
                 }
                 Event::Rival(number, end) => {
                     let failed = race.rivals.remove(number);
-                    self.cx.metrics.count_hedge("failed");
                     self.end_side(&failed, failure_of(end));
                     self.seek_hedge(&mut race, RETRY_INTERVAL);
                 }
@@ -381,7 +380,7 @@
                     race.search = None;
                     let number = self.attempts.next_attempt() + race.in_flight();
                     self.cx.metrics.count_hedge("sent");
-                    race.rivals.push(self.send(placement, number));
+                    race.rivals.push(self.send(placement, number, true));
                 }
                 Event::Overdue {
                     are_links_lost: lost,
@@ -575,6 +574,7 @@
         piece: Piece,
         out: &mut ResponseWriter<'_>,
     ) -> Option<Step> {
+        self.count_hedge(&race.current, "answered");
         if piece.is_last() {
             self.end_rivals(race);
         } else {
@@ -669,6 +669,7 @@
     ) {
         let placement = &overtaken.placement;
         let outcome = self.silence_of(overtaken, overtaken_at);
+        self.count_hedge(overtaken, "overtaken");
         if overtaken.uses_own_links() && outcome == Outcome::Silent {
             // If one connection is dead, the others are likely to be too.
             self.cx.pool.close_idle(placement.address);
@@ -679,7 +680,6 @@
         }
         self.attempts.record_end(AttemptEnd::MayHaveRun);
         self.cx.metrics.count_attempt(outcome);
-        self.cx.metrics.count_hedge("overtaken");
         placement.end(outcome, PromptEvidence::None);
         Line::new("hedge_withdrawn")
             .with("id", self.req.id())
@@ -687,6 +687,17 @@
             .info();
     }
 
+    /// Counts the result of an attempt, if it is a hedge, once.
+    fn count_hedge(
+        &self,
+        attempt: &InFlight,
+        result: &'static str,
+    ) {
+        if attempt.take_uncounted_hedge() {
+            self.cx.metrics.count_hedge(result);
+        }
+    }
+
     /// What the silence of an attempt shows: nothing about its upstream if another VM, or the links of this one, may
     /// have failed, or if the upstream had little time.
     fn silence_of(
@@ -709,6 +720,7 @@
         failed: &InFlight,
         e: AttemptError,
     ) {
+        self.count_hedge(failed, "failed");
         match e {
             AttemptError::Failed(failure) => {
                 self.record_failure(failed, failure);
@@ -728,6 +740,7 @@
         attempt: &InFlight,
         e: AttemptError,
     ) -> Step {
+        self.count_hedge(attempt, "failed");
         let failure = match e {
             AttemptError::Failed(failure) => failure,
             AttemptError::Refused(kind) => {
--- a/crates/entry/src/forward/in_flight.rs
+++ b/crates/entry/src/forward/in_flight.rs
@@ -70,6 +70,8 @@
     req: Rc<ForwardRequest>,
     pub placement: Rc<Placement>,
     trace: Rc<Cell<ResponseTrace>>,
+    /// Whether it is a hedge whose result isn't counted yet.
+    is_uncounted_hedge: Cell<bool>,
     generation: Option<GenerationSpec>,
     pieces: LocalBoxStream<'static, Result<Piece, AttemptError>>,
 }
@@ -79,6 +81,7 @@
     pub(super) fn new(
         setup: AttemptSetup,
         placement: Placement,
+        is_hedge: bool,
     ) -> Self {
         let placement = Rc::new(placement);
         let trace = Rc::new(Cell::new(ResponseTrace::new(setup.cx.clock.now())));
@@ -104,6 +107,7 @@
             req: setup.req,
             placement,
             trace,
+            is_uncounted_hedge: Cell::new(is_hedge),
             pieces: pieces.boxed_local(),
         }
     }
@@ -142,6 +146,11 @@
         self.trace.set(trace);
     }
 
+    /// Whether it is a hedge whose result is to be counted now; true once.
+    pub(super) fn take_uncounted_hedge(&self) -> bool {
+        self.is_uncounted_hedge.take()
+    }
+
     /// Whether it goes over this VM's own links.
     pub(super) fn uses_own_links(&self) -> bool {
         self.trace().via == Via::OwnLinks
--- a/crates/entry/src/forward/race.rs
+++ b/crates/entry/src/forward/race.rs
@@ -82,11 +82,20 @@
 
     /// Ends the current attempt and makes the rival with the latest event the current one; returns the ended one, or
     /// none if it has no rival.
-    pub(super) fn fall_back(&mut self) -> Option<InFlight> {
+    ///
+    /// The race is open again, unless those that are left `have_begun` and may go on side by side for a short time only.
+    pub(super) fn fall_back(
+        &mut self,
+        have_begun: bool,
+    ) -> Option<InFlight> {
         let rivals = self.rivals.iter().enumerate();
         let (number, _) = rivals.max_by_key(|(_, rival)| rival.trace().event_at)?;
         let next = self.rivals.swap_remove(number);
-        self.standby = None;
+        let standby = self.standby.map(|standby| Standby {
+            listens: true,
+            ..standby
+        });
+        self.standby = standby.filter(|_| have_begun && !self.rivals.is_empty());
         Some(replace(&mut self.current, next))
     }
 }
