Hedged requests: nothing held back is forwarded of a stream that is known to have broken off

13 events went out of a stream whose connection had been reset: the 200 ms for first events ended while the links were being tested, and the wait for that was taken for silence.

Change: the reader keeps why its connection can't be read, so that a wait that was cancelled finds it again.

--- a/crates/entry/src/forward/in_flight.rs
+++ b/crates/entry/src/forward/in_flight.rs
@@ -235,17 +235,18 @@
         Err(failure) => return (Err(failure.into()), Stage::Ended),
     };
     let until = attempt.cx.clock.now() + PROBATION;
-    while attempt.is_contested.get() {
+    while attempt.is_contested.get() && first.bytes.len() <= MAX_HELD_BYTES {
         let left = until.since(attempt.cx.clock.now());
-        if left == Millis::ZERO || first.bytes.len() > MAX_HELD_BYTES {
-            break;
-        }
         match timeout(left.to_std(), reader.next_events(attempt)).await {
             Ok(Ok(Some(ready))) => first.append(&ready),
             Ok(Ok(None)) | Err(_) => break,
             Ok(Err(failure)) => return (Err(failure.into()), Stage::Ended),
         }
     }
+    if reader.is_broken() {
+        // Its links are still being tested.
+        return read_stream(attempt, reader).await;
+    }
     match reader.without_known(&first) {
         Ok(ready) if ready.count == 0 => read_stream(attempt, reader).await,
         Ok(ready) => (Ok(reader.events(ready)), Stage::Streaming(Box::new(reader))),
--- a/crates/entry/src/forward/stream_reader.rs
+++ b/crates/entry/src/forward/stream_reader.rs
@@ -5,7 +5,10 @@
         failure::Failure,
         piece::Piece,
     },
-    crate::http1::{BodyReader, Framing, ResponseHead},
+    crate::{
+        http1::{BodyReader, Framing, ResponseHead},
+        upstream::ExchangeError,
+    },
     bytes::{Bytes, BytesMut},
     jasmine_core::scheduler::Outcome,
     std::{
@@ -68,6 +71,8 @@
     held: EventBatch,
     /// Whether they are held back.
     holds: bool,
+    /// Why its connection can't be read any more.
+    error: Option<ExchangeError>,
 }
 
 impl StreamReader {
@@ -79,6 +84,7 @@
         Self {
             held: EventBatch::default(),
             holds: is_resumable,
+            error: None,
             head: Rc::new(response.head.clone()),
             reader: BodyReader::new(response.head.framing),
             splitter: EventSplitter::new(response.connection.read_charge()),
@@ -142,6 +148,11 @@
         Ok(ready)
     }
 
+    /// Whether nothing follows what was read, as its connection is broken.
+    pub(super) const fn is_broken(&self) -> bool {
+        self.error.is_some()
+    }
+
     /// A part of the stream for the caller.
     pub(super) fn events(
         &self,
@@ -169,8 +180,15 @@
             yield_now().await;
         }
         let via = self.response.via;
-        match self.response.connection.body(&mut self.reader).await {
-            Err(e) => Err(attempt.broken(via, e).await),
+        let part = match self.error {
+            Some(e) => Err(e),
+            None => self.response.connection.body(&mut self.reader).await,
+        };
+        match part {
+            Err(e) => {
+                self.error = Some(e);
+                Err(attempt.broken(via, e).await)
+            }
             Ok(part) => {
                 if via == Via::OwnLinks {
                     attempt.cx.links.note_heard();
