Hedged requests: with the attempts used up, a stream goes back to an upstream that was given up for another one

A stream was closed after 162 of 500 events: its hedge had been overtaken and withdrawn, the upstream that went on was reset later, and the withdrawn hedge counted as the second and last attempt, although to ask its upstream again runs the request at no further one.

Change: the VM keeps which upstreams it gave up only because another one went on. If what goes on fails and attempts are used up, a resumable stream is placed again at one of these (`Job::allowed_upstreams`, a new field of the wire's `Job`); an upstream that fails by itself leaves the list. A leader of an earlier build doesn't know the field: another upstream that it names isn't used.

--- a/crates/core/examples/scheduler_cost/fleet.rs
+++ b/crates/core/examples/scheduler_cost/fleet.rs
@@ -296,6 +296,7 @@
             build: None,
             attempt: 1,
             excluded_upstreams: Vec::new(),
+            allowed_upstreams: Vec::new(),
             has_begun: false,
             is_hedge: false,
         }
--- a/crates/core/src/scheduler/job.rs
+++ b/crates/core/src/scheduler/job.rs
@@ -84,6 +84,8 @@
     pub attempt: u32,
     /// Upstreams that failed earlier attempts.
     pub excluded_upstreams: Vec<UpstreamId>,
+    /// The only upstreams that may serve it, as no further one may run it; empty if any may.
+    pub allowed_upstreams: Vec<UpstreamId>,
     /// Whether its caller has a part of the answer already.
     pub has_begun: bool,
     /// Whether the last excluded upstream is silent and still works on it, so that only another one is of use.
@@ -114,6 +116,7 @@
     pub const fn is_plain_call(&self) -> bool {
         matches!(self.work, Work::Call)
             && self.excluded_upstreams.is_empty()
+            && self.allowed_upstreams.is_empty()
             && self.allowed_data_centres.is_empty()
             && self.build.is_none()
     }
--- a/crates/core/src/scheduler/upstream.rs
+++ b/crates/core/src/scheduler/upstream.rs
@@ -163,13 +163,15 @@
         self.is_ready && !self.statements.is_leaving
     }
 
-    /// Whether it may serve a request, by its data centre and its build.
+    /// Whether it may serve a request, by its data centre, its build and its id.
     pub(super) fn may_serve(
         &self,
         job: &Job,
     ) -> bool {
         let has_required_build = |build| self.confirmed_build() == Some(build);
-        job.is_allowed_in(self.data_centre) && job.build.is_none_or(has_required_build)
+        job.is_allowed_in(self.data_centre)
+            && job.build.is_none_or(has_required_build)
+            && (job.allowed_upstreams.is_empty() || job.allowed_upstreams.contains(&self.id))
     }
 
     /// Its build; `None` if it has restarted and the entry of that run hasn't been read.
--- a/crates/core/tests/continued_answers.rs
+++ b/crates/core/tests/continued_answers.rs
@@ -58,6 +58,7 @@
     Job {
         attempt: 2,
         excluded_upstreams: vec![SILENT],
+        allowed_upstreams: Vec::new(),
         is_hedge: true,
         ..call(now)
     }
--- a/crates/core/tests/scheduler_world/mod.rs
+++ b/crates/core/tests/scheduler_world/mod.rs
@@ -385,6 +385,7 @@
         build: None,
         attempt: 1,
         excluded_upstreams: Vec::new(),
+        allowed_upstreams: Vec::new(),
         has_begun: false,
         is_hedge: false,
     }
--- a/crates/core/tests/stream_builds.rs
+++ b/crates/core/tests/stream_builds.rs
@@ -73,6 +73,7 @@
     for outcome in [Outcome::Lost, Outcome::Unreachable, Outcome::Silent] {
         let job = Job {
             excluded_upstreams: vec![UpstreamId(2)],
+            allowed_upstreams: Vec::new(),
             attempt: 2,
             ..resumption(7, NEW, world.now)
         };
--- a/crates/entry/examples/scheduler_calls.rs
+++ b/crates/entry/examples/scheduler_calls.rs
@@ -197,6 +197,7 @@
         deadline: Millis(3_000),
         attempt: 1,
         excluded_upstreams: Vec::new(),
+        allowed_upstreams: Vec::new(),
         has_begun: false,
         is_hedge: false,
         data_centre: "one".to_owned(),
--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -116,6 +116,8 @@
     failed_upstreams: Vec<String>,
     /// Upstreams that have turned the request away, and may take it later.
     full_upstreams: Vec<String>,
+    /// Upstreams that were given up only because another one went on.
+    overtaken_upstreams: Vec<String>,
     /// VMs to which the request has been offered.
     tried_relays: Rc<RefCell<Vec<SocketAddr>>>,
     progress: Progress,
@@ -152,6 +154,7 @@
             attempts,
             failed_upstreams: Vec::new(),
             full_upstreams: Vec::new(),
+            overtaken_upstreams: Vec::new(),
             tried_relays: Rc::default(),
             progress: Progress {
                 last_event: Rc::new(Cell::new(req.caller.last_event)),
@@ -191,6 +194,11 @@
             let placement_result = self.place().await;
             self.waited += self.cx.clock.now().since(queued_at);
             let placement = match placement_result {
+                Ok(placement) if !self.is_allowed(&placement) => {
+                    // A leader of an earlier version doesn't know the bound.
+                    sleep(RETRY_INTERVAL.to_std().min(self.time_left())).await;
+                    continue;
+                }
                 Ok(placement) => placement,
                 Err(placement_error) if self.outlasts(&placement_error) => {
                     sleep(RETRY_INTERVAL.to_std().min(self.time_left())).await;
@@ -292,6 +300,7 @@
         let attempt = AttemptSpec {
             number: self.attempts.next_attempt(),
             excluded_upstreams: &excluded_upstreams,
+            allowed_upstreams: self.allowed_upstreams(),
             build: self.progress.origin.required_build(),
             has_begun: self.progress.first_at.is_some(),
             is_hedge: false,
@@ -299,6 +308,23 @@
         place(self.cx, &self.req, &attempt).await
     }
 
+    /// The only upstreams that may get the request, as its attempts are used up; empty if any may.
+    fn allowed_upstreams(&self) -> &[String] {
+        if self.attempts.can_run_beside(0) {
+            &[]
+        } else {
+            &self.overtaken_upstreams
+        }
+    }
+
+    fn is_allowed(
+        &self,
+        placement: &Placement,
+    ) -> bool {
+        let allowed = self.allowed_upstreams();
+        allowed.is_empty() || allowed.contains(&placement.upstream)
+    }
+
     /// Sends an attempt.
     fn send(
         &mut self,
@@ -676,8 +702,10 @@
         }
         if outcome == Outcome::Silent {
             self.record_failure(overtaken, Failure::may_have_run(outcome));
+            self.overtaken_upstreams.push(placement.upstream.clone());
             return;
         }
+        self.overtaken_upstreams.push(placement.upstream.clone());
         self.attempts.record_end(AttemptEnd::MayHaveRun);
         self.cx.metrics.count_attempt(outcome);
         placement.end(outcome, PromptEvidence::None);
@@ -759,6 +787,7 @@
             }
             _ if self.is_expired() => Step::Fail(ErrorKind::CannotMeetDeadline),
             _ if has_begun && !self.can_resume() => Step::Fail(ErrorKind::AnswerCut),
+            _ if !can_retry && has_begun && !self.overtaken_upstreams.is_empty() => Step::Retry,
             _ if !can_retry && self.attempts.may_have_run() => Step::Fail(ErrorKind::UpstreamLost),
             _ if !can_retry => Step::Fail(ErrorKind::NoUpstream),
             Outcome::NotLoaded => {
@@ -783,6 +812,8 @@
         };
         let trace = attempt.trace();
         let placement = &attempt.placement;
+        self.overtaken_upstreams
+            .retain(|upstream| *upstream != placement.upstream);
         placement.end(failure.outcome, trace.evidence(answer_end, now));
         self.cx.metrics.count_attempt(failure.outcome);
         let can_retry = self.attempts.record_end(failure.end);
--- a/crates/entry/src/forward/hedge.rs
+++ b/crates/entry/src/forward/hedge.rs
@@ -102,6 +102,7 @@
         let attempt = AttemptSpec {
             number: self.number,
             excluded_upstreams: &self.excluded_upstreams,
+            allowed_upstreams: &[],
             build,
             has_begun: self.has_begun,
             is_hedge: true,
--- a/crates/entry/src/forward/request.rs
+++ b/crates/entry/src/forward/request.rs
@@ -21,6 +21,8 @@
     pub number: u32,
     /// Upstreams that have failed the request.
     pub excluded_upstreams: &'a [String],
+    /// The only upstreams that may serve it; empty if any may.
+    pub allowed_upstreams: &'a [String],
     /// The only build of upstreams that may serve it.
     pub build: Option<&'a str>,
     /// Whether the caller has a part of the answer already.
@@ -168,6 +170,7 @@
             deadline: self.deadline.since(now),
             attempt: attempt.number,
             excluded_upstreams: attempt.excluded_upstreams.to_vec(),
+            allowed_upstreams: attempt.allowed_upstreams.to_vec(),
             has_begun: attempt.has_begun,
             is_hedge: attempt.is_hedge,
             data_centre: data_centre.to_owned(),
--- a/crates/entry/src/scheduling/convert.rs
+++ b/crates/entry/src/scheduling/convert.rs
@@ -59,6 +59,12 @@
     for (at, id) in spec.excluded_upstreams.iter().enumerate() {
         excluded_upstreams.set(at as u32, id);
     }
+    let mut allowed_upstreams = to
+        .reborrow()
+        .init_allowed_upstreams(spec.allowed_upstreams.len() as u32);
+    for (at, id) in spec.allowed_upstreams.iter().enumerate() {
+        allowed_upstreams.set(at as u32, id);
+    }
     let mut allowed = to
         .reborrow()
         .init_allowed_data_centres(spec.allowed_data_centres.len() as u32);
@@ -125,6 +131,7 @@
         deadline: Millis(from.get_deadline_ms().into()),
         attempt: from.get_attempt(),
         excluded_upstreams: read_texts(from.get_avoid()?)?,
+        allowed_upstreams: read_texts(from.get_allowed_upstreams()?)?,
         data_centre: from.get_data_centre()?.to_string()?,
         allowed_data_centres: read_texts(from.get_allowed_data_centres()?)?,
         build: non_empty(from.get_build()?.to_str()?),
--- a/crates/entry/src/scheduling/job_spec.rs
+++ b/crates/entry/src/scheduling/job_spec.rs
@@ -99,6 +99,8 @@
     pub attempt: u32,
     /// Upstreams to avoid, because an earlier attempt failed there.
     pub excluded_upstreams: Vec<String>,
+    /// The only upstreams that may serve it; empty if any may.
+    pub allowed_upstreams: Vec<String>,
     /// Whether its caller has a part of the answer already.
     pub has_begun: bool,
     /// Whether the last excluded upstream is silent and still works on it.
@@ -155,6 +157,11 @@
                 .iter()
                 .map(|id| names.upstream(id))
                 .collect(),
+            allowed_upstreams: self
+                .allowed_upstreams
+                .iter()
+                .map(|id| names.upstream(id))
+                .collect(),
             has_begun: self.has_begun,
             is_hedge: self.is_hedge,
         }
--- a/crates/entry/tests/leader_changes.rs
+++ b/crates/entry/tests/leader_changes.rs
@@ -117,6 +117,7 @@
         deadline: Millis(60_000),
         attempt: 1,
         excluded_upstreams: Vec::new(),
+        allowed_upstreams: Vec::new(),
         has_begun: false,
         is_hedge: false,
         data_centre: "one".to_owned(),
--- a/crates/entry/tests/no_leader.rs
+++ b/crates/entry/tests/no_leader.rs
@@ -79,6 +79,7 @@
         deadline: Millis(4_000),
         attempt: 1,
         excluded_upstreams: Vec::new(),
+        allowed_upstreams: Vec::new(),
         has_begun: false,
         is_hedge: false,
         data_centre: "one".to_owned(),
--- a/crates/entry/tests/queued_requests.rs
+++ b/crates/entry/tests/queued_requests.rs
@@ -35,6 +35,7 @@
         deadline: Millis(5_000),
         attempt: 1,
         excluded_upstreams: Vec::new(),
+        allowed_upstreams: Vec::new(),
         has_begun: false,
         is_hedge: false,
         data_centre: "one".to_owned(),
--- a/crates/wire/schema/scheduler.capnp
+++ b/crates/wire/schema/scheduler.capnp
@@ -31,6 +31,7 @@
   olderMs @20 :UInt32;         # how much longer the request may begin on an older one
   hasBegun @21 :Bool;          # its caller has a part of the answer
   isSuccessor @22 :Bool;       # the last upstream to avoid is silent and still works on it
+  allowedUpstreams @23 :List(Text);  # the only ones that may serve it; empty: all
 }
 
 struct RunningJob {
