--- a/crates/entry/tests/overtaken_streams.rs
+++ b/crates/entry/tests/overtaken_streams.rs
@@ -9,7 +9,7 @@
     },
     jasmine_testkit::proxy::{Fault, Link, Proxy},
     serde_json::json,
-    std::{thread, time::Duration},
+    std::{io::Write, net::TcpStream, thread, time::Duration},
 };
 
 const EVENTS: u64 = 8;
@@ -26,6 +26,10 @@
 const MANY_EVENTS: u64 = 100;
 /// A stream that takes longer than any attempt stands by.
 const LONG_EVENTS: u64 = 500;
+/// Longer than a VM holds log lines back.
+const LOG_DELAY: Duration = Duration::from_millis(400);
+/// Length of the name of a build that makes events large.
+const BUILD_BYTES: usize = 100_000;
 /// How long the second upstream is silent: it begins shortly before the third one is asked.
 const SECOND_SILENCE: Duration = Duration::from_millis(680);
 /// Delay of what the third upstream is sent, and of what it sends, in milliseconds.
@@ -423,3 +427,29 @@
     );
     assert!(response.is_complete);
 }
+
+#[test]
+fn overtaken_attempts_end_beside_slow_callers() {
+    // Guards against a slot and a silence that are reported only once a slow caller has taken what overtook them.
+    let store = KvStandIn::start().unwrap();
+    store.put("op/config", &config(1));
+    // Each event names its build: the caller's buffers are full within the time that an overtaken attempt stands by.
+    let build = "v".repeat(BUILD_BYTES);
+    let start = |id: &str, zone: &str, behaviour| {
+        let upstream = UpstreamStandIn::start(id).unwrap();
+        upstream.set_build(&build);
+        upstream.set_default(behaviour);
+        // Upstreams of the VM's own data centre are tried first.
+        store.put(&upstream.key(), &upstream.entry("app", zone, "ready"));
+        upstream
+    };
+    let silent = start("s-0", "one", Behaviour::Hang);
+    let _other = start("s-1", "two", Behaviour::Events(LONG_EVENTS));
+    let vm = Vm::start(&store);
+    let mut slow = TcpStream::connect(vm.callers).unwrap();
+    let req = Request::new("POST", "/stream/").body(b"prompt");
+    slow.write_all(&req.bytes()).unwrap();
+    wait_until("the overtaken one is closed", || silent.cancelled() == 1);
+    thread::sleep(LOG_DELAY);
+    assert_eq!(vm.log_lines("attempt_failed").len(), 1);
+}
