Forwarding: how long upstreams may be silent, and what was forwarded, in files of their own

The driver had 1,084 lines; `Patience` and `Progress` were types, or could be, that need nothing of it.

--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -5,7 +5,9 @@
         failure::Failure,
         hedge::{HedgeSearch, RETRY_INTERVAL, place},
         in_flight::{AttemptSetup, InFlight},
+        patience::Patience,
         piece::{AttemptError, Piece},
+        progress::Progress,
         race::{Race, Standby, close_after, found, next_of},
         request::AttemptSpec,
         stream_reader::EventBatch,
@@ -27,7 +29,7 @@
         quarantine::{AnswerEnd, PromptEvidence, join_parts},
         reachability::LinkStatus,
         scheduler::{Outcome, WaitReason},
-        streams::{OriginLookup, ServiceBuild, StreamOrigin},
+        streams::{OriginLookup, ServiceBuild},
     },
     jasmine_telemetry::log::Line,
     std::{
@@ -49,18 +51,10 @@
 /// How often an answer that has begun checks whether an upstream is reached again.
 const REACHABILITY_CHECK_INTERVAL: Millis = Millis(100);
 
-/// Time without an answer after which a call that may be repeated is hedged, as a multiple of its latency objective.
-const CALL_PATIENCE_OBJECTIVES: u64 = 2;
-/// Time without an event after which a stream that may be repeated is hedged, in percent of its latency objective.
-const STREAM_PATIENCE_PERCENT: u64 = 150;
-/// Time without a further event after which a resumable stream is hedged, as a multiple of its gap objective.
-const PATIENCE_GAPS: u64 = 5;
 /// How long an overtaken attempt stands by, in case the one that goes on breaks off.
 const STANDBY_TIME: Millis = Millis(1_000);
 /// The same for generations, which two engines may work on for 400 ms.
 const GENERATION_STANDBY_TIME: Millis = Millis(300);
-/// Gap objective of routes without one.
-const DEFAULT_GAP_OBJECTIVE: Millis = Millis(500);
 
 /// What follows an attempt.
 enum Step {
@@ -92,21 +86,6 @@
     Expired,
 }
 
-/// The part of an answer that was forwarded to the caller.
-#[derive(Debug, Default)]
-struct Progress {
-    /// The build that began the stream.
-    origin: StreamOrigin,
-    /// The id of the last event that the caller has.
-    last_event: Rc<Cell<Option<u64>>>,
-    /// Number of events forwarded.
-    events: u64,
-    /// When the first data was forwarded.
-    first_at: Option<Millis>,
-    /// When the last data was forwarded.
-    last_at: Option<Millis>,
-}
-
 /// Drives one request from its arrival to its final response, over several attempts.
 pub(super) struct Driver<'a> {
     cx: &'a Rc<Context>,
@@ -121,6 +100,7 @@
     /// VMs to which the request has been offered.
     tried_relays: Rc<RefCell<Vec<SocketAddr>>>,
     progress: Progress,
+    patience: Patience,
     /// Whether some attempt in flight couldn't go on after the first events of another one.
     is_contested: Rc<Cell<bool>>,
     /// Whether a hedge may be sent, as far as earlier ones say.
@@ -156,6 +136,7 @@
             full_upstreams: Vec::new(),
             overtaken_upstreams: Vec::new(),
             tried_relays: Rc::default(),
+            patience: Patience::new(&req),
             progress: Progress {
                 last_event: Rc::new(Cell::new(req.caller.last_event)),
                 ..Progress::default()
@@ -497,9 +478,8 @@
         &self,
         race: &Race,
     ) -> Option<Millis> {
-        let gap = self.req.route.gap_objective;
-        let stalled_for = race.current.trace().stalled_for(self.cx.clock.now());
-        let left = gap.unwrap_or(DEFAULT_GAP_OBJECTIVE).since(stalled_for);
+        let trace = race.current.trace();
+        let left = self.patience.gap_left(&trace, self.cx.clock.now());
         Some(left).filter(|_| !self.req.is_generation)
     }
 
@@ -516,37 +496,17 @@
             && (is_fresh || self.can_resume())
     }
 
-    /// Time left until a hedge is due, as all in flight are silent: any bytes that are no part of the answer are silence,
-    /// too.
+    /// Time left until a hedge is due, as all in flight are silent.
     fn patience_left(
         &self,
         race: &Race,
     ) -> Duration {
         let now = self.cx.clock.now();
-        let left = race.attempts().map(|attempt| {
-            let trace = attempt.trace();
-            let patience = self.patience(trace.event_at.is_some());
-            patience.since(trace.stalled_for(now))
-        });
+        let attempts = race.attempts();
+        let left = attempts.map(|attempt| self.patience.left(&attempt.trace(), now));
         left.max().unwrap_or_default().to_std()
     }
 
-    /// Longest time without an answer, or without a further event of one that `has_events`, before a hedge is due.
-    fn patience(
-        &self,
-        has_events: bool,
-    ) -> Millis {
-        let route = &self.req.route;
-        match (self.req.is_stream(), has_events) {
-            (false, _) => Millis(route.objective.0 * CALL_PATIENCE_OBJECTIVES),
-            (true, false) => Millis(route.objective.0 * STREAM_PATIENCE_PERCENT / 100),
-            (true, true) => {
-                let gap = route.gap_objective.unwrap_or(DEFAULT_GAP_OBJECTIVE);
-                Millis(gap.0 * PATIENCE_GAPS)
-            }
-        }
-    }
-
     /// Begins the search for an upstream that gets the request beside the one of the current attempt.
     fn seek_hedge(
         &self,
@@ -734,7 +694,7 @@
         now: Millis,
     ) -> Outcome {
         let trace = attempt.trace();
-        let is_long = trace.stalled_for(now) >= self.patience(trace.event_at.is_some());
+        let is_long = self.patience.left(&trace, now) == Millis::ZERO;
         let are_links_up = self.cx.links.status() == LinkStatus::Up;
         match trace.via {
             Via::OwnLinks if is_long && are_links_up => Outcome::Silent,
