Tests: what a new leader grants of the account rates

After a takeover callers are refused (`rate_limited`) although their account has used next to nothing: the new leader grants 5 % of a limit, and refuses at once what waited for the election.

The tests come with the interface that they use, without effect: `RateHistory`, and `rate_history`, `add_rate_history` and `set_vms` of the scheduler.

--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -41,6 +41,7 @@
 mod outcome_records;
 mod prefill_estimator;
 mod prefix_cache;
+mod rate_history;
 mod recent_builds;
 mod report_queue;
 mod request_limit;
@@ -67,6 +68,7 @@
     evacuation::EvacuationTimes,
     job::{AttemptId, Generation, Job, LOCAL_VM, VersionLimit, Work},
     outcome::{EnginesToPause, OrderResult, Outcome, RateDecision},
+    rate_history::{RateHistory, SpentTokens},
     request_limit::LIMIT_WINDOW,
     retry_budget::{AttemptCounts, AttemptHistory},
     running::RunningRequest,
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -9,8 +9,9 @@
         rights::{Charge, Limit},
         scheduler::{
             AttemptId, EngineLimits, EngineStatus, EnginesToPause, Job, Order, OrderResult,
-            Outcome, RateDecision, RateShare, RunningRequest, SchedulerAction as Action,
-            SchedulerSettings, UpstreamStatus, VersionLimit, WaitReason, WaitTimes,
+            Outcome, RateDecision, RateHistory, RateShare, RunningRequest,
+            SchedulerAction as Action, SchedulerSettings, UpstreamStatus, VersionLimit, WaitReason,
+            WaitTimes,
             announced_versions::{Announcement, NewestVersion},
             loads,
             running::{Stage, TrackedRequest},
@@ -348,6 +349,31 @@
         self.entries.insert(request, entry);
     }
 
+    /// What this VM's own callers have used of the account rates, for a new scheduler; not counted yet.
+    pub fn rate_history(
+        &self,
+        _now: Millis,
+    ) -> RateHistory {
+        RateHistory::default()
+    }
+
+    /// Adds what the callers of a VM have used of the account rates before this scheduler took over; without effect yet.
+    pub fn add_rate_history(
+        &mut self,
+        _vm: u64,
+        _history: &RateHistory,
+        _now: Millis,
+    ) {
+    }
+
+    /// Replaces the list of VMs that may admit requests, by hashes of their names; without effect yet.
+    pub fn set_vms(
+        &mut self,
+        _vms: &[u64],
+        _now: Millis,
+    ) {
+    }
+
     /// Records the decision about a request of this VM's own callers, by this or another scheduler.
     pub fn record_own_decision(
         &mut self,
