A new leader grants what is left of the account rates, once all VMs have told what was used

Callers were rate-limited after a takeover although their account had used next to nothing: the new leader granted 5 % of what a limit allows in 8 s, and refused at once what had waited for the takeover.

Cause: the new leader didn't know what the one before had admitted.

Change: VMs count what their own callers use of each account, by half seconds over 8 s, and tell it in `hello` (new fields `accounts`, `ratesCountedForMs`). The new leader grants what a token bucket with that history holds, less what it has admitted itself since. Where all is known for less than 8 s, everything the limit bears counts as used before. All is known since the last of: when each listed VM began to count (now, if it hasn't told, as one of an earlier version), when a VM left without telling, when the leader first read the list. The 5 % stay at least. Requests that a leader rate-limits in its first 500 ms ask again each 100 ms, as the VMs take that long to tell.

A VM that was killed leaves its counts unknown. An equal share of the limit doesn't bound them, as all callers of an account may have been its own; so one missing VM leaves the 5 %, which is the tolerance of the limits, and what is earned since it left.

--- a/crates/core/src/rights/ledger.rs
+++ b/crates/core/src/rights/ledger.rs
@@ -375,6 +375,23 @@
         }
     }
 
+    /// Raises the tokens that are available at once to `millitokens`, if there are fewer.
+    pub fn raise_tokens(
+        &mut self,
+        account: AccountId,
+        millitokens: u64,
+        now: Millis,
+    ) {
+        if let Some(rights) = self.accounts.get_mut(&account) {
+            rights.bucket.refill(now);
+            let missing = millitokens.saturating_sub(rights.bucket.tokens());
+            rights.bucket.add(&Right {
+                tokens: missing,
+                ..Right::none(account)
+            });
+        }
+    }
+
     /// Closes the ledger and returns all rights for the final report.
     pub fn release_all(
         &mut self,
--- a/crates/core/src/scheduler/account_rates.rs
+++ b/crates/core/src/scheduler/account_rates.rs
@@ -1,5 +1,9 @@
 use {
-    super::{Job, Work, local_usage::LocalUsage},
+    super::{
+        Job, Work,
+        local_usage::LocalUsage,
+        rate_history::{Members, OwnSpending, RateHistory, TakenOverSpending},
+    },
     crate::{
         clock::Millis,
         error::{ErrorKind, Refusal},
@@ -15,7 +19,7 @@
 /// Initial grant of a scheduler that takes over, in percent of the limit over the window.
 ///
 /// The previous scheduler may have used everything, so this has to stay within the limit's
-/// tolerance.
+/// tolerance. More is granted once all VMs have told what their callers used.
 const TAKEOVER_GRANT_PERCENT: u64 = 5;
 /// How far ahead tokens are reserved for a rate-limited caller that is told when to retry.
 ///
@@ -35,7 +39,7 @@
 /// How long an account counts as over its rate after a rejection.
 const OVER_RATE_TIMEOUT: Millis = Millis(3_000);
 /// Time over which a limit is enforced, in seconds.
-const LIMIT_WINDOW_SECS: u64 = 8;
+pub(super) const LIMIT_WINDOW_SECS: u64 = 8;
 
 /// Share of all accounts' rate limits that this scheduler may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,6 +61,10 @@
     /// When a request of each account was last rate-limited.
     refused_at: BTreeMap<AccountId, Millis>,
     local_usage: LocalUsage,
+    own_spending: OwnSpending,
+    members: Members,
+    /// What is known of the time before, if this scheduler took over from another one.
+    taken_over: Option<TakenOverSpending>,
 }
 
 impl AccountRates {
@@ -67,6 +75,9 @@
             share,
             refused_at: BTreeMap::new(),
             local_usage: LocalUsage::default(),
+            own_spending: OwnSpending::default(),
+            members: Members::default(),
+            taken_over: None,
         }
     }
 
@@ -81,12 +92,14 @@
         share: RateShare,
         now: Millis,
     ) {
+        self.own_spending.begin(now);
         let has_allowance =
             matches!(share, RateShare::Part(_)) && self.local_usage.begin_standalone(now);
         if self.share == share && !has_allowance {
             return;
         }
         self.share = share;
+        self.taken_over = (share == RateShare::TakenOver).then(|| TakenOverSpending::new(now));
         self.ledger = new_ledger();
         for (&account, &limit) in &self.limits {
             let extra_tokens = if has_allowance {
@@ -107,6 +120,56 @@
         now: Millis,
     ) {
         self.local_usage.note(account, cost, now);
+        self.own_spending.note(account, cost, now);
+    }
+
+    /// What this VM's own callers have used, for a new scheduler.
+    pub(super) fn history(
+        &self,
+        now: Millis,
+    ) -> RateHistory {
+        let mut history = self.own_spending.history(now);
+        let limits = &self.limits;
+        history.accounts.retain(|(id, _)| limits.contains_key(id));
+        history
+    }
+
+    /// Adds what a VM's callers have used before this scheduler took over.
+    pub(super) fn add_history(
+        &mut self,
+        vm: u64,
+        history: &RateHistory,
+        now: Millis,
+    ) {
+        let taken_over = self.taken_over.as_mut();
+        if taken_over.is_some_and(|spending| spending.add(vm, history, now)) {
+            self.raise_to_known_level(now);
+        }
+    }
+
+    /// Replaces the list of VMs, by hashes of their names.
+    pub(super) fn set_vms(
+        &mut self,
+        vms: &[u64],
+        now: Millis,
+    ) {
+        self.members.set(vms, now);
+    }
+
+    /// Grants what is left of the limits after a takeover, as far as it is known.
+    fn raise_to_known_level(
+        &mut self,
+        now: Millis,
+    ) {
+        let Some(spending) = &self.taken_over else {
+            return;
+        };
+        let known_for = spending.known_for(&self.members, now);
+        for (&account, &limit) in &self.limits {
+            let tokens = spending.level(account, limit, known_for, now);
+            let millitokens = tokens.saturating_mul(MILLITOKENS_PER_TOKEN);
+            self.ledger.raise_tokens(account, millitokens, now);
+        }
     }
 
     /// Records a request of this VM's own callers that was rate-limited by any scheduler.
@@ -124,6 +187,7 @@
         limits: BTreeMap<AccountId, Limit>,
         now: Millis,
     ) {
+        self.own_spending.begin(now);
         for (&account, &limit) in &limits {
             let before = self.limits.get(&account);
             if before != Some(&limit) {
@@ -146,9 +210,14 @@
         let Some(account) = job.account.filter(|id| self.limits.contains_key(id)) else {
             return Ok(None);
         };
+        self.taken_over.take_if(|spending| spending.is_over(now));
         let admitted = self.try_admit(account, job, now);
-        if admitted.is_err() {
-            self.refused_at.insert(account, now);
+        match (&admitted, &mut self.taken_over) {
+            (Err(_), _) => {
+                self.refused_at.insert(account, now);
+            }
+            (Ok(_), Some(spending)) => spending.note(account, job.cost, now),
+            (Ok(_), None) => {}
         }
         admitted
     }
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -349,29 +349,33 @@
         self.entries.insert(request, entry);
     }
 
-    /// What this VM's own callers have used of the account rates, for a new scheduler; not counted yet.
+    /// What this VM's own callers have used of the account rates, for a new scheduler.
     pub fn rate_history(
         &self,
-        _now: Millis,
+        now: Millis,
     ) -> RateHistory {
-        RateHistory::default()
+        self.rates.history(now)
     }
 
-    /// Adds what the callers of a VM have used of the account rates before this scheduler took over; without effect yet.
+    /// Adds what the callers of a VM have used of the account rates before this scheduler took over; `vm` is a hash of its name.
+    ///
+    /// A VM that connects again is counted once.
     pub fn add_rate_history(
         &mut self,
-        _vm: u64,
-        _history: &RateHistory,
-        _now: Millis,
+        vm: u64,
+        history: &RateHistory,
+        now: Millis,
     ) {
+        self.rates.add_history(vm, history, now);
     }
 
-    /// Replaces the list of VMs that may admit requests, by hashes of their names; without effect yet.
+    /// Replaces the list of VMs that may admit requests, by hashes of their names.
     pub fn set_vms(
         &mut self,
-        _vms: &[u64],
-        _now: Millis,
+        vms: &[u64],
+        now: Millis,
     ) {
+        self.rates.set_vms(vms, now);
     }
 
     /// Records the decision about a request of this VM's own callers, by this or another scheduler.
--- a/crates/core/tests/taken_over_rates.rs
+++ b/crates/core/tests/taken_over_rates.rs
@@ -209,6 +209,21 @@
     assert_eq!(admitted_at_once(&mut world), 4_000 - 600);
 }
 
+#[test]
+fn a_list_of_vms_that_was_read_late_counts() {
+    // Guards against a VM that left before the list was read, while this one had run for long.
+    let mut world = vm(LIMIT);
+    world.advance(2 * WINDOW_MS);
+    world.scheduler.set_vms(&[1, 2], world.now);
+    let share = RateShare::TakenOver;
+    world.scheduler.set_role(true, share, world.now);
+    for vm in 1..=2 {
+        tell(&mut world, vm, &history(WINDOW_MS, &[]));
+    }
+    let admitted = admitted_at_once(&mut world);
+    assert!(admitted <= UNKNOWN_GRANT, "{admitted} tokens");
+}
+
 #[test]
 fn tokens_earned_since_all_have_counted_are_granted() {
     // Guards against a VM that has restarted: it knows what it used since, and nothing of before.
--- a/crates/entry/src/scheduling/client/following.rs
+++ b/crates/entry/src/scheduling/client/following.rs
@@ -5,9 +5,9 @@
     crate::scheduling::{
         Leader,
         convert::{
-            AttemptUpdate, read_leader, read_quarantine, write_attempts, write_crashes,
-            write_idle_times, write_leader, write_quarantine, write_running, write_stated,
-            write_update,
+            AttemptUpdate, read_leader, read_quarantine, write_account_uses, write_attempts,
+            write_crashes, write_idle_times, write_leader, write_quarantine, write_running,
+            write_stated, write_update,
         },
     },
     futures::future::join_all,
@@ -203,6 +203,10 @@
                 write_crashes(crashes, &history.crashes);
                 let quarantine = req.get().init_quarantine(history.quarantine.len() as u32);
                 write_quarantine(quarantine, &history.quarantine);
+                let accounts = req.get().init_accounts(history.accounts.len() as u32);
+                write_account_uses(accounts, &history.accounts);
+                let counted_for = history.rates_counted_for.0 as u32;
+                req.get().set_rates_counted_for_ms(counted_for);
                 let res = req.send().promise.await?;
                 let res = res.get()?;
                 Ok((res.get_session(), read_leader(res.get_leader()?)?))
--- a/crates/entry/src/scheduling/client/mod.rs
+++ b/crates/entry/src/scheduling/client/mod.rs
@@ -49,6 +49,10 @@
 /// Pause after the leader assigned an upstream that this VM may not use.
 const STALE_ASSIGNMENT_DELAY: Millis = Millis(40);
 
+/// Longest wait for what VMs tell a new leader, from its takeover: covers their retries to reach it.
+const MAX_TELLING_WAIT: Millis = Millis(500);
+/// How often a rate-limited request asks a new leader again meanwhile.
+const TELLING_RETRY_INTERVAL: Millis = Millis(100);
 /// Longest wait for a new leader: covers the expiry of the old lease and an election.
 const MAX_ELECTION_WAIT: Millis = Millis(1_600);
 /// Retry delay sent to callers while this VM has read only part of the upstreams.
@@ -92,6 +96,8 @@
     has_partial_upstreams: Cell<bool>,
     /// Since when this VM has known all upstreams.
     upstreams_known_since: Cell<Option<Millis>>,
+    /// Since when this VM has led or followed the leader, if it does.
+    scheduler_since: Cell<Option<Millis>>,
     /// When this VM entered [`Mode::Standalone`], if it is in it.
     standalone_since: Cell<Option<Millis>>,
     /// Counts changes of the known leader.
@@ -139,6 +145,7 @@
             leader_silent_since: Cell::new(None),
             has_partial_upstreams: Cell::new(false),
             upstreams_known_since: Cell::new(None),
+            scheduler_since: Cell::new(None),
             standalone_since: Cell::new(Some(Clock.now())),
             leader_changed: watch::Sender::default(),
             mode_changed: watch::Sender::default(),
@@ -223,7 +230,7 @@
                     return Ok(Placement::new(Rc::clone(self), running, assignment, now));
                 }
                 Some(Verdict::Refused { refusal, .. })
-                    if let Some(wait) = self.remaining_election_wait(&refusal, &spec) =>
+                    if let Some(wait) = self.remaining_takeover_wait(&refusal, &spec) =>
                 {
                     pending.is_settled.set(true);
                     // Retry with or without a new leader.
@@ -249,6 +256,33 @@
         }
     }
 
+    /// How long a refused request should wait for an election, or for what VMs tell the elected leader.
+    fn remaining_takeover_wait(
+        &self,
+        refusal: &Refusal,
+        spec: &JobSpec,
+    ) -> Option<Millis> {
+        let wait = self.remaining_election_wait(refusal, spec);
+        wait.or_else(|| self.remaining_telling_wait(refusal, spec))
+    }
+
+    /// How long a request refused by a new leader should wait before it asks again.
+    ///
+    /// The leader grants little of each limit until all VMs have told what their callers used.
+    fn remaining_telling_wait(
+        &self,
+        refusal: &Refusal,
+        spec: &JobSpec,
+    ) -> Option<Millis> {
+        let scheduler_for = self.clock.now().since(self.scheduler_since.get()?);
+        let is_limited = refusal.kind == ErrorKind::RateLimited;
+        let wait = MAX_TELLING_WAIT
+            .since(scheduler_for)
+            .min(TELLING_RETRY_INTERVAL)
+            .min(Millis(spec.deadline.0 / 2));
+        (is_limited && wait > Millis::ZERO).then_some(wait)
+    }
+
     /// How much longer a request refused in standalone mode should wait for an election.
     ///
     /// With hundreds of VMs a VM's share of a rate limit is less than one request; a new leader may accept it.
@@ -427,6 +461,7 @@
         &self,
         vms: BTreeMap<String, SocketAddr>,
     ) {
+        self.local_scheduler.set_vms(vms.keys());
         self.vms.replace(vms);
         if !self.is_leading() {
             self.update_admission_share();
@@ -544,7 +579,9 @@
             let now = self.clock.now();
             self.standalone_since
                 .set(self.standalone_since.get().or(Some(now)));
+            self.scheduler_since.set(None);
         } else {
+            self.scheduler_since.set(Some(self.clock.now()));
             self.leader_silent_since.set(None);
             self.standalone_since.set(None);
         }
--- a/crates/entry/src/scheduling/convert.rs
+++ b/crates/entry/src/scheduling/convert.rs
@@ -12,11 +12,11 @@
         ids::{Fence, InvalidPartId, PartId},
         ingress::{PromptPart, PromptSize},
         quarantine::{PartSet, PromptEvidence},
-        scheduler::{AttemptCounts, Outcome, UpstreamSignals, WaitReason},
+        scheduler::{AttemptCounts, Outcome, SpentTokens, UpstreamSignals, WaitReason},
     },
     jasmine_wire::scheduler_capnp::{
-        EndKind, Evidence, attempts, crash, job, leadership, news, quarantined, rested,
-        running_job, signals, stated, verdict,
+        EndKind, Evidence, account_use, attempts, crash, job, leadership, news, quarantined,
+        rested, running_job, signals, stated, verdict,
     },
 };
 
@@ -495,6 +495,37 @@
         .collect()
 }
 
+pub(super) fn write_account_uses(
+    mut to: struct_list::Builder<'_, account_use::Owned>,
+    accounts: &[(String, Vec<SpentTokens>)],
+) {
+    for (at, (account, spent)) in accounts.iter().enumerate() {
+        let mut one = to.reborrow().get(at as u32);
+        one.set_account(account);
+        let mut list = one.init_spent(spent.len() as u32);
+        for (at, spent) in spent.iter().enumerate() {
+            let mut to = list.reborrow().get(at as u32);
+            to.set_ago_ms(u16::try_from(spent.ago.0).unwrap_or(u16::MAX));
+            to.set_tokens(u32::try_from(spent.tokens).unwrap_or(u32::MAX));
+        }
+    }
+}
+
+pub(super) fn read_account_uses(
+    from: struct_list::Reader<'_, account_use::Owned>
+) -> Result<Vec<(String, Vec<SpentTokens>)>, capnp::Error> {
+    from.iter()
+        .map(|one| {
+            let spent = one.get_spent()?.iter();
+            let spent = spent.map(|spent| SpentTokens {
+                ago: Millis(spent.get_ago_ms().into()),
+                tokens: spent.get_tokens().into(),
+            });
+            Ok((one.get_account()?.to_string()?, spent.collect()))
+        })
+        .collect()
+}
+
 fn non_empty(text: &str) -> Option<String> {
     (!text.is_empty()).then(|| text.to_owned())
 }
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -13,9 +13,9 @@
         quarantine::PartSet,
         scheduler::{
             AdmissionShare, Announcement, AttemptHistory, AttemptId, ColdLimit, EngineStatus,
-            EnginesToPause, Order, OrderResult, Outcome, RateDecision, RateShare, RunningRequest,
-            Scheduler, SchedulerAction as Action, SchedulerSettings, SignalChanges, StatedUpstream,
-            UpstreamSignals, WaitReason, WaitTimes,
+            EnginesToPause, Order, OrderResult, Outcome, RateDecision, RateHistory, RateShare,
+            RunningRequest, Scheduler, SchedulerAction as Action, SchedulerSettings, SignalChanges,
+            StatedUpstream, UpstreamSignals, WaitReason, WaitTimes,
         },
     },
     jasmine_platform::engine::EngineReport,
@@ -305,10 +305,10 @@
 
     /// What this VM tells a new leader.
     pub fn history(&self) -> VmHistory {
-        let history = self
-            .scheduler
-            .borrow_mut()
-            .attempt_history(self.clock.now());
+        let now = self.clock.now();
+        let history = self.scheduler.borrow_mut().attempt_history(now);
+        let rates = self.scheduler.borrow().rate_history(now);
+        let accounts = rates.accounts.into_iter();
         let names = self.names.borrow();
         let services = history.services.into_iter();
         let stated = history.stated.into_iter().map(|stated| StatedSpec {
@@ -325,6 +325,10 @@
             stated: stated.collect(),
             crashes: self.crashes(),
             quarantine: self.quarantined(),
+            rates_counted_for: rates.counted_for,
+            accounts: accounts
+                .map(|(id, spent)| (names.account_name(id).to_string(), spent))
+                .collect(),
         }
     }
 
@@ -341,6 +345,13 @@
         let attempts = history.attempts.iter();
         let services = attempts.map(|(name, counts)| (names.service(name), *counts));
         let services = services.collect();
+        let accounts = history.accounts.iter();
+        let rates = RateHistory {
+            counted_for: history.rates_counted_for,
+            accounts: accounts
+                .map(|(name, spent)| (names.account(name), spent.clone()))
+                .collect(),
+        };
         let stated = history.stated.iter().map(|spec| StatedUpstream {
             upstream: names.upstream(&spec.upstream),
             started_unix_ms: spec.started_unix_ms,
@@ -356,6 +367,17 @@
         let mut scheduler = self.scheduler.borrow_mut();
         let vm = xxh3_64(vm.as_bytes());
         scheduler.add_attempt_history(vm, session, &history, vms, now);
+        scheduler.add_rate_history(vm, &rates, now);
+    }
+
+    /// Replaces the list of VMs that may admit requests.
+    pub fn set_vms<'a>(
+        &self,
+        vms: impl Iterator<Item = &'a String>,
+    ) {
+        let vms: Vec<u64> = vms.map(|vm| xxh3_64(vm.as_bytes())).collect();
+        let now = self.clock.now();
+        self.scheduler.borrow_mut().set_vms(&vms, now);
     }
 
     /// Adds or updates an upstream.
--- a/crates/entry/src/scheduling/name_interner.rs
+++ b/crates/entry/src/scheduling/name_interner.rs
@@ -74,6 +74,14 @@
         AccountId(self.accounts.intern(name))
     }
 
+    /// Returns the name of a client account.
+    pub fn account_name(
+        &self,
+        id: AccountId,
+    ) -> Rc<str> {
+        self.accounts.name(id.0)
+    }
+
     /// Returns the id of a base model, assigning one if needed.
     pub fn model(
         &mut self,
--- a/crates/entry/src/scheduling/server.rs
+++ b/crates/entry/src/scheduling/server.rs
@@ -2,9 +2,9 @@
     super::{
         LocalScheduler, SchedulerNode, Verdict, VmHistory,
         convert::{
-            AttemptUpdate, JobUpdate, read_attempts, read_crashes, read_idle_times, read_job,
-            read_leader, read_quarantine, read_running, read_stated, read_update, write_leader,
-            write_quarantine, write_verdict,
+            AttemptUpdate, JobUpdate, read_account_uses, read_attempts, read_crashes,
+            read_idle_times, read_job, read_leader, read_quarantine, read_running, read_stated,
+            read_update, write_leader, write_quarantine, write_verdict,
         },
     },
     crate::{
@@ -139,6 +139,8 @@
             stated: read_stated(params.get_stated()?)?,
             crashes: read_crashes(params.get_crashes()?)?,
             quarantine: read_quarantine(params.get_quarantine()?)?,
+            rates_counted_for: Millis(params.get_rates_counted_for_ms().into()),
+            accounts: read_account_uses(params.get_accounts()?)?,
         };
         let vms = self.scheduling.vms().len();
         let local_scheduler = &self.scheduling.local_scheduler;
--- a/crates/entry/src/scheduling/vm_history.rs
+++ b/crates/entry/src/scheduling/vm_history.rs
@@ -2,10 +2,10 @@
     clock::Millis,
     ids::PartId,
     quarantine::PartSet,
-    scheduler::{AttemptCounts, UpstreamSignals},
+    scheduler::{AttemptCounts, SpentTokens, UpstreamSignals},
 };
 
-/// What a VM tells a new leader of the time before: attempts of its callers, and what upstreams have stated.
+/// What a VM tells a new leader of the time before: attempts of its callers, what they used of the account rates, and what upstreams have stated.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct VmHistory {
     /// How long attempts were counted, at most the window of the retry budget.
@@ -18,6 +18,10 @@
     pub crashes: Vec<CrashSpec>,
     /// The parts of prompts that it refuses.
     pub quarantine: Vec<PartSet>,
+    /// How long the use of account rates was counted, at most the window of the limits; zero if the VM doesn't tell it.
+    pub rates_counted_for: Millis,
+    /// The tokens admitted in that time, by account.
+    pub accounts: Vec<(String, Vec<SpentTokens>)>,
 }
 
 /// A crash of an upstream as it began to answer prompts, as a VM tells it to a new leader.
--- a/crates/wire/examples/message_sizes.rs
+++ b/crates/wire/examples/message_sizes.rs
@@ -61,8 +61,18 @@
     })
 }
 
-fn hello(crashes: u32) -> usize {
+fn hello(
+    crashes: u32,
+    accounts: u32,
+    buckets: u32,
+) -> usize {
     size_of::<hello_params::Owned, _>(|mut params| {
+        let mut list = params.reborrow().init_accounts(accounts);
+        for at in 0..accounts {
+            let mut one = list.reborrow().get(at);
+            one.set_account("hule930");
+            one.init_spent(buckets);
+        }
         params.set_vm("edge-gt-central-a-12");
         let mut list = params.init_crashes(crashes);
         for at in 0..crashes {
@@ -86,7 +96,13 @@
         );
     }
     for crashes in [0, 1, 20] {
-        println!("hello with {crashes} crashes: {}", hello(crashes));
+        println!("hello with {crashes} crashes: {}", hello(crashes, 0, 0));
+    }
+    for buckets in [1, 4, 17] {
+        println!(
+            "hello with 100 accounts used in {buckets} buckets each: {}",
+            hello(0, 100, buckets)
+        );
     }
     println!("place without a version: {}", place(false));
     println!("place with a version: {}", place(true));
--- a/crates/wire/schema/scheduler.capnp
+++ b/crates/wire/schema/scheduler.capnp
@@ -48,6 +48,18 @@
   retries @2 :UInt32;
 }
 
+# Tokens that a VM's callers were admitted within a short time.
+struct Spent {
+  agoMs @0 :UInt16;            # the least time since any of them was admitted
+  tokens @1 :UInt32;
+}
+
+# What a VM's callers have used of one account's rate in the last window over which limits are judged.
+struct AccountUse {
+  account @0 :Text;
+  spent @1 :List(Spent);
+}
+
 struct Verdict {
   upstream @0 :Text;           # empty: refused
   address @1 :Text;
@@ -169,8 +181,10 @@
 
 interface Scheduler {
   # `countedForMs`: how much of the window the VM has counted its `attempts`. `stated`: what upstreams have stated.
+  # `ratesCountedForMs`: how much of the window of the rate limits the VM has counted what its `accounts` used; 0: it doesn't tell.
   hello @0 (vm :Text, incarnation :UInt64, running :List(RunningJob), attempts :List(Attempts), countedForMs :UInt32,
-      stated :List(Stated), crashes :List(Crash), quarantine :List(Quarantined))
+      stated :List(Stated), crashes :List(Crash), quarantine :List(Quarantined), accounts :List(AccountUse),
+      ratesCountedForMs :UInt32)
       -> (session :UInt32, leader :Leadership);
   place @1 (session :UInt32, job :Job) -> (known :Bool, verdict :Verdict);
   tell @2 (session :UInt32, news :List(News)) -> (known :Bool);
