Gateway tests: all listeners of a fixture have a loopback address of their own

Seen, once each in 20 and 12 runs of the file on a busy machine: `silent_service` found a call twice in its servers' records, `unreachable_service_is_not_run` got `upstream_lost` in place of a call that wasn't sent.

Cause: tests that close their proxies free two ports of 127.0.0.1, and a listener of a parallel test may get one of them. The gateway of the first test then reaches the second one's servers. The listed failures themselves left no log that shows the port; both were provoked instead, as trials with the old fixture: - another fixture's proxies at the freed ports, its servers silent: its servers' records have the call twice, its own and the other gateway's. - a service that loses replies, or a listener that reads and closes, at the freed ports: `upstream_lost`, outcome unknown. - 3,000 listeners on free ports of 127.0.0.1 after the proxies were closed, closed after 68 ms: `upstream_lost` in 10 of 20. Excluded: connections that connect to themselves, 0 of 200,000 (one port).

Change: engines, servers, proxies, controllers, raw servers and the gateway of a fixture listen on an address in 127.1.0.0 to 127.254.255.255 that is made of the process id and a counter. Assertions are as they were.

--- a/crates/gateway/tests/gateway/broken_streams.rs
+++ b/crates/gateway/tests/gateway/broken_streams.rs
@@ -10,7 +10,7 @@
     serde_json::json,
     std::{
         io::{Read, Write},
-        net::{SocketAddr, TcpListener},
+        net::{IpAddr, SocketAddr, TcpListener},
         sync::{
             Arc,
             atomic::{AtomicU32, Ordering},
@@ -158,11 +158,14 @@
         .expect("a cancelled stream");
 }
 
-/// Starts a server that sends `bytes` on each connection and closes it.
-fn serve_raw_response(bytes: &'static str) -> (SocketAddr, Arc<AtomicU32>) {
+/// Starts a server on `host` that sends `bytes` on each connection and closes it.
+fn serve_raw_response(
+    host: IpAddr,
+    bytes: &'static str,
+) -> (SocketAddr, Arc<AtomicU32>) {
     let request_count = Arc::new(AtomicU32::new(0));
     let count = Arc::clone(&request_count);
-    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+    let listener = TcpListener::bind((host, 0)).expect("a free port");
     let address = listener.local_addr().expect("an address");
     std::thread::spawn(move || {
         for mut stream in listener.incoming().map_while(Result::ok) {
@@ -197,7 +200,7 @@
         .enumerate()
     {
         let name = format!("odd-{n}");
-        let (address, request_count) = serve_raw_response(bytes);
+        let (address, request_count) = serve_raw_response(fixture.host, bytes);
         let address = address.to_string();
         fixture.controller.edit(json!([
             {"op": "delete", "path": format!("/upstreams/{previous}")},
@@ -230,6 +233,7 @@
     })
     .await;
     let (address, request_count) = serve_raw_response(
+        fixture.host,
         "HTTP/1.1 307 Temporary Redirect\r\nlocation: /elsewhere\r\ncontent-length: 0\r\n\r\n",
     );
     fixture.controller.edit(json!([{
--- a/crates/gateway/tests/gateway/stale_config.rs
+++ b/crates/gateway/tests/gateway/stale_config.rs
@@ -51,8 +51,8 @@
     // Guards against two of five VMs that confirm each other's outdated configuration while isolated
     // from the store and the majority.
     let fixture = GatewayFixture::start(short_config_staleness()).await;
-    let reachable = FakeController::start(ControllerState::default());
-    let unreachable = FakeController::start(ControllerState::default());
+    let reachable = FakeController::start(fixture.host, ControllerState::default());
+    let unreachable = FakeController::start(fixture.host, ControllerState::default());
     reachable.state().fresh_ms = Some(3_600_000);
     fixture.controller.state().other_vms = (2..=5)
         .map(|vm| {
@@ -75,7 +75,7 @@
     // Guards against refusing requests during a store outage while the VMs reach each other: without the
     // store the configuration can't change.
     let fixture = GatewayFixture::start(short_config_staleness()).await;
-    let reachable = FakeController::start(ControllerState::default());
+    let reachable = FakeController::start(fixture.host, ControllerState::default());
     reachable.state().fresh_ms = Some(3_600_000);
     fixture.controller.state().other_vms = (2..=5).map(|vm| (vm, reachable.address)).collect();
     fixture.controller.state().fresh_ms = Some(3_600_000);
--- a/crates/gateway/tests/gateway/support/fake_controller.rs
+++ b/crates/gateway/tests/gateway/support/fake_controller.rs
@@ -11,7 +11,7 @@
     serde_json::{Value, json},
     std::{
         collections::BTreeMap,
-        net::{SocketAddr, TcpListener},
+        net::{IpAddr, SocketAddr, TcpListener},
         rc::Rc,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
@@ -67,9 +67,12 @@
 }
 
 impl FakeController {
-    /// Starts the controller, which runs until the test process exits.
-    pub fn start(state: ControllerState) -> Self {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+    /// Starts the controller on a free port of `host`; it runs until the test process exits.
+    pub fn start(
+        host: IpAddr,
+        state: ControllerState,
+    ) -> Self {
+        let listener = TcpListener::bind((host, 0)).expect("a free port");
         listener.set_nonblocking(true).expect("a socket");
         let address = listener.local_addr().expect("an address");
         let state = Arc::new(Mutex::new(state));
--- a/crates/gateway/tests/gateway/support/fixture.rs
+++ b/crates/gateway/tests/gateway/support/fixture.rs
@@ -12,8 +12,9 @@
     serde_json::{Value, json},
     std::{
         fs,
-        net::SocketAddr,
+        net::{IpAddr, Ipv4Addr, SocketAddr},
         path::PathBuf,
+        process,
         sync::atomic::{AtomicU32, Ordering},
         time::Duration,
     },
@@ -24,6 +25,13 @@
 /// API key of the account `courier`.
 pub const OTHER_KEY: &str = "courier-key-0123456789abcdef";
 
+/// First of the loopback addresses of fixtures, above 127.0.0.0/16, which others use.
+const FIRST_HOST: u32 = 0x7f01_0000;
+/// Number of loopback addresses of fixtures, up to 127.254.255.255.
+const HOSTS: u32 = 254 << 16;
+/// Number of loopback addresses of a test process, more than it has fixtures.
+const HOSTS_PER_PROCESS: u32 = 512;
+
 /// Settings of a [`GatewayFixture`].
 #[derive(Clone, Debug)]
 pub struct FixtureSettings {
@@ -71,6 +79,11 @@
 /// A gateway process with its controller and upstreams.
 #[derive(Debug)]
 pub struct GatewayFixture {
+    /// The loopback address of all listeners of this fixture.
+    ///
+    /// No other test listens on it. Otherwise one could take a port that this one has closed, and would
+    /// get the calls of this one's gateway.
+    pub host: IpAddr,
     /// The gateway process.
     pub gateway: Daemon,
     /// The fake controller.
@@ -93,7 +106,8 @@
 impl GatewayFixture {
     /// Starts all processes and waits until the gateway is ready.
     pub async fn start(spec: FixtureSettings) -> Self {
-        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        let host = next_host();
+        let any_port = SocketAddr::new(host, 0);
         let engines: Vec<_> = (0..spec.engines)
             .map(|_| engine::start(any_port, spec.engine.clone()).expect("an engine"))
             .collect();
@@ -129,17 +143,19 @@
             let upstream = upstream_of(&format!("engine-{n}")).expect("in the tree");
             (upstream.id.0, engine.address())
         });
-        let controller = FakeController::start(ControllerState {
+        let state = ControllerState {
             engines: owned_engines.collect(),
             tree,
             fresh_ms: Some(0),
             accepts_claims: true,
             boot: 1,
             ..ControllerState::default()
-        });
-        let settings = write_settings(&spec, controller.address);
+        };
+        let controller = FakeController::start(host, state);
+        let settings = write_settings(&spec, any_port, controller.address);
         let gateway = Daemon::start("jasmine-gateway", &settings).expect("a gateway");
         let fixture = Self {
+            host,
             gateway,
             controller,
             engine_links,
@@ -259,14 +275,27 @@
     call.send().await.expect("an answer")
 }
 
+/// Returns a loopback address that no other fixture uses, also none of another test process.
+fn next_host() -> IpAddr {
+    static COUNT: AtomicU32 = AtomicU32::new(0);
+    let n = COUNT.fetch_add(1, Ordering::Relaxed);
+    assert!(n < HOSTS_PER_PROCESS, "too many fixtures in a process");
+    // All of 127.0.0.0/8 is local on Linux, without configuration.
+    let number = process::id()
+        .wrapping_mul(HOSTS_PER_PROCESS)
+        .wrapping_add(n)
+        % HOSTS;
+    Ipv4Addr::from(FIRST_HOST + number).into()
+}
+
 fn write_settings(
     spec: &FixtureSettings,
+    any_port: SocketAddr,
     controller: SocketAddr,
 ) -> PathBuf {
     static COUNT: AtomicU32 = AtomicU32::new(0);
     let n = COUNT.fetch_add(1, Ordering::Relaxed);
-    let file = std::env::temp_dir().join(format!("gateway-{}-{n}.json", std::process::id()));
-    let any_port = "127.0.0.1:0";
+    let file = std::env::temp_dir().join(format!("gateway-{}-{n}.json", process::id()));
     let settings = json!({
         "vm": 1,
         "data_centre": "dc-1",
