Gateway tests: the fake controller holds polls for a time, not a number of sleeps

Seen: `stale_config::cut_off` not ready within 15 s after the configuration was confirmed again (2 of 20 runs beside builds, one after 18.04 s).

Cause, first of two: the fake controller held a configuration poll for 200 sleeps of 10 ms. On a busy machine these take longer, up to 2.6 s measured at load 32 on 8 cores (two runs of the file, no failure), and the gateway gives a poll up after 3.5 s. If each sleep takes 17 ms, every poll fails and nothing confirms the configuration. The real controller holds polls with a timer.

A load that makes sleeps that long wasn't reproduced.

Change: the hold ends by the clock.

--- a/crates/gateway/tests/gateway/support/fake_controller.rs
+++ b/crates/gateway/tests/gateway/support/fake_controller.rs
@@ -14,7 +14,7 @@
         net::{IpAddr, SocketAddr, TcpListener},
         rc::Rc,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::time::sleep,
 };
@@ -22,6 +22,9 @@
 /// Fencing token of all engines and instances.
 const FENCING_TOKEN: u64 = 7;
 
+/// Interval at which a held configuration poll checks for a change.
+const CHANGE_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Responses of the fake controller, and a record of the requests to it.
 #[derive(Debug, Default)]
 pub struct ControllerState {
@@ -142,12 +145,12 @@
     ) -> Result<(), Error> {
         let params = params.get()?;
         let have = Revision(params.get_have());
-        let mut remaining_checks = params.get_wait_ms() / 10;
+        // A time, not a number of sleeps, which take longer on a busy machine: the gateway gives the poll up.
+        let hold_until = Instant::now() + Duration::from_millis(params.get_wait_ms().into());
         while self.state().fresh_ms.is_none()
-            || (remaining_checks > 0 && self.state().tree.revision() == have)
+            || (Instant::now() < hold_until && self.state().tree.revision() == have)
         {
-            remaining_checks = remaining_checks.saturating_sub(1);
-            sleep(Duration::from_millis(10)).await;
+            sleep(CHANGE_CHECK_INTERVAL).await;
         }
         let state = self.state();
         let mut answer = results.get();
