Tests: calls of a link that close each other's connections

Cause: a call of a link that times out closes the link's current connection, which may be newer than its own. The calls on a closed connection aren't failed, as capnp-rpc drops its system without rejecting them: they hang until they time out or miss a heartbeat, and then close the next connection. Polls of configuration (up to 3.5 s), fleet (3.5 s) and engines (2.5 s) so go on closing each other's connections once one of them has timed out.

--- a/crates/gateway/tests/gateway/stale_config.rs
+++ b/crates/gateway/tests/gateway/stale_config.rs
@@ -46,6 +46,20 @@
     );
 }
 
+#[actix_rt::test]
+async fn polls_recover_from_timeouts() {
+    // Guards against polls that go on closing each other's connections after one of them has timed out.
+    let fixture = GatewayFixture::start(short_config_staleness()).await;
+    // Together with the 2 s that a poll is held, well within the gateway's 3.5 s.
+    fixture.controller.state().config_delay = Duration::from_millis(600);
+    fixture.controller.state().fresh_ms = None;
+    // Two polls of the configuration time out after 3.5 s each.
+    tokio::time::sleep(Duration::from_secs(8)).await;
+    fixture.wait_ready(false).await;
+    fixture.controller.state().fresh_ms = Some(0);
+    fixture.wait_ready(true).await;
+}
+
 #[actix_rt::test]
 async fn isolated_minority_is_refused() {
     // Guards against two of five VMs that confirm each other's outdated configuration while isolated
--- a/crates/gateway/tests/gateway/support/fake_controller.rs
+++ b/crates/gateway/tests/gateway/support/fake_controller.rs
@@ -32,6 +32,8 @@
     pub tree: Tree,
     /// Milliseconds since the store confirmed the configuration; with `None`, config polls get no response.
     pub fresh_ms: Option<u64>,
+    /// Delay of each response to a config poll, as of a busy controller.
+    pub config_delay: Duration,
     /// Whether the store accepts claims.
     pub accepts_claims: bool,
     /// Delay of storing the response of a claimed call.
@@ -152,6 +154,8 @@
         {
             sleep(CHANGE_CHECK_INTERVAL).await;
         }
+        let config_delay = self.state().config_delay;
+        sleep(config_delay).await;
         let state = self.state();
         let mut answer = results.get();
         answer.set_fresh_ms(state.fresh_ms.unwrap_or_default());
