Links: a call that times out closes its own connection only, and fails the other calls on it

Change: a call holds the connection that it was sent on and closes that one. The other calls on it end at once as `Lost`; they had no chance of an answer before, either. A newer connection stays open.

Tests of `jasmine-entry`, whose daemons use the same links: not run.

--- a/crates/wire/src/link/peer_link.rs
+++ b/crates/wire/src/link/peer_link.rs
@@ -2,16 +2,15 @@
     super::{Backoff, LinkError, LinkOptions, Ping, message_limits::reader_options},
     capnp::capability::FromClientHook,
     capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
-    futures::future::{Either, select},
     jasmine_core::clock::Millis,
     std::{
         cell::{Cell, RefCell},
         net::SocketAddr,
-        pin::pin,
         rc::Rc,
     },
     tokio::{
         net::TcpStream,
+        sync::Notify,
         task::{AbortHandle, spawn_local},
         time::{Instant, sleep, timeout},
     },
@@ -21,21 +20,35 @@
 /// An RPC client of another daemon that connects on first use and reconnects after a failure.
 ///
 /// An open connection can silently stop working while new ones work. Each call therefore has a timeout,
-/// heartbeats run during long-polling calls, and a timeout of either closes the connection.
+/// heartbeats run during long-polling calls, and a timeout of either closes the connection. The other calls
+/// on it fail then, and a newer connection stays open: otherwise repeated calls could close each other's
+/// connections for ever.
 pub struct Link<C> {
     address: SocketAddr,
     options: LinkOptions,
-    open: RefCell<Option<OpenConnection<C>>>,
+    open: RefCell<Option<Rc<OpenConnection<C>>>>,
     backoff: RefCell<Backoff>,
     retry_at: Cell<Option<Instant>>,
 }
 
 struct OpenConnection<C> {
     client: C,
+    /// Set when the connection has ended or a call has closed it.
     is_closed: Rc<Cell<bool>>,
+    /// Notified when a call closes the connection, as the RPC system then drops its calls unanswered.
+    closed: Notify,
     task: AbortHandle,
 }
 
+impl<C> OpenConnection<C> {
+    /// Closes the connection and fails all calls on it.
+    fn close(&self) {
+        self.is_closed.set(true);
+        self.task.abort();
+        self.closed.notify_waiters();
+    }
+}
+
 impl<C> std::fmt::Debug for Link<C> {
     fn fmt(
         &self,
@@ -74,9 +87,11 @@
         self.address
     }
 
-    /// Drops the connection; the next call opens a new one.
+    /// Closes the connection, which fails the calls on it; the next call opens a new one.
     pub fn disconnect(&self) {
-        self.open.replace(None);
+        if let Some(open) = self.open.take() {
+            open.close();
+        }
     }
 }
 
@@ -98,17 +113,25 @@
         F: FnOnce(C) -> Fut,
         Fut: Future<Output = Result<T, capnp::Error>>,
     {
-        let client = self.client().await?;
+        let connection = self.connection().await?;
+        let client = connection.client.clone();
         let limit = wait + self.options.call_timeout;
         let call = timeout(limit.to_std(), f(client.clone()));
         let heartbeat_failure = self.wait_for_heartbeat_failure(client);
-        let result = match select(pin!(call), pin!(heartbeat_failure)).await {
-            Either::Left((Ok(Ok(answer)), _)) => Ok(answer),
-            Either::Left((Ok(Err(e)), _)) => Err(from_capnp_error(&e)),
-            Either::Left((Err(_), _)) | Either::Right(((), _)) => Err(LinkError::TimedOut),
+        let result = tokio::select! {
+            // An answer that has arrived counts, whatever else has happened.
+            biased;
+            answered = call => match answered {
+                Ok(answer) => answer.map_err(|e| from_capnp_error(&e)),
+                Err(_) => Err(LinkError::TimedOut),
+            },
+            () = connection.closed.notified() => {
+                Err(LinkError::Lost("closed after another call failed".to_owned()))
+            }
+            () = heartbeat_failure => Err(LinkError::TimedOut),
         };
         if matches!(result, Err(LinkError::TimedOut | LinkError::Lost(_))) {
-            self.disconnect();
+            connection.close();
         }
         result
     }
@@ -127,9 +150,9 @@
         }
     }
 
-    async fn client(&self) -> Result<C, LinkError> {
-        if let Some(client) = self.open_client() {
-            return Ok(client);
+    async fn connection(&self) -> Result<Rc<OpenConnection<C>>, LinkError> {
+        if let Some(open) = self.open_connection() {
+            return Ok(open);
         }
         match self.retry_at.get() {
             Some(time) if Instant::now() < time => return Err(LinkError::BackingOff),
@@ -142,25 +165,23 @@
             .and_then(|stream| stream.set_nodelay(true).map(|()| stream))
             .map_err(|e| self.connect_failed(&e.to_string()))?;
         // Another call may have connected in the meantime; use its connection.
-        if let Some(client) = self.open_client() {
-            return Ok(client);
+        if let Some(open) = self.open_connection() {
+            return Ok(open);
         }
         self.retry_at.set(None);
         self.backoff.borrow_mut().reset();
         Ok(self.start_rpc(stream))
     }
 
-    fn open_client(&self) -> Option<C> {
+    fn open_connection(&self) -> Option<Rc<OpenConnection<C>>> {
         let open = self.open.borrow();
-        open.as_ref()
-            .filter(|open| !open.is_closed.get())
-            .map(|open| open.client.clone())
+        open.as_ref().filter(|open| !open.is_closed.get()).cloned()
     }
 
     fn start_rpc(
         &self,
         stream: TcpStream,
-    ) -> C {
+    ) -> Rc<OpenConnection<C>> {
         let (reader, writer) = stream.into_split();
         let network = VatNetwork::new(
             reader.compat(),
@@ -177,12 +198,14 @@
             task_closed.set(true);
         })
         .abort_handle();
-        self.open.replace(Some(OpenConnection {
-            client: client.clone(),
+        let open = Rc::new(OpenConnection {
+            client,
             is_closed,
+            closed: Notify::new(),
             task,
-        }));
-        client
+        });
+        self.open.replace(Some(Rc::clone(&open)));
+        open
     }
 
     fn connect_failed(
