--- a/crates/entry/tests/silent_links.rs
+++ b/crates/entry/tests/silent_links.rs
@@ -160,6 +160,9 @@
     site.set_default(&Behaviour::Hang);
     let req = Request::new("POST", "/write/").with("X-Deadline-Ms", "2500");
     assert_eq!(vm.send_request(&req.body(b"enrol")).status, 504);
+    wait_until("its end is logged", || {
+        !vm.log_lines("attempt_failed").is_empty()
+    });
     let failed = vm.log_lines("attempt_failed");
     assert!(
         failed.len() == 1 && failed[0].contains("outcome=Silent"),
--- a/crates/wire/src/link/peer_link.rs
+++ b/crates/wire/src/link/peer_link.rs
@@ -86,13 +86,6 @@
     pub const fn address(&self) -> SocketAddr {
         self.address
     }
-
-    /// Closes the connection, which fails the calls on it; the next call opens a new one.
-    pub fn disconnect(&self) {
-        if let Some(open) = self.open.take() {
-            open.close();
-        }
-    }
 }
 
 impl<C> Link<C>
