Forwarding: streams that nobody contests don't read their first events twice

What was held back is compared with what the caller has when it is released; a stream without a rival of another build holds nothing back, and was split a second time. And one place notes which upstreams were overtaken.

--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -656,23 +656,20 @@
         let placement = &overtaken.placement;
         let outcome = self.silence_of(overtaken, overtaken_at);
         self.count_hedge(overtaken, "overtaken");
-        if overtaken.uses_own_links() && outcome == Outcome::Silent {
+        if outcome == Outcome::Silent {
             // If one connection is dead, the others are likely to be too.
             self.cx.pool.close_idle(placement.address);
-        }
-        if outcome == Outcome::Silent {
             self.record_failure(overtaken, Failure::may_have_run(outcome));
-            self.overtaken_upstreams.push(placement.upstream.clone());
-            return;
+        } else {
+            self.attempts.record_end(AttemptEnd::MayHaveRun);
+            self.cx.metrics.count_attempt(outcome);
+            placement.end(outcome, PromptEvidence::None);
+            Line::new("hedge_withdrawn")
+                .with("id", self.req.id())
+                .with("upstream", &placement.upstream)
+                .info();
         }
         self.overtaken_upstreams.push(placement.upstream.clone());
-        self.attempts.record_end(AttemptEnd::MayHaveRun);
-        self.cx.metrics.count_attempt(outcome);
-        placement.end(outcome, PromptEvidence::None);
-        Line::new("hedge_withdrawn")
-            .with("id", self.req.id())
-            .with("upstream", &placement.upstream)
-            .info();
     }
 
     /// Counts the result of an attempt, if it is a hedge, once.
--- a/crates/entry/src/forward/in_flight.rs
+++ b/crates/entry/src/forward/in_flight.rs
@@ -234,6 +234,9 @@
         Ok(None) => return (Ok(reader.end(attempt)), Stage::Ended),
         Err(failure) => return (Err(failure.into()), Stage::Ended),
     };
+    if !attempt.is_contested.get() {
+        return (Ok(reader.events(first)), Stage::Streaming(Box::new(reader)));
+    }
     let until = attempt.cx.clock.now() + PROBATION;
     while attempt.is_contested.get() && first.bytes.len() <= MAX_HELD_BYTES {
         let left = until.since(attempt.cx.clock.now());
