Tests: an idle time-out that held while a request was answered

Cause: `serve_connection` samples the time-out when a request has been read, and `idle_expired` while the connection is idle; a configuration in between is missed.

--- a/crates/entry/tests/open_connections.rs
+++ b/crates/entry/tests/open_connections.rs
@@ -86,6 +86,34 @@
     assert_eq!(call(&mut idle), Some(200));
 }
 
+#[test]
+fn an_idle_timeout_that_held_during_an_answer_counts() {
+    // Guards against closing an idle connection whose caller knows a longer idle time-out that was replaced meanwhile.
+    let (store, upstreams) = start_platform(&["s-1"]);
+    put_idle_timeout(&store, 2, 500);
+    let vm = Vm::start(&store);
+    wait_for_config(&vm, 2);
+    upstreams[0].set_default(Behaviour::Slow(Duration::from_secs(4)));
+    let mut idle = connect(&vm);
+    idle.write_all(&Request::new("GET", "/read/").bytes())
+        .unwrap();
+    let sent = Instant::now();
+    wait_until("it runs", || !upstreams[0].arrivals().is_empty());
+    for (version, idle_ms) in [(3, 5_000), (4, 500)] {
+        put_idle_timeout(&store, version, idle_ms);
+        wait_for_config(&vm, version);
+    }
+    assert!(
+        sent.elapsed() < Duration::from_secs(3),
+        "both during the answer"
+    );
+    let status = read_response(&mut idle).map(|response| response.status);
+    assert_eq!(status, Some(200));
+    thread::sleep(Duration::from_millis(1_500));
+    upstreams[0].set_default(Behaviour::Answer(b"ok".to_vec()));
+    assert_eq!(call(&mut idle), Some(200));
+}
+
 #[test]
 fn a_shorter_idle_timeout_spares_idle_connections() {
     // Guards against closing an idle connection whose caller knows only the longer idle time-out before.
