Logs name a request over all attempts of its caller

request_sent, attempt_failed and request_given_up have request=, the fingerprint that the scheduler already gets for reservations of rates, and attempt_failed says whether the answer broke off. Nothing else changes.

--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -318,6 +318,7 @@
         self.upstream = Some(placement.upstream.clone());
         Line::new("request_sent")
             .with("id", self.req.id())
+            .with("request", self.req.fingerprint_text())
             .with("upstream", &placement.upstream)
             .with("attempt", number)
             .with("version", placement.version.unwrap_or_default())
@@ -776,8 +777,10 @@
         let can_retry = self.attempts.record_end(failure.end);
         Line::new("attempt_failed")
             .with("id", self.req.id())
+            .with("request", self.req.fingerprint_text())
             .with("upstream", &placement.upstream)
             .with("outcome", format!("{:?}", failure.outcome))
+            .with("broken", failure.is_broken)
             .with("framing", framing_name(trace.framing))
             .with("partial_bytes", trace.partial_bytes)
             .with("events", self.progress.events)
@@ -919,6 +922,7 @@
         self.is_logged = true;
         Line::new("request_given_up")
             .with("id", self.req.id())
+            .with("request", self.req.fingerprint_text())
             .with("route", &self.req.route.name)
             .with("account", self.req.account.as_deref().unwrap_or("-"))
             .with("cost", self.req.cost)
--- a/crates/entry/src/forward/request.rs
+++ b/crates/entry/src/forward/request.rs
@@ -38,6 +38,8 @@
     pub incoming: IncomingRequest,
     /// The decoded request headers.
     pub caller: CallerHeaders,
+    /// A hash of key, target and body that identifies a retry by the caller under another request id.
+    pub fingerprint: u64,
     /// The matching route.
     pub route: Arc<IngressRoute>,
     /// The service that the route selects.
@@ -123,6 +125,7 @@
             config_version: config.version.0,
             arrived: now,
             deadline: now + max_wait.min(route.timeout),
+            fingerprint: fingerprint(&incoming, &caller),
             route: Arc::clone(route),
             incoming,
             caller,
@@ -134,6 +137,11 @@
         self.caller.request_id.as_deref().unwrap_or("-")
     }
 
+    /// Its fingerprint in the log.
+    pub fn fingerprint_text(&self) -> String {
+        format!("{:016x}", self.fingerprint)
+    }
+
     /// Whether the response is a stream of events.
     pub fn is_stream(&self) -> bool {
         self.route.kind.is_stream()
@@ -160,7 +168,7 @@
         JobSpec {
             number: 0,
             account: self.account.clone(),
-            caller: self.caller_fingerprint(),
+            caller: self.fingerprint,
             cost: self.cost,
             service: self.service.clone(),
             generation: self.generation(),
@@ -184,12 +192,14 @@
         let caller = Some(&self.caller).filter(|_| self.is_generation)?;
         GenerationSpec::from_headers(caller)
     }
+}
 
-    /// A hash of key, target and body that identifies a retry by the caller under another request id.
-    fn caller_fingerprint(&self) -> u64 {
-        let key = self.caller.key.as_deref().unwrap_or_default();
-        let target = &self.incoming.head.target;
-        let parts = format!("{key}\n{target}\n{:?}", self.caller.parts);
-        xxh3_64(parts.as_bytes()) ^ xxh3_64(&self.incoming.body)
-    }
+fn fingerprint(
+    incoming: &IncomingRequest,
+    caller: &CallerHeaders,
+) -> u64 {
+    let key = caller.key.as_deref().unwrap_or_default();
+    let target = &incoming.head.target;
+    let parts = format!("{key}\n{target}\n{:?}", caller.parts);
+    xxh3_64(parts.as_bytes()) ^ xxh3_64(&incoming.body)
 }
