--- a/crates/entry/tests/deployment/mod.rs
+++ b/crates/entry/tests/deployment/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "no test file uses all of it")]
 
+pub mod registrar;
+
 use {
     jasmine_platform_stand_in::{KvStandIn, UpstreamStandIn},
     jasmine_testkit::proxy::Proxy,
