--- a/crates/core/src/error/error_kind.rs
+++ b/crates/core/src/error/error_kind.rs
@@ -48,6 +48,8 @@
     StreamNotResumable,
     /// A part of the prompt crashes the upstreams that answer it.
     PromptQuarantined,
+    /// Several upstreams ended under the request.
+    RequestQuarantined,
     /// The adapter version could not be loaded.
     AdapterLoadFailed,
     /// The configuration is too old to check keys: neither platform nor peers were reachable.
@@ -86,7 +88,7 @@
 
 impl ErrorKind {
     /// All kinds, in declaration order.
-    pub const ALL: [Self; 37] = [
+    pub const ALL: [Self; 38] = [
         Self::BadRequest,
         Self::BodyTooLarge,
         Self::HeadersTooLarge,
@@ -107,6 +109,7 @@
         Self::RegionUnavailable,
         Self::StreamNotResumable,
         Self::PromptQuarantined,
+        Self::RequestQuarantined,
         Self::AdapterLoadFailed,
         Self::ConfigUnavailable,
         Self::ClaimUnavailable,
@@ -149,6 +152,7 @@
             Self::RegionUnavailable => answer_of(503, NotRun, Never, "region_unavailable"),
             Self::StreamNotResumable => answer_of(503, NotRun, Never, "stream_not_resumable"),
             Self::PromptQuarantined => answer_of(503, NotRun, Never, "prompt_quarantined"),
+            Self::RequestQuarantined => answer_of(503, NotRun, Never, "request_quarantined"),
             Self::AdapterLoadFailed => answer_of(503, NotRun, Secs(5), "adapter_load_failed"),
             Self::ConfigUnavailable => answer_of(503, NotRun, Secs(5), "config_unavailable"),
             Self::ClaimUnavailable => answer_of(503, NotRun, Secs(5), "claim_unavailable"),
@@ -202,6 +206,7 @@
                 "No upstream of the software version that began the stream serves, or that version isn't known."
             }
             Self::PromptQuarantined => "A part of the prompt has crashed several upstreams.",
+            Self::RequestQuarantined => "Several upstreams have ended under the request.",
             Self::AdapterLoadFailed => "The adapter version could not be loaded.",
             Self::ConfigUnavailable => {
                 "This VM has reached neither the platform nor a peer for too long to check keys."
--- a/crates/core/src/quarantine/crash.rs
+++ b/crates/core/src/quarantine/crash.rs
@@ -12,16 +12,21 @@
 pub(super) const MIN_RESTART_TIME: Millis = Millis(1_500);
 /// Time in which an upstream that only broke an answer off shows that it goes on.
 pub(super) const SETTLE_TIME: Millis = Millis(400);
-/// Most parts that one crash accuses.
+/// Most parts, and most requests, that one crash accuses.
 const MAX_ACCUSED: usize = 256;
 
-/// A crash of an upstream, and the parts of the prompts that it had just begun to answer.
+/// A crash of an upstream, and what may have caused it.
 #[derive(Clone, Debug)]
 pub(super) struct Crash {
     pub upstream: UpstreamId,
     pub at: Millis,
-    /// Those that no later answer has acquitted, and when a prompt with them was last sent to the upstream.
+    /// The parts of prompts that it had just begun to answer and that no later answer has acquitted, and when a prompt
+    /// with them was last sent to it.
     pub accused: BTreeMap<PartId, Millis>,
+    /// The same for the requests that it had, whatever it had answered of them.
+    pub requests: BTreeMap<PartId, Millis>,
+    /// Whether the upstream was seen to be gone, or to have started anew.
+    pub is_confirmed: bool,
 }
 
 /// A crash as a VM tells it to a new scheduler.
@@ -44,6 +49,30 @@
             upstream,
             at,
             accused: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            is_confirmed: false,
+        }
+    }
+
+    const fn accused_with(
+        &self,
+        part: PartId,
+    ) -> &BTreeMap<PartId, Millis> {
+        if part.is_request() {
+            &self.requests
+        } else {
+            &self.accused
+        }
+    }
+
+    const fn accused_with_mut(
+        &mut self,
+        part: PartId,
+    ) -> &mut BTreeMap<PartId, Millis> {
+        if part.is_request() {
+            &mut self.requests
+        } else {
+            &mut self.accused
         }
     }
 
@@ -52,7 +81,28 @@
         &self,
         part: PartId,
     ) -> Option<Millis> {
-        self.accused.get(&part).copied()
+        self.accused_with(part).get(&part).copied()
+    }
+
+    pub(super) fn accuses(
+        &self,
+        part: PartId,
+    ) -> bool {
+        self.sent_at(part).is_some()
+    }
+
+    /// Accuses a part no more; returns whether it did.
+    pub(super) fn acquit(
+        &mut self,
+        part: PartId,
+    ) -> bool {
+        self.accused_with_mut(part).remove(&part).is_some()
+    }
+
+    /// All that it accuses.
+    pub(super) fn all_accused(&self) -> impl Iterator<Item = (PartId, Millis)> {
+        let all = self.accused.iter().chain(&self.requests);
+        all.map(|(&part, &sent_at)| (part, sent_at))
     }
 
     /// Whether a report of a crash of `upstream` at `at`, under prompts that were sent until `sent_at`, is one of this
@@ -67,7 +117,8 @@
     ) -> bool {
         let is_close = self.at.since(at).max(at.since(self.at)) < MIN_RESTART_TIME;
         let was_under_way = (sent_at..=at).contains(&self.at);
-        self.upstream == upstream && (is_close || was_under_way)
+        let is_next_start = self.is_confirmed && sent_at > self.at;
+        self.upstream == upstream && !is_next_start && (is_close || was_under_way)
     }
 
     /// Whether something from the upstream at `now` shows that it didn't crash.
@@ -77,7 +128,9 @@
         now: Millis,
     ) -> bool {
         let age = now.since(self.at);
-        self.upstream == upstream && (LATE_REPORT_TIME..MIN_RESTART_TIME).contains(&age)
+        !self.is_confirmed
+            && self.upstream == upstream
+            && (LATE_REPORT_TIME..MIN_RESTART_TIME).contains(&age)
     }
 
     /// Whether the upstream had time to show that it didn't crash.
@@ -94,11 +147,12 @@
         part: PartId,
         sent_at: Millis,
     ) -> bool {
-        let has_room = self.accused.len() < MAX_ACCUSED;
-        match self.accused.get_mut(&part) {
+        let accused = self.accused_with_mut(part);
+        let has_room = accused.len() < MAX_ACCUSED;
+        match accused.get_mut(&part) {
             Some(known) => *known = sent_at.max(*known),
             None if has_room => {
-                self.accused.insert(part, sent_at);
+                accused.insert(part, sent_at);
                 return true;
             }
             None => {}
--- a/crates/core/src/quarantine/crash_log.rs
+++ b/crates/core/src/quarantine/crash_log.rs
@@ -7,7 +7,7 @@
         clock::Millis,
         ids::{PartId, UpstreamId},
     },
-    std::collections::{BTreeMap, HashMap, VecDeque},
+    std::collections::{HashMap, VecDeque},
 };
 
 /// How long a crash is evidence.
@@ -105,12 +105,13 @@
         }
         for crash in self.crashes.iter_mut().filter(|crash| crash.at <= until) {
             for part in &accused {
-                if crash.accused.remove(part).is_some() {
+                if crash.acquit(*part) {
                     release(&mut self.accusations, *part);
                 }
             }
         }
-        self.crashes.retain(|crash| !crash.accused.is_empty());
+        self.crashes
+            .retain(|crash| crash.all_accused().next().is_some());
     }
 
     /// Records that an upstream sends something: it didn't crash just before.
@@ -123,15 +124,28 @@
         if !self.latest(now).any(is_refuted) {
             return;
         }
-        for mut crash in std::mem::take(&mut self.crashes) {
+        for crash in std::mem::take(&mut self.crashes) {
             if is_refuted(&crash) {
-                self.release_all(std::mem::take(&mut crash.accused));
+                self.release_all(&crash);
             } else {
                 self.crashes.push_back(crash);
             }
         }
     }
 
+    /// Records that an upstream is gone or has started anew, so that what it sends now refutes no crash of it.
+    pub(super) fn note_gone(
+        &mut self,
+        upstream: UpstreamId,
+        now: Millis,
+    ) {
+        let latest = self.crashes.iter_mut().rev();
+        let latest = latest.take_while(|crash| now.since(crash.at) < MIN_RESTART_TIME);
+        for crash in latest.filter(|crash| crash.upstream == upstream) {
+            crash.is_confirmed = true;
+        }
+    }
+
     /// When the next crash is settled.
     pub(super) fn next_settled(
         &self,
@@ -148,7 +162,7 @@
         now: Millis,
     ) -> bool {
         let mut latest = self.latest(now);
-        latest.any(|crash| !crash.is_settled(now) && crash.accused.contains_key(&part))
+        latest.any(|crash| !crash.is_settled(now) && crash.accuses(part))
     }
 
     /// The crashes whose upstreams can't have started again yet.
@@ -179,6 +193,16 @@
         self.accusations.get(&part).copied().unwrap_or_default()
     }
 
+    /// The requests that at least so many crashes accuse.
+    pub(super) fn accused_requests(
+        &self,
+        crashes: usize,
+    ) -> impl Iterator<Item = PartId> {
+        let accused = self.accusations.iter();
+        let accused = accused.filter(move |&(part, &count)| part.is_request() && count >= crashes);
+        accused.map(|(&part, _)| part)
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.crashes.is_empty()
     }
@@ -195,24 +219,24 @@
             upstream: crash.upstream,
             ago: now.since(crash.at),
             accused: crash
-                .accused
-                .iter()
-                .map(|(&part, &sent_at)| (part, now.since(sent_at)))
+                .all_accused()
+                .map(|(part, sent_at)| (part, now.since(sent_at)))
                 .collect(),
         });
         reports.collect()
     }
 
     fn forget_first(&mut self) {
-        let accused = self.crashes.pop_front().map(|crash| crash.accused);
-        self.release_all(accused.unwrap_or_default());
+        if let Some(crash) = self.crashes.pop_front() {
+            self.release_all(&crash);
+        }
     }
 
     fn release_all(
         &mut self,
-        accused: BTreeMap<PartId, Millis>,
+        crash: &Crash,
     ) {
-        for part in accused.into_keys() {
+        for (part, _) in crash.all_accused() {
             release(&mut self.accusations, part);
         }
     }
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -5,18 +5,26 @@
 //! crashes before it, as a crashing part lets no upstream go on. A part that several upstreams crashed under without an
 //! acquittal is quarantined: requests with it are refused. Before that, a part that was never answered and that two
 //! upstreams crashed under is on trial: one request with it at a time.
+//!
+//! A request as a whole, over all attempts of its caller, is accused by each upstream that ends under it, whatever it had
+//! answered. It goes alone after two ends, and is refused after three, until a whole answer to it or for ten minutes.
 
 mod answer_trace;
+mod attempt_evidence;
+mod candidates;
 mod crash;
 mod crash_log;
 mod part_quarantine;
 mod recent_parts;
+mod request_suspect;
 mod suspect;
 mod trials;
 mod verdict;
 
 pub use {
     answer_trace::{AnswerEnd, AnswerTrace, PromptEvidence},
+    attempt_evidence::{AttemptEvidence, RequestEvidence},
+    candidates::CrashCandidates,
     crash::CrashReport,
     part_quarantine::{PartQuarantine, QuarantineChange},
     verdict::{PartSet, join_parts},
--- a/crates/core/src/quarantine/part_quarantine.rs
+++ b/crates/core/src/quarantine/part_quarantine.rs
@@ -1,9 +1,10 @@
 use {
     super::{
-        CrashReport, PartSet,
+        CrashCandidates, CrashReport, PartSet,
         crash::Crash,
         crash_log::CrashLog,
         recent_parts::RecentParts,
+        request_suspect::{MIN_SUSPECT_ENDS, RequestSuspect},
         suspect::{MIN_CRASHES, Suspect},
         trials::Trials,
         verdict::Verdict,
@@ -15,8 +16,10 @@
     std::collections::BTreeMap,
 };
 
-/// Most verdicts that are kept; the oldest go first.
+/// Most verdicts about parts, and most about requests, that are kept; the oldest go first.
 const MAX_VERDICTS: usize = 100;
+/// How long a request is refused.
+const REQUEST_RETENTION: Millis = Millis(600_000);
 /// Crashes under a part that was never answered, from which requests with it go one at a time.
 const MIN_TRIAL_CRASHES: usize = 2;
 /// Most parts that are refused only together.
@@ -59,8 +62,8 @@
 }
 
 impl PartQuarantine {
-    /// Records that an upstream crashed as it began to answer prompts with these shared parts, each with the time at
-    /// which such a prompt was sent.
+    /// Records that an upstream crashed as it began to answer prompts with these shared parts, or while it had these
+    /// requests, each with the time at which such a prompt or request was sent.
     pub fn note_crash(
         &mut self,
         upstream: UpstreamId,
@@ -89,6 +92,25 @@
         self.crashes.note_alive(upstream, now);
     }
 
+    /// Records that an upstream is gone or has started anew.
+    pub fn note_gone(
+        &mut self,
+        upstream: UpstreamId,
+        now: Millis,
+    ) {
+        self.crashes.note_gone(upstream, now);
+    }
+
+    /// Records that a request was answered as a whole, with an answer that began at `begun_at`.
+    pub fn note_answered(
+        &mut self,
+        request: PartId,
+        begun_at: Millis,
+    ) {
+        self.crashes.acquit(&[request], begun_at);
+        self.acquit(&[request], begun_at);
+    }
+
     /// Records that an answer to a prompt with these shared parts, which began at `begun_at`, went on; returns whether
     /// a suspect is among them, so that the rest has to be reviewed.
     pub fn note_sound(
@@ -109,26 +131,54 @@
         self.due
     }
 
-    /// Whether a prompt with these shared parts is refused.
+    /// Whether a request is refused.
     pub fn refuses(
         &self,
-        parts: &[PartId],
+        candidates: CrashCandidates<'_>,
     ) -> bool {
         let mut verdicts = self.verdicts.iter();
-        verdicts.any(|verdict| verdict.applies_to(parts))
+        verdicts.any(|verdict| verdict.applies_to(candidates))
+    }
+
+    /// Whether a request is refused, as upstreams ended under it.
+    pub fn refuses_request(
+        &self,
+        request: PartId,
+    ) -> bool {
+        let mut verdicts = self.verdicts.iter();
+        verdicts.any(|verdict| verdict.parts.contains(&request))
+    }
+
+    /// Whether several upstreams ended under a request.
+    pub fn is_suspected(
+        &self,
+        request: PartId,
+    ) -> bool {
+        self.crashes.accusations(request) >= MIN_SUSPECT_ENDS
+    }
+
+    /// The upstreams that a request may not be sent to now: a suspected one goes to none that has another one.
+    pub fn avoided_upstreams(
+        &self,
+        request: PartId,
+    ) -> Vec<UpstreamId> {
+        if self.crashes.is_empty() || !self.is_suspected(request) {
+            return Vec::new();
+        }
+        self.trials.exclusive_upstreams()
     }
 
-    /// Whether a prompt that is refused may be sent to see whether it still crashes its upstream.
+    /// Whether a request that is refused may be sent to see whether its prompt still crashes its upstream.
     ///
     /// Only parts that were sound before are probed: what has changed may be the upstreams.
     pub fn take_probe(
         &mut self,
-        parts: &[PartId],
+        candidates: CrashCandidates<'_>,
         now: Millis,
     ) -> bool {
         let applying = self.verdicts.iter_mut();
         let mut applying: Vec<&mut Verdict> = applying
-            .filter(|verdict| verdict.applies_to(parts))
+            .filter(|verdict| verdict.applies_to(candidates))
             .collect();
         match &mut applying[..] {
             [verdict] => {
@@ -139,34 +189,44 @@
         }
     }
 
-    /// Whether a prompt with these shared parts has to wait for what others show.
+    /// Whether a request has to wait for what others with the same parts, or other attempts of it, show.
+    ///
+    /// A hedge doesn't wait for the attempt beside which it is sent.
     pub fn holds(
         &self,
-        parts: &[PartId],
+        candidates: CrashCandidates<'_>,
+        is_hedge: bool,
         now: Millis,
     ) -> bool {
         if self.crashes.is_empty() {
             return false;
         }
+        let CrashCandidates { shared, request } = candidates;
         let mut undecided = self.undecided.iter();
-        let has_undecided = self.undecided.len() > 1 && undecided.all(|part| parts.contains(part));
-        has_undecided || parts.iter().any(|&part| self.is_trial_pending(part, now))
+        let has_undecided = self.undecided.len() > 1 && undecided.all(|part| shared.contains(part));
+        has_undecided
+            || shared.iter().any(|&part| self.is_trial_pending(part, now))
+            || !is_hedge && self.is_trial_pending(request, now)
     }
 
-    /// Records that a request with these shared parts is sent.
+    /// Records that a request is sent to an upstream.
     pub fn note_sent(
         &mut self,
-        parts: &[PartId],
+        candidates: CrashCandidates<'_>,
         request: RequestId,
+        upstream: UpstreamId,
         now: Millis,
     ) {
         if self.crashes.is_empty() {
             return;
         }
-        for &part in parts {
-            if self.is_on_trial(part) {
-                self.trials.begin(part, request, now);
+        for part in candidates.iter() {
+            if !self.is_on_trial(part) {
+                continue;
             }
+            let is_exclusive = part.is_request() && self.is_suspected(part);
+            self.trials
+                .begin(part, request, upstream, is_exclusive, now);
         }
     }
 
@@ -235,8 +295,10 @@
     ) -> bool {
         let known_changes = self.changes.len();
         self.crashes.forget_old(now);
-        self.due = self.crashes.next_settled(now);
         self.undecided.clear();
+        self.review_requests(now);
+        let next_settled = self.crashes.next_settled(now);
+        self.due = next_settled.into_iter().chain(self.next_expiry()).min();
         if let Some((part, crashes)) = self.cause_of_sets(now) {
             self.insert(PartSet::from([part]), crashes, now);
         }
@@ -281,21 +343,48 @@
         }
     }
 
+    /// Refuses requests under which enough upstreams ended, and those no more that were refused for long enough.
+    fn review_requests(
+        &mut self,
+        now: Millis,
+    ) {
+        let is_over = |verdict: &&Verdict| now.since(verdict.since) >= REQUEST_RETENTION;
+        let over = self.request_verdicts().filter(is_over);
+        let over: Vec<PartSet> = over.map(|verdict| verdict.parts.clone()).collect();
+        for parts in over {
+            self.remove(&parts, now);
+        }
+        let accused = self.crashes.accused_requests(MIN_CRASHES);
+        let suspects: Vec<RequestSuspect> = accused
+            .filter_map(|request| RequestSuspect::find(request, self.crashes.iter(), now))
+            .collect();
+        for suspect in suspects {
+            self.insert(PartSet::from([suspect.request]), suspect.ends, now);
+        }
+    }
+
     /// Whether the last request with a part on trial hasn't shown yet what it does.
     fn is_trial_pending(
         &self,
         part: PartId,
         now: Millis,
     ) -> bool {
-        self.trials.is_pending(part, now)
-            || self.is_on_trial(part) && self.crashes.is_unsettled(part, now)
+        let settles = if part.is_request() {
+            self.is_suspected(part)
+        } else {
+            self.is_on_trial(part)
+        };
+        self.trials.is_pending(part, now) || settles && self.crashes.is_unsettled(part, now)
     }
 
-    /// Whether requests with a part go one at a time.
+    /// Whether requests with a part, or attempts of a request, go one at a time.
     fn is_on_trial(
         &self,
         part: PartId,
     ) -> bool {
+        if part.is_request() {
+            return self.crashes.accusations(part) > 0;
+        }
         let is_suspected = self.crashes.accusations(part) >= MIN_TRIAL_CRASHES;
         is_suspected && !self.sound.contains(part) || self.undecided.contains(&part)
     }
@@ -304,7 +393,25 @@
         &self,
         crash: &Crash,
     ) -> bool {
-        self.verdicts.iter().any(|verdict| verdict.explains(crash))
+        self.part_verdicts().any(|verdict| verdict.explains(crash))
+    }
+
+    fn request_verdicts(&self) -> impl Iterator<Item = &Verdict> {
+        self.verdicts
+            .iter()
+            .filter(|verdict| verdict.is_of_request())
+    }
+
+    /// When the next request is no longer refused.
+    fn next_expiry(&self) -> Option<Millis> {
+        let since = self.request_verdicts().map(|verdict| verdict.since).min();
+        since.map(|since| since + REQUEST_RETENTION)
+    }
+
+    fn part_verdicts(&self) -> impl Iterator<Item = &Verdict> {
+        self.verdicts
+            .iter()
+            .filter(|verdict| !verdict.is_of_request())
     }
 
     /// A part that crashes upstreams beside each of several others and is only refused together with them, and how many
@@ -316,7 +423,7 @@
         &self,
         now: Millis,
     ) -> Option<(PartId, usize)> {
-        let sets = self.verdicts.iter().filter(|one| one.parts.len() > 1);
+        let sets = self.part_verdicts().filter(|one| one.parts.len() > 1);
         let parts = sets.flat_map(|one| one.parts.iter().copied());
         let is_accused = |part: &PartId| self.crashes.accusations(*part) >= MAX_SHARED_CRASHES;
         let candidates: PartSet = parts.filter(is_accused).collect();
@@ -325,13 +432,13 @@
         }
         let mut counts: BTreeMap<PartId, BTreeMap<Option<usize>, usize>> = BTreeMap::new();
         for crash in self.crashes.iter().filter(|crash| crash.is_settled(now)) {
-            let verdicts = self.verdicts.iter().enumerate();
+            let verdicts = self.part_verdicts().enumerate();
             let explaining: Vec<_> = verdicts.filter(|(_, one)| one.explains(crash)).collect();
             let set = explaining.first().map(|&(index, _)| index);
             let mut sets = explaining.iter().map(|(_, one)| &one.parts);
             let parts = sets.next().unwrap_or(&candidates);
             let others: Vec<_> = sets.collect();
-            for &part in parts.iter().filter(|part| crash.accused.contains_key(part)) {
+            for &part in parts.iter().filter(|&&part| crash.accuses(part)) {
                 if others.iter().all(|other| other.contains(&part)) {
                     *counts.entry(part).or_default().entry(set).or_default() += 1;
                 }
@@ -345,7 +452,11 @@
             (part, counts.sum::<usize>())
         });
         let mut causes = totals.filter(|&(_, count)| count >= MAX_SHARED_CRASHES);
-        causes.find(|&(part, _)| !self.refuses(&[part]))
+        let refuses = |part| {
+            let mut verdicts = self.verdicts.iter();
+            verdicts.any(|verdict| verdict.parts.iter().all(|&known| known == part))
+        };
+        causes.find(|&(part, _)| !refuses(part))
     }
 
     fn insert(
@@ -358,11 +469,16 @@
         if parts.is_empty() || is_known {
             return;
         }
-        if self.verdicts.len() >= MAX_VERDICTS {
-            let oldest = self.verdicts[0].parts.clone();
+        let verdict = Verdict::new(parts.clone(), now);
+        let is_same_kind = |known: &&Verdict| known.is_of_request() == verdict.is_of_request();
+        let mut same_kind = self.verdicts.iter().filter(is_same_kind);
+        let oldest = same_kind.next().map(|oldest| oldest.parts.clone());
+        let has_room = same_kind.count() + 1 < MAX_VERDICTS;
+        if let Some(oldest) = oldest.filter(|_| !has_room) {
             self.remove(&oldest, now);
         }
-        self.verdicts.push(Verdict::new(parts.clone(), now));
+        self.verdicts.push(verdict);
+        self.due = self.due.into_iter().chain(self.next_expiry()).min();
         self.changes
             .push(QuarantineChange::Added { parts, crashes });
     }
--- a/crates/core/src/quarantine/suspect.rs
+++ b/crates/core/src/quarantine/suspect.rs
@@ -144,7 +144,7 @@
 /// When upstreams ended, once for those that ended together; the crashes are sorted by time.
 ///
 /// Links that break, as a VM's do when they are reset, break the answers of several upstreams at one moment.
-fn separate_ends(
+pub(super) fn separate_ends(
     part: PartId,
     accusing: &[&Crash],
 ) -> Vec<Millis> {
--- a/crates/core/src/quarantine/verdict.rs
+++ b/crates/core/src/quarantine/verdict.rs
@@ -1,5 +1,5 @@
 use {
-    super::crash::Crash,
+    super::{CrashCandidates, crash::Crash},
     crate::{clock::Millis, ids::PartId},
     std::collections::BTreeSet,
 };
@@ -65,14 +65,19 @@
         crash: &Crash,
     ) -> bool {
         let mut parts = self.parts.iter();
-        parts.all(|part| crash.accused.contains_key(part))
+        parts.all(|part| crash.accuses(*part))
     }
 
-    /// Whether a prompt with these parts is refused.
+    /// Whether it is about a request as a whole.
+    pub(super) fn is_of_request(&self) -> bool {
+        self.parts.iter().any(|part| part.is_request())
+    }
+
+    /// Whether a request is refused.
     pub(super) fn applies_to(
         &self,
-        parts: &[PartId],
+        candidates: CrashCandidates<'_>,
     ) -> bool {
-        self.parts.iter().all(|part| parts.contains(part))
+        self.parts.iter().all(|&part| candidates.contains(part))
     }
 }
--- a/crates/core/src/scheduler/choose/mod.rs
+++ b/crates/core/src/scheduler/choose/mod.rs
@@ -78,6 +78,8 @@
     pub deciding_vms: u64,
     /// Number of the VM that forwards the request.
     pub vm: u32,
+    /// Upstreams that may not get the request now.
+    pub avoided: &'a [UpstreamId],
     pub now: Millis,
 }
 
@@ -374,6 +376,7 @@
         let is_reachable = || up.health.is_available(self.now);
         up.accepts_requests(self.now)
             && up.may_serve(job)
+            && !self.avoided.contains(&up.id)
             && up.statements.rests.left(self.vm, self.now) == Millis::ZERO
             && match filter {
                 CandidateFilter::NotFailed => {
--- a/crates/core/src/scheduler/job.rs
+++ b/crates/core/src/scheduler/job.rs
@@ -2,6 +2,7 @@
     clock::Millis,
     ids::{AccountId, AdapterId, BuildId, DataCentreId, ModelId, PartId, ServiceId, UpstreamId},
     ingress::{PromptPart, PromptSize},
+    quarantine::CrashCandidates,
     rights::CallerTag,
 };
 
@@ -58,7 +59,7 @@
 pub struct Job {
     /// The account whose rate limit applies; `None` if it is unlimited.
     pub account: Option<AccountId>,
-    /// Identifies the caller when it retries after a rejection.
+    /// Identifies the request over all attempts of its caller.
     pub caller: CallerTag,
     /// Cost in tokens of the account's rate limit.
     pub cost: u64,
@@ -107,6 +108,19 @@
             .map_or(&[][..], |generation| &generation.shared_parts)
     }
 
+    /// What of it may crash upstreams.
+    pub fn crash_candidates(&self) -> CrashCandidates<'_> {
+        CrashCandidates {
+            shared: self.shared_parts(),
+            request: self.request_part(),
+        }
+    }
+
+    /// Its id among what may crash upstreams, the same for all attempts of its caller.
+    pub const fn request_part(&self) -> PartId {
+        PartId::Request(self.caller.0)
+    }
+
     /// Whether it draws on the retry budget only once it is assigned.
     pub const fn draws_when_assigned(&self) -> bool {
         self.is_hedge || self.has_begun
--- a/crates/core/src/scheduler/state_machine/admission.rs
+++ b/crates/core/src/scheduler/state_machine/admission.rs
@@ -140,7 +140,7 @@
     is_held: bool,
 ) -> QueueTarget {
     match job.generation() {
-        Some(_) if is_held => QueueTarget::Trial,
+        _ if is_held => QueueTarget::Trial,
         None => QueueTarget::Service(job.service),
         Some(generation) => match generation.adapter {
             Some(adapter) => QueueTarget::Adapter(AdapterVersion {
--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -12,6 +12,7 @@
         scheduler::{
             Job, Outcome, RateShare, SchedulerAction as Action, WaitReason,
             choose::{Choice, SelectionContext},
+            fleet::Fleet,
             fleet_totals::FleetTotals,
             loads,
             request_load::Load,
@@ -58,14 +59,30 @@
     All,
 }
 
+/// Whether all calls of the service have the same choice of upstreams: which ones rest differs from VM to VM, and which ones
+/// are avoided from request to request.
+fn is_alike(
+    job: &Job,
+    fleet: &Fleet,
+    avoided: &[UpstreamId],
+    now: Millis,
+) -> bool {
+    job.is_plain_call() && !fleet.has_rests(now) && avoided.is_empty()
+}
+
 /// The queue target of a request now: held ones block no others of their target, and released ones
 /// not each other.
 fn held_target(
     entry: &mut TrackedRequest,
     quarantine: &PartQuarantine,
+    fleet: &Fleet,
+    avoided: &[UpstreamId],
     now: Millis,
 ) -> QueueTarget {
-    let is_held = quarantine.holds(entry.job.shared_parts(), now);
+    let job = &entry.job;
+    let has_no_upstream =
+        || !avoided.is_empty() && fleet.ready(job.service).all(|up| avoided.contains(&up.id));
+    let is_held = quarantine.holds(job.crash_candidates(), job.is_hedge, now) || has_no_upstream();
     if is_held {
         entry.waits_for(WaitReason::Trial, now);
     }
@@ -275,20 +292,18 @@
                         return true;
                     };
                     let vm = entry.attempt_id.vm;
-                    // Which upstreams rest differs from VM to VM.
-                    let is_plain = entry.job.is_plain_call() && !fleet.has_rests(now);
+                    let avoided = quarantine.avoided_upstreams(entry.job.request_part());
+                    let is_plain = is_alike(&entry.job, fleet, &avoided, now);
                     let is_deferred = if is_plain {
                         full_services.contains(&entry.job.service)
                     } else {
                         now < entry.evaluate_at && entry.evaluation_epoch == *evaluation_epoch
                     };
-                    if is_deferred
-                        || (phase == DispatchPhase::OnTime
-                            && !on_time.contains(&(entry.latest_send_at, waiting.request)))
-                    {
+                    let key = (entry.latest_send_at, waiting.request);
+                    if is_deferred || phase == DispatchPhase::OnTime && !on_time.contains(&key) {
                         return false;
                     }
-                    let target = held_target(entry, quarantine, now);
+                    let target = held_target(entry, quarantine, fleet, &avoided, now);
                     if target != waiting.target {
                         moved.push((waiting.request, target));
                     }
@@ -308,6 +323,7 @@
                         cold_load_ms: cold_load.0 as f64,
                         deciding_vms,
                         vm,
+                        avoided: &avoided,
                         now,
                     };
                     let Choice {
@@ -364,7 +380,8 @@
         let load = self.request_load(&job, upstream, now);
         self.fleet.assign(upstream, request, adapter, load, now);
         self.fleet.note_sent(upstream, &job, now);
-        self.quarantine.note_sent(job.shared_parts(), request, now);
+        self.quarantine
+            .note_sent(job.crash_candidates(), request, upstream, now);
         self.update_queued_work(&job, false);
         let entry = self.entries.get_mut(&request)?;
         self.on_time.remove(&(entry.latest_send_at, request));
@@ -451,8 +468,10 @@
                 false
             }
             Stage::Running { upstream, adapter } => {
-                if outcome.has_response() {
-                    self.quarantine.note_alive(upstream, now);
+                match outcome {
+                    Outcome::Unreachable => self.note_gone(upstream, now),
+                    _ if outcome.has_response() => self.quarantine.note_alive(upstream, now),
+                    _ => {}
                 }
                 let total = entry.job.generation().map_or(0, |g| g.size.total());
                 self.fleet.release(upstream, request, adapter, total, now);
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -156,6 +156,10 @@
         now: Millis,
     ) -> Vec<Action> {
         let load = self.settings.loads;
+        let known = self.fleet.upstreams.get(&id);
+        if known.is_some_and(|known| known.started_unix_ms != facts.started_unix_ms) {
+            self.note_gone(id, now);
+        }
         self.fleet.set(id, facts, self.can_order, &load, now);
         self.decide(now)
     }
@@ -166,6 +170,7 @@
         id: UpstreamId,
         now: Millis,
     ) {
+        self.note_gone(id, now);
         self.fleet.remove(id, now);
     }
 
--- a/crates/core/src/scheduler/state_machine/quarantine.rs
+++ b/crates/core/src/scheduler/state_machine/quarantine.rs
@@ -6,17 +6,20 @@
         clock::Millis,
         error::{ErrorKind, Refusal},
         ids::{PartId, UpstreamId},
-        quarantine::{CrashReport, PartSet, PromptEvidence, QuarantineChange},
+        quarantine::{
+            AttemptEvidence, CrashCandidates, CrashReport, PartSet, PromptEvidence,
+            QuarantineChange, RequestEvidence,
+        },
         scheduler::{AttemptId, Job, SchedulerAction as Action, running::Stage},
     },
 };
 
 impl Scheduler {
-    /// Records what the end of an assigned request shows about the parts of its prompt.
+    /// Records what the end of an assigned request shows about it and the parts of its prompt.
     pub fn note_evidence(
         &mut self,
         attempt_id: AttemptId,
-        evidence: PromptEvidence,
+        evidence: AttemptEvidence,
         now: Millis,
     ) {
         let request = self.by_attempt_id.get(&attempt_id);
@@ -24,34 +27,68 @@
             return;
         };
         if let Stage::Running { upstream, .. } = entry.stage {
-            let parts = entry.job.shared_parts().to_vec();
+            let shared = entry.job.shared_parts().to_vec();
+            let candidates = CrashCandidates {
+                shared: &shared,
+                request: entry.job.request_part(),
+            };
             let sent_at = entry.assigned_at;
-            let needs_review = self.note_own_evidence(upstream, &parts, evidence, sent_at, now);
+            let needs_review = self.note_own_evidence(upstream, candidates, evidence, sent_at, now);
             self.is_evidence_new |= needs_review;
         }
     }
 
+    /// The id of an assigned request among what may crash upstreams.
+    pub fn request_part(
+        &self,
+        attempt_id: AttemptId,
+    ) -> Option<PartId> {
+        let request = self.by_attempt_id.get(&attempt_id)?;
+        let entry = self.entries.get(request)?;
+        Some(entry.job.request_part())
+    }
+
     /// Records the same of a request of this VM's own callers that was sent at `sent_at`, whichever VM
     /// has assigned it; returns whether the evidence has to be reviewed.
     pub fn note_own_evidence(
         &mut self,
         upstream: UpstreamId,
-        parts: &[PartId],
-        evidence: PromptEvidence,
+        candidates: CrashCandidates<'_>,
+        evidence: AttemptEvidence,
         sent_at: Millis,
         now: Millis,
     ) -> bool {
-        match evidence {
-            PromptEvidence::None => false,
-            PromptEvidence::Crash => {
-                let accused: Vec<_> = parts.iter().map(|&part| (part, sent_at)).collect();
-                self.quarantine.note_crash(upstream, &accused, now, now);
-                true
-            }
+        let CrashCandidates { shared, request } = candidates;
+        let mut accused: Vec<(PartId, Millis)> = Vec::new();
+        let mut needs_review = false;
+        match evidence.prompt {
+            PromptEvidence::None => {}
+            PromptEvidence::Crash => accused.extend(shared.iter().map(|&part| (part, sent_at))),
             PromptEvidence::Sound { begun_ago } => {
-                self.quarantine.note_sound(parts, now.since(begun_ago))
+                needs_review = self.quarantine.note_sound(shared, now.since(begun_ago));
+            }
+        }
+        match evidence.request {
+            RequestEvidence::None => {}
+            RequestEvidence::UpstreamEnded => accused.push((request, sent_at)),
+            RequestEvidence::Answered { begun_ago } => {
+                self.quarantine.note_answered(request, now.since(begun_ago));
             }
         }
+        if accused.is_empty() {
+            return needs_review;
+        }
+        self.quarantine.note_crash(upstream, &accused, now, now);
+        true
+    }
+
+    /// Records that an upstream is gone or has started anew, so that nothing that it sends refutes its end.
+    pub(super) fn note_gone(
+        &mut self,
+        upstream: UpstreamId,
+        now: Millis,
+    ) {
+        self.quarantine.note_gone(upstream, now);
     }
 
     /// Records that an upstream has sent something to this or another VM.
@@ -107,12 +144,12 @@
         self.quarantine.verdicts().cloned().collect()
     }
 
-    /// Whether prompts with these shared parts are refused.
+    /// Whether requests with these are refused.
     pub fn is_quarantined(
         &self,
-        parts: &[PartId],
+        candidates: CrashCandidates<'_>,
     ) -> bool {
-        self.quarantine.refuses(parts)
+        self.quarantine.refuses(candidates)
     }
 
     /// Takes the changes of the quarantine since the last call.
@@ -120,15 +157,22 @@
         self.quarantine.take_changes()
     }
 
-    /// Refuses a request whose prompt has parts that crash upstreams.
+    /// Refuses a request under which upstreams ended, or whose prompt has parts that crash upstreams; a hedge also while
+    /// the request is suspected.
     pub(super) fn check_quarantine(
         &self,
         job: &Job,
     ) -> Result<(), Refusal> {
-        if self.is_quarantined(job.shared_parts()) {
-            return Err(Refusal::new(ErrorKind::PromptQuarantined));
+        let request = job.request_part();
+        if self.quarantine.refuses_request(request) {
+            Err(Refusal::new(ErrorKind::RequestQuarantined))
+        } else if self.is_quarantined(job.crash_candidates()) {
+            Err(Refusal::new(ErrorKind::PromptQuarantined))
+        } else if job.is_hedge && self.quarantine.is_suspected(request) {
+            Err(Refusal::new(ErrorKind::NoUpstream))
+        } else {
+            Ok(())
         }
-        Ok(())
     }
 
     /// Whether a refused request is sent to see whether its prompt still crashes upstreams; only the
@@ -138,7 +182,7 @@
         job: &Job,
         now: Millis,
     ) -> bool {
-        self.can_order && self.quarantine.take_probe(job.shared_parts(), now)
+        self.can_order && self.quarantine.take_probe(job.crash_candidates(), now)
     }
 
     /// Quarantines what new evidence points to, and refuses queued requests with it.
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -8,7 +8,10 @@
         error::ErrorKind,
         ids::{AdapterId, PartId, UpstreamId},
         ingress::{PromptPart, shared_parts},
-        quarantine::{AnswerEnd, AnswerTrace, CrashReport, PartSet, PromptEvidence},
+        quarantine::{
+            AnswerEnd, AnswerTrace, AttemptEvidence, CrashCandidates, CrashReport, PartSet,
+            PromptEvidence, RequestEvidence,
+        },
         scheduler::{AttemptId, Job, LOCAL_VM, Outcome, Work},
     },
     scheduler_world::{Decision, World, generation},
@@ -64,6 +67,14 @@
     }
 }
 
+/// Evidence that says nothing about requests as a whole.
+const fn about_prompt(prompt: PromptEvidence) -> AttemptEvidence {
+    AttemptEvidence {
+        prompt,
+        request: RequestEvidence::None,
+    }
+}
+
 fn is_quarantined(
     world: &mut World,
     parts: &[u64],
@@ -98,7 +109,7 @@
     if is_sent {
         let now = world.now;
         let scheduler = &mut world.scheduler;
-        scheduler.note_evidence(attempt(number), PromptEvidence::Crash, now);
+        scheduler.note_evidence(attempt(number), about_prompt(PromptEvidence::Crash), now);
         world.end(number, Outcome::Lost);
     }
     world.advance(CRASH_GAP);
@@ -119,7 +130,7 @@
     let now = world.now;
     world
         .scheduler
-        .note_evidence(attempt(number), evidence, now);
+        .note_evidence(attempt(number), about_prompt(evidence), now);
     world.end(number, Outcome::Answered { took: Millis(20) });
 }
 
@@ -236,7 +247,7 @@
     let now = world.now;
     world
         .scheduler
-        .note_evidence(attempt(numbers[0]), evidence, now);
+        .note_evidence(attempt(numbers[0]), about_prompt(evidence), now);
     world.end(numbers[0], Outcome::Answered { took: Millis(90) });
     world.advance(100);
     let sent = numbers.iter().filter(|&&one| world.sent_to(one).is_some());
@@ -268,7 +279,7 @@
         let upstream = world.sent_to(broken).expect("not refused");
         let now = world.now;
         let scheduler = &mut world.scheduler;
-        scheduler.note_evidence(attempt(broken), PromptEvidence::Crash, now);
+        scheduler.note_evidence(attempt(broken), about_prompt(PromptEvidence::Crash), now);
         world.end(broken, Outcome::Lost);
         world.advance(200);
         let now = world.now;
@@ -310,7 +321,12 @@
     for (id, number) in (0..).zip(numbers) {
         let parts = [PartId::Part(FIRST), PartId::Part(OTHER)];
         let scheduler = &mut world.scheduler;
-        scheduler.note_own_evidence(UpstreamId(id), &parts, PromptEvidence::Crash, sent_at, now);
+        let candidates = CrashCandidates {
+            shared: &parts,
+            request: PartId::Request(u64::from(id)),
+        };
+        let evidence = about_prompt(PromptEvidence::Crash);
+        scheduler.note_own_evidence(UpstreamId(id), candidates, evidence, sent_at, now);
         world.end(number, Outcome::Lost);
     }
     world.advance(3_000);
@@ -671,7 +687,9 @@
         begun_ago: Millis(10),
     };
     let now = world.now;
-    world.scheduler.note_evidence(attempt(trial), evidence, now);
+    world
+        .scheduler
+        .note_evidence(attempt(trial), about_prompt(evidence), now);
     world.end(trial, Outcome::Answered { took: Millis(90) });
     world.advance(200);
     assert_eq!(world.sent_to(absent), None, "its adapter isn't loaded");
--- a/crates/entry/examples/scheduler_calls.rs
+++ b/crates/entry/examples/scheduler_calls.rs
@@ -10,7 +10,7 @@
         clock::Millis,
         ids::{Fence, Revision},
         ingress::{IngressConfig, ServiceSpec, UpstreamEntry, UpstreamState},
-        quarantine::PromptEvidence,
+        quarantine::AttemptEvidence,
         scheduler::{Outcome, RateShare, SchedulerSettings},
     },
     jasmine_entry::{
@@ -125,7 +125,7 @@
                 if let Ok(placement) = vm.place(job()).await {
                     sleep(CALL_DURATION).await;
                     let took = Millis(CALL_DURATION.as_millis() as u64);
-                    placement.end(Outcome::Answered { took }, PromptEvidence::None);
+                    placement.end(Outcome::Answered { took }, AttemptEvidence::NONE);
                 }
             });
         }
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -179,6 +179,7 @@
         let target = RelayTarget {
             upstream: &self.placement.upstream,
             build: self.placement.build.as_deref(),
+            fingerprint: self.req.fingerprint,
         };
         let bytes = target.add_to(bytes);
         let mut relays = self.cx.links.relays(&self.req.allowed_data_centres);
@@ -242,7 +243,9 @@
             NotRelayed::Unusable => {
                 Offer::started(Start::Failed(Failure::not_run(Outcome::Abandoned)))
             }
-            NotRelayed::Quarantined => Offer::started(Start::Refused(ErrorKind::PromptQuarantined)),
+            NotRelayed::Quarantined => {
+                Offer::started(Start::Refused(ErrorKind::RequestQuarantined))
+            }
             NotRelayed::Unreachable => {
                 Offer::started(Start::Failed(Failure::not_run(Outcome::Unreachable)))
             }
--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -26,7 +26,7 @@
         forward::{AttemptEnd, Attempts},
         ids::PartId,
         ingress::PromptPart,
-        quarantine::{AnswerEnd, PromptEvidence, join_parts},
+        quarantine::{AnswerEnd, AttemptEvidence, join_parts},
         reachability::LinkStatus,
         scheduler::{Outcome, WaitReason},
         streams::{OriginLookup, ServiceBuild},
@@ -213,7 +213,10 @@
         &self,
         placement_error: &PlacementError,
     ) -> bool {
-        let is_final = placement_error.refusal.kind == ErrorKind::PromptQuarantined;
+        let is_final = matches!(
+            placement_error.refusal.kind,
+            ErrorKind::PromptQuarantined | ErrorKind::RequestQuarantined
+        );
         self.progress.first_at.is_some() && !is_final && !self.is_expired()
     }
 
@@ -664,7 +667,7 @@
         } else {
             self.attempts.record_end(AttemptEnd::MayHaveRun);
             self.cx.metrics.count_attempt(outcome);
-            placement.end(outcome, PromptEvidence::None);
+            placement.end(outcome, AttemptEvidence::NONE);
             Line::new("hedge_withdrawn")
                 .with("id", self.req.id())
                 .with("upstream", &placement.upstream)
@@ -714,7 +717,7 @@
             AttemptError::Refused(_) => {
                 failed
                     .placement
-                    .end(Outcome::Abandoned, PromptEvidence::None);
+                    .end(Outcome::Abandoned, AttemptEvidence::NONE);
                 self.may_hedge = false;
             }
         }
@@ -732,7 +735,7 @@
             AttemptError::Refused(kind) => {
                 attempt
                     .placement
-                    .end(Outcome::Abandoned, PromptEvidence::None);
+                    .end(Outcome::Abandoned, AttemptEvidence::NONE);
                 return Step::Fail(kind);
             }
         };
--- a/crates/entry/src/forward/mod.rs
+++ b/crates/entry/src/forward/mod.rs
@@ -5,6 +5,7 @@
 mod encode;
 mod events;
 mod failure;
+mod fingerprint;
 mod hedge;
 mod in_flight;
 mod patience;
--- a/crates/entry/src/forward/request.rs
+++ b/crates/entry/src/forward/request.rs
@@ -1,4 +1,5 @@
 use {
+    super::fingerprint::fingerprint,
     crate::{
         caller::IncomingRequest,
         scheduling::{GenerationSpec, JobSpec, LocalScheduler},
@@ -38,7 +39,7 @@
     pub incoming: IncomingRequest,
     /// The decoded request headers.
     pub caller: CallerHeaders,
-    /// A hash of key, target and body that identifies a retry by the caller under another request id.
+    /// Identifies the request over all attempts of its caller.
     pub fingerprint: u64,
     /// The matching route.
     pub route: Arc<IngressRoute>,
@@ -125,7 +126,7 @@
             config_version: config.version.0,
             arrived: now,
             deadline: now + max_wait.min(route.timeout),
-            fingerprint: fingerprint(&incoming, &caller),
+            fingerprint: fingerprint(&incoming, &caller, account.map(|it| it.name.as_str())),
             route: Arc::clone(route),
             incoming,
             caller,
@@ -193,13 +194,3 @@
         GenerationSpec::from_headers(caller)
     }
 }
-
-fn fingerprint(
-    incoming: &IncomingRequest,
-    caller: &CallerHeaders,
-) -> u64 {
-    let key = caller.key.as_deref().unwrap_or_default();
-    let target = &incoming.head.target;
-    let parts = format!("{key}\n{target}\n{:?}", caller.parts);
-    xxh3_64(parts.as_bytes()) ^ xxh3_64(&incoming.body)
-}
--- a/crates/entry/src/forward/response_trace.rs
+++ b/crates/entry/src/forward/response_trace.rs
@@ -3,7 +3,7 @@
     crate::http1::Framing,
     jasmine_core::{
         clock::Millis,
-        quarantine::{AnswerEnd, AnswerTrace, PromptEvidence},
+        quarantine::{AnswerEnd, AnswerTrace, AttemptEvidence, PromptEvidence, RequestEvidence},
     },
 };
 
@@ -101,11 +101,30 @@
         }
     }
 
-    /// What the attempt shows about the prompt; only events are a part of an answer.
+    /// What the attempt shows about the request and its prompt.
     pub(super) fn evidence(
         &self,
         end: AnswerEnd,
         now: Millis,
+    ) -> AttemptEvidence {
+        let begun_at = self.head_at.unwrap_or(self.sent_at);
+        AttemptEvidence {
+            prompt: self.prompt_evidence(end, now),
+            request: match end {
+                AnswerEnd::Whole => RequestEvidence::Answered {
+                    begun_ago: now.since(begun_at),
+                },
+                AnswerEnd::Broken => RequestEvidence::UpstreamEnded,
+                AnswerEnd::Closed | AnswerEnd::GivenUp => RequestEvidence::None,
+            },
+        }
+    }
+
+    /// What it shows about the prompt; only events are a part of an answer.
+    fn prompt_evidence(
+        &self,
+        end: AnswerEnd,
+        now: Millis,
     ) -> PromptEvidence {
         let Some(begun_at) = self.head_at else {
             return PromptEvidence::None;
--- a/crates/entry/src/links/relay_header.rs
+++ b/crates/entry/src/links/relay_header.rs
@@ -4,6 +4,8 @@
 
 /// First header of a request to a VM: the upstream that it is to be sent to and, after a space, its software version.
 const TARGET: &str = "Jasmine-Upstream";
+/// Second header of a request to a VM: the fingerprint of the request, in hexadecimal.
+const FINGERPRINT: &str = "Jasmine-Request";
 /// Set by the relaying VM on a response of the upstream.
 const RELAYED: &str = "Jasmine-Relayed";
 /// Why the relaying VM sent nothing to the upstream.
@@ -46,10 +48,12 @@
     pub upstream: &'a str,
     /// The version of its software, as the VM that chose it knows it.
     pub build: Option<&'a str>,
+    /// Identifies the request over all attempts of its caller; 0 if that VM doesn't tell.
+    pub fingerprint: u64,
 }
 
 impl<'a> RelayTarget<'a> {
-    /// Inserts the header with the target after the request line of an encoded request.
+    /// Inserts the headers with the target after the request line of an encoded request.
     pub fn add_to(
         self,
         request: &[u8],
@@ -57,16 +61,23 @@
         let line_end = request.windows(2).position(|two| two == b"\r\n");
         let (line, rest) = request.split_at(line_end.map_or(0, |at| at + 2));
         let build = self.build.unwrap_or_default();
-        let header = format!("{TARGET}: {} {build}\r\n", self.upstream);
+        let header = format!(
+            "{TARGET}: {} {build}\r\n{FINGERPRINT}: {:x}\r\n",
+            self.upstream, self.fingerprint
+        );
         [line, header.as_bytes(), rest].concat()
     }
 
-    /// Reads the value of the header.
-    pub(super) fn read(value: &'a str) -> Self {
+    /// Reads the value of the first header.
+    pub(super) fn read(
+        value: &'a str,
+        fingerprint: u64,
+    ) -> Self {
         let (upstream, build) = value.split_once(' ').unwrap_or((value, ""));
         Self {
             upstream,
             build: Some(build.trim()).filter(|build| !build.is_empty()),
+            fingerprint,
         }
     }
 }
@@ -83,6 +94,17 @@
     String::from_utf8(value).ok()
 }
 
+/// Removes the header with the fingerprint from a received request whose target was taken, and returns it; 0 without one.
+pub(super) fn take_fingerprint(head: &mut RequestHead) -> u64 {
+    let is_next = |header: &&Header| header.name.eq_ignore_ascii_case(FINGERPRINT);
+    if head.headers.0.first().filter(is_next).is_none() {
+        return 0;
+    }
+    let value = head.headers.0.remove(0).value;
+    let text = String::from_utf8_lossy(&value);
+    u64::from_str_radix(text.trim(), 16).unwrap_or(0)
+}
+
 /// The answer of a VM that is asked whether it reaches the upstreams, and does.
 pub(super) fn links_up() -> ResponseHead {
     response_head(200, RELAYED, "0")
--- a/crates/entry/src/links/relay_server.rs
+++ b/crates/entry/src/links/relay_server.rs
@@ -1,7 +1,9 @@
 //! Sends requests of other VMs, which have lost their own links, to upstreams.
 
 use {
-    super::relay_header::{NotRelayed, RelayTarget, links_up, mark_relayed, take_target},
+    super::relay_header::{
+        NotRelayed, RelayTarget, links_up, mark_relayed, take_fingerprint, take_target,
+    },
     crate::{
         caller::{IncomingRequest, ResponseWriter},
         context::{Context, StopStage},
@@ -39,7 +41,8 @@
     let Some(target) = take_target(&mut incoming.head) else {
         return answer_question(cx, out).await;
     };
-    let target = RelayTarget::read(&target);
+    let fingerprint = take_fingerprint(&mut incoming.head);
+    let target = RelayTarget::read(&target, fingerprint);
     let caller = CallerHeaders::read(incoming.head.headers.pairs());
     match connect(cx, target, &caller).await {
         Err(reason) => {
@@ -92,7 +95,8 @@
         return Err(NotRelayed::NoLinks);
     }
     let scheduler = &cx.scheduling.local_scheduler;
-    if GenerationSpec::from_headers(caller).is_some_and(|spec| scheduler.refuses(&spec)) {
+    let generation = GenerationSpec::from_headers(caller);
+    if scheduler.refuses(generation.as_ref(), target.fingerprint) {
         return Err(NotRelayed::Quarantined);
     }
     if is_version_expired(cx, caller) {
--- a/crates/entry/src/scheduling/client/mod.rs
+++ b/crates/entry/src/scheduling/client/mod.rs
@@ -11,7 +11,7 @@
         clock::Millis,
         error::{ErrorKind, Refusal},
         ids::Fence,
-        quarantine::PromptEvidence,
+        quarantine::AttemptEvidence,
         scheduler::{AttemptId, LOCAL_VM, Outcome, RateDecision, UpstreamSignals, WaitReason},
         streams::{KnownBuilds, agreed_build},
     },
@@ -215,7 +215,7 @@
                         .current_version(&spec, assignment.version);
                     if self.is_stale_assignment(&assignment, &spec) {
                         // The leader may not know yet that this upstream is leaving, wants rest or has restarted.
-                        let end = JobUpdate::Ended(Outcome::Abandoned, PromptEvidence::None);
+                        let end = JobUpdate::Ended(Outcome::Abandoned, AttemptEvidence::NONE);
                         self.record_update(spec.number, end, None);
                         excluded_upstreams.push(assignment.upstream);
                         sleep(STALE_ASSIGNMENT_DELAY.to_std()).await;
@@ -352,7 +352,7 @@
         &self,
         running: Option<&Running>,
         attempt_id: AttemptId,
-        evidence: PromptEvidence,
+        evidence: AttemptEvidence,
     ) {
         let local_scheduler = &self.local_scheduler;
         if self.is_following() {
@@ -624,7 +624,7 @@
 impl Drop for PendingPlacement<'_> {
     fn drop(&mut self) {
         if !self.is_settled.get() {
-            let update = JobUpdate::Ended(Outcome::Abandoned, PromptEvidence::None);
+            let update = JobUpdate::Ended(Outcome::Abandoned, AttemptEvidence::NONE);
             self.scheduling.record_update(self.number, update, None);
         }
     }
--- a/crates/entry/src/scheduling/convert.rs
+++ b/crates/entry/src/scheduling/convert.rs
@@ -11,7 +11,7 @@
         error::{ErrorKind, Refusal},
         ids::{Fence, InvalidPartId, PartId},
         ingress::{PromptPart, PromptSize},
-        quarantine::{PartSet, PromptEvidence},
+        quarantine::{AttemptEvidence, PartSet, PromptEvidence, RequestEvidence},
         scheduler::{AttemptCounts, Outcome, SpentTokens, UpstreamSignals, WaitReason},
     },
     jasmine_wire::scheduler_capnp::{
@@ -26,7 +26,7 @@
     /// The first event of its answer was received.
     FirstEvent,
     /// It has ended, which shows something about its prompt.
-    Ended(Outcome, PromptEvidence),
+    Ended(Outcome, AttemptEvidence),
 }
 
 /// A [`JobUpdate`] of one attempt, with what its upstream stated if a response has begun.
@@ -242,24 +242,53 @@
 
 fn write_evidence(
     mut to: news::Builder<'_>,
-    evidence: PromptEvidence,
+    evidence: AttemptEvidence,
 ) {
-    match evidence {
-        PromptEvidence::None => to.set_evidence(Evidence::None),
-        PromptEvidence::Crash => to.set_evidence(Evidence::Crash),
+    let begun_ago = match evidence.prompt {
+        PromptEvidence::None => {
+            to.set_evidence(Evidence::None);
+            None
+        }
+        PromptEvidence::Crash => {
+            to.set_evidence(Evidence::Crash);
+            None
+        }
         PromptEvidence::Sound { begun_ago } => {
             to.set_evidence(Evidence::Sound);
-            to.set_begun_ago_ms(u32::try_from(begun_ago.0).unwrap_or(u32::MAX));
+            Some(begun_ago)
+        }
+    };
+    let answered_ago = match evidence.request {
+        RequestEvidence::None => {
+            to.set_request_evidence(Evidence::None);
+            None
         }
+        RequestEvidence::UpstreamEnded => {
+            to.set_request_evidence(Evidence::Crash);
+            None
+        }
+        RequestEvidence::Answered { begun_ago } => {
+            to.set_request_evidence(Evidence::Sound);
+            Some(begun_ago)
+        }
+    };
+    if let Some(Millis(ago)) = begun_ago.or(answered_ago) {
+        to.set_begun_ago_ms(u32::try_from(ago).unwrap_or(u32::MAX));
     }
 }
 
-fn read_evidence(from: news::Reader<'_>) -> Result<PromptEvidence, capnp::Error> {
-    Ok(match from.get_evidence()? {
-        Evidence::None => PromptEvidence::None,
-        Evidence::Crash => PromptEvidence::Crash,
-        Evidence::Sound => PromptEvidence::Sound {
-            begun_ago: Millis(from.get_begun_ago_ms().into()),
+fn read_evidence(from: news::Reader<'_>) -> Result<AttemptEvidence, capnp::Error> {
+    let begun_ago = Millis(from.get_begun_ago_ms().into());
+    Ok(AttemptEvidence {
+        prompt: match from.get_evidence()? {
+            Evidence::None => PromptEvidence::None,
+            Evidence::Crash => PromptEvidence::Crash,
+            Evidence::Sound => PromptEvidence::Sound { begun_ago },
+        },
+        request: match from.get_request_evidence()? {
+            Evidence::None => RequestEvidence::None,
+            Evidence::Crash => RequestEvidence::UpstreamEnded,
+            Evidence::Sound => RequestEvidence::Answered { begun_ago },
         },
     })
 }
--- a/crates/entry/src/scheduling/placement.rs
+++ b/crates/entry/src/scheduling/placement.rs
@@ -2,7 +2,7 @@
     super::{Assignment, GenerationSpec, SchedulerNode, convert::JobUpdate},
     jasmine_core::{
         clock::Millis,
-        quarantine::PromptEvidence,
+        quarantine::AttemptEvidence,
         scheduler::{Outcome, UpstreamSignals, WaitReason},
     },
     std::{cell::Cell, future::pending, net::SocketAddr, rc::Rc},
@@ -105,11 +105,11 @@
             .record_update(self.number, JobUpdate::FirstEvent, self.signals.get());
     }
 
-    /// Reports how the request ended, and what that shows about its prompt; later calls have no effect.
+    /// Reports how the request ended, and what that shows; later calls have no effect.
     pub fn end(
         &self,
         outcome: Outcome,
-        evidence: PromptEvidence,
+        evidence: AttemptEvidence,
     ) {
         if !self.has_ended.replace(true) {
             self.scheduling.record_update(
@@ -123,6 +123,6 @@
 
 impl Drop for Placement {
     fn drop(&mut self) {
-        self.end(Outcome::Abandoned, PromptEvidence::None);
+        self.end(Outcome::Abandoned, AttemptEvidence::NONE);
     }
 }
--- a/crates/entry/src/scheduling/quarantine.rs
+++ b/crates/entry/src/scheduling/quarantine.rs
@@ -6,7 +6,11 @@
     },
     jasmine_core::{
         clock::Millis,
-        quarantine::{CrashReport, PartSet, PromptEvidence, QuarantineChange, join_parts},
+        ids::PartId,
+        quarantine::{
+            AttemptEvidence, CrashCandidates, CrashReport, PartSet, PromptEvidence,
+            QuarantineChange, RequestEvidence, join_parts,
+        },
         scheduler::AttemptId,
     },
     jasmine_telemetry::log::Line,
@@ -14,18 +18,25 @@
 };
 
 impl LocalScheduler {
-    /// Records what the end of an assigned request shows about its prompt.
+    /// Records what the end of an assigned request shows about it and its prompt.
     pub fn note_evidence(
         &self,
         attempt_id: AttemptId,
-        evidence: PromptEvidence,
+        evidence: AttemptEvidence,
     ) {
         let now = self.clock.now();
-        if evidence == PromptEvidence::Crash
+        let is_crash = evidence.prompt == PromptEvidence::Crash;
+        if (is_crash || evidence.request == RequestEvidence::UpstreamEnded)
             && let Some(upstream) = self.upstream_of(attempt_id)
         {
+            let request = self.scheduler.borrow().request_part(attempt_id);
             Line::new("crash_reported")
                 .with("upstream", upstream)
+                .with(
+                    "request",
+                    request.map_or_else(String::new, |it| it.to_string()),
+                )
+                .with("prompt", is_crash)
                 .info();
         }
         let mut scheduler = self.scheduler.borrow_mut();
@@ -36,18 +47,20 @@
     pub fn note_own_evidence(
         &self,
         running: &RunningSpec,
-        evidence: PromptEvidence,
+        evidence: AttemptEvidence,
         sent_at: Millis,
     ) {
-        let Some(generation) = &running.job.generation else {
-            return;
-        };
         let now = self.clock.now();
         let upstream = self.names.borrow_mut().upstream(&running.upstream);
-        let parts = generation.shared_parts();
+        let generation = running.job.generation.as_ref();
+        let shared = generation.map_or_else(Vec::new, GenerationSpec::shared_parts);
+        let candidates = CrashCandidates {
+            shared: &shared,
+            request: PartId::Request(running.job.caller),
+        };
         let mut scheduler = self.scheduler.borrow_mut();
         // The leader reviews it; this VM does when its role changes.
-        scheduler.note_own_evidence(upstream, &parts, evidence, sent_at, now);
+        scheduler.note_own_evidence(upstream, candidates, evidence, sent_at, now);
     }
 
     /// Records that an upstream has sent something to this VM.
@@ -98,13 +111,18 @@
         });
     }
 
-    /// Whether this VM refuses a generation.
+    /// Whether this VM refuses a request with this fingerprint.
     pub fn refuses(
         &self,
-        generation: &GenerationSpec,
+        generation: Option<&GenerationSpec>,
+        fingerprint: u64,
     ) -> bool {
-        let parts = generation.shared_parts();
-        self.scheduler.borrow().is_quarantined(&parts)
+        let shared = generation.map_or_else(Vec::new, GenerationSpec::shared_parts);
+        let candidates = CrashCandidates {
+            shared: &shared,
+            request: PartId::Request(fingerprint),
+        };
+        self.scheduler.borrow().is_quarantined(candidates)
     }
 
     /// The parts that this VM refuses.
@@ -184,6 +202,17 @@
         }
         for change in changes {
             match change {
+                QuarantineChange::Added { parts, crashes } if is_of_request(&parts) => {
+                    Line::new("request_quarantined")
+                        .with("request", join_parts(&parts, ","))
+                        .with("ends", crashes)
+                        .warn();
+                }
+                QuarantineChange::Removed { parts } if is_of_request(&parts) => {
+                    Line::new("request_released")
+                        .with("request", join_parts(&parts, ","))
+                        .info();
+                }
                 QuarantineChange::Added { parts, crashes } => Line::new("prompt_quarantined")
                     .with("parts", join_parts(&parts, ","))
                     .with("adapters", self.adapter_names(&parts))
@@ -216,6 +245,11 @@
     }
 }
 
+/// Whether a verdict is about a request as a whole.
+fn is_of_request(parts: &PartSet) -> bool {
+    parts.iter().any(|part| part.is_request())
+}
+
 fn hash_of(mut sets: Vec<PartSet>) -> u64 {
     if sets.is_empty() {
         return 0;
--- a/crates/entry/tests/ended_upstreams.rs
+++ b/crates/entry/tests/ended_upstreams.rs
@@ -74,7 +74,7 @@
 
 /// VMs before upstreams that end under requests with [`DEADLY`] in their bodies, and start again.
 struct Site {
-    store: Arc<KvStandIn>,
+    _store: Arc<KvStandIn>,
     upstreams: Upstreams,
     vms: Vec<Vm>,
     _registrar: Registrar,
@@ -118,7 +118,7 @@
         };
         let vms = start_vms(&store, name);
         Self {
-            store,
+            _store: store,
             upstreams,
             vms,
             _registrar: registrar,
--- a/crates/wire/schema/scheduler.capnp
+++ b/crates/wire/schema/scheduler.capnp
@@ -10,7 +10,7 @@
 struct Job {
   number @0 :UInt64;           # of the attempt, never used twice by its VM
   account @1 :Text;            # empty: none
-  caller @2 :UInt64;           # what makes the caller known when it comes back
+  caller @2 :UInt64;           # hash of the request, the same for all attempts of its caller
   cost @3 :UInt64;
   service @4 :Text;
   model @5 :Text;              # empty: a call of a plain service
@@ -100,11 +100,11 @@
   sentAgoMs @2 :List(UInt16);  # how long ago the VM sent its last requests there
 }
 
-# What the end of an attempt shows about the parts of its prompt.
+# What the end of an attempt shows about the parts of its prompt, or about the request.
 enum Evidence {
   none @0;
-  crash @1;                    # one of them may have crashed the upstream
-  sound @2;                    # none of them crashes upstreams
+  crash @1;                    # one of them, or it, may have crashed the upstream
+  sound @2;                    # none of them, or it doesn't, crash upstreams
 }
 
 struct News {
@@ -114,6 +114,7 @@
   signals @3 :Signals;         # null: no response has begun
   evidence @4 :Evidence;
   begunAgoMs @5 :UInt32;       # with sound evidence: since the answer began
+  requestEvidence @6 :Evidence;  # about the request, over all attempts of its caller
 }
 
 # A crash of an upstream as it began to answer prompts with these parts.
@@ -124,7 +125,7 @@
 }
 
 struct Accused {
-  part @0 :Text;               # hexadecimal id of a part of prompts, or adapter.ID
+  part @0 :Text;               # hexadecimal id of a part of prompts, adapter.ID or request.ID
   sentAgoMs @1 :UInt32;        # since such a prompt was last sent to the upstream
 }
 
