Quarantine: one request's crashes accuse no part that others share

Callers got prompt_quarantined for prompts that only share a first part with one request whose own content crashed three engines. Cause: a request's last part, body and parameters are no candidates, so the part before them was the only explanation. Since the request is one, crashes that all accuse one refused request say nothing about its parts; a part that crashes under several requests is found as before (requests_hide_no_crashing_part: 5 crashes at most, with each request repeated).

--- a/crates/core/src/quarantine/part_quarantine.rs
+++ b/crates/core/src/quarantine/part_quarantine.rs
@@ -302,6 +302,10 @@
         if let Some((part, crashes)) = self.cause_of_sets(now) {
             self.insert(PartSet::from([part]), crashes, now);
         }
+        let refused_requests: Vec<PartId> = self
+            .request_verdicts()
+            .flat_map(|verdict| verdict.parts.iter().copied())
+            .collect();
         loop {
             let unexplained: Vec<&Crash> = self
                 .crashes
@@ -309,7 +313,7 @@
                 .filter(|crash| crash.is_settled(now) && !self.is_explained(crash))
                 .collect();
             let sound_at = |part| self.sound.latest(part);
-            let suspects = Suspect::find(&unexplained, sound_at);
+            let suspects = Suspect::find(&unexplained, &refused_requests, sound_at);
             let Some(since) = suspects.iter().map(|one| one.qualified_at).min() else {
                 return self.changes.len() > known_changes;
             };
--- a/crates/core/src/quarantine/suspect.rs
+++ b/crates/core/src/quarantine/suspect.rs
@@ -28,9 +28,10 @@
 }
 
 impl Suspect {
-    /// The parts that enough crashes accuse.
+    /// The parts that enough crashes accuse, but for those of a single one of the refused requests.
     pub(super) fn find<F>(
         crashes: &[&Crash],
+        refused_requests: &[PartId],
         sound_at: F,
     ) -> Vec<Self>
     where
@@ -43,7 +44,12 @@
             }
         }
         let suspects = accused.into_iter();
+        let is_of_one_request = |indices: &BTreeSet<usize>| {
+            let mut requests = refused_requests.iter();
+            requests.any(|&request| indices.iter().all(|&at| crashes[at].accuses(request)))
+        };
         suspects
+            .filter(|(_, indices)| !is_of_one_request(indices))
             .filter_map(|(part, indices)| {
                 let qualified_at = qualified_at(part, crashes, &indices)?;
                 let mut accusing = indices.iter().map(|&at| crashes[at]);
