Ends under a request are known to VMs that decide alone

Callers whose request had ended upstreams through one VM ended more through others as soon as the leader was gone. Cause: followers learn verdicts with a ping each 300 ms, and VMs without leader count what their own callers met. Change: a VM that the leader tells that it refuses a request refuses it itself from then on; and while a new leader is to be expected (1.6 s), a request under which an upstream has ended waits for it, since it learns from all VMs how many ended; it keeps 300 ms of its time to be sent all the same. Evidence: known_ends, 6 tests: a_new_leader_knows_earlier_ends failed before with 5 ends, a_vm_without_leader_refuses_the_request with 9, in place of 3 (one run each); all pass in 5 of 5 runs now. Leader change, power loss, relay and release by an operator passed before as well. ended_upstreams has resumptions and calls that run once: 3 ends, 0 late each (one run).

--- a/crates/core/src/quarantine/part_quarantine.rs
+++ b/crates/core/src/quarantine/part_quarantine.rs
@@ -149,6 +149,14 @@
         verdicts.any(|verdict| verdict.parts.contains(&request))
     }
 
+    /// Whether an upstream ended under a request.
+    pub fn is_accused(
+        &self,
+        request: PartId,
+    ) -> bool {
+        self.crashes.accusations(request) > 0
+    }
+
     /// Whether several upstreams ended under a request.
     pub fn is_suspected(
         &self,
@@ -387,7 +395,7 @@
         part: PartId,
     ) -> bool {
         if part.is_request() {
-            return self.crashes.accusations(part) > 0;
+            return self.is_accused(part);
         }
         let is_suspected = self.crashes.accusations(part) >= MIN_TRIAL_CRASHES;
         is_suspected && !self.sound.contains(part) || self.undecided.contains(&part)
--- a/crates/core/src/scheduler/state_machine/quarantine.rs
+++ b/crates/core/src/scheduler/state_machine/quarantine.rs
@@ -152,6 +152,14 @@
         self.quarantine.refuses(candidates)
     }
 
+    /// Whether an upstream ended under a request.
+    pub fn is_accused(
+        &self,
+        request: PartId,
+    ) -> bool {
+        self.quarantine.is_accused(request)
+    }
+
     /// Takes the changes of the quarantine since the last call.
     pub fn take_quarantine_changes(&mut self) -> Vec<QuarantineChange> {
         self.quarantine.take_changes()
--- a/crates/entry/src/links/relay_header.rs
+++ b/crates/entry/src/links/relay_header.rs
@@ -96,8 +96,8 @@
 
 /// Removes the header with the fingerprint from a received request whose target was taken, and returns it; 0 without one.
 pub(super) fn take_fingerprint(head: &mut RequestHead) -> u64 {
-    let is_next = |header: &&Header| header.name.eq_ignore_ascii_case(FINGERPRINT);
-    if head.headers.0.first().filter(is_next).is_none() {
+    let next = head.headers.0.first();
+    if !next.is_some_and(|header| header.name.eq_ignore_ascii_case(FINGERPRINT)) {
         return 0;
     }
     let value = head.headers.0.remove(0).value;
--- a/crates/entry/src/scheduling/client/mod.rs
+++ b/crates/entry/src/scheduling/client/mod.rs
@@ -55,6 +55,8 @@
 const TELLING_RETRY_INTERVAL: Millis = Millis(100);
 /// Longest wait for a new leader: covers the expiry of the old lease and an election.
 const MAX_ELECTION_WAIT: Millis = Millis(1_600);
+/// Time that a request which waits for a new leader keeps for its upstream.
+const MIN_TIME_AFTER_ELECTION: Millis = Millis(300);
 /// Retry delay sent to callers while this VM has read only part of the upstreams.
 const NO_UPSTREAM_RETRY_DELAY: Millis = Millis(500);
 
@@ -200,6 +202,12 @@
             };
             // A former leader may assign upstreams that have been removed since: ask again when the mode changes.
             let mut mode_changed = self.mode_changed.subscribe();
+            if let Some(wait) = self.remaining_trial_wait(&spec) {
+                pending.is_settled.set(true);
+                // Another VM may know of more upstreams that ended under the request.
+                let _either = timeout(wait.to_std(), mode_changed.changed()).await;
+                continue;
+            }
             let mode = self.mode.borrow().clone();
             let verdict = tokio::select! {
                 verdict = self.request_verdict(mode, &spec) => verdict,
@@ -241,9 +249,15 @@
                     waited_for,
                 }) => {
                     pending.is_settled.set(true);
-                    if refusal.kind == ErrorKind::RateLimited {
-                        self.local_scheduler
-                            .record_own_decision(&spec, RateDecision::RateLimited);
+                    match refusal.kind {
+                        ErrorKind::RateLimited => self
+                            .local_scheduler
+                            .record_own_decision(&spec, RateDecision::RateLimited),
+                        // The leader may be lost before this VM asks for its verdicts.
+                        ErrorKind::RequestQuarantined => {
+                            self.local_scheduler.refuse_request(spec.caller);
+                        }
+                        _ => {}
                     }
                     return Err(PlacementError {
                         refusal,
@@ -283,6 +297,23 @@
         (is_limited && wait > Millis::ZERO).then_some(wait)
     }
 
+    /// How much longer a request under which an upstream ended should wait for an election.
+    ///
+    /// The next leader learns from all VMs how many have ended under it.
+    fn remaining_trial_wait(
+        &self,
+        spec: &JobSpec,
+    ) -> Option<Millis> {
+        let standalone_for = self.standalone_for()?;
+        if !self.local_scheduler.is_accused(spec.caller) {
+            return None;
+        }
+        let wait = MAX_ELECTION_WAIT
+            .since(standalone_for)
+            .min(spec.deadline.since(MIN_TIME_AFTER_ELECTION));
+        (wait > Millis::ZERO).then_some(wait)
+    }
+
     /// How much longer a request refused in standalone mode should wait for an election.
     ///
     /// With hundreds of VMs a VM's share of a rate limit is less than one request; a new leader may accept it.
--- a/crates/entry/src/scheduling/quarantine.rs
+++ b/crates/entry/src/scheduling/quarantine.rs
@@ -125,6 +125,25 @@
         self.scheduler.borrow().is_quarantined(candidates)
     }
 
+    /// Refuses a request, as the leader does.
+    pub(super) fn refuse_request(
+        &self,
+        fingerprint: u64,
+    ) {
+        if !self.refuses(None, fingerprint) {
+            self.add_quarantine(PartSet::from([PartId::Request(fingerprint)]));
+        }
+    }
+
+    /// Whether an upstream ended under a request, as far as this VM has seen.
+    pub(super) fn is_accused(
+        &self,
+        fingerprint: u64,
+    ) -> bool {
+        let request = PartId::Request(fingerprint);
+        self.scheduler.borrow().is_accused(request)
+    }
+
     /// The parts that this VM refuses.
     pub fn quarantined(&self) -> Vec<PartSet> {
         self.scheduler.borrow().quarantined()
