--- a/crates/entry/tests/deployment/ending_site.rs
+++ b/crates/entry/tests/deployment/ending_site.rs
@@ -79,6 +79,18 @@
     Engines(Arc<Vec<EngineStandIn>>),
 }
 
+fn end_one<U>(
+    upstreams: &[U],
+    number: usize,
+    is_down: fn(&U) -> bool,
+    end: fn(&U),
+) {
+    let upstream = &upstreams[number % upstreams.len()];
+    if !is_down(upstream) {
+        end(upstream);
+    }
+}
+
 /// VMs before upstreams that end under requests with [`DEADLY`] in their bodies, and start again.
 pub struct Site {
     pub store: Arc<KvStandIn>,
@@ -132,6 +144,34 @@
         }
     }
 
+    /// Ends an upstream, whatever it runs, unless it is gone already.
+    pub fn end(
+        &self,
+        number: usize,
+    ) {
+        match &self.upstreams {
+            Upstreams::Plain(all) => {
+                end_one(all, number, UpstreamStandIn::is_down, UpstreamStandIn::end);
+            }
+            Upstreams::Engines(all) => {
+                end_one(all, number, EngineStandIn::is_down, EngineStandIn::end);
+            }
+        }
+    }
+
+    /// Sets how long a sound call, or the wait of a generation in the queue of its engine, takes.
+    pub fn set_service_time(
+        &self,
+        time: Duration,
+    ) {
+        match &self.upstreams {
+            Upstreams::Plain(all) => all
+                .iter()
+                .for_each(|one| one.set_default(Behaviour::Slow(time))),
+            Upstreams::Engines(all) => all.iter().for_each(|one| one.set_queue_time(time)),
+        }
+    }
+
     /// Lets no upstream end any more.
     pub fn mend(&self) {
         match &self.upstreams {
