Held calls stay in their service's pool, and hold up no other request

And as only the first request of a target is looked at, a held request kept others of its account behind it that might go on. Change: a target of its own for each held request, in the pool of its service.

--- a/crates/core/src/quarantine/part_quarantine.rs
+++ b/crates/core/src/quarantine/part_quarantine.rs
@@ -197,24 +197,27 @@
         }
     }
 
-    /// Whether a request has to wait for what others with the same parts, or other attempts of it, show.
-    ///
-    /// A hedge doesn't wait for the attempt beside which it is sent.
-    pub fn holds(
+    /// Whether a prompt with these shared parts has to wait for what others show.
+    pub fn holds_parts(
         &self,
-        candidates: CrashCandidates<'_>,
-        is_hedge: bool,
+        parts: &[PartId],
         now: Millis,
     ) -> bool {
         if self.crashes.is_empty() {
             return false;
         }
-        let CrashCandidates { shared, request } = candidates;
         let mut undecided = self.undecided.iter();
-        let has_undecided = self.undecided.len() > 1 && undecided.all(|part| shared.contains(part));
-        has_undecided
-            || shared.iter().any(|&part| self.is_trial_pending(part, now))
-            || !is_hedge && self.is_trial_pending(request, now)
+        let has_undecided = self.undecided.len() > 1 && undecided.all(|part| parts.contains(part));
+        has_undecided || parts.iter().any(|&part| self.is_trial_pending(part, now))
+    }
+
+    /// Whether a request has to wait for what its earlier attempts show.
+    pub fn holds_request(
+        &self,
+        request: PartId,
+        now: Millis,
+    ) -> bool {
+        !self.crashes.is_empty() && self.is_trial_pending(request, now)
     }
 
     /// Records that a request is sent to an upstream.
--- a/crates/core/src/queue/pool.rs
+++ b/crates/core/src/queue/pool.rs
@@ -19,8 +19,15 @@
     /// Returns the pool of upstreams that can serve a target.
     pub const fn for_target(target: QueueTarget) -> Self {
         match target {
-            QueueTarget::Adapter(_) | QueueTarget::Base(_) | QueueTarget::Trial => Self::Engines,
-            QueueTarget::Service(service) => Self::Service(service),
+            QueueTarget::Adapter(_)
+            | QueueTarget::Base(_)
+            | QueueTarget::Trial
+            | QueueTarget::RequestTrial { service: None, .. } => Self::Engines,
+            QueueTarget::Service(service)
+            | QueueTarget::RequestTrial {
+                service: Some(service),
+                ..
+            } => Self::Service(service),
         }
     }
 }
--- a/crates/core/src/queue/queued_request.rs
+++ b/crates/core/src/queue/queued_request.rs
@@ -3,6 +3,7 @@
     crate::{
         clock::Millis,
         ids::{AccountId, AdapterVersion, ModelId, RequestId, ServiceId},
+        rights::CallerTag,
     },
 };
 
@@ -17,6 +18,20 @@
     Service(ServiceId),
     /// An engine, once another request has shown whether the prompt crashes it.
     Trial,
+    /// An upstream, once an earlier attempt of the same request has shown whether it ends under it.
+    RequestTrial {
+        /// The plain service; `None` for engines.
+        service: Option<ServiceId>,
+        /// Identifies the request over all attempts of its caller.
+        request: CallerTag,
+    },
+}
+
+impl QueueTarget {
+    /// Whether the request waits for what other requests show.
+    pub const fn is_trial(self) -> bool {
+        matches!(self, Self::Trial | Self::RequestTrial { .. })
+    }
 }
 
 /// A queued request.
--- a/crates/core/src/scheduler/state_machine/admission.rs
+++ b/crates/core/src/scheduler/state_machine/admission.rs
@@ -86,7 +86,7 @@
             },
             cost: job.cost.max(1),
             deadline: send_deadline.max(now),
-            target: queue_target(job, false),
+            target: queue_target(job, Hold::Free),
         }
     }
 
@@ -133,14 +133,28 @@
     }
 }
 
-/// The queue target of a request, which waits for a trial if it `is_held`. An adapter's requests share one target whatever the version, as
-/// the version is chosen when a request is sent.
+/// What a request waits for before it may be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Hold {
+    Free,
+    /// For what others show about parts of its prompt.
+    Parts,
+    /// For what its earlier attempts show.
+    Request,
+}
+
+/// The queue target of a request. An adapter's requests share one target whatever the version, as the version is chosen
+/// when a request is sent.
 pub(super) fn queue_target(
     job: &Job,
-    is_held: bool,
+    hold: Hold,
 ) -> QueueTarget {
     match job.generation() {
-        _ if is_held => QueueTarget::Trial,
+        _ if hold == Hold::Parts => QueueTarget::Trial,
+        generation if hold == Hold::Request => QueueTarget::RequestTrial {
+            service: generation.is_none().then_some(job.service),
+            request: job.caller,
+        },
         None => QueueTarget::Service(job.service),
         Some(generation) => match generation.adapter {
             Some(adapter) => QueueTarget::Adapter(AdapterVersion {
--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -2,7 +2,10 @@
 //! requests.
 
 use {
-    super::{MIN_RETRY_AFTER, Scheduler, admission::queue_target},
+    super::{
+        MIN_RETRY_AFTER, Scheduler,
+        admission::{Hold, queue_target},
+    },
     crate::{
         clock::Millis,
         error::{ErrorKind, Refusal},
@@ -82,11 +85,19 @@
     let job = &entry.job;
     let has_no_upstream =
         || !avoided.is_empty() && fleet.ready(job.service).all(|up| avoided.contains(&up.id));
-    let is_held = quarantine.holds(job.crash_candidates(), job.is_hedge, now) || has_no_upstream();
-    if is_held {
+    // A hedge doesn't wait for the attempt beside which it is sent.
+    let is_request_held = !job.is_hedge && quarantine.holds_request(job.request_part(), now);
+    let hold = if quarantine.holds_parts(job.shared_parts(), now) {
+        Hold::Parts
+    } else if is_request_held || has_no_upstream() {
+        Hold::Request
+    } else {
+        Hold::Free
+    };
+    if hold != Hold::Free {
         entry.waits_for(WaitReason::Trial, now);
     }
-    queue_target(&entry.job, is_held)
+    queue_target(&entry.job, hold)
 }
 
 impl Scheduler {
@@ -307,7 +318,7 @@
                     if target != waiting.target {
                         moved.push((waiting.request, target));
                     }
-                    if target != waiting.target || target == QueueTarget::Trial {
+                    if target != waiting.target || target.is_trial() {
                         return false;
                     }
                     evaluations += 1;
--- a/crates/core/tests/ended_requests.rs
+++ b/crates/core/tests/ended_requests.rs
@@ -269,6 +269,46 @@
     assert!(world.sent_to(*last).is_some());
 }
 
+#[test]
+fn a_held_call_leaves_its_queue() {
+    // Guards against a scheduler that ends when a held call is withdrawn while no generation waits.
+    let mut world = world();
+    world.add_engine(UpstreamId(SERVERS), &[7]);
+    let generation = world.generate(7);
+    world.advance(20);
+    world.end(generation, Outcome::Answered { took: Millis(20) });
+    for _ in 0..2 {
+        let number = place(&mut world, BAD);
+        world.advance(5);
+        end(&mut world, number);
+    }
+    let held = place(&mut world, BAD);
+    world.advance(20);
+    world.cancel(held);
+    let sound = place(&mut world, OTHER);
+    assert!(world.sent_to(sound).is_some());
+}
+
+#[test]
+fn held_requests_hold_no_others_up() {
+    // Guards against a held request that others of its account wait behind although they may go on.
+    let mut world = world();
+    for _ in 0..2 {
+        for tag in [BAD, OTHER] {
+            let number = place(&mut world, tag);
+            world.advance(5);
+            end(&mut world, number);
+        }
+    }
+    // The first ones of both are sent alone, the others wait for them.
+    let numbers = [BAD, OTHER, BAD, OTHER].map(|tag| place(&mut world, tag));
+    world.advance(GAP);
+    answer(&mut world, numbers[1]);
+    world.advance(20);
+    assert_eq!(world.decision(numbers[2]), None);
+    assert!(world.sent_to(numbers[3]).is_some());
+}
+
 #[test]
 fn suspected_requests_get_no_hedge() {
     // Guards against a second upstream while one may end under the request.
