Idle connections: a timeout that was in force while a request was answered counts

Cause: the timeout was read when a request had been read and while the connection was idle; one that was in force in between, or for less than a turn of the connection's task, was missed. Change: the context keeps the timeouts that were replaced, with the time until which each was in force, and a connection waits for the longest since its last request was read. A shorter one before a longer one is dropped, so that few are kept.

--- a/crates/core/src/ingress/mod.rs
+++ b/crates/core/src/ingress/mod.rs
@@ -9,6 +9,7 @@
 mod config;
 mod connection_admission;
 mod held_model;
+mod idle_timeouts;
 mod prompt;
 mod region_limits;
 mod route;
@@ -23,6 +24,7 @@
     config::IngressConfig,
     connection_admission::ConnectionAdmission,
     held_model::{ComingAdapter, EngineHoldings, HeldAdapter, HeldModel},
+    idle_timeouts::IdleTimeouts,
     prompt::{PromptPart, PromptSize, shared_parts},
     region_limits::allowed_data_centres,
     route::{IngressRoute, WeightedService},
--- a/crates/entry/src/caller/connection.rs
+++ b/crates/entry/src/caller/connection.rs
@@ -94,10 +94,10 @@
         return;
     }
     let mut buf = BytesMut::new();
-    let mut idle_timeout = None;
+    let mut last_read_at = None;
     loop {
-        let next = next_request(&cx, &mut stream, &mut buf, peer, idle_timeout).await;
-        idle_timeout = Some(peer.limits(&cx).idle_timeout);
+        let next = next_request(&cx, &mut stream, &mut buf, peer, last_read_at).await;
+        last_read_at = Some(cx.clock.now());
         match next {
             Ok(req) => match answer_request(&cx, &mut stream, &mut buf, peer, req).await {
                 AfterResponse::KeepOpen => {}
@@ -112,24 +112,23 @@
 
 /// Reads the next request; closes a connection that is idle between requests when the daemon stops.
 ///
-/// The first request is always read, so that a new caller gets a response. `last_timeout` is the idle timeout that held
-/// when the last request was read.
+/// The first request is always read, so that a new caller gets a response.
 async fn next_request(
     cx: &Context,
     stream: &mut TcpStream,
     buf: &mut BytesMut,
     peer: Peer,
-    last_timeout: Option<Millis>,
+    last_read_at: Option<Millis>,
 ) -> Result<IncomingRequest, RequestReadError> {
     tokio::select! {
         // A request that has arrived is answered, whatever else has happened meanwhile.
         biased;
         begun = wait_for_request(stream, buf) => begun?,
-        () = idle_expired(cx, peer, last_timeout.unwrap_or_default()) => {
+        () = idle_expired(cx, peer, last_read_at) => {
             cx.metrics.count_idle_closed("idle");
             return Err(RequestReadError::Closed);
         }
-        () = cx.stop_reached(StopStage::Closing), if last_timeout.is_some() => {
+        () = cx.stop_reached(StopStage::Closing), if last_read_at.is_some() => {
             cx.metrics.count_idle_closed("stopping");
             return Err(RequestReadError::Closed);
         }
@@ -147,17 +146,20 @@
     cx.caller_budget.charge(stream.peer_addr().unwrap_or(none))
 }
 
-/// Waits for the longest idle timeout that has held since the last request; a caller may know any of them.
+/// Waits for the longest idle timeout that was in force since the last request was read; a caller may know any of them.
 async fn idle_expired(
     cx: &Context,
     peer: Peer,
-    last_timeout: Millis,
+    last_read_at: Option<Millis>,
 ) {
     let idle_since = Instant::now();
-    let mut longest = last_timeout;
+    let since = last_read_at.unwrap_or_else(|| cx.clock.now());
     let mut config = cx.config_changes();
     loop {
-        longest = longest.max(peer.limits(cx).idle_timeout);
+        let longest = match peer {
+            Peer::Caller => cx.longest_idle_timeout(since),
+            Peer::Vm => RELAY_IDLE_TIMEOUT,
+        };
         tokio::select! {
             () = sleep_until(idle_since + longest.to_std()) => return,
             changed = config.changed() => if changed.is_err() {
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -12,7 +12,7 @@
     jasmine_conf::settings::EntrySettings,
     jasmine_core::{
         clock::Millis,
-        ingress::{CallerLimits, ConnectionAdmission, IngressConfig},
+        ingress::{CallerLimits, ConnectionAdmission, IdleTimeouts, IngressConfig},
     },
     jasmine_telemetry::log::Line,
     std::{
@@ -59,6 +59,8 @@
     /// The metrics instruments.
     pub metrics: Rc<EntryMetrics>,
     config: watch::Sender<Option<Rc<IngressConfig>>>,
+    /// The idle timeouts of earlier configurations.
+    idle_timeouts: RefCell<IdleTimeouts>,
     stop: watch::Sender<StopStage>,
     in_flight: Cell<usize>,
     connections: RefCell<ConnectionAdmission>,
@@ -84,6 +86,7 @@
             caller_budget: ReadBudget::new(MAX_CALLER_BYTES, MAX_CALLER_BYTES),
             metrics,
             config: watch::Sender::default(),
+            idle_timeouts: RefCell::default(),
             stop: watch::Sender::default(),
             in_flight: Cell::new(0),
             connections: RefCell::new(ConnectionAdmission::new(max_files)),
@@ -119,6 +122,15 @@
             .map_or_else(CallerLimits::default, |config| config.limits)
     }
 
+    /// The longest idle timeout of callers' connections that was in force since `since`.
+    pub fn longest_idle_timeout(
+        &self,
+        since: Millis,
+    ) -> Millis {
+        let current = self.caller_limits().idle_timeout;
+        self.idle_timeouts.borrow().longest_since(since, current)
+    }
+
     /// Applies a configuration, unless its version isn't newer than the current one.
     pub fn set_config(
         &self,
@@ -134,6 +146,10 @@
             .with("routes", config.routes.len())
             .info();
         self.scheduling.local_scheduler.set_config(&config);
+        let replaced = self.caller_limits().idle_timeout;
+        self.idle_timeouts
+            .borrow_mut()
+            .replace(replaced, self.clock.now());
         self.config.send_replace(Some(Rc::new(config)));
     }
 
