An upstream has ended under a request only if it accepts no connection any more

Change: after an attempt broke, its VM connects to the upstream; one that accepts and keeps the connection for 20 ms goes on, and the connection serves the next request. What lies behind another VM still counts until it is heard. attempt_failed has ended=, and jasmine_attempts_broken counts broken attempts.

--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -10,6 +10,7 @@
         upstream::{Connection, ExchangeError, ResponseStart, answers_request},
     },
     bytes::Bytes,
+    futures::future::join,
     jasmine_core::{
         clock::Millis, error::ErrorKind, forward::Repeat, reachability::LinkStatus,
         scheduler::Outcome,
@@ -285,21 +286,37 @@
         via: Via,
         e: ExchangeError,
     ) -> Failure {
-        let outcome = match (via, e) {
-            (_, ExchangeError::Invalid) => Outcome::Lost,
-            (Via::OwnLinks, ExchangeError::Lost)
-                if self.status_after_failure().await != LinkStatus::Lost =>
-            {
-                Outcome::Lost
+        let outcome = async {
+            match (via, e) {
+                (_, ExchangeError::Invalid) => Outcome::Lost,
+                (Via::OwnLinks, ExchangeError::Lost)
+                    if self.status_after_failure().await != LinkStatus::Lost =>
+                {
+                    Outcome::Lost
+                }
+                (Via::OwnLinks | Via::OtherVm, ExchangeError::Lost) => Outcome::Abandoned,
             }
-            (Via::OwnLinks | Via::OtherVm, ExchangeError::Lost) => Outcome::Abandoned,
         };
+        let (outcome, has_ended) = join(outcome, self.has_upstream_ended(via)).await;
         match e {
-            ExchangeError::Lost => Failure::broken(outcome),
+            ExchangeError::Lost => Failure::broken(outcome, has_ended),
             ExchangeError::Invalid => Failure::may_have_run(outcome),
         }
     }
 
+    /// Whether the upstream has ended, after its connection broke.
+    ///
+    /// One behind another VM can't be asked: what it sends later tells that it goes on.
+    pub(super) async fn has_upstream_ended(
+        &self,
+        via: Via,
+    ) -> bool {
+        match via {
+            Via::OwnLinks => !self.cx.pool.is_accepting(self.placement.address).await,
+            Via::OtherVm => true,
+        }
+    }
+
     /// The status of the links after a failed connection, once they have been tested or the deadline has passed.
     async fn status_after_failure(&self) -> LinkStatus {
         let links = &self.cx.links;
--- a/crates/entry/src/forward/driver.rs
+++ b/crates/entry/src/forward/driver.rs
@@ -26,7 +26,7 @@
         forward::{AttemptEnd, Attempts},
         ids::PartId,
         ingress::PromptPart,
-        quarantine::{AnswerEnd, AttemptEvidence, join_parts},
+        quarantine::{AnswerEnd, AttemptEvidence, RequestEvidence, join_parts},
         reachability::LinkStatus,
         scheduler::{Outcome, WaitReason},
         streams::{OriginLookup, ServiceBuild},
@@ -767,6 +767,7 @@
     ) -> bool {
         let now = self.cx.clock.now();
         let answer_end = if failure.is_broken {
+            self.cx.metrics.count_broken_attempt();
             AnswerEnd::Broken
         } else {
             AnswerEnd::GivenUp
@@ -775,7 +776,11 @@
         let placement = &attempt.placement;
         self.overtaken_upstreams
             .retain(|upstream| *upstream != placement.upstream);
-        placement.end(failure.outcome, trace.evidence(answer_end, now));
+        let mut evidence = trace.evidence(answer_end, now);
+        if failure.has_upstream_ended {
+            evidence.request = RequestEvidence::UpstreamEnded;
+        }
+        placement.end(failure.outcome, evidence);
         self.cx.metrics.count_attempt(failure.outcome);
         let can_retry = self.attempts.record_end(failure.end);
         Line::new("attempt_failed")
@@ -784,6 +789,7 @@
             .with("upstream", &placement.upstream)
             .with("outcome", format!("{:?}", failure.outcome))
             .with("broken", failure.is_broken)
+            .with("ended", failure.has_upstream_ended)
             .with("framing", framing_name(trace.framing))
             .with("partial_bytes", trace.partial_bytes)
             .with("events", self.progress.events)
--- a/crates/entry/src/forward/failure.rs
+++ b/crates/entry/src/forward/failure.rs
@@ -11,6 +11,8 @@
     pub end: AttemptEnd,
     /// Whether the response broke off, or its connection did.
     pub is_broken: bool,
+    /// Whether the upstream has ended, as far as its VM can see.
+    pub has_upstream_ended: bool,
     /// The upstream's error response, forwarded if no attempt succeeds.
     pub response: Option<Box<(ResponseHead, Bytes)>>,
 }
@@ -21,6 +23,7 @@
             outcome,
             end: AttemptEnd::NotRun,
             is_broken: false,
+            has_upstream_ended: false,
             response: None,
         }
     }
@@ -30,15 +33,20 @@
             outcome,
             end: AttemptEnd::MayHaveRun,
             is_broken: false,
+            has_upstream_ended: false,
             response: None,
         }
     }
 
-    pub(super) const fn broken(outcome: Outcome) -> Self {
+    pub(super) const fn broken(
+        outcome: Outcome,
+        has_upstream_ended: bool,
+    ) -> Self {
         Self {
             outcome,
             end: AttemptEnd::MayHaveRun,
             is_broken: true,
+            has_upstream_ended,
             response: None,
         }
     }
--- a/crates/entry/src/forward/response_trace.rs
+++ b/crates/entry/src/forward/response_trace.rs
@@ -114,8 +114,7 @@
                 AnswerEnd::Whole => RequestEvidence::Answered {
                     begun_ago: now.since(begun_at),
                 },
-                AnswerEnd::Broken => RequestEvidence::UpstreamEnded,
-                AnswerEnd::Closed | AnswerEnd::GivenUp => RequestEvidence::None,
+                AnswerEnd::Broken | AnswerEnd::Closed | AnswerEnd::GivenUp => RequestEvidence::None,
             },
         }
     }
--- a/crates/entry/src/forward/stream_reader.rs
+++ b/crates/entry/src/forward/stream_reader.rs
@@ -123,7 +123,8 @@
             }
         }
         if self.is_broken_off() {
-            return Err(Failure::broken(Outcome::Lost));
+            let has_ended = attempt.has_upstream_ended(self.response.via).await;
+            return Err(Failure::broken(Outcome::Lost, has_ended));
         }
         let held = take(&mut self.held);
         Ok(Some(held).filter(|held| held.count > 0))
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -39,6 +39,7 @@
     relayed: Counter<u64>,
     resumptions: Counter<u64>,
     hedges: Counter<u64>,
+    broken_attempts: Counter<u64>,
     turned_away: Counter<u64>,
     incomplete_answers: Counter<u64>,
     pipelined_dropped: Counter<u64>,
@@ -90,6 +91,10 @@
                 .u64_counter("jasmine_hedges")
                 .with_description("Requests that were sent to a second upstream beside a silent one, by what came of it")
                 .build(),
+            broken_attempts: meter
+                .u64_counter("jasmine_attempts_broken")
+                .with_description("Attempts whose connection broke, as where an upstream ended under a request")
+                .build(),
             turned_away: meter
                 .u64_counter("jasmine_connections_turned_away")
                 .with_description("New connections of callers that this VM has closed unread")
@@ -156,6 +161,12 @@
         self.attempts.add(1, &[KeyValue::new("end", label)]);
     }
 
+    /// Counts an attempt whose connection broke; a request that is refused as upstreams ended under it counts among the
+    /// refusals, as `request_quarantined`.
+    pub fn count_broken_attempt(&self) {
+        self.broken_attempts.add(1, &[]);
+    }
+
     /// Counts a request that another VM sent for this one (`by_others`), or this one for another (`for_others`).
     pub fn count_relayed(
         &self,
--- a/crates/entry/src/upstream/pool.rs
+++ b/crates/entry/src/upstream/pool.rs
@@ -9,13 +9,17 @@
         net::{Ipv4Addr, SocketAddr},
         time::Duration,
     },
-    tokio::time::timeout,
+    tokio::time::{sleep, timeout},
 };
 
 /// Timeout of connecting; allows for one retransmission.
 ///
 /// A lost packet is sent again after a fifth of a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(450);
+/// How long an upstream may take to accept a connection that shows that it goes on.
+const LIVENESS_TIMEOUT: Duration = Duration::from_millis(100);
+/// Within which a connection is closed again that only something before the upstream has accepted.
+const LIVENESS_CLOSE_TIME: Duration = Duration::from_millis(20);
 /// Idle timeout of connections whose upstream sends no `Keep-Alive` timeout.
 const DEFAULT_IDLE_TIMEOUT: Millis = Millis(4_000);
 /// Idle timeout in percent of the upstream's `Keep-Alive` timeout.
@@ -86,6 +90,23 @@
             .unwrap_or_else(|_elapsed| Err(io::ErrorKind::TimedOut.into()))
     }
 
+    /// Whether an upstream accepts a connection and keeps it open; it is kept for the next request.
+    pub async fn is_accepting(
+        &self,
+        address: SocketAddr,
+    ) -> bool {
+        let connection = Connection::open(address, self.source, self.budget.clone());
+        let Ok(Ok(connection)) = timeout(LIVENESS_TIMEOUT, connection).await else {
+            return false;
+        };
+        sleep(LIVENESS_CLOSE_TIME).await;
+        let is_open = connection.is_reusable();
+        if is_open {
+            self.keep(address, connection);
+        }
+        is_open
+    }
+
     /// Returns a connection to the pool after a complete exchange, unless the upstream closes it.
     pub fn release(
         &self,
--- a/crates/entry/tests/ended_storms.rs
+++ b/crates/entry/tests/ended_storms.rs
@@ -6,8 +6,9 @@
     deployment::{
         Request, Vm,
         ending_site::{DEADLY, Kind, Site, own_body},
+        start_platform, start_vms,
     },
-    jasmine_platform_stand_in::EndAt,
+    jasmine_platform_stand_in::{Behaviour, EndAt},
     std::{
         sync::atomic::{AtomicBool, Ordering},
         thread,
@@ -164,3 +165,26 @@
     // Guards against sound calls that are refused for sharing upstreams with the request that ends them.
     assert_sound_work_goes_on(Kind::Call, true, "storm-deadly");
 }
+
+#[test]
+fn broken_answers_are_no_ends() {
+    // Guards against requests that are refused as upstreams broke their answers off and went on.
+    let (store, upstreams) = start_platform(&["s-1", "s-2", "s-3"]);
+    let vms = start_vms(&store, "broken-answers");
+    let request = Kind::Call.request("sound");
+    for behaviour in [Behaviour::Reset, Behaviour::Truncate] {
+        for upstream in &upstreams {
+            upstream.set_default(behaviour.clone());
+        }
+        for vm in &vms {
+            vm.send_raw(&request.bytes());
+            thread::sleep(RETRY_PAUSE);
+        }
+    }
+    for upstream in &upstreams {
+        upstream.set_default(Behaviour::Answer(b"ok".to_vec()));
+    }
+    let mut tally = Tally::default();
+    send(&vms, 0, &request, &mut tally);
+    assert_eq!(tally.served, 1, "{} refused", tally.quarantined);
+}
