Soak: upstreams that end under requests, and otherwise

Four upstreams of a service of their own end under four requests, before a head, in a body, after events and late, and now and then whatever they run; each is repeated by its caller under other ids at one VM after the other, beside sound requests, while VMs are killed, suspended, cut off and change their leader. At most three of each may reach upstreams after the third end, and half of the sound ones have to be served.

--- a/crates/entry/tests/soak/cluster.rs
+++ b/crates/entry/tests/soak/cluster.rs
@@ -3,6 +3,7 @@
         breaks::{Break, Breaks, Failure},
         configuration::{Configuration, Published},
         disturbances::{Disturbances, Disturbed},
+        ending::{ENDING_UPSTREAMS, EndingUpstream},
         fault::{
             BUILD_SLOTS, CRASH_ENGINES, CRASHING_PARTS, Fault, Silenced, Statement, UPSTREAMS, VMS,
         },
@@ -98,6 +99,8 @@
     /// Upstreams of several software versions, and those that others have replaced.
     pub builds: Vec<UpstreamStandIn>,
     pub released: Vec<UpstreamStandIn>,
+    /// Upstreams that end under requests.
+    pub ending: Vec<EndingUpstream>,
     other_links: Vec<OtherLink>,
     /// The faults of each VM's links to all upstreams.
     vm_link_modes: [Option<LinkFault>; VMS],
@@ -147,6 +150,7 @@
             engine,
             builds: Vec::new(),
             released: Vec::new(),
+            ending: Vec::new(),
             other_links: Vec::new(),
             vm_link_modes: [None; VMS],
             crash_engines: Vec::new(),
@@ -183,6 +187,12 @@
             cluster.register_behind_proxy(&engine.key(), entry);
             cluster.crash_engines.push(engine);
         }
+        for number in 0..ENDING_UPSTREAMS {
+            let upstream = EndingUpstream::start(number);
+            let entry = upstream.entry();
+            let address = cluster.register_behind_proxy(&upstream.key(), entry);
+            cluster.ending.push(upstream.behind(address));
+        }
         let entry = cluster.engine.entry("llm", "one");
         cluster.register_behind_proxy(&cluster.engine.key(), entry);
         for number in 0..VMS {
@@ -339,6 +349,7 @@
             }
             Fault::CrashingPart(part) => self.add_crashing_part(part),
             Fault::EngineCrash(engine) => self.crash_engines[engine].crash(),
+            Fault::UpstreamEnd(upstream) => self.ending[upstream].end(),
             Fault::NewVersion(adapter) => self.announce_version(adapter),
             Fault::EngineQueue(queued, time) => {
                 self.engine.set_queue_time(queued);
@@ -503,6 +514,9 @@
         for (_, target) in expired {
             self.end_fault(target);
         }
+        for upstream in &mut self.ending {
+            upstream.step(&self.store);
+        }
         let stepped = std::mem::replace(&mut self.stepped, now);
         for slot in &mut self.slots {
             if slot.has_ended_itself() {
@@ -622,7 +636,7 @@
         &mut self,
         key: &str,
         mut entry: Value,
-    ) {
+    ) -> SocketAddr {
         let link = start_proxy(entry_address(&entry));
         let service = entry["service"].as_str().unwrap_or_default().to_owned();
         entry["address"] = json!(link.address().to_string());
@@ -630,7 +644,9 @@
         for (vm, &mode) in self.vm_link_modes.iter().enumerate() {
             link.set_mode_for(upstream_source(vm), mode);
         }
+        let address = link.address();
         self.other_links.push(OtherLink { service, link });
+        address
     }
 
     /// Starts an upstream of the next software version for a slot, under an id of its own.
--- a/crates/entry/tests/soak/configuration.rs
+++ b/crates/entry/tests/soak/configuration.rs
@@ -1,6 +1,7 @@
 //! The configuration of a run, and its changes.
 
 use {
+    super::ending::ENDING_SERVICE,
     crate::deployment,
     rand::Rng,
     rand_chacha::ChaCha8Rng,
@@ -154,7 +155,7 @@
         prompts["name"] = json!("prompts");
         let services = config["services"].as_array_mut().unwrap();
         services.extend(
-            ["flows", "builds", "spare"]
+            ["flows", "builds", "spare", ENDING_SERVICE]
                 .map(|name| json!({"name": name, "health_path": "/healthz", "max_conns": 100})),
         );
         services.push(prompts);
@@ -177,6 +178,8 @@
             derive(&routes[2], "flow", "flows"),
             derive(&routes[2], "build", "builds"),
             derive(&routes[5], "part", "prompts"),
+            derive(&routes[0], "end", ENDING_SERVICE),
+            derive(&routes[2], "endstream", ENDING_SERVICE),
             derive(&routes[0], "small", "app"),
             derive(&routes[0], "moved", self.moved_to),
             split,
--- a/crates/entry/tests/soak/fault.rs
+++ b/crates/entry/tests/soak/fault.rs
@@ -1,5 +1,5 @@
 use {
-    super::{cluster::EVENTS, configuration::ConfigChange},
+    super::{cluster::EVENTS, configuration::ConfigChange, ending::ENDING_UPSTREAMS},
     jasmine_platform_stand_in::{Behaviour, Outage, StreamEnd, StreamFraming},
     jasmine_testkit::proxy::{Fault as LinkFault, Link},
     rand::{Rng, SeedableRng},
@@ -39,6 +39,10 @@
 const CRASH_SEED: u64 = 0x00c2_a5e5;
 /// Time between two crashes of engines, in milliseconds.
 const CRASH_INTERVAL_MS: Range<u64> = 600..2_500;
+/// The same for upstreams that end, whatever they run.
+const END_SEED: u64 = 0x00e9_de0d;
+/// Time between two of these ends, in milliseconds.
+const END_INTERVAL_MS: Range<u64> = 800..3_000;
 /// The same for connections that all reach one VM.
 const HERD_SEED: u64 = 0x00be_e4d5;
 /// Time between the starts of two herds, in milliseconds.
@@ -122,6 +126,8 @@
     CrashingPart(usize),
     /// An engine crashes, whatever it runs.
     EngineCrash(usize),
+    /// An upstream of those that end under requests ends, whatever it runs.
+    UpstreamEnd(usize),
     /// A newer version of an adapter is announced.
     NewVersion(usize),
     /// Requests that reach the engine wait this long for their first token.
@@ -199,6 +205,7 @@
     plan.extend(salted(LINK_SEED, LINK_INTERVAL_MS, lost_links));
     plan.extend(salted(BUILD_SEED, BUILD_INTERVAL_MS, build));
     plan.extend(crashes(seed, length));
+    plan.extend(salted(END_SEED, END_INTERVAL_MS, upstream_end));
     plan.extend(salted(HERD_SEED, HERD_INTERVAL_MS, herd));
     plan.extend(salted(VERSION_SEED, VERSION_INTERVAL_MS, version));
     if schedule == Schedule::SilencesAndChanges {
@@ -349,6 +356,10 @@
     Fault::EngineCrash(rng.random_range(0..CRASH_ENGINES))
 }
 
+fn upstream_end(rng: &mut ChaCha8Rng) -> Fault {
+    Fault::UpstreamEnd(rng.random_range(0..ENDING_UPSTREAMS))
+}
+
 fn herd(rng: &mut ChaCha8Rng) -> Fault {
     let vm = rng.random_range(0..VMS);
     let time = Duration::from_millis(rng.random_range(HERD_DURATION_MS));
--- a/crates/entry/tests/soak/mod.rs
+++ b/crates/entry/tests/soak/mod.rs
@@ -11,6 +11,7 @@
 mod configuration;
 mod crashing_parts;
 mod disturbances;
+mod ending;
 mod fault;
 mod older_versions;
 mod open_connections;
@@ -25,6 +26,7 @@
     cluster::Cluster,
     crashing_parts::check_sound,
     disturbances::CONTACT,
+    ending::{EndingCallers, check_ending},
     fault::{Fault, calm_plan, plan},
     open_connections::check_idle_closes,
     site::run_site,
@@ -84,6 +86,7 @@
         cluster.idle_timeout(),
         seed,
     );
+    let ending_callers = EndingCallers::start(&cluster.addresses(), seed, length);
     run_plan(&mut cluster, plan(seed, length, schedule), length);
     cluster.end_all_faults();
     let mut violations = cluster.unserved_routes();
@@ -91,10 +94,12 @@
     let calm_time = CONTACT + CALM_TIME;
     run_plan(&mut cluster, calm_plan(seed, calm_time), calm_time);
     let (records, idle_closes) = callers.finish();
+    let ending_calls = ending_callers.finish();
     cluster.await_logs();
     violations.extend(check(&cluster, &records));
     let logs = cluster.vm_logs();
     violations.extend(check_answers(&cluster, &logs, &records));
+    violations.extend(check_ending(&cluster.ending, &ending_calls));
     violations.extend(check_idle_closes(&cluster, &logs, &idle_closes));
     let sound_prompts = check_sound(&cluster, &records);
     if !violations.is_empty() || sound_prompts.is_some() {
