--- a/crates/entry/src/upstream/pool.rs
+++ b/crates/entry/src/upstream/pool.rs
@@ -29,6 +29,17 @@
 /// Most idle connections per address.
 const MAX_IDLE_PER_ADDRESS: usize = 16;
 
+/// Whether an upstream goes on, as a new connection to it shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Liveness {
+    /// It accepts connections.
+    Accepting,
+    /// Its machine refuses connections to its port.
+    Refusing,
+    /// It isn't reached, or something on the way closes its connections.
+    Unreached,
+}
+
 /// A pool of idle connections by address.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -90,21 +101,25 @@
             .unwrap_or_else(|_elapsed| Err(io::ErrorKind::TimedOut.into()))
     }
 
-    /// Whether an upstream accepts a connection and keeps it open; it is kept for the next request.
-    pub async fn is_accepting(
+    /// Opens a connection to see whether an upstream goes on; one that stays open is kept for the next request.
+    pub async fn check_liveness(
         &self,
         address: SocketAddr,
-    ) -> bool {
+    ) -> Liveness {
         let connection = Connection::open(address, self.source, self.budget.clone());
-        let Ok(Ok(connection)) = timeout(LIVENESS_TIMEOUT, connection).await else {
-            return false;
+        let connection = match timeout(LIVENESS_TIMEOUT, connection).await {
+            Ok(Ok(connection)) => connection,
+            Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => {
+                return Liveness::Refusing;
+            }
+            Ok(Err(_)) | Err(_) => return Liveness::Unreached,
         };
         sleep(LIVENESS_CLOSE_TIME).await;
-        let is_open = connection.is_reusable();
-        if is_open {
-            self.keep(address, connection);
+        if !connection.is_reusable() {
+            return Liveness::Unreached;
         }
-        is_open
+        self.keep(address, connection);
+        Liveness::Accepting
     }
 
     /// Returns a connection to the pool after a complete exchange, unless the upstream closes it.
