Overtaken attempts end in time while a slow caller takes what overtook them; the driver in four files

An overtaken upstream kept its slot at the scheduler, and its silence was reported only once a slow caller had taken the piece. Cause: the write of a piece held the whole driver, so that only the connection could be closed meanwhile. Now what is recorded of a piece comes before and after its write, and the attempts that stand by are ended while it is written.

--- /dev/null
+++ b/crates/entry/src/forward/driver/forwarding.rs
@@ -0,0 +1,155 @@
+//! Forwarding of the pieces of an answer to the caller.
+
+use {
+    super::{Driver, Step},
+    crate::{
+        caller::ResponseWriter,
+        forward::{
+            in_flight::InFlight,
+            piece::Piece,
+            race::{Race, standby_over},
+            stream_reader::EventBatch,
+        },
+    },
+    jasmine_core::{quarantine::AnswerEnd, scheduler::Outcome, streams::ServiceBuild},
+    std::{io, pin::pin},
+};
+
+impl Driver<'_> {
+    /// Forwards a piece of the current attempt, which overtakes its rivals; returns what follows if that was the last
+    /// one.
+    pub(super) async fn go_on(
+        &mut self,
+        race: &mut Race,
+        piece: Piece,
+        out: &mut ResponseWriter<'_>,
+    ) -> Option<Step> {
+        self.count_hedge(&race.current, "answered");
+        if piece.is_last() {
+            self.end_rivals(race);
+        } else {
+            self.overtake_rivals(race);
+        }
+        self.note_piece(&race.current, &piece, out.has_begun());
+        let written = {
+            let mut writing = pin!(write_piece(&piece, out));
+            loop {
+                // A caller may take a piece slowly.
+                tokio::select! {
+                    written = &mut writing => break written,
+                    () = standby_over(race.standby, &self.cx.clock) => self.end_rivals(race),
+                }
+            }
+        };
+        let step = self.conclude_piece(&race.current, &piece, written);
+        if step.is_some() {
+            self.end_rivals(race);
+        }
+        step
+    }
+
+    /// Records that a piece of an answer is forwarded.
+    fn note_piece(
+        &mut self,
+        attempt: &InFlight,
+        piece: &Piece,
+        has_begun: bool,
+    ) {
+        self.upstream = Some(attempt.placement.upstream.clone());
+        self.framing = attempt.trace().framing;
+        self.partial_bytes = attempt.trace().partial_bytes;
+        match piece {
+            Piece::Events(_, batch) => self.note_events(attempt, batch),
+            Piece::End(_) if !has_begun => self.note_events(attempt, &EventBatch::default()),
+            Piece::Begun | Piece::End(_) | Piece::Whole(..) => {}
+        }
+    }
+
+    fn note_events(
+        &mut self,
+        attempt: &InFlight,
+        batch: &EventBatch,
+    ) {
+        let now = self.cx.clock.now();
+        if let Some(last) = self.progress.last_at.replace(now) {
+            self.cx.metrics.record_gap(&self.req, now.since(last));
+        }
+        if self.progress.first_at.is_none() {
+            self.progress.first_at = Some(now);
+            let build = attempt.placement.build.as_deref();
+            self.progress.origin.begin(build);
+            self.publish_origin();
+            attempt.placement.first_event();
+        }
+        let last_event = &self.progress.last_event;
+        last_event.set(batch.last_id.or(last_event.get()));
+        self.progress.events += batch.count;
+    }
+
+    /// Reports the end of an attempt whose last piece was written, or whose caller has left.
+    fn conclude_piece(
+        &self,
+        attempt: &InFlight,
+        piece: &Piece,
+        written: io::Result<()>,
+    ) -> Option<Step> {
+        let now = self.cx.clock.now();
+        let trace = attempt.trace();
+        match written {
+            Err(e) => {
+                let evidence = trace.evidence(AnswerEnd::GivenUp, now);
+                attempt.placement.end(Outcome::Abandoned, evidence);
+                Some(Step::Done(Err(e)))
+            }
+            Ok(()) if piece.is_last() => {
+                let end = trace.complete_end(self.req.is_stream());
+                let took = now.since(trace.sent_at);
+                self.cx.metrics.count_attempt(Outcome::Answered { took });
+                let first = self.progress.first_at.map(|at| at.since(self.req.arrived));
+                self.cx
+                    .metrics
+                    .record_answered(&self.req, self.waited, first);
+                let evidence = trace.evidence(end, now);
+                attempt.placement.end(Outcome::Answered { took }, evidence);
+                Some(Step::Done(Ok(())))
+            }
+            Ok(()) => {
+                attempt.note_forwarded(now);
+                None
+            }
+        }
+    }
+
+    /// Replicates the origin of a stream, so that its caller can resume it at another VM.
+    fn publish_origin(&self) {
+        let req = &self.req;
+        let is_first_attempt = req.is_resumable() && !req.is_resumption();
+        if let Some(id) = req.caller.request_id.as_ref().filter(|_| is_first_attempt) {
+            let build = self.progress.origin.required_build();
+            let origin = ServiceBuild {
+                service: req.service.clone(),
+                build: build.map(str::to_owned),
+            };
+            self.cx.origins.begin(id, origin);
+        }
+    }
+}
+
+/// Writes a piece; the head goes out with the first events, as a retry may replace it until then.
+async fn write_piece(
+    piece: &Piece,
+    out: &mut ResponseWriter<'_>,
+) -> io::Result<()> {
+    match piece {
+        Piece::Begun => Ok(()),
+        Piece::Events(_, batch) if out.has_begun() => out.chunk(&batch.bytes).await,
+        Piece::Events(head, batch) => out.begin_stream(head, &batch.bytes).await,
+        Piece::End(head) => {
+            if !out.has_begun() {
+                out.begin_stream(head, &[]).await?;
+            }
+            out.end_stream().await
+        }
+        Piece::Whole(head, body) => out.write_whole(head, body).await,
+    }
+}
--- a/crates/entry/src/forward/driver/mod.rs
+++ b/crates/entry/src/forward/driver/mod.rs
@@ -1,16 +1,14 @@
 use {
     super::{
         ForwardRequest,
-        attempt::Via,
         failure::Failure,
-        hedge::{HedgeSearch, RETRY_INTERVAL, place},
+        hedge::{RETRY_INTERVAL, place},
         in_flight::{AttemptSetup, InFlight},
         patience::Patience,
         piece::{AttemptError, Piece},
         progress::Progress,
-        race::{Race, Standby, close_after, found, next_of},
+        race::{Race, found, next_of},
         request::AttemptSpec,
-        stream_reader::EventBatch,
     },
     crate::{
         caller::{ErrorResponse, ResponseWriter},
@@ -23,13 +21,10 @@
     jasmine_core::{
         clock::Millis,
         error::{ErrorKind, Refusal},
-        forward::{AttemptEnd, Attempts},
-        ids::PartId,
-        ingress::PromptPart,
-        quarantine::{AnswerEnd, AttemptEvidence, RequestEvidence, join_parts},
-        reachability::LinkStatus,
+        forward::Attempts,
+        quarantine::{AnswerEnd, AttemptEvidence, RequestEvidence},
         scheduler::{Outcome, WaitReason},
-        streams::{OriginLookup, ServiceBuild},
+        streams::OriginLookup,
     },
     jasmine_telemetry::log::Line,
     std::{
@@ -42,6 +37,10 @@
     tokio::time::sleep,
 };
 
+mod forwarding;
+mod log;
+mod rivals;
+
 /// Delay before the retry of a request that an upstream didn't run because its adapter isn't loaded yet.
 const NOT_RUN_RETRY_DELAY: Millis = Millis(15);
 
@@ -51,11 +50,6 @@
 /// How often an answer that has begun checks whether an upstream is reached again.
 const REACHABILITY_CHECK_INTERVAL: Millis = Millis(100);
 
-/// How long an overtaken attempt stands by, in case the one that goes on breaks off.
-const STANDBY_TIME: Millis = Millis(1_000);
-/// The same for generations, which two engines may work on for 400 ms.
-const GENERATION_STANDBY_TIME: Millis = Millis(300);
-
 /// What follows an attempt.
 enum Step {
     /// The caller has its response or has disconnected.
@@ -319,22 +313,7 @@
         self.waited_for = placement.waited_for;
         self.sent_at = Some(self.cx.clock.now());
         self.upstream = Some(placement.upstream.clone());
-        Line::new("request_sent")
-            .with("id", self.req.id())
-            .with("request", self.req.fingerprint_text())
-            .with("upstream", &placement.upstream)
-            .with("attempt", number)
-            .with("version", placement.version.unwrap_or_default())
-            .with("newest", self.newest_version())
-            .with("build", placement.build.as_deref().unwrap_or("-"))
-            .with(
-                "after_event",
-                self.progress.last_event.get().unwrap_or_default(),
-            )
-            .with("waited_ms", self.waited)
-            .with("waited_for", self.waited_for.as_str())
-            .with("decided_by", self.cx.scheduling.decider())
-            .info();
+        self.log_sent(&placement, number);
         let has_events = self.progress.events > 0;
         let setup = AttemptSetup {
             cx: Rc::clone(self.cx),
@@ -476,253 +455,6 @@
         }
     }
 
-    /// Time until the current attempt counts as silent, so that what it has overtaken is listened to; `None` for a
-    /// generation, whose runs aren't mixed.
-    fn silent_in(
-        &self,
-        race: &Race,
-    ) -> Option<Millis> {
-        let trace = race.current.trace();
-        let left = self.patience.gap_left(&trace, self.cx.clock.now());
-        Some(left).filter(|_| !self.req.is_generation)
-    }
-
-    /// Whether another upstream may be sent the request beside those that have it.
-    fn can_hedge(
-        &self,
-        race: &Race,
-    ) -> bool {
-        let is_settled = race.search.is_some() || race.standby.is_some();
-        let is_fresh = self.progress.first_at.is_none() && !self.req.is_resumption();
-        !is_settled
-            && self.may_hedge
-            && self.attempts.can_run_beside(race.in_flight())
-            && (is_fresh || self.can_resume())
-    }
-
-    /// Time left until a hedge is due, as all in flight are silent.
-    fn patience_left(
-        &self,
-        race: &Race,
-    ) -> Duration {
-        let now = self.cx.clock.now();
-        let attempts = race.attempts();
-        let left = attempts.map(|attempt| self.patience.left(&attempt.trace(), now));
-        left.max().unwrap_or_default().to_std()
-    }
-
-    /// Begins the search for an upstream that gets the request beside the one of the current attempt.
-    fn seek_hedge(
-        &self,
-        race: &mut Race,
-        pause: Millis,
-    ) {
-        if !self.can_hedge(race) {
-            return;
-        }
-        let mut excluded_upstreams = self.failed_upstreams.clone();
-        excluded_upstreams.extend(race.attempts().map(|it| it.placement.upstream.clone()));
-        race.seek(HedgeSearch {
-            cx: Rc::clone(self.cx),
-            req: Rc::clone(&self.req),
-            number: self.attempts.next_attempt() + race.in_flight(),
-            excluded_upstreams,
-            build: self.progress.origin.required_build().map(str::to_owned),
-            preferred_build: self.preferred_build(&race.current),
-            has_begun: self.progress.first_at.is_some(),
-            pause,
-        });
-    }
-
-    /// Whether some attempt in flight couldn't go on after the first events of another one.
-    fn is_contested(
-        &self,
-        race: &Race,
-    ) -> bool {
-        let builds = || race.attempts().map(|attempt| &attempt.placement.build);
-        let are_equal = builds()
-            .zip(builds().skip(1))
-            .all(|(one, next)| one == next);
-        !are_equal && self.req.is_resumable() && self.progress.first_at.is_none()
-    }
-
-    /// The build of a hedge after which an attempt could go on that has forwarded nothing.
-    fn preferred_build(
-        &self,
-        attempt: &InFlight,
-    ) -> Option<String> {
-        let is_open = self.req.is_resumable() && self.progress.first_at.is_none();
-        let build = attempt.placement.build.as_ref().filter(|_| is_open);
-        build.cloned()
-    }
-
-    /// Forwards a piece of the current attempt, which overtakes its rivals; returns what follows if that was the last
-    /// one.
-    async fn go_on(
-        &mut self,
-        race: &mut Race,
-        piece: Piece,
-        out: &mut ResponseWriter<'_>,
-    ) -> Option<Step> {
-        self.count_hedge(&race.current, "answered");
-        if piece.is_last() {
-            self.end_rivals(race);
-        } else {
-            self.overtake_rivals(race);
-        }
-        let now = self.cx.clock.now();
-        let left = race.standby.map(|standby| standby.until.since(now));
-        let step = tokio::select! {
-            step = self.forward(&race.current, piece, out) => step,
-            // A caller may take a piece slowly.
-            never = close_after(&mut race.rivals, left) => match never {},
-        };
-        if step.is_some() {
-            self.end_rivals(race);
-        }
-        step
-    }
-
-    /// Lets rivals stand by that could go on with the stream, and ends the others.
-    fn overtake_rivals(
-        &mut self,
-        race: &mut Race,
-    ) {
-        race.search = None;
-        let origin = &self.progress.origin;
-        let begun_by = race.current.placement.build.as_deref();
-        let build = origin.required_build().or(begun_by);
-        let can_resume = self.can_resume() && build.is_some();
-        let rivals = std::mem::take(&mut race.rivals).into_iter();
-        let (standing, ended): (Vec<_>, Vec<_>) =
-            rivals.partition(|rival| can_resume && rival.placement.build.as_deref() == build);
-        let now = self.cx.clock.now();
-        for rival in ended {
-            self.end_overtaken(&rival, now);
-        }
-        race.rivals = standing;
-        self.begin_standby(race, false);
-    }
-
-    /// Lets rivals stand by from now on, or for what is left of their time.
-    fn begin_standby(
-        &self,
-        race: &mut Race,
-        listens: bool,
-    ) {
-        let now = self.cx.clock.now();
-        let time = if self.req.is_generation {
-            GENERATION_STANDBY_TIME
-        } else {
-            STANDBY_TIME
-        };
-        let begins = Standby {
-            since: now,
-            until: now + time,
-            listens,
-        };
-        let standby = race.standby.unwrap_or(begins);
-        race.standby = Some(Standby { listens, ..standby }).filter(|_| !race.rivals.is_empty());
-    }
-
-    /// Records that the upstream of a hedge works on the request, which two engines may do for a short time only.
-    fn note_begun(
-        &self,
-        race: &mut Race,
-        number: usize,
-    ) {
-        if self.req.is_generation {
-            race.promote(number);
-            race.search = None;
-            self.begin_standby(race, true);
-        }
-    }
-
-    /// Ends all but the current attempt.
-    fn end_rivals(
-        &mut self,
-        race: &mut Race,
-    ) {
-        let standby = race.standby.take();
-        let overtaken_at = standby.map_or_else(|| self.cx.clock.now(), |standby| standby.since);
-        race.search = None;
-        for rival in std::mem::take(&mut race.rivals) {
-            self.end_overtaken(&rival, overtaken_at);
-        }
-    }
-
-    /// Ends an attempt that was overtaken by another one, or by the deadline; it may have run.
-    fn end_overtaken(
-        &mut self,
-        overtaken: &InFlight,
-        overtaken_at: Millis,
-    ) {
-        let placement = &overtaken.placement;
-        let outcome = self.silence_of(overtaken, overtaken_at);
-        self.count_hedge(overtaken, "overtaken");
-        if outcome == Outcome::Silent {
-            // If one connection is dead, the others are likely to be too.
-            self.cx.pool.close_idle(placement.address);
-            self.record_failure(overtaken, Failure::may_have_run(outcome));
-        } else {
-            self.attempts.record_end(AttemptEnd::MayHaveRun);
-            self.cx.metrics.count_attempt(outcome);
-            placement.end(outcome, AttemptEvidence::NONE);
-            Line::new("hedge_withdrawn")
-                .with("id", self.req.id())
-                .with("upstream", &placement.upstream)
-                .info();
-        }
-        self.overtaken_upstreams.push(placement.upstream.clone());
-    }
-
-    /// Counts the result of an attempt, if it is a hedge, once.
-    fn count_hedge(
-        &self,
-        attempt: &InFlight,
-        result: &'static str,
-    ) {
-        if attempt.take_uncounted_hedge() {
-            self.cx.metrics.count_hedge(result);
-        }
-    }
-
-    /// What the silence of an attempt shows: nothing about its upstream if another VM, or the links of this one, may
-    /// have failed, or if the upstream had little time.
-    fn silence_of(
-        &self,
-        attempt: &InFlight,
-        now: Millis,
-    ) -> Outcome {
-        let trace = attempt.trace();
-        let is_long = self.patience.left(&trace, now) == Millis::ZERO;
-        let are_links_up = self.cx.links.status() == LinkStatus::Up;
-        match trace.via {
-            Via::OwnLinks if is_long && are_links_up => Outcome::Silent,
-            Via::OwnLinks | Via::OtherVm => Outcome::Abandoned,
-        }
-    }
-
-    /// Ends an attempt that has failed while another one is in flight.
-    fn end_side(
-        &mut self,
-        failed: &InFlight,
-        e: AttemptError,
-    ) {
-        self.count_hedge(failed, "failed");
-        match e {
-            AttemptError::Failed(failure) => {
-                self.record_failure(failed, failure);
-            }
-            AttemptError::Refused(_) => {
-                failed
-                    .placement
-                    .end(Outcome::Abandoned, AttemptEvidence::NONE);
-                self.may_hedge = false;
-            }
-        }
-    }
-
     /// Ends an attempt that has failed, and decides between a retry and a final error.
     async fn end_attempt(
         &mut self,
@@ -783,24 +515,7 @@
         placement.end(failure.outcome, evidence);
         self.cx.metrics.count_attempt(failure.outcome);
         let can_retry = self.attempts.record_end(failure.end);
-        Line::new("attempt_failed")
-            .with("id", self.req.id())
-            .with("request", self.req.fingerprint_text())
-            .with("upstream", &placement.upstream)
-            .with("outcome", format!("{:?}", failure.outcome))
-            .with("broken", failure.is_broken)
-            .with("ended", failure.has_upstream_ended)
-            .with("framing", framing_name(trace.framing))
-            .with("partial_bytes", trace.partial_bytes)
-            .with("events", self.progress.events)
-            .with("begun_ms", trace.received_for())
-            .with("silent_ms", trace.silent_for(now))
-            .with("received_bytes", trace.received_bytes)
-            .with("stalled_ms", trace.stalled_for(now))
-            .with("adapter", self.req.caller.adapter.as_deref().unwrap_or("-"))
-            .with("parts", part_names(&self.req.caller.parts))
-            .with("again", can_retry)
-            .info();
+        self.log_failed(attempt, &failure, can_retry, now);
         self.upstream_error = failure.response.or(self.upstream_error.take());
         match failure.outcome {
             Outcome::NotLoaded => {}
@@ -810,109 +525,6 @@
         can_retry
     }
 
-    /// Forwards a piece of an answer; returns what follows if that was the last one.
-    async fn forward(
-        &mut self,
-        attempt: &InFlight,
-        piece: Piece,
-        out: &mut ResponseWriter<'_>,
-    ) -> Option<Step> {
-        self.upstream = Some(attempt.placement.upstream.clone());
-        self.framing = attempt.trace().framing;
-        self.partial_bytes = attempt.trace().partial_bytes;
-        let (written, is_last) = match piece {
-            Piece::Events(head, batch) => {
-                let written = self.forward_events(attempt, &head, &batch, out).await;
-                (written, false)
-            }
-            Piece::Begun => return None,
-            Piece::End(head) => (self.end_stream(attempt, &head, out).await, true),
-            Piece::Whole(head, body) => (out.write_whole(&head, &body).await, true),
-        };
-        let now = self.cx.clock.now();
-        let trace = attempt.trace();
-        match written {
-            Err(e) => {
-                let evidence = trace.evidence(AnswerEnd::GivenUp, now);
-                attempt.placement.end(Outcome::Abandoned, evidence);
-                Some(Step::Done(Err(e)))
-            }
-            Ok(()) if is_last => {
-                let end = trace.complete_end(self.req.is_stream());
-                let took = now.since(trace.sent_at);
-                self.cx.metrics.count_attempt(Outcome::Answered { took });
-                let first = self.progress.first_at.map(|at| at.since(self.req.arrived));
-                self.cx
-                    .metrics
-                    .record_answered(&self.req, self.waited, first);
-                let evidence = trace.evidence(end, now);
-                attempt.placement.end(Outcome::Answered { took }, evidence);
-                Some(Step::Done(Ok(())))
-            }
-            Ok(()) => {
-                attempt.note_forwarded(now);
-                None
-            }
-        }
-    }
-
-    /// Forwards events; the head goes out with the first ones, as a retry may replace it until then.
-    async fn forward_events(
-        &mut self,
-        attempt: &InFlight,
-        head: &ResponseHead,
-        batch: &EventBatch,
-        out: &mut ResponseWriter<'_>,
-    ) -> io::Result<()> {
-        let now = self.cx.clock.now();
-        if let Some(last) = self.progress.last_at.replace(now) {
-            self.cx.metrics.record_gap(&self.req, now.since(last));
-        }
-        if self.progress.first_at.is_none() {
-            self.progress.first_at = Some(now);
-            let build = attempt.placement.build.as_deref();
-            self.progress.origin.begin(build);
-            self.publish_origin();
-            attempt.placement.first_event();
-        }
-        let last_event = &self.progress.last_event;
-        last_event.set(batch.last_id.or(last_event.get()));
-        self.progress.events += batch.count;
-        if out.has_begun() {
-            out.chunk(&batch.bytes).await
-        } else {
-            out.begin_stream(head, &batch.bytes).await
-        }
-    }
-
-    /// Ends a complete stream.
-    async fn end_stream(
-        &mut self,
-        attempt: &InFlight,
-        head: &ResponseHead,
-        out: &mut ResponseWriter<'_>,
-    ) -> io::Result<()> {
-        if !out.has_begun() {
-            let empty = EventBatch::default();
-            self.forward_events(attempt, head, &empty, out).await?;
-        }
-        out.end_stream().await
-    }
-
-    /// Replicates the origin of a stream, so that its caller can resume it at another VM.
-    fn publish_origin(&self) {
-        let req = &self.req;
-        let is_first_attempt = req.is_resumable() && !req.is_resumption();
-        if let Some(id) = req.caller.request_id.as_ref().filter(|_| is_first_attempt) {
-            let build = self.progress.origin.required_build();
-            let origin = ServiceBuild {
-                service: req.service.clone(),
-                build: build.map(str::to_owned),
-            };
-            self.cx.origins.begin(id, origin);
-        }
-    }
-
     /// Whether another upstream may add the rest of a stream that has begun.
     fn can_resume(&self) -> bool {
         self.req.is_resumable() && self.progress.origin.is_resumable()
@@ -928,23 +540,7 @@
         self.cx
             .metrics
             .count_refused(refusal, self.req.account.as_deref());
-        self.is_logged = true;
-        Line::new("request_given_up")
-            .with("id", self.req.id())
-            .with("request", self.req.fingerprint_text())
-            .with("route", &self.req.route.name)
-            .with("account", self.req.account.as_deref().unwrap_or("-"))
-            .with("cost", self.req.cost)
-            .with("kind", refusal.kind)
-            .with("retry_after_ms", refusal.retry_after.map_or(0, |ms| ms.0))
-            .with("decided_by", self.cx.scheduling.decider())
-            .with("attempts", self.attempts.next_attempt() - 1)
-            .with("config", self.req.config_version)
-            .with("waited_ms", self.waited)
-            .with("waited_for", self.waited_for.as_str())
-            .with("took_ms", self.cx.clock.now().since(self.req.arrived))
-            .with("events", self.progress.events)
-            .info();
+        self.log_given_up(refusal);
         if out.has_begun() {
             // Closing without the last chunk tells the caller that the stream is incomplete.
             out.close_after();
@@ -977,38 +573,6 @@
         let newest = self.req.newest_version(&self.cx.scheduling.local_scheduler);
         newest.map_or(0, |newest| newest.limit.version)
     }
-
-    /// Logs the end of a request.
-    fn log_end(
-        &mut self,
-        result: &str,
-    ) {
-        self.is_logged = true;
-        let arrived = self.req.arrived;
-        let first = self.progress.first_at.map(|at| at.since(arrived));
-        Line::new("request_ended")
-            .with("id", self.req.id())
-            .with("route", &self.req.route.name)
-            .with("account", self.req.account.as_deref().unwrap_or("-"))
-            .with("cost", self.req.cost)
-            .with("adapter", self.req.caller.adapter.as_deref().unwrap_or("-"))
-            .with("upstream", self.upstream.as_deref().unwrap_or("-"))
-            .with("attempts", self.attempts.next_attempt())
-            .with("config", self.req.config_version)
-            .with("waited_ms", self.waited)
-            .with("waited_for", self.waited_for.as_str())
-            .with(
-                "sent_ms",
-                self.sent_at.map_or(Millis::ZERO, |at| at.since(arrived)),
-            )
-            .with("first_ms", first.unwrap_or_default())
-            .with("took_ms", self.cx.clock.now().since(arrived))
-            .with("events", self.progress.events)
-            .with("framing", framing_name(self.framing))
-            .with("partial_bytes", self.partial_bytes)
-            .with("result", result)
-            .info();
-    }
 }
 
 /// Whether a piece can still be forwarded: a whole response can't follow the begin of a stream.
@@ -1027,23 +591,6 @@
     }
 }
 
-/// The parts of a prompt in the log, in their order.
-fn part_names(parts: &[PromptPart]) -> String {
-    let parts: Vec<PartId> = parts.iter().map(|part| PartId::Part(part.id)).collect();
-    join_parts(&parts, ",")
-}
-
-/// The name of a stream's framing in the log.
-const fn framing_name(framing: Option<Framing>) -> &'static str {
-    match framing {
-        None => "-",
-        Some(Framing::Empty) => "empty",
-        Some(Framing::Length(_)) => "length",
-        Some(Framing::Chunked) => "chunked",
-        Some(Framing::UntilClose) => "until_close",
-    }
-}
-
 impl Drop for Driver<'_> {
     /// Logs requests that are cancelled because the caller has disconnected.
     fn drop(&mut self) {
--- a/crates/entry/src/forward/in_flight.rs
+++ b/crates/entry/src/forward/in_flight.rs
@@ -13,7 +13,7 @@
     },
     futures::{
         StreamExt,
-        stream::{LocalBoxStream, empty, unfold},
+        stream::{LocalBoxStream, unfold},
     },
     jasmine_core::{clock::Millis, scheduler::Outcome},
     jasmine_telemetry::log::Line,
@@ -126,11 +126,6 @@
         }
     }
 
-    /// Closes its connection, so that the upstream stops working.
-    pub(super) fn close(&mut self) {
-        self.pieces = empty().boxed_local();
-    }
-
     /// How far its response got.
     pub(super) fn trace(&self) -> ResponseTrace {
         self.trace.get()
--- a/crates/entry/src/forward/race.rs
+++ b/crates/entry/src/forward/race.rs
@@ -4,14 +4,13 @@
         in_flight::InFlight,
         piece::{AttemptError, Piece},
     },
-    crate::scheduling::Placement,
+    crate::{clock::Clock, scheduling::Placement},
     futures::{
         FutureExt,
         future::{LocalBoxFuture, select_all},
     },
     jasmine_core::clock::Millis,
     std::{
-        convert::Infallible,
         future::pending,
         mem::{replace, swap},
     },
@@ -118,14 +117,13 @@
     }
 }
 
-/// Closes attempts after a time, if there is one; never ends.
-pub(super) async fn close_after(
-    attempts: &mut [InFlight],
-    time: Option<Millis>,
-) -> Infallible {
-    if let Some(time) = time {
-        sleep(time.to_std()).await;
-        attempts.iter_mut().for_each(InFlight::close);
+/// Waits until the time is over for which overtaken attempts stand by; forever if none does.
+pub(super) async fn standby_over(
+    standby: Option<Standby>,
+    clock: &Clock,
+) {
+    match standby {
+        Some(standby) => sleep(standby.until.since(clock.now()).to_std()).await,
+        None => pending().await,
     }
-    pending().await
 }
