Only refused connections show that an upstream has ended

Cause: a connection that is closed or lost on the way counted as well. Change: only a refused one counts; where something on the way closes it, it is tried once more 50 ms later, as a process that ends may close its port last. In the soak, the proxy of an upstream that has ended goes with it, so that its port refuses as a real one.

--- a/crates/core/src/quarantine/attempt_evidence.rs
+++ b/crates/core/src/quarantine/attempt_evidence.rs
@@ -6,7 +6,7 @@
     /// Nothing.
     #[default]
     None,
-    /// Its connection broke, and the upstream accepts no other one: it has ended under it.
+    /// Its connection broke, and the upstream's machine refuses others: it has ended under it.
     UpstreamEnded,
     /// It was answered as a whole.
     Answered {
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -7,7 +7,7 @@
         http1::ResponseHead,
         links::{NotRelayed, RelayTarget, read_not_relayed, take_relayed_mark},
         scheduling::Placement,
-        upstream::{Connection, ExchangeError, Liveness, ResponseStart, answers_request},
+        upstream::{Connection, ExchangeError, ResponseStart, answers_request},
     },
     bytes::Bytes,
     futures::future::join,
@@ -84,20 +84,6 @@
     }
 }
 
-/// Whether an upstream has ended whose connection broke.
-///
-/// A VM without links reaches none that goes on; an upstream's machine that refuses connections is reached.
-const fn has_ended(
-    liveness: Liveness,
-    links: LinkStatus,
-) -> bool {
-    match liveness {
-        Liveness::Accepting => false,
-        Liveness::Refusing => true,
-        Liveness::Unreached => !matches!(links, LinkStatus::Lost),
-    }
-}
-
 /// An age in milliseconds for the log; `-` if it isn't known.
 fn age_text(age: Option<Millis>) -> String {
     age.map_or_else(|| "-".to_owned(), |age| age.to_string())
@@ -304,18 +290,18 @@
             (_, ExchangeError::Invalid) => Failure::may_have_run(Outcome::Lost),
             (Via::OtherVm, ExchangeError::Lost) => Failure::broken(Outcome::Abandoned, true),
             (Via::OwnLinks, ExchangeError::Lost) => {
-                let (links, liveness) =
-                    join(self.status_after_failure(), self.check_liveness()).await;
+                let (links, has_ended) =
+                    join(self.status_after_failure(), self.has_upstream_ended(via)).await;
                 let outcome = match links {
                     LinkStatus::Lost => Outcome::Abandoned,
                     _ => Outcome::Lost,
                 };
-                Failure::broken(outcome, has_ended(liveness, links))
+                Failure::broken(outcome, has_ended)
             }
         }
     }
 
-    /// Whether the upstream has ended, after its answer ended in the middle of an event.
+    /// Whether the upstream has ended, after its connection broke: its machine refuses connections.
     ///
     /// One behind another VM can't be asked: what it sends later tells that it goes on.
     pub(super) async fn has_upstream_ended(
@@ -323,15 +309,11 @@
         via: Via,
     ) -> bool {
         match via {
-            Via::OwnLinks => has_ended(self.check_liveness().await, self.cx.links.status()),
+            Via::OwnLinks => self.cx.pool.is_refused(self.placement.address).await,
             Via::OtherVm => true,
         }
     }
 
-    async fn check_liveness(&self) -> Liveness {
-        self.cx.pool.check_liveness(self.placement.address).await
-    }
-
     /// The status of the links after a failed connection, once they have been tested or the deadline has passed.
     async fn status_after_failure(&self) -> LinkStatus {
         let links = &self.cx.links;
--- a/crates/entry/src/upstream/mod.rs
+++ b/crates/entry/src/upstream/mod.rs
@@ -9,6 +9,6 @@
 pub use {
     call::{CallError, HttpCall},
     connection::{Connection, ExchangeError, ResponseStart, answers_request},
-    pool::{Liveness, Pool},
+    pool::Pool,
     read_budget::{ReadBudget, ReadCharge},
 };
--- a/crates/entry/src/upstream/pool.rs
+++ b/crates/entry/src/upstream/pool.rs
@@ -20,6 +20,8 @@
 const LIVENESS_TIMEOUT: Duration = Duration::from_millis(100);
 /// Within which a connection is closed again that only something before the upstream has accepted.
 const LIVENESS_CLOSE_TIME: Duration = Duration::from_millis(20);
+/// Pause before the second try to connect.
+const LIVENESS_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Idle timeout of connections whose upstream sends no `Keep-Alive` timeout.
 const DEFAULT_IDLE_TIMEOUT: Millis = Millis(4_000);
 /// Idle timeout in percent of the upstream's `Keep-Alive` timeout.
@@ -31,7 +33,7 @@
 
 /// Whether an upstream goes on, as a new connection to it shows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Liveness {
+enum Liveness {
     /// It accepts connections.
     Accepting,
     /// Its machine refuses connections to its port.
@@ -101,8 +103,25 @@
             .unwrap_or_else(|_elapsed| Err(io::ErrorKind::TimedOut.into()))
     }
 
-    /// Opens a connection to see whether an upstream goes on; one that stays open is kept for the next request.
-    pub async fn check_liveness(
+    /// Whether an upstream's machine refuses connections; one that is accepted is kept for the next request.
+    ///
+    /// Where something on the way closes or loses the connection, it is tried once more: a process that ends may close
+    /// its port last, and a VM without links must not take others for ended.
+    pub async fn is_refused(
+        &self,
+        address: SocketAddr,
+    ) -> bool {
+        match self.check_liveness(address).await {
+            Liveness::Accepting => false,
+            Liveness::Refusing => true,
+            Liveness::Unreached => {
+                sleep(LIVENESS_RETRY_DELAY).await;
+                self.check_liveness(address).await == Liveness::Refusing
+            }
+        }
+    }
+
+    async fn check_liveness(
         &self,
         address: SocketAddr,
     ) -> Liveness {
--- a/crates/entry/tests/soak/cluster.rs
+++ b/crates/entry/tests/soak/cluster.rs
@@ -3,7 +3,7 @@
         breaks::{Break, Breaks, Failure},
         configuration::{Configuration, Published},
         disturbances::{Disturbances, Disturbed},
-        ending::{ENDING_UPSTREAMS, EndingUpstream},
+        ending::{ENDING_UPSTREAMS, EndingStep, EndingUpstream},
         fault::{
             BUILD_SLOTS, CRASH_ENGINES, CRASHING_PARTS, Fault, Silenced, Statement, UPSTREAMS, VMS,
         },
@@ -188,10 +188,11 @@
             cluster.crash_engines.push(engine);
         }
         for number in 0..ENDING_UPSTREAMS {
-            let upstream = EndingUpstream::start(number);
+            let mut upstream = EndingUpstream::start(number);
             let entry = upstream.entry();
             let address = cluster.register_behind_proxy(&upstream.key(), entry);
-            cluster.ending.push(upstream.behind(address));
+            upstream.set_address(address);
+            cluster.ending.push(upstream);
         }
         let entry = cluster.engine.entry("llm", "one");
         cluster.register_behind_proxy(&cluster.engine.key(), entry);
@@ -514,8 +515,20 @@
         for (_, target) in expired {
             self.end_fault(target);
         }
-        for upstream in &mut self.ending {
-            upstream.step(&self.store);
+        for number in 0..self.ending.len() {
+            match self.ending[number].step() {
+                EndingStep::Ended(address) => {
+                    // Its proxy refuses connections as long as it is gone.
+                    self.other_links
+                        .retain(|other| other.link.address() != address);
+                }
+                EndingStep::Started => {
+                    let (key, entry) = (self.ending[number].key(), self.ending[number].entry());
+                    let address = self.register_behind_proxy(&key, entry);
+                    self.ending[number].set_address(address);
+                }
+                EndingStep::Unchanged => {}
+            }
         }
         let stepped = std::mem::replace(&mut self.stepped, now);
         for slot in &mut self.slots {
--- a/crates/entry/tests/soak/ending.rs
+++ b/crates/entry/tests/soak/ending.rs
@@ -2,10 +2,10 @@
 
 use {
     crate::deployment::{Request, read_response},
-    jasmine_platform_stand_in::{Behaviour, EndAt, KvStandIn, UpstreamStandIn},
+    jasmine_platform_stand_in::{Behaviour, EndAt, UpstreamStandIn},
     rand::{Rng, SeedableRng},
     rand_chacha::ChaCha8Rng,
-    serde_json::{Value, json},
+    serde_json::Value,
     std::{
         collections::HashMap,
         io::Write,
@@ -70,13 +70,12 @@
         }
     }
 
-    /// Registers it at the address of a proxy from now on.
-    pub const fn behind(
-        mut self,
+    /// Sets the address of its proxy.
+    pub const fn set_address(
+        &mut self,
         address: SocketAddr,
-    ) -> Self {
+    ) {
         self.address = Some(address);
-        self
     }
 
     pub fn key(&self) -> String {
@@ -93,22 +92,30 @@
         }
     }
 
-    pub fn step(
-        &mut self,
-        store: &KvStandIn,
-    ) {
+    /// Whether it has ended or started since the last step.
+    pub fn step(&mut self) -> EndingStep {
         let ends = self.stand_in.ends().len();
-        if ends > self.ends && !self.stand_in.is_down() {
-            self.ends = ends;
-            let mut entry = self.entry();
-            if let Some(address) = self.address {
-                entry["address"] = json!(address.to_string());
+        match self.address {
+            Some(address) if ends > self.ends => {
+                self.ends = ends;
+                self.address = None;
+                EndingStep::Ended(address)
             }
-            store.put(&self.key(), &entry);
+            None if !self.stand_in.is_down() => EndingStep::Started,
+            Some(_) | None => EndingStep::Unchanged,
         }
     }
 }
 
+/// What has become of an upstream.
+pub enum EndingStep {
+    Unchanged,
+    /// It has ended; its proxy has this address.
+    Ended(SocketAddr),
+    /// It is to be registered anew.
+    Started,
+}
+
 /// A request with the ids of its attempts.
 pub struct EndingCall {
     /// The text under which upstreams end; `None` for a sound one.
