--- a/crates/entry/src/upstream/pool.rs
+++ b/crates/entry/src/upstream/pool.rs
@@ -17,11 +17,11 @@
 /// A lost packet is sent again after a fifth of a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(450);
 /// How long an upstream may take to accept a connection that shows that it goes on.
-const LIVENESS_TIMEOUT: Duration = Duration::from_millis(100);
+const LIVENESS_TIMEOUT: Duration = Duration::from_millis(30);
 /// Within which a connection is closed again that only something before the upstream has accepted.
-const LIVENESS_CLOSE_TIME: Duration = Duration::from_millis(20);
+const LIVENESS_CLOSE_TIME: Duration = Duration::from_millis(5);
 /// Pause before the second try to connect.
-const LIVENESS_RETRY_DELAY: Duration = Duration::from_millis(50);
+const LIVENESS_RETRY_DELAY: Duration = Duration::from_millis(15);
 /// Idle timeout of connections whose upstream sends no `Keep-Alive` timeout.
 const DEFAULT_IDLE_TIMEOUT: Millis = Millis(4_000);
 /// Idle timeout in percent of the upstream's `Keep-Alive` timeout.
