A refused connection shows an end, whatever the upstream had sent before

Cause, by reading: an end was struck out if the upstream was heard 0.15 to 1.5 s later, and beside load what it had sent before its end is reported as late as that. Change: an end whose upstream refuses connections isn't struck out (new evidence gone); one behind a relay still may be.

--- a/crates/core/src/quarantine/attempt_evidence.rs
+++ b/crates/core/src/quarantine/attempt_evidence.rs
@@ -6,8 +6,10 @@
     /// Nothing.
     #[default]
     None,
-    /// Its connection broke, and the upstream's machine refuses others: it has ended under it.
+    /// Its connection to the VM that relays it broke: the upstream has ended under it, unless it is heard.
     UpstreamEnded,
+    /// Its connection broke, and the upstream's machine refuses others: it has ended under it.
+    UpstreamGone,
     /// It was answered as a whole.
     Answered {
         /// Time since the answer began.
--- a/crates/core/src/scheduler/state_machine/quarantine.rs
+++ b/crates/core/src/scheduler/state_machine/quarantine.rs
@@ -70,7 +70,9 @@
         }
         match evidence.request {
             RequestEvidence::None => {}
-            RequestEvidence::UpstreamEnded => accused.push((request, sent_at)),
+            RequestEvidence::UpstreamEnded | RequestEvidence::UpstreamGone => {
+                accused.push((request, sent_at));
+            }
             RequestEvidence::Answered { begun_ago } => {
                 self.quarantine.note_answered(request, now.since(begun_ago));
             }
@@ -79,6 +81,10 @@
             return needs_review;
         }
         self.quarantine.note_crash(upstream, &accused, now, now);
+        if evidence.request == RequestEvidence::UpstreamGone {
+            // What it sent before may be reported later.
+            self.note_gone(upstream, now);
+        }
         true
     }
 
--- a/crates/core/tests/ended_requests.rs
+++ b/crates/core/tests/ended_requests.rs
@@ -195,6 +195,28 @@
     assert!(!is_refused(&mut world, OTHER));
 }
 
+#[test]
+fn late_reports_refute_no_refused_connection() {
+    // Guards against an end that is struck out as what the upstream had sent before is reported late.
+    let mut world = world();
+    for _ in 0..3 {
+        let number = place(&mut world, BAD);
+        world.advance(20);
+        let upstream = world.sent_to(number).unwrap();
+        let gone = AttemptEvidence {
+            request: RequestEvidence::UpstreamGone,
+            ..ENDED
+        };
+        let now = world.now;
+        world.scheduler.note_evidence(attempt_id(number), gone, now);
+        world.end(number, Outcome::Lost);
+        world.advance(200);
+        world.scheduler.note_alive(upstream, world.now);
+        world.advance(GAP);
+    }
+    assert!(is_refused(&mut world, BAD));
+}
+
 #[test]
 fn quick_restarts_are_ends() {
     // Guards against ends of upstreams that are back and answer within a second.
--- a/crates/entry/src/forward/driver/mod.rs
+++ b/crates/entry/src/forward/driver/mod.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         ForwardRequest,
+        attempt::Via,
         failure::Failure,
         hedge::{RETRY_INTERVAL, place},
         in_flight::{AttemptSetup, InFlight},
@@ -510,7 +511,10 @@
             .retain(|upstream| *upstream != placement.upstream);
         let mut evidence = trace.evidence(answer_end, now);
         if failure.has_upstream_ended {
-            evidence.request = RequestEvidence::UpstreamEnded;
+            evidence.request = match trace.via {
+                Via::OwnLinks => RequestEvidence::UpstreamGone,
+                Via::OtherVm => RequestEvidence::UpstreamEnded,
+            };
         }
         placement.end(failure.outcome, evidence);
         self.cx.metrics.count_attempt(failure.outcome);
--- a/crates/entry/src/scheduling/convert.rs
+++ b/crates/entry/src/scheduling/convert.rs
@@ -267,6 +267,10 @@
             to.set_request_evidence(Evidence::Crash);
             None
         }
+        RequestEvidence::UpstreamGone => {
+            to.set_request_evidence(Evidence::Gone);
+            None
+        }
         RequestEvidence::Answered { begun_ago } => {
             to.set_request_evidence(Evidence::Sound);
             Some(begun_ago)
@@ -282,12 +286,13 @@
     Ok(AttemptEvidence {
         prompt: match from.get_evidence()? {
             Evidence::None => PromptEvidence::None,
-            Evidence::Crash => PromptEvidence::Crash,
+            Evidence::Crash | Evidence::Gone => PromptEvidence::Crash,
             Evidence::Sound => PromptEvidence::Sound { begun_ago },
         },
         request: match from.get_request_evidence()? {
             Evidence::None => RequestEvidence::None,
             Evidence::Crash => RequestEvidence::UpstreamEnded,
+            Evidence::Gone => RequestEvidence::UpstreamGone,
             Evidence::Sound => RequestEvidence::Answered { begun_ago },
         },
     })
--- a/crates/entry/src/scheduling/quarantine.rs
+++ b/crates/entry/src/scheduling/quarantine.rs
@@ -26,7 +26,11 @@
     ) {
         let now = self.clock.now();
         let is_crash = evidence.prompt == PromptEvidence::Crash;
-        if (is_crash || evidence.request == RequestEvidence::UpstreamEnded)
+        let has_ended = matches!(
+            evidence.request,
+            RequestEvidence::UpstreamEnded | RequestEvidence::UpstreamGone
+        );
+        if (is_crash || has_ended)
             && let Some(upstream) = self.upstream_of(attempt_id)
         {
             let request = self.scheduler.borrow().request_part(attempt_id);
--- a/crates/wire/schema/scheduler.capnp
+++ b/crates/wire/schema/scheduler.capnp
@@ -105,6 +105,7 @@
   none @0;
   crash @1;                    # one of them, or it, may have crashed the upstream
   sound @2;                    # none of them, or it doesn't, crash upstreams
+  gone @3;                     # as crash, and the upstream refuses connections; of a request only
 }
 
 struct News {
