--- a/crates/entry/tests/ended_upstreams.rs
+++ b/crates/entry/tests/ended_upstreams.rs
@@ -3,7 +3,10 @@
 mod deployment;
 
 use {
-    deployment::ending_site::{DEADLY, Kind, MAX_ENDS, Site},
+    deployment::{
+        Request,
+        ending_site::{DEADLY, Kind, MAX_ENDS, Site},
+    },
     jasmine_platform_stand_in::EndAt,
     std::{thread, time::Duration},
 };
@@ -13,13 +16,21 @@
     kind: Kind,
     at: EndAt,
     name: &str,
+) {
+    assert_request_contained(kind, at, name, &kind.request(DEADLY));
+}
+
+fn assert_request_contained(
+    kind: Kind,
+    at: EndAt,
+    name: &str,
+    request: &Request,
 ) {
     let site = Site::start(kind, at, name);
     let time = Duration::from_secs(9);
-    let request = kind.request(DEADLY);
     let (ids, sound) = thread::scope(|scope| {
         let sound = scope.spawn(|| site.call_all(kind, time));
-        (site.repeat(&request, time), sound.join().unwrap())
+        (site.repeat(request, time), sound.join().unwrap())
     });
     let (late, ends) = (site.late_sends(&ids), site.ends().len());
     let served = sound.iter().filter(|(_, is_served)| *is_served).count();
@@ -68,6 +79,14 @@
     assert_contained(Kind::Stream, late, "stream-late");
 }
 
+#[test]
+fn patient_streams_end_few_upstreams_late() {
+    // Guards against the same where both runs of an attempt end well before its deadline.
+    let late = EndAt::Late(Duration::from_millis(1_200));
+    let request = Kind::Stream.request(DEADLY).with("X-Deadline-Ms", "4500");
+    assert_request_contained(Kind::Stream, late, "patient-late", &request);
+}
+
 #[test]
 fn generations_end_few_engines_before_a_head() {
     // Guards against the same at engines, which show nothing of the prompt.
