Foundation for hard load: load reports, length hints, routes and urgency reach the scheduler

Callers' estimates of their output, the route and both priorities of a request, and the load and pace that upstreams report with their responses were dropped where they were decoded, so that no decision could use them.

They are now decoded, checked (a pace outside 10 to 2,000 percent counts as none) and passed on between VMs, in messages that exist already. `hello` gains the fields for learned costs and for promised return times. Settings `hard_load.*` say when the parts to come take effect; nothing decides by them yet.

--- a/crates/conf/src/settings/entry_settings.rs
+++ b/crates/conf/src/settings/entry_settings.rs
@@ -3,7 +3,10 @@
         ColdUpstreamSettings, EntryListen, InvalidSetting, LogSettings, RetryBudgetSettings,
         Validate, VmResources, range::check_range,
     },
-    jasmine_core::{clock::Millis, scheduler::EvacuationTimes},
+    jasmine_core::{
+        clock::Millis,
+        scheduler::{EvacuationTimes, HardLoadSettings},
+    },
     serde::{Deserialize, Serialize},
     std::{
         collections::BTreeMap,
@@ -76,6 +79,12 @@
     /// The retry budget of each service.
     #[serde(default)]
     pub repeats: RetryBudgetSettings,
+    /// The parts that answer hard load.
+    #[serde(default)]
+    pub hard_load: HardLoadSettings,
+    /// Names of the platform's terms in force, as the platform writes them.
+    #[serde(default)]
+    pub terms: Vec<String>,
     /// The maximum duration of a graceful shutdown, in seconds.
     #[serde(default = "default_stop")]
     pub stop_s: u64,
--- a/crates/core/src/ids/mod.rs
+++ b/crates/core/src/ids/mod.rs
@@ -19,7 +19,7 @@
     holder::{Holder, Role},
     incarnation::Incarnation,
     numbers::{
-        AccountId, AdapterId, BuildId, DataCentreId, KeyId, ModelId, RequestId, ServiceId,
+        AccountId, AdapterId, BuildId, DataCentreId, KeyId, ModelId, RequestId, RouteId, ServiceId,
         StreamId, TransferId, UpstreamId, VmId,
     },
     part_id::{InvalidPartId, PartId},
--- a/crates/core/src/ids/numbers.rs
+++ b/crates/core/src/ids/numbers.rs
@@ -48,6 +48,10 @@
     /// Id of a plain service, which is not a model engine.
     ServiceId(u32)
 );
+number!(
+    /// Id of a route of the configuration.
+    RouteId(u32)
+);
 number!(
     /// Id of a request, unique in a gateway process.
     RequestId(u64)
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod ids;
 pub mod ingress;
 pub mod leadership;
+pub mod load_reports;
 pub mod membership;
 pub mod ownership;
 pub mod placement;
--- a/crates/core/src/queue/mod.rs
+++ b/crates/core/src/queue/mod.rs
@@ -18,10 +18,12 @@
 mod queued_request;
 mod service_rate;
 mod settings;
+mod urgency;
 
 pub use {
     fair_queue::FairQueue,
     priority::Priority,
     queued_request::{Enqueued, QueueTarget, QueuedRequest},
     settings::{AccountShare, QueueSettings},
+    urgency::Urgency,
 };
--- a/crates/core/src/scheduler/availability.rs
+++ b/crates/core/src/scheduler/availability.rs
@@ -151,6 +151,9 @@
         if let Some(stated) = statements.brittleness {
             self.brittle_services.insert(upstream.service, stated);
         }
+        if signals.load.is_some_and(|load| load.report.pace.is_some()) {
+            self.pace_reporters.insert(upstream.service);
+        }
         changes
     }
 
--- a/crates/core/src/scheduler/fleet.rs
+++ b/crates/core/src/scheduler/fleet.rs
@@ -1,6 +1,7 @@
 use {
     super::{
-        EngineLimits, EngineStatus, Job, LoadSettings, UpstreamStatus,
+        Activation, EngineLimits, EngineStatus, HardLoadSettings, Job, LoadSettings,
+        UpstreamStatus,
         admission_share::AdmissionShare,
         backlog::PrefillSample,
         brittleness::Brittleness,
@@ -22,7 +23,7 @@
         clock::Millis,
         ids::{AdapterId, AdapterVersion, RequestId, ServiceId, UpstreamId},
     },
-    std::collections::{BTreeMap, HashMap},
+    std::collections::{BTreeMap, HashMap, HashSet},
 };
 
 /// All upstreams, and the scheduler's view of each.
@@ -50,6 +51,8 @@
     pub orders_allowed_at: Millis,
     /// Prefill time estimators, by service.
     prefill_estimators: HashMap<ServiceId, PrefillEstimator>,
+    /// Services whose upstreams report their pace.
+    pub(super) pace_reporters: HashSet<ServiceId>,
     /// Times of calls, by service.
     pub(super) call_times: HashMap<ServiceId, CallTimes>,
     pub(super) load_slowdown: LoadSlowdown,
@@ -284,6 +287,17 @@
         ids.iter().filter_map(|id| self.upstreams.get(id))
     }
 
+    /// Whether a part that answers hard load takes effect for a service.
+    #[expect(dead_code, reason = "the parts follow")]
+    pub(super) fn is_active(
+        &self,
+        part: Activation,
+        service: ServiceId,
+        settings: HardLoadSettings,
+    ) -> bool {
+        settings.is_active(part, self.pace_reporters.contains(&service))
+    }
+
     /// All upstreams of a service, ready or not.
     pub(super) fn members(
         &self,
--- a/crates/core/src/scheduler/job.rs
+++ b/crates/core/src/scheduler/job.rs
@@ -1,8 +1,12 @@
 use crate::{
     clock::Millis,
-    ids::{AccountId, AdapterId, BuildId, DataCentreId, ModelId, PartId, ServiceId, UpstreamId},
+    ids::{
+        AccountId, AdapterId, BuildId, DataCentreId, ModelId, PartId, RouteId, ServiceId,
+        UpstreamId,
+    },
     ingress::{PromptPart, PromptSize},
     quarantine::CrashCandidates,
+    queue::Urgency,
     rights::CallerTag,
 };
 
@@ -39,6 +43,8 @@
     pub newest: Option<VersionLimit>,
     /// Prompt and output size, in tokens.
     pub size: PromptSize,
+    /// The caller's estimate of the output, in tokens.
+    pub length_hint: Option<u32>,
     /// The parts of the prompt in order, for prefix caching.
     pub parts: Vec<PromptPart>,
     /// What other requests may share and what may crash engines: the parts but the last one, and the adapter.
@@ -65,10 +71,14 @@
     pub cost: u64,
     /// Service whose upstreams may serve the request.
     pub service: ServiceId,
+    /// The route by which it came; `None` if unknown.
+    pub route: Option<RouteId>,
     /// The call or the generation to run.
     pub work: Work,
     /// Priority; 0 is the highest.
     pub priority: u8,
+    /// Priority of the route, which orders requests of the same priority; 0 is the highest.
+    pub route_priority: u8,
     /// Latency objective: when the response, or its first event, is late.
     pub objective: Millis,
     /// Longest acceptable pause between events of a stream.
@@ -116,6 +126,14 @@
         }
     }
 
+    /// Its place among the other requests of its service.
+    pub const fn urgency(&self) -> Urgency {
+        Urgency {
+            priority: self.priority,
+            route_priority: self.route_priority,
+        }
+    }
+
     /// Its id among what may crash upstreams, the same for all attempts of its caller.
     pub const fn request_part(&self) -> PartId {
         PartId::Request(self.caller.0)
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -16,6 +16,7 @@
 
 mod account_rates;
 mod action;
+mod activation;
 mod admission_log;
 mod admission_share;
 mod announced_versions;
@@ -31,6 +32,7 @@
 mod fleet;
 mod fleet_builds;
 mod fleet_totals;
+mod hard_load_settings;
 mod health;
 mod holders;
 mod job;
@@ -61,11 +63,13 @@
 pub use {
     account_rates::RateShare,
     action::{Order, SchedulerAction},
+    activation::Activation,
     admission_share::AdmissionShare,
     announced_versions::{Announcement, NewestVersion},
     cold_admission::{COLD_WINDOW, ColdLimit},
     engine::EngineLimits,
     evacuation::EvacuationTimes,
+    hard_load_settings::HardLoadSettings,
     job::{AttemptId, Generation, Job, LOCAL_VM, VersionLimit, Work},
     outcome::{EnginesToPause, OrderResult, Outcome, RateDecision},
     rate_history::{RateHistory, SpentTokens},
--- a/crates/core/src/scheduler/settings.rs
+++ b/crates/core/src/scheduler/settings.rs
@@ -1,4 +1,7 @@
-use {super::EvacuationTimes, crate::clock::Millis};
+use {
+    super::{EvacuationTimes, HardLoadSettings},
+    crate::clock::Millis,
+};
 
 /// Retry budget of a service.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -79,6 +82,8 @@
     pub loads: LoadSettings,
     /// Retry budget of each service.
     pub repeats: RetrySettings,
+    /// When the parts that answer hard load take effect.
+    pub hard_load: HardLoadSettings,
 }
 
 impl Default for SchedulerSettings {
@@ -96,6 +101,7 @@
             },
             loads: LoadSettings::default(),
             repeats: RetrySettings::default(),
+            hard_load: HardLoadSettings::default(),
         }
     }
 }
--- a/crates/core/src/scheduler/signals.rs
+++ b/crates/core/src/scheduler/signals.rs
@@ -1,4 +1,4 @@
-use crate::{clock::Millis, ids::UpstreamId};
+use crate::{clock::Millis, ids::UpstreamId, load_reports::HeardLoad};
 
 /// What an upstream states about itself in the head of a response.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -11,6 +11,8 @@
     pub is_leaving: bool,
     /// Most rejections in a second that it bears without falling over; `None` if it isn't brittle.
     pub max_rejections: Option<u32>,
+    /// Its load, if it reports it.
+    pub load: Option<HeardLoad>,
 }
 
 /// How a response changed what is known of its upstream.
--- a/crates/core/src/scheduler/statements.rs
+++ b/crates/core/src/scheduler/statements.rs
@@ -61,6 +61,7 @@
             rest: (rest > Millis::ZERO).then_some(rest),
             is_leaving: self.is_leaving,
             max_rejections: self.brittleness.map(|known| known.max_rejections),
+            load: None,
         };
         (signals != UpstreamSignals::default()).then_some(signals)
     }
--- a/crates/core/tests/request_limits.rs
+++ b/crates/core/tests/request_limits.rs
@@ -29,6 +29,7 @@
         rest: None,
         is_leaving: false,
         max_rejections: None,
+        load: None,
     }
 }
 
--- a/crates/core/tests/scheduler_world/mod.rs
+++ b/crates/core/tests/scheduler_world/mod.rs
@@ -362,6 +362,7 @@
         caller: CallerTag(u64::from(adapter)),
         cost: 2_000,
         service: ENGINES,
+        route: None,
         work: Work::Generation(Generation {
             newest: None,
             shared_parts: Vec::new(),
@@ -371,12 +372,14 @@
                 prompt: 1_500,
                 output: 100,
             },
+            length_hint: None,
             parts: vec![PromptPart {
                 id: u64::from(adapter),
                 tokens: 500,
             }],
         }),
         priority: 1,
+        route_priority: 1,
         objective: now + Millis(1_000),
         gap_objective: None,
         deadline: now + Millis(5_000),
--- a/crates/core/tests/upstream_departures.rs
+++ b/crates/core/tests/upstream_departures.rs
@@ -17,6 +17,7 @@
     rest: None,
     is_leaving: true,
     max_rejections: None,
+    load: None,
 };
 
 fn server(started: u64) -> UpstreamStatus {
--- a/crates/core/tests/upstream_rests.rs
+++ b/crates/core/tests/upstream_rests.rs
@@ -21,6 +21,7 @@
     rest: Some(REST),
     is_leaving: false,
     max_rejections: None,
+    load: None,
 };
 
 /// Sends a call that an upstream turns away; returns that upstream.
--- a/crates/entry/src/daemon/run.rs
+++ b/crates/entry/src/daemon/run.rs
@@ -18,8 +18,9 @@
     jasmine_conf::settings::EntrySettings,
     jasmine_core::{
         clock::Millis,
-        scheduler::{RetrySettings, SchedulerSettings},
+        scheduler::{HardLoadSettings, RetrySettings, SchedulerSettings},
     },
+    jasmine_platform::terms,
     jasmine_telemetry::{log::Line, metrics::MetricsError},
     jasmine_wire::{link::serve, scheduler_capnp::scheduler},
     nix::sys::resource::{Resource, getrlimit},
@@ -207,10 +208,18 @@
             slack: settings.repeats.slack,
             window: Millis((settings.repeats.window_s * 1000.0) as u64),
         },
+        hard_load: hard_load_settings(settings),
         ..SchedulerSettings::default()
     }
 }
 
+fn hard_load_settings(settings: &EntrySettings) -> HardLoadSettings {
+    HardLoadSettings {
+        contended: settings.hard_load.contended || terms::is_contended(&settings.terms),
+        ..settings.hard_load
+    }
+}
+
 /// The long-poll timeout of store watches.
 const fn watch_timeout(settings: &EntrySettings) -> Millis {
     Millis(settings.change_ms.0 * WATCH_TIMEOUT_PERCENT / 100)
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -12,8 +12,12 @@
     bytes::Bytes,
     futures::future::join,
     jasmine_core::{
-        clock::Millis, error::ErrorKind, forward::Repeat, reachability::LinkStatus,
-        scheduler::Outcome,
+        clock::Millis,
+        error::ErrorKind,
+        forward::Repeat,
+        load_reports::HeardLoad,
+        reachability::LinkStatus,
+        scheduler::{Outcome, UpstreamSignals},
     },
     jasmine_platform::headers::{ResponseHeaders, is_misdirected},
     jasmine_telemetry::log::Line,
@@ -409,6 +413,20 @@
         }
     }
 
+    /// Records what the upstream states with a response.
+    fn note_signals(
+        &self,
+        headers: &ResponseHeaders,
+    ) {
+        let heard_at = self.cx.clock.now();
+        let load = headers.load.map(|report| HeardLoad { report, heard_at });
+        let signals = UpstreamSignals {
+            load,
+            ..headers.signals
+        };
+        self.placement.note_signals(&signals);
+    }
+
     /// Separates responses for the caller from failures of the attempt.
     async fn classify(
         &self,
@@ -419,7 +437,7 @@
         let not_run = self.not_run_outcome(status, &response_headers);
         // What another upstream at this address states says nothing about this one.
         if not_run != Some(Outcome::OtherUpstream) {
-            self.placement.note_signals(&response_headers.signals);
+            self.note_signals(&response_headers);
         }
         if let Some(outcome) = not_run {
             // The body is read only so that the connection can be reused.
--- a/crates/entry/src/scheduling/convert.rs
+++ b/crates/entry/src/scheduling/convert.rs
@@ -5,18 +5,20 @@
         Assignment, CrashSpec, GenerationSpec, JobSpec, Leader, NewestSpec, RunningSpec,
         StatedSpec, Verdict,
     },
+    crate::clock::Clock,
     capnp::{struct_list, text, text_list},
     jasmine_core::{
         clock::Millis,
         error::{ErrorKind, Refusal},
         ids::{Fence, InvalidPartId, PartId},
         ingress::{PromptPart, PromptSize},
+        load_reports::{HeardLoad, LoadReport, Pace},
         quarantine::{AttemptEvidence, PartSet, PromptEvidence, RequestEvidence},
         scheduler::{AttemptCounts, Outcome, SpentTokens, UpstreamSignals, WaitReason},
     },
     jasmine_wire::scheduler_capnp::{
-        EndKind, Evidence, account_use, attempts, crash, job, leadership, news, quarantined,
-        rested, running_job, signals, stated, verdict,
+        EndKind, Evidence, account_use, attempts, crash, job, leadership, load_report, news,
+        quarantined, rested, running_job, signals, stated, verdict,
     },
 };
 
@@ -47,7 +49,9 @@
     to.set_caller(spec.caller);
     to.set_cost(spec.cost);
     to.set_service(&spec.service);
+    to.set_route(&spec.route);
     to.set_priority(spec.priority);
+    to.set_route_priority(spec.route_priority);
     to.set_objective_ms(spec.objective.0 as u32);
     to.set_gap_objective_ms(spec.gap_objective.map_or(0, |gap| gap.0 as u32));
     to.set_deadline_ms(spec.deadline.0 as u32);
@@ -85,6 +89,7 @@
     }
     to.set_prompt_tokens(generation.size.prompt);
     to.set_output_tokens(generation.size.output);
+    to.set_length_hint(generation.length_hint.unwrap_or_default());
     let mut parts = to.init_parts(generation.parts.len() as u32);
     for (at, part) in generation.parts.iter().enumerate() {
         let mut to = parts.reborrow().get(at as u32);
@@ -108,6 +113,7 @@
                 prompt: from.get_prompt_tokens(),
                 output: from.get_output_tokens(),
             },
+            length_hint: non_zero(from.get_length_hint()),
             parts: from
                 .get_parts()?
                 .iter()
@@ -124,8 +130,10 @@
         caller: from.get_caller(),
         cost: from.get_cost(),
         service: from.get_service()?.to_string()?,
+        route: from.get_route()?.to_string()?,
         generation,
         priority: from.get_priority(),
+        route_priority: from.get_route_priority(),
         objective: Millis(from.get_objective_ms().into()),
         gap_objective: non_zero(from.get_gap_objective_ms()).map(|ms| Millis(ms.into())),
         deadline: Millis(from.get_deadline_ms().into()),
@@ -314,7 +322,7 @@
         EndKind::Abandoned => JobUpdate::Ended(Outcome::Abandoned, evidence),
     };
     let signals = if from.has_signals() {
-        Some(read_signals(from.get_signals()?))
+        Some(read_signals(from.get_signals()?)?)
     } else {
         None
     };
@@ -339,16 +347,51 @@
             .rest
             .map_or(0, |rest| u32::try_from(rest.0).unwrap_or(u32::MAX)),
     );
+    if let Some(load) = &signals.load {
+        write_load(to.init_load(), load);
+    }
+}
+
+fn write_load(
+    mut to: load_report::Builder<'_>,
+    load: &HeardLoad,
+) {
+    let LoadReport {
+        running,
+        waiting,
+        slots,
+        pace,
+    } = load.report;
+    let age = Clock.now().since(load.heard_at);
+    to.set_running(running);
+    to.set_waiting(waiting);
+    to.set_slots(slots.unwrap_or_default());
+    to.set_pace_percent(pace.map_or(0, Pace::percent));
+    to.set_ago_ms(u32::try_from(age.0).unwrap_or(u32::MAX));
+}
+
+fn read_load(from: load_report::Reader<'_>) -> HeardLoad {
+    HeardLoad {
+        report: LoadReport {
+            running: from.get_running(),
+            waiting: from.get_waiting(),
+            slots: non_zero(from.get_slots()),
+            pace: Pace::from_percent(from.get_pace_percent().into()),
+        },
+        heard_at: Clock.now().since(Millis(from.get_ago_ms().into())),
+    }
 }
 
-fn read_signals(from: signals::Reader<'_>) -> UpstreamSignals {
+fn read_signals(from: signals::Reader<'_>) -> Result<UpstreamSignals, capnp::Error> {
     let limit = from.get_request_limit();
-    UpstreamSignals {
+    let load = from.has_load().then(|| from.get_load()).transpose()?;
+    Ok(UpstreamSignals {
         request_limit: from.get_has_request_limit().then_some(limit),
         rest: non_zero(from.get_rest_ms()).map(|ms| Millis(ms.into())),
         is_leaving: from.get_is_leaving(),
         max_rejections: from.get_is_brittle().then(|| from.get_max_rejections()),
-    }
+        load: load.map(read_load),
+    })
 }
 
 pub(super) fn write_stated(
@@ -376,7 +419,7 @@
             Ok(StatedSpec {
                 upstream: one.get_upstream()?.to_string()?,
                 started_unix_ms: Some(one.get_started_unix_ms()).filter(|&ms| ms != 0),
-                signals: read_signals(one.get_signals()?),
+                signals: read_signals(one.get_signals()?)?,
                 sent_ago: sent_ago.map(|ms| Millis(ms.into())).collect(),
             })
         })
--- a/crates/entry/src/scheduling/job_spec.rs
+++ b/crates/entry/src/scheduling/job_spec.rs
@@ -22,6 +22,8 @@
     pub newest: Option<NewestSpec>,
     /// Prompt and output sizes, in tokens.
     pub size: PromptSize,
+    /// The caller's estimate of the output, in tokens.
+    pub length_hint: Option<u32>,
     /// The prompt's parts, for prefix reuse.
     pub parts: Vec<PromptPart>,
 }
@@ -55,6 +57,7 @@
             adapter: caller.adapter.clone(),
             newest: None,
             size: caller.size.unwrap_or_default(),
+            length_hint: caller.length_hint,
             parts: caller.parts.clone(),
         })
     }
@@ -85,10 +88,14 @@
     pub cost: u64,
     /// Name of the service.
     pub service: String,
+    /// Name of the route; empty if unknown.
+    pub route: String,
     /// The generation; `None` for a plain call.
     pub generation: Option<GenerationSpec>,
     /// Priority; 0 is the highest.
     pub priority: u8,
+    /// Priority of the route; 0 is the highest.
+    pub route_priority: u8,
     /// Remaining time until the latency objective is missed.
     pub objective: Millis,
     /// Longest gap within a streamed answer that meets the objective; `None` if not streamed.
@@ -130,6 +137,7 @@
                     .map(|adapter| names.adapter(&spec.model, adapter)),
                 newest: spec.newest.map(|newest| newest.resolve(now)),
                 size: spec.size,
+                length_hint: spec.length_hint,
                 parts: spec.parts.clone(),
                 shared_parts: spec.shared_parts(),
             }),
@@ -139,8 +147,10 @@
             caller: CallerTag(self.caller),
             cost: self.cost,
             service: names.service(&self.service),
+            route: (!self.route.is_empty()).then(|| names.route(&self.route)),
             work,
             priority: self.priority,
+            route_priority: self.route_priority,
             objective: now + self.objective,
             gap_objective: self.gap_objective,
             deadline: now + self.deadline,
--- a/crates/entry/src/scheduling/name_interner.rs
+++ b/crates/entry/src/scheduling/name_interner.rs
@@ -1,6 +1,6 @@
 use {
     jasmine_core::ids::{
-        AccountId, AdapterId, BuildId, DataCentreId, ModelId, ServiceId, UpstreamId,
+        AccountId, AdapterId, BuildId, DataCentreId, ModelId, RouteId, ServiceId, UpstreamId,
     },
     std::{collections::HashMap, rc::Rc},
 };
@@ -41,6 +41,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct NameInterner {
     services: Interner,
+    routes: Interner,
     accounts: Interner,
     models: Interner,
     adapters: Interner,
@@ -66,6 +67,22 @@
         self.services.name(id.0)
     }
 
+    /// Returns the id of a route, assigning one if needed.
+    pub fn route(
+        &mut self,
+        name: &str,
+    ) -> RouteId {
+        RouteId(self.routes.intern(name))
+    }
+
+    /// Returns the name of a route; empty for an unknown id.
+    pub fn route_name(
+        &self,
+        id: RouteId,
+    ) -> Rc<str> {
+        self.routes.name(id.0)
+    }
+
     /// Returns the id of a client account, assigning one if needed.
     pub fn account(
         &mut self,
--- a/crates/wire/schema/scheduler.capnp
+++ b/crates/wire/schema/scheduler.capnp
@@ -32,6 +32,9 @@
   hasBegun @21 :Bool;          # its caller has a part of the answer
   isSuccessor @22 :Bool;       # the last upstream to avoid is silent and still works on it
   allowedUpstreams @23 :List(Text);  # the only ones that may serve it; empty: all
+  route @24 :Text;             # empty: not known
+  lengthHint @25 :UInt32;      # the caller's estimate of the output in tokens; 0: none
+  routePriority @26 :UInt8;
 }
 
 struct RunningJob {
@@ -83,6 +86,15 @@
   firstEvent @9;               # no end: the first event of a stream was seen
 }
 
+# The load that an upstream reports with a response.
+struct LoadReport {
+  running @0 :UInt32;
+  waiting @1 :UInt32;
+  slots @2 :UInt32;            # 0: not reported
+  pacePercent @3 :UInt16;      # time of work in percent of the usual; 0: not reported
+  agoMs @4 :UInt32;            # since the VM received it
+}
+
 # What an upstream states about itself in the head of a response.
 struct Signals {
   hasRequestLimit @0 :Bool;
@@ -91,6 +103,7 @@
   isLeaving @3 :Bool;          # whether it is about to stop
   isBrittle @4 :Bool;          # whether it falls over if it turns too many requests away
   maxRejections @5 :UInt32;    # how many in a second it bears
+  load @6 :LoadReport;         # null: none reported
 }
 
 struct Stated {
@@ -98,6 +111,28 @@
   signals @1 :Signals;
   startedUnixMs @3 :UInt64;    # identifies its run; 0: not known
   sentAgoMs @2 :List(UInt16);  # how long ago the VM sent its last requests there
+  basePace @4 :Float32;        # how long work takes there for good, relative to the service; 0: not known
+  basePaceWeight @5 :Float32;  # how many observations that rests on
+}
+
+# What a VM has learned of the cost of requests.
+struct LearnedCost {
+  service @0 :Text;
+  route @1 :Text;              # empty: of all routes
+  account @2 :Text;            # empty: of all accounts
+  adapter @3 :Text;            # MODEL/ADAPTER; empty: of all adapters
+  mean @4 :Float64;            # milliseconds of a service as a whole, otherwise a ratio
+  deviation @5 :Float64;
+  weight @6 :Float64;          # how many observations it rests on
+}
+
+# A time to come back that a VM has passed on to a refused caller.
+struct Promise {
+  caller @0 :UInt64;           # hash of the request, the same for all attempts of its caller
+  service @1 :Text;
+  priority @2 :UInt8;
+  dueInMs @3 :UInt32;
+  work @4 :Float64;            # the capacity kept for it, in the unit of the service's capacity
 }
 
 # What the end of an attempt shows about the parts of its prompt, or about the request.
@@ -186,7 +221,7 @@
   # `ratesCountedForMs`: how much of the window of the rate limits the VM has counted what its `accounts` used; 0: it doesn't tell.
   hello @0 (vm :Text, incarnation :UInt64, running :List(RunningJob), attempts :List(Attempts), countedForMs :UInt32,
       stated :List(Stated), crashes :List(Crash), quarantine :List(Quarantined), accounts :List(AccountUse),
-      ratesCountedForMs :UInt32)
+      ratesCountedForMs :UInt32, costs :List(LearnedCost), promises :List(Promise))
       -> (session :UInt32, leader :Leadership);
   place @1 (session :UInt32, job :Job) -> (known :Bool, verdict :Verdict);
   tell @2 (session :UInt32, news :List(News)) -> (known :Bool);
