Cost estimates: types and learning

Requests that look alike can cost very different amounts of work, and the scheduler knows one moving average per upstream.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! execute, so scripts and property tests run the same code as production.
 
 pub mod clock;
+pub mod costs;
 mod decaying_sum;
 pub mod error;
 pub mod feed;
