Cost estimates in placement, in the state of VMs and in the log

The scheduler keeps the remaining work of the requests at each upstream and sends a call where it is expected to finish first; it reserves the memory of an engine by the expected output. VMs learn from their own requests while they follow a leader, and tell a new leader their heaviest entries in hello.

--- a/crates/core/src/scheduler/choose/cost.rs
+++ b/crates/core/src/scheduler/choose/cost.rs
@@ -132,7 +132,7 @@
         let prefill_ms = self.first_token_ms(job, engine);
         prefill_ms
             + stall_penalty(job, up, engine, prefill_ms)
-            + f64::from(up.running) * PER_RUNNING_REQUEST_MS
+            + self.running_beside(up) * PER_RUNNING_REQUEST_MS
             + self.penalty(job, up)
     }
 
--- a/crates/core/src/scheduler/choose/load.rs
+++ b/crates/core/src/scheduler/choose/load.rs
@@ -185,13 +185,23 @@
         up: &Upstream,
         engine: &Engine,
     ) -> bool {
-        let total = Load::of(job, engine, self.now).total;
+        let total = self.memory_tokens(job, engine);
         let waits = engine.backlog.wait(self.now) < self.settings.engine_backlog.0 as f64;
         self.is_admitted(up)
             && (waits || engine.backlog.is_empty())
             && engine.has_capacity(up.running, total, self.settings.kv_fill_percent)
     }
 
+    /// Prompt and output tokens to reserve for the request in an engine's KV cache.
+    fn memory_tokens(
+        &self,
+        job: &Job,
+        engine: &Engine,
+    ) -> u64 {
+        let expected = self.expected.map(|expected| expected.reserved_tokens);
+        expected.unwrap_or_else(|| Load::of(job, engine, self.now).total)
+    }
+
     /// Which limit keeps an engine from accepting a request now.
     pub(super) fn full_reason(
         &self,
@@ -199,7 +209,7 @@
         up: &Upstream,
         engine: &Engine,
     ) -> WaitReason {
-        let total = Load::of(job, engine, self.now).total;
+        let total = self.memory_tokens(job, engine);
         if !self.is_within_request_limit(up) {
             WaitReason::RequestLimit
         } else if self.fleet.cold_wait(up, self.now) != Some(Millis::ZERO) {
--- a/crates/core/src/scheduler/choose/mod.rs
+++ b/crates/core/src/scheduler/choose/mod.rs
@@ -4,8 +4,8 @@
 use {
     super::{
         Generation, Job, SchedulerSettings, WaitReason, announced_versions::AnnouncedVersions,
-        engine::Engine, fleet::Fleet, request_load::Load, resident::DEMAND_HALF_LIFE,
-        upstream::Upstream,
+        engine::Engine, expected_cost::ExpectedCost, fleet::Fleet, request_load::Load,
+        resident::DEMAND_HALF_LIFE, upstream::Upstream,
     },
     crate::{
         clock::Millis,
@@ -17,6 +17,7 @@
 
 mod best;
 mod cost;
+mod finish;
 mod load;
 mod preferred;
 
@@ -80,6 +81,8 @@
     pub vm: u32,
     /// Upstreams that may not get the request now.
     pub avoided: &'a [UpstreamId],
+    /// Its expected cost, if cost estimates take effect for its service.
+    pub expected: Option<ExpectedCost>,
     pub now: Millis,
 }
 
@@ -150,12 +153,12 @@
         job: &Job,
     ) -> Choice {
         let cost = |up: &&Upstream| {
-            up.call_time(self.now) + self.penalty(job, up) + self.evacuation_penalty(up)
+            self.call_time_ms(up) + self.penalty(job, up) + self.evacuation_penalty(up)
         };
         let best = self
             .candidates(job)
             .into_iter()
-            .filter(|up| up.can_take_call() && self.is_admitted(up))
+            .filter(|up| self.has_call_slot(up) && self.is_admitted(up))
             .min_by(|a, b| cost(a).total_cmp(&cost(b)));
         Choice {
             send: best
--- a/crates/core/src/scheduler/fleet.rs
+++ b/crates/core/src/scheduler/fleet.rs
@@ -21,6 +21,7 @@
     },
     crate::{
         clock::Millis,
+        costs::CostModel,
         ids::{AdapterId, AdapterVersion, RequestId, ServiceId, UpstreamId},
     },
     std::collections::{BTreeMap, HashMap, HashSet},
@@ -56,6 +57,8 @@
     /// Times of calls, by service.
     pub(super) call_times: HashMap<ServiceId, CallTimes>,
     pub(super) load_slowdown: LoadSlowdown,
+    /// Expected costs of requests.
+    pub(super) costs: CostModel,
     pub(super) recent_builds: RecentBuilds,
 }
 
@@ -288,7 +291,6 @@
     }
 
     /// Whether a part that answers hard load takes effect for a service.
-    #[expect(dead_code, reason = "the parts follow")]
     pub(super) fn is_active(
         &self,
         part: Activation,
--- a/crates/core/src/scheduler/running.rs
+++ b/crates/core/src/scheduler/running.rs
@@ -55,6 +55,10 @@
     pub waited: WaitTimes,
     /// Amount charged to the account's rate limit, if any.
     pub charge: Option<Charge>,
+    /// Tokens reserved for it in the memory of its engine, if not its stated maximum.
+    pub reserved_tokens: Option<u64>,
+    /// Whether this scheduler knows when it was sent, so that its cost can be learned.
+    pub is_cost_known: bool,
     /// When it is dropped if its VM never reports an outcome.
     pub forget_at: Millis,
 }
--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -335,6 +335,7 @@
                         deciding_vms,
                         vm,
                         avoided: &avoided,
+                        expected: fleet.expected_cost(&entry.job, settings.hard_load, now),
                         now,
                     };
                     let Choice {
@@ -388,8 +389,7 @@
         if !self.take_retry_if_assigned(&job, now) {
             return self.refuse(request, Refusal::new(ErrorKind::NoUpstream), now);
         }
-        let load = self.request_load(&job, upstream, now);
-        self.fleet.assign(upstream, request, adapter, load, now);
+        let reserved_tokens = self.assign_work(&job, upstream, request, adapter, now);
         self.fleet.note_sent(upstream, &job, now);
         self.quarantine
             .note_sent(job.crash_candidates(), request, upstream, now);
@@ -398,6 +398,8 @@
         self.on_time.remove(&(entry.latest_send_at, request));
         entry.stage = Stage::Running { upstream, adapter };
         entry.assigned_at = now;
+        entry.reserved_tokens = reserved_tokens;
+        entry.is_cost_known = true;
         let waited_for = entry.waited_for(now);
         self.waits.add_all(&entry.waited);
         let version = adapter
@@ -411,6 +413,26 @@
         })
     }
 
+    /// Records that a request runs at an upstream; returns the memory reserved for it, if that isn't
+    /// its stated maximum.
+    pub(super) fn assign_work(
+        &mut self,
+        job: &Job,
+        upstream: UpstreamId,
+        request: RequestId,
+        adapter: Option<AdapterVersion>,
+        now: Millis,
+    ) -> Option<u64> {
+        let mut load = self.request_load(job, upstream, now);
+        let expected = self.fleet.expected_cost(job, self.settings.hard_load, now);
+        if let Some(expected) = expected {
+            load.total = expected.reserved_tokens;
+            self.fleet.add_work(upstream, request, expected.work, now);
+        }
+        self.fleet.assign(upstream, request, adapter, load, now);
+        expected.map(|expected| expected.reserved_tokens)
+    }
+
     /// The work that a request is for an upstream; zero if that isn't an engine.
     pub(super) fn request_load(
         &self,
@@ -484,8 +506,15 @@
                     _ if outcome.has_response() => self.quarantine.note_alive(upstream, now),
                     _ => {}
                 }
-                let total = entry.job.generation().map_or(0, |g| g.size.total());
+                let stated = entry.job.generation().map_or(0, |g| g.size.total());
+                let total = entry.reserved_tokens.unwrap_or(stated);
+                let started_at = self.fleet.remove_work(upstream, request, now);
                 self.fleet.release(upstream, request, adapter, total, now);
+                if let Some(started_at) = started_at.filter(|_| entry.is_cost_known) {
+                    let settings = self.settings.hard_load;
+                    self.fleet
+                        .learn_ended(upstream, &entry, started_at, outcome, settings, now);
+                }
                 let load = self.settings.loads;
                 self.fleet
                     .record_outcome(upstream, adapter, outcome, &load, now);
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -44,6 +44,7 @@
             self.fleet.orders_allowed_at = orders_allowed_at;
             if share != RateShare::Fresh {
                 self.restart_retry_budgets(now);
+                self.told_costs.clear();
                 self.fleet.restart_limit_logs();
             }
             for (_, engine) in self.fleet.engines_mut() {
@@ -350,6 +351,8 @@
             },
             stage,
             charge,
+            reserved_tokens: None,
+            is_cost_known: false,
         };
         self.entries.insert(request, entry);
     }
@@ -425,6 +428,7 @@
         self.quarantine.note_alive(upstream, now);
         if let Some(upstream) = self.fleet.upstreams.get_mut(&upstream) {
             upstream.health.note_first_event();
+            upstream.work.start(request, now);
         }
         if let (Some(engine), Some(generation)) =
             (self.fleet.engine_mut(upstream), entry.job.generation())
@@ -479,13 +483,18 @@
             Some(version) => AdapterVersion { adapter, version },
             None => self.versions.wanted(adapter),
         });
-        let load = self.request_load(&job, upstream, now);
-        self.fleet.assign(upstream, request, adapter, load, now);
+        let reserved_tokens = self.assign_work(&job, upstream, request, adapter, now);
+        if has_begun && let Some(upstream) = self.fleet.upstreams.get_mut(&upstream) {
+            upstream.work.start(request, now);
+        }
         if has_begun && let Some(engine) = self.fleet.engine_mut(upstream) {
             engine.backlog.remove(request, now);
         }
         let stage = Stage::Running { upstream, adapter };
         self.add_entry(request, attempt_id, job, stage, None, now);
+        if let Some(entry) = self.entries.get_mut(&request) {
+            entry.reserved_tokens = reserved_tokens;
+        }
     }
 
     /// Removes all requests of a VM that is gone.
--- a/crates/core/src/scheduler/state_machine/mod.rs
+++ b/crates/core/src/scheduler/state_machine/mod.rs
@@ -18,6 +18,7 @@
 
 mod admission;
 mod availability;
+mod costs;
 mod decisions;
 mod events;
 mod quarantine;
@@ -49,6 +50,8 @@
     known_history: f64,
     /// The VMs that have told theirs, by hashes of their names.
     told_history: HashSet<u64>,
+    /// The VMs that have told what they learned of costs, by hashes of their names.
+    told_costs: HashSet<u64>,
     /// Since when attempts of this VM's own callers are counted.
     counting_since: Option<Millis>,
     quarantine: PartQuarantine,
@@ -106,6 +109,7 @@
             taken_over_at: None,
             known_history: 0.0,
             told_history: HashSet::new(),
+            told_costs: HashSet::new(),
             counting_since: None,
             quarantine: PartQuarantine::default(),
             is_evidence_new: false,
--- a/crates/core/src/scheduler/upstream.rs
+++ b/crates/core/src/scheduler/upstream.rs
@@ -5,11 +5,13 @@
         cold_admission::{COLD_WINDOW, ColdLimit},
         engine::Engine,
         health::Health,
+        measured_pace::MeasuredPace,
         resident::ResidentState,
         statements::Statements,
     },
     crate::{
         clock::Millis,
+        costs::RunningWork,
         ids::{AdapterVersion, BuildId, DataCentreId, ModelId, ServiceId, UpstreamId},
     },
 };
@@ -97,6 +99,10 @@
     pub health: Health,
     /// Assigned requests that have not ended.
     pub running: u32,
+    /// The work that is left of them, as far as cost estimates take effect.
+    pub work: RunningWork,
+    /// How long work takes here, relative to its expected cost.
+    pub pace: MeasuredPace,
     /// Moving average of the duration of a call, in milliseconds.
     call_ms: f64,
     pub engine: Option<Engine>,
@@ -127,6 +133,8 @@
             evacuated_from: None,
             health: Health::default(),
             running: 0,
+            work: RunningWork::default(),
+            pace: MeasuredPace::default(),
             call_ms: INITIAL_CALL_MS,
             engine,
         }
@@ -260,6 +268,24 @@
         self.call_ms * slowdown * (1.0 + fill)
     }
 
+    /// Factor on the usual time of work here now.
+    pub(super) fn work_factor(
+        &self,
+        now: Millis,
+    ) -> f64 {
+        let warm_up = if now < self.warmup_until {
+            WARMUP_SLOWDOWN
+        } else {
+            1.0
+        };
+        self.pace.factor(now).max(warm_up)
+    }
+
+    /// Number of calls that it runs at once; `None` for an engine, which works on all its requests.
+    pub(super) fn call_slots(&self) -> Option<u32> {
+        self.engine.is_none().then_some(self.slots)
+    }
+
     /// Throughput per millisecond: prompt tokens on an engine, otherwise calls.
     pub(super) fn capacity(&self) -> f64 {
         let (capacity, per_request) = match &self.engine {
--- a/crates/entry/src/forward/driver/log.rs
+++ b/crates/entry/src/forward/driver/log.rs
@@ -19,7 +19,7 @@
         placement: &Placement,
         number: u32,
     ) {
-        Line::new("request_sent")
+        let line = Line::new("request_sent")
             .with("id", self.req.id())
             .with("request", self.req.fingerprint_text())
             .with("upstream", &placement.upstream)
@@ -33,8 +33,11 @@
             )
             .with("waited_ms", self.waited)
             .with("waited_for", self.waited_for.as_str())
-            .with("decided_by", self.cx.scheduling.decider())
-            .info();
+            .with("decided_by", self.cx.scheduling.decider());
+        match placement.expected_cost {
+            Some(cost) => line.with("expected_ms", cost).info(),
+            None => line.info(),
+        }
     }
 
     pub(super) fn log_failed(
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,9 +1,12 @@
 //! The daemon's metrics and their Prometheus endpoint.
 
 use {
-    crate::{caller::accept_loop, context::Context, forward::ForwardRequest},
+    crate::{
+        caller::accept_loop, context::Context, forward::ForwardRequest, scheduling::LocalScheduler,
+    },
     jasmine_core::{
         clock::Millis,
+        costs::CostErrors,
         error::Refusal,
         ingress::CallKind,
         scheduler::{OrderResult, Outcome, WaitReason},
@@ -58,6 +61,8 @@
     leading: Gauge<u64>,
     config: Gauge<u64>,
     waited: Gauge<u64>,
+    learned_costs: Gauge<u64>,
+    cost_errors: Gauge<u64>,
 }
 
 impl EntryMetrics {
@@ -136,6 +141,14 @@
                     "jasmine_waited_ms",
                     "How long requests have waited at this scheduler since it started, by what for",
                 ),
+                learned_costs: gauge(
+                    "jasmine_learned_costs",
+                    "Entries of the table of learned costs of requests",
+                ),
+                cost_errors: gauge(
+                    "jasmine_cost_errors",
+                    "Requests that ended since the start, by the ratio of measured to expected cost",
+                ),
             },
             labels: RefCell::default(),
             metrics,
@@ -294,6 +307,7 @@
             let label = KeyValue::new("reason", reason.as_str());
             self.gauges.waited.record(waits.of(reason).0, &[label]);
         }
+        self.record_costs(&cx.scheduling.local_scheduler);
         self.gauges.in_flight.record(cx.in_flight() as u64, &[]);
         let connections = cx.open_connections() as u64;
         self.gauges.connections.record(connections, &[]);
@@ -307,6 +321,22 @@
             .unwrap_or_else(|e| format!("# can't encode the metrics: {e}\n"))
     }
 
+    /// Updates the gauges of learned costs.
+    fn record_costs(
+        &self,
+        scheduler: &LocalScheduler,
+    ) {
+        let entries = scheduler.costs_len() as u64;
+        self.gauges.learned_costs.record(entries, &[]);
+        let errors = scheduler.cost_errors();
+        let bounds = CostErrors::BOUNDS.iter().map(f64::to_string);
+        let bounds = bounds.chain(["above".to_owned()]);
+        for (bound, &count) in bounds.zip(&errors.counts) {
+            let label = KeyValue::new("up_to", bound);
+            self.gauges.cost_errors.record(count, &[label]);
+        }
+    }
+
     fn labels_of(
         &self,
         req: &ForwardRequest,
--- a/crates/entry/src/scheduling/client/following.rs
+++ b/crates/entry/src/scheduling/client/following.rs
@@ -9,6 +9,7 @@
             write_crashes, write_idle_times, write_leader, write_quarantine, write_running,
             write_stated, write_update,
         },
+        cost_spec::write_costs,
     },
     futures::future::join_all,
     jasmine_core::{clock::Millis, quarantine::PartSet},
@@ -205,6 +206,10 @@
                 write_quarantine(quarantine, &history.quarantine);
                 let accounts = req.get().init_accounts(history.accounts.len() as u32);
                 write_account_uses(accounts, &history.accounts);
+                write_costs(
+                    req.get().init_costs(history.costs.len() as u32),
+                    &history.costs,
+                );
                 let counted_for = history.rates_counted_for.0 as u32;
                 req.get().set_rates_counted_for_ms(counted_for);
                 let res = req.send().promise.await?;
--- a/crates/entry/src/scheduling/client/mod.rs
+++ b/crates/entry/src/scheduling/client/mod.rs
@@ -122,6 +122,8 @@
 struct Running {
     spec: RunningSpec,
     since: Millis,
+    /// When its first event arrived.
+    begun_at: Option<Millis>,
 }
 
 impl SchedulerNode {
@@ -233,9 +235,12 @@
                         .record_own_decision(&spec, RateDecision::Admitted);
                     self.local_scheduler
                         .note_own_attempt(&spec, &assignment.upstream);
+                    let expected = self.local_scheduler.expected_cost(&spec);
                     let running = self.track_running(spec, &assignment);
                     let now = self.clock.now();
-                    return Ok(Placement::new(Rc::clone(self), running, assignment, now));
+                    let mut placement = Placement::new(Rc::clone(self), running, assignment, now);
+                    placement.expected_cost = expected;
+                    return Ok(placement);
                 }
                 Some(Verdict::Refused { refusal, .. })
                     if let Some(wait) = self.remaining_takeover_wait(&refusal, &spec) =>
@@ -349,6 +354,7 @@
             JobUpdate::FirstEvent => {
                 if let Some(running) = self.running.borrow_mut().get_mut(&number) {
                     running.spec.has_begun = true;
+                    running.begun_at.get_or_insert(self.clock.now());
                     self.local_scheduler.note_alive(&running.spec.upstream);
                 }
                 self.local_scheduler.first_event(attempt_id);
@@ -359,7 +365,10 @@
                     self.local_scheduler.note_alive(&running.spec.upstream);
                 }
                 self.note_evidence(running.as_ref(), attempt_id, evidence);
-                is_urgent = running.is_none_or(|running| running.spec.job.generation.is_none());
+                is_urgent = running
+                    .as_ref()
+                    .is_none_or(|running| running.spec.job.generation.is_none());
+                self.note_cost(running.as_ref(), attempt_id, outcome);
                 self.local_scheduler.ended(attempt_id, outcome);
             }
         }
@@ -378,6 +387,29 @@
         }
     }
 
+    /// Learns what an answered request cost that the leader assigned; the local scheduler learns from
+    /// those that it assigned itself.
+    fn note_cost(
+        &self,
+        running: Option<&Running>,
+        attempt_id: AttemptId,
+        outcome: Outcome,
+    ) {
+        let (Some(running), Outcome::Answered { took }) = (running, outcome) else {
+            return;
+        };
+        if self.local_scheduler.upstream_of(attempt_id).is_some() {
+            return;
+        }
+        let work = match running.spec.job.generation {
+            None => Some(took),
+            Some(_) => running.begun_at.map(|at| self.clock.now().since(at)),
+        };
+        if let Some(work) = work {
+            self.local_scheduler.note_own_cost(&running.spec, work);
+        }
+    }
+
     /// Records what the end of a request shows about its prompt.
     fn note_evidence(
         &self,
@@ -546,6 +578,7 @@
                 has_begun: false,
             },
             since: self.clock.now(),
+            begun_at: None,
         };
         self.running.borrow_mut().insert(number, running);
         number
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -329,6 +329,7 @@
             accounts: accounts
                 .map(|(id, spent)| (names.account_name(id).to_string(), spent))
                 .collect(),
+            costs: self.learned_costs(),
         }
     }
 
@@ -341,6 +342,7 @@
         vms: usize,
     ) {
         self.add_quarantine_history(history);
+        self.add_costs(vm, &history.costs);
         let mut names = self.names.borrow_mut();
         let attempts = history.attempts.iter();
         let services = attempts.map(|(name, counts)| (names.service(name), *counts));
--- a/crates/entry/src/scheduling/mod.rs
+++ b/crates/entry/src/scheduling/mod.rs
@@ -3,6 +3,8 @@
 mod assignment;
 mod client;
 mod convert;
+mod cost_spec;
+mod costs;
 mod facts;
 mod handover;
 mod job_spec;
@@ -20,6 +22,7 @@
 pub use {
     assignment::Assignment,
     client::{LINK_OPTIONS, SchedulerNode},
+    cost_spec::CostSpec,
     handover::Handover,
     job_spec::{GenerationSpec, JobSpec, NewestSpec, RunningSpec},
     leader::Leader,
--- a/crates/entry/src/scheduling/name_interner.rs
+++ b/crates/entry/src/scheduling/name_interner.rs
@@ -134,6 +134,14 @@
         adapter.to_owned()
     }
 
+    /// Returns the name of an adapter as `MODEL/ADAPTER`; empty for an unknown id.
+    pub fn full_adapter_name(
+        &self,
+        id: AdapterId,
+    ) -> Rc<str> {
+        self.adapters.name(id.0)
+    }
+
     /// The names of all adapters, each as `MODEL/ADAPTER`.
     pub fn adapters(&self) -> impl Iterator<Item = &str> {
         self.adapters.names.iter().map(|name| &**name)
--- a/crates/entry/src/scheduling/placement.rs
+++ b/crates/entry/src/scheduling/placement.rs
@@ -25,6 +25,8 @@
     pub build: Option<String>,
     /// What the request waited for longest.
     pub waited_for: WaitReason,
+    /// Its expected work by what this VM has learned, if cost estimates take effect.
+    pub expected_cost: Option<Millis>,
     /// When the upstream was assigned.
     assigned_at: Millis,
     /// What the upstream stated, once its response has begun.
@@ -56,6 +58,7 @@
             version,
             build,
             waited_for,
+            expected_cost: None,
             assigned_at,
             signals: Cell::new(None),
             has_begun: Cell::new(false),
--- a/crates/entry/src/scheduling/server.rs
+++ b/crates/entry/src/scheduling/server.rs
@@ -6,6 +6,7 @@
             read_idle_times, read_job, read_leader, read_quarantine, read_running, read_stated,
             read_update, write_leader, write_quarantine, write_verdict,
         },
+        cost_spec::read_costs,
     },
     crate::{
         store::{Feed, KvStore, write_reply},
@@ -141,6 +142,7 @@
             quarantine: read_quarantine(params.get_quarantine()?)?,
             rates_counted_for: Millis(params.get_rates_counted_for_ms().into()),
             accounts: read_account_uses(params.get_accounts()?)?,
+            costs: read_costs(params.get_costs()?)?,
         };
         let vms = self.scheduling.vms().len();
         let local_scheduler = &self.scheduling.local_scheduler;
--- a/crates/entry/src/scheduling/vm_history.rs
+++ b/crates/entry/src/scheduling/vm_history.rs
@@ -1,8 +1,11 @@
-use jasmine_core::{
-    clock::Millis,
-    ids::PartId,
-    quarantine::PartSet,
-    scheduler::{AttemptCounts, SpentTokens, UpstreamSignals},
+use {
+    super::CostSpec,
+    jasmine_core::{
+        clock::Millis,
+        ids::PartId,
+        quarantine::PartSet,
+        scheduler::{AttemptCounts, SpentTokens, UpstreamSignals},
+    },
 };
 
 /// What a VM tells a new leader of the time before: attempts of its callers, what they used of the account rates, and what upstreams have stated.
@@ -22,6 +25,8 @@
     pub rates_counted_for: Millis,
     /// The tokens admitted in that time, by account.
     pub accounts: Vec<(String, Vec<SpentTokens>)>,
+    /// What this VM has learned of the cost of requests.
+    pub costs: Vec<CostSpec>,
 }
 
 /// A crash of an upstream as it began to answer prompts, as a VM tells it to a new leader.
