--- a/crates/core/src/costs/learned_mean.rs
+++ b/crates/core/src/costs/learned_mean.rs
@@ -67,13 +67,33 @@
         self.at = self.at.max(now);
     }
 
-    /// The mean, shrunk towards 1 as if `shrink_weight` observations of 1 had been made.
+    /// The mean, shrunk towards `prior` by how little was observed.
     pub(super) fn shrunk(
         &self,
-        shrink_weight: f64,
+        prior: f64,
+        now: Millis,
+    ) -> f64 {
+        prior + (self.mean - prior) * self.trust(now)
+    }
+
+    /// The mean deviation, shrunk towards `prior` in the same way.
+    pub(super) fn shrunk_deviation(
+        &self,
+        prior: f64,
+        now: Millis,
+    ) -> f64 {
+        prior + (self.deviation - prior) * self.trust(now)
+    }
+
+    /// How much the observations count against what is expected without them, from 0 to 1.
+    ///
+    /// The expectation counts as one observation, and less the more were made: otherwise it would
+    /// never be left quite, and coarser means would drift to make up for the rest.
+    fn trust(
+        &self,
         now: Millis,
     ) -> f64 {
         let weight = self.weight(now);
-        (shrink_weight + weight * self.mean) / (shrink_weight + weight)
+        weight / (weight + 1.0 / weight.max(1.0))
     }
 }
--- a/crates/core/src/scheduler/expected_cost.rs
+++ b/crates/core/src/scheduler/expected_cost.rs
@@ -132,7 +132,11 @@
         let mut work_ms = work.0 as f64;
         if let Some(upstream) = self.upstreams.get_mut(&id) {
             work_ms /= upstream.pace.factor(now);
-            upstream.pace.note(work.0 as f64 / expected_ms, now);
+            // Where all upstreams seem slow, it is the estimates that are too low.
+            let ratio = work.0 as f64 / expected_ms;
+            let of_all = self.paces.entry(job.service).or_default();
+            of_all.note(ratio, now);
+            upstream.pace.note(ratio / of_all.factor(now), now);
         }
         self.costs.note(&key, prior, work_ms, now);
     }
--- a/crates/core/src/scheduler/fleet.rs
+++ b/crates/core/src/scheduler/fleet.rs
@@ -14,6 +14,7 @@
         fleet_totals::FleetTotals,
         holders::Holders,
         load_slowdown::LoadSlowdown,
+        measured_pace::MeasuredPace,
         prefill_estimator::{PrefillEstimator, PrefillTime},
         recent_builds::RecentBuilds,
         request_load::Load,
@@ -57,6 +58,8 @@
     /// Times of calls, by service.
     pub(super) call_times: HashMap<ServiceId, CallTimes>,
     pub(super) load_slowdown: LoadSlowdown,
+    /// How long requests take relative to their expected cost, by service.
+    pub(super) paces: HashMap<ServiceId, MeasuredPace>,
     /// Expected costs of requests.
     pub(super) costs: CostModel,
     pub(super) recent_builds: RecentBuilds,
--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -302,7 +302,6 @@
                     let Some(entry) = entries.get_mut(&waiting.request) else {
                         return true;
                     };
-                    let vm = entry.attempt_id.vm;
                     let avoided = quarantine.avoided_upstreams(entry.job.request_part());
                     let is_plain = is_alike(&entry.job, fleet, &avoided, now);
                     let is_deferred = if is_plain {
@@ -333,7 +332,7 @@
                         can_evict,
                         cold_load_ms: cold_load.0 as f64,
                         deciding_vms,
-                        vm,
+                        vm: entry.attempt_id.vm,
                         avoided: &avoided,
                         expected: fleet.expected_cost(&entry.job, settings.hard_load, now),
                         now,
