--- a/crates/core/src/costs/cost_key.rs
+++ b/crates/core/src/costs/cost_key.rs
@@ -1,7 +1,7 @@
 use crate::ids::{AccountId, AdapterId, RouteId, ServiceId};
 
 /// What the cost of a request depends on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CostKey {
     /// Service of the request.
     pub service: ServiceId,
--- a/crates/core/src/costs/cost_model.rs
+++ b/crates/core/src/costs/cost_model.rs
@@ -137,8 +137,10 @@
             .filter(|cost| cost.weight > 0.0)
             .collect();
         costs.sort_by(|a, b| {
-            let is_service = b.key.is_service().cmp(&a.key.is_service());
-            is_service.then(b.weight.total_cmp(&a.weight))
+            let services_first = b.key.is_service().cmp(&a.key.is_service());
+            services_first
+                .then(b.weight.total_cmp(&a.weight))
+                .then(a.key.cmp(&b.key))
         });
         costs.truncate(count);
         costs
