--- a/crates/core/src/scheduler/fleet.rs
+++ b/crates/core/src/scheduler/fleet.rs
@@ -14,6 +14,7 @@
         fleet_totals::FleetTotals,
         holders::Holders,
         load_slowdown::LoadSlowdown,
+        measured_pace::MeasuredPace,
         prefill_estimator::{PrefillEstimator, PrefillTime},
         recent_builds::RecentBuilds,
         request_load::Load,
@@ -21,6 +22,7 @@
     },
     crate::{
         clock::Millis,
+        costs::CostModel,
         ids::{AdapterId, AdapterVersion, RequestId, ServiceId, UpstreamId},
     },
     std::collections::{BTreeMap, HashMap, HashSet},
@@ -56,6 +58,10 @@
     /// Times of calls, by service.
     pub(super) call_times: HashMap<ServiceId, CallTimes>,
     pub(super) load_slowdown: LoadSlowdown,
+    /// How long requests take relative to their expected cost, by service.
+    pub(super) paces: HashMap<ServiceId, MeasuredPace>,
+    /// Expected costs of requests.
+    pub(super) costs: CostModel,
     pub(super) recent_builds: RecentBuilds,
 }
 
@@ -288,7 +294,6 @@
     }
 
     /// Whether a part that answers hard load takes effect for a service.
-    #[expect(dead_code, reason = "the parts follow")]
     pub(super) fn is_active(
         &self,
         part: Activation,
