Load reports: upstreams are placed by their pace, from reports and measured times

Reports of a pace were decoded and told, and nothing read them. Engines that are slow for good counted as usual ones seconds after each measurement and after each takeover, and calls were spread by one moving average per upstream.

PaceEstimate keeps a mean over minutes, a regression that weighs reports by how far measured times follow them, a learned fade of reports and recent times. Its forecast is used for calls, prefill times, running requests and capacity, told in hello, and counted in metrics. Traffic between data centres counts by its bytes where placement by expected finish is active.

--- a/crates/core/src/scheduler/availability.rs
+++ b/crates/core/src/scheduler/availability.rs
@@ -151,9 +151,6 @@
         if let Some(stated) = statements.brittleness {
             self.brittle_services.insert(upstream.service, stated);
         }
-        if signals.load.is_some_and(|load| load.report.pace.is_some()) {
-            self.pace_reporters.insert(upstream.service);
-        }
         changes
     }
 
@@ -194,6 +191,7 @@
                 started_unix_ms: up.started_unix_ms,
                 signals: up.statements.signals(now)?,
                 sent_ago: up.statements.own_sent.ages(now),
+                base_pace: up.statements.told_base(now),
             })
         });
         stated.chain(self.departed.stated(now)).collect()
@@ -221,6 +219,9 @@
             }
             let statements = &mut upstream.statements;
             statements.add_told(vm, told, counts_requests, now);
+            if told.tells_pace() {
+                self.pace_reporters.insert(upstream.service);
+            }
             if let Some(stated) = statements.brittleness {
                 self.brittle_services.insert(upstream.service, stated);
             }
--- a/crates/core/src/scheduler/backlog.rs
+++ b/crates/core/src/scheduler/backlog.rs
@@ -1,6 +1,6 @@
 use {
     super::prefill_estimator::{PrefillEstimator, PrefillTime},
-    crate::{clock::Millis, ids::RequestId},
+    crate::{clock::Millis, ids::RequestId, load_reports::PaceForecast},
     std::collections::VecDeque,
 };
 
@@ -29,6 +29,8 @@
     /// Prefill time of this engine relative to its service, as a moving average.
     slowness: f64,
     observed_at: Millis,
+    /// What load reports and measured times tell of its pace, if they take effect; replaces the slowness.
+    forecast: Option<PaceForecast>,
 }
 
 /// Time that an engine took to process prompts, as an input of the estimator.
@@ -46,6 +48,7 @@
             prefill_time: PrefillEstimator::default().prefill_time(),
             slowness: 1.0,
             observed_at: Millis::ZERO,
+            forecast: None,
         }
     }
 }
@@ -72,6 +75,14 @@
         self.prefill_time = prefill_time;
     }
 
+    /// Sets what is expected of the engine's pace; `None` for the moving average of its slowness.
+    pub(super) const fn set_forecast(
+        &mut self,
+        forecast: Option<PaceForecast>,
+    ) {
+        self.forecast = forecast;
+    }
+
     /// Records the first event of a request; returns its prefill time if that is known.
     ///
     /// Only the prompt at the front of the queue has a known start.
@@ -102,15 +113,24 @@
         let expected = self.prefill_time.time_for(sample.tokens).max(1.0);
         let observed =
             (sample.took.0 as f64 / expected).clamp(SLOWNESS_BOUNDS.0, SLOWNESS_BOUNDS.1);
-        self.slowness = self.slowness_at(now);
+        self.slowness = self.measured_slowness(now);
         self.slowness += (observed - self.slowness) * SAMPLE_WEIGHT;
         self.observed_at = now;
     }
 
+    /// Factor on the prefill time of the service.
+    fn slowness_at(
+        &self,
+        now: Millis,
+    ) -> f64 {
+        let forecast = self.forecast.as_ref();
+        forecast.map_or_else(|| self.measured_slowness(now), |known| known.factor(now))
+    }
+
     /// The moving average `slowness`, decayed towards 1 since its last update.
     ///
     /// Without the decay, an engine that is avoided for being slow would never be tried again.
-    fn slowness_at(
+    fn measured_slowness(
         &self,
         now: Millis,
     ) -> f64 {
@@ -162,8 +182,13 @@
     }
 
     /// Prefill throughput, in tokens per millisecond.
-    pub(super) fn tokens_per_ms(&self) -> f64 {
-        self.prefill_time.tokens_per_ms() / self.slowness
+    pub(super) fn tokens_per_ms(
+        &self,
+        now: Millis,
+    ) -> f64 {
+        let forecast = self.forecast.as_ref();
+        let slowness = forecast.map_or(self.slowness, |known| known.factor(now));
+        self.prefill_time.tokens_per_ms() / slowness
     }
 
     /// Number of prompts waiting for prefill.
--- a/crates/core/src/scheduler/choose/cost.rs
+++ b/crates/core/src/scheduler/choose/cost.rs
@@ -5,8 +5,8 @@
     crate::{
         clock::Millis,
         scheduler::{
-            Job, cold_admission::COLD_WINDOW, engine::Engine, request_limit::LIMIT_WINDOW,
-            request_load::Load, upstream::Upstream,
+            Generation, Job, cold_admission::COLD_WINDOW, engine::Engine,
+            request_limit::LIMIT_WINDOW, request_load::Load, upstream::Upstream,
         },
     },
 };
@@ -15,6 +15,11 @@
 ///
 /// For a prompt and its answer that is about a hundredth of what the answer is worth to the users.
 const CROSS_DATA_CENTRE_PENALTY_MS: f64 = 15.0;
+/// Bytes of a prompt and its answer, as headers and events carry them, per token.
+const PROMPT_BYTES_PER_TOKEN: f64 = 5.0;
+const ANSWER_BYTES_PER_TOKEN: f64 = 50.0;
+/// Traffic that costs [`CROSS_DATA_CENTRE_PENALTY_MS`]: a prompt of 1,500 tokens with an answer of 150.
+const TYPICAL_TRAFFIC_BYTES: f64 = 15_000.0;
 /// Penalty at a failure rate of 1; it grows in proportion, as a failed request is lost or needs
 /// another attempt.
 const FAILURE_PENALTY_MS: f64 = 1_500.0;
@@ -58,13 +63,29 @@
     ) -> f64 {
         let is_cross_data_centre = job.data_centre.is_some() && job.data_centre != up.data_centre;
         let distance = if is_cross_data_centre {
-            CROSS_DATA_CENTRE_PENALTY_MS
+            self.distance_penalty(job)
         } else {
             0.0
         };
         distance + up.health.failure_rate(self.now) * FAILURE_PENALTY_MS + self.admission_delay(up)
     }
 
+    /// Penalty for the traffic of a request to another data centre, in milliseconds; by its bytes where requests are placed by their
+    /// expected finish.
+    fn distance_penalty(
+        &self,
+        job: &Job,
+    ) -> f64 {
+        match job.generation() {
+            Some(generation) if self.is_placed_by_finish(job) => {
+                let prompt = f64::from(generation.size.prompt) * PROMPT_BYTES_PER_TOKEN;
+                let answer = expected_output_tokens(generation) * ANSWER_BYTES_PER_TOKEN;
+                CROSS_DATA_CENTRE_PENALTY_MS * (prompt + answer) / TYPICAL_TRAFFIC_BYTES
+            }
+            _ => CROSS_DATA_CENTRE_PENALTY_MS,
+        }
+    }
+
     /// Penalty for an evacuation of the upstream's data centre, in milliseconds.
     pub(super) fn evacuation_penalty(
         &self,
@@ -132,7 +153,7 @@
         let prefill_ms = self.first_token_ms(job, engine);
         prefill_ms
             + stall_penalty(job, up, engine, prefill_ms)
-            + f64::from(up.running) * PER_RUNNING_REQUEST_MS
+            + f64::from(up.running) * PER_RUNNING_REQUEST_MS * pace_factor(up, self.now)
             + self.penalty(job, up)
     }
 
@@ -151,6 +172,24 @@
     }
 }
 
+/// Tokens that a generation is expected to write.
+///
+/// A cost estimate of the request belongs here.
+fn expected_output_tokens(generation: &Generation) -> f64 {
+    let stated = generation.size.output;
+    let hint = generation.length_hint.unwrap_or(stated / 2);
+    f64::from(hint.min(stated))
+}
+
+/// How long work takes on an upstream now, relative to its service.
+fn pace_factor(
+    up: &Upstream,
+    now: Millis,
+) -> f64 {
+    let forecast = up.statements.forecast.as_ref();
+    forecast.map_or(1.0, |forecast| forecast.factor(now))
+}
+
 /// Whether an upstream with a request limit has got no request for a while.
 fn is_probe_due(
     up: &Upstream,
--- a/crates/core/src/scheduler/choose/mod.rs
+++ b/crates/core/src/scheduler/choose/mod.rs
@@ -16,6 +16,7 @@
 };
 
 mod best;
+mod call_cost;
 mod cost;
 mod load;
 mod preferred;
@@ -150,7 +151,7 @@
         job: &Job,
     ) -> Choice {
         let cost = |up: &&Upstream| {
-            up.call_time(self.now) + self.penalty(job, up) + self.evacuation_penalty(up)
+            self.call_time(job, up) + self.penalty(job, up) + self.evacuation_penalty(up)
         };
         let best = self
             .candidates(job)
--- a/crates/core/src/scheduler/departed.rs
+++ b/crates/core/src/scheduler/departed.rs
@@ -165,6 +165,7 @@
                 },
                 signals: one.statements.signals(now)?,
                 sent_ago: one.statements.own_sent.ages(now),
+                base_pace: one.statements.told_base(now),
             })
         })
     }
--- a/crates/core/src/scheduler/fleet_totals.rs
+++ b/crates/core/src/scheduler/fleet_totals.rs
@@ -51,7 +51,7 @@
         now: Millis,
     ) {
         if up.accepts_requests(now) {
-            *self.capacity.entry(up.service).or_default() += up.capacity();
+            *self.capacity.entry(up.service).or_default() += up.capacity(now);
         }
         let Some(engine) = &up.engine else {
             return;
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -41,10 +41,13 @@
 mod local_usage;
 mod outcome;
 mod outcome_records;
+mod pace_summary;
+mod paces;
 mod prefill_estimator;
 mod prefix_cache;
 mod rate_history;
 mod recent_builds;
+mod report_ages;
 mod report_queue;
 mod request_limit;
 mod request_load;
@@ -57,6 +60,7 @@
 mod state_machine;
 mod statements;
 mod upstream;
+mod usual_call_time;
 mod wait_reason;
 mod wait_times;
 
@@ -72,6 +76,7 @@
     hard_load_settings::HardLoadSettings,
     job::{AttemptId, Generation, Job, LOCAL_VM, VersionLimit, Work},
     outcome::{EnginesToPause, OrderResult, Outcome, RateDecision},
+    pace_summary::{ImplausibleReports, PaceSummary},
     rate_history::{RateHistory, SpentTokens},
     request_limit::LIMIT_WINDOW,
     retry_budget::{AttemptCounts, AttemptHistory},
--- a/crates/core/src/scheduler/signals.rs
+++ b/crates/core/src/scheduler/signals.rs
@@ -41,4 +41,14 @@
     pub signals: UpstreamSignals,
     /// How long ago the VM sent the last requests to it.
     pub sent_ago: Vec<Millis>,
+    /// The upstream's base pace relative to its service, with the number of observations that it rests on.
+    pub base_pace: Option<(f64, f64)>,
+}
+
+impl StatedUpstream {
+    /// Whether the upstream reports its pace.
+    pub(super) fn tells_pace(&self) -> bool {
+        let load = self.signals.load;
+        load.is_some_and(|load| load.report.pace.is_some())
+    }
 }
--- a/crates/core/src/scheduler/state_machine/availability.rs
+++ b/crates/core/src/scheduler/state_machine/availability.rs
@@ -8,7 +8,7 @@
         error::{ErrorKind, Refusal},
         ids::{DataCentreId, RequestId, ServiceId, UpstreamId},
         scheduler::{
-            AdmissionShare, Announcement, AttemptId, ColdLimit, Job, LOCAL_VM,
+            AdmissionShare, Announcement, AttemptId, ColdLimit, ImplausibleReports, Job, LOCAL_VM,
             SchedulerAction as Action, SignalChanges, UpstreamSignals, running::Stage,
         },
     },
@@ -90,7 +90,9 @@
         sent_at: Millis,
         now: Millis,
     ) -> SignalChanges {
-        self.fleet.note_signals(LOCAL_VM, id, signals, sent_at, now)
+        let changes = self.fleet.note_signals(LOCAL_VM, id, signals, sent_at, now);
+        self.note_load(id, signals, sent_at, now);
+        changes
     }
 
     /// Records what an upstream states in its response to an assigned request.
@@ -108,12 +110,43 @@
             let sent_at = entry.assigned_at;
             self.fleet
                 .note_signals(attempt_id.vm, upstream, signals, sent_at, now);
+            self.note_load(upstream, signals, sent_at, now);
         }
         if signals.rest.is_some() {
             self.rested_vms.insert(attempt_id.vm);
         }
     }
 
+    fn note_load(
+        &mut self,
+        id: UpstreamId,
+        signals: &UpstreamSignals,
+        sent_at: Millis,
+        now: Millis,
+    ) {
+        if let Some(heard) = signals.load {
+            let settings = self.settings.hard_load;
+            self.fleet.note_load(id, heard, sent_at, settings, now);
+        }
+    }
+
+    /// Counts a load report that can't be decoded, or whose pace isn't credible.
+    pub fn note_implausible_report(
+        &mut self,
+        id: UpstreamId,
+    ) {
+        self.fleet.note_implausible_report(id);
+    }
+
+    /// The implausible load reports that weren't returned before, of each upstream at most once a minute.
+    pub fn take_implausible_reports(
+        &mut self,
+        now: Millis,
+    ) -> Vec<ImplausibleReports> {
+        self.fleet
+            .take_implausible_reports(self.settings.hard_load, now)
+    }
+
     /// Refuses a request that can't be served in time, as all upstreams that may serve it want rest
     /// from its VM.
     pub(super) fn check_rests(
--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -489,6 +489,8 @@
                 let load = self.settings.loads;
                 self.fleet
                     .record_outcome(upstream, adapter, outcome, &load, now);
+                self.fleet
+                    .note_call_pace(upstream, outcome, self.settings.hard_load, now);
                 true
             }
         };
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -129,6 +129,7 @@
         settings: SchedulerSettings,
     ) {
         self.settings = settings;
+        self.fleet.paces_renewed_at = Millis::ZERO;
     }
 
     /// Replaces the rate limits; accounts that are not listed have no limit.
@@ -437,7 +438,9 @@
                 engine.note_loaded(adapter);
             }
             if let Some(reading) = reading {
-                self.fleet.note_prefill(entry.job.service, reading);
+                let (service, settings) = (entry.job.service, self.settings.hard_load);
+                self.fleet
+                    .note_prefill_pace(upstream, service, reading, settings, now);
             }
         }
         self.decide(now)
@@ -544,6 +547,7 @@
                 self.finish(request, Outcome::Abandoned, now);
             }
         }
+        self.fleet.renew_due_paces(self.settings.hard_load, now);
         self.decide(now)
     }
 }
--- a/crates/core/src/scheduler/state_machine/queries.rs
+++ b/crates/core/src/scheduler/state_machine/queries.rs
@@ -6,7 +6,9 @@
         clock::Millis,
         ids::{BuildId, ServiceId, UpstreamId},
         placement::rendezvous_hash,
-        scheduler::{AttemptId, LOCAL_VM, WaitTimes, running::Stage, upstream::Upstream},
+        scheduler::{
+            AttemptId, LOCAL_VM, PaceSummary, WaitTimes, running::Stage, upstream::Upstream,
+        },
     },
     std::collections::HashMap,
 };
@@ -123,6 +125,14 @@
         &self.waits
     }
 
+    /// How fast upstreams work, and how old the reports were by which requests were assigned.
+    pub fn pace_summary(
+        &self,
+        now: Millis,
+    ) -> PaceSummary {
+        self.fleet.pace_summary(now)
+    }
+
     /// Whether a request is assigned and has not ended.
     pub fn is_running(
         &self,
--- a/crates/core/src/scheduler/state_machine/retries.rs
+++ b/crates/core/src/scheduler/state_machine/retries.rs
@@ -109,6 +109,7 @@
         let is_first = self.told_history.insert(vm);
         self.fleet
             .add_stated(session, &history.stated, is_first, now);
+        self.fleet.renew_paces(self.settings.hard_load, now);
         if !is_first {
             return;
         }
--- a/crates/core/src/scheduler/statements.rs
+++ b/crates/core/src/scheduler/statements.rs
@@ -7,7 +7,10 @@
         rests::Rests,
         signals::{SignalChanges, StatedUpstream, UpstreamSignals},
     },
-    crate::clock::Millis,
+    crate::{
+        clock::Millis,
+        load_reports::{PaceEstimate, PaceForecast},
+    },
 };
 
 /// What one run of an upstream has stated about itself in its responses, and the requests that count
@@ -32,11 +35,15 @@
     pub admissions: AdmissionLog,
     /// The requests of this VM's own callers, whoever assigned them.
     pub own_sent: AdmissionLog,
+    /// How fast it works.
+    pub pace: PaceEstimate,
+    /// What that tells, if load reports take effect for its service.
+    pub forecast: Option<PaceForecast>,
 }
 
 impl Statements {
     /// Those of a run that is known since `now`.
-    pub(super) const fn new(now: Millis) -> Self {
+    pub(super) fn new(now: Millis) -> Self {
         Self {
             run_known_since: now,
             request_limit: None,
@@ -47,9 +54,38 @@
             rejected_at: None,
             admissions: AdmissionLog::new(LIMIT_WINDOW),
             own_sent: AdmissionLog::new(LIMIT_WINDOW),
+            pace: PaceEstimate::default(),
+            forecast: None,
         }
     }
 
+    /// Those of the next run of the same upstream, which is known since `now`.
+    pub(super) fn of_next_run(
+        &self,
+        now: Millis,
+    ) -> Self {
+        Self {
+            pace: self.pace.after_restart(now),
+            ..Self::new(now)
+        }
+    }
+
+    /// Whether a response to a request that was sent at `sent_at` may come from this run.
+    pub(super) fn is_of_run(
+        &self,
+        sent_at: Millis,
+    ) -> bool {
+        sent_at >= self.run_known_since
+    }
+
+    /// The base pace with its weight, as this VM tells it to a new scheduler.
+    pub(super) fn told_base(
+        &self,
+        now: Millis,
+    ) -> Option<(f64, f64)> {
+        self.forecast.and_then(|_| self.pace.base(now))
+    }
+
     /// What it has stated, to this VM where that matters; `None` if nothing.
     pub(super) fn signals(
         &self,
@@ -61,9 +97,10 @@
             rest: (rest > Millis::ZERO).then_some(rest),
             is_leaving: self.is_leaving,
             max_rejections: self.brittleness.map(|known| known.max_rejections),
-            load: None,
+            load: self.forecast.and_then(|_| self.pace.newest()),
         };
-        (signals != UpstreamSignals::default()).then_some(signals)
+        let is_told = signals != UpstreamSignals::default() || self.told_base(now).is_some();
+        is_told.then_some(signals)
     }
 
     /// Records that it turned a request away.
@@ -83,6 +120,7 @@
         self.request_limit.is_none()
             && self.brittleness.is_none()
             && !self.is_leaving
+            && self.forecast.is_none()
             && now >= self.rests.last_end()
     }
 
@@ -96,6 +134,12 @@
         now: Millis,
     ) {
         self.add(vm, &told.signals, now);
+        if let Some((base, weight)) = told.base_pace.filter(|_| counts_requests) {
+            self.pace.add_base(base, weight, now);
+        }
+        if let Some(load) = told.signals.load {
+            self.pace.note_report(load, now);
+        }
         for &ago in told.sent_ago.iter().filter(|_| counts_requests) {
             self.admissions.add_earlier(now.since(ago));
         }
@@ -128,7 +172,7 @@
         sent_at: Millis,
         now: Millis,
     ) -> SignalChanges {
-        if sent_at < self.run_known_since {
+        if !self.is_of_run(sent_at) {
             return SignalChanges::default();
         }
         let before = self.request_limit.map(|limit| limit.per_second);
--- a/crates/core/src/scheduler/upstream.rs
+++ b/crates/core/src/scheduler/upstream.rs
@@ -99,6 +99,13 @@
     pub running: u32,
     /// Moving average of the duration of a call, in milliseconds.
     call_ms: f64,
+    /// Mean time of a call of its service at the usual pace, in milliseconds.
+    pub usual_call_ms: f64,
+    /// Requests that it reported beyond those that this scheduler had assigned.
+    pub foreign_requests: u32,
+    /// Implausible reports that were told, and when.
+    pub complained_count: u64,
+    pub complained_at: Option<Millis>,
     pub engine: Option<Engine>,
 }
 
@@ -128,6 +135,10 @@
             health: Health::default(),
             running: 0,
             call_ms: INITIAL_CALL_MS,
+            usual_call_ms: INITIAL_CALL_MS,
+            foreign_requests: 0,
+            complained_count: 0,
+            complained_at: None,
             engine,
         }
     }
@@ -150,7 +161,8 @@
         self.started_unix_ms = status.started_unix_ms;
         if restarted {
             self.health = Health::default();
-            self.statements = Statements::new(now);
+            self.statements = self.statements.of_next_run(now);
+            self.foreign_requests = 0;
         }
         self.is_ready = status.is_ready;
         if let (Some(engine), true) = (&mut self.engine, restarted) {
@@ -241,9 +253,28 @@
         &mut self,
         took: Millis,
     ) {
+        self.call_ms += (self.unqueued_ms(took) - self.call_ms) * SAMPLE_WEIGHT;
+    }
+
+    /// The duration of a call without its queueing at the upstream, in milliseconds.
+    pub(super) fn unqueued_ms(
+        &self,
+        took: Millis,
+    ) -> f64 {
         let slots = self.slots.max(1);
         let load_factor = f64::from(self.running.max(slots)) / f64::from(slots);
-        self.call_ms += (took.0 as f64 / load_factor - self.call_ms) * SAMPLE_WEIGHT;
+        took.0 as f64 / load_factor
+    }
+
+    /// Mean duration of a call without queueing, in milliseconds.
+    fn mean_call_ms(
+        &self,
+        now: Millis,
+    ) -> f64 {
+        let forecast = &self.statements.forecast;
+        forecast.as_ref().map_or(self.call_ms, |forecast| {
+            self.usual_call_ms * forecast.factor(now)
+        })
     }
 
     /// Expected duration of a call, in milliseconds.
@@ -257,14 +288,17 @@
             1.0
         };
         let fill = f64::from(self.running) / f64::from(self.slots.max(1));
-        self.call_ms * slowdown * (1.0 + fill)
+        self.mean_call_ms(now) * slowdown * (1.0 + fill)
     }
 
     /// Throughput per millisecond: prompt tokens on an engine, otherwise calls.
-    pub(super) fn capacity(&self) -> f64 {
+    pub(super) fn capacity(
+        &self,
+        now: Millis,
+    ) -> f64 {
         let (capacity, per_request) = match &self.engine {
-            Some(engine) => (engine.backlog.tokens_per_ms(), engine.mean_prompt_tokens),
-            None => (f64::from(self.slots) / self.call_ms.max(1.0), 1.0),
+            Some(engine) => (engine.backlog.tokens_per_ms(now), engine.mean_prompt_tokens),
+            None => (f64::from(self.slots) / self.mean_call_ms(now).max(1.0), 1.0),
         };
         self.statements.request_limit.map_or(capacity, |limit| {
             capacity.min(limit.per_second / 1_000.0 * per_request)
--- a/crates/core/tests/unlisted_upstreams.rs
+++ b/crates/core/tests/unlisted_upstreams.rs
@@ -144,6 +144,7 @@
             started_unix_ms: started,
             signals: leaving(),
             sent_ago: Vec::new(),
+            base_pace: None,
         }],
         ..AttemptHistory::default()
     };
--- a/crates/core/tests/upstream_departures.rs
+++ b/crates/core/tests/upstream_departures.rs
@@ -65,6 +65,7 @@
             started_unix_ms: Some(1),
             signals: LEAVING,
             sent_ago: Vec::new(),
+            base_pace: None,
         }],
         ..AttemptHistory::default()
     };
--- a/crates/core/tests/upstream_rests.rs
+++ b/crates/core/tests/upstream_rests.rs
@@ -111,6 +111,7 @@
             started_unix_ms: Some(1),
             signals: REST_WANTED,
             sent_ago: Vec::new(),
+            base_pace: None,
         }],
         ..AttemptHistory::default()
     };
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -425,6 +425,9 @@
             ..headers.signals
         };
         self.placement.note_signals(&signals);
+        if headers.is_load_implausible {
+            self.placement.note_implausible_report();
+        }
     }
 
     /// Separates responses for the caller from failures of the attempt.
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -6,7 +6,7 @@
         clock::Millis,
         error::Refusal,
         ingress::CallKind,
-        scheduler::{OrderResult, Outcome, WaitReason},
+        scheduler::{OrderResult, Outcome, PaceSummary, WaitReason},
     },
     jasmine_telemetry::metrics::{Labels, Metrics, MetricsError, Refusals, RequestMetrics},
     opentelemetry::{
@@ -58,6 +58,11 @@
     leading: Gauge<u64>,
     config: Gauge<u64>,
     waited: Gauge<u64>,
+    pace_lowest: Gauge<u64>,
+    pace_highest: Gauge<u64>,
+    reports_ignored: Gauge<u64>,
+    report_decisions: Gauge<u64>,
+    report_ages: Gauge<u64>,
 }
 
 impl EntryMetrics {
@@ -136,6 +141,26 @@
                     "jasmine_waited_ms",
                     "How long requests have waited at this scheduler since it started, by what for",
                 ),
+                pace_lowest: gauge(
+                    "jasmine_pace_lowest_percent",
+                    "Time of work at the fastest upstream in percent of the usual, 0 if none is known",
+                ),
+                pace_highest: gauge(
+                    "jasmine_pace_highest_percent",
+                    "Time of work at the slowest upstream in percent of the usual, 0 if none is known",
+                ),
+                reports_ignored: gauge(
+                    "jasmine_load_reports_ignored",
+                    "Load reports that were ignored as implausible, of all upstreams known now",
+                ),
+                report_decisions: gauge(
+                    "jasmine_load_report_decisions",
+                    "Requests assigned by this scheduler to upstreams whose load reports take effect",
+                ),
+                report_ages: gauge(
+                    "jasmine_load_report_age_ms",
+                    "Sum of the ages of the newest load reports at those decisions",
+                ),
             },
             labels: RefCell::default(),
             metrics,
@@ -294,6 +319,7 @@
             let label = KeyValue::new("reason", reason.as_str());
             self.gauges.waited.record(waits.of(reason).0, &[label]);
         }
+        self.record_paces(cx.scheduling.local_scheduler.pace_summary());
         self.gauges.in_flight.record(cx.in_flight() as u64, &[]);
         let connections = cx.open_connections() as u64;
         self.gauges.connections.record(connections, &[]);
@@ -307,6 +333,18 @@
             .unwrap_or_else(|e| format!("# can't encode the metrics: {e}\n"))
     }
 
+    fn record_paces(
+        &self,
+        paces: PaceSummary,
+    ) {
+        let gauges = &self.gauges;
+        gauges.pace_lowest.record(paces.lowest_percent, &[]);
+        gauges.pace_highest.record(paces.highest_percent, &[]);
+        gauges.reports_ignored.record(paces.implausible, &[]);
+        gauges.report_decisions.record(paces.decisions, &[]);
+        gauges.report_ages.record(paces.report_age_ms, &[]);
+    }
+
     fn labels_of(
         &self,
         req: &ForwardRequest,
--- a/crates/entry/src/scheduling/convert.rs
+++ b/crates/entry/src/scheduling/convert.rs
@@ -403,6 +403,10 @@
         one.set_upstream(&spec.upstream);
         one.set_started_unix_ms(spec.started_unix_ms.unwrap_or_default());
         write_signals(one.reborrow().init_signals(), &spec.signals);
+        if let Some((base, weight)) = spec.base_pace {
+            one.set_base_pace(base as f32);
+            one.set_base_pace_weight(weight as f32);
+        }
         let mut sent_ago = one.init_sent_ago_ms(spec.sent_ago.len() as u32);
         for (at, ago) in spec.sent_ago.iter().enumerate() {
             sent_ago.set(at as u32, u16::try_from(ago.0).unwrap_or(u16::MAX));
@@ -421,11 +425,18 @@
                 started_unix_ms: Some(one.get_started_unix_ms()).filter(|&ms| ms != 0),
                 signals: read_signals(one.get_signals()?)?,
                 sent_ago: sent_ago.map(|ms| Millis(ms.into())).collect(),
+                base_pace: read_base_pace(one),
             })
         })
         .collect()
 }
 
+fn read_base_pace(from: stated::Reader<'_>) -> Option<(f64, f64)> {
+    let base = f64::from(from.get_base_pace());
+    let weight = f64::from(from.get_base_pace_weight());
+    (base.is_finite() && base > 0.0 && weight.is_finite() && weight > 0.0).then_some((base, weight))
+}
+
 pub(super) fn write_crashes(
     mut to: struct_list::Builder<'_, crash::Owned>,
     crashes: &[CrashSpec],
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -29,6 +29,9 @@
     xxhash_rust::xxh3::xxh3_64,
 };
 
+/// Interval of checks whether upstreams sent implausible load reports.
+const REPORT_LOG_INTERVAL: Millis = Millis(1_000);
+
 /// The scheduler's decision on a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -123,6 +126,7 @@
 
     /// Runs the scheduler's timers; never returns.
     pub async fn run(&self) {
+        let mut reports_logged_at = Millis::ZERO;
         loop {
             let now = self.clock.now();
             let due = self.scheduler.borrow().wake_at(now);
@@ -133,6 +137,10 @@
                 () = self.wake.notified() => continue,
             }
             self.apply(Scheduler::tick);
+            if now.since(reports_logged_at) >= REPORT_LOG_INTERVAL {
+                reports_logged_at = now;
+                self.log_implausible_reports();
+            }
         }
     }
 
@@ -316,6 +324,7 @@
             started_unix_ms: stated.started_unix_ms,
             signals: stated.signals,
             sent_ago: stated.sent_ago,
+            base_pace: stated.base_pace,
         });
         VmHistory {
             counted_for: history.counted_for,
@@ -357,6 +366,7 @@
             started_unix_ms: spec.started_unix_ms,
             signals: spec.signals,
             sent_ago: spec.sent_ago.clone(),
+            base_pace: spec.base_pace,
         });
         let history = AttemptHistory {
             counted_for: history.counted_for,
--- a/crates/entry/src/scheduling/mod.rs
+++ b/crates/entry/src/scheduling/mod.rs
@@ -7,6 +7,7 @@
 mod handover;
 mod job_spec;
 mod leader;
+mod load_reports;
 mod local_scheduler;
 mod name_interner;
 mod orders;
--- a/crates/entry/src/scheduling/placement.rs
+++ b/crates/entry/src/scheduling/placement.rs
@@ -73,6 +73,13 @@
             .note_signals(&self.upstream, signals, self.assigned_at);
     }
 
+    /// Counts a load report of the upstream that can't be decoded, or whose pace isn't credible.
+    pub fn note_implausible_report(&self) {
+        self.scheduling
+            .local_scheduler
+            .note_implausible_report(&self.upstream);
+    }
+
     /// Records that the answer has begun.
     pub fn note_begun(&self) {
         self.has_begun.set(true);
--- a/crates/entry/src/scheduling/vm_history.rs
+++ b/crates/entry/src/scheduling/vm_history.rs
@@ -46,4 +46,6 @@
     pub signals: UpstreamSignals,
     /// How long ago this VM sent the last requests to it.
     pub sent_ago: Vec<Millis>,
+    /// The upstream's base pace relative to its service, with the number of observations that it rests on.
+    pub base_pace: Option<(f64, f64)>,
 }
