--- a/crates/core/src/scheduler/choose/mod.rs
+++ b/crates/core/src/scheduler/choose/mod.rs
@@ -16,6 +16,7 @@
 };
 
 mod best;
+mod call_cost;
 mod cost;
 mod finish;
 mod load;
@@ -153,7 +154,7 @@
         job: &Job,
     ) -> Choice {
         let cost = |up: &&Upstream| {
-            self.call_time_ms(up) + self.penalty(job, up) + self.evacuation_penalty(up)
+            self.call_time(job, up) + self.penalty(job, up) + self.evacuation_penalty(up)
         };
         let best = self
             .candidates(job)
--- a/crates/core/src/scheduler/expected_cost.rs
+++ b/crates/core/src/scheduler/expected_cost.rs
@@ -131,7 +131,7 @@
         let expected_ms = self.costs.estimate(&key, prior, now).mean_ms;
         let mut work_ms = work.0 as f64;
         if let Some(upstream) = self.upstreams.get_mut(&id) {
-            work_ms /= upstream.pace.factor(now);
+            work_ms /= upstream.pace_factor(now);
             // Where all upstreams seem slow, it is the estimates that are too low.
             let ratio = work.0 as f64 / expected_ms;
             let of_all = self.paces.entry(job.service).or_default();
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -43,10 +43,13 @@
 mod measured_pace;
 mod outcome;
 mod outcome_records;
+mod pace_summary;
+mod paces;
 mod prefill_estimator;
 mod prefix_cache;
 mod rate_history;
 mod recent_builds;
+mod report_ages;
 mod report_queue;
 mod request_limit;
 mod request_load;
@@ -59,6 +62,7 @@
 mod state_machine;
 mod statements;
 mod upstream;
+mod usual_call_time;
 mod wait_reason;
 mod wait_times;
 
@@ -74,6 +78,7 @@
     hard_load_settings::HardLoadSettings,
     job::{AttemptId, Generation, Job, LOCAL_VM, VersionLimit, Work},
     outcome::{EnginesToPause, OrderResult, Outcome, RateDecision},
+    pace_summary::{ImplausibleReports, PaceSummary},
     rate_history::{RateHistory, SpentTokens},
     request_limit::LIMIT_WINDOW,
     retry_budget::{AttemptCounts, AttemptHistory},
--- a/crates/core/src/scheduler/upstream.rs
+++ b/crates/core/src/scheduler/upstream.rs
@@ -105,6 +105,13 @@
     pub pace: MeasuredPace,
     /// Moving average of the duration of a call, in milliseconds.
     call_ms: f64,
+    /// Mean time of a call of its service at the usual pace, in milliseconds.
+    pub usual_call_ms: f64,
+    /// Requests that it reported beyond those that this scheduler had assigned.
+    pub foreign_requests: u32,
+    /// Implausible reports that were told, and when.
+    pub complained_count: u64,
+    pub complained_at: Option<Millis>,
     pub engine: Option<Engine>,
 }
 
@@ -136,6 +143,10 @@
             work: RunningWork::default(),
             pace: MeasuredPace::default(),
             call_ms: INITIAL_CALL_MS,
+            usual_call_ms: INITIAL_CALL_MS,
+            foreign_requests: 0,
+            complained_count: 0,
+            complained_at: None,
             engine,
         }
     }
@@ -158,7 +169,8 @@
         self.started_unix_ms = status.started_unix_ms;
         if restarted {
             self.health = Health::default();
-            self.statements = Statements::new(now);
+            self.statements = self.statements.of_next_run(now);
+            self.foreign_requests = 0;
         }
         self.is_ready = status.is_ready;
         if let (Some(engine), true) = (&mut self.engine, restarted) {
@@ -249,9 +261,28 @@
         &mut self,
         took: Millis,
     ) {
+        self.call_ms += (self.unqueued_ms(took) - self.call_ms) * SAMPLE_WEIGHT;
+    }
+
+    /// The duration of a call without its queueing at the upstream, in milliseconds.
+    pub(super) fn unqueued_ms(
+        &self,
+        took: Millis,
+    ) -> f64 {
         let slots = self.slots.max(1);
         let load_factor = f64::from(self.running.max(slots)) / f64::from(slots);
-        self.call_ms += (took.0 as f64 / load_factor - self.call_ms) * SAMPLE_WEIGHT;
+        took.0 as f64 / load_factor
+    }
+
+    /// Mean duration of a call without queueing, in milliseconds.
+    fn mean_call_ms(
+        &self,
+        now: Millis,
+    ) -> f64 {
+        let forecast = &self.statements.forecast;
+        forecast.as_ref().map_or(self.call_ms, |forecast| {
+            self.usual_call_ms * forecast.factor(now)
+        })
     }
 
     /// Expected duration of a call, in milliseconds.
@@ -265,7 +296,16 @@
             1.0
         };
         let fill = f64::from(self.running) / f64::from(self.slots.max(1));
-        self.call_ms * slowdown * (1.0 + fill)
+        self.mean_call_ms(now) * slowdown * (1.0 + fill)
+    }
+
+    /// How long work takes here, relative to its expected cost: by load reports where they take effect, otherwise as measured.
+    pub(super) fn pace_factor(
+        &self,
+        now: Millis,
+    ) -> f64 {
+        let forecast = self.statements.forecast.as_ref();
+        forecast.map_or_else(|| self.pace.factor(now), |forecast| forecast.factor(now))
     }
 
     /// Factor on the usual time of work here now.
@@ -278,7 +318,7 @@
         } else {
             1.0
         };
-        self.pace.factor(now).max(warm_up)
+        self.pace_factor(now).max(warm_up)
     }
 
     /// Number of calls that it runs at once; `None` for an engine, which works on all its requests.
@@ -287,10 +327,13 @@
     }
 
     /// Throughput per millisecond: prompt tokens on an engine, otherwise calls.
-    pub(super) fn capacity(&self) -> f64 {
+    pub(super) fn capacity(
+        &self,
+        now: Millis,
+    ) -> f64 {
         let (capacity, per_request) = match &self.engine {
-            Some(engine) => (engine.backlog.tokens_per_ms(), engine.mean_prompt_tokens),
-            None => (f64::from(self.slots) / self.call_ms.max(1.0), 1.0),
+            Some(engine) => (engine.backlog.tokens_per_ms(now), engine.mean_prompt_tokens),
+            None => (f64::from(self.slots) / self.mean_call_ms(now).max(1.0), 1.0),
         };
         self.statements.request_limit.map_or(capacity, |limit| {
             capacity.min(limit.per_second / 1_000.0 * per_request)
