--- a/crates/core/src/scheduler/backlog.rs
+++ b/crates/core/src/scheduler/backlog.rs
@@ -110,7 +110,7 @@
     /// The moving average `slowness`, decayed towards 1 since its last update.
     ///
     /// Without the decay, an engine that is avoided for being slow would never be tried again.
-    fn slowness_at(
+    pub(super) fn slowness_at(
         &self,
         now: Millis,
     ) -> f64 {
--- a/crates/core/src/scheduler/choose/load.rs
+++ b/crates/core/src/scheduler/choose/load.rs
@@ -6,7 +6,7 @@
     },
     crate::{
         clock::Millis,
-        ids::{AdapterVersion, ModelId},
+        ids::{AdapterVersion, ModelId, UpstreamId},
         placement::rendezvous_score,
         scheduler::{
             Generation, Job, WaitReason,
@@ -33,6 +33,11 @@
 /// Penalty per recent use of the adapter to evict, which will probably be loaded again.
 const EVICTION_PENALTY_MS: f64 = 8.0;
 const MAX_EVICTION_PENALTY_MS: f64 = 150.0;
+/// The same where copies are planned by demand: the uses that an eviction makes wait are known there, over all engines.
+///
+/// Such a use waits for a load. With the low penalty, adapters are evicted on fast engines while slow ones have free slots.
+const KNOWN_EVICTION_PENALTY_MS: f64 = 250.0;
+const MAX_KNOWN_EVICTION_PENALTY_MS: f64 = 300.0;
 /// Factor on the expected time to the first token where that may not be late; covers the error of the estimate.
 const FIRST_TOKEN_MARGIN: f64 = 2.0;
 /// Maximum penalty for an engine that the adapter doesn't prefer; spreads adapters over otherwise
@@ -65,7 +70,7 @@
             ));
         };
         let order_wait = engine.order_wait(self.now)?;
-        let load_ms = self.load_time_ms(is_warm) + ORDER_ROUND_TRIP_MS + order_wait.0 as f64;
+        let load_ms = self.load_time_ms(up.id, is_warm) + ORDER_ROUND_TRIP_MS + order_wait.0 as f64;
         let extra = (load_ms - engine.backlog.wait(self.now)).max(0.0);
         let load_penalty = if is_warm {
             WARM_LOAD_PENALTY_MS
@@ -90,10 +95,14 @@
     /// Expected time of a load that starts now, in milliseconds.
     pub(super) fn load_time_ms(
         &self,
+        engine: UpstreamId,
         is_warm: bool,
     ) -> f64 {
         if is_warm {
             self.settings.loads.warm.0 as f64
+        } else if self.demand.is_some() {
+            let load = &self.settings.loads;
+            self.fleet.cold_time_on(engine, load, self.now).0 as f64
         } else {
             self.cold_load_ms
         }
@@ -101,7 +110,7 @@
 
     /// The adapter to evict, if any, and the eviction penalty in milliseconds; `None` if no slot
     /// can be freed.
-    fn find_slot(
+    pub(super) fn find_slot(
         &self,
         model: ModelId,
         engine: &Engine,
@@ -121,11 +130,20 @@
         if !self.can_evict {
             return None;
         }
+        let max_penalty = match self.demand {
+            Some(_) => MAX_KNOWN_EVICTION_PENALTY_MS,
+            None => MAX_EVICTION_PENALTY_MS,
+        };
         let eviction_cost = |resident: &ResidentAdapter| {
             let is_old = self.versions.wanted(resident.adapter.adapter) != resident.adapter;
             let recent_uses = resident.demand.get(self.now, DEMAND_HALF_LIFE);
+            let value = self
+                .demand
+                .map(|demand| demand.recent_uses_of_copy(resident.adapter.adapter, self.now));
             if is_old {
                 0.0
+            } else if let Some(recent_uses) = value {
+                recent_uses * KNOWN_EVICTION_PENALTY_MS
             } else {
                 recent_uses * EVICTION_PENALTY_MS
             }
@@ -143,7 +161,7 @@
             })
             .map(|resident| (eviction_cost(resident), resident.adapter))
             .min_by(|a, b| a.0.total_cmp(&b.0))
-            .map(|(cost, adapter)| (Some(adapter), cost.min(MAX_EVICTION_PENALTY_MS)))
+            .map(|(cost, adapter)| (Some(adapter), cost.min(max_penalty)))
     }
 
     /// An older version on this engine on which the request can begin in time while the new one is loading.
--- a/crates/core/src/scheduler/choose/mod.rs
+++ b/crates/core/src/scheduler/choose/mod.rs
@@ -16,11 +16,13 @@
 };
 
 mod best;
+mod copy;
 mod cost;
 mod load;
 mod preferred;
 
 use best::BestOptions;
+pub(super) use copy::CopyDemand;
 pub(super) use preferred::PreferredEngines;
 
 /// Services with up to this many engines have all of them evaluated for each request.
@@ -29,6 +31,8 @@
 ///
 /// Enough that one of them usually has an idle adapter slot.
 const MAX_PREFERRED_ENGINES: usize = 12;
+/// The same where copies are planned by demand: more engines offer an adapter that is worth less.
+const MAX_PREFERRED_FOR_COPIES: usize = 24;
 /// Bound on the engines sampled from those that may have the adapter, or from all members of the
 /// service.
 const MAX_SAMPLED_ENGINES: usize = 64;
@@ -73,6 +77,8 @@
     pub can_evict: bool,
     /// Expected time of a load from the adapter store that starts now, in milliseconds.
     pub cold_load_ms: f64,
+    /// Demand for adapters where copies are planned by it; `None` elsewhere.
+    pub demand: Option<CopyDemand<'a>>,
     /// Number of VMs that decide without a scheduler and share the slots of plain services; 1 for
     /// the elected scheduler.
     pub deciding_vms: u64,
@@ -279,11 +285,13 @@
         let mut candidates = self.sample(holders, u64::from(adapter.0), |up| {
             up.service == job.service && has_adapter(up) && is_candidate(up)
         });
+        let max_preferred = match self.demand {
+            Some(_) => MAX_PREFERRED_FOR_COPIES,
+            None => MAX_PREFERRED_ENGINES,
+        };
         let others = self.fleet.preferred(job.service, adapter);
         let others = others.filter(|up| !has_adapter(up) && is_candidate(up));
-        candidates
-            .engines
-            .extend(others.take(MAX_PREFERRED_ENGINES));
+        candidates.engines.extend(others.take(max_preferred));
         candidates
     }
 
@@ -430,8 +438,8 @@
         {
             // The load starts once the slot is free; loading on another engine would make a
             // needless second copy.
-            let load_ms =
-                self.load_time_ms(engine.was_unloaded_recently(wanted)) + ORDER_ROUND_TRIP_MS;
+            let load_ms = self.load_time_ms(up.id, engine.was_unloaded_recently(wanted))
+                + ORDER_ROUND_TRIP_MS;
             let extra = (load_ms - engine.backlog.wait(self.now)).max(0.0);
             return Some((base + extra, ServingOption::Wait(WaitReason::Load)));
         }
--- a/crates/core/src/scheduler/engine.rs
+++ b/crates/core/src/scheduler/engine.rs
@@ -2,6 +2,7 @@
     super::{
         EngineStatus, LoadSettings,
         backlog::Backlog,
+        load_slowdown::LoadSlowdown,
         prefix_cache::PrefixCache,
         resident::{DEMAND_HALF_LIFE, ResidentAdapter, ResidentState},
     },
@@ -98,6 +99,8 @@
     /// Moving average of the size of a prompt, in tokens.
     pub mean_prompt_tokens: f64,
     consecutive_late_loads: u32,
+    /// How much slower its loads are than the settings say.
+    pub load_slowdown: LoadSlowdown,
 }
 
 impl Engine {
@@ -125,6 +128,7 @@
             kv_used: 0,
             mean_prompt_tokens: INITIAL_PROMPT_TOKENS,
             consecutive_late_loads: 0,
+            load_slowdown: LoadSlowdown::of_engine(),
         }
     }
 
@@ -134,6 +138,7 @@
         let mut fresh = Self::new(self.limits.clone());
         fresh.backlog = backlog;
         fresh.kv_used = self.kv_used;
+        fresh.load_slowdown = self.load_slowdown;
         fresh.users = std::mem::take(&mut self.users);
         fresh.last_order_at = self.last_order_at;
         fresh.orders_allowed_at = self.orders_allowed_at;
@@ -372,6 +377,16 @@
         self.residents.len() < self.limits.adapter_slots && self.has_memory_for(model)
     }
 
+    /// How long its work takes relative to the engines of its service; 1 is as usual.
+    ///
+    /// Today the slowness of its prompts; part A replaces it by the pace factor of the upstream.
+    pub(super) fn pace(
+        &self,
+        now: Millis,
+    ) -> f64 {
+        self.backlog.slowness_at(now)
+    }
+
     /// Number of adapters being loaded.
     pub(super) fn loading_adapter_count(
         &self,
--- a/crates/core/src/scheduler/fleet.rs
+++ b/crates/core/src/scheduler/fleet.rs
@@ -13,6 +13,7 @@
         evacuation::Evacuations,
         fleet_totals::FleetTotals,
         holders::Holders,
+        load_punctuality::LoadPunctuality,
         load_slowdown::LoadSlowdown,
         prefill_estimator::{PrefillEstimator, PrefillTime},
         recent_builds::RecentBuilds,
@@ -56,10 +57,21 @@
     /// Times of calls, by service.
     pub(super) call_times: HashMap<ServiceId, CallTimes>,
     pub(super) load_slowdown: LoadSlowdown,
+    pub(super) load_punctuality: LoadPunctuality,
+    /// When the parts that answer hard load take effect.
+    pub(super) hard_load: HardLoadSettings,
     pub(super) recent_builds: RecentBuilds,
 }
 
 impl Fleet {
+    /// An empty fleet.
+    pub(super) fn new(hard_load: HardLoadSettings) -> Self {
+        Self {
+            hard_load,
+            ..Self::default()
+        }
+    }
+
     /// Sets which services have engines, and the capacity of these.
     pub(super) fn set_engines(
         &mut self,
@@ -288,7 +300,6 @@
     }
 
     /// Whether a part that answers hard load takes effect for a service.
-    #[expect(dead_code, reason = "the parts follow")]
     pub(super) fn is_active(
         &self,
         part: Activation,
@@ -433,6 +444,49 @@
         u64::from(load.max_concurrent_cold.max(1)).max(self.totals.engines as u64 * 4 / 9)
     }
 
+    /// Whether adapter copies are planned ahead of demand for a service.
+    pub(super) fn plans_copies(
+        &self,
+        service: ServiceId,
+    ) -> bool {
+        self.is_active(self.hard_load.adapter_copies, service, self.hard_load)
+    }
+
+    /// Whether the store has capacity for a load that no request waits for: half of it is left for
+    /// those that one does.
+    pub(super) fn has_spare_loads(
+        &self,
+        load: &LoadSettings,
+    ) -> bool {
+        (self.totals.cold_loads as u64) < self.max_concurrent_cold_loads(load) / 2
+    }
+
+    /// Expected duration of a cold load that starts now on an engine.
+    ///
+    /// Where copies are planned, an engine whose loads are late counts for itself: a slow machine
+    /// says nothing about the loads of others. It counts for all only if most loads are late.
+    pub(super) fn cold_time_on(
+        &self,
+        id: UpstreamId,
+        load: &LoadSettings,
+        now: Millis,
+    ) -> Millis {
+        let own = self
+            .upstreams
+            .get(&id)
+            .filter(|up| self.plans_copies(up.service));
+        let Some(engine) = own.and_then(|up| up.engine.as_ref()) else {
+            return self.cold_time(load, now);
+        };
+        let of_store = if self.load_punctuality.most_are_late(now) {
+            self.load_slowdown.factor(now)
+        } else {
+            1.0
+        };
+        let factor = engine.load_slowdown.factor(now).max(of_store);
+        Millis((self.nominal_cold_time(load).0 as f64 * factor) as u64)
+    }
+
     /// Expected duration of a cold load that starts now.
     pub(super) fn cold_time(
         &self,
--- a/crates/core/src/scheduler/loads.rs
+++ b/crates/core/src/scheduler/loads.rs
@@ -91,7 +91,7 @@
     load: &LoadSettings,
     now: Millis,
 ) -> Option<SchedulerAction> {
-    let load_time = fleet.cold_time(load, now);
+    let load_time = fleet.cold_time_on(plan.upstream, load, now);
     let engine = fleet.engine_mut(plan.upstream)?;
     if !engine.can_take_order(now) {
         return None;
@@ -159,7 +159,7 @@
     load: &LoadSettings,
     now: Millis,
 ) -> Option<SchedulerAction> {
-    let cold_time = fleet.cold_time(load, now);
+    let cold_time = fleet.cold_time_on(upstream, load, now);
     let engine = fleet.engine_mut(upstream)?;
     engine.has_pending_order = false;
     engine.last_order_at = now;
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -26,6 +26,7 @@
 mod call_times;
 mod choose;
 mod cold_admission;
+mod copy_statistics;
 mod departed;
 mod engine;
 mod evacuation;
@@ -36,11 +37,13 @@
 mod health;
 mod holders;
 mod job;
+mod load_punctuality;
 mod load_slowdown;
 mod loads;
 mod local_usage;
 mod outcome;
 mod outcome_records;
+mod planned_load;
 mod prefill_estimator;
 mod prefix_cache;
 mod rate_history;
@@ -67,11 +70,13 @@
     admission_share::AdmissionShare,
     announced_versions::{Announcement, NewestVersion},
     cold_admission::{COLD_WINDOW, ColdLimit},
+    copy_statistics::CopyStatistics,
     engine::EngineLimits,
     evacuation::EvacuationTimes,
     hard_load_settings::HardLoadSettings,
     job::{AttemptId, Generation, Job, LOCAL_VM, VersionLimit, Work},
     outcome::{EnginesToPause, OrderResult, Outcome, RateDecision},
+    planned_load::PlannedLoad,
     rate_history::{RateHistory, SpentTokens},
     request_limit::LIMIT_WINDOW,
     retry_budget::{AttemptCounts, AttemptHistory},
--- a/crates/core/src/scheduler/outcome_records.rs
+++ b/crates/core/src/scheduler/outcome_records.rs
@@ -27,8 +27,12 @@
             adapter.and_then(|adapter| upstream.engine.as_ref()?.cold_load_accepted_at(adapter));
         if let (Some(since), Outcome::Shed | Outcome::NotLoaded) = (cold_load_accepted_at, outcome)
         {
-            self.load_slowdown
-                .note_late(now.since(since), expected, now);
+            let elapsed = now.since(since);
+            self.load_slowdown.note_late(elapsed, expected, now);
+            self.load_punctuality.note(true, now);
+            if let Some(engine) = &mut upstream.engine {
+                engine.load_slowdown.note_late(elapsed, expected, now);
+            }
         }
         if outcome == Outcome::Shed {
             upstream.statements.note_rejection(now);
--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -14,7 +14,7 @@
         queue::{QueueTarget, QueuedRequest},
         scheduler::{
             Job, Outcome, RateShare, SchedulerAction as Action, WaitReason,
-            choose::{Choice, SelectionContext},
+            choose::{Choice, CopyDemand, SelectionContext},
             fleet::Fleet,
             fleet_totals::FleetTotals,
             loads,
@@ -117,6 +117,7 @@
             self.run_dispatch_pass(now, &mut actions);
             self.next_pass_at = now + self.dispatch_pass_interval();
         }
+        self.plan_copies(now, &mut actions);
         if self.can_order && now >= self.engines_checked_at + self.engine_check_interval() {
             self.engines_checked_at = now;
             self.check_engines(now, &mut actions);
@@ -292,6 +293,7 @@
                     reports,
                     evaluation_epoch,
                     quarantine,
+                    demand,
                     ..
                 } = self;
 
@@ -332,6 +334,7 @@
                         can_order,
                         can_evict,
                         cold_load_ms: cold_load.0 as f64,
+                        demand: CopyDemand::of(demand, fleet, entry.job.service),
                         deciding_vms,
                         vm,
                         avoided: &avoided,
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -129,6 +129,7 @@
         settings: SchedulerSettings,
     ) {
         self.settings = settings;
+        self.fleet.hard_load = settings.hard_load;
     }
 
     /// Replaces the rate limits; accounts that are not listed have no limit.
@@ -317,6 +318,7 @@
             return refuse(refusal);
         }
         self.next_request += 1;
+        self.note_demand(&job, now);
         self.update_queued_work(&job, true);
         self.on_time.insert((self.latest_send_at(&job), request));
         self.add_entry(request, attempt_id, job, Stage::Waiting, charge, now);
@@ -433,9 +435,14 @@
             engine
                 .prefixes
                 .note(generation.adapter, &generation.parts, now);
+            let was_cold_load =
+                adapter.is_some_and(|adapter| engine.cold_load_accepted_at(adapter).is_some());
             if let Some(adapter) = adapter {
                 engine.note_loaded(adapter);
             }
+            if was_cold_load {
+                self.fleet.load_punctuality.note(false, now);
+            }
             if let Some(reading) = reading {
                 self.fleet.note_prefill(entry.job.service, reading);
             }
--- a/crates/core/src/scheduler/state_machine/mod.rs
+++ b/crates/core/src/scheduler/state_machine/mod.rs
@@ -3,11 +3,13 @@
 
 use {
     super::{
-        AttemptId, RateShare, SchedulerSettings, WaitTimes, account_rates::AccountRates,
-        announced_versions::AnnouncedVersions, fleet::Fleet, loads::ModelLoads,
-        report_queue::ReportQueue, retry_budget::RetryBudget, running::TrackedRequest,
+        AttemptId, PlannedLoad, RateShare, SchedulerSettings, WaitTimes,
+        account_rates::AccountRates, announced_versions::AnnouncedVersions, fleet::Fleet,
+        loads::ModelLoads, report_queue::ReportQueue, retry_budget::RetryBudget,
+        running::TrackedRequest,
     },
     crate::{
+        adapter_demand::{AdapterDemand, LoadUsefulness},
         clock::Millis,
         ids::{AdapterId, RequestId, ServiceId},
         quarantine::PartQuarantine,
@@ -18,6 +20,7 @@
 
 mod admission;
 mod availability;
+mod copies;
 mod decisions;
 mod events;
 mod quarantine;
@@ -72,6 +75,12 @@
     /// When the next evacuation takes effect.
     next_evacuation_at: Option<Millis>,
     model_loads: ModelLoads,
+    /// Demand for adapters where copies are planned by it.
+    demand: AdapterDemand,
+    usefulness: LoadUsefulness,
+    copies_planned_at: Millis,
+    /// Loads ahead of demand that were not yet logged.
+    planned_loads: Vec<PlannedLoad>,
     engines_checked_at: Millis,
     reports: ReportQueue,
     /// Incremented when all queued requests are to be evaluated again.
@@ -99,7 +108,7 @@
             settings,
             can_order: false,
             evictions_allowed_at: Millis::ZERO,
-            fleet: Fleet::default(),
+            fleet: Fleet::new(settings.hard_load),
             versions: AnnouncedVersions::default(),
             rates: AccountRates::new(share),
             retry_budgets: HashMap::new(),
@@ -123,6 +132,10 @@
             next_resumption_check_at: Millis::ZERO,
             next_evacuation_at: None,
             model_loads: ModelLoads::default(),
+            demand: AdapterDemand::default(),
+            usefulness: LoadUsefulness::default(),
+            copies_planned_at: Millis::ZERO,
+            planned_loads: Vec::new(),
             engines_checked_at: Millis::ZERO,
             reports: ReportQueue::default(),
             evaluation_epoch: 0,
--- a/crates/core/tests/scheduler_world/mod.rs
+++ b/crates/core/tests/scheduler_world/mod.rs
@@ -15,7 +15,7 @@
         scheduler::{
             AttemptId, EngineLimits, EngineStatus, Generation, Job, Order, OrderResult, Outcome,
             RateShare, Scheduler, SchedulerAction as Action, SchedulerSettings, UpstreamStatus,
-            Work,
+            WaitReason, Work,
         },
     },
     std::collections::{BTreeMap, HashMap},
@@ -42,6 +42,8 @@
     pub scheduler: Scheduler,
     pub now: Millis,
     pub decisions: BTreeMap<u64, Decision>,
+    /// What each assigned request waited for longest.
+    pub wait_reasons: BTreeMap<u64, WaitReason>,
     pub orders: Vec<(UpstreamId, Order)>,
     pub reports_asked: Vec<UpstreamId>,
     /// Orders left unanswered, for the test to answer.
@@ -71,6 +73,7 @@
             scheduler,
             now,
             decisions: BTreeMap::new(),
+            wait_reasons: BTreeMap::new(),
             orders: Vec::new(),
             reports_asked: Vec::new(),
             unanswered: Vec::new(),
@@ -252,8 +255,9 @@
                     attempt_id,
                     upstream,
                     version,
-                    ..
+                    waited_for,
                 } => {
+                    self.wait_reasons.insert(attempt_id.number, waited_for);
                     let decision = Decision::Sent(upstream, version);
                     self.decisions.insert(attempt_id.number, decision);
                 }
