--- a/crates/core/src/adapter_demand/load_usefulness.rs
+++ b/crates/core/src/adapter_demand/load_usefulness.rs
@@ -35,7 +35,7 @@
     awaited: Vec<PlannedCopy>,
     judged: DecayingSum,
     vain: DecayingSum,
-    /// Loads ordered ahead of demand so far.
+    /// Loads ordered by demand so far, ahead of it or for a queue.
     pub planned: u64,
     /// Loads ahead of demand so far for which no request came.
     pub in_vain: u64,
@@ -43,11 +43,10 @@
 
 impl LoadUsefulness {
     /// Records a load ahead of demand.
-    pub fn note_planned(
+    pub fn note_ahead(
         &mut self,
         copy: PlannedCopy,
     ) {
-        self.planned += 1;
         if self.awaited.len() < MAX_AWAITED {
             self.awaited.push(copy);
         }
--- a/crates/core/src/adapter_demand/table.rs
+++ b/crates/core/src/adapter_demand/table.rs
@@ -107,7 +107,7 @@
     }
 
     /// Number of adapters whose rates are kept.
-    pub fn len(&self) -> usize {
+    pub fn known_adapters(&self) -> usize {
         self.rates.len()
     }
 
--- a/crates/core/src/scheduler/choose/copy.rs
+++ b/crates/core/src/scheduler/choose/copy.rs
@@ -5,7 +5,7 @@
     crate::{
         adapter_demand::{AdapterDemand, RequestedAdapter},
         clock::Millis,
-        ids::{AdapterId, AdapterVersion},
+        ids::{AdapterId, AdapterVersion, ServiceId},
         scheduler::{engine::Engine, fleet::Fleet, resident::DEMAND_HALF_LIFE, upstream::Upstream},
     },
 };
@@ -30,7 +30,7 @@
     pub(in crate::scheduler) fn of(
         table: &'a AdapterDemand,
         fleet: &Fleet,
-        service: crate::ids::ServiceId,
+        service: ServiceId,
     ) -> Option<Self> {
         let prefill = fleet.prefill_time(service);
         fleet.plans_copies(service).then(|| Self {
--- a/crates/core/src/scheduler/copy_statistics.rs
+++ b/crates/core/src/scheduler/copy_statistics.rs
@@ -1,9 +1,9 @@
 /// Counts of adapter copies where they are planned by demand.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct CopyStatistics {
-    /// Loads ordered ahead of demand so far.
+    /// Loads of further copies ordered by demand so far.
     pub planned: u64,
-    /// Those for which no request came.
+    /// Those ahead of demand for which no request came.
     pub in_vain: u64,
     /// Copies on all engines now.
     pub copies: u64,
--- a/crates/core/src/scheduler/state_machine/copies.rs
+++ b/crates/core/src/scheduler/state_machine/copies.rs
@@ -5,7 +5,7 @@
     crate::{
         adapter_demand::{PlannedCopy, RequestedAdapter, Trend},
         clock::Millis,
-        ids::AdapterVersion,
+        ids::AdapterId,
         scheduler::{
             CopyStatistics, Job, LOCAL_VM, PlannedLoad, SchedulerAction as Action,
             choose::{CopyDemand, SelectionContext},
@@ -17,13 +17,13 @@
 };
 
 /// Minimum time between two planning steps; short compared with a load.
-const MIN_PLANNING_INTERVAL: Millis = Millis(20);
+const MIN_PLANNING_INTERVAL: Millis = Millis(10);
 /// Planning steps are rarer in a large fleet, as each counts the copies on all engines: by this factor than its totals.
 const TOTALS_PER_STEP: u64 = 4;
 /// Queued requests of an adapter from which they call for another copy; fewer are served by those that it has.
 const MIN_QUEUED: u32 = 2;
 /// How many load times the queue of one copy may take: it is partly served while another copy is loaded.
-const LOADS_PER_QUEUE: f64 = 1.5;
+const LOADS_PER_QUEUE: f64 = 1.0;
 /// Bound on the copies of one adapter that one step orders.
 const MAX_COPIES_PER_STEP: u32 = 3;
 /// Bound on the planned loads kept for the log.
@@ -56,7 +56,10 @@
     ) {
         let interval = FleetTotals::refresh_interval(self.fleet.upstreams.len());
         let interval = Millis(interval.0 * TOTALS_PER_STEP).max(MIN_PLANNING_INTERVAL);
-        if !self.can_order || self.demand.len() == 0 || now < self.copies_planned_at + interval {
+        if !self.can_order
+            || self.demand.known_adapters() == 0
+            || now < self.copies_planned_at + interval
+        {
             return;
         }
         self.copies_planned_at = now;
@@ -108,9 +111,6 @@
             usefulness,
             ..
         } = self;
-        if !usefulness.allows(now) {
-            return None;
-        }
         let RequestedAdapter {
             service, adapter, ..
         } = requested;
@@ -128,12 +128,17 @@
             _ => (f64::from(queued) * demand.work_ms / (load_ms * LOADS_PER_QUEUE)).ceil() as u32,
         };
         let wanted = by_rate.max(by_queue);
+        // A copy that queued requests call for isn't ahead of demand.
+        let is_ahead = by_queue <= copies;
+        if is_ahead && !usefulness.allows(now) {
+            return None;
+        }
         // The first copy is loaded for the request that needs it.
         if copies == 0 || copies >= wanted {
             return None;
         }
         let rate = table.rate(adapter, now);
-        let wanted_version: AdapterVersion = versions.wanted(adapter);
+        let wanted_version = versions.wanted(adapter);
         let selection = SelectionContext {
             fleet,
             versions,
@@ -152,11 +157,14 @@
         let plan = selection.choose_copy(requested, wanted_version, value)?;
         let action = loads::begin(fleet, versions, &plan, &settings.loads, now)?;
         table.note_copy(adapter);
-        usefulness.note_planned(PlannedCopy {
-            upstream: plan.upstream,
-            adapter: wanted_version,
-            ordered_at: now,
-        });
+        usefulness.planned += 1;
+        if is_ahead {
+            usefulness.note_ahead(PlannedCopy {
+                upstream: plan.upstream,
+                adapter: wanted_version,
+                ordered_at: now,
+            });
+        }
         if self.planned_loads.len() < MAX_LOGGED {
             self.planned_loads.push(PlannedLoad {
                 upstream: plan.upstream,
@@ -182,12 +190,12 @@
             planned: self.usefulness.planned,
             in_vain: self.usefulness.in_vain,
             copies: self.demand.total_copies(),
-            adapters: self.demand.len() as u64,
+            adapters: self.demand.known_adapters() as u64,
         }
     }
 }
 
-fn held_adapters(engine: &Engine) -> impl Iterator<Item = crate::ids::AdapterId> + '_ {
+fn held_adapters(engine: &Engine) -> impl Iterator<Item = AdapterId> + '_ {
     let residents = engine.residents.iter().map(|held| held.adapter.adapter);
     residents.chain(engine.reserved.map(|(_, reserved)| reserved.adapter))
 }
--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -354,10 +354,8 @@
                         actions.extend(order);
                         *cold_load = fleet.cold_time(&settings.loads, now);
                     }
-                    if send.is_none() && is_plain {
-                        full_services.push(entry.job.service);
-                    }
                     if send.is_none() {
+                        full_services.extend(is_plain.then_some(entry.job.service));
                         entry.evaluate_at = now + evaluation_interval;
                         entry.waits_for(wait_reason, now);
                     }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -58,6 +58,9 @@
     leading: Gauge<u64>,
     config: Gauge<u64>,
     waited: Gauge<u64>,
+    copies: Gauge<u64>,
+    copies_planned: Gauge<u64>,
+    copies_in_vain: Gauge<u64>,
 }
 
 impl EntryMetrics {
@@ -136,6 +139,18 @@
                     "jasmine_waited_ms",
                     "How long requests have waited at this scheduler since it started, by what for",
                 ),
+                copies: gauge(
+                    "jasmine_adapter_copies",
+                    "Adapters on all engines, each copy counted, where they are planned by demand",
+                ),
+                copies_planned: gauge(
+                    "jasmine_adapter_loads_planned",
+                    "Loads of further copies that this scheduler ordered by demand since it started",
+                ),
+                copies_in_vain: gauge(
+                    "jasmine_adapter_loads_in_vain",
+                    "Those ahead of demand for which no request came",
+                ),
             },
             labels: RefCell::default(),
             metrics,
@@ -294,6 +309,10 @@
             let label = KeyValue::new("reason", reason.as_str());
             self.gauges.waited.record(waits.of(reason).0, &[label]);
         }
+        let copies = cx.scheduling.local_scheduler.copy_statistics();
+        self.gauges.copies.record(copies.copies, &[]);
+        self.gauges.copies_planned.record(copies.planned, &[]);
+        self.gauges.copies_in_vain.record(copies.in_vain, &[]);
         self.gauges.in_flight.record(cx.in_flight() as u64, &[]);
         let connections = cx.open_connections() as u64;
         self.gauges.connections.record(connections, &[]);
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -647,6 +647,7 @@
             self.perform(action);
         }
         self.publish_quarantine_changes();
+        self.log_planned_loads();
         if self.scheduler.borrow().wake_at(now) < self.timer_due.get() {
             self.wake.notify_one();
         }
--- a/crates/entry/src/scheduling/mod.rs
+++ b/crates/entry/src/scheduling/mod.rs
@@ -3,6 +3,7 @@
 mod assignment;
 mod client;
 mod convert;
+mod copies;
 mod facts;
 mod handover;
 mod job_spec;
