--- a/crates/core/src/adapter_demand/demand_rate.rs
+++ b/crates/core/src/adapter_demand/demand_rate.rs
@@ -13,6 +13,9 @@
 /// Part of a rise that is added to the fast rate, which lags a step by more than a second.
 const RISE_EXTRAPOLATION: f64 = 1.0;
 
+/// Counting of less than this says little about a rate.
+const MIN_ELAPSED: Millis = Millis(500);
+
 /// Whether a rate changes by more than chance explains.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Trend {
@@ -44,12 +47,16 @@
     }
 
     /// Whether the rate changes, by the difference of the fast and the slow one.
+    ///
+    /// `since` is when counting began: the sums of less than their half-lives are scaled up, or each adapter would
+    /// seem to rise at first.
     pub fn trend(
         &self,
+        since: Millis,
         now: Millis,
     ) -> Trend {
-        let fast = per_second(self.fast, now, FAST_HALF_LIFE);
-        let slow = per_second(self.slow, now, SLOW_HALF_LIFE);
+        let fast = per_second(self.fast, since, now, FAST_HALF_LIFE);
+        let slow = per_second(self.slow, since, now, SLOW_HALF_LIFE);
         let rise = noise(fast.max(slow), FAST_HALF_LIFE).max(MIN_RISE_PER_S);
         match fast - slow {
             above if above > rise => Trend::Rising,
@@ -58,15 +65,16 @@
         }
     }
 
-    /// Expected requests per second in the next second.
+    /// Expected requests per second in the next second; `since` is when counting began.
     pub fn expected(
         &self,
+        since: Millis,
         now: Millis,
     ) -> f64 {
-        let fast = per_second(self.fast, now, FAST_HALF_LIFE);
-        let slow = per_second(self.slow, now, SLOW_HALF_LIFE);
-        let long = per_second(self.long, now, LONG_HALF_LIFE);
-        match self.trend(now) {
+        let fast = per_second(self.fast, since, now, FAST_HALF_LIFE);
+        let slow = per_second(self.slow, since, now, SLOW_HALF_LIFE);
+        let long = per_second(self.long, since, now, LONG_HALF_LIFE);
+        match self.trend(since, now) {
             Trend::Rising => fast + (fast - slow) * RISE_EXTRAPOLATION,
             Trend::Falling => fast,
             Trend::Steady if slow < long - noise(long, SLOW_HALF_LIFE) => slow,
@@ -75,13 +83,16 @@
     }
 }
 
-/// The rate of a decayed sum.
+/// The rate of a decayed sum that has been counted since `since`.
 fn per_second(
     sum: DecayingSum,
+    since: Millis,
     now: Millis,
     half_life: Millis,
 ) -> f64 {
-    sum.get(now, half_life) * std::f64::consts::LN_2 / half_life.as_secs_f64()
+    let elapsed = now.since(since).max(MIN_ELAPSED);
+    let counted = 1.0 - (-(elapsed.0 as f64) / half_life.0 as f64).exp2();
+    sum.get(now, half_life) * std::f64::consts::LN_2 / half_life.as_secs_f64() / counted
 }
 
 /// By how much a rate that is measured with a half-life differs from its mean by chance.
--- a/crates/core/src/adapter_demand/load_usefulness.rs
+++ b/crates/core/src/adapter_demand/load_usefulness.rs
@@ -9,7 +9,7 @@
 /// Bound on the copies whose first request is awaited.
 const MAX_AWAITED: usize = 256;
 /// Half-life of the counts that the brake compares.
-const BRAKE_HALF_LIFE: Millis = Millis(5_000);
+const BRAKE_HALF_LIFE: Millis = Millis(3_000);
 /// Share of loads in vain above which no more are ordered ahead of demand.
 const MAX_VAIN_SHARE: f64 = 0.2;
 /// Recent loads below which their share in vain says nothing.
--- a/crates/core/src/adapter_demand/table.rs
+++ b/crates/core/src/adapter_demand/table.rs
@@ -39,6 +39,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct AdapterDemand {
     rates: HashMap<AdapterId, DemandRate>,
+    /// When counting began.
+    since: Millis,
     /// Engines that hold or are loading each adapter.
     copies: HashMap<AdapterId, u32>,
     requested: Vec<RequestedAdapter>,
@@ -53,6 +55,9 @@
         adapter: AdapterId,
         now: Millis,
     ) {
+        if self.rates.is_empty() {
+            self.since = now;
+        }
         if self.rates.len() >= MAX_ADAPTERS && !self.rates.contains_key(&adapter) {
             self.remove_lowest(now);
         }
@@ -118,7 +123,7 @@
         now: Millis,
     ) -> f64 {
         let rate = self.rates.get(&adapter);
-        rate.map_or(0.0, |rate| rate.expected(now))
+        rate.map_or(0.0, |rate| rate.expected(self.since, now))
     }
 
     /// Whether requests for an adapter become more or fewer.
@@ -128,7 +133,7 @@
         now: Millis,
     ) -> Trend {
         let rate = self.rates.get(&adapter);
-        rate.map_or(Trend::Steady, |rate| rate.trend(now))
+        rate.map_or(Trend::Steady, |rate| rate.trend(self.since, now))
     }
 
     /// Number of copies that the expected requests for an adapter keep busy, at least one;
@@ -164,9 +169,11 @@
         &mut self,
         now: Millis,
     ) {
-        let mut rates: Vec<f64> = self.rates.values().map(|rate| rate.expected(now)).collect();
+        let since = self.since;
+        let expected = |rate: &DemandRate| rate.expected(since, now);
+        let mut rates: Vec<f64> = self.rates.values().map(expected).collect();
         let (_, &mut limit, _) =
             rates.select_nth_unstable_by(MAX_ADAPTERS / REMOVED_PART, f64::total_cmp);
-        self.rates.retain(|_, rate| rate.expected(now) > limit);
+        self.rates.retain(|_, rate| expected(rate) > limit);
     }
 }
--- a/crates/core/src/scheduler/choose/copy.rs
+++ b/crates/core/src/scheduler/choose/copy.rs
@@ -67,6 +67,7 @@
         requested: RequestedAdapter,
         adapter: AdapterVersion,
         value: f64,
+        is_ahead: bool,
     ) -> Option<LoadPlan> {
         let demand = self.demand?;
         let members = self.fleet.members(requested.service).iter();
@@ -79,7 +80,7 @@
                 return None;
             }
             let is_warm = engine.was_unloaded_recently(adapter);
-            if !is_warm && !self.fleet.has_spare_loads(&self.settings.loads) {
+            if !is_warm && !self.fleet.has_spare_loads(is_ahead, &self.settings.loads) {
                 return None;
             }
             let (evict, _) = self.find_slot(requested.model, engine, adapter)?;
--- a/crates/core/src/scheduler/fleet.rs
+++ b/crates/core/src/scheduler/fleet.rs
@@ -452,13 +452,16 @@
         self.is_active(self.hard_load.adapter_copies, service, self.hard_load)
     }
 
-    /// Whether the store has capacity for a load that no request waits for: half of it is left for
-    /// those that one does.
+    /// Whether the store has capacity for one more copy; half of it is left for loads that a
+    /// request waits for, `is_ahead` tells that none waits for this one.
     pub(super) fn has_spare_loads(
         &self,
+        is_ahead: bool,
         load: &LoadSettings,
     ) -> bool {
-        (self.totals.cold_loads as u64) < self.max_concurrent_cold_loads(load) / 2
+        let full_speed = self.max_concurrent_cold_loads(load);
+        let allowed = if is_ahead { full_speed / 2 } else { full_speed };
+        (self.totals.cold_loads as u64) < allowed
     }
 
     /// Expected duration of a cold load that starts now on an engine.
--- a/crates/core/src/scheduler/state_machine/copies.rs
+++ b/crates/core/src/scheduler/state_machine/copies.rs
@@ -154,7 +154,7 @@
             now,
         };
         let value = rate / f64::from(copies + 1);
-        let plan = selection.choose_copy(requested, wanted_version, value)?;
+        let plan = selection.choose_copy(requested, wanted_version, value, is_ahead)?;
         let action = loads::begin(fleet, versions, &plan, &settings.loads, now)?;
         table.note_copy(adapter);
         usefulness.planned += 1;
