--- a/crates/core/src/scheduler/backlog.rs
+++ b/crates/core/src/scheduler/backlog.rs
@@ -119,7 +119,7 @@
     }
 
     /// Factor on the prefill time of the service.
-    fn slowness_at(
+    pub(super) fn slowness_at(
         &self,
         now: Millis,
     ) -> f64 {
--- a/crates/core/src/scheduler/fleet.rs
+++ b/crates/core/src/scheduler/fleet.rs
@@ -13,6 +13,7 @@
         evacuation::Evacuations,
         fleet_totals::FleetTotals,
         holders::Holders,
+        load_punctuality::LoadPunctuality,
         load_slowdown::LoadSlowdown,
         measured_pace::MeasuredPace,
         prefill_estimator::{PrefillEstimator, PrefillTime},
@@ -68,10 +69,21 @@
     pub(super) paces: HashMap<ServiceId, MeasuredPace>,
     /// Expected costs of requests.
     pub(super) costs: CostModel,
+    pub(super) load_punctuality: LoadPunctuality,
+    /// When the parts that answer hard load take effect.
+    pub(super) hard_load: HardLoadSettings,
     pub(super) recent_builds: RecentBuilds,
 }
 
 impl Fleet {
+    /// An empty fleet.
+    pub(super) fn new(hard_load: HardLoadSettings) -> Self {
+        Self {
+            hard_load,
+            ..Self::default()
+        }
+    }
+
     /// Sets which services have engines, and the capacity of these.
     pub(super) fn set_engines(
         &mut self,
@@ -444,6 +456,52 @@
         u64::from(load.max_concurrent_cold.max(1)).max(self.totals.engines as u64 * 4 / 9)
     }
 
+    /// Whether adapter copies are planned ahead of demand for a service.
+    pub(super) fn plans_copies(
+        &self,
+        service: ServiceId,
+    ) -> bool {
+        self.is_active(self.hard_load.adapter_copies, service, self.hard_load)
+    }
+
+    /// Whether the store has capacity for one more copy; half of it is left for loads that a
+    /// request waits for, `is_ahead` tells that none waits for this one.
+    pub(super) fn has_spare_loads(
+        &self,
+        is_ahead: bool,
+        load: &LoadSettings,
+    ) -> bool {
+        let full_speed = self.max_concurrent_cold_loads(load);
+        let allowed = if is_ahead { full_speed / 2 } else { full_speed };
+        (self.totals.cold_loads as u64) < allowed
+    }
+
+    /// Expected duration of a cold load that starts now on an engine.
+    ///
+    /// Where copies are planned, an engine whose loads are late counts for itself: a slow machine
+    /// says nothing about the loads of others. It counts for all only if most loads are late.
+    pub(super) fn cold_time_on(
+        &self,
+        id: UpstreamId,
+        load: &LoadSettings,
+        now: Millis,
+    ) -> Millis {
+        let own = self
+            .upstreams
+            .get(&id)
+            .filter(|up| self.plans_copies(up.service));
+        let Some(engine) = own.and_then(|up| up.engine.as_ref()) else {
+            return self.cold_time(load, now);
+        };
+        let of_store = if self.load_punctuality.most_are_late(now) {
+            self.load_slowdown.factor(now)
+        } else {
+            1.0
+        };
+        let factor = engine.load_slowdown.factor(now).max(of_store);
+        Millis((self.nominal_cold_time(load).0 as f64 * factor) as u64)
+    }
+
     /// Expected duration of a cold load that starts now.
     pub(super) fn cold_time(
         &self,
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -26,6 +26,7 @@
 mod call_times;
 mod choose;
 mod cold_admission;
+mod copy_statistics;
 mod departed;
 mod engine;
 mod evacuation;
@@ -37,6 +38,7 @@
 mod health;
 mod holders;
 mod job;
+mod load_punctuality;
 mod load_slowdown;
 mod loads;
 mod local_usage;
@@ -45,6 +47,7 @@
 mod outcome_records;
 mod pace_summary;
 mod paces;
+mod planned_load;
 mod prefill_estimator;
 mod prefix_cache;
 mod rate_history;
@@ -73,12 +76,14 @@
     admission_share::AdmissionShare,
     announced_versions::{Announcement, NewestVersion},
     cold_admission::{COLD_WINDOW, ColdLimit},
+    copy_statistics::CopyStatistics,
     engine::EngineLimits,
     evacuation::EvacuationTimes,
     hard_load_settings::HardLoadSettings,
     job::{AttemptId, Generation, Job, LOCAL_VM, VersionLimit, Work},
     outcome::{EnginesToPause, OrderResult, Outcome, RateDecision},
     pace_summary::{ImplausibleReports, PaceSummary},
+    planned_load::PlannedLoad,
     rate_history::{RateHistory, SpentTokens},
     request_limit::LIMIT_WINDOW,
     retry_budget::{AttemptCounts, AttemptHistory},
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -68,6 +68,9 @@
     reports_ignored: Gauge<u64>,
     report_decisions: Gauge<u64>,
     report_ages: Gauge<u64>,
+    copies: Gauge<u64>,
+    copies_planned: Gauge<u64>,
+    copies_in_vain: Gauge<u64>,
 }
 
 impl EntryMetrics {
@@ -174,6 +177,18 @@
                     "jasmine_load_report_age_ms",
                     "Sum of the ages of the newest load reports at those decisions",
                 ),
+                copies: gauge(
+                    "jasmine_adapter_copies",
+                    "Adapters on all engines, each copy counted, where they are planned by demand",
+                ),
+                copies_planned: gauge(
+                    "jasmine_adapter_loads_planned",
+                    "Loads of further copies that this scheduler ordered by demand since it started",
+                ),
+                copies_in_vain: gauge(
+                    "jasmine_adapter_loads_in_vain",
+                    "Those ahead of demand for which no request came",
+                ),
             },
             labels: RefCell::default(),
             metrics,
@@ -334,6 +349,10 @@
         }
         self.record_costs(&cx.scheduling.local_scheduler);
         self.record_paces(cx.scheduling.local_scheduler.pace_summary());
+        let copies = cx.scheduling.local_scheduler.copy_statistics();
+        self.gauges.copies.record(copies.copies, &[]);
+        self.gauges.copies_planned.record(copies.planned, &[]);
+        self.gauges.copies_in_vain.record(copies.in_vain, &[]);
         self.gauges.in_flight.record(cx.in_flight() as u64, &[]);
         let connections = cx.open_connections() as u64;
         self.gauges.connections.record(connections, &[]);
--- a/crates/entry/src/scheduling/mod.rs
+++ b/crates/entry/src/scheduling/mod.rs
@@ -3,6 +3,7 @@
 mod assignment;
 mod client;
 mod convert;
+mod copies;
 mod cost_spec;
 mod costs;
 mod facts;
