Load shedding by urgency

Cause: an urgent request of a busy account waited behind less urgent requests of other accounts, and the request with the tightest time budget was refused first, as one expected wait counted for the whole service.

Change: where hard_load.shedding is active, the queue holds one fair queue for each service and class, serves the most urgent class first, and gives a class that was passed over 18 times the next turn. On arrival a request's wait is estimated from the work ahead of it in classes as urgent or more, up to its account's fair share in its own class, over the measured capacity that more urgent arrivals leave. What can't be served in its time is refused then. Before a less urgent request gets an engine that has become free, the requests ahead of it that wait for one are evaluated.

--- a/crates/core/examples/scheduler_cost/fleet.rs
+++ b/crates/core/examples/scheduler_cost/fleet.rs
@@ -8,9 +8,9 @@
         ingress::{PromptPart, PromptSize},
         rights::CallerTag,
         scheduler::{
-            AttemptId, EngineLimits, EngineStatus, Generation, Job, Order, OrderResult, Outcome,
-            RateShare, Scheduler, SchedulerAction as Action, SchedulerSettings, UpstreamStatus,
-            Work,
+            AttemptId, EngineLimits, EngineStatus, Generation, HardLoadSettings, Job, Order,
+            OrderResult, Outcome, RateShare, Scheduler, SchedulerAction as Action,
+            SchedulerSettings, UpstreamStatus, Work,
         },
     },
     rand::{Rng, SeedableRng},
@@ -71,9 +71,19 @@
 }
 
 impl SimulatedFleet {
-    pub fn new(engines: u32) -> Self {
+    pub fn new(
+        engines: u32,
+        is_contended: bool,
+    ) -> Self {
         let now = Millis(100_000);
-        let mut scheduler = Scheduler::new(SchedulerSettings::default(), RateShare::Part(1));
+        let settings = SchedulerSettings {
+            hard_load: HardLoadSettings {
+                contended: is_contended,
+                ..HardLoadSettings::default()
+            },
+            ..SchedulerSettings::default()
+        };
+        let mut scheduler = Scheduler::new(settings, RateShare::Part(1));
         scheduler.set_role(true, RateShare::Fresh, now);
         scheduler.set_engines(HashMap::from([(ENGINE_SERVICE, engine_limits())]));
         for id in 0..engines {
--- a/crates/core/examples/scheduler_cost/main.rs
+++ b/crates/core/examples/scheduler_cost/main.rs
@@ -1,6 +1,6 @@
 //! Measures the CPU cost of scheduling per request, by number of engines and request rate.
 //!
-//! `cargo run --release -p jasmine-core --example scheduler_cost -- <engines> <requests per second> <seconds>`.
+//! `cargo run --release -p jasmine-core --example scheduler_cost -- <engines> <requests per second> <seconds> [contended]`.
 //! The clock is virtual; the CPU time is real.
 
 mod fleet;
@@ -21,7 +21,8 @@
                 .expect("arguments must be non-negative integers")
         })
     });
-    let mut fleet = SimulatedFleet::new(engines as u32);
+    let is_contended = args.next().is_some_and(|word| word == "contended");
+    let mut fleet = SimulatedFleet::new(engines as u32, is_contended);
     let started = Instant::now();
     fleet.run(per_s, seconds);
     report(&fleet, started.elapsed(), per_s * seconds);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod leadership;
 pub mod load_reports;
 pub mod membership;
+pub mod overload;
 pub mod ownership;
 pub mod placement;
 pub mod quarantine;
--- a/crates/core/src/scheduler/fleet.rs
+++ b/crates/core/src/scheduler/fleet.rs
@@ -288,7 +288,6 @@
     }
 
     /// Whether a part that answers hard load takes effect for a service.
-    #[expect(dead_code, reason = "the parts follow")]
     pub(super) fn is_active(
         &self,
         part: Activation,
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -54,6 +54,7 @@
 mod running;
 mod settings;
 mod signals;
+mod skipped_requests;
 mod state_machine;
 mod statements;
 mod upstream;
--- a/crates/core/src/scheduler/running.rs
+++ b/crates/core/src/scheduler/running.rs
@@ -3,6 +3,7 @@
     crate::{
         clock::Millis,
         ids::{AdapterVersion, UpstreamId},
+        overload::QueuedWork,
         rights::Charge,
     },
 };
@@ -46,6 +47,8 @@
     pub latest_send_at: Millis,
     /// When to evaluate it again, unless the epoch has changed.
     pub evaluate_at: Millis,
+    /// When it was last evaluated.
+    pub evaluated_at: Millis,
     /// The epoch in which it was last evaluated.
     pub evaluation_epoch: u64,
     /// What it is waiting for, and since when.
@@ -53,6 +56,8 @@
     pub waits_since: Millis,
     /// Earlier waiting times, by reason.
     pub waited: WaitTimes,
+    /// What it adds to the load of its service while it is queued in a lane.
+    pub queued_work: Option<QueuedWork>,
     /// Amount charged to the account's rate limit, if any.
     pub charge: Option<Charge>,
     /// When it is dropped if its VM never reports an outcome.
@@ -71,6 +76,25 @@
         self.waits_since = now;
     }
 
+    /// Whether it was evaluated a short time before, and nothing calls for another evaluation.
+    pub(super) fn is_deferred(
+        &self,
+        epoch: u64,
+        now: Millis,
+    ) -> bool {
+        now < self.evaluate_at && self.evaluation_epoch == epoch
+    }
+
+    /// Records an evaluation.
+    pub(super) const fn note_evaluated(
+        &mut self,
+        epoch: u64,
+        now: Millis,
+    ) {
+        self.evaluation_epoch = epoch;
+        self.evaluated_at = now;
+    }
+
     /// What the request has waited for longest.
     pub(super) fn waited_for(
         &mut self,
--- a/crates/core/src/scheduler/state_machine/admission.rs
+++ b/crates/core/src/scheduler/state_machine/admission.rs
@@ -13,13 +13,14 @@
 };
 
 /// Queue of requests without an account.
-const NO_ACCOUNT: AccountId = AccountId(u32::MAX);
+pub(super) const NO_ACCOUNT: AccountId = AccountId(u32::MAX);
 /// Allowance for the network: from the assignment to the engine, and from the first event back to
 /// the scheduler.
 const DISPATCH_DELAY: Millis = Millis(40);
 
 impl Scheduler {
-    /// Refuses a request that is not expected to meet its deadline.
+    /// Refuses a request that is not expected to meet its deadline, where requests aren't shed by
+    /// urgency.
     pub(super) fn check_deadline(
         &self,
         job: &Job,
--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -10,16 +10,18 @@
         clock::Millis,
         error::{ErrorKind, Refusal},
         ids::{AdapterVersion, RequestId, ServiceId, UpstreamId},
+        overload::{OverloadControl, QueuedWork},
         quarantine::PartQuarantine,
         queue::{QueueTarget, QueuedRequest},
         scheduler::{
             Job, Outcome, RateShare, SchedulerAction as Action, WaitReason,
-            choose::{Choice, SelectionContext},
+            choose::SelectionContext,
             fleet::Fleet,
             fleet_totals::FleetTotals,
             loads,
             request_load::Load,
             running::{Stage, TrackedRequest},
+            skipped_requests::SkippedRequests,
         },
     },
 };
@@ -46,7 +48,7 @@
 const MIN_REEVALUATION_DELAY: Millis = Millis(10);
 /// How far a request that can't be on time is postponed in the queue: newer requests that arrive
 /// within this time and can be on time go first.
-const LATE_POSTPONE_DELAY: Millis = Millis(60_000);
+pub(super) const LATE_POSTPONE_DELAY: Millis = Millis(60_000);
 /// A late request is refused if the expected wait times this factor exceeds its remaining time, as
 /// newer requests that can be on time will go first.
 const LATE_WAIT_FACTOR: u64 = 2;
@@ -100,6 +102,23 @@
     queue_target(&entry.job, hold)
 }
 
+/// Records what a request waits for, also in the load of its service.
+fn note_waiting(
+    entry: &mut TrackedRequest,
+    reason: WaitReason,
+    overload: &mut OverloadControl,
+    fleet: &Fleet,
+    now: Millis,
+) {
+    entry.waits_for(reason, now);
+    if let Some(queued) = &mut entry.queued_work {
+        let service = entry.job.service;
+        let competes = QueuedWork::is_competing(reason);
+        let nominal = fleet.capacity(service);
+        overload.note_competing(service, queued, competes, nominal, now);
+    }
+}
+
 impl Scheduler {
     /// Takes all decisions that are possible now and returns the resulting actions.
     pub(super) fn decide(
@@ -225,6 +244,10 @@
             let Some(entry) = self.entries.get(&request) else {
                 continue;
             };
+            if entry.queued_work.is_some() {
+                actions.extend(self.demote_late(request, now));
+                continue;
+            }
             let wait = self.expected_wait(entry.job.service);
             let remaining = entry.job.deadline.since(now);
             if Millis(wait.0 * LATE_WAIT_FACTOR) > remaining {
@@ -280,6 +303,7 @@
         loop {
             let mut sent = None;
             let mut moved: Vec<(RequestId, QueueTarget)> = Vec::new();
+            let mut skipped = SkippedRequests::default();
             let popped = {
                 let Self {
                     queue,
@@ -292,6 +316,7 @@
                     reports,
                     evaluation_epoch,
                     quarantine,
+                    overload,
                     ..
                 } = self;
 
@@ -302,16 +327,21 @@
                     let Some(entry) = entries.get_mut(&waiting.request) else {
                         return true;
                     };
-                    let vm = entry.attempt_id.vm;
                     let avoided = quarantine.avoided_upstreams(entry.job.request_part());
                     let is_plain = is_alike(&entry.job, fleet, &avoided, now);
-                    let is_deferred = if is_plain {
-                        full_services.contains(&entry.job.service)
-                    } else {
-                        now < entry.evaluate_at && entry.evaluation_epoch == *evaluation_epoch
-                    };
+                    let is_full = is_plain && full_services.contains(&entry.job.service);
+                    let is_deferred = !is_plain && entry.is_deferred(*evaluation_epoch, now);
                     let key = (entry.latest_send_at, waiting.request);
-                    if is_deferred || phase == DispatchPhase::OnTime && !on_time.contains(&key) {
+                    let is_ranked = entry.queued_work.is_some();
+                    if is_deferred && is_ranked {
+                        skipped.note(waiting.request, entry, now);
+                    }
+                    // Late requests have lanes of their own where the queue has classes.
+                    if is_full
+                        || is_deferred
+                        || skipped.must_go_first
+                        || phase == DispatchPhase::OnTime && !is_ranked && !on_time.contains(&key)
+                    {
                         return false;
                     }
                     let target = held_target(entry, quarantine, fleet, &avoided, now);
@@ -322,7 +352,7 @@
                         return false;
                     }
                     evaluations += 1;
-                    entry.evaluation_epoch = *evaluation_epoch;
+                    entry.note_evaluated(*evaluation_epoch, now);
                     fleet.prepare(&entry.job);
                     let selection = SelectionContext {
                         fleet,
@@ -333,49 +363,59 @@
                         can_evict,
                         cold_load_ms: cold_load.0 as f64,
                         deciding_vms,
-                        vm,
+                        vm: entry.attempt_id.vm,
                         avoided: &avoided,
                         now,
                     };
-                    let Choice {
-                        send,
-                        load,
-                        wait_reason,
-                        needs_report,
-                    } = selection.choose(&entry.job);
-                    if let Some(engine) = needs_report {
+                    let choice = selection.choose(&entry.job);
+                    if let Some(engine) = choice.needs_report {
                         reports.note_urgent(engine);
                     }
-                    if let Some(plan) = load {
-                        let order = loads::begin(fleet, versions, &plan, &settings.loads, now);
-                        actions.extend(order);
+                    if let Some(plan) = choice.load {
+                        actions.extend(loads::begin(fleet, versions, &plan, &settings.loads, now));
                         *cold_load = fleet.cold_time(&settings.loads, now);
                     }
-                    if send.is_none() && is_plain {
-                        full_services.push(entry.job.service);
+                    if choice.send.is_some() && is_ranked && skipped.go_first() {
+                        return false;
                     }
-                    if send.is_none() {
+                    if choice.send.is_none() {
+                        full_services.extend(is_plain.then_some(entry.job.service));
                         entry.evaluate_at = now + evaluation_interval;
-                        entry.waits_for(wait_reason, now);
+                        note_waiting(entry, choice.wait_reason, overload, fleet, now);
                     }
-                    sent = send;
-                    send.is_some()
+                    sent = choice.send;
+                    sent.is_some()
                 })
             };
             match (popped, sent) {
                 (Some(waiting), Some((upstream, adapter))) => {
                     actions.extend(self.assign(waiting.request, upstream, adapter, now));
                 }
-                (None, _) if moved.is_empty() => break,
+                (None, _) if moved.is_empty() && !skipped.must_go_first => break,
                 _ => {}
             }
-            for (request, target) in moved {
-                self.queue.retarget(request, target);
-            }
+            self.revise_queue(moved, skipped, now);
         }
         self.evaluations += evaluations;
     }
 
+    /// Applies what a pass over the queue has shown about requests that it did not send.
+    fn revise_queue(
+        &mut self,
+        moved: Vec<(RequestId, QueueTarget)>,
+        skipped: SkippedRequests,
+        now: Millis,
+    ) {
+        for (request, target) in moved {
+            self.queue.retarget(request, target);
+        }
+        for request in skipped.take_first() {
+            if let Some(entry) = self.entries.get_mut(&request) {
+                entry.evaluate_at = now;
+            }
+        }
+    }
+
     /// Moves a queued request to an upstream.
     pub(super) fn assign(
         &mut self,
@@ -394,6 +434,7 @@
         self.quarantine
             .note_sent(job.crash_candidates(), request, upstream, now);
         self.update_queued_work(&job, false);
+        self.note_dequeued(request, true, now);
         let entry = self.entries.get_mut(&request)?;
         self.on_time.remove(&(entry.latest_send_at, request));
         entry.stage = Stage::Running { upstream, adapter };
@@ -464,6 +505,7 @@
         outcome: Outcome,
         now: Millis,
     ) {
+        self.note_dequeued(request, false, now);
         let Some(mut entry) = self.entries.remove(&request) else {
             return;
         };
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -2,7 +2,7 @@
 //! outcomes.
 
 use {
-    super::{ORPHAN_TIMEOUT, Scheduler},
+    super::{ORPHAN_TIMEOUT, Scheduler, shedding::lane},
     crate::{
         clock::Millis,
         ids::{AccountId, AdapterId, AdapterVersion, RequestId, ServiceId, UpstreamId},
@@ -301,16 +301,18 @@
         if let Err(refusal) = self.check_retry_budget(&job, now) {
             return refuse(refusal);
         }
-        if let Err(refusal) = self.check_deadline(&job, now) {
-            return refuse(refusal);
-        }
+        let mut queued_work = match self.check_wait(attempt_id, &job, now) {
+            Ok(queued_work) => queued_work,
+            Err(refusal) => return refuse(refusal),
+        };
         let charge = match self.charge(&job, now) {
             Ok(charge) => charge,
             Err(refusal) => return refuse(refusal),
         };
         let request = RequestId(self.next_request);
         let queue_item = self.queue_item(request, &job, now);
-        if let Err(refusal) = self.queue.push(queue_item, now) {
+        let lane = queued_work.map(|queued| lane(&job, &queued));
+        if let Err(refusal) = self.queue.push(queue_item, lane, now) {
             if let Some(charge) = charge {
                 self.rates.settle(charge, false, now);
             }
@@ -318,8 +320,17 @@
         }
         self.next_request += 1;
         self.update_queued_work(&job, true);
-        self.on_time.insert((self.latest_send_at(&job), request));
+        if let Some(queued) = &mut queued_work {
+            let nominal = self.fleet.capacity(job.service);
+            self.overload.note_queued(job.service, queued, nominal, now);
+        }
+        if queued_work.is_none_or(|queued| !queued.is_late) {
+            self.on_time.insert((self.latest_send_at(&job), request));
+        }
         self.add_entry(request, attempt_id, job, Stage::Waiting, charge, now);
+        if let Some(entry) = self.entries.get_mut(&request) {
+            entry.queued_work = queued_work;
+        }
         self.decide(now)
     }
 
@@ -338,6 +349,7 @@
             attempt_id,
             latest_send_at: self.latest_send_at(&job),
             evaluate_at: Millis::ZERO,
+            evaluated_at: Millis::ZERO,
             evaluation_epoch: self.evaluation_epoch,
             waits_for: WaitReason::Turn,
             waits_since: now,
@@ -349,6 +361,7 @@
                 Stage::Running { .. } => now,
             },
             stage,
+            queued_work: None,
             charge,
         };
         self.entries.insert(request, entry);
--- a/crates/core/src/scheduler/state_machine/mod.rs
+++ b/crates/core/src/scheduler/state_machine/mod.rs
@@ -10,8 +10,9 @@
     crate::{
         clock::Millis,
         ids::{AdapterId, RequestId, ServiceId},
+        overload::{OverloadControl, ShedRecord, UrgencyQueue},
         quarantine::PartQuarantine,
-        queue::{FairQueue, QueueSettings},
+        queue::QueueSettings,
     },
     std::collections::{BTreeSet, HashMap, HashSet},
 };
@@ -23,6 +24,7 @@
 mod quarantine;
 mod queries;
 mod retries;
+mod shedding;
 
 /// How long after its deadline a request is dropped if its VM has not reported its end.
 const ORPHAN_TIMEOUT: Millis = Millis(1_000);
@@ -54,7 +56,10 @@
     quarantine: PartQuarantine,
     /// Whether evidence has come since the last review of the quarantine.
     is_evidence_new: bool,
-    queue: FairQueue,
+    queue: UrgencyQueue,
+    overload: OverloadControl,
+    /// Refusals by urgency that were not logged yet; bounded.
+    shed_records: Vec<ShedRecord>,
     entries: HashMap<RequestId, TrackedRequest>,
     by_attempt_id: HashMap<AttemptId, RequestId>,
     /// Number of queued requests by adapter.
@@ -109,10 +114,12 @@
             counting_since: None,
             quarantine: PartQuarantine::default(),
             is_evidence_new: false,
-            queue: FairQueue::new(QueueSettings {
+            queue: UrgencyQueue::new(QueueSettings {
                 refuses_by_estimate: false,
                 ..QueueSettings::default()
             }),
+            overload: OverloadControl::default(),
+            shed_records: Vec::new(),
             entries: HashMap::new(),
             by_attempt_id: HashMap::new(),
             queued_by_adapter: HashMap::new(),
--- a/crates/core/tests/scheduler_world/mod.rs
+++ b/crates/core/tests/scheduler_world/mod.rs
@@ -84,6 +84,18 @@
         world
     }
 
+    /// Takes over the time, the decisions and the numbering of requests of another world.
+    pub fn continue_from(
+        &mut self,
+        other: &Self,
+    ) {
+        self.now = other.now;
+        self.decisions.clone_from(&other.decisions);
+        self.next_number = other.next_number;
+        let share = RateShare::TakenOver;
+        self.scheduler.set_role(true, share, self.now);
+    }
+
     pub fn add_engine(
         &mut self,
         id: UpstreamId,
--- a/crates/entry/src/forward/driver/mod.rs
+++ b/crates/entry/src/forward/driver/mod.rs
@@ -541,9 +541,11 @@
         out: &mut ResponseWriter<'_>,
     ) -> io::Result<()> {
         let refusal = self.refusal_after_attempts(refusal);
-        self.cx
-            .metrics
-            .count_refused(refusal, self.req.account.as_deref());
+        self.cx.metrics.count_refused(
+            refusal,
+            self.req.account.as_deref(),
+            Some(self.req.priority),
+        );
         self.log_given_up(refusal);
         if out.has_begun() {
             // Closing without the last chunk tells the caller that the stream is incomplete.
--- a/crates/entry/src/forward/serve.rs
+++ b/crates/entry/src/forward/serve.rs
@@ -51,7 +51,7 @@
     match validated {
         Ok(req) => Driver::new(cx, req).run(out).await,
         Err(refusal) => {
-            cx.metrics.count_refused(refusal, None);
+            cx.metrics.count_refused(refusal, None, None);
             Line::new("request_refused")
                 .with("id", id.as_deref().unwrap_or("-"))
                 .with("kind", refusal.kind)
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -236,14 +236,18 @@
         self.orders.add(1, &[KeyValue::new("end", label)]);
     }
 
-    /// Counts a refused request by error kind and account.
+    /// Counts a refused request by error kind, account and, if it is known, priority.
     pub fn count_refused(
         &self,
         refusal: Refusal,
         account: Option<&str>,
+        priority: Option<u8>,
     ) {
-        self.refusals
-            .count(refusal.kind, account.unwrap_or(OTHER_ACCOUNT));
+        let account = account.unwrap_or(OTHER_ACCOUNT);
+        match priority {
+            Some(priority) => self.refusals.count_ranked(refusal.kind, account, priority),
+            None => self.refusals.count(refusal.kind, account),
+        }
     }
 
     /// Records an answered request with its queue wait and, for streams, the time to the first event.
@@ -288,6 +292,10 @@
     ) -> String {
         let (queued, running) = cx.scheduling.local_scheduler.load();
         self.gauges.queued.record(queued as u64, &[]);
+        for (priority, len) in cx.scheduling.local_scheduler.waiting_by_priority() {
+            let class = KeyValue::new("class", i64::from(priority));
+            self.gauges.queued.record(len as u64, &[class]);
+        }
         self.gauges.running.record(running as u64, &[]);
         let waits = cx.scheduling.local_scheduler.waits();
         for reason in WaitReason::ALL {
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -2,6 +2,7 @@
     super::{
         Assignment, JobSpec, NameInterner, RunningSpec, StatedSpec, VmHistory,
         facts::{engine_facts, engine_limits, upstream_facts},
+        shed_log::ShedLog,
     },
     crate::clock::Clock,
     jasmine_conf::settings::ColdUpstreamSettings,
@@ -21,7 +22,7 @@
     jasmine_platform::engine::EngineReport,
     std::{
         cell::{Cell, RefCell},
-        collections::{BTreeSet, HashMap, HashSet},
+        collections::{BTreeMap, BTreeSet, HashMap, HashSet},
         net::SocketAddr,
         rc::Rc,
     },
@@ -72,6 +73,7 @@
     pub(super) names: RefCell<NameInterner>,
     pub(super) scheduler: RefCell<Scheduler>,
     waiters: RefCell<HashMap<AttemptId, oneshot::Sender<Verdict>>>,
+    shed_log: RefCell<ShedLog>,
     addresses: RefCell<HashMap<UpstreamId, SocketAddr>>,
     /// Upstreams whose entries were removed.
     removed_upstreams: RefCell<HashSet<UpstreamId>>,
@@ -106,6 +108,7 @@
             names: RefCell::default(),
             scheduler: RefCell::new(Scheduler::new(settings, RateShare::Part(1))),
             waiters: RefCell::default(),
+            shed_log: RefCell::default(),
             addresses: RefCell::default(),
             removed_upstreams: RefCell::default(),
             cold_upstreams,
@@ -634,6 +637,23 @@
         *self.scheduler.borrow().waits()
     }
 
+    /// The numbers of waiting requests by priority, where they are ordered by urgency.
+    pub fn waiting_by_priority(&self) -> BTreeMap<u8, usize> {
+        self.scheduler.borrow().waiting_by_priority()
+    }
+
+    /// Logs the requests that were refused by urgency.
+    fn log_shed(
+        &self,
+        now: Millis,
+    ) {
+        let records = self.scheduler.borrow_mut().take_shed_records();
+        for record in records {
+            let service = self.names.borrow().service_name(record.service);
+            self.shed_log.borrow_mut().log(&record, &service, now);
+        }
+    }
+
     /// Passes an event to the scheduler and performs the resulting actions.
     pub(super) fn apply<F>(
         &self,
@@ -647,6 +667,7 @@
             self.perform(action);
         }
         self.publish_quarantine_changes();
+        self.log_shed(now);
         if self.scheduler.borrow().wake_at(now) < self.timer_due.get() {
             self.wake.notify_one();
         }
--- a/crates/entry/src/scheduling/mod.rs
+++ b/crates/entry/src/scheduling/mod.rs
@@ -14,6 +14,7 @@
 mod placement_error;
 mod quarantine;
 mod server;
+mod shed_log;
 mod versions;
 mod vm_history;
 
--- /dev/null
+++ b/crates/entry/src/scheduling/shed_log.rs
@@ -0,0 +1,56 @@
+use {
+    jasmine_core::{clock::Millis, overload::ShedRecord},
+    jasmine_telemetry::log::Line,
+};
+
+/// Lines written in each second; the others are counted.
+///
+/// At several hundred refusals a second, a line each would take a good part of a small VM.
+const MAX_LINES_PER_S: u32 = 20;
+
+/// Writes the log lines of requests that were refused by urgency.
+#[derive(Debug, Default)]
+pub struct ShedLog {
+    second: u64,
+    lines: u32,
+    unlogged: u64,
+}
+
+impl ShedLog {
+    /// Logs a refusal, or counts it if enough were logged in this second.
+    pub fn log(
+        &mut self,
+        record: &ShedRecord,
+        service: &str,
+        now: Millis,
+    ) {
+        let second = now.0 / 1_000;
+        if second != self.second {
+            self.second = second;
+            self.lines = 0;
+        }
+        if self.lines >= MAX_LINES_PER_S {
+            self.unlogged += 1;
+            return;
+        }
+        self.lines += 1;
+        let estimate = &record.estimate;
+        let age = estimate.capacity_age;
+        let reason = record.waited_for.map_or("-", |reason| reason.as_str());
+        Line::new("request_shed")
+            .with("request", format!("{:016x}", record.caller.0))
+            .with("vm", record.attempt_id.vm)
+            .with("service", service)
+            .with("class", estimate.class.priority())
+            .with("expected_wait_ms", estimate.wait)
+            .with("work_ahead", format!("{:.1}", estimate.work_ahead))
+            .with("capacity_per_ms", format!("{:.3}", estimate.capacity))
+            .with(
+                "capacity_age_ms",
+                age.map_or_else(|| "-".to_owned(), |age| age.to_string()),
+            )
+            .with("waited_for", reason)
+            .with("unlogged", std::mem::take(&mut self.unlogged))
+            .info();
+    }
+}
--- a/crates/telemetry/src/metrics/refusals.rs
+++ b/crates/telemetry/src/metrics/refusals.rs
@@ -29,14 +29,30 @@
         kind: ErrorKind,
         account: &str,
     ) {
-        let answer = kind.answer();
-        self.counter.add(
-            1,
-            &[
-                KeyValue::new("kind", answer.code),
-                KeyValue::new("execution", answer.execution.to_string()),
-                KeyValue::new("account", account.to_owned()),
-            ],
-        );
+        self.counter.add(1, &labels(kind, account));
     }
+
+    /// Counts one error response to a request of a priority; 0 is the most urgent.
+    pub fn count_ranked(
+        &self,
+        kind: ErrorKind,
+        account: &str,
+        priority: u8,
+    ) {
+        let [kind, execution, account] = labels(kind, account);
+        let class = KeyValue::new("class", i64::from(priority));
+        self.counter.add(1, &[kind, execution, account, class]);
+    }
+}
+
+fn labels(
+    kind: ErrorKind,
+    account: &str,
+) -> [KeyValue; 3] {
+    let answer = kind.answer();
+    [
+        KeyValue::new("kind", answer.code),
+        KeyValue::new("execution", answer.execution.to_string()),
+        KeyValue::new("account", account.to_owned()),
+    ]
 }
