--- a/crates/core/src/scheduler/state_machine/admission.rs
+++ b/crates/core/src/scheduler/state_machine/admission.rs
@@ -13,13 +13,14 @@
 };
 
 /// Queue of requests without an account.
-const NO_ACCOUNT: AccountId = AccountId(u32::MAX);
+pub(super) const NO_ACCOUNT: AccountId = AccountId(u32::MAX);
 /// Allowance for the network: from the assignment to the engine, and from the first event back to
 /// the scheduler.
 const DISPATCH_DELAY: Millis = Millis(40);
 
 impl Scheduler {
-    /// Refuses a request that is not expected to meet its deadline.
+    /// Refuses a request that is not expected to meet its deadline, where requests aren't shed by
+    /// urgency.
     pub(super) fn check_deadline(
         &self,
         job: &Job,
@@ -64,7 +65,11 @@
         if job.attempt > 1 {
             return Ok(None);
         }
-        self.rates.admit(job, now)
+        let settings = self.settings.hard_load;
+        let has_own_times = self
+            .fleet
+            .is_active(settings.return_times, job.service, settings);
+        self.rates.admit(job, has_own_times, now)
     }
 
     /// The queue entry of a request.
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -2,7 +2,7 @@
 //! outcomes.
 
 use {
-    super::{ORPHAN_TIMEOUT, Scheduler},
+    super::{ORPHAN_TIMEOUT, Scheduler, shedding::lane},
     crate::{
         clock::Millis,
         ids::{AccountId, AdapterId, AdapterVersion, RequestId, ServiceId, UpstreamId},
@@ -304,16 +304,18 @@
         if let Err(refusal) = self.check_retry_budget(&job, now) {
             return refuse(refusal);
         }
-        if let Err(refusal) = self.check_deadline(&job, now) {
-            return refuse(refusal);
-        }
+        let mut queued_work = match self.check_wait(attempt_id, &job, now) {
+            Ok(queued_work) => queued_work,
+            Err(refusal) => return refuse(refusal),
+        };
         let charge = match self.charge(&job, now) {
             Ok(charge) => charge,
             Err(refusal) => return refuse(refusal),
         };
         let request = RequestId(self.next_request);
         let queue_item = self.queue_item(request, &job, now);
-        if let Err(refusal) = self.queue.push(queue_item, now) {
+        let lane = queued_work.map(|queued| lane(&job, &queued));
+        if let Err(refusal) = self.queue.push(queue_item, lane, now) {
             if let Some(charge) = charge {
                 self.rates.settle(charge, false, now);
             }
@@ -322,8 +324,12 @@
         self.next_request += 1;
         self.note_demand(&job, now);
         self.update_queued_work(&job, true);
-        self.on_time.insert((self.latest_send_at(&job), request));
+        if let Some(queued) = &mut queued_work {
+            let nominal = self.fleet.capacity(job.service);
+            self.overload.note_queued(job.service, queued, nominal, now);
+        }
         self.add_entry(request, attempt_id, job, Stage::Waiting, charge, now);
+        self.track_wait(request, queued_work, now);
         self.decide(now)
     }
 
@@ -342,6 +348,7 @@
             attempt_id,
             latest_send_at: self.latest_send_at(&job),
             evaluate_at: Millis::ZERO,
+            evaluated_at: Millis::ZERO,
             evaluation_epoch: self.evaluation_epoch,
             waits_for: WaitReason::Turn,
             waits_since: now,
@@ -353,6 +360,7 @@
                 Stage::Running { .. } => now,
             },
             stage,
+            queued_work: None,
             charge,
             reserved_tokens: None,
             is_cost_known: false,
@@ -553,6 +561,7 @@
     ) -> Vec<Action> {
         if now.since(self.swept_at) >= ORPHAN_TIMEOUT {
             self.swept_at = now;
+            self.returns.release(now);
             let orphaned: Vec<RequestId> = self
                 .entries
                 .iter()
--- a/crates/core/src/scheduler/state_machine/mod.rs
+++ b/crates/core/src/scheduler/state_machine/mod.rs
@@ -12,8 +12,10 @@
         adapter_demand::{AdapterDemand, LoadUsefulness},
         clock::Millis,
         ids::{AdapterId, RequestId, ServiceId},
+        overload::{OverloadControl, ShedRecord, UrgencyQueue},
         quarantine::PartQuarantine,
-        queue::{FairQueue, QueueSettings},
+        queue::QueueSettings,
+        return_times::ReturnSchedule,
     },
     std::collections::{BTreeSet, HashMap, HashSet},
 };
@@ -27,6 +29,8 @@
 mod quarantine;
 mod queries;
 mod retries;
+mod returns;
+mod shedding;
 
 /// How long after its deadline a request is dropped if its VM has not reported its end.
 const ORPHAN_TIMEOUT: Millis = Millis(1_000);
@@ -60,7 +64,11 @@
     quarantine: PartQuarantine,
     /// Whether evidence has come since the last review of the quarantine.
     is_evidence_new: bool,
-    queue: FairQueue,
+    queue: UrgencyQueue,
+    overload: OverloadControl,
+    returns: ReturnSchedule,
+    /// Refusals by urgency that were not logged yet; bounded.
+    shed_records: Vec<ShedRecord>,
     entries: HashMap<RequestId, TrackedRequest>,
     by_attempt_id: HashMap<AttemptId, RequestId>,
     /// Number of queued requests by adapter.
@@ -122,10 +130,13 @@
             counting_since: None,
             quarantine: PartQuarantine::default(),
             is_evidence_new: false,
-            queue: FairQueue::new(QueueSettings {
+            queue: UrgencyQueue::new(QueueSettings {
                 refuses_by_estimate: false,
                 ..QueueSettings::default()
             }),
+            overload: OverloadControl::default(),
+            returns: ReturnSchedule::default(),
+            shed_records: Vec::new(),
             entries: HashMap::new(),
             by_attempt_id: HashMap::new(),
             queued_by_adapter: HashMap::new(),
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -71,6 +71,7 @@
     copies: Gauge<u64>,
     copies_planned: Gauge<u64>,
     copies_in_vain: Gauge<u64>,
+    return_times: Gauge<u64>,
 }
 
 impl EntryMetrics {
@@ -145,6 +146,10 @@
                 connections: gauge("jasmine_connections", "Open connections of callers"),
                 leading: gauge("jasmine_leading", "Whether this VM schedules for all"),
                 config: gauge("jasmine_config_version", "The configuration in force"),
+                return_times: gauge(
+                    "jasmine_return_times",
+                    "Return times that this scheduler has promised since it started, kept and released ones",
+                ),
                 waited: gauge(
                     "jasmine_waited_ms",
                     "How long requests have waited at this scheduler since it started, by what for",
@@ -289,14 +294,18 @@
         self.orders.add(1, &[KeyValue::new("end", label)]);
     }
 
-    /// Counts a refused request by error kind and account.
+    /// Counts a refused request by error kind, account and, if it is known, priority.
     pub fn count_refused(
         &self,
         refusal: Refusal,
         account: Option<&str>,
+        priority: Option<u8>,
     ) {
-        self.refusals
-            .count(refusal.kind, account.unwrap_or(OTHER_ACCOUNT));
+        let account = account.unwrap_or(OTHER_ACCOUNT);
+        match priority {
+            Some(priority) => self.refusals.count_ranked(refusal.kind, account, priority),
+            None => self.refusals.count(refusal.kind, account),
+        }
     }
 
     /// Records an answered request with its queue wait and, for streams, the time to the first event.
@@ -341,6 +350,10 @@
     ) -> String {
         let (queued, running) = cx.scheduling.local_scheduler.load();
         self.gauges.queued.record(queued as u64, &[]);
+        for (priority, len) in cx.scheduling.local_scheduler.waiting_by_priority() {
+            let class = KeyValue::new("class", i64::from(priority));
+            self.gauges.queued.record(len as u64, &[class]);
+        }
         self.gauges.running.record(running as u64, &[]);
         let waits = cx.scheduling.local_scheduler.waits();
         for reason in WaitReason::ALL {
@@ -353,6 +366,16 @@
         self.gauges.copies.record(copies.copies, &[]);
         self.gauges.copies_planned.record(copies.planned, &[]);
         self.gauges.copies_in_vain.record(copies.in_vain, &[]);
+        let returns = cx.scheduling.local_scheduler.return_counts();
+        for (end, count) in [
+            ("promised", returns.promised),
+            ("kept", returns.kept),
+            ("released", returns.released),
+        ] {
+            self.gauges
+                .return_times
+                .record(count, &[KeyValue::new("end", end)]);
+        }
         self.gauges.in_flight.record(cx.in_flight() as u64, &[]);
         let connections = cx.open_connections() as u64;
         self.gauges.connections.record(connections, &[]);
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -2,6 +2,8 @@
     super::{
         Assignment, JobSpec, NameInterner, RunningSpec, StatedSpec, VmHistory,
         facts::{engine_facts, engine_limits, upstream_facts},
+        shed_log::ShedLog,
+        told_returns::ToldReturns,
     },
     crate::clock::Clock,
     jasmine_conf::settings::ColdUpstreamSettings,
@@ -11,6 +13,8 @@
         ids::UpstreamId,
         ingress::{ColdStart, IngressConfig, UpstreamEntry},
         quarantine::PartSet,
+        return_times::{ReturnCounts, ReturnPromise},
+        rights::CallerTag,
         scheduler::{
             AdmissionShare, Announcement, AttemptHistory, AttemptId, ColdLimit, EngineStatus,
             EnginesToPause, Order, OrderResult, Outcome, RateDecision, RateHistory, RateShare,
@@ -21,7 +25,7 @@
     jasmine_platform::engine::EngineReport,
     std::{
         cell::{Cell, RefCell},
-        collections::{BTreeSet, HashMap, HashSet},
+        collections::{BTreeMap, BTreeSet, HashMap, HashSet},
         net::SocketAddr,
         rc::Rc,
     },
@@ -75,6 +79,8 @@
     pub(super) names: RefCell<NameInterner>,
     pub(super) scheduler: RefCell<Scheduler>,
     waiters: RefCell<HashMap<AttemptId, oneshot::Sender<Verdict>>>,
+    shed_log: RefCell<ShedLog>,
+    told_returns: RefCell<ToldReturns>,
     addresses: RefCell<HashMap<UpstreamId, SocketAddr>>,
     /// Upstreams whose entries were removed.
     removed_upstreams: RefCell<HashSet<UpstreamId>>,
@@ -109,6 +115,8 @@
             names: RefCell::default(),
             scheduler: RefCell::new(Scheduler::new(settings, RateShare::Part(1))),
             waiters: RefCell::default(),
+            shed_log: RefCell::default(),
+            told_returns: RefCell::default(),
             addresses: RefCell::default(),
             removed_upstreams: RefCell::default(),
             cold_upstreams,
@@ -311,6 +319,24 @@
         scheduler.note_own_attempt(service, upstream, spec.attempt, now);
     }
 
+    /// Remembers the return time in a refusal that a scheduler gave and this VM passes on.
+    pub fn note_told_return(
+        &self,
+        spec: &JobSpec,
+        refusal: &Refusal,
+    ) {
+        let service = self.names.borrow_mut().service(&spec.service);
+        if self.scheduler.borrow().gives_return_times(service) {
+            let now = self.clock.now();
+            self.told_returns.borrow_mut().note(spec, refusal, now);
+        }
+    }
+
+    /// How many return times this scheduler has promised, and what became of them.
+    pub fn return_counts(&self) -> ReturnCounts {
+        self.scheduler.borrow().return_counts()
+    }
+
     /// What this VM tells a new leader.
     pub fn history(&self) -> VmHistory {
         let now = self.clock.now();
@@ -339,6 +365,7 @@
                 .map(|(id, spent)| (names.account_name(id).to_string(), spent))
                 .collect(),
             costs: self.learned_costs(),
+            promises: self.told_returns.borrow().pending(now),
         }
     }
 
@@ -370,13 +397,25 @@
             sent_ago: spec.sent_ago.clone(),
             base_pace: spec.base_pace,
         });
+        let promises = &history.promises;
         let history = AttemptHistory {
             counted_for: history.counted_for,
             services,
             stated: stated.collect(),
         };
         let now = self.clock.now();
+        let promises: Vec<ReturnPromise> = promises
+            .iter()
+            .map(|promise| ReturnPromise {
+                caller: CallerTag(promise.caller),
+                service: names.service(&promise.service),
+                priority: promise.priority,
+                due: now + promise.due_in,
+                work: promise.work,
+            })
+            .collect();
         let mut scheduler = self.scheduler.borrow_mut();
+        scheduler.add_promises(&promises, now);
         let vm = xxh3_64(vm.as_bytes());
         scheduler.add_attempt_history(vm, session, &history, vms, now);
         scheduler.add_rate_history(vm, &rates, now);
@@ -646,6 +685,23 @@
         *self.scheduler.borrow().waits()
     }
 
+    /// The numbers of waiting requests by priority, where they are ordered by urgency.
+    pub fn waiting_by_priority(&self) -> BTreeMap<u8, usize> {
+        self.scheduler.borrow().waiting_by_priority()
+    }
+
+    /// Logs the requests that were refused by urgency.
+    fn log_shed(
+        &self,
+        now: Millis,
+    ) {
+        let records = self.scheduler.borrow_mut().take_shed_records();
+        for record in records {
+            let service = self.names.borrow().service_name(record.service);
+            self.shed_log.borrow_mut().log(&record, &service, now);
+        }
+    }
+
     /// Passes an event to the scheduler and performs the resulting actions.
     pub(super) fn apply<F>(
         &self,
@@ -660,6 +716,7 @@
         }
         self.publish_quarantine_changes();
         self.log_planned_loads();
+        self.log_shed(now);
         if self.scheduler.borrow().wake_at(now) < self.timer_due.get() {
             self.wake.notify_one();
         }
--- a/crates/entry/src/scheduling/mod.rs
+++ b/crates/entry/src/scheduling/mod.rs
@@ -18,6 +18,8 @@
 mod placement_error;
 mod quarantine;
 mod server;
+mod shed_log;
+mod told_returns;
 mod versions;
 mod vm_history;
 
@@ -34,5 +36,5 @@
     placement::Placement,
     placement_error::PlacementError,
     server::SchedulerServer,
-    vm_history::{CrashSpec, StatedSpec, VmHistory},
+    vm_history::{CrashSpec, PromiseSpec, StatedSpec, VmHistory},
 };
