Byte budgets: decisions, the length of bodies on the wire, settings

Cause: what a VM holds for slow callers and slow upstreams had bounds for each place and no common one, and nothing bounded what an upstream holds of requests.

UpstreamBytes counts the bodies that a scheduler has assigned and not ended; full upstreams are passed over. The wire's Job gets bodyBytes (27), 0 from older versions.

Without bytes.upstream_kb the scheduler decides as before.

--- a/crates/conf/src/settings/entry_settings.rs
+++ b/crates/conf/src/settings/entry_settings.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        ColdUpstreamSettings, EntryListen, InvalidSetting, LogSettings, RetryBudgetSettings,
-        Validate, VmResources, range::check_range,
+        ByteSettings, ColdUpstreamSettings, EntryListen, InvalidSetting, LogSettings,
+        RetryBudgetSettings, Validate, VmResources, range::check_range,
     },
     jasmine_core::{
         clock::Millis,
@@ -76,6 +76,9 @@
     /// The resources of the VM.
     #[serde(default)]
     pub size: VmResources,
+    /// The budgets for bytes that the VM and upstreams hold.
+    #[serde(default)]
+    pub bytes: ByteSettings,
     /// The retry budget of each service.
     #[serde(default)]
     pub repeats: RetryBudgetSettings,
@@ -146,6 +149,7 @@
         self.cold_upstreams.validate()?;
         check_range("stop_s", self.stop_s, &(1..=3_600))?;
         self.size.validate()?;
+        self.bytes.validate()?;
         self.repeats.validate()
     }
 }
--- a/crates/conf/src/settings/mod.rs
+++ b/crates/conf/src/settings/mod.rs
@@ -3,6 +3,7 @@
 //! For an invalid setting the [`SettingsError`] names the file, the key, the value and what is allowed.
 //! Unknown keys are refused, because a misspelt key would silently leave its default in force.
 
+mod byte_settings;
 mod cold_upstream_settings;
 mod controller_settings;
 mod entry_settings;
@@ -20,6 +21,7 @@
 mod vm_resources;
 
 pub use {
+    byte_settings::ByteSettings,
     cold_upstream_settings::ColdUpstreamSettings,
     controller_settings::ControllerSettings,
     entry_settings::EntrySettings,
--- a/crates/conf/src/settings/vm_resources.rs
+++ b/crates/conf/src/settings/vm_resources.rs
@@ -20,16 +20,19 @@
     pub processor: f64,
     /// Network bandwidth, in megabits per second.
     pub network_mbps: f64,
+    /// Memory, in megabytes.
+    pub memory_mb: u64,
     /// Files, with connections, that the daemon may open; the limit of its process holds as well.
     pub files: u64,
 }
 
 impl Default for VmResources {
-    /// One core, one gigabit per second and 65,536 files.
+    /// One core, one gigabit per second, 256 MB and 65,536 files.
     fn default() -> Self {
         Self {
             processor: 1.0,
             network_mbps: 1_000.0,
+            memory_mb: 256,
             files: 65_536,
         }
     }
@@ -42,6 +45,7 @@
             ("size.processor", self.processor, 0.001, 1_024.0),
             ("size.network_mbps", self.network_mbps, 0.001, 1e6),
         ])?;
+        check_range("size.memory_mb", self.memory_mb, &(16..=16_777_216))?;
         check_range("size.files", self.files, &(256..=100_000_000))
     }
 
--- a/crates/core/examples/scheduler_cost/fleet.rs
+++ b/crates/core/examples/scheduler_cost/fleet.rs
@@ -297,6 +297,7 @@
             data_centre: Some(DataCentreId(0)),
             allowed_data_centres: Vec::new(),
             build: None,
+            body_bytes: 0,
             attempt: 1,
             excluded_upstreams: Vec::new(),
             allowed_upstreams: Vec::new(),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! machine takes an event and the current [`clock::Millis`] and returns actions for its daemon to
 //! execute, so scripts and property tests run the same code as production.
 
+pub mod byte_budget;
 pub mod clock;
 mod decaying_sum;
 pub mod error;
--- a/crates/core/src/scheduler/admission_share.rs
+++ b/crates/core/src/scheduler/admission_share.rs
@@ -26,7 +26,7 @@
 
 /// The part of one upstream's limit that a scheduler may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum AdmissionPart {
+pub(crate) enum AdmissionPart {
     /// None.
     None,
     /// That of the only scheduler.
@@ -40,7 +40,7 @@
 
 impl AdmissionPart {
     /// This part of a whole that VMs in standalone mode divide among them.
-    pub(super) fn share_of(
+    pub(crate) fn share_of(
         self,
         whole: usize,
     ) -> usize {
--- a/crates/core/src/scheduler/availability.rs
+++ b/crates/core/src/scheduler/availability.rs
@@ -106,6 +106,21 @@
         limit.wait(part, &upstream.statements.admissions, now)
     }
 
+    /// Whether an upstream has room for the body of a request from this scheduler.
+    pub(super) fn has_room_for_body(
+        &self,
+        upstream: &Upstream,
+        job: &Job,
+        now: Millis,
+    ) -> bool {
+        if !self.body_bytes.is_limited() {
+            return true;
+        }
+        let share = &self.admission_share;
+        let part = share.part(upstream.id_hash, LIMIT_WINDOW, now);
+        self.body_bytes.has_room(upstream.id, part, job.body_bytes)
+    }
+
     /// Whether an upstream that may be brittle has room for one more request from this scheduler.
     pub(super) fn has_room_while_brittle(
         &self,
--- a/crates/core/src/scheduler/choose/load.rs
+++ b/crates/core/src/scheduler/choose/load.rs
@@ -188,6 +188,7 @@
         let total = Load::of(job, engine, self.now).total;
         let waits = engine.backlog.wait(self.now) < self.settings.engine_backlog.0 as f64;
         self.is_admitted(up)
+            && self.fleet.has_room_for_body(up, job, self.now)
             && (waits || engine.backlog.is_empty())
             && engine.has_capacity(up.running, total, self.settings.kv_fill_percent)
     }
@@ -202,6 +203,8 @@
         let total = Load::of(job, engine, self.now).total;
         if !self.is_within_request_limit(up) {
             WaitReason::RequestLimit
+        } else if !self.fleet.has_room_for_body(up, job, self.now) {
+            WaitReason::Memory
         } else if self.fleet.cold_wait(up, self.now) != Some(Millis::ZERO) {
             WaitReason::ColdUpstream
         } else if engine.has_capacity(up.running, total, self.settings.kv_fill_percent) {
--- a/crates/core/src/scheduler/choose/mod.rs
+++ b/crates/core/src/scheduler/choose/mod.rs
@@ -155,7 +155,11 @@
         let best = self
             .candidates(job)
             .into_iter()
-            .filter(|up| up.can_take_call() && self.is_admitted(up))
+            .filter(|up| {
+                up.can_take_call()
+                    && self.is_admitted(up)
+                    && self.fleet.has_room_for_body(up, job, self.now)
+            })
             .min_by(|a, b| cost(a).total_cmp(&cost(b)));
         Choice {
             send: best
--- a/crates/core/src/scheduler/fleet.rs
+++ b/crates/core/src/scheduler/fleet.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         Activation, EngineLimits, EngineStatus, HardLoadSettings, Job, LoadSettings,
-        UpstreamStatus,
+        SchedulerSettings, UpstreamStatus,
         admission_share::AdmissionShare,
         backlog::PrefillSample,
         brittleness::Brittleness,
@@ -20,6 +20,7 @@
         upstream::Upstream,
     },
     crate::{
+        byte_budget::UpstreamBytes,
         clock::Millis,
         ids::{AdapterId, AdapterVersion, RequestId, ServiceId, UpstreamId},
     },
@@ -55,11 +56,21 @@
     pub(super) pace_reporters: HashSet<ServiceId>,
     /// Times of calls, by service.
     pub(super) call_times: HashMap<ServiceId, CallTimes>,
+    /// Bytes of requests that upstreams hold.
+    pub(super) body_bytes: UpstreamBytes,
     pub(super) load_slowdown: LoadSlowdown,
     pub(super) recent_builds: RecentBuilds,
 }
 
 impl Fleet {
+    /// Creates a fleet without upstreams.
+    pub(super) fn new(settings: &SchedulerSettings) -> Self {
+        Self {
+            body_bytes: UpstreamBytes::new(settings.upstream_bytes),
+            ..Self::default()
+        }
+    }
+
     /// Sets which services have engines, and the capacity of these.
     pub(super) fn set_engines(
         &mut self,
--- a/crates/core/src/scheduler/job.rs
+++ b/crates/core/src/scheduler/job.rs
@@ -91,6 +91,8 @@
     pub allowed_data_centres: Vec<DataCentreId>,
     /// The only build that may serve it, if it resumes a stream.
     pub build: Option<BuildId>,
+    /// Size of its body, in bytes.
+    pub body_bytes: u32,
     /// Attempt number, from 1; later attempts draw on the retry budget.
     pub attempt: u32,
     /// Upstreams that failed earlier attempts.
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -60,6 +60,7 @@
 mod wait_reason;
 mod wait_times;
 
+pub(crate) use admission_share::AdmissionPart;
 pub use {
     account_rates::RateShare,
     action::{Order, SchedulerAction},
--- a/crates/core/src/scheduler/settings.rs
+++ b/crates/core/src/scheduler/settings.rs
@@ -82,6 +82,8 @@
     pub loads: LoadSettings,
     /// Retry budget of each service.
     pub repeats: RetrySettings,
+    /// Most bytes of requests that one upstream may hold over all VMs; 0 for no limit.
+    pub upstream_bytes: u64,
     /// When the parts that answer hard load take effect.
     pub hard_load: HardLoadSettings,
 }
@@ -101,6 +103,7 @@
             },
             loads: LoadSettings::default(),
             repeats: RetrySettings::default(),
+            upstream_bytes: 0,
             hard_load: HardLoadSettings::default(),
         }
     }
--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -63,14 +63,17 @@
 }
 
 /// Whether all calls of the service have the same choice of upstreams: which ones rest differs from VM to VM, and which ones
-/// are avoided from request to request.
+/// are avoided or have room for a body from request to request.
 fn is_alike(
     job: &Job,
     fleet: &Fleet,
     avoided: &[UpstreamId],
     now: Millis,
 ) -> bool {
-    job.is_plain_call() && !fleet.has_rests(now) && avoided.is_empty()
+    job.is_plain_call()
+        && !fleet.has_rests(now)
+        && avoided.is_empty()
+        && !fleet.body_bytes.is_limited()
 }
 
 /// The queue target of a request now: held ones block no others of their target, and released ones
@@ -390,6 +393,7 @@
         }
         let load = self.request_load(&job, upstream, now);
         self.fleet.assign(upstream, request, adapter, load, now);
+        self.fleet.body_bytes.add(upstream, job.body_bytes);
         self.fleet.note_sent(upstream, &job, now);
         self.quarantine
             .note_sent(job.crash_candidates(), request, upstream, now);
@@ -486,6 +490,8 @@
                 }
                 let total = entry.job.generation().map_or(0, |g| g.size.total());
                 self.fleet.release(upstream, request, adapter, total, now);
+                let body_bytes = entry.job.body_bytes;
+                self.fleet.body_bytes.remove(upstream, body_bytes);
                 let load = self.settings.loads;
                 self.fleet
                     .record_outcome(upstream, adapter, outcome, &load, now);
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -5,6 +5,7 @@
     super::{ORPHAN_TIMEOUT, Scheduler},
     crate::{
         clock::Millis,
+        error::{ErrorKind, Refusal},
         ids::{AccountId, AdapterId, AdapterVersion, RequestId, ServiceId, UpstreamId},
         rights::{Charge, Limit},
         scheduler::{
@@ -128,6 +129,7 @@
         &mut self,
         settings: SchedulerSettings,
     ) {
+        self.fleet.body_bytes.budget = settings.upstream_bytes;
         self.settings = settings;
     }
 
@@ -304,6 +306,9 @@
         if let Err(refusal) = self.check_deadline(&job, now) {
             return refuse(refusal);
         }
+        if self.fleet.body_bytes.is_too_large(job.body_bytes) {
+            return refuse(Refusal::new(ErrorKind::BodyTooLarge));
+        }
         let charge = match self.charge(&job, now) {
             Ok(charge) => charge,
             Err(refusal) => return refuse(refusal),
@@ -481,6 +486,7 @@
         });
         let load = self.request_load(&job, upstream, now);
         self.fleet.assign(upstream, request, adapter, load, now);
+        self.fleet.body_bytes.add(upstream, job.body_bytes);
         if has_begun && let Some(engine) = self.fleet.engine_mut(upstream) {
             engine.backlog.remove(request, now);
         }
--- a/crates/core/src/scheduler/state_machine/mod.rs
+++ b/crates/core/src/scheduler/state_machine/mod.rs
@@ -99,7 +99,7 @@
             settings,
             can_order: false,
             evictions_allowed_at: Millis::ZERO,
-            fleet: Fleet::default(),
+            fleet: Fleet::new(&settings),
             versions: AnnouncedVersions::default(),
             rates: AccountRates::new(share),
             retry_budgets: HashMap::new(),
--- a/crates/core/tests/scheduler_world/mod.rs
+++ b/crates/core/tests/scheduler_world/mod.rs
@@ -386,6 +386,7 @@
         data_centre: Some(HERE),
         allowed_data_centres: Vec::new(),
         build: None,
+        body_bytes: 0,
         attempt: 1,
         excluded_upstreams: Vec::new(),
         allowed_upstreams: Vec::new(),
--- a/crates/entry/examples/scheduler_calls.rs
+++ b/crates/entry/examples/scheduler_calls.rs
@@ -197,6 +197,7 @@
         objective: Millis(300),
         gap_objective: None,
         deadline: Millis(3_000),
+        body_bytes: 0,
         attempt: 1,
         excluded_upstreams: Vec::new(),
         allowed_upstreams: Vec::new(),
--- a/crates/entry/src/daemon/run.rs
+++ b/crates/entry/src/daemon/run.rs
@@ -208,6 +208,7 @@
             slack: settings.repeats.slack,
             window: Millis((settings.repeats.window_s * 1000.0) as u64),
         },
+        upstream_bytes: settings.bytes.upstream_bytes(),
         hard_load: hard_load_settings(settings),
         ..SchedulerSettings::default()
     }
--- a/crates/entry/src/forward/request.rs
+++ b/crates/entry/src/forward/request.rs
@@ -179,6 +179,7 @@
             objective: objective.since(now),
             gap_objective: self.route.gap_objective,
             deadline: self.deadline.since(now),
+            body_bytes: u32::try_from(self.incoming.body.len()).unwrap_or(u32::MAX),
             attempt: attempt.number,
             excluded_upstreams: attempt.excluded_upstreams.to_vec(),
             allowed_upstreams: attempt.allowed_upstreams.to_vec(),
--- a/crates/entry/src/scheduling/convert.rs
+++ b/crates/entry/src/scheduling/convert.rs
@@ -76,6 +76,7 @@
         allowed.set(at as u32, name);
     }
     to.set_build(spec.build.as_deref().unwrap_or_default());
+    to.set_body_bytes(spec.body_bytes);
     to.set_has_begun(spec.has_begun);
     to.set_is_successor(spec.is_hedge);
     let Some(generation) = &spec.generation else {
@@ -143,6 +144,7 @@
         data_centre: from.get_data_centre()?.to_string()?,
         allowed_data_centres: read_texts(from.get_allowed_data_centres()?)?,
         build: non_empty(from.get_build()?.to_str()?),
+        body_bytes: from.get_body_bytes(),
         has_begun: from.get_has_begun(),
         is_hedge: from.get_is_successor(),
     })
--- a/crates/entry/src/scheduling/job_spec.rs
+++ b/crates/entry/src/scheduling/job_spec.rs
@@ -102,6 +102,8 @@
     pub gap_objective: Option<Millis>,
     /// Remaining time until the caller stops waiting.
     pub deadline: Millis,
+    /// Size of its body, in bytes.
+    pub body_bytes: u32,
     /// Attempt count, from 1.
     pub attempt: u32,
     /// Upstreams to avoid, because an earlier attempt failed there.
@@ -161,6 +163,7 @@
                 .map(|name| names.data_centre(name))
                 .collect(),
             build: self.build.as_ref().map(|name| names.build(name)),
+            body_bytes: self.body_bytes,
             attempt: self.attempt,
             excluded_upstreams: self
                 .excluded_upstreams
--- a/crates/entry/tests/leader_changes.rs
+++ b/crates/entry/tests/leader_changes.rs
@@ -117,6 +117,7 @@
         objective: Millis(1_000),
         gap_objective: None,
         deadline: Millis(60_000),
+        body_bytes: 0,
         attempt: 1,
         excluded_upstreams: Vec::new(),
         allowed_upstreams: Vec::new(),
--- a/crates/entry/tests/no_leader.rs
+++ b/crates/entry/tests/no_leader.rs
@@ -79,6 +79,7 @@
         objective: Millis(300),
         gap_objective: None,
         deadline: Millis(4_000),
+        body_bytes: 0,
         attempt: 1,
         excluded_upstreams: Vec::new(),
         allowed_upstreams: Vec::new(),
--- a/crates/entry/tests/queued_requests.rs
+++ b/crates/entry/tests/queued_requests.rs
@@ -35,6 +35,7 @@
         objective: Millis(1_000),
         gap_objective: None,
         deadline: Millis(5_000),
+        body_bytes: 0,
         attempt: 1,
         excluded_upstreams: Vec::new(),
         allowed_upstreams: Vec::new(),
--- a/crates/wire/schema/scheduler.capnp
+++ b/crates/wire/schema/scheduler.capnp
@@ -35,6 +35,7 @@
   route @24 :Text;             # empty: not known
   lengthHint @25 :UInt32;      # the caller's estimate of the output in tokens; 0: none
   routePriority @26 :UInt8;
+  bodyBytes @27 :UInt32;
 }
 
 struct RunningJob {
