Byte budgets at entry VMs: bodies wait unread, slow callers hold no slots

Cause: a body without room was refused at once; an answer without room failed its attempt; the slot of an answered request stayed in use until a slow caller had read it, and a stream stayed unread meanwhile, which upstreams close.

Change: a body of known length is held before it is read; without room it stays unread for up to 2 s and is then refused with 429. While a caller takes one part of a stream, the next ones are read, up to bytes.exchange_kb. A request's end is reported when its answer is read, or finds no room, and no longer when its caller has read it: this holds without any new setting, too. Bodies and answers of more than 64 KiB are no longer copied for writing. Log events bytes_full and answer_in_parts, three gauges and a counter.

--- a/crates/entry/src/caller/connection.rs
+++ b/crates/entry/src/caller/connection.rs
@@ -133,11 +133,14 @@
             return Err(RequestReadError::Closed);
         }
     }
-    let charge = caller_charge(cx, stream);
-    read_request(stream, buf, &peer.limits(cx), charge).await
+    let read = read_request(stream, buf, &peer.limits(cx), &cx.bytes).await;
+    if matches!(read, Err(RequestReadError::Refused(ErrorKind::QueueFull))) {
+        cx.metrics.count_bytes_refused();
+    }
+    read
 }
 
-/// The charge of what is buffered of a connection's requests, for no bytes yet.
+/// The charge of what is buffered of a connection's pipelined requests, for no bytes yet.
 fn caller_charge(
     cx: &Context,
     stream: &TcpStream,
--- a/crates/entry/src/caller/read_request.rs
+++ b/crates/entry/src/caller/read_request.rs
@@ -1,12 +1,13 @@
 use {
     crate::{
+        exchange_bytes::{ByteGate, ByteHolds},
         http1::{
             BodyPart, BodyReader, Framing, HeadScanner, HttpError, RequestHead, parse_request_head,
         },
-        upstream::ReadCharge,
     },
     bytes::{Buf, Bytes, BytesMut},
-    jasmine_core::{error::ErrorKind, ingress::CallerLimits},
+    jasmine_core::{byte_budget::Denial, clock::Millis, error::ErrorKind, ingress::CallerLimits},
+    jasmine_platform::headers::CallerHeaders,
     std::io,
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -17,6 +18,10 @@
 
 /// Bytes read at a time.
 const READ_BYTES: usize = 8 << 10;
+/// How long a body waits unread for room; at most half of the time that its caller waits.
+///
+/// Most exchanges end within it, and a refusal leaves the caller time for another VM.
+const MAX_BODY_WAIT: Millis = Millis(2_000);
 
 /// A completely received request.
 #[derive(Clone, Debug)]
@@ -53,6 +58,16 @@
     }
 }
 
+impl From<Denial> for RequestReadError {
+    fn from(denial: Denial) -> Self {
+        match denial {
+            Denial::TooLarge => Self::Refused(ErrorKind::BodyTooLarge),
+            // Others may have ended soon.
+            Denial::Full => Self::Refused(ErrorKind::QueueFull),
+        }
+    }
+}
+
 /// Waits for the first byte of a request.
 pub(super) async fn wait_for_request(
     stream: &mut TcpStream,
@@ -64,12 +79,12 @@
     Ok(())
 }
 
-/// Reads a complete request whose first byte has arrived; `charge` is for its body.
+/// Reads a complete request whose first byte has arrived; its body takes of `budget`.
 pub(super) async fn read_request(
     stream: &mut TcpStream,
     buf: &mut BytesMut,
     limits: &CallerLimits,
-    charge: ReadCharge,
+    budget: &ByteGate,
 ) -> Result<IncomingRequest, RequestReadError> {
     let due = Instant::now() + limits.header_timeout.to_std();
     let mut scanner = HeadScanner::default();
@@ -83,7 +98,7 @@
             Err(_elapsed) => return Err(RequestReadError::Refused(ErrorKind::SlowSender)),
         }
     };
-    let body = read_body(stream, buf, &head, limits, charge).await?;
+    let body = read_body(stream, buf, &head, limits, budget).await?;
     Ok(IncomingRequest { head, body })
 }
 
@@ -92,7 +107,7 @@
     buf: &mut BytesMut,
     head: &RequestHead,
     limits: &CallerLimits,
-    mut charge: ReadCharge,
+    budget: &ByteGate,
 ) -> Result<Bytes, RequestReadError> {
     let max = limits.max_body_bytes;
     match head.framing {
@@ -102,22 +117,29 @@
         }
         _ => {}
     }
+    let max_wait = max_body_wait(head);
+    let mut holds = ByteHolds::new(budget.clone());
+    let mut whole = BytesMut::new();
+    if let Framing::Length(length) = head.framing {
+        holds.hold_all(length, max_wait).await?;
+        // Growing in steps, it could take twice what it holds.
+        whole.reserve(usize::try_from(length).unwrap_or_default());
+    }
     if head.expects_continue() && buf.is_empty() {
         stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
     }
     let mut reader = BodyReader::new(head.framing);
-    let mut whole = BytesMut::new();
     loop {
         match reader.next(buf)? {
-            BodyPart::End => return Ok(charge.attach(whole.freeze())),
+            BodyPart::End => return Ok(holds.attach(whole.freeze())),
             BodyPart::Data(data) if whole.len() + data.len() > max => {
                 return Err(HttpError::BodyTooLarge.into());
             }
-            // Others may have ended soon.
-            BodyPart::Data(data) if !charge.cover(whole.len() + data.len()) => {
-                return Err(RequestReadError::Refused(ErrorKind::QueueFull));
+            BodyPart::Data(data) => {
+                let len = whole.len() + data.len();
+                holds.cover(len as u64, max_wait).await?;
+                whole.extend_from_slice(&data);
             }
-            BodyPart::Data(data) => whole.extend_from_slice(&data),
             BodyPart::NeedMore => {
                 match timeout(limits.idle_timeout.to_std(), read_more(stream, buf)).await {
                     Ok(read) => read?,
@@ -128,6 +150,12 @@
     }
 }
 
+/// How long the body of a request may wait for room.
+fn max_body_wait(head: &RequestHead) -> Millis {
+    let patience = CallerHeaders::read(head.headers.pairs()).max_wait;
+    patience.map_or(MAX_BODY_WAIT, |wait| MAX_BODY_WAIT.min(Millis(wait.0 / 2)))
+}
+
 async fn read_more(
     stream: &mut TcpStream,
     buf: &mut BytesMut,
--- a/crates/entry/src/caller/response_writer.rs
+++ b/crates/entry/src/caller/response_writer.rs
@@ -6,6 +6,9 @@
     tokio::{io::AsyncWriteExt, net::tcp::WriteHalf},
 };
 
+/// The longest body that is copied behind its head, so that both leave in one packet; longer ones would be held twice.
+const MAX_COPIED_BYTES: usize = 64 << 10;
+
 /// Whether a connection stays open after a response.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum KeepAlive<'a> {
@@ -119,6 +122,10 @@
         }
         self.finish_head(&mut head, has_body.then_some(body.len()));
         let mut bytes = head.into_bytes();
+        if body.len() > MAX_COPIED_BYTES {
+            self.write(&bytes).await?;
+            return self.write(body).await;
+        }
         bytes.extend_from_slice(body);
         self.write(&bytes).await
     }
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         clock::Clock,
+        exchange_bytes::ByteGate,
         links::LinkMonitor,
         metrics::EntryMetrics,
         scheduling::SchedulerNode,
@@ -11,6 +12,7 @@
     },
     jasmine_conf::settings::EntrySettings,
     jasmine_core::{
+        byte_budget::ByteLimits,
         clock::Millis,
         ingress::{CallerLimits, ConnectionAdmission, IdleTimeouts, IngressConfig},
     },
@@ -22,7 +24,7 @@
     tokio::{sync::watch, time::timeout},
 };
 
-/// Most bytes of callers' requests that are buffered at once, but for the first of each; an attempt holds them once more.
+/// Most bytes of pipelined requests that are buffered at once, but for the first of each connection.
 const MAX_CALLER_BYTES: usize = 16 << 20;
 
 /// The stages of a planned stop, in order.
@@ -52,7 +54,9 @@
     pub origins: Rc<OriginDirectory>,
     /// Idle connections to upstreams.
     pub pool: Rc<Pool>,
-    /// What is buffered of callers' requests.
+    /// What is held of bodies and answers.
+    pub bytes: ByteGate,
+    /// What is buffered of callers' pipelined requests.
     pub caller_budget: ReadBudget,
     /// The state of the links to upstreams.
     pub links: Rc<LinkMonitor>,
@@ -76,7 +80,10 @@
         pool: Rc<Pool>,
         metrics: Rc<EntryMetrics>,
     ) -> Self {
+        let vm_bytes = settings.bytes.vm_bytes(settings.size.memory_mb);
+        let limits = ByteLimits::new(vm_bytes, settings.bytes.exchange_bytes());
         Self {
+            bytes: ByteGate::new(limits),
             links: Rc::new(LinkMonitor::new(&settings.data_centre, pool.share_budget())),
             settings,
             clock: Clock,
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -4,6 +4,7 @@
     },
     crate::{
         context::Context,
+        exchange_bytes::ByteHold,
         http1::ResponseHead,
         links::{NotRelayed, RelayTarget, read_not_relayed, take_relayed_mark},
         scheduling::Placement,
@@ -32,7 +33,7 @@
 };
 
 /// The largest response that is buffered, in bytes.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
+pub(super) const MAX_RESPONSE_BYTES: usize = 16 << 20;
 /// Longest idle time of a connection for a request that can't be repeated.
 ///
 /// The upstream may close a connection that was idle for longer while the request is on its way.
@@ -140,13 +141,13 @@
         after_event: Option<u64>,
     ) -> Start {
         let now = self.cx.clock.now();
-        let bytes = encode_request(&self.req, &self.placement, after_event, now);
+        let (bytes, body) = encode_request(&self.req, &self.placement, after_event, now);
         if self.cx.links.is_lost() {
-            return self.start_relayed(&bytes).await;
+            return self.start_relayed(&bytes, &body).await;
         }
         match self.connect().await {
-            Ok(connection) => self.start_directly(connection, &bytes).await,
-            Err(LinkStatus::Lost) => self.start_relayed(&bytes).await,
+            Ok(connection) => self.start_directly(connection, &bytes, &body).await,
+            Err(LinkStatus::Lost) => self.start_relayed(&bytes, &body).await,
             Err(_) => Start::Failed(Failure::not_run(Outcome::Unreachable)),
         }
     }
@@ -155,8 +156,9 @@
         &self,
         mut connection: Connection,
         bytes: &[u8],
+        body: &[u8],
     ) -> Start {
-        match self.exchange(&mut connection, bytes).await {
+        match self.exchange(&mut connection, bytes, body).await {
             Err(e) => Start::Failed(self.broken(Via::OwnLinks, e).await),
             Ok(ResponseStart {
                 head,
@@ -179,6 +181,7 @@
     async fn start_relayed(
         &self,
         bytes: &[u8],
+        body: &[u8],
     ) -> Start {
         self.update_trace(|trace| trace.via = Via::OtherVm);
         let target = RelayTarget {
@@ -191,7 +194,7 @@
         relays.sort_by_key(|address| self.tried_relays.borrow().contains(address));
         for address in relays {
             self.tried_relays.borrow_mut().push(address);
-            match self.offer(address, &bytes).await {
+            match self.offer(address, &bytes, body).await {
                 Offer::Started(start) => return *start,
                 Offer::NotRelayed => self.cx.links.note_relay(address, false),
             }
@@ -204,6 +207,7 @@
         &self,
         address: SocketAddr,
         bytes: &[u8],
+        body: &[u8],
     ) -> Offer {
         let links = &self.cx.links;
         let connection = match links.relay_pool.reuse(address, self.max_idle()) {
@@ -213,7 +217,7 @@
         let Ok(mut connection) = connection else {
             return Offer::NotRelayed;
         };
-        let mut response_start = match self.exchange(&mut connection, bytes).await {
+        let mut response_start = match self.exchange(&mut connection, bytes, body).await {
             // This may be due to the upstream, so that other requests can still go through that VM.
             Err(e) => return Offer::started(Start::Failed(self.broken(Via::OtherVm, e).await)),
             Ok(response_start) => response_start,
@@ -261,11 +265,12 @@
         &self,
         connection: &mut Connection,
         bytes: &[u8],
+        body: &[u8],
     ) -> Result<ResponseStart, ExchangeError> {
         let id = self.req.caller.request_id.as_deref();
         let method = &self.req.incoming.head.method;
         connection
-            .send_request(bytes, method, |head| answers_request(head, id))
+            .send_parts(bytes, body, method, |head| answers_request(head, id))
             .await
     }
 
@@ -329,15 +334,24 @@
     pub(super) async fn read_whole(
         &self,
         mut response: StartedResponse,
+        hold: Option<ByteHold>,
     ) -> Result<(ResponseHead, Bytes), Failure> {
         let via = response.via;
         let StartedResponse {
             connection, head, ..
         } = &mut response;
-        let body = match connection.read_whole_body(head, MAX_RESPONSE_BYTES).await {
+        let body = match &hold {
+            Some(_) => connection.read_held_body(head).await,
+            None => connection.read_whole_body(head, MAX_RESPONSE_BYTES).await,
+        };
+        let body = match body {
             Err(e) => return Err(self.broken(via, e).await),
             Ok(body) => body,
         };
+        let body = match hold {
+            Some(hold) => hold.attach(body),
+            None => body,
+        };
         let head = response.head.clone();
         self.release(response);
         Ok((head, body))
@@ -441,7 +455,7 @@
         }
         if let Some(outcome) = not_run {
             // The body is read only so that the connection can be reused.
-            let _either = timeout(NOT_RUN_BODY_TIMEOUT, self.read_whole(response)).await;
+            let _either = timeout(NOT_RUN_BODY_TIMEOUT, self.read_error(response)).await;
             return Start::Failed(Failure::not_run(outcome));
         }
         let has_content_coding = response
@@ -461,7 +475,7 @@
                 } else {
                     self.time_left()
                 };
-                let response = timeout(patience, self.read_whole(response)).await;
+                let response = timeout(patience, self.read_error(response)).await;
                 Start::Failed(Failure {
                     response: response.ok().and_then(Result::ok).map(Box::new),
                     ..Failure::may_have_run(Outcome::Failed)
--- a/crates/entry/src/forward/driver/forwarding.rs
+++ b/crates/entry/src/forward/driver/forwarding.rs
@@ -31,13 +31,20 @@
             self.overtake_rivals(race);
         }
         self.note_piece(&race.current, &piece, out.has_begun());
+        if piece.is_last() {
+            race.current.note_complete();
+        }
+        // With rivals, another one's events might go out before those that were read ahead.
+        let can_read_ahead = !piece.is_last() && race.rivals.is_empty();
         let written = {
             let mut writing = pin!(write_piece(&piece, out));
             loop {
                 // A caller may take a piece slowly.
                 tokio::select! {
+                    biased;
                     written = &mut writing => break written,
                     () = standby_over(race.standby, &self.cx.clock) => self.end_rivals(race),
+                    () = race.current.read_ahead(), if can_read_ahead => {}
                 }
             }
         };
@@ -102,15 +109,12 @@
                 Some(Step::Done(Err(e)))
             }
             Ok(()) if piece.is_last() => {
-                let end = trace.complete_end(self.req.is_stream());
                 let took = now.since(trace.sent_at);
                 self.cx.metrics.count_attempt(Outcome::Answered { took });
                 let first = self.progress.first_at.map(|at| at.since(self.req.arrived));
                 self.cx
                     .metrics
                     .record_answered(&self.req, self.waited, first);
-                let evidence = trace.evidence(end, now);
-                attempt.placement.end(Outcome::Answered { took }, evidence);
                 Some(Step::Done(Ok(())))
             }
             Ok(()) => {
--- a/crates/entry/src/forward/encode.rs
+++ b/crates/entry/src/forward/encode.rs
@@ -3,18 +3,22 @@
 use {
     super::ForwardRequest,
     crate::{http1::Framing, scheduling::Placement},
+    bytes::Bytes,
     jasmine_core::clock::Millis,
     jasmine_platform::headers::{UpstreamRequestHeaders, is_forwarded, is_last_event_id},
     std::fmt::Write,
 };
 
-/// Encodes head and body; `after_event` is the caller's last event of a stream that is resumed.
+/// The longest body that is copied behind its head, so that both leave in one packet; longer ones would be held twice.
+const MAX_COPIED_BYTES: usize = 64 << 10;
+
+/// Encodes the head, and a short body behind it; returns a longer body by itself. `after_event` is the caller's last event of a stream that is resumed.
 pub(super) fn encode_request(
     req: &ForwardRequest,
     placement: &Placement,
     after_event: Option<u64>,
     now: Millis,
-) -> Vec<u8> {
+) -> (Vec<u8>, Bytes) {
     let head = &req.incoming.head;
     let mut out = format!("{} {} HTTP/1.1\r\n", head.method, head.target);
     for (name, header) in head.headers.end_to_end() {
@@ -42,6 +46,9 @@
     }
     out.push_str("\r\n");
     let mut bytes = out.into_bytes();
+    if body.len() > MAX_COPIED_BYTES {
+        return (bytes, body.clone());
+    }
     bytes.extend_from_slice(body);
-    bytes
+    (bytes, Bytes::new())
 }
--- a/crates/entry/src/forward/in_flight.rs
+++ b/crates/entry/src/forward/in_flight.rs
@@ -2,8 +2,10 @@
     super::{
         ForwardRequest,
         attempt::{AttemptContext, Start, StartedResponse, Via},
+        body_reading::BodyReading,
         failure::Failure,
         piece::{AttemptError, Piece},
+        read_ahead::ReadAhead,
         response_trace::ResponseTrace,
         stream_reader::{MAX_HELD_BYTES, StreamReader},
     },
@@ -19,6 +21,7 @@
     jasmine_telemetry::log::Line,
     std::{
         cell::{Cell, RefCell},
+        future::pending,
         net::SocketAddr,
         rc::Rc,
     },
@@ -43,6 +46,8 @@
     Streaming(Box<StreamReader>),
     /// The head of an answer was read that is forwarded as a whole.
     Buffering(Box<StartedResponse>),
+    /// An answer is passed on in parts, as there is no room for the whole.
+    PassingOn(Box<BodyReading>),
     /// It has ended.
     Ended,
 }
@@ -73,6 +78,8 @@
     /// Whether it is a hedge whose result isn't counted yet.
     is_uncounted_hedge: Cell<bool>,
     generation: Option<GenerationSpec>,
+    cx: Rc<Context>,
+    ahead: ReadAhead,
     pieces: LocalBoxStream<'static, Result<Piece, AttemptError>>,
 }
 
@@ -90,7 +97,7 @@
             last_event: setup.last_event,
         };
         let attempt = AttemptContext {
-            cx: setup.cx,
+            cx: Rc::clone(&setup.cx),
             req: Rc::clone(&setup.req),
             placement: Rc::clone(&placement),
             trace: Rc::clone(&trace),
@@ -104,6 +111,8 @@
         });
         Self {
             generation: setup.req.generation(),
+            ahead: ReadAhead::new(setup.cx.bytes.limits().exchange),
+            cx: setup.cx,
             req: setup.req,
             placement,
             trace,
@@ -114,6 +123,42 @@
 
     /// Waits for the next piece of the answer. Nothing is lost if the wait is cancelled.
     pub(super) async fn next(&mut self) -> Result<Piece, AttemptError> {
+        match self.ahead.take() {
+            Some(piece) => piece,
+            None => self.receive().await,
+        }
+    }
+
+    /// Reads the next piece while the caller takes an earlier one, and keeps it; waits forever once enough is kept or
+    /// the answer has ended. Nothing is lost if the wait is cancelled.
+    ///
+    /// An upstream closes an answer that stays unread for some seconds.
+    pub(super) async fn read_ahead(&mut self) {
+        if self.ahead.has_ended() {
+            return pending().await;
+        }
+        if self.ahead.is_full() {
+            let _paused = self.cx.bytes.pause();
+            return pending().await;
+        }
+        let piece = self.receive().await;
+        if piece.as_ref().is_ok_and(Piece::is_last) {
+            self.note_complete();
+        }
+        self.ahead.push(piece, &self.cx.bytes);
+    }
+
+    /// Reports that the upstream has answered completely; its slot is free, however long the caller takes to read.
+    pub(super) fn note_complete(&self) {
+        let now = self.cx.clock.now();
+        let trace = self.trace();
+        let end = trace.complete_end(self.req.is_stream());
+        let took = now.since(trace.sent_at);
+        self.placement
+            .end(Outcome::Answered { took }, trace.evidence(end, now));
+    }
+
+    async fn receive(&mut self) -> Result<Piece, AttemptError> {
         tokio::select! {
             biased;
             piece = self.pieces.next() => {
@@ -175,6 +220,7 @@
         Stage::Begun(reader) => Some(read_first_events(attempt, *reader).await),
         Stage::Streaming(reader) => Some(read_stream(attempt, *reader).await),
         Stage::Buffering(response) => Some(read_whole(attempt, *response).await),
+        Stage::PassingOn(reading) => Some(pass_on(attempt, *reading).await),
         Stage::Ended => None,
     }
 }
@@ -212,12 +258,32 @@
     attempt: &AttemptContext,
     response: StartedResponse,
 ) -> (Result<Piece, AttemptError>, Stage) {
-    match attempt.read_whole(response).await {
+    let hold = match attempt.hold_answer(&response).await {
+        Ok(hold) => hold,
+        Err(_) if attempt.req.is_stream() => {
+            let failure = Failure::may_have_run(Outcome::Abandoned);
+            return (Err(failure.into()), Stage::Ended);
+        }
+        Err(denial) => return pass_on(attempt, BodyReading::new(response, denial, attempt)).await,
+    };
+    match attempt.read_whole(response, hold).await {
         Ok((head, body)) => (Ok(Piece::Whole(head, body)), Stage::Ended),
         Err(failure) => (Err(failure.into()), Stage::Ended),
     }
 }
 
+/// Reads the next part of an answer that is passed on in parts.
+async fn pass_on(
+    attempt: &AttemptContext,
+    mut reading: BodyReading,
+) -> (Result<Piece, AttemptError>, Stage) {
+    match reading.next_part(attempt).await {
+        Ok(Some(piece)) => (Ok(piece), Stage::PassingOn(Box::new(reading))),
+        Ok(None) => (Ok(reading.end(attempt)), Stage::Ended),
+        Err(failure) => (Err(failure.into()), Stage::Ended),
+    }
+}
+
 /// Reads the first events of a stream; if it is contested, with what follows them within the probation, so that nothing
 /// is forwarded of one that breaks off at once.
 async fn read_first_events(
--- a/crates/entry/src/forward/mod.rs
+++ b/crates/entry/src/forward/mod.rs
@@ -1,6 +1,8 @@
 //! Forwarding of requests: routing, authentication, attempts at upstreams, relaying of responses.
 
+mod answer_room;
 mod attempt;
+mod body_reading;
 mod driver;
 mod encode;
 mod events;
@@ -12,6 +14,7 @@
 mod piece;
 mod progress;
 mod race;
+mod read_ahead;
 mod request;
 mod response_trace;
 mod serve;
--- a/crates/entry/src/forward/piece.rs
+++ b/crates/entry/src/forward/piece.rs
@@ -20,6 +20,15 @@
 }
 
 impl Piece {
+    /// Bytes of the body in it.
+    pub(super) fn len(&self) -> u64 {
+        match self {
+            Self::Events(_, batch) => batch.bytes.len() as u64,
+            Self::Whole(_, body) => body.len() as u64,
+            Self::Begun | Self::End(_) => 0,
+        }
+    }
+
     /// Whether nothing follows it.
     pub(super) const fn is_last(&self) -> bool {
         match self {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod clock;
 pub mod context;
 pub mod daemon;
+pub mod exchange_bytes;
 pub mod forward;
 pub mod http1;
 pub mod links;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -41,6 +41,7 @@
     hedges: Counter<u64>,
     broken_attempts: Counter<u64>,
     turned_away: Counter<u64>,
+    bytes_refused: Counter<u64>,
     incomplete_answers: Counter<u64>,
     pipelined_dropped: Counter<u64>,
     idle_closed: Counter<u64>,
@@ -58,6 +59,9 @@
     leading: Gauge<u64>,
     config: Gauge<u64>,
     waited: Gauge<u64>,
+    bytes: Gauge<u64>,
+    bytes_waiting: Gauge<u64>,
+    bytes_paused: Gauge<u64>,
 }
 
 impl EntryMetrics {
@@ -99,6 +103,10 @@
                 .u64_counter("jasmine_connections_turned_away")
                 .with_description("New connections of callers that this VM has closed unread")
                 .build(),
+            bytes_refused: meter
+                .u64_counter("jasmine_bytes_refused")
+                .with_description("Requests refused as their body found no room in time")
+                .build(),
             incomplete_answers: meter
                 .u64_counter("jasmine_answers_incomplete")
                 .with_description(
@@ -136,6 +144,18 @@
                     "jasmine_waited_ms",
                     "How long requests have waited at this scheduler since it started, by what for",
                 ),
+                bytes: gauge(
+                    "jasmine_bytes_held",
+                    "Bytes held of bodies and answers, by part of the budget",
+                ),
+                bytes_waiting: gauge(
+                    "jasmine_bytes_waiting",
+                    "Bodies and answers that wait unread for room",
+                ),
+                bytes_paused: gauge(
+                    "jasmine_exchanges_paused",
+                    "Streams whose upstream isn't read, as their caller reads slowly",
+                ),
             },
             labels: RefCell::default(),
             metrics,
@@ -196,6 +216,11 @@
         self.turned_away.add(1, &[]);
     }
 
+    /// Counts a request that is refused as its body found no room in time.
+    pub fn count_bytes_refused(&self) {
+        self.bytes_refused.add(1, &[]);
+    }
+
     /// Counts a request of a caller or another VM (`peer`) that has ended without a complete answer.
     pub fn count_incomplete_answer(
         &self,
@@ -300,6 +325,17 @@
         self.gauges
             .leading
             .record(cx.scheduling.is_leading().into(), &[]);
+        let (held, paused) = cx.bytes.state();
+        for (part, bytes) in [
+            ("requests", held.requests),
+            ("answers", held.answers),
+            ("small", held.small),
+        ] {
+            let label = KeyValue::new("part", part);
+            self.gauges.bytes.record(bytes, &[label]);
+        }
+        self.gauges.bytes_waiting.record(held.waiting as u64, &[]);
+        self.gauges.bytes_paused.record(paused, &[]);
         let version = cx.config().map_or(0, |config| config.version.0);
         self.gauges.config.record(version, &[]);
         self.metrics
--- a/crates/entry/src/upstream/connection.rs
+++ b/crates/entry/src/upstream/connection.rs
@@ -72,6 +72,18 @@
     answered_id.is_none() || answered_id.as_deref() == id
 }
 
+/// What is sent next of a request in two parts.
+fn unsent<'b>(
+    first: &'b [u8],
+    last: &'b [u8],
+    sent: usize,
+) -> &'b [u8] {
+    match sent.checked_sub(first.len()) {
+        None => &first[sent..],
+        Some(sent) => &last[sent..],
+    }
+}
+
 /// A connection to a server, used for one exchange at a time.
 #[derive(Debug)]
 pub struct Connection {
@@ -147,6 +159,25 @@
     where
         F: Fn(&ResponseHead) -> bool,
     {
+        self.send_parts(request, &[], method, is_match).await
+    }
+
+    /// As [`Self::send_request`], for a request whose last part is not copied behind the first.
+    ///
+    /// # Errors
+    ///
+    /// [`ExchangeError`].
+    pub async fn send_parts<F>(
+        &mut self,
+        first: &[u8],
+        last: &[u8],
+        method: &str,
+        is_match: F,
+    ) -> Result<ResponseStart, ExchangeError>
+    where
+        F: Fn(&ResponseHead) -> bool,
+    {
+        let request_len = first.len() + last.len();
         let mut sent = 0;
         let mut stray = 0;
         let mut interim = 0;
@@ -155,7 +186,7 @@
         loop {
             while let Some((head, len)) = parse_response_head(&self.buf, method, &mut scanner)? {
                 self.buf.advance(len);
-                let is_request_sent = sent == request.len();
+                let is_request_sent = sent == request_len;
                 match head.status {
                     100..=199 if interim >= MAX_INTERIM_RESPONSES => {
                         return Err(ExchangeError::Invalid);
@@ -177,7 +208,7 @@
             self.buf.reserve(READ_BYTES);
             let (mut rx, mut tx) = self.stream.split();
             tokio::select! {
-                written = tx.write(&request[sent..]), if sent < request.len() => {
+                written = tx.write(unsent(first, last, sent)), if sent < request_len => {
                     sent += written?;
                 }
                 read = rx.read_buf(&mut self.buf) => {
@@ -241,6 +272,27 @@
         Ok(charge.attach(whole.freeze()))
     }
 
+    /// Reads a whole body of known length whose bytes are held already.
+    ///
+    /// # Errors
+    ///
+    /// [`ExchangeError`].
+    pub async fn read_held_body(
+        &mut self,
+        head: &ResponseHead,
+    ) -> Result<Bytes, ExchangeError> {
+        let mut reader = BodyReader::new(head.framing);
+        let len = match head.framing {
+            Framing::Length(len) => usize::try_from(len).unwrap_or_default(),
+            _ => 0,
+        };
+        let mut whole = BytesMut::with_capacity(len);
+        while let Some(data) = self.body(&mut reader).await? {
+            whole.extend_from_slice(&data);
+        }
+        Ok(whole.freeze())
+    }
+
     /// Skips the body of a stray response.
     async fn discard_body(
         &mut self,
--- a/crates/entry/tests/deployment/mod.rs
+++ b/crates/entry/tests/deployment/mod.rs
@@ -169,6 +169,11 @@
         lines.join("\n") + "\n"
     }
 
+    /// Its process id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(
         &self,
         signal: Signal,
