--- a/crates/core/src/scheduler/fleet.rs
+++ b/crates/core/src/scheduler/fleet.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         Activation, EngineLimits, EngineStatus, HardLoadSettings, Job, LoadSettings,
-        UpstreamStatus,
+        SchedulerSettings, UpstreamStatus,
         admission_share::AdmissionShare,
         backlog::PrefillSample,
         brittleness::Brittleness,
@@ -24,6 +24,7 @@
         usual_call_time::UsualCallTime,
     },
     crate::{
+        byte_budget::UpstreamBytes,
         clock::Millis,
         costs::CostModel,
         ids::{AdapterId, AdapterVersion, RequestId, ServiceId, UpstreamId},
@@ -64,6 +65,8 @@
     pub(super) report_ages: ReportAges,
     /// Times of calls, by service.
     pub(super) call_times: HashMap<ServiceId, CallTimes>,
+    /// Bytes of requests that upstreams hold.
+    pub(super) body_bytes: UpstreamBytes,
     pub(super) load_slowdown: LoadSlowdown,
     /// How long requests take relative to their expected cost, by service.
     pub(super) paces: HashMap<ServiceId, MeasuredPace>,
@@ -76,10 +79,11 @@
 }
 
 impl Fleet {
-    /// An empty fleet.
-    pub(super) fn new(hard_load: HardLoadSettings) -> Self {
+    /// Creates a fleet without upstreams.
+    pub(super) fn new(settings: &SchedulerSettings) -> Self {
         Self {
-            hard_load,
+            hard_load: settings.hard_load,
+            body_bytes: UpstreamBytes::new(settings.upstream_bytes),
             ..Self::default()
         }
     }
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -71,6 +71,7 @@
 mod wait_reason;
 mod wait_times;
 
+pub(crate) use admission_share::AdmissionPart;
 pub use {
     account_rates::RateShare,
     action::{Order, SchedulerAction},
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -5,6 +5,7 @@
     super::{ORPHAN_TIMEOUT, Scheduler, shedding::lane},
     crate::{
         clock::Millis,
+        error::{ErrorKind, Refusal},
         ids::{AccountId, AdapterId, AdapterVersion, RequestId, ServiceId, UpstreamId},
         rights::{Charge, Limit},
         scheduler::{
@@ -129,6 +130,7 @@
         &mut self,
         settings: SchedulerSettings,
     ) {
+        self.fleet.body_bytes.budget = settings.upstream_bytes;
         self.settings = settings;
         self.fleet.paces_renewed_at = Millis::ZERO;
         self.fleet.hard_load = settings.hard_load;
@@ -308,6 +310,9 @@
             Ok(queued_work) => queued_work,
             Err(refusal) => return refuse(refusal),
         };
+        if self.fleet.body_bytes.is_too_large(job.body_bytes) {
+            return refuse(Refusal::new(ErrorKind::BodyTooLarge));
+        }
         let charge = match self.charge(&job, now) {
             Ok(charge) => charge,
             Err(refusal) => return refuse(refusal),
@@ -505,6 +510,7 @@
         if has_begun && let Some(upstream) = self.fleet.upstreams.get_mut(&upstream) {
             upstream.work.start(request, now);
         }
+        self.fleet.body_bytes.add(upstream, job.body_bytes);
         if has_begun && let Some(engine) = self.fleet.engine_mut(upstream) {
             engine.backlog.remove(request, now);
         }
--- a/crates/core/src/scheduler/state_machine/mod.rs
+++ b/crates/core/src/scheduler/state_machine/mod.rs
@@ -119,7 +119,7 @@
             settings,
             can_order: false,
             evictions_allowed_at: Millis::ZERO,
-            fleet: Fleet::new(settings.hard_load),
+            fleet: Fleet::new(&settings),
             versions: AnnouncedVersions::default(),
             rates: AccountRates::new(share),
             retry_budgets: HashMap::new(),
--- a/crates/entry/tests/learned_costs.rs
+++ b/crates/entry/tests/learned_costs.rs
@@ -27,6 +27,7 @@
             cost: 1,
             service: "engines".to_owned(),
             route: "route".to_owned(),
+            body_bytes: 0,
             generation: Some(GenerationSpec {
                 model: "model".to_owned(),
                 adapter: Some(adapter.to_owned()),
