--- a/crates/core/src/costs/running_work.rs
+++ b/crates/core/src/costs/running_work.rs
@@ -16,32 +16,50 @@
 #[derive(Clone, Copy, Debug)]
 struct RunningCost {
     request: RequestId,
-    estimate: CostEstimate,
     /// When work on it began; `None` while it waits there.
     started_at: Option<Millis>,
+    /// Expected work, in milliseconds.
+    mean_ms: f64,
+    /// Remaining work once it has run for the mean, in milliseconds.
+    at_mean_ms: f64,
+    /// Change of the remaining work per millisecond until then, and after it.
+    change_before: f64,
+    change_after: f64,
 }
 
 impl RunningCost {
+    fn new(
+        request: RequestId,
+        estimate: CostEstimate,
+        started_at: Option<Millis>,
+    ) -> Self {
+        let mean_ms = estimate.mean_ms.max(MIN_REMAINING_MS);
+        let at_mean_ms = estimate.deviation_ms * OVERDUE_DEVIATIONS;
+        let relative = estimate.deviation_ms / mean_ms;
+        Self {
+            request,
+            started_at,
+            mean_ms,
+            at_mean_ms,
+            change_before: at_mean_ms / mean_ms - 1.0,
+            change_after: OVERDUE_GROWTH * (relative * relative).min(1.0),
+        }
+    }
+
     /// The mean of the work that is left, given how long it has run; close to that of a log-normal
     /// distribution.
     fn remaining(
         &self,
         now: Millis,
     ) -> f64 {
-        let CostEstimate {
-            mean_ms,
-            deviation_ms,
-        } = self.estimate;
         let Some(started_at) = self.started_at else {
-            return mean_ms;
+            return self.mean_ms;
         };
         let spent = now.since(started_at).0 as f64;
-        let at_mean = deviation_ms * OVERDUE_DEVIATIONS;
-        let remaining = if spent < mean_ms {
-            mean_ms - spent + at_mean * spent / mean_ms
+        let remaining = if spent < self.mean_ms {
+            self.mean_ms + self.change_before * spent
         } else {
-            let relative = deviation_ms / mean_ms;
-            at_mean + OVERDUE_GROWTH * (relative * relative).min(1.0) * (spent - mean_ms)
+            self.at_mean_ms + self.change_after * (spent - self.mean_ms)
         };
         remaining.max(MIN_REMAINING_MS)
     }
@@ -63,11 +81,9 @@
         now: Millis,
     ) {
         let has_slot = slots.is_some_and(|slots| self.running.len() < slots as usize);
-        self.running.push(RunningCost {
-            request,
-            estimate,
-            started_at: has_slot.then_some(now),
-        });
+        let started_at = has_slot.then_some(now);
+        self.running
+            .push(RunningCost::new(request, estimate, started_at));
     }
 
     /// Records that work on a request has begun.
@@ -152,9 +168,8 @@
         now: Millis,
     ) -> f64 {
         let work_ms = work_ms.max(MIN_REMAINING_MS);
-        let parts = self.running.iter();
-        parts
-            .map(|cost| cost.remaining(now).min(work_ms) / work_ms)
-            .sum()
+        let beside = self.running.iter();
+        let beside = beside.map(|cost| cost.remaining(now).min(work_ms));
+        beside.sum::<f64>() / work_ms
     }
 }
--- a/crates/core/src/costs/service_costs.rs
+++ b/crates/core/src/costs/service_costs.rs
@@ -11,7 +11,7 @@
 const INITIAL_DEVIATION: f64 = 1.0;
 /// Earlier observations of a service count at most this many together.
 const MAX_WEIGHT: f64 = 256.0;
-/// Earlier observations count at least this many, so that one after a pause doesn't replace the mean.
+/// Earlier observations count at least this many, if as many were made, so that one after a pause doesn't replace the mean.
 const MIN_WEIGHT: f64 = 8.0;
 /// Weight of one request in the mean size of requests.
 const SIZE_WEIGHT: f64 = 0.01;
@@ -33,7 +33,8 @@
     /// Time of a token by the stated maximum. Too short where no request reaches its maximum, which
     /// makes estimates of tokens too high.
     token_ms_by_maximum: Quantile,
-    token_samples: u32,
+    /// Requests that have ended.
+    samples: u32,
 }
 
 impl ServiceCosts {
@@ -51,7 +52,7 @@
             hint_weight: HintWeight::default(),
             token_ms_by_hint: Quantile::new(0.5),
             token_ms_by_maximum: Quantile::new(BELOW_MAXIMUM),
-            token_samples: 0,
+            samples: 0,
         }
     }
 
@@ -78,11 +79,12 @@
         let mean = mean + (size - mean) * SIZE_WEIGHT;
         self.mean_size = Some(mean);
         let normal_ms = work_ms / ratio / (size - mean).exp();
-        let is_first = self.work.weight(Millis::ZERO) == 0.0;
-        if !is_first && self.work.weight(now) < MIN_WEIGHT {
-            self.work = LearnedMean::new(self.work.mean, self.work.deviation, MIN_WEIGHT, now);
+        let least = MIN_WEIGHT.min(f64::from(self.samples));
+        if self.work.weight(now) < least {
+            self.work = LearnedMean::new(self.work.mean, self.work.deviation, least, now);
         }
         self.work.note(normal_ms, MAX_WEIGHT, now);
+        self.samples = self.samples.saturating_add(1);
         self.note_tokens(prior, work_ms);
     }
 
@@ -100,7 +102,7 @@
     pub(super) fn token_ms(&self) -> Option<f64> {
         let by_maximum = self.token_ms_by_maximum.get()?;
         let by_hint = self.token_ms_by_hint.get().unwrap_or(by_maximum);
-        (self.token_samples >= MIN_TOKEN_SAMPLES).then(|| by_hint.max(by_maximum))
+        (self.samples >= MIN_TOKEN_SAMPLES).then(|| by_hint.max(by_maximum))
     }
 
     /// Logarithm of the size of a request by what it tells, in tokens; zero for calls.
@@ -129,7 +131,6 @@
         };
         let max = f64::from(max_tokens.max(1));
         self.token_ms_by_maximum.note(work_ms / max);
-        self.token_samples = self.token_samples.saturating_add(1);
         if let Some(hint) = hint {
             self.token_ms_by_hint
                 .note(work_ms / f64::from(hint.clamp(1, max_tokens.max(1))));
