--- a/crates/core/examples/scheduler_cost/fleet.rs
+++ b/crates/core/examples/scheduler_cost/fleet.rs
@@ -8,9 +8,9 @@
         ingress::{PromptPart, PromptSize},
         rights::CallerTag,
         scheduler::{
-            AttemptId, EngineLimits, EngineStatus, Generation, Job, Order, OrderResult, Outcome,
-            RateShare, Scheduler, SchedulerAction as Action, SchedulerSettings, UpstreamStatus,
-            Work,
+            Activation, AttemptId, EngineLimits, EngineStatus, Generation, Job, Order, OrderResult,
+            Outcome, RateShare, Scheduler, SchedulerAction as Action, SchedulerSettings,
+            UpstreamStatus, Work,
         },
     },
     rand::{Rng, SeedableRng},
@@ -71,9 +71,17 @@
 }
 
 impl SimulatedFleet {
-    pub fn new(engines: u32) -> Self {
+    /// `plans_copies`: whether adapter copies are planned by demand.
+    pub fn new(
+        engines: u32,
+        plans_copies: bool,
+    ) -> Self {
         let now = Millis(100_000);
-        let mut scheduler = Scheduler::new(SchedulerSettings::default(), RateShare::Part(1));
+        let mut settings = SchedulerSettings::default();
+        if plans_copies {
+            settings.hard_load.adapter_copies = Activation::On;
+        }
+        let mut scheduler = Scheduler::new(settings, RateShare::Part(1));
         scheduler.set_role(true, RateShare::Fresh, now);
         scheduler.set_engines(HashMap::from([(ENGINE_SERVICE, engine_limits())]));
         for id in 0..engines {
--- a/crates/core/examples/scheduler_cost/main.rs
+++ b/crates/core/examples/scheduler_cost/main.rs
@@ -1,6 +1,6 @@
 //! Measures the CPU cost of scheduling per request, by number of engines and request rate.
 //!
-//! `cargo run --release -p jasmine-core --example scheduler_cost -- <engines> <requests per second> <seconds>`.
+//! `cargo run --release -p jasmine-core --example scheduler_cost -- <engines> <requests per second> <seconds> <1: copies by demand>`.
 //! The clock is virtual; the CPU time is real.
 
 mod fleet;
@@ -10,18 +10,18 @@
     std::time::{Duration, Instant},
 };
 
-const DEFAULT_ARGS: [u64; 3] = [140, 850, 10];
+const DEFAULT_ARGS: [u64; 4] = [140, 850, 10, 0];
 
 fn main() {
     let mut args = std::env::args().skip(1);
-    let [engines, per_s, seconds] = DEFAULT_ARGS.map(|default| {
+    let [engines, per_s, seconds, plans_copies] = DEFAULT_ARGS.map(|default| {
         let arg = args.next();
         arg.map_or(default, |arg| {
             arg.parse()
                 .expect("arguments must be non-negative integers")
         })
     });
-    let mut fleet = SimulatedFleet::new(engines as u32);
+    let mut fleet = SimulatedFleet::new(engines as u32, plans_copies == 1);
     let started = Instant::now();
     fleet.run(per_s, seconds);
     report(&fleet, started.elapsed(), per_s * seconds);
--- a/crates/core/src/scheduler/state_machine/copies.rs
+++ b/crates/core/src/scheduler/state_machine/copies.rs
@@ -23,7 +23,7 @@
 /// Queued requests of an adapter from which they call for another copy; fewer are served by those that it has.
 const MIN_QUEUED: u32 = 2;
 /// How many load times the queue of one copy may take: it is partly served while another copy is loaded.
-const LOADS_PER_QUEUE: f64 = 1.0;
+const LOADS_PER_QUEUE: f64 = 1.5;
 /// Bound on the copies of one adapter that one step orders.
 const MAX_COPIES_PER_STEP: u32 = 3;
 /// Bound on the planned loads kept for the log.
