--- a/crates/core/src/scheduler/choose/call_cost.rs
+++ b/crates/core/src/scheduler/choose/call_cost.rs
@@ -1,7 +1,7 @@
 //! Expected time of calls, in milliseconds.
 
 use {
-    super::SelectionContext,
+    super::{SelectionContext, cost::LATER_PART},
     crate::{
         clock::Millis,
         scheduler::{Job, expected_cost::ExpectedCost, upstream::Upstream},
@@ -47,7 +47,7 @@
                     }
                     None => (usual, (running + 1.0 - slots).max(0.0) / slots * usual),
                 };
-                forecast.factor(self.now) * (own + wait + usual * fill)
+                forecast.factor(self.now) * (own + wait * (1.0 + LATER_PART) + usual * fill)
             }
             _ => self.call_time_ms(up),
         }
