Return times of their own for refused callers

Cause: all requests refused at the same moment were told the same time, and no capacity was kept for them, so they came back together and were refused again.

Change: where hard_load.return_times and shedding are active, each refused caller gets the first free time in a calendar of 50 ms slots, within a third of its time and 5 s; who comes then goes before newcomers of its class, and what is promised is kept from newcomers until 200 ms after the time. VMs tell promises to a new scheduler in hello. Rate-limited callers without reserved tokens get times one after the other by the account's rate.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod quarantine;
 pub mod queue;
 pub mod reachability;
+pub mod return_times;
 pub mod rights;
 pub mod routing;
 pub mod scheduler;
--- a/crates/core/src/overload/arrival.rs
+++ b/crates/core/src/overload/arrival.rs
@@ -12,6 +12,8 @@
     pub account: AccountId,
     /// Its work, in the unit of the service's capacity.
     pub work: f64,
+    /// Capacity per millisecond that is promised to others of classes as urgent or more.
+    pub kept: f64,
     /// How long it may wait and still be on time.
     pub on_time_left: Millis,
     /// How long it may wait and still be served.
--- a/crates/core/src/overload/class_load.rs
+++ b/crates/core/src/overload/class_load.rs
@@ -1,6 +1,6 @@
 use {
     super::account_load::AccountLoad,
-    crate::{clock::Millis, ids::AccountId},
+    crate::{clock::Millis, decaying_sum::DecayingSum, ids::AccountId},
     std::collections::HashMap,
 };
 
@@ -8,6 +8,8 @@
 const MAX_ACCOUNTS: usize = 512;
 /// The account under which the work of all further ones is counted.
 const FURTHER_ACCOUNTS: AccountId = AccountId(u32::MAX - 1);
+/// Half-life of the usual arrivals, several bursts long.
+const USUAL_HALF_LIFE: Millis = Millis(10_000);
 /// Steps in which the wait of a request is computed from the arrivals during that wait.
 const WAIT_STEPS: usize = 4;
 
@@ -16,6 +18,7 @@
 pub struct ClassLoad {
     /// The class as a whole.
     pub total: AccountLoad,
+    usual: DecayingSum,
     accounts: HashMap<AccountId, AccountLoad>,
 }
 
@@ -57,6 +60,7 @@
         now: Millis,
     ) {
         self.total.note_arrival(work, is_late, now);
+        self.usual.add(work, now, USUAL_HALF_LIFE);
         let load = self.accounts.entry(account).or_default();
         load.note_arrival(work, is_late, now);
     }
@@ -98,6 +102,14 @@
         fair_wait(own, work, ahead, capacity, &others.collect::<Vec<_>>())
     }
 
+    /// Admitted work per millisecond as usual, which a burst of a second changes little.
+    pub fn usual_arrivals(
+        &self,
+        now: Millis,
+    ) -> f64 {
+        self.usual.get(now, USUAL_HALF_LIFE) * std::f64::consts::LN_2 / USUAL_HALF_LIFE.0 as f64
+    }
+
     fn of(
         &self,
         account: AccountId,
--- a/crates/core/src/overload/lane.rs
+++ b/crates/core/src/overload/lane.rs
@@ -1,6 +1,9 @@
-use {super::QueueClass, crate::ids::ServiceId};
+use {
+    super::{LanePart, QueueClass},
+    crate::ids::ServiceId,
+};
 
-/// One part of the queue: requests of a class that can be on time, or those that can't any more.
+/// One part of the queue: requests of a class and of one part of it.
 ///
 /// Late requests wait behind those of their class that can be on time and ahead of less urgent
 /// classes.
@@ -10,6 +13,6 @@
     pub service: ServiceId,
     /// Their class.
     pub class: QueueClass,
-    /// Whether they can no longer be on time.
-    pub is_late: bool,
+    /// The part of the class.
+    pub part: LanePart,
 }
--- a/crates/core/src/overload/mod.rs
+++ b/crates/core/src/overload/mod.rs
@@ -12,6 +12,7 @@
 mod class_load;
 mod class_turns;
 mod lane;
+mod lane_part;
 mod measured_capacity;
 mod overload_control;
 mod queue_class;
@@ -22,7 +23,7 @@
 mod wait_estimate;
 
 pub use {
-    admission::Admission, arrival::Arrival, lane::Lane, overload_control::OverloadControl,
-    queue_class::QueueClass, queued_work::QueuedWork, shed_record::ShedRecord,
-    urgency_queue::UrgencyQueue, wait_estimate::WaitEstimate,
+    admission::Admission, arrival::Arrival, lane::Lane, lane_part::LanePart,
+    overload_control::OverloadControl, queue_class::QueueClass, queued_work::QueuedWork,
+    shed_record::ShedRecord, urgency_queue::UrgencyQueue, wait_estimate::WaitEstimate,
 };
--- a/crates/core/src/overload/overload_control.rs
+++ b/crates/core/src/overload/overload_control.rs
@@ -1,6 +1,6 @@
 use {
-    super::{Admission, Arrival, QueuedWork, WaitEstimate, service_load::ServiceLoad},
-    crate::{clock::Millis, ids::ServiceId},
+    super::{Admission, Arrival, QueueClass, QueuedWork, WaitEstimate, service_load::ServiceLoad},
+    crate::{clock::Millis, ids::ServiceId, return_times::ReturnBudget},
     std::collections::HashMap,
 };
 
@@ -37,6 +37,17 @@
         Some(load.demoted_estimate(arrival, now))
     }
 
+    /// The capacity that may be promised to refused callers of a class.
+    pub fn return_budget(
+        &self,
+        service: ServiceId,
+        class: QueueClass,
+        now: Millis,
+    ) -> ReturnBudget {
+        let load = self.services.get(&service);
+        load.map_or_else(ReturnBudget::default, |load| load.return_budget(class, now))
+    }
+
     /// Records a request that was queued.
     pub fn note_queued(
         &mut self,
--- a/crates/core/src/overload/queued_work.rs
+++ b/crates/core/src/overload/queued_work.rs
@@ -1,5 +1,5 @@
 use {
-    super::QueueClass,
+    super::{LanePart, QueueClass},
     crate::{ids::AccountId, scheduler::WaitReason},
 };
 
@@ -12,8 +12,8 @@
     pub account: AccountId,
     /// Its work, in the unit of the service's capacity.
     pub work: f64,
-    /// Whether it can no longer be on time.
-    pub is_late: bool,
+    /// The part of its class in which it waits.
+    pub part: LanePart,
     /// Whether it is late, but keeps its place as it would hardly be served behind the others.
     pub is_overdue: bool,
     /// Whether it competes for the capacity of the service; not while it waits for its adapter.
@@ -21,6 +21,11 @@
 }
 
 impl QueuedWork {
+    /// Whether it can no longer be on time.
+    pub fn is_late(&self) -> bool {
+        self.part == LanePart::Late
+    }
+
     /// Whether a request that waits for this reason competes for the capacity of its service.
     ///
     /// A load of one adapter takes its time whatever the others do, so its requests don't show that
--- a/crates/core/src/overload/service_load.rs
+++ b/crates/core/src/overload/service_load.rs
@@ -1,9 +1,9 @@
 use {
     super::{
-        Admission, Arrival, QueueClass, QueuedWork, WaitEstimate, class_load::ClassLoad,
+        Admission, Arrival, LanePart, QueueClass, QueuedWork, WaitEstimate, class_load::ClassLoad,
         measured_capacity::MeasuredCapacity,
     },
-    crate::clock::Millis,
+    crate::{clock::Millis, return_times::ReturnBudget},
     std::collections::BTreeMap,
 };
 
@@ -16,6 +16,8 @@
 /// is refused after waiting can hardly go elsewhere.
 const ON_TIME_MARGIN: f64 = 0.65;
 const LATE_MARGIN: f64 = 0.5;
+/// Part of the capacity that is promised to refused callers at most.
+const MAX_PROMISED_SHARE: f64 = 0.5;
 /// Expected wait of a request that would never be served at the present arrivals.
 const MAX_WAIT: Millis = Millis(60_000);
 
@@ -57,7 +59,7 @@
         arrival: &Arrival,
         now: Millis,
     ) -> WaitEstimate {
-        let (ahead, arrivals) = self.more_urgent(arrival.class, now);
+        let (ahead, arrivals) = self.more_urgent(arrival, now);
         let capacity = self.capacity.per_ms();
         let left = (capacity * RANKED_SHARE - arrivals).max(capacity * MIN_SHARE);
         let wait = match self.classes.get(&arrival.class) {
@@ -104,7 +106,7 @@
         share: f64,
         now: Millis,
     ) -> WaitEstimate {
-        let (ahead, arrivals) = self.more_urgent(arrival.class, now);
+        let (ahead, arrivals) = self.more_urgent(arrival, now);
         let capacity = self.capacity.per_ms();
         let own = self.classes.get(&arrival.class);
         let arrivals = arrivals + own.map_or(0.0, |class| class.total.on_time_arrivals(now));
@@ -118,6 +120,24 @@
         self.estimate(arrival, (wait.0, wait.1.min(kept)), now)
     }
 
+    /// The capacity that may be promised to refused callers of a class.
+    pub fn return_budget(
+        &self,
+        class: QueueClass,
+        now: Millis,
+    ) -> ReturnBudget {
+        let capacity = self.capacity.per_ms();
+        let most = capacity * MAX_PROMISED_SHARE;
+        let usual = |(_, load): (&QueueClass, &ClassLoad)| load.usual_arrivals(now);
+        let more_urgent: f64 = self.classes.range(..class).map(usual).sum();
+        let own: f64 = self.classes.range(class..=class).map(usual).sum();
+        let left = capacity * RANKED_SHARE - more_urgent;
+        ReturnBudget {
+            on_time: left.clamp(0.0, most),
+            late: (left - own).clamp(0.0, most),
+        }
+    }
+
     /// Records a request that was queued.
     pub fn note_queued(
         &mut self,
@@ -127,7 +147,10 @@
     ) {
         let class = self.classes.entry(queued.class).or_default();
         queued.account = class.counted_account(queued.account, now);
-        class.note_arrival(queued.account, queued.work, queued.is_late, now);
+        // Returned requests use capacity that was kept for them.
+        if queued.part != LanePart::Returned {
+            class.note_arrival(queued.account, queued.work, queued.is_late(), now);
+        }
         self.change(queued, 1.0);
         self.capacity.update(nominal, self.competing, now);
     }
@@ -155,7 +178,7 @@
         queued: &mut QueuedWork,
     ) {
         self.change(queued, -1.0);
-        queued.is_late = true;
+        queued.part = LanePart::Late;
         self.change(queued, 1.0);
     }
 
@@ -186,17 +209,18 @@
         let work = queued.work * sign;
         self.competing = (self.competing + work).max(0.0);
         let class = self.classes.entry(queued.class).or_default();
-        class.add(queued.account, work, queued.is_late);
+        class.add(queued.account, work, queued.is_late());
     }
 
-    /// Queued work of more urgent classes, and their admitted work per millisecond.
+    /// Queued work of more urgent classes, and the capacity that their arrivals and promised return
+    /// times take.
     fn more_urgent(
         &self,
-        class: QueueClass,
+        arrival: &Arrival,
         now: Millis,
     ) -> (f64, f64) {
-        let more = self.classes.range(..class);
-        more.fold((0.0, 0.0), |(queued, arrivals), (_, load)| {
+        let more = self.classes.range(..arrival.class);
+        more.fold((0.0, arrival.kept), |(queued, arrivals), (_, load)| {
             let load = &load.total;
             (
                 queued + load.on_time + load.late,
--- a/crates/core/src/overload/urgency_queue.rs
+++ b/crates/core/src/overload/urgency_queue.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Lane, class_turns::ClassTurns},
+    super::{Lane, LanePart, class_turns::ClassTurns},
     crate::{
         clock::Millis,
         error::{ErrorKind, Refusal},
@@ -96,14 +96,14 @@
             self.unranked.postpone(request, delay, now);
             return;
         };
-        if lane.is_late {
+        if lane.part == LanePart::Late {
             return;
         }
         let Some(waiting) = self.lane_mut(lane).cancel(request, now) else {
             return;
         };
         let behind = Lane {
-            is_late: true,
+            part: LanePart::Late,
             ..lane
         };
         // If the late lane is full for its account, it keeps its place.
--- a/crates/core/src/scheduler/account_rates.rs
+++ b/crates/core/src/scheduler/account_rates.rs
@@ -3,6 +3,7 @@
         Job, Work,
         local_usage::LocalUsage,
         rate_history::{Members, OwnSpending, RateHistory, TakenOverSpending},
+        retry_backlog::RetryBacklog,
     },
     crate::{
         clock::Millis,
@@ -60,6 +61,8 @@
     share: RateShare,
     /// When a request of each account was last rate-limited.
     refused_at: BTreeMap<AccountId, Millis>,
+    /// What rejected callers of each account were told to come back for, beyond reservations.
+    retry_backlogs: BTreeMap<AccountId, RetryBacklog>,
     local_usage: LocalUsage,
     own_spending: OwnSpending,
     members: Members,
@@ -74,6 +77,7 @@
             limits: BTreeMap::new(),
             share,
             refused_at: BTreeMap::new(),
+            retry_backlogs: BTreeMap::new(),
             local_usage: LocalUsage::default(),
             own_spending: OwnSpending::default(),
             members: Members::default(),
@@ -198,20 +202,29 @@
                 grant(&mut self.ledger, account, limit, self.share, 0, now);
             }
         }
+        self.retry_backlogs
+            .retain(|account, _| limits.contains_key(account));
         self.limits = limits;
     }
 
     /// Charges a request, or rejects it with the time when its tokens will be available.
+    ///
+    /// With `has_own_times`, each rejected caller for which none are reserved gets a later time than
+    /// the one before it.
     pub(super) fn admit(
         &mut self,
         job: &Job,
+        has_own_times: bool,
         now: Millis,
     ) -> Result<Option<Charge>, Refusal> {
         let Some(account) = job.account.filter(|id| self.limits.contains_key(id)) else {
             return Ok(None);
         };
         self.taken_over.take_if(|spending| spending.is_over(now));
-        let admitted = self.try_admit(account, job, now);
+        let mut admitted = self.try_admit(account, job, now);
+        if let (true, Err(refusal)) = (has_own_times, &mut admitted) {
+            self.spread_retry(account, job, refusal, now);
+        }
         match (&admitted, &mut self.taken_over) {
             (Err(_), _) => {
                 self.refused_at.insert(account, now);
@@ -222,6 +235,36 @@
         admitted
     }
 
+    /// Gives a rejected caller a time of its own, by what the account's rate refills.
+    ///
+    /// Callers whose tokens are reserved have one already. Others would all be told when the
+    /// tokens of the first of them are there.
+    fn spread_retry(
+        &mut self,
+        account: AccountId,
+        job: &Job,
+        refusal: &mut Refusal,
+        now: Millis,
+    ) {
+        let Some(earliest) = refusal
+            .retry_after
+            .filter(|&delay| delay > RESERVATION_HORIZON)
+        else {
+            return;
+        };
+        let Some(limit) = self.limits.get(&account) else {
+            return;
+        };
+        let parts = match self.share {
+            RateShare::Part(parts) => parts.max(1),
+            RateShare::Fresh | RateShare::TakenOver => 1,
+        };
+        let per_ms = limit.rate as f64 / parts as f64 / 1_000.0;
+        let longest = Millis(job.deadline.since(now).0 / 3);
+        let backlog = self.retry_backlogs.entry(account).or_default();
+        refusal.retry_after = Some(backlog.delay(job.cost, earliest, longest, per_ms, now));
+    }
+
     fn try_admit(
         &mut self,
         account: AccountId,
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -50,6 +50,7 @@
 mod request_load;
 mod resident;
 mod rests;
+mod retry_backlog;
 mod retry_budget;
 mod running;
 mod settings;
--- a/crates/core/src/scheduler/state_machine/admission.rs
+++ b/crates/core/src/scheduler/state_machine/admission.rs
@@ -65,7 +65,11 @@
         if job.attempt > 1 {
             return Ok(None);
         }
-        self.rates.admit(job, now)
+        let settings = self.settings.hard_load;
+        let has_own_times = self
+            .fleet
+            .is_active(settings.return_times, job.service, settings);
+        self.rates.admit(job, has_own_times, now)
     }
 
     /// The queue entry of a request.
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -324,13 +324,8 @@
             let nominal = self.fleet.capacity(job.service);
             self.overload.note_queued(job.service, queued, nominal, now);
         }
-        if queued_work.is_none_or(|queued| !queued.is_late) {
-            self.on_time.insert((self.latest_send_at(&job), request));
-        }
         self.add_entry(request, attempt_id, job, Stage::Waiting, charge, now);
-        if let Some(entry) = self.entries.get_mut(&request) {
-            entry.queued_work = queued_work;
-        }
+        self.track_wait(request, queued_work, now);
         self.decide(now)
     }
 
@@ -547,6 +542,7 @@
     ) -> Vec<Action> {
         if now.since(self.swept_at) >= ORPHAN_TIMEOUT {
             self.swept_at = now;
+            self.returns.release(now);
             let orphaned: Vec<RequestId> = self
                 .entries
                 .iter()
--- a/crates/core/src/scheduler/state_machine/mod.rs
+++ b/crates/core/src/scheduler/state_machine/mod.rs
@@ -13,6 +13,7 @@
         overload::{OverloadControl, ShedRecord, UrgencyQueue},
         quarantine::PartQuarantine,
         queue::QueueSettings,
+        return_times::ReturnSchedule,
     },
     std::collections::{BTreeSet, HashMap, HashSet},
 };
@@ -24,6 +25,7 @@
 mod quarantine;
 mod queries;
 mod retries;
+mod returns;
 mod shedding;
 
 /// How long after its deadline a request is dropped if its VM has not reported its end.
@@ -58,6 +60,7 @@
     is_evidence_new: bool,
     queue: UrgencyQueue,
     overload: OverloadControl,
+    returns: ReturnSchedule,
     /// Refusals by urgency that were not logged yet; bounded.
     shed_records: Vec<ShedRecord>,
     entries: HashMap<RequestId, TrackedRequest>,
@@ -119,6 +122,7 @@
                 ..QueueSettings::default()
             }),
             overload: OverloadControl::default(),
+            returns: ReturnSchedule::default(),
             shed_records: Vec::new(),
             entries: HashMap::new(),
             by_attempt_id: HashMap::new(),
--- a/crates/core/src/scheduler/state_machine/shedding.rs
+++ b/crates/core/src/scheduler/state_machine/shedding.rs
@@ -6,7 +6,10 @@
         clock::Millis,
         error::{ErrorKind, Refusal},
         ids::RequestId,
-        overload::{Admission, Arrival, Lane, QueueClass, QueuedWork, ShedRecord, WaitEstimate},
+        overload::{
+            Admission, Arrival, Lane, LanePart, QueueClass, QueuedWork, ShedRecord, WaitEstimate,
+        },
+        return_times::Returning,
         scheduler::{AttemptId, Job, SchedulerAction as Action},
     },
     std::collections::BTreeMap,
@@ -28,7 +31,7 @@
     Lane {
         service: job.service,
         class: queued.class,
-        is_late: queued.is_late,
+        part: queued.part,
     }
 }
 
@@ -56,24 +59,29 @@
             return Ok(None);
         }
         let arrival = self.arrival(job, now);
-        let queued = |is_late| {
+        let queued = |part| {
             Some(QueuedWork {
                 class: arrival.class,
                 account: arrival.account,
                 work: arrival.work,
-                is_late,
+                part,
                 is_overdue: false,
                 competes: true,
             })
         };
         if job.has_begun {
             self.check_deadline(job, now)?;
-            return Ok(queued(false));
+            return Ok(queued(LanePart::OnTime));
+        }
+        let returning = self.returns.check(job.caller, now);
+        if returning == Returning::Due && arrival.time_left > Millis::ZERO {
+            self.returns.complete(job.caller);
+            return Ok(queued(LanePart::Returned));
         }
         let nominal = self.fleet.capacity(job.service);
         match self.overload.admit(job.service, &arrival, nominal, now) {
-            Admission::OnTime(_) => Ok(queued(false)),
-            Admission::Late(_) => Ok(queued(true)),
+            Admission::OnTime(_) => Ok(queued(LanePart::OnTime)),
+            Admission::Late(_) => Ok(queued(LanePart::Late)),
             Admission::Refused(estimate) => {
                 self.note_shed(ShedRecord {
                     attempt_id,
@@ -82,11 +90,39 @@
                     estimate,
                     waited_for: None,
                 });
-                Err(shed(&arrival, &estimate))
+                Err(self.shed(job, &arrival, &estimate, now))
             }
         }
     }
 
+    /// Records what a newly queued request adds to the load of its service, and until when it waits
+    /// in its lane.
+    pub(super) fn track_wait(
+        &mut self,
+        request: RequestId,
+        queued_work: Option<QueuedWork>,
+        now: Millis,
+    ) {
+        let Some(entry) = self.entries.get_mut(&request) else {
+            return;
+        };
+        entry.queued_work = queued_work;
+        match queued_work.map(|queued| queued.part) {
+            None | Some(LanePart::OnTime) => {}
+            Some(LanePart::Returned) => {
+                // It may be late already; its time to wait is a part of what its caller has left.
+                let time_left = entry.job.deadline.since(now);
+                entry.latest_send_at = now + Millis(time_left.0 / OVERDUE_DIVISOR);
+                entry.queued_work = queued_work.map(|queued| QueuedWork {
+                    is_overdue: true,
+                    ..queued
+                });
+            }
+            Some(LanePart::Late) => return,
+        }
+        self.on_time.insert((entry.latest_send_at, request));
+    }
+
     /// Moves a queued request that can no longer be on time behind those of its class that can.
     ///
     /// If it would hardly be served there, it keeps its place for a part of its time, as it was
@@ -115,8 +151,10 @@
                 estimate,
                 waited_for: Some(entry.waited_for(now)),
             };
+            let job = entry.job.clone();
             self.note_shed(record);
-            return self.refuse(request, shed(&arrival, &estimate), now);
+            let refusal = self.shed(&job, &arrival, &estimate, now);
+            return self.refuse(request, refusal, now);
         }
         queued.is_overdue = true;
         entry.latest_send_at = now + Millis(arrival.time_left.0 / OVERDUE_DIVISOR);
@@ -171,25 +209,42 @@
         job: &Job,
         now: Millis,
     ) -> Arrival {
+        let class = QueueClass::of(job.urgency(), job.has_begun);
         Arrival {
-            class: QueueClass::of(job.urgency(), job.has_begun),
+            class,
             account: job.account.unwrap_or(NO_ACCOUNT),
             work: work(job),
+            kept: self.returns.kept(job.service, class.priority(), now),
             on_time_left: self.latest_send_at(job).since(now),
             time_left: job.deadline.since(now + self.min_service_time(job)),
         }
     }
+
+    /// The refusal of a request that waits too long, with a time to come back.
+    fn shed(
+        &mut self,
+        job: &Job,
+        arrival: &Arrival,
+        estimate: &WaitEstimate,
+        now: Millis,
+    ) -> Refusal {
+        let retry_after = self
+            .return_delay(job, arrival, now)
+            .unwrap_or_else(|| time_to_drain(arrival, estimate));
+        Refusal::after(ErrorKind::CannotMeetDeadline, retry_after)
+    }
 }
 
-/// The refusal of a request that waits too long, with the time after which the work ahead of it
-/// leaves enough.
-fn shed(
+/// The time after which the work ahead of a refused request leaves enough.
+fn time_to_drain(
     arrival: &Arrival,
     estimate: &WaitEstimate,
-) -> Refusal {
-    let retry_after = estimate.wait.since(arrival.on_time_left);
-    // Callers wait for no longer than a third of the time that they have left.
-    let longest = Millis(arrival.time_left.0 / 3);
-    let retry_after = retry_after.min(longest).max(MIN_RETRY_AFTER);
-    Refusal::after(ErrorKind::CannotMeetDeadline, retry_after)
+) -> Millis {
+    let drained = estimate.wait.since(arrival.on_time_left);
+    drained.min(longest_return(arrival)).max(MIN_RETRY_AFTER)
+}
+
+/// The longest time after which callers come back: a third of what they have left.
+pub(super) const fn longest_return(arrival: &Arrival) -> Millis {
+    Millis(arrival.time_left.0 / 3)
 }
--- a/crates/core/tests/load_player/mod.rs
+++ b/crates/core/tests/load_player/mod.rs
@@ -14,7 +14,7 @@
     },
     rand::{Rng, SeedableRng},
     rand_chacha::ChaCha8Rng,
-    std::collections::{BTreeMap, HashMap, VecDeque},
+    std::collections::{BTreeMap, HashMap, HashSet, VecDeque},
 };
 
 /// Prompt tokens that an engine reads per millisecond; a prompt has 1,500.
@@ -70,6 +70,10 @@
 pub struct Player {
     pub world: World,
     pub tallies: Vec<Tally>,
+    /// The refused requests, each with the time when it is to come back.
+    pub refusals: Vec<(Millis, Job)>,
+    /// The answered requests.
+    pub answered: HashSet<u64>,
     upstreams: Upstreams,
     count: u32,
     waiting: BTreeMap<u64, Pending>,
@@ -110,6 +114,8 @@
         Self {
             world,
             tallies: Vec::new(),
+            refusals: Vec::new(),
+            answered: HashSet::new(),
             upstreams,
             count,
             waiting: BTreeMap::new(),
@@ -159,7 +165,11 @@
             let pending = self.waiting.remove(&number).unwrap();
             match self.world.decision(number).unwrap() {
                 Decision::Sent(upstream, _) => self.start(number, pending, upstream),
-                Decision::Refused(_) => self.refused(&pending),
+                Decision::Refused(refusal) => {
+                    self.refused(&pending);
+                    let delay = refusal.retry_after.unwrap_or_default();
+                    self.refusals.push((self.world.now + delay, pending.job));
+                }
             }
         }
     }
@@ -184,6 +194,16 @@
             ..base
         };
         self.tallies[index].arrived += 1;
+        self.place(index, job)
+    }
+
+    /// Places a request of a stream, also one that comes back.
+    pub fn place(
+        &mut self,
+        index: usize,
+        job: Job,
+    ) -> u64 {
+        let now = self.world.now;
         let number = self.world.place(job.clone());
         let pending = Pending {
             stream: index,
@@ -287,6 +307,9 @@
         number: u64,
     ) {
         let (pending, _) = &self.running[&number];
+        if self.world.now <= pending.job.deadline {
+            self.answered.insert(number);
+        }
         let tally = &mut self.tallies[pending.stream];
         tally.served += u32::from(self.world.now <= pending.job.deadline);
         tally.on_time += u32::from(self.world.now <= pending.job.objective);
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -58,6 +58,7 @@
     leading: Gauge<u64>,
     config: Gauge<u64>,
     waited: Gauge<u64>,
+    return_times: Gauge<u64>,
 }
 
 impl EntryMetrics {
@@ -132,6 +133,10 @@
                 connections: gauge("jasmine_connections", "Open connections of callers"),
                 leading: gauge("jasmine_leading", "Whether this VM schedules for all"),
                 config: gauge("jasmine_config_version", "The configuration in force"),
+                return_times: gauge(
+                    "jasmine_return_times",
+                    "Return times that this scheduler has promised since it started, kept and released ones",
+                ),
                 waited: gauge(
                     "jasmine_waited_ms",
                     "How long requests have waited at this scheduler since it started, by what for",
@@ -302,6 +307,16 @@
             let label = KeyValue::new("reason", reason.as_str());
             self.gauges.waited.record(waits.of(reason).0, &[label]);
         }
+        let returns = cx.scheduling.local_scheduler.return_counts();
+        for (end, count) in [
+            ("promised", returns.promised),
+            ("kept", returns.kept),
+            ("released", returns.released),
+        ] {
+            self.gauges
+                .return_times
+                .record(count, &[KeyValue::new("end", end)]);
+        }
         self.gauges.in_flight.record(cx.in_flight() as u64, &[]);
         let connections = cx.open_connections() as u64;
         self.gauges.connections.record(connections, &[]);
--- a/crates/entry/src/scheduling/client/following.rs
+++ b/crates/entry/src/scheduling/client/following.rs
@@ -6,8 +6,8 @@
         Leader,
         convert::{
             AttemptUpdate, read_leader, read_quarantine, write_account_uses, write_attempts,
-            write_crashes, write_idle_times, write_leader, write_quarantine, write_running,
-            write_stated, write_update,
+            write_crashes, write_idle_times, write_leader, write_promises, write_quarantine,
+            write_running, write_stated, write_update,
         },
     },
     futures::future::join_all,
@@ -207,6 +207,8 @@
                 write_account_uses(accounts, &history.accounts);
                 let counted_for = history.rates_counted_for.0 as u32;
                 req.get().set_rates_counted_for_ms(counted_for);
+                let promises = req.get().init_promises(history.promises.len() as u32);
+                write_promises(promises, &history.promises);
                 let res = req.send().promise.await?;
                 let res = res.get()?;
                 Ok((res.get_session(), read_leader(res.get_leader()?)?))
--- a/crates/entry/src/scheduling/client/mod.rs
+++ b/crates/entry/src/scheduling/client/mod.rs
@@ -253,6 +253,9 @@
                         ErrorKind::RateLimited => self
                             .local_scheduler
                             .record_own_decision(&spec, RateDecision::RateLimited),
+                        ErrorKind::CannotMeetDeadline if self.standalone_for().is_none() => {
+                            self.local_scheduler.note_told_return(&spec, &refusal);
+                        }
                         // The leader may be lost before this VM asks for its verdicts.
                         ErrorKind::RequestQuarantined => {
                             self.local_scheduler.refuse_request(spec.caller);
--- a/crates/entry/src/scheduling/convert.rs
+++ b/crates/entry/src/scheduling/convert.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        Assignment, CrashSpec, GenerationSpec, JobSpec, Leader, NewestSpec, RunningSpec,
-        StatedSpec, Verdict,
+        Assignment, CrashSpec, GenerationSpec, JobSpec, Leader, NewestSpec, PromiseSpec,
+        RunningSpec, StatedSpec, Verdict,
     },
     crate::clock::Clock,
     capnp::{struct_list, text, text_list},
@@ -18,10 +18,13 @@
     },
     jasmine_wire::scheduler_capnp::{
         EndKind, Evidence, account_use, attempts, crash, job, leadership, load_report, news,
-        quarantined, rested, running_job, signals, stated, verdict,
+        promise, quarantined, rested, running_job, signals, stated, verdict,
     },
 };
 
+/// Return times read from one VM at most.
+const MAX_PROMISES: usize = 1_024;
+
 /// A forwarded request's progress, as reported to the leader.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum JobUpdate {
@@ -603,6 +606,38 @@
         .collect()
 }
 
+pub(super) fn write_promises(
+    mut to: struct_list::Builder<'_, promise::Owned>,
+    promises: &[PromiseSpec],
+) {
+    for (at, promise) in promises.iter().enumerate() {
+        let mut one = to.reborrow().get(at as u32);
+        one.set_caller(promise.caller);
+        one.set_service(&promise.service);
+        one.set_priority(promise.priority);
+        one.set_due_in_ms(u32::try_from(promise.due_in.0).unwrap_or(u32::MAX));
+        one.set_work(promise.work);
+    }
+}
+
+/// Reads return times; the scheduler checks each against its calendar.
+pub(super) fn read_promises(
+    from: struct_list::Reader<'_, promise::Owned>
+) -> Result<Vec<PromiseSpec>, capnp::Error> {
+    from.iter()
+        .take(MAX_PROMISES)
+        .map(|one| {
+            Ok(PromiseSpec {
+                caller: one.get_caller(),
+                service: one.get_service()?.to_string()?,
+                priority: one.get_priority(),
+                due_in: Millis(one.get_due_in_ms().into()),
+                work: one.get_work(),
+            })
+        })
+        .collect()
+}
+
 fn non_empty(text: &str) -> Option<String> {
     (!text.is_empty()).then(|| text.to_owned())
 }
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -3,6 +3,7 @@
         Assignment, JobSpec, NameInterner, RunningSpec, StatedSpec, VmHistory,
         facts::{engine_facts, engine_limits, upstream_facts},
         shed_log::ShedLog,
+        told_returns::ToldReturns,
     },
     crate::clock::Clock,
     jasmine_conf::settings::ColdUpstreamSettings,
@@ -12,6 +13,8 @@
         ids::UpstreamId,
         ingress::{ColdStart, IngressConfig, UpstreamEntry},
         quarantine::PartSet,
+        return_times::{ReturnCounts, ReturnPromise},
+        rights::CallerTag,
         scheduler::{
             AdmissionShare, Announcement, AttemptHistory, AttemptId, ColdLimit, EngineStatus,
             EnginesToPause, Order, OrderResult, Outcome, RateDecision, RateHistory, RateShare,
@@ -74,6 +77,7 @@
     pub(super) scheduler: RefCell<Scheduler>,
     waiters: RefCell<HashMap<AttemptId, oneshot::Sender<Verdict>>>,
     shed_log: RefCell<ShedLog>,
+    told_returns: RefCell<ToldReturns>,
     addresses: RefCell<HashMap<UpstreamId, SocketAddr>>,
     /// Upstreams whose entries were removed.
     removed_upstreams: RefCell<HashSet<UpstreamId>>,
@@ -109,6 +113,7 @@
             scheduler: RefCell::new(Scheduler::new(settings, RateShare::Part(1))),
             waiters: RefCell::default(),
             shed_log: RefCell::default(),
+            told_returns: RefCell::default(),
             addresses: RefCell::default(),
             removed_upstreams: RefCell::default(),
             cold_upstreams,
@@ -306,6 +311,24 @@
         scheduler.note_own_attempt(service, upstream, spec.attempt, now);
     }
 
+    /// Remembers the return time in a refusal that a scheduler gave and this VM passes on.
+    pub fn note_told_return(
+        &self,
+        spec: &JobSpec,
+        refusal: &Refusal,
+    ) {
+        let service = self.names.borrow_mut().service(&spec.service);
+        if self.scheduler.borrow().gives_return_times(service) {
+            let now = self.clock.now();
+            self.told_returns.borrow_mut().note(spec, refusal, now);
+        }
+    }
+
+    /// How many return times this scheduler has promised, and what became of them.
+    pub fn return_counts(&self) -> ReturnCounts {
+        self.scheduler.borrow().return_counts()
+    }
+
     /// What this VM tells a new leader.
     pub fn history(&self) -> VmHistory {
         let now = self.clock.now();
@@ -332,6 +355,7 @@
             accounts: accounts
                 .map(|(id, spent)| (names.account_name(id).to_string(), spent))
                 .collect(),
+            promises: self.told_returns.borrow().pending(now),
         }
     }
 
@@ -361,13 +385,25 @@
             signals: spec.signals,
             sent_ago: spec.sent_ago.clone(),
         });
+        let promises = &history.promises;
         let history = AttemptHistory {
             counted_for: history.counted_for,
             services,
             stated: stated.collect(),
         };
         let now = self.clock.now();
+        let promises: Vec<ReturnPromise> = promises
+            .iter()
+            .map(|promise| ReturnPromise {
+                caller: CallerTag(promise.caller),
+                service: names.service(&promise.service),
+                priority: promise.priority,
+                due: now + promise.due_in,
+                work: promise.work,
+            })
+            .collect();
         let mut scheduler = self.scheduler.borrow_mut();
+        scheduler.add_promises(&promises, now);
         let vm = xxh3_64(vm.as_bytes());
         scheduler.add_attempt_history(vm, session, &history, vms, now);
         scheduler.add_rate_history(vm, &rates, now);
--- a/crates/entry/src/scheduling/mod.rs
+++ b/crates/entry/src/scheduling/mod.rs
@@ -15,6 +15,7 @@
 mod quarantine;
 mod server;
 mod shed_log;
+mod told_returns;
 mod versions;
 mod vm_history;
 
@@ -30,5 +31,5 @@
     placement::Placement,
     placement_error::PlacementError,
     server::SchedulerServer,
-    vm_history::{CrashSpec, StatedSpec, VmHistory},
+    vm_history::{CrashSpec, PromiseSpec, StatedSpec, VmHistory},
 };
--- a/crates/entry/src/scheduling/server.rs
+++ b/crates/entry/src/scheduling/server.rs
@@ -3,8 +3,8 @@
         LocalScheduler, SchedulerNode, Verdict, VmHistory,
         convert::{
             AttemptUpdate, JobUpdate, read_account_uses, read_attempts, read_crashes,
-            read_idle_times, read_job, read_leader, read_quarantine, read_running, read_stated,
-            read_update, write_leader, write_quarantine, write_verdict,
+            read_idle_times, read_job, read_leader, read_promises, read_quarantine, read_running,
+            read_stated, read_update, write_leader, write_quarantine, write_verdict,
         },
     },
     crate::{
@@ -141,6 +141,7 @@
             quarantine: read_quarantine(params.get_quarantine()?)?,
             rates_counted_for: Millis(params.get_rates_counted_for_ms().into()),
             accounts: read_account_uses(params.get_accounts()?)?,
+            promises: read_promises(params.get_promises()?)?,
         };
         let vms = self.scheduling.vms().len();
         let local_scheduler = &self.scheduling.local_scheduler;
--- a/crates/entry/src/scheduling/vm_history.rs
+++ b/crates/entry/src/scheduling/vm_history.rs
@@ -22,6 +22,23 @@
     pub rates_counted_for: Millis,
     /// The tokens admitted in that time, by account.
     pub accounts: Vec<(String, Vec<SpentTokens>)>,
+    /// The return times that it has passed on to refused callers.
+    pub promises: Vec<PromiseSpec>,
+}
+
+/// A return time that a VM has passed on to a refused caller, as it tells it to a new leader.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PromiseSpec {
+    /// Tag of the request over all attempts of its caller.
+    pub caller: u64,
+    /// Name of the service.
+    pub service: String,
+    /// Priority; 0 is the highest.
+    pub priority: u8,
+    /// Time until the caller is to come back.
+    pub due_in: Millis,
+    /// The capacity kept for it, in calls or prompt tokens.
+    pub work: f64,
 }
 
 /// A crash of an upstream as it began to answer prompts, as a VM tells it to a new leader.
