--- a/crates/core/tests/paced_world/mod.rs
+++ b/crates/core/tests/paced_world/mod.rs
@@ -2,20 +2,21 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+mod jobs;
 mod machine;
 
 use {
-    super::scheduler_world::{CALLS, World, call, engine, generation, upstream},
+    super::scheduler_world::{CALLS, World, engine, upstream},
     jasmine_core::{
         clock::Millis,
         ids::UpstreamId,
-        ingress::PromptSize,
         load_reports::{HeardLoad, LoadReport},
         scheduler::{
-            Activation, Generation, HardLoadSettings, Job, Outcome, SchedulerSettings,
-            UpstreamSignals, UpstreamStatus, Work,
+            Activation, HardLoadSettings, Outcome, SchedulerSettings, UpstreamSignals,
+            UpstreamStatus,
         },
     },
+    jobs::{call_job, generation_job},
     machine::{Machine, Task},
     rand::{Rng, SeedableRng},
     rand_chacha::ChaCha8Rng,
@@ -373,33 +374,3 @@
     }
     world
 }
-
-fn call_job(now: Millis) -> Job {
-    Job {
-        objective: now + Millis(10_000),
-        deadline: now + Millis(60_000),
-        ..call(now)
-    }
-}
-
-fn generation_job(
-    prompt: u32,
-    now: Millis,
-) -> Job {
-    let job = generation(0, now);
-    let known = job.generation().expect("it is a generation").clone();
-    Job {
-        work: Work::Generation(Generation {
-            adapter: None,
-            parts: Vec::new(),
-            size: PromptSize {
-                prompt,
-                output: 100,
-            },
-            ..known
-        }),
-        objective: now + Millis(10_000),
-        deadline: now + Millis(60_000),
-        ..job
-    }
-}
