--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -64,6 +64,11 @@
     All,
 }
 
+/// Time until a queued request is evaluated again.
+fn reevaluation_interval(queued: usize) -> Millis {
+    Millis((queued / MAX_EVALUATIONS_PER_MS) as u64).max(MIN_REEVALUATION_DELAY)
+}
+
 /// Whether all calls of the service have the same choice of upstreams: which ones rest differs from VM to VM, and which ones
 /// are avoided or have room for a body from request to request.
 fn is_alike(
@@ -299,7 +304,6 @@
         now: Millis,
         actions: &mut Vec<Action>,
     ) {
-        let can_order = self.can_order;
         let deciding_vms = self.deciding_vms();
         let mut evaluations = 0;
         // No slot becomes free during a pass, so that one call speaks for all of its service.
@@ -325,8 +329,7 @@
                     ..
                 } = self;
 
-                let evaluation_interval = Millis((queue.len() / MAX_EVALUATIONS_PER_MS) as u64)
-                    .max(MIN_REEVALUATION_DELAY);
+                let evaluation_interval = reevaluation_interval(queue.len());
                 let can_evict = now >= self.evictions_allowed_at;
                 queue.pop(now, |waiting| {
                     let Some(entry) = entries.get_mut(&waiting.request) else {
@@ -364,7 +367,7 @@
                         versions,
                         settings,
                         queued_by_adapter,
-                        can_order,
+                        can_order: self.can_order,
                         can_evict,
                         cold_load_ms: cold_load.0 as f64,
                         demand: CopyDemand::of(demand, fleet, entry.job.service),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod daemon;
 pub mod exchange_bytes;
 pub mod forward;
+mod gauges;
 pub mod http1;
 pub mod links;
 pub mod metrics;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{
-        caller::accept_loop, context::Context, forward::ForwardRequest, scheduling::LocalScheduler,
+        caller::accept_loop, context::Context, forward::ForwardRequest, gauges::Gauges,
+        scheduling::LocalScheduler,
     },
     jasmine_core::{
         clock::Millis,
@@ -12,10 +13,7 @@
         scheduler::{OrderResult, Outcome, PaceSummary, WaitReason},
     },
     jasmine_telemetry::metrics::{Labels, Metrics, MetricsError, Refusals, RequestMetrics},
-    opentelemetry::{
-        KeyValue,
-        metrics::{Counter, Gauge},
-    },
+    opentelemetry::{KeyValue, metrics::Counter},
     std::{cell::RefCell, collections::HashMap, io, rc::Rc},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -53,31 +51,6 @@
     labels: RefCell<HashMap<(String, &'static str), Labels>>,
 }
 
-#[derive(Debug)]
-struct Gauges {
-    queued: Gauge<u64>,
-    running: Gauge<u64>,
-    in_flight: Gauge<u64>,
-    connections: Gauge<u64>,
-    leading: Gauge<u64>,
-    config: Gauge<u64>,
-    waited: Gauge<u64>,
-    learned_costs: Gauge<u64>,
-    cost_errors: Gauge<u64>,
-    pace_lowest: Gauge<u64>,
-    pace_highest: Gauge<u64>,
-    reports_ignored: Gauge<u64>,
-    report_decisions: Gauge<u64>,
-    report_ages: Gauge<u64>,
-    copies: Gauge<u64>,
-    copies_planned: Gauge<u64>,
-    copies_in_vain: Gauge<u64>,
-    return_times: Gauge<u64>,
-    bytes: Gauge<u64>,
-    bytes_waiting: Gauge<u64>,
-    bytes_paused: Gauge<u64>,
-}
-
 impl EntryMetrics {
     /// Creates the instruments.
     ///
@@ -87,9 +60,6 @@
     pub fn new() -> Result<Self, MetricsError> {
         let metrics = Metrics::new()?;
         let meter = metrics.meter();
-        let gauge = |name: &'static str, text: &'static str| {
-            meter.u64_gauge(name).with_description(text).build()
-        };
         Ok(Self {
             requests: RequestMetrics::new(&meter),
             refusals: Refusals::new(&meter),
@@ -141,80 +111,7 @@
                 .u64_counter("jasmine_orders")
                 .with_description("Orders to engines, by how they ended")
                 .build(),
-            gauges: Gauges {
-                queued: gauge(
-                    "jasmine_queued",
-                    "Requests that wait for an upstream at this scheduler",
-                ),
-                running: gauge(
-                    "jasmine_running",
-                    "Requests that this scheduler has assigned",
-                ),
-                in_flight: gauge("jasmine_in_flight", "Requests of callers of this VM"),
-                connections: gauge("jasmine_connections", "Open connections of callers"),
-                leading: gauge("jasmine_leading", "Whether this VM schedules for all"),
-                config: gauge("jasmine_config_version", "The configuration in force"),
-                return_times: gauge(
-                    "jasmine_return_times",
-                    "Return times that this scheduler has promised since it started, kept and released ones",
-                ),
-                waited: gauge(
-                    "jasmine_waited_ms",
-                    "How long requests have waited at this scheduler since it started, by what for",
-                ),
-                learned_costs: gauge(
-                    "jasmine_learned_costs",
-                    "Entries of the table of learned costs of requests",
-                ),
-                cost_errors: gauge(
-                    "jasmine_cost_errors",
-                    "Requests that ended since the start, by the ratio of measured to expected cost",
-                ),
-                pace_lowest: gauge(
-                    "jasmine_pace_lowest_percent",
-                    "Time of work at the fastest upstream in percent of the usual, 0 if none is known",
-                ),
-                pace_highest: gauge(
-                    "jasmine_pace_highest_percent",
-                    "Time of work at the slowest upstream in percent of the usual, 0 if none is known",
-                ),
-                reports_ignored: gauge(
-                    "jasmine_load_reports_ignored",
-                    "Load reports that were ignored as implausible, of all upstreams known now",
-                ),
-                report_decisions: gauge(
-                    "jasmine_load_report_decisions",
-                    "Requests assigned by this scheduler to upstreams whose load reports take effect",
-                ),
-                report_ages: gauge(
-                    "jasmine_load_report_age_ms",
-                    "Sum of the ages of the newest load reports at those decisions",
-                ),
-                copies: gauge(
-                    "jasmine_adapter_copies",
-                    "Adapters on all engines, each copy counted, where they are planned by demand",
-                ),
-                copies_planned: gauge(
-                    "jasmine_adapter_loads_planned",
-                    "Loads of further copies that this scheduler ordered by demand since it started",
-                ),
-                copies_in_vain: gauge(
-                    "jasmine_adapter_loads_in_vain",
-                    "Those ahead of demand for which no request came",
-                ),
-                bytes: gauge(
-                    "jasmine_bytes_held",
-                    "Bytes held of bodies and answers, by part of the budget",
-                ),
-                bytes_waiting: gauge(
-                    "jasmine_bytes_waiting",
-                    "Bodies and answers that wait unread for room",
-                ),
-                bytes_paused: gauge(
-                    "jasmine_exchanges_paused",
-                    "Streams whose upstream isn't read, as their caller reads slowly",
-                ),
-            },
+            gauges: Gauges::new(&meter),
             labels: RefCell::default(),
             metrics,
         })
