Test of urgent generations with more adapters than slots, known red

Cause: the first trials of overload_classes used 20 adapters in 16 slots and then 10 in 12; the other tests use 6 in 12, which hides that adapters bind.

Change: both are a test of their own with the same bound.

--- a/crates/core/tests/load_player/mod.rs
+++ b/crates/core/tests/load_player/mod.rs
@@ -74,6 +74,8 @@
     pub refusals: Vec<(Millis, Job)>,
     /// The answered requests.
     pub answered: HashSet<u64>,
+    /// Number of adapters of all generations.
+    pub adapters: u32,
     upstreams: Upstreams,
     count: u32,
     waiting: BTreeMap<u64, Pending>,
@@ -116,6 +118,7 @@
             tallies: Vec::new(),
             refusals: Vec::new(),
             answered: HashSet::new(),
+            adapters: ADAPTERS,
             upstreams,
             count,
             waiting: BTreeMap::new(),
@@ -182,7 +185,7 @@
         let now = self.world.now;
         let base = match self.upstreams {
             Upstreams::Servers(..) => call(now),
-            Upstreams::Engines => generation(self.rng.random_range(0..ADAPTERS), now),
+            Upstreams::Engines => generation(self.rng.random_range(0..self.adapters), now),
         };
         let job = Job {
             account: Some(AccountId(stream.account)),
--- a/crates/core/tests/overload_classes.rs
+++ b/crates/core/tests/overload_classes.rs
@@ -205,3 +205,27 @@
         assert_eq!(after[0], taken[0], "the most urgent are refused");
     }
 }
+
+#[test]
+fn short_budgets_scarce_adapters() {
+    // Guards against adapters of less urgent requests that keep those of urgent ones from engines:
+    // 12 slots for 10 adapters, and 16 for 20.
+    for (engines, adapters) in [(6, 10), (8, 20)] {
+        let service = Service {
+            count: engines,
+            per_s: 12.5 * f64::from(engines),
+            ..GENERATIONS
+        };
+        let mut streams = service.streams(&[0.3, 0.3, 1.4]);
+        streams[0].objective /= 2;
+        streams[0].budget /= 4;
+        streams[2].budget *= 3;
+        let settings = shedding(Activation::On);
+        let mut player = Player::new(service.upstreams, engines, settings, 7);
+        player.adapters = adapters;
+        player.play(&streams, PLAYED_MS);
+        println!("{adapters}: {:?}", player.tallies);
+        let short = player.tallies[0].served_part();
+        assert!(short >= 0.95, "{short} with {adapters} adapters");
+    }
+}
