--- a/crates/core/src/scheduler/choose/cost.rs
+++ b/crates/core/src/scheduler/choose/cost.rs
@@ -189,9 +189,7 @@
     }
 }
 
-/// Tokens that a generation is expected to write.
-///
-/// A cost estimate of the request belongs here.
+/// Tokens that a generation is expected to write, by its caller's hint or half of its stated maximum.
 fn expected_output_tokens(generation: &Generation) -> f64 {
     let stated = generation.size.output;
     let hint = generation.length_hint.unwrap_or(stated / 2);
--- a/crates/core/src/scheduler/engine.rs
+++ b/crates/core/src/scheduler/engine.rs
@@ -379,7 +379,7 @@
 
     /// How long its work takes relative to the engines of its service; 1 is as usual.
     ///
-    /// Today the slowness of its prompts; part A replaces it by the pace factor of the upstream.
+    /// By load reports where they take effect, otherwise by the measured times of its prompts.
     pub(super) fn pace(
         &self,
         now: Millis,
