--- a/review/stand-ins/src/bin/crashes_under_unframed_streams.rs
+++ b/review/stand-ins/src/bin/crashes_under_unframed_streams.rs
@@ -20,7 +20,7 @@
 
 const ENGINES: usize = 6;
 /// Crashes, one server each.
-const CRASHES: u32 = 4;
+const CRASHES: u32 = 6;
 /// How long a server is down after a crash.
 const DOWN_TIME: Duration = Duration::from_secs(2);
 /// How long the daemons are down in the final fault.
@@ -62,7 +62,7 @@
         Arc::new(Mutex::new(daemons.iter().map(|it| it.callers).collect()));
     let all = Arc::new(Mutex::new(Vec::<Sent>::new()));
     let began = Instant::now();
-    let until = began + Duration::from_secs(62);
+    let until = began + Duration::from_secs(70);
     let mut killed_at = began;
     let mut back_at = began;
     thread::scope(|scope| {
@@ -82,7 +82,7 @@
                         connection = Client::new(address);
                     }
                     let id = format!("c{client}-{number}");
-                    let adapter = (client as u64 + number) % 6;
+                    let adapter = (client as u64 * 5 + number) % 24;
                     let headers = format!(
                         "X-Model: base/a{adapter}\r\nX-Token-Counts: 800,22\r\nX-Prompt-Prefix: c1:568,{client:x}{number:x}:232\r\n"
                     );
@@ -102,22 +102,32 @@
                         status,
                         is_whole,
                     });
-                    pause(if status == 200 { 40 } else { 200 });
+                    pause(if status == 200 { 40 } else { 500 });
                 }
             });
         }
+        pause(10_000);
         for _ in 0..CRASHES {
-            pause(4_000);
+            pause(3_000);
             if has_trouble() {
                 // Any server that is at work on a stream.
                 let before: Vec<u64> = engines.iter().map(Engine::begun).collect();
+                let is_at_work = |(it, begun): &(&Engine, &u64)| it.begun() > **begun;
+                let waits_until = Instant::now() + Duration::from_secs(2);
                 let engine = loop {
                     let mut known = engines.iter().zip(&before);
-                    if let Some((engine, _)) = known.find(|(it, begun)| it.begun() > **begun) {
-                        break engine;
+                    if let Some((engine, _)) = known.find(is_at_work) {
+                        break Some(engine);
+                    }
+                    if Instant::now() >= waits_until {
+                        break None;
                     }
                     pause(1);
                 };
+                let Some(engine) = engine else {
+                    record.say("no server is at work");
+                    break;
+                };
                 pause(40);
                 record.say(&format!("server {} crashes", engine.id));
                 engine.life.crash(engine.address, DOWN_TIME);
--- a/review/stand-ins/src/engine.rs
+++ b/review/stand-ins/src/engine.rs
@@ -9,6 +9,7 @@
             Arc, Mutex,
             atomic::{AtomicU64, Ordering},
         },
+        thread,
         time::{Duration, Instant},
     },
 };
@@ -34,6 +35,8 @@
     /// Number of events of a stream.
     pub events: u64,
     pub framing: Framing,
+    /// Time until it answers an order.
+    pub order: Duration,
 }
 
 impl Default for Conduct {
@@ -44,6 +47,7 @@
             gap: Duration::from_millis(20),
             events: 11,
             framing: Framing::Chunked,
+            order: Duration::ZERO,
         }
     }
 }
@@ -159,6 +163,8 @@
     {
         // A second answer comes where the answer to the next request is expected.
         let mut second: Option<(String, Vec<u8>)> = None;
+        // The last answer to a request on this channel, with its id.
+        let mut last: Option<(String, Vec<u8>)> = None;
         while let Some(req) = connection.request() {
             if let Some((of, bytes)) = second.take() {
                 watch(&self.id, "second answer", &of);
@@ -169,7 +175,19 @@
             let path = req.target.split('?').next().unwrap_or_default();
             let is_sent = match path {
                 "/-/order" => {
+                    if let Some((of, bytes)) = last.take().filter(|_| spoils(0)) {
+                        watch(&self.id, "second answer", &of);
+                        if !connection.send(&bytes) {
+                            return;
+                        }
+                    }
                     let (status, body) = self.order(&req);
+                    thread::sleep(self.conduct.order);
+                    watch(
+                        &self.id,
+                        &format!("order {status}"),
+                        &String::from_utf8_lossy(&req.body),
+                    );
                     connection.send(&answer(status, "", &body.to_string()))
                 }
                 "/-/report" => connection.send(&answer(200, "", &self.report().to_string())),
@@ -193,7 +211,12 @@
                             }
                             connection.send(&bytes)
                         }
-                        None => self.run(&mut connection, &req, watch),
+                        None => {
+                            let mut sent = Vec::new();
+                            let is_open = self.run(&mut connection, &req, &mut sent, watch);
+                            last = Some((req.id().to_owned(), sent));
+                            is_open
+                        }
                     }
                 }
             };
@@ -228,6 +251,7 @@
         &self,
         connection: &mut Connection,
         req: &Request,
+        sent: &mut Vec<u8>,
         watch: &W,
     ) -> bool
     where
@@ -276,10 +300,13 @@
             if !connection.send(&bytes) {
                 return false;
             }
-            bytes.clear();
+            sent.append(&mut bytes);
         }
         match framing {
-            Framing::Chunked => connection.send(b"0\r\n\r\n"),
+            Framing::Chunked => {
+                sent.extend_from_slice(b"0\r\n\r\n");
+                connection.send(b"0\r\n\r\n")
+            }
             Framing::UntilClose => false,
         }
     }
