Review case 4: a write that has run is answered as not run

The second copy of a refusal is taken for the answer to a later attempt of the same write on the same channel.

--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec "$(dirname "$0")/../run-case.sh" refused_writes 4
