Review case 5: a server is ordered to load beyond its places

The answer to an unload is taken from a late second answer to a request; the leader counts a place as free that isn't, and orders the next load.

The cases are put in order, the gravest first, and two thirds of the clients of cases 4 and 5 are at the leader.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec "$(dirname "$0")/../run-case.sh" late_second_answers 1
+exec "$(dirname "$0")/../run-case.sh" refused_writes 1
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec "$(dirname "$0")/../run-case.sh" refused_writes 4
+exec "$(dirname "$0")/../run-case.sh" answers_to_orders 4
--- a/review/stand-ins/src/bin/answers_to_orders.rs
+++ b/review/stand-ins/src/bin/answers_to_orders.rs
@@ -5,7 +5,7 @@
     review_stand_ins::{
         client::Client,
         daemon::{config, request, start_all},
-        engine::{Conduct, Engine},
+        engine::{BEYOND_PLACES, Conduct, Engine},
         has_trouble, pause,
         record::Record,
     },
@@ -29,13 +29,18 @@
     let store = KvStandIn::start().expect("the store listens");
     store.put("op/config", &config(1));
     let answers = Arc::new(AtomicU64::new(0));
+    let over_capacity = Arc::new(Mutex::new(Vec::<String>::new()));
     let seconds = Arc::new(AtomicU64::new(0));
     for number in 1..=2 {
         let told = record.clone();
         let total = Arc::clone(&answers);
+        let over = Arc::clone(&over_capacity);
         let watch = move |server: &str, what: &str, id: &str| {
             told.line(&format!("server {server}: {what} {id}"));
             total.fetch_add(u64::from(what == "arrived"), Ordering::Relaxed);
+            if what == BEYOND_PLACES {
+                over.lock().unwrap().push(format!("{server}: {id}"));
+            }
         };
         let (all, spoilt) = (Arc::clone(&answers), Arc::clone(&seconds));
         let spoils = move |status: u16| {
@@ -54,12 +59,18 @@
         let engine = Engine::start(&format!("e-{number}"), conduct, watch, spoils);
         store.put(&engine.key(), &engine.entry());
     }
+    let rare: u64 = std::env::var("RARE")
+        .ok()
+        .and_then(|it| it.parse().ok())
+        .unwrap_or(80);
     let daemons = start_all(&store, 3);
     let until = Instant::now() + RUN_TIME;
     let ends = Arc::new(Mutex::new(Vec::new()));
     thread::scope(|scope| {
         for client in 0..60_u64 {
-            let address = daemons[client as usize % daemons.len()].callers;
+            // A hash of the client decides; the leader happens to have two thirds.
+            let daemon = [0, 1, 0, 2, 0, 0][client as usize % 6];
+            let address = daemons[daemon].callers;
             let (record, ends) = (record.clone(), Arc::clone(&ends));
             scope.spawn(move || {
                 let mut connection = Client::new(address);
@@ -69,8 +80,8 @@
                     }
                     let id = format!("c{client}-{number}");
                     // Mostly a few busy adapters; now and then one that is rarely asked for.
-                    let adapter = match number % 80 {
-                        0 => 100 + client * 45 + number / 80,
+                    let adapter = match number % rare {
+                        0 => 100 + client * 45 + number / rare,
                         _ => client % 3,
                     };
                     let headers = format!(
@@ -113,7 +124,15 @@
     for (id, status, _) in &foreign {
         record.say(&format!("MIXED: {id} got {status}, the answer to an order"));
     }
+    let over_capacity = over_capacity.lock().unwrap();
+    for order in over_capacity.iter() {
+        record.say(&format!("LIMIT: loads beyond the places of {order}"));
+    }
     record.flush();
     drop(daemons);
-    exit(i32::from(!foreign.is_empty()));
+    let is_broken = match std::env::var("RULE").as_deref() {
+        Ok("LIMIT") => !over_capacity.is_empty(),
+        _ => !foreign.is_empty(),
+    };
+    exit(i32::from(is_broken));
 }
--- a/review/stand-ins/src/engine.rs
+++ b/review/stand-ins/src/engine.rs
@@ -14,6 +14,12 @@
     },
 };
 
+/// Places for adapters, as the configuration says.
+const ADAPTER_SLOTS: usize = 5;
+
+/// What is told of a load beyond its places, which would crash it.
+pub const BEYOND_PLACES: &str = "is ordered to load beyond its places";
+
 /// How it sends streams.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
@@ -58,6 +64,8 @@
     seq: u64,
     fence: u64,
     loads: usize,
+    /// Accepted loads beyond the places for adapters.
+    over_capacity: u64,
     /// Adapters, and when each can be used.
     adapters: Vec<(String, Instant)>,
 }
@@ -182,6 +190,10 @@
                         }
                     }
                     let (status, body) = self.order(&req);
+                    let over = std::mem::take(&mut self.state.lock().unwrap().over_capacity);
+                    if over > 0 {
+                        watch(&self.id, BEYOND_PLACES, &String::from_utf8_lossy(&req.body));
+                    }
                     thread::sleep(self.conduct.order);
                     watch(
                         &self.id,
@@ -338,6 +350,9 @@
             state.seq -= 1;
             return (200, json!({}));
         }
+        if state.adapters.len() >= ADAPTER_SLOTS {
+            state.over_capacity += 1;
+        }
         let times = &self.conduct.load_times;
         let time = times[state.loads % times.len()];
         state.loads += 1;
