--- a/crates/entry/tests/deployment/mod.rs
+++ b/crates/entry/tests/deployment/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod ending_site;
 pub mod registrar;
+pub mod upstream_process;
 
 use {
     jasmine_platform_stand_in::{KvStandIn, UpstreamStandIn},
--- a/crates/testkit/src/harness/binaries.rs
+++ b/crates/testkit/src/harness/binaries.rs
@@ -13,7 +13,7 @@
 /// # Errors
 ///
 /// [`HarnessError::Build`] with the error output of cargo.
-pub(super) fn binaries_dir() -> Result<&'static Path, HarnessError> {
+pub fn binaries_dir() -> Result<&'static Path, HarnessError> {
     static DIR: OnceLock<Result<PathBuf, String>> = OnceLock::new();
     match DIR.get_or_init(build) {
         Ok(dir) => Ok(dir),
--- a/crates/testkit/src/harness/mod.rs
+++ b/crates/testkit/src/harness/mod.rs
@@ -11,6 +11,7 @@
 mod vm;
 
 pub use {
+    binaries::binaries_dir,
     cluster::{Cluster, OPERATOR_TOKEN},
     cluster_spec::{AccountSpec, ClusterSpec},
     daemon::Daemon,
