Skipped answers and reused connections are logged; failing tests of second answers

Hypothesis 1 of the incident (an answer is taken for that of another exchange) could not be told from the log. An answer that is skipped now has a line, answer_skipped, with the address, status and the id that it names; attempt_failed says whether its connection was used before (reused).

The stand-ins can send each answer twice, the second time before the next answer on the connection, as a pause in the middle of their output does.

--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -396,6 +396,7 @@
     async fn connect(&self) -> Result<Connection, LinkStatus> {
         let address = self.placement.address;
         if let Some(connection) = self.cx.pool.reuse(address, self.max_idle()) {
+            self.update_trace(|trace| trace.is_connection_reused = true);
             return Ok(connection);
         }
         let opened = timeout(self.time_left(), self.cx.pool.open(address)).await;
--- a/crates/entry/src/forward/driver/log.rs
+++ b/crates/entry/src/forward/driver/log.rs
@@ -55,6 +55,7 @@
             .with("outcome", format!("{:?}", failure.outcome))
             .with("broken", failure.is_broken)
             .with("ended", failure.has_upstream_ended)
+            .with("reused", trace.is_connection_reused)
             .with("framing", framing_name(trace.framing))
             .with("partial_bytes", trace.partial_bytes)
             .with("events", self.progress.events)
--- a/crates/entry/src/forward/response_trace.rs
+++ b/crates/entry/src/forward/response_trace.rs
@@ -12,6 +12,8 @@
 pub(super) struct ResponseTrace {
     /// The way to the upstream.
     pub via: Via,
+    /// Whether the connection had carried another request before.
+    pub is_connection_reused: bool,
     /// When the request was sent.
     pub sent_at: Millis,
     /// When the head of a successful response was received.
@@ -34,6 +36,7 @@
     pub(super) const fn new(sent_at: Millis) -> Self {
         Self {
             via: Via::OwnLinks,
+            is_connection_reused: false,
             sent_at,
             head_at: None,
             received_at: None,
--- a/crates/entry/src/upstream/connection.rs
+++ b/crates/entry/src/upstream/connection.rs
@@ -6,6 +6,7 @@
     bytes::{Buf, Bytes, BytesMut},
     jasmine_core::clock::Millis,
     jasmine_platform::headers::ResponseHeaders,
+    jasmine_telemetry::log::Line,
     std::{
         io,
         net::{Ipv4Addr, SocketAddr},
@@ -201,6 +202,7 @@
                     _ if stray >= MAX_STRAY_RESPONSES => return Err(ExchangeError::Invalid),
                     _ => {
                         stray += 1;
+                        self.log_skipped(&head);
                         self.discard_body(&head).await?;
                     }
                 }
@@ -293,6 +295,18 @@
         Ok(whole.freeze())
     }
 
+    fn log_skipped(
+        &self,
+        head: &ResponseHead,
+    ) {
+        let headers = ResponseHeaders::read(head.status, head.headers.pairs());
+        Line::new("answer_skipped")
+            .with("address", self.budget.peer)
+            .with("status", head.status)
+            .with("answers", headers.request_id.as_deref().unwrap_or("-"))
+            .info();
+    }
+
     /// Skips the body of a stray response.
     async fn discard_body(
         &mut self,
--- a/crates/entry/tests/lost_upstream_links.rs
+++ b/crates/entry/tests/lost_upstream_links.rs
@@ -280,3 +280,21 @@
     let lines: Vec<String> = reported().into_iter().filter(of_vm).collect();
     assert!(lines.is_empty(), "{lines:?}");
 }
+
+#[test]
+fn relayed_writes_run_once() {
+    // Guards against a VM that takes the second copy of a refusal for the answer to the next attempt that it relays.
+    let site = Site::start("cut-second", &["s-1"], 2);
+    let upstream = &site.upstreams[0];
+    upstream.repeat_answers();
+    site.set_links(1, Some(Fault::Reset));
+    let until = Instant::now() + CONTACT;
+    while Instant::now() < until {
+        site.vms[1].send_request(&Request::new("GET", "/read/"));
+    }
+    upstream.next(Behaviour::Shed);
+    let request = Request::new("POST", "/write/").body(b"enrol");
+    let response = site.vms[1].send_request(&request);
+    let runs = count_runs(&site.upstreams, request.id());
+    assert_eq!((response.status, runs), (200, 1));
+}
