An answer counts only for the exchange that it belongs to

Callers saw a write or a stream that may run once run twice, a 503 that says 'not run' for what had run, a 409 or 502 that answered an order, and an engine was ordered to load beyond its places.

Cause: an answer was matched by too little. All attempts of a request share its id, and a connection that was given back after a refusal was the first to be used for the next attempt: the second copy of the refusal counted as its answer. Orders and questions to engines took any answer, on connections that requests use as well, and a request took an answer without an id on any connection.

Now a connection knows the requests that it has carried until they can't be sent any more, and carries no second attempt of any of them. An answer without an id counts only where nothing else was sent on the connection. Calls to engines go over connections that have carried nothing. Connections between VMs stay as they are: a VM answers each request once.

Why it works: an id names an attempt once on a connection, so that a copy of an earlier answer is never to a later attempt there. Elsewhere: the gateway names each attempt and the controller orders over new connections; the store's client is alone on its connections, and the store sends nothing twice.

Cost: an order opens a connection, which requests use afterwards.

--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -8,7 +8,7 @@
         http1::ResponseHead,
         links::{NotRelayed, RelayTarget, read_not_relayed, take_relayed_mark},
         scheduling::Placement,
-        upstream::{Connection, ExchangeError, ResponseStart, answers_request},
+        upstream::{Awaited, Connection, ExchangeError, RequestTag, ResponseStart},
     },
     bytes::Bytes,
     futures::future::join,
@@ -158,7 +158,10 @@
         bytes: &[u8],
         body: &[u8],
     ) -> Start {
-        match self.exchange(&mut connection, bytes, body).await {
+        match self
+            .exchange(&mut connection, bytes, body, Awaited::Request(self.tag()))
+            .await
+        {
             Err(e) => Start::Failed(self.broken(Via::OwnLinks, e).await),
             Ok(ResponseStart {
                 head,
@@ -210,14 +213,16 @@
         body: &[u8],
     ) -> Offer {
         let links = &self.cx.links;
-        let connection = match links.relay_pool.reuse(address, self.max_idle()) {
+        let connection = match links.relay_pool.reuse(address, self.max_idle(), None) {
             Some(connection) => Ok(connection),
             None => links.relay_pool.open(address).await,
         };
         let Ok(mut connection) = connection else {
             return Offer::NotRelayed;
         };
-        let mut response_start = match self.exchange(&mut connection, bytes, body).await {
+        let awaited = Awaited::FromVm(self.tag());
+        let exchanged = self.exchange(&mut connection, bytes, body, awaited).await;
+        let mut response_start = match exchanged {
             // This may be due to the upstream, so that other requests can still go through that VM.
             Err(e) => return Offer::started(Start::Failed(self.broken(Via::OtherVm, e).await)),
             Ok(response_start) => response_start,
@@ -266,12 +271,17 @@
         connection: &mut Connection,
         bytes: &[u8],
         body: &[u8],
+        awaited: Awaited<'_>,
     ) -> Result<ResponseStart, ExchangeError> {
-        let id = self.req.caller.request_id.as_deref();
         let method = &self.req.incoming.head.method;
-        connection
-            .send_parts(bytes, body, method, |head| answers_request(head, id))
-            .await
+        connection.send_parts(bytes, body, method, awaited).await
+    }
+
+    fn tag(&self) -> RequestTag<'_> {
+        RequestTag {
+            id: self.req.caller.request_id.as_deref(),
+            repeatable_until: self.req.deadline,
+        }
     }
 
     /// Changes what is recorded of the response.
@@ -395,8 +405,9 @@
     /// Connects to the upstream; if that fails, returns the status of this VM's links.
     async fn connect(&self) -> Result<Connection, LinkStatus> {
         let address = self.placement.address;
-        if let Some(connection) = self.cx.pool.reuse(address, self.max_idle()) {
-            self.update_trace(|trace| trace.is_connection_reused = true);
+        let pool = &self.cx.pool;
+        if let Some(connection) = pool.reuse(address, self.max_idle(), Some(self.tag())) {
+            self.update_trace(|trace| trace.is_connection_reused = !connection.is_unused());
             return Ok(connection);
         }
         let opened = timeout(self.time_left(), self.cx.pool.open(address)).await;
--- a/crates/entry/src/links/probe.rs
+++ b/crates/entry/src/links/probe.rs
@@ -5,7 +5,7 @@
         context::Context,
         http1::ResponseHead,
         scheduling::ProbeTarget,
-        upstream::{Connection, ExchangeError, Pool},
+        upstream::{Awaited, Connection, ExchangeError, Pool},
     },
     jasmine_core::{clock::Millis, reachability::ProbeResult},
     jasmine_platform::{engine::REPORT_TARGET, headers::write_expected_upstream},
@@ -69,7 +69,7 @@
     mut connection: Connection,
     request: &str,
 ) -> Result<ResponseHead, ExchangeError> {
-    let start = connection.send_request(request.as_bytes(), "GET", |_| true);
+    let start = connection.send_request(request.as_bytes(), "GET", Awaited::Any);
     Ok(start.await?.head)
 }
 
--- a/crates/entry/src/links/relay_server.rs
+++ b/crates/entry/src/links/relay_server.rs
@@ -9,7 +9,7 @@
         context::{Context, StopStage},
         http1::{BodyReader, Framing, ResponseHead},
         scheduling::GenerationSpec,
-        upstream::{Connection, ResponseStart, answers_request},
+        upstream::{Awaited, Connection, RequestTag, ResponseStart},
     },
     bytes::Bytes,
     jasmine_core::{clock::Millis, reachability::LinkStatus, streams::agreed_build},
@@ -62,8 +62,7 @@
                 incoming: &incoming,
                 caller: &caller,
             };
-            let left = caller.max_wait.unwrap_or(DEFAULT_DEADLINE) + DEADLINE_MARGIN;
-            let relayed = timeout(left.to_std(), relay.run(connection, out)).await;
+            let relayed = timeout(time_left(&caller).to_std(), relay.run(connection, out)).await;
             relayed.unwrap_or_else(|_elapsed| Err(io::ErrorKind::TimedOut.into()))
         }
     }
@@ -109,7 +108,10 @@
         .usable_address(target.upstream)
         .filter(|_| !is_other_build)
         .ok_or(NotRelayed::Unusable)?;
-    if let Some(connection) = cx.pool.reuse(address, MAX_IDLE) {
+    if let Some(connection) = cx
+        .pool
+        .reuse(address, MAX_IDLE, Some(request_tag(cx, caller)))
+    {
         return Ok((connection, address));
     }
     match cx.pool.open(address).await {
@@ -119,6 +121,21 @@
     }
 }
 
+/// How long another VM's request may take.
+fn time_left(caller: &CallerHeaders) -> Millis {
+    caller.max_wait.unwrap_or(DEFAULT_DEADLINE) + DEADLINE_MARGIN
+}
+
+fn request_tag<'a>(
+    cx: &Context,
+    caller: &'a CallerHeaders,
+) -> RequestTag<'a> {
+    RequestTag {
+        id: caller.request_id.as_deref(),
+        repeatable_until: cx.clock.now() + time_left(caller),
+    }
+}
+
 /// The base model and the adapter of a request for one.
 fn adapter_names(caller: &CallerHeaders) -> Option<(&str, &str)> {
     Some((caller.model.as_deref()?, caller.adapter.as_deref()?))
@@ -157,7 +174,8 @@
         let method = &self.incoming.head.method;
         let request = self.encode();
         let id = self.caller.request_id.as_deref();
-        let exchange = connection.send_request(&request, method, |head| answers_request(head, id));
+        let awaited = Awaited::Request(request_tag(cx, self.caller));
+        let exchange = connection.send_request(&request, method, awaited);
         let attended = tokio::select! {
             biased;
             attended = cx.links.attend(exchange, false) => attended,
--- a/crates/entry/src/scheduling/orders.rs
+++ b/crates/entry/src/scheduling/orders.rs
@@ -183,7 +183,7 @@
             headers: &headers,
             body,
             timeout: CALL_TIMEOUT,
-            requires_new_connection: false,
+            requires_new_connection: true,
         };
         call.send(&self.pool).await
     }
--- a/crates/entry/src/upstream/call.rs
+++ b/crates/entry/src/upstream/call.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Connection, ExchangeError, Pool},
+    super::{Awaited, Connection, ExchangeError, Pool},
     bytes::Bytes,
     jasmine_core::clock::Millis,
     std::{fmt::Write, net::SocketAddr},
@@ -38,7 +38,7 @@
     pub body: &'a [u8],
     /// Timeout of the whole call.
     pub timeout: Millis,
-    /// Whether to open a new connection instead of reusing an idle one.
+    /// Whether it goes over a connection that has carried nothing else, as the server may answer some calls twice.
     pub requires_new_connection: bool,
 }
 
@@ -65,9 +65,9 @@
         pool: &Pool,
     ) -> Result<(u16, Bytes), CallError> {
         let reused = if self.requires_new_connection {
-            None
+            pool.take_unused(self.address)
         } else {
-            pool.reuse(self.address, IDLE_TIMEOUT)
+            pool.reuse(self.address, IDLE_TIMEOUT, None)
         };
         let mut connection = match reused {
             Some(connection) => connection,
@@ -88,7 +88,7 @@
     ) -> Result<(crate::http1::ResponseHead, Bytes), ExchangeError> {
         let request = self.encode();
         let response_start = connection
-            .send_request(&request, self.method, |_| true)
+            .send_request(&request, self.method, Awaited::Any)
             .await?;
         let body = connection
             .read_whole_body(&response_start.head, MAX_RESPONSE_BYTES)
--- a/crates/entry/src/upstream/connection.rs
+++ b/crates/entry/src/upstream/connection.rs
@@ -1,7 +1,14 @@
 use {
-    super::{ReadBudget, ReadCharge, peer_budget::PeerBudget},
-    crate::http1::{
-        BodyPart, BodyReader, Framing, HeadScanner, HttpError, ResponseHead, parse_response_head,
+    super::{
+        Awaited, ReadBudget, ReadCharge, RequestTag, carried_requests::CarriedRequests,
+        peer_budget::PeerBudget,
+    },
+    crate::{
+        clock::Clock,
+        http1::{
+            BodyPart, BodyReader, Framing, HeadScanner, HttpError, ResponseHead,
+            parse_response_head,
+        },
     },
     bytes::{Buf, Bytes, BytesMut},
     jasmine_core::clock::Millis,
@@ -64,15 +71,6 @@
     pub is_request_sent: bool,
 }
 
-/// Whether a response is to the request with this id, as far as it says.
-pub fn answers_request(
-    head: &ResponseHead,
-    id: Option<&str>,
-) -> bool {
-    let answered_id = ResponseHeaders::read(head.status, head.headers.pairs()).request_id;
-    answered_id.is_none() || answered_id.as_deref() == id
-}
-
 /// What is sent next of a request in two parts.
 fn unsent<'b>(
     first: &'b [u8],
@@ -91,6 +89,7 @@
     stream: TcpStream,
     buf: BytesMut,
     budget: Box<PeerBudget>,
+    carried: CarriedRequests,
     /// When it became idle.
     pub(super) idle_since: Millis,
     /// How long it may stay idle and still be reused.
@@ -124,6 +123,7 @@
                 peer: address,
                 budget,
             }),
+            carried: CarriedRequests::default(),
             idle_since: Millis::ZERO,
             idle_timeout: Millis::ZERO,
         })
@@ -134,6 +134,19 @@
         self.budget.charge()
     }
 
+    /// Whether nothing was sent on it yet.
+    pub fn is_unused(&self) -> bool {
+        self.carried.is_empty()
+    }
+
+    /// Whether it may carry an attempt of a request: not after another attempt, whose answer may come once more.
+    pub(super) fn can_carry(
+        &self,
+        tag: Option<RequestTag<'_>>,
+    ) -> bool {
+        tag.is_none_or(|tag| !self.carried.contains(tag))
+    }
+
     /// Whether the connection is open and has no unread data.
     ///
     /// On a reused connection, a surplus response would be taken for the next request's.
@@ -143,7 +156,7 @@
         self.buf.is_empty() && matches!(pending, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Sends a request and reads the head of its response, which `is_match` accepts.
+    /// Sends a request and reads the head of its response; answers that aren't `awaited` are skipped.
     ///
     /// Sends and reads at the same time: an upstream may answer before it has read a long body, and stop reading until
     /// its response is read.
@@ -151,16 +164,13 @@
     /// # Errors
     ///
     /// [`ExchangeError`].
-    pub async fn send_request<F>(
+    pub async fn send_request(
         &mut self,
         request: &[u8],
         method: &str,
-        is_match: F,
-    ) -> Result<ResponseStart, ExchangeError>
-    where
-        F: Fn(&ResponseHead) -> bool,
-    {
-        self.send_parts(request, &[], method, is_match).await
+        awaited: Awaited<'_>,
+    ) -> Result<ResponseStart, ExchangeError> {
+        self.send_parts(request, &[], method, awaited).await
     }
 
     /// As [`Self::send_request`], for a request whose last part is not copied behind the first.
@@ -168,16 +178,15 @@
     /// # Errors
     ///
     /// [`ExchangeError`].
-    pub async fn send_parts<F>(
+    pub async fn send_parts(
         &mut self,
         first: &[u8],
         last: &[u8],
         method: &str,
-        is_match: F,
-    ) -> Result<ResponseStart, ExchangeError>
-    where
-        F: Fn(&ResponseHead) -> bool,
-    {
+        awaited: Awaited<'_>,
+    ) -> Result<ResponseStart, ExchangeError> {
+        let is_first = self.is_unused();
+        self.carried.note(awaited.tag(), Clock.now());
         let request_len = first.len() + last.len();
         let mut sent = 0;
         let mut stray = 0;
@@ -193,7 +202,7 @@
                         return Err(ExchangeError::Invalid);
                     }
                     100..=199 => interim += 1,
-                    _ if is_match(&head) => {
+                    _ if awaited.is_answered_by(&head, is_first) => {
                         return Ok(ResponseStart {
                             head,
                             is_request_sent,
@@ -202,7 +211,7 @@
                     _ if stray >= MAX_STRAY_RESPONSES => return Err(ExchangeError::Invalid),
                     _ => {
                         stray += 1;
-                        self.log_skipped(&head);
+                        self.log_skipped(&head, awaited);
                         self.discard_body(&head).await?;
                     }
                 }
@@ -298,9 +307,12 @@
     fn log_skipped(
         &self,
         head: &ResponseHead,
+        awaited: Awaited<'_>,
     ) {
         let headers = ResponseHeaders::read(head.status, head.headers.pairs());
+        let id = awaited.tag().and_then(|tag| tag.id);
         Line::new("answer_skipped")
+            .with("id", id.unwrap_or("-"))
             .with("address", self.budget.peer)
             .with("status", head.status)
             .with("answers", headers.request_id.as_deref().unwrap_or("-"))
--- a/crates/entry/src/upstream/pool.rs
+++ b/crates/entry/src/upstream/pool.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Connection, ReadBudget},
+    super::{Connection, ReadBudget, RequestTag},
     crate::{clock::Clock, http1::ResponseHead},
     jasmine_core::clock::Millis,
     std::{
@@ -70,16 +70,39 @@
         }
     }
 
-    /// Takes a usable connection that has been idle for at most `max_idle`, if there is one.
+    /// Takes a usable connection that has been idle for at most `max_idle`, if there is one that may carry the request.
     pub fn reuse(
         &self,
         address: SocketAddr,
         max_idle: Millis,
+        tag: Option<RequestTag<'_>>,
     ) -> Option<Connection> {
+        self.take(address, max_idle, |connection| connection.can_carry(tag))
+    }
+
+    /// Takes a usable connection on which nothing was sent, if there is one.
+    pub fn take_unused(
+        &self,
+        address: SocketAddr,
+    ) -> Option<Connection> {
+        self.take(address, DEFAULT_IDLE_TIMEOUT, Connection::is_unused)
+    }
+
+    /// Takes the connection that became idle last of those that are fit; drops the unusable ones that are found.
+    fn take<F>(
+        &self,
+        address: SocketAddr,
+        max_idle: Millis,
+        is_fit: F,
+    ) -> Option<Connection>
+    where
+        F: Fn(&Connection) -> bool,
+    {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
-        while let Some(connection) = connections.pop() {
+        while let Some(at) = connections.iter().rposition(&is_fit) {
+            let connection = connections.remove(at);
             let age = now.since(connection.idle_since);
             if age <= connection.idle_timeout.min(max_idle) && connection.is_reusable() {
                 return Some(connection);
--- a/crates/entry/tests/babbling_upstreams.rs
+++ b/crates/entry/tests/babbling_upstreams.rs
@@ -1,7 +1,8 @@
 //! Upstreams whose bytes never become an answer.
 
 use {
-    jasmine_entry::upstream::{ExchangeError, Pool, ResponseStart, answers_request},
+    jasmine_core::clock::Millis,
+    jasmine_entry::upstream::{Awaited, ExchangeError, Pool, RequestTag, ResponseStart},
     std::{
         io::Write,
         net::{SocketAddr, TcpListener},
@@ -39,8 +40,11 @@
     actix_rt::System::new().block_on(async {
         let mut connection = Pool::default().open(address).await.unwrap();
         let request = b"GET / HTTP/1.1\r\nHost: a\r\nX-Request-Id: a\r\n\r\n";
-        let response =
-            connection.send_request(request, "GET", |head| answers_request(head, Some("a")));
+        let tag = RequestTag {
+            id: Some("a"),
+            repeatable_until: Millis(u64::MAX),
+        };
+        let response = connection.send_request(request, "GET", Awaited::Request(tag));
         timeout(MAX_WAIT, response).await.ok()
     })
 }
--- a/crates/entry/tests/read_budget.rs
+++ b/crates/entry/tests/read_budget.rs
@@ -4,7 +4,7 @@
     bytes::Bytes,
     jasmine_entry::{
         forward::EventSplitter,
-        upstream::{ExchangeError, Pool, ReadBudget},
+        upstream::{Awaited, ExchangeError, Pool, ReadBudget},
     },
     std::{
         io::{Read, Write},
@@ -39,7 +39,9 @@
 ) -> Result<Bytes, ExchangeError> {
     let mut connection = pool.open(address).await.unwrap();
     let request = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n";
-    let start = connection.send_request(request, "GET", |_| true).await?;
+    let start = connection
+        .send_request(request, "GET", Awaited::Any)
+        .await?;
     connection.read_whole_body(&start.head, 16 << 20).await
 }
 
