--- a/crates/entry/tests/crashing_parts.rs
+++ b/crates/entry/tests/crashing_parts.rs
@@ -23,6 +23,8 @@
 /// Time between two events of an answer.
 const EVENT_GAP: Duration = Duration::from_millis(20);
 const CALL_INTERVAL: Duration = Duration::from_millis(40);
+/// Time between crashes that no prompt causes.
+const CRASH_INTERVAL: Duration = Duration::from_millis(1_200);
 /// The part that crashes engines, and the first part that all prompts share.
 const BAD: &str = "bad0";
 const FIRST: &str = "f1";
@@ -242,3 +244,30 @@
     };
     wait_until("other prompts are relayed", is_relayed);
 }
+
+#[test]
+fn ordinary_crashes_refuse_no_unframed_streams() {
+    // Guards against refusing what all prompts share after crashes of other causes, where answers end with their connections.
+    let (store, _upstreams) = start_platform(&["s-1"]);
+    let engines = start_engines(&store);
+    engines.iter().for_each(EngineStandIn::unframe_answers);
+    let vms = start_vms(&store, "unframed");
+    let time = CRASH_INTERVAL * (ENGINES as u32 + 2);
+    let calls = thread::scope(|scope| {
+        let callers = scope.spawn(|| call_all(&vms, &[FIRST], time));
+        for engine in &engines {
+            thread::sleep(CRASH_INTERVAL);
+            engine.crash();
+        }
+        callers.join().unwrap()
+    });
+    let last_crash = engines.last().unwrap().crashes()[0].at;
+    let later = calls.iter().filter(|(sent, _)| *sent > last_crash);
+    let (served, all) = later.fold((0, 0), |(served, all), (_, is_served)| {
+        (served + usize::from(*is_served), all + 1)
+    });
+    assert!(
+        all > 0 && served * 10 >= all * 9,
+        "{served} of {all} served"
+    );
+}
