An answer that ends with its connection acquits its prompt if the upstream goes on

Callers were refused for good (prompt_quarantined) after crashes that no prompt had caused: none of 485 to 695 requests was served after a kill of all daemons, as VMs read the verdict from the store.

Cause: answers without a length end with their connections, as they do in a crash, so they showed nothing about their prompts, while each crash accused them. Four crashes of any cause within ten minutes convicted the part that all prompts share, and a part that was never sound is never probed.

Now the VM opens a connection to the upstream after such an answer, and keeps it for the next request, which needs a new one anyway. If it is accepted and stays open the answer counts as whole, for the prompt and for the request.

--- a/crates/entry/src/forward/in_flight.rs
+++ b/crates/entry/src/forward/in_flight.rs
@@ -17,7 +17,7 @@
         StreamExt,
         stream::{LocalBoxStream, unfold},
     },
-    jasmine_core::{clock::Millis, scheduler::Outcome},
+    jasmine_core::{clock::Millis, quarantine::AnswerEnd, scheduler::Outcome},
     jasmine_telemetry::log::Line,
     std::{
         cell::{Cell, RefCell},
@@ -25,7 +25,7 @@
         net::SocketAddr,
         rc::Rc,
     },
-    tokio::time::timeout,
+    tokio::{task::spawn_local, time::timeout},
 };
 
 /// How long the first events of a contested stream are held back.
@@ -77,6 +77,8 @@
     trace: Rc<Cell<ResponseTrace>>,
     /// Whether it is a hedge whose result isn't counted yet.
     is_uncounted_hedge: Cell<bool>,
+    /// Whether its upstream is checked after an answer that has ended with its connection.
+    is_checked: Cell<bool>,
     generation: Option<GenerationSpec>,
     cx: Rc<Context>,
     ahead: ReadAhead,
@@ -117,6 +119,7 @@
             placement,
             trace,
             is_uncounted_hedge: Cell::new(is_hedge),
+            is_checked: Cell::new(false),
             pieces: pieces.boxed_local(),
         }
     }
@@ -149,13 +152,26 @@
     }
 
     /// Reports that the upstream has answered completely; its slot is free, however long the caller takes to read.
+    ///
+    /// Where the answer has ended with its connection, as in a crash, that waits until the upstream is seen to go on.
     pub(super) fn note_complete(&self) {
         let now = self.cx.clock.now();
         let trace = self.trace();
         let end = trace.complete_end(self.req.is_stream());
         let took = now.since(trace.sent_at);
-        self.placement
-            .end(Outcome::Answered { took }, trace.evidence(end, now));
+        let outcome = Outcome::Answered { took };
+        if !trace.has_ended_with_connection() || trace.via == Via::OtherVm {
+            return self.placement.end(outcome, trace.evidence(end, now));
+        }
+        if self.is_checked.replace(true) {
+            return;
+        }
+        let (cx, placement) = (Rc::clone(&self.cx), Rc::clone(&self.placement));
+        spawn_local(async move {
+            let goes_on = cx.pool.is_accepting(placement.address).await;
+            let end = if goes_on { AnswerEnd::Whole } else { end };
+            placement.end(outcome, trace.evidence(end, now));
+        });
     }
 
     async fn receive(&mut self) -> Result<Piece, AttemptError> {
--- a/crates/entry/src/forward/response_trace.rs
+++ b/crates/entry/src/forward/response_trace.rs
@@ -104,6 +104,11 @@
         }
     }
 
+    /// Whether a complete answer has ended with its connection, so that a crash may look the same.
+    pub(super) fn has_ended_with_connection(&self) -> bool {
+        self.framing == Some(Framing::UntilClose) && self.received_at.is_some()
+    }
+
     /// What the attempt shows about the request and its prompt.
     pub(super) fn evidence(
         &self,
--- a/crates/entry/src/upstream/pool.rs
+++ b/crates/entry/src/upstream/pool.rs
@@ -134,13 +134,27 @@
         &self,
         address: SocketAddr,
     ) -> bool {
+        self.liveness(address).await == Liveness::Refusing
+    }
+
+    /// Whether an upstream accepts connections; the one that shows it is kept for the next request.
+    pub async fn is_accepting(
+        &self,
+        address: SocketAddr,
+    ) -> bool {
+        self.liveness(address).await == Liveness::Accepting
+    }
+
+    async fn liveness(
+        &self,
+        address: SocketAddr,
+    ) -> Liveness {
         match self.check_liveness(address).await {
-            Liveness::Accepting => false,
-            Liveness::Refusing => true,
             Liveness::Unreached => {
                 sleep(LIVENESS_RETRY_DELAY).await;
-                self.check_liveness(address).await == Liveness::Refusing
+                self.check_liveness(address).await
             }
+            known => known,
         }
     }
 
