--- a/crates/entry/tests/stream_builds.rs
+++ b/crates/entry/tests/stream_builds.rs
@@ -12,6 +12,7 @@
         collections::BTreeSet,
         io::{Read, Write},
         net::{SocketAddr, TcpListener, TcpStream},
+        thread,
         time::{Duration, Instant},
     },
 };
@@ -420,3 +421,82 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     listener.local_addr().unwrap()
 }
+
+/// Time from the first events of a stream until its origin is in the store.
+const STORING_TIME: Duration = Duration::from_secs(1);
+
+/// Opens streams at all VMs, of which each gets its first events, then kills all VMs at once.
+fn open_and_kill(
+    vms: Vec<Vm>,
+    upstreams: &[UpstreamStandIn],
+) -> Vec<(Request, Vec<Event>)> {
+    set_all(upstreams, &Behaviour::SilentAfter(BROKEN_AFTER));
+    let requests: Vec<Request> = (0..12).map(|_| new_stream()).collect();
+    let streams: Vec<_> = requests
+        .iter()
+        .zip(vms.iter().cycle())
+        .map(|(req, vm)| open_stream(vm, req))
+        .collect();
+    thread::sleep(STORING_TIME);
+    for vm in &vms {
+        vm.signal(Signal::SIGKILL);
+    }
+    drop(vms);
+    set_all(upstreams, &Behaviour::Events(EVENTS));
+    let events = streams.into_iter().map(|(_connection, events)| events);
+    requests.into_iter().zip(events).collect()
+}
+
+/// Starts VMs in place of those that were killed, and waits until they know the upstreams.
+fn start_again(
+    store: &KvStandIn,
+    name: &str,
+) -> Vec<Vm> {
+    let vms = start_vms(store, name);
+    for vm in &vms {
+        wait_until("it serves", || vm.send_request(&new_stream()).status == 200);
+    }
+    vms
+}
+
+#[test]
+fn streams_go_on_after_a_kill_of_all_vms() {
+    // Guards against refusing all streams whose VMs were killed together, though the software that began them is there.
+    let (store, upstreams) = start_builds(&["v1", "v2", "v1", "v2"]);
+    let vms = start_vms(&store, "all-killed");
+    let streams = open_and_kill(vms, &upstreams);
+    let vms = start_again(&store, "all-again");
+    for ((req, events), vm) in streams.iter().zip(vms.iter().cycle()) {
+        let rest = vm.send_request(&resume(req, BROKEN_AFTER));
+        assert_eq!(rest.status, 200, "{rest:?}");
+        assert!(rest.is_complete, "{rest:?}");
+        let all = [events.clone(), rest.events()].concat();
+        assert_eq!(ids_of(&all), (1..=EVENTS).collect::<Vec<_>>());
+        assert_eq!(builds_of(&all).len(), 1, "{all:?}");
+    }
+}
+
+#[test]
+fn streams_are_not_joined_after_a_kill_of_all_vms() {
+    // Guards against going on at another software version, as the one that began the stream has left with all who knew.
+    let (store, upstreams) = start_builds(&["v1", "v2"]);
+    let vms = start_vms(&store, "left-killed");
+    let streams = open_and_kill(vms, &upstreams);
+    store.remove(&upstreams[0].key());
+    let vms = start_again(&store, "left-again");
+    for ((req, events), vm) in streams.iter().zip(vms.iter().cycle()) {
+        let named = resume(req, BROKEN_AFTER);
+        let unnamed = resume(req, BROKEN_AFTER).without("Resumes");
+        for next in [named, unnamed] {
+            let rest = vm.send_request(&next);
+            let all = [events.clone(), rest.events()].concat();
+            let builds = builds_of(&all);
+            assert_eq!(
+                builds.len(),
+                1,
+                "joined: {builds:?}, status {}",
+                rest.status
+            );
+        }
+    }
+}
