A caller that names no attempt takes up a stream only where its build is certain

Callers got 200 with events of two builds: all VMs were killed, the old build had left, and a caller without Resumes took its stream up at a VM that had just started.

Cause: without Resumes a VM concluded the build from what it knew so far, although nothing said how long that had held. Now the same holds for all callers without a record: the upstreams have been known for 15 s, with a single build.

Two assertions were wrong, as they asked for the fault: a_stream_of_unknown_origin_goes_on_beside_one_build and an_unknown_origin_is_concluded_only_in_touch let such a caller go on at once. In their place both check that it is refused until the VM has known the upstreams for long enough, and served from then on, as callers that name their attempt.

--- a/crates/core/src/streams/origin_lookup.rs
+++ b/crates/core/src/streams/origin_lookup.rs
@@ -8,13 +8,9 @@
 /// Before, the build that began the stream may have left service unnoticed.
 const MIN_COMPLETE: Millis = Millis(15_000);
 
-/// The result of a lookup of a stream's origin at other VMs.
+/// The result of a lookup of a stream's origin at other VMs; nobody is asked if the caller doesn't name its attempt.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct OriginLookup {
-    /// Whether the caller names the attempt that began the stream.
-    ///
-    /// One that doesn't is of a platform without builds.
-    pub is_named: bool,
     /// Where the stream began, as this VM or another one has recorded it.
     pub recorded: Option<ServiceBuild>,
     /// Number of VMs that were asked.
@@ -27,8 +23,8 @@
     /// The origin of the stream for an attempt at `service`, of which this VM knows the builds in `known`.
     ///
     /// A stream that began at another service, as its route has changed since, can't be resumed. Without a record the
-    /// service's only build counts; if the caller names its attempt, only if half of the VMs answered and the upstreams
-    /// have been known for long enough, as another build may otherwise have escaped this VM.
+    /// service's only build counts, if half of the VMs answered and the upstreams have been known for long enough, as
+    /// another build may otherwise have escaped this VM.
     pub fn conclude(
         self,
         service: &str,
@@ -38,7 +34,7 @@
         let is_complete = known.complete_for >= Some(MIN_COMPLETE);
         let build = match self.recorded {
             Some(recorded) => recorded.build.filter(|_| recorded.service == service),
-            None if !self.is_named || (is_connected && is_complete) => known.only,
+            None if is_connected && is_complete => known.only,
             None => None,
         };
         build.map_or(StreamOrigin::Unknown, StreamOrigin::Build)
--- a/crates/core/tests/stream_origins.rs
+++ b/crates/core/tests/stream_origins.rs
@@ -91,14 +91,12 @@
     }
 }
 
-/// The lookup of a named attempt.
 fn lookup(
     recorded: Option<&str>,
     asked: usize,
     answered: usize,
 ) -> OriginLookup {
     OriginLookup {
-        is_named: true,
         recorded: recorded.map(of),
         asked,
         answered,
@@ -130,10 +128,14 @@
     let concluded = lookup(None, 6, 6).conclude("app", several.clone());
     assert_eq!(concluded, StreamOrigin::Unknown);
     let unnamed = OriginLookup::default();
-    assert_eq!(
-        unnamed.clone().conclude("app", only_v1(None)),
-        begun_at("v1")
-    );
+    for (complete_for, expected) in [
+        (None, StreamOrigin::Unknown),
+        (Some(Millis(LONG.0 - 1)), StreamOrigin::Unknown),
+        (Some(LONG), begun_at("v1")),
+    ] {
+        let concluded = unnamed.clone().conclude("app", only_v1(complete_for));
+        assert_eq!(concluded, expected, "unnamed, {complete_for:?}");
+    }
     assert_eq!(unnamed.conclude("app", several), StreamOrigin::Unknown);
 }
 
--- a/crates/entry/src/streams/origin_directory.rs
+++ b/crates/entry/src/streams/origin_directory.rs
@@ -98,14 +98,12 @@
         let stream = stream_id(request_id);
         if let Some(origin) = self.recorded(stream) {
             return OriginLookup {
-                is_named: true,
                 recorded: Some(origin),
                 ..OriginLookup::default()
             };
         }
         let peers = self.ranked_peers(stream, LOOKUP_VMS);
         let mut lookup = OriginLookup {
-            is_named: true,
             asked: peers.len(),
             ..OriginLookup::default()
         };
--- a/crates/entry/tests/stream_builds.rs
+++ b/crates/entry/tests/stream_builds.rs
@@ -217,19 +217,25 @@
     let vms = start_vms(&store, "one-build");
     wait_for_peers(&vms);
     let unknown = resume(&new_stream(), BROKEN_AFTER);
-    let response = vms[1].send_request(&unknown.clone().without("Resumes"));
-    assert!(response.is_complete, "{response:?}");
-    // The build that began it may have left before this VM started.
-    let refused = vms[1].send_request(&unknown);
-    assert_eq!(error_code(&refused), "stream_not_resumable");
-    let mut last = refused;
-    wait_until("the VM has known the upstreams for long enough", || {
-        last = vms[1].send_request(&unknown);
-        last.status == 200
-    });
-    assert!(last.is_complete, "{last:?}");
-    let ids = ids_of(&last.events());
-    assert_eq!(ids, (BROKEN_AFTER + 1..=EVENTS).collect::<Vec<_>>());
+    let callers = [unknown.clone(), unknown.without("Resumes")];
+    for req in &callers {
+        // The build that began it may have left before this VM started.
+        let refused = vms[1].send_request(req);
+        assert_eq!(error_code(&refused), "stream_not_resumable");
+    }
+    for req in &callers {
+        let mut last = None;
+        wait_until("the VM has known the upstreams for long enough", || {
+            let response = vms[1].send_request(req);
+            let is_served = response.status == 200;
+            last = Some(response).filter(|_| is_served);
+            is_served
+        });
+        let last = last.unwrap();
+        assert!(last.is_complete, "{last:?}");
+        let ids = ids_of(&last.events());
+        assert_eq!(ids, (BROKEN_AFTER + 1..=EVENTS).collect::<Vec<_>>());
+    }
 }
 
 #[test]
