Beside several builds the origins of streams are stored, so that they outlast a kill of all VMs

Cause: only VMs knew where a stream began. While a service has several builds, or had until a minute ago, each VM now stores the origins of its own streams of the last 20 s, in four keys that it rewrites as they grow, 25 writes a second at most over all VMs. A VM reads them when no VM has a record, and never follows them.

--- a/crates/entry/examples/scheduler_calls.rs
+++ b/crates/entry/examples/scheduler_calls.rs
@@ -77,11 +77,12 @@
         scheduling.become_leader(FENCE, RateShare::Fresh);
         let feed = Rc::new(Feed::new(Millis(2_000)));
         let nowhere: SocketAddr = "127.0.0.1:9".parse().expect("an address");
+        let store = KvStore::new(nowhere, Millis(500));
         let server = SchedulerServer::new(
             Rc::clone(&scheduling),
             feed,
-            KvStore::new(nowhere, Millis(500)),
-            Rc::new(OriginDirectory::new("vm")),
+            store.clone(),
+            Rc::new(OriginDirectory::new("vm", store)),
         );
         let client: scheduler::Client = capnp_rpc::new_client(server);
         spawn_local(serve(listener, client.client));
--- a/crates/entry/src/daemon/run.rs
+++ b/crates/entry/src/daemon/run.rs
@@ -12,7 +12,7 @@
             Feed, KvStore, Membership, VmRecord, follow, keep_quarantine, keep_registered,
             run_election,
         },
-        streams::OriginDirectory,
+        streams::{OriginDirectory, keep_origins_stored},
         upstream::Pool,
     },
     jasmine_conf::settings::EntrySettings,
@@ -105,7 +105,7 @@
         is_weak: settings.size.is_weak(),
         processor_percent: (settings.size.processor * 100.0) as u32,
     }));
-    let origins = Rc::new(OriginDirectory::new(&me));
+    let origins = Rc::new(OriginDirectory::new(&me, store.clone()));
     let cx = Rc::new(Context::new(
         max_files(&settings),
         settings,
@@ -155,7 +155,7 @@
         spawn_local(membership_task).abort_handle(),
         spawn_local(election).abort_handle(),
     ];
-    spawn_local(keep_quarantine(Rc::clone(&cx), store.clone()));
+    keep_stored(&cx, &store, incarnation);
     spawn_local(close_expired(pool, store.clone()));
     spawn_local(serve_readiness(Rc::clone(&cx), readiness));
     spawn_local(serve_metrics(Rc::clone(&cx), metrics_listener));
@@ -166,6 +166,17 @@
     Ok(())
 }
 
+/// Keeps in the store what has to outlast a loss of all VMs.
+fn keep_stored(
+    cx: &Rc<Context>,
+    store: &KvStore,
+    incarnation: u64,
+) {
+    spawn_local(keep_quarantine(Rc::clone(cx), store.clone()));
+    let origins = keep_origins_stored(Rc::clone(cx), store.clone(), incarnation);
+    spawn_local(origins);
+}
+
 /// The number of files that this process may open.
 fn max_files(settings: &EntrySettings) -> usize {
     let limit = getrlimit(Resource::RLIMIT_NOFILE).map_or_else(
--- a/crates/entry/src/store/view.rs
+++ b/crates/entry/src/store/view.rs
@@ -4,7 +4,7 @@
         membership::{LAST_LEADER_KEY, LEADER_KEY, VM_PREFIX},
         quarantine::{self, QUARANTINE_PREFIX},
     },
-    crate::context::Context,
+    crate::{context::Context, streams::STREAM_BUILDS_PREFIX},
     jasmine_core::{
         clock::Millis, feed::may_have_lapsed, ingress::UpstreamEntry, quarantine::PartSet,
         scheduler::Announcement,
@@ -234,6 +234,9 @@
         event: &WatchEvent,
     ) {
         match event {
+            // Read on demand only.
+            WatchEvent::Put(kv) | WatchEvent::Delete(kv)
+                if kv.key.starts_with(STREAM_BUILDS_PREFIX) => {}
             WatchEvent::Put(kv) => match kv.key.strip_prefix(entries::PREFIX) {
                 Some(id) => self.apply_upstream(id, kv, event),
                 None if self.feed.record_change(event, true) => self.put(kv, Origin::Change),
--- a/crates/entry/src/streams/origin_directory.rs
+++ b/crates/entry/src/streams/origin_directory.rs
@@ -1,12 +1,13 @@
 use {
-    super::origin_peer::OriginPeer,
-    crate::clock::Clock,
+    super::{origin_peer::OriginPeer, stored_origins::StoredOrigins},
+    crate::{clock::Clock, store::KvStore},
     futures::{StreamExt, stream::FuturesUnordered},
     jasmine_core::{
         clock::Millis,
         ids::StreamId,
         streams::{
-            LOOKUP_VMS, ORIGIN_REPLICAS, OriginLookup, ServiceBuild, StreamOrigins, replicas_of,
+            LOOKUP_VMS, ORIGIN_REPLICAS, OriginLookup, ServiceBuild, StreamLog, StreamOrigins,
+            StreamPage, replicas_of,
         },
     },
     std::{
@@ -29,15 +30,23 @@
     origins: RefCell<StreamOrigins>,
     /// The other VMs, by a hash of their names.
     peers: RefCell<HashMap<u64, Rc<OriginPeer>>>,
+    /// The streams of each service that began at this VM, as far as they aren't stored.
+    logs: RefCell<BTreeMap<String, StreamLog>>,
+    stored: StoredOrigins,
 }
 
 impl OriginDirectory {
     /// Creates an empty directory of the VM `me`, which knows no other VMs yet.
-    pub fn new(me: &str) -> Self {
+    pub fn new(
+        me: &str,
+        store: KvStore,
+    ) -> Self {
         Self {
             me: me.to_owned(),
             origins: RefCell::default(),
             peers: RefCell::default(),
+            logs: RefCell::default(),
+            stored: StoredOrigins::new(store),
         }
     }
 
@@ -65,6 +74,10 @@
     ) {
         let stream = stream_id(request_id);
         self.record(stream, &origin);
+        let mut logs = self.logs.borrow_mut();
+        let log = logs.entry(origin.service.clone()).or_default();
+        log.note(stream, origin.build.as_deref(), Clock.now());
+        drop(logs);
         let origin = Rc::new(origin);
         for peer in self.ranked_peers(stream, ORIGIN_REPLICAS) {
             peer.tell(stream, &origin);
@@ -90,7 +103,42 @@
         origins.build_of(stream).cloned()
     }
 
-    /// Looks up the origin of the stream that a caller's earlier attempt began; the first record found ends the wait.
+    /// Number of VMs, this one included.
+    pub fn vms(&self) -> usize {
+        self.peers.borrow().len() + 1
+    }
+
+    /// Takes the pages of streams that the store doesn't have, of services that satisfy `is_wanted`.
+    pub fn take_unstored<F>(
+        &self,
+        is_wanted: F,
+    ) -> Vec<(String, StreamPage)>
+    where
+        F: Fn(&str) -> bool,
+    {
+        let now = Clock.now();
+        let mut logs = self.logs.borrow_mut();
+        let wanted = logs.iter_mut().filter(|(service, _)| is_wanted(service));
+        let pages = wanted.flat_map(|(service, log)| {
+            let pages = log.take_unstored(now).into_iter();
+            pages.map(|page| (service.clone(), page))
+        });
+        pages.collect()
+    }
+
+    /// Records that a page of a service could not be stored.
+    pub fn put_back(
+        &self,
+        service: &str,
+        slot: u64,
+    ) {
+        if let Some(log) = self.logs.borrow_mut().get_mut(service) {
+            log.put_back(slot);
+        }
+    }
+
+    /// Looks up the origin of the stream that a caller's earlier attempt began, at this VM, at others, and last in the
+    /// store; the first record found ends the wait.
     pub async fn look_up(
         &self,
         request_id: &str,
@@ -121,6 +169,9 @@
         let _elapsed = timeout(LOOKUP_TIMEOUT.to_std(), collect).await;
         if let Some(origin) = &lookup.recorded {
             self.record(stream, origin);
+        } else {
+            self.stored.read_into(self).await;
+            lookup.recorded = self.recorded(stream);
         }
         lookup
     }
--- a/crates/entry/tests/leader_changes.rs
+++ b/crates/entry/tests/leader_changes.rs
@@ -55,11 +55,12 @@
     scheduling.start();
     let feed = Rc::new(Feed::new(Millis(2_000)));
     let unused_address: SocketAddr = "127.0.0.1:9".parse().unwrap();
+    let store = KvStore::new(unused_address, Millis(500));
     let server = SchedulerServer::new(
         Rc::clone(&scheduling),
         feed,
-        KvStore::new(unused_address, Millis(500)),
-        Rc::new(OriginDirectory::new("vm")),
+        store.clone(),
+        Rc::new(OriginDirectory::new("vm", store)),
     );
     let client: scheduler::Client = capnp_rpc::new_client(server);
     spawn_local(serve(listener, client.client));
