A resumption waits for its account's rate while it can be on time

Now the VM waits in place of its caller, who has part of the answer already, if the rate allows the request before its deadline; otherwise it is refused at once, as before. New requests are refused as before: their callers can come back.

--- a/crates/entry/src/forward/driver/mod.rs
+++ b/crates/entry/src/forward/driver/mod.rs
@@ -180,6 +180,13 @@
                     sleep(RETRY_INTERVAL.to_std().min(self.time_left())).await;
                     continue;
                 }
+                Err(placement_error)
+                    if let Some(delay) = self.rate_delay(placement_error.refusal) =>
+                {
+                    sleep(delay.to_std()).await;
+                    self.waited += delay;
+                    continue;
+                }
                 Err(placement_error) => {
                     self.waited_for = placement_error.waited_for;
                     return self.give_up(placement_error.refusal, out).await;
@@ -215,6 +222,17 @@
         self.progress.first_at.is_some() && !is_final && !self.is_expired()
     }
 
+    /// How long a resumption waits for its account's rate, if that is before its deadline: its caller has part of the
+    /// answer, and may not come back once more.
+    fn rate_delay(
+        &self,
+        refusal: Refusal,
+    ) -> Option<Millis> {
+        let left = self.req.deadline.since(self.cx.clock.now());
+        let waits = self.req.is_resumption() && refusal.kind == ErrorKind::RateLimited;
+        refusal.retry_after.filter(|&delay| waits && delay < left)
+    }
+
     fn is_expired(&self) -> bool {
         self.cx.clock.now() >= self.req.deadline
     }
--- a/crates/entry/tests/stream_builds.rs
+++ b/crates/entry/tests/stream_builds.rs
@@ -506,3 +506,32 @@
         }
     }
 }
+
+#[test]
+fn a_resumption_waits_for_its_rate() {
+    // Guards against refusing the rest of a stream whose account has tokens for it a moment later.
+    let (store, upstreams) = start_builds(&["v1", "v2"]);
+    let vm = Vm::start(&store);
+    wait_until("it leads", || !vm.log_lines("lead_taken").is_empty());
+    let of_small = |req: Request| req.with("X-Api-Key", "key-of-small");
+    set_all(&upstreams, &Behaviour::CutAfter(BROKEN_AFTER));
+    let req = of_small(new_stream());
+    let events = vm.send_request(&req).events();
+    set_all(&upstreams, &Behaviour::Events(EVENTS));
+    let call = || of_small(Request::new("GET", "/read/")).with("X-Token-Counts", "20,10");
+    wait_until("the account has used its burst", || {
+        vm.send_request(&call()).status == 429
+    });
+    let next = of_small(resume(&req, BROKEN_AFTER)).with("X-Token-Counts", "20,10");
+    let rest = vm.send_request(&next);
+    assert!(rest.status == 200 && rest.is_complete, "{rest:?}");
+    let all = [events, rest.events()].concat();
+    assert_eq!(ids_of(&all), (1..=EVENTS).collect::<Vec<_>>());
+    // One that would have to wait beyond its deadline is refused at once.
+    let sent_at = Instant::now();
+    let late = next
+        .with("X-Token-Counts", "90,10")
+        .with("X-Deadline-Ms", "300");
+    assert_eq!(vm.send_request(&late).status, 429);
+    assert!(sent_at.elapsed() < AT_ONCE, "{:?}", sent_at.elapsed());
+}
