Beside a single build a stream without a record goes on at once if the store holds none of the service

The stored pages say it: VMs that see several builds store their streams within 0.3 s, for two minutes. A VM that has read the store and found no page of the service may take its only build for the one that began the stream, whether the caller names its attempt or not. It still asks for an answer of half of the VMs.

--- a/crates/core/src/streams/origin_lookup.rs
+++ b/crates/core/src/streams/origin_lookup.rs
@@ -17,21 +17,26 @@
     pub asked: usize,
     /// Number of these that answered, with or without a record.
     pub answered: usize,
+    /// Whether the store was read and holds no stream of the service; VMs store them while there are several builds.
+    pub is_none_stored: bool,
 }
 
 impl OriginLookup {
     /// The origin of the stream for an attempt at `service`, of which this VM knows the builds in `known`.
     ///
     /// A stream that began at another service, as its route has changed since, can't be resumed. Without a record the
-    /// service's only build counts, if half of the VMs answered and the upstreams have been known for long enough, as
-    /// another build may otherwise have escaped this VM.
+    /// service's only build counts, if half of the VMs answered and either none of its streams is stored, or the
+    /// upstreams have been known for long enough, as another build may otherwise have escaped this VM.
     pub fn conclude(
         self,
         service: &str,
         known: KnownBuilds,
     ) -> StreamOrigin {
         let is_connected = self.answered * 2 >= self.asked;
-        let is_complete = known.complete_for >= Some(MIN_COMPLETE);
+        let is_complete = match known.complete_for {
+            Some(time) => self.is_none_stored || time >= MIN_COMPLETE,
+            None => false,
+        };
         let build = match self.recorded {
             Some(recorded) => recorded.build.filter(|_| recorded.service == service),
             None if is_connected && is_complete => known.only,
--- a/crates/core/tests/stream_origins.rs
+++ b/crates/core/tests/stream_origins.rs
@@ -100,6 +100,7 @@
         recorded: recorded.map(of),
         asked,
         answered,
+        is_none_stored: false,
     }
 }
 
@@ -136,7 +137,31 @@
         let concluded = unnamed.clone().conclude("app", only_v1(complete_for));
         assert_eq!(concluded, expected, "unnamed, {complete_for:?}");
     }
-    assert_eq!(unnamed.conclude("app", several), StreamOrigin::Unknown);
+    assert_eq!(
+        unnamed.clone().conclude("app", several.clone()),
+        StreamOrigin::Unknown
+    );
+    let none_stored = OriginLookup {
+        is_none_stored: true,
+        ..unnamed
+    };
+    for (complete_for, expected) in [
+        (None, StreamOrigin::Unknown),
+        (Some(Millis::ZERO), begun_at("v1")),
+    ] {
+        let concluded = none_stored.clone().conclude("app", only_v1(complete_for));
+        assert_eq!(concluded, expected, "none stored, {complete_for:?}");
+    }
+    let alone = OriginLookup {
+        asked: 6,
+        answered: 2,
+        ..none_stored.clone()
+    };
+    assert_eq!(
+        alone.conclude("app", only_v1(Some(LONG))),
+        StreamOrigin::Unknown
+    );
+    assert_eq!(none_stored.conclude("app", several), StreamOrigin::Unknown);
 }
 
 #[test]
--- a/crates/entry/src/forward/driver/mod.rs
+++ b/crates/entry/src/forward/driver/mod.rs
@@ -25,7 +25,6 @@
         forward::Attempts,
         quarantine::{AnswerEnd, AttemptEvidence, RequestEvidence},
         scheduler::{Outcome, WaitReason},
-        streams::OriginLookup,
     },
     jasmine_telemetry::log::Line,
     std::{
@@ -245,10 +244,10 @@
     /// Looks up where the stream began that the caller resumes.
     async fn find_origin(&mut self) {
         let caller = &self.req.caller;
-        let lookup = match &caller.resumes {
-            Some(id) => self.cx.origins.look_up(id).await,
-            None => OriginLookup::default(),
-        };
+        let origins = &self.cx.origins;
+        let lookup = origins
+            .look_up(caller.resumes.as_deref(), &self.req.service)
+            .await;
         let recorded = lookup.recorded.as_ref();
         let line = Line::new("resumption_requested")
             .with("id", self.req.id())
@@ -262,7 +261,8 @@
             )
             .with("service", recorded.map_or("-", |origin| &origin.service))
             .with("asked", lookup.asked)
-            .with("answered", lookup.answered);
+            .with("answered", lookup.answered)
+            .with("none_stored", lookup.is_none_stored);
         let known = self.cx.scheduling.known_builds(&self.req.service);
         let is_recorded = lookup.recorded.is_some();
         let origin = lookup.conclude(&self.req.service, known);
--- a/crates/entry/src/streams/origin_directory.rs
+++ b/crates/entry/src/streams/origin_directory.rs
@@ -137,13 +137,28 @@
         }
     }
 
-    /// Looks up the origin of the stream that a caller's earlier attempt began, at this VM, at others, and last in the
-    /// store; the first record found ends the wait.
+    /// Looks up the origin of the stream that a caller's earlier attempt began, if the caller names it: at this VM, at
+    /// others, and last in the store; the first record found ends the wait.
     pub async fn look_up(
         &self,
-        request_id: &str,
+        request_id: Option<&str>,
+        service: &str,
+    ) -> OriginLookup {
+        let mut lookup = match request_id {
+            Some(id) => self.look_up_at_vms(stream_id(id)).await,
+            None => OriginLookup::default(),
+        };
+        if lookup.recorded.is_none() {
+            lookup.is_none_stored = self.stored.read_into(self, service).await;
+            lookup.recorded = request_id.and_then(|id| self.recorded(stream_id(id)));
+        }
+        lookup
+    }
+
+    async fn look_up_at_vms(
+        &self,
+        stream: StreamId,
     ) -> OriginLookup {
-        let stream = stream_id(request_id);
         if let Some(origin) = self.recorded(stream) {
             return OriginLookup {
                 recorded: Some(origin),
@@ -169,9 +184,6 @@
         let _elapsed = timeout(LOOKUP_TIMEOUT.to_std(), collect).await;
         if let Some(origin) = &lookup.recorded {
             self.record(stream, origin);
-        } else {
-            self.stored.read_into(self).await;
-            lookup.recorded = self.recorded(stream);
         }
         lookup
     }
--- a/crates/entry/src/streams/stored_origins.rs
+++ b/crates/entry/src/streams/stored_origins.rs
@@ -1,8 +1,10 @@
 use {
     super::{OriginDirectory, stored_page::decode_page},
     crate::{clock::Clock, store::KvStore},
-    jasmine_core::clock::Millis,
+    jasmine_core::{clock::Millis, ids::StreamId, streams::ServiceBuild},
+    jasmine_store::store::KeyValue,
     jasmine_telemetry::log::Line,
+    std::{collections::BTreeSet, fmt::Display},
     tokio::{sync::Mutex, time::timeout},
 };
 
@@ -14,60 +16,89 @@
 /// Timeout of a read.
 const READ_TIMEOUT: Millis = Millis(250);
 
+/// A read of the stored origins.
+#[derive(Debug)]
+struct StoreRead {
+    at: Millis,
+    /// The services whose streams are stored; `None` if the read has failed.
+    services: Option<BTreeSet<String>>,
+}
+
 /// The origins that VMs have stored, read when no VM knows where a stream began.
 #[derive(Debug)]
 pub(super) struct StoredOrigins {
     store: KvStore,
-    read_at: Mutex<Option<Millis>>,
+    last_read: Mutex<Option<StoreRead>>,
 }
 
 impl StoredOrigins {
     pub(super) fn new(store: KvStore) -> Self {
         Self {
             store,
-            read_at: Mutex::default(),
+            last_read: Mutex::default(),
         }
     }
 
     /// Records the stored origins in the directory, unless that was done just before; callers wait for one read.
+    ///
+    /// Returns whether the store was read and holds no stream of this service.
     pub(super) async fn read_into(
         &self,
         directory: &OriginDirectory,
-    ) {
-        let mut read_at = self.read_at.lock().await;
+        service: &str,
+    ) -> bool {
+        let mut last_read = self.last_read.lock().await;
         let now = Clock.now();
-        if read_at.is_some_and(|at| now.since(at) < READ_INTERVAL) {
-            return;
+        let is_fresh = |read: &StoreRead| now.since(read.at) < READ_INTERVAL;
+        if !last_read.as_ref().is_some_and(is_fresh) {
+            *last_read = Some(StoreRead {
+                at: now,
+                services: self.read_all(directory).await,
+            });
         }
-        *read_at = Some(now);
+        let services = last_read.as_ref().and_then(|read| read.services.as_ref());
+        services.is_some_and(|services| !services.contains(service))
+    }
+
+    /// Records the stored origins in the directory; returns their services, or `None` if not all of them could be read.
+    async fn read_all(
+        &self,
+        directory: &OriginDirectory,
+    ) -> Option<BTreeSet<String>> {
         let read = self.store.read_pages(PREFIX, |_| false);
-        match timeout(READ_TIMEOUT.to_std(), read).await {
-            Ok(Ok(reply)) => {
-                for kv in reply.kvs {
-                    match decode_page(&kv.value) {
-                        Ok(streams) => {
-                            for (stream, origin) in streams {
-                                directory.record(stream, &origin);
-                            }
-                        }
-                        Err(e) => Line::new("stored_origins_unreadable")
-                            .with("key", &kv.key)
-                            .with("reason", e)
-                            .warn(),
-                    }
-                }
+        let reply = match timeout(READ_TIMEOUT.to_std(), read).await {
+            Ok(Ok(reply)) => reply,
+            Ok(Err(e)) => return log_unread(&e),
+            Err(e) => return log_unread(&e),
+        };
+        let mut services = BTreeSet::new();
+        for kv in reply.kvs {
+            for (stream, origin) in decode(&kv)? {
+                directory.record(stream, &origin);
+                services.insert(origin.service);
             }
-            Ok(Err(e)) => log_unread(&e),
-            Err(e) => log_unread(&e),
         }
+        Some(services)
     }
 }
 
-fn log_unread<E>(reason: &E)
+fn decode(kv: &KeyValue) -> Option<Vec<(StreamId, ServiceBuild)>> {
+    let page = decode_page(&kv.value);
+    page.inspect_err(|e| {
+        Line::new("stored_origins_unreadable")
+            .with("key", &kv.key)
+            .with("reason", e)
+            .warn();
+    })
+    .ok()
+}
+
+fn log_unread<E, T>(reason: &E) -> Option<T>
 where
-    E: std::fmt::Display,
+    E: Display,
 {
     Line::new("stored_origins_not_read")
         .with("reason", reason)
         .warn();
+    None
 }
--- a/crates/entry/tests/stream_builds.rs
+++ b/crates/entry/tests/stream_builds.rs
@@ -217,9 +217,31 @@
     let vms = start_vms(&store, "one-build");
     wait_for_peers(&vms);
     let unknown = resume(&new_stream(), BROKEN_AFTER);
+    for req in [unknown.clone(), unknown.without("Resumes")] {
+        assert_goes_on(&vms[1].send_request(&req));
+    }
+}
+
+fn assert_goes_on(response: &Response) {
+    assert!(
+        response.status == 200 && response.is_complete,
+        "{response:?}"
+    );
+    let ids = ids_of(&response.events());
+    assert_eq!(ids, (BROKEN_AFTER + 1..=EVENTS).collect::<Vec<_>>());
+}
+
+#[test]
+fn a_stream_of_unknown_origin_is_refused_after_two_builds() {
+    // Guards against going on at the version that is left, as the one that began the stream may have left before a VM started.
+    let (store, upstreams) = start_builds(&["v1", "v2"]);
+    let vms = start_vms(&store, "two-builds");
+    open_and_kill(vms, &upstreams);
+    store.remove(&upstreams[0].key());
+    let vms = start_again(&store, "one-left");
+    let unknown = resume(&new_stream(), BROKEN_AFTER);
     let callers = [unknown.clone(), unknown.without("Resumes")];
     for req in &callers {
-        // The build that began it may have left before this VM started.
         let refused = vms[1].send_request(req);
         assert_eq!(error_code(&refused), "stream_not_resumable");
     }
@@ -231,10 +253,7 @@
             last = Some(response).filter(|_| is_served);
             is_served
         });
-        let last = last.unwrap();
-        assert!(last.is_complete, "{last:?}");
-        let ids = ids_of(&last.events());
-        assert_eq!(ids, (BROKEN_AFTER + 1..=EVENTS).collect::<Vec<_>>());
+        assert_goes_on(&last.unwrap());
     }
 }
 
