Reports of engines keep connections of their own; only orders need an unused one

A report that comes twice is no more than an old one, which the scheduler tells by its count of orders, so reports may follow each other on a connection. They share none with requests and orders, so that no other answer is taken for a report.

--- a/crates/entry/src/daemon/run.rs
+++ b/crates/entry/src/daemon/run.rs
@@ -132,11 +132,8 @@
     );
     let server: scheduler::Client = capnp_rpc::new_client(server);
     spawn_local(serve(peers, server.client));
-    let order_cx = OrderContext {
-        scheduling,
-        pool: Rc::clone(&pool),
-        metrics,
-    };
+    let order_cx = OrderContext::new(scheduling, Rc::clone(&pool), metrics);
+    let pools = [pool, Rc::clone(&order_cx.report_pool)];
     spawn_local(run_engine_tasks(order_cx, orders));
     spawn_local(follow(
         Rc::clone(&cx),
@@ -156,7 +153,7 @@
         spawn_local(election).abort_handle(),
     ];
     keep_stored(&cx, &store, incarnation);
-    spawn_local(close_expired(pool, store.clone()));
+    spawn_local(close_expired(pools, store.clone()));
     spawn_local(serve_readiness(Rc::clone(&cx), readiness));
     spawn_local(serve_metrics(Rc::clone(&cx), metrics_listener));
     spawn_local(serve_callers(Rc::clone(&cx), callers));
@@ -238,12 +235,14 @@
 }
 
 async fn close_expired(
-    pool: Rc<Pool>,
+    pools: [Rc<Pool>; 2],
     store: KvStore,
 ) {
     loop {
         sleep(SWEEP_INTERVAL).await;
-        pool.close_expired();
+        for pool in &pools {
+            pool.close_expired();
+        }
         store.close_expired();
     }
 }
--- a/crates/entry/src/scheduling/orders.rs
+++ b/crates/entry/src/scheduling/orders.rs
@@ -24,13 +24,24 @@
 /// Timeout of an order or a report; leaves time for one TCP retransmission.
 const CALL_TIMEOUT: Millis = Millis(250);
 
+/// A call to an engine.
+#[derive(Clone, Copy, Debug)]
+enum EngineCall<'a> {
+    /// An order with this body.
+    Order(&'a [u8]),
+    /// The question for its report.
+    Report,
+}
+
 /// Everything needed to send orders to engines.
 #[derive(Clone, Debug)]
 pub struct OrderContext {
     /// Supplies the fencing token and receives the results.
     pub scheduling: Rc<SchedulerNode>,
-    /// Connections to engines.
+    /// Connections to upstreams, for orders as long as they have carried nothing else.
     pub pool: Rc<Pool>,
+    /// Connections that carry reports only: one that comes twice is no more than an old one.
+    pub report_pool: Rc<Pool>,
     /// Counts orders by result.
     pub metrics: Rc<EntryMetrics>,
 }
@@ -62,6 +73,20 @@
 }
 
 impl OrderContext {
+    /// Creates the context of orders over connections of `pool`.
+    pub fn new(
+        scheduling: Rc<SchedulerNode>,
+        pool: Rc<Pool>,
+        metrics: Rc<EntryMetrics>,
+    ) -> Self {
+        Self {
+            scheduling,
+            report_pool: Rc::new(pool.separate()),
+            pool,
+            metrics,
+        }
+    }
+
     async fn order(
         &self,
         upstream: UpstreamId,
@@ -74,7 +99,7 @@
         };
         let order = self.engine_order(order, after_seq, fence);
         let answer = self
-            .call(&id, address, "POST", ORDER_TARGET, &encode_order(&order))
+            .call(&id, address, EngineCall::Order(&encode_order(&order)))
             .await;
         let end = match answer {
             Err(CallError::NotSent) => OrderResult::Unsent,
@@ -147,7 +172,7 @@
     ) -> Option<EngineReport> {
         let (id, address) = self.scheduling.local_scheduler.upstream(upstream)?;
         let (status, body) = self
-            .call(&id, address, "GET", REPORT_TARGET, &[])
+            .call(&id, address, EngineCall::Report)
             .await
             .inspect_err(|e| {
                 Line::new("report_failed")
@@ -170,12 +195,15 @@
         &self,
         id: &str,
         address: SocketAddr,
-        method: &str,
-        target: &str,
-        body: &[u8],
+        call: EngineCall<'_>,
     ) -> Result<(u16, bytes::Bytes), CallError> {
         let mut headers = String::new();
         write_expected_upstream(id, &mut headers);
+        let (method, target, body, pool) = match call {
+            EngineCall::Order(body) => ("POST", ORDER_TARGET, body, &self.pool),
+            EngineCall::Report => ("GET", REPORT_TARGET, &[][..], &self.report_pool),
+        };
+        let is_order = matches!(call, EngineCall::Order(_));
         let call = HttpCall {
             address,
             method,
@@ -183,8 +211,8 @@
             headers: &headers,
             body,
             timeout: CALL_TIMEOUT,
-            requires_new_connection: true,
+            requires_new_connection: is_order,
         };
-        call.send(&self.pool).await
+        call.send(pool).await
     }
 }
--- a/crates/entry/src/upstream/pool.rs
+++ b/crates/entry/src/upstream/pool.rs
@@ -62,6 +62,14 @@
         }
     }
 
+    /// Creates a pool for other calls to the same peers, which share no connection with those of this one.
+    pub fn separate(&self) -> Self {
+        Self {
+            source: self.source,
+            ..self.share_budget()
+        }
+    }
+
     /// Creates a pool that shares its budget for answers with this one.
     pub fn share_budget(&self) -> Self {
         Self {
