A stream without a record is taken up only at a time for which its build is certain

Cause: a VM's view counted as complete for ever from its first full read on, whatever its age, and a VM of which nobody was asked as in touch. The same class: an answer to a watch counted for the time at which it was read, also after a suspension; upstreams that came and left while the history was lost, or within one answer of another VM, left no trace; an answer under way on a VM that is suspended went on at an upstream that had started again as another version under its id.

Change: without a record the view counts only if the store has answered a question sent after the request came, or if other VMs that it answers say so. In an outage for all, the common view of half of those asked counts, so that streams of a single build still go on. A watch counts for the time of its question where it took longer than it could be held. Missed upstreams begin the 15 s anew. Before an answer goes on, a VM that hasn't heard from the store for 3 s catches up.

--- a/crates/core/src/streams/origin_lookup.rs
+++ b/crates/core/src/streams/origin_lookup.rs
@@ -8,7 +8,7 @@
 /// Before, the build that began the stream may have left service unnoticed.
 const MIN_COMPLETE: Millis = Millis(15_000);
 
-/// The result of a lookup of a stream's origin at other VMs; nobody is asked if the caller doesn't name its attempt.
+/// The result of a lookup of a stream's origin at other VMs; none is asked if the caller doesn't name its attempt.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct OriginLookup {
     /// Where the stream began, as this VM or another one has recorded it.
@@ -25,8 +25,9 @@
     /// The origin of the stream for an attempt at `service`, of which this VM knows the builds in `known`.
     ///
     /// A stream that began at another service, as its route has changed since, can't be resumed. Without a record the
-    /// service's only build counts, if half of the VMs answered and either none of its streams is stored, or the
-    /// upstreams have been known for long enough, as another build may otherwise have escaped this VM.
+    /// service's only build counts, if it is confirmed that there is no other now, half of the VMs asked answered, and
+    /// either none of its streams is stored, or the upstreams have been known for long enough, as another build may
+    /// otherwise have escaped this VM.
     pub fn conclude(
         self,
         service: &str,
@@ -39,7 +40,7 @@
         };
         let build = match self.recorded {
             Some(recorded) => recorded.build.filter(|_| recorded.service == service),
-            None if is_connected && is_complete => known.only,
+            None if known.is_confirmed && is_connected && is_complete => known.only,
             None => None,
         };
         build.map_or(StreamOrigin::Unknown, StreamOrigin::Build)
--- a/crates/core/tests/stream_origins.rs
+++ b/crates/core/tests/stream_origins.rs
@@ -88,6 +88,7 @@
     KnownBuilds {
         only: Some("v1".to_owned()),
         complete_for,
+        is_confirmed: true,
     }
 }
 
@@ -164,6 +165,75 @@
     assert_eq!(none_stored.conclude("app", several), StreamOrigin::Unknown);
 }
 
+#[test]
+fn an_old_view_concludes_nothing() {
+    // Guards against a VM that was suspended while a second version joined, and takes the one that it knows for the only one.
+    let old = KnownBuilds {
+        is_confirmed: false,
+        ..only_v1(Some(LONG))
+    };
+    for (asked, answered) in [(0, 0), (6, 6)] {
+        for is_none_stored in [false, true] {
+            let unrecorded = OriginLookup {
+                is_none_stored,
+                ..lookup(None, asked, answered)
+            };
+            let concluded = unrecorded.conclude("app", old.clone());
+            assert_eq!(concluded, StreamOrigin::Unknown, "{answered} of {asked}");
+        }
+    }
+    let recorded = lookup(Some("v2"), 6, 1).conclude("app", old);
+    assert_eq!(recorded, StreamOrigin::Build("v2".to_owned()));
+}
+
+#[test]
+fn others_vouch_for_an_old_view() {
+    // Guards against refusing streams at each VM that doesn't reach the store, and against a view that nobody shares.
+    let old = KnownBuilds {
+        is_confirmed: false,
+        ..only_v1(Some(LONG))
+    };
+    let confirmed = only_v1(Some(LONG));
+    let other = KnownBuilds {
+        only: Some("v2".to_owned()),
+        ..confirmed.clone()
+    };
+    let several = KnownBuilds {
+        only: None,
+        ..old.clone()
+    };
+    let started = KnownBuilds::default();
+    let begun = StreamOrigin::Build("v1".to_owned());
+    for (asked, others, expected) in [
+        (0, vec![], StreamOrigin::Unknown),
+        (6, vec![], StreamOrigin::Unknown),
+        (6, vec![confirmed.clone()], begun.clone()),
+        (6, vec![old.clone(); 3], begun.clone()),
+        (6, vec![old.clone(); 2], StreamOrigin::Unknown),
+        (6, vec![started.clone(); 6], StreamOrigin::Unknown),
+        (2, vec![old.clone(), started], begun),
+        (6, vec![other], StreamOrigin::Unknown),
+        (
+            6,
+            vec![confirmed.clone(), several.clone()],
+            StreamOrigin::Unknown,
+        ),
+        (
+            3,
+            vec![old.clone(), old.clone(), several],
+            StreamOrigin::Unknown,
+        ),
+    ] {
+        let known = old.clone().with_others(asked, &others);
+        let concluded = OriginLookup::default().conclude("app", known);
+        assert_eq!(concluded, expected, "{asked} asked, {others:?}");
+    }
+    // How long upstreams are known by a VM that just started says nothing of the time before.
+    let young = only_v1(Some(Millis(1)));
+    let known = old.with_others(6, &[young]);
+    assert_eq!(known.complete_for, Some(Millis(1)));
+}
+
 #[test]
 fn a_stream_that_began_in_doubt_is_not_resumed() {
     // Guards against the service's only build where the upstream may have restarted as one that this VM hasn't heard of.
--- a/crates/entry/examples/scheduler_calls.rs
+++ b/crates/entry/examples/scheduler_calls.rs
@@ -80,9 +80,9 @@
         let store = KvStore::new(nowhere, Millis(500));
         let server = SchedulerServer::new(
             Rc::clone(&scheduling),
-            feed,
+            Rc::clone(&feed),
             store.clone(),
-            Rc::new(OriginDirectory::new("vm", store)),
+            Rc::new(OriginDirectory::new("vm", store, feed)),
         );
         let client: scheduler::Client = capnp_rpc::new_client(server);
         spawn_local(serve(listener, client.client));
--- a/crates/entry/src/daemon/run.rs
+++ b/crates/entry/src/daemon/run.rs
@@ -105,7 +105,7 @@
         is_weak: settings.size.is_weak(),
         processor_percent: (settings.size.processor * 100.0) as u32,
     }));
-    let origins = Rc::new(OriginDirectory::new(&me, store.clone()));
+    let origins = Rc::new(OriginDirectory::new(&me, store.clone(), Rc::clone(&feed)));
     let cx = Rc::new(Context::new(
         max_files(&settings),
         settings,
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -90,7 +90,7 @@
 }
 
 /// An age in milliseconds for the log; `-` if it isn't known.
-fn age_text(age: Option<Millis>) -> String {
+pub(super) fn age_text(age: Option<Millis>) -> String {
     age.map_or_else(|| "-".to_owned(), |age| age.to_string())
 }
 
--- a/crates/entry/src/forward/driver/mod.rs
+++ b/crates/entry/src/forward/driver/mod.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         ForwardRequest,
-        attempt::Via,
+        attempt::{Via, age_text},
         failure::Failure,
         hedge::{RETRY_INTERVAL, place},
         in_flight::{AttemptSetup, InFlight},
@@ -263,8 +263,16 @@
             .with("asked", lookup.asked)
             .with("answered", lookup.answered)
             .with("none_stored", lookup.is_none_stored);
-        let known = self.cx.scheduling.known_builds(&self.req.service);
         let is_recorded = lookup.recorded.is_some();
+        let own = || self.cx.scheduling.known_builds(&self.req.service);
+        let known = if is_recorded {
+            own()
+        } else {
+            origins.confirmed_builds(&self.req.service, own).await
+        };
+        let line = line
+            .with("known_ms", age_text(known.complete_for))
+            .with("confirmed", known.is_confirmed);
         let origin = lookup.conclude(&self.req.service, known);
         self.cx
             .metrics
@@ -293,6 +301,10 @@
 
     /// Waits for placement of the next attempt.
     async fn place(&self) -> Result<Placement, PlacementError> {
+        if self.progress.origin.required_build().is_some() {
+            // An upstream may have started again as another build while this VM was suspended.
+            self.cx.origins.catch_up().await;
+        }
         let excluded_upstreams = [&self.failed_upstreams[..], &self.full_upstreams[..]].concat();
         let attempt = AttemptSpec {
             number: self.attempts.next_attempt(),
--- a/crates/entry/src/scheduling/client/mod.rs
+++ b/crates/entry/src/scheduling/client/mod.rs
@@ -484,7 +484,7 @@
         }
     }
 
-    /// What this VM knows of the builds of a service.
+    /// What this VM knows of the builds of a service, not confirmed by the store.
     pub fn known_builds(
         &self,
         service: &str,
@@ -495,9 +495,17 @@
             complete_for: since
                 .filter(|_| !self.has_partial_upstreams.get())
                 .map(|at| self.clock.now().since(at)),
+            is_confirmed: false,
         }
     }
 
+    /// Forgets since when all upstreams are known: some may have come and left unnoticed.
+    pub fn note_missed_upstreams(&self) {
+        let since = self.upstreams_known_since.take();
+        self.upstreams_known_since
+            .set(since.map(|_| self.clock.now()));
+    }
+
     /// Whether this VM is the leader.
     pub fn is_leading(&self) -> bool {
         matches!(*self.mode.borrow(), Mode::Leading(_))
--- a/crates/entry/src/scheduling/server.rs
+++ b/crates/entry/src/scheduling/server.rs
@@ -9,6 +9,7 @@
         cost_spec::read_costs,
     },
     crate::{
+        clock::Clock,
         store::{Feed, KvStore, write_reply},
         streams::{OriginDirectory, read_origin, write_origin},
     },
@@ -313,6 +314,23 @@
         Ok(())
     }
 
+    async fn known_builds(
+        self: Rc<Self>,
+        params: scheduler::KnownBuildsParams,
+        mut results: scheduler::KnownBuildsResults,
+    ) -> Result<(), capnp::Error> {
+        let service = params.get()?.get_service()?.to_string()?;
+        let asked_at = Clock.now();
+        let is_confirmed = self.feed.confirm(asked_at, CONFIRMATION_TIMEOUT).await;
+        let known = self.scheduling.known_builds(&service);
+        let complete_for = known.complete_for.unwrap_or_default();
+        let mut results = results.get();
+        results.set_only(known.only.as_deref().unwrap_or_default());
+        results.set_complete_for_ms(u32::try_from(complete_for.0).unwrap_or(u32::MAX));
+        results.set_is_confirmed(is_confirmed);
+        Ok(())
+    }
+
     async fn changes(
         self: Rc<Self>,
         params: scheduler::ChangesParams,
@@ -330,6 +348,8 @@
     }
 }
 
+/// How long the store may take to confirm this VM's view for another VM; shorter than that VM waits.
+const CONFIRMATION_TIMEOUT: Millis = Millis(150);
 /// Timeout of the store for a forwarded lease renewal; shorter than that of the calling VM.
 const RENEWAL_TIMEOUT: Millis = Millis(250);
 /// Longest time for which a `changes` call waits, whatever the calling VM requests.
--- a/crates/entry/src/store/feed/change_feed.rs
+++ b/crates/entry/src/store/feed/change_feed.rs
@@ -29,6 +29,8 @@
 const TAKEOVER_TIMEOUT: Millis = Millis(1_000);
 /// How long requests wait for a reader's first response from the store once its changes are older than others may have.
 const MIN_TAKEOVER_WAIT: Millis = Millis(150);
+/// How long the store isn't asked again to confirm the upstreams after it has failed to.
+const CONFIRMATION_BACKOFF: Millis = Millis(300);
 /// How long a recovery of the store is reported to other VMs.
 const RECOVERY_REPORT_TIMEOUT: Millis = Millis(10_000);
 
@@ -58,6 +60,14 @@
     answered_at: Cell<Millis>,
     /// All changes that the store held at this time have been applied; `None` before the first full read.
     complete_at: Cell<Option<Millis>>,
+    /// The upstreams that the store held at this time are known for sure; `None` before the first such answer.
+    confirmed_at: Cell<Option<Millis>>,
+    /// When the store last failed to confirm them.
+    unconfirmed_at: Cell<Option<Millis>>,
+    /// Notified when a decision needs to know that this VM has missed no upstream.
+    confirmation_request: Notify,
+    /// Counts changes of `confirmed_at` and `unconfirmed_at`.
+    confirmations: watch::Sender<u64>,
     /// Notified when a call to the store outside the watch fails.
     store_failure: Notify,
     /// When the store last recovered from an outage.
@@ -84,6 +94,10 @@
             last_contact_at: Cell::new(Millis::ZERO),
             answered_at: Cell::new(Clock.now()),
             complete_at: Cell::new(None),
+            confirmed_at: Cell::new(None),
+            unconfirmed_at: Cell::new(None),
+            confirmation_request: Notify::new(),
+            confirmations: watch::Sender::default(),
             store_failure: Notify::new(),
             recovered_at: Cell::new(None),
             stale_after: Millis(max_propagation_delay.0 * STALE_PERCENT / 100),
@@ -163,6 +177,60 @@
         self.complete_at.get()
     }
 
+    /// Whether all upstreams that the store held at `since`, or later, are known; asks the store if that is open, for up
+    /// to `wait`.
+    pub(crate) async fn confirm(
+        &self,
+        since: Millis,
+        wait: Millis,
+    ) -> bool {
+        let until = self.clock.now() + wait;
+        let mut changes = self.confirmations.subscribe();
+        loop {
+            changes.mark_unchanged();
+            let now = self.clock.now();
+            let has_failed = |at: Millis| now.since(at) < CONFIRMATION_BACKOFF;
+            if self.confirmed_at.get() >= Some(since) {
+                return true;
+            }
+            if now >= until
+                || self.complete_at.get().is_none()
+                || self.unconfirmed_at.get().is_some_and(has_failed)
+            {
+                return false;
+            }
+            self.confirmation_request.notify_one();
+            // The state is checked again after a change and after the timeout.
+            let _either = timeout(until.since(now).to_std(), changes.changed()).await;
+        }
+    }
+
+    /// Waits until a decision needs to know that this VM has missed no upstream.
+    pub(crate) async fn confirmation_requested(&self) {
+        self.confirmation_request.notified().await;
+    }
+
+    /// Records that all upstreams that the store held at `at` are known: it was asked then and has answered.
+    pub(crate) fn set_confirmed_at(
+        &self,
+        at: Millis,
+    ) {
+        self.confirmed_at.set(self.confirmed_at.get().max(Some(at)));
+        self.unconfirmed_at.set(None);
+        self.confirmations.send_modify(|count| *count += 1);
+    }
+
+    /// Records that the store has failed to confirm the upstreams.
+    pub(crate) fn set_unconfirmed(&self) {
+        self.unconfirmed_at.set(Some(self.clock.now()));
+        self.confirmations.send_modify(|count| *count += 1);
+    }
+
+    /// The revision up to which all changes are applied.
+    pub(crate) fn revision(&self) -> u64 {
+        self.recent.borrow().revision()
+    }
+
     /// How long the store has answered neither this VM nor one that has told it of an answer.
     pub(crate) fn unanswered_for(&self) -> Millis {
         self.clock.now().since(self.answered_at.get())
@@ -218,6 +286,11 @@
         }
     }
 
+    /// Whether this VM can follow the store directly, as far as it knows.
+    pub(crate) const fn can_read(&self) -> bool {
+        self.can_read.get()
+    }
+
     /// Whether other VMs have requested changes lately.
     pub(crate) fn is_requested(&self) -> bool {
         self.requested_at
--- a/crates/entry/src/store/follower.rs
+++ b/crates/entry/src/store/follower.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         Feed, FeedPeer, FeedReply, KvStore, Membership,
+        confirmation::keep_confirming,
         feed::ask_peer,
         kv_store::{check_range_size, size_in_bytes},
         view::View,
@@ -19,7 +20,7 @@
         scheduler_capnp::scheduler,
     },
     std::{collections::HashMap, net::SocketAddr, rc::Rc},
-    tokio::time::sleep,
+    tokio::{task::spawn_local, time::sleep},
 };
 
 /// Prefix of all keys, so that one watch covers configuration, upstreams and VMs.
@@ -42,6 +43,8 @@
 };
 /// Long-poll timeout at another VM. A suspended VM is detected after this plus the call timeout.
 const LONG_POLL_TIMEOUT: Millis = Millis(300);
+/// How long an answer takes beyond the time for which it is held.
+const MAX_ANSWER_DELAY: Millis = Millis(250);
 /// Pause before a leader that has lost the store looks again for a VM that reads it.
 const READER_SEARCH_DELAY: Millis = Millis(60);
 /// How often minor changes (what engines hold) are requested too, in case this VM has to schedule on its own.
@@ -118,14 +121,24 @@
     membership: Rc<Membership>,
     feed: Rc<Feed>,
 ) {
-    let view = View::new(Rc::clone(&cx), Rc::clone(&membership), Rc::clone(&feed));
+    let view = Rc::new(View::new(
+        Rc::clone(&cx),
+        Rc::clone(&membership),
+        Rc::clone(&feed),
+    ));
+    spawn_local(keep_confirming(
+        Rc::clone(&cx),
+        store.clone(),
+        Rc::clone(&feed),
+        Rc::clone(&view),
+    ));
     let mut follower = Follower {
         choice: SourceChoice::new(membership.rank()),
         backoff: Backoff::new(MIN_RETRY_DELAY, MAX_RETRY_DELAY),
         links: HashMap::new(),
         position: Position::default(),
         remaining: None,
-        view: Rc::new(view),
+        view,
         cx,
         store,
         membership,
@@ -145,6 +158,8 @@
         let began = self.cx.clock.now();
         let pages = self.store.read_pages(ALL_KEYS, reaches_upstreams);
         let reply = pages.await?;
+        // Without the history of the time before, upstreams may have come and left.
+        self.cx.scheduling.note_missed_upstreams();
         self.view.reset(&reply).await;
         self.set_complete_at(began);
         self.set_position(reply.revision, Some(reply.revision));
@@ -232,6 +247,7 @@
 
     async fn watch_store(&mut self) -> Step {
         let next = self.position.read_from();
+        let asked_at = self.cx.clock.now();
         let batch = tokio::select! {
             batch = self.next_batch(next) => batch,
             // A lease renewal detects a dead connection before the watch does.
@@ -244,7 +260,7 @@
                 self.choice.store_responded();
                 self.backoff.reset();
                 self.view.record_store_response();
-                self.apply_batch(&batch).await
+                self.apply_batch(&batch, asked_at).await
             }
             Err(e) => {
                 self.store_failed(&e).await;
@@ -262,9 +278,11 @@
         batches.next().await.unwrap_or_else(|| Err(ended()))
     }
 
+    /// Applies the answer to a watch that was sent at `asked_at`.
     async fn apply_batch(
         &mut self,
         batch: &WatchBatch,
+        asked_at: Millis,
     ) -> Step {
         if batch.compacted.is_some() {
             Line::new("history_lost")
@@ -272,9 +290,11 @@
                 .warn();
             return Step::Reload;
         }
-        let received = self.cx.clock.now();
+        let held = self.store.watch_timeout();
+        let answered_at = answer_time(asked_at, held, self.cx.clock.now());
         self.view.apply_all(&batch.events).await;
-        self.set_complete_at(received);
+        self.set_complete_at(answered_at);
+        self.feed.set_confirmed_at(asked_at);
         self.set_position(batch.revision, Some(batch.revision));
         if !batch.events.is_empty() {
             let pause = self.cx.settings.change_ms.0 * BATCH_DELAY_PERCENT / 100;
@@ -304,6 +324,7 @@
         let after = self.position.after;
         let feed = Rc::clone(&self.feed);
         let link = self.link(rank, vm.address);
+        let asked_at = now;
         let reply = tokio::select! {
             reply = ask_peer(link, after, minor_after, LONG_POLL_TIMEOUT) => reply,
             // Others have missed that VM already and wait for this one.
@@ -320,9 +341,9 @@
                 if let Some(since) = since_recovery {
                     self.view.record_remote_recovery(since);
                 }
-                let complete_at = self.cx.clock.now().since(answered_ago);
+                let replied_at = answer_time(asked_at, LONG_POLL_TIMEOUT, self.cx.clock.now());
                 self.view.apply_all(&events).await;
-                self.set_complete_at(complete_at);
+                self.set_complete_at(replied_at - answered_ago);
                 let minor = includes_minor.then(|| minor_position(revision, &events));
                 self.set_position(revision, minor);
             }
@@ -398,6 +419,21 @@
     }
 }
 
+/// The time of which an answer tells that was received at `now`, if the question could be held for `held`.
+///
+/// One that comes later may have been given at any time since the question: this VM was suspended, or the answer held up.
+fn answer_time(
+    asked_at: Millis,
+    held: Millis,
+    now: Millis,
+) -> Millis {
+    if now.since(asked_at) <= held + MAX_ANSWER_DELAY {
+        now
+    } else {
+        asked_at
+    }
+}
+
 /// The revision up to which a reply has all minor changes: later ones are cut off at the limit.
 fn minor_position(
     revision: u64,
--- a/crates/entry/src/store/kv_store.rs
+++ b/crates/entry/src/store/kv_store.rs
@@ -9,7 +9,7 @@
     },
     jasmine_store::store::{
         Lease, LeaseId, Range, RangeReply, Store, StoreError, StoreFuture, Txn, TxnReply,
-        WatchStream,
+        WatchBatch, WatchStream,
     },
     std::{net::SocketAddr, rc::Rc},
 };
@@ -17,6 +17,9 @@
 /// Timeout of a call, on top of the time for which it asks the service to hold it.
 const CALL_TIMEOUT: Millis = Millis(900);
 
+/// Shortest time for which a watch can be held, in whole milliseconds.
+const NO_WAIT: Millis = Millis(1);
+
 /// Most bytes of keys and values that are read of one prefix; many times what thousands of servers need.
 const MAX_RANGE_BYTES: usize = 16 << 20;
 
@@ -52,6 +55,11 @@
         }
     }
 
+    /// How long the service is asked to hold a watch.
+    pub fn watch_timeout(&self) -> Millis {
+        self.inner.watch_timeout
+    }
+
     /// Closes connections that have exceeded their idle timeout.
     pub fn close_expired(&self) {
         self.inner.pool.close_expired();
@@ -123,6 +131,20 @@
         Ok(all)
     }
 
+    /// Reads the changes of a prefix after a revision without waiting for one.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`].
+    pub async fn changes_since(
+        &self,
+        prefix: &str,
+        after: u64,
+    ) -> Result<WatchBatch, StoreError> {
+        let (status, body) = self.call(&encode_watch(prefix, after, NO_WAIT)).await?;
+        decode_watch(status, &body)
+    }
+
     async fn call(
         &self,
         call: &Call,
--- a/crates/entry/src/store/mod.rs
+++ b/crates/entry/src/store/mod.rs
@@ -1,5 +1,6 @@
 //! The platform's key-value service: client, replication of its content, registration and leader election.
 
+mod confirmation;
 mod election;
 mod feed;
 mod follower;
--- a/crates/entry/src/store/view.rs
+++ b/crates/entry/src/store/view.rs
@@ -500,6 +500,10 @@
         self: &Rc<Self>,
         id: &str,
     ) {
+        if !self.upstreams.borrow().contains_key(id) {
+            // It came and left between two answers, of which each has the last change of a key only.
+            self.cx.scheduling.note_missed_upstreams();
+        }
         let now = self.cx.clock.now();
         let until = self.recovered_at.get() + REJOIN_TIMEOUT;
         let has_recovered = self.recovered_at.get() > Millis::ZERO;
--- a/crates/entry/src/streams/origin_directory.rs
+++ b/crates/entry/src/streams/origin_directory.rs
@@ -1,13 +1,16 @@
 use {
     super::{origin_peer::OriginPeer, stored_origins::StoredOrigins},
-    crate::{clock::Clock, store::KvStore},
-    futures::{StreamExt, stream::FuturesUnordered},
+    crate::{
+        clock::Clock,
+        store::{Feed, KvStore},
+    },
+    futures::{StreamExt, future::join_all, stream::FuturesUnordered},
     jasmine_core::{
         clock::Millis,
         ids::StreamId,
         streams::{
-            LOOKUP_VMS, ORIGIN_REPLICAS, OriginLookup, ServiceBuild, StreamLog, StreamOrigins,
-            StreamPage, replicas_of,
+            KnownBuilds, LOOKUP_VMS, ORIGIN_REPLICAS, OriginLookup, ServiceBuild, StreamLog,
+            StreamOrigins, StreamPage, replicas_of,
         },
     },
     std::{
@@ -23,6 +26,9 @@
 /// Timeout of a lookup; it lasts as long if no VM has a record and one of them doesn't answer.
 const LOOKUP_TIMEOUT: Millis = Millis(250);
 
+/// How long the store may take to confirm which upstreams there are.
+const CONFIRMATION_TIMEOUT: Millis = Millis(250);
+
 /// The origins of streams that this VM keeps, and lookups of others at the VMs that keep them.
 #[derive(Debug)]
 pub struct OriginDirectory {
@@ -33,6 +39,7 @@
     /// The streams of each service that began at this VM, as far as they aren't stored.
     logs: RefCell<BTreeMap<String, StreamLog>>,
     stored: StoredOrigins,
+    feed: Rc<Feed>,
 }
 
 impl OriginDirectory {
@@ -40,6 +47,7 @@
     pub fn new(
         me: &str,
         store: KvStore,
+        feed: Rc<Feed>,
     ) -> Self {
         Self {
             me: me.to_owned(),
@@ -47,6 +55,7 @@
             peers: RefCell::default(),
             logs: RefCell::default(),
             stored: StoredOrigins::new(store),
+            feed,
         }
     }
 
@@ -188,6 +197,44 @@
         lookup
     }
 
+    /// What is known of the builds of a service since this call: by this VM as soon as the store has confirmed its view,
+    /// which `own` returns, or else by this VM and others.
+    pub async fn confirmed_builds<F>(
+        &self,
+        service: &str,
+        own: F,
+    ) -> KnownBuilds
+    where
+        F: Fn() -> KnownBuilds,
+    {
+        let asked_at = Clock.now();
+        if self.feed.confirm(asked_at, CONFIRMATION_TIMEOUT).await {
+            return KnownBuilds {
+                is_confirmed: true,
+                ..own()
+            };
+        }
+        let peers = self.ranked_peers(stream_id(service), LOOKUP_VMS);
+        let ask = |peer: &Rc<OriginPeer>| {
+            let peer = Rc::clone(peer);
+            async move {
+                let told = timeout(LOOKUP_TIMEOUT.to_std(), peer.known_builds(service)).await;
+                told.ok()?.ok()
+            }
+        };
+        let told = join_all(peers.iter().map(ask)).await;
+        let told: Vec<KnownBuilds> = told.into_iter().flatten().collect();
+        own().with_others(peers.len(), &told)
+    }
+
+    /// Waits until this VM knows the upstreams that the store holds now, if it hasn't heard from the store for long and
+    /// knows of no outage, as after a suspension.
+    pub async fn catch_up(&self) {
+        if !self.feed.is_current() && self.feed.can_read() {
+            self.feed.confirm(Clock.now(), CONFIRMATION_TIMEOUT).await;
+        }
+    }
+
     /// The VMs that keep a stream's origin.
     fn ranked_peers(
         &self,
--- a/crates/entry/src/streams/origin_peer.rs
+++ b/crates/entry/src/streams/origin_peer.rs
@@ -1,7 +1,11 @@
 use {
     super::convert::{read_origin, write_origin},
     crate::{clock::Clock, scheduling::LINK_OPTIONS},
-    jasmine_core::{clock::Millis, ids::StreamId, streams::ServiceBuild},
+    jasmine_core::{
+        clock::Millis,
+        ids::StreamId,
+        streams::{KnownBuilds, ServiceBuild},
+    },
     jasmine_telemetry::log::Line,
     jasmine_wire::{
         link::{Link, LinkError},
@@ -98,6 +102,34 @@
         })
     }
 
+    /// What the VM knows of the builds of a service.
+    pub(super) async fn known_builds(
+        &self,
+        service: &str,
+    ) -> Result<KnownBuilds, LinkError> {
+        let answer = self
+            .link
+            .call(Millis::ZERO, |client| async move {
+                let mut req = client.known_builds_request();
+                req.get().set_service(service);
+                let res = req.send().promise.await?;
+                let res = res.get()?;
+                let complete_for = Millis(res.get_complete_for_ms().into());
+                Ok(KnownBuilds {
+                    only: Some(res.get_only()?.to_string()?).filter(|only| !only.is_empty()),
+                    complete_for: Some(complete_for).filter(|&time| time > Millis::ZERO),
+                    is_confirmed: res.get_is_confirmed(),
+                })
+            })
+            .await;
+        answer.inspect_err(|e| {
+            Line::new("builds_not_told")
+                .with("address", self.address())
+                .with("reason", e)
+                .info();
+        })
+    }
+
     async fn send_queued(self: Rc<Self>) {
         while !self.queue.borrow().is_empty() {
             sleep(BATCH_DELAY.to_std()).await;
--- a/crates/entry/tests/deployment/mod.rs
+++ b/crates/entry/tests/deployment/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod ending_site;
 pub mod registrar;
+pub mod streams;
 pub mod upstream_process;
 
 use {
--- a/crates/entry/tests/leader_changes.rs
+++ b/crates/entry/tests/leader_changes.rs
@@ -58,9 +58,9 @@
     let store = KvStore::new(unused_address, Millis(500));
     let server = SchedulerServer::new(
         Rc::clone(&scheduling),
-        feed,
+        Rc::clone(&feed),
         store.clone(),
-        Rc::new(OriginDirectory::new("vm", store)),
+        Rc::new(OriginDirectory::new("vm", store, feed)),
     );
     let client: scheduler::Client = capnp_rpc::new_client(server);
     spawn_local(serve(listener, client.client));
--- a/crates/entry/tests/stream_builds.rs
+++ b/crates/entry/tests/stream_builds.rs
@@ -3,72 +3,28 @@
 mod deployment;
 
 use {
-    deployment::{Event, Request, Response, Vm, parse_events, start_vms, wait_until},
+    deployment::{
+        Event, Request, Response, Vm, start_vms,
+        streams::{
+            BROKEN_AFTER, EVENTS, builds_of, ids_of, new_stream, open_stream, resume, set_all,
+            start_builds,
+        },
+        wait_until,
+    },
     jasmine_platform_stand_in::{Behaviour, KvStandIn, UpstreamStandIn},
     jasmine_testkit::proxy::{Link, Proxy},
     nix::sys::signal::Signal,
     serde_json::json,
     std::{
-        collections::BTreeSet,
-        io::{Read, Write},
-        net::{SocketAddr, TcpListener, TcpStream},
+        net::{SocketAddr, TcpListener},
         thread,
         time::{Duration, Instant},
     },
 };
 
-/// Events of a whole stream.
-const EVENTS: u64 = 8;
-/// Events before a stream breaks off.
-const BROKEN_AFTER: u64 = 3;
 /// A refusal that waits for nothing arrives within this time.
 const AT_ONCE: Duration = Duration::from_millis(500);
 
-fn builds_of(events: &[Event]) -> BTreeSet<&str> {
-    events.iter().map(|event| event.build.as_str()).collect()
-}
-
-fn ids_of(events: &[Event]) -> Vec<u64> {
-    events.iter().map(|event| event.id).collect()
-}
-
-/// A store, and upstreams of these software versions.
-fn start_builds(builds: &[&str]) -> (KvStandIn, Vec<UpstreamStandIn>) {
-    let store = KvStandIn::start().unwrap();
-    store.put("op/config", &deployment::config(1));
-    let start = |(number, build): (usize, &&str)| {
-        let upstream = UpstreamStandIn::start(&format!("s-{number}")).unwrap();
-        upstream.set_build(build);
-        store.put(&upstream.key(), &upstream.entry("app", "one", "ready"));
-        upstream
-    };
-    let upstreams = builds.iter().enumerate().map(start).collect();
-    (store, upstreams)
-}
-
-fn set_all(
-    upstreams: &[UpstreamStandIn],
-    behaviour: &Behaviour,
-) {
-    for upstream in upstreams {
-        upstream.set_default(behaviour.clone());
-    }
-}
-
-fn new_stream() -> Request {
-    Request::new("POST", "/stream/").body(b"prompt")
-}
-
-/// The next attempt of a caller that has received events of `first` up to `last`.
-fn resume(
-    first: &Request,
-    last: u64,
-) -> Request {
-    new_stream()
-        .with("Last-Event-Id", &last.to_string())
-        .with("Resumes", first.id())
-}
-
 /// Waits until each VM asks all others for the origin of a stream.
 fn wait_for_peers(vms: &[Vm]) {
     let others = format!(" asked={0} answered={0} ", vms.len() - 1);
@@ -92,28 +48,6 @@
         .collect()
 }
 
-/// Opens a stream and reads its first events.
-fn open_stream(
-    vm: &Vm,
-    req: &Request,
-) -> (TcpStream, Vec<Event>) {
-    let mut stream = TcpStream::connect(vm.callers).unwrap();
-    stream.set_read_timeout(Some(deployment::TIMEOUT)).unwrap();
-    stream.write_all(&req.bytes()).unwrap();
-    let mut text = String::new();
-    let mut buf = [0_u8; 1_024];
-    let last = format!("data: piece-{BROKEN_AFTER}\n\n");
-    while !text.contains(&last) {
-        let n = stream.read(&mut buf).unwrap();
-        assert!(n > 0, "the stream ended early: {text}");
-        text.push_str(&String::from_utf8_lossy(&buf[..n]));
-    }
-    let (_, body) = text.split_once("\r\n\r\n").unwrap();
-    // The chunk sizes stand on lines of their own.
-    let lines = body.split("\r\n").filter(|part| part.contains("data:"));
-    (stream, parse_events(&lines.collect::<String>()))
-}
-
 #[test]
 fn a_broken_stream_goes_on_at_its_build() {
     // Guards against one answer with events of two software versions.
--- a/crates/wire/schema/scheduler.capnp
+++ b/crates/wire/schema/scheduler.capnp
@@ -241,4 +241,7 @@
   noteOrigins @7 (origins :List(StreamOrigin)) -> ();
   # The origin of a stream, as this VM keeps it; null: it doesn't.
   findOrigin @8 (stream :UInt64) -> (origin :ServiceBuild);
+  # What this VM knows of a service's software versions; it asks the store first whether that still holds.
+  # `completeForMs`: how long it has known all upstreams; 0: it doesn't.
+  knownBuilds @9 (service :Text) -> (only :Text, completeForMs :UInt32, isConfirmed :Bool);
 }
