Tests of answers that belong to another exchange, for what no test would have caught

So new tests: slow_orders_get_their_own_answers (an engine that answers orders after 80 ms, so that its connection could be in use again; what the VM takes orders for must be what the engine answered), reports_are_not_read_from_answers_to_requests, relayed_requests_get_their_own_answers, surplus_bytes_fail_no_later_request.

--- a/crates/entry/tests/crossed_answers.rs
+++ b/crates/entry/tests/crossed_answers.rs
@@ -22,6 +22,19 @@
     assert_eq!(vm.send_request(&Request::new("GET", "/read/")).text(), "ok");
 }
 
+#[test]
+fn surplus_bytes_fail_no_later_request() {
+    // Guards against a reused connection on which bytes are left that are no answer.
+    let (store, upstreams) = start_platform(&["s-1"]);
+    let vm = Vm::start(&store);
+    upstreams[0].next(Behaviour::Surplus(b"no answer\r\n".to_vec()));
+    for _ in 0..2 {
+        let write = Request::new("POST", "/write/").body(b"enrol");
+        assert_eq!(vm.send_request(&write).text(), "ok");
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
 #[test]
 fn a_response_without_a_length_is_forwarded() {
     let (store, upstreams) = start_platform(&["s-1"]);
--- a/crates/entry/tests/lost_upstream_links.rs
+++ b/crates/entry/tests/lost_upstream_links.rs
@@ -281,17 +281,37 @@
     assert!(lines.is_empty(), "{lines:?}");
 }
 
-#[test]
-fn relayed_writes_run_once() {
-    // Guards against a VM that takes the second copy of a refusal for the answer to the next attempt that it relays.
-    let site = Site::start("cut-second", &["s-1"], 2);
-    let upstream = &site.upstreams[0];
-    upstream.repeat_answers();
+/// Two VMs of which the second relays through the first, and an upstream whose answers come twice.
+fn start_relayed(name: &str) -> Site {
+    let site = Site::start(name, &["s-1"], 2);
+    site.upstreams[0].repeat_answers();
     site.set_links(1, Some(Fault::Reset));
     let until = Instant::now() + CONTACT;
     while Instant::now() < until {
         site.vms[1].send_request(&Request::new("GET", "/read/"));
     }
+    site
+}
+
+#[test]
+fn relayed_requests_get_their_own_answers() {
+    // Guards against a VM that relays the second copy of an answer that names no request as that to the next one.
+    let site = start_relayed("cut-unnamed");
+    let upstream = &site.upstreams[0];
+    // A connection that has been idle for so long isn't used for another VM's request.
+    thread::sleep(Duration::from_millis(1_200));
+    upstream.next(Behaviour::Unnamed(b"of another".to_vec()));
+    for expected in ["of another", "ok", "ok"] {
+        let response = site.vms[1].send_request(&Request::new("GET", "/read/"));
+        assert_eq!((response.status, response.text().as_str()), (200, expected));
+    }
+}
+
+#[test]
+fn relayed_writes_run_once() {
+    // Guards against a VM that takes the second copy of a refusal for the answer to the next attempt that it relays.
+    let site = start_relayed("cut-second");
+    let upstream = &site.upstreams[0];
     upstream.next(Behaviour::Shed);
     let request = Request::new("POST", "/write/").body(b"enrol");
     let response = site.vms[1].send_request(&request);
--- a/crates/entry/tests/second_answers.rs
+++ b/crates/entry/tests/second_answers.rs
@@ -13,6 +13,8 @@
 
 /// How long an adapter's load takes; longer than a VM expects, so that requests come too early.
 const LOAD_TIME: Duration = Duration::from_millis(280);
+/// Time until an engine answers an order, in which its connection could carry something else.
+const ORDER_TIME: Duration = Duration::from_millis(80);
 /// Adapters of the requests, more than an engine has places for.
 const ADAPTERS: usize = 6;
 const GENERATIONS_TIME: Duration = Duration::from_secs(6);
@@ -132,3 +134,40 @@
         (Vec::new(), 0)
     );
 }
+
+/// What a VM has to take each status of an order's answer for.
+fn end_of_order(status: u16) -> &'static str {
+    match status {
+        200 => "Holds",
+        202 => "Accepted",
+        409 => "Conflict",
+        _ => "Refused",
+    }
+}
+
+#[test]
+fn slow_orders_get_their_own_answers() {
+    // Guards against counting an order by the second answer to a request or to an earlier order.
+    let site = Site::start();
+    site.engine.set_order_time(ORDER_TIME);
+    site.generate();
+    thread::sleep(2 * ORDER_TIME);
+    let statuses = site.engine.order_statuses();
+    let mut answered: Vec<&str> = statuses.into_iter().map(end_of_order).collect();
+    let orders = site.vm.log_lines("order_given");
+    let ends = orders.iter().filter_map(|line| line.split_once(" end="));
+    let mut taken: Vec<&str> = ends.map(|(_, end)| end.trim()).collect();
+    answered.sort_unstable();
+    taken.sort_unstable();
+    assert!(answered.len() > 10, "{} orders", answered.len());
+    assert_eq!(taken, answered);
+}
+
+#[test]
+fn reports_are_not_read_from_answers_to_requests() {
+    // Guards against a report that is lost, as the second answer to a request was read in its place.
+    let site = Site::start();
+    site.generate();
+    assert!(!site.engine.executed().is_empty(), "nothing was served");
+    assert_eq!(site.vm.log_lines("report_unreadable"), Vec::<String>::new());
+}
