A leader's key that no VM keeps is replaced by the next leader

What callers saw: no leader for as long as the key stayed, so that VMs decide alone, with their shares of the accounts' rates, and load no adapter.

Cause: a campaign requires that the key is absent, or that an earlier run on the same VM wrote it. A value that can't be read, or a record without a lease, is neither, and no lease removes it. A read of the key by its prefix could also take another key for it.

Change: the revision of such a value is what the next campaign compares. A conflict that names no lease is no proof: the key is read.

--- a/crates/entry/src/store/election.rs
+++ b/crates/entry/src/store/election.rs
@@ -4,7 +4,7 @@
     super::{
         Feed, KvStore, Membership,
         lease_relay::LeaseRelay,
-        membership::{LAST_LEADER_KEY, LEADER_KEY},
+        membership::{LAST_LEADER_KEY, LEADER_KEY, NO_LEASE},
     },
     crate::context::Context,
     futures::{FutureExt, future::select_ok},
@@ -113,7 +113,8 @@
     /// Reads the leader key.
     async fn poll_leader_key(&self) {
         match self.store.range(Range::key(LEADER_KEY)).await {
-            Ok(reply) => match reply.kvs.first() {
+            // The read is of a prefix.
+            Ok(reply) => match reply.kvs.iter().find(|kv| kv.key == LEADER_KEY) {
                 Some(kv) => self.membership.set_leader(&self.cx, kv),
                 None => self.membership.remove_leader(),
             },
@@ -270,7 +271,7 @@
         };
         self.membership.leader_lease.set(Some(lease));
         let key = LEADER_KEY.to_owned();
-        let compare = match self.membership.predecessor() {
+        let compare = match self.membership.replaceable_leader() {
             Some(revision) => Compare::ModRevision(key, revision),
             None => Compare::Absent(key),
         };
@@ -305,6 +306,8 @@
         for kv in reply.reads.iter().flatten() {
             match kv.key.as_str() {
                 LAST_LEADER_KEY => self.membership.set_last_leader(kv),
+                // A conflict needn't name the lease.
+                _ if kv.lease == NO_LEASE => self.poll_leader_key().await,
                 _ => self.membership.set_leader(&self.cx, kv),
             }
         }
--- a/crates/entry/src/store/membership.rs
+++ b/crates/entry/src/store/membership.rs
@@ -24,7 +24,7 @@
 pub const LAST_LEADER_KEY: &str = "jasmine/last-scheduler";
 
 /// The lease of a key that is bound to none.
-const NO_LEASE: u64 = 0;
+pub(super) const NO_LEASE: u64 = 0;
 
 /// Delay between the candidacies of successive VMs, so that usually only the first one calls the store.
 const ELECTION_DELAY_STEP: Millis = Millis(80);
@@ -62,6 +62,8 @@
     has_leader: Cell<bool>,
     /// Revision of the leader key, if an earlier run on this VM wrote it.
     predecessor: Cell<Option<u64>>,
+    /// Revision of the leader key, if no VM wrote it: the next leader replaces it.
+    foreign_leader: Cell<Option<u64>>,
     leaderless_since: Cell<Millis>,
     /// The last leader's identity and the revision of [`LAST_LEADER_KEY`].
     last_leader: RefCell<Option<(String, u64)>>,
@@ -84,6 +86,7 @@
             is_loaded: Cell::new(false),
             has_leader: Cell::new(false),
             predecessor: Cell::new(None),
+            foreign_leader: Cell::new(None),
             leaderless_since: Cell::new(Millis::ZERO),
             last_leader: RefCell::default(),
             vms: RefCell::default(),
@@ -157,9 +160,13 @@
         kv: &KeyValue,
     ) {
         let record = match serde_json::from_slice::<VmRecord>(&kv.value) {
+            Ok(_) if kv.lease == NO_LEASE => {
+                return self.set_foreign_leader(kv, &"a leader without a lease");
+            }
             Ok(record) => record,
-            Err(e) => return log_unreadable(kv, &e),
+            Err(e) => return self.set_foreign_leader(kv, &e),
         };
+        self.foreign_leader.set(None);
         self.has_leader.set(true);
         // This run could bind the port, so the earlier run has ended and its lease need not expire first.
         let is_predecessor = record.host_identity() == self.me.host_identity() && record != self.me;
@@ -189,6 +196,19 @@
         });
     }
 
+    /// Records that the leader key has a value that no VM wrote, which no lease will remove.
+    fn set_foreign_leader<E>(
+        &self,
+        kv: &KeyValue,
+        reason: &E,
+    ) where
+        E: Display,
+    {
+        log_unreadable(kv, reason);
+        self.remove_leader();
+        self.foreign_leader.set(Some(kv.mod_revision));
+    }
+
     /// Applies a value of [`LAST_LEADER_KEY`].
     pub(super) fn set_last_leader(
         &self,
@@ -216,6 +236,7 @@
     /// Records that the leader key doesn't exist.
     pub(super) fn remove_leader(&self) {
         self.predecessor.set(None);
+        self.foreign_leader.set(None);
         // Counted from this VM's first read, so that VMs that start together don't all campaign at once.
         let is_first_look = self.leaderless_since.get() == Millis::ZERO;
         if self.has_leader.replace(false) || is_first_look {
@@ -419,9 +440,9 @@
         self.has_leader.get() && self.predecessor.get().is_none()
     }
 
-    /// Revision of the leader key, if an earlier run on this VM wrote it.
-    pub(super) const fn predecessor(&self) -> Option<u64> {
-        self.predecessor.get()
+    /// Revision of the leader key that this VM may replace: an earlier run on it wrote the key, or no VM did.
+    pub(super) fn replaceable_leader(&self) -> Option<u64> {
+        self.predecessor.get().or(self.foreign_leader.get())
     }
 
     /// Whether this VM may campaign now.
