A stored page that can't be read hides no other one

What callers saw: after a kill of all VMs beside two builds, all streams were refused (503 stream_not_resumable) if any key under `stream-builds/` held something else than a page, although the pages of their VMs were there.

Cause: the read of the pages ended at the first one that couldn't be read.

Change: keys without a lease are passed over, as VMs store pages under leases only. A page with a lease that can't be read (a later version may have written it) hides no other one either, but then it isn't certain that the service has no stored stream.

Evidence: odd_entries::an_odd_page_of_streams_hides_no_other, which failed before; stream_builds (16) passes.

--- a/crates/entry/src/store/membership.rs
+++ b/crates/entry/src/store/membership.rs
@@ -24,7 +24,7 @@
 pub const LAST_LEADER_KEY: &str = "jasmine/last-scheduler";
 
 /// The lease of a key that is bound to none.
-pub(super) const NO_LEASE: u64 = 0;
+pub(crate) const NO_LEASE: u64 = 0;
 
 /// Delay between the candidacies of successive VMs, so that usually only the first one calls the store.
 const ELECTION_DELAY_STEP: Millis = Millis(80);
--- a/crates/entry/src/store/mod.rs
+++ b/crates/entry/src/store/mod.rs
@@ -12,7 +12,6 @@
 mod view;
 mod vm_record;
 
-pub(crate) use feed::write_reply;
 pub use {
     election::run_election,
     feed::{Feed, FeedReply},
@@ -23,3 +22,4 @@
     quarantine::keep_quarantine,
     vm_record::{FeedPeer, VmRecord},
 };
+pub(crate) use {feed::write_reply, membership::NO_LEASE};
--- a/crates/entry/src/streams/stored_origins.rs
+++ b/crates/entry/src/streams/stored_origins.rs
@@ -1,6 +1,9 @@
 use {
     super::{OriginDirectory, stored_page::decode_page},
-    crate::{clock::Clock, store::KvStore},
+    crate::{
+        clock::Clock,
+        store::{KvStore, NO_LEASE},
+    },
     jasmine_core::{clock::Millis, ids::StreamId, streams::ServiceBuild},
     jasmine_store::store::KeyValue,
     jasmine_telemetry::log::Line,
@@ -72,13 +75,17 @@
             Err(e) => return log_unread(&e),
         };
         let mut services = BTreeSet::new();
-        for kv in reply.kvs {
-            for (stream, origin) in decode(&kv)? {
+        let mut is_readable = true;
+        // VMs store pages under leases; what others leave here stays for ever.
+        for kv in reply.kvs.iter().filter(|kv| kv.lease != NO_LEASE) {
+            let page = decode(kv);
+            is_readable &= page.is_some();
+            for (stream, origin) in page.into_iter().flatten() {
                 directory.record(stream, &origin);
                 services.insert(origin.service);
             }
         }
-        Some(services)
+        is_readable.then_some(services)
     }
 }
 
