An early answer's test with a body that doesn't fit into the buffers

The test had a body that was sent whole before the answer came, so that it passed also if the connection was used again after a part of the body (a mutation showed it).

--- a/crates/entry/tests/crossed_answers.rs
+++ b/crates/entry/tests/crossed_answers.rs
@@ -3,8 +3,9 @@
 mod deployment;
 
 use {
-    deployment::{Request, Vm, start_platform},
+    deployment::{Request, Vm, config, start_platform},
     jasmine_platform_stand_in::Behaviour,
+    serde_json::json,
     std::{thread, time::Duration},
 };
 
@@ -51,16 +52,22 @@
 fn an_early_response_does_not_corrupt_later_requests() {
     // Guards against reusing a connection on which the upstream still expects the rest of a body.
     let (store, upstreams) = start_platform(&["s-1"]);
+    let mut config = config(2);
+    config["limits"]["max_body_bytes"] = json!(2_000_000);
+    store.put("op/config", &config);
     let vm = Vm::start(&store);
-    upstreams[0].next(Behaviour::Early);
-    let long = Request::new("POST", "/write/").body(&vec![b'x'; 60_000]);
-    assert_eq!(vm.send_request(&long).text(), "early");
-    for _ in 0..3 {
-        let next = Request::new("POST", "/write/").body(b"next");
-        assert_eq!(vm.send_request(&next).text(), "ok");
+    // The shorter body fits into the buffers of the connection, the longer one doesn't.
+    for len in [60_000, 1_000_000] {
+        upstreams[0].next(Behaviour::Early);
+        let long = Request::new("POST", "/write/").body(&vec![b'x'; len]);
+        assert_eq!(vm.send_request(&long).text(), "early");
+        for _ in 0..3 {
+            let next = Request::new("POST", "/write/").body(b"next");
+            assert_eq!(vm.send_request(&next).text(), "ok", "after {len} bytes");
+        }
+        let last = upstreams[0].executed().pop().unwrap();
+        assert_eq!(last.body, b"next");
     }
-    let last = upstreams[0].executed().pop().unwrap();
-    assert_eq!(last.body, b"next");
 }
 
 #[test]
