A placement that waited through a suspension is checked, too

A stream under way on a suspended VM could still go on at an upstream that had started again as another build: hedges place their attempts by themselves, and calls to the store that were under way fail just after the suspension, so that the VM took it for an outage and didn't catch up. stale_views::a_suspended_vm_does_not_go_on_at_restarted_upstreams failed in one of two runs beside load for that.

The test's VM has a name of its own in each process: runs beside each other had shared a settings file.

--- a/crates/entry/src/forward/driver/mod.rs
+++ b/crates/entry/src/forward/driver/mod.rs
@@ -301,10 +301,6 @@
 
     /// Waits for placement of the next attempt.
     async fn place(&self) -> Result<Placement, PlacementError> {
-        if self.progress.origin.required_build().is_some() {
-            // An upstream may have started again as another build while this VM was suspended.
-            self.cx.origins.catch_up().await;
-        }
         let excluded_upstreams = [&self.failed_upstreams[..], &self.full_upstreams[..]].concat();
         let attempt = AttemptSpec {
             number: self.attempts.next_attempt(),
--- a/crates/entry/src/forward/hedge.rs
+++ b/crates/entry/src/forward/hedge.rs
@@ -26,6 +26,29 @@
     cx: &Context,
     req: &ForwardRequest,
     attempt: &AttemptSpec<'_>,
+) -> Result<Placement, PlacementError> {
+    loop {
+        let placement = place_by_view(cx, req, attempt).await?;
+        // An upstream may have started again as another build while this VM was suspended.
+        let has_caught_up = attempt.build.is_some() && cx.origins.catch_up().await;
+        let known = cx.scheduling.local_scheduler.build_of(&placement.upstream);
+        if !has_caught_up || known.as_deref() == attempt.build {
+            return Ok(placement);
+        }
+        Line::new("placement_outdated")
+            .with("id", req.id())
+            .with("upstream", &placement.upstream)
+            .with("build", attempt.build.unwrap_or("-"))
+            .with("known", known.as_deref().unwrap_or("-"))
+            .info();
+    }
+}
+
+/// Places one attempt by what the VMs know now.
+async fn place_by_view(
+    cx: &Context,
+    req: &ForwardRequest,
+    attempt: &AttemptSpec<'_>,
 ) -> Result<Placement, PlacementError> {
     let now = cx.clock.now();
     let job = req.job_spec(attempt, &cx.settings.data_centre, now);
--- a/crates/entry/src/store/feed/change_feed.rs
+++ b/crates/entry/src/store/feed/change_feed.rs
@@ -29,6 +29,8 @@
 const TAKEOVER_TIMEOUT: Millis = Millis(1_000);
 /// How long requests wait for a reader's first response from the store once its changes are older than others may have.
 const MIN_TAKEOVER_WAIT: Millis = Millis(150);
+/// How long the store has to be lost to count as out of service.
+const MIN_OUTAGE: Millis = Millis(1_000);
 /// How long the store isn't asked again to confirm the upstreams after it has failed to.
 const CONFIRMATION_BACKOFF: Millis = Millis(300);
 /// How long a recovery of the store is reported to other VMs.
@@ -47,6 +49,8 @@
     reading_since: Cell<Millis>,
     /// Whether this VM can follow the store directly: it has read all keys, and the store hasn't failed lately.
     can_read: Cell<bool>,
+    /// When [`Self::can_read`] last changed.
+    can_read_changed_at: Cell<Millis>,
     /// When another VM last requested changes.
     requested_at: Cell<Option<Millis>>,
     /// Notified when a VM requests changes that this VM doesn't read itself.
@@ -87,6 +91,7 @@
             is_reading: Cell::new(false),
             reading_since: Cell::new(Millis::ZERO),
             can_read: Cell::new(false),
+            can_read_changed_at: Cell::new(Clock.now()),
             requested_at: Cell::new(None),
             takeover: Notify::new(),
             has_stopped: Cell::new(false),
@@ -282,13 +287,17 @@
         can_read: bool,
     ) {
         if self.can_read.replace(can_read) != can_read {
+            self.can_read_changed_at.set(self.clock.now());
             self.wakeup.send_modify(|count| *count += 1);
         }
     }
 
-    /// Whether this VM can follow the store directly, as far as it knows.
-    pub(crate) const fn can_read(&self) -> bool {
-        self.can_read.get()
+    /// Whether this VM hasn't heard from the store for a while and knows of no outage that explains it.
+    ///
+    /// So it is after a suspension; calls that were under way then may fail just after it.
+    pub(crate) fn is_out_of_step(&self) -> bool {
+        let lost_for = self.clock.now().since(self.can_read_changed_at.get());
+        !self.is_current() && (self.can_read.get() || lost_for < MIN_OUTAGE)
     }
 
     /// Whether other VMs have requested changes lately.
--- a/crates/entry/src/streams/origin_directory.rs
+++ b/crates/entry/src/streams/origin_directory.rs
@@ -13,6 +13,7 @@
             StreamOrigins, StreamPage, replicas_of,
         },
     },
+    jasmine_telemetry::log::Line,
     std::{
         cell::RefCell,
         collections::{BTreeMap, HashMap},
@@ -228,15 +229,20 @@
     }
 
     /// Waits until this VM knows the upstreams that the store holds now, if it hasn't heard from the store for long and
-    /// knows of no outage, as after a suspension.
-    pub async fn catch_up(&self) {
-        if !self.feed.is_current() && self.feed.can_read() {
-            self.feed.confirm(Clock.now(), CONFIRMATION_TIMEOUT).await;
+    /// knows of no outage, as after a suspension; returns whether it has waited for that.
+    pub async fn catch_up(&self) -> bool {
+        let is_out_of_step = self.feed.is_out_of_step();
+        if is_out_of_step {
+            let is_confirmed = self.feed.confirm(Clock.now(), CONFIRMATION_TIMEOUT).await;
+            Line::new("caught_up")
+                .with("confirmed", is_confirmed)
+                .info();
         }
     }
 
     /// The VMs that keep a stream's origin.
     fn ranked_peers(
+        is_out_of_step
         &self,
         stream: StreamId,
         count: usize,
--- a/crates/entry/tests/stale_views.rs
+++ b/crates/entry/tests/stale_views.rs
@@ -238,7 +238,8 @@
         register(upstream, way, 1_700_000_000_000);
     }
     let store_link = Proxy::start(any_address, store.address()).unwrap();
-    let vm = Vm::start_with_store(store_link.address(), "restarted-upstreams");
+    let name = format!("restarted-{}", std::process::id());
+    let vm = Vm::start_with_store(store_link.address(), &name);
     wait_until("it leads", || !vm.log_lines("lead_taken").is_empty());
     set_all(&upstreams, &Behaviour::SilentAfter(BROKEN_AFTER));
     let (mut caller, events) = open_stream(&vm, &new_stream().with("X-Deadline-Ms", "15000"));
