Beside several builds a stream's first events wait until another VM keeps its origin

What callers saw: of streams whose VM was killed just after their first events, one was refused elsewhere (503 stream_not_resumable).

Cause: the origin was sent to other VMs 2 ms after the first event, while that went to the caller at once; on a loaded machine a kill came between.

Change: the first events wait for the first VM that keeps the origin, 60 ms at most, only while the service has several builds and there is another VM.

--- a/crates/entry/src/forward/driver/forwarding.rs
+++ b/crates/entry/src/forward/driver/forwarding.rs
@@ -11,10 +11,16 @@
             stream_reader::EventBatch,
         },
     },
-    jasmine_core::{quarantine::AnswerEnd, scheduler::Outcome, streams::ServiceBuild},
-    std::{io, pin::pin},
+    jasmine_core::{
+        clock::Millis, quarantine::AnswerEnd, scheduler::Outcome, streams::ServiceBuild,
+    },
+    std::{io, pin::pin, rc::Rc},
+    tokio::{sync::Notify, time::timeout},
 };
 
+/// How long the first events of a stream wait for another VM to keep its origin.
+const MAX_ORIGIN_DELAY: Millis = Millis(60);
+
 impl Driver<'_> {
     /// Forwards a piece of the current attempt, which overtakes its rivals; returns what follows if that was the last
     /// one.
@@ -30,7 +36,10 @@
         } else {
             self.overtake_rivals(race);
         }
-        self.note_piece(&race.current, &piece, out.has_begun());
+        if let Some(kept) = self.note_piece(&race.current, &piece, out.has_begun()) {
+            // A caller that has an event and loses this VM can go on only where its origin is known.
+            let _elapsed = timeout(MAX_ORIGIN_DELAY.to_std(), kept.notified()).await;
+        }
         let is_hard_load = self.cx.scheduling.local_scheduler.is_hard_load();
         if piece.is_last() && is_hard_load {
             race.current.note_complete();
@@ -56,20 +65,20 @@
         step
     }
 
-    /// Records that a piece of an answer is forwarded.
+    /// Records that a piece of an answer is forwarded; returns what its first events have to wait for.
     fn note_piece(
         &mut self,
         attempt: &InFlight,
         piece: &Piece,
         has_begun: bool,
-    ) {
+    ) -> Option<Rc<Notify>> {
         self.upstream = Some(attempt.placement.upstream.clone());
         self.framing = attempt.trace().framing;
         self.partial_bytes = attempt.trace().partial_bytes;
         match piece {
             Piece::Events(_, batch) => self.note_events(attempt, batch),
             Piece::End(_) if !has_begun => self.note_events(attempt, &EventBatch::default()),
-            Piece::Begun | Piece::End(_) | Piece::Whole(..) => {}
+            Piece::Begun | Piece::End(_) | Piece::Whole(..) => None,
         }
     }
 
@@ -77,7 +86,8 @@
         &mut self,
         attempt: &InFlight,
         batch: &EventBatch,
-    ) {
+    ) -> Option<Rc<Notify>> {
+        let mut kept = None;
         let now = self.cx.clock.now();
         if let Some(last) = self.progress.last_at.replace(now) {
             self.cx.metrics.record_gap(&self.req, now.since(last));
@@ -86,12 +96,13 @@
             self.progress.first_at = Some(now);
             let build = attempt.placement.build.as_deref();
             self.progress.origin.begin(build);
-            self.publish_origin();
+            kept = self.publish_origin();
             attempt.placement.first_event();
         }
         let last_event = &self.progress.last_event;
         last_event.set(batch.last_id.or(last_event.get()));
         self.progress.events += batch.count;
+        kept
     }
 
     /// Reports the end of an attempt whose last piece was written, or whose caller has left.
@@ -127,17 +138,24 @@
     }
 
     /// Replicates the origin of a stream, so that its caller can resume it at another VM.
-    fn publish_origin(&self) {
+    ///
+    /// While the service has several builds, the result is notified once another VM keeps it.
+    fn publish_origin(&self) -> Option<Rc<Notify>> {
         let req = &self.req;
         let is_first_attempt = req.is_resumable() && !req.is_resumption();
-        if let Some(id) = req.caller.request_id.as_ref().filter(|_| is_first_attempt) {
-            let build = self.progress.origin.required_build();
-            let origin = ServiceBuild {
-                service: req.service.clone(),
-                build: build.map(str::to_owned),
-            };
-            self.cx.origins.begin(id, origin);
-        }
+        let id = req
+            .caller
+            .request_id
+            .as_ref()
+            .filter(|_| is_first_attempt)?;
+        let build = self.progress.origin.required_build();
+        let origin = ServiceBuild {
+            service: req.service.clone(),
+            build: build.map(str::to_owned),
+        };
+        let kept = self.cx.origins.begin(id, origin)?;
+        let known = self.cx.scheduling.known_builds(&req.service);
+        known.only.is_none().then_some(kept)
     }
 }
 
--- a/crates/entry/src/streams/origin_directory.rs
+++ b/crates/entry/src/streams/origin_directory.rs
@@ -20,7 +20,7 @@
         net::SocketAddr,
         rc::Rc,
     },
-    tokio::time::timeout,
+    tokio::{sync::Notify, time::timeout},
     xxhash_rust::xxh3::xxh3_64,
 };
 
@@ -76,12 +76,13 @@
         self.peers.replace(peers.collect());
     }
 
-    /// Records the origin of a stream of this VM's callers, here and on other VMs.
+    /// Records the origin of a stream of this VM's callers, here and on other VMs, if there are any; the result is
+    /// notified once one of these keeps it.
     pub fn begin(
         &self,
         request_id: &str,
         origin: ServiceBuild,
-    ) {
+    ) -> Option<Rc<Notify>> {
         let stream = stream_id(request_id);
         self.record(stream, &origin);
         let mut logs = self.logs.borrow_mut();
@@ -89,9 +90,12 @@
         log.note(stream, origin.build.as_deref(), Clock.now());
         drop(logs);
         let origin = Rc::new(origin);
-        for peer in self.ranked_peers(stream, ORIGIN_REPLICAS) {
-            peer.tell(stream, &origin);
+        let kept = Rc::new(Notify::new());
+        let peers = self.ranked_peers(stream, ORIGIN_REPLICAS);
+        for peer in &peers {
+            peer.tell(stream, &origin, &kept);
         }
+        (!peers.is_empty()).then_some(kept)
     }
 
     /// Records the origin of a stream.
@@ -238,11 +242,11 @@
                 .with("confirmed", is_confirmed)
                 .info();
         }
+        is_out_of_step
     }
 
     /// The VMs that keep a stream's origin.
     fn ranked_peers(
-        is_out_of_step
         &self,
         stream: StreamId,
         count: usize,
--- a/crates/entry/src/streams/origin_peer.rs
+++ b/crates/entry/src/streams/origin_peer.rs
@@ -16,7 +16,7 @@
         net::SocketAddr,
         rc::Rc,
     },
-    tokio::{task::spawn_local, time::sleep},
+    tokio::{sync::Notify, task::spawn_local, time::sleep},
 };
 
 /// Time for which origins are collected before they are sent; short, as this VM may be killed.
@@ -34,6 +34,8 @@
     stream: StreamId,
     origin: Rc<ServiceBuild>,
     queued_at: Millis,
+    /// Notified once a VM keeps it.
+    kept: Rc<Notify>,
 }
 
 /// Another VM that keeps origins of this VM's streams.
@@ -57,11 +59,12 @@
         self.link.address()
     }
 
-    /// Queues an origin, and sends what is queued in the background.
+    /// Queues an origin, and sends what is queued in the background; `kept` is notified once the VM keeps it.
     pub(super) fn tell(
         self: &Rc<Self>,
         stream: StreamId,
         origin: &Rc<ServiceBuild>,
+        kept: &Rc<Notify>,
     ) {
         let mut queue = self.queue.borrow_mut();
         if queue.len() < MAX_QUEUED {
@@ -69,6 +72,7 @@
                 stream,
                 origin: Rc::clone(origin),
                 queued_at: Clock.now(),
+                kept: Rc::clone(kept),
             });
         }
         if !self.is_sending.replace(true) {
@@ -134,7 +138,13 @@
         while !self.queue.borrow().is_empty() {
             sleep(BATCH_DELAY.to_std()).await;
             let origins = self.queue.take();
-            if let Err(e) = self.send(&origins).await {
+            let sent = self.send(&origins).await;
+            if sent.is_ok() {
+                for origin in &origins {
+                    origin.kept.notify_one();
+                }
+            }
+            if let Err(e) = sent {
                 Line::new("origins_not_told")
                     .with("address", self.address())
                     .with("streams", origins.len())
