--- a/crates/entry/tests/crossed_answers.rs
+++ b/crates/entry/tests/crossed_answers.rs
@@ -28,11 +28,14 @@
     // Guards against a reused connection on which bytes are left that are no answer.
     let (store, upstreams) = start_platform(&["s-1"]);
     let vm = Vm::start(&store);
-    upstreams[0].next(Behaviour::Surplus(b"no answer\r\n".to_vec()));
-    for _ in 0..2 {
-        let write = Request::new("POST", "/write/").body(b"enrol");
-        assert_eq!(vm.send_request(&write).text(), "ok");
-        thread::sleep(Duration::from_millis(50));
+    // With the answer, or after it was read.
+    for delay in [Duration::ZERO, Duration::from_millis(20)] {
+        upstreams[0].next(Behaviour::Surplus(b"no answer\r\n".to_vec(), delay));
+        for _ in 0..2 {
+            let write = Request::new("POST", "/write/").body(b"enrol");
+            assert_eq!(vm.send_request(&write).text(), "ok", "{delay:?}");
+            thread::sleep(Duration::from_millis(60));
+        }
     }
 }
 
