--- a/crates/entry/tests/odd_entries.rs
+++ b/crates/entry/tests/odd_entries.rs
@@ -81,10 +81,13 @@
     let asks_all = || {
         let req = resume(&new_stream(), BROKEN_AFTER);
         vms[0].send_request(&req);
-        let asked = vms[0].log_lines("resumption_requested");
-        let is_own = |line: &&String| line.contains(&format!(" id={} ", req.id()));
-        let own = asked.iter().find(is_own);
-        own.is_some_and(|line| line.contains(" asked=2 answered=2 "))
+        let own = || {
+            let asked = vms[0].log_lines("resumption_requested");
+            let is_own = |line: &String| line.contains(&format!(" id={} ", req.id()));
+            asked.into_iter().find(is_own)
+        };
+        wait_until("it is logged", || own().is_some());
+        own().is_some_and(|line| line.contains(" asked=2 answered=2 "))
     };
     wait_until("it knows the others", asks_all);
     let record = json!({
