A test copies a leader's records under a lease, as VMs write them

Since records without a lease count as those of another writer, the follower found no leader. A VM's own records always have a lease; the copy has one now. What the test checks is unchanged.

--- a/crates/entry/tests/older_versions.rs
+++ b/crates/entry/tests/older_versions.rs
@@ -148,6 +148,9 @@
     assert_eq!(engine.begins().len(), 2, "in one run");
 }
 
+/// The lease of the records of a leader that are copied to another store; outlasts the test.
+const LEASE_TIME: Duration = Duration::from_secs(90);
+
 #[test]
 fn a_leader_that_lags_starts_nothing_on_an_older_version() {
     // Guards against VMs that know a newer version and obey a leader that doesn't.
@@ -164,7 +167,7 @@
     assert_served(&leader.send_request(&generation()));
     for key in lagging.keys() {
         if key.starts_with("jasmine/") {
-            store.put_bytes(&key, &lagging.value(&key).unwrap());
+            store.put_leased(&key, &lagging.value(&key).unwrap(), LEASE_TIME);
         }
     }
     let follower = Vm::start(&store);
