The build of a placed upstream is looked up only after a suspension

Each placement looked up the build of its upstream, an interned name and a copy of it, to compare it only where a stream is bound to a build and the VM has just caught up. The lookup now comes after these conditions, so that ordinary requests don't pay for it; the outcome is the same.

--- a/crates/entry/src/forward/hedge.rs
+++ b/crates/entry/src/forward/hedge.rs
@@ -30,9 +30,11 @@
     loop {
         let placement = place_by_view(cx, req, attempt).await?;
         // An upstream may have started again as another build while this VM was suspended.
-        let has_caught_up = attempt.build.is_some() && cx.origins.catch_up().await;
+        if attempt.build.is_none() || !cx.origins.catch_up().await {
+            return Ok(placement);
+        }
         let known = cx.scheduling.local_scheduler.build_of(&placement.upstream);
-        if !has_caught_up || known.as_deref() == attempt.build {
+        if known.as_deref() == attempt.build {
             return Ok(placement);
         }
         Line::new("placement_outdated")
--- a/crates/entry/src/store/follower.rs
+++ b/crates/entry/src/store/follower.rs
@@ -324,7 +324,6 @@
         let after = self.position.after;
         let feed = Rc::clone(&self.feed);
         let link = self.link(rank, vm.address);
-        let asked_at = now;
         let reply = tokio::select! {
             reply = ask_peer(link, after, minor_after, LONG_POLL_TIMEOUT) => reply,
             // Others have missed that VM already and wait for this one.
@@ -341,7 +340,7 @@
                 if let Some(since) = since_recovery {
                     self.view.record_remote_recovery(since);
                 }
-                let replied_at = answer_time(asked_at, LONG_POLL_TIMEOUT, self.cx.clock.now());
+                let replied_at = answer_time(now, LONG_POLL_TIMEOUT, self.cx.clock.now());
                 self.view.apply_all(&events).await;
                 self.set_complete_at(replied_at - answered_ago);
                 let minor = includes_minor.then(|| minor_position(revision, &events));
