One decoder for what VMs write of themselves, and a test for each of its checks

A VM's record and the leader's key were parsed and checked for a lease in two places, with reasons as plain strings. VmRecord::decode now serves both, with a typed error. What is used and what isn't stays the same.

The test of a record under another key put it without a lease, so that either of two checks was enough: it now has a lease.

--- a/crates/entry/src/store/election.rs
+++ b/crates/entry/src/store/election.rs
@@ -4,7 +4,8 @@
     super::{
         Feed, KvStore, Membership,
         lease_relay::LeaseRelay,
-        membership::{LAST_LEADER_KEY, LEADER_KEY, NO_LEASE},
+        membership::{LAST_LEADER_KEY, LEADER_KEY},
+        vm_record::NO_LEASE,
     },
     crate::context::Context,
     futures::{FutureExt, future::select_ok},
--- a/crates/entry/src/store/membership.rs
+++ b/crates/entry/src/store/membership.rs
@@ -1,5 +1,5 @@
 use {
-    super::{FeedPeer, VmRecord},
+    super::{FeedPeer, VmRecord, vm_record::RecordError},
     crate::{clock::Clock, context::Context, links::RelayAddress, scheduling::Leader},
     jasmine_core::{clock::Millis, feed::VmRank, ids::Fence, scheduler::RateShare},
     jasmine_store::store::{KeyValue, Lease, LeaseId},
@@ -8,7 +8,6 @@
         cell::{Cell, RefCell},
         cmp::Reverse,
         collections::BTreeMap,
-        fmt::Display,
         net::SocketAddr,
     },
     tokio::sync::Notify,
@@ -23,9 +22,6 @@
 /// Key of the last elected leader. Written with each election and not bound to a lease.
 pub const LAST_LEADER_KEY: &str = "jasmine/last-scheduler";
 
-/// The lease of a key that is bound to none.
-pub(crate) const NO_LEASE: u64 = 0;
-
 /// Delay between the candidacies of successive VMs, so that usually only the first one calls the store.
 const ELECTION_DELAY_STEP: Millis = Millis(80);
 /// Extra delay on VMs that still reach the leader, which may regain a lease that expired during a store outage.
@@ -103,17 +99,14 @@
     }
 
     /// Stores a VM's record; [`Self::publish_vms`] passes it to the scheduler.
-    ///
-    /// Others may have written it: a VM writes its own key only, under its lease.
     pub(super) fn set_vm(
         &self,
         kv: &KeyValue,
     ) {
-        match serde_json::from_slice::<VmRecord>(&kv.value) {
+        match VmRecord::decode(kv) {
             Ok(record) if kv.key.strip_prefix(VM_PREFIX) != Some(record.vm.as_str()) => {
-                log_unreadable(kv, &format!("the record of {:?}", record.vm));
+                log_unreadable(kv, &RecordError::OtherVm(record.vm));
             }
-            Ok(_) if kv.lease == NO_LEASE => log_unreadable(kv, &"a record without a lease"),
             Ok(record) => {
                 self.vms.borrow_mut().insert(record.vm.clone(), record);
             }
@@ -159,10 +152,7 @@
         cx: &Context,
         kv: &KeyValue,
     ) {
-        let record = match serde_json::from_slice::<VmRecord>(&kv.value) {
-            Ok(_) if kv.lease == NO_LEASE => {
-                return self.set_foreign_leader(kv, &"a leader without a lease");
-            }
+        let record = match VmRecord::decode(kv) {
             Ok(record) => record,
             Err(e) => return self.set_foreign_leader(kv, &e),
         };
@@ -197,13 +187,11 @@
     }
 
     /// Records that the leader key has a value that no VM wrote, which no lease will remove.
-    fn set_foreign_leader<E>(
+    fn set_foreign_leader(
         &self,
         kv: &KeyValue,
-        reason: &E,
-    ) where
-        E: Display,
-    {
+        reason: &RecordError,
+    ) {
         log_unreadable(kv, reason);
         self.remove_leader();
         self.foreign_leader.set(Some(kv.mod_revision));
@@ -459,12 +447,10 @@
     }
 }
 
-fn log_unreadable<E>(
+fn log_unreadable(
     kv: &KeyValue,
-    e: &E,
-) where
-    E: Display,
-{
+    e: &RecordError,
+) {
     Line::new("record_unreadable")
         .with("key", &kv.key)
         .with("reason", e)
--- a/crates/entry/src/store/mod.rs
+++ b/crates/entry/src/store/mod.rs
@@ -22,4 +22,4 @@
     quarantine::keep_quarantine,
     vm_record::{FeedPeer, VmRecord},
 };
-pub(crate) use {feed::write_reply, membership::NO_LEASE};
+pub(crate) use {feed::write_reply, vm_record::NO_LEASE};
--- a/crates/entry/src/store/vm_record.rs
+++ b/crates/entry/src/store/vm_record.rs
@@ -1,9 +1,13 @@
 use {
     jasmine_core::feed::VmRank,
+    jasmine_store::store::KeyValue,
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
 
+/// The lease of a key that is bound to none.
+pub(crate) const NO_LEASE: u64 = 0;
+
 /// A VM's record in the store, written by that VM.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -28,7 +32,36 @@
     pub processor_percent: u32,
 }
 
+/// Why a value of the store is no VM's record.
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::Error, derive_more::From)]
+pub(super) enum RecordError {
+    /// It isn't JSON of the expected shape.
+    #[display("{_0}")]
+    Json(serde_json::Error),
+    /// It isn't bound to a lease, as all that VMs write of themselves.
+    #[display("a record without a lease")]
+    NoLease,
+    /// It stands under the key of another VM.
+    #[display("the record of {_0:?}")]
+    #[from(skip)]
+    OtherVm(#[error(not(source))] String),
+}
+
 impl VmRecord {
+    /// Decodes the value of a key that VMs write; others may have written it.
+    ///
+    /// # Errors
+    ///
+    /// [`RecordError`].
+    pub(super) fn decode(kv: &KeyValue) -> Result<Self, RecordError> {
+        let record = serde_json::from_slice(&kv.value)?;
+        match kv.lease {
+            NO_LEASE => Err(RecordError::NoLease),
+            _ => Ok(record),
+        }
+    }
+
     /// The VM's rank, the same on all VMs.
     pub fn rank(&self) -> VmRank {
         VmRank::new(&self.vm, self.is_weak)
--- a/crates/entry/tests/odd_entries.rs
+++ b/crates/entry/tests/odd_entries.rs
@@ -19,6 +19,8 @@
 
 /// How long after its removal an upstream may get requests.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
+/// The lease of a record that looks like a VM's; outlasts the test.
+const LEASE_TIME: Duration = Duration::from_secs(90);
 /// Time in which a leader would have acted on a record.
 const WATCH_TIME: Duration = Duration::from_secs(8);
 
@@ -93,7 +95,7 @@
     let record = json!({
         "vm": vms[1].name, "peers": "127.0.0.1:9", "incarnation": 1, "data_centre": "one",
     });
-    store.put("jasmine/vm/odd", &record);
+    store.put_leased("jasmine/vm/odd", record.to_string().as_bytes(), LEASE_TIME);
     store.put_bytes("servers/marker", b"null");
     let has_read = |vm: &Vm| vm.log().contains("servers/marker");
     wait_until("it was read", || vms.iter().all(has_read));
