--- a/crates/entry/tests/deployment/mod.rs
+++ b/crates/entry/tests/deployment/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "no test file uses all of it")]
 
 pub mod ending_site;
+pub mod paused_site;
 pub mod registrar;
 pub mod streams;
 pub mod upstream_process;
--- a/crates/entry/tests/deployment/upstream_process.rs
+++ b/crates/entry/tests/deployment/upstream_process.rs
@@ -11,11 +11,21 @@
     },
 };
 
+/// A request that an upstream has read.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// The Unix time in milliseconds.
+    pub at: u64,
+    pub id: String,
+    /// The time that it was given, in milliseconds.
+    pub deadline_ms: Option<u64>,
+}
+
 /// What reached an upstream.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamReport {
-    /// The ids of all requests that it has read, each with the Unix time in milliseconds.
-    pub arrivals: Vec<(u64, String)>,
+    /// All requests that it has read.
+    pub arrivals: Vec<Arrival>,
     /// The ids of those that it has executed.
     pub executed: Vec<String>,
 }
@@ -85,7 +95,11 @@
         let executed = report["executed"].as_array().unwrap().iter();
         UpstreamReport {
             arrivals: arrivals
-                .map(|it| (it[0].as_u64().unwrap(), id(&it[1])))
+                .map(|it| Arrival {
+                    at: it[0].as_u64().unwrap(),
+                    id: id(&it[1]),
+                    deadline_ms: it[2].as_u64(),
+                })
                 .collect(),
             executed: executed.map(id).collect(),
         }
--- /dev/null
+++ b/crates/entry/tests/paused_budget.rs
@@ -0,0 +1,125 @@
+//! Each part of the bound on repeats while upstreams are suspended and VMs, their links or the store fail.
+
+mod deployment;
+
+use {
+    deployment::{
+        paused_site::{Findings, PausedSite, Plan, SiteSpec, Suspensions},
+    },
+    jasmine_testkit::proxy::Fault,
+    nix::sys::signal::Signal,
+    std::{
+        sync::{Mutex, PoisonError},
+        thread,
+        time::Duration,
+    },
+};
+
+/// One site at a time: each has some thirty processes.
+static SITE: Mutex<()> = Mutex::new(());
+
+const ALL: &[&str] = &["app", "calls", "llm"];
+const CALLERS: &[(&str, usize)] = &[
+    ("/stream/x", 4),
+    ("/once/x", 1),
+    ("/read/x", 2),
+    ("/write/x", 1),
+    ("/talk/x", 5),
+    ("/model/x", 1),
+];
+const fn at(
+    ms: u64,
+    share: f64,
+    time_ms: u64,
+) -> (Duration, f64, Duration) {
+    (Duration::from_millis(ms), share, Duration::from_millis(time_ms))
+}
+
+/// The silences of the incident's day.
+const HUSHED: Suspensions = &[
+    at(4_600, 1.0, 1_200),
+    at(10_600, 0.6, 1_100),
+    at(16_600, 1.0, 1_300),
+    at(22_600, 0.6, 1_000),
+];
+/// Long enough that streams are sent elsewhere, and as far apart as a window.
+const LONG: Suspensions = &[
+    at(4_000, 0.8, 1_800),
+    at(8_900, 0.8, 1_800),
+    at(13_700, 0.8, 1_800),
+];
+
+/// Generations that last three seconds.
+const fn site(name: &'static str) -> SiteSpec {
+    SiteSpec {
+        name,
+        stream_events: 400,
+        engines: 9,
+        generation_gap_ms: 10,
+        further_events: 300,
+    }
+}
+
+fn play(
+    spec: &SiteSpec,
+    services: &[&'static str],
+    suspensions: Suspensions,
+    disturb: &dyn Fn(&mut PausedSite, usize),
+) -> Findings {
+    let _only_one = SITE.lock().unwrap_or_else(PoisonError::into_inner);
+    let plan = Plan {
+        services,
+        suspensions,
+        callers: CALLERS,
+        disturb,
+    };
+    PausedSite::start(spec).play(&plan)
+}
+
+fn assert_kept(findings: &Findings) {
+    let violations = findings.violations();
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
+#[test]
+fn long_generations() {
+    // Guards against generations of seconds that are repeated beyond the budget or on more engines than allowed.
+    assert_kept(&play(&site("generations"), &["llm"], HUSHED, &|_, _| {}));
+}
+
+#[test]
+fn all_silent() {
+    // The same while nothing answers, so that VMs take their links for lost and relay.
+    assert_kept(&play(&site("silent"), ALL, LONG, &|_, _| {}));
+}
+
+#[test]
+fn killed_leaders() {
+    // Guards against leaders that each use a budget of their own.
+    let kill = |site: &mut PausedSite, _: usize| {
+        let leader = site.leader();
+        site.start_vm(leader, false);
+    };
+    assert_kept(&play(&site("killed"), &["app", "llm"], LONG, &kill));
+}
+
+#[test]
+fn vms_cut_off() {
+    // Guards against VMs that use a budget of their own while neither the store nor the leader answers.
+    let cut = |site: &mut PausedSite, number: usize| {
+        let leader = site.leader();
+        let others = (0..site.vms.len()).filter(|&vm| vm != leader);
+        let cut: Vec<usize> = others.skip(number).take(2).chain([leader]).collect();
+        for &vm in &cut {
+            site.store_links[vm].set_mode(Fault::Cut);
+        }
+        let signal = |signal| site.vms[leader].as_ref().unwrap().signal(signal);
+        signal(Signal::SIGSTOP);
+        thread::sleep(Duration::from_millis(2_500));
+        signal(Signal::SIGCONT);
+        for &vm in &cut {
+            site.store_links[vm].set_mode(Fault::Pass);
+        }
+    };
+    assert_kept(&play(&site("cut"), &["app", "llm"], LONG, &cut));
+}
