Decisions about retries are logged and counted, with what the budget held

Which repeat was decided by whom, and by which share of the budget, could not be told from the logs: request_sent names the VM that decided, and nothing says what it counted. retry_decided names the request, the attempt, the share (leader, successor, alone), the requests and retries counted and how many are allowed; jasmine_retries_decided counts them. The bound on lines in a second is shared with request_shed. No decision changes.

--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -60,6 +60,7 @@
 mod rests;
 mod retry_backlog;
 mod retry_budget;
+mod retry_record;
 mod running;
 mod settings;
 mod signals;
@@ -90,6 +91,7 @@
     rate_history::{RateHistory, SpentTokens},
     request_limit::LIMIT_WINDOW,
     retry_budget::{AttemptCounts, AttemptHistory},
+    retry_record::{RetryDecider, RetryRecord, RetryTotals},
     running::RunningRequest,
     settings::{LoadSettings, RetrySettings, SchedulerSettings},
     signals::{SignalChanges, StatedUpstream, UpstreamSignals},
--- a/crates/core/src/scheduler/retry_budget.rs
+++ b/crates/core/src/scheduler/retry_budget.rs
@@ -1,5 +1,5 @@
 use {
-    super::{RetrySettings, StatedUpstream},
+    super::{RetryDecider, RetrySettings, StatedUpstream},
     crate::{clock::Millis, ids::ServiceId},
     std::collections::VecDeque,
 };
@@ -51,6 +51,31 @@
     Standalone { vms: u64 },
 }
 
+impl RetryShare {
+    /// The part of the budget, in the log and in metrics.
+    pub(super) const fn decider(self) -> RetryDecider {
+        match self {
+            Self::Scheduler { known } if known < 1.0 => RetryDecider::Successor,
+            Self::Scheduler { .. } => RetryDecider::Leader,
+            Self::Standalone { .. } => RetryDecider::Alone,
+        }
+    }
+}
+
+/// What a budget has counted, and how many retries it allows.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct BudgetState {
+    pub counts: AttemptCounts,
+    pub allowed: f64,
+}
+
+impl BudgetState {
+    /// Whether a retry is left.
+    pub(super) fn has_left(&self) -> bool {
+        f64::from(self.counts.retries + 1) <= self.allowed
+    }
+}
+
 /// Counts of attempts in a sliding window.
 #[derive(Clone, Debug, Default)]
 pub(super) struct AttemptWindow {
@@ -149,14 +174,15 @@
         self.decided = AttemptWindow::default();
     }
 
-    /// Whether a retry is left.
-    pub(super) fn has_left(
+    /// What is counted now, and how many retries a share of the budget allows.
+    pub(super) fn state(
         &mut self,
         settings: &RetrySettings,
         share: RetryShare,
         now: Millis,
-    ) -> bool {
-        let AttemptCounts { requests, retries } = self.decided.total(settings.window, now);
+    ) -> BudgetState {
+        let counts = self.decided.total(settings.window, now);
+        let requests = counts.requests;
         let allowed = match share {
             RetryShare::Scheduler { known } => {
                 let percent = TAKEOVER_PERCENT + (SCHEDULER_PERCENT - TAKEOVER_PERCENT) * known;
@@ -168,24 +194,19 @@
                 (settings.ratio * f64::from(own) + slack) * STANDALONE_PERCENT / 100.0
             }
         };
-        f64::from(retries + 1) <= allowed
+        BudgetState { counts, allowed }
     }
 
-    /// Takes one retry from the budget; returns whether one was left.
-    pub(super) fn take(
+    /// Records a retry.
+    pub(super) fn note_retry(
         &mut self,
         settings: &RetrySettings,
-        share: RetryShare,
         now: Millis,
-    ) -> bool {
-        let has_left = self.has_left(settings, share, now);
-        if has_left {
-            let counts = AttemptCounts {
-                requests: 0,
-                retries: 1,
-            };
-            self.decided.add(counts, settings.window, now);
-        }
-        has_left
+    ) {
+        let counts = AttemptCounts {
+            requests: 0,
+            retries: 1,
+        };
+        self.decided.add(counts, settings.window, now);
     }
 }
--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -434,8 +434,9 @@
         adapter: Option<AdapterVersion>,
         now: Millis,
     ) -> Option<Action> {
-        let job = self.entries.get(&request)?.job.clone();
-        if !self.take_retry_if_assigned(&job, now) {
+        let entry = self.entries.get(&request)?;
+        let (attempt_id, job) = (entry.attempt_id, entry.job.clone());
+        if !self.take_retry_if_assigned(attempt_id, &job, now) {
             return self.refuse(request, Refusal::new(ErrorKind::NoUpstream), now);
         }
         let reserved_tokens = self.assign_work(&job, upstream, request, adapter, now);
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -303,7 +303,7 @@
         if let Err(refusal) = self.check_hedge(&job, now) {
             return refuse(refusal);
         }
-        if let Err(refusal) = self.check_retry_budget(&job, now) {
+        if let Err(refusal) = self.check_retry_budget(attempt_id, &job, now) {
             return refuse(refusal);
         }
         let mut queued_work = match self.check_wait(attempt_id, &job, now) {
--- a/crates/core/src/scheduler/state_machine/mod.rs
+++ b/crates/core/src/scheduler/state_machine/mod.rs
@@ -3,7 +3,7 @@
 
 use {
     super::{
-        AttemptId, PlannedLoad, RateShare, SchedulerSettings, WaitTimes,
+        AttemptId, PlannedLoad, RateShare, RetryRecord, RetryTotals, SchedulerSettings, WaitTimes,
         account_rates::AccountRates, announced_versions::AnnouncedVersions, fleet::Fleet,
         loads::ModelLoads, report_queue::ReportQueue, retry_budget::RetryBudget,
         running::TrackedRequest,
@@ -51,6 +51,9 @@
     versions: AnnouncedVersions,
     rates: AccountRates,
     retry_budgets: HashMap<ServiceId, RetryBudget>,
+    /// Decisions about retries that were not logged yet; bounded.
+    retry_records: Vec<RetryRecord>,
+    retry_totals: RetryTotals,
     /// When this scheduler took over from another one, if it did.
     taken_over_at: Option<Millis>,
     /// The part of the attempts before the takeover that VMs have told, from 0 to 1.
@@ -123,6 +126,8 @@
             versions: AnnouncedVersions::default(),
             rates: AccountRates::new(share),
             retry_budgets: HashMap::new(),
+            retry_records: Vec::new(),
+            retry_totals: RetryTotals::default(),
             taken_over_at: None,
             known_history: 0.0,
             told_history: HashSet::new(),
--- a/crates/core/src/scheduler/state_machine/retries.rs
+++ b/crates/core/src/scheduler/state_machine/retries.rs
@@ -6,41 +6,50 @@
         clock::Millis,
         error::{ErrorKind, Refusal},
         ids::{ServiceId, UpstreamId},
-        scheduler::{AttemptCounts, AttemptHistory, Job, RateShare, retry_budget::RetryShare},
+        scheduler::{
+            AttemptCounts, AttemptHistory, AttemptId, Job, RateShare, RetryRecord, RetryTotals,
+            retry_budget::{BudgetState, RetryShare},
+        },
     },
 };
 
+/// Most decisions about retries that are kept for the log.
+const MAX_RETRY_RECORDS: usize = 100;
+
 impl Scheduler {
     /// Refuses a retry if the service's retry budget is used up, and draws on it otherwise.
     ///
     /// Hedges and answers that have begun draw on it only once they are assigned: they are placed again after a refusal.
     pub(super) fn check_retry_budget(
         &mut self,
+        attempt_id: AttemptId,
         job: &Job,
         now: Millis,
     ) -> Result<(), Refusal> {
+        if job.attempt <= 1 {
+            let budget = self.retry_budgets.entry(job.service).or_default();
+            budget.note_request(&self.settings.repeats, now);
+            return Ok(());
+        }
         let share = self.retry_share(now);
         let settings = self.settings.repeats;
         let budget = self.retry_budgets.entry(job.service).or_default();
-        if job.attempt <= 1 {
-            budget.note_request(&settings, now);
-            return Ok(());
+        let state = budget.state(&settings, share, now);
+        if !state.has_left() {
+            self.note_retry_decision(attempt_id, job, share, &state);
+            return Err(Refusal::new(ErrorKind::NoUpstream));
         }
-        let has_left = if job.draws_when_assigned() {
-            budget.has_left(&settings, share, now)
-        } else {
-            budget.take(&settings, share, now)
-        };
-        if has_left {
-            Ok(())
-        } else {
-            Err(Refusal::new(ErrorKind::NoUpstream))
+        if !job.draws_when_assigned() {
+            budget.note_retry(&settings, now);
+            self.note_retry_decision(attempt_id, job, share, &state);
         }
+        Ok(())
     }
 
     /// Draws on the retry budget for an attempt that is assigned, if it hasn't yet; returns whether a retry was left.
     pub(super) fn take_retry_if_assigned(
         &mut self,
+        attempt_id: AttemptId,
         job: &Job,
         now: Millis,
     ) -> bool {
@@ -50,7 +59,46 @@
         let share = self.retry_share(now);
         let settings = self.settings.repeats;
         let budget = self.retry_budgets.entry(job.service).or_default();
-        budget.take(&settings, share, now)
+        let state = budget.state(&settings, share, now);
+        if state.has_left() {
+            budget.note_retry(&settings, now);
+        }
+        self.note_retry_decision(attempt_id, job, share, &state);
+        state.has_left()
+    }
+
+    /// Keeps a decision about a retry for the log.
+    fn note_retry_decision(
+        &mut self,
+        attempt_id: AttemptId,
+        job: &Job,
+        share: RetryShare,
+        state: &BudgetState,
+    ) {
+        let record = RetryRecord {
+            attempt_id,
+            caller: job.caller,
+            service: job.service,
+            attempt: job.attempt,
+            decider: share.decider(),
+            counts: state.counts,
+            allowed: state.allowed,
+            is_granted: state.has_left(),
+        };
+        self.retry_totals.note(&record);
+        if self.retry_records.len() < MAX_RETRY_RECORDS {
+            self.retry_records.push(record);
+        }
+    }
+
+    /// Takes the decisions about retries since the last call; the first ones, if there were many.
+    pub fn take_retry_records(&mut self) -> Vec<RetryRecord> {
+        std::mem::take(&mut self.retry_records)
+    }
+
+    /// How many retries this scheduler has granted and refused.
+    pub const fn retry_totals(&self) -> RetryTotals {
+        self.retry_totals
     }
 
     /// Records an attempt of this VM's own callers, decided by this or another scheduler.
--- a/crates/entry/src/gauges.rs
+++ b/crates/entry/src/gauges.rs
@@ -21,6 +21,7 @@
     pub copies_planned: Gauge<u64>,
     pub copies_in_vain: Gauge<u64>,
     pub return_times: Gauge<u64>,
+    pub retries: Gauge<u64>,
     pub bytes: Gauge<u64>,
     pub bytes_waiting: Gauge<u64>,
     pub bytes_paused: Gauge<u64>,
@@ -44,6 +45,10 @@
             connections: gauge("jasmine_connections", "Open connections of callers"),
             leading: gauge("jasmine_leading", "Whether this VM schedules for all"),
             config: gauge("jasmine_config_version", "The configuration in force"),
+            retries: gauge(
+                "jasmine_retries_decided",
+                "Retries that this scheduler has granted and refused since it started, by the share of the budget",
+            ),
             return_times: gauge(
                 "jasmine_return_times",
                 "Return times that this scheduler has promised since it started, kept and released ones",
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -10,7 +10,7 @@
         costs::CostErrors,
         error::Refusal,
         ingress::CallKind,
-        scheduler::{OrderResult, Outcome, PaceSummary, WaitReason},
+        scheduler::{OrderResult, Outcome, PaceSummary, RetryDecider, WaitReason},
     },
     jasmine_telemetry::metrics::{Labels, Metrics, MetricsError, Refusals, RequestMetrics},
     opentelemetry::{KeyValue, metrics::Counter},
@@ -298,6 +298,17 @@
                 .return_times
                 .record(count, &[KeyValue::new("end", end)]);
         }
+        let retries = cx.scheduling.local_scheduler.retry_totals();
+        for decider in RetryDecider::ALL {
+            let (granted, refused) = retries.of(decider);
+            for (end, count) in [("granted", granted), ("refused", refused)] {
+                let labels = [
+                    KeyValue::new("share", decider.as_str()),
+                    KeyValue::new("end", end),
+                ];
+                self.gauges.retries.record(count, &labels);
+            }
+        }
         self.gauges.in_flight.record(cx.in_flight() as u64, &[]);
         let connections = cx.open_connections() as u64;
         self.gauges.connections.record(connections, &[]);
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -2,6 +2,7 @@
     super::{
         Assignment, JobSpec, NameInterner, RunningSpec, StatedSpec, VmHistory,
         facts::{engine_facts, engine_limits, upstream_facts},
+        retry_log::RetryLog,
         shed_log::ShedLog,
         told_returns::ToldReturns,
     },
@@ -18,8 +19,8 @@
         scheduler::{
             AdmissionShare, Announcement, AttemptHistory, AttemptId, ColdLimit, EngineStatus,
             EnginesToPause, Order, OrderResult, Outcome, RateDecision, RateHistory, RateShare,
-            RunningRequest, Scheduler, SchedulerAction as Action, SchedulerSettings, SignalChanges,
-            StatedUpstream, UpstreamSignals, WaitReason, WaitTimes,
+            RetryTotals, RunningRequest, Scheduler, SchedulerAction as Action, SchedulerSettings,
+            SignalChanges, StatedUpstream, UpstreamSignals, WaitReason, WaitTimes,
         },
     },
     jasmine_platform::engine::EngineReport,
@@ -80,6 +81,7 @@
     pub(super) scheduler: RefCell<Scheduler>,
     waiters: RefCell<HashMap<AttemptId, oneshot::Sender<Verdict>>>,
     shed_log: RefCell<ShedLog>,
+    retry_log: RefCell<RetryLog>,
     told_returns: RefCell<ToldReturns>,
     addresses: RefCell<HashMap<UpstreamId, SocketAddr>>,
     /// Upstreams whose entries were removed.
@@ -116,6 +118,7 @@
             scheduler: RefCell::new(Scheduler::new(settings, RateShare::Part(1))),
             waiters: RefCell::default(),
             shed_log: RefCell::default(),
+            retry_log: RefCell::default(),
             told_returns: RefCell::default(),
             addresses: RefCell::default(),
             removed_upstreams: RefCell::default(),
@@ -707,6 +710,23 @@
         }
     }
 
+    /// Logs the decisions about retries.
+    fn log_retries(
+        &self,
+        now: Millis,
+    ) {
+        let records = self.scheduler.borrow_mut().take_retry_records();
+        for record in records {
+            let service = self.names.borrow().service_name(record.service);
+            self.retry_log.borrow_mut().log(&record, &service, now);
+        }
+    }
+
+    /// How many retries this scheduler has granted and refused.
+    pub fn retry_totals(&self) -> RetryTotals {
+        self.scheduler.borrow().retry_totals()
+    }
+
     /// Passes an event to the scheduler and performs the resulting actions.
     pub(super) fn apply<F>(
         &self,
@@ -722,6 +742,7 @@
         self.publish_quarantine_changes();
         self.log_planned_loads();
         self.log_shed(now);
+        self.log_retries(now);
         if self.scheduler.borrow().wake_at(now) < self.timer_due.get() {
             self.wake.notify_one();
         }
--- a/crates/entry/src/scheduling/shed_log.rs
+++ b/crates/entry/src/scheduling/shed_log.rs
@@ -1,4 +1,5 @@
 use {
+    super::line_limit::LineLimit,
     jasmine_core::{clock::Millis, overload::ShedRecord},
     jasmine_telemetry::log::Line,
 };
@@ -9,11 +10,17 @@
 const MAX_LINES_PER_S: u32 = 20;
 
 /// Writes the log lines of requests that were refused by urgency.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ShedLog {
-    second: u64,
-    lines: u32,
-    unlogged: u64,
+    limit: LineLimit,
+}
+
+impl Default for ShedLog {
+    fn default() -> Self {
+        Self {
+            limit: LineLimit::new(MAX_LINES_PER_S),
+        }
+    }
 }
 
 impl ShedLog {
@@ -24,16 +31,9 @@
         service: &str,
         now: Millis,
     ) {
-        let second = now.0 / 1_000;
-        if second != self.second {
-            self.second = second;
-            self.lines = 0;
-        }
-        if self.lines >= MAX_LINES_PER_S {
-            self.unlogged += 1;
+        let Some(unlogged) = self.limit.admit(now) else {
             return;
-        }
-        self.lines += 1;
+        };
         let estimate = &record.estimate;
         let age = estimate.capacity_age;
         let reason = record.waited_for.map_or("-", |reason| reason.as_str());
@@ -50,7 +50,7 @@
                 age.map_or_else(|| "-".to_owned(), |age| age.to_string()),
             )
             .with("waited_for", reason)
-            .with("unlogged", std::mem::take(&mut self.unlogged))
+            .with("unlogged", unlogged)
             .info();
     }
 }
