--- a/crates/core/tests/retry_takeovers.rs
+++ b/crates/core/tests/retry_takeovers.rs
@@ -65,7 +65,10 @@
         for vm in 0..VMS {
             fleet.start(vm);
         }
-        fleet.vm(0).scheduler.set_role(true, RateShare::Fresh, Millis(100_000));
+        fleet
+            .vm(0)
+            .scheduler
+            .set_role(true, RateShare::Fresh, Millis(100_000));
         fleet
     }
 
@@ -198,7 +201,8 @@
         change: Change,
     ) {
         let next = (self.leader + 1) % VMS;
-        let others = |count: usize, leader: usize| (2..2 + count).map(move |at| (leader + at) % VMS);
+        let others =
+            |count: usize, leader: usize| (2..2 + count).map(move |at| (leader + at) % VMS);
         match change {
             Change::Handover => self.elect(next),
             Change::Kill { others: count } | Change::Loss { others: count } => {
@@ -248,7 +252,10 @@
             let requests = requests.into_iter().fold(0.0, f64::max);
             count(&self.retries, end) - REPEATS.ratio * requests - REPEATS.slack
         };
-        self.retries.iter().map(excess).fold(f64::NEG_INFINITY, f64::max)
+        self.retries
+            .iter()
+            .map(excess)
+            .fold(f64::NEG_INFINITY, f64::max)
     }
 }
 
@@ -318,5 +325,9 @@
 #[test]
 fn vms_alone_around_a_takeover() {
     // The same beside a leader that takes over.
-    assert_bounded(&[Change::Alone { vms: 3 }, Change::Handover, Change::Alone { vms: 3 }]);
+    assert_bounded(&[
+        Change::Alone { vms: 3 },
+        Change::Handover,
+        Change::Alone { vms: 3 },
+    ]);
 }
--- a/crates/entry/tests/deployment/paused_site.rs
+++ b/crates/entry/tests/deployment/paused_site.rs
@@ -8,6 +8,7 @@
     },
     jasmine_platform_stand_in::KvStandIn,
     jasmine_testkit::proxy::Proxy,
+    nix::sys::signal::Signal,
     serde_json::{Value, json},
     std::{
         collections::{BTreeMap, HashMap, HashSet},
@@ -44,6 +45,11 @@
 const DEADLINE_TOLERANCE_MS: u64 = 500;
 /// Attempts that may be handed too much time; of those in question also a fifth.
 const MAX_LATE_DEADLINES: usize = 20;
+/// How long a request may take from its caller to the count of the VM that decides.
+const COUNT_DELAY_MS: u64 = 500;
+const DAY_MS: u64 = 86_400_000;
+/// Most of the same violations that are shown.
+const MAX_SHOWN: usize = 5;
 
 /// When upstreams are suspended, which part of them and for how long.
 pub type Suspensions = &'static [(Duration, f64, Duration)];
@@ -127,6 +133,8 @@
     pub excess_of_arrived: BTreeMap<&'static str, f64>,
     /// Requests that ran on more upstreams than their route allows, twice without need, or although they were refused.
     pub broken_runs: Vec<String>,
+    /// Decisions about retries that counted more requests than callers had sent in the window.
+    pub overcounts: Vec<String>,
     /// Calls that were handed more time than was left, and how many were handed on or sent once more.
     pub late_deadlines: usize,
     pub counted_deadlines: usize,
@@ -140,7 +148,10 @@
             .map(|(service, excess)| format!("{excess:.1} repeats too many at {service}"))
             .collect();
         violations.extend(self.broken_runs.iter().cloned());
-        if self.late_deadlines > MAX_LATE_DEADLINES && self.late_deadlines * 5 > self.counted_deadlines {
+        violations.extend(self.overcounts.iter().take(MAX_SHOWN).cloned());
+        if self.late_deadlines > MAX_LATE_DEADLINES
+            && self.late_deadlines * 5 > self.counted_deadlines
+        {
             violations.push(format!(
                 "{} of {} calls were handed too much time",
                 self.late_deadlines, self.counted_deadlines
@@ -154,8 +165,15 @@
 fn site_config(version: u64) -> Value {
     let mut site = config(version);
     let routes = site["routes"].as_array_mut().unwrap();
-    let mut talk = routes.iter().find(|route| route["name"] == "stream").unwrap().clone();
-    let prefix = talk["path_prefix"].as_str().unwrap().replace("stream", "talk");
+    let mut talk = routes
+        .iter()
+        .find(|route| route["name"] == "stream")
+        .unwrap()
+        .clone();
+    let prefix = talk["path_prefix"]
+        .as_str()
+        .unwrap()
+        .replace("stream", "talk");
     talk["name"] = json!("talk");
     talk["path_prefix"] = json!(prefix);
     talk["service"] = json!("llm");
@@ -270,6 +288,17 @@
         self.vms[number] = Some(vm);
     }
 
+    /// Stops a VM as planned, and waits for its end.
+    pub fn stop_vm(
+        &mut self,
+        number: usize,
+    ) {
+        let vm = self.vms[number].as_mut().unwrap();
+        vm.signal(Signal::SIGTERM);
+        vm.wait_for_exit();
+        self.vms[number] = None;
+    }
+
     fn of<'a>(
         &'a self,
         service: &'static str,
@@ -299,7 +328,8 @@
             for vm in 0..VMS {
                 for &(path, count) in plan.callers {
                     for _ in 0..count {
-                        callers.push(scope.spawn(move || run_caller(addresses, vm, path, is_stopped)));
+                        callers
+                            .push(scope.spawn(move || run_caller(addresses, vm, path, is_stopped)));
                     }
                 }
             }
@@ -348,6 +378,7 @@
             excess: BTreeMap::new(),
             excess_of_arrived: BTreeMap::new(),
             broken_runs: Vec::new(),
+            overcounts: Vec::new(),
             late_deadlines: 0,
             counted_deadlines: 0,
         };
@@ -367,6 +398,7 @@
                 sent.len()
             );
             findings.excess.insert(service, excess);
+            findings.overcounts.extend(self.overcounts(service, &sent));
             findings.excess_of_arrived.insert(service, of_arrived);
         }
         let empty = Vec::new();
@@ -388,6 +420,26 @@
         findings
     }
 
+    /// The decisions of leaders about retries of a service that counted more requests than callers had sent.
+    fn overcounts(
+        &self,
+        service: &str,
+        sent: &[u64],
+    ) -> Vec<String> {
+        let lines = self.vms().flat_map(|vm| vm.log_lines("retry_decided"));
+        let decided = lines
+            .filter(|line| field(line, "service") == service && field(line, "share") != "alone");
+        let exceeds = |line: &String| {
+            let at = time_of_day_ms(&field(line, "time"));
+            let counted: usize = field(line, "requests").parse().unwrap();
+            let is_in = |sent: &&u64| {
+                (*sent % DAY_MS) <= at && (*sent % DAY_MS) + WINDOW_MS + COUNT_DELAY_MS > at
+            };
+            counted > sent.iter().filter(is_in).count()
+        };
+        decided.filter(exceeds).collect()
+    }
+
     /// Writes the VMs' logs to the directory that `JASMINE_TEST_LOGS` names, if it does.
     fn keep_logs(&self) {
         let Some(dir) = std::env::var_os("JASMINE_TEST_LOGS") else {
@@ -409,8 +461,9 @@
 impl ArrivalTimes {
     fn of(arrivals: &[Arrival]) -> Self {
         let mut seen = HashSet::new();
-        let (first, repeats): (Vec<&Arrival>, Vec<&Arrival>) =
-            arrivals.iter().partition(|arrival| seen.insert(&arrival.id));
+        let (first, repeats): (Vec<&Arrival>, Vec<&Arrival>) = arrivals
+            .iter()
+            .partition(|arrival| seen.insert(&arrival.id));
         let times = |arrivals: Vec<&Arrival>| arrivals.iter().map(|arrival| arrival.at).collect();
         Self {
             first: times(first),
@@ -442,6 +495,30 @@
     }
 }
 
+/// A field of a log line.
+fn field(
+    line: &str,
+    name: &str,
+) -> String {
+    let found = line
+        .split(' ')
+        .find_map(|field| field.strip_prefix(name)?.strip_prefix('='));
+    found
+        .unwrap_or_else(|| panic!("no {name} in {line}"))
+        .to_owned()
+}
+
+/// The time of day in a log line's time, in milliseconds.
+fn time_of_day_ms(time: &str) -> u64 {
+    let (_, time) = time.split_once('T').unwrap();
+    let digits: Vec<u64> = time
+        .trim_end_matches('Z')
+        .split([':', '.'])
+        .map(|part| part.parse().unwrap())
+        .collect();
+    ((digits[0] * 60 + digits[1]) * 60 + digits[2]) * 1_000 + digits[3]
+}
+
 fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
     since.as_millis() as u64
@@ -540,7 +617,10 @@
         1 => return None,
         _ => "ran more than once",
     };
-    Some(format!("{} {} {broken}: {runs:?}, answered {status}", record.path, record.id))
+    Some(format!(
+        "{} {} {broken}: {runs:?}, answered {status}",
+        record.path, record.id
+    ))
 }
 
 /// How many calls were handed more time than was left, of how many that were handed on or sent once more.
@@ -570,7 +650,9 @@
             }
             Some(first) if arrival.at > first.at + DEADLINE_TOLERANCE_MS => {
                 let first_end = first.at + first.deadline_ms.unwrap_or_default();
-                let own_end = sent.get(arrival.id.as_str()).map_or(0, |at| at + CALL_DEADLINE_MS);
+                let own_end = sent
+                    .get(arrival.id.as_str())
+                    .map_or(0, |at| at + CALL_DEADLINE_MS);
                 let is_late = end > first_end + DEADLINE_TOLERANCE_MS
                     && end > own_end + DEADLINE_TOLERANCE_MS;
                 late += usize::from(is_late);
--- a/crates/entry/tests/paused_budget.rs
+++ b/crates/entry/tests/paused_budget.rs
@@ -3,9 +3,7 @@
 mod deployment;
 
 use {
-    deployment::{
-        paused_site::{Findings, PausedSite, Plan, SiteSpec, Suspensions},
-    },
+    deployment::paused_site::{Findings, PausedSite, Plan, SiteSpec, Suspensions},
     jasmine_testkit::proxy::Fault,
     nix::sys::signal::Signal,
     std::{
@@ -32,7 +30,11 @@
     share: f64,
     time_ms: u64,
 ) -> (Duration, f64, Duration) {
-    (Duration::from_millis(ms), share, Duration::from_millis(time_ms))
+    (
+        Duration::from_millis(ms),
+        share,
+        Duration::from_millis(time_ms),
+    )
 }
 
 /// The silences of the incident's day.
@@ -49,6 +51,14 @@
     at(13_700, 0.8, 1_800),
 ];
 
+/// Two silences nearly a window apart, and between them a change of the configuration only.
+const AROUND_HANDOVER: Suspensions = &[
+    at(12_000, 0.9, 1_800),
+    at(14_300, 0.0, 500),
+    at(21_200, 0.9, 1_800),
+];
+const MANY_STREAMS: &[(&str, usize)] = &[("/stream/x", 40)];
+
 /// Generations that last three seconds.
 const fn site(name: &'static str) -> SiteSpec {
     SiteSpec {
@@ -65,15 +75,24 @@
     services: &[&'static str],
     suspensions: Suspensions,
     disturb: &dyn Fn(&mut PausedSite, usize),
+) -> Findings {
+    play_with(
+        spec,
+        &Plan {
+            services,
+            suspensions,
+            callers: CALLERS,
+            disturb,
+        },
+    )
+}
+
+fn play_with(
+    spec: &SiteSpec,
+    plan: &Plan<'_>,
 ) -> Findings {
     let _only_one = SITE.lock().unwrap_or_else(PoisonError::into_inner);
-    let plan = Plan {
-        services,
-        suspensions,
-        callers: CALLERS,
-        disturb,
-    };
-    PausedSite::start(spec).play(&plan)
+    PausedSite::start(spec).play(plan)
 }
 
 fn assert_kept(findings: &Findings) {
@@ -103,6 +122,51 @@
     assert_kept(&play(&site("killed"), &["app", "llm"], LONG, &kill));
 }
 
+#[test]
+fn handover_between_silences() {
+    // Guards against a successor that allows retries for requests of before its takeover once more.
+    let hand_over = |site: &mut PausedSite, number: usize| {
+        if number == 1 {
+            let leader = site.leader();
+            site.stop_vm(leader);
+        }
+    };
+    let findings = play_with(
+        &site("handover"),
+        &Plan {
+            services: &["app"],
+            suspensions: AROUND_HANDOVER,
+            callers: MANY_STREAMS,
+            disturb: &hand_over,
+        },
+    );
+    assert_kept(&findings);
+}
+
+#[test]
+fn kills_between_silences() {
+    // Guards against a successor that takes the retries of killed VMs for none.
+    let kill = |site: &mut PausedSite, number: usize| {
+        if number == 1 {
+            let leader = site.leader();
+            let count = site.vms.len();
+            for vm in (0..3).map(|at| (leader + at) % count) {
+                site.vms[vm] = None;
+            }
+        }
+    };
+    let findings = play_with(
+        &site("kills"),
+        &Plan {
+            services: &["app"],
+            suspensions: AROUND_HANDOVER,
+            callers: MANY_STREAMS,
+            disturb: &kill,
+        },
+    );
+    assert_kept(&findings);
+}
+
 #[test]
 fn vms_cut_off() {
     // Guards against VMs that use a budget of their own while neither the store nor the leader answers.
--- a/crates/entry/tests/paused_upstreams.rs
+++ b/crates/entry/tests/paused_upstreams.rs
@@ -66,13 +66,8 @@
 #[test]
 fn suspended_generators() {
     // Guards against repeats beyond the budget, second runs and false refusals while upstreams of streams are silent.
-    let violations = suspend_under_load(
-        "generators",
-        EVENTS,
-        &["app", "llm"],
-        SUSPENSIONS,
-        CALLERS,
-    );
+    let violations =
+        suspend_under_load("generators", EVENTS, &["app", "llm"], SUSPENSIONS, CALLERS);
     assert!(violations.is_empty(), "{violations:#?}");
 }
 
