Failing test: retries that wait for an upstream before they are sent

A retry that isn't a hedge draws on the budget when it is queued, and is sent when an upstream has room. 121 retries that wait 4 s arrive in one window with 82 granted later: 69 more than allowed, with one leader throughout. Up to 2.5 s of waiting the 2 s that a retry is kept beyond the window cover it.

--- a/crates/core/tests/retry_windows.rs
+++ b/crates/core/tests/retry_windows.rs
@@ -124,3 +124,93 @@
         "{excess} too many, phase {phase}, {distance} apart"
     );
 }
+
+/// Retries that wait this long for an upstream, and others that are sent at once a window after they were granted.
+fn send_after_wait(wait: Millis) -> (Vec<Millis>, [Vec<Millis>; 2]) {
+    let settings = SchedulerSettings {
+        repeats: REPEATS,
+        ..SchedulerSettings::default()
+    };
+    let mut world = World::with(0, settings, true);
+    for id in 0..20 {
+        world.add_server(UpstreamId(id));
+    }
+    let patient = |now: Millis, attempt: u32| Job {
+        attempt,
+        objective: now + Millis(5_000),
+        deadline: now + Millis(30_000),
+        ..call(now)
+    };
+    let began = world.now;
+    let mut requests = Vec::new();
+    let mut retries = [Vec::new(), Vec::new()];
+    let mut holders = Vec::new();
+    let mut queued = Vec::new();
+    let freed = LEAD + wait;
+    let second = LEAD + REPEATS.window + Millis(3_100);
+    while world.now.since(began) <= second {
+        let at = world.now.since(began);
+        for _ in 0..REQUESTS_PER_STEP {
+            requests.push(at);
+            let number = world.place(patient(world.now, 1));
+            if at >= LEAD && at < freed {
+                holders.push(number);
+            } else {
+                world.end(number, Outcome::Answered { took: Millis(5) });
+            }
+        }
+        if at == LEAD {
+            // Whatever slots are left are taken first.
+            for _ in 0..BURST {
+                let number = world.place(patient(world.now, 1));
+                holders.push(number);
+                requests.push(at);
+            }
+            queued.extend((0..BURST).map(|_| world.place(patient(world.now, 2))));
+        }
+        if at == freed {
+            for number in holders.drain(..) {
+                world.end(number, Outcome::Answered { took: Millis(5) });
+            }
+        }
+        if at == second {
+            queued.extend((0..BURST).map(|_| world.place(patient(world.now, 2))));
+        }
+        // An upstream that takes a retry answers it at once.
+        loop {
+            let before = queued.len();
+            queued.retain(|&number| {
+                let is_sent = world.sent_to(number).is_some();
+                if is_sent {
+                    retries[usize::from(at == second)].push(at);
+                    world.end(number, Outcome::Answered { took: Millis(5) });
+                }
+                !is_sent
+            });
+            if queued.len() == before {
+                break;
+            }
+        }
+        world.advance(STEP.0);
+    }
+    (requests, retries)
+}
+
+#[test]
+fn queued_retries() {
+    // Guards against retries that wait for an upstream, and arrive together with those that are granted later.
+    for wait in [0, 1_000, 2_500, 4_000, 8_000].map(Millis) {
+        let (requests, retries) = send_after_wait(wait);
+        assert!(
+            retries.iter().all(|sent| !sent.is_empty()),
+            "{wait}: {retries:?}"
+        );
+        let excess = worst_excess(&requests, &retries, Millis::ZERO);
+        println!(
+            "{wait}: {} and {} sent, {excess:.1} too many",
+            retries[0].len(),
+            retries[1].len()
+        );
+        assert!(excess <= 0.0, "{excess:.1} too many after a wait of {wait}");
+    }
+}
