A queued retry counts in the budget from when it is sent

Cause here: a retry that isn't a hedge drew on the budget when it was queued, and was forgotten 13 s later, however long it waited for an upstream: while upstreams are silent or their adapters load, seconds. The class: a limit in a window counted at another time than what it limits.

A queued retry now holds a reservation, which counts without an end; it turns into a retry of the window when it is assigned, and is returned if it is refused, cancelled or its deadline passes. retry_decided comes when a retry is sent.

retry_windows::queued_retries: 69 too many after a wait of 4 s before, none now (121 sent, -52 and below). Its check that the second burst is sent at all now holds for retries that don't wait: the others are rightly refused.

--- a/crates/core/src/scheduler/job.rs
+++ b/crates/core/src/scheduler/job.rs
@@ -141,9 +141,16 @@
         PartId::Request(self.caller.0)
     }
 
-    /// Whether it draws on the retry budget only once it is assigned.
-    pub const fn draws_when_assigned(&self) -> bool {
-        self.is_hedge || self.has_begun
+    /// Whether it draws on the retry budget.
+    pub const fn is_retry(&self) -> bool {
+        self.attempt > 1
+    }
+
+    /// Whether it holds a part of the retry budget while it is queued.
+    ///
+    /// Hedges and answers that have begun don't: they are placed again after a refusal.
+    pub const fn reserves_retry(&self) -> bool {
+        self.is_retry() && !self.is_hedge && !self.has_begun
     }
 
     /// Whether it is a call that any upstream of its service may serve.
--- a/crates/core/src/scheduler/retry_budget.rs
+++ b/crates/core/src/scheduler/retry_budget.rs
@@ -143,6 +143,8 @@
     decided: AttemptWindow,
     /// Attempts of this VM's own callers, whoever decided about them.
     pub own: AttemptWindow,
+    /// Retries that were granted and wait for an upstream; they count in the window from when they are sent.
+    reserved: u32,
 }
 
 impl RetryBudget {
@@ -181,7 +183,8 @@
         share: RetryShare,
         now: Millis,
     ) -> BudgetState {
-        let counts = self.decided.total(settings.window, now);
+        let mut counts = self.decided.total(settings.window, now);
+        counts.retries += self.reserved;
         let requests = counts.requests;
         let allowed = match share {
             RetryShare::Scheduler { known } => {
@@ -197,7 +200,17 @@
         BudgetState { counts, allowed }
     }
 
-    /// Records a retry.
+    /// Reserves a retry.
+    pub(super) const fn reserve(&mut self) {
+        self.reserved += 1;
+    }
+
+    /// Returns a reserved retry.
+    pub(super) const fn release(&mut self) {
+        self.reserved = self.reserved.saturating_sub(1);
+    }
+
+    /// Records a retry that is sent.
     pub(super) fn note_retry(
         &mut self,
         settings: &RetrySettings,
--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -436,7 +436,7 @@
     ) -> Option<Action> {
         let entry = self.entries.get(&request)?;
         let (attempt_id, job) = (entry.attempt_id, entry.job.clone());
-        if !self.take_retry_if_assigned(attempt_id, &job, now) {
+        if !self.draw_retry(attempt_id, &job, now) {
             return self.refuse(request, Refusal::new(ErrorKind::NoUpstream), now);
         }
         let reserved_tokens = self.assign_work(&job, upstream, request, adapter, now);
@@ -551,6 +551,7 @@
                 self.on_time.remove(&(entry.latest_send_at, request));
                 self.queue.cancel(request, now);
                 self.update_queued_work(&entry.job, false);
+                self.release_retry(&entry.job);
                 false
             }
             Stage::Running { upstream, adapter } => {
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -327,6 +327,7 @@
             return refuse(refusal);
         }
         self.next_request += 1;
+        self.reserve_retry(&job);
         self.note_demand(&job, now);
         self.update_queued_work(&job, true);
         if let Some(queued) = &mut queued_work {
--- a/crates/core/src/scheduler/state_machine/retries.rs
+++ b/crates/core/src/scheduler/state_machine/retries.rs
@@ -17,16 +17,14 @@
 const MAX_RETRY_RECORDS: usize = 100;
 
 impl Scheduler {
-    /// Refuses a retry if the service's retry budget is used up, and draws on it otherwise.
-    ///
-    /// Hedges and answers that have begun draw on it only once they are assigned: they are placed again after a refusal.
+    /// Refuses a retry if the service's retry budget is used up, and counts a request.
     pub(super) fn check_retry_budget(
         &mut self,
         attempt_id: AttemptId,
         job: &Job,
         now: Millis,
     ) -> Result<(), Refusal> {
-        if job.attempt <= 1 {
+        if !job.is_retry() {
             let budget = self.retry_budgets.entry(job.service).or_default();
             budget.note_request(&self.settings.repeats, now);
             return Ok(());
@@ -35,36 +33,54 @@
         let settings = self.settings.repeats;
         let budget = self.retry_budgets.entry(job.service).or_default();
         let state = budget.state(&settings, share, now);
-        if !state.has_left() {
-            self.note_retry_decision(attempt_id, job, share, &state);
-            return Err(Refusal::new(ErrorKind::NoUpstream));
+        if state.has_left() {
+            return Ok(());
         }
-        if !job.draws_when_assigned() {
-            budget.note_retry(&settings, now);
-            self.note_retry_decision(attempt_id, job, share, &state);
+        self.note_retry_decision(attempt_id, job, share, &state, false);
+        Err(Refusal::new(ErrorKind::NoUpstream))
+    }
+
+    /// Reserves a retry for an attempt that is queued.
+    pub(super) fn reserve_retry(
+        &mut self,
+        job: &Job,
+    ) {
+        if job.reserves_retry() {
+            self.retry_budgets.entry(job.service).or_default().reserve();
+        }
+    }
+
+    /// Returns the reservation of a queued attempt that isn't sent.
+    pub(super) fn release_retry(
+        &mut self,
+        job: &Job,
+    ) {
+        if job.reserves_retry() {
+            self.retry_budgets.entry(job.service).or_default().release();
         }
-        Ok(())
     }
 
-    /// Draws on the retry budget for an attempt that is assigned, if it hasn't yet; returns whether a retry was left.
-    pub(super) fn take_retry_if_assigned(
+    /// Draws on the retry budget for an attempt that is assigned; returns whether it may be sent.
+    pub(super) fn draw_retry(
         &mut self,
         attempt_id: AttemptId,
         job: &Job,
         now: Millis,
     ) -> bool {
-        if !job.draws_when_assigned() {
+        if !job.is_retry() {
             return true;
         }
         let share = self.retry_share(now);
         let settings = self.settings.repeats;
+        self.release_retry(job);
         let budget = self.retry_budgets.entry(job.service).or_default();
         let state = budget.state(&settings, share, now);
-        if state.has_left() {
+        let is_granted = job.reserves_retry() || state.has_left();
+        if is_granted {
             budget.note_retry(&settings, now);
         }
-        self.note_retry_decision(attempt_id, job, share, &state);
-        state.has_left()
+        self.note_retry_decision(attempt_id, job, share, &state, is_granted);
+        is_granted
     }
 
     /// Keeps a decision about a retry for the log.
@@ -74,6 +90,7 @@
         job: &Job,
         share: RetryShare,
         state: &BudgetState,
+        is_granted: bool,
     ) {
         let record = RetryRecord {
             attempt_id,
@@ -83,7 +100,7 @@
             decider: share.decider(),
             counts: state.counts,
             allowed: state.allowed,
-            is_granted: state.has_left(),
+            is_granted,
         };
         self.retry_totals.note(&record);
         if self.retry_records.len() < MAX_RETRY_RECORDS {
