VMs tell a new leader when they sent what they count

Cause here: a VM told a new leader the sums of its attempts of the last window, which counted as of now. For a window after its takeover a leader counted requests of up to two windows, and allowed retries for all of them. The class: counts that are taken at one place and used at another lose their time.

VMs now tell the buckets of their window with their ages (Attempts.agoMs; a VM of before tells 0 and is treated as before, and adds up what it is told). Requests count as early and retries as late as they can have been sent.

--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -90,7 +90,7 @@
     planned_load::PlannedLoad,
     rate_history::{RateHistory, SpentTokens},
     request_limit::LIMIT_WINDOW,
-    retry_budget::{AttemptCounts, AttemptHistory},
+    retry_budget::{AttemptCounts, AttemptHistory, PastAttempts},
     retry_record::{RetryDecider, RetryRecord, RetryTotals},
     running::RunningRequest,
     settings::{LoadSettings, RetrySettings, SchedulerSettings},
--- a/crates/core/src/scheduler/retry_budget.rs
+++ b/crates/core/src/scheduler/retry_budget.rs
@@ -1,7 +1,7 @@
 use {
     super::{RetryDecider, RetrySettings, StatedUpstream},
     crate::{clock::Millis, ids::ServiceId},
-    std::collections::VecDeque,
+    std::collections::BTreeMap,
 };
 
 /// Number of buckets in the sliding window.
@@ -27,6 +27,15 @@
     pub retries: u32,
 }
 
+/// Attempts at one service within a short time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PastAttempts {
+    /// The longest time since any of them, at most a bucket of the window more than the shortest.
+    pub ago: Millis,
+    /// How many.
+    pub counts: AttemptCounts,
+}
+
 /// The attempts of one VM's callers in the last window, which it tells a new scheduler, and what
 /// upstreams have stated.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -34,7 +43,7 @@
     /// How long the VM has counted, at most one window.
     pub counted_for: Millis,
     /// The attempts at each service.
-    pub services: Vec<(ServiceId, AttemptCounts)>,
+    pub services: Vec<(ServiceId, PastAttempts)>,
     /// The upstreams that have stated something.
     pub stated: Vec<StatedUpstream>,
 }
@@ -76,30 +85,27 @@
     }
 }
 
-/// Counts of attempts in a sliding window.
+/// Counts of attempts in a sliding window, by the beginnings of buckets.
 #[derive(Clone, Debug, Default)]
 pub(super) struct AttemptWindow {
-    buckets: VecDeque<(Millis, AttemptCounts)>,
+    buckets: BTreeMap<Millis, AttemptCounts>,
 }
 
 impl AttemptWindow {
-    /// Adds attempts at the time `now`.
+    /// Adds attempts at the time `at`, not later than `now`.
     pub(super) fn add(
         &mut self,
         counts: AttemptCounts,
+        at: Millis,
         window: Millis,
         now: Millis,
     ) {
         self.expire(window, now);
         let length = bucket_time(window).0;
-        let starts_at = Millis(now.0 / length * length);
-        match self.buckets.back_mut() {
-            Some((at, bucket)) if *at >= starts_at => {
-                bucket.requests += counts.requests;
-                bucket.retries += counts.retries;
-            }
-            _ => self.buckets.push_back((starts_at, counts)),
-        }
+        let starts_at = Millis(at.0 / length * length);
+        let bucket = self.buckets.entry(starts_at).or_default();
+        bucket.requests += counts.requests;
+        bucket.retries += counts.retries;
     }
 
     /// The requests in the window that ends at `now`, and the retries that may arrive in one with a retry of now.
@@ -110,7 +116,7 @@
     ) -> AttemptCounts {
         self.expire(window, now);
         let mut total = AttemptCounts::default();
-        for &(at, counts) in &self.buckets {
+        for (&at, counts) in &self.buckets {
             if now.since(at) < window {
                 total.requests += counts.requests;
             }
@@ -119,13 +125,26 @@
         total
     }
 
+    /// The attempts that count, with their ages.
+    pub(super) fn past(
+        &mut self,
+        window: Millis,
+        now: Millis,
+    ) -> impl Iterator<Item = PastAttempts> {
+        self.expire(window, now);
+        self.buckets.iter().map(move |(&at, &counts)| PastAttempts {
+            ago: now.since(at),
+            counts,
+        })
+    }
+
     fn expire(
         &mut self,
         window: Millis,
         now: Millis,
     ) {
         let kept = window + bucket_time(window) + MAX_ARRIVAL_DELAY;
-        self.buckets.retain(|&(at, _)| now.since(at) < kept);
+        self.buckets.retain(|&at, _| now.since(at) < kept);
     }
 }
 
@@ -158,17 +177,29 @@
             requests: 1,
             retries: 0,
         };
-        self.decided.add(counts, settings.window, now);
+        self.decided.add(counts, now, settings.window, now);
     }
 
-    /// Adds attempts of before a takeover.
+    /// Adds attempts of before a takeover: requests as early and retries as late as they can have been sent.
     pub(super) fn add_history(
         &mut self,
-        counts: AttemptCounts,
+        past: PastAttempts,
         settings: &RetrySettings,
         now: Millis,
     ) {
-        self.decided.add(counts, settings.window, now);
+        let AttemptCounts { requests, retries } = past.counts;
+        let earliest = now.since(past.ago);
+        let latest = now.min(earliest + bucket_time(settings.window));
+        let requests = AttemptCounts {
+            requests,
+            retries: 0,
+        };
+        let retries = AttemptCounts {
+            requests: 0,
+            retries,
+        };
+        self.decided.add(requests, earliest, settings.window, now);
+        self.decided.add(retries, latest, settings.window, now);
     }
 
     /// Forgets the attempts that this scheduler has decided about.
@@ -220,6 +251,6 @@
             requests: 0,
             retries: 1,
         };
-        self.decided.add(counts, settings.window, now);
+        self.decided.add(counts, now, settings.window, now);
     }
 }
--- a/crates/core/src/scheduler/state_machine/retries.rs
+++ b/crates/core/src/scheduler/state_machine/retries.rs
@@ -133,7 +133,7 @@
         };
         let window = self.settings.repeats.window;
         let budget = self.retry_budgets.entry(service).or_default();
-        budget.own.add(counts, window, now);
+        budget.own.add(counts, now, window, now);
         self.counting_since.get_or_insert(now);
         match self.fleet.upstreams.get_mut(&upstream) {
             Some(upstream) => upstream.statements.own_sent.note(now),
@@ -149,12 +149,13 @@
         let window = self.settings.repeats.window;
         let since = self.counting_since.unwrap_or(now);
         let budgets = self.retry_budgets.iter_mut();
-        let services = budgets.map(|(&service, budget)| (service, budget.own.total(window, now)));
+        let services = budgets.flat_map(|(&service, budget)| {
+            let past = budget.own.past(window, now);
+            past.map(move |past| (service, past))
+        });
         AttemptHistory {
             counted_for: now.since(since).min(window),
-            services: services
-                .filter(|(_, counts)| *counts != AttemptCounts::default())
-                .collect(),
+            services: services.collect(),
             stated: self.fleet.stated(now),
         }
     }
@@ -179,9 +180,9 @@
             return;
         }
         let settings = self.settings.repeats;
-        for &(service, counts) in &history.services {
+        for &(service, past) in &history.services {
             let budget = self.retry_budgets.entry(service).or_default();
-            budget.add_history(counts, &settings, now);
+            budget.add_history(past, &settings, now);
         }
         let counted = history.counted_for.0 as f64 / settings.window.0.max(1) as f64;
         self.known_history += counted.min(1.0) / vms.max(1) as f64;
--- a/crates/core/tests/scheduler_refusals.rs
+++ b/crates/core/tests/scheduler_refusals.rs
@@ -8,7 +8,7 @@
         error::ErrorKind,
         ids::{AccountId, UpstreamId},
         scheduler::{
-            AttemptCounts, AttemptHistory, Job, Outcome, RateShare, RetrySettings,
+            AttemptCounts, AttemptHistory, Job, Outcome, PastAttempts, RateShare, RetrySettings,
             SchedulerSettings,
         },
     },
@@ -252,7 +252,13 @@
         };
         let history = AttemptHistory {
             counted_for: Millis(10_000),
-            services: vec![(service, counts)],
+            services: vec![(
+                service,
+                PastAttempts {
+                    ago: Millis::ZERO,
+                    counts,
+                },
+            )],
             stated: Vec::new(),
         };
         // A VM that connects again tells it again.
--- a/crates/entry/src/scheduling/convert.rs
+++ b/crates/entry/src/scheduling/convert.rs
@@ -14,7 +14,9 @@
         ingress::{PromptPart, PromptSize},
         load_reports::{HeardLoad, LoadReport, Pace},
         quarantine::{AttemptEvidence, PartSet, PromptEvidence, RequestEvidence},
-        scheduler::{AttemptCounts, Outcome, SpentTokens, UpstreamSignals, WaitReason},
+        scheduler::{
+            AttemptCounts, Outcome, PastAttempts, SpentTokens, UpstreamSignals, WaitReason,
+        },
     },
     jasmine_wire::scheduler_capnp::{
         EndKind, Evidence, account_use, attempts, crash, job, leadership, load_report, news,
@@ -564,26 +566,31 @@
 
 pub(super) fn write_attempts(
     mut to: struct_list::Builder<'_, attempts::Owned>,
-    services: &[(String, AttemptCounts)],
+    services: &[(String, PastAttempts)],
 ) {
-    for (at, (service, counts)) in services.iter().enumerate() {
+    for (at, (service, past)) in services.iter().enumerate() {
         let mut one = to.reborrow().get(at as u32);
         one.set_service(service);
-        one.set_requests(counts.requests);
-        one.set_retries(counts.retries);
+        one.set_ago_ms(u32::try_from(past.ago.0).unwrap_or(u32::MAX));
+        one.set_requests(past.counts.requests);
+        one.set_retries(past.counts.retries);
     }
 }
 
 pub(super) fn read_attempts(
     from: struct_list::Reader<'_, attempts::Owned>
-) -> Result<Vec<(String, AttemptCounts)>, capnp::Error> {
+) -> Result<Vec<(String, PastAttempts)>, capnp::Error> {
     from.iter()
         .map(|one| {
             let counts = AttemptCounts {
                 requests: one.get_requests(),
                 retries: one.get_retries(),
             };
-            Ok((one.get_service()?.to_string()?, counts))
+            let past = PastAttempts {
+                ago: Millis(one.get_ago_ms().into()),
+                counts,
+            };
+            Ok((one.get_service()?.to_string()?, past))
         })
         .collect()
 }
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -358,7 +358,7 @@
         VmHistory {
             counted_for: history.counted_for,
             attempts: services
-                .map(|(id, counts)| (names.service_name(id).to_string(), counts))
+                .map(|(id, past)| (names.service_name(id).to_string(), past))
                 .collect(),
             stated: stated.collect(),
             crashes: self.crashes(),
@@ -384,7 +384,7 @@
         self.add_costs(vm, &history.costs);
         let mut names = self.names.borrow_mut();
         let attempts = history.attempts.iter();
-        let services = attempts.map(|(name, counts)| (names.service(name), *counts));
+        let services = attempts.map(|(name, past)| (names.service(name), *past));
         let services = services.collect();
         let accounts = history.accounts.iter();
         let rates = RateHistory {
--- a/crates/entry/src/scheduling/vm_history.rs
+++ b/crates/entry/src/scheduling/vm_history.rs
@@ -4,7 +4,7 @@
         clock::Millis,
         ids::PartId,
         quarantine::PartSet,
-        scheduler::{AttemptCounts, SpentTokens, UpstreamSignals},
+        scheduler::{PastAttempts, SpentTokens, UpstreamSignals},
     },
 };
 
@@ -14,7 +14,7 @@
     /// How long attempts were counted, at most the window of the retry budget.
     pub counted_for: Millis,
     /// The attempts in that time, by service.
-    pub attempts: Vec<(String, AttemptCounts)>,
+    pub attempts: Vec<(String, PastAttempts)>,
     /// The upstreams that have stated something.
     pub stated: Vec<StatedSpec>,
     /// The crashes that this VM has recorded.
--- a/crates/wire/schema/scheduler.capnp
+++ b/crates/wire/schema/scheduler.capnp
@@ -45,11 +45,12 @@
   hasBegun @3 :Bool;
 }
 
-# Attempts of a VM's callers at one service in the last window of the retry budget.
+# Attempts of a VM's callers at one service within a tenth of the window of the retry budget.
 struct Attempts {
   service @0 :Text;
   requests @1 :UInt32;         # first attempts
   retries @2 :UInt32;
+  agoMs @3 :UInt32;            # the longest time since any of them; 0 from a VM that counts them over the whole window
 }
 
 # Tokens that a VM's callers were admitted within a short time.
