What VMs sent that have left since counts as unknown after a takeover

VMs that had died with the old leader were on no list, so that their retries counted as none and the whole share was free at once. The class: absence taken for a zero. Account rates kept a list of VMs that left; the retry budget asked for a number.

That list (Members) now serves both: the part that is known is what VMs have told, over all VMs of the last window, and no more than the part of the window for which the leader has known the list.

--- a/crates/core/src/scheduler/account_rates.rs
+++ b/crates/core/src/scheduler/account_rates.rs
@@ -2,7 +2,8 @@
     super::{
         Job, Work,
         local_usage::LocalUsage,
-        rate_history::{Members, OwnSpending, RateHistory, TakenOverSpending},
+        members::Members,
+        rate_history::{OwnSpending, RateHistory, TakenOverSpending},
         retry_backlog::RetryBacklog,
     },
     crate::{
@@ -65,7 +66,6 @@
     retry_backlogs: BTreeMap<AccountId, RetryBacklog>,
     local_usage: LocalUsage,
     own_spending: OwnSpending,
-    members: Members,
     /// What is known of the time before, if this scheduler took over from another one.
     taken_over: Option<TakenOverSpending>,
 }
@@ -80,7 +80,6 @@
             retry_backlogs: BTreeMap::new(),
             local_usage: LocalUsage::default(),
             own_spending: OwnSpending::default(),
-            members: Members::default(),
             taken_over: None,
         }
     }
@@ -143,32 +142,25 @@
         &mut self,
         vm: u64,
         history: &RateHistory,
+        members: &Members,
         now: Millis,
     ) {
         let taken_over = self.taken_over.as_mut();
         if taken_over.is_some_and(|spending| spending.add(vm, history, now)) {
-            self.raise_to_known_level(now);
+            self.raise_to_known_level(members, now);
         }
     }
 
-    /// Replaces the list of VMs, by hashes of their names.
-    pub(super) fn set_vms(
-        &mut self,
-        vms: &[u64],
-        now: Millis,
-    ) {
-        self.members.set(vms, now);
-    }
-
     /// Grants what is left of the limits after a takeover, as far as it is known.
     fn raise_to_known_level(
         &mut self,
+        members: &Members,
         now: Millis,
     ) {
         let Some(spending) = &self.taken_over else {
             return;
         };
-        let known_for = spending.known_for(&self.members, now);
+        let known_for = spending.known_for(members, now);
         for (&account, &limit) in &self.limits {
             let tokens = spending.level(account, limit, known_for, now);
             let millitokens = tokens.saturating_mul(MILLITOKENS_PER_TOKEN);
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -43,6 +43,7 @@
 mod loads;
 mod local_usage;
 mod measured_pace;
+mod members;
 mod outcome;
 mod outcome_records;
 mod pace_summary;
--- a/crates/core/src/scheduler/rate_history.rs
+++ b/crates/core/src/scheduler/rate_history.rs
@@ -1,13 +1,13 @@
 //! What VMs tell a scheduler that takes over about their callers' use of the account rates.
 
 use {
-    super::account_rates::LIMIT_WINDOW_SECS,
+    super::{account_rates::LIMIT_WINDOW_SECS, members::Members},
     crate::{clock::Millis, ids::AccountId, rights::Limit},
     std::collections::{BTreeMap, VecDeque},
 };
 
 /// Time over which a limit is judged.
-const RATE_WINDOW: Millis = Millis::from_secs(LIMIT_WINDOW_SECS);
+pub(super) const RATE_WINDOW: Millis = Millis::from_secs(LIMIT_WINDOW_SECS);
 /// Length of the buckets in which a VM counts, by which its message stays small.
 const OWN_BUCKET: Millis = Millis(500);
 /// Length of the buckets in which a scheduler adds up what VMs tell.
@@ -93,32 +93,6 @@
     }
 }
 
-/// The VMs that may admit requests, and those that did until lately.
-#[derive(Clone, Debug, Default)]
-pub(super) struct Members {
-    /// Since when the list is known: a VM that left before is on none.
-    listed_since: Option<Millis>,
-    /// When each VM left; `None` if it hasn't.
-    left_at: BTreeMap<u64, Option<Millis>>,
-}
-
-impl Members {
-    /// Replaces the list of VMs.
-    pub(super) fn set(
-        &mut self,
-        vms: &[u64],
-        now: Millis,
-    ) {
-        self.listed_since.get_or_insert(now);
-        self.left_at
-            .retain(|_, left_at| left_at.is_none_or(|at| is_in_window(at, now)));
-        for left_at in self.left_at.values_mut() {
-            left_at.get_or_insert(now);
-        }
-        self.left_at.extend(vms.iter().map(|&vm| (vm, None)));
-    }
-}
-
 /// What VMs have told a scheduler that took over, and what it has admitted itself since.
 #[derive(Clone, Debug)]
 pub(super) struct TakenOverSpending {
@@ -189,12 +163,12 @@
         members: &Members,
         now: Millis,
     ) -> Millis {
-        let known_since = |(vm, left_at): (&u64, &Option<Millis>)| {
-            let told = self.told.get(vm).copied();
-            told.or(*left_at).unwrap_or(now)
+        let known_since = |(vm, left_at): (u64, Option<Millis>)| {
+            let told = self.told.get(&vm).copied();
+            told.or(left_at).unwrap_or(now)
         };
-        let listed_since = members.listed_since.unwrap_or(now);
-        let since = members.left_at.iter().map(known_since).max();
+        let listed_since = members.listed_since().unwrap_or(now);
+        let since = members.iter().map(known_since).max();
         let since = since.map_or(now, |since| since.max(listed_since));
         now.since(since).min(RATE_WINDOW)
     }
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -15,6 +15,7 @@
             WaitTimes,
             announced_versions::{Announcement, NewestVersion},
             loads,
+            rate_history::RATE_WINDOW,
             running::{Stage, TrackedRequest},
         },
     },
@@ -391,16 +392,17 @@
         history: &RateHistory,
         now: Millis,
     ) {
-        self.rates.add_history(vm, history, now);
+        self.rates.add_history(vm, history, &self.members, now);
     }
 
-    /// Replaces the list of VMs that may admit requests, by hashes of their names.
+    /// Replaces the list of VMs, by hashes of their names.
     pub fn set_vms(
         &mut self,
         vms: &[u64],
         now: Millis,
     ) {
-        self.rates.set_vms(vms, now);
+        let kept = RATE_WINDOW.max(self.settings.repeats.window);
+        self.members.set(vms, kept, now);
     }
 
     /// Records the decision about a request of this VM's own callers, by this or another scheduler.
--- a/crates/core/src/scheduler/state_machine/mod.rs
+++ b/crates/core/src/scheduler/state_machine/mod.rs
@@ -5,7 +5,7 @@
     super::{
         AttemptId, PlannedLoad, RateShare, RetryRecord, RetryTotals, SchedulerSettings, WaitTimes,
         account_rates::AccountRates, announced_versions::AnnouncedVersions, fleet::Fleet,
-        loads::ModelLoads, report_queue::ReportQueue, retry_budget::RetryBudget,
+        loads::ModelLoads, members::Members, report_queue::ReportQueue, retry_budget::RetryBudget,
         running::TrackedRequest,
     },
     crate::{
@@ -50,16 +50,16 @@
     fleet: Fleet,
     versions: AnnouncedVersions,
     rates: AccountRates,
+    members: Members,
     retry_budgets: HashMap<ServiceId, RetryBudget>,
     /// Decisions about retries that were not logged yet; bounded.
     retry_records: Vec<RetryRecord>,
     retry_totals: RetryTotals,
     /// When this scheduler took over from another one, if it did.
     taken_over_at: Option<Millis>,
-    /// The part of the attempts before the takeover that VMs have told, from 0 to 1.
-    known_history: f64,
-    /// The VMs that have told theirs, by hashes of their names.
-    told_history: HashSet<u64>,
+    /// The VMs that have told their attempts of before the takeover, by hashes of their names, and for which part of the
+    /// window each has counted, from 0 to 1.
+    told_history: HashMap<u64, f64>,
     /// The VMs that have told what they learned of costs, by hashes of their names.
     told_costs: HashSet<u64>,
     /// Since when attempts of this VM's own callers are counted.
@@ -125,12 +125,12 @@
             fleet: Fleet::new(&settings),
             versions: AnnouncedVersions::default(),
             rates: AccountRates::new(share),
+            members: Members::default(),
             retry_budgets: HashMap::new(),
             retry_records: Vec::new(),
             retry_totals: RetryTotals::default(),
             taken_over_at: None,
-            known_history: 0.0,
-            told_history: HashSet::new(),
+            told_history: HashMap::new(),
             told_costs: HashSet::new(),
             counting_since: None,
             quarantine: PartQuarantine::default(),
--- a/crates/core/src/scheduler/state_machine/retries.rs
+++ b/crates/core/src/scheduler/state_machine/retries.rs
@@ -160,8 +160,8 @@
         }
     }
 
-    /// Adds what one of `vms` VMs tells of the time before this scheduler took over; `vm` is a hash
-    /// of its name, and `session` its number in attempt ids.
+    /// Adds what a VM tells of the time before this scheduler took over; `vm` is a hash of its name, and `session` its number
+    /// in attempt ids.
     ///
     /// A VM that connects again is counted once: this scheduler has decided about its attempts since.
     pub fn add_attempt_history(
@@ -169,23 +169,37 @@
         vm: u64,
         session: u32,
         history: &AttemptHistory,
-        vms: usize,
         now: Millis,
     ) {
-        let is_first = self.told_history.insert(vm);
+        let settings = self.settings.repeats;
+        let counted = history.counted_for.0 as f64 / settings.window.0.max(1) as f64;
+        let is_first = !self.told_history.contains_key(&vm);
         self.fleet
             .add_stated(session, &history.stated, is_first, now);
         self.fleet.renew_paces(self.settings.hard_load, now);
         if !is_first {
             return;
         }
-        let settings = self.settings.repeats;
         for &(service, past) in &history.services {
             let budget = self.retry_budgets.entry(service).or_default();
             budget.add_history(past, &settings, now);
         }
-        let counted = history.counted_for.0 as f64 / settings.window.0.max(1) as f64;
-        self.known_history += counted.min(1.0) / vms.max(1) as f64;
+        self.told_history.insert(vm, counted.min(1.0));
+    }
+
+    /// The part of the attempts before the takeover that is known, from 0 to 1.
+    ///
+    /// What a VM sent that has left without telling, or before this scheduler knew of it, isn't.
+    fn known_history(
+        &self,
+        now: Millis,
+    ) -> f64 {
+        let window = self.settings.repeats.window;
+        let vms = self.members.count(window, now).max(self.told_history.len());
+        let told: f64 = self.told_history.values().sum();
+        let listed_for = self.members.listed_since().map(|since| now.since(since));
+        let listed = listed_for.map_or(1.0, |time| time.0 as f64 / window.0.max(1) as f64);
+        (told / vms.max(1) as f64).min(listed).min(1.0)
     }
 
     /// Starts the count of attempts anew when this scheduler takes over from another one.
@@ -194,7 +208,6 @@
         now: Millis,
     ) {
         self.taken_over_at = Some(now);
-        self.known_history = 0.0;
         self.told_history.clear();
         for budget in self.retry_budgets.values_mut() {
             budget.restart();
@@ -214,7 +227,7 @@
                     known: if is_window_full {
                         1.0
                     } else {
-                        self.known_history.min(1.0)
+                        self.known_history(now)
                     },
                 }
             }
--- a/crates/core/tests/deciding_vms/mod.rs
+++ b/crates/core/tests/deciding_vms/mod.rs
@@ -158,8 +158,7 @@
         for from in 0..self.vms.len() {
             let history = self.vms[from].scheduler.attempt_history(self.now);
             let scheduler = &mut self.vms[vm].scheduler;
-            let (session, vms) = (from as u32, self.alone.len());
-            scheduler.add_attempt_history(from as u64, session, &history, vms, self.now);
+            scheduler.add_attempt_history(from as u64, from as u32, &history, self.now);
         }
         self.alone[vm] = false;
         self.leaders.push(Leader {
--- a/crates/core/tests/retry_takeovers.rs
+++ b/crates/core/tests/retry_takeovers.rs
@@ -118,10 +118,10 @@
         &mut self,
         vm: usize,
     ) {
-        let (now, leader, count) = (self.now, self.leader, self.running().len());
+        let (now, leader) = (self.now, self.leader);
         let history = self.vm(vm).scheduler.attempt_history(now);
         let scheduler = &mut self.vm(leader).scheduler;
-        scheduler.add_attempt_history(vm as u64, vm as u32, &history, count, now);
+        scheduler.add_attempt_history(vm as u64, vm as u32, &history, now);
     }
 
     /// Makes a VM the leader.
@@ -182,7 +182,7 @@
             for _ in 0..REQUESTS_PER_STEP {
                 self.send(1);
             }
-            self.now = self.now + STEP;
+            self.now += STEP;
             for world in self.vms.iter_mut().flatten() {
                 world.advance(STEP.0);
             }
--- a/crates/core/tests/scheduler_refusals.rs
+++ b/crates/core/tests/scheduler_refusals.rs
@@ -266,7 +266,7 @@
         for _ in 0..connections {
             world
                 .scheduler
-                .add_attempt_history(vm, vm as u32, &history, 4, world.now);
+                .add_attempt_history(vm, vm as u32, &history, world.now);
         }
     }
     let retried = simulate_failures(&mut world);
--- a/crates/core/tests/unlisted_upstreams.rs
+++ b/crates/core/tests/unlisted_upstreams.rs
@@ -150,20 +150,20 @@
     };
     let now = world.now;
     let scheduler = &mut world.scheduler;
-    scheduler.add_attempt_history(9, 7, &history(Some(1)), 4, now);
+    scheduler.add_attempt_history(9, 7, &history(Some(1)), now);
     world.set(UPSTREAM, &server(1));
     assert!(!is_used(&mut world));
     // Another run than that which the VM tells of.
     let mut world = new_world();
     let scheduler = &mut world.scheduler;
-    scheduler.add_attempt_history(9, 7, &history(Some(1)), 4, now);
+    scheduler.add_attempt_history(9, 7, &history(Some(1)), now);
     world.set(UPSTREAM, &server(2));
     assert!(is_used(&mut world));
     // A VM without an entry doesn't know the run.
     let mut world = new_world();
     world.set(UPSTREAM, &server(1));
     let scheduler = &mut world.scheduler;
-    scheduler.add_attempt_history(9, 7, &history(None), 4, now);
+    scheduler.add_attempt_history(9, 7, &history(None), now);
     assert!(!is_used(&mut world));
 }
 
--- a/crates/core/tests/upstream_departures.rs
+++ b/crates/core/tests/upstream_departures.rs
@@ -71,16 +71,16 @@
     };
     let now = world.now;
     let scheduler = &mut world.scheduler;
-    scheduler.add_attempt_history(9, 7, &history, 4, now);
+    scheduler.add_attempt_history(9, 7, &history, now);
     assert!(!is_used(&mut world));
     // The VM still tells of the earlier run.
     world.set(UPSTREAM, &server(2));
     let scheduler = &mut world.scheduler;
-    scheduler.add_attempt_history(10, 8, &history, 4, now);
+    scheduler.add_attempt_history(10, 8, &history, now);
     assert!(is_used(&mut world));
     world.set(UPSTREAM, &server(1));
     let scheduler = &mut world.scheduler;
-    scheduler.add_attempt_history(11, 9, &history, 4, now);
+    scheduler.add_attempt_history(11, 9, &history, now);
     let told = world.scheduler.attempt_history(now).stated;
     assert_eq!(told, history.stated);
 }
--- a/crates/core/tests/upstream_rests.rs
+++ b/crates/core/tests/upstream_rests.rs
@@ -117,7 +117,7 @@
     };
     let now = world.now;
     let scheduler = &mut world.scheduler;
-    scheduler.add_attempt_history(9, 7, &history, 4, now);
+    scheduler.add_attempt_history(9, 7, &history, now);
     assert_eq!(call_of_other_vm(&mut world), None);
     world.scheduler.remove_upstream(FIRST, world.now);
     world.add_server(FIRST);
--- a/crates/core/tests/wrong_reports.rs
+++ b/crates/core/tests/wrong_reports.rs
@@ -166,7 +166,7 @@
     };
     world
         .scheduler
-        .add_attempt_history(1, 1, &history, 1, world.now);
+        .add_attempt_history(1, 1, &history, world.now);
     world.advance(60_000);
     let calls: Vec<u64> = (0..12).map(|_| world.place(call(world.now))).collect();
     for number in calls {
--- a/crates/entry/src/scheduling/client/leading.rs
+++ b/crates/entry/src/scheduling/client/leading.rs
@@ -79,9 +79,8 @@
         self.local_scheduler.set_role(true, share);
         self.apply_handover(previous.as_ref().map(|previous| previous.fence));
         let history = self.local_scheduler.history();
-        let vms = self.vms.borrow().len();
         self.local_scheduler
-            .add_history(&self.me, LOCAL_VM, &history, vms);
+            .add_history(&self.me, LOCAL_VM, &history);
         self.took_over_at.set(match share {
             RateShare::Fresh => None,
             RateShare::TakenOver | RateShare::Part(_) => Some(self.clock.now()),
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -372,13 +372,12 @@
         }
     }
 
-    /// Adds what `vm`, one of `vms`, tells of the time before this VM took over.
+    /// Adds what `vm` tells of the time before this VM took over.
     pub fn add_history(
         &self,
         vm: &str,
         session: u32,
         history: &VmHistory,
-        vms: usize,
     ) {
         self.add_quarantine_history(history);
         self.add_costs(vm, &history.costs);
@@ -420,7 +419,7 @@
         let mut scheduler = self.scheduler.borrow_mut();
         scheduler.add_promises(&promises, now);
         let vm = xxh3_64(vm.as_bytes());
-        scheduler.add_attempt_history(vm, session, &history, vms, now);
+        scheduler.add_attempt_history(vm, session, &history, now);
         scheduler.add_rate_history(vm, &rates, now);
     }
 
--- a/crates/entry/src/scheduling/server.rs
+++ b/crates/entry/src/scheduling/server.rs
@@ -146,9 +146,8 @@
             costs: read_costs(params.get_costs()?)?,
             promises: read_promises(params.get_promises()?)?,
         };
-        let vms = self.scheduling.vms().len();
         let local_scheduler = &self.scheduling.local_scheduler;
-        local_scheduler.add_history(vm, session, &history, vms);
+        local_scheduler.add_history(vm, session, &history);
         results.get().set_session(session);
         Ok(())
     }
