--- a/crates/entry/tests/learned_costs.rs
+++ b/crates/entry/tests/learned_costs.rs
@@ -77,7 +77,7 @@
     // Another order of ids than at the follower.
     leader.expected_cost(&running("other").job);
     leader.expected_cost(&running("long").job);
-    leader.add_history("vm-2", 1, &told, 3);
+    leader.add_history("vm-2", 1, &told);
     for (adapter, expected) in [("short", 50.0), ("long", 1_000.0)] {
         let cost = leader.expected_cost(&running(adapter).job);
         let cost = cost.expect("the part is active").0 as f64;
