--- a/crates/wire/examples/message_sizes.rs
+++ b/crates/wire/examples/message_sizes.rs
@@ -50,6 +50,21 @@
     })
 }
 
+/// What a VM tells of the attempts of its callers, by services and buckets of the window.
+fn attempts(
+    services: u32,
+    buckets: u32,
+) -> usize {
+    size_of::<hello_params::Owned, _>(|params| {
+        let mut list = params.init_attempts(services * buckets);
+        for at in 0..services * buckets {
+            let mut one = list.reborrow().get(at);
+            one.set_service("asistente");
+            one.set_ago_ms(1_000 * at);
+        }
+    })
+}
+
 fn quarantine(sets: u32) -> usize {
     size_of::<ping_results::Owned, _>(|mut results| {
         results.set_quarantine_differs(sets > 0);
@@ -87,6 +102,10 @@
 }
 
 fn main() {
+    for (services, buckets) in [(1, 1), (1, 13), (2, 13), (20, 13)] {
+        let bytes = attempts(services, buckets);
+        println!("hello, {services} services, attempts in {buckets} buckets each: {bytes}");
+    }
     let ping = size_of::<ping_params::Owned, _>(|mut params| params.set_quarantine_hash(1));
     println!("ping with the hash of the quarantine: {ping}");
     for sets in [0, 1, 10, 100] {
