--- a/crates/entry/tests/paused_budget.rs
+++ b/crates/entry/tests/paused_budget.rs
@@ -52,7 +52,7 @@
 ];
 
 /// Two silences nearly a window apart, and between them a change of the configuration only.
-const AROUND_HANDOVER: Suspensions = &[
+const AROUND_CHANGE: Suspensions = &[
     at(12_000, 0.9, 1_800),
     at(14_300, 0.0, 500),
     at(21_200, 0.9, 1_800),
@@ -128,71 +128,55 @@
     assert_kept(&play(&site("killed"), &["app", "llm"], LONG, &kill));
 }
 
-#[test]
-fn handover_between_silences() {
-    // Guards against a successor that allows retries for requests of before its takeover once more.
-    let hand_over = |site: &mut PausedSite, number: usize| {
-        if number == 1 {
-            let leader = site.leader();
-            site.stop_vm(leader);
-        }
-    };
+/// Lets many streams meet two silences nearly a window apart, with a change of the VMs between them.
+fn assert_kept_around(
+    name: &'static str,
+    change: &dyn Fn(&mut PausedSite),
+) {
     let findings = play_with(
-        &site("handover"),
+        &site(name),
         &Plan {
             services: &["app"],
-            suspensions: AROUND_HANDOVER,
+            suspensions: AROUND_CHANGE,
             callers: MANY_STREAMS,
-            disturb: &hand_over,
+            disturb: &|site, number| {
+                if number == 1 {
+                    change(site);
+                }
+            },
         },
     );
     assert_kept(&findings);
 }
 
+#[test]
+fn handover_between_silences() {
+    // Guards against a successor that allows retries for requests of before its takeover once more.
+    assert_kept_around("handover", &|site| {
+        let leader = site.leader();
+        site.stop_vm(leader);
+    });
+}
+
 #[test]
 fn kills_between_silences() {
     // Guards against a successor that takes the retries of killed VMs for none.
-    let kill = |site: &mut PausedSite, number: usize| {
-        if number == 1 {
-            let leader = site.leader();
-            let count = site.vms.len();
-            for vm in (0..3).map(|at| (leader + at) % count) {
-                site.vms[vm] = None;
-            }
+    assert_kept_around("kills", &|site| {
+        let (leader, count) = (site.leader(), site.vms.len());
+        for vm in (0..3).map(|at| (leader + at) % count) {
+            site.vms[vm] = None;
         }
-    };
-    let findings = play_with(
-        &site("kills"),
-        &Plan {
-            services: &["app"],
-            suspensions: AROUND_HANDOVER,
-            callers: MANY_STREAMS,
-            disturb: &kill,
-        },
-    );
-    assert_kept(&findings);
+    });
 }
 
 #[test]
 fn restarts_between_silences() {
     // The same where all VMs are killed at once and start again.
-    let restart = |site: &mut PausedSite, number: usize| {
-        if number == 1 {
-            for vm in 0..site.vms.len() {
-                site.start_vm(vm, false);
-            }
+    assert_kept_around("restarts", &|site| {
+        for vm in 0..site.vms.len() {
+            site.start_vm(vm, false);
         }
-    };
-    let findings = play_with(
-        &site("restarts"),
-        &Plan {
-            services: &["app"],
-            suspensions: AROUND_HANDOVER,
-            callers: MANY_STREAMS,
-            disturb: &restart,
-        },
-    );
-    assert_kept(&findings);
+    });
 }
 
 #[test]
