--- /dev/null
+++ b/crates/entry/tests/crashing_storms.rs
@@ -0,0 +1,131 @@
+//! Several parts of prompts that crash engines at once, while those who know of it are lost.
+
+mod deployment;
+
+use {
+    deployment::crashing_site::{CrashingSite, Loss, MAX_LATE, Outcome, Prompts, Storm},
+    std::time::Duration,
+};
+
+/// Share of the sound prompts that has to be served beside prompts that crash engines.
+const MIN_SERVED: f64 = 0.5;
+
+fn run(
+    name: &str,
+    storm: &Storm,
+) -> Outcome {
+    CrashingSite::start(storm, name).run(storm)
+}
+
+/// Few requests with a crashing part arrive late, and the sound prompts beside them are served.
+fn assert_holds(
+    name: &str,
+    storm: &Storm,
+) {
+    let outcome = run(name, storm);
+    assert!(outcome.late() <= MAX_LATE, "{outcome:?}");
+    assert!(outcome.served() >= MIN_SERVED, "{outcome:?}");
+}
+
+#[test]
+fn parts_learnt_without_a_store() {
+    // Guards against a part that is learnt while the store is away, and again by all VMs after a power loss.
+    let storm = Storm {
+        prompts: Prompts::Shared(1),
+        interval: Duration::from_millis(40),
+        loss: Loss::StoreAndAllVms,
+        losses: 1,
+        loss_interval: Duration::from_secs(6),
+        time: Duration::from_secs(15),
+        ..Storm::of_eight()
+    };
+    assert_holds("no-store", &storm);
+}
+
+#[test]
+fn killed_leaders() {
+    // Guards against a first part that a new leader refuses, as it knows crashes of many parts and no sound answer.
+    let storm = Storm {
+        loss: Loss::Leader,
+        ..Storm::of_eight()
+    };
+    assert_holds("leaders", &storm);
+}
+
+#[test]
+fn killed_vms() {
+    // Guards against the same where VMs are killed in turn, whether they lead or not.
+    let storm = Storm {
+        loss: Loss::OneVm,
+        losses: 8,
+        loss_interval: Duration::from_secs(2),
+        ..Storm::of_eight()
+    };
+    assert_holds("one", &storm);
+}
+
+#[test]
+fn power_losses() {
+    // Guards against parts that are learnt anew after each power loss, until far more than five engines have crashed.
+    let storm = Storm {
+        loss: Loss::AllVms,
+        losses: 6,
+        time: Duration::from_secs(25),
+        ..Storm::of_eight()
+    };
+    assert_holds("all", &storm);
+}
+
+#[test]
+fn planned_stops() {
+    // Guards against the same where all VMs are stopped as planned and started again.
+    let storm = Storm {
+        prompts: Prompts::Shared(4),
+        loss: Loss::AllVmsStopped,
+        losses: 4,
+        ..Storm::of_eight()
+    };
+    assert_holds("stops", &storm);
+}
+
+#[test]
+fn pairs_then_alone() {
+    // Guards against crashes under two parts that count for none of the two when each comes alone.
+    let storm = Storm {
+        prompts: Prompts::Pairs(2),
+        ..Storm::of_eight()
+    };
+    assert_holds("pairs", &storm);
+}
+
+#[test]
+fn many_at_once() {
+    // Guards against losing sound prompts beside many parts that crash engines, where nothing else fails.
+    assert_holds("eight", &Storm::of_eight());
+}
+
+#[test]
+fn separate_first_parts() {
+    // Guards against refusing a part for its neighbours where a leader is killed.
+    let storm = Storm {
+        prompts: Prompts::Separate(8),
+        loss: Loss::Leader,
+        ..Storm::of_eight()
+    };
+    assert_holds("separate", &storm);
+}
+
+#[test]
+fn store_mostly_away() {
+    // Guards against what VMs forget that decide alone in an outage of the store and are killed in turn.
+    let storm = Storm {
+        prompts: Prompts::Shared(1),
+        interval: Duration::from_millis(40),
+        loss: Loss::StoreAndOneVm,
+        losses: 1,
+        loss_interval: Duration::from_secs(5),
+        time: Duration::from_secs(12),
+        ..Storm::of_eight()
+    };
+    assert_holds("mostly", &storm);
+}
--- /dev/null
+++ b/crates/entry/tests/deployment/crashing_site.rs
@@ -0,0 +1,408 @@
+//! VMs before engines that several parts of prompts crash, while those who know the parts are lost.
+
+use {
+    super::{Request, Vm, exchange, start_platform, wait_until},
+    jasmine_platform_stand_in::{EngineStandIn, KvStandIn, Outage, UpstreamStandIn},
+    nix::sys::signal::Signal,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        fmt::Write as _,
+        net::SocketAddr,
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicU32, Ordering},
+        },
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time after the fifth crash under a part from which few requests with it may reach engines.
+const CONTACT: Duration = Duration::from_secs(3);
+/// Crashes under a part after which it has to be known.
+const MAX_CRASHES: usize = 5;
+/// Requests with a part that may reach engines after that.
+pub const MAX_LATE: usize = 3;
+const ENGINES: usize = 9;
+/// Time between two events of an answer.
+const EVENT_GAP: Duration = Duration::from_millis(20);
+/// Pause of a caller of sound prompts between two requests.
+const SOUND_INTERVAL: Duration = Duration::from_millis(40);
+/// The first part of prompts, unless each crashing part has one of its own.
+const FIRST: &str = "f1";
+/// A sound part that follows the first part of sound prompts.
+const SOUND: &str = "5a";
+/// Prefix of what the store keeps of refused parts.
+const QUARANTINE_PREFIX: &str = "jasmine/quarantine/";
+const LEADER_KEY: &str = "jasmine/scheduler";
+
+static NEXT_PART: AtomicU32 = AtomicU32::new(0x1_0000);
+
+/// What is lost while callers send prompts with crashing parts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
+    Nothing,
+    /// The leader is killed.
+    Leader,
+    /// One VM after the other is killed.
+    OneVm,
+    /// All VMs are killed at once.
+    AllVms,
+    /// All VMs are stopped as planned, and started again.
+    AllVmsStopped,
+    /// The store is away until all VMs are killed.
+    StoreAndAllVms,
+    /// The store is away most of the time, and one VM is killed.
+    StoreAndOneVm,
+}
+
+/// The crashing parts of the prompts of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Prompts {
+    /// One crashing part in each, after the first part of sound prompts.
+    Shared(usize),
+    /// One crashing part in each, after a first part of its own.
+    Separate(usize),
+    /// Two crashing parts in each, and after half of the time each of the two alone.
+    Pairs(usize),
+}
+
+impl Prompts {
+    const fn count(self) -> usize {
+        match self {
+            Self::Shared(count) | Self::Separate(count) | Self::Pairs(count) => count,
+        }
+    }
+
+    /// The shared parts of a prompt with a crashing part.
+    fn parts(
+        self,
+        number: usize,
+        is_late: bool,
+    ) -> Vec<String> {
+        let first = FIRST.to_owned();
+        match self {
+            Self::Shared(_) => vec![first, bad_part(number)],
+            Self::Separate(_) => vec![format!("f1{number}"), bad_part(number)],
+            Self::Pairs(_) if is_late => vec![first, bad_part(number)],
+            Self::Pairs(count) => vec![first, bad_part(number), bad_part((number + 1) % count)],
+        }
+    }
+}
+
+/// A run: which prompts crash engines, how often they come, and what is lost how often meanwhile.
+#[derive(Clone, Copy, Debug)]
+pub struct Storm {
+    pub prompts: Prompts,
+    /// Pause of a caller of crashing prompts between two requests.
+    pub interval: Duration,
+    pub loss: Loss,
+    pub losses: usize,
+    /// Time before each loss.
+    pub loss_interval: Duration,
+    pub time: Duration,
+    pub vms: usize,
+}
+
+impl Storm {
+    /// A storm in which eight parts come every 100 ms for twenty seconds, and nothing is lost.
+    pub const fn of_eight() -> Self {
+        Self {
+            prompts: Prompts::Shared(8),
+            interval: Duration::from_millis(100),
+            loss: Loss::Nothing,
+            losses: 5,
+            loss_interval: Duration::from_millis(2_500),
+            time: Duration::from_secs(20),
+            vms: 3,
+        }
+    }
+}
+
+/// What a run showed.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    /// Crashes under each crashing part, and requests with it that reached engines too late.
+    pub parts: BTreeMap<String, (usize, usize)>,
+    /// Sound prompts that were served, and all that were answered.
+    pub sound: (usize, usize),
+    /// What the store holds of refused parts.
+    pub refused: BTreeSet<String>,
+}
+
+impl Outcome {
+    /// The most requests with one part that reached engines too late.
+    pub fn late(&self) -> usize {
+        let late = self.parts.values().map(|&(_, late)| late);
+        late.max().unwrap_or_default()
+    }
+
+    /// The share of sound prompts that were served.
+    pub fn served(&self) -> f64 {
+        let (served, answered) = self.sound;
+        served as f64 / answered.max(1) as f64
+    }
+}
+
+/// A caller's view of the VMs: where each one listens now.
+type Addresses = Arc<Mutex<Vec<Option<SocketAddr>>>>;
+
+/// VMs, engines and the store of a run.
+pub struct CrashingSite {
+    pub store: KvStandIn,
+    pub engines: Vec<EngineStandIn>,
+    pub vms: Vec<Option<Vm>>,
+    name: String,
+    addresses: Addresses,
+    /// Logs of the processes that have ended.
+    logs: Vec<String>,
+    _upstreams: Vec<UpstreamStandIn>,
+}
+
+fn bad_part(number: usize) -> String {
+    format!("bad{number:x}")
+}
+
+/// A generation whose prompt has these parts and one of its own.
+pub fn generation(parts: &[String]) -> Request {
+    let own = NEXT_PART.fetch_add(1, Ordering::Relaxed);
+    let mut prompt = String::new();
+    for part in parts {
+        write!(prompt, "{part}:50,").unwrap();
+    }
+    write!(prompt, "{own:x}:50").unwrap();
+    Request::new("POST", "/model/")
+        .with("X-Model", "base")
+        .with("X-Token-Counts", "150,10")
+        .with("X-Prompt-Prefix", &prompt)
+        .with("X-Deadline-Ms", "1500")
+        .body(b"prompt")
+}
+
+impl CrashingSite {
+    pub fn start(
+        storm: &Storm,
+        name: &str,
+    ) -> Self {
+        let (store, upstreams) = start_platform(&["s-1"]);
+        let bad: Vec<String> = (0..storm.prompts.count()).map(bad_part).collect();
+        let bad: Vec<&str> = bad.iter().map(String::as_str).collect();
+        let start = |number| {
+            let engine = EngineStandIn::start(&format!("e-{number}")).unwrap();
+            engine.crash_on(&bad, EVENT_GAP);
+            store.put(&engine.key(), &engine.entry("llm", "one"));
+            engine
+        };
+        let engines = (0..ENGINES).map(start).collect();
+        let mut site = Self {
+            store,
+            engines,
+            vms: (0..storm.vms).map(|_| None).collect(),
+            name: name.to_owned(),
+            addresses: Arc::new(Mutex::new(vec![None; storm.vms])),
+            logs: Vec::new(),
+            _upstreams: upstreams,
+        };
+        site.start_missing();
+        wait_until("a VM leads", || site.leader().is_some());
+        site
+    }
+
+    fn vm_name(
+        &self,
+        number: usize,
+    ) -> String {
+        format!("{}-{number}-{}", self.name, std::process::id())
+    }
+
+    /// Starts the VMs that don't run, and waits until all are ready.
+    fn start_missing(&mut self) {
+        for number in 0..self.vms.len() {
+            if self.vms[number].is_none() {
+                let vm = Vm::start_as(&self.store, &self.vm_name(number));
+                self.addresses.lock().unwrap()[number] = Some(vm.callers);
+                self.vms[number] = Some(vm);
+            }
+        }
+    }
+
+    fn are_ready(&self) -> bool {
+        self.vms.iter().flatten().all(Vm::is_ready)
+    }
+
+    /// The number of the VM that leads, as far as the store knows.
+    pub fn leader(&self) -> Option<usize> {
+        let value = self.store.value(LEADER_KEY)?;
+        let text = String::from_utf8_lossy(&value).into_owned();
+        (0..self.vms.len()).find(|&number| text.contains(&self.vm_name(number)))
+    }
+
+    /// Ends VMs, all at once.
+    fn end_vms(
+        &mut self,
+        numbers: &[usize],
+        signal: Signal,
+    ) {
+        for &number in numbers {
+            self.vms[number].as_ref().unwrap().signal(signal);
+        }
+        for &number in numbers {
+            let mut vm = self.vms[number].take().unwrap();
+            vm.wait_for_exit();
+            self.addresses.lock().unwrap()[number] = None;
+            self.logs.push(format!("== {}\n{}", vm.name, vm.log()));
+        }
+    }
+
+    fn lose(
+        &mut self,
+        loss: Loss,
+        round: usize,
+    ) {
+        let all: Vec<usize> = (0..self.vms.len()).collect();
+        let (signal, numbers) = match loss {
+            Loss::Nothing => return,
+            Loss::Leader => (Signal::SIGKILL, self.leader().into_iter().collect()),
+            Loss::OneVm | Loss::StoreAndOneVm => (Signal::SIGKILL, vec![round % self.vms.len()]),
+            Loss::AllVms | Loss::StoreAndAllVms => (Signal::SIGKILL, all),
+            Loss::AllVmsStopped => (Signal::SIGTERM, all),
+        };
+        self.end_vms(&numbers, signal);
+        if loss == Loss::StoreAndAllVms {
+            self.store.set_outage(Outage::None);
+        }
+        self.start_missing();
+    }
+
+    /// Sends prompts through all VMs while VMs or the store are lost, and counts what reached engines.
+    pub fn run(
+        &mut self,
+        storm: &Storm,
+    ) -> Outcome {
+        wait_until("all VMs are ready", || self.are_ready());
+        let began = Instant::now();
+        let until = began + storm.time;
+        let addresses = Arc::clone(&self.addresses);
+        let half = began + storm.time / 2;
+        let call_bad = |vm: usize, number: usize| {
+            while Instant::now() < until {
+                let parts = storm.prompts.parts(number, Instant::now() >= half);
+                call(&addresses, vm, &parts);
+                thread::sleep(storm.interval);
+            }
+        };
+        let call_sound = |vm: usize| {
+            let mut counts = (0, 0);
+            let parts = [FIRST.to_owned(), SOUND.to_owned()];
+            while Instant::now() < until {
+                if let Some(is_served) = call(&addresses, vm, &parts) {
+                    counts.0 += usize::from(is_served);
+                    counts.1 += 1;
+                }
+                thread::sleep(SOUND_INTERVAL);
+            }
+            counts
+        };
+        let call_bad = &call_bad;
+        let call_sound = &call_sound;
+        let sound = thread::scope(|scope| {
+            for vm in 0..storm.vms {
+                for number in 0..storm.prompts.count() {
+                    scope.spawn(move || call_bad(vm, number));
+                }
+            }
+            let sound: Vec<_> = (0..storm.vms)
+                .map(|vm| scope.spawn(move || call_sound(vm)))
+                .collect();
+            self.lose_all(storm);
+            let counts = sound.into_iter().map(|caller| caller.join().unwrap());
+            counts.fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1))
+        });
+        let parts = (0..storm.prompts.count()).map(bad_part);
+        let outcome = Outcome {
+            parts: parts
+                .map(|part| (part.clone(), self.count(&part)))
+                .collect(),
+            sound,
+            refused: self.refused(),
+        };
+        println!(
+            "{} {:?} {:?}: late {}, sound {:.2} of {}, crashes {:?}, refused {:?}",
+            self.name,
+            storm.prompts,
+            storm.loss,
+            outcome.late(),
+            outcome.served(),
+            sound.1,
+            outcome.parts.values().map(|one| one.0).collect::<Vec<_>>(),
+            outcome.refused
+        );
+        self.save_logs();
+        outcome
+    }
+
+    fn lose_all(
+        &mut self,
+        storm: &Storm,
+    ) {
+        if matches!(storm.loss, Loss::StoreAndAllVms | Loss::StoreAndOneVm) {
+            self.store.set_outage(Outage::Unavailable);
+        }
+        for round in 0..storm.losses {
+            thread::sleep(storm.loss_interval);
+            self.lose(storm.loss, round);
+        }
+        if storm.loss == Loss::StoreAndOneVm {
+            self.store.set_outage(Outage::None);
+        }
+    }
+
+    /// What the store holds of refused parts.
+    pub fn refused(&self) -> BTreeSet<String> {
+        let keys = self.store.keys();
+        let names = keys
+            .iter()
+            .filter_map(|key| key.strip_prefix(QUARANTINE_PREFIX));
+        names.map(str::to_owned).collect()
+    }
+
+    /// How many crashes a part caused, and how many requests with it reached engines too late.
+    fn count(
+        &self,
+        part: &str,
+    ) -> (usize, usize) {
+        let arrivals = self.engines.iter().flat_map(EngineStandIn::arrivals);
+        let arrivals = arrivals.filter(|arrival| arrival.parts.iter().any(|id| id == part));
+        let mut arrivals: Vec<Instant> = arrivals.map(|arrival| arrival.at).collect();
+        let crashes = self.engines.iter().flat_map(EngineStandIn::crashes);
+        let crashes = crashes.filter(|crash| crash.part.as_deref() == Some(part));
+        let mut crashes: Vec<Instant> = crashes.map(|crash| crash.at).collect();
+        crashes.sort();
+        let due = crashes.get(MAX_CRASHES - 1).map(|&at| at + CONTACT);
+        arrivals.retain(|&at| due.is_some_and(|due| at > due));
+        (crashes.len(), arrivals.len())
+    }
+
+    /// Writes the logs of all processes to the directory that `JASMINE_LOGS` names, if it does.
+    fn save_logs(&self) {
+        let Some(directory) = std::env::var_os("JASMINE_LOGS") else {
+            return;
+        };
+        let running = self.vms.iter().flatten();
+        let running = running.map(|vm| format!("== {}\n{}", vm.name, vm.log()));
+        let logs: Vec<String> = self.logs.iter().cloned().chain(running).collect();
+        let path = std::path::Path::new(&directory).join(format!("{}.log", self.name));
+        std::fs::write(path, logs.concat()).unwrap();
+    }
+}
+
+/// Sends a prompt through a VM; returns whether it was served, or `None` without an answer.
+fn call(
+    addresses: &Addresses,
+    vm: usize,
+    parts: &[String],
+) -> Option<bool> {
+    let address = addresses.lock().unwrap()[vm]?;
+    let response = exchange(address, &generation(parts).bytes())?;
+    Some(response.status == 200 && response.is_complete)
+}
--- a/crates/entry/tests/deployment/mod.rs
+++ b/crates/entry/tests/deployment/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "no test file uses all of it")]
 
+pub mod crashing_site;
 pub mod ending_site;
 pub mod paused_site;
 pub mod registrar;
