Logs and metrics of evidence and verdicts about crashing requests

An operator couldn't tell from the logs who had put a part into quarantine (crashes=0 stood for the leader, the store and other VMs alike), on which crashes, what became of evidence below a verdict, or who let a late request go.

Verdicts now name their source and the crashes that this VM knows; suspect_sent names who sent a suspected request on what evidence; crash_dropped and evidence_received what was lost and handed on. jasmine_quarantine_events counts them.

--- a/crates/core/src/quarantine/crash_log.rs
+++ b/crates/core/src/quarantine/crash_log.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        CrashReport,
+        CrashEnd, CrashRef, CrashReport, PartSet,
         crash::{Crash, MIN_RESTART_TIME, SETTLE_TIME},
     },
     crate::{
@@ -22,6 +22,8 @@
     crashes: VecDeque<Crash>,
     /// How many crashes accuse a part; few parts are, so that answers to others cost nothing.
     accusations: HashMap<PartId, usize>,
+    /// Crashes that are no evidence any more, since the last call of [`Self::take_ended`].
+    ended: Vec<(UpstreamId, Millis, CrashEnd)>,
 }
 
 impl CrashLog {
@@ -54,7 +56,7 @@
             *self.accusations.entry(part).or_default() += 1;
         }
         while self.crashes.len() > MAX_CRASHES {
-            self.forget_first();
+            self.forget_first(CrashEnd::Room);
         }
     }
 
@@ -110,8 +112,14 @@
                 }
             }
         }
-        self.crashes
-            .retain(|crash| crash.all_accused().next().is_some());
+        let ended = &mut self.ended;
+        self.crashes.retain(|crash| {
+            let accuses_any = crash.all_accused().next().is_some();
+            if !accuses_any {
+                ended.push((crash.upstream, crash.at, CrashEnd::Acquitted));
+            }
+            accuses_any
+        });
     }
 
     /// Records that an upstream sends something: it didn't crash just before.
@@ -127,6 +135,8 @@
         for crash in std::mem::take(&mut self.crashes) {
             if is_refuted(&crash) {
                 self.release_all(&crash);
+                let end = (crash.upstream, crash.at, CrashEnd::Refuted);
+                self.ended.push(end);
             } else {
                 self.crashes.push_back(crash);
             }
@@ -181,10 +191,38 @@
         while let Some(first) = self.crashes.front()
             && now.since(first.at) >= RETENTION
         {
-            self.forget_first();
+            self.forget_first(CrashEnd::Old);
         }
     }
 
+    /// Takes the crashes that are no evidence any more since the last call.
+    pub(super) fn take_ended(
+        &mut self,
+        now: Millis,
+    ) -> Vec<(CrashRef, CrashEnd)> {
+        let ended = std::mem::take(&mut self.ended).into_iter();
+        let ended = ended.map(|(upstream, at, end)| {
+            let ago = now.since(at);
+            (CrashRef { upstream, ago }, end)
+        });
+        ended.collect()
+    }
+
+    /// The crashes that accuse a part.
+    pub(super) fn accusing(
+        &self,
+        parts: &PartSet,
+        now: Millis,
+    ) -> Vec<CrashRef> {
+        let accuses_all = |crash: &&Crash| parts.iter().all(|&part| crash.accuses(part));
+        let accusing = self.crashes.iter().filter(accuses_all);
+        let refs = accusing.map(|crash| CrashRef {
+            upstream: crash.upstream,
+            ago: now.since(crash.at),
+        });
+        refs.collect()
+    }
+
     /// How many crashes accuse a part.
     pub(super) fn accusations(
         &self,
@@ -226,8 +264,12 @@
         reports.collect()
     }
 
-    fn forget_first(&mut self) {
+    fn forget_first(
+        &mut self,
+        end: CrashEnd,
+    ) {
         if let Some(crash) = self.crashes.pop_front() {
+            self.ended.push((crash.upstream, crash.at, end));
             self.release_all(&crash);
         }
     }
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -15,6 +15,7 @@
 mod crash;
 mod crash_log;
 mod part_quarantine;
+mod quarantine_event;
 mod recent_parts;
 mod request_suspect;
 mod suspect;
@@ -26,6 +27,7 @@
     attempt_evidence::{AttemptEvidence, RequestEvidence},
     candidates::CrashCandidates,
     crash::CrashReport,
-    part_quarantine::{PartQuarantine, QuarantineChange},
+    part_quarantine::PartQuarantine,
+    quarantine_event::{CrashEnd, CrashRef, QuarantineEvent, VerdictSource},
     verdict::{PartSet, join_parts},
 };
--- a/crates/core/src/quarantine/part_quarantine.rs
+++ b/crates/core/src/quarantine/part_quarantine.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        CrashCandidates, CrashReport, PartSet,
+        CrashCandidates, CrashReport, PartSet, QuarantineEvent, VerdictSource,
         crash::Crash,
         crash_log::CrashLog,
         recent_parts::RecentParts,
@@ -29,23 +29,6 @@
 /// How long several suspects wait for answers that acquit all but one.
 const ACQUITTAL_TIME: Millis = Millis(1_200);
 
-/// A change of what is in quarantine.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum QuarantineChange {
-    /// Prompts with all of these parts are refused from now on.
-    Added {
-        /// The parts.
-        parts: PartSet,
-        /// Number of crashes that accuse them.
-        crashes: usize,
-    },
-    /// They aren't any more.
-    Removed {
-        /// The parts.
-        parts: PartSet,
-    },
-}
-
 /// Evidence about prompt parts, and the parts that are refused.
 #[derive(Clone, Debug, Default)]
 pub struct PartQuarantine {
@@ -53,7 +36,7 @@
     /// Parts of prompts that were answered, and when the latest answer began.
     sound: RecentParts,
     verdicts: Vec<Verdict>,
-    changes: Vec<QuarantineChange>,
+    events: Vec<QuarantineEvent>,
     /// When suspects that can't be told apart yet are quarantined together.
     due: Option<Millis>,
     /// The suspects of the last review; prompts with all of several wait, and those with a single one are on trial.
@@ -231,6 +214,18 @@
         if self.crashes.is_empty() {
             return;
         }
+        let accused = candidates.shared.iter().copied();
+        let accused = accused.filter(|&part| self.is_on_trial(part));
+        let accused: Vec<(PartId, usize)> = accused
+            .map(|part| (part, self.crashes.accusations(part)))
+            .collect();
+        if !accused.is_empty() {
+            self.events.push(QuarantineEvent::Sent {
+                request: candidates.request,
+                upstream,
+                accused,
+            });
+        }
         for part in candidates.iter() {
             if !self.is_on_trial(part) {
                 continue;
@@ -258,15 +253,17 @@
     pub fn add(
         &mut self,
         parts: PartSet,
+        source: VerdictSource,
         now: Millis,
     ) {
-        self.insert(parts, 0, now);
+        self.insert(parts, source, now);
     }
 
     /// Removes parts that an operator or another scheduler has taken out of quarantine.
     pub fn remove(
         &mut self,
         parts: &PartSet,
+        source: VerdictSource,
         now: Millis,
     ) {
         let count = self.verdicts.len();
@@ -275,7 +272,7 @@
             let all: Vec<PartId> = parts.iter().copied().collect();
             self.crashes.acquit(&all, now);
             let parts = parts.clone();
-            self.changes.push(QuarantineChange::Removed { parts });
+            self.events.push(QuarantineEvent::Removed { parts, source });
         }
     }
 
@@ -287,9 +284,15 @@
         self.crashes.reports(now)
     }
 
-    /// Takes the changes since the last call.
-    pub fn take_changes(&mut self) -> Vec<QuarantineChange> {
-        std::mem::take(&mut self.changes)
+    /// Takes what has happened since the last call.
+    pub fn take_events(
+        &mut self,
+        now: Millis,
+    ) -> Vec<QuarantineEvent> {
+        let ended = self.crashes.take_ended(now).into_iter();
+        let dropped = ended.map(|(crash, end)| QuarantineEvent::Dropped { crash, end });
+        let events = std::mem::take(&mut self.events).into_iter();
+        events.chain(dropped).collect()
     }
 
     /// Quarantines the parts that the crashes point to.
@@ -304,14 +307,14 @@
         &mut self,
         now: Millis,
     ) -> bool {
-        let known_changes = self.changes.len();
+        let known_events = self.events.len();
         self.crashes.forget_old(now);
         self.undecided.clear();
         self.review_requests(now);
         let next_settled = self.crashes.next_settled(now);
         self.due = next_settled.into_iter().chain(self.next_expiry()).min();
-        if let Some((part, crashes)) = self.cause_of_sets(now) {
-            self.insert(PartSet::from([part]), crashes, now);
+        if let Some(part) = self.cause_of_sets(now) {
+            self.insert(PartSet::from([part]), VerdictSource::Evidence, now);
         }
         let refused_requests: Vec<PartId> = self
             .request_verdicts()
@@ -326,7 +329,7 @@
             let sound_at = |part| self.sound.latest(part);
             let suspects = Suspect::find(&unexplained, &refused_requests, sound_at);
             let Some(since) = suspects.iter().map(|one| one.qualified_at).min() else {
-                return self.changes.len() > known_changes;
+                return self.events.len() > known_events;
             };
             let has_alternative = |suspect: &Suspect| {
                 let is_certain = suspect.crashes.len() >= MAX_SHARED_CRASHES;
@@ -337,7 +340,7 @@
                 && !has_alternative(only)
                 && only.is_alone(&unexplained, sound_at)
             {
-                self.insert(PartSet::from([only.part]), only.crashes.len(), now);
+                self.insert(PartSet::from([only.part]), VerdictSource::Evidence, now);
                 continue;
             }
             let group = indistinct(&suspects, has_alternative);
@@ -351,10 +354,9 @@
                 let due = Some(due).filter(|&due| now < due);
                 self.due = self.due.into_iter().chain(due).min();
                 self.undecided = parts;
-                return self.changes.len() > known_changes;
+                return self.events.len() > known_events;
             }
-            let crashes = group.iter().map(|one| one.crashes.len()).max();
-            self.insert(parts, crashes.unwrap_or_default(), now);
+            self.insert(parts, VerdictSource::Evidence, now);
         }
     }
 
@@ -367,14 +369,18 @@
         let over = self.request_verdicts().filter(is_over);
         let over: Vec<PartSet> = over.map(|verdict| verdict.parts.clone()).collect();
         for parts in over {
-            self.remove(&parts, now);
+            self.remove(&parts, VerdictSource::Age, now);
         }
         let accused = self.crashes.accused_requests(MIN_CRASHES);
         let suspects: Vec<RequestSuspect> = accused
             .filter_map(|request| RequestSuspect::find(request, self.crashes.iter(), now))
             .collect();
         for suspect in suspects {
-            self.insert(PartSet::from([suspect.request]), suspect.ends, now);
+            self.insert(
+                PartSet::from([suspect.request]),
+                VerdictSource::Evidence,
+                now,
+            );
         }
     }
 
@@ -429,15 +435,14 @@
             .filter(|verdict| !verdict.is_of_request())
     }
 
-    /// A part that crashes upstreams beside each of several others and is only refused together with them, and how many
-    /// crashes accuse it that no verdict explains without it.
+    /// A part that crashes upstreams beside each of several others and is only refused together with them.
     ///
     /// Of the crashes under one set of parts as many count as are enough for its verdict, as the others of the set may
     /// have caused any number.
     fn cause_of_sets(
         &self,
         now: Millis,
-    ) -> Option<(PartId, usize)> {
+    ) -> Option<PartId> {
         let sets = self.part_verdicts().filter(|one| one.parts.len() > 1);
         let parts = sets.flat_map(|one| one.parts.iter().copied());
         let is_accused = |part: &PartId| self.crashes.accusations(*part) >= MAX_SHARED_CRASHES;
@@ -466,18 +471,19 @@
             });
             (part, counts.sum::<usize>())
         });
-        let mut causes = totals.filter(|&(_, count)| count >= MAX_SHARED_CRASHES);
+        let causes = totals.filter(|&(_, count)| count >= MAX_SHARED_CRASHES);
+        let mut causes = causes.map(|(part, _)| part);
         let refuses = |part| {
             let mut verdicts = self.verdicts.iter();
             verdicts.any(|verdict| verdict.parts.iter().all(|&known| known == part))
         };
-        causes.find(|&(part, _)| !refuses(part))
+        causes.find(|&part| !refuses(part))
     }
 
     fn insert(
         &mut self,
         parts: PartSet,
-        crashes: usize,
+        source: VerdictSource,
         now: Millis,
     ) {
         let is_known = self.verdicts.iter().any(|known| known.parts == parts);
@@ -490,12 +496,16 @@
         let oldest = same_kind.next().map(|oldest| oldest.parts.clone());
         let has_room = same_kind.count() + 1 < MAX_VERDICTS;
         if let Some(oldest) = oldest.filter(|_| !has_room) {
-            self.remove(&oldest, now);
+            self.remove(&oldest, VerdictSource::Room, now);
         }
         self.verdicts.push(verdict);
         self.due = self.due.into_iter().chain(self.next_expiry()).min();
-        self.changes
-            .push(QuarantineChange::Added { parts, crashes });
+        let crashes = self.crashes.accusing(&parts, now);
+        self.events.push(QuarantineEvent::Added {
+            parts,
+            source,
+            crashes,
+        });
     }
 
     /// Takes parts out of the verdicts before `begun_at`, as an answer that began then went on.
@@ -517,8 +527,9 @@
             let mut rest = verdict.parts.clone();
             rest.retain(|part| !parts.contains(part));
             let parts = verdict.parts;
-            self.changes.push(QuarantineChange::Removed { parts });
-            self.insert(rest, 0, verdict.since);
+            let source = VerdictSource::Evidence;
+            self.events.push(QuarantineEvent::Removed { parts, source });
+            self.insert(rest, source, verdict.since);
         }
     }
 }
--- a/crates/core/src/scheduler/state_machine/quarantine.rs
+++ b/crates/core/src/scheduler/state_machine/quarantine.rs
@@ -8,7 +8,7 @@
         ids::{PartId, UpstreamId},
         quarantine::{
             AttemptEvidence, CrashCandidates, CrashReport, PartSet, PromptEvidence,
-            QuarantineChange, RequestEvidence,
+            QuarantineEvent, RequestEvidence, VerdictSource,
         },
         scheduler::{AttemptId, Job, SchedulerAction as Action, running::Stage},
     },
@@ -48,6 +48,16 @@
         Some(entry.job.request_part())
     }
 
+    /// What an assigned request may share with others of what may crash upstreams.
+    pub fn prompt_parts(
+        &self,
+        attempt_id: AttemptId,
+    ) -> &[PartId] {
+        let request = self.by_attempt_id.get(&attempt_id);
+        let entry = request.and_then(|request| self.entries.get(request));
+        entry.map_or(&[], |entry| entry.job.shared_parts())
+    }
+
     /// Records the same of a request of this VM's own callers that was sent at `sent_at`, whichever VM
     /// has assigned it; returns whether the evidence has to be reviewed.
     pub fn note_own_evidence(
@@ -130,9 +140,10 @@
     pub fn add_quarantine(
         &mut self,
         parts: PartSet,
+        source: VerdictSource,
         now: Millis,
     ) -> Vec<Action> {
-        self.quarantine.add(parts, now);
+        self.quarantine.add(parts, source, now);
         self.refuse_quarantined(now)
     }
 
@@ -140,9 +151,10 @@
     pub fn remove_quarantine(
         &mut self,
         parts: &PartSet,
+        source: VerdictSource,
         now: Millis,
     ) {
-        self.quarantine.remove(parts, now);
+        self.quarantine.remove(parts, source, now);
     }
 
     /// The parts in quarantine.
@@ -166,9 +178,12 @@
         self.quarantine.is_accused(request)
     }
 
-    /// Takes the changes of the quarantine since the last call.
-    pub fn take_quarantine_changes(&mut self) -> Vec<QuarantineChange> {
-        self.quarantine.take_changes()
+    /// Takes what has happened to evidence and verdicts since the last call.
+    pub fn take_quarantine_events(
+        &mut self,
+        now: Millis,
+    ) -> Vec<QuarantineEvent> {
+        self.quarantine.take_events(now)
     }
 
     /// Refuses a request under which upstreams ended, or whose prompt has parts that crash upstreams; a hedge also while
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -10,7 +10,7 @@
         ingress::{PromptPart, shared_parts},
         quarantine::{
             AnswerEnd, AnswerTrace, AttemptEvidence, CrashCandidates, CrashReport, PartSet,
-            PromptEvidence, RequestEvidence,
+            PromptEvidence, RequestEvidence, VerdictSource,
         },
         scheduler::{AttemptId, Job, LOCAL_VM, Outcome, Work},
     },
@@ -569,7 +569,8 @@
     let parts = PartSet::from([PartId::Part(BAD)]);
     assert_eq!(world.scheduler.quarantined(), vec![parts.clone()]);
     let now = world.now;
-    world.scheduler.remove_quarantine(&parts, now);
+    let operator = VerdictSource::Store;
+    world.scheduler.remove_quarantine(&parts, operator, now);
     assert!(!is_quarantined(&mut world, &[FIRST, BAD]));
 }
 
--- a/crates/core/tests/ended_requests.rs
+++ b/crates/core/tests/ended_requests.rs
@@ -8,7 +8,7 @@
         error::ErrorKind,
         ids::{PartId, UpstreamId},
         ingress::PromptPart,
-        quarantine::{AttemptEvidence, PartSet, PromptEvidence, RequestEvidence},
+        quarantine::{AttemptEvidence, PartSet, PromptEvidence, RequestEvidence, VerdictSource},
         rights::CallerTag,
         scheduler::{AttemptId, Job, LOCAL_VM, Outcome, UpstreamStatus, Work},
     },
@@ -406,10 +406,14 @@
     // Guards against callers that fill the quarantine with requests.
     let mut world = world();
     let part = PartSet::from([PartId::Part(5)]);
-    world.scheduler.add_quarantine(part.clone(), world.now);
+    world
+        .scheduler
+        .add_quarantine(part.clone(), VerdictSource::Store, world.now);
     for tag in 0..150 {
         let request = PartSet::from([PartId::Request(tag)]);
-        world.scheduler.add_quarantine(request, world.now);
+        world
+            .scheduler
+            .add_quarantine(request, VerdictSource::Store, world.now);
     }
     let known = world.scheduler.quarantined();
     assert!(known.contains(&part));
--- a/crates/entry/src/gauges.rs
+++ b/crates/entry/src/gauges.rs
@@ -22,6 +22,7 @@
     pub copies_in_vain: Gauge<u64>,
     pub return_times: Gauge<u64>,
     pub retries: Gauge<u64>,
+    pub quarantine: Gauge<u64>,
     pub bytes: Gauge<u64>,
     pub bytes_waiting: Gauge<u64>,
     pub bytes_paused: Gauge<u64>,
@@ -49,6 +50,10 @@
                 "jasmine_retries_decided",
                 "Retries that this scheduler has granted and refused since it started, by the share of the budget",
             ),
+            quarantine: gauge(
+                "jasmine_quarantine_events",
+                "What happened to evidence and verdicts about requests that crash upstreams since this VM started, by event",
+            ),
             return_times: gauge(
                 "jasmine_return_times",
                 "Return times that this scheduler has promised since it started, kept and released ones",
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -298,6 +298,10 @@
                 .return_times
                 .record(count, &[KeyValue::new("end", end)]);
         }
+        for (event, count) in cx.scheduling.local_scheduler.quarantine_counts() {
+            let label = [KeyValue::new("event", event)];
+            self.gauges.quarantine.record(count, &label);
+        }
         let retries = cx.scheduling.local_scheduler.retry_totals();
         for decider in RetryDecider::ALL {
             let (granted, refused) = retries.of(decider);
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -2,6 +2,7 @@
     super::{
         Assignment, JobSpec, NameInterner, RunningSpec, StatedSpec, VmHistory,
         facts::{engine_facts, engine_limits, upstream_facts},
+        quarantine_log::QuarantineLog,
         retry_log::RetryLog,
         shed_log::ShedLog,
         told_returns::ToldReturns,
@@ -103,6 +104,7 @@
     pub(super) versions_changed: watch::Sender<u64>,
     /// Notified when the quarantine has changed.
     pub(super) quarantine_changed: Notify,
+    pub(super) quarantine_log: RefCell<QuarantineLog>,
 }
 
 impl LocalScheduler {
@@ -132,6 +134,7 @@
             complete_at: Cell::new(None),
             versions_changed: watch::Sender::default(),
             quarantine_changed: Notify::new(),
+            quarantine_log: RefCell::default(),
         }
     }
 
@@ -379,7 +382,7 @@
         session: u32,
         history: &VmHistory,
     ) {
-        self.add_quarantine_history(history);
+        self.add_quarantine_history(vm, history);
         self.add_costs(vm, &history.costs);
         let mut names = self.names.borrow_mut();
         let attempts = history.attempts.iter();
--- a/crates/entry/src/scheduling/mod.rs
+++ b/crates/entry/src/scheduling/mod.rs
@@ -18,6 +18,7 @@
 mod placement;
 mod placement_error;
 mod quarantine;
+mod quarantine_log;
 mod retry_log;
 mod server;
 mod shed_log;
--- a/crates/entry/src/scheduling/quarantine.rs
+++ b/crates/entry/src/scheduling/quarantine.rs
@@ -1,19 +1,18 @@
 //! Parts of prompts that crash upstreams: evidence, and what this VM refuses.
 
 use {
-    super::{
-        CrashSpec, GenerationSpec, LocalScheduler, RunningSpec, VmHistory, job_spec::adapter_part,
-    },
+    super::{CrashSpec, GenerationSpec, LocalScheduler, RunningSpec, VmHistory},
     jasmine_core::{
         clock::Millis,
         ids::PartId,
         quarantine::{
             AttemptEvidence, CrashCandidates, CrashReport, PartSet, PromptEvidence,
-            QuarantineChange, RequestEvidence, join_parts,
+            QuarantineEvent, RequestEvidence, VerdictSource, join_parts,
         },
         scheduler::AttemptId,
     },
     jasmine_telemetry::log::Line,
+    std::collections::BTreeMap,
     xxhash_rust::xxh3::xxh3_64,
 };
 
@@ -33,7 +32,9 @@
         if (is_crash || has_ended)
             && let Some(upstream) = self.upstream_of(attempt_id)
         {
-            let request = self.scheduler.borrow().request_part(attempt_id);
+            let scheduler = self.scheduler.borrow();
+            let request = scheduler.request_part(attempt_id);
+            let parts = scheduler.prompt_parts(attempt_id);
             Line::new("crash_reported")
                 .with("upstream", upstream)
                 .with(
@@ -41,6 +42,7 @@
                     request.map_or_else(String::new, |it| it.to_string()),
                 )
                 .with("prompt", is_crash)
+                .with("parts", join_parts(parts, ","))
                 .info();
         }
         let mut scheduler = self.scheduler.borrow_mut();
@@ -92,8 +94,14 @@
     /// Adds what another VM has recorded and refuses.
     pub(super) fn add_quarantine_history(
         &self,
+        vm: &str,
         history: &VmHistory,
     ) {
+        Line::new("evidence_received")
+            .with("vm", vm)
+            .with("crashes", history.crashes.len())
+            .with("verdicts", history.quarantine.len())
+            .info();
         let crashes: Vec<CrashReport> = {
             let mut names = self.names.borrow_mut();
             let specs = history.crashes.iter();
@@ -107,7 +115,7 @@
         self.apply(|scheduler, now| {
             let mut actions = Vec::new();
             for parts in &history.quarantine {
-                actions.extend(scheduler.add_quarantine(parts.clone(), now));
+                actions.extend(scheduler.add_quarantine(parts.clone(), VerdictSource::Vm, now));
             }
             scheduler.add_crashes(&crashes, now);
             actions.extend(scheduler.tick(now));
@@ -135,7 +143,8 @@
         fingerprint: u64,
     ) {
         if !self.refuses(None, fingerprint) {
-            self.add_quarantine(PartSet::from([PartId::Request(fingerprint)]));
+            let request = PartSet::from([PartId::Request(fingerprint)]);
+            self.add_quarantine(request, VerdictSource::Leader);
         }
     }
 
@@ -167,10 +176,10 @@
         let stored = self.stored_quarantine();
         let is_released = |parts: &&PartSet| !sets.contains(parts) && !stored.contains(parts);
         for parts in known.iter().filter(is_released) {
-            self.remove_quarantine(parts);
+            self.remove_quarantine(parts, VerdictSource::Leader);
         }
         for parts in sets.iter().filter(|parts| !known.contains(parts)) {
-            self.add_quarantine(parts.clone());
+            self.add_quarantine(parts.clone(), VerdictSource::Leader);
         }
     }
 
@@ -178,17 +187,21 @@
     pub fn add_quarantine(
         &self,
         parts: PartSet,
+        source: VerdictSource,
     ) {
-        self.apply(|scheduler, now| scheduler.add_quarantine(parts, now));
+        self.apply(|scheduler, now| scheduler.add_quarantine(parts, source, now));
     }
 
     /// Refuses parts no more.
     pub fn remove_quarantine(
         &self,
         parts: &PartSet,
+        source: VerdictSource,
     ) {
         let now = self.clock.now();
-        self.scheduler.borrow_mut().remove_quarantine(parts, now);
+        let mut scheduler = self.scheduler.borrow_mut();
+        scheduler.remove_quarantine(parts, source, now);
+        drop(scheduler);
         self.publish_quarantine_changes();
     }
 
@@ -219,58 +232,28 @@
     }
 
     pub(super) fn publish_quarantine_changes(&self) {
-        let changes = self.scheduler.borrow_mut().take_quarantine_changes();
-        if changes.is_empty() {
+        let now = self.clock.now();
+        let events = self.scheduler.borrow_mut().take_quarantine_events(now);
+        if events.is_empty() {
             return;
         }
-        for change in changes {
-            match change {
-                QuarantineChange::Added { parts, crashes } if is_of_request(&parts) => {
-                    Line::new("request_quarantined")
-                        .with("request", join_parts(&parts, ","))
-                        .with("ends", crashes)
-                        .warn();
-                }
-                QuarantineChange::Removed { parts } if is_of_request(&parts) => {
-                    Line::new("request_released")
-                        .with("request", join_parts(&parts, ","))
-                        .info();
-                }
-                QuarantineChange::Added { parts, crashes } => Line::new("prompt_quarantined")
-                    .with("parts", join_parts(&parts, ","))
-                    .with("adapters", self.adapter_names(&parts))
-                    .with("crashes", crashes)
-                    .warn(),
-                QuarantineChange::Removed { parts } => Line::new("prompt_released")
-                    .with("parts", join_parts(&parts, ","))
-                    .with("adapters", self.adapter_names(&parts))
-                    .warn(),
+        {
+            let names = self.names.borrow();
+            let mut log = self.quarantine_log.borrow_mut();
+            for event in &events {
+                log.log(event, &names, now);
             }
         }
-        self.quarantine_hash.set(hash_of(self.quarantined()));
-        self.quarantine_changed.notify_one();
-    }
-
-    /// The adapters among parts, as far as this VM has heard of them; `-` if there are none.
-    fn adapter_names(
-        &self,
-        parts: &PartSet,
-    ) -> String {
-        let names = self.names.borrow();
-        let adapters = names.adapters();
-        let adapters: Vec<&str> = adapters
-            .filter(|name| parts.contains(&adapter_part(name)))
-            .collect();
-        if adapters.is_empty() {
-            return "-".to_owned();
+        if events.iter().any(QuarantineEvent::is_change) {
+            self.quarantine_hash.set(hash_of(self.quarantined()));
+            self.quarantine_changed.notify_one();
         }
-        adapters.join(",")
     }
-}
 
-/// Whether a verdict is about a request as a whole.
-fn is_of_request(parts: &PartSet) -> bool {
-    parts.iter().any(|part| part.is_request())
+    /// How often each event of evidence and verdicts has happened since this VM started.
+    pub fn quarantine_counts(&self) -> BTreeMap<&'static str, u64> {
+        self.quarantine_log.borrow().counts().clone()
+    }
 }
 
 fn hash_of(mut sets: Vec<PartSet>) -> u64 {
--- a/crates/entry/src/store/view.rs
+++ b/crates/entry/src/store/view.rs
@@ -6,7 +6,10 @@
     },
     crate::{context::Context, streams::STREAM_BUILDS_PREFIX},
     jasmine_core::{
-        clock::Millis, feed::may_have_lapsed, ingress::UpstreamEntry, quarantine::PartSet,
+        clock::Millis,
+        feed::may_have_lapsed,
+        ingress::UpstreamEntry,
+        quarantine::{PartSet, VerdictSource},
         scheduler::Announcement,
     },
     jasmine_platform::{
@@ -460,7 +463,7 @@
         };
         let local_scheduler = &self.cx.scheduling.local_scheduler;
         local_scheduler.note_stored_quarantine(parts.clone());
-        local_scheduler.add_quarantine(parts);
+        local_scheduler.add_quarantine(parts, VerdictSource::Store);
     }
 
     /// Releases what the store no longer holds: its key was deleted by an operator, or by the leader.
@@ -472,7 +475,7 @@
         if let Ok(parts) = quarantine::decode(name)
             && local_scheduler.note_unstored_quarantine(&parts)
         {
-            local_scheduler.remove_quarantine(&parts);
+            local_scheduler.remove_quarantine(&parts, VerdictSource::Store);
         }
     }
 
@@ -491,7 +494,7 @@
         let known = local_scheduler.stored_quarantine();
         for parts in known.iter().filter(|parts| !found.contains(parts)) {
             local_scheduler.note_unstored_quarantine(parts);
-            local_scheduler.remove_quarantine(parts);
+            local_scheduler.remove_quarantine(parts, VerdictSource::Store);
         }
     }
 
--- a/crates/entry/tests/stored_quarantine.rs
+++ b/crates/entry/tests/stored_quarantine.rs
@@ -2,7 +2,11 @@
 
 use {
     jasmine_conf::settings::ColdUpstreamSettings,
-    jasmine_core::{ids::PartId, quarantine::PartSet, scheduler::SchedulerSettings},
+    jasmine_core::{
+        ids::PartId,
+        quarantine::{PartSet, VerdictSource},
+        scheduler::SchedulerSettings,
+    },
     jasmine_entry::scheduling::LocalScheduler,
     tokio::sync::mpsc,
 };
@@ -22,8 +26,8 @@
     // Guards against followers that take a part out of quarantine, and then out of the store, as a new leader lacks it.
     let follower = scheduler();
     follower.note_stored_quarantine(part(1));
-    follower.add_quarantine(part(1));
-    follower.add_quarantine(part(2));
+    follower.add_quarantine(part(1), VerdictSource::Store);
+    follower.add_quarantine(part(2), VerdictSource::Leader);
     follower.replace_quarantine(&[part(3)]);
     let mut known = follower.quarantined();
     known.sort();
