--- a/crates/core/src/quarantine/crash.rs
+++ b/crates/core/src/quarantine/crash.rs
@@ -1,4 +1,5 @@
 use {
+    super::{CrashReport, PartSet, PromptReport},
     crate::{
         clock::Millis,
         ids::{PartId, UpstreamId},
@@ -12,34 +13,31 @@
 pub(super) const MIN_RESTART_TIME: Millis = Millis(1_500);
 /// Time in which an upstream that only broke an answer off shows that it goes on.
 pub(super) const SETTLE_TIME: Millis = Millis(400);
-/// Most parts, and most requests, that one crash accuses.
-const MAX_ACCUSED: usize = 256;
+/// Most prompts, and most requests, that one crash accuses.
+const MAX_ACCUSED: usize = 64;
+
+/// A prompt that an upstream had just begun to answer as it crashed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct AccusedPrompt {
+    /// What it may share with others and no later answer has acquitted.
+    pub parts: PartSet,
+    /// When it was sent, the last one of several alike.
+    pub sent_at: Millis,
+}
 
 /// A crash of an upstream, and what may have caused it.
 #[derive(Clone, Debug)]
 pub(super) struct Crash {
     pub upstream: UpstreamId,
     pub at: Millis,
-    /// The parts of prompts that it had just begun to answer and that no later answer has acquitted, and when a prompt
-    /// with them was last sent to it.
-    pub accused: BTreeMap<PartId, Millis>,
-    /// The same for the requests that it had, whatever it had answered of them.
+    /// The prompts, each by itself: parts that never came together don't explain a crash together.
+    pub prompts: Vec<AccusedPrompt>,
+    /// The requests that it had, whatever it had answered of them, and when they were last sent to it.
     pub requests: BTreeMap<PartId, Millis>,
     /// Whether the upstream was seen to be gone, or to have started anew.
     pub is_confirmed: bool,
 }
 
-/// A crash as a VM tells it to a new scheduler.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct CrashReport {
-    /// The upstream that crashed.
-    pub upstream: UpstreamId,
-    /// Time since the crash.
-    pub ago: Millis,
-    /// The accused parts, and how long ago a prompt with them was sent to the upstream.
-    pub accused: Vec<(PartId, Millis)>,
-}
-
 impl Crash {
     pub(super) const fn new(
         upstream: UpstreamId,
@@ -48,40 +46,22 @@
         Self {
             upstream,
             at,
-            accused: BTreeMap::new(),
+            prompts: Vec::new(),
             requests: BTreeMap::new(),
             is_confirmed: false,
         }
     }
 
-    const fn accused_with(
-        &self,
-        part: PartId,
-    ) -> &BTreeMap<PartId, Millis> {
-        if part.is_request() {
-            &self.requests
-        } else {
-            &self.accused
-        }
-    }
-
-    const fn accused_with_mut(
-        &mut self,
-        part: PartId,
-    ) -> &mut BTreeMap<PartId, Millis> {
-        if part.is_request() {
-            &mut self.requests
-        } else {
-            &mut self.accused
-        }
-    }
-
     /// When a prompt with an accused part was last sent to the upstream; `None` if it doesn't accuse the part.
     pub(super) fn sent_at(
         &self,
         part: PartId,
     ) -> Option<Millis> {
-        self.accused_with(part).get(&part).copied()
+        if part.is_request() {
+            return self.requests.get(&part).copied();
+        }
+        let with_part = self.prompts.iter().filter(|one| one.parts.contains(&part));
+        with_part.map(|one| one.sent_at).max()
     }
 
     pub(super) fn accuses(
@@ -91,18 +71,43 @@
         self.sent_at(part).is_some()
     }
 
+    /// Whether one prompt, or the request, has all of the parts.
+    pub(super) fn accuses_together(
+        &self,
+        parts: &PartSet,
+    ) -> bool {
+        let mut prompts = self.prompts.iter();
+        prompts.any(|one| one.parts.is_superset(parts))
+            || parts.iter().all(|part| self.requests.contains_key(part))
+    }
+
     /// Accuses a part no more; returns whether it did.
     pub(super) fn acquit(
         &mut self,
         part: PartId,
     ) -> bool {
-        self.accused_with_mut(part).remove(&part).is_some()
+        if part.is_request() {
+            return self.requests.remove(&part).is_some();
+        }
+        let mut was_accused = false;
+        for prompt in &mut self.prompts {
+            was_accused |= prompt.parts.remove(&part);
+        }
+        self.prompts.retain(|one| !one.parts.is_empty());
+        was_accused
+    }
+
+    /// The parts that it accuses.
+    pub(super) fn parts(&self) -> PartSet {
+        let parts = self.prompts.iter().flat_map(|one| &one.parts);
+        parts.copied().collect()
     }
 
     /// All that it accuses.
-    pub(super) fn all_accused(&self) -> impl Iterator<Item = (PartId, Millis)> {
-        let all = self.accused.iter().chain(&self.requests);
-        all.map(|(&part, &sent_at)| (part, sent_at))
+    pub(super) fn all_accused(&self) -> PartSet {
+        let mut accused = self.parts();
+        accused.extend(self.requests.keys());
+        accused
     }
 
     /// Whether a report of a crash of `upstream` at `at`, under prompts that were sent until `sent_at`, is one of this
@@ -141,22 +146,54 @@
         now.since(self.at) >= SETTLE_TIME
     }
 
-    /// Accuses a part of a prompt that was sent at `sent_at`, if there is room; returns whether it wasn't accused before.
-    pub(super) fn accuse(
+    /// Accuses what a prompt may share with others, if there is room.
+    pub(super) fn accuse_prompt(
         &mut self,
-        part: PartId,
+        prompt: AccusedPrompt,
+    ) {
+        let has_room = self.prompts.len() < MAX_ACCUSED;
+        let mut known = self.prompts.iter_mut();
+        match known.find(|known| known.parts == prompt.parts) {
+            Some(known) => known.sent_at = known.sent_at.max(prompt.sent_at),
+            None if has_room && !prompt.parts.is_empty() => {
+                self.prompts.push(prompt);
+            }
+            None => {}
+        }
+    }
+
+    /// Accuses a request that was sent at `sent_at`, if there is room.
+    pub(super) fn accuse_request(
+        &mut self,
+        request: PartId,
         sent_at: Millis,
-    ) -> bool {
-        let accused = self.accused_with_mut(part);
-        let has_room = accused.len() < MAX_ACCUSED;
-        match accused.get_mut(&part) {
+    ) {
+        let has_room = self.requests.len() < MAX_ACCUSED;
+        match self.requests.get_mut(&request) {
             Some(known) => *known = sent_at.max(*known),
             None if has_room => {
-                accused.insert(part, sent_at);
-                return true;
+                self.requests.insert(request, sent_at);
             }
             None => {}
         }
-        false
+    }
+
+    pub(super) fn report(
+        &self,
+        now: Millis,
+    ) -> CrashReport {
+        let prompts = self.prompts.iter().map(|one| PromptReport {
+            parts: one.parts.iter().copied().collect(),
+            sent_ago: now.since(one.sent_at),
+        });
+        let requests = self.requests.iter();
+        CrashReport {
+            upstream: self.upstream,
+            ago: now.since(self.at),
+            prompts: prompts.collect(),
+            requests: requests
+                .map(|(&request, &sent_at)| (request, now.since(sent_at)))
+                .collect(),
+        }
     }
 }
--- a/crates/core/src/quarantine/crash_log.rs
+++ b/crates/core/src/quarantine/crash_log.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         CrashEnd, CrashRef, CrashReport, PartSet,
-        crash::{Crash, MIN_RESTART_TIME, SETTLE_TIME},
+        crash::{AccusedPrompt, Crash, MIN_RESTART_TIME, SETTLE_TIME},
     },
     crate::{
         clock::Millis,
@@ -27,16 +27,21 @@
 }
 
 impl CrashLog {
-    /// Records a crash under prompts with these parts, each with the time at which such a prompt was sent.
-    pub(super) fn note(
+    /// Records a crash under these prompts and requests. What was sound later, as far as `sound_at` tells, isn't accused.
+    pub(super) fn note<F>(
         &mut self,
         upstream: UpstreamId,
-        parts: &[(PartId, Millis)],
-        at: Millis,
-        now: Millis,
-    ) {
+        prompts: &[AccusedPrompt],
+        requests: &[(PartId, Millis)],
+        (at, now): (Millis, Millis),
+        sound_at: F,
+    ) where
+        F: Fn(PartId) -> Option<Millis>,
+    {
         self.forget_old(now);
-        let Some(sent_at) = parts.iter().map(|&(_, sent_at)| sent_at).max() else {
+        let prompts_sent = prompts.iter().map(|prompt| prompt.sent_at);
+        let sent = prompts_sent.chain(requests.iter().map(|&(_, sent_at)| sent_at));
+        let Some(sent_at) = sent.max() else {
             return;
         };
         if now.since(at) >= RETENTION {
@@ -49,11 +54,23 @@
             index
         });
         let crash = &mut self.crashes[index];
-        for &(part, _) in parts
-            .iter()
-            .filter(|&&(part, sent_at)| crash.accuse(part, sent_at))
-        {
-            *self.accusations.entry(part).or_default() += 1;
+        let known = crash.all_accused();
+        let is_open = |part: &PartId| sound_at(*part).is_none_or(|sound| sound < crash.at);
+        let prompts = prompts.iter().map(|prompt| AccusedPrompt {
+            parts: prompt.parts.iter().copied().filter(is_open).collect(),
+            sent_at: prompt.sent_at,
+        });
+        let prompts: Vec<AccusedPrompt> = prompts.collect();
+        let requests = requests.iter().filter(|(request, _)| is_open(request));
+        let requests: Vec<(PartId, Millis)> = requests.copied().collect();
+        for prompt in prompts {
+            crash.accuse_prompt(prompt);
+        }
+        for (request, sent_at) in requests {
+            crash.accuse_request(request, sent_at);
+        }
+        for part in crash.all_accused().difference(&known) {
+            *self.accusations.entry(*part).or_default() += 1;
         }
         while self.crashes.len() > MAX_CRASHES {
             self.forget_first(CrashEnd::Room);
@@ -63,21 +80,32 @@
     /// Records a crash that another VM has told.
     ///
     /// A report that comes late moves all its times. For a crash that is known already, its own time counts.
-    pub(super) fn note_report(
+    pub(super) fn note_report<F>(
         &mut self,
         report: &CrashReport,
         now: Millis,
-    ) {
+        sound_at: F,
+    ) where
+        F: Fn(PartId) -> Option<Millis>,
+    {
         let at = now.since(report.ago);
-        let sent_ago = report.accused.iter().map(|&(_, sent_ago)| sent_ago).min();
-        let sent_at = now.since(sent_ago.unwrap_or_default());
+        let prompts_sent = report.prompts.iter().map(|prompt| prompt.sent_ago);
+        let sent_ago = prompts_sent.chain(report.requests.iter().map(|&(_, sent_ago)| sent_ago));
+        let sent_at = now.since(sent_ago.min().unwrap_or_default());
         let known = self.find(report.upstream, sent_at, at);
         let known_at = known.map_or(at, |index| self.crashes[index].at);
-        let accused = report.accused.iter();
-        let accused: Vec<_> = accused
-            .map(|&(part, sent_ago)| (part, known_at.since(sent_ago.since(report.ago))))
+        let sent_at = |sent_ago: Millis| known_at.since(sent_ago.since(report.ago));
+        let prompts = report.prompts.iter().map(|prompt| AccusedPrompt {
+            parts: prompt.parts.iter().copied().collect(),
+            sent_at: sent_at(prompt.sent_ago),
+        });
+        let prompts: Vec<_> = prompts.collect();
+        let requests = report.requests.iter();
+        let requests: Vec<_> = requests
+            .map(|&(request, sent_ago)| (request, sent_at(sent_ago)))
             .collect();
-        self.note(report.upstream, &accused, at, now);
+        self.note(report.upstream, &prompts, &requests, (at, now), sound_at);
+        self.drop_empty();
     }
 
     /// The crash that a report of `upstream` at `at`, under prompts that were sent until `sent_at`, is of.
@@ -112,9 +140,14 @@
                 }
             }
         }
+        self.drop_empty();
+    }
+
+    /// Forgets crashes that accuse nothing any more.
+    fn drop_empty(&mut self) {
         let ended = &mut self.ended;
         self.crashes.retain(|crash| {
-            let accuses_any = crash.all_accused().next().is_some();
+            let accuses_any = !crash.prompts.is_empty() || !crash.requests.is_empty();
             if !accuses_any {
                 ended.push((crash.upstream, crash.at, CrashEnd::Acquitted));
             }
@@ -214,8 +247,8 @@
         parts: &PartSet,
         now: Millis,
     ) -> Vec<CrashRef> {
-        let accuses_all = |crash: &&Crash| parts.iter().all(|&part| crash.accuses(part));
-        let accusing = self.crashes.iter().filter(accuses_all);
+        let accusing = self.crashes.iter();
+        let accusing = accusing.filter(|crash| crash.accuses_together(parts));
         let refs = accusing.map(|crash| CrashRef {
             upstream: crash.upstream,
             ago: now.since(crash.at),
@@ -231,6 +264,11 @@
         self.accusations.get(&part).copied().unwrap_or_default()
     }
 
+    /// The parts that crashes accuse, and the requests.
+    pub(super) fn accused(&self) -> impl Iterator<Item = PartId> {
+        self.accusations.keys().copied()
+    }
+
     /// The requests that at least so many crashes accuse.
     pub(super) fn accused_requests(
         &self,
@@ -253,15 +291,7 @@
         &self,
         now: Millis,
     ) -> Vec<CrashReport> {
-        let reports = self.crashes.iter().map(|crash| CrashReport {
-            upstream: crash.upstream,
-            ago: now.since(crash.at),
-            accused: crash
-                .all_accused()
-                .map(|(part, sent_at)| (part, now.since(sent_at)))
-                .collect(),
-        });
-        reports.collect()
+        self.crashes.iter().map(|crash| crash.report(now)).collect()
     }
 
     fn forget_first(
@@ -278,7 +308,7 @@
         &mut self,
         crash: &Crash,
     ) {
-        for (part, _) in crash.all_accused() {
+        for part in crash.all_accused() {
             release(&mut self.accusations, part);
         }
     }
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -14,6 +14,7 @@
 mod candidates;
 mod crash;
 mod crash_log;
+mod crash_report;
 mod part_quarantine;
 mod quarantine_event;
 mod recent_parts;
@@ -21,12 +22,13 @@
 mod suspect;
 mod trials;
 mod verdict;
+mod weighing;
 
 pub use {
     answer_trace::{AnswerEnd, AnswerTrace, PromptEvidence},
     attempt_evidence::{AttemptEvidence, RequestEvidence},
     candidates::CrashCandidates,
-    crash::CrashReport,
+    crash_report::{CrashEvidence, CrashReport, PromptReport, SoundReport},
     part_quarantine::PartQuarantine,
     quarantine_event::{CrashEnd, CrashRef, QuarantineEvent, VerdictSource},
     verdict::{PartSet, join_parts},
--- a/crates/core/src/quarantine/part_quarantine.rs
+++ b/crates/core/src/quarantine/part_quarantine.rs
@@ -1,13 +1,14 @@
 use {
     super::{
-        CrashCandidates, CrashReport, PartSet, QuarantineEvent, VerdictSource,
-        crash::Crash,
+        CrashCandidates, CrashEvidence, PartSet, QuarantineEvent, SoundReport, VerdictSource,
+        crash::AccusedPrompt,
         crash_log::CrashLog,
         recent_parts::RecentParts,
         request_suspect::{MIN_SUSPECT_ENDS, RequestSuspect},
-        suspect::{MIN_CRASHES, Suspect},
+        suspect::{MAX_CRASHES, MIN_CRASHES},
         trials::Trials,
         verdict::Verdict,
+        weighing::{Finding, Weighing},
     },
     crate::{
         clock::Millis,
@@ -22,12 +23,10 @@
 const REQUEST_RETENTION: Millis = Millis(600_000);
 /// Crashes under a part that was never answered, from which requests with it go one at a time.
 const MIN_TRIAL_CRASHES: usize = 2;
-/// Most parts that are refused only together.
-const MAX_SET_LEN: usize = 8;
-/// Crashes from which a part is the cause, even if several others that prompts have beside it explain them as well.
-const MAX_SHARED_CRASHES: usize = 7;
-/// How long several suspects wait for answers that acquit all but one.
-const ACQUITTAL_TIME: Millis = Millis(1_200);
+/// Requests with a part that may reach upstreams after it has to be known.
+const MAX_LATE_REQUESTS: usize = 3;
+/// Most sound parts that are told to others.
+const MAX_SOUND_REPORTS: usize = 256;
 
 /// Evidence about prompt parts, and the parts that are refused.
 #[derive(Clone, Debug, Default)]
@@ -41,29 +40,56 @@
     due: Option<Millis>,
     /// The suspects of the last review; prompts with all of several wait, and those with a single one are on trial.
     undecided: PartSet,
+    /// Parts that were sound before several crashes in turn: they go one request at a time, and until this time without
+    /// others that are accused.
+    doubted: BTreeMap<PartId, Millis>,
     trials: Trials,
 }
 
 impl PartQuarantine {
-    /// Records that an upstream crashed as it began to answer prompts with these shared parts, or while it had these
-    /// requests, each with the time at which such a prompt or request was sent.
+    /// Records that an upstream crashed under a request that was sent to it at `sent_at`: as it began to answer its
+    /// prompt, which is accused then, or later. `request` is accused if its upstream was seen to have ended.
     pub fn note_crash(
         &mut self,
         upstream: UpstreamId,
-        parts: &[(PartId, Millis)],
-        at: Millis,
+        prompt: &[PartId],
+        request: Option<PartId>,
+        sent_at: Millis,
         now: Millis,
     ) {
-        self.crashes.note(upstream, parts, at, now);
-    }
-
-    /// Records a crash that another VM has told.
-    pub fn note_report(
+        let prompt = AccusedPrompt {
+            parts: prompt.iter().copied().collect(),
+            sent_at,
+        };
+        let prompts = Some(prompt).filter(|prompt| !prompt.parts.is_empty());
+        let requests = request.map(|request| (request, sent_at));
+        let sound = &self.sound;
+        self.crashes.note(
+            upstream,
+            prompts.as_slice(),
+            requests.as_slice(),
+            (now, now),
+            |part| sound.latest(part),
+        );
+    }
+
+    /// Adds what another VM has recorded.
+    pub fn add_evidence(
         &mut self,
-        report: &CrashReport,
+        evidence: &CrashEvidence,
         now: Millis,
     ) {
-        self.crashes.note_report(report, now);
+        for report in &evidence.sound {
+            let begun_at = now.since(report.ago);
+            self.sound.insert(report.part, begun_at);
+            self.crashes.acquit(&[report.part], begun_at);
+            self.acquit(&[report.part], begun_at);
+        }
+        let sound = &self.sound;
+        for report in &evidence.crashes {
+            let sound_at = |part| sound.latest(part);
+            self.crashes.note_report(report, now, sound_at);
+        }
     }
 
     /// Records that an upstream sends something, so that it hasn't crashed just before.
@@ -90,6 +116,9 @@
         request: PartId,
         begun_at: Millis,
     ) {
+        if self.crashes.accusations(request) > 0 {
+            self.sound.insert(request, begun_at);
+        }
         self.crashes.acquit(&[request], begun_at);
         self.acquit(&[request], begun_at);
     }
@@ -106,7 +135,8 @@
         }
         self.crashes.acquit(parts, begun_at);
         self.acquit(parts, begun_at);
-        parts.iter().any(|part| self.undecided.contains(part))
+        let is_open = |part| self.undecided.contains(part) || self.doubted.contains_key(part);
+        parts.iter().any(is_open)
     }
 
     /// When [`Self::review`] is due, if no evidence comes before.
@@ -161,23 +191,39 @@
 
     /// Whether a request that is refused may be sent to see whether its prompt still crashes its upstream.
     ///
-    /// Only parts that were sound before are probed: what has changed may be the upstreams.
+    /// A part that was sound before is probed, as what has changed may be the upstreams; and one that may only be what
+    /// several crashing parts share, as long as few requests with it have crashed upstreams, by prompts with no other suspect.
     pub fn take_probe(
         &mut self,
         candidates: CrashCandidates<'_>,
         now: Millis,
     ) -> bool {
-        let applying = self.verdicts.iter_mut();
-        let mut applying: Vec<&mut Verdict> = applying
-            .filter(|verdict| verdict.applies_to(candidates))
+        let applying = self.verdicts.iter().enumerate();
+        let applying: Vec<(usize, &Verdict)> = applying
+            .filter(|(_, verdict)| verdict.applies_to(candidates))
             .collect();
-        match &mut applying[..] {
-            [verdict] => {
-                let was_sound = verdict.parts.iter().all(|&part| self.sound.contains(part));
-                was_sound && verdict.take_probe(now)
+        let mut smallest = applying.iter().copied().filter(|(_, one)| {
+            let mut others = applying.iter();
+            !others.any(|(_, other)| {
+                other.parts.len() < one.parts.len() && other.parts.is_subset(&one.parts)
+            })
+        });
+        let (Some((index, verdict)), None) = (smallest.next(), smallest.next()) else {
+            return false;
+        };
+        let was_sound = verdict.parts.iter().all(|&part| self.sound.contains(part));
+        let may_be_shared = match verdict.parts.first() {
+            Some(&part) if verdict.parts.len() == 1 => {
+                let others = candidates.shared.iter().filter(|&&other| other != part);
+                let mut suspects = others.filter(|&&other| self.is_unproven_suspect(other));
+                suspects.next().is_none()
+                    && self.crashes.accusations(part) < MAX_CRASHES + MAX_LATE_REQUESTS
+                    && self.weighing(now).is_contested(part)
             }
             _ => false,
-        }
+        };
+        let verdict = &mut self.verdicts[index];
+        was_sound && verdict.take_probe(now) || may_be_shared && verdict.take_early_probe(now)
     }
 
     /// Whether a prompt with these shared parts has to wait for what others show.
@@ -191,7 +237,33 @@
         }
         let mut undecided = self.undecided.iter();
         let has_undecided = self.undecided.len() > 1 && undecided.all(|part| parts.contains(part));
-        has_undecided || parts.iter().any(|&part| self.is_trial_pending(part, now))
+        has_undecided
+            || parts.iter().any(|&part| self.is_trial_pending(part, now))
+            || self.waits_for_others(parts, now)
+    }
+
+    /// Whether a prompt has a doubted part that others are to clear first, which have no other suspect.
+    fn waits_for_others(
+        &self,
+        parts: &[PartId],
+        now: Millis,
+    ) -> bool {
+        let mut doubted = parts.iter().filter(|part| {
+            let until = self.doubted.get(part);
+            until.is_some_and(|&until| now < until) && self.is_on_trial(**part)
+        });
+        doubted.any(|part| {
+            let mut others = parts.iter().filter(|other| other != &part);
+            others.any(|&other| self.is_unproven_suspect(other))
+        })
+    }
+
+    /// Whether crashes accuse a part that no answer has shown to be sound.
+    fn is_unproven_suspect(
+        &self,
+        part: PartId,
+    ) -> bool {
+        self.crashes.accusations(part) > 0 && !self.sound.contains(part)
     }
 
     /// Whether a request has to wait for what its earlier attempts show.
@@ -276,12 +348,23 @@
         }
     }
 
-    /// The crashes that are evidence, for a new scheduler.
-    pub fn reports(
+    /// What this VM knows of crashes and of sound parts, for others.
+    pub fn evidence(
         &self,
         now: Millis,
-    ) -> Vec<CrashReport> {
-        self.crashes.reports(now)
+    ) -> CrashEvidence {
+        let accused = self.crashes.accused();
+        let accused = accused.filter_map(|part| Some((part, self.sound.latest(part)?)));
+        let newest = self.sound.newest(MAX_SOUND_REPORTS);
+        let sound: BTreeMap<PartId, Millis> = accused.chain(newest).collect();
+        let sound = sound.into_iter().map(|(part, at)| SoundReport {
+            part,
+            ago: now.since(at),
+        });
+        CrashEvidence {
+            crashes: self.crashes.reports(now),
+            sound: sound.collect(),
+        }
     }
 
     /// Takes what has happened since the last call.
@@ -297,11 +380,6 @@
 
     /// Quarantines the parts that the crashes point to.
     ///
-    /// Other parts of the same prompts are accused as often. The only suspect that no answer has shown to be sound is
-    /// quarantined at once if nothing else explains one of its crashes; otherwise the suspects wait for answers that acquit some of them. Several that are left are
-    /// refused where a prompt has them all. A single one, which other prompts may share, is put on trial first, and for
-    /// longer where it may be what several crashing parts share.
-    ///
     /// Returns whether there are any.
     pub fn review(
         &mut self,
@@ -313,50 +391,30 @@
         self.review_requests(now);
         let next_settled = self.crashes.next_settled(now);
         self.due = next_settled.into_iter().chain(self.next_expiry()).min();
-        if let Some(part) = self.cause_of_sets(now) {
-            self.insert(PartSet::from([part]), VerdictSource::Evidence, now);
-        }
-        let refused_requests: Vec<PartId> = self
-            .request_verdicts()
-            .flat_map(|verdict| verdict.parts.iter().copied())
-            .collect();
         loop {
-            let unexplained: Vec<&Crash> = self
-                .crashes
-                .iter()
-                .filter(|crash| crash.is_settled(now) && !self.is_explained(crash))
-                .collect();
-            let sound_at = |part| self.sound.latest(part);
-            let suspects = Suspect::find(&unexplained, &refused_requests, sound_at);
-            let Some(since) = suspects.iter().map(|one| one.qualified_at).min() else {
-                return self.events.len() > known_events;
-            };
-            let has_alternative = |suspect: &Suspect| {
-                let is_certain = suspect.crashes.len() >= MAX_SHARED_CRASHES;
-                !is_certain && suspect.has_alternative(&unexplained, sound_at)
-            };
-            let mut unproven = suspects.iter().filter(|one| !one.was_sound());
-            if let (Some(only), None) = (unproven.next(), unproven.next())
-                && !has_alternative(only)
-                && only.is_alone(&unexplained, sound_at)
-            {
-                self.insert(PartSet::from([only.part]), VerdictSource::Evidence, now);
-                continue;
-            }
-            let group = indistinct(&suspects, has_alternative);
-            let parts: PartSet = group.iter().map(|one| one.part).collect();
-            let due = since + ACQUITTAL_TIME;
-            let is_decided = match &group[..] {
-                [single] => single.is_confirmed && !has_alternative(single),
-                _ => now >= due,
-            };
-            if !is_decided {
-                let due = Some(due).filter(|&due| now < due);
-                self.due = self.due.into_iter().chain(due).min();
-                self.undecided = parts;
-                return self.events.len() > known_events;
+            match self.weighing(now).finding() {
+                Finding::Guilty(parts) => self.insert(parts, VerdictSource::Evidence, now),
+                Finding::Open(parts, due) => {
+                    self.due = self.due.into_iter().chain(due).min();
+                    self.undecided = parts;
+                    break;
+                }
+                Finding::Nothing => break,
             }
-            self.insert(parts, VerdictSource::Evidence, now);
+        }
+        self.doubted = self.weighing(now).doubted();
+        self.events.len() > known_events
+    }
+
+    fn weighing(
+        &self,
+        now: Millis,
+    ) -> Weighing<'_> {
+        Weighing {
+            crashes: &self.crashes,
+            sound: &self.sound,
+            verdicts: &self.verdicts,
+            now,
         }
     }
 
@@ -406,15 +464,10 @@
         if part.is_request() {
             return self.is_accused(part);
         }
-        let is_suspected = self.crashes.accusations(part) >= MIN_TRIAL_CRASHES;
-        is_suspected && !self.sound.contains(part) || self.undecided.contains(&part)
-    }
-
-    fn is_explained(
-        &self,
-        crash: &Crash,
-    ) -> bool {
-        self.part_verdicts().any(|verdict| verdict.explains(crash))
+        let accusations = self.crashes.accusations(part);
+        let is_doubted = accusations >= MIN_CRASHES && self.doubted.contains_key(&part);
+        let is_unproven = accusations >= MIN_TRIAL_CRASHES && !self.sound.contains(part);
+        is_unproven || is_doubted || self.undecided.contains(&part)
     }
 
     fn request_verdicts(&self) -> impl Iterator<Item = &Verdict> {
@@ -429,57 +482,6 @@
         since.map(|since| since + REQUEST_RETENTION)
     }
 
-    fn part_verdicts(&self) -> impl Iterator<Item = &Verdict> {
-        self.verdicts
-            .iter()
-            .filter(|verdict| !verdict.is_of_request())
-    }
-
-    /// A part that crashes upstreams beside each of several others and is only refused together with them.
-    ///
-    /// Of the crashes under one set of parts as many count as are enough for its verdict, as the others of the set may
-    /// have caused any number.
-    fn cause_of_sets(
-        &self,
-        now: Millis,
-    ) -> Option<PartId> {
-        let sets = self.part_verdicts().filter(|one| one.parts.len() > 1);
-        let parts = sets.flat_map(|one| one.parts.iter().copied());
-        let is_accused = |part: &PartId| self.crashes.accusations(*part) >= MAX_SHARED_CRASHES;
-        let candidates: PartSet = parts.filter(is_accused).collect();
-        if candidates.is_empty() {
-            return None;
-        }
-        let mut counts: BTreeMap<PartId, BTreeMap<Option<usize>, usize>> = BTreeMap::new();
-        for crash in self.crashes.iter().filter(|crash| crash.is_settled(now)) {
-            let verdicts = self.part_verdicts().enumerate();
-            let explaining: Vec<_> = verdicts.filter(|(_, one)| one.explains(crash)).collect();
-            let set = explaining.first().map(|&(index, _)| index);
-            let mut sets = explaining.iter().map(|(_, one)| &one.parts);
-            let parts = sets.next().unwrap_or(&candidates);
-            let others: Vec<_> = sets.collect();
-            for &part in parts.iter().filter(|&&part| crash.accuses(part)) {
-                if others.iter().all(|other| other.contains(&part)) {
-                    *counts.entry(part).or_default().entry(set).or_default() += 1;
-                }
-            }
-        }
-        let totals = counts.into_iter().map(|(part, counts)| {
-            let counts = counts.into_iter().map(|(set, count)| match set {
-                Some(_) => count.min(MIN_CRASHES),
-                None => count,
-            });
-            (part, counts.sum::<usize>())
-        });
-        let causes = totals.filter(|&(_, count)| count >= MAX_SHARED_CRASHES);
-        let mut causes = causes.map(|(part, _)| part);
-        let refuses = |part| {
-            let mut verdicts = self.verdicts.iter();
-            verdicts.any(|verdict| verdict.parts.iter().all(|&known| known == part))
-        };
-        causes.find(|&part| !refuses(part))
-    }
-
     fn insert(
         &mut self,
         parts: PartSet,
@@ -533,34 +535,3 @@
         }
     }
 }
-
-/// The suspects that the evidence doesn't tell apart from the most accused one.
-fn indistinct<F>(
-    suspects: &[Suspect],
-    has_alternative: F,
-) -> Vec<&Suspect>
-where
-    F: Fn(&Suspect) -> bool,
-{
-    let has_unproven = suspects.iter().any(|one| !one.was_sound());
-    let open = || {
-        suspects
-            .iter()
-            .filter(|one| !has_unproven || !one.was_sound())
-    };
-    let Some(top) = open().max_by_key(|one| one.crashes.len()) else {
-        return Vec::new();
-    };
-    let is_shared = has_alternative(top);
-    let is_close = |one: &&Suspect| is_shared || one.crashes.len() + 1 >= top.crashes.len();
-    let mut common = top.clone();
-    let mut group = vec![top];
-    for other in open().filter(is_close) {
-        let has_room = group.len() < MAX_SET_LEN && other.part != top.part;
-        if has_room && other.shares_crashes(&common) {
-            common.crashes.retain(|at| other.crashes.contains(at));
-            group.push(other);
-        }
-    }
-    group
-}
--- a/crates/core/src/quarantine/recent_parts.rs
+++ b/crates/core/src/quarantine/recent_parts.rs
@@ -1,6 +1,6 @@
 use {
     crate::{clock::Millis, ids::PartId},
-    std::collections::HashMap,
+    std::{cmp::Reverse, collections::HashMap},
 };
 
 /// Parts per generation; between one and two generations are kept.
@@ -33,6 +33,23 @@
         self.latest(part).is_some()
     }
 
+    /// The `count` parts with the latest times.
+    pub(super) fn newest(
+        &self,
+        count: usize,
+    ) -> Vec<(PartId, Millis)> {
+        let older = self.previous.iter();
+        let older = older.filter(|(part, _)| !self.current.contains_key(part));
+        let all = self.current.iter().chain(older);
+        let mut parts: Vec<(PartId, Millis)> = all.map(|(&part, &at)| (part, at)).collect();
+        let count = count.min(parts.len());
+        if count < parts.len() {
+            parts.select_nth_unstable_by_key(count, |&(part, at)| (Reverse(at), part));
+        }
+        parts.truncate(count);
+        parts
+    }
+
     pub(super) fn latest(
         &self,
         part: PartId,
--- a/crates/core/src/quarantine/suspect.rs
+++ b/crates/core/src/quarantine/suspect.rs
@@ -6,6 +6,10 @@
 
 /// Crashes of different upstreams under a part from which it may be quarantined.
 pub(super) const MIN_CRASHES: usize = 3;
+/// The same for a part that several crashes accuse beside these, though verdicts on others explain them.
+const MIN_FURTHER_CRASHES: usize = 2;
+/// Crashes under a part after which few requests with it may reach upstreams.
+pub(super) const MAX_CRASHES: usize = 5;
 
 /// Crashes that each of several other parts has to explain on average, to be suspected in place of what they share.
 const MIN_CRASHES_OF_ALTERNATIVE: usize = 2;
@@ -14,6 +18,20 @@
 /// Upstreams that end sooner after each other, under prompts that were all sent before, end together.
 const MAX_TOGETHER: Millis = Millis(150);
 
+/// A settled crash that no verdict explains, and the parts that it accuses.
+#[derive(Clone, Debug)]
+pub(super) struct OpenCrash<'a> {
+    pub crash: &'a Crash,
+    pub parts: BTreeSet<PartId>,
+}
+
+impl<'a> OpenCrash<'a> {
+    pub(super) fn new(crash: &'a Crash) -> Self {
+        let parts = crash.parts();
+        Self { crash, parts }
+    }
+}
+
 /// A part that crashes accuse, and which of them by their index.
 #[derive(Clone, Debug)]
 pub(super) struct Suspect {
@@ -29,30 +47,43 @@
 
 impl Suspect {
     /// The parts that enough crashes accuse, but for those of a single one of the refused requests.
-    pub(super) fn find<F>(
-        crashes: &[&Crash],
+    ///
+    /// `accusations` tells how many crashes accuse a part, explained ones among them.
+    pub(super) fn find<F, A>(
+        crashes: &[OpenCrash<'_>],
         refused_requests: &[PartId],
         sound_at: F,
+        accusations: A,
     ) -> Vec<Self>
     where
         F: Fn(PartId) -> Option<Millis>,
+        A: Fn(PartId) -> usize,
     {
         let mut accused: BTreeMap<PartId, BTreeSet<usize>> = BTreeMap::new();
-        for (at, crash) in crashes.iter().enumerate() {
-            for &part in crash.accused.keys() {
+        for (at, one) in crashes.iter().enumerate() {
+            for &part in &one.parts {
                 accused.entry(part).or_default().insert(at);
             }
         }
         let suspects = accused.into_iter();
         let is_of_one_request = |indices: &BTreeSet<usize>| {
             let mut requests = refused_requests.iter();
-            requests.any(|&request| indices.iter().all(|&at| crashes[at].accuses(request)))
+            requests.any(|&request| {
+                let mut indices = indices.iter();
+                indices.all(|&at| crashes[at].crash.accuses(request))
+            })
         };
         suspects
             .filter(|(_, indices)| !is_of_one_request(indices))
             .filter_map(|(part, indices)| {
-                let qualified_at = qualified_at(part, crashes, &indices)?;
-                let mut accusing = indices.iter().map(|&at| crashes[at]);
+                let is_known = accusations(part) >= MAX_CRASHES && sound_at(part).is_none();
+                let enough = if is_known {
+                    MIN_FURTHER_CRASHES
+                } else {
+                    MIN_CRASHES
+                };
+                let qualified_at = qualified_at(part, crashes, &indices, enough)?;
+                let mut accusing = indices.iter().map(|&at| crashes[at].crash);
                 Some(Self {
                     part,
                     qualified_at,
@@ -84,21 +115,21 @@
     /// Whether one of the crashes has no other explanation.
     pub(super) fn is_alone<F>(
         &self,
-        crashes: &[&Crash],
+        crashes: &[OpenCrash<'_>],
         sound_at: F,
     ) -> bool
     where
         F: Fn(PartId) -> Option<Millis>,
     {
         let is_rival = |&part: &PartId| self.has_rival(part, &sound_at);
-        let mut accusing = self.crashes.iter().map(|&at| crashes[at]);
-        accusing.any(|crash| !crash.accused.keys().any(is_rival))
+        let mut accusing = self.crashes.iter().map(|&at| &crashes[at]);
+        accusing.any(|one| !one.parts.iter().any(is_rival))
     }
 
     /// Whether a few other parts explain the crashes as well, each of them several.
     pub(super) fn has_alternative<F>(
         &self,
-        crashes: &[&Crash],
+        crashes: &[OpenCrash<'_>],
         sound_at: F,
     ) -> bool
     where
@@ -108,25 +139,31 @@
         let mut others = 0;
         while open.len() > MAX_CHANCE_CRASHES {
             let mut counts: BTreeMap<PartId, usize> = BTreeMap::new();
-            let accused = open.iter().flat_map(|&at| crashes[at].accused.keys());
+            let accused = open.iter().flat_map(|&at| &crashes[at].parts);
             for &part in accused.filter(|&&part| self.has_rival(part, &sound_at)) {
                 *counts.entry(part).or_default() += 1;
             }
             let Some((&other, _)) = counts.iter().max_by_key(|&(_, &count)| count) else {
                 return false;
             };
-            open.retain(|&at| !crashes[at].accused.contains_key(&other));
+            open.retain(|&at| !crashes[at].parts.contains(&other));
             others += 1;
         }
         others * MIN_CRASHES_OF_ALTERNATIVE <= self.crashes.len()
     }
 
-    /// Whether enough crashes for a verdict accuse both parts.
-    pub(super) fn shares_crashes(
+    /// The crashes that accuse this and other parts in one prompt.
+    pub(super) fn crashes_with(
         &self,
-        other: &Self,
-    ) -> bool {
-        self.crashes.intersection(&other.crashes).count() >= MIN_CRASHES
+        parts: &BTreeSet<PartId>,
+        crashes: &[OpenCrash<'_>],
+    ) -> usize {
+        let mut all = parts.clone();
+        all.insert(self.part);
+        let together = self.crashes.iter();
+        together
+            .filter(|&&at| crashes[at].crash.accuses_together(&all))
+            .count()
     }
 }
 
@@ -135,18 +172,39 @@
 /// Several upstreams that end at once, as in a power loss, don't show that what they ran is the cause.
 fn qualified_at(
     part: PartId,
-    crashes: &[&Crash],
+    crashes: &[OpenCrash<'_>],
     indices: &BTreeSet<usize>,
+    enough: usize,
 ) -> Option<Millis> {
-    let mut accusing: Vec<&Crash> = indices.iter().map(|&at| crashes[at]).collect();
+    let mut accusing: Vec<&Crash> = indices.iter().map(|&at| crashes[at].crash).collect();
     accusing.sort_by_key(|crash| crash.at);
     let first = accusing.first()?.at;
     let is_later = |crash: &&Crash| crash.sent_at(part) >= Some(first);
     let later = accusing.iter().find(|crash| is_later(crash))?.at;
-    let enough = *separate_ends(part, &accusing).get(MIN_CRASHES - 1)?;
+    let enough = *separate_ends(part, &accusing).get(enough - 1)?;
     Some(enough.max(later))
 }
 
+/// How many crashes under a part came one after the other, each under a prompt that was sent after the one before.
+pub(super) fn serial_ends<'a, I>(
+    part: PartId,
+    accusing: I,
+) -> Vec<&'a Crash>
+where
+    I: IntoIterator<Item = &'a Crash>,
+{
+    let mut ends: Vec<&Crash> = Vec::new();
+    for crash in accusing {
+        let is_next = ends
+            .last()
+            .is_none_or(|last| crash.sent_at(part) >= Some(last.at));
+        if is_next {
+            ends.push(crash);
+        }
+    }
+    ends
+}
+
 /// When upstreams ended, once for those that ended together; the crashes are sorted by time.
 ///
 /// Links that break, as a VM's do when they are reset, break the answers of several upstreams at one moment.
--- a/crates/core/src/quarantine/verdict.rs
+++ b/crates/core/src/quarantine/verdict.rs
@@ -27,10 +27,15 @@
     /// When the next probe is allowed.
     probe_at: Millis,
     probe_interval: Millis,
+    /// When the next probe is allowed of what may only be common to several crashing parts.
+    early_probe_at: Millis,
+    early_probe_interval: Millis,
 }
 
 /// Time until the first probe of a part that was sound before; doubled with each further one.
 const PROBE_INTERVAL: Millis = Millis(60_000);
+/// Time until the first probe of a part that may only be common to several crashing ones; doubled with each further one.
+const EARLY_PROBE_INTERVAL: Millis = Millis(1_200);
 const MAX_PROBE_INTERVAL: Millis = Millis(3_600_000);
 
 impl Verdict {
@@ -43,6 +48,8 @@
             since,
             probe_at: since + PROBE_INTERVAL,
             probe_interval: PROBE_INTERVAL,
+            early_probe_at: since + EARLY_PROBE_INTERVAL,
+            early_probe_interval: EARLY_PROBE_INTERVAL,
         }
     }
 
@@ -59,13 +66,26 @@
         true
     }
 
-    /// Whether a crash accuses all of the parts.
+    /// The same for a part that may only be common to several crashing ones.
+    pub(super) fn take_early_probe(
+        &mut self,
+        now: Millis,
+    ) -> bool {
+        if now < self.early_probe_at {
+            return false;
+        }
+        let interval = Millis(self.early_probe_interval.0 * 2);
+        self.early_probe_interval = interval.min(MAX_PROBE_INTERVAL);
+        self.early_probe_at = now + self.early_probe_interval;
+        true
+    }
+
+    /// Whether a crash accuses all of the parts in one prompt.
     pub(super) fn explains(
         &self,
         crash: &Crash,
     ) -> bool {
-        let mut parts = self.parts.iter();
-        parts.all(|part| crash.accuses(*part))
+        crash.accuses_together(&self.parts)
     }
 
     /// Whether it is about a request as a whole.
--- a/crates/core/src/scheduler/state_machine/quarantine.rs
+++ b/crates/core/src/scheduler/state_machine/quarantine.rs
@@ -7,7 +7,7 @@
         error::{ErrorKind, Refusal},
         ids::{PartId, UpstreamId},
         quarantine::{
-            AttemptEvidence, CrashCandidates, CrashReport, PartSet, PromptEvidence,
+            AttemptEvidence, CrashCandidates, CrashEvidence, PartSet, PromptEvidence,
             QuarantineEvent, RequestEvidence, VerdictSource,
         },
         scheduler::{AttemptId, Job, SchedulerAction as Action, running::Stage},
@@ -69,28 +69,28 @@
         now: Millis,
     ) -> bool {
         let CrashCandidates { shared, request } = candidates;
-        let mut accused: Vec<(PartId, Millis)> = Vec::new();
         let mut needs_review = false;
-        match evidence.prompt {
-            PromptEvidence::None => {}
-            PromptEvidence::Crash => accused.extend(shared.iter().map(|&part| (part, sent_at))),
+        let prompt = match evidence.prompt {
+            PromptEvidence::Crash => shared,
+            PromptEvidence::None => &[],
             PromptEvidence::Sound { begun_ago } => {
                 needs_review = self.quarantine.note_sound(shared, now.since(begun_ago));
+                &[]
             }
-        }
-        match evidence.request {
-            RequestEvidence::None => {}
-            RequestEvidence::UpstreamEnded | RequestEvidence::UpstreamGone => {
-                accused.push((request, sent_at));
-            }
+        };
+        let ended = match evidence.request {
+            RequestEvidence::None => None,
+            RequestEvidence::UpstreamEnded | RequestEvidence::UpstreamGone => Some(request),
             RequestEvidence::Answered { begun_ago } => {
                 self.quarantine.note_answered(request, now.since(begun_ago));
+                None
             }
-        }
-        if accused.is_empty() {
+        };
+        if prompt.is_empty() && ended.is_none() {
             return needs_review;
         }
-        self.quarantine.note_crash(upstream, &accused, now, now);
+        self.quarantine
+            .note_crash(upstream, prompt, ended, sent_at, now);
         if evidence.request == RequestEvidence::UpstreamGone {
             // What it sent before may be reported later.
             self.note_gone(upstream, now);
@@ -116,24 +116,22 @@
         self.quarantine.note_alive(upstream, now);
     }
 
-    /// Adds crashes that another VM has recorded.
-    pub fn add_crashes(
+    /// Adds what another VM has recorded of crashes and of sound parts.
+    pub fn add_crash_evidence(
         &mut self,
-        crashes: &[CrashReport],
+        evidence: &CrashEvidence,
         now: Millis,
     ) {
-        for crash in crashes {
-            self.quarantine.note_report(crash, now);
-        }
-        self.is_evidence_new |= !crashes.is_empty();
+        self.quarantine.add_evidence(evidence, now);
+        self.is_evidence_new = true;
     }
 
-    /// The crashes that this VM has recorded, for a new scheduler.
-    pub fn crashes(
+    /// What this VM has recorded of crashes and of sound parts, for others.
+    pub fn crash_evidence(
         &self,
         now: Millis,
-    ) -> Vec<CrashReport> {
-        self.quarantine.reports(now)
+    ) -> CrashEvidence {
+        self.quarantine.evidence(now)
     }
 
     /// Quarantines parts, as another scheduler has.
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -9,8 +9,8 @@
         ids::{AdapterId, PartId, UpstreamId},
         ingress::{PromptPart, shared_parts},
         quarantine::{
-            AnswerEnd, AnswerTrace, AttemptEvidence, CrashCandidates, CrashReport, PartSet,
-            PromptEvidence, RequestEvidence, VerdictSource,
+            AnswerEnd, AnswerTrace, AttemptEvidence, CrashCandidates, CrashEvidence, CrashReport,
+            PartSet, PromptEvidence, PromptReport, RequestEvidence, VerdictSource,
         },
         scheduler::{AttemptId, Job, LOCAL_VM, Outcome, Work},
     },
@@ -139,15 +139,30 @@
     (id, ago, sent_ago): (u32, u64, u64),
     parts: &[u64],
 ) -> CrashReport {
-    let accused = parts.iter();
-    let accused = accused.map(|&part| (PartId::Part(part), Millis(sent_ago)));
+    let prompt = PromptReport {
+        parts: parts.iter().map(|&part| PartId::Part(part)).collect(),
+        sent_ago: Millis(sent_ago),
+    };
     CrashReport {
         upstream: UpstreamId(id),
         ago: Millis(ago),
-        accused: accused.collect(),
+        prompts: vec![prompt],
+        requests: Vec::new(),
     }
 }
 
+/// Tells the scheduler of crashes, as another VM does.
+fn tell(
+    world: &mut World,
+    crashes: &[CrashReport],
+) {
+    let evidence = CrashEvidence {
+        crashes: crashes.to_vec(),
+        sound: Vec::new(),
+    };
+    world.scheduler.add_crash_evidence(&evidence, world.now);
+}
+
 fn crashes_until_known(
     world: &mut World,
     parts: &[u64],
@@ -381,11 +396,11 @@
         (2, 3_000, 3_050, BAD),
         (2, 1_000, 3_040, OTHER),
     ];
-    let now = world.now;
     let reports = crashes.map(|(id, ago, sent, part)| report((id, ago, sent), &[FIRST, part]));
-    world.scheduler.add_crashes(&reports, now);
+    tell(&mut world, &reports);
     world.advance(3_000);
-    assert_eq!(world.scheduler.crashes(world.now).len(), 2);
+    let known = world.scheduler.crash_evidence(world.now).crashes;
+    assert_eq!(known.len(), 2);
 }
 
 #[test]
@@ -483,9 +498,8 @@
         (2, 2_990, 3_040),
         (3, 2_980, 3_060),
     ];
-    let now = world.now;
     let reports = crashes.map(|crash| report(crash, &[FIRST, OTHER]));
-    world.scheduler.add_crashes(&reports, now);
+    tell(&mut world, &reports);
     world.advance(3_000);
     assert!(!is_quarantined(&mut world, &[FIRST, OTHER]));
 }
@@ -496,9 +510,8 @@
     let mut world = world();
     answer(&mut world, &[FIRST, OTHER]);
     let crashes = [(4, 2_000, 2_050), (5, 1_950, 1_990), (6, 1_900, 1_940)];
-    let now = world.now;
     let reports = crashes.map(|crash| report(crash, &[FIRST, BAD]));
-    world.scheduler.add_crashes(&reports, now);
+    tell(&mut world, &reports);
     world.advance(3_000);
     assert!(is_quarantined(&mut world, &[FIRST, BAD]));
 }
@@ -510,8 +523,7 @@
     let crashes = [(1, 300, 700), (2, 299, 700), (3, 298, 700)];
     let reports = crashes.map(|crash| report(crash, &[FIRST, OTHER]));
     for _ in 0..2 {
-        let now = world.now;
-        world.scheduler.add_crashes(&reports, now);
+        tell(&mut world, &reports);
         world.advance(900);
     }
     world.advance(3_000);
@@ -526,15 +538,13 @@
     remove_engines(&mut world);
     let queued = world.place(prompt(&[FIRST, BAD], world.now));
     assert_eq!(world.decision(queued), None, "it waits");
-    let sent_just_before = |id: u32, part| (PartId::Part(part), Millis(500 * u64::from(id) + 600));
-    let report = |id: u32| CrashReport {
-        upstream: UpstreamId(id),
-        ago: Millis(500 * u64::from(id) + 500),
-        accused: vec![sent_just_before(id, FIRST), sent_just_before(id, BAD)],
-    };
-    let reports: Vec<CrashReport> = (0..3).map(report).collect();
-    let now = world.now;
-    world.scheduler.add_crashes(&reports, now);
+    let reports: Vec<CrashReport> = (0..3)
+        .map(|id| {
+            let ago = 500 * u64::from(id) + 500;
+            report((id, ago, ago + 100), &[FIRST, BAD])
+        })
+        .collect();
+    tell(&mut world, &reports);
     world.advance(50);
     let decision = world.decision(queued);
     assert!(
@@ -547,14 +557,8 @@
 fn what_several_vms_saw_counts_once() {
     // Guards against one crash that several VMs report and that counts as several.
     let mut world = world();
-    let now = world.now;
     for _ in 0..10 {
-        let report = CrashReport {
-            upstream: UpstreamId(1),
-            ago: Millis::ZERO,
-            accused: vec![(PartId::Part(BAD), Millis::ZERO)],
-        };
-        world.scheduler.add_crashes(&[report], now);
+        tell(&mut world, &[report((1, 0, 0), &[BAD])]);
     }
     world.advance(3_000);
     assert!(!is_quarantined(&mut world, &[BAD, OTHER]));
@@ -703,21 +707,17 @@
     let mut world = world();
     answer(&mut world, &[FIRST, OTHER]);
     for part in 1_000..1_400 {
-        let now = world.now;
         for crash in 0..3 {
-            let accused = |part| (PartId::Part(part), Millis(2_000 - crash * 500));
-            let report = CrashReport {
-                upstream: UpstreamId((part * 3 + crash) as u32),
-                ago: Millis(1_900 - crash * 500),
-                accused: (part..part + 40).map(accused).collect(),
-            };
-            world.scheduler.add_crashes(&[report], now);
+            let id = (part * 3 + crash) as u32;
+            let (ago, sent_ago) = (1_900 - crash * 500, 2_000 - crash * 500);
+            let parts: Vec<u64> = (part..part + 40).collect();
+            tell(&mut world, &[report((id, ago, sent_ago), &parts)]);
         }
         world.advance(2_000);
     }
     let count = world.scheduler.quarantined().len();
     assert!(count <= 100, "{count} verdicts");
-    let kept = world.scheduler.crashes(world.now).len();
+    let kept = world.scheduler.crash_evidence(world.now).crashes.len();
     assert!(kept <= 256, "{kept} crashes");
     assert!(!is_quarantined(&mut world, &[FIRST, OTHER]));
 }
--- a/crates/core/tests/ended_requests.rs
+++ b/crates/core/tests/ended_requests.rs
@@ -379,9 +379,9 @@
     for _ in 0..3 {
         send_and_end(&mut old, OTHER);
     }
-    let reports = old.scheduler.crashes(old.now);
+    let evidence = old.scheduler.crash_evidence(old.now);
     let mut new = world();
-    new.scheduler.add_crashes(&reports, new.now);
+    new.scheduler.add_crash_evidence(&evidence, new.now);
     new.advance(GAP);
     assert!(is_refused(&mut new, OTHER));
     assert!(send_and_end(&mut new, BAD).is_some());
--- a/crates/entry/src/scheduling/client/following.rs
+++ b/crates/entry/src/scheduling/client/following.rs
@@ -7,7 +7,7 @@
         convert::{
             AttemptUpdate, read_leader, read_quarantine, write_account_uses, write_attempts,
             write_crashes, write_idle_times, write_leader, write_promises, write_quarantine,
-            write_running, write_stated, write_update,
+            write_running, write_sound, write_stated, write_update,
         },
         cost_spec::write_costs,
     },
@@ -200,8 +200,11 @@
                 req.get().set_counted_for_ms(history.counted_for.0 as u32);
                 let stated = req.get().init_stated(history.stated.len() as u32);
                 write_stated(stated, &history.stated);
-                let crashes = req.get().init_crashes(history.crashes.len() as u32);
-                write_crashes(crashes, &history.crashes);
+                let evidence = &history.evidence;
+                let crashes = req.get().init_crashes(evidence.crashes.len() as u32);
+                write_crashes(crashes, &evidence.crashes);
+                let sound = req.get().init_sound(evidence.sound.len() as u32);
+                write_sound(sound, &evidence.sound);
                 let quarantine = req.get().init_quarantine(history.quarantine.len() as u32);
                 write_quarantine(quarantine, &history.quarantine);
                 let accounts = req.get().init_accounts(history.accounts.len() as u32);
--- a/crates/entry/src/scheduling/client/leading.rs
+++ b/crates/entry/src/scheduling/client/leading.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Mode, SchedulerNode},
-    crate::scheduling::{Handover, Leader},
+    crate::scheduling::{EvidenceSpec, Handover, Leader},
     jasmine_core::{
         clock::Millis,
         ids::Fence,
@@ -77,6 +77,7 @@
         Line::new("lead_taken").with("fence", fence).info();
         let previous = self.leader.replace(Some(leader.clone()));
         self.local_scheduler.set_role(true, share);
+        self.local_scheduler.add_stored_evidence();
         self.apply_handover(previous.as_ref().map(|previous| previous.fence));
         let history = self.local_scheduler.history();
         self.local_scheduler
@@ -187,8 +188,22 @@
         }
     }
 
+    /// Records what `vm` has stored of crashes and of sound parts so long ago, and adds it if this VM decides.
+    pub fn note_stored_evidence(
+        &self,
+        vm: &str,
+        evidence: EvidenceSpec,
+        age: Millis,
+    ) {
+        if !self.is_following() {
+            self.local_scheduler.add_crash_evidence(vm, &evidence, age);
+        }
+        self.local_scheduler.note_stored_evidence(vm, evidence, age);
+    }
+
     fn become_standalone(&self) {
         self.local_scheduler.set_role(false, self.rights_share());
+        self.local_scheduler.add_stored_evidence();
         self.local_scheduler.forget_other_vms(LOCAL_VM);
         self.set_mode(Mode::Standalone);
     }
--- a/crates/entry/src/scheduling/convert.rs
+++ b/crates/entry/src/scheduling/convert.rs
@@ -13,15 +13,18 @@
         ids::{Fence, InvalidPartId, PartId},
         ingress::{PromptPart, PromptSize},
         load_reports::{HeardLoad, LoadReport, Pace},
-        quarantine::{AttemptEvidence, PartSet, PromptEvidence, RequestEvidence},
+        quarantine::{
+            AttemptEvidence, PartSet, PromptEvidence, PromptReport, RequestEvidence, SoundReport,
+        },
         scheduler::{
             AttemptCounts, Outcome, PastAttempts, SpentTokens, UpstreamSignals, WaitReason,
         },
     },
     jasmine_wire::scheduler_capnp::{
         EndKind, Evidence, account_use, attempts, crash, job, leadership, load_report, news,
-        promise, quarantined, rested, running_job, signals, stated, verdict,
+        promise, quarantined, rested, running_job, signals, sound, stated, verdict,
     },
+    std::collections::BTreeMap,
 };
 
 /// Return times read from one VM at most.
@@ -452,11 +455,20 @@
         let mut one = to.reborrow().get(at as u32);
         one.set_upstream(&spec.upstream);
         one.set_ago_ms(u32::try_from(spec.ago.0).unwrap_or(u32::MAX));
-        let mut list = one.init_accused(spec.accused.len() as u32);
-        for (at, (part, sent_ago)) in spec.accused.iter().enumerate() {
+        let prompts = spec.prompts.iter().enumerate();
+        let parts = prompts.flat_map(|(number, prompt)| {
+            let parts = prompt.parts.iter();
+            parts.map(move |&part| (part, prompt.sent_ago, number))
+        });
+        let requests = spec.requests.iter();
+        let requests = requests.map(|&(request, sent_ago)| (request, sent_ago, 0));
+        let accused: Vec<(PartId, Millis, usize)> = parts.chain(requests).collect();
+        let mut list = one.init_accused(accused.len() as u32);
+        for (at, (part, sent_ago, prompt)) in accused.into_iter().enumerate() {
             let mut to = list.reborrow().get(at as u32);
             to.set_part(part.to_string());
             to.set_sent_ago_ms(u32::try_from(sent_ago.0).unwrap_or(u32::MAX));
+            to.set_prompt(u16::try_from(prompt).unwrap_or(u16::MAX));
         }
     }
 }
@@ -464,22 +476,56 @@
 pub(super) fn read_crashes(
     from: struct_list::Reader<'_, crash::Owned>
 ) -> Result<Vec<CrashSpec>, capnp::Error> {
-    from.iter()
-        .map(|one| {
-            Ok(CrashSpec {
-                upstream: one.get_upstream()?.to_string()?,
-                ago: Millis(one.get_ago_ms().into()),
-                accused: one
-                    .get_accused()?
-                    .iter()
-                    .map(|one| {
-                        let part = read_part(one.get_part()?)?;
-                        Ok((part, Millis(one.get_sent_ago_ms().into())))
-                    })
-                    .collect::<Result<_, capnp::Error>>()?,
-            })
+    from.iter().map(read_crash).collect()
+}
+
+fn read_crash(from: crash::Reader<'_>) -> Result<CrashSpec, capnp::Error> {
+    let mut prompts: BTreeMap<u16, PromptReport> = BTreeMap::new();
+    let mut requests = Vec::new();
+    for accused in from.get_accused()? {
+        let part = read_part(accused.get_part()?)?;
+        let sent_ago = Millis(accused.get_sent_ago_ms().into());
+        if part.is_request() {
+            requests.push((part, sent_ago));
+            continue;
+        }
+        let prompt = prompts.entry(accused.get_prompt());
+        let prompt = prompt.or_insert_with(|| PromptReport {
+            parts: Vec::new(),
+            sent_ago,
+        });
+        prompt.parts.push(part);
+        prompt.sent_ago = prompt.sent_ago.min(sent_ago);
+    }
+    Ok(CrashSpec {
+        upstream: from.get_upstream()?.to_string()?,
+        ago: Millis(from.get_ago_ms().into()),
+        prompts: prompts.into_values().collect(),
+        requests,
+    })
+}
+
+pub(super) fn write_sound(
+    mut to: struct_list::Builder<'_, sound::Owned>,
+    parts: &[SoundReport],
+) {
+    for (at, report) in parts.iter().enumerate() {
+        let mut one = to.reborrow().get(at as u32);
+        one.set_part(report.part.to_string());
+        one.set_ago_ms(u32::try_from(report.ago.0).unwrap_or(u32::MAX));
+    }
+}
+
+pub(super) fn read_sound(
+    from: struct_list::Reader<'_, sound::Owned>
+) -> Result<Vec<SoundReport>, capnp::Error> {
+    let parts = from.iter().map(|one| {
+        Ok(SoundReport {
+            part: read_part(one.get_part()?)?,
+            ago: Millis(one.get_ago_ms().into()),
         })
-        .collect()
+    });
+    parts.collect()
 }
 
 pub(super) fn write_quarantine(
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -5,6 +5,7 @@
         quarantine_log::QuarantineLog,
         retry_log::RetryLog,
         shed_log::ShedLog,
+        stored_evidence::StoredEvidence,
         told_returns::ToldReturns,
     },
     crate::clock::Clock,
@@ -105,6 +106,10 @@
     /// Notified when the quarantine has changed.
     pub(super) quarantine_changed: Notify,
     pub(super) quarantine_log: RefCell<QuarantineLog>,
+    /// What VMs have stored of crashes and sound parts, by their names.
+    pub(super) stored_evidence: RefCell<BTreeMap<String, StoredEvidence>>,
+    /// Notified when this VM has recorded a crash.
+    pub(super) crash_recorded: Notify,
 }
 
 impl LocalScheduler {
@@ -135,6 +140,8 @@
             versions_changed: watch::Sender::default(),
             quarantine_changed: Notify::new(),
             quarantine_log: RefCell::default(),
+            stored_evidence: RefCell::default(),
+            crash_recorded: Notify::new(),
         }
     }
 
@@ -364,7 +371,7 @@
                 .map(|(id, past)| (names.service_name(id).to_string(), past))
                 .collect(),
             stated: stated.collect(),
-            crashes: self.crashes(),
+            evidence: self.crash_evidence(),
             quarantine: self.quarantined(),
             rates_counted_for: rates.counted_for,
             accounts: accounts
--- a/crates/entry/src/scheduling/mod.rs
+++ b/crates/entry/src/scheduling/mod.rs
@@ -22,6 +22,7 @@
 mod retry_log;
 mod server;
 mod shed_log;
+mod stored_evidence;
 mod told_returns;
 mod versions;
 mod vm_history;
@@ -39,5 +40,5 @@
     placement::Placement,
     placement_error::PlacementError,
     server::SchedulerServer,
-    vm_history::{CrashSpec, PromiseSpec, StatedSpec, VmHistory},
+    vm_history::{CrashSpec, EvidenceSpec, PromiseSpec, StatedSpec, VmHistory},
 };
--- a/crates/entry/src/scheduling/quarantine.rs
+++ b/crates/entry/src/scheduling/quarantine.rs
@@ -1,13 +1,13 @@
 //! Parts of prompts that crash upstreams: evidence, and what this VM refuses.
 
 use {
-    super::{CrashSpec, GenerationSpec, LocalScheduler, RunningSpec, VmHistory},
+    super::{GenerationSpec, LocalScheduler, RunningSpec, VmHistory},
     jasmine_core::{
         clock::Millis,
         ids::PartId,
         quarantine::{
-            AttemptEvidence, CrashCandidates, CrashReport, PartSet, PromptEvidence,
-            QuarantineEvent, RequestEvidence, VerdictSource, join_parts,
+            AttemptEvidence, CrashCandidates, PartSet, PromptEvidence, QuarantineEvent,
+            RequestEvidence, VerdictSource, join_parts,
         },
         scheduler::AttemptId,
     },
@@ -45,8 +45,12 @@
                 .with("parts", join_parts(parts, ","))
                 .info();
         }
-        let mut scheduler = self.scheduler.borrow_mut();
-        scheduler.note_evidence(attempt_id, evidence, now);
+        self.scheduler
+            .borrow_mut()
+            .note_evidence(attempt_id, evidence, now);
+        if is_crash || has_ended {
+            self.crash_recorded.notify_one();
+        }
     }
 
     /// Records the same of a request of this VM's own callers that the leader has assigned.
@@ -79,48 +83,19 @@
         self.scheduler.borrow_mut().note_alive(id, now);
     }
 
-    /// The crashes that this VM has recorded.
-    pub(super) fn crashes(&self) -> Vec<CrashSpec> {
-        let crashes = self.scheduler.borrow().crashes(self.clock.now());
-        let names = self.names.borrow();
-        let specs = crashes.into_iter().map(|crash| CrashSpec {
-            upstream: names.upstream_name(crash.upstream).to_string(),
-            ago: crash.ago,
-            accused: crash.accused,
-        });
-        specs.collect()
-    }
-
     /// Adds what another VM has recorded and refuses.
     pub(super) fn add_quarantine_history(
         &self,
         vm: &str,
         history: &VmHistory,
     ) {
-        Line::new("evidence_received")
-            .with("vm", vm)
-            .with("crashes", history.crashes.len())
-            .with("verdicts", history.quarantine.len())
-            .info();
-        let crashes: Vec<CrashReport> = {
-            let mut names = self.names.borrow_mut();
-            let specs = history.crashes.iter();
-            let reports = specs.map(|spec| CrashReport {
-                upstream: names.upstream(&spec.upstream),
-                ago: spec.ago,
-                accused: spec.accused.clone(),
-            });
-            reports.collect()
-        };
         self.apply(|scheduler, now| {
-            let mut actions = Vec::new();
-            for parts in &history.quarantine {
-                actions.extend(scheduler.add_quarantine(parts.clone(), VerdictSource::Vm, now));
-            }
-            scheduler.add_crashes(&crashes, now);
-            actions.extend(scheduler.tick(now));
-            actions
+            let sets = history.quarantine.iter().cloned();
+            let actions = sets.map(|set| scheduler.add_quarantine(set, VerdictSource::Vm, now));
+            actions.flatten().collect()
         });
+        self.add_crash_evidence(vm, &history.evidence, Millis::ZERO);
+        self.crash_recorded.notify_one();
     }
 
     /// Whether this VM refuses a request with this fingerprint.
--- a/crates/entry/src/scheduling/server.rs
+++ b/crates/entry/src/scheduling/server.rs
@@ -1,10 +1,10 @@
 use {
     super::{
-        LocalScheduler, SchedulerNode, Verdict, VmHistory,
+        EvidenceSpec, LocalScheduler, SchedulerNode, Verdict, VmHistory,
         convert::{
             AttemptUpdate, JobUpdate, read_account_uses, read_attempts, read_crashes,
             read_idle_times, read_job, read_leader, read_promises, read_quarantine, read_running,
-            read_stated, read_update, write_leader, write_quarantine, write_verdict,
+            read_sound, read_stated, read_update, write_leader, write_quarantine, write_verdict,
         },
         cost_spec::read_costs,
     },
@@ -139,7 +139,10 @@
             counted_for: Millis(params.get_counted_for_ms().into()),
             attempts: read_attempts(params.get_attempts()?)?,
             stated: read_stated(params.get_stated()?)?,
-            crashes: read_crashes(params.get_crashes()?)?,
+            evidence: EvidenceSpec {
+                crashes: read_crashes(params.get_crashes()?)?,
+                sound: read_sound(params.get_sound()?)?,
+            },
             quarantine: read_quarantine(params.get_quarantine()?)?,
             rates_counted_for: Millis(params.get_rates_counted_for_ms().into()),
             accounts: read_account_uses(params.get_accounts()?)?,
--- a/crates/entry/src/scheduling/vm_history.rs
+++ b/crates/entry/src/scheduling/vm_history.rs
@@ -3,7 +3,7 @@
     jasmine_core::{
         clock::Millis,
         ids::PartId,
-        quarantine::PartSet,
+        quarantine::{PartSet, PromptReport, SoundReport},
         scheduler::{PastAttempts, SpentTokens, UpstreamSignals},
     },
 };
@@ -17,8 +17,8 @@
     pub attempts: Vec<(String, PastAttempts)>,
     /// The upstreams that have stated something.
     pub stated: Vec<StatedSpec>,
-    /// The crashes that this VM has recorded.
-    pub crashes: Vec<CrashSpec>,
+    /// What it knows of crashes and of sound parts.
+    pub evidence: EvidenceSpec,
     /// The parts of prompts that it refuses.
     pub quarantine: Vec<PartSet>,
     /// How long the use of account rates was counted, at most the window of the limits; zero if the VM doesn't tell it.
@@ -46,15 +46,26 @@
     pub work: f64,
 }
 
-/// A crash of an upstream as it began to answer prompts, as a VM tells it to a new leader.
+/// What a VM knows of crashes and of sound parts, as it tells it to others.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EvidenceSpec {
+    /// The crashes.
+    pub crashes: Vec<CrashSpec>,
+    /// The accused parts that were sound before, and those that were sound last.
+    pub sound: Vec<SoundReport>,
+}
+
+/// A crash of an upstream as it began to answer prompts, as a VM tells it to others.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CrashSpec {
     /// The upstream's id.
     pub upstream: String,
     /// Time since the crash.
     pub ago: Millis,
-    /// The parts of the prompts, and how long ago one with them was last sent to the upstream.
-    pub accused: Vec<(PartId, Millis)>,
+    /// The prompts that it had just begun to answer.
+    pub prompts: Vec<PromptReport>,
+    /// The requests that it had, and how long ago they were sent to it.
+    pub requests: Vec<(PartId, Millis)>,
 }
 
 /// What an upstream has stated, as a VM tells it to a new leader.
--- a/crates/wire/schema/scheduler.capnp
+++ b/crates/wire/schema/scheduler.capnp
@@ -165,6 +165,13 @@
 struct Accused {
   part @0 :Text;               # hexadecimal id of a part of prompts, adapter.ID or request.ID
   sentAgoMs @1 :UInt32;        # since such a prompt was last sent to the upstream
+  prompt @2 :UInt16;           # parts with the same number were in one prompt; of no meaning for a request
+}
+
+# A part of prompts, or a request, that an answer has shown to be sound.
+struct Sound {
+  part @0 :Text;               # as in Accused
+  agoMs @1 :UInt32;            # since the latest such answer began
 }
 
 # Prompts with all of these parts are refused.
@@ -223,7 +230,7 @@
   # `ratesCountedForMs`: how much of the window of the rate limits the VM has counted what its `accounts` used; 0: it doesn't tell.
   hello @0 (vm :Text, incarnation :UInt64, running :List(RunningJob), attempts :List(Attempts), countedForMs :UInt32,
       stated :List(Stated), crashes :List(Crash), quarantine :List(Quarantined), accounts :List(AccountUse),
-      ratesCountedForMs :UInt32, costs :List(LearnedCost), promises :List(Promise))
+      ratesCountedForMs :UInt32, costs :List(LearnedCost), promises :List(Promise), sound :List(Sound))
       -> (session :UInt32, leader :Leadership);
   place @1 (session :UInt32, job :Job) -> (known :Bool, verdict :Verdict);
   tell @2 (session :UInt32, news :List(News)) -> (known :Bool);
