What the deciding VM knows of crashes and sound parts is kept in the store

Only verdicts were stored; they come after three to five crashes, and evidence below them died with the VMs. The leader, or a VM that has seen a crash while it decides alone, now writes crashes and sound parts to jasmine/crash-evidence/VM within some ms of a crash and when they change; whoever decides next adds them, and the leader deletes what it has taken over.

--- a/crates/entry/src/clock.rs
+++ b/crates/entry/src/clock.rs
@@ -3,6 +3,7 @@
 use {
     jasmine_core::clock::Millis,
     nix::time::{ClockId, clock_gettime},
+    std::time::{SystemTime, UNIX_EPOCH},
 };
 
 /// A monotonic clock in milliseconds that also runs while the VM is suspended.
@@ -22,4 +23,10 @@
         let time = clock_gettime(ClockId::CLOCK_BOOTTIME).expect("the boot clock exists");
         Millis(time.tv_sec() as u64 * 1000 + time.tv_nsec() as u64 / 1_000_000)
     }
+
+    /// The time of day since 1970, which may jump; for ages of what another process has stored.
+    pub fn unix_time() -> Millis {
+        let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+        Millis(elapsed.map_or(0, |elapsed| elapsed.as_millis() as u64))
+    }
 }
--- a/crates/entry/src/daemon/run.rs
+++ b/crates/entry/src/daemon/run.rs
@@ -9,8 +9,8 @@
             LocalScheduler, OrderContext, SchedulerNode, SchedulerServer, run_engine_tasks,
         },
         store::{
-            Feed, KvStore, Membership, VmRecord, follow, keep_quarantine, keep_registered,
-            run_election,
+            Feed, KvStore, Membership, VmRecord, follow, keep_crash_evidence, keep_quarantine,
+            keep_registered, run_election,
         },
         streams::{OriginDirectory, keep_origins_stored},
         upstream::Pool,
@@ -170,6 +170,8 @@
     incarnation: u64,
 ) {
     spawn_local(keep_quarantine(Rc::clone(cx), store.clone()));
+    let vm = cx.scheduling.me().to_owned();
+    spawn_local(keep_crash_evidence(Rc::clone(cx), store.clone(), vm));
     let origins = keep_origins_stored(Rc::clone(cx), store.clone(), incarnation);
     spawn_local(origins);
 }
--- a/crates/entry/src/store/mod.rs
+++ b/crates/entry/src/store/mod.rs
@@ -1,6 +1,7 @@
 //! The platform's key-value service: client, replication of its content, registration and leader election.
 
 mod confirmation;
+mod crash_evidence;
 mod election;
 mod feed;
 mod follower;
@@ -13,6 +14,7 @@
 mod vm_record;
 
 pub use {
+    crash_evidence::keep_crash_evidence,
     election::run_election,
     feed::{Feed, FeedReply},
     follower::follow,
--- a/crates/entry/src/store/view.rs
+++ b/crates/entry/src/store/view.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         Feed, Membership,
+        crash_evidence::{self, EVIDENCE_PREFIX},
         membership::{LAST_LEADER_KEY, LEADER_KEY, VM_PREFIX},
         quarantine::{self, QUARANTINE_PREFIX},
     },
@@ -146,6 +147,7 @@
         }
         self.retain_evacuations(reply);
         self.retain_quarantine(reply);
+        self.retain_crash_evidence(reply);
         if !reply.kvs.iter().any(|kv| kv.key == LEADER_KEY) {
             self.membership.remove_leader();
         }
@@ -304,6 +306,8 @@
             }
         } else if let Some(name) = kv.key.strip_prefix(QUARANTINE_PREFIX) {
             self.add_quarantine(name);
+        } else if let Some(vm) = kv.key.strip_prefix(EVIDENCE_PREFIX) {
+            self.put_crash_evidence(vm, kv, origin);
         } else if kv.key == LEADER_KEY {
             self.membership.set_leader(&self.cx, kv);
         } else if kv.key == LAST_LEADER_KEY {
@@ -326,6 +330,11 @@
             self.end_evacuation(data_centre);
         } else if let Some(name) = key.strip_prefix(QUARANTINE_PREFIX) {
             self.remove_quarantine(name);
+        } else if let Some(vm) = key.strip_prefix(EVIDENCE_PREFIX) {
+            self.cx
+                .scheduling
+                .local_scheduler
+                .forget_stored_evidence(vm);
         } else if key == LEADER_KEY {
             self.membership.remove_leader();
         } else if let Some(vm) = key.strip_prefix(VM_PREFIX) {
@@ -479,6 +488,44 @@
         }
     }
 
+    fn put_crash_evidence(
+        &self,
+        vm: &str,
+        kv: &KeyValue,
+        origin: Origin,
+    ) {
+        let scheduling = &self.cx.scheduling;
+        match (crash_evidence::decode(&kv.value), origin) {
+            (Ok((evidence, _)), Origin::Change) if vm == scheduling.me() => scheduling
+                .local_scheduler
+                .note_stored_evidence(vm, evidence, Millis::ZERO),
+            // A change comes at once, so that the time of day of the other VM needn't be right.
+            (Ok((evidence, _)), Origin::Change) => {
+                scheduling.note_stored_evidence(vm, evidence, Millis::ZERO);
+            }
+            (Ok((evidence, age)), Origin::FullRead) => {
+                scheduling.note_stored_evidence(vm, evidence, age);
+            }
+            (Err(e), _) => log_unreadable(&kv.key, &e),
+        }
+    }
+
+    /// Forgets the evidence that is not in a full read of the store.
+    fn retain_crash_evidence(
+        &self,
+        reply: &RangeReply,
+    ) {
+        let found = reply.kvs.iter();
+        let found: Vec<&str> = found
+            .filter_map(|kv| kv.key.strip_prefix(EVIDENCE_PREFIX))
+            .collect();
+        let local_scheduler = &self.cx.scheduling.local_scheduler;
+        let writers = local_scheduler.evidence_writers();
+        for vm in writers.iter().filter(|vm| !found.contains(&vm.as_str())) {
+            local_scheduler.forget_stored_evidence(vm);
+        }
+    }
+
     /// Releases what is not in a full read of the store, though it was there before.
     fn retain_quarantine(
         &self,
