Prompts that wait for a trial are looked at by how suspect they are; a refused set excuses none of its parts alone

Found by a test of the trial order: held prompts share one queue of which only the first is looked at, so that a less suspect prompt behind it never went. They now wait apart by the crashes that accuse their second most accused part.

A part of a set that is refused after five crashes is refused by itself after one more crash with no other suspect (two before; late requests are three at most). A VM's verdict on a part that was sound lately isn't taken over by a new leader, which weighs what it was told instead.

Core tests of each guard.

--- a/crates/core/src/quarantine/part_quarantine.rs
+++ b/crates/core/src/quarantine/part_quarantine.rs
@@ -252,6 +252,17 @@
         is_held
     }
 
+    /// Crashes that accuse the second most accused of these parts.
+    pub fn suspicion(
+        &self,
+        parts: &[PartId],
+    ) -> usize {
+        let accusations = parts.iter().map(|&part| self.crashes.accusations(part));
+        let mut accusations: Vec<usize> = accusations.collect();
+        accusations.sort_unstable_by_key(|&count| Reverse(count));
+        accusations.get(1).copied().unwrap_or_default()
+    }
+
     /// Holds prompts with parts on trial until then, as others that know more of them may be heard.
     pub const fn delay_trials(
         &mut self,
@@ -346,21 +357,20 @@
         source: VerdictSource,
         now: Millis,
     ) {
-        if source != VerdictSource::Vm || !self.is_refuted(&parts, now) {
+        // A VM that decided alone knew less: with what it has told, too, the next review may find the same.
+        if source != VerdictSource::Vm || !self.was_sound_lately(&parts, now) {
             self.insert(parts, source, now);
         }
     }
 
-    /// Whether answers have shown some of the parts to be sound, and no crash since accuses them: a VM that knew less
-    /// refuses them.
-    fn is_refuted(
+    /// Whether answers have shown some of the parts to be sound while crashes are kept.
+    fn was_sound_lately(
         &self,
         parts: &PartSet,
         now: Millis,
     ) -> bool {
-        let is_recent = |at| now.since(at) < RETENTION;
         let mut sound = parts.iter().filter_map(|&part| self.sound.latest(part));
-        sound.any(is_recent) && self.crashes.accusing(parts, now).is_empty()
+        sound.any(|at| now.since(at) < RETENTION)
     }
 
     /// Removes parts that an operator or another scheduler has taken out of quarantine.
--- a/crates/core/src/quarantine/weighing.rs
+++ b/crates/core/src/quarantine/weighing.rs
@@ -50,7 +50,8 @@
     /// Several that are left are refused where a prompt has them all. A single one, which other prompts may share, is put
     /// on trial first, and for longer where it may be what several crashing parts share.
     pub(super) fn finding(&self) -> Finding {
-        if let Some(part) = self.common_cause() {
+        let found = self.common_cause().or_else(|| self.cause_of_set());
+        if let Some(part) = found {
             return Finding::Guilty(PartSet::from([part]));
         }
         let unexplained: Vec<OpenCrash<'_>> = self
@@ -79,10 +80,8 @@
             |suspect: &Suspect, since| suspect.trials(&unexplained, sound_at, accusations, since);
         let is_guilty = |one: &&Suspect| {
             let is_alone = !one.was_sound() && one.is_alone(&unexplained, sound_at);
-            let is_member = self.is_in_refused_set(one.part);
             let was_tried = one.is_confirmed && trials(one, one.qualified_at) > 0;
-            (is_alone || was_tried || is_member && trials(one, Millis::ZERO) >= MIN_TRIALS)
-                && !has_alternative(one)
+            (is_alone || was_tried) && !has_alternative(one)
         };
         if let Some(guilty) = suspects.iter().find(is_guilty) {
             return Finding::Guilty(PartSet::from([guilty.part]));
@@ -173,10 +172,7 @@
                 !part.is_request() && self.crashes.accusations(part) >= MAX_SHARED_CRASHES
             })
             .collect();
-        candidates.retain(|&part| {
-            let mut verdicts = self.part_verdicts();
-            !verdicts.any(|verdict| verdict.parts.iter().all(|&known| known == part))
-        });
+        candidates.retain(|&part| !self.is_refused_alone(part));
         candidates.into_iter().find(|&part| self.is_common(part))
     }
 
@@ -226,12 +222,47 @@
             || suspect.trials(&crashes, sound_at, accusations, since) >= MIN_TRIALS
     }
 
-    fn is_in_refused_set(
+    /// A part that is refused together with others, after as many crashes as are allowed, and crashes an upstream without
+    /// them, if there is one.
+    fn cause_of_set(&self) -> Option<PartId> {
+        let sets = self.part_verdicts().filter(|one| one.parts.len() > 1);
+        let mut found = sets.flat_map(|set| {
+            let members = set.parts.iter().copied();
+            let known = members.filter(|&part| self.crashes.accusations(part) >= MAX_CRASHES);
+            known.filter(|&part| self.crashes_without(part, set))
+        });
+        found.find(|&part| !self.is_refused_alone(part))
+    }
+
+    /// Whether an upstream crashed under a prompt with a part of a refused set that was sent after the verdict and had no
+    /// other suspect.
+    fn crashes_without(
+        &self,
+        part: PartId,
+        set: &Verdict,
+    ) -> bool {
+        let open = self.settled().filter(|crash| !self.is_explained(crash));
+        let crashes: Vec<OpenCrash<'_>> = open.map(OpenCrash::new).collect();
+        let accusing = crashes.iter().enumerate();
+        let accusing = accusing.filter(|(_, one)| one.crash.accuses(part));
+        let sound_at = |part| self.sound.latest(part);
+        let suspect = Suspect {
+            part,
+            crashes: accusing.map(|(at, _)| at).collect(),
+            sound_at: sound_at(part),
+            qualified_at: set.since,
+            is_confirmed: false,
+        };
+        let accusations = |part| self.crashes.accusations(part);
+        suspect.trials(&crashes, sound_at, accusations, set.since) > 0
+    }
+
+    fn is_refused_alone(
         &self,
         part: PartId,
     ) -> bool {
-        let mut sets = self.part_verdicts().filter(|one| one.parts.len() > 1);
-        sets.any(|verdict| verdict.parts.contains(&part))
+        let mut verdicts = self.part_verdicts();
+        verdicts.any(|verdict| verdict.parts.iter().all(|&known| known == part))
     }
 }
 
--- a/crates/core/src/queue/pool.rs
+++ b/crates/core/src/queue/pool.rs
@@ -21,7 +21,7 @@
         match target {
             QueueTarget::Adapter(_)
             | QueueTarget::Base(_)
-            | QueueTarget::Trial
+            | QueueTarget::Trial { .. }
             | QueueTarget::RequestTrial { service: None, .. } => Self::Engines,
             QueueTarget::Service(service)
             | QueueTarget::RequestTrial {
--- a/crates/core/src/queue/queued_request.rs
+++ b/crates/core/src/queue/queued_request.rs
@@ -17,7 +17,10 @@
     /// A server of this plain service.
     Service(ServiceId),
     /// An engine, once another request has shown whether the prompt crashes it.
-    Trial,
+    Trial {
+        /// Crashes that accuse its second most accused part: those that show most about the first one are looked at apart.
+        suspicion: usize,
+    },
     /// An upstream, once an earlier attempt of the same request has shown whether it ends under it.
     RequestTrial {
         /// The plain service; `None` for engines.
@@ -30,7 +33,7 @@
 impl QueueTarget {
     /// Whether the request waits for what other requests show.
     pub const fn is_trial(self) -> bool {
-        matches!(self, Self::Trial | Self::RequestTrial { .. })
+        matches!(self, Self::Trial { .. } | Self::RequestTrial { .. })
     }
 }
 
--- a/crates/core/src/scheduler/state_machine/admission.rs
+++ b/crates/core/src/scheduler/state_machine/admission.rs
@@ -142,8 +142,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Hold {
     Free,
-    /// For what others show about parts of its prompt.
-    Parts,
+    /// For what others show about parts of its prompt, the second of which so many crashes accuse.
+    Parts {
+        suspicion: usize,
+    },
     /// For what its earlier attempts show.
     Request,
 }
@@ -154,8 +156,10 @@
     job: &Job,
     hold: Hold,
 ) -> QueueTarget {
+    if let Hold::Parts { suspicion } = hold {
+        return QueueTarget::Trial { suspicion };
+    }
     match job.generation() {
-        _ if hold == Hold::Parts => QueueTarget::Trial,
         generation if hold == Hold::Request => QueueTarget::RequestTrial {
             service: generation.is_none().then_some(job.service),
             request: job.caller,
--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -97,8 +97,10 @@
         || !avoided.is_empty() && fleet.ready(job.service).all(|up| avoided.contains(&up.id));
     // A hedge doesn't wait for the attempt beside which it is sent.
     let is_request_held = !job.is_hedge && quarantine.holds_request(job.request_part(), now);
-    let hold = if quarantine.holds_parts(job.shared_parts(), now) {
-        Hold::Parts
+    let parts = job.shared_parts();
+    let hold = if quarantine.holds_parts(parts, now) {
+        let suspicion = quarantine.suspicion(parts);
+        Hold::Parts { suspicion }
     } else if is_request_held || has_no_upstream() {
         Hold::Request
     } else {
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -12,7 +12,7 @@
             AnswerEnd, AnswerTrace, AttemptEvidence, CrashCandidates, CrashEvidence, CrashReport,
             PartSet, PromptEvidence, PromptReport, RequestEvidence, VerdictSource,
         },
-        scheduler::{AttemptId, Job, LOCAL_VM, Outcome, Work},
+        scheduler::{AttemptId, Job, LOCAL_VM, Outcome, RateShare, Work},
     },
     scheduler_world::{Decision, World, generation},
 };
@@ -721,3 +721,171 @@
     assert!(kept <= 256, "{kept} crashes");
     assert!(!is_quarantined(&mut world, &[FIRST, OTHER]));
 }
+
+/// A new leader with engines of its own that is told what another scheduler knows.
+fn successor(of: &World) -> World {
+    let mut next = world();
+    next.now = of.now;
+    let evidence = of.scheduler.crash_evidence(of.now);
+    next.scheduler.add_crash_evidence(&evidence, next.now);
+    next
+}
+
+#[test]
+fn parts_refused_together_are_found_alone() {
+    // Guards against crashes under two parts together that excuse each of them when it comes alone.
+    let mut world = world();
+    answer(&mut world, &[FIRST, OTHER]);
+    crashes_until_known(&mut world, &[FIRST, BAD, SECOND_BAD]);
+    answer(&mut world, &[FIRST, OTHER]);
+    world.advance(3_000);
+    for part in [BAD, SECOND_BAD] {
+        let crashes = crashes_until_known(&mut world, &[FIRST, part]);
+        assert!(crashes <= MAX_LATE, "{crashes} crashes");
+    }
+}
+
+#[test]
+fn prompts_on_one_engine_are_told_apart() {
+    // Guards against refusing parts together that never came in one prompt, only on one engine.
+    let mut world = world();
+    let reports: Vec<CrashReport> = (0..4)
+        .map(|id| {
+            let ago = 800 * u64::from(id) + 500;
+            let mut one = report((id, ago, ago + 100), &[FIRST, BAD]);
+            let other = report((id, ago, ago + 100), &[OTHER, SECOND_BAD]);
+            one.prompts.extend(other.prompts);
+            one
+        })
+        .collect();
+    tell(&mut world, &reports);
+    world.advance(3_000);
+    let verdicts = world.scheduler.quarantined();
+    let is_mixed = |parts: &PartSet| {
+        let has = |part| parts.contains(&PartId::Part(part));
+        (has(FIRST) || has(BAD)) && (has(OTHER) || has(SECOND_BAD))
+    };
+    assert!(!verdicts.iter().any(is_mixed), "{verdicts:?}");
+}
+
+#[test]
+fn a_new_leader_knows_what_was_sound() {
+    // Guards against a new leader that refuses what several crashing parts share, as it doesn't know the answers before.
+    let mut old = world();
+    answer(&mut old, &[FIRST, OTHER]);
+    for _ in 0..2 {
+        crash(&mut old, &[FIRST, BAD]);
+    }
+    let mut new = successor(&old);
+    crashes_until_known(&mut new, &[FIRST, BAD]);
+    new.advance(3_000);
+    let parts = PartSet::from([PartId::Part(BAD)]);
+    assert_eq!(new.scheduler.quarantined(), [parts]);
+}
+
+#[test]
+fn reports_accuse_nothing_that_was_sound_later() {
+    // Guards against crashes that a VM tells late, and that accuse again what answers have acquitted since.
+    let mut world = world();
+    let reports = [(1, 3_000, 3_100), (2, 2_000, 2_100), (3, 1_000, 1_100)];
+    let reports = reports.map(|crash| report(crash, &[FIRST, BAD]));
+    answer(&mut world, &[FIRST, BAD]);
+    tell(&mut world, &reports);
+    world.advance(3_000);
+    assert!(world.scheduler.crash_evidence(world.now).crashes.is_empty());
+    assert!(!is_quarantined(&mut world, &[FIRST, BAD]));
+}
+
+#[test]
+fn the_least_suspect_prompt_is_tried_first() {
+    // Guards against trials of a shared part under prompts that crash engines by another one.
+    let mut world = world();
+    answer(&mut world, &[FIRST, OTHER]);
+    for part in [BAD, SECOND_BAD, BAD] {
+        crash(&mut world, &[FIRST, part]);
+    }
+    let number = world.place(prompt(&[FIRST, SECOND_BAD], world.now));
+    world.advance(20);
+    let upstream = world.sent_to(number).expect("a trial");
+    let now = world.now;
+    let evidence = about_prompt(PromptEvidence::Crash);
+    let scheduler = &mut world.scheduler;
+    scheduler.note_evidence(attempt(number), evidence, now);
+    world.end(number, Outcome::Lost);
+    world.scheduler.remove_upstream(upstream, world.now);
+    let suspect = world.place(prompt(&[FIRST, BAD], world.now));
+    world.advance(20);
+    let sound = world.place(prompt(&[FIRST, OTHER], world.now));
+    world.advance(600);
+    assert!(world.sent_to(sound).is_some(), "it shows most");
+    assert!(world.sent_to(suspect).is_none());
+}
+
+#[test]
+fn a_part_that_may_be_shared_is_probed_early() {
+    // Guards against a first part that stays refused after several others crashed engines beside it, as nothing clears it.
+    let mut world = world();
+    for round in 0..5 {
+        crash(&mut world, &[FIRST, 100 + round]);
+    }
+    assert!(is_quarantined(&mut world, &[FIRST, OTHER]));
+    world.advance(2_000);
+    assert!(is_quarantined(&mut world, &[FIRST, 100]), "another suspect");
+    answer(&mut world, &[FIRST, OTHER]);
+    assert!(!is_quarantined(&mut world, &[FIRST, SECOND_BAD]));
+}
+
+#[test]
+fn followers_reach_no_verdicts() {
+    // Guards against verdicts by the few crashes that one VM's callers have met, told to the next leader.
+    let mut world = world();
+    world
+        .scheduler
+        .set_role(false, RateShare::Part(2), world.now);
+    world.scheduler.begin_following();
+    let crashes = (0..5).map(|id| {
+        let ago = 900 * u64::from(id) + 500;
+        report((id, ago, ago + 100), &[FIRST, BAD])
+    });
+    let crashes: Vec<CrashReport> = crashes.collect();
+    tell(&mut world, &crashes);
+    world.advance(5_000);
+    assert!(world.scheduler.quarantined().is_empty());
+    world.scheduler.begin_standalone(world.now);
+    world.advance(2_000);
+    assert!(!world.scheduler.quarantined().is_empty());
+}
+
+#[test]
+fn suspects_wait_for_a_leader() {
+    // Guards against one trial at each VM that decides alone until another one leads.
+    let mut world = world();
+    answer(&mut world, &[FIRST, OTHER]);
+    for _ in 0..2 {
+        crash(&mut world, &[FIRST, BAD]);
+    }
+    world.scheduler.begin_standalone(world.now);
+    let suspect = world.place(prompt(&[FIRST, BAD], world.now));
+    let sound = world.place(prompt(&[FIRST, OTHER], world.now));
+    world.advance(1_000);
+    assert!(world.sent_to(suspect).is_none());
+    assert!(world.sent_to(sound).is_some());
+    world.advance(1_000);
+    assert!(world.sent_to(suspect).is_some(), "nobody leads");
+}
+
+#[test]
+fn refuted_verdicts_are_not_taken_over() {
+    // Guards against a verdict of a VM that decided alone, though answers at others have shown the part to be sound.
+    let mut world = world();
+    answer(&mut world, &[FIRST, OTHER]);
+    let parts = |part| PartSet::from([PartId::Part(part)]);
+    for part in [FIRST, BAD] {
+        let now = world.now;
+        let actions = world
+            .scheduler
+            .add_quarantine(parts(part), VerdictSource::Vm, now);
+        world.apply(actions);
+    }
+    assert_eq!(world.scheduler.quarantined(), [parts(BAD)]);
+}
--- a/crates/core/tests/storm_world/mod.rs
+++ b/crates/core/tests/storm_world/mod.rs
@@ -35,6 +35,8 @@
 const START_TIME: Millis = Millis(300);
 /// Time without a leader after one is lost.
 const ELECTION_TIME: Millis = Millis(1_300);
+/// How often VMs write to the store, in milliseconds.
+const STORE_INTERVAL: u64 = 50;
 const PING_INTERVAL: Millis = Millis(300);
 /// Ids of parts: those that crash engines, first parts, sound parts that follow them, and those of one session or request.
 pub const BAD: u64 = 0x100;
@@ -733,7 +735,7 @@
     /// What the leader and the store tell the others.
     fn replicate(&mut self) {
         let now = self.now;
-        if !self.is_store_away() {
+        if !self.is_store_away() && now.0.is_multiple_of(STORE_INTERVAL) {
             self.store_what_is_known();
         }
         if now < self.next_ping {
