A VM that knows of no crash computes no evidence to store; what a takeover tells, in bytes

keep_crash_evidence collected the latest sound parts of up to 40,000 twice a second on each VM that decides, also where nothing has ever crashed.

--- a/crates/core/src/quarantine/part_quarantine.rs
+++ b/crates/core/src/quarantine/part_quarantine.rs
@@ -390,6 +390,11 @@
         }
     }
 
+    /// Whether crashes accuse anything.
+    pub fn has_crashes(&self) -> bool {
+        !self.crashes.is_empty()
+    }
+
     /// What this VM knows of crashes and of sound parts, for others.
     pub fn evidence(
         &self,
--- a/crates/core/src/scheduler/state_machine/quarantine.rs
+++ b/crates/core/src/scheduler/state_machine/quarantine.rs
@@ -126,6 +126,11 @@
         self.is_evidence_new = true;
     }
 
+    /// Whether crashes accuse anything.
+    pub fn has_crashes(&self) -> bool {
+        self.quarantine.has_crashes()
+    }
+
     /// What this VM has recorded of crashes and of sound parts, for others.
     pub fn crash_evidence(
         &self,
--- a/crates/entry/src/scheduling/stored_evidence.rs
+++ b/crates/entry/src/scheduling/stored_evidence.rs
@@ -34,6 +34,11 @@
         }
     }
 
+    /// Whether this VM knows of crashes that accuse anything.
+    pub fn has_crashes(&self) -> bool {
+        self.scheduler.borrow().has_crashes()
+    }
+
     /// Adds what `vm` has recorded of crashes and of sound parts, as it was `age` ago.
     pub(super) fn add_crash_evidence(
         &self,
--- a/crates/entry/src/store/crash_evidence.rs
+++ b/crates/entry/src/store/crash_evidence.rs
@@ -193,11 +193,14 @@
     stored_digest: Option<u64>,
 ) -> Option<(Txn, u64)> {
     let local_scheduler = &cx.scheduling.local_scheduler;
+    let writers = local_scheduler.evidence_writers();
+    if writers.is_empty() && !local_scheduler.has_crashes() {
+        return None;
+    }
     let mut evidence = local_scheduler.crash_evidence();
     let surplus = evidence.crashes.len().saturating_sub(MAX_CRASHES);
     evidence.crashes.drain(..surplus);
     let digest = digest(&evidence);
-    let writers = local_scheduler.evidence_writers();
     let key = |vm: &str| format!("{EVIDENCE_PREFIX}{vm}");
     let mut ops = Vec::new();
     if evidence.crashes.is_empty() {
--- a/crates/wire/examples/message_sizes.rs
+++ b/crates/wire/examples/message_sizes.rs
@@ -16,6 +16,8 @@
 const BYTES_PER_WORD: usize = 8;
 /// The id of a part of a prompt, in hexadecimal.
 const PART: &str = "5c1e07a291bd3f06";
+/// Sound parts that a VM tells a new leader at most, beside accused ones.
+const SOUND_PARTS: u32 = 256;
 /// Parts of the prompts that an engine ran as it crashed.
 const ACCUSED_PER_CRASH: u32 = 3;
 
@@ -77,7 +79,7 @@
 }
 
 fn hello(
-    crashes: u32,
+    (crashes, sound): (u32, u32),
     accounts: u32,
     buckets: u32,
 ) -> usize {
@@ -89,6 +91,10 @@
             one.init_spent(buckets);
         }
         params.set_vm("edge-gt-central-a-12");
+        let mut list = params.reborrow().init_sound(sound);
+        for at in 0..sound {
+            list.reborrow().get(at).set_part(PART);
+        }
         let mut list = params.init_crashes(crashes);
         for at in 0..crashes {
             let mut crash = list.reborrow().get(at);
@@ -114,13 +120,16 @@
             quarantine(sets)
         );
     }
-    for crashes in [0, 1, 20] {
-        println!("hello with {crashes} crashes: {}", hello(crashes, 0, 0));
+    for (crashes, sound) in [(0, 0), (1, 0), (20, 0), (0, SOUND_PARTS), (20, SOUND_PARTS)] {
+        println!(
+            "hello with {crashes} crashes and {sound} sound parts: {}",
+            hello((crashes, sound), 0, 0)
+        );
     }
     for buckets in [1, 4, 17] {
         println!(
             "hello with 100 accounts used in {buckets} buckets each: {}",
-            hello(0, 100, buckets)
+            hello((0, 0), 100, buckets)
         );
     }
     println!("place without a version: {}", place(false));
