A first part that no answer has cleared is tried longer, and probed by prompts that crashed no upstream alone

The rank of a prompt now counts first the crashes under a single prompt with its other parts, which nothing else explains; probes go to prompts without such. A part that may only be shared (several others explain its crashes, no single one all of them) is tried until 2.5 s after its fifth crash, before it is refused.

--- a/crates/core/src/quarantine/crash_log.rs
+++ b/crates/core/src/quarantine/crash_log.rs
@@ -264,6 +264,18 @@
         self.accusations.get(&part).copied().unwrap_or_default()
     }
 
+    /// How many crashes came under a single prompt, which has the part.
+    pub(super) fn sole_crashes(
+        &self,
+        part: PartId,
+    ) -> usize {
+        let sole = self
+            .crashes
+            .iter()
+            .filter(|crash| matches!(&crash.prompts[..], [prompt] if prompt.parts.contains(&part)));
+        sole.count()
+    }
+
     /// The parts that crashes accuse, and the requests.
     pub(super) fn accused(&self) -> impl Iterator<Item = PartId> {
         self.accusations.keys().copied()
--- a/crates/core/src/quarantine/part_quarantine.rs
+++ b/crates/core/src/quarantine/part_quarantine.rs
@@ -194,7 +194,8 @@
     /// Whether a request that is refused may be sent to see whether its prompt still crashes its upstream.
     ///
     /// A part that was sound before is probed, as what has changed may be the upstreams; and one that may only be what
-    /// several crashing parts share, as long as few requests with it have crashed upstreams, by prompts with no other suspect.
+    /// several crashing parts share, as long as few requests with it have crashed upstreams, by the least suspect prompts
+    /// whose other parts explain no crash alone.
     pub fn take_probe(
         &mut self,
         candidates: CrashCandidates<'_>,
@@ -216,9 +217,10 @@
         let was_sound = verdict.parts.iter().all(|&part| self.sound.contains(part));
         let may_be_shared = match verdict.parts.first() {
             Some(&part) if verdict.parts.len() == 1 => {
-                let others = candidates.shared.iter().filter(|&&other| other != part);
-                let mut suspects = others.filter(|&&other| self.is_unproven_suspect(other));
-                suspects.next().is_none() && self.weighing(now).may_be_shared(part)
+                let rank = self.trial_rank(part, candidates.shared);
+                rank.sole_crashes == Reverse(0)
+                    && self.trial_order.is_first(part, rank, now)
+                    && self.weighing(now).may_be_shared(part)
             }
             _ => false,
         };
@@ -279,22 +281,18 @@
     ) -> TrialRank {
         let others = parts.iter().copied().filter(|&other| other != part);
         let accused = others.filter(|&other| self.crashes.accusations(other) > 0);
+        let sole_crashes = accused
+            .clone()
+            .map(|other| self.crashes.sole_crashes(other));
         let accusations = accused.clone().map(|other| self.crashes.accusations(other));
         let sound_at = accused.map(|other| self.sound.latest(other).unwrap_or_default());
         TrialRank {
+            sole_crashes: Reverse(sole_crashes.max().unwrap_or_default()),
             accusations: Reverse(accusations.max().unwrap_or_default()),
             sound_at: sound_at.min().unwrap_or_default(),
         }
     }
 
-    /// Whether crashes accuse a part that no answer has shown to be sound.
-    fn is_unproven_suspect(
-        &self,
-        part: PartId,
-    ) -> bool {
-        self.crashes.accusations(part) > 0 && !self.sound.contains(part)
-    }
-
     /// Whether a request has to wait for what its earlier attempts show.
     pub fn holds_request(
         &self,
--- a/crates/core/src/quarantine/trial_order.rs
+++ b/crates/core/src/quarantine/trial_order.rs
@@ -9,6 +9,8 @@
 /// How little suspect the other parts of a prompt are: the least suspect is the greatest.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct TrialRank {
+    /// Most crashes under one of them and no other prompt: these have no other explanation.
+    pub sole_crashes: Reverse<usize>,
     /// Most crashes that accuse one of them.
     pub accusations: Reverse<usize>,
     /// The oldest of the latest sound answers of those that are accused, if there are any.
--- a/crates/core/src/quarantine/weighing.rs
+++ b/crates/core/src/quarantine/weighing.rs
@@ -19,6 +19,8 @@
 const MIN_TRIALS: usize = 2;
 /// Crashes under a part that may follow those after which it has to be known.
 const MAX_LATE_CRASHES: usize = 3;
+/// How long a part is tried after the crashes after which it has to be known.
+const TRIAL_TIME: Millis = Millis(2_500);
 /// How long several suspects, or one that was sound, wait for answers that acquit them.
 pub(super) const ACQUITTAL_TIME: Millis = Millis(1_200);
 
@@ -94,7 +96,8 @@
             let group = indistinct(&rest, &unexplained, has_alternative);
             let parts: PartSet = group.iter().map(|one| one.part).collect();
             let is_decided = if let [single] = &group[..] {
-                single.is_confirmed && !single.was_sound() && !has_alternative(single)
+                let is_cause = single.is_confirmed && !has_alternative(single);
+                is_cause && !single.was_sound() && !self.has_time(single.part)
             } else {
                 // What was sound before is tried again first.
                 let mut group = group.iter();
@@ -124,26 +127,43 @@
         doubted.collect()
     }
 
-    /// Whether a part that is refused may only be what several crashing ones share: no answer has ever shown it to be
-    /// sound, each of its crashes has another explanation, and few came late.
+    /// Whether a part may only be what several crashing ones share: no answer has ever shown it to be sound, each of its
+    /// crashes has another explanation, not the same one for all, and few came late.
     pub(super) fn may_be_shared(
         &self,
         part: PartId,
     ) -> bool {
         let accusing = self.crashes.iter().filter(|crash| crash.accuses(part));
         let accusing: Vec<&Crash> = accusing.collect();
-        let has_rival = |crash: &&Crash| {
-            let mut parts = crash.parts().into_iter();
-            parts.any(|other| other != part && !self.sound.contains(other))
+        let rivals = |crash: &Crash| {
+            let mut parts = crash.parts();
+            parts.retain(|&other| other != part && !self.sound.contains(other));
+            parts
         };
+        let rivals: Vec<PartSet> = accusing.iter().copied().map(rivals).collect();
+        let in_all = |other: &PartId| rivals.iter().all(|parts| parts.contains(other));
+        let are_several = rivals
+            .first()
+            .is_some_and(|parts| !parts.iter().any(in_all));
         let known_at = accusing.get(MAX_CRASHES - 1).map(|crash| crash.at);
         let is_late = |crash: &&&Crash| known_at.is_some_and(|at| crash.sent_at(part) >= Some(at));
         !self.sound.contains(part)
-            && !accusing.is_empty()
-            && accusing.iter().all(has_rival)
+            && are_several
+            && rivals.iter().all(|parts| !parts.is_empty())
             && accusing.iter().filter(is_late).count() < MAX_LATE_CRASHES
     }
 
+    /// Whether a part that may only be shared may still be tried, as requests with it may reach upstreams for so long
+    /// after the crashes after which it has to be known.
+    fn has_time(
+        &self,
+        part: PartId,
+    ) -> bool {
+        let mut accusing = self.crashes.iter().filter(|crash| crash.accuses(part));
+        let known_at = accusing.nth(MAX_CRASHES - 1).map(|crash| crash.at);
+        known_at.is_some_and(|at| self.now < at + TRIAL_TIME) && self.may_be_shared(part)
+    }
+
     fn settled(&self) -> impl Iterator<Item = &Crash> {
         let crashes = self.crashes.iter();
         crashes.filter(|crash| crash.is_settled(self.now))
