--- a/crates/core/src/quarantine/weighing.rs
+++ b/crates/core/src/quarantine/weighing.rs
@@ -82,7 +82,8 @@
             |suspect: &Suspect, since| suspect.trials(&unexplained, sound_at, accusations, since);
         let is_guilty = |one: &&Suspect| {
             let is_alone = !one.was_sound() && one.is_alone(&unexplained, sound_at);
-            let was_tried = one.is_confirmed && trials(one, one.qualified_at) > 0;
+            let is_confirmed = one.was_sound() && one.is_confirmed;
+            let was_tried = is_confirmed && trials(one, one.qualified_at) > 0;
             (is_alone || was_tried) && !has_alternative(one)
         };
         if let Some(guilty) = suspects.iter().find(is_guilty) {
