Evidence is weighed once a review, and a refused request costs no weighing before a probe is due

Found in a second read of the change. - Each refused request with a single refused part weighed all crashes to see whether it may be a probe, before looking whether one was due. - cause_of_set collected the unexplained crashes anew for each part of each set, also for parts that are refused already, and two places built a suspect by hand. The crashes are collected once a review, and there is one builder. - A VM that decided alone, lost its key to another leader and led again without following in between took its evidence for stored. Whether it is follows from what the store is known to hold.

--- a/crates/core/src/quarantine/part_quarantine.rs
+++ b/crates/core/src/quarantine/part_quarantine.rs
@@ -217,15 +217,20 @@
         let was_sound = verdict.parts.iter().all(|&part| self.sound.contains(part));
         let may_be_shared = match verdict.parts.first() {
             Some(&part) if verdict.parts.len() == 1 => {
+                let is_due = verdict.is_early_probe_due(now);
                 let rank = self.trial_rank(part, candidates.shared);
-                rank.sole_crashes == Reverse(0)
-                    && self.trial_order.is_first(part, rank, now)
+                self.trial_order.is_first(part, rank, now)
+                    && is_due
+                    && rank.sole_crashes == Reverse(0)
                     && self.weighing(now).may_be_shared(part)
             }
             _ => false,
         };
         let verdict = &mut self.verdicts[index];
-        was_sound && verdict.take_probe(now) || may_be_shared && verdict.take_early_probe(now)
+        if may_be_shared {
+            verdict.delay_early_probe(now);
+        }
+        may_be_shared || was_sound && verdict.take_probe(now)
     }
 
     /// Whether a prompt with these shared parts has to wait for what others show.
--- a/crates/core/src/quarantine/verdict.rs
+++ b/crates/core/src/quarantine/verdict.rs
@@ -66,18 +66,22 @@
         true
     }
 
-    /// The same for a part that may only be common to several crashing ones.
-    pub(super) fn take_early_probe(
-        &mut self,
+    /// Whether the same is due of a part that may only be common to several crashing ones.
+    pub(super) fn is_early_probe_due(
+        &self,
         now: Millis,
     ) -> bool {
-        if now < self.early_probe_at {
-            return false;
-        }
+        now >= self.early_probe_at
+    }
+
+    /// Records that such a part is probed now; the next probe may come so much later.
+    pub(super) fn delay_early_probe(
+        &mut self,
+        now: Millis,
+    ) {
         let interval = Millis(self.early_probe_interval.0 * 2);
         self.early_probe_interval = interval.min(MAX_PROBE_INTERVAL);
         self.early_probe_at = now + self.early_probe_interval;
-        true
     }
 
     /// Whether a crash accuses all of the parts in one prompt.
--- a/crates/core/src/quarantine/weighing.rs
+++ b/crates/core/src/quarantine/weighing.rs
@@ -52,15 +52,15 @@
     /// Several that are left are refused where a prompt has them all. A single one, which other prompts may share, is put
     /// on trial first, and for longer where it may be what several crashing parts share.
     pub(super) fn finding(&self) -> Finding {
-        let found = self.common_cause().or_else(|| self.cause_of_set());
-        if let Some(part) = found {
-            return Finding::Guilty(PartSet::from([part]));
-        }
         let unexplained: Vec<OpenCrash<'_>> = self
             .settled()
             .filter(|crash| !self.is_explained(crash))
             .map(OpenCrash::new)
             .collect();
+        let found = self.common_cause();
+        if let Some(part) = found.or_else(|| self.cause_of_set(&unexplained)) {
+            return Finding::Guilty(PartSet::from([part]));
+        }
         let refused_requests: Vec<PartId> = self
             .verdicts
             .iter()
@@ -232,50 +232,49 @@
         let sound_at = |part| self.sound.latest(part);
         let accusations = |part| self.crashes.accusations(part);
         let since = ends[MIN_CRASHES - 1].at;
-        let suspect = Suspect {
-            part,
-            crashes: (0..crashes.len()).collect(),
-            sound_at: sound_at(part),
-            qualified_at: since,
-            is_confirmed: true,
-        };
+        let suspect = self.suspect(part, &crashes, since);
         !suspect.has_alternative(&crashes, sound_at)
             || suspect.trials(&crashes, sound_at, accusations, since) >= MIN_TRIALS
     }
 
     /// A part that is refused together with others, after as many crashes as are allowed, and crashes an upstream without
-    /// them, if there is one.
-    fn cause_of_set(&self) -> Option<PartId> {
+    /// them, under a prompt that was sent after the verdict and has no other suspect; if there is one.
+    fn cause_of_set(
+        &self,
+        unexplained: &[OpenCrash<'_>],
+    ) -> Option<PartId> {
+        let sound_at = |part| self.sound.latest(part);
+        let accusations = |part| self.crashes.accusations(part);
+        let crashes_alone = |part, since| {
+            let suspect = self.suspect(part, unexplained, since);
+            suspect.trials(unexplained, sound_at, accusations, since) > 0
+        };
         let sets = self.part_verdicts().filter(|one| one.parts.len() > 1);
-        let mut found = sets.flat_map(|set| {
-            let members = set.parts.iter().copied();
-            let known = members.filter(|&part| self.crashes.accusations(part) >= MAX_CRASHES);
-            known.filter(|&part| self.crashes_without(part, set))
+        let mut members = sets.flat_map(|set| set.parts.iter().map(|&part| (part, set.since)));
+        let found = members.find(|&(part, since)| {
+            accusations(part) >= MAX_CRASHES
+                && !self.is_refused_alone(part)
+                && crashes_alone(part, since)
         });
-        found.find(|&part| !self.is_refused_alone(part))
+        found.map(|(part, _)| part)
     }
 
-    /// Whether an upstream crashed under a prompt with a part of a refused set that was sent after the verdict and had no
-    /// other suspect.
-    fn crashes_without(
+    /// A part as the suspect of those of the crashes that accuse it.
+    fn suspect(
         &self,
         part: PartId,
-        set: &Verdict,
-    ) -> bool {
-        let open = self.settled().filter(|crash| !self.is_explained(crash));
-        let crashes: Vec<OpenCrash<'_>> = open.map(OpenCrash::new).collect();
+        crashes: &[OpenCrash<'_>],
+        qualified_at: Millis,
+    ) -> Suspect {
         let accusing = crashes.iter().enumerate();
-        let accusing = accusing.filter(|(_, one)| one.crash.accuses(part));
-        let sound_at = |part| self.sound.latest(part);
-        let suspect = Suspect {
+        let accusing = accusing.filter(|(_, one)| one.parts.contains(&part));
+        Suspect {
             part,
             crashes: accusing.map(|(at, _)| at).collect(),
-            sound_at: sound_at(part),
-            qualified_at: set.since,
-            is_confirmed: false,
-        };
-        let accusations = |part| self.crashes.accusations(part);
-        suspect.trials(&crashes, sound_at, accusations, set.since) > 0
+            sound_at: self.sound.latest(part),
+            qualified_at,
+            is_confirmed: true,
+        }
     }
 
     fn is_refused_alone(
--- a/crates/entry/src/store/crash_evidence.rs
+++ b/crates/entry/src/store/crash_evidence.rs
@@ -203,10 +203,11 @@
     let digest = digest(&evidence);
     let key = |vm: &str| format!("{EVIDENCE_PREFIX}{vm}");
     let mut ops = Vec::new();
+    let is_stored = writers.iter().any(|writer| writer == vm);
     if evidence.crashes.is_empty() {
-        let is_stored = writers.iter().any(|writer| writer == vm);
         ops.extend(is_stored.then(|| Op::Delete(Range::key(key(vm)))));
-    } else if stored_digest != Some(digest) {
+    } else if stored_digest != Some(digest) || !is_stored {
+        // Another leader may have deleted it since.
         ops.push(Op::put(key(vm), encode(&evidence)));
     }
     if cx.scheduling.is_leading() {
