Prompts on trial go to no upstream that has another one on trial

Its log: trials of several parts met on one engine, so that each crash had another explanation, and no leader refused a part that 20 crashes accused, though VMs that saw only their own callers' prompts did.

A suspected request went to no upstream with another one already; the same now holds for prompts on trial, in the same place.

--- a/crates/core/src/quarantine/part_quarantine.rs
+++ b/crates/core/src/quarantine/part_quarantine.rs
@@ -180,15 +180,24 @@
         self.crashes.accusations(request) >= MIN_SUSPECT_ENDS
     }
 
-    /// The upstreams that a request may not be sent to now: a suspected one goes to none that has another one.
+    /// The upstreams that a request may not be sent to now: a suspected one goes to none that has another one, and a prompt
+    /// on trial to none that has another one on trial, as a crash would show nothing of either.
     pub fn avoided_upstreams(
         &self,
-        request: PartId,
+        candidates: CrashCandidates<'_>,
+        now: Millis,
     ) -> Vec<UpstreamId> {
-        if self.crashes.is_empty() || !self.is_suspected(request) {
+        if self.crashes.is_empty() {
             return Vec::new();
         }
-        self.trials.exclusive_upstreams()
+        let mut avoided = Vec::new();
+        if self.is_suspected(candidates.request) {
+            avoided.extend(self.trials.exclusive_upstreams());
+        }
+        if candidates.shared.iter().any(|&part| self.is_on_trial(part)) {
+            avoided.extend(self.trials.upstreams(now));
+        }
+        avoided
     }
 
     /// Whether a request that is refused may be sent to see whether its prompt still crashes its upstream.
--- a/crates/core/src/quarantine/trials.rs
+++ b/crates/core/src/quarantine/trials.rs
@@ -51,6 +51,17 @@
         self.by_part.insert(part, trial);
     }
 
+    /// The upstreams that have a prompt on trial which hasn't shown enough yet.
+    pub(super) fn upstreams(
+        &self,
+        now: Millis,
+    ) -> impl Iterator<Item = UpstreamId> {
+        let trials = self.by_part.iter();
+        let pending =
+            trials.filter(move |&(&part, _)| !part.is_request() && self.is_pending(part, now));
+        pending.map(|(_, trial)| trial.upstream)
+    }
+
     /// The upstreams that have a suspected request.
     pub(super) fn exclusive_upstreams(&self) -> Vec<UpstreamId> {
         let exclusive = self.by_part.values().filter(|trial| trial.is_exclusive);
--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -337,7 +337,7 @@
                     let Some(entry) = entries.get_mut(&waiting.request) else {
                         return true;
                     };
-                    let avoided = quarantine.avoided_upstreams(entry.job.request_part());
+                    let avoided = quarantine.avoided_upstreams(entry.job.crash_candidates(), now);
                     let is_plain = is_alike(&entry.job, fleet, &avoided, now);
                     let is_full = is_plain && full_services.contains(&entry.job.service);
                     let is_deferred = !is_plain && entry.is_deferred(*evaluation_epoch, now);
