A first part that may only be shared is never refused for good

Such a part is now probed each 600 ms while it has crashed few upstreams since its fifth, and from three minutes on like a part that was sound, each time twice as much later. A check of whether a request is such a probe comes once in 600 ms.

--- a/crates/core/src/quarantine/part_quarantine.rs
+++ b/crates/core/src/quarantine/part_quarantine.rs
@@ -203,8 +203,8 @@
     /// Whether a request that is refused may be sent to see whether its prompt still crashes its upstream.
     ///
     /// A part that was sound before is probed, as what has changed may be the upstreams; and one that may only be what
-    /// several crashing parts share, as long as few requests with it have crashed upstreams, by the least suspect prompts
-    /// whose other parts explain no crash alone.
+    /// several crashing parts share, by the least suspect prompts whose other parts explain no crash alone: soon while few
+    /// of its crashes came late, and rarely from then on.
     pub fn take_probe(
         &mut self,
         candidates: CrashCandidates<'_>,
@@ -223,23 +223,27 @@
         let (Some((index, verdict)), None) = (smallest.next(), smallest.next()) else {
             return false;
         };
-        let was_sound = verdict.parts.iter().all(|&part| self.sound.contains(part));
-        let may_be_shared = match verdict.parts.first() {
+        let checked = match verdict.parts.first() {
             Some(&part) if verdict.parts.len() == 1 => {
-                let is_due = verdict.is_early_probe_due(now);
                 let rank = self.trial_rank(part, candidates.shared);
-                self.trial_order.is_first(part, rank, now)
-                    && is_due
-                    && rank.sole_crashes == Reverse(0)
-                    && self.weighing(now).may_be_shared(part)
+                let is_first = self.trial_order.is_first(part, rank, now);
+                let is_due = verdict.is_check_due(now) && is_first;
+                (is_due && rank.sole_crashes == Reverse(0)).then_some(part)
             }
-            _ => false,
+            _ => None,
         };
+        let was_sound = verdict.parts.iter().all(|&part| self.sound.contains(part));
+        let (may_be_shared, may_be_tried) = checked.map_or((false, false), |part| {
+            let weighing = self.weighing(now);
+            (weighing.may_be_shared(part), weighing.may_be_tried(part))
+        });
         let verdict = &mut self.verdicts[index];
-        if may_be_shared {
-            verdict.delay_early_probe(now);
+        if checked.is_some() {
+            verdict.delay_check(now);
         }
-        may_be_shared || was_sound && verdict.take_probe(now)
+        may_be_tried
+            || may_be_shared && verdict.take_late_probe(now)
+            || was_sound && verdict.take_probe(now)
     }
 
     /// Whether a prompt with these shared parts has to wait for what others show.
@@ -298,12 +302,10 @@
         let sole_crashes = accused
             .clone()
             .map(|other| self.crashes.sole_crashes(other));
-        let accusations = accused.clone().map(|other| self.crashes.accusations(other));
-        let sound_at = accused.map(|other| self.sound.latest(other).unwrap_or_default());
+        let accusations = accused.map(|other| self.crashes.accusations(other));
         TrialRank {
             sole_crashes: Reverse(sole_crashes.max().unwrap_or_default()),
             accusations: Reverse(accusations.max().unwrap_or_default()),
-            sound_at: sound_at.min().unwrap_or_default(),
         }
     }
 
--- a/crates/core/src/quarantine/trial_order.rs
+++ b/crates/core/src/quarantine/trial_order.rs
@@ -13,8 +13,6 @@
     pub sole_crashes: Reverse<usize>,
     /// Most crashes that accuse one of them.
     pub accusations: Reverse<usize>,
-    /// The oldest of the latest sound answers of those that are accused, if there are any.
-    pub sound_at: Millis,
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/crates/core/src/quarantine/verdict.rs
+++ b/crates/core/src/quarantine/verdict.rs
@@ -27,15 +27,16 @@
     /// When the next probe is allowed.
     probe_at: Millis,
     probe_interval: Millis,
-    /// When the next probe is allowed of what may only be common to several crashing parts.
-    early_probe_at: Millis,
-    early_probe_interval: Millis,
+    /// When it may next be checked whether a request shows that the part is only common to several crashing ones.
+    check_at: Millis,
 }
 
 /// Time until the first probe of a part that was sound before; doubled with each further one.
 const PROBE_INTERVAL: Millis = Millis(60_000);
-/// Time until the first probe of a part that may only be common to several crashing ones; doubled with each further one.
-const EARLY_PROBE_INTERVAL: Millis = Millis(1_200);
+/// Time between requests that may show that a part is only common to several crashing ones.
+const CHECK_INTERVAL: Millis = Millis(600);
+/// Time until the first of these that is sent though its part has crashed as many upstreams as it may.
+const MIN_LATE_PROBE_AGE: Millis = Millis(180_000);
 const MAX_PROBE_INTERVAL: Millis = Millis(3_600_000);
 
 impl Verdict {
@@ -48,8 +49,7 @@
             since,
             probe_at: since + PROBE_INTERVAL,
             probe_interval: PROBE_INTERVAL,
-            early_probe_at: since + EARLY_PROBE_INTERVAL,
-            early_probe_interval: EARLY_PROBE_INTERVAL,
+            check_at: since + CHECK_INTERVAL,
         }
     }
 
@@ -66,22 +66,28 @@
         true
     }
 
-    /// Whether the same is due of a part that may only be common to several crashing ones.
-    pub(super) fn is_early_probe_due(
+    /// The same for a part that may only be common to several crashing ones, once it has crashed as many as it may.
+    pub(super) fn take_late_probe(
+        &mut self,
+        now: Millis,
+    ) -> bool {
+        now.since(self.since) >= MIN_LATE_PROBE_AGE && self.take_probe(now)
+    }
+
+    /// Whether a request may be checked for whether it shows that the part is only common to several crashing ones.
+    pub(super) fn is_check_due(
         &self,
         now: Millis,
     ) -> bool {
-        now >= self.early_probe_at
+        now >= self.check_at
     }
 
-    /// Records that such a part is probed now; the next probe may come so much later.
-    pub(super) fn delay_early_probe(
+    /// Records that one was checked.
+    pub(super) fn delay_check(
         &mut self,
         now: Millis,
     ) {
-        let interval = Millis(self.early_probe_interval.0 * 2);
-        self.early_probe_interval = interval.min(MAX_PROBE_INTERVAL);
-        self.early_probe_at = now + self.early_probe_interval;
+        self.check_at = now + CHECK_INTERVAL;
     }
 
     /// Whether a crash accuses all of the parts in one prompt.
--- a/crates/core/src/quarantine/weighing.rs
+++ b/crates/core/src/quarantine/weighing.rs
@@ -20,7 +20,7 @@
 /// Crashes under a part that may follow those after which it has to be known.
 const MAX_LATE_CRASHES: usize = 3;
 /// How long a part is tried after the crashes after which it has to be known.
-const TRIAL_TIME: Millis = Millis(2_500);
+const TRIAL_TIME: Millis = Millis(2_400);
 /// How long several suspects, or one that was sound, wait for answers that acquit them.
 pub(super) const ACQUITTAL_TIME: Millis = Millis(1_200);
 
@@ -128,8 +128,21 @@
         doubted.collect()
     }
 
-    /// Whether a part may only be what several crashing ones share: no answer has ever shown it to be sound, each of its
-    /// crashes has another explanation, not the same one for all, and few came late.
+    /// Whether a part may still be tried to see whether it is only what several crashing ones share: few of its crashes came
+    /// late.
+    pub(super) fn may_be_tried(
+        &self,
+        part: PartId,
+    ) -> bool {
+        let accusing = self.crashes.iter().filter(|crash| crash.accuses(part));
+        let accusing: Vec<&Crash> = accusing.collect();
+        let known_at = accusing.get(MAX_CRASHES - 1).map(|crash| crash.at);
+        let is_late = |crash: &&&Crash| known_at.is_some_and(|at| crash.sent_at(part) >= Some(at));
+        self.may_be_shared(part) && accusing.iter().filter(is_late).count() < MAX_LATE_CRASHES
+    }
+
+    /// Whether a part may only be what several crashing ones share: no answer has ever shown it to be sound, and each of its
+    /// crashes has another explanation, not the same one for all.
     pub(super) fn may_be_shared(
         &self,
         part: PartId,
@@ -146,15 +159,10 @@
         let are_several = rivals
             .first()
             .is_some_and(|parts| !parts.iter().any(in_all));
-        let known_at = accusing.get(MAX_CRASHES - 1).map(|crash| crash.at);
-        let is_late = |crash: &&&Crash| known_at.is_some_and(|at| crash.sent_at(part) >= Some(at));
-        !self.sound.contains(part)
-            && are_several
-            && rivals.iter().all(|parts| !parts.is_empty())
-            && accusing.iter().filter(is_late).count() < MAX_LATE_CRASHES
+        !self.sound.contains(part) && are_several && rivals.iter().all(|parts| !parts.is_empty())
     }
 
-    /// Whether a part that may only be shared may still be tried, as requests with it may reach upstreams for so long
+    /// Whether a part that may only be shared needn't be refused yet, as requests with it may reach upstreams for so long
     /// after the crashes after which it has to be known.
     fn has_time(
         &self,
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -835,6 +835,48 @@
     assert!(!is_quarantined(&mut world, &[FIRST, SECOND_BAD]));
 }
 
+#[test]
+fn a_part_that_may_be_shared_is_probed_for_good() {
+    // Guards against a first part that is refused for good, as its trials and first probes all met other crashing parts.
+    let mut world = world();
+    let crashes = (0..100).filter(|round| {
+        let is_sent = crash(&mut world, &[FIRST, 100 + round]);
+        world.advance(1_000);
+        is_sent
+    });
+    let crashes = crashes.count();
+    assert!(crashes <= MAX_CRASHES + MAX_LATE, "{crashes} crashes");
+    let is_served = (0..600).any(|_| {
+        world.advance(1_000);
+        !is_quarantined(&mut world, &[FIRST, OTHER])
+    });
+    assert!(is_served, "never probed again");
+}
+
+#[test]
+fn trials_share_no_engine() {
+    // Guards against crashes under two suspects at once, which show nothing of either.
+    let mut world = world();
+    answer(&mut world, &[FIRST, OTHER]);
+    for part in [BAD, SECOND_BAD, BAD, SECOND_BAD] {
+        crash(&mut world, &[FIRST, part]);
+        answer(&mut world, &[FIRST, OTHER]);
+    }
+    for id in 1..ENGINES {
+        world.scheduler.remove_upstream(UpstreamId(id), world.now);
+    }
+    let [one, other] = [BAD, SECOND_BAD].map(|part| {
+        let number = world.place(prompt(&[FIRST, part], world.now));
+        world.advance(20);
+        number
+    });
+    let sound = world.place(prompt(&[FIRST, OTHER], world.now));
+    world.advance(100);
+    assert!(world.sent_to(one).is_some());
+    assert!(world.sent_to(sound).is_some(), "others go on");
+    assert!(world.sent_to(other).is_none());
+}
+
 #[test]
 fn followers_reach_no_verdicts() {
     // Guards against verdicts by the few crashes that one VM's callers have met, told to the next leader.
