One count of late requests with a crashing part for three tests; each loss beside each number of parts

crashing_parts, crashing_storms and the soak each counted crashes and late requests by code of their own, with the users' figures three times; PartArrivals does so for all, and the two test files share the prompt that they send. The soak's and crashing_parts' checks are as strict as before: in the latter only the part counted crashes engines.

crashing_storms plays more losses: the leader suspended or stopped, the store away, silent or losing answers, VMs cut off from it, engines silent; each beside one, two, eight and twelve parts and beside pairs, by hand (each_loss_*). Its VMs reach the store through a proxy each.

--- a/crates/entry/tests/crashing_parts.rs
+++ b/crates/entry/tests/crashing_parts.rs
@@ -3,22 +3,21 @@
 mod deployment;
 
 use {
-    deployment::{Request, Vm, exchange, start_platform, start_vms, wait_until},
+    deployment::{
+        Vm,
+        crashing_site::generation,
+        exchange,
+        part_arrivals::{MAX_CRASHES, MAX_LATE, PartArrivals},
+        start_platform, start_vms, wait_until,
+    },
     jasmine_platform_stand_in::{EngineStandIn, KvStandIn, Outage},
     nix::sys::signal::Signal,
     std::{
-        sync::atomic::{AtomicU32, Ordering},
         thread,
         time::{Duration, Instant},
     },
 };
 
-/// Time after the fifth crash from which few requests with the part may reach engines.
-const CONTACT: Duration = Duration::from_secs(3);
-/// Crashes after which the part has to be known.
-const MAX_CRASHES: usize = 5;
-/// Requests with the part that may reach engines after that.
-const MAX_LATE: usize = 3;
 const ENGINES: usize = 6;
 /// Time between two events of an answer.
 const EVENT_GAP: Duration = Duration::from_millis(20);
@@ -29,8 +28,6 @@
 const BAD: &str = "bad0";
 const FIRST: &str = "f1";
 
-static NEXT_PART: AtomicU32 = AtomicU32::new(0x1_0000);
-
 fn start_engines(store: &KvStandIn) -> Vec<EngineStandIn> {
     let start = |number| {
         let engine = EngineStandIn::start(&format!("e-{number}")).unwrap();
@@ -41,20 +38,6 @@
     (0..ENGINES).map(start).collect()
 }
 
-/// A generation whose prompt has these parts and one of its own.
-fn generation(parts: &[&str]) -> Request {
-    let own = NEXT_PART.fetch_add(1, Ordering::Relaxed);
-    let own = format!("{own:x}");
-    let all = parts.iter().copied().chain([own.as_str()]);
-    let prompt: Vec<String> = all.map(|part| format!("{part}:50")).collect();
-    Request::new("POST", "/model/")
-        .with("X-Model", "base")
-        .with("X-Token-Counts", "150,10")
-        .with("X-Prompt-Prefix", &prompt.join(","))
-        .with("X-Deadline-Ms", "1500")
-        .body(b"prompt")
-}
-
 /// Sends prompts with these parts through all VMs for a while; returns when each was sent and whether it was served.
 fn call_all(
     vms: &[Vm],
@@ -89,25 +72,6 @@
     arrived.map(|arrival| arrival.at).collect()
 }
 
-/// When the engines had crashed so often that the part has to be known; `None` if they haven't.
-fn due_at(engines: &[EngineStandIn]) -> Option<Instant> {
-    let crashes = engines.iter().flat_map(EngineStandIn::crashes);
-    let mut crashes: Vec<Instant> = crashes.map(|crash| crash.at).collect();
-    crashes.sort();
-    crashes.get(MAX_CRASHES - 1).map(|&at| at + CONTACT)
-}
-
-fn late_arrivals(
-    engines: &[EngineStandIn],
-    part: &str,
-) -> usize {
-    let Some(due) = due_at(engines) else {
-        return 0;
-    };
-    let arrived = arrivals(engines, part);
-    arrived.iter().filter(|&&at| at > due).count()
-}
-
 /// Lets prompts with a part crash engines until the VMs refuse them.
 fn learn(
     vms: &[Vm],
@@ -144,7 +108,7 @@
         let bad = scope.spawn(|| call_all(&vms, &[FIRST, BAD], time));
         (sound.join().unwrap(), bad.join().unwrap())
     });
-    let late = late_arrivals(&engines, BAD);
+    let late = PartArrivals::at(&engines, BAD).late.len();
     assert!(late <= MAX_LATE, "{late} requests with the part");
 
     // Guards against refusing what shares the route, the account and the first part.
--- a/crates/entry/tests/crashing_storms.rs
+++ b/crates/entry/tests/crashing_storms.rs
@@ -1,9 +1,16 @@
 //! Several parts of prompts that crash engines at once, while those who know of it are lost.
+//!
+//! Each loss beside each number of parts, by hand: `cargo test -p jasmine-entry --test crashing_storms each_ -- --ignored
+//! --nocapture`.
 
 mod deployment;
 
 use {
-    deployment::crashing_site::{CrashingSite, Loss, MAX_LATE, Outcome, Prompts, Storm},
+    deployment::{
+        crashing_site::{CrashingSite, Loss, Outcome, Prompts, Storm},
+        part_arrivals::MAX_LATE,
+    },
+    jasmine_platform_stand_in::Outage,
     std::time::Duration,
 };
 
@@ -156,6 +163,73 @@
     assert_holds("mostly", &storm);
 }
 
+/// Plays each loss beside these prompts.
+fn assert_each_loss_holds(
+    name: &str,
+    prompts: Prompts,
+) {
+    let losses = [
+        Loss::Nothing,
+        Loss::Leader,
+        Loss::LeaderStopped,
+        Loss::LeaderSuspended,
+        Loss::OneVm,
+        Loss::AllVms,
+        Loss::AllVmsStopped,
+        Loss::Store(Outage::Unavailable),
+        Loss::Store(Outage::Silent),
+        Loss::Store(Outage::LostResponses),
+        Loss::OneVmCutOff,
+        Loss::SilentEngines,
+    ];
+    let fails = |&loss: &Loss| {
+        let storm = Storm {
+            prompts,
+            loss,
+            ..Storm::of_eight()
+        };
+        let outcome = run(name, &storm);
+        outcome.late_in_touch() > MAX_LATE || outcome.served() < MIN_SERVED
+    };
+    let failed: Vec<Loss> = losses.into_iter().filter(fails).collect();
+    assert!(failed.is_empty(), "{failed:?}");
+}
+
+#[test]
+#[ignore = "five minutes; by hand"]
+fn each_loss_beside_one() {
+    // Guards against a loss of who knows a part that no other case plays.
+    assert_each_loss_holds("each-1", Prompts::Shared(1));
+}
+
+#[test]
+#[ignore = "five minutes; by hand"]
+fn each_loss_beside_two() {
+    // Guards against the same beside two parts.
+    assert_each_loss_holds("each-2", Prompts::Shared(2));
+}
+
+#[test]
+#[ignore = "five minutes; by hand"]
+fn each_loss_beside_eight() {
+    // Guards against the same beside eight.
+    assert_each_loss_holds("each-8", Prompts::Shared(8));
+}
+
+#[test]
+#[ignore = "five minutes; by hand"]
+fn each_loss_beside_twelve() {
+    // Guards against the same beside twelve.
+    assert_each_loss_holds("each-12", Prompts::Shared(12));
+}
+
+#[test]
+#[ignore = "five minutes; by hand"]
+fn each_loss_beside_pairs() {
+    // Guards against the same beside two that come together and then alone.
+    assert_each_loss_holds("each-pair", Prompts::Pairs(2));
+}
+
 #[test]
 fn parts_that_were_sound() {
     // Guards against parts that crash engines from some moment on, as popular as others until then.
--- a/crates/entry/tests/deployment/crashing_site.rs
+++ b/crates/entry/tests/deployment/crashing_site.rs
@@ -1,12 +1,19 @@
 //! VMs before engines that several parts of prompts crash, while those who know the parts are lost.
 
 use {
-    super::{Request, Vm, exchange, start_platform, wait_until},
-    jasmine_platform_stand_in::{EngineStandIn, KvStandIn, Outage, UpstreamStandIn},
+    super::{
+        Request, Vm, exchange,
+        part_arrivals::{CONTACT, PartArrivals},
+        start_platform, wait_until,
+    },
+    jasmine_platform_stand_in::{
+        EngineStandIn, KvStandIn, Outage, Silence, SilentAt, UpstreamStandIn,
+    },
+    jasmine_testkit::proxy::{Fault, Proxy},
     nix::sys::signal::Signal,
     std::{
         collections::{BTreeMap, BTreeSet, HashMap},
-        fmt::Write as _,
+        fmt::{Display, Write as _},
         net::SocketAddr,
         sync::{
             Arc, Mutex,
@@ -17,15 +24,15 @@
     },
 };
 
-/// Time after the fifth crash under a part from which few requests with it may reach engines.
-const CONTACT: Duration = Duration::from_secs(3);
-/// Crashes under a part after which it has to be known.
-const MAX_CRASHES: usize = 5;
-/// Requests with a part that may reach engines after that.
-pub const MAX_LATE: usize = 3;
 const ENGINES: usize = 9;
 /// Time between two events of an answer.
 const EVENT_GAP: Duration = Duration::from_millis(20);
+/// How long a leader is suspended.
+const SUSPENSION: Duration = Duration::from_millis(2_500);
+/// How long the store has a fault, or a VM doesn't reach it.
+const OUTAGE: Duration = Duration::from_millis(2_500);
+/// How long engines are silent.
+const SILENCE: Duration = Duration::from_millis(1_200);
 /// Pause of a caller of sound prompts between two requests.
 const SOUND_INTERVAL: Duration = Duration::from_millis(40);
 /// The first part of prompts, unless each crashing part has one of its own.
@@ -44,12 +51,22 @@
     Nothing,
     /// The leader is killed.
     Leader,
+    /// It is stopped as planned, and started again.
+    LeaderStopped,
+    /// It is suspended for [`SUSPENSION`].
+    LeaderSuspended,
     /// One VM after the other is killed.
     OneVm,
     /// All VMs are killed at once.
     AllVms,
     /// All VMs are stopped as planned, and started again.
     AllVmsStopped,
+    /// The store has this fault for [`OUTAGE`].
+    Store(Outage),
+    /// One VM after the other reaches the store no more for [`OUTAGE`], and the other way round.
+    OneVmCutOff,
+    /// All engines are silent before their answers for [`SILENCE`].
+    SilentEngines,
     /// The store is away until all VMs are killed.
     StoreAndAllVms,
     /// The store is away most of the time, and one VM is killed.
@@ -173,6 +190,8 @@
     pub store: KvStandIn,
     pub engines: Vec<EngineStandIn>,
     pub vms: Vec<Option<Vm>>,
+    /// Of each VM to the store.
+    links: Vec<Proxy>,
     name: String,
     addresses: Addresses,
     senders: Senders,
@@ -189,7 +208,10 @@
 }
 
 /// A generation whose prompt has these parts and one of its own.
-pub fn generation(parts: &[String]) -> Request {
+pub fn generation<S>(parts: &[S]) -> Request
+where
+    S: Display,
+{
     let own = NEXT_PART.fetch_add(1, Ordering::Relaxed);
     let mut prompt = String::new();
     for part in parts {
@@ -217,10 +239,14 @@
             engine
         };
         let engines = (0..ENGINES).map(start).collect();
+        let any_address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let links = (0..vms).map(|_| Proxy::start(any_address, store.address()).unwrap());
+        let links = links.collect();
         let mut site = Self {
             store,
             engines,
             vms: (0..vms).map(|_| None).collect(),
+            links,
             name: name.to_owned(),
             addresses: Arc::new(Mutex::new(vec![None; vms])),
             senders: Senders::default(),
@@ -245,7 +271,8 @@
     fn start_missing(&mut self) {
         for number in 0..self.vms.len() {
             if self.vms[number].is_none() {
-                let vm = Vm::start_as(&self.store, &self.vm_name(number));
+                let store = self.links[number].address();
+                let vm = Vm::start_with_store(store, &self.vm_name(number));
                 self.addresses.lock().unwrap()[number] = Some(vm.callers);
                 self.starts.push((number, Instant::now()));
                 self.vms[number] = Some(vm);
@@ -287,9 +314,24 @@
         round: usize,
     ) {
         let all: Vec<usize> = (0..self.vms.len()).collect();
+        let leader: Vec<usize> = self.leader().into_iter().collect();
         let (signal, numbers) = match loss {
             Loss::Nothing => return,
-            Loss::Leader => (Signal::SIGKILL, self.leader().into_iter().collect()),
+            Loss::Leader => (Signal::SIGKILL, leader),
+            Loss::LeaderStopped => (Signal::SIGTERM, leader),
+            Loss::LeaderSuspended => return self.suspend(&leader),
+            Loss::Store(outage) => {
+                self.store.set_outage(outage);
+                thread::sleep(OUTAGE);
+                return self.end_outage();
+            }
+            Loss::OneVmCutOff => {
+                let link = &self.links[round % self.vms.len()];
+                link.set_mode(Fault::Cut);
+                thread::sleep(OUTAGE);
+                return link.set_mode(Fault::Pass);
+            }
+            Loss::SilentEngines => return self.silence_engines(),
             Loss::OneVm | Loss::StoreAndOneVm => (Signal::SIGKILL, vec![round % self.vms.len()]),
             Loss::AllVms | Loss::StoreAndAllVms => (Signal::SIGKILL, all),
             Loss::AllVmsStopped => (Signal::SIGTERM, all),
@@ -301,6 +343,39 @@
         self.start_missing();
     }
 
+    fn suspend(
+        &self,
+        numbers: &[usize],
+    ) {
+        let vms = numbers
+            .iter()
+            .filter_map(|&number| self.vms[number].as_ref());
+        let vms: Vec<&Vm> = vms.collect();
+        let signal = |signal| {
+            for vm in &vms {
+                vm.signal(signal);
+            }
+        };
+        signal(Signal::SIGSTOP);
+        thread::sleep(SUSPENSION);
+        signal(Signal::SIGCONT);
+    }
+
+    fn silence_engines(&self) {
+        let silence = Silence {
+            at: SilentAt::Head,
+            time: SILENCE,
+        };
+        let set = |silence| {
+            for engine in &self.engines {
+                engine.set_silence(silence);
+            }
+        };
+        set(Some(silence));
+        thread::sleep(SILENCE);
+        set(None);
+    }
+
     fn end_outage(&mut self) {
         self.store.set_outage(Outage::None);
         self.store_back = Some(Instant::now());
@@ -434,24 +509,14 @@
         &self,
         part: &str,
     ) -> PartCounts {
-        let crashes = self.engines.iter().flat_map(EngineStandIn::crashes);
-        let crashes = crashes.filter(|crash| crash.part.as_deref() == Some(part));
-        let mut crashes: Vec<Instant> = crashes.map(|crash| crash.at).collect();
-        crashes.sort();
-        let due = crashes.get(MAX_CRASHES - 1).map(|&at| at + CONTACT);
-        let arrivals = self.engines.iter().flat_map(EngineStandIn::arrivals);
-        let late = arrivals.filter(|arrival| {
-            let is_late = due.is_some_and(|due| arrival.at > due);
-            is_late && arrival.parts.iter().any(|id| id == part)
-        });
-        let late: Vec<_> = late.collect();
+        let PartArrivals { crashes, late } = PartArrivals::at(&self.engines, part);
         let senders = self.senders.lock().unwrap();
         let in_touch = late.iter().filter(|arrival| {
             let vm = senders.get(&arrival.request_id);
             vm.is_some_and(|&vm| self.is_in_touch(vm, arrival.at))
         });
         PartCounts {
-            crashes: crashes.len(),
+            crashes,
             late: late.len(),
             late_in_touch: in_touch.count(),
         }
--- a/crates/entry/tests/deployment/mod.rs
+++ b/crates/entry/tests/deployment/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod crashing_site;
 pub mod ending_site;
+pub mod part_arrivals;
 pub mod paused_site;
 pub mod registrar;
 pub mod streams;
--- a/crates/entry/tests/soak/crashing_parts.rs
+++ b/crates/entry/tests/soak/crashing_parts.rs
@@ -1,20 +1,13 @@
 //! Prompts with a part that crashes engines: few reach engines once enough have crashed, and the others are served.
 
 use {
-    super::{
-        callers::Record, checks::count_served, cluster::Cluster, disturbances::CONTACT,
-        fault::CRASHING_PARTS,
-    },
-    jasmine_platform_stand_in::EngineStandIn,
-    std::{collections::HashMap, time::Instant},
+    super::{callers::Record, checks::count_served, cluster::Cluster, fault::CRASHING_PARTS},
+    crate::deployment::part_arrivals::{MAX_LATE, PartArrivals},
+    std::collections::HashMap,
 };
 
-/// Crashes under a part after which it has to be known.
-const MAX_CRASHES: usize = 5;
 /// Sound prompts from which on their share is looked at.
 const MIN_SOUND: usize = 20;
-/// Requests with it that may reach engines after that.
-const MAX_LATE: usize = 3;
 
 pub fn check_parts(
     cluster: &Cluster,
@@ -48,27 +41,13 @@
     by_id: &HashMap<&str, &Record>,
     part: &str,
 ) -> Option<String> {
-    let engines = &cluster.crash_engines;
-    let crashes = engines.iter().flat_map(EngineStandIn::crashes);
-    let crashes = crashes.filter(|crash| crash.part.as_deref() == Some(part));
-    let mut crashes: Vec<Instant> = crashes.map(|crash| crash.at).collect();
-    crashes.sort();
-    let due = crashes.get(MAX_CRASHES - 1).map(|&at| at + CONTACT);
-    let arrivals = engines.iter().flat_map(EngineStandIn::arrivals);
-    let late = arrivals.filter(|arrival| {
-        let is_late = due.is_some_and(|due| arrival.at > due);
-        is_late && arrival.parts.iter().any(|one| one == part)
-    });
-    let late = late.filter(|arrival| {
+    let PartArrivals { crashes, late } = PartArrivals::at(&cluster.crash_engines, part);
+    let late = late.iter().filter(|arrival| {
         let record = by_id.get(arrival.request_id.as_str());
         record.is_some_and(|record| cluster.disturbances.is_in_touch(record.vm, arrival.at))
     });
     let late = late.count();
-    println!("{part}: {} crashes, {late} requests later", crashes.len());
-    (late > MAX_LATE).then(|| {
-        format!(
-            "{late} requests with the part {part} were sent after {} crashes",
-            crashes.len()
-        )
-    })
+    println!("{part}: {crashes} crashes, {late} requests later");
+    (late > MAX_LATE)
+        .then(|| format!("{late} requests with the part {part} were sent after {crashes} crashes"))
 }
