A verdict falls with the crashes it rests on

Cause: an answer ended a verdict only if it had begun after the verdict. One that began after the last crash and before the verdict, and is told later, as by a VM to a new leader, acquitted the part of all crashes; the verdict stayed with no evidence left, and nothing with the part was sent any more to end it.

Change: an answer takes a part out of a verdict also if it began after the last known crash that accuses the verdict's parts together. Acquittal of crashes and of verdicts is one step, as the second needs what the first removes.

Evidence: a_verdict_falls_with_its_evidence fails without the change.

--- a/crates/core/src/quarantine/crash_log.rs
+++ b/crates/core/src/quarantine/crash_log.rs
@@ -264,6 +264,16 @@
         self.accusations.get(&part).copied().unwrap_or_default()
     }
 
+    /// When the latest crash came that accuses all of the parts in one prompt.
+    pub(super) fn last_accusing(
+        &self,
+        parts: &PartSet,
+    ) -> Option<Millis> {
+        let mut latest = self.crashes.iter().rev();
+        let last = latest.find(|crash| crash.accuses_together(parts));
+        last.map(|crash| crash.at)
+    }
+
     /// How many crashes came under a single prompt, which has the part.
     pub(super) fn sole_crashes(
         &self,
--- a/crates/core/src/quarantine/part_quarantine.rs
+++ b/crates/core/src/quarantine/part_quarantine.rs
@@ -84,7 +84,6 @@
         for report in &evidence.sound {
             let begun_at = now.since(report.ago);
             self.sound.insert(report.part, begun_at);
-            self.crashes.acquit(&[report.part], begun_at);
             self.acquit(&[report.part], begun_at);
         }
         let sound = &self.sound;
@@ -121,7 +120,6 @@
         if self.crashes.accusations(request) > 0 {
             self.sound.insert(request, begun_at);
         }
-        self.crashes.acquit(&[request], begun_at);
         self.acquit(&[request], begun_at);
     }
 
@@ -135,7 +133,6 @@
         for &part in parts {
             self.sound.insert(part, begun_at);
         }
-        self.crashes.acquit(parts, begun_at);
         self.acquit(parts, begun_at);
         let is_open = |part| self.undecided.contains(part) || self.doubted.contains(part);
         parts.iter().any(is_open)
@@ -575,19 +572,28 @@
         });
     }
 
-    /// Takes parts out of the verdicts before `begun_at`, as an answer that began then went on.
+    /// Acquits parts of the crashes before `begun_at`, as an answer that began then went on, and takes them out of the
+    /// verdicts that were reached before or rest on such crashes only.
     fn acquit(
         &mut self,
         parts: &[PartId],
         begun_at: Millis,
     ) {
-        let has_any = |verdict: &Verdict| parts.iter().any(|part| verdict.parts.contains(part));
-        let is_acquitted = |verdict: &Verdict| verdict.since <= begun_at && has_any(verdict);
-        if !self.verdicts.iter().any(is_acquitted) {
+        let is_acquitted = |verdict: &Verdict| {
+            let has_any = parts.iter().any(|part| verdict.parts.contains(part));
+            has_any && {
+                let last_crash = self.crashes.last_accusing(&verdict.parts);
+                verdict.since <= begun_at || last_crash.is_some_and(|at| at <= begun_at)
+            }
+        };
+        let acquitted: Vec<bool> = self.verdicts.iter().map(is_acquitted).collect();
+        self.crashes.acquit(parts, begun_at);
+        if !acquitted.contains(&true) {
             return;
         }
-        for verdict in std::mem::take(&mut self.verdicts) {
-            if !is_acquitted(&verdict) {
+        let verdicts = std::mem::take(&mut self.verdicts);
+        for (verdict, is_acquitted) in verdicts.into_iter().zip(acquitted) {
+            if !is_acquitted {
                 self.verdicts.push(verdict);
                 continue;
             }
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -10,7 +10,7 @@
         ingress::{PromptPart, shared_parts},
         quarantine::{
             AnswerEnd, AnswerTrace, AttemptEvidence, CrashCandidates, CrashEvidence, CrashReport,
-            PartSet, PromptEvidence, PromptReport, RequestEvidence, VerdictSource,
+            PartSet, PromptEvidence, PromptReport, RequestEvidence, SoundReport, VerdictSource,
         },
         scheduler::{AttemptId, Job, LOCAL_VM, Outcome, RateShare, Work},
     },
@@ -121,9 +121,19 @@
     world: &mut World,
     parts: &[u64],
 ) {
+    assert!(answer_if_sent(world, parts), "{parts:?} not sent");
+}
+
+/// Answers a prompt, unless it isn't sent.
+fn answer_if_sent(
+    world: &mut World,
+    parts: &[u64],
+) -> bool {
     let number = world.place(prompt(parts, world.now));
     world.advance(20);
-    assert!(world.sent_to(number).is_some(), "{parts:?} not sent");
+    if world.sent_to(number).is_none() {
+        return false;
+    }
     let evidence = PromptEvidence::Sound {
         begun_ago: Millis(10),
     };
@@ -132,6 +142,7 @@
         .scheduler
         .note_evidence(attempt(number), about_prompt(evidence), now);
     world.end(number, Outcome::Answered { took: Millis(20) });
+    true
 }
 
 /// A report of an upstream that crashed so long ago, under a prompt with these parts that was sent so long ago.
@@ -783,6 +794,35 @@
     assert_eq!(new.scheduler.quarantined(), [parts]);
 }
 
+#[test]
+fn a_verdict_falls_with_its_evidence() {
+    // Guards against a verdict that outlives all crashes it rests on, as the answer that acquits them came in after it.
+    let mut old = world();
+    for round in 0..4 {
+        crash(&mut old, &[FIRST, 100 + round]);
+    }
+    assert!(is_quarantined(&mut old, &[FIRST, OTHER]));
+    let verdicts = old.scheduler.quarantined();
+    let mut new = successor(&old);
+    for parts in verdicts {
+        let now = new.now;
+        let actions = new
+            .scheduler
+            .add_quarantine(parts, VerdictSource::Store, now);
+        new.apply(actions);
+    }
+    new.advance(100);
+    let sound = CrashEvidence {
+        crashes: Vec::new(),
+        sound: vec![SoundReport {
+            part: PartId::Part(FIRST),
+            ago: Millis(300),
+        }],
+    };
+    new.scheduler.add_crash_evidence(&sound, new.now);
+    assert!(!is_quarantined(&mut new, &[FIRST, OTHER]));
+}
+
 #[test]
 fn reports_accuse_nothing_that_was_sound_later() {
     // Guards against crashes that a VM tells late, and that accuse again what answers have acquitted since.
