--- a/crates/core/tests/storm_world/mod.rs
+++ b/crates/core/tests/storm_world/mod.rs
@@ -696,10 +696,12 @@
             scheduler.note_evidence(attempt_id(flight.number), evidence, now);
             vm.world.end(flight.number, outcome);
         }
-        if flight.caller == decider {
-            return;
-        }
-        if let Some(vm) = self.vms[flight.caller].as_mut() {
+        // A new leader takes over what VMs have under way.
+        let leader = self.leader.filter(|&leader| leader != flight.caller);
+        for vm in [Some(flight.caller), leader].into_iter().flatten() {
+            let Some(vm) = self.vms[vm].as_mut().filter(|_| vm != decider) else {
+                continue;
+            };
             let scheduler = &mut vm.world.scheduler;
             scheduler.note_own_evidence(upstream, candidates, evidence, sent_at, now);
         }
