Parts that were sound go one at a time from five crashes on

Cause: a part that was sound before is doubted after three crashes in turn, each under a prompt sent after the one before. All engines that crash at one moment are one of these, and so are all that crash as they are back. With one suspect the review's undecided set holds the prompts in its place; with several only the first of them.

Change: with five crashes in all, two in turn are enough.

Evidence: known_parts_go_one_at_a_time: 6 of 6 waiting prompts of the second part are sent at once before the change, one after it.

--- a/crates/core/src/quarantine/suspect.rs
+++ b/crates/core/src/quarantine/suspect.rs
@@ -7,7 +7,7 @@
 /// Crashes of different upstreams under a part from which it may be quarantined.
 pub(super) const MIN_CRASHES: usize = 3;
 /// The same for a part that several crashes accuse beside these, though verdicts on others explain them.
-const MIN_FURTHER_CRASHES: usize = 2;
+pub(super) const MIN_FURTHER_CRASHES: usize = 2;
 /// Crashes under a part after which few requests with it may reach upstreams.
 pub(super) const MAX_CRASHES: usize = 5;
 
--- a/crates/core/src/quarantine/weighing.rs
+++ b/crates/core/src/quarantine/weighing.rs
@@ -4,7 +4,7 @@
         crash::Crash,
         crash_log::CrashLog,
         recent_parts::RecentParts,
-        suspect::{MAX_CRASHES, MIN_CRASHES, OpenCrash, Suspect, serial_ends},
+        suspect::{MAX_CRASHES, MIN_CRASHES, MIN_FURTHER_CRASHES, OpenCrash, Suspect, serial_ends},
         verdict::Verdict,
     },
     crate::{clock::Millis, ids::PartId},
@@ -122,7 +122,9 @@
             let is_accused = self.crashes.accusations(part) >= MIN_CRASHES;
             is_accused && !part.is_request() && self.sound.contains(part) && {
                 let accusing = self.settled().filter(|crash| crash.accuses(part));
-                serial_ends(part, accusing).len() >= MIN_CRASHES
+                let in_turn = serial_ends(part, accusing).len();
+                let is_known = self.crashes.accusations(part) >= MAX_CRASHES;
+                in_turn >= MIN_CRASHES || is_known && in_turn >= MIN_FURTHER_CRASHES
             }
         });
         doubted.collect()
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -823,6 +823,38 @@
     assert!(!is_quarantined(&mut new, &[FIRST, OTHER]));
 }
 
+#[test]
+fn known_parts_go_one_at_a_time() {
+    // Guards against parts that were sound, crash all engines at once and are sent to all of them as they are back.
+    let mut world = world();
+    let bad = [BAD, SECOND_BAD];
+    for part in bad {
+        answer(&mut world, &[FIRST, part]);
+    }
+    world.advance(1_000);
+    let crashes: Vec<CrashReport> = (0..ENGINES)
+        .map(|id| report((id, 10, 60), &[FIRST, bad[id as usize % 2]]))
+        .collect();
+    tell(&mut world, &crashes);
+    world.advance(2_000);
+    for part in bad {
+        assert!(crash(&mut world, &[FIRST, part]));
+    }
+    answer(&mut world, &[FIRST, OTHER]);
+    let numbers = bad.map(|part| {
+        let numbers: Vec<u64> = (0..6)
+            .map(|_| world.place(prompt(&[FIRST, part], world.now)))
+            .collect();
+        numbers
+    });
+    world.advance(100);
+    let sent = |numbers: &Vec<u64>| {
+        let sent = numbers.iter().filter(|&&one| world.sent_to(one).is_some());
+        sent.count()
+    };
+    assert_eq!([1, 1], [sent(&numbers[0]), sent(&numbers[1])]);
+}
+
 #[test]
 fn reports_accuse_nothing_that_was_sound_later() {
     // Guards against crashes that a VM tells late, and that accuse again what answers have acquitted since.
