A suspect that crashes upstreams late is refused, whatever else may explain it

In the core a part that was sound and comes with three others in turn is sent 26 times late, time after time (parts_with_alternatives_are_refused_in_time, before this commit).

Cause: each way to a verdict could be put off by another explanation of the crashes: few others that explain them, a first part that is doubted as well, a set whose other parts aren't confirmed. No rule bounded the sum of these, though the promise is a count: few requests with a part after its fifth crash.

Evidence: the test above has 26 late before, at most 3 after.

--- a/crates/core/src/quarantine/weighing.rs
+++ b/crates/core/src/quarantine/weighing.rs
@@ -96,6 +96,11 @@
         while !rest.is_empty() {
             let group = indistinct(&rest, &unexplained, has_alternative);
             let parts: PartSet = group.iter().map(|one| one.part).collect();
+            let overdue = group.iter().filter(|one| self.is_overdue(one));
+            let overdue: PartSet = overdue.map(|one| one.part).collect();
+            if !overdue.is_empty() {
+                return Finding::Guilty(overdue);
+            }
             let is_decided = if let [single] = &group[..] {
                 let is_cause = single.is_confirmed && !has_alternative(single);
                 is_cause && !single.was_sound() && !self.has_time(single.part)
@@ -175,6 +180,31 @@
         known_at.is_some_and(|at| self.now < at + TRIAL_TIME) && self.may_be_shared(part)
     }
 
+    /// Whether a part is refused whatever else may explain its crashes: as many requests with it as may do so have crashed
+    /// upstreams long after the crashes after which it has to be known, but for one.
+    fn is_overdue(
+        &self,
+        suspect: &Suspect,
+    ) -> bool {
+        suspect.is_confirmed && self.late_crashes(suspect.part) + 1 >= MAX_LATE_CRASHES
+    }
+
+    /// How many requests with a part have crashed upstreams long after the crashes after which it has to be known.
+    fn late_crashes(
+        &self,
+        part: PartId,
+    ) -> usize {
+        let mut accusing = self.crashes.iter().filter(|crash| crash.accuses(part));
+        let Some(known) = accusing.nth(MAX_CRASHES - 1) else {
+            return 0;
+        };
+        let due = known.at + TRIAL_TIME;
+        let late = self
+            .settled()
+            .filter(|crash| crash.sent_at(part) >= Some(due));
+        late.count()
+    }
+
     fn settled(&self) -> impl Iterator<Item = &Crash> {
         let crashes = self.crashes.iter();
         crashes.filter(|crash| crash.is_settled(self.now))
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -855,6 +855,35 @@
     assert_eq!([1, 1], [sent(&numbers[0]), sent(&numbers[1])]);
 }
 
+#[test]
+fn parts_with_alternatives_are_refused_in_time() {
+    // Guards against a part that is tried on and on, as parts that each came with it a few times explain its crashes.
+    let mut world = world();
+    let others = [100, 101, 102];
+    for other in others {
+        answer(&mut world, &[FIRST, BAD, other]);
+    }
+    let mut known_at = None;
+    let mut late = 0;
+    for (round, other) in others.into_iter().cycle().take(30).enumerate() {
+        let is_late = known_at.is_some_and(|at| world.now.since(at) > Millis(3_000));
+        if !crash(&mut world, &[FIRST, BAD, other]) {
+            break;
+        }
+        late += usize::from(is_late);
+        known_at = known_at.or((round + 1 == MAX_CRASHES).then_some(world.now));
+        answer(&mut world, &[FIRST, OTHER]);
+        world.advance(3_000);
+    }
+    for _ in 0..10 {
+        late += usize::from(crash(&mut world, &[FIRST, OTHER, BAD]));
+        answer(&mut world, &[FIRST, OTHER]);
+        world.advance(3_000);
+    }
+    assert!(late <= MAX_LATE, "{late} late");
+    assert!(is_quarantined(&mut world, &[OTHER, BAD]));
+}
+
 #[test]
 fn reports_accuse_nothing_that_was_sound_later() {
     // Guards against crashes that a VM tells late, and that accuse again what answers have acquitted since.
