What several crashing parts may only share is tried soon, also if it was sound

Cause: only parts that had never been sound were probed soon after a verdict on crashes that each had another explanation. What is popular has been sound before.

Change: such a part is probed 1.2 s after the verdict and each time twice as much later, by the least suspect prompts, as long as no crash has come on trial under a prompt with nothing else to explain it. For a part that was never sound, crashes after its fifth count against its three probes only if they came late or had no other explanation.

Evidence: shared_parts_that_were_sound_are_tried_soon isn't served within 5 s before the change.

--- a/crates/core/src/quarantine/part_quarantine.rs
+++ b/crates/core/src/quarantine/part_quarantine.rs
@@ -238,7 +238,7 @@
         if checked.is_some() {
             verdict.delay_check(now);
         }
-        may_be_tried
+        may_be_tried && (!was_sound || verdict.take_shared_probe(now))
             || may_be_shared && verdict.take_late_probe(now)
             || was_sound && verdict.take_probe(now)
     }
--- a/crates/core/src/quarantine/suspect.rs
+++ b/crates/core/src/quarantine/suspect.rs
@@ -102,7 +102,7 @@
     }
 
     /// Whether a part is as likely the cause of a crash that accuses both: no answer has shown it to be sound notably later.
-    fn has_rival<F>(
+    pub(super) fn has_rival<F>(
         &self,
         part: PartId,
         sound_at: F,
--- a/crates/core/src/quarantine/verdict.rs
+++ b/crates/core/src/quarantine/verdict.rs
@@ -24,15 +24,48 @@
 pub(super) struct Verdict {
     pub parts: PartSet,
     pub since: Millis,
-    /// When the next probe is allowed.
-    probe_at: Millis,
-    probe_interval: Millis,
+    probes: ProbeTimes,
+    /// Of a part that was sound and that several crashing ones may only share.
+    shared_probes: ProbeTimes,
     /// When it may next be checked whether a request shows that the part is only common to several crashing ones.
     check_at: Millis,
 }
 
-/// Time until the first probe of a part that was sound before; doubled with each further one.
+/// When requests with a part may show that it is sound again, each time twice as much later.
+#[derive(Clone, Copy, Debug)]
+struct ProbeTimes {
+    next_at: Millis,
+    interval: Millis,
+}
+
+impl ProbeTimes {
+    fn new(
+        since: Millis,
+        interval: Millis,
+    ) -> Self {
+        Self {
+            next_at: since + interval,
+            interval,
+        }
+    }
+
+    fn take(
+        &mut self,
+        now: Millis,
+    ) -> bool {
+        if now < self.next_at {
+            return false;
+        }
+        self.interval = Millis(self.interval.0 * 2).min(MAX_PROBE_INTERVAL);
+        self.next_at = now + self.interval;
+        true
+    }
+}
+
+/// Time until the first probe of a part that was sound before.
 const PROBE_INTERVAL: Millis = Millis(60_000);
+/// The same where several crashing parts may only share it.
+const SHARED_PROBE_INTERVAL: Millis = Millis(1_200);
 /// Time between requests that may show that a part is only common to several crashing ones.
 const CHECK_INTERVAL: Millis = Millis(600);
 /// Time until the first of these that is sent though its part has crashed as many upstreams as it may.
@@ -47,8 +80,8 @@
         Self {
             parts,
             since,
-            probe_at: since + PROBE_INTERVAL,
-            probe_interval: PROBE_INTERVAL,
+            probes: ProbeTimes::new(since, PROBE_INTERVAL),
+            shared_probes: ProbeTimes::new(since, SHARED_PROBE_INTERVAL),
             check_at: since + CHECK_INTERVAL,
         }
     }
@@ -58,12 +91,15 @@
         &mut self,
         now: Millis,
     ) -> bool {
-        if now < self.probe_at {
-            return false;
-        }
-        self.probe_interval = Millis(self.probe_interval.0 * 2).min(MAX_PROBE_INTERVAL);
-        self.probe_at = now + self.probe_interval;
-        true
+        self.probes.take(now)
+    }
+
+    /// The same for a part that was sound before and may only be common to several crashing ones.
+    pub(super) fn take_shared_probe(
+        &mut self,
+        now: Millis,
+    ) -> bool {
+        self.shared_probes.take(now)
     }
 
     /// The same for a part that may only be common to several crashing ones, once it has crashed as many as it may.
--- a/crates/core/src/quarantine/weighing.rs
+++ b/crates/core/src/quarantine/weighing.rs
@@ -135,30 +135,57 @@
         doubted.collect()
     }
 
-    /// Whether a part may still be tried to see whether it is only what several crashing ones share: few of its crashes came
-    /// late.
+    /// Whether a refused part may soon be tried to see whether it is only what several crashing ones share: if it was never
+    /// sound, few of its crashes came late; if it was, none came on trial under a prompt with nothing else that explains it.
     pub(super) fn may_be_tried(
         &self,
         part: PartId,
     ) -> bool {
-        let accusing = self.crashes.iter().filter(|crash| crash.accuses(part));
-        let accusing: Vec<&Crash> = accusing.collect();
-        let known_at = accusing.get(MAX_CRASHES - 1).map(|crash| crash.at);
-        let is_late = |crash: &&&Crash| known_at.is_some_and(|at| crash.sent_at(part) >= Some(at));
-        self.may_be_shared(part) && accusing.iter().filter(is_late).count() < MAX_LATE_CRASHES
+        let has_trials_left = if self.sound.contains(part) {
+            self.sole_trials(part, MIN_CRASHES) == 0
+        } else {
+            self.late_crashes(part)
+                .max(self.sole_trials(part, MAX_CRASHES))
+                < MAX_LATE_CRASHES
+        };
+        has_trials_left && self.may_be_shared(part)
     }
 
-    /// Whether a part may only be what several crashing ones share: no answer has ever shown it to be sound, and each of its
-    /// crashes has another explanation, not the same one for all.
+    /// How many crashes that nothing else explains, but parts that were in no other prompt, have come under prompts with a
+    /// part that were sent after its first `known` ones.
+    fn sole_trials(
+        &self,
+        part: PartId,
+        known: usize,
+    ) -> usize {
+        let mut accusing = self.crashes.iter().filter(|crash| crash.accuses(part));
+        let Some(known) = accusing.nth(known - 1) else {
+            return 0;
+        };
+        let crashes: Vec<OpenCrash<'_>> = self.crashes.iter().map(OpenCrash::new).collect();
+        let accusations = |part| self.crashes.accusations(part);
+        let suspect = self.suspect(part, &crashes, known.at);
+        suspect.trials(
+            &crashes,
+            |part| self.sound.latest(part),
+            accusations,
+            known.at,
+        )
+    }
+
+    /// Whether a part may only be what several crashing ones share: each of its crashes has another explanation, not the same
+    /// one for all.
     pub(super) fn may_be_shared(
         &self,
         part: PartId,
     ) -> bool {
         let accusing = self.crashes.iter().filter(|crash| crash.accuses(part));
         let accusing: Vec<&Crash> = accusing.collect();
+        let suspect = self.suspect(part, &[], Millis::ZERO);
+        let sound_at = |part| self.sound.latest(part);
         let rivals = |crash: &Crash| {
             let mut parts = crash.parts();
-            parts.retain(|&other| other != part && !self.sound.contains(other));
+            parts.retain(|&other| suspect.has_rival(other, sound_at));
             parts
         };
         let rivals: Vec<PartSet> = accusing.iter().copied().map(rivals).collect();
@@ -166,7 +193,7 @@
         let are_several = rivals
             .first()
             .is_some_and(|parts| !parts.iter().any(in_all));
-        !self.sound.contains(part) && are_several && rivals.iter().all(|parts| !parts.is_empty())
+        are_several && rivals.iter().all(|parts| !parts.is_empty())
     }
 
     /// Whether a part that may only be shared needn't be refused yet, as requests with it may reach upstreams for so long
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -884,6 +884,30 @@
     assert!(is_quarantined(&mut world, &[OTHER, BAD]));
 }
 
+#[test]
+fn shared_parts_that_were_sound_are_tried_soon() {
+    // Guards against a first part that is refused for a minute, as each of its trials met another crashing part.
+    let mut world = world();
+    let others = 100..130;
+    for other in others.clone() {
+        answer(&mut world, &[FIRST, other]);
+    }
+    for other in others {
+        if !crash(&mut world, &[FIRST, other]) {
+            break;
+        }
+    }
+    assert!(is_quarantined(&mut world, &[FIRST, OTHER]));
+    let is_served = |world: &mut World| {
+        world.advance(80);
+        answer_if_sent(world, &[FIRST, OTHER])
+    };
+    let tries = (0..50).find(|_| is_served(&mut world));
+    assert!(tries.is_some(), "not within 5 s");
+    answer(&mut world, &[FIRST, OTHER]);
+    assert!(!is_quarantined(&mut world, &[FIRST, OTHER]));
+}
+
 #[test]
 fn reports_accuse_nothing_that_was_sound_later() {
     // Guards against crashes that a VM tells late, and that accuse again what answers have acquitted since.
