Seven crashes in turn are no verdict of their own any more

Weighing had a rule for what many prompts share: seven crashes in turn, three of each that a verdict explains, with trials if others explain the rest.

Tried beside it, and left: the count of seven from which others that explain a suspect's crashes don't count.

--- a/crates/core/src/quarantine/weighing.rs
+++ b/crates/core/src/quarantine/weighing.rs
@@ -8,15 +8,13 @@
         verdict::Verdict,
     },
     crate::{clock::Millis, ids::PartId},
-    std::{cmp::Reverse, collections::BTreeMap},
+    std::cmp::Reverse,
 };
 
 /// Most parts that are refused only together.
 const MAX_SET_LEN: usize = 8;
 /// Crashes from which a part is the cause, even if others that prompts have beside it explain them as well.
 const MAX_SHARED_CRASHES: usize = 7;
-/// Crashes under prompts with no other suspect, from which a part is the cause that is accused otherwise, too.
-const MIN_TRIALS: usize = 2;
 /// Crashes under a part that may follow those after which it has to be known.
 const MAX_LATE_CRASHES: usize = 3;
 /// How long a part is tried after the crashes after which it has to be known.
@@ -57,8 +55,7 @@
             .filter(|crash| !self.is_explained(crash))
             .map(OpenCrash::new)
             .collect();
-        let found = self.common_cause();
-        if let Some(part) = found.or_else(|| self.cause_of_set(&unexplained)) {
+        if let Some(part) = self.cause_of_set(&unexplained) {
             return Finding::Guilty(PartSet::from([part]));
         }
         let refused_requests: Vec<PartId> = self
@@ -249,61 +246,6 @@
         self.part_verdicts().any(|verdict| verdict.explains(crash))
     }
 
-    /// A part under which so many upstreams crashed in turn that no verdicts on others explain them, if there is one.
-    ///
-    /// Of the crashes that a verdict explains as many count as are enough for it, as what it is on may have caused any
-    /// number.
-    fn common_cause(&self) -> Option<PartId> {
-        let accused = self.crashes.accused();
-        let mut candidates: PartSet = accused
-            .filter(|&part| {
-                !part.is_request() && self.crashes.accusations(part) >= MAX_SHARED_CRASHES
-            })
-            .collect();
-        candidates.retain(|&part| !self.is_refused_alone(part));
-        candidates.into_iter().find(|&part| self.is_common(part))
-    }
-
-    fn is_common(
-        &self,
-        part: PartId,
-    ) -> bool {
-        let mut explained: BTreeMap<usize, usize> = BTreeMap::new();
-        let accusing = self.settled().filter(|crash| crash.accuses(part));
-        let counted = accusing.filter(|crash| {
-            let mut verdicts = self.part_verdicts();
-            let Some(verdict) = verdicts.position(|verdict| verdict.explains(crash)) else {
-                return true;
-            };
-            let count = explained.entry(verdict).or_default();
-            *count += 1;
-            *count <= MIN_CRASHES
-        });
-        let ends = serial_ends(part, counted);
-        let (Some(enough), Some(last)) = (ends.get(MIN_CRASHES - 1), ends.last()) else {
-            return false;
-        };
-        let had_time = last.sent_at(part) >= Some(enough.at + ACQUITTAL_TIME);
-        ends.len() >= MAX_SHARED_CRASHES
-            && had_time
-            && (!self.sound.contains(part) || self.has_no_other_cause(part, &ends))
-    }
-
-    /// Whether no few other parts explain these crashes as well, or some came under trials that they don't explain.
-    fn has_no_other_cause(
-        &self,
-        part: PartId,
-        ends: &[&Crash],
-    ) -> bool {
-        let crashes: Vec<OpenCrash<'_>> = ends.iter().copied().map(OpenCrash::new).collect();
-        let sound_at = |part| self.sound.latest(part);
-        let accusations = |part| self.crashes.accusations(part);
-        let since = ends[MIN_CRASHES - 1].at;
-        let suspect = self.suspect(part, &crashes, since);
-        !suspect.has_alternative(&crashes, sound_at)
-            || suspect.trials(&crashes, sound_at, accusations, since) >= MIN_TRIALS
-    }
-
     /// A part that is refused together with others, after as many crashes as are allowed, and crashes an upstream without
     /// them, under a prompt that was sent after the verdict and has no other suspect; if there is one.
     fn cause_of_set(
