--- a/crates/entry/tests/crashing_storms.rs
+++ b/crates/entry/tests/crashing_storms.rs
@@ -188,7 +188,7 @@
             loss,
             ..Storm::of_eight()
         };
-        let outcome = run(name, &storm);
+        let outcome = run(&format!("{name}-{}", loss.name()), &storm);
         outcome.late_in_touch() > MAX_LATE || outcome.served() < MIN_SERVED
     };
     let failed: Vec<Loss> = losses.into_iter().filter(fails).collect();
--- a/crates/entry/tests/deployment/crashing_site.rs
+++ b/crates/entry/tests/deployment/crashing_site.rs
@@ -73,6 +73,14 @@
     StoreAndOneVm,
 }
 
+impl Loss {
+    /// A name for VMs and logs.
+    pub fn name(self) -> String {
+        let name = format!("{self:?}").to_lowercase();
+        name.replace(|c: char| !c.is_ascii_alphanumeric(), "")
+    }
+}
+
 /// The crashing parts of the prompts of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Prompts {
