--- a/crates/entry/src/scheduling/quarantine_log.rs
+++ b/crates/entry/src/scheduling/quarantine_log.rs
@@ -41,22 +41,20 @@
         names: &NameInterner,
         now: Millis,
     ) {
-        let name = name_of(event);
+        let (name, line) = begin_line(event);
         *self.counts.entry(name).or_default() += 1;
         match event {
             QuarantineEvent::Added {
                 parts,
                 source,
                 crashes,
-            } => with_parts(Line::new(name), parts, names)
+            } => with_parts(line, parts, names)
                 .with("by", source)
                 .with("crashes", crashes.len())
                 .with("on", join_crashes(crashes, names))
                 .warn(),
             QuarantineEvent::Removed { parts, source } => {
-                with_parts(Line::new(name), parts, names)
-                    .with("by", source)
-                    .warn();
+                with_parts(line, parts, names).with("by", source).warn();
             }
             QuarantineEvent::Sent {
                 request,
@@ -70,8 +68,7 @@
                 let accused: Vec<String> = accused
                     .map(|(part, count)| format!("{part}:{count}"))
                     .collect();
-                Line::new(name)
-                    .with("request", number_of(*request))
+                line.with("request", number_of(*request))
                     .with("upstream", names.upstream_name(*upstream))
                     .with("accused", accused.join(","))
                     .with("unlogged", unlogged)
@@ -81,8 +78,7 @@
                 let Some(unlogged) = self.limit.admit(now) else {
                     return;
                 };
-                Line::new(name)
-                    .with("crash", join_crashes(&[*crash], names))
+                line.with("crash", join_crashes(&[*crash], names))
                     .with("reason", end)
                     .with("unlogged", unlogged)
                     .info();
@@ -91,16 +87,20 @@
     }
 }
 
-/// The event's name in the log and in metrics.
-fn name_of(event: &QuarantineEvent) -> &'static str {
+/// The event's name in metrics, and its line in the log.
+fn begin_line(event: &QuarantineEvent) -> (&'static str, Line) {
     let is_of_request = |parts: &PartSet| parts.iter().any(|part| part.is_request());
     match event {
-        QuarantineEvent::Added { parts, .. } if is_of_request(parts) => "request_quarantined",
-        QuarantineEvent::Added { .. } => "prompt_quarantined",
-        QuarantineEvent::Removed { parts, .. } if is_of_request(parts) => "request_released",
-        QuarantineEvent::Removed { .. } => "prompt_released",
-        QuarantineEvent::Sent { .. } => "suspect_sent",
-        QuarantineEvent::Dropped { .. } => "crash_dropped",
+        QuarantineEvent::Added { parts, .. } if is_of_request(parts) => {
+            ("request_quarantined", Line::new("request_quarantined"))
+        }
+        QuarantineEvent::Added { .. } => ("prompt_quarantined", Line::new("prompt_quarantined")),
+        QuarantineEvent::Removed { parts, .. } if is_of_request(parts) => {
+            ("request_released", Line::new("request_released"))
+        }
+        QuarantineEvent::Removed { .. } => ("prompt_released", Line::new("prompt_released")),
+        QuarantineEvent::Sent { .. } => ("suspect_sent", Line::new("suspect_sent")),
+        QuarantineEvent::Dropped { .. } => ("crash_dropped", Line::new("crash_dropped")),
     }
 }
 
