Crashes in one burst are no trials of a part that was sound

In such a burst prompts are sent after the third crash and before anybody knows of it; the seventh counted as a trial, in which only new parts stood beside f1, so that f1 was convicted, without any prompt having been sent on trial. Its probes, 1.2 to 9.6 s later, each met one of the crashing parts.

Change: a trial is a prompt that was sent once the crashes before it count, 400 ms after the last of them.

Evidence: crashes_in_a_burst_are_no_trials fails before the change.

--- a/crates/core/src/quarantine/weighing.rs
+++ b/crates/core/src/quarantine/weighing.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         PartSet,
-        crash::Crash,
+        crash::{Crash, SETTLE_TIME},
         crash_log::CrashLog,
         recent_parts::RecentParts,
         suspect::{MAX_CRASHES, MIN_CRASHES, MIN_FURTHER_CRASHES, OpenCrash, Suspect, serial_ends},
@@ -48,7 +48,8 @@
     /// Other parts of the same prompts are accused as often. A suspect that no answer has shown to be sound is guilty at
     /// once if nothing else explains one of its crashes; otherwise the suspects wait for answers that acquit some of them.
     /// Several that are left are refused where a prompt has them all. A single one, which other prompts may share, is put
-    /// on trial first, and for longer where it may be what several crashing parts share.
+    /// on trial first, and for longer where it may be what several crashing parts share. A confirmed suspect is refused once
+    /// two upstreams have crashed late under requests with it.
     pub(super) fn finding(&self) -> Finding {
         let unexplained: Vec<OpenCrash<'_>> = self
             .settled()
@@ -80,7 +81,7 @@
         let is_guilty = |one: &&Suspect| {
             let is_alone = !one.was_sound() && one.is_alone(&unexplained, sound_at);
             let is_confirmed = one.was_sound() && one.is_confirmed;
-            let was_tried = is_confirmed && trials(one, one.qualified_at) > 0;
+            let was_tried = is_confirmed && trials(one, one.qualified_at + SETTLE_TIME) > 0;
             (is_alone || was_tried) && !has_alternative(one)
         };
         if let Some(guilty) = suspects.iter().find(is_guilty) {
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -823,6 +823,23 @@
     assert!(!is_quarantined(&mut new, &[FIRST, OTHER]));
 }
 
+#[test]
+fn crashes_in_a_burst_are_no_trials() {
+    // Guards against a sound first part that is refused as many new parts crash all engines within milliseconds.
+    let mut world = world();
+    answer(&mut world, &[FIRST, OTHER]);
+    world.advance(1_000);
+    let crashes: Vec<CrashReport> = (0..ENGINES)
+        .map(|id| {
+            let ago = 30 - 2 * u64::from(id);
+            report((id, ago, ago + 1), &[FIRST, 100 + u64::from(id)])
+        })
+        .collect();
+    tell(&mut world, &crashes);
+    world.advance(1_500);
+    assert!(!is_quarantined(&mut world, &[FIRST, OTHER]));
+}
+
 #[test]
 fn known_parts_go_one_at_a_time() {
     // Guards against parts that were sound, crash all engines at once and are sent to all of them as they are back.
