Logs of failed watches, of late changes, and of how old a VM's view is then

A VM told only that it had lost the store, once, and not with what answer or from which revision it asked; nor how old its view of the store was when a feed failed or history was lost. The three hypotheses on late configurations (a data centre's reader, a watch that can't be answered in time, lost history) couldn't be told apart.

watch_failed names revision, time asked, age of the view and the reason (no response within so long, connection lost, not an answer); changes_late what made a late view complete: source, events, bytes. No change of logic.

--- a/crates/entry/src/scheduling/orders.rs
+++ b/crates/entry/src/scheduling/orders.rs
@@ -103,7 +103,7 @@
             .await;
         let end = match answer {
             Err(CallError::NotSent) => OrderResult::Unsent,
-            Err(CallError::NoResponse) => OrderResult::Lost,
+            Err(CallError::NoResponse(_)) => OrderResult::Lost,
             Ok((status, _)) => self.order_end(decode_order_status(status)),
         };
         Line::new("order_given")
--- a/crates/entry/src/store/follower.rs
+++ b/crates/entry/src/store/follower.rs
@@ -263,6 +263,13 @@
                 self.apply_batch(&batch, asked_at).await
             }
             Err(e) => {
+                Line::new("watch_failed")
+                    .with("from", next)
+                    .with("revision", self.position.after)
+                    .with("asked_ms", self.cx.clock.now().since(asked_at))
+                    .with("view_ms", self.view_age())
+                    .with("reason", &e)
+                    .info();
                 self.store_failed(&e).await;
                 Step::Continue
             }
@@ -287,11 +294,13 @@
         if batch.compacted.is_some() {
             Line::new("history_lost")
                 .with("revision", self.position.minor_after)
+                .with("view_ms", self.view_age())
                 .warn();
             return Step::Reload;
         }
         let held = self.store.watch_timeout();
         let answered_at = answer_time(asked_at, held, self.cx.clock.now());
+        self.log_late_changes("store", batch.revision, &batch.events);
         self.view.apply_all(&batch.events).await;
         self.set_complete_at(answered_at);
         self.feed.set_confirmed_at(asked_at);
@@ -341,6 +350,7 @@
                     self.view.record_remote_recovery(since);
                 }
                 let replied_at = answer_time(now, LONG_POLL_TIMEOUT, self.cx.clock.now());
+                self.log_late_changes(&vm.name, revision, &events);
                 self.view.apply_all(&events).await;
                 self.set_complete_at(replied_at - answered_ago);
                 let minor = includes_minor.then(|| minor_position(revision, &events));
@@ -363,6 +373,7 @@
             .with("vm", &vm.name)
             .with("reason", reason)
             .with("revision", self.position.after)
+            .with("view_ms", self.view_age())
             .info();
         let now = self.cx.clock.now();
         let is_urgent = self.cx.scheduling.is_leading() && !self.choice.is_store_available(now);
@@ -372,6 +383,38 @@
         }
     }
 
+    /// How long ago this VM's view was complete, in milliseconds for the log; `-` before the first full read.
+    fn view_age(&self) -> String {
+        let age = |at| self.cx.clock.now().since(at).to_string();
+        self.feed.complete_at().map_or_else(|| "-".to_owned(), age)
+    }
+
+    /// Logs that a view which was older than changes may be is complete again, by changes from `source`.
+    fn log_late_changes(
+        &self,
+        source: &str,
+        revision: u64,
+        events: &[WatchEvent],
+    ) {
+        let now = self.cx.clock.now();
+        let late = |at: &Millis| now.since(*at) > self.cx.settings.change_ms;
+        if !self.feed.complete_at().as_ref().is_some_and(late) {
+            return;
+        }
+        let bytes = events.iter().map(|event| {
+            let (WatchEvent::Put(kv) | WatchEvent::Delete(kv)) = event;
+            kv.key.len() + kv.value.len()
+        });
+        Line::new("changes_late")
+            .with("source", source)
+            .with("after", self.position.after)
+            .with("revision", revision)
+            .with("view_ms", self.view_age())
+            .with("events", events.len())
+            .with("bytes", bytes.sum::<usize>())
+            .warn();
+    }
+
     /// Records that all changes that the store held at `at` have been applied.
     fn set_complete_at(
         &self,
--- a/crates/entry/src/store/kv_store.rs
+++ b/crates/entry/src/store/kv_store.rs
@@ -169,7 +169,7 @@
         };
         call.send(&self.inner.pool).await.map_err(|e| match e {
             CallError::NotSent => StoreError::Unreachable(e.to_string()),
-            CallError::NoResponse => StoreError::OutcomeUnknown(e.to_string()),
+            CallError::NoResponse(_) => StoreError::OutcomeUnknown(e.to_string()),
         })
     }
 }
--- a/crates/entry/src/upstream/call.rs
+++ b/crates/entry/src/upstream/call.rs
@@ -19,8 +19,20 @@
     #[display("can't connect")]
     NotSent,
     /// The request was sent but not answered; it may have been executed or may be later.
-    #[display("request sent, no valid response")]
-    NoResponse,
+    #[display("request sent, {_0}")]
+    NoResponse(#[error(not(source))] NoResponse),
+}
+
+/// Why a call that was sent has no response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(derive_more::Display)]
+pub enum NoResponse {
+    /// There was none in time.
+    #[display("no response within {_0} ms")]
+    TimedOut(Millis),
+    /// The connection was lost, or the response is none to this call.
+    #[display("{_0}")]
+    Failed(ExchangeError),
 }
 
 /// An HTTP call with an optional JSON body.
@@ -53,8 +65,9 @@
         pool: &Pool,
     ) -> Result<(u16, Bytes), CallError> {
         let result = timeout(self.timeout.to_std(), self.attempt(pool)).await;
-        let result = result.unwrap_or(Err(CallError::NoResponse));
-        if matches!(result, Err(CallError::NoResponse)) {
+        let timed_out = CallError::NoResponse(NoResponse::TimedOut(self.timeout));
+        let result = result.unwrap_or(Err(timed_out));
+        if matches!(result, Err(CallError::NoResponse(_))) {
             pool.close_idle(self.address);
         }
         result
@@ -77,7 +90,7 @@
                 .map_err(|_e| CallError::NotSent)?,
         };
         let response = self.exchange(&mut connection).await;
-        let (head, body) = response.map_err(|_e| CallError::NoResponse)?;
+        let (head, body) = response.map_err(|e| CallError::NoResponse(NoResponse::Failed(e)))?;
         pool.release(self.address, connection, &head);
         Ok((head.status, body))
     }
