Logs and metrics: what a refused request was judged by

Callers saw: proper requests refused by 400, 401, 404, 413 or 431, after which they don't come back. From the id of such a request nobody could tell which configuration it was judged by, where that came from or how old it was; refusals of a head or a body had no log line at all.

Change, without a change of logic: request_refused, also of requests that could not be read, names the rule (route, key as a hash, sizes with their limits) and what it was judged by: version, source (the store's full read, watch or a question, or which VM), revision and age of the configuration, and the age of the VM's view of the store. request_given_up does so for final kinds. config_taken has source and revision. Refusals that callers take as final are counted by kind and by the view's age class (jasmine_refusals_final), and two gauges have the ages of view and configuration.

--- a/crates/core/src/error/error_kind.rs
+++ b/crates/core/src/error/error_kind.rs
@@ -175,6 +175,14 @@
         }
     }
 
+    /// Whether callers take it as final: a refusal by a status of 400 to 499 without a time after which to come back.
+    pub const fn is_final(self) -> bool {
+        let answer = self.answer();
+        matches!(answer.status, 400..=499)
+            && matches!(answer.execution, NotRun)
+            && matches!(answer.retry_after, Never)
+    }
+
     /// Error message for the caller.
     pub const fn message(self) -> &'static str {
         match self {
--- a/crates/entry/src/caller/connection.rs
+++ b/crates/entry/src/caller/connection.rs
@@ -2,7 +2,9 @@
     super::{
         ErrorResponse, ResponseWriter,
         answer_watch::{AnswerEnd, AnswerWatch},
-        read_request::{IncomingRequest, RequestReadError, read_request, wait_for_request},
+        read_request::{
+            IncomingRequest, RefusedRead, RequestReadError, read_request, wait_for_request,
+        },
         response_writer::KeepAlive,
     },
     crate::{
@@ -105,7 +107,7 @@
                 AfterResponse::Reset => return reset(&stream),
             },
             Err(RequestReadError::Closed) => return,
-            Err(RequestReadError::Refused(kind)) => return refuse(stream, kind).await,
+            Err(RequestReadError::Refused(refused)) => return refuse(&cx, stream, &refused).await,
         }
     }
 }
@@ -134,7 +136,9 @@
         }
     }
     let read = read_request(stream, buf, &peer.limits(cx), &cx.bytes).await;
-    if matches!(read, Err(RequestReadError::Refused(ErrorKind::QueueFull))) {
+    if let Err(RequestReadError::Refused(refused)) = &read
+        && refused.kind == ErrorKind::QueueFull
+    {
         cx.metrics.count_bytes_refused();
     }
     read
@@ -239,17 +243,21 @@
     pending::<()>().await;
 }
 
+/// Answers a request that couldn't be read, and closes its connection.
 async fn refuse(
+    cx: &Context,
     mut stream: TcpStream,
-    kind: ErrorKind,
+    refused: &RefusedRead,
 ) {
     let (_, tx) = stream.split();
     let mut out = ResponseWriter::new(tx, 1, KeepAlive::No, false);
+    let kind = refused.kind;
     let refusal = match kind {
         ErrorKind::SlowSender => Refusal::after(kind, Millis::ZERO),
         ErrorKind::QueueFull => Refusal::after(kind, FULL_RETRY_DELAY),
         kind => Refusal::new(kind),
     };
+    cx.log_refused(refused.id.as_deref(), refusal, &refused.rule);
     if out.write_error(ErrorResponse(refusal), None).await.is_ok() {
         close(stream).await;
     }
--- a/crates/entry/src/caller/read_request.rs
+++ b/crates/entry/src/caller/read_request.rs
@@ -4,10 +4,11 @@
         http1::{
             BodyPart, BodyReader, Framing, HeadScanner, HttpError, RequestHead, parse_request_head,
         },
+        refusals::Rule,
     },
     bytes::{Buf, Bytes, BytesMut},
     jasmine_core::{byte_budget::Denial, clock::Millis, error::ErrorKind, ingress::CallerLimits},
-    jasmine_platform::headers::CallerHeaders,
+    jasmine_platform::headers::{CallerHeaders, request_id},
     std::io,
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -23,6 +24,9 @@
 /// Most exchanges end within it, and a refusal leaves the caller time for another VM.
 const MAX_BODY_WAIT: Millis = Millis(2_000);
 
+/// Most lines of a head that isn't parsed in which its request id is looked for.
+const MAX_UNPARSED_LINES: usize = 100;
+
 /// A completely received request.
 #[derive(Clone, Debug)]
 pub struct IncomingRequest {
@@ -37,8 +41,48 @@
 pub enum RequestReadError {
     /// The connection was closed or reset, or is closed as it is idle; no response is sent.
     Closed,
-    /// The request is refused with this error.
-    Refused(ErrorKind),
+    /// The request is refused.
+    Refused(RefusedRead),
+}
+
+/// Why a request that couldn't be read is refused.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RefusedRead {
+    /// The error.
+    pub kind: ErrorKind,
+    /// The rule that it breaks.
+    pub rule: Rule,
+    /// Its id, if that was read.
+    pub id: Option<String>,
+}
+
+impl RefusedRead {
+    const fn new(
+        kind: ErrorKind,
+        rule: Rule,
+    ) -> Self {
+        Self {
+            kind,
+            rule,
+            id: None,
+        }
+    }
+}
+
+impl RequestReadError {
+    /// Notes the id of the request.
+    fn with_id(
+        self,
+        id: Option<&str>,
+    ) -> Self {
+        match self {
+            Self::Closed => Self::Closed,
+            Self::Refused(refused) => Self::Refused(RefusedRead {
+                id: id.map(str::to_owned),
+                ..refused
+            }),
+        }
+    }
 }
 
 impl From<io::Error> for RequestReadError {
@@ -47,27 +91,61 @@
     }
 }
 
-impl From<HttpError> for RequestReadError {
-    fn from(e: HttpError) -> Self {
-        match e {
-            HttpError::Malformed => Self::Refused(ErrorKind::BadRequest),
-            HttpError::HeadTooLarge => Self::Refused(ErrorKind::HeadersTooLarge),
-            HttpError::BodyTooLarge => Self::Refused(ErrorKind::BodyTooLarge),
-            HttpError::Truncated => Self::Closed,
-        }
+impl From<RefusedRead> for RequestReadError {
+    fn from(refused: RefusedRead) -> Self {
+        Self::Refused(refused)
     }
 }
 
 impl From<Denial> for RequestReadError {
     fn from(denial: Denial) -> Self {
-        match denial {
-            Denial::TooLarge => Self::Refused(ErrorKind::BodyTooLarge),
+        let kind = match denial {
+            Denial::TooLarge => ErrorKind::BodyTooLarge,
             // Others may have ended soon.
-            Denial::Full => Self::Refused(ErrorKind::QueueFull),
+            Denial::Full => ErrorKind::QueueFull,
+        };
+        RefusedRead::new(kind, Rule::VmBytes).into()
+    }
+}
+
+/// The refusal of a head of which `bytes` bytes were read.
+fn head_error(
+    e: HttpError,
+    bytes: usize,
+    max: usize,
+) -> RequestReadError {
+    match e {
+        HttpError::HeadTooLarge => {
+            let rule = Rule::HeaderBytes { bytes, max };
+            RefusedRead::new(ErrorKind::HeadersTooLarge, rule).into()
+        }
+        e => body_error(e),
+    }
+}
+
+/// The refusal of a body that can't be decoded.
+fn body_error(e: HttpError) -> RequestReadError {
+    match e {
+        HttpError::Truncated => RequestReadError::Closed,
+        HttpError::Malformed | HttpError::HeadTooLarge => {
+            RefusedRead::new(ErrorKind::BadRequest, Rule::Format).into()
         }
     }
 }
 
+/// The refusal of a body of `bytes` bytes.
+const fn body_too_large(
+    bytes: u64,
+    max: usize,
+) -> RequestReadError {
+    let rule = Rule::BodyBytes { bytes, max };
+    RequestReadError::Refused(RefusedRead::new(ErrorKind::BodyTooLarge, rule))
+}
+
+const fn sent_too_slowly() -> RequestReadError {
+    RequestReadError::Refused(RefusedRead::new(ErrorKind::SlowSender, Rule::SendTime))
+}
+
 /// Waits for the first byte of a request.
 pub(super) async fn wait_for_request(
     stream: &mut TcpStream,
@@ -86,20 +164,48 @@
     limits: &CallerLimits,
     budget: &ByteGate,
 ) -> Result<IncomingRequest, RequestReadError> {
+    let head = match read_head(stream, buf, limits).await {
+        Ok(head) => head,
+        Err(e) => return Err(e.with_id(request_id(unparsed_headers(buf)))),
+    };
+    match read_body(stream, buf, &head, limits, budget).await {
+        Ok(body) => Ok(IncomingRequest { head, body }),
+        Err(e) => Err(e.with_id(request_id(head.headers.pairs()))),
+    }
+}
+
+async fn read_head(
+    stream: &mut TcpStream,
+    buf: &mut BytesMut,
+    limits: &CallerLimits,
+) -> Result<RequestHead, RequestReadError> {
     let due = Instant::now() + limits.header_timeout.to_std();
+    let max = limits.max_header_bytes;
     let mut scanner = HeadScanner::default();
-    let head = loop {
-        if let Some((head, len)) = parse_request_head(buf, limits.max_header_bytes, &mut scanner)? {
-            buf.advance(len);
-            break head;
+    loop {
+        match parse_request_head(buf, max, &mut scanner) {
+            Ok(Some((head, len))) => {
+                buf.advance(len);
+                return Ok(head);
+            }
+            Ok(None) => {}
+            Err(e) => return Err(head_error(e, buf.len(), max)),
         }
         match timeout_at(due, read_more(stream, buf)).await {
             Ok(read) => read?,
-            Err(_elapsed) => return Err(RequestReadError::Refused(ErrorKind::SlowSender)),
+            Err(_elapsed) => return Err(sent_too_slowly()),
         }
-    };
-    let body = read_body(stream, buf, &head, limits, budget).await?;
-    Ok(IncomingRequest { head, body })
+    }
+}
+
+/// The lines of a head that can't be parsed as a whole, as far as they look like headers.
+fn unparsed_headers(buf: &[u8]) -> impl Iterator<Item = (&str, &[u8])> {
+    let lines = buf.split(|&byte| byte == b'\n').take(MAX_UNPARSED_LINES);
+    lines.filter_map(|line| {
+        let end = line.iter().position(|&byte| byte == b':')?;
+        let name = str::from_utf8(&line[..end]).ok()?;
+        Some((name, &line[end + 1..]))
+    })
 }
 
 async fn read_body(
@@ -113,7 +219,7 @@
     match head.framing {
         Framing::Empty => return Ok(Bytes::new()),
         Framing::Length(length) if length > max as u64 => {
-            return Err(HttpError::BodyTooLarge.into());
+            return Err(body_too_large(length, max));
         }
         _ => {}
     }
@@ -130,10 +236,10 @@
     }
     let mut reader = BodyReader::new(head.framing);
     loop {
-        match reader.next(buf)? {
+        match reader.next(buf).map_err(body_error)? {
             BodyPart::End => return Ok(holds.attach(whole.freeze())),
             BodyPart::Data(data) if whole.len() + data.len() > max => {
-                return Err(HttpError::BodyTooLarge.into());
+                return Err(body_too_large((whole.len() + data.len()) as u64, max));
             }
             BodyPart::Data(data) => {
                 let len = whole.len() + data.len();
@@ -143,7 +249,7 @@
             BodyPart::NeedMore => {
                 match timeout(limits.idle_timeout.to_std(), read_more(stream, buf)).await {
                     Ok(read) => read?,
-                    Err(_elapsed) => return Err(RequestReadError::Refused(ErrorKind::SlowSender)),
+                    Err(_elapsed) => return Err(sent_too_slowly()),
                 }
             }
         }
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -6,7 +6,9 @@
         exchange_bytes::ByteGate,
         links::LinkMonitor,
         metrics::EntryMetrics,
+        refusals::{JudgedBy, Rule},
         scheduling::SchedulerNode,
+        store::{ConfigOrigin, Feed},
         streams::OriginDirectory,
         upstream::{Pool, ReadBudget},
     },
@@ -14,6 +16,7 @@
     jasmine_core::{
         byte_budget::ByteLimits,
         clock::Millis,
+        error::Refusal,
         ingress::{CallerLimits, ConnectionAdmission, IdleTimeouts, IngressConfig},
     },
     jasmine_telemetry::log::Line,
@@ -63,6 +66,9 @@
     /// The metrics instruments.
     pub metrics: Rc<EntryMetrics>,
     config: watch::Sender<Option<Rc<IngressConfig>>>,
+    config_origin: RefCell<Option<ConfigOrigin>>,
+    /// What is known of the store.
+    pub feed: Rc<Feed>,
     /// The idle timeouts of earlier configurations.
     idle_timeouts: RefCell<IdleTimeouts>,
     stop: watch::Sender<StopStage>,
@@ -77,6 +83,7 @@
         settings: EntrySettings,
         scheduling: Rc<SchedulerNode>,
         origins: Rc<OriginDirectory>,
+        feed: Rc<Feed>,
         pool: Rc<Pool>,
         metrics: Rc<EntryMetrics>,
     ) -> Self {
@@ -93,6 +100,8 @@
             caller_budget: ReadBudget::new(MAX_CALLER_BYTES, MAX_CALLER_BYTES),
             metrics,
             config: watch::Sender::default(),
+            config_origin: RefCell::default(),
+            feed,
             idle_timeouts: RefCell::default(),
             stop: watch::Sender::default(),
             in_flight: Cell::new(0),
@@ -105,6 +114,40 @@
         self.config.borrow().clone()
     }
 
+    /// What the answers of this VM are judged by.
+    pub fn judged_by(&self) -> JudgedBy {
+        let now = self.clock.now();
+        JudgedBy {
+            version: self.config().map_or(0, |config| config.version.0),
+            origin: self.config_origin.borrow().clone(),
+            config_age: self.config_age(),
+            view_age: self.feed.complete_at().map(|at| now.since(at)),
+            allowed_age: self.settings.change_ms,
+        }
+    }
+
+    /// Logs a request that this VM refuses itself, and counts it if its caller takes that as final.
+    pub fn log_refused(
+        &self,
+        id: Option<&str>,
+        refusal: Refusal,
+        rule: &Rule,
+    ) {
+        let judged_by = self.judged_by();
+        judged_by.log_refused(id, refusal, rule);
+        if refusal.kind.is_final() {
+            self.metrics.count_final(refusal.kind, &judged_by);
+        }
+    }
+
+    /// How long ago the current configuration was taken; `None` without one.
+    pub fn config_age(&self) -> Option<Millis> {
+        let origin = self.config_origin.borrow();
+        origin
+            .as_ref()
+            .map(|it| self.clock.now().since(it.taken_at))
+    }
+
     /// The current configuration; waits up to `wait` for the first one.
     pub async fn config_within(
         &self,
@@ -142,6 +185,7 @@
     pub fn set_config(
         &self,
         config: IngressConfig,
+        origin: ConfigOrigin,
     ) {
         let current = self.config().map(|current| current.version);
         if current.is_some_and(|version| version >= config.version) {
@@ -151,7 +195,10 @@
             .with("version", config.version)
             .with("before", current.map_or(0, |version| version.0))
             .with("routes", config.routes.len())
+            .with("source", &origin.source)
+            .with("revision", origin.revision)
             .info();
+        self.config_origin.replace(Some(origin));
         self.scheduling.local_scheduler.set_config(&config);
         let replaced = self.caller_limits().idle_timeout;
         self.idle_timeouts
--- a/crates/entry/src/daemon/run.rs
+++ b/crates/entry/src/daemon/run.rs
@@ -111,6 +111,7 @@
         settings,
         Rc::clone(&scheduling),
         Rc::clone(&origins),
+        Rc::clone(&feed),
         Rc::clone(&pool),
         Rc::clone(&metrics),
     ));
--- a/crates/entry/src/forward/driver/log.rs
+++ b/crates/entry/src/forward/driver/log.rs
@@ -74,7 +74,7 @@
         refusal: Refusal,
     ) {
         self.is_logged = true;
-        Line::new("request_given_up")
+        let line = Line::new("request_given_up")
             .with("id", self.req.id())
             .with("request", self.req.fingerprint_text())
             .with("route", &self.req.route.name)
@@ -88,8 +88,16 @@
             .with("waited_ms", self.waited)
             .with("waited_for", self.waited_for.as_str())
             .with("took_ms", self.cx.clock.now().since(self.req.arrived))
-            .with("events", self.progress.events)
-            .info();
+            .with("events", self.progress.events);
+        if refusal.kind.is_final() {
+            let judged_by = self.cx.judged_by();
+            self.cx.metrics.count_final(refusal.kind, &judged_by);
+            judged_by
+                .add_to(line.with("bytes", self.req.incoming.body.len()))
+                .info();
+        } else {
+            line.info();
+        }
     }
 
     /// Logs the end of a request.
--- a/crates/entry/src/forward/mod.rs
+++ b/crates/entry/src/forward/mod.rs
@@ -15,8 +15,10 @@
 mod progress;
 mod race;
 mod read_ahead;
+mod refused_request;
 mod request;
 mod response_trace;
+mod routing;
 mod serve;
 mod stream_reader;
 
@@ -27,6 +29,7 @@
 
 pub use {
     events::{Event, EventSplitter},
+    refused_request::RefusedRequest,
     request::ForwardRequest,
     serve::serve_request,
 };
--- a/crates/entry/src/forward/request.rs
+++ b/crates/entry/src/forward/request.rs
@@ -1,18 +1,16 @@
 use {
-    super::fingerprint::fingerprint,
+    super::{RefusedRequest, fingerprint::fingerprint, routing::Routing},
     crate::{
         caller::IncomingRequest,
         scheduling::{GenerationSpec, JobSpec, LocalScheduler},
     },
     jasmine_core::{
         clock::Millis,
-        error::{ErrorKind, Refusal},
-        ingress::{CallKind, IngressConfig, IngressRoute, allowed_data_centres},
+        ingress::{CallKind, IngressConfig, IngressRoute},
         scheduler::NewestVersion,
     },
     jasmine_platform::headers::CallerHeaders,
     std::{collections::BTreeMap, sync::Arc},
-    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// One attempt of a request, as far as its earlier ones decide about it.
@@ -77,41 +75,31 @@
     ///
     /// # Errors
     ///
-    /// The refusal: no route or service, a missing or unknown key, or no request id.
+    /// The request with its refusal: no route or service, a missing or unknown key, or no request id.
     pub fn from_incoming(
         incoming: IncomingRequest,
         caller: CallerHeaders,
         config: &IngressConfig,
         regions: &BTreeMap<String, String>,
         now: Millis,
-    ) -> Result<Self, Refusal> {
-        let refuse = |kind| Err(Refusal::new(kind));
-        let head = &incoming.head;
-        let Some(route) = config.routes.find(head.host(), &head.target) else {
-            return refuse(ErrorKind::NotFound);
+    ) -> Result<Self, Box<RefusedRequest>> {
+        let routing = match Routing::of(&incoming.head, &caller, config, regions) {
+            Ok(routing) => routing,
+            Err(refusal) => {
+                return Err(Box::new(RefusedRequest {
+                    refusal,
+                    incoming,
+                    caller,
+                }));
+            }
         };
-        let account = match &caller.key {
-            _ if route.is_public || !config.needs_keys() => None,
-            None => return refuse(ErrorKind::KeyMissing),
-            Some(key) => match config.account_of(key) {
-                None => return refuse(ErrorKind::KeyUnknown),
-                Some(account) => Some(account),
-            },
-        };
-        let Some(id) = &caller.request_id else {
-            return refuse(ErrorKind::BadRequest);
-        };
-        // A resumption goes to the service that the first attempt had.
-        let split_key = caller.resumes.as_ref().unwrap_or(id);
-        let Some(service) = route.service_for(xxh3_64(split_key.as_bytes())) else {
-            return refuse(ErrorKind::NoUpstream);
-        };
-        let account_regions = account.map_or(&[][..], |account| &account.allowed_regions);
-        let allowed = allowed_data_centres(&[&route.allowed_regions, account_regions], regions);
-        if allowed.as_ref().is_some_and(Vec::is_empty) {
-            return refuse(ErrorKind::RegionUnavailable);
-        }
-        let allowed = allowed.unwrap_or_default().into_iter();
+        let Routing {
+            route,
+            account,
+            service,
+            allowed_data_centres,
+        } = routing;
+        let allowed = allowed_data_centres.into_iter();
         let spec = config.services.get(service);
         let max_wait = caller.max_wait.unwrap_or(route.timeout);
         Ok(Self {
--- a/crates/entry/src/forward/serve.rs
+++ b/crates/entry/src/forward/serve.rs
@@ -1,15 +1,15 @@
 use {
-    super::{ForwardRequest, STOPPING_RETRY_DELAY, driver::Driver},
+    super::{ForwardRequest, RefusedRequest, STOPPING_RETRY_DELAY, driver::Driver},
     crate::{
         caller::{ErrorResponse, IncomingRequest, ResponseWriter},
         context::{Context, StopStage},
+        refusals::Rule,
     },
     jasmine_core::{
         clock::Millis,
         error::{ErrorKind, Refusal},
     },
     jasmine_platform::headers::CallerHeaders,
-    jasmine_telemetry::log::Line,
     std::{io, rc::Rc},
 };
 
@@ -31,18 +31,24 @@
     out: &mut ResponseWriter<'_>,
 ) -> io::Result<()> {
     let caller = CallerHeaders::read(incoming.head.headers.pairs());
-    let id = caller.request_id.clone();
     let now = cx.clock.now();
+    let refuse = |refusal, incoming, caller| {
+        Err(Box::new(RefusedRequest {
+            refusal,
+            incoming,
+            caller,
+        }))
+    };
     let validated = match cx.config_within(FIRST_CONFIG_TIMEOUT).await {
         // A request that begins this late could be cut off by the exit of the process.
-        _ if cx.stop_stage() >= StopStage::Closing => Err(Refusal::after(
-            ErrorKind::ShuttingDown,
-            STOPPING_RETRY_DELAY,
-        )),
-        None => Err(Refusal::after(
-            ErrorKind::ConfigUnavailable,
-            NO_CONFIG_RETRY_DELAY,
-        )),
+        _ if cx.stop_stage() >= StopStage::Closing => {
+            let refusal = Refusal::after(ErrorKind::ShuttingDown, STOPPING_RETRY_DELAY);
+            refuse(refusal, incoming, caller)
+        }
+        None => {
+            let refusal = Refusal::after(ErrorKind::ConfigUnavailable, NO_CONFIG_RETRY_DELAY);
+            refuse(refusal, incoming, caller)
+        }
         Some(config) => {
             let regions = &cx.settings.regions;
             ForwardRequest::from_incoming(incoming, caller, &config, regions, now)
@@ -50,14 +56,24 @@
     };
     match validated {
         Ok(req) => Driver::new(cx, req).run(out).await,
-        Err(refusal) => {
-            cx.metrics.count_refused(refusal, None, None);
-            Line::new("request_refused")
-                .with("id", id.as_deref().unwrap_or("-"))
-                .with("kind", refusal.kind)
-                .with("config", cx.config().map_or(0, |config| config.version.0))
-                .info();
-            out.write_error(ErrorResponse(refusal), id.as_deref()).await
-        }
+        Err(refused) => refuse_request(cx, &refused, out).await,
     }
 }
+
+/// Answers a request that isn't forwarded.
+async fn refuse_request(
+    cx: &Context,
+    refused: &RefusedRequest,
+    out: &mut ResponseWriter<'_>,
+) -> io::Result<()> {
+    let RefusedRequest {
+        refusal,
+        incoming,
+        caller,
+    } = refused;
+    let id = caller.request_id.as_deref();
+    let rule = Rule::of(refusal.kind, &incoming.head, caller);
+    cx.metrics.count_refused(*refusal, None, None);
+    cx.log_refused(id, *refusal, &rule);
+    out.write_error(ErrorResponse(*refusal), id).await
+}
--- a/crates/entry/src/gauges.rs
+++ b/crates/entry/src/gauges.rs
@@ -9,6 +9,8 @@
     pub connections: Gauge<u64>,
     pub leading: Gauge<u64>,
     pub config: Gauge<u64>,
+    pub config_age: Gauge<u64>,
+    pub view_age: Gauge<u64>,
     pub waited: Gauge<u64>,
     pub learned_costs: Gauge<u64>,
     pub cost_errors: Gauge<u64>,
@@ -46,6 +48,14 @@
             connections: gauge("jasmine_connections", "Open connections of callers"),
             leading: gauge("jasmine_leading", "Whether this VM schedules for all"),
             config: gauge("jasmine_config_version", "The configuration in force"),
+            config_age: gauge(
+                "jasmine_config_age_ms",
+                "How long ago this VM took the configuration in force",
+            ),
+            view_age: gauge(
+                "jasmine_view_age_ms",
+                "How long ago the store held no other changes than this VM has applied",
+            ),
             retries: gauge(
                 "jasmine_retries_decided",
                 "Retries that this scheduler has granted and refused since it started, by the share of the budget",
--- a/crates/entry/src/http1/error.rs
+++ b/crates/entry/src/http1/error.rs
@@ -8,9 +8,6 @@
     /// The head exceeds the limit.
     #[display("head too large")]
     HeadTooLarge,
-    /// The body exceeds the limit.
-    #[display("body too large")]
-    BodyTooLarge,
     /// The connection ended before the message was complete.
     #[display("connection ended before the message was complete")]
     Truncated,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod http1;
 pub mod links;
 pub mod metrics;
+pub mod refusals;
 pub mod scheduling;
 pub mod store;
 pub mod streams;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -3,12 +3,12 @@
 use {
     crate::{
         caller::accept_loop, context::Context, forward::ForwardRequest, gauges::Gauges,
-        scheduling::LocalScheduler,
+        refusals::JudgedBy, scheduling::LocalScheduler,
     },
     jasmine_core::{
         clock::Millis,
         costs::CostErrors,
-        error::Refusal,
+        error::{ErrorKind, Refusal},
         ingress::CallKind,
         scheduler::{OrderResult, Outcome, PaceSummary, RetryDecider, WaitReason},
     },
@@ -47,6 +47,7 @@
     pipelined_dropped: Counter<u64>,
     idle_closed: Counter<u64>,
     orders: Counter<u64>,
+    final_refusals: Counter<u64>,
     gauges: Gauges,
     labels: RefCell<HashMap<(String, &'static str), Labels>>,
 }
@@ -111,6 +112,12 @@
                 .u64_counter("jasmine_orders")
                 .with_description("Orders to engines, by how they ended")
                 .build(),
+            final_refusals: meter
+                .u64_counter("jasmine_refusals_final")
+                .with_description(
+                    "Requests refused by answers after which callers don't come back, by kind and age of this VM's view",
+                )
+                .build(),
             gauges: Gauges::new(&meter),
             labels: RefCell::default(),
             metrics,
@@ -230,6 +237,19 @@
         }
     }
 
+    /// Counts a refusal that the caller takes as final, by error kind and age of the view that it was judged by.
+    pub fn count_final(
+        &self,
+        kind: ErrorKind,
+        judged_by: &JudgedBy,
+    ) {
+        let labels = [
+            KeyValue::new("kind", kind.answer().code),
+            KeyValue::new("view", judged_by.age_class()),
+        ];
+        self.final_refusals.add(1, &labels);
+    }
+
     /// Records an answered request with its queue wait and, for streams, the time to the first event.
     pub fn record_answered(
         &self,
@@ -332,6 +352,13 @@
         self.gauges.bytes_paused.record(paused, &[]);
         let version = cx.config().map_or(0, |config| config.version.0);
         self.gauges.config.record(version, &[]);
+        let judged_by = cx.judged_by();
+        if let Some(age) = judged_by.view_age {
+            self.gauges.view_age.record(age.0, &[]);
+        }
+        if let Some(age) = judged_by.config_age {
+            self.gauges.config_age.record(age.0, &[]);
+        }
         self.metrics
             .page()
             .unwrap_or_else(|e| format!("# can't encode the metrics: {e}\n"))
--- a/crates/entry/src/store/confirmation.rs
+++ b/crates/entry/src/store/confirmation.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Feed, KvStore, view::View},
+    super::{ChangeSource, Feed, KvStore, view::View},
     crate::{clock::Clock, context::Context},
     jasmine_core::clock::Millis,
     jasmine_platform::entries,
@@ -53,6 +53,6 @@
     if batch.compacted.is_some() {
         return Err(StoreError::OutcomeUnknown("history lost".to_owned()));
     }
-    view.apply_all(&batch.events).await;
+    view.apply_all(&batch.events, &ChangeSource::Question).await;
     Ok(())
 }
--- a/crates/entry/src/store/follower.rs
+++ b/crates/entry/src/store/follower.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        Feed, FeedPeer, FeedReply, KvStore, Membership,
+        ChangeSource, Feed, FeedPeer, FeedReply, KvStore, Membership,
         confirmation::keep_confirming,
         feed::ask_peer,
         kv_store::{check_range_size, size_in_bytes},
@@ -300,8 +300,9 @@
         }
         let held = self.store.watch_timeout();
         let answered_at = answer_time(asked_at, held, self.cx.clock.now());
-        self.log_late_changes("store", batch.revision, &batch.events);
-        self.view.apply_all(&batch.events).await;
+        let source = ChangeSource::Watch;
+        self.log_late_changes(&source, batch.revision, &batch.events);
+        self.view.apply_all(&batch.events, &source).await;
         self.set_complete_at(answered_at);
         self.feed.set_confirmed_at(asked_at);
         self.set_position(batch.revision, Some(batch.revision));
@@ -350,8 +351,9 @@
                     self.view.record_remote_recovery(since);
                 }
                 let replied_at = answer_time(now, LONG_POLL_TIMEOUT, self.cx.clock.now());
-                self.log_late_changes(&vm.name, revision, &events);
-                self.view.apply_all(&events).await;
+                let source = ChangeSource::Vm(vm.name.as_str().into());
+                self.log_late_changes(&source, revision, &events);
+                self.view.apply_all(&events, &source).await;
                 self.set_complete_at(replied_at - answered_ago);
                 let minor = includes_minor.then(|| minor_position(revision, &events));
                 self.set_position(revision, minor);
@@ -392,7 +394,7 @@
     /// Logs that a view which was older than changes may be is complete again, by changes from `source`.
     fn log_late_changes(
         &self,
-        source: &str,
+        source: &ChangeSource,
         revision: u64,
         events: &[WatchEvent],
     ) {
--- a/crates/entry/src/store/mod.rs
+++ b/crates/entry/src/store/mod.rs
@@ -1,5 +1,7 @@
 //! The platform's key-value service: client, replication of its content, registration and leader election.
 
+mod change_source;
+mod config_origin;
 mod confirmation;
 mod crash_evidence;
 mod election;
@@ -14,6 +16,8 @@
 mod vm_record;
 
 pub use {
+    change_source::ChangeSource,
+    config_origin::ConfigOrigin,
     crash_evidence::keep_crash_evidence,
     election::run_election,
     feed::{Feed, FeedReply},
--- a/crates/entry/src/store/view.rs
+++ b/crates/entry/src/store/view.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        Feed, Membership,
+        ChangeSource, ConfigOrigin, Feed, Membership,
         crash_evidence::{self, EVIDENCE_PREFIX},
         membership::{LAST_LEADER_KEY, LEADER_KEY, VM_PREFIX},
         quarantine::{self, QUARANTINE_PREFIX},
@@ -41,11 +41,32 @@
 
 /// Where an item was read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Origin {
+enum Origin<'a> {
     /// In a full read of the store.
     FullRead,
-    /// In a change.
-    Change,
+    /// In a change, which came from here.
+    Change(&'a ChangeSource),
+}
+
+impl Origin<'_> {
+    const fn is_change(self) -> bool {
+        matches!(self, Self::Change(_))
+    }
+
+    /// Its name in the log.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::FullRead => "FullRead",
+            Self::Change(_) => "Change",
+        }
+    }
+
+    fn source(self) -> ChangeSource {
+        match self {
+            Self::FullRead => ChangeSource::FullRead,
+            Self::Change(source) => source.clone(),
+        }
+    }
 }
 
 /// Applies the store's content to configuration, scheduler and membership.
@@ -222,10 +243,11 @@
     pub(super) async fn apply_all(
         self: &Rc<Self>,
         events: &[WatchEvent],
+        source: &ChangeSource,
     ) {
         for events in events.chunks(MAX_CHANGES_PER_YIELD) {
             for event in events {
-                self.apply(event);
+                self.apply(event, Origin::Change(source));
             }
             if events.len() == MAX_CHANGES_PER_YIELD {
                 yield_now().await;
@@ -237,14 +259,15 @@
     fn apply(
         self: &Rc<Self>,
         event: &WatchEvent,
+        origin: Origin<'_>,
     ) {
         match event {
             // Read on demand only.
             WatchEvent::Put(kv) | WatchEvent::Delete(kv)
                 if kv.key.starts_with(STREAM_BUILDS_PREFIX) => {}
             WatchEvent::Put(kv) => match kv.key.strip_prefix(entries::PREFIX) {
-                Some(id) => self.apply_upstream(id, kv, event),
-                None if self.feed.record_change(event, true) => self.put(kv, Origin::Change),
+                Some(id) => self.apply_upstream(id, kv, event, origin),
+                None if self.feed.record_change(event, true) => self.put(kv, origin),
                 None => {}
             },
             WatchEvent::Delete(kv) if self.feed.record_change(event, true) => self.delete(&kv.key),
@@ -260,6 +283,7 @@
         id: &str,
         kv: &KeyValue,
         event: &WatchEvent,
+        origin: Origin<'_>,
     ) {
         match entries::decode(id, &kv.value) {
             Ok(entry) => {
@@ -272,7 +296,7 @@
                         && (known.is_warming_up() || !entry.is_warming_up())
                 });
                 if self.feed.record_change(event, is_major) {
-                    self.put_upstream(entry, Origin::Change);
+                    self.put_upstream(entry, origin);
                 }
             }
             Err(e) => {
@@ -285,11 +309,18 @@
     fn put(
         &self,
         kv: &KeyValue,
-        origin: Origin,
+        origin: Origin<'_>,
     ) {
         if kv.key == configuration::KEY {
             match configuration::decode(&kv.value) {
-                Ok(config) => self.cx.set_config(config),
+                Ok(config) => {
+                    let taken = ConfigOrigin {
+                        source: origin.source(),
+                        revision: kv.mod_revision,
+                        taken_at: self.cx.clock.now(),
+                    };
+                    self.cx.set_config(config, taken);
+                }
                 Err(e) => log_unreadable(&kv.key, &e),
             }
         } else if let Some(id) = kv.key.strip_prefix(entries::PREFIX) {
@@ -314,7 +345,7 @@
             self.membership.set_last_leader(kv);
         } else if kv.key.starts_with(VM_PREFIX) {
             self.membership.set_vm(kv);
-            if origin == Origin::Change {
+            if origin.is_change() {
                 self.membership.publish_vms(&self.cx);
             }
         }
@@ -345,7 +376,7 @@
     fn put_upstream(
         &self,
         entry: UpstreamEntry,
-        origin: Origin,
+        origin: Origin<'_>,
     ) {
         let mut upstreams = self.upstreams.borrow_mut();
         let known = upstreams.get(&entry.id);
@@ -354,7 +385,7 @@
             return;
         }
         // Upstreams found at startup are logged as one line by `record_found`.
-        let is_change = known.map_or(origin == Origin::Change, |known| {
+        let is_change = known.map_or(origin.is_change(), |known| {
             known.state != entry.state || known.started_unix_ms != entry.started_unix_ms
         });
         if is_change {
@@ -416,7 +447,7 @@
     fn begin_evacuation(
         &self,
         data_centre: &str,
-        origin: Origin,
+        origin: Origin<'_>,
     ) {
         if !self.evacuated.borrow_mut().insert(data_centre.to_owned()) {
             return;
@@ -426,7 +457,7 @@
         Line::new("evacuation_begun")
             .with("data_centre", data_centre)
             .with("known", is_known)
-            .with("source", format!("{origin:?}"))
+            .with("source", origin.as_str())
             .with("absent_ms", self.absent_for(source))
             .info();
         let local_scheduler = &self.cx.scheduling.local_scheduler;
@@ -492,15 +523,15 @@
         &self,
         vm: &str,
         kv: &KeyValue,
-        origin: Origin,
+        origin: Origin<'_>,
     ) {
         let scheduling = &self.cx.scheduling;
         match (crash_evidence::decode(&kv.value), origin) {
-            (Ok((evidence, _)), Origin::Change) if vm == scheduling.me() => scheduling
+            (Ok((evidence, _)), Origin::Change(_)) if vm == scheduling.me() => scheduling
                 .local_scheduler
                 .note_stored_evidence(vm, evidence, Millis::ZERO),
             // A change comes at once, so that the time of day of the other VM needn't be right.
-            (Ok((evidence, _)), Origin::Change) => {
+            (Ok((evidence, _)), Origin::Change(_)) => {
                 scheduling.note_stored_evidence(vm, evidence, Millis::ZERO);
             }
             (Ok((evidence, age)), Origin::FullRead) => {
--- a/crates/entry/src/upstream/connection.rs
+++ b/crates/entry/src/upstream/connection.rs
@@ -49,9 +49,7 @@
     fn from(e: HttpError) -> Self {
         match e {
             HttpError::Truncated => Self::Lost,
-            HttpError::Malformed | HttpError::HeadTooLarge | HttpError::BodyTooLarge => {
-                Self::Invalid
-            }
+            HttpError::Malformed | HttpError::HeadTooLarge => Self::Invalid,
         }
     }
 }
