A VM that reads the store keeps up with its changes, whatever they are

What callers saw: 401 and 404 to proper requests, and requests handled by old configurations, at all VMs of a data centre, for 10 to 17 s while the store had the newer ones.

Cause: a VM that reads changes had one way to go on, the same question after the same pause. The store bounds an answer but not the changes since a revision. (1) After each answer it waited a third of the allowed propagation time, also where the answer was cut off: what came faster than one answer a pause was read ever later. (2) It took such an answer for all changes, so its view counted as current. (3) An answer too large to arrive was asked for again until the store had compacted the revision. (4) Once its history was lost, none of its followers found theirs, and each read the whole store.

Change: core/feed/catch_up decides. An answer that may be cut off (by its size, or by a lower revision than the store has named) is followed by the next question at once and completes no view. After four in turn, after two unanswered questions beside which the store answers one for the configuration alone (which is applied), and once history is lost, the content is read in place of the changes; it is bounded. What differs is recorded as changes, so that followers go on from theirs.

--- a/crates/core/src/feed/mod.rs
+++ b/crates/core/src/feed/mod.rs
@@ -8,12 +8,14 @@
 //! reports itself as stale. The VMs that poll it then use the next one, which reads the store as soon as it is
 //! polled, or the store.
 
+mod catch_up;
 mod lapse;
 mod recent_changes;
 mod source_choice;
 mod vm_rank;
 
 pub use {
+    catch_up::{CatchUp, ChangeBatch, ReadNext},
     lapse::may_have_lapsed,
     recent_changes::{Change, ChangesSince, MAX_MINOR_CHANGES, RecentChanges},
     source_choice::{Source, SourceChoice, SourceFailure},
--- a/crates/core/src/feed/recent_changes.rs
+++ b/crates/core/src/feed/recent_changes.rs
@@ -111,12 +111,14 @@
         });
     }
 
-    /// Whether a change of a key is known.
-    pub fn has(
+    /// Whether a change of a key later than a revision is known.
+    pub fn has_changed_since(
         &self,
         key: &str,
+        revision: u64,
     ) -> bool {
-        self.by_key.contains_key(key)
+        let known = self.by_key.get(key);
+        known.is_some_and(|known| known.last.revision > revision)
     }
 
     /// The revision up to which all changes are known.
--- a/crates/entry/src/store/feed/change_feed.rs
+++ b/crates/entry/src/store/feed/change_feed.rs
@@ -135,12 +135,13 @@
             .record_change(&kv.key, change, is_major, now)
     }
 
-    /// Whether the recent history has a change of a key.
-    pub(crate) fn has_changed_lately(
+    /// Whether a change of a key later than a revision is known.
+    pub(crate) fn has_changed_since(
         &self,
         key: &str,
+        revision: u64,
     ) -> bool {
-        self.recent.borrow().has(key)
+        self.recent.borrow().has_changed_since(key, revision)
     }
 
     /// Marks the history as complete up to a revision.
--- a/crates/entry/src/store/follower.rs
+++ b/crates/entry/src/store/follower.rs
@@ -10,9 +10,12 @@
     futures::StreamExt,
     jasmine_core::{
         clock::Millis,
-        feed::{MAX_MINOR_CHANGES, Source, SourceChoice, SourceFailure, VmRank},
+        feed::{
+            CatchUp, ChangeBatch, MAX_MINOR_CHANGES, ReadNext, Source, SourceChoice, SourceFailure,
+            VmRank,
+        },
     },
-    jasmine_platform::entries,
+    jasmine_platform::{configuration, entries},
     jasmine_store::store::{Range, RangeReply, Store, StoreError, WatchBatch, WatchEvent},
     jasmine_telemetry::log::Line,
     jasmine_wire::{
@@ -61,14 +64,6 @@
 
 type PeerLink = Link<scheduler::Client>;
 
-/// What follows a step of following the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Step {
-    Continue,
-    /// The store has compacted the next revision: everything has to be read again.
-    Reload,
-}
-
 /// The revisions up to which this VM has applied changes.
 #[derive(Clone, Copy, Debug, Default)]
 struct Position {
@@ -99,6 +94,7 @@
     backoff: Backoff,
     links: HashMap<VmRank, PeerLink>,
     position: Position,
+    catch_up: CatchUp,
     /// The upstreams that are still to be read.
     remaining: Option<RemainingUpstreams>,
 }
@@ -137,6 +133,7 @@
         backoff: Backoff::new(MIN_RETRY_DELAY, MAX_RETRY_DELAY),
         links: HashMap::new(),
         position: Position::default(),
+        catch_up: CatchUp::default(),
         remaining: None,
         view,
         cx,
@@ -144,22 +141,18 @@
         membership,
         feed,
     };
-    loop {
-        match follower.reload().await {
-            Ok(()) => follower.follow().await,
-            Err(e) => follower.store_failed(&e).await,
-        }
+    while let Err(e) = follower.read_first().await {
+        follower.store_failed(&e).await;
     }
+    follower.follow().await;
 }
 
 impl Follower {
     /// Reads the store up to the first page with upstreams, and sets the position to that revision.
-    async fn reload(&mut self) -> Result<(), StoreError> {
+    async fn read_first(&mut self) -> Result<(), StoreError> {
         let began = self.cx.clock.now();
         let pages = self.store.read_pages(ALL_KEYS, reaches_upstreams);
         let reply = pages.await?;
-        // Without the history of the time before, upstreams may have come and left.
-        self.cx.scheduling.note_missed_upstreams();
         self.view.reset(&reply).await;
         self.set_complete_at(began);
         self.set_position(reply.revision, Some(reply.revision));
@@ -172,6 +165,25 @@
         Ok(())
     }
 
+    /// Reads the whole store in place of changes that are missing, and passes on what differs as changes.
+    async fn read_again(&mut self) -> Result<(), StoreError> {
+        let began = self.cx.clock.now();
+        let reply = self.store.read_pages(ALL_KEYS, |_| false).await?;
+        self.choice.store_responded();
+        self.backoff.reset();
+        self.view.record_store_response();
+        // Without the changes of the time before, upstreams may have come and left.
+        self.cx.scheduling.note_missed_upstreams();
+        self.log_late_changes(&ChangeSource::FullRead, reply.revision, &[]);
+        self.view.update(&reply, self.position.minor_after).await;
+        self.remaining = None;
+        self.set_complete_at(began);
+        self.feed.set_confirmed_at(began);
+        self.set_position(reply.revision, Some(reply.revision));
+        self.catch_up.caught_up();
+        Ok(())
+    }
+
     /// Reads the remaining upstreams if this VM needs them or their time has come.
     async fn read_remaining(&mut self) -> Result<(), StoreError> {
         while let Some(RemainingUpstreams {
@@ -205,7 +217,7 @@
             || alone >= Some(LEADERLESS_TIMEOUT + self.membership.stagger_delay(READ_STAGGER_DELAY))
     }
 
-    /// Follows changes until the store has compacted the next one.
+    /// Follows changes; never returns.
     async fn follow(&mut self) {
         loop {
             let mut peers = self.membership.local_peers();
@@ -213,7 +225,9 @@
             let can_read = self.choice.is_store_available(now);
             self.feed.set_can_read(can_read);
             let is_leading = self.cx.scheduling.is_leading();
-            let source = if is_leading {
+            let source = if can_read && self.catch_up.has_lost_changes() {
+                Some(Source::Store)
+            } else if is_leading {
                 // Local VMs may have read changes only through this VM and lag as it does. Readers
                 // in other data centres may have the changes already.
                 let remote = self.membership.remote_readers();
@@ -235,19 +249,22 @@
                 sleep(READER_SEARCH_DELAY.to_std()).await;
                 continue;
             };
-            let step = match source {
+            match source {
+                Source::Store if self.catch_up.has_lost_changes() => {
+                    if let Err(e) = self.read_again().await {
+                        self.store_failed(&e).await;
+                    }
+                }
                 Source::Store => self.watch_store().await,
                 Source::Vm(rank) => self.poll_vm(rank, &peers[&rank]).await,
-            };
-            if step == Step::Reload {
-                return;
             }
         }
     }
 
-    async fn watch_store(&mut self) -> Step {
+    async fn watch_store(&mut self) {
         let next = self.position.read_from();
         let asked_at = self.cx.clock.now();
+        let known_revision = self.store.newest_revision();
         let batch = tokio::select! {
             batch = self.next_batch(next) => batch,
             // A lease renewal detects a dead connection before the watch does.
@@ -260,7 +277,7 @@
                 self.choice.store_responded();
                 self.backoff.reset();
                 self.view.record_store_response();
-                self.apply_batch(&batch, asked_at).await
+                self.apply_batch(&batch, asked_at, known_revision).await;
             }
             Err(e) => {
                 Line::new("watch_failed")
@@ -270,12 +287,40 @@
                     .with("view_ms", self.view_age())
                     .with("reason", &e)
                     .info();
+                if matches!(e, StoreError::OutcomeUnknown(_)) {
+                    self.ask_for_config().await;
+                }
                 self.store_failed(&e).await;
-                Step::Continue
             }
         }
     }
 
+    /// Asks for changes of the configuration only, as the store has not given all changes: they may be too many to arrive.
+    async fn ask_for_config(&mut self) {
+        let question = self
+            .store
+            .changes_since(configuration::KEY, self.position.after);
+        let reply = question.await;
+        self.catch_up.unanswered(reply.is_ok());
+        match reply {
+            Ok(batch) if batch.compacted.is_some() => self.lose_history(),
+            Ok(batch) => {
+                let source = ChangeSource::Question;
+                self.view.apply_all(&batch.events, &source).await;
+            }
+            Err(e) => Line::new("config_not_asked").with("reason", e).info(),
+        }
+    }
+
+    /// Records that the store no longer has the changes after this VM's revision.
+    fn lose_history(&mut self) {
+        Line::new("history_lost")
+            .with("revision", self.position.minor_after)
+            .with("view_ms", self.view_age())
+            .warn();
+        self.catch_up.lost();
+    }
+
     async fn next_batch(
         &self,
         next: u64,
@@ -290,27 +335,41 @@
         &mut self,
         batch: &WatchBatch,
         asked_at: Millis,
-    ) -> Step {
+        known_revision: u64,
+    ) {
         if batch.compacted.is_some() {
-            Line::new("history_lost")
-                .with("revision", self.position.minor_after)
-                .with("view_ms", self.view_age())
-                .warn();
-            return Step::Reload;
+            return self.lose_history();
         }
+        let size = ChangeBatch {
+            revision: batch.revision,
+            events: batch.events.len(),
+            bytes: size_of_changes(&batch.events),
+            known_revision,
+        };
         let held = self.store.watch_timeout();
         let answered_at = answer_time(asked_at, held, self.cx.clock.now());
         let source = ChangeSource::Watch;
         self.log_late_changes(&source, batch.revision, &batch.events);
         self.view.apply_all(&batch.events, &source).await;
-        self.set_complete_at(answered_at);
-        self.feed.set_confirmed_at(asked_at);
+        let next = self.catch_up.answered(&size);
+        if size.may_be_cut_off() {
+            Line::new("changes_cut_off")
+                .with("after", self.position.after)
+                .with("revision", size.revision)
+                .with("known_revision", size.known_revision)
+                .with("events", size.events)
+                .with("bytes", size.bytes)
+                .with("view_ms", self.view_age())
+                .info();
+        } else {
+            self.set_complete_at(answered_at);
+            self.feed.set_confirmed_at(asked_at);
+        }
         self.set_position(batch.revision, Some(batch.revision));
-        if !batch.events.is_empty() {
+        if next == ReadNext::Pause {
             let pause = self.cx.settings.change_ms.0 * BATCH_DELAY_PERCENT / 100;
             sleep(Millis(pause).to_std()).await;
         }
-        Step::Continue
     }
 
     async fn store_failed(
@@ -327,7 +386,7 @@
         &mut self,
         rank: VmRank,
         vm: &FeedPeer,
-    ) -> Step {
+    ) {
         let now = self.cx.clock.now();
         let includes_minor = now.since(self.position.minor_at) >= MINOR_CHANGES_INTERVAL;
         let minor_after = includes_minor.then_some(self.position.minor_after);
@@ -337,7 +396,7 @@
         let reply = tokio::select! {
             reply = ask_peer(link, after, minor_after, LONG_POLL_TIMEOUT) => reply,
             // Others have missed that VM already and wait for this one.
-            () = feed.takeover_requested() => return Step::Continue,
+            () = feed.takeover_requested() => return,
         };
         match reply {
             Ok(FeedReply::Changes {
@@ -357,11 +416,11 @@
                 self.set_complete_at(replied_at - answered_ago);
                 let minor = includes_minor.then(|| minor_position(revision, &events));
                 self.set_position(revision, minor);
+                self.catch_up.caught_up();
             }
             Ok(FeedReply::Unknown(why)) => self.vm_failed(rank, vm, why, &why.to_string()),
             Err(e) => self.vm_failed(rank, vm, SourceFailure::Unreachable, &e.to_string()),
         }
-        Step::Continue
     }
 
     fn vm_failed(
@@ -377,6 +436,10 @@
             .with("revision", self.position.after)
             .with("view_ms", self.view_age())
             .info();
+        if why == SourceFailure::HistoryGone {
+            // The content of the store is smaller than all changes since then.
+            self.catch_up.lost();
+        }
         let now = self.cx.clock.now();
         let is_urgent = self.cx.scheduling.is_leading() && !self.choice.is_store_available(now);
         match why {
@@ -403,17 +466,13 @@
         if !self.feed.complete_at().as_ref().is_some_and(late) {
             return;
         }
-        let bytes = events.iter().map(|event| {
-            let (WatchEvent::Put(kv) | WatchEvent::Delete(kv)) = event;
-            kv.key.len() + kv.value.len()
-        });
         Line::new("changes_late")
             .with("source", source)
             .with("after", self.position.after)
             .with("revision", revision)
             .with("view_ms", self.view_age())
             .with("events", events.len())
-            .with("bytes", bytes.sum::<usize>())
+            .with("bytes", size_of_changes(events))
             .warn();
     }
 
@@ -478,6 +537,15 @@
     }
 }
 
+/// The size of the keys and values of changes, in bytes.
+fn size_of_changes(events: &[WatchEvent]) -> usize {
+    let size = |event: &WatchEvent| {
+        let (WatchEvent::Put(kv) | WatchEvent::Delete(kv)) = event;
+        kv.key.len() + kv.value.len()
+    };
+    events.iter().map(size).sum()
+}
+
 /// The revision up to which a reply has all minor changes: later ones are cut off at the limit.
 fn minor_position(
     revision: u64,
--- a/crates/entry/src/store/kv_store.rs
+++ b/crates/entry/src/store/kv_store.rs
@@ -11,7 +11,7 @@
         Lease, LeaseId, Range, RangeReply, Store, StoreError, StoreFuture, Txn, TxnReply,
         WatchBatch, WatchStream,
     },
-    std::{net::SocketAddr, rc::Rc},
+    std::{cell::Cell, net::SocketAddr, rc::Rc},
 };
 
 /// Timeout of a call, on top of the time for which it asks the service to hold it.
@@ -35,6 +35,8 @@
     /// Long-poll timeout of a watch; bounds the time until a dead connection is detected.
     watch_timeout: Millis,
     pool: Pool,
+    /// The highest revision that the service has named in any response.
+    newest_revision: Cell<u64>,
 }
 
 impl KvStore {
@@ -49,12 +51,26 @@
             address,
             watch_timeout,
             pool: Pool::default(),
+            newest_revision: Cell::new(0),
         };
         Self {
             inner: Rc::new(inner),
         }
     }
 
+    /// The highest revision that the service has named in any response so far; 0 before the first one.
+    pub fn newest_revision(&self) -> u64 {
+        self.inner.newest_revision.get()
+    }
+
+    fn note_revision(
+        &self,
+        revision: u64,
+    ) {
+        let newest = self.newest_revision().max(revision);
+        self.inner.newest_revision.set(newest);
+    }
+
     /// How long the service is asked to hold a watch.
     pub fn watch_timeout(&self) -> Millis {
         self.inner.watch_timeout
@@ -95,6 +111,7 @@
     ) -> Result<RangeReply, StoreError> {
         let (status, body) = self.call(&encode_range(prefix, after, false)).await?;
         let page = decode_range(status, &body)?;
+        self.note_revision(page.revision);
         let last = page.kvs.last().map(|kv| kv.key.as_str());
         if page.more && last <= after {
             return Err(StoreError::OutcomeUnknown(
@@ -142,7 +159,9 @@
         after: u64,
     ) -> Result<WatchBatch, StoreError> {
         let (status, body) = self.call(&encode_watch(prefix, after, NO_WAIT)).await?;
-        decode_watch(status, &body)
+        let batch = decode_watch(status, &body)?;
+        self.note_revision(batch.revision);
+        Ok(batch)
     }
 
     async fn call(
@@ -215,7 +234,9 @@
                 message: e.to_string(),
             })?;
             let (status, body) = self.call(&call).await?;
-            decode_txn(status, &body)
+            let reply = decode_txn(status, &body)?;
+            self.note_revision(reply.revision);
+            Ok(reply)
         })
     }
 
@@ -259,6 +280,7 @@
                 let call = encode_watch(&prefix, after, store.inner.watch_timeout);
                 let (status, body) = store.call(&call).await?;
                 let batch = decode_watch(status, &body)?;
+                store.note_revision(batch.revision);
                 let after = batch.revision.max(after);
                 Ok(Some((batch, (store, prefix, after))))
             },
--- a/crates/entry/src/store/membership.rs
+++ b/crates/entry/src/store/membership.rs
@@ -114,6 +114,17 @@
         }
     }
 
+    /// The keys of all known VMs.
+    pub(super) fn keys(&self) -> Vec<String> {
+        let vms = self.vms.borrow();
+        vms.keys().map(|vm| format!("{VM_PREFIX}{vm}")).collect()
+    }
+
+    /// Whether there is a leader, as far as this VM knows.
+    pub(super) fn has_leader(&self) -> bool {
+        self.has_leader.get()
+    }
+
     /// Passes the known VMs to the scheduler.
     pub(super) fn publish_vms(
         &self,
@@ -134,18 +145,6 @@
         self.publish_vms(cx);
     }
 
-    /// Removes all VMs but those in `names`.
-    pub(super) fn retain_vms(
-        &self,
-        cx: &Context,
-        names: &[&str],
-    ) {
-        self.vms
-            .borrow_mut()
-            .retain(|vm, _| names.contains(&vm.as_str()));
-        self.publish_vms(cx);
-    }
-
     /// Applies a value of the leader key.
     pub(super) fn set_leader(
         &self,
--- a/crates/entry/src/store/quarantine.rs
+++ b/crates/entry/src/store/quarantine.rs
@@ -27,7 +27,7 @@
 const SEPARATOR: &str = "-";
 
 /// The key of a set of parts.
-fn key_of(parts: &PartSet) -> String {
+pub(super) fn key_of(parts: &PartSet) -> String {
     format!("{QUARANTINE_PREFIX}{}", join_parts(parts, SEPARATOR))
 }
 
--- a/crates/entry/src/store/view.rs
+++ b/crates/entry/src/store/view.rs
@@ -7,10 +7,7 @@
     },
     crate::{context::Context, streams::STREAM_BUILDS_PREFIX},
     jasmine_core::{
-        clock::Millis,
-        feed::may_have_lapsed,
-        ingress::UpstreamEntry,
-        quarantine::{PartSet, VerdictSource},
+        clock::Millis, feed::may_have_lapsed, ingress::UpstreamEntry, quarantine::VerdictSource,
         scheduler::Announcement,
     },
     jasmine_platform::{
@@ -85,6 +82,8 @@
     is_store_down: Cell<bool>,
     /// The upstreams found so far, while the store is being read.
     found: RefCell<HashSet<String>>,
+    /// The revision of the first page of that read.
+    read_from: Cell<u64>,
 }
 
 impl View {
@@ -103,6 +102,7 @@
             recovered_at: Cell::new(Millis::ZERO),
             is_store_down: Cell::new(false),
             found: RefCell::default(),
+            read_from: Cell::new(0),
         }
     }
 
@@ -151,13 +151,14 @@
         self.feed.set_recovered_at(at);
     }
 
-    /// Replaces what was known by the content of the store.
+    /// Applies the first read of the store.
     pub(super) async fn reset(
         self: &Rc<Self>,
         reply: &RangeReply,
     ) {
         self.record_store_response();
         self.feed.reset(reply.revision);
+        self.read_from.set(reply.revision);
         // Requests are served from the first configuration on, and may need the other VMs at once.
         self.put_vms(reply);
         for kvs in reply.kvs.chunks(MAX_CHANGES_PER_YIELD) {
@@ -166,9 +167,6 @@
             }
             yield_now().await;
         }
-        self.retain_evacuations(reply);
-        self.retain_quarantine(reply);
-        self.retain_crash_evidence(reply);
         if !reply.kvs.iter().any(|kv| kv.key == LEADER_KEY) {
             self.membership.remove_leader();
         }
@@ -176,18 +174,83 @@
         self.record_found(reply);
     }
 
-    /// Replaces the known VMs by those of a full read of the store.
+    /// Applies a read of the whole store as the changes since `revision`, so that VMs which follow this one get them.
+    pub(super) async fn update(
+        self: &Rc<Self>,
+        reply: &RangeReply,
+        revision: u64,
+    ) {
+        let found: HashSet<&str> = reply.kvs.iter().map(|kv| kv.key.as_str()).collect();
+        let known = self.known_keys().into_iter();
+        let gone = known.filter(|key| !found.contains(key.as_str()));
+        let deleted = gone.map(|key| {
+            WatchEvent::Delete(KeyValue {
+                key,
+                mod_revision: reply.revision,
+                ..KeyValue::default()
+            })
+        });
+        let changed = reply.kvs.iter().filter(|kv| kv.mod_revision > revision);
+        let mut events: Vec<WatchEvent> = changed.cloned().map(WatchEvent::Put).collect();
+        events.sort_unstable_by_key(|event| {
+            let (WatchEvent::Put(kv) | WatchEvent::Delete(kv)) = event;
+            kv.mod_revision
+        });
+        events.extend(deleted);
+        self.apply_all(&events, &ChangeSource::FullRead).await;
+        self.set_read(reply);
+    }
+
+    /// The keys of all that this VM knows and the store may have deleted.
+    fn known_keys(&self) -> Vec<String> {
+        let local_scheduler = &self.cx.scheduling.local_scheduler;
+        let upstreams = self.upstreams.borrow();
+        let upstreams = upstreams
+            .keys()
+            .map(|id| format!("{}{id}", entries::PREFIX));
+        let evacuated = self.evacuated.borrow();
+        let evacuated = evacuated
+            .iter()
+            .map(|data_centre| format!("{}{data_centre}", evacuations::PREFIX));
+        let quarantined = local_scheduler.stored_quarantine();
+        let quarantined = quarantined.iter().map(quarantine::key_of);
+        let writers = local_scheduler.evidence_writers().into_iter();
+        let evidence = writers.map(|vm| format!("{EVIDENCE_PREFIX}{vm}"));
+        let leader = self.membership.has_leader().then(|| LEADER_KEY.to_owned());
+        let vms = self.membership.keys().into_iter();
+        upstreams
+            .chain(evacuated)
+            .chain(quarantined)
+            .chain(evidence)
+            .chain(leader)
+            .chain(vms)
+            .collect()
+    }
+
+    /// Records that all upstreams have been read.
+    fn set_read(
+        &self,
+        reply: &RangeReply,
+    ) {
+        self.cx.scheduling.set_partial_upstreams(false);
+        self.membership.set_loaded();
+        Line::new("store_read")
+            .with("revision", reply.revision)
+            .with("upstreams", self.upstreams.borrow().len())
+            .with("vms", self.cx.scheduling.vms().len())
+            .info();
+    }
+
+    /// Adds the VMs of the first read of the store.
     fn put_vms(
         &self,
         reply: &RangeReply,
     ) {
         let records = reply.kvs.iter().filter(|kv| kv.key.starts_with(VM_PREFIX));
-        let mut names = Vec::new();
         for kv in records {
             self.membership.set_vm(kv);
-            names.extend(kv.key.strip_prefix(VM_PREFIX));
         }
-        self.membership.retain_vms(&self.cx, &names);
+        self.membership.publish_vms(&self.cx);
     }
 
     /// Applies a further page of upstreams, except those with later changes known.
@@ -224,19 +287,12 @@
         let known: Vec<String> = self.upstreams.borrow().keys().cloned().collect();
         for id in known.iter().filter(|&id| !found.contains(id)) {
             // It may have been added after its page was read.
-            if !self
-                .feed
-                .has_changed_lately(&format!("{}{id}", entries::PREFIX))
-            {
+            let key = format!("{}{id}", entries::PREFIX);
+            if !self.feed.has_changed_since(&key, self.read_from.get()) {
                 self.remove_upstream(id);
             }
         }
-        self.membership.set_loaded();
-        Line::new("store_read")
-            .with("revision", page.revision)
-            .with("upstreams", self.upstreams.borrow().len())
-            .with("vms", self.cx.scheduling.vms().len())
-            .info();
+        self.set_read(page);
     }
 
     /// Applies changes, yielding to other tasks in between.
@@ -477,22 +533,6 @@
         }
     }
 
-    /// Ends the evacuations that are not in a full read of the store.
-    fn retain_evacuations(
-        &self,
-        reply: &RangeReply,
-    ) {
-        let found: BTreeSet<&str> = reply
-            .kvs
-            .iter()
-            .filter_map(|kv| kv.key.strip_prefix(evacuations::PREFIX))
-            .collect();
-        let known = self.evacuated.borrow().clone();
-        for data_centre in known.iter().filter(|name| !found.contains(name.as_str())) {
-            self.end_evacuation(data_centre);
-        }
-    }
-
     fn add_quarantine(
         &self,
         name: &str,
@@ -530,52 +570,17 @@
             (Ok((evidence, _)), Origin::Change(_)) if vm == scheduling.me() => scheduling
                 .local_scheduler
                 .note_stored_evidence(vm, evidence, Millis::ZERO),
+            (Ok((evidence, age)), Origin::FullRead | Origin::Change(ChangeSource::FullRead)) => {
+                scheduling.note_stored_evidence(vm, evidence, age);
+            }
             // A change comes at once, so that the time of day of the other VM needn't be right.
             (Ok((evidence, _)), Origin::Change(_)) => {
                 scheduling.note_stored_evidence(vm, evidence, Millis::ZERO);
             }
-            (Ok((evidence, age)), Origin::FullRead) => {
-                scheduling.note_stored_evidence(vm, evidence, age);
-            }
             (Err(e), _) => log_unreadable(&kv.key, &e),
         }
     }
 
-    /// Forgets the evidence that is not in a full read of the store.
-    fn retain_crash_evidence(
-        &self,
-        reply: &RangeReply,
-    ) {
-        let found = reply.kvs.iter();
-        let found: Vec<&str> = found
-            .filter_map(|kv| kv.key.strip_prefix(EVIDENCE_PREFIX))
-            .collect();
-        let local_scheduler = &self.cx.scheduling.local_scheduler;
-        let writers = local_scheduler.evidence_writers();
-        for vm in writers.iter().filter(|vm| !found.contains(&vm.as_str())) {
-            local_scheduler.forget_stored_evidence(vm);
-        }
-    }
-
-    /// Releases what is not in a full read of the store, though it was there before.
-    fn retain_quarantine(
-        &self,
-        reply: &RangeReply,
-    ) {
-        let found: BTreeSet<PartSet> = reply
-            .kvs
-            .iter()
-            .filter_map(|kv| kv.key.strip_prefix(QUARANTINE_PREFIX))
-            .filter_map(|name| quarantine::decode(name).ok())
-            .collect();
-        let local_scheduler = &self.cx.scheduling.local_scheduler;
-        let known = local_scheduler.stored_quarantine();
-        for parts in known.iter().filter(|parts| !found.contains(parts)) {
-            local_scheduler.note_unstored_quarantine(parts);
-            local_scheduler.remove_quarantine(parts, VerdictSource::Store);
-        }
-    }
-
     /// Removes an upstream whose entry is gone, after a delay if it may have expired in a store outage.
     fn remove_upstream(
         self: &Rc<Self>,
