What VMs store about crashes is bounded in size and rate

What callers saw: as 39 of 156 engines crashed at once, half of the VMs lost their leader within a second and 158 two seconds later, and changes of the configuration arrived 10 to 17 s late at all of them (CONFIG, DENIED).

Cause: each VM that decides, and each of 195 that decide alone, stored up to 64 crashes with all prompts of each upstream, some hundred KB, with each crash and each half second while answers acquitted something; all VMs read all of it through the change feed. The design counted 200 bytes a crash. 2,122 records of others were weighed within 3 s, which cost VMs the leader, so that more of them decided alone and wrote.

Change: a record has a largest size, divided among the VMs where each decides alone, and all VMs together a rate. Crashes are left out whole, those under the most prompts first: a part of a crash would accuse the wrong ones.

Evidence: the incident's timeline. core's evidence_budget fails without the bound (no such code before).

--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -15,6 +15,7 @@
 mod crash;
 mod crash_log;
 mod crash_report;
+mod evidence_budget;
 mod part_quarantine;
 mod quarantine_event;
 mod recent_parts;
@@ -30,6 +31,7 @@
     attempt_evidence::{AttemptEvidence, RequestEvidence},
     candidates::CrashCandidates,
     crash_report::{CrashEvidence, CrashReport, PromptReport, SoundReport},
+    evidence_budget::{EvidenceBudget, select_crashes},
     part_quarantine::PartQuarantine,
     quarantine_event::{CrashEnd, CrashRef, QuarantineEvent, VerdictSource},
     verdict::{PartSet, join_parts},
--- a/crates/entry/src/store/crash_evidence.rs
+++ b/crates/entry/src/store/crash_evidence.rs
@@ -10,12 +10,12 @@
     jasmine_core::{
         clock::Millis,
         ids::{InvalidPartId, PartId},
-        quarantine::{PromptReport, SoundReport},
+        quarantine::{EvidenceBudget, PromptReport, SoundReport, select_crashes},
     },
     jasmine_store::store::{Op, Range, Store, Txn},
     jasmine_telemetry::log::Line,
     serde::{Deserialize, Serialize},
-    std::{rc::Rc, time::Duration},
+    std::{collections::HashSet, rc::Rc, time::Duration},
     tokio::time::{sleep, timeout},
     xxhash_rust::xxh3::xxh3_64,
 };
@@ -25,6 +25,8 @@
 
 /// Most crashes that are stored, the latest.
 const MAX_CRASHES: usize = 64;
+/// Size of a report on a sound part, in bytes.
+const SOUND_REPORT_BYTES: usize = 32;
 /// How often this VM looks for changes, without a notification.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Time in which what is learnt just after a crash is stored together with it.
@@ -103,37 +105,69 @@
     })
 }
 
+/// Encodes the crashes that fit into `max` bytes, and what is known to be sound of their parts and lately.
+///
 /// # Panics
 ///
 /// Never: the evidence has only types that JSON can represent.
-fn encode(evidence: &EvidenceSpec) -> Vec<u8> {
+fn encode(
+    evidence: &EvidenceSpec,
+    max: usize,
+) -> Vec<u8> {
+    let to_json = |crash: &StoredCrash| serde_json::to_vec(crash).expect("a crash is JSON");
+    let crashes: Vec<StoredCrash> = evidence.crashes.iter().map(stored_crash).collect();
+    let sizes: Vec<usize> = crashes.iter().map(|crash| to_json(crash).len()).collect();
+    let kept = select_crashes(&sizes, max);
+    let crashes: Vec<StoredCrash> = crashes
+        .into_iter()
+        .zip(kept)
+        .filter_map(|(crash, is_kept)| is_kept.then_some(crash))
+        .collect();
+    let sound = stored_sound(&evidence.sound, &crashes, max);
+    let stored = Stored {
+        written_unix_ms: Clock::unix_time().0,
+        crashes,
+        sound,
+    };
+    serde_json::to_vec(&stored).expect("evidence is JSON")
+}
+
+fn stored_crash(crash: &CrashSpec) -> StoredCrash {
     let text = |part: &PartId| part.to_string();
-    let crashes = evidence.crashes.iter().map(|crash| StoredCrash {
+    let prompts = crash.prompts.iter().map(|prompt| StoredPrompt {
+        parts: prompt.parts.iter().map(text).collect(),
+        sent_ago_ms: prompt.sent_ago.0,
+    });
+    let requests = crash.requests.iter();
+    StoredCrash {
         upstream: crash.upstream.clone(),
         ago_ms: crash.ago.0,
-        prompts: crash
-            .prompts
-            .iter()
-            .map(|prompt| StoredPrompt {
-                parts: prompt.parts.iter().map(text).collect(),
-                sent_ago_ms: prompt.sent_ago.0,
-            })
-            .collect(),
-        requests: crash
-            .requests
-            .iter()
+        prompts: prompts.collect(),
+        requests: requests
             .map(|(request, ago)| (text(request), ago.0))
             .collect(),
-    });
-    let sound = evidence.sound.iter();
-    let stored = Stored {
-        written_unix_ms: Clock::unix_time().0,
-        crashes: crashes.collect(),
-        sound: sound
-            .map(|report| (text(&report.part), report.ago.0))
-            .collect(),
-    };
-    serde_json::to_vec(&stored).expect("evidence is JSON")
+    }
+}
+
+/// The reports on parts that the stored crashes accuse, and then the latest others, as many as fit into `max` bytes.
+fn stored_sound(
+    sound: &[SoundReport],
+    crashes: &[StoredCrash],
+    max: usize,
+) -> Vec<(String, u64)> {
+    let prompts = crashes.iter().flat_map(|crash| &crash.prompts);
+    let accused: HashSet<&str> = prompts
+        .flat_map(|prompt| prompt.parts.iter().map(String::as_str))
+        .collect();
+    let reports = sound
+        .iter()
+        .map(|report| (report.part.to_string(), report.ago.0));
+    let (mut kept, mut others): (Vec<_>, Vec<_>) =
+        reports.partition(|(part, _)| accused.contains(part.as_str()));
+    others.sort_unstable_by_key(|&(_, ago_ms)| ago_ms);
+    others.truncate(max / SOUND_REPORT_BYTES);
+    kept.append(&mut others);
+    kept
 }
 
 /// Tells apart what is worth storing: which crashes accuse what, whatever their times.
@@ -159,6 +193,7 @@
 ) {
     let mut stored_digest = None;
     let mut has_recorded = false;
+    let mut budget = EvidenceBudget::default();
     loop {
         let recorded = timeout(
             CHECK_INTERVAL,
@@ -176,9 +211,19 @@
         if !has_recorded && !cx.scheduling.is_leading() {
             continue;
         }
-        let Some((txn, digest)) = difference(&cx, &vm, stored_digest) else {
+        let writers = if cx.scheduling.is_leading() {
+            1
+        } else {
+            cx.scheduling.vms().len() as u64
+        };
+        if !budget.is_available(writers, cx.clock.now()) {
+            continue;
+        }
+        let max = EvidenceBudget::max_record(writers);
+        let Some((txn, digest)) = difference(&cx, &vm, stored_digest, max) else {
             continue;
         };
+        budget.spend(written_bytes(&txn));
         match store.txn(txn).await {
             Ok(_) => (stored_digest, has_recorded) = (Some(digest), false),
             Err(e) => Line::new("evidence_not_stored").with("reason", e).warn(),
@@ -191,6 +236,7 @@
     cx: &Context,
     vm: &str,
     stored_digest: Option<u64>,
+    max: usize,
 ) -> Option<(Txn, u64)> {
     let local_scheduler = &cx.scheduling.local_scheduler;
     let writers = local_scheduler.evidence_writers();
@@ -208,7 +254,7 @@
         ops.extend(is_stored.then(|| Op::Delete(Range::key(key(vm)))));
     } else if stored_digest != Some(digest) || !is_stored {
         // Another leader may have deleted it since.
-        ops.push(Op::put(key(vm), encode(&evidence)));
+        ops.push(Op::put(key(vm), encode(&evidence, max)));
     }
     if cx.scheduling.is_leading() {
         let others = writers.iter().filter(|&writer| writer != vm);
@@ -220,3 +266,12 @@
     };
     (!txn.success.is_empty()).then_some((txn, digest))
 }
+
+/// Bytes of the values that a transaction writes.
+fn written_bytes(txn: &Txn) -> usize {
+    let size = |op: &Op| match op {
+        Op::Put { value, .. } => value.len(),
+        Op::Delete(_) | Op::Get(_) => 0,
+    };
+    txn.success.iter().map(size).sum()
+}
