Which refusals a VM may give for good

A VM that refuses by a configuration that was replaced long ago turns away what is allowed. FinalAnswers decides, without I/O, whether a refusal that callers take as final may be given: the configuration has to be known as of a time within the allowed propagation time of a change, less a margin of a quarter, before the request arrived; else the store is to be asked, and the answer is uncertain if that doesn't help or there is no configuration.

--- a/crates/core/src/ingress/mod.rs
+++ b/crates/core/src/ingress/mod.rs
@@ -8,6 +8,7 @@
 mod caller_limits;
 mod config;
 mod connection_admission;
+mod final_answers;
 mod held_model;
 mod idle_timeouts;
 mod prompt;
@@ -23,6 +24,7 @@
     caller_limits::CallerLimits,
     config::IngressConfig,
     connection_admission::ConnectionAdmission,
+    final_answers::{FinalAnswers, Finality},
     held_model::{ComingAdapter, EngineHoldings, HeldAdapter, HeldModel},
     idle_timeouts::IdleTimeouts,
     prompt::{PromptPart, PromptSize, shared_parts},
