Keys and routes are refused for good only by a configuration that is current

Callers saw: 401 and 404, after which they don't come back, for keys and routes that had been in the store for up to 17 s.

Cause: "not known to this VM" and "doesn't exist" were one answer, whatever the age of the VM's view.

Change: such a refusal is given only if the configuration is known as of a time within three quarters of change_ms before the request. Otherwise the VM asks the store for changes of the configuration's key (with lost history it reads the key), takes what it finds and judges the request again. If the store doesn't tell within 0.4 s, or a third of what the caller waits, the answer is 503 config_unavailable with a Retry-After. The judging of proper requests is as before: a refused request comes back from the judgement, and nothing is copied.

All that wait share one question; an answer serves what arrives within the next 1.5 s, and a failed question is followed by a pause of 0.3 s. What did so for upstreams (Feed::confirm, keep_confirming) is one type, used twice. The revision of the last answer is kept, so that a VM that is cut off from changes doesn't fetch the same ones with each question.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -17,7 +17,9 @@
         byte_budget::ByteLimits,
         clock::Millis,
         error::Refusal,
-        ingress::{CallerLimits, ConnectionAdmission, IdleTimeouts, IngressConfig},
+        ingress::{
+            CallerLimits, ConnectionAdmission, FinalAnswers, Finality, IdleTimeouts, IngressConfig,
+        },
     },
     jasmine_telemetry::log::Line,
     std::{
@@ -67,6 +69,7 @@
     pub metrics: Rc<EntryMetrics>,
     config: watch::Sender<Option<Rc<IngressConfig>>>,
     config_origin: RefCell<Option<ConfigOrigin>>,
+    final_answers: FinalAnswers,
     /// What is known of the store.
     pub feed: Rc<Feed>,
     /// The idle timeouts of earlier configurations.
@@ -91,6 +94,7 @@
         let limits = ByteLimits::new(vm_bytes, settings.bytes.exchange_bytes());
         Self {
             bytes: ByteGate::new(limits),
+            final_answers: FinalAnswers::new(settings.change_ms),
             links: Rc::new(LinkMonitor::new(&settings.data_centre, pool.share_budget())),
             settings,
             clock: Clock,
@@ -121,6 +125,7 @@
             version: self.config().map_or(0, |config| config.version.0),
             origin: self.config_origin.borrow().clone(),
             config_age: self.config_age(),
+            known_age: self.config_known_at().map(|at| now.since(at)),
             view_age: self.feed.complete_at().map(|at| now.since(at)),
             allowed_age: self.settings.change_ms,
         }
@@ -140,6 +145,34 @@
         }
     }
 
+    /// The configuration in force is that of the store at this time; `None` without one.
+    fn config_known_at(&self) -> Option<Millis> {
+        let known_at = self.feed.config().known_at();
+        known_at.filter(|_| self.config.borrow().is_some())
+    }
+
+    /// Whether a request that arrived at `arrived` may be refused for good by the configuration in force.
+    pub fn finality(
+        &self,
+        arrived: Millis,
+    ) -> Finality {
+        self.final_answers
+            .decide(arrived, self.config_known_at(), false)
+    }
+
+    /// Asks the store for a newer configuration, for up to `wait`; returns whether a request that arrived at `arrived`
+    /// may be refused for good by the configuration then in force.
+    pub async fn confirm_config(
+        &self,
+        arrived: Millis,
+        wait: Millis,
+    ) -> bool {
+        let since = self.final_answers.required_at(arrived);
+        self.feed.confirm_config(since, wait).await;
+        let known_at = self.config_known_at();
+        self.final_answers.decide(arrived, known_at, true) == Finality::Final
+    }
+
     /// How long ago the current configuration was taken; `None` without one.
     pub fn config_age(&self) -> Option<Millis> {
         let origin = self.config_origin.borrow();
--- a/crates/entry/src/forward/refused_request.rs
+++ b/crates/entry/src/forward/refused_request.rs
@@ -1,5 +1,6 @@
 use {
-    crate::caller::IncomingRequest, jasmine_core::error::Refusal,
+    crate::caller::IncomingRequest,
+    jasmine_core::error::{ErrorKind, Refusal},
     jasmine_platform::headers::CallerHeaders,
 };
 
@@ -13,3 +14,11 @@
     /// The decoded request headers.
     pub caller: CallerHeaders,
 }
+
+impl RefusedRequest {
+    /// Whether it is refused for good by the configuration, rather than by what the request itself is.
+    pub(super) fn is_by_config(&self) -> bool {
+        let kind = self.refusal.kind;
+        kind.is_final() && kind != ErrorKind::BadRequest
+    }
+}
--- a/crates/entry/src/refusals/judged_by.rs
+++ b/crates/entry/src/refusals/judged_by.rs
@@ -14,6 +14,8 @@
     pub origin: Option<ConfigOrigin>,
     /// How long ago the configuration was taken.
     pub config_age: Option<Millis>,
+    /// How long ago the store held no other configuration.
+    pub known_age: Option<Millis>,
     /// How long ago the store held no other changes than those applied.
     pub view_age: Option<Millis>,
     /// The allowed propagation time of a change.
@@ -21,9 +23,9 @@
 }
 
 impl JudgedBy {
-    /// The view's age in metrics: within the allowed propagation time of a change, beyond it, or unknown.
+    /// The age of what is known of the configuration, in metrics: within the allowed propagation time of a change, beyond it, or unknown.
     pub fn age_class(&self) -> &'static str {
-        match self.view_age.filter(|_| self.origin.is_some()) {
+        match self.known_age {
             None => "none",
             Some(age) if age <= self.allowed_age => "current",
             Some(_) => "old",
@@ -43,6 +45,7 @@
             None => line.with("config_source", "-").with("config_revision", 0),
         };
         line.with("config_age_ms", age_text(self.config_age))
+            .with("config_known_age_ms", age_text(self.known_age))
             .with("view_age_ms", age_text(self.view_age))
     }
 
--- a/crates/entry/src/store/feed/change_feed.rs
+++ b/crates/entry/src/store/feed/change_feed.rs
@@ -1,5 +1,5 @@
 use {
-    super::{FeedReply, reader_state::ReaderState},
+    super::{Confirmations, FeedReply, reader_state::ReaderState},
     crate::clock::Clock,
     jasmine_core::{
         clock::Millis,
@@ -31,8 +31,6 @@
 const MIN_TAKEOVER_WAIT: Millis = Millis(150);
 /// How long the store has to be lost to count as out of service.
 const MIN_OUTAGE: Millis = Millis(1_000);
-/// How long the store isn't asked again to confirm the upstreams after it has failed to.
-const CONFIRMATION_BACKOFF: Millis = Millis(300);
 /// How long a recovery of the store is reported to other VMs.
 const RECOVERY_REPORT_TIMEOUT: Millis = Millis(10_000);
 
@@ -64,14 +62,10 @@
     answered_at: Cell<Millis>,
     /// All changes that the store held at this time have been applied; `None` before the first full read.
     complete_at: Cell<Option<Millis>>,
-    /// The upstreams that the store held at this time are known for sure; `None` before the first such answer.
-    confirmed_at: Cell<Option<Millis>>,
-    /// When the store last failed to confirm them.
-    unconfirmed_at: Cell<Option<Millis>>,
-    /// Notified when a decision needs to know that this VM has missed no upstream.
-    confirmation_request: Notify,
-    /// Counts changes of `confirmed_at` and `unconfirmed_at`.
-    confirmations: watch::Sender<u64>,
+    /// As of when the upstreams are known for sure.
+    upstreams: Confirmations,
+    /// As of when the configuration is known for sure.
+    config: Confirmations,
     /// Notified when a call to the store outside the watch fails.
     store_failure: Notify,
     /// When the store last recovered from an outage.
@@ -99,10 +93,8 @@
             last_contact_at: Cell::new(Millis::ZERO),
             answered_at: Cell::new(Clock.now()),
             complete_at: Cell::new(None),
-            confirmed_at: Cell::new(None),
-            unconfirmed_at: Cell::new(None),
-            confirmation_request: Notify::new(),
-            confirmations: watch::Sender::default(),
+            upstreams: Confirmations::default(),
+            config: Confirmations::default(),
             store_failure: Notify::new(),
             recovered_at: Cell::new(None),
             stale_after: Millis(max_propagation_delay.0 * STALE_PERCENT / 100),
@@ -176,6 +168,7 @@
         at: Millis,
     ) {
         self.complete_at.set(self.complete_at.get().max(Some(at)));
+        self.config.set_known_at(at);
     }
 
     /// The latest time at which the store held no other changes than those applied; `None` before the first full read.
@@ -190,46 +183,26 @@
         since: Millis,
         wait: Millis,
     ) -> bool {
-        let until = self.clock.now() + wait;
-        let mut changes = self.confirmations.subscribe();
-        loop {
-            changes.mark_unchanged();
-            let now = self.clock.now();
-            let has_failed = |at: Millis| now.since(at) < CONFIRMATION_BACKOFF;
-            if self.confirmed_at.get() >= Some(since) {
-                return true;
-            }
-            if now >= until
-                || self.complete_at.get().is_none()
-                || self.unconfirmed_at.get().is_some_and(has_failed)
-            {
-                return false;
-            }
-            self.confirmation_request.notify_one();
-            // The state is checked again after a change and after the timeout.
-            let _either = timeout(until.since(now).to_std(), changes.changed()).await;
-        }
+        self.complete_at.get().is_some() && self.upstreams.confirm(since, wait).await
     }
 
-    /// Waits until a decision needs to know that this VM has missed no upstream.
-    pub(crate) async fn confirmation_requested(&self) {
-        self.confirmation_request.notified().await;
+    /// The same for the configuration.
+    pub(crate) async fn confirm_config(
+        &self,
+        since: Millis,
+        wait: Millis,
+    ) -> bool {
+        self.complete_at.get().is_some() && self.config.confirm(since, wait).await
     }
 
-    /// Records that all upstreams that the store held at `at` are known: it was asked then and has answered.
-    pub(crate) fn set_confirmed_at(
-        &self,
-        at: Millis,
-    ) {
-        self.confirmed_at.set(self.confirmed_at.get().max(Some(at)));
-        self.unconfirmed_at.set(None);
-        self.confirmations.send_modify(|count| *count += 1);
+    /// As of when the upstreams are known for sure.
+    pub(crate) const fn upstreams(&self) -> &Confirmations {
+        &self.upstreams
     }
 
-    /// Records that the store has failed to confirm the upstreams.
-    pub(crate) fn set_unconfirmed(&self) {
-        self.unconfirmed_at.set(Some(self.clock.now()));
-        self.confirmations.send_modify(|count| *count += 1);
+    /// As of when the configuration is known for sure.
+    pub(crate) const fn config(&self) -> &Confirmations {
+        &self.config
     }
 
     /// The revision up to which all changes are applied.
--- a/crates/entry/src/store/follower.rs
+++ b/crates/entry/src/store/follower.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         ChangeSource, Feed, FeedPeer, FeedReply, KvStore, Membership,
-        confirmation::keep_confirming,
+        confirmation::{Subject, keep_confirming},
         feed::ask_peer,
         kv_store::{check_range_size, size_in_bytes},
         view::View,
@@ -122,12 +122,15 @@
         Rc::clone(&membership),
         Rc::clone(&feed),
     ));
-    spawn_local(keep_confirming(
-        Rc::clone(&cx),
-        store.clone(),
-        Rc::clone(&feed),
-        Rc::clone(&view),
-    ));
+    for subject in [Subject::Upstreams, Subject::Configuration] {
+        spawn_local(keep_confirming(
+            Rc::clone(&cx),
+            store.clone(),
+            Rc::clone(&feed),
+            Rc::clone(&view),
+            subject,
+        ));
+    }
     let mut follower = Follower {
         choice: SourceChoice::new(membership.rank()),
         backoff: Backoff::new(MIN_RETRY_DELAY, MAX_RETRY_DELAY),
@@ -178,7 +181,7 @@
         self.view.update(&reply, self.position.minor_after).await;
         self.remaining = None;
         self.set_complete_at(began);
-        self.feed.set_confirmed_at(began);
+        self.feed.upstreams().set_known_at(began);
         self.set_position(reply.revision, Some(reply.revision));
         self.catch_up.caught_up();
         Ok(())
@@ -363,7 +366,7 @@
                 .info();
         } else {
             self.set_complete_at(answered_at);
-            self.feed.set_confirmed_at(asked_at);
+            self.feed.upstreams().set_known_at(asked_at);
         }
         self.set_position(batch.revision, Some(batch.revision));
         if next == ReadNext::Pause {
--- a/crates/entry/src/store/view.rs
+++ b/crates/entry/src/store/view.rs
@@ -269,6 +269,19 @@
         self.record_found(page);
     }
 
+    /// Applies the configuration that was read by itself.
+    pub(super) fn apply_config(
+        &self,
+        page: &RangeReply,
+    ) {
+        let found = page.kvs.iter().find(|kv| kv.key == configuration::KEY);
+        if let Some(kv) = found
+            && self.feed.record_change(&WatchEvent::Put(kv.clone()), true)
+        {
+            self.put(kv, Origin::Change(&ChangeSource::Question));
+        }
+    }
+
     /// Records the upstreams of a page; after the last page, removes those that weren't found.
     fn record_found(
         self: &Rc<Self>,
