Heads and bodies are refused for good only by limits that are in force

Callers saw: 431 and 413 by the default limits of a VM without a configuration, and by those of a configuration that had been replaced. A VM that sent requests on for another one applied its own, perhaps older, limits to what that VM had checked, so that the caller got 503.

Change: a head or body beyond the limits is judged as keys and routes are: the VM looks for a newer configuration, asks the store if its own may be outdated, and reads on under the newer limits if these allow it. Without a configuration, or if the store doesn't tell, the answer is 503 config_unavailable with a Retry-After, and the connection is closed. The answer to a request that could not be read names its id where that is known.

--- a/crates/entry/src/caller/answer_watch.rs
+++ b/crates/entry/src/caller/answer_watch.rs
@@ -1,5 +1,5 @@
 use {
-    super::connection::Peer,
+    super::peer::Peer,
     crate::context::Context,
     jasmine_core::clock::Millis,
     jasmine_telemetry::log::Line,
--- a/crates/entry/src/caller/connection.rs
+++ b/crates/entry/src/caller/connection.rs
@@ -2,22 +2,24 @@
     super::{
         ErrorResponse, ResponseWriter,
         answer_watch::{AnswerEnd, AnswerWatch},
+        peer::Peer,
         read_request::{
             IncomingRequest, RefusedRead, RequestReadError, read_request, wait_for_request,
         },
+        request_limits::{RELAY_IDLE_TIMEOUT, RequestLimits},
         response_writer::KeepAlive,
     },
     crate::{
         context::{Context, StopStage},
         forward::serve_request,
         links::serve_relayed,
+        refusals::CONFIG_UNAVAILABLE,
         upstream::ReadCharge,
     },
     bytes::BytesMut,
     jasmine_core::{
         clock::Millis,
         error::{ErrorKind, Refusal},
-        ingress::CallerLimits,
     },
     jasmine_platform::headers::request_id,
     jasmine_telemetry::log::Line,
@@ -31,10 +33,6 @@
 
 /// Most bytes of pipelined requests that are buffered while a request is being answered.
 const MAX_PIPELINED_BYTES: usize = 64 << 10;
-/// Bytes of headers that a VM adds to a caller's request before another VM sends it on.
-const RELAY_HEADER_BYTES: usize = 4 << 10;
-/// Idle timeout of connections between VMs; longer than that of the VM that opens them.
-const RELAY_IDLE_TIMEOUT: Millis = Millis(30_000);
 /// How long data is drained before closing, so that a reset doesn't overtake the response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -51,41 +49,6 @@
     Reset,
 }
 
-/// Whose requests a connection carries.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Peer {
-    /// A caller.
-    Caller,
-    /// Another VM, for its callers.
-    Vm,
-}
-
-impl Peer {
-    /// Its name in logs and metrics.
-    pub(super) const fn as_str(self) -> &'static str {
-        match self {
-            Self::Caller => "caller",
-            Self::Vm => "vm",
-        }
-    }
-
-    /// The limits on its requests; those of another VM have been checked there.
-    fn limits(
-        self,
-        cx: &Context,
-    ) -> CallerLimits {
-        let limits = cx.caller_limits();
-        match self {
-            Self::Caller => limits,
-            Self::Vm => CallerLimits {
-                max_header_bytes: limits.max_header_bytes + RELAY_HEADER_BYTES,
-                idle_timeout: RELAY_IDLE_TIMEOUT,
-                ..limits
-            },
-        }
-    }
-}
-
 /// Serves the requests of one connection in order.
 pub(super) async fn serve_connection(
     cx: Rc<Context>,
@@ -135,7 +98,8 @@
             return Err(RequestReadError::Closed);
         }
     }
-    let read = read_request(stream, buf, &peer.limits(cx), &cx.bytes).await;
+    let limits = RequestLimits::new(cx, peer);
+    let read = read_request(stream, buf, limits, &cx.bytes).await;
     if let Err(RequestReadError::Refused(refused)) = &read
         && refused.kind == ErrorKind::QueueFull
     {
@@ -255,10 +219,12 @@
     let refusal = match kind {
         ErrorKind::SlowSender => Refusal::after(kind, Millis::ZERO),
         ErrorKind::QueueFull => Refusal::after(kind, FULL_RETRY_DELAY),
+        ErrorKind::ConfigUnavailable => CONFIG_UNAVAILABLE,
         kind => Refusal::new(kind),
     };
-    cx.log_refused(refused.id.as_deref(), refusal, &refused.rule);
-    if out.write_error(ErrorResponse(refusal), None).await.is_ok() {
+    let id = refused.id.as_deref();
+    cx.log_refused(id, refusal, &refused.rule);
+    if out.write_error(ErrorResponse(refusal), id).await.is_ok() {
         close(stream).await;
     }
 }
--- a/crates/entry/src/caller/listener.rs
+++ b/crates/entry/src/caller/listener.rs
@@ -1,5 +1,8 @@
 use {
-    super::connection::{Peer, reset, serve_connection},
+    super::{
+        connection::{reset, serve_connection},
+        peer::Peer,
+    },
     crate::context::{Context, StopStage},
     jasmine_core::clock::Millis,
     jasmine_telemetry::log::Line,
--- a/crates/entry/src/caller/mod.rs
+++ b/crates/entry/src/caller/mod.rs
@@ -4,7 +4,9 @@
 mod connection;
 mod error_response;
 mod listener;
+mod peer;
 mod read_request;
+mod request_limits;
 mod response_writer;
 
 pub use {
--- a/crates/entry/src/caller/read_request.rs
+++ b/crates/entry/src/caller/read_request.rs
@@ -1,4 +1,5 @@
 use {
+    super::request_limits::{Excess, RequestLimits},
     crate::{
         exchange_bytes::{ByteGate, ByteHolds},
         http1::{
@@ -108,23 +109,8 @@
     }
 }
 
-/// The refusal of a head of which `bytes` bytes were read.
-fn head_error(
-    e: HttpError,
-    bytes: usize,
-    max: usize,
-) -> RequestReadError {
-    match e {
-        HttpError::HeadTooLarge => {
-            let rule = Rule::HeaderBytes { bytes, max };
-            RefusedRead::new(ErrorKind::HeadersTooLarge, rule).into()
-        }
-        e => body_error(e),
-    }
-}
-
-/// The refusal of a body that can't be decoded.
-fn body_error(e: HttpError) -> RequestReadError {
+/// The refusal of a request that can't be decoded.
+fn decode_error(e: HttpError) -> RequestReadError {
     match e {
         HttpError::Truncated => RequestReadError::Closed,
         HttpError::Malformed | HttpError::HeadTooLarge => {
@@ -133,13 +119,44 @@
     }
 }
 
-/// The refusal of a body of `bytes` bytes.
-const fn body_too_large(
+/// Checks a head that is beyond the limits, of which `bytes` bytes were read.
+async fn check_head(
+    limits: &mut RequestLimits<'_>,
+    bytes: usize,
+) -> Result<(), RequestReadError> {
+    let max = limits.current().max_header_bytes;
+    let excess = limits
+        .judge_excess(|newer| newer.max_header_bytes > max)
+        .await;
+    let rule = Rule::HeaderBytes { bytes, max };
+    refuse_excess(excess, ErrorKind::HeadersTooLarge, rule)
+}
+
+/// Checks a body of `bytes` bytes.
+async fn check_body(
+    limits: &mut RequestLimits<'_>,
     bytes: u64,
-    max: usize,
-) -> RequestReadError {
+) -> Result<(), RequestReadError> {
+    let is_within = |limits: &CallerLimits| bytes <= limits.max_body_bytes as u64;
+    if is_within(limits.current()) {
+        return Ok(());
+    }
+    let excess = limits.judge_excess(is_within).await;
+    let max = limits.current().max_body_bytes;
     let rule = Rule::BodyBytes { bytes, max };
-    RequestReadError::Refused(RefusedRead::new(ErrorKind::BodyTooLarge, rule))
+    refuse_excess(excess, ErrorKind::BodyTooLarge, rule)
+}
+
+fn refuse_excess(
+    excess: Excess,
+    kind: ErrorKind,
+    rule: Rule,
+) -> Result<(), RequestReadError> {
+    match excess {
+        Excess::Allowed => Ok(()),
+        Excess::Refused => Err(RefusedRead::new(kind, rule).into()),
+        Excess::Uncertain => Err(RefusedRead::new(ErrorKind::ConfigUnavailable, rule).into()),
+    }
 }
 
 const fn sent_too_slowly() -> RequestReadError {
@@ -161,14 +178,14 @@
 pub(super) async fn read_request(
     stream: &mut TcpStream,
     buf: &mut BytesMut,
-    limits: &CallerLimits,
+    mut limits: RequestLimits<'_>,
     budget: &ByteGate,
 ) -> Result<IncomingRequest, RequestReadError> {
-    let head = match read_head(stream, buf, limits).await {
+    let head = match read_head(stream, buf, &mut limits).await {
         Ok(head) => head,
         Err(e) => return Err(e.with_id(request_id(unparsed_headers(buf)))),
     };
-    match read_body(stream, buf, &head, limits, budget).await {
+    match read_body(stream, buf, &head, &mut limits, budget).await {
         Ok(body) => Ok(IncomingRequest { head, body }),
         Err(e) => Err(e.with_id(request_id(head.headers.pairs()))),
     }
@@ -177,19 +194,23 @@
 async fn read_head(
     stream: &mut TcpStream,
     buf: &mut BytesMut,
-    limits: &CallerLimits,
+    limits: &mut RequestLimits<'_>,
 ) -> Result<RequestHead, RequestReadError> {
-    let due = Instant::now() + limits.header_timeout.to_std();
-    let max = limits.max_header_bytes;
+    let due = Instant::now() + limits.current().header_timeout.to_std();
     let mut scanner = HeadScanner::default();
     loop {
+        let max = limits.current().max_header_bytes;
         match parse_request_head(buf, max, &mut scanner) {
             Ok(Some((head, len))) => {
                 buf.advance(len);
                 return Ok(head);
             }
             Ok(None) => {}
-            Err(e) => return Err(head_error(e, buf.len(), max)),
+            Err(HttpError::HeadTooLarge) => {
+                check_head(limits, buf.len()).await?;
+                continue;
+            }
+            Err(e) => return Err(decode_error(e)),
         }
         match timeout_at(due, read_more(stream, buf)).await {
             Ok(read) => read?,
@@ -212,15 +233,12 @@
     stream: &mut TcpStream,
     buf: &mut BytesMut,
     head: &RequestHead,
-    limits: &CallerLimits,
+    limits: &mut RequestLimits<'_>,
     budget: &ByteGate,
 ) -> Result<Bytes, RequestReadError> {
-    let max = limits.max_body_bytes;
     match head.framing {
         Framing::Empty => return Ok(Bytes::new()),
-        Framing::Length(length) if length > max as u64 => {
-            return Err(body_too_large(length, max));
-        }
+        Framing::Length(length) => check_body(limits, length).await?,
         _ => {}
     }
     let max_wait = max_body_wait(head);
@@ -236,18 +254,21 @@
     }
     let mut reader = BodyReader::new(head.framing);
     loop {
-        match reader.next(buf).map_err(body_error)? {
+        match reader.next(buf).map_err(decode_error)? {
             BodyPart::End => return Ok(holds.attach(whole.freeze())),
-            BodyPart::Data(data) if whole.len() + data.len() > max => {
-                return Err(body_too_large((whole.len() + data.len()) as u64, max));
-            }
             BodyPart::Data(data) => {
                 let len = whole.len() + data.len();
+                check_body(limits, len as u64).await?;
                 holds.cover(len as u64, max_wait).await?;
                 whole.extend_from_slice(&data);
             }
             BodyPart::NeedMore => {
-                match timeout(limits.idle_timeout.to_std(), read_more(stream, buf)).await {
+                match timeout(
+                    limits.current().idle_timeout.to_std(),
+                    read_more(stream, buf),
+                )
+                .await
+                {
                     Ok(read) => read?,
                     Err(_elapsed) => return Err(sent_too_slowly()),
                 }
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -32,6 +32,15 @@
 /// Most bytes of pipelined requests that are buffered at once, but for the first of each connection.
 const MAX_CALLER_BYTES: usize = 16 << 20;
 
+/// How long a request waits for the first configuration of a VM that has just started.
+///
+/// After a start of all VMs no other one has a configuration either, and it arrives within half a second.
+const FIRST_CONFIG_TIMEOUT: Millis = Millis(300);
+/// How long a request waits for the store to confirm the configuration by which it would be refused for good.
+///
+/// At most a third of the time that its caller waits, which leaves time for another VM.
+const MAX_CONFIRMATION_WAIT: Millis = Millis(400);
+
 /// The stages of a planned stop, in order.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum StopStage {
@@ -151,26 +160,27 @@
         known_at.filter(|_| self.config.borrow().is_some())
     }
 
-    /// Whether a request that arrived at `arrived` may be refused for good by the configuration in force.
-    pub fn finality(
-        &self,
-        arrived: Millis,
-    ) -> Finality {
-        self.final_answers
-            .decide(arrived, self.config_known_at(), false)
-    }
-
-    /// Asks the store for a newer configuration, for up to `wait`; returns whether a request that arrived at `arrived`
-    /// may be refused for good by the configuration then in force.
+    /// Whether a request that arrived at `arrived` may be refused for good by the configuration that is in force after
+    /// this call, which asks the store for a newer one if that is open.
+    ///
+    /// `patience` is how long the caller waits.
     pub async fn confirm_config(
         &self,
         arrived: Millis,
-        wait: Millis,
+        patience: Option<Millis>,
     ) -> bool {
-        let since = self.final_answers.required_at(arrived);
-        self.feed.confirm_config(since, wait).await;
-        let known_at = self.config_known_at();
-        self.final_answers.decide(arrived, known_at, true) == Finality::Final
+        let answers = self.final_answers;
+        match answers.decide(arrived, self.config_known_at(), false) {
+            Finality::Final => return true,
+            Finality::Uncertain => drop(self.first_config().await),
+            Finality::Confirm => {
+                let since = answers.required_at(arrived);
+                let patience = patience.unwrap_or(MAX_CONFIRMATION_WAIT);
+                let wait = MAX_CONFIRMATION_WAIT.min(Millis(patience.0 / 3));
+                self.feed.confirm_config(since, wait).await;
+            }
+        }
+        answers.decide(arrived, self.config_known_at(), true) == Finality::Final
     }
 
     /// How long ago the current configuration was taken; `None` without one.
@@ -181,13 +191,11 @@
             .map(|it| self.clock.now().since(it.taken_at))
     }
 
-    /// The current configuration; waits up to `wait` for the first one.
-    pub async fn config_within(
-        &self,
-        wait: Millis,
-    ) -> Option<Rc<IngressConfig>> {
+    /// The current configuration; waits a moment for the first one.
+    pub async fn first_config(&self) -> Option<Rc<IngressConfig>> {
         let mut config = self.config.subscribe();
-        let first = timeout(wait.to_std(), config.wait_for(Option::is_some)).await;
+        let first = config.wait_for(Option::is_some);
+        let first = timeout(FIRST_CONFIG_TIMEOUT.to_std(), first).await;
         // Both the timeout and a closed channel mean no configuration.
         first.ok()?.ok()?.clone()
     }
--- a/crates/entry/src/forward/request.rs
+++ b/crates/entry/src/forward/request.rs
@@ -85,13 +85,7 @@
     ) -> Result<Self, Box<RefusedRequest>> {
         let routing = match Routing::of(&incoming.head, &caller, config, regions) {
             Ok(routing) => routing,
-            Err(refusal) => {
-                return Err(Box::new(RefusedRequest {
-                    refusal,
-                    incoming,
-                    caller,
-                }));
-            }
+            Err(refusal) => return Err(Box::new(RefusedRequest::new(refusal, incoming, caller))),
         };
         let Routing {
             route,
--- a/crates/entry/src/forward/serve.rs
+++ b/crates/entry/src/forward/serve.rs
@@ -3,28 +3,16 @@
     crate::{
         caller::{ErrorResponse, IncomingRequest, ResponseWriter},
         context::{Context, StopStage},
-        refusals::Rule,
+        refusals::CONFIG_UNAVAILABLE,
     },
     jasmine_core::{
         clock::Millis,
         error::{ErrorKind, Refusal},
-        ingress::Finality,
     },
     jasmine_platform::headers::CallerHeaders,
     std::{io, rc::Rc},
 };
 
-/// How long a request waits for the first configuration of a VM that has just started.
-///
-/// After a start of all VMs no other one has a configuration either, and it arrives within half a second.
-const FIRST_CONFIG_TIMEOUT: Millis = Millis(300);
-/// How long a request waits for the store to confirm the configuration by which it would be refused for good.
-///
-/// At most a third of the time that its caller waits, which leaves time for another VM.
-const MAX_CONFIG_WAIT: Millis = Millis(400);
-/// `Retry-After` of a VM without a configuration that is known to be in force; the retry is likely to reach another VM.
-const NO_CONFIG_RETRY_DELAY: Millis = Millis(250);
-
 /// Serves one request of a caller.
 ///
 /// # Errors
@@ -54,22 +42,18 @@
     caller: CallerHeaders,
     now: Millis,
 ) -> Result<ForwardRequest, Box<RefusedRequest>> {
-    let refusal = match cx.config_within(FIRST_CONFIG_TIMEOUT).await {
+    let refusal = match cx.first_config().await {
         // A request that begins this late could be cut off by the exit of the process.
         _ if cx.stop_stage() >= StopStage::Closing => {
             Refusal::after(ErrorKind::ShuttingDown, STOPPING_RETRY_DELAY)
         }
-        None => Refusal::after(ErrorKind::ConfigUnavailable, NO_CONFIG_RETRY_DELAY),
+        None => CONFIG_UNAVAILABLE,
         Some(config) => {
             let regions = &cx.settings.regions;
             return ForwardRequest::from_incoming(incoming, caller, &config, regions, now);
         }
     };
-    Err(Box::new(RefusedRequest {
-        refusal,
-        incoming,
-        caller,
-    }))
+    Err(Box::new(RefusedRequest::new(refusal, incoming, caller)))
 }
 
 /// Judges a refused request again, by a newer configuration if the one in force may be outdated.
@@ -78,21 +62,13 @@
     refused: Box<RefusedRequest>,
     now: Millis,
 ) -> Result<ForwardRequest, Box<RefusedRequest>> {
-    let is_confirmed = match cx.finality(now) {
-        Finality::Final => return Err(refused),
-        Finality::Uncertain => false,
-        Finality::Confirm => {
-            let patience = refused.caller.max_wait.unwrap_or(MAX_CONFIG_WAIT);
-            let wait = MAX_CONFIG_WAIT.min(Millis(patience.0 / 3));
-            cx.confirm_config(now, wait).await
-        }
-    };
     let RefusedRequest {
         incoming, caller, ..
     } = *refused;
+    let is_confirmed = cx.confirm_config(now, caller.max_wait).await;
     match validate(cx, incoming, caller, now).await {
         Err(refused) if refused.is_by_config() && !is_confirmed => Err(Box::new(RefusedRequest {
-            refusal: Refusal::after(ErrorKind::ConfigUnavailable, NO_CONFIG_RETRY_DELAY),
+            refusal: CONFIG_UNAVAILABLE,
             ..*refused
         })),
         validated => validated,
@@ -105,14 +81,8 @@
     refused: &RefusedRequest,
     out: &mut ResponseWriter<'_>,
 ) -> io::Result<()> {
-    let RefusedRequest {
-        refusal,
-        incoming,
-        caller,
-    } = refused;
-    let id = caller.request_id.as_deref();
-    let rule = Rule::of(refusal.kind, &incoming.head, caller);
-    cx.metrics.count_refused(*refusal, None, None);
-    cx.log_refused(id, *refusal, &rule);
-    out.write_error(ErrorResponse(*refusal), id).await
+    let id = refused.caller.request_id.as_deref();
+    cx.metrics.count_refused(refused.refusal, None, None);
+    cx.log_refused(id, refused.refusal, &refused.rule);
+    out.write_error(ErrorResponse(refused.refusal), id).await
 }
--- a/crates/entry/tests/final_answers.rs
+++ b/crates/entry/tests/final_answers.rs
@@ -24,7 +24,7 @@
 /// The API key that only the newer configuration has.
 const NEW_KEY: &str = "key-of-new";
 
-/// A configuration with a further route and account.
+/// A configuration with a further route and account, and larger limits.
 fn newer_config() -> Value {
     let mut next = config(2);
     let mut route = next["routes"][0].clone();
@@ -34,6 +34,8 @@
     let account = json!({"name": "new", "api_keys": [NEW_KEY], "unit": "token_metered",
         "plain_tokens": 10, "rate_per_s": 1_000, "burst": 1_000});
     next["tenants"].as_array_mut().unwrap().push(account);
+    next["limits"]["max_header_bytes"] = json!(16_384);
+    next["limits"]["max_body_bytes"] = json!(262_144);
     next
 }
 
@@ -140,6 +142,70 @@
     assert_eq!(statuses, [401, 401, 404]);
 }
 
+fn with_long_head() -> Request {
+    Request::new("GET", "/read/").with("X-Long", &"a".repeat(8_000))
+}
+
+fn with_long_body() -> Request {
+    Request::new("POST", "/write/").body(&vec![b'a'; 100_000])
+}
+
+/// The bytes of a request whose body of 100,000 bytes comes in chunks.
+fn in_chunks() -> Vec<u8> {
+    let head = Request::new("POST", "/write/").with("Transfer-Encoding", "chunked");
+    let chunk = [b"2710\r\n".as_slice(), &[b'a'; 10_000], b"\r\n"].concat();
+    [head.bytes(), chunk.repeat(10), b"0\r\n\r\n".to_vec()].concat()
+}
+
+/// Requests that are within the newer configuration's limits only.
+fn within_later_limits() -> Vec<Case> {
+    vec![
+        ("head", with_long_head().bytes()),
+        ("body", with_long_body().bytes()),
+        ("chunks", in_chunks()),
+    ]
+}
+
+#[test]
+fn old_limits_are_brought_up_to_date() {
+    // Guards against refusing by old limits what is within those of the store's configuration.
+    assert_brought_up_to_date(&within_later_limits());
+}
+
+#[test]
+fn unconfirmed_limits_refuse_nothing_for_good() {
+    // Guards against refusing for good by old limits while the store is away.
+    assert_uncertain_without_store(&within_later_limits());
+}
+
+#[test]
+fn confirmed_limits_refuse_for_good() {
+    // Guards against callers that come back again and again with what no configuration allows.
+    let (store, _upstreams) = start_platform(&["s-1"]);
+    let vm = Vm::start(&store);
+    let_views_age(&store);
+    let statuses = within_later_limits()
+        .iter()
+        .map(|(_, bytes)| exchange(vm.callers, bytes).unwrap().status)
+        .collect::<Vec<u16>>();
+    assert_eq!(statuses, [431, 413, 413]);
+}
+
+#[test]
+fn default_limits_refuse_nothing_for_good() {
+    // Guards against refusing for good by the limits of a VM that has no configuration.
+    let (store, upstreams) = start_platform(&["s-1"]);
+    store.set_outage(Outage::Silent);
+    let vm = Vm::start_unready(&store);
+    let long = "a".repeat(20_000);
+    let long_head = Request::new("GET", "/read/").with("X-Long", &long);
+    let long_body = Request::new("POST", "/write/").with("Content-Length", "5000000");
+    for (case, request) in [("head", long_head), ("body", long_body)] {
+        assert_not_final(&vm.send_request(&request), case);
+    }
+    assert_eq!(upstreams[0].executed(), []);
+}
+
 /// Sends wrong keys by several callers at once for a while; returns how many questions that made, and the
 /// answers by status.
 fn flood(
