Bodies beyond one VM's settings are not refused for good

Callers saw: 413 for a body that the configuration allows, beyond bytes.exchange_kb or the part for bodies of the VM that they reached, or beyond three quarters of bytes.upstream_kb at the deciding VM.

Cause: what one VM's settings and memory allow was taken for what the configuration allows. Other VMs may have more memory, and other settings.

Change: beyond a VM's memory the answer is 429 queue_full, as if there were no room just now; beyond the budget of every upstream it is 503 no_upstream.

--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -342,7 +342,8 @@
             Err(refusal) => return refuse(refusal),
         };
         if self.fleet.body_bytes.is_too_large(job.body_bytes) {
-            return refuse(Refusal::new(ErrorKind::BodyTooLarge));
+            // The configuration allows it, and another scheduler's settings may do so.
+            return refuse(Refusal::new(ErrorKind::NoUpstream));
         }
         let charge = match self.charge(&job, now) {
             Ok(charge) => charge,
--- a/crates/entry/src/caller/read_request.rs
+++ b/crates/entry/src/caller/read_request.rs
@@ -99,13 +99,9 @@
 }
 
 impl From<Denial> for RequestReadError {
-    fn from(denial: Denial) -> Self {
-        let kind = match denial {
-            Denial::TooLarge => ErrorKind::BodyTooLarge,
-            // Others may have ended soon.
-            Denial::Full => ErrorKind::QueueFull,
-        };
-        RefusedRead::new(kind, Rule::VmBytes).into()
+    /// Others may have ended soon, and a body that is too large for this VM may find room at a larger one.
+    fn from(_: Denial) -> Self {
+        RefusedRead::new(ErrorKind::QueueFull, Rule::VmBytes).into()
     }
 }
 
