--- a/crates/ctl/src/trace/request_trace.rs
+++ b/crates/ctl/src/trace/request_trace.rs
@@ -118,7 +118,12 @@
                 "Configuration {} has no such key or route.",
                 end.get_or_dash("config")
             ),
-            (_, "config_unavailable") => "This VM had no configuration yet.".to_owned(),
+            (_, "config_unavailable") => match end.get_or_dash("rule") {
+                "no_config" | "-" => "This VM had no configuration yet.".to_owned(),
+                rule => format!(
+                    "By the rule {rule} of a configuration that may be outdated, and that the store did not confirm."
+                ),
+            },
             (_, "shutting_down") => "This VM was shutting down.".to_owned(),
             (_, kind) => format!("It was refused: {kind}."),
         }
