Requests that still run at the end of a planned stop get a response

What callers saw: a call that was still running 0.5 s before the limit of a planned stop got a closed connection and no response, also one that may not be repeated, and a stream to an HTTP/1.0 caller ended there as if it were complete.

Cause: the process exited with requests in flight. The kernel then closed their connections, without a response, and without the reset that marks an unframed stream as incomplete.

Change: a last stage of the stop ends what still runs. What was sent gets 502 upstream_lost, what was not gets 503 shutting_down, and answers that have begun are closed or reset as other cuts are. Responses have 250 ms; the log tells how many requests got none (stopped unanswered).

--- a/crates/entry/src/caller/connection.rs
+++ b/crates/entry/src/caller/connection.rs
@@ -23,7 +23,7 @@
     },
     jasmine_platform::headers::request_id,
     jasmine_telemetry::log::Line,
-    std::{cell::Cell, future::pending, net::SocketAddr, rc::Rc, time::Duration},
+    std::{cell::Cell, future::pending, io, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpStream, tcp::ReadHalf},
@@ -165,7 +165,11 @@
     let served = async {
         match peer {
             Peer::Caller => serve_request(cx, req, &mut out).await,
-            Peer::Vm => serve_relayed(cx, req, &mut out).await,
+            Peer::Vm => tokio::select! {
+                biased;
+                served = serve_relayed(cx, req, &mut out) => served,
+                () = cx.stop_reached(StopStage::Ending) => Err(io::ErrorKind::ConnectionAborted.into()),
+            },
         }
     };
     let end = tokio::select! {
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -53,6 +53,8 @@
     Closing,
     /// Requests that still wait for an upstream are refused.
     RefusingWaiting,
+    /// Requests that still run are ended.
+    Ending,
 }
 
 /// The daemon's shared state.
--- a/crates/entry/src/daemon/stop.rs
+++ b/crates/entry/src/daemon/stop.rs
@@ -19,9 +19,11 @@
 ///
 /// It probes once a second and believes the second failure.
 const BALANCER_DRAIN_TIMEOUT: Millis = Millis(2_800);
-/// How long before the stop limit the daemon exits.
-const EXIT_MARGIN: Millis = Millis(500);
-/// How long before its exit the daemon refuses requests that still wait for an upstream.
+/// How long before the stop limit requests that still run are ended.
+const ENDING_MARGIN: Millis = Millis(500);
+/// How long the responses to requests that are ended may take to be sent.
+const ENDING_TIMEOUT: Millis = Millis(250);
+/// How long before requests are ended those are refused that still wait for an upstream.
 ///
 /// Streams that began later would mostly be cut off. Requests that still waited at the exit would get no response at
 /// all.
@@ -57,13 +59,14 @@
         }
     }
     let began = Instant::now();
-    let deadline = began + (Millis(cx.settings.stop_s * 1000) - EXIT_MARGIN).to_std();
+    let deadline = began + (Millis(cx.settings.stop_s * 1000) - ENDING_MARGIN).to_std();
     cx.set_stop_stage(StopStage::Leaving);
     Line::new("stopping")
         .with("in_flight", cx.in_flight())
         .info();
     feed.stop();
-    tokio::join!(
+    let (ended, ()) = tokio::join!(
+        drain(cx, began, deadline),
         resign(
             cx,
             store,
@@ -71,10 +74,10 @@
             lease_tasks,
             deadline - WAITING_REFUSAL_MARGIN.to_std()
         ),
-        drain(cx, began, deadline),
     );
     Line::new("stopped")
-        .with("cut", cx.in_flight())
+        .with("cut", ended)
+        .with("unanswered", cx.in_flight())
         .with("ms", began.elapsed().as_millis())
         .info();
 }
@@ -103,17 +106,22 @@
     }
 }
 
-/// Drains callers: new ones until the balancer has stopped sending them, then waiting and then running requests.
+/// Drains callers: new ones until the balancer has stopped sending them, then waiting and then running requests, which
+/// are ended at the deadline; returns how many these were.
 async fn drain(
     cx: &Context,
     began: Instant,
     deadline: Instant,
-) {
+) -> usize {
     sleep_until((began + BALANCER_DRAIN_TIMEOUT.to_std()).min(deadline)).await;
     cx.set_stop_stage(StopStage::Closing);
     wait_until_idle(cx, deadline - WAITING_REFUSAL_MARGIN.to_std()).await;
     cx.set_stop_stage(StopStage::RefusingWaiting);
     wait_until_idle(cx, deadline).await;
+    let ended = cx.in_flight();
+    cx.set_stop_stage(StopStage::Ending);
+    wait_until_idle(cx, deadline + ENDING_TIMEOUT.to_std()).await;
+    ended
 }
 
 /// Waits until no request is running, at most until `until`.
--- a/crates/entry/src/forward/driver/mod.rs
+++ b/crates/entry/src/forward/driver/mod.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        ForwardRequest,
+        ForwardRequest, STOPPING_RETRY_DELAY,
         attempt::{Via, age_text},
         failure::Failure,
         hedge::{RETRY_INTERVAL, place},
@@ -13,7 +13,7 @@
     },
     crate::{
         caller::{ErrorResponse, ResponseWriter},
-        context::Context,
+        context::{Context, StopStage},
         http1::{Framing, ResponseHead},
         links::LinksLost,
         scheduling::{Placement, PlacementError},
@@ -149,9 +149,27 @@
         }
     }
 
+    /// Serves the request; one that still runs when the daemon is about to exit gets a response that says so.
     pub(super) async fn run(
         mut self,
         out: &mut ResponseWriter<'_>,
+    ) -> io::Result<()> {
+        let cx = Rc::clone(self.cx);
+        tokio::select! {
+            biased;
+            served = self.serve(out) => return served,
+            () = cx.stop_reached(StopStage::Ending) => {}
+        }
+        let refusal = match self.sent_at {
+            Some(_) => Refusal::new(ErrorKind::UpstreamLost),
+            None => Refusal::after(ErrorKind::ShuttingDown, STOPPING_RETRY_DELAY),
+        };
+        self.give_up(refusal, out).await
+    }
+
+    async fn serve(
+        &mut self,
+        out: &mut ResponseWriter<'_>,
     ) -> io::Result<()> {
         if self.req.is_resumption() {
             self.find_origin().await;
