A planned stop waits for requests that are still arriving, and refuses them

What callers saw: a caller whose body arrived slowly when its VM was stopped got a reset 2.8 s after the signal, with most of the grace left, if nothing else was running there. A response whose connection was still being drained could be lost by a reset as well.

Cause: only requests that had been read whole counted as running, so that the process took itself for idle and exited.

Change: an exchange counts from the first byte of its request until its answer is sent, or until the connection that it ends is closed. A request that is still arriving when waiting ones are refused, 3 s before the limit, is refused with 503 shutting_down.

Evidence: slow_bodies_are_refused_before_exit: a body that ends 3.5 s after the signal and one that never ends get no response from the daemon before the change.

--- a/crates/entry/src/caller/connection.rs
+++ b/crates/entry/src/caller/connection.rs
@@ -11,9 +11,9 @@
     },
     crate::{
         context::{Context, StopStage},
-        forward::serve_request,
+        forward::{STOPPING_RETRY_DELAY, serve_request},
         links::serve_relayed,
-        refusals::CONFIG_UNAVAILABLE,
+        refusals::{CONFIG_UNAVAILABLE, Rule},
         upstream::ReadCharge,
     },
     bytes::BytesMut,
@@ -61,7 +61,14 @@
     let mut buf = BytesMut::new();
     let mut last_read_at = None;
     loop {
-        let next = next_request(&cx, &mut stream, &mut buf, peer, last_read_at).await;
+        if await_request(&cx, &mut stream, &mut buf, peer, last_read_at)
+            .await
+            .is_err()
+        {
+            return;
+        }
+        let _exchange = cx.count_exchange();
+        let next = next_request(&cx, &mut stream, &mut buf, peer).await;
         last_read_at = Some(cx.clock.now());
         match next {
             Ok(req) => match answer_request(&cx, &mut stream, &mut buf, peer, req).await {
@@ -75,31 +82,47 @@
     }
 }
 
-/// Reads the next request; closes a connection that is idle between requests when the daemon stops.
+/// Waits for the next request; ends on a connection that is idle between requests when the daemon stops.
 ///
 /// The first request is always read, so that a new caller gets a response.
-async fn next_request(
+async fn await_request(
     cx: &Context,
     stream: &mut TcpStream,
     buf: &mut BytesMut,
     peer: Peer,
     last_read_at: Option<Millis>,
-) -> Result<IncomingRequest, RequestReadError> {
+) -> Result<(), RequestReadError> {
     tokio::select! {
         // A request that has arrived is answered, whatever else has happened meanwhile.
         biased;
-        begun = wait_for_request(stream, buf) => begun?,
+        begun = wait_for_request(stream, buf) => begun,
         () = idle_expired(cx, peer, last_read_at) => {
             cx.metrics.count_idle_closed("idle");
-            return Err(RequestReadError::Closed);
+            Err(RequestReadError::Closed)
         }
         () = cx.stop_reached(StopStage::Closing), if last_read_at.is_some() => {
             cx.metrics.count_idle_closed("stopping");
-            return Err(RequestReadError::Closed);
+            Err(RequestReadError::Closed)
         }
     }
+}
+
+/// Reads the next request, whose first byte has arrived; refuses one that arrives too slowly for a planned stop.
+async fn next_request(
+    cx: &Context,
+    stream: &mut TcpStream,
+    buf: &mut BytesMut,
+    peer: Peer,
+) -> Result<IncomingRequest, RequestReadError> {
     let limits = RequestLimits::new(cx, peer);
-    let read = read_request(stream, buf, limits, &cx.bytes).await;
+    let read = tokio::select! {
+        biased;
+        read = read_request(stream, buf, limits, &cx.bytes) => read,
+        () = cx.stop_reached(StopStage::RefusingWaiting) => {
+            let refused = RefusedRead::new(ErrorKind::ShuttingDown, Rule::Stopping);
+            Err(RequestReadError::Refused(refused))
+        }
+    };
     if let Err(RequestReadError::Refused(refused)) = &read
         && refused.kind == ErrorKind::QueueFull
     {
@@ -224,6 +247,7 @@
         ErrorKind::SlowSender => Refusal::after(kind, Millis::ZERO),
         ErrorKind::QueueFull => Refusal::after(kind, FULL_RETRY_DELAY),
         ErrorKind::ConfigUnavailable => CONFIG_UNAVAILABLE,
+        ErrorKind::ShuttingDown => Refusal::after(kind, STOPPING_RETRY_DELAY),
         kind => Refusal::new(kind),
     };
     let id = refused.id.as_deref();
--- a/crates/entry/src/caller/read_request.rs
+++ b/crates/entry/src/caller/read_request.rs
@@ -58,7 +58,7 @@
 }
 
 impl RefusedRead {
-    const fn new(
+    pub(super) const fn new(
         kind: ErrorKind,
         rule: Rule,
     ) -> Self {
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -51,7 +51,7 @@
     Leaving,
     /// Idle connections are closed and new requests refused.
     Closing,
-    /// Requests that still wait for an upstream are refused.
+    /// Requests that still wait for an upstream, or have not been received whole, are refused.
     RefusingWaiting,
     /// Requests that still run are ended.
     Ending,
@@ -87,6 +87,7 @@
     idle_timeouts: RefCell<IdleTimeouts>,
     stop: watch::Sender<StopStage>,
     in_flight: Cell<usize>,
+    exchanges: Cell<usize>,
     connections: RefCell<ConnectionAdmission>,
 }
 
@@ -120,6 +121,7 @@
             idle_timeouts: RefCell::default(),
             stop: watch::Sender::default(),
             in_flight: Cell::new(0),
+            exchanges: Cell::new(0),
             connections: RefCell::new(ConnectionAdmission::new(max_files)),
         }
     }
@@ -318,6 +320,18 @@
         self.in_flight.set(self.in_flight.get() + 1);
         InFlight(Rc::clone(self))
     }
+
+    /// Number of exchanges with callers and other VMs: from the first byte of a request until its answer is sent, or
+    /// until the connection is closed that it ends.
+    pub fn exchanges(&self) -> usize {
+        self.exchanges.get()
+    }
+
+    /// Counts an exchange until the returned guard is dropped.
+    pub fn count_exchange(self: &Rc<Self>) -> Exchange {
+        self.exchanges.set(self.exchanges.get() + 1);
+        Exchange(Rc::clone(self))
+    }
 }
 
 /// Guard that counts one connection of a caller as open.
@@ -339,3 +353,13 @@
         self.0.in_flight.set(self.0.in_flight.get() - 1);
     }
 }
+
+/// Guard that counts one exchange.
+#[derive(Debug)]
+pub struct Exchange(Rc<Context>);
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        self.0.exchanges.set(self.0.exchanges.get() - 1);
+    }
+}
--- a/crates/entry/src/daemon/stop.rs
+++ b/crates/entry/src/daemon/stop.rs
@@ -124,12 +124,12 @@
     ended
 }
 
-/// Waits until no request is running, at most until `until`.
+/// Waits until no exchange with a caller is left, at most until `until`.
 async fn wait_until_idle(
     cx: &Context,
     until: Instant,
 ) {
-    while cx.in_flight() > 0 && Instant::now() < until {
+    while cx.exchanges() > 0 && Instant::now() < until {
         sleep(IDLE_CHECK_INTERVAL).await;
     }
 }
--- a/crates/entry/src/forward/mod.rs
+++ b/crates/entry/src/forward/mod.rs
@@ -25,7 +25,7 @@
 use jasmine_core::clock::Millis;
 
 /// `Retry-After` of a stopping VM: short, as the retry reaches another VM.
-const STOPPING_RETRY_DELAY: Millis = Millis(20);
+pub(crate) const STOPPING_RETRY_DELAY: Millis = Millis(20);
 
 pub use {
     events::{Event, EventSplitter},
--- a/crates/entry/tests/late_in_grace.rs
+++ b/crates/entry/tests/late_in_grace.rs
@@ -11,7 +11,7 @@
     nix::sys::signal::Signal,
     std::{
         io::{Read, Write},
-        net::TcpStream,
+        net::{SocketAddr, TcpStream},
         thread,
         time::{Duration, Instant},
     },
@@ -221,6 +221,42 @@
     });
 }
 
+#[test]
+fn slow_bodies_are_refused_before_exit() {
+    // Guards against an exit that resets connections on which a request is still arriving.
+    let (store, _upstreams) = start_long_platform(&["s-1"]);
+    let mut vm = Vm::start(&store);
+    let send = |address: SocketAddr, rest_at: Option<Duration>| {
+        let mut bytes = long_request("/write/").bytes();
+        let rest = bytes.split_off(bytes.len() - 2);
+        let mut stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+        stream.write_all(&bytes).unwrap();
+        if let Some(rest_at) = rest_at {
+            thread::sleep(rest_at);
+            stream.write_all(&rest).ok()?;
+        }
+        read_response(&mut stream)
+    };
+    let callers = vm.callers;
+    let late = thread::spawn(move || send(callers, Some(Duration::from_millis(3_800))));
+    let never = thread::spawn(move || send(callers, None));
+    thread::sleep(Duration::from_millis(300));
+    vm.signal(Signal::SIGTERM);
+    let begun = Instant::now();
+    for caller in [late, never] {
+        let response = caller.join().unwrap().expect("a response");
+        assert_eq!((response.status, response.is_complete), (503, true));
+        assert!(
+            response.text().contains("shutting_down"),
+            "{}",
+            response.text()
+        );
+    }
+    assert!(vm.wait_for_exit().success());
+    assert!(begun.elapsed() < LAST_SIXTH, "{:?}", begun.elapsed());
+}
+
 #[test]
 fn pipelined_requests_are_refused() {
     // Guards against a pipelined request that is dropped as the response before it ends late in the grace.
