VMs in touch ask nothing, and a failed question keeps its pause

What another VM tells no longer ends the pause after a failed question to the store: a VM that alone doesn't reach the store would have asked every 50 ms while the VM that it follows is behind. Found in review.

--- a/crates/entry/src/store/feed/change_feed.rs
+++ b/crates/entry/src/store/feed/change_feed.rs
@@ -168,7 +168,7 @@
         at: Millis,
     ) {
         self.complete_at.set(self.complete_at.get().max(Some(at)));
-        self.config.set_known_at(at);
+        self.config.note_known_at(at);
     }
 
     /// The latest time at which the store held no other changes than those applied; `None` before the first full read.
--- a/crates/entry/src/store/feed/confirmations.rs
+++ b/crates/entry/src/store/feed/confirmations.rs
@@ -75,8 +75,16 @@
         &self,
         at: Millis,
     ) {
-        self.known_at.set(self.known_at.get().max(Some(at)));
         self.failed_at.set(None);
+        self.note_known_at(at);
+    }
+
+    /// The same, if another VM has told it: the store may go on failing to answer this one.
+    pub(crate) fn note_known_at(
+        &self,
+        at: Millis,
+    ) {
+        self.known_at.set(self.known_at.get().max(Some(at)));
         self.answers.send_modify(|count| *count += 1);
     }
 
--- a/crates/entry/tests/final_answers.rs
+++ b/crates/entry/tests/final_answers.rs
@@ -3,7 +3,7 @@
 mod deployment;
 
 use {
-    deployment::{Request, Response, Vm, config, exchange, start_platform, wait_until},
+    deployment::{Request, Response, Vm, config, exchange, start_platform, start_vms, wait_until},
     jasmine_platform_stand_in::{KvStandIn, Outage},
     serde_json::{Value, json},
     std::{
@@ -290,3 +290,26 @@
         "{questions}"
     );
 }
+
+#[test]
+fn views_in_touch_ask_nothing() {
+    // Guards against questions to the store by VMs that read changes in time, directly or from another VM.
+    let (store, upstreams) = start_platform(&["s-1", "s-2"]);
+    let vms = start_vms(&store, "in-touch");
+    let before = store.watches(CONFIG);
+    let until = Instant::now() + FLOOD_TIME;
+    let mut is_draining = false;
+    while Instant::now() < until {
+        let state = if is_draining { "draining" } else { "ready" };
+        store.put(
+            &upstreams[1].key(),
+            &upstreams[1].entry("app", "one", state),
+        );
+        is_draining = !is_draining;
+        for vm in &vms {
+            assert_eq!(vm.send_request(&with_wrong_key()).status, 401);
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(store.watches(CONFIG) - before, 0);
+}
