Buffers for bodies of unknown length grow by a quarter

What callers saw: nothing by itself; bodies without end took more memory than the budget for answers counts.

Cause: the budget counted the bytes of a body, and its buffer doubled as it grew, so that old and new took up to three times of them.

Change: the buffer grows by a quarter beyond the length, never beyond the largest answer, and the budget counts what it takes.

--- a/crates/entry/src/upstream/connection.rs
+++ b/crates/entry/src/upstream/connection.rs
@@ -26,6 +26,10 @@
 
 /// Bytes read at a time.
 const READ_BYTES: usize = 4 << 10;
+/// By what part of its length the buffer for a body of unknown length grows beyond it.
+///
+/// A doubled buffer would take twice what a full budget allows.
+const GROWTH_DIVISOR: usize = 4;
 /// Most responses to other requests that are skipped before the matching one.
 const MAX_STRAY_RESPONSES: u32 = 2;
 /// Most bytes of the body of a skipped response.
@@ -269,19 +273,21 @@
             return Err(ExchangeError::Invalid);
         }
         let mut reader = BodyReader::new(head.framing);
-        let Some(first) = self.body(&mut reader).await? else {
-            return Ok(Bytes::new());
-        };
         let mut charge = self.read_charge();
-        let mut whole = BytesMut::from(first);
+        let mut whole = Vec::new();
         while let Some(data) = self.body(&mut reader).await? {
             let len = whole.len() + data.len();
-            if len > max || !charge.cover(len) {
+            let capacity = match len > whole.capacity() {
+                true => (len + len / GROWTH_DIVISOR).min(max).max(len),
+                false => whole.capacity(),
+            };
+            if len > max || !charge.cover(capacity) {
                 return Err(ExchangeError::Invalid);
             }
+            whole.reserve_exact(capacity - whole.len());
             whole.extend_from_slice(&data);
         }
-        Ok(charge.attach(whole.freeze()))
+        Ok(charge.attach(whole.into()))
     }
 
     /// Reads a whole body of known length whose bytes are held already.
