Events count as buffered until their caller has them

What callers saw: with 250 streams of events of 900 kB whose callers didn't read, a VM of 160 MB took 693 MB (release build), and would be ended with the requests of all callers.

Cause: an event took of the budget for answers only until it was complete. What was then written to a caller, a second copy of it included, counted nowhere, 1 MiB for each stream.

Change: complete events stay charged until their caller has them; the charge passes from the partial event to the complete one, so that it is never refused in between.

--- a/crates/entry/src/caller/response_writer.rs
+++ b/crates/entry/src/caller/response_writer.rs
@@ -149,9 +149,7 @@
             head.push_str("Transfer-Encoding: chunked\r\n");
         }
         self.finish_head(&mut head, None);
-        let mut bytes = head.into_bytes();
-        self.add_chunk(&mut bytes, first);
-        self.write(&bytes).await
+        self.write_chunk(head.into_bytes(), first).await
     }
 
     /// Writes further data of a stream.
@@ -163,9 +161,7 @@
         &mut self,
         data: &[u8],
     ) -> io::Result<()> {
-        let mut bytes = Vec::with_capacity(data.len() + 16);
-        self.add_chunk(&mut bytes, data);
-        self.write(&bytes).await
+        self.write_chunk(Vec::new(), data).await
     }
 
     /// Ends a complete stream.
@@ -199,21 +195,26 @@
         head.push_str("\r\n");
     }
 
-    fn add_chunk(
-        &self,
-        bytes: &mut Vec<u8>,
+    /// Writes a part of a stream behind `bytes`.
+    async fn write_chunk(
+        &mut self,
+        mut bytes: Vec<u8>,
         data: &[u8],
-    ) {
-        if self.is_head_request {
-            return;
-        }
-        if self.minor_version == 0 {
-            bytes.extend_from_slice(data);
-        } else if !data.is_empty() {
-            bytes.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
-            bytes.extend_from_slice(data);
-            bytes.extend_from_slice(b"\r\n");
+    ) -> io::Result<()> {
+        let (size_line, end) = match self.minor_version {
+            _ if self.is_head_request || data.is_empty() => return self.write(&bytes).await,
+            0 => (String::new(), ""),
+            _ => (format!("{:x}\r\n", data.len()), "\r\n"),
+        };
+        bytes.extend_from_slice(size_line.as_bytes());
+        if data.len() > MAX_COPIED_BYTES {
+            self.write(&bytes).await?;
+            self.write(data).await?;
+            return self.write(end.as_bytes()).await;
         }
+        bytes.extend_from_slice(data);
+        bytes.extend_from_slice(end.as_bytes());
+        self.write(&bytes).await
     }
 
     async fn write(
--- a/crates/entry/src/forward/in_flight.rs
+++ b/crates/entry/src/forward/in_flight.rs
@@ -312,7 +312,7 @@
         Err(failure) => return (Err(failure.into()), Stage::Ended),
     };
     if !attempt.is_contested.get() {
-        return (Ok(reader.events(first)), Stage::Streaming(Box::new(reader)));
+        return (reader.events(first), Stage::Streaming(Box::new(reader)));
     }
     let until = attempt.cx.clock.now() + PROBATION;
     while attempt.is_contested.get() && first.bytes.len() <= MAX_HELD_BYTES {
@@ -329,7 +329,7 @@
     }
     match reader.without_known(&first) {
         Ok(ready) if ready.count == 0 => read_stream(attempt, reader).await,
-        Ok(ready) => (Ok(reader.events(ready)), Stage::Streaming(Box::new(reader))),
+        Ok(ready) => (reader.events(ready), Stage::Streaming(Box::new(reader))),
         Err(failure) => (Err(failure.into()), Stage::Ended),
     }
 }
@@ -340,7 +340,7 @@
     mut reader: StreamReader,
 ) -> (Result<Piece, AttemptError>, Stage) {
     match reader.next_events(attempt).await {
-        Ok(Some(ready)) => (Ok(reader.events(ready)), Stage::Streaming(Box::new(reader))),
+        Ok(Some(ready)) => (reader.events(ready), Stage::Streaming(Box::new(reader))),
         Ok(None) => (Ok(reader.end(attempt)), Stage::Ended),
         Err(failure) => (Err(failure.into()), Stage::Ended),
     }
--- a/crates/entry/src/forward/stream_reader.rs
+++ b/crates/entry/src/forward/stream_reader.rs
@@ -3,11 +3,11 @@
         Event, EventSplitter,
         attempt::{AttemptContext, StartedResponse, Via},
         failure::Failure,
-        piece::Piece,
+        piece::{AttemptError, Piece},
     },
     crate::{
         http1::{BodyReader, Framing, ResponseHead},
-        upstream::ExchangeError,
+        upstream::{ExchangeError, ReadCharge},
     },
     bytes::{Bytes, BytesMut},
     jasmine_core::scheduler::Outcome,
@@ -34,6 +34,8 @@
     pub count: u64,
     /// The id of the last one with an id.
     pub last_id: Option<u64>,
+    /// What they take of the budget for answers, until the caller has them.
+    pub charge: Option<ReadCharge>,
 }
 
 impl EventBatch {
@@ -154,12 +156,17 @@
         self.error.is_some()
     }
 
-    /// A part of the stream for the caller.
+    /// A part of the stream for the caller; fails if the budget for answers has no room for it.
     pub(super) fn events(
         &self,
-        ready: EventBatch,
-    ) -> Piece {
-        Piece::Events(Rc::clone(&self.head), ready)
+        mut ready: EventBatch,
+    ) -> Result<Piece, AttemptError> {
+        let mut charge = self.response.connection.read_charge();
+        if !charge.cover(ready.bytes.len()) {
+            return Err(Failure::may_have_run(Outcome::Lost).into());
+        }
+        ready.charge = Some(charge);
+        Ok(Piece::Events(Rc::clone(&self.head), ready))
     }
 
     /// Ends a complete stream, and keeps its connection.
--- a/crates/entry/tests/babbling_site.rs
+++ b/crates/entry/tests/babbling_site.rs
@@ -10,10 +10,11 @@
         collections::HashSet,
         fs,
         io::{Read, Write},
-        net::TcpStream,
+        net::{SocketAddr, TcpStream},
         thread,
         time::{Duration, Instant},
     },
+    tokio::net::TcpSocket,
 };
 
 /// Upstreams that babble.
@@ -228,3 +229,71 @@
     assert_bounded(&play("/stream/", &babbles, PACE));
     assert_bounded(&play("/once/", &babbles, PACE));
 }
+
+/// Opens a connection whose buffers take little.
+fn connect_silent(address: SocketAddr) -> TcpStream {
+    actix_rt::System::new().block_on(async {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(4 << 10).unwrap();
+        let stream = socket.connect(address).await.unwrap().into_std().unwrap();
+        stream.set_nonblocking(false).unwrap();
+        stream
+    })
+}
+
+/// The length of a long event.
+const LONG_EVENT: usize = 900_000;
+/// Upstreams that send such events.
+const STREAMING_UPSTREAMS: usize = 40;
+/// Callers that don't read what they get.
+const SILENT_CALLERS: usize = 220;
+/// Time between the requests of two of them.
+const CALLER_INTERVAL: Duration = Duration::from_millis(100);
+
+#[test]
+fn long_events_for_silent_callers_are_bounded() {
+    // Guards against events of many streams that are held for callers that don't read them.
+    let store = KvStandIn::start().unwrap();
+    let mut config = config_with_sound();
+    for route in config["routes"].as_array_mut().unwrap() {
+        route["timeout_ms"] = json!(30_000);
+    }
+    store.put("op/config", &config);
+    let pace = Pace {
+        bytes: LONG_EVENT,
+        interval: Duration::from_millis(1),
+    };
+    let at = BabbleAt::EventsWithoutId(0);
+    let upstreams: Vec<_> = (0..STREAMING_UPSTREAMS)
+        .map(|number| UpstreamStandIn::start(&format!("s-{number}")).unwrap())
+        .collect();
+    for upstream in &upstreams {
+        upstream.set_default(Behaviour::Babble(Babble { at, pace }));
+        store.put(&upstream.key(), &upstream.entry("app", "one", "ready"));
+    }
+    let sound = UpstreamStandIn::start("sound-1").unwrap();
+    store.put(&sound.key(), &sound.entry(SOUND, "one", "ready"));
+    let vm = start_small_vm(&store);
+    let request = Request::new("GET", "/once/").with("X-Deadline-Ms", "30000");
+    let callers: Vec<_> = (0..SILENT_CALLERS)
+        .map(|_| {
+            let mut caller = connect_silent(vm.callers);
+            caller.write_all(&request.bytes()).unwrap();
+            // One after the other, as the budget for partial events ends streams that begin at once.
+            thread::sleep(CALLER_INTERVAL);
+            caller
+        })
+        .collect();
+    let until = Instant::now() + Duration::from_secs(3);
+    let mut served = Vec::new();
+    while Instant::now() < until {
+        let response = vm.send_request(&Request::new("GET", &format!("/{SOUND}/")));
+        served.push(response.status);
+        thread::sleep(INTERVAL);
+    }
+    drop(callers);
+    let peak_mb = status_mb(&vm, "VmHWM:");
+    println!("long events: {peak_mb} MB, {} calls", served.len());
+    assert!(peak_mb < MAX_RESIDENT_MB, "{peak_mb} MB");
+    assert!(served.iter().all(|&status| status == 200), "{served:?}");
+}
