A reader asks for one key, not for the configuration, where the store leaves it without changes

It asks for the leader's key now. final_answers, lost_changes, stale_views, store_outages and event_list pass, one run each.

--- a/crates/entry/src/store/follower.rs
+++ b/crates/entry/src/store/follower.rs
@@ -4,6 +4,7 @@
         confirmation::{Subject, keep_confirming},
         feed::ask_peer,
         kv_store::{check_range_size, size_in_bytes},
+        membership::LEADER_KEY,
         view::View,
     },
     crate::context::Context,
@@ -15,7 +16,7 @@
             VmRank,
         },
     },
-    jasmine_platform::{configuration, entries},
+    jasmine_platform::entries,
     jasmine_store::store::{Range, RangeReply, Store, StoreError, WatchBatch, WatchEvent},
     jasmine_telemetry::log::Line,
     jasmine_wire::{
@@ -291,27 +292,27 @@
                     .with("reason", &e)
                     .info();
                 if matches!(e, StoreError::OutcomeUnknown(_)) {
-                    self.ask_for_config().await;
+                    self.ask_for_leader().await;
                 }
                 self.store_failed(&e).await;
             }
         }
     }
 
-    /// Asks for changes of the configuration only, as the store has not given all changes: they may be too many to arrive.
-    async fn ask_for_config(&mut self) {
-        let question = self
-            .store
-            .changes_since(configuration::KEY, self.position.after);
-        let reply = question.await;
-        self.catch_up.unanswered(reply.is_ok());
-        match reply {
+    /// Asks for changes of one key only, as the store has not given all changes: they may be too many to arrive.
+    async fn ask_for_leader(&mut self) {
+        let question = self.store.changes_since(LEADER_KEY, self.position.after);
+        match question.await {
             Ok(batch) if batch.compacted.is_some() => self.lose_history(),
             Ok(batch) => {
+                self.catch_up.unanswered(true);
                 let source = ChangeSource::Question;
                 self.view.apply_all(&batch.events, &source).await;
             }
-            Err(e) => Line::new("config_not_asked").with("reason", e).info(),
+            Err(e) => {
+                self.catch_up.unanswered(false);
+                Line::new("leader_key_not_read").with("reason", e).info();
+            }
         }
     }
 
