--- a/crates/entry/src/caller/read_request.rs
+++ b/crates/entry/src/caller/read_request.rs
@@ -216,9 +216,15 @@
 }
 
 /// The lines of a head that can't be parsed as a whole, as far as they look like headers.
+///
+/// Lines with control characters are left out: a request id is written into the answer.
 fn unparsed_headers(buf: &[u8]) -> impl Iterator<Item = (&str, &[u8])> {
     let lines = buf.split(|&byte| byte == b'\n').take(MAX_UNPARSED_LINES);
     lines.filter_map(|line| {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        if line.iter().any(u8::is_ascii_control) {
+            return None;
+        }
         let end = line.iter().position(|&byte| byte == b':')?;
         let name = str::from_utf8(&line[..end]).ok()?;
         Some((name, &line[end + 1..]))
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -179,8 +179,9 @@
             Finality::Uncertain => drop(self.first_config().await),
             Finality::Confirm => {
                 let since = answers.required_at(arrived);
-                let patience = patience.unwrap_or(MAX_CONFIRMATION_WAIT);
-                let wait = MAX_CONFIRMATION_WAIT.min(Millis(patience.0 / 3));
+                let wait = patience.map_or(MAX_CONFIRMATION_WAIT, |patience| {
+                    MAX_CONFIRMATION_WAIT.min(Millis(patience.0 / 3))
+                });
                 self.feed.confirm_config(since, wait).await;
             }
         }
--- a/crates/entry/tests/refusal_logs.rs
+++ b/crates/entry/tests/refusal_logs.rs
@@ -93,3 +93,14 @@
         "{taken:?}"
     );
 }
+
+#[test]
+fn broken_ids_are_not_returned() {
+    // Guards against an id with a line break that adds a header to the answer.
+    let (store, _upstreams) = start_platform(&["s-1"]);
+    let vm = Vm::start(&store);
+    let request = Request::new("GET", "/read/").with("X-Request-Id", "a\rX-Added: b");
+    let response = vm.send_request(&request);
+    assert_eq!(response.status, 400);
+    assert!(!response.head.contains("X-Added"), "{}", response.head);
+}
