--- a/crates/entry/src/upstream/connection.rs
+++ b/crates/entry/src/upstream/connection.rs
@@ -277,9 +277,10 @@
         let mut whole = Vec::new();
         while let Some(data) = self.body(&mut reader).await? {
             let len = whole.len() + data.len();
-            let capacity = match len > whole.capacity() {
-                true => (len + len / GROWTH_DIVISOR).min(max).max(len),
-                false => whole.capacity(),
+            let capacity = if len > whole.capacity() {
+                (len + len / GROWTH_DIVISOR).min(max).max(len)
+            } else {
+                whole.capacity()
             };
             if len > max || !charge.cover(capacity) {
                 return Err(ExchangeError::Invalid);
--- a/crates/entry/tests/babbling_site.rs
+++ b/crates/entry/tests/babbling_site.rs
@@ -145,7 +145,7 @@
     let mut caller = TcpStream::connect(vm.callers).unwrap();
     caller.set_read_timeout(Some(TIMEOUT)).unwrap();
     let until = Instant::now() + TIME;
-    let babbled = || {
+    let send_all = || {
         while Instant::now() < until {
             let request = Request::new("GET", target).with("X-Deadline-Ms", "2000");
             discard_response(&vm, &request.with("Connection", "close"));
@@ -154,7 +154,7 @@
     let mut seen = Seen::default();
     thread::scope(|scope| {
         for _ in 0..CALLERS {
-            scope.spawn(babbled);
+            scope.spawn(send_all);
         }
         scope.spawn(|| {
             let mut most = 0;
