--- a/crates/entry/tests/late_in_grace.rs
+++ b/crates/entry/tests/late_in_grace.rs
@@ -94,7 +94,7 @@
 /// response to that call.
 fn play(
     targets: &[&'static str],
-    behaviour: Behaviour,
+    behaviour: &Behaviour,
 ) -> (Vec<End>, Option<Response>, Vec<UpstreamStandIn>) {
     let (store, upstreams) = start_long_platform(&["s-1", "s-2"]);
     let mut vm = Vm::start(&store);
@@ -152,9 +152,9 @@
 /// Requests that ran are answered whole, unless they are excused; others are refused, or the connection was closed.
 fn assert_answered(
     targets: &[&'static str],
-    behaviour: Behaviour,
+    behaviour: &Behaviour,
 ) {
-    let (ends, outlasting, upstreams) = play(targets, behaviour.clone());
+    let (ends, outlasting, upstreams) = play(targets, behaviour);
     let mut counts = [0; 4];
     for end in &ends {
         let runs = count_runs(&upstreams, &end.id);
@@ -205,7 +205,7 @@
     thread::scope(|scope| {
         for ms in [100, 700, 1_500, 3_000] {
             let behaviour = Behaviour::Slow(Duration::from_millis(ms));
-            scope.spawn(move || assert_answered(&["/write/", "/read/"], behaviour));
+            scope.spawn(move || assert_answered(&["/write/", "/read/"], &behaviour));
         }
     });
 }
@@ -216,7 +216,7 @@
     thread::scope(|scope| {
         for ms in [100, 1_500, 3_000, 10_000] {
             let behaviour = Behaviour::Pauses(4, Duration::from_millis(ms));
-            scope.spawn(move || assert_answered(&["/stream/", "/once/"], behaviour));
+            scope.spawn(move || assert_answered(&["/stream/", "/once/"], &behaviour));
         }
     });
 }
