Crashes of one upstream are one witness

The first verdict rested on three crashes of one upstream within 3.3 s.

Cause: crashes were counted, not the upstreams that had them. An upstream that crashes by itself, or whose answers are broken off and that is not heard 150 ms to 1.5 s later, convicts what only it holds after the third time.

Change: a part is refused once two upstreams have crashed under it, or one five times, as it may be the only one. Until a second one has, requests with a part on trial go to an upstream that has not crashed under it, if any reachable one can take them: its answer acquits the part, or its crash is the second witness.

`crashes_of_one_upstream_are_one_witness` has the times of the first verdict above.

--- a/crates/core/src/quarantine/crash_log.rs
+++ b/crates/core/src/quarantine/crash_log.rs
@@ -264,6 +264,20 @@
         self.accusations.get(&part).copied().unwrap_or_default()
     }
 
+    /// The only upstream that has crashed under a part; `None` if several or none have.
+    pub(super) fn sole_upstream(
+        &self,
+        part: PartId,
+    ) -> Option<UpstreamId> {
+        if self.accusations(part) == 0 {
+            return None;
+        }
+        let accusing = self.crashes.iter().filter(|crash| crash.accuses(part));
+        let mut upstreams = accusing.map(|crash| crash.upstream);
+        let first = upstreams.next()?;
+        upstreams.all(|other| other == first).then_some(first)
+    }
+
     /// When the latest crash came that accuses all of the parts in one prompt.
     pub(super) fn last_accusing(
         &self,
--- a/crates/core/src/quarantine/part_quarantine.rs
+++ b/crates/core/src/quarantine/part_quarantine.rs
@@ -197,6 +197,20 @@
         avoided
     }
 
+    /// The upstreams that have crashed under a prompt's parts on trial and no other one has: a trial elsewhere shows
+    /// whether they are the cause.
+    pub fn crashed_upstreams(
+        &self,
+        shared: &[PartId],
+    ) -> Vec<UpstreamId> {
+        if self.crashes.is_empty() {
+            return Vec::new();
+        }
+        let on_trial = shared.iter().filter(|&&part| self.is_on_trial(part));
+        let upstreams = on_trial.filter_map(|&part| self.crashes.sole_upstream(part));
+        upstreams.collect()
+    }
+
     /// Whether a request that is refused may be sent to see whether its prompt still crashes its upstream.
     ///
     /// A part that was sound before is probed, as what has changed may be the upstreams; and one that may only be what
--- a/crates/core/src/quarantine/suspect.rs
+++ b/crates/core/src/quarantine/suspect.rs
@@ -4,7 +4,7 @@
     std::collections::{BTreeMap, BTreeSet},
 };
 
-/// Crashes of different upstreams under a part from which it may be quarantined.
+/// Crashes under a part from which it may be quarantined, if they are of several upstreams.
 pub(super) const MIN_CRASHES: usize = 3;
 /// The same for a part that several crashes accuse beside these, though verdicts on others explain them.
 pub(super) const MIN_FURTHER_CRASHES: usize = 2;
--- a/crates/core/src/quarantine/weighing.rs
+++ b/crates/core/src/quarantine/weighing.rs
@@ -82,7 +82,7 @@
             let is_alone = !one.was_sound() && one.is_alone(&unexplained, sound_at);
             let is_confirmed = one.was_sound() && one.is_confirmed;
             let was_tried = is_confirmed && trials(one, one.qualified_at + SETTLE_TIME) > 0;
-            (is_alone || was_tried) && !has_alternative(one)
+            (is_alone || was_tried) && self.has_witnesses(one.part) && !has_alternative(one)
         };
         if let Some(guilty) = suspects.iter().find(is_guilty) {
             return Finding::Guilty(PartSet::from([guilty.part]));
@@ -99,7 +99,10 @@
             if !overdue.is_empty() {
                 return Finding::Guilty(overdue);
             }
-            let is_decided = if let [single] = &group[..] {
+            let is_witnessed = group.iter().all(|one| self.has_witnesses(one.part));
+            let is_decided = if !is_witnessed {
+                false
+            } else if let [single] = &group[..] {
                 let is_cause = single.is_confirmed && !has_alternative(single);
                 is_cause && !single.was_sound() && !self.has_time(single.part)
             } else {
@@ -230,6 +233,15 @@
         late.count()
     }
 
+    /// Whether several upstreams have crashed under a part, or one as often as it may: an upstream that crashes by itself or
+    /// loses answers accuses what only it is asked for.
+    fn has_witnesses(
+        &self,
+        part: PartId,
+    ) -> bool {
+        self.crashes.accusations(part) >= MAX_CRASHES || self.crashes.sole_upstream(part).is_none()
+    }
+
     fn settled(&self) -> impl Iterator<Item = &Crash> {
         let crashes = self.crashes.iter();
         crashes.filter(|crash| crash.is_settled(self.now))
--- a/crates/core/src/scheduler/choose/mod.rs
+++ b/crates/core/src/scheduler/choose/mod.rs
@@ -88,6 +88,8 @@
     pub vm: u32,
     /// Upstreams that may not get the request now.
     pub avoided: &'a [UpstreamId],
+    /// Upstreams that get it only if no other one can: they alone have crashed under what it shares with others.
+    pub crashed: &'a [UpstreamId],
     /// Its expected cost, if cost estimates take effect for its service.
     pub expected: Option<ExpectedCost>,
     pub now: Millis,
@@ -105,6 +107,8 @@
 /// Which ready upstreams are candidates for a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CandidateFilter {
+    /// Reachable upstreams that haven't failed this request, nor crashed under what it is on trial for.
+    NotCrashed,
     /// Reachable upstreams that haven't failed this request.
     NotFailed,
     /// Reachable upstreams.
@@ -379,7 +383,11 @@
         if job.is_hedge {
             return CandidateFilter::NotFailed;
         }
-        let strict = [CandidateFilter::NotFailed, CandidateFilter::Reachable];
+        let strict = [
+            CandidateFilter::NotCrashed,
+            CandidateFilter::NotFailed,
+            CandidateFilter::Reachable,
+        ];
         strict
             .into_iter()
             .find(has_candidate)
@@ -398,8 +406,11 @@
             && !self.avoided.contains(&up.id)
             && up.statements.rests.left(self.vm, self.now) == Millis::ZERO
             && match filter {
-                CandidateFilter::NotFailed => {
-                    is_reachable() && !job.excluded_upstreams.contains(&up.id)
+                CandidateFilter::NotCrashed | CandidateFilter::NotFailed => {
+                    let has_crashed = self.crashed.contains(&up.id);
+                    is_reachable()
+                        && !job.excluded_upstreams.contains(&up.id)
+                        && (filter == CandidateFilter::NotFailed || !has_crashed)
                 }
                 CandidateFilter::Reachable => is_reachable(),
                 CandidateFilter::Ready => true,
--- a/crates/core/src/scheduler/state_machine/copies.rs
+++ b/crates/core/src/scheduler/state_machine/copies.rs
@@ -152,6 +152,7 @@
             deciding_vms: 1,
             vm: LOCAL_VM,
             avoided: &[],
+            crashed: &[],
             now,
         };
         let value = rate / f64::from(copies + 1);
--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -332,7 +332,6 @@
                 } = self;
 
                 let evaluation_interval = reevaluation_interval(queue.len());
-                let can_evict = now >= self.evictions_allowed_at;
                 queue.pop(now, |waiting| {
                     let Some(entry) = entries.get_mut(&waiting.request) else {
                         return true;
@@ -370,12 +369,13 @@
                         settings,
                         queued_by_adapter,
                         can_order: self.can_order,
-                        can_evict,
+                        can_evict: now >= self.evictions_allowed_at,
                         cold_load_ms: cold_load.0 as f64,
                         demand: CopyDemand::of(demand, fleet, entry.job.service),
                         deciding_vms,
                         vm: entry.attempt_id.vm,
                         avoided: &avoided,
+                        crashed: &quarantine.crashed_upstreams(entry.job.shared_parts()),
                         expected: fleet.expected_cost(&entry.job, settings.hard_load, now),
                         now,
                     };
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -527,6 +527,20 @@
     assert!(is_quarantined(&mut world, &[FIRST, BAD]));
 }
 
+#[test]
+fn crashes_of_one_upstream_are_one_witness() {
+    // Guards against refusing what an upstream was asked for that crashed by itself time after time.
+    let mut world = world();
+    let crashes = [(0, 5_616, 5_700), (0, 4_091, 4_200), (0, 2_309, 2_400)];
+    let reports = crashes.map(|crash| report(crash, &[BAD]));
+    tell(&mut world, &reports);
+    world.advance(3_000);
+    assert!(!is_quarantined(&mut world, &[BAD]));
+    tell(&mut world, &[report((1, 500, 600), &[BAD])]);
+    world.advance(500);
+    assert!(is_quarantined(&mut world, &[BAD]), "a second witness");
+}
+
 #[test]
 fn late_reports_make_no_new_evidence() {
     // Guards against a VM's reports that reach a suspended leader late, and then seem to speak of later prompts.
