A review of evidence looks only at what several crashes accuse

Cause: each review built the set of all parts of all crashes, and then a map of all parts, though only those that three crashes accuse can be suspected. Crashes recorded under many prompts were searched prompt by prompt for each part of an answer, and each report of a crash collected all that it accuses, twice.

Change: a crash keeps the set of its parts, the log of crashes keeps what several of them accuse, and a review looks only at parts that three crashes accuse and at the crashes that accuse these. Verdicts are the same.

--- a/crates/core/examples/quarantine_cost/main.rs
+++ b/crates/core/examples/quarantine_cost/main.rs
@@ -132,25 +132,33 @@
     let accused: usize = kept.iter().map(|crash| crash.prompts.len()).sum();
     println!("{} crashes, {accused} prompts", kept.len());
 
+    measure_requests(&known);
+    measure_crashes(&known, prompts);
+    measure_reports(&known);
+}
+
+/// Measures what each request costs.
+fn measure_requests(known: &Known) {
+    let now = known.now;
     let new = |count: u64| prompt(1_000_000 + count);
     // The session's part of an earlier prompt, which a crash accuses.
-    let accused = |count: u64| prompt(1 + count % (crashes * prompts).max(1));
-    measure("answer to another prompt", &known, false, |known, count| {
+    let accused = |count: u64| prompt(1 + count % known.prompts.max(1));
+    measure("answer to another prompt", known, false, |known, count| {
         known.quarantine.note_sound(&new(count), now);
     });
     measure(
         "answer to an accused prompt",
-        &known,
+        known,
         true,
         |known, count| {
             known.quarantine.note_sound(&accused(count), now);
         },
     );
-    measure("sign of life", &known, false, |known, count| {
+    measure("sign of life", known, false, |known, count| {
         let upstream = UpstreamId((count % UPSTREAMS) as u32);
         known.quarantine.note_alive(upstream, now);
     });
-    measure("whether a prompt may go", &known, false, |known, count| {
+    measure("whether a prompt may go", known, false, |known, count| {
         let candidates = new(count);
         let candidates = CrashCandidates {
             shared: &candidates,
@@ -165,7 +173,7 @@
     });
     measure(
         "prompt that is sent and ends",
-        &known,
+        known,
         false,
         |known, count| {
             let shared = new(count);
@@ -181,32 +189,61 @@
             known.quarantine.note_ended(RequestId(count));
         },
     );
+}
+
+/// Measures what a crash costs.
+fn measure_crashes(
+    known: &Known,
+    prompts: u64,
+) {
+    let now = known.now;
     measure(
         "crash under one more prompt",
-        &known,
+        known,
         true,
         |known, count| {
             known.crash(UpstreamId((count % UPSTREAMS) as u32));
         },
     );
-    measure("review", &known, false, |known, _| {
+    measure("review", known, false, |known, _| {
         known.quarantine.review(now);
     });
-    measure("review after a crash", &known, true, |known, _| {
+    measure("review after a crash", known, true, |known, _| {
         for _ in 0..prompts {
             known.crash(UpstreamId(9_999));
         }
         known.quarantine.review(now + Millis(500));
     });
-    measure("evidence for others", &known, false, |known, _| {
+    let mut suspected = known.clone();
+    for upstream in 0..5 {
+        let suspect = [first_part(0), PartId::Part(0xbad), adapter(0)];
+        let quarantine = &mut suspected.quarantine;
+        for (upstream, number) in
+            (0..FIRST_PARTS).map(|other| (UpstreamId(5_000 + upstream), other))
+        {
+            let other = prompt(2_000_000 + number);
+            quarantine.note_crash(upstream, &other, None, suspected.now, suspected.now);
+            quarantine.note_crash(upstream, &suspect, None, suspected.now, suspected.now);
+        }
+        suspected.now += CRASH_INTERVAL;
+    }
+    measure("review beside suspects", &suspected, true, |known, _| {
+        known.quarantine.review(known.now);
+    });
+    measure("evidence for others", known, false, |known, _| {
         black_box(known.quarantine.evidence(now));
     });
+}
+
+/// Measures what it costs to learn the evidence of others.
+fn measure_reports(known: &Known) {
+    let now = known.now;
     let mut evidence = known.quarantine.evidence(now);
     let skipped = evidence.crashes.len().saturating_sub(64);
     evidence.crashes.drain(..skipped);
     measure(
         "evidence of 64 crashes that is known",
-        &known,
+        known,
         false,
         |known, _| {
             known.quarantine.add_evidence(&evidence, now);
--- a/crates/core/src/quarantine/crash.rs
+++ b/crates/core/src/quarantine/crash.rs
@@ -32,6 +32,8 @@
     pub at: Millis,
     /// The prompts, each by itself: parts that never came together don't explain a crash together.
     pub prompts: Vec<AccusedPrompt>,
+    /// The parts of these prompts.
+    parts: PartSet,
     /// The requests that it had, whatever it had answered of them, and when they were last sent to it.
     pub requests: BTreeMap<PartId, Millis>,
     /// Whether the upstream was seen to be gone, or to have started anew.
@@ -47,6 +49,7 @@
             upstream,
             at,
             prompts: Vec::new(),
+            parts: PartSet::new(),
             requests: BTreeMap::new(),
             is_confirmed: false,
         }
@@ -60,6 +63,9 @@
         if part.is_request() {
             return self.requests.get(&part).copied();
         }
+        if !self.parts.contains(&part) {
+            return None;
+        }
         let with_part = self.prompts.iter().filter(|one| one.parts.contains(&part));
         with_part.map(|one| one.sent_at).max()
     }
@@ -68,7 +74,7 @@
         &self,
         part: PartId,
     ) -> bool {
-        self.sent_at(part).is_some()
+        self.parts.contains(&part) || self.requests.contains_key(&part)
     }
 
     /// Whether one prompt, or the request, has all of the parts.
@@ -77,7 +83,7 @@
         parts: &PartSet,
     ) -> bool {
         let mut prompts = self.prompts.iter();
-        prompts.any(|one| one.parts.is_superset(parts))
+        parts.is_subset(&self.parts) && prompts.any(|one| one.parts.is_superset(parts))
             || parts.iter().all(|part| self.requests.contains_key(part))
     }
 
@@ -89,25 +95,24 @@
         if part.is_request() {
             return self.requests.remove(&part).is_some();
         }
-        let mut was_accused = false;
+        if !self.parts.remove(&part) {
+            return false;
+        }
         for prompt in &mut self.prompts {
-            was_accused |= prompt.parts.remove(&part);
+            prompt.parts.remove(&part);
         }
         self.prompts.retain(|one| !one.parts.is_empty());
-        was_accused
+        true
     }
 
     /// The parts that it accuses.
-    pub(super) fn parts(&self) -> PartSet {
-        let parts = self.prompts.iter().flat_map(|one| &one.parts);
-        parts.copied().collect()
+    pub(super) const fn parts(&self) -> &PartSet {
+        &self.parts
     }
 
     /// All that it accuses.
-    pub(super) fn all_accused(&self) -> PartSet {
-        let mut accused = self.parts();
-        accused.extend(self.requests.keys());
-        accused
+    pub(super) fn all_accused(&self) -> impl Iterator<Item = PartId> {
+        self.parts.iter().chain(self.requests.keys()).copied()
     }
 
     /// Whether a report of a crash of `upstream` at `at`, under prompts that were sent until `sent_at`, is one of this
@@ -146,35 +151,42 @@
         now.since(self.at) >= SETTLE_TIME
     }
 
-    /// Accuses what a prompt may share with others, if there is room.
+    /// Accuses what a prompt may share with others, if there is room; returns the parts that it didn't accuse before.
     pub(super) fn accuse_prompt(
         &mut self,
         prompt: AccusedPrompt,
-    ) {
+    ) -> Vec<PartId> {
         let has_room = self.prompts.len() < MAX_ACCUSED;
         let mut known = self.prompts.iter_mut();
         match known.find(|known| known.parts == prompt.parts) {
-            Some(known) => known.sent_at = known.sent_at.max(prompt.sent_at),
+            Some(known) => {
+                known.sent_at = known.sent_at.max(prompt.sent_at);
+                Vec::new()
+            }
             None if has_room && !prompt.parts.is_empty() => {
+                let parts = prompt.parts.iter().copied();
+                let new = parts.filter(|&part| self.parts.insert(part)).collect();
                 self.prompts.push(prompt);
+                new
             }
-            None => {}
+            None => Vec::new(),
         }
     }
 
-    /// Accuses a request that was sent at `sent_at`, if there is room.
+    /// Accuses a request that was sent at `sent_at`, if there is room; returns whether it didn't accuse it before.
     pub(super) fn accuse_request(
         &mut self,
         request: PartId,
         sent_at: Millis,
-    ) {
+    ) -> bool {
         let has_room = self.requests.len() < MAX_ACCUSED;
         match self.requests.get_mut(&request) {
-            Some(known) => *known = sent_at.max(*known),
-            None if has_room => {
-                self.requests.insert(request, sent_at);
+            Some(known) => {
+                *known = sent_at.max(*known);
+                false
             }
-            None => {}
+            None if has_room => self.requests.insert(request, sent_at).is_none(),
+            None => false,
         }
     }
 
--- a/crates/core/src/quarantine/crash_log.rs
+++ b/crates/core/src/quarantine/crash_log.rs
@@ -7,7 +7,7 @@
         clock::Millis,
         ids::{PartId, UpstreamId},
     },
-    std::collections::{HashMap, VecDeque},
+    std::collections::{BTreeSet, HashMap, VecDeque},
 };
 
 /// How long a crash is evidence.
@@ -22,6 +22,8 @@
     crashes: VecDeque<Crash>,
     /// How many crashes accuse a part; few parts are, so that answers to others cost nothing.
     accusations: HashMap<PartId, usize>,
+    /// What several crashes accuse.
+    repeated: BTreeSet<PartId>,
     /// Crashes that are no evidence any more, since the last call of [`Self::take_ended`].
     ended: Vec<(UpstreamId, Millis, CrashEnd)>,
 }
@@ -54,7 +56,6 @@
             index
         });
         let crash = &mut self.crashes[index];
-        let known = crash.all_accused();
         let is_open = |part: &PartId| sound_at(*part).is_none_or(|sound| sound < crash.at);
         let prompts = prompts.iter().map(|prompt| AccusedPrompt {
             parts: prompt.parts.iter().copied().filter(is_open).collect(),
@@ -63,14 +64,19 @@
         let prompts: Vec<AccusedPrompt> = prompts.collect();
         let requests = requests.iter().filter(|(request, _)| is_open(request));
         let requests: Vec<(PartId, Millis)> = requests.copied().collect();
+        let mut accused: Vec<PartId> = Vec::new();
         for prompt in prompts {
-            crash.accuse_prompt(prompt);
+            accused.extend(crash.accuse_prompt(prompt));
         }
         for (request, sent_at) in requests {
-            crash.accuse_request(request, sent_at);
+            accused.extend(crash.accuse_request(request, sent_at).then_some(request));
         }
-        for part in crash.all_accused().difference(&known) {
-            *self.accusations.entry(*part).or_default() += 1;
+        for part in accused {
+            let count = self.accusations.entry(part).or_default();
+            *count += 1;
+            if *count > 1 {
+                self.repeated.insert(part);
+            }
         }
         while self.crashes.len() > MAX_CRASHES {
             self.forget_first(CrashEnd::Room);
@@ -136,7 +142,7 @@
         for crash in self.crashes.iter_mut().filter(|crash| crash.at <= until) {
             for part in &accused {
                 if crash.acquit(*part) {
-                    release(&mut self.accusations, *part);
+                    release(&mut self.accusations, &mut self.repeated, *part);
                 }
             }
         }
@@ -305,14 +311,13 @@
         self.accusations.keys().copied()
     }
 
-    /// The requests that at least so many crashes accuse.
-    pub(super) fn accused_requests(
+    /// The parts that at least so many crashes accuse, and the requests; several crashes.
+    pub(super) fn accused_by(
         &self,
         crashes: usize,
     ) -> impl Iterator<Item = PartId> {
-        let accused = self.accusations.iter();
-        let accused = accused.filter(move |&(part, &count)| part.is_request() && count >= crashes);
-        accused.map(|(&part, _)| part)
+        let repeated = self.repeated.iter().copied();
+        repeated.filter(move |&part| self.accusations(part) >= crashes)
     }
 
     pub(super) fn is_empty(&self) -> bool {
@@ -345,17 +350,21 @@
         crash: &Crash,
     ) {
         for part in crash.all_accused() {
-            release(&mut self.accusations, part);
+            release(&mut self.accusations, &mut self.repeated, part);
         }
     }
 }
 
 fn release(
     accusations: &mut HashMap<PartId, usize>,
+    repeated: &mut BTreeSet<PartId>,
     part: PartId,
 ) {
     if let Some(count) = accusations.get_mut(&part) {
         *count -= 1;
+        if *count <= 1 {
+            repeated.remove(&part);
+        }
         if *count == 0 {
             accusations.remove(&part);
         }
--- a/crates/core/src/quarantine/part_quarantine.rs
+++ b/crates/core/src/quarantine/part_quarantine.rs
@@ -505,8 +505,9 @@
         for parts in over {
             self.remove(&parts, VerdictSource::Age, now);
         }
-        let accused = self.crashes.accused_requests(MIN_CRASHES);
+        let accused = self.crashes.accused_by(MIN_CRASHES);
         let suspects: Vec<RequestSuspect> = accused
+            .filter(|request| request.is_request())
             .filter_map(|request| RequestSuspect::find(request, self.crashes.iter(), now))
             .collect();
         for suspect in suspects {
--- a/crates/core/src/quarantine/suspect.rs
+++ b/crates/core/src/quarantine/suspect.rs
@@ -24,11 +24,11 @@
 #[derive(Clone, Debug)]
 pub(super) struct OpenCrash<'a> {
     pub crash: &'a Crash,
-    pub parts: BTreeSet<PartId>,
+    pub parts: &'a BTreeSet<PartId>,
 }
 
 impl<'a> OpenCrash<'a> {
-    pub(super) fn new(crash: &'a Crash) -> Self {
+    pub(super) const fn new(crash: &'a Crash) -> Self {
         let parts = crash.parts();
         Self { crash, parts }
     }
@@ -48,10 +48,11 @@
 }
 
 impl Suspect {
-    /// The parts that enough crashes accuse, but for those of a single one of the refused requests.
+    /// Those of the accused parts that enough of the crashes accuse, but for those of a single one of the refused requests.
     ///
     /// `is_known` tells whether so many crashes accuse a part, explained ones among them, that few more may follow.
     pub(super) fn find<F, K>(
+        accused: &[PartId],
         crashes: &[OpenCrash<'_>],
         refused_requests: &[PartId],
         sound_at: F,
@@ -61,13 +62,12 @@
         F: Fn(PartId) -> Option<Millis>,
         K: Fn(PartId) -> bool,
     {
-        let mut accused: BTreeMap<PartId, BTreeSet<usize>> = BTreeMap::new();
-        for (at, one) in crashes.iter().enumerate() {
-            for &part in &one.parts {
-                accused.entry(part).or_default().insert(at);
-            }
-        }
-        let suspects = accused.into_iter();
+        let accusing = |part: &PartId| -> BTreeSet<usize> {
+            let accusing = crashes.iter().enumerate();
+            let accusing = accusing.filter(|(_, one)| one.parts.contains(part));
+            accusing.map(|(at, _)| at).collect()
+        };
+        let suspects = accused.iter().map(|part| (*part, accusing(part)));
         let is_of_one_request = |indices: &BTreeSet<usize>| {
             let mut requests = refused_requests.iter();
             requests.any(|&request| {
@@ -76,7 +76,7 @@
             })
         };
         suspects
-            .filter(|(_, indices)| !is_of_one_request(indices))
+            .filter(|(_, indices)| !indices.is_empty() && !is_of_one_request(indices))
             .filter_map(|(part, indices)| {
                 let enough = if is_known(part) {
                     MIN_FURTHER_CRASHES
@@ -163,7 +163,7 @@
         let mut others = 0;
         while open.len() > MAX_CHANCE_CRASHES {
             let mut counts: BTreeMap<PartId, usize> = BTreeMap::new();
-            let accused = open.iter().flat_map(|&at| &crashes[at].parts);
+            let accused = open.iter().flat_map(|&at| crashes[at].parts);
             for &part in accused.filter(|&&part| self.has_rival(part, &sound_at)) {
                 *counts.entry(part).or_default() += 1;
             }
--- a/crates/core/src/quarantine/weighing.rs
+++ b/crates/core/src/quarantine/weighing.rs
@@ -51,8 +51,12 @@
     /// on trial first, and for longer where it may be what several crashing parts share. A confirmed suspect is refused once
     /// two upstreams have crashed late under requests with it.
     pub(super) fn finding(&self) -> Finding {
+        // Crashes that accuse none of these show nothing about others.
+        let accused = self.crashes.accused_by(MIN_CRASHES);
+        let accused: Vec<PartId> = accused.filter(|part| !part.is_request()).collect();
         let unexplained: Vec<OpenCrash<'_>> = self
             .settled()
+            .filter(|crash| accused.iter().any(|&part| crash.accuses(part)))
             .filter(|crash| !self.is_explained(crash))
             .map(OpenCrash::new)
             .collect();
@@ -68,7 +72,13 @@
         let sound_at = |part| self.sound.latest(part);
         let accusations = |part| self.crashes.accusations(part);
         let is_known = |part| accusations(part) >= MAX_CRASHES;
-        let suspects = Suspect::find(&unexplained, &refused_requests, sound_at, is_known);
+        let suspects = Suspect::find(
+            &accused,
+            &unexplained,
+            &refused_requests,
+            sound_at,
+            is_known,
+        );
         let Some(since) = suspects.iter().map(|one| one.qualified_at).min() else {
             return Finding::Nothing;
         };
@@ -123,10 +133,9 @@
 
     /// The parts that were sound before several crashes in turn.
     pub(super) fn doubted(&self) -> PartSet {
-        let accused = self.crashes.accused();
+        let accused = self.crashes.accused_by(MIN_CRASHES);
         let doubted = accused.filter(|&part| {
-            let is_accused = self.crashes.accusations(part) >= MIN_CRASHES;
-            is_accused && !part.is_request() && self.sound.contains(part) && {
+            !part.is_request() && self.sound.contains(part) && {
                 let accusing = self.settled().filter(|crash| crash.accuses(part));
                 let in_turn = serial_ends(part, accusing).len();
                 let is_known = self.crashes.accusations(part) >= MAX_CRASHES;
@@ -185,7 +194,7 @@
         let suspect = self.suspect(part, &[], Millis::ZERO);
         let sound_at = |part| self.sound.latest(part);
         let rivals = |crash: &Crash| {
-            let mut parts = crash.parts();
+            let mut parts = crash.parts().clone();
             parts.retain(|&other| suspect.has_rival(other, sound_at));
             parts
         };
