A leader deletes what many VMs stored about crashes in several transactions

The store takes 32 entries a transaction; a leader that had to delete the records of more than 31 VMs, as after all of them had lost their leader, sent them in one, was refused, and tried again for ever: its own record was never stored, and each VM that decided alone read all old ones again. Found in review. A record with other bounds (a VM that decided alone and leads now) is also written anew.

--- a/crates/entry/src/store/crash_evidence.rs
+++ b/crates/entry/src/store/crash_evidence.rs
@@ -23,6 +23,8 @@
 /// Prefix of a key for each VM that has decided alone or for all.
 pub(super) const EVIDENCE_PREFIX: &str = "jasmine/crash-evidence/";
 
+/// Most writes in one transaction.
+const MAX_OPS: usize = 16;
 /// Most crashes that are stored, the latest.
 const MAX_CRASHES: usize = 64;
 /// Size of a report on a sound part, in bytes.
@@ -192,6 +194,7 @@
     vm: String,
 ) {
     let mut stored_digest = None;
+    let mut stored_max = None;
     let mut has_recorded = false;
     let mut budget = EvidenceBudget::default();
     loop {
@@ -220,6 +223,10 @@
             continue;
         }
         let max = EvidenceBudget::max_record(writers);
+        if stored_max.replace(max) != Some(max) {
+            // Other crashes fit.
+            stored_digest = None;
+        }
         let Some((txn, digest)) = difference(&cx, &vm, stored_digest, max) else {
             continue;
         };
@@ -259,6 +266,8 @@
     if cx.scheduling.is_leading() {
         let others = writers.iter().filter(|&writer| writer != vm);
         ops.extend(others.map(|writer| Op::Delete(Range::key(key(writer)))));
+        // What remains is deleted with the next check.
+        ops.truncate(MAX_OPS);
     }
     let txn = Txn {
         success: ops,
