A read in place of changes leaves out nothing, and its followers miss no deletion

Found in review of the reads that replace missing changes. (1) A VM that had read only a part of the upstreams took over only those that had changed since. (2) A follower that had a key from another VM, which came and went while its reader had lost the history, was told of no deletion. (3) The key of a leader that no VM wrote wasn't among those that may be gone. (4) Evidence about crashes that arrived late counted as new: times in it were those of its writing, however old the view was.

All upstreams found are applied; a revision within the gap counts as without history; the leader's key is always among the known ones; the age of evidence is bounded by the age of the view. store_feed has the gap (no such code before); the others have no test of their own.

--- a/crates/core/src/feed/recent_changes.rs
+++ b/crates/core/src/feed/recent_changes.rs
@@ -41,6 +41,8 @@
     by_key: HashMap<String, KnownChange<T>>,
     /// All major changes after this revision are known.
     complete_after: u64,
+    /// Keys that came and went between these revisions are unknown.
+    gap: (u64, u64),
     revision: u64,
 }
 
@@ -49,6 +51,7 @@
         Self {
             by_key: HashMap::new(),
             complete_after: 0,
+            gap: (0, 0),
             revision: 0,
         }
     }
@@ -68,6 +71,15 @@
         self.revision = revision;
     }
 
+    /// Records that keys which came and went between two revisions are unknown.
+    pub const fn note_gap(
+        &mut self,
+        after: u64,
+        revision: u64,
+    ) {
+        self.gap = (after, revision);
+    }
+
     /// Records a change; `false` if the same or a later one of the key is known.
     pub fn record_change(
         &mut self,
@@ -135,7 +147,8 @@
         after: u64,
         minor_after: Option<u64>,
     ) -> ChangesSince<T> {
-        if after < self.complete_after {
+        let (gap_after, gap_end) = self.gap;
+        if after < self.complete_after || (gap_after < after && after < gap_end) {
             return ChangesSince::Gone;
         }
         let is_major = |known: &KnownChange<T>| known.major_revision > after;
--- a/crates/core/tests/store_feed.rs
+++ b/crates/core/tests/store_feed.rs
@@ -127,6 +127,20 @@
     );
 }
 
+#[test]
+fn keys_that_came_and_went_are_missing() {
+    // Guards against VMs that keep what was deleted while the VM they follow had lost the history.
+    let mut recent = RecentChanges::default();
+    recent.reset(10);
+    record(&mut recent, "a", 11, true, NOW);
+    recent.note_gap(11, 30);
+    record(&mut recent, "b", 25, true, NOW);
+    recent.advance(30, NOW);
+    assert_eq!(recent.since(11, None), ChangesSince::Changes(vec![25]));
+    assert_eq!(recent.since(20, None), ChangesSince::Gone);
+    assert_eq!(recent.since(30, None), ChangesSince::Changes(vec![]));
+}
+
 #[test]
 fn minor_changes_are_returned_on_request_only() {
     let mut recent = RecentChanges::default();
--- a/crates/entry/src/store/feed/change_feed.rs
+++ b/crates/entry/src/store/feed/change_feed.rs
@@ -136,6 +136,15 @@
         self.recent.borrow().has_changed_since(key, revision)
     }
 
+    /// Records that keys which came and went between two revisions are unknown.
+    pub(crate) fn note_gap(
+        &self,
+        after: u64,
+        revision: u64,
+    ) {
+        self.recent.borrow_mut().note_gap(after, revision);
+    }
+
     /// Marks the history as complete up to a revision.
     pub(crate) fn advance(
         &self,
--- a/crates/entry/src/store/membership.rs
+++ b/crates/entry/src/store/membership.rs
@@ -120,11 +120,6 @@
         vms.keys().map(|vm| format!("{VM_PREFIX}{vm}")).collect()
     }
 
-    /// Whether there is a leader, as far as this VM knows.
-    pub(super) fn has_leader(&self) -> bool {
-        self.has_leader.get()
-    }
-
     /// Passes the known VMs to the scheduler.
     pub(super) fn publish_vms(
         &self,
--- a/crates/entry/src/store/view.rs
+++ b/crates/entry/src/store/view.rs
@@ -190,13 +190,18 @@
                 ..KeyValue::default()
             })
         });
-        let changed = reply.kvs.iter().filter(|kv| kv.mod_revision > revision);
+        // Of upstreams this VM may have read only a part, and skipped minor changes.
+        let may_be_new =
+            |kv: &&KeyValue| kv.mod_revision > revision || kv.key.starts_with(entries::PREFIX);
+        let changed = reply.kvs.iter().filter(may_be_new);
         let mut events: Vec<WatchEvent> = changed.cloned().map(WatchEvent::Put).collect();
         events.sort_unstable_by_key(|event| {
             let (WatchEvent::Put(kv) | WatchEvent::Delete(kv)) = event;
             kv.mod_revision
         });
         events.extend(deleted);
+        // Of keys that came and went in between nothing is known.
+        self.feed.note_gap(revision, reply.revision);
         self.apply_all(&events, &ChangeSource::FullRead).await;
         self.set_read(reply);
     }
@@ -216,13 +221,12 @@
         let quarantined = quarantined.iter().map(quarantine::key_of);
         let writers = local_scheduler.evidence_writers().into_iter();
         let evidence = writers.map(|vm| format!("{EVIDENCE_PREFIX}{vm}"));
-        let leader = self.membership.has_leader().then(|| LEADER_KEY.to_owned());
         let vms = self.membership.keys().into_iter();
         upstreams
             .chain(evacuated)
             .chain(quarantined)
             .chain(evidence)
-            .chain(leader)
+            .chain([LEADER_KEY.to_owned()])
             .chain(vms)
             .collect()
     }
@@ -586,9 +590,11 @@
             (Ok((evidence, age)), Origin::FullRead | Origin::Change(ChangeSource::FullRead)) => {
                 scheduling.note_stored_evidence(vm, evidence, age);
             }
-            // A change comes at once, so that the time of day of the other VM needn't be right.
-            (Ok((evidence, _)), Origin::Change(_)) => {
-                scheduling.note_stored_evidence(vm, evidence, Millis::ZERO);
+            // No older than this VM's view, so that the time of day of the other VM needn't be right.
+            (Ok((evidence, age)), Origin::Change(_)) => {
+                let lag = |at| self.cx.clock.now().since(at);
+                let lag = self.feed.complete_at().map_or(Millis::ZERO, lag);
+                scheduling.note_stored_evidence(vm, evidence, age.min(lag));
             }
             (Err(e), _) => log_unreadable(&kv.key, &e),
         }
