A VM whose watch fails looks for another reader first, and one VM without history loses none

Found in review. The question whether the store answers at all came before the store counted as failed, so that a leader looked for another reader up to 0.9 s later; and it also followed a watch that a failed renewal had cut. And a follower read the whole store as soon as one VM lacked its history, though others may have it.

--- a/crates/entry/src/store/follower.rs
+++ b/crates/entry/src/store/follower.rs
@@ -269,10 +269,12 @@
         let next = self.position.read_from();
         let asked_at = self.cx.clock.now();
         let known_revision = self.store.newest_revision();
+        let mut is_unanswered = true;
         let batch = tokio::select! {
             batch = self.next_batch(next) => batch,
             // A lease renewal detects a dead connection before the watch does.
             () = self.feed.store_failure_reported() => {
+                is_unanswered = false;
                 Err(StoreError::OutcomeUnknown("a renewal has failed".to_owned()))
             }
         };
@@ -291,10 +293,11 @@
                     .with("view_ms", self.view_age())
                     .with("reason", &e)
                     .info();
-                if matches!(e, StoreError::OutcomeUnknown(_)) {
+                self.note_store_failure(&e);
+                if is_unanswered && matches!(e, StoreError::OutcomeUnknown(_)) {
                     self.ask_for_leader().await;
                 }
-                self.store_failed(&e).await;
+                sleep(self.backoff.next_delay().to_std()).await;
             }
         }
     }
@@ -379,11 +382,18 @@
     async fn store_failed(
         &mut self,
         e: &StoreError,
+    ) {
+        self.note_store_failure(e);
+        sleep(self.backoff.next_delay().to_std()).await;
+    }
+
+    fn note_store_failure(
+        &mut self,
+        e: &StoreError,
     ) {
         self.choice.store_failed(self.cx.clock.now());
         self.feed.set_can_read(false);
         self.view.record_outage(e);
-        sleep(self.backoff.next_delay().to_std()).await;
     }
 
     async fn poll_vm(
@@ -440,10 +450,6 @@
             .with("revision", self.position.after)
             .with("view_ms", self.view_age())
             .info();
-        if why == SourceFailure::HistoryGone {
-            // The content of the store is smaller than all changes since then.
-            self.catch_up.lost();
-        }
         let now = self.cx.clock.now();
         let is_urgent = self.cx.scheduling.is_leading() && !self.choice.is_store_available(now);
         match why {
