--- a/crates/entry/src/store/follower.rs
+++ b/crates/entry/src/store/follower.rs
@@ -295,15 +295,15 @@
                     .info();
                 self.note_store_failure(&e);
                 if is_unanswered && matches!(e, StoreError::OutcomeUnknown(_)) {
-                    self.ask_for_leader().await;
+                    self.probe_store().await;
                 }
                 sleep(self.backoff.next_delay().to_std()).await;
             }
         }
     }
 
-    /// Asks for changes of one key only, as the store has not given all changes: they may be too many to arrive.
-    async fn ask_for_leader(&mut self) {
+    /// Asks for the changes of one key, to see whether the store answers at all: all changes may be too many to arrive.
+    async fn probe_store(&mut self) {
         let question = self.store.changes_since(LEADER_KEY, self.position.after);
         match question.await {
             Ok(batch) if batch.compacted.is_some() => self.lose_history(),
@@ -314,7 +314,7 @@
             }
             Err(e) => {
                 self.catch_up.unanswered(false);
-                Line::new("leader_key_not_read").with("reason", e).info();
+                Line::new("store_probe_failed").with("reason", e).info();
             }
         }
     }
--- a/crates/entry/tests/lost_changes.rs
+++ b/crates/entry/tests/lost_changes.rs
@@ -12,7 +12,7 @@
     },
 };
 
-/// In which a change of the configuration is in force everywhere.
+/// Allowed time until a configuration is in force everywhere, though the changes don't arrive as they should.
 const MAX_CHANGE_TIME: Duration = Duration::from_secs(8);
 /// The largest answer to a watch that arrives, in bytes.
 const MAX_WATCH_BYTES: usize = 300_000;
