--- a/crates/entry/tests/crashing_storms.rs
+++ b/crates/entry/tests/crashing_storms.rs
@@ -86,7 +86,7 @@
 }
 
 #[test]
-fn killed_vms() {
+fn vms_killed_in_turn() {
     // Guards against the same where VMs are killed in turn, whether they lead or not.
     let storm = Storm {
         loss: Loss::OneVm,
