A request that is refused as its VM stops keeps its id

What callers saw: 503 without X-Request-Id, and id=- in the log, for a request whose body was still arriving as the VM stopped. Cause: the wait for the stop stood around the whole read, whose head was gone with it. The read itself waits now, once for the head and once for the body, and notes the id as for its other refusals. late_in_grace::slow_bodies_are_refused_before_exit asks for the id; it passes (one run), as do the file's other four tests.

--- a/crates/entry/src/caller/connection.rs
+++ b/crates/entry/src/caller/connection.rs
@@ -13,7 +13,7 @@
         context::{Context, StopStage},
         forward::{STOPPING_RETRY_DELAY, serve_request},
         links::serve_relayed,
-        refusals::{CONFIG_UNAVAILABLE, Rule},
+        refusals::CONFIG_UNAVAILABLE,
         upstream::ReadCharge,
     },
     bytes::BytesMut,
@@ -107,7 +107,7 @@
     }
 }
 
-/// Reads the next request, whose first byte has arrived; refuses one that arrives too slowly for a planned stop.
+/// Reads the next request, whose first byte has arrived.
 async fn next_request(
     cx: &Context,
     stream: &mut TcpStream,
@@ -115,14 +115,7 @@
     peer: Peer,
 ) -> Result<IncomingRequest, RequestReadError> {
     let limits = RequestLimits::new(cx, peer);
-    let read = tokio::select! {
-        biased;
-        read = read_request(stream, buf, limits, &cx.bytes) => read,
-        () = cx.stop_reached(StopStage::RefusingWaiting) => {
-            let refused = RefusedRead::new(ErrorKind::ShuttingDown, Rule::Stopping);
-            Err(RequestReadError::Refused(refused))
-        }
-    };
+    let read = read_request(stream, buf, limits, &cx.bytes).await;
     if let Err(RequestReadError::Refused(refused)) = &read
         && refused.kind == ErrorKind::QueueFull
     {
--- a/crates/entry/src/caller/read_request.rs
+++ b/crates/entry/src/caller/read_request.rs
@@ -1,6 +1,7 @@
 use {
     super::request_limits::{Excess, RequestLimits},
     crate::{
+        context::{Context, StopStage},
         exchange_bytes::{ByteGate, ByteHolds},
         http1::{
             BodyPart, BodyReader, Framing, HeadScanner, HttpError, RequestHead, parse_request_head,
@@ -58,7 +59,7 @@
 }
 
 impl RefusedRead {
-    pub(super) const fn new(
+    const fn new(
         kind: ErrorKind,
         rule: Rule,
     ) -> Self {
@@ -171,22 +172,38 @@
 }
 
 /// Reads a complete request whose first byte has arrived; its body takes of `budget`.
+///
+/// Refuses one that arrives too slowly for a planned stop.
 pub(super) async fn read_request(
     stream: &mut TcpStream,
     buf: &mut BytesMut,
     mut limits: RequestLimits<'_>,
     budget: &ByteGate,
 ) -> Result<IncomingRequest, RequestReadError> {
-    let head = match read_head(stream, buf, &mut limits).await {
-        Ok(head) => head,
-        Err(e) => return Err(e.with_id(request_id(unparsed_headers(buf)))),
+    let cx = limits.context();
+    let head = tokio::select! {
+        biased;
+        head = read_head(stream, buf, &mut limits) => head,
+        e = stopped(cx) => Err(e),
+    };
+    let head = head.map_err(|e| e.with_id(request_id(unparsed_headers(buf))))?;
+    let body = tokio::select! {
+        biased;
+        body = read_body(stream, buf, &head, &mut limits, budget) => body,
+        e = stopped(cx) => Err(e),
     };
-    match read_body(stream, buf, &head, &mut limits, budget).await {
+    match body {
         Ok(body) => Ok(IncomingRequest { head, body }),
         Err(e) => Err(e.with_id(request_id(head.headers.pairs()))),
     }
 }
 
+/// Waits until requests that haven't arrived whole are refused, and returns that refusal.
+async fn stopped(cx: &Context) -> RequestReadError {
+    cx.stop_reached(StopStage::RefusingWaiting).await;
+    RefusedRead::new(ErrorKind::ShuttingDown, Rule::Stopping).into()
+}
+
 async fn read_head(
     stream: &mut TcpStream,
     buf: &mut BytesMut,
--- a/crates/entry/src/caller/request_limits.rs
+++ b/crates/entry/src/caller/request_limits.rs
@@ -54,6 +54,11 @@
         }
     }
 
+    /// The shared state of the daemon.
+    pub(super) const fn context(&self) -> &'a Context {
+        self.cx
+    }
+
     /// The limits in force.
     pub(super) const fn current(&self) -> &CallerLimits {
         &self.current
--- a/crates/entry/tests/late_in_grace.rs
+++ b/crates/entry/tests/late_in_grace.rs
@@ -227,7 +227,8 @@
     let (store, _upstreams) = start_long_platform(&["s-1"]);
     let mut vm = Vm::start(&store);
     let send = |address: SocketAddr, rest_at: Option<Duration>| {
-        let mut bytes = long_request("/write/").bytes();
+        let request = long_request("/write/");
+        let mut bytes = request.bytes();
         let rest = bytes.split_off(bytes.len() - 2);
         let mut stream = TcpStream::connect(address).unwrap();
         stream.set_read_timeout(Some(TIMEOUT)).unwrap();
@@ -236,7 +237,7 @@
             thread::sleep(rest_at);
             stream.write_all(&rest).ok()?;
         }
-        read_response(&mut stream)
+        Some((request.id().to_owned(), read_response(&mut stream)?))
     };
     let callers = vm.callers;
     let late = thread::spawn(move || send(callers, Some(Duration::from_millis(3_800))));
@@ -245,8 +246,9 @@
     vm.signal(Signal::SIGTERM);
     let begun = Instant::now();
     for caller in [late, never] {
-        let response = caller.join().unwrap().expect("a response");
+        let (id, response) = caller.join().unwrap().expect("a response");
         assert_eq!((response.status, response.is_complete), (503, true));
+        assert_eq!(response.header("x-request-id"), Some(id));
         assert!(
             response.text().contains("shutting_down"),
             "{}",
