A VM that begins to decide weighs all stored evidence at once

It ran a whole decision over its queue for each of the other VMs' records, without a pause, just as it had lost the leader: as many as there are VMs. Names are resolved first, everything is added, and the scheduler decides once; the records aren't cloned before.

--- a/crates/entry/src/scheduling/stored_evidence.rs
+++ b/crates/entry/src/scheduling/stored_evidence.rs
@@ -46,6 +46,29 @@
         evidence: &EvidenceSpec,
         age: Millis,
     ) {
+        self.add_all_evidence(&[self.resolve_evidence(vm, evidence, age)]);
+    }
+
+    /// Adds what several VMs have recorded, and decides once.
+    fn add_all_evidence(
+        &self,
+        evidence: &[CrashEvidence],
+    ) {
+        self.apply(|scheduler, now| {
+            for evidence in evidence {
+                scheduler.add_crash_evidence(evidence, now);
+            }
+            scheduler.tick(now)
+        });
+    }
+
+    /// Maps the names in what `vm` has recorded, as it was `age` ago, to ids.
+    fn resolve_evidence(
+        &self,
+        vm: &str,
+        evidence: &EvidenceSpec,
+        age: Millis,
+    ) -> CrashEvidence {
         Line::new("evidence_received")
             .with("vm", vm)
             .with("crashes", evidence.crashes.len())
@@ -63,12 +86,7 @@
             crashes: crashes.collect(),
             sound: evidence.sound.clone(),
         };
-        let evidence = evidence.aged(age);
-        drop(names);
-        self.apply(|scheduler, now| {
-            scheduler.add_crash_evidence(&evidence, now);
-            scheduler.tick(now)
-        });
+        evidence.aged(age)
     }
 
     /// Records what `vm` has stored so long ago.
@@ -113,9 +131,14 @@
     /// Adds what VMs have stored to what this one knows, as it decides from now on.
     pub(super) fn add_stored_evidence(&self) {
         let now = self.clock.now();
-        let stored = self.stored_evidence.borrow().clone();
-        for (vm, stored) in stored {
-            self.add_crash_evidence(&vm, &stored.evidence, now.since(stored.at));
+        let stored = self.stored_evidence.borrow();
+        let resolve = |(vm, stored): (&String, &StoredEvidence)| {
+            self.resolve_evidence(vm, &stored.evidence, now.since(stored.at))
+        };
+        let evidence: Vec<CrashEvidence> = stored.iter().map(resolve).collect();
+        drop(stored);
+        if !evidence.is_empty() {
+            self.add_all_evidence(&evidence);
         }
     }
 
