One bound on writes in a transaction, no empty record, and a plain mark for lost changes

quarantine and crash_evidence had the same constant; it stands at the store's client now. A VM whose crashes are all too large for a record wrote one without any; it writes none. CatchUp::lost returned what next to read, which callers ignored.

--- a/crates/core/src/feed/catch_up.rs
+++ b/crates/core/src/feed/catch_up.rs
@@ -63,7 +63,10 @@
         match self.cut_answers {
             0 if batch.events == 0 => ReadNext::Changes,
             0 => ReadNext::Pause,
-            MAX_CUT_ANSWERS.. => self.lost(),
+            MAX_CUT_ANSWERS.. => {
+                self.lose();
+                ReadNext::Content
+            }
             _ => ReadNext::Changes,
         }
     }
@@ -79,14 +82,13 @@
             0
         };
         if self.unanswered >= MAX_UNANSWERED {
-            self.lost();
+            self.lose();
         }
     }
 
     /// Records that the changes after this reader's revision are no longer to be had.
-    pub fn lost(&mut self) -> ReadNext {
+    pub const fn lose(&mut self) {
         self.has_lost_changes = true;
-        ReadNext::Content
     }
 
     /// Whether the content has to be read, as changes are missing.
--- a/crates/entry/src/store/crash_evidence.rs
+++ b/crates/entry/src/store/crash_evidence.rs
@@ -1,7 +1,7 @@
 //! Keeps what the deciding VM knows of crashes and of sound parts in the store, so that it outlives all VMs.
 
 use {
-    super::KvStore,
+    super::kv_store::{KvStore, MAX_TXN_OPS},
     crate::{
         clock::Clock,
         context::Context,
@@ -23,8 +23,6 @@
 /// Prefix of a key for each VM that has decided alone or for all.
 pub(super) const EVIDENCE_PREFIX: &str = "jasmine/crash-evidence/";
 
-/// Most writes in one transaction.
-const MAX_OPS: usize = 16;
 /// Most crashes that are stored, the latest.
 const MAX_CRASHES: usize = 64;
 /// Size of a report on a sound part, in bytes.
@@ -107,7 +105,8 @@
     })
 }
 
-/// Encodes the crashes that fit into `max` bytes, and what is known to be sound of their parts and lately.
+/// Encodes the crashes that fit into `max` bytes, and what is known to be sound of their parts and lately; `None` if no
+/// crash fits.
 ///
 /// # Panics
 ///
@@ -115,7 +114,7 @@
 fn encode(
     evidence: &EvidenceSpec,
     max: usize,
-) -> Vec<u8> {
+) -> Option<Vec<u8>> {
     let to_json = |crash: &StoredCrash| serde_json::to_vec(crash).expect("a crash is JSON");
     let crashes: Vec<StoredCrash> = evidence.crashes.iter().map(stored_crash).collect();
     let sizes: Vec<usize> = crashes.iter().map(|crash| to_json(crash).len()).collect();
@@ -125,13 +124,16 @@
         .zip(kept)
         .filter_map(|(crash, is_kept)| is_kept.then_some(crash))
         .collect();
+    if crashes.is_empty() {
+        return None;
+    }
     let sound = stored_sound(&evidence.sound, &crashes, max);
     let stored = Stored {
         written_unix_ms: Clock::unix_time().0,
         crashes,
         sound,
     };
-    serde_json::to_vec(&stored).expect("evidence is JSON")
+    Some(serde_json::to_vec(&stored).expect("evidence is JSON"))
 }
 
 fn stored_crash(crash: &CrashSpec) -> StoredCrash {
@@ -261,13 +263,13 @@
         ops.extend(is_stored.then(|| Op::Delete(Range::key(key(vm)))));
     } else if stored_digest != Some(digest) || !is_stored {
         // Another leader may have deleted it since.
-        ops.push(Op::put(key(vm), encode(&evidence, max)));
+        ops.extend(encode(&evidence, max).map(|record| Op::put(key(vm), record)));
     }
     if cx.scheduling.is_leading() {
         let others = writers.iter().filter(|&writer| writer != vm);
         ops.extend(others.map(|writer| Op::Delete(Range::key(key(writer)))));
         // What remains is deleted with the next check.
-        ops.truncate(MAX_OPS);
+        ops.truncate(MAX_TXN_OPS);
     }
     let txn = Txn {
         success: ops,
--- a/crates/entry/src/store/follower.rs
+++ b/crates/entry/src/store/follower.rs
@@ -325,7 +325,7 @@
             .with("revision", self.position.minor_after)
             .with("view_ms", self.view_age())
             .warn();
-        self.catch_up.lost();
+        self.catch_up.lose();
     }
 
     async fn next_batch(
--- a/crates/entry/src/store/kv_store.rs
+++ b/crates/entry/src/store/kv_store.rs
@@ -23,6 +23,9 @@
 /// Most bytes of keys and values that are read of one prefix; many times what thousands of servers need.
 const MAX_RANGE_BYTES: usize = 16 << 20;
 
+/// Most writes that a task puts into one transaction; the service accepts twice as many entries.
+pub(super) const MAX_TXN_OPS: usize = 16;
+
 /// Client of the key-value service.
 #[derive(Clone, Debug)]
 pub struct KvStore {
--- a/crates/entry/src/store/quarantine.rs
+++ b/crates/entry/src/store/quarantine.rs
@@ -1,7 +1,7 @@
 //! Keeps the parts of prompts that crash upstreams in the store, so that VMs know them after a restart.
 
 use {
-    super::KvStore,
+    super::kv_store::{KvStore, MAX_TXN_OPS},
     crate::context::Context,
     jasmine_core::{
         clock::Millis,
@@ -21,8 +21,6 @@
 const CHECK_INTERVAL: Millis = Millis(500);
 /// How long a VM that doesn't lead leaves it to the leader to write.
 const FOLLOWER_DELAY: Millis = Millis(3_000);
-/// Most writes in one transaction.
-const MAX_OPS: usize = 16;
 /// Separates the parts in a key.
 const SEPARATOR: &str = "-";
 
@@ -84,7 +82,7 @@
     let removed = stored.iter().filter(is_removed);
     let puts = added.map(|parts| Op::put(key_of(parts), b"{}"));
     let deletes = removed.map(|parts| Op::Delete(Range::key(key_of(parts))));
-    let ops: Vec<Op> = puts.chain(deletes).take(MAX_OPS).collect();
+    let ops: Vec<Op> = puts.chain(deletes).take(MAX_TXN_OPS).collect();
     (!ops.is_empty()).then(|| Txn {
         success: ops,
         ..Txn::default()
