--- a/crates/entry/tests/deployment/mod.rs
+++ b/crates/entry/tests/deployment/mod.rs
@@ -21,7 +21,7 @@
     std::{
         fs,
         io::{BufRead, BufReader, Read, Write},
-        net::{SocketAddr, TcpStream},
+        net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream},
         path::PathBuf,
         process::{Child, Command, ExitStatus, Stdio},
         sync::{
@@ -535,6 +535,24 @@
     })
 }
 
+/// A configuration in which the route `read` has this path.
+pub fn moved_config(
+    version: u64,
+    path: &str,
+) -> Value {
+    let mut next = config(version);
+    next["routes"][0]["path_prefix"] = json!(path);
+    next
+}
+
+/// Whether a VM serves a request to this path.
+pub fn serves_path(
+    vm: &Vm,
+    path: &str,
+) -> bool {
+    vm.send_request(&Request::new("GET", path)).status == 200
+}
+
 /// Starts a store with a configuration, and upstreams of the service `app`.
 pub fn start_platform(upstreams: &[&str]) -> (KvStandIn, Vec<UpstreamStandIn>) {
     let store = KvStandIn::start().unwrap();
@@ -549,6 +567,11 @@
     (store, upstreams)
 }
 
+/// The address from which a VM connects to upstreams, so that its links can be told apart.
+pub fn source_address(vm: usize) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(127, 0, 0, 10 + vm as u8))
+}
+
 /// Starts VMs that reach the store through a proxy each.
 pub fn start_linked_vms(
     store: &KvStandIn,
--- a/crates/entry/tests/faults_in_pairs.rs
+++ b/crates/entry/tests/faults_in_pairs.rs
@@ -3,13 +3,12 @@
 mod deployment;
 
 use {
-    deployment::{Request, Response, Vm, config, count_runs, wait_until},
+    deployment::{Request, Response, Vm, config, count_runs, source_address, wait_until},
     jasmine_platform_stand_in::{Babble, BabbleAt, Behaviour, KvStandIn, Pace, UpstreamStandIn},
     jasmine_testkit::proxy::{Fault, Proxy},
     serde_json::{Value, json},
     std::{
         collections::BTreeSet,
-        net::{IpAddr, Ipv4Addr},
         sync::{Condvar, Mutex},
         thread,
         time::{Duration, Instant},
@@ -250,11 +249,6 @@
     _store: KvStandIn,
 }
 
-/// The address from which a VM connects to upstreams.
-fn source(vm: usize) -> IpAddr {
-    IpAddr::V4(Ipv4Addr::new(127, 0, 0, 10 + vm as u8))
-}
-
 impl Site {
     fn start(cell: &Cell) -> Self {
         let store = KvStandIn::start().unwrap();
@@ -317,7 +311,7 @@
     let start_vm = |number: usize| {
         let name = format!("pair-{number}-{}", store.address().port());
         let vm = Vm::start_with_settings(store.address(), &name, |settings: &mut Value| {
-            settings["upstream_source"] = json!(source(number));
+            settings["upstream_source"] = json!(source_address(number));
         });
         wait_until("the daemon is ready", || vm.is_ready());
         let event = match number {
@@ -329,7 +323,7 @@
     };
     let vms: Vec<_> = (0..=CUT_OFF).map(start_vm).collect();
     for link in links {
-        link.set_mode_for(source(CUT_OFF), Some(Fault::Refuse));
+        link.set_mode_for(source_address(CUT_OFF), Some(Fault::Refuse));
     }
     wait_until("the other one sends its requests on", || {
         vms[CUT_OFF].send_request(&Request::new("GET", "/read/"));
--- a/crates/entry/tests/lost_changes.rs
+++ b/crates/entry/tests/lost_changes.rs
@@ -3,9 +3,8 @@
 mod deployment;
 
 use {
-    deployment::{Request, Vm, config, start_platform, wait_until},
+    deployment::{Vm, moved_config, serves_path, start_platform, wait_until},
     jasmine_platform_stand_in::KvStandIn,
-    serde_json::json,
     std::{
         thread,
         time::{Duration, Instant},
@@ -26,22 +25,6 @@
 /// Allowed time for which a follower's changes come late beside those of the VM that reads for it.
 const MAX_RELAY_TIME: Duration = Duration::from_secs(2);
 
-fn moved(
-    version: u64,
-    path: &str,
-) -> serde_json::Value {
-    let mut next = config(version);
-    next["routes"][0]["path_prefix"] = json!(path);
-    next
-}
-
-fn is_served(
-    vm: &Vm,
-    path: &str,
-) -> bool {
-    vm.send_request(&Request::new("GET", path)).status == 200
-}
-
 /// Writes more changes at once than an answer to a watch may hold, and then a configuration.
 fn put_many_changes(
     store: &KvStandIn,
@@ -51,7 +34,7 @@
     for _ in 0..8 {
         store.put_bytes("jasmine/elsewhere", &vec![b'x'; LARGE_VALUE]);
     }
-    store.put("op/config", &moved(version, path));
+    store.put("op/config", &moved_config(version, path));
 }
 
 fn start_vms(
@@ -68,6 +51,21 @@
     vms
 }
 
+/// Asserts that all VMs apply the configuration that was written at `began`.
+fn assert_applied(
+    vms: &[Vm],
+    began: Instant,
+) {
+    for vm in vms {
+        wait_until("the configuration is applied", || {
+            serves_path(vm, "/moved/") || began.elapsed() > MAX_CHANGE_TIME
+        });
+    }
+    let took = began.elapsed();
+    println!("applied after {} ms", took.as_millis());
+    assert!(took < MAX_CHANGE_TIME, "{took:?}");
+}
+
 #[test]
 fn changes_too_large_to_arrive() {
     // Guards against VMs that ask for the same changes for as long as the store keeps them, while none of them arrive.
@@ -76,14 +74,7 @@
     store.set_max_watch_bytes(Some(MAX_WATCH_BYTES));
     let began = Instant::now();
     put_many_changes(&store, 2, "/moved/");
-    for vm in &vms {
-        wait_until("the configuration is applied", || {
-            is_served(vm, "/moved/") || began.elapsed() > MAX_CHANGE_TIME
-        });
-    }
-    let took = began.elapsed();
-    println!("applied after {} ms", took.as_millis());
-    assert!(took < MAX_CHANGE_TIME, "{took:?}");
+    assert_applied(&vms, began);
 }
 
 #[test]
@@ -98,15 +89,8 @@
         thread::sleep(WRITE_INTERVAL);
     }
     let began = Instant::now();
-    store.put("op/config", &moved(2, "/moved/"));
-    for vm in &vms {
-        wait_until("the configuration is applied", || {
-            is_served(vm, "/moved/") || began.elapsed() > MAX_CHANGE_TIME
-        });
-    }
-    let took = began.elapsed();
-    println!("applied after {} ms", took.as_millis());
-    assert!(took < MAX_CHANGE_TIME, "{took:?}");
+    store.put("op/config", &moved_config(2, "/moved/"));
+    assert_applied(&vms, began);
 }
 
 #[test]
@@ -117,10 +101,12 @@
     let read = |vm: &Vm| vm.log_lines("store_read").len();
     let before: usize = vms.iter().map(read).sum();
     let began = Instant::now();
-    store.put("op/config", &moved(2, "/moved/"));
+    store.put("op/config", &moved_config(2, "/moved/"));
     store.compact_history();
     for vm in &vms {
-        wait_until("the configuration is applied", || is_served(vm, "/moved/"));
+        wait_until("the configuration is applied", || {
+            serves_path(vm, "/moved/")
+        });
     }
     let took = began.elapsed();
     thread::sleep(Duration::from_millis(1_500));
--- a/crates/entry/tests/lost_upstream_links.rs
+++ b/crates/entry/tests/lost_upstream_links.rs
@@ -3,13 +3,12 @@
 mod deployment;
 
 use {
-    deployment::{Request, Vm, call_all, config, count_runs, wait_until},
+    deployment::{Request, Vm, call_all, config, count_runs, source_address, wait_until},
     jasmine_platform_stand_in::{Behaviour, EngineStandIn, KvStandIn, UpstreamStandIn},
     jasmine_testkit::proxy::{Fault, Proxy},
     nix::sys::signal::Signal,
     serde_json::json,
     std::{
-        net::{IpAddr, Ipv4Addr},
         thread,
         time::{Duration, Instant},
     },
@@ -31,11 +30,6 @@
     vms: Vec<Vm>,
 }
 
-/// The address from which a VM connects to upstreams.
-fn source(vm: usize) -> IpAddr {
-    IpAddr::V4(Ipv4Addr::new(127, 0, 0, 10 + vm as u8))
-}
-
 impl Site {
     /// Starts VMs of which the first leads.
     fn start(
@@ -60,7 +54,7 @@
         for number in 0..vms {
             let vm_name = format!("{name}-{number}-{}", std::process::id());
             let vm = Vm::start_with_settings(site.store.address(), &vm_name, |settings| {
-                settings["upstream_source"] = json!(source(number));
+                settings["upstream_source"] = json!(source_address(number));
             });
             wait_until("the daemon is ready", || vm.is_ready());
             let (event, role) = match number {
@@ -92,7 +86,7 @@
         mode: Option<Fault>,
     ) {
         for link in &self.links {
-            link.set_mode_for(source(vm), mode);
+            link.set_mode_for(source_address(vm), mode);
         }
     }
 
--- a/crates/entry/tests/regional_relays.rs
+++ b/crates/entry/tests/regional_relays.rs
@@ -3,15 +3,11 @@
 mod deployment;
 
 use {
-    deployment::{Request, Vm, config, wait_until},
+    deployment::{Request, Vm, config, source_address, wait_until},
     jasmine_platform_stand_in::{Behaviour, KvStandIn, UpstreamStandIn},
     jasmine_testkit::proxy::{Fault, Proxy},
     serde_json::{Value, json},
-    std::{
-        net::{IpAddr, Ipv4Addr},
-        thread,
-        time::Duration,
-    },
+    std::{thread, time::Duration},
 };
 
 const EVENTS: u64 = 8;
@@ -24,11 +20,6 @@
     vms: Vec<Vm>,
 }
 
-/// The address from which a VM connects to upstreams.
-fn source(vm: usize) -> IpAddr {
-    IpAddr::V4(Ipv4Addr::new(127, 0, 0, 10 + vm as u8))
-}
-
 impl Site {
     fn start<F>(
         name: &str,
@@ -57,7 +48,7 @@
         for (number, data_centre) in ["one", "two"].into_iter().enumerate() {
             let vm_name = format!("{name}-{number}-{}", std::process::id());
             let vm = Vm::start_with_settings(store.address(), &vm_name, |settings| {
-                settings["upstream_source"] = json!(source(number));
+                settings["upstream_source"] = json!(source_address(number));
                 settings["data_centre"] = json!(data_centre);
                 settings["regions"] = json!({"one": "near", "two": "far"});
             });
@@ -81,7 +72,7 @@
         mode: Option<Fault>,
     ) {
         for link in &self.links {
-            link.set_mode_for(source(0), mode);
+            link.set_mode_for(source_address(0), mode);
         }
     }
 
--- a/crates/entry/tests/relayed_limits.rs
+++ b/crates/entry/tests/relayed_limits.rs
@@ -3,12 +3,11 @@
 mod deployment;
 
 use {
-    deployment::{Request, Vm, config, wait_until},
+    deployment::{Request, Vm, config, source_address, wait_until},
     jasmine_platform_stand_in::{KvStandIn, UpstreamStandIn},
     jasmine_testkit::proxy::{Fault, Proxy},
     serde_json::json,
     std::{
-        net::{IpAddr, Ipv4Addr},
         thread,
         time::{Duration, Instant},
     },
@@ -19,11 +18,6 @@
 /// Time without changes after which a view is older than a change may take.
 const AGEING_TIME: Duration = Duration::from_millis(2_500);
 
-/// The address from which a VM connects to upstreams.
-fn source(vm: usize) -> IpAddr {
-    IpAddr::V4(Ipv4Addr::new(127, 0, 0, 30 + vm as u8))
-}
-
 #[test]
 fn a_relay_does_not_apply_its_own_limits() {
     // Guards against refusing by an older configuration what the VM of the caller has checked by a newer one.
@@ -38,7 +32,7 @@
     let start = |number: usize| {
         let name = format!("relayed-limits-{number}-{}", std::process::id());
         let vm = Vm::start_with_settings(store.address(), &name, |settings| {
-            settings["upstream_source"] = json!(source(number));
+            settings["upstream_source"] = json!(source_address(number));
         });
         wait_until("the daemon is ready", || vm.is_ready());
         vm
@@ -47,7 +41,7 @@
     wait_until("it leads", || !relay.log_lines("lead_taken").is_empty());
     let vm = start(1);
     wait_until("it follows", || !vm.log_lines("leader_followed").is_empty());
-    link.set_mode_for(source(1), Some(Fault::Cut));
+    link.set_mode_for(source_address(1), Some(Fault::Cut));
     let until = Instant::now() + CONTACT;
     while Instant::now() < until {
         vm.send_request(&Request::new("GET", "/read/").with("X-Deadline-Ms", "1000"));
--- a/crates/entry/tests/silent_relays.rs
+++ b/crates/entry/tests/silent_relays.rs
@@ -3,7 +3,7 @@
 mod deployment;
 
 use {
-    deployment::{Request, Response, TIMEOUT, Vm, config, count_runs, wait_until},
+    deployment::{Request, Response, TIMEOUT, Vm, config, count_runs, source_address, wait_until},
     jasmine_platform_stand_in::{
         Behaviour, KvStandIn, Silence, SilentAt,
         StreamFraming::{self, Chunked, Length},
@@ -15,7 +15,7 @@
     std::{
         collections::BTreeSet,
         io::{Read, Write},
-        net::{IpAddr, Ipv4Addr, TcpStream},
+        net::TcpStream,
         ops::RangeInclusive,
         thread,
         time::{Duration, Instant},
@@ -44,11 +44,6 @@
 /// Requests at a time, of which some go through the VM that stops.
 const REQUESTS: usize = 10;
 
-/// The address from which a VM connects to upstreams.
-fn source(vm: usize) -> IpAddr {
-    IpAddr::V4(Ipv4Addr::new(127, 0, 0, 10 + vm as u8))
-}
-
 /// Upstreams and VMs of which one reaches the upstreams only through the others.
 struct Site {
     upstreams: Vec<UpstreamStandIn>,
@@ -99,7 +94,7 @@
         let start_vm = |number: usize| {
             let vm_name = format!("{name}-{number}-{}", std::process::id());
             let vm = Vm::start_with_settings(store.address(), &vm_name, |settings| {
-                settings["upstream_source"] = json!(source(number));
+                settings["upstream_source"] = json!(source_address(number));
                 change(settings);
             });
             wait_until("the daemon is ready", || vm.is_ready());
@@ -112,7 +107,7 @@
         };
         let vms: Vec<_> = (0..vms).map(start_vm).collect();
         for link in &links {
-            link.set_mode_for(source(CUT_OFF), Some(Fault::Refuse));
+            link.set_mode_for(source_address(CUT_OFF), Some(Fault::Refuse));
         }
         wait_until("all others send its requests on", || {
             vms[CUT_OFF].send_request(&Request::new("GET", "/read/"));
--- a/crates/entry/tests/store_changes_relay.rs
+++ b/crates/entry/tests/store_changes_relay.rs
@@ -3,12 +3,13 @@
 mod deployment;
 
 use {
-    deployment::{Request, TIMEOUT, Vm, config, start_linked_vms, start_platform, wait_until},
+    deployment::{
+        TIMEOUT, Vm, moved_config, serves_path, start_linked_vms, start_platform, wait_until,
+    },
     jasmine_core::feed::VmRank,
     jasmine_platform_stand_in::KvStandIn,
     jasmine_testkit::proxy::Fault,
     nix::sys::signal::Signal,
-    serde_json::json,
     std::{
         thread,
         time::{Duration, Instant},
@@ -31,23 +32,6 @@
 /// Allowed time until a configuration is applied, the daemons' `change_ms`.
 const MAX_CHANGE_TIME: Duration = Duration::from_secs(2);
 
-/// A configuration in which the route `read` has this path.
-fn moved(
-    version: u64,
-    path: &str,
-) -> serde_json::Value {
-    let mut next = config(version);
-    next["routes"][0]["path_prefix"] = json!(path);
-    next
-}
-
-fn is_served(
-    vm: &Vm,
-    path: &str,
-) -> bool {
-    vm.send_request(&Request::new("GET", path)).status == 200
-}
-
 #[test]
 fn few_vms_read_the_store() {
     // Guards against store load that grows with the number of VMs: only the relay and the leader read the store.
@@ -57,9 +41,9 @@
     let (before, began) = (store.calls(), Instant::now());
     for version in 2..6 {
         let path = format!("/moved-{version}/");
-        store.put("op/config", &moved(version, &path));
+        store.put("op/config", &moved_config(version, &path));
         for vm in &vms {
-            wait_until("the configuration is applied", || is_served(vm, &path));
+            wait_until("the configuration is applied", || serves_path(vm, &path));
         }
         thread::sleep(Duration::from_millis(700));
     }
@@ -163,16 +147,16 @@
         let version = cut as u64 + 2;
         let path = format!("/moved-{version}/");
         let began = Instant::now();
-        store.put("op/config", &moved(version, &path));
+        store.put("op/config", &moved_config(version, &path));
         for (_, vm) in vms.iter().enumerate().filter(|&(number, _)| number != cut) {
-            wait_until("the configuration is applied", || is_served(vm, &path));
+            wait_until("the configuration is applied", || serves_path(vm, &path));
         }
         let took = began.elapsed();
         println!("applied after {} ms", took.as_millis());
         assert!(took < MAX_CHANGE_TIME, "{took:?}");
         link.set_mode(Fault::Pass);
         let vm = &vms[cut];
-        wait_until("it reads changes again", || is_served(vm, &path));
+        wait_until("it reads changes again", || serves_path(vm, &path));
         thread::sleep(Duration::from_millis(3_300));
     }
 }
@@ -194,19 +178,21 @@
     thread::sleep(Duration::from_millis(1_500));
     for version in 2..6 {
         // The relay has just had a response, so it takes longest to notice.
-        store.put("op/config", &moved(version * 10, "/before/"));
+        store.put("op/config", &moved_config(version * 10, "/before/"));
         for vm in &vms {
-            wait_until("the configuration is applied", || is_served(vm, "/before/"));
+            wait_until("the configuration is applied", || {
+                serves_path(vm, "/before/")
+            });
         }
         for &vm in cut {
             links[vm].set_mode(Fault::Cut);
         }
         let path = format!("/moved-{version}/");
         let began = Instant::now();
-        store.put("op/config", &moved(version * 10 + 1, &path));
+        store.put("op/config", &moved_config(version * 10 + 1, &path));
         for &vm in others {
             wait_until("the configuration is applied", || {
-                is_served(&vms[vm], &path)
+                serves_path(&vms[vm], &path)
             });
         }
         let took = began.elapsed();
@@ -216,7 +202,7 @@
             links[vm].set_mode(Fault::Pass);
         }
         for &vm in cut {
-            wait_until("it reads changes again", || is_served(&vms[vm], &path));
+            wait_until("it reads changes again", || serves_path(&vms[vm], &path));
         }
         thread::sleep(Duration::from_millis(3_300));
     }
@@ -233,13 +219,13 @@
         let version = suspended as u64 + 2;
         let path = format!("/moved-{version}/");
         let began = Instant::now();
-        store.put("op/config", &moved(version, &path));
+        store.put("op/config", &moved_config(version, &path));
         for (_, vm) in vms
             .iter()
             .enumerate()
             .filter(|&(number, _)| number != suspended)
         {
-            wait_until("the configuration is applied", || is_served(vm, &path));
+            wait_until("the configuration is applied", || serves_path(vm, &path));
         }
         assert!(
             began.elapsed() < Duration::from_secs(2),
@@ -248,7 +234,7 @@
         );
         vms[suspended].signal(Signal::SIGCONT);
         wait_until("it reads changes again", || {
-            is_served(&vms[suspended], &path)
+            serves_path(&vms[suspended], &path)
         });
         assert!(began.elapsed() < TIMEOUT);
         thread::sleep(Duration::from_millis(500));
