--- a/crates/core/tests/single_witness.rs
+++ b/crates/core/tests/single_witness.rs
@@ -114,6 +114,20 @@
     }
 }
 
+#[test]
+fn all_upstreams_lose_answers() {
+    // Guards against refusing sound adapters because answers of all upstreams are reset just as they are first asked for.
+    let site = |_| {
+        let mut site = sound_site();
+        site.interval = Millis(1_200);
+        site.prompts_from = Millis(3_000);
+        site.faults.broken = (0..6).collect();
+        site.faults.broken_share = 0.4;
+        site
+    };
+    assert_eq!(seeds_with_refusals(site, "all"), []);
+}
+
 fn crashing_site(engines: u32) -> Site {
     let mut site = sound_site();
     site.engines = engines;
