A crash counts once, however late a record of it arrives

What callers saw: sound adapters refused; the first verdict named three crashes of one upstream with gaps just over the 1.5 s by which reports of one crash may differ, on VMs whose view was 10 s and more behind. That these were one crash is suspected, not shown.

Cause: a record read as a change counted as written just then.

--- a/crates/entry/src/store/view.rs
+++ b/crates/entry/src/store/view.rs
@@ -31,6 +31,13 @@
 /// How long after a store outage an upstream with an expired entry stays in use, so that it can register again.
 const REJOIN_TIMEOUT: Millis = Millis(2_300);
 
+/// Age from which on a record about crashes, read as a change, counts as late.
+///
+/// Shorter than the time by which reports of one crash may differ.
+const MIN_LATE_AGE: Millis = Millis(1_000);
+/// Largest age of such a record: the store keeps no longer history.
+const MAX_LATE_AGE: Millis = Millis(30_000);
+
 /// Most changes applied before yielding to other tasks.
 ///
 /// A thousand of them would delay requests by some ten milliseconds.
@@ -590,9 +597,8 @@
             (Ok((evidence, age)), Origin::FullRead | Origin::Change(ChangeSource::FullRead)) => {
                 scheduling.note_stored_evidence(vm, evidence, age);
             }
-            // A change comes at once, so that the time of day of the other VM needn't be right.
-            (Ok((evidence, _)), Origin::Change(_)) => {
-                scheduling.note_stored_evidence(vm, evidence, Millis::ZERO);
+            (Ok((evidence, age)), Origin::Change(_)) => {
+                scheduling.note_stored_evidence(vm, evidence, age_of_change(age));
             }
             (Err(e), _) => log_unreadable(&kv.key, &e),
         }
@@ -641,6 +647,16 @@
     }
 }
 
+/// How long ago a change was written, by the time of day that it names.
+///
+/// One that comes at once counts as new, as the times of day of VMs differ.
+fn age_of_change(stated: Millis) -> Millis {
+    match stated {
+        age if age < MIN_LATE_AGE => Millis::ZERO,
+        age => age.min(MAX_LATE_AGE),
+    }
+}
+
 fn log_unreadable<E>(
     key: &str,
     e: &E,
