What VMs tell a new leader of crashes is bounded, as what they store

Cause, read from code: each VM tells a leader that it follows again all that it knows of crashes and sound parts, also what it has from the store: up to 256 crashes with all their prompts, some 1.5 MB, from each of 195 VMs, over links of 20 Mbit/s and to a leader with 200. The leader answers late, VMs lose it, follow it again, and tell it all again.

Change: hello has the bound of a stored record, 256 KB divided by the VMs and at most 16 KB; both by EvidenceSpec::bounded, which leaves out whole crashes. The digest of what is stored is that of what fits.

--- a/crates/entry/src/scheduling/client/following.rs
+++ b/crates/entry/src/scheduling/client/following.rs
@@ -12,7 +12,10 @@
         cost_spec::write_costs,
     },
     futures::future::join_all,
-    jasmine_core::{clock::Millis, quarantine::PartSet},
+    jasmine_core::{
+        clock::Millis,
+        quarantine::{EvidenceBudget, PartSet},
+    },
     jasmine_telemetry::log::Line,
     jasmine_wire::link::LinkError,
     std::{net::SocketAddr, rc::Rc},
@@ -186,7 +189,11 @@
         let running = self.running_specs();
         let (me, incarnation) = (&self.me, self.incarnation);
         let running = &running;
-        let history = &self.local_scheduler.history();
+        let mut history = self.local_scheduler.history();
+        // All VMs tell a new leader at once, and again whenever they have lost it.
+        let max = EvidenceBudget::max_record(self.vms.borrow().len() as u64);
+        history.evidence = history.evidence.bounded(max);
+        let history = &history;
         let (session, other) = link
             .call(Millis::ZERO, |client| async move {
                 let mut req = client.hello_request();
--- a/crates/entry/src/scheduling/vm_history.rs
+++ b/crates/entry/src/scheduling/vm_history.rs
@@ -3,11 +3,23 @@
     jasmine_core::{
         clock::Millis,
         ids::PartId,
-        quarantine::{PartSet, PromptReport, SoundReport},
+        quarantine::{PartSet, PromptReport, SoundReport, select_crashes},
         scheduler::{PastAttempts, SpentTokens, UpstreamSignals},
     },
+    std::collections::HashSet,
 };
 
+/// Bytes of a crash without its prompts and requests, as it is stored.
+const CRASH_BYTES: usize = 64;
+/// Bytes of a prompt without its parts.
+const PROMPT_BYTES: usize = 32;
+/// Bytes of a part.
+const PART_BYTES: usize = 28;
+/// Bytes of a request.
+const REQUEST_BYTES: usize = 40;
+/// Bytes of a report on a sound part.
+const SOUND_REPORT_BYTES: usize = 32;
+
 /// What a VM tells a new leader of the time before: attempts of its callers, what they used of the account rates, and what upstreams have stated.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct VmHistory {
@@ -55,6 +67,34 @@
     pub sound: Vec<SoundReport>,
 }
 
+impl EvidenceSpec {
+    /// The crashes that fit into about `max` bytes, and what is sound of their parts and of the latest others, as many as
+    /// fit into as much again.
+    #[must_use]
+    pub fn bounded(
+        self,
+        max: usize,
+    ) -> Self {
+        let sizes: Vec<usize> = self.crashes.iter().map(CrashSpec::size).collect();
+        let kept = self.crashes.into_iter().zip(select_crashes(&sizes, max));
+        let crashes: Vec<CrashSpec> = kept
+            .filter_map(|(crash, is_kept)| is_kept.then_some(crash))
+            .collect();
+        let prompts = crashes.iter().flat_map(|crash| &crash.prompts);
+        let accused: HashSet<PartId> = prompts
+            .flat_map(|prompt| prompt.parts.iter().copied())
+            .collect();
+        let (mut sound, mut others): (Vec<SoundReport>, Vec<SoundReport>) = self
+            .sound
+            .into_iter()
+            .partition(|report| accused.contains(&report.part));
+        others.sort_unstable_by_key(|report| report.ago);
+        others.truncate(max / SOUND_REPORT_BYTES);
+        sound.append(&mut others);
+        Self { crashes, sound }
+    }
+}
+
 /// A crash of an upstream as it began to answer prompts, as a VM tells it to others.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CrashSpec {
@@ -68,6 +108,15 @@
     pub requests: Vec<(PartId, Millis)>,
 }
 
+impl CrashSpec {
+    /// Its size as it is stored, in bytes, approximately.
+    fn size(&self) -> usize {
+        let prompts = self.prompts.iter();
+        let prompts = prompts.map(|prompt| PROMPT_BYTES + prompt.parts.len() * PART_BYTES);
+        CRASH_BYTES + prompts.sum::<usize>() + self.requests.len() * REQUEST_BYTES
+    }
+}
+
 /// What an upstream has stated, as a VM tells it to a new leader.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct StatedSpec {
--- a/crates/entry/src/store/crash_evidence.rs
+++ b/crates/entry/src/store/crash_evidence.rs
@@ -10,12 +10,12 @@
     jasmine_core::{
         clock::Millis,
         ids::{InvalidPartId, PartId},
-        quarantine::{EvidenceBudget, PromptReport, SoundReport, select_crashes},
+        quarantine::{EvidenceBudget, PromptReport, SoundReport},
     },
     jasmine_store::store::{Op, Range, Store, Txn},
     jasmine_telemetry::log::Line,
     serde::{Deserialize, Serialize},
-    std::{collections::HashSet, rc::Rc, time::Duration},
+    std::{rc::Rc, time::Duration},
     tokio::time::{sleep, timeout},
     xxhash_rust::xxh3::xxh3_64,
 };
@@ -25,8 +25,6 @@
 
 /// Most crashes that are stored, the latest.
 const MAX_CRASHES: usize = 64;
-/// Size of a report on a sound part, in bytes.
-const SOUND_REPORT_BYTES: usize = 32;
 /// How often this VM looks for changes, without a notification.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Time in which what is learnt just after a crash is stored together with it.
@@ -105,73 +103,37 @@
     })
 }
 
-/// Encodes the crashes that fit into `max` bytes, and what is known to be sound of their parts and lately; `None` if no
-/// crash fits.
-///
 /// # Panics
 ///
 /// Never: the evidence has only types that JSON can represent.
-fn encode(
-    evidence: &EvidenceSpec,
-    max: usize,
-) -> Option<Vec<u8>> {
-    let to_json = |crash: &StoredCrash| serde_json::to_vec(crash).expect("a crash is JSON");
-    let crashes: Vec<StoredCrash> = evidence.crashes.iter().map(stored_crash).collect();
-    let sizes: Vec<usize> = crashes.iter().map(|crash| to_json(crash).len()).collect();
-    let kept = select_crashes(&sizes, max);
-    let crashes: Vec<StoredCrash> = crashes
-        .into_iter()
-        .zip(kept)
-        .filter_map(|(crash, is_kept)| is_kept.then_some(crash))
-        .collect();
-    if crashes.is_empty() {
-        return None;
-    }
-    let sound = stored_sound(&evidence.sound, &crashes, max);
-    let stored = Stored {
-        written_unix_ms: Clock::unix_time().0,
-        crashes,
-        sound,
-    };
-    Some(serde_json::to_vec(&stored).expect("evidence is JSON"))
-}
-
-fn stored_crash(crash: &CrashSpec) -> StoredCrash {
+fn encode(evidence: &EvidenceSpec) -> Vec<u8> {
     let text = |part: &PartId| part.to_string();
-    let prompts = crash.prompts.iter().map(|prompt| StoredPrompt {
-        parts: prompt.parts.iter().map(text).collect(),
-        sent_ago_ms: prompt.sent_ago.0,
-    });
-    let requests = crash.requests.iter();
-    StoredCrash {
+    let crashes = evidence.crashes.iter().map(|crash| StoredCrash {
         upstream: crash.upstream.clone(),
         ago_ms: crash.ago.0,
-        prompts: prompts.collect(),
-        requests: requests
+        prompts: crash
+            .prompts
+            .iter()
+            .map(|prompt| StoredPrompt {
+                parts: prompt.parts.iter().map(text).collect(),
+                sent_ago_ms: prompt.sent_ago.0,
+            })
+            .collect(),
+        requests: crash
+            .requests
+            .iter()
             .map(|(request, ago)| (text(request), ago.0))
             .collect(),
-    }
-}
-
-/// The reports on parts that the stored crashes accuse, and then the latest others, as many as fit into `max` bytes.
-fn stored_sound(
-    sound: &[SoundReport],
-    crashes: &[StoredCrash],
-    max: usize,
-) -> Vec<(String, u64)> {
-    let prompts = crashes.iter().flat_map(|crash| &crash.prompts);
-    let accused: HashSet<&str> = prompts
-        .flat_map(|prompt| prompt.parts.iter().map(String::as_str))
-        .collect();
-    let reports = sound
-        .iter()
-        .map(|report| (report.part.to_string(), report.ago.0));
-    let (mut kept, mut others): (Vec<_>, Vec<_>) =
-        reports.partition(|(part, _)| accused.contains(part.as_str()));
-    others.sort_unstable_by_key(|&(_, ago_ms)| ago_ms);
-    others.truncate(max / SOUND_REPORT_BYTES);
-    kept.append(&mut others);
-    kept
+    });
+    let sound = evidence.sound.iter();
+    let stored = Stored {
+        written_unix_ms: Clock::unix_time().0,
+        crashes: crashes.collect(),
+        sound: sound
+            .map(|report| (text(&report.part), report.ago.0))
+            .collect(),
+    };
+    serde_json::to_vec(&stored).expect("evidence is JSON")
 }
 
 /// Tells apart what is worth storing: which crashes accuse what, whatever their times.
@@ -196,7 +158,6 @@
     vm: String,
 ) {
     let mut stored_digest = None;
-    let mut stored_max = None;
     let mut has_recorded = false;
     let mut budget = EvidenceBudget::default();
     loop {
@@ -225,10 +186,6 @@
             continue;
         }
         let max = EvidenceBudget::max_record(writers);
-        if stored_max.replace(max) != Some(max) {
-            // Other crashes fit.
-            stored_digest = None;
-        }
         let Some((txn, digest)) = difference(&cx, &vm, stored_digest, max) else {
             continue;
         };
@@ -253,17 +210,19 @@
         return None;
     }
     let mut evidence = local_scheduler.crash_evidence();
+    let has_crashes = !evidence.crashes.is_empty();
     let surplus = evidence.crashes.len().saturating_sub(MAX_CRASHES);
     evidence.crashes.drain(..surplus);
+    let evidence = evidence.bounded(max);
     let digest = digest(&evidence);
     let key = |vm: &str| format!("{EVIDENCE_PREFIX}{vm}");
     let mut ops = Vec::new();
     let is_stored = writers.iter().any(|writer| writer == vm);
-    if evidence.crashes.is_empty() {
+    if !has_crashes {
         ops.extend(is_stored.then(|| Op::Delete(Range::key(key(vm)))));
-    } else if stored_digest != Some(digest) || !is_stored {
+    } else if !evidence.crashes.is_empty() && (stored_digest != Some(digest) || !is_stored) {
         // Another leader may have deleted it since.
-        ops.extend(encode(&evidence, max).map(|record| Op::put(key(vm), record)));
+        ops.push(Op::put(key(vm), encode(&evidence)));
     }
     if cx.scheduling.is_leading() {
         let others = writers.iter().filter(|&writer| writer != vm);
