An adapter in a single crash excuses no part once answers have cleared many others

Callers saw BUDGET: requests with a part that crashes engines were sent on after it was known, with nothing lost.

Cause: an adapter that no answer has shown to be sound explains a crash as well as the part does. Where each prompt has another adapter, each crash of a part had another explanation, so that a refused part looked like one that several crashing parts share, and the VM that refused it probed it until the rule's whole allowance of three was used up (suspect_sent with probe_of).

Now an adapter that a single crash accuses is presumed sound once 20 adapters are known to be, and three more for each crash that no verdict explains: of so many few crash engines. It excuses as before until then, and where two crashes accuse it.

--- a/crates/core/src/ids/part_id.rs
+++ b/crates/core/src/ids/part_id.rs
@@ -28,6 +28,11 @@
     pub const fn is_request(self) -> bool {
         matches!(self, Self::Request(_))
     }
+
+    /// Whether it is an adapter.
+    pub const fn is_adapter(self) -> bool {
+        matches!(self, Self::Adapter(_))
+    }
 }
 
 /// A text that is no [`PartId`].
--- a/crates/core/src/quarantine/part_quarantine.rs
+++ b/crates/core/src/quarantine/part_quarantine.rs
@@ -44,6 +44,8 @@
     /// Parts that were sound before several crashes in turn: they go one request at a time.
     doubted: PartSet,
     trial_order: TrialOrder,
+    /// Whether an adapter in a single crash is presumed sound, as of the last review.
+    presumes_adapters: bool,
     /// When parts on trial may go: others may know more of them before.
     trials_from: Millis,
     trials: Trials,
@@ -471,6 +473,7 @@
         self.crashes.forget_old(now);
         self.undecided.clear();
         self.review_requests(now);
+        self.presumes_adapters = self.weighing(now).are_adapters_sound();
         let next_settled = self.crashes.next_settled(now);
         self.due = next_settled.into_iter().chain(self.next_expiry()).min();
         loop {
@@ -500,6 +503,7 @@
             crashes: &self.crashes,
             sound: &self.sound,
             verdicts: &self.verdicts,
+            presumes_adapters: self.presumes_adapters,
             now,
         }
     }
--- a/crates/core/src/quarantine/recent_parts.rs
+++ b/crates/core/src/quarantine/recent_parts.rs
@@ -11,6 +11,9 @@
 pub(super) struct RecentParts {
     current: HashMap<PartId, Millis>,
     previous: HashMap<PartId, Millis>,
+    /// How many adapters are in each of the two.
+    current_adapters: usize,
+    previous_adapters: usize,
 }
 
 impl RecentParts {
@@ -22,8 +25,15 @@
         let at = self.latest(part).map_or(at, |known| known.max(at));
         if self.current.len() >= GENERATION_LEN {
             self.previous = std::mem::take(&mut self.current);
+            self.previous_adapters = std::mem::take(&mut self.current_adapters);
         }
-        self.current.insert(part, at);
+        let is_new = self.current.insert(part, at).is_none();
+        self.current_adapters += usize::from(is_new && part.is_adapter());
+    }
+
+    /// How many adapters there are at least.
+    pub(super) fn adapters(&self) -> usize {
+        self.current_adapters.max(self.previous_adapters)
     }
 
     pub(super) fn contains(
--- a/crates/core/src/quarantine/weighing.rs
+++ b/crates/core/src/quarantine/weighing.rs
@@ -17,6 +17,10 @@
 const MAX_SHARED_CRASHES: usize = 7;
 /// Crashes under a part that may follow those after which it has to be known.
 const MAX_LATE_CRASHES: usize = 3;
+/// Adapters that have to be known as sound, so that others may be presumed to be, and further ones for each crash that no
+/// verdict explains.
+const MIN_SOUND_ADAPTERS: usize = 20;
+const MIN_SOUND_ADAPTERS_PER_CRASH: usize = 3;
 /// How long a part is tried after the crashes after which it has to be known.
 const TRIAL_TIME: Millis = Millis(2_400);
 /// How long several suspects, or one that was sound, wait for answers that acquit them.
@@ -39,6 +43,8 @@
     pub crashes: &'a CrashLog,
     pub sound: &'a RecentParts,
     pub verdicts: &'a [Verdict],
+    /// Whether an adapter that is accused by a single crash is presumed sound, see [`Self::are_adapters_sound`].
+    pub presumes_adapters: bool,
     pub now: Millis,
 }
 
@@ -69,7 +75,7 @@
             .filter(|verdict| verdict.is_of_request())
             .flat_map(|verdict| verdict.parts.iter().copied())
             .collect();
-        let sound_at = |part| self.sound.latest(part);
+        let sound_at = |part| self.sound_at(part);
         let accusations = |part| self.crashes.accusations(part);
         let is_known = |part| accusations(part) >= MAX_CRASHES;
         let suspects = Suspect::find(
@@ -131,6 +137,29 @@
         Finding::Open(open, Some(due).filter(|&due| self.now < due))
     }
 
+    /// Whether answers have shown so many adapters to be sound that few of the others may crash upstreams.
+    pub(super) fn are_adapters_sound(&self) -> bool {
+        let open = self
+            .crashes
+            .iter()
+            .filter(|crash| !self.is_explained(crash));
+        let wanted = MIN_SOUND_ADAPTERS + MIN_SOUND_ADAPTERS_PER_CRASH * open.count();
+        self.sound.adapters() >= wanted
+    }
+
+    /// When a part was last known, or is presumed, to be sound.
+    ///
+    /// Where each prompt has another adapter, each crash of a part would have another explanation.
+    fn sound_at(
+        &self,
+        part: PartId,
+    ) -> Option<Millis> {
+        let is_presumed = self.presumes_adapters && part.is_adapter();
+        let is_sound = || is_presumed && self.crashes.accusations(part) <= 1;
+        let known = self.sound.latest(part);
+        known.or_else(|| is_sound().then_some(self.now))
+    }
+
     /// The parts that were sound before several crashes in turn.
     pub(super) fn doubted(&self) -> PartSet {
         let accused = self.crashes.accused_by(MIN_CRASHES);
@@ -175,12 +204,8 @@
         let crashes: Vec<OpenCrash<'_>> = self.crashes.iter().map(OpenCrash::new).collect();
         let accusations = |part| self.crashes.accusations(part);
         let suspect = self.suspect(part, &crashes, known.at);
-        suspect.trials(
-            &crashes,
-            |part| self.sound.latest(part),
-            accusations,
-            known.at,
-        )
+        let sound_at = |part| self.sound_at(part);
+        suspect.trials(&crashes, sound_at, accusations, known.at)
     }
 
     /// Whether a part may only be what several crashing ones share: each of its crashes has another explanation, not the same
@@ -192,7 +217,7 @@
         let accusing = self.crashes.iter().filter(|crash| crash.accuses(part));
         let accusing: Vec<&Crash> = accusing.collect();
         let suspect = self.suspect(part, &[], Millis::ZERO);
-        let sound_at = |part| self.sound.latest(part);
+        let sound_at = |part| self.sound_at(part);
         let rivals = |crash: &Crash| {
             let mut parts = crash.parts().clone();
             parts.retain(|&other| suspect.has_rival(other, sound_at));
@@ -274,7 +299,7 @@
         &self,
         unexplained: &[OpenCrash<'_>],
     ) -> Option<PartId> {
-        let sound_at = |part| self.sound.latest(part);
+        let sound_at = |part| self.sound_at(part);
         let accusations = |part| self.crashes.accusations(part);
         let crashes_alone = |part, since| {
             let suspect = self.suspect(part, unexplained, since);
