A refused part crashes few upstreams by probes, however long it is refused

Callers saw BUDGET: what is refused was sent again minutes after the verdict.

Cause: a part that was never sound and may only be what several crashing parts share is probed again from 180 s on, whatever its probes have shown, and once its first crashes are forgotten (after 10 minutes) the count of its late crashes begins anew.

A verdict now keeps the time of the crash after which its part had to be known and the most late crashes that were known; with three of them a part that was never sound is probed no more.

--- a/crates/core/src/quarantine/part_quarantine.rs
+++ b/crates/core/src/quarantine/part_quarantine.rs
@@ -10,7 +10,7 @@
         trial_order::{TrialOrder, TrialRank},
         trials::Trials,
         verdict::Verdict,
-        weighing::{Finding, Weighing},
+        weighing::{Finding, MAX_LATE_CRASHES, Weighing},
     },
     crate::{
         clock::Millis,
@@ -248,8 +248,13 @@
         };
         let was_sound = verdict.parts.iter().all(|&part| self.sound.contains(part));
         let (may_be_shared, may_be_tried) = checked.map_or((false, false), |part| {
+            let has_probes_left = was_sound || self.has_late_crashes_left(part, index, now);
             let weighing = self.weighing(now);
-            (weighing.may_be_shared(part), weighing.may_be_tried(part))
+            let may_be_shared = has_probes_left && weighing.may_be_shared(part);
+            (
+                may_be_shared,
+                may_be_shared && weighing.has_trials_left(part),
+            )
         });
         let verdict = &mut self.verdicts[index];
         if checked.is_some() {
@@ -260,6 +265,20 @@
             || was_sound && verdict.take_probe(now)
     }
 
+    /// Whether a refused part may still crash an upstream, as it has to be known by now.
+    fn has_late_crashes_left(
+        &mut self,
+        part: PartId,
+        verdict: usize,
+        now: Millis,
+    ) -> bool {
+        let known_at = self.weighing(now).known_at(part);
+        let known_at = self.verdicts[verdict].note_known(known_at);
+        let late = known_at.map(|at| self.weighing(now).late_crashes(part, at));
+        let late = late.unwrap_or_default();
+        self.verdicts[verdict].note_late_crashes(late) < MAX_LATE_CRASHES
+    }
+
     /// Whether a prompt with these shared parts has to wait for what others show.
     pub fn holds_parts(
         &mut self,
@@ -350,7 +369,7 @@
             .map(|part| AccusedPart {
                 part,
                 crashes: self.crashes.accusations(part),
-                late: weighing.late_crashes(part),
+                late: weighing.all_late_crashes(part),
             })
             .collect();
         if !accused.is_empty() {
--- a/crates/core/src/quarantine/verdict.rs
+++ b/crates/core/src/quarantine/verdict.rs
@@ -29,6 +29,10 @@
     shared_probes: ProbeTimes,
     /// When it may next be checked whether a request shows that the part is only common to several crashing ones.
     check_at: Millis,
+    /// When the crash came after which the parts had to be known, also once its evidence is gone.
+    known_at: Option<Millis>,
+    /// Most crashes that are known to have come long after that one.
+    late_crashes: usize,
 }
 
 /// When requests with a part may show that it is sound again, each time twice as much later.
@@ -83,9 +87,29 @@
             probes: ProbeTimes::new(since, PROBE_INTERVAL),
             shared_probes: ProbeTimes::new(since, SHARED_PROBE_INTERVAL),
             check_at: since + CHECK_INTERVAL,
+            known_at: None,
+            late_crashes: 0,
         }
     }
 
+    /// Records the crash after which the parts had to be known, unless an earlier one is.
+    pub(super) fn note_known(
+        &mut self,
+        at: Option<Millis>,
+    ) -> Option<Millis> {
+        self.known_at = self.known_at.or(at);
+        self.known_at
+    }
+
+    /// Records how many crashes came long after that one; returns the most that were known at any time.
+    pub(super) fn note_late_crashes(
+        &mut self,
+        count: usize,
+    ) -> usize {
+        self.late_crashes = self.late_crashes.max(count);
+        self.late_crashes
+    }
+
     /// Whether a request may show now that the part is sound again; the next one may so much later.
     pub(super) fn take_probe(
         &mut self,
--- a/crates/core/src/quarantine/weighing.rs
+++ b/crates/core/src/quarantine/weighing.rs
@@ -16,7 +16,7 @@
 /// Crashes from which a part is the cause, even if others that prompts have beside it explain them as well.
 const MAX_SHARED_CRASHES: usize = 7;
 /// Crashes under a part that may follow those after which it has to be known.
-const MAX_LATE_CRASHES: usize = 3;
+pub(super) const MAX_LATE_CRASHES: usize = 3;
 /// Adapters that have to be known as sound, so that others may be presumed to be, and further ones for each crash that no
 /// verdict explains.
 const MIN_SOUND_ADAPTERS: usize = 20;
@@ -174,20 +174,17 @@
         doubted.collect()
     }
 
-    /// Whether a refused part may soon be tried to see whether it is only what several crashing ones share: if it was never
-    /// sound, few of its crashes came late; if it was, none came on trial under a prompt with nothing else that explains it.
-    pub(super) fn may_be_tried(
+    /// Whether a refused part that may only be what several crashing ones share may soon be tried: if it was never sound, few of
+    /// its crashes came late on trial under a prompt with nothing else that explains them; if it was, none came so at all.
+    pub(super) fn has_trials_left(
         &self,
         part: PartId,
     ) -> bool {
-        let has_trials_left = if self.sound.contains(part) {
+        if self.sound.contains(part) {
             self.sole_trials(part, MIN_CRASHES) == 0
         } else {
-            self.late_crashes(part)
-                .max(self.sole_trials(part, MAX_CRASHES))
-                < MAX_LATE_CRASHES
-        };
-        has_trials_left && self.may_be_shared(part)
+            self.sole_trials(part, MAX_CRASHES) < MAX_LATE_CRASHES
+        }
     }
 
     /// How many crashes that nothing else explains, but parts that were in no other prompt, have come under prompts with a
@@ -237,8 +234,7 @@
         &self,
         part: PartId,
     ) -> bool {
-        let mut accusing = self.crashes.iter().filter(|crash| crash.accuses(part));
-        let known_at = accusing.nth(MAX_CRASHES - 1).map(|crash| crash.at);
+        let known_at = self.known_at(part);
         known_at.is_some_and(|at| self.now < at + TRIAL_TIME) && self.may_be_shared(part)
     }
 
@@ -248,25 +244,41 @@
         &self,
         suspect: &Suspect,
     ) -> bool {
-        suspect.is_confirmed && self.late_crashes(suspect.part) + 1 >= MAX_LATE_CRASHES
+        suspect.is_confirmed && self.all_late_crashes(suspect.part) + 1 >= MAX_LATE_CRASHES
+    }
+
+    /// When the crash came after which a part has to be known, as far as there is evidence of it.
+    pub(super) fn known_at(
+        &self,
+        part: PartId,
+    ) -> Option<Millis> {
+        let mut accusing = self.crashes.iter().filter(|crash| crash.accuses(part));
+        let known = accusing.nth(MAX_CRASHES - 1)?;
+        Some(known.at)
     }
 
-    /// How many requests with a part have crashed upstreams long after the crashes after which it has to be known.
+    /// How many requests with a part have crashed upstreams long after the crash at `known_at`.
     pub(super) fn late_crashes(
         &self,
         part: PartId,
+        known_at: Millis,
     ) -> usize {
-        let mut accusing = self.crashes.iter().filter(|crash| crash.accuses(part));
-        let Some(known) = accusing.nth(MAX_CRASHES - 1) else {
-            return 0;
-        };
-        let due = known.at + TRIAL_TIME;
+        let due = known_at + TRIAL_TIME;
         let late = self
             .settled()
             .filter(|crash| crash.sent_at(part) >= Some(due));
         late.count()
     }
 
+    /// The same after the crash after which it has to be known.
+    pub(super) fn all_late_crashes(
+        &self,
+        part: PartId,
+    ) -> usize {
+        let known_at = self.known_at(part);
+        known_at.map_or(0, |at| self.late_crashes(part, at))
+    }
+
     /// Whether several upstreams have crashed under a part, or one as often as it may: an upstream that crashes by itself or
     /// loses answers accuses what only it is asked for.
     fn has_witnesses(
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -704,6 +704,25 @@
     assert!(crashes <= MAX_CRASHES, "{crashes} crashes");
 }
 
+#[test]
+fn probes_minutes_after_the_verdict() {
+    // Guards against engines that are lost long after a part was refused, as another part explains each of its crashes.
+    let mut world = world();
+    answer(&mut world, &[FIRST, OTHER]);
+    let mut sent = Vec::new();
+    for session in 0..400 {
+        if crash(&mut world, &[FIRST, BAD, 100 + session]) {
+            sent.push(world.now);
+        }
+        answer(&mut world, &[FIRST, OTHER]);
+        world.advance(2_000);
+    }
+    let known_at = sent[MAX_CRASHES.min(sent.len()) - 1];
+    let late = sent.iter().filter(|&&at| at > known_at + Millis(3_000));
+    let late = late.count();
+    assert!(late <= MAX_LATE, "{late} late of {}", sent.len());
+}
+
 #[test]
 fn an_acquitted_part_goes_at_full_rate() {
     // Guards against a sound part that goes one request at a time long after an answer has cleared it.
