--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -704,6 +704,32 @@
     assert!(crashes <= MAX_CRASHES, "{crashes} crashes");
 }
 
+#[test]
+fn parts_of_one_adapter() {
+    // Guards against a sound part that is refused with every adapter, as it mostly comes with one that crashes engines.
+    let mut world = world();
+    for adapter in 100..140 {
+        let job = prompt_with_adapter(&[FIRST, OTHER], adapter, world.now);
+        assert!(answer_job(&mut world, job));
+    }
+    let crashes = (0..20).filter(|_| {
+        let job = prompt_with_adapter(&[FIRST, SECOND_BAD], BAD, world.now);
+        let is_sent = crash_with(&mut world, job);
+        let sound = prompt_with_adapter(&[FIRST, OTHER], 100, world.now);
+        assert!(answer_job(&mut world, sound));
+        world.advance(1_000);
+        is_sent
+    });
+    let crashes = crashes.count();
+    assert!(crashes <= MAX_CRASHES, "{crashes} crashes");
+    let with_another = prompt_with_adapter(&[FIRST, SECOND_BAD], 101, world.now);
+    assert!(answer_job(&mut world, with_another));
+    let beside_another = prompt_with_adapter(&[FIRST, 200], BAD, world.now);
+    crash_with(&mut world, beside_another);
+    let refused = prompt_with_adapter(&[FIRST, 201], BAD, world.now);
+    assert!(!crash_with(&mut world, refused), "the adapter alone");
+}
+
 #[test]
 fn probes_minutes_after_the_verdict() {
     // Guards against engines that are lost long after a part was refused, as another part explains each of its crashes.
--- a/crates/entry/tests/crashing_storms.rs
+++ b/crates/entry/tests/crashing_storms.rs
@@ -254,6 +254,41 @@
     assert_each_loss_holds("each-adapters", &Storm::of_adapters(), 6);
 }
 
+#[test]
+fn adapters_without_a_store() {
+    // Guards against a part that comes seldom and is learnt anew, beside adapters, as all who knew it are lost without a store.
+    let storm = Storm {
+        prompts: Prompts::Shared(1),
+        interval: Duration::from_secs(6),
+        loss: Loss::StoreAndAllVms,
+        losses: 1,
+        loss_interval: Duration::from_secs(9),
+        ..Storm::of_adapters()
+    };
+    assert_holds_in_touch("adapters-no-store", &storm);
+}
+
+#[test]
+fn few_adapters() {
+    // Guards against the same as with many where the few that there are come with each part time and again.
+    let storm = Storm {
+        adapters: 9,
+        ..Storm::of_adapters()
+    };
+    assert_holds("few-adapters", &storm);
+}
+
+#[test]
+fn popular_adapters() {
+    // Guards against the same where a few of many adapters are in most prompts.
+    let storm = Storm {
+        adapter_skew: 1.3,
+        loss: Loss::TwoVmsSuspended,
+        ..Storm::of_adapters()
+    };
+    assert_holds("popular-adapters", &storm);
+}
+
 #[test]
 fn many_adapters() {
     // Guards against parts that reach engines on and on, as another adapter explains each of their crashes as well.
