--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -749,6 +749,37 @@
     assert!(late <= MAX_LATE, "{late} late of {}", sent.len());
 }
 
+#[test]
+fn probes_of_a_new_leader() {
+    // Guards against a new leader that spends on probes of a refused part what its predecessor has spent already.
+    let mut world = world();
+    let send = |world: &mut World, session: u64| {
+        let is_sent = crash(world, &[FIRST, BAD, session]);
+        answer(world, &[FIRST, OTHER]);
+        world.advance(2_000);
+        is_sent
+    };
+    answer(&mut world, &[FIRST, OTHER]);
+    for session in 100..150 {
+        send(&mut world, session);
+    }
+    let evidence = world.scheduler.crash_evidence(world.now);
+    let verdicts = world.scheduler.quarantined();
+    assert_eq!(verdicts, [PartSet::from([PartId::Part(BAD)])]);
+    let mut next = self::world();
+    next.advance(1_000);
+    next.scheduler.add_crash_evidence(&evidence, next.now);
+    for verdict in verdicts {
+        let now = next.now;
+        let actions = next
+            .scheduler
+            .add_quarantine(verdict, VerdictSource::Vm, now);
+        next.apply(actions);
+    }
+    let sent = (150..200).filter(|&session| send(&mut next, session));
+    assert_eq!(sent.count(), 0);
+}
+
 #[test]
 fn an_acquitted_part_goes_at_full_rate() {
     // Guards against a sound part that goes one request at a time long after an answer has cleared it.
--- a/crates/entry/tests/deployment/crashing_site.rs
+++ b/crates/entry/tests/deployment/crashing_site.rs
@@ -281,16 +281,16 @@
 
 impl CrashingSite {
     pub fn start(
-        storm: &Storm,
+        play: &Storm,
         name: &str,
     ) -> Self {
-        let vms = storm.vms;
+        let vms = play.vms;
         let (store, upstreams) = start_platform(&["s-1"]);
-        if storm.adapters > 0 {
+        if play.adapters > 0 {
             let mut next = config(2);
             let engine = &mut next["services"][1]["engine"];
             engine["loads_per_s"] = json!(ADAPTER_LOADS_PER_S);
-            engine["models"][0]["adapters"] = json!(storm.adapters);
+            engine["models"][0]["adapters"] = json!(play.adapters);
             store.put("op/config", &next);
         }
         let start = |number| {
