--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -753,7 +753,7 @@
 fn probes_of_a_new_leader() {
     // Guards against a new leader that spends on probes of a refused part what its predecessor has spent already.
     let mut world = world();
-    let send = |world: &mut World, session: u64| {
+    let crash_beside = |world: &mut World, session: u64| {
         let is_sent = crash(world, &[FIRST, BAD, session]);
         answer(world, &[FIRST, OTHER]);
         world.advance(2_000);
@@ -761,7 +761,7 @@
     };
     answer(&mut world, &[FIRST, OTHER]);
     for session in 100..150 {
-        send(&mut world, session);
+        crash_beside(&mut world, session);
     }
     let evidence = world.scheduler.crash_evidence(world.now);
     let verdicts = world.scheduler.quarantined();
@@ -776,7 +776,7 @@
             .add_quarantine(verdict, VerdictSource::Vm, now);
         next.apply(actions);
     }
-    let sent = (150..200).filter(|&session| send(&mut next, session));
+    let sent = (150..200).filter(|&session| crash_beside(&mut next, session));
     assert_eq!(sent.count(), 0);
 }
 
