--- a/crates/core/src/quarantine/part_quarantine.rs
+++ b/crates/core/src/quarantine/part_quarantine.rs
@@ -248,7 +248,7 @@
         };
         let was_sound = verdict.parts.iter().all(|&part| self.sound.contains(part));
         let (may_be_shared, may_be_tried) = checked.map_or((false, false), |part| {
-            let has_probes_left = was_sound || self.has_late_crashes_left(part, index, now);
+            let has_probes_left = was_sound || self.has_probes_left(part, index, now);
             let weighing = self.weighing(now);
             let may_be_shared = has_probes_left && weighing.may_be_shared(part);
             (
@@ -265,17 +265,18 @@
             || was_sound && verdict.take_probe(now)
     }
 
-    /// Whether a refused part may still crash an upstream, as it has to be known by now.
-    fn has_late_crashes_left(
+    /// Whether fewer requests with a refused part have crashed upstreams late than may do so, as far as was known at any time.
+    fn has_probes_left(
         &mut self,
         part: PartId,
         verdict: usize,
         now: Millis,
     ) -> bool {
         let known_at = self.weighing(now).known_at(part);
-        let known_at = self.verdicts[verdict].note_known(known_at);
-        let late = known_at.map(|at| self.weighing(now).late_crashes(part, at));
-        let late = late.unwrap_or_default();
+        let Some(known_at) = self.verdicts[verdict].note_known(known_at) else {
+            return true;
+        };
+        let late = self.weighing(now).late_crashes(part, known_at);
         self.verdicts[verdict].note_late_crashes(late) < MAX_LATE_CRASHES
     }
 
@@ -369,7 +370,7 @@
             .map(|part| AccusedPart {
                 part,
                 crashes: self.crashes.accusations(part),
-                late: weighing.all_late_crashes(part),
+                late: weighing.known_late_crashes(part),
             })
             .collect();
         if !accused.is_empty() {
--- a/crates/core/src/quarantine/weighing.rs
+++ b/crates/core/src/quarantine/weighing.rs
@@ -17,9 +17,9 @@
 const MAX_SHARED_CRASHES: usize = 7;
 /// Crashes under a part that may follow those after which it has to be known.
 pub(super) const MAX_LATE_CRASHES: usize = 3;
-/// Adapters that have to be known as sound, so that others may be presumed to be, and further ones for each crash that no
-/// verdict explains.
+/// Adapters that have to be known as sound, so that others may be presumed to be.
 const MIN_SOUND_ADAPTERS: usize = 20;
+/// Further ones for each crash that no verdict explains.
 const MIN_SOUND_ADAPTERS_PER_CRASH: usize = 3;
 /// How long a part is tried after the crashes after which it has to be known.
 const TRIAL_TIME: Millis = Millis(2_400);
@@ -244,7 +244,7 @@
         &self,
         suspect: &Suspect,
     ) -> bool {
-        suspect.is_confirmed && self.all_late_crashes(suspect.part) + 1 >= MAX_LATE_CRASHES
+        suspect.is_confirmed && self.known_late_crashes(suspect.part) + 1 >= MAX_LATE_CRASHES
     }
 
     /// When the crash came after which a part has to be known, as far as there is evidence of it.
@@ -270,8 +270,8 @@
         late.count()
     }
 
-    /// The same after the crash after which it has to be known.
-    pub(super) fn all_late_crashes(
+    /// The same after the crash after which it has to be known, as far as there is evidence of that one.
+    pub(super) fn known_late_crashes(
         &self,
         part: PartId,
     ) -> usize {
