--- a/crates/entry/src/scheduling/quarantine_log.rs
+++ b/crates/entry/src/scheduling/quarantine_log.rs
@@ -74,7 +74,7 @@
                     .with("upstream", names.upstream_name(*upstream))
                     .with("accused", accused.join(","))
                     .with("late", late.unwrap_or_default())
-                    .with("probe_of", join_verdicts(probed))
+                    .with("probed", join_verdicts(probed))
                     .with("unlogged", unlogged)
                     .info();
             }
