An adapter is presumed sound only in crashes under a single prompt

Cause, read and not traced: on a busy engine a crash accuses all prompts that it had begun. An adapter of another prompt that was presumed sound left a sound part as the only explanation, with no trial before its verdict.

--- a/crates/core/src/quarantine/suspect.rs
+++ b/crates/core/src/quarantine/suspect.rs
@@ -101,17 +101,15 @@
         self.sound_at.is_some()
     }
 
-    /// Whether a part is as likely the cause of a crash that accuses both: no answer has shown it to be sound notably later.
-    pub(super) fn has_rival<F>(
+    /// Whether another part, last sound then, is as likely the cause of a crash that accuses both: it wasn't sound notably
+    /// later.
+    pub(super) fn has_rival(
         &self,
         part: PartId,
-        sound_at: F,
-    ) -> bool
-    where
-        F: Fn(PartId) -> Option<Millis>,
-    {
+        sound_at: Option<Millis>,
+    ) -> bool {
         let latest = self.sound_at.map(|at| at + MIN_SOUND_LEAD);
-        part != self.part && sound_at(part) <= latest
+        part != self.part && sound_at <= latest
     }
 
     /// Whether one of the crashes has no other explanation.
@@ -121,11 +119,13 @@
         sound_at: F,
     ) -> bool
     where
-        F: Fn(PartId) -> Option<Millis>,
+        F: Fn(&Crash, PartId) -> Option<Millis>,
     {
-        let is_rival = |&part: &PartId| self.has_rival(part, &sound_at);
         let mut accusing = self.crashes.iter().map(|&at| &crashes[at]);
-        accusing.any(|one| !one.parts.iter().any(is_rival))
+        accusing.any(|one| {
+            let is_rival = |&part: &PartId| self.has_rival(part, sound_at(one.crash, part));
+            !one.parts.iter().any(is_rival)
+        })
     }
 
     /// How many of the crashes came under a prompt that was sent from `since` on, with no other explanation but parts that
@@ -138,16 +138,20 @@
         since: Millis,
     ) -> usize
     where
-        F: Fn(PartId) -> Option<Millis>,
+        F: Fn(&Crash, PartId) -> Option<Millis>,
         A: Fn(PartId) -> usize,
     {
-        let is_other = |&part: &PartId| {
-            let is_new = sound_at(part).is_none() && accusations(part) == 1;
-            self.has_rival(part, &sound_at) && !is_new
+        let has_other = |one: &&OpenCrash<'_>| {
+            let is_other = |&part: &PartId| {
+                let sound_at = sound_at(one.crash, part);
+                let is_new = sound_at.is_none() && accusations(part) == 1;
+                self.has_rival(part, sound_at) && !is_new
+            };
+            one.parts.iter().any(is_other)
         };
         let accusing = self.crashes.iter().map(|&at| &crashes[at]);
         let later = accusing.filter(|one| one.crash.sent_at(self.part) >= Some(since));
-        later.filter(|one| !one.parts.iter().any(is_other)).count()
+        later.filter(|one| !has_other(one)).count()
     }
 
     /// Whether a few other parts explain the crashes as well, each of them several.
@@ -157,14 +161,22 @@
         sound_at: F,
     ) -> bool
     where
-        F: Fn(PartId) -> Option<Millis>,
+        F: Fn(&Crash, PartId) -> Option<Millis>,
     {
+        let rivals = |at: usize| {
+            let one = &crashes[at];
+            let is_rival = |part: &PartId| self.has_rival(*part, sound_at(one.crash, *part));
+            one.parts
+                .iter()
+                .copied()
+                .filter(is_rival)
+                .collect::<Vec<PartId>>()
+        };
         let mut open = self.crashes.clone();
         let mut others = 0;
         while open.len() > MAX_CHANCE_CRASHES {
             let mut counts: BTreeMap<PartId, usize> = BTreeMap::new();
-            let accused = open.iter().flat_map(|&at| crashes[at].parts);
-            for &part in accused.filter(|&&part| self.has_rival(part, &sound_at)) {
+            for part in open.iter().flat_map(|&at| rivals(at)) {
                 *counts.entry(part).or_default() += 1;
             }
             let Some((&other, _)) = counts.iter().max_by_key(|&(_, &count)| count) else {
--- a/crates/core/src/quarantine/weighing.rs
+++ b/crates/core/src/quarantine/weighing.rs
@@ -75,14 +75,14 @@
             .filter(|verdict| verdict.is_of_request())
             .flat_map(|verdict| verdict.parts.iter().copied())
             .collect();
-        let sound_at = |part| self.sound_at(part);
+        let sound_at = |crash: &Crash, part| self.sound_at(crash, part);
         let accusations = |part| self.crashes.accusations(part);
         let is_known = |part| accusations(part) >= MAX_CRASHES;
         let suspects = Suspect::find(
             &accused,
             &unexplained,
             &refused_requests,
-            sound_at,
+            |part| self.sound.latest(part),
             is_known,
         );
         let Some(since) = suspects.iter().map(|one| one.qualified_at).min() else {
@@ -147,14 +147,16 @@
         self.sound.adapters() >= wanted
     }
 
-    /// When a part was last known, or is presumed, to be sound.
+    /// When a part that a crash accuses was last known, or is presumed, to be sound.
     ///
-    /// Where each prompt has another adapter, each crash of a part would have another explanation.
+    /// Where each prompt has another adapter, each crash of a part would have another explanation. Under several prompts
+    /// any of them may be the cause.
     fn sound_at(
         &self,
+        crash: &Crash,
         part: PartId,
     ) -> Option<Millis> {
-        let is_presumed = self.presumes_adapters && part.is_adapter();
+        let is_presumed = self.presumes_adapters && part.is_adapter() && crash.prompts.len() == 1;
         let is_sound = || is_presumed && self.crashes.accusations(part) <= 1;
         let known = self.sound.latest(part);
         known.or_else(|| is_sound().then_some(self.now))
@@ -201,7 +203,7 @@
         let crashes: Vec<OpenCrash<'_>> = self.crashes.iter().map(OpenCrash::new).collect();
         let accusations = |part| self.crashes.accusations(part);
         let suspect = self.suspect(part, &crashes, known.at);
-        let sound_at = |part| self.sound_at(part);
+        let sound_at = |crash: &Crash, part| self.sound_at(crash, part);
         suspect.trials(&crashes, sound_at, accusations, known.at)
     }
 
@@ -214,10 +216,10 @@
         let accusing = self.crashes.iter().filter(|crash| crash.accuses(part));
         let accusing: Vec<&Crash> = accusing.collect();
         let suspect = self.suspect(part, &[], Millis::ZERO);
-        let sound_at = |part| self.sound_at(part);
+        let sound_at = |crash: &Crash, part| self.sound_at(crash, part);
         let rivals = |crash: &Crash| {
             let mut parts = crash.parts().clone();
-            parts.retain(|&other| suspect.has_rival(other, sound_at));
+            parts.retain(|&other| suspect.has_rival(other, sound_at(crash, other)));
             parts
         };
         let rivals: Vec<PartSet> = accusing.iter().copied().map(rivals).collect();
@@ -311,7 +313,7 @@
         &self,
         unexplained: &[OpenCrash<'_>],
     ) -> Option<PartId> {
-        let sound_at = |part| self.sound_at(part);
+        let sound_at = |crash: &Crash, part| self.sound_at(crash, part);
         let accusations = |part| self.crashes.accusations(part);
         let crashes_alone = |part, since| {
             let suspect = self.suspect(part, unexplained, since);
