Rivals of a suspect are told by one function, and what is presumed of adapters isn't kept

Weighing computes that once, when it is first needed: a send or a review without a suspect looks at no crash for it.

--- a/crates/core/src/quarantine/part_quarantine.rs
+++ b/crates/core/src/quarantine/part_quarantine.rs
@@ -44,8 +44,6 @@
     /// Parts that were sound before several crashes in turn: they go one request at a time.
     doubted: PartSet,
     trial_order: TrialOrder,
-    /// Whether an adapter in a single crash is presumed sound, as of the last review.
-    presumes_adapters: bool,
     /// When parts on trial may go: others may know more of them before.
     trials_from: Millis,
     trials: Trials,
@@ -493,7 +491,6 @@
         self.crashes.forget_old(now);
         self.undecided.clear();
         self.review_requests(now);
-        self.presumes_adapters = self.weighing(now).are_adapters_sound();
         let next_settled = self.crashes.next_settled(now);
         self.due = next_settled.into_iter().chain(self.next_expiry()).min();
         loop {
@@ -519,13 +516,7 @@
         &self,
         now: Millis,
     ) -> Weighing<'_> {
-        Weighing {
-            crashes: &self.crashes,
-            sound: &self.sound,
-            verdicts: &self.verdicts,
-            presumes_adapters: self.presumes_adapters,
-            now,
-        }
+        Weighing::new(&self.crashes, &self.sound, &self.verdicts, now)
     }
 
     /// Refuses requests under which enough upstreams ended, and those no more that were refused for long enough.
--- a/crates/core/src/quarantine/suspect.rs
+++ b/crates/core/src/quarantine/suspect.rs
@@ -101,15 +101,18 @@
         self.sound_at.is_some()
     }
 
-    /// Whether another part, last sound then, is as likely the cause of a crash that accuses both: it wasn't sound notably
-    /// later.
-    pub(super) fn has_rival(
+    /// The other parts that are as likely the cause of a crash, as none was sound notably later.
+    pub(super) fn rivals<F>(
         &self,
-        part: PartId,
-        sound_at: Option<Millis>,
-    ) -> bool {
+        crash: &Crash,
+        sound_at: F,
+    ) -> impl Iterator<Item = PartId>
+    where
+        F: Fn(&Crash, PartId) -> Option<Millis>,
+    {
         let latest = self.sound_at.map(|at| at + MIN_SOUND_LEAD);
-        part != self.part && sound_at <= latest
+        let parts = crash.parts().iter().copied();
+        parts.filter(move |&part| part != self.part && sound_at(crash, part) <= latest)
     }
 
     /// Whether one of the crashes has no other explanation.
@@ -121,11 +124,8 @@
     where
         F: Fn(&Crash, PartId) -> Option<Millis>,
     {
-        let mut accusing = self.crashes.iter().map(|&at| &crashes[at]);
-        accusing.any(|one| {
-            let is_rival = |&part: &PartId| self.has_rival(part, sound_at(one.crash, part));
-            !one.parts.iter().any(is_rival)
-        })
+        let mut accusing = self.crashes.iter().map(|&at| crashes[at].crash);
+        accusing.any(|crash| self.rivals(crash, &sound_at).next().is_none())
     }
 
     /// How many of the crashes came under a prompt that was sent from `since` on, with no other explanation but parts that
@@ -141,17 +141,15 @@
         F: Fn(&Crash, PartId) -> Option<Millis>,
         A: Fn(PartId) -> usize,
     {
-        let has_other = |one: &&OpenCrash<'_>| {
-            let is_other = |&part: &PartId| {
-                let sound_at = sound_at(one.crash, part);
-                let is_new = sound_at.is_none() && accusations(part) == 1;
-                self.has_rival(part, sound_at) && !is_new
-            };
-            one.parts.iter().any(is_other)
-        };
-        let accusing = self.crashes.iter().map(|&at| &crashes[at]);
-        let later = accusing.filter(|one| one.crash.sent_at(self.part) >= Some(since));
-        later.filter(|one| !has_other(one)).count()
+        let is_new =
+            |crash: &Crash, part| sound_at(crash, part).is_none() && accusations(part) == 1;
+        let accusing = self.crashes.iter().map(|&at| crashes[at].crash);
+        let later = accusing.filter(|crash| crash.sent_at(self.part) >= Some(since));
+        let sole = later.filter(|crash| {
+            let mut rivals = self.rivals(crash, &sound_at);
+            rivals.all(|part| is_new(crash, part))
+        });
+        sole.count()
     }
 
     /// Whether a few other parts explain the crashes as well, each of them several.
@@ -163,26 +161,18 @@
     where
         F: Fn(&Crash, PartId) -> Option<Millis>,
     {
-        let rivals = |at: usize| {
-            let one = &crashes[at];
-            let is_rival = |part: &PartId| self.has_rival(*part, sound_at(one.crash, *part));
-            one.parts
-                .iter()
-                .copied()
-                .filter(is_rival)
-                .collect::<Vec<PartId>>()
-        };
-        let mut open = self.crashes.clone();
+        let rivals = |&at: &usize| self.rivals(crashes[at].crash, &sound_at).collect();
+        let mut open: Vec<BTreeSet<PartId>> = self.crashes.iter().map(rivals).collect();
         let mut others = 0;
         while open.len() > MAX_CHANCE_CRASHES {
             let mut counts: BTreeMap<PartId, usize> = BTreeMap::new();
-            for part in open.iter().flat_map(|&at| rivals(at)) {
+            for &part in open.iter().flatten() {
                 *counts.entry(part).or_default() += 1;
             }
             let Some((&other, _)) = counts.iter().max_by_key(|&(_, &count)| count) else {
                 return false;
             };
-            open.retain(|&at| !crashes[at].parts.contains(&other));
+            open.retain(|rivals| !rivals.contains(&other));
             others += 1;
         }
         others * MIN_CRASHES_OF_ALTERNATIVE <= self.crashes.len()
--- a/crates/core/src/quarantine/weighing.rs
+++ b/crates/core/src/quarantine/weighing.rs
@@ -8,7 +8,7 @@
         verdict::Verdict,
     },
     crate::{clock::Millis, ids::PartId},
-    std::cmp::Reverse,
+    std::{cell::OnceCell, cmp::Reverse},
 };
 
 /// Most parts that are refused only together.
@@ -38,17 +38,32 @@
 }
 
 /// Crashes, answers and verdicts, weighed against each other.
-#[derive(Clone, Copy, Debug)]
+#[derive(Debug)]
 pub(super) struct Weighing<'a> {
-    pub crashes: &'a CrashLog,
-    pub sound: &'a RecentParts,
-    pub verdicts: &'a [Verdict],
-    /// Whether an adapter that is accused by a single crash is presumed sound, see [`Self::are_adapters_sound`].
-    pub presumes_adapters: bool,
-    pub now: Millis,
+    crashes: &'a CrashLog,
+    sound: &'a RecentParts,
+    verdicts: &'a [Verdict],
+    now: Millis,
+    /// Computed when it is first needed, as it looks at all crashes.
+    are_adapters_sound: OnceCell<bool>,
 }
 
-impl Weighing<'_> {
+impl<'a> Weighing<'a> {
+    pub(super) const fn new(
+        crashes: &'a CrashLog,
+        sound: &'a RecentParts,
+        verdicts: &'a [Verdict],
+        now: Millis,
+    ) -> Self {
+        Self {
+            crashes,
+            sound,
+            verdicts,
+            now,
+            are_adapters_sound: OnceCell::new(),
+        }
+    }
+
     /// What the crashes point to that no verdict explains.
     ///
     /// Other parts of the same prompts are accused as often. A suspect that no answer has shown to be sound is guilty at
@@ -138,13 +153,12 @@
     }
 
     /// Whether answers have shown so many adapters to be sound that few of the others may crash upstreams.
-    pub(super) fn are_adapters_sound(&self) -> bool {
-        let open = self
-            .crashes
-            .iter()
-            .filter(|crash| !self.is_explained(crash));
-        let wanted = MIN_SOUND_ADAPTERS + MIN_SOUND_ADAPTERS_PER_CRASH * open.count();
-        self.sound.adapters() >= wanted
+    fn are_adapters_sound(&self) -> bool {
+        *self.are_adapters_sound.get_or_init(|| {
+            let crashes = self.crashes.iter();
+            let open = crashes.filter(|crash| !self.is_explained(crash)).count();
+            self.sound.adapters() >= MIN_SOUND_ADAPTERS + MIN_SOUND_ADAPTERS_PER_CRASH * open
+        })
     }
 
     /// When a part that a crash accuses was last known, or is presumed, to be sound.
@@ -156,10 +170,10 @@
         crash: &Crash,
         part: PartId,
     ) -> Option<Millis> {
-        let is_presumed = self.presumes_adapters && part.is_adapter() && crash.prompts.len() == 1;
-        let is_sound = || is_presumed && self.crashes.accusations(part) <= 1;
+        let is_single = || crash.prompts.len() == 1 && self.crashes.accusations(part) <= 1;
+        let is_presumed = || part.is_adapter() && is_single() && self.are_adapters_sound();
         let known = self.sound.latest(part);
-        known.or_else(|| is_sound().then_some(self.now))
+        known.or_else(|| is_presumed().then_some(self.now))
     }
 
     /// The parts that were sound before several crashes in turn.
@@ -217,12 +231,8 @@
         let accusing: Vec<&Crash> = accusing.collect();
         let suspect = self.suspect(part, &[], Millis::ZERO);
         let sound_at = |crash: &Crash, part| self.sound_at(crash, part);
-        let rivals = |crash: &Crash| {
-            let mut parts = crash.parts().clone();
-            parts.retain(|&other| suspect.has_rival(other, sound_at(crash, other)));
-            parts
-        };
-        let rivals: Vec<PartSet> = accusing.iter().copied().map(rivals).collect();
+        let rivals = |crash: &&Crash| suspect.rivals(crash, sound_at).collect();
+        let rivals: Vec<PartSet> = accusing.iter().map(rivals).collect();
         let in_all = |other: &PartId| rivals.iter().all(|parts| parts.contains(other));
         let are_several = rivals
             .first()
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -15,6 +15,7 @@
         scheduler::{AttemptId, Job, LOCAL_VM, Outcome, RateShare, Work},
     },
     scheduler_world::{Decision, World, generation},
+    std::ops::Range,
 };
 
 /// Crashes after which a part has to be known.
@@ -39,6 +40,29 @@
     world
 }
 
+/// A world in which answers have shown these adapters to be sound.
+fn world_with_adapters(adapters: Range<u64>) -> World {
+    let mut world = world();
+    for adapter in adapters {
+        let job = prompt_with_adapter(&[FIRST, OTHER], adapter, world.now);
+        assert!(answer_job(&mut world, job));
+    }
+    world
+}
+
+/// Sends a request that crashes its engine, and answers a sound prompt with an adapter; returns whether it was sent.
+fn crash_beside_sound(
+    world: &mut World,
+    job: Job,
+    adapter: u64,
+) -> bool {
+    let is_sent = crash_with(world, job);
+    let sound = prompt_with_adapter(&[FIRST, OTHER], adapter, world.now);
+    assert!(answer_job(world, sound));
+    world.advance(3_000);
+    is_sent
+}
+
 fn remove_engines(world: &mut World) {
     for id in 0..ENGINES {
         world.scheduler.remove_upstream(UpstreamId(id), world.now);
@@ -687,18 +711,10 @@
 #[test]
 fn another_adapter_in_each_prompt() {
     // Guards against engines that are lost to a refused part, as another adapter explains each of its crashes as well.
-    let mut world = world();
-    for adapter in 0..40 {
-        let job = prompt_with_adapter(&[FIRST, OTHER], adapter, world.now);
-        assert!(answer_job(&mut world, job));
-    }
-    let crashes = (40..80).filter(|&adapter| {
+    let mut world = world_with_adapters(100..140);
+    let crashes = (140..180).filter(|&adapter| {
         let job = prompt_with_adapter(&[FIRST, BAD], adapter, world.now);
-        let is_sent = crash_with(&mut world, job);
-        let sound = prompt_with_adapter(&[FIRST, OTHER], adapter % 40, world.now);
-        assert!(answer_job(&mut world, sound));
-        world.advance(3_000);
-        is_sent
+        crash_beside_sound(&mut world, job, adapter - 40)
     });
     let crashes = crashes.count();
     assert!(crashes <= MAX_CRASHES, "{crashes} crashes");
@@ -707,18 +723,10 @@
 #[test]
 fn parts_of_one_adapter() {
     // Guards against a sound part that is refused with every adapter, as it mostly comes with one that crashes engines.
-    let mut world = world();
-    for adapter in 100..140 {
-        let job = prompt_with_adapter(&[FIRST, OTHER], adapter, world.now);
-        assert!(answer_job(&mut world, job));
-    }
+    let mut world = world_with_adapters(100..140);
     let crashes = (0..20).filter(|_| {
         let job = prompt_with_adapter(&[FIRST, SECOND_BAD], BAD, world.now);
-        let is_sent = crash_with(&mut world, job);
-        let sound = prompt_with_adapter(&[FIRST, OTHER], 100, world.now);
-        assert!(answer_job(&mut world, sound));
-        world.advance(1_000);
-        is_sent
+        crash_beside_sound(&mut world, job, 100)
     });
     let crashes = crashes.count();
     assert!(crashes <= MAX_CRASHES, "{crashes} crashes");
@@ -730,6 +738,26 @@
     assert!(!crash_with(&mut world, refused), "the adapter alone");
 }
 
+#[test]
+fn adapters_of_other_prompts() {
+    // Guards against a sound part that is refused untried, as its engines crashed under prompts with other adapters.
+    let mut world = world_with_adapters(100..140);
+    let crashes = (0..3).map(|id| {
+        let ago = 900 * u64::from(id) + 500;
+        let mut crash = report((id, ago, ago + 100), &[FIRST, SECOND_BAD]);
+        crash.prompts.push(PromptReport {
+            parts: vec![PartId::Part(FIRST), PartId::Adapter(u64::from(id))],
+            sent_ago: Millis(ago + 100),
+        });
+        crash
+    });
+    let crashes: Vec<CrashReport> = crashes.collect();
+    tell(&mut world, &crashes);
+    world.advance(100);
+    assert!(world.scheduler.quarantined().is_empty());
+    answer(&mut world, &[FIRST, SECOND_BAD]);
+}
+
 #[test]
 fn probes_minutes_after_the_verdict() {
     // Guards against engines that are lost long after a part was refused, as another part explains each of its crashes.
