Tests prove each guard of crashing parts beside adapters and of late probes

Mutations, one at a time, showed three guards that no test held: how many adapters have to be known, and that a verdict remembers the fifth crash and the late ones.

All seven mutations fail now: adapters of crashes under several prompts, of several crashes, none presumed, none known, probes without a bound, the fifth crash forgotten, late crashes forgotten. Longer runs without chance crashes were tried first (16 and 61 minutes) and passed without the memories.

--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -758,16 +758,36 @@
     answer(&mut world, &[FIRST, SECOND_BAD]);
 }
 
+#[test]
+fn adapters_that_nobody_knows() {
+    // Guards against a sound part that is refused untried after a loss of all VMs, as several adapters crashed engines.
+    let mut world = world_with_adapters(100..110);
+    let crashes = (0..3).map(|id| {
+        let ago = 900 * u64::from(id) + 500;
+        let mut crash = report((id, ago, ago + 100), &[FIRST, SECOND_BAD]);
+        crash.prompts[0].parts.push(PartId::Adapter(u64::from(id)));
+        crash
+    });
+    let crashes: Vec<CrashReport> = crashes.collect();
+    tell(&mut world, &crashes);
+    world.advance(100);
+    assert!(world.scheduler.quarantined().is_empty());
+    answer(&mut world, &[FIRST, SECOND_BAD]);
+}
+
 #[test]
 fn probes_minutes_after_the_verdict() {
     // Guards against engines that are lost long after a part was refused, as another part explains each of its crashes.
     let mut world = world();
     answer(&mut world, &[FIRST, OTHER]);
     let mut sent = Vec::new();
-    for session in 0..400 {
+    for session in 0..1_500 {
         if crash(&mut world, &[FIRST, BAD, 100 + session]) {
             sent.push(world.now);
         }
+        if session % 2 == 0 {
+            crash(&mut world, &[FIRST, 10_000 + session]);
+        }
         answer(&mut world, &[FIRST, OTHER]);
         world.advance(2_000);
     }
