jasminectl trace leads from a repeat or a late request to who let it go

A trace now has the lines of the VM that decided about the request by its number (retry_decided, suspect_sent, crash_reported), the verdicts on the parts that were accused then, and what evidence that VM had been told.

(ctl) late_requests_lead_to_who_sent_them.

--- a/crates/ctl/src/trace/read.rs
+++ b/crates/ctl/src/trace/read.rs
@@ -2,6 +2,7 @@
     super::{LogLine, RequestTrace},
     crate::CtlError,
     std::{
+        collections::BTreeSet,
         fs::File,
         io::{BufRead, BufReader},
         path::PathBuf,
@@ -9,7 +10,7 @@
 };
 
 /// Events about the state of a whole process rather than a request.
-const PROCESS_STATE_EVENTS: [&str; 13] = [
+const PROCESS_STATE_EVENTS: [&str; 14] = [
     "store_read",
     "config_taken",
     "lead_taken",
@@ -20,6 +21,7 @@
     "store_back",
     "lease_lapsed",
     "history_lost",
+    "evidence_received",
     "started",
     "stopping",
     "log_dropped",
@@ -33,7 +35,33 @@
     "report_failed",
 ];
 
-/// Collects the log lines related to the request `id`.
+/// Events of the VM that decides about a request, which name it by its number.
+const DECISION_EVENTS: [&str; 3] = ["retry_decided", "suspect_sent", "crash_reported"];
+
+/// Events about what a VM knows of the parts of prompts.
+const PART_EVENTS: [&str; 2] = ["prompt_quarantined", "prompt_released"];
+
+/// Precedes the number of a request where lines also name parts of prompts.
+const REQUEST_PREFIX: &str = "request.";
+
+/// The number of the request that a line names.
+fn request_number(line: &LogLine) -> Option<u64> {
+    let text = line.get("request")?;
+    let text = text.strip_prefix(REQUEST_PREFIX).unwrap_or(text);
+    u64::from_str_radix(text, 16).ok()
+}
+
+/// The parts of prompts that a line names, without the number of crashes that accuse each.
+fn parts<'a>(
+    line: &'a LogLine,
+    key: &str,
+) -> impl Iterator<Item = &'a str> {
+    let parts = line.get_or_dash(key).split(',');
+    parts.filter_map(|part| part.split(':').next())
+}
+
+/// Collects the log lines related to the request `id`: its own, what was decided about it and its other attempts, and what
+/// the processes and upstreams knew by then.
 ///
 /// # Errors
 ///
@@ -58,7 +86,27 @@
     else {
         return Ok(request_trace);
     };
+    let numbers: BTreeSet<u64> = request_trace
+        .request_lines
+        .iter()
+        .filter_map(request_number)
+        .collect();
+    for_each_line(files, &mut request_trace, |request_trace, line| {
+        let is_decision = DECISION_EVENTS.contains(&line.event.as_str());
+        let is_same = || request_number(&line).is_some_and(|number| numbers.contains(&number));
+        if is_decision && line.get("id").is_none() && is_same() && line.time <= end {
+            request_trace.request_lines.push(line);
+        }
+    })?;
+    request_trace
+        .request_lines
+        .sort_by(|a, b| a.time.cmp(&b.time));
     let request_lines = request_trace.request_lines.clone();
+    let accused: BTreeSet<&str> = request_lines
+        .iter()
+        .flat_map(|line| parts(line, "accused"))
+        .filter(|&part| part != "-")
+        .collect();
     let processes: Vec<&str> = request_lines
         .iter()
         .map(|line| line.process.as_str())
@@ -73,7 +121,10 @@
             && processes.contains(&line.process.as_str());
         let is_upstream_event = UPSTREAM_EVENTS.contains(&line.event.as_str())
             && upstreams.contains(&line.get_or_dash("upstream"));
-        if (is_process_state || is_upstream_event) && line.time <= end {
+        let is_part_event = PART_EVENTS.contains(&line.event.as_str())
+            && processes.contains(&line.process.as_str())
+            && parts(&line, "parts").any(|part| accused.contains(part));
+        if (is_process_state || is_upstream_event || is_part_event) && line.time <= end {
             request_trace.add_context(line);
         }
     })?;
--- a/crates/ctl/src/trace/request_trace.rs
+++ b/crates/ctl/src/trace/request_trace.rs
@@ -6,7 +6,7 @@
 pub struct RequestTrace {
     /// The request's id.
     pub id: String,
-    /// Lines with the request's id, in time order.
+    /// Lines with the request's id, and what was decided about it and its other attempts, in time order.
     #[serde(rename = "own")]
     pub request_lines: Vec<LogLine>,
     /// State of the involved processes and upstreams: the latest line of each kind, in time order.
--- a/crates/ctl/tests/trace_request.rs
+++ b/crates/ctl/tests/trace_request.rs
@@ -82,6 +82,36 @@
     assert_eq!(request_trace.context[0].process, "two");
 }
 
+#[test]
+fn late_requests_lead_to_who_sent_them() {
+    // Guards against a request with a part that crashes engines of which nobody can tell who let it go, and on what.
+    let caller = "\
+time=2026-01-01T00:00:03.000Z level=info event=request_sent id=r1 request=00c41de0b2a7c7b7 upstream=e-1 decided_by=vm-2/9
+time=2026-01-01T00:00:03.100Z level=info event=request_given_up id=r1 kind=upstream_lost
+";
+    let decider = "\
+time=2026-01-01T00:00:01.000Z level=info event=evidence_received by=store crashes=2 sound=40 ago_ms=500
+time=2026-01-01T00:00:01.500Z level=warn event=prompt_quarantined parts=bad1 adapters=- by=evidence crashes=4 on=e-1:400
+time=2026-01-01T00:00:01.600Z level=warn event=prompt_quarantined parts=bad2 adapters=- by=evidence crashes=3 on=e-2:400
+time=2026-01-01T00:00:02.900Z level=info event=retry_decided request=c41de0b2a7c7b7 vm=3 attempt=2 end=granted requests=9 retries=1
+time=2026-01-01T00:00:02.950Z level=info event=suspect_sent request=00c41de0b2a7c7b7 upstream=e-1 accused=bad1:5 late=1 probed=bad1
+time=2026-01-01T00:00:02.960Z level=info event=suspect_sent request=11aa upstream=e-3 accused=bad2:3 late=0 probed=-
+time=2026-01-01T00:00:03.050Z level=info event=crash_reported upstream=e-1 request=request.c41de0b2a7c7b7 prompt=true parts=f1,bad1
+";
+    let files = [file("caller", caller), file("decider", decider)];
+    let text = trace("r1", &files).unwrap().lines().join("\n");
+    for wanted in [
+        "retry decided",
+        "accused bad1:5, late 1, probed bad1",
+        "crash reported",
+        "parts bad1, adapters -, by evidence, crashes 4",
+        "evidence received",
+    ] {
+        assert!(text.contains(wanted), "{wanted} not in\n{text}");
+    }
+    assert!(!text.contains("bad2"), "{text}");
+}
+
 #[test]
 fn request_without_an_end_event_is_reported() {
     let log = "time=2026-01-01T00:00:01.500Z level=info event=request_sent id=r1 upstream=e-1 waited_ms=4\n";
