--- a/crates/entry/tests/deployment/crashing_site.rs
+++ b/crates/entry/tests/deployment/crashing_site.rs
@@ -4,10 +4,11 @@
     super::{
         Request, Vm, config, exchange,
         part_arrivals::{CONTACT, PartArrivals},
-        start_platform, wait_until,
+        route, start_platform, wait_until,
     },
     jasmine_platform_stand_in::{
-        EngineStandIn, KvStandIn, Outage, Silence, SilentAt, UpstreamStandIn,
+        EngineEnd, EngineStandIn, KvStandIn, Outage, PromptArrival, Silence, SilentAt,
+        UpstreamStandIn,
     },
     jasmine_testkit::proxy::{Fault, Proxy},
     nix::sys::signal::Signal,
@@ -39,8 +40,14 @@
 const OUTAGE: Duration = Duration::from_millis(2_500);
 /// How long engines are silent.
 const SILENCE: Duration = Duration::from_millis(1_200);
+/// Time between two ends of engines that no prompt causes.
+const OWN_END_INTERVAL: Duration = Duration::from_millis(3_000);
 /// Loads of adapters a second that the weight store allows.
 const ADAPTER_LOADS_PER_S: f64 = 50.0;
+/// Window of the retry budget.
+const BUDGET_WINDOW: Duration = Duration::from_secs(10);
+/// Most attempts of a route.
+const MAX_ATTEMPTS: usize = 2;
 /// Callers at a VM at most.
 const MAX_CALLERS: usize = 100;
 /// The first part of prompts, unless each crashing part has one of its own.
@@ -63,8 +70,12 @@
     LeaderSuspended,
     /// Two VMs are suspended for as long, and after that the next two.
     TwoVmsSuspended,
+    /// Half of the VMs are suspended for as long.
+    HalfOfVmsSuspended,
     /// One VM after the other is killed.
     OneVm,
+    /// Half of the VMs are killed at once, and then the other half.
+    HalfOfVms,
     /// All VMs are killed at once.
     AllVms,
     /// All VMs are stopped as planned, and started again.
@@ -145,6 +156,16 @@
     pub subjects: usize,
     /// Pause of a caller of sound prompts between two requests.
     pub sound_interval: Duration,
+    /// How engines end under the crashing parts.
+    pub end: EngineEnd,
+    /// Time that prompts wait in the queues of engines.
+    pub queue_time: Duration,
+    /// Time from a request to its caller's deadline.
+    pub deadline: Duration,
+    /// Whether each second request may go on at another engine.
+    pub resumes: bool,
+    /// Whether engines end by themselves, too, one each [`OWN_END_INTERVAL`].
+    pub has_own_ends: bool,
 }
 
 impl Storm {
@@ -163,6 +184,36 @@
             adapter_skew: 0.0,
             subjects: 1,
             sound_interval: Duration::from_millis(40),
+            end: EngineEnd::Reset,
+            queue_time: Duration::ZERO,
+            deadline: Duration::from_millis(1_500),
+            resumes: false,
+            has_own_ends: false,
+        }
+    }
+
+    /// A storm of the size of a site: seven VMs, 3,000 adapters of which few are popular, 68 parts of which so many end
+    /// engines, and 100 ms in the queue of an engine.
+    pub const fn of_site(
+        parts: usize,
+        end: EngineEnd,
+    ) -> Self {
+        Self {
+            prompts: Prompts::Shared(parts),
+            interval: Duration::from_millis(5_000),
+            loss_interval: Duration::from_secs(4),
+            losses: 4,
+            time: Duration::from_secs(26),
+            vms: 7,
+            adapters: 3_000,
+            adapter_skew: 1.2,
+            subjects: 68 - parts,
+            sound_interval: Duration::from_millis(450),
+            end,
+            queue_time: Duration::from_millis(100),
+            deadline: Duration::from_millis(4_000),
+            resumes: true,
+            ..Self::of_eight()
         }
     }
 
@@ -206,6 +257,19 @@
     pub sound: (usize, usize),
     /// What the store holds of refused parts.
     pub refused: BTreeSet<String>,
+    /// What engines met of each request beside its prompt.
+    pub repeats: Repeats,
+}
+
+/// Requests that reached engines more than once.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Repeats {
+    /// Most arrivals beyond the first of each request within [`BUDGET_WINDOW`].
+    pub in_window: usize,
+    /// Requests that arrived more often than any route has attempts.
+    pub beyond_attempts: usize,
+    /// Arrivals that were given more time than their callers have.
+    pub with_too_much_time: usize,
 }
 
 impl Outcome {
@@ -237,7 +301,7 @@
 /// VMs, engines and the store of a run.
 pub struct CrashingSite {
     pub store: KvStandIn,
-    pub engines: Vec<EngineStandIn>,
+    pub engines: Arc<Vec<EngineStandIn>>,
     pub vms: Vec<Option<Vm>>,
     /// Of each VM to the store.
     links: Vec<Proxy>,
@@ -276,7 +340,7 @@
         .with("X-Token-Counts", "150,10")
         .with("X-Prompt-Prefix", &prompt)
         .with("X-Deadline-Ms", "1500")
-        .body(b"prompt")
+        .body(format!("prompt-{own}").as_bytes())
 }
 
 impl CrashingSite {
@@ -291,15 +355,20 @@
             let engine = &mut next["services"][1]["engine"];
             engine["loads_per_s"] = json!(ADAPTER_LOADS_PER_S);
             engine["models"][0]["adapters"] = json!(play.adapters);
+            let mut draft = route("draft", "streaming", 2, true);
+            draft["service"] = json!("llm");
+            next["routes"].as_array_mut().unwrap().push(draft);
             store.put("op/config", &next);
         }
         let start = |number| {
             let engine = EngineStandIn::start(&format!("e-{number}")).unwrap();
             engine.crash_on(&[], EVENT_GAP);
+            engine.set_crash_end(play.end);
+            engine.set_queue_time(play.queue_time);
             store.put(&engine.key(), &engine.entry("llm", "one"));
             engine
         };
-        let engines = (0..ENGINES).map(start).collect();
+        let engines = Arc::new((0..ENGINES).map(start).collect());
         let any_address = SocketAddr::from(([127, 0, 0, 1], 0));
         let links = (0..vms).map(|_| Proxy::start(any_address, store.address()).unwrap());
         let links = links.collect();
@@ -385,6 +454,14 @@
                 let two = [2 * round, 2 * round + 1].map(|number| number % self.vms.len());
                 return self.suspend(&two);
             }
+            Loss::HalfOfVmsSuspended => {
+                let half = all.iter().copied().filter(|number| number % 2 == round % 2);
+                return self.suspend(&half.collect::<Vec<_>>());
+            }
+            Loss::HalfOfVms => {
+                let half = all.iter().copied().filter(|number| number % 2 == round % 2);
+                (Signal::SIGKILL, half.collect())
+            }
             Loss::Store(outage) => {
                 self.store.set_outage(outage);
                 thread::sleep(OUTAGE);
@@ -432,7 +509,7 @@
             time: SILENCE,
         };
         let set = |silence| {
-            for engine in &self.engines {
+            for engine in self.engines.iter() {
                 engine.set_silence(silence);
             }
         };
@@ -453,7 +530,7 @@
     ) {
         let bad: Vec<String> = (0..storm.prompts.count()).map(bad_part).collect();
         let bad: Vec<&str> = bad.iter().map(String::as_str).collect();
-        for engine in &self.engines {
+        for engine in self.engines.iter() {
             engine.crash_on(&bad, EVENT_GAP);
         }
     }
@@ -470,9 +547,16 @@
         let senders = Arc::clone(&self.senders);
         let half = began + storm.time / 2;
         let adapters = storm.adapter_distribution();
+        let deadline = storm.deadline.as_millis().to_string();
         let call = |vm: usize, parts: &[String], rng: &mut ChaCha8Rng| {
-            let adapter = adapters.as_ref().map(|all| all.sample(rng));
-            call(&addresses, &senders, vm, parts, adapter)
+            let mut req = generation(parts).with("X-Deadline-Ms", &deadline);
+            if let Some(adapters) = &adapters {
+                req = req.with("X-Model", &format!("base/a{}", adapters.sample(rng)));
+            }
+            if storm.resumes && rng.random_bool(0.5) {
+                req = req.to("/draft/");
+            }
+            call(&addresses, &senders, vm, &req)
         };
         let call_bad = |vm: usize, number: usize| {
             let mut rng = ChaCha8Rng::seed_from_u64((vm * MAX_CALLERS + number) as u64);
@@ -510,6 +594,10 @@
             let sound: Vec<_> = (0..storm.vms)
                 .map(|vm| scope.spawn(move || call_sound(vm)))
                 .collect();
+            if storm.has_own_ends {
+                let engines = Arc::clone(&self.engines);
+                scope.spawn(move || end_in_turn(&engines, until));
+            }
             self.lose_all(storm);
             let counts = sound.into_iter().map(|caller| caller.join().unwrap());
             counts.fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1))
@@ -521,12 +609,14 @@
                 .collect(),
             sound,
             refused: self.refused(),
+            repeats: self.repeats(storm.deadline),
         };
         println!(
-            "{} {:?} {:?} {} adapters: late {} ({} in touch), sound {:.2} of {}, crashes {:?}, refused {:?}",
+            "{} {:?} {:?} {:?} {} adapters: late {} ({} in touch), sound {:.2} of {}, crashes {:?}, refused {:?}, {:?}",
             self.name,
             storm.prompts,
             storm.loss,
+            storm.end,
             storm.adapters,
             outcome.late(),
             outcome.late_in_touch(),
@@ -537,7 +627,8 @@
                 .values()
                 .map(|one| one.crashes)
                 .collect::<Vec<_>>(),
-            outcome.refused
+            outcome.refused,
+            outcome.repeats
         );
         self.save_logs();
         outcome
@@ -599,6 +690,40 @@
         }
     }
 
+    fn repeats(
+        &self,
+        deadline: Duration,
+    ) -> Repeats {
+        let arrivals = self.engines.iter().flat_map(EngineStandIn::arrivals);
+        let mut arrivals: Vec<PromptArrival> = arrivals.collect();
+        arrivals.sort_by_key(|arrival| arrival.at);
+        let mut counts: HashMap<&str, usize> = HashMap::new();
+        let mut repeated: Vec<Instant> = Vec::new();
+        for arrival in &arrivals {
+            let count = counts.entry(&arrival.request_id).or_default();
+            *count += 1;
+            if *count > 1 {
+                repeated.push(arrival.at);
+            }
+        }
+        let in_window = repeated.iter().enumerate().map(|(first, &at)| {
+            let end = repeated.partition_point(|&other| other < at + BUDGET_WINDOW);
+            end - first
+        });
+        let given = |arrival: &&PromptArrival| {
+            let limit = deadline.as_millis() as u64;
+            arrival.deadline_ms.is_none_or(|given| given > limit)
+        };
+        Repeats {
+            in_window: in_window.max().unwrap_or_default(),
+            beyond_attempts: counts
+                .values()
+                .filter(|&&count| count > MAX_ATTEMPTS)
+                .count(),
+            with_too_much_time: arrivals.iter().filter(given).count(),
+        }
+    }
+
     /// Writes the logs of all processes to the directory that `JASMINE_LOGS` names, if it does.
     fn save_logs(&self) {
         let Some(directory) = std::env::var_os("JASMINE_LOGS") else {
@@ -612,19 +737,30 @@
     }
 }
 
+/// Ends one engine after the other, whatever they run.
+fn end_in_turn(
+    engines: &[EngineStandIn],
+    until: Instant,
+) {
+    for engine in engines.iter().cycle() {
+        thread::sleep(OWN_END_INTERVAL);
+        if Instant::now() >= until {
+            return;
+        }
+        if !engine.is_down() {
+            engine.end();
+        }
+    }
+}
+
 /// Sends a prompt through a VM; returns whether it was served, or `None` without an answer.
 fn call(
     addresses: &Addresses,
     senders: &Senders,
     vm: usize,
-    parts: &[String],
-    adapter: Option<usize>,
+    req: &Request,
 ) -> Option<bool> {
     let address = addresses.lock().unwrap()[vm]?;
-    let req = match adapter {
-        Some(adapter) => generation(parts).with("X-Model", &format!("base/a{adapter}")),
-        None => generation(parts),
-    };
     senders.lock().unwrap().insert(req.id().to_owned(), vm);
     let response = exchange(address, &req.bytes())?;
     Some(response.status == 200 && response.is_complete)
--- a/crates/entry/tests/deployment/mod.rs
+++ b/crates/entry/tests/deployment/mod.rs
@@ -262,6 +262,15 @@
         .with("X-Api-Key", API_KEY)
     }
 
+    /// Sends it to another path.
+    pub fn to(
+        mut self,
+        target: &str,
+    ) -> Self {
+        target.clone_into(&mut self.target);
+        self
+    }
+
     /// Sets a header, replacing earlier values.
     pub fn with(
         mut self,
