attempt_failed tells what the attempt showed of its prompt

Which end of an engine counted against a part couldn't be told from the logs of the VM that saw it: of an answer that went on for a second, or never began, there was no line.

--- a/crates/core/src/quarantine/answer_trace.rs
+++ b/crates/core/src/quarantine/answer_trace.rs
@@ -32,13 +32,17 @@
 
 /// What the end of an attempt shows about the parts of its prompt.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(derive_more::Display)]
 pub enum PromptEvidence {
     /// Nothing.
     #[default]
+    #[display("nothing")]
     None,
     /// One of them may have crashed the upstream.
+    #[display("crash")]
     Crash,
     /// None of them crashes upstreams.
+    #[display("sound")]
     Sound {
         /// Time since the answer began.
         begun_ago: Millis,
--- a/crates/entry/src/forward/driver/log.rs
+++ b/crates/entry/src/forward/driver/log.rs
@@ -8,7 +8,11 @@
         scheduling::Placement,
     },
     jasmine_core::{
-        clock::Millis, error::Refusal, ids::PartId, ingress::PromptPart, quarantine::join_parts,
+        clock::Millis,
+        error::Refusal,
+        ids::PartId,
+        ingress::PromptPart,
+        quarantine::{PromptEvidence, join_parts},
     },
     jasmine_telemetry::log::Line,
 };
@@ -44,6 +48,7 @@
         &self,
         attempt: &InFlight,
         failure: &Failure,
+        shows: PromptEvidence,
         can_retry: bool,
         now: Millis,
     ) {
@@ -55,6 +60,7 @@
             .with("outcome", format!("{:?}", failure.outcome))
             .with("broken", failure.is_broken)
             .with("ended", failure.has_upstream_ended)
+            .with("shows", shows)
             .with("reused", trace.is_connection_reused)
             .with("framing", framing_name(trace.framing))
             .with("partial_bytes", trace.partial_bytes)
--- a/crates/entry/src/forward/driver/mod.rs
+++ b/crates/entry/src/forward/driver/mod.rs
@@ -563,7 +563,7 @@
         placement.end(failure.outcome, evidence);
         self.cx.metrics.count_attempt(failure.outcome);
         let can_retry = self.attempts.record_end(failure.end);
-        self.log_failed(attempt, &failure, can_retry, now);
+        self.log_failed(attempt, &failure, evidence.prompt, can_retry, now);
         self.upstream_error = failure.response.or(self.upstream_error.take());
         match failure.outcome {
             Outcome::NotLoaded => {}
