An upstream's end accuses all that was under way there, whoever has seen it

Cause: what was known of a crash was how one VM's connection looked. An answer that had not begun, or fell silent, showed nothing; one that had gone on for a second showed its prompt to be sound, also where it broke and the engine's machine refused connections; and an engine that had started anew was heard, which struck its crash out.

Change: only a whole answer shows a prompt to be sound. An attempt whose connection broke while its upstream refuses others accuses its prompt at any point of the exchange. Each other attempt that was sent and not answered whole stays open: it counts once its upstream is seen to have ended, by a refused connection or by another start in its report or entry, and is forgotten once its upstream is heard in the same run. What an upstream sends refutes a crash only if it is of the same run: its report states the start that was known before, or the answer is to a request from before the crash. The leader asks an engine that may have crashed for its report after 150 ms.

crashing_parts::answers_tell_what_they_show held the fault: a broken answer of 1.5 s was asked to be sound. It asks for open evidence now, and for a crash where the upstream is gone.

--- a/crates/core/examples/quarantine_cost/main.rs
+++ b/crates/core/examples/quarantine_cost/main.rs
@@ -6,7 +6,7 @@
     jasmine_core::{
         clock::Millis,
         ids::{PartId, RequestId, UpstreamId},
-        quarantine::{CrashCandidates, PartQuarantine},
+        quarantine::{CrashCandidates, PartQuarantine, SignOfLife},
     },
     std::{
         hint::black_box,
@@ -156,7 +156,7 @@
     );
     measure("sign of life", known, false, |known, count| {
         let upstream = UpstreamId((count % UPSTREAMS) as u32);
-        known.quarantine.note_alive(upstream, now);
+        known.quarantine.note_alive(upstream, SignOfLife::Any, now);
     });
     measure("whether a prompt may go", known, false, |known, count| {
         let candidates = new(count);
--- a/crates/core/src/quarantine/answer_trace.rs
+++ b/crates/core/src/quarantine/answer_trace.rs
@@ -1,10 +1,10 @@
 use crate::clock::Millis;
 
-/// An answer that breaks off sooner after its begin may be broken by what it answers.
-const MAX_CRASH_DELAY: Millis = Millis(1_000);
+/// An answer that breaks off sooner after its begin is presumed to be broken by what it answers.
+const MAX_PRESUMED_DELAY: Millis = Millis(1_000);
 
-/// A crash ends the connection of an answer sooner after its last data; an upstream that was silent for longer lived on.
-const MAX_CRASH_SILENCE: Millis = Millis(2_000);
+/// The same of one that was silent for less than this just before.
+const MAX_PRESUMED_SILENCE: Millis = Millis(2_000);
 
 /// How the answer of an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -15,6 +15,8 @@
     Closed,
     /// Its connection broke, or it ended before it was whole.
     Broken,
+    /// The same, or at the end of a connection that also frames it, and the upstream's machine refuses others.
+    UpstreamGone,
     /// For a reason that isn't the upstream's, or with silence.
     GivenUp,
 }
@@ -22,8 +24,8 @@
 /// How far the answer of an attempt got, as its VM has seen it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AnswerTrace {
-    /// Time since the answer began.
-    pub begun_ago: Millis,
+    /// Time since the answer began; `None` if it didn't.
+    pub begun_ago: Option<Millis>,
     /// Time from its begin until its last data.
     pub received_for: Millis,
     /// How it ended.
@@ -38,6 +40,12 @@
     #[default]
     #[display("nothing")]
     None,
+    /// It was under way at the upstream: one of them may have crashed that, if it is seen to have ended.
+    #[display("open")]
+    Open {
+        /// Whether its connection broke, as at the end of the upstream; otherwise it was given up before.
+        has_broken: bool,
+    },
     /// One of them may have crashed the upstream.
     #[display("crash")]
     Crash,
@@ -50,19 +58,23 @@
 }
 
 impl AnswerTrace {
-    /// What it shows about the prompt.
+    /// What it shows about the prompt of a request that was sent.
+    ///
+    /// Only a whole answer shows that its upstream outlived the prompt, and only an upstream that has ended shows that it
+    /// may not have. A connection that breaks just after the begin of an answer is taken for an end until the upstream is
+    /// heard.
     pub fn evidence(self) -> PromptEvidence {
-        let sound = PromptEvidence::Sound {
-            begun_ago: self.begun_ago,
-        };
-        let goes_on = self.received_for >= MAX_CRASH_DELAY;
-        let was_silent = self.begun_ago.since(self.received_for) > MAX_CRASH_SILENCE;
-        match self.end {
-            AnswerEnd::Whole => sound,
-            _ if goes_on => sound,
-            AnswerEnd::Broken if was_silent => PromptEvidence::None,
-            AnswerEnd::Broken => PromptEvidence::Crash,
-            AnswerEnd::Closed | AnswerEnd::GivenUp => PromptEvidence::None,
+        let is_presumed = self.begun_ago.is_some_and(|begun_ago| {
+            self.received_for < MAX_PRESUMED_DELAY
+                && begun_ago.since(self.received_for) <= MAX_PRESUMED_SILENCE
+        });
+        match (self.end, self.begun_ago) {
+            (AnswerEnd::Whole, Some(begun_ago)) => PromptEvidence::Sound { begun_ago },
+            (AnswerEnd::UpstreamGone, _) => PromptEvidence::Crash,
+            (AnswerEnd::Broken, _) if is_presumed => PromptEvidence::Crash,
+            (end, _) => PromptEvidence::Open {
+                has_broken: end == AnswerEnd::Broken,
+            },
         }
     }
 }
--- a/crates/core/src/quarantine/crash.rs
+++ b/crates/core/src/quarantine/crash.rs
@@ -1,5 +1,5 @@
 use {
-    super::{CrashReport, PartSet, PromptReport},
+    super::{CrashReport, PartSet, PromptReport, SignOfLife},
     crate::{
         clock::Millis,
         ids::{PartId, UpstreamId},
@@ -8,7 +8,7 @@
 };
 
 /// Reports of what an upstream sent before its crash arrive within this time of it.
-const LATE_REPORT_TIME: Millis = Millis(150);
+pub(crate) const LATE_REPORT_TIME: Millis = Millis(150);
 /// A crashed upstream is gone for longer, so that all reports of its end within this time are of one crash.
 pub(super) const MIN_RESTART_TIME: Millis = Millis(1_500);
 /// Time in which an upstream that only broke an answer off shows that it goes on.
@@ -131,16 +131,20 @@
         self.upstream == upstream && !is_next_start && (is_close || was_under_way)
     }
 
-    /// Whether something from the upstream at `now` shows that it didn't crash.
+    /// Whether a sign of life of the upstream at `now` shows that it didn't crash.
     pub(super) fn is_refuted_by(
         &self,
         upstream: UpstreamId,
+        sign: SignOfLife,
         now: Millis,
     ) -> bool {
         let age = now.since(self.at);
-        !self.is_confirmed
-            && self.upstream == upstream
-            && (LATE_REPORT_TIME..MIN_RESTART_TIME).contains(&age)
+        let is_of_same_run = match sign {
+            SignOfLife::Run { known_at } => known_at <= self.at,
+            SignOfLife::Answer { sent_at } => sent_at <= self.at,
+            SignOfLife::Any => age < MIN_RESTART_TIME,
+        };
+        !self.is_confirmed && self.upstream == upstream && age >= LATE_REPORT_TIME && is_of_same_run
     }
 
     /// Whether the upstream had time to show that it didn't crash.
--- a/crates/core/src/quarantine/crash_log.rs
+++ b/crates/core/src/quarantine/crash_log.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        CrashEnd, CrashRef, CrashReport, PartSet,
+        CrashEnd, CrashRef, CrashReport, PartSet, SignOfLife,
         crash::{AccusedPrompt, Crash, MIN_RESTART_TIME, SETTLE_TIME},
     },
     crate::{
@@ -12,6 +12,8 @@
 
 /// How long a crash is evidence.
 pub(super) const RETENTION: Millis = Millis(600_000);
+/// How long after a crash its upstream may be heard to have gone on.
+const MAX_REFUTATION_TIME: Millis = Millis(10_000);
 /// Most crashes that are kept; the oldest go first.
 const MAX_CRASHES: usize = 256;
 
@@ -161,14 +163,18 @@
         });
     }
 
-    /// Records that an upstream sends something: it didn't crash just before.
+    /// Records a sign of life of an upstream: it didn't crash just before, if that is of the same run.
     pub(super) fn note_alive(
         &mut self,
         upstream: UpstreamId,
+        sign: SignOfLife,
         now: Millis,
     ) {
-        let is_refuted = |crash: &Crash| crash.is_refuted_by(upstream, now);
-        if !self.latest(now).any(is_refuted) {
+        let is_refuted = |crash: &Crash| {
+            now.since(crash.at) < MAX_REFUTATION_TIME && crash.is_refuted_by(upstream, sign, now)
+        };
+        let mut latest = self.crashes.iter().rev();
+        if !latest.any(is_refuted) {
             return;
         }
         for crash in std::mem::take(&mut self.crashes) {
@@ -195,6 +201,29 @@
         }
     }
 
+    /// Whether an upstream had crashed just before, so that it may not have been back yet.
+    pub(super) fn is_down(
+        &self,
+        upstream: UpstreamId,
+        at: Millis,
+    ) -> bool {
+        let latest = self.crashes.iter().rev();
+        let mut latest = latest.take_while(|crash| at.since(crash.at) < MIN_RESTART_TIME);
+        latest.any(|crash| crash.upstream == upstream && crash.at < at)
+    }
+
+    /// When the first crash of an upstream came from `since` on.
+    pub(super) fn first_of(
+        &self,
+        upstream: UpstreamId,
+        since: Millis,
+    ) -> Option<Millis> {
+        let latest = self.crashes.iter().rev();
+        let latest = latest.take_while(|crash| crash.at >= since);
+        let first = latest.filter(|crash| crash.upstream == upstream).last();
+        first.map(|crash| crash.at)
+    }
+
     /// When the next crash is settled.
     pub(super) fn next_settled(
         &self,
--- a/crates/core/src/quarantine/part_quarantine.rs
+++ b/crates/core/src/quarantine/part_quarantine.rs
@@ -1,9 +1,10 @@
 use {
     super::{
-        AccusedPart, CrashCandidates, CrashEvidence, PartSet, QuarantineEvent, SoundReport,
-        VerdictSource,
+        AccusedPart, CrashCandidates, CrashEvidence, EndSeen, PartSet, QuarantineEvent, SignOfLife,
+        SoundReport, VerdictSource,
         crash::AccusedPrompt,
         crash_log::{CrashLog, RETENTION},
+        open_attempts::{OpenAttempt, OpenAttempts},
         recent_parts::RecentParts,
         request_suspect::{MIN_SUSPECT_ENDS, RequestSuspect},
         suspect::MIN_CRASHES,
@@ -32,6 +33,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct PartQuarantine {
     crashes: CrashLog,
+    open: OpenAttempts,
     /// Parts of prompts that were answered, and when the latest answer began.
     sound: RecentParts,
     verdicts: Vec<Verdict>,
@@ -76,6 +78,93 @@
         );
     }
 
+    /// Records that a request which was sent at `sent_at` got no whole answer: it is accused with its prompt if its
+    /// upstream is known, or seen later, to have ended meanwhile. Returns whether it is accused now.
+    pub fn note_open(
+        &mut self,
+        upstream: UpstreamId,
+        candidates: CrashCandidates<'_>,
+        has_broken: bool,
+        sent_at: Millis,
+        now: Millis,
+    ) -> bool {
+        if self.crashes.is_down(upstream, sent_at) {
+            return false;
+        }
+        let attempt = OpenAttempt {
+            prompt: AccusedPrompt {
+                parts: candidates.shared.iter().copied().collect(),
+                sent_at,
+            },
+            request: candidates.request,
+            ended_at: now,
+            has_broken,
+        };
+        let crashed_at = self.crashes.first_of(upstream, sent_at);
+        match crashed_at {
+            Some(at) => self.accuse_open(upstream, &[attempt], at, now),
+            None => self.open.add(upstream, attempt),
+        }
+        crashed_at.is_some()
+    }
+
+    /// Records that an upstream has ended: all that was under way there is accused. Returns whether anything new is.
+    pub fn note_upstream_end(
+        &mut self,
+        upstream: UpstreamId,
+        seen: EndSeen,
+        now: Millis,
+    ) -> bool {
+        let mut attempts = self.open.take(upstream, now);
+        // What was sent between the crash of a run and the next start has reached nobody.
+        attempts.retain(|attempt| {
+            let crashed_at = match seen {
+                EndSeen::Refused => None,
+                EndSeen::Restarted { known_at } => self.crashes.first_of(upstream, known_at),
+            };
+            let is_before_crash = crashed_at.is_none_or(|at| attempt.sent_at() <= at);
+            is_before_crash && !self.crashes.is_down(upstream, attempt.sent_at())
+        });
+        for attempt in &attempts {
+            let at = if attempt.has_broken {
+                attempt.ended_at
+            } else {
+                let crashed_at = self.crashes.first_of(upstream, attempt.sent_at());
+                crashed_at.unwrap_or(now)
+            };
+            self.accuse_open(upstream, std::slice::from_ref(attempt), at, now);
+        }
+        self.note_gone(upstream, now);
+        if attempts.is_empty() {
+            return false;
+        }
+        let requests = attempts.iter().map(|attempt| attempt.request).collect();
+        self.events.push(QuarantineEvent::Ended {
+            upstream,
+            seen,
+            requests,
+        });
+        true
+    }
+
+    /// Accuses attempts of a crash at `at`.
+    fn accuse_open(
+        &mut self,
+        upstream: UpstreamId,
+        attempts: &[OpenAttempt],
+        at: Millis,
+        now: Millis,
+    ) {
+        let prompts = attempts.iter().map(|attempt| attempt.prompt.clone());
+        let prompts: Vec<AccusedPrompt> = prompts.collect();
+        let requests = attempts.iter().map(|one| (one.request, one.sent_at()));
+        let requests: Vec<(PartId, Millis)> = requests.collect();
+        let sound = &self.sound;
+        let sound_at = |part| sound.latest(part);
+        self.crashes
+            .note(upstream, &prompts, &requests, (at, now), sound_at);
+    }
+
     /// Adds what another VM has recorded.
     pub fn add_evidence(
         &mut self,
@@ -94,13 +183,15 @@
         }
     }
 
-    /// Records that an upstream sends something, so that it hasn't crashed just before.
+    /// Records a sign of life of an upstream, so that it hasn't crashed just before if that is of the same run.
     pub fn note_alive(
         &mut self,
         upstream: UpstreamId,
+        sign: SignOfLife,
         now: Millis,
     ) {
-        self.crashes.note_alive(upstream, now);
+        self.crashes.note_alive(upstream, sign, now);
+        self.open.note_alive(upstream, sign, now);
     }
 
     /// Records that an upstream is gone or has started anew.
--- a/crates/core/src/quarantine/quarantine_event.rs
+++ b/crates/core/src/quarantine/quarantine_event.rs
@@ -48,6 +48,21 @@
     Room,
 }
 
+/// How an upstream was seen to have ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(derive_more::Display)]
+pub enum EndSeen {
+    /// Its machine refused connections just after one had broken.
+    #[display("refused")]
+    Refused,
+    /// Its report or its entry states another start.
+    #[display("restarted")]
+    Restarted {
+        /// From when on the start before was known.
+        known_at: Millis,
+    },
+}
+
 /// A crash as the evidence of a verdict.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CrashRef {
@@ -98,6 +113,15 @@
         /// The verdicts that it was sent in spite of, as a probe.
         probed: Vec<PartSet>,
     },
+    /// An upstream has ended under requests that had shown nothing by themselves.
+    Ended {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// How that was seen.
+        seen: EndSeen,
+        /// The requests.
+        requests: Vec<PartId>,
+    },
     /// A crash is no evidence any more.
     Dropped {
         /// The crash.
--- a/crates/core/src/scheduler/engine.rs
+++ b/crates/core/src/scheduler/engine.rs
@@ -242,6 +242,22 @@
         }
     }
 
+    /// Requests a report at this time, unless one is requested sooner.
+    pub(super) fn request_report_at(
+        &mut self,
+        at: Millis,
+    ) {
+        self.view_state = match self.view_state {
+            ViewState::Synced => ViewState::Stale { request_at: at },
+            ViewState::Stale { request_at } => ViewState::Stale {
+                request_at: request_at.min(at),
+            },
+            ViewState::Requested { retry_at } => ViewState::Requested {
+                retry_at: retry_at.min(at),
+            },
+        };
+    }
+
     /// Returns whether a report is due, and if so schedules the next attempt.
     fn take_due_report(
         &mut self,
--- a/crates/core/src/scheduler/fleet.rs
+++ b/crates/core/src/scheduler/fleet.rs
@@ -13,6 +13,7 @@
         evacuation::Evacuations,
         fleet_totals::FleetTotals,
         holders::Holders,
+        known_run::KnownRun,
         load_punctuality::LoadPunctuality,
         load_slowdown::LoadSlowdown,
         measured_pace::MeasuredPace,
@@ -204,6 +205,18 @@
         }
     }
 
+    /// The latest known run of an upstream; `None` if it states none.
+    pub(super) fn run(
+        &self,
+        id: UpstreamId,
+    ) -> Option<KnownRun> {
+        let upstream = self.upstreams.get(&id)?;
+        Some(KnownRun {
+            started_unix_ms: upstream.run()?,
+            known_at: upstream.run_known_at,
+        })
+    }
+
     /// Applies a report from an engine.
     pub(super) fn report(
         &mut self,
@@ -215,7 +228,7 @@
         let Some(upstream) = self.upstreams.get_mut(&id) else {
             return;
         };
-        upstream.note_reported_start(status.started_unix_ms);
+        upstream.note_reported_start(status.started_unix_ms, now);
         let Some(engine) = &mut upstream.engine else {
             return;
         };
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -38,6 +38,7 @@
 mod health;
 mod holders;
 mod job;
+mod known_run;
 mod load_punctuality;
 mod load_slowdown;
 mod loads;
--- a/crates/core/src/scheduler/outcome.rs
+++ b/crates/core/src/scheduler/outcome.rs
@@ -27,6 +27,11 @@
 }
 
 impl Outcome {
+    /// Whether the upstream may have been at work on it as it ended, or may be still.
+    pub const fn may_be_unfinished(self) -> bool {
+        matches!(self, Self::Lost | Self::Silent | Self::Abandoned)
+    }
+
     /// Whether the upstream has sent a complete response.
     pub const fn has_response(self) -> bool {
         match self {
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -196,7 +196,9 @@
         if known.is_some_and(|known| known.started_unix_ms != facts.started_unix_ms) {
             self.note_gone(id, now);
         }
+        let run = self.fleet.run(id);
         self.fleet.set(id, facts, self.can_order, &load, now);
+        self.note_run(id, run, now);
         self.decide(now)
     }
 
@@ -266,9 +268,13 @@
     ) -> Vec<Action> {
         self.reports.note_answer(id);
         if let Some(facts) = facts {
-            self.quarantine.note_alive(id, now);
             let load = self.settings.loads;
+            let run = self.fleet.run(id);
             self.fleet.report(id, facts, &load, now);
+            if !self.note_run(id, run, now) {
+                let sign = self.sign_of_report(id, facts);
+                self.quarantine.note_alive(id, sign, now);
+            }
             self.reevaluate_all(now);
         }
         let mut actions = self.decide(now);
@@ -475,7 +481,8 @@
         let Stage::Running { upstream, adapter } = entry.stage else {
             return Vec::new();
         };
-        self.quarantine.note_alive(upstream, now);
+        let sign = self.sign_of_answer(upstream, entry.assigned_at);
+        self.quarantine.note_alive(upstream, sign, now);
         if let Some(upstream) = self.fleet.upstreams.get_mut(&upstream) {
             upstream.health.note_first_event();
             upstream.work.start(request, now);
--- a/crates/core/src/scheduler/state_machine/quarantine.rs
+++ b/crates/core/src/scheduler/state_machine/quarantine.rs
@@ -7,10 +7,13 @@
         error::{ErrorKind, Refusal},
         ids::{PartId, UpstreamId},
         quarantine::{
-            AttemptEvidence, CrashCandidates, CrashEvidence, PartSet, PromptEvidence,
-            QuarantineEvent, RequestEvidence, VerdictSource,
+            AttemptEvidence, CrashCandidates, CrashEvidence, EndSeen, LATE_REPORT_TIME, PartSet,
+            PromptEvidence, QuarantineEvent, RequestEvidence, SignOfLife, VerdictSource,
+        },
+        scheduler::{
+            AttemptId, EngineStatus, Job, SchedulerAction as Action, known_run::KnownRun,
+            running::Stage, upstream::Upstream,
         },
-        scheduler::{AttemptId, Job, SchedulerAction as Action, running::Stage},
     },
 };
 
@@ -73,6 +76,10 @@
         let prompt = match evidence.prompt {
             PromptEvidence::Crash => shared,
             PromptEvidence::None => &[],
+            PromptEvidence::Open { has_broken } => {
+                let quarantine = &mut self.quarantine;
+                return quarantine.note_open(upstream, candidates, has_broken, sent_at, now);
+            }
             PromptEvidence::Sound { begun_ago } => {
                 needs_review = self.quarantine.note_sound(shared, now.since(begun_ago));
                 &[]
@@ -93,11 +100,74 @@
             .note_crash(upstream, prompt, ended, sent_at, now);
         if evidence.request == RequestEvidence::UpstreamGone {
             // What it sent before may be reported later.
-            self.note_gone(upstream, now);
+            self.quarantine
+                .note_upstream_end(upstream, EndSeen::Refused, now);
+        } else {
+            self.ask_for_run(upstream, now);
         }
         true
     }
 
+    /// Requests the report of an engine that may have crashed: only its start tells whether it has.
+    fn ask_for_run(
+        &mut self,
+        upstream: UpstreamId,
+        now: Millis,
+    ) {
+        if let Some(engine) = self.fleet.engine_mut(upstream).filter(|_| self.can_order) {
+            engine.request_report_at(now + LATE_REPORT_TIME);
+        }
+    }
+
+    /// Records that an upstream has started anew, if its run isn't the one that was known before; returns whether it has.
+    pub(super) fn note_run(
+        &mut self,
+        upstream: UpstreamId,
+        known: Option<KnownRun>,
+        now: Millis,
+    ) -> bool {
+        let (Some(known), Some(run)) = (known, self.fleet.run(upstream)) else {
+            return false;
+        };
+        let is_new = run.started_unix_ms > known.started_unix_ms;
+        if is_new {
+            let known_at = known.known_at;
+            let seen = EndSeen::Restarted { known_at };
+            self.is_evidence_new |= self.quarantine.note_upstream_end(upstream, seen, now);
+        }
+        is_new
+    }
+
+    /// What an engine's report shows about its run.
+    pub(super) fn sign_of_report(
+        &self,
+        upstream: UpstreamId,
+        report: &EngineStatus,
+    ) -> SignOfLife {
+        let known = self.fleet.upstreams.get(&upstream);
+        let same_run = known.filter(|known| known.run() == report.started_unix_ms);
+        match (same_run, report.started_unix_ms) {
+            (Some(known), Some(_)) => SignOfLife::Run {
+                known_at: known.run_known_at,
+            },
+            _ => SignOfLife::Any,
+        }
+    }
+
+    /// What an answer to a request that was sent at `sent_at` shows about its upstream's run.
+    pub(super) fn sign_of_answer(
+        &self,
+        upstream: UpstreamId,
+        sent_at: Millis,
+    ) -> SignOfLife {
+        let known = self.fleet.upstreams.get(&upstream);
+        if self.can_order && known.is_some_and(Upstream::reports_run) {
+            SignOfLife::Answer { sent_at }
+        } else {
+            SignOfLife::Any
+        }
+    }
+
     /// Records that an upstream is gone or has started anew, so that nothing that it sends refutes its end.
     pub(super) fn note_gone(
         &mut self,
@@ -107,13 +177,15 @@
         self.quarantine.note_gone(upstream, now);
     }
 
-    /// Records that an upstream has sent something to this or another VM.
+    /// Records that an upstream has sent something of its answer to a request that was sent at `sent_at`.
     pub fn note_alive(
         &mut self,
         upstream: UpstreamId,
+        sent_at: Millis,
         now: Millis,
     ) {
-        self.quarantine.note_alive(upstream, now);
+        let sign = self.sign_of_answer(upstream, sent_at);
+        self.quarantine.note_alive(upstream, sign, now);
     }
 
     /// Adds what another VM has recorded of crashes and of sound parts.
--- a/crates/core/src/scheduler/upstream.rs
+++ b/crates/core/src/scheduler/upstream.rs
@@ -84,6 +84,8 @@
     pub started_unix_ms: Option<u64>,
     /// The latest start time in its own reports.
     reported_start: Option<u64>,
+    /// When its run, as far as its entry and its reports tell it, was first known.
+    pub run_known_at: Millis,
     /// Until when it is expected to be slow after its start.
     pub warmup_until: Millis,
     /// Until when it may crash if it gets more requests than its cold limit.
@@ -132,6 +134,7 @@
             is_ready: status.is_ready,
             started_unix_ms: status.started_unix_ms,
             reported_start: None,
+            run_known_at: now,
             warmup_until: now + status.cold,
             cold_until: now + status.cold,
             cold_limit: None,
@@ -159,6 +162,7 @@
     ) {
         let restarted =
             status.started_unix_ms != self.started_unix_ms || status.build != self.build;
+        let run = self.run();
         self.service = status.service;
         self.data_centre = status.data_centre;
         self.build = status.build;
@@ -167,6 +171,9 @@
         // The entry may have been written before the upstream became cold.
         self.cold_until = self.cold_until.max(now + status.cold);
         self.started_unix_ms = status.started_unix_ms;
+        if self.run() != run {
+            self.run_known_at = now;
+        }
         if restarted {
             self.health = Health::default();
             self.statements = self.statements.of_next_run(now);
@@ -205,8 +212,23 @@
     pub(super) fn note_reported_start(
         &mut self,
         started_unix_ms: Option<u64>,
+        now: Millis,
     ) {
+        let run = self.run();
         self.reported_start = self.reported_start.max(started_unix_ms);
+        if self.run() != run {
+            self.run_known_at = now;
+        }
+    }
+
+    /// The start of its latest known run; `None` if it states none.
+    pub(super) fn run(&self) -> Option<u64> {
+        self.reported_start.max(self.started_unix_ms)
+    }
+
+    /// Whether its reports tell one run from the next.
+    pub(super) const fn reports_run(&self) -> bool {
+        self.reported_start.is_some()
     }
 
     /// Whether it accepts new requests and its data centre is not evacuated.
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -345,7 +345,7 @@
         world.end(broken, Outcome::Lost);
         world.advance(200);
         let now = world.now;
-        world.scheduler.note_alive(upstream, now);
+        world.scheduler.note_alive(upstream, now, now);
         world.advance(500);
     }
     assert!(!is_quarantined(&mut world, &[FIRST, BAD]));
@@ -641,34 +641,45 @@
 
 #[test]
 fn answers_tell_what_they_show() {
-    // Guards against taking an answer that broke off at its begin, or may have, for a sound one.
-    let trace = |received_for, end| {
+    // Guards against taking an answer for a sound one that wasn't whole, and an end of its upstream for nothing.
+    let trace = |begun_ago, received_for, end| {
         let trace = AnswerTrace {
-            begun_ago: Millis(2_000),
+            begun_ago,
             received_for: Millis(received_for),
             end,
         };
         trace.evidence()
     };
+    let begun = Some(Millis(2_000));
     let sound = PromptEvidence::Sound {
         begun_ago: Millis(2_000),
     };
-    assert_eq!(trace(0, AnswerEnd::Whole), sound);
-    assert_eq!(trace(80, AnswerEnd::Broken), PromptEvidence::Crash);
-    assert_eq!(trace(1_500, AnswerEnd::Broken), sound);
-    assert_eq!(trace(80, AnswerEnd::Closed), PromptEvidence::None);
-    assert_eq!(trace(80, AnswerEnd::GivenUp), PromptEvidence::None);
+    assert_eq!(trace(begun, 0, AnswerEnd::Whole), sound);
+    assert_eq!(trace(begun, 80, AnswerEnd::Broken), PromptEvidence::Crash);
+    let broken = PromptEvidence::Open { has_broken: true };
+    let given_up = PromptEvidence::Open { has_broken: false };
+    assert_eq!(trace(begun, 1_500, AnswerEnd::Broken), broken);
+    assert_eq!(trace(None, 0, AnswerEnd::Broken), broken);
+    assert_eq!(trace(begun, 80, AnswerEnd::Closed), given_up);
+    for received_for in [80, 1_500] {
+        let trace = |end| trace(begun, received_for, end);
+        assert_eq!(trace(AnswerEnd::GivenUp), given_up);
+        assert_eq!(trace(AnswerEnd::UpstreamGone), PromptEvidence::Crash);
+    }
+    let gone = trace(None, 0, AnswerEnd::UpstreamGone);
+    assert_eq!(gone, PromptEvidence::Crash);
 }
 
 #[test]
-fn answers_that_break_after_silence_show_nothing() {
+fn answers_that_break_after_silence_are_open() {
     // Guards against taking for crashes what silent upstreams cut off seconds after they had begun it.
     let trace = AnswerTrace {
-        begun_ago: Millis(2_760),
+        begun_ago: Some(Millis(2_760)),
         received_for: Millis(20),
         end: AnswerEnd::Broken,
     };
-    assert_eq!(trace.evidence(), PromptEvidence::None);
+    let broken = PromptEvidence::Open { has_broken: true };
+    assert_eq!(trace.evidence(), broken);
 }
 
 #[test]
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -158,6 +158,7 @@
         bytes: &[u8],
         body: &[u8],
     ) -> Start {
+        self.placement.set_sent(true);
         match self
             .exchange(&mut connection, bytes, body, Awaited::Request(self.tag()))
             .await
@@ -221,6 +222,7 @@
             return Offer::NotRelayed;
         };
         let awaited = Awaited::FromVm(self.tag());
+        self.placement.set_sent(true);
         let exchanged = self.exchange(&mut connection, bytes, body, awaited).await;
         let mut response_start = match exchanged {
             // This may be due to the upstream, so that other requests can still go through that VM.
@@ -252,6 +254,7 @@
             return Offer::started(self.classify(response).await);
         }
         self.release(response);
+        self.placement.set_sent(false);
         match reason {
             NotRelayed::NoLinks => Offer::NotRelayed,
             NotRelayed::Unusable => {
--- a/crates/entry/src/forward/driver/mod.rs
+++ b/crates/entry/src/forward/driver/mod.rs
@@ -543,22 +543,22 @@
         failure: Failure,
     ) -> bool {
         let now = self.cx.clock.now();
-        let answer_end = if failure.is_broken {
-            self.cx.metrics.count_broken_attempt();
-            AnswerEnd::Broken
-        } else {
-            AnswerEnd::GivenUp
-        };
         let trace = attempt.trace();
+        let is_gone = failure.has_upstream_ended && trace.via == Via::OwnLinks;
+        let answer_end = match failure.is_broken {
+            true if is_gone => AnswerEnd::UpstreamGone,
+            true => AnswerEnd::Broken,
+            false => AnswerEnd::GivenUp,
+        };
+        if failure.is_broken {
+            self.cx.metrics.count_broken_attempt();
+        }
         let placement = &attempt.placement;
         self.overtaken_upstreams
             .retain(|upstream| *upstream != placement.upstream);
         let mut evidence = trace.evidence(answer_end, now);
-        if failure.has_upstream_ended {
-            evidence.request = match trace.via {
-                Via::OwnLinks => RequestEvidence::UpstreamGone,
-                Via::OtherVm => RequestEvidence::UpstreamEnded,
-            };
+        if failure.has_upstream_ended && trace.via == Via::OtherVm {
+            evidence.request = RequestEvidence::UpstreamEnded;
         }
         placement.end(failure.outcome, evidence);
         self.cx.metrics.count_attempt(failure.outcome);
--- a/crates/entry/src/forward/in_flight.rs
+++ b/crates/entry/src/forward/in_flight.rs
@@ -12,6 +12,7 @@
     crate::{
         context::Context,
         scheduling::{GenerationSpec, Placement},
+        upstream::Liveness,
     },
     futures::{
         StreamExt,
@@ -168,8 +169,11 @@
         }
         let (cx, placement) = (Rc::clone(&self.cx), Rc::clone(&self.placement));
         spawn_local(async move {
-            let goes_on = cx.pool.is_accepting(placement.address).await;
-            let end = if goes_on { AnswerEnd::Whole } else { end };
+            let end = match cx.pool.liveness(placement.address).await {
+                Liveness::Accepting => AnswerEnd::Whole,
+                Liveness::Refusing => AnswerEnd::UpstreamGone,
+                Liveness::Unreached => end,
+            };
             placement.end(outcome, trace.evidence(end, now));
         });
     }
--- a/crates/entry/src/forward/response_trace.rs
+++ b/crates/entry/src/forward/response_trace.rs
@@ -122,6 +122,7 @@
                 AnswerEnd::Whole => RequestEvidence::Answered {
                     begun_ago: now.since(begun_at),
                 },
+                AnswerEnd::UpstreamGone => RequestEvidence::UpstreamGone,
                 AnswerEnd::Broken | AnswerEnd::Closed | AnswerEnd::GivenUp => RequestEvidence::None,
             },
         }
@@ -133,11 +134,9 @@
         end: AnswerEnd,
         now: Millis,
     ) -> PromptEvidence {
-        let Some(begun_at) = self.head_at else {
-            return PromptEvidence::None;
-        };
+        let begun_at = self.head_at.unwrap_or_default();
         let trace = AnswerTrace {
-            begun_ago: now.since(begun_at),
+            begun_ago: self.head_at.map(|at| now.since(at)),
             received_for: self.event_at.unwrap_or(begun_at).since(begun_at),
             end,
         };
--- a/crates/entry/src/scheduling/convert.rs
+++ b/crates/entry/src/scheduling/convert.rs
@@ -267,6 +267,11 @@
             to.set_evidence(Evidence::None);
             None
         }
+        PromptEvidence::Open { has_broken } => {
+            to.set_is_open(true);
+            to.set_has_broken(has_broken);
+            None
+        }
         PromptEvidence::Crash => {
             to.set_evidence(Evidence::Crash);
             None
@@ -303,6 +308,9 @@
     let begun_ago = Millis(from.get_begun_ago_ms().into());
     Ok(AttemptEvidence {
         prompt: match from.get_evidence()? {
+            Evidence::None if from.get_is_open() => PromptEvidence::Open {
+                has_broken: from.get_has_broken(),
+            },
             Evidence::None => PromptEvidence::None,
             Evidence::Crash | Evidence::Gone => PromptEvidence::Crash,
             Evidence::Sound => PromptEvidence::Sound { begun_ago },
--- a/crates/entry/src/scheduling/placement.rs
+++ b/crates/entry/src/scheduling/placement.rs
@@ -2,7 +2,7 @@
     super::{Assignment, GenerationSpec, SchedulerNode, convert::JobUpdate},
     jasmine_core::{
         clock::Millis,
-        quarantine::AttemptEvidence,
+        quarantine::{AttemptEvidence, PromptEvidence},
         scheduler::{Outcome, UpstreamSignals, WaitReason},
     },
     std::{cell::Cell, future::pending, net::SocketAddr, rc::Rc},
@@ -31,6 +31,8 @@
     assigned_at: Millis,
     /// What the upstream stated, once its response has begun.
     signals: Cell<Option<UpstreamSignals>>,
+    /// Whether the request was sent to the upstream.
+    is_sent: Cell<bool>,
     /// Whether the answer has begun.
     has_begun: Cell<bool>,
     has_ended: Cell<bool>,
@@ -61,6 +63,7 @@
             expected_cost: None,
             assigned_at,
             signals: Cell::new(None),
+            is_sent: Cell::new(false),
             has_begun: Cell::new(false),
             has_ended: Cell::new(false),
         }
@@ -83,6 +86,14 @@
             .note_implausible_report(&self.upstream);
     }
 
+    /// Records whether the request is sent to the upstream.
+    pub fn set_sent(
+        &self,
+        is_sent: bool,
+    ) {
+        self.is_sent.set(is_sent);
+    }
+
     /// Records that the answer has begun.
     pub fn note_begun(&self) {
         self.has_begun.set(true);
@@ -115,6 +126,22 @@
             .record_update(self.number, JobUpdate::FirstEvent, self.signals.get());
     }
 
+    /// What an attempt shows that has ended so: one that was sent and has no response may have been under way as its
+    /// upstream ended.
+    fn evidence_of(
+        &self,
+        outcome: Outcome,
+        evidence: AttemptEvidence,
+    ) -> AttemptEvidence {
+        let is_open = self.is_sent.get() && outcome.may_be_unfinished();
+        let prompt = match evidence.prompt {
+            PromptEvidence::None if is_open => PromptEvidence::Open { has_broken: false },
+            PromptEvidence::Open { .. } if !is_open => PromptEvidence::None,
+            known => known,
+        };
+        AttemptEvidence { prompt, ..evidence }
+    }
+
     /// Reports how the request ended, and what that shows; later calls have no effect.
     pub fn end(
         &self,
@@ -122,6 +149,7 @@
         evidence: AttemptEvidence,
     ) {
         if !self.has_ended.replace(true) {
+            let evidence = self.evidence_of(outcome, evidence);
             self.scheduling.record_update(
                 self.number,
                 JobUpdate::Ended(outcome, evidence),
--- a/crates/entry/src/scheduling/quarantine.rs
+++ b/crates/entry/src/scheduling/quarantine.rs
@@ -42,6 +42,7 @@
                     request.map_or_else(String::new, |it| it.to_string()),
                 )
                 .with("prompt", is_crash)
+                .with("gone", evidence.request == RequestEvidence::UpstreamGone)
                 .with("parts", join_parts(parts, ","))
                 .info();
         }
@@ -73,14 +74,15 @@
         scheduler.note_own_evidence(upstream, candidates, evidence, sent_at, now);
     }
 
-    /// Records that an upstream has sent something to this VM.
+    /// Records that an upstream has sent something of its answer to a request that was sent at `sent_at`.
     pub(super) fn note_alive(
         &self,
         upstream: &str,
+        sent_at: Millis,
     ) {
         let id = self.names.borrow_mut().upstream(upstream);
         let now = self.clock.now();
-        self.scheduler.borrow_mut().note_alive(id, now);
+        self.scheduler.borrow_mut().note_alive(id, sent_at, now);
     }
 
     /// Adds what another VM has recorded and refuses.
@@ -219,6 +221,10 @@
                 log.log(event, &names, now);
             }
         }
+        let is_end = |event: &QuarantineEvent| matches!(event, QuarantineEvent::Ended { .. });
+        if events.iter().any(is_end) {
+            self.crash_recorded.notify_one();
+        }
         if events.iter().any(QuarantineEvent::is_change) {
             self.quarantine_hash.set(hash_of(self.quarantined()));
             self.quarantine_changed.notify_one();
--- a/crates/entry/src/scheduling/quarantine_log.rs
+++ b/crates/entry/src/scheduling/quarantine_log.rs
@@ -78,6 +78,22 @@
                     .with("unlogged", unlogged)
                     .info();
             }
+            QuarantineEvent::Ended {
+                upstream,
+                seen,
+                requests,
+            } => {
+                let Some(unlogged) = self.limit.admit(now) else {
+                    return;
+                };
+                let requests = requests.iter().map(|&request| number_of(request));
+                let requests: Vec<String> = requests.collect();
+                line.with("upstream", names.upstream_name(*upstream))
+                    .with("seen", seen)
+                    .with("requests", requests.join(","))
+                    .with("unlogged", unlogged)
+                    .info();
+            }
             QuarantineEvent::Dropped { crash, end } => {
                 let Some(unlogged) = self.limit.admit(now) else {
                     return;
@@ -107,6 +123,7 @@
             ("probe_sent", Line::new("suspect_sent"))
         }
         QuarantineEvent::Sent { .. } => ("suspect_sent", Line::new("suspect_sent")),
+        QuarantineEvent::Ended { .. } => ("upstream_ended", Line::new("upstream_ended")),
         QuarantineEvent::Dropped { .. } => ("crash_dropped", Line::new("crash_dropped")),
     }
 }
--- a/crates/entry/src/upstream/mod.rs
+++ b/crates/entry/src/upstream/mod.rs
@@ -12,6 +12,6 @@
     awaited::{Awaited, RequestTag},
     call::{CallError, HttpCall},
     connection::{Connection, ExchangeError, ResponseStart},
-    pool::Pool,
+    pool::{Liveness, Pool},
     read_budget::{ReadBudget, ReadCharge},
 };
--- a/crates/entry/src/upstream/pool.rs
+++ b/crates/entry/src/upstream/pool.rs
@@ -33,7 +33,7 @@
 
 /// Whether an upstream goes on, as a new connection to it shows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Liveness {
+pub enum Liveness {
     /// It accepts connections.
     Accepting,
     /// Its machine refuses connections to its port.
@@ -145,15 +145,8 @@
         self.liveness(address).await == Liveness::Refusing
     }
 
-    /// Whether an upstream accepts connections; the one that shows it is kept for the next request.
-    pub async fn is_accepting(
-        &self,
-        address: SocketAddr,
-    ) -> bool {
-        self.liveness(address).await == Liveness::Accepting
-    }
-
-    async fn liveness(
+    /// What becomes of a new connection to an upstream; one that is accepted is kept for the next request.
+    pub async fn liveness(
         &self,
         address: SocketAddr,
     ) -> Liveness {
--- a/crates/entry/tests/crashing_storms.rs
+++ b/crates/entry/tests/crashing_storms.rs
@@ -268,6 +268,21 @@
     assert_holds_in_touch("adapters-no-store", &storm);
 }
 
+#[test]
+fn losses_without_a_store() {
+    // Guards against the same time after time: each life of the VMs costs engines, and the part is known before.
+    let storm = Storm {
+        prompts: Prompts::Shared(1),
+        interval: Duration::from_secs(6),
+        loss: Loss::StoreAndAllVms,
+        losses: 3,
+        loss_interval: Duration::from_secs(9),
+        time: Duration::from_secs(38),
+        ..Storm::of_adapters()
+    };
+    assert_holds_in_touch("losses-no-store", &storm);
+}
+
 #[test]
 fn few_adapters() {
     // Guards against the same as with many where the few that there are come with each part time and again.
--- a/crates/entry/tests/deployment/crashing_site.rs
+++ b/crates/entry/tests/deployment/crashing_site.rs
@@ -41,7 +41,7 @@
 /// How long engines are silent.
 const SILENCE: Duration = Duration::from_millis(1_200);
 /// Time between two ends of engines that no prompt causes.
-const OWN_END_INTERVAL: Duration = Duration::from_millis(3_000);
+const OWN_END_INTERVAL: Duration = Duration::from_secs(3);
 /// Loads of adapters a second that the weight store allows.
 const ADAPTER_LOADS_PER_S: f64 = 50.0;
 /// Window of the retry budget.
@@ -200,7 +200,7 @@
     ) -> Self {
         Self {
             prompts: Prompts::Shared(parts),
-            interval: Duration::from_millis(5_000),
+            interval: Duration::from_secs(5),
             loss_interval: Duration::from_secs(4),
             losses: 4,
             time: Duration::from_secs(26),
@@ -211,7 +211,7 @@
             sound_interval: Duration::from_millis(450),
             end,
             queue_time: Duration::from_millis(100),
-            deadline: Duration::from_millis(4_000),
+            deadline: Duration::from_secs(4),
             resumes: true,
             ..Self::of_eight()
         }
@@ -350,16 +350,18 @@
     ) -> Self {
         let vms = play.vms;
         let (store, upstreams) = start_platform(&["s-1"]);
+        let mut next = config(2);
         if play.adapters > 0 {
-            let mut next = config(2);
             let engine = &mut next["services"][1]["engine"];
             engine["loads_per_s"] = json!(ADAPTER_LOADS_PER_S);
             engine["models"][0]["adapters"] = json!(play.adapters);
+        }
+        if play.resumes {
             let mut draft = route("draft", "streaming", 2, true);
             draft["service"] = json!("llm");
             next["routes"].as_array_mut().unwrap().push(draft);
-            store.put("op/config", &next);
         }
+        store.put("op/config", &next);
         let start = |number| {
             let engine = EngineStandIn::start(&format!("e-{number}")).unwrap();
             engine.crash_on(&[], EVENT_GAP);
@@ -638,12 +640,16 @@
         &mut self,
         storm: &Storm,
     ) {
-        if matches!(storm.loss, Loss::StoreAndAllVms | Loss::StoreAndOneVm) {
+        if storm.loss == Loss::StoreAndOneVm {
             self.store.set_outage(Outage::Unavailable);
         }
         thread::sleep(storm.sound_for);
         self.set_crashing(storm);
         for round in 0..storm.losses {
+            if storm.loss == Loss::StoreAndAllVms {
+                wait_until("all VMs are ready", || self.are_ready());
+                self.store.set_outage(Outage::Unavailable);
+            }
             thread::sleep(storm.loss_interval);
             self.lose(storm.loss, round);
         }
--- a/crates/wire/schema/scheduler.capnp
+++ b/crates/wire/schema/scheduler.capnp
@@ -153,6 +153,8 @@
   evidence @4 :Evidence;
   begunAgoMs @5 :UInt32;       # with sound evidence: since the answer began
   requestEvidence @6 :Evidence;  # about the request, over all attempts of its caller
+  isOpen @7 :Bool;             # sent, and no whole answer: counts if the upstream is seen to have ended
+  hasBroken @8 :Bool;          # if it is open: its connection broke; otherwise it was given up
 }
 
 # A crash of an upstream as it began to answer prompts with these parts.
