A crash that is told late is the closest one of its upstream, not the latest

What a VM reads from the store or is told is late by up to some 100 ms, and engines that crash just as they are back do so each 1.6 s: a report of one crash then lay within 1.5 s of the next one, too, and was added to that.

--- a/crates/core/src/quarantine/crash_log.rs
+++ b/crates/core/src/quarantine/crash_log.rs
@@ -116,15 +116,18 @@
         self.drop_empty();
     }
 
-    /// The crash that a report of `upstream` at `at`, under prompts that were sent until `sent_at`, is of.
+    /// The crash that a report of `upstream` at `at`, under prompts that were sent until `sent_at`, is of: the closest one,
+    /// as reports that come late have later times.
     fn find(
         &self,
         upstream: UpstreamId,
         sent_at: Millis,
         at: Millis,
     ) -> Option<usize> {
-        let mut known = (0..self.crashes.len()).rev();
-        known.find(|&index| self.crashes[index].is_same(upstream, sent_at, at))
+        let known = self.crashes.iter().enumerate().rev();
+        let same = known.filter(|(_, crash)| crash.is_same(upstream, sent_at, at));
+        let closest = same.min_by_key(|(_, crash)| crash.at.since(at).max(at.since(crash.at)));
+        closest.map(|(index, _)| index)
     }
 
     /// Acquits parts of the crashes until `until`.
--- a/crates/core/tests/upstream_ends.rs
+++ b/crates/core/tests/upstream_ends.rs
@@ -8,7 +8,8 @@
         ids::{PartId, UpstreamId},
         ingress::{PromptPart, shared_parts},
         quarantine::{
-            AttemptEvidence, PartSet, PromptEvidence, RequestEvidence,
+            AttemptEvidence, CrashEvidence, CrashReport, PartSet, PromptEvidence, PromptReport,
+            RequestEvidence,
         },
         rights::CallerTag,
         scheduler::{EngineStatus, Job, Outcome, UpstreamStatus, Work},
@@ -284,3 +285,29 @@
     site.world.advance(200);
     assert_eq!(site.world.reports_asked, [id]);
 }
+
+#[test]
+fn late_reports_are_of_the_closest_crash() {
+    // Guards against taking a crash that is told late for the next one of its engine.
+    let mut site = Site::new();
+    let told = |ago, part| CrashReport {
+        upstream: UpstreamId(0),
+        ago: Millis(ago),
+        prompts: vec![PromptReport {
+            parts: vec![PartId::Part(part)],
+            sent_ago: Millis(ago + 30),
+        }],
+        requests: Vec::new(),
+    };
+    let now = site.world.now;
+    for report in [told(3_200, BAD), told(1_600, OTHER), told(3_000, BAD)] {
+        let evidence = CrashEvidence {
+            crashes: vec![report],
+            sound: Vec::new(),
+        };
+        site.world.scheduler.add_crash_evidence(&evidence, now);
+    }
+    let known = site.world.scheduler.crash_evidence(now);
+    let parts = known.crashes.iter().map(|crash| crash.prompts.len());
+    assert_eq!(parts.collect::<Vec<_>>(), [1, 1]);
+}
