A part that was sound is tried once more where few others are known to be sound

Cause: what crashed on trial beside a part that was in no other prompt counted against the part that had been sound, as callers name the parts of their sessions. While several new parts crash engines, each trial meets another one of them.

Change: two such trials have to crash, unless 20 parts, and three more for each open crash, are known to be sound: then few of the new ones may crash engines. It is what tells adapters apart already.

The new test of crashing_parts fails without it.

--- a/crates/core/src/quarantine/recent_parts.rs
+++ b/crates/core/src/quarantine/recent_parts.rs
@@ -11,9 +11,11 @@
 pub(super) struct RecentParts {
     current: HashMap<PartId, Millis>,
     previous: HashMap<PartId, Millis>,
-    /// How many adapters are in each of the two.
+    /// How many adapters, and how many parts of prompts, are in each of the two.
     current_adapters: usize,
     previous_adapters: usize,
+    current_parts: usize,
+    previous_parts: usize,
 }
 
 impl RecentParts {
@@ -26,9 +28,12 @@
         if self.current.len() >= GENERATION_LEN {
             self.previous = std::mem::take(&mut self.current);
             self.previous_adapters = std::mem::take(&mut self.current_adapters);
+            self.previous_parts = std::mem::take(&mut self.current_parts);
         }
         let is_new = self.current.insert(part, at).is_none();
+        let is_part = !part.is_adapter() && !part.is_request();
         self.current_adapters += usize::from(is_new && part.is_adapter());
+        self.current_parts += usize::from(is_new && is_part);
     }
 
     /// How many adapters there are at least.
@@ -36,6 +41,11 @@
         self.current_adapters.max(self.previous_adapters)
     }
 
+    /// How many parts of prompts there are at least.
+    pub(super) fn parts(&self) -> usize {
+        self.current_parts.max(self.previous_parts)
+    }
+
     pub(super) fn contains(
         &self,
         part: PartId,
--- a/crates/core/src/quarantine/weighing.rs
+++ b/crates/core/src/quarantine/weighing.rs
@@ -17,10 +17,12 @@
 const MAX_SHARED_CRASHES: usize = 7;
 /// Crashes under a part that may follow those after which it has to be known.
 pub(super) const MAX_LATE_CRASHES: usize = 3;
-/// Adapters that have to be known as sound, so that others may be presumed to be.
-const MIN_SOUND_ADAPTERS: usize = 20;
+/// Adapters, or parts, that have to be known as sound, so that others may be presumed to be.
+const MIN_KNOWN_SOUND: usize = 20;
 /// Further ones for each crash that no verdict explains.
-const MIN_SOUND_ADAPTERS_PER_CRASH: usize = 3;
+const MIN_KNOWN_SOUND_PER_CRASH: usize = 3;
+/// Trials of a part that was sound which have to crash where few others are known to be sound.
+const MIN_TRIALS_BESIDE_UNKNOWN: usize = 2;
 /// How long a part is tried after the crashes after which it has to be known.
 const TRIAL_TIME: Millis = Millis(2_400);
 /// How long several suspects, or one that was sound, wait for answers that acquit them.
@@ -44,8 +46,9 @@
     sound: &'a RecentParts,
     verdicts: &'a [Verdict],
     now: Millis,
-    /// Computed when it is first needed, as it looks at all crashes.
-    are_adapters_sound: OnceCell<bool>,
+    /// How many adapters, or parts, have to be known as sound; computed when it is first needed, as it looks at all
+    /// crashes.
+    min_sound: OnceCell<usize>,
 }
 
 impl<'a> Weighing<'a> {
@@ -60,7 +63,7 @@
             sound,
             verdicts,
             now,
-            are_adapters_sound: OnceCell::new(),
+            min_sound: OnceCell::new(),
         }
     }
 
@@ -91,8 +94,8 @@
             .flat_map(|verdict| verdict.parts.iter().copied())
             .collect();
         let sound_at = |crash: &Crash, part| self.sound_at(crash, part);
+        let is_known = |part| self.crashes.accusations(part) >= MAX_CRASHES;
         let accusations = |part| self.crashes.accusations(part);
-        let is_known = |part| accusations(part) >= MAX_CRASHES;
         let suspects = Suspect::find(
             &accused,
             &unexplained,
@@ -112,7 +115,8 @@
         let is_guilty = |one: &&Suspect| {
             let is_alone = !one.was_sound() && one.is_alone(&unexplained, sound_at);
             let is_confirmed = one.was_sound() && one.is_confirmed;
-            let was_tried = is_confirmed && trials(one, one.qualified_at + SETTLE_TIME) > 0;
+            let was_tried =
+                is_confirmed && trials(one, one.qualified_at + SETTLE_TIME) >= self.min_trials();
             (is_alone || was_tried) && self.has_witnesses(one.part) && !has_alternative(one)
         };
         if let Some(guilty) = suspects.iter().find(is_guilty) {
@@ -152,13 +156,28 @@
         Finding::Open(open, Some(due).filter(|&due| self.now < due))
     }
 
-    /// Whether answers have shown so many adapters to be sound that few of the others may crash upstreams.
-    fn are_adapters_sound(&self) -> bool {
-        *self.are_adapters_sound.get_or_init(|| {
+    /// Whether answers have shown so many adapters, or parts, to be sound that few of the others may crash upstreams.
+    fn are_most_sound(
+        &self,
+        known: usize,
+    ) -> bool {
+        let min_sound = self.min_sound.get_or_init(|| {
             let crashes = self.crashes.iter();
             let open = crashes.filter(|crash| !self.is_explained(crash)).count();
-            self.sound.adapters() >= MIN_SOUND_ADAPTERS + MIN_SOUND_ADAPTERS_PER_CRASH * open
-        })
+            MIN_KNOWN_SOUND + MIN_KNOWN_SOUND_PER_CRASH * open
+        });
+        known >= *min_sound
+    }
+
+    /// How many trials have to crash before a part that was sound is refused.
+    ///
+    /// Each may have another new part that is the cause, unless most parts are known to be sound.
+    fn min_trials(&self) -> usize {
+        if self.are_most_sound(self.sound.parts()) {
+            1
+        } else {
+            MIN_TRIALS_BESIDE_UNKNOWN
+        }
     }
 
     /// When a part that a crash accuses was last known, or is presumed, to be sound.
@@ -171,7 +190,8 @@
         part: PartId,
     ) -> Option<Millis> {
         let is_single = || crash.prompts.len() == 1 && self.crashes.accusations(part) <= 1;
-        let is_presumed = || part.is_adapter() && is_single() && self.are_adapters_sound();
+        let is_presumed =
+            || part.is_adapter() && is_single() && self.are_most_sound(self.sound.adapters());
         let known = self.sound.latest(part);
         known.or_else(|| is_presumed().then_some(self.now))
     }
@@ -215,9 +235,9 @@
             return 0;
         };
         let crashes: Vec<OpenCrash<'_>> = self.crashes.iter().map(OpenCrash::new).collect();
-        let accusations = |part| self.crashes.accusations(part);
         let suspect = self.suspect(part, &crashes, known.at);
         let sound_at = |crash: &Crash, part| self.sound_at(crash, part);
+        let accusations = |part| self.crashes.accusations(part);
         suspect.trials(&crashes, sound_at, accusations, known.at)
     }
 
@@ -332,7 +352,7 @@
         let sets = self.part_verdicts().filter(|one| one.parts.len() > 1);
         let mut members = sets.flat_map(|set| set.parts.iter().map(|&part| (part, set.since)));
         let found = members.find(|&(part, since)| {
-            accusations(part) >= MAX_CRASHES
+            self.crashes.accusations(part) >= MAX_CRASHES
                 && !self.is_refused_alone(part)
                 && crashes_alone(part, since)
         });
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -682,6 +682,22 @@
     assert_eq!(trace.evidence(), broken);
 }
 
+#[test]
+fn a_first_part_beside_new_parts_is_tried_again() {
+    // Guards against refusing the sound first part of several new parts that crash engines, as each is in one prompt only.
+    let mut world = world();
+    answer(&mut world, &[FIRST, OTHER]);
+    for part in 100..104 {
+        assert!(crash(&mut world, &[FIRST, part]));
+    }
+    assert!(!is_quarantined(&mut world, &[FIRST, OTHER]));
+    answer(&mut world, &[FIRST, OTHER + 1]);
+    for part in 104..107 {
+        assert!(crash(&mut world, &[FIRST, part]));
+    }
+    assert!(!is_quarantined(&mut world, &[FIRST, OTHER]));
+}
+
 #[test]
 fn a_part_that_was_sound_is_probed_rarely() {
     // Guards against a bad release of the engines that keeps their prompts out of service after it is mended.
