--- a/crates/core/src/quarantine/crash_log.rs
+++ b/crates/core/src/quarantine/crash_log.rs
@@ -173,11 +173,11 @@
         sign: SignOfLife,
         now: Millis,
     ) {
-        let is_refuted = |crash: &Crash| {
-            now.since(crash.at) < MAX_REFUTATION_TIME && crash.is_refuted_by(upstream, sign, now)
-        };
-        let mut latest = self.crashes.iter().rev();
-        if !latest.any(is_refuted) {
+        let is_recent = |crash: &Crash| now.since(crash.at) < MAX_REFUTATION_TIME;
+        let is_refuted =
+            |crash: &Crash| is_recent(crash) && crash.is_refuted_by(upstream, sign, now);
+        let latest = self.crashes.iter().rev();
+        if !latest.take_while(|crash| is_recent(crash)).any(is_refuted) {
             return;
         }
         for crash in std::mem::take(&mut self.crashes) {
