An answer tells nothing of which run its upstream is in, if the upstream can be asked

Seen in engine_ends: a crash dropped as heard 154 ms and 1.2 s later, by answers to requests that were assigned before it: VMs send a request once more where a connection was closed before it was read, and the next run answers it.

Change: where reports state starts and this VM can ask for them, only they refute a crash. Answers still close attempts that were given up.

--- a/crates/core/src/quarantine/crash.rs
+++ b/crates/core/src/quarantine/crash.rs
@@ -141,7 +141,7 @@
         let age = now.since(self.at);
         let is_of_same_run = match sign {
             SignOfLife::Run { known_at } => known_at <= self.at,
-            SignOfLife::Answer { sent_at } => sent_at <= self.at,
+            SignOfLife::Answer => false,
             SignOfLife::Any => age < MIN_RESTART_TIME,
         };
         !self.is_confirmed && self.upstream == upstream && age >= LATE_REPORT_TIME && is_of_same_run
--- a/crates/core/src/quarantine/open_attempts.rs
+++ b/crates/core/src/quarantine/open_attempts.rs
@@ -38,8 +38,7 @@
     ) -> bool {
         let is_of_same_run = match sign {
             SignOfLife::Run { known_at } => known_at <= self.sent_at(),
-            SignOfLife::Answer { sent_at } => sent_at <= self.ended_at,
-            SignOfLife::Any => true,
+            SignOfLife::Answer | SignOfLife::Any => true,
         };
         is_of_same_run && now.since(self.ended_at) >= LATE_REPORT_TIME
     }
--- a/crates/core/src/quarantine/sign_of_life.rs
+++ b/crates/core/src/quarantine/sign_of_life.rs
@@ -8,11 +8,9 @@
         /// When that start was first known.
         known_at: Millis,
     },
-    /// A part of the answer to a request, from an upstream that can be asked for its start.
-    Answer {
-        /// When the request was sent.
-        sent_at: Millis,
-    },
+    /// A part of an answer, from an upstream that can be asked for its start: VMs send a request again to the next run
+    /// where a connection was closed before it was read.
+    Answer,
     /// Anything, from an upstream that states no start or can't be asked for it.
     Any,
 }
--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -559,10 +559,7 @@
             Stage::Running { upstream, adapter } => {
                 match outcome {
                     Outcome::Unreachable => self.note_gone(upstream, now),
-                    _ if outcome.has_response() => {
-                        let sign = self.sign_of_answer(upstream, entry.assigned_at);
-                        self.quarantine.note_alive(upstream, sign, now);
-                    }
+                    _ if outcome.has_response() => self.note_alive(upstream, now),
                     _ => {}
                 }
                 let stated = entry.job.generation().map_or(0, |g| g.size.total());
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -481,7 +481,7 @@
         let Stage::Running { upstream, adapter } = entry.stage else {
             return Vec::new();
         };
-        let sign = self.sign_of_answer(upstream, entry.assigned_at);
+        let sign = self.sign_of_answer(upstream);
         self.quarantine.note_alive(upstream, sign, now);
         if let Some(upstream) = self.fleet.upstreams.get_mut(&upstream) {
             upstream.health.note_first_event();
--- a/crates/core/src/scheduler/state_machine/quarantine.rs
+++ b/crates/core/src/scheduler/state_machine/quarantine.rs
@@ -154,15 +154,14 @@
         }
     }
 
-    /// What an answer to a request that was sent at `sent_at` shows about its upstream's run.
+    /// What a part of an answer shows about its upstream.
     pub(super) fn sign_of_answer(
         &self,
         upstream: UpstreamId,
-        sent_at: Millis,
     ) -> SignOfLife {
         let known = self.fleet.upstreams.get(&upstream);
         if self.can_order && known.is_some_and(Upstream::reports_run) {
-            SignOfLife::Answer { sent_at }
+            SignOfLife::Answer
         } else {
             SignOfLife::Any
         }
@@ -177,14 +176,13 @@
         self.quarantine.note_gone(upstream, now);
     }
 
-    /// Records that an upstream has sent something of its answer to a request that was sent at `sent_at`.
+    /// Records that an upstream has sent something to this or another VM.
     pub fn note_alive(
         &mut self,
         upstream: UpstreamId,
-        sent_at: Millis,
         now: Millis,
     ) {
-        let sign = self.sign_of_answer(upstream, sent_at);
+        let sign = self.sign_of_answer(upstream);
         self.quarantine.note_alive(upstream, sign, now);
     }
 
--- a/crates/entry/src/scheduling/client/mod.rs
+++ b/crates/entry/src/scheduling/client/mod.rs
@@ -359,16 +359,14 @@
                 if let Some(running) = self.running.borrow_mut().get_mut(&number) {
                     running.spec.has_begun = true;
                     running.begun_at.get_or_insert(self.clock.now());
-                    self.local_scheduler
-                        .note_alive(&running.spec.upstream, running.since);
+                    self.local_scheduler.note_alive(&running.spec.upstream);
                 }
                 self.local_scheduler.first_event(attempt_id);
             }
             JobUpdate::Ended(outcome, evidence) => {
                 let running = self.running.borrow_mut().remove(&number);
                 if let Some(running) = running.as_ref().filter(|_| outcome.has_response()) {
-                    self.local_scheduler
-                        .note_alive(&running.spec.upstream, running.since);
+                    self.local_scheduler.note_alive(&running.spec.upstream);
                 }
                 self.note_evidence(running.as_ref(), attempt_id, evidence);
                 is_urgent = running
--- a/crates/entry/src/scheduling/quarantine.rs
+++ b/crates/entry/src/scheduling/quarantine.rs
@@ -74,15 +74,14 @@
         scheduler.note_own_evidence(upstream, candidates, evidence, sent_at, now);
     }
 
-    /// Records that an upstream has sent something of its answer to a request that was sent at `sent_at`.
+    /// Records that an upstream has sent something to this VM.
     pub(super) fn note_alive(
         &self,
         upstream: &str,
-        sent_at: Millis,
     ) {
         let id = self.names.borrow_mut().upstream(upstream);
         let now = self.clock.now();
-        self.scheduler.borrow_mut().note_alive(id, sent_at, now);
+        self.scheduler.borrow_mut().note_alive(id, now);
     }
 
     /// Adds what another VM has recorded and refuses.
