--- a/crates/core/src/quarantine/weighing.rs
+++ b/crates/core/src/quarantine/weighing.rs
@@ -22,7 +22,7 @@
 /// Further ones for each crash that no verdict explains.
 const MIN_KNOWN_SOUND_PER_CRASH: usize = 3;
 /// Trials of a part that was sound which have to crash where few others are known to be sound.
-const MIN_TRIALS_BESIDE_UNKNOWN: usize = 2;
+const MIN_TRIALS_BESIDE_UNKNOWN: usize = 3;
 /// How long a part is tried after the crashes after which it has to be known.
 const TRIAL_TIME: Millis = Millis(2_400);
 /// How long several suspects, or one that was sound, wait for answers that acquit them.
