--- a/crates/entry/src/forward/driver/mod.rs
+++ b/crates/entry/src/forward/driver/mod.rs
@@ -560,6 +560,7 @@
         if failure.has_upstream_ended && trace.via == Via::OtherVm {
             evidence.request = RequestEvidence::UpstreamEnded;
         }
+        let evidence = placement.evidence_of(failure.outcome, evidence);
         placement.end(failure.outcome, evidence);
         self.cx.metrics.count_attempt(failure.outcome);
         let can_retry = self.attempts.record_end(failure.end);
--- a/crates/entry/src/scheduling/placement.rs
+++ b/crates/entry/src/scheduling/placement.rs
@@ -128,7 +128,7 @@
 
     /// What an attempt shows that has ended so: one that was sent and has no response may have been under way as its
     /// upstream ended.
-    fn evidence_of(
+    pub fn evidence_of(
         &self,
         outcome: Outcome,
         evidence: AttemptEvidence,
