--- a/crates/core/src/quarantine/answer_trace.rs
+++ b/crates/core/src/quarantine/answer_trace.rs
@@ -3,7 +3,7 @@
 /// An answer that breaks off sooner after its begin is presumed to be broken by what it answers.
 const MAX_PRESUMED_DELAY: Millis = Millis(1_000);
 
-/// The same of one that was silent for less than this just before.
+/// The same, if it was silent for no longer than this just before.
 const MAX_PRESUMED_SILENCE: Millis = Millis(2_000);
 
 /// How the answer of an attempt ended.
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -2,9 +2,9 @@
 //!
 //! An upstream that ends accuses the parts of all prompts that were under way there, but their last ones, which belong to
 //! one request or session: however the connection of each looked, and whoever has seen the end. A whole answer acquits
-//! them of the crashes before it, as a crashing part lets no upstream go on. A part that several upstreams crashed under without an
-//! acquittal is quarantined: requests with it are refused. Before that, a part that was never answered and that two
-//! upstreams crashed under is on trial: one request with it at a time.
+//! them of the crashes before it, as a crashing part lets no upstream go on. A part that several upstreams crashed under
+//! without an acquittal is quarantined: requests with it are refused. Before that, a part that was never answered and
+//! that two upstreams crashed under is on trial: one request with it at a time.
 //!
 //! A request as a whole, over all attempts of its caller, is accused by each upstream that ends under it, whatever it had
 //! answered. It goes alone after two ends, and is refused after three, until a whole answer to it or for ten minutes.
--- a/crates/core/src/quarantine/open_attempts.rs
+++ b/crates/core/src/quarantine/open_attempts.rs
@@ -57,6 +57,7 @@
         attempt: OpenAttempt,
     ) {
         let attempts = self.by_upstream.entry(upstream).or_default();
+        attempts.retain(|known| attempt.ended_at.since(known.ended_at) < RETENTION);
         if attempts.len() >= MAX_PER_UPSTREAM {
             attempts.pop_front();
         }
--- a/crates/core/src/quarantine/part_quarantine.rs
+++ b/crates/core/src/quarantine/part_quarantine.rs
@@ -102,7 +102,7 @@
         };
         let crashed_at = self.crashes.first_of(upstream, sent_at);
         match crashed_at {
-            Some(at) => self.accuse_open(upstream, &[attempt], at, now),
+            Some(at) => self.accuse_open(upstream, &attempt, at, now),
             None => self.open.add(upstream, attempt),
         }
         crashed_at.is_some()
@@ -132,7 +132,7 @@
                 let crashed_at = self.crashes.first_of(upstream, attempt.sent_at());
                 crashed_at.unwrap_or(now)
             };
-            self.accuse_open(upstream, std::slice::from_ref(attempt), at, now);
+            self.accuse_open(upstream, attempt, at, now);
         }
         self.note_gone(upstream, now);
         if attempts.is_empty() {
@@ -147,22 +147,20 @@
         true
     }
 
-    /// Accuses attempts of a crash at `at`.
+    /// Accuses an attempt of a crash at `at`.
     fn accuse_open(
         &mut self,
         upstream: UpstreamId,
-        attempts: &[OpenAttempt],
+        attempt: &OpenAttempt,
         at: Millis,
         now: Millis,
     ) {
-        let prompts = attempts.iter().map(|attempt| attempt.prompt.clone());
-        let prompts: Vec<AccusedPrompt> = prompts.collect();
-        let requests = attempts.iter().map(|one| (one.request, one.sent_at()));
-        let requests: Vec<(PartId, Millis)> = requests.collect();
+        let prompts = std::slice::from_ref(&attempt.prompt);
+        let requests = [(attempt.request, attempt.sent_at())];
         let sound = &self.sound;
         let sound_at = |part| sound.latest(part);
         self.crashes
-            .note(upstream, &prompts, &requests, (at, now), sound_at);
+            .note(upstream, prompts, &requests, (at, now), sound_at);
     }
 
     /// Adds what another VM has recorded.
