jasminectl trace leads from a late request to each end of an upstream under its parts

From the logs of all VMs it shows what the VM of each request saw of the end, and whether the VMs that decided counted it, found it out later or dropped it, and why.

--- a/crates/ctl/src/trace/read.rs
+++ b/crates/ctl/src/trace/read.rs
@@ -41,6 +41,12 @@
 /// Events about what a VM knows of the parts of prompts.
 const PART_EVENTS: [&str; 2] = ["prompt_quarantined", "prompt_released"];
 
+/// Events of any VM about attempts that failed under parts of prompts.
+const FAILURE_EVENTS: [&str; 2] = ["attempt_failed", "crash_reported"];
+
+/// Events about whether the end of an upstream counts.
+const END_EVENTS: [&str; 2] = ["upstream_ended", "crash_dropped"];
+
 /// Precedes the number of a request where lines also name parts of prompts.
 const REQUEST_PREFIX: &str = "request.";
 
@@ -60,6 +66,21 @@
     parts.filter_map(|part| part.split(':').next())
 }
 
+/// Whether a line is about a failure under one of the accused parts.
+fn is_failure_under(
+    line: &LogLine,
+    accused: &BTreeSet<&str>,
+) -> bool {
+    let is_failure = FAILURE_EVENTS.contains(&line.event.as_str());
+    is_failure && parts(line, "parts").any(|part| accused.contains(part))
+}
+
+/// The upstream whose end a line is about: `upstream=e-1`, or `crash=e-1:400` with its age.
+fn ended_upstream(line: &LogLine) -> Option<&str> {
+    let crash = line.get("crash").and_then(|crash| crash.split(':').next());
+    line.get("upstream").or(crash)
+}
+
 /// Collects the log lines related to the request `id`: its own, what was decided about it and its other attempts, and what
 /// the processes and upstreams knew by then.
 ///
@@ -107,6 +128,14 @@
         .flat_map(|line| parts(line, "accused"))
         .filter(|&part| part != "-")
         .collect();
+    let mut failures: Vec<LogLine> = Vec::new();
+    request_trace.unparsed_lines = 0;
+    for_each_line(files, &mut request_trace, |_, line| {
+        if is_failure_under(&line, &accused) && line.time <= end {
+            failures.push(line);
+        }
+    })?;
+    let ended: BTreeSet<&str> = failures.iter().filter_map(ended_upstream).collect();
     let processes: Vec<&str> = request_lines
         .iter()
         .map(|line| line.process.as_str())
@@ -124,7 +153,13 @@
         let is_part_event = PART_EVENTS.contains(&line.event.as_str())
             && processes.contains(&line.process.as_str())
             && parts(&line, "parts").any(|part| accused.contains(part));
-        if (is_process_state || is_upstream_event || is_part_event) && line.time <= end {
+        let is_end = END_EVENTS.contains(&line.event.as_str())
+            && processes.contains(&line.process.as_str())
+            && ended_upstream(&line).is_some_and(|upstream| ended.contains(upstream));
+        let is_failure = is_failure_under(&line, &accused);
+        let is_context =
+            is_process_state || is_upstream_event || is_part_event || is_end || is_failure;
+        if is_context && line.time <= end {
             request_trace.add_context(line);
         }
     })?;
--- a/crates/ctl/tests/trace_request.rs
+++ b/crates/ctl/tests/trace_request.rs
@@ -112,6 +112,43 @@
     assert!(!text.contains("bad2"), "{text}");
 }
 
+#[test]
+fn late_requests_lead_to_each_end_under_their_parts() {
+    // Guards against ends of engines under a part of which nobody can tell what each VM saw, and why they counted or not.
+    let caller = "\
+time=2026-01-01T00:00:09.000Z level=info event=request_sent id=r1 request=00c41de0b2a7c7b7 upstream=e-1 decided_by=vm-2/9
+time=2026-01-01T00:00:09.100Z level=info event=request_given_up id=r1 kind=upstream_lost
+";
+    let decider = "\
+time=2026-01-01T00:00:02.000Z level=info event=crash_reported upstream=e-4 request=request.11aa prompt=true gone=false parts=f1,bad1
+time=2026-01-01T00:00:02.200Z level=info event=crash_dropped crash=e-4:190 reason=heard
+time=2026-01-01T00:00:02.300Z level=info event=crash_dropped crash=e-8:190 reason=age
+time=2026-01-01T00:00:04.000Z level=info event=upstream_ended upstream=e-5 seen=restarted requests=22bb
+time=2026-01-01T00:00:08.950Z level=info event=suspect_sent request=00c41de0b2a7c7b7 upstream=e-1 accused=bad1:1 late=0 probed=-
+time=2026-01-01T00:00:09.050Z level=info event=crash_reported upstream=e-1 request=request.c41de0b2a7c7b7 prompt=true gone=true parts=f1,bad1
+";
+    let other = "\
+time=2026-01-01T00:00:03.000Z level=info event=attempt_failed id=r2 request=00000000000022bb upstream=e-5 outcome=Silent shows=open parts=f1,bad1,1
+time=2026-01-01T00:00:03.500Z level=info event=attempt_failed id=r3 request=00000000000033cc upstream=e-6 outcome=Lost shows=crash parts=f1,bad2,1
+";
+    let files = [
+        file("end-caller", caller),
+        file("end-decider", decider),
+        file("end-other", other),
+    ];
+    let text = trace("r1", &files).unwrap().lines().join("\n");
+    for wanted in [
+        "crash e-4:190, reason heard",
+        "upstream e-5, seen restarted",
+        "upstream e-5, outcome Silent",
+    ] {
+        assert!(text.contains(wanted), "{wanted} not in\n{text}");
+    }
+    for other in ["e-6", "e-8"] {
+        assert!(!text.contains(other), "{other} in\n{text}");
+    }
+}
+
 #[test]
 fn request_without_an_end_event_is_reported() {
     let log = "time=2026-01-01T00:00:01.500Z level=info event=request_sent id=r1 upstream=e-1 waited_ms=4\n";
