--- a/crates/core/tests/upstream_ends.rs
+++ b/crates/core/tests/upstream_ends.rs
@@ -82,11 +82,13 @@
         &mut self,
         number: u64,
         prompt: PromptEvidence,
-        request: RequestEvidence,
         outcome: Outcome,
     ) {
         let now = self.world.now;
-        let evidence = AttemptEvidence { prompt, request };
+        let evidence = AttemptEvidence {
+            prompt,
+            request: RequestEvidence::None,
+        };
         let scheduler = &mut self.world.scheduler;
         scheduler.note_evidence(attempt_id(number), evidence, now);
         self.world.end(number, outcome);
@@ -102,7 +104,7 @@
         let Some((number, id)) = self.send(parts) else {
             return false;
         };
-        self.end(number, shows, RequestEvidence::None, outcome);
+        self.end(number, shows, outcome);
         self.world.advance(RESTART_TIME);
         *self.starts.get_mut(&id).unwrap() += 1;
         self.report(id);
@@ -124,7 +126,7 @@
             begun_ago: Millis(10),
         };
         let answered = Outcome::Answered { took: Millis(20) };
-        self.end(number, sound, RequestEvidence::None, answered);
+        self.end(number, sound, answered);
         let ends = (0..20).filter(|_| self.end_engine(&[FIRST, BAD], shows, outcome));
         let ends = ends.count();
         assert!(ends <= MAX_CRASHES, "{ends} ends");
@@ -167,7 +169,7 @@
         let mut site = Site::new();
         for _ in 0..20 {
             let (number, id) = site.send(&[FIRST, OTHER]).expect("not refused");
-            site.end(number, shows, RequestEvidence::None, Outcome::Abandoned);
+            site.end(number, shows, Outcome::Abandoned);
             site.world.advance(300);
             site.report(id);
             site.world.advance(300);
@@ -181,7 +183,7 @@
     // Guards against accusing what an engine had outlived as it is restarted later.
     let mut site = Site::new();
     let (number, id) = site.send(&[FIRST, OTHER]).unwrap();
-    site.end(number, GIVEN_UP, RequestEvidence::None, Outcome::Silent);
+    site.end(number, GIVEN_UP, Outcome::Silent);
     site.world.advance(300);
     site.report(id);
     site.starts.insert(id, 2);
@@ -194,7 +196,7 @@
     // Guards against an end that only the engine's new entry tells.
     let mut site = Site::new();
     let (number, id) = site.send(&[FIRST, BAD]).unwrap();
-    site.end(number, GIVEN_UP, RequestEvidence::None, Outcome::Silent);
+    site.end(number, GIVEN_UP, Outcome::Silent);
     site.world.advance(RESTART_TIME);
     let status = UpstreamStatus {
         started_unix_ms: Some(2),
@@ -217,7 +219,7 @@
             break sent;
         }
     };
-    site.end(number, GIVEN_UP, RequestEvidence::None, Outcome::Silent);
+    site.end(number, GIVEN_UP, Outcome::Silent);
     let status = UpstreamStatus {
         started_unix_ms: Some(2),
         ..upstream(Some(site.status(id)))
@@ -234,12 +236,7 @@
     while let Some((number, id)) = site.send(&[FIRST, BAD]) {
         ends += 1;
         assert!(ends <= MAX_CRASHES, "{ends} ends");
-        site.end(
-            number,
-            PromptEvidence::Crash,
-            RequestEvidence::None,
-            Outcome::Lost,
-        );
+        site.end(number, PromptEvidence::Crash, Outcome::Lost);
         *site.starts.get_mut(&id).unwrap() += 1;
         site.world.advance(200);
         let now = site.world.now;
@@ -256,12 +253,7 @@
     let mut site = Site::new();
     for _ in 0..20 {
         let (number, id) = site.send(&[FIRST, OTHER]).expect("not refused");
-        site.end(
-            number,
-            PromptEvidence::Crash,
-            RequestEvidence::None,
-            Outcome::Lost,
-        );
+        site.end(number, PromptEvidence::Crash, Outcome::Lost);
         site.world.advance(200);
         site.report(id);
         site.world.advance(500);
@@ -275,12 +267,7 @@
     let mut site = Site::new();
     let (number, id) = site.send(&[FIRST, OTHER]).unwrap();
     site.world.reports_asked.clear();
-    site.end(
-        number,
-        PromptEvidence::Crash,
-        RequestEvidence::None,
-        Outcome::Lost,
-    );
+    site.end(number, PromptEvidence::Crash, Outcome::Lost);
     site.world.advance(200);
     assert_eq!(site.world.reports_asked, [id]);
 }
