--- a/crates/entry/tests/engine_ends.rs
+++ b/crates/entry/tests/engine_ends.rs
@@ -9,7 +9,7 @@
         crashing_site::{CrashingSite, Loss, Outcome, Storm},
         part_arrivals::MAX_LATE,
     },
-    jasmine_platform_stand_in::{EndAt, EngineEnd},
+    jasmine_platform_stand_in::{EndAt, EngineEnd, Outage},
     std::{thread, time::Duration},
 };
 
@@ -183,7 +183,7 @@
 fn each_end_beside_store_outages() {
     // Guards against the same where the store is away time after time.
     let storm = Storm {
-        loss: Loss::Store(jasmine_platform_stand_in::Outage::Unavailable),
+        loss: Loss::Store(Outage::Unavailable),
         ..Storm::of_site(2, EngineEnd::Reset)
     };
     assert_each_end_holds("store", &storm, 4);
