An end behind a relay counts against the request also where its prompt's evidence is open

Callers would have seen: a request that ends each upstream behind another VM before its head, sent on after three ends.

Cause: of my change: open evidence about the prompt returned before the evidence about the request was recorded, which a relay's broken connection gives.

Change: the evidence about the request is recorded as before. ends_behind_a_relay_count_before_a_head fails without it; core crashing_parts, crashing_storms, single_witness and upstream_ends pass (release).

--- a/crates/core/src/scheduler/state_machine/quarantine.rs
+++ b/crates/core/src/scheduler/state_machine/quarantine.rs
@@ -78,7 +78,8 @@
             PromptEvidence::None => &[],
             PromptEvidence::Open { has_broken } => {
                 let quarantine = &mut self.quarantine;
-                return quarantine.note_open(upstream, candidates, has_broken, sent_at, now);
+                needs_review = quarantine.note_open(upstream, candidates, has_broken, sent_at, now);
+                &[]
             }
             PromptEvidence::Sound { begun_ago } => {
                 needs_review = self.quarantine.note_sound(shared, now.since(begun_ago));
--- a/crates/core/tests/ended_requests.rs
+++ b/crates/core/tests/ended_requests.rs
@@ -217,6 +217,26 @@
     assert!(is_refused(&mut world, BAD));
 }
 
+#[test]
+fn ends_behind_a_relay_count_before_a_head() {
+    // Guards against a request that ends upstreams behind another VM before their heads, which shows nothing of its prompt.
+    let mut world = world();
+    for _ in 0..3 {
+        let number = place(&mut world, BAD);
+        world.advance(20);
+        let relayed = AttemptEvidence {
+            prompt: PromptEvidence::Open { has_broken: true },
+            ..ENDED
+        };
+        let now = world.now;
+        let scheduler = &mut world.scheduler;
+        scheduler.note_evidence(attempt_id(number), relayed, now);
+        world.end(number, Outcome::Lost);
+        world.advance(GAP);
+    }
+    assert!(is_refused(&mut world, BAD));
+}
+
 #[test]
 fn quick_restarts_are_ends() {
     // Guards against ends of upstreams that are back and answer within a second.
