The crash of a run is looked up once for all attempts that its end accuses

Found by reading the change again: the lookup doesn't hang on the attempt. No behaviour changes; core upstream_ends, ended_requests and single_witness pass (release).

--- a/crates/core/src/quarantine/part_quarantine.rs
+++ b/crates/core/src/quarantine/part_quarantine.rs
@@ -116,12 +116,12 @@
         now: Millis,
     ) -> bool {
         let mut attempts = self.open.take(upstream, now);
+        let crashed_at = match seen {
+            EndSeen::Refused => None,
+            EndSeen::Restarted { known_at } => self.crashes.first_of(upstream, known_at),
+        };
         // What was sent between the crash of a run and the next start has reached nobody.
         attempts.retain(|attempt| {
-            let crashed_at = match seen {
-                EndSeen::Refused => None,
-                EndSeen::Restarted { known_at } => self.crashes.first_of(upstream, known_at),
-            };
             let is_before_crash = crashed_at.is_none_or(|at| attempt.sent_at() <= at);
             is_before_crash && !self.crashes.is_down(upstream, attempt.sent_at())
         });
