Each VM logs what its processor time goes to, how late it is and what it asked again

Change: vm_load, once a second while a VM is busy or late: processor time by part (decisions, messages, feed, evidence, orders, callers, logs), how late its tasks ran, the oldest queued call and generation, questions to the leader by their end, those asked again, the longest. One step in sixteen is measured, as reading the thread's clock is a system call.

--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -73,6 +73,7 @@
 mod usual_call_time;
 mod wait_reason;
 mod wait_times;
+mod waiting_ages;
 
 pub(crate) use admission_share::AdmissionPart;
 pub use {
@@ -101,4 +102,5 @@
     upstream::{EngineStatus, UpstreamStatus},
     wait_reason::WaitReason,
     wait_times::WaitTimes,
+    waiting_ages::WaitingAges,
 };
--- a/crates/core/src/scheduler/running.rs
+++ b/crates/core/src/scheduler/running.rs
@@ -80,6 +80,14 @@
         self.waits_since = now;
     }
 
+    /// How long it has waited.
+    pub(super) fn waiting_age(
+        &self,
+        now: Millis,
+    ) -> Millis {
+        self.waited.total() + now.since(self.waits_since)
+    }
+
     /// Whether it was evaluated a short time before, and nothing calls for another evaluation.
     pub(super) fn is_deferred(
         &self,
--- a/crates/core/src/scheduler/state_machine/queries.rs
+++ b/crates/core/src/scheduler/state_machine/queries.rs
@@ -7,7 +7,8 @@
         ids::{BuildId, ServiceId, UpstreamId},
         placement::rendezvous_hash,
         scheduler::{
-            AttemptId, LOCAL_VM, PaceSummary, WaitTimes, running::Stage, upstream::Upstream,
+            AttemptId, LOCAL_VM, PaceSummary, WaitTimes, WaitingAges, Work, running::Stage,
+            upstream::Upstream,
         },
     },
     std::collections::HashMap,
@@ -54,6 +55,23 @@
         self.queue.len()
     }
 
+    /// How long the oldest queued requests have waited.
+    pub fn waiting_ages(
+        &self,
+        now: Millis,
+    ) -> WaitingAges {
+        let waiting = self.entries.values();
+        let waiting = waiting.filter(|entry| entry.stage == Stage::Waiting);
+        waiting.fold(WaitingAges::default(), |mut ages, entry| {
+            let oldest = match entry.job.work {
+                Work::Call => &mut ages.call,
+                Work::Generation(_) => &mut ages.generation,
+            };
+            *oldest = entry.waiting_age(now).max(*oldest);
+            ages
+        })
+    }
+
     /// Number of assigned requests that have not ended.
     pub fn running_len(&self) -> usize {
         self.entries.len() - self.queue.len()
--- a/crates/core/src/scheduler/wait_times.rs
+++ b/crates/core/src/scheduler/wait_times.rs
@@ -35,6 +35,13 @@
         self.by_reason[reason as usize]
     }
 
+    /// The time over all reasons.
+    pub(super) fn total(&self) -> Millis {
+        self.by_reason
+            .iter()
+            .fold(Millis::ZERO, |sum, &time| sum + time)
+    }
+
     /// The reason with the longest time, and that time; the first one on a tie.
     pub fn longest(&self) -> (WaitReason, Millis) {
         WaitReason::ALL
--- a/crates/entry/src/caller/listener.rs
+++ b/crates/entry/src/caller/listener.rs
@@ -3,7 +3,10 @@
         connection::{reset, serve_connection},
         peer::Peer,
     },
-    crate::context::{Context, StopStage},
+    crate::{
+        context::{Context, StopStage},
+        load::{WorkPart, metered},
+    },
     jasmine_core::clock::Millis,
     jasmine_telemetry::log::Line,
     std::{io, net::SocketAddr, rc::Rc, time::Duration},
@@ -66,7 +69,9 @@
             // The request is unread, so that its caller may send it to another VM.
             return reset(&stream);
         };
+        let work = Rc::clone(&cx.scheduling.local_scheduler.work);
         let served = serve_connection(Rc::clone(&cx), stream, Peer::Caller);
+        let served = metered(work, WorkPart::Callers, served);
         spawn_local(async move {
             served.await;
             drop(admitted);
@@ -90,7 +95,9 @@
     listener: TcpListener,
 ) {
     accept_loop(listener, |stream| {
-        spawn_local(serve_connection(Rc::clone(&cx), stream, Peer::Vm));
+        let work = Rc::clone(&cx.scheduling.local_scheduler.work);
+        let served = serve_connection(Rc::clone(&cx), stream, Peer::Vm);
+        spawn_local(metered(work, WorkPart::Callers, served));
     })
     .await;
 }
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -89,6 +89,8 @@
     in_flight: Cell<usize>,
     exchanges: Cell<usize>,
     connections: RefCell<ConnectionAdmission>,
+    /// The longest delay of a task since it was last taken.
+    longest_delay: Cell<Millis>,
 }
 
 impl Context {
@@ -123,6 +125,7 @@
             in_flight: Cell::new(0),
             exchanges: Cell::new(0),
             connections: RefCell::new(ConnectionAdmission::new(max_files)),
+            longest_delay: Cell::new(Millis::ZERO),
         }
     }
 
@@ -300,12 +303,18 @@
         &self,
         delay: Millis,
     ) {
+        self.longest_delay.set(self.longest_delay.get().max(delay));
         let now = self.clock.now();
         if self.connections.borrow_mut().note_delay(delay, now) {
             Line::new("tasks_late").with("late_ms", delay).warn();
         }
     }
 
+    /// How late the latest task has run since the last call.
+    pub const fn take_longest_delay(&self) -> Millis {
+        self.longest_delay.replace(Millis::ZERO)
+    }
+
     /// Number of open connections of callers.
     pub fn open_connections(&self) -> usize {
         self.connections.borrow().open()
--- a/crates/entry/src/daemon/run.rs
+++ b/crates/entry/src/daemon/run.rs
@@ -4,6 +4,7 @@
         caller::{bind, serve_callers, serve_readiness, serve_relays},
         context::Context,
         links::monitor_links,
+        load::{WorkPart, log_load, metered},
         metrics::{EntryMetrics, serve_metrics},
         scheduling::{
             LocalScheduler, OrderContext, SchedulerNode, SchedulerServer, run_engine_tasks,
@@ -22,7 +23,7 @@
     },
     jasmine_platform::terms,
     jasmine_telemetry::{log::Line, metrics::MetricsError},
-    jasmine_wire::{link::serve, scheduler_capnp::scheduler},
+    jasmine_wire::{link::serve_with, scheduler_capnp::scheduler},
     nix::sys::resource::{Resource, getrlimit},
     std::{io, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{net::TcpListener, sync::mpsc, task::spawn_local, time::sleep},
@@ -132,16 +133,23 @@
         origins,
     );
     let server: scheduler::Client = capnp_rpc::new_client(server);
-    spawn_local(serve(peers, server.client));
+    let work = Rc::clone(&cx.scheduling.local_scheduler.work);
+    let messages = {
+        let work = Rc::clone(&work);
+        move |connection| metered(Rc::clone(&work), WorkPart::Messages, connection)
+    };
+    spawn_local(serve_with(peers, server.client, messages));
     let order_cx = OrderContext::new(scheduling, Rc::clone(&pool), metrics);
     let pools = [pool, Rc::clone(&order_cx.report_pool)];
-    spawn_local(run_engine_tasks(order_cx, orders));
-    spawn_local(follow(
+    let engine_tasks = run_engine_tasks(order_cx, orders);
+    spawn_local(metered(Rc::clone(&work), WorkPart::Orders, engine_tasks));
+    let followed = follow(
         Rc::clone(&cx),
         store.clone(),
         Rc::clone(&membership),
         Rc::clone(&feed),
-    ));
+    );
+    spawn_local(metered(work, WorkPart::Feed, followed));
     let membership_task = keep_registered(Rc::clone(&cx), store.clone(), Rc::clone(&membership));
     let election = run_election(
         Rc::clone(&cx),
@@ -160,6 +168,7 @@
     spawn_local(serve_callers(Rc::clone(&cx), callers));
     spawn_local(serve_relays(Rc::clone(&cx), relays));
     spawn_local(monitor_links(Rc::clone(&cx)));
+    spawn_local(log_load(Rc::clone(&cx)));
     stop::on_signal(&cx, &store, &membership, &feed, &lease_tasks).await;
     Ok(())
 }
@@ -172,7 +181,9 @@
 ) {
     spawn_local(keep_quarantine(Rc::clone(cx), store.clone()));
     let vm = cx.scheduling.me().to_owned();
-    spawn_local(keep_crash_evidence(Rc::clone(cx), store.clone(), vm));
+    let work = Rc::clone(&cx.scheduling.local_scheduler.work);
+    let evidence = keep_crash_evidence(Rc::clone(cx), store.clone(), vm);
+    spawn_local(metered(work, WorkPart::Evidence, evidence));
     let origins = keep_origins_stored(Rc::clone(cx), store.clone(), incarnation);
     spawn_local(origins);
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 mod gauges;
 pub mod http1;
 pub mod links;
+pub mod load;
 pub mod metrics;
 pub mod refusals;
 pub mod scheduling;
--- /dev/null
+++ b/crates/entry/src/load/ask_counts.rs
@@ -0,0 +1,58 @@
+use {jasmine_core::clock::Millis, std::cell::Cell};
+
+/// How a question to the leader ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AskEnd {
+    /// An upstream was assigned.
+    Assigned,
+    /// The request was refused.
+    Refused,
+    /// The leader didn't answer in time, or no longer led: the request is decided otherwise.
+    Lost,
+    /// The question was given up, as its caller left or the mode changed.
+    GivenUp,
+}
+
+/// What this VM has asked the leader about its own callers' requests.
+#[derive(Debug, Default)]
+pub struct AskCounts {
+    ends: [Cell<u64>; 4],
+    repeated: Cell<u64>,
+    longest: Cell<Millis>,
+}
+
+impl AskCounts {
+    /// Counts a question that ended after `took`.
+    pub fn note_end(
+        &self,
+        end: AskEnd,
+        took: Millis,
+    ) {
+        let count = &self.ends[end as usize];
+        count.set(count.get() + 1);
+        self.longest.set(self.longest.get().max(took));
+    }
+
+    /// Counts a question about a request about which the leader was asked before.
+    pub fn note_repeated(&self) {
+        self.repeated.set(self.repeated.get() + 1);
+    }
+
+    /// How many questions ended so since the start.
+    pub const fn ended(
+        &self,
+        end: AskEnd,
+    ) -> u64 {
+        self.ends[end as usize].get()
+    }
+
+    /// How many questions were about a request about which the leader was asked before.
+    pub const fn repeated(&self) -> u64 {
+        self.repeated.get()
+    }
+
+    /// The longest time that a question has taken since the last call.
+    pub const fn take_longest(&self) -> Millis {
+        self.longest.replace(Millis::ZERO)
+    }
+}
--- a/crates/entry/src/scheduling/client/mod.rs
+++ b/crates/entry/src/scheduling/client/mod.rs
@@ -6,7 +6,10 @@
         RunningSpec, Verdict,
         convert::{AttemptUpdate, JobUpdate, read_verdict, write_job},
     },
-    crate::clock::Clock,
+    crate::{
+        clock::Clock,
+        load::{AskCounts, AskEnd},
+    },
     jasmine_core::{
         clock::Millis,
         error::{ErrorKind, Refusal},
@@ -78,6 +81,8 @@
 pub struct SchedulerNode {
     /// The scheduler that runs in this process.
     pub local_scheduler: Rc<LocalScheduler>,
+    /// What this VM has asked the leader.
+    pub asks: AskCounts,
     me: String,
     address: SocketAddr,
     incarnation: u64,
@@ -136,6 +141,7 @@
     ) -> Self {
         Self {
             local_scheduler,
+            asks: AskCounts::default(),
             me,
             address,
             incarnation,
@@ -188,6 +194,7 @@
     ) -> Result<Placement, PlacementError> {
         let began = self.clock.now();
         let mut excluded_upstreams = spec.excluded_upstreams.clone();
+        let mut has_asked = false;
         loop {
             let mut spec = spec.clone();
             spec.excluded_upstreams.clone_from(&excluded_upstreams);
@@ -212,6 +219,9 @@
                 continue;
             }
             let mode = self.mode.borrow().clone();
+            if matches!(mode, Mode::Following(..)) && std::mem::replace(&mut has_asked, true) {
+                self.asks.note_repeated();
+            }
             let verdict = tokio::select! {
                 verdict = self.request_verdict(mode, &spec) => verdict,
                 _ = mode_changed.changed() => None,
@@ -602,6 +612,11 @@
         session: u32,
         spec: &JobSpec,
     ) -> Option<Verdict> {
+        let mut ask = Ask {
+            scheduling: self,
+            began: self.clock.now(),
+            end: AskEnd::GivenUp,
+        };
         let answer = link
             .call(spec.deadline, |client| async move {
                 let mut req = client.place_request();
@@ -616,6 +631,11 @@
                 }
             })
             .await;
+        ask.end = match &answer {
+            Ok(Some(Verdict::Assigned(_))) => AskEnd::Assigned,
+            Ok(Some(Verdict::Refused { .. })) => AskEnd::Refused,
+            Ok(None) | Err(_) => AskEnd::Lost,
+        };
         match answer {
             Ok(Some(verdict)) => Some(verdict),
             Ok(None) => {
@@ -688,6 +708,20 @@
     }
 }
 
+/// A question to the leader, counted when it ends.
+struct Ask<'a> {
+    scheduling: &'a SchedulerNode,
+    began: Millis,
+    end: AskEnd,
+}
+
+impl Drop for Ask<'_> {
+    fn drop(&mut self) {
+        let took = self.scheduling.clock.now().since(self.began);
+        self.scheduling.asks.note_end(self.end, took);
+    }
+}
+
 /// A placement request without a result yet.
 ///
 /// Dropped unsettled, because the caller disconnected or the mode changed, it releases what was reserved for it.
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -8,7 +8,10 @@
         stored_evidence::StoredEvidence,
         told_returns::ToldReturns,
     },
-    crate::clock::Clock,
+    crate::{
+        clock::Clock,
+        load::{WorkMeter, WorkPart},
+    },
     jasmine_conf::settings::ColdUpstreamSettings,
     jasmine_core::{
         clock::Millis,
@@ -22,7 +25,7 @@
             AdmissionShare, Announcement, AttemptHistory, AttemptId, ColdLimit, EngineStatus,
             EnginesToPause, Order, OrderResult, Outcome, RateDecision, RateHistory, RateShare,
             RetryTotals, RunningRequest, Scheduler, SchedulerAction as Action, SchedulerSettings,
-            SignalChanges, StatedUpstream, UpstreamSignals, WaitReason, WaitTimes,
+            SignalChanges, StatedUpstream, UpstreamSignals, WaitReason, WaitTimes, WaitingAges,
         },
     },
     jasmine_platform::engine::EngineReport,
@@ -79,6 +82,8 @@
 #[derive(Debug)]
 pub struct LocalScheduler {
     pub(super) clock: Clock,
+    /// What the processor time of this VM goes to.
+    pub work: Rc<WorkMeter>,
     pub(super) names: RefCell<NameInterner>,
     pub(super) scheduler: RefCell<Scheduler>,
     waiters: RefCell<HashMap<AttemptId, oneshot::Sender<Verdict>>>,
@@ -121,6 +126,7 @@
     ) -> Self {
         Self {
             clock: Clock,
+            work: Rc::default(),
             names: RefCell::default(),
             scheduler: RefCell::new(Scheduler::new(settings, RateShare::Part(1))),
             waiters: RefCell::default(),
@@ -692,6 +698,11 @@
         (scheduler.waiting_len(), scheduler.running_len())
     }
 
+    /// How long the oldest waiting requests have waited.
+    pub fn waiting_ages(&self) -> WaitingAges {
+        self.scheduler.borrow().waiting_ages(self.clock.now())
+    }
+
     /// Whether callers contend for capacity, or upstreams report their pace.
     pub fn is_hard_load(&self) -> bool {
         self.scheduler.borrow().is_hard_load()
@@ -743,6 +754,7 @@
     ) where
         F: FnOnce(&mut Scheduler, Millis) -> Vec<Action>,
     {
+        let _step = self.work.enter(WorkPart::Decisions);
         let now = self.clock.now();
         let actions = f(&mut self.scheduler.borrow_mut(), now);
         for action in actions {
--- a/crates/wire/src/link/mod.rs
+++ b/crates/wire/src/link/mod.rs
@@ -10,6 +10,10 @@
 mod serve;
 
 pub use {
-    backoff::Backoff, link_error::LinkError, link_options::LinkOptions, peer_link::Link,
-    ping::Ping, serve::serve,
+    backoff::Backoff,
+    link_error::LinkError,
+    link_options::LinkOptions,
+    peer_link::Link,
+    ping::Ping,
+    serve::{serve, serve_with},
 };
--- a/crates/wire/src/link/serve.rs
+++ b/crates/wire/src/link/serve.rs
@@ -2,6 +2,7 @@
     super::{idle_reader::IdleReader, message_limits::reader_options},
     capnp::capability::Client,
     capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
+    futures::future::LocalBoxFuture,
     jasmine_core::clock::Millis,
     std::{cell::Cell, rc::Rc},
     tokio::{
@@ -27,6 +28,18 @@
     listener: TcpListener,
     bootstrap: Client,
 ) {
+    serve_with(listener, bootstrap, |connection| connection).await;
+}
+
+/// Does the same; `wrap` is given the future of each connection and returns the one that is run.
+pub async fn serve_with<W, F>(
+    listener: TcpListener,
+    bootstrap: Client,
+    wrap: W,
+) where
+    W: Fn(LocalBoxFuture<'static, ()>) -> F,
+    F: Future<Output = ()> + 'static,
+{
     let open = Rc::new(Cell::new(0_usize));
     loop {
         match listener.accept().await {
@@ -35,8 +48,9 @@
                 let counted = Rc::clone(&open);
                 let client = bootstrap.clone();
                 open.set(open.get() + 1);
+                let served = wrap(Box::pin(serve_connection(stream, client)));
                 spawn_local(async move {
-                    serve_connection(stream, client).await;
+                    served.await;
                     counted.set(counted.get() - 1);
                 });
             }
