Messages between daemons take one write and one read each

Cause: the RPC library writes and reads the length of a message apart from it, and the connections had no buffers: two system calls and two packets on either side of each of the three messages of a call.

--- a/crates/wire/src/link/mod.rs
+++ b/crates/wire/src/link/mod.rs
@@ -8,6 +8,7 @@
 mod peer_link;
 mod ping;
 mod serve;
+mod vat_network;
 
 pub use {
     backoff::Backoff,
@@ -16,4 +17,5 @@
     peer_link::Link,
     ping::Ping,
     serve::{serve, serve_with},
+    vat_network::vat_network,
 };
--- a/crates/wire/src/link/peer_link.rs
+++ b/crates/wire/src/link/peer_link.rs
@@ -1,7 +1,7 @@
 use {
-    super::{Backoff, LinkError, LinkOptions, Ping, message_limits::reader_options},
+    super::{Backoff, LinkError, LinkOptions, Ping, vat_network},
     capnp::capability::FromClientHook,
-    capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
+    capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side},
     jasmine_core::clock::Millis,
     std::{
         cell::{Cell, RefCell},
@@ -14,7 +14,6 @@
         task::{AbortHandle, spawn_local},
         time::{Instant, sleep, timeout},
     },
-    tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt},
 };
 
 /// An RPC client of another daemon that connects on first use and reconnects after a failure.
@@ -176,12 +175,7 @@
         stream: TcpStream,
     ) -> Rc<OpenConnection<C>> {
         let (reader, writer) = stream.into_split();
-        let network = VatNetwork::new(
-            reader.compat(),
-            writer.compat_write(),
-            Side::Client,
-            reader_options(),
-        );
+        let network = vat_network(reader, writer, Side::Client);
         let mut system = RpcSystem::new(Box::new(network), None);
         let client = system.bootstrap::<C>(Side::Server);
         let is_closed = Rc::new(Cell::new(false));
--- a/crates/wire/src/link/serve.rs
+++ b/crates/wire/src/link/serve.rs
@@ -1,7 +1,7 @@
 use {
-    super::{idle_reader::IdleReader, message_limits::reader_options},
+    super::{idle_reader::IdleReader, vat_network},
     capnp::capability::Client,
-    capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
+    capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side},
     futures::future::LocalBoxFuture,
     jasmine_core::clock::Millis,
     std::{cell::Cell, rc::Rc},
@@ -9,7 +9,6 @@
         net::{TcpListener, TcpStream},
         task::spawn_local,
     },
-    tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt},
 };
 
 /// Maximum number of open connections; further ones are closed on accept.
@@ -67,12 +66,8 @@
         return;
     }
     let (reader, writer) = stream.into_split();
-    let network = VatNetwork::new(
-        IdleReader::new(reader, IDLE_TIMEOUT).compat(),
-        writer.compat_write(),
-        Side::Server,
-        reader_options(),
-    );
+    let reader = IdleReader::new(reader, IDLE_TIMEOUT);
+    let network = vat_network(reader, writer, Side::Server);
     // The error only says that the connection ended; the caller detects that itself.
     RpcSystem::new(Box::new(network), Some(bootstrap))
         .await
