Calls that need no adapter don't wait for passes over queued generations

Cause: one pass over the whole queue decides about both, and its interval grows with the queue: a fiftieth of its length in milliseconds.

Change: calls have a phase of their own, first in each pass, and between passes whenever one is queued.

--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -58,12 +58,19 @@
 /// Which queued requests a dispatch pass evaluates.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum DispatchPhase {
+    /// Calls of plain services, which need no adapter and are cheap to decide.
+    Calls,
     /// Requests that can still be on time.
     OnTime,
     /// Every queued request, late ones included.
     All,
 }
 
+impl DispatchPhase {
+    /// All phases in their order.
+    const ALL: [Self; 3] = [Self::Calls, Self::OnTime, Self::All];
+}
+
 /// Time until a queued request is evaluated again.
 fn reevaluation_interval(queued: usize) -> Millis {
     Millis((queued / MAX_EVALUATIONS_PER_MS) as u64).max(MIN_REEVALUATION_DELAY)
@@ -143,8 +150,10 @@
         actions.extend(self.refuse_not_resumable(now));
         actions.extend(self.postpone_late(now));
         if now >= self.next_pass_at {
-            self.run_dispatch_pass(now, &mut actions);
+            self.run_dispatch_pass(&DispatchPhase::ALL, now, &mut actions);
             self.next_pass_at = now + self.dispatch_pass_interval();
+        } else if self.queued_calls > 0 {
+            self.run_dispatch_pass(&[DispatchPhase::Calls], now, &mut actions);
         }
         self.plan_copies(now, &mut actions);
         if self.can_order && now >= self.engines_checked_at + self.engine_check_interval() {
@@ -168,9 +177,10 @@
         }
     }
 
-    /// Dispatches queued requests: first those that can be on time, then all.
+    /// Dispatches queued requests in these phases.
     fn run_dispatch_pass(
         &mut self,
+        phases: &[DispatchPhase],
         now: Millis,
         actions: &mut Vec<Action>,
     ) {
@@ -178,8 +188,10 @@
             return;
         }
         let mut cold_load = self.fleet.cold_time(&self.settings.loads, now);
-        for phase in [DispatchPhase::OnTime, DispatchPhase::All] {
-            self.dispatch(phase, &mut cold_load, now, actions);
+        for &phase in phases {
+            if phase != DispatchPhase::Calls || self.queued_calls > 0 {
+                self.dispatch(phase, &mut cold_load, now, actions);
+            }
         }
     }
 
@@ -336,6 +348,9 @@
                     let Some(entry) = entries.get_mut(&waiting.request) else {
                         return true;
                     };
+                    if phase == DispatchPhase::Calls && entry.job.generation().is_some() {
+                        return false;
+                    }
                     let avoided = quarantine.avoided_upstreams(entry.job.crash_candidates(), now);
                     let is_plain = is_alike(&entry.job, fleet, &avoided, now);
                     let is_full = is_plain && full_services.contains(&entry.job.service);
@@ -513,12 +528,17 @@
             .map_or(1.0, |generation| f64::from(generation.size.prompt));
         let queued_work = self.queued_work.entry(job.service).or_default();
         *queued_work = (*queued_work + if is_queued { work } else { -work }).max(0.0);
-        let resumptions = usize::from(job.build.is_some());
-        self.queued_resumptions = if is_queued {
-            self.queued_resumptions + resumptions
-        } else {
-            self.queued_resumptions.saturating_sub(resumptions)
+        let add_to = |count: usize, one: usize| {
+            if is_queued {
+                count + one
+            } else {
+                count.saturating_sub(one)
+            }
         };
+        let is_call = usize::from(job.generation().is_none());
+        self.queued_calls = add_to(self.queued_calls, is_call);
+        let is_resumption = usize::from(job.build.is_some());
+        self.queued_resumptions = add_to(self.queued_resumptions, is_resumption);
         let Some(adapter) = job.generation().and_then(|generation| generation.adapter) else {
             return;
         };
--- a/crates/core/src/scheduler/state_machine/mod.rs
+++ b/crates/core/src/scheduler/state_machine/mod.rs
@@ -84,6 +84,8 @@
     on_time: BTreeSet<(Millis, RequestId)>,
     /// VMs that upstreams have asked for rest since the last decision.
     rested_vms: BTreeSet<u32>,
+    /// Number of queued calls of plain services.
+    queued_calls: usize,
     /// Number of queued requests that resume a stream.
     queued_resumptions: usize,
     /// Earliest time of the next check whether an upstream can still serve them.
@@ -151,6 +153,7 @@
             queued_work: HashMap::new(),
             on_time: BTreeSet::new(),
             rested_vms: BTreeSet::new(),
+            queued_calls: 0,
             queued_resumptions: 0,
             next_resumption_check_at: Millis::ZERO,
             next_evacuation_at: None,
