A leader decides once about all messages that it has read

Change: what VMs tell is noted as it is read, and the scheduler's task decides about all of it at its next turn. A leader that has nothing else to do decides at once, as before; one that is behind has read many messages by then.

--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -311,50 +311,50 @@
         actions
     }
 
-    /// Queues a request, or refuses it at once.
+    /// Queues a request and decides about it, or refuses it at once.
     pub fn place(
         &mut self,
         attempt_id: AttemptId,
         job: Job,
         now: Millis,
     ) -> Vec<Action> {
-        let refuse = |refusal| {
-            vec![Action::Refuse {
+        match self.enqueue(attempt_id, job, now) {
+            Ok(()) => self.decide(now),
+            Err(refusal) => vec![Action::Refuse {
                 attempt_id,
                 refusal,
                 waited_for: WaitReason::Turn,
-            }]
-        };
+            }],
+        }
+    }
+
+    /// Queues a request about which the next [`Self::tick`] decides.
+    ///
+    /// # Errors
+    ///
+    /// The refusal of a request that isn't queued.
+    pub fn enqueue(
+        &mut self,
+        attempt_id: AttemptId,
+        job: Job,
+        now: Millis,
+    ) -> Result<(), Refusal> {
         self.fleet.refresh_totals(now);
         if let Err(refusal) = self.check_quarantine(&job)
             && !self.is_probe(&job, now)
         {
-            return refuse(refusal);
+            return Err(refusal);
         }
-        if let Err(refusal) = self.check_availability(&job, now) {
-            return refuse(refusal);
-        }
-        if let Err(refusal) = self.check_rests(&job, attempt_id.vm, now) {
-            return refuse(refusal);
-        }
-        if let Err(refusal) = self.check_hedge(&job, now) {
-            return refuse(refusal);
-        }
-        if let Err(refusal) = self.check_retry_budget(attempt_id, &job, now) {
-            return refuse(refusal);
-        }
-        let mut queued_work = match self.check_wait(attempt_id, &job, now) {
-            Ok(queued_work) => queued_work,
-            Err(refusal) => return refuse(refusal),
-        };
+        self.check_availability(&job, now)?;
+        self.check_rests(&job, attempt_id.vm, now)?;
+        self.check_hedge(&job, now)?;
+        self.check_retry_budget(attempt_id, &job, now)?;
+        let mut queued_work = self.check_wait(attempt_id, &job, now)?;
         if self.fleet.body_bytes.is_too_large(job.body_bytes) {
             // The configuration allows it, and another scheduler's settings may do so.
-            return refuse(Refusal::new(ErrorKind::NoUpstream));
+            return Err(Refusal::new(ErrorKind::NoUpstream));
         }
-        let charge = match self.charge(&job, now) {
-            Ok(charge) => charge,
-            Err(refusal) => return refuse(refusal),
-        };
+        let charge = self.charge(&job, now)?;
         let request = RequestId(self.next_request);
         let queue_item = self.queue_item(request, &job, now);
         let lane = queued_work.map(|queued| lane(&job, &queued));
@@ -362,7 +362,7 @@
             if let Some(charge) = charge {
                 self.rates.settle(charge, false, now);
             }
-            return refuse(refusal);
+            return Err(refusal);
         }
         self.next_request += 1;
         self.reserve_retry(&job);
@@ -374,7 +374,7 @@
         }
         self.add_entry(request, attempt_id, job, Stage::Waiting, charge, now);
         self.track_wait(request, queued_work, now);
-        self.decide(now)
+        Ok(())
     }
 
     /// Adds a request to the scheduler's entries.
@@ -466,20 +466,30 @@
     }
 
     /// Records the first event of an assigned generation, which shows that its prompt was
-    /// processed.
+    /// processed, and decides what that allows.
     pub fn first_event(
         &mut self,
         attempt_id: AttemptId,
         now: Millis,
     ) -> Vec<Action> {
+        self.note_first_event(attempt_id, now);
+        self.decide(now)
+    }
+
+    /// Records the first event of an assigned generation; the next [`Self::tick`] decides what that allows.
+    pub fn note_first_event(
+        &mut self,
+        attempt_id: AttemptId,
+        now: Millis,
+    ) {
         let Some(&request) = self.by_attempt_id.get(&attempt_id) else {
-            return Vec::new();
+            return;
         };
         let Some(entry) = self.entries.get(&request) else {
-            return Vec::new();
+            return;
         };
         let Stage::Running { upstream, adapter } = entry.stage else {
-            return Vec::new();
+            return;
         };
         let sign = self.sign_of_answer(upstream);
         self.quarantine.note_alive(upstream, sign, now);
@@ -508,20 +518,29 @@
                     .note_prefill_pace(upstream, service, reading, settings, now);
             }
         }
-        self.decide(now)
     }
 
-    /// Records the outcome of an assigned or queued request.
+    /// Records the outcome of an assigned or queued request, and decides what that allows.
     pub fn ended(
         &mut self,
         attempt_id: AttemptId,
         outcome: Outcome,
         now: Millis,
     ) -> Vec<Action> {
+        self.note_ended(attempt_id, outcome, now);
+        self.decide(now)
+    }
+
+    /// Records the outcome of an assigned or queued request; the next [`Self::tick`] decides what that allows.
+    pub fn note_ended(
+        &mut self,
+        attempt_id: AttemptId,
+        outcome: Outcome,
+        now: Millis,
+    ) {
         if let Some(request) = self.by_attempt_id.get(&attempt_id).copied() {
             self.finish(request, outcome, now);
         }
-        self.decide(now)
     }
 
     /// Adds a request that was already running when this scheduler took over.
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -97,6 +97,10 @@
     cold_upstreams: ColdUpstreamSettings,
     tasks: mpsc::UnboundedSender<EngineTask>,
     wake: Notify,
+    /// How often the scheduler has decided.
+    decisions: Cell<u64>,
+    /// Whether something was noted about which [`Self::run`] has to decide.
+    is_decision_due: Cell<bool>,
     /// When the timer of [`Self::run`] is due.
     timer_due: Cell<Millis>,
     may_order: Cell<bool>,
@@ -138,6 +142,8 @@
             cold_upstreams,
             tasks,
             wake: Notify::new(),
+            decisions: Cell::new(0),
+            is_decision_due: Cell::new(false),
             timer_due: Cell::new(Millis::ZERO),
             may_order: Cell::new(false),
             stored_quarantine: RefCell::default(),
@@ -161,8 +167,13 @@
             let delay = due.since(now);
             tokio::select! {
                 () = tokio::time::sleep(delay.to_std()) => {}
-                () = self.wake.notified() => continue,
+                () = self.wake.notified() => if !self.is_decision_due.get() {
+                    continue;
+                },
             }
+            self.is_decision_due.set(false);
+            // The next turn reads the timer anew.
+            self.timer_due.set(Millis::ZERO);
             self.apply(Scheduler::tick);
             if now.since(reports_logged_at) >= REPORT_LOG_INTERVAL {
                 reports_logged_at = now;
@@ -490,7 +501,17 @@
         let (tx, rx) = oneshot::channel();
         self.waiters.borrow_mut().insert(attempt_id, tx);
         let job = spec.resolve(&mut self.names.borrow_mut(), self.clock.now());
-        self.apply(|scheduler, now| scheduler.place(attempt_id, job, now));
+        let queued = self.note(|scheduler, now| scheduler.enqueue(attempt_id, job, now));
+        match queued {
+            Ok(()) => self.request_decision(),
+            Err(refusal) => {
+                let verdict = Verdict::Refused {
+                    refusal,
+                    waited_for: WaitReason::Turn,
+                };
+                self.answer(attempt_id, verdict);
+            }
+        }
         rx
     }
 
@@ -514,7 +535,8 @@
         &self,
         attempt_id: AttemptId,
     ) {
-        self.apply(|scheduler, now| scheduler.first_event(attempt_id, now));
+        self.note(|scheduler, now| scheduler.note_first_event(attempt_id, now));
+        self.request_decision();
     }
 
     /// Records that a request ended or was withdrawn.
@@ -524,7 +546,8 @@
         outcome: Outcome,
     ) {
         self.waiters.borrow_mut().remove(&attempt_id);
-        self.apply(|scheduler, now| scheduler.ended(attempt_id, outcome, now));
+        self.note(|scheduler, now| scheduler.note_ended(attempt_id, outcome, now));
+        self.request_decision();
     }
 
     /// Takes over a running request from another scheduler.
@@ -698,6 +721,11 @@
         (scheduler.waiting_len(), scheduler.running_len())
     }
 
+    /// How often the scheduler has decided since the start.
+    pub const fn decisions(&self) -> u64 {
+        self.decisions.get()
+    }
+
     /// How long the oldest waiting requests have waited.
     pub fn waiting_ages(&self) -> WaitingAges {
         self.scheduler.borrow().waiting_ages(self.clock.now())
@@ -747,6 +775,26 @@
         self.scheduler.borrow().retry_totals()
     }
 
+    /// Passes an event to the scheduler; [`Self::request_decision`] has it decide what follows.
+    fn note<T, F>(
+        &self,
+        f: F,
+    ) -> T
+    where
+        F: FnOnce(&mut Scheduler, Millis) -> T,
+    {
+        let _step = self.work.enter(WorkPart::Decisions);
+        f(&mut self.scheduler.borrow_mut(), self.clock.now())
+    }
+
+    /// Has [`Self::run`] decide once about all that is noted until its turn comes.
+    ///
+    /// A leader that is behind has read many messages by then, and decides about them together.
+    fn request_decision(&self) {
+        self.is_decision_due.set(true);
+        self.wake.notify_one();
+    }
+
     /// Passes an event to the scheduler and performs the resulting actions.
     pub(super) fn apply<F>(
         &self,
@@ -755,6 +803,7 @@
         F: FnOnce(&mut Scheduler, Millis) -> Vec<Action>,
     {
         let _step = self.work.enter(WorkPart::Decisions);
+        self.decisions.set(self.decisions.get() + 1);
         let now = self.clock.now();
         let actions = f(&mut self.scheduler.borrow_mut(), now);
         for action in actions {
