VMs refuse most requests of an account over its rate without asking the leader

Change: the leader adjusts, each 400 ms, which share of such an account's requests it wants to be asked about: 1.3 times what it admits, so that no rate is left unused. It tells the share with its answers to pings. VMs pass on that share and refuse the others with the time that the leader last told. Which requests are passed on follows from a hash of the request that all VMs share and that changes each 3.2 s, so that a caller that was asked about is passed on again at whichever VM it comes back. Calls and generations have shares of their own. Shares end with the leader, with a change of the limits, after a second without its answer, and when an interval passes without a refusal they triple.

Weighed: each VM holds back an account after a refusal for as long as it was told (a caller that comes back at another VM as told is refused there); shares of the rate at each VM (195 VMs: less than one request each).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! execute, so scripts and property tests run the same code as production.
 
 pub mod adapter_demand;
+pub mod ask_shares;
 pub mod byte_budget;
 pub mod clock;
 pub mod costs;
--- a/crates/core/src/scheduler/state_machine/admission.rs
+++ b/crates/core/src/scheduler/state_machine/admission.rs
@@ -3,12 +3,13 @@
 use {
     super::{MIN_RETRY_AFTER, Scheduler},
     crate::{
+        ask_shares::{AskKind, ToldShares},
         clock::Millis,
         error::{ErrorKind, Refusal},
         ids::{AccountId, AdapterVersion, RequestId, ServiceId},
         queue::{Priority, QueueTarget, QueuedRequest},
         rights::Charge,
-        scheduler::{Job, Work},
+        scheduler::{AttemptId, Job, LOCAL_VM, Work},
     },
 };
 
@@ -72,6 +73,39 @@
         self.rates.admit(job, has_own_times, now)
     }
 
+    /// Records a decision by an account's rate about a request that another VM has passed on.
+    pub(super) fn note_asked(
+        &mut self,
+        attempt_id: AttemptId,
+        job: &Job,
+        decided: &Result<Option<Charge>, Refusal>,
+    ) {
+        let Some(account) = job.account.filter(|_| attempt_id.vm != LOCAL_VM) else {
+            return;
+        };
+        let kind = match job.work {
+            Work::Call => AskKind::Call,
+            Work::Generation(_) => AskKind::Generation,
+        };
+        match decided {
+            Ok(Some(_)) => self.asks.note(account, kind, None),
+            Err(refusal) if refusal.kind == ErrorKind::RateLimited => {
+                let told = refusal.retry_after.unwrap_or_default();
+                self.asks.note(account, kind, Some(told));
+            }
+            Ok(None) | Err(_) => {}
+        }
+    }
+
+    /// Which share of other VMs' requests this scheduler wants to be asked about, for a VM that knows what `revision`
+    /// told; `None` if that still holds.
+    pub fn told_shares(
+        &self,
+        revision: u64,
+    ) -> Option<ToldShares> {
+        (self.asks.revision() != revision).then(|| self.asks.told())
+    }
+
     /// The queue entry of a request.
     pub(super) fn queue_item(
         &self,
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -85,6 +85,7 @@
                 engine.mark_stale(Millis::ZERO);
             }
         }
+        self.asks.clear();
         self.can_order = can_order;
         self.is_following &= !can_order;
         self.rates.set_share(share, now);
@@ -173,6 +174,7 @@
         limits: BTreeMap<AccountId, Limit>,
         now: Millis,
     ) {
+        self.asks.clear();
         self.rates.set_limits(limits, now);
     }
 
@@ -354,7 +356,9 @@
             // The configuration allows it, and another scheduler's settings may do so.
             return Err(Refusal::new(ErrorKind::NoUpstream));
         }
-        let charge = self.charge(&job, now)?;
+        let charge = self.charge(&job, now);
+        self.note_asked(attempt_id, &job, &charge);
+        let charge = charge?;
         let request = RequestId(self.next_request);
         let queue_item = self.queue_item(request, &job, now);
         let lane = queued_work.map(|queued| lane(&job, &queued));
@@ -639,6 +643,7 @@
             }
         }
         self.fleet.renew_due_paces(self.settings.hard_load, now);
+        self.asks.adjust(now);
         self.decide(now)
     }
 }
--- a/crates/core/src/scheduler/state_machine/mod.rs
+++ b/crates/core/src/scheduler/state_machine/mod.rs
@@ -10,6 +10,7 @@
     },
     crate::{
         adapter_demand::{AdapterDemand, LoadUsefulness},
+        ask_shares::AskController,
         clock::Millis,
         ids::{AdapterId, RequestId, ServiceId},
         overload::{OverloadControl, ShedRecord, UrgencyQueue},
@@ -50,6 +51,8 @@
     fleet: Fleet,
     versions: AnnouncedVersions,
     rates: AccountRates,
+    /// Which share of the requests of other VMs' callers this scheduler wants to be asked about.
+    asks: AskController,
     members: Members,
     retry_budgets: HashMap<ServiceId, RetryBudget>,
     /// Decisions about retries that were not logged yet; bounded.
@@ -129,6 +132,7 @@
             fleet: Fleet::new(&settings),
             versions: AnnouncedVersions::default(),
             rates: AccountRates::new(share),
+            asks: AskController::default(),
             members: Members::default(),
             retry_budgets: HashMap::new(),
             retry_records: Vec::new(),
--- a/crates/entry/src/load/ask_counts.rs
+++ b/crates/entry/src/load/ask_counts.rs
@@ -18,6 +18,7 @@
 pub struct AskCounts {
     ends: [Cell<u64>; 4],
     repeated: Cell<u64>,
+    answered_here: Cell<u64>,
     longest: Cell<Millis>,
 }
 
@@ -38,6 +39,11 @@
         self.repeated.set(self.repeated.get() + 1);
     }
 
+    /// Counts a request that this VM refused by what the leader had told it, without a question.
+    pub fn note_answered_here(&self) {
+        self.answered_here.set(self.answered_here.get() + 1);
+    }
+
     /// How many questions ended so since the start.
     pub const fn ended(
         &self,
@@ -51,6 +57,11 @@
         self.repeated.get()
     }
 
+    /// How many requests were refused without a question.
+    pub const fn answered_here(&self) -> u64 {
+        self.answered_here.get()
+    }
+
     /// The longest time that a question has taken since the last call.
     pub const fn take_longest(&self) -> Millis {
         self.longest.replace(Millis::ZERO)
--- a/crates/entry/src/load/load_log.rs
+++ b/crates/entry/src/load/load_log.rs
@@ -25,6 +25,7 @@
     lost: u64,
     given_up: u64,
     repeated: u64,
+    answered_here: u64,
 }
 
 impl Totals {
@@ -40,6 +41,7 @@
             lost: asks.ended(AskEnd::Lost),
             given_up: asks.ended(AskEnd::GivenUp),
             repeated: asks.repeated(),
+            answered_here: asks.answered_here(),
         }
     }
 }
@@ -94,6 +96,7 @@
         .with("asks_lost", now.lost - before.lost)
         .with("asks_given_up", now.given_up - before.given_up)
         .with("asked_again", now.repeated - before.repeated)
+        .with("refused_here", now.answered_here - before.answered_here)
         .with("longest_ask_ms", longest_ask)
         .info();
 }
--- a/crates/entry/src/scheduling/client/following.rs
+++ b/crates/entry/src/scheduling/client/following.rs
@@ -3,11 +3,11 @@
 use {
     super::{LINK_OPTIONS, Mode, SchedulerLink, SchedulerNode},
     crate::scheduling::{
-        Leader,
+        Leader, ToldShareSpecs,
         convert::{
-            AttemptUpdate, read_leader, read_quarantine, write_account_uses, write_attempts,
-            write_crashes, write_idle_times, write_leader, write_promises, write_quarantine,
-            write_running, write_sound, write_stated, write_update,
+            AttemptUpdate, read_ask_shares, read_leader, read_quarantine, write_account_uses,
+            write_attempts, write_crashes, write_idle_times, write_leader, write_promises,
+            write_quarantine, write_running, write_sound, write_stated, write_update,
         },
         cost_spec::write_costs,
     },
@@ -80,7 +80,7 @@
             .take(MAX_LEADER_QUERIES)
             .map(|(vm, address)| async move {
                 let link = SchedulerLink::new(address, LINK_OPTIONS);
-                match call_ping(&link, 0).await {
+                match call_ping(&link, PingState::default()).await {
                     Ok(reply) => reply.leader,
                     Err(e) => {
                         Line::new("leader_not_asked")
@@ -118,6 +118,7 @@
                         .info();
                     pause = MIN_RETRY_DELAY;
                     self.local_scheduler.begin_following();
+                    self.local_scheduler.forget_told_shares();
                     self.set_mode(Mode::Following(Rc::clone(&link), session));
                     self.ping_leader(&link, &leader).await;
                 }
@@ -156,13 +157,19 @@
             && matches!(*self.mode.borrow(), Mode::Following(..))
         {
             sleep(PING_INTERVAL.to_std()).await;
-            let reply = match call_ping(link, self.local_scheduler.quarantine_hash()).await {
+            let known = PingState {
+                quarantine_hash: self.local_scheduler.quarantine_hash(),
+                ask_revision: self.local_scheduler.ask_revision(),
+            };
+            let reply = match call_ping(link, known).await {
                 Ok(reply) => reply,
                 Err(e) => return self.drop_leader(&e.to_string()),
             };
             if let Some(sets) = reply.quarantine {
                 self.local_scheduler.replace_quarantine(&sets);
             }
+            self.local_scheduler
+                .note_told_shares(reply.ask_shares.as_ref());
             match reply.leader {
                 Some(other) => self.observe_leader(other),
                 None => return self.drop_leader("it no longer leads"),
@@ -292,29 +299,43 @@
     .await
 }
 
+/// What the asking VM knows of what the leader tells with its answers to pings.
+#[derive(Clone, Copy, Debug, Default)]
+struct PingState {
+    /// A hash of the parts of prompts that it refuses.
+    quarantine_hash: u64,
+    /// The revision of the shares of requests that the leader wants to be asked about.
+    ask_revision: u64,
+}
+
 /// The answer to a ping.
 struct PingReply {
     /// The leader that the VM knows.
     leader: Option<Leader>,
     /// The parts of prompts that it refuses as the leader, if these are others than the asking VM knows.
     quarantine: Option<Vec<PartSet>>,
+    /// Which requests the leader wants to be asked about, if the asking VM knows otherwise.
+    ask_shares: Option<ToldShareSpecs>,
 }
 
 async fn call_ping(
     link: &SchedulerLink,
-    quarantine_hash: u64,
+    known: PingState,
 ) -> Result<PingReply, LinkError> {
     link.call(Millis::ZERO, |client| async move {
         let mut req = client.ping_request();
-        req.get().set_quarantine_hash(quarantine_hash);
+        req.get().set_quarantine_hash(known.quarantine_hash);
+        req.get().set_ask_revision(known.ask_revision);
         let res = req.send().promise.await?;
         let res = res.get()?;
         let quarantine = res.get_quarantine_differs();
+        let ask_shares = res.get_ask_revision() != known.ask_revision;
         Ok(PingReply {
             leader: read_leader(res.get_leader()?)?,
             quarantine: quarantine
                 .then(|| read_quarantine(res.get_quarantine()?))
                 .transpose()?,
+            ask_shares: ask_shares.then(|| read_ask_shares(res)).transpose()?,
         })
     })
     .await
--- a/crates/entry/src/scheduling/client/mod.rs
+++ b/crates/entry/src/scheduling/client/mod.rs
@@ -219,8 +219,20 @@
                 continue;
             }
             let mode = self.mode.borrow().clone();
-            if matches!(mode, Mode::Following(..)) && std::mem::replace(&mut has_asked, true) {
-                self.asks.note_repeated();
+            if matches!(mode, Mode::Following(..)) {
+                if let Err(refusal) = self.local_scheduler.check_ask(&spec) {
+                    pending.is_settled.set(true);
+                    self.asks.note_answered_here();
+                    self.local_scheduler
+                        .record_own_decision(&spec, RateDecision::RateLimited);
+                    return Err(PlacementError {
+                        refusal,
+                        waited_for: WaitReason::Turn,
+                    });
+                }
+                if std::mem::replace(&mut has_asked, true) {
+                    self.asks.note_repeated();
+                }
             }
             let verdict = tokio::select! {
                 verdict = self.request_verdict(mode, &spec) => verdict,
--- a/crates/entry/src/scheduling/convert.rs
+++ b/crates/entry/src/scheduling/convert.rs
@@ -2,12 +2,13 @@
 
 use {
     super::{
-        Assignment, CrashSpec, GenerationSpec, JobSpec, Leader, NewestSpec, PromiseSpec,
-        RunningSpec, StatedSpec, Verdict,
+        AskShareSpec, Assignment, CrashSpec, GenerationSpec, JobSpec, Leader, NewestSpec,
+        PromiseSpec, RunningSpec, StatedSpec, ToldShareSpecs, Verdict,
     },
     crate::clock::Clock,
     capnp::{struct_list, text, text_list},
     jasmine_core::{
+        ask_shares::AskKind,
         clock::Millis,
         error::{ErrorKind, Refusal},
         ids::{Fence, InvalidPartId, PartId},
@@ -21,8 +22,9 @@
         },
     },
     jasmine_wire::scheduler_capnp::{
-        EndKind, Evidence, account_use, attempts, crash, job, leadership, load_report, news,
-        promise, quarantined, rested, running_job, signals, sound, stated, verdict,
+        EndKind, Evidence, account_use, ask_share, attempts, crash, job, leadership, load_report,
+        news, promise, quarantined, rested, running_job, scheduler::ping_results, signals, sound,
+        stated, verdict,
     },
     std::collections::BTreeMap,
 };
@@ -536,6 +538,43 @@
     parts.collect()
 }
 
+pub(super) fn write_ask_shares(
+    mut to: struct_list::Builder<'_, ask_share::Owned>,
+    shares: &[AskShareSpec],
+) {
+    for (at, spec) in shares.iter().enumerate() {
+        let mut one = to.reborrow().get(at as u32);
+        one.set_account(&spec.account);
+        one.set_is_call(spec.kind == AskKind::Call);
+        one.set_share(u16::try_from(spec.share).unwrap_or(u16::MAX));
+        one.set_retry_after_ms(u32::try_from(spec.retry_after.0).unwrap_or(u32::MAX));
+    }
+}
+
+/// Reads what a ping's answer tells of the requests that the leader wants to be asked about.
+pub(super) fn read_ask_shares(
+    from: ping_results::Reader<'_>
+) -> Result<ToldShareSpecs, capnp::Error> {
+    let mut shares = Vec::new();
+    for share in from.get_ask_shares()? {
+        shares.push(AskShareSpec {
+            account: share.get_account()?.to_string()?,
+            kind: if share.get_is_call() {
+                AskKind::Call
+            } else {
+                AskKind::Generation
+            },
+            share: share.get_share().into(),
+            retry_after: Millis(share.get_retry_after_ms().into()),
+        });
+    }
+    Ok(ToldShareSpecs {
+        revision: from.get_ask_revision(),
+        choice: from.get_choice(),
+        shares,
+    })
+}
+
 pub(super) fn write_quarantine(
     mut to: struct_list::Builder<'_, quarantined::Owned>,
     sets: &[PartSet],
--- a/crates/entry/src/scheduling/local_scheduler.rs
+++ b/crates/entry/src/scheduling/local_scheduler.rs
@@ -14,6 +14,7 @@
     },
     jasmine_conf::settings::ColdUpstreamSettings,
     jasmine_core::{
+        ask_shares::AskFilter,
         clock::Millis,
         error::Refusal,
         ids::UpstreamId,
@@ -87,6 +88,8 @@
     pub(super) names: RefCell<NameInterner>,
     pub(super) scheduler: RefCell<Scheduler>,
     waiters: RefCell<HashMap<AttemptId, oneshot::Sender<Verdict>>>,
+    /// What the leader has said about accounts that are over their rate.
+    pub(super) ask_filter: RefCell<AskFilter>,
     shed_log: RefCell<ShedLog>,
     retry_log: RefCell<RetryLog>,
     told_returns: RefCell<ToldReturns>,
@@ -134,6 +137,7 @@
             names: RefCell::default(),
             scheduler: RefCell::new(Scheduler::new(settings, RateShare::Part(1))),
             waiters: RefCell::default(),
+            ask_filter: RefCell::default(),
             shed_log: RefCell::default(),
             retry_log: RefCell::default(),
             told_returns: RefCell::default(),
--- a/crates/entry/src/scheduling/mod.rs
+++ b/crates/entry/src/scheduling/mod.rs
@@ -1,5 +1,6 @@
 //! Assigns requests to upstreams, on the leading VM or locally while no leader is reachable.
 
+mod ask_shares;
 mod assignment;
 mod client;
 mod convert;
@@ -28,6 +29,7 @@
 mod vm_history;
 
 pub use {
+    ask_shares::{AskShareSpec, ToldShareSpecs},
     assignment::Assignment,
     client::{LINK_OPTIONS, SchedulerNode},
     cost_spec::CostSpec,
--- a/crates/entry/src/scheduling/server.rs
+++ b/crates/entry/src/scheduling/server.rs
@@ -4,7 +4,8 @@
         convert::{
             AttemptUpdate, JobUpdate, read_account_uses, read_attempts, read_crashes,
             read_idle_times, read_job, read_leader, read_promises, read_quarantine, read_running,
-            read_sound, read_stated, read_update, write_leader, write_quarantine, write_verdict,
+            read_sound, read_stated, read_update, write_ask_shares, write_leader, write_quarantine,
+            write_verdict,
         },
         cost_spec::read_costs,
     },
@@ -253,8 +254,19 @@
         params: scheduler::PingParams,
         mut results: scheduler::PingResults,
     ) -> Result<(), capnp::Error> {
-        let known = params.get()?.get_quarantine_hash();
+        let params = params.get()?;
+        let known = params.get_quarantine_hash();
         let local_scheduler = &self.scheduling.local_scheduler;
+        let ask_revision = params.get_ask_revision();
+        results.get().set_ask_revision(ask_revision);
+        if self.scheduling.is_leading()
+            && let Some(told) = local_scheduler.told_shares(ask_revision)
+        {
+            results.get().set_ask_revision(told.revision);
+            results.get().set_choice(told.choice);
+            let shares = results.get().init_ask_shares(told.shares.len() as u32);
+            write_ask_shares(shares, &told.shares);
+        }
         if self.scheduling.is_leading() && local_scheduler.quarantine_hash() != known {
             let sets = local_scheduler.quarantined();
             results.get().set_quarantine_differs(true);
--- a/crates/wire/schema/scheduler.capnp
+++ b/crates/wire/schema/scheduler.capnp
@@ -181,6 +181,14 @@
   parts @0 :List(Text);
 }
 
+# Which part of an account's requests the leader wants to be asked about.
+struct AskShare {
+  account @0 :Text;
+  isCall @1 :Bool;             # its calls of plain services; otherwise its generations
+  share @2 :UInt16;            # in ten-thousandths
+  retryAfterMs @3 :UInt32;     # what callers of the others are told; 0: none named
+}
+
 struct Leadership {
   vm @0 :Text;
   address @1 :Text;
@@ -239,8 +247,10 @@
   # `rested` comes from a leader that leaves: how long ago it gave each engine its last order.
   announce @3 (leader :Leadership, rested :List(Rested)) -> (leader :Leadership);
   # `quarantine`: that of the leader, if it differs from the one with the hash that the VM knows.
-  ping @4 (quarantineHash :UInt64)
-      -> (leader :Leadership, quarantineDiffers :Bool, quarantine :List(Quarantined));
+  # `askRevision`: of the shares that the VM knows; the leader sends others if it has them. `choice` goes with the shares.
+  ping @4 (quarantineHash :UInt64, askRevision :UInt64)
+      -> (leader :Leadership, quarantineDiffers :Bool, quarantine :List(Quarantined),
+      askRevision :UInt64, choice :UInt64, askShares :List(AskShare));
   # Changes of the store after a revision; waits for the first one. Minor ones wait for nobody: they come along after
   # their own revision, 0 for none of them. `answeredAgoMs`: since the store last answered the VM.
   changes @5 (after :UInt64, minorAfter :UInt64, waitMs :UInt32)
