--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -180,9 +180,9 @@
         MIN_ENGINE_CHECK_INTERVAL.max(FleetTotals::refresh_interval(self.fleet.upstreams.len()))
     }
 
-    /// Time to evaluate all queued requests that can be on time; zero for a few.
+    /// Time between two evaluations of queued requests by engines' reports; zero for a short queue.
     pub(super) fn full_evaluation_time(&self) -> Millis {
-        match self.on_time.len() {
+        match self.queue.len() {
             short if short <= SHORT_QUEUE_LEN => Millis::ZERO,
             long => Millis((long / MAX_EVALUATIONS_PER_MS) as u64),
         }
