Maps by ids that this process assigns use a plain hash function

Cause: the standard hash function withstands keys that an attacker chooses. Requests, adapters, services and upstreams have ids that this process has assigned in sequence; nobody chooses them. Each look at a queued request hashes several.

Change: IdMap (rustc-hash) for these. Maps whose keys callers can choose (parts of prompts) stay as they are.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod error;
 pub mod feed;
 pub mod forward;
+mod id_map;
 pub mod ids;
 pub mod ingress;
 pub mod leadership;
@@ -29,3 +30,5 @@
 pub mod routing;
 pub mod scheduler;
 pub mod streams;
+
+use id_map::IdMap;
--- a/crates/core/src/overload/urgency_queue.rs
+++ b/crates/core/src/overload/urgency_queue.rs
@@ -1,12 +1,13 @@
 use {
     super::{Lane, LanePart, class_turns::ClassTurns},
     crate::{
+        IdMap,
         clock::Millis,
         error::{ErrorKind, Refusal},
         ids::{RequestId, ServiceId},
         queue::{Enqueued, FairQueue, QueueSettings, QueueTarget, QueuedRequest},
     },
-    std::collections::{BTreeMap, HashMap},
+    std::collections::BTreeMap,
 };
 
 /// The waiting requests of a scheduler: one fair queue for services without classes, and one for
@@ -16,8 +17,8 @@
     settings: QueueSettings,
     unranked: FairQueue,
     lanes: BTreeMap<Lane, FairQueue>,
-    lane_of: HashMap<RequestId, Lane>,
-    turns: HashMap<ServiceId, ClassTurns>,
+    lane_of: IdMap<RequestId, Lane>,
+    turns: IdMap<ServiceId, ClassTurns>,
 }
 
 impl UrgencyQueue {
@@ -27,8 +28,8 @@
             settings,
             unranked: FairQueue::new(settings),
             lanes: BTreeMap::new(),
-            lane_of: HashMap::new(),
-            turns: HashMap::new(),
+            lane_of: IdMap::default(),
+            turns: IdMap::default(),
         }
     }
 
--- a/crates/core/src/queue/account_queue.rs
+++ b/crates/core/src/queue/account_queue.rs
@@ -3,8 +3,8 @@
         AccountShare, QueueTarget, QueuedRequest,
         pool::{Backlog, Pool},
     },
-    crate::clock::Millis,
-    std::collections::{BTreeMap, HashMap},
+    crate::{IdMap, clock::Millis},
+    std::collections::BTreeMap,
 };
 
 /// Sort key within an account's queue: arrival time plus priority delay, then arrival order.
@@ -20,7 +20,7 @@
     pub share: AccountShare,
     /// Virtual counter: served cost divided by weight, in thousandths of a token.
     pub counter: u64,
-    by_target: HashMap<QueueTarget, BTreeMap<Position, QueuedRequest>>,
+    by_target: IdMap<QueueTarget, BTreeMap<Position, QueuedRequest>>,
     /// The first request of each target.
     heads: BTreeMap<Position, QueueTarget>,
     backlogs: BTreeMap<Pool, Backlog>,
--- a/crates/core/src/queue/fair_queue.rs
+++ b/crates/core/src/queue/fair_queue.rs
@@ -6,11 +6,12 @@
         pool::{Pool, PoolState},
     },
     crate::{
+        IdMap,
         clock::Millis,
         error::{ErrorKind, Refusal},
         ids::{AccountId, RequestId},
     },
-    std::collections::{BTreeMap, BTreeSet, HashMap},
+    std::collections::{BTreeMap, BTreeSet},
 };
 
 /// Counter units per token, for precision when dividing by weights.
@@ -35,10 +36,10 @@
 #[derive(Clone, Debug)]
 pub struct FairQueue {
     settings: QueueSettings,
-    accounts: HashMap<AccountId, AccountQueue>,
+    accounts: IdMap<AccountId, AccountQueue>,
     /// Accounts with waiting requests, ordered by counter.
     active: BTreeSet<(u64, AccountId)>,
-    locations: HashMap<RequestId, Location>,
+    locations: IdMap<RequestId, Location>,
     deadlines: BTreeSet<(Millis, RequestId)>,
     pools: BTreeMap<Pool, PoolState>,
     last_deadline_scan: Millis,
@@ -52,9 +53,9 @@
     pub fn new(settings: QueueSettings) -> Self {
         Self {
             settings,
-            accounts: HashMap::new(),
+            accounts: IdMap::default(),
             active: BTreeSet::new(),
-            locations: HashMap::new(),
+            locations: IdMap::default(),
             deadlines: BTreeSet::new(),
             pools: BTreeMap::new(),
             last_deadline_scan: Millis::ZERO,
--- a/crates/core/src/scheduler/choose/mod.rs
+++ b/crates/core/src/scheduler/choose/mod.rs
@@ -8,11 +8,11 @@
         resident::DEMAND_HALF_LIFE, upstream::Upstream,
     },
     crate::{
+        IdMap,
         clock::Millis,
         ids::{AdapterId, AdapterVersion, ModelId, UpstreamId},
         placement::rendezvous_hash,
     },
-    std::collections::HashMap,
 };
 
 mod best;
@@ -71,7 +71,7 @@
     pub versions: &'a AnnouncedVersions,
     pub settings: &'a SchedulerSettings,
     /// Queued requests by adapter; adapters listed here aren't evicted.
-    pub queued_by_adapter: &'a HashMap<AdapterId, u32>,
+    pub queued_by_adapter: &'a IdMap<AdapterId, u32>,
     /// Whether this scheduler may send orders to engines.
     pub can_order: bool,
     /// Whether adapters may be evicted; not just after a takeover, when it isn't known which are in
--- a/crates/core/src/scheduler/choose/preferred.rs
+++ b/crates/core/src/scheduler/choose/preferred.rs
@@ -1,9 +1,7 @@
-use {
-    crate::{
-        ids::{AdapterId, ServiceId, UpstreamId},
-        placement::rendezvous_hash,
-    },
-    std::collections::HashMap,
+use crate::{
+    IdMap,
+    ids::{AdapterId, ServiceId, UpstreamId},
+    placement::rendezvous_hash,
 };
 
 /// Engines kept per adapter besides those that hold it; more than are evaluated, as some may be
@@ -22,7 +20,7 @@
 /// With thousands of engines, hashing all of them for each evaluation would dominate its cost.
 #[derive(Clone, Debug, Default)]
 pub(in crate::scheduler) struct PreferredEngines {
-    rankings: HashMap<(ServiceId, AdapterId), Ranking>,
+    rankings: IdMap<(ServiceId, AdapterId), Ranking>,
     /// Log of joined engines of all services, oldest first.
     joined: Vec<UpstreamId>,
     /// Number of engines that have left their service so far.
--- a/crates/core/src/scheduler/engine.rs
+++ b/crates/core/src/scheduler/engine.rs
@@ -7,10 +7,11 @@
         resident::{DEMAND_HALF_LIFE, ResidentAdapter, ResidentState},
     },
     crate::{
+        IdMap,
         clock::Millis,
         ids::{AdapterId, AdapterVersion, ModelId},
     },
-    std::collections::{HashMap, VecDeque},
+    std::collections::VecDeque,
 };
 
 /// Request slots kept free on each engine for requests that the scheduler doesn't control.
@@ -75,7 +76,7 @@
     pub loading: Option<ModelId>,
     pub residents: Vec<ResidentAdapter>,
     /// Assigned requests that have not ended, by adapter, including adapters that are not resident.
-    users: HashMap<AdapterVersion, u32>,
+    users: IdMap<AdapterVersion, u32>,
     /// Adapter that is unloaded once its requests have ended; no orders are sent until then.
     pub unloading: Option<AdapterVersion>,
     /// Whether an order is waiting for its response.
@@ -114,7 +115,7 @@
             models: Vec::new(),
             loading: None,
             residents: Vec::new(),
-            users: HashMap::new(),
+            users: IdMap::default(),
             unloading: None,
             has_pending_order: false,
             last_order_at: Millis::ZERO,
--- a/crates/core/src/scheduler/fleet.rs
+++ b/crates/core/src/scheduler/fleet.rs
@@ -26,6 +26,7 @@
         usual_call_time::UsualCallTime,
     },
     crate::{
+        IdMap,
         byte_budget::UpstreamBytes,
         clock::Millis,
         costs::CostModel,
@@ -40,7 +41,7 @@
     pub upstreams: BTreeMap<UpstreamId, Upstream>,
     pub(super) departed: DepartedUpstreams,
     /// The upstreams of each service, sorted by id.
-    members: HashMap<ServiceId, Vec<UpstreamId>>,
+    members: IdMap<ServiceId, Vec<UpstreamId>>,
     holders: Holders,
     preferred: PreferredEngines,
     pub totals: FleetTotals,
@@ -58,22 +59,22 @@
     /// No orders to newly added engines before this time.
     pub orders_allowed_at: Millis,
     /// Prefill time estimators, by service.
-    prefill_estimators: HashMap<ServiceId, PrefillEstimator>,
+    prefill_estimators: IdMap<ServiceId, PrefillEstimator>,
     /// Services whose upstreams report their pace.
     pub(super) pace_reporters: HashSet<ServiceId>,
     /// Times of calls at the usual pace, by service.
-    pub(super) usual_call_times: HashMap<ServiceId, UsualCallTime>,
+    pub(super) usual_call_times: IdMap<ServiceId, UsualCallTime>,
     pub(super) paces_renewed_at: Millis,
     pub(super) report_ages: ReportAges,
     /// Times of calls, by service.
-    pub(super) call_times: HashMap<ServiceId, CallTimes>,
+    pub(super) call_times: IdMap<ServiceId, CallTimes>,
     /// How long slots stay idle between two calls, by service.
-    slot_turnovers: HashMap<ServiceId, SlotTurnover>,
+    slot_turnovers: IdMap<ServiceId, SlotTurnover>,
     /// Bytes of requests that upstreams hold.
     pub(super) body_bytes: UpstreamBytes,
     pub(super) load_slowdown: LoadSlowdown,
     /// How long requests take relative to their expected cost, by service.
-    pub(super) paces: HashMap<ServiceId, MeasuredPace>,
+    pub(super) paces: IdMap<ServiceId, MeasuredPace>,
     /// Expected costs of requests.
     pub(super) costs: CostModel,
     pub(super) load_punctuality: LoadPunctuality,
--- a/crates/core/src/scheduler/holders.rs
+++ b/crates/core/src/scheduler/holders.rs
@@ -1,6 +1,6 @@
-use {
-    crate::ids::{AdapterId, UpstreamId},
-    std::collections::HashMap,
+use crate::{
+    IdMap,
+    ids::{AdapterId, UpstreamId},
 };
 
 /// Number of engines listed for an adapter from which outdated entries are pruned.
@@ -11,7 +11,7 @@
 /// The lists are supersets: entries can be outdated, so readers must check the engine itself.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Holders {
-    by_adapter: HashMap<AdapterId, Vec<UpstreamId>>,
+    by_adapter: IdMap<AdapterId, Vec<UpstreamId>>,
 }
 
 impl Holders {
--- a/crates/core/src/scheduler/state_machine/mod.rs
+++ b/crates/core/src/scheduler/state_machine/mod.rs
@@ -9,6 +9,7 @@
         running::TrackedRequest,
     },
     crate::{
+        IdMap,
         adapter_demand::{AdapterDemand, LoadUsefulness},
         ask_shares::AskController,
         clock::Millis,
@@ -54,7 +55,7 @@
     /// Which share of the requests of other VMs' callers this scheduler wants to be asked about.
     asks: AskController,
     members: Members,
-    retry_budgets: HashMap<ServiceId, RetryBudget>,
+    retry_budgets: IdMap<ServiceId, RetryBudget>,
     /// Decisions about retries that were not logged yet; bounded.
     retry_records: Vec<RetryRecord>,
     retry_totals: RetryTotals,
@@ -77,12 +78,12 @@
     returns: ReturnSchedule,
     /// Refusals by urgency that were not logged yet; bounded.
     shed_records: Vec<ShedRecord>,
-    entries: HashMap<RequestId, TrackedRequest>,
-    by_attempt_id: HashMap<AttemptId, RequestId>,
+    entries: IdMap<RequestId, TrackedRequest>,
+    by_attempt_id: IdMap<AttemptId, RequestId>,
     /// Number of queued requests by adapter.
-    queued_by_adapter: HashMap<AdapterId, u32>,
+    queued_by_adapter: IdMap<AdapterId, u32>,
     /// Queued work by service, in prompt tokens or calls.
-    queued_work: HashMap<ServiceId, f64>,
+    queued_work: IdMap<ServiceId, f64>,
     /// Queued requests that can still be on time, by the latest time to send them.
     on_time: BTreeSet<(Millis, RequestId)>,
     /// VMs that upstreams have asked for rest since the last decision.
@@ -134,7 +135,7 @@
             rates: AccountRates::new(share),
             asks: AskController::default(),
             members: Members::default(),
-            retry_budgets: HashMap::new(),
+            retry_budgets: IdMap::default(),
             retry_records: Vec::new(),
             retry_totals: RetryTotals::default(),
             taken_over_at: None,
@@ -151,10 +152,10 @@
             overload: OverloadControl::default(),
             returns: ReturnSchedule::default(),
             shed_records: Vec::new(),
-            entries: HashMap::new(),
-            by_attempt_id: HashMap::new(),
-            queued_by_adapter: HashMap::new(),
-            queued_work: HashMap::new(),
+            entries: IdMap::default(),
+            by_attempt_id: IdMap::default(),
+            queued_by_adapter: IdMap::default(),
+            queued_work: IdMap::default(),
             on_time: BTreeSet::new(),
             rested_vms: BTreeSet::new(),
             queued_calls: 0,
