Shares of asks follow from what the rate refuses only

Found by reading the change again, not seen in a run: two ways in which VMs would have refused callers within their rate.

A request larger than its account's burst counted as a refusal of the rate, so that an account that sends many such requests had its others held back. And a new leader, which refuses much until all VMs have told what was used, would have concluded from that which share to be asked about.

Change: only refusals with a time to come back count; a new leader adjusts no share for two seconds.

Test: (core) larger_than_the_burst and takeovers_hold_nothing_back fail without either.

--- a/crates/core/src/ask_shares/ask_controller.rs
+++ b/crates/core/src/ask_shares/ask_controller.rs
@@ -31,6 +31,8 @@
 pub struct AskController {
     accounts: BTreeMap<(AccountId, AskKind), Asked>,
     adjusted_at: Millis,
+    /// No share is adjusted before this time.
+    begins_at: Millis,
     adjustments: u64,
     /// Changes whenever VMs have to be told.
     revision: u64,
@@ -64,6 +66,10 @@
         &mut self,
         now: Millis,
     ) {
+        if now < self.begins_at {
+            self.accounts.clear();
+            return;
+        }
         if now.since(self.adjusted_at) < ADJUST_INTERVAL {
             return;
         }
@@ -81,8 +87,12 @@
         self.revision += u64::from(is_changed);
     }
 
-    /// Forgets all shares, as by a change of the limits or of the scheduler.
-    pub fn clear(&mut self) {
+    /// Forgets all shares, as by a change of the limits or of the scheduler, and adjusts none before `begins_at`.
+    pub fn restart(
+        &mut self,
+        begins_at: Millis,
+    ) {
+        self.begins_at = begins_at;
         self.revision += u64::from(!self.accounts.is_empty());
         self.accounts.clear();
     }
--- a/crates/core/src/scheduler/state_machine/admission.rs
+++ b/crates/core/src/scheduler/state_machine/admission.rs
@@ -89,10 +89,11 @@
         };
         match decided {
             Ok(Some(_)) => self.asks.note(account, kind, None),
-            Err(refusal) if refusal.kind == ErrorKind::RateLimited => {
-                let told = refusal.retry_after.unwrap_or_default();
-                self.asks.note(account, kind, Some(told));
-            }
+            Err(Refusal {
+                kind: ErrorKind::RateLimited,
+                retry_after: Some(told),
+            }) => self.asks.note(account, kind, Some(*told)),
+            // What exceeds the burst is refused whatever is left of the rate, and has no time to come back.
             Ok(None) | Err(_) => {}
         }
     }
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -26,6 +26,10 @@
 /// requests: evicting an adapter in use blocks the engine until those requests end.
 const TAKEOVER_EVICTION_DELAY: Millis = Millis(500);
 
+/// A new scheduler refuses requests within their rate until all VMs have told what was used of it; this long it concludes
+/// nothing from that about the share of requests to be asked about.
+const TAKEOVER_ASK_DELAY: Millis = Millis(2_000);
+
 /// Suspected prompts wait for this long after a takeover, until all VMs have told what they know of crashes.
 const TAKEOVER_TRIAL_DELAY: Millis = Millis(500);
 /// The same at a VM that begins to decide alone: a leader may know more.
@@ -85,7 +89,7 @@
                 engine.mark_stale(Millis::ZERO);
             }
         }
-        self.asks.clear();
+        self.asks.restart(now + TAKEOVER_ASK_DELAY);
         self.can_order = can_order;
         self.is_following &= !can_order;
         self.rates.set_share(share, now);
@@ -174,7 +178,7 @@
         limits: BTreeMap<AccountId, Limit>,
         now: Millis,
     ) {
-        self.asks.clear();
+        self.asks.restart(now);
         self.rates.set_limits(limits, now);
     }
 
--- a/crates/core/tests/ask_shares.rs
+++ b/crates/core/tests/ask_shares.rs
@@ -1,18 +1,24 @@
 //! Which requests of an account over its rate the scheduler is asked about.
 
+mod scheduler_world;
+
 use {
     jasmine_core::{
         ask_shares::{AskController, AskFilter, AskKind},
         clock::Millis,
-        ids::AccountId,
+        ids::{AccountId, UpstreamId},
         rights::CallerTag,
+        scheduler::{AttemptId, Job, Outcome, RateShare},
     },
     rand::{Rng, SeedableRng},
     rand_chacha::ChaCha8Rng,
+    scheduler_world::{World, call},
 };
 
 const ACCOUNT: AccountId = AccountId(3);
 const VMS: usize = 195;
+/// Number of a VM at a scheduler that it asks.
+const ASKING_VM: u32 = 1;
 /// How often each VM asks the scheduler for its shares.
 const PING_INTERVAL: u64 = 300;
 const RETRY_AFTER: Millis = Millis(600);
@@ -188,3 +194,69 @@
         assert_eq!(check, Ok(()));
     }
 }
+
+/// Guards against small requests that are held back for those larger than the burst, which use nothing of the rate.
+#[test]
+fn larger_than_the_burst() {
+    let mut world = World::leading(0);
+    world.add_server(UpstreamId(1));
+    world.limit(ACCOUNT.0, 1_000, 1_000);
+    world.advance(3_000);
+    ask_about(&mut world, 5_000, Millis(2_000));
+    let told = world
+        .scheduler
+        .told_shares(u64::MAX)
+        .expect("another revision");
+    assert_eq!(told.shares, []);
+}
+
+/// Guards against requests that are held back as a new scheduler doesn't know yet what is left of their rate.
+#[test]
+fn takeovers_hold_nothing_back() {
+    let mut world = World::leading(0);
+    world.add_server(UpstreamId(1));
+    world.limit(ACCOUNT.0, 1_000, 1_000);
+    let now = world.now;
+    world.scheduler.set_role(false, RateShare::Part(1), now);
+    world.scheduler.set_role(true, RateShare::TakenOver, now);
+    for _ in 0..3 {
+        ask_about(&mut world, 900, Millis(600));
+        let told = world
+            .scheduler
+            .told_shares(u64::MAX)
+            .expect("another revision");
+        assert_eq!(told.shares, []);
+    }
+    ask_about(&mut world, 900, Millis(2_000));
+    let told = world
+        .scheduler
+        .told_shares(u64::MAX)
+        .expect("another revision");
+    assert_eq!(told.shares.len(), 1, "an account over its rate");
+}
+
+/// Has callers of the account send 200 calls a second, each of which ends at once.
+fn ask_about(
+    world: &mut World,
+    cost: u64,
+    time: Millis,
+) {
+    let end = world.now + time;
+    while world.now < end {
+        let job = Job {
+            account: Some(ACCOUNT),
+            caller: CallerTag(world.now.0),
+            cost,
+            ..call(world.now)
+        };
+        let attempt_id = AttemptId {
+            vm: ASKING_VM,
+            number: world.now.0,
+        };
+        let scheduler = &mut world.scheduler;
+        scheduler.place(attempt_id, job, world.now);
+        let outcome = Outcome::Answered { took: Millis(5) };
+        scheduler.ended(attempt_id, outcome, world.now);
+        world.advance(5);
+    }
+}
