no_leader: the VM under test runs its scheduler, and a test that hangs fails

A daemon starts that loop in SchedulerNode::start; the VM of this test had none, so that nobody decided. No daemon runs without it. Change: the test's VM runs the loop as a daemon does. Its assertions are the same.

--- a/crates/entry/tests/no_leader.rs
+++ b/crates/entry/tests/no_leader.rs
@@ -14,10 +14,13 @@
     tokio::{
         sync::mpsc,
         task::{LocalSet, spawn_local},
-        time::sleep,
+        time::{sleep, timeout},
     },
 };
 
+/// Longest time of a test.
+const TIME_LIMIT: Duration = Duration::from_secs(20);
+
 /// A newly started VM among 300: its share of the account's rate limit is less than one request.
 fn started_vm() -> Rc<SchedulerNode> {
     let (tasks, _orders) = mpsc::unbounded_channel();
@@ -26,6 +29,8 @@
         ColdUpstreamSettings::default(),
         tasks,
     ));
+    let timers = Rc::clone(&local_scheduler);
+    spawn_local(async move { timers.run().await });
     let address = SocketAddr::from(([127, 0, 0, 1], 9));
     let scheduling = Rc::new(SchedulerNode::new(
         Rc::clone(&local_scheduler),
@@ -99,7 +104,8 @@
         .enable_all()
         .build()
         .unwrap();
-    LocalSet::new().block_on(&rt, test);
+    let limited = LocalSet::new().block_on(&rt, async { timeout(TIME_LIMIT, test).await });
+    limited.expect("the test ends in time");
 }
 
 /// Guards against rate-limit refusals of most requests during an election.
