A request that waits for a load is decided when the load ends

Cause: a queued request is decided again after an interval that grows with the queue, a late one after as many milliseconds as there are late ones. An adapter that was loaded for it occupies its slot until then, as adapters of queued requests aren't evicted. So the slots that a long queue needs are held idle by the length of the queue. Change: the scheduler keeps when loads of the queued requests' adapters end (QueuedAdapters), and a request whose adapter was loaded since its last evaluation isn't deferred. One look-up a scanned request, and an evaluation for each request of an adapter that was loaded.

--- a/crates/core/src/scheduler/choose/load.rs
+++ b/crates/core/src/scheduler/choose/load.rs
@@ -154,11 +154,7 @@
             .filter(|resident| {
                 engine.users_of(resident.adapter) == 0 && resident.can_be_evicted(self.now)
             })
-            .filter(|resident| {
-                !self
-                    .queued_by_adapter
-                    .contains_key(&resident.adapter.adapter)
-            })
+            .filter(|resident| self.queued_adapters.requests(resident.adapter.adapter) == 0)
             .map(|resident| (eviction_cost(resident), resident.adapter))
             .min_by(|a, b| a.0.total_cmp(&b.0))
             .map(|(cost, adapter)| (Some(adapter), cost.min(max_penalty)))
--- a/crates/core/src/scheduler/choose/mod.rs
+++ b/crates/core/src/scheduler/choose/mod.rs
@@ -4,11 +4,10 @@
 use {
     super::{
         Generation, Job, SchedulerSettings, WaitReason, announced_versions::AnnouncedVersions,
-        engine::Engine, expected_cost::ExpectedCost, fleet::Fleet, request_load::Load,
-        resident::DEMAND_HALF_LIFE, upstream::Upstream,
+        engine::Engine, expected_cost::ExpectedCost, fleet::Fleet, queued_adapters::QueuedAdapters,
+        request_load::Load, resident::DEMAND_HALF_LIFE, upstream::Upstream,
     },
     crate::{
-        IdMap,
         clock::Millis,
         ids::{AdapterId, AdapterVersion, ModelId, UpstreamId},
         placement::rendezvous_hash,
@@ -70,8 +69,8 @@
     pub fleet: &'a Fleet,
     pub versions: &'a AnnouncedVersions,
     pub settings: &'a SchedulerSettings,
-    /// Queued requests by adapter; adapters listed here aren't evicted.
-    pub queued_by_adapter: &'a IdMap<AdapterId, u32>,
+    /// Adapters for which requests are queued; they aren't evicted.
+    pub queued_adapters: &'a QueuedAdapters,
     /// Whether this scheduler may send orders to engines.
     pub can_order: bool,
     /// Whether adapters may be evicted; not just after a takeover, when it isn't known which are in
@@ -476,12 +475,7 @@
         engine: &Engine,
         copies: AdapterCopies,
     ) -> f64 {
-        let waiting = self
-            .queued_by_adapter
-            .get(&adapter)
-            .copied()
-            .unwrap_or_default();
-        let others = waiting.saturating_sub(1);
+        let others = self.queued_adapters.requests(adapter).saturating_sub(1);
         let each = engine
             .backlog
             .time_for(Load::of(job, engine, self.now).prefill_tokens, self.now);
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -53,6 +53,7 @@
 mod planned_load;
 mod prefill_estimator;
 mod prefix_cache;
+mod queued_adapters;
 mod rate_history;
 mod recent_builds;
 mod report_ages;
--- a/crates/core/src/scheduler/state_machine/copies.rs
+++ b/crates/core/src/scheduler/state_machine/copies.rs
@@ -106,7 +106,7 @@
             fleet,
             versions,
             settings,
-            queued_by_adapter,
+            queued_adapters,
             demand: table,
             usefulness,
             ..
@@ -116,7 +116,7 @@
         } = requested;
         let demand = CopyDemand::of(table, fleet, service)?;
         let copies = table.copies(adapter);
-        let queued = queued_by_adapter.get(&adapter).copied().unwrap_or_default();
+        let queued = queued_adapters.requests(adapter);
         let trend = table.trend(adapter, now);
         let by_rate = match trend {
             Trend::Rising => table.copies_wanted(adapter, demand.work_ms, now),
@@ -143,7 +143,7 @@
             fleet,
             versions,
             settings,
-            queued_by_adapter,
+            queued_adapters,
             can_order: true,
             can_evict: true,
             cold_load_ms: load_ms,
--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -330,7 +330,7 @@
                     fleet,
                     versions,
                     settings,
-                    queued_by_adapter,
+                    queued_adapters,
                     on_time,
                     reports,
                     evaluation_epoch,
@@ -353,8 +353,9 @@
                     let avoided = quarantine.avoided_upstreams(entry.job.crash_candidates(), now);
                     let is_plain = is_alike(&entry.job, fleet, &avoided, now);
                     let is_full = is_plain && full_services.contains(&entry.job.service);
-                    let is_deferred =
-                        !is_plain && pace.is_deferred(entry, is_on_time, *evaluation_epoch, now);
+                    let is_deferred = !is_plain
+                        && pace.is_deferred(entry, is_on_time, *evaluation_epoch, now)
+                        && !queued_adapters.is_newly_loaded(&entry.job, entry.evaluated_at, now);
                     if is_deferred && is_ranked {
                         skipped.note(waiting.request, entry, now);
                     }
@@ -375,7 +376,7 @@
                         fleet,
                         versions,
                         settings,
-                        queued_by_adapter,
+                        queued_adapters,
                         can_order: self.can_order,
                         can_evict: now >= self.evictions_allowed_at,
                         cold_load_ms: cold_load.0 as f64,
@@ -535,14 +536,10 @@
         let Some(adapter) = job.generation().and_then(|generation| generation.adapter) else {
             return;
         };
-        let count = self.queued_by_adapter.entry(adapter).or_default();
-        *count = if is_queued {
-            *count + 1
+        if is_queued {
+            self.queued_adapters.add(adapter);
         } else {
-            count.saturating_sub(1)
-        };
-        if *count == 0 {
-            self.queued_by_adapter.remove(&adapter);
+            self.queued_adapters.remove(adapter);
         }
     }
 
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -312,6 +312,15 @@
         self.fleet.refresh_totals(now);
         let fleet = &mut self.fleet;
         let next = loads::order_ended(fleet, &self.versions, upstream, order, end, &load, now);
+        if let Order::Load { adapter, .. } = order
+            && let Some(resident) = fleet
+                .engine(upstream)
+                .and_then(|engine| engine.resident(adapter))
+            && let Some(wait) = resident.wait(now)
+        {
+            self.queued_adapters
+                .note_load(adapter.adapter, now + wait, now);
+        }
         let mut actions: Vec<Action> = next.into_iter().collect();
         actions.extend(self.decide(now));
         actions
--- a/crates/core/src/scheduler/state_machine/mod.rs
+++ b/crates/core/src/scheduler/state_machine/mod.rs
@@ -5,15 +5,15 @@
     super::{
         AttemptId, PlannedLoad, RateShare, RetryRecord, RetryTotals, SchedulerSettings, WaitTimes,
         account_rates::AccountRates, announced_versions::AnnouncedVersions, fleet::Fleet,
-        loads::ModelLoads, members::Members, report_queue::ReportQueue, retry_budget::RetryBudget,
-        running::TrackedRequest,
+        loads::ModelLoads, members::Members, queued_adapters::QueuedAdapters,
+        report_queue::ReportQueue, retry_budget::RetryBudget, running::TrackedRequest,
     },
     crate::{
         IdMap,
         adapter_demand::{AdapterDemand, LoadUsefulness},
         ask_shares::AskController,
         clock::Millis,
-        ids::{AdapterId, RequestId, ServiceId},
+        ids::{RequestId, ServiceId},
         overload::{OverloadControl, ShedRecord, UrgencyQueue},
         quarantine::PartQuarantine,
         queue::QueueSettings,
@@ -80,8 +80,8 @@
     shed_records: Vec<ShedRecord>,
     entries: IdMap<RequestId, TrackedRequest>,
     by_attempt_id: IdMap<AttemptId, RequestId>,
-    /// Number of queued requests by adapter.
-    queued_by_adapter: IdMap<AdapterId, u32>,
+    /// Queued requests by adapter.
+    queued_adapters: QueuedAdapters,
     /// Queued work by service, in prompt tokens or calls.
     queued_work: IdMap<ServiceId, f64>,
     /// Queued requests that can still be on time, by the latest time to send them.
@@ -154,7 +154,7 @@
             shed_records: Vec::new(),
             entries: IdMap::default(),
             by_attempt_id: IdMap::default(),
-            queued_by_adapter: IdMap::default(),
+            queued_adapters: QueuedAdapters::default(),
             queued_work: IdMap::default(),
             on_time: BTreeSet::new(),
             rested_vms: BTreeSet::new(),
