--- a/crates/core/src/scheduler/evaluation_pace.rs
+++ b/crates/core/src/scheduler/evaluation_pace.rs
@@ -1,4 +1,7 @@
-use {super::running::TrackedRequest, crate::clock::Millis};
+use {
+    super::{queued_adapters::QueuedAdapters, running::TrackedRequest},
+    crate::clock::Millis,
+};
 
 /// Bound on the evaluations per millisecond of queued requests that can be on time; sets the interval at which each is
 /// evaluated.
@@ -22,6 +25,8 @@
     on_time_interval: Millis,
     late_interval: Millis,
     late_len: usize,
+    /// Counts what calls for an evaluation of all but late requests.
+    epoch: u64,
 }
 
 impl EvaluationPace {
@@ -29,12 +34,14 @@
     pub(super) fn new(
         queued: usize,
         on_time: usize,
+        epoch: u64,
     ) -> Self {
         let late_len = queued.saturating_sub(on_time);
         Self {
             on_time_interval: interval(on_time, MAX_EVALUATIONS_PER_MS),
             late_interval: interval(late_len, MAX_LATE_EVALUATIONS_PER_MS),
             late_len,
+            epoch,
         }
     }
 
@@ -56,18 +63,21 @@
     }
 
     /// Whether a request was evaluated a short time before, and nothing calls for another evaluation.
+    ///
+    /// A load that has ended does: its adapter keeps a slot until the request is sent.
     pub(super) fn is_deferred(
         self,
         entry: &TrackedRequest,
         is_on_time: bool,
-        epoch: u64,
+        queued_adapters: &QueuedAdapters,
         now: Millis,
     ) -> bool {
-        if is_on_time || self.late_len <= FEW_LATE_REQUESTS {
-            entry.is_deferred(epoch, now)
+        let is_deferred = if is_on_time || self.late_len <= FEW_LATE_REQUESTS {
+            entry.is_deferred(self.epoch, now)
         } else {
             now < entry.evaluate_at
-        }
+        };
+        is_deferred && !queued_adapters.is_newly_loaded(&entry.job, entry.evaluated_at, now)
     }
 }
 
--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -340,7 +340,7 @@
                     ..
                 } = self;
 
-                let pace = EvaluationPace::new(queue.len(), on_time.len());
+                let pace = EvaluationPace::new(queue.len(), on_time.len(), *evaluation_epoch);
                 queue.pop(now, |waiting| {
                     let Some(entry) = entries.get_mut(&waiting.request) else {
                         return true;
@@ -353,9 +353,8 @@
                     let avoided = quarantine.avoided_upstreams(entry.job.crash_candidates(), now);
                     let is_plain = is_alike(&entry.job, fleet, &avoided, now);
                     let is_full = is_plain && full_services.contains(&entry.job.service);
-                    let is_deferred = !is_plain
-                        && pace.is_deferred(entry, is_on_time, *evaluation_epoch, now)
-                        && !queued_adapters.is_newly_loaded(&entry.job, entry.evaluated_at, now);
+                    let is_deferred =
+                        !is_plain && pace.is_deferred(entry, is_on_time, queued_adapters, now);
                     if is_deferred && is_ranked {
                         skipped.note(waiting.request, entry, now);
                     }
