The metrics page has the load of a VM; an idle VM logs no vm_load

What operators saw: the load lines told what a leader's time goes to, the metrics page didn't. Where the clock of processor time shows elapsed time, each VM logged its load each second, also an idle one (195 lines a second on a large site). The line is logged by the time of the measured parts and no longer by the process's clock. Evidence: the new test load_gauges passes; without the gauges there is no sample to find. event_list passes.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -91,6 +91,8 @@
     connections: RefCell<ConnectionAdmission>,
     /// The longest delay of a task since it was last taken.
     longest_delay: Cell<Millis>,
+    /// How late the latest task ran in the interval that ended last.
+    last_delay: Cell<Millis>,
 }
 
 impl Context {
@@ -126,6 +128,7 @@
             exchanges: Cell::new(0),
             connections: RefCell::new(ConnectionAdmission::new(max_files)),
             longest_delay: Cell::new(Millis::ZERO),
+            last_delay: Cell::new(Millis::ZERO),
         }
     }
 
@@ -310,9 +313,16 @@
         }
     }
 
-    /// How late the latest task has run since the last call.
-    pub const fn take_longest_delay(&self) -> Millis {
-        self.longest_delay.replace(Millis::ZERO)
+    /// Begins a new interval, and returns how late the latest task ran in the one that ends.
+    pub fn end_delay_interval(&self) -> Millis {
+        self.last_delay
+            .set(self.longest_delay.replace(Millis::ZERO));
+        self.last_delay.get()
+    }
+
+    /// How late the latest task ran in the interval that ended last.
+    pub const fn last_delay(&self) -> Millis {
+        self.last_delay.get()
     }
 
     /// Number of open connections of callers.
--- a/crates/entry/src/load/ask_counts.rs
+++ b/crates/entry/src/load/ask_counts.rs
@@ -13,10 +13,25 @@
     GivenUp,
 }
 
+impl AskEnd {
+    /// All variants in declaration order.
+    pub const ALL: [Self; 4] = [Self::Assigned, Self::Refused, Self::Lost, Self::GivenUp];
+
+    /// Name of the end in metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Assigned => "assigned",
+            Self::Refused => "refused",
+            Self::Lost => "lost",
+            Self::GivenUp => "given_up",
+        }
+    }
+}
+
 /// What this VM has asked the leader about its own callers' requests.
 #[derive(Debug, Default)]
 pub struct AskCounts {
-    ends: [Cell<u64>; 4],
+    ends: [Cell<u64>; AskEnd::ALL.len()],
     repeated: Cell<u64>,
     answered_here: Cell<u64>,
     longest: Cell<Millis>,
--- a/crates/entry/src/load/load_log.rs
+++ b/crates/entry/src/load/load_log.rs
@@ -9,7 +9,9 @@
 
 /// How often a VM's load is logged.
 const LOG_INTERVAL: Millis = Millis(1_000);
-/// A VM that has spent less processor time within that interval, and was not late, logs nothing.
+/// A VM whose work has taken less time within that interval, and that was not late, logs nothing.
+///
+/// The work is that of the measured parts: on some systems the process's own clock shows elapsed time.
 const MIN_LOGGED: Duration = Duration::from_millis(20);
 /// Tasks that ran later than this are logged even so.
 const MIN_LOGGED_DELAY: Millis = Millis(50);
@@ -44,6 +46,11 @@
             answered_here: asks.answered_here(),
         }
     }
+
+    /// The time of all measured parts.
+    fn work(&self) -> Duration {
+        self.parts.iter().sum()
+    }
 }
 
 /// Logs what this VM's processor time went to, once a second while it is busy or late; never returns.
@@ -53,9 +60,10 @@
     loop {
         sleep(LOG_INTERVAL.to_std()).await;
         let now = Totals::read(scheduling);
-        let late = cx.take_longest_delay();
+        let late = cx.end_delay_interval();
         let longest_ask = scheduling.asks.take_longest();
-        if now.process.saturating_sub(before.process) >= MIN_LOGGED || late >= MIN_LOGGED_DELAY {
+        let work = now.work().saturating_sub(before.work());
+        if work >= MIN_LOGGED || late >= MIN_LOGGED_DELAY {
             log_line(&cx, &before, &now, late, longest_ask);
         }
         before = now;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         caller::accept_loop, context::Context, forward::ForwardRequest, gauges::Gauges,
-        refusals::JudgedBy, scheduling::LocalScheduler,
+        load::LoadGauges, refusals::JudgedBy, scheduling::LocalScheduler,
     },
     jasmine_core::{
         clock::Millis,
@@ -49,6 +49,7 @@
     orders: Counter<u64>,
     final_refusals: Counter<u64>,
     gauges: Gauges,
+    load: LoadGauges,
     labels: RefCell<HashMap<(String, &'static str), Labels>>,
 }
 
@@ -119,6 +120,7 @@
                 )
                 .build(),
             gauges: Gauges::new(&meter),
+            load: LoadGauges::new(&meter),
             labels: RefCell::default(),
             metrics,
         })
@@ -297,6 +299,7 @@
             self.gauges.queued.record(len as u64, &[class]);
         }
         self.gauges.running.record(running as u64, &[]);
+        self.load.record(&cx.scheduling, cx.last_delay());
         let waits = cx.scheduling.local_scheduler.waits();
         for reason in WaitReason::ALL {
             let label = KeyValue::new("reason", reason.as_str());
