A pass over the queue looks at each request once

Cause: after each request that a pass sent, the pass began at the front of the queue again. Calls between passes looked at each generation as well. Change: FairQueue::pop_next goes on where the scan has stopped, over engines or plain services only. The checks that defer a request come first; heads hold the request. Passes over a long queue come twice as often (MAX_SCANNED_PER_MS 100), as a scan is no longer multiplied by what is sent.

--- a/crates/core/examples/scheduler_cost/fleet.rs
+++ b/crates/core/examples/scheduler_cost/fleet.rs
@@ -152,6 +152,10 @@
         self.scheduler.evaluations()
     }
 
+    pub fn looks(&self) -> u64 {
+        self.scheduler.looks()
+    }
+
     fn schedule(
         &mut self,
         pause: Millis,
--- a/crates/core/src/overload/urgency_queue.rs
+++ b/crates/core/src/overload/urgency_queue.rs
@@ -5,7 +5,7 @@
         clock::Millis,
         error::{ErrorKind, Refusal},
         ids::{RequestId, ServiceId},
-        queue::{Enqueued, FairQueue, QueueSettings, QueueTarget, QueuedRequest},
+        queue::{Enqueued, FairQueue, PoolKind, QueueSettings, QueueTarget, QueuedRequest},
     },
     std::collections::BTreeMap,
 };
@@ -56,19 +56,29 @@
         Ok(enqueued)
     }
 
+    /// Begins a new scan by [`Self::pop_next`].
+    pub fn rewind(&mut self) {
+        self.unranked.rewind();
+        for queue in self.lanes.values_mut() {
+            queue.rewind();
+        }
+    }
+
     /// Removes and returns the next request that can run.
     ///
-    /// `can_run` is called for the first request of each target, in order, until it returns true.
+    /// `can_run` is called for the first request of each target of these pools, in order, until it returns true; once a
+    /// scan for each request.
     /// A lane that was passed over often enough goes first in its service.
-    pub fn pop<F>(
+    pub fn pop_next<F>(
         &mut self,
         now: Millis,
+        pools: PoolKind,
         mut can_run: F,
     ) -> Option<QueuedRequest>
     where
         F: FnMut(&QueuedRequest) -> bool,
     {
-        if let Some(waiting) = self.unranked.pop(now, &mut can_run) {
+        if let Some(waiting) = self.unranked.pop_next(now, pools, &mut can_run) {
             return Some(waiting);
         }
         if self.lane_of.is_empty() {
@@ -78,7 +88,10 @@
         let ranked = self.lanes.iter().filter(|(_, queue)| !queue.is_empty());
         order.extend(ranked.map(|(&lane, _)| lane));
         order.into_iter().find_map(|lane| {
-            let waiting = self.lanes.get_mut(&lane)?.pop(now, &mut can_run)?;
+            let waiting = self
+                .lanes
+                .get_mut(&lane)?
+                .pop_next(now, pools, &mut can_run)?;
             self.lane_of.remove(&waiting.request);
             self.note_served(lane);
             Some(waiting)
--- a/crates/core/src/queue/account_queue.rs
+++ b/crates/core/src/queue/account_queue.rs
@@ -1,15 +1,23 @@
 use {
     super::{
         AccountShare, QueueTarget, QueuedRequest,
-        pool::{Backlog, Pool},
+        pool::{Backlog, Pool, PoolKind},
     },
     crate::{IdMap, clock::Millis},
-    std::collections::BTreeMap,
+    std::{collections::BTreeMap, ops::Bound},
 };
 
 /// Sort key within an account's queue: arrival time plus priority delay, then arrival order.
 pub type Position = (Millis, u64);
 
+/// The first request of each target, and how far a scan has looked at them.
+#[derive(Clone, Debug, Default)]
+struct Heads {
+    by_position: BTreeMap<Position, QueuedRequest>,
+    /// The number of the last scan, and the last position that it has looked at.
+    scanned: Option<(u64, Position)>,
+}
+
 /// The waiting requests of one client account, grouped by target.
 ///
 /// Only the first request of each target is considered, so requests of a blocked target neither
@@ -21,8 +29,10 @@
     /// Virtual counter: served cost divided by weight, in thousandths of a token.
     pub counter: u64,
     by_target: IdMap<QueueTarget, BTreeMap<Position, QueuedRequest>>,
-    /// The first request of each target.
-    heads: BTreeMap<Position, QueueTarget>,
+    /// The first request of each target of an engine.
+    engine_heads: Heads,
+    /// The first request of each target of a plain service.
+    service_heads: Heads,
     backlogs: BTreeMap<Pool, Backlog>,
     len: usize,
 }
@@ -52,14 +62,15 @@
         let queue = self.by_target.entry(waiting.target).or_default();
         let head = queue.first_key_value().map(|(&head, _)| head);
         queue.insert(position, waiting);
+        let heads = self.heads_mut(Pool::for_target(waiting.target).kind());
         match head {
             Some(head) if head < position => (),
             Some(head) => {
-                self.heads.remove(&head);
-                self.heads.insert(position, waiting.target);
+                heads.by_position.remove(&head);
+                heads.by_position.insert(position, waiting);
             }
             None => {
-                self.heads.insert(position, waiting.target);
+                heads.by_position.insert(position, waiting);
             }
         }
         self.len += 1;
@@ -78,14 +89,13 @@
     ) -> Option<QueuedRequest> {
         let queue = self.by_target.get_mut(&target)?;
         let waiting = queue.remove(&position)?;
-        if self.heads.remove(&position).is_some() {
-            match queue.first_key_value() {
-                Some((&next, _)) => {
-                    self.heads.insert(next, target);
-                }
-                None => {
-                    self.by_target.remove(&target);
-                }
+        let next = queue.first_key_value().map(|(&next, &head)| (next, head));
+        let heads = self.heads_mut(Pool::for_target(target).kind());
+        if heads.by_position.remove(&position).is_some() {
+            if let Some((next, head)) = next {
+                heads.by_position.insert(next, head);
+            } else {
+                self.by_target.remove(&target);
             }
         }
         self.len -= 1;
@@ -103,10 +113,49 @@
     where
         F: FnMut(&QueuedRequest) -> bool,
     {
-        self.heads
-            .iter()
-            .find(|&(position, target)| can_run(&self.by_target[target][position]))
-            .map(|(&position, &target)| (position, target))
+        let engines = self.engine_heads.by_position.iter();
+        let services = self.service_heads.by_position.iter();
+        let mut heads: Vec<_> = engines.chain(services).collect();
+        heads.sort_unstable_by_key(|&(position, _)| position);
+        heads
+            .into_iter()
+            .find(|&(_, waiting)| can_run(waiting))
+            .map(|(&position, waiting)| (position, waiting.target))
+    }
+
+    /// Finds the first request that can run and that a scan has not looked at.
+    pub fn next_runnable<F>(
+        &mut self,
+        scan: u64,
+        pools: PoolKind,
+        can_run: &mut F,
+    ) -> Option<(Position, QueueTarget)>
+    where
+        F: FnMut(&QueuedRequest) -> bool,
+    {
+        let heads = match pools {
+            PoolKind::Engines => &mut self.engine_heads,
+            PoolKind::Services => &mut self.service_heads,
+        };
+        let scanned = heads.scanned.filter(|&(last, _)| last == scan);
+        let from = scanned.map_or(Bound::Unbounded, |(_, position)| Bound::Excluded(position));
+        for (&position, waiting) in heads.by_position.range((from, Bound::Unbounded)) {
+            heads.scanned = Some((scan, position));
+            if can_run(waiting) {
+                return Some((position, waiting.target));
+            }
+        }
+        None
+    }
+
+    const fn heads_mut(
+        &mut self,
+        pools: PoolKind,
+    ) -> &mut Heads {
+        match pools {
+            PoolKind::Engines => &mut self.engine_heads,
+            PoolKind::Services => &mut self.service_heads,
+        }
     }
 
     /// The waiting requests of a pool.
--- a/crates/core/src/queue/fair_queue.rs
+++ b/crates/core/src/queue/fair_queue.rs
@@ -3,7 +3,7 @@
         AccountShare, Enqueued, QueueSettings, QueueTarget, QueuedRequest,
         account_queue::{AccountQueue, Position},
         estimate,
-        pool::{Pool, PoolState},
+        pool::{Pool, PoolKind, PoolState},
     },
     crate::{
         IdMap,
@@ -46,6 +46,8 @@
     /// Virtual time: maximum of the lowest counter so far; an idle account resumes from here.
     virtual_time: u64,
     next_seq: u64,
+    /// Counts the scans by [`Self::pop_next`].
+    scan: u64,
 }
 
 impl FairQueue {
@@ -61,6 +63,7 @@
             last_deadline_scan: Millis::ZERO,
             virtual_time: 0,
             next_seq: 0,
+            scan: 0,
         }
     }
 
@@ -160,6 +163,42 @@
                 .first_runnable(&mut can_run)
                 .map(|(position, target)| (account, position, target))
         })?;
+        self.take(account, position, target, now)
+    }
+
+    /// Begins a new scan by [`Self::pop_next`].
+    pub const fn rewind(&mut self) {
+        self.scan += 1;
+    }
+
+    /// The same as [`Self::pop`] for some pools, without the requests that this scan has looked at already: a scan that sends
+    /// many requests looks at each one once.
+    pub fn pop_next<F>(
+        &mut self,
+        now: Millis,
+        pools: PoolKind,
+        mut can_run: F,
+    ) -> Option<QueuedRequest>
+    where
+        F: FnMut(&QueuedRequest) -> bool,
+    {
+        let (account, position, target) = self.active.iter().find_map(|&(_, account)| {
+            self.accounts
+                .get_mut(&account)?
+                .next_runnable(self.scan, pools, &mut can_run)
+                .map(|(position, target)| (account, position, target))
+        })?;
+        self.take(account, position, target, now)
+    }
+
+    /// Removes a request that is served now.
+    fn take(
+        &mut self,
+        account: AccountId,
+        position: Position,
+        target: QueueTarget,
+        now: Millis,
+    ) -> Option<QueuedRequest> {
         if let Some(&(lowest, _)) = self.active.first() {
             self.virtual_time = self.virtual_time.max(lowest);
         }
--- a/crates/core/src/queue/mod.rs
+++ b/crates/core/src/queue/mod.rs
@@ -22,6 +22,7 @@
 
 pub use {
     fair_queue::FairQueue,
+    pool::PoolKind,
     priority::Priority,
     queued_request::{Enqueued, QueueTarget, QueuedRequest},
     settings::{AccountShare, QueueSettings},
--- a/crates/core/src/queue/pool.rs
+++ b/crates/core/src/queue/pool.rs
@@ -15,7 +15,24 @@
     Service(ServiceId),
 }
 
+/// The pools that a scan of the queue looks at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PoolKind {
+    /// The model engines.
+    Engines,
+    /// The servers of all plain services.
+    Services,
+}
+
 impl Pool {
+    /// Which scans look at it.
+    pub const fn kind(self) -> PoolKind {
+        match self {
+            Self::Engines => PoolKind::Engines,
+            Self::Service(_) => PoolKind::Services,
+        }
+    }
+
     /// Returns the pool of upstreams that can serve a target.
     pub const fn for_target(target: QueueTarget) -> Self {
         match target {
--- a/crates/core/src/scheduler/queued_adapters.rs
+++ b/crates/core/src/scheduler/queued_adapters.rs
@@ -3,6 +3,10 @@
     crate::{IdMap, clock::Millis, ids::AdapterId},
 };
 
+/// How long after the expected end of a load its requests are decided; the end is an estimate, and a request that is sent
+/// early is rejected and uses up the budget of retries.
+const LOAD_END_MARGIN: Millis = Millis(10);
+
 /// The adapters for which requests are queued.
 #[derive(Clone, Debug, Default)]
 pub(super) struct QueuedAdapters {
@@ -13,14 +17,14 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct QueuedAdapter {
     requests: u32,
-    /// When the last load of it ended.
+    /// When it was usable after its last load.
     loaded_at: Option<Millis>,
-    /// When the next load of it is expected to end.
+    /// When it is expected to be usable after its next load.
     next_at: Option<Millis>,
 }
 
 impl QueuedAdapter {
-    /// When the last load ended whose expected end has passed.
+    /// When it was last expected to be usable after a load, if that time has passed.
     fn last_loaded_at(
         &self,
         now: Millis,
@@ -70,8 +74,9 @@
     ) {
         if let Some(queued) = self.by_adapter.get_mut(&adapter) {
             let pending = queued.next_at.filter(|&at| at > now);
+            let usable_at = ends_at + LOAD_END_MARGIN;
             queued.loaded_at = queued.last_loaded_at(now);
-            queued.next_at = Some(pending.map_or(ends_at, |at| at.min(ends_at)));
+            queued.next_at = Some(pending.map_or(usable_at, |at| at.min(usable_at)));
         }
     }
 
--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -12,9 +12,9 @@
         ids::{AdapterVersion, RequestId, ServiceId, UpstreamId},
         overload::{OverloadControl, QueuedWork},
         quarantine::PartQuarantine,
-        queue::{QueueTarget, QueuedRequest},
+        queue::{PoolKind, QueueTarget, QueuedRequest},
         scheduler::{
-            Job, Outcome, RateShare, SchedulerAction as Action, WaitReason, Work,
+            Job, Outcome, RateShare, SchedulerAction as Action, WaitReason,
             choose::{CopyDemand, SelectionContext},
             evaluation_pace::EvaluationPace,
             fleet::Fleet,
@@ -32,9 +32,9 @@
 /// Bound on the queued requests scanned per millisecond, so that a long queue doesn't slow down the
 /// scheduler.
 ///
-/// A scan of 500 requests takes some 50 us, and there are three events a request: a scheduler that
-/// was late became later with each.
-const MAX_SCANNED_PER_MS: usize = 50;
+/// A scan of 500 requests takes some 50 us: 1 % of a core for each of the two phases that scan generations. There are three
+/// events a request, and a scheduler that was late became later with a scan for each.
+const MAX_SCANNED_PER_MS: usize = 100;
 /// How far a request that can't be on time is postponed in the queue: newer requests that arrive
 /// within this time and can be on time go first.
 pub(super) const LATE_POSTPONE_DELAY: Millis = Millis(60_000);
@@ -49,9 +49,9 @@
 enum DispatchPhase {
     /// Calls of plain services, which need no adapter and are cheap to decide.
     Calls,
-    /// Requests that can still be on time.
+    /// Generations that can still be on time.
     OnTime,
-    /// Every queued request, late ones included.
+    /// Every queued generation, late ones included.
     All,
 }
 
@@ -59,16 +59,22 @@
     /// All phases in their order.
     const ALL: [Self; 3] = [Self::Calls, Self::OnTime, Self::All];
 
+    /// Whose requests the phase evaluates.
+    const fn pools(self) -> PoolKind {
+        match self {
+            Self::Calls => PoolKind::Services,
+            Self::OnTime | Self::All => PoolKind::Engines,
+        }
+    }
+
     /// Whether a request is evaluated in this phase; late ones have lanes of their own where the queue has classes.
     const fn is_open_to(
         self,
-        job: &Job,
         is_on_time_or_ranked: bool,
     ) -> bool {
         match self {
-            Self::Calls => matches!(job.work, Work::Call),
             Self::OnTime => is_on_time_or_ranked,
-            Self::All => true,
+            Self::Calls | Self::All => true,
         }
     }
 }
@@ -316,97 +322,90 @@
         actions: &mut Vec<Action>,
     ) {
         let deciding_vms = self.deciding_vms();
-        let mut evaluations = 0;
         // No slot becomes free during a pass, so that one call speaks for all of its service.
         let mut full_services: Vec<ServiceId> = Vec::new();
+        let mut skipped = SkippedRequests::default();
+        self.queue.rewind();
         loop {
             let mut sent = None;
             let mut moved: Vec<(RequestId, QueueTarget)> = Vec::new();
-            let mut skipped = SkippedRequests::default();
-            let popped = {
-                let Self {
-                    queue,
-                    entries,
-                    fleet,
-                    versions,
-                    settings,
-                    queued_adapters,
-                    on_time,
-                    reports,
-                    evaluation_epoch,
-                    quarantine,
-                    demand,
-                    overload,
-                    ..
-                } = self;
-
-                let pace = EvaluationPace::new(queue.len(), on_time.len(), *evaluation_epoch);
-                queue.pop(now, |waiting| {
-                    let Some(entry) = entries.get_mut(&waiting.request) else {
-                        return true;
-                    };
-                    let is_ranked = entry.queued_work.is_some();
-                    let is_on_time = on_time.contains(&(entry.latest_send_at, waiting.request));
-                    if !phase.is_open_to(&entry.job, is_ranked || is_on_time) {
-                        return false;
-                    }
-                    let avoided = quarantine.avoided_upstreams(entry.job.crash_candidates(), now);
-                    let is_plain = is_alike(&entry.job, fleet, &avoided, now);
-                    let is_full = is_plain && full_services.contains(&entry.job.service);
-                    let is_deferred =
-                        !is_plain && pace.is_deferred(entry, is_on_time, queued_adapters, now);
-                    if is_deferred && is_ranked {
+            let pace =
+                EvaluationPace::new(self.queue.len(), self.on_time.len(), self.evaluation_epoch);
+            let popped = self.queue.pop_next(now, phase.pools(), |waiting| {
+                self.looks += 1;
+                let Some(entry) = self.entries.get_mut(&waiting.request) else {
+                    return true;
+                };
+                let is_ranked = entry.queued_work.is_some();
+                let on_time = (entry.latest_send_at, waiting.request);
+                let is_on_time = entry.latest_send_at > now && self.on_time.contains(&on_time);
+                if !phase.is_open_to(is_ranked || is_on_time) {
+                    return false;
+                }
+                let queued_adapters = &self.queued_adapters;
+                let is_deferred = pace.is_deferred(entry, is_on_time, queued_adapters, now);
+                if is_deferred && !entry.job.is_plain_call() {
+                    if is_ranked {
                         skipped.note(waiting.request, entry, now);
                     }
-                    if is_full || is_deferred || skipped.must_go_first {
-                        return false;
-                    }
-                    let target = held_target(entry, quarantine, fleet, &avoided, now);
-                    if target != waiting.target {
-                        moved.push((waiting.request, target));
-                    }
-                    if target != waiting.target || target.is_trial() {
-                        return false;
-                    }
-                    evaluations += 1;
-                    entry.note_evaluated(*evaluation_epoch, now);
-                    fleet.prepare(&entry.job);
-                    let selection = SelectionContext {
-                        fleet,
-                        versions,
-                        settings,
-                        queued_adapters,
-                        can_order: self.can_order,
-                        can_evict: now >= self.evictions_allowed_at,
-                        cold_load_ms: cold_load.0 as f64,
-                        demand: CopyDemand::of(demand, fleet, entry.job.service),
-                        deciding_vms,
-                        vm: entry.attempt_id.vm,
-                        avoided: &avoided,
-                        crashed: &quarantine.crashed_upstreams(entry.job.shared_parts()),
-                        expected: fleet.expected_cost(&entry.job, settings.hard_load, now),
-                        now,
-                    };
-                    let choice = selection.choose(&entry.job);
-                    if let Some(engine) = choice.needs_report {
-                        reports.note_urgent(engine);
-                    }
-                    if let Some(plan) = choice.load {
-                        actions.extend(loads::begin(fleet, versions, &plan, &settings.loads, now));
-                        *cold_load = fleet.cold_time(&settings.loads, now);
-                    }
-                    if is_ranked && skipped.go_first(fleet, choice.send) {
-                        return false;
-                    }
-                    if choice.send.is_none() {
-                        full_services.extend(is_plain.then_some(entry.job.service));
-                        entry.evaluate_at = now + pace.next(is_on_time);
-                        note_waiting(entry, choice.wait_reason, overload, fleet, now);
-                    }
-                    sent = choice.send;
-                    sent.is_some()
-                })
-            };
+                    return false;
+                }
+                let quarantine = &mut self.quarantine;
+                let avoided = quarantine.avoided_upstreams(entry.job.crash_candidates(), now);
+                let is_plain = is_alike(&entry.job, &self.fleet, &avoided, now);
+                let is_full = is_plain && full_services.contains(&entry.job.service);
+                if is_full || is_deferred && !is_plain || skipped.must_go_first {
+                    return false;
+                }
+                let target = held_target(entry, quarantine, &self.fleet, &avoided, now);
+                if target != waiting.target {
+                    moved.push((waiting.request, target));
+                }
+                if target != waiting.target || target.is_trial() {
+                    return false;
+                }
+                self.evaluations += 1;
+                entry.note_evaluated(self.evaluation_epoch, now);
+                self.fleet.prepare(&entry.job);
+                let selection = SelectionContext {
+                    fleet: &self.fleet,
+                    versions: &self.versions,
+                    settings: &self.settings,
+                    queued_adapters,
+                    can_order: self.can_order,
+                    can_evict: now >= self.evictions_allowed_at,
+                    cold_load_ms: cold_load.0 as f64,
+                    demand: CopyDemand::of(&self.demand, &self.fleet, entry.job.service),
+                    deciding_vms,
+                    vm: entry.attempt_id.vm,
+                    avoided: &avoided,
+                    crashed: &quarantine.crashed_upstreams(entry.job.shared_parts()),
+                    expected: self
+                        .fleet
+                        .expected_cost(&entry.job, self.settings.hard_load, now),
+                    now,
+                };
+                let choice = selection.choose(&entry.job);
+                if let Some(engine) = choice.needs_report {
+                    self.reports.note_urgent(engine);
+                }
+                if let Some(plan) = choice.load {
+                    let (fleet, loads) = (&mut self.fleet, &self.settings.loads);
+                    actions.extend(loads::begin(fleet, &self.versions, &plan, loads, now));
+                    *cold_load = fleet.cold_time(loads, now);
+                }
+                if is_ranked && skipped.go_first(&self.fleet, choice.send) {
+                    return false;
+                }
+                if choice.send.is_none() {
+                    full_services.extend(is_plain.then_some(entry.job.service));
+                    entry.evaluate_at = now + pace.next(is_on_time);
+                    let reason = choice.wait_reason;
+                    note_waiting(entry, reason, &mut self.overload, &self.fleet, now);
+                }
+                sent = choice.send;
+                sent.is_some()
+            });
             match (popped, sent) {
                 (Some(waiting), Some((upstream, adapter))) => {
                     actions.extend(self.assign(waiting.request, upstream, adapter, now));
@@ -414,9 +413,11 @@
                 (None, _) if moved.is_empty() && !skipped.must_go_first => break,
                 _ => {}
             }
-            self.revise_queue(moved, skipped, now);
+            if !moved.is_empty() || skipped.must_go_first {
+                self.revise_queue(moved, std::mem::take(&mut skipped), now);
+                self.queue.rewind();
+            }
         }
-        self.evaluations += evaluations;
     }
 
     /// Applies what a pass over the queue has shown about requests that it did not send.
--- a/crates/core/src/scheduler/state_machine/queries.rs
+++ b/crates/core/src/scheduler/state_machine/queries.rs
@@ -137,6 +137,11 @@
         self.fleet.only_build(service, now)
     }
 
+    /// How often a pass has looked at a queued request so far.
+    pub const fn looks(&self) -> u64 {
+        self.looks
+    }
+
     /// Number of evaluations of queued requests so far; they make up most of the scheduler's CPU
     /// time.
     pub const fn evaluations(&self) -> u64 {
