--- a/crates/core/examples/scheduler_cost/fleet.rs
+++ b/crates/core/examples/scheduler_cost/fleet.rs
@@ -152,8 +152,8 @@
         self.scheduler.evaluations()
     }
 
-    pub fn looks(&self) -> u64 {
-        self.scheduler.looks()
+    pub fn scanned(&self) -> u64 {
+        self.scheduler.scanned()
     }
 
     fn schedule(
--- a/crates/core/examples/scheduler_cost/main.rs
+++ b/crates/core/examples/scheduler_cost/main.rs
@@ -38,10 +38,10 @@
         fleet.first_tokens, fleet.refused, fleet.in_time, fleet.loads
     );
     println!(
-        "{:.1} us per request, {:.4} of a core, {:.2} evaluations and {:.1} looks per request",
+        "{:.1} us per request, {:.4} of a core, {:.2} evaluations and {:.1} scans per request",
         took.as_secs_f64() * 1e6 / requests as f64,
         took.as_secs_f64() / fleet.elapsed().as_secs_f64(),
         fleet.evaluations() as f64 / requests as f64,
-        fleet.looks() as f64 / requests as f64,
+        fleet.scanned() as f64 / requests as f64,
     );
 }
--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -332,7 +332,7 @@
             let pace =
                 EvaluationPace::new(self.queue.len(), self.on_time.len(), self.evaluation_epoch);
             let popped = self.queue.pop_next(now, phase.pools(), |waiting| {
-                self.looks += 1;
+                self.scanned += 1;
                 let Some(entry) = self.entries.get_mut(&waiting.request) else {
                     return true;
                 };
--- a/crates/core/src/scheduler/state_machine/mod.rs
+++ b/crates/core/src/scheduler/state_machine/mod.rs
@@ -114,8 +114,8 @@
     next_request: u64,
     /// Last removal of requests whose VM has not reported their end.
     swept_at: Millis,
-    /// How often a pass has looked at a queued request so far.
-    looks: u64,
+    /// How many queued requests passes have scanned so far, each one as often as it was.
+    scanned: u64,
     /// Number of evaluations of queued requests so far.
     evaluations: u64,
     /// Total waiting time of requests that have left the queue, by reason.
@@ -176,7 +176,7 @@
             next_pass_at: Millis::ZERO,
             next_request: 0,
             swept_at: Millis::ZERO,
-            looks: 0,
+            scanned: 0,
             evaluations: 0,
             waits: WaitTimes::default(),
         }
--- a/crates/core/src/scheduler/state_machine/queries.rs
+++ b/crates/core/src/scheduler/state_machine/queries.rs
@@ -137,9 +137,9 @@
         self.fleet.only_build(service, now)
     }
 
-    /// How often a pass has looked at a queued request so far.
-    pub const fn looks(&self) -> u64 {
-        self.looks
+    /// How many queued requests passes have scanned so far, each one as often as it was.
+    pub const fn scanned(&self) -> u64 {
+        self.scanned
     }
 
     /// Number of evaluations of queued requests so far; they make up most of the scheduler's CPU
--- a/crates/core/tests/fair_queue.rs
+++ b/crates/core/tests/fair_queue.rs
@@ -12,7 +12,9 @@
     jasmine_core::{
         clock::Millis,
         ids::{AccountId, ModelId, RequestId, ServiceId},
-        queue::{AccountShare, FairQueue, Priority, QueueSettings, QueueTarget, QueuedRequest},
+        queue::{
+            AccountShare, FairQueue, PoolKind, Priority, QueueSettings, QueueTarget, QueuedRequest,
+        },
     },
     rand::SeedableRng,
     rand_chacha::ChaCha8Rng,
@@ -22,6 +24,8 @@
 /// Default number of event sequences.
 const ORDERS: u64 = 500;
 const EVENTS: usize = 300;
+/// Requests of a long queue.
+const SCANNED: u64 = 600;
 
 #[test]
 fn queue_scripts() {
@@ -365,6 +369,45 @@
 
 /// Guards against an account that sends more requests getting more than its weighted share.
 /// Four accounts of weights 1 to 4 are always backlogged, one with far more requests.
+#[test]
+fn a_scan_looks_at_each_request_once() {
+    // Guards against passes over a long queue whose cost grows with what they send.
+    let mut scanned = FairQueue::new(QueueSettings::default());
+    for number in 0..SCANNED {
+        let waiting = QueuedRequest {
+            request: RequestId(number),
+            account: AccountId(number as u32 % 7),
+            priority: Priority::Normal,
+            cost: 100 + number * 37 % 400,
+            deadline: Millis(20_000),
+            target: QueueTarget::Base(ModelId(number as u32)),
+        };
+        scanned.push(waiting, Millis(1_000 + number)).unwrap();
+    }
+    let mut rescanned = scanned.clone();
+    let can_run = |waiting: &QueuedRequest| waiting.request.0.is_multiple_of(3);
+    let (mut looks, now) = (0, Millis(2_000));
+    scanned.rewind();
+    for _ in 0..=SCANNED / 3 {
+        let looked_at = |waiting: &QueuedRequest| {
+            looks += 1;
+            can_run(waiting)
+        };
+        let popped = scanned.pop_next(now, PoolKind::Engines, looked_at);
+        assert_eq!(popped, rescanned.pop(now, can_run));
+    }
+    assert_eq!(looks, SCANNED);
+    let left = SCANNED - SCANNED.div_ceil(3);
+    assert_eq!(scanned.len() as u64, left);
+    let mut services = 0;
+    scanned.rewind();
+    scanned.pop_next(now, PoolKind::Services, |_| {
+        services += 1;
+        false
+    });
+    assert_eq!(services, 0, "engines' requests in a scan of plain services");
+}
+
 #[test]
 fn accounts_are_served_by_weight() {
     let mut model = Model::new();
--- a/crates/core/tests/leader_cost.rs
+++ b/crates/core/tests/leader_cost.rs
@@ -12,8 +12,8 @@
 /// What a request costs on average.
 #[derive(Clone, Copy, Debug)]
 struct Cost {
-    /// How often a pass over the queue looks at it.
-    looks: f64,
+    /// How often passes over the queue scan it.
+    scanned: f64,
     /// How often the choice of its engine is made.
     evaluations: f64,
     /// Allocations of memory, those of the simulation included.
@@ -28,7 +28,7 @@
         let allocated = allocation_counter::measure(|| fleet.run(per_s, SECONDS));
         let requests = (per_s * SECONDS) as f64;
         Self {
-            looks: fleet.looks() as f64 / requests,
+            scanned: fleet.scanned() as f64 / requests,
             evaluations: fleet.evaluations() as f64 / requests,
             allocations: allocated.count_total as f64 / requests,
             bytes: allocated.bytes_total as f64 / requests,
@@ -42,7 +42,7 @@
     ) {
         println!("{self:?}, recorded {recorded:?}");
         let figures = [
-            ("looks", self.looks, recorded.looks),
+            ("scans", self.scanned, recorded.scanned),
             ("evaluations", self.evaluations, recorded.evaluations),
             ("allocations", self.allocations, recorded.allocations),
             ("bytes", self.bytes, recorded.bytes),
@@ -60,7 +60,7 @@
 #[test]
 fn a_request_the_engines_can_serve() {
     Cost::at(900).check(Cost {
-        looks: 218.5,
+        scanned: 218.5,
         evaluations: 4.48,
         allocations: 20.8,
         bytes: 5_162.0,
@@ -71,7 +71,7 @@
 #[test]
 fn a_request_beyond_the_engines() {
     Cost::at(1_800).check(Cost {
-        looks: 104.6,
+        scanned: 104.6,
         evaluations: 2.84,
         allocations: 15.2,
         bytes: 4_787.0,
