--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -29,11 +29,8 @@
 
 /// A queue of up to this length is scanned after every event, a longer one at intervals.
 const SHORT_QUEUE_LEN: usize = 48;
-/// Bound on the queued requests scanned per millisecond, so that a long queue doesn't slow down the
-/// scheduler.
-///
-/// A scan of 500 requests takes some 50 us: 1 % of a core for each of the two phases that scan generations. There are three
-/// events a request, and a scheduler that was late became later with a scan for each.
+/// Bound on the queued requests scanned per millisecond by each phase: with a scan after each event, of which a request has
+/// three, a scheduler that is late becomes later.
 const MAX_SCANNED_PER_MS: usize = 100;
 /// How far a request that can't be on time is postponed in the queue: newer requests that arrive
 /// within this time and can be on time go first.
