Late loads and confirmed ones wake the requests that wait for them, too

What callers saw: not seen by itself; found by reading once more. Cause: noted the end of a load only when an order was accepted, and only for adapters with queued requests at that moment. A load that is late, one that a first request has confirmed, and one that began before the request was queued were not noted. Change: one place notes when a load is expected to end (note_load_end), for accepted orders, late loads and confirmed ones; a request that is to wait for a load notes that load's end (note_awaited), whenever it began.

--- a/crates/core/src/scheduler/fleet.rs
+++ b/crates/core/src/scheduler/fleet.rs
@@ -289,6 +289,20 @@
         ids.iter().map(|id| self.upstreams.get(id))
     }
 
+    /// When the next load of an adapter is expected to end, if one is under way.
+    pub(super) fn next_load_end(
+        &self,
+        adapter: AdapterVersion,
+        now: Millis,
+    ) -> Option<Millis> {
+        let engines = self.holders(adapter.adapter).flatten();
+        engines
+            .filter_map(|up| up.engine.as_ref()?.resident(adapter)?.wait(now))
+            .filter(|&wait| wait > Millis::ZERO)
+            .min()
+            .map(|wait| now + wait)
+    }
+
     /// Updates the list that [`Self::preferred`] returns for this request.
     pub(super) fn prepare(
         &mut self,
--- a/crates/core/src/scheduler/queued_adapters.rs
+++ b/crates/core/src/scheduler/queued_adapters.rs
@@ -1,5 +1,5 @@
 use {
-    super::Job,
+    super::{Job, announced_versions::AnnouncedVersions, fleet::Fleet},
     crate::{IdMap, clock::Millis, ids::AdapterId},
 };
 
@@ -65,6 +65,23 @@
             .map_or(0, |queued| queued.requests)
     }
 
+    /// Records when the load that a request waits for is expected to end.
+    pub(super) fn note_awaited(
+        &mut self,
+        job: &Job,
+        fleet: &Fleet,
+        versions: &AnnouncedVersions,
+        now: Millis,
+    ) {
+        let adapter = job.generation().and_then(|generation| generation.adapter);
+        let wanted = adapter.map(|adapter| versions.wanted(adapter));
+        if let Some(wanted) = wanted
+            && let Some(ends_at) = fleet.next_load_end(wanted, now)
+        {
+            self.note_load(wanted.adapter, ends_at, now);
+        }
+    }
+
     /// Records that a load of an adapter is expected to end at this time, if requests are queued for it.
     pub(super) fn note_load(
         &mut self,
--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -398,6 +398,11 @@
                     full_services.extend(is_plain.then_some(entry.job.service));
                     entry.evaluate_at = now + pace.next(is_on_time);
                     let reason = choice.wait_reason;
+                    if reason == WaitReason::Load {
+                        let (fleet, versions) = (&self.fleet, &self.versions);
+                        self.queued_adapters
+                            .note_awaited(&entry.job, fleet, versions, now);
+                    }
                     note_waiting(entry, reason, &mut self.overload, &self.fleet, now);
                 }
                 sent = choice.send;
@@ -589,6 +594,9 @@
                 let load = self.settings.loads;
                 self.fleet
                     .record_outcome(upstream, adapter, outcome, &load, now);
+                if let (Outcome::NotLoaded | Outcome::Shed, Some(adapter)) = (outcome, adapter) {
+                    self.note_load_end(upstream, adapter, now);
+                }
                 self.fleet
                     .note_call_pace(upstream, outcome, self.settings.hard_load, now);
                 true
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -312,20 +312,29 @@
         self.fleet.refresh_totals(now);
         let fleet = &mut self.fleet;
         let next = loads::order_ended(fleet, &self.versions, upstream, order, end, &load, now);
-        if let Order::Load { adapter, .. } = order
-            && let Some(resident) = fleet
-                .engine(upstream)
-                .and_then(|engine| engine.resident(adapter))
-            && let Some(wait) = resident.wait(now)
-        {
-            self.queued_adapters
-                .note_load(adapter.adapter, now + wait, now);
+        if let Order::Load { adapter, .. } = order {
+            self.note_load_end(upstream, adapter, now);
         }
         let mut actions: Vec<Action> = next.into_iter().collect();
         actions.extend(self.decide(now));
         actions
     }
 
+    /// Records when a load is expected to end, for the requests that wait for it.
+    pub(super) fn note_load_end(
+        &mut self,
+        upstream: UpstreamId,
+        adapter: AdapterVersion,
+        now: Millis,
+    ) {
+        let engine = self.fleet.engine(upstream);
+        let resident = engine.and_then(|engine| engine.resident(adapter));
+        if let Some(wait) = resident.and_then(|resident| resident.wait(now)) {
+            self.queued_adapters
+                .note_load(adapter.adapter, now + wait, now);
+        }
+    }
+
     /// Queues a request and decides about it, or refuses it at once.
     pub fn place(
         &mut self,
@@ -514,6 +523,7 @@
             upstream.health.note_first_event();
             upstream.work.start(request, now);
         }
+        let mut probed = None;
         if let (Some(engine), Some(generation)) =
             (self.fleet.engine_mut(upstream), entry.job.generation())
         {
@@ -523,6 +533,7 @@
                 .note(generation.adapter, &generation.parts, now);
             let was_cold_load =
                 adapter.is_some_and(|adapter| engine.cold_load_accepted_at(adapter).is_some());
+            probed = adapter.filter(|&adapter| engine.is_being_probed(adapter));
             if let Some(adapter) = adapter {
                 engine.note_loaded(adapter);
             }
@@ -535,6 +546,9 @@
                     .note_prefill_pace(upstream, service, reading, settings, now);
             }
         }
+        if let Some(adapter) = probed {
+            self.note_load_end(upstream, adapter, now);
+        }
     }
 
     /// Records the outcome of an assigned or queued request, and decides what that allows.
