--- a/crates/entry/src/gauges.rs
+++ b/crates/entry/src/gauges.rs
@@ -30,11 +30,18 @@
     pub bytes_paused: Gauge<u64>,
 }
 
+/// Creates a gauge.
+pub(super) fn create_gauge(
+    meter: &Meter,
+    name: &'static str,
+    description: &'static str,
+) -> Gauge<u64> {
+    meter.u64_gauge(name).with_description(description).build()
+}
+
 impl Gauges {
     pub(super) fn new(meter: &Meter) -> Self {
-        let gauge = |name: &'static str, text: &'static str| {
-            meter.u64_gauge(name).with_description(text).build()
-        };
+        let gauge = |name, description| create_gauge(meter, name, description);
         Self {
             queued: gauge(
                 "jasmine_queued",
--- a/crates/entry/src/load/load_gauges.rs
+++ b/crates/entry/src/load/load_gauges.rs
@@ -1,6 +1,6 @@
 use {
     super::{AskEnd, WorkPart},
-    crate::scheduling::SchedulerNode,
+    crate::{gauges::create_gauge, scheduling::SchedulerNode},
     jasmine_core::clock::Millis,
     opentelemetry::{
         KeyValue,
@@ -22,9 +22,7 @@
 impl LoadGauges {
     /// Creates the gauges.
     pub fn new(meter: &Meter) -> Self {
-        let gauge = |name: &'static str, text: &'static str| {
-            meter.u64_gauge(name).with_description(text).build()
-        };
+        let gauge = |name, description| create_gauge(meter, name, description);
         Self {
             work: gauge(
                 "jasmine_work_ms",
