--- a/crates/core/src/scheduler/expected_cost.rs
+++ b/crates/core/src/scheduler/expected_cost.rs
@@ -26,7 +26,7 @@
             service: self.service,
             route: self.route,
             account: self.account,
-            adapter: self.generation().and_then(|generation| generation.adapter),
+            adapter: self.adapter(),
         }
     }
 
--- a/crates/core/src/scheduler/fleet.rs
+++ b/crates/core/src/scheduler/fleet.rs
@@ -308,7 +308,7 @@
         &mut self,
         job: &Job,
     ) {
-        let Some(adapter) = job.generation().and_then(|generation| generation.adapter) else {
+        let Some(adapter) = job.adapter() else {
             return;
         };
         let members = self
--- a/crates/core/src/scheduler/job.rs
+++ b/crates/core/src/scheduler/job.rs
@@ -114,6 +114,11 @@
         }
     }
 
+    /// The adapter that it needs, if any.
+    pub fn adapter(&self) -> Option<AdapterId> {
+        self.generation()?.adapter
+    }
+
     /// What it may share with other requests that crash engines; nothing for a call.
     pub fn shared_parts(&self) -> &[PartId] {
         self.generation()
--- a/crates/core/src/scheduler/queued_adapters.rs
+++ b/crates/core/src/scheduler/queued_adapters.rs
@@ -73,8 +73,7 @@
         versions: &AnnouncedVersions,
         now: Millis,
     ) {
-        let adapter = job.generation().and_then(|generation| generation.adapter);
-        let wanted = adapter.map(|adapter| versions.wanted(adapter));
+        let wanted = job.adapter().map(|adapter| versions.wanted(adapter));
         if let Some(wanted) = wanted
             && let Some(ends_at) = fleet.next_load_end(wanted, now)
         {
@@ -104,8 +103,7 @@
         evaluated_at: Millis,
         now: Millis,
     ) -> bool {
-        let adapter = job.generation().and_then(|generation| generation.adapter);
-        adapter
+        job.adapter()
             .and_then(|adapter| self.by_adapter.get(&adapter))
             .and_then(|queued| queued.last_loaded_at(now))
             .is_some_and(|loaded_at| loaded_at > evaluated_at)
--- a/crates/core/src/scheduler/skipped_requests.rs
+++ b/crates/core/src/scheduler/skipped_requests.rs
@@ -33,9 +33,7 @@
     ) {
         let waits = matches!(entry.waits_for, WaitReason::Prefill | WaitReason::Memory);
         if waits && entry.evaluated_at < now && self.requests.len() < MAX_SKIPPED {
-            let generation = entry.job.generation();
-            let adapter = generation.and_then(|generation| generation.adapter);
-            self.requests.push((request, adapter));
+            self.requests.push((request, entry.job.adapter()));
         }
     }
 
--- a/crates/core/src/scheduler/state_machine/events.rs
+++ b/crates/core/src/scheduler/state_machine/events.rs
@@ -592,7 +592,7 @@
         }
         let request = RequestId(self.next_request);
         self.next_request += 1;
-        let adapter = job.generation().and_then(|generation| generation.adapter);
+        let adapter = job.adapter();
         let adapter = adapter.map(|adapter| match version {
             Some(version) => AdapterVersion { adapter, version },
             None => self.versions.wanted(adapter),
