The queue has one scan for all its readers

Cause: left FairQueue::pop with a scan of its own, which collected and sorted the first requests of all targets of an account at each call. Change: pop begins a scan of all pools and is pop_next then; the first requests of engines and services are merged as they are read. Phases are named after what they evaluate, and a comment is back at its test. Evidence: fair_queue with a new test, pools_are_served_in_order.

--- a/crates/core/src/overload/urgency_queue.rs
+++ b/crates/core/src/overload/urgency_queue.rs
@@ -5,7 +5,7 @@
         clock::Millis,
         error::{ErrorKind, Refusal},
         ids::{RequestId, ServiceId},
-        queue::{Enqueued, FairQueue, PoolKind, QueueSettings, QueueTarget, QueuedRequest},
+        queue::{Enqueued, FairQueue, Pools, QueueSettings, QueueTarget, QueuedRequest},
     },
     std::collections::BTreeMap,
 };
@@ -67,12 +67,12 @@
     /// Removes and returns the next request that can run.
     ///
     /// `can_run` is called for the first request of each target of these pools, in order, until it returns true; once a
-    /// scan for each request.
+    /// scan for each.
     /// A lane that was passed over often enough goes first in its service.
     pub fn pop_next<F>(
         &mut self,
         now: Millis,
-        pools: PoolKind,
+        pools: Pools,
         mut can_run: F,
     ) -> Option<QueuedRequest>
     where
--- a/crates/core/src/queue/account_queue.rs
+++ b/crates/core/src/queue/account_queue.rs
@@ -1,10 +1,10 @@
 use {
     super::{
         AccountShare, QueueTarget, QueuedRequest,
-        pool::{Backlog, Pool, PoolKind},
+        pool::{Backlog, Pool, Pools},
     },
     crate::{IdMap, clock::Millis},
-    std::{collections::BTreeMap, ops::Bound},
+    std::{collections::BTreeMap, iter, ops::Bound},
 };
 
 /// Sort key within an account's queue: arrival time plus priority delay, then arrival order.
@@ -18,6 +18,18 @@
     scanned: Option<(u64, Position)>,
 }
 
+impl Heads {
+    /// Those that a scan has not looked at, in order.
+    fn unscanned(
+        &self,
+        scan: u64,
+    ) -> impl Iterator<Item = (&Position, &QueuedRequest)> {
+        let scanned = self.scanned.filter(|&(last, _)| last == scan);
+        let from = scanned.map_or(Bound::Unbounded, |(_, position)| Bound::Excluded(position));
+        self.by_position.range((from, Bound::Unbounded))
+    }
+}
+
 /// The waiting requests of one client account, grouped by target.
 ///
 /// Only the first request of each target is considered, so requests of a blocked target neither
@@ -62,7 +74,7 @@
         let queue = self.by_target.entry(waiting.target).or_default();
         let head = queue.first_key_value().map(|(&head, _)| head);
         queue.insert(position, waiting);
-        let heads = self.heads_mut(Pool::for_target(waiting.target).kind());
+        let heads = self.heads_mut(Pool::for_target(waiting.target));
         match head {
             Some(head) if head < position => (),
             Some(head) => {
@@ -90,7 +102,7 @@
         let queue = self.by_target.get_mut(&target)?;
         let waiting = queue.remove(&position)?;
         let next = queue.first_key_value().map(|(&next, &head)| (next, head));
-        let heads = self.heads_mut(Pool::for_target(target).kind());
+        let heads = self.heads_mut(Pool::for_target(target));
         if heads.by_position.remove(&position).is_some() {
             if let Some((next, head)) = next {
                 heads.by_position.insert(next, head);
@@ -105,56 +117,46 @@
         Some(waiting)
     }
 
-    /// Finds the first request that can run.
-    pub fn first_runnable<F>(
-        &self,
-        can_run: &mut F,
-    ) -> Option<(Position, QueueTarget)>
-    where
-        F: FnMut(&QueuedRequest) -> bool,
-    {
-        let engines = self.engine_heads.by_position.iter();
-        let services = self.service_heads.by_position.iter();
-        let mut heads: Vec<_> = engines.chain(services).collect();
-        heads.sort_unstable_by_key(|&(position, _)| position);
-        heads
-            .into_iter()
-            .find(|&(_, waiting)| can_run(waiting))
-            .map(|(&position, waiting)| (position, waiting.target))
-    }
-
-    /// Finds the first request that can run and that a scan has not looked at.
+    /// Finds the first request of these pools that can run and that a scan has not looked at.
     pub fn next_runnable<F>(
         &mut self,
         scan: u64,
-        pools: PoolKind,
+        pools: Pools,
         can_run: &mut F,
     ) -> Option<(Position, QueueTarget)>
     where
         F: FnMut(&QueuedRequest) -> bool,
     {
-        let heads = match pools {
-            PoolKind::Engines => &mut self.engine_heads,
-            PoolKind::Services => &mut self.service_heads,
-        };
-        let scanned = heads.scanned.filter(|&(last, _)| last == scan);
-        let from = scanned.map_or(Bound::Unbounded, |(_, position)| Bound::Excluded(position));
-        for (&position, waiting) in heads.by_position.range((from, Bound::Unbounded)) {
-            heads.scanned = Some((scan, position));
-            if can_run(waiting) {
-                return Some((position, waiting.target));
-            }
+        let engines = pools
+            .has_engines()
+            .then(|| self.engine_heads.unscanned(scan));
+        let services = pools
+            .has_services()
+            .then(|| self.service_heads.unscanned(scan));
+        let mut last = None;
+        let found = in_order(
+            engines.into_iter().flatten(),
+            services.into_iter().flatten(),
+        )
+        .inspect(|&(&position, _)| last = Some((scan, position)))
+        .find(|&(_, waiting)| can_run(waiting))
+        .map(|(&position, waiting)| (position, waiting.target));
+        if last.is_some() && pools.has_engines() {
+            self.engine_heads.scanned = last;
+        }
+        if last.is_some() && pools.has_services() {
+            self.service_heads.scanned = last;
         }
-        None
+        found
     }
 
     const fn heads_mut(
         &mut self,
-        pools: PoolKind,
+        pool: Pool,
     ) -> &mut Heads {
-        match pools {
-            PoolKind::Engines => &mut self.engine_heads,
-            PoolKind::Services => &mut self.service_heads,
+        match pool {
+            Pool::Engines => &mut self.engine_heads,
+            Pool::Service(_) => &mut self.service_heads,
         }
     }
 
@@ -178,3 +180,16 @@
         all.into_iter().map(|(_, waiting)| waiting).collect()
     }
 }
+
+/// Merges two sequences that are in order each.
+fn in_order<'a>(
+    first: impl Iterator<Item = (&'a Position, &'a QueuedRequest)>,
+    second: impl Iterator<Item = (&'a Position, &'a QueuedRequest)>,
+) -> impl Iterator<Item = (&'a Position, &'a QueuedRequest)> {
+    let (mut first, mut second) = (first.peekable(), second.peekable());
+    iter::from_fn(move || match (first.peek(), second.peek()) {
+        (Some((head, _)), Some((other, _))) if other < head => second.next(),
+        (Some(_), _) => first.next(),
+        (None, _) => second.next(),
+    })
+}
--- a/crates/core/src/queue/fair_queue.rs
+++ b/crates/core/src/queue/fair_queue.rs
@@ -3,7 +3,7 @@
         AccountShare, Enqueued, QueueSettings, QueueTarget, QueuedRequest,
         account_queue::{AccountQueue, Position},
         estimate,
-        pool::{Pool, PoolKind, PoolState},
+        pool::{Pool, PoolState, Pools},
     },
     crate::{
         IdMap,
@@ -147,23 +147,19 @@
         Ok(Enqueued { expected_wait })
     }
 
-    /// Removes and returns the next request that can run.
+    /// Removes and returns the next request that can run, of all that wait.
     ///
     /// `can_run` is called for the first request of each target, in order, until it returns true.
     pub fn pop<F>(
         &mut self,
         now: Millis,
-        mut can_run: F,
+        can_run: F,
     ) -> Option<QueuedRequest>
     where
         F: FnMut(&QueuedRequest) -> bool,
     {
-        let (account, position, target) = self.active.iter().find_map(|&(_, account)| {
-            self.accounts[&account]
-                .first_runnable(&mut can_run)
-                .map(|(position, target)| (account, position, target))
-        })?;
-        self.take(account, position, target, now)
+        self.rewind();
+        self.pop_next(now, Pools::All, can_run)
     }
 
     /// Begins a new scan by [`Self::pop_next`].
@@ -171,12 +167,13 @@
         self.scan += 1;
     }
 
-    /// The same as [`Self::pop`] for some pools, without the requests that this scan has looked at already: a scan that sends
-    /// many requests looks at each one once.
+    /// Removes and returns the next request of these pools that can run, among those that this scan has not looked at.
+    ///
+    /// A scan that sends many requests looks at each one once.
     pub fn pop_next<F>(
         &mut self,
         now: Millis,
-        pools: PoolKind,
+        pools: Pools,
         mut can_run: F,
     ) -> Option<QueuedRequest>
     where
@@ -188,17 +185,6 @@
                 .next_runnable(self.scan, pools, &mut can_run)
                 .map(|(position, target)| (account, position, target))
         })?;
-        self.take(account, position, target, now)
-    }
-
-    /// Removes a request that is served now.
-    fn take(
-        &mut self,
-        account: AccountId,
-        position: Position,
-        target: QueueTarget,
-        now: Millis,
-    ) -> Option<QueuedRequest> {
         if let Some(&(lowest, _)) = self.active.first() {
             self.virtual_time = self.virtual_time.max(lowest);
         }
--- a/crates/core/src/queue/mod.rs
+++ b/crates/core/src/queue/mod.rs
@@ -22,7 +22,7 @@
 
 pub use {
     fair_queue::FairQueue,
-    pool::PoolKind,
+    pool::Pools,
     priority::Priority,
     queued_request::{Enqueued, QueueTarget, QueuedRequest},
     settings::{AccountShare, QueueSettings},
--- a/crates/core/src/queue/pool.rs
+++ b/crates/core/src/queue/pool.rs
@@ -15,24 +15,30 @@
     Service(ServiceId),
 }
 
-/// The pools that a scan of the queue looks at.
+/// The pools whose requests a scan of the queue looks at.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PoolKind {
+pub enum Pools {
     /// The model engines.
     Engines,
     /// The servers of all plain services.
     Services,
+    /// All of them.
+    All,
 }
 
-impl Pool {
-    /// Which scans look at it.
-    pub const fn kind(self) -> PoolKind {
-        match self {
-            Self::Engines => PoolKind::Engines,
-            Self::Service(_) => PoolKind::Services,
-        }
+impl Pools {
+    /// Whether the engines are among them.
+    pub const fn has_engines(self) -> bool {
+        matches!(self, Self::Engines | Self::All)
+    }
+
+    /// Whether the plain services are among them.
+    pub const fn has_services(self) -> bool {
+        matches!(self, Self::Services | Self::All)
     }
+}
 
+impl Pool {
     /// Returns the pool of upstreams that can serve a target.
     pub const fn for_target(target: QueueTarget) -> Self {
         match target {
--- a/crates/core/src/scheduler/state_machine/decisions.rs
+++ b/crates/core/src/scheduler/state_machine/decisions.rs
@@ -12,7 +12,7 @@
         ids::{AdapterVersion, RequestId, ServiceId, UpstreamId},
         overload::{OverloadControl, QueuedWork},
         quarantine::PartQuarantine,
-        queue::{PoolKind, QueueTarget, QueuedRequest},
+        queue::{Pools, QueueTarget, QueuedRequest},
         scheduler::{
             Job, Outcome, RateShare, SchedulerAction as Action, WaitReason,
             choose::{CopyDemand, SelectionContext},
@@ -47,20 +47,20 @@
     /// Calls of plain services, which need no adapter and are cheap to decide.
     Calls,
     /// Generations that can still be on time.
-    OnTime,
+    OnTimeGenerations,
     /// Every queued generation, late ones included.
-    All,
+    AllGenerations,
 }
 
 impl DispatchPhase {
     /// All phases in their order.
-    const ALL: [Self; 3] = [Self::Calls, Self::OnTime, Self::All];
+    const ALL: [Self; 3] = [Self::Calls, Self::OnTimeGenerations, Self::AllGenerations];
 
     /// Whose requests the phase evaluates.
-    const fn pools(self) -> PoolKind {
+    const fn pools(self) -> Pools {
         match self {
-            Self::Calls => PoolKind::Services,
-            Self::OnTime | Self::All => PoolKind::Engines,
+            Self::Calls => Pools::Services,
+            Self::OnTimeGenerations | Self::AllGenerations => Pools::Engines,
         }
     }
 
@@ -70,8 +70,8 @@
         is_on_time_or_ranked: bool,
     ) -> bool {
         match self {
-            Self::OnTime => is_on_time_or_ranked,
-            Self::Calls | Self::All => true,
+            Self::OnTimeGenerations => is_on_time_or_ranked,
+            Self::Calls | Self::AllGenerations => true,
         }
     }
 }
@@ -326,8 +326,8 @@
         loop {
             let mut sent = None;
             let mut moved: Vec<(RequestId, QueueTarget)> = Vec::new();
-            let pace =
-                EvaluationPace::new(self.queue.len(), self.on_time.len(), self.evaluation_epoch);
+            let (queued, on_time) = (self.queue.len(), self.on_time.len());
+            let pace = EvaluationPace::new(queued, on_time, self.evaluation_epoch);
             let popped = self.queue.pop_next(now, phase.pools(), |waiting| {
                 self.scanned += 1;
                 let Some(entry) = self.entries.get_mut(&waiting.request) else {
@@ -397,13 +397,12 @@
                 if choice.send.is_none() {
                     full_services.extend(is_plain.then_some(entry.job.service));
                     entry.evaluate_at = now + pace.next(is_on_time);
-                    let reason = choice.wait_reason;
-                    if reason == WaitReason::Load {
-                        let (fleet, versions) = (&self.fleet, &self.versions);
-                        self.queued_adapters
-                            .note_awaited(&entry.job, fleet, versions, now);
+                    if choice.wait_reason == WaitReason::Load {
+                        let (adapters, versions) = (&mut self.queued_adapters, &self.versions);
+                        adapters.note_awaited(&entry.job, &self.fleet, versions, now);
                     }
-                    note_waiting(entry, reason, &mut self.overload, &self.fleet, now);
+                    let (overload, fleet) = (&mut self.overload, &self.fleet);
+                    note_waiting(entry, choice.wait_reason, overload, fleet, now);
                 }
                 sent = choice.send;
                 sent.is_some()
@@ -535,7 +534,7 @@
         self.queued_calls = add_to(self.queued_calls, is_call);
         let is_resumption = usize::from(job.build.is_some());
         self.queued_resumptions = add_to(self.queued_resumptions, is_resumption);
-        let Some(adapter) = job.generation().and_then(|generation| generation.adapter) else {
+        let Some(adapter) = job.adapter() else {
             return;
         };
         if is_queued {
--- a/crates/core/tests/fair_queue.rs
+++ b/crates/core/tests/fair_queue.rs
@@ -13,7 +13,7 @@
         clock::Millis,
         ids::{AccountId, ModelId, RequestId, ServiceId},
         queue::{
-            AccountShare, FairQueue, PoolKind, Priority, QueueSettings, QueueTarget, QueuedRequest,
+            AccountShare, FairQueue, Pools, Priority, QueueSettings, QueueTarget, QueuedRequest,
         },
     },
     rand::SeedableRng,
@@ -367,11 +367,9 @@
     }
 }
 
-/// Guards against an account that sends more requests getting more than its weighted share.
-/// Four accounts of weights 1 to 4 are always backlogged, one with far more requests.
+/// Guards against passes over a long queue whose cost grows with what they send.
 #[test]
 fn a_scan_looks_at_each_request_once() {
-    // Guards against passes over a long queue whose cost grows with what they send.
     let mut scanned = FairQueue::new(QueueSettings::default());
     for number in 0..SCANNED {
         let waiting = QueuedRequest {
@@ -393,7 +391,7 @@
             looks += 1;
             can_run(waiting)
         };
-        let popped = scanned.pop_next(now, PoolKind::Engines, looked_at);
+        let popped = scanned.pop_next(now, Pools::Engines, looked_at);
         assert_eq!(popped, rescanned.pop(now, can_run));
     }
     assert_eq!(looks, SCANNED);
@@ -401,13 +399,39 @@
     assert_eq!(scanned.len() as u64, left);
     let mut services = 0;
     scanned.rewind();
-    scanned.pop_next(now, PoolKind::Services, |_| {
+    scanned.pop_next(now, Pools::Services, |_| {
         services += 1;
         false
     });
     assert_eq!(services, 0, "engines' requests in a scan of plain services");
 }
 
+/// Guards against requests for an engine that overtake those of plain services, or the other way round.
+#[test]
+fn pools_are_served_in_order() {
+    let mut queue = FairQueue::new(QueueSettings::default());
+    for number in 0..SCANNED {
+        let target = match number % 5 {
+            0 | 3 => QueueTarget::Service(ServiceId(number as u32 % 4)),
+            _ => QueueTarget::Base(ModelId(number as u32)),
+        };
+        let waiting = QueuedRequest {
+            request: RequestId(number),
+            account: AccountId(1),
+            priority: Priority::Normal,
+            cost: 100,
+            deadline: Millis(20_000),
+            target,
+        };
+        queue.push(waiting, Millis(1_000 + number)).unwrap();
+    }
+    let popped = std::iter::from_fn(|| queue.pop(Millis(2_000), |_| true));
+    let requests: Vec<_> = popped.map(|waiting| waiting.request.0).collect();
+    assert_eq!(requests, (0..SCANNED).collect::<Vec<_>>());
+}
+
+/// Guards against an account that sends more requests getting more than its weighted share.
+/// Four accounts of weights 1 to 4 are always backlogged, one with far more requests.
 #[test]
 fn accounts_are_served_by_weight() {
     let mut model = Model::new();
