HTTP/1.1 parsing is a crate of its own

Callers saw: nothing; no change of behaviour.

Cause: what a head must be is checked by whatever happens to parse it: the entry daemon by its http1 module, all other readers by the HTTP client library.

Change: crates/entry/src/http1 becomes crates/http1. Headers::end_to_end takes the exceptions of the platform as a predicate, so that the crate doesn't know its header names.

Evidence: the workspace builds with all targets.

--- a/crates/entry/src/caller/response_writer.rs
+++ b/crates/entry/src/caller/response_writer.rs
@@ -2,6 +2,7 @@
     super::ErrorResponse,
     crate::http1::ResponseHead,
     bytes::Bytes,
+    jasmine_platform::headers::is_end_to_end,
     std::{cell::Cell, fmt::Write, io},
     tokio::{io::AsyncWriteExt, net::tcp::WriteHalf},
 };
@@ -231,7 +232,7 @@
 /// Encodes the status line and the end-to-end headers of an upstream's response.
 fn encode_head(response: &ResponseHead) -> String {
     let mut head = format!("HTTP/1.1 {} {}\r\n", response.status, response.reason);
-    for (_, header) in response.headers.end_to_end() {
+    for (_, header) in response.headers.end_to_end(is_end_to_end) {
         let value = String::from_utf8_lossy(&header.value);
         let _infallible = write!(head, "{}: {value}\r\n", header.name);
     }
--- a/crates/entry/src/forward/encode.rs
+++ b/crates/entry/src/forward/encode.rs
@@ -5,7 +5,9 @@
     crate::{http1::Framing, scheduling::Placement},
     bytes::Bytes,
     jasmine_core::clock::Millis,
-    jasmine_platform::headers::{UpstreamRequestHeaders, is_forwarded, is_last_event_id},
+    jasmine_platform::headers::{
+        UpstreamRequestHeaders, is_end_to_end, is_forwarded, is_last_event_id,
+    },
     std::fmt::Write,
 };
 
@@ -21,7 +23,7 @@
 ) -> (Vec<u8>, Bytes) {
     let head = &req.incoming.head;
     let mut out = format!("{} {} HTTP/1.1\r\n", head.method, head.target);
-    for (name, header) in head.headers.end_to_end() {
+    for (name, header) in head.headers.end_to_end(is_end_to_end) {
         let is_replaced = after_event.is_some() && is_last_event_id(&name);
         // The whole body has been read, so `Expect: 100-continue` is handled already.
         let is_expect = name == "expect";
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,7 +13,6 @@
 pub mod exchange_bytes;
 pub mod forward;
 mod gauges;
-pub mod http1;
 pub mod links;
 pub mod load;
 pub mod metrics;
@@ -22,3 +21,5 @@
 pub mod store;
 pub mod streams;
 pub mod upstream;
+
+pub use jasmine_http1 as http1;
--- a/crates/entry/src/http1/header.rs
+++ b/crates/http1/src/header.rs
@@ -78,15 +78,23 @@
     }
 
     /// Iterates over the end-to-end headers, with their names in lower case.
-    pub fn end_to_end(&self) -> impl Iterator<Item = (String, &Header)> {
+    ///
+    /// Those for which `is_kept` holds are end-to-end even if `Connection` lists them.
+    pub fn end_to_end<F>(
+        &self,
+        is_kept: F,
+    ) -> impl Iterator<Item = (String, &Header)>
+    where
+        F: Fn(&str) -> bool,
+    {
         let named: Vec<String> = self
             .elements("connection")
             .map(str::to_ascii_lowercase)
             .collect();
         self.0.iter().filter_map(move |header| {
             let name = header.name.to_ascii_lowercase();
-            let is_hop = HOP_BY_HOP.contains(&name.as_str())
-                || (named.contains(&name) && !jasmine_platform::headers::is_end_to_end(&name));
+            let is_hop =
+                HOP_BY_HOP.contains(&name.as_str()) || (named.contains(&name) && !is_kept(&name));
             (!is_hop).then_some((name, header))
         })
     }
--- a/crates/entry/src/http1/mod.rs
+++ b/crates/http1/src/lib.rs
@@ -1,7 +1,7 @@
-//! HTTP/1.1 parsing and framing for callers and upstreams.
+//! HTTP/1.1 parsing and framing: what a message must be, for all readers of requests and answers.
 //!
-//! Ambiguous messages are rejected to prevent request smuggling: the daemon and the other side must agree on where a
-//! message ends. Lines are parsed by `httparse`; framing and further checks are done here.
+//! Ambiguous messages are rejected to prevent request smuggling: both sides must agree on where a message ends. Lines
+//! are parsed by `httparse`; framing and further checks are done here.
 
 mod body_reader;
 mod chunked;
