Test proxies can change what a server answers

Callers saw: nothing; tests only.

Change: Proxy::set_rewrite replaces bytes in what the target sends, at their first place in each read. Any stand-in (service, engine, store, controller) can thus send a broken answer to any process, on new and on kept connections.

--- a/crates/testkit/src/proxy/mod.rs
+++ b/crates/testkit/src/proxy/mod.rs
@@ -7,7 +7,7 @@
 
 pub use {
     control::start_control,
-    link::{Fault, Link},
+    link::{Fault, Link, Rewrite},
     tcp_proxy::Proxy,
     transferred_bytes::TransferredBytes,
 };
--- a/crates/testkit/src/proxy/tcp_proxy.rs
+++ b/crates/testkit/src/proxy/tcp_proxy.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        link::{Direction, Fault, Link, State},
+        link::{Direction, Fault, Link, Rewrite, State},
         transferred_bytes::{TransferCounters, TransferredBytes},
     },
     std::{
@@ -105,6 +105,14 @@
         });
     }
 
+    /// Sets what is replaced in the bytes of the target, on all connections.
+    pub fn set_rewrite(
+        &self,
+        rewrite: Option<Rewrite>,
+    ) {
+        self.state.send_modify(|state| state.rewrite = rewrite);
+    }
+
     /// Sets how the connections of one client are treated; `None` treats them like those of others.
     pub fn set_mode_for(
         &self,
@@ -256,11 +264,17 @@
     let mut transferred_bytes = 0;
     loop {
         let n = from.read(&mut buf).await?;
-        let link = rx
-            .wait_for(|state| state.allows(address, direction, generation))
-            .await
-            .map_err(io::Error::other)?
-            .link;
+        let (link, rewrite) = {
+            let state = rx
+                .wait_for(|state| state.allows(address, direction, generation))
+                .await
+                .map_err(io::Error::other)?;
+            let rewrite = state.rewrite.clone();
+            (
+                state.link,
+                rewrite.filter(|_| direction == Direction::ToClient),
+            )
+        };
         if n == 0 {
             return to.shutdown().await;
         }
@@ -271,7 +285,10 @@
             (Some(limit), Direction::ToClient) => limit.saturating_sub(transferred_bytes) as usize,
             _ => usize::MAX,
         };
-        to.write_all(&buf[..n.min(allowance)]).await?;
+        let rewritten = rewrite.and_then(|rewrite| rewrite.apply(&buf[..n]));
+        let data = rewritten.as_deref().unwrap_or(&buf[..n]);
+        let n = data.len();
+        to.write_all(&data[..n.min(allowance)]).await?;
         count.add(direction, n.min(allowance) as u64);
         transferred_bytes += n as u64;
         if n >= allowance {
