Answers whose status is in no class are rejected by the entry daemon

Callers saw: a server in trouble answered with status 000, and the caller got "HTTP/1.1 0 Status" with the server's seal and body; so for generations, too. By earlier measurements also 001 to 099, as 1 to 99, and 600 to 999, for calls, streams and HEAD.

Cause: the parser takes any three digits, the connection knew 100 to 199 and all else, and classify knew 2xx and 5xx and took all else for an answer.

Change: a ResponseHead has a Status, which exists for 100 to 599 only; classify matches on its class without a wildcard. Any other head is a broken answer, as a malformed one was before: its caller gets 502 (or the answer of another upstream, where the request may be sent again), its connection is closed and what it claims isn't read. A log line, answer_rejected, says what was wrong.

Why it works: all of the daemon's readers (calls, streams, relays, probes, reports, orders, the store) parse heads in parse_response_head.

Evidence: broken_answers.

--- a/crates/entry/src/caller/read_request.rs
+++ b/crates/entry/src/caller/read_request.rs
@@ -110,9 +110,7 @@
 fn decode_error(e: HttpError) -> RequestReadError {
     match e {
         HttpError::Truncated => RequestReadError::Closed,
-        HttpError::Malformed | HttpError::HeadTooLarge => {
-            RefusedRead::new(ErrorKind::BadRequest, Rule::Format).into()
-        }
+        _ => RefusedRead::new(ErrorKind::BadRequest, Rule::Format).into(),
     }
 }
 
--- a/crates/entry/src/caller/response_writer.rs
+++ b/crates/entry/src/caller/response_writer.rs
@@ -113,7 +113,7 @@
         body: &Bytes,
     ) -> io::Result<()> {
         let mut head = encode_head(response);
-        let has_body = !matches!(response.status, 204 | 304);
+        let has_body = !matches!(response.status.code(), 204 | 304);
         if self.is_head_request {
             if let Some(length) = response.headers.single("content-length") {
                 let _infallible = write!(head, "Content-Length: {length}\r\n");
--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -5,7 +5,7 @@
     crate::{
         context::Context,
         exchange_bytes::ByteHold,
-        http1::ResponseHead,
+        http1::{ResponseHead, StatusClass},
         links::{NotRelayed, RelayTarget, read_not_relayed, take_relayed_mark},
         scheduling::Placement,
         upstream::{Awaited, Connection, ExchangeError, RequestTag, ResponseStart},
@@ -465,8 +465,8 @@
         response: StartedResponse,
     ) -> Start {
         let status = response.head.status;
-        let response_headers = ResponseHeaders::read(status, response.head.headers.pairs());
-        let not_run = self.not_run_outcome(status, &response_headers);
+        let response_headers = ResponseHeaders::read(status.code(), response.head.headers.pairs());
+        let not_run = self.not_run_outcome(status.code(), &response_headers);
         // What another upstream at this address states says nothing about this one.
         if not_run != Some(Outcome::OtherUpstream) {
             self.note_signals(&response_headers);
@@ -482,12 +482,12 @@
             .all("content-encoding")
             .next()
             .is_some();
-        match status {
+        match status.class() {
             // Without a seal or with a content coding it isn't the service's own response.
-            200..=299 if !response_headers.is_sealed || has_content_coding => {
+            StatusClass::Success if !response_headers.is_sealed || has_content_coding => {
                 Start::Failed(Failure::may_have_run(Outcome::Lost))
             }
-            500..=599 => {
+            StatusClass::ServerError => {
                 let patience = if self.can_retry {
                     FAILURE_BODY_TIMEOUT.min(self.time_left())
                 } else {
@@ -499,7 +499,11 @@
                     ..Failure::may_have_run(Outcome::Failed)
                 })
             }
-            _ => Start::Responding(Box::new(response)),
+            StatusClass::Success | StatusClass::Redirection | StatusClass::ClientError => {
+                Start::Responding(Box::new(response))
+            }
+            // Interim responses are read before the head of the response.
+            StatusClass::Interim => Start::Failed(Failure::may_have_run(Outcome::Lost)),
         }
     }
 }
--- a/crates/entry/src/forward/in_flight.rs
+++ b/crates/entry/src/forward/in_flight.rs
@@ -11,6 +11,7 @@
     },
     crate::{
         context::Context,
+        http1::{Status, StatusClass},
         scheduling::{GenerationSpec, Placement},
         upstream::Liveness,
     },
@@ -256,13 +257,13 @@
         Start::Failed(failure) => return (Err(failure.into()), Stage::Ended),
         Start::Refused(kind) => return (Err(AttemptError::Refused(kind)), Stage::Ended),
     };
-    let is_success = matches!(response.head.status, 200..=299);
+    let is_success = response.head.status.class() == StatusClass::Success;
     if is_success {
         let now = attempt.cx.clock.now();
         let framing = response.head.framing;
         attempt.update_trace(|trace| trace.note_head(framing, now));
     }
-    if attempt.req.is_stream() && response.head.status == 200 {
+    if attempt.req.is_stream() && response.head.status == Status::OK {
         let reader = StreamReader::new(response, last_event, attempt.req.is_resumable());
         return (Ok(Piece::Begun), Stage::Begun(Box::new(reader)));
     }
--- a/crates/entry/src/links/probe.rs
+++ b/crates/entry/src/links/probe.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         context::Context,
-        http1::ResponseHead,
+        http1::{ResponseHead, Status},
         scheduling::ProbeTarget,
         upstream::{Awaited, Connection, ExchangeError, Pool},
     },
@@ -62,7 +62,7 @@
     };
     let request = head("/", address) + "\r\n";
     let response = timeout(PEER_TIMEOUT.to_std(), first_response(connection, &request)).await;
-    matches!(response, Ok(Ok(head)) if head.status == 200)
+    matches!(response, Ok(Ok(head)) if head.status == Status::OK)
 }
 
 async fn first_response(
--- a/crates/entry/src/links/relay_header.rs
+++ b/crates/entry/src/links/relay_header.rs
@@ -1,6 +1,6 @@
 //! The headers that one VM's request to another one has beyond those of the upstream's request.
 
-use crate::http1::{Framing, Header, Headers, RequestHead, ResponseHead};
+use crate::http1::{Framing, Header, Headers, RequestHead, ResponseHead, Status};
 
 /// First header of a request to a VM: the upstream that it is to be sent to and, after a space, its software version.
 const TARGET: &str = "Jasmine-Upstream";
@@ -37,7 +37,7 @@
 
     /// The response that says so.
     pub(super) fn response(self) -> ResponseHead {
-        response_head(503, NOT_RELAYED, self.as_str())
+        response_head(Status::SERVICE_UNAVAILABLE, NOT_RELAYED, self.as_str())
     }
 }
 
@@ -107,7 +107,7 @@
 
 /// The answer of a VM that is asked whether it reaches the upstreams, and does.
 pub(super) fn links_up() -> ResponseHead {
-    response_head(200, RELAYED, "0")
+    response_head(Status::OK, RELAYED, "0")
 }
 
 /// Marks a response as that of the upstream.
@@ -139,7 +139,7 @@
 }
 
 fn response_head(
-    status: u16,
+    status: Status,
     name: &str,
     value: &str,
 ) -> ResponseHead {
--- a/crates/entry/src/links/relay_server.rs
+++ b/crates/entry/src/links/relay_server.rs
@@ -254,10 +254,10 @@
         head: &ResponseHead,
         sent_at: Millis,
     ) {
-        let headers = ResponseHeaders::read(head.status, head.headers.pairs());
+        let headers = ResponseHeaders::read(head.status.code(), head.headers.pairs());
         let responder = headers.upstream.as_deref();
         let is_other =
-            is_misdirected(head.status) || responder.is_some_and(|id| id != self.upstream);
+            is_misdirected(head.status.code()) || responder.is_some_and(|id| id != self.upstream);
         if !is_other {
             let scheduling = &self.cx.scheduling;
             scheduling.note_signals(self.upstream, &headers.signals, sent_at);
--- a/crates/entry/src/upstream/awaited.rs
+++ b/crates/entry/src/upstream/awaited.rs
@@ -47,7 +47,7 @@
         head: &ResponseHead,
         is_first: bool,
     ) -> bool {
-        let named = || ResponseHeaders::read(head.status, head.headers.pairs()).request_id;
+        let named = || ResponseHeaders::read(head.status.code(), head.headers.pairs()).request_id;
         match self {
             Self::Any => true,
             Self::Request(tag) => named().map_or(is_first, |id| Some(id.as_str()) == tag.id),
--- a/crates/entry/src/upstream/call.rs
+++ b/crates/entry/src/upstream/call.rs
@@ -92,7 +92,7 @@
         let response = self.exchange(&mut connection).await;
         let (head, body) = response.map_err(|e| CallError::NoResponse(NoResponse::Failed(e)))?;
         pool.release(self.address, connection, &head);
-        Ok((head.status, body))
+        Ok((head.status.code(), body))
     }
 
     async fn exchange(
--- a/crates/entry/src/upstream/connection.rs
+++ b/crates/entry/src/upstream/connection.rs
@@ -6,8 +6,8 @@
     crate::{
         clock::Clock,
         http1::{
-            BodyPart, BodyReader, Framing, HeadScanner, HttpError, ResponseHead,
-            parse_response_head,
+            BodyPart, BodyReader, Framing, HeadScanner, HttpError, MAX_INTERIM_RESPONSES,
+            ResponseHead, StatusClass, parse_response_head,
         },
     },
     bytes::{Buf, Bytes, BytesMut},
@@ -34,8 +34,6 @@
 const MAX_STRAY_RESPONSES: u32 = 2;
 /// Most bytes of the body of a skipped response.
 const MAX_STRAY_BYTES: usize = 1 << 20;
-/// Most interim responses (1xx) before the matching one; servers send one or a few.
-const MAX_INTERIM_RESPONSES: u32 = 32;
 
 /// Why an exchange failed; the request may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,15 +47,6 @@
     Invalid,
 }
 
-impl From<HttpError> for ExchangeError {
-    fn from(e: HttpError) -> Self {
-        match e {
-            HttpError::Truncated => Self::Lost,
-            HttpError::Malformed | HttpError::HeadTooLarge => Self::Invalid,
-        }
-    }
-}
-
 impl From<io::Error> for ExchangeError {
     fn from(_: io::Error) -> Self {
         Self::Lost
@@ -196,14 +185,16 @@
         let mut scanner = HeadScanner::default();
         let mut charge = self.read_charge();
         loop {
-            while let Some((head, len)) = parse_response_head(&self.buf, method, &mut scanner)? {
+            while let Some((head, len)) = parse_response_head(&self.buf, method, &mut scanner)
+                .map_err(|e| self.reject(e, awaited.tag()))?
+            {
                 self.buf.advance(len);
                 let is_request_sent = sent == request_len;
-                match head.status {
-                    100..=199 if interim >= MAX_INTERIM_RESPONSES => {
-                        return Err(ExchangeError::Invalid);
+                match head.status.class() {
+                    StatusClass::Interim if interim == MAX_INTERIM_RESPONSES => {
+                        return Err(self.reject(HttpError::EndlessInterim(interim), awaited.tag()));
                     }
-                    100..=199 => interim += 1,
+                    StatusClass::Interim => interim += 1,
                     _ if awaited.is_answered_by(&head, is_first) => {
                         return Ok(ResponseStart {
                             head,
@@ -246,14 +237,17 @@
         reader: &mut BodyReader,
     ) -> Result<Option<Bytes>, ExchangeError> {
         loop {
-            match reader.next(&mut self.buf)? {
+            match reader
+                .next(&mut self.buf)
+                .map_err(|e| self.reject(e, None))?
+            {
                 BodyPart::Data(data) => return Ok(Some(data)),
                 BodyPart::End => return Ok(None),
                 BodyPart::NeedMore => {}
             }
             self.buf.reserve(READ_BYTES);
             if self.stream.read_buf(&mut self.buf).await? == 0 {
-                reader.check_close()?;
+                reader.check_close().map_err(|e| self.reject(e, None))?;
                 return Ok(None);
             }
         }
@@ -312,12 +306,29 @@
         Ok(whole.freeze())
     }
 
+    /// Logs why the bytes of the peer are no answer, unless they only end early.
+    fn reject(
+        &self,
+        e: HttpError,
+        tag: Option<RequestTag<'_>>,
+    ) -> ExchangeError {
+        if e == HttpError::Truncated {
+            return ExchangeError::Lost;
+        }
+        Line::new("answer_rejected")
+            .with("id", tag.and_then(|tag| tag.id).unwrap_or("-"))
+            .with("address", self.budget.peer)
+            .with("reason", e)
+            .warn();
+        ExchangeError::Invalid
+    }
+
     fn log_skipped(
         &self,
         head: &ResponseHead,
         awaited: Awaited<'_>,
     ) {
-        let headers = ResponseHeaders::read(head.status, head.headers.pairs());
+        let headers = ResponseHeaders::read(head.status.code(), head.headers.pairs());
         let id = awaited.tag().and_then(|tag| tag.id);
         Line::new("answer_skipped")
             .with("id", id.unwrap_or("-"))
--- a/crates/http1/src/error.rs
+++ b/crates/http1/src/error.rs
@@ -5,6 +5,15 @@
     /// It is not HTTP/1.x, or its framing is ambiguous.
     #[display("malformed or ambiguous message")]
     Malformed,
+    /// A line of its head doesn't follow the grammar.
+    #[display("malformed head: {_0}")]
+    Line(#[error(not(source))] httparse::Error),
+    /// Its status is in no class.
+    #[display("status {_0:03}, expected 100 to 599")]
+    Status(#[error(not(source))] u16),
+    /// Too many interim responses come before it.
+    #[display("more than {_0} interim responses")]
+    EndlessInterim(#[error(not(source))] u32),
     /// The head exceeds the limit.
     #[display("head too large")]
     HeadTooLarge,
--- a/crates/http1/src/framing.rs
+++ b/crates/http1/src/framing.rs
@@ -1,4 +1,4 @@
-use super::{Headers, HttpError};
+use super::{Headers, HttpError, Status};
 
 /// Most digits of a `Content-Length`.
 const MAX_DIGITS: usize = 18;
@@ -43,10 +43,10 @@
     /// [`HttpError::Malformed`] if the framing is ambiguous, as for requests.
     pub fn of_response(
         headers: &Headers,
-        status: u16,
+        status: Status,
         method: &str,
     ) -> Result<Self, HttpError> {
-        if method == "HEAD" || matches!(status, 204 | 304) {
+        if method == "HEAD" || matches!(status.code(), 204 | 304) {
             return Ok(Self::Empty);
         }
         match (is_chunked(headers)?, length(headers)?) {
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -1,7 +1,8 @@
 //! HTTP/1.1 parsing and framing: what a message must be, for all readers of requests and answers.
 //!
 //! Ambiguous messages are rejected to prevent request smuggling: both sides must agree on where a message ends. Lines
-//! are parsed by `httparse`; framing and further checks are done here.
+//! are parsed by `httparse`; framing and further checks are done here. [`parse_response_head`] says which heads are
+//! answers.
 
 mod body_reader;
 mod chunked;
@@ -11,6 +12,7 @@
 mod header;
 mod request_head;
 mod response_head;
+mod status;
 
 pub use {
     body_reader::{BodyPart, BodyReader},
@@ -20,5 +22,6 @@
     head_scanner::HeadScanner,
     header::{Header, Headers},
     request_head::{RequestHead, parse_request_head},
-    response_head::{ResponseHead, parse_response_head},
+    response_head::{MAX_INTERIM_RESPONSES, ResponseHead, parse_response_head},
+    status::{Status, StatusClass},
 };
--- a/crates/http1/src/request_head.rs
+++ b/crates/http1/src/request_head.rs
@@ -55,7 +55,8 @@
     match parsed.parse(&buf[..len]) {
         Ok(httparse::Status::Complete(end)) if end == len => {}
         Err(httparse::Error::TooManyHeaders) => return Err(HttpError::HeadTooLarge),
-        _ => return Err(HttpError::Malformed),
+        Err(e) => return Err(HttpError::Line(e)),
+        Ok(_) => return Err(HttpError::Malformed),
     }
     let (Some(method), Some(target), Some(minor_version)) =
         (parsed.method, parsed.path, parsed.version)
--- a/crates/http1/src/response_head.rs
+++ b/crates/http1/src/response_head.rs
@@ -1,15 +1,18 @@
 use super::{
-    Framing, HeadScanner, Headers, HttpError, header::copy_headers, request_head::MAX_HEADERS,
+    Framing, HeadScanner, Headers, HttpError, Status, header::copy_headers,
+    request_head::MAX_HEADERS,
 };
 
 /// The largest head accepted, in bytes.
 const MAX_HEAD: usize = 64 << 10;
+/// Most interim responses (1xx) before a response; servers send one or a few.
+pub const MAX_INTERIM_RESPONSES: u32 = 32;
 
 /// The parsed head of a response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ResponseHead {
     /// The status code.
-    pub status: u16,
+    pub status: Status,
     /// The reason phrase.
     pub reason: String,
     /// The header lines.
@@ -23,10 +26,12 @@
 /// Parses the head of a response to a `method` request at the start of `buf`.
 ///
 /// Returns the head and its length in bytes, or none if it is incomplete; `scanner` is that of the last call on `buf`.
+/// An acceptable head has a version 1.0 or 1.1, a [`Status`], names that are tokens, values without control characters
+/// and lines that end with CRLF, and its framing is unambiguous.
 ///
 /// # Errors
 ///
-/// [`HttpError`], if the head is too large, malformed or ambiguous.
+/// [`HttpError`] for any other head; nothing that it states may be used.
 pub fn parse_response_head(
     buf: &[u8],
     method: &str,
@@ -39,11 +44,13 @@
     let mut parsed = httparse::Response::new(&mut lines);
     match parsed.parse(&buf[..len]) {
         Ok(httparse::Status::Complete(end)) if end == len => {}
-        _ => return Err(HttpError::Malformed),
+        Err(e) => return Err(HttpError::Line(e)),
+        Ok(_) => return Err(HttpError::Malformed),
     }
-    let (Some(status), Some(minor_version)) = (parsed.code, parsed.version) else {
+    let (Some(code), Some(minor_version)) = (parsed.code, parsed.version) else {
         return Err(HttpError::Malformed);
     };
+    let status = Status::new(code).ok_or(HttpError::Status(code))?;
     let headers = copy_headers(parsed.headers);
     let framing = Framing::of_response(&headers, status, method)?;
     let keeps_connection = minor_version == 1
