An empty line before a status line is no answer

Callers saw: an answer that began with an empty line, passed on as a sound one.

Cause: httparse skips empty lines before the status line. Servers may do so before a request; before an answer it means that the two sides disagree on where the last body ended.

Change: a head that begins with CR is malformed.

--- a/crates/entry/tests/broken_answers.rs
+++ b/crates/entry/tests/broken_answers.rs
@@ -223,6 +223,14 @@
     site.assert_all_rejected(&vm, &LINES);
 }
 
+#[test]
+fn bytes_before_a_head() {
+    // Guards against an answer that doesn't begin with its status line.
+    let site = Site::start(&["s-1"]);
+    let vm = Vm::start(&site.store);
+    site.assert_all_rejected(&vm, &[("HTTP/1.1 200", "\r\nHTTP/1.1 200")]);
+}
+
 #[test]
 fn sound_interim_responses() {
     // Guards against bounds that sound upstreams exceed.
--- a/crates/http1/src/response_head.rs
+++ b/crates/http1/src/response_head.rs
@@ -40,6 +40,10 @@
     let Some(len) = scanner.head_len(buf, MAX_HEAD)? else {
         return Ok(None);
     };
+    // `httparse` skips empty lines before the status line.
+    if buf.starts_with(b"\r") {
+        return Err(HttpError::Malformed);
+    }
     let mut lines = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut parsed = httparse::Response::new(&mut lines);
     match parsed.parse(&buf[..len]) {
--- a/crates/http1/tests/response_heads.rs
+++ b/crates/http1/tests/response_heads.rs
@@ -62,6 +62,7 @@
     }
     for line in [
         "",
+        "\r\nHTTP/1.1 200 OK",
         " HTTP/1.1 200 OK",
         "HTTP/2.0 200 OK",
         "HTTP/1.2 200 OK",
