A switch to another protocol is no answer

Callers saw: an answer that was read from the bytes after 101 Switching Protocols, which are those of another protocol.

Cause: 101 was skipped like other interim responses. No request of ours asks for an upgrade, as Upgrade is dropped from what callers send.

Change: a head with 101 is rejected.

Evidence: broken_answers::switches_to_other_protocols got 200 on, 502 now; all_statuses_of_a_class.

--- a/crates/entry/tests/broken_answers.rs
+++ b/crates/entry/tests/broken_answers.rs
@@ -231,6 +231,15 @@
     site.assert_all_rejected(&vm, &[("HTTP/1.1 200", "\r\nHTTP/1.1 200")]);
 }
 
+#[test]
+fn switches_to_other_protocols() {
+    // Guards against reading on as HTTP after an answer that says that something else follows.
+    let site = Site::start(&["s-1"]);
+    let vm = Vm::start(&site.store);
+    let switched = "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\nHTTP/1.1 200";
+    site.assert_all_rejected(&vm, &[("HTTP/1.1 200", switched)]);
+}
+
 #[test]
 fn sound_interim_responses() {
     // Guards against bounds that sound upstreams exceed.
--- a/crates/http1/src/error.rs
+++ b/crates/http1/src/error.rs
@@ -11,6 +11,9 @@
     /// Its status is in no class.
     #[display("status {_0:03}, expected 100 to 599")]
     Status(#[error(not(source))] u16),
+    /// It switches to another protocol, which no request asked for.
+    #[display("status 101 without a request to upgrade")]
+    Upgrade,
     /// Too many interim responses come before it.
     #[display("more than {_0} interim responses")]
     EndlessInterim(#[error(not(source))] u32),
--- a/crates/http1/src/response_head.rs
+++ b/crates/http1/src/response_head.rs
@@ -27,7 +27,7 @@
 ///
 /// Returns the head and its length in bytes, or none if it is incomplete; `scanner` is that of the last call on `buf`.
 /// An acceptable head has a version 1.0 or 1.1, a [`Status`], names that are tokens, values without control characters
-/// and lines that end with CRLF, and its framing is unambiguous.
+/// and lines that end with CRLF; its framing is unambiguous, and it doesn't switch protocols.
 ///
 /// # Errors
 ///
@@ -55,6 +55,10 @@
         return Err(HttpError::Malformed);
     };
     let status = Status::new(code).ok_or(HttpError::Status(code))?;
+    // No request offers another protocol.
+    if status == Status::SWITCHING_PROTOCOLS {
+        return Err(HttpError::Upgrade);
+    }
     let headers = copy_headers(parsed.headers);
     let framing = Framing::of_response(&headers, status, method)?;
     let keeps_connection = minor_version == 1
--- a/crates/http1/src/status.rs
+++ b/crates/http1/src/status.rs
@@ -20,6 +20,8 @@
 }
 
 impl Status {
+    /// 101: what follows on the connection is another protocol.
+    pub const SWITCHING_PROTOCOLS: Self = Self(101);
     /// 200.
     pub const OK: Self = Self(200);
     /// 503.
--- a/crates/http1/tests/response_heads.rs
+++ b/crates/http1/tests/response_heads.rs
@@ -17,6 +17,7 @@
     for code in 0..=999 {
         let parsed = parse("GET", &format!("HTTP/1.1 {code:03} Reason"));
         let expected = match code {
+            101 => Err(HttpError::Upgrade),
             100..=599 => Ok(true),
             _ => Err(HttpError::Status(code)),
         };
