Framings are checked also where a response has no body

Callers saw: for HEAD, a length that is none ("14, 14") passed on as it was, which their clients can't read. For all calls, the body of an interim response was read as the head of the next response (in the test as one to another request, as it names none; a body that names the request would be its answer).

Cause: of_response returned "no body" for HEAD, 204 and 304 before it looked at lengths and codings, and the framing of interim responses wasn't used.

Change: lengths and codings are checked first; an interim response with a length other than 0, or with a transfer coding, is a broken answer.

--- a/crates/entry/tests/broken_answers.rs
+++ b/crates/entry/tests/broken_answers.rs
@@ -231,6 +231,26 @@
     site.assert_all_rejected(&vm, &[("HTTP/1.1 200", "\r\nHTTP/1.1 200")]);
 }
 
+#[test]
+fn interim_responses_with_a_body() {
+    // Guards against the body of an interim response that is taken for the answer.
+    let site = Site::start(&["s-1"]);
+    let vm = Vm::start(&site.store);
+    let forged = "HTTP/1.1 200 OK\r\nX-Server-Seal: seal\r\nContent-Length: 6\r\n\r\nforged";
+    let head = format!(
+        "HTTP/1.1 103 Early Hints\r\nContent-Length: {}",
+        forged.len()
+    );
+    let with_length = format!("{head}\r\n\r\n{forged}HTTP/1.1 200");
+    let chunked = format!(
+        "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n{forged}HTTP/1.1 200"
+    );
+    site.assert_all_rejected(
+        &vm,
+        &[("HTTP/1.1 200", &with_length), ("HTTP/1.1 200", &chunked)],
+    );
+}
+
 #[test]
 fn switches_to_other_protocols() {
     // Guards against reading on as HTTP after an answer that says that something else follows.
@@ -263,6 +283,22 @@
     assert_eq!(site.upstreams[0].connections(), 1);
 }
 
+#[test]
+fn lengths_without_a_body() {
+    // Guards against a length that is none in an answer to a HEAD request, which the caller gets as it is.
+    let site = Site::start(&["s-1"]);
+    let vm = Vm::start(&site.store);
+    for to in [
+        "Content-Length: 14, 14",
+        "Content-Length: -14",
+        "Content-Length: 14\r\nContent-Length: 14",
+        "Transfer-Encoding: chunked\r\nContent-Length: 14",
+        "Transfer-Encoding: gzip",
+    ] {
+        site.assert_rejected(&vm, ("HEAD", "/read/"), ("Content-Length: 14", to));
+    }
+}
+
 #[test]
 fn another_upstream_answers() {
     // Guards against an error for a request that another upstream could have answered, and against a second run of one
--- a/crates/http1/src/error.rs
+++ b/crates/http1/src/error.rs
@@ -14,6 +14,9 @@
     /// It switches to another protocol, which no request asked for.
     #[display("status 101 without a request to upgrade")]
     Upgrade,
+    /// It is an interim response with a body.
+    #[display("interim response with a body")]
+    InterimBody,
     /// Too many interim responses come before it.
     #[display("more than {_0} interim responses")]
     EndlessInterim(#[error(not(source))] u32),
--- a/crates/http1/src/framing.rs
+++ b/crates/http1/src/framing.rs
@@ -1,4 +1,4 @@
-use super::{Headers, HttpError, Status};
+use super::{Headers, HttpError, Status, StatusClass};
 
 /// Most digits of a `Content-Length`.
 const MAX_DIGITS: usize = 18;
@@ -40,17 +40,19 @@
     ///
     /// # Errors
     ///
-    /// [`HttpError::Malformed`] if the framing is ambiguous, as for requests.
+    /// [`HttpError::Malformed`] if the framing is ambiguous, as for requests, also where there is no body;
+    /// [`HttpError::InterimBody`] for an interim response with one.
     pub fn of_response(
         headers: &Headers,
         status: Status,
         method: &str,
     ) -> Result<Self, HttpError> {
-        if method == "HEAD" || matches!(status.code(), 204 | 304) {
-            return Ok(Self::Empty);
-        }
+        let is_interim = status.class() == StatusClass::Interim;
+        let has_no_body = is_interim || method == "HEAD" || matches!(status.code(), 204 | 304);
         match (is_chunked(headers)?, length(headers)?) {
             (true, Some(_)) => Err(HttpError::Malformed),
+            (true, None) | (false, Some(1..)) if is_interim => Err(HttpError::InterimBody),
+            _ if has_no_body => Ok(Self::Empty),
             (true, None) => Ok(Self::Chunked),
             (false, Some(0)) => Ok(Self::Empty),
             (false, Some(length)) => Ok(Self::Length(length)),
--- a/crates/http1/tests/response_heads.rs
+++ b/crates/http1/tests/response_heads.rs
@@ -51,6 +51,47 @@
     }
 }
 
+#[test]
+fn framings_of_all_methods() {
+    // Guards against a framing that only matters to the next reader, as the response has no body here.
+    let ambiguous = [
+        "Content-Length: 1\r\nContent-Length: 1",
+        "Content-Length: 1, 1",
+        "Content-Length: +1",
+        "Content-Length:",
+        "Content-Length: 1\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: identity",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+    ];
+    for (method, status) in [
+        ("GET", 200),
+        ("GET", 204),
+        ("GET", 304),
+        ("HEAD", 200),
+        ("GET", 103),
+    ] {
+        for framing in ambiguous {
+            let parsed = parse(method, &format!("HTTP/1.1 {status} Reason\r\n{framing}"));
+            assert_eq!(
+                parsed,
+                Err(HttpError::Malformed),
+                "{method} {status} {framing}"
+            );
+        }
+        let sound = format!("HTTP/1.1 {status} Reason\r\nContent-Length: 0");
+        assert_eq!(parse(method, &sound), Ok(true), "{method} {status}");
+    }
+}
+
+#[test]
+fn interim_responses_have_no_body() {
+    // Guards against a body that is read as the next head.
+    for framing in ["Content-Length: 1", "Transfer-Encoding: chunked"] {
+        let interim = format!("HTTP/1.1 103 Reason\r\n{framing}");
+        assert_eq!(parse("GET", &interim), Err(HttpError::InterimBody));
+    }
+}
+
 #[test]
 fn status_lines() {
     for line in [
