A transfer coding in HTTP/1.0 is no framing

Callers saw: a stream from an answer that says HTTP/1.0 and chunked; a reader that keeps to the version takes the chunk lines for the body.

Cause: of_request rejects this, of_response didn't.

Change: of_response rejects it, too. RFC 9112 (6.1) calls the framing faulty.

Evidence: broken_answers::chunks_of_an_older_version got 200 and the events on, 502 now; transfer_codings_of_older_versions.

--- a/crates/entry/tests/broken_answers.rs
+++ b/crates/entry/tests/broken_answers.rs
@@ -30,6 +30,7 @@
     ("POST", "/once/"),
     ("POST", "/stream/"),
 ];
+const STREAMS: [(&str, &str); 2] = [("POST", "/once/"), ("POST", "/stream/")];
 
 /// The platform, with upstreams of which the first one's answers can be changed.
 struct Site {
@@ -299,6 +300,17 @@
     }
 }
 
+#[test]
+fn chunks_of_an_older_version() {
+    // Guards against a transfer coding in a version that has none, where peers disagree on the end of the body.
+    let site = Site::start(&["s-1"]);
+    let vm = Vm::start(&site.store);
+    site.upstreams[0].set_default(Behaviour::Events(EVENTS));
+    for call in STREAMS {
+        site.assert_rejected(&vm, call, ("HTTP/1.1 200", "HTTP/1.0 200"));
+    }
+}
+
 #[test]
 fn another_upstream_answers() {
     // Guards against an error for a request that another upstream could have answered, and against a second run of one
--- a/crates/http1/src/framing.rs
+++ b/crates/http1/src/framing.rs
@@ -46,11 +46,13 @@
         headers: &Headers,
         status: Status,
         method: &str,
+        minor_version: u8,
     ) -> Result<Self, HttpError> {
         let is_interim = status.class() == StatusClass::Interim;
         let has_no_body = is_interim || method == "HEAD" || matches!(status.code(), 204 | 304);
         match (is_chunked(headers)?, length(headers)?) {
             (true, Some(_)) => Err(HttpError::Malformed),
+            (true, None) if minor_version == 0 => Err(HttpError::Malformed),
             (true, None) | (false, Some(1..)) if is_interim => Err(HttpError::InterimBody),
             _ if has_no_body => Ok(Self::Empty),
             (true, None) => Ok(Self::Chunked),
--- a/crates/http1/src/response_head.rs
+++ b/crates/http1/src/response_head.rs
@@ -60,7 +60,7 @@
         return Err(HttpError::Upgrade);
     }
     let headers = copy_headers(parsed.headers);
-    let framing = Framing::of_response(&headers, status, method)?;
+    let framing = Framing::of_response(&headers, status, method, minor_version)?;
     let keeps_connection = minor_version == 1
         && framing != Framing::UntilClose
         && !headers.has_element("connection", "close");
--- a/crates/http1/tests/response_heads.rs
+++ b/crates/http1/tests/response_heads.rs
@@ -92,6 +92,15 @@
     }
 }
 
+#[test]
+fn transfer_codings_of_older_versions() {
+    // Guards against a body whose end depends on whether the reader knows its transfer coding.
+    for method in ["GET", "HEAD"] {
+        let head = "HTTP/1.0 200 Reason\r\nTransfer-Encoding: chunked";
+        assert_eq!(parse(method, head), Err(HttpError::Malformed));
+    }
+}
+
 #[test]
 fn status_lines() {
     for line in [
