Trailers and chunk extensions must follow the grammar

Callers saw: a stream that ended as a whole one though its last chunk was followed by lines that are no trailers.

Cause: trailers and chunk extensions were skipped up to the end of their line without a look at them.

Change: a trailer line must be a header line (the same parser as for heads), a chunk line has no control characters. Else the answer is broken: calls get 502, streams end as cut ones.

Evidence: broken_answers::trailers_and_chunk_lines got a complete stream for "X Odd: a" on, a cut one now; sound trailers and extensions are still read.

--- a/crates/entry/tests/broken_answers.rs
+++ b/crates/entry/tests/broken_answers.rs
@@ -311,6 +311,41 @@
     }
 }
 
+#[test]
+fn trailers_and_chunk_lines() {
+    // Guards against an answer that counts as whole though what ends it is no trailer, or no chunk line.
+    let site = Site::start(&["s-1"]);
+    let vm = Vm::start(&site.store);
+    site.upstreams[0].set_default(Behaviour::Events(EVENTS));
+    for (from, to) in [
+        ("0\r\n\r\n", "0\r\nX Odd: a\r\n\r\n"),
+        ("0\r\n\r\n", "0\r\nX-Odd : a\r\n\r\n"),
+        ("0\r\n\r\n", "0\r\nno trailer\r\n\r\n"),
+        ("0\r\n\r\n", "0\r\nX-Odd: a\x01\r\n\r\n"),
+        ("0\r\n\r\n", "0;\x01\r\n\r\n"),
+        ("0\r\n\r\n", "0 \r\n\r\n"),
+        ("0\r\n\r\n", "0\n\r\n"),
+    ] {
+        for call in [("POST", "/once/"), ("POST", "/write/")] {
+            site.wait_served(&vm, call);
+            let (request, response) = site.send_to_broken(&vm, call, &Rewrite::new(from, to));
+            let case = format!("{call:?} {to:?}: {response:?}");
+            match call.1 {
+                "/once/" => assert!(!response.is_complete, "{case}"),
+                _ => assert_eq!(response.status, 502, "{case}"),
+            }
+            assert_eq!(count_runs(&site.upstreams, request.id()), 1, "{case}");
+        }
+    }
+    for to in ["0\r\nX-Odd: a\r\n\r\n", "0;a=\"b c\"\r\n\r\n"] {
+        site.links[0].set_rewrite(Some(Rewrite::new("0\r\n\r\n", to)));
+        wait_until("sound ones are read", || {
+            let response = vm.send_request(&request("POST", "/once/"));
+            response.is_complete && response.events().len() == EVENTS as usize
+        });
+    }
+}
+
 #[test]
 fn another_upstream_answers() {
     // Guards against an error for a request that another upstream could have answered, and against a second run of one
--- a/crates/http1/src/chunked.rs
+++ b/crates/http1/src/chunked.rs
@@ -6,7 +6,7 @@
 
 /// The longest chunk-size line, in bytes.
 const MAX_SIZE_LINE: usize = 64;
-/// Most bytes of trailers, which are ignored.
+/// Most bytes of trailers, which are checked and dropped.
 const MAX_TRAILERS: usize = 8 << 10;
 /// Most hexadecimal digits of a chunk size.
 const MAX_DIGITS: usize = 15;
@@ -42,7 +42,8 @@
     ///
     /// # Errors
     ///
-    /// [`HttpError::Malformed`] for an invalid chunked coding.
+    /// [`HttpError::Malformed`] for an invalid chunked coding, [`HttpError::Trailer`] for trailers or chunk extensions
+    /// that are malformed.
     pub fn next(
         &mut self,
         buf: &mut BytesMut,
@@ -88,6 +89,7 @@
                     self.state = match line.is_empty() {
                         true => State::Done,
                         false if seen > MAX_TRAILERS => return Err(HttpError::Malformed),
+                        false if !is_field_line(&line) => return Err(HttpError::Trailer),
                         false => State::Trailers(seen),
                     };
                 }
@@ -125,8 +127,22 @@
     }
 }
 
-/// Parses a chunk size, ignoring chunk extensions.
+/// Whether a line is a header line: a name that is a token, and a value without control characters.
+fn is_field_line(line: &[u8]) -> bool {
+    let mut one = [httparse::EMPTY_HEADER; 1];
+    let block = [line, b"\r\n\r\n"].concat();
+    matches!(
+        httparse::parse_headers(&block, &mut one),
+        Ok(httparse::Status::Complete((len, [_]))) if len == block.len()
+    )
+}
+
+/// Parses a chunk size; chunk extensions may say anything in visible characters.
 fn parse_size(line: &[u8]) -> Result<u64, HttpError> {
+    let is_control = |byte: &u8| byte.is_ascii_control() && *byte != b'\t';
+    if line.iter().any(is_control) {
+        return Err(HttpError::Trailer);
+    }
     let digits = line.split(|&byte| byte == b';').next().unwrap_or_default();
     let is_plain = !digits.is_empty()
         && digits.len() <= MAX_DIGITS
--- a/crates/http1/src/error.rs
+++ b/crates/http1/src/error.rs
@@ -20,6 +20,9 @@
     /// Too many interim responses come before it.
     #[display("more than {_0} interim responses")]
     EndlessInterim(#[error(not(source))] u32),
+    /// A trailer line or a chunk extension doesn't follow the grammar.
+    #[display("malformed trailer or chunk extension")]
+    Trailer,
     /// The head exceeds the limit.
     #[display("head too large")]
     HeadTooLarge,
