The gateway rejects broken answers before its HTTP client reads them

Callers saw, from the gateway: 200 with the first 8 bytes as the whole body for a head with "Content-Length : 8" (blank or tab before the colon); answers with "X-A : b" or with a line that ends in a bare LF; status 600 and 999; and an interim response, 100 with length 0, as the answer itself.

Cause: awc accepts blanks after header names and bare LF in responses, has no setting for it, takes any status from 100 to 999, and returns interim responses as final ones.

Change: CheckedIo, between the socket and awc, passes on a head only when parse_response_head accepts it, follows the body by the same decoder as the entry daemon, drops interim responses, and fails the connection at bytes that are no response or that come without a request.

Why it works: awc sees only whole heads that passed, and bytes of their bodies. A failure is an I/O error to it: it closes the connection, and the driver treats the answer as lost, which it never repeats where the call may have run.

Evidence: gateway broken_answers on: answers_of_services 600 passed on, another_server_answers 600 though another server was sound, answers_of_engines 200 with the whole text for "X-Odd : a", sound_interim_responses 100 as the answer; all pass now.

--- a/crates/gateway/src/upstream/client.rs
+++ b/crates/gateway/src/upstream/client.rs
@@ -6,7 +6,8 @@
     actix_web::http::{Method, Uri, header::HeaderMap},
     awc::{Client, ClientResponse, Connector, error::SendRequestError},
     bytes::Bytes,
-    std::{cell::RefCell, io, net::SocketAddr, time::Duration},
+    jasmine_http1::CheckedIo,
+    std::{cell::RefCell, net::SocketAddr, time::Duration},
 };
 
 /// Timeout for establishing a connection.
@@ -136,16 +137,13 @@
 async fn dial(
     info: ConnectInfo<Uri>,
     written: BytesWritten,
-) -> Result<Connection<Uri, UpstreamIo>, ConnectError> {
+) -> Result<Connection<Uri, CheckedIo<UpstreamIo>>, ConnectError> {
     let mut info = info;
     let address = info.take_addrs().next().ok_or(ConnectError::Unresolved)?;
     let stream = TcpStream::connect(address)
         .await
         .map_err(ConnectError::Io)?;
     stream.set_nodelay(true).map_err(ConnectError::Io)?;
-    let io: io::Result<UpstreamIo> = Ok(UpstreamIo::new(stream, written));
-    Ok(Connection::new(
-        info.request().clone(),
-        io.map_err(ConnectError::Io)?,
-    ))
+    let io = CheckedIo::new(UpstreamIo::new(stream, written), address);
+    Ok(Connection::new(info.request().clone(), io))
 }
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -1,6 +1,7 @@
 //! Connections to upstreams.
 //!
-//! [`UpstreamIo`] wraps the sockets of `awc`, which does not report two conditions:
+//! [`jasmine_http1::CheckedIo`] rejects what is no answer before `awc` reads it. Below it, [`UpstreamIo`] wraps the
+//! sockets, as `awc` does not report two conditions:
 //!
 //! - `awc` treats a closed connection as the end of the body even if `content-length` bytes have not
 //!   arrived. [`UpstreamIo`] turns the end of the byte stream into an error, so that truncated responses
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a gateway process with a fake controller and simulated upstreams.
 
 mod bad_input;
+mod broken_answers;
 mod broken_heads;
 mod broken_streams;
 mod caller_keys;
--- a/crates/http1/src/error.rs
+++ b/crates/http1/src/error.rs
@@ -23,6 +23,9 @@
     /// A trailer line or a chunk extension doesn't follow the grammar.
     #[display("malformed trailer or chunk extension")]
     Trailer,
+    /// It came without a request.
+    #[display("bytes behind the response")]
+    Surplus,
     /// The head exceeds the limit.
     #[display("head too large")]
     HeadTooLarge,
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -2,26 +2,30 @@
 //!
 //! Ambiguous messages are rejected to prevent request smuggling: both sides must agree on where a message ends. Lines
 //! are parsed by `httparse`; framing and further checks are done here. [`parse_response_head`] says which heads are
-//! answers.
+//! answers: the entry daemon reads by it, and [`CheckedIo`] applies it to what `awc` reads, which accepts more.
 
 mod body_reader;
+mod checked_io;
 mod chunked;
 mod error;
 mod framing;
 mod head_scanner;
 mod header;
 mod request_head;
+mod response_check;
 mod response_head;
 mod status;
 
 pub use {
     body_reader::{BodyPart, BodyReader},
+    checked_io::CheckedIo,
     chunked::ChunkedDecoder,
     error::HttpError,
     framing::Framing,
     head_scanner::HeadScanner,
     header::{Header, Headers},
     request_head::{RequestHead, parse_request_head},
+    response_check::ResponseCheck,
     response_head::{MAX_INTERIM_RESPONSES, ResponseHead, parse_response_head},
     status::{Status, StatusClass},
 };
