The clients of store and VM list reject broken answers

Callers saw: nothing by themselves. A write that had run was reported as refused, so as not applied, when the service sent 100 Continue first; a list of VMs was taken from an answer with status 600.

Cause: as in the gateway, the HTTP client checks less.

Change: checked_connector, a connector of awc whose connections are CheckedIo; both clients use it.

Evidence: store broken_answers on: are_not_believed took a list of VMs with status 600, sound_interim_responses got Refused with status 100. Both pass now.

--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -7,6 +7,7 @@
 mod body_reader;
 mod checked_io;
 mod chunked;
+mod connector;
 mod error;
 mod framing;
 mod head_scanner;
@@ -20,6 +21,7 @@
     body_reader::{BodyPart, BodyReader},
     checked_io::CheckedIo,
     chunked::ChunkedDecoder,
+    connector::{CheckedStream, checked_connector},
     error::HttpError,
     framing::Framing,
     head_scanner::HeadScanner,
--- a/crates/store/src/etcd/etcd_store.rs
+++ b/crates/store/src/etcd/etcd_store.rs
@@ -17,11 +17,12 @@
     },
     actix_web::web::Bytes,
     awc::{
-        Client, Connector,
+        Client,
         error::{PayloadError, SendRequestError},
     },
     futures::{StreamExt, TryStreamExt, stream},
     jasmine_core::clock::Millis,
+    jasmine_http1::checked_connector,
     serde_json::{Value, json},
     std::{
         cell::{Cell, RefCell},
@@ -284,7 +285,7 @@
 }
 
 fn new_client(options: &EtcdOptions) -> Client {
-    let connector = Connector::new()
+    let connector = checked_connector()
         .timeout(options.timeout.to_std())
         .conn_keep_alive(IDLE_CONNECTION_TIMEOUT)
         .limit(MAX_CONNECTIONS);
--- a/crates/store/src/vms/vm_list.rs
+++ b/crates/store/src/vms/vm_list.rs
@@ -1,6 +1,6 @@
 use {
-    super::ListedVm, awc::Client, jasmine_core::clock::Millis, serde::Deserialize,
-    tokio::time::timeout,
+    super::ListedVm, awc::Client, jasmine_core::clock::Millis, jasmine_http1::checked_connector,
+    serde::Deserialize, tokio::time::timeout,
 };
 
 /// Maximum size of the response body.
@@ -43,7 +43,10 @@
     ///
     /// [`VmListError`] if the platform can't be reached or its response isn't a valid list.
     pub async fn read(&self) -> Result<Vec<ListedVm>, VmListError> {
-        let client = Client::builder().disable_timeout().finish();
+        let client = Client::builder()
+            .connector(checked_connector())
+            .disable_timeout()
+            .finish();
         let read = async {
             let mut res = client
                 .get(&self.url)
--- /dev/null
+++ b/crates/store/tests/broken_answers.rs
@@ -0,0 +1,80 @@
+//! Answers of the platform that are no HTTP responses.
+
+use {
+    jasmine_core::clock::Millis,
+    jasmine_store::{
+        etcd::{EtcdOptions, EtcdStore},
+        store::{Op, Range, Store, StoreError, Txn},
+        vms::VmList,
+    },
+    jasmine_testkit::{
+        platform,
+        proxy::{Proxy, Rewrite},
+    },
+    std::net::SocketAddr,
+};
+
+const CHANGES: [(&str, &str); 8] = [
+    ("HTTP/1.1 200", "HTTP/1.1 000"),
+    ("HTTP/1.1 200", "HTTP/1.1 600"),
+    ("HTTP/1.1 200", "\r\nHTTP/1.1 200"),
+    ("\r\n", "\r\nX-Odd : a\r\n"),
+    ("\r\n", "\r\nX Odd: a\r\n"),
+    ("\r\n", "\r\nX-Odd: a\n"),
+    ("\r\n", "\r\nTransfer-Encoding: identity\r\n"),
+    (
+        "HTTP/1.1 200",
+        "HTTP/1.1 103 Early Hints\r\nContent-Length: 6\r\n\r\nforgedHTTP/1.1 200",
+    ),
+];
+
+fn loopback() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
+fn put() -> Txn {
+    Txn {
+        compare: Vec::new(),
+        success: vec![Op::put("a", "mine")],
+        failure: Vec::new(),
+    }
+}
+
+#[actix_web::test]
+async fn are_not_believed() {
+    // Guards against a write that counts as done, or a list of VMs, on the word of a broken answer.
+    let platform = platform::start(loopback()).unwrap();
+    let proxy = Proxy::start(loopback(), platform.address()).unwrap();
+    let url = format!("http://{}", proxy.address());
+    let store = EtcdStore::new(EtcdOptions::new(vec![url.clone()]));
+    let vms = VmList::new(&url, Millis(1_000));
+    for (from, to) in CHANGES {
+        proxy.set_rewrite(None);
+        assert!(store.range(Range::key("a")).await.is_ok());
+        assert!(vms.read().await.is_ok());
+        proxy.set_rewrite(Some(Rewrite::new(from, to)));
+        let written = store.txn(put()).await;
+        assert!(
+            matches!(written, Err(StoreError::OutcomeUnknown(_))),
+            "{to:?}: {written:?}"
+        );
+        assert!(store.range(Range::key("a")).await.is_err(), "{to:?}");
+        assert!(vms.read().await.is_err(), "{to:?}");
+    }
+}
+
+#[actix_web::test]
+async fn sound_interim_responses() {
+    // Guards against an interim response that is taken for the answer.
+    let platform = platform::start(loopback()).unwrap();
+    let proxy = Proxy::start(loopback(), platform.address()).unwrap();
+    let store = EtcdStore::new(EtcdOptions::new(vec![format!(
+        "http://{}",
+        proxy.address()
+    )]));
+    let to = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200";
+    proxy.set_rewrite(Some(Rewrite::new("HTTP/1.1 200", to)));
+    for _ in 0..3 {
+        assert!(store.txn(put()).await.unwrap().succeeded);
+    }
+}
