Controllers reject broken answers of engines

Callers saw: nothing by themselves. A report with status 600 was taken for the engine's state.

Cause: as in the gateway, the HTTP client checks less.

Change: orders and reports go over checked_connector.

Evidence: controller broken_answers::are_not_believed got a report with status 600 on, an error now; orders get "unknown", as nothing says what was done.

--- a/crates/controller/src/engines/engine_client.rs
+++ b/crates/controller/src/engines/engine_client.rs
@@ -1,11 +1,12 @@
 use {
-    awc::{Client, Connector, error::SendRequestError},
+    awc::{Client, error::SendRequestError},
     jasmine_core::{
         clock::Millis,
         ids::Fence,
         ownership::{LoadResult, UnloadResult},
         placement::Instance,
     },
+    jasmine_http1::checked_connector,
     jasmine_store::http::is_unsent,
     serde_json::{Value, json},
     std::net::SocketAddr,
@@ -121,7 +122,7 @@
 
 pub(super) fn new_client() -> Client {
     Client::builder()
-        .connector(Connector::new().timeout(CONNECT_TIMEOUT.to_std()))
+        .connector(checked_connector().timeout(CONNECT_TIMEOUT.to_std()))
         .disable_timeout()
         .finish()
 }
