jasminectl rejects broken answers of controllers

Operators saw: a tree from an answer that began with an empty line.

Cause: as in the gateway, the HTTP client checks less.

Change: its client uses checked_connector.

Evidence: command_line::broken_answers_are_not_shown ended with code 0 on (an empty line before the status line; the cases after it were not reached), with an error in all cases now.

--- a/crates/ctl/src/client/api_client.rs
+++ b/crates/ctl/src/client/api_client.rs
@@ -1,12 +1,13 @@
 use {
     super::call_error::CallError,
     crate::{CtlError, cli::GlobalArgs},
-    awc::{Client, ClientRequest, Connector, http::Method},
+    awc::{Client, ClientRequest, http::Method},
     jasmine_conf::{
         api::{EditProgress, EditResponse, ErrorBody, FleetStatus, History, TreePage},
         tree::{AcceptedEdit, Edit, EditId, Explanation, Path, Setting},
     },
     jasmine_core::error::ErrorKind,
+    jasmine_http1::checked_connector,
     serde::de::DeserializeOwned,
     std::time::Duration,
 };
@@ -41,7 +42,7 @@
     /// Creates a client of the controllers given on the command line.
     pub fn new(args: &GlobalArgs) -> Self {
         let client = Client::builder()
-            .connector(Connector::new().timeout(CONNECT_TIMEOUT.min(args.timeout)))
+            .connector(checked_connector().timeout(CONNECT_TIMEOUT.min(args.timeout)))
             .timeout(args.timeout)
             .finish();
         Self {
--- a/crates/ctl/tests/command_line.rs
+++ b/crates/ctl/tests/command_line.rs
@@ -8,6 +8,7 @@
     ctl_runner::Ctl,
     fake_controller::{FakeController, TOKEN, serve},
     jasmine_conf::fleet::{KEY_PREFIX, KeyDigest},
+    jasmine_testkit::proxy::{Proxy, Rewrite},
     serde_json::json,
     std::{fs, net::SocketAddr},
     tokio::net::TcpSocket,
@@ -302,3 +303,29 @@
     let ran = ctl.ok("completion bash").await;
     assert!(ran.out.contains("complete -F"), "{ran:?}");
 }
+
+#[actix::test]
+async fn broken_answers_are_not_shown() {
+    // Guards against a tree or an edit that the operator is told of on the word of a broken answer.
+    let controller = serve(FakeController::default());
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    let proxy = Proxy::start(any_port, controller).unwrap();
+    let ctl = Ctl::at(&[proxy.address()], TOKEN);
+    ctl.ok("create /models/base model").await;
+    for (from, to) in [
+        ("HTTP/1.1 200", "HTTP/1.1 000"),
+        ("HTTP/1.1 200", "HTTP/1.1 600"),
+        ("HTTP/1.1 200", "\r\nHTTP/1.1 200"),
+        ("\r\n", "\r\nX-Odd : a\r\n"),
+        ("\r\n", "\r\nX Odd: a\r\n"),
+        ("\r\n", "\r\nX-Odd: a\n"),
+    ] {
+        proxy.set_rewrite(Some(Rewrite::new(from, to)));
+        for line in ["list /", "create /models/other model"] {
+            let ran = ctl.run(line).await;
+            assert_ne!(ran.code, 0, "{to:?} {line}: {ran:?}");
+        }
+        proxy.set_rewrite(None);
+        ctl.ok("list /").await;
+    }
+}
