Interim responses are counted in one place

Callers saw: nothing; no change of behaviour.

Cause: the entry daemon's connection and the check before the HTTP client each skipped interim responses and counted them against the same bound.

Change: ResponseHeadReader in jasmine-http1 does it for both; what it returns is the head of a final response.

Evidence: response_check (interim responses up to and beyond the bound), babbling_upstreams, crossed_answers and broken_answers of entry pass.

--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -502,7 +502,7 @@
             StatusClass::Success | StatusClass::Redirection | StatusClass::ClientError => {
                 Start::Responding(Box::new(response))
             }
-            // Interim responses are read before the head of the response.
+            // `ResponseHeadReader` skips interim responses.
             StatusClass::Interim => Start::Failed(Failure::may_have_run(Outcome::Lost)),
         }
     }
--- a/crates/entry/src/upstream/connection.rs
+++ b/crates/entry/src/upstream/connection.rs
@@ -5,10 +5,7 @@
     },
     crate::{
         clock::Clock,
-        http1::{
-            BodyPart, BodyReader, Framing, HeadScanner, HttpError, MAX_INTERIM_RESPONSES,
-            ResponseHead, StatusClass, parse_response_head,
-        },
+        http1::{BodyPart, BodyReader, Framing, HttpError, ResponseHead, ResponseHeadReader},
     },
     bytes::{Buf, Bytes, BytesMut},
     jasmine_core::clock::Millis,
@@ -181,33 +178,27 @@
         let request_len = first.len() + last.len();
         let mut sent = 0;
         let mut stray = 0;
-        let mut interim = 0;
-        let mut scanner = HeadScanner::default();
+        let mut heads = ResponseHeadReader::default();
         let mut charge = self.read_charge();
         loop {
-            while let Some((head, len)) = parse_response_head(&self.buf, method, &mut scanner)
+            while let Some((head, len)) = heads
+                .next(&mut self.buf, method)
                 .map_err(|e| self.reject(e, awaited.tag()))?
             {
                 self.buf.advance(len);
                 let is_request_sent = sent == request_len;
-                match head.status.class() {
-                    StatusClass::Interim if interim == MAX_INTERIM_RESPONSES => {
-                        return Err(self.reject(HttpError::EndlessInterim(interim), awaited.tag()));
-                    }
-                    StatusClass::Interim => interim += 1,
-                    _ if awaited.is_answered_by(&head, is_first) => {
-                        return Ok(ResponseStart {
-                            head,
-                            is_request_sent,
-                        });
-                    }
-                    _ if stray >= MAX_STRAY_RESPONSES => return Err(ExchangeError::Invalid),
-                    _ => {
-                        stray += 1;
-                        self.log_skipped(&head, awaited);
-                        self.discard_body(&head).await?;
-                    }
+                if awaited.is_answered_by(&head, is_first) {
+                    return Ok(ResponseStart {
+                        head,
+                        is_request_sent,
+                    });
+                }
+                if stray >= MAX_STRAY_RESPONSES {
+                    return Err(ExchangeError::Invalid);
                 }
+                stray += 1;
+                self.log_skipped(&head, awaited);
+                self.discard_body(&head).await?;
             }
             self.buf.reserve(READ_BYTES);
             let (mut rx, mut tx) = self.stream.split();
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -15,6 +15,7 @@
 mod request_head;
 mod response_check;
 mod response_head;
+mod response_head_reader;
 mod status;
 
 pub use {
@@ -28,6 +29,7 @@
     header::{Header, Headers},
     request_head::{RequestHead, parse_request_head},
     response_check::ResponseCheck,
-    response_head::{MAX_INTERIM_RESPONSES, ResponseHead, parse_response_head},
+    response_head::{ResponseHead, parse_response_head},
+    response_head_reader::{MAX_INTERIM_RESPONSES, ResponseHeadReader},
     status::{Status, StatusClass},
 };
--- a/crates/http1/src/response_check.rs
+++ b/crates/http1/src/response_check.rs
@@ -1,8 +1,5 @@
 use {
-    super::{
-        BodyPart, BodyReader, HeadScanner, HttpError, MAX_INTERIM_RESPONSES, StatusClass,
-        parse_response_head,
-    },
+    super::{BodyPart, BodyReader, HttpError, ResponseHeadReader},
     bytes::BytesMut,
 };
 
@@ -13,9 +10,9 @@
     Idle,
     /// The head of a response.
     Head {
-        scanner: HeadScanner,
-        interim: u32,
-        is_head_request: bool,
+        heads: ResponseHeadReader,
+        /// The method of the request, as far as responses depend on it.
+        method: &'static str,
     },
     /// The body of a response.
     Body(BodyReader),
@@ -54,9 +51,12 @@
             State::Idle | State::Body(BodyReader::UntilClose)
         ) {
             self.state = State::Head {
-                scanner: HeadScanner::default(),
-                interim: 0,
-                is_head_request: bytes.starts_with(b"HEAD "),
+                heads: ResponseHeadReader::default(),
+                method: if bytes.starts_with(b"HEAD ") {
+                    "HEAD"
+                } else {
+                    "GET"
+                },
             };
         }
     }
@@ -114,27 +114,12 @@
                     self.state = State::Failed(HttpError::Surplus);
                     return Ok(());
                 }
-                State::Head {
-                    scanner,
-                    interim,
-                    is_head_request,
-                } => {
-                    let method = if *is_head_request { "HEAD" } else { "GET" };
-                    let parsed = parse_response_head(&self.received, method, scanner)?;
-                    let Some((head, len)) = parsed else {
+                State::Head { heads, method } => {
+                    let Some((head, len)) = heads.next(&mut self.received, method)? else {
                         return Ok(());
                     };
-                    let bytes = self.received.split_to(len);
-                    match head.status.class() {
-                        StatusClass::Interim if *interim == MAX_INTERIM_RESPONSES => {
-                            return Err(HttpError::EndlessInterim(MAX_INTERIM_RESPONSES));
-                        }
-                        StatusClass::Interim => *interim += 1,
-                        _ => {
-                            checked.extend_from_slice(&bytes);
-                            self.state = State::Body(BodyReader::new(head.framing));
-                        }
-                    }
+                    checked.extend_from_slice(&self.received.split_to(len));
+                    self.state = State::Body(BodyReader::new(head.framing));
                 }
                 State::Body(reader) => {
                     checked.extend_from_slice(&self.received);
--- a/crates/http1/src/response_head.rs
+++ b/crates/http1/src/response_head.rs
@@ -5,8 +5,6 @@
 
 /// The largest head accepted, in bytes.
 const MAX_HEAD: usize = 64 << 10;
-/// Most interim responses (1xx) before a response; servers send one or a few.
-pub const MAX_INTERIM_RESPONSES: u32 = 32;
 
 /// The parsed head of a response.
 #[derive(Clone, Debug, PartialEq, Eq)]
