CheckedIo clears no buffer before each read

Callers saw: nothing.

Cause: each read of the gateway's connections, and each test whether a pooled one is open, cleared 8 KiB that the read overwrites.

Change: the buffer of a read is left uninitialized.

--- a/crates/http1/src/checked_io.rs
+++ b/crates/http1/src/checked_io.rs
@@ -5,6 +5,7 @@
     jasmine_telemetry::log::Line,
     std::{
         io,
+        mem::MaybeUninit,
         net::SocketAddr,
         pin::Pin,
         task::{Context, Poll, ready},
@@ -74,8 +75,8 @@
             if let Some(e) = this.check.error() {
                 return Poll::Ready(Err(this.reject(e)));
             }
-            let mut bytes = [0; READ_BYTES];
-            let mut received = ReadBuf::new(&mut bytes);
+            let mut bytes = [MaybeUninit::uninit(); READ_BYTES];
+            let mut received = ReadBuf::uninit(&mut bytes);
             ready!(Pin::new(&mut this.io).poll_read(cx, &mut received))?;
             let result = match received.filled() {
                 [] => return Poll::Ready(this.check.close().map_err(|e| this.reject(e))),
