--- a/crates/store/src/etcd/etcd_store.rs
+++ b/crates/store/src/etcd/etcd_store.rs
@@ -117,15 +117,15 @@
             .map_err(|e| StoreError::OutcomeUnknown(e.to_string()))?;
         match status.as_u16() {
             200 => Ok(body.to_vec()),
+            status @ 400..=499 => Err(StoreError::Refused {
+                status,
+                message: truncated(&body),
+            }),
             // The service may have forwarded the write internally before it failed.
-            status @ 500.. => Err(StoreError::OutcomeUnknown(format!(
+            status => Err(StoreError::OutcomeUnknown(format!(
                 "status {status}: {}",
                 truncated(&body)
             ))),
-            status => Err(StoreError::Refused {
-                status,
-                message: truncated(&body),
-            }),
         }
     }
 
--- a/crates/store/tests/broken_answers.rs
+++ b/crates/store/tests/broken_answers.rs
@@ -63,6 +63,23 @@
     }
 }
 
+#[actix_web::test]
+async fn statuses_that_refuse_nothing() {
+    // Guards against a write that ran and counts as refused, as the status of its answer isn't an expected one.
+    let platform = platform::start(loopback()).unwrap();
+    let proxy = Proxy::start(loopback(), platform.address()).unwrap();
+    let store = EtcdStore::new(EtcdOptions::new(vec![format!(
+        "http://{}",
+        proxy.address()
+    )]));
+    for (status, is_not_applied) in [(202, false), (302, false), (500, false), (403, true)] {
+        let to = format!("HTTP/1.1 {status}");
+        proxy.set_rewrite(Some(Rewrite::new("HTTP/1.1 200", &to)));
+        let e = store.txn(put()).await.unwrap_err();
+        assert_eq!(e.is_not_applied(), is_not_applied, "{status}: {e}");
+    }
+}
+
 #[actix_web::test]
 async fn sound_interim_responses() {
     // Guards against an interim response that is taken for the answer.
