Reports and the VM list are read from successful answers only

Callers saw: nothing by themselves. The state of an engine, or the list of VMs, was taken from the body of an answer with any status, such as 500.

Cause: the three readers (entry daemon, controller, VM list) looked at the body only; the same cause as for answers of upstreams, that what isn't checked counts.

Change: they require 200, and say which status came.

Evidence: reports_of_failed_reads (entry, controller) and lists_of_failed_reads (store) failed before and pass now.

--- a/crates/controller/src/engines/report_reader.rs
+++ b/crates/controller/src/engines/report_reader.rs
@@ -3,7 +3,7 @@
         EngineError, EngineReport,
         engine_client::{new_client, no_valid_response},
     },
-    awc::Client,
+    awc::{Client, http::StatusCode},
     jasmine_core::clock::Millis,
     std::net::SocketAddr,
     tokio::time::timeout,
@@ -65,6 +65,10 @@
             .send()
             .await
             .map_err(|e| no_valid_response(&e))?;
+        if res.status() != StatusCode::OK {
+            let reason = format!("status {}, expected 200", res.status().as_u16());
+            return Err(EngineError::NoValidResponse(reason));
+        }
         let body = res
             .body()
             .limit(MAX_REPORT_BYTES)
--- a/crates/controller/tests/broken_answers.rs
+++ b/crates/controller/tests/broken_answers.rs
@@ -42,3 +42,14 @@
         assert!(reports.read().await.is_ok(), "{to:?}");
     }
 }
+
+#[actix_web::test]
+async fn reports_of_failed_reads() {
+    // Guards against the state of an engine that is taken from the body of an error.
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    let engine = engine::start(any_port, EngineSettings::default()).unwrap();
+    let proxy = Proxy::start(any_port, engine.address()).unwrap();
+    proxy.set_rewrite(Some(Rewrite::new("HTTP/1.1 200", "HTTP/1.1 500")));
+    let report = ReportReader::new(proxy.address()).read().await;
+    assert!(report.is_err(), "{report:?}");
+}
--- a/crates/entry/src/scheduling/orders.rs
+++ b/crates/entry/src/scheduling/orders.rs
@@ -181,7 +181,7 @@
                     .info();
             })
             .ok()?;
-        let report = decode_report(&body).inspect_err(|e| {
+        let report = decode_report(status, &body).inspect_err(|e| {
             Line::new("report_unreadable")
                 .with("upstream", &id)
                 .with("status", status)
--- a/crates/entry/tests/broken_answers.rs
+++ b/crates/entry/tests/broken_answers.rs
@@ -436,6 +436,19 @@
     wait_until("a generation is answered", is_served);
 }
 
+#[test]
+fn reports_of_failed_reads() {
+    // Guards against the state of an engine that is taken from the body of an error.
+    let site = Site::start(&["s-1"]);
+    let vm = Vm::start(&site.store);
+    let change = Rewrite::new("HTTP/1.1 200", "HTTP/1.1 500");
+    site.engine_link.set_rewrite(Some(change));
+    wait_until("a report is rejected", || {
+        let lines = vm.log_lines("report_unreadable");
+        lines.iter().any(|line| line.contains("status=500"))
+    });
+}
+
 #[test]
 fn stores_answers() {
     // Guards against a configuration that is read from what is no answer of the store.
--- a/crates/store/src/vms/vm_list.rs
+++ b/crates/store/src/vms/vm_list.rs
@@ -1,6 +1,10 @@
 use {
-    super::ListedVm, awc::Client, jasmine_core::clock::Millis, jasmine_http1::checked_connector,
-    serde::Deserialize, tokio::time::timeout,
+    super::ListedVm,
+    awc::{Client, http::StatusCode},
+    jasmine_core::clock::Millis,
+    jasmine_http1::checked_connector,
+    serde::Deserialize,
+    tokio::time::timeout,
 };
 
 /// Maximum size of the response body.
@@ -53,6 +57,10 @@
                 .send()
                 .await
                 .map_err(|e| VmListError(e.to_string()))?;
+            if res.status() != StatusCode::OK {
+                let reason = format!("status {}, expected 200", res.status().as_u16());
+                return Err(VmListError(reason));
+            }
             let body = res
                 .body()
                 .limit(MAX_LIST_BYTES)
--- a/crates/store/tests/broken_answers.rs
+++ b/crates/store/tests/broken_answers.rs
@@ -63,6 +63,16 @@
     }
 }
 
+#[actix_web::test]
+async fn lists_of_failed_reads() {
+    // Guards against VMs that are taken from the body of an error.
+    let platform = platform::start(loopback()).unwrap();
+    let proxy = Proxy::start(loopback(), platform.address()).unwrap();
+    let vms = VmList::new(&format!("http://{}", proxy.address()), Millis(1_000));
+    proxy.set_rewrite(Some(Rewrite::new("HTTP/1.1 200", "HTTP/1.1 500")));
+    assert!(vms.read().await.is_err());
+}
+
 #[actix_web::test]
 async fn statuses_that_refuse_nothing() {
     // Guards against a write that ran and counts as refused, as the status of its answer isn't an expected one.
