A broken answer behind another VM is no end of its upstream

Behind another VM a status of no class was a broken connection for the VM that asked: outcome Abandoned, broken, ended, open evidence against the request and its prompt, and nothing held against the upstream. On the VM's own links, and before also behind another VM, it is outcome Lost without such evidence.

Cause: the VM that reads rejects the answer now, and could only close its connection, as for one that broke.

Change: it answers 502 with Jasmine-Relayed and Jasmine-Broken-Answer, which the VM that asked takes as it takes a broken answer of its own. A VM of an earlier version takes it for an error response of the upstream, so it doesn't offer the request to others (an unknown reason not to relay would count as "not sent"). The mark is removed from what upstreams send.

Mixed versions were not run.

--- a/crates/entry/src/forward/attempt.rs
+++ b/crates/entry/src/forward/attempt.rs
@@ -6,7 +6,7 @@
         context::Context,
         exchange_bytes::ByteHold,
         http1::{ResponseHead, StatusClass},
-        links::{NotRelayed, RelayTarget, read_not_relayed, take_relayed_mark},
+        links::{NotRelayed, RelayTarget, is_broken_answer, read_not_relayed, take_relayed_mark},
         scheduling::Placement,
         upstream::{Awaited, Connection, ExchangeError, RequestTag, ResponseStart},
     },
@@ -251,6 +251,11 @@
         if is_relayed {
             self.cx.metrics.count_relayed("by_others");
             links.note_relay(address, true);
+            if is_broken_answer(&response.head) {
+                self.release(response);
+                let failure = Failure::may_have_run(Outcome::Lost);
+                return Offer::started(Start::Failed(failure));
+            }
             return Offer::started(self.classify(response).await);
         }
         self.release(response);
--- a/crates/entry/src/links/mod.rs
+++ b/crates/entry/src/links/mod.rs
@@ -11,6 +11,8 @@
     link_monitor::{LinkMonitor, monitor_links},
     links_lost::LinksLost,
     relay_address::RelayAddress,
-    relay_header::{NotRelayed, RelayTarget, read_not_relayed, take_relayed_mark},
+    relay_header::{
+        NotRelayed, RelayTarget, is_broken_answer, read_not_relayed, take_relayed_mark,
+    },
     relay_server::serve_relayed,
 };
--- a/crates/entry/src/links/relay_header.rs
+++ b/crates/entry/src/links/relay_header.rs
@@ -8,6 +8,8 @@
 const FINGERPRINT: &str = "Jasmine-Request";
 /// Set by the relaying VM on a response of the upstream.
 const RELAYED: &str = "Jasmine-Relayed";
+/// Set by the relaying VM on its response in place of a broken answer of the upstream.
+const BROKEN_ANSWER: &str = "Jasmine-Broken-Answer";
 /// Why the relaying VM sent nothing to the upstream.
 const NOT_RELAYED: &str = "Jasmine-Not-Relayed";
 
@@ -110,10 +112,20 @@
     response_head(Status::OK, RELAYED, "0")
 }
 
+/// The response that says that the upstream has sent a broken answer.
+///
+/// A VM of an earlier version takes it for an error response of the upstream.
+pub(super) fn broken_answer() -> ResponseHead {
+    let mut head = response_head(Status::BAD_GATEWAY, RELAYED, "1");
+    head.headers.0.push(header(BROKEN_ANSWER, "1"));
+    head
+}
+
 /// Marks a response as that of the upstream.
 pub(super) fn mark_relayed(head: &mut ResponseHead) {
-    remove(&mut head.headers, RELAYED);
-    remove(&mut head.headers, NOT_RELAYED);
+    for name in [RELAYED, NOT_RELAYED, BROKEN_ANSWER] {
+        remove(&mut head.headers, name);
+    }
     head.headers.0.push(header(RELAYED, "1"));
 }
 
@@ -124,6 +136,11 @@
     is_relayed
 }
 
+/// Whether a relayed response stands for a broken answer of the upstream.
+pub fn is_broken_answer(head: &ResponseHead) -> bool {
+    head.headers.all(BROKEN_ANSWER).next().is_some()
+}
+
 /// Why a response was not relayed; one without a reason comes from a VM that could not read the request.
 pub fn read_not_relayed(head: &ResponseHead) -> NotRelayed {
     let reasons = [
--- a/crates/entry/src/links/relay_server.rs
+++ b/crates/entry/src/links/relay_server.rs
@@ -2,14 +2,15 @@
 
 use {
     super::relay_header::{
-        NotRelayed, RelayTarget, links_up, mark_relayed, take_fingerprint, take_target,
+        NotRelayed, RelayTarget, broken_answer, links_up, mark_relayed, take_fingerprint,
+        take_target,
     },
     crate::{
         caller::{IncomingRequest, ResponseWriter},
         context::{Context, StopStage},
         http1::{BodyReader, Framing, ResponseHead},
         scheduling::GenerationSpec,
-        upstream::{Awaited, Connection, RequestTag, ResponseStart},
+        upstream::{Awaited, Connection, ExchangeError, RequestTag, ResponseStart},
     },
     bytes::Bytes,
     jasmine_core::{clock::Millis, reachability::LinkStatus, streams::agreed_build},
@@ -194,7 +195,13 @@
         let ResponseStart {
             mut head,
             is_request_sent,
-        } = response.map_err(io::Error::other)?;
+        } = match response {
+            Ok(response) => response,
+            Err(ExchangeError::Invalid) => {
+                return out.write_whole(&broken_answer(), &Bytes::new()).await;
+            }
+            Err(e @ ExchangeError::Lost) => return Err(io::Error::other(e)),
+        };
         cx.links.note_heard();
         self.note_signals(&head, sent_at);
         let upstream_head = head.clone();
--- a/crates/entry/tests/broken_answers.rs
+++ b/crates/entry/tests/broken_answers.rs
@@ -400,8 +400,15 @@
         vm.send_request(&Request::new("GET", "/read/"));
         !vm.log_lines("request_relayed").is_empty()
     });
+    site.wait_served(&vm, CALLS[0]);
+    let failed_before = vm.log_lines("attempt_failed").len();
     site.assert_all_rejected(&vm, &[STATUSES[0], STATUSES[4], LINES[0], LINES[3]]);
     assert!(vm.log_lines("links_restored").is_empty());
+    // As an answer on its own links: the upstream has failed, and has not ended under the request.
+    let failed = vm.log_lines("attempt_failed").split_off(failed_before);
+    let expected = "outcome=Lost broken=false ended=false";
+    let unlike = failed.iter().find(|line| !line.contains(expected));
+    assert_eq!(unlike, None);
 }
 
 #[test]
--- a/crates/http1/src/status.rs
+++ b/crates/http1/src/status.rs
@@ -24,6 +24,8 @@
     pub const SWITCHING_PROTOCOLS: Self = Self(101);
     /// 200.
     pub const OK: Self = Self(200);
+    /// 502.
+    pub const BAD_GATEWAY: Self = Self(502);
     /// 503.
     pub const SERVICE_UNAVAILABLE: Self = Self(503);
 
