Tests of three readers share one list of broken heads

Callers saw: nothing; tests only.

Cause: store, controller and jasminectl each had the list, of six to eight kinds; Rewrite stood in the file of another type.

Change: Rewrite has a file of its own and names the eight kinds, so that controllers and jasminectl are tested with the two kinds that they lacked.

Evidence: are_not_believed (store, controller) and broken_answers_are_not_shown pass.

--- a/crates/controller/tests/broken_answers.rs
+++ b/crates/controller/tests/broken_answers.rs
@@ -10,15 +10,6 @@
     std::net::SocketAddr,
 };
 
-const CHANGES: [(&str, &str); 6] = [
-    ("HTTP/1.1 200", "HTTP/1.1 000"),
-    ("HTTP/1.1 200", "HTTP/1.1 600"),
-    ("HTTP/1.1 200", "\r\nHTTP/1.1 200"),
-    ("\r\n", "\r\nX-Odd : a\r\n"),
-    ("\r\n", "\r\nX Odd: a\r\n"),
-    ("\r\n", "\r\nX-Odd: a\n"),
-];
-
 #[actix_web::test]
 async fn are_not_believed() {
     // Guards against an order that counts as carried out, or a report, on the word of a broken answer.
@@ -26,20 +17,20 @@
     let engine = engine::start(any_port, EngineSettings::default()).unwrap();
     let proxy = Proxy::start(any_port, engine.address()).unwrap();
     let mut reports = ReportReader::new(proxy.address());
-    for (fence, (from, to)) in (1..).zip(CHANGES) {
-        proxy.set_rewrite(Some(Rewrite::new(from, to)));
+    for (fence, change) in (1..).zip(Rewrite::broken_heads()) {
+        proxy.set_rewrite(Some(change.clone()));
         let raised = EngineClient
             .raise_fence(proxy.address(), Fence(fence))
             .await;
-        assert_eq!(raised, None, "{to:?}");
+        assert_eq!(raised, None, "{change:?}");
         let report = reports.read().await;
-        assert!(report.is_err(), "{to:?}: {report:?}");
+        assert!(report.is_err(), "{change:?}: {report:?}");
         proxy.set_rewrite(None);
         let raised = EngineClient
             .raise_fence(proxy.address(), Fence(fence))
             .await;
-        assert_eq!(raised, Some(true), "{to:?}");
-        assert!(reports.read().await.is_ok(), "{to:?}");
+        assert_eq!(raised, Some(true), "{change:?}");
+        assert!(reports.read().await.is_ok(), "{change:?}");
     }
 }
 
--- a/crates/ctl/tests/command_line.rs
+++ b/crates/ctl/tests/command_line.rs
@@ -312,18 +312,11 @@
     let proxy = Proxy::start(any_port, controller).unwrap();
     let ctl = Ctl::at(&[proxy.address()], TOKEN);
     ctl.ok("create /models/base model").await;
-    for (from, to) in [
-        ("HTTP/1.1 200", "HTTP/1.1 000"),
-        ("HTTP/1.1 200", "HTTP/1.1 600"),
-        ("HTTP/1.1 200", "\r\nHTTP/1.1 200"),
-        ("\r\n", "\r\nX-Odd : a\r\n"),
-        ("\r\n", "\r\nX Odd: a\r\n"),
-        ("\r\n", "\r\nX-Odd: a\n"),
-    ] {
-        proxy.set_rewrite(Some(Rewrite::new(from, to)));
+    for change in Rewrite::broken_heads() {
+        proxy.set_rewrite(Some(change.clone()));
         for line in ["list /", "create /models/other model"] {
             let ran = ctl.run(line).await;
-            assert_ne!(ran.code, 0, "{to:?} {line}: {ran:?}");
+            assert_ne!(ran.code, 0, "{change:?} {line}: {ran:?}");
         }
         proxy.set_rewrite(None);
         ctl.ok("list /").await;
--- a/crates/store/tests/broken_answers.rs
+++ b/crates/store/tests/broken_answers.rs
@@ -14,20 +14,6 @@
     std::net::SocketAddr,
 };
 
-const CHANGES: [(&str, &str); 8] = [
-    ("HTTP/1.1 200", "HTTP/1.1 000"),
-    ("HTTP/1.1 200", "HTTP/1.1 600"),
-    ("HTTP/1.1 200", "\r\nHTTP/1.1 200"),
-    ("\r\n", "\r\nX-Odd : a\r\n"),
-    ("\r\n", "\r\nX Odd: a\r\n"),
-    ("\r\n", "\r\nX-Odd: a\n"),
-    ("\r\n", "\r\nTransfer-Encoding: identity\r\n"),
-    (
-        "HTTP/1.1 200",
-        "HTTP/1.1 103 Early Hints\r\nContent-Length: 6\r\n\r\nforgedHTTP/1.1 200",
-    ),
-];
-
 fn loopback() -> SocketAddr {
     ([127, 0, 0, 1], 0).into()
 }
@@ -48,18 +34,18 @@
     let url = format!("http://{}", proxy.address());
     let store = EtcdStore::new(EtcdOptions::new(vec![url.clone()]));
     let vms = VmList::new(&url, Millis(1_000));
-    for (from, to) in CHANGES {
+    for change in Rewrite::broken_heads() {
         proxy.set_rewrite(None);
         assert!(store.range(Range::key("a")).await.is_ok());
         assert!(vms.read().await.is_ok());
-        proxy.set_rewrite(Some(Rewrite::new(from, to)));
+        proxy.set_rewrite(Some(change.clone()));
         let written = store.txn(put()).await;
         assert!(
             matches!(written, Err(StoreError::OutcomeUnknown(_))),
-            "{to:?}: {written:?}"
+            "{change:?}: {written:?}"
         );
-        assert!(store.range(Range::key("a")).await.is_err(), "{to:?}");
-        assert!(vms.read().await.is_err(), "{to:?}");
+        assert!(store.range(Range::key("a")).await.is_err(), "{change:?}");
+        assert!(vms.read().await.is_err(), "{change:?}");
     }
 }
 
--- a/crates/testkit/src/proxy/link.rs
+++ b/crates/testkit/src/proxy/link.rs
@@ -1,4 +1,5 @@
 use {
+    super::rewrite::Rewrite,
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, net::IpAddr},
 };
@@ -38,37 +39,6 @@
     pub close_after: Option<u64>,
 }
 
-/// Bytes that are replaced in what the target sends, at their first place in each read.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Rewrite {
-    /// What is replaced; nothing is replaced in data without it.
-    pub from: Vec<u8>,
-    /// What stands in its place.
-    pub to: Vec<u8>,
-}
-
-impl Rewrite {
-    /// Replaces `from` by `to`.
-    pub fn new(
-        from: &str,
-        to: &str,
-    ) -> Self {
-        Self {
-            from: from.into(),
-            to: to.into(),
-        }
-    }
-
-    pub(super) fn apply(
-        &self,
-        data: &[u8],
-    ) -> Option<Vec<u8>> {
-        let len = self.from.len();
-        let at = data.windows(len).position(|part| part == self.from)?;
-        Some([&data[..at], &self.to, &data[at + len..]].concat())
-    }
-}
-
 /// Link state shared with the connections.
 #[derive(Clone, Debug, Default)]
 pub(super) struct State {
--- a/crates/testkit/src/proxy/mod.rs
+++ b/crates/testkit/src/proxy/mod.rs
@@ -2,12 +2,14 @@
 
 mod control;
 mod link;
+mod rewrite;
 mod tcp_proxy;
 mod transferred_bytes;
 
 pub use {
     control::start_control,
-    link::{Fault, Link, Rewrite},
+    link::{Fault, Link},
+    rewrite::Rewrite,
     tcp_proxy::Proxy,
     transferred_bytes::TransferredBytes,
 };
--- a/crates/testkit/src/proxy/tcp_proxy.rs
+++ b/crates/testkit/src/proxy/tcp_proxy.rs
@@ -1,6 +1,7 @@
 use {
     super::{
-        link::{Direction, Fault, Link, Rewrite, State},
+        link::{Direction, Fault, Link, State},
+        rewrite::Rewrite,
         transferred_bytes::{TransferCounters, TransferredBytes},
     },
     std::{
