Requests with malformed trailers: tests of what changed for callers

Callers saw: a request whose trailer had a blank in its name, or a control character in a chunk extension, was run; since it is refused with 400, as bodies of callers are decoded by the same code. Nothing tested that.

--- a/crates/entry/tests/request_smuggling.rs
+++ b/crates/entry/tests/request_smuggling.rs
@@ -51,6 +51,18 @@
             "a list of codings",
             with("Transfer-Encoding: gzip, chunked\r\n", hidden),
         ),
+        (
+            "a trailer with a space in its name",
+            with("Transfer-Encoding: chunked\r\n", "0\r\nX A: b\r\n\r\n"),
+        ),
+        (
+            "a space before the colon of a trailer",
+            with("Transfer-Encoding: chunked\r\n", "0\r\nX-A : b\r\n\r\n"),
+        ),
+        (
+            "a control character in a chunk extension",
+            with("Transfer-Encoding: chunked\r\n", "0;\x01\r\n\r\n"),
+        ),
         ("a signed length", with("Content-Length: +4\r\n", "abcd")),
         ("a length in hex", with("Content-Length: 0x4\r\n", "abcd")),
         ("an empty length", with("Content-Length:\r\n", hidden)),
